Lay out the workspace and the api layer

Cause: the repository is empty; every other crate leans on the resource types, result codes and wire messages.

--- /dev/null
+++ b/crates/api/src/code.rs
@@ -0,0 +1,118 @@
+//! Numbered result codes: one number, name, HTTP status and meaning for everything dockwood answers.
+//!
+//! docs/RESULT-CODES.md is checked against this table by a test. Numbers are never reused.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+macro_rules! result_codes {
+    ($($name:ident = $number:literal, $status:literal, $meaning:literal;)*) => {
+        /// A numbered result. The thousands digit names the family: 1 success, 2 refused and not run,
+        /// 3 run but not answered whole, 4 resource API, 5 control, 6 storage, 7 settings.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        pub enum ResultCode { $(#[doc = $meaning] $name,)* }
+
+        impl ResultCode {
+            /// Every code in ascending order of number.
+            pub const ALL: &'static [ResultCode] = &[$(ResultCode::$name,)*];
+
+            /// The stable number.
+            pub const fn number(self) -> u16 { match self { $(ResultCode::$name => $number,)* } }
+
+            /// The HTTP status that carries this code.
+            pub const fn http_status(self) -> u16 { match self { $(ResultCode::$name => $status,)* } }
+
+            /// One sentence for the table in the docs.
+            pub const fn meaning(self) -> &'static str { match self { $(ResultCode::$name => $meaning,)* } }
+
+            /// The code's name as written in answers and docs.
+            pub const fn name(self) -> &'static str { match self { $(ResultCode::$name => stringify!($name),)* } }
+        }
+    };
+}
+
+result_codes! {
+    Ok = 1000, 200, "The call succeeded.";
+    Accepted = 1001, 202, "The change is committed; it is in force once status.inForce is true.";
+    Resent = 1002, 200, "The change id was seen before; this is its first answer.";
+    BadJson = 2001, 400, "The request body is not the JSON that this path takes; not run.";
+    UnknownModel = 2002, 404, "No deployment serves the named model or adapter to this tenant; not run.";
+    BodyTooLarge = 2003, 413, "The request body is larger than the settings allow; not run.";
+    UnknownTenant = 2004, 401, "The tenant key is missing or belongs to no tenant; not run.";
+    QueueFull = 2005, 429, "The pool's queue is full; not run, retry after the stated time.";
+    DeadlineUnreachable = 2006, 429, "The deadline can't be met; not run, retry after the stated time.";
+    NoLease = 2007, 503, "This daemon holds no configuration lease; not run, use the other addresses.";
+    DaemonLeaving = 2008, 503, "This daemon is leaving; not run, use the other addresses.";
+    NoServingReplica = 2009, 503, "No replica of the deployment is serving; not run, retry after the stated time.";
+    TenantLimit = 2010, 429, "The tenant is over its own limit; not run, retry after the stated time.";
+    BadHeader = 2011, 400, "A request header has a value that can't be used; not run.";
+    UnknownService = 2012, 404, "No service has this name; not run.";
+    IdempotencyKeyReused = 2013, 422, "The idempotency key was used with other content; not run.";
+    RequestIdTooOld = 2014, 409, "The request id is older than claims are kept; not run.";
+    BackendUnreachable = 2015, 503, "No back end could be reached, and none received the request; not run.";
+    ClaimRefused = 2016, 503, "The claim on a non-repeatable request could not be committed; not run.";
+    BackendRefused = 2017, 502, "The back end refused the request before running it; not run.";
+    Interrupted = 3001, 502, "The run was cut short and may not be continued; what was generated is incomplete.";
+    OutcomeUnknown = 3002, 502, "The request was sent and its outcome can't be established; it is not run again.";
+    DeadlinePassed = 3003, 504, "The deadline passed while the request was running; the run was cancelled.";
+    BackendFailed = 3004, 502, "The back end reported a failure after it had begun.";
+    AlreadyRunning = 3005, 409, "A request with this id is running; ask for its outcome.";
+    RequestNotFound = 3006, 404, "No daemon that was asked holds a record of this request id.";
+    BadResource = 4001, 400, "The body is not a resource: malformed JSON or an unknown field.";
+    UnknownKind = 4002, 404, "There is no such resource kind.";
+    ValidationFailed = 4003, 422, "The resource's spec has values that are not allowed.";
+    NotFound = 4004, 404, "There is no resource of this kind and name.";
+    Conflict = 4005, 409, "The resource has changed since the given resourceVersion; the current one is attached.";
+    AlreadyExists = 4006, 409, "A resource of this kind and name exists.";
+    HasDependants = 4007, 409, "Other resources refer to this one; they are named in the message.";
+    ChangeIdReused = 4008, 409, "The change id was used for another change.";
+    TokenMissing = 4009, 401, "The call needs an operator token.";
+    TokenWrong = 4010, 401, "The operator token is not known.";
+    RoleInsufficient = 4011, 403, "The operator token's role does not allow this call.";
+    ReadOnlyKind = 4012, 405, "Resources of this kind are written by dockwood alone.";
+    WatchTooOld = 4013, 410, "The watch starts before the retained changes; list again and watch from there.";
+    MachineInOtherReplica = 4014, 409, "A machine is still part of another replica.";
+    EpochStale = 4015, 409, "The command names an epoch or fence that is no longer the current one.";
+    BadQuery = 4016, 400, "A query parameter has a value that can't be used.";
+    NameMismatch = 4017, 400, "The name or kind in the body differs from the path.";
+    NoSuchPath = 4018, 404, "There is no such path in this API version.";
+    NoLeader = 5001, 503, "There is no known control leader; try again.";
+    NotLeader = 5002, 503, "This daemon is not the control leader; the leader is attached where known.";
+    ProposalDropped = 5003, 503, "The change was not committed; resend it with the same change id.";
+    ControlTimeout = 5004, 504, "The control leader did not answer in time; resend with the same change id.";
+    PeerUnreachable = 5005, 503, "Another daemon could not be reached.";
+    DataFolderLocked = 6001, 500, "Another process uses the data folder.";
+    LogDamaged = 6002, 500, "A log segment is damaged before its tail; nothing was changed.";
+    SnapshotDamaged = 6003, 500, "A snapshot's checksum does not match; nothing was changed.";
+    SyncFailed = 6004, 500, "The disk refused to sync; the process stops.";
+    FormatUnknown = 6005, 500, "The data folder was written by an unknown format version.";
+    StorageIo = 6006, 500, "A file operation in the data folder failed.";
+    SettingsUnreadable = 7001, 500, "The settings file can't be read.";
+    SettingsNotYaml = 7002, 500, "The settings file is not YAML.";
+    SettingsUnknownKey = 7003, 500, "A settings key is not known.";
+    SettingsMissing = 7004, 500, "A required settings key is missing.";
+    SettingsBadValue = 7005, 500, "A settings value is of the wrong type or out of range.";
+    SettingsBadAddress = 7006, 500, "A settings value is not an address of the form IP:PORT.";
+    SettingsOverlap = 7007, 500, "Two settings name the same address and port.";
+    SettingsNoDataFolder = 7008, 500, "A voter needs a data folder.";
+    SettingsDuplicate = 7009, 500, "A name or key stands twice in the settings.";
+    ListenFailed = 7010, 500, "An address of the settings can't be listened on.";
+}
+
+impl ResultCode {
+    /// The code with this number, if there is one.
+    pub fn from_number(number: u16) -> Option<ResultCode> {
+        Self::ALL.iter().copied().find(|code| code.number() == number)
+    }
+
+    /// True for codes that promise that the request was not run.
+    pub const fn is_not_run(self) -> bool {
+        self.number() / 1000 == 2
+    }
+}
+
+impl fmt::Display for ResultCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.name())
+    }
+}
--- /dev/null
+++ b/crates/api/src/peer/control.rs
@@ -0,0 +1,138 @@
+//! Messages of the control plane: leases, configuration deltas, observations and submitted commands.
+//!
+//! Commands and state snapshots travel as encoded bytes, so that this crate needs no knowledge of the state
+//! machine above it.
+
+use crate::code::ResultCode;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Where a daemon stands and listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonRecord {
+    /// Unique name.
+    pub name: String,
+    /// Address for callers and operators (HTTP).
+    pub http: SocketAddr,
+    /// Address for other daemons (`tarpc`).
+    pub peer: SocketAddr,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+}
+
+/// What a daemon found out about one machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum MachineState {
+    /// It answers.
+    Alive {
+        /// Epoch that it is loaded for; 0 when free.
+        epoch: u64,
+        /// Weights are in memory.
+        loaded: bool,
+        /// Highest fence that it has seen.
+        highest_fence: u64,
+    },
+    /// It refuses connections: the process is gone.
+    Refusing,
+    /// It does not answer within the probe time-out: paused, cut off or overloaded.
+    Silent,
+    /// The platform's list says that it leaves.
+    Leaving,
+}
+
+/// One finding about a machine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// Server resource name.
+    pub server: String,
+    /// What was found.
+    pub state: MachineState,
+}
+
+/// A daemon's request for its configuration lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Who asks.
+    pub daemon: DaemonRecord,
+    /// Distinguishes restarts of one daemon.
+    pub incarnation: u64,
+    /// The revision that this daemon has applied; the answer's deltas start after it.
+    pub applied_revision: u64,
+    /// False at voters, which get the commands by the log itself.
+    pub wants_commands: bool,
+    /// The daemon is stopping and takes no new work.
+    pub leaving: bool,
+    /// Requests in flight at this daemon.
+    pub in_flight: u32,
+    /// The leader term that full observations were last sent to; when it differs from the leader's, the
+    /// leader asks for all of them again.
+    pub observed_term: u64,
+}
+
+/// What a granted lease brings along.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseContent {
+    /// Encoded commands after `applied_revision`, each with its revision.
+    Commands(Vec<(u64, Vec<u8>)>),
+    /// An encoded state, where the commands are no longer retained.
+    Snapshot(Vec<u8>),
+}
+
+/// Answer to a [`LeaseRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseAnswer {
+    /// The lease runs for the settings' lease time from the moment the request was sent.
+    Granted {
+        /// Leader's term.
+        term: u64,
+        /// Newest revision at the leader.
+        revision: u64,
+        /// Newest revision that is in force everywhere.
+        in_force_revision: u64,
+        /// What the daemon lacks.
+        content: LeaseContent,
+    },
+    /// Ask there, if known.
+    NotLeader {
+        /// The leader's peer address.
+        leader: Option<SocketAddr>,
+    },
+}
+
+/// Answer to a submitted command or a control query.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SubmitReply {
+    /// Committed and applied: the revision it left and the encoded outcome.
+    Applied {
+        /// The revision at which the outcome can be read.
+        revision: u64,
+        /// Encoded outcome of the state machine.
+        outcome: Vec<u8>,
+    },
+    /// Not the leader.
+    NotLeader {
+        /// The leader's peer address.
+        leader: Option<SocketAddr>,
+    },
+    /// Not committed, or not known to be.
+    Failed {
+        /// Why.
+        code: ResultCode,
+        /// For people.
+        message: String,
+    },
+}
+
+/// Answer to a control query: JSON of the leader's own view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlAnswer {
+    /// The view.
+    View(Vec<u8>),
+    /// Not the leader.
+    NotLeader {
+        /// The leader's peer address.
+        leader: Option<SocketAddr>,
+    },
+}
--- /dev/null
+++ b/crates/api/src/peer/mod.rs
@@ -0,0 +1,15 @@
+//! Messages between daemons: the `tarpc` service, its types and its codec.
+
+mod admission;
+mod codec;
+mod control;
+mod service;
+
+pub use admission::{
+    AcquireReply, AcquireRequest, Grant, KeptAnswer, Refusal, ReplicaEvidence, RequestRecord, SlotReturn,
+};
+pub use codec::{PostcardCodec, MAX_FRAME_BYTES};
+pub use control::{
+    ControlAnswer, DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, MachineState, Observation, SubmitReply,
+};
+pub use service::{Peer, PeerClient, PeerRequest, PeerResponse};
--- /dev/null
+++ b/crates/api/src/peer/service.rs
@@ -0,0 +1,43 @@
+//! The `tarpc` service that every daemon offers to the others.
+
+use super::{
+    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, ReplicaEvidence,
+    RequestRecord, SlotReturn, SubmitReply,
+};
+
+/// Calls between daemons. Every call is safe to repeat.
+#[tarpc::service]
+pub trait Peer {
+    /// Messages of the consensus group, encoded; one way.
+    async fn consensus(from: u64, messages: Vec<u8>);
+
+    /// Asks the leader for a configuration lease; the leader may hold the answer until there is news.
+    async fn lease(request: LeaseRequest) -> LeaseAnswer;
+
+    /// Submits an encoded command to the leader and waits until it is applied there.
+    async fn submit(command: Vec<u8>) -> SubmitReply;
+
+    /// Tells the leader what was found out about machines; `all` when nothing is left out.
+    async fn observe(daemon: String, term: u64, all: bool, observations: Vec<Observation>) -> bool;
+
+    /// Asks the leader for its view of replicas, daemons and control, as JSON.
+    async fn control_view() -> ControlAnswer;
+
+    /// Asks a coordinator for a slot.
+    async fn acquire(request: AcquireRequest) -> AcquireReply;
+
+    /// Hands a slot back.
+    async fn release(slot_return: SlotReturn);
+
+    /// A watcher's evidence, to the coordinator of the pool.
+    async fn evidence(reports: Vec<ReplicaEvidence>);
+
+    /// An entry shows the slots that it holds, as a heartbeat and after a change of coordinator.
+    async fn held_slots(entry: String, pool: String, slots: Vec<(u64, String)>);
+
+    /// Keeps a request's record; answers the record that was there before, without its answer.
+    async fn record_request(record: RequestRecord) -> Option<RequestRecord>;
+
+    /// Reads a request's record.
+    async fn read_request(key: String) -> Option<RequestRecord>;
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
