--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -42,13 +42,23 @@
     Leaving,
 }
 
-/// One finding about a machine.
+/// One finding, as told to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Observation {
-    /// Server resource name.
-    pub server: String,
-    /// What was found.
-    pub state: MachineState,
+pub enum Observation {
+    /// A prober's word on one machine.
+    Machine {
+        /// Server resource name.
+        server: String,
+        /// What was found.
+        state: MachineState,
+    },
+    /// A coordinator's word that a draining replica has nothing in flight and gets nothing new.
+    ReplicaIdle {
+        /// Replica resource name.
+        replica: String,
+        /// The epoch that this speaks of.
+        epoch: u64,
+    },
 }
 
 /// A daemon's request for its configuration lease.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,1 +1,20 @@
-//! placeholder
+//! The consensus core: Raft with pre-vote, check-quorum, leader lease and read index, as a pure state machine.
+//!
+//! A driver feeds [`Input`]s with the current time to [`Node::step`] and carries out the [`Output`]s in order.
+//! There is no I/O, no clock and no thread here, so the same code runs in a daemon and in the simulator.
+//! It does not know what commands mean, and it does not store snapshots: the driver does.
+//!
+//! Source: D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014, and
+//! Ongaro's dissertation for pre-vote (9.6), check-quorum (6.2) and read index (6.4).
+
+mod election;
+mod log;
+mod message;
+mod node;
+mod replication;
+mod types;
+
+pub use log::EntryLog;
+pub use message::{Body, Message};
+pub use node::Node;
+pub use types::{Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term};
--- /dev/null
+++ b/crates/consensus/src/node.rs
@@ -0,0 +1,252 @@
+//! The node: its state, the dispatch of inputs, and what all parts share.
+
+use crate::log::EntryLog;
+use crate::message::{Body, Message};
+use crate::replication::LeaderState;
+use crate::types::{
+    Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Recovered, RoleName, Settings, Term,
+};
+use std::collections::BTreeSet;
+
+/// The part a node plays, with the state that only this part has.
+#[derive(Clone, Debug)]
+pub(crate) enum Role {
+    Follower,
+    /// Collects pre-votes (`binding` false) or votes.
+    Candidate {
+        binding: bool,
+        votes: BTreeSet<NodeId>,
+    },
+    Leader(LeaderState),
+}
+
+/// One voter of a group.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) hard_state: HardState,
+    pub(crate) role: Role,
+    pub(crate) log: EntryLog,
+    pub(crate) commit: LogIndex,
+    /// Entries up to here were handed out by [`Output::Commit`].
+    handed_out: LogIndex,
+    /// Own entries up to here are synced.
+    pub(crate) persisted: LogIndex,
+    pub(crate) leader: Option<NodeId>,
+    pub(crate) last_leader_contact: Option<Millis>,
+    pub(crate) election_due: Millis,
+    random_state: u64,
+    pub(crate) outputs: Vec<Output>,
+}
+
+impl Node {
+    /// A follower with what was read from disk. A node that starts anew holds back its vote for one election
+    /// time-out, as it may have acknowledged a leader just before it stopped.
+    pub fn new(settings: Settings, recovered: Recovered, now: Millis) -> Self {
+        let log = EntryLog::recovered(&recovered);
+        let random_state = settings.seed ^ settings.id.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let restarted = log.last_index() > 0;
+        let mut node = Node {
+            hard_state: recovered.hard_state,
+            role: Role::Follower,
+            commit: log.snapshot_index(),
+            handed_out: log.snapshot_index(),
+            persisted: log.last_index(),
+            leader: None,
+            last_leader_contact: restarted.then_some(now),
+            election_due: now,
+            random_state,
+            outputs: Vec::new(),
+            log,
+            settings,
+        };
+        node.reset_election_timer(now);
+        if node.settings.voters.len() == 1 {
+            node.election_due = now;
+        }
+        node
+    }
+
+    /// Takes one input and returns what is to be done, in order.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Receive(message) => self.receive(now, message),
+            Input::Propose(commands) => self.propose(now, commands),
+            Input::Persisted { index, term } => self.entries_persisted(index, term),
+            Input::Read { id } => self.read(now, id),
+            Input::Compact { index } => self.log.compact(index.min(self.handed_out)),
+            Input::SnapshotLoaded { to, index, term, data } => self.send_snapshot(now, to, index, term, data),
+        }
+        self.hand_out_committed();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The node's part.
+    pub fn role(&self) -> RoleName {
+        match self.role {
+            Role::Follower => RoleName::Follower,
+            Role::Candidate { .. } => RoleName::Candidate,
+            Role::Leader(_) => RoleName::Leader,
+        }
+    }
+
+    /// The newest term seen.
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// The leader of the current term, where known.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
+    /// Index of the last committed entry.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Index of the last entry.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// Term of the entry at `index`, if still known.
+    pub fn term_at(&self, index: LogIndex) -> Option<Term> {
+        self.log.term_at(index)
+    }
+
+    fn tick(&mut self, now: Millis) {
+        match &self.role {
+            Role::Leader(_) => self.leader_tick(now),
+            _ if now >= self.election_due => self.campaign(now, false),
+            _ => {}
+        }
+    }
+
+    fn receive(&mut self, now: Millis, message: Message) {
+        if !self.settings.voters.contains(&message.from) || message.to != self.settings.id {
+            return;
+        }
+        if self.is_sticky_against(now, &message) {
+            return;
+        }
+        if message.term > self.hard_state.term && !is_pre_vote(&message.body) {
+            self.become_follower(now, message.term, None);
+        }
+        let from = message.from;
+        match message.body {
+            Body::VoteRequest { binding, last_index, last_term } => {
+                self.answer_vote(now, from, message.term, binding, last_index, last_term);
+            }
+            Body::VoteReply { binding, granted } => self.count_vote(now, from, message.term, binding, granted),
+            Body::Append { previous_index, previous_term, entries, commit, probe } => {
+                if self.accept_leader(now, from, message.term) {
+                    self.append_entries(from, previous_index, previous_term, entries, commit, probe);
+                } else {
+                    self.reject_append(from, probe);
+                }
+            }
+            Body::AppendReply { matched, index, probe } => {
+                if message.term == self.hard_state.term {
+                    self.append_replied(now, from, matched, index, probe);
+                }
+            }
+            Body::Snapshot { index, term, data, probe } => {
+                if self.accept_leader(now, from, message.term) {
+                    self.restore_snapshot(from, index, term, data, probe);
+                }
+            }
+        }
+    }
+
+    /// A vote request within one election time-out of a live leader is passed over, whatever its term: that is
+    /// what a leader's lease rests on.
+    fn is_sticky_against(&self, now: Millis, message: &Message) -> bool {
+        let is_request = matches!(message.body, Body::VoteRequest { .. });
+        let heard_recently =
+            self.last_leader_contact.is_some_and(|at| now < at + self.settings.election_timeout_ms);
+        is_request && (heard_recently || self.leader_lease_valid(now))
+    }
+
+    fn accept_leader(&mut self, now: Millis, from: NodeId, term: Term) -> bool {
+        if term < self.hard_state.term {
+            return false;
+        }
+        let changed = self.leader != Some(from) || !matches!(self.role, Role::Follower);
+        if changed {
+            self.become_follower(now, term, Some(from));
+        }
+        self.last_leader_contact = Some(now);
+        self.reset_election_timer(now);
+        true
+    }
+
+    pub(crate) fn become_follower(&mut self, now: Millis, term: Term, leader: Option<NodeId>) {
+        if term > self.hard_state.term {
+            self.hard_state = HardState { term, voted_for: None };
+            self.persist(true, Vec::new());
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election_timer(now);
+        self.announce_role();
+    }
+
+    pub(crate) fn announce_role(&mut self) {
+        let (role, term, leader) = (self.role(), self.hard_state.term, self.leader);
+        self.outputs.push(Output::RoleChanged { role, term, leader });
+    }
+
+    pub(crate) fn persist(&mut self, hard_state_changed: bool, entries: Vec<Entry>) {
+        let hard_state = hard_state_changed.then_some(self.hard_state);
+        self.outputs.push(Output::Persist { hard_state, entries });
+    }
+
+    pub(crate) fn send(&mut self, to: NodeId, body: Body) {
+        self.send_in_term(to, self.hard_state.term, body);
+    }
+
+    pub(crate) fn send_in_term(&mut self, to: NodeId, term: Term, body: Body) {
+        let message = Message { from: self.settings.id, to, term, body };
+        self.outputs.push(Output::Send(message));
+    }
+
+    pub(crate) fn peers(&self) -> Vec<NodeId> {
+        self.settings.voters.iter().copied().filter(|id| *id != self.settings.id).collect()
+    }
+
+    pub(crate) fn reset_election_timer(&mut self, now: Millis) {
+        let timeout = self.settings.election_timeout_ms;
+        let jitter = self.next_random() % timeout.max(1);
+        self.election_due = now + timeout + jitter;
+    }
+
+    /// Splitmix64 over the driver's seed.
+    fn next_random(&mut self) -> u64 {
+        self.random_state = self.random_state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.random_state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    pub(crate) fn mark_restored(&mut self, index: LogIndex) {
+        self.commit = index;
+        self.handed_out = index;
+        self.persisted = index;
+    }
+
+    fn hand_out_committed(&mut self) {
+        if self.handed_out >= self.commit {
+            return;
+        }
+        let entries = self.log.slice(self.handed_out + 1, self.commit, usize::MAX);
+        self.handed_out = self.commit;
+        self.outputs.push(Output::Commit(entries));
+    }
+}
+
+fn is_pre_vote(body: &Body) -> bool {
+    matches!(body, Body::VoteRequest { binding: false, .. } | Body::VoteReply { binding: false, granted: true })
+}
--- /dev/null
+++ b/crates/state/src/machine.rs
@@ -0,0 +1,87 @@
+//! The state machine: one place where commands are applied.
+
+use crate::change::ChangeTable;
+use crate::claim::ClaimTable;
+use crate::command::{Command, CommandBody, Outcome};
+use crate::tables::Tables;
+use dockwood_api::resource::ResourceKey;
+use dockwood_api::{ApiError, ResultCode};
+use serde::{Deserialize, Serialize};
+
+/// Everything that the log replicates.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Tables that every daemon holds.
+    pub tables: Tables,
+    /// First answers to operators' changes.
+    pub changes: ChangeTable,
+    /// Claims on request ids; complete at voters only.
+    pub claims: ClaimTable,
+}
+
+/// The result of one command.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Applied {
+    /// For whoever proposed it.
+    pub outcome: Outcome,
+    /// What changed, for watches and the time line.
+    pub touched: Vec<ResourceKey>,
+}
+
+impl Applied {
+    pub(crate) fn touching(touched: Vec<ResourceKey>) -> Self {
+        Applied { outcome: Outcome::Applied, touched }
+    }
+
+    pub(crate) fn outcome(outcome: Outcome) -> Self {
+        Applied { outcome, touched: Vec::new() }
+    }
+
+    pub(crate) fn refused(code: ResultCode, message: impl Into<String>) -> Self {
+        Applied::outcome(Outcome::Refused(ApiError::new(code, message)))
+    }
+}
+
+impl State {
+    /// Applies one command. Every configuration command takes one revision, whether or not it was refused, so
+    /// that revisions count commands and can be compared between daemons.
+    pub fn apply(&mut self, command: &Command) -> Applied {
+        let tables = &mut self.tables;
+        tables.now_ms = tables.now_ms.max(command.at_ms);
+        if command.body.is_configuration() {
+            tables.revision += 1;
+        }
+        match &command.body {
+            CommandBody::Change(request) => self.apply_change(request),
+            CommandBody::JoinDaemon { record, incarnation } => tables.join_daemon(record, *incarnation),
+            CommandBody::SetLiveness { daemon, incarnation, liveness } => {
+                tables.set_liveness(daemon, *incarnation, *liveness)
+            }
+            CommandBody::FormReplica { deployment, members, reason } => {
+                tables.form_replica(deployment, members, reason)
+            }
+            CommandBody::ReformReplica { replica, epoch, members, reason } => {
+                tables.reform_replica(replica, *epoch, members, reason)
+            }
+            CommandBody::DrainReplica { replica, epoch, reason } => tables.drain_replica(replica, *epoch, reason),
+            CommandBody::DissolveReplica { replica, epoch, reason } => {
+                tables.dissolve_replica(replica, *epoch, reason)
+            }
+            CommandBody::OrderDone { server, fence } => tables.order_done(server, *fence),
+            CommandBody::RepeatOrder { server, fence } => tables.repeat_order(server, *fence),
+            CommandBody::AssignPool { pool, coordinator, standby } => {
+                tables.assign_pool(pool, coordinator.as_deref(), standby.as_deref())
+            }
+            CommandBody::AssignWatcher { replica, watcher } => tables.assign_watcher(replica, watcher.as_deref()),
+            CommandBody::Claim(requests) => {
+                let now_ms = tables.now_ms;
+                let verdicts = requests.iter().map(|request| self.claims.claim(request, now_ms)).collect();
+                Applied::outcome(Outcome::Claims(verdicts))
+            }
+            CommandBody::SettleClaims(settlements) => {
+                settlements.iter().for_each(|settlement| self.claims.settle(settlement));
+                Applied::outcome(Outcome::Applied)
+            }
+        }
+    }
+}
