--- /dev/null
+++ b/crates/storage/src/log.rs
@@ -0,0 +1,117 @@
+//! The log: numbered segments, of which only the newest is written to.
+
+use crate::error::{StorageError, WithPath};
+use crate::folder::{DataFolder, sync_parent};
+use crate::segment::{frame, read_segment};
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+const SEGMENT_SUFFIX: &str = "segment";
+
+/// Sizes of the log on disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogStats {
+    /// Segment files.
+    pub segments: usize,
+    /// Bytes in all segments.
+    pub bytes: u64,
+}
+
+/// An append-only log of records.
+#[derive(Debug)]
+pub struct RecordLog {
+    folder: PathBuf,
+    number: u64,
+    file: File,
+    stats: LogStats,
+}
+
+impl RecordLog {
+    /// Opens the log and returns every record in the order written. A torn tail is cut and synced away.
+    pub fn open(folder: &DataFolder) -> Result<(RecordLog, Vec<Vec<u8>>), StorageError> {
+        let numbers = segment_numbers(folder.path())?;
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for (position, number) in numbers.iter().enumerate() {
+            let path = segment_path(folder.path(), *number);
+            let is_tail = position + 1 == numbers.len();
+            let content = read_segment(&path, is_tail)?;
+            if content.valid_bytes < content.file_bytes {
+                cut(&path, content.valid_bytes)?;
+            }
+            bytes += content.valid_bytes;
+            records.extend(content.records);
+        }
+        let number = numbers.last().copied().unwrap_or(1);
+        let file = open_for_append(folder.path(), number)?;
+        let stats = LogStats { segments: numbers.len().max(1), bytes };
+        Ok((RecordLog { folder: folder.path().to_path_buf(), number, file, stats }, records))
+    }
+
+    /// Appends records and syncs them; when this returns, they survive.
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        let mut buffer = Vec::new();
+        for record in records {
+            frame(record, &mut buffer);
+        }
+        let path = segment_path(&self.folder, self.number);
+        self.file.write_all(&buffer).at(&path)?;
+        self.file.sync_data().sync_at(&path)?;
+        self.stats.bytes += buffer.len() as u64;
+        Ok(())
+    }
+
+    /// Starts a new segment with `records`, syncs it, and deletes all older ones: for use once a snapshot
+    /// covers what they held. A crash in between leaves both, and reading both gives the same result as long
+    /// as `records` repeat what still counts.
+    pub fn replace(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        let old_numbers = segment_numbers(&self.folder)?;
+        self.number += 1;
+        self.file = open_for_append(&self.folder, self.number)?;
+        self.stats = LogStats { segments: 1, bytes: 0 };
+        self.append(records)?;
+        for number in old_numbers {
+            let path = segment_path(&self.folder, number);
+            fs::remove_file(&path).at(&path)?;
+        }
+        sync_parent(&segment_path(&self.folder, self.number))
+    }
+
+    /// Sizes on disk.
+    pub fn stats(&self) -> LogStats {
+        self.stats
+    }
+}
+
+fn segment_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{number:020}.{SEGMENT_SUFFIX}"))
+}
+
+fn segment_numbers(folder: &Path) -> Result<Vec<u64>, StorageError> {
+    let mut numbers = Vec::new();
+    for entry in fs::read_dir(folder).at(folder)? {
+        let path = entry.at(folder)?.path();
+        if path.extension().is_some_and(|suffix| suffix == SEGMENT_SUFFIX)
+            && let Some(number) = path.file_stem().and_then(|stem| stem.to_str()).and_then(|stem| stem.parse().ok())
+        {
+            numbers.push(number);
+        }
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+fn open_for_append(folder: &Path, number: u64) -> Result<File, StorageError> {
+    let path = segment_path(folder, number);
+    let file = File::options().create(true).append(true).open(&path).at(&path)?;
+    file.sync_all().sync_at(&path)?;
+    sync_parent(&path)?;
+    Ok(file)
+}
+
+fn cut(path: &Path, length: u64) -> Result<(), StorageError> {
+    let file = File::options().write(true).open(path).at(path)?;
+    file.set_len(length).at(path)?;
+    file.sync_all().sync_at(path)
+}
