--- /dev/null
+++ b/crates/routing/src/retry.rs
@@ -0,0 +1,36 @@
+//! The retry budget: retries never exceed a set share of the load, so that they can't feed an overload.
+
+/// Retries allowed for each hundred requests.
+const RETRY_PERCENT: u64 = 20;
+/// Retries that are always allowed, so that a quiet daemon can retry at all.
+const MIN_RETRIES: u64 = 10;
+/// Counts are halved when this many requests have been counted, so that the budget follows the load.
+const WINDOW_REQUESTS: u64 = 1_000;
+
+/// Counts requests and retries of one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    requests: u64,
+    retries: u64,
+}
+
+impl RetryBudget {
+    /// Counts a first attempt.
+    pub fn record_request(&mut self) {
+        self.requests += 1;
+        if self.requests >= WINDOW_REQUESTS {
+            self.requests /= 2;
+            self.retries /= 2;
+        }
+    }
+
+    /// Counts a retry if the budget allows it.
+    pub fn try_retry(&mut self) -> bool {
+        let allowed = (self.requests * RETRY_PERCENT / 100).max(MIN_RETRIES);
+        if self.retries >= allowed {
+            return false;
+        }
+        self.retries += 1;
+        true
+    }
+}
