Add the emulator: engines with continuous batching, weight store, services, lagging list, ledger

Change: machines with power states, groups whose members depend on each other, fenced orders, resumable runs, ledger.

--- /dev/null
+++ b/crates/emulator/src/config.rs
@@ -0,0 +1,133 @@
+//! The fleet file: which machines and services to emulate, and how fast they are.
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+quick_error! {
+    /// Why a fleet file can't be used.
+    #[derive(Debug)]
+    pub enum ConfigError {
+        /// The file can't be read.
+        Read(path: PathBuf, error: std::io::Error) {
+            display("{}: {}", path.display(), error)
+        }
+        /// The file is not a fleet.
+        Parse(path: PathBuf, message: String) {
+            display("{}: {}", path.display(), message)
+        }
+    }
+}
+
+/// A whole emulated fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct FleetConfig {
+    /// Seeds jitter.
+    pub seed: u64,
+    /// Address of the admin port and the platform's list.
+    pub admin: SocketAddr,
+    /// Ledger file; its folder must exist.
+    pub ledger: PathBuf,
+    /// Rate of the weight store over all machines, in MiB a second.
+    pub store_mib_per_second: u64,
+    /// How far the platform's list lags, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Speed of the engines.
+    #[serde(default)]
+    pub model: EngineModel,
+    /// Machines with engines.
+    pub engines: Vec<EngineConfig>,
+    /// Plain services.
+    #[serde(default)]
+    pub services: Vec<ServiceConfig>,
+}
+
+/// How long an engine's steps take and how much it holds.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields, default)]
+pub struct EngineModel {
+    /// Time of a decode step with an empty batch, in microseconds.
+    pub step_micros: u64,
+    /// Added to a step for each running request, in microseconds.
+    pub per_request_micros: u64,
+    /// Added for each prompt token that is not cached, in microseconds.
+    pub prefill_token_micros: u64,
+    /// Requests in the running batch, at most.
+    pub max_batch: usize,
+    /// KV blocks of one group.
+    pub kv_blocks: u32,
+    /// Tokens in one KV block.
+    pub block_tokens: u32,
+    /// How old the load figures in a health answer are, in milliseconds.
+    pub load_lag_ms: u64,
+    /// How late cache events are published, in milliseconds.
+    pub cache_event_lag_ms: u64,
+    /// Every so many cache events, one is lost; 0 for none.
+    pub cache_event_gap: u64,
+}
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        EngineModel {
+            step_micros: 8_000,
+            per_request_micros: 60,
+            prefill_token_micros: 40,
+            max_batch: 48,
+            kv_blocks: 4_096,
+            block_tokens: 16,
+            load_lag_ms: 200,
+            cache_event_lag_ms: 300,
+            cache_event_gap: 16,
+        }
+    }
+}
+
+/// One machine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct EngineConfig {
+    /// Server name.
+    pub name: String,
+    /// Engine address.
+    pub address: SocketAddr,
+    /// Fabric domain.
+    pub domain: String,
+    /// Zone.
+    pub zone: String,
+    /// Whether it refuses orders below its highest fence.
+    pub checks_fences: bool,
+}
+
+/// One plain service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct ServiceConfig {
+    /// Service name.
+    pub name: String,
+    /// Time of a call, in milliseconds.
+    pub call_ms: u64,
+    /// Its servers.
+    pub servers: Vec<ServiceServerConfig>,
+}
+
+/// One server of a plain service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct ServiceServerConfig {
+    /// Name within the service.
+    pub name: String,
+    /// HTTP address.
+    pub address: SocketAddr,
+    /// Zone.
+    pub zone: String,
+}
+
+impl FleetConfig {
+    /// Reads a fleet file.
+    pub fn read(path: &Path) -> Result<FleetConfig, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|error| ConfigError::Read(path.to_path_buf(), error))?;
+        serde_saphyr::from_str(&text).map_err(|error| ConfigError::Parse(path.to_path_buf(), error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/http/admin.rs
@@ -0,0 +1,61 @@
+//! The admin port: the platform's list, and faults on demand.
+
+use super::server::{listen, serve_until};
+use crate::fleet::Fleet;
+use crate::ledger::LedgerRecord;
+use crate::machine::Power;
+use crate::wall_ms;
+use dockwood_api::engine::PlatformMachine;
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Path};
+use poem::{EndpointExt, Response, Route, get, handler, post};
+use std::sync::Arc;
+use tokio::task::JoinHandle;
+
+/// Step time of a machine that was slowed down, in percent of normal.
+const SLOW_PERCENT: u64 = 500;
+
+/// Serves the admin port for ever.
+pub async fn serve_admin(fleet: Arc<Fleet>) -> std::io::Result<JoinHandle<()>> {
+    let acceptor = listen(fleet.config.admin).await?;
+    let routes = Route::new()
+        .at("/platform/machines", get(machines))
+        .at("/admin/machines/:name/:change", post(change))
+        .data(fleet);
+    Ok(tokio::spawn(serve_until(acceptor, routes, std::future::pending())))
+}
+
+#[handler]
+async fn machines(Data(fleet): Data<&Arc<Fleet>>) -> Json<Vec<PlatformMachine>> {
+    Json(fleet.platform.shown())
+}
+
+#[handler]
+async fn change(Data(fleet): Data<&Arc<Fleet>>, Path((name, change)): Path<(String, String)>) -> Response {
+    let Some(machine) = fleet.machines.get(&name) else {
+        return Response::builder().status(StatusCode::NOT_FOUND).body(format!("no machine '{name}'"));
+    };
+    match change.as_str() {
+        "kill" => machine.set_power(Power::Off),
+        "restart" => {
+            machine.set_power(Power::Off);
+            // The server must have seen the machine off before it is on again.
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            machine.set_power(Power::On);
+        }
+        "start" | "resume" | "heal" => machine.set_power(Power::On),
+        "pause" => machine.set_power(Power::Paused),
+        "cut" => machine.set_power(Power::Cut),
+        "slow" => machine.set_slow(SLOW_PERCENT),
+        "fast" => machine.set_slow(100),
+        "leave" => machine.set_leaving(true),
+        "stay" => machine.set_leaving(false),
+        _ => {
+            let known = "kill restart start pause resume cut heal slow fast leave stay";
+            let message = format!("no change '{change}'; there are: {known}");
+            return Response::builder().status(StatusCode::BAD_REQUEST).body(message);
+        }
+    }
+    fleet.ledger.append(&LedgerRecord::MachineChanged { at_ms: wall_ms(), server: name, change });
+    Response::builder().status(StatusCode::NO_CONTENT).finish()
+}
--- /dev/null
+++ b/crates/emulator/src/http/server.rs
@@ -0,0 +1,25 @@
+//! Listening, and stopping the hard way.
+
+use poem::listener::{Acceptor, Listener, TcpAcceptor, TcpListener};
+use poem::{Endpoint, IntoEndpoint, Server};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Listens on an address.
+pub async fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
+    TcpListener::bind(address).into_acceptor().await
+}
+
+/// Serves until `stop` completes; then every connection is dropped at once, as when a process dies.
+pub async fn serve_until<E>(acceptor: impl Acceptor + 'static, endpoint: E, stop: impl Future<Output = ()> + Send + 'static)
+where
+    E: IntoEndpoint,
+    E::Endpoint: Endpoint + 'static,
+{
+    let served = Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(endpoint, stop, Some(Duration::ZERO))
+        .await;
+    if let Err(error) = served {
+        eprintln!("server: {error}");
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/ledger.rs
@@ -0,0 +1,140 @@
+//! The ledger: what really happened, one JSON object a line, in order.
+
+use serde::{Deserialize, Serialize};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::sync::Mutex;
+
+/// One record; times are milliseconds since the Unix epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "camelCase", rename_all_fields = "camelCase")]
+pub enum LedgerRecord {
+    /// A head took a request.
+    Dispatched {
+        /// When.
+        at_ms: u64,
+        /// Request id.
+        request: String,
+        /// Replica and epoch that the head was loaded for.
+        replica: String,
+        /// Epoch of the replica.
+        epoch: u64,
+        /// First sequence asked for.
+        resume_from: u32,
+        /// False for requests that must not be started twice.
+        repeatable: bool,
+        /// Members that were down, with the time since when, in milliseconds since the Unix epoch.
+        missing: Vec<(String, u64)>,
+        /// Members that were marked as leaving, with the time since when.
+        leaving: Vec<(String, u64)>,
+    },
+    /// A request produced its first token in this run.
+    Started {
+        /// When.
+        at_ms: u64,
+        /// Request id.
+        request: String,
+        /// Replica.
+        replica: String,
+        /// Epoch.
+        epoch: u64,
+        /// First sequence produced.
+        from: u32,
+    },
+    /// A run ended.
+    Ended {
+        /// When.
+        at_ms: u64,
+        /// Request id.
+        request: String,
+        /// Replica.
+        replica: String,
+        /// Epoch.
+        epoch: u64,
+        /// First sequence that this run produced.
+        from: u32,
+        /// First sequence that was not produced.
+        to: u32,
+        /// Whether the whole answer was produced.
+        finished: bool,
+    },
+    /// A group began to serve.
+    GroupFormed {
+        /// When.
+        at_ms: u64,
+        /// Replica.
+        replica: String,
+        /// Epoch.
+        epoch: u64,
+        /// Members, head first.
+        members: Vec<String>,
+    },
+    /// A machine joined or left a replica.
+    MachineLoaded {
+        /// When.
+        at_ms: u64,
+        /// Server name.
+        server: String,
+        /// The replica, or `None` when unloaded.
+        replica: Option<String>,
+        /// Epoch of the replica.
+        epoch: u64,
+    },
+    /// The admin port changed a machine.
+    MachineChanged {
+        /// When.
+        at_ms: u64,
+        /// Server name.
+        server: String,
+        /// What was done.
+        change: String,
+    },
+    /// A plain service took a call.
+    ServiceCalled {
+        /// When.
+        at_ms: u64,
+        /// Request id.
+        request: String,
+        /// Service.
+        service: String,
+        /// Server.
+        server: String,
+        /// HTTP method.
+        method: String,
+    },
+}
+
+/// Appends records to a file. Records reach the file at once, so that a killed emulator loses none.
+#[derive(Debug)]
+pub struct LedgerWriter {
+    file: Mutex<File>,
+}
+
+impl LedgerWriter {
+    /// Opens the file for appending.
+    pub fn open(path: &Path) -> std::io::Result<LedgerWriter> {
+        let file = File::options().create(true).append(true).open(path)?;
+        Ok(LedgerWriter { file: Mutex::new(file) })
+    }
+
+    /// Appends one record. A ledger that can't be written would make every judgement worthless, so the
+    /// process ends.
+    pub fn append(&self, record: &LedgerRecord) {
+        let written = serde_json::to_string(record).map_err(std::io::Error::other).and_then(|mut line| {
+            line.push('\n');
+            let mut file = self.file.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            file.write_all(line.as_bytes())
+        });
+        if let Err(error) = written {
+            eprintln!("ledger: {error}");
+            std::process::exit(1);
+        }
+    }
+}
+
+/// Reads all records of a ledger. A line that is not a record is an error: nothing may be passed over.
+pub fn read_ledger(path: &Path) -> std::io::Result<Vec<LedgerRecord>> {
+    let reader = BufReader::new(File::open(path)?);
+    reader.lines().map(|line| serde_json::from_str(&line?).map_err(std::io::Error::other)).collect()
+}
