--- a/crates/api/src/digest.rs
+++ b/crates/api/src/digest.rs
@@ -15,10 +15,10 @@
     hashed(secret)
 }
 
-/// Whether a presented secret matches a stored digest. What is presented is always hashed, so a leaked
-/// digest opens nothing.
-pub fn secret_matches(presented: &str, stored: &str) -> bool {
-    hashed(presented) == stored
+/// The digest to compare a presented secret by. What is presented is always hashed, so a leaked digest opens
+/// nothing.
+pub fn presented_digest(presented: &str) -> String {
+    hashed(presented)
 }
 
 fn hashed(secret: &str) -> String {
--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -4,6 +4,7 @@
 //! machine above it.
 
 use crate::code::ResultCode;
+use crate::event::ClockStamp;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -31,15 +32,11 @@
         epoch: u64,
         /// Weights are in memory.
         loaded: bool,
-        /// Highest fence that it has seen.
-        highest_fence: u64,
     },
     /// It refuses connections: the process is gone.
     Refusing,
     /// It does not answer within the probe time-out: paused, cut off or overloaded.
     Silent,
-    /// The platform's list says that it leaves.
-    Leaving,
 }
 
 /// One finding, as told to the leader.
@@ -70,15 +67,16 @@
     pub incarnation: u64,
     /// The revision that this daemon has applied; the answer's deltas start after it.
     pub applied_revision: u64,
+    /// The newest revision that this daemon knows to be in force everywhere.
+    pub in_force_revision: u64,
     /// False at voters, which get the commands by the log itself.
     pub wants_commands: bool,
     /// The daemon is stopping and takes no new work.
     pub leaving: bool,
     /// Requests in flight at this daemon.
     pub in_flight: u32,
-    /// The leader term that full observations were last sent to; when it differs from the leader's, the
-    /// leader asks for all of them again.
-    pub observed_term: u64,
+    /// The daemon's clock, so that events sort by cause.
+    pub stamp: ClockStamp,
 }
 
 /// What a granted lease brings along.
@@ -103,6 +101,8 @@
         in_force_revision: u64,
         /// What the daemon lacks.
         content: LeaseContent,
+        /// The leader's clock.
+        stamp: ClockStamp,
     },
     /// Ask there, if known.
     NotLeader {
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -17,8 +17,8 @@
     /// Submits an encoded command to the leader and waits until it is applied there.
     async fn submit(command: Vec<u8>) -> SubmitReply;
 
-    /// Tells the leader what was found out about machines; `all` when nothing is left out.
-    async fn observe(daemon: String, term: u64, all: bool, observations: Vec<Observation>) -> bool;
+    /// Tells the leader of a term what was found out; false if this daemon does not lead that term.
+    async fn observe(term: u64, observations: Vec<Observation>) -> bool;
 
     /// Asks the leader for its view of replicas, daemons and control, as JSON.
     async fn control_view() -> ControlAnswer;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -116,6 +116,16 @@
         self.log.term_at(index)
     }
 
+    /// The last index that the snapshot covers.
+    pub fn snapshot_index(&self) -> LogIndex {
+        self.log.snapshot_index()
+    }
+
+    /// All entries after the snapshot, for a driver that rewrites its log.
+    pub fn entries_after_snapshot(&self) -> Vec<Entry> {
+        self.log.slice(self.log.snapshot_index() + 1, self.log.last_index(), usize::MAX)
+    }
+
     fn tick(&mut self, now: Millis) {
         match &self.role {
             Role::Leader(_) => self.leader_tick(now),
--- /dev/null
+++ b/crates/daemon/src/control/account.rs
@@ -0,0 +1,143 @@
+//! Turns applied commands into events of the time line. Every voter records the same ones, so that they
+//! survive the leader; the command-line tool shows each once.
+
+use dockwood_api::ResultCode;
+use dockwood_api::event::Subject;
+use dockwood_api::resource::{Kind, ResourceKey};
+use dockwood_state::{Applied, ChangeAction, ChangeRequest, Command, CommandBody, Outcome, ReplicaPhase, Tables};
+
+/// An event about to be recorded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// What it is about.
+    pub subject: Subject,
+    /// A short fixed word.
+    pub reason: String,
+    /// Details.
+    pub message: String,
+    /// The result.
+    pub code: ResultCode,
+}
+
+impl Account {
+    fn new(subject: Subject, reason: &str, message: impl Into<String>, code: ResultCode) -> Self {
+        Account { subject, reason: reason.to_string(), message: message.into(), code }
+    }
+}
+
+fn subject_of(key: &ResourceKey) -> Subject {
+    Subject::new(&key.kind.name().to_lowercase(), key.name.clone())
+}
+
+/// What there is to tell of a command, given the tables after it.
+pub fn accounts(command: &Command, applied: &Applied, tables: &Tables) -> Vec<Account> {
+    let code = code_of(&applied.outcome);
+    if let Outcome::Refused(error) = &applied.outcome
+        && !matches!(command.body, CommandBody::Change(_))
+    {
+        return vec![refused(command, error.code(), error.message())];
+    }
+    match &command.body {
+        CommandBody::Change(request) => change(request, applied, code).into_iter().collect(),
+        CommandBody::JoinDaemon { record, incarnation } => {
+            let message = format!("zone {}, incarnation {incarnation}", record.zone);
+            vec![Account::new(Subject::new("daemon", &record.name), "Joined", message, code)]
+        }
+        CommandBody::SetLiveness { daemon, liveness, .. } => {
+            vec![Account::new(Subject::new("daemon", daemon), &format!("{liveness:?}"), "", code)]
+        }
+        CommandBody::FormReplica { reason, .. } => replica_accounts("Formed", reason, applied, tables),
+        CommandBody::ReformReplica { reason, .. } => replica_accounts("Reformed", reason, applied, tables),
+        CommandBody::DrainReplica { replica, reason, .. } => {
+            vec![Account::new(Subject::new("replica", replica), "Draining", reason, code)]
+        }
+        CommandBody::DissolveReplica { replica, reason, .. } => {
+            vec![Account::new(Subject::new("replica", replica), "Dissolved", reason, code)]
+        }
+        CommandBody::OrderDone { .. } | CommandBody::RepeatOrder { .. } => phase_accounts(applied, tables),
+        CommandBody::AssignPool { pool, coordinator, standby } => {
+            let named = |daemon: &Option<String>| daemon.clone().unwrap_or_else(|| "nobody".to_string());
+            let message = format!("coordinator {}, standby {}", named(coordinator), named(standby));
+            vec![Account::new(Subject::new("deployment", pool), "CoordinatorAssigned", message, code)]
+        }
+        CommandBody::AssignWatcher { replica, watcher } => {
+            let message = format!("watcher {}", watcher.as_deref().unwrap_or("nobody"));
+            vec![Account::new(Subject::new("replica", replica), "WatcherAssigned", message, code)]
+        }
+        CommandBody::Claim(_) | CommandBody::SettleClaims(_) => Vec::new(),
+    }
+}
+
+fn refused(command: &Command, code: ResultCode, message: &str) -> Account {
+    let subject = match &command.body {
+        CommandBody::JoinDaemon { record, .. } => Subject::new("daemon", &record.name),
+        CommandBody::SetLiveness { daemon, .. } => Subject::new("daemon", daemon),
+        CommandBody::FormReplica { deployment, .. } => Subject::new("deployment", deployment),
+        CommandBody::ReformReplica { replica, .. }
+        | CommandBody::DrainReplica { replica, .. }
+        | CommandBody::DissolveReplica { replica, .. }
+        | CommandBody::AssignWatcher { replica, .. } => Subject::new("replica", replica),
+        CommandBody::OrderDone { server, .. } | CommandBody::RepeatOrder { server, .. } => {
+            Subject::new("server", server)
+        }
+        CommandBody::AssignPool { pool, .. } => Subject::new("deployment", pool),
+        _ => Subject::new("control", "log"),
+    };
+    Account::new(subject, "Refused", message, code)
+}
+
+fn code_of(outcome: &Outcome) -> ResultCode {
+    match outcome {
+        Outcome::Refused(error) => error.code(),
+        Outcome::Conflict(_) => ResultCode::Conflict,
+        Outcome::Resent(_) => ResultCode::Resent,
+        Outcome::Stored { changed: true, .. } | Outcome::Deleted(_) => ResultCode::Accepted,
+        _ => ResultCode::Ok,
+    }
+}
+
+fn change(request: &ChangeRequest, applied: &Applied, code: ResultCode) -> Option<Account> {
+    let (reason, key) = match &request.action {
+        ChangeAction::Create(resource) => ("Created", resource.key()),
+        ChangeAction::Update(resource) => ("Updated", resource.key()),
+        ChangeAction::Apply(resource) => ("Applied", resource.key()),
+        ChangeAction::Delete { key, .. } => ("Deleted", key.clone()),
+    };
+    let message = match &applied.outcome {
+        Outcome::Stored { changed: false, .. } => return None,
+        Outcome::Refused(error) => error.message().to_string(),
+        Outcome::Conflict(current) => format!("the resource is at {}", current.metadata.resource_version),
+        _ => format!("change id {}", request.change_id),
+    };
+    let reason = if code == ResultCode::Accepted { reason } else { "ChangeNotMade" };
+    Some(Account::new(subject_of(&key), reason, message, code))
+}
+
+fn touched_replicas<'a>(applied: &'a Applied) -> impl Iterator<Item = &'a ResourceKey> {
+    applied.touched.iter().filter(|key| key.kind == Kind::Replica)
+}
+
+fn replica_accounts(reason: &str, why: &str, applied: &Applied, tables: &Tables) -> Vec<Account> {
+    touched_replicas(applied)
+        .map(|key| {
+            let members = tables.replicas.get(&key.name).map(|row| (row.epoch, row.members.join(" ")));
+            let (epoch, members) = members.unwrap_or_default();
+            let message = format!("{why}; epoch {epoch}, members {members}");
+            Account::new(subject_of(key), reason, message, ResultCode::Ok)
+        })
+        .collect()
+}
+
+fn phase_accounts(applied: &Applied, tables: &Tables) -> Vec<Account> {
+    touched_replicas(applied)
+        .filter_map(|key| {
+            let row = tables.replicas.get(&key.name)?;
+            let (reason, message) = match row.phase {
+                ReplicaPhase::Serving => ("Serving", format!("every machine is loaded for epoch {}", row.epoch)),
+                ReplicaPhase::Loading => ("Loading", row.reason.clone()),
+                ReplicaPhase::Draining => return None,
+            };
+            Some(Account::new(subject_of(key), reason, message, ResultCode::Ok))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/control/blackboard.rs
@@ -0,0 +1,98 @@
+//! The blackboard: replicated tables beside what this process observes. The control thread owns it.
+
+use dockwood_api::ApiError;
+use dockwood_placement::{Fleet, MachineObservations, Millis};
+use dockwood_state::{Applied, Command, State, Tables, encode_command};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Encoded commands that are kept for daemons that lag; one that lacks more gets the whole state.
+const RETAINED_COMMANDS: usize = 4_096;
+
+/// What only this process has seen; never replicated.
+#[derive(Debug, Default)]
+pub struct Observed {
+    /// Reports on machines.
+    pub machines: MachineObservations,
+    /// Drained replicas, by name and epoch.
+    pub idle_replicas: BTreeSet<(String, u64)>,
+}
+
+/// The three parts of the blackboard: desired and assigned (both within `state`), and observed.
+#[derive(Debug, Default)]
+pub struct Blackboard {
+    /// Replicated.
+    pub state: State,
+    /// Local.
+    pub observed: Observed,
+    commands: VecDeque<(u64, Vec<u8>)>,
+}
+
+impl Blackboard {
+    /// A blackboard that starts from a stored state.
+    pub fn new(state: State) -> Self {
+        Blackboard { state, ..Blackboard::default() }
+    }
+
+    /// The replicated tables.
+    pub fn tables(&self) -> &Tables {
+        &self.state.tables
+    }
+
+    /// Newest revision.
+    pub fn revision(&self) -> u64 {
+        self.state.tables.revision
+    }
+
+    /// Applies a command and keeps its encoding for daemons that lag.
+    pub fn apply(&mut self, command: &Command) -> Applied {
+        let applied = self.state.apply(command);
+        if command.body.is_configuration() {
+            self.commands.push_back((self.revision(), encode_command(command)));
+            if self.commands.len() > RETAINED_COMMANDS {
+                self.commands.pop_front();
+            }
+        }
+        applied
+    }
+
+    /// Replaces the state, unless it is older than the one held: revisions never go back.
+    pub fn restore(&mut self, encoded: &[u8]) -> Result<bool, ApiError> {
+        let state = State::decode(encoded)?;
+        if state.tables.revision < self.revision() {
+            return Ok(false);
+        }
+        self.state = state;
+        self.commands.clear();
+        Ok(true)
+    }
+
+    /// Commands after a revision, if they are all still kept.
+    pub fn commands_after(&self, revision: u64) -> Option<Vec<(u64, Vec<u8>)>> {
+        if revision >= self.revision() {
+            return Some(Vec::new());
+        }
+        let first_kept = self.commands.front().map(|(revision, _)| *revision)?;
+        if first_kept > revision + 1 {
+            return None;
+        }
+        Some(self.commands.iter().filter(|(kept, _)| *kept > revision).cloned().collect())
+    }
+
+    /// What placement looks at.
+    pub fn fleet(&self, now: Millis) -> Fleet<'_> {
+        Fleet {
+            tables: self.tables(),
+            machines: &self.observed.machines,
+            idle_replicas: &self.observed.idle_replicas,
+            now,
+        }
+    }
+
+    /// Forgets observations on what no longer exists.
+    pub fn forget_gone(&mut self) {
+        let tables = &self.state.tables;
+        self.observed.machines.retain(|server| tables.server(server).is_some());
+        let current = |replica: &str, epoch: u64| tables.replicas.get(replica).is_some_and(|row| row.epoch == epoch);
+        self.observed.idle_replicas.retain(|(replica, epoch)| current(replica, *epoch));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/controllers.rs
@@ -0,0 +1,78 @@
+//! Controllers that only the leader runs: each looks at the blackboard and returns commands.
+
+use super::blackboard::Blackboard;
+use super::leases::LeaseTable;
+use dockwood_api::engine::OrderAction;
+use dockwood_api::peer::MachineState;
+use dockwood_placement::Millis;
+use dockwood_state::{CommandBody, Liveness, OrderRow, OrderState, Tables};
+use std::collections::HashMap;
+
+/// A machine must contradict its order for this long before the order is repeated: reports lag.
+const MISMATCH_MS: Millis = 1_500;
+
+/// Daemons whose liveness differs from what their leases say.
+pub fn liveness(tables: &Tables, leases: &LeaseTable, now: Millis) -> Vec<CommandBody> {
+    let mut commands = Vec::new();
+    for (name, daemon) in &tables.daemons {
+        let incarnation = leases.row(name).map_or(daemon.incarnation, |row| row.incarnation);
+        let Some(liveness) = leases.liveness(now, name) else { continue };
+        let is_restart = incarnation > daemon.incarnation;
+        if liveness == daemon.liveness && !is_restart {
+            continue;
+        }
+        let command = if is_restart && liveness != Liveness::Lost {
+            CommandBody::JoinDaemon { record: daemon.record.clone(), incarnation }
+        } else {
+            CommandBody::SetLiveness { daemon: name.clone(), incarnation: daemon.incarnation, liveness }
+        };
+        commands.push(command);
+    }
+    commands
+}
+
+/// What placement decides.
+pub fn placement(board: &Blackboard, now: Millis) -> Vec<CommandBody> {
+    dockwood_placement::plan(&board.fleet(now)).into_iter().map(|operator| operator.body).collect()
+}
+
+/// Orders that still have to be carried out.
+pub fn pending_orders(tables: &Tables) -> impl Iterator<Item = &OrderRow> {
+    tables.orders.values().map(AsRef::as_ref).filter(|order| order.state == OrderState::Pending)
+}
+
+/// Finds machines that answer but have lost what they confirmed, as after a restart.
+#[derive(Debug, Default)]
+pub struct LostState {
+    since: HashMap<String, Millis>,
+}
+
+impl LostState {
+    /// Orders to repeat.
+    pub fn check(&mut self, board: &Blackboard, now: Millis) -> Vec<CommandBody> {
+        let mut commands = Vec::new();
+        for (server, order) in &board.tables().orders {
+            if !contradicts(order, board.observed.machines.state(server)) {
+                self.since.remove(server);
+                continue;
+            }
+            let since = *self.since.entry(server.clone()).or_insert(now);
+            if now >= since + MISMATCH_MS {
+                self.since.remove(server);
+                commands.push(CommandBody::RepeatOrder { server: server.clone(), fence: order.fence });
+            }
+        }
+        commands
+    }
+}
+
+fn contradicts(order: &OrderRow, observed: Option<MachineState>) -> bool {
+    let Some(MachineState::Alive { epoch, loaded }) = observed else { return false };
+    if order.state != OrderState::Done {
+        return false;
+    }
+    match &order.action {
+        OrderAction::Load(plan) => !loaded || epoch != plan.epoch,
+        OrderAction::Unload => loaded,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/leader.rs
@@ -0,0 +1,173 @@
+//! What only the leader has, for as long as it leads: leases, controllers, and orders on their way.
+
+use super::OrderSender;
+use super::blackboard::{Blackboard, Observed};
+use super::controllers::{LostState, liveness, pending_orders, placement};
+use super::leases::{HOLD_MS, HeldRequest, LeaseTable};
+use super::view::control_view;
+use dockwood_api::event::ClockStamp;
+use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, Observation};
+use dockwood_placement::Millis;
+use dockwood_state::CommandBody;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use tokio::sync::oneshot;
+
+/// Time between two runs of the controllers.
+const DECIDE_EVERY_MS: Millis = 50;
+/// Pause before an order that was not carried out is sent again.
+const ORDER_RETRY_MS: Millis = 300;
+/// Pause after an order was carried out, for its entry to be committed.
+const ORDER_COMMIT_MS: Millis = 2_000;
+/// The leader's lease is renewed at least this often; orders to machines that don't check fences are sent only
+/// within it.
+const ORDER_LEASE_MS: Millis = 200;
+
+/// An order on its way, or waiting to be sent again.
+#[derive(Clone, Copy, Debug)]
+struct OrderAttempt {
+    fence: u64,
+    /// `None` while a task follows it.
+    retry_at: Option<Millis>,
+}
+
+/// State of one leader term.
+pub struct Leadership {
+    /// The term.
+    pub term: u64,
+    /// Leases granted in it.
+    pub leases: LeaseTable,
+    joining: BTreeMap<String, (DaemonRecord, u64)>,
+    lost_state: LostState,
+    attempts: HashMap<String, OrderAttempt>,
+    uncommitted: usize,
+    decide_at: Millis,
+}
+
+/// Takes what a daemon found out.
+pub fn record_observations(observed: &mut Observed, now: Millis, observations: Vec<Observation>) {
+    for observation in observations {
+        match observation {
+            Observation::Machine { server, state } => observed.machines.record(now, &server, state),
+            Observation::ReplicaIdle { replica, epoch } => {
+                observed.idle_replicas.insert((replica, epoch));
+            }
+        }
+    }
+}
+
+impl Leadership {
+    /// The state of a leader that was elected now.
+    pub fn new(term: u64, now: Millis) -> Self {
+        Leadership {
+            term,
+            leases: LeaseTable::new(now),
+            joining: BTreeMap::new(),
+            lost_state: LostState::default(),
+            attempts: HashMap::new(),
+            uncommitted: 0,
+            decide_at: now,
+        }
+    }
+
+    /// Takes a daemon's request; it is answered by [`Leadership::answer_held`].
+    pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: oneshot::Sender<LeaseAnswer>) {
+        self.leases.extend(now, &request);
+        self.joining.insert(request.daemon.name.clone(), (request.daemon.clone(), request.incarnation));
+        // A new request of the same daemon replaces the one that it gave up.
+        self.leases.held.retain(|held| held.request.daemon.name != request.daemon.name);
+        self.leases.held.push(HeldRequest { request, reply, until: now + HOLD_MS });
+    }
+
+    /// Answers requests for which there is news, or that have waited long enough.
+    pub fn answer_held(&mut self, now: Millis, board: &Blackboard, in_force_revision: u64, stamp: ClockStamp) {
+        let revision = board.revision();
+        let (due, waiting): (Vec<HeldRequest>, Vec<HeldRequest>) =
+            std::mem::take(&mut self.leases.held).into_iter().partition(|held| {
+                let lags = held.request.applied_revision < revision;
+                let in_force_is_news = held.request.in_force_revision < in_force_revision;
+                now >= held.until || lags || in_force_is_news
+            });
+        self.leases.held = waiting;
+        for held in due {
+            self.leases.answered(now, &held.request.daemon.name);
+            let content = content_for(board, &held.request);
+            let answer = LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
+            let _ = held.reply.send(answer);
+        }
+    }
+
+    /// Sends waiting daemons elsewhere: this node can't grant any more.
+    pub fn refuse_held(&mut self, leader: Option<SocketAddr>) {
+        for held in std::mem::take(&mut self.leases.held) {
+            let _ = held.reply.send(LeaseAnswer::NotLeader { leader });
+        }
+    }
+
+    /// Notes what became of an order.
+    pub fn order_answered(&mut self, now: Millis, server: &str, fence: u64, done: bool) {
+        if let Some(attempt) = self.attempts.get_mut(server).filter(|attempt| attempt.fence == fence) {
+            let pause = if done { ORDER_COMMIT_MS } else { ORDER_RETRY_MS };
+            attempt.retry_at = Some(now + pause);
+        }
+    }
+
+    /// Sends every pending order that is not on its way; one at a time to each machine.
+    pub fn send_orders(&mut self, now: Millis, board: &Blackboard, sender: &OrderSender) {
+        for order in pending_orders(board.tables()) {
+            let due = match self.attempts.get(&order.server) {
+                Some(attempt) if attempt.retry_at.is_none() => false,
+                Some(attempt) if attempt.fence == order.fence => attempt.retry_at.is_some_and(|at| now >= at),
+                _ => true,
+            };
+            let Some(server) = board.tables().server(&order.server).filter(|_| due) else { continue };
+            self.attempts.insert(order.server.clone(), OrderAttempt { fence: order.fence, retry_at: None });
+            sender.send(order, server.address, server.checks_fences, now + ORDER_LEASE_MS);
+        }
+    }
+
+    /// What should be committed now. Nothing is decided while earlier decisions are not committed, so that
+    /// every decision sees the last one's result.
+    pub fn decide(&mut self, now: Millis, board: &Blackboard) -> Vec<CommandBody> {
+        if self.uncommitted > 0 || now < self.decide_at {
+            return Vec::new();
+        }
+        self.decide_at = now + DECIDE_EVERY_MS;
+        let mut commands = self.joins(board);
+        commands.extend(liveness(board.tables(), &self.leases, now));
+        commands.extend(self.lost_state.check(board, now));
+        commands.extend(placement(board, now));
+        self.uncommitted = commands.len();
+        commands
+    }
+
+    /// Daemons that ask for leases and are not known yet, or by another record.
+    fn joins(&mut self, board: &Blackboard) -> Vec<CommandBody> {
+        let is_new = |record: &DaemonRecord| {
+            board.tables().daemons.get(&record.name).is_none_or(|known| known.record != *record)
+        };
+        let joining = std::mem::take(&mut self.joining);
+        let new = joining.into_values().filter(|(record, _)| is_new(record));
+        new.map(|(record, incarnation)| CommandBody::JoinDaemon { record, incarnation }).collect()
+    }
+
+    /// One of the controllers' commands was committed.
+    pub fn controller_command_committed(&mut self) {
+        self.uncommitted = self.uncommitted.saturating_sub(1);
+    }
+
+    /// The leader's view as JSON.
+    pub fn view(&self, board: &Blackboard, in_force_revision: u64, leader: &str, now: Millis) -> Vec<u8> {
+        control_view(board, &self.leases, in_force_revision, leader, self.term, now)
+    }
+}
+
+fn content_for(board: &Blackboard, request: &LeaseRequest) -> LeaseContent {
+    if !request.wants_commands {
+        return LeaseContent::Commands(Vec::new());
+    }
+    match board.commands_after(request.applied_revision) {
+        Some(commands) => LeaseContent::Commands(commands),
+        None => LeaseContent::Snapshot(board.state.encode_configuration()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/lease_client.rs
@@ -0,0 +1,97 @@
+//! Asks the leader for this daemon's configuration lease, over and over.
+
+use super::{ControlMessage, GrantedLease};
+use crate::clock::monotonic_ms;
+use crate::peer::PeerFailure;
+use crate::shared::Shared;
+use dockwood_api::ResultCode;
+use dockwood_api::event::Subject;
+use dockwood_api::peer::{LeaseAnswer, LeaseRequest};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How long an answer may take: the leader's hold and then some.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause after a request that nobody could answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// A voter waits this long for the log to bring what the lease speaks of.
+const CATCH_UP: Duration = Duration::from_millis(200);
+/// Time between looks at whether the lease still holds.
+const LEASE_CHECK: Duration = Duration::from_millis(50);
+
+/// Renews the lease for ever.
+pub async fn run_lease_client(shared: Arc<Shared>) {
+    tokio::spawn(report_lease_changes(shared.clone()));
+    let mut targets = crate::peer::Targets::new(&shared);
+    loop {
+        let target = targets.next(&shared);
+        let sent_at = monotonic_ms();
+        let asked = tokio::select! {
+            asked = ask(&shared, target) => asked,
+            // The leader must learn of a planned stop at once.
+            () = shared.leaving_begun() => ask(&shared, target).await,
+        };
+        match asked {
+            Ok(LeaseAnswer::Granted { term, revision, in_force_revision, content, stamp }) => {
+                shared.timeline.observe(stamp);
+                shared.set_leader(Some(target));
+                targets.hint(Some(target));
+                let lease = GrantedLease { in_force_revision, content };
+                if apply(&shared, lease, revision).await {
+                    // Only now: a lease must not be used with a configuration older than the one it brought.
+                    shared.extend_lease(sent_at);
+                }
+                shared.set_leader_term(term);
+            }
+            Ok(LeaseAnswer::NotLeader { leader }) => {
+                targets.hint(leader.filter(|leader| *leader != target));
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            Err(_) => {
+                targets.failed();
+                shared.metrics.peer_failures.inc();
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn ask(shared: &Shared, target: SocketAddr) -> Result<LeaseAnswer, PeerFailure> {
+    let request = LeaseRequest {
+        daemon: shared.record(),
+        incarnation: shared.incarnation,
+        applied_revision: shared.tables().revision,
+        in_force_revision: shared.published().in_force_revision,
+        wants_commands: shared.settings.own_voter().is_none(),
+        leaving: shared.is_leaving(),
+        in_flight: shared.in_flight(),
+        stamp: shared.timeline.stamp(),
+    };
+    let call = |client: dockwood_api::peer::PeerClient, context| async move { client.lease(context, request).await };
+    shared.peers.call(target, ANSWER_TIMEOUT, call).await
+}
+
+/// Hands the content to the control thread; true once this daemon has applied what the lease brought.
+async fn apply(shared: &Shared, lease: GrantedLease, revision: u64) -> bool {
+    let (reply, applied) = oneshot::channel();
+    shared.control.send(ControlMessage::LeaseGranted { lease, reply }).await;
+    let Ok(applied) = applied.await else { return false };
+    applied >= revision || shared.wait_for_revision(revision, CATCH_UP).await
+}
+
+async fn report_lease_changes(shared: Arc<Shared>) {
+    let mut held = false;
+    loop {
+        let holds = shared.holds_lease();
+        if holds != held {
+            held = holds;
+            let subject = Subject::new("daemon", &shared.settings.name);
+            let (reason, code) = if holds { ("LeaseHeld", ResultCode::Ok) } else { ("LeaseLost", ResultCode::NoLease) };
+            shared.timeline.record(subject, reason, "", None, code);
+            shared.metrics.lease_held.set(i64::from(holds));
+        }
+        tokio::time::sleep(LEASE_CHECK).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/leases.rs
@@ -0,0 +1,110 @@
+//! The leader's table of configuration leases, and what is in force by it.
+
+use crate::shared::LEASE_MS;
+use dockwood_api::peer::{LeaseAnswer, LeaseRequest};
+use dockwood_placement::Millis;
+use dockwood_state::{Liveness, Tables};
+use std::collections::BTreeMap;
+use tokio::sync::oneshot;
+
+/// A request without news is held back this long, so that daemons poll seldom and learn of changes at once.
+/// Together with the way there and back it stays well under the lease.
+pub const HOLD_MS: Millis = 600;
+
+/// One daemon's lease as granted.
+#[derive(Clone, Debug)]
+pub struct LeaseRow {
+    /// No later than this may the daemon act on the lease: counted from the grant, which is after the daemon's
+    /// own count began.
+    pub expires: Millis,
+    /// The revision it has applied.
+    pub applied_revision: u64,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// It is stopping.
+    pub leaving: bool,
+    /// Requests in flight there.
+    pub in_flight: u32,
+}
+
+/// A request that waits for news.
+#[derive(Debug)]
+pub struct HeldRequest {
+    /// The request.
+    pub request: LeaseRequest,
+    /// For the answer.
+    pub reply: oneshot::Sender<LeaseAnswer>,
+    /// When to answer at the latest.
+    pub until: Millis,
+}
+
+/// Leases of one leader term.
+#[derive(Debug)]
+pub struct LeaseTable {
+    elected_at: Millis,
+    rows: BTreeMap<String, LeaseRow>,
+    /// Requests that wait for news.
+    pub held: Vec<HeldRequest>,
+}
+
+impl LeaseTable {
+    /// An empty table of a leader that was elected now.
+    pub fn new(now: Millis) -> Self {
+        LeaseTable { elected_at: now, rows: BTreeMap::new(), held: Vec::new() }
+    }
+
+    /// Notes that a daemon asked, and will hold a lease once it is answered.
+    pub fn extend(&mut self, now: Millis, request: &LeaseRequest) {
+        let row = LeaseRow {
+            expires: now + LEASE_MS,
+            applied_revision: request.applied_revision,
+            incarnation: request.incarnation,
+            leaving: request.leaving,
+            in_flight: request.in_flight,
+        };
+        self.rows.insert(request.daemon.name.clone(), row);
+    }
+
+    /// A held request's lease counts from its answer on, for the leader.
+    pub fn answered(&mut self, now: Millis, daemon: &str) {
+        if let Some(row) = self.rows.get_mut(daemon) {
+            row.expires = now + LEASE_MS;
+        }
+    }
+
+    /// A daemon's lease, run out or not.
+    pub fn row(&self, daemon: &str) -> Option<&LeaseRow> {
+        self.rows.get(daemon)
+    }
+
+    /// Whether leases of an earlier leader, which this one doesn't know, have run out.
+    pub fn predecessors_ran_out(&self, now: Millis) -> bool {
+        now >= self.elected_at + LEASE_MS
+    }
+
+    /// What a daemon's liveness should be, where the table can tell.
+    pub fn liveness(&self, now: Millis, daemon: &str) -> Option<Liveness> {
+        match self.rows.get(daemon) {
+            Some(row) if now < row.expires => Some(if row.leaving { Liveness::Leaving } else { Liveness::Live }),
+            Some(_) => Some(Liveness::Lost),
+            None => self.predecessors_ran_out(now).then_some(Liveness::Lost),
+        }
+    }
+
+    /// The newest revision that each daemon has applied or can't act against: one whose lease ran out takes no
+    /// new work until it has caught up. `None` while a daemon may hold a lease that this leader doesn't know.
+    pub fn in_force_revision(&self, now: Millis, tables: &Tables) -> Option<u64> {
+        let unknown = tables.daemons.keys().any(|daemon| !self.rows.contains_key(daemon));
+        if unknown && !self.predecessors_ran_out(now) {
+            return None;
+        }
+        let holders = self.rows.values().filter(|row| now < row.expires);
+        Some(holders.map(|row| row.applied_revision).fold(tables.revision, u64::min))
+    }
+
+    /// Daemons that hold a lease and have not applied `revision`.
+    pub fn behind(&self, now: Millis, revision: u64) -> Vec<String> {
+        let lags = |row: &LeaseRow| now < row.expires && row.applied_revision < revision;
+        self.rows.iter().filter(|(_, row)| lags(row)).map(|(name, _)| name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/view.rs
@@ -0,0 +1,63 @@
+//! The leader's view of the fleet, as JSON for status.
+
+use super::blackboard::Blackboard;
+use super::leases::LeaseTable;
+use dockwood_placement::{MachineHealth, Millis, shortfalls};
+use dockwood_state::{Liveness, ReplicaPhase};
+use serde_json::{Value, json};
+
+/// Everything that one screen of status needs.
+pub fn control_view(board: &Blackboard, leases: &LeaseTable, in_force_revision: u64, leader: &str, term: u64, now: Millis) -> Vec<u8> {
+    let fleet = board.fleet(now);
+    let tables = board.tables();
+    let replicas: Vec<Value> = tables
+        .replicas
+        .values()
+        .map(|row| {
+            let unwell: Vec<String> = row
+                .members
+                .iter()
+                .filter(|server| !matches!(fleet.health(server), MachineHealth::Usable | MachineHealth::Recovering))
+                .map(|server| format!("{server} {:?}", fleet.health(server)))
+                .collect();
+            json!({
+                "name": row.name, "deployment": row.deployment, "phase": format!("{:?}", row.phase),
+                "epoch": row.epoch, "domain": row.domain, "version": row.version, "reason": row.reason,
+                "unwellMachines": unwell, "serving": row.phase == ReplicaPhase::Serving && unwell.is_empty(),
+            })
+        })
+        .collect();
+    let stranded: Vec<&str> = tables
+        .servers()
+        .map(|(name, _)| name)
+        .filter(|name| {
+            let in_serving = tables.machines.get(*name).and_then(|machine| machine.holder.as_ref()).is_some_and(|holder| {
+                tables.replicas.get(&holder.replica).is_some_and(|row| row.phase == ReplicaPhase::Serving)
+            });
+            !in_serving && !matches!(fleet.health(name), MachineHealth::Dead | MachineHealth::Unknown)
+        })
+        .collect();
+    let daemons: Vec<Value> = tables
+        .daemons
+        .values()
+        .map(|row| {
+            let lease = leases.row(&row.record.name);
+            json!({
+                "name": row.record.name, "zone": row.record.zone, "liveness": format!("{:?}", row.liveness),
+                "holdsLease": row.liveness != Liveness::Lost && lease.is_some_and(|lease| now < lease.expires),
+                "appliedRevision": lease.map(|lease| lease.applied_revision),
+                "inFlight": lease.map(|lease| lease.in_flight),
+            })
+        })
+        .collect();
+    let missing: Vec<Value> = shortfalls(&fleet)
+        .into_iter()
+        .map(|one| json!({ "deployment": one.deployment, "missing": one.missing, "why": one.message }))
+        .collect();
+    let view = json!({
+        "leader": leader, "term": term, "revision": tables.revision, "inForceRevision": in_force_revision,
+        "behind": leases.behind(now, tables.revision), "claims": board.state.claims.len(),
+        "replicas": replicas, "shortfalls": missing, "strandedMachines": stranded, "daemons": daemons,
+    });
+    serde_json::to_vec(&view).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/http/caller.rs
@@ -0,0 +1,329 @@
+//! What callers use: the entry answer, models, chat completions, and what became of a request.
+
+use super::completion::{CompletionWriter, kept_answer};
+use super::refusal;
+use super::{App, auth};
+use crate::clock::monotonic_ms;
+use crate::traffic::chat::{ChatEvent, ChatJob, Failure, Finish, run_chat};
+use crate::traffic::records::{find, record_key};
+use bytes::Bytes;
+use dockwood_api::caller::{
+    ChatRequest, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE, HEADER_REQUEST_ID,
+    HEADER_SESSION, ModelEntry, ModelList, Outcome, OutcomeAnswer,
+};
+use dockwood_api::digest::content_digest;
+use dockwood_api::peer::KeptAnswer;
+use dockwood_api::{ApiError, ResultCode};
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Path};
+use poem::{Body, Request, Response, handler};
+use serde::Deserialize;
+use tokio::sync::mpsc;
+
+/// Events of one answer that may wait for a slow caller.
+const EVENT_QUEUE: usize = 256;
+/// Longest request id.
+const MAX_ID_BYTES: usize = 128;
+/// Longest deadline, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+fn failure(error: &ApiError) -> Failure {
+    Failure::new(error.code(), error.message())
+}
+
+fn session_of(request: &Request) -> String {
+    request.header(HEADER_SESSION).unwrap_or("").to_string()
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct EntryQuery {
+    model: Option<String>,
+    session: String,
+    zone: Option<String>,
+}
+
+/// `GET /v1/entry`: which addresses to use.
+#[handler]
+pub fn entry_addresses(Data(app): Data<&App>, request: &Request) -> Response {
+    let result = auth::tenant(app, request).and_then(|tenant| entry_answer(app, request, &tenant));
+    match result {
+        Ok(answer) => Response::builder()
+            .content_type("application/json")
+            .header("cache-control", format!("max-age={}", answer.lifetime_seconds))
+            .body(serde_json::to_vec(&answer).unwrap_or_default()),
+        Err(error) => refusal::caller_counted(app, &failure(&error), ""),
+    }
+}
+
+fn entry_answer(app: &App, request: &Request, tenant: &str) -> Result<EntryAnswer, ApiError> {
+    let query: EntryQuery =
+        request.params().map_err(|error| ApiError::new(ResultCode::BadHeader, error.to_string()))?;
+    let published = app.shared.published();
+    if let Some(model) = &query.model
+        && published.routes_for(tenant, model).is_empty()
+    {
+        return Err(ApiError::new(ResultCode::UnknownModel, format!("no deployment serves '{model}'")));
+    }
+    Ok(EntryAnswer {
+        addresses: app.shared.entry_addresses(&query.session, query.zone.as_deref()),
+        lifetime_seconds: app.shared.settings.entry_lifetime.as_secs(),
+        revision: published.tables.revision,
+    })
+}
+
+/// `GET /v1/models`: what the tenant may ask for.
+#[handler]
+pub fn list_models(Data(app): Data<&App>, request: &Request) -> Response {
+    let tenant = match auth::tenant(app, request) {
+        Ok(tenant) => tenant,
+        Err(error) => return refusal::caller_counted(app, &failure(&error), ""),
+    };
+    let published = app.shared.published();
+    let mut names: Vec<&str> = published.routing.models().collect();
+    names.retain(|name| !published.routes_for(&tenant, name).is_empty());
+    names.sort_unstable();
+    let entry = |name: &str| ModelEntry {
+        id: name.to_string(),
+        object: "model".to_string(),
+        owned_by: "dockwood".to_string(),
+    };
+    let list = ModelList { object: "list".to_string(), data: names.into_iter().map(entry).collect() };
+    Response::builder().content_type("application/json").body(serde_json::to_vec(&list).unwrap_or_default())
+}
+
+/// What the headers of a request say of it.
+pub(super) struct RequestHeaders {
+    pub id: String,
+    pub keyed: bool,
+    pub repeatable: Option<bool>,
+    pub deadline_ms: u64,
+}
+
+/// Reads the headers that chat and services share.
+pub(super) fn request_headers(app: &App, request: &Request) -> Result<RequestHeaders, ApiError> {
+    let bad = |message: String| ApiError::new(ResultCode::BadHeader, message);
+    let key = request.header(HEADER_IDEMPOTENCY_KEY);
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    if let Some(key) = key
+        && (key.is_empty() || key.len() > MAX_ID_BYTES || !key.bytes().all(allowed))
+    {
+        let message = format!("Idempotency-Key: 1 to {MAX_ID_BYTES} letters, digits, '-', '_', '.' and ':'");
+        return Err(bad(message));
+    }
+    let repeatable = match request.header(HEADER_REPEATABLE) {
+        None => None,
+        Some("yes") => Some(true),
+        Some("no") => Some(false),
+        Some(other) => return Err(bad(format!("Dockwood-Repeatable: '{other}' is neither yes nor no"))),
+    };
+    let deadline_ms = match request.header(HEADER_DEADLINE_MS) {
+        None => app.shared.settings.default_deadline.as_millis() as u64,
+        Some(text) => {
+            let parsed = text.parse::<u64>().ok().filter(|deadline| (1..=MAX_DEADLINE_MS).contains(deadline));
+            parsed.ok_or_else(|| bad(format!("Dockwood-Deadline-Ms: '{text}' is not from 1 to {MAX_DEADLINE_MS}")))?
+        }
+    };
+    let id = key.map_or_else(|| ulid::Ulid::new().to_string(), str::to_string);
+    Ok(RequestHeaders { id, keyed: key.is_some(), repeatable, deadline_ms })
+}
+
+/// Whether this daemon may take new work at all.
+pub(super) fn check_open(app: &App, may_serve: bool) -> Result<(), ApiError> {
+    if app.shared.is_leaving() {
+        return Err(ApiError::new(ResultCode::DaemonLeaving, "this daemon is leaving"));
+    }
+    if !may_serve {
+        return Err(ApiError::new(ResultCode::NoLease, "this daemon holds no configuration lease"));
+    }
+    Ok(())
+}
+
+/// `POST /v1/chat/completions`.
+#[handler]
+pub async fn chat_completions(Data(app): Data<&App>, request: &Request, body: Body) -> Response {
+    let session = session_of(request);
+    match chat_job(app, request, body).await {
+        Ok((job, chat)) => run(app, job, &chat, &session).await,
+        Err(error) => refusal::caller_counted(app, &failure(&error), &session),
+    }
+}
+
+async fn chat_job(app: &App, request: &Request, body: Body) -> Result<(ChatJob, ChatRequest), ApiError> {
+    let arrived = monotonic_ms();
+    let tenant = auth::tenant(app, request)?;
+    let headers = request_headers(app, request)?;
+    let limit = app.shared.settings.max_body_bytes;
+    let bytes = body.into_bytes_limit(limit).await.map_err(|error| match error {
+        poem::error::ReadBodyError::PayloadTooLarge => {
+            ApiError::new(ResultCode::BodyTooLarge, format!("the body has more than {limit} bytes"))
+        }
+        other => ApiError::new(ResultCode::BadJson, other.to_string()),
+    })?;
+    let chat: ChatRequest =
+        serde_json::from_slice(&bytes).map_err(|error| ApiError::new(ResultCode::BadJson, error.to_string()))?;
+    let published = app.shared.published();
+    let routes = published.routes_for(&tenant, &chat.model);
+    if routes.is_empty() {
+        return Err(ApiError::new(ResultCode::UnknownModel, format!("no deployment serves '{}'", chat.model)));
+    }
+    check_open(app, routes.iter().any(|route| app.shared.may_dispatch(&route.pool)))?;
+    let job = ChatJob {
+        id: headers.id,
+        keyed: headers.keyed,
+        tier: published.tables.tenant(&tenant).map_or(0, |spec| spec.tier),
+        tenant,
+        routes,
+        prompt: chat.prompt(),
+        max_tokens: chat.max_tokens,
+        repeatable: headers.repeatable.unwrap_or(true),
+        arrived,
+        deadline: arrived + headers.deadline_ms,
+        content_digest: content_digest(&bytes),
+    };
+    Ok((job, chat))
+}
+
+async fn run(app: &App, job: ChatJob, chat: &ChatRequest, session: &str) -> Response {
+    let writer = CompletionWriter::new(&job.id, &chat.model);
+    let id = job.id.clone();
+    let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
+    let in_flight = app.shared.begin_request();
+    let traffic = app.traffic.clone();
+    tokio::spawn(async move {
+        run_chat(traffic, job, sender, kept_answer).await;
+        drop(in_flight);
+    });
+    // Nothing is sent before the first event, so that a refusal still has its own status.
+    let first = events.recv().await;
+    let mut response = match first {
+        None => refusal::bare(ResultCode::OutcomeUnknown, "the request ended without a result"),
+        Some(ChatEvent::Failed(failure)) => refusal::caller(app, &failure, session),
+        Some(ChatEvent::Kept(kept)) if chat.stream => sse(Body::from(writer.replay(&kept))),
+        Some(ChatEvent::Kept(kept)) => kept_response(kept),
+        Some(first) if chat.stream => sse(stream_body(app.clone(), writer, first, events, session.to_string())),
+        Some(first) => whole_response(app, &writer, first, events, session).await,
+    };
+    if let Ok(value) = id.parse() {
+        response.headers_mut().insert(HEADER_REQUEST_ID, value);
+    }
+    response
+}
+
+fn sse(body: Body) -> Response {
+    Response::builder().content_type("text/event-stream").header("cache-control", "no-cache").body(body)
+}
+
+fn kept_response(kept: KeptAnswer) -> Response {
+    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    Response::builder().status(status).content_type(&kept.content_type).body(kept.body)
+}
+
+async fn whole_response(
+    app: &App,
+    writer: &CompletionWriter,
+    first: ChatEvent,
+    mut events: mpsc::Receiver<ChatEvent>,
+    session: &str,
+) -> Response {
+    let mut text = String::new();
+    let mut next = Some(first);
+    while let Some(event) = next {
+        match event {
+            ChatEvent::Text(more) => text.push_str(&more),
+            ChatEvent::Finished(finish) => return whole(writer, &text, &finish),
+            ChatEvent::Kept(kept) => return kept_response(kept),
+            ChatEvent::Failed(failure) => return refusal::caller(app, &failure, session),
+        }
+        next = events.recv().await;
+    }
+    refusal::bare(ResultCode::OutcomeUnknown, "the request ended without a result")
+}
+
+fn whole(writer: &CompletionWriter, text: &str, finish: &Finish) -> Response {
+    let completion = writer.whole(text, finish);
+    Response::builder().content_type("application/json").body(serde_json::to_vec(&completion).unwrap_or_default())
+}
+
+fn stream_body(
+    app: App,
+    writer: CompletionWriter,
+    first: ChatEvent,
+    events: mpsc::Receiver<ChatEvent>,
+    session: String,
+) -> Body {
+    struct Feed {
+        app: App,
+        writer: CompletionWriter,
+        pending: Option<ChatEvent>,
+        events: mpsc::Receiver<ChatEvent>,
+        session: String,
+        ended: bool,
+    }
+    let begin = futures::stream::iter([Ok::<Bytes, std::io::Error>(Bytes::from(writer.begin()))]);
+    let feed = Feed { app, writer, pending: Some(first), events, session, ended: false };
+    let rest = futures::stream::unfold(feed, |mut feed| async move {
+        if feed.ended {
+            return None;
+        }
+        let event = match feed.pending.take() {
+            Some(event) => event,
+            None => feed.events.recv().await?,
+        };
+        let bytes = match event {
+            ChatEvent::Text(text) => feed.writer.text(text),
+            ChatEvent::Finished(finish) => {
+                feed.ended = true;
+                feed.writer.finish(&finish)
+            }
+            ChatEvent::Kept(kept) => {
+                feed.ended = true;
+                feed.writer.replay(&kept)
+            }
+            ChatEvent::Failed(failure) => {
+                feed.ended = true;
+                feed.writer.failed(&refusal::caller_body(&feed.app, &failure, &feed.session))
+            }
+        };
+        Some((Ok(Bytes::from(bytes)), feed))
+    });
+    Body::from_bytes_stream(futures::StreamExt::chain(begin, rest))
+}
+
+/// `GET /v1/requests/{id}`: what became of a request, from any daemon.
+#[handler]
+pub async fn request_outcome(Data(app): Data<&App>, request: &Request, Path(id): Path<String>) -> Response {
+    let tenant = match auth::tenant(app, request) {
+        Ok(tenant) => tenant,
+        Err(error) => return refusal::caller_counted(app, &failure(&error), ""),
+    };
+    let record = find(&app.shared, &app.traffic.records, &record_key(&tenant, &id)).await;
+    let Some(record) = record else { return not_found(&id) };
+    let answer = OutcomeAnswer {
+        id,
+        outcome: record.outcome,
+        code: record.code.map(ResultCode::number),
+        answer_kept: record.answer.is_some(),
+    };
+    poem::IntoResponse::into_response(Json(answer))
+}
+
+/// `GET /v1/requests/{id}/answer`: the whole answer, while it is kept.
+#[handler]
+pub async fn request_answer(Data(app): Data<&App>, request: &Request, Path(id): Path<String>) -> Response {
+    let tenant = match auth::tenant(app, request) {
+        Ok(tenant) => tenant,
+        Err(error) => return refusal::caller_counted(app, &failure(&error), ""),
+    };
+    let record = find(&app.shared, &app.traffic.records, &record_key(&tenant, &id)).await;
+    match record.map(|record| (record.outcome, record.answer)) {
+        Some((_, Some(kept))) => kept_response(kept),
+        Some((Outcome::Running, None)) => refusal::bare(ResultCode::AlreadyRunning, "the request is still running"),
+        Some((Outcome::Unknown, None)) => refusal::bare(ResultCode::OutcomeUnknown, "no answer is known"),
+        _ => not_found(&id),
+    }
+}
+
+fn not_found(id: &str) -> Response {
+    refusal::bare(ResultCode::RequestNotFound, &format!("no record of request '{id}'"))
+}
--- /dev/null
+++ b/crates/daemon/src/http/health.rs
@@ -0,0 +1,31 @@
+//! Health and metrics.
+
+use super::App;
+use poem::http::StatusCode;
+use poem::web::Data;
+use poem::{Response, handler};
+
+/// The process runs.
+#[handler]
+pub fn alive() -> &'static str {
+    "ok\n"
+}
+
+/// The daemon takes new work: it holds a lease and is not leaving.
+#[handler]
+pub fn ready(Data(app): Data<&App>) -> Response {
+    let (status, text) = if app.shared.is_leaving() {
+        (StatusCode::SERVICE_UNAVAILABLE, "leaving\n")
+    } else if !app.shared.holds_lease() {
+        (StatusCode::SERVICE_UNAVAILABLE, "no configuration lease\n")
+    } else {
+        (StatusCode::OK, "ready\n")
+    };
+    Response::builder().status(status).content_type("text/plain").body(text)
+}
+
+/// Metrics in prometheus's text form.
+#[handler]
+pub fn metrics(Data(app): Data<&App>) -> Response {
+    Response::builder().content_type("text/plain; version=0.0.4").body(app.shared.metrics.render())
+}
--- /dev/null
+++ b/crates/daemon/src/http/mod.rs
@@ -0,0 +1,67 @@
+//! The HTTP side: callers and operators on one address.
+
+mod auth;
+mod caller;
+mod completion;
+mod health;
+mod list_query;
+mod operator;
+mod refusal;
+mod service;
+mod watch;
+
+use crate::shared::Shared;
+use crate::traffic::Traffic;
+use dockwood_api::ResultCode;
+use dockwood_api::resource::API_PREFIX;
+use poem::error::{MethodNotAllowedError, NotFoundError};
+use poem::listener::TcpAcceptor;
+use poem::{EndpointExt, Route, Server, get, post};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long open connections may take to end once the process stops; by then nothing is in flight.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// What handlers use.
+#[derive(Clone)]
+pub struct App {
+    /// Shared state.
+    pub shared: Arc<Shared>,
+    /// Traffic.
+    pub traffic: Arc<Traffic>,
+}
+
+/// Serves until `stop` completes.
+pub async fn serve_http(
+    app: App,
+    listener: std::net::TcpListener,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> std::io::Result<()> {
+    let acceptor = TcpAcceptor::from_std(listener)?;
+    Server::new_with_acceptor(acceptor).run_with_graceful_shutdown(routes(app), stop, Some(CLOSE_LIMIT)).await
+}
+
+fn routes(app: App) -> impl poem::Endpoint + 'static {
+    let api = |path: &str| format!("{API_PREFIX}{path}");
+    Route::new()
+        .at("/healthz", get(health::alive))
+        .at("/readyz", get(health::ready))
+        .at("/metrics", get(health::metrics))
+        .at(api("/status"), get(operator::read_status))
+        .at(api("/events"), get(operator::list_events))
+        .at(api("/:kind"), get(operator::list_resources).post(operator::create_resource))
+        .at(api("/:kind/:name"), get(operator::read_resource).put(operator::replace_resource).delete(operator::delete_resource))
+        .at("/v1/entry", get(caller::entry_addresses))
+        .at("/v1/models", get(caller::list_models))
+        .at("/v1/chat/completions", post(caller::chat_completions))
+        .at("/v1/requests/:id", get(caller::request_outcome))
+        .at("/v1/requests/:id/answer", get(caller::request_answer))
+        .at("/services/:service", service::call_service)
+        .at("/services/:service/*path", service::call_service)
+        .data(app)
+        .catch_error(|_: NotFoundError| async { refusal::bare(ResultCode::NoSuchPath, "there is no such path") })
+        .catch_error(|_: MethodNotAllowedError| async {
+            refusal::bare(ResultCode::NoSuchPath, "this path does not take this method")
+        })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,19 @@
-//! placeholder
+//! The dockwood daemon: answers callers, forwards their requests, and takes part in control.
+//!
+//! Control state lives on one thread ([`control`]), traffic on others ([`traffic`], [`http`], [`probe`]).
+//! Decisions are made in the pure crates below; this crate gives them clocks, disks and sockets.
+
+pub mod clock;
+pub mod control;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod peer;
+pub mod probe;
+pub mod process;
+pub mod published;
+pub mod settings;
+pub mod shared;
+pub mod timeline;
+pub mod traffic;
+pub mod watch_hub;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,125 @@
+//! Metrics by `prometheus`: what repeats is counted here.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0];
+/// Upper bounds of disk buckets, in seconds.
+const SYNC_BUCKETS: [f64; 10] = [0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25, 1.0];
+
+/// All metrics of one daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Answers to callers by result code.
+    pub answers: IntCounterVec,
+    /// Refused operator calls by result code.
+    pub operator_refusals: IntCounterVec,
+    /// Time to the first token by tier.
+    pub first_token_seconds: HistogramVec,
+    /// Time waited for a slot by tier.
+    pub queue_seconds: HistogramVec,
+    /// Tokens sent to callers.
+    pub tokens: IntCounter,
+    /// Requests in flight at this entry.
+    pub in_flight: IntGauge,
+    /// Retries by reason.
+    pub retries: IntCounterVec,
+    /// Retries that the budget refused.
+    pub retries_refused: IntCounter,
+    /// Calls between daemons received, by method.
+    pub peer_calls: IntCounterVec,
+    /// Calls between daemons that failed.
+    pub peer_failures: IntCounter,
+    /// Calls to plain services by service and result.
+    pub service_calls: IntCounterVec,
+    /// Probes of machines by result.
+    pub probes: IntCounterVec,
+    /// Newest revision applied.
+    pub revision: IntGauge,
+    /// Newest revision known to be in force everywhere.
+    pub in_force_revision: IntGauge,
+    /// 1 while this daemon holds a configuration lease.
+    pub lease_held: IntGauge,
+    /// 1 while this daemon leads the control group.
+    pub is_leader: IntGauge,
+    /// Waiting requests by pool and tier, at their coordinator.
+    pub pool_waiting: IntGaugeVec,
+    /// Slots in use by replica, at their coordinator.
+    pub replica_slots_used: IntGaugeVec,
+    /// Time of a synced write to the log.
+    pub log_sync_seconds: Histogram,
+    /// Commands in one synced write.
+    pub commands_committed: IntCounter,
+}
+
+impl Metrics {
+    /// Registers everything.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec, prometheus::Error> {
+            let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok(vector)
+        };
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| -> Result<IntGaugeVec, prometheus::Error> {
+            let vector = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok(vector)
+        };
+        let histograms = |name: &str, help: &str, labels: &[&str]| -> Result<HistogramVec, prometheus::Error> {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let vector = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok(vector)
+        };
+        let sync_options = HistogramOpts::new("dockwood_log_sync_seconds", "Time of a synced write to the log");
+        let log_sync_seconds = Histogram::with_opts(sync_options.buckets(SYNC_BUCKETS.to_vec()))?;
+        registry.register(Box::new(log_sync_seconds.clone()))?;
+        Ok(Metrics {
+            answers: counters("dockwood_answers_total", "Answers to callers", &["code"])?,
+            operator_refusals: counters("dockwood_operator_refusals_total", "Refused operator calls", &["code"])?,
+            first_token_seconds: histograms("dockwood_first_token_seconds", "Time to the first token", &["tier"])?,
+            queue_seconds: histograms("dockwood_queue_seconds", "Time waited for a slot", &["tier"])?,
+            tokens: counter("dockwood_tokens_total", "Tokens sent to callers")?,
+            in_flight: gauge("dockwood_in_flight", "Requests in flight at this entry")?,
+            retries: counters("dockwood_retries_total", "Retries", &["reason"])?,
+            retries_refused: counter("dockwood_retries_refused_total", "Retries refused by the budget")?,
+            peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
+            peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
+            service_calls: counters("dockwood_service_calls_total", "Calls to services", &["service", "result"])?,
+            probes: counters("dockwood_probes_total", "Probes of machines", &["result"])?,
+            revision: gauge("dockwood_revision", "Newest revision applied")?,
+            in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
+            lease_held: gauge("dockwood_lease_held", "Whether a configuration lease is held")?,
+            is_leader: gauge("dockwood_is_leader", "Whether this daemon leads the control group")?,
+            pool_waiting: gauges("dockwood_pool_waiting", "Waiting requests", &["pool", "tier"])?,
+            replica_slots_used: gauges("dockwood_replica_slots_used", "Slots in use", &["replica"])?,
+            commands_committed: counter("dockwood_commands_committed_total", "Commands applied from the log")?,
+            log_sync_seconds,
+            registry,
+        })
+    }
+
+    /// All metrics in prometheus's text form.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory can't fail; a metric that can't be encoded is left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,10 @@
+//! Calls between daemons, by `tarpc`.
+
+mod clients;
+mod server;
+mod submit;
+
+pub use clients::{PeerClients, PeerFailure};
+pub use server::serve_peers;
+pub use submit::{control_view, submit};
+pub(crate) use submit::Targets;
--- /dev/null
+++ b/crates/daemon/src/peer/server.rs
@@ -0,0 +1,118 @@
+//! The daemon's side of the peer service.
+
+use crate::control::ControlMessage;
+use crate::shared::Shared;
+use crate::traffic::Traffic;
+use dockwood_api::ResultCode;
+use dockwood_api::peer::{
+    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, MAX_FRAME_BYTES, Observation, Peer,
+    PostcardCodec, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+};
+use futures::StreamExt;
+use std::sync::Arc;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::sync::oneshot;
+
+#[derive(Clone)]
+struct PeerServer {
+    shared: Arc<Shared>,
+    traffic: Arc<Traffic>,
+}
+
+/// Accepts other daemons for ever.
+pub async fn serve_peers(
+    shared: Arc<Shared>,
+    traffic: Arc<Traffic>,
+    listener: tokio::net::TcpListener,
+) -> std::io::Result<()> {
+    let server = PeerServer { shared, traffic };
+    let mut incoming =
+        tarpc::serde_transport::tcp::listen_on(listener, PostcardCodec::default).await?;
+    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    while let Some(connection) = incoming.next().await {
+        let Ok(transport) = connection else { continue };
+        let channel = BaseChannel::with_defaults(transport);
+        let serve = channel.execute(server.clone().serve()).for_each(|answering| async move {
+            tokio::spawn(answering);
+        });
+        tokio::spawn(serve);
+    }
+    Ok(())
+}
+
+impl PeerServer {
+    fn count(&self, method: &str) {
+        self.shared.metrics.peer_calls.with_label_values(&[method]).inc();
+    }
+
+    /// Asks the control thread; `None` if it has ended.
+    async fn ask<T>(&self, message: impl FnOnce(oneshot::Sender<T>) -> ControlMessage) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.shared.control.send(message(reply)).await;
+        answer.await.ok()
+    }
+}
+
+impl Peer for PeerServer {
+    async fn consensus(self, _: Context, from: u64, messages: Vec<u8>) {
+        self.count("consensus");
+        self.shared.control.send(ControlMessage::Consensus { from, messages }).await;
+    }
+
+    async fn lease(self, _: Context, request: LeaseRequest) -> LeaseAnswer {
+        self.count("lease");
+        self.shared.timeline.observe(request.stamp);
+        let answer = self.ask(|reply| ControlMessage::Lease { request, reply }).await;
+        answer.unwrap_or(LeaseAnswer::NotLeader { leader: None })
+    }
+
+    async fn submit(self, _: Context, command: Vec<u8>) -> SubmitReply {
+        self.count("submit");
+        let answer = self.ask(|reply| ControlMessage::Submit { command, reply }).await;
+        let message = "the control thread ended before the command was applied".to_string();
+        answer.unwrap_or(SubmitReply::Failed { code: ResultCode::ProposalDropped, message })
+    }
+
+    async fn observe(self, _: Context, term: u64, observations: Vec<Observation>) -> bool {
+        self.count("observe");
+        let asked = self.ask(|reply| ControlMessage::Observe { term, observations, reply });
+        asked.await.unwrap_or(false)
+    }
+
+    async fn control_view(self, _: Context) -> ControlAnswer {
+        self.count("control_view");
+        let answer = self.ask(|reply| ControlMessage::View { reply }).await;
+        answer.unwrap_or(ControlAnswer::NotLeader { leader: None })
+    }
+
+    async fn acquire(self, _: Context, request: AcquireRequest) -> AcquireReply {
+        self.count("acquire");
+        self.traffic.pools.acquire(request).await
+    }
+
+    async fn release(self, _: Context, slot_return: SlotReturn) {
+        self.count("release");
+        self.traffic.pools.release(slot_return);
+    }
+
+    async fn evidence(self, _: Context, reports: Vec<ReplicaEvidence>) {
+        self.count("evidence");
+        self.traffic.pools.evidence(reports);
+    }
+
+    async fn held_slots(self, _: Context, entry: String, pool: String, slots: Vec<(u64, String)>) {
+        self.count("held_slots");
+        self.traffic.pools.entry_holds(&entry, &pool, slots);
+    }
+
+    async fn record_request(self, _: Context, record: RequestRecord) -> Option<RequestRecord> {
+        self.count("record_request");
+        self.traffic.records.store(record)
+    }
+
+    async fn read_request(self, _: Context, key: String) -> Option<RequestRecord> {
+        self.count("read_request");
+        self.traffic.records.read(&key)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/probe/engine_client.rs
@@ -0,0 +1,57 @@
+//! Probes of single machines.
+
+use dockwood_api::engine::{GroupHealth, PATH_HEALTH};
+use dockwood_api::peer::MachineState;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A machine that does not answer within this time counts as silent.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why a probe has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeFailure {
+    /// The connection was refused or reset.
+    Refused,
+    /// There was no answer in time.
+    Silent,
+}
+
+impl ProbeFailure {
+    /// What the failure says of the machine.
+    pub fn machine_state(self) -> MachineState {
+        match self {
+            ProbeFailure::Refused => MachineState::Refusing,
+            ProbeFailure::Silent => MachineState::Silent,
+        }
+    }
+}
+
+/// Asks machines how they are.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    http: reqwest::Client,
+}
+
+impl EngineClient {
+    /// A client over shared connections.
+    pub fn new(http: reqwest::Client) -> Self {
+        EngineClient { http }
+    }
+
+    /// One probe.
+    pub async fn health(&self, address: SocketAddr) -> Result<GroupHealth, ProbeFailure> {
+        let url = format!("http://{address}{PATH_HEALTH}");
+        let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await.map_err(classify)?;
+        response.json().await.map_err(classify)
+    }
+}
+
+fn classify(error: reqwest::Error) -> ProbeFailure {
+    if error.is_timeout() { ProbeFailure::Silent } else { ProbeFailure::Refused }
+}
+
+/// What an answer says of the machine.
+pub fn machine_state(health: &GroupHealth) -> MachineState {
+    MachineState::Alive { epoch: health.epoch, loaded: health.loaded }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,96 @@
+//! Settings of a daemon: read from YAML and checked whole, every fault with its number, line and field.
+
+mod check;
+mod reader;
+
+pub use reader::{Problem, Problems};
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// A member of the control group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Voter {
+    /// Identifies the voter within the group; never reused.
+    pub id: u64,
+    /// Daemon name.
+    pub name: String,
+    /// Its peer address.
+    pub peer: SocketAddr,
+}
+
+/// What an operator token allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OperatorRole {
+    /// Reads only.
+    Read,
+    /// Reads and writes.
+    Write,
+}
+
+/// An operator's token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorToken {
+    /// For logs and events; the token itself never appears there.
+    pub name: String,
+    /// What it allows.
+    pub role: OperatorRole,
+    /// The token's digest.
+    pub digest: String,
+}
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Unique name.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Zone.
+    pub zone: String,
+    /// Address for callers and operators.
+    pub http: SocketAddr,
+    /// Address for other daemons.
+    pub peer: SocketAddr,
+    /// The control group.
+    pub voters: Vec<Voter>,
+    /// Where a voter keeps its state.
+    pub data_folder: Option<PathBuf>,
+    /// Operators' tokens.
+    pub tokens: Vec<OperatorToken>,
+    /// The platform's list of machines, if there is one.
+    pub platform: Option<SocketAddr>,
+    /// How long callers may keep an entry answer.
+    pub entry_lifetime: Duration,
+    /// Largest body of a chat request, in bytes.
+    pub max_body_bytes: usize,
+    /// Deadline of requests that name none.
+    pub default_deadline: Duration,
+    /// Worker threads for traffic.
+    pub traffic_threads: usize,
+    /// Least level that is logged.
+    pub log_level: String,
+    /// Log file; standard output if absent.
+    pub log_file: Option<PathBuf>,
+}
+
+impl Settings {
+    /// Reads and checks a settings file; on failure, every problem that was found.
+    pub fn read(path: &Path) -> Result<Settings, Vec<Problem>> {
+        let mut problems = Problems::new(path);
+        let settings = reader::read(path, &mut problems);
+        if let Some(settings) = &settings {
+            check::check(settings, &mut problems);
+        }
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings.values),
+            _ => Err(problems.into_sorted()),
+        }
+    }
+
+    /// This daemon's entry among the voters.
+    pub fn own_voter(&self) -> Option<&Voter> {
+        self.voters.iter().find(|voter| voter.name == self.name)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/reader.rs
@@ -0,0 +1,381 @@
+//! Reads settings with the line of every value, gathering problems instead of stopping at the first.
+
+use super::{OperatorRole, OperatorToken, Settings, Voter};
+use dockwood_api::ResultCode;
+use dockwood_api::digest::secret_digest;
+use dockwood_api::resource::is_valid_name;
+use marked_yaml::{LoadError, Marker, Node, Span};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// One fault in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The numbered code.
+    pub code: ResultCode,
+    /// The settings file.
+    pub file: PathBuf,
+    /// Line, from 1; 0 if the fault has none.
+    pub line: usize,
+    /// Path of the field, such as `listen.http`.
+    pub field: String,
+    /// For people.
+    pub message: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}: {}: {}", self.file.display(), self.line, self.field, self.code, self.message)
+    }
+}
+
+/// Problems of one file.
+#[derive(Debug)]
+pub struct Problems {
+    file: PathBuf,
+    found: Vec<Problem>,
+}
+
+impl Problems {
+    /// None yet.
+    pub fn new(file: &Path) -> Self {
+        Problems { file: file.to_path_buf(), found: Vec::new() }
+    }
+
+    /// Adds one.
+    pub fn add(&mut self, code: ResultCode, line: usize, field: &str, message: impl Into<String>) {
+        let field = field.to_string();
+        self.found.push(Problem { code, file: self.file.clone(), line, field, message: message.into() });
+    }
+
+    /// Whether none was found.
+    pub fn is_empty(&self) -> bool {
+        self.found.is_empty()
+    }
+
+    /// All, in order of line.
+    pub fn into_sorted(mut self) -> Vec<Problem> {
+        self.found.sort_by_key(|problem| problem.line);
+        self.found
+    }
+}
+
+/// Settings with the line of each field that later checks may complain of.
+pub(super) struct LocatedSettings {
+    pub values: Settings,
+    pub lines: BTreeMap<String, usize>,
+}
+
+const DEFAULT_ENTRY_LIFETIME_SECONDS: u64 = 10;
+const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+const DEFAULT_TRAFFIC_THREADS: u64 = 2;
+const LOG_LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
+
+/// A value with its line and path.
+struct Located<T> {
+    value: T,
+    line: usize,
+    path: String,
+}
+
+fn line_of(span: &Span) -> usize {
+    span.start().map_or(0, Marker::line)
+}
+
+/// One mapping, being read.
+struct Section<'a> {
+    path: String,
+    line: usize,
+    fields: Vec<(&'a str, &'a Node)>,
+}
+
+impl<'a> Section<'a> {
+    /// Takes a mapping and complains of every key that is not `known`.
+    fn new(node: &'a Node, path: &str, known: &[&str], problems: &mut Problems) -> Option<Section<'a>> {
+        let line = line_of(node.span());
+        let Some(mapping) = node.as_mapping() else {
+            problems.add(ResultCode::SettingsBadValue, line, path, "must be a mapping");
+            return None;
+        };
+        let mut section = Section { path: path.to_string(), line, fields: Vec::new() };
+        for (key, value) in mapping.iter() {
+            let path = section.path_of(key.as_str());
+            if known.contains(&key.as_str()) {
+                section.fields.push((key.as_str(), value));
+            } else {
+                let message = format!("unknown key; known are {}", known.join(", "));
+                problems.add(ResultCode::SettingsUnknownKey, line_of(key.span()), &path, message);
+            }
+        }
+        Some(section)
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() { key.to_string() } else { format!("{}.{key}", self.path) }
+    }
+
+    fn optional(&self, key: &str) -> Option<&'a Node> {
+        self.fields.iter().find(|(name, _)| *name == key).map(|(_, node)| *node)
+    }
+
+    fn required(&self, key: &str, problems: &mut Problems) -> Option<&'a Node> {
+        let node = self.optional(key);
+        if node.is_none() {
+            problems.add(ResultCode::SettingsMissing, self.line, &self.path_of(key), "is required");
+        }
+        node
+    }
+
+    fn parse<T>(
+        &self,
+        key: &str,
+        node: &Node,
+        problems: &mut Problems,
+        code: ResultCode,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<Located<T>> {
+        let (line, path) = (line_of(node.span()), self.path_of(key));
+        let parsed = node.as_scalar().and_then(|scalar| parse(scalar.as_str()));
+        let Some(value) = parsed else {
+            problems.add(code, line, &path, format!("must be {expected}"));
+            return None;
+        };
+        Some(Located { value, line, path })
+    }
+
+    fn text(&self, key: &str, problems: &mut Problems) -> Option<Located<String>> {
+        let node = self.required(key, problems)?;
+        let parse = |text: &str| (!text.is_empty()).then(|| text.to_string());
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, "a text that is not empty", parse)
+    }
+
+    fn name(&self, key: &str, problems: &mut Problems) -> Option<Located<String>> {
+        let node = self.required(key, problems)?;
+        let parse = |text: &str| is_valid_name(text).then(|| text.to_string());
+        let expected = "lower-case letters, digits, '-' and '.', at most 63";
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, expected, parse)
+    }
+
+    fn address(&self, key: &str, problems: &mut Problems) -> Option<Located<SocketAddr>> {
+        let node = self.required(key, problems)?;
+        let parse = |text: &str| text.parse::<SocketAddr>().ok().filter(|address| address.port() != 0);
+        self.parse(key, node, problems, ResultCode::SettingsBadAddress, "an address of the form IP:PORT", parse)
+    }
+
+    fn number(&self, key: &str, default: u64, allowed: (u64, u64), problems: &mut Problems) -> Option<u64> {
+        let Some(node) = self.optional(key) else { return Some(default) };
+        let (least, most) = allowed;
+        let parse = |text: &str| text.parse::<u64>().ok().filter(|number| (least..=most).contains(number));
+        let expected = format!("a number from {least} to {most}");
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse).map(|found| found.value)
+    }
+
+    /// The items of a list, each with its path.
+    fn items(&self, key: &str, node: &'a Node, problems: &mut Problems) -> Vec<(String, &'a Node)> {
+        let path = self.path_of(key);
+        let Some(sequence) = node.as_sequence() else {
+            problems.add(ResultCode::SettingsBadValue, line_of(node.span()), &path, "must be a list");
+            return Vec::new();
+        };
+        sequence.iter().enumerate().map(|(position, item)| (format!("{path}[{position}]"), item)).collect()
+    }
+}
+
+pub(super) fn read(path: &Path, problems: &mut Problems) -> Option<LocatedSettings> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            problems.add(ResultCode::SettingsUnreadable, 0, "", error.to_string());
+            return None;
+        }
+    };
+    let options = marked_yaml::LoaderOptions::default().error_on_duplicate_keys(true);
+    match marked_yaml::parse_yaml_with_options(0, text, options) {
+        Ok(node) => read_document(&node, problems),
+        Err(error) => {
+            report_load_error(&error, problems);
+            None
+        }
+    }
+}
+
+fn report_load_error(error: &LoadError, problems: &mut Problems) {
+    let (code, line, message) = match error {
+        LoadError::DuplicateKey(inner) => {
+            let message = format!("key '{}' stands twice", inner.key.as_str());
+            (ResultCode::SettingsDuplicate, line_of(inner.key.span()), message)
+        }
+        LoadError::TopLevelMustBeMapping(at)
+        | LoadError::TopLevelMustBeSequence(at)
+        | LoadError::UnexpectedAnchor(at)
+        | LoadError::MappingKeyMustBeScalar(at)
+        | LoadError::UnexpectedTag(at)
+        | LoadError::ScanError(at, _) => (ResultCode::SettingsNotYaml, at.line(), error.to_string()),
+    };
+    problems.add(code, line, "", message);
+}
+
+fn read_document(node: &Node, problems: &mut Problems) -> Option<LocatedSettings> {
+    let known = ["name", "region", "zone", "listen", "control", "tokens", "platform", "traffic", "log"];
+    let top = Section::new(node, "", &known, problems)?;
+    let mut lines = BTreeMap::new();
+    let name = top.name("name", problems);
+    let region = top.name("region", problems);
+    let zone = top.name("zone", problems);
+    let listen = top.required("listen", problems).and_then(|node| read_listen(node, problems));
+    let control = top.required("control", problems).and_then(|node| read_control(node, &mut lines, problems));
+    let tokens = top.required("tokens", problems).map(|node| read_tokens(&top, node, problems));
+    let platform = match top.optional("platform") {
+        None => Some(None),
+        Some(_) => top.address("platform", problems).map(|found| Some(found.value)),
+    };
+    let traffic = read_traffic(top.optional("traffic"), problems);
+    let log = read_log(top.optional("log"), problems);
+
+    let (listen, control, traffic, log) = (listen?, control?, traffic?, log?);
+    lines.insert(listen.http.path, listen.http.line);
+    lines.insert(listen.peer.path, listen.peer.line);
+    let name = name?;
+    lines.insert(name.path, name.line);
+    let values = Settings {
+        name: name.value,
+        region: region?.value,
+        zone: zone?.value,
+        http: listen.http.value,
+        peer: listen.peer.value,
+        voters: control.voters,
+        data_folder: control.data_folder,
+        tokens: tokens?,
+        platform: platform?,
+        entry_lifetime: Duration::from_secs(traffic.entry_lifetime_seconds),
+        max_body_bytes: traffic.max_body_bytes as usize,
+        default_deadline: Duration::from_millis(traffic.default_deadline_ms),
+        traffic_threads: traffic.threads as usize,
+        log_level: log.level,
+        log_file: log.file,
+    };
+    Some(LocatedSettings { values, lines })
+}
+
+struct Listen {
+    http: Located<SocketAddr>,
+    peer: Located<SocketAddr>,
+}
+
+fn read_listen(node: &Node, problems: &mut Problems) -> Option<Listen> {
+    let section = Section::new(node, "listen", &["http", "peer"], problems)?;
+    let http = section.address("http", problems);
+    let peer = section.address("peer", problems);
+    Some(Listen { http: http?, peer: peer? })
+}
+
+struct Control {
+    voters: Vec<Voter>,
+    data_folder: Option<PathBuf>,
+}
+
+fn read_control(node: &Node, lines: &mut BTreeMap<String, usize>, problems: &mut Problems) -> Option<Control> {
+    let section = Section::new(node, "control", &["voters", "dataFolder"], problems)?;
+    let voters_node = section.required("voters", problems);
+    let items = voters_node.map(|node| section.items("voters", node, problems)).unwrap_or_default();
+    let mut voters = Vec::new();
+    for (path, item) in items {
+        let Some(entry) = Section::new(item, &path, &["id", "name", "peer"], problems) else { continue };
+        entry.required("id", problems);
+        let id = entry.number("id", 0, (1, u64::MAX), problems);
+        let name = entry.name("name", problems);
+        let peer = entry.address("peer", problems);
+        if let (Some(id), Some(name), Some(peer)) = (id, name, peer) {
+            lines.insert(path, entry.line);
+            voters.push(Voter { id, name: name.value, peer: peer.value });
+        }
+    }
+    lines.insert(section.path.clone(), section.line);
+    let data_folder = match section.optional("dataFolder") {
+        None => None,
+        Some(_) => Some(PathBuf::from(section.text("dataFolder", problems)?.value)),
+    };
+    Some(Control { voters, data_folder })
+}
+
+fn read_tokens(top: &Section<'_>, node: &Node, problems: &mut Problems) -> Vec<OperatorToken> {
+    let mut tokens = Vec::new();
+    for (path, item) in top.items("tokens", node, problems) {
+        let Some(entry) = Section::new(item, &path, &["name", "role", "token"], problems) else { continue };
+        let name = entry.name("name", problems);
+        let role_node = entry.required("role", problems);
+        let parse_role = |text: &str| match text {
+            "read" => Some(OperatorRole::Read),
+            "write" => Some(OperatorRole::Write),
+            _ => None,
+        };
+        let role = role_node.and_then(|node| {
+            entry.parse("role", node, problems, ResultCode::SettingsBadValue, "'read' or 'write'", parse_role)
+        });
+        let token = entry.text("token", problems);
+        if let (Some(name), Some(role), Some(token)) = (name, role, token) {
+            let digest = secret_digest(&token.value);
+            tokens.push(OperatorToken { name: name.value, role: role.value, digest });
+        }
+    }
+    tokens
+}
+
+struct Traffic {
+    entry_lifetime_seconds: u64,
+    max_body_bytes: u64,
+    default_deadline_ms: u64,
+    threads: u64,
+}
+
+fn read_traffic(node: Option<&Node>, problems: &mut Problems) -> Option<Traffic> {
+    let defaults = Traffic {
+        entry_lifetime_seconds: DEFAULT_ENTRY_LIFETIME_SECONDS,
+        max_body_bytes: DEFAULT_MAX_BODY_BYTES,
+        default_deadline_ms: DEFAULT_DEADLINE_MS,
+        threads: DEFAULT_TRAFFIC_THREADS,
+    };
+    let Some(node) = node else { return Some(defaults) };
+    let known = ["entryLifetimeSeconds", "maxBodyBytes", "defaultDeadlineMs", "threads"];
+    let section = Section::new(node, "traffic", &known, problems)?;
+    let lifetime = section.number("entryLifetimeSeconds", defaults.entry_lifetime_seconds, (1, 3_600), problems);
+    let body = section.number("maxBodyBytes", defaults.max_body_bytes, (1_024, 1 << 30), problems);
+    let deadline = section.number("defaultDeadlineMs", defaults.default_deadline_ms, (100, 3_600_000), problems);
+    let threads = section.number("threads", defaults.threads, (1, 256), problems);
+    Some(Traffic {
+        entry_lifetime_seconds: lifetime?,
+        max_body_bytes: body?,
+        default_deadline_ms: deadline?,
+        threads: threads?,
+    })
+}
+
+struct Log {
+    level: String,
+    file: Option<PathBuf>,
+}
+
+fn read_log(node: Option<&Node>, problems: &mut Problems) -> Option<Log> {
+    let default_level = "info".to_string();
+    let Some(node) = node else { return Some(Log { level: default_level, file: None }) };
+    let section = Section::new(node, "log", &["level", "file"], problems)?;
+    let parse = |text: &str| LOG_LEVELS.contains(&text).then(|| text.to_string());
+    let level = match section.optional("level") {
+        None => Some(default_level),
+        Some(node) => {
+            let expected = format!("one of {}", LOG_LEVELS.join(", "));
+            let found = section.parse("level", node, problems, ResultCode::SettingsBadValue, &expected, parse);
+            found.map(|found| found.value)
+        }
+    };
+    let file = match section.optional("file") {
+        None => Some(None),
+        Some(_) => section.text("file", problems).map(|found| Some(PathBuf::from(found.value))),
+    };
+    Some(Log { level: level?, file: file? })
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,227 @@
+//! What all threads of the daemon share.
+
+use crate::clock::monotonic_ms;
+use crate::control::ControlHandle;
+use crate::metrics::Metrics;
+use crate::peer::PeerClients;
+use crate::published::Published;
+use crate::settings::Settings;
+use crate::timeline::Timeline;
+use crate::watch_hub::WatchHub;
+use arc_swap::ArcSwap;
+use dockwood_api::peer::DaemonRecord;
+use dockwood_api::resource::Isolation;
+use dockwood_routing::{EntryCandidate, Millis, entry_order};
+use dockwood_state::Tables;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::sync::{Notify, watch};
+
+/// Length of a configuration lease, counted from when its request was sent. A normal election takes less than
+/// half of it, so that leases outlast one.
+pub const LEASE_MS: Millis = 2_000;
+
+/// Addresses in an entry answer, at most.
+const ENTRY_ADDRESSES: usize = 4;
+
+/// State shared by all threads.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Distinguishes restarts of this daemon: its start, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Time line.
+    pub timeline: Timeline,
+    /// Retained changes.
+    pub watch_hub: WatchHub,
+    /// Clients of other daemons.
+    pub peers: PeerClients,
+    /// Messages to the control thread.
+    pub control: ControlHandle,
+    published: ArcSwap<Published>,
+    publications: watch::Sender<u64>,
+    lease_until: AtomicU64,
+    leader: Mutex<Option<SocketAddr>>,
+    leader_term: watch::Sender<u64>,
+    leaving: AtomicBool,
+    leaving_begun: Notify,
+    in_flight: AtomicU32,
+}
+
+/// Counts a request in flight for as long as it lives.
+pub struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.shared.metrics.in_flight.dec();
+    }
+}
+
+impl Shared {
+    /// Shared state at the start of the process.
+    pub fn new(settings: Settings, incarnation: u64, metrics: Metrics, control: ControlHandle) -> Shared {
+        Shared {
+            timeline: Timeline::new(&settings.name),
+            watch_hub: WatchHub::default(),
+            peers: PeerClients::default(),
+            published: ArcSwap::default(),
+            publications: watch::channel(0).0,
+            lease_until: AtomicU64::new(0),
+            leader: Mutex::new(None),
+            leader_term: watch::channel(0).0,
+            leaving: AtomicBool::new(false),
+            leaving_begun: Notify::new(),
+            in_flight: AtomicU32::new(0),
+            settings,
+            incarnation,
+            metrics,
+            control,
+        }
+    }
+
+    /// This daemon's record.
+    pub fn record(&self) -> DaemonRecord {
+        DaemonRecord {
+            name: self.settings.name.clone(),
+            http: self.settings.http,
+            peer: self.settings.peer,
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+        }
+    }
+
+    /// The newest published copy.
+    pub fn published(&self) -> Arc<Published> {
+        self.published.load_full()
+    }
+
+    /// The newest tables.
+    pub fn tables(&self) -> Arc<Tables> {
+        self.published.load().tables.clone()
+    }
+
+    /// Replaces the published copy. Only the control thread calls this.
+    pub fn publish(&self, next: Published) {
+        self.metrics.revision.set(next.tables.revision as i64);
+        self.metrics.in_force_revision.set(next.in_force_revision as i64);
+        self.published.store(Arc::new(next));
+        self.publications.send_modify(|count| *count += 1);
+    }
+
+    /// Follows publications.
+    pub fn watch_publications(&self) -> watch::Receiver<u64> {
+        self.publications.subscribe()
+    }
+
+    /// Waits until the published copy has reached a revision; false if it has not by `limit`.
+    pub async fn wait_for_revision(&self, revision: u64, limit: std::time::Duration) -> bool {
+        let mut publications = self.watch_publications();
+        let reached = async {
+            while self.published.load().tables.revision < revision {
+                if publications.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(limit, reached).await.is_ok()
+    }
+
+    /// Extends the configuration lease that was asked for at `sent_at`.
+    pub fn extend_lease(&self, sent_at: Millis) {
+        self.lease_until.fetch_max(sent_at + LEASE_MS, Ordering::SeqCst);
+    }
+
+    /// Whether the configuration lease holds at this moment.
+    pub fn holds_lease(&self) -> bool {
+        monotonic_ms() < self.lease_until.load(Ordering::SeqCst)
+    }
+
+    /// Whether new work may go to a pool now: with a lease, or where the operator chose to serve on without.
+    pub fn may_dispatch(&self, deployment: &str) -> bool {
+        let serves_on = || {
+            let tables = self.tables();
+            tables.deployment(deployment).is_some_and(|spec| spec.isolation == Isolation::ServeLast)
+        };
+        self.holds_lease() || serves_on()
+    }
+
+    /// The control leader's peer address, where known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Notes the control leader.
+    pub fn set_leader(&self, leader: Option<SocketAddr>) {
+        *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = leader;
+    }
+
+    /// Notes the term of the leader that granted the lease.
+    pub fn set_leader_term(&self, term: u64) {
+        self.leader_term.send_if_modified(|known| {
+            let changed = *known != term;
+            *known = term;
+            changed
+        });
+    }
+
+    /// The term of the leader that granted the lease.
+    pub fn leader_term(&self) -> u64 {
+        *self.leader_term.borrow()
+    }
+
+    /// Begins a planned stop.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.leaving_begun.notify_waiters();
+    }
+
+    /// Completes when a planned stop begins; not if it has begun before.
+    pub async fn leaving_begun(&self) {
+        self.leaving_begun.notified().await;
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request in.
+    pub fn begin_request(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.metrics.in_flight.inc();
+        InFlight { shared: self.clone() }
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Addresses of daemons that take new work, best first for this session; never this one if it leaves.
+    pub fn entry_addresses(&self, session: &str, zone: Option<&str>) -> Vec<String> {
+        let tables = self.tables();
+        let leaving = self.is_leaving();
+        let candidates: Vec<EntryCandidate<'_>> = tables
+            .live_daemons()
+            .filter(|daemon| !(leaving && daemon.record.name == self.settings.name))
+            .map(|daemon| EntryCandidate {
+                name: &daemon.record.name,
+                zone: &daemon.record.zone,
+                address: daemon.record.http,
+            })
+            .collect();
+        let ordered = entry_order(&candidates, session, zone, ENTRY_ADDRESSES);
+        ordered.iter().map(|candidate| format!("http://{}", candidate.address)).collect()
+    }
+
+    /// The peer address of a daemon.
+    pub fn peer_address(&self, daemon: &str) -> Option<SocketAddr> {
+        self.published.load().tables.daemons.get(daemon).map(|row| row.record.peer)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/timeline.rs
@@ -0,0 +1,75 @@
+//! The time line of this daemon: a bounded ring of events, each also a line in the log.
+
+use crate::clock::wall_ms;
+use dockwood_api::ResultCode;
+use dockwood_api::event::{ClockStamp, Event, Subject};
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+/// Events that are kept.
+pub const TIMELINE_CAPACITY: usize = 8_192;
+
+#[derive(Debug, Default)]
+struct Ring {
+    events: VecDeque<Event>,
+    next_sequence: u64,
+    stamp: ClockStamp,
+}
+
+/// Records changes of state.
+#[derive(Debug)]
+pub struct Timeline {
+    process: String,
+    ring: Mutex<Ring>,
+}
+
+impl Timeline {
+    /// An empty time line.
+    pub fn new(process: &str) -> Self {
+        Timeline { process: process.to_string(), ring: Mutex::default() }
+    }
+
+    fn ring(&self) -> std::sync::MutexGuard<'_, Ring> {
+        self.ring.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// The clock as it stands, for a message to another daemon.
+    pub fn stamp(&self) -> ClockStamp {
+        let mut ring = self.ring();
+        ring.stamp = ring.stamp.tick(wall_ms());
+        ring.stamp
+    }
+
+    /// Takes the clock of a message.
+    pub fn observe(&self, other: ClockStamp) {
+        let mut ring = self.ring();
+        ring.stamp = ring.stamp.merge(other, wall_ms());
+    }
+
+    /// Records a change of state.
+    pub fn record(&self, subject: Subject, reason: &str, message: &str, cause_revision: Option<u64>, code: ResultCode) {
+        spdlog::info!("{}/{} {}: {} ({})", subject.kind, subject.name, reason, message, code);
+        let mut ring = self.ring();
+        ring.stamp = ring.stamp.tick(wall_ms());
+        ring.next_sequence += 1;
+        let event = Event {
+            stamp: ring.stamp,
+            process: self.process.clone(),
+            sequence: ring.next_sequence,
+            subject,
+            reason: reason.to_string(),
+            message: message.to_string(),
+            cause_revision,
+            code,
+        };
+        ring.events.push_back(event);
+        if ring.events.len() > TIMELINE_CAPACITY {
+            ring.events.pop_front();
+        }
+    }
+
+    /// Events with a sequence above `after`.
+    pub fn since(&self, after: u64) -> Vec<Event> {
+        self.ring().events.iter().filter(|event| event.sequence > after).cloned().collect()
+    }
+}
--- a/crates/emulator/src/group.rs
+++ b/crates/emulator/src/group.rs
@@ -70,8 +70,6 @@
     WrongEpoch,
     /// The id was barred.
     Barred,
-    /// A request of this id ended, or runs, and must not be started again.
-    SeenBefore,
 }
 
 #[derive(Debug, Default)]
@@ -174,10 +172,8 @@
         match requests.known.get(&request.id) {
             Some(None) => return Err(Refused::Barred),
             Some(Some(run)) if !request.repeatable => {
-                return match run.progress().phase {
-                    RequestPhase::Aborted => Err(Refused::SeenBefore),
-                    _ => Ok(run.clone()),
-                };
+                // Whatever became of it, its tokens can be read again; none is generated anew.
+                return Ok(run.clone());
             }
             _ => {}
         }
--- a/crates/emulator/src/http/engine.rs
+++ b/crates/emulator/src/http/engine.rs
@@ -159,7 +159,6 @@
     match group.submit(request) {
         Err(Refused::WrongEpoch) => refusal(StatusCode::CONFLICT, "another replica or epoch"),
         Err(Refused::Barred) => refusal(StatusCode::GONE, "the id is barred"),
-        Err(Refused::SeenBefore) => refusal(StatusCode::GONE, "the id was run and has ended"),
         Ok(run) => {
             let lines = generation(host.machine.clone(), run, from);
             Response::builder().content_type("application/x-ndjson").body(Body::from_bytes_stream(lines))
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -47,10 +47,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct MachineObservations {
     rows: BTreeMap<String, Row>,
+    leaving: BTreeSet<String>,
 }
 
 fn answers(state: &MachineState) -> bool {
-    matches!(state, MachineState::Alive { .. } | MachineState::Leaving)
+    matches!(state, MachineState::Alive { .. })
 }
 
 impl MachineObservations {
@@ -73,6 +74,11 @@
         row.state = state;
     }
 
+    /// Takes the platform's word on which machines it will take away.
+    pub fn set_leaving(&mut self, leaving: BTreeSet<String>) {
+        self.leaving = leaving;
+    }
+
     /// The newest report on a machine.
     pub fn state(&self, server: &str) -> Option<MachineState> {
         self.rows.get(server).map(|row| row.state)
@@ -88,7 +94,7 @@
         let Some(row) = self.rows.get(server) else { return MachineHealth::Unknown };
         let lasted = now.saturating_sub(row.since);
         match row.state {
-            MachineState::Leaving => MachineHealth::Leaving,
+            MachineState::Alive { .. } if self.leaving.contains(server) => MachineHealth::Leaving,
             MachineState::Alive { .. } if lasted >= stable_for(row) => MachineHealth::Usable,
             MachineState::Alive { .. } => MachineHealth::Recovering,
             MachineState::Refusing if lasted >= REFUSING_DEAD_MS => MachineHealth::Dead,
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -31,6 +31,11 @@
     }
 }
 
+/// The view of a resource as a change stored it, which may differ from what the tables hold by now.
+pub fn view_of_stored(tables: &Tables, in_force_revision: u64, resource: &Resource) -> ResourceView {
+    resource_view(tables, resource, in_force_revision)
+}
+
 fn resource_view(tables: &Tables, resource: &Resource, in_force_revision: u64) -> ResourceView {
     let metadata = &resource.metadata;
     let mut status = Status {
