Add the bench: topology, load, faults, ledger judge, report, demo

Cause: nothing may be claimed that was not measured, and dockwood must not judge itself. Change: fleets as child processes, open-loop traces, callers that resend, a judge over the ledger, plots.

--- a/crates/api/src/event.rs
+++ b/crates/api/src/event.rs
@@ -67,3 +67,33 @@
     /// The result.
     pub code: ResultCode,
 }
+
+impl std::fmt::Display for Event {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (kind, name) = (&self.subject.kind, &self.subject.name);
+        write!(f, "{}.{:03} ", self.stamp.wall_ms, self.stamp.logical)?;
+        write!(f, "{:<10} {kind}/{name} {}", self.process, self.reason)?;
+        if let Some(revision) = self.cause_revision {
+            write!(f, " (revision {revision})")?;
+        }
+        if !self.message.is_empty() {
+            write!(f, ": {}", self.message)?;
+        }
+        Ok(())
+    }
+}
+
+/// Puts events of many daemons in order of their stamps. Changes of the replicated state are recorded by every
+/// voter; of these, the first record stands.
+pub fn merge(mut events: Vec<Event>) -> Vec<Event> {
+    events.sort_by(|left, right| (left.stamp, &left.process).cmp(&(right.stamp, &right.process)));
+    let mut seen = std::collections::HashSet::new();
+    events.retain(|event| match event.cause_revision {
+        None => true,
+        Some(revision) => {
+            let subject = (event.subject.kind.clone(), event.subject.name.clone());
+            seen.insert((revision, subject, event.reason.clone()))
+        }
+    });
+    events
+}
--- /dev/null
+++ b/crates/bench/src/commands/mod.rs
@@ -0,0 +1,27 @@
+//! Subcommands of the bench.
+
+mod demo;
+mod run;
+mod traces;
+mod up;
+
+use clap::{ArgMatches, Command};
+use std::io;
+
+/// All subcommands.
+pub fn all() -> Vec<Command> {
+    vec![demo::command(), up::command(), run::command(), traces::generate_command(), traces::record_command(), traces::replay_command()]
+}
+
+/// Runs the chosen one; false if a promise was broken.
+pub async fn dispatch(matches: &ArgMatches) -> io::Result<bool> {
+    match matches.subcommand() {
+        Some(("demo", matches)) => demo::run(matches).await,
+        Some(("up", matches)) => up::run(matches).await,
+        Some(("run", matches)) => run::run(matches).await,
+        Some(("generate", matches)) => traces::generate_trace(matches),
+        Some(("record", matches)) => traces::record(matches).await,
+        Some(("replay", matches)) => traces::replay(matches).await,
+        _ => Err(io::Error::other("no such subcommand")),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,131 @@
+//! Child processes of a run: started here, and ended here by their own process ids.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A child process; killed if it still runs when this is dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    /// What it is, for messages.
+    pub name: String,
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts a program with its output going to a file.
+    pub fn start(name: &str, program: &Path, arguments: &[String], output: &Path) -> io::Result<ChildProcess> {
+        let file = std::fs::File::options().create(true).append(true).open(output)?;
+        let errors = file.try_clone()?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(file)
+            .stderr(errors)
+            .spawn()
+            .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", program.display())))?;
+        Ok(ChildProcess { name: name.to_string(), child })
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it still runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        kill(Pid::from_raw(self.child.id() as i32), signal).map_err(io::Error::from)
+    }
+
+    /// Ends it at once, as a crash would.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(|_| ())
+    }
+
+    /// Waits for its end; `None` if it still runs after `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Option<i32> {
+        const POLL: Duration = Duration::from_millis(20);
+        let give_up = Instant::now() + limit;
+        while Instant::now() < give_up {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.code().unwrap_or(-1));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        None
+    }
+
+    /// What it uses now.
+    pub fn usage(&self) -> io::Result<Usage> {
+        Usage::read(self.child.id())
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        if self.runs() {
+            let _ = self.kill();
+        }
+    }
+}
+
+/// Processor time and memory of a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time since its start, in seconds.
+    pub cpu_seconds: f64,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
+impl Usage {
+    /// Reads a process's figures from `/proc`.
+    pub fn read(pid: u32) -> io::Result<Usage> {
+        const TICKS_PER_SECOND: f64 = 100.0;
+        const PAGE_BYTES: u64 = 4_096;
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+        // The program's name may hold blanks; the numbers follow its closing bracket.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let number = |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0);
+        let (user_ticks, system_ticks, resident_pages) = (number(11), number(12), number(21));
+        Ok(Usage {
+            cpu_seconds: (user_ticks + system_ticks) as f64 / TICKS_PER_SECOND,
+            resident_bytes: resident_pages * PAGE_BYTES,
+        })
+    }
+}
+
+/// A program that was built beside this one.
+pub fn sibling(name: &str) -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let mut folder = own.parent().unwrap_or(Path::new(".")).to_path_buf();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    Ok(folder.join(name))
+}
+
+/// Builds the programs that a run starts, if this one was started by cargo: `cargo run -p dockwood-bench` by
+/// itself builds this one only.
+pub fn build_siblings() -> io::Result<()> {
+    let Some(cargo) = std::env::var_os("CARGO") else { return Ok(()) };
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "-p", "dockwood-daemon", "-p", "dockwood-emulator", "-p", "dockctl"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    if let Some(manifest) = std::env::var_os("CARGO_MANIFEST_DIR") {
+        command.current_dir(manifest);
+    }
+    let status = command.status()?;
+    if status.success() { Ok(()) } else { Err(io::Error::other("cargo build failed")) }
+}
