Run fleets from one program, so that one build makes all that a demo starts

Change: the daemon's and the emulator's command lines are library functions; the bench plays each part by a hidden subcommand.

--- a/crates/bench/src/commands/up.rs
+++ b/crates/bench/src/commands/up.rs
@@ -2,7 +2,6 @@
 
 use super::demo::{out_argument, out_folder, preset, preset_argument};
 use crate::fleet::RunningFleet;
-use crate::process::sibling;
 use crate::topology::{OPERATOR_TOKEN, Sizes, Topology, own_network};
 use clap::{ArgMatches, Command};
 use std::io;
@@ -24,7 +23,7 @@
     let topology = Topology::new(preset(matches), Sizes::default(), own_network(), &folder);
     let fleet = RunningFleet::start(topology).await?;
     fleet.apply_resources(FORM_LIMIT).await?;
-    print_usage(&fleet.topology)?;
+    print_usage(&fleet.topology);
     tokio::signal::ctrl_c().await?;
     println!("stopping");
     let faults = fleet.stop().await?;
@@ -32,11 +31,11 @@
     Ok(faults.is_empty())
 }
 
-fn print_usage(topology: &Topology) -> io::Result<()> {
+fn print_usage(topology: &Topology) {
     let entry = topology.daemons[0].http;
     let tenant = &topology.tenants[0];
     let model = &topology.deployments[0].model;
-    let dockctl = sibling("dockctl")?;
+    let dockctl = "cargo run --release -q -p dockctl --";
     let all: Vec<String> = topology.daemons.iter().map(|daemon| format!("http://{}", daemon.http)).collect();
     println!("\nThe fleet is up. As a caller:\n");
     println!("  curl -s 'http://{entry}/v1/entry?model={model}' -H 'Authorization: Bearer {}'", tenant.key);
@@ -50,14 +49,13 @@
     );
     println!("\nAs an operator:\n");
     println!("  export DOCKWOOD_SERVERS={} DOCKWOOD_TOKEN={OPERATOR_TOKEN}", all.join(","));
-    println!("  {} status", dockctl.display());
-    println!("  {} get replicas", dockctl.display());
-    println!("  {} timeline", dockctl.display());
+    println!("  {} status", dockctl);
+    println!("  {} get replicas", dockctl);
+    println!("  {} timeline", dockctl);
     println!("\nTo lose a machine, and get it back:\n");
     let machine = &topology.emulator.engines[0].name;
     let admin = topology.emulator.admin;
     println!("  curl -X POST http://{admin}/admin/machines/{machine}/kill");
     println!("  curl -X POST http://{admin}/admin/machines/{machine}/start");
     println!("\nInterrupt (Ctrl-C) to stop.");
-    Ok(())
 }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A running fleet: the daemons and the emulator as child processes.
 
 use crate::operator::{Operator, live_daemons, serving_replicas};
-use crate::process::{ChildProcess, Usage, build_siblings, sibling};
+use crate::process::{ChildProcess, Usage, fleet_program};
 use crate::topology::Topology;
 use nix::sys::signal::Signal;
 use std::io;
@@ -25,7 +25,6 @@
 impl RunningFleet {
     /// Starts every process and waits until each daemon holds a lease.
     pub async fn start(topology: Topology) -> io::Result<RunningFleet> {
-        build_siblings()?;
         for folder in ["settings", "data", "logs"] {
             std::fs::create_dir_all(topology.folder.join(folder))?;
         }
@@ -35,8 +34,8 @@
         let emulator_output = topology.folder.join("logs").join("emulator.out");
         let emulator = ChildProcess::start(
             "emulator",
-            &sibling("dockwood-emulator")?,
-            &["--fleet".to_string(), fleet_file.display().to_string()],
+            &fleet_program()?,
+            &["dockwood-emulator".to_string(), "--fleet".to_string(), fleet_file.display().to_string()],
             &emulator_output,
         )?;
         let operator = Operator::new(topology.daemons.iter().map(|daemon| daemon.http).collect());
@@ -56,8 +55,8 @@
         let settings = self.topology.folder.join("settings").join(format!("{}.yaml", plan.name));
         std::fs::write(&settings, self.topology.settings(plan))?;
         let output = self.topology.folder.join("logs").join(format!("{}.out", plan.name));
-        let arguments = ["--settings".to_string(), settings.display().to_string()];
-        let child = ChildProcess::start(&plan.name, &sibling("dockwoodd")?, &arguments, &output)?;
+        let arguments = ["dockwoodd".to_string(), "--settings".to_string(), settings.display().to_string()];
+        let child = ChildProcess::start(&plan.name, &fleet_program()?, &arguments, &output)?;
         self.daemons[index] = Some(child);
         Ok(())
     }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,23 +10,30 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommands(commands::all())
+        .subcommand(dockwood_daemon::cli::command().hide(true))
+        .subcommand(dockwood_emulator::cli::command().hide(true))
+}
+
+fn fail(error: std::io::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
 }
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
+    // A fleet's processes are this program again, so that one build makes all that a run starts.
+    match matches.subcommand() {
+        Some(("dockwoodd", matches)) => return dockwood_daemon::cli::execute(matches),
+        Some(("dockwood-emulator", matches)) => return dockwood_emulator::cli::execute(matches),
+        _ => {}
+    }
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::FAILURE;
-        }
+        Err(error) => return fail(error),
     };
     match runtime.block_on(commands::dispatch(&matches)) {
-        Ok(passed) if passed => ExitCode::SUCCESS,
-        Ok(_) => ExitCode::FAILURE,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(error),
     }
 }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -7,6 +7,9 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// Name of the bench's program.
+const PROGRAM: &str = "dockwood-bench";
+
 /// A child process; killed if it still runs when this is dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -104,28 +107,16 @@
     }
 }
 
-/// A program that was built beside this one.
-pub fn sibling(name: &str) -> io::Result<PathBuf> {
+/// The program that plays every part of a fleet: this one, or the one that was built beside a test.
+pub fn fleet_program() -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
+    let is_bench = own.file_stem().is_some_and(|stem| stem == PROGRAM);
+    if is_bench {
+        return Ok(own);
+    }
     let mut folder = own.parent().unwrap_or(Path::new(".")).to_path_buf();
     if folder.ends_with("deps") {
         folder.pop();
     }
-    Ok(folder.join(name))
-}
-
-/// Builds the programs that a run starts, if this one was started by cargo: `cargo run -p dockwood-bench` by
-/// itself builds this one only.
-pub fn build_siblings() -> io::Result<()> {
-    let Some(cargo) = std::env::var_os("CARGO") else { return Ok(()) };
-    let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "-p", "dockwood-daemon", "-p", "dockwood-emulator", "-p", "dockctl"]);
-    if !cfg!(debug_assertions) {
-        command.arg("--release");
-    }
-    if let Some(manifest) = std::env::var_os("CARGO_MANIFEST_DIR") {
-        command.current_dir(manifest);
-    }
-    let status = command.status()?;
-    if status.success() { Ok(()) } else { Err(io::Error::other("cargo build failed")) }
+    Ok(folder.join(PROGRAM))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! Control state lives on one thread ([`control`]), traffic on others ([`traffic`], [`http`], [`probe`]).
 //! Decisions are made in the pure crates below; this crate gives them clocks, disks and sockets.
 
+pub mod cli;
 pub mod clock;
 pub mod control;
 pub mod http;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 //! It speaks the protocol of `dockwood_api::engine` and knows nothing of dockwood's inside. What really ran is
 //! written to a ledger, by which tests and experiments judge.
 
+pub mod cli;
 mod config;
 mod fleet;
 mod group;
