--- /dev/null
+++ b/crates/dockctl/src/commands/apply.rs
@@ -0,0 +1,94 @@
+//! `apply`: creates or replaces what files declare.
+
+use super::flag;
+use crate::client::Client;
+use crate::exit::CommandError;
+use crate::resource_file::{diff, read_resources, written_part};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use dockwood_api::resource::ResourceView;
+use std::time::{Duration, Instant};
+
+const DEFAULT_TIMEOUT_SECONDS: &str = "30";
+const POLL: Duration = Duration::from_millis(100);
+
+pub(super) fn command() -> Command {
+    Command::new("apply")
+        .about("Creates or replaces the resources of YAML files")
+        .arg(
+            Arg::new("file")
+                .long("file")
+                .short('f')
+                .required(true)
+                .action(ArgAction::Append)
+                .help("File of one or many documents; - is standard input"),
+        )
+        .arg(flag("dry-run", "Show what would change, and change nothing"))
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .value_parser(["in-force"])
+                .help("Wait until the change is in force everywhere"),
+        )
+        .arg(
+            Arg::new("timeout")
+                .long("timeout")
+                .value_parser(value_parser!(u64))
+                .default_value(DEFAULT_TIMEOUT_SECONDS)
+                .help("Seconds to wait"),
+        )
+}
+
+pub(super) async fn run(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
+    let mut resources = Vec::new();
+    for file in matches.get_many::<String>("file").into_iter().flatten() {
+        resources.extend(read_resources(file)?);
+    }
+    let dry_run = matches.get_flag("dry-run");
+    let mut stored = Vec::new();
+    for resource in &resources {
+        let before = client.find(resource.kind, &resource.metadata.name).await?;
+        let after = client.put(resource, dry_run).await?;
+        report(before.as_ref(), &after, dry_run);
+        stored.push(after);
+    }
+    if matches.contains_id("wait") && !dry_run {
+        let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
+        wait_in_force(client, &stored, Duration::from_secs(seconds)).await?;
+    }
+    Ok(())
+}
+
+fn report(before: Option<&ResourceView>, after: &ResourceView, dry_run: bool) {
+    let name = format!("{}/{}", after.kind.name().to_lowercase(), after.metadata.name);
+    let changes = diff(&before.map(written_part).unwrap_or_default(), &written_part(after));
+    let verb = match before {
+        None => "created",
+        Some(_) if changes.is_empty() => "unchanged",
+        Some(_) => "replaced",
+    };
+    let suffix = if dry_run { " (dry run)" } else { "" };
+    println!("{name} {verb}{suffix}");
+    if dry_run && !changes.is_empty() {
+        print!("{changes}");
+    }
+}
+
+async fn wait_in_force(client: &Client, stored: &[ResourceView], limit: Duration) -> Result<(), CommandError> {
+    let give_up = Instant::now() + limit;
+    for resource in stored {
+        loop {
+            let current = client.get(resource.kind, &resource.metadata.name).await?;
+            if current.status.in_force {
+                break;
+            }
+            if Instant::now() >= give_up {
+                let name = &resource.metadata.name;
+                let message = format!("{} {name} is committed, but not in force after {limit:?}", resource.kind);
+                return Err(CommandError::NotInForce(message));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+    println!("in force");
+    Ok(())
+}
--- /dev/null
+++ b/crates/dockctl/src/commands/change.rs
@@ -0,0 +1,80 @@
+//! `delete` and `drain`.
+
+use super::{flag, reference, reference_argument};
+use crate::client::Client;
+use crate::exit::CommandError;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use dockwood_api::resource::Kind;
+use std::time::{Duration, Instant};
+
+const DEFAULT_TIMEOUT_SECONDS: &str = "300";
+const POLL: Duration = Duration::from_millis(200);
+
+pub(super) fn delete_command() -> Command {
+    Command::new("delete").about("Deletes a resource; refused while others need it").arg(reference_argument())
+}
+
+pub(super) fn drain_command() -> Command {
+    Command::new("drain")
+        .about("Takes a server out of service without cutting a request")
+        .arg(reference_argument())
+        .arg(flag("undo", "Put the server back into service"))
+        .arg(flag("wait", "Wait until the server is in no replica"))
+        .arg(
+            Arg::new("timeout")
+                .long("timeout")
+                .value_parser(value_parser!(u64))
+                .default_value(DEFAULT_TIMEOUT_SECONDS)
+                .help("Seconds to wait"),
+        )
+}
+
+pub(super) async fn delete(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
+    let (kind, name) = reference(matches)?;
+    client.delete(kind, &name).await?;
+    println!("{}/{name} deleted", kind.name().to_lowercase());
+    Ok(())
+}
+
+pub(super) async fn drain(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
+    let (kind, name) = reference(matches)?;
+    if kind != Kind::Server {
+        let message = format!("{kind} can't be drained: drain servers; stop daemons by SIGTERM, which drains them");
+        return Err(CommandError::Usage(message));
+    }
+    let drain = !matches.get_flag("undo");
+    set_drain(client, &name, drain).await?;
+    println!("server/{name} {}", if drain { "drains" } else { "is back in service" });
+    if drain && matches.get_flag("wait") {
+        let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
+        wait_free(client, &name, Duration::from_secs(seconds)).await?;
+    }
+    Ok(())
+}
+
+/// Sets the flag by compare and set, again if another change came between.
+async fn set_drain(client: &Client, name: &str, drain: bool) -> Result<(), CommandError> {
+    loop {
+        let mut view = client.get(Kind::Server, name).await?;
+        view.spec["drain"] = drain.into();
+        match client.put(&view, false).await {
+            Err(CommandError::Refused(body)) if body.error.code == 4005 => {}
+            other => return other.map(|_| ()),
+        }
+    }
+}
+
+async fn wait_free(client: &Client, name: &str, limit: Duration) -> Result<(), CommandError> {
+    let give_up = Instant::now() + limit;
+    loop {
+        let view = client.get(Kind::Server, name).await?;
+        if view.status.conditions.iter().any(|condition| condition.reason == "Free") {
+            println!("server/{name} is in no replica");
+            return Ok(());
+        }
+        if Instant::now() >= give_up {
+            return Err(CommandError::NotInForce(format!("server {name} is still in a replica after {limit:?}")));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/dockctl/src/commands/status.rs
@@ -0,0 +1,82 @@
+//! `status`: the fleet on one screen.
+
+use super::format;
+use crate::client::Client;
+use crate::exit::CommandError;
+use crate::output::{Format, print_value, table};
+use clap::{ArgMatches, Command};
+use serde_json::Value;
+
+pub(super) fn command() -> Command {
+    Command::new("status").about("Shows replicas, stranded machines, daemons and control on one screen")
+}
+
+pub(super) async fn run(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
+    let status = client.read("status").await?;
+    if format(matches) != Format::Table {
+        return print_value(format(matches), &status);
+    }
+    print_control(&status);
+    print_replicas(&status);
+    print_daemons(&status);
+    Ok(())
+}
+
+fn items<'a>(status: &'a Value, name: &str) -> &'a [Value] {
+    status[name].as_array().map(Vec::as_slice).unwrap_or_default()
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
+
+fn joined(values: &[Value]) -> String {
+    let names: Vec<String> = values.iter().map(text).collect();
+    if names.is_empty() { "none".to_string() } else { names.join(" ") }
+}
+
+fn print_control(status: &Value) {
+    println!("control: leader {} in term {}", text(&status["leader"]), status["term"]);
+    println!("revision: {}, in force {}", status["revision"], status["inForceRevision"]);
+    println!("daemons behind: {}", joined(items(status, "behind")));
+    println!("stranded machines: {}", joined(items(status, "strandedMachines")));
+    for missing in items(status, "shortfalls") {
+        println!("deployment {} lacks {}: {}", text(&missing["deployment"]), missing["missing"], text(&missing["why"]));
+    }
+}
+
+fn print_replicas(status: &Value) {
+    let mut rows = table(&["replica", "serving", "phase", "epoch", "domain", "version", "unwell machines", "reason"]);
+    for replica in items(status, "replicas") {
+        rows.add_row([
+            text(&replica["name"]),
+            if replica["serving"] == Value::Bool(true) { "yes".to_string() } else { "NO".to_string() },
+            text(&replica["phase"]),
+            text(&replica["epoch"]),
+            text(&replica["domain"]),
+            text(&replica["version"]),
+            joined(items(replica, "unwellMachines")),
+            text(&replica["reason"]),
+        ]);
+    }
+    println!("\n{rows}");
+}
+
+fn print_daemons(status: &Value) {
+    let mut rows = table(&["daemon", "zone", "liveness", "lease", "applied revision", "in flight"]);
+    for daemon in items(status, "daemons") {
+        rows.add_row([
+            text(&daemon["name"]),
+            text(&daemon["zone"]),
+            text(&daemon["liveness"]),
+            if daemon["holdsLease"] == Value::Bool(true) { "held".to_string() } else { "none".to_string() },
+            text(&daemon["appliedRevision"]),
+            text(&daemon["inFlight"]),
+        ]);
+    }
+    println!("\n{rows}");
+}
--- a/crates/dockctl/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
