--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -9,7 +9,7 @@
 #[tarpc::service]
 pub trait Peer {
     /// Messages of the consensus group, encoded; one way.
-    async fn consensus(from: u64, messages: Vec<u8>);
+    async fn consensus(messages: Vec<u8>);
 
     /// Asks the leader for a configuration lease; the leader may hold the answer until there is news.
     async fn lease(request: LeaseRequest) -> LeaseAnswer;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -116,6 +116,11 @@
         self.log.term_at(index)
     }
 
+    /// What must survive a restart besides the log.
+    pub fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
     /// The last index that the snapshot covers.
     pub fn snapshot_index(&self) -> LogIndex {
         self.log.snapshot_index()
--- a/crates/daemon/src/control/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -1,7 +1,8 @@
 //! The blackboard: replicated tables beside what this process observes. The control thread owns it.
 
 use dockwood_api::ApiError;
-use dockwood_placement::{Fleet, MachineObservations, Millis};
+use crate::Millis;
+use dockwood_placement::{Fleet, MachineObservations};
 use dockwood_state::{Applied, Command, State, Tables, encode_command};
 use std::collections::{BTreeSet, VecDeque};
 
--- a/crates/daemon/src/control/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -1,10 +1,10 @@
 //! Controllers that only the leader runs: each looks at the blackboard and returns commands.
 
-use super::blackboard::Blackboard;
-use super::leases::LeaseTable;
+use crate::Millis;
+use crate::blackboard::Blackboard;
+use crate::leases::LeaseTable;
 use dockwood_api::engine::OrderAction;
 use dockwood_api::peer::MachineState;
-use dockwood_placement::Millis;
 use dockwood_state::{CommandBody, Liveness, OrderRow, OrderState, Tables};
 use std::collections::HashMap;
 
@@ -12,7 +12,7 @@
 const MISMATCH_MS: Millis = 1_500;
 
 /// Daemons whose liveness differs from what their leases say.
-pub fn liveness(tables: &Tables, leases: &LeaseTable, now: Millis) -> Vec<CommandBody> {
+pub fn liveness<R>(tables: &Tables, leases: &LeaseTable<R>, now: Millis) -> Vec<CommandBody> {
     let mut commands = Vec::new();
     for (name, daemon) in &tables.daemons {
         let incarnation = leases.row(name).map_or(daemon.incarnation, |row| row.incarnation);
--- /dev/null
+++ b/crates/control/src/driver_io.rs
@@ -0,0 +1,147 @@
+//! What crosses the border between the control logic and its driver. `R` is whatever the driver answers a
+//! waiting caller by.
+
+use crate::account::Account;
+use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, Observation, SubmitReply};
+use dockwood_api::resource::ResourceKey;
+use dockwood_consensus::{Entry, HardState, LogIndex, Message, Term};
+use dockwood_state::OrderRow;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crate::Millis;
+
+/// One reading of the clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moment {
+    /// Monotonic milliseconds of this process.
+    pub monotonic: Millis,
+    /// Milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+/// A lease as granted by the leader.
+#[derive(Clone, Debug)]
+pub struct GrantedLease {
+    /// Newest revision in force everywhere.
+    pub in_force_revision: u64,
+    /// What this daemon lacked.
+    pub content: LeaseContent,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Input<R> {
+    /// Time passed.
+    Tick,
+    /// Messages of the consensus group.
+    Consensus(Vec<Message>),
+    /// Encoded commands to commit, each with its caller. Those given together share one synced write.
+    Submit(Vec<(Vec<u8>, R)>),
+    /// A daemon asks for its lease.
+    Lease(LeaseRequest, R),
+    /// A daemon tells the leader of a term what it found out.
+    Observe(Term, Vec<Observation>, R),
+    /// Somebody asks for the leader's view.
+    View(R),
+    /// This daemon was granted a lease.
+    LeaseGranted(GrantedLease),
+    /// A machine answered an order.
+    OrderAnswered {
+        /// The machine.
+        server: String,
+        /// The order's fence.
+        fence: u64,
+        /// Whether it was carried out.
+        done: bool,
+    },
+    /// Machines that the platform is about to take away.
+    Leaving(BTreeSet<String>),
+    /// An earlier [`Output::Persist`] is synced up to this entry.
+    Persisted {
+        /// Index of the last synced entry.
+        index: LogIndex,
+        /// Its term.
+        term: Term,
+    },
+}
+
+/// A snapshot with what remains of the log after it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredSnapshot {
+    /// Last index covered.
+    pub index: LogIndex,
+    /// Term of that entry.
+    pub term: Term,
+    /// The state.
+    pub data: Vec<u8>,
+    /// Hard state to keep.
+    pub hard_state: HardState,
+    /// Entries after it.
+    pub entries: Vec<Entry>,
+}
+
+/// An order on its way to a machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderToSend {
+    /// The order.
+    pub order: OrderRow,
+    /// The machine's engine.
+    pub address: SocketAddr,
+    /// Whether the machine refuses orders below its highest fence.
+    pub checks_fences: bool,
+    /// Until when this daemon surely leads; a machine that doesn't check fences gets nothing after that.
+    pub lease_until: Millis,
+}
+
+/// What the driver has to do, in order. What must survive is synced before any later output is carried out.
+#[derive(Debug)]
+pub enum Output<R> {
+    /// Append to the log and sync; then give [`Input::Persisted`] for the last entry, if there is one.
+    Persist {
+        /// Set when it changed.
+        hard_state: Option<HardState>,
+        /// Entries; the first replaces any stored entry of its index or above.
+        entries: Vec<Entry>,
+    },
+    /// Store the snapshot and replace the log.
+    StoreSnapshot(StoredSnapshot),
+    /// Send to a member of the group; may be lost.
+    Send(Message),
+    /// Answer a submitted command.
+    SubmitReply(R, SubmitReply),
+    /// Answer a lease request; the driver puts its clock's stamp in.
+    LeaseReply(R, LeaseAnswer),
+    /// Answer an observation.
+    ObserveReply(R, bool),
+    /// Answer a view.
+    ViewReply(R, ControlAnswer),
+    /// Send an order to a machine, and follow it until it is carried out or refused.
+    SendOrder(Box<OrderToSend>),
+    /// Record a change of state.
+    Record {
+        /// What to tell.
+        account: Account,
+        /// The revision that led to it.
+        revision: Option<u64>,
+    },
+    /// A revision touched these resources.
+    Touched {
+        /// The revision.
+        revision: u64,
+        /// The resources.
+        keys: Vec<ResourceKey>,
+    },
+    /// The state was replaced as a whole.
+    Restored {
+        /// Its revision.
+        revision: u64,
+    },
+    /// The leader that this node knows of, and whether it is this node.
+    LeaderChanged {
+        /// Peer address.
+        leader: Option<SocketAddr>,
+        /// Whether this node leads.
+        leads: bool,
+    },
+}
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,17 +1,16 @@
 //! What only the leader has, for as long as it leads: leases, controllers, and orders on their way.
 
-use super::OrderSender;
-use super::blackboard::{Blackboard, Observed};
-use super::controllers::{LostState, liveness, pending_orders, placement};
-use super::leases::{HOLD_MS, HeldRequest, LeaseTable};
-use super::view::control_view;
+use crate::Millis;
+use crate::blackboard::{Blackboard, Observed};
+use crate::controllers::{LostState, liveness, pending_orders, placement};
+use crate::driver_io::{OrderToSend, Output};
+use crate::leases::{HOLD_MS, HeldRequest, LeaseTable};
+use crate::view::control_view;
 use dockwood_api::event::ClockStamp;
 use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, Observation};
-use dockwood_placement::Millis;
 use dockwood_state::CommandBody;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use tokio::sync::oneshot;
 
 /// Time between two runs of the controllers.
 const DECIDE_EVERY_MS: Millis = 50;
@@ -32,11 +31,12 @@
 }
 
 /// State of one leader term.
-pub struct Leadership {
+#[derive(Debug)]
+pub struct Leadership<R> {
     /// The term.
     pub term: u64,
     /// Leases granted in it.
-    pub leases: LeaseTable,
+    pub leases: LeaseTable<R>,
     joining: BTreeMap<String, (DaemonRecord, u64)>,
     lost_state: LostState,
     attempts: HashMap<String, OrderAttempt>,
@@ -56,7 +56,7 @@
     }
 }
 
-impl Leadership {
+impl<R> Leadership<R> {
     /// The state of a leader that was elected now.
     pub fn new(term: u64, now: Millis) -> Self {
         Leadership {
@@ -71,7 +71,7 @@
     }
 
     /// Takes a daemon's request; it is answered by [`Leadership::answer_held`].
-    pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: oneshot::Sender<LeaseAnswer>) {
+    pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: R) {
         self.leases.extend(now, &request);
         self.joining.insert(request.daemon.name.clone(), (request.daemon.clone(), request.incarnation));
         // A new request of the same daemon replaces the one that it gave up.
@@ -80,28 +80,29 @@
     }
 
     /// Answers requests for which there is news, or that have waited long enough.
-    pub fn answer_held(&mut self, now: Millis, board: &Blackboard, in_force_revision: u64, stamp: ClockStamp) {
+    pub fn answer_held(&mut self, now: Millis, board: &Blackboard, in_force_revision: u64) -> Vec<Output<R>> {
         let revision = board.revision();
-        let (due, waiting): (Vec<HeldRequest>, Vec<HeldRequest>) =
+        let (due, waiting): (Vec<HeldRequest<R>>, Vec<HeldRequest<R>>) =
             std::mem::take(&mut self.leases.held).into_iter().partition(|held| {
                 let lags = held.request.applied_revision < revision;
                 let in_force_is_news = held.request.in_force_revision < in_force_revision;
                 now >= held.until || lags || in_force_is_news
             });
         self.leases.held = waiting;
-        for held in due {
+        let answer = |held: HeldRequest<R>| {
             self.leases.answered(now, &held.request.daemon.name);
             let content = content_for(board, &held.request);
+            let stamp = ClockStamp::default();
             let answer = LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
-            let _ = held.reply.send(answer);
-        }
+            Output::LeaseReply(held.reply, answer)
+        };
+        due.into_iter().map(answer).collect()
     }
 
     /// Sends waiting daemons elsewhere: this node can't grant any more.
-    pub fn refuse_held(&mut self, leader: Option<SocketAddr>) {
-        for held in std::mem::take(&mut self.leases.held) {
-            let _ = held.reply.send(LeaseAnswer::NotLeader { leader });
-        }
+    pub fn refuse_held(&mut self, leader: Option<SocketAddr>) -> Vec<Output<R>> {
+        let held = std::mem::take(&mut self.leases.held).into_iter();
+        held.map(|held| Output::LeaseReply(held.reply, LeaseAnswer::NotLeader { leader })).collect()
     }
 
     /// Notes what became of an order.
@@ -112,8 +113,9 @@
         }
     }
 
-    /// Sends every pending order that is not on its way; one at a time to each machine.
-    pub fn send_orders(&mut self, now: Millis, board: &Blackboard, sender: &OrderSender) {
+    /// Every pending order that is not on its way; one at a time to each machine.
+    pub fn orders_to_send(&mut self, now: Millis, board: &Blackboard) -> Vec<OrderToSend> {
+        let mut orders = Vec::new();
         for order in pending_orders(board.tables()) {
             let due = match self.attempts.get(&order.server) {
                 Some(attempt) if attempt.retry_at.is_none() => false,
@@ -122,8 +124,14 @@
             };
             let Some(server) = board.tables().server(&order.server).filter(|_| due) else { continue };
             self.attempts.insert(order.server.clone(), OrderAttempt { fence: order.fence, retry_at: None });
-            sender.send(order, server.address, server.checks_fences, now + ORDER_LEASE_MS);
+            orders.push(OrderToSend {
+                order: order.clone(),
+                address: server.address,
+                checks_fences: server.checks_fences,
+                lease_until: now + ORDER_LEASE_MS,
+            });
         }
+        orders
     }
 
     /// What should be committed now. Nothing is decided while earlier decisions are not committed, so that
--- a/crates/daemon/src/control/leases.rs
+++ b/crates/control/src/leases.rs
@@ -1,11 +1,13 @@
 //! The leader's table of configuration leases, and what is in force by it.
 
-use crate::shared::LEASE_MS;
-use dockwood_api::peer::{LeaseAnswer, LeaseRequest};
-use dockwood_placement::Millis;
+use crate::Millis;
+use dockwood_api::peer::LeaseRequest;
 use dockwood_state::{Liveness, Tables};
 use std::collections::BTreeMap;
-use tokio::sync::oneshot;
+
+/// Length of a configuration lease, counted by the daemon from when it sent the request. A normal election takes
+/// less than half of it, so that leases outlast one.
+pub const LEASE_MS: Millis = 2_000;
 
 /// A request without news is held back this long, so that daemons poll seldom and learn of changes at once.
 /// Together with the way there and back it stays well under the lease.
@@ -29,25 +31,25 @@
 
 /// A request that waits for news.
 #[derive(Debug)]
-pub struct HeldRequest {
+pub struct HeldRequest<R> {
     /// The request.
     pub request: LeaseRequest,
     /// For the answer.
-    pub reply: oneshot::Sender<LeaseAnswer>,
+    pub reply: R,
     /// When to answer at the latest.
     pub until: Millis,
 }
 
 /// Leases of one leader term.
 #[derive(Debug)]
-pub struct LeaseTable {
+pub struct LeaseTable<R> {
     elected_at: Millis,
     rows: BTreeMap<String, LeaseRow>,
     /// Requests that wait for news.
-    pub held: Vec<HeldRequest>,
+    pub held: Vec<HeldRequest<R>>,
 }
 
-impl LeaseTable {
+impl<R> LeaseTable<R> {
     /// An empty table of a leader that was elected now.
     pub fn new(now: Millis) -> Self {
         LeaseTable { elected_at: now, rows: BTreeMap::new(), held: Vec::new() }
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,25 @@
+//! Control logic of one daemon as a pure state machine: the replicated log with its state, configuration
+//! leases, what is in force, and the controllers that only the leader runs.
+//!
+//! A driver feeds [`Input`]s with the time to [`ControlNode::step`] and carries out the [`Output`]s in order.
+//! There is no I/O, clock or thread here: the daemon's control thread, the simulator and the hollow fleet drive
+//! the very same code. What is decided lies in `placement`, what must hold in `state`.
+
+mod account;
+mod blackboard;
+mod controllers;
+mod driver_io;
+mod leader;
+mod leases;
+mod node;
+mod view;
+mod voter;
+
+pub use account::Account;
+pub use blackboard::{Blackboard, Observed};
+pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
+pub use leases::{HOLD_MS, LEASE_MS, LeaseTable};
+pub use node::ControlNode;
+
+/// Monotonic time of this process, in milliseconds.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,421 @@
+//! The control node: takes inputs, drives the consensus core and the leader's controllers, and gathers outputs.
+
+use crate::account::{Account, accounts};
+use crate::blackboard::Blackboard;
+use crate::driver_io::{GrantedLease, Input, Moment, Output, StoredSnapshot};
+use crate::leader::{Leadership, record_observations};
+use crate::voter::{Proposal, VoterPart, Waiter, command_bytes, dropped};
+use dockwood_api::ResultCode;
+use dockwood_api::event::Subject;
+use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply};
+use dockwood_consensus::{self as consensus, Entry, Message, Node, RoleName};
+use dockwood_state::{Applied, Command, CommandBody, State, Tables, decode_command, encode_command, encode_outcome};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Entries in the log before a snapshot replaces them.
+const COMPACT_AFTER_ENTRIES: u64 = 2_000;
+
+/// Commands gathered from one input, to be proposed together.
+struct Batch<R> {
+    commands: Vec<Vec<u8>>,
+    waiters: Vec<Waiter<R>>,
+}
+
+/// Control logic of one daemon.
+#[derive(Debug)]
+pub struct ControlNode<R> {
+    name: String,
+    board: Blackboard,
+    voter: Option<VoterPart<R>>,
+    in_force_revision: u64,
+    dirty: bool,
+    outputs: Vec<Output<R>>,
+}
+
+impl<R> ControlNode<R> {
+    /// A daemon that is no voter: it learns everything with its leases.
+    pub fn follower(name: &str) -> Self {
+        ControlNode {
+            name: name.to_string(),
+            board: Blackboard::default(),
+            voter: None,
+            in_force_revision: 0,
+            dirty: true,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// A member of the control group, with the state of its stored snapshot and the peer addresses of all.
+    pub fn voter(name: &str, state: State, core: Node, addresses: BTreeMap<u64, SocketAddr>) -> Self {
+        let board = Blackboard::new(state);
+        ControlNode { board, voter: Some(VoterPart::new(core, addresses)), ..ControlNode::follower(name) }
+    }
+
+    /// Takes one input and returns what is to be done, in order.
+    pub fn step(&mut self, now: Moment, input: Input<R>) -> Vec<Output<R>> {
+        let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
+        match input {
+            Input::Tick => {}
+            Input::Consensus(messages) => self.receive(now, messages),
+            Input::Submit(commands) => self.take_commands(now, commands, &mut batch),
+            Input::Lease(request, reply) => self.take_lease_request(now, request, reply),
+            Input::Observe(term, observations, reply) => {
+                let leads_term = self.leadership().is_some_and(|leadership| leadership.term == term);
+                if leads_term {
+                    record_observations(&mut self.board.observed, now.monotonic, observations);
+                }
+                self.outputs.push(Output::ObserveReply(reply, leads_term));
+            }
+            Input::View(reply) => {
+                let view = self.view(now);
+                self.outputs.push(Output::ViewReply(reply, view));
+            }
+            Input::LeaseGranted(lease) => self.take_lease(lease),
+            Input::OrderAnswered { server, fence, done } => {
+                if let Some(leadership) = self.leadership_mut() {
+                    leadership.order_answered(now.monotonic, &server, fence, done);
+                }
+                if done {
+                    batch.add(now, CommandBody::OrderDone { server, fence });
+                }
+            }
+            Input::Leaving(servers) => self.board.observed.machines.set_leaving(servers),
+            Input::Persisted { index, term } => self.drive(now, consensus::Input::Persisted { index, term }),
+        }
+        self.drive(now, consensus::Input::Tick);
+        self.propose(now, batch);
+        self.run_controllers(now);
+        self.raise_in_force_as_leader(now);
+        self.answer_held_leases(now);
+        self.compact();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The replicated tables as applied here.
+    pub fn tables(&self) -> &Tables {
+        self.board.tables()
+    }
+
+    /// The whole replicated state as applied here.
+    pub fn state(&self) -> &State {
+        &self.board.state
+    }
+
+    /// The blackboard.
+    pub fn board(&self) -> &Blackboard {
+        &self.board
+    }
+
+    /// Newest revision known to be in force everywhere.
+    pub fn in_force_revision(&self) -> u64 {
+        self.in_force_revision
+    }
+
+    /// The consensus core, at a voter.
+    pub fn core(&self) -> Option<&Node> {
+        self.voter.as_ref().map(|voter| &voter.core)
+    }
+
+    /// Whether this node leads, and nobody else can at this moment.
+    pub fn leads(&self, now: Moment) -> bool {
+        self.voter.as_ref().is_some_and(|voter| voter.leads(now.monotonic))
+    }
+
+    /// Whether anything that is published has changed since the last call.
+    pub fn take_dirty(&mut self) -> bool {
+        std::mem::take(&mut self.dirty)
+    }
+
+    fn leadership(&self) -> Option<&Leadership<R>> {
+        self.voter.as_ref()?.leadership.as_ref()
+    }
+
+    fn leadership_mut(&mut self) -> Option<&mut Leadership<R>> {
+        self.voter.as_mut()?.leadership.as_mut()
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        self.voter.as_ref().and_then(|voter| voter.leader)
+    }
+
+    fn receive(&mut self, now: Moment, messages: Vec<Message>) {
+        for message in messages {
+            self.drive(now, consensus::Input::Receive(message));
+        }
+    }
+
+    fn take_commands(&mut self, now: Moment, commands: Vec<(Vec<u8>, R)>, batch: &mut Batch<R>) {
+        let leads = self.leads(now);
+        let leader = self.leader_address();
+        for (command, reply) in commands {
+            if !leads {
+                self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
+            } else if let Err(error) = decode_command(&command) {
+                let failed = SubmitReply::Failed { code: error.code(), message: error.message().to_string() };
+                self.outputs.push(Output::SubmitReply(reply, failed));
+            } else {
+                batch.commands.push(command);
+                batch.waiters.push(Waiter::Caller(reply));
+            }
+        }
+    }
+
+    fn take_lease_request(&mut self, now: Moment, request: LeaseRequest, reply: R) {
+        let leader = self.leader_address();
+        let leads = self.leads(now);
+        match self.leadership_mut() {
+            Some(leadership) if leads => leadership.take_lease_request(now.monotonic, request, reply),
+            _ => self.outputs.push(Output::LeaseReply(reply, LeaseAnswer::NotLeader { leader })),
+        }
+    }
+
+    fn view(&self, now: Moment) -> ControlAnswer {
+        match self.leadership() {
+            Some(leadership) if self.leads(now) => {
+                ControlAnswer::View(leadership.view(&self.board, self.in_force_revision, &self.name, now.monotonic))
+            }
+            _ => ControlAnswer::NotLeader { leader: self.leader_address() },
+        }
+    }
+
+    /// What came with this daemon's own lease.
+    fn take_lease(&mut self, lease: GrantedLease) {
+        self.raise_in_force(lease.in_force_revision);
+        match lease.content {
+            LeaseContent::Commands(commands) => {
+                for (revision, bytes) in commands {
+                    if revision == self.board.revision() + 1
+                        && let Ok(command) = decode_command(&bytes)
+                    {
+                        self.apply(&command);
+                    }
+                }
+            }
+            LeaseContent::Snapshot(bytes) => self.restore(&bytes),
+        }
+    }
+
+    fn raise_in_force(&mut self, revision: u64) {
+        if revision > self.in_force_revision {
+            self.in_force_revision = revision;
+            self.dirty = true;
+        }
+    }
+
+    fn restore(&mut self, bytes: &[u8]) {
+        match self.board.restore(bytes) {
+            Ok(true) => {
+                self.outputs.push(Output::Restored { revision: self.board.revision() });
+                self.dirty = true;
+            }
+            Ok(false) => {}
+            Err(error) => self.record_own("SnapshotRefused", error.message(), error.code()),
+        }
+    }
+
+    fn record_own(&mut self, reason: &str, message: &str, code: ResultCode) {
+        let account = Account {
+            subject: Subject::new("daemon", &self.name),
+            reason: reason.to_string(),
+            message: message.to_string(),
+            code,
+        };
+        self.outputs.push(Output::Record { account, revision: None });
+    }
+
+    fn apply(&mut self, command: &Command) -> Applied {
+        let applied = self.board.apply(command);
+        if command.body.is_configuration() {
+            let revision = self.board.revision();
+            self.outputs.push(Output::Touched { revision, keys: applied.touched.clone() });
+            self.dirty = true;
+            // Voters tell the time line, so that it survives any one of them.
+            if self.voter.is_some() {
+                for account in accounts(command, &applied, self.board.tables()) {
+                    self.outputs.push(Output::Record { account, revision: Some(revision) });
+                }
+            }
+        }
+        applied
+    }
+
+    /// Gives the consensus core an input and takes what follows.
+    fn drive(&mut self, now: Moment, input: consensus::Input) {
+        let Some(voter) = &mut self.voter else { return };
+        for output in voter.core.step(now.monotonic, input) {
+            self.take_core_output(now, output);
+        }
+    }
+
+    fn take_core_output(&mut self, now: Moment, output: consensus::Output) {
+        match output {
+            consensus::Output::Persist { hard_state, entries } => {
+                self.outputs.push(Output::Persist { hard_state, entries });
+            }
+            consensus::Output::Send(message) => self.outputs.push(Output::Send(message)),
+            consensus::Output::Commit(entries) => entries.into_iter().for_each(|entry| self.commit(entry)),
+            consensus::Output::Restore { index, term, data } => {
+                self.store_snapshot(index, term, data.clone());
+                self.restore(&data);
+                if let Some(voter) = &mut self.voter {
+                    voter.applied_index = index;
+                }
+            }
+            consensus::Output::SnapshotNeeded { to } => self.supply_snapshot(now, to),
+            // Reads are answered under the leader's lease; nothing asks the core for an index.
+            consensus::Output::ReadReady { .. } => {}
+            consensus::Output::RoleChanged { role, term, leader } => self.role_changed(now, role, term, leader),
+        }
+    }
+
+    fn commit(&mut self, entry: Entry) {
+        let command = command_bytes(&entry).and_then(|bytes| decode_command(bytes).ok());
+        let applied = command.map(|command| self.apply(&command));
+        let revision = self.board.revision();
+        let Some(voter) = &mut self.voter else { return };
+        voter.applied_index = entry.index;
+        let Some(proposal) = voter.proposals.remove(&entry.index) else { return };
+        match proposal.waiter {
+            Waiter::Controller => {
+                if let Some(leadership) = &mut voter.leadership {
+                    leadership.controller_command_committed();
+                }
+            }
+            Waiter::Caller(reply) => {
+                let answer = match applied {
+                    Some(applied) if proposal.term == entry.term => {
+                        SubmitReply::Applied { revision, outcome: encode_outcome(&applied.outcome) }
+                    }
+                    _ => dropped("another leader's entry took its place"),
+                };
+                self.outputs.push(Output::SubmitReply(reply, answer));
+            }
+        }
+    }
+
+    fn role_changed(&mut self, now: Moment, role: RoleName, term: u64, leader: Option<u64>) {
+        let Some(voter) = &mut self.voter else { return };
+        voter.leader = leader.and_then(|id| voter.addresses.get(&id).copied());
+        let former = voter.leadership.take();
+        let led_before = former.is_some();
+        let leads = role == RoleName::Leader;
+        voter.leadership = leads.then(|| Leadership::new(term, now.monotonic));
+        let leader = voter.leader;
+        // Whether they will be committed is no longer this node's to know; the callers resend.
+        let proposals = if leads { BTreeMap::new() } else { std::mem::take(&mut voter.proposals) };
+        for (_, proposal) in proposals {
+            if let Waiter::Caller(reply) = proposal.waiter {
+                let answer = dropped("this node ceased to lead before the command was committed");
+                self.outputs.push(Output::SubmitReply(reply, answer));
+            }
+        }
+        if let Some(mut former) = former {
+            let refusals = former.refuse_held(leader);
+            self.outputs.extend(refusals);
+        }
+        self.outputs.push(Output::LeaderChanged { leader, leads });
+        if leads {
+            self.record_own("Elected", &format!("term {term}"), ResultCode::Ok);
+        } else if led_before {
+            self.record_own("SteppedDown", &format!("term {term}"), ResultCode::Ok);
+        }
+    }
+
+    fn propose(&mut self, now: Moment, batch: Batch<R>) {
+        if batch.commands.is_empty() {
+            return;
+        }
+        let leads = self.leads(now);
+        let Some(voter) = &mut self.voter else { return };
+        if !leads {
+            let leader = voter.leader;
+            for waiter in batch.waiters {
+                if let Waiter::Caller(reply) = waiter {
+                    self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
+                }
+            }
+            return;
+        }
+        let term = voter.core.term();
+        let first = voter.core.last_index() + 1;
+        for (index, waiter) in (first..).zip(batch.waiters) {
+            voter.proposals.insert(index, Proposal { term, waiter });
+        }
+        self.drive(now, consensus::Input::Propose(batch.commands));
+    }
+
+    fn supply_snapshot(&mut self, now: Moment, to: u64) {
+        let Some(voter) = &self.voter else { return };
+        let index = voter.applied_index;
+        let Some(term) = voter.core.term_at(index) else { return };
+        let data = self.board.state.encode();
+        self.drive(now, consensus::Input::SnapshotLoaded { to, index, term, data });
+    }
+
+    fn run_controllers(&mut self, now: Moment) {
+        let Some(voter) = &mut self.voter else { return };
+        // Until an entry of the own term is applied, the tables may lack what an earlier leader committed.
+        if !voter.leads(now.monotonic) || !voter.applied_own_term() {
+            return;
+        }
+        let Some(leadership) = &mut voter.leadership else { return };
+        self.board.forget_gone();
+        let orders = leadership.orders_to_send(now.monotonic, &self.board);
+        let commands = leadership.decide(now.monotonic, &self.board);
+        self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
+        let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
+        commands.into_iter().for_each(|body| batch.add(now, body));
+        self.propose(now, batch);
+    }
+
+    fn raise_in_force_as_leader(&mut self, now: Moment) {
+        if !self.leads(now) {
+            return;
+        }
+        let leadership = self.leadership();
+        let known = leadership.and_then(|leader| leader.leases.in_force_revision(now.monotonic, self.board.tables()));
+        if let Some(revision) = known {
+            self.raise_in_force(revision);
+        }
+    }
+
+    fn answer_held_leases(&mut self, now: Moment) {
+        let leads = self.leads(now);
+        let leader = self.leader_address();
+        let in_force_revision = self.in_force_revision;
+        let Some(voter) = &mut self.voter else { return };
+        let Some(leadership) = &mut voter.leadership else { return };
+        let answers = if leads {
+            leadership.answer_held(now.monotonic, &self.board, in_force_revision)
+        } else {
+            leadership.refuse_held(leader)
+        };
+        self.outputs.extend(answers);
+    }
+
+    fn compact(&mut self) {
+        let Some(voter) = &mut self.voter else { return };
+        let index = voter.applied_index;
+        if index < voter.core.snapshot_index() + COMPACT_AFTER_ENTRIES {
+            return;
+        }
+        let Some(term) = voter.core.term_at(index) else { return };
+        voter.core.step(0, consensus::Input::Compact { index });
+        let data = self.board.state.encode();
+        self.store_snapshot(index, term, data);
+    }
+
+    fn store_snapshot(&mut self, index: u64, term: u64, data: Vec<u8>) {
+        let Some(voter) = &self.voter else { return };
+        let (hard_state, entries) = (voter.core.hard_state(), voter.core.entries_after_snapshot());
+        self.outputs.push(Output::StoreSnapshot(StoredSnapshot { index, term, data, hard_state, entries }));
+    }
+}
+
+impl<R> Batch<R> {
+    fn add(&mut self, now: Moment, body: CommandBody) {
+        self.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
+        self.waiters.push(Waiter::Controller);
+    }
+}
--- a/crates/daemon/src/control/view.rs
+++ b/crates/control/src/view.rs
@@ -1,13 +1,21 @@
 //! The leader's view of the fleet, as JSON for status.
 
-use super::blackboard::Blackboard;
-use super::leases::LeaseTable;
-use dockwood_placement::{MachineHealth, Millis, shortfalls};
+use crate::Millis;
+use crate::blackboard::Blackboard;
+use crate::leases::LeaseTable;
+use dockwood_placement::{MachineHealth, shortfalls};
 use dockwood_state::{Liveness, ReplicaPhase};
 use serde_json::{Value, json};
 
 /// Everything that one screen of status needs.
-pub fn control_view(board: &Blackboard, leases: &LeaseTable, in_force_revision: u64, leader: &str, term: u64, now: Millis) -> Vec<u8> {
+pub fn control_view<R>(
+    board: &Blackboard,
+    leases: &LeaseTable<R>,
+    in_force_revision: u64,
+    leader: &str,
+    term: u64,
+    now: Millis,
+) -> Vec<u8> {
     let fleet = board.fleet(now);
     let tables = board.tables();
     let replicas: Vec<Value> = tables
--- /dev/null
+++ b/crates/control/src/voter.rs
@@ -0,0 +1,74 @@
+//! What only a member of the control group has: the consensus core, and the commands that wait to be committed.
+
+use crate::Millis;
+use crate::leader::Leadership;
+use dockwood_api::ResultCode;
+use dockwood_api::peer::SubmitReply;
+use dockwood_consensus::{Entry, Node, Payload, RoleName, Term};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Who waits for a proposed command.
+#[derive(Debug)]
+pub(crate) enum Waiter<R> {
+    /// Somebody who submitted it.
+    Caller(R),
+    /// The leader's own controllers.
+    Controller,
+}
+
+/// A command that this node proposed and that is not yet committed.
+#[derive(Debug)]
+pub(crate) struct Proposal<R> {
+    pub term: Term,
+    pub waiter: Waiter<R>,
+}
+
+/// A voter's part of the control node.
+#[derive(Debug)]
+pub(crate) struct VoterPart<R> {
+    pub core: Node,
+    pub addresses: BTreeMap<u64, SocketAddr>,
+    pub applied_index: u64,
+    pub proposals: BTreeMap<u64, Proposal<R>>,
+    pub leadership: Option<Leadership<R>>,
+    pub leader: Option<SocketAddr>,
+}
+
+impl<R> VoterPart<R> {
+    /// A voter that knows nothing of a leader yet.
+    pub fn new(core: Node, addresses: BTreeMap<u64, SocketAddr>) -> Self {
+        VoterPart {
+            applied_index: core.snapshot_index(),
+            core,
+            addresses,
+            proposals: BTreeMap::new(),
+            leadership: None,
+            leader: None,
+        }
+    }
+
+    /// Whether this node leads, and nobody else can at this moment.
+    pub fn leads(&self, now: Millis) -> bool {
+        self.leadership.is_some() && self.core.role() == RoleName::Leader && self.core.leader_lease_valid(now)
+    }
+
+    /// Whether all that earlier leaders committed is applied here.
+    pub fn applied_own_term(&self) -> bool {
+        let term = self.leadership.as_ref().map(|leadership| leadership.term);
+        term.is_some() && self.core.term_at(self.applied_index) == term
+    }
+}
+
+/// The command of an entry, if it carries one.
+pub(crate) fn command_bytes(entry: &Entry) -> Option<&[u8]> {
+    match &entry.payload {
+        Payload::Empty => None,
+        Payload::Command(bytes) => Some(bytes),
+    }
+}
+
+/// The answer to a command that is not known to be committed; the caller resends it.
+pub(crate) fn dropped(message: &str) -> SubmitReply {
+    SubmitReply::Failed { code: ResultCode::ProposalDropped, message: message.to_string() }
+}
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -1,12 +1,13 @@
 //! Asks the leader for this daemon's configuration lease, over and over.
 
-use super::{ControlMessage, GrantedLease};
+use super::ControlMessage;
 use crate::clock::monotonic_ms;
 use crate::peer::PeerFailure;
 use crate::shared::Shared;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{LeaseAnswer, LeaseRequest};
+use dockwood_control::GrantedLease;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,48 +1,33 @@
-//! The control thread: owns the blackboard, drives the consensus core, and runs the controllers.
-//!
-//! It is one thread with its own runtime. Everything reaches it as a [`ControlMessage`]; what it decides is
-//! published for the traffic threads. Controllers see a consistent state and return commands; they never call
-//! each other.
+//! The control thread and what reaches it. The logic is in `dockwood-control`; here it gets its clocks, disk
+//! and network. It is one thread with its own runtime; what it decides is published for the traffic threads.
 
-mod account;
-mod blackboard;
-mod consensus_driver;
-mod controllers;
 mod lease_client;
-mod leader;
-mod leases;
 mod orders;
+mod outbox;
+mod reply;
 mod thread;
-mod view;
+mod voter_disk;
 
-pub use consensus_driver::{ConsensusDriver, StartError, StartedVoter, run_outbox};
 pub use lease_client::run_lease_client;
 pub use orders::OrderSender;
-pub use thread::{ControlThread, run_control_thread};
+pub use outbox::run_outbox;
+pub use reply::Reply;
+pub use thread::{ControlThread, StartedControl, run_control_thread};
+pub use voter_disk::StartError;
 
 use dockwood_api::engine::PlatformMachine;
-use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, Observation, SubmitReply};
+use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseRequest, Observation, SubmitReply};
+use dockwood_control::GrantedLease;
 use tokio::sync::{mpsc, oneshot};
 
 /// Messages that may wait for the control thread.
 const CONTROL_QUEUE: usize = 8_192;
 
-/// A lease as granted by the leader.
-#[derive(Debug)]
-pub struct GrantedLease {
-    /// Newest revision in force everywhere.
-    pub in_force_revision: u64,
-    /// What this daemon lacked.
-    pub content: LeaseContent,
-}
-
 /// What reaches the control thread.
 #[derive(Debug)]
 pub enum ControlMessage {
     /// Messages of the consensus group.
     Consensus {
-        /// Sender.
-        from: u64,
         /// Encoded messages.
         messages: Vec<u8>,
     },
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -4,8 +4,7 @@
 use crate::clock::monotonic_ms;
 use crate::shared::Shared;
 use dockwood_api::engine::{EngineOrder, GroupHealth, OrderAction, OrderProgress, OrderReply, PATH_HEALTH, PATH_ORDERS};
-use dockwood_placement::Millis;
-use dockwood_state::OrderRow;
+use dockwood_control::{Millis, OrderToSend};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,9 +41,10 @@
     }
 
     /// Sends one order and follows it; the result arrives as [`ControlMessage::OrderAnswered`].
-    pub fn send(&self, row: &OrderRow, address: SocketAddr, checks_fences: bool, lease_until: Millis) {
-        let order = EngineOrder { id: row.id.clone(), fence: row.fence, action: row.action.clone() };
-        let delivery = Delivery { order, server: row.server.clone(), address, checks_fences, lease_until };
+    pub fn send(&self, to_send: OrderToSend) {
+        let OrderToSend { order: row, address, checks_fences, lease_until } = to_send;
+        let order = EngineOrder { id: row.id, fence: row.fence, action: row.action };
+        let delivery = Delivery { order, server: row.server, address, checks_fences, lease_until };
         let sender = self.clone();
         self.runtime.spawn(async move {
             let done = tokio::time::timeout(FOLLOW_FOR, sender.follow(&delivery)).await.unwrap_or(false);
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -1,24 +1,22 @@
-//! The control thread's loop.
+//! The control thread: drives the pure control node against clocks, disk and network.
 
-use super::account::accounts;
-use super::blackboard::Blackboard;
-use super::consensus_driver::{ConsensusDriver, DriverEvent, command_bytes};
-use super::leader::Leadership;
-use super::{ControlMessage, GrantedLease, OrderSender};
+use super::outbox::OUTBOX;
+use super::voter_disk::{StartError, VoterDisk};
+use super::{ControlMessage, OrderSender, Reply};
 use crate::clock::{monotonic_ms, wall_ms};
+use crate::metrics::Metrics;
 use crate::published::{Published, RoutingTable};
+use crate::settings::Settings;
 use crate::shared::Shared;
-use dockwood_api::ResultCode;
-use dockwood_api::event::Subject;
-use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply};
-use dockwood_consensus::{Entry, Input, Message, RoleName};
-use dockwood_state::{Command, State, CommandBody, decode_command, encode_command, encode_outcome};
+use dockwood_api::peer::LeaseAnswer;
+use dockwood_consensus::{Message, Node};
+use dockwood_control::{ControlNode, Input, Moment, Output};
 use dockwood_storage::StorageError;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 /// Time between ticks of a voter.
 const VOTER_TICK: Duration = Duration::from_millis(20);
@@ -26,51 +24,68 @@
 const FOLLOWER_TICK: Duration = Duration::from_millis(250);
 /// Messages taken at once; their commands share one synced write.
 const BATCH: usize = 512;
-
-/// Who waits for a proposed command.
-enum Waiter {
-    Caller(oneshot::Sender<SubmitReply>),
-    Controller,
-}
-
-/// A command that this node proposed and that is not yet committed.
-struct Proposal {
-    term: u64,
-    waiter: Waiter,
+/// Shortest time without a leader before an election, in milliseconds.
+const ELECTION_TIMEOUT_MS: u64 = 500;
+/// Time between a leader's messages to an idle follower, in milliseconds.
+const HEARTBEAT_MS: u64 = 100;
+/// Payload of one append message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// A control node with its disk and its ways to the other voters.
+pub struct StartedControl {
+    node: ControlNode<Reply>,
+    disk: Option<VoterDisk>,
+    outboxes: BTreeMap<u64, mpsc::Sender<Message>>,
+    /// The receiving ends, each with its peer's address; whoever starts the thread runs them.
+    pub to_send: Vec<(SocketAddr, mpsc::Receiver<Message>)>,
 }
 
-/// What only a voter has.
-struct VoterPart {
-    driver: ConsensusDriver,
-    applied_index: u64,
-    proposals: BTreeMap<u64, Proposal>,
-    leadership: Option<Leadership>,
-    leader: Option<SocketAddr>,
+impl StartedControl {
+    /// Builds the control node; at a voter, from its data folder.
+    pub fn open(settings: &Settings, metrics: &Metrics) -> Result<StartedControl, StartError> {
+        let Some(own) = settings.own_voter() else {
+            let node = ControlNode::follower(&settings.name);
+            return Ok(StartedControl { node, disk: None, outboxes: BTreeMap::new(), to_send: Vec::new() });
+        };
+        let folder = settings.data_folder.clone().unwrap_or_default();
+        let found = VoterDisk::open(&folder, metrics.clone())?;
+        let core_settings = dockwood_consensus::Settings {
+            id: own.id,
+            voters: settings.voters.iter().map(|voter| voter.id).collect(),
+            election_timeout_ms: ELECTION_TIMEOUT_MS,
+            heartbeat_ms: HEARTBEAT_MS,
+            max_message_bytes: MAX_MESSAGE_BYTES,
+            seed: wall_ms(),
+        };
+        let core = Node::new(core_settings, found.recovered, monotonic_ms());
+        let addresses = settings.voters.iter().map(|voter| (voter.id, voter.peer)).collect();
+        let mut outboxes = BTreeMap::new();
+        let mut to_send = Vec::new();
+        for voter in settings.voters.iter().filter(|voter| voter.id != own.id) {
+            let (sender, receiver) = mpsc::channel(OUTBOX);
+            outboxes.insert(voter.id, sender);
+            to_send.push((voter.peer, receiver));
+        }
+        let node = ControlNode::voter(&settings.name, found.state, core, addresses);
+        Ok(StartedControl { node, disk: Some(found.disk), outboxes, to_send })
+    }
 }
 
 /// The control thread's state.
 pub struct ControlThread {
     shared: Arc<Shared>,
     messages: mpsc::Receiver<ControlMessage>,
-    board: Blackboard,
+    node: ControlNode<Reply>,
+    disk: Option<VoterDisk>,
+    outboxes: BTreeMap<u64, mpsc::Sender<Message>>,
     orders: OrderSender,
-    voter: Option<VoterPart>,
-    in_force_revision: u64,
-    dirty: bool,
     stopping: bool,
 }
 
-/// Commands gathered from one batch of messages, to be proposed together.
-#[derive(Default)]
-struct Batch {
-    commands: Vec<Vec<u8>>,
-    waiters: Vec<Waiter>,
-}
-
 /// Runs the control thread until it is told to stop. A disk that fails is final: what it holds is unknown, so
 /// the process must not go on.
 pub async fn run_control_thread(mut control: ControlThread) -> Result<(), StorageError> {
-    let tick_every = if control.voter.is_some() { VOTER_TICK } else { FOLLOWER_TICK };
+    let tick_every = if control.disk.is_some() { VOTER_TICK } else { FOLLOWER_TICK };
     let mut ticks = tokio::time::interval(tick_every);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut received = Vec::new();
@@ -81,388 +96,136 @@
                 if count == 0 {
                     return Ok(());
                 }
+                control.take(std::mem::take(&mut received))?;
             }
-            _ = ticks.tick() => {}
+            _ = ticks.tick() => control.step(Input::Tick)?,
         }
-        control.take(std::mem::take(&mut received))?;
-        control.finish_round()?;
+        control.publish();
     }
     Ok(())
 }
 
 impl ControlThread {
-    /// A control thread; `driver` is set at voters.
+    /// A control thread over a started node.
     pub fn new(
         shared: Arc<Shared>,
         messages: mpsc::Receiver<ControlMessage>,
-        state: State,
-        driver: Option<ConsensusDriver>,
+        started: StartedControl,
         orders: OrderSender,
     ) -> Self {
-        let board = Blackboard::new(state);
-        let voter = driver.map(|driver| VoterPart {
-            applied_index: driver.node().snapshot_index(),
-            driver,
-            proposals: BTreeMap::new(),
-            leadership: None,
-            leader: None,
-        });
-        let in_force_revision = 0;
-        ControlThread { shared, messages, board, orders, voter, in_force_revision, dirty: true, stopping: false }
+        let StartedControl { node, disk, outboxes, .. } = started;
+        ControlThread { shared, messages, node, disk, outboxes, orders, stopping: false }
     }
 
     fn take(&mut self, messages: Vec<ControlMessage>) -> Result<(), StorageError> {
-        let mut batch = Batch::default();
+        let mut submitted = Vec::new();
         for message in messages {
-            self.take_one(message, &mut batch)?;
-        }
-        self.step(Input::Tick)?;
-        self.propose(batch)
-    }
-
-    fn take_one(&mut self, message: ControlMessage, batch: &mut Batch) -> Result<(), StorageError> {
-        match message {
-            ControlMessage::Consensus { from, messages } => self.receive_consensus(from, &messages)?,
-            ControlMessage::Submit { command, reply } => self.take_submit(command, reply, batch),
-            ControlMessage::Lease { request, reply } => self.take_lease(request, reply),
-            ControlMessage::Observe { term, observations, reply } => {
-                let now = monotonic_ms();
-                let leads_term = self.leadership().is_some_and(|leadership| leadership.term == term);
-                if leads_term {
-                    super::leader::record_observations(&mut self.board.observed, now, observations);
+            match message {
+                ControlMessage::Submit { command, reply } => submitted.push((command, Reply::Submit(reply))),
+                ControlMessage::Consensus { messages } => {
+                    // What can't be decoded was not sent by a member of this version; consensus repeats the rest.
+                    let decoded = postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default();
+                    self.step(Input::Consensus(decoded))?;
                 }
-                let _ = reply.send(leads_term);
-            }
-            ControlMessage::View { reply } => {
-                let _ = reply.send(self.view());
-            }
-            ControlMessage::LeaseGranted { lease, reply } => {
-                self.take_lease_content(lease);
-                let _ = reply.send(self.board.revision());
-            }
-            ControlMessage::OrderAnswered { server, fence, done } => {
-                let now = monotonic_ms();
-                if let Some(leadership) = self.leadership_mut() {
-                    leadership.order_answered(now, &server, fence, done);
+                ControlMessage::Lease { request, reply } => self.step(Input::Lease(request, Reply::Lease(reply)))?,
+                ControlMessage::Observe { term, observations, reply } => {
+                    self.step(Input::Observe(term, observations, Reply::Observe(reply)))?;
                 }
-                if done {
-                    batch.add(CommandBody::OrderDone { server, fence });
+                ControlMessage::View { reply } => self.step(Input::View(Reply::View(reply)))?,
+                ControlMessage::LeaseGranted { lease, reply } => {
+                    self.step(Input::LeaseGranted(lease))?;
+                    self.publish();
+                    let _ = reply.send(self.node.tables().revision);
                 }
-            }
-            ControlMessage::PlatformList(rows) => {
-                let leaving = rows.into_iter().filter(|row| row.leaving).map(|row| row.server).collect();
-                self.board.observed.machines.set_leaving(leaving);
-            }
-            ControlMessage::Stop => self.stopping = true,
-        }
-        Ok(())
-    }
-
-    fn leadership(&self) -> Option<&Leadership> {
-        self.voter.as_ref()?.leadership.as_ref()
-    }
-
-    fn leadership_mut(&mut self) -> Option<&mut Leadership> {
-        self.voter.as_mut()?.leadership.as_mut()
-    }
-
-    /// Whether this node may act as the leader right now.
-    fn leads(&self) -> bool {
-        self.voter.as_ref().is_some_and(|voter| voter.leadership.is_some() && voter.driver.leads())
-    }
-
-    fn leader_address(&self) -> Option<SocketAddr> {
-        match &self.voter {
-            Some(voter) => voter.leader,
-            None => self.shared.leader(),
-        }
-    }
-
-    fn receive_consensus(&mut self, from: u64, encoded: &[u8]) -> Result<(), StorageError> {
-        let Ok(messages) = postcard::from_bytes::<Vec<Message>>(encoded) else { return Ok(()) };
-        for message in messages.into_iter().filter(|message| message.from == from) {
-            self.step(Input::Receive(message))?;
-        }
-        Ok(())
-    }
-
-    fn take_submit(&mut self, command: Vec<u8>, reply: oneshot::Sender<SubmitReply>, batch: &mut Batch) {
-        if !self.leads() {
-            let _ = reply.send(SubmitReply::NotLeader { leader: self.leader_address() });
-            return;
-        }
-        if let Err(error) = decode_command(&command) {
-            let failed = SubmitReply::Failed { code: error.code(), message: error.message().to_string() };
-            let _ = reply.send(failed);
-            return;
-        }
-        batch.commands.push(command);
-        batch.waiters.push(Waiter::Caller(reply));
-    }
-
-    fn take_lease(&mut self, request: LeaseRequest, reply: oneshot::Sender<LeaseAnswer>) {
-        let leader = self.leader_address();
-        let leads = self.leads();
-        let now = monotonic_ms();
-        match self.leadership_mut() {
-            Some(leadership) if leads => leadership.take_lease_request(now, request, reply),
-            _ => {
-                let _ = reply.send(LeaseAnswer::NotLeader { leader });
-            }
-        }
-    }
-
-    fn view(&self) -> ControlAnswer {
-        match self.leadership() {
-            Some(leadership) if self.leads() => {
-                let name = &self.shared.settings.name;
-                let now = monotonic_ms();
-                ControlAnswer::View(leadership.view(&self.board, self.in_force_revision, name, now))
-            }
-            _ => ControlAnswer::NotLeader { leader: self.leader_address() },
-        }
-    }
-
-    /// What came with this daemon's own lease.
-    fn take_lease_content(&mut self, lease: GrantedLease) {
-        self.raise_in_force(lease.in_force_revision);
-        match lease.content {
-            LeaseContent::Commands(commands) => {
-                for (revision, bytes) in commands {
-                    if revision == self.board.revision() + 1
-                        && let Ok(command) = decode_command(&bytes)
-                    {
-                        self.apply(&command);
-                    }
+                ControlMessage::OrderAnswered { server, fence, done } => {
+                    self.step(Input::OrderAnswered { server, fence, done })?;
+                }
+                ControlMessage::PlatformList(rows) => {
+                    let leaving = rows.into_iter().filter(|row| row.leaving).map(|row| row.server).collect();
+                    self.step(Input::Leaving(leaving))?;
                 }
+                ControlMessage::Stop => self.stopping = true,
             }
-            LeaseContent::Snapshot(bytes) => self.restore(&bytes),
         }
-        self.publish();
-    }
-
-    fn raise_in_force(&mut self, revision: u64) {
-        if revision > self.in_force_revision {
-            self.in_force_revision = revision;
-            self.dirty = true;
+        if !submitted.is_empty() {
+            self.step(Input::Submit(submitted))?;
         }
+        Ok(())
     }
 
-    fn restore(&mut self, bytes: &[u8]) {
-        match self.board.restore(bytes) {
-            Ok(true) => {
-                self.shared.watch_hub.reset(self.board.revision());
-                self.dirty = true;
-            }
-            Ok(false) => {}
-            Err(error) => {
-                let subject = Subject::new("daemon", &self.shared.settings.name);
-                self.shared.timeline.record(subject, "SnapshotRefused", error.message(), None, error.code());
+    /// Gives the node an input and carries out, in order, what it asks for.
+    fn step(&mut self, input: Input<Reply>) -> Result<(), StorageError> {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let now = Moment { monotonic: monotonic_ms(), wall_ms: wall_ms() };
+            for output in self.node.step(now, input) {
+                inputs.extend(self.carry_out(output)?);
             }
         }
+        Ok(())
     }
 
-    fn apply(&mut self, command: &Command) -> dockwood_state::Applied {
-        let applied = self.board.apply(command);
-        self.shared.metrics.commands_committed.inc();
-        if command.body.is_configuration() {
-            let revision = self.board.revision();
-            self.shared.watch_hub.push(revision, applied.touched.clone());
-            self.dirty = true;
-            if self.voter.is_some() {
-                for account in accounts(command, &applied, self.board.tables()) {
-                    let (subject, code) = (account.subject, account.code);
-                    self.shared.timeline.record(subject, &account.reason, &account.message, Some(revision), code);
+    fn carry_out(&mut self, output: Output<Reply>) -> Result<Option<Input<Reply>>, StorageError> {
+        match output {
+            Output::Persist { hard_state, entries } => {
+                if let Some(disk) = &mut self.disk {
+                    disk.persist(hard_state, &entries)?;
                 }
+                let last = entries.last();
+                return Ok(last.map(|last| Input::Persisted { index: last.index, term: last.term }));
             }
-        }
-        applied
-    }
-
-    /// Gives the consensus core an input and acts on what follows.
-    fn step(&mut self, input: Input) -> Result<(), StorageError> {
-        let Some(voter) = &mut self.voter else { return Ok(()) };
-        let events = voter.driver.step(input)?;
-        for event in events {
-            match event {
-                DriverEvent::Committed(entries) => entries.into_iter().for_each(|entry| self.commit(entry)),
-                DriverEvent::Restored(data) => {
-                    self.restore(&data);
-                    self.note_restored();
+            Output::StoreSnapshot(snapshot) => {
+                if let Some(disk) = &mut self.disk {
+                    disk.store_snapshot(snapshot)?;
                 }
-                DriverEvent::RoleChanged { role, term, leader } => self.role_changed(role, term, leader),
             }
-        }
-        Ok(())
-    }
-
-    fn note_restored(&mut self) {
-        if let Some(voter) = &mut self.voter {
-            voter.applied_index = voter.driver.node().snapshot_index();
-        }
-    }
-
-    fn commit(&mut self, entry: Entry) {
-        let applied = command_bytes(&entry).and_then(|bytes| decode_command(bytes).ok()).map(|command| self.apply(&command));
-        let revision = self.board.revision();
-        let Some(voter) = &mut self.voter else { return };
-        voter.applied_index = entry.index;
-        let Some(proposal) = voter.proposals.remove(&entry.index) else { return };
-        if matches!(proposal.waiter, Waiter::Controller)
-            && let Some(leadership) = &mut voter.leadership
-        {
-            leadership.controller_command_committed();
-        }
-        if let Waiter::Caller(reply) = proposal.waiter {
-            let answer = match applied {
-                Some(applied) if proposal.term == entry.term => {
-                    SubmitReply::Applied { revision, outcome: encode_outcome(&applied.outcome) }
-                }
-                _ => dropped("another leader's entry took its place"),
-            };
-            let _ = reply.send(answer);
-        }
-    }
-
-    fn role_changed(&mut self, role: RoleName, term: u64, leader: Option<SocketAddr>) {
-        let now = monotonic_ms();
-        let Some(voter) = &mut self.voter else { return };
-        voter.leader = leader;
-        if leader.is_some() {
-            self.shared.set_leader(leader);
-        }
-        let led_before = voter.leadership.is_some();
-        voter.leadership = (role == RoleName::Leader).then(|| Leadership::new(term, now));
-        self.shared.metrics.is_leader.set(i64::from(role == RoleName::Leader));
-        if role != RoleName::Leader {
-            // Whether they will be committed is no longer this node's to know; the caller resends.
-            for (_, proposal) in std::mem::take(&mut voter.proposals) {
-                if let Waiter::Caller(reply) = proposal.waiter {
-                    let _ = reply.send(dropped("this node ceased to lead before the command was committed"));
+            Output::Send(message) => {
+                if let Some(outbox) = self.outboxes.get(&message.to) {
+                    // A full outbox loses the message, as a network may.
+                    let _ = outbox.try_send(message);
                 }
             }
-        }
-        if role == RoleName::Leader || led_before {
-            let reason = if role == RoleName::Leader { "Elected" } else { "SteppedDown" };
-            let subject = Subject::new("daemon", &self.shared.settings.name);
-            self.shared.timeline.record(subject, reason, &format!("term {term}"), None, ResultCode::Ok);
-        }
-    }
-
-    fn propose(&mut self, batch: Batch) -> Result<(), StorageError> {
-        if batch.commands.is_empty() {
-            return Ok(());
-        }
-        let Some(voter) = &mut self.voter else { return Ok(()) };
-        if voter.leadership.is_none() {
-            for waiter in batch.waiters {
-                if let Waiter::Caller(reply) = waiter {
-                    let _ = reply.send(SubmitReply::NotLeader { leader: voter.leader });
+            Output::SubmitReply(reply, answer) => reply.submit(answer),
+            Output::LeaseReply(reply, answer) => reply.lease(self.stamped(answer)),
+            Output::ObserveReply(reply, taken) => reply.observe(taken),
+            Output::ViewReply(reply, view) => reply.view(view),
+            Output::SendOrder(order) => self.orders.send(*order),
+            Output::Record { account, revision } => {
+                let (subject, code) = (account.subject, account.code);
+                self.shared.timeline.record(subject, &account.reason, &account.message, revision, code);
+            }
+            Output::Touched { revision, keys } => {
+                self.shared.metrics.commands_committed.inc();
+                self.shared.watch_hub.push(revision, keys);
+            }
+            Output::Restored { revision } => self.shared.watch_hub.reset(revision),
+            Output::LeaderChanged { leader, leads } => {
+                self.shared.metrics.is_leader.set(i64::from(leads));
+                if leader.is_some() {
+                    self.shared.set_leader(leader);
                 }
             }
-            return Ok(());
-        }
-        let term = voter.driver.node().term();
-        let first = voter.driver.node().last_index() + 1;
-        for (index, waiter) in (first..).zip(batch.waiters) {
-            voter.proposals.insert(index, Proposal { term, waiter });
         }
-        self.step(Input::Propose(batch.commands))
+        Ok(None)
     }
 
-    /// What follows each batch: snapshots for followers, controllers, publication, held leases, compaction.
-    fn finish_round(&mut self) -> Result<(), StorageError> {
-        self.supply_snapshots()?;
-        self.run_controllers()?;
-        if let Some(revision) = self.compute_in_force() {
-            self.raise_in_force(revision);
-        }
-        self.publish();
-        self.answer_held_leases();
-        self.compact()
-    }
-
-    fn supply_snapshots(&mut self) -> Result<(), StorageError> {
-        let Some(voter) = &mut self.voter else { return Ok(()) };
-        let wanted = voter.driver.take_snapshot_wanted();
-        let index = voter.applied_index;
-        let Some(term) = voter.driver.node().term_at(index) else { return Ok(()) };
-        for to in wanted {
-            let data = self.board.state.encode();
-            self.step(Input::SnapshotLoaded { to, index, term, data })?;
-        }
-        Ok(())
-    }
-
-    fn run_controllers(&mut self) -> Result<(), StorageError> {
-        if !self.leads() {
-            return Ok(());
-        }
-        let Some(voter) = &mut self.voter else { return Ok(()) };
-        let Some(leadership) = &mut voter.leadership else { return Ok(()) };
-        // Until an entry of the own term is applied, the tables may lack what an earlier leader committed.
-        if voter.driver.node().term_at(voter.applied_index) != Some(leadership.term) {
-            return Ok(());
-        }
-        let now = monotonic_ms();
-        self.board.forget_gone();
-        leadership.send_orders(now, &self.board, &self.orders);
-        let commands = leadership.decide(now, &self.board);
-        let mut batch = Batch::default();
-        commands.into_iter().for_each(|body| batch.add(body));
-        self.propose(batch)
-    }
-
-    fn compute_in_force(&self) -> Option<u64> {
-        let leadership = self.leadership()?;
-        if !self.leads() {
-            return None;
-        }
-        leadership.leases.in_force_revision(monotonic_ms(), self.board.tables())
-    }
-
-    fn answer_held_leases(&mut self) {
-        if !self.leads() {
-            let leader = self.leader_address();
-            if let Some(leadership) = self.leadership_mut() {
-                leadership.refuse_held(leader);
+    fn stamped(&self, answer: LeaseAnswer) -> LeaseAnswer {
+        match answer {
+            LeaseAnswer::Granted { term, revision, in_force_revision, content, .. } => {
+                let stamp = self.shared.timeline.stamp();
+                LeaseAnswer::Granted { term, revision, in_force_revision, content, stamp }
             }
-            return;
-        }
-        let stamp = self.shared.timeline.stamp();
-        let in_force_revision = self.in_force_revision;
-        let now = monotonic_ms();
-        let Some(voter) = &mut self.voter else { return };
-        if let Some(leadership) = &mut voter.leadership {
-            leadership.answer_held(now, &self.board, in_force_revision, stamp);
-        }
-    }
-
-    fn compact(&mut self) -> Result<(), StorageError> {
-        let Some(voter) = &mut self.voter else { return Ok(()) };
-        if voter.driver.wants_compaction(voter.applied_index) {
-            voter.driver.compact(voter.applied_index, self.board.state.encode())?;
+            other => other,
         }
-        Ok(())
     }
 
     fn publish(&mut self) {
-        if !std::mem::take(&mut self.dirty) {
+        if !self.node.take_dirty() {
             return;
         }
-        let tables = Arc::new(self.board.tables().clone());
+        let tables = Arc::new(self.node.tables().clone());
         let routing = Arc::new(RoutingTable::build(&tables));
-        self.shared.publish(Published { tables, in_force_revision: self.in_force_revision, routing });
-    }
-}
-
-impl Batch {
-    fn add(&mut self, body: CommandBody) {
-        self.commands.push(encode_command(&Command { at_ms: wall_ms(), body }));
-        self.waiters.push(Waiter::Controller);
+        let in_force_revision = self.node.in_force_revision();
+        self.shared.publish(Published { tables, in_force_revision, routing });
     }
 }
-
-fn dropped(message: &str) -> SubmitReply {
-    SubmitReply::Failed { code: ResultCode::ProposalDropped, message: message.to_string() }
-}
--- /dev/null
+++ b/crates/daemon/src/control/voter_disk.rs
@@ -0,0 +1,127 @@
+//! A voter's disk: records of the log, and the snapshot, under its data folder.
+
+use crate::metrics::Metrics;
+use dockwood_api::{ApiError, ResultCode};
+use dockwood_consensus::{Entry, HardState, Recovered};
+use dockwood_control::StoredSnapshot as ControlSnapshot;
+use dockwood_state::State;
+use dockwood_storage::{DataFolder, RecordLog, StorageError, StoredSnapshot, load_snapshot, store_snapshot};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+quick_error! {
+    /// Why a voter can't start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// The data folder.
+        Storage(error: StorageError) {
+            display("{}: {}", error.code_number(), error)
+            from()
+        }
+        /// What the data folder holds can't be read.
+        Content(error: ApiError) {
+            display("{}", error)
+            from()
+        }
+    }
+}
+
+/// One record of the log on disk.
+#[derive(Debug, Serialize, Deserialize)]
+enum StoredRecord {
+    HardState(HardState),
+    /// Replaces any entry of this or a higher index that was stored before.
+    Entry(Entry),
+}
+
+impl StoredRecord {
+    fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+}
+
+/// An open data folder.
+pub struct VoterDisk {
+    folder: DataFolder,
+    log: RecordLog,
+    metrics: Metrics,
+}
+
+/// What a data folder held.
+pub struct RecoveredVoter {
+    /// The disk, open for writing.
+    pub disk: VoterDisk,
+    /// The state of the stored snapshot.
+    pub state: State,
+    /// For the consensus core.
+    pub recovered: Recovered,
+}
+
+impl VoterDisk {
+    /// Opens a data folder and reads all that it holds.
+    pub fn open(path: &Path, metrics: Metrics) -> Result<RecoveredVoter, StartError> {
+        let folder = DataFolder::open(path)?;
+        let snapshot = load_snapshot(&folder)?;
+        let (log, records) = RecordLog::open(&folder)?;
+        let state = match &snapshot {
+            Some(snapshot) => State::decode(&snapshot.data)?,
+            None => State::default(),
+        };
+        let recovered = recover(snapshot.as_ref(), &records)?;
+        Ok(RecoveredVoter { disk: VoterDisk { folder, log, metrics }, state, recovered })
+    }
+
+    /// Appends and syncs.
+    pub fn persist(&mut self, hard_state: Option<HardState>, entries: &[Entry]) -> Result<(), StorageError> {
+        let mut records = Vec::new();
+        records.extend(hard_state.map(|hard_state| StoredRecord::HardState(hard_state).encode()));
+        records.extend(entries.iter().map(|entry| StoredRecord::Entry(entry.clone()).encode()));
+        let timer = self.metrics.log_sync_seconds.start_timer();
+        self.log.append(&records)?;
+        timer.observe_duration();
+        Ok(())
+    }
+
+    /// Stores a snapshot and replaces the log by what follows it.
+    pub fn store_snapshot(&mut self, snapshot: ControlSnapshot) -> Result<(), StorageError> {
+        let ControlSnapshot { index, term, data, hard_state, entries } = snapshot;
+        store_snapshot(&self.folder, &StoredSnapshot { index, term, data })?;
+        let mut records = vec![StoredRecord::HardState(hard_state).encode()];
+        records.extend(entries.into_iter().map(|entry| StoredRecord::Entry(entry).encode()));
+        self.log.replace(&records)
+    }
+}
+
+/// Puts snapshot and records together.
+fn recover(snapshot: Option<&StoredSnapshot>, records: &[Vec<u8>]) -> Result<Recovered, ApiError> {
+    let mut recovered = Recovered {
+        snapshot_index: snapshot.map_or(0, |snapshot| snapshot.index),
+        snapshot_term: snapshot.map_or(0, |snapshot| snapshot.term),
+        ..Recovered::default()
+    };
+    for record in records {
+        let decoded = postcard::from_bytes(record);
+        let record: StoredRecord =
+            decoded.map_err(|error| ApiError::new(ResultCode::FormatUnknown, error.to_string()))?;
+        match record {
+            StoredRecord::HardState(hard_state) => recovered.hard_state = hard_state,
+            StoredRecord::Entry(entry) => replace_from(&mut recovered.entries, entry),
+        }
+    }
+    let snapshot_index = recovered.snapshot_index;
+    recovered.entries.retain(|entry| entry.index > snapshot_index);
+    let has_gap = recovered.entries.iter().zip(snapshot_index + 1..).any(|(entry, expected)| entry.index != expected);
+    if has_gap {
+        return Err(ApiError::new(ResultCode::LogDamaged, "entries are missing between the snapshot and the log"));
+    }
+    Ok(recovered)
+}
+
+/// Appends an entry after dropping those of its index and above.
+fn replace_from(entries: &mut Vec<Entry>, entry: Entry) {
+    while entries.last().is_some_and(|last| last.index >= entry.index) {
+        entries.pop();
+    }
+    entries.push(entry);
+}
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -55,9 +55,9 @@
 }
 
 impl Peer for PeerServer {
-    async fn consensus(self, _: Context, from: u64, messages: Vec<u8>) {
+    async fn consensus(self, _: Context, messages: Vec<u8>) {
         self.count("consensus");
-        self.shared.control.send(ControlMessage::Consensus { from, messages }).await;
+        self.shared.control.send(ControlMessage::Consensus { messages }).await;
     }
 
     async fn lease(self, _: Context, request: LeaseRequest) -> LeaseAnswer {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::control::{
-    ConsensusDriver, ControlHandle, ControlMessage, ControlThread, OrderSender, StartError, StartedVoter, run_control_thread,
+    ControlHandle, ControlMessage, ControlThread, OrderSender, StartError, StartedControl, run_control_thread,
     run_lease_client, run_outbox,
 };
 use crate::http::{App, serve_http};
@@ -72,10 +72,7 @@
     let metrics = Metrics::new().map_err(setup)?;
     let http_listener = listen(settings.http)?;
     let peer_listener = listen(settings.peer)?;
-    let voter = match settings.own_voter() {
-        Some(voter) => Some((voter.id, ConsensusDriver::start(&settings, voter.id, metrics.clone())?)),
-        None => None,
-    };
+    let started = StartedControl::open(&settings, &metrics)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
@@ -86,7 +83,7 @@
     let shared = Arc::new(Shared::new(settings, wall_ms(), metrics, control));
     let http = reqwest::Client::builder().pool_max_idle_per_host(IDLE_CONNECTIONS).build().map_err(setup)?;
     let orders = OrderSender::new(shared.clone(), http.clone(), runtime.handle().clone());
-    let control_ended = start_control(&shared, messages, voter, orders, runtime.handle())?;
+    let control_ended = start_control(&shared, messages, started, orders, runtime.handle())?;
     runtime.block_on(serve(shared, http, http_listener, peer_listener, control_ended))
 }
 
@@ -94,20 +91,14 @@
 fn start_control(
     shared: &Arc<Shared>,
     messages: mpsc::Receiver<ControlMessage>,
-    voter: Option<(u64, StartedVoter)>,
+    mut started: StartedControl,
     orders: OrderSender,
     traffic: &tokio::runtime::Handle,
 ) -> Result<watch::Receiver<Option<Result<(), String>>>, ProcessError> {
-    let (state, driver) = match voter {
-        None => (Default::default(), None),
-        Some((own_id, started)) => {
-            for (address, outbox) in started.outboxes {
-                traffic.spawn(run_outbox(shared.clone(), own_id, address, outbox));
-            }
-            (started.state, Some(started.driver))
-        }
-    };
-    let control = ControlThread::new(shared.clone(), messages, state, driver, orders);
+    for (address, outbox) in std::mem::take(&mut started.to_send) {
+        traffic.spawn(run_outbox(shared.clone(), address, outbox));
+    }
+    let control = ControlThread::new(shared.clone(), messages, started, orders);
     let (ended, control_ended) = watch::channel(None);
     let run = move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use dockwood_api::peer::DaemonRecord;
 use dockwood_api::resource::Isolation;
+use dockwood_control::LEASE_MS;
 use dockwood_routing::{EntryCandidate, Millis, entry_order};
 use dockwood_state::Tables;
 use std::net::SocketAddr;
@@ -18,10 +19,6 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, watch};
 
-/// Length of a configuration lease, counted from when its request was sent. A normal election takes less than
-/// half of it, so that leases outlast one.
-pub const LEASE_MS: Millis = 2_000;
-
 /// Addresses in an entry answer, at most.
 const ENTRY_ADDRESSES: usize = 4;
 
