--- a/crates/placement/src/machines.rs
+++ b/crates/placement/src/machines.rs
@@ -29,7 +29,8 @@
 ///
 /// A domain that keeps a spare afterwards comes first, since a repair from a spare loads one machine's share of
 /// the weights instead of all; then the zone with the fewest replicas of the deployment; then the domain where
-/// the fewest machines are left that can't make a replica of their own.
+/// the fewest machines are left that can't make a replica of their own; then the domain with the fewest replicas
+/// of the deployment, since a domain may be lost whole.
 pub(crate) fn choose_members(
     fleet: &Fleet<'_>,
     deployment: &str,
@@ -38,8 +39,10 @@
 ) -> Option<Vec<String>> {
     let wanted = spec.machines_per_replica as usize;
     let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut in_domain: BTreeMap<&str, usize> = BTreeMap::new();
     for replica in fleet.tables.replicas_of(deployment) {
         *in_zone.entry(replica.zone.as_str()).or_default() += 1;
+        *in_domain.entry(replica.domain.as_str()).or_default() += 1;
     }
     let domains = spares_by_domain(fleet, taken);
     let enough = domains.iter().filter(|(_, domain)| domain.servers.len() >= wanted);
@@ -47,7 +50,8 @@
         let left = domain.servers.len() - wanted;
         let without_spare = left == 0;
         let replicas_in_zone = in_zone.get(domain.zone.as_str()).copied().unwrap_or(0);
-        (without_spare, replicas_in_zone, left % wanted, (*name).clone())
+        let replicas_in_domain = in_domain.get(name.as_str()).copied().unwrap_or(0);
+        (without_spare, replicas_in_zone, left % wanted, replicas_in_domain, (*name).clone())
     });
     best.map(|(_, domain)| domain.servers[..wanted].to_vec())
 }
--- a/crates/routing/src/coordinator.rs
+++ b/crates/routing/src/coordinator.rs
@@ -298,7 +298,7 @@
     /// The expected wait, if it is certain enough to pass the deadline that waiting is no use.
     fn hopeless_wait(&self, tier: u8, wait_ms: u32) -> Option<Millis> {
         let expected = self.expected_wait(tier);
-        (expected > Millis::from(wait_ms)).then_some(expected - Millis::from(wait_ms))
+        (expected > Millis::from(wait_ms)).then(|| expected - Millis::from(wait_ms))
     }
 
     fn cancel(&mut self, ticket: Ticket) {
