--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod run;
 mod traces;
+pub use traces::StatedOutcomes;
 mod up;
 
 use clap::{ArgMatches, Command};
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,85 @@
+//! Settings: each fault has its number, line and field, and all are found at once.
+
+use dockwood_daemon::settings::{Problem, Settings};
+use std::io::Write;
+use yare::parameterized;
+
+const GOOD: &str = "\
+name: e1
+region: r
+zone: z
+listen:
+  http: 127.0.0.1:7000
+  peer: 127.0.0.1:7001
+control:
+  voters:
+    - {id: 1, name: e1, peer: 127.0.0.1:7001}
+    - {id: 2, name: e2, peer: 127.0.0.2:7001}
+  dataFolder: data
+tokens:
+  - {name: ops, role: write, token: a-token}
+";
+
+fn read(text: &str) -> Result<Settings, Vec<Problem>> {
+    let mut file = tempfile::NamedTempFile::new().unwrap_or_else(|error| panic!("{error}"));
+    file.write_all(text.as_bytes()).unwrap_or_else(|error| panic!("{error}"));
+    Settings::read(file.path())
+}
+
+fn problems(text: &str) -> Vec<(u16, usize, String)> {
+    let found = read(text).err().unwrap_or_default();
+    found.into_iter().map(|problem| (problem.code.number(), problem.line, problem.field)).collect()
+}
+
+#[test]
+fn good_settings_are_read_with_their_defaults() {
+    let settings = read(GOOD).unwrap_or_else(|problems| panic!("{problems:?}"));
+    assert_eq!(settings.own_voter().map(|voter| voter.id), Some(1));
+    assert_eq!(settings.entry_lifetime.as_secs(), 10);
+    assert!(settings.tokens[0].digest.starts_with("sha256:"));
+}
+
+#[parameterized(
+    unknown_key = { "zone: z\n", "zone: z\nzoom: 1\n", 7003, 4, "zoom" },
+    unknown_nested_key = { "  peer: 127.0.0.1:7001\ncontrol", "  peer: 127.0.0.1:7001\n  pear: 1\ncontrol", 7003, 7, "listen.pear" },
+    missing_key = { "zone: z\n", "", 7004, 1, "zone" },
+    bad_name = { "name: e1\nregion", "name: E_1\nregion", 7005, 1, "name" },
+    bad_address = { "http: 127.0.0.1:7000", "http: localhost", 7006, 5, "listen.http" },
+    port_zero = { "http: 127.0.0.1:7000", "http: 127.0.0.1:0", 7006, 5, "listen.http" },
+    overlapping_port = { "http: 127.0.0.1:7000", "http: 0.0.0.0:7001", 7007, 6, "listen.peer" },
+    voters_share_an_address = { "127.0.0.2:7001", "127.0.0.1:7001", 7007, 10, "control.voters[1]" },
+    voters_share_an_id = { "id: 2", "id: 1", 7009, 10, "control.voters[1]" },
+    voter_without_folder = { "  dataFolder: data\n", "", 7008, 8, "control.dataFolder" },
+    own_voter_elsewhere = { "name: e1, peer: 127.0.0.1:7001", "name: e1, peer: 127.0.0.9:7001", 7005, 9, "control.voters[0]" },
+    bad_role = { "role: write", "role: admin", 7005, 13, "tokens[0].role" },
+    key_twice = { "zone: z\n", "zone: z\nzone: y\n", 7009, 4, "" },
+    no_yaml = { "tokens:\n", "tokens: [\n", 7002, 13, "" },
+)]
+fn a_fault_has_its_number_line_and_field(from: &str, to: &str, code: u16, line: usize, field: &str) {
+    assert!(GOOD.contains(from));
+    let found = problems(&GOOD.replacen(from, to, 1));
+    assert!(found.contains(&(code, line, field.to_string())), "{found:?}");
+}
+
+#[test]
+fn all_faults_are_found_at_once() {
+    let text = GOOD
+        .replace("zone: z", "zone: z\nzoom: 1")
+        .replace("http: 127.0.0.1:7000", "http: nowhere")
+        .replace("role: write", "role: admin")
+        .replace("id: 2", "id: none");
+    let codes: Vec<u16> = problems(&text).into_iter().map(|problem| problem.0).collect();
+    assert_eq!(codes, [7003, 7006, 7005, 7005]);
+}
+
+#[test]
+fn a_missing_file_has_its_own_number() {
+    let found = Settings::read(std::path::Path::new("/nonexistent/settings.yaml")).err().unwrap_or_default();
+    assert_eq!(found.iter().map(|problem| problem.code.number()).collect::<Vec<_>>(), [7001]);
+}
+
+#[test]
+fn secrets_are_not_shown() {
+    let settings = read(GOOD).unwrap_or_else(|problems| panic!("{problems:?}"));
+    assert!(!format!("{settings:?}").contains("a-token"));
+}
--- /dev/null
+++ b/crates/emulator/tests/emulator.rs
@@ -0,0 +1,213 @@
+//! The emulated platform keeps its own promises: groups depend on each member, fences are checked where they
+//! should be, runs resume by sequence, and the ledger tells what happened.
+
+use dockwood_api::engine::{
+    EngineOrder, GenerateEvent, GenerateRequest, LoadPlan, Member, OrderAction, OrderProgress, OrderReply, RequestPhase,
+    RequestState, Role,
+};
+use dockwood_emulator::{
+    EngineConfig, EngineModel, Fleet, FleetConfig, FleetHandle, LedgerRecord, expected_answer, read_ledger,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tempfile::TempDir;
+
+type Outcome = Result<(), Box<dyn std::error::Error>>;
+
+struct Rig {
+    handle: FleetHandle,
+    folder: TempDir,
+    http: reqwest::Client,
+}
+
+/// Four machines on free ports; the last one does not check fences.
+async fn rig() -> Result<Rig, Box<dyn std::error::Error>> {
+    rig_with_steps_of(2_000).await
+}
+
+/// As above, with decode steps of so many microseconds.
+async fn rig_with_steps_of(step_micros: u64) -> Result<Rig, Box<dyn std::error::Error>> {
+    let folder = TempDir::new()?;
+    let free_address = || -> std::io::Result<SocketAddr> { std::net::TcpListener::bind("127.0.0.1:0")?.local_addr() };
+    let mut engines = Vec::new();
+    for number in 0..4 {
+        engines.push(EngineConfig {
+            name: format!("m{number}"),
+            address: free_address()?,
+            domain: "d".to_string(),
+            zone: "z".to_string(),
+            checks_fences: number != 3,
+        });
+    }
+    let config = FleetConfig {
+        seed: 1,
+        admin: free_address()?,
+        ledger: folder.path().join("ledger.jsonl"),
+        store_mib_per_second: 100_000,
+        list_lag_ms: 0,
+        model: EngineModel { step_micros, ..EngineModel::default() },
+        engines,
+        services: Vec::new(),
+    };
+    Ok(Rig { handle: Fleet::start(config).await?, folder, http: reqwest::Client::new() })
+}
+
+impl Rig {
+    fn address(&self, number: usize) -> SocketAddr {
+        self.handle.fleet.config.engines[number].address
+    }
+
+    fn plan(&self, epoch: u64) -> LoadPlan {
+        let members = self.handle.fleet.config.engines.iter();
+        LoadPlan {
+            replica: "r".to_string(),
+            epoch,
+            model: "model".to_string(),
+            version: "v1".to_string(),
+            adapters: Vec::new(),
+            weights_mib: 10,
+            role: Role::Unified,
+            members: members.map(|one| Member { server: one.name.clone(), address: one.address }).collect(),
+        }
+    }
+
+    async fn order(&self, number: usize, fence: u64, action: OrderAction) -> Result<OrderReply, reqwest::Error> {
+        let order = EngineOrder { id: format!("{number}-{fence}"), fence, action };
+        let url = format!("http://{}/engine/orders", self.address(number));
+        self.http.post(url).json(&order).send().await?.json().await
+    }
+
+    async fn load_all(&self, epoch: u64) -> Outcome {
+        for number in 0..4 {
+            while self.order(number, epoch, OrderAction::Load(self.plan(epoch))).await?.progress != OrderProgress::Done {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn request(&self, id: &str, resume_from: u32, repeatable: bool) -> GenerateRequest {
+        GenerateRequest {
+            id: id.to_string(),
+            replica: "r".to_string(),
+            epoch: 1,
+            prompt: "a prompt".to_string(),
+            adapter: None,
+            max_tokens: 40,
+            priority: 0,
+            resume_from,
+            repeatable,
+        }
+    }
+
+    async fn generate(&self, request: &GenerateRequest) -> Result<(u16, Vec<GenerateEvent>), Box<dyn std::error::Error>> {
+        let url = format!("http://{}/engine/generate", self.address(0));
+        let response = self.http.post(url).json(request).send().await?;
+        let status = response.status().as_u16();
+        let body = response.text().await?;
+        let events: Vec<GenerateEvent> = body.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+        Ok((status, events))
+    }
+
+    async fn admin(&self, machine: usize, change: &str) -> Outcome {
+        let url = format!("http://{}/admin/machines/m{machine}/{change}", self.handle.fleet.config.admin);
+        self.http.post(url).send().await?.error_for_status()?;
+        Ok(())
+    }
+}
+
+fn text(events: &[GenerateEvent]) -> String {
+    let tokens = events.iter().filter_map(|event| match event {
+        GenerateEvent::Token { text, .. } => Some(text.as_str()),
+        _ => None,
+    });
+    tokens.collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_whole_group_answers_and_resumes_by_sequence() -> Outcome {
+    let rig = rig().await?;
+    rig.load_all(1).await?;
+    let (status, events) = rig.generate(&rig.request("a", 0, true)).await?;
+    let expected = expected_answer("a prompt", 40);
+    assert_eq!((status, text(&events)), (200, expected.clone()));
+    let (_, rest) = rig.generate(&rig.request("b", 5, true)).await?;
+    assert!(expected.ends_with(&text(&rest)) && text(&rest).len() < expected.len());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn without_one_member_nothing_is_generated() -> Outcome {
+    // Slow enough that the answer can't be whole before the machine is killed.
+    let rig = rig_with_steps_of(200_000).await?;
+    rig.load_all(1).await?;
+    let request = rig.request("a", 0, true);
+    let (run, killed) = tokio::join!(rig.generate(&request), async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        rig.admin(2, "kill").await
+    });
+    killed?;
+    let (_, events) = run?;
+    assert!(matches!(events.last(), Some(GenerateEvent::Aborted { .. })), "{events:?}");
+    assert!(expected_answer("a prompt", 40).starts_with(&text(&events)));
+    let (_, later) = rig.generate(&rig.request("b", 0, true)).await?;
+    assert_eq!(text(&later), "");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fences_are_checked_only_where_the_fleet_file_says_so() -> Outcome {
+    let rig = rig().await?;
+    rig.load_all(5).await?;
+    assert_eq!(rig.order(0, 4, OrderAction::Unload).await?.progress, OrderProgress::Fenced);
+    assert_ne!(rig.order(3, 4, OrderAction::Unload).await?.progress, OrderProgress::Fenced);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_barred_id_is_refused_and_a_seen_one_is_never_run_again() -> Outcome {
+    let rig = rig().await?;
+    rig.load_all(1).await?;
+    let bar = |id: &'static str| {
+        let url = format!("http://{}/engine/requests/{id}/bar", rig.address(0));
+        let sending = rig.http.post(url).send();
+        async move { sending.await?.json::<RequestState>().await }
+    };
+    assert_eq!(bar("x").await?.phase, RequestPhase::Barred);
+    assert_eq!(rig.generate(&rig.request("x", 0, false)).await?.0, 410);
+    rig.generate(&rig.request("y", 0, false)).await?;
+    assert_eq!(bar("y").await?.phase, RequestPhase::Finished);
+    let (_, again) = rig.generate(&rig.request("y", 0, false)).await?;
+    assert_eq!(text(&again), expected_answer("a prompt", 40));
+    let ledger = read_ledger(&rig.folder.path().join("ledger.jsonl"))?;
+    let runs = |id: &str| ledger.iter().filter(|record| matches!(record, LedgerRecord::Started { request, .. } if request == id)).count();
+    assert_eq!((runs("x"), runs("y")), (0, 1));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_machine_refuses_connections_and_comes_back_empty() -> Outcome {
+    let rig = rig().await?;
+    rig.load_all(1).await?;
+    rig.admin(1, "kill").await?;
+    let health = format!("http://{}/engine/health", rig.address(1));
+    let mut refused = false;
+    for _ in 0..100 {
+        refused = reqwest::Client::new().get(&health).send().await.is_err_and(|error| error.is_connect());
+        if refused {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(refused);
+    rig.admin(1, "start").await?;
+    for _ in 0..100 {
+        if let Ok(response) = reqwest::Client::new().get(&health).send().await {
+            let body = response.text().await?;
+            assert!(body.contains("\"loaded\":false"), "{body}");
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the machine did not come back");
+}
