--- a/crates/api/src/peer/mod.rs
+++ b/crates/api/src/peer/mod.rs
@@ -8,8 +8,9 @@
 pub use admission::{
     AcquireReply, AcquireRequest, Grant, KeptAnswer, Refusal, ReplicaEvidence, RequestRecord, SlotReturn,
 };
-pub use codec::{PostcardCodec, MAX_FRAME_BYTES};
+pub use codec::{MAX_FRAME_BYTES, PostcardCodec};
 pub use control::{
-    ControlAnswer, DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, MachineState, Observation, SubmitReply,
+    ControlAnswer, DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, MachineState, Observation,
+    SubmitReply,
 };
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse};
--- a/crates/api/src/resource/mod.rs
+++ b/crates/api/src/resource/mod.rs
@@ -6,8 +6,8 @@
 
 pub use json::{ResourceView, parse_resource, spec_from_json, view_of};
 pub use spec::{
-    AdapterSpec, DeploymentSpec, Isolation, ModelSpec, ModelVersion, ServerSpec, ServiceServer, ServiceSpec, Spec,
-    TenantLimits, TenantSpec,
+    AdapterSpec, DeploymentSpec, Isolation, ModelSpec, ModelVersion, ServerSpec, ServiceServer, ServiceSpec,
+    Spec, TenantLimits, TenantSpec,
 };
 pub use status::{Condition, Status};
 
@@ -179,7 +179,8 @@
 
 /// Whether `name` may name a resource.
 pub fn is_valid_name(name: &str) -> bool {
-    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.';
+    let allowed =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.';
     !name.is_empty()
         && name.len() <= MAX_NAME_BYTES
         && name.bytes().all(allowed)
--- a/crates/api/src/resource/spec.rs
+++ b/crates/api/src/resource/spec.rs
@@ -48,7 +48,8 @@
             Spec::Service(spec) => spec.validate(),
         };
         report.map_err(|report| {
-            let lines: Vec<String> = report.iter().map(|(path, error)| format!("spec.{path}: {error}")).collect();
+            let lines: Vec<String> =
+                report.iter().map(|(path, error)| format!("spec.{path}: {error}")).collect();
             lines.join("; ")
         })
     }
--- a/crates/api/tests/codes.rs
+++ b/crates/api/tests/codes.rs
@@ -21,7 +21,9 @@
     let rows: Vec<&str> = docs.lines().filter(|line| line.starts_with("| ") && line.contains('`')).collect();
     let expected: Vec<String> = ResultCode::ALL
         .iter()
-        .map(|code| format!("| {} | `{}` | {} | {} |", code.number(), code.name(), code.http_status(), code.meaning()))
+        .map(|code| {
+            format!("| {} | `{}` | {} | {} |", code.number(), code.name(), code.http_status(), code.meaning())
+        })
         .collect();
     assert_eq!(rows, expected);
 }
--- a/crates/api/tests/resources.rs
+++ b/crates/api/tests/resources.rs
@@ -31,7 +31,8 @@
 #[test]
 fn every_problem_of_a_spec_is_named() {
     let body = r#"{"kind":"Deployment","metadata":{"name":"a"},"spec":{"model":"","version":"v","replicas":99,"machinesPerReplica":1}}"#;
-    let message = parse_resource(body.as_bytes()).err().map(|error| error.message().to_string()).unwrap_or_default();
+    let message =
+        parse_resource(body.as_bytes()).err().map(|error| error.message().to_string()).unwrap_or_default();
     for field in ["spec.model", "spec.replicas", "spec.machines_per_replica"] {
         assert!(message.contains(field), "{message}");
     }
@@ -86,7 +87,8 @@
 
 #[test]
 fn a_replicated_change_stands_once_in_the_merged_time_line() {
-    let merged = merge(vec![event(3, "b", Some(7)), event(2, "a", Some(7)), event(1, "c", None), event(4, "c", None)]);
+    let merged =
+        merge(vec![event(3, "b", Some(7)), event(2, "a", Some(7)), event(1, "c", None), event(4, "c", None)]);
     let order: Vec<&str> = merged.iter().map(|event| event.process.as_str()).collect();
     assert_eq!(order, ["c", "a", "c"]);
 }
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -1,7 +1,7 @@
 //! A caller as the brief describes one: asks for addresses, keeps the answer for a while, connects there itself,
 //! and sends again under the same id when it was told that nothing was run.
 
-use crate::topology::{Topology, TenantPlan};
+use crate::topology::{TenantPlan, Topology};
 use crate::trace::{RequestKind, TraceRequest};
 use dockwood_api::caller::{
     ChatChunk, ChatCompletion, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE,
@@ -276,13 +276,29 @@
 
     async fn outcome(&self, address: &str) -> Option<OutcomeAnswer> {
         let url = format!("{address}/v1/requests/{}", self.id);
-        let sent = self.callers.http.get(url).bearer_auth(&self.tenant.key).timeout(CONNECT_TIMEOUT).send().await.ok()?;
+        let sent = self
+            .callers
+            .http
+            .get(url)
+            .bearer_auth(&self.tenant.key)
+            .timeout(CONNECT_TIMEOUT)
+            .send()
+            .await
+            .ok()?;
         sent.error_for_status().ok()?.json().await.ok()
     }
 
     async fn kept_answer(&self, address: &str) -> Option<String> {
         let url = format!("{address}/v1/requests/{}/answer", self.id);
-        let sent = self.callers.http.get(url).bearer_auth(&self.tenant.key).timeout(CONNECT_TIMEOUT).send().await.ok()?;
+        let sent = self
+            .callers
+            .http
+            .get(url)
+            .bearer_auth(&self.tenant.key)
+            .timeout(CONNECT_TIMEOUT)
+            .send()
+            .await
+            .ok()?;
         let completion: ChatCompletion = sent.error_for_status().ok()?.json().await.ok()?;
         completion.choices.into_iter().next().map(|choice| choice.message.content)
     }
@@ -295,9 +311,9 @@
                 "model": request.target, "stream": request.stream, "max_tokens": request.max_tokens,
                 "messages": [{ "role": "user", "content": request.prompt }],
             })),
-            RequestKind::Service => {
-                http.post(format!("{address}/services/{}/records", request.target)).body(request.prompt.clone())
-            }
+            RequestKind::Service => http
+                .post(format!("{address}/services/{}/records", request.target))
+                .body(request.prompt.clone()),
         };
         let left = self.left().as_millis().max(1);
         builder
@@ -324,7 +340,8 @@
         if self.request.kind == RequestKind::Service {
             return response.text().await.map_or(Sending::Broken, Sending::Answer);
         }
-        let is_stream = response.headers().get("content-type").is_some_and(|kind| kind == "text/event-stream");
+        let is_stream =
+            response.headers().get("content-type").is_some_and(|kind| kind == "text/event-stream");
         if !is_stream {
             let completion = response.json::<ChatCompletion>().await;
             let first = completion.ok().and_then(|completion| completion.choices.into_iter().next());
@@ -352,7 +369,8 @@
                     return Sending::Refused(Box::new(body), 0);
                 }
                 let Ok(chunk) = serde_json::from_slice::<ChatChunk>(data) else { return Sending::Broken };
-                let more = chunk.choices.into_iter().find_map(|choice| choice.delta.content).unwrap_or_default();
+                let more =
+                    chunk.choices.into_iter().find_map(|choice| choice.delta.content).unwrap_or_default();
                 if more.is_empty() {
                     continue;
                 }
--- a/crates/bench/src/commands/demo.rs
+++ b/crates/bench/src/commands/demo.rs
@@ -26,12 +26,20 @@
 
 /// `--preset`.
 pub(super) fn preset_argument() -> Arg {
-    Arg::new("preset").long("preset").value_parser(["unidos", "brokerage"]).default_value("unidos").help("Whose fleet")
+    Arg::new("preset")
+        .long("preset")
+        .value_parser(["unidos", "brokerage"])
+        .default_value("unidos")
+        .help("Whose fleet")
 }
 
 /// `--out`.
 pub(super) fn out_argument(default: &'static str) -> Arg {
-    Arg::new("out").long("out").value_parser(value_parser!(PathBuf)).default_value(default).help("Folder for all files")
+    Arg::new("out")
+        .long("out")
+        .value_parser(value_parser!(PathBuf))
+        .default_value(default)
+        .help("Folder for all files")
 }
 
 /// The chosen preset.
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -11,7 +11,14 @@
 
 /// All subcommands.
 pub fn all() -> Vec<Command> {
-    vec![demo::command(), up::command(), run::command(), traces::generate_command(), traces::record_command(), traces::replay_command()]
+    vec![
+        demo::command(),
+        up::command(),
+        run::command(),
+        traces::generate_command(),
+        traces::record_command(),
+        traces::replay_command(),
+    ]
 }
 
 /// Runs the chosen one; false if a promise was broken.
--- a/crates/bench/src/commands/run.rs
+++ b/crates/bench/src/commands/run.rs
@@ -9,7 +9,12 @@
 pub(super) fn command() -> Command {
     Command::new("run")
         .about("Runs an experiment and writes summary.json and report.html")
-        .arg(Arg::new("experiment").required(true).value_parser(value_parser!(PathBuf)).help("Experiment file (YAML)"))
+        .arg(
+            Arg::new("experiment")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Experiment file (YAML)"),
+        )
         .arg(out_argument("out/run"))
 }
 
--- a/crates/bench/src/commands/traces.rs
+++ b/crates/bench/src/commands/traces.rs
@@ -65,7 +65,8 @@
     let outcome = run_experiment(&experiment(matches)?, None, &out_folder(matches)).await?;
     let path = trace_path(matches);
     write_trace(&path, &outcome.trace)?;
-    let lines: Result<Vec<String>, serde_json::Error> = outcome.callers.iter().map(serde_json::to_string).collect();
+    let lines: Result<Vec<String>, serde_json::Error> =
+        outcome.callers.iter().map(serde_json::to_string).collect();
     std::fs::write(path.with_extension("records.jsonl"), lines?.join("\n"))?;
     println!("{}", serde_json::to_string(&outcome.summary)?);
     Ok(outcome.summary.counts.promises_kept())
@@ -95,14 +96,21 @@
         let mut unmet = Vec::new();
         let mut at_most = |name: &str, value: f64, bound: Option<f64>| {
             if bound.is_some_and(|bound| value > bound) {
-                unmet.push(format!("{name}: {value:.1} where at most {:.1} was stated", bound.unwrap_or_default()));
+                unmet.push(format!(
+                    "{name}: {value:.1} where at most {:.1} was stated",
+                    bound.unwrap_or_default()
+                ));
             }
         };
         at_most("unknown", counts.unknown as f64, self.unknown_at_most.map(|bound| bound as f64));
         at_most("first token p95", summary.first_token_ms.p95, self.first_token_p95_ms_at_most);
         at_most("between tokens p95", summary.between_tokens_ms.p95, self.between_tokens_p95_ms_at_most);
         at_most("group downtime", counts.group_downtime_replica_seconds, self.group_downtime_at_most);
-        at_most("percent not whole", 100.0 - whole_percent, self.whole_percent_at_least.map(|bound| 100.0 - bound));
+        at_most(
+            "percent not whole",
+            100.0 - whole_percent,
+            self.whole_percent_at_least.map(|bound| 100.0 - bound),
+        );
         unmet
     }
 }
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -84,7 +84,8 @@
     let samples = Arc::new(Mutex::new(Samples::default()));
     let sampler = tokio::spawn(sample(fleet.operator.clone(), fleet.entry_addresses(), samples.clone()));
     let callers = Arc::new(Callers::new(&topology));
-    let (records, faults) = tokio::join!(send_trace(callers, &trace), run_faults(&mut fleet, &experiment.faults));
+    let (records, faults) =
+        tokio::join!(send_trace(callers, &trace), run_faults(&mut fleet, &experiment.faults));
     let end_ms = wall_ms();
     sampler.abort();
     let faults = faults?;
@@ -110,7 +111,13 @@
     summary.counts.lost += (trace.len() - records.len()) as u64;
     summary.counts.requests = trace.len() as u64;
     summary.process_faults = process_faults;
-    let data = ReportData { summary: &summary, callers: &records, faults: &faults, events: &events, samples: &states };
+    let data = ReportData {
+        summary: &summary,
+        callers: &records,
+        faults: &faults,
+        events: &events,
+        samples: &states,
+    };
     write_report(&folder, &data)?;
     print_account(&summary, &faults);
     Ok(Outcome { summary, callers: records, trace })
@@ -133,7 +140,10 @@
     let first = summary.first_token_ms;
     println!("  first token: p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms", first.p50, first.p95, first.p99);
     let between = summary.between_tokens_ms;
-    println!("  between tokens: p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms", between.p50, between.p95, between.p99);
+    println!(
+        "  between tokens: p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms",
+        between.p50, between.p95, between.p99
+    );
 }
 
 /// Samples the leader's view and every daemon's revision until it is aborted.
--- a/crates/bench/src/fault.rs
+++ b/crates/bench/src/fault.rs
@@ -130,5 +130,7 @@
     } else {
         name.to_string()
     };
-    fleet.daemon_index(&resolved).ok_or_else(|| io::Error::other(format!("no daemon '{resolved}' for '{name}'")))
+    fleet
+        .daemon_index(&resolved)
+        .ok_or_else(|| io::Error::other(format!("no daemon '{resolved}' for '{name}'")))
 }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -45,7 +45,10 @@
         for index in 0..count {
             fleet.start_daemon(index)?;
         }
-        fleet.operator.wait_for("every daemon holds a lease", START_LIMIT, |status| live_daemons(status) == count).await?;
+        fleet
+            .operator
+            .wait_for("every daemon holds a lease", START_LIMIT, |status| live_daemons(status) == count)
+            .await?;
         Ok(fleet)
     }
 
--- a/crates/bench/src/judge/mod.rs
+++ b/crates/bench/src/judge/mod.rs
@@ -29,7 +29,12 @@
 }
 
 /// Judges a run. Revisions that went back are counted by their own sampler.
-pub fn judge(ledger: &[LedgerRecord], callers: &[CallerRecord], frame: &Frame, revision_regressions: u64) -> Counts {
+pub fn judge(
+    ledger: &[LedgerRecord],
+    callers: &[CallerRecord],
+    frame: &Frame,
+    revision_regressions: u64,
+) -> Counts {
     let mut counts = Counts { revision_regressions, ..Counts::default() };
     requests::count(ledger, callers, &mut counts);
     timeline::count(ledger, frame, &mut counts);
--- a/crates/bench/src/judge/requests.rs
+++ b/crates/bench/src/judge/requests.rs
@@ -62,7 +62,9 @@
     }
     let overlap = |left: &(u32, u32), right: &(u32, u32)| left.0 < right.1 && right.0 < left.1;
     let pairs = runs.produced.iter().enumerate();
-    pairs.into_iter().any(|(position, left)| runs.produced[position + 1..].iter().any(|right| overlap(left, right)))
+    pairs
+        .into_iter()
+        .any(|(position, left)| runs.produced[position + 1..].iter().any(|right| overlap(left, right)))
 }
 
 /// A back end had the request before its caller was told that it was not run.
--- a/crates/bench/src/judge/timeline.rs
+++ b/crates/bench/src/judge/timeline.rs
@@ -25,7 +25,8 @@
     }
 
     fn serving_groups(&self) -> impl Iterator<Item = &Group> {
-        let serves = |(group, members): &(&Group, &Vec<String>)| members.iter().all(|one| self.works_for(one, group));
+        let serves =
+            |(group, members): &(&Group, &Vec<String>)| members.iter().all(|one| self.works_for(one, group));
         self.members.iter().filter(serves).map(|(group, _)| group)
     }
 
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -10,7 +10,8 @@
 /// A progress bar over requests; hidden where the output is no terminal.
 fn progress_bar(length: usize) -> ProgressBar {
     let bar = ProgressBar::new(length as u64);
-    if let Ok(style) = ProgressStyle::with_template("{elapsed_precise} {wide_bar} {pos}/{len} requests {msg}") {
+    if let Ok(style) = ProgressStyle::with_template("{elapsed_precise} {wide_bar} {pos}/{len} requests {msg}")
+    {
         bar.set_style(style);
     }
     bar
--- a/crates/bench/src/operator.rs
+++ b/crates/bench/src/operator.rs
@@ -43,7 +43,8 @@
 
     /// Applies one resource, resending under the same change id until a daemon accepts it.
     pub async fn apply(&self, resource: &Value) -> io::Result<Value> {
-        let text = |pointer: &str| resource.pointer(pointer).and_then(Value::as_str).unwrap_or("").to_string();
+        let text =
+            |pointer: &str| resource.pointer(pointer).and_then(Value::as_str).unwrap_or("").to_string();
         let (kind, name) = (text("/kind"), text("/metadata/name"));
         let change_id = ulid::Ulid::new().to_string();
         let mut last = io::Error::other("no daemon is known");
@@ -59,7 +60,9 @@
                 Ok(response) if response.status().is_server_error() => {
                     last = io::Error::other(format!("{}", response.status()));
                 }
-                Ok(response) if response.status().is_success() => return response.json().await.map_err(io::Error::other),
+                Ok(response) if response.status().is_success() => {
+                    return response.json().await.map_err(io::Error::other);
+                }
                 Ok(response) => {
                     let body = response.text().await.unwrap_or_default();
                     return Err(io::Error::other(format!("{kind}/{name}: {body}")));
@@ -77,10 +80,16 @@
         let mut start = 0;
         while start < resources.len() {
             let kind = &resources[start]["kind"];
-            let end = resources[start..].iter().position(|one| &one["kind"] != kind).map_or(resources.len(), |n| start + n);
+            let end = resources[start..]
+                .iter()
+                .position(|one| &one["kind"] != kind)
+                .map_or(resources.len(), |n| start + n);
             let applying = resources[start..end].iter().map(|resource| self.apply(resource));
-            let results: Vec<io::Result<Value>> =
-                futures::StreamExt::collect(futures::StreamExt::buffered(futures::stream::iter(applying), AT_ONCE)).await;
+            let results: Vec<io::Result<Value>> = futures::StreamExt::collect(futures::StreamExt::buffered(
+                futures::stream::iter(applying),
+                AT_ONCE,
+            ))
+            .await;
             results.into_iter().collect::<io::Result<Vec<Value>>>()?;
             start = end;
         }
@@ -93,7 +102,12 @@
     }
 
     /// Waits until `condition` holds of the leader's view.
-    pub async fn wait_for(&self, what: &str, limit: Duration, condition: impl Fn(&Value) -> bool) -> io::Result<()> {
+    pub async fn wait_for(
+        &self,
+        what: &str,
+        limit: Duration,
+        condition: impl Fn(&Value) -> bool,
+    ) -> io::Result<()> {
         const POLL: Duration = Duration::from_millis(100);
         let waiting = async {
             loop {
@@ -117,5 +131,8 @@
 /// Daemons that the view shows as holding a lease.
 pub fn live_daemons(status: &Value) -> usize {
     let daemons = status["daemons"].as_array().map(Vec::as_slice).unwrap_or_default();
-    daemons.iter().filter(|daemon| daemon["holdsLease"] == Value::Bool(true) && daemon["liveness"] == "Live").count()
+    daemons
+        .iter()
+        .filter(|daemon| daemon["holdsLease"] == Value::Bool(true) && daemon["liveness"] == "Live")
+        .count()
 }
--- a/crates/bench/src/plot.rs
+++ b/crates/bench/src/plot.rs
@@ -3,8 +3,14 @@
 use plotters::prelude::*;
 
 const SIZE: (u32, u32) = (720, 320);
-const COLOURS: [RGBColor; 6] =
-    [RGBColor(31, 119, 180), RGBColor(214, 39, 40), RGBColor(44, 160, 44), RGBColor(148, 103, 189), RGBColor(255, 127, 14), RGBColor(90, 90, 90)];
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+    RGBColor(44, 160, 44),
+    RGBColor(148, 103, 189),
+    RGBColor(255, 127, 14),
+    RGBColor(90, 90, 90),
+];
 
 /// One line of a plot.
 #[derive(Clone, Debug)]
@@ -62,9 +68,11 @@
     chart.configure_mesh().x_desc(texts.x).y_desc(texts.y).light_line_style(WHITE).draw()?;
     for (index, line) in series.iter().enumerate() {
         let colour = COLOURS[index % COLOURS.len()];
-        let drawn = chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
+        let drawn =
+            chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
         drawn.label(&line.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
-        chart.draw_series(line.points.iter().take(64).map(|point| Circle::new(*point, 2, colour.filled())))?;
+        chart
+            .draw_series(line.points.iter().take(64).map(|point| Circle::new(*point, 2, colour.filled())))?;
     }
     chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
     root.present()?;
@@ -78,10 +86,12 @@
     let points = if samples.is_empty() {
         Vec::new()
     } else {
-        (0..=STEPS).map(|step| {
-            let index = step * (samples.len() - 1) / STEPS;
-            (step as f64, samples[index])
-        }).collect()
+        (0..=STEPS)
+            .map(|step| {
+                let index = step * (samples.len() - 1) / STEPS;
+                (step as f64, samples[index])
+            })
+            .collect()
     };
     Series { name: name.to_string(), points }
 }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -20,7 +20,12 @@
 
 impl ChildProcess {
     /// Starts a program with its output going to a file.
-    pub fn start(name: &str, program: &Path, arguments: &[String], output: &Path) -> io::Result<ChildProcess> {
+    pub fn start(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        output: &Path,
+    ) -> io::Result<ChildProcess> {
         let file = std::fs::File::options().create(true).append(true).open(output)?;
         let errors = file.try_clone()?;
         let child = Command::new(program)
@@ -98,7 +103,8 @@
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
         // The program's name may hold blanks; the numbers follow its closing bracket.
         let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let number = |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0);
+        let number =
+            |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0);
         let (user_ticks, system_ticks, resident_pages) = (number(11), number(12), number(21));
         Ok(Usage {
             cpu_seconds: (user_ticks + system_ticks) as f64 / TICKS_PER_SECOND,
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -36,9 +36,15 @@
 fn html(data: &ReportData<'_>) -> String {
     let mut page = String::new();
     let title = escape(&data.summary.experiment);
-    page.push_str("<!doctype html><meta charset=\"utf-8\"><style>body{font:14px sans-serif;margin:2em;max-width:60em}");
-    page.push_str("table{border-collapse:collapse}td,th{border:1px solid #bbb;padding:2px 8px;text-align:right}");
-    page.push_str("td:first-child,th:first-child{text-align:left}.bad{background:#fdd}pre{font-size:12px}</style>");
+    page.push_str(
+        "<!doctype html><meta charset=\"utf-8\"><style>body{font:14px sans-serif;margin:2em;max-width:60em}",
+    );
+    page.push_str(
+        "table{border-collapse:collapse}td,th{border:1px solid #bbb;padding:2px 8px;text-align:right}",
+    );
+    page.push_str(
+        "td:first-child,th:first-child{text-align:left}.bad{background:#fdd}pre{font-size:12px}</style>",
+    );
     let _ = write!(page, "<title>{title}</title><h1>{title}</h1>");
     page.push_str(&counts_table(data.summary));
     page.push_str(&tier_table(data.summary));
@@ -132,7 +138,10 @@
     }
     let series = |name: &str, bins: BTreeMap<u64, f64>| Series {
         name: name.to_string(),
-        points: bins.into_iter().map(|(bin, count)| (bin as f64 * BIN_SECONDS, count / BIN_SECONDS)).collect(),
+        points: bins
+            .into_iter()
+            .map(|(bin, count)| (bin as f64 * BIN_SECONDS, count / BIN_SECONDS))
+            .collect(),
     };
     let texts = PlotTexts { title: "Requests a second", x: "seconds", y: "requests/s" };
     line_plot(texts, &[series("sent", sent), series("whole", whole)])
--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -133,7 +133,9 @@
         requests: records.len() as u64,
         whole: records.iter().filter(|record| record.result == CallerResult::Whole).count() as u64,
         first_token_ms: percentiles(records.iter().filter_map(|record| record.first_token_ms)),
-        between_tokens_ms: percentiles(records.iter().flat_map(|record| record.between_tokens_ms.iter().copied())),
+        between_tokens_ms: percentiles(
+            records.iter().flat_map(|record| record.between_tokens_ms.iter().copied()),
+        ),
     }
 }
 
--- a/crates/bench/src/topology.rs
+++ b/crates/bench/src/topology.rs
@@ -243,7 +243,9 @@
         let voters: Vec<Value> = self
             .daemons
             .iter()
-            .filter_map(|one| one.voter.map(|id| json!({ "id": id, "name": one.name, "peer": one.peer.to_string() })))
+            .filter_map(|one| {
+                one.voter.map(|id| json!({ "id": id, "name": one.name, "peer": one.peer.to_string() }))
+            })
             .collect();
         let mut control = json!({ "voters": voters });
         if daemon.voter.is_some() {
@@ -263,9 +265,7 @@
 
     /// All resources, in an order in which they can be applied.
     pub fn resources(&self) -> Vec<Value> {
-        let resource = |kind: &str, name: &str, spec: Value| {
-            json!({ "apiVersion": "dockwood/v1", "kind": kind, "metadata": { "name": name }, "spec": spec })
-        };
+        let resource = |kind: &str, name: &str, spec: Value| json!({ "apiVersion": "dockwood/v1", "kind": kind, "metadata": { "name": name }, "spec": spec });
         let mut resources = Vec::new();
         for tenant in &self.tenants {
             let spec = json!({ "tier": tenant.tier, "keys": [tenant.key] });
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -153,7 +153,9 @@
     let (instruction, new) = match (preset, shape) {
         (Preset::Unidos, Shape::ShiftClose) => ("Summarise the trips of a driver.", "Trips of the shift"),
         (Preset::Unidos, _) => ("Draft an assignment note and a message to the driver.", "Pickup of a rider"),
-        (Preset::Brokerage, _) => ("Check the order, summarise it and propose what to do.", "Order of a client"),
+        (Preset::Brokerage, _) => {
+            ("Check the order, summarise it and propose what to do.", "Order of a client")
+        }
     };
     let prefix = format!("[{tenant}] {instruction} ").repeat(PREFIX_SENTENCES);
     format!("{prefix}Session {session}. {new} {number:016x}.")
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -39,7 +39,10 @@
         faults: vec![
             TimedFault {
                 at_ms: 1_500,
-                action: Action::Machine { name: "head-of:order-checks".to_string(), change: "kill".to_string() },
+                action: Action::Machine {
+                    name: "head-of:order-checks".to_string(),
+                    change: "kill".to_string(),
+                },
             },
             TimedFault { at_ms: 3_000, action: Action::KillDaemon { name: "leader".to_string() } },
         ],
@@ -65,7 +68,14 @@
 }
 
 impl Api {
-    async fn operator(&self, daemon: usize, method: Method, path: &str, change_id: &str, body: Value) -> Result<Answer, reqwest::Error> {
+    async fn operator(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        change_id: &str,
+        body: Value,
+    ) -> Result<Answer, reqwest::Error> {
         let url = format!("http://{}/api/v1/{path}", self.fleet.entry_addresses()[daemon]);
         let mut request = self.http.request(method, url).bearer_auth(OPERATOR_TOKEN);
         if !change_id.is_empty() {
@@ -79,7 +89,8 @@
 
     async fn answer(request: reqwest::RequestBuilder) -> Result<Answer, reqwest::Error> {
         let response = request.timeout(LIMIT).send().await?;
-        let code = response.headers().get("dockwood-result-code").and_then(|code| code.to_str().ok()?.parse().ok());
+        let code =
+            response.headers().get("dockwood-result-code").and_then(|code| code.to_str().ok()?.parse().ok());
         let status = response.status();
         let body = response.json().await.unwrap_or(Value::Null);
         Ok(Answer { status, code, body })
@@ -89,10 +100,18 @@
         self.operator(0, Method::GET, path, "", Value::Null).await
     }
 
-    async fn chat(&self, daemon: usize, key: &str, id: &str, repeatable: &str, prompt: &str) -> Result<Answer, reqwest::Error> {
+    async fn chat(
+        &self,
+        daemon: usize,
+        key: &str,
+        id: &str,
+        repeatable: &str,
+        prompt: &str,
+    ) -> Result<Answer, reqwest::Error> {
         let model = &self.fleet.topology.deployments[0].model;
         let url = format!("http://{}/v1/chat/completions", self.fleet.entry_addresses()[daemon]);
-        let body = json!({ "model": model, "max_tokens": 20, "messages": [{ "role": "user", "content": prompt }] });
+        let body =
+            json!({ "model": model, "max_tokens": 20, "messages": [{ "role": "user", "content": prompt }] });
         let request = self.http.post(url).bearer_auth(key).header(HEADER_REPEATABLE, repeatable).json(&body);
         let request = if id.is_empty() { request } else { request.header(HEADER_IDEMPOTENCY_KEY, id) };
         Api::answer(request).await
@@ -121,7 +140,11 @@
     let first = api.operator(0, Method::POST, "tenants", "id-1", tenant("x", 0)).await?;
     assert_eq!((first.status, first.code), (StatusCode::CREATED, Some(1001)));
     let again = api.operator(1, Method::POST, "tenants", "id-1", tenant("x", 0)).await?;
-    assert_eq!((again.status, again.code), (StatusCode::CREATED, Some(1002)), "the same answer through another daemon");
+    assert_eq!(
+        (again.status, again.code),
+        (StatusCode::CREATED, Some(1002)),
+        "the same answer through another daemon"
+    );
     assert_eq!(again.body["metadata"], first.body["metadata"]);
     let reused = api.operator(0, Method::POST, "tenants", "id-1", tenant("x", 1)).await?;
     assert_eq!(reused.code, Some(4008));
@@ -134,14 +157,21 @@
     assert_eq!(won.code, Some(1001));
     stale["spec"]["tier"] = json!(3);
     let lost = api.operator(0, Method::PUT, "tenants/x", "id-4", stale).await?;
-    assert_eq!((lost.code, &lost.body["error"]["current"]["spec"]["tier"]), (Some(4005), &json!(2)), "the winner is shown");
+    assert_eq!(
+        (lost.code, &lost.body["error"]["current"]["spec"]["tier"]),
+        (Some(4005), &json!(2)),
+        "the winner is shown"
+    );
 
     let read = api.get("tenants/x").await?;
     assert!(!read.body.to_string().contains("key-of-x"), "secrets don't appear: {}", read.body);
     let dry = api.operator(0, Method::DELETE, "tenants/x?dryRun=true", "id-5", Value::Null).await?;
     assert_eq!(dry.status, StatusCode::OK);
     assert_eq!(api.get("tenants/x").await?.status, StatusCode::OK, "a dry run changes nothing");
-    assert_eq!(api.operator(1, Method::DELETE, "tenants/x", "id-6", Value::Null).await?.status, StatusCode::OK);
+    assert_eq!(
+        api.operator(1, Method::DELETE, "tenants/x", "id-6", Value::Null).await?.status,
+        StatusCode::OK
+    );
     let gone = api.operator(1, Method::GET, "tenants/x", "", Value::Null).await?;
     assert_eq!(gone.code, Some(4004), "a daemon sees what it committed");
     Ok(())
@@ -156,7 +186,12 @@
         (Method::POST, "replicas", json!({}), 4012),
         (Method::POST, "tenants", json!({ "kind": "Model", "metadata": { "name": "a" }, "spec": {} }), 4001),
         (Method::PUT, "tenants/other", tenant("x", 0), 4017),
-        (Method::PUT, "tenants/x", json!({ "kind": "Tenant", "metadata": { "name": "x" }, "spec": { "tier": 99, "keys": ["12345678"] } }), 4003),
+        (
+            Method::PUT,
+            "tenants/x",
+            json!({ "kind": "Tenant", "metadata": { "name": "x" }, "spec": { "tier": 99, "keys": ["12345678"] } }),
+            4003,
+        ),
         (Method::DELETE, &format!("models/{model}"), Value::Null, 4007),
         (Method::DELETE, "tenants/none", Value::Null, 4004),
         (Method::GET, "servers?watch=true&resourceVersion=99999999", Value::Null, 1000),
@@ -184,9 +219,15 @@
         (b"{}".to_vec(), "nobody", 2004),
     ] {
         let answer = chat(body, key).await?;
-        assert_eq!((answer.code, &answer.body["error"]["outcome"]), (Some(code), &json!("not-run")), "{}", answer.body);
+        assert_eq!(
+            (answer.code, &answer.body["error"]["outcome"]),
+            (Some(code), &json!("not-run")),
+            "{}",
+            answer.body
+        );
     }
-    let unknown = Api::answer(api.http.get(format!("http://{entry}/services/none/x")).bearer_auth(&key)).await?;
+    let unknown =
+        Api::answer(api.http.get(format!("http://{entry}/services/none/x")).bearer_auth(&key)).await?;
     assert_eq!(unknown.code, Some(2012));
     Ok(())
 }
@@ -194,7 +235,8 @@
 async fn watches_follow(api: &Api) -> Outcome {
     let list = api.get("tenants").await?;
     let from = list.body["resourceVersion"].as_u64().unwrap_or(0);
-    let url = format!("http://{}/api/v1/tenants?watch=true&resourceVersion={from}", api.fleet.entry_addresses()[2]);
+    let url =
+        format!("http://{}/api/v1/tenants?watch=true&resourceVersion={from}", api.fleet.entry_addresses()[2]);
     let mut watch = api.http.get(url).bearer_auth(OPERATOR_TOKEN).send().await?;
     api.operator(0, Method::POST, "tenants", "w-1", tenant("seen", 0)).await?;
     api.operator(1, Method::DELETE, "tenants/seen", "w-2", Value::Null).await?;
@@ -215,7 +257,8 @@
 async fn requests_are_answered_once(api: &Api) -> Outcome {
     let key = api.fleet.topology.tenants[0].key.clone();
     let expected = |prompt: &str| expected_answer(&format!("user: {prompt}\n"), 20);
-    let text = |answer: &Answer| answer.body["choices"][0]["message"]["content"].as_str().unwrap_or("").to_string();
+    let text =
+        |answer: &Answer| answer.body["choices"][0]["message"]["content"].as_str().unwrap_or("").to_string();
     // The same id through three entries at once, not repeatable: one run, and everybody gets its answer.
     let (a, b, c) = tokio::join!(
         api.chat(0, &key, "once-1", "no", "an order"),
@@ -227,7 +270,9 @@
     }
     let ledger = dockwood_emulator::read_ledger(&api.fleet.topology.emulator.ledger)?;
     let id = format!("{}.once-1", api.fleet.topology.tenants[0].name);
-    let runs = ledger.iter().filter(|record| matches!(record, dockwood_emulator::LedgerRecord::Started { request, .. } if *request == id));
+    let runs = ledger.iter().filter(
+        |record| matches!(record, dockwood_emulator::LedgerRecord::Started { request, .. } if *request == id),
+    );
     assert_eq!(runs.count(), 1);
     let other = api.chat(1, &key, "once-1", "no", "another order").await?;
     assert_eq!(other.code, Some(2013));
@@ -263,7 +308,10 @@
     let code = fleet.stop_daemon(2, LIMIT).await?;
     assert_eq!(code, 0);
     let records = load.await?;
-    let bad: Vec<_> = records.iter().filter(|record| record.result != dockwood_bench::caller::CallerResult::Whole).collect();
+    let bad: Vec<_> = records
+        .iter()
+        .filter(|record| record.result != dockwood_bench::caller::CallerResult::Whole)
+        .collect();
     assert!(bad.is_empty(), "{bad:?}");
     assert_eq!(fleet.stop().await?, Vec::<String>::new());
     Ok(())
--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -38,7 +38,12 @@
 
 fn loaded(at: u64, server: &str, replica: Option<&str>) -> LedgerRecord {
     let epoch = u64::from(replica.is_some());
-    LedgerRecord::MachineLoaded { at_ms: START + at, server: server.to_string(), replica: replica.map(str::to_string), epoch }
+    LedgerRecord::MachineLoaded {
+        at_ms: START + at,
+        server: server.to_string(),
+        replica: replica.map(str::to_string),
+        epoch,
+    }
 }
 
 fn changed(at: u64, server: &str, change: &str) -> LedgerRecord {
@@ -60,7 +65,15 @@
 }
 
 fn ended(at: u64, from: u32, to: u32) -> LedgerRecord {
-    LedgerRecord::Ended { at_ms: START + at, request: "t.r".to_string(), replica: "a".to_string(), epoch: 1, from, to, finished: true }
+    LedgerRecord::Ended {
+        at_ms: START + at,
+        request: "t.r".to_string(),
+        replica: "a".to_string(),
+        epoch: 1,
+        from,
+        to,
+        finished: true,
+    }
 }
 
 /// Replica `a` of machines `x` and `y` serves from the start; `z` is spare.
@@ -120,7 +133,8 @@
 )]
 fn a_broken_promise_is_counted_under_its_own_name(count: &str) {
     let counts = sabotaged(count);
-    let broken: Vec<&str> = counts.must_be_zero().iter().filter(|(_, value)| *value > 0).map(|(name, _)| *name).collect();
+    let broken: Vec<&str> =
+        counts.must_be_zero().iter().filter(|(_, value)| *value > 0).map(|(name, _)| *name).collect();
     assert_eq!(broken, [count]);
 }
 
@@ -131,7 +145,10 @@
     ledger.push(ended(2_100, 5, 9));
     let mut seen = caller(CallerResult::Whole);
     seen.told_not_run_ms = vec![START + 50];
-    assert!(judged(ledger, seen, 0).promises_kept(), "fresh evidence, a young leaving, a resumed run, an earlier refusal");
+    assert!(
+        judged(ledger, seen, 0).promises_kept(),
+        "fresh evidence, a young leaving, a resumed run, an earlier refusal"
+    );
 }
 
 #[test]
@@ -173,7 +190,10 @@
 fn percentiles_are_of_the_samples() {
     let all = percentiles((1..=1_000).map(f64::from));
     assert_eq!(all.count, 1_000);
-    assert!((all.p50 - 500.0).abs() < 2.0 && (all.p95 - 950.0).abs() < 2.0 && (all.p99 - 990.0).abs() < 2.0, "{all:?}");
+    assert!(
+        (all.p50 - 500.0).abs() < 2.0 && (all.p95 - 950.0).abs() < 2.0 && (all.p99 - 990.0).abs() < 2.0,
+        "{all:?}"
+    );
     assert_eq!(percentiles(std::iter::empty()).count, 0);
 }
 
@@ -192,7 +212,15 @@
 }
 
 fn workload(shape: Shape) -> Workload {
-    Workload { shape, rate: 50.0, seconds: 20.0, service_percent: 20, once_percent: 30, deadline_ms: 1_000, seed: 7 }
+    Workload {
+        shape,
+        rate: 50.0,
+        seconds: 20.0,
+        service_percent: 20,
+        once_percent: 30,
+        deadline_ms: 1_000,
+        seed: 7,
+    }
 }
 
 #[parameterized(
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -46,7 +46,8 @@
             self.send_in_term(from, reply_term, Body::VoteReply { binding, granted });
             return;
         }
-        let may_vote = term == self.hard_state.term && self.hard_state.voted_for.is_none_or(|voted| voted == from);
+        let may_vote =
+            term == self.hard_state.term && self.hard_state.voted_for.is_none_or(|voted| voted == from);
         let granted = may_vote && log_is_current;
         if granted && self.hard_state.voted_for.is_none() {
             self.hard_state.voted_for = Some(from);
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -17,4 +17,6 @@
 pub use log::EntryLog;
 pub use message::{Body, Message};
 pub use node::Node;
-pub use types::{Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term};
+pub use types::{
+    Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term,
+};
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -154,7 +154,9 @@
             Body::VoteRequest { binding, last_index, last_term } => {
                 self.answer_vote(now, from, message.term, binding, last_index, last_term);
             }
-            Body::VoteReply { binding, granted } => self.count_vote(now, from, message.term, binding, granted),
+            Body::VoteReply { binding, granted } => {
+                self.count_vote(now, from, message.term, binding, granted)
+            }
             Body::Append { previous_index, previous_term, entries, commit, probe } => {
                 if self.accept_leader(now, from, message.term) {
                     self.append_entries(from, previous_index, previous_term, entries, commit, probe);
@@ -263,5 +265,8 @@
 }
 
 fn is_pre_vote(body: &Body) -> bool {
-    matches!(body, Body::VoteRequest { binding: false, .. } | Body::VoteReply { binding: false, granted: true })
+    matches!(
+        body,
+        Body::VoteRequest { binding: false, .. } | Body::VoteReply { binding: false, granted: true }
+    )
 }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -41,8 +41,12 @@
 impl LeaderState {
     pub(crate) fn new(peers: &[NodeId], last_index: LogIndex, now: Millis) -> Self {
         let progress = |id: &NodeId| {
-            let fresh =
-                Progress { next: last_index + 1, matched: 0, acknowledged: Probe::default(), snapshot_until: None };
+            let fresh = Progress {
+                next: last_index + 1,
+                matched: 0,
+                acknowledged: Probe::default(),
+                snapshot_until: None,
+            };
             (*id, fresh)
         };
         LeaderState {
@@ -77,7 +81,8 @@
         let Role::Leader(leader) = &mut self.role else { return };
         if now >= leader.quorum_check_due {
             leader.quorum_check_due = now + self.settings.election_timeout_ms;
-            let acknowledged = leader.quorum_value(now, self.settings.quorum(), |peer| peer.acknowledged.sent_at);
+            let acknowledged =
+                leader.quorum_value(now, self.settings.quorum(), |peer| peer.acknowledged.sent_at);
             let silent_since = acknowledged.max(leader.elected_at);
             if now > silent_since + self.settings.election_timeout_ms {
                 self.become_follower(now, self.hard_state.term, None);
@@ -143,7 +148,14 @@
         self.send(to, Body::Append { previous_index, previous_term, entries, commit, probe });
     }
 
-    pub(crate) fn send_snapshot(&mut self, now: Millis, to: NodeId, index: LogIndex, term: Term, data: Vec<u8>) {
+    pub(crate) fn send_snapshot(
+        &mut self,
+        now: Millis,
+        to: NodeId,
+        index: LogIndex,
+        term: Term,
+        data: Vec<u8>,
+    ) {
         let Role::Leader(leader) = &mut self.role else { return };
         let probe = Probe { round: leader.round, sent_at: now };
         let Some(progress) = leader.followers.get_mut(&to) else { return };
@@ -181,12 +193,20 @@
         self.send(from, Body::AppendReply { matched: false, index, probe });
     }
 
-    pub(crate) fn append_replied(&mut self, now: Millis, from: NodeId, matched: bool, index: LogIndex, probe: Probe) {
+    pub(crate) fn append_replied(
+        &mut self,
+        now: Millis,
+        from: NodeId,
+        matched: bool,
+        index: LogIndex,
+        probe: Probe,
+    ) {
         let last_index = self.log.last_index();
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.followers.get_mut(&from) else { return };
         if probe.round >= progress.acknowledged.round {
-            progress.acknowledged = Probe { round: probe.round, sent_at: probe.sent_at.max(progress.acknowledged.sent_at) };
+            progress.acknowledged =
+                Probe { round: probe.round, sent_at: probe.sent_at.max(progress.acknowledged.sent_at) };
         }
         if matched {
             progress.snapshot_until = None;
@@ -212,7 +232,14 @@
         }
     }
 
-    pub(crate) fn restore_snapshot(&mut self, from: NodeId, index: LogIndex, term: Term, data: Vec<u8>, probe: Probe) {
+    pub(crate) fn restore_snapshot(
+        &mut self,
+        from: NodeId,
+        index: LogIndex,
+        term: Term,
+        data: Vec<u8>,
+        probe: Probe,
+    ) {
         if index > self.commit {
             self.log.reset(index, term);
             self.mark_restored(index);
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -4,7 +4,9 @@
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::resource::{Kind, ResourceKey};
-use dockwood_state::{Applied, ChangeAction, ChangeRequest, Command, CommandBody, Outcome, ReplicaPhase, Tables};
+use dockwood_state::{
+    Applied, ChangeAction, ChangeRequest, Command, CommandBody, Outcome, ReplicaPhase, Tables,
+};
 
 /// An event about to be recorded.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,7 +115,7 @@
     Some(Account::new(subject_of(&key), reason, message, code))
 }
 
-fn touched_replicas<'a>(applied: &'a Applied) -> impl Iterator<Item = &'a ResourceKey> {
+fn touched_replicas(applied: &Applied) -> impl Iterator<Item = &ResourceKey> {
     applied.touched.iter().filter(|key| key.kind == Kind::Replica)
 }
 
@@ -133,7 +135,9 @@
         .filter_map(|key| {
             let row = tables.replicas.get(&key.name)?;
             let (reason, message) = match row.phase {
-                ReplicaPhase::Serving => ("Serving", format!("every machine is loaded for epoch {}", row.epoch)),
+                ReplicaPhase::Serving => {
+                    ("Serving", format!("every machine is loaded for epoch {}", row.epoch))
+                }
                 ReplicaPhase::Loading => ("Loading", row.reason.clone()),
                 ReplicaPhase::Draining => return None,
             };
--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -1,7 +1,7 @@
 //! The blackboard: replicated tables beside what this process observes. The control thread owns it.
 
-use dockwood_api::ApiError;
 use crate::Millis;
+use dockwood_api::ApiError;
 use dockwood_placement::{Fleet, MachineObservations};
 use dockwood_state::{Applied, Command, State, Tables, encode_command};
 use std::collections::{BTreeSet, VecDeque};
@@ -93,7 +93,8 @@
     pub fn forget_gone(&mut self) {
         let tables = &self.state.tables;
         self.observed.machines.retain(|server| tables.server(server).is_some());
-        let current = |replica: &str, epoch: u64| tables.replicas.get(replica).is_some_and(|row| row.epoch == epoch);
+        let current =
+            |replica: &str, epoch: u64| tables.replicas.get(replica).is_some_and(|row| row.epoch == epoch);
         self.observed.idle_replicas.retain(|(replica, epoch)| current(replica, *epoch));
     }
 }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -93,7 +93,8 @@
             self.leases.answered(now, &held.request.daemon.name);
             let content = content_for(board, &held.request);
             let stamp = ClockStamp::default();
-            let answer = LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
+            let answer =
+                LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
             Output::LeaseReply(held.reply, answer)
         };
         due.into_iter().map(answer).collect()
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -87,7 +87,9 @@
     /// What a daemon's liveness should be, where the table can tell.
     pub fn liveness(&self, now: Millis, daemon: &str) -> Option<Liveness> {
         match self.rows.get(daemon) {
-            Some(row) if now < row.expires => Some(if row.leaving { Liveness::Leaving } else { Liveness::Live }),
+            Some(row) if now < row.expires => {
+                Some(if row.leaving { Liveness::Leaving } else { Liveness::Live })
+            }
             Some(_) => Some(Liveness::Lost),
             None => self.predecessors_ran_out(now).then_some(Liveness::Lost),
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,7 +9,9 @@
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply};
 use dockwood_consensus::{self as consensus, Entry, Message, Node, RoleName};
-use dockwood_state::{Applied, Command, CommandBody, State, Tables, decode_command, encode_command, encode_outcome};
+use dockwood_state::{
+    Applied, Command, CommandBody, State, Tables, decode_command, encode_command, encode_outcome,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -172,9 +174,12 @@
 
     fn view(&self, now: Moment) -> ControlAnswer {
         match self.leadership() {
-            Some(leadership) if self.leads(now) => {
-                ControlAnswer::View(leadership.view(&self.board, self.in_force_revision, &self.name, now.monotonic))
-            }
+            Some(leadership) if self.leads(now) => ControlAnswer::View(leadership.view(
+                &self.board,
+                self.in_force_revision,
+                &self.name,
+                now.monotonic,
+            )),
             _ => ControlAnswer::NotLeader { leader: self.leader_address() },
         }
     }
@@ -265,7 +270,9 @@
             consensus::Output::SnapshotNeeded { to } => self.supply_snapshot(now, to),
             // Reads are answered under the leader's lease; nothing asks the core for an index.
             consensus::Output::ReadReady { .. } => {}
-            consensus::Output::RoleChanged { role, term, leader } => self.role_changed(now, role, term, leader),
+            consensus::Output::RoleChanged { role, term, leader } => {
+                self.role_changed(now, role, term, leader)
+            }
         }
     }
 
@@ -374,7 +381,8 @@
             return;
         }
         let leadership = self.leadership();
-        let known = leadership.and_then(|leader| leader.leases.in_force_revision(now.monotonic, self.board.tables()));
+        let known =
+            leadership.and_then(|leader| leader.leases.in_force_revision(now.monotonic, self.board.tables()));
         if let Some(revision) = known {
             self.raise_in_force(revision);
         }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -25,7 +25,9 @@
             let unwell: Vec<String> = row
                 .members
                 .iter()
-                .filter(|server| !matches!(fleet.health(server), MachineHealth::Usable | MachineHealth::Recovering))
+                .filter(|server| {
+                    !matches!(fleet.health(server), MachineHealth::Usable | MachineHealth::Recovering)
+                })
                 .map(|server| format!("{server} {:?}", fleet.health(server)))
                 .collect();
             json!({
@@ -39,9 +41,13 @@
         .servers()
         .map(|(name, _)| name)
         .filter(|name| {
-            let in_serving = tables.machines.get(*name).and_then(|machine| machine.holder.as_ref()).is_some_and(|holder| {
-                tables.replicas.get(&holder.replica).is_some_and(|row| row.phase == ReplicaPhase::Serving)
-            });
+            let in_serving = tables
+                .machines
+                .get(*name)
+                .and_then(|machine| machine.holder.as_ref())
+                .is_some_and(|holder| {
+                    tables.replicas.get(&holder.replica).is_some_and(|row| row.phase == ReplicaPhase::Serving)
+                });
             !in_serving && !matches!(fleet.health(name), MachineHealth::Dead | MachineHealth::Unknown)
         })
         .collect();
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -70,7 +70,8 @@
         in_flight: shared.in_flight(),
         stamp: shared.timeline.stamp(),
     };
-    let call = |client: dockwood_api::peer::PeerClient, context| async move { client.lease(context, request).await };
+    let call =
+        |client: dockwood_api::peer::PeerClient, context| async move { client.lease(context, request).await };
     shared.peers.call(target, ANSWER_TIMEOUT, call).await
 }
 
@@ -89,7 +90,8 @@
         if holds != held {
             held = holds;
             let subject = Subject::new("daemon", &shared.settings.name);
-            let (reason, code) = if holds { ("LeaseHeld", ResultCode::Ok) } else { ("LeaseLost", ResultCode::NoLease) };
+            let (reason, code) =
+                if holds { ("LeaseHeld", ResultCode::Ok) } else { ("LeaseLost", ResultCode::NoLease) };
             shared.timeline.record(subject, reason, "", None, code);
             shared.metrics.lease_held.set(i64::from(holds));
         }
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -3,7 +3,9 @@
 use super::ControlMessage;
 use crate::clock::monotonic_ms;
 use crate::shared::Shared;
-use dockwood_api::engine::{EngineOrder, GroupHealth, OrderAction, OrderProgress, OrderReply, PATH_HEALTH, PATH_ORDERS};
+use dockwood_api::engine::{
+    EngineOrder, GroupHealth, OrderAction, OrderProgress, OrderReply, PATH_HEALTH, PATH_ORDERS,
+};
 use dockwood_control::{Millis, OrderToSend};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,8 +63,12 @@
                 return false;
             }
             match self.post(delivery).await {
-                Some(OrderReply { progress: OrderProgress::Done, .. }) => return self.is_in_effect(delivery).await,
-                Some(OrderReply { progress: OrderProgress::Working, .. }) => tokio::time::sleep(POLL_EVERY).await,
+                Some(OrderReply { progress: OrderProgress::Done, .. }) => {
+                    return self.is_in_effect(delivery).await;
+                }
+                Some(OrderReply { progress: OrderProgress::Working, .. }) => {
+                    tokio::time::sleep(POLL_EVERY).await
+                }
                 Some(OrderReply { progress: OrderProgress::Fenced, .. }) | None => return false,
             }
         }
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -127,7 +127,9 @@
                     let decoded = postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default();
                     self.step(Input::Consensus(decoded))?;
                 }
-                ControlMessage::Lease { request, reply } => self.step(Input::Lease(request, Reply::Lease(reply)))?,
+                ControlMessage::Lease { request, reply } => {
+                    self.step(Input::Lease(request, Reply::Lease(reply)))?
+                }
                 ControlMessage::Observe { term, observations, reply } => {
                     self.step(Input::Observe(term, observations, Reply::Observe(reply)))?;
                 }
--- a/crates/daemon/src/control/voter_disk.rs
+++ b/crates/daemon/src/control/voter_disk.rs
@@ -111,9 +111,13 @@
     }
     let snapshot_index = recovered.snapshot_index;
     recovered.entries.retain(|entry| entry.index > snapshot_index);
-    let has_gap = recovered.entries.iter().zip(snapshot_index + 1..).any(|(entry, expected)| entry.index != expected);
+    let has_gap =
+        recovered.entries.iter().zip(snapshot_index + 1..).any(|(entry, expected)| entry.index != expected);
     if has_gap {
-        return Err(ApiError::new(ResultCode::LogDamaged, "entries are missing between the snapshot and the log"));
+        return Err(ApiError::new(
+            ResultCode::LogDamaged,
+            "entries are missing between the snapshot and the log",
+        ));
     }
     Ok(recovered)
 }
--- a/crates/daemon/src/http/auth.rs
+++ b/crates/daemon/src/http/auth.rs
@@ -34,6 +34,7 @@
     let key = bearer(request);
     let published = app.shared.published();
     let tenant = key.and_then(|key| published.routing.tenant_of(key));
-    let message = if key.is_none() { "send Authorization: Bearer KEY" } else { "the key belongs to no tenant" };
+    let message =
+        if key.is_none() { "send Authorization: Bearer KEY" } else { "the key belongs to no tenant" };
     tenant.map(str::to_string).ok_or_else(|| ApiError::new(ResultCode::UnknownTenant, message))
 }
--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -8,8 +8,8 @@
 use crate::traffic::records::{find, record_key};
 use bytes::Bytes;
 use dockwood_api::caller::{
-    ChatRequest, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE, HEADER_REQUEST_ID,
-    HEADER_SESSION, ModelEntry, ModelList, Outcome, OutcomeAnswer,
+    ChatRequest, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE,
+    HEADER_REQUEST_ID, HEADER_SESSION, ModelEntry, ModelList, Outcome, OutcomeAnswer,
 };
 use dockwood_api::digest::content_digest;
 use dockwood_api::peer::KeptAnswer;
@@ -121,7 +121,9 @@
         None => app.shared.settings.default_deadline.as_millis() as u64,
         Some(text) => {
             let parsed = text.parse::<u64>().ok().filter(|deadline| (1..=MAX_DEADLINE_MS).contains(deadline));
-            parsed.ok_or_else(|| bad(format!("Dockwood-Deadline-Ms: '{text}' is not from 1 to {MAX_DEADLINE_MS}")))?
+            parsed.ok_or_else(|| {
+                bad(format!("Dockwood-Deadline-Ms: '{text}' is not from 1 to {MAX_DEADLINE_MS}"))
+            })?
         }
     };
     let id = key.map_or_else(|| ulid::Ulid::new().to_string(), str::to_string);
@@ -160,12 +162,15 @@
         }
         other => ApiError::new(ResultCode::BadJson, other.to_string()),
     })?;
-    let chat: ChatRequest =
-        serde_json::from_slice(&bytes).map_err(|error| ApiError::new(ResultCode::BadJson, error.to_string()))?;
+    let chat: ChatRequest = serde_json::from_slice(&bytes)
+        .map_err(|error| ApiError::new(ResultCode::BadJson, error.to_string()))?;
     let published = app.shared.published();
     let routes = published.routes_for(&tenant, &chat.model);
     if routes.is_empty() {
-        return Err(ApiError::new(ResultCode::UnknownModel, format!("no deployment serves '{}'", chat.model)));
+        return Err(ApiError::new(
+            ResultCode::UnknownModel,
+            format!("no deployment serves '{}'", chat.model),
+        ));
     }
     check_open(app, routes.iter().any(|route| app.shared.may_dispatch(&route.pool)))?;
     let job = ChatJob {
@@ -201,7 +206,9 @@
         Some(ChatEvent::Failed(failure)) => refusal::caller(app, &failure, session),
         Some(ChatEvent::Kept(kept)) if chat.stream => sse(Body::from(writer.replay(&kept))),
         Some(ChatEvent::Kept(kept)) => kept_response(kept),
-        Some(first) if chat.stream => sse(stream_body(app.clone(), writer, first, events, session.to_string())),
+        Some(first) if chat.stream => {
+            sse(stream_body(app.clone(), writer, first, events, session.to_string()))
+        }
         Some(first) => whole_response(app, &writer, first, events, session).await,
     };
     if let Ok(value) = id.parse() {
@@ -242,7 +249,9 @@
 
 fn whole(writer: &CompletionWriter, text: &str, finish: &Finish) -> Response {
     let completion = writer.whole(text, finish);
-    Response::builder().content_type("application/json").body(serde_json::to_vec(&completion).unwrap_or_default())
+    Response::builder()
+        .content_type("application/json")
+        .body(serde_json::to_vec(&completion).unwrap_or_default())
 }
 
 fn stream_body(
@@ -318,7 +327,9 @@
     let record = find(&app.shared, &app.traffic.records, &record_key(&tenant, &id)).await;
     match record.map(|record| (record.outcome, record.answer)) {
         Some((_, Some(kept))) => kept_response(kept),
-        Some((Outcome::Running, None)) => refusal::bare(ResultCode::AlreadyRunning, "the request is still running"),
+        Some((Outcome::Running, None)) => {
+            refusal::bare(ResultCode::AlreadyRunning, "the request is still running")
+        }
         Some((Outcome::Unknown, None)) => refusal::bare(ResultCode::OutcomeUnknown, "no answer is known"),
         _ => not_found(&id),
     }
--- a/crates/daemon/src/http/completion.rs
+++ b/crates/daemon/src/http/completion.rs
@@ -109,5 +109,9 @@
 pub fn kept_answer(job: &ChatJob, text: &str, finish: &Finish) -> KeptAnswer {
     let model = job.routes.first().map(|route| route.adapter.as_ref().unwrap_or(&route.pool).clone());
     let whole = CompletionWriter::new(&job.id, &model.unwrap_or_default()).whole(text, finish);
-    KeptAnswer { status: 200, content_type: JSON.to_string(), body: serde_json::to_vec(&whole).unwrap_or_default() }
+    KeptAnswer {
+        status: 200,
+        content_type: JSON.to_string(),
+        body: serde_json::to_vec(&whole).unwrap_or_default(),
+    }
 }
--- a/crates/daemon/src/http/list_query.rs
+++ b/crates/daemon/src/http/list_query.rs
@@ -81,7 +81,9 @@
         match self.limit {
             None => Ok(DEFAULT_LIMIT),
             Some(limit) if (1..=MAX_LIMIT).contains(&limit) => Ok(limit),
-            Some(_) => Err(ApiError::new(ResultCode::BadQuery, format!("limit: a number from 1 to {MAX_LIMIT}"))),
+            Some(_) => {
+                Err(ApiError::new(ResultCode::BadQuery, format!("limit: a number from 1 to {MAX_LIMIT}")))
+            }
         }
     }
 
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -51,7 +51,10 @@
         .at(api("/status"), get(operator::read_status))
         .at(api("/events"), get(operator::list_events))
         .at(api("/:kind"), get(operator::list_resources).post(operator::create_resource))
-        .at(api("/:kind/:name"), get(operator::read_resource).put(operator::replace_resource).delete(operator::delete_resource))
+        .at(
+            api("/:kind/:name"),
+            get(operator::read_resource).put(operator::replace_resource).delete(operator::delete_resource),
+        )
         .at("/v1/entry", get(caller::entry_addresses))
         .at("/v1/models", get(caller::list_models))
         .at("/v1/chat/completions", post(caller::chat_completions))
@@ -60,7 +63,9 @@
         .at("/services/:service", service::call_service)
         .at("/services/:service/*path", service::call_service)
         .data(app)
-        .catch_error(|_: NotFoundError| async { refusal::bare(ResultCode::NoSuchPath, "there is no such path") })
+        .catch_error(|_: NotFoundError| async {
+            refusal::bare(ResultCode::NoSuchPath, "there is no such path")
+        })
         .catch_error(|_: MethodNotAllowedError| async {
             refusal::bare(ResultCode::NoSuchPath, "this path does not take this method")
         })
--- a/crates/daemon/src/http/operator.rs
+++ b/crates/daemon/src/http/operator.rs
@@ -70,16 +70,17 @@
     let selector = query.selector()?;
     if query.watch {
         let lines = watch_stream(app.shared.clone(), kind, selector, query.resource_version)?;
-        return Ok(Response::builder().content_type("application/x-ndjson").body(Body::from_bytes_stream(lines)));
+        return Ok(Response::builder()
+            .content_type("application/x-ndjson")
+            .body(Body::from_bytes_stream(lines)));
     }
     let limit = query.page_limit()?;
     let published = app.shared.published();
     let tables = &published.tables;
     let after = query.r#continue.unwrap_or_default();
     let names = view::names(tables, kind).into_iter().filter(|name| *name > after);
-    let views = names.filter_map(|name| {
-        view::view(tables, published.in_force_revision, &ResourceKey::new(kind, name))
-    });
+    let views = names
+        .filter_map(|name| view::view(tables, published.in_force_revision, &ResourceKey::new(kind, name)));
     let mut selected = views.filter(|view| selector.selects(&view.metadata));
     let items: Vec<ResourceView> = selected.by_ref().take(limit).collect();
     let more = selected.next().is_some();
@@ -93,7 +94,11 @@
 
 /// `GET /api/v1/{kind}/{name}`.
 #[handler]
-pub fn read_resource(Data(app): Data<&App>, request: &Request, Path((kind, name)): Path<(String, String)>) -> Response {
+pub fn read_resource(
+    Data(app): Data<&App>,
+    request: &Request,
+    Path((kind, name)): Path<(String, String)>,
+) -> Response {
     let result = auth::operator(app, request, OperatorRole::Read).and_then(|()| {
         let key = ResourceKey::new(Kind::from_str(&kind)?, name);
         let published = app.shared.published();
@@ -105,7 +110,12 @@
 
 /// `POST /api/v1/{kind}`: creates.
 #[handler]
-pub async fn create_resource(Data(app): Data<&App>, request: &Request, Path(kind): Path<String>, body: Body) -> Response {
+pub async fn create_resource(
+    Data(app): Data<&App>,
+    request: &Request,
+    Path(kind): Path<String>,
+    body: Body,
+) -> Response {
     answer(app, change(app, request, &kind, None, body, ChangeAction::Create).await)
 }
 
@@ -180,10 +190,16 @@
     }
 }
 
-async fn commit(app: &App, request: &Request, action: ChangeAction, dry_run: bool) -> Result<Response, ApiError> {
+async fn commit(
+    app: &App,
+    request: &Request,
+    action: ChangeAction,
+    dry_run: bool,
+) -> Result<Response, ApiError> {
     let change_id = change_id(request)?;
     let content = postcard::to_stdvec(&action).unwrap_or_default();
-    let body = CommandBody::Change(ChangeRequest { change_id, content_digest: content_digest(&content), action });
+    let body =
+        CommandBody::Change(ChangeRequest { change_id, content_digest: content_digest(&content), action });
     if dry_run {
         return Ok(change_response(app, try_out(app, body)));
     }
@@ -271,7 +287,8 @@
 /// `GET /api/v1/events`: this daemon's part of the time line.
 #[handler]
 pub fn list_events(Data(app): Data<&App>, request: &Request) -> Response {
-    let result = auth::operator(app, request, OperatorRole::Read).and_then(|()| query::<EventsQuery>(request));
+    let result =
+        auth::operator(app, request, OperatorRole::Read).and_then(|()| query::<EventsQuery>(request));
     answer(
         app,
         result.map(|query| {
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -47,7 +47,8 @@
     let service = request.raw_path_param("service").unwrap_or("").to_string();
     let published = app.shared.published();
     let spec = published.tables.service(&service).filter(|spec| is_allowed(&tenant, &spec.tenants)).cloned();
-    let unknown = || ApiError::new(ResultCode::UnknownService, format!("no service '{service}' for this tenant"));
+    let unknown =
+        || ApiError::new(ResultCode::UnknownService, format!("no service '{service}' for this tenant"));
     let spec = spec.ok_or_else(unknown)?;
     let repeatable = headers.repeatable.unwrap_or_else(|| is_repeatable(request.method()));
     let call = ServiceCall {
--- a/crates/daemon/src/http/watch.rs
+++ b/crates/daemon/src/http/watch.rs
@@ -21,25 +21,13 @@
 #[serde(tag = "type", rename_all = "UPPERCASE", rename_all_fields = "camelCase")]
 enum WatchLine {
     /// The resource is there and has changed; its status may be what changed.
-    Modified {
-        object: Box<ResourceView>,
-        resource_version: u64,
-    },
+    Modified { object: Box<ResourceView>, resource_version: u64 },
     /// The resource is gone.
-    Deleted {
-        kind: Kind,
-        name: String,
-        resource_version: u64,
-    },
+    Deleted { kind: Kind, name: String, resource_version: u64 },
     /// Nothing that was selected has changed up to here; a watch may resume from it.
-    Bookmark {
-        resource_version: u64,
-    },
+    Bookmark { resource_version: u64 },
     /// The watch can't go on from where it is.
-    Error {
-        code: u16,
-        message: String,
-    },
+    Error { code: u16, message: String },
 }
 
 struct Watcher {
@@ -127,7 +115,11 @@
                     self.push(&WatchLine::Modified { object: Box::new(object), resource_version: revision });
                 }
                 Some(_) => {}
-                None => self.push(&WatchLine::Deleted { kind: key.kind, name: key.name, resource_version: revision }),
+                None => self.push(&WatchLine::Deleted {
+                    kind: key.kind,
+                    name: key.name,
+                    resource_version: revision,
+                }),
             }
         }
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics by `prometheus`: what repeats is counted here.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds.
@@ -61,11 +61,12 @@
     /// Registers everything.
     pub fn new() -> Result<Metrics, prometheus::Error> {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec, prometheus::Error> {
-            let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(vector.clone()))?;
-            Ok(vector)
-        };
+        let counters =
+            |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec, prometheus::Error> {
+                let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
+                registry.register(Box::new(vector.clone()))?;
+                Ok(vector)
+            };
         let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
             let counter = IntCounter::new(name, help)?;
             registry.register(Box::new(counter.clone()))?;
@@ -81,19 +82,29 @@
             registry.register(Box::new(vector.clone()))?;
             Ok(vector)
         };
-        let histograms = |name: &str, help: &str, labels: &[&str]| -> Result<HistogramVec, prometheus::Error> {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let vector = HistogramVec::new(options, labels)?;
-            registry.register(Box::new(vector.clone()))?;
-            Ok(vector)
-        };
-        let sync_options = HistogramOpts::new("dockwood_log_sync_seconds", "Time of a synced write to the log");
+        let histograms =
+            |name: &str, help: &str, labels: &[&str]| -> Result<HistogramVec, prometheus::Error> {
+                let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+                let vector = HistogramVec::new(options, labels)?;
+                registry.register(Box::new(vector.clone()))?;
+                Ok(vector)
+            };
+        let sync_options =
+            HistogramOpts::new("dockwood_log_sync_seconds", "Time of a synced write to the log");
         let log_sync_seconds = Histogram::with_opts(sync_options.buckets(SYNC_BUCKETS.to_vec()))?;
         registry.register(Box::new(log_sync_seconds.clone()))?;
         Ok(Metrics {
             answers: counters("dockwood_answers_total", "Answers to callers", &["code"])?,
-            operator_refusals: counters("dockwood_operator_refusals_total", "Refused operator calls", &["code"])?,
-            first_token_seconds: histograms("dockwood_first_token_seconds", "Time to the first token", &["tier"])?,
+            operator_refusals: counters(
+                "dockwood_operator_refusals_total",
+                "Refused operator calls",
+                &["code"],
+            )?,
+            first_token_seconds: histograms(
+                "dockwood_first_token_seconds",
+                "Time to the first token",
+                &["tier"],
+            )?,
             queue_seconds: histograms("dockwood_queue_seconds", "Time waited for a slot", &["tier"])?,
             tokens: counter("dockwood_tokens_total", "Tokens sent to callers")?,
             in_flight: gauge("dockwood_in_flight", "Requests in flight at this entry")?,
@@ -101,7 +112,11 @@
             retries_refused: counter("dockwood_retries_refused_total", "Retries refused by the budget")?,
             peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
             peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
-            service_calls: counters("dockwood_service_calls_total", "Calls to services", &["service", "result"])?,
+            service_calls: counters(
+                "dockwood_service_calls_total",
+                "Calls to services",
+                &["service", "result"],
+            )?,
             probes: counters("dockwood_probes_total", "Probes of machines", &["result"])?,
             revision: gauge("dockwood_revision", "Newest revision applied")?,
             in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
@@ -109,7 +124,10 @@
             is_leader: gauge("dockwood_is_leader", "Whether this daemon leads the control group")?,
             pool_waiting: gauges("dockwood_pool_waiting", "Waiting requests", &["pool", "tier"])?,
             replica_slots_used: gauges("dockwood_replica_slots_used", "Slots in use", &["replica"])?,
-            commands_committed: counter("dockwood_commands_committed_total", "Commands applied from the log")?,
+            commands_committed: counter(
+                "dockwood_commands_committed_total",
+                "Commands applied from the log",
+            )?,
             log_sync_seconds,
             registry,
         })
--- a/crates/daemon/src/peer/clients.rs
+++ b/crates/daemon/src/peer/clients.rs
@@ -52,7 +52,12 @@
     }
 
     /// Makes one call. A broken connection is dropped, so that the next call connects anew.
-    pub async fn call<T, F, Call>(&self, address: SocketAddr, limit: Duration, call: F) -> Result<T, PeerFailure>
+    pub async fn call<T, F, Call>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        call: F,
+    ) -> Result<T, PeerFailure>
     where
         F: FnOnce(PeerClient, Context) -> Call,
         Call: Future<Output = Result<T, RpcError>>,
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -6,5 +6,5 @@
 
 pub use clients::{PeerClients, PeerFailure};
 pub use server::serve_peers;
-pub use submit::{control_view, submit};
 pub(crate) use submit::Targets;
+pub use submit::{control_view, submit};
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -5,8 +5,8 @@
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
 use dockwood_api::peer::{
-    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, MAX_FRAME_BYTES, Observation, Peer,
-    PostcardCodec, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, MAX_FRAME_BYTES, Observation,
+    Peer, PostcardCodec, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
 };
 use futures::StreamExt;
 use std::sync::Arc;
@@ -27,8 +27,7 @@
     listener: tokio::net::TcpListener,
 ) -> std::io::Result<()> {
     let server = PeerServer { shared, traffic };
-    let mut incoming =
-        tarpc::serde_transport::tcp::listen_on(listener, PostcardCodec::default).await?;
+    let mut incoming = tarpc::serde_transport::tcp::listen_on(listener, PostcardCodec::default).await?;
     incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
     while let Some(connection) = incoming.next().await {
         let Ok(transport) = connection else { continue };
--- a/crates/daemon/src/peer/submit.rs
+++ b/crates/daemon/src/peer/submit.rs
@@ -32,7 +32,9 @@
     loop {
         let target = targets.next(shared);
         match submit_once(shared, target, command.clone()).await {
-            Ok(SubmitReply::Applied { revision, outcome }) => return Ok((revision, decode_outcome(&outcome)?)),
+            Ok(SubmitReply::Applied { revision, outcome }) => {
+                return Ok((revision, decode_outcome(&outcome)?));
+            }
             Ok(SubmitReply::NotLeader { leader }) => targets.hint(leader),
             Ok(SubmitReply::Failed { code, message }) => last_failure = ApiError::new(code, message),
             Err(failure) => {
@@ -50,8 +52,14 @@
     }
 }
 
-async fn submit_once(shared: &Shared, target: SocketAddr, command: Vec<u8>) -> Result<SubmitReply, PeerFailure> {
-    let call = |client: dockwood_api::peer::PeerClient, context| async move { client.submit(context, command).await };
+async fn submit_once(
+    shared: &Shared,
+    target: SocketAddr,
+    command: Vec<u8>,
+) -> Result<SubmitReply, PeerFailure> {
+    let call = |client: dockwood_api::peer::PeerClient, context| async move {
+        client.submit(context, command).await
+    };
     shared.peers.call(target, SUBMIT_TIMEOUT, call).await
 }
 
@@ -61,7 +69,9 @@
     let mut targets = Targets::new(shared);
     loop {
         let target = targets.next(shared);
-        let call = |client: dockwood_api::peer::PeerClient, context| async move { client.control_view(context).await };
+        let call = |client: dockwood_api::peer::PeerClient, context| async move {
+            client.control_view(context).await
+        };
         match shared.peers.call(target, SUBMIT_TIMEOUT, call).await {
             Ok(ControlAnswer::View(view)) => return Ok(view),
             Ok(ControlAnswer::NotLeader { leader }) => targets.hint(leader),
--- a/crates/daemon/src/probe/machine_prober.rs
+++ b/crates/daemon/src/probe/machine_prober.rs
@@ -69,9 +69,12 @@
 
 fn retain_own(tables: &Tables, own: &str, reporter: &Reporter) {
     let owns = |server: &str| match tables.machines.get(server).and_then(|machine| machine.holder.as_ref()) {
-        Some(holder) => tables.replicas.get(&holder.replica).is_some_and(|row| row.watcher.as_deref() == Some(own)),
+        Some(holder) => {
+            tables.replicas.get(&holder.replica).is_some_and(|row| row.watcher.as_deref() == Some(own))
+        }
         None => owner(tables, server) == Some(own),
     };
-    let exists = |replica: &str, epoch: u64| tables.replicas.get(replica).is_some_and(|row| row.epoch == epoch);
+    let exists =
+        |replica: &str, epoch: u64| tables.replicas.get(replica).is_some_and(|row| row.epoch == epoch);
     reporter.retain(owns, exists);
 }
--- a/crates/daemon/src/probe/replica_watcher.rs
+++ b/crates/daemon/src/probe/replica_watcher.rs
@@ -48,7 +48,9 @@
         let own = Some(shared.settings.name.as_str());
         let mine: Vec<Arc<ReplicaRow>> =
             tables.replicas.values().filter(|row| row.watcher.as_deref() == own).cloned().collect();
-        sent.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).retain(|name, _| tables.replicas.contains_key(name));
+        sent.lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .retain(|name, _| tables.replicas.contains_key(name));
         let looks = mine.into_iter().map(|replica| {
             let watch = Watch {
                 shared: shared.clone(),
@@ -184,6 +186,7 @@
 }
 
 fn shows_complete(replica: &ReplicaRow, health: &GroupHealth) -> bool {
-    let right_group = health.replica.as_deref() == Some(replica.name.as_str()) && health.epoch == replica.epoch;
+    let right_group =
+        health.replica.as_deref() == Some(replica.name.as_str()) && health.epoch == replica.epoch;
     right_group && health.loaded && health.version == replica.version && health.missing.is_empty()
 }
--- a/crates/daemon/src/probe/reporter.rs
+++ b/crates/daemon/src/probe/reporter.rs
@@ -83,7 +83,8 @@
             let state = *findings.machines.get(&server)?;
             Some(Observation::Machine { server, state })
         });
-        let replicas = replicas.into_iter().map(|(replica, epoch)| Observation::ReplicaIdle { replica, epoch });
+        let replicas =
+            replicas.into_iter().map(|(replica, epoch)| Observation::ReplicaIdle { replica, epoch });
         machines.chain(replicas).collect()
     }
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::control::{
-    ControlHandle, ControlMessage, ControlThread, OrderSender, StartError, StartedControl, run_control_thread,
-    run_lease_client, run_outbox,
+    ControlHandle, ControlMessage, ControlThread, OrderSender, StartError, StartedControl,
+    run_control_thread, run_lease_client, run_outbox,
 };
 use crate::http::{App, serve_http};
 use crate::metrics::Metrics;
@@ -174,7 +174,8 @@
     let known = wait_until(LEAVE_LIMIT, || duties_moved(shared)).await;
     // Counted from here: until now, another daemon may have named this one.
     let lifetime_ends = monotonic_ms() + shared.settings.entry_lifetime.as_millis() as u64;
-    let drained = wait_until(DRAIN_LIMIT, || shared.in_flight() == 0 && monotonic_ms() >= lifetime_ends).await;
+    let drained =
+        wait_until(DRAIN_LIMIT, || shared.in_flight() == 0 && monotonic_ms() >= lifetime_ends).await;
     let message = format!("leaving known: {known}; nothing in flight: {drained}");
     shared.timeline.record(subject(), "StopEnded", &message, None, ResultCode::Ok);
 }
--- a/crates/daemon/src/published.rs
+++ b/crates/daemon/src/published.rs
@@ -40,7 +40,8 @@
     pub fn build(tables: &Tables) -> RoutingTable {
         let mut table = RoutingTable::default();
         for (name, spec) in tables.deployments() {
-            let route = |adapter: Option<&String>| Route { pool: name.to_string(), adapter: adapter.cloned() };
+            let route =
+                |adapter: Option<&String>| Route { pool: name.to_string(), adapter: adapter.cloned() };
             table.routes.entry(spec.model.clone()).or_default().push(route(None));
             for adapter in &spec.adapters {
                 table.routes.entry(adapter.clone()).or_default().push(route(Some(adapter)));
@@ -87,7 +88,8 @@
     }
 
     fn serving_replicas(&self, deployment: &str) -> usize {
-        let serving = self.tables.replicas_of(deployment).filter(|replica| replica.phase == ReplicaPhase::Serving);
+        let serving =
+            self.tables.replicas_of(deployment).filter(|replica| replica.phase == ReplicaPhase::Serving);
         serving.count()
     }
 
@@ -114,7 +116,9 @@
             queue_limit: spec.queue_limit,
             declared_replicas: spec.replicas,
             replicas: replicas.collect(),
-            tenants: tenants.map(|(tenant, spec)| (tenant.to_string(), share_of(spec))).collect::<BTreeMap<_, _>>(),
+            tenants: tenants
+                .map(|(tenant, spec)| (tenant.to_string(), share_of(spec)))
+                .collect::<BTreeMap<_, _>>(),
             policy: ChoicePolicy::default(),
         }
     }
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -25,7 +25,12 @@
 
 fn check_voters(values: &Settings, line: &dyn Fn(&str) -> usize, problems: &mut Problems) {
     if values.voters.is_empty() {
-        problems.add(ResultCode::SettingsMissing, line("control"), "control.voters", "needs at least one voter");
+        problems.add(
+            ResultCode::SettingsMissing,
+            line("control"),
+            "control.voters",
+            "needs at least one voter",
+        );
     }
     let mut ids = BTreeMap::new();
     let mut names = BTreeMap::new();
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -164,7 +164,14 @@
     fn address(&self, key: &str, problems: &mut Problems) -> Option<Located<SocketAddr>> {
         let node = self.required(key, problems)?;
         let parse = |text: &str| text.parse::<SocketAddr>().ok().filter(|address| address.port() != 0);
-        self.parse(key, node, problems, ResultCode::SettingsBadAddress, "an address of the form IP:PORT", parse)
+        self.parse(
+            key,
+            node,
+            problems,
+            ResultCode::SettingsBadAddress,
+            "an address of the form IP:PORT",
+            parse,
+        )
     }
 
     fn number(&self, key: &str, default: u64, allowed: (u64, u64), problems: &mut Problems) -> Option<u64> {
@@ -172,7 +179,8 @@
         let (least, most) = allowed;
         let parse = |text: &str| text.parse::<u64>().ok().filter(|number| (least..=most).contains(number));
         let expected = format!("a number from {least} to {most}");
-        self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse).map(|found| found.value)
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse)
+            .map(|found| found.value)
     }
 
     /// The items of a list, each with its path.
@@ -279,7 +287,11 @@
     data_folder: Option<PathBuf>,
 }
 
-fn read_control(node: &Node, lines: &mut BTreeMap<String, usize>, problems: &mut Problems) -> Option<Control> {
+fn read_control(
+    node: &Node,
+    lines: &mut BTreeMap<String, usize>,
+    problems: &mut Problems,
+) -> Option<Control> {
     let section = Section::new(node, "control", &["voters", "dataFolder"], problems)?;
     let voters_node = section.required("voters", problems);
     let items = voters_node.map(|node| section.items("voters", node, problems)).unwrap_or_default();
@@ -343,9 +355,11 @@
     let Some(node) = node else { return Some(defaults) };
     let known = ["entryLifetimeSeconds", "maxBodyBytes", "defaultDeadlineMs", "threads"];
     let section = Section::new(node, "traffic", &known, problems)?;
-    let lifetime = section.number("entryLifetimeSeconds", defaults.entry_lifetime_seconds, (1, 3_600), problems);
+    let lifetime =
+        section.number("entryLifetimeSeconds", defaults.entry_lifetime_seconds, (1, 3_600), problems);
     let body = section.number("maxBodyBytes", defaults.max_body_bytes, (1_024, 1 << 30), problems);
-    let deadline = section.number("defaultDeadlineMs", defaults.default_deadline_ms, (100, 3_600_000), problems);
+    let deadline =
+        section.number("defaultDeadlineMs", defaults.default_deadline_ms, (100, 3_600_000), problems);
     let threads = section.number("threads", defaults.threads, (1, 256), problems);
     Some(Traffic {
         entry_lifetime_seconds: lifetime?,
@@ -369,7 +383,8 @@
         None => Some(default_level),
         Some(node) => {
             let expected = format!("one of {}", LOG_LEVELS.join(", "));
-            let found = section.parse("level", node, problems, ResultCode::SettingsBadValue, &expected, parse);
+            let found =
+                section.parse("level", node, problems, ResultCode::SettingsBadValue, &expected, parse);
             found.map(|found| found.value)
         }
     };
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -47,7 +47,14 @@
     }
 
     /// Records a change of state.
-    pub fn record(&self, subject: Subject, reason: &str, message: &str, cause_revision: Option<u64>, code: ResultCode) {
+    pub fn record(
+        &self,
+        subject: Subject,
+        reason: &str,
+        message: &str,
+        cause_revision: Option<u64>,
+        code: ResultCode,
+    ) {
         spdlog::info!("{}/{} {}: {} ({})", subject.kind, subject.name, reason, message, code);
         let mut ring = self.ring();
         ring.stamp = ring.stamp.tick(wall_ms());
--- a/crates/daemon/src/traffic/chat.rs
+++ b/crates/daemon/src/traffic/chat.rs
@@ -161,7 +161,12 @@
 
 /// Runs a request to its end; every event goes to `events`. Returns the whole text, if there is one, for
 /// keeping.
-pub async fn run_chat(traffic: Arc<Traffic>, job: ChatJob, events: mpsc::Sender<ChatEvent>, keep_body: KeepBody) {
+pub async fn run_chat(
+    traffic: Arc<Traffic>,
+    job: ChatJob,
+    events: mpsc::Sender<ChatEvent>,
+    keep_body: KeepBody,
+) {
     traffic.count_request();
     let mut run = Run {
         traffic,
@@ -297,7 +302,11 @@
         let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
         acquired.map_err(|refusal| {
             let code = if self.dispatched { ResultCode::Interrupted } else { refusal.code };
-            Failure { code, message: refusal.message, retry_after_ms: Some(u64::from(refusal.retry_after_ms)) }
+            Failure {
+                code,
+                message: refusal.message,
+                retry_after_ms: Some(u64::from(refusal.retry_after_ms)),
+            }
         })
     }
 
@@ -356,7 +365,10 @@
                 }
                 Some(RequestRecord { outcome: Outcome::Unknown, .. }) => return unknown(),
                 Some(RequestRecord { outcome: Outcome::NotRun, .. }) => {
-                    return Failure::new(ResultCode::BackendUnreachable, "the other entry did not run it; send it again");
+                    return Failure::new(
+                        ResultCode::BackendUnreachable,
+                        "the other entry did not run it; send it again",
+                    );
                 }
                 None if settled.is_some() => return unknown(),
                 _ => tokio::time::sleep(OTHER_RUN_POLL).await,
@@ -435,10 +447,14 @@
             GenerateEvent::Started { prompt_tokens, .. } => self.prompt_tokens = prompt_tokens,
             // A repeat of what was forwarded already.
             GenerateEvent::Token { sequence, .. } if sequence < self.produced => {}
-            GenerateEvent::Token { sequence, text } if sequence == self.produced => self.take_token(text, slot).await,
+            GenerateEvent::Token { sequence, text } if sequence == self.produced => {
+                self.take_token(text, slot).await
+            }
             // A gap: something was lost on the way.
             GenerateEvent::Token { .. } => return Some(AttemptEnd::Broken),
-            GenerateEvent::Finished { tokens } if tokens == self.produced => return Some(AttemptEnd::Finished),
+            GenerateEvent::Finished { tokens } if tokens == self.produced => {
+                return Some(AttemptEnd::Finished);
+            }
             GenerateEvent::Finished { .. } => return Some(AttemptEnd::Broken),
             // The engine has said that it goes no further than what was forwarded.
             GenerateEvent::Aborted { next_sequence, .. } if next_sequence == self.produced => {
@@ -516,7 +532,12 @@
         tokio::spawn(async move { keep(&traffic.shared, &traffic.records, record).await });
     }
 
-    fn record(&self, outcome: Outcome, code: Option<ResultCode>, answer: Option<KeptAnswer>) -> RequestRecord {
+    fn record(
+        &self,
+        outcome: Outcome,
+        code: Option<ResultCode>,
+        answer: Option<KeptAnswer>,
+    ) -> RequestRecord {
         RequestRecord {
             key: self.job.record_key(),
             content_digest: self.job.content_digest,
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -33,7 +33,11 @@
 
 impl Traffic {
     /// Traffic state at the start of the process; starts its background tasks on the current runtime.
-    pub fn start(shared: Arc<Shared>, reporter: Arc<crate::probe::Reporter>, http: reqwest::Client) -> Arc<Traffic> {
+    pub fn start(
+        shared: Arc<Shared>,
+        reporter: Arc<crate::probe::Reporter>,
+        http: reqwest::Client,
+    ) -> Arc<Traffic> {
         let pools = Arc::new(pools::PoolHosts::new(shared.clone(), reporter));
         tokio::spawn(pools.clone().follow_configuration());
         tokio::spawn(pools.clone().tick());
--- a/crates/daemon/src/traffic/records.rs
+++ b/crates/daemon/src/traffic/records.rs
@@ -127,7 +127,8 @@
                 records.store(record);
                 return;
             }
-            let call = |client: PeerClient, context| async move { client.record_request(context, record).await };
+            let call =
+                |client: PeerClient, context| async move { client.record_request(context, record).await };
             if shared.peers.call(keeper.record.peer, KEEPER_TIMEOUT, call).await.is_err() {
                 shared.metrics.peer_failures.inc();
             }
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -99,7 +99,9 @@
             result: CallResult::Failed,
         };
         let (sent, spare) = match body.take() {
-            Some(ServiceBody::Whole(bytes)) => (reqwest::Body::from(bytes.clone()), Some(ServiceBody::Whole(bytes))),
+            Some(ServiceBody::Whole(bytes)) => {
+                (reqwest::Body::from(bytes.clone()), Some(ServiceBody::Whole(bytes)))
+            }
             Some(ServiceBody::Streamed(stream)) => (stream, None),
             None => break,
         };
@@ -116,7 +118,10 @@
             Ok(Err(error)) if error.is_connect() => {
                 Failure::new(ResultCode::BackendUnreachable, "no server of the service could be reached")
             }
-            _ => Failure::new(ResultCode::OutcomeUnknown, "the server did not answer; the call may have been run"),
+            _ => Failure::new(
+                ResultCode::OutcomeUnknown,
+                "the server did not answer; the call may have been run",
+            ),
         };
         drop(guard);
         let may_retry = failure.code.is_not_run() || repeatable;
--- a/crates/daemon/src/traffic/slots.rs
+++ b/crates/daemon/src/traffic/slots.rs
@@ -99,7 +99,11 @@
     }
 
     /// Waits for a slot until the deadline. The coordinator is asked; its standby if it fails to answer.
-    pub async fn acquire(self: &Arc<Self>, request: AcquireRequest, deadline: Millis) -> Result<HeldSlot, Refusal> {
+    pub async fn acquire(
+        self: &Arc<Self>,
+        request: AcquireRequest,
+        deadline: Millis,
+    ) -> Result<HeldSlot, Refusal> {
         self.pools().entry(request.pool.clone()).or_default().waiting += 1;
         let _waiting = Waiting { client: self.clone(), pool: request.pool.clone() };
         loop {
@@ -112,7 +116,8 @@
                 tokio::time::sleep(NO_COORDINATOR_PAUSE).await;
                 continue;
             };
-            let attempt = AcquireRequest { wait_ms: left.min(Millis::from(u32::MAX)) as u32, ..request.clone() };
+            let attempt =
+                AcquireRequest { wait_ms: left.min(Millis::from(u32::MAX)) as u32, ..request.clone() };
             match self.ask(&daemon, attempt, left).await {
                 Some(AcquireReply::Granted(grant)) => return Ok(self.take(&request.pool, daemon, grant)),
                 Some(AcquireReply::Refused(refusal)) => return Err(refusal),
@@ -142,7 +147,13 @@
         if is_new {
             let message = format!("does not answer {}; its standby is asked", self.shared.settings.name);
             let subject = Subject::new("daemon", daemon);
-            self.shared.timeline.record(subject, "CoordinatorSuspected", &message, None, ResultCode::PeerUnreachable);
+            self.shared.timeline.record(
+                subject,
+                "CoordinatorSuspected",
+                &message,
+                None,
+                ResultCode::PeerUnreachable,
+            );
         }
     }
 
@@ -197,7 +208,8 @@
             }
             let Some(address) = self.shared.peer_address(&daemon) else { continue };
             let (shared, slot_return) = (self.shared.clone(), slot_return.clone());
-            let call = |client: PeerClient, context| async move { client.release(context, slot_return).await };
+            let call =
+                |client: PeerClient, context| async move { client.release(context, slot_return).await };
             // A lost return is made up for by the next showing of held slots.
             tokio::spawn(async move { shared.peers.call(address, SHOW_TIMEOUT, call).await });
         }
@@ -214,7 +226,8 @@
                 let shown = pools
                     .iter()
                     .map(|(pool, slots)| {
-                        let held = slots.held.iter().map(|(slot, replica)| (*slot, replica.clone())).collect();
+                        let held =
+                            slots.held.iter().map(|(slot, replica)| (*slot, replica.clone())).collect();
                         (pool.clone(), held)
                     })
                     .collect();
@@ -235,7 +248,8 @@
             return;
         }
         let Some(address) = self.shared.peer_address(&daemon) else { return };
-        let call = |client: PeerClient, context| async move { client.held_slots(context, entry, pool, held).await };
+        let call =
+            |client: PeerClient, context| async move { client.held_slots(context, entry, pool, held).await };
         if self.shared.peers.call(address, SHOW_TIMEOUT, call).await.is_err() {
             self.suspect(&daemon);
         }
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -52,7 +52,10 @@
     }
     assert_eq!(hub.touched(5, 20), None);
     let newest = RETAINED_REVISIONS as u64 + 10;
-    assert_eq!(hub.touched(newest - 2, newest).map(|keys| keys.into_iter().collect()), Some(vec![key(newest - 1), key(newest)]));
+    assert_eq!(
+        hub.touched(newest - 2, newest).map(|keys| keys.into_iter().collect()),
+        Some(vec![key(newest - 1), key(newest)])
+    );
     hub.reset(9_999_999);
     assert_eq!(hub.touched(newest, newest), None);
 }
--- a/crates/dockctl/src/client.rs
+++ b/crates/dockctl/src/client.rs
@@ -34,11 +34,14 @@
     /// A client of these daemons.
     pub fn new(servers: Vec<String>, token: String) -> Result<Client, CommandError> {
         if servers.is_empty() {
-            return Err(CommandError::Usage("name at least one daemon by --servers or DOCKWOOD_SERVERS".to_string()));
+            return Err(CommandError::Usage(
+                "name at least one daemon by --servers or DOCKWOOD_SERVERS".to_string(),
+            ));
         }
         let http = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).build();
         let http = http.map_err(|error| CommandError::Usage(error.to_string()))?;
-        let with_scheme = |server: String| if server.contains("://") { server } else { format!("http://{server}") };
+        let with_scheme =
+            |server: String| if server.contains("://") { server } else { format!("http://{server}") };
         Ok(Client { http, servers: servers.into_iter().map(with_scheme).collect(), token })
     }
 
@@ -142,7 +145,11 @@
     }
 
     /// One try at one daemon; the outer error is worth another daemon, the inner one is final.
-    async fn call_one(&self, server: &str, call: &Call<'_>) -> Result<Result<Value, CommandError>, CommandError> {
+    async fn call_one(
+        &self,
+        server: &str,
+        call: &Call<'_>,
+    ) -> Result<Result<Value, CommandError>, CommandError> {
         let url = format!("{server}{API_PREFIX}/{}", call.path);
         let mut request =
             self.http.request(call.method.clone(), url).bearer_auth(&self.token).timeout(CALL_TIMEOUT);
@@ -154,7 +161,8 @@
         }
         let response = request.send().await.map_err(|error| CommandError::Unreachable(error.to_string()))?;
         if response.status().is_success() {
-            let value = response.json().await.map_err(|error| CommandError::Unreachable(error.to_string()))?;
+            let value =
+                response.json().await.map_err(|error| CommandError::Unreachable(error.to_string()))?;
             return Ok(Ok(value));
         }
         let status = response.status();
--- a/crates/dockctl/src/commands/apply.rs
+++ b/crates/dockctl/src/commands/apply.rs
@@ -73,7 +73,11 @@
     }
 }
 
-async fn wait_in_force(client: &Client, stored: &[ResourceView], limit: Duration) -> Result<(), CommandError> {
+async fn wait_in_force(
+    client: &Client,
+    stored: &[ResourceView],
+    limit: Duration,
+) -> Result<(), CommandError> {
     let give_up = Instant::now() + limit;
     for resource in stored {
         loop {
@@ -83,7 +87,8 @@
             }
             if Instant::now() >= give_up {
                 let name = &resource.metadata.name;
-                let message = format!("{} {name} is committed, but not in force after {limit:?}", resource.kind);
+                let message =
+                    format!("{} {name} is committed, but not in force after {limit:?}", resource.kind);
                 return Err(CommandError::NotInForce(message));
             }
             tokio::time::sleep(POLL).await;
--- a/crates/dockctl/src/commands/change.rs
+++ b/crates/dockctl/src/commands/change.rs
@@ -39,7 +39,8 @@
 pub(super) async fn drain(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
     let (kind, name) = reference(matches)?;
     if kind != Kind::Server {
-        let message = format!("{kind} can't be drained: drain servers; stop daemons by SIGTERM, which drains them");
+        let message =
+            format!("{kind} can't be drained: drain servers; stop daemons by SIGTERM, which drains them");
         return Err(CommandError::Usage(message));
     }
     let drain = !matches.get_flag("undo");
@@ -73,7 +74,9 @@
             return Ok(());
         }
         if Instant::now() >= give_up {
-            return Err(CommandError::NotInForce(format!("server {name} is still in a replica after {limit:?}")));
+            return Err(CommandError::NotInForce(format!(
+                "server {name} is still in a replica after {limit:?}"
+            )));
         }
         tokio::time::sleep(POLL).await;
     }
--- a/crates/dockctl/src/commands/events.rs
+++ b/crates/dockctl/src/commands/events.rs
@@ -9,15 +9,13 @@
 use dockwood_api::resource::{Kind, ResourceView};
 
 pub(super) fn timeline_command() -> Command {
-    Command::new("timeline")
-        .about("Shows the events of all daemons in order of cause")
-        .arg(
-            Arg::new("last")
-                .long("last")
-                .value_parser(value_parser!(usize))
-                .default_value("200")
-                .help("Show so many of the newest"),
-        )
+    Command::new("timeline").about("Shows the events of all daemons in order of cause").arg(
+        Arg::new("last")
+            .long("last")
+            .value_parser(value_parser!(usize))
+            .default_value("200")
+            .help("Show so many of the newest"),
+    )
 }
 
 pub(super) fn explain_command() -> Command {
@@ -71,7 +69,10 @@
     let events = all_events(client).await?;
     let chosen = related(&events, kind, &name);
     if chosen.is_empty() && view.is_none() {
-        return Err(CommandError::Usage(format!("nothing is known of {} '{name}'", kind.name().to_lowercase())));
+        return Err(CommandError::Usage(format!(
+            "nothing is known of {} '{name}'",
+            kind.name().to_lowercase()
+        )));
     }
     if format(matches) == Format::Table {
         println!("{}", headline(kind, &name, view.as_ref()));
@@ -99,9 +100,12 @@
 fn related(events: &[Event], kind: Kind, name: &str) -> Vec<Event> {
     let kind = kind.name().to_lowercase();
     let is_subject = |event: &Event| event.subject.kind == kind && event.subject.name == name;
-    let names_it = |event: &Event| event.message.split(|c: char| !(c.is_alphanumeric() || c == '-')).any(|word| word == name);
+    let names_it = |event: &Event| {
+        event.message.split(|c: char| !(c.is_alphanumeric() || c == '-')).any(|word| word == name)
+    };
     let revisions: Vec<u64> =
         events.iter().filter(|event| is_subject(event)).filter_map(|event| event.cause_revision).collect();
-    let same_cause = |event: &Event| event.cause_revision.is_some_and(|revision| revisions.contains(&revision));
+    let same_cause =
+        |event: &Event| event.cause_revision.is_some_and(|revision| revisions.contains(&revision));
     events.iter().filter(|event| is_subject(event) || names_it(event) || same_cause(event)).cloned().collect()
 }
--- a/crates/dockctl/src/commands/show.rs
+++ b/crates/dockctl/src/commands/show.rs
@@ -19,12 +19,15 @@
 }
 
 pub(super) fn watch_command() -> Command {
-    Command::new("watch").about("Shows changes of a kind as they happen, one JSON object a line").arg(kind_argument()).arg(
-        Arg::new("from")
-            .long("from")
-            .value_parser(value_parser!(u64))
-            .help("resourceVersion to begin after; now if absent"),
-    )
+    Command::new("watch")
+        .about("Shows changes of a kind as they happen, one JSON object a line")
+        .arg(kind_argument())
+        .arg(
+            Arg::new("from")
+                .long("from")
+                .value_parser(value_parser!(u64))
+                .help("resourceVersion to begin after; now if absent"),
+        )
 }
 
 pub(super) async fn get(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
@@ -52,7 +55,9 @@
 pub(super) async fn watch(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
     let from = matches.get_one::<u64>("from").copied();
     let mut response = client.watch(kind(matches)?, from).await?;
-    while let Some(bytes) = response.chunk().await.map_err(|error| CommandError::Unreachable(error.to_string()))? {
+    while let Some(bytes) =
+        response.chunk().await.map_err(|error| CommandError::Unreachable(error.to_string()))?
+    {
         std::io::Write::write_all(&mut std::io::stdout(), &bytes)?;
     }
     Ok(())
--- a/crates/dockctl/src/commands/status.rs
+++ b/crates/dockctl/src/commands/status.rs
@@ -45,12 +45,18 @@
     println!("daemons behind: {}", joined(items(status, "behind")));
     println!("stranded machines: {}", joined(items(status, "strandedMachines")));
     for missing in items(status, "shortfalls") {
-        println!("deployment {} lacks {}: {}", text(&missing["deployment"]), missing["missing"], text(&missing["why"]));
+        println!(
+            "deployment {} lacks {}: {}",
+            text(&missing["deployment"]),
+            missing["missing"],
+            text(&missing["why"])
+        );
     }
 }
 
 fn print_replicas(status: &Value) {
-    let mut rows = table(&["replica", "serving", "phase", "epoch", "domain", "version", "unwell machines", "reason"]);
+    let mut rows =
+        table(&["replica", "serving", "phase", "epoch", "domain", "version", "unwell machines", "reason"]);
     for replica in items(status, "replicas") {
         rows.add_row([
             text(&replica["name"]),
--- a/crates/dockctl/src/output.rs
+++ b/crates/dockctl/src/output.rs
@@ -27,7 +27,9 @@
 /// Prints a value as YAML or JSON.
 pub fn print_value(format: Format, value: &impl Serialize) -> Result<(), CommandError> {
     let text = match format {
-        Format::Json => serde_json::to_string_pretty(value).map_err(|error| CommandError::Malformed(error.to_string()))?,
+        Format::Json => {
+            serde_json::to_string_pretty(value).map_err(|error| CommandError::Malformed(error.to_string()))?
+        }
         _ => serde_saphyr::to_string(value).map_err(|error| CommandError::Malformed(error.to_string()))?,
     };
     println!("{}", text.trim_end());
--- a/crates/dockctl/src/resource_file.rs
+++ b/crates/dockctl/src/resource_file.rs
@@ -11,8 +11,7 @@
         std::io::stdin().read_to_string(&mut text)?;
         text
     } else {
-        std::fs::read_to_string(path)
-            .map_err(|error| CommandError::Usage(format!("{path}: {error}")))?
+        std::fs::read_to_string(path).map_err(|error| CommandError::Usage(format!("{path}: {error}")))?
     };
     parse_resources(path, &text)
 }
--- a/crates/dockctl/src/resource_file_tests.rs
+++ b/crates/dockctl/src/resource_file_tests.rs
@@ -8,8 +8,9 @@
 
 #[test]
 fn many_documents_are_read_in_order() {
-    let names: Vec<String> =
-        parse_resources("f", TWO).map(|all| all.into_iter().map(|one| one.metadata.name).collect()).unwrap_or_default();
+    let names: Vec<String> = parse_resources("f", TWO)
+        .map(|all| all.into_iter().map(|one| one.metadata.name).collect())
+        .unwrap_or_default();
     assert_eq!(names, ["a", "b"]);
 }
 
--- a/crates/emulator/src/cli.rs
+++ b/crates/emulator/src/cli.rs
@@ -8,7 +8,11 @@
 /// The command line.
 pub fn command() -> Command {
     Command::new("dockwood-emulator").about("Emulates model engines, plain services and the platform").arg(
-        Arg::new("fleet").long("fleet").required(true).value_parser(value_parser!(PathBuf)).help("Fleet file (YAML)"),
+        Arg::new("fleet")
+            .long("fleet")
+            .required(true)
+            .value_parser(value_parser!(PathBuf))
+            .help("Fleet file (YAML)"),
     )
 }
 
--- a/crates/emulator/src/config.rs
+++ b/crates/emulator/src/config.rs
@@ -127,7 +127,9 @@
 impl FleetConfig {
     /// Reads a fleet file.
     pub fn read(path: &Path) -> Result<FleetConfig, ConfigError> {
-        let text = std::fs::read_to_string(path).map_err(|error| ConfigError::Read(path.to_path_buf(), error))?;
-        serde_saphyr::from_str(&text).map_err(|error| ConfigError::Parse(path.to_path_buf(), error.to_string()))
+        let text =
+            std::fs::read_to_string(path).map_err(|error| ConfigError::Read(path.to_path_buf(), error))?;
+        serde_saphyr::from_str(&text)
+            .map_err(|error| ConfigError::Parse(path.to_path_buf(), error.to_string()))
     }
 }
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -55,7 +55,8 @@
             machines,
             config,
         });
-        let mut tasks = vec![tokio::spawn(fleet.platform.clone().run(fleet.machines.values().cloned().collect()))];
+        let mut tasks =
+            vec![tokio::spawn(fleet.platform.clone().run(fleet.machines.values().cloned().collect()))];
         for machine in fleet.machines.values() {
             tasks.push(http::serve_machine(fleet.clone(), machine.clone()).await?);
         }
--- a/crates/emulator/src/group.rs
+++ b/crates/emulator/src/group.rs
@@ -108,7 +108,12 @@
 
 impl Group {
     /// A group that is not yet running.
-    pub fn new(plan: LoadPlan, members: Vec<Arc<Machine>>, model: EngineModel, ledger: Arc<LedgerWriter>) -> Self {
+    pub fn new(
+        plan: LoadPlan,
+        members: Vec<Arc<Machine>>,
+        model: EngineModel,
+        ledger: Arc<LedgerWriter>,
+    ) -> Self {
         let cache = PrefixCache::new((model.kv_blocks / CACHE_BLOCKS_DIVISOR) as usize);
         Group {
             plan,
@@ -140,7 +145,11 @@
                 Power::On => machine.works_for(&self.plan.replica, self.plan.epoch),
             }
         };
-        self.members.iter().filter(|machine| !works(machine)).map(|machine| machine.config.name.clone()).collect()
+        self.members
+            .iter()
+            .filter(|machine| !works(machine))
+            .map(|machine| machine.config.name.clone())
+            .collect()
     }
 
     fn all_work(&self) -> bool {
@@ -191,8 +200,9 @@
             let (power, since) = machine.power();
             (power != Power::On).then(|| (machine.config.name.clone(), since))
         };
-        let leaving =
-            |machine: &Arc<Machine>| machine.leaving_since().map(|since| (machine.config.name.clone(), since));
+        let leaving = |machine: &Arc<Machine>| {
+            machine.leaving_since().map(|since| (machine.config.name.clone(), since))
+        };
         self.ledger.append(&LedgerRecord::Dispatched {
             at_ms: wall_ms(),
             request: request.id.clone(),
--- a/crates/emulator/src/http/engine.rs
+++ b/crates/emulator/src/http/engine.rs
@@ -9,8 +9,8 @@
 use crate::wall_ms;
 use bytes::Bytes;
 use dockwood_api::engine::{
-    EngineOrder, GenerateEvent, GenerateRequest, GroupHealth, LoadPlan, OrderAction, OrderReply, PATH_GENERATE,
-    PATH_HEALTH, PATH_ORDERS, PATH_REQUESTS, RequestPhase, RequestState,
+    EngineOrder, GenerateEvent, GenerateRequest, GroupHealth, LoadPlan, OrderAction, OrderReply,
+    PATH_GENERATE, PATH_HEALTH, PATH_ORDERS, PATH_REQUESTS, RequestPhase, RequestState,
 };
 use futures::{Stream, stream};
 use poem::http::StatusCode;
@@ -139,7 +139,8 @@
     if plan.members.first()?.server != host.machine.config.name {
         return None;
     }
-    let members = plan.members.iter().filter_map(|member| host.fleet.machines.get(&member.server).cloned()).collect();
+    let members =
+        plan.members.iter().filter_map(|member| host.fleet.machines.get(&member.server).cloned()).collect();
     Some(Arc::new(Group::new(plan.clone(), members, host.fleet.config.model, host.fleet.ledger.clone())))
 }
 
@@ -176,7 +177,11 @@
     ended: bool,
 }
 
-fn generation(machine: Arc<Machine>, run: Arc<Run>, from: u32) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+fn generation(
+    machine: Arc<Machine>,
+    run: Arc<Run>,
+    from: u32,
+) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
     let progress = run.watch();
     let feed = Feed { machine, run, progress, next: from, announced: false, ended: false };
     stream::unfold(feed, |mut feed| async move {
@@ -223,7 +228,10 @@
             RequestPhase::Aborted => {
                 self.ended = true;
                 let reason = "stopped by the engine".to_string();
-                push_line(&mut lines, &GenerateEvent::Aborted { next_sequence: progress.next_sequence, reason });
+                push_line(
+                    &mut lines,
+                    &GenerateEvent::Aborted { next_sequence: progress.next_sequence, reason },
+                );
             }
             _ => {}
         }
--- a/crates/emulator/src/http/server.rs
+++ b/crates/emulator/src/http/server.rs
@@ -11,8 +11,11 @@
 }
 
 /// Serves until `stop` completes; then every connection is dropped at once, as when a process dies.
-pub async fn serve_until<E>(acceptor: impl Acceptor + 'static, endpoint: E, stop: impl Future<Output = ()> + Send + 'static)
-where
+pub async fn serve_until<E>(
+    acceptor: impl Acceptor + 'static,
+    endpoint: E,
+    stop: impl Future<Output = ()> + Send + 'static,
+) where
     E: IntoEndpoint,
     E::Endpoint: Endpoint + 'static,
 {
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -153,7 +153,10 @@
         let mut core = self.core();
         let stale = order.fence < core.highest_fence;
         if stale && self.config.checks_fences {
-            return (OrderReply { progress: OrderProgress::Fenced, highest_fence: core.highest_fence }, false);
+            return (
+                OrderReply { progress: OrderProgress::Fenced, highest_fence: core.highest_fence },
+                false,
+            );
         }
         core.highest_fence = core.highest_fence.max(order.fence);
         let highest_fence = core.highest_fence;
--- a/crates/emulator/src/prefix_cache.rs
+++ b/crates/emulator/src/prefix_cache.rs
@@ -38,7 +38,13 @@
 impl PrefixCache {
     /// A cache of so many blocks.
     pub fn new(capacity: usize) -> Self {
-        PrefixCache { capacity: capacity.max(1), used_at: HashMap::new(), uses: 0, events: VecDeque::new(), next_event: 1 }
+        PrefixCache {
+            capacity: capacity.max(1),
+            used_at: HashMap::new(),
+            uses: 0,
+            events: VecDeque::new(),
+            next_event: 1,
+        }
     }
 
     fn blocks(prompt: &str) -> Vec<u64> {
--- a/crates/emulator/src/text.rs
+++ b/crates/emulator/src/text.rs
@@ -4,8 +4,8 @@
 use xxhash_rust::xxh64::xxh64;
 
 const SYLLABLES: [&str; 32] = [
-    "ba", "ce", "di", "fo", "gu", "ha", "je", "ki", "lo", "mu", "na", "pe", "qui", "ro", "su", "ta", "ve", "wi", "xo",
-    "yu", "za", "bre", "cli", "dro", "flu", "gra", "ple", "sti", "tro", "sku", "sha", "che",
+    "ba", "ce", "di", "fo", "gu", "ha", "je", "ki", "lo", "mu", "na", "pe", "qui", "ro", "su", "ta", "ve",
+    "wi", "xo", "yu", "za", "bre", "cli", "dro", "flu", "gra", "ple", "sti", "tro", "sku", "sha", "che",
 ];
 
 /// Shortest natural answer, in tokens.
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -2,8 +2,8 @@
 //! should be, runs resume by sequence, and the ledger tells what happened.
 
 use dockwood_api::engine::{
-    EngineOrder, GenerateEvent, GenerateRequest, LoadPlan, Member, OrderAction, OrderProgress, OrderReply, RequestPhase,
-    RequestState, Role,
+    EngineOrder, GenerateEvent, GenerateRequest, LoadPlan, Member, OrderAction, OrderProgress, OrderReply,
+    RequestPhase, RequestState, Role,
 };
 use dockwood_emulator::{
     EngineConfig, EngineModel, Fleet, FleetConfig, FleetHandle, LedgerRecord, expected_answer, read_ledger,
@@ -28,7 +28,8 @@
 /// As above, with decode steps of so many microseconds.
 async fn rig_with_steps_of(step_micros: u64) -> Result<Rig, Box<dyn std::error::Error>> {
     let folder = TempDir::new()?;
-    let free_address = || -> std::io::Result<SocketAddr> { std::net::TcpListener::bind("127.0.0.1:0")?.local_addr() };
+    let free_address =
+        || -> std::io::Result<SocketAddr> { std::net::TcpListener::bind("127.0.0.1:0")?.local_addr() };
     let mut engines = Vec::new();
     for number in 0..4 {
         engines.push(EngineConfig {
@@ -71,7 +72,12 @@
         }
     }
 
-    async fn order(&self, number: usize, fence: u64, action: OrderAction) -> Result<OrderReply, reqwest::Error> {
+    async fn order(
+        &self,
+        number: usize,
+        fence: u64,
+        action: OrderAction,
+    ) -> Result<OrderReply, reqwest::Error> {
         let order = EngineOrder { id: format!("{number}-{fence}"), fence, action };
         let url = format!("http://{}/engine/orders", self.address(number));
         self.http.post(url).json(&order).send().await?.json().await
@@ -79,7 +85,9 @@
 
     async fn load_all(&self, epoch: u64) -> Outcome {
         for number in 0..4 {
-            while self.order(number, epoch, OrderAction::Load(self.plan(epoch))).await?.progress != OrderProgress::Done {
+            while self.order(number, epoch, OrderAction::Load(self.plan(epoch))).await?.progress
+                != OrderProgress::Done
+            {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         }
@@ -100,12 +108,16 @@
         }
     }
 
-    async fn generate(&self, request: &GenerateRequest) -> Result<(u16, Vec<GenerateEvent>), Box<dyn std::error::Error>> {
+    async fn generate(
+        &self,
+        request: &GenerateRequest,
+    ) -> Result<(u16, Vec<GenerateEvent>), Box<dyn std::error::Error>> {
         let url = format!("http://{}/engine/generate", self.address(0));
         let response = self.http.post(url).json(request).send().await?;
         let status = response.status().as_u16();
         let body = response.text().await?;
-        let events: Vec<GenerateEvent> = body.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+        let events: Vec<GenerateEvent> =
+            body.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
         Ok((status, events))
     }
 
@@ -180,7 +192,12 @@
     let (_, again) = rig.generate(&rig.request("y", 0, false)).await?;
     assert_eq!(text(&again), expected_answer("a prompt", 40));
     let ledger = read_ledger(&rig.folder.path().join("ledger.jsonl"))?;
-    let runs = |id: &str| ledger.iter().filter(|record| matches!(record, LedgerRecord::Started { request, .. } if request == id)).count();
+    let runs = |id: &str| {
+        ledger
+            .iter()
+            .filter(|record| matches!(record, LedgerRecord::Started { request, .. } if request == id))
+            .count()
+    };
     assert_eq!((runs("x"), runs("y")), (0, 1));
     Ok(())
 }
--- a/crates/placement/src/duties.rs
+++ b/crates/placement/src/duties.rs
@@ -71,7 +71,12 @@
     }
     for name in fleet.tables.pools.keys().filter(|name| fleet.tables.deployment(name).is_none()) {
         let body = CommandBody::AssignPool { pool: name.clone(), coordinator: None, standby: None };
-        operators.push(Operator::on_deployment(name, "PoolRemoved", "its deployment is gone".to_string(), body));
+        operators.push(Operator::on_deployment(
+            name,
+            "PoolRemoved",
+            "its deployment is gone".to_string(),
+            body,
+        ));
     }
     operators
 }
@@ -87,7 +92,8 @@
         least_loaded(fleet, load, name, |_| true)
     };
     let standby_kept = standby_lives && current.standby != coordinator;
-    let standby = if standby_kept { current.standby.clone() } else { choose_standby(fleet, load, name, &coordinator) };
+    let standby =
+        if standby_kept { current.standby.clone() } else { choose_standby(fleet, load, name, &coordinator) };
     PoolRow { coordinator, standby, term: current.term }
 }
 
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -137,6 +137,8 @@
 
     /// Whether a free machine may join a replica now.
     pub fn is_spare(&self, server: &str) -> bool {
-        self.tables.is_free(server) && !self.is_leaving(server) && self.health(server) == MachineHealth::Usable
+        self.tables.is_free(server)
+            && !self.is_leaving(server)
+            && self.health(server) == MachineHealth::Usable
     }
 }
--- a/crates/placement/src/repair.rs
+++ b/crates/placement/src/repair.rs
@@ -29,7 +29,12 @@
 
 /// Members that stay and spares that fill up, in that order: the head changes only if it is the one lost, and
 /// what stays keeps its weights.
-pub(crate) fn refilled(fleet: &Fleet<'_>, replica: &ReplicaRow, wanted: usize, taken: &[String]) -> Option<Vec<String>> {
+pub(crate) fn refilled(
+    fleet: &Fleet<'_>,
+    replica: &ReplicaRow,
+    wanted: usize,
+    taken: &[String],
+) -> Option<Vec<String>> {
     let stays = |server: &&String| fleet.health(server) != MachineHealth::Dead && !fleet.is_leaving(server);
     let mut members: Vec<String> = replica.members.iter().filter(stays).take(wanted).cloned().collect();
     let spares = spares_in(fleet, &replica.domain, taken);
@@ -37,14 +42,20 @@
     (members.len() == wanted).then_some(members)
 }
 
-fn repair(fleet: &Fleet<'_>, replica: &Arc<ReplicaRow>, lost: &[String], taken: &mut Vec<String>) -> Option<Operator> {
+fn repair(
+    fleet: &Fleet<'_>,
+    replica: &Arc<ReplicaRow>,
+    lost: &[String],
+    taken: &mut Vec<String>,
+) -> Option<Operator> {
     let lost_names = lost.join(", ");
     let Some(spec) = fleet.tables.deployment(&replica.deployment) else {
         return Some(dissolve(replica, format!("lost {lost_names}, and its deployment is gone")));
     };
     let wanted = spec.machines_per_replica as usize;
     if let Some(members) = refilled(fleet, replica, wanted, taken) {
-        let joined: Vec<String> = members.iter().filter(|server| !replica.members.contains(server)).cloned().collect();
+        let joined: Vec<String> =
+            members.iter().filter(|server| !replica.members.contains(server)).cloned().collect();
         taken.extend(members.iter().cloned());
         let message = format!(
             "lost {lost_names}; spares {} of domain {} take their place and load 1/{wanted} of the weights each",
--- a/crates/placement/src/replicas.rs
+++ b/crates/placement/src/replicas.rs
@@ -55,13 +55,20 @@
 
 fn outdated_because(fleet: &Fleet<'_>, replica: &ReplicaRow, spec: &DeploymentSpec) -> Option<String> {
     if replica.version != spec.version || replica.model != spec.model {
-        return Some(format!("serves {} {} instead of {} {}", replica.model, replica.version, spec.model, spec.version));
+        return Some(format!(
+            "serves {} {} instead of {} {}",
+            replica.model, replica.version, spec.model, spec.version
+        ));
     }
     if replica.adapters != spec.adapters || replica.role != spec.role {
         return Some("its adapters or its role differ from the deployment's".to_string());
     }
     if replica.members.len() != spec.machines_per_replica as usize {
-        return Some(format!("has {} machines instead of {}", replica.members.len(), spec.machines_per_replica));
+        return Some(format!(
+            "has {} machines instead of {}",
+            replica.members.len(),
+            spec.machines_per_replica
+        ));
     }
     let leaving = replica.members.iter().find(|server| fleet.is_leaving(server))?;
     Some(format!("server {leaving} leaves"))
@@ -150,7 +157,8 @@
         return Some(drain(outdated, "Draining", because));
     }
     if census.not_draining() <= declared
-        && let Some(operator) = form(fleet, name, spec, taken, "Surged", &format!("replaces {}: {because}", outdated.name))
+        && let Some(operator) =
+            form(fleet, name, spec, taken, "Surged", &format!("replaces {}: {because}", outdated.name))
     {
         return Some(operator);
     }
@@ -158,7 +166,8 @@
     if surge_under_way || !census.draining.is_empty() {
         return None;
     }
-    let message = format!("{because}; no domain has machines for a replacement, so one replica less serves meanwhile");
+    let message =
+        format!("{because}; no domain has machines for a replacement, so one replica less serves meanwhile");
     Some(drain(outdated, "Draining", message))
 }
 
@@ -180,8 +189,7 @@
     taken.extend(members.iter().cloned());
     let domain = fleet.tables.server(&members[0]).map(|server| server.domain.clone()).unwrap_or_default();
     let message = format!("{because}; {} free machines of domain {domain}", members.len());
-    let body =
-        CommandBody::FormReplica { deployment: name.to_string(), members, reason: message.clone() };
+    let body = CommandBody::FormReplica { deployment: name.to_string(), members, reason: message.clone() };
     Some(Operator::on_deployment(name, reason, message, body))
 }
 
@@ -196,7 +204,11 @@
 
 /// Replicas whose deployment is gone.
 fn orphans(fleet: &Fleet<'_>, repaired: &[String]) -> Vec<Operator> {
-    let orphaned = fleet.tables.replicas.values().filter(|replica| fleet.tables.deployment(&replica.deployment).is_none());
+    let orphaned = fleet
+        .tables
+        .replicas
+        .values()
+        .filter(|replica| fleet.tables.deployment(&replica.deployment).is_none());
     let untouched = orphaned.filter(|replica| !repaired.contains(&replica.name));
     untouched
         .filter_map(|replica| match replica.phase {
@@ -225,7 +237,11 @@
         } else {
             format!("no domain has {wanted} free machines; the largest has {largest}")
         };
-        shortfalls.push(Shortfall { deployment: name.to_string(), missing: spec.replicas - present, message });
+        shortfalls.push(Shortfall {
+            deployment: name.to_string(),
+            missing: spec.replicas - present,
+            message,
+        });
     }
     shortfalls
 }
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -3,7 +3,9 @@
 use dockwood_api::peer::{DaemonRecord, MachineState};
 use dockwood_api::resource::{Metadata, Resource, Spec, spec_from_json};
 use dockwood_placement::{Fleet, MachineHealth, MachineObservations, Operator, plan, shortfalls};
-use dockwood_state::{ChangeAction, ChangeRequest, Command, CommandBody, Liveness, OrderState, ReplicaPhase, State};
+use dockwood_state::{
+    ChangeAction, ChangeRequest, Command, CommandBody, Liveness, OrderState, ReplicaPhase, State,
+};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 
@@ -20,7 +22,12 @@
 impl World {
     /// Machines in domains of ten, alternating between two zones, and three daemons.
     fn new(machines: usize) -> World {
-        let mut world = World { state: State::default(), machines: MachineObservations::default(), idle: BTreeSet::new(), now: 100_000 };
+        let mut world = World {
+            state: State::default(),
+            machines: MachineObservations::default(),
+            idle: BTreeSet::new(),
+            now: 100_000,
+        };
         let versions = json!([{ "name": "v1", "weightsMib": 100 }, { "name": "v2", "weightsMib": 100 }]);
         world.store("Model", "m", json!({ "versions": versions, "contextTokens": 1 }));
         for number in 0..machines {
@@ -29,7 +36,13 @@
         }
         for name in ["e1", "e2", "e3"] {
             let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-            let record = DaemonRecord { name: name.to_string(), http: address, peer: address, zone: format!("z-{name}"), region: String::new() };
+            let record = DaemonRecord {
+                name: name.to_string(),
+                http: address,
+                peer: address,
+                zone: format!("z-{name}"),
+                region: String::new(),
+            };
             world.apply(CommandBody::JoinDaemon { record, incarnation: 1 });
         }
         world
@@ -42,7 +55,8 @@
     fn store(&mut self, kind: &str, name: &str, spec: Value) {
         let kind = kind.parse().unwrap_or_else(|_| panic!("{kind}"));
         let spec: Spec = spec_from_json(kind, spec).unwrap_or_else(|error| panic!("{error}"));
-        let resource = Resource { metadata: Metadata { name: name.to_string(), ..Metadata::default() }, spec };
+        let resource =
+            Resource { metadata: Metadata { name: name.to_string(), ..Metadata::default() }, spec };
         let request = ChangeRequest {
             change_id: format!("{}", self.state.tables.revision),
             content_digest: 0,
@@ -70,7 +84,12 @@
     }
 
     fn fleet(&self) -> Fleet<'_> {
-        Fleet { tables: &self.state.tables, machines: &self.machines, idle_replicas: &self.idle, now: self.now }
+        Fleet {
+            tables: &self.state.tables,
+            machines: &self.machines,
+            idle_replicas: &self.idle,
+            now: self.now,
+        }
     }
 
     /// Decides and carries out until nothing is left to do; the reasons in order.
@@ -92,7 +111,14 @@
     }
 
     fn confirm_live_orders(&mut self) {
-        let pending: Vec<_> = self.state.tables.orders.values().filter(|order| order.state == OrderState::Pending).cloned().collect();
+        let pending: Vec<_> = self
+            .state
+            .tables
+            .orders
+            .values()
+            .filter(|order| order.state == OrderState::Pending)
+            .cloned()
+            .collect();
         for order in pending {
             if self.machines.health(self.now, &order.server) != MachineHealth::Dead {
                 self.apply(CommandBody::OrderDone { server: order.server.clone(), fence: order.fence });
@@ -126,9 +152,11 @@
     world.deploy(4, "v1");
     world.settle();
     assert_eq!(world.serving(), 4);
-    let zones: BTreeSet<&str> = world.state.tables.replicas.values().take(2).map(|row| row.zone.as_str()).collect();
+    let zones: BTreeSet<&str> =
+        world.state.tables.replicas.values().take(2).map(|row| row.zone.as_str()).collect();
     assert_eq!(zones.len(), 2);
-    let domains: BTreeSet<&str> = world.state.tables.replicas.values().map(|row| row.domain.as_str()).collect();
+    let domains: BTreeSet<&str> =
+        world.state.tables.replicas.values().map(|row| row.domain.as_str()).collect();
     assert_eq!(domains.len(), 4, "every domain keeps spares");
 }
 
@@ -169,10 +197,13 @@
     world.deploy(2, "v1");
     world.settle();
     let row = world.state.tables.replicas["d-1"].clone();
-    let lost: Vec<String> = (0..20).map(machine).filter(|name| {
-        let same_domain = world.state.tables.server(name).map(|spec| &spec.domain) == Some(&row.domain);
-        same_domain && (!row.members.contains(name) || *name == row.members[0])
-    }).collect();
+    let lost: Vec<String> = (0..20)
+        .map(machine)
+        .filter(|name| {
+            let same_domain = world.state.tables.server(name).map(|spec| &spec.domain) == Some(&row.domain);
+            same_domain && (!row.members.contains(name) || *name == row.members[0])
+        })
+        .collect();
     lost.iter().for_each(|server| world.kill(server));
     assert!(world.settle().contains(&"Dissolved"));
     assert_eq!(world.serving(), 2);
@@ -213,7 +244,8 @@
         machines.record(now, "a", MachineState::Refusing);
         now += 1_000;
         machines.record(now, "a", ALIVE);
-        let well = (0..200_000).step_by(100).find(|wait| machines.health(now + wait, "a") == MachineHealth::Usable);
+        let well =
+            (0..200_000).step_by(100).find(|wait| machines.health(now + wait, "a") == MachineHealth::Usable);
         waits.push(well.unwrap_or(0));
         now += 1_000;
     }
@@ -291,8 +323,19 @@
     let pool = world.state.tables.pools["d"].clone();
     let (coordinator, standby) = (pool.coordinator.unwrap_or_default(), pool.standby.unwrap_or_default());
     assert_ne!(coordinator, standby);
-    let kept: Vec<_> = world.state.tables.replicas.values().filter(|row| row.watcher.as_ref() != Some(&coordinator)).cloned().collect();
-    world.apply(CommandBody::SetLiveness { daemon: coordinator.clone(), incarnation: 1, liveness: Liveness::Lost });
+    let kept: Vec<_> = world
+        .state
+        .tables
+        .replicas
+        .values()
+        .filter(|row| row.watcher.as_ref() != Some(&coordinator))
+        .cloned()
+        .collect();
+    world.apply(CommandBody::SetLiveness {
+        daemon: coordinator.clone(),
+        incarnation: 1,
+        liveness: Liveness::Lost,
+    });
     world.settle();
     assert_eq!(world.state.tables.pools["d"].coordinator.as_ref(), Some(&standby), "the standby takes over");
     assert!(world.state.tables.replicas.values().all(|row| row.watcher.as_ref() != Some(&coordinator)));
--- a/crates/routing/src/admission/queue.rs
+++ b/crates/routing/src/admission/queue.rs
@@ -113,7 +113,8 @@
     }
 
     fn pop_newest(&mut self) -> Option<Waiting<T>> {
-        let (tenant, _) = self.tenants.iter().max_by_key(|(_, queue)| queue.waiting.back().map(|last| last.since))?;
+        let (tenant, _) =
+            self.tenants.iter().max_by_key(|(_, queue)| queue.waiting.back().map(|last| last.since))?;
         let tenant = tenant.clone();
         let taken = self.tenants.get_mut(&tenant)?.waiting.pop_back();
         self.drop_if_idle(&tenant);
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -47,9 +47,9 @@
                 (std::cmp::Reverse(matched), candidate.load(), candidate.last_granted, candidate.replica)
             })
         }
-        ChoicePolicy::LeastLoaded => {
-            candidates.iter().min_by_key(|candidate| (candidate.load(), candidate.last_granted, candidate.replica))
-        }
+        ChoicePolicy::LeastLoaded => candidates
+            .iter()
+            .min_by_key(|candidate| (candidate.load(), candidate.last_granted, candidate.replica)),
         ChoicePolicy::RoundRobin => {
             candidates.iter().min_by_key(|candidate| (candidate.last_granted, candidate.replica))
         }
--- a/crates/routing/src/coordinator.rs
+++ b/crates/routing/src/coordinator.rs
@@ -218,12 +218,16 @@
             used: self.used_slots(&replica.name),
             open: replica.serving && self.gate.open_for(now, &replica.name, replica.epoch).is_some(),
         };
-        PoolSnapshot { waiting: self.queue.lengths(), replicas: self.config.replicas.iter().map(load).collect() }
+        PoolSnapshot {
+            waiting: self.queue.lengths(),
+            replicas: self.config.replicas.iter().map(load).collect(),
+        }
     }
 
     fn configure(&mut self, now: Millis, config: PoolConfig) {
         for replica in &self.config.replicas {
-            let same = config.replicas.iter().any(|next| next.name == replica.name && next.epoch == replica.epoch);
+            let same =
+                config.replicas.iter().any(|next| next.name == replica.name && next.epoch == replica.epoch);
             if !same {
                 self.prefixes.forget(&replica.name);
             }
@@ -244,11 +248,21 @@
             return;
         };
         if self.config.declared_replicas == 0 {
-            self.refuse(ticket, ResultCode::NoServingReplica, MIN_RETRY_MS, "the deployment declares no replica");
+            self.refuse(
+                ticket,
+                ResultCode::NoServingReplica,
+                MIN_RETRY_MS,
+                "the deployment declares no replica",
+            );
             return;
         }
         if let Some(wait) = self.hopeless_wait(share.tier, request.wait_ms) {
-            self.refuse(ticket, ResultCode::DeadlineUnreachable, wait, "the queue is longer than the deadline");
+            self.refuse(
+                ticket,
+                ResultCode::DeadlineUnreachable,
+                wait,
+                "the queue is longer than the deadline",
+            );
             return;
         }
         if !self.make_room(now, share.tier) {
@@ -279,7 +293,12 @@
         let Some(displaced) = self.queue.pop_below(tier) else { return false };
         self.limiter.leave(&displaced.tenant);
         let wait = self.expected_wait(displaced.tier);
-        self.refuse(displaced.item.ticket, ResultCode::QueueFull, wait, "a higher tier took its place in the queue");
+        self.refuse(
+            displaced.item.ticket,
+            ResultCode::QueueFull,
+            wait,
+            "a higher tier took its place in the queue",
+        );
         true
     }
 
@@ -344,8 +363,12 @@
         self.entries_heard.insert(entry.to_string(), now);
         for (number, replica) in held {
             if !self.slots.contains_key(number) {
-                let slot =
-                    Slot { entry: entry.to_string(), tenant: None, replica: replica.clone(), granted_at: now };
+                let slot = Slot {
+                    entry: entry.to_string(),
+                    tenant: None,
+                    replica: replica.clone(),
+                    granted_at: now,
+                };
                 self.occupy(*number, slot);
             }
         }
@@ -365,7 +388,12 @@
         for expired in self.queue.remove_where(|waiting| now >= waiting.until) {
             self.limiter.leave(&expired.tenant);
             let wait = self.expected_wait(expired.tier);
-            self.refuse(expired.item.ticket, ResultCode::DeadlineUnreachable, wait, "no slot within the deadline");
+            self.refuse(
+                expired.item.ticket,
+                ResultCode::DeadlineUnreachable,
+                wait,
+                "no slot within the deadline",
+            );
         }
         self.queue.age(now);
         let heard = &self.entries_heard;
@@ -396,7 +424,8 @@
             if free.is_empty() {
                 return;
             }
-            let Some(waiting) = self.queue.pop(|waiting| free.iter().any(|(replica, _)| fits(&waiting.item, replica)))
+            let Some(waiting) =
+                self.queue.pop(|waiting| free.iter().any(|(replica, _)| fits(&waiting.item, replica)))
             else {
                 return;
             };
@@ -434,7 +463,8 @@
             })
             .collect();
         let chosen = choose(self.config.policy, &candidates);
-        let Some((replica, open_for)) = fitting.iter().find(|(replica, _)| Some(replica.name.as_str()) == chosen)
+        let Some((replica, open_for)) =
+            fitting.iter().find(|(replica, _)| Some(replica.name.as_str()) == chosen)
         else {
             return;
         };
--- a/crates/routing/src/entry.rs
+++ b/crates/routing/src/entry.rs
@@ -26,7 +26,8 @@
         let elsewhere = zone.is_some_and(|zone| zone != candidate.zone);
         (elsewhere, std::cmp::Reverse(rendezvous_weight(session, candidate.name)))
     });
-    let all_in_one_zone = |ordered: &[EntryCandidate<'_>]| ordered.iter().all(|one| one.zone == ordered[0].zone);
+    let all_in_one_zone =
+        |ordered: &[EntryCandidate<'_>]| ordered.iter().all(|one| one.zone == ordered[0].zone);
     let mut kept: Vec<EntryCandidate<'a>> = ordered.iter().take(at_most).cloned().collect();
     // The last address lies in another zone, so that a caller that loses a zone still holds one that works.
     if kept.len() > 1
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,7 +13,9 @@
 mod service;
 
 pub use choice::{Candidate, ChoicePolicy, choose};
-pub use coordinator::{Coordinator, Input, Output, PoolConfig, PoolReplica, PoolSnapshot, ReplicaLoad, TenantShare, Ticket};
+pub use coordinator::{
+    Coordinator, Input, Output, PoolConfig, PoolReplica, PoolSnapshot, ReplicaLoad, TenantShare, Ticket,
+};
 pub use entry::{EntryCandidate, entry_order};
 pub use gate::{EVIDENCE_WINDOW_MS, EvidenceTable};
 pub use prefix::{PREFIX_BLOCK_BYTES, PrefixIndex, prefix_blocks};
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -62,7 +62,8 @@
     /// Picks one of `eligible` with fewer than `limit` calls in flight, and counts the call in. `random`
     /// supplies two uniform numbers. `None` when all are at their limit.
     pub fn pick(&mut self, now: Millis, eligible: &[&str], limit: u32, random: [u64; 2]) -> Option<String> {
-        let below_limit = |name: &&str| self.backends.get(*name).is_none_or(|backend| backend.in_flight < limit);
+        let below_limit =
+            |name: &&str| self.backends.get(*name).is_none_or(|backend| backend.in_flight < limit);
         let open: Vec<&str> = eligible.iter().copied().filter(below_limit).collect();
         let healthy: Vec<&str> = open.iter().copied().filter(|name| !self.is_ejected(now, name)).collect();
         let choices = if healthy.is_empty() { &open } else { &healthy };
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -4,12 +4,22 @@
 use dockwood_api::peer::{AcquireRequest, ReplicaEvidence, SlotReturn};
 use dockwood_api::resource::TenantLimits;
 use dockwood_routing::admission::{AGEING_MS, AdmissionQueue, LimitVerdict, TenantLimiter, Waiting};
-use dockwood_routing::{ChoicePolicy, Coordinator, EVIDENCE_WINDOW_MS, Input, Output, PoolConfig, PoolReplica, TenantShare};
+use dockwood_routing::{
+    ChoicePolicy, Coordinator, EVIDENCE_WINDOW_MS, Input, Output, PoolConfig, PoolReplica, TenantShare,
+};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 fn waiting(item: u64, tenant: &str, tier: u8, weight: u32, cost: u32, since: u64) -> Waiting<u64> {
-    Waiting { item, tenant: tenant.to_string(), tier, weight, cost_tokens: cost, since, until: since + 100_000 }
+    Waiting {
+        item,
+        tenant: tenant.to_string(),
+        tier,
+        weight,
+        cost_tokens: cost,
+        since,
+        until: since + 100_000,
+    }
 }
 
 #[test]
@@ -67,9 +77,16 @@
 #[test]
 fn a_token_limit_holds_over_time() {
     let mut limiter = TenantLimiter::default();
-    limiter.configure(0, "t", TenantLimits { requests_per_second: 0, tokens_per_second: 100, concurrency: 0 });
+    limiter.configure(
+        0,
+        "t",
+        TenantLimits { requests_per_second: 0, tokens_per_second: 100, concurrency: 0 },
+    );
     let admitted = (0..10_000).filter(|now| limiter.admit(*now, "t", 10) == LimitVerdict::Within).count();
-    assert!((105..=111).contains(&admitted), "{admitted} requests of 10 tokens in 10 s at 100 tokens/s and a burst");
+    assert!(
+        (105..=111).contains(&admitted),
+        "{admitted} requests of 10 tokens in 10 s at 100 tokens/s and a burst"
+    );
 }
 
 const SLOTS: u32 = 2;
@@ -180,18 +197,28 @@
         assert!(acquire(&mut pool, 1_002, ticket, "low").is_empty());
     }
     assert_eq!(refusals(&acquire(&mut pool, 1_003, 8, "low")), [(8, ResultCode::QueueFull)]);
-    assert_eq!(refusals(&acquire(&mut pool, 1_003, 9, "top")), [(7, ResultCode::QueueFull)], "the newest of the lower tier gives way");
+    assert_eq!(
+        refusals(&acquire(&mut pool, 1_003, 9, "top")),
+        [(7, ResultCode::QueueFull)],
+        "the newest of the lower tier gives way"
+    );
 }
 
 #[test]
 fn a_returned_slot_goes_to_the_higher_tier() {
     let mut pool = open_pool();
-    let slots: Vec<u64> = (0..4).flat_map(|ticket| grants(&acquire(&mut pool, 1_001, ticket, "low"))).map(|one| one.2).collect();
+    let slots: Vec<u64> = (0..4)
+        .flat_map(|ticket| grants(&acquire(&mut pool, 1_001, ticket, "low")))
+        .map(|one| one.2)
+        .collect();
     acquire(&mut pool, 1_002, 10, "low");
     acquire(&mut pool, 1_003, 11, "top");
     assert_eq!(grants(&pool.step(1_004, slot_return(slots[0], false)))[0].0, 11);
     assert_eq!(grants(&pool.step(1_005, slot_return(slots[1], false)))[0].0, 10);
-    assert!(grants(&pool.step(1_006, slot_return(slots[1], false))).is_empty(), "a repeated return frees nothing");
+    assert!(
+        grants(&pool.step(1_006, slot_return(slots[1], false))).is_empty(),
+        "a repeated return frees nothing"
+    );
 }
 
 #[test]
@@ -211,7 +238,8 @@
 fn a_prefix_draws_its_requests_together_while_load_is_bounded() {
     let mut pool = open_pool();
     let with_prefix = |pool: &mut Coordinator, ticket| {
-        let outputs = pool.step(1_001, Input::Acquire { ticket, request: request("top", "e", vec![7, 8, 9]) });
+        let outputs =
+            pool.step(1_001, Input::Acquire { ticket, request: request("top", "e", vec![7, 8, 9]) });
         grants(&outputs)[0].clone()
     };
     let first = with_prefix(&mut pool, 1);
@@ -225,8 +253,10 @@
 #[test]
 fn slots_of_a_lost_entry_come_free_and_those_of_a_live_one_do_not() {
     let mut pool = open_pool();
-    let slots: Vec<(u64, String)> =
-        (0..4).flat_map(|ticket| grants(&acquire(&mut pool, 1_001, ticket, "top"))).map(|one| (one.2, one.1)).collect();
+    let slots: Vec<(u64, String)> = (0..4)
+        .flat_map(|ticket| grants(&acquire(&mut pool, 1_001, ticket, "top")))
+        .map(|one| (one.2, one.1))
+        .collect();
     acquire(&mut pool, 1_002, 9, "top");
     let held = Input::EntryHolds { entry: "e".to_string(), slots: slots[..3].to_vec() };
     assert!(grants(&pool.step(1_500, held.clone())).is_empty(), "the grant may still be on its way");
@@ -238,7 +268,8 @@
 #[test]
 fn a_successor_adopts_what_entries_hold() {
     let mut pool = open_pool();
-    let held: Vec<(u64, String)> = (1..=4).map(|slot| (slot, if slot < 3 { "a" } else { "b" }.to_string())).collect();
+    let held: Vec<(u64, String)> =
+        (1..=4).map(|slot| (slot, if slot < 3 { "a" } else { "b" }.to_string())).collect();
     pool.step(1_001, Input::EntryHolds { entry: "e".to_string(), slots: held });
     assert!(grants(&acquire(&mut pool, 1_002, 1, "top")).is_empty(), "all slots are in use");
     assert_eq!(grants(&pool.step(1_003, slot_return(2, false))).len(), 1);
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -1,8 +1,8 @@
 //! Choice of entries, replicas and servers.
 
 use dockwood_routing::{
-    BackendPicker, CallResult, Candidate, ChoicePolicy, EntryCandidate, PREFIX_BLOCK_BYTES, PrefixIndex, RetryBudget,
-    choose, entry_order, prefix_blocks,
+    BackendPicker, CallResult, Candidate, ChoicePolicy, EntryCandidate, PREFIX_BLOCK_BYTES, PrefixIndex,
+    RetryBudget, choose, entry_order, prefix_blocks,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -41,7 +41,13 @@
 
 #[test]
 fn policies_choose_as_they_say() {
-    let candidate = |replica, used, matched_blocks, last_granted| Candidate { replica, used, slots: 10, matched_blocks, last_granted };
+    let candidate = |replica, used, matched_blocks, last_granted| Candidate {
+        replica,
+        used,
+        slots: 10,
+        matched_blocks,
+        last_granted,
+    };
     let pool = [candidate("cached", 1, 5, 9), candidate("idle", 0, 0, 8), candidate("busy", 9, 9, 1)];
     assert_eq!(choose(ChoicePolicy::PrefixAffinity, &pool), Some("cached"));
     assert_eq!(choose(ChoicePolicy::LeastLoaded, &pool), Some("idle"));
@@ -101,7 +107,9 @@
             picker.finished(0, name, CallResult::Failed, servers.len());
         }
     }
-    let at = |picker: &mut BackendPicker, now| (0..20_u64).filter_map(|n| picker.pick(now, &servers, 1_000, [n, n + 1])).collect::<Vec<_>>();
+    let at = |picker: &mut BackendPicker, now| {
+        (0..20_u64).filter_map(|n| picker.pick(now, &servers, 1_000, [n, n + 1])).collect::<Vec<_>>()
+    };
     assert!(at(&mut picker, 10).iter().all(|name| name == "b"), "a is out, and b may not be ejected as well");
     assert!(at(&mut picker, 60_000).iter().any(|name| name == "a"), "a is back");
 }
--- a/crates/state/src/assignment.rs
+++ b/crates/state/src/assignment.rs
@@ -2,6 +2,7 @@
 //! a machine is held by at most one replica; epochs and fences only grow; a machine that was released is not
 //! held again before it has confirmed that it let go.
 
+use crate::command::Outcome;
 use crate::machine::Applied;
 use crate::tables::{Holder, MachineRow, OrderRow, OrderState, ReplicaPhase, ReplicaRow, Tables};
 use dockwood_api::engine::{LoadPlan, Member, OrderAction};
@@ -27,9 +28,15 @@
         }
     }
 
-    pub(crate) fn reform_replica(&mut self, replica: &str, epoch: u64, members: &[String], reason: &str) -> Applied {
+    pub(crate) fn reform_replica(
+        &mut self,
+        replica: &str,
+        epoch: u64,
+        members: &[String],
+        reason: &str,
+    ) -> Applied {
         let current = match self.replica_at(replica, epoch) {
-            Err(refusal) => return refusal,
+            Err(error) => return Applied::outcome(Outcome::Refused(error)),
             Ok(current) => current,
         };
         match self.plan(replica, epoch + 1, &current.deployment, members, reason) {
@@ -43,7 +50,7 @@
 
     pub(crate) fn drain_replica(&mut self, replica: &str, epoch: u64, reason: &str) -> Applied {
         let current = match self.replica_at(replica, epoch) {
-            Err(refusal) => return refusal,
+            Err(error) => return Applied::outcome(Outcome::Refused(error)),
             Ok(current) => current,
         };
         let row = ReplicaRow {
@@ -59,7 +66,7 @@
 
     pub(crate) fn dissolve_replica(&mut self, replica: &str, epoch: u64, _reason: &str) -> Applied {
         let current = match self.replica_at(replica, epoch) {
-            Err(refusal) => return refusal,
+            Err(error) => return Applied::outcome(Outcome::Refused(error)),
             Ok(current) => current,
         };
         let mut touched = vec![replica_key(replica)];
@@ -124,13 +131,13 @@
         }
     }
 
-    fn replica_at(&self, replica: &str, epoch: u64) -> Result<Arc<ReplicaRow>, Applied> {
+    fn replica_at(&self, replica: &str, epoch: u64) -> Result<Arc<ReplicaRow>, ApiError> {
         let Some(current) = self.replicas.get(replica) else {
-            return Err(Applied::refused(ResultCode::NotFound, format!("there is no replica '{replica}'")));
+            return Err(ApiError::new(ResultCode::NotFound, format!("there is no replica '{replica}'")));
         };
         if current.epoch != epoch {
             let message = format!("replica '{replica}' is at epoch {}, not {epoch}", current.epoch);
-            return Err(Applied::refused(ResultCode::EpochStale, message));
+            return Err(ApiError::new(ResultCode::EpochStale, message));
         }
         Ok(current.clone())
     }
@@ -144,11 +151,15 @@
         reason: &str,
     ) -> Result<Plan, ApiError> {
         let not_found = |message: String| ApiError::new(ResultCode::NotFound, message);
-        let spec = self.deployment(deployment).ok_or_else(|| not_found(format!("no deployment '{deployment}'")))?;
-        let version = self.model(&spec.model).and_then(|model| model.versions.iter().find(|v| v.name == spec.version));
-        let version = version.ok_or_else(|| not_found(format!("no version '{}' of '{}'", spec.version, spec.model)))?;
+        let spec =
+            self.deployment(deployment).ok_or_else(|| not_found(format!("no deployment '{deployment}'")))?;
+        let version =
+            self.model(&spec.model).and_then(|model| model.versions.iter().find(|v| v.name == spec.version));
+        let version =
+            version.ok_or_else(|| not_found(format!("no version '{}' of '{}'", spec.version, spec.model)))?;
         self.check_members(replica, spec.machines_per_replica, members)?;
-        let head = self.server(&members[0]).ok_or_else(|| not_found(format!("no server '{}'", members[0])))?;
+        let head =
+            self.server(&members[0]).ok_or_else(|| not_found(format!("no server '{}'", members[0])))?;
         let row = ReplicaRow {
             name: replica.to_string(),
             deployment: deployment.to_string(),
@@ -176,7 +187,9 @@
         }
         let domain = self.server(&members[0]).map(|server| server.domain.as_str());
         for (position, name) in members.iter().enumerate() {
-            let Some(server) = self.server(name) else { return invalid(format!("there is no server '{name}'")) };
+            let Some(server) = self.server(name) else {
+                return invalid(format!("there is no server '{name}'"));
+            };
             if members[..position].contains(name) {
                 return invalid(format!("server '{name}' stands twice"));
             }
@@ -262,7 +275,9 @@
     }
 
     fn mark_serving_if_loaded(&mut self, replica: &str, epoch: u64, touched: &mut Vec<ResourceKey>) {
-        let Some(current) = self.replicas.get(replica).filter(|row| row.epoch == epoch).cloned() else { return };
+        let Some(current) = self.replicas.get(replica).filter(|row| row.epoch == epoch).cloned() else {
+            return;
+        };
         let is_loaded = |server: &String| {
             self.orders.get(server).is_some_and(|order| {
                 let loads_epoch = matches!(&order.action, OrderAction::Load(plan) if plan.epoch == epoch);
--- a/crates/state/src/change.rs
+++ b/crates/state/src/change.rs
@@ -74,7 +74,8 @@
             return Applied::refused(ResultCode::AlreadyExists, format!("{key} exists"));
         }
         if requested.metadata.resource_version != 0 {
-            let message = format!("{key} does not exist at resourceVersion {}", requested.metadata.resource_version);
+            let message =
+                format!("{key} does not exist at resourceVersion {}", requested.metadata.resource_version);
             return Applied::refused(ResultCode::NotFound, message);
         }
         if let Err(error) = self.check_references(requested) {
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -120,7 +120,8 @@
     }
 
     pub(crate) fn settle(&mut self, settlement: &ClaimSettlement) {
-        let Some(row) = self.rows.get_mut(&settlement.key).filter(|row| row.attempt == settlement.attempt) else {
+        let Some(row) = self.rows.get_mut(&settlement.key).filter(|row| row.attempt == settlement.attempt)
+        else {
             return;
         };
         match settlement.code {
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -34,13 +34,22 @@
             let message = format!("daemon '{daemon}' is at incarnation {}", current.incarnation);
             return Applied::refused(ResultCode::EpochStale, message);
         }
-        let row =
-            DaemonRow { liveness, revision: self.revision, since_ms: self.now_ms, ..DaemonRow::clone(current) };
+        let row = DaemonRow {
+            liveness,
+            revision: self.revision,
+            since_ms: self.now_ms,
+            ..DaemonRow::clone(current)
+        };
         self.daemons.insert(daemon.to_string(), Arc::new(row));
         Applied::touching(vec![daemon_key(daemon)])
     }
 
-    pub(crate) fn assign_pool(&mut self, pool: &str, coordinator: Option<&str>, standby: Option<&str>) -> Applied {
+    pub(crate) fn assign_pool(
+        &mut self,
+        pool: &str,
+        coordinator: Option<&str>,
+        standby: Option<&str>,
+    ) -> Applied {
         if self.deployment(pool).is_none() {
             self.pools.remove(pool);
             return Applied::touching(Vec::new());
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -63,7 +63,9 @@
             CommandBody::ReformReplica { replica, epoch, members, reason } => {
                 tables.reform_replica(replica, *epoch, members, reason)
             }
-            CommandBody::DrainReplica { replica, epoch, reason } => tables.drain_replica(replica, *epoch, reason),
+            CommandBody::DrainReplica { replica, epoch, reason } => {
+                tables.drain_replica(replica, *epoch, reason)
+            }
             CommandBody::DissolveReplica { replica, epoch, reason } => {
                 tables.dissolve_replica(replica, *epoch, reason)
             }
@@ -72,7 +74,9 @@
             CommandBody::AssignPool { pool, coordinator, standby } => {
                 tables.assign_pool(pool, coordinator.as_deref(), standby.as_deref())
             }
-            CommandBody::AssignWatcher { replica, watcher } => tables.assign_watcher(replica, watcher.as_deref()),
+            CommandBody::AssignWatcher { replica, watcher } => {
+                tables.assign_watcher(replica, watcher.as_deref())
+            }
             CommandBody::Claim(requests) => {
                 let now_ms = tables.now_ms;
                 let verdicts = requests.iter().map(|request| self.claims.claim(request, now_ms)).collect();
--- a/crates/state/src/reference.rs
+++ b/crates/state/src/reference.rs
@@ -1,7 +1,9 @@
 //! References between resources: what a spec may name, and what stands in the way of a deletion.
 
 use crate::tables::Tables;
-use dockwood_api::resource::{AdapterSpec, DeploymentSpec, Kind, Resource, ResourceKey, ServerSpec, ServiceSpec, Spec};
+use dockwood_api::resource::{
+    AdapterSpec, DeploymentSpec, Kind, Resource, ResourceKey, ServerSpec, ServiceSpec, Spec,
+};
 use dockwood_api::{ApiError, ResultCode};
 
 impl Tables {
@@ -85,8 +87,10 @@
     fn check_kept_versions(&self, resource: &Resource, problems: &mut Vec<String>) {
         let Spec::Model(spec) = &resource.spec else { return };
         let name = &resource.metadata.name;
-        let used_by_deployments = self.deployments().filter(|(_, used)| used.model == *name).map(|(_, used)| &used.version);
-        let used_by_adapters = self.adapters().filter(|(_, used)| used.model == *name).map(|(_, used)| &used.version);
+        let used_by_deployments =
+            self.deployments().filter(|(_, used)| used.model == *name).map(|(_, used)| &used.version);
+        let used_by_adapters =
+            self.adapters().filter(|(_, used)| used.model == *name).map(|(_, used)| &used.version);
         for version in used_by_deployments.chain(used_by_adapters) {
             if !spec.versions.iter().any(|kept| kept.name == *version) {
                 problems.push(format!("spec.versions: version '{version}' is in use"));
@@ -111,23 +115,31 @@
         match key.kind {
             Kind::Model => {
                 let adapters = self.adapters().filter(|(_, spec)| spec.model == name);
-                let adapters = adapters.map(|(adapter, _)| ResourceKey::new(Kind::Adapter, adapter).to_string());
+                let adapters =
+                    adapters.map(|(adapter, _)| ResourceKey::new(Kind::Adapter, adapter).to_string());
                 let deployments = self.deployments().filter(|(_, spec)| spec.model == name);
                 adapters.chain(deployments.map(|(deployment, _)| deployment_name(deployment))).collect()
             }
             Kind::Adapter => {
-                let users = self.deployments().filter(|(_, spec)| spec.adapters.iter().any(|used| used == name));
+                let users =
+                    self.deployments().filter(|(_, spec)| spec.adapters.iter().any(|used| used == name));
                 users.map(|(deployment, _)| deployment_name(deployment)).collect()
             }
             Kind::Tenant => {
-                let users = self.deployments().filter(|(_, spec)| spec.tenants.iter().any(|used| used == name));
-                let services = self.services().filter(|(_, spec)| spec.tenants.iter().any(|used| used == name));
-                let services = services.map(|(service, _)| ResourceKey::new(Kind::Service, service).to_string());
+                let users =
+                    self.deployments().filter(|(_, spec)| spec.tenants.iter().any(|used| used == name));
+                let services =
+                    self.services().filter(|(_, spec)| spec.tenants.iter().any(|used| used == name));
+                let services =
+                    services.map(|(service, _)| ResourceKey::new(Kind::Service, service).to_string());
                 users.map(|(deployment, _)| deployment_name(deployment)).chain(services).collect()
             }
             Kind::Server => {
                 let holder = self.machines.get(name).and_then(|machine| machine.holder.as_ref());
-                holder.map(|holder| ResourceKey::new(Kind::Replica, &holder.replica).to_string()).into_iter().collect()
+                holder
+                    .map(|holder| ResourceKey::new(Kind::Replica, &holder.replica).to_string())
+                    .into_iter()
+                    .collect()
             }
             _ => Vec::new(),
         }
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -17,7 +17,9 @@
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ApiError> {
     let unknown = |message: String| ApiError::new(ResultCode::FormatUnknown, message);
     match bytes.split_first() {
-        Some((&FORMAT_VERSION, body)) => postcard::from_bytes(body).map_err(|error| unknown(error.to_string())),
+        Some((&FORMAT_VERSION, body)) => {
+            postcard::from_bytes(body).map_err(|error| unknown(error.to_string()))
+        }
         Some((version, _)) => Err(unknown(format!("format version {version}"))),
         None => Err(unknown("no content".to_string())),
     }
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -3,7 +3,8 @@
 use dockwood_api::engine::{OrderAction, Role};
 use dockwood_api::peer::DaemonRecord;
 use dockwood_api::resource::{
-    AdapterSpec, DeploymentSpec, Kind, ModelSpec, Resource, ResourceKey, ServerSpec, ServiceSpec, Spec, TenantSpec,
+    AdapterSpec, DeploymentSpec, Kind, ModelSpec, Resource, ResourceKey, ServerSpec, ServiceSpec, Spec,
+    TenantSpec,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -197,7 +198,10 @@
     /// All desired resources of a kind, in order of name.
     pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Arc<Resource>> {
         let first = ResourceKey::new(kind, "");
-        self.resources.range(first..).take_while(move |(key, _)| key.kind == kind).map(|(_, resource)| resource)
+        self.resources
+            .range(first..)
+            .take_while(move |(key, _)| key.kind == kind)
+            .map(|(_, resource)| resource)
     }
 
     /// Replicas of one deployment, in order of name.
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -2,7 +2,8 @@
 
 use crate::tables::{DaemonRow, Liveness, OrderRow, OrderState, ReplicaPhase, ReplicaRow, Tables};
 use dockwood_api::resource::{
-    API_VERSION, Condition, DeploymentSpec, Kind, Metadata, Resource, ResourceKey, ResourceView, Spec, Status, view_of,
+    API_VERSION, Condition, DeploymentSpec, Kind, Metadata, Resource, ResourceKey, ResourceView, Spec,
+    Status, view_of,
 };
 use serde_json::{Value, json};
 
@@ -54,7 +55,8 @@
 fn deployment_status(tables: &Tables, name: &str, spec: &DeploymentSpec, status: &mut Status) {
     let replicas: Vec<_> = tables.replicas_of(name).collect();
     let current = |replica: &&&std::sync::Arc<ReplicaRow>| replica.version == spec.version;
-    let serving = replicas.iter().filter(|replica| replica.phase == ReplicaPhase::Serving).filter(current).count();
+    let serving =
+        replicas.iter().filter(|replica| replica.phase == ReplicaPhase::Serving).filter(current).count();
     let complete = serving >= spec.replicas as usize;
     let reason = if complete { "AllServing" } else { "TooFewServing" };
     let message = format!("{serving} of {} replicas serve version {}", spec.replicas, spec.version);
@@ -72,7 +74,9 @@
     let machine = tables.machines.get(name);
     let holder = machine.and_then(|machine| machine.holder.as_ref());
     let (reason, message) = match holder {
-        Some(holder) => ("InReplica", format!("held by replica {} at epoch {}", holder.replica, holder.epoch)),
+        Some(holder) => {
+            ("InReplica", format!("held by replica {} at epoch {}", holder.replica, holder.epoch))
+        }
         None if tables.is_free(name) => ("Free", "in no replica".to_string()),
         None => ("Releasing", "in no replica; has not confirmed its release".to_string()),
     };
--- a/crates/state/tests/changes.rs
+++ b/crates/state/tests/changes.rs
@@ -20,7 +20,8 @@
 #[test]
 fn of_two_changes_of_one_version_exactly_one_wins() {
     let mut state = fleet(4);
-    let version = state.tables.resource(Kind::Deployment, "d").map(|one| one.metadata.resource_version).unwrap_or(0);
+    let version =
+        state.tables.resource(Kind::Deployment, "d").map(|one| one.metadata.resource_version).unwrap_or(0);
     let changed = |replicas| {
         let mut resource = deployment("d", replicas);
         resource.metadata.resource_version = version;
@@ -50,7 +51,9 @@
     let mut stale = deployment("d", 3);
     stale.metadata.resource_version = 1;
     assert_eq!(code(&change(&mut state, "a", ChangeAction::Update(stale.clone()))), ResultCode::Conflict);
-    let Outcome::Resent(first) = change(&mut state, "a", ChangeAction::Update(stale)) else { panic!("not resent") };
+    let Outcome::Resent(first) = change(&mut state, "a", ChangeAction::Update(stale)) else {
+        panic!("not resent")
+    };
     assert_eq!(code(&first), ResultCode::Conflict);
 }
 
@@ -76,7 +79,11 @@
 fn remembered_change_ids_are_bounded() {
     let mut state = fleet(0);
     for number in 0..CHANGE_RETENTION + 10 {
-        change(&mut state, &format!("id-{number}"), ChangeAction::Apply(deployment("d", (number % 3) as u32)));
+        change(
+            &mut state,
+            &format!("id-{number}"),
+            ChangeAction::Apply(deployment("d", (number % 3) as u32)),
+        );
     }
     let first = change(&mut state, "id-0", ChangeAction::Apply(deployment("d", 0)));
     assert!(!matches!(first, Outcome::Resent(_)), "{first:?}");
@@ -95,10 +102,14 @@
 fn what_is_in_use_can_not_be_deleted_or_moved() {
     let mut state = fleet(8);
     form(&mut state, 0..4);
-    let delete = |kind, name: &str| ChangeAction::Delete { key: ResourceKey::new(kind, name), resource_version: 0 };
+    let delete =
+        |kind, name: &str| ChangeAction::Delete { key: ResourceKey::new(kind, name), resource_version: 0 };
     assert_eq!(code(&change(&mut state, "a", delete(Kind::Model, "model"))), ResultCode::HasDependants);
     assert_eq!(code(&change(&mut state, "b", delete(Kind::Server, "m-0"))), ResultCode::HasDependants);
-    assert_eq!(code(&change(&mut state, "c", ChangeAction::Apply(server(0, "elsewhere")))), ResultCode::ValidationFailed);
+    assert_eq!(
+        code(&change(&mut state, "c", ChangeAction::Apply(server(0, "elsewhere")))),
+        ResultCode::ValidationFailed
+    );
     assert_eq!(code(&change(&mut state, "d", delete(Kind::Server, "m-5"))), ResultCode::Ok);
     assert_eq!(code(&change(&mut state, "e", delete(Kind::Server, "m-5"))), ResultCode::NotFound);
 }
@@ -111,7 +122,10 @@
     assert_eq!(code(&change(&mut state, "a", ChangeAction::Create(twin))), ResultCode::ValidationFailed);
     let tenant = |name: &str| resource("Tenant", name, json!({ "tier": 0, "keys": ["12345678"] }));
     store(&mut state, tenant("one"));
-    assert_eq!(code(&change(&mut state, "b", ChangeAction::Create(tenant("two")))), ResultCode::ValidationFailed);
+    assert_eq!(
+        code(&change(&mut state, "b", ChangeAction::Create(tenant("two")))),
+        ResultCode::ValidationFailed
+    );
 }
 
 #[test]
@@ -123,6 +137,8 @@
     let second = store(&mut state, labelled);
     let third = store(&mut state, deployment("e", 2));
     assert_eq!((first.generation, second.generation, third.generation), (1, 1, 2));
-    assert!(first.resource_version < second.resource_version && second.resource_version < third.resource_version);
+    assert!(
+        first.resource_version < second.resource_version && second.resource_version < third.resource_version
+    );
     assert_eq!(first.uid, third.uid);
 }
--- a/crates/state/tests/claims.rs
+++ b/crates/state/tests/claims.rs
@@ -47,7 +47,9 @@
     apply(&mut state, settle(None));
     assert_eq!(verdict(&mut state, claim("b", 1)), ClaimVerdict::Held);
     apply(&mut state, settle(Some(1000)));
-    assert!(matches!(verdict(&mut state, claim("c", 9)), ClaimVerdict::Taken(row) if row.settled == Some(1000)));
+    assert!(
+        matches!(verdict(&mut state, claim("c", 9)), ClaimVerdict::Taken(row) if row.settled == Some(1000))
+    );
 }
 
 #[test]
@@ -64,7 +66,10 @@
     let mut state = State::default();
     verdict(&mut state, claim("a", 1));
     assert_eq!((state.tables.revision, state.claims.len()), (0, 1));
-    let later = CommandBody::Claim(vec![ClaimRequest { key: ClaimKey { request: "s".to_string(), ..key() }, ..claim("a", 2) }]);
+    let later = CommandBody::Claim(vec![ClaimRequest {
+        key: ClaimKey { request: "s".to_string(), ..key() },
+        ..claim("a", 2)
+    }]);
     state.apply(&Command { at_ms: state.tables.now_ms + 6 * 60 * 1000, body: later });
     assert_eq!(state.claims.len(), 1);
 }
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -93,7 +93,8 @@
     for entry in fs::read_dir(folder).at(folder)? {
         let path = entry.at(folder)?.path();
         if path.extension().is_some_and(|suffix| suffix == SEGMENT_SUFFIX)
-            && let Some(number) = path.file_stem().and_then(|stem| stem.to_str()).and_then(|stem| stem.parse().ok())
+            && let Some(number) =
+                path.file_stem().and_then(|stem| stem.to_str()).and_then(|stem| stem.parse().ok())
         {
             numbers.push(number);
         }
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -95,5 +95,6 @@
 /// Whether a record that is whole and not empty starts anywhere in `bytes`. An empty record's frame is too
 /// short to be told from zeroes or chance.
 fn whole_record_follows(bytes: &[u8]) -> bool {
-    (0..bytes.len()).any(|start| matches!(parse(&bytes[start..]), Parsed::Record(record, _) if !record.is_empty()))
+    (0..bytes.len())
+        .any(|start| matches!(parse(&bytes[start..]), Parsed::Record(record, _) if !record.is_empty()))
 }
