--- a/crates/api/src/peer/admission.rs
+++ b/crates/api/src/peer/admission.rs
@@ -97,8 +97,10 @@
     pub complete: bool,
     /// Members without a sign of life.
     pub missing: Vec<String>,
-    /// Age of the evidence when sent, in milliseconds.
-    pub age_ms: u32,
+    /// The receiver's own clock as of its answer to an earlier report, which the watcher had before it looked.
+    /// So the receiver knows, by its own clock, that the evidence is no older than this, however long the report
+    /// was on its way. 0 in the first report, which opens nothing.
+    pub echo_ms: u64,
     /// Requests in the engine's batch.
     pub running: u32,
     /// Requests waiting in the engine.
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -29,8 +29,8 @@
     /// Hands a slot back.
     async fn release(slot_return: SlotReturn);
 
-    /// A watcher's evidence, to the coordinator of the pool.
-    async fn evidence(reports: Vec<ReplicaEvidence>);
+    /// A watcher's evidence, to the coordinator of the pool; answers the receiver's clock in milliseconds.
+    async fn evidence(reports: Vec<ReplicaEvidence>) -> u64;
 
     /// An entry shows the slots that it holds, as a heartbeat and after a change of coordinator.
     async fn held_slots(entry: String, pool: String, slots: Vec<(u64, String)>);
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands of the bench.
 
 mod demo;
+mod matrix;
 mod run;
 mod traces;
 pub use traces::StatedOutcomes;
@@ -15,6 +16,7 @@
         demo::command(),
         up::command(),
         run::command(),
+        matrix::command(),
         traces::generate_command(),
         traces::record_command(),
         traces::replay_command(),
@@ -27,6 +29,7 @@
         Some(("demo", matches)) => demo::run(matches).await,
         Some(("up", matches)) => up::run(matches).await,
         Some(("run", matches)) => run::run(matches).await,
+        Some(("matrix", matches)) => matrix::run(matches),
         Some(("generate", matches)) => traces::generate_trace(matches),
         Some(("record", matches)) => traces::record(matches).await,
         Some(("replay", matches)) => traces::replay(matches).await,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -126,6 +126,12 @@
         self.log.snapshot_index()
     }
 
+    /// Committed entries after `index` that are still in memory.
+    pub fn committed_after(&self, index: LogIndex) -> Vec<Entry> {
+        let from = (index + 1).max(self.log.snapshot_index() + 1);
+        self.log.slice(from, self.commit, usize::MAX)
+    }
+
     /// All entries after the snapshot, for a driver that rewrites its log.
     pub fn entries_after_snapshot(&self) -> Vec<Entry> {
         self.log.slice(self.log.snapshot_index() + 1, self.log.last_index(), usize::MAX)
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -240,7 +240,11 @@
         data: Vec<u8>,
         probe: Probe,
     ) {
-        if index > self.commit {
+        if index > self.commit && self.log.term_at(index) == Some(term) {
+            // The log holds all that the snapshot covers, and maybe more that was acknowledged since the snapshot
+            // was sent: nothing of it may be dropped for a snapshot that arrives late.
+            self.commit = index;
+        } else if index > self.commit {
             self.log.reset(index, term);
             self.mark_restored(index);
             self.outputs.push(Output::Restore { index, term, data });
--- /dev/null
+++ b/crates/consensus/tests/core.rs
@@ -0,0 +1,135 @@
+//! The core's rules on single messages. Whole groups under faults are in the `simulation` crate.
+
+use dockwood_consensus::{Body, Entry, Input, Message, Node, Output, Payload, Recovered, RoleName, Settings};
+
+const TIMEOUT: u64 = 500;
+
+fn settings(id: u64, voters: &[u64]) -> Settings {
+    Settings {
+        id,
+        voters: voters.to_vec(),
+        election_timeout_ms: TIMEOUT,
+        heartbeat_ms: 100,
+        max_message_bytes: 1 << 16,
+        seed: 1,
+    }
+}
+
+fn node(id: u64) -> Node {
+    Node::new(settings(id, &[1, 2, 3]), Recovered::default(), 0)
+}
+
+fn message(from: u64, to: u64, term: u64, body: Body) -> Input {
+    Input::Receive(Message { from, to, term, body })
+}
+
+fn entries(term: u64, indices: std::ops::RangeInclusive<u64>) -> Vec<Entry> {
+    indices.map(|index| Entry { index, term, payload: Payload::Command(vec![index as u8]) }).collect()
+}
+
+fn append(term: u64, previous: (u64, u64), entries: Vec<Entry>, commit: u64) -> Input {
+    let (previous_index, previous_term) = previous;
+    let probe = Default::default();
+    message(1, 2, term, Body::Append { previous_index, previous_term, entries, commit, probe })
+}
+
+fn sent(outputs: &[Output]) -> Vec<&Body> {
+    let bodies = outputs.iter().filter_map(|output| match output {
+        Output::Send(message) => Some(&message.body),
+        _ => None,
+    });
+    bodies.collect()
+}
+
+#[test]
+fn a_group_of_one_elects_itself_and_commits_after_its_sync() {
+    let mut node = Node::new(settings(1, &[1]), Recovered::default(), 0);
+    let outputs = node.step(0, Input::Tick);
+    assert_eq!(node.role(), RoleName::Leader);
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Commit(_))), "nothing is synced yet");
+    let outputs = node.step(1, Input::Persisted { index: 1, term: 1 });
+    assert!(outputs.iter().any(|output| matches!(output, Output::Commit(entries) if entries.len() == 1)));
+}
+
+#[test]
+fn a_pre_vote_changes_no_term() {
+    let mut node = node(2);
+    node.step(TIMEOUT * 3, Input::Tick);
+    assert_eq!((node.role(), node.term()), (RoleName::Candidate, 0));
+    let request = Body::VoteRequest { binding: false, last_index: 0, last_term: 0 };
+    let mut other = self::node(3);
+    let outputs = other.step(TIMEOUT * 3, message(2, 3, 1, request));
+    assert!(matches!(sent(&outputs)[..], [Body::VoteReply { granted: true, .. }]));
+    assert_eq!(other.term(), 0);
+}
+
+#[test]
+fn a_vote_is_given_once_in_a_term_and_only_to_a_current_log() {
+    let mut node = node(3);
+    let ask = |from, term, last_index| {
+        message(from, 3, term, Body::VoteRequest { binding: true, last_index, last_term: 0 })
+    };
+    let granted = |outputs: &[Output]| matches!(sent(outputs)[..], [Body::VoteReply { granted: true, .. }]);
+    assert!(granted(&node.step(9_000, ask(1, 5, 0))));
+    assert!(!granted(&node.step(9_001, ask(2, 5, 0))));
+    assert!(granted(&node.step(9_002, ask(1, 5, 0))), "a repeat gets the same answer");
+    let mut ahead = self::node(2);
+    ahead.step(0, append(1, (0, 0), entries(1, 1..=3), 0));
+    let request = Body::VoteRequest { binding: true, last_index: 2, last_term: 1 };
+    assert!(!granted(&ahead.step(9_000, message(3, 2, 2, request))));
+}
+
+#[test]
+fn votes_are_withheld_while_a_leader_is_heard() {
+    let mut node = node(2);
+    node.step(1_000, append(1, (0, 0), Vec::new(), 0));
+    let request = Body::VoteRequest { binding: true, last_index: 9, last_term: 9 };
+    assert!(node.step(1_000 + TIMEOUT - 1, message(3, 2, 9, request.clone())).is_empty());
+    assert!(!node.step(1_000 + TIMEOUT, message(3, 2, 9, request)).is_empty());
+}
+
+#[test]
+fn a_late_shorter_append_cuts_nothing() {
+    let mut node = node(2);
+    node.step(0, append(1, (0, 0), entries(1, 1..=5), 0));
+    node.step(1, append(1, (0, 0), entries(1, 1..=2), 0));
+    assert_eq!(node.last_index(), 5);
+}
+
+#[test]
+fn a_conflicting_entry_replaces_the_rest() {
+    let mut node = node(2);
+    node.step(0, append(1, (0, 0), entries(1, 1..=5), 1));
+    node.step(1, append(2, (2, 1), entries(2, 3..=3), 1));
+    assert_eq!((node.last_index(), node.term_at(3), node.commit_index()), (3, Some(2), 1));
+}
+
+/// Found by the simulator under a lossy network: a snapshot that arrives after the entries that follow it were
+/// acknowledged made the follower drop them, and the leader went on counting them.
+#[test]
+fn a_late_snapshot_drops_nothing_that_was_acknowledged() {
+    let mut node = node(2);
+    node.step(0, append(1, (0, 0), entries(1, 1..=5), 1));
+    let snapshot = Body::Snapshot { index: 3, term: 1, data: vec![9], probe: Default::default() };
+    let outputs = node.step(1, message(1, 2, 1, snapshot));
+    assert_eq!((node.last_index(), node.commit_index()), (5, 3));
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Restore { .. })));
+}
+
+#[test]
+fn a_snapshot_beyond_the_log_replaces_it() {
+    let mut node = node(2);
+    node.step(0, append(1, (0, 0), entries(1, 1..=2), 1));
+    let snapshot = Body::Snapshot { index: 8, term: 1, data: vec![9], probe: Default::default() };
+    let outputs = node.step(1, message(1, 2, 1, snapshot));
+    assert!(outputs.iter().any(|output| matches!(output, Output::Restore { index: 8, .. })));
+    assert_eq!((node.last_index(), node.commit_index()), (8, 8));
+}
+
+#[test]
+fn messages_of_strangers_are_passed_over() {
+    let mut node = node(2);
+    let request = Body::VoteRequest { binding: true, last_index: 0, last_term: 0 };
+    assert!(node.step(9_000, message(7, 2, 5, request)).is_empty());
+    assert_eq!(node.term(), 0);
+}
--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -2,7 +2,7 @@
 
 use crate::Millis;
 use dockwood_api::ApiError;
-use dockwood_placement::{Fleet, MachineObservations};
+use dockwood_placement::{Fleet, MachineObservations, PlacementPolicy};
 use dockwood_state::{Applied, Command, State, Tables, encode_command};
 use std::collections::{BTreeSet, VecDeque};
 
@@ -80,12 +80,13 @@
     }
 
     /// What placement looks at.
-    pub fn fleet(&self, now: Millis) -> Fleet<'_> {
+    pub fn fleet(&self, now: Millis, policy: PlacementPolicy) -> Fleet<'_> {
         Fleet {
             tables: self.tables(),
             machines: &self.observed.machines,
             idle_replicas: &self.observed.idle_replicas,
             now,
+            policy,
         }
     }
 
--- a/crates/control/src/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -5,6 +5,7 @@
 use crate::leases::LeaseTable;
 use dockwood_api::engine::OrderAction;
 use dockwood_api::peer::MachineState;
+use dockwood_placement::PlacementPolicy;
 use dockwood_state::{CommandBody, Liveness, OrderRow, OrderState, Tables};
 use std::collections::HashMap;
 
@@ -32,8 +33,8 @@
 }
 
 /// What placement decides.
-pub fn placement(board: &Blackboard, now: Millis) -> Vec<CommandBody> {
-    dockwood_placement::plan(&board.fleet(now)).into_iter().map(|operator| operator.body).collect()
+pub fn placement(board: &Blackboard, now: Millis, policy: PlacementPolicy) -> Vec<CommandBody> {
+    dockwood_placement::plan(&board.fleet(now, policy)).into_iter().map(|operator| operator.body).collect()
 }
 
 /// Orders that still have to be carried out.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -8,6 +8,7 @@
 use crate::view::control_view;
 use dockwood_api::event::ClockStamp;
 use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, Observation};
+use dockwood_placement::PlacementPolicy;
 use dockwood_state::CommandBody;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -114,16 +115,22 @@
         }
     }
 
-    /// Every pending order that is not on its way; one at a time to each machine.
+    /// Every pending order that is not on its way; one at a time to a machine that doesn't check fences.
     pub fn orders_to_send(&mut self, now: Millis, board: &Blackboard) -> Vec<OrderToSend> {
         let mut orders = Vec::new();
         for order in pending_orders(board.tables()) {
+            let Some(server) = board.tables().server(&order.server) else { continue };
             let due = match self.attempts.get(&order.server) {
-                Some(attempt) if attempt.retry_at.is_none() => false,
-                Some(attempt) if attempt.fence == order.fence => attempt.retry_at.is_some_and(|at| now >= at),
-                _ => true,
+                // Its fence makes an older order harmless, so a newer one need not wait for it.
+                Some(attempt) if attempt.fence != order.fence => {
+                    server.checks_fences || attempt.retry_at.is_some()
+                }
+                Some(attempt) => attempt.retry_at.is_some_and(|at| now >= at),
+                None => true,
             };
-            let Some(server) = board.tables().server(&order.server).filter(|_| due) else { continue };
+            if !due {
+                continue;
+            }
             self.attempts.insert(order.server.clone(), OrderAttempt { fence: order.fence, retry_at: None });
             orders.push(OrderToSend {
                 order: order.clone(),
@@ -137,7 +144,7 @@
 
     /// What should be committed now. Nothing is decided while earlier decisions are not committed, so that
     /// every decision sees the last one's result.
-    pub fn decide(&mut self, now: Millis, board: &Blackboard) -> Vec<CommandBody> {
+    pub fn decide(&mut self, now: Millis, board: &Blackboard, policy: PlacementPolicy) -> Vec<CommandBody> {
         if self.uncommitted > 0 || now < self.decide_at {
             return Vec::new();
         }
@@ -145,7 +152,7 @@
         let mut commands = self.joins(board);
         commands.extend(liveness(board.tables(), &self.leases, now));
         commands.extend(self.lost_state.check(board, now));
-        commands.extend(placement(board, now));
+        commands.extend(placement(board, now, policy));
         self.uncommitted = commands.len();
         commands
     }
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -9,6 +9,9 @@
 /// less than half of it, so that leases outlast one.
 pub const LEASE_MS: Millis = 2_000;
 
+/// What the leader adds to a lease: clocks may run apart by two in a hundred, and then some.
+pub const LEASE_DRIFT_MS: Millis = LEASE_MS / 20;
+
 /// A request without news is held back this long, so that daemons poll seldom and learn of changes at once.
 /// Together with the way there and back it stays well under the lease.
 pub const HOLD_MS: Millis = 600;
@@ -58,7 +61,7 @@
     /// Notes that a daemon asked, and will hold a lease once it is answered.
     pub fn extend(&mut self, now: Millis, request: &LeaseRequest) {
         let row = LeaseRow {
-            expires: now + LEASE_MS,
+            expires: now + LEASE_MS + LEASE_DRIFT_MS,
             applied_revision: request.applied_revision,
             incarnation: request.incarnation,
             leaving: request.leaving,
@@ -70,7 +73,7 @@
     /// A held request's lease counts from its answer on, for the leader.
     pub fn answered(&mut self, now: Millis, daemon: &str) {
         if let Some(row) = self.rows.get_mut(daemon) {
-            row.expires = now + LEASE_MS;
+            row.expires = now + LEASE_MS + LEASE_DRIFT_MS;
         }
     }
 
@@ -81,7 +84,7 @@
 
     /// Whether leases of an earlier leader, which this one doesn't know, have run out.
     pub fn predecessors_ran_out(&self, now: Millis) -> bool {
-        now >= self.elected_at + LEASE_MS
+        now >= self.elected_at + LEASE_MS + LEASE_DRIFT_MS
     }
 
     /// What a daemon's liveness should be, where the table can tell.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,7 +19,7 @@
 pub use blackboard::{Blackboard, Observed};
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
 pub use leases::{HOLD_MS, LEASE_MS, LeaseTable};
-pub use node::ControlNode;
+pub use node::{ControlNode, Options};
 
 /// Monotonic time of this process, in milliseconds.
 pub type Millis = u64;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,14 +9,28 @@
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply};
 use dockwood_consensus::{self as consensus, Entry, Message, Node, RoleName};
+use dockwood_placement::PlacementPolicy;
 use dockwood_state::{
     Applied, Command, CommandBody, State, Tables, decode_command, encode_command, encode_outcome,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Entries in the log before a snapshot replaces them.
-const COMPACT_AFTER_ENTRIES: u64 = 2_000;
+/// Parameters of a control node.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Entries in the log before a snapshot replaces them.
+    pub compact_after_entries: u64,
+    /// How the leader places replicas.
+    pub placement: PlacementPolicy,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        const COMPACT_AFTER_ENTRIES: u64 = 2_000;
+        Options { compact_after_entries: COMPACT_AFTER_ENTRIES, placement: PlacementPolicy::default() }
+    }
+}
 
 /// Commands gathered from one input, to be proposed together.
 struct Batch<R> {
@@ -28,6 +42,7 @@
 #[derive(Debug)]
 pub struct ControlNode<R> {
     name: String,
+    options: Options,
     board: Blackboard,
     voter: Option<VoterPart<R>>,
     in_force_revision: u64,
@@ -40,6 +55,7 @@
     pub fn follower(name: &str) -> Self {
         ControlNode {
             name: name.to_string(),
+            options: Options::default(),
             board: Blackboard::default(),
             voter: None,
             in_force_revision: 0,
@@ -54,6 +70,11 @@
         ControlNode { board, voter: Some(VoterPart::new(core, addresses)), ..ControlNode::follower(name) }
     }
 
+    /// The same node with other parameters.
+    pub fn with_options(self, options: Options) -> Self {
+        ControlNode { options, ..self }
+    }
+
     /// Takes one input and returns what is to be done, in order.
     pub fn step(&mut self, now: Moment, input: Input<R>) -> Vec<Output<R>> {
         let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
@@ -124,6 +145,13 @@
         self.voter.as_ref().is_some_and(|voter| voter.leads(now.monotonic))
     }
 
+    /// Forgets the first answers to operators' changes. For the simulator alone, which seeds this defect to see
+    /// whether its checks find it.
+    #[doc(hidden)]
+    pub fn forget_change_ids(&mut self) {
+        self.board.state.changes = Default::default();
+    }
+
     /// Whether anything that is published has changed since the last call.
     pub fn take_dirty(&mut self) -> bool {
         std::mem::take(&mut self.dirty)
@@ -369,7 +397,7 @@
         let Some(leadership) = &mut voter.leadership else { return };
         self.board.forget_gone();
         let orders = leadership.orders_to_send(now.monotonic, &self.board);
-        let commands = leadership.decide(now.monotonic, &self.board);
+        let commands = leadership.decide(now.monotonic, &self.board, self.options.placement);
         self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
         let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
         commands.into_iter().for_each(|body| batch.add(now, body));
@@ -405,7 +433,7 @@
     fn compact(&mut self) {
         let Some(voter) = &mut self.voter else { return };
         let index = voter.applied_index;
-        if index < voter.core.snapshot_index() + COMPACT_AFTER_ENTRIES {
+        if index < voter.core.snapshot_index() + self.options.compact_after_entries {
             return;
         }
         let Some(term) = voter.core.term_at(index) else { return };
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -3,7 +3,7 @@
 use crate::Millis;
 use crate::blackboard::Blackboard;
 use crate::leases::LeaseTable;
-use dockwood_placement::{MachineHealth, shortfalls};
+use dockwood_placement::{MachineHealth, PlacementPolicy, shortfalls};
 use dockwood_state::{Liveness, ReplicaPhase};
 use serde_json::{Value, json};
 
@@ -16,7 +16,7 @@
     term: u64,
     now: Millis,
 ) -> Vec<u8> {
-    let fleet = board.fleet(now);
+    let fleet = board.fleet(now, PlacementPolicy::default());
     let tables = board.tables();
     let replicas: Vec<Value> = tables
         .replicas
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! The daemon's side of the peer service.
 
+use crate::clock::monotonic_ms;
 use crate::control::ControlMessage;
 use crate::shared::Shared;
 use crate::traffic::Traffic;
@@ -95,9 +96,10 @@
         self.traffic.pools.release(slot_return);
     }
 
-    async fn evidence(self, _: Context, reports: Vec<ReplicaEvidence>) {
+    async fn evidence(self, _: Context, reports: Vec<ReplicaEvidence>) -> u64 {
         self.count("evidence");
         self.traffic.pools.evidence(reports);
+        monotonic_ms()
     }
 
     async fn held_slots(self, _: Context, entry: String, pool: String, slots: Vec<(u64, String)>) {
--- a/crates/daemon/src/probe/replica_watcher.rs
+++ b/crates/daemon/src/probe/replica_watcher.rs
@@ -19,7 +19,7 @@
 /// Time between probes of a head.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
 /// Unchanged evidence is sent on at least this often: well within the evidence window.
-const REFRESH_MS: Millis = 500;
+const REFRESH_MS: Millis = 400;
 /// How long a coordinator may take to accept evidence.
 const SEND_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -30,6 +30,8 @@
     epoch: u64,
     complete: bool,
     recipients: BTreeSet<String>,
+    /// Every recipient's clock was known, so the report could open its gate.
+    echoed: bool,
 }
 
 /// Watches this daemon's replicas for ever.
@@ -40,6 +42,7 @@
     reporter: Arc<Reporter>,
 ) {
     let sent: Arc<Mutex<BTreeMap<String, Sent>>> = Arc::default();
+    let echoes: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
     let mut ticks = tokio::time::interval(PROBE_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -59,6 +62,7 @@
                 reporter: reporter.clone(),
                 tables: tables.clone(),
                 sent: sent.clone(),
+                echoes: echoes.clone(),
             };
             async move { watch.look(&replica).await }
         });
@@ -73,11 +77,14 @@
     reporter: Arc<Reporter>,
     tables: Arc<Tables>,
     sent: Arc<Mutex<BTreeMap<String, Sent>>>,
+    /// The newest clock that each recipient has answered.
+    echoes: Arc<Mutex<BTreeMap<String, u64>>>,
 }
 
 impl Watch {
     async fn look(&self, replica: &ReplicaRow) {
-        let asked_at = monotonic_ms();
+        // Taken before the look: what a recipient echoed until now is older than what is about to be seen.
+        let echoes = self.echoes();
         let Some(head) = replica.members.first().and_then(|head| self.tables.server(head)) else { return };
         let health = self.engines.health(head.address).await.ok();
         let complete = health.as_ref().is_some_and(|health| shows_complete(replica, health));
@@ -93,11 +100,11 @@
             epoch: replica.epoch,
             complete,
             missing,
-            age_ms: (monotonic_ms() - asked_at) as u32,
+            echo_ms: 0,
             running: health.as_ref().map_or(0, |health| health.running),
             waiting: health.as_ref().map_or(0, |health| health.waiting),
         };
-        self.send(evidence).await;
+        self.send(evidence, &echoes).await;
     }
 
     /// The head hears all members: each is alive and loaded for this epoch.
@@ -128,18 +135,21 @@
         missing
     }
 
-    async fn send(&self, evidence: ReplicaEvidence) {
+    async fn send(&self, evidence: ReplicaEvidence, echoes: &BTreeMap<String, u64>) {
         let recipients: BTreeSet<String> = match self.tables.pools.get(&evidence.pool) {
             Some(pool) => [&pool.coordinator, &pool.standby].into_iter().flatten().cloned().collect(),
             None => return,
         };
         let now = monotonic_ms();
-        let next = Sent { at: now, epoch: evidence.epoch, complete: evidence.complete, recipients };
+        let echoed = recipients.iter().all(|daemon| echoes.get(daemon).is_some_and(|echo_ms| *echo_ms > 0));
+        let next = Sent { at: now, epoch: evidence.epoch, complete: evidence.complete, recipients, echoed };
         if !self.is_due(&evidence, &next) {
             return;
         }
-        let reports = vec![evidence];
-        let sends = next.recipients.iter().map(|daemon| self.send_to(daemon, reports.clone()));
+        let sends = next.recipients.iter().map(|daemon| {
+            let echo_ms = echoes.get(daemon).copied().unwrap_or(0);
+            self.send_to(daemon, vec![ReplicaEvidence { echo_ms, ..evidence.clone() }])
+        });
         futures::future::join_all(sends).await;
     }
 
@@ -150,7 +160,7 @@
         if let Some(before) = &before {
             let unchanged = (before.epoch, before.complete, &before.recipients)
                 == (next.epoch, next.complete, &next.recipients);
-            if unchanged && next.at < before.at + REFRESH_MS {
+            if unchanged && before.echoed && next.at < before.at + REFRESH_MS {
                 return false;
             }
         }
@@ -175,14 +185,29 @@
     async fn send_to(&self, daemon: &str, reports: Vec<ReplicaEvidence>) {
         if daemon == self.shared.settings.name {
             self.traffic.pools.evidence(reports);
+            self.note_echo(daemon, monotonic_ms());
             return;
         }
         let Some(address) = self.shared.peer_address(daemon) else { return };
         let call = |client: PeerClient, context| async move { client.evidence(context, reports).await };
-        if self.shared.peers.call(address, SEND_TIMEOUT, call).await.is_err() {
-            self.shared.metrics.peer_failures.inc();
+        match self.shared.peers.call(address, SEND_TIMEOUT, call).await {
+            Ok(echo_ms) => self.note_echo(daemon, echo_ms),
+            Err(_) => {
+                // The daemon may be another process by now, with another clock.
+                self.note_echo(daemon, 0);
+                self.shared.metrics.peer_failures.inc();
+            }
         }
     }
+
+    fn echoes(&self) -> BTreeMap<String, u64> {
+        self.echoes.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+    }
+
+    fn note_echo(&self, daemon: &str, echo_ms: u64) {
+        let mut echoes = self.echoes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        echoes.insert(daemon.to_string(), echo_ms);
+    }
 }
 
 fn shows_complete(replica: &ReplicaRow, health: &GroupHealth) -> bool {
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -110,6 +110,18 @@
     STABLE_MS << row.failures.saturating_sub(1).min(MAX_FLAP_FACTOR_SHIFT)
 }
 
+/// How placement decides. All but the default are baselines for measurement.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementPolicy {
+    /// Domains that keep spares first; repair by a spare of the domain.
+    #[default]
+    SpareAware,
+    /// The first domain with room, spares or not; repair by a spare where there happens to be one.
+    FirstFit,
+    /// As the default, but every repair forms the replica anew, with all machines loading again.
+    FullReform,
+}
+
 /// Everything the checkers look at.
 #[derive(Clone, Copy, Debug)]
 pub struct Fleet<'a> {
@@ -121,6 +133,8 @@
     pub idle_replicas: &'a BTreeSet<(String, u64)>,
     /// Now.
     pub now: Millis,
+    /// How to decide.
+    pub policy: PlacementPolicy,
 }
 
 impl Fleet<'_> {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,7 +11,7 @@
 mod repair;
 mod replicas;
 
-pub use fleet::{Fleet, MachineHealth, MachineObservations};
+pub use fleet::{Fleet, MachineHealth, MachineObservations, PlacementPolicy};
 pub use operator::Operator;
 pub use replicas::Shortfall;
 
--- a/crates/placement/src/machines.rs
+++ b/crates/placement/src/machines.rs
@@ -1,6 +1,6 @@
 //! Choice of machines: in which domain a replica is formed and which spares fill it up.
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, PlacementPolicy};
 use dockwood_api::resource::DeploymentSpec;
 use std::collections::BTreeMap;
 
@@ -45,7 +45,10 @@
         *in_domain.entry(replica.domain.as_str()).or_default() += 1;
     }
     let domains = spares_by_domain(fleet, taken);
-    let enough = domains.iter().filter(|(_, domain)| domain.servers.len() >= wanted);
+    let mut enough = domains.iter().filter(|(_, domain)| domain.servers.len() >= wanted);
+    if fleet.policy == PlacementPolicy::FirstFit {
+        return enough.next().map(|(_, domain)| domain.servers[..wanted].to_vec());
+    }
     let best = enough.min_by_key(|(name, domain)| {
         let left = domain.servers.len() - wanted;
         let without_spare = left == 0;
--- a/crates/placement/src/repair.rs
+++ b/crates/placement/src/repair.rs
@@ -1,6 +1,6 @@
 //! Repair of replicas that lost a machine: least downtime first, then fewest machines stranded.
 
-use crate::fleet::{Fleet, MachineHealth};
+use crate::fleet::{Fleet, MachineHealth, PlacementPolicy};
 use crate::machines::{choose_members, spares_in};
 use crate::operator::Operator;
 use dockwood_state::{CommandBody, ReplicaPhase, ReplicaRow};
@@ -53,6 +53,9 @@
         return Some(dissolve(replica, format!("lost {lost_names}, and its deployment is gone")));
     };
     let wanted = spec.machines_per_replica as usize;
+    if fleet.policy == PlacementPolicy::FullReform {
+        return Some(dissolve(replica, format!("lost {lost_names}; formed anew")));
+    }
     if let Some(members) = refilled(fleet, replica, wanted, taken) {
         let joined: Vec<String> =
             members.iter().filter(|server| !replica.members.contains(server)).cloned().collect();
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -2,7 +2,9 @@
 
 use dockwood_api::peer::{DaemonRecord, MachineState};
 use dockwood_api::resource::{Metadata, Resource, Spec, spec_from_json};
-use dockwood_placement::{Fleet, MachineHealth, MachineObservations, Operator, plan, shortfalls};
+use dockwood_placement::{
+    Fleet, MachineHealth, MachineObservations, Operator, PlacementPolicy, plan, shortfalls,
+};
 use dockwood_state::{
     ChangeAction, ChangeRequest, Command, CommandBody, Liveness, OrderState, ReplicaPhase, State,
 };
@@ -89,6 +91,7 @@
             machines: &self.machines,
             idle_replicas: &self.idle,
             now: self.now,
+            policy: PlacementPolicy::SpareAware,
         }
     }
 
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -21,9 +21,11 @@
 }
 
 impl EvidenceTable {
-    /// Takes a watcher's report. A report on an older epoch, or one made before the newest, is passed over.
+    /// Takes a watcher's report. A report on an older epoch, or one made before the newest, is passed over. That
+    /// every machine is alive counts from the echoed clock, which is no later than the look itself; that one is
+    /// missing counts from now, as closing too long costs only time.
     pub fn record(&mut self, now: Millis, report: &ReplicaEvidence) {
-        let at = now.saturating_sub(Millis::from(report.age_ms));
+        let at = if report.complete { report.echo_ms.min(now) } else { now };
         let fresh = Evidence { epoch: report.epoch, complete: report.complete, at };
         match self.rows.get(&report.replica) {
             Some(known) if (known.epoch, known.at) > (fresh.epoch, fresh.at) => {}
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -109,14 +109,14 @@
     }
 }
 
-fn evidence(name: &str, epoch: u64, complete: bool) -> Input {
+fn evidence(echo: u64, name: &str, epoch: u64, complete: bool) -> Input {
     Input::Evidence(ReplicaEvidence {
         replica: name.to_string(),
         pool: "p".to_string(),
         epoch,
         complete,
         missing: Vec::new(),
-        age_ms: 0,
+        echo_ms: echo,
         running: 0,
         waiting: 0,
     })
@@ -164,8 +164,8 @@
 fn open_pool() -> Coordinator {
     let mut pool = Coordinator::default();
     pool.step(1_000, Input::Configure(config(vec![replica("a", 1), replica("b", 1)])));
-    pool.step(1_000, evidence("a", 1, true));
-    pool.step(1_000, evidence("b", 1, true));
+    pool.step(1_000, evidence(1_000, "a", 1, true));
+    pool.step(1_000, evidence(1_000, "b", 1, true));
     pool
 }
 
@@ -174,9 +174,9 @@
     let mut pool = Coordinator::default();
     pool.step(0, Input::Configure(config(vec![replica("a", 2)])));
     assert!(grants(&acquire(&mut pool, 0, 1, "top")).is_empty());
-    assert!(grants(&pool.step(1, evidence("a", 1, true))).is_empty(), "evidence on an older epoch");
-    assert!(grants(&pool.step(2, evidence("a", 2, false))).is_empty(), "a machine is missing");
-    assert_eq!(grants(&pool.step(3, evidence("a", 2, true))).len(), 1);
+    assert!(grants(&pool.step(1, evidence(1, "a", 1, true))).is_empty(), "evidence on an older epoch");
+    assert!(grants(&pool.step(2, evidence(2, "a", 2, false))).is_empty(), "a machine is missing");
+    assert_eq!(grants(&pool.step(3, evidence(3, "a", 2, true))).len(), 1);
     assert!(grants(&acquire(&mut pool, 3 + EVIDENCE_WINDOW_MS, 2, "top")).is_empty(), "evidence has aged");
 }
 
@@ -231,7 +231,7 @@
         assert!(grants(&acquire(&mut pool, 1_003, ticket, "top")).iter().all(|one| one.1 != broken));
     }
     assert!(grants(&acquire(&mut pool, 1_004, 5, "top")).is_empty());
-    assert_eq!(grants(&pool.step(1_100, evidence(&broken, 1, true)))[0].1, broken);
+    assert_eq!(grants(&pool.step(1_100, evidence(1_100, &broken, 1, true)))[0].1, broken);
 }
 
 #[test]
@@ -260,8 +260,8 @@
     acquire(&mut pool, 1_002, 9, "top");
     let held = Input::EntryHolds { entry: "e".to_string(), slots: slots[..3].to_vec() };
     assert!(grants(&pool.step(1_500, held.clone())).is_empty(), "the grant may still be on its way");
-    pool.step(5_000, evidence("a", 1, true));
-    pool.step(5_000, evidence("b", 1, true));
+    pool.step(5_000, evidence(5_000, "a", 1, true));
+    pool.step(5_000, evidence(5_000, "b", 1, true));
     assert_eq!(grants(&pool.step(5_000, held)).len(), 1, "the entry does not hold the fourth");
 }
 
@@ -333,7 +333,7 @@
                     pool.step(now, slot_return(slot, false))
                 }
                 Step::Release(_) => pool.step(now, Input::Tick),
-                Step::Evidence(which, complete) => pool.step(now, evidence(if which { "a" } else { "b" }, 1, complete)),
+                Step::Evidence(which, complete) => pool.step(now, evidence(now, if which { "a" } else { "b" }, 1, complete)),
                 Step::Wait(elapsed) => {
                     now += elapsed;
                     // The entry shows what it holds, so nothing is taken for lost.
--- /dev/null
+++ b/crates/simulation/src/disk.rs
@@ -0,0 +1,57 @@
+//! A voter's disk: what is synced survives a crash, the rest does not.
+
+use dockwood_consensus::{Entry, HardState, Recovered};
+use dockwood_control::StoredSnapshot;
+use dockwood_state::State;
+
+/// Synced content of a data folder.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Disk {
+    hard_state: HardState,
+    snapshot: Option<(u64, u64, Vec<u8>)>,
+    entries: Vec<Entry>,
+    /// A seeded defect: writes of entries are acknowledged and lost in a crash.
+    pub skips_sync: bool,
+    /// A seeded defect: the hard state is never written.
+    pub forgets_vote: bool,
+    unsynced: Vec<Entry>,
+}
+
+impl Disk {
+    /// Appends and syncs.
+    pub fn persist(&mut self, hard_state: Option<HardState>, entries: Vec<Entry>) {
+        if let Some(hard_state) = hard_state.filter(|_| !self.forgets_vote) {
+            self.hard_state = hard_state;
+        }
+        if self.skips_sync {
+            self.unsynced.extend(entries);
+            return;
+        }
+        for entry in entries {
+            self.entries.retain(|earlier| earlier.index < entry.index);
+            self.entries.push(entry);
+        }
+    }
+
+    /// Replaces the snapshot and the log.
+    pub fn store_snapshot(&mut self, snapshot: StoredSnapshot) {
+        self.snapshot = Some((snapshot.index, snapshot.term, snapshot.data));
+        if !self.forgets_vote {
+            self.hard_state = snapshot.hard_state;
+        }
+        self.entries = snapshot.entries;
+        self.unsynced.clear();
+    }
+
+    /// What a process finds after a crash.
+    pub fn recover(&mut self) -> (State, Recovered) {
+        self.unsynced.clear();
+        let state =
+            self.snapshot.as_ref().and_then(|(_, _, data)| State::decode(data).ok()).unwrap_or_default();
+        let (snapshot_index, snapshot_term) =
+            self.snapshot.as_ref().map_or((0, 0), |(index, term, _)| (*index, *term));
+        let entries = self.entries.iter().filter(|entry| entry.index > snapshot_index).cloned().collect();
+        let recovered = Recovered { hard_state: self.hard_state, snapshot_index, snapshot_term, entries };
+        (state, recovered)
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/scenario.rs
@@ -0,0 +1,467 @@
+//! Scenarios: bring the fleet to a step of its life, let things fail there, heal, and see that all is well.
+
+use crate::check::{Check, Violation};
+use crate::fault::{Defect, Fault};
+use crate::machine::Power;
+use crate::measure::{Measures, working};
+use crate::network::Place;
+use crate::operator::{Change, resource};
+use crate::world::{DAEMONS, DOMAIN_MACHINES, MACHINE_RESTART_MS, MACHINES, VOTERS, World, machine_address};
+use dockwood_api::resource::Kind;
+use dockwood_control::Options;
+use dockwood_placement::PlacementPolicy;
+use dockwood_state::{ChangeAction, Liveness, ReplicaPhase};
+use rand::RngExt;
+use serde::Serialize;
+use serde_json::json;
+
+/// Entries in the log before a snapshot: few, so that runs compact often.
+const COMPACT_AFTER_ENTRIES: u64 = 60;
+const START_LIMIT_MS: u64 = 20_000;
+const FORM_LIMIT_MS: u64 = 20_000;
+const STEP_LIMIT_MS: u64 = 6_000;
+/// Time for a fault to have its effects, before everything is healed.
+const FAULT_MS: u64 = 12_000;
+const RECOVER_LIMIT_MS: u64 = 60_000;
+/// Replicas declared in every scenario.
+const REPLICAS: u32 = 2;
+
+/// A step in the system's life, during which things fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+pub enum Step {
+    /// An operator's change is on its way.
+    Apply,
+    /// A control leader is being elected.
+    Elect,
+    /// Replicas are being formed.
+    Form,
+    /// Machines are loading.
+    Load,
+    /// Everything serves.
+    Serve,
+    /// A replica is being repaired.
+    Repair,
+    /// A replica has just been repaired.
+    AfterRepair,
+    /// A server is being drained.
+    Drain,
+    /// A new version is being rolled out.
+    Rollout,
+    /// The log has just been compacted.
+    Snapshot,
+    /// A daemon hands its duties over.
+    HandOver,
+}
+
+impl Step {
+    /// Every step.
+    pub const ALL: [Step; 11] = [
+        Step::Apply,
+        Step::Elect,
+        Step::Form,
+        Step::Load,
+        Step::Serve,
+        Step::Repair,
+        Step::AfterRepair,
+        Step::Drain,
+        Step::Rollout,
+        Step::Snapshot,
+        Step::HandOver,
+    ];
+}
+
+/// One run.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunPlan {
+    /// Seeds everything.
+    pub seed: u64,
+    /// Where things fail.
+    pub step: Step,
+    /// What fails, in order.
+    pub faults: Vec<Fault>,
+    /// A defect of the code, to prove the checks.
+    pub defect: Option<Defect>,
+    /// How replicas are placed.
+    #[serde(skip)]
+    pub placement: PlacementPolicy,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunResult {
+    /// Checks that failed; a run stops at the first.
+    pub violations: Vec<Violation>,
+    /// The two measures.
+    pub measures: Measures,
+    /// Simulated time from the first fault until all was well again.
+    pub recovered_ms: Option<u64>,
+}
+
+/// Runs a plan. The same plan gives the same result.
+pub fn run(plan: &RunPlan) -> RunResult {
+    let options = Options { compact_after_entries: COMPACT_AFTER_ENTRIES, placement: plan.placement };
+    let mut world = World::new(plan.seed, options, plan.defect);
+    let started = start(&mut world);
+    let mut recovered_ms = None;
+    if started && reach(&mut world, plan.step) {
+        let begun = world.now;
+        for fault in &plan.faults {
+            let pause = world.random.random_range(0..1_500);
+            bring_about(&mut world, *fault);
+            let until = world.now + pause;
+            world.run_until(until);
+        }
+        let until = world.now + FAULT_MS;
+        world.run_until(until);
+        recovered_ms = recover(&mut world).then(|| world.now - begun);
+    } else if world.checker.violations.is_empty() {
+        let now = world.now;
+        world.checker.fail(Check::Recovers, now, format!("the run did not get as far as {:?}", plan.step));
+    }
+    if world.checker.violations.is_empty() {
+        resend_everything(&mut world);
+    }
+    RunResult { violations: world.checker.violations, measures: world.measures, recovered_ms }
+}
+
+fn apply(world: &mut World, id: &str, kind: &str, name: &str, spec: serde_json::Value) {
+    if let Some(resource) = resource(kind, name, 0, spec) {
+        world.submit(Change::new(id.to_string(), ChangeAction::Apply(resource)));
+    }
+}
+
+fn server_spec(index: usize, drain: bool, checks_fences: bool) -> serde_json::Value {
+    json!({
+        "address": machine_address(index).to_string(), "domain": format!("domain-{}", index / DOMAIN_MACHINES),
+        "zone": format!("zone-{}", index / DOMAIN_MACHINES), "checksFences": checks_fences, "drain": drain,
+    })
+}
+
+fn deploy(world: &mut World, id: &str, version: &str) {
+    let spec = json!({ "model": "m", "version": version, "replicas": REPLICAS, "machinesPerReplica": 4 });
+    apply(world, id, "Deployment", "d", spec);
+}
+
+/// Brings the fleet up to where machines are declared and every daemon holds its lease.
+fn start(world: &mut World) -> bool {
+    let versions = json!([{ "name": "v1", "weightsMib": 100 }, { "name": "v2", "weightsMib": 100 }]);
+    apply(world, "model", "Model", "m", json!({ "versions": versions, "contextTokens": 1 }));
+    for index in 0..MACHINES {
+        let checks_fences = world.machines[index].checks_fences;
+        let name = world.machines[index].name.clone();
+        apply(world, &format!("server-{index}"), "Server", &name, server_spec(index, false, checks_fences));
+    }
+    world.run_until_true(START_LIMIT_MS, |world| {
+        let leases = world.daemons.iter().all(|daemon| daemon.holds_lease(world.now));
+        let tables = world.newest_tables();
+        leases && world.all_answered() && tables.daemons.len() == DAEMONS
+    })
+}
+
+fn all_serve(world: &World) -> bool {
+    let tables = world.newest_tables();
+    let serving = tables.replicas.values().filter(|row| row.phase == ReplicaPhase::Serving).count();
+    serving >= REPLICAS as usize && working(&world.machines, &tables).0 >= REPLICAS as usize
+}
+
+fn serve(world: &mut World) -> bool {
+    deploy(world, "deploy", "v1");
+    let formed = world.run_until_true(FORM_LIMIT_MS, |world| world.all_answered() && all_serve(world));
+    world.measure(REPLICAS as usize);
+    formed
+}
+
+/// Brings the fleet to a step, and starts to measure.
+fn reach(world: &mut World, step: Step) -> bool {
+    if matches!(step, Step::Form | Step::Load) {
+        deploy(world, "deploy", "v1");
+        world.measure(REPLICAS as usize);
+        return world.run_until_true(STEP_LIMIT_MS, |world| {
+            let tables = world.newest_tables();
+            let loading = world.machines.iter().any(|machine| machine.order.is_some());
+            !tables.replicas.is_empty() && (step == Step::Form || loading)
+        });
+    }
+    if !serve(world) {
+        return false;
+    }
+    match step {
+        Step::Serve => {
+            let until = world.now + world.random.random_range(0..500);
+            world.run_until(until);
+            true
+        }
+        Step::Apply => {
+            deploy(world, "apply", "v1");
+            let until = world.now + world.random.random_range(0..20);
+            world.run_until(until);
+            true
+        }
+        Step::Elect => {
+            if let Some(leader) = world.leader() {
+                world.kill_daemon(leader, true);
+            }
+            let until = world.now + world.random.random_range(300..900);
+            world.run_until(until);
+            true
+        }
+        Step::Repair => {
+            lose_member(world, Power::Off);
+            world.run_until_true(STEP_LIMIT_MS, |world| {
+                world.newest_tables().replicas.values().any(|row| row.epoch > 1)
+            })
+        }
+        Step::AfterRepair => {
+            lose_member(world, Power::Off);
+            let repaired = |world: &World| {
+                let tables = world.newest_tables();
+                tables.replicas.values().any(|row| row.epoch > 1 && row.phase == ReplicaPhase::Serving)
+            };
+            world.run_until_true(STEP_LIMIT_MS, repaired)
+        }
+        Step::Drain => {
+            drain_member(world);
+            world.run_until_true(STEP_LIMIT_MS, |world| {
+                let tables = world.newest_tables();
+                tables.replicas.len() > REPLICAS as usize
+                    || tables.replicas.values().any(|row| row.phase == ReplicaPhase::Draining)
+            })
+        }
+        Step::Rollout => {
+            deploy(world, "rollout", "v2");
+            world.run_until_true(STEP_LIMIT_MS, |world| {
+                let tables = world.newest_tables();
+                tables.replicas.values().any(|row| row.version == "v2" || row.phase == ReplicaPhase::Draining)
+            })
+        }
+        Step::Snapshot => {
+            let before = newest_snapshot(world);
+            for number in 0..COMPACT_AFTER_ENTRIES {
+                apply(
+                    world,
+                    &format!("tenant-{number}"),
+                    "Tenant",
+                    "t",
+                    json!({ "tier": number % 2, "keys": ["12345678"] }),
+                );
+            }
+            world.run_until_true(STEP_LIMIT_MS, move |world| newest_snapshot(world) > before)
+        }
+        Step::HandOver => {
+            let tables = world.newest_tables();
+            let coordinator = tables.pools.get("d").and_then(|pool| pool.coordinator.clone());
+            world.leaving =
+                world.daemons.iter().position(|daemon| Some(&daemon.record.name) == coordinator.as_ref());
+            world.run_until_true(STEP_LIMIT_MS, |world| {
+                world.newest_tables().daemons.values().any(|daemon| daemon.liveness == Liveness::Leaving)
+            })
+        }
+        Step::Form | Step::Load => true,
+    }
+}
+
+fn newest_snapshot(world: &World) -> u64 {
+    let cores = world.daemons.iter().filter_map(|daemon| daemon.node.as_ref()?.core());
+    cores.map(|core| core.snapshot_index()).max().unwrap_or(0)
+}
+
+/// A machine of a replica, picked by the seed; `None` before any replica is formed.
+fn member(world: &mut World, but_not: Option<usize>) -> Option<usize> {
+    let tables = world.newest_tables();
+    let row = tables.replicas.values().next()?;
+    let candidates: Vec<usize> = (0..MACHINES)
+        .filter(|index| row.members.contains(&world.machines[*index].name) && Some(*index) != but_not)
+        .filter(|index| world.machines[*index].power == Power::On)
+        .collect();
+    if candidates.is_empty() {
+        return None;
+    }
+    Some(candidates[world.random.random_range(0..candidates.len())])
+}
+
+fn lose_member(world: &mut World, power: Power) -> Option<usize> {
+    let index = member(world, None)?;
+    world.fail_machine(index, power, MACHINE_RESTART_MS);
+    Some(index)
+}
+
+fn drain_member(world: &mut World) {
+    if let Some(index) = member(world, None) {
+        let checks_fences = world.machines[index].checks_fences;
+        let name = world.machines[index].name.clone();
+        apply(world, "drain", "Server", &name, server_spec(index, true, checks_fences));
+    }
+}
+
+fn everybody() -> impl Iterator<Item = Place> {
+    let daemons = (0..DAEMONS).map(Place::Daemon);
+    daemons.chain((0..MACHINES).map(Place::Machine)).chain([Place::Operator])
+}
+
+fn bring_about(world: &mut World, fault: Fault) {
+    const NETWORK_FAULT_MS: u64 = 4_000;
+    const SILENCE_MS: u64 = 5_000;
+    let now = world.now;
+    let leader = world.leader().unwrap_or(0);
+    match fault {
+        Fault::KillLeader => world.kill_daemon(leader, true),
+        Fault::KillLeaderAtSync => {
+            let before = world.random.random_range(0..2) == 0;
+            world.daemons[leader].dies_at_sync = Some(before);
+        }
+        Fault::KillFollower => world.kill_daemon((leader + 1) % VOTERS, true),
+        Fault::KillCoordinator => {
+            let tables = world.newest_tables();
+            let coordinator = tables.pools.get("d").and_then(|pool| pool.coordinator.clone());
+            let index =
+                world.daemons.iter().position(|daemon| Some(&daemon.record.name) == coordinator.as_ref());
+            world.kill_daemon(index.unwrap_or(DAEMONS - 1), true);
+        }
+        Fault::PauseLeader => world.daemons[leader].paused_until = now + 10_000,
+        Fault::PauseDaemon => world.daemons[DAEMONS - 1].paused_until = now + 6_000,
+        Fault::CutOffLeader => {
+            world.network.cut_off(Place::Daemon(leader), everybody());
+            world.queue.push(now + NETWORK_FAULT_MS * 2, crate::events::Event::HealNetwork);
+        }
+        Fault::MuteLeader => {
+            for other in everybody() {
+                world.network.cut_one_way(Place::Daemon(leader), other);
+            }
+            world.queue.push(now + NETWORK_FAULT_MS, crate::events::Event::HealNetwork);
+        }
+        Fault::LossyNetwork => {
+            world.network.lossy = true;
+            world.queue.push(now + NETWORK_FAULT_MS, crate::events::Event::HealNetwork);
+        }
+        Fault::KillAllVoters => (0..VOTERS).for_each(|voter| world.kill_daemon(voter, true)),
+        Fault::KillMachine => drop(lose_member(world, Power::Off)),
+        Fault::RestartMachine => {
+            if let Some(index) = member(world, None) {
+                world.machines[index].set_power(now, Power::Off);
+                world.queue.push(now + 100, crate::events::Event::StartMachine { machine: index });
+            }
+        }
+        Fault::SilenceMachine => {
+            if let Some(index) = member(world, None) {
+                world.fail_machine(index, Power::Silent, SILENCE_MS);
+            }
+        }
+        Fault::KillTwoMachines => {
+            let first = lose_member(world, Power::Off);
+            if let Some(second) = member(world, first) {
+                world.fail_machine(second, Power::Off, MACHINE_RESTART_MS);
+            }
+        }
+        Fault::RaceOperators => race(world),
+        Fault::LoseAnswers => {
+            deploy_again(world);
+            for change in &mut world.changes {
+                change.deaf_until = now + 2_000;
+            }
+        }
+    }
+}
+
+/// Two changes of one tenant at one version, with different content.
+fn race(world: &mut World) {
+    let tables = world.newest_tables();
+    let version = tables.resource(Kind::Server, "m00").map_or(0, |one| one.metadata.resource_version);
+    let number = world.changes.len();
+    for racer in 0..2_usize {
+        let mut spec = server_spec(0, false, world.machines[0].checks_fences);
+        spec["zone"] = json!(format!("race-{racer}"));
+        if let Some(resource) = resource("Server", "m00", version, spec) {
+            let action = ChangeAction::Update(resource);
+            world.submit(Change::new(format!("race-{number}-{racer}"), action));
+        }
+    }
+}
+
+fn deploy_again(world: &mut World) {
+    let number = world.changes.len();
+    let spec = json!({ "tier": number % 2, "keys": ["87654321"] });
+    apply(world, &format!("again-{number}"), "Tenant", "u", spec);
+}
+
+/// Heals everything and waits until all is well.
+fn recover(world: &mut World) -> bool {
+    world.network.heal();
+    world.leaving = None;
+    for index in 0..DAEMONS {
+        world.daemons[index].dies_at_sync = None;
+        world.start_daemon(index);
+    }
+    for machine in 0..MACHINES {
+        let now = world.now;
+        world.machines[machine].set_power(now, Power::On);
+    }
+    let well = world.run_until_true(RECOVER_LIMIT_MS, is_well);
+    if !well && world.checker.violations.is_empty() {
+        let detail = describe(world);
+        let now = world.now;
+        world.checker.fail(Check::Recovers, now, detail);
+    }
+    well
+}
+
+fn is_well(world: &World) -> bool {
+    let revisions: Vec<u64> = world.daemons.iter().map(|daemon| daemon.revision()).collect();
+    let agree = revisions.iter().all(|revision| *revision == revisions[0]);
+    let leases = world.daemons.iter().all(|daemon| daemon.holds_lease(world.now));
+    let in_force = world
+        .daemons
+        .iter()
+        .filter_map(|daemon| daemon.node.as_ref())
+        .all(|node| node.in_force_revision() == revisions[0]);
+    agree && leases && in_force && world.all_answered() && all_serve(world)
+}
+
+fn describe(world: &World) -> String {
+    let tables = world.newest_tables();
+    let replicas: Vec<String> = tables
+        .replicas
+        .values()
+        .map(|row| format!("{} {:?} epoch {} {:?}", row.name, row.phase, row.epoch, row.members))
+        .collect();
+    let machines: Vec<String> = world
+        .machines
+        .iter()
+        .map(|machine| {
+            let loaded = machine.loaded.as_ref().map(|plan| format!("{}/{}", plan.replica, plan.epoch));
+            format!("{} {:?} {loaded:?}", machine.name, machine.power)
+        })
+        .collect();
+    let revisions: Vec<u64> = world.daemons.iter().map(|daemon| daemon.revision()).collect();
+    let cores: Vec<String> = world
+        .daemons
+        .iter()
+        .filter_map(|daemon| daemon.node.as_ref()?.core())
+        .map(|core| {
+            format!(
+                "{:?} term {} commit {} last {} snapshot {}",
+                core.role(),
+                core.term(),
+                core.commit_index(),
+                core.last_index(),
+                core.snapshot_index()
+            )
+        })
+        .collect();
+    format!(
+        "leader {:?}, cores {cores:?}, revisions {revisions:?}, answered {}, replicas {replicas:?}, machines {machines:?}",
+        world.leader(),
+        world.all_answered()
+    )
+}
+
+/// Every answered change is sent once more; its answer must be the same, also after restarts and compaction.
+fn resend_everything(world: &mut World) {
+    (0..world.changes.len()).for_each(|change| world.resend_change(change));
+    let until = world.now + 2_000;
+    world.run_until(until);
+    let tables = world.newest_tables();
+    if tables.resource(Kind::Deployment, "d").is_none() {
+        let now = world.now;
+        world.checker.fail(Check::ChangesStay, now, "the deployment is gone".to_string());
+    }
+}
