Tell machines apart by the replica they are loaded for

Change: observations carry a digest of the replica's name; a machine that contradicts its confirmed order gets the order again. The simulated sender keeps to the leader's lease for machines that don't check fences, as the daemon's does.

--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -4,6 +4,7 @@
 //! machine above it.
 
 use crate::code::ResultCode;
+use crate::digest::content_digest;
 use crate::event::ClockStamp;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
         epoch: u64,
         /// Weights are in memory.
         loaded: bool,
+        /// Digest of the name of the replica that it is loaded for; 0 when free.
+        replica_digest: u64,
     },
     /// It refuses connections: the process is gone.
     Refusing,
@@ -39,6 +42,15 @@
     Silent,
 }
 
+impl MachineState {
+    /// An answering machine that is loaded for a replica, or for none.
+    pub fn alive(loaded_for: Option<(&str, u64)>) -> MachineState {
+        let (replica_digest, epoch) =
+            loaded_for.map_or((0, 0), |(replica, epoch)| (content_digest(replica.as_bytes()), epoch));
+        MachineState::Alive { epoch, loaded: loaded_for.is_some(), replica_digest }
+    }
+}
+
 /// One finding, as told to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Observation {
--- a/crates/control/src/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -42,7 +42,8 @@
     tables.orders.values().map(AsRef::as_ref).filter(|order| order.state == OrderState::Pending)
 }
 
-/// Finds machines that answer but have lost what they confirmed, as after a restart.
+/// Finds machines that answer but are not in the state that they confirmed: restarted since, or, where they don't
+/// check fences, taken over by an older order that arrived late.
 #[derive(Debug, Default)]
 pub struct LostState {
     since: HashMap<String, Millis>,
@@ -68,12 +69,10 @@
 }
 
 fn contradicts(order: &OrderRow, observed: Option<MachineState>) -> bool {
-    let Some(MachineState::Alive { epoch, loaded }) = observed else { return false };
-    if order.state != OrderState::Done {
-        return false;
-    }
-    match &order.action {
-        OrderAction::Load(plan) => !loaded || epoch != plan.epoch,
-        OrderAction::Unload => loaded,
-    }
+    let Some(observed @ MachineState::Alive { .. }) = observed else { return false };
+    let confirmed = match &order.action {
+        OrderAction::Load(plan) => MachineState::alive(Some((&plan.replica, plan.epoch))),
+        OrderAction::Unload => MachineState::alive(None),
+    };
+    order.state == OrderState::Done && observed != confirmed
 }
--- a/crates/daemon/src/probe/engine_client.rs
+++ b/crates/daemon/src/probe/engine_client.rs
@@ -53,5 +53,6 @@
 
 /// What an answer says of the machine.
 pub fn machine_state(health: &GroupHealth) -> MachineState {
-    MachineState::Alive { epoch: health.epoch, loaded: health.loaded }
+    let replica = health.replica.as_deref().filter(|_| health.loaded);
+    MachineState::alive(replica.map(|replica| (replica, health.epoch)))
 }
--- a/crates/daemon/src/probe/replica_watcher.rs
+++ b/crates/daemon/src/probe/replica_watcher.rs
@@ -110,7 +110,7 @@
     /// The head hears all members: each is alive and loaded for this epoch.
     fn all_alive(&self, replica: &ReplicaRow) {
         for server in &replica.members {
-            self.reporter.machine(server, MachineState::Alive { epoch: replica.epoch, loaded: true });
+            self.reporter.machine(server, MachineState::alive(Some((&replica.name, replica.epoch))));
         }
     }
 
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -19,7 +19,7 @@
     now: u64,
 }
 
-const ALIVE: MachineState = MachineState::Alive { epoch: 0, loaded: false };
+const ALIVE: MachineState = MachineState::Alive { epoch: 0, loaded: false, replica_digest: 0 };
 
 impl World {
     /// Machines in domains of ten, alternating between two zones, and three daemons.
--- a/crates/simulation/src/events.rs
+++ b/crates/simulation/src/events.rs
@@ -44,7 +44,7 @@
     /// A daemon probes its machines.
     Probe { daemon: usize, incarnation: u64 },
     /// A daemon sends an order, and again until it is answered.
-    SendOrder { daemon: usize, incarnation: u64, machine: usize, order: EngineOrder },
+    SendOrder { daemon: usize, incarnation: u64, machine: usize, order: EngineOrder, lease_until: u64 },
     /// An order arrives at a machine.
     Order { machine: usize, from: usize, from_incarnation: u64, order: EngineOrder },
     /// A machine has carried an order out.
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -70,8 +70,7 @@
             Power::Off => MachineState::Refusing,
             Power::Silent => MachineState::Silent,
             Power::On => {
-                let epoch = self.loaded.as_ref().map_or(0, |plan| plan.epoch);
-                MachineState::Alive { epoch, loaded: self.loaded.is_some() }
+                MachineState::alive(self.loaded.as_ref().map(|plan| (plan.replica.as_str(), plan.epoch)))
             }
         }
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -284,10 +284,10 @@
                 self.queue.push(self.now + PROBE_MS, Event::Probe { daemon, incarnation });
                 self.probe(daemon);
             }
-            Event::SendOrder { daemon, incarnation, machine, order }
+            Event::SendOrder { daemon, incarnation, machine, order, lease_until }
                 if self.is_current(daemon, incarnation) =>
             {
-                self.repeat_order(daemon, incarnation, machine, order);
+                self.repeat_order((daemon, incarnation), machine, order, lease_until);
             }
             Event::Order { machine, from, from_incarnation, order } => {
                 self.take_order(machine, from, from_incarnation, order);
@@ -460,7 +460,7 @@
     }
 
     fn send_order(&mut self, from: usize, to_send: OrderToSend) -> Carried {
-        let OrderToSend { order, .. } = to_send;
+        let OrderToSend { order, lease_until, .. } = to_send;
         let Some(machine) = self.machines.iter().position(|machine| machine.name == order.server) else {
             return Carried::Done;
         };
@@ -475,8 +475,13 @@
         self.queue.push(self.now + ORDER_TIMEOUT_MS, timeout);
         let fence = if self.defect == Some(Defect::FenceNotRaised) { 1 } else { order.fence };
         let engine_order = EngineOrder { id: order.id.clone(), fence, action: order.action.clone() };
-        let event =
-            Event::SendOrder { daemon: from, incarnation: from_incarnation, machine, order: engine_order };
+        let event = Event::SendOrder {
+            daemon: from,
+            incarnation: from_incarnation,
+            machine,
+            order: engine_order,
+            lease_until,
+        };
         self.queue.push(self.now, event);
         if self.defect == Some(Defect::ReleaseNotAwaited) {
             return Carried::Follow(Input::OrderAnswered {
@@ -489,17 +494,21 @@
     }
 
     /// As the daemon's order sender does: again and again, until the machine has answered or time runs out.
-    fn repeat_order(&mut self, from: usize, from_incarnation: u64, machine: usize, order: EngineOrder) {
+    fn repeat_order(&mut self, sender: (usize, u64), machine: usize, order: EngineOrder, lease_until: u64) {
+        let (from, from_incarnation) = sender;
         const ASK_AGAIN_MS: u64 = 100;
         let name = self.machines[machine].name.clone();
-        if !self.followed.contains(&(from, name, order_number(&order.id))) {
+        let may_send = self.machines[machine].checks_fences
+            || self.daemons[from].moment(self.now).monotonic < lease_until;
+        if !may_send || !self.followed.contains(&(from, name, order_number(&order.id))) {
             return;
         }
         for delay in self.network.delays(&mut self.random, Place::Daemon(from), Place::Machine(machine)) {
             let order = order.clone();
             self.queue.push(self.now + delay, Event::Order { machine, from, from_incarnation, order });
         }
-        let again = Event::SendOrder { daemon: from, incarnation: from_incarnation, machine, order };
+        let again =
+            Event::SendOrder { daemon: from, incarnation: from_incarnation, machine, order, lease_until };
         self.queue.push(self.now + ASK_AGAIN_MS, again);
     }
 
