Tell the leader everything again every ten seconds; add capacity and overhead measurements

Reports of changes alone depend on nobody ever forgetting. Change: probers tell all they know every 10 s (about 4 machines a daemon at the design size). New commands: capacity, overhead.

--- a/crates/api/src/peer/codec.rs
+++ b/crates/api/src/peer/codec.rs
@@ -5,11 +5,45 @@
 use std::io;
 use std::marker::PhantomData;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio_serde::{Deserializer, Serializer};
 
 /// Largest frame between daemons, in bytes; a snapshot of the design size fits several times over.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
 
+/// Bytes that the transport adds to each frame, in front of it.
+const LENGTH_BYTES: u64 = 4;
+
+static SENT_FRAMES: AtomicU64 = AtomicU64::new(0);
+static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
+static RECEIVED_FRAMES: AtomicU64 = AtomicU64::new(0);
+static RECEIVED_BYTES: AtomicU64 = AtomicU64::new(0);
+
+/// Frames and bytes that this process has exchanged with other daemons, without TCP/IP headers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerVolume {
+    /// Frames sent.
+    pub sent_frames: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Frames received.
+    pub received_frames: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+}
+
+impl PeerVolume {
+    /// Counts since the start of the process.
+    pub fn now() -> PeerVolume {
+        PeerVolume {
+            sent_frames: SENT_FRAMES.load(Ordering::Relaxed),
+            sent_bytes: SENT_BYTES.load(Ordering::Relaxed),
+            received_frames: RECEIVED_FRAMES.load(Ordering::Relaxed),
+            received_bytes: RECEIVED_BYTES.load(Ordering::Relaxed),
+        }
+    }
+}
+
 /// Encodes `Out` and decodes `In`.
 pub struct PostcardCodec<In, Out> {
     direction: PhantomData<fn(In) -> Out>,
@@ -25,7 +59,10 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, item: &Out) -> Result<Bytes, io::Error> {
-        postcard::to_stdvec(item).map(Bytes::from).map_err(invalid_data)
+        let encoded = postcard::to_stdvec(item).map(Bytes::from).map_err(invalid_data)?;
+        SENT_FRAMES.fetch_add(1, Ordering::Relaxed);
+        SENT_BYTES.fetch_add(encoded.len() as u64 + LENGTH_BYTES, Ordering::Relaxed);
+        Ok(encoded)
     }
 }
 
@@ -33,6 +70,8 @@
     type Error = io::Error;
 
     fn deserialize(self: Pin<&mut Self>, source: &BytesMut) -> Result<In, io::Error> {
+        RECEIVED_FRAMES.fetch_add(1, Ordering::Relaxed);
+        RECEIVED_BYTES.fetch_add(source.len() as u64 + LENGTH_BYTES, Ordering::Relaxed);
         postcard::from_bytes(source).map_err(invalid_data)
     }
 }
--- a/crates/api/src/peer/mod.rs
+++ b/crates/api/src/peer/mod.rs
@@ -8,7 +8,7 @@
 pub use admission::{
     AcquireReply, AcquireRequest, Grant, KeptAnswer, Refusal, ReplicaEvidence, RequestRecord, SlotReturn,
 };
-pub use codec::{MAX_FRAME_BYTES, PostcardCodec};
+pub use codec::{MAX_FRAME_BYTES, PeerVolume, PostcardCodec};
 pub use control::{
     ControlAnswer, DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, MachineState, Observation,
     SubmitReply,
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! Subcommands of the bench.
 
+mod capacity;
 mod demo;
 mod matrix;
+mod overhead;
 mod run;
 mod traces;
 pub use traces::StatedOutcomes;
@@ -17,6 +19,8 @@
         up::command(),
         run::command(),
         matrix::command(),
+        capacity::command(),
+        overhead::command(),
         traces::generate_command(),
         traces::record_command(),
         traces::replay_command(),
@@ -29,6 +33,8 @@
         Some(("demo", matches)) => demo::run(matches).await,
         Some(("up", matches)) => up::run(matches).await,
         Some(("run", matches)) => run::run(matches).await,
+        Some(("capacity", matches)) => capacity::run(matches).await,
+        Some(("overhead", matches)) => overhead::run(matches).await,
         Some(("matrix", matches)) => matrix::run(matches),
         Some(("generate", matches)) => traces::generate_trace(matches),
         Some(("record", matches)) => traces::record(matches).await,
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -113,9 +113,11 @@
         self.topology.daemons.iter().map(|daemon| daemon.http).collect()
     }
 
-    /// What each running daemon uses.
-    pub fn daemon_usage(&self) -> Vec<Usage> {
-        self.daemons.iter().flatten().filter_map(|child| child.usage().ok()).collect()
+    /// What a running daemon uses.
+    pub fn daemon_usage(&self, index: usize) -> io::Result<Usage> {
+        let child =
+            self.daemons[index].as_ref().ok_or_else(|| io::Error::other("the daemon does not run"))?;
+        child.usage()
     }
 
     /// Stops everything in order; the exit codes of daemons that did not end well.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod commands;
+pub mod daemon_cost;
 pub mod experiment;
 pub mod fault;
 pub mod fleet;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics by `prometheus`: what repeats is counted here.
 
+use dockwood_api::peer::PeerVolume;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -35,6 +36,8 @@
     pub peer_calls: IntCounterVec,
     /// Calls between daemons that failed.
     pub peer_failures: IntCounter,
+    /// Frames and bytes exchanged with daemons, by direction and unit.
+    pub peer_volume: IntGaugeVec,
     /// Calls to plain services by service and result.
     pub service_calls: IntCounterVec,
     /// Probes of machines by result.
@@ -112,6 +115,11 @@
             retries_refused: counter("dockwood_retries_refused_total", "Retries refused by the budget")?,
             peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
             peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
+            peer_volume: gauges(
+                "dockwood_peer_volume",
+                "Volume exchanged with daemons",
+                &["direction", "unit"],
+            )?,
             service_calls: counters(
                 "dockwood_service_calls_total",
                 "Calls to services",
@@ -135,6 +143,15 @@
 
     /// All metrics in prometheus's text form.
     pub fn render(&self) -> Vec<u8> {
+        let volume = PeerVolume::now();
+        for (direction, unit, value) in [
+            ("sent", "frames", volume.sent_frames),
+            ("sent", "bytes", volume.sent_bytes),
+            ("received", "frames", volume.received_frames),
+            ("received", "bytes", volume.received_bytes),
+        ] {
+            self.peer_volume.with_label_values(&[direction, unit]).set(value as i64);
+        }
         let mut text = Vec::new();
         // Writing to memory can't fail; a metric that can't be encoded is left out.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
--- a/crates/daemon/src/probe/reporter.rs
+++ b/crates/daemon/src/probe/reporter.rs
@@ -1,7 +1,9 @@
 //! Tells the leader what was found out: changes only, and everything anew to a new leader.
 
+use crate::clock::monotonic_ms;
 use crate::shared::Shared;
 use dockwood_api::peer::{MachineState, Observation};
+use dockwood_routing::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -10,6 +12,9 @@
 const GATHER: Duration = Duration::from_millis(50);
 /// How long the leader may take to answer.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Everything is told again this often: the leader may have forgotten a machine that was declared anew, and
+/// nothing else would remind it.
+const RETELL_MS: Millis = 10_000;
 /// Pause after a report that was not taken.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -21,6 +26,7 @@
     untold_machines: BTreeSet<String>,
     untold_replicas: BTreeSet<(String, u64)>,
     told_term: u64,
+    retell_at: Millis,
 }
 
 /// Gathers findings of this daemon.
@@ -69,11 +75,12 @@
         findings.untold_replicas.retain(|(replica, epoch)| replica_exists(replica, *epoch));
     }
 
-    /// What to tell the leader of `term`: everything if it was never told.
-    fn take_untold(&self, term: u64) -> Vec<Observation> {
+    /// What to tell the leader of `term`: everything if it was never told, or not for long.
+    fn take_untold(&self, now: Millis, term: u64) -> Vec<Observation> {
         let mut findings = self.findings();
-        if findings.told_term != term {
+        if findings.told_term != term || now >= findings.retell_at {
             findings.told_term = term;
+            findings.retell_at = now + RETELL_MS;
             findings.untold_machines = findings.machines.keys().cloned().collect();
             findings.untold_replicas = findings.idle_replicas.clone();
         }
@@ -101,7 +108,7 @@
         tokio::time::sleep(GATHER).await;
         let term = shared.leader_term();
         let Some(leader) = shared.leader() else { continue };
-        let observations = reporter.take_untold(term);
+        let observations = reporter.take_untold(monotonic_ms(), term);
         if observations.is_empty() {
             continue;
         }
--- a/crates/simulation/src/daemon.rs
+++ b/crates/simulation/src/daemon.rs
@@ -34,6 +34,7 @@
     /// What it has told the leader of that term.
     pub told: BTreeMap<String, MachineState>,
     pub told_term: u64,
+    pub retell_at: u64,
     pub told_idle: BTreeSet<(String, u64)>,
     pub gate: EvidenceTable,
     /// The newest clock that each daemon has answered to evidence.
@@ -61,6 +62,7 @@
             leader_term: 0,
             told: BTreeMap::new(),
             told_term: 0,
+            retell_at: 0,
             told_idle: BTreeSet::new(),
             gate: EvidenceTable::default(),
             echoes: BTreeMap::new(),
--- a/crates/simulation/src/evidence.rs
+++ b/crates/simulation/src/evidence.rs
@@ -12,6 +12,8 @@
 use dockwood_routing::EVIDENCE_WINDOW_MS;
 use dockwood_state::{ReplicaPhase, ReplicaRow, Tables};
 
+/// Everything is told to the leader again this often, as the daemon's reporter does.
+const RETELL_MS: u64 = 10_000;
 /// A draining replica has nothing in flight after this long.
 const DRAIN_MS: u64 = 400;
 /// Added to the evidence window: clocks drift by a hundredth and a look takes a moment.
@@ -25,9 +27,10 @@
         let own = self.daemons[index].record.name.clone();
         let mut observations = Vec::new();
         let term = self.daemons[index].leader_term;
-        if self.daemons[index].told_term != term {
+        if self.daemons[index].told_term != term || self.now >= self.daemons[index].retell_at {
             let daemon = &mut self.daemons[index];
             daemon.told_term = term;
+            daemon.retell_at = self.now + RETELL_MS;
             daemon.told.clear();
             daemon.told_idle.clear();
         }
