Turn Nagle's algorithm off towards callers, back ends and daemons

Change: crate listen with an acceptor that sets TCP_NODELAY, for daemon and emulator; an own transport wrapper for peer calls.

--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -14,8 +14,8 @@
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
 use dockwood_api::resource::API_PREFIX;
+use dockwood_listen::PromptAcceptor;
 use poem::error::{MethodNotAllowedError, NotFoundError};
-use poem::listener::TcpAcceptor;
 use poem::{EndpointExt, Route, Server, get, post};
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,7 +38,7 @@
     listener: std::net::TcpListener,
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> std::io::Result<()> {
-    let acceptor = TcpAcceptor::from_std(listener)?;
+    let acceptor = PromptAcceptor::new(tokio::net::TcpListener::from_std(listener)?);
     Server::new_with_acceptor(acceptor).run_with_graceful_shutdown(routes(app), stop, Some(CLOSE_LIMIT)).await
 }
 
--- a/crates/daemon/src/peer/clients.rs
+++ b/crates/daemon/src/peer/clients.rs
@@ -1,6 +1,7 @@
 //! Connections to other daemons: one each, made when first used and again after a failure.
 
-use dockwood_api::peer::{MAX_FRAME_BYTES, PeerClient, PostcardCodec};
+use super::transport::peer_transport;
+use dockwood_api::peer::PeerClient;
 use quick_error::quick_error;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use std::time::{Duration, Instant};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
+use tokio::net::TcpStream;
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,10 +44,9 @@
         if let Some(client) = self.clients().get(&address) {
             return Ok(client.clone());
         }
-        let mut connecting = tarpc::serde_transport::tcp::connect(address, PostcardCodec::default);
-        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let Ok(Ok(transport)) = connected else { return Err(PeerFailure::Unreachable) };
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = connected else { return Err(PeerFailure::Unreachable) };
+        let transport = peer_transport(stream).map_err(|_| PeerFailure::Unreachable)?;
         let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
         self.clients().insert(address, client.clone());
         Ok(client)
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod server;
 mod submit;
+mod transport;
 
 pub use clients::{PeerClients, PeerFailure};
 pub use server::serve_peers;
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -1,13 +1,14 @@
 //! The daemon's side of the peer service.
 
+use super::transport::peer_transport;
 use crate::clock::monotonic_ms;
 use crate::control::ControlMessage;
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
 use dockwood_api::peer::{
-    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, MAX_FRAME_BYTES, Observation,
-    Peer, PostcardCodec, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, Peer,
+    ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
 };
 use futures::StreamExt;
 use std::sync::Arc;
@@ -22,23 +23,18 @@
 }
 
 /// Accepts other daemons for ever.
-pub async fn serve_peers(
-    shared: Arc<Shared>,
-    traffic: Arc<Traffic>,
-    listener: tokio::net::TcpListener,
-) -> std::io::Result<()> {
+pub async fn serve_peers(shared: Arc<Shared>, traffic: Arc<Traffic>, listener: tokio::net::TcpListener) {
     let server = PeerServer { shared, traffic };
-    let mut incoming = tarpc::serde_transport::tcp::listen_on(listener, PostcardCodec::default).await?;
-    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    while let Some(connection) = incoming.next().await {
-        let Ok(transport) = connection else { continue };
+    loop {
+        // A connection that ends while it is accepted concerns nobody else.
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok(transport) = peer_transport(stream) else { continue };
         let channel = BaseChannel::with_defaults(transport);
         let serve = channel.execute(server.clone().serve()).for_each(|answering| async move {
             tokio::spawn(answering);
         });
         tokio::spawn(serve);
     }
-    Ok(())
 }
 
 impl PeerServer {
--- /dev/null
+++ b/crates/daemon/src/peer/transport.rs
@@ -0,0 +1,23 @@
+//! The transport between daemons: length-delimited frames over TCP, without Nagle's algorithm. Many calls share
+//! one connection and some are held back for long, so a frame must not wait for the answer to an earlier one.
+
+use dockwood_api::peer::{MAX_FRAME_BYTES, PostcardCodec};
+use serde::{Deserialize, Serialize};
+use std::io;
+use tarpc::serde_transport::{self, Transport};
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpStream;
+
+/// A connection that carries `Out` one way and `In` the other.
+pub type PeerTransport<In, Out> = Transport<TcpStream, In, Out, PostcardCodec<In, Out>>;
+
+/// Wraps a connected stream.
+pub fn peer_transport<In, Out>(stream: TcpStream) -> io::Result<PeerTransport<In, Out>>
+where
+    In: for<'de> Deserialize<'de>,
+    Out: Serialize,
+{
+    stream.set_nodelay(true)?;
+    let framed = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+    Ok(serde_transport::new(framed, PostcardCodec::default()))
+}
--- a/crates/emulator/src/http/server.rs
+++ b/crates/emulator/src/http/server.rs
@@ -1,13 +1,14 @@
 //! Listening, and stopping the hard way.
 
-use poem::listener::{Acceptor, Listener, TcpAcceptor, TcpListener};
+use dockwood_listen::PromptAcceptor;
+use poem::listener::Acceptor;
 use poem::{Endpoint, IntoEndpoint, Server};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Listens on an address.
-pub async fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
-    TcpListener::bind(address).into_acceptor().await
+pub async fn listen(address: SocketAddr) -> std::io::Result<PromptAcceptor> {
+    tokio::net::TcpListener::bind(address).await.map(PromptAcceptor::new)
 }
 
 /// Serves until `stop` completes; then every connection is dropped at once, as when a process dies.
