Start every run on an empty data folder, and end its processes when told to end

Cause: a second run into one folder found the first one's state with other addresses and was refused (4003); a bench that got SIGTERM left its fleet running. Change: a fleet clears its data and ledger before it starts; the bench drops its fleet on SIGTERM.

--- a/crates/bench/src/commands/demo.rs
+++ b/crates/bench/src/commands/demo.rs
@@ -62,9 +62,6 @@
         Preset::Brokerage => (Shape::MarketClose, "order-checks"),
     };
     let folder = out_folder(matches);
-    if folder.join("data").exists() {
-        std::fs::remove_dir_all(folder.join("data"))?;
-    }
     let experiment = Experiment {
         name: "demo".to_string(),
         preset,
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -72,7 +72,6 @@
     std::fs::create_dir_all(folder)?;
     let folder = folder.canonicalize()?;
     let topology = Topology::new(experiment.preset, experiment.sizes, own_network(), &folder);
-    let _ = std::fs::remove_file(&topology.emulator.ledger);
     let trace = trace.unwrap_or_else(|| generate(&topology, &experiment.workload));
     let mut fleet = RunningFleet::start(topology.clone()).await?;
     println!("{} daemons hold their leases", topology.daemons.len());
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -25,6 +25,14 @@
 impl RunningFleet {
     /// Starts every process and waits until each daemon holds a lease.
     pub async fn start(topology: Topology) -> io::Result<RunningFleet> {
+        // What an earlier run left speaks of other addresses.
+        let data = topology.folder.join("data");
+        if data.exists() {
+            std::fs::remove_dir_all(data)?;
+        }
+        if topology.emulator.ledger.exists() {
+            std::fs::remove_file(&topology.emulator.ledger)?;
+        }
         for folder in ["settings", "data", "logs"] {
             std::fs::create_dir_all(topology.folder.join(folder))?;
         }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,8 +1,9 @@
 //! `dockwood-bench`: runs fleets on loopback, sends load, brings about failures, and judges by what really ran.
 
-use clap::Command;
+use clap::{ArgMatches, Command};
 use dockwood_bench::commands;
 use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
 
 fn command() -> Command {
     Command::new("dockwood-bench")
@@ -14,6 +15,15 @@
         .subcommand(dockwood_emulator::cli::command().hide(true))
 }
 
+/// Runs a command. Told to end, it drops the command, and with it every process that it started.
+async fn run(matches: &ArgMatches) -> std::io::Result<bool> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        result = commands::dispatch(matches) => result,
+        _ = terminate.recv() => Err(std::io::Error::other("told to end")),
+    }
+}
+
 fn fail(error: std::io::Error) -> ExitCode {
     eprintln!("{error}");
     ExitCode::FAILURE
@@ -31,7 +41,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(error),
     };
-    match runtime.block_on(commands::dispatch(&matches)) {
+    match runtime.block_on(run(&matches)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => fail(error),
