--- a/crates/bench/src/commands/capacity.rs
+++ b/crates/bench/src/commands/capacity.rs
@@ -12,8 +12,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Daemons and servers of each measured size.
-const MEASURED: [(usize, usize); 6] = [(4, 40), (8, 40), (16, 40), (24, 80), (8, 120), (8, 240)];
+/// Daemons and servers of each measured size: four with the design size's four servers to a daemon, and two with
+/// more duties on each.
+const MEASURED: [(usize, usize); 6] = [(10, 40), (20, 80), (40, 160), (60, 240), (10, 120), (10, 240)];
 /// The size to design for.
 const DESIGN: (f64, f64) = (330.0, 1_300.0);
 const FORM_LIMIT: Duration = Duration::from_secs(60);
@@ -45,6 +46,7 @@
 struct Projection {
     role: DaemonRole,
     value: &'static str,
+    driver: Driver,
     slopes: Slopes,
     at_design_size: f64,
 }
@@ -63,6 +65,33 @@
     Ok(Sample { daemons, servers, costs })
 }
 
+/// What a value grows with besides the number of daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Driver {
+    /// State on all servers is held here.
+    Servers,
+    /// Duties: servers are shared out over the daemons.
+    ServersOfADaemon,
+}
+
+impl Driver {
+    fn of(role: DaemonRole, value: &str) -> Driver {
+        if role == DaemonRole::Leader || value.starts_with("memory") {
+            Driver::Servers
+        } else {
+            Driver::ServersOfADaemon
+        }
+    }
+
+    fn at(self, daemons: f64, servers: f64) -> f64 {
+        match self {
+            Driver::Servers => servers,
+            Driver::ServersOfADaemon => servers / daemons,
+        }
+    }
+}
+
 type Value = (&'static str, fn(&DaemonCost) -> f64);
 
 const VALUES: [Value; 4] = [
@@ -94,19 +123,21 @@
     let mut projections = Vec::new();
     for role in [DaemonRole::Leader, DaemonRole::Voter, DaemonRole::Entry] {
         for (value, of) in VALUES {
+            let driver = Driver::of(role, value);
             let points: Vec<(f64, f64, f64)> = samples
                 .iter()
                 .filter_map(|sample| {
-                    Some((sample.daemons as f64, sample.servers as f64, of(sample.costs.get(&role)?)))
+                    let (daemons, servers) = (sample.daemons as f64, sample.servers as f64);
+                    Some((daemons, driver.at(daemons, servers), of(sample.costs.get(&role)?)))
                 })
                 .collect();
             let Some(slopes) = Slopes::fit(&points) else { continue };
-            let at_design_size = slopes.at(DESIGN.0, DESIGN.1);
+            let at_design_size = slopes.at(DESIGN.0, driver.at(DESIGN.0, DESIGN.1));
             println!(
-                "{role:<7?} {value:<12} = {:9.4} + {:9.5} × daemons + {:9.5} × servers → {at_design_size:10.2}",
-                slopes.base, slopes.by_daemon, slopes.by_server
+                "{role:<7?} {value:<12} = {:9.4} + {:9.5} × daemons + {:9.5} × {driver:?} → {at_design_size:10.2}",
+                slopes.base, slopes.by_daemon, slopes.by_driver
             );
-            projections.push(Projection { role, value, slopes, at_design_size });
+            projections.push(Projection { role, value, driver, slopes, at_design_size });
         }
     }
     std::fs::write(folder.join("capacity.json"), serde_json::to_vec_pretty(&(&samples, &projections))?)?;
--- a/crates/bench/src/daemon_cost.rs
+++ b/crates/bench/src/daemon_cost.rs
@@ -100,24 +100,24 @@
     Ok(sums.into_iter().map(|(role, sums)| (role, mean(sums))).collect())
 }
 
-/// A plane through samples: `base + by_daemon × daemons + by_server × servers`, by least squares.
+/// A plane through samples: `base + by_daemon × daemons + by_driver × driver`, by least squares.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Slopes {
-    /// Value at no daemons and no servers.
+    /// Value where both variables are 0.
     pub base: f64,
     /// Added by each daemon.
     pub by_daemon: f64,
-    /// Added by each server.
-    pub by_server: f64,
+    /// Added by each unit of the other variable.
+    pub by_driver: f64,
 }
 
 impl Slopes {
-    /// Fits samples of (daemons, servers, value); `None` if they don't span a plane.
+    /// Fits samples of (daemons, driver, value); `None` if they don't span a plane.
     pub fn fit(samples: &[(f64, f64, f64)]) -> Option<Slopes> {
         let mut rows = [[0.0_f64; 4]; 3];
-        for (daemons, servers, value) in samples {
-            let terms = [1.0, *daemons, *servers];
+        for (daemons, driver, value) in samples {
+            let terms = [1.0, *daemons, *driver];
             for (row, left) in rows.iter_mut().zip(terms) {
                 for (cell, right) in row.iter_mut().zip([terms[0], terms[1], terms[2], *value]) {
                     *cell += left * right;
@@ -125,12 +125,12 @@
             }
         }
         let solved = solve(rows)?;
-        Some(Slopes { base: solved[0], by_daemon: solved[1], by_server: solved[2] })
+        Some(Slopes { base: solved[0], by_daemon: solved[1], by_driver: solved[2] })
     }
 
     /// The value at a size.
-    pub fn at(&self, daemons: f64, servers: f64) -> f64 {
-        self.base + self.by_daemon * daemons + self.by_server * servers
+    pub fn at(&self, daemons: f64, driver: f64) -> f64 {
+        self.base + self.by_daemon * daemons + self.by_driver * driver
     }
 }
 
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -6,17 +6,22 @@
 //! seed gives the same run. [`scenario::run`] crosses a step of the system's life with faults and checks what
 //! must always hold after every event.
 
+mod changes;
 mod check;
 mod daemon;
 mod disk;
 mod events;
 mod evidence;
 mod fault;
+mod injection;
+mod leases;
 mod machine;
 mod measure;
 mod network;
 mod operator;
+mod orders;
 pub mod scenario;
+mod stepping;
 mod world;
 
 pub use check::{Check, Violation};
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -1,34 +1,28 @@
 //! The simulated fleet: delivers events, drives the daemons' control nodes, and checks after every event.
 
-use crate::check::{Check, Checker};
+use crate::check::Checker;
 use crate::daemon::Daemon;
-use crate::events::{Event, EventQueue, ReplyTo, ToDaemon};
+use crate::events::{Event, EventQueue, ToDaemon};
 use crate::fault::Defect;
-use crate::machine::{JOIN_MS, LOAD_MS, Machine, OrderWork, Power};
+use crate::machine::{Machine, Power};
 use crate::measure::Measures;
 use crate::network::{Network, Place};
-use crate::operator::{Change, first_outcome};
-use dockwood_api::engine::EngineOrder;
-use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseRequest, SubmitReply};
+use crate::operator::Change;
+use dockwood_api::peer::DaemonRecord;
 use dockwood_consensus::{Node, Settings};
-use dockwood_control::{ControlNode, GrantedLease, Input, Options, OrderToSend, Output};
-use dockwood_state::{Outcome, Tables, decode_outcome};
+use dockwood_control::{ControlNode, Input, Options};
+use dockwood_state::Tables;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 const VOTER_TICK_MS: u64 = 20;
 const FOLLOWER_TICK_MS: u64 = 250;
-const POLL_TIMEOUT_MS: u64 = 1_200;
-const POLL_RETRY_MS: u64 = 50;
-const CATCH_UP_MS: u64 = 20;
+pub(crate) const POLL_RETRY_MS: u64 = 50;
 pub(crate) const PROBE_MS: u64 = 300;
 const DISPATCH_MS: u64 = 150;
 const SAMPLE_MS: u64 = 50;
-const CHANGE_RETRY_MS: u64 = 500;
-/// A pending order is given up by whoever follows it after this long, and sent anew.
-const ORDER_TIMEOUT_MS: u64 = 3_000;
 const ELECTION_TIMEOUT_MS: u64 = 500;
 const HEARTBEAT_MS: u64 = 100;
 const MAX_MESSAGE_BYTES: usize = 1 << 16;
@@ -62,12 +56,12 @@
     pub declared: usize,
     pub leaving: Option<usize>,
     pub defect: Option<Defect>,
-    options: Options,
-    checked_index: Vec<u64>,
-    followed: BTreeSet<(usize, String, u64)>,
-    next_sample: u64,
+    pub options: Options,
+    pub checked_index: Vec<u64>,
+    pub followed: BTreeSet<(usize, String, u64)>,
+    pub next_sample: u64,
     /// When the weight store has served all that was asked of it.
-    store_free_at: u64,
+    pub store_free_at: u64,
 }
 
 /// The fabric domain of a machine.
@@ -83,7 +77,7 @@
     SocketAddr::from(([10, 0, 0, index as u8 + 1], 7_001))
 }
 
-fn daemon_at(address: SocketAddr) -> Option<usize> {
+pub(crate) fn daemon_at(address: SocketAddr) -> Option<usize> {
     (0..DAEMONS).find(|index| peer_address(*index) == address)
 }
 
@@ -245,19 +239,6 @@
         self.queue.push(self.now + for_ms, Event::StartMachine { machine: index });
     }
 
-    /// Adds an operator's change and sends it.
-    pub fn submit(&mut self, change: Change) -> usize {
-        self.changes.push(change);
-        let index = self.changes.len() - 1;
-        self.queue.push(self.now, Event::SendChange { change: index, after_attempt: 0 });
-        index
-    }
-
-    /// Whether every change has its answer.
-    pub fn all_answered(&self) -> bool {
-        self.changes.iter().all(|change| change.answer.is_some())
-    }
-
     pub(crate) fn transmit(&mut self, from: Place, to: usize, incarnation: Option<u64>, message: ToDaemon) {
         for delay in self.network.delays(&mut self.random, from, Place::Daemon(to)) {
             let event = Event::Daemon { to, incarnation, message: message.clone() };
@@ -334,7 +315,7 @@
         self.checker.daemons(self.now, &self.daemons, lease_ignored);
     }
 
-    fn is_current(&self, daemon: usize, incarnation: u64) -> bool {
+    pub(crate) fn is_current(&self, daemon: usize, incarnation: u64) -> bool {
         self.daemons[daemon].node.is_some() && self.daemons[daemon].incarnation == incarnation
     }
 
@@ -383,296 +364,4 @@
             }
         }
     }
-
-    /// Gives a daemon's control node an input and carries out what it asks for.
-    pub fn step(&mut self, index: usize, input: Input<ReplyTo>) {
-        let mut inputs = VecDeque::from([input]);
-        while let Some(input) = inputs.pop_front() {
-            let moment = self.daemons[index].moment(self.now);
-            if self.defect == Some(Defect::ChangeIdsForgotten)
-                && let Some(node) = &mut self.daemons[index].node
-            {
-                node.forget_change_ids();
-            }
-            let Some(node) = &mut self.daemons[index].node else { return };
-            for output in node.step(moment, input) {
-                match self.carry_out(index, output) {
-                    Carried::Done => {}
-                    Carried::Follow(input) => inputs.push_back(input),
-                    Carried::Died => return,
-                }
-            }
-            self.check_node(index);
-        }
-    }
-
-    fn check_node(&mut self, index: usize) {
-        let daemon = &mut self.daemons[index];
-        let revision = daemon.revision();
-        if let Some(core) = daemon.node.as_ref().and_then(ControlNode::core) {
-            let entries = core.committed_after(self.checked_index[index]);
-            self.checked_index[index] = core.commit_index();
-            self.checker.committed(self.now, index, &entries);
-        }
-        if let Some(term) = Checker::claims_to_lead(daemon) {
-            self.checker.elected(self.now, index, term);
-        }
-        if let Some(node) = &daemon.node {
-            self.checker.tables(self.now, node.tables(), &self.machines);
-        }
-        daemon.highest_revision = daemon.highest_revision.max(revision);
-    }
-
-    fn carry_out(&mut self, index: usize, output: Output<ReplyTo>) -> Carried {
-        let own = Place::Daemon(index);
-        match output {
-            Output::Persist { hard_state, entries } => {
-                let dies = self.daemons[index].dies_at_sync;
-                let last = entries.last().map(|entry| (entry.index, entry.term));
-                if dies != Some(true) {
-                    self.daemons[index].disk.persist(hard_state, entries);
-                }
-                if dies.is_some() {
-                    self.kill_daemon(index, true);
-                    return Carried::Died;
-                }
-                return last.map_or(Carried::Done, |(index, term)| {
-                    Carried::Follow(Input::Persisted { index, term })
-                });
-            }
-            Output::StoreSnapshot(snapshot) => self.daemons[index].disk.store_snapshot(snapshot),
-            Output::Send(message) => {
-                let to = message.to as usize - 1;
-                self.transmit(own, to, None, ToDaemon::Consensus(message));
-            }
-            Output::SubmitReply(ReplyTo::Change { change, attempt }, reply) => {
-                for delay in self.network.delays(&mut self.random, own, Place::Operator) {
-                    let event = Event::ChangeAnswered { change, attempt, from: index, reply: reply.clone() };
-                    self.queue.push(self.now + delay, event);
-                }
-            }
-            Output::LeaseReply(ReplyTo::Lease { daemon, incarnation, poll }, answer) => {
-                let message = ToDaemon::LeaseAnswer { poll, answer: Box::new(answer) };
-                self.transmit(own, daemon, Some(incarnation), message);
-            }
-            Output::ObserveReply(ReplyTo::Observation { daemon, incarnation }, taken) => {
-                self.transmit(own, daemon, Some(incarnation), ToDaemon::ObserveAnswer { taken });
-            }
-            Output::SendOrder(order) => return self.send_order(index, *order),
-            Output::LeaderChanged { leader, .. } => {
-                if let Some(leader) = leader.and_then(daemon_at) {
-                    self.daemons[index].leader = Some(leader);
-                }
-            }
-            _ => {}
-        }
-        Carried::Done
-    }
-
-    fn send_order(&mut self, from: usize, to_send: OrderToSend) -> Carried {
-        let OrderToSend { order, lease_until, .. } = to_send;
-        let Some(machine) = self.machines.iter().position(|machine| machine.name == order.server) else {
-            return Carried::Done;
-        };
-        let from_incarnation = self.daemons[from].incarnation;
-        self.followed.insert((from, order.server.clone(), order.fence));
-        let timeout = Event::OrderTimeout {
-            daemon: from,
-            incarnation: from_incarnation,
-            server: order.server.clone(),
-            fence: order.fence,
-        };
-        self.queue.push(self.now + ORDER_TIMEOUT_MS, timeout);
-        let fence = if self.defect == Some(Defect::FenceNotRaised) { 1 } else { order.fence };
-        let engine_order = EngineOrder { id: order.id.clone(), fence, action: order.action.clone() };
-        let event = Event::SendOrder {
-            daemon: from,
-            incarnation: from_incarnation,
-            machine,
-            order: engine_order,
-            lease_until,
-        };
-        self.queue.push(self.now, event);
-        if self.defect == Some(Defect::ReleaseNotAwaited) {
-            return Carried::Follow(Input::OrderAnswered {
-                server: order.server,
-                fence: order.fence,
-                done: true,
-            });
-        }
-        Carried::Done
-    }
-
-    /// As the daemon's order sender does: again and again, until the machine has answered or time runs out.
-    fn repeat_order(&mut self, sender: (usize, u64), machine: usize, order: EngineOrder, lease_until: u64) {
-        let (from, from_incarnation) = sender;
-        const ASK_AGAIN_MS: u64 = 100;
-        let name = self.machines[machine].name.clone();
-        let may_send = self.machines[machine].checks_fences
-            || self.daemons[from].moment(self.now).monotonic < lease_until;
-        if !may_send || !self.followed.contains(&(from, name, order_number(&order.id))) {
-            return;
-        }
-        for delay in self.network.delays(&mut self.random, Place::Daemon(from), Place::Machine(machine)) {
-            let order = order.clone();
-            self.queue.push(self.now + delay, Event::Order { machine, from, from_incarnation, order });
-        }
-        let again =
-            Event::SendOrder { daemon: from, incarnation: from_incarnation, machine, order, lease_until };
-        self.queue.push(self.now + ASK_AGAIN_MS, again);
-    }
-
-    fn take_order(&mut self, machine: usize, from: usize, from_incarnation: u64, order: EngineOrder) {
-        let target = &mut self.machines[machine];
-        if target.power != Power::On {
-            return;
-        }
-        let machine_incarnation = target.incarnation;
-        let refused = target.checks_fences && order.fence < target.highest_fence;
-        if let Some(work) = target.take_order(&order) {
-            let takes = match work {
-                OrderWork::Join => JOIN_MS,
-                OrderWork::Load => {
-                    self.store_free_at = self.store_free_at.max(self.now) + LOAD_MS;
-                    self.store_free_at - self.now
-                }
-            };
-            let event = Event::OrderCarriedOut { machine, machine_incarnation, order_id: order.id.clone() };
-            self.queue.push(self.now + takes, event);
-        }
-        let target = &self.machines[machine];
-        let number = order_number(&order.id);
-        let done = target.is_in_effect(&order) && target.highest_carried_out >= number;
-        if done || refused {
-            let message = ToDaemon::OrderAnswered { server: target.name.clone(), fence: number, done };
-            self.transmit(Place::Machine(machine), from, Some(from_incarnation), message);
-        }
-    }
-
-    fn order_carried_out(&mut self, index: usize, incarnation: u64, order_id: &str) {
-        let machine = &mut self.machines[index];
-        if machine.incarnation != incarnation || !machine.carry_out(order_id) {
-            return;
-        }
-        let number = order_number(order_id);
-        if number < machine.highest_carried_out && machine.checks_fences {
-            let detail =
-                format!("{} carried out order {number} after {}", machine.name, machine.highest_carried_out);
-            self.checker.fail(Check::FencesGrow, self.now, detail);
-            return;
-        }
-        machine.highest_carried_out = machine.highest_carried_out.max(number);
-    }
-
-    fn poll(&mut self, index: usize) {
-        let now = self.now;
-        let leaving = self.leaving == Some(index);
-        let guess = self.random.random_range(0..VOTERS);
-        let daemon = &mut self.daemons[index];
-        if daemon.poll.is_some() {
-            return;
-        }
-        let Some(node) = &daemon.node else { return };
-        let poll = daemon.next_poll;
-        let request = LeaseRequest {
-            daemon: daemon.record.clone(),
-            incarnation: daemon.incarnation,
-            applied_revision: node.tables().revision,
-            in_force_revision: node.in_force_revision(),
-            wants_commands: daemon.voter.is_none(),
-            leaving,
-            in_flight: 0,
-            stamp: Default::default(),
-        };
-        daemon.next_poll += 1;
-        daemon.poll = Some((poll, daemon.moment(now).monotonic));
-        let (incarnation, target) = (daemon.incarnation, daemon.leader.unwrap_or(guess));
-        let reply = ReplyTo::Lease { daemon: index, incarnation, poll };
-        self.transmit(Place::Daemon(index), target, None, ToDaemon::LeaseRequest(Box::new(request), reply));
-        self.queue.push(now + POLL_TIMEOUT_MS, Event::PollTimeout { daemon: index, incarnation, poll });
-    }
-
-    fn take_lease_answer(&mut self, index: usize, poll: u64, answer: LeaseAnswer) {
-        let Some((number, sent_at)) = self.daemons[index].poll else { return };
-        if number != poll {
-            return;
-        }
-        self.daemons[index].poll = None;
-        let pause = match answer {
-            LeaseAnswer::Granted { term, revision, in_force_revision, content, .. } => {
-                self.step(index, Input::LeaseGranted(GrantedLease { in_force_revision, content }));
-                let daemon = &mut self.daemons[index];
-                daemon.leader_term = term;
-                // A lease must not be used with a configuration older than the one it brought.
-                if daemon.revision() >= revision {
-                    daemon.extend_lease(sent_at);
-                    1
-                } else {
-                    CATCH_UP_MS
-                }
-            }
-            LeaseAnswer::NotLeader { leader } => {
-                self.daemons[index].leader = leader.and_then(daemon_at);
-                POLL_RETRY_MS
-            }
-        };
-        let incarnation = self.daemons[index].incarnation;
-        self.queue.push(self.now + pause, Event::Poll { daemon: index, incarnation });
-    }
-
-    fn send_change(&mut self, index: usize, after_attempt: u64) {
-        let change = &self.changes[index];
-        if change.answer.is_none() && change.attempt == after_attempt {
-            self.resend_change(index);
-        }
-    }
-
-    /// Sends a change, also one that was answered: its answer must be the same.
-    pub fn resend_change(&mut self, index: usize) {
-        let at_ms = self.daemons[0].moment(self.now).wall_ms;
-        let guess = self.random.random_range(0..VOTERS);
-        let change = &mut self.changes[index];
-        change.attempt += 1;
-        let attempt = change.attempt;
-        let target = change.target.take().unwrap_or(guess);
-        let message = ToDaemon::Submit {
-            command: change.encoded(at_ms),
-            reply: ReplyTo::Change { change: index, attempt },
-        };
-        self.transmit(Place::Operator, target, None, message);
-        self.queue
-            .push(self.now + CHANGE_RETRY_MS, Event::SendChange { change: index, after_attempt: attempt });
-    }
-
-    fn change_answered(&mut self, index: usize, attempt: u64, from: usize, reply: SubmitReply) {
-        if self.now < self.changes[index].deaf_until {
-            return;
-        }
-        match reply {
-            SubmitReply::Applied { outcome, .. } => {
-                let Ok(outcome) = decode_outcome(&outcome) else { return };
-                let outcome: Outcome = first_outcome(outcome);
-                self.checker.answered(self.now, &mut self.changes[index], outcome);
-            }
-            SubmitReply::NotLeader { leader } if attempt == self.changes[index].attempt => {
-                self.changes[index].target = leader.and_then(daemon_at).filter(|leader| *leader != from);
-                let pause = if self.changes[index].target.is_some() { 1 } else { POLL_RETRY_MS };
-                self.queue
-                    .push(self.now + pause, Event::SendChange { change: index, after_attempt: attempt });
-            }
-            _ => {}
-        }
-    }
-}
-
-/// What carrying an output out led to.
-enum Carried {
-    Done,
-    Follow(Input<ReplyTo>),
-    /// The process died on the way.
-    Died,
-}
-
-fn order_number(id: &str) -> u64 {
-    id.rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0)
 }
