--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller as the brief describes one: asks for addresses, keeps the answer for a while, connects there itself,
 //! and sends again under the same id when it was told that nothing was run.
 
+use crate::caller_record::{CallerRecord, CallerResult, judge_text};
 use crate::topology::{TenantPlan, Topology};
 use crate::trace::{RequestKind, TraceRequest};
 use dockwood_api::caller::{
@@ -9,7 +10,6 @@
 };
 use dockwood_api::error::ErrorBody;
 use dockwood_emulator::{expected_answer, wall_ms};
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -24,56 +24,6 @@
 /// How long a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How a request ended for its caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CallerResult {
-    /// The whole answer, and the right one.
-    Whole,
-    /// Told that it was not run.
-    NotRun,
-    /// Told that the outcome is not known, or that the answer is incomplete.
-    Unknown,
-    /// Taken for whole by the protocol, but incomplete.
-    Cut,
-    /// An answer that belongs to another request.
-    Mixed,
-    /// No final word at all.
-    Lost,
-}
-
-/// What one caller saw.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct CallerRecord {
-    /// The id by which engines and services know the request.
-    pub engine_id: String,
-    /// What it was for.
-    pub kind: RequestKind,
-    /// Its tenant's tier.
-    pub tier: u8,
-    /// Whether it could be run more than once.
-    pub repeatable: bool,
-    /// When it was first sent, in milliseconds since the Unix epoch.
-    pub sent_ms: u64,
-    /// When the caller had its final word.
-    pub ended_ms: u64,
-    /// Milliseconds from first sending to the first token; streamed chats only.
-    pub first_token_ms: Option<f64>,
-    /// Milliseconds between tokens.
-    pub between_tokens_ms: Vec<f64>,
-    /// Tokens received.
-    pub tokens: u32,
-    /// How it ended.
-    pub result: CallerResult,
-    /// The last result code that was not success.
-    pub code: Option<u16>,
-    /// When the caller was told "not run", each time, in milliseconds since the Unix epoch.
-    pub told_not_run_ms: Vec<u64>,
-    /// Times it was sent.
-    pub attempts: u32,
-}
-
 /// Callers of one fleet.
 pub struct Callers {
     http: reqwest::Client,
@@ -88,7 +38,7 @@
     /// The whole answer.
     Answer(String),
     /// A numbered refusal.
-    Refused(Box<ErrorBody>, u16),
+    Refused(Box<ErrorBody>),
     /// The connection failed before anything was sent.
     Unreachable,
     /// The connection broke afterwards.
@@ -207,7 +157,7 @@
                     self.judge(&text);
                     return;
                 }
-                Sending::Refused(body, status) => match self.refused(&body, status).await {
+                Sending::Refused(body) => match self.refused(&body).await {
                     Some(pause) => {
                         tokio::time::sleep(pause).await;
                         position += 1;
@@ -228,7 +178,7 @@
     }
 
     /// Takes a refusal; the pause before the next try, or `None` if it is final.
-    async fn refused(&mut self, body: &ErrorBody, _status: u16) -> Option<Duration> {
+    async fn refused(&mut self, body: &ErrorBody) -> Option<Duration> {
         self.record.code = Some(body.error.code);
         match body.error.outcome {
             Some(Outcome::NotRun) => {
@@ -275,34 +225,20 @@
     }
 
     async fn outcome(&self, address: &str) -> Option<OutcomeAnswer> {
-        let url = format!("{address}/v1/requests/{}", self.id);
-        let sent = self
-            .callers
-            .http
-            .get(url)
-            .bearer_auth(&self.tenant.key)
-            .timeout(CONNECT_TIMEOUT)
-            .send()
-            .await
-            .ok()?;
-        sent.error_for_status().ok()?.json().await.ok()
+        self.ask(&format!("{address}/v1/requests/{}", self.id)).await
     }
 
     async fn kept_answer(&self, address: &str) -> Option<String> {
-        let url = format!("{address}/v1/requests/{}/answer", self.id);
-        let sent = self
-            .callers
-            .http
-            .get(url)
-            .bearer_auth(&self.tenant.key)
-            .timeout(CONNECT_TIMEOUT)
-            .send()
-            .await
-            .ok()?;
-        let completion: ChatCompletion = sent.error_for_status().ok()?.json().await.ok()?;
+        let completion: ChatCompletion =
+            self.ask(&format!("{address}/v1/requests/{}/answer", self.id)).await?;
         completion.choices.into_iter().next().map(|choice| choice.message.content)
     }
 
+    async fn ask<T: serde::de::DeserializeOwned>(&self, url: &str) -> Option<T> {
+        let request = self.callers.http.get(url).bearer_auth(&self.tenant.key).timeout(CONNECT_TIMEOUT);
+        request.send().await.ok()?.error_for_status().ok()?.json().await.ok()
+    }
+
     fn builder(&self, address: &str) -> reqwest::RequestBuilder {
         let request = self.request;
         let http = &self.callers.http;
@@ -335,7 +271,7 @@
         let status = response.status();
         if !status.is_success() {
             let body = response.json::<ErrorBody>().await;
-            return body.map_or(Sending::Broken, |body| Sending::Refused(Box::new(body), status.as_u16()));
+            return body.map_or(Sending::Broken, |body| Sending::Refused(Box::new(body)));
         }
         if self.request.kind == RequestKind::Service {
             return response.text().await.map_or(Sending::Broken, Sending::Answer);
@@ -366,7 +302,7 @@
                     return Sending::Answer(text);
                 }
                 if let Ok(body) = serde_json::from_slice::<ErrorBody>(data) {
-                    return Sending::Refused(Box::new(body), 0);
+                    return Sending::Refused(Box::new(body));
                 }
                 let Ok(chunk) = serde_json::from_slice::<ChatChunk>(data) else { return Sending::Broken };
                 let more =
@@ -404,14 +340,3 @@
         self.record.result = judge_text(text, &expected);
     }
 }
-
-/// Whether a text is the expected one, a part of it, or something else.
-pub fn judge_text(text: &str, expected: &str) -> CallerResult {
-    if text == expected {
-        CallerResult::Whole
-    } else if expected.starts_with(text) {
-        CallerResult::Cut
-    } else {
-        CallerResult::Mixed
-    }
-}
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -1,6 +1,7 @@
 //! An experiment: a fleet, a load, faults, and the judgement.
 
-use crate::caller::{CallerRecord, Callers};
+use crate::caller::Callers;
+use crate::caller_record::CallerRecord;
 use crate::fault::{FaultRecord, TimedFault, run_faults};
 use crate::fleet::RunningFleet;
 use crate::judge::{Frame, judge};
--- a/crates/bench/src/judge/mod.rs
+++ b/crates/bench/src/judge/mod.rs
@@ -3,7 +3,7 @@
 mod requests;
 mod timeline;
 
-use crate::caller::CallerRecord;
+use crate::caller_record::CallerRecord;
 use crate::summary::Counts;
 use dockwood_emulator::LedgerRecord;
 
--- a/crates/bench/src/judge/requests.rs
+++ b/crates/bench/src/judge/requests.rs
@@ -1,6 +1,6 @@
 //! Promises on single requests.
 
-use crate::caller::{CallerRecord, CallerResult};
+use crate::caller_record::{CallerRecord, CallerResult};
 use crate::summary::Counts;
 use crate::trace::RequestKind;
 use dockwood_emulator::LedgerRecord;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! callers and operators see; it knows nothing of the daemon's inside.
 
 pub mod caller;
+pub mod caller_record;
 pub mod commands;
 pub mod daemon_cost;
 pub mod experiment;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -1,6 +1,7 @@
 //! Sends a trace: each request at its own time, however slow the answers are (open loop).
 
-use crate::caller::{CallerRecord, Callers};
+use crate::caller::Callers;
+use crate::caller_record::CallerRecord;
 use crate::trace::TraceRequest;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::sync::Arc;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -1,6 +1,6 @@
 //! The report of a run: `summary.json` and `report.html` with its plots.
 
-use crate::caller::{CallerRecord, CallerResult};
+use crate::caller_record::{CallerRecord, CallerResult};
 use crate::fault::FaultRecord;
 use crate::plot::{PlotTexts, Series, distribution, line_plot};
 use crate::summary::Summary;
--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -1,6 +1,6 @@
 //! The summary of a run: counts, measures and latencies, as `summary.json` and as the last line of output.
 
-use crate::caller::{CallerRecord, CallerResult};
+use crate::caller_record::{CallerRecord, CallerResult};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -310,7 +310,7 @@
     let records = load.await?;
     let bad: Vec<_> = records
         .iter()
-        .filter(|record| record.result != dockwood_bench::caller::CallerResult::Whole)
+        .filter(|record| record.result != dockwood_bench::caller_record::CallerResult::Whole)
         .collect();
     assert!(bad.is_empty(), "{bad:?}");
     assert_eq!(fleet.stop().await?, Vec::<String>::new());
--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -1,7 +1,7 @@
 //! The checker is itself tested: each promise is broken on purpose in a ledger or in a caller's record, and
 //! must be counted, under its own name and no other.
 
-use dockwood_bench::caller::{CallerRecord, CallerResult, judge_text};
+use dockwood_bench::caller_record::{CallerRecord, CallerResult, judge_text};
 use dockwood_bench::commands::StatedOutcomes;
 use dockwood_bench::judge::{Frame, judge};
 use dockwood_bench::summary::{Counts, percentiles, summarise};
--- a/crates/dockctl/src/commands/apply.rs
+++ b/crates/dockctl/src/commands/apply.rs
@@ -3,6 +3,7 @@
 use super::flag;
 use crate::client::Client;
 use crate::exit::CommandError;
+use crate::output::print_line;
 use crate::resource_file::{diff, read_resources, written_part};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use dockwood_api::resource::ResourceView;
@@ -67,7 +68,7 @@
         Some(_) => "replaced",
     };
     let suffix = if dry_run { " (dry run)" } else { "" };
-    println!("{name} {verb}{suffix}");
+    print_line(format!("{name} {verb}{suffix}"));
     if dry_run && !changes.is_empty() {
         print!("{changes}");
     }
@@ -94,6 +95,6 @@
             tokio::time::sleep(POLL).await;
         }
     }
-    println!("in force");
+    print_line(format!("in force"));
     Ok(())
 }
--- a/crates/dockctl/src/commands/change.rs
+++ b/crates/dockctl/src/commands/change.rs
@@ -3,6 +3,7 @@
 use super::{flag, reference, reference_argument};
 use crate::client::Client;
 use crate::exit::CommandError;
+use crate::output::print_line;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use dockwood_api::resource::Kind;
 use std::time::{Duration, Instant};
@@ -32,7 +33,7 @@
 pub(super) async fn delete(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
     let (kind, name) = reference(matches)?;
     client.delete(kind, &name).await?;
-    println!("{}/{name} deleted", kind.name().to_lowercase());
+    print_line(format!("{}/{name} deleted", kind.name().to_lowercase()));
     Ok(())
 }
 
@@ -45,7 +46,7 @@
     }
     let drain = !matches.get_flag("undo");
     set_drain(client, &name, drain).await?;
-    println!("server/{name} {}", if drain { "drains" } else { "is back in service" });
+    print_line(format!("server/{name} {}", if drain { "drains" } else { "is back in service" }));
     if drain && matches.get_flag("wait") {
         let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
         wait_free(client, &name, Duration::from_secs(seconds)).await?;
@@ -70,7 +71,7 @@
     loop {
         let view = client.get(Kind::Server, name).await?;
         if view.status.conditions.iter().any(|condition| condition.reason == "Free") {
-            println!("server/{name} is in no replica");
+            print_line(format!("server/{name} is in no replica"));
             return Ok(());
         }
         if Instant::now() >= give_up {
--- a/crates/dockctl/src/commands/events.rs
+++ b/crates/dockctl/src/commands/events.rs
@@ -3,7 +3,7 @@
 use super::{format, reference, reference_argument};
 use crate::client::Client;
 use crate::exit::CommandError;
-use crate::output::{Format, print_value};
+use crate::output::{Format, print_line, print_value};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use dockwood_api::event::{Event, merge};
 use dockwood_api::resource::{Kind, ResourceView};
@@ -75,7 +75,7 @@
         )));
     }
     if format(matches) == Format::Table {
-        println!("{}", headline(kind, &name, view.as_ref()));
+        print_line(headline(kind, &name, view.as_ref()));
     }
     print_events(matches, &chosen)
 }
--- a/crates/dockctl/src/commands/status.rs
+++ b/crates/dockctl/src/commands/status.rs
@@ -3,7 +3,7 @@
 use super::format;
 use crate::client::Client;
 use crate::exit::CommandError;
-use crate::output::{Format, print_value, table};
+use crate::output::{Format, print_line, print_value, table};
 use clap::{ArgMatches, Command};
 use serde_json::Value;
 
@@ -40,10 +40,10 @@
 }
 
 fn print_control(status: &Value) {
-    println!("control: leader {} in term {}", text(&status["leader"]), status["term"]);
-    println!("revision: {}, in force {}", status["revision"], status["inForceRevision"]);
-    println!("daemons behind: {}", joined(items(status, "behind")));
-    println!("stranded machines: {}", joined(items(status, "strandedMachines")));
+    print_line(format!("control: leader {} in term {}", text(&status["leader"]), status["term"]));
+    print_line(format!("revision: {}, in force {}", status["revision"], status["inForceRevision"]));
+    print_line(format!("daemons behind: {}", joined(items(status, "behind"))));
+    print_line(format!("stranded machines: {}", joined(items(status, "strandedMachines"))));
     for missing in items(status, "shortfalls") {
         println!(
             "deployment {} lacks {}: {}",
@@ -69,7 +69,7 @@
             text(&replica["reason"]),
         ]);
     }
-    println!("\n{rows}");
+    print_line(format!("\n{rows}"));
 }
 
 fn print_daemons(status: &Value) {
@@ -84,5 +84,5 @@
             text(&daemon["inFlight"]),
         ]);
     }
-    println!("\n{rows}");
+    print_line(format!("\n{rows}"));
 }
--- a/crates/dockctl/src/output.rs
+++ b/crates/dockctl/src/output.rs
@@ -5,6 +5,14 @@
 use dockwood_api::resource::{Kind, ResourceView};
 use serde::Serialize;
 
+/// Prints a line. A reader that has gone away, as `head` does, has seen enough: the process ends in silence.
+pub fn print_line(line: impl std::fmt::Display) {
+    use std::io::Write;
+    if writeln!(std::io::stdout(), "{line}").is_err() {
+        std::process::exit(0);
+    }
+}
+
 /// Output format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -32,7 +40,7 @@
         }
         _ => serde_saphyr::to_string(value).map_err(|error| CommandError::Malformed(error.to_string()))?,
     };
-    println!("{}", text.trim_end());
+    print_line(text.trim_end());
     Ok(())
 }
 
@@ -54,7 +62,7 @@
             detail(item),
         ]);
     }
-    println!("{rows}");
+    print_line(rows);
     Ok(())
 }
 
--- a/crates/routing/src/coordinator/mod.rs
+++ b/crates/routing/src/coordinator/mod.rs
@@ -151,7 +151,7 @@
             );
             return;
         }
-        if !self.make_room(now, share.tier) {
+        if !self.make_room(share.tier) {
             let wait = self.expected_wait(share.tier);
             self.refuse(ticket, ResultCode::QueueFull, wait, "the queue is full");
             return;
@@ -172,7 +172,7 @@
     }
 
     /// Whether there is room for a newcomer; a lower tier's newest request gives way.
-    fn make_room(&mut self, _now: Millis, tier: u8) -> bool {
+    fn make_room(&mut self, tier: u8) -> bool {
         if self.queue.len() < self.config.queue_limit as usize || self.queue.is_empty() {
             return true;
         }
--- a/crates/simulation/src/evidence.rs
+++ b/crates/simulation/src/evidence.rs
@@ -36,7 +36,8 @@
         }
         for machine in 0..MACHINES {
             let name = self.machines[machine].name.clone();
-            if prober(&tables, &name).as_deref() != Some(own.as_str()) {
+            let declared = tables.server(&name).is_some();
+            if !declared || prober(&tables, &name).as_deref() != Some(own.as_str()) {
                 self.daemons[index].told.remove(&name);
                 continue;
             }
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,9 +1,10 @@
 //! Simulated operators: each change is sent until it is answered, under one change id, through any daemon.
 
+use crate::world::{World, domain_of, machine_address};
 use dockwood_api::digest::content_digest;
 use dockwood_api::resource::{Metadata, Resource, Spec, spec_from_json};
 use dockwood_state::{ChangeAction, ChangeRequest, Command, CommandBody, Outcome, encode_command};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// One change and what became of it.
 #[derive(Clone, Debug)]
@@ -45,3 +46,18 @@
     let metadata = Metadata { name: name.to_string(), resource_version, ..Metadata::default() };
     Some(Resource { metadata, spec })
 }
+
+/// Has an operator apply a resource under a change id.
+pub(crate) fn apply(world: &mut World, id: &str, kind: &str, name: &str, spec: Value) {
+    if let Some(resource) = resource(kind, name, 0, spec) {
+        world.submit(Change::new(id.to_string(), ChangeAction::Apply(resource)));
+    }
+}
+
+/// The spec of a machine's server resource.
+pub(crate) fn server_spec(index: usize, drain: bool, checks_fences: bool) -> Value {
+    json!({
+        "address": machine_address(index).to_string(), "domain": format!("domain-{}", domain_of(index)),
+        "zone": format!("zone-{}", domain_of(index)), "checksFences": checks_fences, "drain": drain,
+    })
+}
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -5,12 +5,12 @@
 use crate::injection::{bring_about, drain_member, lose_member};
 use crate::machine::Power;
 use crate::measure::{Measures, working};
-use crate::operator::{Change, resource};
-use crate::world::{DAEMONS, MACHINES, World, domain_of, machine_address};
+use crate::operator::{apply, server_spec};
+use crate::world::{DAEMONS, MACHINES, World};
 use dockwood_api::resource::Kind;
 use dockwood_control::Options;
 use dockwood_placement::PlacementPolicy;
-use dockwood_state::{ChangeAction, Liveness, ReplicaPhase, ReplicaRow};
+use dockwood_state::{Liveness, ReplicaPhase, ReplicaRow};
 use rand::RngExt;
 use serde::Serialize;
 use serde_json::json;
@@ -125,19 +125,6 @@
     RunResult { violations: world.checker.violations, measures: world.measures, recovered_ms }
 }
 
-pub(crate) fn apply(world: &mut World, id: &str, kind: &str, name: &str, spec: serde_json::Value) {
-    if let Some(resource) = resource(kind, name, 0, spec) {
-        world.submit(Change::new(id.to_string(), ChangeAction::Apply(resource)));
-    }
-}
-
-pub(crate) fn server_spec(index: usize, drain: bool, checks_fences: bool) -> serde_json::Value {
-    json!({
-        "address": machine_address(index).to_string(), "domain": format!("domain-{}", domain_of(index)),
-        "zone": format!("zone-{}", domain_of(index)), "checksFences": checks_fences, "drain": drain,
-    })
-}
-
 fn deploy(world: &mut World, id: &str, version: &str) {
     let spec = json!({ "model": "m", "version": version, "replicas": REPLICAS, "machinesPerReplica": 4 });
     apply(world, id, "Deployment", "d", spec);
--- a/crates/state/src/assignment.rs
+++ b/crates/state/src/assignment.rs
@@ -64,7 +64,7 @@
         Applied::touching(vec![replica_key(replica)])
     }
 
-    pub(crate) fn dissolve_replica(&mut self, replica: &str, epoch: u64, _reason: &str) -> Applied {
+    pub(crate) fn dissolve_replica(&mut self, replica: &str, epoch: u64) -> Applied {
         let current = match self.replica_at(replica, epoch) {
             Err(error) => return Applied::outcome(Outcome::Refused(error)),
             Ok(current) => current,
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -66,9 +66,7 @@
             CommandBody::DrainReplica { replica, epoch, reason } => {
                 tables.drain_replica(replica, *epoch, reason)
             }
-            CommandBody::DissolveReplica { replica, epoch, reason } => {
-                tables.dissolve_replica(replica, *epoch, reason)
-            }
+            CommandBody::DissolveReplica { replica, epoch, .. } => tables.dissolve_replica(replica, *epoch),
             CommandBody::OrderDone { server, fence } => tables.order_done(server, *fence),
             CommandBody::RepeatOrder { server, fence } => tables.repeat_order(server, *fence),
             CommandBody::AssignPool { pool, coordinator, standby } => {
