--- a/crates/dockctl/src/commands/apply.rs
+++ b/crates/dockctl/src/commands/apply.rs
@@ -95,6 +95,6 @@
             tokio::time::sleep(POLL).await;
         }
     }
-    print_line(format!("in force"));
+    print_line("in force");
     Ok(())
 }
