--- a/crates/control/src/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 
 /// A machine must contradict its order for this long before the order is repeated: reports lag.
-const MISMATCH_MS: Millis = 1_500;
+const MISMATCH_MS: Millis = 700;
 
 /// Daemons whose liveness differs from what their leases say.
 pub fn liveness<R>(tables: &Tables, leases: &LeaseTable<R>, now: Millis) -> Vec<CommandBody> {
