--- /dev/null
+++ b/crates/control/src/leading.rs
@@ -0,0 +1,101 @@
+//! What a voter does after each input: proposes, runs the leader's controllers, answers held leases, and keeps
+//! its log short.
+
+use crate::driver_io::{Moment, Output, StoredSnapshot};
+use crate::node::{Batch, ControlNode};
+use crate::voter::{Proposal, Waiter};
+use dockwood_api::peer::SubmitReply;
+use dockwood_consensus as consensus;
+
+impl<R> ControlNode<R> {
+    pub(crate) fn propose(&mut self, now: Moment, batch: Batch<R>) {
+        if batch.commands.is_empty() {
+            return;
+        }
+        let leads = self.leads(now);
+        let Some(voter) = &mut self.voter else { return };
+        if !leads {
+            let leader = voter.leader;
+            for waiter in batch.waiters {
+                if let Waiter::Caller(reply) = waiter {
+                    self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
+                }
+            }
+            return;
+        }
+        let term = voter.core.term();
+        let first = voter.core.last_index() + 1;
+        for (index, waiter) in (first..).zip(batch.waiters) {
+            voter.proposals.insert(index, Proposal { term, waiter });
+        }
+        self.drive(now, consensus::Input::Propose(batch.commands));
+    }
+
+    pub(crate) fn supply_snapshot(&mut self, now: Moment, to: u64) {
+        let Some(voter) = &self.voter else { return };
+        let index = voter.applied_index;
+        let Some(term) = voter.core.term_at(index) else { return };
+        let data = self.board.state.encode();
+        self.drive(now, consensus::Input::SnapshotLoaded { to, index, term, data });
+    }
+
+    pub(crate) fn run_controllers(&mut self, now: Moment) {
+        let Some(voter) = &mut self.voter else { return };
+        // Until an entry of the own term is applied, the tables may lack what an earlier leader committed.
+        if !voter.leads(now.monotonic) || !voter.applied_own_term() {
+            return;
+        }
+        let Some(leadership) = &mut voter.leadership else { return };
+        self.board.forget_gone();
+        let orders = leadership.orders_to_send(now.monotonic, &self.board);
+        let commands = leadership.decide(now.monotonic, &self.board, self.options.placement);
+        self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
+        let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
+        commands.into_iter().for_each(|body| batch.add(now, body));
+        self.propose(now, batch);
+    }
+
+    pub(crate) fn raise_in_force_as_leader(&mut self, now: Moment) {
+        if !self.leads(now) {
+            return;
+        }
+        let leadership = self.leadership();
+        let known =
+            leadership.and_then(|leader| leader.leases.in_force_revision(now.monotonic, self.board.tables()));
+        if let Some(revision) = known {
+            self.raise_in_force(revision);
+        }
+    }
+
+    pub(crate) fn answer_held_leases(&mut self, now: Moment) {
+        let leads = self.leads(now);
+        let leader = self.leader_address();
+        let in_force_revision = self.in_force_revision;
+        let Some(voter) = &mut self.voter else { return };
+        let Some(leadership) = &mut voter.leadership else { return };
+        let answers = if leads {
+            leadership.answer_held(now.monotonic, &self.board, in_force_revision)
+        } else {
+            leadership.refuse_held(leader)
+        };
+        self.outputs.extend(answers);
+    }
+
+    pub(crate) fn compact(&mut self) {
+        let Some(voter) = &mut self.voter else { return };
+        let index = voter.applied_index;
+        if index < voter.core.snapshot_index() + self.options.compact_after_entries {
+            return;
+        }
+        let Some(term) = voter.core.term_at(index) else { return };
+        voter.core.step(0, consensus::Input::Compact { index });
+        let data = self.board.state.encode();
+        self.store_snapshot(index, term, data);
+    }
+
+    pub(crate) fn store_snapshot(&mut self, index: u64, term: u64, data: Vec<u8>) {
+        let Some(voter) = &self.voter else { return };
+        let (hard_state, entries) = (voter.core.hard_state(), voter.core.entries_after_snapshot());
+        self.outputs.push(Output::StoreSnapshot(StoredSnapshot { index, term, data, hard_state, entries }));
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod controllers;
 mod driver_io;
 mod leader;
+mod leading;
 mod leases;
 mod node;
 mod view;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,9 +2,9 @@
 
 use crate::account::{Account, accounts};
 use crate::blackboard::Blackboard;
-use crate::driver_io::{GrantedLease, Input, Moment, Output, StoredSnapshot};
+use crate::driver_io::{GrantedLease, Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
-use crate::voter::{Proposal, VoterPart, Waiter, command_bytes, dropped};
+use crate::voter::{VoterPart, Waiter, command_bytes, dropped};
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply};
@@ -33,21 +33,21 @@
 }
 
 /// Commands gathered from one input, to be proposed together.
-struct Batch<R> {
-    commands: Vec<Vec<u8>>,
-    waiters: Vec<Waiter<R>>,
+pub(crate) struct Batch<R> {
+    pub commands: Vec<Vec<u8>>,
+    pub waiters: Vec<Waiter<R>>,
 }
 
 /// Control logic of one daemon.
 #[derive(Debug)]
 pub struct ControlNode<R> {
     name: String,
-    options: Options,
-    board: Blackboard,
-    voter: Option<VoterPart<R>>,
-    in_force_revision: u64,
+    pub(crate) options: Options,
+    pub(crate) board: Blackboard,
+    pub(crate) voter: Option<VoterPart<R>>,
+    pub(crate) in_force_revision: u64,
     dirty: bool,
-    outputs: Vec<Output<R>>,
+    pub(crate) outputs: Vec<Output<R>>,
 }
 
 impl<R> ControlNode<R> {
@@ -157,7 +157,7 @@
         std::mem::take(&mut self.dirty)
     }
 
-    fn leadership(&self) -> Option<&Leadership<R>> {
+    pub(crate) fn leadership(&self) -> Option<&Leadership<R>> {
         self.voter.as_ref()?.leadership.as_ref()
     }
 
@@ -165,7 +165,7 @@
         self.voter.as_mut()?.leadership.as_mut()
     }
 
-    fn leader_address(&self) -> Option<SocketAddr> {
+    pub(crate) fn leader_address(&self) -> Option<SocketAddr> {
         self.voter.as_ref().and_then(|voter| voter.leader)
     }
 
@@ -229,7 +229,7 @@
         }
     }
 
-    fn raise_in_force(&mut self, revision: u64) {
+    pub(crate) fn raise_in_force(&mut self, revision: u64) {
         if revision > self.in_force_revision {
             self.in_force_revision = revision;
             self.dirty = true;
@@ -274,7 +274,7 @@
     }
 
     /// Gives the consensus core an input and takes what follows.
-    fn drive(&mut self, now: Moment, input: consensus::Input) {
+    pub(crate) fn drive(&mut self, now: Moment, input: consensus::Input) {
         let Some(voter) = &mut self.voter else { return };
         for output in voter.core.step(now.monotonic, input) {
             self.take_core_output(now, output);
@@ -356,101 +356,10 @@
             self.record_own("SteppedDown", &format!("term {term}"), ResultCode::Ok);
         }
     }
-
-    fn propose(&mut self, now: Moment, batch: Batch<R>) {
-        if batch.commands.is_empty() {
-            return;
-        }
-        let leads = self.leads(now);
-        let Some(voter) = &mut self.voter else { return };
-        if !leads {
-            let leader = voter.leader;
-            for waiter in batch.waiters {
-                if let Waiter::Caller(reply) = waiter {
-                    self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
-                }
-            }
-            return;
-        }
-        let term = voter.core.term();
-        let first = voter.core.last_index() + 1;
-        for (index, waiter) in (first..).zip(batch.waiters) {
-            voter.proposals.insert(index, Proposal { term, waiter });
-        }
-        self.drive(now, consensus::Input::Propose(batch.commands));
-    }
-
-    fn supply_snapshot(&mut self, now: Moment, to: u64) {
-        let Some(voter) = &self.voter else { return };
-        let index = voter.applied_index;
-        let Some(term) = voter.core.term_at(index) else { return };
-        let data = self.board.state.encode();
-        self.drive(now, consensus::Input::SnapshotLoaded { to, index, term, data });
-    }
-
-    fn run_controllers(&mut self, now: Moment) {
-        let Some(voter) = &mut self.voter else { return };
-        // Until an entry of the own term is applied, the tables may lack what an earlier leader committed.
-        if !voter.leads(now.monotonic) || !voter.applied_own_term() {
-            return;
-        }
-        let Some(leadership) = &mut voter.leadership else { return };
-        self.board.forget_gone();
-        let orders = leadership.orders_to_send(now.monotonic, &self.board);
-        let commands = leadership.decide(now.monotonic, &self.board, self.options.placement);
-        self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
-        let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
-        commands.into_iter().for_each(|body| batch.add(now, body));
-        self.propose(now, batch);
-    }
-
-    fn raise_in_force_as_leader(&mut self, now: Moment) {
-        if !self.leads(now) {
-            return;
-        }
-        let leadership = self.leadership();
-        let known =
-            leadership.and_then(|leader| leader.leases.in_force_revision(now.monotonic, self.board.tables()));
-        if let Some(revision) = known {
-            self.raise_in_force(revision);
-        }
-    }
-
-    fn answer_held_leases(&mut self, now: Moment) {
-        let leads = self.leads(now);
-        let leader = self.leader_address();
-        let in_force_revision = self.in_force_revision;
-        let Some(voter) = &mut self.voter else { return };
-        let Some(leadership) = &mut voter.leadership else { return };
-        let answers = if leads {
-            leadership.answer_held(now.monotonic, &self.board, in_force_revision)
-        } else {
-            leadership.refuse_held(leader)
-        };
-        self.outputs.extend(answers);
-    }
-
-    fn compact(&mut self) {
-        let Some(voter) = &mut self.voter else { return };
-        let index = voter.applied_index;
-        if index < voter.core.snapshot_index() + self.options.compact_after_entries {
-            return;
-        }
-        let Some(term) = voter.core.term_at(index) else { return };
-        voter.core.step(0, consensus::Input::Compact { index });
-        let data = self.board.state.encode();
-        self.store_snapshot(index, term, data);
-    }
-
-    fn store_snapshot(&mut self, index: u64, term: u64, data: Vec<u8>) {
-        let Some(voter) = &self.voter else { return };
-        let (hard_state, entries) = (voter.core.hard_state(), voter.core.entries_after_snapshot());
-        self.outputs.push(Output::StoreSnapshot(StoredSnapshot { index, term, data, hard_state, entries }));
-    }
 }
 
 impl<R> Batch<R> {
-    fn add(&mut self, now: Moment, body: CommandBody) {
+    pub(crate) fn add(&mut self, now: Moment, body: CommandBody) {
         self.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
         self.waiters.push(Waiter::Controller);
     }
