--- a/crates/dockctl/src/commands/apply.rs
+++ b/crates/dockctl/src/commands/apply.rs
@@ -1,11 +1,11 @@
 //! `apply`: creates or replaces what files declare.
 
-use super::flag;
+use super::{flag, timeout, timeout_argument};
 use crate::client::Client;
 use crate::exit::CommandError;
 use crate::output::print_line;
 use crate::resource_file::{diff, read_resources, written_part};
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use dockwood_api::resource::ResourceView;
 use std::time::{Duration, Instant};
 
@@ -30,13 +30,7 @@
                 .value_parser(["in-force"])
                 .help("Wait until the change is in force everywhere"),
         )
-        .arg(
-            Arg::new("timeout")
-                .long("timeout")
-                .value_parser(value_parser!(u64))
-                .default_value(DEFAULT_TIMEOUT_SECONDS)
-                .help("Seconds to wait"),
-        )
+        .arg(timeout_argument(DEFAULT_TIMEOUT_SECONDS))
 }
 
 pub(super) async fn run(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
@@ -53,8 +47,7 @@
         stored.push(after);
     }
     if matches.contains_id("wait") && !dry_run {
-        let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
-        wait_in_force(client, &stored, Duration::from_secs(seconds)).await?;
+        wait_in_force(client, &stored, timeout(matches)).await?;
     }
     Ok(())
 }
--- a/crates/dockctl/src/commands/change.rs
+++ b/crates/dockctl/src/commands/change.rs
@@ -1,10 +1,10 @@
 //! `delete` and `drain`.
 
-use super::{flag, reference, reference_argument};
+use super::{flag, reference, reference_argument, timeout, timeout_argument};
 use crate::client::Client;
 use crate::exit::CommandError;
 use crate::output::print_line;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use dockwood_api::resource::Kind;
 use std::time::{Duration, Instant};
 
@@ -21,13 +21,7 @@
         .arg(reference_argument())
         .arg(flag("undo", "Put the server back into service"))
         .arg(flag("wait", "Wait until the server is in no replica"))
-        .arg(
-            Arg::new("timeout")
-                .long("timeout")
-                .value_parser(value_parser!(u64))
-                .default_value(DEFAULT_TIMEOUT_SECONDS)
-                .help("Seconds to wait"),
-        )
+        .arg(timeout_argument(DEFAULT_TIMEOUT_SECONDS))
 }
 
 pub(super) async fn delete(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
@@ -48,8 +42,7 @@
     set_drain(client, &name, drain).await?;
     print_line(format!("server/{name} {}", if drain { "drains" } else { "is back in service" }));
     if drain && matches.get_flag("wait") {
-        let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
-        wait_free(client, &name, Duration::from_secs(seconds)).await?;
+        wait_free(client, &name, timeout(matches)).await?;
     }
     Ok(())
 }
--- a/crates/dockctl/src/commands/mod.rs
+++ b/crates/dockctl/src/commands/mod.rs
@@ -13,6 +13,7 @@
 use clap_complete::Shell;
 use dockwood_api::resource::Kind;
 use std::str::FromStr;
+use std::time::Duration;
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -80,6 +81,19 @@
     Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
 }
 
+/// `--timeout`, in seconds.
+fn timeout_argument(default_seconds: &'static str) -> Arg {
+    Arg::new("timeout")
+        .long("timeout")
+        .value_parser(value_parser!(u64))
+        .default_value(default_seconds)
+        .help("Seconds to wait")
+}
+
+fn timeout(matches: &ArgMatches) -> Duration {
+    Duration::from_secs(matches.get_one::<u64>("timeout").copied().unwrap_or_default())
+}
+
 fn kind(matches: &ArgMatches) -> Result<Kind, CommandError> {
     let text = matches.get_one::<String>("kind").map(String::as_str).unwrap_or("");
     Kind::from_str(text).map_err(|error| CommandError::Usage(error.to_string()))
