Keep an answer under the model that was asked for

Cause: on reading the change again: a kept answer named the deployment in its model field, since it derived the name from the route, while the answer itself named the model of the request. Change: the job carries the request's model; the kept answer is written from it. The test on kept answers now checks the field.

--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -283,6 +283,7 @@
         assert_eq!((&outcome.body["outcome"], &outcome.body["answerKept"]), (&json!("done"), &json!(true)));
         let kept = Api::answer(api.http.get(format!("{base}/answer")).bearer_auth(&key)).await?;
         assert_eq!(text(&kept), expected("an order"));
+        assert_eq!(kept.body["model"], json!(api.fleet.topology.deployments[0].model));
     }
     let nobody = format!("http://{}/v1/requests/never", api.fleet.entry_addresses()[0]);
     assert_eq!(Api::answer(api.http.get(nobody).bearer_auth(&key)).await?.code, Some(3006));
--- a/crates/daemon/src/http/completion.rs
+++ b/crates/daemon/src/http/completion.rs
@@ -107,8 +107,7 @@
 
 /// The answer to keep of a finished job.
 pub fn kept_answer(job: &ChatJob, text: &str, finish: &Finish) -> KeptAnswer {
-    let model = job.routes.first().map(|route| route.adapter.as_ref().unwrap_or(&route.pool).clone());
-    let whole = CompletionWriter::new(&job.id, &model.unwrap_or_default()).whole(text, finish);
+    let whole = CompletionWriter::new(&job.id, &job.model).whole(text, finish);
     KeptAnswer {
         status: 200,
         content_type: JSON.to_string(),
--- a/crates/daemon/src/traffic/chat/mod.rs
+++ b/crates/daemon/src/traffic/chat/mod.rs
@@ -35,6 +35,8 @@
     pub tenant: String,
     /// Its tier, for metrics.
     pub tier: u8,
+    /// The model or adapter that was asked for.
+    pub model: String,
     /// Where it may go, best first.
     pub routes: Vec<Route>,
     /// Prompt.
