Drop fields between daemons that nobody reads

Cause: on reading the change again: AcquireRequest.only was never set, and evidence's load and a returned slot's figures were never read. Change: the fields and what filled them are gone; a later use can bring them back with its reader.

--- a/crates/api/src/peer/admission.rs
+++ b/crates/api/src/peer/admission.rs
@@ -24,8 +24,6 @@
     pub wait_ms: u32,
     /// Replicas to leave out, where the entry saw them fail.
     pub avoid: Vec<String>,
-    /// The replica that must be used, for a resume; empty for any.
-    pub only: String,
 }
 
 /// Permission to send one request to one replica.
@@ -78,10 +76,6 @@
     pub slot: u64,
     /// The replica broke under the request; it gets no more until new evidence arrives.
     pub replica_broken: bool,
-    /// Milliseconds from dispatch to the first token; 0 if there was none.
-    pub first_token_ms: u32,
-    /// Tokens that were generated.
-    pub tokens: u32,
 }
 
 /// A watcher's word on one replica.
@@ -101,10 +95,6 @@
     /// So the receiver knows, by its own clock, that the evidence is no older than this, however long the report
     /// was on its way. 0 in the first report, which opens nothing.
     pub echo_ms: u64,
-    /// Requests in the engine's batch.
-    pub running: u32,
-    /// Requests waiting in the engine.
-    pub waiting: u32,
 }
 
 /// What an entry tells the keepers of a request id.
--- a/crates/daemon/src/probe/replica_watcher.rs
+++ b/crates/daemon/src/probe/replica_watcher.rs
@@ -101,8 +101,6 @@
             complete,
             missing,
             echo_ms: 0,
-            running: health.as_ref().map_or(0, |health| health.running),
-            waiting: health.as_ref().map_or(0, |health| health.waiting),
         };
         self.send(evidence, &echoes).await;
     }
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -79,7 +79,6 @@
                 return Err(failure);
             }
             let end = self.attempt(&mut slot).await;
-            slot.tokens = self.produced;
             let end = match end {
                 AttemptEnd::Broken if self.job.repeatable => {
                     slot.replica_broken = true;
@@ -136,7 +135,6 @@
             wait_ms: 0,
             // With a single replica there is nowhere else; its gate stays closed until it is whole again.
             avoid: if replicas > 1 { self.avoid.clone() } else { Vec::new() },
-            only: String::new(),
             pool,
         };
         let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -103,7 +103,7 @@
             // A repeat of what was forwarded already.
             GenerateEvent::Token { sequence, .. } if sequence < self.produced => {}
             GenerateEvent::Token { sequence, text } if sequence == self.produced => {
-                self.take_token(text, slot).await
+                self.take_token(text).await
             }
             // A gap: something was lost on the way.
             GenerateEvent::Token { .. } => return Some(AttemptEnd::Broken),
@@ -121,10 +121,9 @@
         None
     }
 
-    async fn take_token(&mut self, text: String, slot: &mut HeldSlot) {
+    async fn take_token(&mut self, text: String) {
         if self.produced == 0 {
             let elapsed = monotonic_ms().saturating_sub(self.job.arrived);
-            slot.first_token_ms = elapsed as u32;
             let metrics = &self.traffic.shared.metrics;
             let tier = self.job.tier.to_string();
             metrics.first_token_seconds.with_label_values(&[&tier]).observe(elapsed as f64 / 1000.0);
--- a/crates/daemon/src/traffic/pools.rs
+++ b/crates/daemon/src/traffic/pools.rs
@@ -141,7 +141,7 @@
                 }
                 // Whoever asked is gone: the slot was never used.
                 let pool = String::new();
-                let unused = SlotReturn { pool, slot, replica_broken: false, first_token_ms: 0, tokens: 0 };
+                let unused = SlotReturn { pool, slot, replica_broken: false };
                 Some(Input::Release(unused))
             }
             Output::Refused(ticket, refusal) => {
--- a/crates/daemon/src/traffic/slots.rs
+++ b/crates/daemon/src/traffic/slots.rs
@@ -47,10 +47,6 @@
     pub grant: Grant,
     /// What is told when the slot goes back.
     pub replica_broken: bool,
-    /// Milliseconds to the first token.
-    pub first_token_ms: u32,
-    /// Tokens generated.
-    pub tokens: u32,
 }
 
 impl HeldSlot {
@@ -67,8 +63,6 @@
             pool: self.pool.clone(),
             slot: self.grant.slot,
             replica_broken: self.replica_broken,
-            first_token_ms: self.first_token_ms,
-            tokens: self.tokens,
         };
         self.client.give_back(&self.granted_by, slot_return);
     }
@@ -186,8 +180,6 @@
             received_at: monotonic_ms(),
             grant,
             replica_broken: false,
-            first_token_ms: 0,
-            tokens: 0,
         }
     }
 
--- a/crates/routing/src/coordinator/mod.rs
+++ b/crates/routing/src/coordinator/mod.rs
@@ -380,6 +380,5 @@
 
 fn fits(call: &Call, replica: &PoolReplica) -> bool {
     let avoided = call.request.avoid.contains(&replica.name);
-    let wanted = call.request.only.is_empty() || call.request.only == replica.name;
-    wanted && !avoided
+    !avoided
 }
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -117,8 +117,6 @@
         complete,
         missing: Vec::new(),
         echo_ms: echo,
-        running: 0,
-        waiting: 0,
     })
 }
 
@@ -132,7 +130,6 @@
         prefix_blocks: blocks,
         wait_ms: 60_000,
         avoid: Vec::new(),
-        only: String::new(),
     }
 }
 
@@ -158,7 +155,7 @@
 
 fn slot_return(slot: u64, replica_broken: bool) -> Input {
     let pool = "p".to_string();
-    Input::Release(SlotReturn { pool, slot, replica_broken, first_token_ms: 0, tokens: 0 })
+    Input::Release(SlotReturn { pool, slot, replica_broken })
 }
 
 fn open_pool() -> Coordinator {
--- a/crates/simulation/src/evidence.rs
+++ b/crates/simulation/src/evidence.rs
@@ -118,8 +118,6 @@
                 complete,
                 missing: Vec::new(),
                 echo_ms: self.daemons[index].echoes.get(&to).copied().unwrap_or(0),
-                running: 0,
-                waiting: 0,
             };
             self.transmit(Place::Daemon(index), to, None, ToDaemon::Evidence { report, from: index });
         }
