--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -52,6 +52,11 @@
     BackendUnreachable = 2015, 503, "No back end could be reached, and none received the request; not run.";
     ClaimRefused = 2016, 503, "The claim on a non-repeatable request could not be committed; not run.";
     BackendRefused = 2017, 502, "The back end refused the request before running it; not run.";
+    NoRoute = 2018, 404, "No route has this host and path; not run.";
+    NoConfiguration = 2019, 503, "This daemon knows no configuration yet; not run, retry after the stated time.";
+    Overloaded = 2020, 503, "All servers of the service are busy; not run, retry after the stated time.";
+    NoServer = 2021, 503, "No server of the service takes work; not run, retry after the stated time.";
+    DeadlineInQueue = 2022, 503, "The time ran out before the request was sent to a server; not run.";
     Interrupted = 3001, 502, "The run was cut short and may not be continued; what was generated is incomplete.";
     OutcomeUnknown = 3002, 502, "The request was sent and its outcome can't be established; it is not run again.";
     DeadlinePassed = 3003, 504, "The deadline passed while the request was running; the run was cancelled.";
@@ -76,6 +81,11 @@
     BadQuery = 4016, 400, "A query parameter has a value that can't be used.";
     NameMismatch = 4017, 400, "The name or kind in the body differs from the path.";
     NoSuchPath = 4018, 404, "There is no such path in this API version.";
+    ConfigurationUnreadable = 4019, 400, "The configuration can't be read whole; nothing was changed.";
+    RouteInvalid = 4020, 400, "A route of the configuration has a value that is not allowed; nothing was changed.";
+    RouteUnknownService = 4021, 400, "A route names a service that is not declared; nothing was changed.";
+    RouteDuplicate = 4022, 400, "Two routes share host and path prefix; nothing was changed.";
+    TenantKeyShared = 4023, 400, "Two tenants share a key; nothing was changed.";
     NoLeader = 5001, 503, "There is no known control leader; try again.";
     NotLeader = 5002, 503, "This daemon is not the control leader; the leader is attached where known.";
     ProposalDropped = 5003, 503, "The change was not committed; resend it with the same change id.";
--- /dev/null
+++ b/crates/api/src/gateway/instance.rs
@@ -0,0 +1,64 @@
+//! Servers that register themselves.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum InstanceState {
+    /// It does.
+    Ready,
+    /// It is about to end.
+    Draining,
+}
+
+/// Where a server stands within its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum MembershipState {
+    /// Weights are being loaded.
+    Joining,
+    /// Weights are loaded.
+    Ready,
+    /// The group serves.
+    Open,
+    /// The group finishes what it has.
+    Closing,
+    /// The group has stopped for the loss of a member.
+    Broken,
+}
+
+/// A server's own word on its group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembershipReport {
+    /// Group name.
+    pub group: String,
+    /// Group epoch.
+    pub epoch: u64,
+    /// Its state there.
+    pub state: MembershipState,
+}
+
+/// What a server tells of itself. Each start of a server is another instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceReport {
+    /// Identifies this start of the server.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it takes requests and orders.
+    pub address: SocketAddr,
+    /// Zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: InstanceState,
+    /// Grows with each report, so that a late one is known.
+    pub sequence: u64,
+    /// Fabric domain, for a model server.
+    pub domain: Option<String>,
+    /// Models whose weights its host keeps.
+    pub staged: Vec<String>,
+    /// Its group, if it is in one.
+    pub membership: Option<MembershipReport>,
+}
--- /dev/null
+++ b/crates/api/src/gateway/load.rs
@@ -0,0 +1,47 @@
+//! What entries tell the control leader of their requests, and what they learn of the other entries'.
+
+use serde::{Deserialize, Serialize};
+
+/// One entry's requests at one group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupLoad {
+    /// Group epoch.
+    pub epoch: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// The group has shown nothing for longer than its declared pace allows.
+    pub silent: bool,
+    /// The head refuses connections.
+    pub refuses: bool,
+    /// The group has shown progress since the last report.
+    pub progressed: bool,
+}
+
+/// One entry's report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Daemon name.
+    pub daemon: String,
+    /// Groups with requests in flight or with evidence.
+    pub groups: Vec<GroupLoad>,
+}
+
+/// All entries' requests at one group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedGroupLoad {
+    /// Group epoch.
+    pub epoch: u64,
+    /// Requests in flight at other entries than the one that asked.
+    pub others_in_flight: u32,
+    /// Another entry, or the control leader, holds the group for silent.
+    pub suspected: bool,
+}
+
+/// The answer to a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDigest {
+    /// Groups with load or evidence at others.
+    pub groups: Vec<SharedGroupLoad>,
+    /// Entries that reported lately, the asking one among them.
+    pub entries: u32,
+}
--- /dev/null
+++ b/crates/api/src/gateway/mod.rs
@@ -0,0 +1,17 @@
+//! The gateway's types: one versioned configuration of routes, services and tenants; servers that register
+//! themselves; groups of servers that hold one model; and the load that entries tell the control leader.
+
+mod configuration;
+mod group;
+mod instance;
+mod load;
+mod validation;
+
+pub use configuration::{
+    EngineProfile, GatewayConfiguration, ModelProfile, RequestLimits, Route, RouteKind, ServiceProfile,
+    TenantKeys, WeightedService,
+};
+pub use group::{GroupCommand, GroupOrder, OrderAnswer};
+pub use instance::{InstanceReport, InstanceState, MembershipReport, MembershipState};
+pub use load::{GroupLoad, LoadDigest, LoadReport, SharedGroupLoad};
+pub use validation::{ConfigurationFault, faults};
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod error;
 pub mod event;
+pub mod gateway;
 pub mod peer;
 pub mod resource;
 
--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -22,6 +22,10 @@
     pub zone: String,
     /// Region.
     pub region: String,
+    /// Where it takes the gateway's callers, if it does.
+    pub frontend: Option<SocketAddr>,
+    /// Where it takes operators and registering servers, if it does.
+    pub operators: Option<SocketAddr>,
 }
 
 /// What a daemon found out about one machine.
@@ -147,6 +151,30 @@
     },
 }
 
+/// Answer to a request for the revision at which a read is current.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReadAnswer {
+    /// A daemon that has applied this revision reads nothing older than what was acknowledged.
+    Current {
+        /// The revision.
+        revision: u64,
+    },
+    /// Not the leader.
+    NotLeader {
+        /// The leader's peer address.
+        leader: Option<SocketAddr>,
+    },
+}
+
+/// A voter of the control group, as told to a process that asks to become one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoterRecord {
+    /// Its id.
+    pub id: u64,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
 /// Answer to a control query: JSON of the leader's own view.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlAnswer {
--- a/crates/api/src/peer/mod.rs
+++ b/crates/api/src/peer/mod.rs
@@ -11,6 +11,6 @@
 pub use codec::{MAX_FRAME_BYTES, PeerVolume, PostcardCodec};
 pub use control::{
     ControlAnswer, DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, MachineState, Observation,
-    SubmitReply,
+    ReadAnswer, SubmitReply, VoterRecord,
 };
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse};
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -1,10 +1,12 @@
 //! The `tarpc` service that every daemon offers to the others.
 
 use super::{
-    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, ReplicaEvidence,
-    RequestRecord, SlotReturn, SubmitReply,
+    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, ReadAnswer,
+    ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply, VoterRecord,
 };
 
+use crate::gateway::{InstanceReport, LoadDigest, LoadReport};
+
 /// Calls between daemons. Every call is safe to repeat.
 #[tarpc::service]
 pub trait Peer {
@@ -20,6 +22,19 @@
     /// Tells the leader of a term what was found out; false if this daemon does not lead that term.
     async fn observe(term: u64, observations: Vec<Observation>) -> bool;
 
+    /// Tells the leader of a daemon's load; `None` if this daemon does not lead.
+    async fn exchange_load(report: LoadReport) -> Option<LoadDigest>;
+
+    /// A server's report, taken by another daemon.
+    async fn register(report: InstanceReport) -> SubmitReply;
+
+    /// The revision at which a read is current.
+    async fn read_revision() -> ReadAnswer;
+
+    /// Asks the leader to admit a member of the control group, or to replace one that was at its address. Answers the
+    /// voters as they are, so that the newcomer can talk to them; `None` if this daemon does not lead.
+    async fn admit_voter(id: u64, address: std::net::SocketAddr) -> Option<Vec<VoterRecord>>;
+
     /// Asks the leader for its view of replicas, daemons and control, as JSON.
     async fn control_view() -> ControlAnswer;
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -33,7 +33,12 @@
     let matches = command().get_matches();
     // A fleet's processes are this program again, so that one build makes all that a run starts.
     match matches.subcommand() {
-        Some(("dockwoodd", matches)) => return dockwood_daemon::cli::execute(matches),
+        Some(("dockwoodd", matches)) => {
+            return dockwood_daemon::cli::execute(
+                matches,
+                std::sync::Arc::new(dockwood_daemon::own_dialect::OwnDialect),
+            );
+        }
         Some(("dockwood-emulator", matches)) => return dockwood_emulator::cli::execute(matches),
         _ => {}
     }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -19,7 +19,7 @@
         self.role = Role::Candidate { binding, votes: BTreeSet::from([self.settings.id]) };
         self.reset_election_timer(now);
         self.announce_role();
-        if self.settings.quorum() == 1 {
+        if self.membership.quorum() == 1 {
             self.election_won(now, binding);
             return;
         }
@@ -59,7 +59,7 @@
 
     pub(crate) fn count_vote(&mut self, now: Millis, from: NodeId, term: Term, binding: bool, granted: bool) {
         let expected_term = self.hard_state.term + u64::from(!binding);
-        let quorum = self.settings.quorum();
+        let quorum = self.membership.quorum();
         let Role::Candidate { binding: own_binding, votes } = &mut self.role else { return };
         if *own_binding != binding || !granted || term != expected_term {
             return;
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod election;
 mod log;
+mod membership;
 mod message;
 mod node;
 mod replication;
@@ -19,4 +20,5 @@
 pub use node::Node;
 pub use types::{
     Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term,
+    Voter,
 };
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -111,6 +111,7 @@
 fn payload_bytes(payload: &Payload) -> usize {
     match payload {
         Payload::Empty => 0,
+        Payload::Voters(voters) => std::mem::size_of_val(voters.as_slice()),
         Payload::Command(bytes) => bytes.len(),
     }
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,10 +1,12 @@
 //! The node: its state, the dispatch of inputs, and what all parts share.
 
 use crate::log::EntryLog;
+use crate::membership::Membership;
 use crate::message::{Body, Message};
 use crate::replication::LeaderState;
 use crate::types::{
-    Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Recovered, RoleName, Settings, Term,
+    Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term,
+    Voter,
 };
 use std::collections::BTreeSet;
 
@@ -27,6 +29,7 @@
     pub(crate) hard_state: HardState,
     pub(crate) role: Role,
     pub(crate) log: EntryLog,
+    pub(crate) membership: Membership,
     pub(crate) commit: LogIndex,
     /// Entries up to here were handed out by [`Output::Commit`].
     handed_out: LogIndex,
@@ -44,6 +47,7 @@
     /// time-out, as it may have acknowledged a leader just before it stopped.
     pub fn new(settings: Settings, recovered: Recovered, now: Millis) -> Self {
         let log = EntryLog::recovered(&recovered);
+        let membership = recovered_membership(&settings, &recovered);
         let random_state = settings.seed ^ settings.id.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let restarted = log.last_index() > 0;
         let mut node = Node {
@@ -58,10 +62,11 @@
             random_state,
             outputs: Vec::new(),
             log,
+            membership,
             settings,
         };
         node.reset_election_timer(now);
-        if node.settings.voters.len() == 1 {
+        if node.membership.voters() == [node.settings.id] {
             node.election_due = now;
         }
         node
@@ -73,15 +78,25 @@
             Input::Tick => self.tick(now),
             Input::Receive(message) => self.receive(now, message),
             Input::Propose(commands) => self.propose(now, commands),
+            Input::ChangeVoters(voters) => self.change_voters(now, voters),
             Input::Persisted { index, term } => self.entries_persisted(index, term),
             Input::Read { id } => self.read(now, id),
-            Input::Compact { index } => self.log.compact(index.min(self.handed_out)),
+            Input::Compact { index } => {
+                let index = index.min(self.handed_out);
+                self.log.compact(index);
+                self.membership.compacted(index);
+            }
             Input::SnapshotLoaded { to, index, term, data } => self.send_snapshot(now, to, index, term, data),
         }
         self.hand_out_committed();
         std::mem::take(&mut self.outputs)
     }
 
+    /// This node.
+    pub fn id(&self) -> NodeId {
+        self.settings.id
+    }
+
     /// The node's part.
     pub fn role(&self) -> RoleName {
         match self.role {
@@ -116,6 +131,21 @@
         self.log.term_at(index)
     }
 
+    /// Ids of the voters that count now, by the newest entry of the log.
+    pub fn voters(&self) -> &[NodeId] {
+        self.membership.voters()
+    }
+
+    /// Whether the newest change of voters is committed.
+    pub fn voters_settled(&self) -> bool {
+        self.membership.last_change() <= self.commit
+    }
+
+    /// Takes the voters that a restored snapshot names.
+    pub fn restore_voters(&mut self, voters: &[Voter]) {
+        self.membership.replaced(voters);
+    }
+
     /// What must survive a restart besides the log.
     pub fn hard_state(&self) -> HardState {
         self.hard_state
@@ -140,13 +170,17 @@
     fn tick(&mut self, now: Millis) {
         match &self.role {
             Role::Leader(_) => self.leader_tick(now),
-            _ if now >= self.election_due => self.campaign(now, false),
+            // A node that is no voter waits to be admitted.
+            _ if now >= self.election_due && self.membership.contains(self.settings.id) => {
+                self.campaign(now, false);
+            }
             _ => {}
         }
     }
 
     fn receive(&mut self, now: Millis, message: Message) {
-        if !self.settings.voters.contains(&message.from) || message.to != self.settings.id {
+        // Requests count whoever sent them: this node may lack the entry that made the sender a voter.
+        if message.to != self.settings.id {
             return;
         }
         if self.is_sticky_against(now, &message) {
@@ -160,9 +194,10 @@
             Body::VoteRequest { binding, last_index, last_term } => {
                 self.answer_vote(now, from, message.term, binding, last_index, last_term);
             }
-            Body::VoteReply { binding, granted } => {
+            Body::VoteReply { binding, granted } if self.membership.contains(from) => {
                 self.count_vote(now, from, message.term, binding, granted)
             }
+            Body::VoteReply { .. } => {}
             Body::Append { previous_index, previous_term, entries, commit, probe } => {
                 if self.accept_leader(now, from, message.term) {
                     self.append_entries(from, previous_index, previous_term, entries, commit, probe);
@@ -236,7 +271,7 @@
     }
 
     pub(crate) fn peers(&self) -> Vec<NodeId> {
-        self.settings.voters.iter().copied().filter(|id| *id != self.settings.id).collect()
+        self.membership.voters().iter().copied().filter(|id| *id != self.settings.id).collect()
     }
 
     pub(crate) fn reset_election_timer(&mut self, now: Millis) {
@@ -270,6 +305,20 @@
     }
 }
 
+/// The voters by the snapshot, or by the settings, and then by the entries after it.
+fn recovered_membership(settings: &Settings, recovered: &Recovered) -> Membership {
+    let mut membership = Membership::new(settings.voters.clone());
+    if let Some(voters) = &recovered.voters {
+        membership.replaced(voters);
+    }
+    for entry in &recovered.entries {
+        if let Payload::Voters(voters) = &entry.payload {
+            membership.appended(entry.index, voters);
+        }
+    }
+    membership
+}
+
 fn is_pre_vote(body: &Body) -> bool {
     matches!(
         body,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Body, Probe};
 use crate::node::{Node, Role};
-use crate::types::{Entry, LogIndex, Millis, NodeId, Output, Payload, Term};
+use crate::types::{Entry, LogIndex, Millis, NodeId, Output, Payload, Term, Voter};
 use std::collections::BTreeMap;
 
 /// The lease is this share of the election time-out, in percent: the rest allows for clocks that drift.
@@ -15,10 +15,24 @@
     next: LogIndex,
     matched: LogIndex,
     acknowledged: Probe,
+    /// When this leader began to send to it.
+    began_at: Millis,
     /// A snapshot is under way; nothing else is sent until it is answered or this time has come.
     snapshot_until: Option<Millis>,
 }
 
+impl Progress {
+    fn new(last_index: LogIndex, now: Millis) -> Self {
+        Progress {
+            next: last_index + 1,
+            matched: 0,
+            acknowledged: Probe::default(),
+            began_at: now,
+            snapshot_until: None,
+        }
+    }
+}
+
 /// A read that waits until a majority has confirmed that this node still leads.
 #[derive(Clone, Debug)]
 struct PendingRead {
@@ -40,17 +54,8 @@
 
 impl LeaderState {
     pub(crate) fn new(peers: &[NodeId], last_index: LogIndex, now: Millis) -> Self {
-        let progress = |id: &NodeId| {
-            let fresh = Progress {
-                next: last_index + 1,
-                matched: 0,
-                acknowledged: Probe::default(),
-                snapshot_until: None,
-            };
-            (*id, fresh)
-        };
         LeaderState {
-            followers: peers.iter().map(progress).collect(),
+            followers: peers.iter().map(|id| (*id, Progress::new(last_index, now))).collect(),
             round: 0,
             heartbeat_due: now,
             quorum_check_due: now,
@@ -73,16 +78,25 @@
     /// less than the lease ago, and holds back its votes for longer than that.
     pub fn leader_lease_valid(&self, now: Millis) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
-        let acknowledged = leader.quorum_value(now, self.settings.quorum(), |peer| peer.acknowledged.sent_at);
+        let acknowledged =
+            leader.quorum_value(now, self.membership.quorum(), |peer| peer.acknowledged.sent_at);
         now < acknowledged + self.settings.election_timeout_ms * LEASE_PERCENT / 100
     }
 
+    /// At a leader: for each other voter, the time since it last answered.
+    pub fn silent_for(&self, now: Millis) -> BTreeMap<NodeId, Millis> {
+        let Role::Leader(leader) = &self.role else { return BTreeMap::new() };
+        let since = |progress: &Progress| progress.acknowledged.sent_at.max(progress.began_at);
+        let silent = |(id, progress): (&NodeId, &Progress)| (*id, now.saturating_sub(since(progress)));
+        leader.followers.iter().map(silent).collect()
+    }
+
     pub(crate) fn leader_tick(&mut self, now: Millis) {
         let Role::Leader(leader) = &mut self.role else { return };
         if now >= leader.quorum_check_due {
             leader.quorum_check_due = now + self.settings.election_timeout_ms;
             let acknowledged =
-                leader.quorum_value(now, self.settings.quorum(), |peer| peer.acknowledged.sent_at);
+                leader.quorum_value(now, self.membership.quorum(), |peer| peer.acknowledged.sent_at);
             let silent_since = acknowledged.max(leader.elected_at);
             if now > silent_since + self.settings.election_timeout_ms {
                 self.become_follower(now, self.hard_state.term, None);
@@ -107,6 +121,30 @@
         self.persist(false, entries);
     }
 
+    /// Appends new voters, who count at once. The leader itself stays a voter.
+    pub(crate) fn change_voters(&mut self, now: Millis, voters: Vec<Voter>) {
+        let old = self.membership.voters();
+        let added = voters.iter().filter(|voter| !old.contains(&voter.id)).count();
+        let removed = old.iter().filter(|id| voters.iter().all(|voter| voter.id != **id)).count();
+        let keeps_itself = voters.iter().any(|voter| voter.id == self.settings.id);
+        let commits_own_term = self.log.term_at(self.commit) == Some(self.hard_state.term);
+        let allowed = added + removed == 1 && keeps_itself && self.voters_settled() && commits_own_term;
+        if !matches!(self.role, Role::Leader(_)) || !allowed {
+            return;
+        }
+        let entry = self.log.append(self.hard_state.term, Payload::Voters(voters.clone()));
+        self.membership.appended(entry.index, &voters);
+        self.outputs.push(Output::VotersChanged(voters));
+        let (peers, last_index) = (self.peers(), self.log.last_index());
+        let Role::Leader(leader) = &mut self.role else { return };
+        leader.followers.retain(|id, _| peers.contains(id));
+        for peer in peers {
+            leader.followers.entry(peer).or_insert_with(|| Progress::new(last_index - 1, now));
+        }
+        self.broadcast(now);
+        self.persist(false, vec![entry]);
+    }
+
     pub(crate) fn entries_persisted(&mut self, index: LogIndex, term: Term) {
         // A conflicting entry may have replaced it in the meantime.
         if self.log.term_at(index) == Some(term) {
@@ -182,6 +220,13 @@
         let fresh = self.log.merge(entries);
         if let Some(first) = fresh.first() {
             self.persisted = self.persisted.min(first.index - 1);
+            self.membership.truncated(first.index);
+            for entry in &fresh {
+                if let Payload::Voters(voters) = &entry.payload {
+                    self.membership.appended(entry.index, voters);
+                    self.outputs.push(Output::VotersChanged(voters.clone()));
+                }
+            }
             self.persist(false, fresh);
         }
         self.commit = self.commit.max(commit.min(matched_index));
@@ -226,7 +271,7 @@
     /// Commits what a majority has synced, but by counting only for entries of the leader's own term.
     fn advance_commit(&mut self) {
         let Role::Leader(leader) = &self.role else { return };
-        let agreed = leader.quorum_value(self.persisted, self.settings.quorum(), |peer| peer.matched);
+        let agreed = leader.quorum_value(self.persisted, self.membership.quorum(), |peer| peer.matched);
         if agreed > self.commit && self.log.term_at(agreed) == Some(self.hard_state.term) {
             self.commit = agreed;
         }
@@ -270,7 +315,7 @@
         if self.log.term_at(commit) != Some(self.hard_state.term) {
             return;
         }
-        let quorum = self.settings.quorum();
+        let quorum = self.membership.quorum();
         let Role::Leader(leader) = &mut self.role else { return };
         let confirmed = leader.quorum_value(leader.round, quorum, |peer| peer.acknowledged.round);
         let (ready, waiting): (Vec<_>, Vec<_>) =
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -2,6 +2,7 @@
 
 use crate::message::Message;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Identifies a member of the group; never reused for another data folder.
 pub type NodeId = u64;
@@ -12,6 +13,15 @@
 /// Monotonic time of this process, in milliseconds.
 pub type Millis = u64;
 
+/// A member of the group that votes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Voter {
+    /// Its id.
+    pub id: NodeId,
+    /// Where it is reached; the core only passes it on.
+    pub address: SocketAddr,
+}
+
 /// What an entry carries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
@@ -19,6 +29,8 @@
     Empty,
     /// A command of the state machine.
     Command(Vec<u8>),
+    /// The voters from this entry on.
+    Voters(Vec<Voter>),
 }
 
 /// One entry of the log.
@@ -52,6 +64,8 @@
     pub snapshot_term: Term,
     /// Entries after the snapshot, without gaps.
     pub entries: Vec<Entry>,
+    /// The voters that the snapshot names; `None` if the group never changed, so that the settings hold.
+    pub voters: Option<Vec<Voter>>,
 }
 
 /// Fixed parameters of a node.
@@ -59,7 +73,7 @@
 pub struct Settings {
     /// This node.
     pub id: NodeId,
-    /// All voters, this node among them.
+    /// The voters with which the group began; empty at a node that waits to be admitted.
     pub voters: Vec<NodeId>,
     /// Shortest time without a leader before an election; the longest is twice that.
     pub election_timeout_ms: Millis,
@@ -71,13 +85,6 @@
     pub seed: u64,
 }
 
-impl Settings {
-    /// Votes or acknowledgements that make a majority.
-    pub fn quorum(&self) -> usize {
-        self.voters.len() / 2 + 1
-    }
-}
-
 /// What happened, as told by the driver.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -94,6 +101,9 @@
         /// Term of the entry at that index.
         term: Term,
     },
+    /// Replace the voters; at most one may be added or removed. Dropped unless this node leads and the last change
+    /// is committed.
+    ChangeVoters(Vec<Voter>),
     /// Ask for an index at which a read is current; answered by [`Output::ReadReady`] if this node leads.
     Read {
         /// Chosen by the driver.
@@ -153,6 +163,8 @@
         /// Index to wait for.
         index: LogIndex,
     },
+    /// The voters by the newest entry of the log; each must be reachable from now on.
+    VotersChanged(Vec<Voter>),
     /// The node's part changed.
     RoleChanged {
         /// Its new part.
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -5,7 +5,7 @@
 use dockwood_api::event::Subject;
 use dockwood_api::resource::{Kind, ResourceKey};
 use dockwood_state::{
-    Applied, ChangeAction, ChangeRequest, Command, CommandBody, Outcome, ReplicaPhase, Tables,
+    Applied, ChangeAction, ChangeRequest, Command, CommandBody, GatewayCommand, Outcome, ReplicaPhase, Tables,
 };
 
 /// An event about to be recorded.
@@ -66,10 +66,42 @@
             let message = format!("watcher {}", watcher.as_deref().unwrap_or("nobody"));
             vec![Account::new(Subject::new("replica", replica), "WatcherAssigned", message, code)]
         }
+        CommandBody::Gateway(command) => gateway_account(command, tables).into_iter().collect(),
         CommandBody::Claim(_) | CommandBody::SettleClaims(_) => Vec::new(),
     }
 }
 
+/// What a change of the gateway's tables tells.
+fn gateway_account(command: &GatewayCommand, tables: &Tables) -> Option<Account> {
+    let account = |kind: &str, name: &str, reason: &str, message: String| {
+        Some(Account::new(Subject::new(kind, name), reason, message, ResultCode::Ok))
+    };
+    match command {
+        GatewayCommand::Configure(configuration) => {
+            let version = configuration.version;
+            let held = tables.gateway.configuration.as_ref().map_or(0, |held| held.version);
+            let reason = if held == version { "Configured" } else { "ConfigurationOvertaken" };
+            account("gateway", "configuration", reason, format!("version {version}, held {held}"))
+        }
+        GatewayCommand::Register(row) => {
+            let message = format!("{} at {}, {:?}", row.service, row.address, row.state);
+            account("instance", &row.id, "Registered", message)
+        }
+        GatewayCommand::SignOff { id } => account("instance", id, "SignedOff", String::new()),
+        GatewayCommand::Remove { id } => account("instance", id, "Removed", String::new()),
+        GatewayCommand::Form { model, members, reason, .. } => {
+            let name = format!("g{}", tables.gateway.last_epoch);
+            account("group", &name, "Formed", format!("{model} on {}; {reason}", members.join(" ")))
+        }
+        GatewayCommand::SetPhase { epoch, phase, reason } => {
+            account("group", &format!("g{epoch}"), &format!("{phase:?}"), reason.clone())
+        }
+        GatewayCommand::End { epoch, reason } => {
+            account("group", &format!("g{epoch}"), "Ended", reason.clone())
+        }
+    }
+}
+
 fn refused(command: &Command, code: ResultCode, message: &str) -> Account {
     let subject = match &command.body {
         CommandBody::JoinDaemon { record, .. } => Subject::new("daemon", &record.name),
--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -48,7 +48,7 @@
     pub fn apply(&mut self, command: &Command) -> Applied {
         let applied = self.state.apply(command);
         if command.body.is_configuration() {
-            self.commands.push_back((self.revision(), encode_command(command)));
+            self.commands.push_back((self.revision(), encode_command(&command.for_followers())));
             if self.commands.len() > RETAINED_COMMANDS {
                 self.commands.pop_front();
             }
--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -2,9 +2,14 @@
 //! waiting caller by.
 
 use crate::account::Account;
-use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, Observation, SubmitReply};
+use crate::gateway::InstanceProbe;
+use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
+use dockwood_api::peer::{
+    ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, Observation, ReadAnswer, SubmitReply, VoterRecord,
+};
 use dockwood_api::resource::ResourceKey;
-use dockwood_consensus::{Entry, HardState, LogIndex, Message, Term};
+use dockwood_consensus::{Entry, HardState, LogIndex, Message, NodeId, Term, Voter};
+use dockwood_grouping::ProbeResult;
 use dockwood_state::OrderRow;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -55,6 +60,32 @@
         /// Whether it was carried out.
         done: bool,
     },
+    /// A server reports; answered like a submitted command.
+    Register(InstanceReport, R),
+    /// An entry reports its load.
+    ExchangeLoad(LoadReport, R),
+    /// A server answered a group order, or did not.
+    GroupOrderAnswered(GroupOrder, OrderAnswer),
+    /// An instance was asked.
+    Probed {
+        /// Instance id.
+        instance: String,
+        /// What came of it.
+        result: ProbeResult,
+    },
+    /// A process asks to become a voter.
+    AdmitVoter {
+        /// Its id.
+        id: NodeId,
+        /// Its peer address.
+        address: SocketAddr,
+        /// For the answer.
+        reply: R,
+    },
+    /// The voters as the leader told them.
+    LearnVoters(Vec<VoterRecord>),
+    /// Somebody asks for the revision at which a read is current.
+    ReadRevision(R),
     /// Machines that the platform is about to take away.
     Leaving(BTreeSet<String>),
     /// An earlier [`Output::Persist`] is synced up to this entry.
@@ -114,10 +145,22 @@
     LeaseReply(R, LeaseAnswer),
     /// Answer an observation.
     ObserveReply(R, bool),
+    /// Answer an entry's load; `None` if this node does not lead.
+    LoadReply(R, Option<LoadDigest>),
+    /// Answer a process that asks to become a voter; `None` if this node does not lead.
+    AdmitReply(R, Option<Vec<VoterRecord>>),
+    /// Answer a request for the revision of a current read.
+    ReadReply(R, ReadAnswer),
     /// Answer a view.
     ViewReply(R, ControlAnswer),
     /// Send an order to a machine, and follow it until it is carried out or refused.
     SendOrder(Box<OrderToSend>),
+    /// Send an order to a server of the gateway.
+    SendGroupOrder(Box<GroupOrder>),
+    /// Ask an instance whether it is alive.
+    Probe(InstanceProbe),
+    /// Voters that must be reachable from now on.
+    VotersChanged(Vec<Voter>),
     /// Record a change of state.
     Record {
         /// What to tell.
--- /dev/null
+++ b/crates/control/src/gateway.rs
@@ -0,0 +1,124 @@
+//! The leader's part in the gateway: what instances and entries report, which groups follow, and the orders to
+//! send. Local to one leader term; a new leader gathers it anew.
+
+use crate::Millis;
+use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
+use dockwood_grouping::{
+    Observations, OrderBook, ProbeResult, View, advance_groups, form_groups, reap_instances,
+};
+use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Pause between two rounds of asking the members of one silent group.
+const PROBE_PAUSE_MS: Millis = 700;
+
+/// An instance to ask whether it is alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceProbe {
+    /// Instance id.
+    pub instance: String,
+    /// Service, which names the health path.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// The gateway's state of one leader term.
+#[derive(Debug, Default)]
+pub struct GatewayLeadership {
+    observations: Observations,
+    orders: OrderBook,
+    started: bool,
+}
+
+impl GatewayLeadership {
+    /// Takes a report. The command that must be committed before it is acknowledged, if there is one.
+    pub fn register(
+        &mut self,
+        now: Millis,
+        tables: &GatewayTables,
+        report: &InstanceReport,
+    ) -> Option<GatewayCommand> {
+        if tables.was_removed(&report.id) {
+            return None;
+        }
+        let is_newest = self.observations.record_report(now, report);
+        let row = InstanceRow::from(report);
+        let known = tables.instances.get(&report.id);
+        let is_news = known.is_none_or(|known| is_newest && **known != row);
+        is_news.then_some(GatewayCommand::Register(row))
+    }
+
+    /// Takes an entry's load.
+    pub fn exchange(&mut self, now: Millis, report: LoadReport) -> LoadDigest {
+        self.observations.exchange(now, report)
+    }
+
+    /// Notes what came of an order. A refused connection is evidence like a probe's.
+    pub fn order_answered(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
+        self.orders.answered(now, order, answer);
+        if answer == OrderAnswer::Unreachable {
+            self.observations.record_probe(now, &order.instance, ProbeResult::Refused);
+        }
+    }
+
+    /// Notes what came of a probe.
+    pub fn probed(&mut self, now: Millis, instance: &str, result: ProbeResult) {
+        self.observations.record_probe(now, instance, result);
+    }
+
+    /// Commands that should be committed now.
+    pub fn decide(&mut self, now: Millis, tables: &GatewayTables) -> Vec<GatewayCommand> {
+        if !self.started {
+            self.started = true;
+            self.observations.assume_present(now, tables.instances.keys().cloned());
+        }
+        let ids: BTreeSet<String> = tables.instances.keys().cloned().collect();
+        let epochs: BTreeSet<u64> = tables.groups.keys().copied().collect();
+        self.observations.retain(&ids, &epochs);
+        let loads_allowed = self.loads_allowed(now, tables);
+        let view = View { tables, observations: &self.observations, now };
+        let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
+        commands.extend(reap_instances(&view));
+        if commands.is_empty() {
+            commands = form_groups(&view, loads_allowed);
+        }
+        commands
+    }
+
+    /// Before the first request the store gives what is asked for.
+    fn loads_allowed(&mut self, now: Millis, tables: &GatewayTables) -> u32 {
+        let serves = tables.groups.values().any(|group| group.phase == GroupPhase::Open);
+        if !self.observations.traffic_seen && !serves {
+            return u32::MAX;
+        }
+        let services = tables.configuration.iter().flat_map(|held| &held.services);
+        let engines = services.filter_map(|service| service.engine.as_ref());
+        engines.map(|engine| self.orders.loads_allowed(now, engine)).min().unwrap_or(0)
+    }
+
+    /// Orders to send now.
+    pub fn orders_to_send(&mut self, now: Millis, tables: &GatewayTables, term: u64) -> Vec<GroupOrder> {
+        let view = View { tables, observations: &self.observations, now };
+        self.orders.to_send(&view, term)
+    }
+
+    /// Members of silent groups, to be asked.
+    pub fn probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
+        let mut probes = Vec::new();
+        for group in tables.groups.values().filter(|group| group.phase == GroupPhase::Open) {
+            let is_silent = self.observations.is_silent(now, group.epoch);
+            if !is_silent || !self.observations.claim_probe(now, group.epoch, PROBE_PAUSE_MS) {
+                continue;
+            }
+            let rows = group.members.iter().filter_map(|member| tables.instances.get(member));
+            probes.extend(rows.map(|row| InstanceProbe {
+                instance: row.id.clone(),
+                service: row.service.clone(),
+                address: row.address,
+            }));
+        }
+        probes
+    }
+}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,9 +1,11 @@
 //! What only the leader has, for as long as it leads: leases, controllers, and orders on their way.
 
 use crate::Millis;
+use crate::admission::Candidates;
 use crate::blackboard::{Blackboard, Observed};
 use crate::controllers::{LostState, liveness, pending_orders, placement};
 use crate::driver_io::{OrderToSend, Output};
+use crate::gateway::GatewayLeadership;
 use crate::leases::{HOLD_MS, HeldRequest, LeaseTable};
 use crate::view::control_view;
 use dockwood_api::event::ClockStamp;
@@ -38,6 +40,10 @@
     pub term: u64,
     /// Leases granted in it.
     pub leases: LeaseTable<R>,
+    /// The gateway's part.
+    pub gateway: GatewayLeadership,
+    /// Processes that asked to become voters.
+    pub candidates: Candidates,
     joining: BTreeMap<String, (DaemonRecord, u64)>,
     lost_state: LostState,
     attempts: HashMap<String, OrderAttempt>,
@@ -63,6 +69,8 @@
         Leadership {
             term,
             leases: LeaseTable::new(now),
+            gateway: GatewayLeadership::default(),
+            candidates: Candidates::default(),
             joining: BTreeMap::new(),
             lost_state: LostState::default(),
             attempts: HashMap::new(),
@@ -153,6 +161,8 @@
         commands.extend(liveness(board.tables(), &self.leases, now));
         commands.extend(self.lost_state.check(board, now));
         commands.extend(placement(board, now, policy));
+        let gateway = self.gateway.decide(now, &board.tables().gateway);
+        commands.extend(gateway.into_iter().map(CommandBody::Gateway));
         self.uncommitted = commands.len();
         commands
     }
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -1,6 +1,7 @@
 //! What a voter does after each input: proposes, runs the leader's controllers, answers held leases, and keeps
 //! its log short.
 
+use crate::admission::Group;
 use crate::driver_io::{Moment, Output, StoredSnapshot};
 use crate::node::{Batch, ControlNode};
 use crate::voter::{Proposal, Waiter};
@@ -47,12 +48,34 @@
         }
         let Some(leadership) = &mut voter.leadership else { return };
         self.board.forget_gone();
+        let gateway_tables = &self.board.state.tables.gateway;
+        let group_orders = leadership.gateway.orders_to_send(now.monotonic, gateway_tables, leadership.term);
+        let probes = leadership.gateway.probes(now.monotonic, gateway_tables);
         let orders = leadership.orders_to_send(now.monotonic, &self.board);
         let commands = leadership.decide(now.monotonic, &self.board, self.options.placement);
         self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
+        let group_orders = group_orders.into_iter().map(|order| Output::SendGroupOrder(Box::new(order)));
+        self.outputs.extend(group_orders);
+        self.outputs.extend(probes.into_iter().map(Output::Probe));
         let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
         commands.into_iter().for_each(|body| batch.add(now, body));
         self.propose(now, batch);
+        self.change_voters(now);
+    }
+
+    /// Admits or removes a voter, one at a time.
+    fn change_voters(&mut self, now: Moment) {
+        let Some(voter) = &mut self.voter else { return };
+        if !voter.core.voters_settled() {
+            return;
+        }
+        let (voters, silent_for) = (voter.known_voters(), voter.core.silent_for(now.monotonic));
+        let group = Group { own_id: voter.core.id(), voters: &voters, silent_for: &silent_for };
+        let Some(leadership) = &mut voter.leadership else { return };
+        let next = leadership.candidates.next_voters(now.monotonic, &group);
+        if let Some(next) = next {
+            self.drive(now, consensus::Input::ChangeVoters(next));
+        }
     }
 
     pub(crate) fn raise_in_force_as_leader(&mut self, now: Moment) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,9 +6,11 @@
 //! the very same code. What is decided lies in `placement`, what must hold in `state`.
 
 mod account;
+mod admission;
 mod blackboard;
 mod controllers;
 mod driver_io;
+mod gateway;
 mod leader;
 mod leading;
 mod leases;
@@ -17,10 +19,13 @@
 mod voter;
 
 pub use account::Account;
+pub use admission::{Candidates, Group};
 pub use blackboard::{Blackboard, Observed};
+pub use dockwood_grouping::ProbeResult;
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
+pub use gateway::{GatewayLeadership, InstanceProbe};
 pub use leases::{HOLD_MS, LEASE_MS, LeaseTable};
-pub use node::{ControlNode, Options};
+pub use node::{ControlNode, Options, voters_of};
 
 /// Monotonic time of this process, in milliseconds.
 pub type Millis = u64;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,11 +7,15 @@
 use crate::voter::{VoterPart, Waiter, command_bytes, dropped};
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply};
-use dockwood_consensus::{self as consensus, Entry, Message, Node, RoleName};
+use dockwood_api::gateway::InstanceReport;
+use dockwood_api::peer::{
+    ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, ReadAnswer, SubmitReply, VoterRecord,
+};
+use dockwood_consensus::{self as consensus, Entry, Message, Node, Payload, RoleName, Voter};
 use dockwood_placement::PlacementPolicy;
 use dockwood_state::{
-    Applied, Command, CommandBody, State, Tables, decode_command, encode_command, encode_outcome,
+    Applied, Command, CommandBody, ControlVoter, Outcome, State, Tables, decode_command, encode_command,
+    encode_outcome,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -103,6 +107,40 @@
                     batch.add(now, CommandBody::OrderDone { server, fence });
                 }
             }
+            Input::Register(report, reply) => self.register(now, report, reply, &mut batch),
+            Input::ExchangeLoad(report, reply) => {
+                let leads = self.leads(now);
+                let leadership = self.leadership_mut().filter(|_| leads);
+                let digest = leadership.map(|leader| leader.gateway.exchange(now.monotonic, report));
+                self.outputs.push(Output::LoadReply(reply, digest));
+            }
+            Input::GroupOrderAnswered(order, answer) => {
+                if let Some(leadership) = self.leadership_mut() {
+                    leadership.gateway.order_answered(now.monotonic, &order, answer);
+                }
+            }
+            Input::Probed { instance, result } => {
+                if let Some(leadership) = self.leadership_mut() {
+                    leadership.gateway.probed(now.monotonic, &instance, result);
+                }
+            }
+            Input::AdmitVoter { id, address, reply } => {
+                let leads = self.leads(now);
+                let voter = self.voter.as_mut().filter(|_| leads);
+                let voters = voter.map(|voter| voter.take_candidate(now.monotonic, id, address));
+                self.outputs.push(Output::AdmitReply(reply, voters));
+            }
+            Input::LearnVoters(records) => {
+                let voters: Vec<Voter> = records.into_iter().map(voter_of).collect();
+                if let Some(voter) = &mut self.voter {
+                    voter.learn_addresses(&voters);
+                }
+                self.outputs.push(Output::VotersChanged(voters));
+            }
+            Input::ReadRevision(reply) => {
+                let answer = self.read_revision(now);
+                self.outputs.push(Output::ReadReply(reply, answer));
+            }
             Input::Leaving(servers) => self.board.observed.machines.set_leaving(servers),
             Input::Persisted { index, term } => self.drive(now, consensus::Input::Persisted { index, term }),
         }
@@ -212,6 +250,41 @@
         }
     }
 
+    /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
+    /// once an entry of the own term is.
+    fn read_revision(&self, now: Moment) -> ReadAnswer {
+        let is_current = self.voter.as_ref().is_some_and(VoterPart::applied_own_term);
+        if self.leads(now) && is_current {
+            ReadAnswer::Current { revision: self.board.revision() }
+        } else {
+            ReadAnswer::NotLeader { leader: self.leader_address() }
+        }
+    }
+
+    /// Takes a server's report; it is answered once what it changes is committed.
+    fn register(&mut self, now: Moment, report: InstanceReport, reply: R, batch: &mut Batch<R>) {
+        let leads = self.leads(now);
+        let leader = self.leader_address();
+        let tables = &self.board.state.tables;
+        let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
+        let Some(leadership) = leadership.filter(|_| leads) else {
+            self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
+            return;
+        };
+        match leadership.gateway.register(now.monotonic, &tables.gateway, &report) {
+            Some(command) => {
+                let body = CommandBody::Gateway(command);
+                batch.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
+                batch.waiters.push(Waiter::Caller(reply));
+            }
+            None => {
+                let outcome = encode_outcome(&Outcome::Applied);
+                let answer = SubmitReply::Applied { revision: tables.revision, outcome };
+                self.outputs.push(Output::SubmitReply(reply, answer));
+            }
+        }
+    }
+
     /// What came with this daemon's own lease.
     fn take_lease(&mut self, lease: GrantedLease) {
         self.raise_in_force(lease.in_force_revision);
@@ -291,11 +364,20 @@
             consensus::Output::Restore { index, term, data } => {
                 self.store_snapshot(index, term, data.clone());
                 self.restore(&data);
+                let voters = voters_of(&self.board.state);
                 if let Some(voter) = &mut self.voter {
+                    voter.core.restore_voters(&voters);
+                    voter.learn_addresses(&voters);
                     voter.applied_index = index;
                 }
             }
             consensus::Output::SnapshotNeeded { to } => self.supply_snapshot(now, to),
+            consensus::Output::VotersChanged(voters) => {
+                if let Some(voter) = &mut self.voter {
+                    voter.learn_addresses(&voters);
+                }
+                self.outputs.push(Output::VotersChanged(voters));
+            }
             // Reads are answered under the leader's lease; nothing asks the core for an index.
             consensus::Output::ReadReady { .. } => {}
             consensus::Output::RoleChanged { role, term, leader } => {
@@ -305,6 +387,12 @@
     }
 
     fn commit(&mut self, entry: Entry) {
+        if let Payload::Voters(voters) = &entry.payload {
+            let control_voter = |voter: &Voter| ControlVoter { id: voter.id, address: voter.address };
+            self.board.state.voters = voters.iter().map(control_voter).collect();
+            let named: Vec<String> = voters.iter().map(|voter| voter.address.to_string()).collect();
+            self.record_own("VotersChanged", &named.join(" "), ResultCode::Ok);
+        }
         let command = command_bytes(&entry).and_then(|bytes| decode_command(bytes).ok());
         let applied = command.map(|command| self.apply(&command));
         let revision = self.board.revision();
@@ -358,6 +446,15 @@
     }
 }
 
+fn voter_of(record: VoterRecord) -> Voter {
+    Voter { id: record.id, address: record.address }
+}
+
+/// Voters by a state, in the core's terms.
+pub fn voters_of(state: &State) -> Vec<Voter> {
+    state.voters.iter().map(|voter| Voter { id: voter.id, address: voter.address }).collect()
+}
+
 impl<R> Batch<R> {
     pub(crate) fn add(&mut self, now: Moment, body: CommandBody) {
         self.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -3,8 +3,8 @@
 use crate::Millis;
 use crate::leader::Leadership;
 use dockwood_api::ResultCode;
-use dockwood_api::peer::SubmitReply;
-use dockwood_consensus::{Entry, Node, Payload, RoleName, Term};
+use dockwood_api::peer::{SubmitReply, VoterRecord};
+use dockwood_consensus::{Entry, Node, Payload, RoleName, Term, Voter};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -48,6 +48,26 @@
         }
     }
 
+    /// Notes where voters are reached.
+    pub fn learn_addresses(&mut self, voters: &[Voter]) {
+        self.addresses.extend(voters.iter().map(|voter| (voter.id, voter.address)));
+    }
+
+    /// At the leader: notes that a process asks to become a voter, and tells it the voters.
+    pub fn take_candidate(&mut self, now: Millis, id: u64, address: SocketAddr) -> Vec<VoterRecord> {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.candidates.ask(now, id, address);
+        }
+        let record = |voter: Voter| VoterRecord { id: voter.id, address: voter.address };
+        self.known_voters().into_iter().map(record).collect()
+    }
+
+    /// The voters that count now, with their addresses.
+    pub fn known_voters(&self) -> Vec<Voter> {
+        let known = |id: &u64| self.addresses.get(id).map(|address| Voter { id: *id, address: *address });
+        self.core.voters().iter().filter_map(known).collect()
+    }
+
     /// Whether this node leads, and nobody else can at this moment.
     pub fn leads(&self, now: Millis) -> bool {
         self.leadership.is_some() && self.core.role() == RoleName::Leader && self.core.leader_lease_valid(now)
@@ -63,7 +83,7 @@
 /// The command of an entry, if it carries one.
 pub(crate) fn command_bytes(entry: &Entry) -> Option<&[u8]> {
     match &entry.payload {
-        Payload::Empty => None,
+        Payload::Empty | Payload::Voters(_) => None,
         Payload::Command(bytes) => Some(bytes),
     }
 }
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -12,6 +12,8 @@
         peer: address,
         zone: "z".to_string(),
         region: "r".to_string(),
+        frontend: None,
+        operators: None,
     }
 }
 
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,13 +1,15 @@
 //! The daemon's command line, shared by the `dockwoodd` program and the bench.
 
-use crate::process;
+use crate::dialect::Dialect;
+use crate::process::{self, Start};
 use crate::settings::Settings;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Exit code for settings that can't be used.
-const EXIT_SETTINGS: u8 = 2;
+pub const EXIT_SETTINGS: u8 = 2;
 
 /// The command line.
 pub fn command() -> Command {
@@ -24,8 +26,7 @@
         .arg(Arg::new("check").long("check").action(ArgAction::SetTrue).help("Check the settings and end"))
 }
 
-fn read_settings(matches: &ArgMatches) -> Option<Settings> {
-    let path = matches.get_one::<PathBuf>("settings")?;
+fn read_settings(path: &Path) -> Option<Settings> {
     match Settings::read(path) {
         Ok(settings) => Some(settings),
         Err(problems) => {
@@ -36,13 +37,19 @@
 }
 
 /// Checks the settings, or runs the daemon to its end.
-pub fn execute(matches: &ArgMatches) -> ExitCode {
-    let Some(settings) = read_settings(matches) else { return ExitCode::from(EXIT_SETTINGS) };
+pub fn execute(matches: &ArgMatches, dialect: Arc<dyn Dialect>) -> ExitCode {
+    let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let Some(settings) = read_settings(&path) else { return ExitCode::from(EXIT_SETTINGS) };
     if matches.get_flag("check") {
         println!("settings are in order");
         return ExitCode::SUCCESS;
     }
-    match process::run(settings) {
+    run(settings, path, dialect)
+}
+
+/// Runs the daemon to its end.
+pub fn run(settings: Settings, settings_path: PathBuf, dialect: Arc<dyn Dialect>) -> ExitCode {
+    match process::run(Start { settings, settings_path, dialect }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- /dev/null
+++ b/crates/daemon/src/control/group_orders.rs
@@ -0,0 +1,87 @@
+//! Sends group orders to servers, and asks instances whether they are alive. Each is sent once; whether an order is
+//! repeated is for the control thread to decide.
+
+use super::ControlMessage;
+use crate::dialect::Dialect;
+use crate::shared::Shared;
+use dockwood_api::gateway::{GroupOrder, OrderAnswer};
+use dockwood_control::{InstanceProbe, ProbeResult};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a server may take to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long an instance may take to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Sends from the traffic runtime and reports back to the control thread.
+#[derive(Clone)]
+pub struct GroupOrderSender {
+    shared: Arc<Shared>,
+    dialect: Arc<dyn Dialect>,
+    http: reqwest::Client,
+    runtime: tokio::runtime::Handle,
+}
+
+impl GroupOrderSender {
+    /// A sender that works on the given runtime.
+    pub fn new(
+        shared: Arc<Shared>,
+        dialect: Arc<dyn Dialect>,
+        http: reqwest::Client,
+        runtime: tokio::runtime::Handle,
+    ) -> Self {
+        GroupOrderSender { shared, dialect, http, runtime }
+    }
+
+    /// Sends one order; the result arrives as [`ControlMessage::GroupOrderAnswered`].
+    pub fn send(&self, order: Box<GroupOrder>) {
+        let sender = self.clone();
+        self.runtime.spawn(async move {
+            let answer = sender.post(&order).await;
+            spdlog::info!(
+                "order {:?} to {} for {} epoch {}: {:?}",
+                order.command,
+                order.instance,
+                order.group,
+                order.epoch,
+                answer
+            );
+            sender.shared.control.send(ControlMessage::GroupOrderAnswered(order, answer)).await;
+        });
+    }
+
+    async fn post(&self, order: &GroupOrder) -> OrderAnswer {
+        let call = self.dialect.order_call(order);
+        let url = format!("http://{}{}", order.address, call.path);
+        let mut request = self.http.post(url).timeout(ORDER_TIMEOUT).body(call.body);
+        for (name, value) in call.headers {
+            request = request.header(name, value);
+        }
+        match request.send().await {
+            Ok(response) => self.dialect.order_answer(response.status().as_u16()),
+            Err(error) if error.is_connect() && !error.is_timeout() => OrderAnswer::Unreachable,
+            Err(_) => OrderAnswer::Silent,
+        }
+    }
+
+    /// Asks one instance; the result arrives as [`ControlMessage::Probed`].
+    pub fn probe(&self, probe: InstanceProbe) {
+        let sender = self.clone();
+        self.runtime.spawn(async move {
+            let result = sender.ask(&probe).await;
+            sender.shared.metrics.probes.with_label_values(&[&format!("{result:?}")]).inc();
+            let instance = probe.instance;
+            sender.shared.control.send(ControlMessage::Probed { instance, result }).await;
+        });
+    }
+
+    async fn ask(&self, probe: &InstanceProbe) -> ProbeResult {
+        let url = format!("http://{}{}", probe.address, self.dialect.report_path());
+        match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
+            Ok(_) => ProbeResult::Answered,
+            Err(error) if error.is_connect() && !error.is_timeout() => ProbeResult::Refused,
+            Err(_) => ProbeResult::Silent,
+        }
+    }
+}
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -65,7 +65,7 @@
         incarnation: shared.incarnation,
         applied_revision: shared.tables().revision,
         in_force_revision: shared.published().in_force_revision,
-        wants_commands: shared.settings.own_voter().is_none(),
+        wants_commands: !shared.settings.is_control_member(),
         leaving: shared.is_leaving(),
         in_flight: shared.in_flight(),
         stamp: shared.timeline.stamp(),
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,6 +1,9 @@
 //! The control thread and what reaches it. The logic is in `dockwood-control`; here it gets its clocks, disk
 //! and network. It is one thread with its own runtime; what it decides is published for the traffic threads.
 
+mod admission;
+mod group_orders;
+mod identity;
 mod lease_client;
 mod orders;
 mod outbox;
@@ -8,6 +11,8 @@
 mod thread;
 mod voter_disk;
 
+pub use admission::run_admission;
+pub use group_orders::GroupOrderSender;
 pub use lease_client::run_lease_client;
 pub use orders::OrderSender;
 pub use outbox::run_outbox;
@@ -16,8 +21,12 @@
 pub use voter_disk::StartError;
 
 use dockwood_api::engine::PlatformMachine;
-use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseRequest, Observation, SubmitReply};
-use dockwood_control::GrantedLease;
+use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
+use dockwood_api::peer::{
+    ControlAnswer, LeaseAnswer, LeaseRequest, Observation, ReadAnswer, SubmitReply, VoterRecord,
+};
+use dockwood_control::{GrantedLease, ProbeResult};
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 
 /// Messages that may wait for the control thread.
@@ -75,6 +84,45 @@
         /// Whether it was carried out.
         done: bool,
     },
+    /// A server reports.
+    Register {
+        /// The report.
+        report: InstanceReport,
+        /// For the result.
+        reply: oneshot::Sender<SubmitReply>,
+    },
+    /// An entry reports its load.
+    ExchangeLoad {
+        /// The report.
+        report: LoadReport,
+        /// `None` if this daemon does not lead.
+        reply: oneshot::Sender<Option<LoadDigest>>,
+    },
+    /// A server answered a group order, or did not.
+    GroupOrderAnswered(Box<GroupOrder>, OrderAnswer),
+    /// An instance was asked whether it is alive.
+    Probed {
+        /// Instance id.
+        instance: String,
+        /// What came of it.
+        result: ProbeResult,
+    },
+    /// A process asks to become a voter.
+    AdmitVoter {
+        /// Its id.
+        id: u64,
+        /// Its peer address.
+        address: SocketAddr,
+        /// The voters; `None` if this daemon does not lead.
+        reply: oneshot::Sender<Option<Vec<VoterRecord>>>,
+    },
+    /// The voters as the leader told them.
+    LearnVoters(Vec<VoterRecord>),
+    /// Somebody asks for the revision of a current read.
+    ReadRevision {
+        /// For the answer.
+        reply: oneshot::Sender<ReadAnswer>,
+    },
     /// The platform's list was read.
     PlatformList(Vec<PlatformMachine>),
     /// The process stops: flush and end.
--- a/crates/daemon/src/control/reply.rs
+++ b/crates/daemon/src/control/reply.rs
@@ -1,6 +1,7 @@
 //! Ways to answer whoever waits for the control thread. An answer to somebody who is gone is dropped.
 
-use dockwood_api::peer::{ControlAnswer, LeaseAnswer, SubmitReply};
+use dockwood_api::gateway::LoadDigest;
+use dockwood_api::peer::{ControlAnswer, LeaseAnswer, ReadAnswer, SubmitReply, VoterRecord};
 use tokio::sync::oneshot;
 
 /// One waiting caller.
@@ -14,6 +15,12 @@
     Observe(oneshot::Sender<bool>),
     /// Of the leader's view.
     View(oneshot::Sender<ControlAnswer>),
+    /// Of an entry's load.
+    Load(oneshot::Sender<Option<LoadDigest>>),
+    /// Of a process that asks to become a voter.
+    Admit(oneshot::Sender<Option<Vec<VoterRecord>>>),
+    /// Of a request for the revision of a current read.
+    Read(oneshot::Sender<ReadAnswer>),
 }
 
 impl Reply {
@@ -38,6 +45,27 @@
         }
     }
 
+    /// Answers an entry's load.
+    pub fn load(self, digest: Option<LoadDigest>) {
+        if let Reply::Load(reply) = self {
+            let _ = reply.send(digest);
+        }
+    }
+
+    /// Answers a process that asks to become a voter.
+    pub fn admit(self, voters: Option<Vec<VoterRecord>>) {
+        if let Reply::Admit(reply) = self {
+            let _ = reply.send(voters);
+        }
+    }
+
+    /// Answers with the revision of a current read.
+    pub fn read(self, answer: ReadAnswer) {
+        if let Reply::Read(reply) = self {
+            let _ = reply.send(answer);
+        }
+    }
+
     /// Answers with a view.
     pub fn view(self, view: ControlAnswer) {
         if let Reply::View(reply) = self {
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -1,19 +1,19 @@
 //! The control thread: drives the pure control node against clocks, disk and network.
 
+use super::identity::Identity;
 use super::outbox::OUTBOX;
 use super::voter_disk::{StartError, VoterDisk};
-use super::{ControlMessage, OrderSender, Reply};
+use super::{ControlMessage, GroupOrderSender, OrderSender, Reply, run_outbox};
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::metrics::Metrics;
 use crate::published::{Published, RoutingTable};
 use crate::settings::Settings;
 use crate::shared::Shared;
 use dockwood_api::peer::LeaseAnswer;
-use dockwood_consensus::{Message, Node};
-use dockwood_control::{ControlNode, Input, Moment, Output};
+use dockwood_consensus::{Message, Node, NodeId, Payload, Voter};
+use dockwood_control::{ControlNode, Input, Moment, Output, voters_of};
 use dockwood_storage::StorageError;
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -31,43 +31,79 @@
 /// Payload of one append message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
-/// A control node with its disk and its ways to the other voters.
+/// A control node with its disk.
 pub struct StartedControl {
     node: ControlNode<Reply>,
     disk: Option<VoterDisk>,
-    outboxes: BTreeMap<u64, mpsc::Sender<Message>>,
-    /// The receiving ends, each with its peer's address; whoever starts the thread runs them.
-    pub to_send: Vec<(SocketAddr, mpsc::Receiver<Message>)>,
+    /// This member's id within the control group.
+    pub member_id: Option<NodeId>,
+    voters: Vec<Voter>,
 }
 
 impl StartedControl {
-    /// Builds the control node; at a voter, from its data folder.
+    /// Builds the control node; at a member of the control group, from its data folder.
     pub fn open(settings: &Settings, metrics: &Metrics) -> Result<StartedControl, StartError> {
-        let Some(own) = settings.own_voter() else {
+        if !settings.is_control_member() {
             let node = ControlNode::follower(&settings.name);
-            return Ok(StartedControl { node, disk: None, outboxes: BTreeMap::new(), to_send: Vec::new() });
-        };
+            return Ok(StartedControl { node, disk: None, member_id: None, voters: Vec::new() });
+        }
         let folder = settings.data_folder.clone().unwrap_or_default();
         let found = VoterDisk::open(&folder, metrics.clone())?;
+        let identity = match settings.own_voter() {
+            Some(own) => Identity { id: own.id, founders: listed_voters(settings) },
+            None => Identity::obtain(found.disk.folder(), settings)?,
+        };
+        let mut voters = identity.founders.clone();
+        voters.extend(voters_of(&found.state));
+        for entry in &found.recovered.entries {
+            if let Payload::Voters(changed) = &entry.payload {
+                voters.extend(changed);
+            }
+        }
         let core_settings = dockwood_consensus::Settings {
-            id: own.id,
-            voters: settings.voters.iter().map(|voter| voter.id).collect(),
+            id: identity.id,
+            voters: identity.founders.iter().map(|voter| voter.id).collect(),
             election_timeout_ms: ELECTION_TIMEOUT_MS,
             heartbeat_ms: HEARTBEAT_MS,
             max_message_bytes: MAX_MESSAGE_BYTES,
             seed: wall_ms(),
         };
         let core = Node::new(core_settings, found.recovered, monotonic_ms());
-        let addresses = settings.voters.iter().map(|voter| (voter.id, voter.peer)).collect();
-        let mut outboxes = BTreeMap::new();
-        let mut to_send = Vec::new();
-        for voter in settings.voters.iter().filter(|voter| voter.id != own.id) {
+        let addresses = voters.iter().map(|voter| (voter.id, voter.address)).collect();
+        let node = ControlNode::voter(&settings.name, found.state, core, addresses);
+        Ok(StartedControl { node, disk: Some(found.disk), member_id: Some(identity.id), voters })
+    }
+}
+
+fn listed_voters(settings: &Settings) -> Vec<Voter> {
+    settings.voters.iter().map(|voter| Voter { id: voter.id, address: voter.peer }).collect()
+}
+
+/// Ways to the other voters; one is made for each voter when it is first heard of.
+struct Outboxes {
+    own_id: Option<NodeId>,
+    senders: BTreeMap<NodeId, mpsc::Sender<Message>>,
+    shared: Arc<Shared>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl Outboxes {
+    fn learn(&mut self, voters: &[Voter]) {
+        for voter in voters.iter().filter(|voter| Some(voter.id) != self.own_id) {
+            if self.senders.contains_key(&voter.id) {
+                continue;
+            }
             let (sender, receiver) = mpsc::channel(OUTBOX);
-            outboxes.insert(voter.id, sender);
-            to_send.push((voter.peer, receiver));
+            self.senders.insert(voter.id, sender);
+            self.runtime.spawn(run_outbox(self.shared.clone(), voter.address, receiver));
+        }
+    }
+
+    fn send(&self, message: Message) {
+        if let Some(outbox) = self.senders.get(&message.to) {
+            // A full outbox loses the message, as a network may.
+            let _ = outbox.try_send(message);
         }
-        let node = ControlNode::voter(&settings.name, found.state, core, addresses);
-        Ok(StartedControl { node, disk: Some(found.disk), outboxes, to_send })
     }
 }
 
@@ -77,8 +113,9 @@
     messages: mpsc::Receiver<ControlMessage>,
     node: ControlNode<Reply>,
     disk: Option<VoterDisk>,
-    outboxes: BTreeMap<u64, mpsc::Sender<Message>>,
+    outboxes: Outboxes,
     orders: OrderSender,
+    group_orders: GroupOrderSender,
     stopping: bool,
 }
 
@@ -112,9 +149,14 @@
         messages: mpsc::Receiver<ControlMessage>,
         started: StartedControl,
         orders: OrderSender,
+        group_orders: GroupOrderSender,
+        runtime: tokio::runtime::Handle,
     ) -> Self {
-        let StartedControl { node, disk, outboxes, .. } = started;
-        ControlThread { shared, messages, node, disk, outboxes, orders, stopping: false }
+        let StartedControl { node, disk, member_id, voters } = started;
+        let senders = BTreeMap::new();
+        let mut outboxes = Outboxes { own_id: member_id, senders, shared: shared.clone(), runtime };
+        outboxes.learn(&voters);
+        ControlThread { shared, messages, node, disk, outboxes, orders, group_orders, stopping: false }
     }
 
     fn take(&mut self, messages: Vec<ControlMessage>) -> Result<(), StorageError> {
@@ -142,6 +184,25 @@
                 ControlMessage::OrderAnswered { server, fence, done } => {
                     self.step(Input::OrderAnswered { server, fence, done })?;
                 }
+                ControlMessage::Register { report, reply } => {
+                    self.step(Input::Register(report, Reply::Submit(reply)))?;
+                }
+                ControlMessage::ExchangeLoad { report, reply } => {
+                    self.step(Input::ExchangeLoad(report, Reply::Load(reply)))?;
+                }
+                ControlMessage::GroupOrderAnswered(order, answer) => {
+                    self.step(Input::GroupOrderAnswered(*order, answer))?;
+                }
+                ControlMessage::Probed { instance, result } => {
+                    self.step(Input::Probed { instance, result })?;
+                }
+                ControlMessage::AdmitVoter { id, address, reply } => {
+                    self.step(Input::AdmitVoter { id, address, reply: Reply::Admit(reply) })?;
+                }
+                ControlMessage::LearnVoters(voters) => self.step(Input::LearnVoters(voters))?,
+                ControlMessage::ReadRevision { reply } => {
+                    self.step(Input::ReadRevision(Reply::Read(reply)))?;
+                }
                 ControlMessage::PlatformList(rows) => {
                     let leaving = rows.into_iter().filter(|row| row.leaving).map(|row| row.server).collect();
                     self.step(Input::Leaving(leaving))?;
@@ -181,12 +242,13 @@
                     disk.store_snapshot(snapshot)?;
                 }
             }
-            Output::Send(message) => {
-                if let Some(outbox) = self.outboxes.get(&message.to) {
-                    // A full outbox loses the message, as a network may.
-                    let _ = outbox.try_send(message);
-                }
-            }
+            Output::Send(message) => self.outboxes.send(message),
+            Output::VotersChanged(voters) => self.outboxes.learn(&voters),
+            Output::LoadReply(reply, digest) => reply.load(digest),
+            Output::AdmitReply(reply, voters) => reply.admit(voters),
+            Output::ReadReply(reply, answer) => reply.read(answer),
+            Output::SendGroupOrder(order) => self.group_orders.send(order),
+            Output::Probe(probe) => self.group_orders.probe(probe),
             Output::SubmitReply(reply, answer) => reply.submit(answer),
             Output::LeaseReply(reply, answer) => reply.lease(self.stamped(answer)),
             Output::ObserveReply(reply, taken) => reply.observe(taken),
@@ -203,6 +265,7 @@
             Output::Restored { revision } => self.shared.watch_hub.reset(revision),
             Output::LeaderChanged { leader, leads } => {
                 self.shared.metrics.is_leader.set(i64::from(leads));
+                self.shared.set_hears_control_leader(leader.is_some());
                 if leader.is_some() {
                     self.shared.set_leader(leader);
                 }
--- a/crates/daemon/src/control/voter_disk.rs
+++ b/crates/daemon/src/control/voter_disk.rs
@@ -3,7 +3,7 @@
 use crate::metrics::Metrics;
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_consensus::{Entry, HardState, Recovered};
-use dockwood_control::StoredSnapshot as ControlSnapshot;
+use dockwood_control::{StoredSnapshot as ControlSnapshot, voters_of};
 use dockwood_state::State;
 use dockwood_storage::{DataFolder, RecordLog, StorageError, StoredSnapshot, load_snapshot, store_snapshot};
 use quick_error::quick_error;
@@ -68,10 +68,16 @@
             Some(snapshot) => State::decode(&snapshot.data)?,
             None => State::default(),
         };
-        let recovered = recover(snapshot.as_ref(), &records)?;
+        let mut recovered = recover(snapshot.as_ref(), &records)?;
+        recovered.voters = (!state.voters.is_empty()).then(|| voters_of(&state));
         Ok(RecoveredVoter { disk: VoterDisk { folder, log, metrics }, state, recovered })
     }
 
+    /// The folder.
+    pub fn folder(&self) -> &DataFolder {
+        &self.folder
+    }
+
     /// Appends and syncs.
     pub fn persist(&mut self, hard_state: Option<HardState>, entries: &[Entry]) -> Result<(), StorageError> {
         let mut records = Vec::new();
--- /dev/null
+++ b/crates/daemon/src/gateway/loads.rs
@@ -0,0 +1,267 @@
+//! Requests in flight at each group, here and at the other entries, and which groups seem to stand still.
+
+use super::lock;
+use crate::clock::monotonic_ms;
+use dockwood_api::gateway::{GroupLoad, LoadDigest, LoadReport};
+use dockwood_routing::Millis;
+use dockwood_routing::gateway::{Candidate, choose};
+use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
+use rand::RngExt;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::sync::{Notify, watch};
+
+/// A group that stood still here is avoided for this long.
+const SUSPICION_MS: Millis = 1_200;
+/// Requests at a group beyond the ones that it works on: they wait there for a moment only.
+const QUEUED_AT_GROUP: u32 = 3;
+
+/// One open group.
+#[derive(Debug)]
+struct GroupState {
+    row: Arc<GroupRow>,
+    slots: u32,
+    in_flight: u32,
+    others_in_flight: u32,
+    suspected_until: Millis,
+    suspected_by_others: bool,
+    progressed: bool,
+    refused: bool,
+    last_progress: Millis,
+}
+
+impl GroupState {
+    fn is_suspected(&self, now: Millis) -> bool {
+        now < self.suspected_until || self.suspected_by_others
+    }
+
+    fn total(&self) -> u32 {
+        self.in_flight + self.others_in_flight
+    }
+}
+
+/// The groups as this entry sees them.
+#[derive(Debug, Default)]
+pub struct Loads {
+    groups: Mutex<BTreeMap<u64, GroupState>>,
+    entries: AtomicU32,
+    /// A place has become free, or a group has opened.
+    freed: Notify,
+    /// Something is to be told to the leader at once.
+    pub urgent: Notify,
+    /// Grows when a group closes or comes under suspicion.
+    changes: watch::Sender<u64>,
+}
+
+/// A place at a group, held until it is dropped.
+pub struct GroupPlace {
+    gateway: Arc<super::Gateway>,
+    /// The group.
+    pub epoch: u64,
+    /// Address of its head.
+    pub head: SocketAddr,
+    /// Instance id of its head.
+    pub instance: String,
+}
+
+impl Drop for GroupPlace {
+    fn drop(&mut self) {
+        self.gateway.loads.release(self.epoch);
+    }
+}
+
+/// What came of asking for a place.
+pub enum PlaceAnswer {
+    /// A place.
+    Taken(GroupPlace),
+    /// Every group is full.
+    Full,
+    /// No group serves the model.
+    NoGroup,
+}
+
+/// Who asks for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceQuery<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model.
+    pub model: &'a str,
+    /// Groups that were tried before.
+    pub excluded: &'a [u64],
+}
+
+impl Loads {
+    /// Takes the groups of newly published tables.
+    pub fn follow(&self, tables: &GatewayTables) {
+        let mut groups = lock(&self.groups);
+        let is_open = |epoch: &u64| tables.groups.get(epoch).is_some_and(|row| row.phase == GroupPhase::Open);
+        let before = groups.len();
+        groups.retain(|epoch, _| is_open(epoch));
+        let closed = groups.len() < before;
+        let Some(configuration) = &tables.configuration else { return };
+        for row in tables.groups.values().filter(|row| row.phase == GroupPhase::Open) {
+            let engine = configuration.service(&row.service).and_then(|service| service.engine.as_ref());
+            let slots = engine.map_or(1, |engine| engine.slots);
+            groups.entry(row.epoch).and_modify(|group| group.slots = slots).or_insert_with(|| GroupState {
+                row: row.clone(),
+                slots,
+                in_flight: 0,
+                others_in_flight: 0,
+                suspected_until: 0,
+                suspected_by_others: false,
+                progressed: false,
+                refused: false,
+                last_progress: 0,
+            });
+        }
+        drop(groups);
+        self.freed.notify_waiters();
+        if closed {
+            self.changed();
+        }
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Follows changes of groups.
+    pub fn watch_changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Waits until a place may have become free.
+    pub async fn place_freed(&self) {
+        self.freed.notified().await;
+    }
+
+    /// Entries that told the leader of their load lately.
+    pub fn entries(&self) -> u32 {
+        self.entries.load(Ordering::Relaxed)
+    }
+
+    /// Takes a place at the best group.
+    pub fn take(gateway: &Arc<super::Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
+        let now = monotonic_ms();
+        let own_zone = &gateway.shared.settings.zone;
+        let mut groups = lock(&gateway.loads.groups);
+        let serving: Vec<u64> = groups
+            .iter()
+            .filter(|(_, group)| group.row.service == query.service && group.row.model == query.model)
+            .map(|(epoch, _)| *epoch)
+            .collect();
+        if serving.is_empty() {
+            return PlaceAnswer::NoGroup;
+        }
+        let eligible = |epoch: &&u64| {
+            let group = &groups[*epoch];
+            !query.excluded.contains(*epoch)
+                && !group.is_suspected(now)
+                && group.total() < group.slots + QUEUED_AT_GROUP
+        };
+        let candidates: Vec<Candidate> = serving
+            .iter()
+            .filter(eligible)
+            .map(|epoch| {
+                let group = &groups[epoch];
+                Candidate {
+                    position: *epoch as usize,
+                    in_flight: group.total(),
+                    slots: group.slots,
+                    same_zone: group.row.zone == *own_zone,
+                }
+            })
+            .collect();
+        let mut random = rand::rng();
+        let Some(epoch) = choose(&candidates, |below| random.random_range(0..below)) else {
+            return PlaceAnswer::Full;
+        };
+        let epoch = epoch as u64;
+        let Some(group) = groups.get_mut(&epoch) else { return PlaceAnswer::Full };
+        group.in_flight += 1;
+        let instance = group.row.members.first().cloned().unwrap_or_default();
+        PlaceAnswer::Taken(GroupPlace { gateway: gateway.clone(), epoch, head: group.row.head, instance })
+    }
+
+    fn release(&self, epoch: u64) {
+        if let Some(group) = lock(&self.groups).get_mut(&epoch) {
+            group.in_flight = group.in_flight.saturating_sub(1);
+        }
+        self.freed.notify_one();
+    }
+
+    /// A group showed an event.
+    pub fn progressed(&self, epoch: u64) {
+        if let Some(group) = lock(&self.groups).get_mut(&epoch) {
+            group.progressed = true;
+            group.last_progress = monotonic_ms();
+            group.suspected_until = 0;
+        }
+    }
+
+    /// Whether a group has shown an event on any stream here within `span`.
+    pub fn progressed_within(&self, epoch: u64, span: Millis) -> bool {
+        let now = monotonic_ms();
+        lock(&self.groups).get(&epoch).is_some_and(|group| now < group.last_progress + span)
+    }
+
+    /// Whether a group still takes work and isn't held to stand still elsewhere.
+    pub fn is_sound(&self, epoch: u64) -> bool {
+        lock(&self.groups).get(&epoch).is_some_and(|group| !group.suspected_by_others)
+    }
+
+    /// Whether a group has no more requests than it works on at once.
+    pub fn has_room(&self, epoch: u64) -> bool {
+        lock(&self.groups).get(&epoch).is_some_and(|group| group.total() <= group.slots)
+    }
+
+    /// A group stands still, or its head refuses connections.
+    pub fn suspect(&self, epoch: u64, refused: bool) {
+        let now = monotonic_ms();
+        if let Some(group) = lock(&self.groups).get_mut(&epoch) {
+            group.suspected_until = now + SUSPICION_MS;
+            group.refused |= refused;
+        }
+        self.urgent.notify_one();
+    }
+
+    /// What the leader is to be told; `None` if there is nothing.
+    pub fn report(&self, daemon: &str) -> LoadReport {
+        let now = monotonic_ms();
+        let mut groups = lock(&self.groups);
+        let tell = |(epoch, group): (&u64, &mut GroupState)| {
+            let load = GroupLoad {
+                epoch: *epoch,
+                in_flight: group.in_flight,
+                silent: now < group.suspected_until,
+                refuses: std::mem::take(&mut group.refused),
+                progressed: std::mem::take(&mut group.progressed),
+            };
+            let is_news = load.in_flight > 0 || load.silent || load.refuses || load.progressed;
+            is_news.then_some(load)
+        };
+        let loads = groups.iter_mut().filter_map(tell).collect();
+        LoadReport { daemon: daemon.to_string(), groups: loads }
+    }
+
+    /// Takes what the leader tells of the other entries.
+    pub fn take_digest(&self, digest: &LoadDigest) {
+        self.entries.store(digest.entries, Ordering::Relaxed);
+        let mut newly_suspected = false;
+        let mut groups = lock(&self.groups);
+        for (epoch, group) in groups.iter_mut() {
+            let shared = digest.groups.iter().find(|shared| shared.epoch == *epoch);
+            group.others_in_flight = shared.map_or(0, |shared| shared.others_in_flight);
+            let suspected = shared.is_some_and(|shared| shared.suspected);
+            newly_suspected |= suspected && !group.suspected_by_others;
+            group.suspected_by_others = suspected;
+        }
+        drop(groups);
+        if newly_suspected {
+            self.changed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,165 @@
+//! The gateway: takes callers' requests by their routes and sends them to registered servers and groups; tells
+//! callers where to go; takes operators' calls and servers' reports.
+
+mod body;
+mod directory;
+mod frontend;
+mod headers;
+mod load_exchange;
+mod loads;
+mod operators;
+mod plain;
+mod readiness;
+mod receive;
+mod refusal;
+mod serving;
+mod stream;
+mod targets;
+mod upstream;
+
+use crate::dialect::Dialect;
+use crate::shared::Shared;
+use arc_swap::ArcSwap;
+use dockwood_routing::BackendPicker;
+use dockwood_routing::gateway::{RouteTable, SendBudget, SendBudgetLimits};
+use loads::Loads;
+use std::collections::HashMap;
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::watch;
+use upstream::ConnectionPool;
+
+/// State of the gateway's traffic.
+pub struct Gateway {
+    /// Shared state.
+    pub shared: Arc<Shared>,
+    /// The deployment's protocol.
+    pub dialect: Arc<dyn Dialect>,
+    routes: ArcSwap<RouteTable>,
+    loads: Loads,
+    pickers: Mutex<HashMap<String, BackendPicker>>,
+    budgets: Mutex<HashMap<String, SendBudget>>,
+    budget_limits: SendBudgetLimits,
+    pool: ConnectionPool,
+    stopping: watch::Sender<bool>,
+}
+
+/// Listening sockets of the gateway, bound before anything runs.
+#[derive(Debug, Default)]
+pub struct GatewayListeners {
+    /// For callers.
+    pub frontend: Option<TcpListener>,
+    /// For readiness.
+    pub readiness: Option<TcpListener>,
+    /// For the directory.
+    pub directory: Option<TcpListener>,
+    /// For operators and servers.
+    pub operators: Option<TcpListener>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl Gateway {
+    /// Starts the gateway's tasks on the current runtime.
+    pub fn start(
+        shared: Arc<Shared>,
+        dialect: Arc<dyn Dialect>,
+        listeners: GatewayListeners,
+    ) -> std::io::Result<Arc<Gateway>> {
+        let gateway = Arc::new(Gateway::new(shared, dialect));
+        tokio::spawn(follow_configuration(gateway.clone()));
+        if let Some(listener) = listeners.frontend {
+            tokio::spawn(load_exchange::run(gateway.clone()));
+            tokio::spawn(frontend::serve(gateway.clone(), listener_of(listener)?));
+        }
+        if let Some(listener) = listeners.readiness {
+            tokio::spawn(serving::serve(listener_of(listener)?, gateway.clone(), readiness::answer));
+        }
+        if let Some(listener) = listeners.directory {
+            tokio::spawn(serving::serve(listener_of(listener)?, gateway.clone(), directory::answer));
+        }
+        if let Some(listener) = listeners.operators {
+            tokio::spawn(serving::serve(listener_of(listener)?, gateway.clone(), operators::answer));
+        }
+        Ok(gateway)
+    }
+
+    fn new(shared: Arc<Shared>, dialect: Arc<dyn Dialect>) -> Gateway {
+        let budget = shared.settings.gateway.as_ref().map(|gateway| gateway.retry_budget);
+        let budget_limits =
+            budget.map_or(SendBudgetLimits { percent: 0, window_ms: 1, extra: 0 }, |budget| {
+                SendBudgetLimits {
+                    percent: budget.percent,
+                    window_ms: budget.window.as_millis() as u64,
+                    extra: budget.extra,
+                }
+            });
+        Gateway {
+            shared,
+            dialect,
+            routes: ArcSwap::default(),
+            loads: Loads::default(),
+            pickers: Mutex::default(),
+            budgets: Mutex::default(),
+            budget_limits,
+            pool: ConnectionPool::default(),
+            stopping: watch::channel(false).0,
+        }
+    }
+
+    /// The last step of a planned stop: connections end as soon as they have nothing in flight.
+    pub fn close_connections(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Counts a request to a service.
+    fn count_request(&self, service: &str) {
+        let mut budgets = lock(&self.budgets);
+        let budget =
+            budgets.entry(service.to_string()).or_insert_with(|| SendBudget::new(self.budget_limits));
+        budget.record_request(crate::clock::monotonic_ms());
+    }
+
+    /// Counts a second send to a service, if the budget allows it.
+    fn try_second_send(&self, service: &str, reason: &str) -> bool {
+        let entries = u64::from(self.loads.entries().max(self.known_entries()));
+        let mut budgets = lock(&self.budgets);
+        let budget =
+            budgets.entry(service.to_string()).or_insert_with(|| SendBudget::new(self.budget_limits));
+        let allowed = budget.try_second_send(crate::clock::monotonic_ms(), entries);
+        if allowed {
+            self.shared.metrics.retries.with_label_values(&[reason]).inc();
+        } else {
+            self.shared.metrics.retries_refused.inc();
+        }
+        allowed
+    }
+
+    fn known_entries(&self) -> u32 {
+        let tables = self.shared.tables();
+        tables.daemons.values().filter(|daemon| daemon.record.frontend.is_some()).count() as u32
+    }
+}
+
+fn listener_of(listener: TcpListener) -> std::io::Result<tokio::net::TcpListener> {
+    tokio::net::TcpListener::from_std(listener)
+}
+
+/// Compiles each newly published configuration, for ever. A table is never replaced by an older one.
+async fn follow_configuration(gateway: Arc<Gateway>) {
+    let mut publications = gateway.shared.watch_publications();
+    loop {
+        let tables = gateway.shared.tables();
+        if let Some(configuration) = &tables.gateway.configuration
+            && configuration.version > gateway.routes.load().version
+        {
+            gateway.routes.store(Arc::new(RouteTable::compile(configuration)));
+        }
+        gateway.loads.follow(&tables.gateway);
+        if publications.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/plain.rs
@@ -0,0 +1,192 @@
+//! Requests to plain services: one answer, passed on whole.
+
+use super::Gateway;
+use super::body::{AnswerBody, read_whole, whole};
+use super::headers::{ServerHeaders, add_for_server, end_to_end};
+use super::receive::{Received, may_still_run};
+use super::refusal::{RETRY_SOON_MS, refuse};
+use super::targets::{Picked, pick};
+use super::upstream::Upstream;
+use crate::dialect::HeaderNames;
+use bytes::Bytes;
+use dockwood_api::ResultCode;
+use dockwood_routing::CallResult;
+use dockwood_routing::gateway::{Course, GiveUp, SendOutcome, Verdict};
+use http_body_util::Full;
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
+use std::sync::Arc;
+
+/// Answers that are held whole before they are passed on, in bytes.
+const MOST_ANSWER_BYTES: usize = 16 << 20;
+
+/// An answer as a server gave it.
+struct ServerAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl ServerAnswer {
+    fn pass_on(self) -> Response<AnswerBody> {
+        let mut response = Response::new(whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+/// Answers a request within its time.
+pub async fn answer(gateway: &Arc<Gateway>, received: &Received) -> Response<AnswerBody> {
+    let mut course = PlainCourse {
+        gateway,
+        received,
+        course: Course::new(&received.route),
+        in_flight: false,
+        tried: Vec::new(),
+        kept: None,
+    };
+    match tokio::time::timeout_at(received.deadline, course.run()).await {
+        Ok(response) => response,
+        Err(_) => give_up(course.course.out_of_time(course.in_flight)),
+    }
+}
+
+/// What a caller is told when there is no answer to pass on.
+pub fn give_up(told: GiveUp) -> Response<AnswerBody> {
+    refuse(told.code, told.code.meaning(), told.not_run.then_some(RETRY_SOON_MS))
+}
+
+struct PlainCourse<'a> {
+    gateway: &'a Arc<Gateway>,
+    received: &'a Received,
+    course: Course,
+    in_flight: bool,
+    tried: Vec<String>,
+    /// A server's own failure, passed on if no other server answers.
+    kept: Option<ServerAnswer>,
+}
+
+impl PlainCourse<'_> {
+    async fn run(&mut self) -> Response<AnswerBody> {
+        loop {
+            let service = &self.received.service;
+            let Some(picked) = pick(self.gateway, &service.name, service.max_connections, &self.tried) else {
+                return self.last_word(ResultCode::NoServer);
+            };
+            if !may_still_run(self.gateway, self.received) {
+                return self.last_word(ResultCode::NoLease);
+            }
+            if self.course.needs_budget() && !self.gateway.try_second_send(&service.name, "plain") {
+                return self.last_word(ResultCode::Overloaded);
+            }
+            self.tried.push(picked.row.id.clone());
+            let outcome = match self.send(picked).await {
+                Ok(answer) => return answer.pass_on(),
+                Err(outcome) => outcome,
+            };
+            if let Verdict::GiveUp(told) = self.course.ended(outcome) {
+                return self.kept.take().map_or_else(|| give_up(told), ServerAnswer::pass_on);
+            }
+        }
+    }
+
+    /// The answer when there is nobody to send to any more.
+    fn last_word(&mut self, code: ResultCode) -> Response<AnswerBody> {
+        if let Some(kept) = self.kept.take() {
+            return kept.pass_on();
+        }
+        let told = self.course.give_up();
+        give_up(if told.not_run { GiveUp { code, ..told } } else { told })
+    }
+
+    /// Sends to one server. `Err` if that brought no answer to pass on.
+    async fn send(&mut self, picked: Picked) -> Result<ServerAnswer, SendOutcome> {
+        // A connection that rested may be closed at this moment: what may run only once never goes out on one.
+        let fresh = !self.received.route.is_repeatable();
+        let Ok(mut upstream) = self.gateway.pool.connection(picked.row.address, fresh).await else {
+            picked.ended(CallResult::Failed);
+            return Err(SendOutcome::NotSent);
+        };
+        let Some(request) = request_for(self.gateway, self.received, &picked.row.id, None) else {
+            return Err(SendOutcome::NotSent);
+        };
+        self.in_flight = true;
+        let answer = exchange(&mut upstream, request, self.gateway.dialect.headers(), self.received).await;
+        self.in_flight = false;
+        match answer {
+            Ok(answer) => {
+                self.gateway.pool.keep(upstream);
+                picked.ended(CallResult::Answered);
+                self.weigh(answer)
+            }
+            Err(outcome) => {
+                let said = outcome == SendOutcome::SaidNotRun;
+                picked.ended(if said { CallResult::Answered } else { CallResult::Failed });
+                Err(outcome)
+            }
+        }
+    }
+
+    /// A server's own failure is worth another server where the request may run again.
+    fn weigh(&mut self, answer: ServerAnswer) -> Result<ServerAnswer, SendOutcome> {
+        if answer.status.is_server_error() && self.course.may_move() {
+            self.kept = Some(answer);
+            return Err(SendOutcome::Failed);
+        }
+        Ok(answer)
+    }
+}
+
+/// A request as it goes to one server.
+pub fn request_for(
+    gateway: &Gateway,
+    received: &Received,
+    instance: &str,
+    last_event: Option<u64>,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = received.headers.clone();
+    let told = ServerHeaders {
+        deadline_ms: received.left_ms(),
+        instance,
+        tenant: received.tenant.as_deref(),
+        rank: received.service.engine.is_some().then_some(received.rank),
+        last_event,
+    };
+    add_for_server(&mut headers, gateway.dialect.headers(), &told);
+    let path = received.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::new(Full::new(received.body.clone()));
+    *request.method_mut() = received.method.clone();
+    *request.uri_mut() = path.parse().ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Whether an answer belongs to the request: servers repeat the attempt id.
+pub fn belongs(headers: &HeaderMap, names: &HeaderNames, received: &Received) -> bool {
+    let echoed = headers.get(names.attempt).and_then(|value| value.to_str().ok());
+    received.attempt.is_none() || echoed == received.attempt.as_deref()
+}
+
+/// Whether an answer says that the request did not run.
+pub fn says_not_run(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> bool {
+    status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(names.not_run)
+}
+
+async fn exchange(
+    upstream: &mut Upstream,
+    request: Request<Full<Bytes>>,
+    names: &HeaderNames,
+    received: &Received,
+) -> Result<ServerAnswer, SendOutcome> {
+    let response = upstream.send(request).await.map_err(|_| SendOutcome::Unknown)?;
+    let (parts, body) = response.into_parts();
+    if !belongs(&parts.headers, names, received) {
+        return Err(SendOutcome::Unknown);
+    }
+    if says_not_run(parts.status, &parts.headers, names) {
+        return Err(SendOutcome::SaidNotRun);
+    }
+    let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
+    Ok(ServerAnswer { status: parts.status, headers: end_to_end(&parts.headers), body })
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/receive.rs
@@ -0,0 +1,138 @@
+//! Takes a caller's request: finds its route, checks its key, and reads it whole.
+
+use super::Gateway;
+use super::body::{AnswerBody, BodyFault, read_whole};
+use super::headers::from_caller;
+use super::refusal::{RETRY_SOON_MS, refuse};
+use bytes::Bytes;
+use dockwood_api::ResultCode;
+use dockwood_api::gateway::{Route, RouteKind};
+use dockwood_routing::gateway::{Destination, KeyVerdict, RouteTable};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
+use hyper::{Method, Request, Response, Uri};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Highest rank number that servers know.
+const LOWEST_RANK: u32 = 9;
+
+/// A request that was read whole.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Method.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub uri: Uri,
+    /// Headers that go on to the server.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that takes it.
+    pub service: Destination,
+    /// The key that it came with.
+    pub key: Option<String>,
+    /// The tenant that the key belongs to.
+    pub tenant: Option<String>,
+    /// Rank for the server's queue.
+    pub rank: u32,
+    /// The caller's attempt id.
+    pub attempt: Option<String>,
+    /// The model that it names.
+    pub model: Option<String>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// When the answer must be given.
+    pub deadline: Instant,
+}
+
+impl Received {
+    /// Milliseconds left.
+    pub fn left_ms(&self) -> u64 {
+        self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
+    }
+
+    /// Whether it asks for a stream of events.
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Stream
+    }
+}
+
+/// Reads a request, or answers it at once.
+pub async fn receive(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+) -> Result<Received, Box<Response<AnswerBody>>> {
+    let arrived = Instant::now();
+    let table = gateway.routes.load_full();
+    let refuse = |code: ResultCode, message: &str, retry: Option<u64>| Box::new(refuse(code, message, retry));
+    if table.version == 0 {
+        return Err(refuse(ResultCode::NoConfiguration, "no configuration yet", Some(RETRY_SOON_MS)));
+    }
+    if !gateway.shared.holds_lease() {
+        return Err(refuse(ResultCode::NoLease, "no configuration lease", Some(RETRY_SOON_MS)));
+    }
+    let (parts, body) = request.into_parts();
+    let host = host_of(&parts.headers, &parts.uri);
+    let Some(route) = table.route(&host, parts.uri.path()).cloned() else {
+        return Err(refuse(ResultCode::NoRoute, "no route has this host and path", None));
+    };
+    let key = key_of(gateway, &parts.headers);
+    let KeyVerdict::Passes { tenant, priority } = table.check_key(&route, key.as_deref()) else {
+        return Err(refuse(ResultCode::UnknownTenant, "the key is not known", None));
+    };
+    let Some(service) = table.destination(&route, rand::random()) else {
+        return Err(refuse(ResultCode::NoServer, "the route has no service", Some(RETRY_SOON_MS)));
+    };
+    let body = match read_whole(body, table.limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(BodyFault::TooLarge) => {
+            return Err(refuse(ResultCode::BodyTooLarge, "the body is too large", None));
+        }
+        Err(BodyFault::Broken) => return Err(refuse(ResultCode::BadHeader, "the body ended early", None)),
+    };
+    let names = gateway.dialect.headers();
+    let number = |name: &str| text(&parts.headers, name).and_then(|value| value.trim().parse::<u64>().ok());
+    let timeout_ms = number(names.deadline_ms).map_or(route.timeout_ms, |told| told.min(route.timeout_ms));
+    let drop_key = key.is_some() || !route.anonymous;
+    Ok(Received {
+        headers: from_caller(&parts.headers, names, drop_key),
+        attempt: text(&parts.headers, names.attempt),
+        model: text(&parts.headers, names.model),
+        last_event: number(names.last_event),
+        rank: priority.unwrap_or(route.priority).min(LOWEST_RANK),
+        method: parts.method,
+        uri: parts.uri,
+        deadline: arrived + Duration::from_millis(timeout_ms),
+        body,
+        route,
+        service,
+        key,
+        tenant,
+    })
+}
+
+/// Whether a request that waited may still be sent: its key and route hold by the newest configuration, which this
+/// daemon has a lease on.
+pub fn may_still_run(gateway: &Gateway, received: &Received) -> bool {
+    let table: Arc<RouteTable> = gateway.routes.load_full();
+    let key_holds = !matches!(table.check_key(&received.route, received.key.as_deref()), KeyVerdict::Refused);
+    gateway.shared.holds_lease() && key_holds
+}
+
+fn host_of(headers: &HeaderMap, uri: &Uri) -> String {
+    let named = uri.host().map(str::to_string);
+    named.or_else(|| text(headers, HOST.as_str())).unwrap_or_default()
+}
+
+fn key_of(gateway: &Gateway, headers: &HeaderMap) -> Option<String> {
+    let authorization = text(headers, AUTHORIZATION.as_str())?;
+    gateway.dialect.key(&authorization).map(str::to_string)
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_string)
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream.rs
@@ -0,0 +1,432 @@
+//! Streams of events: passed on as they arrive, whole events only, and continued at another group when theirs breaks
+//! or stands still. The caller sees one answer, with the head of the first server.
+
+use super::Gateway;
+use super::body::{AnswerBody, CutShort, read_whole, whole};
+use super::headers::end_to_end;
+use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
+use super::plain::{belongs, give_up, request_for, says_not_run};
+use super::receive::{Received, may_still_run};
+use super::targets::{Picked, pick};
+use super::upstream::{ConnectFault, Upstream};
+use crate::shared::InFlight;
+use bytes::Bytes;
+use dockwood_api::ResultCode;
+use dockwood_routing::CallResult;
+use dockwood_routing::gateway::{Course, EventSplitter, GiveUp, Pace, SendOutcome, Verdict};
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
+use hyper::{Response, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+const EVENT_STREAM: &str = "text/event-stream";
+/// Bodies of answers that are no streams, in bytes.
+const MOST_ANSWER_BYTES: usize = 16 << 20;
+/// Part of the target for the first event that a request may wait here for a place, in hundredths: a refusal is worth
+/// something only while it is early.
+const WAIT_HUNDREDTHS: u64 = 20;
+/// When a caller may come back after all groups were full.
+const FULL_RETRY_MS: u64 = 400;
+
+/// Where a stream comes from.
+enum Source {
+    Group(GroupPlace),
+    Server(Picked),
+}
+
+/// A stream that is being read.
+struct Reading {
+    source: Source,
+    upstream: Upstream,
+    body: Incoming,
+    splitter: EventSplitter,
+}
+
+/// The head of the answer to the caller.
+struct Head {
+    status: StatusCode,
+    headers: HeaderMap,
+}
+
+/// How reading went on.
+enum Step {
+    Event(Bytes),
+    Complete,
+    Broken(SendOutcome),
+    OutOfTime,
+}
+
+/// One request for a stream.
+struct StreamCourse {
+    gateway: Arc<Gateway>,
+    received: Received,
+    course: Course,
+    pace: Option<Pace>,
+    reading: Option<Reading>,
+    head: Option<Head>,
+    /// The last event passed on.
+    last_event: Option<u64>,
+    /// Whether any event was passed on.
+    begun: bool,
+    /// When the last event was passed on, or the request sent.
+    since: Instant,
+    tried_groups: Vec<u64>,
+    tried_servers: Vec<String>,
+    changes: watch::Receiver<u64>,
+    _in_flight: InFlight,
+}
+
+/// Answers a request for a stream: once the first event is here, or with what there is instead.
+pub async fn answer(gateway: &Arc<Gateway>, received: Received, in_flight: InFlight) -> Response<AnswerBody> {
+    let engine = received.service.engine.as_ref();
+    let model = engine.zip(received.model.as_ref()).and_then(|(engine, name)| engine.model(name));
+    let pace = engine.zip(model).map(|(engine, model)| Pace::expected(engine, model, &received.route));
+    let mut course = StreamCourse {
+        course: Course::new(&received.route),
+        last_event: received.last_event,
+        changes: gateway.loads.watch_changes(),
+        gateway: gateway.clone(),
+        received,
+        pace,
+        reading: None,
+        head: None,
+        begun: false,
+        since: Instant::now(),
+        tried_groups: Vec::new(),
+        tried_servers: Vec::new(),
+        _in_flight: in_flight,
+    };
+    match course.first().await {
+        Ok(first) => course.into_response(first),
+        Err(response) => *response,
+    }
+}
+
+impl StreamCourse {
+    /// The first event, or the end of an empty stream; `Err` with an answer that is no stream.
+    async fn first(&mut self) -> Result<Option<Bytes>, Box<Response<AnswerBody>>> {
+        loop {
+            if self.reading.is_none()
+                && let Some(other) = self.open().await?
+            {
+                return Err(Box::new(other));
+            }
+            match self.step().await {
+                Step::Event(event) => return Ok(Some(event)),
+                Step::Complete => return Ok(None),
+                Step::Broken(outcome) => self.after(outcome).map_err(|told| Box::new(give_up(told)))?,
+                Step::OutOfTime => {
+                    let told = self.course.out_of_time(self.reading.is_some());
+                    return Err(Box::new(give_up(told)));
+                }
+            }
+        }
+    }
+
+    /// The next event; `None` once the stream is complete.
+    async fn next(&mut self) -> Result<Option<Bytes>, CutShort> {
+        loop {
+            if self.reading.is_none() {
+                match self.open().await {
+                    Ok(None) => {}
+                    // An answer other than a stream can't follow what was passed on.
+                    Ok(Some(_)) | Err(_) => return Err(CutShort::Broken),
+                }
+            }
+            match self.step().await {
+                Step::Event(event) => return Ok(Some(event)),
+                Step::Complete => return Ok(None),
+                Step::Broken(outcome) => self.after(outcome).map_err(|_| CutShort::Broken)?,
+                Step::OutOfTime => return Err(CutShort::Broken),
+            }
+        }
+    }
+
+    /// Notes the end of a send; `Err` if there is to be no other.
+    fn after(&mut self, outcome: SendOutcome) -> Result<(), GiveUp> {
+        self.reading = None;
+        match self.course.ended(outcome) {
+            Verdict::SendAgain => Ok(()),
+            Verdict::GiveUp(told) => Err(told),
+        }
+    }
+
+    /// Opens a stream at some group or server. `Some` is an answer that is no stream.
+    async fn open(&mut self) -> Result<Option<Response<AnswerBody>>, Box<Response<AnswerBody>>> {
+        loop {
+            let source = self.source().await.map_err(Box::new)?;
+            if !may_still_run(&self.gateway, &self.received) {
+                return Err(Box::new(self.refusal(ResultCode::NoLease, FULL_RETRY_MS)));
+            }
+            let service = self.received.service.name.clone();
+            if self.course.needs_budget() && !self.gateway.try_second_send(&service, "stream") {
+                return Err(Box::new(self.refusal(ResultCode::Overloaded, FULL_RETRY_MS)));
+            }
+            match self.send(source).await {
+                Ok(None) => return Ok(None),
+                Ok(Some(response)) => return Ok(Some(response)),
+                Err(outcome) => self.after(outcome).map_err(|told| Box::new(give_up(told)))?,
+            }
+        }
+    }
+
+    fn refusal(&self, code: ResultCode, retry_after_ms: u64) -> Response<AnswerBody> {
+        let told = self.course.give_up();
+        if told.not_run && !self.begun {
+            return super::refusal::refuse(code, code.meaning(), Some(retry_after_ms));
+        }
+        give_up(told)
+    }
+
+    /// A place at a group, waited for shortly, or a server.
+    async fn source(&mut self) -> Result<Source, Response<AnswerBody>> {
+        let service = self.received.service.clone();
+        if service.engine.is_none() {
+            let picked = pick(&self.gateway, &service.name, service.max_connections, &self.tried_servers);
+            return match picked {
+                Some(picked) => {
+                    self.tried_servers.push(picked.row.id.clone());
+                    Ok(Source::Server(picked))
+                }
+                None => Err(self.refusal(ResultCode::NoServer, FULL_RETRY_MS)),
+            };
+        }
+        let model = self.received.model.clone().unwrap_or_default();
+        let wait = Duration::from_millis(self.received.route.target_latency_ms * WAIT_HUNDREDTHS / 100);
+        let give_up_at = Instant::now() + wait;
+        loop {
+            let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
+            let code = match Loads::take(&self.gateway, query) {
+                PlaceAnswer::Taken(place) => return Ok(Source::Group(place)),
+                PlaceAnswer::Full => ResultCode::Overloaded,
+                PlaceAnswer::NoGroup => ResultCode::NoServer,
+            };
+            if tokio::time::timeout_at(give_up_at, self.gateway.loads.place_freed()).await.is_err() {
+                return Err(self.refusal(code, FULL_RETRY_MS));
+            }
+        }
+    }
+
+    /// Sends to one source; on success the stream is being read, or an answer that is no stream is here.
+    async fn send(&mut self, source: Source) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
+        let (address, instance) = match &source {
+            Source::Group(place) => (place.head, place.instance.clone()),
+            Source::Server(picked) => (picked.row.address, picked.row.id.clone()),
+        };
+        if let Source::Group(place) = &source {
+            self.tried_groups.push(place.epoch);
+        }
+        let fresh = !self.received.route.is_repeatable();
+        let mut upstream = match self.gateway.pool.connection(address, fresh).await {
+            Ok(upstream) => upstream,
+            Err(fault) => {
+                self.unreachable(source, fault);
+                return Err(SendOutcome::NotSent);
+            }
+        };
+        let resume_at = self.begun.then_some(self.last_event).flatten();
+        let request = request_for(&self.gateway, &self.received, &instance, resume_at);
+        let Some(request) = request else { return Err(SendOutcome::NotSent) };
+        let sent_at = Instant::now();
+        if !self.begun {
+            self.since = sent_at;
+        }
+        let response = tokio::select! {
+            response = upstream.send(request) => response.map_err(|_| SendOutcome::Unknown),
+            () = stands_still(&self.gateway, &source, self.first_bound(sent_at), &mut self.changes),
+                if self.course.may_move() => Err(self.abandon(&source)),
+            () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
+        }?;
+        self.take_response(source, upstream, response).await
+    }
+
+    fn unreachable(&self, source: Source, fault: ConnectFault) {
+        match source {
+            Source::Group(place) => self.gateway.loads.suspect(place.epoch, fault == ConnectFault::Refused),
+            Source::Server(picked) => picked.ended(CallResult::Failed),
+        }
+    }
+
+    async fn take_response(
+        &mut self,
+        source: Source,
+        upstream: Upstream,
+        response: Response<Incoming>,
+    ) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
+        let (parts, body) = response.into_parts();
+        let names = self.gateway.dialect.headers();
+        if !belongs(&parts.headers, names, &self.received) {
+            return Err(SendOutcome::Unknown);
+        }
+        if says_not_run(parts.status, &parts.headers, names) {
+            return Err(SendOutcome::SaidNotRun);
+        }
+        let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
+        if parts.status == StatusCode::OK && is_stream {
+            if self.head.is_none() {
+                let mut headers = end_to_end(&parts.headers);
+                headers.remove(CONTENT_LENGTH);
+                self.head = Some(Head { status: parts.status, headers });
+            }
+            self.reading = Some(Reading { source, upstream, body, splitter: EventSplitter::default() });
+            return Ok(None);
+        }
+        let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
+        if parts.status.is_server_error() && self.course.may_move() {
+            return Err(SendOutcome::Failed);
+        }
+        let mut response = Response::new(whole(body));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = end_to_end(&parts.headers);
+        Ok(Some(response))
+    }
+
+    /// Until when the first event must have come for the group not to count as standing still.
+    fn first_bound(&self, sent_at: Instant) -> Option<Duration> {
+        let pace = self.pace?;
+        let bound = if self.begun { pace.between_events_ms } else { pace.first_event_ms };
+        Some((sent_at + Duration::from_millis(bound)).saturating_duration_since(Instant::now()))
+    }
+
+    /// Reads on to the next whole event.
+    async fn step(&mut self) -> Step {
+        let may_move = self.course.may_move();
+        let bound = self.silence_bound();
+        let Some(reading) = &mut self.reading else { return Step::Broken(SendOutcome::NotSent) };
+        loop {
+            if let Some(event) = reading.splitter.next_event() {
+                // A resumed stream may begin with what the caller has.
+                if event.id.is_some() && event.id <= self.last_event && self.begun {
+                    continue;
+                }
+                if let Source::Group(place) = &reading.source {
+                    self.gateway.loads.progressed(place.epoch);
+                }
+                self.last_event = event.id.or(self.last_event);
+                self.begun = true;
+                self.since = Instant::now();
+                return Step::Event(event.bytes);
+            }
+            let frame = tokio::select! {
+                frame = reading.body.frame() => frame,
+                () = stands_still(&self.gateway, &reading.source, bound, &mut self.changes), if may_move => {
+                    let outcome = abandon(&self.gateway, &reading.source);
+                    return Step::Broken(outcome);
+                }
+                () = tokio::time::sleep_until(self.received.deadline) => return Step::OutOfTime,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        reading.splitter.push(data);
+                    }
+                }
+                None if reading.splitter.is_clean() => {
+                    if let Some(done) = self.reading.take() {
+                        done.finish(&self.gateway);
+                    }
+                    return Step::Complete;
+                }
+                Some(Err(_)) | None => return Step::Broken(SendOutcome::Unknown),
+            }
+        }
+    }
+
+    /// How much longer the stream may be silent.
+    fn silence_bound(&self) -> Option<Duration> {
+        let pace = self.pace?;
+        let bound = if self.begun { pace.between_events_ms } else { pace.first_event_ms };
+        let due = self.since + Duration::from_millis(bound);
+        Some(due.saturating_duration_since(Instant::now()))
+    }
+
+    fn abandon(&self, source: &Source) -> SendOutcome {
+        abandon(&self.gateway, source)
+    }
+
+    fn into_response(mut self, first: Option<Bytes>) -> Response<AnswerBody> {
+        let head = self.head.take();
+        let (status, headers) =
+            head.map_or((StatusCode::OK, HeaderMap::new()), |head| (head.status, head.headers));
+        let body = match first {
+            None => whole(Bytes::new()),
+            Some(first) => self.into_body(first),
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn into_body(self, first: Bytes) -> AnswerBody {
+        let events = stream::unfold((Some(self), Some(first)), |(course, first)| async move {
+            let mut course = course?;
+            if let Some(first) = first {
+                return Some((Ok(Frame::data(first)), (Some(course), None)));
+            }
+            match course.next().await {
+                Ok(Some(event)) => Some((Ok(Frame::data(event)), (Some(course), None))),
+                Ok(None) => None,
+                Err(cut) => Some((Err(cut), (None, None))),
+            }
+        });
+        StreamBody::new(events).boxed_unsync()
+    }
+}
+
+impl Reading {
+    /// The stream was read to its end: the connection can be used again.
+    fn finish(self, gateway: &Gateway) {
+        gateway.pool.keep(self.upstream);
+        if let Source::Server(picked) = self.source {
+            picked.ended(CallResult::Answered);
+        }
+    }
+}
+
+/// Notes that a group stood still.
+fn abandon(gateway: &Gateway, source: &Source) -> SendOutcome {
+    if let Source::Group(place) = source {
+        gateway.loads.suspect(place.epoch, false);
+    }
+    SendOutcome::Abandoned
+}
+
+/// Completes once the source counts as standing still: nothing came within the bound, neither on this stream nor, if
+/// the group has more requests than it works on, on any other; or the group was closed, or others hold it for silent.
+async fn stands_still(
+    gateway: &Gateway,
+    source: &Source,
+    bound: Option<Duration>,
+    changes: &mut watch::Receiver<u64>,
+) {
+    let (Source::Group(place), Some(bound)) = (source, bound) else {
+        return std::future::pending().await;
+    };
+    let silence = async {
+        tokio::time::sleep(bound).await;
+        // Among more requests than it works on, this one may rightly wait for its turn.
+        while !gateway.loads.has_room(place.epoch)
+            && gateway.loads.progressed_within(place.epoch, bound.as_millis() as u64)
+        {
+            tokio::time::sleep(bound.max(Duration::from_millis(20))).await;
+        }
+    };
+    let unsound = async {
+        while gateway.loads.is_sound(place.epoch) {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    };
+    tokio::select! {
+        () = silence => {}
+        () = unsound => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -0,0 +1,126 @@
+//! Connections to servers. A connection carries one request at a time; whatever arrives on it that belongs to no
+//! request ends it. It is used again only after a whole answer.
+//!
+//! hyper is used directly: `reqwest` doesn't show whether a request reached its connection, and can't end a connection
+//! together with its request.
+
+use super::lock;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// How long a connection may take to be made.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// A connection that has rested longer than this is not used again: servers close theirs after some time.
+const REST_LIMIT: Duration = Duration::from_millis(1_500);
+/// Resting connections kept for one server.
+const RESTING_PER_SERVER: usize = 4;
+
+/// Why no connection was made. Nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectFault {
+    /// The server refused it.
+    Refused,
+    /// No answer in time.
+    Silent,
+}
+
+/// One connection; it ends when this is dropped.
+pub struct Upstream {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    address: SocketAddr,
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Upstream {
+    /// Connects.
+    pub async fn connect(address: SocketAddr) -> Result<Upstream, ConnectFault> {
+        let stream = match tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => return Err(ConnectFault::Refused),
+            Err(_) => return Err(ConnectFault::Silent),
+        };
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| ConnectFault::Refused)?;
+        let driver = tokio::spawn(async move {
+            // How it ended shows at the request that was on it.
+            let _ = connection.await;
+        });
+        Ok(Upstream { sender, driver: driver.abort_handle(), address })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.send_request(request).await
+    }
+}
+
+struct Resting {
+    upstream: Upstream,
+    since: Instant,
+}
+
+/// Connections that rest between requests.
+#[derive(Default)]
+pub struct ConnectionPool {
+    resting: Mutex<HashMap<SocketAddr, Vec<Resting>>>,
+}
+
+impl ConnectionPool {
+    /// A connection that rests, or a new one. `fresh` asks for a new one.
+    pub async fn connection(&self, address: SocketAddr, fresh: bool) -> Result<Upstream, ConnectFault> {
+        let resting = if fresh { None } else { self.take(address) };
+        match resting {
+            Some(upstream) => Ok(upstream),
+            None => Upstream::connect(address).await,
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Upstream> {
+        let mut pool = lock(&self.resting);
+        let connections = pool.get_mut(&address)?;
+        while let Some(resting) = connections.pop() {
+            if resting.since.elapsed() < REST_LIMIT && resting.upstream.sender.is_ready() {
+                return Some(resting.upstream);
+            }
+        }
+        pool.remove(&address);
+        None
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub fn keep(&self, upstream: Upstream) {
+        if !upstream.sender.is_ready() {
+            return;
+        }
+        let mut pool = lock(&self.resting);
+        let connections = pool.entry(upstream.address).or_default();
+        if connections.len() < RESTING_PER_SERVER {
+            connections.push(Resting { upstream, since: Instant::now() });
+        }
+    }
+
+    /// Ends connections that have rested too long.
+    pub fn sweep(&self) {
+        lock(&self.resting).retain(|_, connections| {
+            connections.retain(|resting| resting.since.elapsed() < REST_LIMIT);
+            !connections.is_empty()
+        });
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,9 +6,12 @@
 pub mod cli;
 pub mod clock;
 pub mod control;
+pub mod dialect;
+pub mod gateway;
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod own_dialect;
 pub mod peer;
 pub mod probe;
 pub mod process;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,8 +1,10 @@
 //! `dockwoodd`: the daemon.
 
 use dockwood_daemon::cli;
+use dockwood_daemon::own_dialect::OwnDialect;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 fn main() -> ExitCode {
-    cli::execute(&cli::command().get_matches())
+    cli::execute(&cli::command().get_matches(), Arc::new(OwnDialect))
 }
--- /dev/null
+++ b/crates/daemon/src/own_dialect.rs
@@ -0,0 +1,107 @@
+//! dockwood's own protocol for the gateway: headers that begin with `dockwood-`, and the JSON form of the API's types.
+
+use crate::dialect::{Dialect, DirectoryQuery, EncodedCall, HeaderNames, OperatorCall};
+use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer};
+use dockwood_api::{ApiError, ResultCode};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const HEADERS: HeaderNames = HeaderNames {
+    attempt: "dockwood-attempt",
+    deadline_ms: "dockwood-deadline-ms",
+    model: "dockwood-model",
+    last_event: "last-event-id",
+    tenant: "dockwood-tenant",
+    expected_instance: "dockwood-instance",
+    not_run: "dockwood-not-run",
+    rank: "dockwood-rank",
+};
+const READINESS: &str = "/readyz";
+const DIRECTORY: &str = "/v1/entries";
+const CONFIGURATION: &str = "/v1/gateway/configuration";
+const INSTANCES: &str = "/v1/gateway/instances/";
+const ORDERS: &str = "/group/orders";
+const REPORT: &str = "/group/report";
+
+/// The project's own protocol.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnDialect;
+
+fn read<T: DeserializeOwned>(body: &[u8], code: ResultCode) -> Result<T, ApiError> {
+    serde_json::from_slice(body).map_err(|error| ApiError::new(code, error.to_string()))
+}
+
+fn no_such_path() -> ApiError {
+    ApiError::new(ResultCode::NoSuchPath, "there is no such path or method")
+}
+
+impl Dialect for OwnDialect {
+    fn headers(&self) -> &HeaderNames {
+        &HEADERS
+    }
+
+    fn readiness_path(&self) -> &str {
+        READINESS
+    }
+
+    fn key<'a>(&self, authorization: &'a str) -> Option<&'a str> {
+        authorization.strip_prefix("Bearer ")
+    }
+
+    fn directory_query(&self, path: &str, query: &str) -> Option<DirectoryQuery> {
+        let zone = query.split('&').find_map(|part| part.strip_prefix("zone="));
+        (path == DIRECTORY).then(|| DirectoryQuery { zone: zone.map(str::to_string) })
+    }
+
+    fn directory_answer(&self, addresses: &[SocketAddr], lifetime: Duration) -> Vec<u8> {
+        let answer = json!({ "addresses": addresses, "lifetimeMs": lifetime.as_millis() as u64 });
+        answer.to_string().into_bytes()
+    }
+
+    fn operator_call(&self, method: &str, path: &str, body: &[u8]) -> Result<OperatorCall, ApiError> {
+        match (method, path) {
+            ("PUT", CONFIGURATION) => {
+                let mut configuration: GatewayConfiguration =
+                    read(body, ResultCode::ConfigurationUnreadable)?;
+                configuration.document = body.to_vec();
+                Ok(OperatorCall::Configure(Box::new(configuration)))
+            }
+            ("GET", CONFIGURATION) => Ok(OperatorCall::ReadConfiguration),
+            ("PUT", _) if path.starts_with(INSTANCES) => {
+                let report: InstanceReport = read(body, ResultCode::BadJson)?;
+                Ok(OperatorCall::Report(Box::new(report)))
+            }
+            ("DELETE", _) => {
+                let id = path.strip_prefix(INSTANCES).ok_or_else(no_such_path)?;
+                Ok(OperatorCall::SignOff { id: id.to_string() })
+            }
+            _ => Err(no_such_path()),
+        }
+    }
+
+    fn report_answer(&self, report_to: Option<SocketAddr>) -> Vec<u8> {
+        json!({ "reportTo": report_to }).to_string().into_bytes()
+    }
+
+    fn order_call(&self, order: &GroupOrder) -> EncodedCall {
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        let headers = vec![("content-type", "application/json".to_string())];
+        EncodedCall { path: ORDERS.to_string(), headers, body }
+    }
+
+    fn order_answer(&self, status: u16) -> OrderAnswer {
+        match status {
+            202 => OrderAnswer::Begun,
+            200 => OrderAnswer::Holds,
+            409 => OrderAnswer::Unfit,
+            412 => OrderAnswer::Fenced,
+            _ => OrderAnswer::Refused,
+        }
+    }
+
+    fn report_path(&self) -> &str {
+        REPORT
+    }
+}
--- a/crates/daemon/src/peer/clients.rs
+++ b/crates/daemon/src/peer/clients.rs
@@ -68,7 +68,7 @@
         context.deadline = Instant::now() + limit;
         match call(client, context).await {
             Ok(answer) => Ok(answer),
-            Err(RpcError::DeadlineExceeded) => Err(PeerFailure::NoAnswer),
+            // Also after a time-out: behind a cut that has healed, an old connection may take long to come back.
             Err(_) => {
                 self.clients().remove(&address);
                 Err(PeerFailure::NoAnswer)
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -8,4 +8,4 @@
 pub use clients::{PeerClients, PeerFailure};
 pub use server::serve_peers;
 pub(crate) use submit::Targets;
-pub use submit::{control_view, submit};
+pub use submit::{control_view, read_revision, register, submit};
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -6,11 +6,13 @@
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
+use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport};
 use dockwood_api::peer::{
-    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, Peer,
-    ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    AcquireReply, AcquireRequest, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, Peer, ReadAnswer,
+    ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply, VoterRecord,
 };
 use futures::StreamExt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -76,6 +78,28 @@
         asked.await.unwrap_or(false)
     }
 
+    async fn exchange_load(self, _: Context, report: LoadReport) -> Option<LoadDigest> {
+        self.count("exchange_load");
+        self.ask(|reply| ControlMessage::ExchangeLoad { report, reply }).await.flatten()
+    }
+
+    async fn register(self, _: Context, report: InstanceReport) -> SubmitReply {
+        self.count("register");
+        let answer = self.ask(|reply| ControlMessage::Register { report, reply }).await;
+        answer.unwrap_or(SubmitReply::NotLeader { leader: None })
+    }
+
+    async fn read_revision(self, _: Context) -> ReadAnswer {
+        self.count("read_revision");
+        let answer = self.ask(|reply| ControlMessage::ReadRevision { reply }).await;
+        answer.unwrap_or(ReadAnswer::NotLeader { leader: None })
+    }
+
+    async fn admit_voter(self, _: Context, id: u64, address: SocketAddr) -> Option<Vec<VoterRecord>> {
+        self.count("admit_voter");
+        self.ask(|reply| ControlMessage::AdmitVoter { id, address, reply }).await.flatten()
+    }
+
     async fn control_view(self, _: Context) -> ControlAnswer {
         self.count("control_view");
         let answer = self.ask(|reply| ControlMessage::View { reply }).await;
--- a/crates/daemon/src/peer/submit.rs
+++ b/crates/daemon/src/peer/submit.rs
@@ -4,14 +4,19 @@
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::shared::Shared;
 use backon::{BackoffBuilder, ExponentialBuilder};
-use dockwood_api::peer::{ControlAnswer, SubmitReply};
+use dockwood_api::gateway::InstanceReport;
+use dockwood_api::peer::{ControlAnswer, PeerClient, ReadAnswer, SubmitReply};
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_state::{Command, CommandBody, Outcome, decode_outcome, encode_command};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
 
 /// How long one leader may take for one command.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long one daemon may take for a short call.
+const LEADER_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pauses between tries while no leader answers.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 const MAX_PAUSE: Duration = Duration::from_millis(250);
@@ -31,7 +36,8 @@
     let mut last_failure = ApiError::new(ResultCode::NoLeader, "no control leader is known");
     loop {
         let target = targets.next(shared);
-        match submit_once(shared, target, command.clone()).await {
+        let left = Duration::from_millis(give_up_at.saturating_sub(monotonic_ms()));
+        match submit_once(shared, target, command.clone(), left.min(SUBMIT_TIMEOUT)).await {
             Ok(SubmitReply::Applied { revision, outcome }) => {
                 return Ok((revision, decode_outcome(&outcome)?));
             }
@@ -56,32 +62,84 @@
     shared: &Shared,
     target: SocketAddr,
     command: Vec<u8>,
+    limit: Duration,
 ) -> Result<SubmitReply, PeerFailure> {
     let call = |client: dockwood_api::peer::PeerClient, context| async move {
         client.submit(context, command).await
     };
-    shared.peers.call(target, SUBMIT_TIMEOUT, call).await
+    shared.peers.call(target, limit, call).await
 }
 
 /// The leader's view of replicas, daemons and control, as JSON.
 pub async fn control_view(shared: &Shared, limit: Duration) -> Result<Vec<u8>, ApiError> {
+    let call = |client: PeerClient, context: Context| async move {
+        Ok(match client.control_view(context).await? {
+            ControlAnswer::View(view) => LeaderAnswer::Answer(view),
+            ControlAnswer::NotLeader { leader } => LeaderAnswer::NotLeader(leader),
+        })
+    };
+    ask_leader(shared, limit, call).await
+}
+
+/// The revision that a daemon must have applied to read nothing older than what was acknowledged.
+pub async fn read_revision(shared: &Shared, limit: Duration) -> Result<u64, ApiError> {
+    let call = |client: PeerClient, context: Context| async move {
+        Ok(match client.read_revision(context).await? {
+            ReadAnswer::Current { revision } => LeaderAnswer::Answer(revision),
+            ReadAnswer::NotLeader { leader } => LeaderAnswer::NotLeader(leader),
+        })
+    };
+    ask_leader(shared, limit, call).await
+}
+
+/// Brings a server's report to the leader; returns once the leader has noted what it changes.
+pub async fn register(shared: &Shared, report: InstanceReport, limit: Duration) -> Result<(), ApiError> {
+    let call = |client: PeerClient, context: Context| {
+        let report = report.clone();
+        async move {
+            Ok(match client.register(context, report).await? {
+                SubmitReply::Applied { .. } => LeaderAnswer::Answer(()),
+                SubmitReply::NotLeader { leader } => LeaderAnswer::NotLeader(leader),
+                SubmitReply::Failed { code, message } => LeaderAnswer::Failed(ApiError::new(code, message)),
+            })
+        }
+    };
+    ask_leader(shared, limit, call).await
+}
+
+/// What a daemon says to a call that is meant for the leader.
+enum LeaderAnswer<T> {
+    Answer(T),
+    NotLeader(Option<SocketAddr>),
+    Failed(ApiError),
+}
+
+/// Calls the leader, wherever it is, until it answers or `limit` has passed. The call must be safe to repeat.
+async fn ask_leader<T, F, Call>(shared: &Shared, limit: Duration, call: F) -> Result<T, ApiError>
+where
+    F: Fn(PeerClient, Context) -> Call,
+    Call: Future<Output = Result<LeaderAnswer<T>, RpcError>>,
+{
     let give_up_at = monotonic_ms() + limit.as_millis() as u64;
     let mut targets = Targets::new(shared);
+    let mut last_failure = ApiError::new(ResultCode::NoLeader, "no control leader answers");
     loop {
+        let left = Duration::from_millis(give_up_at.saturating_sub(monotonic_ms()));
         let target = targets.next(shared);
-        let call = |client: dockwood_api::peer::PeerClient, context| async move {
-            client.control_view(context).await
-        };
-        match shared.peers.call(target, SUBMIT_TIMEOUT, call).await {
-            Ok(ControlAnswer::View(view)) => return Ok(view),
-            Ok(ControlAnswer::NotLeader { leader }) => targets.hint(leader),
-            Err(_) => targets.failed(),
+        match shared.peers.call(target, left.min(LEADER_CALL_TIMEOUT), &call).await {
+            Ok(LeaderAnswer::Answer(answer)) => return Ok(answer),
+            Ok(LeaderAnswer::NotLeader(leader)) => targets.hint(leader.filter(|leader| *leader != target)),
+            Ok(LeaderAnswer::Failed(error)) => last_failure = error,
+            Err(_) => {
+                shared.metrics.peer_failures.inc();
+                targets.failed();
+            }
         }
         if monotonic_ms() >= give_up_at {
-            return Err(ApiError::new(ResultCode::NoLeader, "no control leader answers"));
+            return Err(last_failure);
         }
         if !targets.has_hint() {
-            tokio::time::sleep(MAX_PAUSE).await;
+            tokio::time::sleep(MIN_PAUSE).await;
         }
     }
 }
@@ -101,9 +159,9 @@
         if let Some(hint) = self.hint.take() {
             return hint;
         }
-        let voters = &shared.settings.voters;
+        let peers = shared.control_peers();
         self.position += 1;
-        voters[self.position % voters.len()].peer
+        peers.get(self.position % peers.len().max(1)).copied().unwrap_or(shared.settings.peer)
     }
 
     pub(crate) fn hint(&mut self, leader: Option<SocketAddr>) {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,16 +2,18 @@
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::control::{
-    ControlHandle, ControlMessage, ControlThread, OrderSender, StartError, StartedControl,
-    run_control_thread, run_lease_client, run_outbox,
+    ControlHandle, ControlMessage, ControlThread, GroupOrderSender, OrderSender, StartError, StartedControl,
+    run_admission, run_control_thread, run_lease_client,
 };
+use crate::dialect::Dialect;
+use crate::gateway::{Gateway, GatewayListeners};
 use crate::http::{App, serve_http};
 use crate::metrics::Metrics;
 use crate::peer::serve_peers;
 use crate::probe::{
     EngineClient, Reporter, run_machine_prober, run_platform_reader, run_replica_watcher, run_reporter,
 };
-use crate::settings::Settings;
+use crate::settings::{GatewaySettings, Settings, run_settings_reader};
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
@@ -19,9 +21,10 @@
 use dockwood_state::Liveness;
 use quick_error::quick_error;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 /// How long a planned stop waits for the control group to take note.
 const LEAVE_LIMIT: Duration = Duration::from_secs(10);
@@ -29,9 +32,29 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(600);
 /// Time between looks at whether a planned stop may go on.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Callers keep a directory answer for up to this many of its lifetimes.
+const ANSWERS_KEPT_LIFETIMES: u32 = 3;
+/// A planned stop ends this much before its limit.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// Connections to one engine or service that are kept for later use.
 const IDLE_CONNECTIONS: usize = 64;
 
+/// What a daemon starts with.
+pub struct Start {
+    /// Settings.
+    pub settings: Settings,
+    /// Where they were read from.
+    pub settings_path: PathBuf,
+    /// The deployment's protocol.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+struct Listeners {
+    http: TcpListener,
+    peer: TcpListener,
+    gateway: GatewayListeners,
+}
+
 quick_error! {
     /// Why the process ends with a failure.
     #[derive(Debug)]
@@ -66,13 +89,27 @@
     Ok(listener)
 }
 
+/// Binds the gateway's addresses.
+fn gateway_listeners(settings: &Settings) -> Result<GatewayListeners, ProcessError> {
+    let Some(gateway) = &settings.gateway else { return Ok(GatewayListeners::default()) };
+    Ok(GatewayListeners {
+        frontend: gateway.frontend.map(listen).transpose()?,
+        readiness: gateway.readiness.map(listen).transpose()?,
+        directory: gateway.directory.map(listen).transpose()?,
+        operators: gateway.operators.map(listen).transpose()?,
+    })
+}
+
 /// Runs the daemon to its end.
-pub fn run(settings: Settings) -> Result<(), ProcessError> {
+pub fn run(start: Start) -> Result<(), ProcessError> {
+    let Start { settings, settings_path, dialect } = start;
     crate::logging::init(&settings).map_err(setup)?;
     let metrics = Metrics::new().map_err(setup)?;
     let http_listener = listen(settings.http)?;
     let peer_listener = listen(settings.peer)?;
+    let gateway_listeners = gateway_listeners(&settings)?;
     let started = StartedControl::open(&settings, &metrics)?;
+    let member_id = started.member_id;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
@@ -83,22 +120,25 @@
     let shared = Arc::new(Shared::new(settings, wall_ms(), metrics, control));
     let http = reqwest::Client::builder().pool_max_idle_per_host(IDLE_CONNECTIONS).build().map_err(setup)?;
     let orders = OrderSender::new(shared.clone(), http.clone(), runtime.handle().clone());
-    let control_ended = start_control(&shared, messages, started, orders, runtime.handle())?;
-    runtime.block_on(serve(shared, http, http_listener, peer_listener, control_ended))
+    let group_orders =
+        GroupOrderSender::new(shared.clone(), dialect.clone(), http.clone(), runtime.handle().clone());
+    let control =
+        ControlThread::new(shared.clone(), messages, started, orders, group_orders, runtime.handle().clone());
+    let control_ended = start_control(control)?;
+    let listeners = Listeners { http: http_listener, peer: peer_listener, gateway: gateway_listeners };
+    runtime.block_on(async move {
+        if let Some(member_id) = member_id {
+            tokio::spawn(run_admission(shared.clone(), member_id));
+        }
+        tokio::spawn(run_settings_reader(shared.clone(), settings_path));
+        serve(shared, dialect, http, listeners, control_ended).await
+    })
 }
 
 /// Starts the control thread; the receiver shows how it ended.
 fn start_control(
-    shared: &Arc<Shared>,
-    messages: mpsc::Receiver<ControlMessage>,
-    mut started: StartedControl,
-    orders: OrderSender,
-    traffic: &tokio::runtime::Handle,
+    control: ControlThread,
 ) -> Result<watch::Receiver<Option<Result<(), String>>>, ProcessError> {
-    for (address, outbox) in std::mem::take(&mut started.to_send) {
-        traffic.spawn(run_outbox(shared.clone(), address, outbox));
-    }
-    let control = ControlThread::new(shared.clone(), messages, started, orders);
     let (ended, control_ended) = watch::channel(None);
     let run = move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
@@ -116,28 +156,29 @@
 
 async fn serve(
     shared: Arc<Shared>,
+    dialect: Arc<dyn Dialect>,
     http: reqwest::Client,
-    http_listener: TcpListener,
-    peer_listener: TcpListener,
+    listeners: Listeners,
     mut control_ended: watch::Receiver<Option<Result<(), String>>>,
 ) -> Result<(), ProcessError> {
     let reporter = Arc::new(Reporter::default());
     let traffic = Traffic::start(shared.clone(), reporter.clone(), http.clone());
     let engines = EngineClient::new(http.clone());
-    let peer_listener = tokio::net::TcpListener::from_std(peer_listener).map_err(setup)?;
+    let peer_listener = tokio::net::TcpListener::from_std(listeners.peer).map_err(setup)?;
     tokio::spawn(serve_peers(shared.clone(), traffic.clone(), peer_listener));
     tokio::spawn(run_lease_client(shared.clone()));
     tokio::spawn(run_machine_prober(shared.clone(), engines.clone(), reporter.clone()));
     tokio::spawn(run_replica_watcher(shared.clone(), traffic.clone(), engines, reporter.clone()));
     tokio::spawn(run_reporter(shared.clone(), reporter));
     tokio::spawn(run_platform_reader(shared.clone(), http));
+    let gateway = Gateway::start(shared.clone(), dialect, listeners.gateway).map_err(setup)?;
     let (stop, mut stopped) = watch::channel(false);
     let app = App { shared: shared.clone(), traffic };
-    let serving = tokio::spawn(serve_http(app, http_listener, async move {
+    let serving = tokio::spawn(serve_http(app, listeners.http, async move {
         let _ = stopped.wait_for(|stopped| *stopped).await;
     }));
     tokio::select! {
-        () = planned_stop(&shared) => {}
+        () = planned_stop(&shared, &gateway) => {}
         ended = control_ended.wait_for(Option::is_some) => {
             let message = match ended.as_deref() {
                 Ok(Some(Err(message))) => message.clone(),
@@ -154,7 +195,7 @@
 
 /// Waits for SIGTERM or SIGINT; then leaves the entry answers, finishes what is in flight, and lets every
 /// answer that names this daemon run out.
-async fn planned_stop(shared: &Arc<Shared>) {
+async fn planned_stop(shared: &Arc<Shared>, gateway: &Gateway) {
     use tokio::signal::unix::{SignalKind, signal};
     match signal(SignalKind::terminate()) {
         Ok(mut terminate) => {
@@ -171,6 +212,10 @@
     let subject = || Subject::new("daemon", &shared.settings.name);
     shared.set_leaving();
     shared.timeline.record(subject(), "StopBegun", "takes no new work", None, ResultCode::DaemonLeaving);
+    if let Some(settings) = &shared.settings.gateway {
+        stop_gateway(shared, gateway, settings).await;
+        return;
+    }
     let known = wait_until(LEAVE_LIMIT, || duties_moved(shared)).await;
     // Counted from here: until now, another daemon may have named this one.
     let lifetime_ends = monotonic_ms() + shared.settings.entry_lifetime.as_millis() as u64;
@@ -180,6 +225,29 @@
     shared.timeline.record(subject(), "StopEnded", &message, None, ResultCode::Ok);
 }
 
+/// Serves on while callers may still hold a directory answer that names this daemon, then ends connections as they
+/// come to rest.
+async fn stop_gateway(shared: &Shared, gateway: &Gateway, settings: &GatewaySettings) {
+    let began = tokio::time::Instant::now();
+    let ends_at = began + settings.stop_limit.saturating_sub(STOP_MARGIN);
+    let held_for = settings.answer_lifetime * ANSWERS_KEPT_LIFETIMES + Duration::from_millis(200);
+    if settings.frontend.is_some() {
+        tokio::time::sleep_until((began + held_for).min(ends_at)).await;
+    }
+    gateway.close_connections();
+    let idle = async {
+        while shared.in_flight() > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    let drained = tokio::time::timeout_at(ends_at, idle).await.is_ok();
+    // The last answers are with the system, but may not have left yet.
+    tokio::time::sleep(DRAIN_POLL).await;
+    let message = format!("nothing in flight: {drained}");
+    let subject = Subject::new("daemon", &shared.settings.name);
+    shared.timeline.record(subject, "StopEnded", &message, None, ResultCode::Ok);
+}
+
 /// Whether the control group knows of the stop, and others have this daemon's duties.
 fn duties_moved(shared: &Shared) -> bool {
     let tables = shared.tables();
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -24,7 +24,7 @@
 }
 
 fn check_voters(values: &Settings, line: &dyn Fn(&str) -> usize, problems: &mut Problems) {
-    if values.voters.is_empty() {
+    if values.voters.is_empty() && values.seeds.peers.is_empty() {
         problems.add(
             ResultCode::SettingsMissing,
             line("control"),
@@ -55,14 +55,15 @@
             problems.add(ResultCode::SettingsBadValue, at, &field, message);
         }
     }
-    if values.own_voter().is_some() && values.data_folder.is_none() {
+    if values.is_control_member() && values.data_folder.is_none() {
         let message = "this daemon is a voter and needs a data folder";
         problems.add(ResultCode::SettingsNoDataFolder, line("control"), "control.dataFolder", message);
     }
 }
 
 fn check_tokens(values: &Settings, problems: &mut Problems) {
-    if values.tokens.is_empty() {
+    // A gateway may be run without the resource API.
+    if values.tokens.is_empty() && values.gateway.is_none() {
         problems.add(ResultCode::SettingsMissing, 0, "tokens", "needs at least one token");
     }
     for (position, token) in values.tokens.iter().enumerate() {
--- /dev/null
+++ b/crates/daemon/src/settings/gateway.rs
@@ -0,0 +1,82 @@
+//! The gateway's part of the settings.
+
+use super::reader::{Problems, Section};
+use marked_yaml::Node;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
+const DEFAULT_STOP_LIMIT_MS: u64 = 8_000;
+const DEFAULT_BUDGET_PERCENT: u64 = 20;
+const DEFAULT_BUDGET_WINDOW_MS: u64 = 10_000;
+const DEFAULT_BUDGET_EXTRA: u64 = 50;
+
+/// Bounds on second sends over all daemons: within any window no more than a share of the requests, and some extra.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryBudgetSettings {
+    /// Second sends for a hundred requests.
+    pub percent: u64,
+    /// The window.
+    pub window: Duration,
+    /// Second sends beyond the share, within one window.
+    pub extra: u64,
+}
+
+/// Where a daemon takes the gateway's callers, and within which bounds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Takes callers' requests.
+    pub frontend: Option<SocketAddr>,
+    /// Answers whether this daemon takes new work.
+    pub readiness: Option<SocketAddr>,
+    /// Tells callers which addresses to use.
+    pub directory: Option<SocketAddr>,
+    /// Takes operators' calls and servers' reports.
+    pub operators: Option<SocketAddr>,
+    /// How long callers may keep the directory's answer.
+    pub answer_lifetime: Duration,
+    /// How long a planned stop may take.
+    pub stop_limit: Duration,
+    /// Bounds on second sends.
+    pub retry_budget: RetryBudgetSettings,
+}
+
+pub(super) fn read_gateway(node: &Node, problems: &mut Problems) -> Option<GatewaySettings> {
+    let known =
+        ["frontend", "readiness", "directory", "operators", "answerLifetimeMs", "stopLimitMs", "retryBudget"];
+    let section = Section::new(node, "gateway", &known, problems)?;
+    let address = |key: &str, problems: &mut Problems| match section.optional(key) {
+        None => Some(None),
+        Some(_) => section.address(key, problems).map(|found| Some(found.value)),
+    };
+    let frontend = address("frontend", problems);
+    let readiness = address("readiness", problems);
+    let directory = address("directory", problems);
+    let operators = address("operators", problems);
+    let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
+    let stop_limit = section.number("stopLimitMs", DEFAULT_STOP_LIMIT_MS, (1_000, 3_600_000), problems);
+    let retry_budget = read_retry_budget(section.optional("retryBudget"), problems);
+    Some(GatewaySettings {
+        frontend: frontend?,
+        readiness: readiness?,
+        directory: directory?,
+        operators: operators?,
+        answer_lifetime: Duration::from_millis(lifetime?),
+        stop_limit: Duration::from_millis(stop_limit?),
+        retry_budget: retry_budget?,
+    })
+}
+
+fn read_retry_budget(node: Option<&Node>, problems: &mut Problems) -> Option<RetryBudgetSettings> {
+    let defaults = RetryBudgetSettings {
+        percent: DEFAULT_BUDGET_PERCENT,
+        window: Duration::from_millis(DEFAULT_BUDGET_WINDOW_MS),
+        extra: DEFAULT_BUDGET_EXTRA,
+    };
+    let Some(node) = node else { return Some(defaults) };
+    let section = Section::new(node, "gateway.retryBudget", &["ratio", "windowSeconds", "extra"], problems)?;
+    let percent = section.percentage("ratio", defaults.percent, problems);
+    let window = section.number("windowSeconds", DEFAULT_BUDGET_WINDOW_MS / 1_000, (1, 3_600), problems);
+    let extra = section.number("extra", defaults.extra, (0, 1_000_000), problems);
+    Some(RetryBudgetSettings { percent: percent?, window: Duration::from_secs(window?), extra: extra? })
+}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,9 +1,13 @@
 //! Settings of a daemon: read from YAML and checked whole, every fault with its number, line and field.
 
 mod check;
+mod gateway;
 mod reader;
+mod reload;
 
+pub use gateway::{GatewaySettings, RetryBudgetSettings};
 pub use reader::{Problem, Problems};
+pub use reload::run_settings_reader;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -40,6 +44,17 @@
     pub digest: String,
 }
 
+/// How a daemon finds the control group where the settings list no voters.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SeedSettings {
+    /// Peer addresses of members of the control group.
+    pub peers: Vec<SocketAddr>,
+    /// The group begins now, and the seeds are its first members.
+    pub founding: bool,
+    /// This daemon is a member, or waits to become one.
+    pub member: bool,
+}
+
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -55,6 +70,10 @@
     pub peer: SocketAddr,
     /// The control group.
     pub voters: Vec<Voter>,
+    /// How the group is found, where there is no fixed list of voters.
+    pub seeds: SeedSettings,
+    /// The gateway, if this daemon takes part in it.
+    pub gateway: Option<GatewaySettings>,
     /// Where a voter keeps its state.
     pub data_folder: Option<PathBuf>,
     /// Operators' tokens.
@@ -89,6 +108,17 @@
         }
     }
 
+    /// Whether this daemon holds the replicated log.
+    pub fn is_control_member(&self) -> bool {
+        self.seeds.member || self.own_voter().is_some()
+    }
+
+    /// Peer addresses at which the control group can be asked for.
+    pub fn control_peers(&self) -> Vec<SocketAddr> {
+        let listed = self.voters.iter().map(|voter| voter.peer);
+        listed.chain(self.seeds.peers.iter().copied()).collect()
+    }
+
     /// This daemon's entry among the voters.
     pub fn own_voter(&self) -> Option<&Voter> {
         self.voters.iter().find(|voter| voter.name == self.name)
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -1,13 +1,14 @@
 //! Reads settings with the line of every value, gathering problems instead of stopping at the first.
 
-use super::{OperatorRole, OperatorToken, Settings, Voter};
+use super::gateway::read_gateway;
+use super::{OperatorRole, OperatorToken, SeedSettings, Settings, Voter};
 use dockwood_api::ResultCode;
 use dockwood_api::digest::secret_digest;
 use dockwood_api::resource::is_valid_name;
 use marked_yaml::{LoadError, Marker, Node, Span};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -73,11 +74,13 @@
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
+/// Ports that one process takes from a range: for other daemons, and for operators.
+const PORTS_OF_A_SLOT: u64 = 2;
 const LOG_LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
 
 /// A value with its line and path.
-struct Located<T> {
-    value: T,
+pub(super) struct Located<T> {
+    pub(super) value: T,
     line: usize,
     path: String,
 }
@@ -87,7 +90,7 @@
 }
 
 /// One mapping, being read.
-struct Section<'a> {
+pub(super) struct Section<'a> {
     path: String,
     line: usize,
     fields: Vec<(&'a str, &'a Node)>,
@@ -95,7 +98,12 @@
 
 impl<'a> Section<'a> {
     /// Takes a mapping and complains of every key that is not `known`.
-    fn new(node: &'a Node, path: &str, known: &[&str], problems: &mut Problems) -> Option<Section<'a>> {
+    pub(super) fn new(
+        node: &'a Node,
+        path: &str,
+        known: &[&str],
+        problems: &mut Problems,
+    ) -> Option<Section<'a>> {
         let line = line_of(node.span());
         let Some(mapping) = node.as_mapping() else {
             problems.add(ResultCode::SettingsBadValue, line, path, "must be a mapping");
@@ -118,7 +126,7 @@
         if self.path.is_empty() { key.to_string() } else { format!("{}.{key}", self.path) }
     }
 
-    fn optional(&self, key: &str) -> Option<&'a Node> {
+    pub(super) fn optional(&self, key: &str) -> Option<&'a Node> {
         self.fields.iter().find(|(name, _)| *name == key).map(|(_, node)| *node)
     }
 
@@ -161,7 +169,7 @@
         self.parse(key, node, problems, ResultCode::SettingsBadValue, expected, parse)
     }
 
-    fn address(&self, key: &str, problems: &mut Problems) -> Option<Located<SocketAddr>> {
+    pub(super) fn address(&self, key: &str, problems: &mut Problems) -> Option<Located<SocketAddr>> {
         let node = self.required(key, problems)?;
         let parse = |text: &str| text.parse::<SocketAddr>().ok().filter(|address| address.port() != 0);
         self.parse(
@@ -174,7 +182,32 @@
         )
     }
 
-    fn number(&self, key: &str, default: u64, allowed: (u64, u64), problems: &mut Problems) -> Option<u64> {
+    /// A share from 0 to 1, in whole hundredths.
+    pub(super) fn percentage(&self, key: &str, default: u64, problems: &mut Problems) -> Option<u64> {
+        let Some(node) = self.optional(key) else { return Some(default) };
+        let parse = |text: &str| {
+            let share = text.parse::<f64>().ok().filter(|share| (0.0..=1.0).contains(share));
+            share.map(|share| (share * 100.0).floor() as u64)
+        };
+        let expected = "a share from 0 to 1";
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, expected, parse)
+            .map(|found| found.value)
+    }
+
+    fn flag(&self, key: &str, problems: &mut Problems) -> Option<bool> {
+        let Some(node) = self.optional(key) else { return Some(false) };
+        let parse = |text: &str| text.parse::<bool>().ok();
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, "true or false", parse)
+            .map(|found| found.value)
+    }
+
+    pub(super) fn number(
+        &self,
+        key: &str,
+        default: u64,
+        allowed: (u64, u64),
+        problems: &mut Problems,
+    ) -> Option<u64> {
         let Some(node) = self.optional(key) else { return Some(default) };
         let (least, most) = allowed;
         let parse = |text: &str| text.parse::<u64>().ok().filter(|number| (least..=most).contains(number));
@@ -229,7 +262,8 @@
 }
 
 fn read_document(node: &Node, problems: &mut Problems) -> Option<LocatedSettings> {
-    let known = ["name", "region", "zone", "listen", "control", "tokens", "platform", "traffic", "log"];
+    let known =
+        ["name", "region", "zone", "listen", "control", "tokens", "platform", "traffic", "log", "gateway"];
     let top = Section::new(node, "", &known, problems)?;
     let mut lines = BTreeMap::new();
     let name = top.name("name", problems);
@@ -237,7 +271,14 @@
     let zone = top.name("zone", problems);
     let listen = top.required("listen", problems).and_then(|node| read_listen(node, problems));
     let control = top.required("control", problems).and_then(|node| read_control(node, &mut lines, problems));
-    let tokens = top.required("tokens", problems).map(|node| read_tokens(&top, node, problems));
+    let gateway = match top.optional("gateway") {
+        None => Some(None),
+        Some(node) => read_gateway(node, problems).map(Some),
+    };
+    let tokens = match top.optional("tokens") {
+        None if top.optional("gateway").is_some() => Some(Vec::new()),
+        _ => top.required("tokens", problems).map(|node| read_tokens(&top, node, problems)),
+    };
     let platform = match top.optional("platform") {
         None => Some(None),
         Some(_) => top.address("platform", problems).map(|found| Some(found.value)),
@@ -257,6 +298,8 @@
         http: listen.http.value,
         peer: listen.peer.value,
         voters: control.voters,
+        seeds: control.seeds,
+        gateway: gateway?,
         data_folder: control.data_folder,
         tokens: tokens?,
         platform: platform?,
@@ -276,13 +319,41 @@
 }
 
 fn read_listen(node: &Node, problems: &mut Problems) -> Option<Listen> {
-    let section = Section::new(node, "listen", &["http", "peer"], problems)?;
+    let section = Section::new(node, "listen", &["http", "peer", "ip", "ports", "slot"], problems)?;
+    if section.optional("ports").is_some() {
+        return read_listen_range(&section, problems);
+    }
     let http = section.address("http", problems);
     let peer = section.address("peer", problems);
     Some(Listen { http: http?, peer: peer? })
 }
 
+/// Addresses by a range of free ports: each process of a machine has a slot of its own, with two ports.
+fn read_listen_range(section: &Section<'_>, problems: &mut Problems) -> Option<Listen> {
+    let ip_node = section.required("ip", problems)?;
+    let parse = |text: &str| text.parse::<IpAddr>().ok();
+    let ip = section.parse("ip", ip_node, problems, ResultCode::SettingsBadAddress, "an IP number", parse)?;
+    let range = section.required("ports", problems)?;
+    let ports = Section::new(range, "listen.ports", &["first", "last"], problems)?;
+    let first = ports.number("first", 0, (1, 65_535), problems)?;
+    let last = ports.number("last", 65_535, (1, 65_535), problems)?;
+    let slot = section.number("slot", 0, (0, 1_000), problems)?;
+    let (peer, http) = (first + slot * PORTS_OF_A_SLOT, first + slot * PORTS_OF_A_SLOT + 1);
+    if http > last {
+        let message = format!("slot {slot} needs port {http}, and the last one is {last}");
+        problems.add(ResultCode::SettingsBadValue, section.line, &section.path_of("slot"), message);
+        return None;
+    }
+    let located = |name: &str, port: u64| Located {
+        value: SocketAddr::new(ip.value, port as u16),
+        line: ip.line,
+        path: section.path_of(name),
+    };
+    Some(Listen { http: located("http", http), peer: located("peer", peer) })
+}
+
 struct Control {
+    seeds: SeedSettings,
     voters: Vec<Voter>,
     data_folder: Option<PathBuf>,
 }
@@ -292,8 +363,13 @@
     lines: &mut BTreeMap<String, usize>,
     problems: &mut Problems,
 ) -> Option<Control> {
-    let section = Section::new(node, "control", &["voters", "dataFolder"], problems)?;
-    let voters_node = section.required("voters", problems);
+    let known = ["voters", "dataFolder", "seeds", "seedPeerPort", "founding", "member"];
+    let section = Section::new(node, "control", &known, problems)?;
+    let seeds = read_seeds(&section, problems);
+    let voters_node = match section.optional("seeds") {
+        Some(_) => section.optional("voters"),
+        None => section.required("voters", problems),
+    };
     let items = voters_node.map(|node| section.items("voters", node, problems)).unwrap_or_default();
     let mut voters = Vec::new();
     for (path, item) in items {
@@ -312,7 +388,27 @@
         None => None,
         Some(_) => Some(PathBuf::from(section.text("dataFolder", problems)?.value)),
     };
-    Some(Control { voters, data_folder })
+    Some(Control { voters, seeds: seeds?, data_folder })
+}
+
+/// Members of the control group by any address of theirs; daemons talk to each other at `seedPeerPort`.
+fn read_seeds(section: &Section<'_>, problems: &mut Problems) -> Option<SeedSettings> {
+    let Some(node) = section.optional("seeds") else { return Some(SeedSettings::default()) };
+    let port = section.number("seedPeerPort", 0, (1, 65_535), problems)? as u16;
+    let mut peers = Vec::new();
+    for (path, item) in section.items("seeds", node, problems) {
+        let address = item.as_scalar().and_then(|scalar| scalar.as_str().parse::<SocketAddr>().ok());
+        match address {
+            Some(address) => peers.push(SocketAddr::new(address.ip(), port)),
+            None => {
+                let message = "must be an address of the form IP:PORT";
+                problems.add(ResultCode::SettingsBadAddress, line_of(item.span()), &path, message);
+            }
+        }
+    }
+    let founding = section.flag("founding", problems)?;
+    let member = section.flag("member", problems)?;
+    Some(SeedSettings { peers, founding, member })
 }
 
 fn read_tokens(top: &Section<'_>, node: &Node, problems: &mut Problems) -> Vec<OperatorToken> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -43,6 +43,8 @@
     lease_until: AtomicU64,
     leader: Mutex<Option<SocketAddr>>,
     leader_term: watch::Sender<u64>,
+    seeds: ArcSwap<Vec<SocketAddr>>,
+    hears_control_leader: AtomicBool,
     leaving: AtomicBool,
     leaving_begun: Notify,
     in_flight: AtomicU32,
@@ -72,6 +74,8 @@
             lease_until: AtomicU64::new(0),
             leader: Mutex::new(None),
             leader_term: watch::channel(0).0,
+            seeds: ArcSwap::default(),
+            hears_control_leader: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             leaving_begun: Notify::new(),
             in_flight: AtomicU32::new(0),
@@ -90,6 +94,8 @@
             peer: self.settings.peer,
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
+            frontend: self.settings.gateway.as_ref().and_then(|gateway| gateway.frontend),
+            operators: self.settings.gateway.as_ref().and_then(|gateway| gateway.operators),
         }
     }
 
@@ -148,6 +154,33 @@
         self.holds_lease() || serves_on()
     }
 
+    /// Peer addresses at which the control group can be asked for: by the settings, and as learnt since.
+    pub fn control_peers(&self) -> Vec<SocketAddr> {
+        let mut peers = self.settings.control_peers();
+        peers.extend(self.seeds.load().iter().copied());
+        let tables = self.tables();
+        let members = tables.daemons.values().filter(|daemon| daemon.record.operators.is_some());
+        peers.extend(members.map(|daemon| daemon.record.peer));
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+    }
+
+    /// Takes seeds from settings that have changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds.store(Arc::new(seeds));
+    }
+
+    /// Notes whether this member of the control group knows a leader.
+    pub fn set_hears_control_leader(&self, hears: bool) {
+        self.hears_control_leader.store(hears, Ordering::SeqCst);
+    }
+
+    /// Whether this member of the control group knows a leader.
+    pub fn hears_control_leader(&self) -> bool {
+        self.hears_control_leader.load(Ordering::SeqCst)
+    }
+
     /// The control leader's peer address, where known.
     pub fn leader(&self) -> Option<SocketAddr> {
         *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
--- /dev/null
+++ b/crates/grouping/src/lib.rs
@@ -0,0 +1,33 @@
+//! Which servers form which groups, when a group opens, and when it is closed and its servers are free again.
+//!
+//! Pure decisions: each file looks at the replicated tables and at what the control leader has observed, and returns
+//! commands with their reasons, or orders to send. Nothing here sends, waits or stores.
+//!
+//! Invariants that the decisions keep: a group opens only once every member has reported itself ready under the
+//! group's name and epoch; a member is free again only once the head surely doesn't serve any more.
+
+mod forming;
+mod lifecycle;
+mod observations;
+mod orders;
+
+pub use forming::form_groups;
+pub use lifecycle::{advance_groups, reap_instances};
+pub use observations::{InstanceObservation, Observations, ProbeResult};
+pub use orders::{OrderBook, OrderKind};
+
+/// Monotonic milliseconds.
+pub type Millis = u64;
+
+use dockwood_state::GatewayTables;
+
+/// What the decisions look at.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Replicated tables.
+    pub tables: &'a GatewayTables,
+    /// What the leader has observed.
+    pub observations: &'a Observations,
+    /// The leader's clock.
+    pub now: Millis,
+}
--- /dev/null
+++ b/crates/grouping/src/lifecycle.rs
@@ -0,0 +1,160 @@
+//! Takes groups from phase to phase, and forgets instances that are gone.
+
+use crate::{Millis, View};
+use dockwood_api::gateway::{InstanceState, MembershipState};
+use dockwood_state::{GatewayCommand, GroupPhase, GroupRow};
+
+/// A group whose head can't be asked is surely broken after this long: servers stop waiting for a lost member
+/// earlier.
+const SURELY_BROKEN_MS: Millis = 8_000;
+/// A group without requests is closed once a member has been missing this long, on top of counting as missing.
+const IDLE_PATIENCE_MS: Millis = 2_000;
+/// Progress this recent shows that all members are alive, whatever their reports say.
+const PROGRESS_SPAN_MS: Millis = 1_000;
+/// An instance that has not reported for this long, and is in no group, is forgotten.
+const FORGET_AFTER_MS: Millis = 20_000;
+/// A signed-off instance may still be finishing requests for this long.
+const SIGNED_OFF_MS: Millis = 8_000;
+
+/// What is wrong with a group, if anything.
+enum Trouble {
+    /// A member is gone; nothing moves.
+    Lost(String),
+    /// A member is leaving; running requests can be finished.
+    Leaving(String),
+}
+
+/// Phases that groups should go to.
+pub fn advance_groups(view: &View<'_>, closing_since: impl Fn(u64) -> Millis) -> Vec<GatewayCommand> {
+    let next = |group: &GroupRow| advance(view, group, closing_since(group.epoch));
+    view.tables.groups.values().filter_map(|group| next(group)).collect()
+}
+
+fn advance(view: &View<'_>, group: &GroupRow, closing_since: Millis) -> Option<GatewayCommand> {
+    let phase = |phase, reason: &str| {
+        Some(GatewayCommand::SetPhase { epoch: group.epoch, phase, reason: reason.to_string() })
+    };
+    let end = |reason: &str| Some(GatewayCommand::End { epoch: group.epoch, reason: reason.to_string() });
+    match group.phase {
+        GroupPhase::Forming => match trouble(view, group) {
+            Some(Trouble::Lost(why) | Trouble::Leaving(why)) => end(&why),
+            None if all_ready(view, group) => phase(GroupPhase::Opening, "all members are ready"),
+            None => None,
+        },
+        GroupPhase::Opening => match trouble(view, group) {
+            Some(Trouble::Lost(why) | Trouble::Leaving(why)) => phase(GroupPhase::Cutting, &why),
+            None if head_state(view, group) == Some(MembershipState::Open) => {
+                phase(GroupPhase::Open, "the head is open")
+            }
+            None => None,
+        },
+        GroupPhase::Open => match trouble(view, group) {
+            Some(Trouble::Lost(why)) => phase(GroupPhase::Cutting, &why),
+            Some(Trouble::Leaving(why)) => phase(GroupPhase::Draining, &why),
+            None => None,
+        },
+        GroupPhase::Draining => {
+            if let Some(why) = surely_closed(view, group, closing_since) {
+                return end(why);
+            }
+            match trouble(view, group) {
+                Some(Trouble::Lost(why)) => phase(GroupPhase::Cutting, &why),
+                _ => None,
+            }
+        }
+        GroupPhase::Cutting => surely_closed(view, group, closing_since).and_then(end),
+    }
+}
+
+fn trouble(view: &View<'_>, group: &GroupRow) -> Option<Trouble> {
+    if head_state(view, group) == Some(MembershipState::Broken) {
+        return Some(Trouble::Lost("the head reports the group as broken".to_string()));
+    }
+    let mut leaving = None;
+    for member in &group.members {
+        let Some(row) = view.tables.instances.get(member) else {
+            return Some(Trouble::Lost(format!("{member} is gone")));
+        };
+        if !view.observations.is_present(view.now, member) && counts_as_lost(view, group, member) {
+            return Some(Trouble::Lost(format!("{member} is silent")));
+        }
+        if row.state == InstanceState::Draining {
+            leaving = Some(Trouble::Leaving(format!("{member} is leaving")));
+        }
+    }
+    leaving
+}
+
+/// A member that is missing here may still be working where entries reach it: only a group that shows no progress
+/// is given up.
+fn counts_as_lost(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
+    let serves = matches!(group.phase, GroupPhase::Open | GroupPhase::Draining);
+    if !serves {
+        return true;
+    }
+    if view.observations.is_silent(view.now, group.epoch) {
+        return true;
+    }
+    let busy = view.observations.in_flight(group.epoch) > 0;
+    let progressing = view.observations.progressed_within(view.now, group.epoch, PROGRESS_SPAN_MS);
+    let Some(seen) = view.observations.instance(member) else { return !busy };
+    let overdue = view.now >= seen.reported_at + SURELY_BROKEN_MS + IDLE_PATIENCE_MS;
+    !busy && !progressing && overdue
+}
+
+fn all_ready(view: &View<'_>, group: &GroupRow) -> bool {
+    group.members.iter().all(|member| {
+        let membership = view.observations.instance(member).and_then(|seen| seen.membership.as_ref());
+        membership.is_some_and(|membership| {
+            membership.epoch == group.epoch
+                && membership.group == group.name
+                && matches!(membership.state, MembershipState::Ready | MembershipState::Open)
+        })
+    })
+}
+
+/// The head's own word on this group, if its newest report is on it.
+fn head_state(view: &View<'_>, group: &GroupRow) -> Option<MembershipState> {
+    let head = view.observations.instance(group.members.first()?)?;
+    let membership = head.membership.as_ref()?;
+    (membership.epoch == group.epoch).then_some(membership.state)
+}
+
+/// Why the head surely doesn't serve this group any more, if so.
+fn surely_closed(view: &View<'_>, group: &GroupRow, closing_since: Millis) -> Option<&'static str> {
+    let head = group.members.first()?;
+    if !view.tables.instances.contains_key(head) || view.observations.head_has_ended(head, group.epoch) {
+        return Some("the head has ended");
+    }
+    if view.now >= closing_since + SURELY_BROKEN_MS && !view.observations.is_present(view.now, head) {
+        return Some("the head has been silent for longer than a group can stand still");
+    }
+    let seen = view.observations.instance(head)?;
+    // Only a report that came after the order to close tells of it.
+    if seen.reported_at <= closing_since {
+        return None;
+    }
+    match &seen.membership {
+        None => Some("the head is in no group"),
+        Some(membership) if membership.epoch != group.epoch => Some("the head is in another group"),
+        Some(membership) => match membership.state {
+            MembershipState::Ready => Some("the head has closed"),
+            MembershipState::Broken => Some("the head reports the group as broken"),
+            MembershipState::Joining | MembershipState::Open | MembershipState::Closing => None,
+        },
+    }
+}
+
+/// Instances to forget.
+pub fn reap_instances(view: &View<'_>) -> Vec<GatewayCommand> {
+    let is_gone = |id: &str| {
+        if view.tables.group_of(id).is_some() {
+            return false;
+        }
+        let Some(seen) = view.observations.instance(id) else { return false };
+        let limit = if view.tables.was_removed(id) { SIGNED_OFF_MS } else { FORGET_AFTER_MS };
+        view.now >= seen.reported_at + limit
+    };
+    let gone = view.tables.instances.keys().filter(|id| is_gone(id));
+    gone.map(|id| GatewayCommand::Remove { id: id.clone() }).collect()
+}
--- /dev/null
+++ b/crates/grouping/src/observations.rs
@@ -0,0 +1,204 @@
+//! What the control leader has seen of instances and groups; local to it, and gathered anew by each leader.
+
+use crate::Millis;
+use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, MembershipReport, SharedGroupLoad};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// An instance that has not reported for this long counts as missing.
+const MISSING_AFTER_MS: Millis = 4_000;
+/// An entry's load report counts for this long.
+const LOAD_VALID_MS: Millis = 1_500;
+/// A group's silence counts for this long after an entry last told of it.
+const SILENCE_VALID_MS: Millis = 1_500;
+
+/// What came of asking an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ProbeResult {
+    /// It answered as the instance that was meant.
+    Answered,
+    /// The connection was refused.
+    Refused,
+    /// No answer in time.
+    Silent,
+}
+
+/// One instance as seen.
+#[derive(Clone, Debug, Default)]
+pub struct InstanceObservation {
+    /// When it last reported.
+    pub reported_at: Millis,
+    /// Sequence of the newest report.
+    pub sequence: u64,
+    /// Its word on its group.
+    pub membership: Option<MembershipReport>,
+    /// Models whose weights its host keeps.
+    pub staged: Vec<String>,
+    /// It refused this leader's connection, and has not reported since. That alone doesn't show that it ended: a
+    /// cut network may answer for it.
+    pub refused: bool,
+    /// It did not answer a probe, and has not reported since.
+    pub silent_since: Option<Millis>,
+}
+
+/// One entry's newest load report.
+#[derive(Clone, Debug)]
+struct EntryLoad {
+    at: Millis,
+    report: LoadReport,
+}
+
+/// One group as seen by the entries.
+#[derive(Clone, Copy, Debug, Default)]
+struct GroupEvidence {
+    silent_at: Option<Millis>,
+    refused_at: Option<Millis>,
+    progressed_at: Option<Millis>,
+    probed_at: Option<Millis>,
+}
+
+/// All that the leader has observed.
+#[derive(Clone, Debug, Default)]
+pub struct Observations {
+    instances: BTreeMap<String, InstanceObservation>,
+    loads: BTreeMap<String, EntryLoad>,
+    groups: BTreeMap<u64, GroupEvidence>,
+    /// When an instance was first seen, for the newest one.
+    pub newest_instance_at: Millis,
+    /// Whether any entry has told of a request yet.
+    pub traffic_seen: bool,
+}
+
+impl Observations {
+    /// Takes an instance's report. False if a newer one was seen.
+    pub fn record_report(&mut self, now: Millis, report: &InstanceReport) -> bool {
+        let known = self.instances.contains_key(&report.id);
+        if !known {
+            self.newest_instance_at = now;
+        }
+        let seen = self.instances.entry(report.id.clone()).or_default();
+        let is_newer = !known || report.sequence > seen.sequence;
+        seen.reported_at = now;
+        seen.silent_since = None;
+        seen.refused = false;
+        if is_newer {
+            seen.sequence = report.sequence;
+            seen.membership = report.membership.clone();
+            seen.staged = report.staged.clone();
+        }
+        is_newer
+    }
+
+    /// Takes the result of a probe.
+    pub fn record_probe(&mut self, now: Millis, instance: &str, result: ProbeResult) {
+        let Some(seen) = self.instances.get_mut(instance) else { return };
+        match result {
+            ProbeResult::Answered => seen.silent_since = None,
+            ProbeResult::Refused | ProbeResult::Silent => {
+                seen.refused |= result == ProbeResult::Refused;
+                seen.silent_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Takes an entry's load, and tells it the others'.
+    pub fn exchange(&mut self, now: Millis, report: LoadReport) -> LoadDigest {
+        for load in &report.groups {
+            let evidence = self.groups.entry(load.epoch).or_default();
+            if load.silent {
+                evidence.silent_at = Some(now);
+            }
+            if load.refuses {
+                evidence.refused_at = Some(now);
+            }
+            if load.progressed {
+                evidence.progressed_at = Some(now);
+            }
+            self.traffic_seen |= load.in_flight > 0;
+        }
+        let daemon = report.daemon.clone();
+        self.loads.insert(daemon.clone(), EntryLoad { at: now, report });
+        self.loads.retain(|_, load| now < load.at + LOAD_VALID_MS);
+        self.digest_for(now, &daemon)
+    }
+
+    fn digest_for(&self, now: Millis, daemon: &str) -> LoadDigest {
+        let mut others: BTreeMap<u64, u32> = BTreeMap::new();
+        for (name, load) in &self.loads {
+            for group in &load.report.groups {
+                let counted = if name == daemon { 0 } else { group.in_flight };
+                *others.entry(group.epoch).or_default() += counted;
+            }
+        }
+        let shared = |(epoch, others_in_flight): (&u64, &u32)| SharedGroupLoad {
+            epoch: *epoch,
+            others_in_flight: *others_in_flight,
+            suspected: self.is_silent(now, *epoch),
+        };
+        LoadDigest { groups: others.iter().map(shared).collect(), entries: self.loads.len() as u32 }
+    }
+
+    /// What was seen of an instance.
+    pub fn instance(&self, id: &str) -> Option<&InstanceObservation> {
+        self.instances.get(id)
+    }
+
+    /// Whether an instance surely takes part: it reported lately, and no probe failed since.
+    pub fn is_present(&self, now: Millis, id: &str) -> bool {
+        self.instances
+            .get(id)
+            .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
+    }
+
+    /// Whether a group's head has surely ended: it refuses both this leader's connections and the entries'.
+    pub fn head_has_ended(&self, head: &str, epoch: u64) -> bool {
+        let refuses_entries = self.groups.get(&epoch).is_some_and(|evidence| evidence.refused_at.is_some());
+        refuses_entries && self.instances.get(head).is_some_and(|seen| seen.refused)
+    }
+
+    /// Whether entries find a group to stand still.
+    pub fn is_silent(&self, now: Millis, epoch: u64) -> bool {
+        let Some(evidence) = self.groups.get(&epoch) else { return false };
+        let Some(silent_at) = evidence.silent_at.max(evidence.refused_at) else { return false };
+        let progressed_since = evidence.progressed_at.is_some_and(|at| at > silent_at);
+        now < silent_at + SILENCE_VALID_MS && !progressed_since
+    }
+
+    /// Whether an entry told of progress at a group within `span`.
+    pub fn progressed_within(&self, now: Millis, epoch: u64, span: Millis) -> bool {
+        let progressed_at = self.groups.get(&epoch).and_then(|evidence| evidence.progressed_at);
+        progressed_at.is_some_and(|at| now < at + span)
+    }
+
+    /// Requests in flight at a group, over all entries.
+    pub fn in_flight(&self, epoch: u64) -> u32 {
+        let at_group = |load: &EntryLoad| {
+            let groups = load.report.groups.iter().filter(|group| group.epoch == epoch);
+            groups.map(|group| group.in_flight).sum::<u32>()
+        };
+        self.loads.values().map(at_group).sum()
+    }
+
+    /// Whether the members of a silent group should be asked now; true at most once in `pause`.
+    pub fn claim_probe(&mut self, now: Millis, epoch: u64, pause: Millis) -> bool {
+        let evidence = self.groups.entry(epoch).or_default();
+        let due = evidence.probed_at.is_none_or(|at| now >= at + pause);
+        if due {
+            evidence.probed_at = Some(now);
+        }
+        due
+    }
+
+    /// A new leader has seen nobody yet: everybody gets the time of one report to be seen.
+    pub fn assume_present(&mut self, now: Millis, ids: impl Iterator<Item = String>) {
+        for id in ids {
+            let seen = self.instances.entry(id).or_default();
+            seen.reported_at = seen.reported_at.max(now);
+        }
+    }
+
+    /// Forgets instances and groups that exist no more.
+    pub fn retain(&mut self, instances: &BTreeSet<String>, epochs: &BTreeSet<u64>) {
+        self.instances.retain(|id, _| instances.contains(id));
+        self.groups.retain(|epoch, _| epochs.contains(epoch));
+    }
+}
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -44,6 +44,8 @@
                 peer: address,
                 zone: format!("z-{name}"),
                 region: String::new(),
+                frontend: None,
+                operators: None,
             };
             world.apply(CommandBody::JoinDaemon { record, incarnation: 1 });
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod coordinator;
 mod entry;
 mod gate;
+pub mod gateway;
 mod prefix;
 mod retry;
 mod service;
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -73,6 +73,7 @@
             let content = match &entry.payload {
                 Payload::Empty => entry.term,
                 Payload::Command(bytes) => content_digest(bytes) ^ entry.term,
+                Payload::Voters(voters) => content_digest(format!("{voters:?}").as_bytes()) ^ entry.term,
             };
             let known = *self.log.entry(entry.index).or_insert(content);
             if known != content {
--- a/crates/simulation/src/disk.rs
+++ b/crates/simulation/src/disk.rs
@@ -51,7 +51,9 @@
         let (snapshot_index, snapshot_term) =
             self.snapshot.as_ref().map_or((0, 0), |(index, term, _)| (*index, *term));
         let entries = self.entries.iter().filter(|entry| entry.index > snapshot_index).cloned().collect();
-        let recovered = Recovered { hard_state: self.hard_state, snapshot_index, snapshot_term, entries };
+        let voters = (!state.voters.is_empty()).then(|| dockwood_control::voters_of(&state));
+        let hard_state = self.hard_state;
+        let recovered = Recovered { hard_state, snapshot_index, snapshot_term, entries, voters };
         (state, recovered)
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -93,6 +93,8 @@
                     peer: peer_address(index),
                     zone: format!("z{}", index % 3),
                     region: "r".to_string(),
+                    frontend: None,
+                    operators: None,
                 };
                 let voter = (index < VOTERS).then_some(index as u64 + 1);
                 // Clocks begin anywhere and drift by up to a hundredth.
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,11 +1,13 @@
 //! Commands of the replicated log and their outcomes.
 
 use crate::claim::{ClaimRequest, ClaimSettlement, ClaimVerdict};
+use crate::gateway::GatewayCommand;
 use crate::tables::Liveness;
 use dockwood_api::ApiError;
 use dockwood_api::peer::DaemonRecord;
 use dockwood_api::resource::{Resource, ResourceKey};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// One entry's worth of change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -105,6 +107,8 @@
         /// The daemon that gathers evidence.
         watcher: Option<String>,
     },
+    /// A change of the gateway's tables.
+    Gateway(GatewayCommand),
     /// Claims on request ids, held by voters only.
     Claim(Vec<ClaimRequest>),
     /// What became of claimed requests.
@@ -118,6 +122,19 @@
     }
 }
 
+impl Command {
+    /// The command as other daemons than the control group's members need it.
+    pub fn for_followers(&self) -> Command {
+        let body = match &self.body {
+            CommandBody::Gateway(GatewayCommand::Configure(configuration)) => {
+                CommandBody::Gateway(GatewayCommand::Configure(Arc::new(configuration.without_document())))
+            }
+            other => other.clone(),
+        };
+        Command { at_ms: self.at_ms, body }
+    }
+}
+
 /// An operator's change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ChangeRequest {
