--- /dev/null
+++ b/crates/state/src/gateway.rs
@@ -0,0 +1,294 @@
+//! The gateway's replicated tables: configuration, registered instances, and groups of instances.
+//!
+//! Invariants, kept here whatever a controller asks: the configuration's version never falls; an instance that was
+//! removed never returns; an instance belongs to at most one group.
+
+use crate::machine::Applied;
+use dockwood_api::ResultCode;
+use dockwood_api::gateway::{GatewayConfiguration, InstanceReport, InstanceState};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Ids of removed instances that are kept, so that a late report can't bring one back.
+const REMOVED_KEPT: usize = 4_096;
+
+/// A registered instance, as far as routing needs it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRow {
+    /// Identifies one start of a server.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: InstanceState,
+    /// Fabric domain, for a model server.
+    pub domain: Option<String>,
+}
+
+/// Where a group stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum GroupPhase {
+    /// Members are loading.
+    Forming,
+    /// All members are ready; the head is being told to open.
+    Opening,
+    /// It serves.
+    Open,
+    /// The head is being told to close; running requests are finished.
+    Draining,
+    /// The head is being told to close; running requests are cut off.
+    Cutting,
+}
+
+/// Instances that serve a model together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRow {
+    /// Unique over all time; grows.
+    pub epoch: u64,
+    /// Name, as told to the servers.
+    pub name: String,
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Instance ids, head first.
+    pub members: Vec<String>,
+    /// Address of the head.
+    pub head: SocketAddr,
+    /// Zone of the head.
+    pub zone: String,
+    /// Where it stands.
+    pub phase: GroupPhase,
+    /// Why it was formed, or brought to its phase.
+    pub reason: String,
+}
+
+/// A change of the gateway's tables.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum GatewayCommand {
+    /// Takes a configuration, unless the one held has the same or a higher version.
+    Configure(Arc<GatewayConfiguration>),
+    /// Notes a report that changes what routing knows of an instance.
+    Register(InstanceRow),
+    /// An instance signed off: it takes no new work, and no later report of it counts.
+    SignOff {
+        /// Instance id.
+        id: String,
+    },
+    /// Forgets an instance for good.
+    Remove {
+        /// Instance id.
+        id: String,
+    },
+    /// Makes a group of free instances.
+    Form {
+        /// Service.
+        service: String,
+        /// Model.
+        model: String,
+        /// Instance ids, head first.
+        members: Vec<String>,
+        /// Why.
+        reason: String,
+    },
+    /// Brings a group to another phase.
+    SetPhase {
+        /// Group epoch.
+        epoch: u64,
+        /// The phase.
+        phase: GroupPhase,
+        /// Why.
+        reason: String,
+    },
+    /// Ends a group; its members are free.
+    End {
+        /// Group epoch.
+        epoch: u64,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// All tables of the gateway.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GatewayTables {
+    /// The configuration held, if one was accepted yet.
+    pub configuration: Option<Arc<GatewayConfiguration>>,
+    /// Instances by id.
+    pub instances: BTreeMap<String, Arc<InstanceRow>>,
+    /// Groups by epoch.
+    pub groups: BTreeMap<u64, Arc<GroupRow>>,
+    /// Epoch of the newest group.
+    pub last_epoch: u64,
+    removed: VecDeque<String>,
+}
+
+impl GatewayTables {
+    /// Applies one change.
+    pub fn apply(&mut self, command: &GatewayCommand) -> Applied {
+        match command {
+            GatewayCommand::Configure(configuration) => self.configure(configuration),
+            GatewayCommand::Register(row) => self.register(row),
+            GatewayCommand::SignOff { id } => self.sign_off(id),
+            GatewayCommand::Remove { id } => self.remove(id),
+            GatewayCommand::Form { service, model, members, reason } => {
+                self.form(service, model, members, reason)
+            }
+            GatewayCommand::SetPhase { epoch, phase, reason } => self.set_phase(*epoch, *phase, reason),
+            GatewayCommand::End { epoch, .. } => self.end(*epoch),
+        }
+    }
+
+    /// The group that holds an instance, if any.
+    pub fn group_of(&self, instance: &str) -> Option<&Arc<GroupRow>> {
+        self.groups.values().find(|group| group.members.iter().any(|member| member == instance))
+    }
+
+    /// Whether an instance was removed before.
+    pub fn was_removed(&self, id: &str) -> bool {
+        self.removed.iter().any(|removed| removed == id)
+    }
+
+    fn configure(&mut self, configuration: &Arc<GatewayConfiguration>) -> Applied {
+        let held = self.configuration.as_ref().map(|held| held.version);
+        if held.is_none_or(|version| version < configuration.version) {
+            self.configuration = Some(configuration.clone());
+        }
+        Applied::touching(Vec::new())
+    }
+
+    fn register(&mut self, row: &InstanceRow) -> Applied {
+        if self.was_removed(&row.id) {
+            return Applied::refused(ResultCode::EpochStale, "the instance was removed");
+        }
+        // An address belongs to one instance at a time: a newer start takes its predecessor's place.
+        let gone: Vec<String> = self
+            .instances
+            .values()
+            .filter(|known| known.address == row.address && known.id != row.id)
+            .map(|known| known.id.clone())
+            .collect();
+        gone.iter().for_each(|id| self.forget(id));
+        let mut next = row.clone();
+        // An instance that is leaving doesn't come back; a report that says so is a late one.
+        let was_leaving =
+            self.instances.get(&row.id).is_some_and(|held| held.state == InstanceState::Draining);
+        if was_leaving {
+            next.state = InstanceState::Draining;
+        }
+        self.instances.insert(row.id.clone(), Arc::new(next));
+        Applied::touching(Vec::new())
+    }
+
+    fn sign_off(&mut self, id: &str) -> Applied {
+        if let Some(row) = self.instances.get(id) {
+            let mut leaving = InstanceRow::clone(row);
+            leaving.state = InstanceState::Draining;
+            self.instances.insert(id.to_string(), Arc::new(leaving));
+        }
+        self.bar(id);
+        Applied::touching(Vec::new())
+    }
+
+    fn remove(&mut self, id: &str) -> Applied {
+        self.forget(id);
+        Applied::touching(Vec::new())
+    }
+
+    fn forget(&mut self, id: &str) {
+        self.instances.remove(id);
+        self.bar(id);
+    }
+
+    /// No later report of this instance counts.
+    fn bar(&mut self, id: &str) {
+        if self.was_removed(id) {
+            return;
+        }
+        self.removed.push_back(id.to_string());
+        if self.removed.len() > REMOVED_KEPT {
+            self.removed.pop_front();
+        }
+    }
+
+    fn form(&mut self, service: &str, model: &str, members: &[String], reason: &str) -> Applied {
+        let Some(head) = members.first().and_then(|id| self.instances.get(id)).cloned() else {
+            return Applied::refused(ResultCode::NotFound, "the head is not registered");
+        };
+        let unknown = members.iter().any(|id| !self.instances.contains_key(id));
+        if unknown {
+            return Applied::refused(ResultCode::NotFound, "a member is not registered");
+        }
+        if members.iter().any(|id| self.group_of(id).is_some()) {
+            return Applied::refused(ResultCode::MachineInOtherReplica, "a member is in another group");
+        }
+        self.last_epoch += 1;
+        let epoch = self.last_epoch;
+        let row = GroupRow {
+            epoch,
+            name: format!("g{epoch}"),
+            service: service.to_string(),
+            model: model.to_string(),
+            members: members.to_vec(),
+            head: head.address,
+            zone: head.zone.clone(),
+            phase: GroupPhase::Forming,
+            reason: reason.to_string(),
+        };
+        self.groups.insert(epoch, Arc::new(row));
+        Applied::touching(Vec::new())
+    }
+
+    fn set_phase(&mut self, epoch: u64, phase: GroupPhase, reason: &str) -> Applied {
+        let Some(row) = self.groups.get(&epoch) else {
+            return Applied::refused(ResultCode::EpochStale, "there is no such group");
+        };
+        if !may_follow(row.phase, phase) {
+            return Applied::refused(ResultCode::EpochStale, "the group has moved on");
+        }
+        let mut next = GroupRow::clone(row);
+        next.phase = phase;
+        next.reason = reason.to_string();
+        self.groups.insert(epoch, Arc::new(next));
+        Applied::touching(Vec::new())
+    }
+
+    fn end(&mut self, epoch: u64) -> Applied {
+        self.groups.remove(&epoch);
+        Applied::touching(Vec::new())
+    }
+}
+
+/// Phases only go forward: a group that was told to close never serves again.
+fn may_follow(from: GroupPhase, to: GroupPhase) -> bool {
+    let rank = |phase| match phase {
+        GroupPhase::Forming => 0,
+        GroupPhase::Opening => 1,
+        GroupPhase::Open => 2,
+        GroupPhase::Draining => 3,
+        GroupPhase::Cutting => 4,
+    };
+    rank(to) > rank(from)
+}
+
+impl From<&InstanceReport> for InstanceRow {
+    fn from(report: &InstanceReport) -> InstanceRow {
+        InstanceRow {
+            id: report.id.clone(),
+            service: report.service.clone(),
+            address: report.address,
+            zone: report.zone.clone(),
+            slots: report.slots,
+            state: report.state,
+            domain: report.domain.clone(),
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,7 @@
 mod claim;
 mod command;
 mod fleet;
+mod gateway;
 mod machine;
 mod reference;
 mod snapshot;
@@ -19,7 +20,8 @@
 pub use change::{CHANGE_RETENTION, ChangeTable};
 pub use claim::{ClaimKey, ClaimRequest, ClaimRow, ClaimSettlement, ClaimTable, ClaimVerdict};
 pub use command::{ChangeAction, ChangeRequest, Command, CommandBody, Outcome};
-pub use machine::{Applied, State};
+pub use gateway::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
+pub use machine::{Applied, ControlVoter, State};
 pub use snapshot::{decode_command, decode_outcome, encode_command, encode_outcome};
 pub use tables::{
     DaemonRow, Holder, Liveness, MachineRow, OrderRow, OrderState, PoolRow, ReplicaPhase, ReplicaRow, Tables,
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -7,6 +7,7 @@
 use dockwood_api::resource::ResourceKey;
 use dockwood_api::{ApiError, ResultCode};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Everything that the log replicates.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -17,6 +18,17 @@
     pub changes: ChangeTable,
     /// Claims on request ids; complete at voters only.
     pub claims: ClaimTable,
+    /// Voters of the control group by its log; empty if they never changed, and at daemons that are not voters.
+    pub voters: Vec<ControlVoter>,
+}
+
+/// A voter of the control group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlVoter {
+    /// Its id.
+    pub id: u64,
+    /// Its peer address.
+    pub address: SocketAddr,
 }
 
 /// The result of one command.
@@ -75,6 +87,7 @@
             CommandBody::AssignWatcher { replica, watcher } => {
                 tables.assign_watcher(replica, watcher.as_deref())
             }
+            CommandBody::Gateway(command) => tables.gateway.apply(command),
             CommandBody::Claim(requests) => {
                 let now_ms = tables.now_ms;
                 let verdicts = requests.iter().map(|request| self.claims.claim(request, now_ms)).collect();
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -5,9 +5,10 @@
 use dockwood_api::{ApiError, ResultCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::sync::Arc;
 
 /// First byte of everything encoded here. A later format gets another byte and a reader for this one.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     // Writing these types to memory can't fail: they hold no maps with unknown length and no foreign code.
@@ -38,9 +39,11 @@
 
     /// The state without claims, for daemons that are not voters.
     pub fn encode_configuration(&self) -> Vec<u8> {
-        let configuration =
-            State { tables: self.tables.clone(), changes: self.changes.clone(), claims: Default::default() };
-        configuration.encode()
+        let mut tables = self.tables.clone();
+        let configuration = tables.gateway.configuration.take();
+        tables.gateway.configuration = configuration.map(|held| Arc::new(held.without_document()));
+        let state = State { tables, changes: self.changes.clone(), ..State::default() };
+        state.encode()
     }
 }
 
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -1,5 +1,6 @@
 //! Rows of the replicated tables.
 
+use crate::gateway::GatewayTables;
 use dockwood_api::engine::{OrderAction, Role};
 use dockwood_api::peer::DaemonRecord;
 use dockwood_api::resource::{
@@ -160,6 +161,8 @@
     pub pools: BTreeMap<String, PoolRow>,
     /// Number in the name of the next replica.
     pub next_replica: u64,
+    /// The gateway's tables.
+    pub gateway: GatewayTables,
 }
 
 macro_rules! typed_access {
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -15,4 +15,4 @@
 pub use folder::{DataFolder, FORMAT_VERSION};
 pub use log::{LogStats, RecordLog};
 pub use segment::{MAX_RECORD_BYTES, RECORD_HEADER_BYTES};
-pub use snapshot::{StoredSnapshot, load_snapshot, store_snapshot};
+pub use snapshot::{StoredSnapshot, load_identity, load_snapshot, store_identity, store_snapshot};
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -5,6 +5,7 @@
 use std::fs;
 
 const SNAPSHOT_FILE: &str = "SNAPSHOT";
+const IDENTITY_FILE: &str = "IDENTITY";
 const HEADER_BYTES: usize = 20;
 
 /// A snapshot as stored.
@@ -18,6 +19,20 @@
     pub data: Vec<u8>,
 }
 
+/// Stores who this process is within its group.
+pub fn store_identity(folder: &DataFolder, content: &[u8]) -> Result<(), StorageError> {
+    write_file_durably(&folder.path().join(IDENTITY_FILE), content)
+}
+
+/// Reads what [`store_identity`] wrote, if anything.
+pub fn load_identity(folder: &DataFolder) -> Result<Option<Vec<u8>>, StorageError> {
+    let path = folder.path().join(IDENTITY_FILE);
+    if !path.exists() {
+        return Ok(None);
+    }
+    fs::read(&path).at(&path).map(Some)
+}
+
 /// Replaces the stored snapshot; after a crash either the old or the new one is there.
 pub fn store_snapshot(folder: &DataFolder, snapshot: &StoredSnapshot) -> Result<(), StorageError> {
     let mut content = Vec::with_capacity(HEADER_BYTES + snapshot.data.len());
