Judge silence by the largest pass declared or seen lately, and move only once it is sure

Ruled out: load (groups had room), network. Change: the bound is the recent peak, capped by the declared slowest pass; after one bound a group is avoided and its members are asked, after two the stream moves. Conclusion: a stream of a lost group is late whatever the bound; what counts is that new requests avoid the group.

--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -4,7 +4,7 @@
 use crate::clock::monotonic_ms;
 use dockwood_api::gateway::{GroupLoad, LoadDigest, LoadReport};
 use dockwood_routing::Millis;
-use dockwood_routing::gateway::{Candidate, choose};
+use dockwood_routing::gateway::{Candidate, PaceEstimates, choose};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -51,7 +51,8 @@
     freed: Notify,
     /// Something is to be told to the leader at once.
     pub urgent: Notify,
-    /// Grows when a group closes or comes under suspicion.
+    paces: Mutex<BTreeMap<String, PaceEstimates>>,
+    /// Grows when a group closes.
     changes: watch::Sender<u64>,
 }
 
@@ -124,6 +125,22 @@
         }
     }
 
+    /// What was seen of a model's groups.
+    pub fn pace_estimates(&self, model: &str) -> PaceEstimates {
+        lock(&self.paces).get(model).copied().unwrap_or_default()
+    }
+
+    /// Notes how long an event took; `first` if it was the first one.
+    pub fn record_event(&self, model: &str, first: bool, took_ms: f64) {
+        let mut paces = lock(&self.paces);
+        let seen = match paces.get_mut(model) {
+            Some(seen) => seen,
+            None => paces.entry(model.to_string()).or_default(),
+        };
+        let estimate = if first { &mut seen.first_event } else { &mut seen.between_events };
+        estimate.record(took_ms);
+    }
+
     fn changed(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
@@ -208,14 +225,9 @@
         lock(&self.groups).get(&epoch).is_some_and(|group| now < group.last_progress + span)
     }
 
-    /// Whether a group still takes work and isn't held to stand still elsewhere.
-    pub fn is_sound(&self, epoch: u64) -> bool {
-        lock(&self.groups).get(&epoch).is_some_and(|group| !group.suspected_by_others)
-    }
-
-    /// Whether a group has no more requests than it works on at once.
-    pub fn has_room(&self, epoch: u64) -> bool {
-        lock(&self.groups).get(&epoch).is_some_and(|group| group.total() <= group.slots)
+    /// Whether a group still takes work.
+    pub fn is_open(&self, epoch: u64) -> bool {
+        lock(&self.groups).contains_key(&epoch)
     }
 
     /// A group stands still, or its head refuses connections.
@@ -250,18 +262,11 @@
     /// Takes what the leader tells of the other entries.
     pub fn take_digest(&self, digest: &LoadDigest) {
         self.entries.store(digest.entries, Ordering::Relaxed);
-        let mut newly_suspected = false;
         let mut groups = lock(&self.groups);
         for (epoch, group) in groups.iter_mut() {
             let shared = digest.groups.iter().find(|shared| shared.epoch == *epoch);
             group.others_in_flight = shared.map_or(0, |shared| shared.others_in_flight);
-            let suspected = shared.is_some_and(|shared| shared.suspected);
-            newly_suspected |= suspected && !group.suspected_by_others;
-            group.suspected_by_others = suspected;
-        }
-        drop(groups);
-        if newly_suspected {
-            self.changed();
+            group.suspected_by_others = shared.is_some_and(|shared| shared.suspected);
         }
     }
 }
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -30,6 +30,12 @@
 /// Part of the target for the first event that a request may wait here for a place, in hundredths: a refusal is worth
 /// something only while it is early.
 const WAIT_HUNDREDTHS: u64 = 20;
+/// Further bounds of silence after which a request moves on.
+const MOVE_AFTER_BOUNDS: u32 = 1;
+/// The least pause between a first suspicion and a move.
+const LEAST_MOVE_PAUSE: Duration = Duration::from_millis(150);
+/// A group that has shown an event to any stream here within this many milliseconds is at work.
+const PROGRESS_SPAN_MS: u64 = 150;
 /// When a caller may come back after all groups were full.
 const FULL_RETRY_MS: u64 = 400;
 
@@ -85,7 +91,10 @@
 pub async fn answer(gateway: &Arc<Gateway>, received: Received, in_flight: InFlight) -> Response<AnswerBody> {
     let engine = received.service.engine.as_ref();
     let model = engine.zip(received.model.as_ref()).and_then(|(engine, name)| engine.model(name));
-    let pace = engine.zip(model).map(|(engine, model)| Pace::expected(engine, model, &received.route));
+    let pace = engine.zip(model).map(|(engine, model)| {
+        let seen = gateway.loads.pace_estimates(&model.name);
+        Pace::expected(engine, model, &received.route, &seen)
+    });
     let mut course = StreamCourse {
         course: Course::new(&received.route),
         last_event: received.last_event,
@@ -308,6 +317,10 @@
                 if let Source::Group(place) = &reading.source {
                     self.gateway.loads.progressed(place.epoch);
                 }
+                if let Some(model) = &self.received.model {
+                    let took_ms = self.since.elapsed().as_secs_f64() * 1_000.0;
+                    self.gateway.loads.record_event(model, !self.begun, took_ms);
+                }
                 self.last_event = event.id.or(self.last_event);
                 self.begun = true;
                 self.since = Instant::now();
@@ -398,8 +411,9 @@
     SendOutcome::Abandoned
 }
 
-/// Completes once the source counts as standing still: nothing came within the bound, neither on this stream nor, if
-/// the group has more requests than it works on, on any other; or the group was closed, or others hold it for silent.
+/// Completes once the source counts as standing still. After one bound of silence the group is avoided for new
+/// requests and its members are asked; after some more, or as soon as the group is closed, this request moves on: a
+/// move costs another reading of the prompt, and mostly the target too, so it waits until it is sure.
 async fn stands_still(
     gateway: &Gateway,
     source: &Source,
@@ -411,15 +425,17 @@
     };
     let silence = async {
         tokio::time::sleep(bound).await;
-        // Among more requests than it works on, this one may rightly wait for its turn.
-        while !gateway.loads.has_room(place.epoch)
-            && gateway.loads.progressed_within(place.epoch, bound.as_millis() as u64)
-        {
-            tokio::time::sleep(bound.max(Duration::from_millis(20))).await;
+        if !gateway.loads.progressed_within(place.epoch, bound.as_millis() as u64) {
+            gateway.loads.suspect(place.epoch, false);
+        }
+        tokio::time::sleep((bound * MOVE_AFTER_BOUNDS).max(LEAST_MOVE_PAUSE)).await;
+        // Where the group goes on with others, this request may rightly wait for its turn.
+        while gateway.loads.progressed_within(place.epoch, PROGRESS_SPAN_MS) {
+            tokio::time::sleep(LEAST_MOVE_PAUSE).await;
         }
     };
-    let unsound = async {
-        while gateway.loads.is_sound(place.epoch) {
+    let closed = async {
+        while gateway.loads.is_open(place.epoch) {
             if changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
@@ -427,6 +443,6 @@
     };
     tokio::select! {
         () = silence => {}
-        () = unsound => {}
+        () = closed => {}
     }
 }
