Take a group for standing still only by entries whose network is not control's, and while nobody sees it progress

Cause: a cut between servers and the control machines resets connections; the entries on those machines told that the head refuses, and the leader took that for its end. Change: entries on a control machine are no witnesses; progress at any entry refutes silence; a refused connection shows no end; a group whose head can't be asked is given up after the engines' own bound only if it was seen standing still.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::Millis;
 use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
 use dockwood_grouping::{
-    Observations, OrderBook, ProbeResult, View, advance_groups, form_groups, reap_instances,
+    GroupingPolicy, Observations, OrderBook, ProbeResult, View, advance_groups, form_groups, reap_instances,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
 use std::collections::BTreeSet;
@@ -51,8 +51,8 @@
     }
 
     /// Takes an entry's load.
-    pub fn exchange(&mut self, now: Millis, report: LoadReport) -> LoadDigest {
-        self.observations.exchange(now, report)
+    pub fn exchange(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
+        self.observations.exchange(now, report, is_witness)
     }
 
     /// Notes what came of an order. A refused connection is evidence like a probe's.
@@ -69,7 +69,12 @@
     }
 
     /// Commands that should be committed now.
-    pub fn decide(&mut self, now: Millis, tables: &GatewayTables) -> Vec<GatewayCommand> {
+    pub fn decide(
+        &mut self,
+        now: Millis,
+        tables: &GatewayTables,
+        policy: GroupingPolicy,
+    ) -> Vec<GatewayCommand> {
         if !self.started {
             self.started = true;
             self.observations.assume_present(now, tables.instances.keys().cloned());
@@ -78,7 +83,7 @@
         let epochs: BTreeSet<u64> = tables.groups.keys().copied().collect();
         self.observations.retain(&ids, &epochs);
         let loads_allowed = self.loads_allowed(now, tables);
-        let view = View { tables, observations: &self.observations, now };
+        let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
         commands.extend(reap_instances(&view));
         if commands.is_empty() {
@@ -99,8 +104,14 @@
     }
 
     /// Orders to send now.
-    pub fn orders_to_send(&mut self, now: Millis, tables: &GatewayTables, term: u64) -> Vec<GroupOrder> {
-        let view = View { tables, observations: &self.observations, now };
+    pub fn orders_to_send(
+        &mut self,
+        now: Millis,
+        tables: &GatewayTables,
+        policy: GroupingPolicy,
+        term: u64,
+    ) -> Vec<GroupOrder> {
+        let view = View { tables, observations: &self.observations, now, policy };
         self.orders.to_send(&view, term)
     }
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -7,10 +7,10 @@
 use crate::driver_io::{OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
 use crate::leases::{HOLD_MS, HeldRequest, LeaseTable};
+use crate::node::Options;
 use crate::view::control_view;
 use dockwood_api::event::ClockStamp;
 use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, Observation};
-use dockwood_placement::PlacementPolicy;
 use dockwood_state::CommandBody;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -152,7 +152,7 @@
 
     /// What should be committed now. Nothing is decided while earlier decisions are not committed, so that
     /// every decision sees the last one's result.
-    pub fn decide(&mut self, now: Millis, board: &Blackboard, policy: PlacementPolicy) -> Vec<CommandBody> {
+    pub fn decide(&mut self, now: Millis, board: &Blackboard, options: &Options) -> Vec<CommandBody> {
         if self.uncommitted > 0 || now < self.decide_at {
             return Vec::new();
         }
@@ -160,8 +160,8 @@
         let mut commands = self.joins(board);
         commands.extend(liveness(board.tables(), &self.leases, now));
         commands.extend(self.lost_state.check(board, now));
-        commands.extend(placement(board, now, policy));
-        let gateway = self.gateway.decide(now, &board.tables().gateway);
+        commands.extend(placement(board, now, options.placement));
+        let gateway = self.gateway.decide(now, &board.tables().gateway, options.grouping);
         commands.extend(gateway.into_iter().map(CommandBody::Gateway));
         self.uncommitted = commands.len();
         commands
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -49,10 +49,15 @@
         let Some(leadership) = &mut voter.leadership else { return };
         self.board.forget_gone();
         let gateway_tables = &self.board.state.tables.gateway;
-        let group_orders = leadership.gateway.orders_to_send(now.monotonic, gateway_tables, leadership.term);
+        let group_orders = leadership.gateway.orders_to_send(
+            now.monotonic,
+            gateway_tables,
+            self.options.grouping,
+            leadership.term,
+        );
         let probes = leadership.gateway.probes(now.monotonic, gateway_tables);
         let orders = leadership.orders_to_send(now.monotonic, &self.board);
-        let commands = leadership.decide(now.monotonic, &self.board, self.options.placement);
+        let commands = leadership.decide(now.monotonic, &self.board, &self.options);
         self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
         let group_orders = group_orders.into_iter().map(|order| Output::SendGroupOrder(Box::new(order)));
         self.outputs.extend(group_orders);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,7 +21,7 @@
 pub use account::Account;
 pub use admission::{Candidates, Group};
 pub use blackboard::{Blackboard, Observed};
-pub use dockwood_grouping::ProbeResult;
+pub use dockwood_grouping::{GroupingPolicy, ProbeResult};
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
 pub use gateway::{GatewayLeadership, InstanceProbe};
 pub use leases::{HOLD_MS, LEASE_MS, LeaseTable};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,6 +12,7 @@
     ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, ReadAnswer, SubmitReply, VoterRecord,
 };
 use dockwood_consensus::{self as consensus, Entry, Message, Node, Payload, RoleName, Voter};
+use dockwood_grouping::GroupingPolicy;
 use dockwood_placement::PlacementPolicy;
 use dockwood_state::{
     Applied, Command, CommandBody, ControlVoter, Outcome, State, Tables, decode_command, encode_command,
@@ -27,12 +28,18 @@
     pub compact_after_entries: u64,
     /// How the leader places replicas.
     pub placement: PlacementPolicy,
+    /// Bounds of the gateway's engines.
+    pub grouping: GroupingPolicy,
 }
 
 impl Default for Options {
     fn default() -> Self {
         const COMPACT_AFTER_ENTRIES: u64 = 2_000;
-        Options { compact_after_entries: COMPACT_AFTER_ENTRIES, placement: PlacementPolicy::default() }
+        Options {
+            compact_after_entries: COMPACT_AFTER_ENTRIES,
+            placement: PlacementPolicy::default(),
+            grouping: GroupingPolicy::default(),
+        }
     }
 }
 
@@ -110,8 +117,10 @@
             Input::Register(report, reply) => self.register(now, report, reply, &mut batch),
             Input::ExchangeLoad(report, reply) => {
                 let leads = self.leads(now);
+                let is_witness = self.is_witness(&report.daemon);
                 let leadership = self.leadership_mut().filter(|_| leads);
-                let digest = leadership.map(|leader| leader.gateway.exchange(now.monotonic, report));
+                let digest =
+                    leadership.map(|leader| leader.gateway.exchange(now.monotonic, report, is_witness));
                 self.outputs.push(Output::LoadReply(reply, digest));
             }
             Input::GroupOrderAnswered(order, answer) => {
@@ -250,6 +259,14 @@
         }
     }
 
+    /// Whether an entry sees the servers by another machine's network than members of the control group do.
+    fn is_witness(&self, daemon: &str) -> bool {
+        let daemons = &self.board.tables().daemons;
+        let Some(entry) = daemons.get(daemon) else { return false };
+        let mut members = daemons.values().filter(|other| other.record.operators.is_some());
+        !members.any(|member| member.record.peer.ip() == entry.record.peer.ip())
+    }
+
     /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
     /// once an entry of the own term is.
     fn read_revision(&self, now: Moment) -> ReadAnswer {
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -7,6 +7,7 @@
 
 const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
 const DEFAULT_STOP_LIMIT_MS: u64 = 8_000;
+const DEFAULT_STALL_MS: u64 = 6_000;
 const DEFAULT_BUDGET_PERCENT: u64 = 20;
 const DEFAULT_BUDGET_WINDOW_MS: u64 = 10_000;
 const DEFAULT_BUDGET_EXTRA: u64 = 50;
@@ -37,13 +38,23 @@
     pub answer_lifetime: Duration,
     /// How long a planned stop may take.
     pub stop_limit: Duration,
+    /// How long a group that lost a member stands still before it is broken.
+    pub stall: Duration,
     /// Bounds on second sends.
     pub retry_budget: RetryBudgetSettings,
 }
 
 pub(super) fn read_gateway(node: &Node, problems: &mut Problems) -> Option<GatewaySettings> {
-    let known =
-        ["frontend", "readiness", "directory", "operators", "answerLifetimeMs", "stopLimitMs", "retryBudget"];
+    let known = [
+        "frontend",
+        "readiness",
+        "directory",
+        "operators",
+        "answerLifetimeMs",
+        "stopLimitMs",
+        "retryBudget",
+        "stallMs",
+    ];
     let section = Section::new(node, "gateway", &known, problems)?;
     let address = |key: &str, problems: &mut Problems| match section.optional(key) {
         None => Some(None),
@@ -55,6 +66,7 @@
     let operators = address("operators", problems);
     let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
     let stop_limit = section.number("stopLimitMs", DEFAULT_STOP_LIMIT_MS, (1_000, 3_600_000), problems);
+    let stall = section.number("stallMs", DEFAULT_STALL_MS, (100, 600_000), problems);
     let retry_budget = read_retry_budget(section.optional("retryBudget"), problems);
     Some(GatewaySettings {
         frontend: frontend?,
@@ -63,6 +75,7 @@
         operators: operators?,
         answer_lifetime: Duration::from_millis(lifetime?),
         stop_limit: Duration::from_millis(stop_limit?),
+        stall: Duration::from_millis(stall?),
         retry_budget: retry_budget?,
     })
 }
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -30,4 +30,20 @@
     pub observations: &'a Observations,
     /// The leader's clock.
     pub now: Millis,
+    /// Bounds of the deployment.
+    pub policy: GroupingPolicy,
+}
+
+/// Bounds that a deployment's engines keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupingPolicy {
+    /// A group that lost a member stands still for this long, and is then broken.
+    pub stall_ms: Millis,
+}
+
+impl Default for GroupingPolicy {
+    fn default() -> Self {
+        const STALL_MS: Millis = 6_000;
+        GroupingPolicy { stall_ms: STALL_MS }
+    }
 }
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -4,11 +4,14 @@
 use dockwood_api::gateway::{InstanceState, MembershipState};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupRow};
 
-/// A group whose head can't be asked is surely broken after this long: servers stop waiting for a lost member
-/// earlier.
-const SURELY_BROKEN_MS: Millis = 8_000;
-/// A group without requests is closed once a member has been missing this long, on top of counting as missing.
-const IDLE_PATIENCE_MS: Millis = 2_000;
+/// A group that was seen to stand still, and whose head can't be asked, is taken for broken this long after its
+/// servers' own bound.
+const BROKEN_MARGIN_MS: Millis = 800;
+/// A group whose head can't be asked, and that nobody saw standing still, is given up only after this long: it may be
+/// cut off from control alone and go on serving.
+const CUT_OFF_MS: Millis = 16_000;
+/// A member that has not reported for this long is overdue.
+const OVERDUE_MS: Millis = 10_000;
 /// Progress this recent shows that all members are alive, whatever their reports say.
 const PROGRESS_SPAN_MS: Millis = 1_000;
 /// An instance that has not reported for this long, and is in no group, is forgotten.
@@ -98,7 +101,7 @@
     let busy = view.observations.in_flight(group.epoch) > 0;
     let progressing = view.observations.progressed_within(view.now, group.epoch, PROGRESS_SPAN_MS);
     let Some(seen) = view.observations.instance(member) else { return !busy };
-    let overdue = view.now >= seen.reported_at + SURELY_BROKEN_MS + IDLE_PATIENCE_MS;
+    let overdue = view.now >= seen.reported_at + OVERDUE_MS;
     !busy && !progressing && overdue
 }
 
@@ -123,10 +126,12 @@
 /// Why the head surely doesn't serve this group any more, if so.
 fn surely_closed(view: &View<'_>, group: &GroupRow, closing_since: Millis) -> Option<&'static str> {
     let head = group.members.first()?;
-    if !view.tables.instances.contains_key(head) || view.observations.head_has_ended(head, group.epoch) {
+    if !view.tables.instances.contains_key(head) {
         return Some("the head has ended");
     }
-    if view.now >= closing_since + SURELY_BROKEN_MS && !view.observations.is_present(view.now, head) {
+    let stood_still = view.observations.was_silent(group.epoch);
+    let patience = if stood_still { view.policy.stall_ms + BROKEN_MARGIN_MS } else { CUT_OFF_MS };
+    if view.now >= closing_since + patience && !view.observations.is_present(view.now, head) {
         return Some("the head has been silent for longer than a group can stand still");
     }
     let seen = view.observations.instance(head)?;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -33,9 +33,6 @@
     pub membership: Option<MembershipReport>,
     /// Models whose weights its host keeps.
     pub staged: Vec<String>,
-    /// It refused this leader's connection, and has not reported since. That alone doesn't show that it ended: a
-    /// cut network may answer for it.
-    pub refused: bool,
     /// It did not answer a probe, and has not reported since.
     pub silent_since: Option<Millis>,
 }
@@ -51,11 +48,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct GroupEvidence {
     silent_at: Option<Millis>,
-    refused_at: Option<Millis>,
     progressed_at: Option<Millis>,
     probed_at: Option<Millis>,
 }
 
+/// A group that showed progress to any entry this lately is at work, whatever others say. Longer than two of the
+/// entries' reports are apart.
+const PROGRESS_VALID_MS: Millis = 350;
+
 /// All that the leader has observed.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
@@ -79,7 +79,6 @@
         let is_newer = !known || report.sequence > seen.sequence;
         seen.reported_at = now;
         seen.silent_since = None;
-        seen.refused = false;
         if is_newer {
             seen.sequence = report.sequence;
             seen.membership = report.membership.clone();
@@ -93,23 +92,22 @@
         let Some(seen) = self.instances.get_mut(instance) else { return };
         match result {
             ProbeResult::Answered => seen.silent_since = None,
+            // A refusal doesn't show that it has ended either: a cut network may answer for it.
             ProbeResult::Refused | ProbeResult::Silent => {
-                seen.refused |= result == ProbeResult::Refused;
                 seen.silent_since.get_or_insert(now);
             }
         }
     }
 
-    /// Takes an entry's load, and tells it the others'.
-    pub fn exchange(&mut self, now: Millis, report: LoadReport) -> LoadDigest {
+    /// Takes an entry's load, and tells it the others'. `is_witness` is false for an entry that shares its machine
+    /// with a member of the control group: what is cut off from control is cut off from it too, and may be reached
+    /// by all other entries.
+    pub fn exchange(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
         for load in &report.groups {
             let evidence = self.groups.entry(load.epoch).or_default();
-            if load.silent {
+            if (load.silent || load.refuses) && is_witness {
                 evidence.silent_at = Some(now);
             }
-            if load.refuses {
-                evidence.refused_at = Some(now);
-            }
             if load.progressed {
                 evidence.progressed_at = Some(now);
             }
@@ -149,18 +147,17 @@
             .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
     }
 
-    /// Whether a group's head has surely ended: it refuses both this leader's connections and the entries'.
-    pub fn head_has_ended(&self, head: &str, epoch: u64) -> bool {
-        let refuses_entries = self.groups.get(&epoch).is_some_and(|evidence| evidence.refused_at.is_some());
-        refuses_entries && self.instances.get(head).is_some_and(|seen| seen.refused)
+    /// Whether any entry ever found a group to stand still.
+    pub fn was_silent(&self, epoch: u64) -> bool {
+        self.groups.get(&epoch).is_some_and(|evidence| evidence.silent_at.is_some())
     }
 
     /// Whether entries find a group to stand still.
     pub fn is_silent(&self, now: Millis, epoch: u64) -> bool {
         let Some(evidence) = self.groups.get(&epoch) else { return false };
-        let Some(silent_at) = evidence.silent_at.max(evidence.refused_at) else { return false };
-        let progressed_since = evidence.progressed_at.is_some_and(|at| at > silent_at);
-        now < silent_at + SILENCE_VALID_MS && !progressed_since
+        let Some(silent_at) = evidence.silent_at else { return false };
+        let progressed = evidence.progressed_at.is_some_and(|at| now < at + PROGRESS_VALID_MS);
+        now < silent_at + SILENCE_VALID_MS && !progressed
     }
 
     /// Whether an entry told of progress at a group within `span`.
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -100,7 +100,11 @@
 
 /// Runs a plan. The same plan gives the same result.
 pub fn run(plan: &RunPlan) -> RunResult {
-    let options = Options { compact_after_entries: COMPACT_AFTER_ENTRIES, placement: plan.placement };
+    let options = Options {
+        compact_after_entries: COMPACT_AFTER_ENTRIES,
+        placement: plan.placement,
+        ..Options::default()
+    };
     let mut world = World::new(plan.seed, options, plan.defect);
     let started = start(&mut world);
     let mut recovered_ms = None;
