Keep the larger model staged in each domain, lend servers to complete its groups, and bound loads at once

Cause: after the loss of one of four members the survivors were spent on pairs of the other model, with loads of 12 s each that slowed one another down threefold; a new leader formed groups of servers that it had only assumed alive. Change: two servers of each domain stage the larger model's weights; a group of the model that is served better lends its servers to complete one that lacks more, by requests in flight; groups are formed of servers this leader heard itself; no more loads at a time than the store serves at full speed.

--- a/crates/api/src/gateway/configuration.rs
+++ b/crates/api/src/gateway/configuration.rs
@@ -98,6 +98,8 @@
     pub stride: u32,
     /// Loads from the weight store that may begin in a second.
     pub loads_per_second: f64,
+    /// Loads from the weight store at a time beyond which each takes longer.
+    pub loads_at_once: u32,
     /// Models that a host keeps staged.
     pub staged_models: u32,
     /// Models.
--- a/crates/api/src/gateway/group.rs
+++ b/crates/api/src/gateway/group.rs
@@ -13,6 +13,11 @@
         /// Instance ids, head first.
         members: Vec<String>,
     },
+    /// Load a model's weights into the host's memory, beside whatever the server does.
+    Stage {
+        /// Model name.
+        model: String,
+    },
     /// To the head: begin to serve.
     Open,
     /// To the head: stop serving.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -4,7 +4,8 @@
 use crate::Millis;
 use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
 use dockwood_grouping::{
-    GroupingPolicy, Observations, OrderBook, ProbeResult, View, advance_groups, form_groups, reap_instances,
+    GroupingPolicy, Observations, OrderBook, ProbeResult, View, advance_groups, borrow_servers, form_groups,
+    reap_instances,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
 use std::collections::BTreeSet;
@@ -86,6 +87,7 @@
         let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
         commands.extend(reap_instances(&view));
+        commands.extend(borrow_servers(&view));
         if commands.is_empty() {
             commands = form_groups(&view, loads_allowed);
         }
--- a/crates/grouping/src/forming.rs
+++ b/crates/grouping/src/forming.rs
@@ -1,22 +1,14 @@
 //! Forms groups from free servers of one domain.
 
+use crate::domains::{Balance, FreeServer, domain_of, free_by_domain, has_staged};
 use crate::{Millis, View};
-use dockwood_api::gateway::{EngineProfile, InstanceState, ModelProfile, ServiceProfile};
-use dockwood_state::{GatewayCommand, GroupPhase, InstanceRow};
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use dockwood_api::gateway::{EngineProfile, ModelProfile, ServiceProfile};
+use dockwood_state::{GatewayCommand, GroupPhase};
 
 /// Before the first group of all is formed, servers get this long to register, counted from the newest one: a
 /// domain that is filled at once wastes no server.
 const SETTLE_MS: Millis = 600;
 
-/// A free server with what its host has staged.
-#[derive(Clone, Debug)]
-struct FreeServer {
-    id: String,
-    staged: Vec<String>,
-}
-
 /// Groups to form now. `loads_allowed` bounds how many members may draw weights from the store.
 pub fn form_groups(view: &View<'_>, loads_allowed: u32) -> Vec<GatewayCommand> {
     let Some(configuration) = &view.tables.configuration else { return Vec::new() };
@@ -40,12 +32,13 @@
     engine: &EngineProfile,
     allowance: &mut u32,
 ) -> Vec<GatewayCommand> {
-    let mut held = servers_by_model(view, &service.name);
+    let free = free_by_domain(view, &service.name);
+    let mut balance = Balance::new(view, &service.name, engine, free.values().map(Vec::len).sum());
     let mut commands = Vec::new();
-    for (domain, mut free) in free_by_domain(view, &service.name) {
-        while let Some(choice) = choose(engine, &held, &free, *allowance) {
-            *allowance -= choice.loads;
-            *held.entry(choice.model.name.clone()).or_default() += choice.model.size;
+    for (domain, mut free) in free {
+        while let Some(choice) = choose(view, engine, &balance, &domain, &free, *allowance) {
+            *allowance = allowance.saturating_sub(choice.loads);
+            balance.add(&choice.model.name, choice.model.size);
             let members: Vec<String> = choice.members.iter().map(|server| server.id.clone()).collect();
             free.retain(|server| !members.contains(&server.id));
             let reason = format!("{} free in domain {domain}, {} to load", choice.model.size, choice.loads);
@@ -56,33 +49,6 @@
     commands
 }
 
-/// Servers that serve each model now, or soon will.
-fn servers_by_model(view: &View<'_>, service: &str) -> BTreeMap<String, u32> {
-    let mut held = BTreeMap::new();
-    let counted = |phase| matches!(phase, GroupPhase::Forming | GroupPhase::Opening | GroupPhase::Open);
-    for group in view.tables.groups.values().filter(|group| group.service == service && counted(group.phase))
-    {
-        *held.entry(group.model.clone()).or_default() += group.members.len() as u32;
-    }
-    held
-}
-
-fn free_by_domain(view: &View<'_>, service: &str) -> BTreeMap<String, Vec<FreeServer>> {
-    let is_free = |row: &&Arc<InstanceRow>| {
-        row.service == service
-            && row.state == InstanceState::Ready
-            && view.observations.is_present(view.now, &row.id)
-            && view.tables.group_of(&row.id).is_none()
-    };
-    let mut domains: BTreeMap<String, Vec<FreeServer>> = BTreeMap::new();
-    for row in view.tables.instances.values().filter(is_free) {
-        let Some(domain) = &row.domain else { continue };
-        let staged = view.observations.instance(&row.id).map(|seen| seen.staged.clone()).unwrap_or_default();
-        domains.entry(domain.clone()).or_default().push(FreeServer { id: row.id.clone(), staged });
-    }
-    domains
-}
-
 struct Choice<'a> {
     model: &'a ModelProfile,
     members: Vec<FreeServer>,
@@ -92,38 +58,68 @@
 /// The group that is worth most now: one that needs no load goes before one that does, then the model that lacks
 /// most of its share.
 fn choose<'a>(
+    view: &View<'_>,
     engine: &'a EngineProfile,
-    held: &BTreeMap<String, u32>,
+    balance: &Balance,
+    domain: &str,
     free: &[FreeServer],
     allowance: u32,
 ) -> Option<Choice<'a>> {
-    let total: u32 = held.values().sum::<u32>() + free.len() as u32;
-    let shares: f64 = engine.models.iter().map(|model| model.share).sum();
-    let lack = |model: &ModelProfile| {
-        let wanted = model.share / shares.max(f64::MIN_POSITIVE) * f64::from(total);
-        // Relative, so that the last servers go where they matter most.
-        (wanted - f64::from(held.get(&model.name).copied().unwrap_or(0))) / wanted.max(1.0)
-    };
-    let fitting = engine.models.iter().filter(|model| model.size > 0 && model.size as usize <= free.len());
-    let candidates =
-        fitting.map(|model| pick_members(model, free)).filter(|choice| choice.loads <= allowance);
-    candidates.max_by(|left, right| {
+    let candidates = engine.models.iter().filter(|model| model.size > 0).filter_map(|model| {
+        let usable: Vec<FreeServer> = free
+            .iter()
+            .filter(|server| !waits_for_another(view, engine, balance, domain, free, server, model))
+            .cloned()
+            .collect();
+        (model.size as usize <= usable.len()).then(|| pick_members(model, usable))
+    });
+    candidates.filter(|choice| choice.loads <= allowance).max_by(|left, right| {
         let warm = (left.loads == 0).cmp(&(right.loads == 0));
-        warm.then(lack(left.model).total_cmp(&lack(right.model)))
+        let lack = |choice: &Choice<'_>| -balance.coverage(&choice.model.name);
+        warm.then(lack(left).total_cmp(&lack(right)))
     })
 }
 
+/// Whether a server should be left to a model that it has staged, that lacks more, and that can be completed from
+/// this domain without a load.
+fn waits_for_another(
+    view: &View<'_>,
+    engine: &EngineProfile,
+    balance: &Balance,
+    domain: &str,
+    free: &[FreeServer],
+    server: &FreeServer,
+    model: &ModelProfile,
+) -> bool {
+    let staged_others = engine.models.iter().filter(|other| other.name != model.name);
+    let mut waiting = staged_others.filter(|other| server.staged.contains(&other.name));
+    waiting.any(|other| {
+        let fragment = free.iter().filter(|free| free.staged.contains(&other.name)).count();
+        let completable = fragment + lendable(view, domain, &other.name) >= other.size as usize;
+        completable && balance.coverage(&other.name) < balance.coverage(&model.name)
+    })
+}
+
+/// Servers of other models' groups in a domain that have a model staged.
+fn lendable(view: &View<'_>, domain: &str, model: &str) -> usize {
+    let lends = |phase| matches!(phase, GroupPhase::Open | GroupPhase::Draining);
+    let groups =
+        view.tables.groups.values().filter(|group| {
+            group.model != model && lends(group.phase) && domain_of(view, group) == Some(domain)
+        });
+    groups.flat_map(|group| &group.members).filter(|id| has_staged(view, id, model)).count()
+}
+
 /// Members for one group of a model: those that have it staged first, then those that have nothing staged, so that
 /// another model's staged weights stay useful.
-fn pick_members<'a>(model: &'a ModelProfile, free: &[FreeServer]) -> Choice<'a> {
+fn pick_members(model: &ModelProfile, mut free: Vec<FreeServer>) -> Choice<'_> {
     let rank = |server: &FreeServer| match &server.staged {
         staged if staged.contains(&model.name) => 0,
         staged if staged.is_empty() => 1,
         _ => 2,
     };
-    let mut sorted = free.to_vec();
-    sorted.sort_by_key(rank);
-    sorted.truncate(model.size as usize);
-    let loads = sorted.iter().filter(|server| rank(server) != 0).count() as u32;
-    Choice { model, members: sorted, loads }
+    free.sort_by_key(rank);
+    free.truncate(model.size as usize);
+    let loads = free.iter().filter(|server| rank(server) != 0).count() as u32;
+    Choice { model, members: free, loads }
 }
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -6,11 +6,15 @@
 //! Invariants that the decisions keep: a group opens only once every member has reported itself ready under the
 //! group's name and epoch; a member is free again only once the head surely doesn't serve any more.
 
+mod borrowing;
+mod domains;
 mod forming;
 mod lifecycle;
 mod observations;
 mod orders;
+mod staging;
 
+pub use borrowing::borrow_servers;
 pub use forming::form_groups;
 pub use lifecycle::{advance_groups, reap_instances};
 pub use observations::{InstanceObservation, Observations, ProbeResult};
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -6,7 +6,7 @@
 
 /// A group that was seen to stand still, and whose head can't be asked, is taken for broken this long after its
 /// servers' own bound.
-const BROKEN_MARGIN_MS: Millis = 800;
+const BROKEN_MARGIN_MS: Millis = 400;
 /// A group whose head can't be asked, and that nobody saw standing still, is given up only after this long: it may be
 /// cut off from control alone and go on serving.
 const CUT_OFF_MS: Millis = 16_000;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -140,7 +140,12 @@
         self.instances.get(id)
     }
 
-    /// Whether an instance surely takes part: it reported lately, and no probe failed since.
+    /// Whether this leader itself heard an instance lately.
+    pub fn was_heard(&self, now: Millis, id: &str) -> bool {
+        self.is_present(now, id) && self.instances.get(id).is_some_and(|seen| seen.sequence > 0)
+    }
+
+    /// Whether an instance is taken to take part: it reported lately, and no probe failed since.
     pub fn is_present(&self, now: Millis, id: &str) -> bool {
         self.instances
             .get(id)
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -1,6 +1,8 @@
 //! Which orders have to be sent now. An order is repeated until its effect is seen; what was sent and not answered
 //! may be carried out late, which the epoch in each order makes harmless.
 
+use crate::domains::has_staged;
+use crate::staging::{StagingUnderWay, wanted_staging};
 use crate::{Millis, View};
 use dockwood_api::gateway::{EngineProfile, GroupCommand, GroupOrder, MembershipState, OrderAnswer};
 use dockwood_state::{GroupPhase, GroupRow};
@@ -15,11 +17,16 @@
 /// Share of the loads that the store allows that is used, in percent: a former leader's are not known.
 const LOAD_PERCENT: u64 = 80;
 
+/// A load counts as under way for at most this many times its declared length.
+const LOADS_LENGTH: u64 = 2;
+
 /// The kind of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum OrderKind {
     /// [`GroupCommand::Join`].
     Join,
+    /// [`GroupCommand::Stage`].
+    Stage,
     /// [`GroupCommand::Open`].
     Open,
     /// [`GroupCommand::Close`], letting requests finish.
@@ -33,6 +40,7 @@
     pub fn of(command: &GroupCommand) -> OrderKind {
         match command {
             GroupCommand::Join { .. } => OrderKind::Join,
+            GroupCommand::Stage { .. } => OrderKind::Stage,
             GroupCommand::Open => OrderKind::Open,
             GroupCommand::Close { truncate: false } => OrderKind::Drain,
             GroupCommand::Close { truncate: true } => OrderKind::Cut,
@@ -48,6 +56,10 @@
     /// When each may be sent again; `None` while one is on its way.
     due: BTreeMap<OrderKey, Option<Millis>>,
     closing_since: BTreeMap<u64, Millis>,
+    /// Weights that are being staged, by instance and model, and until when they may be.
+    staging: StagingUnderWay,
+    /// Members that draw weights as they join, and until when they may.
+    joining_loads: BTreeMap<String, Millis>,
     loads: VecDeque<Millis>,
 }
 
@@ -56,6 +68,9 @@
     pub fn to_send(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
         let groups = &view.tables.groups;
         self.due.retain(|(epoch, _, _), _| groups.contains_key(epoch));
+        self.staging
+            .retain(|(instance, model), until| view.now < *until && !has_staged(view, instance, model));
+        self.joining_loads.retain(|instance, until| view.now < *until && is_joining(view, instance));
         self.closing_since.retain(|epoch, _| groups.contains_key(epoch));
         let mut orders = Vec::new();
         for group in groups.values() {
@@ -77,6 +92,8 @@
                 let is_first = self.due.insert(key, None).is_none();
                 if is_first && needs_load(view, &instance, &command) {
                     self.loads.push_back(view.now);
+                    self.joining_loads
+                        .insert(instance.clone(), view.now + load_ms(view, group) * LOADS_LENGTH);
                 }
                 orders.push(GroupOrder {
                     instance,
@@ -88,6 +105,32 @@
                 });
             }
         }
+        orders.extend(self.staging_orders(view, fence));
+        orders
+    }
+
+    /// Orders to stage weights; none is repeated while the first may still be loading.
+    fn staging_orders(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
+        let mut orders = Vec::new();
+        for wish in wanted_staging(view, &self.staging) {
+            let is_full = self.under_way(view.now) >= wish.loads_at_once;
+            let is_too_fast = self.loads_left(view.now, wish.loads_per_second) == 0;
+            if view.observations.traffic_seen && (is_full || is_too_fast) {
+                break;
+            }
+            let Some(row) = view.tables.instances.get(&wish.instance) else { continue };
+            self.loads.push_back(view.now);
+            let until = view.now + wish.load_ms * LOADS_LENGTH;
+            self.staging.insert((wish.instance.clone(), wish.model.clone()), until);
+            orders.push(GroupOrder {
+                address: row.address,
+                instance: wish.instance,
+                group: String::new(),
+                epoch: 0,
+                fence,
+                command: GroupCommand::Stage { model: wish.model },
+            });
+        }
         orders
     }
 
@@ -110,15 +153,42 @@
 
     /// How many members may begin to draw weights from the store now.
     pub fn loads_allowed(&mut self, now: Millis, engine: &EngineProfile) -> u32 {
+        let by_rate = self.loads_left(now, engine.loads_per_second);
+        let under_way = self.under_way(now);
+        by_rate.min(engine.loads_at_once.saturating_sub(under_way))
+    }
+
+    /// Loads that are not known to have ended.
+    fn under_way(&self, now: Millis) -> u32 {
+        let joining = self.joining_loads.values().filter(|until| now < **until).count();
+        let staging = self.staging.values().filter(|until| now < **until).count();
+        (joining + staging) as u32
+    }
+
+    fn loads_left(&mut self, now: Millis, loads_per_second: f64) -> u32 {
         while self.loads.front().is_some_and(|at| now >= at + LOAD_WINDOW_MS) {
             self.loads.pop_front();
         }
-        let window = engine.loads_per_second * LOAD_WINDOW_MS as f64 / 1_000.0;
+        let window = loads_per_second * LOAD_WINDOW_MS as f64 / 1_000.0;
         let most = (window * LOAD_PERCENT as f64 / 100.0) as u32;
         most.saturating_sub(self.loads.len() as u32)
     }
 }
 
+/// Whether a member's weights are still being loaded.
+fn is_joining(view: &View<'_>, instance: &str) -> bool {
+    let group = view.tables.group_of(instance);
+    group.is_some_and(|group| group.phase == GroupPhase::Forming)
+}
+
+/// Declared length of a load of a group's model.
+fn load_ms(view: &View<'_>, group: &GroupRow) -> Millis {
+    let configuration = view.tables.configuration.as_ref();
+    let service = configuration.and_then(|held| held.service(&group.service));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    engine.and_then(|engine| engine.model(&group.model)).map_or(0, |model| model.load_ms)
+}
+
 fn needs_load(view: &View<'_>, instance: &str, command: &GroupCommand) -> bool {
     let GroupCommand::Join { model, .. } = command else { return false };
     let seen = view.observations.instance(instance);
