--- /dev/null
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -0,0 +1,273 @@
+//! A fleet of real daemons on loopback, found by seeds: three members of the control group, two entries.
+
+use crate::servers::FakeServer;
+use reqwest::{Client, StatusCode};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// Generous: what is judged is judged by answers, not by time.
+pub const LIMIT: Duration = Duration::from_secs(30);
+const PEER_PORT: u16 = 7_100;
+const OPERATORS_PORT: u16 = 7_200;
+const FRONTEND_PORT: u16 = 7_300;
+const READINESS_PORT: u16 = 7_301;
+const DIRECTORY_PORT: u16 = 7_302;
+const SERVER_PORT: u16 = 7_400;
+const MEMBERS: u8 = 3;
+const ENTRIES: u8 = 2;
+
+static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
+
+/// One daemon process.
+pub struct Daemon {
+    settings: PathBuf,
+    pub data_folder: PathBuf,
+    child: Option<Child>,
+}
+
+impl Daemon {
+    pub fn start(&mut self) {
+        let started = Command::new(env!("CARGO_BIN_EXE_dockwoodd"))
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = started.ok();
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks for a planned stop, as a service manager does.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+        }
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| child.try_wait().is_ok_and(|ended| ended.is_some()))
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The fleet.
+pub struct Fleet {
+    pub members: Vec<Daemon>,
+    pub entries: Vec<Daemon>,
+    pub http: Client,
+    network: [u8; 2],
+    folder: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// Starts all daemons.
+    pub fn start() -> Fleet {
+        let process = std::process::id();
+        let number = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst) as u8;
+        let network = [64 + number, (process % 250) as u8 + 1];
+        let folder = tempfile::tempdir().unwrap_or_else(|error| panic!("{error}"));
+        let http = Client::builder().pool_max_idle_per_host(0).build().unwrap_or_default();
+        let mut fleet = Fleet { members: Vec::new(), entries: Vec::new(), http, network, folder };
+        for number in 0..MEMBERS {
+            let daemon = fleet.daemon(&format!("member-{number}"), number, true, true);
+            fleet.members.push(daemon);
+        }
+        for number in 0..ENTRIES {
+            let daemon = fleet.daemon(&format!("entry-{number}"), MEMBERS + number, false, false);
+            fleet.entries.push(daemon);
+        }
+        fleet.members.iter_mut().chain(&mut fleet.entries).for_each(Daemon::start);
+        fleet
+    }
+
+    /// Writes a daemon's settings.
+    pub fn daemon(&self, name: &str, host: u8, member: bool, founding: bool) -> Daemon {
+        let address = |port| self.address(host, port);
+        let seeds: Vec<SocketAddr> =
+            (0..MEMBERS).map(|member| self.address(member, OPERATORS_PORT)).collect();
+        let data_folder = self.folder.path().join(format!("{name}-data"));
+        let gateway = if member {
+            json!({ "operators": address(OPERATORS_PORT), "stallMs": 1000, "stopLimitMs": 8000 })
+        } else {
+            json!({
+                "frontend": address(FRONTEND_PORT), "readiness": address(READINESS_PORT),
+                "directory": address(DIRECTORY_PORT), "answerLifetimeMs": 300, "stopLimitMs": 8000,
+                "retryBudget": { "ratio": 0.2, "windowSeconds": 10, "extra": 100 },
+            })
+        };
+        let settings = json!({
+            "name": name, "region": "r", "zone": "z",
+            "listen": { "peer": address(PEER_PORT), "http": address(PEER_PORT + 1) },
+            "control": {
+                "seeds": seeds, "seedPeerPort": PEER_PORT, "founding": founding, "member": member,
+                "dataFolder": data_folder,
+            },
+            "gateway": gateway,
+            "traffic": { "threads": 1 },
+        });
+        let path = self.folder.path().join(format!("{name}.yaml"));
+        std::fs::write(&path, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
+        Daemon { settings: path, data_folder, child: None }
+    }
+
+    fn address(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, self.network[0], self.network[1], host + 1], port))
+    }
+
+    pub fn server_address(&self, number: u8) -> SocketAddr {
+        self.address(100 + number, SERVER_PORT)
+    }
+
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        (0..MEMBERS).map(|member| self.address(member, OPERATORS_PORT)).collect()
+    }
+
+    pub fn entry(&self, number: u8) -> String {
+        format!("http://{}", self.address(MEMBERS + number, FRONTEND_PORT))
+    }
+
+    pub async fn model_server(&self, number: u8) -> Arc<FakeServer> {
+        let id = format!("model-{number}");
+        FakeServer::start(&id, "writer", Some("d"), self.server_address(number), self.operators()).await
+    }
+
+    pub async fn plain_server(&self, number: u8) -> Arc<FakeServer> {
+        let id = format!("plain-{number}");
+        FakeServer::start(&id, "board", None, self.server_address(number), self.operators()).await
+    }
+
+    /// Puts a configuration until some member takes it.
+    pub async fn configure(&self, configuration: &Value) {
+        let put = |address: SocketAddr| {
+            let url = format!("http://{address}/v1/gateway/configuration");
+            self.http.put(url).timeout(Duration::from_secs(1)).json(configuration).send()
+        };
+        let taken = async {
+            loop {
+                for address in self.operators() {
+                    if put(address).await.is_ok_and(|answer| answer.status() == StatusCode::OK) {
+                        return;
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let in_time = tokio::time::timeout(LIMIT, taken).await;
+        assert!(in_time.is_ok(), "no member took the configuration");
+    }
+
+    /// The version that some member reads back; `None` if none is sure of it.
+    pub async fn read_version(&self) -> Option<u64> {
+        for address in self.operators() {
+            let url = format!("http://{address}/v1/gateway/configuration");
+            let Ok(answer) = self.http.get(url).timeout(Duration::from_secs(1)).send().await else {
+                continue;
+            };
+            if answer.status() == StatusCode::OK {
+                let read: Option<Value> = answer.json().await.ok();
+                return read.and_then(|read| read["version"].as_u64());
+            }
+        }
+        None
+    }
+
+    /// Waits until a member reads a configuration back, and returns its version.
+    pub async fn settled_version(&self) -> Option<u64> {
+        let begun = Instant::now();
+        while begun.elapsed() < LIMIT {
+            if let Some(version) = self.read_version().await {
+                return Some(version);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        None
+    }
+
+    /// A request at an entry.
+    pub fn request(&self, entry: u8, path: &str, attempt: &str) -> reqwest::RequestBuilder {
+        self.http
+            .post(format!("{}{path}", self.entry(entry)))
+            .header("host", "h.example")
+            .header("authorization", "Bearer key-1")
+            .header("dockwood-attempt", attempt)
+            .header("dockwood-model", "m")
+            .timeout(LIMIT)
+    }
+
+    /// Waits until a plain request or a stream is answered at both entries.
+    pub async fn wait_until_served(&self, path: &str) {
+        for entry in 0..ENTRIES {
+            let begun = Instant::now();
+            loop {
+                let answer = self.request(entry, path, "warm-up").send().await;
+                if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
+                    break;
+                }
+                assert!(begun.elapsed() < LIMIT, "{path} is never served at entry {entry}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+/// Waits for a condition.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !condition() {
+        assert!(begun.elapsed() < LIMIT, "{what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A configuration with a stream, a plain route and one that may run once.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({
+            "name": name, "host": "h.example", "path_prefix": format!("/{name}/"), "kind": kind,
+            "services": [{ "service": service, "weight": 1 }], "timeout_ms": 20_000, "target_latency_ms": 400,
+            "target_gap_ms": 300, "max_attempts": attempts, "priority": 1, "anonymous": false,
+            "resumable": resumable,
+        })
+    };
+    let engine = json!({
+        "slots": 8, "memory_tokens": 100_000, "step_ms": 4.0, "per_sequence_ms": 0.1, "read_per_second": 50_000.0,
+        "chunk": 500, "stride": 5, "loads_per_second": 50.0, "loads_at_once": 50, "staged_models": 1,
+        "models": [{ "name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_ms": 100, "warm_ms": 50 }],
+    });
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "Stream", "writer", 2, true),
+            route("plain", "Repeatable", "board", 2, false),
+            route("once", "AtMostOnce", "board", 1, false),
+        ],
+        "services": [
+            { "name": "writer", "health_path": "/", "max_connections": 100, "engine": engine },
+            { "name": "board", "health_path": "/", "max_connections": 100, "engine": null },
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_ms": 3000,
+                    "idle_timeout_ms": 15000 },
+        "tenants": [{ "name": "x", "keys": ["key-1"], "priority": null }],
+        "document": [],
+    })
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway/main.rs
@@ -0,0 +1,221 @@
+//! The gateway's whole path without the bench: real daemons as processes, found by seeds; servers that register
+//! themselves and form groups; failures brought about from outside.
+
+mod fixture;
+mod servers;
+
+use fixture::{Fleet, LIMIT, configuration, eventually};
+use reqwest::StatusCode;
+use servers::{EVENTS, FakeServer, Manner};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+fn whole_stream() -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
+/// A fleet with two groups of two model servers, all of it serving.
+async fn with_groups() -> (Fleet, Vec<Arc<FakeServer>>) {
+    let fleet = Fleet::start();
+    let mut models = Vec::new();
+    for number in 0..4 {
+        models.push(fleet.model_server(number).await);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/stream/1").await;
+    eventually("both groups open", || models.iter().filter(|server| server.is_open()).count() == 2).await;
+    (fleet, models)
+}
+
+/// A fleet with two plain servers.
+async fn with_plain_servers() -> (Fleet, [Arc<FakeServer>; 2]) {
+    let fleet = Fleet::start();
+    let servers = [fleet.plain_server(0).await, fleet.plain_server(1).await];
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    (fleet, servers)
+}
+
+fn runs(servers: &[Arc<FakeServer>]) -> u32 {
+    servers.iter().map(|server| server.runs.load(Ordering::SeqCst)).sum()
+}
+
+fn serving(models: &[Arc<FakeServer>]) -> Option<&Arc<FakeServer>> {
+    models.iter().find(|server| server.streaming.load(Ordering::SeqCst) > 0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_answered_whole_and_refused_for_what_they_lack() -> reqwest::Result<()> {
+    let (fleet, models) = with_groups().await;
+    let answer = fleet.request(0, "/stream/2", "a-1").send().await?;
+    assert_eq!(answer.headers().get("dockwood-attempt").and_then(|id| id.to_str().ok()), Some("a-1"));
+    assert_eq!(answer.text().await?, whole_stream());
+    let tenants = models[0].tenants.lock().map(|tenants| tenants.clone()).unwrap_or_default();
+    assert!(tenants.iter().all(|tenant| tenant == "x"));
+    let status =
+        |request: reqwest::RequestBuilder| async move { request.send().await.map(|answer| answer.status()) };
+    let url = format!("{}/stream/1", fleet.entry(1));
+    let without_key = fleet.http.post(&url).header("host", "h.example");
+    assert_eq!(status(without_key).await?, StatusCode::UNAUTHORIZED);
+    assert_eq!(status(fleet.request(1, "/nowhere/1", "a-2")).await?, StatusCode::NOT_FOUND);
+    let large = fleet.request(1, "/stream/1", "a-3").body(vec![0; 200_000]);
+    assert_eq!(status(large).await?, StatusCode::PAYLOAD_TOO_LARGE);
+    let unserved = fleet.request(1, "/plain/1", "a-4").send().await?;
+    assert_eq!(unserved.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(unserved.headers().contains_key("retry-after"), "not run, and told when to come back");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_group_stands_still_goes_on_elsewhere_without_a_gap_or_a_repeat() -> reqwest::Result<()>
+{
+    let (fleet, models) = with_groups().await;
+    eventually("warm-up requests have left", || serving(&models).is_none()).await;
+    let streaming = tokio::spawn(fleet.request(0, "/stream/2", "a-1").send());
+    eventually("the stream has begun", || serving(&models).is_some()).await;
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    if let Some(server) = serving(&models) {
+        server.stands_still.store(true, Ordering::SeqCst);
+    }
+    let answer = streaming.await.unwrap_or_else(|error| panic!("{error}"))?;
+    assert_eq!(answer.text().await?, whole_stream());
+    assert_eq!(models.iter().filter(|server| server.runs.load(Ordering::SeqCst) > 0).count(), 2);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_takes_its_request_from_the_server() -> reqwest::Result<()> {
+    let (fleet, models) = with_groups().await;
+    eventually("warm-up requests have left", || serving(&models).is_none()).await;
+    let broken_off = || models.iter().map(|server| server.broken_off.load(Ordering::SeqCst)).sum::<u32>();
+    let before = broken_off();
+    let mut answer = fleet.request(0, "/stream/2", "a-1").send().await?;
+    assert!(answer.chunk().await?.is_some());
+    drop(answer);
+    eventually("the server's stream is broken off", || broken_off() > before).await;
+    assert!(serving(&models).is_none(), "and no other server goes on with it");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_may_run_once_is_never_sent_again_unless_it_was_not_run() -> reqwest::Result<()> {
+    let (fleet, servers) = with_plain_servers().await;
+    servers[0].set_manner(Manner::Sheds);
+    for number in 0..6 {
+        let answer = fleet.request(0, "/once/1", &format!("a-{number}")).send().await?;
+        assert_eq!((answer.status(), answer.text().await?), (StatusCode::OK, "plain-1".to_string()));
+    }
+    servers.iter().for_each(|server| server.set_manner(Manner::LosesAnswers));
+    let before = runs(&servers);
+    for number in 0..6 {
+        let answer = fleet.request(0, "/once/1", &format!("b-{number}")).send().await?;
+        let promises = answer.headers().contains_key("retry-after");
+        assert_eq!((answer.status(), promises), (StatusCode::BAD_GATEWAY, false), "{}", answer.text().await?);
+    }
+    assert_eq!(runs(&servers) - before, 6);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_may_be_repeated_is_answered_by_another_server() -> reqwest::Result<()> {
+    let (fleet, servers) = with_plain_servers().await;
+    servers[0].set_manner(Manner::LosesAnswers);
+    for number in 0..6 {
+        let answer = fleet.request(1, "/plain/1", &format!("a-{number}")).send().await?;
+        assert_eq!((answer.status(), answer.text().await?), (StatusCode::OK, "plain-1".to_string()));
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_drains_gets_no_new_work() -> reqwest::Result<()> {
+    let (fleet, servers) = with_plain_servers().await;
+    servers[0].drain();
+    // Its next report tells of it, and the entries hear of that at once.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = servers[0].runs.load(Ordering::SeqCst);
+    for number in 0..10 {
+        let answer = fleet.request(number % 2, "/plain/1", &format!("a-{number}")).send().await?;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    assert_eq!(servers[0].runs.load(Ordering::SeqCst), before);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_of_an_entry_cuts_no_stream() -> reqwest::Result<()> {
+    let (mut fleet, models) = with_groups().await;
+    eventually("warm-up requests have left", || serving(&models).is_none()).await;
+    let streaming = tokio::spawn(fleet.request(0, "/stream/2", "a-1").send());
+    eventually("the stream has begun", || serving(&models).is_some()).await;
+    fleet.entries[0].terminate();
+    let answer = streaming.await.unwrap_or_else(|error| panic!("{error}"))?;
+    assert_eq!(answer.text().await?, whole_stream());
+    let begun = std::time::Instant::now();
+    while !fleet.entries[0].has_ended() {
+        assert!(begun.elapsed() < LIMIT, "the entry never ends");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let answer = fleet.request(1, "/stream/2", "a-2").send().await?;
+    assert_eq!(answer.text().await?, whole_stream());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_accepted_configuration_survives_lost_disks_one_after_the_other() {
+    let mut fleet = Fleet::start();
+    fleet.configure(&configuration(1)).await;
+    for lost in 0..3 {
+        let version = lost as u64 + 2;
+        fleet.configure(&configuration(version)).await;
+        fleet.members[lost].kill();
+        let folder = fleet.members[lost].data_folder.clone();
+        std::fs::remove_dir_all(folder).unwrap_or_else(|error| panic!("{error}"));
+        let name = format!("member-{lost}");
+        let mut replaced = fleet.daemon(&name, lost as u8, true, false);
+        replaced.start();
+        fleet.members[lost] = replaced;
+        // It must be a voter again before the next disk may be lost.
+        fleet.configure(&configuration(version + 100 * (lost as u64 + 1))).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+    }
+    assert_eq!(fleet.settled_version().await, Some(304));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_members_killed_at_once_come_back_with_what_was_accepted() {
+    let mut fleet = Fleet::start();
+    fleet.configure(&configuration(7)).await;
+    fleet.configure(&configuration(5)).await;
+    assert_eq!(fleet.settled_version().await, Some(7), "the highest version holds");
+    fleet.members.iter_mut().for_each(fixture::Daemon::kill);
+    assert_eq!(fleet.read_version().await, None);
+    fleet.members.iter_mut().for_each(fixture::Daemon::start);
+    assert_eq!(fleet.settled_version().await, Some(7));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_member_without_a_majority_is_not_sure_of_the_configuration() {
+    let mut fleet = Fleet::start();
+    fleet.configure(&configuration(3)).await;
+    fleet.members[0].kill();
+    fleet.members[1].kill();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(fleet.read_version().await, None);
+    fleet.members[0].start();
+    assert_eq!(fleet.settled_version().await, Some(3));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hangup_ends_no_daemon() -> reqwest::Result<()> {
+    let (mut fleet, _servers) = with_plain_servers().await;
+    for daemon in fleet.members.iter_mut().chain(&mut fleet.entries) {
+        daemon.signal("-HUP");
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!fleet.members.iter_mut().chain(&mut fleet.entries).any(fixture::Daemon::has_ended));
+    let answer = fleet.request(0, "/plain/1", "a-1").send().await?;
+    assert_eq!(answer.status(), StatusCode::OK);
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -0,0 +1,235 @@
+//! Small servers that register themselves and speak dockwood's own protocol: model servers in groups, and plain ones.
+
+use dockwood_api::gateway::{
+    GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport, MembershipState,
+};
+use futures::stream;
+use poem::http::StatusCode;
+use poem::listener::TcpListener;
+use poem::web::Data;
+use poem::{Body, EndpointExt, IntoResponse, Request, Response, Route, Server, handler};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 30;
+/// Time between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two reports.
+const REPORT_EVERY: Duration = Duration::from_millis(200);
+/// How long a member loads.
+const LOAD: Duration = Duration::from_millis(100);
+
+/// How a server treats requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    Sound,
+    /// Refuses, and says that it did not run the request.
+    Sheds,
+    /// Runs the request and closes the connection without an answer.
+    LosesAnswers,
+}
+
+/// One server.
+pub struct FakeServer {
+    pub id: String,
+    pub address: SocketAddr,
+    service: String,
+    domain: Option<String>,
+    manner: Mutex<Manner>,
+    membership: Mutex<Option<MembershipReport>>,
+    sequence: AtomicU64,
+    state: Mutex<InstanceState>,
+    pub stands_still: AtomicBool,
+    pub runs: AtomicU32,
+    pub broken_off: AtomicU32,
+    pub streaming: AtomicU32,
+    pub tenants: Mutex<Vec<String>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl FakeServer {
+    /// Starts a server and its reports.
+    pub async fn start(
+        id: &str,
+        service: &str,
+        domain: Option<&str>,
+        address: SocketAddr,
+        operators: Vec<SocketAddr>,
+    ) -> Arc<FakeServer> {
+        let server = Arc::new(FakeServer {
+            id: id.to_string(),
+            address,
+            service: service.to_string(),
+            domain: domain.map(str::to_string),
+            manner: Mutex::new(Manner::Sound),
+            membership: Mutex::new(None),
+            sequence: AtomicU64::new(0),
+            state: Mutex::new(InstanceState::Ready),
+            stands_still: AtomicBool::new(false),
+            runs: AtomicU32::new(0),
+            broken_off: AtomicU32::new(0),
+            streaming: AtomicU32::new(0),
+            tenants: Mutex::default(),
+        });
+        let routes = Route::new()
+            .at("/group/orders", poem::post(take_order))
+            .at("/group/report", poem::get(report))
+            .at("/*path", poem::get(run).post(run))
+            .data(server.clone());
+        tokio::spawn(Server::new(TcpListener::bind(address)).run(routes));
+        tokio::spawn(keep_reporting(server.clone(), operators));
+        server
+    }
+
+    pub fn set_manner(&self, manner: Manner) {
+        *lock(&self.manner) = manner;
+    }
+
+    pub fn drain(&self) {
+        *lock(&self.state) = InstanceState::Draining;
+    }
+
+    pub fn is_open(&self) -> bool {
+        lock(&self.membership).as_ref().is_some_and(|held| held.state == MembershipState::Open)
+    }
+
+    fn set_state(&self, epoch: u64, state: MembershipState) {
+        if let Some(held) = lock(&self.membership).as_mut().filter(|held| held.epoch == epoch) {
+            held.state = state;
+        }
+    }
+
+    fn current_report(&self) -> InstanceReport {
+        InstanceReport {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            zone: "z".to_string(),
+            slots: 8,
+            state: *lock(&self.state),
+            sequence: self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
+            domain: self.domain.clone(),
+            staged: Vec::new(),
+            membership: lock(&self.membership).clone(),
+        }
+    }
+}
+
+async fn keep_reporting(server: Arc<FakeServer>, operators: Vec<SocketAddr>) {
+    let http = reqwest::Client::new();
+    let mut turn = 0;
+    loop {
+        if !server.stands_still.load(Ordering::SeqCst) {
+            let url =
+                format!("http://{}/v1/gateway/instances/{}", operators[turn % operators.len()], server.id);
+            let sent =
+                http.put(url).timeout(Duration::from_secs(1)).json(&server.current_report()).send().await;
+            if !sent.is_ok_and(|answer| answer.status().is_success()) {
+                turn += 1;
+            }
+        }
+        tokio::time::sleep(REPORT_EVERY).await;
+    }
+}
+
+#[handler]
+fn report() -> StatusCode {
+    StatusCode::OK
+}
+
+#[handler]
+async fn take_order(server: Data<&Arc<FakeServer>>, body: Vec<u8>) -> StatusCode {
+    let server = server.0.clone();
+    if server.stands_still.load(Ordering::SeqCst) {
+        std::future::pending::<()>().await;
+    }
+    let Ok(order) = serde_json::from_slice::<GroupOrder>(&body) else { return StatusCode::BAD_REQUEST };
+    let epoch = order.epoch;
+    match order.command {
+        GroupCommand::Join { .. } => {
+            let joining = MembershipReport { group: order.group, epoch, state: MembershipState::Joining };
+            *lock(&server.membership) = Some(joining);
+            tokio::spawn(async move {
+                tokio::time::sleep(LOAD).await;
+                server.set_state(epoch, MembershipState::Ready);
+            });
+        }
+        GroupCommand::Open => server.set_state(epoch, MembershipState::Open),
+        GroupCommand::Close { .. } => server.set_state(epoch, MembershipState::Ready),
+        GroupCommand::Stage { .. } => {}
+    }
+    StatusCode::ACCEPTED
+}
+
+fn header(request: &Request, name: &str) -> Option<String> {
+    request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_string)
+}
+
+#[handler]
+async fn run(server: Data<&Arc<FakeServer>>, request: &Request) -> Response {
+    let server = server.0.clone();
+    let attempt = header(request, "dockwood-attempt").unwrap_or_default();
+    if header(request, "dockwood-instance").as_ref() != Some(&server.id) {
+        return StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt).into_response();
+    }
+    let manner = *lock(&server.manner);
+    if manner == Manner::Sheds {
+        let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("dockwood-not-run", "1");
+        return refusal.with_header("dockwood-attempt", attempt).into_response();
+    }
+    server.runs.fetch_add(1, Ordering::SeqCst);
+    lock(&server.tenants).extend(header(request, "dockwood-tenant"));
+    if manner == Manner::LosesAnswers {
+        // Ends the connection's task without a word: the HTTP library would end a failing body as if it were whole.
+        std::panic::resume_unwind(Box::new("the answer is lost"));
+    }
+    if server.domain.is_none() {
+        return server.id.clone().with_header("dockwood-attempt", attempt).into_response();
+    }
+    let after = header(request, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    Response::builder()
+        .header("dockwood-attempt", attempt)
+        .content_type("text/event-stream")
+        .body(Body::from_bytes_stream(events(server, after)))
+}
+
+/// Counts a stream that is dropped before its end.
+struct Running {
+    server: Arc<FakeServer>,
+    complete: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.server.streaming.fetch_sub(1, Ordering::SeqCst);
+        if !self.complete {
+            self.server.broken_off.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+fn events(
+    server: Arc<FakeServer>,
+    after: u64,
+) -> impl futures::Stream<Item = std::io::Result<Vec<u8>>> + Send + 'static {
+    server.streaming.fetch_add(1, Ordering::SeqCst);
+    let running = Running { server, complete: false };
+    stream::unfold((running, after + 1), |(mut running, id)| async move {
+        tokio::time::sleep(EVENT_PAUSE).await;
+        while running.server.stands_still.load(Ordering::SeqCst) {
+            tokio::time::sleep(EVENT_PAUSE).await;
+        }
+        if id > EVENTS {
+            running.complete = true;
+            return None;
+        }
+        let event = format!("id: {id}\ndata: piece {id}\n\n").into_bytes();
+        Some((Ok(event), (running, id + 1)))
+    })
+}
