Finish streams where they run when their group is told to finish

Cause: an entry took every phase but open for closed, so streams were moved from groups that drain; those that found no place were cut. Change: a draining group takes nothing new and keeps what it has; only a group that is cut off moves its streams.

--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -18,10 +18,11 @@
 /// Requests at a group beyond the ones that it works on: they wait there for a moment only.
 const QUEUED_AT_GROUP: u32 = 3;
 
-/// One open group.
+/// One group that is open, or finishes what it has.
 #[derive(Debug)]
 struct GroupState {
     row: Arc<GroupRow>,
+    takes_new: bool,
     slots: u32,
     in_flight: u32,
     others_in_flight: u32,
@@ -98,16 +99,23 @@
     /// Takes the groups of newly published tables.
     pub fn follow(&self, tables: &GatewayTables) {
         let mut groups = lock(&self.groups);
-        let is_open = |epoch: &u64| tables.groups.get(epoch).is_some_and(|row| row.phase == GroupPhase::Open);
+        let serves = |phase| matches!(phase, GroupPhase::Open | GroupPhase::Draining);
+        let is_open = |epoch: &u64| tables.groups.get(epoch).is_some_and(|row| serves(row.phase));
         let before = groups.len();
         groups.retain(|epoch, _| is_open(epoch));
         let closed = groups.len() < before;
         let Some(configuration) = &tables.configuration else { return };
-        for row in tables.groups.values().filter(|row| row.phase == GroupPhase::Open) {
+        for row in tables.groups.values().filter(|row| serves(row.phase)) {
             let engine = configuration.service(&row.service).and_then(|service| service.engine.as_ref());
             let slots = engine.map_or(1, |engine| engine.slots);
-            groups.entry(row.epoch).and_modify(|group| group.slots = slots).or_insert_with(|| GroupState {
+            let takes_new = row.phase == GroupPhase::Open;
+            let update = |group: &mut GroupState| {
+                group.slots = slots;
+                group.takes_new = takes_new;
+            };
+            groups.entry(row.epoch).and_modify(update).or_insert_with(|| GroupState {
                 row: row.clone(),
+                takes_new,
                 slots,
                 in_flight: 0,
                 others_in_flight: 0,
@@ -167,7 +175,10 @@
         let mut groups = lock(&gateway.loads.groups);
         let serving: Vec<u64> = groups
             .iter()
-            .filter(|(_, group)| group.row.service == query.service && group.row.model == query.model)
+            .filter(|(_, group)| {
+                let serves = group.row.service == query.service && group.row.model == query.model;
+                serves && group.takes_new
+            })
             .map(|(epoch, _)| *epoch)
             .collect();
         if serving.is_empty() {
@@ -225,7 +236,7 @@
         lock(&self.groups).get(&epoch).is_some_and(|group| now < group.last_progress + span)
     }
 
-    /// Whether a group still takes work.
+    /// Whether a group still works on what it has.
     pub fn is_open(&self, epoch: u64) -> bool {
         lock(&self.groups).contains_key(&epoch)
     }
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -143,6 +143,22 @@
     Ok(())
 }
 
+/// Found by a hunt: streams were taken from groups that had only been told to finish what they have, and some found no
+/// place elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_finished_where_it_runs_when_a_member_of_its_group_drains() -> reqwest::Result<()> {
+    let (fleet, models) = with_groups().await;
+    eventually("warm-up requests have left", || serving(&models).is_none()).await;
+    let before = runs(&models);
+    let streaming = tokio::spawn(fleet.request(0, "/stream/2", "a-1").send());
+    eventually("the stream has begun", || serving(&models).is_some()).await;
+    models.iter().for_each(|server| server.drain());
+    let answer = streaming.await.unwrap_or_else(|error| panic!("{error}"))?;
+    assert_eq!(answer.text().await?, whole_stream());
+    assert_eq!(runs(&models) - before, 1, "one server ran it, once");
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_planned_stop_of_an_entry_cuts_no_stream() -> reqwest::Result<()> {
     let (mut fleet, models) = with_groups().await;
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -161,7 +161,16 @@
             });
         }
         GroupCommand::Open => server.set_state(epoch, MembershipState::Open),
-        GroupCommand::Close { .. } => server.set_state(epoch, MembershipState::Ready),
+        GroupCommand::Close { truncate: true } => server.set_state(epoch, MembershipState::Ready),
+        GroupCommand::Close { truncate: false } => {
+            server.set_state(epoch, MembershipState::Closing);
+            tokio::spawn(async move {
+                while server.streaming.load(Ordering::SeqCst) > 0 {
+                    tokio::time::sleep(EVENT_PAUSE).await;
+                }
+                server.set_state(epoch, MembershipState::Ready);
+            });
+        }
         GroupCommand::Stage { .. } => {}
     }
     StatusCode::ACCEPTED
