Let members leave a group whose head can't be asked, tell loads every 60 ms, and let those that come back wait

Change: members of a group that is cut off are told to leave and are free as soon as they report it, while the head stays bound until it has surely closed; loads go out every 60 ms; one request may queue at a group, six if its caller came back.

--- a/crates/api/src/gateway/group.rs
+++ b/crates/api/src/gateway/group.rs
@@ -20,6 +20,8 @@
     },
     /// To the head: begin to serve.
     Open,
+    /// To a member: leave the group, which then stands still.
+    Leave,
     /// To the head: stop serving.
     Close {
         /// Cut running requests off instead of finishing them.
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -96,6 +96,9 @@
         GatewayCommand::SetPhase { epoch, phase, reason } => {
             account("group", &format!("g{epoch}"), &format!("{phase:?}"), reason.clone())
         }
+        GatewayCommand::Release { epoch, member } => {
+            account("group", &format!("g{epoch}"), "Released", member.clone())
+        }
         GatewayCommand::End { epoch, reason } => {
             account("group", &format!("g{epoch}"), "Ended", reason.clone())
         }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -5,7 +5,7 @@
 use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
 use dockwood_grouping::{
     GroupingPolicy, Observations, OrderBook, ProbeResult, View, advance_groups, borrow_servers, form_groups,
-    reap_instances,
+    reap_instances, release_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
 use std::collections::BTreeSet;
@@ -86,6 +86,7 @@
         let loads_allowed = self.loads_allowed(now, tables);
         let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
+        commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(reap_instances(&view));
         commands.extend(borrow_servers(&view));
         if commands.is_empty() {
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -12,7 +12,7 @@
 /// How long a server may take to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long an instance may take to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Sends from the traffic runtime and reports back to the control thread.
 #[derive(Clone)]
--- a/crates/daemon/src/gateway/load_exchange.rs
+++ b/crates/daemon/src/gateway/load_exchange.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Time between two exchanges while requests are in flight.
-const BUSY_EVERY: Duration = Duration::from_millis(150);
+const BUSY_EVERY: Duration = Duration::from_millis(60);
 /// Time between two exchanges otherwise.
 const IDLE_EVERY: Duration = Duration::from_millis(600);
 /// How long the leader may take.
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -16,7 +16,10 @@
 /// A group that stood still here is avoided for this long.
 const SUSPICION_MS: Millis = 1_200;
 /// Requests at a group beyond the ones that it works on: they wait there for a moment only.
-const QUEUED_AT_GROUP: u32 = 3;
+const QUEUED_AT_GROUP: u32 = 1;
+/// The same for callers that were refused before and came back: a late answer is worth more to them than another
+/// refusal.
+const QUEUED_AFTER_REFUSAL: u32 = 6;
 
 /// One group that is open, or finishes what it has.
 #[derive(Debug)]
@@ -93,6 +96,8 @@
     pub model: &'a str,
     /// Groups that were tried before.
     pub excluded: &'a [u64],
+    /// The caller was refused before.
+    pub came_back: bool,
 }
 
 impl Loads {
@@ -184,11 +189,12 @@
         if serving.is_empty() {
             return PlaceAnswer::NoGroup;
         }
+        let queued = if query.came_back { QUEUED_AFTER_REFUSAL } else { QUEUED_AT_GROUP };
         let eligible = |epoch: &&u64| {
             let group = &groups[*epoch];
             !query.excluded.contains(*epoch)
                 && !group.is_suspected(now)
-                && group.total() < group.slots + QUEUED_AT_GROUP
+                && group.total() < group.slots + queued
         };
         let candidates: Vec<Candidate> = serving
             .iter()
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -15,6 +15,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A first try tells the whole of its time, but for what passed on the way.
+const FIRST_TRY_MARGIN_MS: u64 = 40;
 /// Highest rank number that servers know.
 const LOWEST_RANK: u32 = 9;
 
@@ -45,6 +47,8 @@
     pub model: Option<String>,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
+    /// Its caller has less time than the route gives: it tried before.
+    pub came_back: bool,
     /// When the answer must be given.
     pub deadline: Instant,
 }
@@ -96,7 +100,9 @@
     };
     let names = gateway.dialect.headers();
     let number = |name: &str| text(&parts.headers, name).and_then(|value| value.trim().parse::<u64>().ok());
-    let timeout_ms = number(names.deadline_ms).map_or(route.timeout_ms, |told| told.min(route.timeout_ms));
+    let told_ms = number(names.deadline_ms);
+    let came_back = told_ms.is_some_and(|told| told + FIRST_TRY_MARGIN_MS < route.timeout_ms);
+    let timeout_ms = told_ms.map_or(route.timeout_ms, |told| told.min(route.timeout_ms));
     let drop_key = key.is_some() || !route.anonymous;
     Ok(Received {
         headers: from_caller(&parts.headers, names, drop_key),
@@ -104,6 +110,7 @@
         model: text(&parts.headers, names.model),
         last_event: number(names.last_event),
         rank: priority.unwrap_or(route.priority).min(LOWEST_RANK),
+        came_back,
         method: parts.method,
         uri: parts.uri,
         deadline: arrived + Duration::from_millis(timeout_ms),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -30,6 +30,8 @@
 /// Part of the target for the first event that a request may wait here for a place, in hundredths: a refusal is worth
 /// something only while it is early.
 const WAIT_HUNDREDTHS: u64 = 20;
+/// The same for callers that were refused before.
+const WAIT_AFTER_REFUSAL_HUNDREDTHS: u64 = 80;
 /// Further bounds of silence after which a request moves on.
 const MOVE_AFTER_BOUNDS: u32 = 1;
 /// The least pause between a first suspicion and a move.
@@ -206,10 +208,13 @@
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
-        let wait = Duration::from_millis(self.received.route.target_latency_ms * WAIT_HUNDREDTHS / 100);
+        let came_back = self.received.came_back;
+        let hundredths = if came_back { WAIT_AFTER_REFUSAL_HUNDREDTHS } else { WAIT_HUNDREDTHS };
+        let wait = Duration::from_millis(self.received.route.target_latency_ms * hundredths / 100);
         let give_up_at = Instant::now() + wait;
         loop {
-            let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
+            let query =
+                PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups, came_back };
             let code = match Loads::take(&self.gateway, query) {
                 PlaceAnswer::Taken(place) => return Ok(Source::Group(place)),
                 PlaceAnswer::Full => ResultCode::Overloaded,
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -171,6 +171,7 @@
                 server.set_state(epoch, MembershipState::Ready);
             });
         }
+        GroupCommand::Leave => *lock(&server.membership) = None,
         GroupCommand::Stage { .. } => {}
     }
     StatusCode::ACCEPTED
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use borrowing::borrow_servers;
 pub use forming::form_groups;
-pub use lifecycle::{advance_groups, reap_instances};
+pub use lifecycle::{advance_groups, reap_instances, release_members};
 pub use observations::{InstanceObservation, Observations, ProbeResult};
 pub use orders::{OrderBook, OrderKind};
 
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -150,6 +150,21 @@
     }
 }
 
+/// Members that have left a group whose head can't be asked.
+pub fn release_members(view: &View<'_>, closing_since: impl Fn(u64) -> Millis) -> Vec<GatewayCommand> {
+    let cut_off = view.tables.groups.values().filter(|group| group.phase == GroupPhase::Cutting);
+    let released = cut_off.flat_map(|group| {
+        let since = closing_since(group.epoch);
+        let has_left = move |member: &&String| {
+            let Some(seen) = view.observations.instance(member) else { return false };
+            let in_group = seen.membership.as_ref().is_some_and(|held| held.epoch == group.epoch);
+            seen.reported_at > since && !in_group
+        };
+        group.members.iter().skip(1).filter(has_left).map(|member| (group.epoch, member.clone()))
+    });
+    released.map(|(epoch, member)| GatewayCommand::Release { epoch, member }).collect()
+}
+
 /// Instances to forget.
 pub fn reap_instances(view: &View<'_>) -> Vec<GatewayCommand> {
     let is_gone = |id: &str| {
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -54,7 +54,7 @@
 
 /// A group that showed progress to any entry this lately is at work, whatever others say. Longer than two of the
 /// entries' reports are apart.
-const PROGRESS_VALID_MS: Millis = 350;
+const PROGRESS_VALID_MS: Millis = 250;
 
 /// All that the leader has observed.
 #[derive(Clone, Debug, Default)]
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -29,6 +29,8 @@
     Stage,
     /// [`GroupCommand::Open`].
     Open,
+    /// [`GroupCommand::Leave`].
+    Leave,
     /// [`GroupCommand::Close`], letting requests finish.
     Drain,
     /// [`GroupCommand::Close`], cutting requests off.
@@ -42,6 +44,7 @@
             GroupCommand::Join { .. } => OrderKind::Join,
             GroupCommand::Stage { .. } => OrderKind::Stage,
             GroupCommand::Open => OrderKind::Open,
+            GroupCommand::Leave => OrderKind::Leave,
             GroupCommand::Close { truncate: false } => OrderKind::Drain,
             GroupCommand::Close { truncate: true } => OrderKind::Cut,
         }
@@ -208,10 +211,22 @@
         GroupPhase::Opening => to_head(GroupCommand::Open),
         GroupPhase::Open => Vec::new(),
         GroupPhase::Draining => to_head(GroupCommand::Close { truncate: false }),
-        GroupPhase::Cutting => to_head(GroupCommand::Close { truncate: true }),
+        GroupPhase::Cutting => {
+            let mut orders: Vec<(String, GroupCommand)> = to_head(GroupCommand::Close { truncate: true });
+            orders.extend(members_to_leave(view, group).map(|member| (member, GroupCommand::Leave)));
+            orders
+        }
     }
 }
 
+/// Where the head can't be asked to close, its other members are told to leave: without them it can't go on, whether
+/// it is lost or only cut off, and they need not wait until it is known which.
+fn members_to_leave<'a>(view: &'a View<'_>, group: &'a GroupRow) -> impl Iterator<Item = String> + 'a {
+    let head_answers = group.members.first().is_some_and(|head| view.observations.is_present(view.now, head));
+    let others = group.members.iter().skip(1).filter(move |_| !head_answers);
+    others.filter(|member| has_joined(view, group, member)).cloned()
+}
+
 fn has_joined(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
     let membership = view.observations.instance(member).and_then(|seen| seen.membership.as_ref());
     membership.is_some_and(|membership| {
--- a/crates/grouping/tests/lifecycle.rs
+++ b/crates/grouping/tests/lifecycle.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{LARGE, SMALL, World};
+use dockwood_api::gateway::GroupCommand;
 use dockwood_api::gateway::MembershipState;
-use dockwood_grouping::{advance_groups, form_groups, reap_instances};
+use dockwood_grouping::{OrderBook, advance_groups, form_groups, reap_instances, release_members};
 use dockwood_state::{GatewayCommand, GroupPhase};
 
 fn advance(world: &mut World, closing_since: u64) {
@@ -156,3 +157,38 @@
     world.now += 2_000;
     assert_eq!(reap_instances(&world.view()), [GatewayCommand::Remove { id: "d0-s2".to_string() }]);
 }
+
+/// Survivors of a group whose head is lost in silence need not wait for the engines' own bound: once they have left, the
+/// head can't go on even if it is only cut off.
+#[test]
+fn members_leave_a_group_whose_head_cannot_be_asked_and_are_free() {
+    let mut world = World::new(1, 4);
+    let epoch = world.open_group(LARGE, &["d0-s0", "d0-s1", "d0-s2", "d0-s3"]);
+    world.now += 4_500;
+    for id in ["d0-s1", "d0-s2", "d0-s3"] {
+        world.hear_again(id);
+    }
+    world.apply(GatewayCommand::SetPhase { epoch, phase: GroupPhase::Cutting, reason: String::new() });
+    let closing_since = world.now;
+    let orders = OrderBook::default().to_send(&world.view(), 1);
+    let leaving = orders.iter().filter(|order| order.command == GroupCommand::Leave);
+    assert_eq!(leaving.map(|order| order.instance.as_str()).collect::<Vec<_>>(), ["d0-s1", "d0-s2", "d0-s3"]);
+    world.now += 100;
+    assert!(release_members(&world.view(), |_| closing_since).is_empty(), "none has left yet");
+    let report = world.report("d0-s2", None, &[LARGE]);
+    world.hear(report);
+    let released = release_members(&world.view(), |_| closing_since);
+    assert_eq!(released, [GatewayCommand::Release { epoch, member: "d0-s2".to_string() }]);
+    world.apply_all(released);
+    assert!(world.tables.group_of("d0-s2").is_none());
+    assert!(world.tables.group_of("d0-s0").is_some(), "the head is not free before it has surely closed");
+}
+
+#[test]
+fn nobody_leaves_while_the_head_answers() {
+    let mut world = World::new(1, 2);
+    let epoch = world.open_group(SMALL, &["d0-s0", "d0-s1"]);
+    world.apply(GatewayCommand::SetPhase { epoch, phase: GroupPhase::Cutting, reason: String::new() });
+    let orders = OrderBook::default().to_send(&world.view(), 1);
+    assert!(orders.iter().all(|order| order.command != GroupCommand::Leave), "{orders:?}");
+}
--- a/crates/state/src/gateway.rs
+++ b/crates/state/src/gateway.rs
@@ -108,6 +108,13 @@
         /// Why.
         reason: String,
     },
+    /// A member has left a group that is being closed; it is free, and the group remains until its head has closed.
+    Release {
+        /// Group epoch.
+        epoch: u64,
+        /// Instance id; never the head.
+        member: String,
+    },
     /// Ends a group; its members are free.
     End {
         /// Group epoch.
@@ -143,6 +150,7 @@
                 self.form(service, model, members, reason)
             }
             GatewayCommand::SetPhase { epoch, phase, reason } => self.set_phase(*epoch, *phase, reason),
+            GatewayCommand::Release { epoch, member } => self.release(*epoch, member),
             GatewayCommand::End { epoch, .. } => self.end(*epoch),
         }
     }
@@ -261,6 +269,23 @@
         Applied::touching(Vec::new())
     }
 
+    fn release(&mut self, epoch: u64, member: &str) -> Applied {
+        let Some(row) = self.groups.get(&epoch) else {
+            return Applied::refused(ResultCode::EpochStale, "there is no such group");
+        };
+        let is_head = row.members.first().is_some_and(|head| head == member);
+        if row.phase != GroupPhase::Cutting || is_head {
+            return Applied::refused(
+                ResultCode::EpochStale,
+                "only members of a group that is cut off are released",
+            );
+        }
+        let mut next = GroupRow::clone(row);
+        next.members.retain(|held| held != member);
+        self.groups.insert(epoch, Arc::new(next));
+        Applied::touching(Vec::new())
+    }
+
     fn end(&mut self, epoch: u64) -> Applied {
         self.groups.remove(&epoch);
         Applied::touching(Vec::new())
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -121,3 +121,20 @@
     assert_eq!(ids, ["b"]);
     assert!(state.tables.gateway.was_removed("a"));
 }
+
+#[test]
+fn only_members_of_a_group_that_is_cut_off_are_released_and_never_the_head() {
+    let mut state = State::default();
+    register(&mut state, "a", 1);
+    register(&mut state, "b", 2);
+    form(&mut state, &["a", "b"]);
+    let release = |state: &mut State, member: &str| {
+        apply(state, GatewayCommand::Release { epoch: 1, member: member.to_string() })
+    };
+    assert!(matches!(release(&mut state, "b"), Outcome::Refused(_)));
+    let phase = GroupPhase::Cutting;
+    apply(&mut state, GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
+    assert!(matches!(release(&mut state, "a"), Outcome::Refused(_)));
+    assert_eq!(release(&mut state, "b"), Outcome::Applied);
+    assert!(state.tables.gateway.group_of("b").is_none() && state.tables.gateway.group_of("a").is_some());
+}
