--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -215,6 +215,12 @@
     complete: bool,
 }
 
+impl Running {
+    fn finish(&mut self) {
+        self.complete = true;
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         self.server.streaming.fetch_sub(1, Ordering::SeqCst);
@@ -236,7 +242,7 @@
             tokio::time::sleep(EVENT_PAUSE).await;
         }
         if id > EVENTS {
-            running.complete = true;
+            running.finish();
             return None;
         }
         let event = format!("id: {id}\ndata: piece {id}\n\n").into_bytes();
