--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// How long a server may take to answer an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an instance may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -34,6 +34,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Callers keep a directory answer for up to this many of its lifetimes.
 const ANSWERS_KEPT_LIFETIMES: u32 = 3;
+/// A planned stop takes new requests for at most this share of its limit, in percent: the rest is for finishing them.
+const ACCEPTS_FOR_PERCENT: u32 = 38;
 /// A planned stop ends this much before its limit.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// Connections to one engine or service that are kept for later use.
@@ -231,6 +233,7 @@
     let began = tokio::time::Instant::now();
     let ends_at = began + settings.stop_limit.saturating_sub(STOP_MARGIN);
     let held_for = settings.answer_lifetime * ANSWERS_KEPT_LIFETIMES + Duration::from_millis(200);
+    let held_for = held_for.min(settings.stop_limit * ACCEPTS_FOR_PERCENT / 100);
     if settings.frontend.is_some() {
         tokio::time::sleep_until((began + held_for).min(ends_at)).await;
     }
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Pause before an order without visible effect is sent again.
-const REPEAT_MS: Millis = 900;
+const REPEAT_MS: Millis = 200;
 /// Pause after an order was taken, for its effect to be reported.
 const TAKEN_MS: Millis = 3_000;
 /// Window over which loads from the weight store are counted.
