--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod controllers;
 mod driver_io;
 mod gateway;
+mod gateway_inputs;
 mod leader;
 mod leading;
 mod leases;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,15 +7,12 @@
 use crate::voter::{VoterPart, Waiter, command_bytes, dropped};
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::gateway::InstanceReport;
-use dockwood_api::peer::{
-    ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, ReadAnswer, SubmitReply, VoterRecord,
-};
+use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply, VoterRecord};
 use dockwood_consensus::{self as consensus, Entry, Message, Node, Payload, RoleName, Voter};
 use dockwood_grouping::GroupingPolicy;
 use dockwood_placement::PlacementPolicy;
 use dockwood_state::{
-    Applied, Command, CommandBody, ControlVoter, Outcome, State, Tables, decode_command, encode_command,
+    Applied, Command, CommandBody, ControlVoter, State, Tables, decode_command, encode_command,
     encode_outcome,
 };
 use std::collections::BTreeMap;
@@ -259,49 +256,6 @@
         }
     }
 
-    /// Whether an entry sees the servers by another machine's network than members of the control group do.
-    fn is_witness(&self, daemon: &str) -> bool {
-        let daemons = &self.board.tables().daemons;
-        let Some(entry) = daemons.get(daemon) else { return false };
-        let mut members = daemons.values().filter(|other| other.record.operators.is_some());
-        !members.any(|member| member.record.peer.ip() == entry.record.peer.ip())
-    }
-
-    /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
-    /// once an entry of the own term is.
-    fn read_revision(&self, now: Moment) -> ReadAnswer {
-        let is_current = self.voter.as_ref().is_some_and(VoterPart::applied_own_term);
-        if self.leads(now) && is_current {
-            ReadAnswer::Current { revision: self.board.revision() }
-        } else {
-            ReadAnswer::NotLeader { leader: self.leader_address() }
-        }
-    }
-
-    /// Takes a server's report; it is answered once what it changes is committed.
-    fn register(&mut self, now: Moment, report: InstanceReport, reply: R, batch: &mut Batch<R>) {
-        let leads = self.leads(now);
-        let leader = self.leader_address();
-        let tables = &self.board.state.tables;
-        let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
-        let Some(leadership) = leadership.filter(|_| leads) else {
-            self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
-            return;
-        };
-        match leadership.gateway.register(now.monotonic, &tables.gateway, &report) {
-            Some(command) => {
-                let body = CommandBody::Gateway(command);
-                batch.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
-                batch.waiters.push(Waiter::Caller(reply));
-            }
-            None => {
-                let outcome = encode_outcome(&Outcome::Applied);
-                let answer = SubmitReply::Applied { revision: tables.revision, outcome };
-                self.outputs.push(Output::SubmitReply(reply, answer));
-            }
-        }
-    }
-
     /// What came with this daemon's own lease.
     fn take_lease(&mut self, lease: GrantedLease) {
         self.raise_in_force(lease.in_force_revision);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod receive;
 mod refusal;
 mod serving;
+mod stalls;
 mod stream;
 mod targets;
 mod upstream;
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -4,10 +4,11 @@
 use super::Gateway;
 use super::body::{AnswerBody, CutShort, read_whole, whole};
 use super::headers::end_to_end;
-use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
+use super::loads::{Loads, PlaceAnswer, PlaceQuery};
 use super::plain::{belongs, give_up, request_for, says_not_run};
 use super::receive::{Received, may_still_run};
-use super::targets::{Picked, pick};
+use super::stalls::{Source, abandon, stands_still};
+use super::targets::pick;
 use super::upstream::{ConnectFault, Upstream};
 use crate::shared::InFlight;
 use bytes::Bytes;
@@ -32,21 +33,9 @@
 const WAIT_HUNDREDTHS: u64 = 20;
 /// The same for callers that were refused before.
 const WAIT_AFTER_REFUSAL_HUNDREDTHS: u64 = 80;
-/// Further bounds of silence after which a request moves on.
-const MOVE_AFTER_BOUNDS: u32 = 1;
-/// The least pause between a first suspicion and a move.
-const LEAST_MOVE_PAUSE: Duration = Duration::from_millis(150);
-/// A group that has shown an event to any stream here within this many milliseconds is at work.
-const PROGRESS_SPAN_MS: u64 = 150;
 /// When a caller may come back after all groups were full.
 const FULL_RETRY_MS: u64 = 400;
 
-/// Where a stream comes from.
-enum Source {
-    Group(GroupPlace),
-    Server(Picked),
-}
-
 /// A stream that is being read.
 struct Reading {
     source: Source,
@@ -407,47 +396,3 @@
         }
     }
 }
-
-/// Notes that a group stood still.
-fn abandon(gateway: &Gateway, source: &Source) -> SendOutcome {
-    if let Source::Group(place) = source {
-        gateway.loads.suspect(place.epoch, false);
-    }
-    SendOutcome::Abandoned
-}
-
-/// Completes once the source counts as standing still. After one bound of silence the group is avoided for new
-/// requests and its members are asked; after some more, or as soon as the group is closed, this request moves on: a
-/// move costs another reading of the prompt, and mostly the target too, so it waits until it is sure.
-async fn stands_still(
-    gateway: &Gateway,
-    source: &Source,
-    bound: Option<Duration>,
-    changes: &mut watch::Receiver<u64>,
-) {
-    let (Source::Group(place), Some(bound)) = (source, bound) else {
-        return std::future::pending().await;
-    };
-    let silence = async {
-        tokio::time::sleep(bound).await;
-        if !gateway.loads.progressed_within(place.epoch, bound.as_millis() as u64) {
-            gateway.loads.suspect(place.epoch, false);
-        }
-        tokio::time::sleep((bound * MOVE_AFTER_BOUNDS).max(LEAST_MOVE_PAUSE)).await;
-        // Where the group goes on with others, this request may rightly wait for its turn.
-        while gateway.loads.progressed_within(place.epoch, PROGRESS_SPAN_MS) {
-            tokio::time::sleep(LEAST_MOVE_PAUSE).await;
-        }
-    };
-    let closed = async {
-        while gateway.loads.is_open(place.epoch) {
-            if changes.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-        }
-    };
-    tokio::select! {
-        () = silence => {}
-        () = closed => {}
-    }
-}
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,7 +1,8 @@
 //! Checks between fields, once each can be read by itself.
 
 use super::Settings;
-use super::reader::{LocatedSettings, Problems};
+use super::reader::LocatedSettings;
+use super::section::Problems;
 use dockwood_api::ResultCode;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway's part of the settings.
 
-use super::reader::{Problems, Section};
+use super::section::{Problems, Section};
 use marked_yaml::Node;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -4,10 +4,11 @@
 mod gateway;
 mod reader;
 mod reload;
+mod section;
 
 pub use gateway::{GatewaySettings, RetryBudgetSettings};
-pub use reader::{Problem, Problems};
 pub use reload::run_settings_reader;
+pub use section::{Problem, Problems};
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -1,69 +1,16 @@
-//! Reads settings with the line of every value, gathering problems instead of stopping at the first.
+//! Reads settings, gathering problems instead of stopping at the first.
 
 use super::gateway::read_gateway;
+use super::section::{Located, Problems, Section, line_of};
 use super::{OperatorRole, OperatorToken, SeedSettings, Settings, Voter};
 use dockwood_api::ResultCode;
 use dockwood_api::digest::secret_digest;
-use dockwood_api::resource::is_valid_name;
-use marked_yaml::{LoadError, Marker, Node, Span};
+use marked_yaml::{LoadError, Node};
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// One fault in a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// The numbered code.
-    pub code: ResultCode,
-    /// The settings file.
-    pub file: PathBuf,
-    /// Line, from 1; 0 if the fault has none.
-    pub line: usize,
-    /// Path of the field, such as `listen.http`.
-    pub field: String,
-    /// For people.
-    pub message: String,
-}
-
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}: {}: {}", self.file.display(), self.line, self.field, self.code, self.message)
-    }
-}
-
-/// Problems of one file.
-#[derive(Debug)]
-pub struct Problems {
-    file: PathBuf,
-    found: Vec<Problem>,
-}
-
-impl Problems {
-    /// None yet.
-    pub fn new(file: &Path) -> Self {
-        Problems { file: file.to_path_buf(), found: Vec::new() }
-    }
-
-    /// Adds one.
-    pub fn add(&mut self, code: ResultCode, line: usize, field: &str, message: impl Into<String>) {
-        let field = field.to_string();
-        self.found.push(Problem { code, file: self.file.clone(), line, field, message: message.into() });
-    }
-
-    /// Whether none was found.
-    pub fn is_empty(&self) -> bool {
-        self.found.is_empty()
-    }
-
-    /// All, in order of line.
-    pub fn into_sorted(mut self) -> Vec<Problem> {
-        self.found.sort_by_key(|problem| problem.line);
-        self.found
-    }
-}
-
 /// Settings with the line of each field that later checks may complain of.
 pub(super) struct LocatedSettings {
     pub values: Settings,
@@ -78,155 +25,6 @@
 const PORTS_OF_A_SLOT: u64 = 2;
 const LOG_LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
 
-/// A value with its line and path.
-pub(super) struct Located<T> {
-    pub(super) value: T,
-    line: usize,
-    path: String,
-}
-
-fn line_of(span: &Span) -> usize {
-    span.start().map_or(0, Marker::line)
-}
-
-/// One mapping, being read.
-pub(super) struct Section<'a> {
-    path: String,
-    line: usize,
-    fields: Vec<(&'a str, &'a Node)>,
-}
-
-impl<'a> Section<'a> {
-    /// Takes a mapping and complains of every key that is not `known`.
-    pub(super) fn new(
-        node: &'a Node,
-        path: &str,
-        known: &[&str],
-        problems: &mut Problems,
-    ) -> Option<Section<'a>> {
-        let line = line_of(node.span());
-        let Some(mapping) = node.as_mapping() else {
-            problems.add(ResultCode::SettingsBadValue, line, path, "must be a mapping");
-            return None;
-        };
-        let mut section = Section { path: path.to_string(), line, fields: Vec::new() };
-        for (key, value) in mapping.iter() {
-            let path = section.path_of(key.as_str());
-            if known.contains(&key.as_str()) {
-                section.fields.push((key.as_str(), value));
-            } else {
-                let message = format!("unknown key; known are {}", known.join(", "));
-                problems.add(ResultCode::SettingsUnknownKey, line_of(key.span()), &path, message);
-            }
-        }
-        Some(section)
-    }
-
-    fn path_of(&self, key: &str) -> String {
-        if self.path.is_empty() { key.to_string() } else { format!("{}.{key}", self.path) }
-    }
-
-    pub(super) fn optional(&self, key: &str) -> Option<&'a Node> {
-        self.fields.iter().find(|(name, _)| *name == key).map(|(_, node)| *node)
-    }
-
-    fn required(&self, key: &str, problems: &mut Problems) -> Option<&'a Node> {
-        let node = self.optional(key);
-        if node.is_none() {
-            problems.add(ResultCode::SettingsMissing, self.line, &self.path_of(key), "is required");
-        }
-        node
-    }
-
-    fn parse<T>(
-        &self,
-        key: &str,
-        node: &Node,
-        problems: &mut Problems,
-        code: ResultCode,
-        expected: &str,
-        parse: impl Fn(&str) -> Option<T>,
-    ) -> Option<Located<T>> {
-        let (line, path) = (line_of(node.span()), self.path_of(key));
-        let parsed = node.as_scalar().and_then(|scalar| parse(scalar.as_str()));
-        let Some(value) = parsed else {
-            problems.add(code, line, &path, format!("must be {expected}"));
-            return None;
-        };
-        Some(Located { value, line, path })
-    }
-
-    fn text(&self, key: &str, problems: &mut Problems) -> Option<Located<String>> {
-        let node = self.required(key, problems)?;
-        let parse = |text: &str| (!text.is_empty()).then(|| text.to_string());
-        self.parse(key, node, problems, ResultCode::SettingsBadValue, "a text that is not empty", parse)
-    }
-
-    fn name(&self, key: &str, problems: &mut Problems) -> Option<Located<String>> {
-        let node = self.required(key, problems)?;
-        let parse = |text: &str| is_valid_name(text).then(|| text.to_string());
-        let expected = "lower-case letters, digits, '-' and '.', at most 63";
-        self.parse(key, node, problems, ResultCode::SettingsBadValue, expected, parse)
-    }
-
-    pub(super) fn address(&self, key: &str, problems: &mut Problems) -> Option<Located<SocketAddr>> {
-        let node = self.required(key, problems)?;
-        let parse = |text: &str| text.parse::<SocketAddr>().ok().filter(|address| address.port() != 0);
-        self.parse(
-            key,
-            node,
-            problems,
-            ResultCode::SettingsBadAddress,
-            "an address of the form IP:PORT",
-            parse,
-        )
-    }
-
-    /// A share from 0 to 1, in whole hundredths.
-    pub(super) fn percentage(&self, key: &str, default: u64, problems: &mut Problems) -> Option<u64> {
-        let Some(node) = self.optional(key) else { return Some(default) };
-        let parse = |text: &str| {
-            let share = text.parse::<f64>().ok().filter(|share| (0.0..=1.0).contains(share));
-            share.map(|share| (share * 100.0).floor() as u64)
-        };
-        let expected = "a share from 0 to 1";
-        self.parse(key, node, problems, ResultCode::SettingsBadValue, expected, parse)
-            .map(|found| found.value)
-    }
-
-    fn flag(&self, key: &str, problems: &mut Problems) -> Option<bool> {
-        let Some(node) = self.optional(key) else { return Some(false) };
-        let parse = |text: &str| text.parse::<bool>().ok();
-        self.parse(key, node, problems, ResultCode::SettingsBadValue, "true or false", parse)
-            .map(|found| found.value)
-    }
-
-    pub(super) fn number(
-        &self,
-        key: &str,
-        default: u64,
-        allowed: (u64, u64),
-        problems: &mut Problems,
-    ) -> Option<u64> {
-        let Some(node) = self.optional(key) else { return Some(default) };
-        let (least, most) = allowed;
-        let parse = |text: &str| text.parse::<u64>().ok().filter(|number| (least..=most).contains(number));
-        let expected = format!("a number from {least} to {most}");
-        self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse)
-            .map(|found| found.value)
-    }
-
-    /// The items of a list, each with its path.
-    fn items(&self, key: &str, node: &'a Node, problems: &mut Problems) -> Vec<(String, &'a Node)> {
-        let path = self.path_of(key);
-        let Some(sequence) = node.as_sequence() else {
-            problems.add(ResultCode::SettingsBadValue, line_of(node.span()), &path, "must be a list");
-            return Vec::new();
-        };
-        sequence.iter().enumerate().map(|(position, item)| (format!("{path}[{position}]"), item)).collect()
-    }
-}
-
 pub(super) fn read(path: &Path, problems: &mut Problems) -> Option<LocatedSettings> {
     let text = match std::fs::read_to_string(path) {
         Ok(text) => text,
