Cut the connection of a streamed answer that fails, instead of ending it as if it were whole

Cause: poem ends a streamed body that fails with the closing chunk, so an answer of a plain service that broke midway looked complete on the product's own /services path. Ruled out: hyper beneath, which cuts it in the gateway. Change: such a body ends the connection's task.

--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -8,8 +8,11 @@
 mod operator;
 mod refusal;
 mod service;
+mod streamed;
 mod watch;
 
+pub use streamed::whole_or_cut;
+
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -2,6 +2,7 @@
 
 use super::caller::{check_open, request_headers};
 use super::refusal;
+use super::whole_or_cut;
 use super::{App, auth};
 use crate::published::is_allowed;
 use crate::traffic::chat::Failure;
@@ -115,8 +116,8 @@
     // The guards end with the body.
     let body = response.bytes_stream().map(move |bytes| {
         let _ = (&guard, &in_flight);
-        bytes.map_err(std::io::Error::other)
+        bytes
     });
     let builder = builder.header(HEADER_REQUEST_ID, id);
-    Ok(builder.body(Body::from_bytes_stream(body)))
+    Ok(builder.body(whole_or_cut(body)))
 }
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -71,3 +71,36 @@
     assert_eq!(events[0].sequence, 6);
     assert!(events.windows(2).all(|pair| pair[0].stamp < pair[1].stamp));
 }
+
+/// Found while the gateway's tests were written: the HTTP library ends an answer that breaks midway as if it were whole.
+#[tokio::test]
+async fn a_streamed_answer_that_fails_midway_does_not_look_whole() -> std::io::Result<()> {
+    use dockwood_daemon::http::whole_or_cut;
+    use futures::StreamExt;
+    use poem::listener::{Acceptor, Listener, TcpListener};
+    use poem::{Response, Server, handler};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    #[handler]
+    fn breaks() -> Response {
+        let pieces = vec![Ok(bytes::Bytes::from_static(b"half")), Err(std::io::Error::other("lost"))];
+        let one_by_one = futures::stream::iter(pieces).then(|piece| async move {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            piece
+        });
+        Response::builder().body(whole_or_cut(one_by_one))
+    }
+
+    let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
+    let address = acceptor.local_addr().first().and_then(|local| local.as_socket_addr().copied());
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(poem::get(breaks)));
+    let Some(address) = address else { return Ok(()) };
+    let mut stream = tokio::net::TcpStream::connect(address).await?;
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").await?;
+    let mut received = Vec::new();
+    let read = stream.read_to_end(&mut received);
+    let _ = tokio::time::timeout(std::time::Duration::from_secs(5), read).await;
+    let text = String::from_utf8_lossy(&received).into_owned();
+    assert!(text.contains("half") && !text.ends_with("0\r\n\r\n"), "{text}");
+    Ok(())
+}
