Weigh loads when a group is chosen, and settle the queue after a refusal

Cause: a group of four cold servers took four of the seven loads that the store gives at full speed, for 16 s, where one load would have completed a pair. Change: each load counts 0.06 of what a model needs against a group; three may queue after a refusal, for half the target.

--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -18,7 +18,7 @@
 /// Requests at a group beyond the ones that it works on: they wait there for a moment only.
 const QUEUED_AT_GROUP: u32 = 1;
 /// The same for callers that were refused before and came back. Not many more: a long queue makes everybody late.
-const QUEUED_AFTER_REFUSAL: u32 = 2;
+const QUEUED_AFTER_REFUSAL: u32 = 3;
 
 /// One group that is open, or finishes what it has.
 #[derive(Debug)]
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -32,7 +32,7 @@
 /// something only while it is early.
 const WAIT_HUNDREDTHS: u64 = 20;
 /// The same for callers that were refused before.
-const WAIT_AFTER_REFUSAL_HUNDREDTHS: u64 = 35;
+const WAIT_AFTER_REFUSAL_HUNDREDTHS: u64 = 50;
 /// When a caller may come back after all groups were full.
 const FULL_RETRY_MS: u64 = 400;
 
--- a/crates/grouping/src/forming.rs
+++ b/crates/grouping/src/forming.rs
@@ -9,6 +9,9 @@
 /// domain that is filled at once wastes no server.
 const SETTLE_MS: Millis = 600;
 
+/// What one load is worth, in shares of what a model needs: the store gives only a few at a time.
+const LOAD_WORTH: f64 = 0.06;
+
 /// Groups to form now. `loads_allowed` bounds how many members may draw weights from the store.
 pub fn form_groups(view: &View<'_>, loads_allowed: u32) -> Vec<GatewayCommand> {
     let Some(configuration) = &view.tables.configuration else { return Vec::new() };
@@ -55,8 +58,8 @@
     loads: u32,
 }
 
-/// The group that is worth most now: one that needs no load goes before one that does, then the model that lacks
-/// most of its share.
+/// The group that is worth most now: one that needs no load goes before one that does; then the model that lacks
+/// most of what it needs, less what its loads keep from others.
 fn choose<'a>(
     view: &View<'_>,
     engine: &'a EngineProfile,
@@ -75,8 +78,10 @@
     });
     candidates.filter(|choice| choice.loads <= allowance).max_by(|left, right| {
         let warm = (left.loads == 0).cmp(&(right.loads == 0));
-        let lack = |choice: &Choice<'_>| -balance.coverage(&choice.model.name);
-        warm.then(lack(left).total_cmp(&lack(right)))
+        let worth = |choice: &Choice<'_>| {
+            -balance.coverage(&choice.model.name) - LOAD_WORTH * f64::from(choice.loads)
+        };
+        warm.then(worth(left).total_cmp(&worth(right)))
     })
 }
 
--- a/crates/grouping/tests/placement.rs
+++ b/crates/grouping/tests/placement.rs
@@ -188,3 +188,13 @@
     assert!(book.to_send(&world.view(), 1).is_empty());
     assert_eq!(world.tables.groups.values().filter(|group| group.service == SERVICE).count(), 2);
 }
+
+/// The store gives a few loads at a time, and more only slow one another down.
+#[test]
+fn a_group_with_fewer_loads_goes_before_one_that_lacks_little_more() {
+    let mut world = World::new(1, 4);
+    let report = world.report("d0-s0", None, &[SMALL]);
+    world.hear(report);
+    let groups = formed(&form_groups(&world.view(), u32::MAX));
+    assert_eq!(groups.first().map(|(model, _)| model.as_str()), Some(SMALL), "one load instead of four");
+}
