Send daemons that start together the state instead of all commands, paced

The log shows leader after leader elected and stepping down about a second later, terms 4 to 16: each was asked by every entry for everything since revision 0 and sent every command ever decided, each configuration whole, so that its heartbeats stood behind megabytes on its link and it lost its majority. Ruled out: elections (1.1 s after the kill) and disks.

Change: the state is sent where it is less than the commands, it is encoded once per revision, and copies are paced at half of a 100 Mbit/s link. A change to daemons that follow still goes out at once. Commands kept for daemons that lag are bounded by bytes too.

Test: control/tests/catch_up.rs; two of its three fail without the change (1,124,480 bytes for a state of some 30,000; 17,034,720 bytes in one tick).

--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -1,13 +1,11 @@
 //! The blackboard: replicated tables beside what this process observes. The control thread owns it.
 
 use crate::Millis;
+use crate::catch_up::RetainedCommands;
 use dockwood_api::ApiError;
 use dockwood_placement::{Fleet, MachineObservations, PlacementPolicy};
 use dockwood_state::{Applied, Command, State, Tables, encode_command};
-use std::collections::{BTreeSet, VecDeque};
-
-/// Encoded commands that are kept for daemons that lag; one that lacks more gets the whole state.
-const RETAINED_COMMANDS: usize = 4_096;
+use std::collections::BTreeSet;
 
 /// What only this process has seen; never replicated.
 #[derive(Debug, Default)]
@@ -25,7 +23,7 @@
     pub state: State,
     /// Local.
     pub observed: Observed,
-    commands: VecDeque<(u64, Vec<u8>)>,
+    commands: RetainedCommands,
 }
 
 impl Blackboard {
@@ -48,10 +46,7 @@
     pub fn apply(&mut self, command: &Command) -> Applied {
         let applied = self.state.apply(command);
         if command.body.is_configuration() {
-            self.commands.push_back((self.revision(), encode_command(&command.for_followers())));
-            if self.commands.len() > RETAINED_COMMANDS {
-                self.commands.pop_front();
-            }
+            self.commands.push(self.revision(), encode_command(&command.for_followers()));
         }
         applied
     }
@@ -67,16 +62,9 @@
         Ok(true)
     }
 
-    /// Commands after a revision, if they are all still kept.
-    pub fn commands_after(&self, revision: u64) -> Option<Vec<(u64, Vec<u8>)>> {
-        if revision >= self.revision() {
-            return Some(Vec::new());
-        }
-        let first_kept = self.commands.front().map(|(revision, _)| *revision)?;
-        if first_kept > revision + 1 {
-            return None;
-        }
-        Some(self.commands.iter().filter(|(kept, _)| *kept > revision).cloned().collect())
+    /// The newest commands, for daemons that lag.
+    pub fn commands(&self) -> &RetainedCommands {
+        &self.commands
     }
 
     /// What placement looks at.
--- /dev/null
+++ b/crates/control/src/catch_up.rs
@@ -0,0 +1,123 @@
+//! How daemons that lag catch up: by the commands that they lack, or by the whole state where that is less.
+//!
+//! After a restart of many daemons all of them ask for the whole state at once. What they are sent shares the leader's
+//! link with its heartbeats, so it is paced: a leader that is not heard loses its majority, and the next one is asked
+//! for everything again.
+
+use crate::Millis;
+use crate::blackboard::Blackboard;
+use dockwood_api::peer::{LeaseContent, LeaseRequest};
+use std::collections::VecDeque;
+
+/// Encoded commands that are kept for daemons that lag; one that lacks more gets the whole state.
+const RETAINED_COMMANDS: usize = 4_096;
+/// Their size altogether, in bytes; the newest command is kept whatever its size.
+const RETAINED_BYTES: usize = 1 << 20;
+/// Commands up to this size are sent without a look at the size of the state, in bytes.
+const CHEAP_BYTES: usize = 32 << 10;
+/// Copies of the state that are sent each second, in bytes: half of a link of 100 Mbit/s.
+const PACE_BYTES_PER_SECOND: u64 = 6_000_000;
+/// Copies of the state that may be sent at once, in bytes.
+const BURST_BYTES: i64 = 512 << 10;
+
+/// The newest commands, encoded.
+#[derive(Clone, Debug, Default)]
+pub struct RetainedCommands {
+    commands: VecDeque<(u64, Vec<u8>)>,
+    bytes: usize,
+}
+
+impl RetainedCommands {
+    /// Keeps the command that made a revision, and drops the oldest ones beyond the bounds.
+    pub fn push(&mut self, revision: u64, encoded: Vec<u8>) {
+        self.bytes += encoded.len();
+        self.commands.push_back((revision, encoded));
+        while self.commands.len() > 1 && self.exceeds_bounds() {
+            let Some((_, oldest)) = self.commands.pop_front() else { return };
+            self.bytes -= oldest.len();
+        }
+    }
+
+    fn exceeds_bounds(&self) -> bool {
+        self.commands.len() > RETAINED_COMMANDS || self.bytes > RETAINED_BYTES
+    }
+
+    /// Forgets all.
+    pub fn clear(&mut self) {
+        *self = RetainedCommands::default();
+    }
+
+    /// The size of the commands after a revision, if they are all still kept.
+    pub fn bytes_after(&self, revision: u64) -> Option<usize> {
+        let (first_kept, _) = self.commands.front()?;
+        let lacking = || self.commands.iter().filter(|(kept, _)| *kept > revision);
+        (*first_kept <= revision + 1).then(|| lacking().map(|(_, bytes)| bytes.len()).sum())
+    }
+
+    /// The commands after a revision.
+    pub fn after(&self, revision: u64) -> Vec<(u64, Vec<u8>)> {
+        self.commands.iter().filter(|(kept, _)| *kept > revision).cloned().collect()
+    }
+}
+
+/// What a leader sends to daemons that lag.
+#[derive(Clone, Debug)]
+pub struct CatchUp {
+    /// The encoded state of a revision.
+    encoded: Option<(u64, Vec<u8>)>,
+    /// Bytes that may be sent now; below zero after a copy that was larger.
+    allowance: i64,
+    refilled_at: Millis,
+}
+
+impl CatchUp {
+    /// Nothing was sent yet.
+    pub fn new(now: Millis) -> Self {
+        CatchUp { encoded: None, allowance: BURST_BYTES, refilled_at: now }
+    }
+
+    /// What a daemon lacks; `None` if it must wait for its turn.
+    pub fn content_for(
+        &mut self,
+        now: Millis,
+        board: &Blackboard,
+        request: &LeaseRequest,
+    ) -> Option<LeaseContent> {
+        let applied = request.applied_revision;
+        if !request.wants_commands || applied >= board.revision() {
+            return Some(LeaseContent::Commands(Vec::new()));
+        }
+        // A daemon that starts anew is in no hurry; to one that follows, a change must go out at once, to keep its lease.
+        let follows = applied > 0;
+        if let Some(bytes) = board.commands().bytes_after(applied) {
+            let is_less = bytes <= CHEAP_BYTES || (follows && bytes <= self.encoded_state(board).len());
+            if is_less {
+                return Some(LeaseContent::Commands(board.commands().after(applied)));
+            }
+        }
+        self.refill(now);
+        if self.allowance <= 0 {
+            return None;
+        }
+        let state = self.encoded_state(board).to_vec();
+        self.allowance -= state.len() as i64;
+        Some(LeaseContent::Snapshot(state))
+    }
+
+    fn encoded_state(&mut self, board: &Blackboard) -> &[u8] {
+        let revision = board.revision();
+        let is_current = self.encoded.as_ref().is_some_and(|(encoded, _)| *encoded == revision);
+        if !is_current {
+            self.encoded = None;
+        }
+        let encode = || (revision, board.state.encode_configuration());
+        &self.encoded.get_or_insert_with(encode).1
+    }
+
+    fn refill(&mut self, now: Millis) {
+        let elapsed_ms = now.saturating_sub(self.refilled_at);
+        let earned = elapsed_ms.saturating_mul(PACE_BYTES_PER_SECOND) / 1_000;
+        self.allowance = self.allowance.saturating_add_unsigned(earned).min(BURST_BYTES);
+        self.refilled_at = now;
+    }
+}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -3,6 +3,7 @@
 use crate::Millis;
 use crate::admission::Candidates;
 use crate::blackboard::{Blackboard, Observed};
+use crate::catch_up::CatchUp;
 use crate::controllers::{LostState, liveness, pending_orders, placement};
 use crate::driver_io::{OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
@@ -46,6 +47,7 @@
     pub candidates: Candidates,
     joining: BTreeMap<String, (DaemonRecord, u64)>,
     lost_state: LostState,
+    catch_up: CatchUp,
     attempts: HashMap<String, OrderAttempt>,
     uncommitted: usize,
     decide_at: Millis,
@@ -73,6 +75,7 @@
             candidates: Candidates::default(),
             joining: BTreeMap::new(),
             lost_state: LostState::default(),
+            catch_up: CatchUp::new(now),
             attempts: HashMap::new(),
             uncommitted: 0,
             decide_at: now,
@@ -98,15 +101,24 @@
                 now >= held.until || lags || in_force_is_news
             });
         self.leases.held = waiting;
-        let answer = |held: HeldRequest<R>| {
+        let mut answers = Vec::new();
+        for held in due {
+            let content = match self.catch_up.content_for(now, board, &held.request) {
+                Some(content) => content,
+                // It asks again; until it has caught up, the lease that it is granted means nothing to it.
+                None if now >= held.until => LeaseContent::Commands(Vec::new()),
+                None => {
+                    self.leases.held.push(held);
+                    continue;
+                }
+            };
             self.leases.answered(now, &held.request.daemon.name);
-            let content = content_for(board, &held.request);
             let stamp = ClockStamp::default();
             let answer =
                 LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
-            Output::LeaseReply(held.reply, answer)
-        };
-        due.into_iter().map(answer).collect()
+            answers.push(Output::LeaseReply(held.reply, answer));
+        }
+        answers
     }
 
     /// Sends waiting daemons elsewhere: this node can't grant any more.
@@ -187,13 +199,3 @@
         control_view(board, &self.leases, in_force_revision, leader, self.term, now)
     }
 }
-
-fn content_for(board: &Blackboard, request: &LeaseRequest) -> LeaseContent {
-    if !request.wants_commands {
-        return LeaseContent::Commands(Vec::new());
-    }
-    match board.commands_after(request.applied_revision) {
-        Some(commands) => LeaseContent::Commands(commands),
-        None => LeaseContent::Snapshot(board.state.encode_configuration()),
-    }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod account;
 mod admission;
 mod blackboard;
+mod catch_up;
 mod controllers;
 mod driver_io;
 mod gateway;
@@ -22,6 +23,7 @@
 pub use account::Account;
 pub use admission::{Candidates, Group};
 pub use blackboard::{Blackboard, Observed};
+pub use catch_up::{CatchUp, RetainedCommands};
 pub use dockwood_grouping::{GroupingPolicy, ProbeResult};
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
 pub use gateway::{GatewayLeadership, InstanceProbe};
--- /dev/null
+++ b/crates/control/tests/catch_up.rs
@@ -0,0 +1,198 @@
+//! What daemons are sent that lag behind the leader: no more than they need, and not to all of them at once.
+
+use dockwood_api::gateway::{GatewayConfiguration, TenantKeys};
+use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest};
+use dockwood_consensus::{Node, Recovered, Settings};
+use dockwood_control::{ControlNode, GrantedLease, Input, Moment, Output};
+use dockwood_state::{Command, CommandBody, GatewayCommand, State, encode_command};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const TICK_MS: u64 = 20;
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// A leader that is its own majority, with a disk that never fails. Replies are the names of those who asked.
+struct Leader {
+    node: ControlNode<String>,
+    now: u64,
+    answers: Vec<(String, LeaseAnswer)>,
+}
+
+impl Leader {
+    fn elected() -> Leader {
+        let settings = Settings {
+            id: 1,
+            voters: vec![1],
+            election_timeout_ms: 500,
+            heartbeat_ms: 100,
+            max_message_bytes: 1 << 20,
+            seed: 1,
+        };
+        let core = Node::new(settings, Recovered::default(), 0);
+        let addresses = BTreeMap::from([(1, address())]);
+        let node = ControlNode::voter("leader", State::default(), core, addresses);
+        let mut leader = Leader { node, now: 0, answers: Vec::new() };
+        leader.pass(1_000);
+        assert!(leader.node.leads(leader.moment()), "a group of one elects itself");
+        leader
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { monotonic: self.now, wall_ms: self.now }
+    }
+
+    fn step(&mut self, input: Input<String>) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.node.step(self.moment(), input) {
+                match output {
+                    Output::Persist { entries, .. } => {
+                        let last = entries.last().map(|last| (last.index, last.term));
+                        inputs.extend(last.map(|(index, term)| Input::Persisted { index, term }));
+                    }
+                    Output::LeaseReply(name, answer) => self.answers.push((name, answer)),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / TICK_MS {
+            self.now += TICK_MS;
+            self.step(Input::Tick);
+        }
+    }
+
+    /// Accepts a configuration with so many tenants, each some 100 bytes.
+    fn configure(&mut self, version: u64, tenants: usize) {
+        let tenant = |number: usize| TenantKeys {
+            name: format!("tenant-{number}"),
+            keys: vec!["k".repeat(80)],
+            priority: None,
+        };
+        let configuration = GatewayConfiguration {
+            version,
+            tenants: (0..tenants).map(tenant).collect(),
+            ..GatewayConfiguration::default()
+        };
+        let body = CommandBody::Gateway(GatewayCommand::Configure(Arc::new(configuration)));
+        let command = encode_command(&Command { at_ms: self.now, body });
+        self.step(Input::Submit(vec![(command, "operator".to_string())]));
+    }
+
+    fn ask(&mut self, name: &str, applied_revision: u64) {
+        let request = LeaseRequest {
+            daemon: record(name),
+            incarnation: 1,
+            applied_revision,
+            in_force_revision: 0,
+            wants_commands: true,
+            leaving: false,
+            in_flight: 0,
+            stamp: Default::default(),
+        };
+        self.step(Input::Lease(request, name.to_string()));
+    }
+
+    fn take_contents(&mut self) -> Vec<(String, LeaseContent)> {
+        let contents = std::mem::take(&mut self.answers).into_iter();
+        let granted = |(name, answer)| match answer {
+            LeaseAnswer::Granted { content, .. } => Some((name, content)),
+            LeaseAnswer::NotLeader { .. } => None,
+        };
+        contents.filter_map(granted).collect()
+    }
+}
+
+fn record(name: &str) -> DaemonRecord {
+    DaemonRecord {
+        name: name.to_string(),
+        http: address(),
+        peer: address(),
+        zone: "z".to_string(),
+        region: "r".to_string(),
+        frontend: None,
+        operators: None,
+    }
+}
+
+fn size(content: &LeaseContent) -> usize {
+    match content {
+        LeaseContent::Commands(commands) => commands.iter().map(|(_, bytes)| bytes.len()).sum(),
+        LeaseContent::Snapshot(bytes) => bytes.len(),
+    }
+}
+
+/// A daemon as it is after it took what it was sent: the revision that it has.
+fn revision_after(contents: &[LeaseContent]) -> u64 {
+    let mut follower: ControlNode<String> = ControlNode::follower("follower");
+    for content in contents {
+        let lease = GrantedLease { in_force_revision: 0, content: content.clone() };
+        let _ = follower.step(Moment::default(), Input::LeaseGranted(lease));
+    }
+    follower.tables().revision
+}
+
+#[test]
+fn a_daemon_that_lacks_many_overtaken_configurations_is_sent_the_state_alone() {
+    let mut leader = Leader::elected();
+    (1..=40).for_each(|version| leader.configure(version, 300));
+    leader.ask("new", 0);
+    leader.pass(TICK_MS);
+    let contents = leader.take_contents();
+    let (_, content) = contents.first().expect("it is answered at once");
+    assert!(size(content) < 100_000, "{} bytes for a state of some 30,000", size(content));
+    assert_eq!(revision_after(std::slice::from_ref(content)), leader.node.tables().revision);
+}
+
+#[test]
+fn a_daemon_that_lacks_one_large_change_is_sent_the_change_at_once() {
+    let mut leader = Leader::elected();
+    leader.configure(1, 300);
+    let before = leader.node.tables().revision;
+    leader.configure(2, 3_000);
+    for number in 0..20 {
+        leader.ask(&format!("entry-{number}"), before);
+    }
+    let contents = leader.take_contents();
+    assert_eq!(contents.len(), 20, "a change in force everywhere waits for nobody's turn");
+    let is_commands = |(_, content): &(String, LeaseContent)| matches!(content, LeaseContent::Commands(_));
+    assert!(contents.iter().all(is_commands));
+}
+
+/// Found on 66 entries that were restarted together: the leader sent 66 copies of all that had ever been decided,
+/// its heartbeats stood behind them, and one leader after the other lost its majority.
+#[test]
+fn daemons_that_start_together_do_not_fill_the_leaders_link() {
+    let mut leader = Leader::elected();
+    leader.configure(1, 3_000);
+    let newest = leader.node.tables().revision;
+    let names: Vec<String> = (0..60).map(|number| format!("entry-{number}")).collect();
+    for name in &names {
+        leader.ask(name, 0);
+    }
+    let first: usize = leader.take_contents().iter().map(|(_, content)| size(content)).sum();
+    assert!(first < 1_500_000, "{first} bytes within one tick");
+
+    let mut caught_up: Vec<String> = Vec::new();
+    for _ in 0..500 {
+        let waiting: Vec<&String> = names.iter().filter(|name| !caught_up.contains(name)).collect();
+        for name in waiting {
+            leader.ask(name, 0);
+        }
+        leader.pass(TICK_MS);
+        let contents = leader.take_contents();
+        let sent: usize = contents.iter().map(|(_, content)| size(content)).sum();
+        assert!(sent < 1_000_000, "{sent} bytes within one tick");
+        let whole = |content: &LeaseContent| revision_after(std::slice::from_ref(content)) >= newest;
+        caught_up.extend(contents.iter().filter(|(_, content)| whole(content)).map(|(name, _)| name.clone()));
+        caught_up.sort();
+        caught_up.dedup();
+    }
+    assert_eq!(caught_up.len(), names.len(), "everybody gets its turn");
+}
