Keep as many voters as the losses to be borne need

Cause: the grown deployments may lose two members of the control group with their disks at once.

Change: the settings name the losses to be borne (lossesTolerated); the group keeps twice as many voters and one, and further members stand by, so that the number stays odd and a group cut in two keeps a majority on one side.

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -15,10 +15,13 @@
 const REPLACEABLE_AFTER_MS: Millis = 1_500;
 /// A voter beyond the usual number that has been silent for this long is removed.
 const SURPLUS_AFTER_MS: Millis = 5_000;
-/// Voters that the group keeps when it can.
-const USUAL_VOTERS: usize = 3;
-/// Voters at most.
-const MOST_VOTERS: usize = 5;
+/// Up to so many voters, a newcomer is added beside sound ones; in a larger group it stands by until one is silent, so
+/// that the number stays odd and a group that is cut in two keeps a majority on one side.
+const ADDED_BESIDE_SOUND: usize = 5;
+/// A group is never meant to be smaller.
+const LEAST_VOTERS: usize = 3;
+/// Nor larger: each voter costs every commit a message.
+const MOST_VOTERS: usize = 7;
 
 /// Who asked to be admitted, and when.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +38,13 @@
     pub voters: &'a [Voter],
     /// For each other voter, since when it has not answered.
     pub silent_for: &'a BTreeMap<NodeId, Millis>,
+    /// Voters that the group keeps when it can.
+    pub usual_voters: usize,
+}
+
+/// Voters that a group needs so that so many may be lost at once, with their disks, and a majority remains.
+pub fn voters_to_lose(losses: usize) -> usize {
+    (2 * losses + 1).clamp(LEAST_VOTERS, MOST_VOTERS)
 }
 
 impl Candidates {
@@ -55,11 +65,13 @@
                 let outgoing = predecessor(group, candidate).or_else(|| silent(group, REPLACEABLE_AFTER_MS));
                 match outgoing {
                     Some(id) if group.voters.len() > 2 => Some(without(group, id)),
-                    _ if group.voters.len() < MOST_VOTERS => Some(with(group, candidate)),
+                    _ if group.voters.len() < group.usual_voters.max(ADDED_BESIDE_SOUND) => {
+                        Some(with(group, candidate))
+                    }
                     _ => None,
                 }
             }
-            None if group.voters.len() > USUAL_VOTERS => {
+            None if group.voters.len() > group.usual_voters => {
                 silent(group, SURPLUS_AFTER_MS).map(|id| without(group, id))
             }
             None => None,
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -75,7 +75,12 @@
             return;
         }
         let (voters, silent_for) = (voter.known_voters(), voter.core.silent_for(now.monotonic));
-        let group = Group { own_id: voter.core.id(), voters: &voters, silent_for: &silent_for };
+        let group = Group {
+            own_id: voter.core.id(),
+            voters: &voters,
+            silent_for: &silent_for,
+            usual_voters: self.options.usual_voters,
+        };
         let Some(leadership) = &mut voter.leadership else { return };
         let next = leadership.candidates.next_voters(now.monotonic, &group);
         if let Some(next) = next {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,7 +21,7 @@
 mod voter;
 
 pub use account::Account;
-pub use admission::{Candidates, Group};
+pub use admission::{Candidates, Group, voters_to_lose};
 pub use blackboard::{Blackboard, Observed};
 pub use catch_up::{CatchUp, RetainedCommands};
 pub use dockwood_grouping::{GroupingPolicy, ProbeResult};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,7 @@
 //! The control node: takes inputs, drives the consensus core and the leader's controllers, and gathers outputs.
 
 use crate::account::{Account, accounts};
+use crate::admission::voters_to_lose;
 use crate::blackboard::Blackboard;
 use crate::driver_io::{GrantedLease, Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
@@ -27,6 +28,8 @@
     pub placement: PlacementPolicy,
     /// Bounds of the gateway's engines.
     pub grouping: GroupingPolicy,
+    /// Voters that the control group keeps when it can.
+    pub usual_voters: usize,
 }
 
 impl Default for Options {
@@ -36,6 +39,7 @@
             compact_after_entries: COMPACT_AFTER_ENTRIES,
             placement: PlacementPolicy::default(),
             grouping: GroupingPolicy::default(),
+            usual_voters: voters_to_lose(1),
         }
     }
 }
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Who becomes a voter, and who makes room.
 
 use dockwood_consensus::Voter;
-use dockwood_control::{Candidates, Group};
+use dockwood_control::{Candidates, Group, voters_to_lose};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -13,12 +13,23 @@
     Voter { id, address: SocketAddr::from(([127, 0, 0, 1], 1_000 + place)) }
 }
 
-/// What the leader, voter 1, would do next.
+/// What the leader, voter 1, would do next in a group that may lose one member.
 fn next(candidates: &mut Candidates, voters: &[Voter], silent: &[(u64, u64)]) -> Option<Vec<u64>> {
+    next_to_lose(1, candidates, voters, silent)
+}
+
+/// The same in a group that may lose so many members at once.
+fn next_to_lose(
+    losses: usize,
+    candidates: &mut Candidates,
+    voters: &[Voter],
+    silent: &[(u64, u64)],
+) -> Option<Vec<u64>> {
     let mut silent_for: BTreeMap<u64, u64> =
         voters.iter().filter(|voter| voter.id != 1).map(|voter| (voter.id, 50)).collect();
     silent_for.extend(silent.iter().copied());
-    let group = Group { own_id: 1, voters, silent_for: &silent_for };
+    let usual_voters = voters_to_lose(losses);
+    let group = Group { own_id: 1, voters, silent_for: &silent_for, usual_voters };
     let next = candidates.next_voters(1_000, &group)?;
     Some(next.iter().map(|voter| voter.id).collect())
 }
@@ -78,6 +89,36 @@
     candidates.ask(0, 9, voter(9).address);
     let silent_for = BTreeMap::new();
     let voters = THREE();
-    let group = Group { own_id: 1, voters: &voters, silent_for: &silent_for };
+    let group =
+        Group { own_id: 1, voters: &voters, silent_for: &silent_for, usual_voters: voters_to_lose(1) };
     assert_eq!(candidates.next_voters(3_000, &group), None);
 }
+
+/// Found on the grown deployments, which may lose two members with their disks: three voters were left with one.
+#[test]
+fn a_group_that_may_lose_two_members_grows_to_five_voters() {
+    let mut candidates = asking(&[voter(8), voter(9)]);
+    assert_eq!(next_to_lose(2, &mut candidates, &THREE(), &[]), Some(vec![1, 2, 3, 8]));
+    let four = [voter(1), voter(2), voter(3), voter(8)];
+    assert_eq!(next_to_lose(2, &mut candidates, &four, &[]), Some(vec![1, 2, 3, 8, 9]));
+}
+
+#[test]
+fn a_sixth_member_stands_by_until_a_voter_is_silent() {
+    let five: Vec<Voter> = (1..=5).map(voter).collect();
+    let mut candidates = asking(&[voter(9)]);
+    assert_eq!(
+        next_to_lose(2, &mut candidates, &five, &[]),
+        None,
+        "an even group has no majority when halved"
+    );
+    assert_eq!(next_to_lose(2, &mut candidates, &five, &[(4, 2_000)]), Some(vec![1, 2, 3, 5]));
+    let four = [voter(1), voter(2), voter(3), voter(5)];
+    assert_eq!(next_to_lose(2, &mut candidates, &four, &[]), Some(vec![1, 2, 3, 5, 9]));
+}
+
+#[test]
+fn five_usual_voters_are_no_surplus() {
+    let five: Vec<Voter> = (1..=5).map(voter).collect();
+    assert_eq!(next_to_lose(2, &mut Candidates::default(), &five, &[(4, 60_000)]), None);
+}
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -11,7 +11,9 @@
 use crate::shared::Shared;
 use dockwood_api::peer::LeaseAnswer;
 use dockwood_consensus::{Message, Node, NodeId, Payload, Voter};
-use dockwood_control::{ControlNode, GroupingPolicy, Input, Moment, Options, Output, voters_of};
+use dockwood_control::{
+    ControlNode, GroupingPolicy, Input, Moment, Options, Output, voters_of, voters_to_lose,
+};
 use dockwood_storage::StorageError;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -72,8 +74,12 @@
         let addresses = voters.iter().map(|voter| (voter.id, voter.address)).collect();
         let stall = settings.gateway.as_ref().map(|gateway| gateway.stall.as_millis() as u64);
         let grouping = stall.map_or_else(GroupingPolicy::default, |stall_ms| GroupingPolicy { stall_ms });
-        let node = ControlNode::voter(&settings.name, found.state, core, addresses)
-            .with_options(Options { grouping, ..Options::default() });
+        let usual_voters = voters_to_lose(settings.seeds.losses_tolerated).max(settings.voters.len());
+        let node = ControlNode::voter(&settings.name, found.state, core, addresses).with_options(Options {
+            grouping,
+            usual_voters,
+            ..Options::default()
+        });
         Ok(StartedControl { node, disk: Some(found.disk), member_id: Some(identity.id), voters })
     }
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -54,6 +54,8 @@
     pub founding: bool,
     /// This daemon is a member, or waits to become one.
     pub member: bool,
+    /// Members that may be lost at once, with their disks: the group keeps twice as many voters, and one.
+    pub losses_tolerated: usize,
 }
 
 /// Settings of one daemon.
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -21,6 +21,8 @@
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
+const DEFAULT_LOSSES_TOLERATED: u64 = 1;
+const MOST_LOSSES_TOLERATED: u64 = 3;
 /// Ports that one process takes from a range: for other daemons, and for operators.
 const PORTS_OF_A_SLOT: u64 = 2;
 const LOG_LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
@@ -161,7 +163,7 @@
     lines: &mut BTreeMap<String, usize>,
     problems: &mut Problems,
 ) -> Option<Control> {
-    let known = ["voters", "dataFolder", "seeds", "seedPeerPort", "founding", "member"];
+    let known = ["voters", "dataFolder", "seeds", "seedPeerPort", "founding", "member", "lossesTolerated"];
     let section = Section::new(node, "control", &known, problems)?;
     let seeds = read_seeds(&section, problems);
     let voters_node = match section.optional("seeds") {
@@ -206,7 +208,9 @@
     }
     let founding = section.flag("founding", problems)?;
     let member = section.flag("member", problems)?;
-    Some(SeedSettings { peers, founding, member })
+    let losses =
+        section.number("lossesTolerated", DEFAULT_LOSSES_TOLERATED, (0, MOST_LOSSES_TOLERATED), problems)?;
+    Some(SeedSettings { peers, founding, member, losses_tolerated: losses as usize })
 }
 
 fn read_tokens(top: &Section<'_>, node: &Node, problems: &mut Problems) -> Vec<OperatorToken> {
