Let leases outlast the search for a new leader, and name no silent entry to callers

Change: a lease lasts 3 s (60% of the time within which a key that was taken away must not pass, if that is less: a new setting), requests are held for 450 ms, a leader that is silent for 750 ms is given up. A daemon that has asked for nothing for 1.2 s is Silent: callers are not sent to it; its duties and its lease stay as they are.

--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -6,15 +6,26 @@
 use std::collections::BTreeMap;
 
 /// Length of a configuration lease, counted by the daemon from when it sent the request. A normal election takes
-/// less than half of it, so that leases outlast one.
-pub const LEASE_MS: Millis = 2_000;
+/// less than a third of it, so that leases outlast one.
+///
+/// It outlasts a leader that falls silent right before it would have answered: what is left then (the lease less a hold),
+/// less the time until the daemon asks another member and a new leader is elected, is still above zero by half a second.
+pub const LEASE_MS: Millis = 3_000;
 
 /// What the leader adds to a lease: clocks may run apart by two in a hundred, and then some.
 pub const LEASE_DRIFT_MS: Millis = LEASE_MS / 20;
 
 /// A request without news is held back this long, so that daemons poll seldom and learn of changes at once.
 /// Together with the way there and back it stays well under the lease.
-pub const HOLD_MS: Millis = 600;
+pub const HOLD_MS: Millis = 450;
+
+/// How long a daemon waits for an answer: the leader's hold and then some. A leader that is silent for longer is given
+/// up, so that its successor is found before the lease runs out.
+pub const LEASE_ANSWER_TIMEOUT_MS: Millis = HOLD_MS + 300;
+
+/// A daemon that has asked for nothing for this long is silent: a sound one asks again at once after each answer, which
+/// is held back no longer than [`HOLD_MS`].
+const SILENT_AFTER_MS: Millis = 1_200;
 
 /// One daemon's lease as granted.
 #[derive(Clone, Debug)]
@@ -30,6 +41,8 @@
     pub leaving: bool,
     /// Requests in flight there.
     pub in_flight: u32,
+    /// When it last asked.
+    pub heard_at: Millis,
 }
 
 /// A request that waits for news.
@@ -66,6 +79,7 @@
             incarnation: request.incarnation,
             leaving: request.leaving,
             in_flight: request.in_flight,
+            heard_at: now,
         };
         self.rows.insert(request.daemon.name.clone(), row);
     }
@@ -90,10 +104,10 @@
     /// What a daemon's liveness should be, where the table can tell.
     pub fn liveness(&self, now: Millis, daemon: &str) -> Option<Liveness> {
         match self.rows.get(daemon) {
-            Some(row) if now < row.expires => {
-                Some(if row.leaving { Liveness::Leaving } else { Liveness::Live })
-            }
-            Some(_) => Some(Liveness::Lost),
+            Some(row) if now >= row.expires => Some(Liveness::Lost),
+            Some(row) if row.leaving => Some(Liveness::Leaving),
+            Some(row) if now >= row.heard_at + SILENT_AFTER_MS => Some(Liveness::Silent),
+            Some(_) => Some(Liveness::Live),
             None => self.predecessors_ran_out(now).then_some(Liveness::Lost),
         }
     }
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -7,14 +7,14 @@
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{LeaseAnswer, LeaseRequest};
-use dockwood_control::GrantedLease;
+use dockwood_control::{GrantedLease, LEASE_ANSWER_TIMEOUT_MS};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// How long an answer may take: the leader's hold and then some.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long an answer may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(LEASE_ANSWER_TIMEOUT_MS);
 /// Pause after a request that nobody could answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// A voter waits this long for the log to bring what the lease speaks of.
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -35,7 +35,7 @@
     let excludes_itself = shared.is_leaving() || !shared.holds_lease();
     let live = || {
         tables
-            .live_daemons()
+            .reachable_daemons()
             .filter(|daemon| !(excludes_itself && daemon.record.name == shared.settings.name))
             .filter_map(|daemon| Some((&daemon.record.zone, daemon.record.frontend?)))
     };
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -260,7 +260,10 @@
 fn duties_moved(shared: &Shared) -> bool {
     let tables = shared.tables();
     let own = Some(&shared.settings.name);
-    let leaving = tables.daemons.get(&shared.settings.name).is_some_and(|row| row.liveness != Liveness::Live);
+    let leaving = tables
+        .daemons
+        .get(&shared.settings.name)
+        .is_some_and(|row| matches!(row.liveness, Liveness::Leaving | Liveness::Lost));
     let only_daemon = tables.live_daemons().next().is_none();
     let coordinates = tables.pools.values().any(|pool| pool.coordinator.as_ref() == own);
     let watches = tables.replicas.values().any(|replica| replica.watcher.as_ref() == own);
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -8,6 +8,9 @@
 const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
 const DEFAULT_STOP_LIMIT_MS: u64 = 8_000;
 const DEFAULT_STALL_MS: u64 = 6_000;
+/// Part of the time for taking a key away that a daemon's lease may last, in percent; the rest is for requests that were
+/// taken just before it ran out.
+const LEASE_PERCENT_OF_REVOCATION: u64 = 60;
 const DEFAULT_BUDGET_PERCENT: u64 = 20;
 const DEFAULT_BUDGET_WINDOW_MS: u64 = 10_000;
 const DEFAULT_BUDGET_EXTRA: u64 = 50;
@@ -42,6 +45,15 @@
     pub stall: Duration,
     /// Bounds on second sends.
     pub retry_budget: RetryBudgetSettings,
+    /// No request runs under a key that was taken away longer ago than this; absent where it need not be bounded.
+    pub revoked_within: Option<Duration>,
+}
+
+impl GatewaySettings {
+    /// The longest lease, in milliseconds, under which a key that was taken away passes no longer than allowed.
+    pub fn lease_limit_ms(&self) -> Option<u64> {
+        self.revoked_within.map(|within| within.as_millis() as u64 * LEASE_PERCENT_OF_REVOCATION / 100)
+    }
 }
 
 pub(super) fn read_gateway(node: &Node, problems: &mut Problems) -> Option<GatewaySettings> {
@@ -54,6 +66,7 @@
         "stopLimitMs",
         "retryBudget",
         "stallMs",
+        "revokedWithinMs",
     ];
     let section = Section::new(node, "gateway", &known, problems)?;
     let address = |key: &str, problems: &mut Problems| match section.optional(key) {
@@ -67,6 +80,10 @@
     let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
     let stop_limit = section.number("stopLimitMs", DEFAULT_STOP_LIMIT_MS, (1_000, 3_600_000), problems);
     let stall = section.number("stallMs", DEFAULT_STALL_MS, (100, 600_000), problems);
+    let revoked_within = match section.optional("revokedWithinMs") {
+        None => Some(None),
+        Some(_) => section.number("revokedWithinMs", 0, (500, 600_000), problems).map(Some),
+    };
     let retry_budget = read_retry_budget(section.optional("retryBudget"), problems);
     Some(GatewaySettings {
         frontend: frontend?,
@@ -77,6 +94,7 @@
         stop_limit: Duration::from_millis(stop_limit?),
         stall: Duration::from_millis(stall?),
         retry_budget: retry_budget?,
+        revoked_within: revoked_within?.map(Duration::from_millis),
     })
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -137,7 +137,9 @@
 
     /// Extends the configuration lease that was asked for at `sent_at`.
     pub fn extend_lease(&self, sent_at: Millis) {
-        self.lease_until.fetch_max(sent_at + LEASE_MS, Ordering::SeqCst);
+        let gateway = self.settings.gateway.as_ref();
+        let lease_ms = gateway.and_then(|gateway| gateway.lease_limit_ms()).unwrap_or(LEASE_MS);
+        self.lease_until.fetch_max(sent_at + lease_ms.min(LEASE_MS), Ordering::SeqCst);
     }
 
     /// Whether the configuration lease holds at this moment.
@@ -238,7 +240,7 @@
         let tables = self.tables();
         let leaving = self.is_leaving();
         let candidates: Vec<EntryCandidate<'_>> = tables
-            .live_daemons()
+            .reachable_daemons()
             .filter(|daemon| !(leaving && daemon.record.name == self.settings.name))
             .map(|daemon| EntryCandidate {
                 name: &daemon.record.name,
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -118,9 +118,18 @@
         stop_limit: Duration::from_millis(stop_limit_ms),
         stall: Duration::from_secs(6),
         retry_budget: RetryBudgetSettings { percent: 20, window: Duration::from_secs(10), extra: 50 },
+        revoked_within: None,
     }
 }
 
+#[test]
+fn a_lease_is_shorter_than_the_time_within_which_a_key_must_be_gone() {
+    let unbounded = gateway_settings(1_000, 8_000);
+    assert_eq!(unbounded.lease_limit_ms(), None);
+    let bounded = GatewaySettings { revoked_within: Some(Duration::from_secs(2)), ..unbounded };
+    assert_eq!(bounded.lease_limit_ms(), Some(1_200));
+}
+
 /// Found by a hunt: a planned stop of 8 s took a long stream after 3.02 s, and had to cut it at its end.
 #[yare::parameterized(
     answers_kept_long = { 2_000, 8_000, 2_400 },
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -83,3 +83,18 @@
     let settings = read(GOOD).unwrap_or_else(|problems| panic!("{problems:?}"));
     assert!(!format!("{settings:?}").contains("a-token"));
 }
+
+#[test]
+fn a_control_group_is_found_by_seeds_and_told_what_it_must_bear() {
+    let by_seeds = |losses: &str| {
+        let control =
+            format!("  seeds: [\"127.0.0.1:9\"]\n  seedPeerPort: 7001\n  lossesTolerated: {losses}\n");
+        let head = GOOD.split("control:").next().unwrap_or_default().to_string();
+        let tokens = "tokens:\n  - {name: ops, role: write, token: a-token}\n";
+        format!("{head}control:\n{control}  founding: false\n  member: true\n  dataFolder: data\n{tokens}")
+    };
+    let settings = read(&by_seeds("2")).unwrap_or_else(|problems| panic!("{problems:?}"));
+    assert_eq!(settings.seeds.losses_tolerated, 2);
+    let codes: Vec<u16> = problems(&by_seeds("many")).into_iter().map(|problem| problem.0).collect();
+    assert_eq!(codes, [7005]);
+}
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -20,6 +20,8 @@
     Leaving,
     /// Its lease ran out.
     Lost,
+    /// Nothing was heard of it lately, and its lease may still run: callers are not sent to it, its duties stay.
+    Silent,
 }
 
 /// A daemon that has joined.
@@ -221,6 +223,11 @@
 
     /// Daemons that take part, in order of name.
     pub fn live_daemons(&self) -> impl Iterator<Item = &Arc<DaemonRow>> {
+        self.daemons.values().filter(|daemon| matches!(daemon.liveness, Liveness::Live | Liveness::Silent))
+    }
+
+    /// Daemons that take part and were heard lately, in order of name: those that callers may be sent to.
+    pub fn reachable_daemons(&self) -> impl Iterator<Item = &Arc<DaemonRow>> {
         self.daemons.values().filter(|daemon| daemon.liveness == Liveness::Live)
     }
 }
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -117,6 +117,7 @@
         Liveness::Live => ("Live", true),
         Liveness::Leaving => ("Leaving", false),
         Liveness::Lost => ("Lost", false),
+        Liveness::Silent => ("Silent", false),
     };
     let status = Status {
         observed_generation: row.incarnation,
