Know what each model needs by its arrivals, and form groups by their worth

What a model needs was taken from its requests in flight, and full groups only tell how many groups there are: the fewer were left, the less the model seemed to need.

Change: entries tell what arrives for each model and how long places are held; the leader works out the places needed (Little's law). A group is chosen by the shortage of its model, less the time until it is ready and the loads it takes, so that loading for a short model may go before a group that is ready at once and that nobody needs. A model that is served well borrows nothing. domains.rs is split: what each model holds and needs is balance.rs, demand.rs.

Tests: grouping/tests/placement.rs, four new.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -17,6 +17,21 @@
     pub progressed: bool,
 }
 
+/// One entry's requests for one model since its last report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelLoad {
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Requests that arrived, whether or not they got a place; not those whose callers had been refused before.
+    pub arrived: u32,
+    /// Places that were given back.
+    pub ended: u32,
+    /// How long those were held altogether, in milliseconds.
+    pub held_ms: u64,
+}
+
 /// One entry's report.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -24,6 +39,8 @@
     pub daemon: String,
     /// Groups with requests in flight or with evidence.
     pub groups: Vec<GroupLoad>,
+    /// Models that were asked for.
+    pub models: Vec<ModelLoad>,
 }
 
 /// All entries' requests at one group.
--- a/crates/daemon/src/gateway/load_exchange.rs
+++ b/crates/daemon/src/gateway/load_exchange.rs
@@ -23,7 +23,7 @@
         }
         let Some(leader) = shared.leader() else { continue };
         let report = gateway.loads.report(&shared.settings.name);
-        let is_busy = shared.in_flight() > 0 || !report.groups.is_empty();
+        let is_busy = shared.in_flight() > 0 || !report.groups.is_empty() || !report.models.is_empty();
         pause = if is_busy { BUSY_EVERY } else { IDLE_EVERY };
         let call = |client: PeerClient, context| async move { client.exchange_load(context, report).await };
         if let Ok(Some(digest)) = shared.peers.call(leader, ANSWER_TIMEOUT, call).await {
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -2,7 +2,7 @@
 
 use super::lock;
 use crate::clock::monotonic_ms;
-use dockwood_api::gateway::{GroupLoad, LoadDigest, LoadReport};
+use dockwood_api::gateway::{GroupLoad, LoadDigest, LoadReport, ModelLoad};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{Candidate, PaceEstimates, choose};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
@@ -55,6 +55,8 @@
     /// Something is to be told to the leader at once.
     pub urgent: Notify,
     paces: Mutex<BTreeMap<String, PaceEstimates>>,
+    /// What the leader is to be told of each model, by service and model.
+    demand: Mutex<BTreeMap<(String, String), ModelLoad>>,
     /// Grows when a group closes.
     changes: watch::Sender<u64>,
 }
@@ -68,11 +70,18 @@
     pub head: SocketAddr,
     /// Instance id of its head.
     pub instance: String,
+    row: Arc<GroupRow>,
+    taken_at: Millis,
 }
 
 impl Drop for GroupPlace {
     fn drop(&mut self) {
         self.gateway.loads.release(self.epoch);
+        let held_ms = monotonic_ms().saturating_sub(self.taken_at);
+        self.gateway.loads.count(&self.row.service, &self.row.model, |load| {
+            load.ended += 1;
+            load.held_ms += held_ms;
+        });
     }
 }
 
@@ -216,7 +225,32 @@
         let Some(group) = groups.get_mut(&epoch) else { return PlaceAnswer::Full };
         group.in_flight += 1;
         let instance = group.row.members.first().cloned().unwrap_or_default();
-        PlaceAnswer::Taken(GroupPlace { gateway: gateway.clone(), epoch, head: group.row.head, instance })
+        PlaceAnswer::Taken(GroupPlace {
+            gateway: gateway.clone(),
+            epoch,
+            head: group.row.head,
+            instance,
+            row: group.row.clone(),
+            taken_at: now,
+        })
+    }
+
+    /// Notes that a caller asks for a model.
+    pub fn arrived(&self, service: &str, model: &str) {
+        self.count(service, model, |load| load.arrived += 1);
+    }
+
+    fn count(&self, service: &str, model: &str, change: impl FnOnce(&mut ModelLoad)) {
+        let key = (service.to_string(), model.to_string());
+        let mut demand = lock(&self.demand);
+        let load = demand.entry(key).or_insert_with_key(|(service, model)| ModelLoad {
+            service: service.clone(),
+            model: model.clone(),
+            arrived: 0,
+            ended: 0,
+            held_ms: 0,
+        });
+        change(load);
     }
 
     fn release(&self, epoch: u64) {
@@ -272,7 +306,9 @@
             is_news.then_some(load)
         };
         let loads = groups.iter_mut().filter_map(tell).collect();
-        LoadReport { daemon: daemon.to_string(), groups: loads }
+        drop(groups);
+        let models = std::mem::take(&mut *lock(&self.demand)).into_values().collect();
+        LoadReport { daemon: daemon.to_string(), groups: loads, models }
     }
 
     /// Takes what the leader tells of the other entries.
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -86,6 +86,9 @@
         let seen = gateway.loads.pace_estimates(&model.name);
         Pace::expected(engine, model, &received.route, &seen)
     });
+    if let Some(model) = model.filter(|_| !received.came_back) {
+        gateway.loads.arrived(&received.service.name, &model.name);
+    }
     let mut course = StreamCourse {
         course: Course::new(&received.route),
         last_event: received.last_event,
--- a/crates/grouping/src/forming.rs
+++ b/crates/grouping/src/forming.rs
@@ -1,6 +1,7 @@
 //! Forms groups from free servers of one domain.
 
-use crate::domains::{Balance, FreeServer, domain_of, free_by_domain, has_staged};
+use crate::balance::Balance;
+use crate::domains::{FreeServer, domain_of, free_by_domain, has_staged};
 use crate::{Millis, View};
 use dockwood_api::gateway::{EngineProfile, ModelProfile, ServiceProfile};
 use dockwood_state::{GatewayCommand, GroupPhase};
@@ -9,8 +10,12 @@
 /// domain that is filled at once wastes no server.
 const SETTLE_MS: Millis = 600;
 
-/// What one load is worth, in shares of what a model needs: the store gives only a few at a time.
-const LOAD_WORTH: f64 = 0.06;
+/// How far a choice looks ahead, in milliseconds: what a group serves while it is still loading is lost to it.
+const HORIZON_MS: f64 = 40_000.0;
+/// What each load costs, as a part of a group's worth: the store gives only a few at a time.
+const LOAD_COST: f64 = 0.05;
+/// Below this coverage all models count as equally short.
+const LEAST_COVERAGE: f64 = 0.1;
 
 /// Groups to form now. `loads_allowed` bounds how many members may draw weights from the store.
 pub fn form_groups(view: &View<'_>, loads_allowed: u32) -> Vec<GatewayCommand> {
@@ -58,8 +63,19 @@
     loads: u32,
 }
 
-/// The group that is worth most now: one that needs no load goes before one that does; then the model that lacks
-/// most of what it needs, less what its loads keep from others.
+impl Choice<'_> {
+    /// What the group is worth: the more, the less of its need the model has; for the part of the horizon that is left
+    /// once its members are ready.
+    fn worth(&self, balance: &Balance) -> f64 {
+        let coverage = balance.coverage(&self.model.name).max(LEAST_COVERAGE);
+        let ready_after = if self.loads > 0 { self.model.load_ms } else { self.model.warm_ms };
+        let serving_part = (1.0 - ready_after as f64 / HORIZON_MS).max(0.0);
+        let loads_part = (1.0 - LOAD_COST * f64::from(self.loads)).max(0.0);
+        serving_part * loads_part / (coverage * coverage)
+    }
+}
+
+/// The group that is worth most now.
 fn choose<'a>(
     view: &View<'_>,
     engine: &'a EngineProfile,
@@ -76,13 +92,8 @@
             .collect();
         (model.size as usize <= usable.len()).then(|| pick_members(model, usable))
     });
-    candidates.filter(|choice| choice.loads <= allowance).max_by(|left, right| {
-        let warm = (left.loads == 0).cmp(&(right.loads == 0));
-        let worth = |choice: &Choice<'_>| {
-            -balance.coverage(&choice.model.name) - LOAD_WORTH * f64::from(choice.loads)
-        };
-        warm.then(worth(left).total_cmp(&worth(right)))
-    })
+    let allowed = candidates.filter(|choice| choice.loads <= allowance);
+    allowed.max_by(|left, right| left.worth(balance).total_cmp(&right.worth(balance)))
 }
 
 /// Whether a server should be left to a model that it has staged, that lacks more, and that can be completed from
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -6,7 +6,9 @@
 //! Invariants that the decisions keep: a group opens only once every member has reported itself ready under the
 //! group's name and epoch; a member is free again only once the head surely doesn't serve any more.
 
+mod balance;
 mod borrowing;
+mod demand;
 mod domains;
 mod forming;
 mod lifecycle;
@@ -15,6 +17,7 @@
 mod staging;
 
 pub use borrowing::borrow_servers;
+pub use demand::Demand;
 pub use forming::form_groups;
 pub use lifecycle::{advance_groups, reap_instances, release_members};
 pub use observations::{InstanceObservation, Observations, ProbeResult};
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -1,6 +1,7 @@
 //! What the control leader has seen of instances and groups; local to it, and gathered anew by each leader.
 
 use crate::Millis;
+use crate::demand::Demand;
 use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, MembershipReport, SharedGroupLoad};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -62,6 +63,7 @@
     instances: BTreeMap<String, InstanceObservation>,
     loads: BTreeMap<String, EntryLoad>,
     groups: BTreeMap<u64, GroupEvidence>,
+    demand: Demand,
     /// When an instance was first seen, for the newest one.
     pub newest_instance_at: Millis,
     /// Whether any entry has told of a request yet.
@@ -113,6 +115,7 @@
             }
             self.traffic_seen |= load.in_flight > 0;
         }
+        self.demand.record(now, &report.models);
         let daemon = report.daemon.clone();
         self.loads.insert(daemon.clone(), EntryLoad { at: now, report });
         self.loads.retain(|_, load| now < load.at + LOAD_VALID_MS);
@@ -135,6 +138,11 @@
         LoadDigest { groups: others.iter().map(shared).collect(), entries: self.loads.len() as u32 }
     }
 
+    /// What is asked of each model.
+    pub fn demand(&self) -> &Demand {
+        &self.demand
+    }
+
     /// What was seen of an instance.
     pub fn instance(&self, id: &str) -> Option<&InstanceObservation> {
         self.instances.get(id)
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use dockwood_api::gateway::{
     EngineProfile, GatewayConfiguration, GroupLoad, InstanceReport, InstanceState, LoadReport,
-    MembershipReport, MembershipState, ModelProfile, ServiceProfile,
+    MembershipReport, MembershipState, ModelLoad, ModelProfile, ServiceProfile,
 };
 use dockwood_grouping::{GroupingPolicy, Observations, View};
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
@@ -166,10 +166,28 @@
         witness: bool,
     ) {
         let groups = vec![GroupLoad { epoch, in_flight, silent, refuses: false, progressed }];
-        let report = LoadReport { daemon: daemon.to_string(), groups };
+        let report = LoadReport { daemon: daemon.to_string(), groups, models: Vec::new() };
         self.observations.exchange(self.now, report, witness);
     }
 
+    /// Two seconds in which so many requests for each model arrive every 100 ms, and each holds a place for a second.
+    pub fn ask_for(&mut self, large: u32, small: u32) {
+        let load = |model: &str, arrived: u32| ModelLoad {
+            service: SERVICE.to_string(),
+            model: model.to_string(),
+            arrived,
+            ended: arrived,
+            held_ms: u64::from(arrived) * 1_000,
+        };
+        for _ in 0..20 {
+            self.now += 100;
+            let models = vec![load(LARGE, large), load(SMALL, small)];
+            let report = LoadReport { daemon: "demand".to_string(), groups: Vec::new(), models };
+            self.observations.exchange(self.now, report, true);
+        }
+        self.hear_all();
+    }
+
     pub fn phase(&self, epoch: u64) -> Option<GroupPhase> {
         self.tables.groups.get(&epoch).map(|group| group.phase)
     }
--- a/crates/grouping/tests/placement.rs
+++ b/crates/grouping/tests/placement.rs
@@ -198,3 +198,48 @@
     let groups = formed(&form_groups(&world.view(), u32::MAX));
     assert_eq!(groups.first().map(|(model, _)| model.as_str()), Some(SMALL), "one load instead of four");
 }
+
+/// Found on unidos-despacho: with four groups of the smaller model left where nine were needed, few of its requests could
+/// be in flight, it seemed to need little, and its servers were lent to the larger model, which was served well.
+#[test]
+fn a_model_needs_what_is_asked_of_it_and_not_what_its_last_groups_can_hold() {
+    let mut world = World::new(1, 10);
+    let large = world.open_group(LARGE, &["d0-s0", "d0-s1", "d0-s2", "d0-s3"]);
+    let small = world.open_group(SMALL, &["d0-s4", "d0-s5"]);
+    for id in ["d0-s6", "d0-s7", "d0-s8", "d0-s9"] {
+        let report = world.report(id, None, &[LARGE]);
+        world.hear(report);
+    }
+    world.load("a", large, 6, false, true, true);
+    world.load("a", small, 8, false, true, true);
+    // 6 places of the larger model, which holds 8; 40 of the smaller one, which holds 8.
+    world.ask_for(1, 4);
+    let groups = formed(&form_groups(&world.view(), 6));
+    assert!(groups.iter().all(|(model, _)| model == SMALL), "{groups:?}");
+    assert_eq!(groups.len(), 2, "loads go before a group that nobody needs");
+}
+
+#[test]
+fn a_model_that_is_served_well_borrows_nothing() {
+    let mut world = after_a_loss();
+    world.open_group(LARGE, &["d1-s0", "d1-s1", "d1-s2", "d1-s3"]);
+    world.ask_for(0, 1);
+    assert!(borrow_servers(&world.view()).is_empty());
+}
+
+#[test]
+fn a_short_model_borrows_from_one_that_is_served_better() {
+    let mut world = after_a_loss();
+    world.ask_for(2, 1);
+    assert!(!borrow_servers(&world.view()).is_empty());
+}
+
+#[test]
+fn demand_is_arrivals_by_the_time_that_each_holds_its_place() {
+    let mut world = World::new(1, 2);
+    assert_eq!(world.observations.demand().places(SERVICE), None, "nothing was seen");
+    world.ask_for(3, 1);
+    let places = world.observations.demand().places(SERVICE).unwrap_or_default();
+    assert!((places[LARGE] - 30.0).abs() < 6.0, "{places:?}");
+    assert!((places[SMALL] - 10.0).abs() < 2.0, "{places:?}");
+}
