Leave the store's loads to groups instead of staging for later

Change: once there are requests, staging for later takes a quarter of the loads at a time; a server that is gone stages nothing.

Tests: grouping/tests/placement.rs, two new, both fail without the change.

--- a/crates/grouping/src/borrowing.rs
+++ b/crates/grouping/src/borrowing.rs
@@ -9,8 +9,6 @@
 
 /// How much better the lending model must be served, after it has lent.
 const LEAST_GAIN: f64 = 0.05;
-/// A model that is served this well borrows nothing: the lender's requests would be moved for no gain.
-const WELL_SERVED: f64 = 1.1;
 
 /// Groups to close for that reason, at most one in a domain.
 pub fn borrow_servers(view: &View<'_>) -> Vec<GatewayCommand> {
@@ -60,9 +58,7 @@
         let staged = group.members.iter().filter(|id| has_staged(view, id, &model.name)).count();
         let lends = group.phase == GroupPhase::Open && group.model != model.name && staged >= missing;
         let size = engine.model(&group.model).map_or(0, |lending| lending.size);
-        let is_short = balance.serving_coverage(&model.name, 0) < WELL_SERVED;
         lends
-            && is_short
             && balance.serving_coverage(&model.name, 0) + LEAST_GAIN
                 < balance.serving_coverage(&group.model, size)
     };
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -19,6 +19,9 @@
 
 /// A load counts as under way for at most this many times its declared length.
 const LOADS_LENGTH: u64 = 2;
+/// Part of the loads at a time that may stage weights for later once there are requests: the rest is for groups, whose
+/// servers stand idle until they have loaded.
+const STAGING_PART: u32 = 4;
 
 /// The kind of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -71,8 +74,10 @@
     pub fn to_send(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
         let groups = &view.tables.groups;
         self.due.retain(|(epoch, _, _), _| groups.contains_key(epoch));
-        self.staging
-            .retain(|(instance, model), until| view.now < *until && !has_staged(view, instance, model));
+        self.staging.retain(|(instance, model), until| {
+            let is_loading = view.observations.is_present(view.now, instance);
+            view.now < *until && is_loading && !has_staged(view, instance, model)
+        });
         self.joining_loads.retain(|instance, until| view.now < *until && is_joining(view, instance));
         self.closing_since.retain(|epoch, _| groups.contains_key(epoch));
         let mut orders = Vec::new();
@@ -116,7 +121,8 @@
     fn staging_orders(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
         let mut orders = Vec::new();
         for wish in wanted_staging(view, &self.staging) {
-            let is_full = self.under_way(view.now) >= wish.loads_at_once;
+            let is_full = self.staging.len() as u32 >= (wish.loads_at_once / STAGING_PART).max(1)
+                || self.under_way(view.now) >= wish.loads_at_once;
             let is_too_fast = self.loads_left(view.now, wish.loads_per_second) == 0;
             if view.observations.traffic_seen && (is_full || is_too_fast) {
                 break;
--- a/crates/grouping/tests/placement.rs
+++ b/crates/grouping/tests/placement.rs
@@ -243,3 +243,41 @@
     assert!((places[LARGE] - 30.0).abs() < 6.0, "{places:?}");
     assert!((places[SMALL] - 10.0).abs() < 2.0, "{places:?}");
 }
+
+/// Found on unidos-despacho scale-2: weights that were staged for later, some of them at servers that had died
+/// meanwhile, took all loads that the store gives at a time, and for 23 s no free server could load for a group.
+#[test]
+fn staging_for_later_leaves_loads_to_groups() {
+    let mut world = World::new(6, 10);
+    for domain in 0..6 {
+        let id = |server: usize| format!("d{domain}-s{server}");
+        let (a, b, c, d) = (id(0), id(1), id(2), id(3));
+        world.open_group(LARGE, &[&a, &b, &c, &d]);
+        let (e, f) = (id(4), id(5));
+        let epoch = world.open_group(SMALL, &[&e, &f]);
+        world.load("a", epoch, 4, false, true, true);
+    }
+    let mut book = OrderBook::default();
+    let staging = book.to_send(&world.view(), 1);
+    assert_eq!(staging.len(), 1, "{staging:?}");
+    assert_eq!(book.loads_allowed(world.now, &common::engine()), 5);
+}
+
+#[test]
+fn a_server_that_died_while_it_was_staging_holds_up_no_load() {
+    let mut world = World::new(1, 10);
+    world.open_group(LARGE, &["d0-s0", "d0-s1", "d0-s2", "d0-s3"]);
+    let epoch = world.open_group(SMALL, &["d0-s4", "d0-s5"]);
+    world.load("a", epoch, 4, false, true, true);
+    let mut book = OrderBook::default();
+    let orders = book.to_send(&world.view(), 1);
+    assert_eq!(orders.len(), 1);
+    world.observations.record_probe(world.now, &orders[0].instance, dockwood_grouping::ProbeResult::Silent);
+    book.to_send(&world.view(), 1);
+    let engine = common::engine();
+    assert_eq!(
+        book.loads_allowed(world.now + 100, &engine),
+        engine.loads_at_once - 1,
+        "only the next one's load"
+    );
+}
