Promise each place at a group to one entry

A group takes one request beyond its 17, but twelve entries that went by the same figures, up to 60 ms old, all saw the same free place and took it.

Change: the leader keeps a ledger of what each entry may hold at each group; the allowances of all entries together never exceed the group's places. A place that an entry's request gives back stays the entry's own until its next report. With few places free only entries that have requests get one, and an entry that finds none asks at once. Without word from the leader for 0.5 s entries go by the figures that they have, as before. Sums over entries are kept instead of being added up for every report.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -30,6 +30,8 @@
     pub ended: u32,
     /// How long those were held altogether, in milliseconds.
     pub held_ms: u64,
+    /// Times that a request found no place.
+    pub found_none: u32,
 }
 
 /// One entry's report.
@@ -52,6 +54,8 @@
     pub others_in_flight: u32,
     /// Another entry, or the control leader, holds the group for silent.
     pub suspected: bool,
+    /// Places that the entry that asked may take beyond its requests in flight, until its next report is answered.
+    pub granted: u32,
 }
 
 /// The answer to a report.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,15 +2,19 @@
 //! send. Local to one leader term; a new leader gathers it anew.
 
 use crate::Millis;
-use dockwood_api::gateway::{GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer};
+use dockwood_api::gateway::{
+    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, SharedGroupLoad,
+};
 use dockwood_grouping::{
-    GroupingPolicy, Observations, OrderBook, ProbeResult, View, advance_groups, borrow_servers, form_groups,
-    reap_instances, release_members,
+    GroupPlaces, GroupingPolicy, Observations, OrderBook, PlaceLedger, ProbeResult, View, advance_groups,
+    borrow_servers, form_groups, reap_instances, release_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+/// Requests that may wait at a group beyond those that it works on.
+const QUEUED_AT_GROUP: u32 = 1;
 /// Pause between two rounds of asking the members of one silent group.
 const PROBE_PAUSE_MS: Millis = 700;
 
@@ -29,6 +33,7 @@
 #[derive(Debug, Default)]
 pub struct GatewayLeadership {
     observations: Observations,
+    places: PlaceLedger,
     orders: OrderBook,
     started: bool,
 }
@@ -51,9 +56,35 @@
         is_news.then_some(GatewayCommand::Register(row))
     }
 
-    /// Takes an entry's load.
-    pub fn exchange(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
-        self.observations.exchange(now, report, is_witness)
+    /// Takes an entry's load, and tells it the others' and the places that it may take.
+    pub fn exchange(
+        &mut self,
+        now: Millis,
+        tables: &GatewayTables,
+        report: LoadReport,
+        is_witness: bool,
+    ) -> LoadDigest {
+        let open = tables.groups.values().filter(|group| group.phase == GroupPhase::Open);
+        let groups = open.map(|group| GroupPlaces {
+            epoch: group.epoch,
+            service: &group.service,
+            model: &group.model,
+            places: places_of(tables, &group.service),
+        });
+        let grants = self.places.exchange(now, &report.daemon, &report.groups, &report.models, groups);
+        let mut digest = self.observations.exchange(now, report, is_witness);
+        for shared in &mut digest.groups {
+            shared.granted = grants.get(&shared.epoch).copied().unwrap_or(0);
+        }
+        let known: BTreeSet<u64> = digest.groups.iter().map(|shared| shared.epoch).collect();
+        let unknown = grants.into_iter().filter(|(epoch, _)| !known.contains(epoch));
+        digest.groups.extend(unknown.map(|(epoch, granted)| SharedGroupLoad {
+            epoch,
+            others_in_flight: 0,
+            suspected: false,
+            granted,
+        }));
+        digest
     }
 
     /// Notes what came of an order. A refused connection is evidence like a probe's.
@@ -136,3 +167,10 @@
         probes
     }
 }
+
+/// Requests that a group of a service may hold.
+fn places_of(tables: &GatewayTables, service: &str) -> u32 {
+    let profile = tables.configuration.as_ref().and_then(|held| held.service(service));
+    let engine = profile.and_then(|profile| profile.engine.as_ref());
+    engine.map_or(0, |engine| engine.slots + QUEUED_AT_GROUP)
+}
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -3,7 +3,7 @@
 use crate::driver_io::{Moment, Output};
 use crate::node::{Batch, ControlNode};
 use crate::voter::{VoterPart, Waiter};
-use dockwood_api::gateway::InstanceReport;
+use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport};
 use dockwood_api::peer::{ReadAnswer, SubmitReply};
 use dockwood_state::{Command, CommandBody, Outcome, encode_command, encode_outcome};
 
@@ -16,6 +16,20 @@
         !members.any(|member| member.record.peer.ip() == entry.record.peer.ip())
     }
 
+    /// Takes an entry's load; `None` unless this node leads.
+    pub(crate) fn exchange_load(
+        &mut self,
+        now: Moment,
+        report: LoadReport,
+        is_witness: bool,
+        leads: bool,
+    ) -> Option<LoadDigest> {
+        let tables = &self.board.state.tables.gateway;
+        let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
+        let leader = leadership.filter(|_| leads)?;
+        Some(leader.gateway.exchange(now.monotonic, tables, report, is_witness))
+    }
+
     /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
     /// once an entry of the own term is.
     pub(crate) fn read_revision(&self, now: Moment) -> ReadAnswer {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -119,9 +119,7 @@
             Input::ExchangeLoad(report, reply) => {
                 let leads = self.leads(now);
                 let is_witness = self.is_witness(&report.daemon);
-                let leadership = self.leadership_mut().filter(|_| leads);
-                let digest =
-                    leadership.map(|leader| leader.gateway.exchange(now.monotonic, report, is_witness));
+                let digest = self.exchange_load(now, report, is_witness, leads);
                 self.outputs.push(Output::LoadReply(reply, digest));
             }
             Input::GroupOrderAnswered(order, answer) => {
--- a/crates/daemon/src/gateway/load_exchange.rs
+++ b/crates/daemon/src/gateway/load_exchange.rs
@@ -9,6 +9,8 @@
 const BUSY_EVERY: Duration = Duration::from_millis(60);
 /// Time between two exchanges otherwise.
 const IDLE_EVERY: Duration = Duration::from_millis(600);
+/// Least time between two exchanges, however urgent.
+const LEAST_PAUSE: Duration = Duration::from_millis(15);
 /// How long the leader may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -29,5 +31,6 @@
         if let Ok(Some(digest)) = shared.peers.call(leader, ANSWER_TIMEOUT, call).await {
             gateway.loads.take_digest(&digest);
         }
+        tokio::time::sleep(LEAST_PAUSE).await;
     }
 }
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -9,16 +9,16 @@
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, watch};
 
 /// A group that stood still here is avoided for this long.
 const SUSPICION_MS: Millis = 1_200;
-/// Requests at a group beyond the ones that it works on: they wait there for a moment only.
-const QUEUED_AT_GROUP: u32 = 1;
-/// The same for callers that were refused before and came back. Not many more: a long queue makes everybody late.
-const QUEUED_AFTER_REFUSAL: u32 = 3;
+/// What the leader has granted counts for this long; after that this entry goes by the figures that it has.
+const GRANTS_VALID_MS: Millis = 500;
+/// What may be held at a group that the leader has granted nothing for yet.
+const FIRST_ALLOWANCE: u32 = 1;
 
 /// One group that is open, or finishes what it has.
 #[derive(Debug)]
@@ -28,6 +28,10 @@
     slots: u32,
     in_flight: u32,
     others_in_flight: u32,
+    /// Requests in flight when the leader was last told.
+    reported_in_flight: u32,
+    /// Requests that this entry may hold.
+    allowance: u32,
     suspected_until: Millis,
     suspected_by_others: bool,
     progressed: bool,
@@ -50,6 +54,8 @@
 pub struct Loads {
     groups: Mutex<BTreeMap<u64, GroupState>>,
     entries: AtomicU32,
+    /// When the leader last granted places.
+    granted_at: AtomicU64,
     /// A place has become free, or a group has opened.
     freed: Notify,
     /// Something is to be told to the leader at once.
@@ -104,8 +110,6 @@
     pub model: &'a str,
     /// Groups that were tried before.
     pub excluded: &'a [u64],
-    /// The caller was refused before.
-    pub came_back: bool,
 }
 
 impl Loads {
@@ -132,6 +136,8 @@
                 slots,
                 in_flight: 0,
                 others_in_flight: 0,
+                reported_in_flight: 0,
+                allowance: FIRST_ALLOWANCE,
                 suspected_until: 0,
                 suspected_by_others: false,
                 progressed: false,
@@ -197,12 +203,12 @@
         if serving.is_empty() {
             return PlaceAnswer::NoGroup;
         }
-        let queued = if query.came_back { QUEUED_AFTER_REFUSAL } else { QUEUED_AT_GROUP };
+        let is_granted = now < gateway.loads.granted_at.load(Ordering::Relaxed) + GRANTS_VALID_MS;
         let eligible = |epoch: &&u64| {
             let group = &groups[*epoch];
-            !query.excluded.contains(*epoch)
-                && !group.is_suspected(now)
-                && group.total() < group.slots + queued
+            let has_place =
+                if is_granted { group.in_flight < group.allowance } else { group.total() < group.slots };
+            !query.excluded.contains(*epoch) && !group.is_suspected(now) && has_place
         };
         let candidates: Vec<Candidate> = serving
             .iter()
@@ -219,6 +225,8 @@
             .collect();
         let mut random = rand::rng();
         let Some(epoch) = choose(&candidates, |below| random.random_range(0..below)) else {
+            gateway.loads.count(query.service, query.model, |load| load.found_none += 1);
+            gateway.loads.urgent.notify_one();
             return PlaceAnswer::Full;
         };
         let epoch = epoch as u64;
@@ -249,6 +257,7 @@
             arrived: 0,
             ended: 0,
             held_ms: 0,
+            found_none: 0,
         });
         change(load);
     }
@@ -295,6 +304,7 @@
         let now = monotonic_ms();
         let mut groups = lock(&self.groups);
         let tell = |(epoch, group): (&u64, &mut GroupState)| {
+            group.reported_in_flight = group.in_flight;
             let load = GroupLoad {
                 epoch: *epoch,
                 in_flight: group.in_flight,
@@ -319,6 +329,11 @@
             let shared = digest.groups.iter().find(|shared| shared.epoch == *epoch);
             group.others_in_flight = shared.map_or(0, |shared| shared.others_in_flight);
             group.suspected_by_others = shared.is_some_and(|shared| shared.suspected);
+            let granted = shared.map_or(0, |shared| shared.granted);
+            group.allowance = group.reported_in_flight + granted;
         }
+        drop(groups);
+        self.granted_at.store(monotonic_ms(), Ordering::Relaxed);
+        self.freed.notify_waiters();
     }
 }
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -205,8 +205,7 @@
         let wait = Duration::from_millis(self.received.route.target_latency_ms * hundredths / 100);
         let give_up_at = Instant::now() + wait;
         loop {
-            let query =
-                PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups, came_back };
+            let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
             let code = match Loads::take(&self.gateway, query) {
                 PlaceAnswer::Taken(place) => return Ok(Source::Group(place)),
                 PlaceAnswer::Full => ResultCode::Overloaded,
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -14,6 +14,7 @@
 mod lifecycle;
 mod observations;
 mod orders;
+mod places;
 mod staging;
 
 pub use borrowing::borrow_servers;
@@ -22,6 +23,7 @@
 pub use lifecycle::{advance_groups, reap_instances, release_members};
 pub use observations::{InstanceObservation, Observations, ProbeResult};
 pub use orders::{OrderBook, OrderKind};
+pub use places::{GroupPlaces, PlaceLedger};
 
 /// Monotonic milliseconds.
 pub type Millis = u64;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -62,6 +62,8 @@
 pub struct Observations {
     instances: BTreeMap<String, InstanceObservation>,
     loads: BTreeMap<String, EntryLoad>,
+    /// Requests in flight by group, over all of `loads`.
+    in_flight: BTreeMap<u64, u32>,
     groups: BTreeMap<u64, GroupEvidence>,
     demand: Demand,
     /// When an instance was first seen, for the newest one.
@@ -117,25 +119,44 @@
         }
         self.demand.record(now, &report.models);
         let daemon = report.daemon.clone();
+        self.forget_load(&daemon);
+        for load in &report.groups {
+            *self.in_flight.entry(load.epoch).or_default() += load.in_flight;
+        }
         self.loads.insert(daemon.clone(), EntryLoad { at: now, report });
-        self.loads.retain(|_, load| now < load.at + LOAD_VALID_MS);
+        self.forget_old_loads(now);
         self.digest_for(now, &daemon)
     }
 
-    fn digest_for(&self, now: Millis, daemon: &str) -> LoadDigest {
-        let mut others: BTreeMap<u64, u32> = BTreeMap::new();
-        for (name, load) in &self.loads {
-            for group in &load.report.groups {
-                let counted = if name == daemon { 0 } else { group.in_flight };
-                *others.entry(group.epoch).or_default() += counted;
+    fn forget_old_loads(&mut self, now: Millis) {
+        let is_old = |load: &EntryLoad| now >= load.at + LOAD_VALID_MS;
+        let old: Vec<String> =
+            self.loads.iter().filter(|(_, load)| is_old(load)).map(|(name, _)| name.clone()).collect();
+        old.iter().for_each(|daemon| self.forget_load(daemon));
+    }
+
+    fn forget_load(&mut self, daemon: &str) {
+        let Some(former) = self.loads.remove(daemon) else { return };
+        for load in &former.report.groups {
+            if let Some(in_flight) = self.in_flight.get_mut(&load.epoch) {
+                *in_flight = in_flight.saturating_sub(load.in_flight);
             }
         }
-        let shared = |(epoch, others_in_flight): (&u64, &u32)| SharedGroupLoad {
+    }
+
+    fn digest_for(&self, now: Millis, daemon: &str) -> LoadDigest {
+        let own = self.loads.get(daemon);
+        let own_in_flight = |epoch: u64| {
+            let groups = own.iter().flat_map(|load| &load.report.groups);
+            groups.filter(|group| group.epoch == epoch).map(|group| group.in_flight).sum::<u32>()
+        };
+        let shared = |(epoch, in_flight): (&u64, &u32)| SharedGroupLoad {
             epoch: *epoch,
-            others_in_flight: *others_in_flight,
+            others_in_flight: in_flight.saturating_sub(own_in_flight(*epoch)),
             suspected: self.is_silent(now, *epoch),
+            granted: 0,
         };
-        LoadDigest { groups: others.iter().map(shared).collect(), entries: self.loads.len() as u32 }
+        LoadDigest { groups: self.in_flight.iter().map(shared).collect(), entries: self.loads.len() as u32 }
     }
 
     /// What is asked of each model.
@@ -181,11 +202,7 @@
 
     /// Requests in flight at a group, over all entries.
     pub fn in_flight(&self, epoch: u64) -> u32 {
-        let at_group = |load: &EntryLoad| {
-            let groups = load.report.groups.iter().filter(|group| group.epoch == epoch);
-            groups.map(|group| group.in_flight).sum::<u32>()
-        };
-        self.loads.values().map(at_group).sum()
+        self.in_flight.get(&epoch).copied().unwrap_or(0)
     }
 
     /// Whether the members of a silent group should be asked now; true at most once in `pause`.
@@ -210,5 +227,6 @@
     pub fn retain(&mut self, instances: &BTreeSet<String>, epochs: &BTreeSet<u64>) {
         self.instances.retain(|id, _| instances.contains(id));
         self.groups.retain(|epoch, _| epochs.contains(epoch));
+        self.in_flight.retain(|epoch, in_flight| *in_flight > 0 || epochs.contains(epoch));
     }
 }
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -178,6 +178,7 @@
             arrived,
             ended: arrived,
             held_ms: u64::from(arrived) * 1_000,
+            found_none: 0,
         };
         for _ in 0..20 {
             self.now += 100;
