Tell each request's course in one structured line, and never wait for the log

Cause: an engineer on call could not get from a failed request's id to its cause: there was no line for a request at all, and lines were text. The log was written where it was told, so that a reader that stopped would have stopped the control thread.

Change: every line is one JSON object of a documented, versioned form (log_line.rs): events, orders, requests, faults. A request has one line once it has ended, with its id, tenant, route, model, the version and lease that it was judged by, the age of the leader's word on places, waits, every send with its server, group and end, and the result code (3007 CallerLeft is new). Lines are bounded by result; the next line tells how many were held back, and metrics count both. They go through a bounded queue to a thread of their own, which drops and counts where nobody reads. receive() returns a typed refusal.

--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -3,6 +3,8 @@
 
 use super::ControlMessage;
 use crate::dialect::Dialect;
+use crate::log_line::{LineBody, OrderLine};
+use crate::logging;
 use crate::shared::Shared;
 use dockwood_api::gateway::{GroupOrder, OrderAnswer};
 use dockwood_control::{InstanceProbe, ProbeResult};
@@ -39,18 +41,23 @@
         let sender = self.clone();
         self.runtime.spawn(async move {
             let answer = sender.post(&order).await;
-            spdlog::info!(
-                "order {:?} to {} for {} epoch {}: {:?}",
-                order.command,
-                order.instance,
-                order.group,
-                order.epoch,
-                answer
-            );
+            sender.tell(&order, answer);
             sender.shared.control.send(ControlMessage::GroupOrderAnswered(order, answer)).await;
         });
     }
 
+    fn tell(&self, order: &GroupOrder, answer: OrderAnswer) {
+        let line = OrderLine {
+            order: format!("{:?}", order.command),
+            instance: &order.instance,
+            group: &order.group,
+            epoch: order.epoch,
+            fence: order.fence,
+            answer: format!("{answer:?}"),
+        };
+        logging::write(&self.shared.settings.name, LineBody::Order(line));
+    }
+
     async fn post(&self, order: &GroupOrder) -> OrderAnswer {
         let call = self.dialect.order_call(order);
         let url = format!("http://{}{}", order.address, call.path);
--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -2,8 +2,9 @@
 //!
 //! hyper is used directly: `poem` doesn't let a connection be told to end after its answer, which a planned stop needs.
 
+use super::account::{About, RequestAccount};
 use super::body::AnswerBody;
-use super::receive::receive;
+use super::receive::{attempt_of, receive};
 use super::serving::ACCEPT_PAUSE;
 use super::{Gateway, plain, stream};
 use hyper::body::Incoming;
@@ -74,16 +75,23 @@
 
 async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let in_flight = gateway.shared.begin_request();
+    let mut account = RequestAccount::new(gateway.clone());
+    let attempt = attempt_of(&gateway, request.headers());
+    account.describe(About { attempt, ..About::default() });
     let mut response = match receive(&gateway, request).await {
         Ok(received) => {
             gateway.count_request(&received.service.name);
+            account.describe(received.about());
             if received.is_stream() || received.service.engine.is_some() {
-                stream::answer(&gateway, received, in_flight).await
+                stream::answer(&gateway, received, account, in_flight).await
             } else {
-                plain::answer(&gateway, &received).await
+                plain::answer(&gateway, &received, account).await
             }
         }
-        Err(refused) => *refused,
+        Err(refusal) => {
+            account.end(refusal.code);
+            refusal.answer()
+        }
     };
     // Callers find the other entries by the directory.
     if gateway.shared.is_leaving() {
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -321,6 +321,11 @@
         LoadReport { daemon: daemon.to_string(), groups: loads, models }
     }
 
+    /// Age of the leader's last word on places, in milliseconds.
+    pub fn age_of_grants(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.granted_at.load(Ordering::Relaxed))
+    }
+
     /// Takes what the leader tells of the other entries.
     pub fn take_digest(&self, digest: &LoadDigest) {
         self.entries.store(digest.entries, Ordering::Relaxed);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: takes callers' requests by their routes and sends them to registered servers and groups; tells
 //! callers where to go; takes operators' calls and servers' reports.
 
+mod account;
 mod body;
 mod directory;
 mod frontend;
@@ -19,6 +20,7 @@
 mod upstream;
 
 use crate::dialect::Dialect;
+use crate::line_budget::LineBudget;
 use crate::shared::Shared;
 use arc_swap::ArcSwap;
 use dockwood_routing::BackendPicker;
@@ -42,6 +44,7 @@
     budgets: Mutex<HashMap<String, SendBudget>>,
     budget_limits: SendBudgetLimits,
     pool: ConnectionPool,
+    line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
 }
 
@@ -106,6 +109,7 @@
             budgets: Mutex::default(),
             budget_limits,
             pool: ConnectionPool::default(),
+            line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
         }
     }
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -1,6 +1,7 @@
 //! Requests to plain services: one answer, passed on whole.
 
 use super::Gateway;
+use super::account::RequestAccount;
 use super::body::{AnswerBody, read_whole, whole};
 use super::headers::{ServerHeaders, add_for_server, end_to_end};
 use super::receive::{Received, may_still_run};
@@ -37,10 +38,15 @@
 }
 
 /// Answers a request within its time.
-pub async fn answer(gateway: &Arc<Gateway>, received: &Received) -> Response<AnswerBody> {
+pub async fn answer(
+    gateway: &Arc<Gateway>,
+    received: &Received,
+    account: RequestAccount,
+) -> Response<AnswerBody> {
     let mut course = PlainCourse {
         gateway,
         received,
+        account,
         course: Course::new(&received.route),
         in_flight: false,
         tried: Vec::new(),
@@ -48,7 +54,10 @@
     };
     match tokio::time::timeout_at(received.deadline, course.run()).await {
         Ok(response) => response,
-        Err(_) => give_up(course.course.out_of_time(course.in_flight)),
+        Err(_) => {
+            let told = course.course.out_of_time(course.in_flight);
+            course.give_up(told)
+        }
     }
 }
 
@@ -60,6 +69,7 @@
 struct PlainCourse<'a> {
     gateway: &'a Arc<Gateway>,
     received: &'a Received,
+    account: RequestAccount,
     course: Course,
     in_flight: bool,
     tried: Vec<String>,
@@ -82,11 +92,15 @@
             }
             self.tried.push(picked.row.id.clone());
             let outcome = match self.send(picked).await {
-                Ok(answer) => return answer.pass_on(),
+                Ok(answer) => return self.pass_on(answer),
                 Err(outcome) => outcome,
             };
+            self.account.send_ended(outcome);
             if let Verdict::GiveUp(told) = self.course.ended(outcome) {
-                return self.kept.take().map_or_else(|| give_up(told), ServerAnswer::pass_on);
+                return match self.kept.take() {
+                    Some(kept) => self.pass_on(kept),
+                    None => self.give_up(told),
+                };
             }
         }
     }
@@ -94,16 +108,28 @@
     /// The answer when there is nobody to send to any more.
     fn last_word(&mut self, code: ResultCode) -> Response<AnswerBody> {
         if let Some(kept) = self.kept.take() {
-            return kept.pass_on();
+            return self.pass_on(kept);
         }
         let told = self.course.give_up();
-        give_up(if told.not_run { GiveUp { code, ..told } } else { told })
+        self.give_up(if told.not_run { GiveUp { code, ..told } } else { told })
+    }
+
+    fn pass_on(&mut self, answer: ServerAnswer) -> Response<AnswerBody> {
+        let failed = answer.status.is_server_error();
+        self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
+        answer.pass_on()
+    }
+
+    fn give_up(&mut self, told: GiveUp) -> Response<AnswerBody> {
+        self.account.end(told.code);
+        give_up(told)
     }
 
     /// Sends to one server. `Err` if that brought no answer to pass on.
     async fn send(&mut self, picked: Picked) -> Result<ServerAnswer, SendOutcome> {
         // A connection that rested may be closed at this moment: what may run only once never goes out on one.
         let fresh = !self.received.route.is_repeatable();
+        self.account.sent(&picked.row.id, None);
         let Ok(mut upstream) = self.gateway.pool.connection(picked.row.address, fresh).await else {
             picked.ended(CallResult::Failed);
             return Err(SendOutcome::NotSent);
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -1,6 +1,7 @@
 //! Takes a caller's request: finds its route, checks its key, and reads it whole.
 
 use super::Gateway;
+use super::account::About;
 use super::body::{AnswerBody, BodyFault, read_whole};
 use super::headers::from_caller;
 use super::refusal::{RETRY_SOON_MS, refuse};
@@ -59,20 +60,57 @@
         self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
     }
 
+    /// What is told of it.
+    pub fn about(&self) -> About {
+        About {
+            attempt: self.attempt.clone(),
+            tenant: self.tenant.clone(),
+            route: Some(self.route.name.clone()),
+            service: Some(self.service.name.clone()),
+            model: self.model.clone(),
+            came_back: self.came_back,
+            allowed_ms: self.left_ms(),
+        }
+    }
+
     /// Whether it asks for a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
     }
 }
 
-/// Reads a request, or answers it at once.
-pub async fn receive(
-    gateway: &Gateway,
-    request: Request<Incoming>,
-) -> Result<Received, Box<Response<AnswerBody>>> {
+/// Why a request goes no further. It has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The code.
+    pub code: ResultCode,
+    /// For people.
+    pub message: &'static str,
+    /// When the caller may come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// The answer to the caller.
+    pub fn answer(self) -> Response<AnswerBody> {
+        refuse(self.code, self.message, self.retry_after_ms)
+    }
+}
+
+/// The caller's attempt id.
+pub fn attempt_of(gateway: &Gateway, headers: &HeaderMap) -> Option<String> {
+    text(headers, gateway.dialect.headers().attempt)
+}
+
+/// Reads a request, or refuses it.
+pub async fn receive(gateway: &Gateway, request: Request<Incoming>) -> Result<Received, Refusal> {
     let arrived = Instant::now();
     let table = gateway.routes.load_full();
-    let refuse = |code: ResultCode, message: &str, retry: Option<u64>| Box::new(refuse(code, message, retry));
+    let refuse = |code: ResultCode, message: &'static str, retry_after_ms: Option<u64>| Refusal {
+        code,
+        message,
+        retry_after_ms,
+    };
     if table.version == 0 {
         return Err(refuse(ResultCode::NoConfiguration, "no configuration yet", Some(RETRY_SOON_MS)));
     }
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -2,6 +2,7 @@
 //! or stands still. The caller sees one answer, with the head of the first server.
 
 use super::Gateway;
+use super::account::RequestAccount;
 use super::body::{AnswerBody, CutShort, read_whole, whole};
 use super::headers::end_to_end;
 use super::loads::{Loads, PlaceAnswer, PlaceQuery};
@@ -62,6 +63,7 @@
 struct StreamCourse {
     gateway: Arc<Gateway>,
     received: Received,
+    account: RequestAccount,
     course: Course,
     pace: Option<Pace>,
     reading: Option<Reading>,
@@ -79,7 +81,12 @@
 }
 
 /// Answers a request for a stream: once the first event is here, or with what there is instead.
-pub async fn answer(gateway: &Arc<Gateway>, received: Received, in_flight: InFlight) -> Response<AnswerBody> {
+pub async fn answer(
+    gateway: &Arc<Gateway>,
+    received: Received,
+    account: RequestAccount,
+    in_flight: InFlight,
+) -> Response<AnswerBody> {
     let engine = received.service.engine.as_ref();
     let model = engine.zip(received.model.as_ref()).and_then(|(engine, name)| engine.model(name));
     let pace = engine.zip(model).map(|(engine, model)| {
@@ -95,6 +102,7 @@
         changes: gateway.loads.watch_changes(),
         gateway: gateway.clone(),
         received,
+        account,
         pace,
         reading: None,
         head: None,
@@ -122,10 +130,10 @@
             match self.step().await {
                 Step::Event(event) => return Ok(Some(event)),
                 Step::Complete => return Ok(None),
-                Step::Broken(outcome) => self.after(outcome).map_err(|told| Box::new(give_up(told)))?,
+                Step::Broken(outcome) => self.after(outcome).map_err(|told| Box::new(self.give_up(told)))?,
                 Step::OutOfTime => {
                     let told = self.course.out_of_time(self.reading.is_some());
-                    return Err(Box::new(give_up(told)));
+                    return Err(Box::new(self.give_up(told)));
                 }
             }
         }
@@ -133,6 +141,14 @@
 
     /// The next event; `None` once the stream is complete.
     async fn next(&mut self) -> Result<Option<Bytes>, CutShort> {
+        let next = self.read_on().await;
+        if next.is_err() {
+            self.account.end(ResultCode::Interrupted);
+        }
+        next
+    }
+
+    async fn read_on(&mut self) -> Result<Option<Bytes>, CutShort> {
         loop {
             if self.reading.is_none() {
                 match self.open().await {
@@ -153,6 +169,7 @@
     /// Notes the end of a send; `Err` if there is to be no other.
     fn after(&mut self, outcome: SendOutcome) -> Result<(), GiveUp> {
         self.reading = None;
+        self.account.send_ended(outcome);
         match self.course.ended(outcome) {
             Verdict::SendAgain => Ok(()),
             Verdict::GiveUp(told) => Err(told),
@@ -173,17 +190,23 @@
             match self.send(source).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(response)) => return Ok(Some(response)),
-                Err(outcome) => self.after(outcome).map_err(|told| Box::new(give_up(told)))?,
+                Err(outcome) => self.after(outcome).map_err(|told| Box::new(self.give_up(told)))?,
             }
         }
     }
 
-    fn refusal(&self, code: ResultCode, retry_after_ms: u64) -> Response<AnswerBody> {
+    fn give_up(&mut self, told: GiveUp) -> Response<AnswerBody> {
+        self.account.end(told.code);
+        give_up(told)
+    }
+
+    fn refusal(&mut self, code: ResultCode, retry_after_ms: u64) -> Response<AnswerBody> {
         let told = self.course.give_up();
         if told.not_run && !self.begun {
+            self.account.end(code);
             return super::refusal::refuse(code, code.meaning(), Some(retry_after_ms));
         }
-        give_up(told)
+        self.give_up(told)
     }
 
     /// A place at a group, waited for shortly, or a server.
@@ -203,15 +226,19 @@
         let came_back = self.received.came_back;
         let hundredths = if came_back { WAIT_AFTER_REFUSAL_HUNDREDTHS } else { WAIT_HUNDREDTHS };
         let wait = Duration::from_millis(self.received.route.target_latency_ms * hundredths / 100);
-        let give_up_at = Instant::now() + wait;
+        let since = Instant::now();
         loop {
             let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
             let code = match Loads::take(&self.gateway, query) {
-                PlaceAnswer::Taken(place) => return Ok(Source::Group(place)),
+                PlaceAnswer::Taken(place) => {
+                    self.account.waited(since);
+                    return Ok(Source::Group(place));
+                }
                 PlaceAnswer::Full => ResultCode::Overloaded,
                 PlaceAnswer::NoGroup => ResultCode::NoServer,
             };
-            if tokio::time::timeout_at(give_up_at, self.gateway.loads.place_freed()).await.is_err() {
+            if tokio::time::timeout_at(since + wait, self.gateway.loads.place_freed()).await.is_err() {
+                self.account.waited(since);
                 return Err(self.refusal(code, FULL_RETRY_MS));
             }
         }
@@ -223,9 +250,12 @@
             Source::Group(place) => (place.head, place.instance.clone()),
             Source::Server(picked) => (picked.row.address, picked.row.id.clone()),
         };
-        if let Source::Group(place) = &source {
-            self.tried_groups.push(place.epoch);
-        }
+        let epoch = match &source {
+            Source::Group(place) => Some(place.epoch),
+            Source::Server(_) => None,
+        };
+        self.tried_groups.extend(epoch);
+        self.account.sent(&instance, epoch);
         let fresh = !self.received.route.is_repeatable();
         let mut upstream = match self.gateway.pool.connection(address, fresh).await {
             Ok(upstream) => upstream,
@@ -286,6 +316,8 @@
         if parts.status.is_server_error() && self.course.may_move() {
             return Err(SendOutcome::Failed);
         }
+        let failed = parts.status.is_server_error();
+        self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
         let mut response = Response::new(whole(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = end_to_end(&parts.headers);
@@ -319,6 +351,7 @@
                 }
                 self.last_event = event.id.or(self.last_event);
                 self.begun = true;
+                self.account.event_passed();
                 self.since = Instant::now();
                 return Step::Event(event.bytes);
             }
@@ -340,6 +373,7 @@
                     if let Some(done) = self.reading.take() {
                         done.finish(&self.gateway);
                     }
+                    self.account.end(ResultCode::Ok);
                     return Step::Complete;
                 }
                 Some(Err(_)) | None => return Step::Broken(SendOutcome::Unknown),
--- a/crates/daemon/src/http/streamed.rs
+++ b/crates/daemon/src/http/streamed.rs
@@ -1,5 +1,7 @@
 //! Bodies that are passed on as they arrive.
 
+use crate::log_line::LineBody;
+use crate::logging;
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
 use poem::Body;
@@ -14,7 +16,8 @@
     Body::from_bytes_stream(pieces.map(|piece| match piece {
         Ok(bytes) => Ok::<Bytes, std::io::Error>(bytes),
         Err(error) => {
-            spdlog::warn!("a streamed answer is cut: {}", error);
+            let message = format!("a streamed answer is cut: {error}");
+            logging::write("", LineBody::Fault { message: &message });
             std::panic::resume_unwind(Box::new("a streamed answer is cut"))
         }
     }))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod dialect;
 pub mod gateway;
 pub mod http;
+pub mod line_budget;
+pub mod log_line;
 pub mod logging;
 pub mod metrics;
 pub mod own_dialect;
--- /dev/null
+++ b/crates/daemon/src/log_line.rs
@@ -0,0 +1,154 @@
+//! Lines of the log: one JSON object each, of a documented form.
+//!
+//! docs/OPERATIONS-GATEWAY.md lists the fields. [`SCHEMA_VERSION`] grows when a field changes its meaning or goes; fields
+//! that are added leave it as it is.
+
+use dockwood_api::ResultCode;
+use serde::Serialize;
+
+/// Version of the form of all lines.
+pub const SCHEMA_VERSION: u8 = 1;
+
+/// One line.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct LogLine<'a> {
+    /// [`SCHEMA_VERSION`].
+    pub schema: u8,
+    /// Milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The daemon.
+    pub daemon: &'a str,
+    /// What is told.
+    #[serde(flatten)]
+    pub body: LineBody<'a>,
+}
+
+/// What a line tells.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "kind", rename_all = "camelCase")]
+pub enum LineBody<'a> {
+    /// A change of what the daemon believes.
+    Event(EventLine<'a>),
+    /// An order that a server was sent.
+    Order(OrderLine<'a>),
+    /// How a request ended, and all that was decided on it.
+    Request(RequestLine<'a>),
+    /// A fault of the daemon's own.
+    Fault {
+        /// What is wrong.
+        message: &'a str,
+    },
+}
+
+/// A change of what the daemon believes.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct EventLine<'a> {
+    /// Kind and name of what changed.
+    pub subject: String,
+    /// The change.
+    pub reason: &'a str,
+    /// For people.
+    pub message: &'a str,
+    /// Number of the result code.
+    pub code: u16,
+    /// Its name.
+    pub code_name: &'static str,
+    /// The revision that led to it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+}
+
+/// An order that a server was sent.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct OrderLine<'a> {
+    /// The order.
+    pub order: String,
+    /// Instance id.
+    pub instance: &'a str,
+    /// Group name; empty where it concerns none.
+    pub group: &'a str,
+    /// Group epoch.
+    pub epoch: u64,
+    /// The fence that it carried.
+    pub fence: u64,
+    /// What came of it.
+    pub answer: String,
+}
+
+/// How a request ended, and all that was decided on it.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct RequestLine<'a> {
+    /// The caller's attempt id; empty if it sent none.
+    pub request: &'a str,
+    /// Number of the result code.
+    pub code: u16,
+    /// Its name.
+    pub code_name: &'static str,
+    /// Tenant, where a key was known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<&'a str>,
+    /// Route, where one was found.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub route: Option<&'a str>,
+    /// Service that its route led to.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service: Option<&'a str>,
+    /// Model that it named.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub model: Option<&'a str>,
+    /// Version of the configuration that it was judged by.
+    pub configuration: u64,
+    /// What was left of the configuration lease when it ended, in milliseconds.
+    pub lease_left_ms: u64,
+    /// Age of the leader's last word on places at groups when it ended, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub places_age_ms: Option<u64>,
+    /// Its caller had been refused before.
+    pub came_back: bool,
+    /// From its arrival to its end, in milliseconds.
+    pub took_ms: u64,
+    /// The time that it had, in milliseconds.
+    pub allowed_ms: u64,
+    /// How long it waited for a place, in milliseconds.
+    pub waited_ms: u64,
+    /// From its arrival to the first event that was passed on, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub first_event_ms: Option<u64>,
+    /// Each server that it was sent to, in order.
+    pub sends: &'a [SendLine],
+    /// Lines of this result that were held back since the last one that was written.
+    pub held_back: u64,
+}
+
+/// One send of a request.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct SendLine {
+    /// Instance id.
+    pub instance: String,
+    /// Epoch of its group, for a model server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub epoch: Option<u64>,
+    /// When, in milliseconds after the request's arrival.
+    pub at_ms: u64,
+    /// How it ended, if it did not bring the answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ended: Option<String>,
+}
+
+impl<'a> EventLine<'a> {
+    /// A change with its code.
+    pub fn new(
+        subject: String,
+        reason: &'a str,
+        message: &'a str,
+        code: ResultCode,
+        revision: Option<u64>,
+    ) -> Self {
+        EventLine { subject, reason, message, code: code.number(), code_name: code.name(), revision }
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,6 +18,10 @@
     registry: Registry,
     /// Answers to callers by result code.
     pub answers: IntCounterVec,
+    /// Lines on requests that were written.
+    pub request_lines_written: IntCounter,
+    /// Lines on requests that were held back, so that logs stay small under load.
+    pub request_lines_held_back: IntCounter,
     /// Refused operator calls by result code.
     pub operator_refusals: IntCounterVec,
     /// Time to the first token by tier.
@@ -98,6 +102,11 @@
         registry.register(Box::new(log_sync_seconds.clone()))?;
         Ok(Metrics {
             answers: counters("dockwood_answers_total", "Answers to callers", &["code"])?,
+            request_lines_written: counter("dockwood_request_lines_total", "Lines on requests written")?,
+            request_lines_held_back: counter(
+                "dockwood_request_lines_held_back_total",
+                "Lines on requests held back",
+            )?,
             operator_refusals: counters(
                 "dockwood_operator_refusals_total",
                 "Refused operator calls",
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -8,6 +8,8 @@
 use crate::dialect::Dialect;
 use crate::gateway::{Gateway, GatewayListeners};
 use crate::http::{App, serve_http};
+use crate::log_line::LineBody;
+use crate::logging;
 use crate::metrics::Metrics;
 use crate::peer::serve_peers;
 use crate::probe::{
@@ -105,7 +107,14 @@
 /// Runs the daemon to its end.
 pub fn run(start: Start) -> Result<(), ProcessError> {
     let Start { settings, settings_path, dialect } = start;
-    crate::logging::init(&settings).map_err(setup)?;
+    logging::init(&settings).map_err(setup)?;
+    let ended = run_with_logs(Start { settings, settings_path, dialect });
+    logging::finish();
+    ended
+}
+
+fn run_with_logs(start: Start) -> Result<(), ProcessError> {
+    let Start { settings, settings_path, dialect } = start;
     let metrics = Metrics::new().map_err(setup)?;
     let http_listener = listen(settings.http)?;
     let peer_listener = listen(settings.peer)?;
@@ -207,7 +216,8 @@
             }
         }
         Err(error) => {
-            spdlog::error!("no signal handler: {}", error);
+            let message = format!("no signal handler: {error}");
+            logging::write(&shared.settings.name, LineBody::Fault { message: &message });
             std::future::pending::<()>().await;
         }
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -147,6 +147,11 @@
         monotonic_ms() < self.lease_until.load(Ordering::SeqCst)
     }
 
+    /// What is left of the configuration lease, in milliseconds.
+    pub fn lease_left_ms(&self) -> Millis {
+        self.lease_until.load(Ordering::SeqCst).saturating_sub(monotonic_ms())
+    }
+
     /// Whether new work may go to a pool now: with a lease, or where the operator chose to serve on without.
     pub fn may_dispatch(&self, deployment: &str) -> bool {
         let serves_on = || {
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -1,6 +1,8 @@
 //! The time line of this daemon: a bounded ring of events, each also a line in the log.
 
 use crate::clock::wall_ms;
+use crate::log_line::{EventLine, LineBody};
+use crate::logging;
 use dockwood_api::ResultCode;
 use dockwood_api::event::{ClockStamp, Event, Subject};
 use std::collections::VecDeque;
@@ -55,7 +57,9 @@
         cause_revision: Option<u64>,
         code: ResultCode,
     ) {
-        spdlog::info!("{}/{} {}: {} ({})", subject.kind, subject.name, reason, message, code);
+        let name = format!("{}/{}", subject.kind, subject.name);
+        let line = EventLine::new(name, reason, message, code, cause_revision);
+        logging::write(&self.process, LineBody::Event(line));
         let mut ring = self.ring();
         ring.stamp = ring.stamp.tick(wall_ms());
         ring.next_sequence += 1;
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -35,12 +35,33 @@
         let started = Command::new(env!("CARGO_BIN_EXE_dockwoodd"))
             .arg("--settings")
             .arg(&self.settings)
-            .stdout(Stdio::null())
+            .stdout(self.log_for_appending())
             .stderr(Stdio::null())
             .spawn();
         self.child = started.ok();
     }
 
+    fn log_path(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
+    fn log_for_appending(&self) -> Stdio {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log_path());
+        log.map_or_else(|_| Stdio::null(), Stdio::from)
+    }
+
+    /// All that it has logged; a line that is not a JSON object of the documented form is a failure.
+    pub fn log_lines(&self) -> Vec<serde_json::Value> {
+        let text = std::fs::read_to_string(self.log_path()).unwrap_or_default();
+        let parse = |line: &str| {
+            let value: serde_json::Value =
+                serde_json::from_str(line).unwrap_or_else(|error| panic!("{error}: {line}"));
+            assert_eq!(value["schema"], 1, "{line}");
+            value
+        };
+        text.lines().map(parse).collect()
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -67,6 +67,51 @@
     Ok(())
 }
 
+/// Lines of all entries on one request.
+fn lines_on(fleet: &Fleet, attempt: &str) -> Vec<serde_json::Value> {
+    let lines = fleet.entries.iter().flat_map(|entry| entry.log_lines());
+    lines.filter(|line| line["kind"] == "request" && line["request"] == attempt).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_failed_request_has_one_line_that_tells_its_cause() -> reqwest::Result<()> {
+    let (fleet, models) = with_groups().await;
+    let whole = fleet.request(0, "/stream/2", "whole").send().await?.text().await?;
+    assert_eq!(whole, whole_stream());
+    fleet.request(1, "/plain/1", "no-server").send().await?;
+    fleet.request(1, "/nowhere/1", "no-route").send().await?;
+    eventually("warm-up requests have left", || serving(&models).is_none()).await;
+    let leaving = tokio::spawn(fleet.request(1, "/stream/2", "left").send());
+    eventually("a stream has begun", || serving(&models).is_some()).await;
+    leaving.abort();
+    eventually("its caller has left", || serving(&models).is_none()).await;
+    let streaming = tokio::spawn(fleet.request(0, "/stream/2", "moved").send());
+    eventually("the stream has begun", || serving(&models).is_some()).await;
+    if let Some(server) = serving(&models) {
+        server.stands_still.store(true, Ordering::SeqCst);
+    }
+    if let Ok(answer) = streaming.await {
+        assert_eq!(answer?.text().await?, whole_stream());
+    }
+    let expected = [
+        ("whole", "Ok"),
+        ("no-server", "NoServer"),
+        ("no-route", "NoRoute"),
+        ("moved", "Ok"),
+        ("left", "CallerLeft"),
+    ];
+    for (attempt, code) in expected {
+        eventually(&format!("a line on {attempt}"), || !lines_on(&fleet, attempt).is_empty()).await;
+        let lines = lines_on(&fleet, attempt);
+        assert_eq!(lines.len(), 1, "{lines:?}");
+        assert_eq!(lines[0]["codeName"], code, "{}", lines[0]);
+    }
+    let moved = &lines_on(&fleet, "moved")[0];
+    assert_eq!(moved["sends"][0]["ended"], "Abandoned", "{moved}");
+    assert!(moved["sends"][1]["epoch"].is_u64(), "{moved}");
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_whose_group_stands_still_goes_on_elsewhere_without_a_gap_or_a_repeat() -> reqwest::Result<()>
 {
