Grant places by the use that an entry has for them

The leader counts on all live entries, not only on those that have reported: the first to report after an election no longer gets all.

Test: grouping/tests/places.rs: an_entry_gets_no_more_places_than_it_has_use_for; without the bound on what the first one gets it failed with 636 places for one request.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -56,14 +56,17 @@
         is_news.then_some(GatewayCommand::Register(row))
     }
 
-    /// Takes an entry's load, and tells it the others' and the places that it may take.
+    /// Takes an entry's load, and tells it the others' and the places that it may take. `entries` are those that are
+    /// live.
     pub fn exchange(
         &mut self,
         now: Millis,
         tables: &GatewayTables,
+        entries: u32,
         report: LoadReport,
         is_witness: bool,
     ) -> LoadDigest {
+        self.places.expect_entries(entries);
         let open = tables.groups.values().filter(|group| group.phase == GroupPhase::Open);
         let groups = open.map(|group| GroupPlaces {
             epoch: group.epoch,
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -24,10 +24,12 @@
         is_witness: bool,
         leads: bool,
     ) -> Option<LoadDigest> {
-        let tables = &self.board.state.tables.gateway;
+        let tables = &self.board.state.tables;
+        let live = tables.reachable_daemons().filter(|daemon| daemon.record.frontend.is_some());
+        let entries = live.count() as u32;
         let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
         let leader = leadership.filter(|_| leads)?;
-        Some(leader.gateway.exchange(now.monotonic, tables, report, is_witness))
+        Some(leader.gateway.exchange(now.monotonic, &tables.gateway, entries, report, is_witness))
     }
 
     /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
--- a/crates/grouping/tests/places.rs
+++ b/crates/grouping/tests/places.rs
@@ -109,3 +109,41 @@
     }
     assert!(most_held >= PLACES - 2, "places are used: {most_held}");
 }
+
+/// Found on vob-prikazy-grown, with 95 entries before 40 groups of 15: whoever asked got one place at every group, used
+/// one, and kept the rest from all others.
+#[test]
+fn an_entry_gets_no_more_places_than_it_has_use_for() {
+    const ENTRIES: u64 = 95;
+    let groups = || (1..=40_u64).map(|epoch| GroupPlaces { epoch, service: "s", model: "m", places: 16 });
+    let mut ledger = PlaceLedger::default();
+    ledger.expect_entries(ENTRIES as u32);
+    let mut refused = 0;
+    let mut granted_to_asking = 0;
+    for round in 0..20_u64 {
+        for entry in 0..ENTRIES {
+            // Every fifth entry has a request this time; all have four streams at groups of their own.
+            let is_asking = (entry + round) % 5 == 0;
+            let own = |number: u64| (entry * 4 + number) % 40 + 1;
+            let loads: Vec<GroupLoad> = (0..4)
+                .map(|number| GroupLoad {
+                    epoch: own(number),
+                    in_flight: 1,
+                    silent: false,
+                    refuses: false,
+                    progressed: true,
+                })
+                .collect();
+            let models = if is_asking { asks() } else { Vec::new() };
+            let now = round * 60 + entry % 60;
+            let grants = ledger.exchange(now, &format!("entry-{entry}"), &loads, &models, groups());
+            let granted: u32 = grants.values().sum();
+            assert!(granted <= 4, "{granted} places for one request");
+            if is_asking && round > 0 {
+                refused += u32::from(granted == 0);
+                granted_to_asking += 1;
+            }
+        }
+    }
+    assert_eq!(refused, 0, "of {granted_to_asking}: 380 of 640 places are in use");
+}
