Send a follower what it lacks once, and bound what goes out in one call

Change: of a round in which entries were already sent again, or an earlier one, only a rejection that asks for earlier entries counts. A call takes no further message once it has 256 KiB.

Test: consensus/tests/core.rs, fails without the change.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -16,7 +16,7 @@
 mod types;
 
 pub use log::EntryLog;
-pub use message::{Body, Message};
+pub use message::{Body, Message, Probe};
 pub use node::Node;
 pub use types::{
     Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term,
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -85,7 +85,7 @@
             if entry.index > to || (bytes >= max_bytes && !taken.is_empty()) {
                 break;
             }
-            bytes += payload_bytes(&entry.payload);
+            bytes += entry.payload_bytes();
             taken.push(entry.clone());
         }
         taken
@@ -107,11 +107,3 @@
         self.snapshot_term = term;
     }
 }
-
-fn payload_bytes(payload: &Payload) -> usize {
-    match payload {
-        Payload::Empty => 0,
-        Payload::Voters(voters) => std::mem::size_of_val(voters.as_slice()),
-        Payload::Command(bytes) => bytes.len(),
-    }
-}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -16,6 +16,17 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Size of what it carries, in bytes, for bounding what is sent together.
+    pub fn payload_bytes(&self) -> usize {
+        match &self.body {
+            Body::Append { entries, .. } => entries.iter().map(Entry::payload_bytes).sum(),
+            Body::Snapshot { data, .. } => data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// Content of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -17,10 +17,23 @@
     acknowledged: Probe,
     /// When this leader began to send to it.
     began_at: Millis,
+    /// What was last sent again because the follower lacked some entries. A follower that was cut off rejects every
+    /// message that has waited for it, and must not be sent everything again for each: of the same round or an earlier
+    /// one, only a rejection that asks for earlier entries still counts.
+    resent: Resent,
     /// A snapshot is under way; nothing else is sent until it is answered or this time has come.
     snapshot_until: Option<Millis>,
 }
 
+/// Entries that were sent again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Resent {
+    /// The leader's round.
+    round: u64,
+    /// The first of them.
+    from: LogIndex,
+}
+
 impl Progress {
     fn new(last_index: LogIndex, now: Millis) -> Self {
         Progress {
@@ -28,6 +41,7 @@
             matched: 0,
             acknowledged: Probe::default(),
             began_at: now,
+            resent: Resent::default(),
             snapshot_until: None,
         }
     }
@@ -258,7 +272,12 @@
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(index + 1);
         } else {
-            progress.next = (index + 1).max(progress.matched + 1);
+            let next = (index + 1).max(progress.matched + 1);
+            let is_answered = probe.round <= progress.resent.round && next >= progress.resent.from;
+            if !is_answered {
+                progress.next = next;
+                progress.resent = Resent { round: leader.round, from: next };
+            }
         }
         let lacks_entries = progress.next <= last_index;
         self.advance_commit();
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -44,6 +44,18 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Size of the payload, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        let payload = &self.payload;
+        match payload {
+            Payload::Empty => 0,
+            Payload::Voters(voters) => std::mem::size_of_val(voters.as_slice()),
+            Payload::Command(bytes) => bytes.len(),
+        }
+    }
+}
+
 /// What must survive a restart besides the log: losing it could let a node vote twice in one term.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/crates/consensus/tests/core.rs
+++ b/crates/consensus/tests/core.rs
@@ -160,3 +160,55 @@
     assert!(!granted(node.step(9_000, message(7, 2, 5, request(2)))));
     assert!(granted(node.step(19_000, message(7, 2, 6, request(3)))));
 }
+
+/// A leader of three with ten entries of its own, of which voter 2 has all and voter 3 none.
+fn leader_with_entries() -> Node {
+    let mut leader = node(1);
+    leader.step(TIMEOUT * 3, Input::Tick);
+    let vote = |binding| Body::VoteReply { binding, granted: true };
+    leader.step(TIMEOUT * 3, message(2, 1, 1, vote(false)));
+    leader.step(TIMEOUT * 3, message(2, 1, 1, vote(true)));
+    assert_eq!(leader.role(), RoleName::Leader);
+    let commands = (0..10).map(|number| vec![number; 100]).collect();
+    leader.step(TIMEOUT * 3, Input::Propose(commands));
+    leader
+}
+
+/// The rounds of the messages to voter 3, and how many entries each carries.
+fn to_voter_3(outputs: &[Output]) -> Vec<(dockwood_consensus::Probe, usize)> {
+    let appends = outputs.iter().filter_map(|output| match output {
+        Output::Send(Message { to: 3, body: Body::Append { entries, probe, .. }, .. }) => {
+            Some((*probe, entries.len()))
+        }
+        _ => None,
+    });
+    appends.collect()
+}
+
+/// Found on unidos-despacho-grown: after a cut a follower rejected the fifty messages that had waited for it, the leader
+/// sent all that it lacked again for each of them, and exceeded its memory.
+#[test]
+fn what_a_follower_lacks_is_sent_again_once_however_many_messages_it_rejects() {
+    let mut leader = leader_with_entries();
+    let mut waiting = Vec::new();
+    let mut now = TIMEOUT * 3;
+    for _ in 0..40 {
+        now += 100;
+        waiting.extend(to_voter_3(&leader.step(now, Input::Tick)));
+        let (probe, _) = waiting[waiting.len() - 1];
+        leader.step(now, message(2, 1, 1, Body::AppendReply { matched: true, index: 11, probe }));
+    }
+    assert!(waiting.len() >= 40);
+    let reject = |probe| message(3, 1, 1, Body::AppendReply { matched: false, index: 0, probe });
+    let resent: Vec<usize> = waiting
+        .iter()
+        .flat_map(|(probe, _)| to_voter_3(&leader.step(now, reject(*probe))))
+        .map(|(_, entries)| entries)
+        .collect();
+    assert_eq!(resent.iter().filter(|entries| **entries > 0).count(), 1, "{resent:?}");
+    // Should that one be lost too, the next heartbeat's rejection brings the entries.
+    now += 100;
+    let heartbeat = to_voter_3(&leader.step(now, Input::Tick));
+    let again = to_voter_3(&leader.step(now, reject(heartbeat[0].0)));
+    assert_eq!(again.iter().map(|(_, entries)| *entries).max(), Some(11));
+}
--- a/crates/daemon/src/control/outbox.rs
+++ b/crates/daemon/src/control/outbox.rs
@@ -12,16 +12,15 @@
 pub const OUTBOX: usize = 1_024;
 /// Messages of one call, at most.
 const BATCH: usize = 64;
+/// Size from which on no further message joins a call, in bytes: one message may itself be as large.
+const ENOUGH_BYTES: usize = 256 << 10;
 /// How long a peer may take.
 const SEND_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Sends one peer's messages, as many as wait in one call, for ever.
 pub async fn run_outbox(shared: Arc<Shared>, address: SocketAddr, mut messages: mpsc::Receiver<Message>) {
     loop {
-        let mut batch = Vec::new();
-        if messages.recv_many(&mut batch, BATCH).await == 0 {
-            return;
-        }
+        let Some(batch) = next_batch(&mut messages).await else { return };
         let encoded = postcard::to_stdvec(&batch).unwrap_or_default();
         let call = |client: PeerClient, context| async move { client.consensus(context, encoded).await };
         if shared.peers.call(address, SEND_TIMEOUT, call).await.is_err() {
@@ -29,3 +28,15 @@
         }
     }
 }
+
+/// The messages of the next call; `None` once there will be no more.
+async fn next_batch(messages: &mut mpsc::Receiver<Message>) -> Option<Vec<Message>> {
+    let mut batch = vec![messages.recv().await?];
+    let mut bytes = batch[0].payload_bytes();
+    while batch.len() < BATCH && bytes < ENOUGH_BYTES {
+        let Ok(message) = messages.try_recv() else { break };
+        bytes += message.payload_bytes();
+        batch.push(message);
+    }
+    Some(batch)
+}
