Trace one request through the logs of all daemons: dockctl trace

Cause: the lines on requests tell of sends and groups by number; what happened to those groups stands in other daemons' lines.

Change: dockctl trace REQUEST [LOGS…] joins them in order of time: the request's own course, what became of the groups it was sent to, its daemon's lease, elections, and how many groups of its model were open. What a collector puts before a line is passed over.

Tests: dockctl/src/request_trace_tests.rs.

--- a/crates/dockctl/src/commands/mod.rs
+++ b/crates/dockctl/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod show;
 mod status;
+mod trace;
 
 use crate::client::Client;
 use crate::exit::CommandError;
@@ -57,6 +58,7 @@
             status::command(),
             events::timeline_command(),
             events::explain_command(),
+            trace::command(),
             completion_command(),
         ])
 }
@@ -136,6 +138,9 @@
         }
         return Ok(());
     }
+    if name == "trace" {
+        return trace::run(matches);
+    }
     let client = client(matches)?;
     match name {
         "apply" => apply::run(&client, matches).await,
--- a/crates/dockctl/src/main.rs
+++ b/crates/dockctl/src/main.rs
@@ -4,6 +4,9 @@
 mod commands;
 mod exit;
 mod output;
+mod request_trace;
+#[cfg(test)]
+mod request_trace_tests;
 mod resource_file;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/dockctl/src/request_trace.rs
@@ -0,0 +1,197 @@
+//! Puts the log lines of all daemons that concern one request into one account, in order of time.
+
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Events this long before a request's arrival may have led to its end, in milliseconds.
+const BEFORE_MS: u64 = 5_000;
+/// Events this long after its end may tell what was found out, in milliseconds.
+const AFTER_MS: u64 = 2_000;
+/// Prefix of the subjects of groups; the epoch follows.
+const GROUP_SUBJECT: &str = "group/g";
+
+/// A line of a log, as far as it is needed here.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Line {
+    at_ms: u64,
+    daemon: String,
+    #[serde(flatten)]
+    body: Body,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "camelCase")]
+enum Body {
+    Event(Event),
+    Order(Order),
+    Request(Request),
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Event {
+    subject: String,
+    reason: String,
+    message: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Order {
+    order: String,
+    instance: String,
+    epoch: u64,
+    answer: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Request {
+    request: String,
+    code: u16,
+    code_name: String,
+    model: Option<String>,
+    configuration: u64,
+    lease_left_ms: u64,
+    places_age_ms: Option<u64>,
+    came_back: bool,
+    took_ms: u64,
+    allowed_ms: u64,
+    waited_ms: u64,
+    first_event_ms: Option<u64>,
+    sends: Vec<Send>,
+    held_back: u64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Send {
+    instance: String,
+    epoch: Option<u64>,
+    at_ms: u64,
+    ended: Option<String>,
+}
+
+/// Reads a line. What stands before the object, such as a collector's time and host, is passed over; `None` for a line
+/// without one.
+pub fn parse(text: &str) -> Option<Line> {
+    let start = text.find('{')?;
+    serde_json::from_str(&text[start..]).ok()
+}
+
+/// What the lines tell of a request; empty if there is no line on it.
+pub fn account(lines: &[Line], id: &str) -> Vec<String> {
+    let mut told = BTreeSet::new();
+    for line in lines {
+        let Body::Request(request) = &line.body else { continue };
+        if request.request != id {
+            continue;
+        }
+        let arrived = line.at_ms.saturating_sub(request.took_ms);
+        told.extend(courses(line, request, arrived));
+        told.extend(surroundings(lines, line, request, arrived));
+    }
+    told.into_iter().map(|Told { at_ms, text }| format!("{at_ms} {text}")).collect()
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Told {
+    at_ms: u64,
+    text: String,
+}
+
+/// The request's own course.
+fn courses(line: &Line, request: &Request, arrived: u64) -> Vec<Told> {
+    let told = |at_ms: u64, text: String| Told { at_ms, text: format!("{}: {text}", line.daemon) };
+    let again = if request.came_back { ", refused before" } else { "" };
+    let model = request.model.as_deref().map_or(String::new(), |model| format!(" for {model}"));
+    let mut course = vec![told(
+        arrived,
+        format!(
+            "arrives{model}{again}; {} ms allowed, configuration {}",
+            request.allowed_ms, request.configuration
+        ),
+    )];
+    for send in &request.sends {
+        let group = send.epoch.map_or(String::new(), |epoch| format!(" of g{epoch}"));
+        let ended = send.ended.as_deref().map_or(String::new(), |ended| format!(", which ended: {ended}"));
+        course.push(told(arrived + send.at_ms, format!("sent to {}{group}{ended}", send.instance)));
+    }
+    if let Some(first) = request.first_event_ms {
+        course.push(told(arrived + first, "first event passed on".to_string()));
+    }
+    let places = request.places_age_ms.map_or(String::new(), |age| format!(", places known {age} ms ago"));
+    let held_back = match request.held_back {
+        0 => String::new(),
+        count => format!(" ({count} lines of this result held back before)"),
+    };
+    course.push(told(
+        line.at_ms,
+        format!(
+            "ends with {} {} after {} ms, {} ms of them waiting; lease left {} ms{places}{held_back}",
+            request.code, request.code_name, request.took_ms, request.waited_ms, request.lease_left_ms
+        ),
+    ));
+    course
+}
+
+/// What happened around it: to the groups it was sent to, to its daemon, and how many groups served its model.
+fn surroundings(lines: &[Line], line: &Line, request: &Request, arrived: u64) -> Vec<Told> {
+    let epochs: BTreeSet<u64> = request.sends.iter().filter_map(|send| send.epoch).collect();
+    let span = arrived.saturating_sub(BEFORE_MS)..=line.at_ms + AFTER_MS;
+    let own_subject = format!("daemon/{}", line.daemon);
+    let mut told = Vec::new();
+    for other in lines.iter().filter(|other| span.contains(&other.at_ms)) {
+        match &other.body {
+            Body::Event(event) => {
+                let concerns_group = epoch_of(&event.subject).is_some_and(|epoch| epochs.contains(&epoch));
+                let is_election = matches!(event.reason.as_str(), "Elected" | "SteppedDown");
+                if concerns_group || event.subject == own_subject || is_election {
+                    let text = format!("{} {}: {}", event.subject, event.reason, event.message);
+                    told.push(Told { at_ms: other.at_ms, text });
+                }
+            }
+            Body::Order(order) if epochs.contains(&order.epoch) => {
+                let text = format!("order {} to {}: {}", order.order, order.instance, order.answer);
+                told.push(Told { at_ms: other.at_ms, text });
+            }
+            _ => {}
+        }
+    }
+    if let Some(model) = &request.model {
+        let open = open_groups(lines, model, line.at_ms);
+        told.push(Told { at_ms: line.at_ms, text: format!("{open} groups of {model} are open by the log") });
+    }
+    told
+}
+
+fn epoch_of(subject: &str) -> Option<u64> {
+    subject.strip_prefix(GROUP_SUBJECT)?.parse().ok()
+}
+
+/// Groups of a model that the log shows as open at a time.
+fn open_groups(lines: &[Line], model: &str, at_ms: u64) -> usize {
+    let mut groups: BTreeMap<u64, (bool, bool)> = BTreeMap::new();
+    let mut events: Vec<(u64, u64, &Event)> = lines
+        .iter()
+        .filter(|line| line.at_ms <= at_ms)
+        .filter_map(|line| match &line.body {
+            Body::Event(event) => Some((line.at_ms, epoch_of(&event.subject)?, event)),
+            _ => None,
+        })
+        .collect();
+    events.sort_by_key(|(at_ms, epoch, _)| (*at_ms, *epoch));
+    for (_, epoch, event) in events {
+        let (is_of_model, is_open) = groups.entry(epoch).or_default();
+        match event.reason.as_str() {
+            "Formed" => *is_of_model = event.message.starts_with(&format!("{model} on ")),
+            "Open" => *is_open = true,
+            "Draining" | "Cutting" | "Ended" => *is_open = false,
+            _ => {}
+        }
+    }
+    groups.values().filter(|(is_of_model, is_open)| *is_of_model && *is_open).count()
+}
