Count each load as half a group when groups are chosen

A load cost a twentieth of a group's worth.

Change: a group's worth is divided by one and a half for its first load, two for the second and so on. dockctl trace shows a change once, at the time of the first member that tells of it.

--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -84,17 +84,24 @@
 
 /// What the lines tell of a request; empty if there is no line on it.
 pub fn account(lines: &[Line], id: &str) -> Vec<String> {
-    let mut told = BTreeSet::new();
+    let mut told: BTreeMap<String, u64> = BTreeMap::new();
     for line in lines {
         let Body::Request(request) = &line.body else { continue };
         if request.request != id {
             continue;
         }
         let arrived = line.at_ms.saturating_sub(request.took_ms);
-        told.extend(courses(line, request, arrived));
-        told.extend(surroundings(lines, line, request, arrived));
+        let all =
+            courses(line, request, arrived).into_iter().chain(surroundings(lines, line, request, arrived));
+        for Told { at_ms, text } in all {
+            // Every member tells of a change when it applies it; the first one counts.
+            let first = told.entry(text).or_insert(at_ms);
+            *first = at_ms.min(*first);
+        }
     }
-    told.into_iter().map(|Told { at_ms, text }| format!("{at_ms} {text}")).collect()
+    let mut ordered: Vec<Told> = told.into_iter().map(|(text, at_ms)| Told { at_ms, text }).collect();
+    ordered.sort();
+    ordered.into_iter().map(|Told { at_ms, text }| format!("{at_ms} {text}")).collect()
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/grouping/src/forming.rs
+++ b/crates/grouping/src/forming.rs
@@ -12,8 +12,9 @@
 
 /// How far a choice looks ahead, in milliseconds: what a group serves while it is still loading is lost to it.
 const HORIZON_MS: f64 = 40_000.0;
-/// What each load costs, as a part of a group's worth: the store gives only a few at a time.
-const LOAD_COST: f64 = 0.05;
+/// What each load costs, in groups that need none: the store gives only a few at a time, and while they run no other
+/// group can load.
+const LOAD_COST: f64 = 0.5;
 /// Below this coverage all models count as equally short.
 const LEAST_COVERAGE: f64 = 0.1;
 
@@ -70,8 +71,8 @@
         let coverage = balance.coverage(&self.model.name).max(LEAST_COVERAGE);
         let ready_after = if self.loads > 0 { self.model.load_ms } else { self.model.warm_ms };
         let serving_part = (1.0 - ready_after as f64 / HORIZON_MS).max(0.0);
-        let loads_part = (1.0 - LOAD_COST * f64::from(self.loads)).max(0.0);
-        serving_part * loads_part / (coverage * coverage)
+        let cost = 1.0 + LOAD_COST * f64::from(self.loads);
+        serving_part / (cost * coverage * coverage)
     }
 }
 
