Split what a voter does with its core's outputs off the control node; say a bound once

No change of behaviour: control/src/core_outputs.rs takes 100 lines of node.rs, stream.rs has one function for how long a group may be silent instead of two, and the daemons that control's tests ask with stand in one place.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod blackboard;
 mod catch_up;
 mod controllers;
+mod core_outputs;
 mod driver_io;
 mod gateway;
 mod gateway_inputs;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,17 +5,14 @@
 use crate::blackboard::Blackboard;
 use crate::driver_io::{GrantedLease, Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
-use crate::voter::{VoterPart, Waiter, command_bytes, dropped};
+use crate::voter::{VoterPart, Waiter};
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply, VoterRecord};
-use dockwood_consensus::{self as consensus, Entry, Message, Node, Payload, RoleName, Voter};
+use dockwood_consensus::{self as consensus, Message, Node, Voter};
 use dockwood_grouping::GroupingPolicy;
 use dockwood_placement::PlacementPolicy;
-use dockwood_state::{
-    Applied, Command, CommandBody, ControlVoter, State, Tables, decode_command, encode_command,
-    encode_outcome,
-};
+use dockwood_state::{Applied, Command, CommandBody, State, Tables, decode_command, encode_command};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -282,7 +279,7 @@
         }
     }
 
-    fn restore(&mut self, bytes: &[u8]) {
+    pub(crate) fn restore(&mut self, bytes: &[u8]) {
         match self.board.restore(bytes) {
             Ok(true) => {
                 self.outputs.push(Output::Restored { revision: self.board.revision() });
@@ -293,7 +290,7 @@
         }
     }
 
-    fn record_own(&mut self, reason: &str, message: &str, code: ResultCode) {
+    pub(crate) fn record_own(&mut self, reason: &str, message: &str, code: ResultCode) {
         let account = Account {
             subject: Subject::new("daemon", &self.name),
             reason: reason.to_string(),
@@ -303,7 +300,7 @@
         self.outputs.push(Output::Record { account, revision: None });
     }
 
-    fn apply(&mut self, command: &Command) -> Applied {
+    pub(crate) fn apply(&mut self, command: &Command) -> Applied {
         let applied = self.board.apply(command);
         if command.body.is_configuration() {
             let revision = self.board.revision();
@@ -318,105 +315,6 @@
         }
         applied
     }
-
-    /// Gives the consensus core an input and takes what follows.
-    pub(crate) fn drive(&mut self, now: Moment, input: consensus::Input) {
-        let Some(voter) = &mut self.voter else { return };
-        for output in voter.core.step(now.monotonic, input) {
-            self.take_core_output(now, output);
-        }
-    }
-
-    fn take_core_output(&mut self, now: Moment, output: consensus::Output) {
-        match output {
-            consensus::Output::Persist { hard_state, entries } => {
-                self.outputs.push(Output::Persist { hard_state, entries });
-            }
-            consensus::Output::Send(message) => self.outputs.push(Output::Send(message)),
-            consensus::Output::Commit(entries) => entries.into_iter().for_each(|entry| self.commit(entry)),
-            consensus::Output::Restore { index, term, data } => {
-                self.store_snapshot(index, term, data.clone());
-                self.restore(&data);
-                let voters = voters_of(&self.board.state);
-                if let Some(voter) = &mut self.voter {
-                    voter.core.restore_voters(&voters);
-                    voter.learn_addresses(&voters);
-                    voter.applied_index = index;
-                }
-            }
-            consensus::Output::SnapshotNeeded { to } => self.supply_snapshot(now, to),
-            consensus::Output::VotersChanged(voters) => {
-                if let Some(voter) = &mut self.voter {
-                    voter.learn_addresses(&voters);
-                }
-                self.outputs.push(Output::VotersChanged(voters));
-            }
-            // Reads are answered under the leader's lease; nothing asks the core for an index.
-            consensus::Output::ReadReady { .. } => {}
-            consensus::Output::RoleChanged { role, term, leader } => {
-                self.role_changed(now, role, term, leader)
-            }
-        }
-    }
-
-    fn commit(&mut self, entry: Entry) {
-        if let Payload::Voters(voters) = &entry.payload {
-            let control_voter = |voter: &Voter| ControlVoter { id: voter.id, address: voter.address };
-            self.board.state.voters = voters.iter().map(control_voter).collect();
-            let named: Vec<String> = voters.iter().map(|voter| voter.address.to_string()).collect();
-            self.record_own("VotersChanged", &named.join(" "), ResultCode::Ok);
-        }
-        let command = command_bytes(&entry).and_then(|bytes| decode_command(bytes).ok());
-        let applied = command.map(|command| self.apply(&command));
-        let revision = self.board.revision();
-        let Some(voter) = &mut self.voter else { return };
-        voter.applied_index = entry.index;
-        let Some(proposal) = voter.proposals.remove(&entry.index) else { return };
-        match proposal.waiter {
-            Waiter::Controller => {
-                if let Some(leadership) = &mut voter.leadership {
-                    leadership.controller_command_committed();
-                }
-            }
-            Waiter::Caller(reply) => {
-                let answer = match applied {
-                    Some(applied) if proposal.term == entry.term => {
-                        SubmitReply::Applied { revision, outcome: encode_outcome(&applied.outcome) }
-                    }
-                    _ => dropped("another leader's entry took its place"),
-                };
-                self.outputs.push(Output::SubmitReply(reply, answer));
-            }
-        }
-    }
-
-    fn role_changed(&mut self, now: Moment, role: RoleName, term: u64, leader: Option<u64>) {
-        let Some(voter) = &mut self.voter else { return };
-        voter.leader = leader.and_then(|id| voter.addresses.get(&id).copied());
-        let former = voter.leadership.take();
-        let led_before = former.is_some();
-        let leads = role == RoleName::Leader;
-        voter.leadership = leads.then(|| Leadership::new(term, now.monotonic));
-        let leader = voter.leader;
-        // Whether they will be committed is no longer this node's to know; the callers resend.
-        let proposals = if leads { BTreeMap::new() } else { std::mem::take(&mut voter.proposals) };
-        for (_, proposal) in proposals {
-            if let Waiter::Caller(reply) = proposal.waiter {
-                let answer = dropped("this node ceased to lead before the command was committed");
-                self.outputs.push(Output::SubmitReply(reply, answer));
-            }
-        }
-        if let Some(mut former) = former {
-            let refusals = former.refuse_held(leader);
-            self.outputs.extend(refusals);
-        }
-        self.outputs.push(Output::LeaderChanged { leader, leads });
-        if leads {
-            self.record_own("Elected", &format!("term {term}"), ResultCode::Ok);
-        } else if led_before {
-            self.record_own("SteppedDown", &format!("term {term}"), ResultCode::Ok);
-        }
-    }
 }
 
 fn voter_of(record: VoterRecord) -> Voter {
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -1,7 +1,10 @@
 //! What daemons are sent that lag behind the leader: no more than they need, and not to all of them at once.
 
+mod common;
+
+use common::request;
 use dockwood_api::gateway::{GatewayConfiguration, TenantKeys};
-use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest};
+use dockwood_api::peer::{LeaseAnswer, LeaseContent};
 use dockwood_consensus::{Node, Recovered, Settings};
 use dockwood_control::{ControlNode, GrantedLease, Input, Moment, Output};
 use dockwood_state::{Command, CommandBody, GatewayCommand, State, encode_command};
@@ -86,16 +89,7 @@
     }
 
     fn ask(&mut self, name: &str, applied_revision: u64) {
-        let request = LeaseRequest {
-            daemon: record(name),
-            incarnation: 1,
-            applied_revision,
-            in_force_revision: 0,
-            wants_commands: true,
-            leaving: false,
-            in_flight: 0,
-            stamp: Default::default(),
-        };
+        let request = request(name, applied_revision);
         self.step(Input::Lease(request, name.to_string()));
     }
 
@@ -109,18 +103,6 @@
     }
 }
 
-fn record(name: &str) -> DaemonRecord {
-    DaemonRecord {
-        name: name.to_string(),
-        http: address(),
-        peer: address(),
-        zone: "z".to_string(),
-        region: "r".to_string(),
-        frontend: None,
-        operators: None,
-    }
-}
-
 fn size(content: &LeaseContent) -> usize {
     match content {
         LeaseContent::Commands(commands) => commands.iter().map(|(_, bytes)| bytes.len()).sum(),
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -1,35 +1,11 @@
 //! Leases, and what is in force by them.
 
-use dockwood_api::peer::{DaemonRecord, LeaseRequest};
+mod common;
+
+use common::{record, request};
 use dockwood_control::{HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable};
 use dockwood_state::{Command, CommandBody, Liveness, State};
 
-fn record(name: &str) -> DaemonRecord {
-    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    DaemonRecord {
-        name: name.to_string(),
-        http: address,
-        peer: address,
-        zone: "z".to_string(),
-        region: "r".to_string(),
-        frontend: None,
-        operators: None,
-    }
-}
-
-fn request(name: &str, applied_revision: u64) -> LeaseRequest {
-    LeaseRequest {
-        daemon: record(name),
-        incarnation: 1,
-        applied_revision,
-        in_force_revision: 0,
-        wants_commands: true,
-        leaving: false,
-        in_flight: 0,
-        stamp: Default::default(),
-    }
-}
-
 fn state() -> State {
     let mut state = State::default();
     for name in ["a", "b"] {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -273,8 +273,8 @@
         }
         let response = tokio::select! {
             response = upstream.send(request) => response.map_err(|_| SendOutcome::Unknown),
-            () = stands_still(&self.gateway, &source, self.first_bound(sent_at), &mut self.changes),
-                if self.course.may_move() => Err(self.abandon(&source)),
+            () = stands_still(&self.gateway, &source, self.silence_bound(sent_at), &mut self.changes),
+                if self.course.may_move() => Err(abandon(&self.gateway, &source)),
             () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
         }?;
         self.take_response(source, upstream, response).await
@@ -324,17 +324,10 @@
         Ok(Some(response))
     }
 
-    /// Until when the first event must have come for the group not to count as standing still.
-    fn first_bound(&self, sent_at: Instant) -> Option<Duration> {
-        let pace = self.pace?;
-        let bound = if self.begun { pace.between_events_ms } else { pace.first_event_ms };
-        Some((sent_at + Duration::from_millis(bound)).saturating_duration_since(Instant::now()))
-    }
-
     /// Reads on to the next whole event.
     async fn step(&mut self) -> Step {
         let may_move = self.course.may_move();
-        let bound = self.silence_bound();
+        let bound = self.silence_bound(self.since);
         let Some(reading) = &mut self.reading else { return Step::Broken(SendOutcome::NotSent) };
         loop {
             if let Some(event) = reading.splitter.next_event() {
@@ -381,16 +374,12 @@
         }
     }
 
-    /// How much longer the stream may be silent.
-    fn silence_bound(&self) -> Option<Duration> {
+    /// How much longer the group may be silent, which last showed something at `since`, for it not to count as standing
+    /// still.
+    fn silence_bound(&self, since: Instant) -> Option<Duration> {
         let pace = self.pace?;
         let bound = if self.begun { pace.between_events_ms } else { pace.first_event_ms };
-        let due = self.since + Duration::from_millis(bound);
-        Some(due.saturating_duration_since(Instant::now()))
-    }
-
-    fn abandon(&self, source: &Source) -> SendOutcome {
-        abandon(&self.gateway, source)
+        Some((since + Duration::from_millis(bound)).saturating_duration_since(Instant::now()))
     }
 
     fn into_response(mut self, first: Option<Bytes>) -> Response<AnswerBody> {
