--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -36,6 +36,7 @@
 pub fn queued(sink: Arc<dyn Sink>, level: Level) -> Result<Arc<Logger>, spdlog::Error> {
     let capacity = NonZeroUsize::new(QUEUE_LINES).unwrap_or(NonZeroUsize::MIN);
     let writer = ThreadPool::builder().capacity(capacity).build_arc()?;
+    // A full queue is an error of the logger's call, not of the sink behind the queue.
     let count_dropped = ErrorHandler::new(|_| {
         DROPPED.fetch_add(1, Ordering::Relaxed);
     });
@@ -43,9 +44,12 @@
         .sink(sink)
         .thread_pool(writer)
         .overflow_policy(OverflowPolicy::DropIncoming)
-        .error_handler(count_dropped)
         .build_arc()?;
-    let logger = Logger::builder().sink(queue).level_filter(LevelFilter::MoreSevereEqual(level)).build()?;
+    let logger = Logger::builder()
+        .sink(queue)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .error_handler(count_dropped)
+        .build()?;
     Ok(Arc::new(logger))
 }
 
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -93,10 +93,21 @@
     }
 }
 
+/// Lets a reader go on however the test ends, so that a failure is told and does not hang.
+struct LetGo(Arc<StoppedReader>);
+
+impl Drop for LetGo {
+    fn drop(&mut self) {
+        *self.0.let_go.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = true;
+        self.0.changed.notify_all();
+    }
+}
+
 #[test]
 fn nobody_waits_for_a_reader_that_has_stopped() -> Result<(), spdlog::Error> {
     let reader = Arc::new(StoppedReader::default());
     let logger = logging::queued(reader.clone(), spdlog::Level::Info)?;
+    let _let_go = LetGo(reader.clone());
     let dropped_before = logging::dropped();
     let began = Instant::now();
     for _ in 0..20_000 {
@@ -105,7 +116,5 @@
     assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
     let dropped = logging::dropped() - dropped_before;
     assert!(dropped >= 18_000, "the queue is bounded, and what is dropped is counted: {dropped}");
-    *reader.let_go.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = true;
-    reader.changed.notify_all();
     Ok(())
 }
