Read a body that is too large to its end before it is refused

The body was left unread, a connection that is closed with bytes unread is reset, and under load the caller was still writing.

Change: up to 8 MiB beyond the limit are read and dropped first.

--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -18,6 +18,7 @@
 use poem::web::{Data, Json, Path};
 use poem::{Body, Request, Response, handler};
 use serde::Deserialize;
+use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 
 /// Events of one answer that may wait for a slow caller.
@@ -156,12 +157,7 @@
     let tenant = auth::tenant(app, request)?;
     let headers = request_headers(app, request)?;
     let limit = app.shared.settings.max_body_bytes;
-    let bytes = body.into_bytes_limit(limit).await.map_err(|error| match error {
-        poem::error::ReadBodyError::PayloadTooLarge => {
-            ApiError::new(ResultCode::BodyTooLarge, format!("the body has more than {limit} bytes"))
-        }
-        other => ApiError::new(ResultCode::BadJson, other.to_string()),
-    })?;
+    let bytes = read_limited(body, limit).await?;
     let chat: ChatRequest = serde_json::from_slice(&bytes)
         .map_err(|error| ApiError::new(ResultCode::BadJson, error.to_string()))?;
     let published = app.shared.published();
@@ -339,3 +335,20 @@
 fn not_found(id: &str) -> Response {
     refusal::bare(ResultCode::RequestNotFound, &format!("no record of request '{id}'"))
 }
+
+/// Bytes of a body beyond its limit that are read and dropped before it is refused. A connection that is closed with
+/// bytes unread is reset, and the caller may lose the refusal.
+const DRAINED_BYTES: u64 = 8 << 20;
+
+async fn read_limited(body: Body, limit: usize) -> Result<Vec<u8>, ApiError> {
+    let broken = |error: std::io::Error| ApiError::new(ResultCode::BadJson, error.to_string());
+    let mut reader = body.into_async_read();
+    let mut bytes = Vec::new();
+    (&mut reader).take(limit as u64 + 1).read_to_end(&mut bytes).await.map_err(broken)?;
+    if bytes.len() <= limit {
+        return Ok(bytes);
+    }
+    let mut rest = reader.take(DRAINED_BYTES);
+    tokio::io::copy(&mut rest, &mut tokio::io::sink()).await.map_err(broken)?;
+    Err(ApiError::new(ResultCode::BodyTooLarge, format!("the body has more than {limit} bytes")))
+}
