Plan each domain as one decision; stage weights before they are needed

Change: plan.rs packs the free servers of each domain into the groups that are worth most (packing.rs), by the need of each model from declared costs, arrivals, prompt tokens and events (capacity.rs, need.rs, demand.rs). Once requests come, members stage before they join; free servers stage what their domain would lack after a loss, members of groups the model that they don't serve. The model of a server's last group is replicated (a server rejoins it in 0.2 s), and so is that requests have begun. A group is converted only if its servers are worth more elsewhere. The stored format is 3.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -26,10 +26,12 @@
     pub model: String,
     /// Requests that arrived, whether or not they got a place; not those whose callers had been refused before.
     pub arrived: u32,
-    /// Places that were given back.
-    pub ended: u32,
-    /// How long those were held altogether, in milliseconds.
-    pub held_ms: u64,
+    /// Tokens of the prompts of those.
+    pub prompt_tokens: u64,
+    /// Answers that were complete.
+    pub answered: u32,
+    /// Events of those.
+    pub events: u64,
     /// Times that a request found no place.
     pub found_none: u32,
 }
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -102,6 +102,7 @@
         GatewayCommand::End { epoch, reason } => {
             account("group", &format!("g{epoch}"), "Ended", reason.clone())
         }
+        GatewayCommand::NoteRequests => account("gateway", "requests", "RequestsSeen", String::new()),
     }
 }
 
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -7,7 +7,7 @@
 };
 use dockwood_grouping::{
     GroupPlaces, GroupingPolicy, Observations, OrderBook, PlaceLedger, ProbeResult, View, advance_groups,
-    borrow_servers, form_groups, reap_instances, release_members,
+    plan, reap_instances, release_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
 use std::collections::BTreeSet;
@@ -117,29 +117,22 @@
         let ids: BTreeSet<String> = tables.instances.keys().cloned().collect();
         let epochs: BTreeSet<u64> = tables.groups.keys().copied().collect();
         self.observations.retain(&ids, &epochs);
-        let loads_allowed = self.loads_allowed(now, tables);
         let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(reap_instances(&view));
-        commands.extend(borrow_servers(&view));
+        if self.observations.traffic_seen && !tables.requests_seen {
+            commands.push(GatewayCommand::NoteRequests);
+        }
+        // A plan is made on settled tables only: what was decided is committed first.
         if commands.is_empty() {
-            commands = form_groups(&view, loads_allowed);
+            let plan = plan(&view, self.orders.staging());
+            self.orders.wish(plan.staging);
+            commands = plan.commands;
         }
         commands
     }
 
-    /// Before the first request the store gives what is asked for.
-    fn loads_allowed(&mut self, now: Millis, tables: &GatewayTables) -> u32 {
-        let serves = tables.groups.values().any(|group| group.phase == GroupPhase::Open);
-        if !self.observations.traffic_seen && !serves {
-            return u32::MAX;
-        }
-        let services = tables.configuration.iter().flat_map(|held| &held.services);
-        let engines = services.filter_map(|service| service.engine.as_ref());
-        engines.map(|engine| self.orders.loads_allowed(now, engine)).min().unwrap_or(0)
-    }
-
     /// Orders to send now.
     pub fn orders_to_send(
         &mut self,
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -16,6 +16,8 @@
     pub deadline_ms: &'static str,
     /// The model that a request is for.
     pub model: &'static str,
+    /// Tokens of a request; see [`Dialect::prompt_tokens`].
+    pub token_usage: &'static str,
     /// The last event that a caller has.
     pub last_event: &'static str,
     /// The tenant, as told to a server.
@@ -73,6 +75,9 @@
     /// The key within an `Authorization` header.
     fn key<'a>(&self, authorization: &'a str) -> Option<&'a str>;
 
+    /// Tokens of a request's prompt, from the header that tells its tokens.
+    fn prompt_tokens(&self, usage: &str) -> Option<u64>;
+
     /// A query to the directory; `None` if the path is not its own.
     fn directory_query(&self, path: &str, query: &str) -> Option<DirectoryQuery>;
 
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -76,18 +76,11 @@
     pub head: SocketAddr,
     /// Instance id of its head.
     pub instance: String,
-    row: Arc<GroupRow>,
-    taken_at: Millis,
 }
 
 impl Drop for GroupPlace {
     fn drop(&mut self) {
         self.gateway.loads.release(self.epoch);
-        let held_ms = monotonic_ms().saturating_sub(self.taken_at);
-        self.gateway.loads.count(&self.row.service, &self.row.model, |load| {
-            load.ended += 1;
-            load.held_ms += held_ms;
-        });
     }
 }
 
@@ -233,19 +226,23 @@
         let Some(group) = groups.get_mut(&epoch) else { return PlaceAnswer::Full };
         group.in_flight += 1;
         let instance = group.row.members.first().cloned().unwrap_or_default();
-        PlaceAnswer::Taken(GroupPlace {
-            gateway: gateway.clone(),
-            epoch,
-            head: group.row.head,
-            instance,
-            row: group.row.clone(),
-            taken_at: now,
-        })
+        PlaceAnswer::Taken(GroupPlace { gateway: gateway.clone(), epoch, head: group.row.head, instance })
+    }
+
+    /// Notes that a caller asks for a model, with a prompt of so many tokens.
+    pub fn arrived(&self, service: &str, model: &str, prompt_tokens: u64) {
+        self.count(service, model, |load| {
+            load.arrived += 1;
+            load.prompt_tokens += prompt_tokens;
+        });
     }
 
-    /// Notes that a caller asks for a model.
-    pub fn arrived(&self, service: &str, model: &str) {
-        self.count(service, model, |load| load.arrived += 1);
+    /// Notes that a caller got a whole answer of so many events.
+    pub fn answered(&self, service: &str, model: &str, events: u64) {
+        self.count(service, model, |load| {
+            load.answered += 1;
+            load.events += events;
+        });
     }
 
     fn count(&self, service: &str, model: &str, change: impl FnOnce(&mut ModelLoad)) {
@@ -255,8 +252,9 @@
             service: service.clone(),
             model: model.clone(),
             arrived: 0,
-            ended: 0,
-            held_ms: 0,
+            prompt_tokens: 0,
+            answered: 0,
+            events: 0,
             found_none: 0,
         });
         change(load);
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -46,6 +46,8 @@
     pub attempt: Option<String>,
     /// The model that it names.
     pub model: Option<String>,
+    /// Tokens of its prompt, as far as they are told.
+    pub prompt_tokens: u64,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
     /// Its caller has less time than the route gives: it tried before.
@@ -141,11 +143,14 @@
     let told_ms = number(names.deadline_ms);
     let came_back = told_ms.is_some_and(|told| told + FIRST_TRY_MARGIN_MS < route.timeout_ms);
     let timeout_ms = told_ms.map_or(route.timeout_ms, |told| told.min(route.timeout_ms));
+    let usage = text(&parts.headers, names.token_usage);
     let drop_key = key.is_some() || !route.anonymous;
     Ok(Received {
         headers: from_caller(&parts.headers, names, drop_key),
         attempt: text(&parts.headers, names.attempt),
         model: text(&parts.headers, names.model),
+        // A request that doesn't tell its tokens counts as one without a prompt.
+        prompt_tokens: usage.and_then(|usage| gateway.dialect.prompt_tokens(&usage)).unwrap_or(0),
         last_event: number(names.last_event),
         rank: priority.unwrap_or(route.priority).min(LOWEST_RANK),
         came_back,
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -72,6 +72,8 @@
     last_event: Option<u64>,
     /// Whether any event was passed on.
     begun: bool,
+    /// Events passed on.
+    events: u64,
     /// When the last event was passed on, or the request sent.
     since: Instant,
     tried_groups: Vec<u64>,
@@ -94,7 +96,7 @@
         Pace::expected(engine, model, &received.route, &seen)
     });
     if let Some(model) = model.filter(|_| !received.came_back) {
-        gateway.loads.arrived(&received.service.name, &model.name);
+        gateway.loads.arrived(&received.service.name, &model.name, received.prompt_tokens);
     }
     let mut course = StreamCourse {
         course: Course::new(&received.route),
@@ -107,6 +109,7 @@
         reading: None,
         head: None,
         begun: false,
+        events: 0,
         since: Instant::now(),
         tried_groups: Vec::new(),
         tried_servers: Vec::new(),
@@ -344,6 +347,7 @@
                 }
                 self.last_event = event.id.or(self.last_event);
                 self.begun = true;
+                self.events += 1;
                 self.account.event_passed();
                 self.since = Instant::now();
                 return Step::Event(event.bytes);
@@ -367,6 +371,9 @@
                         done.finish(&self.gateway);
                     }
                     self.account.end(ResultCode::Ok);
+                    if let Some(model) = &self.received.model {
+                        self.gateway.loads.answered(&self.received.service.name, model, self.events);
+                    }
                     return Step::Complete;
                 }
                 Some(Err(_)) | None => return Step::Broken(SendOutcome::Unknown),
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -12,6 +12,7 @@
     attempt: "dockwood-attempt",
     deadline_ms: "dockwood-deadline-ms",
     model: "dockwood-model",
+    token_usage: "dockwood-prompt-tokens",
     last_event: "last-event-id",
     tenant: "dockwood-tenant",
     expected_instance: "dockwood-instance",
@@ -50,6 +51,10 @@
         authorization.strip_prefix("Bearer ")
     }
 
+    fn prompt_tokens(&self, usage: &str) -> Option<u64> {
+        usage.trim().parse().ok()
+    }
+
     fn directory_query(&self, path: &str, query: &str) -> Option<DirectoryQuery> {
         let zone = query.split('&').find_map(|part| part.strip_prefix("zone="));
         (path == DIRECTORY).then(|| DirectoryQuery { zone: zone.map(str::to_string) })
--- a/crates/grouping/src/demand.rs
+++ b/crates/grouping/src/demand.rs
@@ -1,9 +1,10 @@
-//! What is asked of each model: requests that arrive, and how long each holds its place.
+//! What is asked of each model: requests that arrive, the tokens of their prompts, and the events of their answers.
 //!
 //! Requests in flight don't tell it: where groups are full, they only tell how many groups there are, and a model that
 //! has lost most of its groups would seem to need the fewest.
 
 use crate::Millis;
+use crate::capacity::RequestWork;
 use dockwood_api::gateway::ModelLoad;
 use std::collections::BTreeMap;
 
@@ -21,24 +22,34 @@
     model: String,
 }
 
+/// What is asked of one model.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelDemand {
+    /// Requests that arrive in a second.
+    pub per_second: f64,
+    /// What each asks for on average.
+    pub work: RequestWork,
+}
+
 /// Decayed sums.
 #[derive(Clone, Copy, Debug, Default)]
 struct Flow {
     arrived: f64,
-    ended: f64,
-    held_ms: f64,
+    prompt_tokens: f64,
+    answered: f64,
+    events: f64,
     /// The time that the sums stand for, in milliseconds.
     span_ms: f64,
     updated_at: Option<Millis>,
-    /// How long a place was held, when last seen, in milliseconds.
-    last_hold_ms: f64,
+    /// What a request asked for, when last seen; nothing until an answer was seen whole.
+    work: Option<RequestWork>,
 }
 
 impl Flow {
     fn decay(&mut self, now: Millis) {
         let elapsed = now.saturating_sub(self.updated_at.unwrap_or(now)) as f64;
         let kept = (-elapsed / MEMORY_MS).exp();
-        for sum in [&mut self.arrived, &mut self.ended, &mut self.held_ms] {
+        for sum in [&mut self.arrived, &mut self.prompt_tokens, &mut self.answered, &mut self.events] {
             *sum *= kept;
         }
         self.span_ms = self.span_ms * kept + MEMORY_MS * (1.0 - kept);
@@ -47,16 +58,18 @@
 
     fn add(&mut self, load: &ModelLoad) {
         self.arrived += f64::from(load.arrived);
-        self.ended += f64::from(load.ended);
-        self.held_ms += load.held_ms as f64;
-        if self.ended >= 1.0 {
-            self.last_hold_ms = self.held_ms / self.ended;
+        self.prompt_tokens += load.prompt_tokens as f64;
+        self.answered += f64::from(load.answered);
+        self.events += load.events as f64;
+        if self.answered >= 1.0 && self.arrived >= 1.0 {
+            let prompt_tokens = self.prompt_tokens / self.arrived;
+            self.work = Some(RequestWork { prompt_tokens, events: self.events / self.answered });
         }
     }
 
-    /// Places that are held on average once every request gets one (Little's law).
-    fn places(&self) -> f64 {
-        self.arrived / self.span_ms.max(1.0) * self.last_hold_ms
+    fn demand(&self) -> Option<ModelDemand> {
+        let per_second = self.arrived / self.span_ms.max(1.0) * 1_000.0;
+        self.work.map(|work| ModelDemand { per_second, work })
     }
 }
 
@@ -78,12 +91,14 @@
         }
     }
 
-    /// Places that each model of a service needs; `None` until enough requests have been seen to tell.
-    pub fn places(&self, service: &str) -> Option<BTreeMap<String, f64>> {
+    /// What is asked of each model of a service; `None` until enough requests, and an answer of every model that is
+    /// asked for, have been seen to tell.
+    pub fn of_service(&self, service: &str) -> Option<BTreeMap<String, ModelDemand>> {
         let flows = || self.flows.iter().filter(|(key, _)| key.service == service);
         let arrived: f64 = flows().map(|(_, flow)| flow.arrived).sum();
         let longest = flows().map(|(_, flow)| flow.span_ms).fold(0.0, f64::max);
         let is_telling = arrived >= TELLING_REQUESTS && longest >= TELLING_SPAN_MS;
-        is_telling.then(|| flows().map(|(key, flow)| (key.model.clone(), flow.places())).collect())
+        let demands = flows().map(|(key, flow)| Some((key.model.clone(), flow.demand()?)));
+        is_telling.then(|| demands.collect()).flatten()
     }
 }
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -6,24 +6,27 @@
 //! Invariants that the decisions keep: a group opens only once every member has reported itself ready under the
 //! group's name and epoch; a member is free again only once the head surely doesn't serve any more.
 
-mod balance;
-mod borrowing;
+mod capacity;
 mod demand;
 mod domains;
-mod forming;
+mod lending;
 mod lifecycle;
+mod need;
 mod observations;
 mod orders;
+mod packing;
 mod places;
+mod plan;
 mod staging;
 
-pub use borrowing::borrow_servers;
-pub use demand::Demand;
-pub use forming::form_groups;
+pub use capacity::{RequestWork, group_ms};
+pub use demand::{Demand, ModelDemand};
 pub use lifecycle::{advance_groups, reap_instances, release_members};
 pub use observations::{InstanceObservation, Observations, ProbeResult};
 pub use orders::{OrderBook, OrderKind};
 pub use places::{GroupPlaces, PlaceLedger};
+pub use plan::{Plan, plan};
+pub use staging::{StagingUnderWay, StagingWish, Urgency};
 
 /// Monotonic milliseconds.
 pub type Millis = u64;
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -2,9 +2,9 @@
 //! may be carried out late, which the epoch in each order makes harmless.
 
 use crate::domains::has_staged;
-use crate::staging::{StagingUnderWay, wanted_staging};
+use crate::staging::{StagingUnderWay, StagingWish, Urgency};
 use crate::{Millis, View};
-use dockwood_api::gateway::{EngineProfile, GroupCommand, GroupOrder, MembershipState, OrderAnswer};
+use dockwood_api::gateway::{GroupCommand, GroupOrder, MembershipState, OrderAnswer};
 use dockwood_state::{GroupPhase, GroupRow};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -19,9 +19,12 @@
 
 /// A load counts as under way for at most this many times its declared length.
 const LOADS_LENGTH: u64 = 2;
-/// Part of the loads at a time that may stage weights for later once there are requests: the rest is for groups, whose
-/// servers stand idle until they have loaded.
-const STAGING_PART: u32 = 4;
+/// Servers that could serve another model too take this part of the loads at a time at most: the rest is for groups
+/// that wait, and for servers that could serve nothing.
+const ANOTHER_PART: u32 = 2;
+/// Before the first request, as many loads as the store allows in a window may begin within this time: those that begin
+/// between the first request and the leader's learning of it count.
+const FIRST_BURST_MS: Millis = 500;
 
 /// The kind of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -62,8 +65,10 @@
     /// When each may be sent again; `None` while one is on its way.
     due: BTreeMap<OrderKey, Option<Millis>>,
     closing_since: BTreeMap<u64, Millis>,
-    /// Weights that are being staged, by instance and model, and until when they may be.
+    /// Weights that are being staged.
     staging: StagingUnderWay,
+    /// Weights that should be staged, the most urgent first.
+    wishes: Vec<StagingWish>,
     /// Members that draw weights as they join, and until when they may.
     joining_loads: BTreeMap<String, Millis>,
     loads: VecDeque<Millis>,
@@ -74,10 +79,7 @@
     pub fn to_send(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
         let groups = &view.tables.groups;
         self.due.retain(|(epoch, _, _), _| groups.contains_key(epoch));
-        self.staging.retain(|(instance, model), until| {
-            let is_loading = view.observations.is_present(view.now, instance);
-            view.now < *until && is_loading && !has_staged(view, instance, model)
-        });
+        self.staging.refresh(view);
         self.joining_loads.retain(|instance, until| view.now < *until && is_joining(view, instance));
         self.closing_since.retain(|epoch, _| groups.contains_key(epoch));
         let mut orders = Vec::new();
@@ -117,20 +119,21 @@
         orders
     }
 
+    /// What hosts should stage from now on.
+    pub fn wish(&mut self, wishes: Vec<StagingWish>) {
+        self.wishes = wishes;
+    }
+
     /// Orders to stage weights; none is repeated while the first may still be loading.
     fn staging_orders(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
         let mut orders = Vec::new();
-        for wish in wanted_staging(view, &self.staging) {
-            let is_full = self.staging.len() as u32 >= (wish.loads_at_once / STAGING_PART).max(1)
-                || self.under_way(view.now) >= wish.loads_at_once;
-            let is_too_fast = self.loads_left(view.now, wish.loads_per_second) == 0;
-            if view.observations.traffic_seen && (is_full || is_too_fast) {
-                break;
+        for wish in std::mem::take(&mut self.wishes) {
+            if !self.may_stage(view, &wish) {
+                continue;
             }
             let Some(row) = view.tables.instances.get(&wish.instance) else { continue };
             self.loads.push_back(view.now);
-            let until = view.now + wish.load_ms * LOADS_LENGTH;
-            self.staging.insert((wish.instance.clone(), wish.model.clone()), until);
+            self.staging.begin(view.now, &wish);
             orders.push(GroupOrder {
                 address: row.address,
                 instance: wish.instance,
@@ -143,6 +146,27 @@
         orders
     }
 
+    /// Whether the store has room for a load.
+    fn may_stage(&mut self, view: &View<'_>, wish: &StagingWish) -> bool {
+        if self.staging.is_loading(&wish.instance) {
+            return false;
+        }
+        if !view.tables.requests_seen {
+            return self.loads_since(view.now, FIRST_BURST_MS) < most_loads(wish.loads_per_second);
+        }
+        let at_once = match wish.urgency {
+            Urgency::Awaited | Urgency::Spare => wish.loads_at_once,
+            Urgency::Another => wish.loads_at_once / ANOTHER_PART,
+        };
+        let has_room = self.under_way(view.now) < at_once;
+        has_room && self.loads_since(view.now, LOAD_WINDOW_MS) < most_loads(wish.loads_per_second)
+    }
+
+    /// Weights that are being staged.
+    pub fn staging(&self) -> &StagingUnderWay {
+        &self.staging
+    }
+
     /// Notes what came of an order.
     pub fn answered(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         let key = (order.epoch, order.instance.clone(), OrderKind::of(&order.command));
@@ -160,30 +184,27 @@
         self.closing_since.get(&epoch).copied().unwrap_or(now)
     }
 
-    /// How many members may begin to draw weights from the store now.
-    pub fn loads_allowed(&mut self, now: Millis, engine: &EngineProfile) -> u32 {
-        let by_rate = self.loads_left(now, engine.loads_per_second);
-        let under_way = self.under_way(now);
-        by_rate.min(engine.loads_at_once.saturating_sub(under_way))
-    }
-
     /// Loads that are not known to have ended.
     fn under_way(&self, now: Millis) -> u32 {
         let joining = self.joining_loads.values().filter(|until| now < **until).count();
-        let staging = self.staging.values().filter(|until| now < **until).count();
-        (joining + staging) as u32
+        joining as u32 + self.staging.count()
     }
 
-    fn loads_left(&mut self, now: Millis, loads_per_second: f64) -> u32 {
+    /// Loads that began in the last `span`, which is no longer than the window over which they are counted.
+    fn loads_since(&mut self, now: Millis, span: Millis) -> usize {
         while self.loads.front().is_some_and(|at| now >= at + LOAD_WINDOW_MS) {
             self.loads.pop_front();
         }
-        let window = loads_per_second * LOAD_WINDOW_MS as f64 / 1_000.0;
-        let most = (window * LOAD_PERCENT as f64 / 100.0) as u32;
-        most.saturating_sub(self.loads.len() as u32)
+        self.loads.iter().filter(|at| now < **at + span).count()
     }
 }
 
+/// Loads that may begin within the window.
+fn most_loads(loads_per_second: f64) -> usize {
+    let window = loads_per_second * LOAD_WINDOW_MS as f64 / 1_000.0;
+    (window * LOAD_PERCENT as f64 / 100.0) as usize
+}
+
 /// Whether a member's weights are still being loaded.
 fn is_joining(view: &View<'_>, instance: &str) -> bool {
     let group = view.tables.group_of(instance);
@@ -200,8 +221,7 @@
 
 fn needs_load(view: &View<'_>, instance: &str, command: &GroupCommand) -> bool {
     let GroupCommand::Join { model, .. } = command else { return false };
-    let seen = view.observations.instance(instance);
-    !seen.is_some_and(|seen| seen.staged.contains(model))
+    view.tables.last_model(instance) != Some(model) && !has_staged(view, instance, model)
 }
 
 /// Orders whose effect is not seen yet.
--- /dev/null
+++ b/crates/grouping/src/plan.rs
@@ -0,0 +1,132 @@
+//! The plan of a service: which groups its free servers form now, which wait until their members have staged the
+//! weights, which group gives its servers to another model, and what every host stages meanwhile.
+//!
+//! All of it comes from one look at the domains, so that no step undoes another.
+
+use crate::Millis;
+use crate::View;
+use crate::domains::{Domain, domains_of};
+use crate::lending::group_to_convert;
+use crate::need::Balance;
+use crate::packing::{Packing, PlannedGroup, best_packing};
+use crate::staging::{StagingUnderWay, StagingWish, wishes_for};
+use dockwood_api::gateway::{EngineProfile, ServiceProfile};
+use dockwood_state::GatewayCommand;
+use std::collections::BTreeMap;
+
+/// Before the first group of all is formed, servers get this long to register, counted from the newest one: a
+/// domain that is filled at once wastes no server.
+const SETTLE_MS: Millis = 600;
+/// Times that the packings of all domains are looked at again, each with what the others have chosen.
+const REVISIONS: usize = 3;
+
+/// What should be done.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// To be committed now.
+    pub commands: Vec<GatewayCommand>,
+    /// Weights to stage, the most urgent first.
+    pub staging: Vec<StagingWish>,
+}
+
+/// Plans every service of model engines.
+pub fn plan(view: &View<'_>, staging: &StagingUnderWay) -> Plan {
+    let mut plan = Plan::default();
+    let Some(configuration) = &view.tables.configuration else { return plan };
+    let settled = view.now >= view.observations.newest_instance_at + SETTLE_MS;
+    if view.tables.last_epoch == 0 && !settled {
+        return plan;
+    }
+    for service in &configuration.services {
+        if let Some(engine) = &service.engine {
+            plan_service(view, service, engine, staging, &mut plan);
+        }
+    }
+    plan.staging.sort_by_key(|wish| wish.urgency);
+    plan
+}
+
+fn plan_service(
+    view: &View<'_>,
+    service: &ServiceProfile,
+    engine: &EngineProfile,
+    staging: &StagingUnderWay,
+    plan: &mut Plan,
+) {
+    let domains = domains_of(view, &service.name, engine, staging);
+    let servers = domains.values().map(Domain::servers).sum();
+    let mut balance = Balance::new(view, &service.name, engine, servers);
+    let packings = pack_domains(engine, &domains, &mut balance);
+    let mut converts = false;
+    for (name, packing) in packings {
+        let domain = &domains[name];
+        for group in &packing.groups {
+            // Until requests come, loads cost next to nothing, and members load as they join.
+            if group.loads() == 0 || !view.tables.requests_seen {
+                plan.commands.push(form(service, engine, name, group));
+            }
+        }
+        if !converts
+            && let Some(command) = group_to_convert(view, engine, &balance, staging, name, domain, &packing)
+        {
+            converts = true;
+            plan.commands.push(command);
+        }
+        plan.staging.extend(wishes_for(view, engine, staging, domain, &packing));
+    }
+}
+
+/// The packing of each domain, chosen with what the other domains add to the balance; that counts all of them in the
+/// end.
+fn pack_domains<'a>(
+    engine: &EngineProfile,
+    domains: &BTreeMap<&'a str, Domain<'a>>,
+    balance: &mut Balance,
+) -> BTreeMap<&'a str, Packing<'a>> {
+    let models = engine.models.len();
+    let smallest = engine.models.iter().map(|model| model.size.max(1) as usize).min().unwrap_or(usize::MAX);
+    let mut packings: BTreeMap<&'a str, Packing<'a>> = BTreeMap::new();
+    for revision in 0..REVISIONS {
+        let mut changed = false;
+        for (name, domain) in domains {
+            if domain.free.len() < smallest {
+                let left = domain.free.clone();
+                packings.insert(name, Packing { groups: Vec::new(), left });
+                continue;
+            }
+            let before =
+                packings.get(name).map_or_else(|| vec![0.0; models], |packing| packing.gains(models));
+            balance.add(&before.iter().map(|gain| -gain).collect::<Vec<f64>>());
+            let packing = best_packing(engine, balance, &domain.free);
+            let gains = packing.gains(models);
+            changed |= gains != before;
+            balance.add(&gains);
+            packings.insert(name, packing);
+        }
+        if !changed && revision > 0 {
+            break;
+        }
+    }
+    packings
+}
+
+fn form(
+    service: &ServiceProfile,
+    engine: &EngineProfile,
+    domain: &str,
+    group: &PlannedGroup<'_>,
+) -> GatewayCommand {
+    let model = &engine.models[group.model];
+    let reason = format!(
+        "{} free in domain {domain}, ready in {} ms, {} to load",
+        model.size,
+        group.ready_ms,
+        group.loads()
+    );
+    GatewayCommand::Form {
+        service: service.name.clone(),
+        model: model.name.clone(),
+        members: group.members.iter().map(|server| server.id.to_string()).collect(),
+        reason,
+    }
+}
--- a/crates/state/src/gateway.rs
+++ b/crates/state/src/gateway.rs
@@ -122,6 +122,8 @@
         /// Why.
         reason: String,
     },
+    /// Notes that callers have begun to send requests.
+    NoteRequests,
 }
 
 /// All tables of the gateway.
@@ -135,6 +137,10 @@
     pub groups: BTreeMap<u64, Arc<GroupRow>>,
     /// Epoch of the newest group.
     pub last_epoch: u64,
+    /// Whether any request was ever seen.
+    pub requests_seen: bool,
+    /// The model of each instance's last group, where the instance surely was ready in it.
+    last_models: BTreeMap<String, String>,
     removed: VecDeque<String>,
 }
 
@@ -152,9 +158,19 @@
             GatewayCommand::SetPhase { epoch, phase, reason } => self.set_phase(*epoch, *phase, reason),
             GatewayCommand::Release { epoch, member } => self.release(*epoch, member),
             GatewayCommand::End { epoch, .. } => self.end(*epoch),
+            GatewayCommand::NoteRequests => {
+                self.requests_seen = true;
+                Applied::touching(Vec::new())
+            }
         }
     }
 
+    /// The model of an instance's last group since its start, as far as it is known: the instance joins another group
+    /// of that model sooner than any other.
+    pub fn last_model(&self, instance: &str) -> Option<&str> {
+        self.last_models.get(instance).map(String::as_str)
+    }
+
     /// The group that holds an instance, if any.
     pub fn group_of(&self, instance: &str) -> Option<&Arc<GroupRow>> {
         self.groups.values().find(|group| group.members.iter().any(|member| member == instance))
@@ -213,6 +229,7 @@
 
     fn forget(&mut self, id: &str) {
         self.instances.remove(id);
+        self.last_models.remove(id);
         self.bar(id);
     }
 
@@ -238,6 +255,12 @@
         if members.iter().any(|id| self.group_of(id).is_some()) {
             return Applied::refused(ResultCode::MachineInOtherReplica, "a member is in another group");
         }
+        // Until all members are ready, nothing is known of a member that may or may not have taken its order to join.
+        for id in members {
+            if self.last_model(id).is_some_and(|last| last != model) {
+                self.last_models.remove(id);
+            }
+        }
         self.last_epoch += 1;
         let epoch = self.last_epoch;
         let row = GroupRow {
@@ -265,6 +288,10 @@
         let mut next = GroupRow::clone(row);
         next.phase = phase;
         next.reason = reason.to_string();
+        if phase == GroupPhase::Opening {
+            let ready = next.members.iter().map(|id| (id.clone(), next.model.clone()));
+            self.last_models.extend(ready);
+        }
         self.groups.insert(epoch, Arc::new(next));
         Applied::touching(Vec::new())
     }
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// First byte of everything encoded here. A later format gets another byte and a reader for this one.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     // Writing these types to memory can't fail: they hold no maps with unknown length and no foreign code.
