Spread the return of callers after a start; let a directory without a lease refuse

A directory that was cut off from the leader went on naming entries that were cut off too.

Change: a daemon without a configuration tells callers to come back in 0.9 to 2.2 s, drawn by chance; a directory without a lease answers 503, and its caller asks the next one.

--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -20,6 +20,10 @@
     let uri = request.uri();
     let query = gateway.dialect.directory_query(uri.path(), uri.query().unwrap_or_default());
     let Some(query) = query else { return bare(StatusCode::NOT_FOUND) };
+    if !gateway.shared.holds_lease() {
+        // What is known here may be long past: it would send callers to entries that are cut off or gone.
+        return refuse(ResultCode::NoLease, "no configuration lease", None);
+    }
     let addresses = entries_for(&gateway, &query);
     if addresses.is_empty() {
         return refuse(ResultCode::NoConfiguration, "no entry is known", None);
@@ -32,7 +36,7 @@
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
     let shared = &gateway.shared;
     let tables = shared.tables();
-    let excludes_itself = shared.is_leaving() || !shared.holds_lease();
+    let excludes_itself = shared.is_leaving();
     let live = || {
         tables
             .reachable_daemons()
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -4,7 +4,7 @@
 use super::account::About;
 use super::body::{AnswerBody, BodyFault, read_whole};
 use super::headers::from_caller;
-use super::refusal::{RETRY_SOON_MS, refuse};
+use super::refusal::{RETRY_SOON_MS, refuse, retry_after_start_ms};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{Route, RouteKind};
@@ -114,7 +114,11 @@
         retry_after_ms,
     };
     if table.version == 0 {
-        return Err(refuse(ResultCode::NoConfiguration, "no configuration yet", Some(RETRY_SOON_MS)));
+        return Err(refuse(
+            ResultCode::NoConfiguration,
+            "no configuration yet",
+            Some(retry_after_start_ms()),
+        ));
     }
     if !gateway.shared.holds_lease() {
         return Err(refuse(ResultCode::NoLease, "no configuration lease", Some(RETRY_SOON_MS)));
--- a/crates/daemon/src/gateway/refusal.rs
+++ b/crates/daemon/src/gateway/refusal.rs
@@ -6,9 +6,19 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use rand::RngExt;
 
 /// When a caller may come back after a refusal that a short wait mends.
 pub const RETRY_SOON_MS: u64 = 250;
+/// Least and most time after which a caller may come back to a daemon that has just started and has no configuration
+/// yet. Where all daemons were down, they agree on a leader within about a second, and what was refused meanwhile comes
+/// back spread over the second after that.
+const RETRY_AFTER_START_MS: std::ops::Range<u64> = 900..2_200;
+
+/// When a caller may come back to a daemon that has just started.
+pub fn retry_after_start_ms() -> u64 {
+    rand::rng().random_range(RETRY_AFTER_START_MS)
+}
 
 /// An answer with a code. `retry_after_ms` is given only where the request surely did not run.
 pub fn refuse(code: ResultCode, message: &str, retry_after_ms: Option<u64>) -> Response<AnswerBody> {
