Let the caller of a cut stream wait for a daemon that has just started

Change: a request that names the last event of its stream waits up to 1.5 s for a configuration and a lease; all others are refused at once as before. Test: the_caller_of_a_cut_stream_waits_for_a_daemon_that_has_just_started.

--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -18,6 +18,11 @@
 
 /// A first try tells the whole of its time, but for what passed on the way.
 const FIRST_TRY_MARGIN_MS: u64 = 40;
+/// How long the caller of a cut stream waits for a daemon that has just started: where all daemons were down, they agree on
+/// a leader within about a second.
+const START_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at whether it is ready.
+const START_POLL: Duration = Duration::from_millis(20);
 /// Highest rank number that servers know.
 const LOWEST_RANK: u32 = 9;
 
@@ -107,6 +112,9 @@
 /// Reads a request, or refuses it.
 pub async fn receive(gateway: &Gateway, request: Request<Incoming>) -> Result<Received, Refusal> {
     let arrived = Instant::now();
+    if text(request.headers(), gateway.dialect.headers().last_event).is_some() {
+        ready_after_start(gateway).await;
+    }
     let table = gateway.routes.load_full();
     let refuse = |code: ResultCode, message: &'static str, retry_after_ms: Option<u64>| Refusal {
         code,
@@ -169,6 +177,20 @@
     })
 }
 
+/// Waits shortly until a daemon that has just started has a configuration and a lease. For callers whose stream was cut:
+/// they have come back already, and a refusal would be the end of their request.
+async fn ready_after_start(gateway: &Gateway) {
+    let ready = async {
+        while gateway.routes.load().version == 0 || !gateway.shared.holds_lease() {
+            tokio::time::sleep(START_POLL).await;
+        }
+    };
+    if gateway.routes.load().version == 0 {
+        // Not ready in time: the request is refused as any other.
+        let _ = tokio::time::timeout(START_LIMIT, ready).await;
+    }
+}
+
 /// Whether a request that waited may still be sent: its key and route hold by the newest configuration, which this
 /// daemon has a lease on.
 pub fn may_still_run(gateway: &Gateway, received: &Received) -> bool {
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -302,3 +302,24 @@
     cut_off.kill();
     Ok(())
 }
+
+/// Found on norrstrom-klubb: after all daemons had been down, callers whose streams had been cut came back to daemons that had
+/// just started, were refused, and had no try left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_caller_of_a_cut_stream_waits_for_a_daemon_that_has_just_started() -> reqwest::Result<()> {
+    let fleet = Fleet::start();
+    let server = fleet.plain_server(0).await;
+    eventually("the server is registered", || server.is_registered.load(Ordering::SeqCst)).await;
+    let begun = std::time::Instant::now();
+    while fleet.request(0, "/plain/1", "a-0").send().await.is_err() {
+        assert!(begun.elapsed() < LIMIT, "the entry never listens");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let refused = fleet.request(0, "/plain/1", "a-1").send().await?;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE, "a first try is refused at once");
+    let come_back = tokio::spawn(fleet.request(0, "/plain/1", "a-2").header("last-event-id", "3").send());
+    fleet.configure(&configuration(1)).await;
+    let answer = come_back.await.unwrap_or_else(|error| panic!("{error}"))?;
+    assert_eq!(answer.status(), StatusCode::OK);
+    Ok(())
+}
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -43,6 +43,8 @@
     sequence: AtomicU64,
     state: Mutex<InstanceState>,
     pub stands_still: AtomicBool,
+    /// Some report of it was acknowledged.
+    pub is_registered: AtomicBool,
     pub runs: AtomicU32,
     pub broken_off: AtomicU32,
     pub streaming: AtomicU32,
@@ -72,6 +74,7 @@
             sequence: AtomicU64::new(0),
             state: Mutex::new(InstanceState::Ready),
             stands_still: AtomicBool::new(false),
+            is_registered: AtomicBool::new(false),
             runs: AtomicU32::new(0),
             broken_off: AtomicU32::new(0),
             streaming: AtomicU32::new(0),
@@ -130,7 +133,9 @@
                 format!("http://{}/v1/gateway/instances/{}", operators[turn % operators.len()], server.id);
             let sent =
                 http.put(url).timeout(Duration::from_secs(1)).json(&server.current_report()).send().await;
-            if !sent.is_ok_and(|answer| answer.status().is_success()) {
+            if sent.is_ok_and(|answer| answer.status().is_success()) {
+                server.is_registered.store(true, Ordering::SeqCst);
+            } else {
                 turn += 1;
             }
         }
