--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -8,14 +8,12 @@
 };
 use dockwood_grouping::{
     Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderBook, PlaceLedger, ProbeResult, View,
-    advance_groups, plan, reap_instances, release_members,
+    advance_groups, places_of_group, plan, reap_instances, release_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// Requests that may wait at a group beyond those that it works on.
-const QUEUED_AT_GROUP: u32 = 1;
 /// Pause between two rounds of asking the members of one silent group.
 const PROBE_PAUSE_MS: Millis = 700;
 
@@ -103,8 +101,7 @@
             let serves = group.service == request.service && group.model == request.model;
             serves && group.phase == GroupPhase::Open
         });
-        let places = engine.slots + QUEUED_AT_GROUP;
-        self.dispatcher.assign(now, request, engine, places, groups, &self.observations)
+        self.dispatcher.assign(now, request, engine, groups, &self.observations)
     }
 
     /// Notes what came of an order. A refused connection is evidence like a probe's.
@@ -186,5 +183,5 @@
 fn places_of(tables: &GatewayTables, service: &str) -> u32 {
     let profile = tables.configuration.as_ref().and_then(|held| held.service(service));
     let engine = profile.and_then(|profile| profile.engine.as_ref());
-    engine.map_or(0, |engine| engine.slots + QUEUED_AT_GROUP)
+    engine.map_or(0, places_of_group)
 }
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -2,13 +2,15 @@
 //! figures where the leader doesn't answer in time.
 
 use super::Gateway;
-use super::loads::{Loads, PlaceAnswer, PlaceQuery};
+use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
 use crate::clock::monotonic_ms;
+use dockwood_api::ResultCode;
 use dockwood_api::gateway::{PlaceReply, PlaceRequest};
 use dockwood_api::peer::PeerClient;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long the leader may take: some times the usual two to three milliseconds, and little against the time to a first
 /// event.
@@ -26,8 +28,26 @@
     rests_until: AtomicU64,
 }
 
-/// A place for a request with a prompt of so many tokens.
-pub async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>, prompt_tokens: u64) -> PlaceAnswer {
+/// A place for a request with a prompt of so many tokens, waited for until a deadline; else why there is none.
+pub async fn wait_for_place(
+    gateway: &Arc<Gateway>,
+    query: PlaceQuery<'_>,
+    prompt_tokens: u64,
+    deadline: Instant,
+) -> Result<GroupPlace, ResultCode> {
+    loop {
+        let code = match place(gateway, query, prompt_tokens).await {
+            PlaceAnswer::Taken(place) => return Ok(place),
+            PlaceAnswer::Full => ResultCode::Overloaded,
+            PlaceAnswer::NoGroup => ResultCode::NoServer,
+        };
+        if tokio::time::timeout_at(deadline, gateway.loads.place_freed()).await.is_err() {
+            return Err(code);
+        }
+    }
+}
+
+async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>, prompt_tokens: u64) -> PlaceAnswer {
     match ask_leader(gateway, query, prompt_tokens).await {
         Some(PlaceReply::Assigned { epoch, .. }) => match Loads::take_assigned(gateway, epoch) {
             Some(place) => PlaceAnswer::Taken(place),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -3,10 +3,10 @@
 
 use super::Gateway;
 use super::account::RequestAccount;
-use super::assignment;
+use super::assignment::wait_for_place;
 use super::body::{AnswerBody, CutShort, read_whole, whole};
 use super::headers::end_to_end;
-use super::loads::{PlaceAnswer, PlaceQuery};
+use super::loads::PlaceQuery;
 use super::plain::{belongs, give_up, request_for, says_not_run};
 use super::receive::{Received, may_still_run};
 use super::stalls::{Source, abandon, stands_still};
@@ -231,21 +231,10 @@
         let hundredths = if came_back { WAIT_AFTER_REFUSAL_HUNDREDTHS } else { WAIT_HUNDREDTHS };
         let wait = Duration::from_millis(self.received.route.target_latency_ms * hundredths / 100);
         let since = Instant::now();
-        loop {
-            let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
-            let code = match assignment::place(&self.gateway, query, self.received.prompt_tokens).await {
-                PlaceAnswer::Taken(place) => {
-                    self.account.waited(since);
-                    return Ok(Source::Group(place));
-                }
-                PlaceAnswer::Full => ResultCode::Overloaded,
-                PlaceAnswer::NoGroup => ResultCode::NoServer,
-            };
-            if tokio::time::timeout_at(since + wait, self.gateway.loads.place_freed()).await.is_err() {
-                self.account.waited(since);
-                return Err(self.refusal(code, FULL_RETRY_MS));
-            }
-        }
+        let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
+        let place = wait_for_place(&self.gateway, query, self.received.prompt_tokens, since + wait).await;
+        self.account.waited(since);
+        place.map(Source::Group).map_err(|code| self.refusal(code, FULL_RETRY_MS))
     }
 
     /// Sends to one source; on success the stream is being read, or an answer that is no stream is here.
--- a/crates/grouping/src/capacity.rs
+++ b/crates/grouping/src/capacity.rs
@@ -10,6 +10,14 @@
 /// thirds.
 const PLANNED_FILL: f64 = 0.75;
 
+/// Requests that may wait at a group beyond those that it works on.
+const QUEUED_AT_GROUP: u32 = 1;
+
+/// Requests that a group may hold.
+pub fn places_of_group(engine: &EngineProfile) -> u32 {
+    engine.slots + QUEUED_AT_GROUP
+}
+
 /// What requests of one model ask for on average.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RequestWork {
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! a group takes to read a prompt: several then send long prompts to the same group, whose streams all pause. Here one
 //! place sees every request at once.
 
-use crate::capacity::{first_event_ms, reading_ms};
+use crate::capacity::{first_event_ms, places_of_group, reading_ms};
 use crate::{Millis, Observations};
 use dockwood_api::gateway::{EngineProfile, ModelProfile, PlaceReply, PlaceRequest};
 use dockwood_state::GroupRow;
@@ -47,80 +47,67 @@
     cost: f64,
 }
 
+/// One request, and what it is judged by.
+struct Asked<'a> {
+    now: Millis,
+    request: &'a PlaceRequest,
+    engine: &'a EngineProfile,
+    model: &'a ModelProfile,
+    observations: &'a Observations,
+}
+
+impl Asked<'_> {
+    /// Time in which a group reads the prompt, in milliseconds.
+    fn reading_ms(&self) -> f64 {
+        reading_ms(self.engine, self.model, self.request.prompt_tokens as f64)
+    }
+
+    /// What a group would do with the request; `None` if it may not take it.
+    fn rate(&self, group: &GroupRow, queue: Option<&GroupQueue>) -> Option<Candidate> {
+        let is_excluded = self.request.excluded.contains(&group.epoch);
+        if is_excluded || self.observations.is_silent(self.now, group.epoch) {
+            return None;
+        }
+        let unreported = queue.map_or(0, |queue| queue.unreported.len() as u32);
+        let in_flight = self.observations.in_flight(group.epoch) + unreported;
+        if in_flight >= places_of_group(self.engine) {
+            return None;
+        }
+        let backlog_ms = queue.map_or(0.0, |queue| (queue.read_until - self.now as f64).max(0.0));
+        let reading = backlog_ms + self.reading_ms();
+        let first_event_ms = first_event_ms(self.engine, self.model, reading, f64::from(in_flight));
+        let other_zone = if group.zone == self.request.zone { 0.0 } else { OTHER_ZONE_MS };
+        Some(Candidate { epoch: group.epoch, first_event_ms, cost: first_event_ms + other_zone })
+    }
+}
+
 impl Dispatcher {
-    /// Assigns a request to one of the open groups of its model. `places` is how many requests a group may hold.
+    /// Assigns a request to one of the open groups of its model.
     pub fn assign<'a>(
         &mut self,
         now: Millis,
         request: &PlaceRequest,
         engine: &EngineProfile,
-        places: u32,
         groups: impl Iterator<Item = &'a Arc<GroupRow>>,
         observations: &Observations,
     ) -> PlaceReply {
         let Some(model) = engine.model(&request.model) else { return PlaceReply::NoGroup };
-        let mut any = false;
-        let mut best: Option<Candidate> = None;
-        for group in groups {
-            any = true;
-            let is_excluded = request.excluded.contains(&group.epoch);
-            if is_excluded || observations.is_silent(now, group.epoch) {
-                continue;
-            }
-            let candidate = self.rate(now, request, engine, model, group, observations, places);
-            let is_better =
-                |candidate: &Candidate| best.as_ref().is_none_or(|best| candidate.cost < best.cost);
-            best = candidate.filter(is_better).or(best);
-        }
-        match best {
-            Some(candidate) => {
-                self.take(now, request, engine, model, candidate.epoch);
-                PlaceReply::Assigned {
-                    epoch: candidate.epoch,
-                    first_event_ms: candidate.first_event_ms as u64,
-                }
-            }
-            None if any => PlaceReply::Full,
-            None => PlaceReply::NoGroup,
+        let asked = Asked { now, request, engine, model, observations };
+        let mut groups = groups.peekable();
+        if groups.peek().is_none() {
+            return PlaceReply::NoGroup;
         }
+        let candidates = groups.filter_map(|group| asked.rate(group, self.queues.get(&group.epoch)));
+        let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
+        let Some(best) = best else { return PlaceReply::Full };
+        self.take(&asked, best.epoch);
+        PlaceReply::Assigned { epoch: best.epoch, first_event_ms: best.first_event_ms as u64 }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn rate(
-        &self,
-        now: Millis,
-        request: &PlaceRequest,
-        engine: &EngineProfile,
-        model: &ModelProfile,
-        group: &GroupRow,
-        observations: &Observations,
-        places: u32,
-    ) -> Option<Candidate> {
-        let queue = self.queues.get(&group.epoch);
-        let unreported = queue.map_or(0, |queue| queue.unreported.len() as u32);
-        let in_flight = observations.in_flight(group.epoch) + unreported;
-        if in_flight >= places {
-            return None;
-        }
-        let backlog_ms = queue.map_or(0.0, |queue| (queue.read_until - now as f64).max(0.0));
-        let reading = backlog_ms + reading_ms(engine, model, request.prompt_tokens as f64);
-        let first_event_ms = first_event_ms(engine, model, reading, f64::from(in_flight));
-        let other_zone = if group.zone == request.zone { 0.0 } else { OTHER_ZONE_MS };
-        Some(Candidate { epoch: group.epoch, first_event_ms, cost: first_event_ms + other_zone })
-    }
-
-    fn take(
-        &mut self,
-        now: Millis,
-        request: &PlaceRequest,
-        engine: &EngineProfile,
-        model: &ModelProfile,
-        epoch: u64,
-    ) {
+    fn take(&mut self, asked: &Asked<'_>, epoch: u64) {
         let queue = self.queues.entry(epoch).or_default();
-        let reading = reading_ms(engine, model, request.prompt_tokens as f64);
-        queue.read_until = queue.read_until.max(now as f64) + reading;
-        queue.unreported.push(Assigned { entry: request.daemon.clone(), at: now });
+        queue.read_until = queue.read_until.max(asked.now as f64) + asked.reading_ms();
+        queue.unreported.push(Assigned { entry: asked.request.daemon.clone(), at: asked.now });
     }
 
     /// An entry has reported its requests in flight, those among them that were assigned to it a moment ago.
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -20,7 +20,7 @@
 mod plan;
 mod staging;
 
-pub use capacity::{RequestWork, group_ms};
+pub use capacity::{RequestWork, group_ms, places_of_group};
 pub use demand::{Demand, ModelDemand};
 pub use dispatch::Dispatcher;
 pub use lifecycle::{advance_groups, reap_instances, release_members};
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -210,3 +210,14 @@
         self.tables.groups.get(&epoch).map(|group| group.phase)
     }
 }
+
+/// Groups that are to serve, as a plan forms them: model and members.
+pub fn formed(commands: &[GatewayCommand]) -> Vec<(String, Vec<String>)> {
+    let groups = commands.iter().filter_map(|command| match command {
+        GatewayCommand::Form { model, members, purpose: GroupPurpose::Serve, .. } => {
+            Some((model.clone(), members.clone()))
+        }
+        _ => None,
+    });
+    groups.collect()
+}
--- a/crates/grouping/tests/dispatch.rs
+++ b/crates/grouping/tests/dispatch.rs
@@ -6,6 +6,7 @@
 use dockwood_api::gateway::{PlaceReply, PlaceRequest};
 use dockwood_grouping::Dispatcher;
 
+/// Eight slots, and one that waits.
 const PLACES: u32 = 9;
 
 fn request(entry: &str, prompt_tokens: u64) -> PlaceRequest {
@@ -30,7 +31,7 @@
 
 fn assign(world: &World, dispatcher: &mut Dispatcher, request: &PlaceRequest) -> PlaceReply {
     let groups = world.tables.groups.values().filter(|group| group.model == request.model);
-    dispatcher.assign(world.now, request, &engine(), PLACES, groups, &world.observations)
+    dispatcher.assign(world.now, request, &engine(), groups, &world.observations)
 }
 
 fn epoch_of(reply: PlaceReply) -> Option<u64> {
