--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -36,11 +36,35 @@
     pub found_none: u32,
 }
 
-/// One entry's report.
+impl ModelLoad {
+    /// Adds what another report tells of the same model.
+    pub fn add(&mut self, other: &ModelLoad) {
+        self.arrived += other.arrived;
+        self.prompt_tokens += other.prompt_tokens;
+        self.answered += other.answered;
+        self.events += other.events;
+        self.found_none += other.found_none;
+    }
+}
+
+/// The groups of one model whose heads stand in one zone: what one dispatcher assigns requests to in a large fleet.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct DispatchScope {
+    /// Zone of the groups' heads.
+    pub zone: String,
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+}
+
+/// One entry's report; or a dispatcher's, on what all entries told it of its scope.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Daemon name.
     pub daemon: String,
+    /// The scope that it is about; `None` for all groups.
+    pub scope: Option<DispatchScope>,
     /// Groups with requests in flight or with evidence.
     pub groups: Vec<GroupLoad>,
     /// Models that were asked for.
@@ -71,6 +95,10 @@
     pub service: String,
     /// Model.
     pub model: String,
+    /// Zone of the groups that it asks for; `None` for all.
+    pub group_zone: Option<String>,
+    /// When its first event should be expected at the latest, in milliseconds from now; `None` for any time.
+    pub most_first_event_ms: Option<u64>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
     /// Epochs of groups that the entry doesn't want: it has tried them, or holds them for silent.
@@ -87,7 +115,7 @@
         /// When its first event is expected, in milliseconds from now.
         first_event_ms: u64,
     },
-    /// Every group is full.
+    /// Every group is full, or would show the first event too late.
     Full,
     /// No group serves the model.
     NoGroup,
--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -95,11 +95,25 @@
     pub stamp: ClockStamp,
 }
 
+/// A command with the revision that it made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisedCommand {
+    /// The revision.
+    pub revision: u64,
+    /// The encoded command.
+    pub command: Vec<u8>,
+}
+
 /// What a granted lease brings along.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeaseContent {
-    /// Encoded commands after `applied_revision`, each with its revision.
-    Commands(Vec<(u64, Vec<u8>)>),
+    /// What the daemon lacks after its `applied_revision`.
+    Commands {
+        /// Commands in the order of their revisions, without those that change nothing for the daemon.
+        commands: Vec<RevisedCommand>,
+        /// The revision that the daemon has once it has applied them.
+        through: u64,
+    },
     /// An encoded state, where the commands are no longer retained.
     Snapshot(Vec<u8>),
 }
@@ -166,6 +180,21 @@
     },
 }
 
+/// Answer to a request for the newest configuration as the operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DocumentAnswer {
+    /// Nothing newer was acknowledged when it was read.
+    Current {
+        /// The document; empty if no configuration was accepted yet.
+        document: Vec<u8>,
+    },
+    /// Not the leader, or not able to tell at the moment.
+    NotLeader {
+        /// The leader's peer address.
+        leader: Option<SocketAddr>,
+    },
+}
+
 /// A voter of the control group, as told to a process that asks to become one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VoterRecord {
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -1,8 +1,8 @@
 //! The `tarpc` service that every daemon offers to the others.
 
 use super::{
-    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, Observation,
-    ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DocumentAnswer, LeaseAnswer, LeaseRequest,
+    Observation, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
 };
 
 use crate::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
@@ -28,12 +28,15 @@
     /// Asks the leader for a place at a group; `None` if this daemon does not lead.
     async fn assign_place(request: PlaceRequest) -> Option<PlaceReply>;
 
-    /// A server's report, taken by another daemon.
-    async fn register(report: InstanceReport) -> SubmitReply;
+    /// Servers' reports, taken by another daemon; one answer to each, in their order.
+    async fn register(reports: Vec<InstanceReport>) -> Vec<SubmitReply>;
 
     /// The revision at which a read is current.
     async fn read_revision() -> ReadAnswer;
 
+    /// The newest configuration as the operator sent it, which voters alone keep.
+    async fn read_document() -> DocumentAnswer;
+
     /// Asks the leader to admit a member of the control group, or to replace one that was at its address.
     async fn admit_voter(id: u64, address: std::net::SocketAddr) -> AdmitAnswer;
 
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -106,6 +106,8 @@
             account("group", &format!("g{epoch}"), "Preloaded", "all members are ready".to_string())
         }
         GatewayCommand::NoteRequests => account("gateway", "requests", "RequestsSeen", String::new()),
+        // Told at the voters, as the change of phase that led to it.
+        GatewayCommand::Adopt(_) => None,
     }
 }
 
--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -29,7 +29,8 @@
 impl Blackboard {
     /// A blackboard that starts from a stored state.
     pub fn new(state: State) -> Self {
-        Blackboard { state, ..Blackboard::default() }
+        let commands = RetainedCommands::starting_at(state.tables.revision);
+        Blackboard { state, commands, ..Blackboard::default() }
     }
 
     /// The replicated tables.
@@ -45,12 +46,29 @@
     /// Applies a command and keeps its encoding for daemons that lag.
     pub fn apply(&mut self, command: &Command) -> Applied {
         let applied = self.state.apply(command);
-        if command.body.is_configuration() {
-            self.commands.push(self.revision(), encode_command(&command.for_followers()));
+        if command.body.is_configuration()
+            && let Some(needed) = command.for_followers(&self.state.tables)
+        {
+            self.commands.push(self.revision(), encode_command(&needed));
         }
         applied
     }
 
+    /// Applies a command that made `revision` where it was committed, after all that this daemon needs of what came
+    /// before. `None` if this daemon has that revision already.
+    pub fn apply_at(&mut self, revision: u64, command: &Command) -> Option<Applied> {
+        if revision <= self.revision() {
+            return None;
+        }
+        self.state.tables.revision = revision - 1;
+        Some(self.state.apply(command))
+    }
+
+    /// Notes that nothing this daemon needs was changed up to `revision`.
+    pub fn advance_to(&mut self, revision: u64) {
+        self.state.tables.revision = self.state.tables.revision.max(revision);
+    }
+
     /// Replaces the state, unless it is older than the one held: revisions never go back.
     pub fn restore(&mut self, encoded: &[u8]) -> Result<bool, ApiError> {
         let state = State::decode(encoded)?;
@@ -58,7 +76,7 @@
             return Ok(false);
         }
         self.state = state;
-        self.commands.clear();
+        self.commands = RetainedCommands::starting_at(self.revision());
         Ok(true)
     }
 
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -6,7 +6,7 @@
 
 use crate::Millis;
 use crate::blackboard::Blackboard;
-use dockwood_api::peer::{LeaseContent, LeaseRequest};
+use dockwood_api::peer::{LeaseContent, LeaseRequest, RevisedCommand};
 use std::collections::VecDeque;
 
 /// Encoded commands that are kept for daemons that lag; one that lacks more gets the whole state.
@@ -20,21 +20,29 @@
 /// Copies of the state that may be sent at once, in bytes.
 const BURST_BYTES: i64 = 512 << 10;
 
-/// The newest commands, encoded.
+/// The newest commands that daemons need, encoded.
 #[derive(Clone, Debug, Default)]
 pub struct RetainedCommands {
-    commands: VecDeque<(u64, Vec<u8>)>,
+    commands: VecDeque<RevisedCommand>,
     bytes: usize,
+    /// All that daemons need after this revision is kept.
+    complete_after: u64,
 }
 
 impl RetainedCommands {
+    /// Nothing is kept yet; the state is at `revision`.
+    pub fn starting_at(revision: u64) -> Self {
+        RetainedCommands { complete_after: revision, ..RetainedCommands::default() }
+    }
+
     /// Keeps the command that made a revision, and drops the oldest ones beyond the bounds.
-    pub fn push(&mut self, revision: u64, encoded: Vec<u8>) {
-        self.bytes += encoded.len();
-        self.commands.push_back((revision, encoded));
+    pub fn push(&mut self, revision: u64, command: Vec<u8>) {
+        self.bytes += command.len();
+        self.commands.push_back(RevisedCommand { revision, command });
         while self.commands.len() > 1 && self.exceeds_bounds() {
-            let Some((_, oldest)) = self.commands.pop_front() else { return };
-            self.bytes -= oldest.len();
+            let Some(oldest) = self.commands.pop_front() else { return };
+            self.bytes -= oldest.command.len();
+            self.complete_after = oldest.revision;
         }
     }
 
@@ -42,21 +50,27 @@
         self.commands.len() > RETAINED_COMMANDS || self.bytes > RETAINED_BYTES
     }
 
-    /// Forgets all.
-    pub fn clear(&mut self) {
-        *self = RetainedCommands::default();
+    /// The revision of the newest command up to a revision, of those that are kept.
+    pub fn newest_up_to(&self, revision: u64) -> Option<u64> {
+        self.commands.iter().rev().map(|kept| kept.revision).find(|kept| *kept <= revision)
     }
 
     /// The size of the commands after a revision, if they are all still kept.
     pub fn bytes_after(&self, revision: u64) -> Option<usize> {
-        let (first_kept, _) = self.commands.front()?;
-        let lacking = || self.commands.iter().filter(|(kept, _)| *kept > revision);
-        (*first_kept <= revision + 1).then(|| lacking().map(|(_, bytes)| bytes.len()).sum())
+        let is_complete = self.complete_after <= revision;
+        is_complete.then(|| self.lacking(revision).map(|kept| kept.command.len()).sum())
     }
 
     /// The commands after a revision.
-    pub fn after(&self, revision: u64) -> Vec<(u64, Vec<u8>)> {
-        self.commands.iter().filter(|(kept, _)| *kept > revision).cloned().collect()
+    pub fn after(&self, revision: u64) -> Vec<RevisedCommand> {
+        let mut commands: Vec<RevisedCommand> = self.lacking(revision).cloned().collect();
+        commands.reverse();
+        commands
+    }
+
+    /// The commands after a revision, the newest first.
+    fn lacking(&self, revision: u64) -> impl Iterator<Item = &RevisedCommand> {
+        self.commands.iter().rev().take_while(move |kept| kept.revision > revision)
     }
 }
 
@@ -85,14 +99,15 @@
     ) -> Option<LeaseContent> {
         let applied = request.applied_revision;
         if !request.wants_commands || applied >= board.revision() {
-            return Some(LeaseContent::Commands(Vec::new()));
+            return Some(LeaseContent::Commands { commands: Vec::new(), through: applied });
         }
         // A daemon that starts anew is in no hurry; to one that follows, a change must go out at once, to keep its lease.
         let follows = applied > 0;
         if let Some(bytes) = board.commands().bytes_after(applied) {
             let is_less = bytes <= CHEAP_BYTES || (follows && bytes <= self.encoded_state(board).len());
             if is_less {
-                return Some(LeaseContent::Commands(board.commands().after(applied)));
+                let commands = board.commands().after(applied);
+                return Some(LeaseContent::Commands { commands, through: board.revision() });
             }
         }
         self.refill(now);
@@ -110,7 +125,7 @@
         if !is_current {
             self.encoded = None;
         }
-        let encode = || (revision, board.state.encode_configuration());
+        let encode = || (revision, board.state.encode_for_followers());
         &self.encoded.get_or_insert_with(encode).1
     }
 
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -8,11 +8,13 @@
 };
 use dockwood_grouping::{
     Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderBook, PlaceLedger, ProbeResult, View,
-    advance_groups, places_of_group, plan, reap_instances, release_members,
+    advance_groups, places_of_group, plan, plan_pause_ms, reap_instances, release_members,
 };
-use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, InstanceRow};
+use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
+use imbl::OrdMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Pause between two rounds of asking the members of one silent group.
 const PROBE_PAUSE_MS: Millis = 700;
@@ -36,6 +38,27 @@
     dispatcher: Dispatcher,
     orders: OrderBook,
     started: bool,
+    /// When the next plan may be made.
+    plan_at: Millis,
+    known: Option<KnownTables>,
+}
+
+/// The instances and groups as they were when last looked at; a copy shares all with the original.
+#[derive(Debug)]
+struct KnownTables {
+    instances: OrdMap<String, Arc<InstanceRow>>,
+    groups: OrdMap<u64, Arc<GroupRow>>,
+}
+
+impl KnownTables {
+    fn of(tables: &GatewayTables) -> KnownTables {
+        KnownTables { instances: tables.instances.clone(), groups: tables.groups.clone() }
+    }
+
+    /// Whether neither has changed.
+    fn is_same(&self, tables: &GatewayTables) -> bool {
+        self.instances.ptr_eq(&tables.instances) && self.groups.ptr_eq(&tables.groups)
+    }
 }
 
 impl GatewayLeadership {
@@ -50,6 +73,9 @@
             return None;
         }
         let is_newest = self.observations.record_report(now, report);
+        if let Some(group) = tables.group_of(&report.id) {
+            self.orders.touch(group.epoch);
+        }
         let row = InstanceRow::from(report);
         let known = tables.instances.get(&report.id);
         let is_news = known.is_none_or(|known| is_newest && **known != row);
@@ -66,6 +92,9 @@
         report: LoadReport,
         is_witness: bool,
     ) -> LoadDigest {
+        if report.scope.is_some() {
+            return self.take_summary(now, report, is_witness);
+        }
         self.places.expect_entries(entries);
         let open = tables.groups.values().filter(|group| group.phase == GroupPhase::Open);
         let groups = open.map(|group| GroupPlaces {
@@ -93,15 +122,14 @@
 
     /// Assigns a request to a group.
     pub fn assign(&mut self, now: Millis, tables: &GatewayTables, request: &PlaceRequest) -> PlaceReply {
-        let profile = tables.configuration.as_ref().and_then(|held| held.service(&request.service));
-        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else {
-            return PlaceReply::NoGroup;
-        };
-        let groups = tables.groups.values().filter(|group| {
-            let serves = group.service == request.service && group.model == request.model;
-            serves && group.phase == GroupPhase::Open
-        });
-        self.dispatcher.assign(now, request, engine, groups, &self.observations)
+        self.dispatcher.assign(now, request, tables, &self.observations)
+    }
+
+    /// Takes a dispatcher's summary of its scope, and tells it which groups are found to stand still.
+    fn take_summary(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
+        let mut digest = self.observations.exchange(now, report, is_witness);
+        digest.groups.retain(|shared| shared.suspected);
+        digest
     }
 
     /// Notes what came of an order. A refused connection is evidence like a probe's.
@@ -128,10 +156,7 @@
             self.started = true;
             self.observations.assume_present(now, tables.instances.keys().cloned());
         }
-        let ids: BTreeSet<String> = tables.instances.keys().cloned().collect();
-        let epochs: BTreeSet<u64> = tables.groups.keys().copied().collect();
-        self.observations.retain(&ids, &epochs);
-        self.dispatcher.retain(|epoch| epochs.contains(&epoch));
+        self.forget_gone(tables);
         let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
@@ -140,14 +165,26 @@
             commands.push(GatewayCommand::NoteRequests);
         }
         // A plan is made on settled tables only: what was decided is committed first.
-        if commands.is_empty() {
+        if commands.is_empty() && now >= self.plan_at {
             let plan = plan(&view, self.orders.staging());
+            self.plan_at = now + plan_pause_ms(tables.instances.len());
             self.orders.wish(plan.staging);
             commands = plan.commands;
         }
         commands
     }
 
+    /// Forgets what was observed of instances and groups that are gone.
+    fn forget_gone(&mut self, tables: &GatewayTables) {
+        let is_known = self.known.as_ref().is_some_and(|known| known.is_same(tables));
+        if is_known {
+            return;
+        }
+        self.observations.retain(tables);
+        self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
+        self.known = Some(KnownTables::of(tables));
+    }
+
     /// Orders to send now.
     pub fn orders_to_send(
         &mut self,
@@ -163,9 +200,10 @@
     /// Members of silent groups, to be asked.
     pub fn probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
         let mut probes = Vec::new();
-        for group in tables.groups.values().filter(|group| group.phase == GroupPhase::Open) {
-            let is_silent = self.observations.is_silent(now, group.epoch);
-            if !is_silent || !self.observations.claim_probe(now, group.epoch, PROBE_PAUSE_MS) {
+        for epoch in self.observations.silent_groups(now) {
+            let group = tables.groups.get(&epoch).filter(|group| group.phase == GroupPhase::Open);
+            let Some(group) = group else { continue };
+            if !self.observations.claim_probe(now, epoch, PROBE_PAUSE_MS) {
                 continue;
             }
             let rows = group.members.iter().filter_map(|member| tables.instances.get(member));
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -8,14 +8,6 @@
 use dockwood_state::{Command, CommandBody, Outcome, encode_command, encode_outcome};
 
 impl<R> ControlNode<R> {
-    /// Whether an entry sees the servers by another machine's network than members of the control group do.
-    pub(crate) fn is_witness(&self, daemon: &str) -> bool {
-        let daemons = &self.board.tables().daemons;
-        let Some(entry) = daemons.get(daemon) else { return false };
-        let mut members = daemons.values().filter(|other| other.record.operators.is_some());
-        !members.any(|member| member.record.peer.ip() == entry.record.peer.ip())
-    }
-
     /// Takes an entry's load; `None` unless this node leads.
     pub(crate) fn exchange_load(
         &mut self,
@@ -25,8 +17,7 @@
         leads: bool,
     ) -> Option<LoadDigest> {
         let tables = &self.board.state.tables;
-        let live = tables.reachable_daemons().filter(|daemon| daemon.record.frontend.is_some());
-        let entries = live.count() as u32;
+        let entries = self.entries.reachable_entries(tables);
         let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
         let leader = leadership.filter(|_| leads)?;
         Some(leader.gateway.exchange(now.monotonic, &tables.gateway, entries, report, is_witness))
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -7,7 +7,7 @@
 use crate::controllers::{LostState, liveness, pending_orders, placement};
 use crate::driver_io::{OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
-use crate::leases::{HOLD_MS, HeldRequest, LeaseTable};
+use crate::leases::{LeaseTable, News};
 use crate::node::Options;
 use crate::view::control_view;
 use dockwood_api::event::ClockStamp;
@@ -86,29 +86,23 @@
     pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: R) {
         self.leases.extend(now, &request);
         self.joining.insert(request.daemon.name.clone(), (request.daemon.clone(), request.incarnation));
-        // A new request of the same daemon replaces the one that it gave up.
-        self.leases.held.retain(|held| held.request.daemon.name != request.daemon.name);
-        self.leases.held.push(HeldRequest { request, reply, until: now + HOLD_MS });
+        self.leases.hold(now, request, reply);
     }
 
     /// Answers requests for which there is news, or that have waited long enough.
     pub fn answer_held(&mut self, now: Millis, board: &Blackboard, in_force_revision: u64) -> Vec<Output<R>> {
         let revision = board.revision();
-        let (due, waiting): (Vec<HeldRequest<R>>, Vec<HeldRequest<R>>) =
-            std::mem::take(&mut self.leases.held).into_iter().partition(|held| {
-                let lags = held.request.applied_revision < revision;
-                let in_force_is_news = held.request.in_force_revision < in_force_revision;
-                now >= held.until || lags || in_force_is_news
-            });
-        self.leases.held = waiting;
         let mut answers = Vec::new();
-        for held in due {
+        for held in self.leases.due(now, News::of(board.commands(), revision, in_force_revision)) {
             let content = match self.catch_up.content_for(now, board, &held.request) {
                 Some(content) => content,
                 // It asks again; until it has caught up, the lease that it is granted means nothing to it.
-                None if now >= held.until => LeaseContent::Commands(Vec::new()),
+                None if now >= held.until => {
+                    let through = held.request.applied_revision;
+                    LeaseContent::Commands { commands: Vec::new(), through }
+                }
                 None => {
-                    self.leases.held.push(held);
+                    self.leases.hold_on(held);
                     continue;
                 }
             };
@@ -123,7 +117,7 @@
 
     /// Sends waiting daemons elsewhere: this node can't grant any more.
     pub fn refuse_held(&mut self, leader: Option<SocketAddr>) -> Vec<Output<R>> {
-        let held = std::mem::take(&mut self.leases.held).into_iter();
+        let held = self.leases.take_held().into_iter();
         held.map(|held| Output::LeaseReply(held.reply, LeaseAnswer::NotLeader { leader })).collect()
     }
 
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -62,7 +62,7 @@
         let group_orders = group_orders.into_iter().map(|order| Output::SendGroupOrder(Box::new(order)));
         self.outputs.extend(group_orders);
         self.outputs.extend(probes.into_iter().map(Output::Probe));
-        let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
+        let mut batch = Batch::default();
         commands.into_iter().for_each(|body| batch.add(now, body));
         self.propose(now, batch);
         self.change_voters(now);
@@ -89,7 +89,7 @@
     }
 
     pub(crate) fn raise_in_force_as_leader(&mut self, now: Moment) {
-        if !self.leads(now) {
+        if !self.leads(now) || !self.claim_in_force_check(now.monotonic) {
             return;
         }
         let leadership = self.leadership();
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -1,6 +1,7 @@
 //! The leader's table of configuration leases, and what is in force by it.
 
 use crate::Millis;
+use crate::catch_up::RetainedCommands;
 use dockwood_api::peer::LeaseRequest;
 use dockwood_state::{Liveness, Tables};
 use std::collections::BTreeMap;
@@ -23,10 +24,21 @@
 /// up, so that its successor is found before the lease runs out.
 pub const LEASE_ANSWER_TIMEOUT_MS: Millis = HOLD_MS + 300;
 
+/// Daemons that are told of each change at once. Beyond, what changes is gathered for [`NEWS_MS_PER_DAEMON`] of each
+/// further one, so that telling all of them takes the leader a tenth of a core at most, however many there are.
+const TOLD_AT_ONCE: usize = 64;
+/// An answer to a lease request costs the leader some 0.1 ms.
+const NEWS_MS_PER_DAEMON: Millis = 1;
+
 /// A daemon that has asked for nothing for this long is silent: a sound one asks again at once after each answer, which
 /// is held back no longer than [`HOLD_MS`].
 const SILENT_AFTER_MS: Millis = 1_200;
 
+/// Pause between two changes that so many daemons are told of, in milliseconds.
+fn news_pause_ms(daemons: usize) -> Millis {
+    daemons.saturating_sub(TOLD_AT_ONCE) as Millis * NEWS_MS_PER_DAEMON
+}
+
 /// One daemon's lease as granted.
 #[derive(Clone, Debug)]
 pub struct LeaseRow {
@@ -61,14 +73,89 @@
 pub struct LeaseTable<R> {
     elected_at: Millis,
     rows: BTreeMap<String, LeaseRow>,
-    /// Requests that wait for news.
-    pub held: Vec<HeldRequest<R>>,
+    held: Vec<HeldRequest<R>>,
+    /// When the first of the held requests must be answered.
+    answer_at: Millis,
+    /// When daemons may be told of the next change.
+    news_at: Millis,
+    /// What was told last.
+    told: Option<News>,
+    /// Requests have come since the held ones were last looked at.
+    has_new: bool,
+}
+
+/// What daemons may be told now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The newest revision that changed something for them.
+    pub revision: u64,
+    /// The newest of these that is in force everywhere.
+    pub in_force_revision: u64,
+}
+
+impl News {
+    /// The news at a leader that holds `revision`. What it no longer keeps counts as changed.
+    pub fn of(commands: &RetainedCommands, revision: u64, in_force_revision: u64) -> News {
+        News {
+            revision: commands.newest_up_to(revision).unwrap_or(revision),
+            in_force_revision: commands.newest_up_to(in_force_revision).unwrap_or(in_force_revision),
+        }
+    }
 }
 
 impl<R> LeaseTable<R> {
     /// An empty table of a leader that was elected now.
     pub fn new(now: Millis) -> Self {
-        LeaseTable { elected_at: now, rows: BTreeMap::new(), held: Vec::new() }
+        LeaseTable {
+            elected_at: now,
+            rows: BTreeMap::new(),
+            held: Vec::new(),
+            answer_at: Millis::MAX,
+            news_at: now,
+            told: None,
+            has_new: false,
+        }
+    }
+
+    /// Holds a request until there is news. A new request of the same daemon replaces the one that it gave up.
+    pub fn hold(&mut self, now: Millis, request: LeaseRequest, reply: R) {
+        self.held.retain(|held| held.request.daemon.name != request.daemon.name);
+        self.hold_on(HeldRequest { request, reply, until: now + HOLD_MS });
+    }
+
+    /// Holds a request longer that could not be answered yet.
+    pub fn hold_on(&mut self, held: HeldRequest<R>) {
+        self.answer_at = self.answer_at.min(held.until);
+        self.has_new = true;
+        self.held.push(held);
+    }
+
+    /// Requests to answer now: those for which there is news, and those that have waited long enough.
+    pub fn due(&mut self, now: Millis, news: News) -> Vec<HeldRequest<R>> {
+        let is_changed = self.told != Some(news) || self.has_new;
+        let tells = is_changed && now >= self.news_at;
+        if !tells && now < self.answer_at {
+            return Vec::new();
+        }
+        if tells {
+            self.told = Some(news);
+            self.has_new = false;
+            self.news_at = now + news_pause_ms(self.rows.len());
+        }
+        let is_due = |held: &HeldRequest<R>| {
+            let lags = held.request.applied_revision < news.revision;
+            let in_force_is_news = held.request.in_force_revision < news.in_force_revision;
+            now >= held.until || (tells && (lags || in_force_is_news))
+        };
+        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(is_due);
+        self.answer_at = waiting.iter().map(|held| held.until).min().unwrap_or(Millis::MAX);
+        self.held = waiting;
+        due
+    }
+
+    /// All held requests, which this leader answers no more.
+    pub fn take_held(&mut self) -> Vec<HeldRequest<R>> {
+        std::mem::take(&mut self.held)
     }
 
     /// Notes that a daemon asked, and will hold a lease once it is answered.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod blackboard;
 mod catch_up;
+mod census;
 mod controllers;
 mod core_outputs;
 mod driver_io;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,15 +1,18 @@
 //! The control node: takes inputs, drives the consensus core and the leader's controllers, and gathers outputs.
 
+use crate::Millis;
 use crate::account::{Account, accounts};
 use crate::admission::voters_to_lose;
 use crate::blackboard::Blackboard;
+use crate::census::EntryCensus;
 use crate::driver_io::{GrantedLease, Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
 use crate::voter::{VoterPart, Waiter};
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{
-    AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, SubmitReply, VoterRecord,
+    AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, RevisedCommand, SubmitReply,
+    VoterRecord,
 };
 use dockwood_consensus::{self as consensus, Message, Node, Voter};
 use dockwood_grouping::GroupingPolicy;
@@ -18,6 +21,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Time between two looks at what is in force everywhere.
+const IN_FORCE_EVERY_MS: Millis = 20;
+
 /// Parameters of a control node.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -43,12 +49,19 @@
     }
 }
 
-/// Commands gathered from one input, to be proposed together.
+/// Commands gathered from the inputs of one turn, to be proposed together.
+#[derive(Debug)]
 pub(crate) struct Batch<R> {
     pub commands: Vec<Vec<u8>>,
     pub waiters: Vec<Waiter<R>>,
 }
 
+impl<R> Default for Batch<R> {
+    fn default() -> Self {
+        Batch { commands: Vec::new(), waiters: Vec::new() }
+    }
+}
+
 /// Control logic of one daemon.
 #[derive(Debug)]
 pub struct ControlNode<R> {
@@ -58,6 +71,10 @@
     pub(crate) voter: Option<VoterPart<R>>,
     pub(crate) in_force_revision: u64,
     dirty: bool,
+    /// Commands of the inputs taken since the last settling.
+    batch: Batch<R>,
+    pub(crate) entries: EntryCensus,
+    in_force_at: Millis,
     pub(crate) outputs: Vec<Output<R>>,
 }
 
@@ -71,6 +88,9 @@
             voter: None,
             in_force_revision: 0,
             dirty: true,
+            batch: Batch::default(),
+            entries: EntryCensus::default(),
+            in_force_at: 0,
             outputs: Vec::new(),
         }
     }
@@ -88,11 +108,35 @@
 
     /// Takes one input and returns what is to be done, in order.
     pub fn step(&mut self, now: Moment, input: Input<R>) -> Vec<Output<R>> {
-        let mut batch = Batch { commands: Vec::new(), waiters: Vec::new() };
+        self.take(now, input);
+        self.settle(now)
+    }
+
+    /// Takes one input. What follows from it is left to [`ControlNode::settle`], so that inputs that arrive together
+    /// share one proposal and one run of the controllers.
+    pub fn take(&mut self, now: Moment, input: Input<R>) {
+        let mut batch = std::mem::take(&mut self.batch);
+        self.dispatch(now, input, &mut batch);
+        self.batch = batch;
+    }
+
+    /// Decides on all that was taken, and returns what is to be done, in order.
+    pub fn settle(&mut self, now: Moment) -> Vec<Output<R>> {
+        self.drive(now, consensus::Input::Tick);
+        let batch = std::mem::take(&mut self.batch);
+        self.propose(now, batch);
+        self.run_controllers(now);
+        self.raise_in_force_as_leader(now);
+        self.answer_held_leases(now);
+        self.compact();
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn dispatch(&mut self, now: Moment, input: Input<R>, batch: &mut Batch<R>) {
         match input {
             Input::Tick => {}
             Input::Consensus(messages) => self.receive(now, messages),
-            Input::Submit(commands) => self.take_commands(now, commands, &mut batch),
+            Input::Submit(commands) => self.take_commands(now, commands, batch),
             Input::Lease(request, reply) => self.take_lease_request(now, request, reply),
             Input::Observe(term, observations, reply) => {
                 let leads_term = self.leadership().is_some_and(|leadership| leadership.term == term);
@@ -114,10 +158,10 @@
                     batch.add(now, CommandBody::OrderDone { server, fence });
                 }
             }
-            Input::Register(report, reply) => self.register(now, report, reply, &mut batch),
+            Input::Register(report, reply) => self.register(now, report, reply, batch),
             Input::ExchangeLoad(report, reply) => {
                 let leads = self.leads(now);
-                let is_witness = self.is_witness(&report.daemon);
+                let is_witness = self.entries.is_witness(self.board.tables(), &report.daemon);
                 let digest = self.exchange_load(now, report, is_witness, leads);
                 self.outputs.push(Output::LoadReply(reply, digest));
             }
@@ -158,13 +202,6 @@
             Input::Leaving(servers) => self.board.observed.machines.set_leaving(servers),
             Input::Persisted { index, term } => self.drive(now, consensus::Input::Persisted { index, term }),
         }
-        self.drive(now, consensus::Input::Tick);
-        self.propose(now, batch);
-        self.run_controllers(now);
-        self.raise_in_force_as_leader(now);
-        self.answer_held_leases(now);
-        self.compact();
-        std::mem::take(&mut self.outputs)
     }
 
     /// The replicated tables as applied here.
@@ -268,17 +305,40 @@
     fn take_lease(&mut self, lease: GrantedLease) {
         self.raise_in_force(lease.in_force_revision);
         match lease.content {
-            LeaseContent::Commands(commands) => {
-                for (revision, bytes) in commands {
-                    if revision == self.board.revision() + 1
-                        && let Ok(command) = decode_command(&bytes)
-                    {
-                        self.apply(&command);
+            LeaseContent::Commands { commands, through } => self.take_commands_of_lease(commands, through),
+            LeaseContent::Snapshot(bytes) => self.restore(&bytes),
+        }
+    }
+
+    /// A command that can't be read stops the daemon at the revision before it: it asks for the rest again.
+    fn take_commands_of_lease(&mut self, commands: Vec<RevisedCommand>, through: u64) {
+        for RevisedCommand { revision, command } in commands {
+            match decode_command(&command) {
+                Ok(command) => {
+                    if let Some(applied) = self.board.apply_at(revision, &command) {
+                        self.note_applied(&command, &applied);
                     }
                 }
+                Err(error) => {
+                    self.record_own("CommandRefused", error.message(), error.code());
+                    return;
+                }
             }
-            LeaseContent::Snapshot(bytes) => self.restore(&bytes),
         }
+        if through > self.board.revision() {
+            self.board.advance_to(through);
+            self.dirty = true;
+        }
+    }
+
+    /// Whether it may be looked again at what is in force everywhere: not more often than in [`IN_FORCE_EVERY_MS`], as
+    /// all daemons' leases are looked at.
+    pub(crate) fn claim_in_force_check(&mut self, now: Millis) -> bool {
+        let is_due = self.in_force_revision < self.board.revision() && now >= self.in_force_at;
+        if is_due {
+            self.in_force_at = now + IN_FORCE_EVERY_MS;
+        }
+        is_due
     }
 
     pub(crate) fn raise_in_force(&mut self, revision: u64) {
@@ -311,18 +371,23 @@
 
     pub(crate) fn apply(&mut self, command: &Command) -> Applied {
         let applied = self.board.apply(command);
-        if command.body.is_configuration() {
-            let revision = self.board.revision();
-            self.outputs.push(Output::Touched { revision, keys: applied.touched.clone() });
-            self.dirty = true;
-            // Voters tell the time line, so that it survives any one of them.
-            if self.voter.is_some() {
-                for account in accounts(command, &applied, self.board.tables()) {
-                    self.outputs.push(Output::Record { account, revision: Some(revision) });
-                }
+        self.note_applied(command, &applied);
+        applied
+    }
+
+    fn note_applied(&mut self, command: &Command, applied: &Applied) {
+        if !command.body.is_configuration() {
+            return;
+        }
+        let revision = self.board.revision();
+        self.outputs.push(Output::Touched { revision, keys: applied.touched.clone() });
+        self.dirty = true;
+        // Voters tell the time line, so that it survives any one of them.
+        if self.voter.is_some() {
+            for account in accounts(command, applied, self.board.tables()) {
+                self.outputs.push(Output::Record { account, revision: Some(revision) });
             }
         }
-        applied
     }
 }
 
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -105,7 +105,7 @@
 
 fn size(content: &LeaseContent) -> usize {
     match content {
-        LeaseContent::Commands(commands) => commands.iter().map(|(_, bytes)| bytes.len()).sum(),
+        LeaseContent::Commands { commands, .. } => commands.iter().map(|kept| kept.command.len()).sum(),
         LeaseContent::Snapshot(bytes) => bytes.len(),
     }
 }
@@ -143,7 +143,8 @@
     }
     let contents = leader.take_contents();
     assert_eq!(contents.len(), 20, "a change in force everywhere waits for nobody's turn");
-    let is_commands = |(_, content): &(String, LeaseContent)| matches!(content, LeaseContent::Commands(_));
+    let is_commands =
+        |(_, content): &(String, LeaseContent)| matches!(content, LeaseContent::Commands { .. });
     assert!(contents.iter().all(is_commands));
 }
 
--- a/crates/daemon/src/control/outbox.rs
+++ b/crates/daemon/src/control/outbox.rs
@@ -23,7 +23,7 @@
         let Some(batch) = next_batch(&mut messages).await else { return };
         let encoded = postcard::to_stdvec(&batch).unwrap_or_default();
         let call = |client: PeerClient, context| async move { client.consensus(context, encoded).await };
-        if shared.peers.call(address, SEND_TIMEOUT, call).await.is_err() {
+        if shared.voter_peers.call(address, SEND_TIMEOUT, call).await.is_err() {
             shared.metrics.peer_failures.inc();
         }
     }
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -15,7 +15,7 @@
     ControlNode, GroupingPolicy, Input, Moment, Options, Output, voters_of, voters_to_lose,
 };
 use dockwood_storage::StorageError;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -93,10 +93,10 @@
     own_id: Option<NodeId>,
     senders: BTreeMap<NodeId, mpsc::Sender<Message>>,
     shared: Arc<Shared>,
-    runtime: tokio::runtime::Handle,
 }
 
 impl Outboxes {
+    /// Makes a way to each voter that has none. To be called on the control thread.
     fn learn(&mut self, voters: &[Voter]) {
         for voter in voters.iter().filter(|voter| Some(voter.id) != self.own_id) {
             if self.senders.contains_key(&voter.id) {
@@ -104,7 +104,8 @@
             }
             let (sender, receiver) = mpsc::channel(OUTBOX);
             self.senders.insert(voter.id, sender);
-            self.runtime.spawn(run_outbox(self.shared.clone(), voter.address, receiver));
+            // On the control thread: the leader's heartbeats must not wait for the traffic's calls.
+            tokio::spawn(run_outbox(self.shared.clone(), voter.address, receiver));
         }
     }
 
@@ -122,6 +123,8 @@
     messages: mpsc::Receiver<ControlMessage>,
     node: ControlNode<Reply>,
     disk: Option<VoterDisk>,
+    /// Voters known at the start.
+    voters: Vec<Voter>,
     outboxes: Outboxes,
     orders: OrderSender,
     group_orders: GroupOrderSender,
@@ -135,6 +138,7 @@
     let mut ticks = tokio::time::interval(tick_every);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut received = Vec::new();
+    control.outboxes.learn(&std::mem::take(&mut control.voters));
     control.publish();
     while !control.stopping {
         tokio::select! {
@@ -147,6 +151,8 @@
             _ = ticks.tick() => control.step(Input::Tick)?,
         }
         control.publish();
+        // What was decided is sent before more is taken.
+        tokio::task::yield_now().await;
     }
     Ok(())
 }
@@ -159,85 +165,72 @@
         started: StartedControl,
         orders: OrderSender,
         group_orders: GroupOrderSender,
-        runtime: tokio::runtime::Handle,
     ) -> Self {
         let StartedControl { node, disk, member_id, voters } = started;
-        let senders = BTreeMap::new();
-        let mut outboxes = Outboxes { own_id: member_id, senders, shared: shared.clone(), runtime };
-        outboxes.learn(&voters);
-        ControlThread { shared, messages, node, disk, outboxes, orders, group_orders, stopping: false }
+        let outboxes = Outboxes { own_id: member_id, senders: BTreeMap::new(), shared: shared.clone() };
+        ControlThread {
+            shared,
+            messages,
+            node,
+            disk,
+            voters,
+            outboxes,
+            orders,
+            group_orders,
+            stopping: false,
+        }
     }
 
+    /// Takes messages that arrived together, and decides once on all of them.
     fn take(&mut self, messages: Vec<ControlMessage>) -> Result<(), StorageError> {
         let mut submitted = Vec::new();
         for message in messages {
             match message {
                 ControlMessage::Submit { command, reply } => submitted.push((command, Reply::Submit(reply))),
-                ControlMessage::Consensus { messages } => {
-                    // What can't be decoded was not sent by a member of this version; consensus repeats the rest.
-                    let decoded = postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default();
-                    self.step(Input::Consensus(decoded))?;
-                }
-                ControlMessage::Lease { request, reply } => {
-                    self.step(Input::Lease(request, Reply::Lease(reply)))?
-                }
-                ControlMessage::Observe { term, observations, reply } => {
-                    self.step(Input::Observe(term, observations, Reply::Observe(reply)))?;
-                }
-                ControlMessage::View { reply } => self.step(Input::View(Reply::View(reply)))?,
+                // The lease client goes on only once what the lease brought is published.
                 ControlMessage::LeaseGranted { lease, reply } => {
                     self.step(Input::LeaseGranted(lease))?;
                     self.publish();
                     let _ = reply.send(self.node.tables().revision);
                 }
-                ControlMessage::OrderAnswered { server, fence, done } => {
-                    self.step(Input::OrderAnswered { server, fence, done })?;
-                }
-                ControlMessage::Register { report, reply } => {
-                    self.step(Input::Register(report, Reply::Submit(reply)))?;
-                }
-                ControlMessage::ExchangeLoad { report, reply } => {
-                    self.step(Input::ExchangeLoad(report, Reply::Load(reply)))?;
-                }
-                ControlMessage::AssignPlace { request, reply } => {
-                    self.step(Input::AssignPlace(request, Reply::Place(reply)))?;
-                }
-                ControlMessage::GroupOrderAnswered(order, answer) => {
-                    self.step(Input::GroupOrderAnswered(*order, answer))?;
-                }
-                ControlMessage::Probed { instance, result } => {
-                    self.step(Input::Probed { instance, result })?;
-                }
-                ControlMessage::AdmitVoter { id, address, reply } => {
-                    self.step(Input::AdmitVoter { id, address, reply: Reply::Admit(reply) })?;
-                }
-                ControlMessage::LearnVoters(voters) => self.step(Input::LearnVoters(voters))?,
-                ControlMessage::ReadRevision { reply } => {
-                    self.step(Input::ReadRevision(Reply::Read(reply)))?;
-                }
-                ControlMessage::PlatformList(rows) => {
-                    let leaving = rows.into_iter().filter(|row| row.leaving).map(|row| row.server).collect();
-                    self.step(Input::Leaving(leaving))?;
-                }
                 ControlMessage::Stop => self.stopping = true,
+                other => {
+                    if let Some(input) = input_of(other) {
+                        self.give(input);
+                    }
+                }
             }
         }
         if !submitted.is_empty() {
-            self.step(Input::Submit(submitted))?;
+            self.give(Input::Submit(submitted));
         }
-        Ok(())
+        self.settle()
     }
 
-    /// Gives the node an input and carries out, in order, what it asks for.
+    fn give(&mut self, input: Input<Reply>) {
+        self.node.take(now(), input);
+    }
+
+    /// Gives the node one input and carries out what follows.
     fn step(&mut self, input: Input<Reply>) -> Result<(), StorageError> {
-        let mut inputs = VecDeque::from([input]);
-        while let Some(input) = inputs.pop_front() {
-            let now = Moment { monotonic: monotonic_ms(), wall_ms: wall_ms() };
-            for output in self.node.step(now, input) {
-                inputs.extend(self.carry_out(output)?);
+        self.give(input);
+        self.settle()
+    }
+
+    /// Carries out, in order, what the node asks for, until it asks for nothing more.
+    fn settle(&mut self) -> Result<(), StorageError> {
+        loop {
+            let mut follows = false;
+            for output in self.node.settle(now()) {
+                if let Some(input) = self.carry_out(output)? {
+                    follows = true;
+                    self.give(input);
+                }
+            }
+            if !follows {
+                return Ok(());
             }
         }
-        Ok(())
     }
 
     fn carry_out(&mut self, output: Output<Reply>) -> Result<Option<Input<Reply>>, StorageError> {
@@ -307,3 +300,40 @@
         self.shared.publish(Published { tables, in_force_revision, routing });
     }
 }
+
+fn now() -> Moment {
+    Moment { monotonic: monotonic_ms(), wall_ms: wall_ms() }
+}
+
+/// What a message means to the control node; `None` for those that concern the thread itself.
+fn input_of(message: ControlMessage) -> Option<Input<Reply>> {
+    Some(match message {
+        ControlMessage::Consensus { messages } => {
+            // What can't be decoded was not sent by a member of this version; consensus repeats the rest.
+            Input::Consensus(postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default())
+        }
+        ControlMessage::Lease { request, reply } => Input::Lease(request, Reply::Lease(reply)),
+        ControlMessage::Observe { term, observations, reply } => {
+            Input::Observe(term, observations, Reply::Observe(reply))
+        }
+        ControlMessage::View { reply } => Input::View(Reply::View(reply)),
+        ControlMessage::OrderAnswered { server, fence, done } => Input::OrderAnswered { server, fence, done },
+        ControlMessage::Register { report, reply } => Input::Register(report, Reply::Submit(reply)),
+        ControlMessage::ExchangeLoad { report, reply } => Input::ExchangeLoad(report, Reply::Load(reply)),
+        ControlMessage::AssignPlace { request, reply } => Input::AssignPlace(request, Reply::Place(reply)),
+        ControlMessage::GroupOrderAnswered(order, answer) => Input::GroupOrderAnswered(*order, answer),
+        ControlMessage::Probed { instance, result } => Input::Probed { instance, result },
+        ControlMessage::AdmitVoter { id, address, reply } => {
+            Input::AdmitVoter { id, address, reply: Reply::Admit(reply) }
+        }
+        ControlMessage::LearnVoters(voters) => Input::LearnVoters(voters),
+        ControlMessage::ReadRevision { reply } => Input::ReadRevision(Reply::Read(reply)),
+        ControlMessage::PlatformList(rows) => {
+            let leaving = rows.into_iter().filter(|row| row.leaving).map(|row| row.server).collect();
+            Input::Leaving(leaving)
+        }
+        ControlMessage::Submit { .. } | ControlMessage::LeaseGranted { .. } | ControlMessage::Stop => {
+            return None;
+        }
+    })
+}
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -1,54 +1,60 @@
-//! Gets a place at a group: from the control leader, which sees all entries' requests at once, or by this entry's own
-//! figures where the leader doesn't answer in time.
+//! Gets a place at a group: from the dispatcher of its groups, which sees all entries' requests for them at once, or by
+//! this entry's own figures where no dispatcher answers in time.
 
 use super::Gateway;
+use super::dispatchers::{Dispatch, leader_to_ask};
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
-use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{PlaceReply, PlaceRequest};
+use dockwood_api::gateway::{DispatchScope, PlaceReply, PlaceRequest};
 use dockwood_api::peer::PeerClient;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long the leader may take: some times the usual two to three milliseconds, and little against the time to a first
+/// How long a dispatcher may take: some times the usual two to three milliseconds, and little against the time to a first
 /// event.
 const ANSWER_LIMIT: Duration = Duration::from_millis(25);
 /// Limit of the call itself. Longer than the wait for it: a late answer is no reason to connect anew.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
-/// After the leader has not answered in time, requests go by this entry's own figures for this long, in milliseconds: a
-/// leader that is being replaced would hold up every request.
-const REST_MS: u64 = 300;
+/// Zones that are asked for a place, the own one first.
+const MOST_ZONES: usize = 3;
+/// Part of the target for the first event at which a group of another zone is better, in hundredths: half of it is left
+/// for the way, and for requests that come later and share the group.
+const CROWDED_HUNDREDTHS: u64 = 50;
+/// Pause before groups that were full are asked for again, where nobody tells of places that become free elsewhere.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
 
-/// Whether the leader answers.
-#[derive(Debug, Default)]
-pub struct LeaderAsk {
-    /// Until when the leader is not asked, by the monotonic clock.
-    rests_until: AtomicU64,
-}
-
-/// A place for a request with a prompt of so many tokens, waited for until a deadline; else why there is none.
+/// A place for a request, waited for until a deadline; else why there is none.
 pub async fn wait_for_place(
     gateway: &Arc<Gateway>,
     query: PlaceQuery<'_>,
-    prompt_tokens: u64,
     deadline: Instant,
 ) -> Result<GroupPlace, ResultCode> {
     loop {
-        let code = match place(gateway, query, prompt_tokens).await {
+        let code = match place(gateway, query).await {
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
             PlaceAnswer::NoGroup => ResultCode::NoServer,
         };
-        if tokio::time::timeout_at(deadline, gateway.loads.place_freed()).await.is_err() {
+        // The leader tells of places that become free at other entries; dispatchers are asked again.
+        let until = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
+            Dispatch::Leader => deadline,
+            Dispatch::Scopes => deadline.min(Instant::now() + ASK_AGAIN),
+        };
+        let is_freed = tokio::time::timeout_at(until, gateway.loads.place_freed()).await.is_ok();
+        if !is_freed && until >= deadline {
             return Err(code);
         }
     }
 }
 
-async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>, prompt_tokens: u64) -> PlaceAnswer {
-    match ask_leader(gateway, query, prompt_tokens).await {
+async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
+    let reply = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
+        Dispatch::Leader => ask_leader(gateway, query).await,
+        Dispatch::Scopes => ask_zones(gateway, query).await,
+    };
+    match reply {
         Some(PlaceReply::Assigned { epoch, .. }) => match Loads::take_assigned(gateway, epoch) {
             Some(place) => PlaceAnswer::Taken(place),
             // The group is newer than what this entry knows, or has just closed.
@@ -63,27 +69,74 @@
     }
 }
 
-async fn ask_leader(gateway: &Gateway, query: PlaceQuery<'_>, prompt_tokens: u64) -> Option<PlaceReply> {
-    let shared = &gateway.shared;
-    if monotonic_ms() < gateway.assignment.rests_until.load(Ordering::Relaxed) {
-        return None;
+async fn ask_leader(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<PlaceReply> {
+    let leader = leader_to_ask(&gateway.shared, &gateway.shared.dispatchers)?;
+    ask(gateway, leader, request(gateway, query, None, None)).await
+}
+
+/// Asks the dispatchers of one zone after the other: first for a group that shows the first event soon, and where there is
+/// none, for any group.
+async fn ask_zones(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<PlaceReply> {
+    let zones = gateway.loads.zones(query, &gateway.shared.settings.zone);
+    if zones.is_empty() {
+        return Some(PlaceReply::NoGroup);
     }
-    let leader = shared.leader()?;
+    let soon_ms = query.target_ms * CROWDED_HUNDREDTHS / 100;
+    let mut last = None;
+    for most_first_event_ms in [Some(soon_ms), None] {
+        for zone in zones.iter().take(MOST_ZONES) {
+            let reply = ask_zone(gateway, query, zone, most_first_event_ms).await;
+            if let Some(PlaceReply::Assigned { .. }) = reply {
+                return reply;
+            }
+            last = reply.or(last);
+        }
+    }
+    last
+}
+
+async fn ask_zone(
+    gateway: &Gateway,
+    query: PlaceQuery<'_>,
+    zone: &str,
+    most_first_event_ms: Option<u64>,
+) -> Option<PlaceReply> {
+    let scope = DispatchScope {
+        zone: zone.to_string(),
+        service: query.service.to_string(),
+        model: query.model.to_string(),
+    };
+    let dispatcher = gateway.shared.dispatchers.of_scope(&gateway.shared.tables(), &scope)?;
+    ask(gateway, dispatcher, request(gateway, query, Some(scope.zone), most_first_event_ms)).await
+}
+
+fn request(
+    gateway: &Gateway,
+    query: PlaceQuery<'_>,
+    group_zone: Option<String>,
+    most_first_event_ms: Option<u64>,
+) -> PlaceRequest {
+    let settings = &gateway.shared.settings;
     let mut excluded = query.excluded.to_vec();
     excluded.extend(gateway.loads.suspected(query));
-    let request = PlaceRequest {
-        daemon: shared.settings.name.clone(),
-        zone: shared.settings.zone.clone(),
+    PlaceRequest {
+        daemon: settings.name.clone(),
+        zone: settings.zone.clone(),
         service: query.service.to_string(),
         model: query.model.to_string(),
-        prompt_tokens,
+        group_zone,
+        most_first_event_ms,
+        prompt_tokens: query.prompt_tokens,
         excluded,
-    };
+    }
+}
+
+async fn ask(gateway: &Gateway, dispatcher: SocketAddr, request: PlaceRequest) -> Option<PlaceReply> {
     let call = |client: PeerClient, context| async move { client.assign_place(context, request).await };
-    let asked = shared.peers.call(leader, CALL_LIMIT, call);
+    let asked = gateway.shared.peers.call(dispatcher, CALL_LIMIT, call);
     let answer = tokio::time::timeout(ANSWER_LIMIT, asked).await;
     if !matches!(answer, Ok(Ok(Some(_)))) {
-        gateway.assignment.rests_until.store(monotonic_ms() + REST_MS, Ordering::Relaxed);
+        gateway.shared.dispatchers.rest(dispatcher);
     }
     answer.ok()?.ok()?
 }
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -2,12 +2,13 @@
 
 use super::lock;
 use crate::clock::monotonic_ms;
-use dockwood_api::gateway::{GroupLoad, LoadDigest, LoadReport, ModelLoad};
+use dockwood_api::gateway::{DispatchScope, GroupLoad, LoadDigest, LoadReport, ModelLoad};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{Candidate, PaceEstimates, choose};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use rand::RngExt;
-use std::collections::BTreeMap;
+use rand::seq::SliceRandom;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -60,6 +61,8 @@
     freed: Notify,
     /// Something is to be told to the leader at once.
     pub urgent: Notify,
+    /// A request has ended.
+    pub ended: Notify,
     paces: Mutex<BTreeMap<String, PaceEstimates>>,
     /// What the leader is to be told of each model, by service and model.
     demand: Mutex<BTreeMap<(String, String), ModelLoad>>,
@@ -67,6 +70,23 @@
     changes: watch::Sender<u64>,
 }
 
+/// What an entry has at the groups of one scope.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ScopeLoad {
+    /// Requests in flight by group epoch, of groups that have any or stand still.
+    pub in_flight: Vec<(u64, u32)>,
+    /// A group stands still, or refuses connections.
+    pub stands_still: bool,
+}
+
+fn scope_of(row: &GroupRow) -> DispatchScope {
+    DispatchScope { zone: row.zone.clone(), service: row.service.clone(), model: row.model.clone() }
+}
+
+fn is_in_scope(row: &GroupRow, scope: &DispatchScope) -> bool {
+    row.zone == scope.zone && row.service == scope.service && row.model == scope.model
+}
+
 /// A place at a group, held until it is dropped.
 pub struct GroupPlace {
     gateway: Arc<super::Gateway>,
@@ -103,6 +123,10 @@
     pub model: &'a str,
     /// Groups that were tried before.
     pub excluded: &'a [u64],
+    /// Tokens of the request's prompt.
+    pub prompt_tokens: u64,
+    /// When its first event should be there, in milliseconds.
+    pub target_ms: u64,
 }
 
 /// Takes a place at a group.
@@ -295,6 +319,7 @@
             group.in_flight = group.in_flight.saturating_sub(1);
         }
         self.freed.notify_one();
+        self.ended.notify_one();
     }
 
     /// A group showed an event.
@@ -327,8 +352,23 @@
         self.urgent.notify_one();
     }
 
-    /// What the leader is to be told; `None` if there is nothing.
+    /// What the leader is to be told of all groups.
     pub fn report(&self, daemon: &str) -> LoadReport {
+        let groups = self.tell_groups(|_| true);
+        let models = std::mem::take(&mut *lock(&self.demand)).into_values().collect();
+        LoadReport { daemon: daemon.to_string(), scope: None, groups, models }
+    }
+
+    /// What the dispatcher of a scope is to be told; what is asked for goes to that of the own zone.
+    pub fn report_scope(&self, daemon: &str, own_zone: &str, scope: &DispatchScope) -> LoadReport {
+        let groups = self.tell_groups(|row| is_in_scope(row, scope));
+        let key = (scope.service.clone(), scope.model.clone());
+        let is_own = scope.zone == own_zone;
+        let models = is_own.then(|| lock(&self.demand).remove(&key)).flatten().into_iter().collect();
+        LoadReport { daemon: daemon.to_string(), scope: Some(scope.clone()), groups, models }
+    }
+
+    fn tell_groups(&self, concerns: impl Fn(&GroupRow) -> bool) -> Vec<GroupLoad> {
         let now = monotonic_ms();
         let mut groups = lock(&self.groups);
         let tell = |(epoch, group): (&u64, &mut GroupState)| {
@@ -343,10 +383,42 @@
             let is_news = load.in_flight > 0 || load.silent || load.refuses || load.progressed;
             is_news.then_some(load)
         };
-        let loads = groups.iter_mut().filter_map(tell).collect();
-        drop(groups);
-        let models = std::mem::take(&mut *lock(&self.demand)).into_values().collect();
-        LoadReport { daemon: daemon.to_string(), groups: loads, models }
+        groups.iter_mut().filter(|(_, group)| concerns(&group.row)).filter_map(tell).collect()
+    }
+
+    /// Requests in flight and groups that stand still, by scope; also scopes in which only demand is to be told.
+    pub fn scopes(&self, own_zone: &str) -> BTreeMap<DispatchScope, ScopeLoad> {
+        let now = monotonic_ms();
+        let mut scopes: BTreeMap<DispatchScope, ScopeLoad> = BTreeMap::new();
+        for (epoch, group) in lock(&self.groups).iter() {
+            let stands_still = now < group.suspected_until || group.refused;
+            if group.in_flight == 0 && !stands_still {
+                continue;
+            }
+            let load = scopes.entry(scope_of(&group.row)).or_default();
+            load.in_flight.push((*epoch, group.in_flight));
+            load.stands_still |= stands_still;
+        }
+        for (service, model) in lock(&self.demand).keys() {
+            let scope =
+                DispatchScope { zone: own_zone.to_string(), service: service.clone(), model: model.clone() };
+            scopes.entry(scope).or_default();
+        }
+        scopes
+    }
+
+    /// Zones with groups that take a model's requests: the own one first, the others in an order drawn by chance.
+    pub fn zones(&self, query: PlaceQuery<'_>, own_zone: &str) -> Vec<String> {
+        let groups = lock(&self.groups);
+        let serving = groups.values().filter(|group| {
+            let serves = group.row.service == query.service && group.row.model == query.model;
+            serves && group.takes_new
+        });
+        let zones: BTreeSet<&str> = serving.map(|group| group.row.zone.as_str()).collect();
+        let mut others: Vec<&str> = zones.iter().copied().filter(|zone| *zone != own_zone).collect();
+        others.shuffle(&mut rand::rng());
+        let own = zones.get(own_zone).copied();
+        own.into_iter().chain(others).map(str::to_string).collect()
     }
 
     /// Age of the leader's last word on places, in milliseconds.
@@ -354,6 +426,16 @@
         now.saturating_sub(self.granted_at.load(Ordering::Relaxed))
     }
 
+    /// Takes what the dispatcher of a scope tells of the other entries.
+    pub fn take_scope_digest(&self, scope: &DispatchScope, digest: &LoadDigest) {
+        let mut groups = lock(&self.groups);
+        for (epoch, group) in groups.iter_mut().filter(|(_, group)| is_in_scope(&group.row, scope)) {
+            let shared = digest.groups.iter().find(|shared| shared.epoch == *epoch);
+            group.others_in_flight = shared.map_or(0, |shared| shared.others_in_flight);
+            group.suspected_by_others = shared.is_some_and(|shared| shared.suspected);
+        }
+    }
+
     /// Takes what the leader tells of the other entries.
     pub fn take_digest(&self, digest: &LoadDigest) {
         self.entries.store(digest.entries, Ordering::Relaxed);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod assignment;
 mod body;
 mod directory;
+mod dispatchers;
 mod frontend;
 mod headers;
 mod load_exchange;
@@ -14,14 +15,18 @@
 mod readiness;
 mod receive;
 mod refusal;
+mod registration;
 mod serving;
 mod stalls;
 mod stream;
 mod targets;
 mod upstream;
 
+pub use dispatchers::{Dispatch, Dispatchers};
+
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
+use crate::scope_dispatchers::run_summaries;
 use crate::shared::Shared;
 use arc_swap::ArcSwap;
 use dockwood_routing::BackendPicker;
@@ -41,7 +46,7 @@
     pub dialect: Arc<dyn Dialect>,
     routes: ArcSwap<RouteTable>,
     loads: Loads,
-    assignment: assignment::LeaderAsk,
+    registrations: registration::Registrations,
     pickers: Mutex<HashMap<String, BackendPicker>>,
     budgets: Mutex<HashMap<String, SendBudget>>,
     budget_limits: SendBudgetLimits,
@@ -78,6 +83,7 @@
         tokio::spawn(follow_configuration(gateway.clone()));
         if let Some(listener) = listeners.frontend {
             tokio::spawn(load_exchange::run(gateway.clone()));
+            tokio::spawn(run_summaries(gateway.shared.clone()));
             tokio::spawn(frontend::serve(gateway.clone(), listener_of(listener)?));
         }
         if let Some(listener) = listeners.readiness {
@@ -107,7 +113,7 @@
             dialect,
             routes: ArcSwap::default(),
             loads: Loads::default(),
-            assignment: assignment::LeaderAsk::default(),
+            registrations: registration::Registrations::default(),
             pickers: Mutex::default(),
             budgets: Mutex::default(),
             budget_limits,
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -3,14 +3,15 @@
 use super::Gateway;
 use super::body::{AnswerBody, read_whole};
 use super::refusal::{bare, json, refuse};
+use super::registration::{pass_on, report_target};
 use crate::dialect::OperatorCall;
-use crate::peer::{read_revision, register, submit};
+use crate::peer::{read_document, read_revision, submit};
+use crate::shared::Shared;
 use dockwood_api::gateway::{GatewayConfiguration, InstanceReport, faults};
 use dockwood_api::{ApiError, ResultCode};
-use dockwood_state::{CommandBody, GatewayCommand};
+use dockwood_state::{CommandBody, GatewayCommand, Tables};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,22 +63,36 @@
 
 /// The newest configuration; never one that is older than what was acknowledged.
 async fn read_configuration(gateway: &Gateway) -> Result<Response<AnswerBody>, ApiError> {
-    let shared = &gateway.shared;
+    let document = newest_document(&gateway.shared).await?;
+    if document.is_empty() {
+        return Err(ApiError::new(ResultCode::NoConfiguration, "no configuration was accepted yet"));
+    }
+    Ok(json(document))
+}
+
+/// The document that this daemon holds, if it holds the newest revision with its document, as voters do; else the leader's.
+async fn newest_document(shared: &Shared) -> Result<Vec<u8>, ApiError> {
+    let holds_document =
+        |tables: &Tables| tables.gateway.configuration.as_ref().is_some_and(|held| !held.document.is_empty());
+    if !holds_document(&shared.tables()) {
+        return read_document(shared, CALL_LIMIT).await;
+    }
     let revision = read_revision(shared, CALL_LIMIT).await?;
     if !shared.wait_for_revision(revision, CALL_LIMIT).await {
         return Err(ApiError::new(ResultCode::ControlTimeout, "the newest revision has not arrived here"));
     }
     let tables = shared.tables();
     let held = tables.gateway.configuration.as_ref();
-    match held.filter(|held| !held.document.is_empty()) {
-        Some(held) => Ok(json(held.document.clone())),
-        None => Err(ApiError::new(ResultCode::NoConfiguration, "no configuration was accepted yet")),
-    }
+    Ok(held.map(|held| held.document.clone()).unwrap_or_default())
 }
 
-async fn take_report(gateway: &Gateway, report: InstanceReport) -> Result<Response<AnswerBody>, ApiError> {
-    register(&gateway.shared, report, CALL_LIMIT).await?;
-    Ok(json(gateway.dialect.report_answer(leader_operators(gateway))))
+async fn take_report(
+    gateway: &Arc<Gateway>,
+    report: InstanceReport,
+) -> Result<Response<AnswerBody>, ApiError> {
+    let target = report_target(gateway, &report.id, &report.zone);
+    pass_on(gateway, report).await?;
+    Ok(json(gateway.dialect.report_answer(target)))
 }
 
 async fn sign_off(gateway: &Gateway, id: String) -> Result<Response<AnswerBody>, ApiError> {
@@ -85,11 +100,3 @@
     submit(&gateway.shared, body, CALL_LIMIT).await?;
     Ok(bare(StatusCode::OK))
 }
-
-/// Where the leader takes reports: those sent there need no forwarding.
-fn leader_operators(gateway: &Gateway) -> Option<SocketAddr> {
-    let leader = gateway.shared.leader()?;
-    let tables = gateway.shared.tables();
-    let row = tables.daemons.values().find(|daemon| daemon.record.peer == leader)?;
-    row.record.operators
-}
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -231,8 +231,14 @@
         let hundredths = if came_back { WAIT_AFTER_REFUSAL_HUNDREDTHS } else { WAIT_HUNDREDTHS };
         let wait = Duration::from_millis(self.received.route.target_latency_ms * hundredths / 100);
         let since = Instant::now();
-        let query = PlaceQuery { service: &service.name, model: &model, excluded: &self.tried_groups };
-        let place = wait_for_place(&self.gateway, query, self.received.prompt_tokens, since + wait).await;
+        let query = PlaceQuery {
+            service: &service.name,
+            model: &model,
+            excluded: &self.tried_groups,
+            prompt_tokens: self.received.prompt_tokens,
+            target_ms: self.received.route.target_latency_ms,
+        };
+        let place = wait_for_place(&self.gateway, query, since + wait).await;
         self.account.waited(since);
         place.map(Source::Group).map_err(|code| self.refusal(code, FULL_RETRY_MS))
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod clock;
 pub mod control;
+pub mod control_directory;
 pub mod dialect;
 pub mod gateway;
 pub mod http;
@@ -18,6 +19,7 @@
 pub mod probe;
 pub mod process;
 pub mod published;
+pub mod scope_dispatchers;
 pub mod settings;
 pub mod shared;
 pub mod timeline;
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -10,4 +10,4 @@
 pub use relay::pick_relay;
 pub use server::serve_peers;
 pub(crate) use submit::Targets;
-pub use submit::{control_view, read_revision, register, submit};
+pub use submit::{control_view, read_document, read_revision, register, submit};
--- a/crates/daemon/src/peer/relay.rs
+++ b/crates/daemon/src/peer/relay.rs
@@ -26,7 +26,7 @@
     let leader = shared.leader()?;
     let is_fresh = shared.lease_left_ms() + FRESH_LEASE_MS >= LEASE_MS;
     // A call is passed on once only: this daemon's own path must not lead through another one.
-    if !is_fresh || !shared.control_peers().contains(&leader) {
+    if !is_fresh || !shared.control_addresses().peers.contains(&leader) {
         return None;
     }
     match shared.peers.call(leader, ANSWER_TIMEOUT, call).await {
@@ -44,7 +44,8 @@
 /// Some daemon that may pass calls on, drawn by chance.
 pub fn pick_relay(shared: &Shared) -> Option<SocketAddr> {
     let tables = shared.tables();
-    let members: Vec<std::net::IpAddr> = shared.control_peers().iter().map(SocketAddr::ip).collect();
+    let members: Vec<std::net::IpAddr> =
+        shared.control_addresses().peers.iter().map(SocketAddr::ip).collect();
     let others = tables.daemons.values().filter(|daemon| {
         let record = &daemon.record;
         let is_entry = record.frontend.is_some() && record.operators.is_none();
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -7,18 +7,24 @@
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
+use dockwood_api::gateway::{
+    DispatchScope, InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest,
+};
 use dockwood_api::peer::{
-    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, Peer,
-    PeerClient, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DocumentAnswer, LeaseAnswer, LeaseRequest,
+    Observation, Peer, PeerClient, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
 };
 use futures::StreamExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::sync::oneshot;
 
+/// How long the control thread may take to publish what it has applied: it does so once in each turn.
+const PUBLISH_LIMIT: Duration = Duration::from_millis(200);
+
 #[derive(Clone)]
 struct PeerServer {
     shared: Arc<Shared>,
@@ -45,6 +51,16 @@
         self.shared.metrics.peer_calls.with_label_values(&[method]).inc();
     }
 
+    /// The configuration's document once this daemon has published what a revision brought.
+    async fn document_at(&self, revision: u64) -> DocumentAnswer {
+        if !self.shared.wait_for_revision(revision, PUBLISH_LIMIT).await {
+            return DocumentAnswer::NotLeader { leader: None };
+        }
+        let tables = self.shared.tables();
+        let held = tables.gateway.configuration.as_ref();
+        DocumentAnswer::Current { document: held.map(|held| held.document.clone()).unwrap_or_default() }
+    }
+
     /// Asks the control thread; `None` if it has ended.
     async fn ask<T>(&self, message: impl FnOnce(oneshot::Sender<T>) -> ControlMessage) -> Option<T> {
         let (reply, answer) = oneshot::channel();
@@ -86,6 +102,10 @@
     async fn exchange_load(self, _: Context, report: LoadReport) -> Option<LoadDigest> {
         self.count("exchange_load");
         if !self.shared.settings.is_control_member() {
+            if let Some(scope) = report.scope.clone() {
+                let is_witness = self.shared.dispatchers.is_witness(&self.shared.tables(), &report.daemon);
+                return Some(self.shared.scope_dispatchers.exchange(&scope, report, is_witness));
+            }
             let call =
                 |client: PeerClient, context| async move { client.exchange_load(context, report).await };
             return relay(&self.shared, call).await.flatten();
@@ -96,6 +116,11 @@
     async fn assign_place(self, _: Context, request: PlaceRequest) -> Option<PlaceReply> {
         self.count("assign_place");
         if !self.shared.settings.is_control_member() {
+            if let Some(zone) = request.group_zone.clone() {
+                let scope =
+                    DispatchScope { zone, service: request.service.clone(), model: request.model.clone() };
+                return self.shared.scope_dispatchers.assign(&self.shared, &scope, &request);
+            }
             let call =
                 |client: PeerClient, context| async move { client.assign_place(context, request).await };
             return relay(&self.shared, call).await.flatten();
@@ -103,10 +128,13 @@
         self.ask(|reply| ControlMessage::AssignPlace { request, reply }).await.flatten()
     }
 
-    async fn register(self, _: Context, report: InstanceReport) -> SubmitReply {
+    async fn register(self, _: Context, reports: Vec<InstanceReport>) -> Vec<SubmitReply> {
         self.count("register");
-        let answer = self.ask(|reply| ControlMessage::Register { report, reply }).await;
-        answer.unwrap_or(SubmitReply::NotLeader { leader: None })
+        let asked =
+            reports.into_iter().map(|report| self.ask(|reply| ControlMessage::Register { report, reply }));
+        let answers = futures::future::join_all(asked).await;
+        let no_leader = || SubmitReply::NotLeader { leader: None };
+        answers.into_iter().map(|answer| answer.unwrap_or_else(no_leader)).collect()
     }
 
     async fn read_revision(self, _: Context) -> ReadAnswer {
@@ -115,6 +143,15 @@
         answer.unwrap_or(ReadAnswer::NotLeader { leader: None })
     }
 
+    async fn read_document(self, _: Context) -> DocumentAnswer {
+        self.count("read_document");
+        match self.ask(|reply| ControlMessage::ReadRevision { reply }).await {
+            Some(ReadAnswer::Current { revision }) => self.document_at(revision).await,
+            Some(ReadAnswer::NotLeader { leader }) => DocumentAnswer::NotLeader { leader },
+            None => DocumentAnswer::NotLeader { leader: None },
+        }
+    }
+
     async fn admit_voter(self, _: Context, id: u64, address: SocketAddr) -> AdmitAnswer {
         self.count("admit_voter");
         let answer = self.ask(|reply| ControlMessage::AdmitVoter { id, address, reply }).await;
--- a/crates/daemon/src/peer/submit.rs
+++ b/crates/daemon/src/peer/submit.rs
@@ -5,7 +5,7 @@
 use crate::shared::Shared;
 use backon::{BackoffBuilder, ExponentialBuilder};
 use dockwood_api::gateway::InstanceReport;
-use dockwood_api::peer::{ControlAnswer, PeerClient, ReadAnswer, SubmitReply};
+use dockwood_api::peer::{ControlAnswer, DocumentAnswer, PeerClient, ReadAnswer, SubmitReply};
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_state::{Command, CommandBody, Outcome, decode_outcome, encode_command};
 use std::net::SocketAddr;
@@ -92,21 +92,48 @@
     ask_leader(shared, limit, call).await
 }
 
-/// Brings a server's report to the leader; returns once the leader has noted what it changes.
-pub async fn register(shared: &Shared, report: InstanceReport, limit: Duration) -> Result<(), ApiError> {
+/// The newest configuration as the operator sent it, never older than what was acknowledged; empty if there is none yet.
+pub async fn read_document(shared: &Shared, limit: Duration) -> Result<Vec<u8>, ApiError> {
+    let call = |client: PeerClient, context: Context| async move {
+        Ok(match client.read_document(context).await? {
+            DocumentAnswer::Current { document } => LeaderAnswer::Answer(document),
+            DocumentAnswer::NotLeader { leader } => LeaderAnswer::NotLeader(leader),
+        })
+    };
+    ask_leader(shared, limit, call).await
+}
+
+/// Brings servers' reports to the leader; returns, for each, once the leader has noted what it changes.
+pub async fn register(
+    shared: &Shared,
+    reports: Vec<InstanceReport>,
+    limit: Duration,
+) -> Result<Vec<Result<(), ApiError>>, ApiError> {
+    let count = reports.len();
     let call = |client: PeerClient, context: Context| {
-        let report = report.clone();
-        async move {
-            Ok(match client.register(context, report).await? {
-                SubmitReply::Applied { .. } => LeaderAnswer::Answer(()),
-                SubmitReply::NotLeader { leader } => LeaderAnswer::NotLeader(leader),
-                SubmitReply::Failed { code, message } => LeaderAnswer::Failed(ApiError::new(code, message)),
-            })
-        }
+        let reports = reports.clone();
+        async move { Ok(registered(client.register(context, reports).await?, count)) }
     };
     ask_leader(shared, limit, call).await
 }
 
+/// What the leader made of so many reports. A daemon that doesn't lead has noted none of them.
+fn registered(replies: Vec<SubmitReply>, count: usize) -> LeaderAnswer<Vec<Result<(), ApiError>>> {
+    if replies.len() != count {
+        let message = format!("{} answers to {count} reports", replies.len());
+        return LeaderAnswer::Failed(ApiError::new(ResultCode::ProposalDropped, message));
+    }
+    let mut results = Vec::with_capacity(count);
+    for reply in replies {
+        match reply {
+            SubmitReply::Applied { .. } => results.push(Ok(())),
+            SubmitReply::NotLeader { leader } => return LeaderAnswer::NotLeader(leader),
+            SubmitReply::Failed { code, message } => results.push(Err(ApiError::new(code, message))),
+        }
+    }
+    LeaderAnswer::Answer(results)
+}
+
 /// What a daemon says to a call that is meant for the leader.
 enum LeaderAnswer<T> {
     Answer(T),
@@ -159,7 +186,8 @@
         if let Some(hint) = self.hint.take() {
             return hint;
         }
-        let peers = shared.control_peers();
+        let addresses = shared.control_addresses();
+        let peers = &addresses.peers;
         self.position += 1;
         peers.get(self.position % peers.len().max(1)).copied().unwrap_or(shared.settings.peer)
     }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -133,8 +133,7 @@
     let orders = OrderSender::new(shared.clone(), http.clone(), runtime.handle().clone());
     let group_orders =
         GroupOrderSender::new(shared.clone(), dialect.clone(), http.clone(), runtime.handle().clone());
-    let control =
-        ControlThread::new(shared.clone(), messages, started, orders, group_orders, runtime.handle().clone());
+    let control = ControlThread::new(shared.clone(), messages, started, orders, group_orders);
     let control_ended = start_control(control)?;
     let listeners = Listeners { http: http_listener, peer: peer_listener, gateway: gateway_listeners };
     runtime.block_on(async move {
@@ -152,7 +151,7 @@
 ) -> Result<watch::Receiver<Option<Result<(), String>>>, ProcessError> {
     let (ended, control_ended) = watch::channel(None);
     let run = move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let result = match runtime {
             Ok(runtime) => runtime
                 .block_on(run_control_thread(control))
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -2,9 +2,12 @@
 
 use crate::clock::monotonic_ms;
 use crate::control::ControlHandle;
+use crate::control_directory::{ControlAddresses, ControlDirectory};
+use crate::gateway::Dispatchers;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::published::Published;
+use crate::scope_dispatchers::ScopeDispatchers;
 use crate::settings::Settings;
 use crate::timeline::Timeline;
 use crate::watch_hub::WatchHub;
@@ -36,6 +39,12 @@
     pub watch_hub: WatchHub,
     /// Clients of other daemons.
     pub peers: PeerClients,
+    /// Clients of the other voters, for consensus alone: its connections belong to the control thread.
+    pub voter_peers: PeerClients,
+    /// Who assigns requests to groups.
+    pub dispatchers: Dispatchers,
+    /// The scopes that this daemon dispatches.
+    pub scope_dispatchers: ScopeDispatchers,
     /// Messages to the control thread.
     pub control: ControlHandle,
     published: ArcSwap<Published>,
@@ -44,6 +53,7 @@
     leader: Mutex<Option<SocketAddr>>,
     leader_term: watch::Sender<u64>,
     seeds: ArcSwap<Vec<SocketAddr>>,
+    control_directory: ControlDirectory,
     hears_control_leader: AtomicBool,
     leaving: AtomicBool,
     leaving_begun: Notify,
@@ -69,12 +79,16 @@
             timeline: Timeline::new(&settings.name),
             watch_hub: WatchHub::default(),
             peers: PeerClients::default(),
+            voter_peers: PeerClients::default(),
+            dispatchers: Dispatchers::default(),
+            scope_dispatchers: ScopeDispatchers::default(),
             published: ArcSwap::default(),
             publications: watch::channel(0).0,
             lease_until: AtomicU64::new(0),
             leader: Mutex::new(None),
             leader_term: watch::channel(0).0,
             seeds: ArcSwap::default(),
+            control_directory: ControlDirectory::default(),
             hears_control_leader: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             leaving_begun: Notify::new(),
@@ -161,16 +175,11 @@
         self.holds_lease() || serves_on()
     }
 
-    /// Peer addresses at which the control group can be asked for: by the settings, and as learnt since.
-    pub fn control_peers(&self) -> Vec<SocketAddr> {
-        let mut peers = self.settings.control_peers();
-        peers.extend(self.seeds.load().iter().copied());
-        let tables = self.tables();
-        let members = tables.daemons.values().filter(|daemon| daemon.record.operators.is_some());
-        peers.extend(members.map(|daemon| daemon.record.peer));
-        peers.sort_unstable();
-        peers.dedup();
-        peers
+    /// Where the control group can be asked for: by the settings, and as learnt since.
+    pub fn control_addresses(&self) -> Arc<ControlAddresses> {
+        let mut known_peers = self.settings.control_peers();
+        known_peers.extend(self.seeds.load().iter().copied());
+        self.control_directory.addresses(&self.tables(), &known_peers)
     }
 
     /// Takes seeds from settings that have changed.
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::capacity::{first_event_ms, places_of_group, reading_ms};
 use crate::{Millis, Observations};
 use dockwood_api::gateway::{EngineProfile, ModelProfile, PlaceReply, PlaceRequest};
-use dockwood_state::GroupRow;
+use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -82,8 +82,28 @@
 }
 
 impl Dispatcher {
-    /// Assigns a request to one of the open groups of its model.
-    pub fn assign<'a>(
+    /// Assigns a request to one of the open groups that it asks for.
+    pub fn assign(
+        &mut self,
+        now: Millis,
+        request: &PlaceRequest,
+        tables: &GatewayTables,
+        observations: &Observations,
+    ) -> PlaceReply {
+        let profile = tables.configuration.as_ref().and_then(|held| held.service(&request.service));
+        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else {
+            return PlaceReply::NoGroup;
+        };
+        let groups = tables.groups.values().filter(|group| {
+            let serves = group.service == request.service && group.model == request.model;
+            let is_near = request.group_zone.as_ref().is_none_or(|zone| *zone == group.zone);
+            serves && is_near && group.phase == GroupPhase::Open
+        });
+        self.assign_among(now, request, engine, groups, observations)
+    }
+
+    /// Assigns a request to one of these groups of its model.
+    pub fn assign_among<'a>(
         &mut self,
         now: Millis,
         request: &PlaceRequest,
@@ -99,7 +119,10 @@
         }
         let candidates = groups.filter_map(|group| asked.rate(group, self.queues.get(&group.epoch)));
         let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
-        let Some(best) = best else { return PlaceReply::Full };
+        let is_late = |best: &Candidate| {
+            request.most_first_event_ms.is_some_and(|most| best.first_event_ms > most as f64)
+        };
+        let Some(best) = best.filter(|best| !is_late(best)) else { return PlaceReply::Full };
         self.take(&asked, best.epoch);
         PlaceReply::Assigned { epoch: best.epoch, first_event_ms: best.first_event_ms as u64 }
     }
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -18,6 +18,7 @@
 mod packing;
 mod places;
 mod plan;
+mod scope;
 mod staging;
 
 pub use capacity::{RequestWork, group_ms, places_of_group};
@@ -27,7 +28,8 @@
 pub use observations::{InstanceObservation, Observations, ProbeResult};
 pub use orders::{OrderBook, OrderKind};
 pub use places::{GroupPlaces, PlaceLedger};
-pub use plan::{Plan, plan};
+pub use plan::{Plan, plan, plan_pause_ms};
+pub use scope::ScopeDispatch;
 pub use staging::{StagingUnderWay, StagingWish, Urgency};
 
 /// Monotonic milliseconds.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -2,7 +2,10 @@
 
 use crate::Millis;
 use crate::demand::Demand;
-use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, MembershipReport, SharedGroupLoad};
+use dockwood_api::gateway::{
+    DispatchScope, InstanceReport, LoadDigest, LoadReport, MembershipReport, SharedGroupLoad,
+};
+use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An instance that has not reported for this long counts as missing.
@@ -38,6 +41,13 @@
     pub silent_since: Option<Millis>,
 }
 
+/// Who reports loads: an entry, or a dispatcher on one of its scopes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Reporter {
+    daemon: String,
+    scope: Option<DispatchScope>,
+}
+
 /// One entry's newest load report.
 #[derive(Clone, Debug)]
 struct EntryLoad {
@@ -61,10 +71,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
     instances: BTreeMap<String, InstanceObservation>,
-    loads: BTreeMap<String, EntryLoad>,
+    loads: BTreeMap<Reporter, EntryLoad>,
     /// Requests in flight by group, over all of `loads`.
     in_flight: BTreeMap<u64, u32>,
     groups: BTreeMap<u64, GroupEvidence>,
+    /// Groups that were found to stand still lately, as far as told; some may have moved on.
+    silent: BTreeSet<u64>,
     demand: Demand,
     /// When an instance was first seen, for the newest one.
     pub newest_instance_at: Millis,
@@ -111,6 +123,7 @@
             let evidence = self.groups.entry(load.epoch).or_default();
             if (load.silent || load.refuses) && is_witness {
                 evidence.silent_at = Some(now);
+                self.silent.insert(load.epoch);
             }
             if load.progressed {
                 evidence.progressed_at = Some(now);
@@ -118,25 +131,30 @@
             self.traffic_seen |= load.in_flight > 0;
         }
         self.demand.record(now, &report.models);
-        let daemon = report.daemon.clone();
-        self.forget_load(&daemon);
+        let reporter = Reporter { daemon: report.daemon.clone(), scope: report.scope.clone() };
+        self.forget_load(&reporter);
         for load in &report.groups {
             *self.in_flight.entry(load.epoch).or_default() += load.in_flight;
         }
-        self.loads.insert(daemon.clone(), EntryLoad { at: now, report });
+        self.loads.insert(reporter.clone(), EntryLoad { at: now, report });
         self.forget_old_loads(now);
-        self.digest_for(now, &daemon)
+        self.digest_for(now, &reporter)
     }
 
+    /// Entries that have not reported for long hold nothing any more.
     fn forget_old_loads(&mut self, now: Millis) {
         let is_old = |load: &EntryLoad| now >= load.at + LOAD_VALID_MS;
-        let old: Vec<String> =
-            self.loads.iter().filter(|(_, load)| is_old(load)).map(|(name, _)| name.clone()).collect();
-        old.iter().for_each(|daemon| self.forget_load(daemon));
+        let old: Vec<Reporter> = self
+            .loads
+            .iter()
+            .filter(|(_, load)| is_old(load))
+            .map(|(reporter, _)| reporter.clone())
+            .collect();
+        old.iter().for_each(|reporter| self.forget_load(reporter));
     }
 
-    fn forget_load(&mut self, daemon: &str) {
-        let Some(former) = self.loads.remove(daemon) else { return };
+    fn forget_load(&mut self, reporter: &Reporter) {
+        let Some(former) = self.loads.remove(reporter) else { return };
         for load in &former.report.groups {
             if let Some(in_flight) = self.in_flight.get_mut(&load.epoch) {
                 *in_flight = in_flight.saturating_sub(load.in_flight);
@@ -144,8 +162,8 @@
         }
     }
 
-    fn digest_for(&self, now: Millis, daemon: &str) -> LoadDigest {
-        let own = self.loads.get(daemon);
+    fn digest_for(&self, now: Millis, reporter: &Reporter) -> LoadDigest {
+        let own = self.loads.get(reporter);
         let own_in_flight = |epoch: u64| {
             let groups = own.iter().flat_map(|load| &load.report.groups);
             groups.filter(|group| group.epoch == epoch).map(|group| group.in_flight).sum::<u32>()
@@ -159,6 +177,12 @@
         LoadDigest { groups: self.in_flight.iter().map(shared).collect(), entries: self.loads.len() as u32 }
     }
 
+    /// Takes another observer's word that a group stands still.
+    pub fn note_silent(&mut self, now: Millis, epoch: u64) {
+        self.groups.entry(epoch).or_default().silent_at = Some(now);
+        self.silent.insert(epoch);
+    }
+
     /// What is asked of each model.
     pub fn demand(&self) -> &Demand {
         &self.demand
@@ -194,6 +218,17 @@
         now < silent_at + SILENCE_VALID_MS && !progressed
     }
 
+    /// Groups that entries find to stand still.
+    pub fn silent_groups(&mut self, now: Millis) -> Vec<u64> {
+        let told = std::mem::take(&mut self.silent);
+        let lately = |epoch: &u64| {
+            let silent_at = self.groups.get(epoch).and_then(|evidence| evidence.silent_at);
+            silent_at.is_some_and(|at| now < at + SILENCE_VALID_MS)
+        };
+        self.silent = told.into_iter().filter(lately).collect();
+        self.silent.iter().copied().filter(|epoch| self.is_silent(now, *epoch)).collect()
+    }
+
     /// Whether an entry told of progress at a group within `span`.
     pub fn progressed_within(&self, now: Millis, epoch: u64, span: Millis) -> bool {
         let progressed_at = self.groups.get(&epoch).and_then(|evidence| evidence.progressed_at);
@@ -205,6 +240,11 @@
         self.in_flight.get(&epoch).copied().unwrap_or(0)
     }
 
+    /// Groups with requests in flight.
+    pub fn in_flight_by_group(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
+        self.in_flight.iter().filter(|(_, in_flight)| **in_flight > 0).map(|(epoch, count)| (*epoch, *count))
+    }
+
     /// Whether the members of a silent group should be asked now; true at most once in `pause`.
     pub fn claim_probe(&mut self, now: Millis, epoch: u64, pause: Millis) -> bool {
         let evidence = self.groups.entry(epoch).or_default();
@@ -224,9 +264,9 @@
     }
 
     /// Forgets instances and groups that exist no more.
-    pub fn retain(&mut self, instances: &BTreeSet<String>, epochs: &BTreeSet<u64>) {
-        self.instances.retain(|id, _| instances.contains(id));
-        self.groups.retain(|epoch, _| epochs.contains(epoch));
-        self.in_flight.retain(|epoch, in_flight| *in_flight > 0 || epochs.contains(epoch));
+    pub fn retain(&mut self, tables: &GatewayTables) {
+        self.instances.retain(|id, _| tables.instances.contains_key(id));
+        self.groups.retain(|epoch, _| tables.groups.contains_key(epoch));
+        self.in_flight.retain(|epoch, in_flight| *in_flight > 0 || tables.groups.contains_key(epoch));
     }
 }
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -6,12 +6,21 @@
 use crate::{Millis, View};
 use dockwood_api::gateway::{GroupCommand, GroupOrder, MembershipState, OrderAnswer};
 use dockwood_state::{GroupPhase, GroupRow};
-use std::collections::{BTreeMap, VecDeque};
+use imbl::OrdMap;
+use imbl::ordmap::DiffItem;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// Pause before an order without visible effect is sent again.
 const REPEAT_MS: Millis = 200;
 /// Pause after an order was taken, for its effect to be reported.
 const TAKEN_MS: Millis = 3_000;
+/// Time between two looks at all groups that are not open: half of the shortest pause before an order is due again, and
+/// what the effect of time alone may be late by.
+const SWEEP_EVERY_MS: Millis = 50;
+/// Orders to join that may be on their way at a time: a whole fleet's at once would keep the processor from the leader's
+/// heartbeats. Each is answered within some ten milliseconds, so that 760 servers are told within half a second.
+const MOST_JOINS_UNDER_WAY: usize = 64;
 /// Window over which loads from the weight store are counted.
 const LOAD_WINDOW_MS: Millis = 5_000;
 /// Share of the loads that the store allows that is used, in percent: a former leader's are not known.
@@ -57,14 +66,51 @@
     }
 }
 
-type OrderKey = (u64, String, OrderKind);
+/// One order to one member of a group.
+#[derive(Clone, Debug)]
+struct OrderState {
+    instance: String,
+    kind: OrderKind,
+    /// When it may be sent again; `None` while it is on its way.
+    due: Option<Millis>,
+}
+
+/// What is known of one group's orders.
+#[derive(Clone, Debug, Default)]
+struct GroupOrders {
+    sent: Vec<OrderState>,
+    closing_since: Option<Millis>,
+}
+
+impl GroupOrders {
+    fn find(&mut self, instance: &str, kind: OrderKind) -> Option<&mut OrderState> {
+        self.sent.iter_mut().find(|order| order.kind == kind && order.instance == instance)
+    }
+}
+
+/// An order that a group's state calls for.
+#[derive(Clone, Copy, Debug)]
+struct Wanted<'a> {
+    instance: &'a str,
+    kind: OrderKind,
+}
 
 /// Orders on their way, and loads that began lately.
+///
+/// Groups that are open call for nothing, so only the others are looked at: those that have changed, and all of them
+/// once in [`SWEEP_EVERY_MS`] for what only time brings about.
 #[derive(Clone, Debug, Default)]
 pub struct OrderBook {
-    /// When each may be sent again; `None` while one is on its way.
-    due: BTreeMap<OrderKey, Option<Millis>>,
-    closing_since: BTreeMap<u64, Millis>,
+    /// The groups as they were when last looked at.
+    known: OrdMap<u64, Arc<GroupRow>>,
+    /// Orders of the groups that are not open.
+    unsettled: BTreeMap<u64, GroupOrders>,
+    /// Groups to look at.
+    touched: BTreeSet<u64>,
+    sweep_at: Millis,
+    joins_under_way: usize,
+    /// Groups looked at so far.
+    examined: u64,
     /// Weights that are being staged.
     staging: StagingUnderWay,
     /// Weights that should be staged, the most urgent first.
@@ -77,46 +123,116 @@
 impl OrderBook {
     /// Orders to send now.
     pub fn to_send(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
-        let groups = &view.tables.groups;
-        self.due.retain(|(epoch, _, _), _| groups.contains_key(epoch));
+        self.follow(view);
+        if view.now >= self.sweep_at {
+            self.sweep(view);
+        }
+        let mut orders = Vec::new();
+        for epoch in std::mem::take(&mut self.touched) {
+            self.group_orders(view, fence, epoch, &mut orders);
+        }
+        orders.extend(self.staging_orders(view, fence));
+        orders
+    }
+
+    /// A member's report, or an answer, may have changed what a group calls for.
+    pub fn touch(&mut self, epoch: u64) {
+        if self.unsettled.contains_key(&epoch) {
+            self.touched.insert(epoch);
+        }
+    }
+
+    /// How many times a group was looked at, over all calls: what the work of sending orders grows with.
+    pub fn examined(&self) -> u64 {
+        self.examined
+    }
+
+    /// Takes the groups that have changed since the last call.
+    fn follow(&mut self, view: &View<'_>) {
+        if self.known.ptr_eq(&view.tables.groups) {
+            return;
+        }
+        let known = std::mem::replace(&mut self.known, view.tables.groups.clone());
+        for change in known.diff(&view.tables.groups) {
+            match change {
+                DiffItem::Add(epoch, row) | DiffItem::Update { new: (epoch, row), .. } => {
+                    self.group_changed(view.now, *epoch, row);
+                }
+                DiffItem::Remove(epoch, _) => self.forget(*epoch),
+            }
+        }
+    }
+
+    fn group_changed(&mut self, now: Millis, epoch: u64, row: &GroupRow) {
+        if row.phase == GroupPhase::Open {
+            self.forget(epoch);
+            return;
+        }
+        let orders = self.unsettled.entry(epoch).or_default();
+        if matches!(row.phase, GroupPhase::Draining | GroupPhase::Cutting) {
+            orders.closing_since.get_or_insert(now);
+        }
+        self.touched.insert(epoch);
+    }
+
+    fn forget(&mut self, epoch: u64) {
+        self.touched.remove(&epoch);
+        let Some(orders) = self.unsettled.remove(&epoch) else { return };
+        let under_way = orders.sent.iter().filter(|order| is_join_under_way(order)).count();
+        self.joins_under_way -= under_way;
+    }
+
+    /// Takes what only time brings about: orders that are due again, and loads that must have ended.
+    fn sweep(&mut self, view: &View<'_>) {
+        self.sweep_at = view.now + SWEEP_EVERY_MS;
         self.staging.refresh(view);
         self.joining_loads.retain(|instance, until| view.now < *until && is_joining(view, instance));
-        self.closing_since.retain(|epoch, _| groups.contains_key(epoch));
-        let mut orders = Vec::new();
-        for group in groups.values() {
-            let is_closing = matches!(group.phase, GroupPhase::Draining | GroupPhase::Cutting);
-            if is_closing {
-                self.closing_since.entry(group.epoch).or_insert(view.now);
+        self.touched.extend(self.unsettled.keys());
+    }
+
+    fn group_orders(&mut self, view: &View<'_>, fence: u64, epoch: u64, orders: &mut Vec<GroupOrder>) {
+        let Some(group) = view.tables.groups.get(&epoch) else { return };
+        self.examined += 1;
+        for wanted in wanted(view, group) {
+            let Some(row) = view.tables.instances.get(wanted.instance) else { continue };
+            if wanted.kind == OrderKind::Join && self.joins_under_way >= MOST_JOINS_UNDER_WAY {
+                // The group is looked at again with the next sweep.
+                return;
             }
-            for (instance, command) in wanted(view, group) {
-                let key = (group.epoch, instance.clone(), OrderKind::of(&command));
-                let may_send = match self.due.get(&key) {
-                    None => true,
-                    Some(Some(at)) => view.now >= *at,
-                    Some(None) => false,
-                };
-                let Some(row) = view.tables.instances.get(&instance) else { continue };
-                if !may_send {
-                    continue;
-                }
-                let is_first = self.due.insert(key, None).is_none();
-                if is_first && needs_load(view, &instance, &command) {
-                    self.loads.push_back(view.now);
-                    self.joining_loads
-                        .insert(instance.clone(), view.now + load_ms(view, group) * LOADS_LENGTH);
-                }
-                orders.push(GroupOrder {
-                    instance,
-                    address: row.address,
-                    group: group.name.clone(),
-                    epoch: group.epoch,
-                    fence,
-                    command,
-                });
+            let Some(is_first) = self.claim(view.now, epoch, wanted) else { continue };
+            if is_first && needs_load(view, group, wanted) {
+                self.loads.push_back(view.now);
+                let until = view.now + load_ms(view, group) * LOADS_LENGTH;
+                self.joining_loads.insert(wanted.instance.to_string(), until);
             }
+            orders.push(GroupOrder {
+                instance: wanted.instance.to_string(),
+                address: row.address,
+                group: group.name.clone(),
+                epoch,
+                fence,
+                command: command(group, wanted.kind),
+            });
         }
-        orders.extend(self.staging_orders(view, fence));
-        orders
+    }
+
+    /// Notes that an order is sent now; `None` if it is not to be sent, else whether it is sent for the first time.
+    fn claim(&mut self, now: Millis, epoch: u64, wanted: Wanted<'_>) -> Option<bool> {
+        let group = self.unsettled.entry(epoch).or_default();
+        let is_first = match group.find(wanted.instance, wanted.kind) {
+            None => {
+                let instance = wanted.instance.to_string();
+                group.sent.push(OrderState { instance, kind: wanted.kind, due: None });
+                true
+            }
+            Some(order) => {
+                order.due.filter(|due| now >= *due)?;
+                order.due = None;
+                false
+            }
+        };
+        self.joins_under_way += usize::from(wanted.kind == OrderKind::Join);
+        Some(is_first)
     }
 
     /// What hosts should stage from now on.
@@ -127,6 +243,9 @@
     /// Orders to stage weights; none is repeated while the first may still be loading.
     fn staging_orders(&mut self, view: &View<'_>, fence: u64) -> Vec<GroupOrder> {
         let mut orders = Vec::new();
+        if !self.wishes.is_empty() {
+            self.staging.refresh(view);
+        }
         for wish in std::mem::take(&mut self.wishes) {
             if !self.may_stage(view, &wish) {
                 continue;
@@ -169,19 +288,21 @@
 
     /// Notes what came of an order.
     pub fn answered(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
-        let key = (order.epoch, order.instance.clone(), OrderKind::of(&order.command));
         let pause = match answer {
             OrderAnswer::Begun | OrderAnswer::Holds => TAKEN_MS,
             _ => REPEAT_MS,
         };
-        if let Some(due) = self.due.get_mut(&key) {
-            *due = Some(now + pause);
-        }
+        let kind = OrderKind::of(&order.command);
+        let Some(group) = self.unsettled.get_mut(&order.epoch) else { return };
+        let Some(sent) = group.find(&order.instance, kind) else { return };
+        let was_under_way = is_join_under_way(sent);
+        sent.due = Some(now + pause);
+        self.joins_under_way -= usize::from(was_under_way);
     }
 
     /// When a group was first seen closing.
     pub fn closing_since(&self, now: Millis, epoch: u64) -> Millis {
-        self.closing_since.get(&epoch).copied().unwrap_or(now)
+        self.unsettled.get(&epoch).and_then(|orders| orders.closing_since).unwrap_or(now)
     }
 
     /// Loads that are not known to have ended.
@@ -219,50 +340,67 @@
     engine.and_then(|engine| engine.model(&group.model)).map_or(0, |model| model.load_ms)
 }
 
-fn needs_load(view: &View<'_>, instance: &str, command: &GroupCommand) -> bool {
-    let GroupCommand::Join { model, .. } = command else { return false };
-    view.tables.last_model(instance) != Some(model) && !has_staged(view, instance, model)
+fn is_join_under_way(order: &OrderState) -> bool {
+    order.kind == OrderKind::Join && order.due.is_none()
+}
+
+fn needs_load(view: &View<'_>, group: &GroupRow, wanted: Wanted<'_>) -> bool {
+    let model = &group.model;
+    let joins = wanted.kind == OrderKind::Join;
+    joins
+        && view.tables.last_model(wanted.instance) != Some(model)
+        && !has_staged(view, wanted.instance, model)
+}
+
+fn command(group: &GroupRow, kind: OrderKind) -> GroupCommand {
+    match kind {
+        OrderKind::Join => GroupCommand::Join { model: group.model.clone(), members: group.members.clone() },
+        // Weights are staged for no group, by orders of their own.
+        OrderKind::Stage => GroupCommand::Stage { model: group.model.clone() },
+        OrderKind::Open => GroupCommand::Open,
+        OrderKind::Leave => GroupCommand::Leave,
+        OrderKind::Drain => GroupCommand::Close { truncate: false },
+        OrderKind::Cut => GroupCommand::Close { truncate: true },
+    }
 }
 
 /// Orders whose effect is not seen yet.
-fn wanted(view: &View<'_>, group: &GroupRow) -> Vec<(String, GroupCommand)> {
-    let head = || group.members.first().cloned();
-    let to_head = |command| head().map(|head| (head, command)).into_iter().collect();
+fn wanted<'a>(view: &View<'a>, group: &'a GroupRow) -> Vec<Wanted<'a>> {
+    let to_head = |kind| group.members.first().map(|head| Wanted { instance: head, kind });
     match group.phase {
         GroupPhase::Forming => {
-            let command = GroupCommand::Join { model: group.model.clone(), members: group.members.clone() };
             let lacking = group.members.iter().filter(|member| !has_joined(view, group, member));
-            lacking.map(|member| (member.clone(), command.clone())).collect()
+            lacking.map(|member| Wanted { instance: member, kind: OrderKind::Join }).collect()
         }
-        GroupPhase::Opening => to_head(GroupCommand::Open),
+        GroupPhase::Opening => to_head(OrderKind::Open).into_iter().collect(),
         GroupPhase::Open => Vec::new(),
-        GroupPhase::Draining => to_head(closing_order(view, group, false)),
+        GroupPhase::Draining => to_head(closing_order(view, group, OrderKind::Drain)).into_iter().collect(),
         GroupPhase::Cutting => {
-            let mut orders: Vec<(String, GroupCommand)> = to_head(closing_order(view, group, true));
-            orders.extend(members_to_leave(view, group).map(|member| (member, GroupCommand::Leave)));
-            orders
+            let head = to_head(closing_order(view, group, OrderKind::Cut)).into_iter();
+            let leaving = members_to_leave(view, group);
+            head.chain(leaving.map(|member| Wanted { instance: member, kind: OrderKind::Leave })).collect()
         }
     }
 }
 
 /// What the head is told next: to close, and once it has closed, to leave. An order to open that was left unanswered may
 /// be carried out after that of closing; it finds no group any more.
-fn closing_order(view: &View<'_>, group: &GroupRow, truncate: bool) -> GroupCommand {
+fn closing_order(view: &View<'_>, group: &GroupRow, close: OrderKind) -> OrderKind {
     let head = group.members.first().and_then(|head| view.observations.instance(head));
     let membership = head.and_then(|seen| seen.membership.as_ref());
     let has_closed = membership.is_some_and(|membership| {
         let is_closed = matches!(membership.state, MembershipState::Ready | MembershipState::Broken);
         membership.epoch == group.epoch && is_closed
     });
-    if has_closed { GroupCommand::Leave } else { GroupCommand::Close { truncate } }
+    if has_closed { OrderKind::Leave } else { close }
 }
 
 /// Where the head can't be asked to close, its other members are told to leave: without them it can't go on, whether
 /// it is lost or only cut off, and they need not wait until it is known which.
-fn members_to_leave<'a>(view: &'a View<'_>, group: &'a GroupRow) -> impl Iterator<Item = String> + 'a {
+fn members_to_leave<'a>(view: &View<'_>, group: &'a GroupRow) -> impl Iterator<Item = &'a str> {
     let head_answers = group.members.first().is_some_and(|head| view.observations.is_present(view.now, head));
     let others = group.members.iter().skip(1).filter(move |_| !head_answers);
-    others.filter(|member| has_joined(view, group, member)).cloned()
+    others.filter(move |member| has_joined(view, group, member)).map(String::as_str)
 }
 
 fn has_joined(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
--- a/crates/grouping/src/plan.rs
+++ b/crates/grouping/src/plan.rs
@@ -20,6 +20,18 @@
 /// Times that the packings of all domains are looked at again, each with what the others have chosen.
 const REVISIONS: usize = 3;
 
+/// Commands of one plan, at most. Each group costs some ten calls to its servers and their reports; with 40 groups in a
+/// plan, a fleet of 760 servers is formed within a second and a half, and no turn takes long.
+const MOST_COMMANDS: usize = 40;
+/// Servers that are planned for in a millisecond, over time: planning costs some three microseconds a server, so that it
+/// takes about a hundredth of a core at any size.
+const SERVERS_PER_MS: Millis = 4;
+
+/// Pause between two plans of so many servers, in milliseconds.
+pub fn plan_pause_ms(servers: usize) -> Millis {
+    servers as Millis / SERVERS_PER_MS
+}
+
 /// What should be done.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
@@ -42,6 +54,8 @@
             plan_service(view, service, engine, staging, &mut plan);
         }
     }
+    // Groups that serve come before spare servers: what is cut off here is planned anew next time.
+    plan.commands.truncate(MOST_COMMANDS);
     plan.staging.sort_by_key(|wish| wish.urgency);
     plan
 }
@@ -58,6 +72,7 @@
     let mut balance = Balance::new(view, &service.name, engine, servers);
     let packings = pack_domains(engine, &domains, &mut balance);
     let mut converts = false;
+    let mut spare = Vec::new();
     for (name, packing) in packings {
         let domain = &domains[name];
         for group in &packing.groups {
@@ -74,9 +89,10 @@
             plan.commands.push(command);
         }
         let Precautions { preloads, staging: wishes } = precautions(view, engine, staging, domain, &packing);
-        plan.commands.extend(preloads.iter().map(|preload| preload_command(service, engine, name, preload)));
+        spare.extend(preloads.iter().map(|preload| preload_command(service, engine, name, preload)));
         plan.staging.extend(wishes);
     }
+    plan.commands.extend(spare);
 }
 
 /// The packing of each domain, chosen with what the other domains add to the balance; that counts all of them in the
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -171,7 +171,7 @@
         witness: bool,
     ) {
         let groups = vec![GroupLoad { epoch, in_flight, silent, refuses: false, progressed }];
-        let report = LoadReport { daemon: daemon.to_string(), groups, models: Vec::new() };
+        let report = LoadReport { daemon: daemon.to_string(), scope: None, groups, models: Vec::new() };
         self.observations.exchange(self.now, report, witness);
     }
 
@@ -190,7 +190,7 @@
         for _ in 0..20 {
             self.now += 100;
             let models = vec![load(LARGE, large), load(SMALL, small)];
-            let report = LoadReport { daemon: "demand".to_string(), groups: Vec::new(), models };
+            let report = LoadReport { daemon: "demand".to_string(), scope: None, groups: Vec::new(), models };
             self.observations.exchange(self.now, report, true);
         }
         self.hear_all();
--- a/crates/grouping/tests/dispatch.rs
+++ b/crates/grouping/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{LARGE, SERVICE, World, engine};
+use common::{LARGE, SERVICE, World};
 use dockwood_api::gateway::{PlaceReply, PlaceRequest};
 use dockwood_grouping::Dispatcher;
 
@@ -15,6 +15,8 @@
         zone: "z".to_string(),
         service: SERVICE.to_string(),
         model: LARGE.to_string(),
+        group_zone: None,
+        most_first_event_ms: None,
         prompt_tokens,
         excluded: Vec::new(),
     }
@@ -30,8 +32,7 @@
 }
 
 fn assign(world: &World, dispatcher: &mut Dispatcher, request: &PlaceRequest) -> PlaceReply {
-    let groups = world.tables.groups.values().filter(|group| group.model == request.model);
-    dispatcher.assign(world.now, request, &engine(), groups, &world.observations)
+    dispatcher.assign(world.now, request, &world.tables, &world.observations)
 }
 
 fn epoch_of(reply: PlaceReply) -> Option<u64> {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -2,12 +2,11 @@
 
 use crate::claim::{ClaimRequest, ClaimSettlement, ClaimVerdict};
 use crate::gateway::GatewayCommand;
-use crate::tables::Liveness;
+use crate::tables::{Liveness, Tables};
 use dockwood_api::ApiError;
 use dockwood_api::peer::DaemonRecord;
 use dockwood_api::resource::{Resource, ResourceKey};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 
 /// One entry's worth of change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -123,15 +122,14 @@
 }
 
 impl Command {
-    /// The command as other daemons than the control group's members need it.
-    pub fn for_followers(&self) -> Command {
+    /// What daemons that are not voters need of a command that has just been applied to `tables`; `None` if it changes
+    /// nothing for them. They route requests: they need no servers of model engines, and groups only once these serve.
+    pub fn for_followers(&self, tables: &Tables) -> Option<Command> {
         let body = match &self.body {
-            CommandBody::Gateway(GatewayCommand::Configure(configuration)) => {
-                CommandBody::Gateway(GatewayCommand::Configure(Arc::new(configuration.without_document())))
-            }
+            CommandBody::Gateway(command) => CommandBody::Gateway(command.for_followers(&tables.gateway)?),
             other => other.clone(),
         };
-        Command { at_ms: self.at_ms, body }
+        Some(Command { at_ms: self.at_ms, body })
     }
 }
 
--- /dev/null
+++ b/crates/state/src/gateway/command.rs
@@ -0,0 +1,99 @@
+//! Changes of the gateway's tables.
+
+use super::GatewayTables;
+use super::rows::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
+use dockwood_api::gateway::GatewayConfiguration;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A change of the gateway's tables.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum GatewayCommand {
+    /// Takes a configuration, unless the one held has the same or a higher version.
+    Configure(Arc<GatewayConfiguration>),
+    /// Notes a report that changes what routing knows of an instance.
+    Register(InstanceRow),
+    /// An instance signed off: it takes no new work, and no later report of it counts.
+    SignOff {
+        /// Instance id.
+        id: String,
+    },
+    /// Forgets an instance for good.
+    Remove {
+        /// Instance id.
+        id: String,
+    },
+    /// Makes a group of free instances.
+    Form {
+        /// Service.
+        service: String,
+        /// Model.
+        model: String,
+        /// What for.
+        purpose: GroupPurpose,
+        /// Instance ids, head first.
+        members: Vec<String>,
+        /// Why.
+        reason: String,
+    },
+    /// Ends a group that was formed to preload its model: all members were ready.
+    Preloaded {
+        /// Group epoch.
+        epoch: u64,
+    },
+    /// Brings a group to another phase.
+    SetPhase {
+        /// Group epoch.
+        epoch: u64,
+        /// The phase.
+        phase: GroupPhase,
+        /// Why.
+        reason: String,
+    },
+    /// A member has left a group that is being closed; it is free, and the group remains until its head has closed.
+    Release {
+        /// Group epoch.
+        epoch: u64,
+        /// Instance id; never the head.
+        member: String,
+    },
+    /// Ends a group; its members are free.
+    End {
+        /// Group epoch.
+        epoch: u64,
+        /// Why.
+        reason: String,
+    },
+    /// Notes that callers have begun to send requests.
+    NoteRequests,
+    /// Takes a group as it is, at daemons that are not voters: they learn of it once it serves.
+    Adopt(Arc<GroupRow>),
+}
+
+impl GatewayCommand {
+    /// What daemons that are not voters need of a command that has just been applied to `tables`.
+    pub(crate) fn for_followers(&self, tables: &GatewayTables) -> Option<GatewayCommand> {
+        match self {
+            GatewayCommand::Configure(configuration) => {
+                Some(GatewayCommand::Configure(Arc::new(configuration.without_document())))
+            }
+            GatewayCommand::Register(row) => {
+                let is_engine = row.domain.is_some();
+                (!is_engine).then(|| self.clone())
+            }
+            GatewayCommand::SetPhase { epoch, phase: GroupPhase::Open, .. } => {
+                tables.groups.get(epoch).filter(|row| row.serves()).cloned().map(GatewayCommand::Adopt)
+            }
+            GatewayCommand::SetPhase { phase: GroupPhase::Draining | GroupPhase::Cutting, .. }
+            | GatewayCommand::SignOff { .. }
+            | GatewayCommand::Remove { .. }
+            | GatewayCommand::End { .. }
+            | GatewayCommand::Adopt(_) => Some(self.clone()),
+            GatewayCommand::SetPhase { .. }
+            | GatewayCommand::Form { .. }
+            | GatewayCommand::Preloaded { .. }
+            | GatewayCommand::Release { .. }
+            | GatewayCommand::NoteRequests => None,
+        }
+    }
+}
--- a/crates/state/src/gateway.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -2,165 +2,45 @@
 //!
 //! Invariants, kept here whatever a controller asks: the configuration's version never falls; an instance that was
 //! removed never returns; an instance belongs to at most one group.
+//!
+//! The maps are persistent: a copy shares all that did not change, so that publishing the tables costs the same at any
+//! size, and a reader that keeps a copy learns what changed since from the difference.
+
+mod command;
+mod rows;
+
+pub use command::GatewayCommand;
+pub use rows::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 
 use crate::machine::Applied;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{GatewayConfiguration, InstanceReport, InstanceState};
+use dockwood_api::gateway::{GatewayConfiguration, InstanceState};
+use imbl::{OrdMap, Vector};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Ids of removed instances that are kept, so that a late report can't bring one back.
 const REMOVED_KEPT: usize = 4_096;
 
-/// A registered instance, as far as routing needs it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstanceRow {
-    /// Identifies one start of a server.
-    pub id: String,
-    /// Service.
-    pub service: String,
-    /// Address.
-    pub address: SocketAddr,
-    /// Zone.
-    pub zone: String,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Whether it takes new work.
-    pub state: InstanceState,
-    /// Fabric domain, for a model server.
-    pub domain: Option<String>,
-}
-
-/// Where a group stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum GroupPhase {
-    /// Members are loading.
-    Forming,
-    /// All members are ready; the head is being told to open.
-    Opening,
-    /// It serves.
-    Open,
-    /// The head is being told to close; running requests are finished.
-    Draining,
-    /// The head is being told to close; running requests are cut off.
-    Cutting,
-}
-
-/// What a group is formed for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum GroupPurpose {
-    /// To serve.
-    Serve,
-    /// To have its members load a model, and then to end: a server rejoins the model of its last group at once,
-    /// whatever its host stages afterwards. Such a group may be of any size, and never opens.
-    Preload,
-}
-
-/// Instances that serve a model together.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GroupRow {
-    /// Unique over all time; grows.
-    pub epoch: u64,
-    /// Name, as told to the servers.
-    pub name: String,
-    /// Service.
-    pub service: String,
-    /// Model.
-    pub model: String,
-    /// Instance ids, head first.
-    pub members: Vec<String>,
-    /// Address of the head.
-    pub head: SocketAddr,
-    /// Zone of the head.
-    pub zone: String,
-    /// What it is formed for.
-    pub purpose: GroupPurpose,
-    /// Where it stands.
-    pub phase: GroupPhase,
-    /// Why it was formed, or brought to its phase.
-    pub reason: String,
-}
-
-/// A change of the gateway's tables.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum GatewayCommand {
-    /// Takes a configuration, unless the one held has the same or a higher version.
-    Configure(Arc<GatewayConfiguration>),
-    /// Notes a report that changes what routing knows of an instance.
-    Register(InstanceRow),
-    /// An instance signed off: it takes no new work, and no later report of it counts.
-    SignOff {
-        /// Instance id.
-        id: String,
-    },
-    /// Forgets an instance for good.
-    Remove {
-        /// Instance id.
-        id: String,
-    },
-    /// Makes a group of free instances.
-    Form {
-        /// Service.
-        service: String,
-        /// Model.
-        model: String,
-        /// What for.
-        purpose: GroupPurpose,
-        /// Instance ids, head first.
-        members: Vec<String>,
-        /// Why.
-        reason: String,
-    },
-    /// Ends a group that was formed to preload its model: all members were ready.
-    Preloaded {
-        /// Group epoch.
-        epoch: u64,
-    },
-    /// Brings a group to another phase.
-    SetPhase {
-        /// Group epoch.
-        epoch: u64,
-        /// The phase.
-        phase: GroupPhase,
-        /// Why.
-        reason: String,
-    },
-    /// A member has left a group that is being closed; it is free, and the group remains until its head has closed.
-    Release {
-        /// Group epoch.
-        epoch: u64,
-        /// Instance id; never the head.
-        member: String,
-    },
-    /// Ends a group; its members are free.
-    End {
-        /// Group epoch.
-        epoch: u64,
-        /// Why.
-        reason: String,
-    },
-    /// Notes that callers have begun to send requests.
-    NoteRequests,
-}
-
 /// All tables of the gateway.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewayTables {
     /// The configuration held, if one was accepted yet.
     pub configuration: Option<Arc<GatewayConfiguration>>,
     /// Instances by id.
-    pub instances: BTreeMap<String, Arc<InstanceRow>>,
+    pub instances: OrdMap<String, Arc<InstanceRow>>,
     /// Groups by epoch.
-    pub groups: BTreeMap<u64, Arc<GroupRow>>,
+    pub groups: OrdMap<u64, Arc<GroupRow>>,
     /// Epoch of the newest group.
     pub last_epoch: u64,
     /// Whether any request was ever seen.
     pub requests_seen: bool,
     /// The model of each instance's last group, where the instance surely was ready in it.
-    last_models: BTreeMap<String, String>,
-    removed: VecDeque<String>,
+    last_models: OrdMap<String, String>,
+    removed: Vector<String>,
+    /// The group that holds each instance: made from `groups`, and not stored with them.
+    #[serde(skip)]
+    memberships: OrdMap<String, u64>,
 }
 
 impl GatewayTables {
@@ -182,6 +62,10 @@
                 self.requests_seen = true;
                 Applied::touching(Vec::new())
             }
+            GatewayCommand::Adopt(row) => {
+                self.groups.insert(row.epoch, row.clone());
+                Applied::touching(Vec::new())
+            }
         }
     }
 
@@ -193,7 +77,30 @@
 
     /// The group that holds an instance, if any.
     pub fn group_of(&self, instance: &str) -> Option<&Arc<GroupRow>> {
-        self.groups.values().find(|group| group.members.iter().any(|member| member == instance))
+        self.groups.get(self.memberships.get(instance)?)
+    }
+
+    /// The tables as daemons need them that are not voters: see [`GatewayCommand::for_followers`].
+    pub(crate) fn for_followers(&self) -> GatewayTables {
+        let plain = self.instances.iter().filter(|(_, row)| row.domain.is_none());
+        let serving = self.groups.iter().filter(|(_, row)| row.serves());
+        GatewayTables {
+            configuration: self.configuration.as_ref().map(|held| Arc::new(held.without_document())),
+            instances: plain.map(|(id, row)| (id.clone(), row.clone())).collect(),
+            groups: serving.map(|(epoch, row)| (*epoch, row.clone())).collect(),
+            last_epoch: self.last_epoch,
+            requests_seen: self.requests_seen,
+            ..GatewayTables::default()
+        }
+    }
+
+    /// Makes again what is not stored: to be called once the tables were decoded.
+    pub(crate) fn index_members(&mut self) {
+        let members = |group: &Arc<GroupRow>| {
+            let epoch = group.epoch;
+            group.members.clone().into_iter().map(move |member| (member, epoch))
+        };
+        self.memberships = self.groups.values().flat_map(members).collect();
     }
 
     /// Whether an instance was removed before.
@@ -302,6 +209,8 @@
             phase: GroupPhase::Forming,
             reason: reason.to_string(),
         };
+        let held = row.members.iter().map(|member| (member.clone(), epoch));
+        self.memberships.extend(held);
         self.groups.insert(epoch, Arc::new(row));
         Applied::touching(Vec::new())
     }
@@ -329,7 +238,7 @@
         };
         if row.purpose == GroupPurpose::Preload {
             self.note_ready(&row);
-            self.groups.remove(&epoch);
+            self.dissolve(epoch);
         }
         Applied::touching(Vec::new())
     }
@@ -353,14 +262,22 @@
         }
         let mut next = GroupRow::clone(row);
         next.members.retain(|held| held != member);
+        self.memberships.remove(member);
         self.groups.insert(epoch, Arc::new(next));
         Applied::touching(Vec::new())
     }
 
     fn end(&mut self, epoch: u64) -> Applied {
-        self.groups.remove(&epoch);
+        self.dissolve(epoch);
         Applied::touching(Vec::new())
     }
+
+    fn dissolve(&mut self, epoch: u64) {
+        let Some(row) = self.groups.remove(&epoch) else { return };
+        for member in &row.members {
+            self.memberships.remove(member);
+        }
+    }
 }
 
 /// Phases only go forward: a group that was told to close never serves again.
@@ -374,17 +291,3 @@
     };
     rank(to) > rank(from)
 }
-
-impl From<&InstanceReport> for InstanceRow {
-    fn from(report: &InstanceReport) -> InstanceRow {
-        InstanceRow {
-            id: report.id.clone(),
-            service: report.service.clone(),
-            address: report.address,
-            zone: report.zone.clone(),
-            slots: report.slots,
-            state: report.state,
-            domain: report.domain.clone(),
-        }
-    }
-}
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -2,10 +2,10 @@
 
 use crate::command::{Command, Outcome};
 use crate::machine::State;
+use crate::tables::Tables;
 use dockwood_api::{ApiError, ResultCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::sync::Arc;
 
 /// First byte of everything encoded here. A later format gets another byte and a reader for this one.
 const FORMAT_VERSION: u8 = 3;
@@ -34,14 +34,15 @@
 
     /// Reads what [`State::encode`] wrote.
     pub fn decode(bytes: &[u8]) -> Result<State, ApiError> {
-        decode(bytes)
+        let mut state: State = decode(bytes)?;
+        state.tables.gateway.index_members();
+        Ok(state)
     }
 
-    /// The state without claims, for daemons that are not voters.
-    pub fn encode_configuration(&self) -> Vec<u8> {
-        let mut tables = self.tables.clone();
-        let configuration = tables.gateway.configuration.take();
-        tables.gateway.configuration = configuration.map(|held| Arc::new(held.without_document()));
+    /// The state as daemons need it that are not voters: without claims, and with the part of the gateway's tables that
+    /// routing needs.
+    pub fn encode_for_followers(&self) -> Vec<u8> {
+        let tables = Tables { gateway: self.tables.gateway.for_followers(), ..self.tables.clone() };
         let state = State { tables, changes: self.changes.clone(), ..State::default() };
         state.encode()
     }
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -7,6 +7,7 @@
     AdapterSpec, DeploymentSpec, Kind, ModelSpec, Resource, ResourceKey, ServerSpec, ServiceSpec, Spec,
     TenantSpec,
 };
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -152,7 +153,7 @@
     /// Desired resources.
     pub resources: BTreeMap<ResourceKey, Arc<Resource>>,
     /// Daemons by name.
-    pub daemons: BTreeMap<String, Arc<DaemonRow>>,
+    pub daemons: OrdMap<String, Arc<DaemonRow>>,
     /// Replicas by name.
     pub replicas: BTreeMap<String, Arc<ReplicaRow>>,
     /// Machines by server name.
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -61,7 +61,7 @@
 fn followers_get_the_configuration_without_the_operators_document() {
     let mut state = State::default();
     configure(&mut state, 5, b"five");
-    let copy = State::decode(&state.encode_configuration()).map(|copy| held(&copy));
+    let copy = State::decode(&state.encode_for_followers()).map(|copy| held(&copy));
     assert_eq!(copy, Ok(Some((5, Vec::new()))));
     assert_eq!(State::decode(&state.encode()), Ok(state));
 }
