Judge silence only while the leader itself hears in time

Change: the runtime that takes calls sends the control thread a pulse every 100 ms; while pulses are late, silence is judged as of the last one in time, and when they come again everybody is given the time that was lost.

--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -42,6 +42,9 @@
 pub enum Input<R> {
     /// Time passed.
     Tick,
+    /// The thread that takes calls is at work: sent every [`PULSE_EVERY_MS`](crate::PULSE_EVERY_MS), the way that calls
+    /// take.
+    Pulse,
     /// Messages of the consensus group.
     Consensus(Vec<Message>),
     /// Encoded commands to commit, each with its caller. Those given together share one synced write.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Gives all instances the time for which this leader heard nobody.
+    pub fn excuse(&mut self, now: Millis, late: Millis) {
+        self.observations.excuse(now, late);
+    }
+
     /// Notes what came of a probe.
     pub fn probed(&mut self, now: Millis, instance: &str, result: ProbeResult) {
         self.observations.record_probe(now, instance, result);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -7,6 +7,7 @@
 use crate::controllers::{LostState, liveness, pending_orders, placement};
 use crate::driver_io::{OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
+use crate::hearing::Hearing;
 use crate::leases::{LeaseTable, News};
 use crate::node::Options;
 use crate::view::control_view;
@@ -45,6 +46,7 @@
     pub gateway: GatewayLeadership,
     /// Processes that asked to become voters.
     pub candidates: Candidates,
+    hearing: Hearing,
     joining: BTreeMap<String, (DaemonRecord, u64)>,
     lost_state: LostState,
     catch_up: CatchUp,
@@ -73,6 +75,7 @@
             leases: LeaseTable::new(now),
             gateway: GatewayLeadership::default(),
             candidates: Candidates::default(),
+            hearing: Hearing::default(),
             joining: BTreeMap::new(),
             lost_state: LostState::default(),
             catch_up: CatchUp::new(now),
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Takes a pulse of this process's own calls. Nobody is blamed for the time in which nothing was heard.
+    pub fn pulse(&mut self, now: Millis) {
+        if let Some(late) = self.hearing.pulse(now) {
+            self.leases.excuse(now, late);
+            self.gateway.excuse(now, late);
+        }
+    }
+
     /// Takes a daemon's request; it is answered by [`Leadership::answer_held`].
     pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: R) {
         self.leases.extend(now, &request);
@@ -163,11 +174,12 @@
             return Vec::new();
         }
         self.decide_at = now + DECIDE_EVERY_MS;
+        let heard_until = self.hearing.heard_until(now);
         let mut commands = self.joins(board);
-        commands.extend(liveness(board.tables(), &self.leases, now));
+        commands.extend(liveness(board.tables(), &self.leases, heard_until));
         commands.extend(self.lost_state.check(board, now));
         commands.extend(placement(board, now, options.placement));
-        let gateway = self.gateway.decide(now, &board.tables().gateway, options.grouping);
+        let gateway = self.gateway.decide(heard_until, &board.tables().gateway, options.grouping);
         commands.extend(gateway.into_iter().map(CommandBody::Gateway));
         self.uncommitted = commands.len();
         commands
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -171,6 +171,13 @@
         self.rows.insert(request.daemon.name.clone(), row);
     }
 
+    /// Gives everybody the time for which this leader heard nobody.
+    pub fn excuse(&mut self, now: Millis, late: Millis) {
+        for row in self.rows.values_mut() {
+            row.heard_at = now.min(row.heard_at + late);
+        }
+    }
+
     /// A held request's lease counts from its answer on, for the leader.
     pub fn answered(&mut self, now: Millis, daemon: &str) {
         if let Some(row) = self.rows.get_mut(daemon) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod driver_io;
 mod gateway;
 mod gateway_inputs;
+mod hearing;
 mod leader;
 mod leading;
 mod leases;
@@ -29,6 +30,7 @@
 pub use dockwood_grouping::{GroupingPolicy, ProbeResult};
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
 pub use gateway::{GatewayLeadership, InstanceProbe};
+pub use hearing::{Hearing, PULSE_EVERY_MS};
 pub use leases::{HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
 pub use node::{ControlNode, Options, voters_of};
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -137,6 +137,11 @@
     fn dispatch(&mut self, now: Moment, input: Input<R>, batch: &mut Batch<R>) {
         match input {
             Input::Tick => {}
+            Input::Pulse => {
+                if let Some(leadership) = self.leadership_mut() {
+                    leadership.pulse(now.monotonic);
+                }
+            }
             Input::Consensus(messages) => self.receive(now, messages),
             Input::Submit(commands) => self.take_commands(now, commands, batch),
             Input::Lease(request, reply) => self.take_lease_request(now, request, reply),
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -2,105 +2,28 @@
 
 mod common;
 
-use common::request;
+use common::leader::{Leader, TICK_MS};
 use dockwood_api::gateway::{GatewayConfiguration, TenantKeys};
-use dockwood_api::peer::{LeaseAnswer, LeaseContent};
-use dockwood_consensus::{Node, Recovered, Settings};
-use dockwood_control::{ControlNode, GrantedLease, Input, Moment, Output};
-use dockwood_state::{Command, CommandBody, GatewayCommand, State, encode_command};
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use dockwood_api::peer::LeaseContent;
+use dockwood_control::{ControlNode, GrantedLease, Input, Moment};
+use dockwood_state::{Command, CommandBody, GatewayCommand, encode_command};
 use std::sync::Arc;
 
-const TICK_MS: u64 = 20;
-
-fn address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1))
-}
-
-/// A leader that is its own majority, with a disk that never fails. Replies are the names of those who asked.
-struct Leader {
-    node: ControlNode<String>,
-    now: u64,
-    answers: Vec<(String, LeaseAnswer)>,
-}
-
-impl Leader {
-    fn elected() -> Leader {
-        let settings = Settings {
-            id: 1,
-            voters: vec![1],
-            election_timeout_ms: 500,
-            heartbeat_ms: 100,
-            max_message_bytes: 1 << 20,
-            seed: 1,
-        };
-        let core = Node::new(settings, Recovered::default(), 0);
-        let addresses = BTreeMap::from([(1, address())]);
-        let node = ControlNode::voter("leader", State::default(), core, addresses);
-        let mut leader = Leader { node, now: 0, answers: Vec::new() };
-        leader.pass(1_000);
-        assert!(leader.node.leads(leader.moment()), "a group of one elects itself");
-        leader
-    }
-
-    fn moment(&self) -> Moment {
-        Moment { monotonic: self.now, wall_ms: self.now }
-    }
-
-    fn step(&mut self, input: Input<String>) {
-        let mut inputs = vec![input];
-        while let Some(input) = inputs.pop() {
-            for output in self.node.step(self.moment(), input) {
-                match output {
-                    Output::Persist { entries, .. } => {
-                        let last = entries.last().map(|last| (last.index, last.term));
-                        inputs.extend(last.map(|(index, term)| Input::Persisted { index, term }));
-                    }
-                    Output::LeaseReply(name, answer) => self.answers.push((name, answer)),
-                    _ => {}
-                }
-            }
-        }
-    }
-
-    fn pass(&mut self, span_ms: u64) {
-        for _ in 0..span_ms / TICK_MS {
-            self.now += TICK_MS;
-            self.step(Input::Tick);
-        }
-    }
-
-    /// Accepts a configuration with so many tenants, each some 100 bytes.
-    fn configure(&mut self, version: u64, tenants: usize) {
-        let tenant = |number: usize| TenantKeys {
-            name: format!("tenant-{number}"),
-            keys: vec!["k".repeat(80)],
-            priority: None,
-        };
-        let configuration = GatewayConfiguration {
-            version,
-            tenants: (0..tenants).map(tenant).collect(),
-            ..GatewayConfiguration::default()
-        };
-        let body = CommandBody::Gateway(GatewayCommand::Configure(Arc::new(configuration)));
-        let command = encode_command(&Command { at_ms: self.now, body });
-        self.step(Input::Submit(vec![(command, "operator".to_string())]));
-    }
-
-    fn ask(&mut self, name: &str, applied_revision: u64) {
-        let request = request(name, applied_revision);
-        self.step(Input::Lease(request, name.to_string()));
-    }
-
-    fn take_contents(&mut self) -> Vec<(String, LeaseContent)> {
-        let contents = std::mem::take(&mut self.answers).into_iter();
-        let granted = |(name, answer)| match answer {
-            LeaseAnswer::Granted { content, .. } => Some((name, content)),
-            LeaseAnswer::NotLeader { .. } => None,
-        };
-        contents.filter_map(granted).collect()
-    }
+/// Accepts a configuration with so many tenants, each some 100 bytes.
+fn configure(leader: &mut Leader, version: u64, tenants: usize) {
+    let tenant = |number: usize| TenantKeys {
+        name: format!("tenant-{number}"),
+        keys: vec!["k".repeat(80)],
+        priority: None,
+    };
+    let configuration = GatewayConfiguration {
+        version,
+        tenants: (0..tenants).map(tenant).collect(),
+        ..GatewayConfiguration::default()
+    };
+    let body = CommandBody::Gateway(GatewayCommand::Configure(Arc::new(configuration)));
+    let command = encode_command(&Command { at_ms: leader.now, body });
+    leader.step(Input::Submit(vec![(command, "operator".to_string())]));
 }
 
 fn size(content: &LeaseContent) -> usize {
@@ -123,7 +46,7 @@
 #[test]
 fn a_daemon_that_lacks_many_overtaken_configurations_is_sent_the_state_alone() {
     let mut leader = Leader::elected();
-    (1..=40).for_each(|version| leader.configure(version, 300));
+    (1..=40).for_each(|version| configure(&mut leader, version, 300));
     leader.ask("new", 0);
     leader.pass(TICK_MS);
     let contents = leader.take_contents();
@@ -135,9 +58,9 @@
 #[test]
 fn a_daemon_that_lacks_one_large_change_is_sent_the_change_at_once() {
     let mut leader = Leader::elected();
-    leader.configure(1, 300);
+    configure(&mut leader, 1, 300);
     let before = leader.node.tables().revision;
-    leader.configure(2, 3_000);
+    configure(&mut leader, 2, 3_000);
     for number in 0..20 {
         leader.ask(&format!("entry-{number}"), before);
     }
@@ -153,7 +76,7 @@
 #[test]
 fn daemons_that_start_together_do_not_fill_the_leaders_link() {
     let mut leader = Leader::elected();
-    leader.configure(1, 3_000);
+    configure(&mut leader, 1, 3_000);
     let newest = leader.node.tables().revision;
     let names: Vec<String> = (0..60).map(|number| format!("entry-{number}")).collect();
     for name in &names {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! Daemons that ask for leases.
 
+#![allow(dead_code)]
+
+pub mod leader;
+
 use dockwood_api::peer::{DaemonRecord, LeaseRequest};
 
 /// A daemon without a gateway.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod lease_path;
 mod orders;
 mod outbox;
+mod pulse;
 mod reply;
 mod thread;
 mod voter_disk;
@@ -17,6 +18,7 @@
 pub use lease_client::run_lease_client;
 pub use orders::OrderSender;
 pub use outbox::run_outbox;
+pub use pulse::run_pulse;
 pub use reply::Reply;
 pub use thread::{ControlThread, StartedControl, run_control_thread};
 pub use voter_disk::StartError;
@@ -133,6 +135,8 @@
         /// For the answer.
         reply: oneshot::Sender<ReadAnswer>,
     },
+    /// The thread that takes calls is at work.
+    Pulse,
     /// The platform's list was read.
     PlatformList(Vec<PlatformMachine>),
     /// The process stops: flush and end.
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -301,6 +301,7 @@
             // What can't be decoded was not sent by a member of this version; consensus repeats the rest.
             Input::Consensus(postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default())
         }
+        ControlMessage::Pulse => Input::Pulse,
         ControlMessage::Lease { request, reply } => Input::Lease(request, Reply::Lease(reply)),
         ControlMessage::Observe { term, observations, reply } => {
             Input::Observe(term, observations, Reply::Observe(reply))
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -3,7 +3,7 @@
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::control::{
     ControlHandle, ControlMessage, ControlThread, GroupOrderSender, OrderSender, StartError, StartedControl,
-    run_admission, run_control_thread, run_lease_client,
+    run_admission, run_control_thread, run_lease_client, run_pulse,
 };
 use crate::dialect::Dialect;
 use crate::gateway::{Gateway, GatewayListeners};
@@ -141,6 +141,7 @@
     runtime.block_on(async move {
         if let Some(member_id) = member_id {
             tokio::spawn(run_admission(shared.clone(), member_id));
+            tokio::spawn(run_pulse(shared.clone()));
         }
         tokio::spawn(run_settings_reader(shared.clone(), settings_path));
         serve(shared, dialect, http, listeners, control_ended).await
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -263,6 +263,13 @@
         }
     }
 
+    /// Gives all instances the time for which the observer heard nobody.
+    pub fn excuse(&mut self, now: Millis, late: Millis) {
+        for seen in self.instances.values_mut() {
+            seen.reported_at = now.min(seen.reported_at + late);
+        }
+    }
+
     /// Forgets instances and groups that exist no more.
     pub fn retain(&mut self, tables: &GatewayTables) {
         self.instances.retain(|id, _| tables.instances.contains_key(id));
