--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -100,7 +100,7 @@
 pub struct RevisedCommand {
     /// The revision.
     pub revision: u64,
-    /// The encoded command.
+    /// The encoded command, compressed.
     pub command: Vec<u8>,
 }
 
@@ -114,7 +114,7 @@
         /// The revision that the daemon has once it has applied them.
         through: u64,
     },
-    /// An encoded state, where the commands are no longer retained.
+    /// An encoded state, compressed, where the commands are no longer retained.
     Snapshot(Vec<u8>),
 }
 
--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::catch_up::RetainedCommands;
+use crate::compression::compress;
 use dockwood_api::ApiError;
 use dockwood_placement::{Fleet, MachineObservations, PlacementPolicy};
 use dockwood_state::{Applied, Command, State, Tables, encode_command};
@@ -49,7 +50,7 @@
         if command.body.is_configuration()
             && let Some(needed) = command.for_followers(&self.state.tables)
         {
-            self.commands.push(self.revision(), encode_command(&needed));
+            self.commands.push(self.revision(), compress(&encode_command(&needed)));
         }
         applied
     }
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -6,6 +6,7 @@
 
 use crate::Millis;
 use crate::blackboard::Blackboard;
+use crate::compression::compress;
 use dockwood_api::peer::{LeaseContent, LeaseRequest, RevisedCommand};
 use std::collections::VecDeque;
 
@@ -20,7 +21,7 @@
 /// Copies of the state that may be sent at once, in bytes.
 const BURST_BYTES: i64 = 512 << 10;
 
-/// The newest commands that daemons need, encoded.
+/// The newest commands that daemons need, encoded and compressed.
 #[derive(Clone, Debug, Default)]
 pub struct RetainedCommands {
     commands: VecDeque<RevisedCommand>,
@@ -77,7 +78,7 @@
 /// What a leader sends to daemons that lag.
 #[derive(Clone, Debug)]
 pub struct CatchUp {
-    /// The encoded state of a revision.
+    /// The encoded and compressed state of a revision.
     encoded: Option<(u64, Vec<u8>)>,
     /// Bytes that may be sent now; below zero after a copy that was larger.
     allowance: i64,
@@ -125,7 +126,7 @@
         if !is_current {
             self.encoded = None;
         }
-        let encode = || (revision, board.state.encode_for_followers());
+        let encode = || (revision, compress(&board.state.encode_for_followers()));
         &self.encoded.get_or_insert_with(encode).1
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,6 +5,7 @@
 use crate::admission::voters_to_lose;
 use crate::blackboard::Blackboard;
 use crate::census::EntryCensus;
+use crate::compression::decompress;
 use crate::driver_io::{GrantedLease, Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
 use crate::voter::{VoterPart, Waiter};
@@ -313,14 +314,17 @@
         self.raise_in_force(lease.in_force_revision);
         match lease.content {
             LeaseContent::Commands { commands, through } => self.take_commands_of_lease(commands, through),
-            LeaseContent::Snapshot(bytes) => self.restore(&bytes),
+            LeaseContent::Snapshot(bytes) => match decompress(&bytes) {
+                Ok(state) => self.restore(&state),
+                Err(error) => self.record_own("SnapshotRefused", error.message(), error.code()),
+            },
         }
     }
 
     /// A command that can't be read stops the daemon at the revision before it: it asks for the rest again.
     fn take_commands_of_lease(&mut self, commands: Vec<RevisedCommand>, through: u64) {
         for RevisedCommand { revision, command } in commands {
-            match decode_command(&command) {
+            match decompress(&command).and_then(|bytes| decode_command(&bytes)) {
                 Ok(command) => {
                     if let Some(applied) = self.board.apply_at(revision, &command) {
                         self.note_applied(&command, &applied);
