Make it a setting up to how many entries the leader dispatches; tests of dispatchers and of reads without a disk

gateway.leaderDispatchesUpTo, 64 by default. With 0 the tests run the whole path by dispatchers with two entries: streams are spread, go on elsewhere when a group stands still, and are served by the entries' own figures without control.

--- a/crates/daemon/src/gateway/dispatchers.rs
+++ b/crates/daemon/src/gateway/dispatchers.rs
@@ -14,9 +14,6 @@
 
 use super::lock;
 
-/// Entries up to which the control leader assigns each request. It takes a tenth of a core for some 400 requests a
-/// second, each of which is also reported; measured with 300 entries, it can't see 940.
-const MOST_ENTRIES_FOR_LEADER: usize = 64;
 /// Daemons that may dispatch a scope: the first that answers does.
 const CANDIDATES: usize = 3;
 /// A dispatcher that has not answered in time is not asked for this long, in milliseconds: it would hold up every request.
@@ -41,17 +38,23 @@
 }
 
 /// Finds dispatchers, and remembers which of them have not answered.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatchers {
+    leader_dispatches_up_to: usize,
     made: Mutex<Made>,
     resting: Mutex<HashMap<SocketAddr, u64>>,
 }
 
 impl Dispatchers {
+    /// The leader dispatches in fleets of so many entries.
+    pub fn new(leader_dispatches_up_to: usize) -> Self {
+        Dispatchers { leader_dispatches_up_to, made: Mutex::default(), resting: Mutex::default() }
+    }
+
     /// Who dispatches in this fleet.
     pub fn mode(&self, tables: &Tables) -> Dispatch {
         let made = self.made(tables);
-        if made.entries > MOST_ENTRIES_FOR_LEADER { Dispatch::Scopes } else { Dispatch::Leader }
+        if made.entries > self.leader_dispatches_up_to { Dispatch::Scopes } else { Dispatch::Leader }
     }
 
     /// The dispatcher of a scope, by its peer address; `None` if none is known, or none answers lately.
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -8,6 +8,9 @@
 const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
 const DEFAULT_STOP_LIMIT_MS: u64 = 8_000;
 const DEFAULT_STALL_MS: u64 = 6_000;
+/// A leader takes a tenth of a core for some 400 requests a second, each of which is also reported; measured with 300
+/// entries, it can't see 940.
+const DEFAULT_LEADER_DISPATCHES_UP_TO: u64 = 64;
 /// Part of the time for taking a key away that a daemon's lease may last, in percent; the rest is for requests that were
 /// taken just before it ran out.
 const LEASE_PERCENT_OF_REVOCATION: u64 = 60;
@@ -43,6 +46,9 @@
     pub stop_limit: Duration,
     /// How long a group that lost a member stands still before it is broken.
     pub stall: Duration,
+    /// Entries up to which the control leader assigns each request to a group and takes each server's report; with more,
+    /// daemons near the groups and servers do.
+    pub leader_dispatches_up_to: usize,
     /// Bounds on second sends.
     pub retry_budget: RetryBudgetSettings,
     /// No request runs under a key that was taken away longer ago than this; absent where it need not be bounded.
@@ -66,6 +72,7 @@
         "stopLimitMs",
         "retryBudget",
         "stallMs",
+        "leaderDispatchesUpTo",
         "revokedWithinMs",
     ];
     let section = Section::new(node, "gateway", &known, problems)?;
@@ -80,6 +87,8 @@
     let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
     let stop_limit = section.number("stopLimitMs", DEFAULT_STOP_LIMIT_MS, (1_000, 3_600_000), problems);
     let stall = section.number("stallMs", DEFAULT_STALL_MS, (100, 600_000), problems);
+    let dispatches_up_to =
+        section.number("leaderDispatchesUpTo", DEFAULT_LEADER_DISPATCHES_UP_TO, (0, 1_000_000), problems);
     let revoked_within = match section.optional("revokedWithinMs") {
         None => Some(None),
         Some(_) => section.number("revokedWithinMs", 0, (500, 600_000), problems).map(Some),
@@ -93,6 +102,7 @@
         answer_lifetime: Duration::from_millis(lifetime?),
         stop_limit: Duration::from_millis(stop_limit?),
         stall: Duration::from_millis(stall?),
+        leader_dispatches_up_to: dispatches_up_to? as usize,
         retry_budget: retry_budget?,
         revoked_within: revoked_within?.map(Duration::from_millis),
     })
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -80,7 +80,9 @@
             watch_hub: WatchHub::default(),
             peers: PeerClients::default(),
             voter_peers: PeerClients::default(),
-            dispatchers: Dispatchers::default(),
+            dispatchers: Dispatchers::new(
+                settings.gateway.as_ref().map_or(usize::MAX, |gateway| gateway.leader_dispatches_up_to),
+            ),
             scope_dispatchers: ScopeDispatchers::default(),
             published: ArcSwap::default(),
             publications: watch::channel(0).0,
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -98,17 +98,24 @@
     pub http: Client,
     network: [u8; 2],
     folder: tempfile::TempDir,
+    leader_dispatches_up_to: u32,
 }
 
 impl Fleet {
     /// Starts all daemons.
     pub fn start() -> Fleet {
+        Fleet::start_dispatched(64)
+    }
+
+    /// Starts all daemons; the leader dispatches in fleets of so many entries.
+    pub fn start_dispatched(leader_dispatches_up_to: u32) -> Fleet {
         let process = std::process::id();
         let number = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst) as u8;
         let network = [64 + number, (process % 250) as u8 + 1];
         let folder = tempfile::tempdir().unwrap_or_else(|error| panic!("{error}"));
         let http = Client::builder().pool_max_idle_per_host(0).build().unwrap_or_default();
-        let mut fleet = Fleet { members: Vec::new(), entries: Vec::new(), http, network, folder };
+        let (members, entries) = (Vec::new(), Vec::new());
+        let mut fleet = Fleet { members, entries, http, network, folder, leader_dispatches_up_to };
         for number in 0..MEMBERS {
             let daemon = fleet.daemon(&format!("member-{number}"), number, true, true);
             fleet.members.push(daemon);
@@ -134,6 +141,21 @@
         self.daemon_with_seeds("entry-cut-off", MEMBERS + ENTRIES, false, false, seeds)
     }
 
+    /// A daemon that takes operators and servers, and has no disk: it is no voter.
+    pub fn control_without_disk(&self) -> Daemon {
+        let daemon = self.daemon("control-without-disk", MEMBERS + ENTRIES + 1, true, false);
+        let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
+        let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
+        settings["control"]["member"] = json!(false);
+        std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
+        daemon
+    }
+
+    /// Where that daemon takes operators and servers.
+    pub fn operators_without_disk(&self) -> SocketAddr {
+        self.address(MEMBERS + ENTRIES + 1, OPERATORS_PORT)
+    }
+
     fn daemon_with_seeds(
         &self,
         name: &str,
@@ -144,7 +166,7 @@
     ) -> Daemon {
         let address = |port| self.address(host, port);
         let data_folder = self.folder.path().join(format!("{name}-data"));
-        let gateway = if member {
+        let mut gateway = if member {
             json!({ "operators": address(OPERATORS_PORT), "stallMs": 1000, "stopLimitMs": 8000 })
         } else {
             json!({
@@ -153,6 +175,7 @@
                 "retryBudget": { "ratio": 0.2, "windowSeconds": 10, "extra": 100 },
             })
         };
+        gateway["leaderDispatchesUpTo"] = json!(self.leader_dispatches_up_to);
         let settings = json!({
             "name": name, "region": "r", "zone": "z",
             "listen": { "peer": address(PEER_PORT), "http": address(PEER_PORT + 1) },
@@ -186,9 +209,18 @@
 
     /// Calls that an entry has passed on to the leader for others.
     pub async fn relayed_calls(&self, number: u8) -> reqwest::Result<f64> {
-        let url = format!("http://{}/metrics", self.address(MEMBERS + number, PEER_PORT + 1));
+        self.metric(number, "dockwood_relayed_calls_total").await
+    }
+
+    /// Calls of a kind that an entry has taken from other daemons, or from itself.
+    pub async fn peer_calls(&self, number: u8, method: &str) -> reqwest::Result<f64> {
+        self.metric(number, &format!("dockwood_peer_calls_total{{method=\"{method}\"}}")).await
+    }
+
+    async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
+        let url = format!("http://{}/metrics", self.address(MEMBERS + entry, PEER_PORT + 1));
         let text = self.http.get(url).send().await?.text().await?;
-        let line = text.lines().find_map(|line| line.strip_prefix("dockwood_relayed_calls_total "));
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
         Ok(line.and_then(|value| value.parse().ok()).unwrap_or(0.0))
     }
 
@@ -225,18 +257,25 @@
     /// The version that some member reads back; `None` if none is sure of it.
     pub async fn read_version(&self) -> Option<u64> {
         for address in self.operators() {
-            let url = format!("http://{address}/v1/gateway/configuration");
-            let Ok(answer) = self.http.get(url).timeout(Duration::from_secs(1)).send().await else {
-                continue;
-            };
-            if answer.status() == StatusCode::OK {
-                let read: Option<Value> = answer.json().await.ok();
-                return read.and_then(|read| read["version"].as_u64());
+            let version = self.version_at(address).await;
+            if version.is_some() {
+                return version;
             }
         }
         None
     }
 
+    /// The version that one daemon reads back; `None` if it is not sure of it.
+    pub async fn version_at(&self, operators: SocketAddr) -> Option<u64> {
+        let url = format!("http://{operators}/v1/gateway/configuration");
+        let answer = self.http.get(url).timeout(Duration::from_secs(1)).send().await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let read: Value = answer.json().await.ok()?;
+        read["version"].as_u64()
+    }
+
     /// Waits until a member reads a configuration back, and returns its version.
     pub async fn settled_version(&self) -> Option<u64> {
         let begun = Instant::now();
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -17,7 +17,10 @@
 
 /// A fleet with two groups of two model servers, all of it serving.
 async fn with_groups() -> (Fleet, Vec<Arc<FakeServer>>) {
-    let fleet = Fleet::start();
+    with_groups_of(Fleet::start()).await
+}
+
+async fn with_groups_of(fleet: Fleet) -> (Fleet, Vec<Arc<FakeServer>>) {
     let mut models = Vec::new();
     for number in 0..4 {
         models.push(fleet.model_server(number).await);
@@ -115,7 +118,16 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_whose_group_stands_still_goes_on_elsewhere_without_a_gap_or_a_repeat() -> reqwest::Result<()>
 {
-    let (fleet, models) = with_groups().await;
+    goes_on_elsewhere(with_groups().await).await
+}
+
+/// The same where the entries dispatch for each other, as in a large fleet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_elsewhere_also_where_entries_dispatch() -> reqwest::Result<()> {
+    goes_on_elsewhere(with_groups_of(Fleet::start_dispatched(0)).await).await
+}
+
+async fn goes_on_elsewhere((fleet, models): (Fleet, Vec<Arc<FakeServer>>)) -> reqwest::Result<()> {
     eventually("warm-up requests have left", || serving(&models).is_none()).await;
     let streaming = tokio::spawn(fleet.request(0, "/stream/2", "a-1").send());
     eventually("the stream has begun", || serving(&models).is_some()).await;
@@ -268,6 +280,46 @@
     assert_eq!(fleet.settled_version().await, Some(3));
 }
 
+/// In a large fleet an entry gets its places from a dispatcher, and asks for none by its own figures while that answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_of_all_entries_are_spread_by_a_dispatcher() -> reqwest::Result<()> {
+    let (mut fleet, models) = with_groups_of(Fleet::start_dispatched(0)).await;
+    let both = [fleet.request(0, "/stream/2", "a-1").send(), fleet.request(1, "/stream/2", "a-2").send()];
+    for answer in futures::future::join_all(both).await {
+        assert_eq!(answer?.text().await?, whole_stream());
+    }
+    assert_eq!(models.iter().filter(|server| server.runs.load(Ordering::SeqCst) > 0).count(), 2);
+    let assigned = fleet.peer_calls(0, "assign_place").await? + fleet.peer_calls(1, "assign_place").await?;
+    assert!(assigned >= 2.0, "{assigned} places were assigned by entries");
+    // Without the dispatchers, and without the leader, entries go by their own figures.
+    fleet.members.iter_mut().for_each(fixture::Daemon::kill);
+    let answer = fleet.request(0, "/stream/2", "a-3").send().await?;
+    assert_eq!(answer.text().await?, whole_stream());
+    Ok(())
+}
+
+/// Found on unidos-despacho-large: of 27 daemons that take operators, the 22 without a disk never read a configuration
+/// back, and an operator that tried several of them in turn gave up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_without_a_disk_reads_the_configuration_back_and_takes_servers() -> reqwest::Result<()> {
+    let fleet = Fleet::start();
+    fleet.configure(&configuration(4)).await;
+    let mut other = fleet.control_without_disk();
+    other.start();
+    let begun = std::time::Instant::now();
+    while fleet.version_at(fleet.operators_without_disk()).await != Some(4) {
+        assert!(begun.elapsed() < LIMIT, "it never reads the configuration back");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.configure(&configuration(9)).await;
+    let read = fleet.version_at(fleet.operators_without_disk()).await;
+    assert!(matches!(read, None | Some(9)), "never one that is older than what was acknowledged: {read:?}");
+    let (id, address) = ("plain-0", fleet.server_address(10));
+    let _server = FakeServer::start(id, "board", None, address, vec![fleet.operators_without_disk()]).await;
+    fleet.wait_until_served("/plain/1").await;
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_hangup_ends_no_daemon() -> reqwest::Result<()> {
     let (mut fleet, _servers) = with_plain_servers().await;
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -115,6 +115,7 @@
         directory: None,
         operators: None,
         answer_lifetime: Duration::from_millis(answer_lifetime_ms),
+        leader_dispatches_up_to: 64,
         stop_limit: Duration::from_millis(stop_limit_ms),
         stall: Duration::from_secs(6),
         retry_budget: RetryBudgetSettings { percent: 20, window: Duration::from_secs(10), extra: 50 },
