Send daemons that start their copy of the state at the pace of the link, not with each gathered change

Change: a waiting daemon is looked at again after 50 ms; commands to daemons that start are paced as copies are (327 small ones were 4.7 MB in one tick). Test: 327 daemons have the state within four seconds, at most 1 MB a tick.

--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -14,11 +14,11 @@
 const RETAINED_COMMANDS: usize = 4_096;
 /// Their size altogether, in bytes; the newest command is kept whatever its size.
 const RETAINED_BYTES: usize = 1 << 20;
-/// Commands up to this size are sent without a look at the size of the state, in bytes.
+/// Commands up to this size are sent without a look at the size of the state, in bytes: it need not be encoded then.
 const CHEAP_BYTES: usize = 32 << 10;
-/// Copies of the state that are sent each second, in bytes: half of a link of 100 Mbit/s.
+/// Bytes to daemons that start, each second: half of a link of 100 Mbit/s. What goes to others counts as well.
 const PACE_BYTES_PER_SECOND: u64 = 6_000_000;
-/// Copies of the state that may be sent at once, in bytes.
+/// Bytes to daemons that start which may be sent at once.
 const BURST_BYTES: i64 = 512 << 10;
 
 /// The newest commands that daemons need, encoded and compressed.
@@ -102,16 +102,20 @@
         if !request.wants_commands || applied >= board.revision() {
             return Some(LeaseContent::Commands { commands: Vec::new(), through: applied });
         }
+        self.refill(now);
         // A daemon that starts anew is in no hurry; to one that follows, a change must go out at once, to keep its lease.
         let follows = applied > 0;
+        if !follows && self.allowance <= 0 {
+            return None;
+        }
         if let Some(bytes) = board.commands().bytes_after(applied) {
             let is_less = bytes <= CHEAP_BYTES || (follows && bytes <= self.encoded_state(board).len());
             if is_less {
+                self.allowance -= bytes as i64;
                 let commands = board.commands().after(applied);
                 return Some(LeaseContent::Commands { commands, through: board.revision() });
             }
         }
-        self.refill(now);
         if self.allowance <= 0 {
             return None;
         }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -113,7 +113,7 @@
                     LeaseContent::Commands { commands: Vec::new(), through }
                 }
                 None => {
-                    self.leases.hold_on(held);
+                    self.leases.hold_for_turn(now, held);
                     continue;
                 }
             };
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -30,6 +30,10 @@
 /// An answer to a lease request costs the leader some 0.1 ms.
 const NEWS_MS_PER_DAEMON: Millis = 1;
 
+/// Pause before a daemon whose copy of the state must wait for its turn is looked at again: what may be sent at once is
+/// used up within this time, at the pace at which copies are sent.
+const TURN_MS: Millis = 50;
+
 /// A daemon that has asked for nothing for this long is silent: a sound one asks again at once after each answer, which
 /// is held back no longer than [`HOLD_MS`].
 const SILENT_AFTER_MS: Millis = 1_200;
@@ -66,6 +70,15 @@
     pub reply: R,
     /// When to answer at the latest.
     pub until: Millis,
+    /// When its turn to be sent a copy of the state may come, if it waits for that.
+    turn_at: Option<Millis>,
+}
+
+impl<R> HeldRequest<R> {
+    /// When it is looked at again without any news.
+    fn due_at(&self) -> Millis {
+        self.turn_at.map_or(self.until, |turn_at| turn_at.min(self.until))
+    }
 }
 
 /// Leases of one leader term.
@@ -120,13 +133,17 @@
     /// Holds a request until there is news. A new request of the same daemon replaces the one that it gave up.
     pub fn hold(&mut self, now: Millis, request: LeaseRequest, reply: R) {
         self.held.retain(|held| held.request.daemon.name != request.daemon.name);
-        self.hold_on(HeldRequest { request, reply, until: now + HOLD_MS });
+        self.push(HeldRequest { request, reply, until: now + HOLD_MS, turn_at: None });
+        self.has_new = true;
     }
 
-    /// Holds a request longer that could not be answered yet.
-    pub fn hold_on(&mut self, held: HeldRequest<R>) {
-        self.answer_at = self.answer_at.min(held.until);
-        self.has_new = true;
+    /// Holds a request longer whose daemon must wait for its turn to be sent a copy of the state.
+    pub fn hold_for_turn(&mut self, now: Millis, held: HeldRequest<R>) {
+        self.push(HeldRequest { turn_at: Some(now + TURN_MS), ..held });
+    }
+
+    fn push(&mut self, held: HeldRequest<R>) {
+        self.answer_at = self.answer_at.min(held.due_at());
         self.held.push(held);
     }
 
@@ -145,10 +162,10 @@
         let is_due = |held: &HeldRequest<R>| {
             let lags = held.request.applied_revision < news.revision;
             let in_force_is_news = held.request.in_force_revision < news.in_force_revision;
-            now >= held.until || (tells && (lags || in_force_is_news))
+            now >= held.due_at() || (tells && (lags || in_force_is_news))
         };
         let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(is_due);
-        self.answer_at = waiting.iter().map(|held| held.until).min().unwrap_or(Millis::MAX);
+        self.answer_at = waiting.iter().map(HeldRequest::due_at).min().unwrap_or(Millis::MAX);
         self.held = waiting;
         due
     }
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -102,3 +102,31 @@
     }
     assert_eq!(caught_up.len(), names.len(), "everybody gets its turn");
 }
+
+/// Found on unidos-despacho-large: after a loss of power everywhere, copies were sent only with each gathered change, some
+/// ten at a time, and the last of 327 daemons had its lease after eight seconds.
+#[test]
+fn a_large_fleet_that_starts_together_is_sent_the_state_within_seconds() {
+    let mut leader = Leader::elected();
+    configure(&mut leader, 1, 1_500);
+    let names: Vec<String> = (0..327).map(|number| format!("entry-{number}")).collect();
+    let mut waiting = names.clone();
+    let begun = leader.now;
+    let mut version = 1;
+    while !waiting.is_empty() {
+        assert!(leader.now < begun + 4_000, "{} still wait", waiting.len());
+        if leader.now.is_multiple_of(400) {
+            // Each asks again whether or not it was answered; meanwhile the state goes on changing.
+            waiting.iter().for_each(|name| leader.ask(name, 0));
+            version += 1;
+            configure(&mut leader, version, 1_500);
+        }
+        leader.pass(TICK_MS);
+        let contents = leader.take_contents();
+        let sent: usize = contents.iter().map(|(_, content)| size(content)).sum();
+        assert!(sent < 1_000_000, "{sent} bytes within one tick");
+        for (name, _) in contents.iter().filter(|(_, content)| size(content) > 0) {
+            waiting.retain(|waiting| waiting != name);
+        }
+    }
+}
