Large changes are passed on by daemons that have them

Tests: 327 daemons have a large change within two seconds, of which the leader itself sends less than 60 copies; a daemon passes on what it has.

--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -116,6 +116,11 @@
     },
     /// An encoded state, compressed, where the commands are no longer retained.
     Snapshot(Vec<u8>),
+    /// The state is to be fetched from another daemon, by [`Peer::fetch_state`](super::Peer::fetch_state).
+    Fetch {
+        /// Its peer address.
+        from: SocketAddr,
+    },
 }
 
 /// Answer to a [`LeaseRequest`].
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -37,6 +37,9 @@
     /// The newest configuration as the operator sent it, which voters alone keep.
     async fn read_document() -> DocumentAnswer;
 
+    /// The state that this daemon holds, encoded and compressed, for a daemon that lags; `None` if it holds none.
+    async fn fetch_state() -> Option<Vec<u8>>;
+
     /// Asks the leader to admit a member of the control group, or to replace one that was at its address.
     async fn admit_voter(id: u64, address: std::net::SocketAddr) -> AdmitAnswer;
 
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// What a daemon that lags is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Missing {
+    /// All that it lacks.
+    Sent(LeaseContent),
+    /// What it lacks is too large to be sent to it now.
+    Large,
+}
+
 /// What a leader sends to daemons that lag.
 #[derive(Clone, Debug)]
 pub struct CatchUp {
@@ -91,37 +100,46 @@
         CatchUp { encoded: None, allowance: BURST_BYTES, refilled_at: now }
     }
 
-    /// What a daemon lacks; `None` if it must wait for its turn.
+    /// What a daemon lacks, or what it has to wait for. `in_large_fleet` if what is large is not sent to each daemon.
     pub fn content_for(
         &mut self,
         now: Millis,
         board: &Blackboard,
         request: &LeaseRequest,
-    ) -> Option<LeaseContent> {
+        in_large_fleet: bool,
+    ) -> Missing {
         let applied = request.applied_revision;
         if !request.wants_commands || applied >= board.revision() {
-            return Some(LeaseContent::Commands { commands: Vec::new(), through: applied });
+            return Missing::Sent(LeaseContent::Commands { commands: Vec::new(), through: applied });
         }
         self.refill(now);
         // A daemon that starts anew is in no hurry; to one that follows, a change must go out at once, to keep its lease.
         let follows = applied > 0;
         if !follows && self.allowance <= 0 {
-            return None;
+            return Missing::Large;
         }
         if let Some(bytes) = board.commands().bytes_after(applied) {
-            let is_less = bytes <= CHEAP_BYTES || (follows && bytes <= self.encoded_state(board).len());
-            if is_less {
+            let is_cheap = bytes <= CHEAP_BYTES;
+            if !is_cheap && in_large_fleet && self.allowance <= 0 {
+                return Missing::Large;
+            }
+            if is_cheap || (follows && bytes <= self.encoded_state(board).len()) {
                 self.allowance -= bytes as i64;
                 let commands = board.commands().after(applied);
-                return Some(LeaseContent::Commands { commands, through: board.revision() });
+                return Missing::Sent(LeaseContent::Commands { commands, through: board.revision() });
             }
         }
         if self.allowance <= 0 {
-            return None;
+            return Missing::Large;
         }
         let state = self.encoded_state(board).to_vec();
         self.allowance -= state.len() as i64;
-        Some(LeaseContent::Snapshot(state))
+        Missing::Sent(LeaseContent::Snapshot(state))
+    }
+
+    /// The state as it is sent, for a daemon that was told to fetch it here.
+    pub fn copy(&mut self, board: &Blackboard) -> Vec<u8> {
+        self.encoded_state(board).to_vec()
     }
 
     fn encoded_state(&mut self, board: &Blackboard) -> &[u8] {
--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -94,6 +94,8 @@
     LearnVoters(Vec<VoterRecord>),
     /// Somebody asks for the revision at which a read is current.
     ReadRevision(R),
+    /// A daemon that lags asks for a copy of the state.
+    CopyState(R),
     /// Machines that the platform is about to take away.
     Leaving(BTreeSet<String>),
     /// An earlier [`Output::Persist`] is synced up to this entry.
@@ -161,6 +163,8 @@
     AdmitReply(R, AdmitAnswer),
     /// Answer a request for the revision of a current read.
     ReadReply(R, ReadAnswer),
+    /// Answer a daemon that asked for a copy of the state; `None` if there is none yet.
+    CopyReply(R, Option<Vec<u8>>),
     /// Answer a view.
     ViewReply(R, ControlAnswer),
     /// Send an order to a machine, and follow it until it is carried out or refused.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -3,8 +3,9 @@
 use crate::Millis;
 use crate::admission::Candidates;
 use crate::blackboard::{Blackboard, Observed};
-use crate::catch_up::CatchUp;
+use crate::catch_up::{CatchUp, Missing};
 use crate::controllers::{LostState, liveness, pending_orders, placement};
+use crate::copies::CopySources;
 use crate::driver_io::{OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
 use crate::hearing::Hearing;
@@ -50,6 +51,7 @@
     joining: BTreeMap<String, (DaemonRecord, u64)>,
     lost_state: LostState,
     catch_up: CatchUp,
+    sources: CopySources,
     attempts: HashMap<String, OrderAttempt>,
     uncommitted: usize,
     decide_at: Millis,
@@ -79,6 +81,7 @@
             joining: BTreeMap::new(),
             lost_state: LostState::default(),
             catch_up: CatchUp::new(now),
+            sources: CopySources::default(),
             attempts: HashMap::new(),
             uncommitted: 0,
             decide_at: now,
@@ -103,20 +106,28 @@
     /// Answers requests for which there is news, or that have waited long enough.
     pub fn answer_held(&mut self, now: Millis, board: &Blackboard, in_force_revision: u64) -> Vec<Output<R>> {
         let revision = board.revision();
+        let news = News::of(board.commands(), revision, in_force_revision);
+        let mut pool = None;
         let mut answers = Vec::new();
-        for held in self.leases.due(now, News::of(board.commands(), revision, in_force_revision)) {
-            let content = match self.catch_up.content_for(now, board, &held.request) {
-                Some(content) => content,
-                // It asks again; until it has caught up, the lease that it is granted means nothing to it.
-                None if now >= held.until => {
-                    let through = held.request.applied_revision;
-                    LeaseContent::Commands { commands: Vec::new(), through }
-                }
-                None => {
-                    self.leases.hold_for_turn(now, held);
-                    continue;
+        for held in self.leases.due(now, news) {
+            let in_large_fleet = self.leases.is_large();
+            let content = match self.catch_up.content_for(now, board, &held.request, in_large_fleet) {
+                Missing::Sent(content) => Some(content),
+                Missing::Large if in_large_fleet => {
+                    let pool = pool
+                        .get_or_insert_with(|| self.sources.pool(now, board, &self.leases, news.revision));
+                    let source = self.sources.name(now, pool, &held.request.daemon.zone);
+                    source.map(|from| LeaseContent::Fetch { from })
                 }
+                Missing::Large => None,
             };
+            if content.is_none() && now < held.until {
+                self.leases.hold_for_turn(now, held);
+                continue;
+            }
+            // Without content it asks again; until it has caught up, the lease that it is granted means nothing to it.
+            let through = held.request.applied_revision;
+            let content = content.unwrap_or(LeaseContent::Commands { commands: Vec::new(), through });
             self.leases.answered(now, &held.request.daemon.name);
             let stamp = ClockStamp::default();
             let answer =
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -207,6 +207,17 @@
         self.rows.get(daemon)
     }
 
+    /// Whether a daemon holds a lease, has applied a revision, and goes on running.
+    pub fn holds(&self, now: Millis, daemon: &str, revision: u64) -> bool {
+        let row = self.rows.get(daemon);
+        row.is_some_and(|row| now < row.expires && !row.leaving && row.applied_revision >= revision)
+    }
+
+    /// Whether so many daemons have leases that what is large is not sent to each of them by the leader.
+    pub fn is_large(&self) -> bool {
+        self.rows.len() > TOLD_AT_ONCE
+    }
+
     /// Whether leases of an earlier leader, which this one doesn't know, have run out.
     pub fn predecessors_ran_out(&self, now: Millis) -> bool {
         now >= self.elected_at + LEASE_MS + LEASE_DRIFT_MS
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod census;
 mod compression;
 mod controllers;
+mod copies;
 mod core_outputs;
 mod driver_io;
 mod gateway;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,6 +4,7 @@
 use crate::account::{Account, accounts};
 use crate::admission::voters_to_lose;
 use crate::blackboard::Blackboard;
+use crate::catch_up::CatchUp;
 use crate::census::EntryCensus;
 use crate::compression::decompress;
 use crate::driver_io::{GrantedLease, Input, Moment, Output};
@@ -78,6 +79,8 @@
     batch: Batch<R>,
     pub(crate) entries: EntryCensus,
     in_force_at: Millis,
+    /// Copies of the state for other daemons.
+    copies: CatchUp,
     pub(crate) outputs: Vec<Output<R>>,
 }
 
@@ -94,6 +97,7 @@
             batch: Batch::default(),
             entries: EntryCensus::default(),
             in_force_at: 0,
+            copies: CatchUp::new(0),
             outputs: Vec::new(),
         }
     }
@@ -207,6 +211,11 @@
                 let answer = self.read_revision(now);
                 self.outputs.push(Output::ReadReply(reply, answer));
             }
+            Input::CopyState(reply) => {
+                let holds_state = self.board.revision() > 0;
+                let copy = holds_state.then(|| self.copies.copy(&self.board));
+                self.outputs.push(Output::CopyReply(reply, copy));
+            }
             Input::Leaving(servers) => self.board.observed.machines.set_leaving(servers),
             Input::Persisted { index, term } => self.drive(now, consensus::Input::Persisted { index, term }),
         }
@@ -314,6 +323,8 @@
         self.raise_in_force(lease.in_force_revision);
         match lease.content {
             LeaseContent::Commands { commands, through } => self.take_commands_of_lease(commands, through),
+            // The driver has fetched it, and gives what came.
+            LeaseContent::Fetch { .. } => {}
             LeaseContent::Snapshot(bytes) => match decompress(&bytes) {
                 Ok(state) => self.restore(&state),
                 Err(error) => self.record_own("SnapshotRefused", error.message(), error.code()),
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use common::leader::{Leader, TICK_MS};
+use common::request;
 use dockwood_api::gateway::{GatewayConfiguration, TenantKeys};
-use dockwood_api::peer::LeaseContent;
-use dockwood_control::{ControlNode, GrantedLease, Input, Moment};
+use dockwood_api::peer::{LeaseContent, LeaseRequest};
+use dockwood_control::{ControlNode, GrantedLease, Input, Moment, Output};
 use dockwood_state::{Command, CommandBody, GatewayCommand, encode_command};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Accepts a configuration with so many tenants, each some 100 bytes.
@@ -30,6 +32,7 @@
     match content {
         LeaseContent::Commands { commands, .. } => commands.iter().map(|kept| kept.command.len()).sum(),
         LeaseContent::Snapshot(bytes) => bytes.len(),
+        LeaseContent::Fetch { .. } => 0,
     }
 }
 
@@ -130,3 +133,117 @@
         }
     }
 }
+
+/// A configuration whose text hardly gets smaller when it is compressed.
+fn configure_large(leader: &mut Leader, version: u64) {
+    let noise = |seed: u64| format!("{:016x}", seed.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    let tenant = |number: u64| TenantKeys {
+        name: noise(number),
+        keys: (0..4).map(|key| noise(version * 1_000_000 + number * 10 + key)).collect(),
+        priority: None,
+    };
+    let configuration = GatewayConfiguration {
+        version,
+        tenants: (0..3_000).map(tenant).collect(),
+        ..GatewayConfiguration::default()
+    };
+    let body = CommandBody::Gateway(GatewayCommand::Configure(Arc::new(configuration)));
+    let command = encode_command(&Command { at_ms: leader.now, body });
+    leader.step(Input::Submit(vec![(command, "operator".to_string())]));
+}
+
+/// Daemons that follow a leader, each at an address of its own; copies take them one tick.
+struct Followers {
+    applied: Vec<u64>,
+    named: Vec<(u64, SocketAddr)>,
+    sent: usize,
+}
+
+impl Followers {
+    fn request(&self, number: usize) -> LeaseRequest {
+        let mut request = request(&format!("entry-{number}"), self.applied[number]);
+        request.daemon.peer =
+            SocketAddr::from(([127, 0, 2, (number / 100) as u8], (number % 100) as u16 + 1));
+        request
+    }
+
+    fn ask(&self, leader: &mut Leader) {
+        for number in 0..self.applied.len() {
+            let request = self.request(number);
+            let name = request.daemon.name.clone();
+            leader.step(Input::Lease(request, name));
+        }
+    }
+
+    /// Takes what the leader has answered; a daemon that is to fetch the state gets what its source has.
+    fn take(&mut self, leader: &mut Leader) {
+        let now = leader.now;
+        let newest = leader.node.tables().revision;
+        let before = self.applied.clone();
+        for (name, content) in leader.take_contents() {
+            let number: usize = name.trim_start_matches("entry-").parse().expect("a number");
+            self.sent += size(&content);
+            self.applied[number] = match content {
+                LeaseContent::Commands { through, .. } => through,
+                LeaseContent::Snapshot(_) => newest,
+                LeaseContent::Fetch { from } => {
+                    self.named.push((now, from));
+                    let source = (0..before.len()).find(|number| self.request(*number).daemon.peer == from);
+                    before[source.expect("a daemon that follows")]
+                }
+            };
+        }
+    }
+}
+
+/// Found on unidos-despacho-large, scale-1: a configuration with 1,400 routes, sent by the leader to each of 327 daemons,
+/// filled its link for four seconds; followers gave the leader up, and its successor began anew.
+#[test]
+fn what_is_large_is_passed_on_by_those_that_have_it() {
+    let mut leader = Leader::elected();
+    let mut followers = Followers { applied: vec![0; 327], named: Vec::new(), sent: 0 };
+    for _ in 0..200 {
+        followers.ask(&mut leader);
+        leader.pass(TICK_MS);
+        followers.take(&mut leader);
+    }
+    assert_eq!(leader.node.tables().daemons.len(), 327);
+    followers.sent = 0;
+    followers.named.clear();
+    configure_large(&mut leader, 1);
+    let changed = leader.node.tables().revision;
+    let begun = leader.now;
+    while followers.applied.iter().any(|applied| *applied < changed) {
+        assert!(leader.now < begun + 2_000, "in force everywhere within three seconds");
+        followers.ask(&mut leader);
+        leader.pass(TICK_MS);
+        followers.take(&mut leader);
+    }
+    let copy = leader.node.state().encode_for_followers().len();
+    assert!(followers.sent < copy * 60, "the leader itself has sent {} copies", followers.sent / copy);
+    for (named_at, source) in &followers.named {
+        let soon = |(at, other): &&(u64, SocketAddr)| other == source && at.abs_diff(*named_at) < 200;
+        assert!(followers.named.iter().filter(soon).count() <= 2, "a source passes on two copies at a time");
+    }
+}
+
+#[test]
+fn a_daemon_passes_on_what_it_has_itself() {
+    let mut leader = Leader::elected();
+    configure(&mut leader, 3, 10);
+    leader.ask("first", 0);
+    leader.pass(TICK_MS);
+    let contents = leader.take_contents();
+    let mut first: ControlNode<()> = ControlNode::follower("first");
+    let asked = first.step(Moment::default(), Input::CopyState(()));
+    assert!(asked.iter().any(|output| matches!(output, Output::CopyReply((), None))), "it has nothing yet");
+    let lease = GrantedLease { in_force_revision: 0, content: contents[0].1.clone() };
+    first.step(Moment::default(), Input::LeaseGranted(lease));
+    let copies = first.step(Moment::default(), Input::CopyState(()));
+    let copy = copies.into_iter().find_map(|output| match output {
+        Output::CopyReply((), copy) => copy,
+        _ => None,
+    });
+    let copy = LeaseContent::Snapshot(copy.expect("a copy"));
+    assert_eq!(revision_after(&[copy]), leader.node.tables().revision);
+}
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -7,7 +7,7 @@
 use crate::shared::Shared;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::peer::{LeaseAnswer, LeaseRequest};
+use dockwood_api::peer::{LeaseAnswer, LeaseContent, LeaseRequest};
 use dockwood_control::{GrantedLease, LEASE_ANSWER_TIMEOUT_MS};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +16,8 @@
 
 /// How long an answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(LEASE_ANSWER_TIMEOUT_MS);
+/// How long a copy of the state may take from another daemon: some hundred kilobytes over its link, with a few others.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause after a request that nobody could answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// A voter waits this long for the log to bring what the lease speaks of.
@@ -40,6 +42,7 @@
                 shared.timeline.observe(stamp);
                 shared.set_leader(Some(target));
                 path.granted(target);
+                let content = fetched(&shared, content).await;
                 let lease = GrantedLease { in_force_revision, content };
                 if apply(&shared, lease, revision).await {
                     // Only now: a lease must not be used with a configuration older than the one it brought.
@@ -76,6 +79,21 @@
     shared.peers.call(target, ANSWER_TIMEOUT, call).await
 }
 
+/// The content of a lease; what another daemon holds is fetched from it. Where that fails, nothing comes, and the leader
+/// is asked again.
+async fn fetched(shared: &Shared, content: LeaseContent) -> LeaseContent {
+    let LeaseContent::Fetch { from } = content else { return content };
+    let call =
+        |client: dockwood_api::peer::PeerClient, context| async move { client.fetch_state(context).await };
+    match shared.peers.call(from, FETCH_TIMEOUT, call).await {
+        Ok(Some(state)) => LeaseContent::Snapshot(state),
+        Ok(None) | Err(_) => {
+            shared.metrics.peer_failures.inc();
+            LeaseContent::Commands { commands: Vec::new(), through: 0 }
+        }
+    }
+}
+
 /// Hands the content to the control thread; true once this daemon has applied what the lease brought.
 async fn apply(shared: &Shared, lease: GrantedLease, revision: u64) -> bool {
     let (reply, applied) = oneshot::channel();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -135,6 +135,11 @@
         /// For the answer.
         reply: oneshot::Sender<ReadAnswer>,
     },
+    /// A daemon that lags asks for a copy of the state.
+    CopyState {
+        /// `None` if there is no state yet.
+        reply: oneshot::Sender<Option<Vec<u8>>>,
+    },
     /// The thread that takes calls is at work.
     Pulse,
     /// The platform's list was read.
--- a/crates/daemon/src/control/reply.rs
+++ b/crates/daemon/src/control/reply.rs
@@ -23,6 +23,8 @@
     Admit(oneshot::Sender<AdmitAnswer>),
     /// Of a request for the revision of a current read.
     Read(oneshot::Sender<ReadAnswer>),
+    /// Of a daemon that asks for a copy of the state.
+    Copy(oneshot::Sender<Option<Vec<u8>>>),
 }
 
 impl Reply {
@@ -33,6 +35,13 @@
         }
     }
 
+    /// Answers a daemon that asks for a copy of the state.
+    pub fn copy(self, copy: Option<Vec<u8>>) {
+        if let Reply::Copy(reply) = self {
+            let _ = reply.send(copy);
+        }
+    }
+
     /// Answers a lease request.
     pub fn lease(self, answer: LeaseAnswer) {
         if let Reply::Lease(reply) = self {
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -242,6 +242,7 @@
             Output::PlaceReply(reply, place) => reply.place(place),
             Output::AdmitReply(reply, answer) => reply.admit(answer),
             Output::ReadReply(reply, answer) => reply.read(answer),
+            Output::CopyReply(reply, copy) => reply.copy(copy),
             Output::SendGroupOrder(order) => self.group_orders.send(order),
             Output::Probe(probe) => self.group_orders.probe(probe),
             Output::SubmitReply(reply, answer) => reply.submit(answer),
@@ -302,6 +303,7 @@
             Input::Consensus(postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default())
         }
         ControlMessage::Pulse => Input::Pulse,
+        ControlMessage::CopyState { reply } => Input::CopyState(Reply::Copy(reply)),
         ControlMessage::Lease { request, reply } => Input::Lease(request, Reply::Lease(reply)),
         ControlMessage::Observe { term, observations, reply } => {
             Input::Observe(term, observations, Reply::Observe(reply))
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    async fn fetch_state(self, _: Context) -> Option<Vec<u8>> {
+        self.count("fetch_state");
+        self.ask(|reply| ControlMessage::CopyState { reply }).await.flatten()
+    }
+
     async fn admit_voter(self, _: Context, id: u64, address: SocketAddr) -> AdmitAnswer {
         self.count("admit_voter");
         let answer = self.ask(|reply| ControlMessage::AdmitVoter { id, address, reply }).await;
