--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -1,10 +1,12 @@
 //! The control thread: drives the pure control node against clocks, disk and network.
 
 use super::identity::Identity;
-use super::outbox::OUTBOX;
+use super::outbox::{OUTBOX, decode_messages};
 use super::voter_disk::{StartError, VoterDisk};
 use super::{ControlMessage, GroupOrderSender, OrderSender, Reply, run_outbox};
 use crate::clock::{monotonic_ms, wall_ms};
+use crate::log_line::LineBody;
+use crate::logging;
 use crate::metrics::Metrics;
 use crate::published::{Published, RoutingTable};
 use crate::settings::Settings;
@@ -295,13 +297,20 @@
     Moment { monotonic: monotonic_ms(), wall_ms: wall_ms() }
 }
 
+/// Messages of the consensus group. What can't be read was not sent by a member of this version; consensus repeats the
+/// rest.
+fn read_messages(bytes: &[u8]) -> Vec<Message> {
+    decode_messages(bytes).unwrap_or_else(|error| {
+        let message = format!("messages of the consensus group are passed over: {error}");
+        logging::write("", LineBody::Fault { message: &message });
+        Vec::new()
+    })
+}
+
 /// What a message means to the control node; `None` for those that concern the thread itself.
 fn input_of(message: ControlMessage) -> Option<Input<Reply>> {
     Some(match message {
-        ControlMessage::Consensus { messages } => {
-            // What can't be decoded was not sent by a member of this version; consensus repeats the rest.
-            Input::Consensus(postcard::from_bytes::<Vec<Message>>(&messages).unwrap_or_default())
-        }
+        ControlMessage::Consensus { messages } => Input::Consensus(read_messages(&messages)),
         ControlMessage::Pulse => Input::Pulse,
         ControlMessage::CopyState { reply } => Input::CopyState(Reply::Copy(reply)),
         ControlMessage::Lease { request, reply } => Input::Lease(request, Reply::Lease(reply)),
