--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,6 +1,5 @@
 //! Subcommands of the bench.
 
-mod capacity;
 mod demo;
 mod matrix;
 mod overhead;
@@ -19,7 +18,6 @@
         up::command(),
         run::command(),
         matrix::command(),
-        capacity::command(),
         overhead::command(),
         traces::generate_command(),
         traces::record_command(),
@@ -33,7 +31,6 @@
         Some(("demo", matches)) => demo::run(matches).await,
         Some(("up", matches)) => up::run(matches).await,
         Some(("run", matches)) => run::run(matches).await,
-        Some(("capacity", matches)) => capacity::run(matches).await,
         Some(("overhead", matches)) => overhead::run(matches).await,
         Some(("matrix", matches)) => matrix::run(matches),
         Some(("generate", matches)) => traces::generate_trace(matches),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod caller;
 pub mod caller_record;
 pub mod commands;
-pub mod daemon_cost;
 pub mod experiment;
 pub mod fault;
 pub mod fleet;
