--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -84,11 +84,26 @@
     Large,
 }
 
+/// The state as other daemons are sent it, encoded and compressed anew only when it has changed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EncodedState {
+    held: Option<(u64, Vec<u8>)>,
+}
+
+impl EncodedState {
+    /// The state of this board.
+    pub fn at(&mut self, board: &Blackboard) -> &[u8] {
+        let revision = board.revision();
+        let current = self.held.take().filter(|(encoded, _)| *encoded == revision);
+        let encode = || (revision, compress(&board.state.encode_for_followers()));
+        &self.held.insert(current.unwrap_or_else(encode)).1
+    }
+}
+
 /// What a leader sends to daemons that lag.
 #[derive(Clone, Debug)]
 pub struct CatchUp {
-    /// The encoded and compressed state of a revision.
-    encoded: Option<(u64, Vec<u8>)>,
+    state: EncodedState,
     /// Bytes that may be sent now; below zero after a copy that was larger.
     allowance: i64,
     refilled_at: Millis,
@@ -97,7 +112,7 @@
 impl CatchUp {
     /// Nothing was sent yet.
     pub fn new(now: Millis) -> Self {
-        CatchUp { encoded: None, allowance: BURST_BYTES, refilled_at: now }
+        CatchUp { state: EncodedState::default(), allowance: BURST_BYTES, refilled_at: now }
     }
 
     /// What a daemon lacks, or what it has to wait for. `in_large_fleet` if what is large is not sent to each daemon.
@@ -123,7 +138,7 @@
             if !is_cheap && in_large_fleet && self.allowance <= 0 {
                 return Missing::Large;
             }
-            if is_cheap || (follows && bytes <= self.encoded_state(board).len()) {
+            if is_cheap || (follows && bytes <= self.state.at(board).len()) {
                 self.allowance -= bytes as i64;
                 let commands = board.commands().after(applied);
                 return Missing::Sent(LeaseContent::Commands { commands, through: board.revision() });
@@ -132,26 +147,11 @@
         if self.allowance <= 0 {
             return Missing::Large;
         }
-        let state = self.encoded_state(board).to_vec();
+        let state = self.state.at(board).to_vec();
         self.allowance -= state.len() as i64;
         Missing::Sent(LeaseContent::Snapshot(state))
     }
 
-    /// The state as it is sent, for a daemon that was told to fetch it here.
-    pub fn copy(&mut self, board: &Blackboard) -> Vec<u8> {
-        self.encoded_state(board).to_vec()
-    }
-
-    fn encoded_state(&mut self, board: &Blackboard) -> &[u8] {
-        let revision = board.revision();
-        let is_current = self.encoded.as_ref().is_some_and(|(encoded, _)| *encoded == revision);
-        if !is_current {
-            self.encoded = None;
-        }
-        let encode = || (revision, compress(&board.state.encode_for_followers()));
-        &self.encoded.get_or_insert_with(encode).1
-    }
-
     fn refill(&mut self, now: Millis) {
         let elapsed_ms = now.saturating_sub(self.refilled_at);
         let earned = elapsed_ms.saturating_mul(PACE_BYTES_PER_SECOND) / 1_000;
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -40,11 +40,11 @@
     started: bool,
     /// When the next plan may be made.
     plan_at: Millis,
-    known: Option<KnownTables>,
+    known: KnownTables,
 }
 
 /// The instances and groups as they were when last looked at; a copy shares all with the original.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct KnownTables {
     instances: OrdMap<String, Arc<InstanceRow>>,
     groups: OrdMap<u64, Arc<GroupRow>>,
@@ -181,13 +181,12 @@
 
     /// Forgets what was observed of instances and groups that are gone.
     fn forget_gone(&mut self, tables: &GatewayTables) {
-        let is_known = self.known.as_ref().is_some_and(|known| known.is_same(tables));
-        if is_known {
+        if self.known.is_same(tables) {
             return;
         }
         self.observations.retain(tables);
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
-        self.known = Some(KnownTables::of(tables));
+        self.known = KnownTables::of(tables);
     }
 
     /// Orders to send now.
@@ -224,7 +223,5 @@
 
 /// Requests that a group of a service may hold.
 fn places_of(tables: &GatewayTables, service: &str) -> u32 {
-    let profile = tables.configuration.as_ref().and_then(|held| held.service(service));
-    let engine = profile.and_then(|profile| profile.engine.as_ref());
-    engine.map_or(0, places_of_group)
+    tables.engine(service).map_or(0, places_of_group)
 }
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -1,35 +1,37 @@
 //! What a control node does with the gateway's inputs: servers' reports, entries' loads, and reads.
 
+use crate::census::EntryCensus;
 use crate::driver_io::{Moment, Output};
+use crate::gateway::GatewayLeadership;
 use crate::node::{Batch, ControlNode};
 use crate::voter::{VoterPart, Waiter};
 use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
 use dockwood_api::peer::{ReadAnswer, SubmitReply};
-use dockwood_state::{Command, CommandBody, Outcome, encode_command, encode_outcome};
+use dockwood_state::{Command, CommandBody, GatewayTables, Outcome, encode_command, encode_outcome};
 
 impl<R> ControlNode<R> {
+    /// The gateway's part of this node's leadership, with the tables that it decides by; `None` unless this node leads.
+    fn leading_gateway(&mut self, now: Moment) -> Option<(&mut GatewayLeadership, &GatewayTables)> {
+        let leads = self.leads(now);
+        let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
+        let leadership = leadership.filter(|_| leads)?;
+        Some((&mut leadership.gateway, &self.board.state.tables.gateway))
+    }
+
     /// Takes an entry's load; `None` unless this node leads.
-    pub(crate) fn exchange_load(
-        &mut self,
-        now: Moment,
-        report: LoadReport,
-        is_witness: bool,
-        leads: bool,
-    ) -> Option<LoadDigest> {
+    pub(crate) fn exchange_load(&mut self, now: Moment, report: LoadReport) -> Option<LoadDigest> {
         let tables = &self.board.state.tables;
-        let entries = self.entries.reachable_entries(tables);
-        let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
-        let leader = leadership.filter(|_| leads)?;
-        Some(leader.gateway.exchange(now.monotonic, &tables.gateway, entries, report, is_witness))
+        let census = self.entries.get(tables, EntryCensus::of);
+        let entries = census.reachable_entries;
+        let is_witness = census.is_witness(tables, &report.daemon);
+        let (gateway, tables) = self.leading_gateway(now)?;
+        Some(gateway.exchange(now.monotonic, tables, entries, report, is_witness))
     }
 
     /// Assigns a request to a group; `None` unless this node leads.
     pub(crate) fn assign_place(&mut self, now: Moment, request: &PlaceRequest) -> Option<PlaceReply> {
-        let leads = self.leads(now);
-        let tables = &self.board.state.tables;
-        let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
-        let leader = leadership.filter(|_| leads)?;
-        Some(leader.gateway.assign(now.monotonic, &tables.gateway, request))
+        let (gateway, tables) = self.leading_gateway(now)?;
+        Some(gateway.assign(now.monotonic, tables, request))
     }
 
     /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 pub use admission::{Candidates, Group, voters_to_lose};
 pub use blackboard::{Blackboard, Observed};
 pub use catch_up::{CatchUp, RetainedCommands};
+pub use census::{EntryCensus, FromDaemons};
 pub use compression::{compress, decompress};
 pub use dockwood_grouping::{GroupingPolicy, ProbeResult};
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,8 +4,8 @@
 use crate::account::{Account, accounts};
 use crate::admission::voters_to_lose;
 use crate::blackboard::Blackboard;
-use crate::catch_up::CatchUp;
-use crate::census::EntryCensus;
+use crate::catch_up::EncodedState;
+use crate::census::{EntryCensus, FromDaemons};
 use crate::compression::decompress;
 use crate::driver_io::{GrantedLease, Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
@@ -77,10 +77,10 @@
     dirty: bool,
     /// Commands of the inputs taken since the last settling.
     batch: Batch<R>,
-    pub(crate) entries: EntryCensus,
+    pub(crate) entries: FromDaemons<EntryCensus>,
     in_force_at: Millis,
-    /// Copies of the state for other daemons.
-    copies: CatchUp,
+    /// The state for daemons that are told to fetch it here.
+    copy: EncodedState,
     pub(crate) outputs: Vec<Output<R>>,
 }
 
@@ -95,9 +95,9 @@
             in_force_revision: 0,
             dirty: true,
             batch: Batch::default(),
-            entries: EntryCensus::default(),
+            entries: FromDaemons::default(),
             in_force_at: 0,
-            copies: CatchUp::new(0),
+            copy: EncodedState::default(),
             outputs: Vec::new(),
         }
     }
@@ -172,9 +172,7 @@
             }
             Input::Register(report, reply) => self.register(now, report, reply, batch),
             Input::ExchangeLoad(report, reply) => {
-                let leads = self.leads(now);
-                let is_witness = self.entries.is_witness(self.board.tables(), &report.daemon);
-                let digest = self.exchange_load(now, report, is_witness, leads);
+                let digest = self.exchange_load(now, report);
                 self.outputs.push(Output::LoadReply(reply, digest));
             }
             Input::AssignPlace(request, reply) => {
@@ -213,7 +211,7 @@
             }
             Input::CopyState(reply) => {
                 let holds_state = self.board.revision() > 0;
-                let copy = holds_state.then(|| self.copies.copy(&self.board));
+                let copy = holds_state.then(|| self.copy.at(&self.board).to_vec());
                 self.outputs.push(Output::CopyReply(reply, copy));
             }
             Input::Leaving(servers) => self.board.observed.machines.set_leaving(servers),
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -2,7 +2,7 @@
 //! this entry's own figures where no dispatcher answers in time.
 
 use super::Gateway;
-use super::dispatchers::{Dispatch, leader_to_ask};
+use super::dispatchers::Dispatch;
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{DispatchScope, PlaceReply, PlaceRequest};
@@ -70,8 +70,9 @@
 }
 
 async fn ask_leader(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<PlaceReply> {
-    let leader = leader_to_ask(&gateway.shared, &gateway.shared.dispatchers)?;
-    ask(gateway, leader, request(gateway, query, None, None)).await
+    let shared = &gateway.shared;
+    let leader = shared.leader().filter(|leader| shared.dispatchers.may_ask(*leader))?;
+    ask(gateway, leader, request(gateway, query)).await
 }
 
 /// Asks the dispatchers of one zone after the other: first for a group that shows the first event soon, and where there is
@@ -82,10 +83,13 @@
         return Some(PlaceReply::NoGroup);
     }
     let soon_ms = query.target_ms * CROWDED_HUNDREDTHS / 100;
+    let any_zone = request(gateway, query);
     let mut last = None;
     for most_first_event_ms in [Some(soon_ms), None] {
         for zone in zones.iter().take(MOST_ZONES) {
-            let reply = ask_zone(gateway, query, zone, most_first_event_ms).await;
+            let group_zone = Some(zone.clone());
+            let request = PlaceRequest { group_zone, most_first_event_ms, ..any_zone.clone() };
+            let reply = ask_zone(gateway, zone, request).await;
             if let Some(PlaceReply::Assigned { .. }) = reply {
                 return reply;
             }
@@ -95,27 +99,18 @@
     last
 }
 
-async fn ask_zone(
-    gateway: &Gateway,
-    query: PlaceQuery<'_>,
-    zone: &str,
-    most_first_event_ms: Option<u64>,
-) -> Option<PlaceReply> {
+async fn ask_zone(gateway: &Gateway, zone: &str, request: PlaceRequest) -> Option<PlaceReply> {
     let scope = DispatchScope {
         zone: zone.to_string(),
-        service: query.service.to_string(),
-        model: query.model.to_string(),
+        service: request.service.clone(),
+        model: request.model.clone(),
     };
     let dispatcher = gateway.shared.dispatchers.of_scope(&gateway.shared.tables(), &scope)?;
-    ask(gateway, dispatcher, request(gateway, query, Some(scope.zone), most_first_event_ms)).await
+    ask(gateway, dispatcher, request).await
 }
 
-fn request(
-    gateway: &Gateway,
-    query: PlaceQuery<'_>,
-    group_zone: Option<String>,
-    most_first_event_ms: Option<u64>,
-) -> PlaceRequest {
+/// A request for a place at any group of the model, whenever it shows the first event.
+fn request(gateway: &Gateway, query: PlaceQuery<'_>) -> PlaceRequest {
     let settings = &gateway.shared.settings;
     let mut excluded = query.excluded.to_vec();
     excluded.extend(gateway.loads.suspected(query));
@@ -124,8 +119,8 @@
         zone: settings.zone.clone(),
         service: query.service.to_string(),
         model: query.model.to_string(),
-        group_zone,
-        most_first_event_ms,
+        group_zone: None,
+        most_first_event_ms: None,
         prompt_tokens: query.prompt_tokens,
         excluded,
     }
--- a/crates/daemon/src/gateway/dispatchers.rs
+++ b/crates/daemon/src/gateway/dispatchers.rs
@@ -3,13 +3,12 @@
 //! that all entries find the same one without asking; if it doesn't answer, the next in that order takes its place.
 
 use crate::clock::monotonic_ms;
-use crate::shared::Shared;
 use dockwood_api::digest::rendezvous_weight;
 use dockwood_api::gateway::DispatchScope;
+use dockwood_control::{EntryCensus, FromDaemons};
 use dockwood_state::{DaemonRow, Tables};
-use imbl::OrdMap;
-use std::collections::{BTreeSet, HashMap};
-use std::net::{IpAddr, SocketAddr};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use super::lock;
@@ -30,31 +29,41 @@
 
 /// What follows from the daemons' rows.
 #[derive(Debug, Default)]
-struct Made {
-    daemons: OrdMap<String, Arc<DaemonRow>>,
-    entries: usize,
-    control_hosts: BTreeSet<IpAddr>,
+struct Fleet {
+    census: EntryCensus,
+    /// Dispatchers of the scopes that were asked for.
     ranked: HashMap<DispatchScope, Arc<[SocketAddr]>>,
 }
 
+impl Fleet {
+    fn of(tables: &Tables) -> Fleet {
+        Fleet { census: EntryCensus::of(tables), ranked: HashMap::new() }
+    }
+}
+
 /// Finds dispatchers, and remembers which of them have not answered.
 #[derive(Debug)]
 pub struct Dispatchers {
     leader_dispatches_up_to: usize,
-    made: Mutex<Made>,
+    fleet: Mutex<FromDaemons<Fleet>>,
     resting: Mutex<HashMap<SocketAddr, u64>>,
 }
 
 impl Dispatchers {
     /// The leader dispatches in fleets of so many entries.
     pub fn new(leader_dispatches_up_to: usize) -> Self {
-        Dispatchers { leader_dispatches_up_to, made: Mutex::default(), resting: Mutex::default() }
+        Dispatchers { leader_dispatches_up_to, fleet: Mutex::default(), resting: Mutex::default() }
+    }
+
+    /// Entries of the fleet, whether or not they were heard lately.
+    pub fn entries(&self, tables: &Tables) -> u32 {
+        lock(&self.fleet).get(tables, Fleet::of).census.entries
     }
 
     /// Who dispatches in this fleet.
     pub fn mode(&self, tables: &Tables) -> Dispatch {
-        let made = self.made(tables);
-        if made.entries > self.leader_dispatches_up_to { Dispatch::Scopes } else { Dispatch::Leader }
+        let is_large = self.entries(tables) as usize > self.leader_dispatches_up_to;
+        if is_large { Dispatch::Scopes } else { Dispatch::Leader }
     }
 
     /// The dispatcher of a scope, by its peer address; `None` if none is known, or none answers lately.
@@ -75,57 +84,29 @@
 
     /// Whether an entry sees the servers by another machine's network than members of the control group do.
     pub fn is_witness(&self, tables: &Tables, entry: &str) -> bool {
-        let Some(row) = tables.daemons.get(entry) else { return false };
-        !self.made(tables).control_hosts.contains(&row.record.peer.ip())
+        lock(&self.fleet).get(tables, Fleet::of).census.is_witness(tables, entry)
     }
 
     fn ranked(&self, tables: &Tables, scope: &DispatchScope) -> Arc<[SocketAddr]> {
-        let mut made = self.made(tables);
-        if let Some(ranked) = made.ranked.get(scope) {
-            return ranked.clone();
-        }
-        let ranked: Arc<[SocketAddr]> = rank(tables, &made.control_hosts, scope).into();
-        made.ranked.insert(scope.clone(), ranked.clone());
-        ranked
-    }
-
-    fn made(&self, tables: &Tables) -> std::sync::MutexGuard<'_, Made> {
-        let mut made = lock(&self.made);
-        if !made.daemons.ptr_eq(&tables.daemons) {
-            *made = Made::from(tables);
-        }
-        made
-    }
-}
-
-impl From<&Tables> for Made {
-    fn from(tables: &Tables) -> Made {
-        let records = || tables.daemons.values().map(|daemon| &daemon.record);
-        let members = records().filter(|record| record.operators.is_some());
-        Made {
-            daemons: tables.daemons.clone(),
-            entries: records().filter(|record| record.frontend.is_some()).count(),
-            control_hosts: members.map(|record| record.peer.ip()).collect(),
-            ranked: HashMap::new(),
+        let mut fleet = lock(&self.fleet);
+        let Fleet { census, ranked } = fleet.get(tables, Fleet::of);
+        match ranked.get(scope) {
+            Some(ranked) => ranked.clone(),
+            None => ranked.entry(scope.clone()).or_insert(rank(tables, census, scope).into()).clone(),
         }
     }
 }
 
 /// Daemons that may dispatch a scope, the first choice first: live entries of its zone on machines that no member of the
 /// control group needs.
-fn rank(tables: &Tables, control_hosts: &BTreeSet<IpAddr>, scope: &DispatchScope) -> Vec<SocketAddr> {
+fn rank(tables: &Tables, census: &EntryCensus, scope: &DispatchScope) -> Vec<SocketAddr> {
     let key = format!("{}/{}/{}", scope.zone, scope.service, scope.model);
     let suits = |daemon: &&Arc<DaemonRow>| {
         let record = &daemon.record;
         let is_near = record.frontend.is_some() && record.zone == scope.zone;
-        is_near && !control_hosts.contains(&record.peer.ip())
+        is_near && census.is_apart(daemon)
     };
     let mut suited: Vec<&Arc<DaemonRow>> = tables.reachable_daemons().filter(suits).collect();
     suited.sort_by_cached_key(|daemon| std::cmp::Reverse(rendezvous_weight(&key, &daemon.record.name)));
     suited.iter().take(CANDIDATES).map(|daemon| daemon.record.peer).collect()
 }
-
-/// Whether the leader, by its peer address, may be asked.
-pub fn leader_to_ask(shared: &Shared, dispatchers: &Dispatchers) -> Option<SocketAddr> {
-    shared.leader().filter(|leader| dispatchers.may_ask(*leader))
-}
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -131,15 +131,15 @@
     /// Takes the groups of newly published tables.
     pub fn follow(&self, tables: &GatewayTables) {
         let mut groups = lock(&self.groups);
-        let serves = |phase| matches!(phase, GroupPhase::Open | GroupPhase::Draining);
-        let is_open = |epoch: &u64| tables.groups.get(epoch).is_some_and(|row| serves(row.phase));
+        let is_open = |epoch: &u64| tables.groups.get(epoch).is_some_and(|row| row.serves());
         let before = groups.len();
         groups.retain(|epoch, _| is_open(epoch));
         let closed = groups.len() < before;
-        let Some(configuration) = &tables.configuration else { return };
-        for row in tables.groups.values().filter(|row| serves(row.phase)) {
-            let engine = configuration.service(&row.service).and_then(|service| service.engine.as_ref());
-            let slots = engine.map_or(1, |engine| engine.slots);
+        if tables.configuration.is_none() {
+            return;
+        }
+        for row in tables.groups.values().filter(|row| row.serves()) {
+            let slots = tables.engine(&row.service).map_or(1, |engine| engine.slots);
             let takes_new = row.phase == GroupPhase::Open;
             let update = |group: &mut GroupState| {
                 group.slots = slots;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -138,7 +138,8 @@
 
     /// Counts a second send to a service, if the budget allows it.
     fn try_second_send(&self, service: &str, reason: &str) -> bool {
-        let entries = u64::from(self.loads.entries().max(self.known_entries()));
+        let known = self.shared.dispatchers.entries(&self.shared.tables());
+        let entries = u64::from(self.loads.entries().max(known));
         let mut budgets = lock(&self.budgets);
         let budget =
             budgets.entry(service.to_string()).or_insert_with(|| SendBudget::new(self.budget_limits));
@@ -150,11 +151,6 @@
         }
         allowed
     }
-
-    fn known_entries(&self) -> u32 {
-        let tables = self.shared.tables();
-        tables.daemons.values().filter(|daemon| daemon.record.frontend.is_some()).count() as u32
-    }
 }
 
 fn listener_of(listener: TcpListener) -> std::io::Result<tokio::net::TcpListener> {
--- a/crates/daemon/src/scope_dispatchers.rs
+++ b/crates/daemon/src/scope_dispatchers.rs
@@ -35,6 +35,8 @@
     scopes: Mutex<BTreeMap<DispatchScope, Held>>,
     /// A group has been found to stand still.
     urgent: Notify,
+    /// The first scope has been asked for.
+    begun: Notify,
 }
 
 impl ScopeDispatchers {
@@ -44,6 +46,9 @@
 
     fn with<T>(&self, scope: &DispatchScope, act: impl FnOnce(&mut ScopeDispatch) -> T) -> T {
         let mut scopes = self.scopes();
+        if scopes.is_empty() {
+            self.begun.notify_one();
+        }
         let held = scopes
             .entry(scope.clone())
             .or_insert_with(|| Held { dispatch: ScopeDispatch::new(scope.clone()), asked_at: 0 });
@@ -77,6 +82,13 @@
         Some(self.with(scope, |dispatch| dispatch.assign(monotonic_ms(), &tables.gateway, request)))
     }
 
+    /// Waits until there is a scope to sum up: most daemons of a fleet dispatch none.
+    async fn any(&self) {
+        while self.scopes().is_empty() {
+            self.begun.notified().await;
+        }
+    }
+
     fn summaries(&self, shared: &Shared) -> Vec<(DispatchScope, LoadReport)> {
         let now = monotonic_ms();
         let tables = shared.tables();
@@ -92,6 +104,7 @@
 /// Sums up for the leader, for ever. What goes wrong is mended by the next summary.
 pub async fn run_summaries(shared: Arc<Shared>) {
     loop {
+        shared.scope_dispatchers.any().await;
         tokio::select! {
             () = tokio::time::sleep(SUMMARY_EVERY) => {}
             () = shared.scope_dispatchers.urgent.notified() => tokio::time::sleep(LEAST_PAUSE).await,
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -90,10 +90,7 @@
         tables: &GatewayTables,
         observations: &Observations,
     ) -> PlaceReply {
-        let profile = tables.configuration.as_ref().and_then(|held| held.service(&request.service));
-        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else {
-            return PlaceReply::NoGroup;
-        };
+        let Some(engine) = tables.engine(&request.service) else { return PlaceReply::NoGroup };
         let groups = tables.groups.values().filter(|group| {
             let serves = group.service == request.service && group.model == request.model;
             let is_near = request.group_zone.as_ref().is_none_or(|zone| *zone == group.zone);
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -94,8 +94,7 @@
 /// A member that is missing here may still be working where entries reach it: only a group that shows no progress
 /// is given up.
 fn counts_as_lost(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
-    let serves = matches!(group.phase, GroupPhase::Open | GroupPhase::Draining);
-    if !serves {
+    if !group.serves() {
         return true;
     }
     if view.observations.is_silent(view.now, group.epoch) {
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -120,13 +120,11 @@
     /// by all other entries.
     pub fn exchange(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
         for load in &report.groups {
-            let evidence = self.groups.entry(load.epoch).or_default();
             if (load.silent || load.refuses) && is_witness {
-                evidence.silent_at = Some(now);
-                self.silent.insert(load.epoch);
+                self.note_silent(now, load.epoch);
             }
             if load.progressed {
-                evidence.progressed_at = Some(now);
+                self.groups.entry(load.epoch).or_default().progressed_at = Some(now);
             }
             self.traffic_seen |= load.in_flight > 0;
         }
@@ -177,7 +175,7 @@
         LoadDigest { groups: self.in_flight.iter().map(shared).collect(), entries: self.loads.len() as u32 }
     }
 
-    /// Takes another observer's word that a group stands still.
+    /// Takes an observer's word that a group stands still.
     pub fn note_silent(&mut self, now: Millis, epoch: u64) {
         self.groups.entry(epoch).or_default().silent_at = Some(now);
         self.silent.insert(epoch);
@@ -241,8 +239,8 @@
     }
 
     /// Groups with requests in flight.
-    pub fn in_flight_by_group(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
-        self.in_flight.iter().filter(|(_, in_flight)| **in_flight > 0).map(|(epoch, count)| (*epoch, *count))
+    pub fn busy_groups(&self) -> impl Iterator<Item = u64> + '_ {
+        self.in_flight.iter().filter(|(_, in_flight)| **in_flight > 0).map(|(epoch, _)| *epoch)
     }
 
     /// Whether the members of a silent group should be asked now; true at most once in `pause`.
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -334,9 +334,7 @@
 
 /// Declared length of a load of a group's model.
 fn load_ms(view: &View<'_>, group: &GroupRow) -> Millis {
-    let configuration = view.tables.configuration.as_ref();
-    let service = configuration.and_then(|held| held.service(&group.service));
-    let engine = service.and_then(|service| service.engine.as_ref());
+    let engine = view.tables.engine(&group.service);
     engine.and_then(|engine| engine.model(&group.model)).map_or(0, |model| model.load_ms)
 }
 
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -61,12 +61,7 @@
 
     fn count(&mut self, load: &ModelLoad) {
         let key = (load.service.clone(), load.model.clone());
-        match self.models.get_mut(&key) {
-            Some(sum) => sum.add(load),
-            None => {
-                self.models.insert(key, load.clone());
-            }
-        }
+        self.models.entry(key).and_modify(|sum| sum.add(load)).or_insert_with(|| load.clone());
     }
 
     /// Assigns a request to a group.
@@ -85,7 +80,7 @@
         self.observations.retain(tables);
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
         let mut evidence = std::mem::take(&mut self.evidence);
-        for (epoch, _) in self.observations.in_flight_by_group() {
+        for epoch in self.observations.busy_groups() {
             evidence.entry(epoch).or_default();
         }
         let load = |(epoch, evidence): (u64, Evidence)| GroupLoad {
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -77,10 +77,7 @@
             GatewayCommand::Configure(configuration) => {
                 Some(GatewayCommand::Configure(Arc::new(configuration.without_document())))
             }
-            GatewayCommand::Register(row) => {
-                let is_engine = row.domain.is_some();
-                (!is_engine).then(|| self.clone())
-            }
+            GatewayCommand::Register(row) => (!row.is_engine()).then(|| self.clone()),
             GatewayCommand::SetPhase { epoch, phase: GroupPhase::Open, .. } => {
                 tables.groups.get(epoch).filter(|row| row.serves()).cloned().map(GatewayCommand::Adopt)
             }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::machine::Applied;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{GatewayConfiguration, InstanceState};
+use dockwood_api::gateway::{EngineProfile, GatewayConfiguration, InstanceState};
 use imbl::{OrdMap, Vector};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -69,6 +69,11 @@
         }
     }
 
+    /// The engines of a service, if it is configured and is one of model engines.
+    pub fn engine(&self, service: &str) -> Option<&EngineProfile> {
+        self.configuration.as_ref()?.service(service)?.engine.as_ref()
+    }
+
     /// The model of an instance's last group since its start, as far as it is known: the instance joins another group
     /// of that model sooner than any other.
     pub fn last_model(&self, instance: &str) -> Option<&str> {
@@ -82,7 +87,7 @@
 
     /// The tables as daemons need them that are not voters: see [`GatewayCommand::for_followers`].
     pub(crate) fn for_followers(&self) -> GatewayTables {
-        let plain = self.instances.iter().filter(|(_, row)| row.domain.is_none());
+        let plain = self.instances.iter().filter(|(_, row)| !row.is_engine());
         let serving = self.groups.iter().filter(|(_, row)| row.serves());
         GatewayTables {
             configuration: self.configuration.as_ref().map(|held| Arc::new(held.without_document())),
--- a/crates/state/src/gateway/rows.rs
+++ b/crates/state/src/gateway/rows.rs
@@ -73,6 +73,13 @@
     pub reason: String,
 }
 
+impl InstanceRow {
+    /// Whether it is a model engine: these alone stand in fabric domains.
+    pub fn is_engine(&self) -> bool {
+        self.domain.is_some()
+    }
+}
+
 impl GroupRow {
     /// Whether requests may be in flight at it.
     pub fn serves(&self) -> bool {
