Dispatchers forget requests that have ended; the test of them asks for one stream at each group

The test took an open head for a group that entries know of. An entry remembered as told what it saw a moment before it made its report, so that a request in between was never taken back; reports older than 1.5 s and assignments older than 1 s were dropped only when another report came.

Change: what the report itself says is remembered; a dispatcher forgets old reports and assignments when it assigns. New metric dockwood_open_groups. The test waits until both entries know of both groups and asks for one stream at each (before: two servers that had ever run anything, warm-up requests among them). Logs of a failed test are kept.

--- a/crates/daemon/src/gateway/load_exchange.rs
+++ b/crates/daemon/src/gateway/load_exchange.rs
@@ -5,7 +5,7 @@
 use super::dispatchers::Dispatch;
 use super::loads::ScopeLoad;
 use crate::clock::monotonic_ms;
-use dockwood_api::gateway::DispatchScope;
+use dockwood_api::gateway::{DispatchScope, LoadReport};
 use dockwood_api::peer::PeerClient;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -29,7 +29,20 @@
 #[derive(Clone, Debug)]
 struct Told {
     at: u64,
-    load: ScopeLoad,
+    /// Requests in flight by group epoch, as they stood in the report itself.
+    in_flight: Vec<(u64, u32)>,
+}
+
+impl Told {
+    fn by(report: &LoadReport, at: u64) -> Told {
+        let busy = report.groups.iter().filter(|load| load.in_flight > 0);
+        Told { at, in_flight: busy.map(|load| (load.epoch, load.in_flight)).collect() }
+    }
+
+    /// Whether a dispatcher that was told this has to be told again.
+    fn is_outdated(&self, now: u64, load: &ScopeLoad) -> bool {
+        load.stands_still || load.in_flight != self.in_flight || now >= self.at + STEADY_EVERY_MS
+    }
 }
 
 /// Exchanges for ever. What goes wrong is mended by the next exchange.
@@ -71,27 +84,27 @@
 /// Tells each dispatcher to whom something has changed.
 fn tell_dispatchers(gateway: &Arc<Gateway>, told: &mut BTreeMap<DispatchScope, Told>) {
     let now = monotonic_ms();
-    let mut loads = gateway.loads.scopes(&gateway.shared.settings.zone);
+    let settings = &gateway.shared.settings;
+    let mut loads = gateway.loads.scopes(&settings.zone);
     // A scope in which the last request has ended is told so, once.
-    for (scope, _) in told.iter().filter(|(_, last)| !last.load.in_flight.is_empty()) {
+    for (scope, _) in told.iter().filter(|(_, last)| !last.in_flight.is_empty()) {
         loads.entry(scope.clone()).or_default();
     }
     told.retain(|scope, _| loads.contains_key(scope));
     for (scope, load) in loads {
-        let is_due = told.get(&scope).is_none_or(|last| {
-            load.stands_still || load.in_flight != last.load.in_flight || now >= last.at + STEADY_EVERY_MS
-        });
-        if is_due {
-            told.insert(scope.clone(), Told { at: now, load });
-            tokio::spawn(tell_dispatcher(gateway.clone(), scope));
+        if told.get(&scope).is_none_or(|last| last.is_outdated(now, &load)) {
+            // What it says is remembered, not what was seen a moment before: a request that begins in between and ends
+            // before the next look would be told of and never taken back.
+            let report = gateway.loads.report_scope(&settings.name, &settings.zone, &scope);
+            told.insert(scope.clone(), Told::by(&report, now));
+            tokio::spawn(tell_dispatcher(gateway.clone(), scope, report));
         }
     }
 }
 
-async fn tell_dispatcher(gateway: Arc<Gateway>, scope: DispatchScope) {
+async fn tell_dispatcher(gateway: Arc<Gateway>, scope: DispatchScope, report: LoadReport) {
     let shared = &gateway.shared;
     let Some(dispatcher) = shared.dispatchers.of_scope(&shared.tables(), &scope) else { return };
-    let report = gateway.loads.report_scope(&shared.settings.name, &shared.settings.zone, &scope);
     let call = |client: PeerClient, context| async move { client.exchange_load(context, report).await };
     match shared.peers.call(dispatcher, ANSWER_TIMEOUT, call).await {
         Ok(Some(digest)) => gateway.loads.take_scope_digest(&scope, &digest),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -26,11 +26,13 @@
 
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
+use crate::metrics::Metrics;
 use crate::scope_dispatchers::run_summaries;
 use crate::shared::Shared;
 use arc_swap::ArcSwap;
 use dockwood_routing::BackendPicker;
 use dockwood_routing::gateway::{RouteTable, SendBudget, SendBudgetLimits};
+use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use loads::Loads;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -157,6 +159,17 @@
     tokio::net::TcpListener::from_std(listener)
 }
 
+/// Shows the groups that are open here, one figure for each configured service with model engines.
+fn count_open_groups(metrics: &Metrics, tables: &GatewayTables) {
+    let services = tables.configuration.iter().flat_map(|held| &held.services);
+    for service in services.filter(|service| service.engine.is_some()) {
+        let is_open =
+            |group: &&Arc<GroupRow>| group.service == service.name && group.phase == GroupPhase::Open;
+        let open = tables.groups.values().filter(is_open).count();
+        metrics.open_groups.with_label_values(&[&service.name]).set(open as i64);
+    }
+}
+
 /// Compiles each newly published configuration, for ever. A table is never replaced by an older one.
 async fn follow_configuration(gateway: Arc<Gateway>) {
     let mut publications = gateway.shared.watch_publications();
@@ -168,6 +181,7 @@
             gateway.routes.store(Arc::new(RouteTable::compile(configuration)));
         }
         gateway.loads.follow(&tables.gateway);
+        count_open_groups(&gateway.shared.metrics, &tables.gateway);
         if publications.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -46,6 +46,8 @@
     pub peer_volume: IntGaugeVec,
     /// Calls to plain services by service and result.
     pub service_calls: IntCounterVec,
+    /// Groups that this entry may send new requests to, by service.
+    pub open_groups: IntGaugeVec,
     /// Probes of machines by result.
     pub probes: IntCounterVec,
     /// Newest revision applied.
@@ -140,6 +142,11 @@
                 "Calls to services",
                 &["service", "result"],
             )?,
+            open_groups: gauges(
+                "dockwood_open_groups",
+                "Groups that this entry may send new requests to",
+                &["service"],
+            )?,
             probes: counters("dockwood_probes_total", "Probes of machines", &["result"])?,
             revision: gauge("dockwood_revision", "Newest revision applied")?,
             in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -101,6 +101,16 @@
     leader_dispatches_up_to: u32,
 }
 
+impl Drop for Fleet {
+    /// Keeps settings and logs of a test that fails, and says where.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("settings and logs of the daemons are kept in {}", self.folder.path().display());
+        }
+    }
+}
+
 impl Fleet {
     /// Starts all daemons.
     pub fn start() -> Fleet {
@@ -217,6 +227,18 @@
         self.metric(number, &format!("dockwood_peer_calls_total{{method=\"{method}\"}}")).await
     }
 
+    /// Waits until both entries know of so many open groups of a service.
+    pub async fn wait_until_open(&self, service: &str, groups: u32) {
+        let name = format!("dockwood_open_groups{{service=\"{service}\"}}");
+        for entry in 0..ENTRIES {
+            let begun = Instant::now();
+            while !self.metric(entry, &name).await.is_ok_and(|open| open == f64::from(groups)) {
+                assert!(begun.elapsed() < LIMIT, "entry {entry} never knows of {groups} open groups");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
     async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
         let url = format!("http://{}/metrics", self.address(MEMBERS + entry, PEER_PORT + 1));
         let text = self.http.get(url).send().await?.text().await?;
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -11,6 +11,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+/// A dispatcher goes on counting a request that its entry has not reported for a second (`FORGET_MS` of the grouping
+/// crate); entries report that a stream has ended within 0.2 s. After this time it counts none that has left.
+const DISPATCHER_FORGETS: Duration = Duration::from_millis(1_300);
+
 fn whole_stream() -> String {
     (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
 }
@@ -27,7 +31,8 @@
     }
     fleet.configure(&configuration(1)).await;
     fleet.wait_until_served("/stream/1").await;
-    eventually("both groups open", || models.iter().filter(|server| server.is_open()).count() == 2).await;
+    // Their members alone are not asked: an entry learns of an open group after its head has told the leader.
+    fleet.wait_until_open("writer", 2).await;
     (fleet, models)
 }
 
@@ -284,11 +289,19 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_of_all_entries_are_spread_by_a_dispatcher() -> reqwest::Result<()> {
     let (mut fleet, models) = with_groups_of(Fleet::start_dispatched(0)).await;
+    eventually("warm-up requests have left", || serving(&models).is_none()).await;
+    tokio::time::sleep(DISPATCHER_FORGETS).await;
+    let runs_of_each =
+        || -> Vec<u32> { models.iter().map(|server| server.runs.load(Ordering::SeqCst)).collect() };
+    let before = runs_of_each();
     let both = [fleet.request(0, "/stream/2", "a-1").send(), fleet.request(1, "/stream/2", "a-2").send()];
     for answer in futures::future::join_all(both).await {
         assert_eq!(answer?.text().await?, whole_stream());
     }
-    assert_eq!(models.iter().filter(|server| server.runs.load(Ordering::SeqCst) > 0).count(), 2);
+    let mut more: Vec<u32> =
+        runs_of_each().iter().zip(&before).map(|(after, before)| after - before).collect();
+    more.sort_unstable();
+    assert_eq!(more, [0, 0, 1, 1], "each group runs one of the two streams");
     let assigned = fleet.peer_calls(0, "assign_place").await? + fleet.peer_calls(1, "assign_place").await?;
     assert!(assigned >= 2.0, "{assigned} places were assigned by entries");
     // Without the dispatchers, and without the leader, entries go by their own figures.
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -98,10 +98,6 @@
         *lock(&self.state) = InstanceState::Draining;
     }
 
-    pub fn is_open(&self) -> bool {
-        lock(&self.membership).as_ref().is_some_and(|held| held.state == MembershipState::Open)
-    }
-
     fn set_state(&self, epoch: u64, state: MembershipState) {
         if let Some(held) = lock(&self.membership).as_mut().filter(|held| held.epoch == epoch) {
             held.state = state;
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -34,6 +34,13 @@
     unreported: Vec<Assigned>,
 }
 
+impl GroupQueue {
+    /// Requests that were assigned and not reported, without those that are forgotten.
+    fn unreported(&self, now: Millis) -> u32 {
+        self.unreported.iter().filter(|assigned| now < assigned.at + FORGET_MS).count() as u32
+    }
+}
+
 /// The requests that were assigned lately.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
@@ -68,7 +75,7 @@
         if is_excluded || self.observations.is_silent(self.now, group.epoch) {
             return None;
         }
-        let unreported = queue.map_or(0, |queue| queue.unreported.len() as u32);
+        let unreported = queue.map_or(0, |queue| queue.unreported(self.now));
         let in_flight = self.observations.in_flight(group.epoch) + unreported;
         if in_flight >= places_of_group(self.engine) {
             return None;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -139,8 +139,9 @@
         self.digest_for(now, &reporter)
     }
 
-    /// Entries that have not reported for long hold nothing any more.
-    fn forget_old_loads(&mut self, now: Millis) {
+    /// Entries that have not reported for long hold nothing any more. Each exchange forgets them too; who has none for
+    /// some time asks for it before going by the loads.
+    pub fn forget_old_loads(&mut self, now: Millis) {
         let is_old = |load: &EntryLoad| now >= load.at + LOAD_VALID_MS;
         let old: Vec<Reporter> = self
             .loads
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -66,6 +66,7 @@
 
     /// Assigns a request to a group.
     pub fn assign(&mut self, now: Millis, tables: &GatewayTables, request: &PlaceRequest) -> PlaceReply {
+        self.observations.forget_old_loads(now);
         self.dispatcher.assign(now, request, tables, &self.observations)
     }
 
--- a/crates/grouping/tests/scope.rs
+++ b/crates/grouping/tests/scope.rs
@@ -116,3 +116,27 @@
     let patient = PlaceRequest { most_first_event_ms: Some(10_000), ..request("a", "z") };
     assert!(matches!(dispatch.assign(1_000, &world.tables, &patient), PlaceReply::Assigned { .. }));
 }
+
+/// Found by the gateway's test of dispatchers: with few requests no report came that would have cleared old figures, and
+/// two requests at once went to one of two idle groups.
+#[test]
+fn what_was_told_long_ago_keeps_no_request_away() {
+    let (world, first, second) = two_groups();
+    let mut dispatch = ScopeDispatch::new(scope());
+    let short = |entry: &str| PlaceRequest { prompt_tokens: 0, ..request(entry, "z") };
+    dispatch.exchange(1_000, report("a", vec![load(second, 3, false, false)], 0), true);
+    assert!(matches!(
+        dispatch.assign(1_010, &world.tables, &short("a")),
+        PlaceReply::Assigned { epoch, .. } if epoch == first
+    ));
+    let assigned: Vec<PlaceReply> =
+        ["a", "b"].iter().map(|entry| dispatch.assign(3_000, &world.tables, &short(entry))).collect();
+    let epochs: Vec<u64> = assigned
+        .iter()
+        .filter_map(|reply| match reply {
+            PlaceReply::Assigned { epoch, .. } => Some(*epoch),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(epochs, [first, second], "both groups are idle by now");
+}
