A refusal says "not run" only if no earlier sending may have run

Change: another daemon holds the record before a back end gets a keyed request; what may have run before is refused with 3008 RanBefore; a record that nobody is sure of counts as possible; the claim of a running request that may not repeat is asked for before a slot; calls of plain services with a key are noted. A replica is avoided only while another one serves.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -4,6 +4,7 @@
 use crate::caller_record::{CallerRecord, CallerResult, judge_text};
 use crate::topology::{TenantPlan, Topology};
 use crate::trace::{RequestKind, TraceRequest};
+use dockwood_api::ResultCode;
 use dockwood_api::caller::{
     ChatChunk, ChatCompletion, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE,
     HEADER_SESSION, Outcome, OutcomeAnswer,
@@ -180,6 +181,7 @@
     /// Takes a refusal; the pause before the next try, or `None` if it is final.
     async fn refused(&mut self, body: &ErrorBody) -> Option<Duration> {
         self.record.code = Some(body.error.code);
+        let is_refused_now = body.error.code == ResultCode::RanBefore.number();
         match body.error.outcome {
             Some(Outcome::NotRun) => {
                 self.record.told_not_run_ms.push(wall_ms());
@@ -191,6 +193,13 @@
                 (self.left() > pause).then_some(pause)
             }
             Some(Outcome::Running) => Some(RESEND_PAUSE),
+            // Refused now, though an earlier sending may have run: what may repeat is sent again.
+            Some(Outcome::Unknown) if self.request.repeatable && is_refused_now => {
+                let pause =
+                    body.error.retry_after_ms.map_or(RESEND_PAUSE, Duration::from_millis).min(MAX_PAUSE);
+                self.record.result = CallerResult::Unknown;
+                (self.left() > pause).then_some(pause)
+            }
             _ => {
                 self.record.result = CallerResult::Unknown;
                 None
--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -131,17 +131,6 @@
     Ok(RequestHeaders { id, keyed: key.is_some(), repeatable, deadline_ms })
 }
 
-/// Whether this daemon may take new work at all.
-pub(super) fn check_open(app: &App, may_serve: bool) -> Result<(), ApiError> {
-    if app.shared.is_leaving() {
-        return Err(ApiError::new(ResultCode::DaemonLeaving, "this daemon is leaving"));
-    }
-    if !may_serve {
-        return Err(ApiError::new(ResultCode::NoLease, "this daemon holds no configuration lease"));
-    }
-    Ok(())
-}
-
 /// `POST /v1/chat/completions`.
 #[handler]
 pub async fn chat_completions(Data(app): Data<&App>, request: &Request, body: Body) -> Response {
@@ -168,7 +157,6 @@
             format!("no deployment serves '{}'", chat.model),
         ));
     }
-    check_open(app, routes.iter().any(|route| app.shared.may_dispatch(&route.pool)))?;
     let job = ChatJob {
         id: headers.id,
         keyed: headers.keyed,
@@ -303,7 +291,7 @@
         Ok(tenant) => tenant,
         Err(error) => return refusal::caller_counted(app, &failure(&error), ""),
     };
-    let record = find(&app.shared, &app.traffic.records, &record_key(&tenant, &id)).await;
+    let record = find(&app.traffic, &record_key(&tenant, &id)).await.record;
     let Some(record) = record else { return not_found(&id) };
     let answer = OutcomeAnswer {
         id,
@@ -321,7 +309,7 @@
         Ok(tenant) => tenant,
         Err(error) => return refusal::caller_counted(app, &failure(&error), ""),
     };
-    let record = find(&app.shared, &app.traffic.records, &record_key(&tenant, &id)).await;
+    let record = find(&app.traffic, &record_key(&tenant, &id)).await.record;
     match record.map(|record| (record.outcome, record.answer)) {
         Some((_, Some(kept))) => kept_response(kept),
         Some((Outcome::Running, None)) => {
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -1,11 +1,12 @@
 //! Plain services under `/services/{name}/…`: any method, bodies streamed in both directions.
 
-use super::caller::{check_open, request_headers};
+use super::caller::request_headers;
 use super::refusal;
 use super::whole_or_cut;
 use super::{App, auth};
 use crate::published::is_allowed;
 use crate::traffic::chat::Failure;
+use crate::traffic::records::service_record_key;
 use crate::traffic::services::{ServiceBody, ServiceCall, forward};
 use dockwood_api::caller::HEADER_REQUEST_ID;
 use dockwood_api::{ApiError, ResultCode};
@@ -44,7 +45,6 @@
 async fn prepare(app: &App, request: &Request, body: Body) -> Result<(ServiceCall, String), ApiError> {
     let tenant = auth::tenant(app, request)?;
     let headers = request_headers(app, request)?;
-    check_open(app, app.shared.holds_lease())?;
     let service = request.raw_path_param("service").unwrap_or("").to_string();
     let published = app.shared.published();
     let spec = published.tables.service(&service).filter(|spec| is_allowed(&tenant, &spec.tenants)).cloned();
@@ -57,6 +57,7 @@
         method: request.method().clone(),
         headers: forwarded_headers(request, &headers.id),
         body: held_or_streamed(request, body).await?,
+        record_key: headers.keyed.then(|| service_record_key(&tenant, &service, &headers.id)),
         service,
         spec,
         repeatable,
--- a/crates/daemon/src/traffic/chat/mod.rs
+++ b/crates/daemon/src/traffic/chat/mod.rs
@@ -89,6 +89,12 @@
     pub fn new(code: ResultCode, message: impl Into<String>) -> Self {
         Failure { code, message: message.into(), retry_after_ms: None }
     }
+
+    /// The same for a request whose earlier sending may have run: the reason stays, "not run" does not.
+    pub fn of_resend(self) -> Self {
+        let message = format!("{}; an earlier sending of this request may have run", self.message);
+        Failure { code: ResultCode::RanBefore, message, ..self }
+    }
 }
 
 /// What the caller is told, in order.
@@ -133,7 +139,12 @@
         run.tell(event).await;
         return;
     }
-    let result = run.run().await;
+    let may_serve = run.job.routes.iter().any(|route| run.traffic.shared.may_dispatch(&route.pool));
+    let result = match run.traffic.closed(may_serve) {
+        Some(failure) => Err(failure),
+        None => run.run().await,
+    };
+    let result = result.map_err(|failure| run.truthful(failure));
     run.finish(result, keep_body).await;
 }
 
--- a/crates/daemon/src/traffic/chat/outcome.rs
+++ b/crates/daemon/src/traffic/chat/outcome.rs
@@ -2,7 +2,7 @@
 
 use super::run::Run;
 use super::{ChatEvent, Failure, Finish, KeepBody, unknown};
-use crate::traffic::records::{find, keep};
+use crate::traffic::records::{find, keep, keep_before_dispatch};
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
 use dockwood_api::peer::{KeptAnswer, RequestRecord};
@@ -15,17 +15,21 @@
 
 impl Run {
     /// What an earlier request of the same id left.
-    pub(super) async fn earlier_answer(&self) -> Option<ChatEvent> {
-        let key = self.job.record_key();
-        let record = find(&self.traffic.shared, &self.traffic.records, &key).await?;
+    pub(super) async fn earlier_answer(&mut self) -> Option<ChatEvent> {
+        let lookup = find(&self.traffic, &self.job.record_key()).await;
+        self.may_have_run_before = lookup.may_have_run();
+        let record = lookup.record?;
         if record.content_digest != self.job.content_digest {
             let message = "the id was used with another body";
             return Some(ChatEvent::Failed(Failure::new(ResultCode::IdempotencyKeyReused, message)));
         }
         match (record.outcome, record.answer) {
             (Outcome::Done, Some(answer)) => Some(ChatEvent::Kept(answer)),
-            (Outcome::Unknown, _) if !self.job.repeatable => Some(ChatEvent::Failed(unknown())),
-            _ => None,
+            _ if self.job.repeatable => None,
+            // The claim decides: it is free if the other run was given up before it began.
+            (Outcome::Running, _) => self.claim().await.map(ChatEvent::Failed),
+            (Outcome::Unknown | Outcome::Done, _) => Some(ChatEvent::Failed(unknown())),
+            (Outcome::NotRun, _) => None,
         }
     }
 
@@ -46,6 +50,8 @@
         match self.traffic.claims.claim(request).await {
             Ok(ClaimVerdict::Held) => {
                 self.claim_attempt = Some(attempt);
+                // No back end gets it without a claim, and nobody else holds one.
+                self.may_have_run_before = false;
                 None
             }
             Ok(ClaimVerdict::Taken(row)) => Some(self.await_other_run(row.settled).await),
@@ -67,8 +73,7 @@
     async fn await_other_run(&mut self, settled: Option<u16>) -> Failure {
         let key = self.job.record_key();
         while self.milliseconds_left() > 0 && !self.caller_gone {
-            let record = find(&self.traffic.shared, &self.traffic.records, &key).await;
-            match record {
+            match find(&self.traffic, &key).await.record {
                 Some(RequestRecord { outcome: Outcome::Done, answer: Some(answer), .. }) => {
                     self.tell(ChatEvent::Kept(answer)).await;
                     self.caller_gone = true;
@@ -88,13 +93,15 @@
         Failure::new(ResultCode::AlreadyRunning, "a request of this id is running at another entry")
     }
 
-    pub(super) fn record_running(&self) {
-        if !self.job.keyed {
-            return;
+    pub(super) async fn record_running(&self) {
+        if self.job.keyed {
+            keep_before_dispatch(&self.traffic, self.record(Outcome::Running, None, None)).await;
         }
-        let record = self.record(Outcome::Running, None, None);
-        let traffic = self.traffic.clone();
-        tokio::spawn(async move { keep(&traffic.shared, &traffic.records, record).await });
+    }
+
+    /// What the caller may be told of a failure: that the request was not run only if no earlier sending of it was.
+    pub(super) fn truthful(&self, failure: Failure) -> Failure {
+        if self.may_have_run_before && failure.code.is_not_run() { failure.of_resend() } else { failure }
     }
 
     fn record(
@@ -122,12 +129,13 @@
         };
         self.traffic.shared.metrics.answers.with_label_values(&[&code.number().to_string()]).inc();
         let was_dispatched = code == ResultCode::Ok || !code.is_not_run();
-        let owns_record = self.claim_attempt.is_some() || self.job.repeatable;
+        let is_told_by_other = code == ResultCode::RanBefore;
+        let owns_record = self.claim_attempt.is_some() || (self.job.repeatable && !is_told_by_other);
         // Kept before the caller hears of the end, so that it can be asked for as soon as the caller can ask.
         if owns_record || !self.job.keyed {
             let record = self.record(outcome, Some(code), answer);
             let traffic = self.traffic.clone();
-            let keeping = async move { keep(&traffic.shared, &traffic.records, record).await };
+            let keeping = async move { keep(&traffic, record).await };
             if self.job.keyed {
                 keeping.await;
             } else {
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -24,6 +24,8 @@
     pub(super) caller_gone: bool,
     /// A back end may have acted on the request: from here on "not run" can't be said any more.
     pub(super) dispatched: bool,
+    /// An earlier sending of the same request may have reached a back end.
+    pub(super) may_have_run_before: bool,
     pub(super) produced: u32,
     pub(super) text: String,
     pub(super) prompt_tokens: u32,
@@ -41,6 +43,7 @@
             events,
             caller_gone: false,
             dispatched: false,
+            may_have_run_before: false,
             produced: 0,
             text: String::new(),
             prompt_tokens: 0,
@@ -125,7 +128,6 @@
 
     pub(super) async fn acquire(&mut self) -> Result<HeldSlot, Failure> {
         let pool = self.pool();
-        let replicas = self.traffic.shared.tables().replicas_of(&pool).count();
         let request = AcquireRequest {
             request_id: self.job.engine_id(),
             entry: self.traffic.shared.settings.name.clone(),
@@ -133,8 +135,7 @@
             cost_tokens: self.job.cost_tokens(),
             prefix_blocks: prefix_blocks(&self.job.prompt),
             wait_ms: 0,
-            // With a single replica there is nowhere else; its gate stays closed until it is whole again.
-            avoid: if replicas > 1 { self.avoid.clone() } else { Vec::new() },
+            avoid: self.avoid.clone(),
             pool,
         };
         let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -53,7 +53,7 @@
             return AttemptEnd::Movable("stale-grant");
         }
         let request = self.generate_request(slot);
-        self.record_running();
+        self.record_running().await;
         match EngineStream::open(&self.traffic.http, slot.grant.head, &request).await {
             Ok(stream) => {
                 self.dispatched = true;
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -9,6 +9,8 @@
 pub mod slots;
 
 use crate::shared::Shared;
+use chat::Failure;
+use dockwood_api::ResultCode;
 use dockwood_routing::RetryBudget;
 use std::sync::{Arc, Mutex};
 
@@ -55,6 +57,15 @@
         })
     }
 
+    /// Why this daemon takes no new work at all, if so. `may_serve` tells whether its configuration is sure to be in force.
+    fn closed(&self, may_serve: bool) -> Option<Failure> {
+        if self.shared.is_leaving() {
+            return Some(Failure::new(ResultCode::DaemonLeaving, "this daemon is leaving"));
+        }
+        let lacks_lease = || Failure::new(ResultCode::NoLease, "this daemon holds no configuration lease");
+        (!may_serve).then(lacks_lease)
+    }
+
     fn count_request(&self) {
         self.retry_budget.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).record_request();
     }
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -1,20 +1,21 @@
 //! Plain services: calls go straight to one of the servers, streamed in both directions.
 
-use super::Traffic;
+use super::chat::Failure;
+use super::{Traffic, records};
 use crate::clock::monotonic_ms;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
+use dockwood_api::caller::Outcome;
+use dockwood_api::peer::RequestRecord;
 use dockwood_api::resource::{ServiceServer, ServiceSpec};
 use dockwood_routing::{BackendPicker, CallResult};
 use rand::RngExt;
 use reqwest::header::HeaderMap;
 use reqwest::{Method, StatusCode};
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use super::chat::Failure;
-
 /// Attempts at one repeatable call, at most.
 const MAX_ATTEMPTS: u32 = 3;
 /// How long a server may take to answer the head of a response.
@@ -44,6 +45,8 @@
     pub body: ServiceBody,
     /// Whether it may be run more than once.
     pub repeatable: bool,
+    /// Under which its sendings are noted, if the caller named an id and may send it again.
+    pub record_key: Option<String>,
 }
 
 /// A body that is whole, and can be sent again, or one that is still arriving.
@@ -56,7 +59,7 @@
 
 /// Counts a call for as long as its answer is streamed.
 pub struct CallGuard {
-    traffic: std::sync::Arc<Traffic>,
+    traffic: Arc<Traffic>,
     service: String,
     server: String,
     servers: usize,
@@ -81,16 +84,80 @@
     }
 }
 
-/// Forwards a call. The guard must live until the answer's body has ended.
-pub async fn forward(
-    traffic: &std::sync::Arc<Traffic>,
-    call: ServiceCall,
-) -> Result<(reqwest::Response, CallGuard), Failure> {
+/// An answer's head and body, with the guard that must live until the body has ended.
+type Answer = (reqwest::Response, CallGuard);
+
+/// Forwards a call. A failure says "not run" only if no server has had the call, in this sending or an earlier one.
+pub async fn forward(traffic: &Arc<Traffic>, call: ServiceCall) -> Result<Answer, Failure> {
     traffic.count_request();
-    let ServiceCall { service, spec, method, path, headers, body, repeatable } = call;
+    let mut sendings = Sendings { traffic, key: call.record_key.clone(), noted: None };
+    if let Some(failure) = traffic.closed(traffic.shared.holds_lease()) {
+        return Err(sendings.truthful(failure).await);
+    }
+    match try_servers(traffic, call, &mut sendings).await {
+        Ok(answer) => Ok(answer),
+        Err(failure) => Err(sendings.truthful(failure).await),
+    }
+}
+
+/// What is known of a call's sendings to servers, by this daemon and by others that the caller sent it to before.
+struct Sendings<'a> {
+    traffic: &'a Arc<Traffic>,
+    key: Option<String>,
+    /// Whether an earlier sending may have run, learnt when this one was noted.
+    noted: Option<bool>,
+}
+
+impl Sendings<'_> {
+    fn record(&self, key: &str, outcome: Outcome) -> RequestRecord {
+        RequestRecord {
+            key: key.to_string(),
+            content_digest: 0,
+            outcome,
+            code: None,
+            entry: self.traffic.shared.settings.name.clone(),
+            answer: None,
+        }
+    }
+
+    /// Notes, once, that a server is about to have the call. What comes of it is not noted: the answer is not kept.
+    async fn note(&mut self) {
+        let Some(key) = self.key.as_ref().filter(|_| self.noted.is_none()) else { return };
+        let record = self.record(key, Outcome::Unknown);
+        let before = records::keep_before_dispatch(self.traffic, record).await;
+        self.noted = Some(before.as_ref().is_some_and(records::may_have_run));
+    }
+
+    /// The failure that the caller may be told.
+    async fn truthful(&self, failure: Failure) -> Failure {
+        let Some(key) = self.key.as_ref().filter(|_| failure.code.is_not_run()) else { return failure };
+        let may_have_run = match self.noted {
+            Some(may_have_run) => may_have_run,
+            None => records::find(self.traffic, key).await.may_have_run(),
+        };
+        if may_have_run {
+            return failure.of_resend();
+        }
+        if self.noted.is_some() {
+            records::keep(self.traffic, self.record(key, Outcome::NotRun)).await;
+        }
+        failure
+    }
+}
+
+async fn try_servers(
+    traffic: &Arc<Traffic>,
+    call: ServiceCall,
+    sendings: &mut Sendings<'_>,
+) -> Result<Answer, Failure> {
+    let ServiceCall { service, spec, method, path, headers, body, repeatable, record_key: _ } = call;
     let mut body = Some(body);
+    // The failure of an attempt after which "not run" can't be said any more.
+    let mut unclear = None;
     for attempt in 0..MAX_ATTEMPTS {
-        let Some(server) = pick(traffic, &service, &spec) else { return Err(all_busy()) };
+        let Some(server) = pick(traffic, &service, &spec) else {
+            return Err(unclear.unwrap_or_else(all_busy));
+        };
         let mut guard = CallGuard {
             traffic: traffic.clone(),
             service: service.clone(),
@@ -106,31 +173,35 @@
             None => break,
         };
         body = spare;
+        sendings.note().await;
         let request = traffic.http.request(method.clone(), format!("http://{}{path}", server.address));
         let sending = request.headers(headers.clone()).body(sent).send();
-        let failure = match tokio::time::timeout(HEAD_TIMEOUT, sending).await {
+        match tokio::time::timeout(HEAD_TIMEOUT, sending).await {
             Ok(Ok(response)) => {
                 if response.status() != StatusCode::SERVICE_UNAVAILABLE {
                     guard.result = CallResult::Answered;
                 }
                 return Ok((response, guard));
             }
-            Ok(Err(error)) if error.is_connect() => {
-                Failure::new(ResultCode::BackendUnreachable, "no server of the service could be reached")
-            }
-            _ => Failure::new(
-                ResultCode::OutcomeUnknown,
-                "the server did not answer; the call may have been run",
-            ),
+            Ok(Err(error)) if error.is_connect() => {}
+            _ => unclear = Some(outcome_unknown()),
         };
         drop(guard);
-        let may_retry = failure.code.is_not_run() || repeatable;
+        let may_retry = unclear.is_none() || repeatable;
         let last = attempt + 1 == MAX_ATTEMPTS;
         if !may_retry || last || body.is_none() || !traffic.try_retry("service") {
-            return Err(failure);
+            break;
         }
     }
-    Err(Failure::new(ResultCode::BackendUnreachable, "no server of the service could be reached"))
+    Err(unclear.unwrap_or_else(unreachable))
+}
+
+fn unreachable() -> Failure {
+    Failure::new(ResultCode::BackendUnreachable, "no server of the service could be reached")
+}
+
+fn outcome_unknown() -> Failure {
+    Failure::new(ResultCode::OutcomeUnknown, "the server did not answer; the call may have been run")
 }
 
 fn pick(traffic: &Traffic, service: &str, spec: &ServiceSpec) -> Option<ServiceServer> {
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -8,7 +8,7 @@
 use dockwood_daemon::process::accepts_for;
 use dockwood_daemon::settings::{GatewaySettings, RetryBudgetSettings};
 use dockwood_daemon::timeline::{TIMELINE_CAPACITY, Timeline};
-use dockwood_daemon::traffic::records::RecordStore;
+use dockwood_daemon::traffic::records::{Lookup, RecordStore};
 use dockwood_daemon::watch_hub::{RETAINED_REVISIONS, WatchHub};
 use std::time::Duration;
 
@@ -34,6 +34,28 @@
     assert_eq!(store.read("k").map(|record| record.outcome), Some(Outcome::Done));
 }
 
+/// The entry that noted a request, and then did not send it, may say so; another one's word doesn't count.
+#[test]
+fn not_run_replaces_running_only_by_the_word_of_the_same_entry() {
+    let store = RecordStore::default();
+    store.store(record("k", Outcome::Running, 0));
+    store.store(RequestRecord { entry: "other".to_string(), ..record("k", Outcome::NotRun, 0) });
+    assert_eq!(store.read("k").map(|record| record.outcome), Some(Outcome::Running));
+    store.store(record("k", Outcome::NotRun, 0));
+    assert_eq!(store.read("k").map(|record| record.outcome), Some(Outcome::NotRun));
+}
+
+/// A record has two copies, so one daemon that doesn't answer can't hide it, and two can.
+#[test]
+fn a_request_may_have_run_where_no_record_is_sure() {
+    let lookup = |outcome: Option<Outcome>, unanswered| {
+        Lookup { record: outcome.map(|outcome| record("k", outcome, 0)), unanswered }.may_have_run()
+    };
+    assert!(!lookup(None, 0) && !lookup(None, 1) && lookup(None, 2));
+    assert!(!lookup(Some(Outcome::NotRun), 2));
+    assert!(lookup(Some(Outcome::Running), 0) && lookup(Some(Outcome::Unknown), 0));
+}
+
 #[test]
 fn kept_answers_are_bounded_and_the_oldest_go_first() {
     let store = RecordStore::default();
--- a/crates/routing/src/coordinator/mod.rs
+++ b/crates/routing/src/coordinator/mod.rs
@@ -310,13 +310,15 @@
             if free.is_empty() {
                 return;
             }
+            let replicas = &self.config.replicas;
+            let takes = |call: &Call, replica: &PoolReplica| !avoids(call, &replica.name, replicas);
             let Some(waiting) =
-                self.queue.pop(|waiting| free.iter().any(|(replica, _)| fits(&waiting.item, replica)))
+                self.queue.pop(|waiting| free.iter().any(|(replica, _)| takes(&waiting.item, replica)))
             else {
                 return;
             };
             let fitting: Vec<&(PoolReplica, Millis)> =
-                free.into_iter().filter(|(replica, _)| fits(&waiting.item, replica)).collect();
+                free.into_iter().filter(|(replica, _)| takes(&waiting.item, replica)).collect();
             self.grant(now, waiting, &fitting);
         }
     }
@@ -378,7 +380,10 @@
     }
 }
 
-fn fits(call: &Call, replica: &PoolReplica) -> bool {
-    let avoided = call.request.avoid.contains(&replica.name);
-    !avoided
+/// Whether a call is kept from a replica that has failed it. With no other replica serving there is nowhere else to go;
+/// a replica that broke is closed by the gate until it is whole again.
+fn avoids(call: &Call, replica: &str, replicas: &[PoolReplica]) -> bool {
+    let avoided = &call.request.avoid;
+    let is_avoided = |name: &str| avoided.iter().any(|avoided| avoided == name);
+    is_avoided(replica) && replicas.iter().any(|other| other.serving && !is_avoided(&other.name))
 }
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -231,6 +231,24 @@
     assert_eq!(grants(&pool.step(1_100, evidence(1_100, &broken, 1, true)))[0].1, broken);
 }
 
+/// A request that had failed at the one replica that serves waited for its whole deadline, as another replica was declared
+/// and could not be formed.
+#[test]
+fn a_request_avoids_a_replica_only_while_another_one_serves() {
+    let forming = PoolReplica { serving: false, ..replica("b", 7) };
+    let avoiding = || AcquireRequest { avoid: vec!["a".to_string()], ..request("top", "e", Vec::new()) };
+    let mut pool = Coordinator::default();
+    pool.step(0, Input::Configure(config(vec![replica("a", 6), forming])));
+    pool.step(0, evidence(0, "a", 6, true));
+    let alone = pool.step(0, Input::Acquire { ticket: 1, request: avoiding() });
+    assert_eq!(grants(&alone).len(), 1, "there is nowhere else");
+    pool.step(0, Input::Configure(config(vec![replica("a", 6), replica("b", 7)])));
+    let waiting = pool.step(0, Input::Acquire { ticket: 2, request: avoiding() });
+    assert_eq!(grants(&waiting), [], "the other one serves, and has not been heard of yet");
+    let other = pool.step(10, evidence(10, "b", 7, true));
+    assert_eq!(grants(&other).iter().map(|grant| grant.1.as_str()).collect::<Vec<_>>(), ["b"]);
+}
+
 #[test]
 fn a_prefix_draws_its_requests_together_while_load_is_bounded() {
     let mut pool = open_pool();
