Control turns are measured by kind of work; node.rs and stream.rs in smaller parts

Change: metrics dockwood_control_turn_seconds and dockwood_control_work_seconds{work}, and a log line slowTurn for turns of 50 ms or more, one a second at most. own_lease.rs, stream/reading.rs and stream/sending.rs take their parts as they were; step is split, without change of behaviour.

Figures: a test of the metrics; gateway, fleet, resend, parts and logs pass.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod leading;
 mod leases;
 mod node;
+mod own_lease;
 mod view;
 mod voter;
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,16 +6,12 @@
 use crate::blackboard::Blackboard;
 use crate::catch_up::EncodedState;
 use crate::census::{EntryCensus, FromDaemons};
-use crate::compression::decompress;
-use crate::driver_io::{GrantedLease, Input, Moment, Output};
+use crate::driver_io::{Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
 use crate::voter::{VoterPart, Waiter};
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::peer::{
-    AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, RevisedCommand, SubmitReply,
-    VoterRecord,
-};
+use dockwood_api::peer::{AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, SubmitReply, VoterRecord};
 use dockwood_consensus::{self as consensus, Message, Node, Voter};
 use dockwood_grouping::GroupingPolicy;
 use dockwood_placement::PlacementPolicy;
@@ -23,11 +19,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Daemons whose leases are all looked at in each turn, to tell what is in force everywhere.
-const LOOKED_AT_EACH_TURN: usize = 64;
-/// Further daemons for each millisecond between two such looks: one takes some 0.2 microseconds for each daemon.
-const LOOKED_AT_PER_MS: usize = 10;
-
 /// Parameters of a control node.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -74,11 +65,11 @@
     pub(crate) board: Blackboard,
     pub(crate) voter: Option<VoterPart<R>>,
     pub(crate) in_force_revision: u64,
-    dirty: bool,
+    pub(crate) dirty: bool,
     /// Commands of the inputs taken since the last settling.
     batch: Batch<R>,
     pub(crate) entries: FromDaemons<EntryCensus>,
-    in_force_at: Millis,
+    pub(crate) in_force_at: Millis,
     /// The state for daemons that are told to fetch it here.
     copy: EncodedState,
     pub(crate) outputs: Vec<Output<R>>,
@@ -316,69 +307,6 @@
         }
     }
 
-    /// What came with this daemon's own lease.
-    fn take_lease(&mut self, lease: GrantedLease) {
-        self.raise_in_force(lease.in_force_revision);
-        match lease.content {
-            LeaseContent::Commands { commands, through } => self.take_commands_of_lease(commands, through),
-            // The driver has fetched it, and gives what came.
-            LeaseContent::Fetch { .. } => {}
-            LeaseContent::Snapshot(bytes) => match decompress(&bytes) {
-                Ok(state) => self.restore(&state),
-                Err(error) => self.record_own("SnapshotRefused", error.message(), error.code()),
-            },
-        }
-    }
-
-    /// A command that can't be read stops the daemon at the revision before it: it asks for the rest again.
-    fn take_commands_of_lease(&mut self, commands: Vec<RevisedCommand>, through: u64) {
-        for RevisedCommand { revision, command } in commands {
-            match decompress(&command).and_then(|bytes| decode_command(&bytes)) {
-                Ok(command) => {
-                    if let Some(applied) = self.board.apply_at(revision, &command) {
-                        self.note_applied(&command, &applied);
-                    }
-                }
-                Err(error) => {
-                    self.record_own("CommandRefused", error.message(), error.code());
-                    return;
-                }
-            }
-        }
-        if through > self.board.revision() {
-            self.board.advance_to(through);
-            self.dirty = true;
-        }
-    }
-
-    /// Whether it may be looked again at what is in force everywhere, which takes a look at all daemons' leases.
-    pub(crate) fn claim_in_force_check(&mut self, now: Millis) -> bool {
-        let is_due = self.in_force_revision < self.board.revision() && now >= self.in_force_at;
-        if is_due {
-            let further = self.board.tables().daemons.len().saturating_sub(LOOKED_AT_EACH_TURN);
-            self.in_force_at = now + (further / LOOKED_AT_PER_MS) as Millis;
-        }
-        is_due
-    }
-
-    pub(crate) fn raise_in_force(&mut self, revision: u64) {
-        if revision > self.in_force_revision {
-            self.in_force_revision = revision;
-            self.dirty = true;
-        }
-    }
-
-    pub(crate) fn restore(&mut self, bytes: &[u8]) {
-        match self.board.restore(bytes) {
-            Ok(true) => {
-                self.outputs.push(Output::Restored { revision: self.board.revision() });
-                self.dirty = true;
-            }
-            Ok(false) => {}
-            Err(error) => self.record_own("SnapshotRefused", error.message(), error.code()),
-        }
-    }
-
     pub(crate) fn record_own(&mut self, reason: &str, message: &str, code: ResultCode) {
         let account = Account {
             subject: Subject::new("daemon", &self.name),
@@ -395,7 +323,7 @@
         applied
     }
 
-    fn note_applied(&mut self, command: &Command, applied: &Applied) {
+    pub(crate) fn note_applied(&mut self, command: &Command, applied: &Applied) {
         if !command.body.is_configuration() {
             return;
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod pulse;
 mod reply;
 mod thread;
+mod turn;
 mod voter_disk;
 
 pub use admission::run_admission;
@@ -21,6 +22,7 @@
 pub use pulse::run_pulse;
 pub use reply::Reply;
 pub use thread::{ControlThread, StartedControl, run_control_thread};
+pub use turn::{TurnClock, Work};
 pub use voter_disk::StartError;
 
 use dockwood_api::engine::PlatformMachine;
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -2,6 +2,7 @@
 
 use super::identity::Identity;
 use super::outbox::{OUTBOX, decode_messages};
+use super::turn::{TurnClock, Work};
 use super::voter_disk::{StartError, VoterDisk};
 use super::{ControlMessage, GroupOrderSender, OrderSender, Reply, run_outbox};
 use crate::clock::{monotonic_ms, wall_ms};
@@ -19,7 +20,7 @@
 use dockwood_storage::StorageError;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// Time between ticks of a voter.
@@ -128,6 +129,7 @@
     outboxes: Outboxes,
     orders: OrderSender,
     group_orders: GroupOrderSender,
+    turns: TurnClock,
     stopping: bool,
 }
 
@@ -150,6 +152,7 @@
             _ = ticks.tick() => control.step(Input::Tick)?,
         }
         control.publish();
+        control.turns.end_turn();
     }
     Ok(())
 }
@@ -169,7 +172,8 @@
         let mut outboxes =
             Outboxes { own_id: member_id, senders, shared: shared.clone(), runtime: voter_links };
         outboxes.learn(&voters);
-        ControlThread { shared, messages, node, disk, outboxes, orders, group_orders, stopping: false }
+        let turns = TurnClock::new(&shared.settings.name, &shared.metrics);
+        ControlThread { shared, messages, node, disk, outboxes, orders, group_orders, turns, stopping: false }
     }
 
     /// Takes messages that arrived together, and decides once on all of them.
@@ -186,25 +190,29 @@
                 }
                 ControlMessage::Stop => self.stopping = true,
                 other => {
+                    let begun = Instant::now();
                     if let Some(input) = input_of(other) {
-                        self.give(input);
+                        self.give(begun, input);
                     }
                 }
             }
         }
         if !submitted.is_empty() {
-            self.give(Input::Submit(submitted));
+            self.give(Instant::now(), Input::Submit(submitted));
         }
         self.settle()
     }
 
-    fn give(&mut self, input: Input<Reply>) {
+    /// Gives the node one input, which has been worked on since `begun`.
+    fn give(&mut self, begun: Instant, input: Input<Reply>) {
+        let work = Work::of_input(&input);
         self.node.take(now(), input);
+        self.turns.spent(work, begun);
     }
 
     /// Gives the node one input and carries out what follows.
     fn step(&mut self, input: Input<Reply>) -> Result<(), StorageError> {
-        self.give(input);
+        self.give(Instant::now(), input);
         self.settle()
     }
 
@@ -212,10 +220,16 @@
     fn settle(&mut self) -> Result<(), StorageError> {
         loop {
             let mut follows = false;
-            for output in self.node.settle(now()) {
-                if let Some(input) = self.carry_out(output)? {
+            let begun = Instant::now();
+            let outputs = self.node.settle(now());
+            self.turns.spent(Work::Decisions, begun);
+            for output in outputs {
+                let (work, begun) = (Work::of_output(&output), Instant::now());
+                let next = self.carry_out(output)?;
+                self.turns.spent(work, begun);
+                if let Some(input) = next {
                     follows = true;
-                    self.give(input);
+                    self.give(Instant::now(), input);
                 }
             }
             if !follows {
@@ -286,10 +300,12 @@
         if !self.node.take_dirty() {
             return;
         }
+        let begun = Instant::now();
         let tables = Arc::new(self.node.tables().clone());
         let routing = Arc::new(RoutingTable::build(&tables));
         let in_force_revision = self.node.in_force_revision();
         self.shared.publish(Published { tables, in_force_revision, routing });
+        self.turns.spent(Work::Publishing, begun);
     }
 }
 
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -1,35 +1,33 @@
 //! Streams of events: passed on as they arrive, whole events only, and continued at another group when theirs breaks
 //! or stands still. The caller sees one answer, with the head of the first server.
 
+mod reading;
+mod sending;
+
 use super::Gateway;
 use super::account::RequestAccount;
 use super::assignment::wait_for_place;
-use super::body::{AnswerBody, CutShort, read_whole, whole};
-use super::headers::end_to_end;
+use super::body::{AnswerBody, CutShort, whole};
 use super::loads::PlaceQuery;
-use super::plain::{belongs, give_up, request_for, says_not_run};
+use super::plain::give_up;
 use super::receive::{Received, may_still_run};
-use super::stalls::{Source, abandon, stands_still};
+use super::stalls::Source;
 use super::targets::pick;
-use super::upstream::{ConnectFault, Upstream};
+use super::upstream::Upstream;
 use crate::shared::InFlight;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_routing::CallResult;
 use dockwood_routing::gateway::{Course, EventSplitter, GiveUp, Pace, SendOutcome, Verdict};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
+use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-const EVENT_STREAM: &str = "text/event-stream";
-/// Bodies of answers that are no streams, in bytes.
-const MOST_ANSWER_BYTES: usize = 16 << 20;
 /// Part of the target for the first event that a request may wait here for a place, in hundredths: a refusal is worth
 /// something only while it is early.
 const WAIT_HUNDREDTHS: u64 = 20;
@@ -243,140 +241,6 @@
         place.map(Source::Group).map_err(|code| self.refusal(code, FULL_RETRY_MS))
     }
 
-    /// Sends to one source; on success the stream is being read, or an answer that is no stream is here.
-    async fn send(&mut self, source: Source) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
-        let (address, instance) = match &source {
-            Source::Group(place) => (place.head, place.instance.clone()),
-            Source::Server(picked) => (picked.row.address, picked.row.id.clone()),
-        };
-        let epoch = match &source {
-            Source::Group(place) => Some(place.epoch),
-            Source::Server(_) => None,
-        };
-        self.tried_groups.extend(epoch);
-        self.account.sent(&instance, epoch);
-        let fresh = !self.received.route.is_repeatable();
-        let mut upstream = match self.gateway.pool.connection(address, fresh).await {
-            Ok(upstream) => upstream,
-            Err(fault) => {
-                self.unreachable(source, fault);
-                return Err(SendOutcome::NotSent);
-            }
-        };
-        let resume_at = self.begun.then_some(self.last_event).flatten();
-        let request = request_for(&self.gateway, &self.received, &instance, resume_at);
-        let Some(request) = request else { return Err(SendOutcome::NotSent) };
-        let sent_at = Instant::now();
-        if !self.begun {
-            self.since = sent_at;
-        }
-        let response = tokio::select! {
-            response = upstream.send(request) => response.map_err(|_| SendOutcome::Unknown),
-            () = stands_still(&self.gateway, &source, self.silence_bound(sent_at), &mut self.changes),
-                if self.course.may_move() => Err(abandon(&self.gateway, &source)),
-            () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
-        }?;
-        self.take_response(source, upstream, response).await
-    }
-
-    fn unreachable(&self, source: Source, fault: ConnectFault) {
-        match source {
-            Source::Group(place) => self.gateway.loads.suspect(place.epoch, fault == ConnectFault::Refused),
-            Source::Server(picked) => picked.ended(CallResult::Failed),
-        }
-    }
-
-    async fn take_response(
-        &mut self,
-        source: Source,
-        upstream: Upstream,
-        response: Response<Incoming>,
-    ) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
-        let (parts, body) = response.into_parts();
-        let names = self.gateway.dialect.headers();
-        if !belongs(&parts.headers, names, &self.received) {
-            return Err(SendOutcome::Unknown);
-        }
-        if says_not_run(parts.status, &parts.headers, names) {
-            return Err(SendOutcome::SaidNotRun);
-        }
-        let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-        let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
-        if parts.status == StatusCode::OK && is_stream {
-            if self.head.is_none() {
-                let mut headers = end_to_end(&parts.headers);
-                headers.remove(CONTENT_LENGTH);
-                self.head = Some(Head { status: parts.status, headers });
-            }
-            self.reading = Some(Reading { source, upstream, body, splitter: EventSplitter::default() });
-            return Ok(None);
-        }
-        let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
-        if parts.status.is_server_error() && self.course.may_move() {
-            return Err(SendOutcome::Failed);
-        }
-        let failed = parts.status.is_server_error();
-        self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
-        let mut response = Response::new(whole(body));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = end_to_end(&parts.headers);
-        Ok(Some(response))
-    }
-
-    /// Reads on to the next whole event.
-    async fn step(&mut self) -> Step {
-        let may_move = self.course.may_move();
-        let bound = self.silence_bound(self.since);
-        let Some(reading) = &mut self.reading else { return Step::Broken(SendOutcome::NotSent) };
-        loop {
-            if let Some(event) = reading.splitter.next_event() {
-                // A resumed stream may begin with what the caller has.
-                if event.id.is_some() && event.id <= self.last_event && self.begun {
-                    continue;
-                }
-                if let Source::Group(place) = &reading.source {
-                    self.gateway.loads.progressed(place.epoch);
-                }
-                if let Some(model) = &self.received.model {
-                    let took_ms = self.since.elapsed().as_secs_f64() * 1_000.0;
-                    self.gateway.loads.record_event(model, !self.begun, took_ms);
-                }
-                self.last_event = event.id.or(self.last_event);
-                self.begun = true;
-                self.events += 1;
-                self.account.event_passed();
-                self.since = Instant::now();
-                return Step::Event(event.bytes);
-            }
-            let frame = tokio::select! {
-                frame = reading.body.frame() => frame,
-                () = stands_still(&self.gateway, &reading.source, bound, &mut self.changes), if may_move => {
-                    let outcome = abandon(&self.gateway, &reading.source);
-                    return Step::Broken(outcome);
-                }
-                () = tokio::time::sleep_until(self.received.deadline) => return Step::OutOfTime,
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        reading.splitter.push(data);
-                    }
-                }
-                None if reading.splitter.is_clean() => {
-                    if let Some(done) = self.reading.take() {
-                        done.finish(&self.gateway);
-                    }
-                    self.account.end(ResultCode::Ok);
-                    if let Some(model) = &self.received.model {
-                        self.gateway.loads.answered(&self.received.service.name, model, self.events);
-                    }
-                    return Step::Complete;
-                }
-                Some(Err(_)) | None => return Step::Broken(SendOutcome::Unknown),
-            }
-        }
-    }
-
     /// How much longer the group may be silent, which last showed something at `since`, for it not to count as standing
     /// still.
     fn silence_bound(&self, since: Instant) -> Option<Duration> {
@@ -414,13 +278,3 @@
         StreamBody::new(events).boxed_unsync()
     }
 }
-
-impl Reading {
-    /// The stream was read to its end: the connection can be used again.
-    fn finish(self, gateway: &Gateway) {
-        gateway.pool.keep(self.upstream);
-        if let Source::Server(picked) = self.source {
-            picked.ended(CallResult::Answered);
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -0,0 +1,101 @@
+//! One send of a request for a stream: to a group or a server, up to the head of its answer.
+
+use super::{Head, Reading, StreamCourse};
+use crate::gateway::body::{AnswerBody, read_whole, whole};
+use crate::gateway::headers::end_to_end;
+use crate::gateway::plain::{belongs, request_for, says_not_run};
+use crate::gateway::stalls::{Source, abandon, stands_still};
+use crate::gateway::upstream::{ConnectFault, Upstream};
+use dockwood_api::ResultCode;
+use dockwood_routing::CallResult;
+use dockwood_routing::gateway::{EventSplitter, SendOutcome};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::{Response, StatusCode};
+use tokio::time::Instant;
+
+const EVENT_STREAM: &str = "text/event-stream";
+/// Bodies of answers that are no streams, in bytes.
+const MOST_ANSWER_BYTES: usize = 16 << 20;
+
+impl StreamCourse {
+    /// Sends to one source; on success the stream is being read, or an answer that is no stream is here.
+    pub(super) async fn send(&mut self, source: Source) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
+        let (address, instance) = match &source {
+            Source::Group(place) => (place.head, place.instance.clone()),
+            Source::Server(picked) => (picked.row.address, picked.row.id.clone()),
+        };
+        let epoch = match &source {
+            Source::Group(place) => Some(place.epoch),
+            Source::Server(_) => None,
+        };
+        self.tried_groups.extend(epoch);
+        self.account.sent(&instance, epoch);
+        let fresh = !self.received.route.is_repeatable();
+        let mut upstream = match self.gateway.pool.connection(address, fresh).await {
+            Ok(upstream) => upstream,
+            Err(fault) => {
+                self.unreachable(source, fault);
+                return Err(SendOutcome::NotSent);
+            }
+        };
+        let resume_at = self.begun.then_some(self.last_event).flatten();
+        let request = request_for(&self.gateway, &self.received, &instance, resume_at);
+        let Some(request) = request else { return Err(SendOutcome::NotSent) };
+        let sent_at = Instant::now();
+        if !self.begun {
+            self.since = sent_at;
+        }
+        let response = tokio::select! {
+            response = upstream.send(request) => response.map_err(|_| SendOutcome::Unknown),
+            () = stands_still(&self.gateway, &source, self.silence_bound(sent_at), &mut self.changes),
+                if self.course.may_move() => Err(abandon(&self.gateway, &source)),
+            () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
+        }?;
+        self.take_response(source, upstream, response).await
+    }
+
+    fn unreachable(&self, source: Source, fault: ConnectFault) {
+        match source {
+            Source::Group(place) => self.gateway.loads.suspect(place.epoch, fault == ConnectFault::Refused),
+            Source::Server(picked) => picked.ended(CallResult::Failed),
+        }
+    }
+
+    async fn take_response(
+        &mut self,
+        source: Source,
+        upstream: Upstream,
+        response: Response<Incoming>,
+    ) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
+        let (parts, body) = response.into_parts();
+        let names = self.gateway.dialect.headers();
+        if !belongs(&parts.headers, names, &self.received) {
+            return Err(SendOutcome::Unknown);
+        }
+        if says_not_run(parts.status, &parts.headers, names) {
+            return Err(SendOutcome::SaidNotRun);
+        }
+        let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
+        if parts.status == StatusCode::OK && is_stream {
+            if self.head.is_none() {
+                let mut headers = end_to_end(&parts.headers);
+                headers.remove(CONTENT_LENGTH);
+                self.head = Some(Head { status: parts.status, headers });
+            }
+            self.reading = Some(Reading { source, upstream, body, splitter: EventSplitter::default() });
+            return Ok(None);
+        }
+        let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
+        if parts.status.is_server_error() && self.course.may_move() {
+            return Err(SendOutcome::Failed);
+        }
+        let failed = parts.status.is_server_error();
+        self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
+        let mut response = Response::new(whole(body));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = end_to_end(&parts.headers);
+        Ok(Some(response))
+    }
+}
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -34,6 +34,8 @@
     Order(OrderLine<'a>),
     /// How a request ended, and all that was decided on it.
     Request(RequestLine<'a>),
+    /// A turn of the control thread took long.
+    SlowTurn(SlowTurnLine),
     /// A fault of the daemon's own.
     Fault {
         /// What is wrong.
@@ -78,6 +80,28 @@
     pub answer: String,
 }
 
+/// A turn of the control thread that took long, and what took it.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct SlowTurnLine {
+    /// The time that it worked, in milliseconds.
+    pub took_ms: u64,
+    /// Kinds of work that took a millisecond or more.
+    pub work: Vec<WorkTime>,
+    /// Lines on slow turns that were held back since the last one that was written.
+    pub held_back: u64,
+}
+
+/// Time that one kind of work took in a turn.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct WorkTime {
+    /// The kind, as in the metric `dockwood_control_work_seconds`.
+    pub work: &'static str,
+    /// Its time, in milliseconds.
+    pub took_ms: u64,
+}
+
 /// How a request ended, and all that was decided on it.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -12,6 +12,9 @@
 /// Upper bounds of disk buckets, in seconds.
 const SYNC_BUCKETS: [f64; 10] = [0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25, 1.0];
 
+/// Upper bounds of the control thread's buckets, in seconds: a turn of 50 ms is half of a leader's time between heartbeats.
+const TURN_BUCKETS: [f64; 11] = [0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5];
+
 /// All metrics of one daemon.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -62,6 +65,10 @@
     pub pool_waiting: IntGaugeVec,
     /// Slots in use by replica, at their coordinator.
     pub replica_slots_used: IntGaugeVec,
+    /// Time that the control thread worked in one turn.
+    pub control_turn_seconds: Histogram,
+    /// The same by kind of work, for turns that had any of it.
+    pub control_work_seconds: HistogramVec,
     /// Time of a synced write to the log.
     pub log_sync_seconds: Histogram,
     /// Commands in one synced write.
@@ -104,6 +111,18 @@
             HistogramOpts::new("dockwood_log_sync_seconds", "Time of a synced write to the log");
         let log_sync_seconds = Histogram::with_opts(sync_options.buckets(SYNC_BUCKETS.to_vec()))?;
         registry.register(Box::new(log_sync_seconds.clone()))?;
+        let turn_options = HistogramOpts::new(
+            "dockwood_control_turn_seconds",
+            "Time that the control thread worked in one turn",
+        );
+        let control_turn_seconds = Histogram::with_opts(turn_options.buckets(TURN_BUCKETS.to_vec()))?;
+        registry.register(Box::new(control_turn_seconds.clone()))?;
+        let work_options = HistogramOpts::new(
+            "dockwood_control_work_seconds",
+            "Time that one kind of work took in a turn of the control thread",
+        );
+        let control_work_seconds = HistogramVec::new(work_options.buckets(TURN_BUCKETS.to_vec()), &["work"])?;
+        registry.register(Box::new(control_work_seconds.clone()))?;
         Ok(Metrics {
             answers: counters("dockwood_answers_total", "Answers to callers", &["code"])?,
             request_lines_written: counter("dockwood_request_lines_total", "Lines on requests written")?,
@@ -158,6 +177,8 @@
                 "dockwood_commands_committed_total",
                 "Commands applied from the log",
             )?,
+            control_turn_seconds,
+            control_work_seconds,
             log_sync_seconds,
             registry,
         })
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -5,12 +5,14 @@
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{KeptAnswer, RequestRecord};
 use dockwood_api::resource::{Kind, ResourceKey};
+use dockwood_daemon::control::{TurnClock, Work};
+use dockwood_daemon::metrics::Metrics;
 use dockwood_daemon::process::accepts_for;
 use dockwood_daemon::settings::{GatewaySettings, RetryBudgetSettings};
 use dockwood_daemon::timeline::{TIMELINE_CAPACITY, Timeline};
 use dockwood_daemon::traffic::records::{Lookup, RecordStore};
 use dockwood_daemon::watch_hub::{RETAINED_REVISIONS, WatchHub};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn record(key: &str, outcome: Outcome, bytes: usize) -> RequestRecord {
     let answer = KeptAnswer { status: 200, content_type: String::new(), body: vec![0; bytes] };
@@ -167,3 +169,22 @@
     let accepts = accepts_for(&gateway_settings(lifetime_ms, limit_ms));
     assert_eq!(accepts, Duration::from_millis(expected_ms));
 }
+
+#[test]
+fn a_turn_of_the_control_thread_is_measured_by_kind_of_work() -> Result<(), Box<dyn std::error::Error>> {
+    let metrics = Metrics::new()?;
+    let mut turns = TurnClock::new("d", &metrics);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(2) {}
+    turns.spent(Work::Leases, begun);
+    turns.spent(Work::Leases, Instant::now());
+    turns.end_turn();
+    turns.end_turn();
+    let text = String::from_utf8(metrics.render())?;
+    let has = |line: &str| text.lines().any(|found| found == line);
+    assert!(has("dockwood_control_work_seconds_count{work=\"leases\"} 1"), "{text}");
+    assert!(has("dockwood_control_work_seconds_bucket{work=\"leases\",le=\"0.001\"} 0"), "{text}");
+    assert!(has("dockwood_control_work_seconds_count{work=\"disk\"} 0"), "{text}");
+    assert!(has("dockwood_control_turn_seconds_count 2"), "an idle turn counts: {text}");
+    Ok(())
+}
