Plain calls: one attempt a function; a refused resend leaves the record of what runs elsewhere

No change of what is sent. A request that was refused before it was noted here doesn't replace the record of an earlier sending.

--- a/crates/daemon/src/traffic/chat/outcome.rs
+++ b/crates/daemon/src/traffic/chat/outcome.rs
@@ -93,8 +93,9 @@
         Failure::new(ResultCode::AlreadyRunning, "a request of this id is running at another entry")
     }
 
-    pub(super) async fn record_running(&self) {
+    pub(super) async fn record_running(&mut self) {
         if self.job.keyed {
+            self.is_recorded = true;
             keep_before_dispatch(&self.traffic, self.record(Outcome::Running, None, None)).await;
         }
     }
@@ -129,8 +130,9 @@
         };
         self.traffic.shared.metrics.answers.with_label_values(&[&code.number().to_string()]).inc();
         let was_dispatched = code == ResultCode::Ok || !code.is_not_run();
-        let is_told_by_other = code == ResultCode::RanBefore;
-        let owns_record = self.claim_attempt.is_some() || (self.job.repeatable && !is_told_by_other);
+        // Of a request that was refused before it was noted here, an earlier sending's record tells more.
+        let is_only_refused = code == ResultCode::RanBefore && !self.is_recorded;
+        let owns_record = self.claim_attempt.is_some() || (self.job.repeatable && !is_only_refused);
         // Kept before the caller hears of the end, so that it can be asked for as soon as the caller can ask.
         if owns_record || !self.job.keyed {
             let record = self.record(outcome, Some(code), answer);
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -26,6 +26,8 @@
     pub(super) dispatched: bool,
     /// An earlier sending of the same request may have reached a back end.
     pub(super) may_have_run_before: bool,
+    /// Its record says that it runs here.
+    pub(super) is_recorded: bool,
     pub(super) produced: u32,
     pub(super) text: String,
     pub(super) prompt_tokens: u32,
@@ -44,6 +46,7 @@
             caller_gone: false,
             dispatched: false,
             may_have_run_before: false,
+            is_recorded: false,
             produced: 0,
             text: String::new(),
             prompt_tokens: 0,
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -57,6 +57,18 @@
     Streamed(reqwest::Body),
 }
 
+impl ServiceBody {
+    /// The body to send, and one for another attempt if there may be one.
+    fn for_sending(self) -> (reqwest::Body, Option<ServiceBody>) {
+        match self {
+            ServiceBody::Whole(bytes) => {
+                (reqwest::Body::from(bytes.clone()), Some(ServiceBody::Whole(bytes)))
+            }
+            ServiceBody::Streamed(stream) => (stream, None),
+        }
+    }
+}
+
 /// Counts a call for as long as its answer is streamed.
 pub struct CallGuard {
     traffic: Arc<Traffic>,
@@ -145,6 +157,14 @@
     }
 }
 
+/// How one attempt at a server ended without an answer.
+enum AttemptEnd {
+    /// The server could not be reached: it has not had the call.
+    NotSent,
+    /// The server may have had the call.
+    Unclear,
+}
+
 async fn try_servers(
     traffic: &Arc<Traffic>,
     call: ServiceCall,
@@ -152,48 +172,47 @@
 ) -> Result<Answer, Failure> {
     let ServiceCall { service, spec, method, path, headers, body, repeatable, record_key: _ } = call;
     let mut body = Some(body);
-    // The failure of an attempt after which "not run" can't be said any more.
-    let mut unclear = None;
+    let mut may_have_run = false;
     for attempt in 0..MAX_ATTEMPTS {
         let Some(server) = pick(traffic, &service, &spec) else {
-            return Err(unclear.unwrap_or_else(all_busy));
+            return Err(if may_have_run { outcome_unknown() } else { all_busy() });
         };
-        let mut guard = CallGuard {
+        let guard = CallGuard {
             traffic: traffic.clone(),
             service: service.clone(),
             server: server.name.clone(),
             servers: spec.servers.len(),
             result: CallResult::Failed,
         };
-        let (sent, spare) = match body.take() {
-            Some(ServiceBody::Whole(bytes)) => {
-                (reqwest::Body::from(bytes.clone()), Some(ServiceBody::Whole(bytes)))
-            }
-            Some(ServiceBody::Streamed(stream)) => (stream, None),
-            None => break,
-        };
+        let Some((sent, spare)) = body.take().map(ServiceBody::for_sending) else { break };
         body = spare;
         sendings.note().await;
         let request = traffic.http.request(method.clone(), format!("http://{}{path}", server.address));
-        let sending = request.headers(headers.clone()).body(sent).send();
-        match tokio::time::timeout(HEAD_TIMEOUT, sending).await {
-            Ok(Ok(response)) => {
-                if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-                    guard.result = CallResult::Answered;
-                }
-                return Ok((response, guard));
-            }
-            Ok(Err(error)) if error.is_connect() => {}
-            _ => unclear = Some(outcome_unknown()),
-        };
-        drop(guard);
-        let may_retry = unclear.is_none() || repeatable;
-        let last = attempt + 1 == MAX_ATTEMPTS;
-        if !may_retry || last || body.is_none() || !traffic.try_retry("service") {
+        match send(request.headers(headers.clone()).body(sent), guard).await {
+            Ok(answer) => return Ok(answer),
+            Err(AttemptEnd::NotSent) => {}
+            Err(AttemptEnd::Unclear) => may_have_run = true,
+        }
+        let may_retry = !may_have_run || repeatable;
+        let is_last = attempt + 1 == MAX_ATTEMPTS;
+        if !may_retry || is_last || body.is_none() || !traffic.try_retry("service") {
             break;
         }
     }
-    Err(unclear.unwrap_or_else(unreachable))
+    Err(if may_have_run { outcome_unknown() } else { unreachable() })
+}
+
+async fn send(request: reqwest::RequestBuilder, mut guard: CallGuard) -> Result<Answer, AttemptEnd> {
+    match tokio::time::timeout(HEAD_TIMEOUT, request.send()).await {
+        Ok(Ok(response)) => {
+            if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+                guard.result = CallResult::Answered;
+            }
+            Ok((response, guard))
+        }
+        Ok(Err(error)) if error.is_connect() => Err(AttemptEnd::NotSent),
+        _ => Err(AttemptEnd::Unclear),
+    }
 }
 
 fn unreachable() -> Failure {
