dockwood-bench report: a table by second and a page with plots of any daemons' logs

Change: crate log-lines reads a line (dockctl's reader, which had its own types, uses it); bench/log_report makes the table, the lives of groups and the page. Damaged and foreign lines are counted and named.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod matrix;
 mod overhead;
+mod report;
 mod run;
 mod traces;
 pub use traces::StatedOutcomes;
@@ -19,6 +20,7 @@
         run::command(),
         matrix::command(),
         overhead::command(),
+        report::command(),
         traces::generate_command(),
         traces::record_command(),
         traces::replay_command(),
@@ -33,6 +35,7 @@
         Some(("run", matches)) => run::run(matches).await,
         Some(("overhead", matches)) => overhead::run(matches).await,
         Some(("matrix", matches)) => matrix::run(matches),
+        Some(("report", matches)) => report::run(matches),
         Some(("generate", matches)) => traces::generate_trace(matches),
         Some(("record", matches)) => traces::record(matches).await,
         Some(("replay", matches)) => traces::replay(matches).await,
--- a/crates/bench/src/plot.rs
+++ b/crates/bench/src/plot.rs
@@ -3,6 +3,8 @@
 use plotters::prelude::*;
 
 const SIZE: (u32, u32) = (720, 320);
+/// Size of plots with many lines above each other.
+const TALL: (u32, u32) = (720, 900);
 const COLOURS: [RGBColor; 6] = [
     RGBColor(31, 119, 180),
     RGBColor(214, 39, 40),
@@ -79,6 +81,72 @@
     Ok(())
 }
 
+/// A stretch of time in something's life.
+#[derive(Clone, Copy, Debug)]
+pub struct LifePhase {
+    /// Its name in the legend.
+    pub name: &'static str,
+    /// When it begins.
+    pub from: f64,
+    /// When it ends.
+    pub to: f64,
+}
+
+/// The phases of one thing, drawn beside each other at the height of its number.
+#[derive(Clone, Debug)]
+pub struct LifeLine {
+    /// Its number.
+    pub number: u64,
+    /// Its phases; the same ones in each line, empty ones among them.
+    pub phases: Vec<LifePhase>,
+}
+
+/// Draws life lines; a plot that can't be drawn is replaced by the reason.
+pub fn life_lines(texts: PlotTexts<'_>, lives: &[LifeLine]) -> String {
+    let mut svg = String::new();
+    match draw_lives(texts, lives, &mut svg) {
+        Ok(()) => svg,
+        Err(error) => format!("<p>{}: {error}</p>", texts.title),
+    }
+}
+
+fn draw_lives(
+    texts: PlotTexts<'_>,
+    lives: &[LifeLine],
+    svg: &mut String,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::with_string(svg, TALL).into_drawing_area();
+    root.fill(&WHITE)?;
+    let phases = || lives.iter().flat_map(|life| &life.phases);
+    let from = phases().map(|phase| phase.from).fold(f64::MAX, f64::min).min(0.0);
+    let to = phases().map(|phase| phase.to).fold(f64::MIN, f64::max).max(from + 1.0);
+    let lowest = lives.first().map_or(0.0, |life| life.number as f64 - 1.0);
+    let highest = lives.last().map_or(1.0, |life| life.number as f64 + 1.0);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(texts.title, ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(from..to, lowest..highest)?;
+    chart.configure_mesh().x_desc(texts.x).y_desc(texts.y).light_line_style(WHITE).draw()?;
+    let names = lives.first().map(|life| life.phases.len()).unwrap_or_default();
+    for index in 0..names {
+        let colour = COLOURS[index % COLOURS.len()];
+        let stretch = |life: &LifeLine| {
+            let phase = life.phases.get(index)?;
+            let height = life.number as f64;
+            let ends = vec![(phase.from, height), (phase.to, height)];
+            (phase.to > phase.from).then(|| PathElement::new(ends, colour.stroke_width(2)))
+        };
+        let name = lives[0].phases[index].name;
+        let drawn = chart.draw_series(lives.iter().filter_map(stretch))?;
+        drawn.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
 /// The distribution of samples as a line from share to value.
 pub fn distribution(name: &str, mut samples: Vec<f64>) -> Series {
     const STEPS: usize = 100;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_record::{CallerRecord, CallerResult};
 use crate::fault::FaultRecord;
+use crate::html::{escape, page_begin};
 use crate::plot::{PlotTexts, Series, distribution, line_plot};
 use crate::summary::Summary;
 use std::collections::BTreeMap;
@@ -34,18 +35,7 @@
 }
 
 fn html(data: &ReportData<'_>) -> String {
-    let mut page = String::new();
-    let title = escape(&data.summary.experiment);
-    page.push_str(
-        "<!doctype html><meta charset=\"utf-8\"><style>body{font:14px sans-serif;margin:2em;max-width:60em}",
-    );
-    page.push_str(
-        "table{border-collapse:collapse}td,th{border:1px solid #bbb;padding:2px 8px;text-align:right}",
-    );
-    page.push_str(
-        "td:first-child,th:first-child{text-align:left}.bad{background:#fdd}pre{font-size:12px}</style>",
-    );
-    let _ = write!(page, "<title>{title}</title><h1>{title}</h1>");
+    let mut page = page_begin(&data.summary.experiment);
     page.push_str(&counts_table(data.summary));
     page.push_str(&tier_table(data.summary));
     page.push_str(&first_token_plot(data.callers));
@@ -64,10 +54,6 @@
     page
 }
 
-fn escape(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
-}
-
 fn counts_table(summary: &Summary) -> String {
     let counts = &summary.counts;
     let mut table = String::from("<h2>Counts</h2><table><tr><th>count</th><th>value</th></tr>");
--- a/crates/dockctl/src/commands/trace.rs
+++ b/crates/dockctl/src/commands/trace.rs
@@ -1,8 +1,9 @@
 //! `trace`: what the logs of all daemons tell of one request.
 
 use crate::exit::CommandError;
-use crate::request_trace::{Line, account, parse};
+use crate::request_trace::account;
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use dockwood_log_lines::{Line, parse};
 use std::fs::File;
 use std::io::{BufRead, BufReader, stdin};
 
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -1,86 +1,12 @@
 //! Puts the log lines of all daemons that concern one request into one account, in order of time.
 
-use serde::Deserialize;
+use dockwood_log_lines::{Body, Event, Line, Request};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Events this long before a request's arrival may have led to its end, in milliseconds.
 const BEFORE_MS: u64 = 5_000;
 /// Events this long after its end may tell what was found out, in milliseconds.
 const AFTER_MS: u64 = 2_000;
-/// Prefix of the subjects of groups; the epoch follows.
-const GROUP_SUBJECT: &str = "group/g";
-
-/// A line of a log, as far as it is needed here.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Line {
-    at_ms: u64,
-    daemon: String,
-    #[serde(flatten)]
-    body: Body,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(tag = "kind", rename_all = "camelCase")]
-enum Body {
-    Event(Event),
-    Order(Order),
-    Request(Request),
-    #[serde(other)]
-    Other,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Event {
-    subject: String,
-    reason: String,
-    message: String,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Order {
-    order: String,
-    instance: String,
-    epoch: u64,
-    answer: String,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Request {
-    request: String,
-    code: u16,
-    code_name: String,
-    model: Option<String>,
-    configuration: u64,
-    lease_left_ms: u64,
-    places_age_ms: Option<u64>,
-    came_back: bool,
-    took_ms: u64,
-    allowed_ms: u64,
-    waited_ms: u64,
-    first_event_ms: Option<u64>,
-    sends: Vec<Send>,
-    held_back: u64,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Send {
-    instance: String,
-    epoch: Option<u64>,
-    at_ms: u64,
-    ended: Option<String>,
-}
-
-/// Reads a line. What stands before the object, such as a collector's time and host, is passed over; `None` for a line
-/// without one.
-pub fn parse(text: &str) -> Option<Line> {
-    let start = text.find('{')?;
-    serde_json::from_str(&text[start..]).ok()
-}
 
 /// What the lines tell of a request; empty if there is no line on it.
 pub fn account(lines: &[Line], id: &str) -> Vec<String> {
@@ -154,7 +80,7 @@
     for other in lines.iter().filter(|other| span.contains(&other.at_ms)) {
         match &other.body {
             Body::Event(event) => {
-                let concerns_group = epoch_of(&event.subject).is_some_and(|epoch| epochs.contains(&epoch));
+                let concerns_group = event.group_epoch().is_some_and(|epoch| epochs.contains(&epoch));
                 let is_election = matches!(event.reason.as_str(), "Elected" | "SteppedDown");
                 if concerns_group || event.subject == own_subject || is_election {
                     let text = format!("{} {}: {}", event.subject, event.reason, event.message);
@@ -175,10 +101,6 @@
     told
 }
 
-fn epoch_of(subject: &str) -> Option<u64> {
-    subject.strip_prefix(GROUP_SUBJECT)?.parse().ok()
-}
-
 /// Groups of a model that the log shows as open at a time.
 fn open_groups(lines: &[Line], model: &str, at_ms: u64) -> usize {
     let mut groups: BTreeMap<u64, (bool, bool)> = BTreeMap::new();
@@ -186,7 +108,7 @@
         .iter()
         .filter(|line| line.at_ms <= at_ms)
         .filter_map(|line| match &line.body {
-            Body::Event(event) => Some((line.at_ms, epoch_of(&event.subject)?, event)),
+            Body::Event(event) => Some((line.at_ms, event.group_epoch()?, event)),
             _ => None,
         })
         .collect();
--- a/crates/dockctl/src/request_trace_tests.rs
+++ b/crates/dockctl/src/request_trace_tests.rs
@@ -1,6 +1,7 @@
 //! What the logs tell of one request.
 
-use crate::request_trace::{Line, account, parse};
+use crate::request_trace::account;
+use dockwood_log_lines::{Line, parse};
 
 fn lines() -> Vec<Line> {
     let texts = [
@@ -13,7 +14,7 @@
         r#"{"schema":1,"atMs":8950,"daemon":"m1","kind":"event","subject":"group/g8","reason":"Cutting","message":"another group","code":1000,"codeName":"Ok"}"#,
         "a line of another program",
     ];
-    texts.iter().filter_map(|text| parse(text)).collect()
+    texts.iter().filter_map(|text| parse(text).ok()).collect()
 }
 
 #[test]
--- /dev/null
+++ b/crates/log-lines/src/lib.rs
@@ -0,0 +1,182 @@
+//! Reads the daemons' logs: one JSON object a line, of the form that docs/OPERATIONS-GATEWAY.md documents.
+//!
+//! Fields that are not needed here, and kinds that this version doesn't know, are passed over, so that logs of a later
+//! version can be read.
+
+use quick_error::quick_error;
+use serde::Deserialize;
+
+/// Version of the form that is read.
+pub const SCHEMA_VERSION: u64 = 1;
+
+quick_error! {
+    /// Why a line can't be read.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum LineFault {
+        /// No JSON object stands in it.
+        NoObject {
+            display("no JSON object")
+        }
+        /// It is cut off, or its fields are not those of its kind.
+        Damaged(reason: String) {
+            display("damaged: {reason}")
+        }
+        /// It is an object of another program, or of another form.
+        Foreign {
+            display("not a line of a daemon's log")
+        }
+    }
+}
+
+/// A line of a log.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Line {
+    /// Milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The daemon.
+    pub daemon: String,
+    /// What is told.
+    #[serde(flatten)]
+    pub body: Body,
+}
+
+/// What a line tells.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "camelCase")]
+pub enum Body {
+    /// A change of what the daemon believes.
+    Event(Event),
+    /// An order that a server was sent.
+    Order(Order),
+    /// How a request ended.
+    Request(Request),
+    /// A long turn of the control thread.
+    SlowTurn(SlowTurn),
+    /// A fault of the daemon's own.
+    Fault(Fault),
+    /// A kind that this version doesn't know.
+    #[serde(other)]
+    Other,
+}
+
+/// A change of what the daemon believes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Event {
+    /// Kind and name of what changed.
+    pub subject: String,
+    /// The change.
+    pub reason: String,
+    /// For people.
+    pub message: String,
+    /// The revision that led to it.
+    pub revision: Option<u64>,
+}
+
+impl Event {
+    /// The epoch of the group that it is about, if it is about one.
+    pub fn group_epoch(&self) -> Option<u64> {
+        /// Prefix of the subjects of groups; the epoch follows.
+        const GROUP_SUBJECT: &str = "group/g";
+        self.subject.strip_prefix(GROUP_SUBJECT)?.parse().ok()
+    }
+}
+
+/// An order that a server was sent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Order {
+    /// The order.
+    pub order: String,
+    /// Instance id.
+    pub instance: String,
+    /// Group epoch.
+    pub epoch: u64,
+    /// What came of it.
+    pub answer: String,
+}
+
+/// How a request ended, and what was decided on it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Request {
+    /// The caller's attempt id; empty if it sent none.
+    pub request: String,
+    /// Number of the result code.
+    pub code: u16,
+    /// Its name.
+    pub code_name: String,
+    /// Model that it named.
+    pub model: Option<String>,
+    /// Version of the configuration that it was judged by.
+    pub configuration: u64,
+    /// What was left of the configuration lease when it ended, in milliseconds.
+    pub lease_left_ms: u64,
+    /// Age of the leader's last word on places when it ended, in milliseconds.
+    pub places_age_ms: Option<u64>,
+    /// Its caller had been refused before.
+    pub came_back: bool,
+    /// From its arrival to its end, in milliseconds.
+    pub took_ms: u64,
+    /// The time that it had, in milliseconds.
+    pub allowed_ms: u64,
+    /// How long it waited for a place, in milliseconds.
+    pub waited_ms: u64,
+    /// From its arrival to the first event that was passed on, in milliseconds.
+    pub first_event_ms: Option<u64>,
+    /// Each server that it was sent to, in order.
+    pub sends: Vec<Send>,
+    /// Lines of this result that were held back since the last one that was written.
+    pub held_back: u64,
+}
+
+/// One send of a request.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Send {
+    /// Instance id.
+    pub instance: String,
+    /// Epoch of its group, for a model server.
+    pub epoch: Option<u64>,
+    /// When, in milliseconds after the request's arrival.
+    pub at_ms: u64,
+    /// How it ended, if it did not bring the answer.
+    pub ended: Option<String>,
+}
+
+/// A turn of the control thread that took long.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct SlowTurn {
+    /// The time that it worked, in milliseconds.
+    pub took_ms: u64,
+    /// Lines on slow turns that were held back since the last one.
+    pub held_back: u64,
+}
+
+/// A fault of the daemon's own.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Fault {
+    /// What is wrong.
+    pub message: String,
+}
+
+/// What a line must have to be one of a daemon's.
+#[derive(Deserialize)]
+struct Form {
+    schema: u64,
+}
+
+/// Reads a line. What stands before the object, such as a collector's time and host, is passed over.
+pub fn parse(text: &str) -> Result<Line, LineFault> {
+    let start = text.find('{').ok_or(LineFault::NoObject)?;
+    let object = &text[start..];
+    let damaged = |error: serde_json::Error| LineFault::Damaged(error.to_string());
+    let whole: serde_json::Value = serde_json::from_str(object).map_err(damaged)?;
+    let form = serde_json::from_value::<Form>(whole).map_err(|_| LineFault::Foreign)?;
+    if form.schema != SCHEMA_VERSION {
+        return Err(LineFault::Foreign);
+    }
+    serde_json::from_str(object).map_err(damaged)
+}
