--- a/crates/bench/src/log_report/mod.rs
+++ b/crates/bench/src/log_report/mod.rs
@@ -10,7 +10,7 @@
 pub use reading::{LogLines, UnreadLine};
 pub use seconds::{Second, seconds, table};
 
-use dockwood_log_lines::{Body, Line};
+use dockwood_log_lines::Body;
 
 /// Lines of all logs in order of time, with seconds counted from the first request.
 #[derive(Clone, Debug)]
@@ -41,12 +41,3 @@
 fn second_of(at_ms: u64, begins_at_ms: u64) -> i64 {
     (at_ms as i64 - begins_at_ms as i64).div_euclid(1_000)
 }
-
-/// The first line that tells of a change counts: every voter tells of what it applies.
-fn is_first_told(told: &mut std::collections::HashSet<(String, String, u64)>, line: &Line) -> bool {
-    let Body::Event(event) = &line.body else { return true };
-    match event.revision {
-        Some(revision) => told.insert((event.subject.clone(), event.reason.clone(), revision)),
-        None => true,
-    }
-}
--- a/crates/bench/src/log_report/page.rs
+++ b/crates/bench/src/log_report/page.rs
@@ -12,8 +12,18 @@
 /// Milliseconds in a second.
 const SECOND_MS: f64 = 1_000.0;
 
-/// A named figure of a second, where it has one.
-type Figure = (&'static str, fn(&Second) -> Option<f64>);
+/// A figure of a second, where it has one.
+struct Figure {
+    name: &'static str,
+    of: fn(&Second) -> Option<f64>,
+}
+
+/// One plot of figures by second.
+struct FigurePlot {
+    title: &'static str,
+    unit: &'static str,
+    figures: Vec<Figure>,
+}
 
 /// The page of a report.
 pub fn html(report: &LogReport) -> String {
@@ -32,9 +42,7 @@
         }
         page.push_str("</ul>");
     }
-    for (title, unit, figures) in plots() {
-        page.push_str(&plot(report, title, unit, &figures));
-    }
+    plots().iter().for_each(|plot| page.push_str(&draw(report, plot)));
     page.push_str(&groups_plot(report));
     let _ =
         write!(page, "<h2>By second</h2><pre>{}</pre>", escape(&super::table(&report.seconds).to_string()));
@@ -45,62 +53,75 @@
     Some(value as f64)
 }
 
-fn plots() -> Vec<(&'static str, &'static str, Vec<Figure>)> {
-    vec![
-        (
-            "Requests that ended",
-            "requests/s",
-            vec![
-                ("answered", |second| count(second.answered)),
-                ("refused", |second| count(second.refused)),
-                ("failed", |second| count(second.failed)),
-                ("caller left", |second| count(second.left)),
+fn figure(name: &'static str, of: fn(&Second) -> Option<f64>) -> Figure {
+    Figure { name, of }
+}
+
+fn plots() -> [FigurePlot; 6] {
+    [
+        FigurePlot {
+            title: "Requests that ended",
+            unit: "requests/s",
+            figures: vec![
+                figure("answered", |second| count(second.answered)),
+                figure("refused", |second| count(second.refused)),
+                figure("failed", |second| count(second.failed)),
+                figure("caller left", |second| count(second.left)),
             ],
-        ),
-        (
-            "Time to the first event",
-            "ms",
-            vec![
-                ("p50", |second| percentile(&second.first_event_ms, 50).map(|value| value as f64)),
-                ("p95", |second| percentile(&second.first_event_ms, 95).map(|value| value as f64)),
+        },
+        FigurePlot {
+            title: "Time to the first event",
+            unit: "ms",
+            figures: vec![
+                figure("p50", |second| percentile(&second.first_event_ms, 50).and_then(count)),
+                figure("p95", |second| percentile(&second.first_event_ms, 95).and_then(count)),
             ],
-        ),
-        (
-            "Groups",
-            "groups",
-            vec![("open", |second| count(second.open)), ("ended", |second| count(second.ended))],
-        ),
-        (
-            "Leases and leaders",
-            "count",
-            vec![
-                ("leases lost", |second| count(second.leases_lost)),
-                ("elections", |second| count(second.elections)),
+        },
+        FigurePlot {
+            title: "Groups",
+            unit: "groups",
+            figures: vec![
+                figure("open", |second| count(second.open)),
+                figure("ended", |second| count(second.ended)),
             ],
-        ),
-        (
-            "Rest of the lease, age of places",
-            "ms",
-            vec![
-                ("shortest lease", |second| second.least_lease_ms.map(|value| value as f64)),
-                ("age of places, p95", |second| {
-                    percentile(&second.places_age_ms, 95).map(|value| value as f64)
-                }),
+        },
+        FigurePlot {
+            title: "Leases and leaders",
+            unit: "count",
+            figures: vec![
+                figure("leases lost", |second| count(second.leases_lost)),
+                figure("elections", |second| count(second.elections)),
             ],
-        ),
-        ("Longest turn of a control thread", "ms", vec![("longest", |second| count(second.longest_turn_ms))]),
+        },
+        FigurePlot {
+            title: "Rest of the lease, age of places",
+            unit: "ms",
+            figures: vec![
+                figure("shortest lease", |second| second.least_lease_ms.and_then(count)),
+                figure("age of places, p95", |second| percentile(&second.places_age_ms, 95).and_then(count)),
+            ],
+        },
+        FigurePlot {
+            title: "Longest turn of a control thread",
+            unit: "ms",
+            figures: vec![figure("longest", |second| count(second.longest_turn_ms))],
+        },
     ]
 }
 
-fn plot(report: &LogReport, title: &str, unit: &str, figures: &[Figure]) -> String {
-    let series: Vec<Series> = figures
+fn draw(report: &LogReport, plot: &FigurePlot) -> String {
+    let series: Vec<Series> = plot
+        .figures
         .iter()
-        .map(|(name, figure)| {
-            let point = |second: &Second| Some((second.at as f64, figure(second)?));
-            Series { name: name.to_string(), points: report.seconds.iter().filter_map(point).collect() }
+        .map(|figure| {
+            let point = |second: &Second| Some((second.at as f64, (figure.of)(second)?));
+            Series {
+                name: figure.name.to_string(),
+                points: report.seconds.iter().filter_map(point).collect(),
+            }
         })
         .collect();
-    line_plot(PlotTexts { title, x: "seconds", y: unit }, &series)
+    line_plot(PlotTexts { title: plot.title, x: "seconds", y: plot.unit }, &series)
 }
 
 fn groups_plot(report: &LogReport) -> String {
--- a/crates/bench/src/log_report/seconds.rs
+++ b/crates/bench/src/log_report/seconds.rs
@@ -1,7 +1,7 @@
 //! A table by second.
 
 use super::groups::GroupLife;
-use super::{is_first_told, second_of};
+use super::second_of;
 use comfy_table::Table;
 use dockwood_log_lines::{Body, Event, Line, Request};
 use std::collections::{BTreeMap, HashSet};
@@ -15,6 +15,23 @@
 /// Width of a class of result codes.
 const CODE_CLASS: u16 = 1_000;
 
+/// A change that was committed. Every voter tells of it when it applies it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct CommittedChange {
+    subject: String,
+    reason: String,
+    revision: u64,
+}
+
+impl CommittedChange {
+    /// The change that a line tells of, if it tells of a committed one.
+    fn of(line: &Line) -> Option<CommittedChange> {
+        let Body::Event(event) = &line.body else { return None };
+        let (subject, reason) = (event.subject.clone(), event.reason.clone());
+        Some(CommittedChange { subject, reason, revision: event.revision? })
+    }
+}
+
 /// One second.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Second {
@@ -103,7 +120,8 @@
     let mut seconds: BTreeMap<i64, Second> = BTreeMap::new();
     let mut told = HashSet::new();
     for line in lines {
-        if is_first_told(&mut told, line) {
+        // The first voter's word on a change counts.
+        if CommittedChange::of(line).is_none_or(|change| told.insert(change)) {
             let at = second_of(line.at_ms, begins_at_ms);
             seconds.entry(at).or_insert_with(|| Second { at, ..Second::default() }).take(line);
         }
