A grant's evidence is looked at after the request was noted, not before

Not brought about by a test: it takes two keepers that fall silent and a member lost within that time.

--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -49,11 +49,12 @@
 
     /// Sends the request to the granted replica and forwards what it generates.
     pub(super) async fn attempt(&mut self, slot: &mut HeldSlot) -> AttemptEnd {
+        self.record_running().await;
+        // Looked at last: noting it at another daemon may have taken longer than the grant's evidence holds.
         if !slot.is_fresh() || !self.traffic.shared.may_dispatch(&self.pool()) {
             return AttemptEnd::Movable("stale-grant");
         }
         let request = self.generate_request(slot);
-        self.record_running().await;
         match EngineStream::open(&self.traffic.http, slot.grant.head, &request).await {
             Ok(stream) => {
                 self.dispatched = true;
