A voter whose pre-votes were passed over asks again after one to two heartbeats

A voter that starts anew holds back votes for an election time-out and passes requests over without a word; whoever asked before that waited for a whole time-out, 500 to 1,000 ms, before it asked again.

Change: pre-votes change no term, so they are asked for again after one to two heartbeats (100 to 200 ms).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -17,7 +17,11 @@
         }
         self.leader = None;
         self.role = Role::Candidate { binding, votes: BTreeSet::from([self.settings.id]) };
-        self.reset_election_timer(now);
+        if binding {
+            self.reset_election_timer(now);
+        } else {
+            self.ask_again_soon(now);
+        }
         self.announce_role();
         if self.membership.quorum() == 1 {
             self.election_won(now, binding);
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -280,6 +280,14 @@
         self.election_due = now + timeout + jitter;
     }
 
+    /// Pre-votes that are held back are passed over without a word, and given one election time-out after a leader was
+    /// heard, or after a start. As they change no term they can be asked for again soon: after one to two heartbeats.
+    pub(crate) fn ask_again_soon(&mut self, now: Millis) {
+        let pause = self.settings.heartbeat_ms.max(1);
+        let jitter = self.next_random() % pause;
+        self.election_due = now + pause + jitter;
+    }
+
     /// Splitmix64 over the driver's seed.
     fn next_random(&mut self) -> u64 {
         self.random_state = self.random_state.wrapping_add(0x9E37_79B9_7F4A_7C15);
--- a/crates/consensus/tests/core.rs
+++ b/crates/consensus/tests/core.rs
@@ -63,6 +63,54 @@
     assert_eq!(other.term(), 0);
 }
 
+/// What a voter holds that has been running for some time.
+fn running_before() -> Recovered {
+    Recovered { entries: entries(1, 1..=3), ..Recovered::default() }
+}
+
+/// Milliseconds from the start of the last voter until one leads, where all start again at these times.
+fn leaderless_after_restart(started: [u64; 3], seed: u64) -> u64 {
+    let mut nodes: Vec<Option<Node>> = vec![None, None, None];
+    let last = started.iter().copied().max().unwrap_or(0);
+    for now in 0..last + 10 * TIMEOUT {
+        let mut messages = Vec::new();
+        for id in 1..=3_u64 {
+            let index = id as usize - 1;
+            if started[index] == now {
+                let settings = Settings { seed: seed + id, ..settings(id, &[1, 2, 3]) };
+                nodes[index] = Some(Node::new(settings, running_before(), now));
+            }
+            let outputs = nodes[index].as_mut().map(|node| node.step(now, Input::Tick));
+            messages.extend(outputs.into_iter().flatten());
+        }
+        while let Some(output) = messages.pop() {
+            let Output::Send(message) = output else { continue };
+            let receiver = nodes[message.to as usize - 1].as_mut();
+            messages.extend(
+                receiver.into_iter().flat_map(|node| node.step(now, Input::Receive(message.clone()))),
+            );
+        }
+        if nodes.iter().flatten().any(|node| node.role() == RoleName::Leader) {
+            return now.saturating_sub(last);
+        }
+    }
+    panic!("nobody leads");
+}
+
+/// Found on norrstrom-klubb, incident inc-e5a2: after all voters had been down, one asked for pre-votes while the others
+/// still held theirs back, was passed over without a word, and waited for a whole time-out before it asked again.
+#[test]
+fn after_a_restart_of_all_a_leader_is_there_soon_after_votes_are_given_again() {
+    for seed in 0..200 {
+        let leaderless = leaderless_after_restart([0, 150, 300], seed);
+        assert!(
+            leaderless >= TIMEOUT - 300,
+            "votes are held back for a time-out: {leaderless} ms, seed {seed}"
+        );
+        assert!(leaderless <= TIMEOUT + 200, "{leaderless} ms, seed {seed}");
+    }
+}
+
 #[test]
 fn a_vote_is_given_once_in_a_term_and_only_to_a_current_log() {
     let mut node = node(3);
