--- /dev/null
+++ b/crates/bench/tests/common/mod.rs
@@ -0,0 +1,28 @@
+//! What the tests with real processes share.
+
+use std::path::{Path, PathBuf};
+
+/// A folder of a test's own, with settings, logs and data of its processes. It is removed by [`TestFolder::passed`] alone:
+/// what a failed test leaves is what tells why.
+pub struct TestFolder {
+    path: PathBuf,
+}
+
+impl TestFolder {
+    /// A new folder.
+    pub fn new() -> std::io::Result<TestFolder> {
+        let path = tempfile::tempdir()?.keep();
+        println!("settings and logs of the processes are in {}, unless the test passes", path.display());
+        Ok(TestFolder { path })
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Removes it.
+    pub fn passed(self) -> std::io::Result<()> {
+        std::fs::remove_dir_all(self.path)
+    }
+}
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -12,6 +12,10 @@
 use serde_json::{Value, json};
 use std::time::Duration;
 
+mod common;
+
+use common::TestFolder;
+
 type Outcome = Result<(), Box<dyn std::error::Error>>;
 
 const LIMIT: Duration = Duration::from_secs(90);
@@ -22,7 +26,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_fleet_keeps_its_promises_while_machines_and_daemons_are_lost() -> Outcome {
-    let folder = tempfile::tempdir()?;
+    let folder = TestFolder::new()?;
     let experiment = Experiment {
         name: "test".to_string(),
         preset: Preset::Brokerage,
@@ -52,6 +56,7 @@
     assert!(summary.counts.whole * 10 >= summary.counts.requests * 8, "{:?}", summary.counts);
     assert!(summary.process_faults.is_empty(), "{:?}", summary.process_faults);
     assert!(folder.path().join("report.html").exists() && folder.path().join("summary.json").exists());
+    folder.passed()?;
     Ok(())
 }
 
@@ -124,7 +129,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_apis_answer_as_documented() -> Outcome {
-    let folder = tempfile::tempdir()?;
+    let folder = TestFolder::new()?;
     let topology = Topology::new(Preset::Unidos, small(), own_network() + 1, folder.path());
     let fleet = RunningFleet::start(topology).await?;
     fleet.apply_resources(LIMIT).await?;
@@ -133,7 +138,9 @@
     refusals_are_numbered(&api).await?;
     watches_follow(&api).await?;
     requests_are_answered_once(&api).await?;
-    rolling_stop_cuts_nothing(api).await
+    rolling_stop_cuts_nothing(api).await?;
+    folder.passed()?;
+    Ok(())
 }
 
 async fn changes_are_made_once(api: &Api) -> Outcome {
--- a/crates/bench/tests/resend.rs
+++ b/crates/bench/tests/resend.rs
@@ -11,6 +11,10 @@
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
+mod common;
+
+use common::TestFolder;
+
 type Outcome = Result<(), Box<dyn std::error::Error>>;
 
 const LIMIT: Duration = Duration::from_secs(90);
@@ -114,14 +118,17 @@
 /// it as not run (finding 21).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refusal_of_a_request_that_was_sent_before_says_not_run_only_if_that_is_true() -> Outcome {
-    let folder = tempfile::tempdir()?;
+    let folder = TestFolder::new()?;
     let sizes = Sizes { daemons: 3, servers: 10, plain_servers: 2, tenants: 3, ..Sizes::default() };
     let topology = Topology::new(Preset::Brokerage, sizes, own_network() + 2, folder.path());
     let fleet = RunningFleet::start(topology).await?;
     fleet.apply_resources(LIMIT).await?;
     let mut caller = Caller { fleet, http: Client::new(), prompt: long_prompt() };
     plain_calls(&caller).await?;
-    chat_requests(&mut caller).await
+    chat_requests(&mut caller).await?;
+    drop(caller);
+    folder.passed()?;
+    Ok(())
 }
 
 async fn plain_calls(caller: &Caller) -> Outcome {
