Settings take figures with a fraction; a stop's limit is given in seconds

The platform gives a small twin's entries a retry budget whose extra is no whole number; every entry refused its settings (7005) and ended. The limit of a planned stop was made of seconds by three zeros in the template, which a fraction would turn into milliseconds.

Change: numbers are rounded down; gateway.stopLimitSeconds replaces stopLimitMs, windowSeconds may have a fraction.

Figures: settings' tests (7 new cases, of which the first fails before).

--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
-const DEFAULT_STOP_LIMIT_MS: u64 = 8_000;
+const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
 const DEFAULT_STALL_MS: u64 = 6_000;
 /// A leader takes a tenth of a core for some 400 requests a second, each of which is also reported; measured with 300
 /// entries, it can't see 940.
@@ -15,7 +15,7 @@
 /// taken just before it ran out.
 const LEASE_PERCENT_OF_REVOCATION: u64 = 60;
 const DEFAULT_BUDGET_PERCENT: u64 = 20;
-const DEFAULT_BUDGET_WINDOW_MS: u64 = 10_000;
+const DEFAULT_BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const DEFAULT_BUDGET_EXTRA: u64 = 50;
 
 /// Bounds on second sends over all daemons: within any window no more than a share of the requests, and some extra.
@@ -69,7 +69,7 @@
         "directory",
         "operators",
         "answerLifetimeMs",
-        "stopLimitMs",
+        "stopLimitSeconds",
         "retryBudget",
         "stallMs",
         "leaderDispatchesUpTo",
@@ -85,7 +85,7 @@
     let directory = address("directory", problems);
     let operators = address("operators", problems);
     let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
-    let stop_limit = section.number("stopLimitMs", DEFAULT_STOP_LIMIT_MS, (1_000, 3_600_000), problems);
+    let stop_limit = section.seconds("stopLimitSeconds", DEFAULT_STOP_LIMIT, (1, 3_600), problems);
     let stall = section.number("stallMs", DEFAULT_STALL_MS, (100, 600_000), problems);
     let dispatches_up_to =
         section.number("leaderDispatchesUpTo", DEFAULT_LEADER_DISPATCHES_UP_TO, (0, 1_000_000), problems);
@@ -100,7 +100,7 @@
         directory: directory?,
         operators: operators?,
         answer_lifetime: Duration::from_millis(lifetime?),
-        stop_limit: Duration::from_millis(stop_limit?),
+        stop_limit: stop_limit?,
         stall: Duration::from_millis(stall?),
         leader_dispatches_up_to: dispatches_up_to? as usize,
         retry_budget: retry_budget?,
@@ -111,13 +111,13 @@
 fn read_retry_budget(node: Option<&Node>, problems: &mut Problems) -> Option<RetryBudgetSettings> {
     let defaults = RetryBudgetSettings {
         percent: DEFAULT_BUDGET_PERCENT,
-        window: Duration::from_millis(DEFAULT_BUDGET_WINDOW_MS),
+        window: DEFAULT_BUDGET_WINDOW,
         extra: DEFAULT_BUDGET_EXTRA,
     };
     let Some(node) = node else { return Some(defaults) };
     let section = Section::new(node, "gateway.retryBudget", &["ratio", "windowSeconds", "extra"], problems)?;
     let percent = section.percentage("ratio", defaults.percent, problems);
-    let window = section.number("windowSeconds", DEFAULT_BUDGET_WINDOW_MS / 1_000, (1, 3_600), problems);
+    let window = section.seconds("windowSeconds", defaults.window, (1, 3_600), problems);
     let extra = section.number("extra", defaults.extra, (0, 1_000_000), problems);
-    Some(RetryBudgetSettings { percent: percent?, window: Duration::from_secs(window?), extra: extra? })
+    Some(RetryBudgetSettings { percent: percent?, window: window?, extra: extra? })
 }
--- a/crates/daemon/src/settings/section.rs
+++ b/crates/daemon/src/settings/section.rs
@@ -6,6 +6,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const MILLISECONDS_PER_SECOND: f64 = 1_000.0;
+/// Above this a fraction can't be told from a whole number.
+const LARGEST_FRACTION: f64 = 1e15;
 
 /// One fault in a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -182,6 +187,7 @@
             .map(|found| found.value)
     }
 
+    /// A whole number; a fraction is rounded down, which keeps limits.
     pub(super) fn number(
         &self,
         key: &str,
@@ -191,12 +197,32 @@
     ) -> Option<u64> {
         let Some(node) = self.optional(key) else { return Some(default) };
         let (least, most) = allowed;
-        let parse = |text: &str| text.parse::<u64>().ok().filter(|number| (least..=most).contains(number));
+        let parse = |text: &str| rounded_down(text).filter(|number| (least..=most).contains(number));
         let expected = format!("a number from {least} to {most}");
         self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse)
             .map(|found| found.value)
     }
 
+    /// A time in seconds, which may have a fraction; what is less than a millisecond is left out.
+    pub(super) fn seconds(
+        &self,
+        key: &str,
+        default: Duration,
+        allowed: (u64, u64),
+        problems: &mut Problems,
+    ) -> Option<Duration> {
+        let Some(node) = self.optional(key) else { return Some(default) };
+        let (least, most) = allowed;
+        let parse = |text: &str| {
+            let seconds = text.parse::<f64>().ok()?;
+            let is_allowed = (least as f64..=most as f64).contains(&seconds);
+            is_allowed.then(|| Duration::from_millis((seconds * MILLISECONDS_PER_SECOND) as u64))
+        };
+        let expected = format!("seconds from {least} to {most}");
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse)
+            .map(|found| found.value)
+    }
+
     /// The items of a list, each with its path.
     pub(super) fn items(
         &self,
@@ -212,3 +238,9 @@
         sequence.iter().enumerate().map(|(position, item)| (format!("{path}[{position}]"), item)).collect()
     }
 }
+
+/// A number that is not negative, without its fraction.
+fn rounded_down(text: &str) -> Option<u64> {
+    let fraction = || text.parse::<f64>().ok().filter(|number| (0.0..=LARGEST_FRACTION).contains(number));
+    text.parse::<u64>().ok().or_else(|| fraction().map(|number| number as u64))
+}
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -177,11 +177,11 @@
         let address = |port| self.address(host, port);
         let data_folder = self.folder.path().join(format!("{name}-data"));
         let mut gateway = if member {
-            json!({ "operators": address(OPERATORS_PORT), "stallMs": 1000, "stopLimitMs": 8000 })
+            json!({ "operators": address(OPERATORS_PORT), "stallMs": 1000, "stopLimitSeconds": 8 })
         } else {
             json!({
                 "frontend": address(FRONTEND_PORT), "readiness": address(READINESS_PORT),
-                "directory": address(DIRECTORY_PORT), "answerLifetimeMs": 300, "stopLimitMs": 8000,
+                "directory": address(DIRECTORY_PORT), "answerLifetimeMs": 300, "stopLimitSeconds": 8,
                 "retryBudget": { "ratio": 0.2, "windowSeconds": 10, "extra": 100 },
             })
         };
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use dockwood_daemon::settings::{Problem, Settings};
 use std::io::Write;
+use std::time::Duration;
 use yare::parameterized;
 
 const GOOD: &str = "\
@@ -98,3 +99,37 @@
     let codes: Vec<u16> = problems(&by_seeds("many")).into_iter().map(|problem| problem.0).collect();
     assert_eq!(codes, [7005]);
 }
+
+const GATEWAY: &str = "\
+gateway:
+  operators: 127.0.0.1:7002
+  stopLimitSeconds: 7.25
+  stallMs: 6000.0
+  revokedWithinMs: 5000.9
+  retryBudget: {ratio: 0.2, windowSeconds: 2.5, extra: 3.16}
+";
+
+/// Found on a small twin of the large deployment: figures that a platform divides are no whole numbers, and every entry
+/// refused its settings and ended.
+#[test]
+fn figures_with_a_fraction_are_rounded_down() {
+    let settings = read(&format!("{GOOD}{GATEWAY}")).unwrap_or_else(|problems| panic!("{problems:?}"));
+    let Some(gateway) = settings.gateway else { panic!("a gateway") };
+    assert_eq!(gateway.stop_limit, Duration::from_millis(7_250));
+    assert_eq!(gateway.stall, Duration::from_secs(6));
+    assert_eq!(gateway.revoked_within, Some(Duration::from_secs(5)));
+    assert_eq!((gateway.retry_budget.window, gateway.retry_budget.extra), (Duration::from_millis(2_500), 3));
+}
+
+#[parameterized(
+    negative = { "extra: 3.16", "extra: -1", "gateway.retryBudget.extra" },
+    no_number = { "extra: 3.16", "extra: NaN", "gateway.retryBudget.extra" },
+    endless = { "extra: 3.16", "extra: inf", "gateway.retryBudget.extra" },
+    too_many = { "extra: 3.16", "extra: 1e9", "gateway.retryBudget.extra" },
+    no_seconds = { "windowSeconds: 2.5", "windowSeconds: soon", "gateway.retryBudget.windowSeconds" },
+    too_short = { "stopLimitSeconds: 7.25", "stopLimitSeconds: 0.5", "gateway.stopLimitSeconds" },
+)]
+fn a_figure_that_can_not_be_used_is_refused(from: &str, to: &str, field: &str) {
+    let found = problems(&format!("{GOOD}{}", GATEWAY.replacen(from, to, 1)));
+    assert!(found.iter().any(|(code, _, found)| *code == 7005 && found == field), "{found:?}");
+}
