Log lines are parsed once, plots share their axes, a field nobody read is gone

Cause, found on reading the whole change: log-lines read each line's JSON twice to look at its schema first; the plot of life lines had its own copy of the axes and the legend; the report took a group's model from its event and showed it nowhere.

Change: a line is read at once, and looked at again only if it can't be; chart_on and legend_line serve both plots; the field is out. No behaviour changes, and no test; the daemon is not touched.

--- a/crates/bench/src/log_report/groups.rs
+++ b/crates/bench/src/log_report/groups.rs
@@ -8,8 +8,6 @@
 pub struct GroupLife {
     /// Epoch.
     pub epoch: u64,
-    /// Model; empty if the log begins after the group was formed.
-    pub model: String,
     /// It was formed.
     pub formed_at: Option<u64>,
     /// It takes requests.
@@ -36,10 +34,7 @@
         let Some(epoch) = event.group_epoch() else { continue };
         let life = lives.entry(epoch).or_insert_with(|| GroupLife { epoch, ..GroupLife::default() });
         let phase = match event.reason.as_str() {
-            "Formed" => {
-                life.model = event.message.split(" on ").next().unwrap_or_default().to_string();
-                &mut life.formed_at
-            }
+            "Formed" => &mut life.formed_at,
             "Open" => &mut life.open_at,
             "Draining" | "Cutting" => &mut life.closing_at,
             "Ended" => &mut life.ended_at,
--- a/crates/bench/src/plot.rs
+++ b/crates/bench/src/plot.rs
@@ -1,6 +1,9 @@
 //! Plots as SVG.
 
+use plotters::coord::Shift;
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
+use std::ops::Range;
 
 const SIZE: (u32, u32) = (720, 320);
 /// Size of plots with many lines above each other.
@@ -57,22 +60,44 @@
     }
 }
 
-fn draw(texts: PlotTexts<'_>, series: &[Series], svg: &mut String) -> Result<(), Box<dyn std::error::Error>> {
-    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
-    root.fill(&WHITE)?;
-    let (x, y) = bounds(series);
-    let mut chart = ChartBuilder::on(&root)
+/// A plot with two axes of numbers, as SVG.
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// An empty plot with its title and axes.
+fn chart_on<'a, 'b>(
+    root: &'a DrawingArea<SVGBackend<'b>, Shift>,
+    texts: PlotTexts<'_>,
+    x: Range<f64>,
+    y: Range<f64>,
+) -> Result<Chart<'a, 'b>, Box<dyn std::error::Error>>
+where
+    'b: 'a,
+{
+    let mut chart = ChartBuilder::on(root)
         .caption(texts.title, ("sans-serif", 16))
         .margin(10)
         .x_label_area_size(36)
         .y_label_area_size(56)
-        .build_cartesian_2d(x.0..x.1, y.0..y.1)?;
+        .build_cartesian_2d(x, y)?;
     chart.configure_mesh().x_desc(texts.x).y_desc(texts.y).light_line_style(WHITE).draw()?;
+    Ok(chart)
+}
+
+/// The colour's line in the legend.
+fn legend_line((x, y): (i32, i32), colour: RGBColor) -> PathElement<(i32, i32)> {
+    PathElement::new([(x, y), (x + 16, y)], colour)
+}
+
+fn draw(texts: PlotTexts<'_>, series: &[Series], svg: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let (x, y) = bounds(series);
+    let mut chart = chart_on(&root, texts, x.0..x.1, y.0..y.1)?;
     for (index, line) in series.iter().enumerate() {
         let colour = COLOURS[index % COLOURS.len()];
         let drawn =
             chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
-        drawn.label(&line.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        drawn.label(&line.name).legend(move |at| legend_line(at, colour));
         chart
             .draw_series(line.points.iter().take(64).map(|point| Circle::new(*point, 2, colour.filled())))?;
     }
@@ -122,13 +147,7 @@
     let to = phases().map(|phase| phase.to).fold(f64::MIN, f64::max).max(from + 1.0);
     let lowest = lives.first().map_or(0.0, |life| life.number as f64 - 1.0);
     let highest = lives.last().map_or(1.0, |life| life.number as f64 + 1.0);
-    let mut chart = ChartBuilder::on(&root)
-        .caption(texts.title, ("sans-serif", 16))
-        .margin(10)
-        .x_label_area_size(36)
-        .y_label_area_size(56)
-        .build_cartesian_2d(from..to, lowest..highest)?;
-    chart.configure_mesh().x_desc(texts.x).y_desc(texts.y).light_line_style(WHITE).draw()?;
+    let mut chart = chart_on(&root, texts, from..to, lowest..highest)?;
     let names = lives.first().map(|life| life.phases.len()).unwrap_or_default();
     for index in 0..names {
         let colour = COLOURS[index % COLOURS.len()];
@@ -140,7 +159,7 @@
         };
         let name = lives[0].phases[index].name;
         let drawn = chart.draw_series(lives.iter().filter_map(stretch))?;
-        drawn.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        drawn.label(name).legend(move |at| legend_line(at, colour));
     }
     chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
     root.present()?;
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -32,6 +32,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Line {
+    schema: u64,
     /// Milliseconds since the Unix epoch.
     pub at_ms: u64,
     /// The daemon.
@@ -172,11 +173,21 @@
 pub fn parse(text: &str) -> Result<Line, LineFault> {
     let start = text.find('{').ok_or(LineFault::NoObject)?;
     let object = &text[start..];
-    let damaged = |error: serde_json::Error| LineFault::Damaged(error.to_string());
-    let whole: serde_json::Value = serde_json::from_str(object).map_err(damaged)?;
-    let form = serde_json::from_value::<Form>(whole).map_err(|_| LineFault::Foreign)?;
-    if form.schema != SCHEMA_VERSION {
-        return Err(LineFault::Foreign);
+    match serde_json::from_str::<Line>(object) {
+        Ok(line) if line.schema == SCHEMA_VERSION => Ok(line),
+        Ok(_) => Err(LineFault::Foreign),
+        Err(error) => Err(fault_of(object, &error)),
+    }
+}
+
+/// Why an object is no line: it is damaged, or another program's.
+fn fault_of(object: &str, error: &serde_json::Error) -> LineFault {
+    let damaged = |error: &serde_json::Error| LineFault::Damaged(error.to_string());
+    match serde_json::from_str::<serde_json::Value>(object) {
+        Err(error) => damaged(&error),
+        Ok(whole) => match serde_json::from_value::<Form>(whole) {
+            Ok(form) if form.schema == SCHEMA_VERSION => damaged(error),
+            _ => LineFault::Foreign,
+        },
     }
-    serde_json::from_str(object).map_err(damaged)
 }
