Need counts every request; callers that come back are told by refusals, not by their deadlines

Cause: a request whose deadline was more than 40 ms below its route's time-out was taken for one that had been refused before, and did not count for what a model needs. Ruled out: the demand's memory, the plan's turn. Change: all arrivals count, and those refused for want of a place are reported; of n new requests with a part p refused, n (1 + p) tries arrive. All requests may wait half of their target for a place, as nearly all did. The mark 'refused before' is gone from the request lines, as nothing tells it.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -24,8 +24,10 @@
     pub service: String,
     /// Model.
     pub model: String,
-    /// Requests that arrived, whether or not they got a place; not those whose callers had been refused before.
+    /// Requests that arrived, whether or not they got a place; a caller that comes back after a refusal counts again.
     pub arrived: u32,
+    /// Requests that were refused for want of a place.
+    pub refused: u32,
     /// Tokens of the prompts of those.
     pub prompt_tokens: u64,
     /// Answers that were complete.
@@ -40,6 +42,7 @@
     /// Adds what another report tells of the same model.
     pub fn add(&mut self, other: &ModelLoad) {
         self.arrived += other.arrived;
+        self.refused += other.refused;
         self.prompt_tokens += other.prompt_tokens;
         self.answered += other.answered;
         self.events += other.events;
--- a/crates/bench/tests/log_report.rs
+++ b/crates/bench/tests/log_report.rs
@@ -18,7 +18,7 @@
     let line = json!({
         "schema": 1, "atMs": at_ms, "daemon": "e1", "kind": "request", "request": "r", "code": code,
         "codeName": "X", "configuration": 1, "leaseLeftMs": 2_000 - code as u64 / 10, "placesAgeMs": 30,
-        "cameBack": false, "tookMs": 200, "allowedMs": 8_000, "waitedMs": 0, "firstEventMs": first_event_ms,
+        "tookMs": 200, "allowedMs": 8_000, "waitedMs": 0, "firstEventMs": first_event_ms,
         "sends": [], "heldBack": held_back,
     });
     line.to_string()
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -33,8 +33,6 @@
     pub service: Option<String>,
     /// Model.
     pub model: Option<String>,
-    /// Its caller had been refused before.
-    pub came_back: bool,
     /// The time that it had, in milliseconds.
     pub allowed_ms: u64,
 }
@@ -117,7 +115,6 @@
             configuration: self.gateway.routes.load().version,
             lease_left_ms: shared.lease_left_ms(),
             places_age_ms: has_model.then(|| self.gateway.loads.age_of_grants(now)),
-            came_back: about.came_back,
             took_ms: self.elapsed_ms(),
             allowed_ms: about.allowed_ms,
             waited_ms: self.waited_ms,
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -272,6 +272,11 @@
         });
     }
 
+    /// Notes that a request was refused for want of a place.
+    pub fn refused(&self, service: &str, model: &str) {
+        self.count(service, model, |load| load.refused += 1);
+    }
+
     /// Notes that a request found no place.
     pub fn found_none(&self, service: &str, model: &str) {
         self.count(service, model, |load| load.found_none += 1);
@@ -292,6 +297,7 @@
             service: service.clone(),
             model: model.clone(),
             arrived: 0,
+            refused: 0,
             prompt_tokens: 0,
             answered: 0,
             events: 0,
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -16,8 +16,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A first try tells the whole of its time, but for what passed on the way.
-const FIRST_TRY_MARGIN_MS: u64 = 40;
 /// How long the caller of a cut stream waits for a daemon that has just started: where all daemons were down, they agree on
 /// a leader within about a second.
 const START_LIMIT: Duration = Duration::from_millis(1_500);
@@ -55,8 +53,6 @@
     pub prompt_tokens: u64,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
-    /// Its caller has less time than the route gives: it tried before.
-    pub came_back: bool,
     /// When the answer must be given.
     pub deadline: Instant,
 }
@@ -75,7 +71,6 @@
             route: Some(self.route.name.clone()),
             service: Some(self.service.name.clone()),
             model: self.model.clone(),
-            came_back: self.came_back,
             allowed_ms: self.left_ms(),
         }
     }
@@ -153,7 +148,6 @@
     let names = gateway.dialect.headers();
     let number = |name: &str| text(&parts.headers, name).and_then(|value| value.trim().parse::<u64>().ok());
     let told_ms = number(names.deadline_ms);
-    let came_back = told_ms.is_some_and(|told| told + FIRST_TRY_MARGIN_MS < route.timeout_ms);
     let timeout_ms = told_ms.map_or(route.timeout_ms, |told| told.min(route.timeout_ms));
     let usage = text(&parts.headers, names.token_usage);
     let drop_key = key.is_some() || !route.anonymous;
@@ -165,7 +159,6 @@
         prompt_tokens: usage.and_then(|usage| gateway.dialect.prompt_tokens(&usage)).unwrap_or(0),
         last_event: number(names.last_event),
         rank: priority.unwrap_or(route.priority).min(LOWEST_RANK),
-        came_back,
         method: parts.method,
         uri: parts.uri,
         deadline: arrived + Duration::from_millis(timeout_ms),
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -30,9 +30,7 @@
 
 /// Part of the target for the first event that a request may wait here for a place, in hundredths: a refusal is worth
 /// something only while it is early.
-const WAIT_HUNDREDTHS: u64 = 20;
-/// The same for callers that were refused before.
-const WAIT_AFTER_REFUSAL_HUNDREDTHS: u64 = 50;
+const WAIT_HUNDREDTHS: u64 = 50;
 /// When a caller may come back after all groups were full.
 const FULL_RETRY_MS: u64 = 400;
 
@@ -94,7 +92,7 @@
         let seen = gateway.loads.pace_estimates(&model.name);
         Pace::expected(engine, model, &received.route, &seen)
     });
-    if let Some(model) = model.filter(|_| !received.came_back) {
+    if let Some(model) = model {
         gateway.loads.arrived(&received.service.name, &model.name, received.prompt_tokens);
     }
     let mut course = StreamCourse {
@@ -225,9 +223,7 @@
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
-        let came_back = self.received.came_back;
-        let hundredths = if came_back { WAIT_AFTER_REFUSAL_HUNDREDTHS } else { WAIT_HUNDREDTHS };
-        let wait = Duration::from_millis(self.received.route.target_latency_ms * hundredths / 100);
+        let wait = Duration::from_millis(self.received.route.target_latency_ms * WAIT_HUNDREDTHS / 100);
         let since = Instant::now();
         let query = PlaceQuery {
             service: &service.name,
@@ -238,7 +234,10 @@
         };
         let place = wait_for_place(&self.gateway, query, since + wait).await;
         self.account.waited(since);
-        place.map(Source::Group).map_err(|code| self.refusal(code, FULL_RETRY_MS))
+        place.map(Source::Group).map_err(|code| {
+            self.gateway.loads.refused(&service.name, &model);
+            self.refusal(code, FULL_RETRY_MS)
+        })
     }
 
     /// How much longer the group may be silent, which last showed something at `since`, for it not to count as standing
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -131,8 +131,6 @@
     /// Age of the leader's last word on places at groups when it ended, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub places_age_ms: Option<u64>,
-    /// Its caller had been refused before.
-    pub came_back: bool,
     /// From its arrival to its end, in milliseconds.
     pub took_ms: u64,
     /// The time that it had, in milliseconds.
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -39,14 +39,10 @@
 /// The request's own course.
 fn courses(line: &Line, request: &Request, arrived: u64) -> Vec<Told> {
     let told = |at_ms: u64, text: String| Told { at_ms, text: format!("{}: {text}", line.daemon) };
-    let again = if request.came_back { ", refused before" } else { "" };
     let model = request.model.as_deref().map_or(String::new(), |model| format!(" for {model}"));
     let mut course = vec![told(
         arrived,
-        format!(
-            "arrives{model}{again}; {} ms allowed, configuration {}",
-            request.allowed_ms, request.configuration
-        ),
+        format!("arrives{model}; {} ms allowed, configuration {}", request.allowed_ms, request.configuration),
     )];
     for send in &request.sends {
         let group = send.epoch.map_or(String::new(), |epoch| format!(" of g{epoch}"));
--- a/crates/dockctl/src/request_trace_tests.rs
+++ b/crates/dockctl/src/request_trace_tests.rs
@@ -7,7 +7,7 @@
     let texts = [
         r#"{"schema":1,"atMs":1000,"daemon":"m1","kind":"event","subject":"group/g7","reason":"Formed","message":"large on a b; 2 free","code":1000,"codeName":"Ok"}"#,
         r#"{"schema":1,"atMs":2000,"daemon":"m1","kind":"event","subject":"group/g7","reason":"Open","message":"the head is open","code":1000,"codeName":"Ok"}"#,
-        r#"2026-12-02T10:00:00Z host-1 {"schema":1,"atMs":9000,"daemon":"e1","kind":"request","request":"r-1","code":3001,"codeName":"Interrupted","model":"large","configuration":4,"leaseLeftMs":2100,"placesAgeMs":30,"cameBack":false,"tookMs":1000,"allowedMs":8000,"waitedMs":0,"firstEventMs":150,"sends":[{"instance":"a","epoch":7,"atMs":1,"ended":"Abandoned"}],"heldBack":2}"#,
+        r#"2026-12-02T10:00:00Z host-1 {"schema":1,"atMs":9000,"daemon":"e1","kind":"request","request":"r-1","code":3001,"codeName":"Interrupted","model":"large","configuration":4,"leaseLeftMs":2100,"placesAgeMs":30,"tookMs":1000,"allowedMs":8000,"waitedMs":0,"firstEventMs":150,"sends":[{"instance":"a","epoch":7,"atMs":1,"ended":"Abandoned"}],"heldBack":2}"#,
         r#"{"schema":1,"atMs":8900,"daemon":"m1","kind":"event","subject":"group/g7","reason":"Cutting","message":"b is silent","code":1000,"codeName":"Ok"}"#,
         r#"{"schema":1,"atMs":8960,"daemon":"m2","kind":"event","subject":"group/g7","reason":"Cutting","message":"b is silent","code":1000,"codeName":"Ok"}"#,
         r#"{"schema":1,"atMs":8950,"daemon":"m1","kind":"order","order":"Leave","instance":"a","group":"g7","epoch":7,"fence":1,"answer":"Begun"}"#,
--- a/crates/grouping/src/demand.rs
+++ b/crates/grouping/src/demand.rs
@@ -40,6 +40,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Flow {
     arrived: f64,
+    refused: f64,
     prompt_tokens: f64,
     answered: f64,
     events: f64,
@@ -56,7 +57,13 @@
     fn decay(&mut self, now: Millis) {
         let elapsed = now.saturating_sub(self.updated_at.unwrap_or(now)) as f64;
         let kept = (-elapsed / MEMORY_MS).exp();
-        for sum in [&mut self.arrived, &mut self.prompt_tokens, &mut self.answered, &mut self.events] {
+        for sum in [
+            &mut self.arrived,
+            &mut self.refused,
+            &mut self.prompt_tokens,
+            &mut self.answered,
+            &mut self.events,
+        ] {
             *sum *= kept;
         }
         self.span_ms = self.span_ms * kept + MEMORY_MS * (1.0 - kept);
@@ -64,13 +71,19 @@
         self.updated_at = Some(now);
     }
 
-    /// Requests in a millisecond lately.
+    /// New requests in a millisecond lately, without those of callers that came back after a refusal.
+    ///
+    /// Nothing in a request tells a first try from a second one: callers choose their deadlines themselves, so that a short
+    /// one says nothing. What tells is how many were refused. Where a part `p` of the tries is refused and each of
+    /// those callers comes back once, `n` new requests make `n (1 + p)` tries.
     fn rate(&self) -> f64 {
-        self.arrived / self.span_ms.max(1.0)
+        let refused_part = (self.refused / self.arrived.max(f64::MIN_POSITIVE)).min(1.0);
+        self.arrived / (1.0 + refused_part) / self.span_ms.max(1.0)
     }
 
     fn add(&mut self, load: &ModelLoad) {
         self.arrived += f64::from(load.arrived);
+        self.refused += f64::from(load.refused);
         if self.span_ms >= TELLING_SPAN_MS {
             self.peak_rate = self.peak_rate.max(self.rate());
         }
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -46,6 +46,21 @@
     }
 }
 
+/// What entries tell of one model, each of whose requests that is served is answered at once.
+fn model_load(model: &str, arrived: u32, refused: u32) -> ModelLoad {
+    let answered = arrived - refused;
+    ModelLoad {
+        service: SERVICE.to_string(),
+        model: model.to_string(),
+        arrived,
+        refused,
+        prompt_tokens: u64::from(arrived) * PROMPT_TOKENS,
+        answered,
+        events: u64::from(answered) * EVENTS,
+        found_none: 0,
+    }
+}
+
 impl World {
     /// `domains` domains of `servers` servers each, all of them heard just now.
     pub fn new(domains: usize, servers: usize) -> World {
@@ -178,18 +193,18 @@
     /// Two seconds in which so many requests for each model arrive every 100 ms, each with a prompt of [`PROMPT_TOKENS`]
     /// and an answer of [`EVENTS`].
     pub fn ask_for(&mut self, large: u32, small: u32) {
-        let load = |model: &str, arrived: u32| ModelLoad {
-            service: SERVICE.to_string(),
-            model: model.to_string(),
-            arrived,
-            prompt_tokens: u64::from(arrived) * PROMPT_TOKENS,
-            answered: arrived,
-            events: u64::from(arrived) * EVENTS,
-            found_none: 0,
-        };
+        self.hear_demand(&[model_load(LARGE, large, 0), model_load(SMALL, small, 0)]);
+    }
+
+    /// The same for the smaller model alone, with so many refusals among the requests.
+    pub fn ask_with_refusals(&mut self, arrived: u32, refused: u32) {
+        self.hear_demand(&[model_load(SMALL, arrived, refused)]);
+    }
+
+    fn hear_demand(&mut self, models: &[ModelLoad]) {
         for _ in 0..20 {
             self.now += 100;
-            let models = vec![load(LARGE, large), load(SMALL, small)];
+            let models = models.to_vec();
             let report = LoadReport { daemon: "demand".to_string(), scope: None, groups: Vec::new(), models };
             self.observations.exchange(self.now, report, true);
         }
--- a/crates/grouping/tests/need.rs
+++ b/crates/grouping/tests/need.rs
@@ -51,3 +51,20 @@
     // 6 of 8 slots write; a pass is 5 steps of 8 ms and 0.1 ms a request.
     assert!((writing - 10.0 * 5.0 * 8.6 / 6.0).abs() < 1.0, "{writing}");
 }
+
+/// Callers choose their deadlines themselves, so that no request tells whether it was refused before: of 100 new requests a
+/// second, all refused once and coming back once, 200 tries a second arrive.
+#[test]
+fn callers_that_come_back_after_a_refusal_count_once() {
+    let mut world = World::new(1, 2);
+    world.ask_with_refusals(10, 0);
+    let per_second = |world: &World| {
+        world.observations.demand().of_service(SERVICE).map(|demand| demand[SMALL].per_second)
+    };
+    let calm = per_second(&world).unwrap_or(0.0);
+    assert!((calm - 100.0).abs() < 10.0, "{calm}");
+    world.ask_with_refusals(20, 20);
+    world.ask_with_refusals(20, 20);
+    let refused = per_second(&world).unwrap_or(0.0);
+    assert!((refused - 100.0).abs() < 15.0, "{refused}");
+}
--- a/crates/grouping/tests/places.rs
+++ b/crates/grouping/tests/places.rs
@@ -20,6 +20,7 @@
         service: "s".to_string(),
         model: "m".to_string(),
         arrived: 1,
+        refused: 0,
         prompt_tokens: 0,
         answered: 0,
         events: 0,
--- a/crates/grouping/tests/scope.rs
+++ b/crates/grouping/tests/scope.rs
@@ -34,6 +34,7 @@
         service: SERVICE.to_string(),
         model: LARGE.to_string(),
         arrived,
+        refused: 0,
         prompt_tokens: 0,
         answered: 0,
         events: 0,
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -116,8 +116,6 @@
     pub lease_left_ms: u64,
     /// Age of the leader's last word on places when it ended, in milliseconds.
     pub places_age_ms: Option<u64>,
-    /// Its caller had been refused before.
-    pub came_back: bool,
     /// From its arrival to its end, in milliseconds.
     pub took_ms: u64,
     /// The time that it had, in milliseconds.
