--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -29,8 +29,13 @@
         }
         let campaign_term = self.hard_state.term + u64::from(!binding);
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let started_anew = self.started_anew.holds();
         for peer in self.peers() {
-            self.send_in_term(peer, campaign_term, Body::VoteRequest { binding, last_index, last_term });
+            self.send_in_term(
+                peer,
+                campaign_term,
+                Body::VoteRequest { binding, last_index, last_term, started_anew },
+            );
         }
     }
 
@@ -79,6 +84,7 @@
             self.campaign(now, true);
             return;
         }
+        self.started_anew.heard_leader();
         self.leader = Some(self.settings.id);
         self.role = Role::Leader(LeaderState::new(&self.peers(), self.log.last_index(), now));
         self.announce_role();
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -13,6 +13,7 @@
 mod message;
 mod node;
 mod replication;
+mod restart;
 mod types;
 
 pub use log::EntryLog;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -4,6 +4,7 @@
 use crate::membership::Membership;
 use crate::message::{Body, Message};
 use crate::replication::LeaderState;
+use crate::restart::StartedAnew;
 use crate::types::{
     Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term,
     Voter,
@@ -22,6 +23,11 @@
     Leader(LeaderState),
 }
 
+/// Voters that ask for votes one after the other within one heartbeat: an election takes some ten milliseconds.
+const TURNS_IN_A_HEARTBEAT: Millis = 2;
+/// Least time after which votes that were split are asked for again where nothing has to be waited out, in heartbeats.
+const SPLIT_VOTE_HEARTBEATS: Millis = 2;
+
 /// One voter of a group.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -37,6 +43,7 @@
     pub(crate) persisted: LogIndex,
     pub(crate) leader: Option<NodeId>,
     pub(crate) last_leader_contact: Option<Millis>,
+    pub(crate) started_anew: StartedAnew,
     pub(crate) election_due: Millis,
     random_state: u64,
     pub(crate) outputs: Vec<Output>,
@@ -44,7 +51,8 @@
 
 impl Node {
     /// A follower with what was read from disk. A node that starts anew holds back its vote for one election
-    /// time-out, as it may have acknowledged a leader just before it stopped.
+    /// time-out, as it may have acknowledged a leader just before it stopped, unless all voters have started anew. It asks
+    /// for pre-votes soon, so that they learn of it.
     pub fn new(settings: Settings, recovered: Recovered, now: Millis) -> Self {
         let log = EntryLog::recovered(&recovered);
         let membership = recovered_membership(&settings, &recovered);
@@ -58,6 +66,7 @@
             persisted: log.last_index(),
             leader: None,
             last_leader_contact: restarted.then_some(now),
+            started_anew: if restarted { StartedAnew::restarted() } else { StartedAnew::default() },
             election_due: now,
             random_state,
             outputs: Vec::new(),
@@ -65,7 +74,9 @@
             membership,
             settings,
         };
-        node.reset_election_timer(now);
+        if !restarted {
+            node.reset_election_timer(now);
+        }
         if node.membership.voters() == [node.settings.id] {
             node.election_due = now;
         }
@@ -183,6 +194,7 @@
         if message.to != self.settings.id {
             return;
         }
+        self.note_start(now, &message);
         if self.is_sticky_against(now, &message) {
             return;
         }
@@ -191,7 +203,7 @@
         }
         let from = message.from;
         match message.body {
-            Body::VoteRequest { binding, last_index, last_term } => {
+            Body::VoteRequest { binding, last_index, last_term, started_anew: _ } => {
                 self.answer_vote(now, from, message.term, binding, last_index, last_term);
             }
             Body::VoteReply { binding, granted } if self.membership.contains(from) => {
@@ -218,12 +230,31 @@
         }
     }
 
+    /// Takes another voter's word that it has started anew.
+    fn note_start(&mut self, now: Millis, message: &Message) {
+        let Body::VoteRequest { binding: false, started_anew: true, .. } = message.body else { return };
+        let peers = self.peers();
+        let was_known = self.started_anew.is_true_of_all(&peers);
+        self.started_anew.note(message.from, message.term, self.hard_state.term);
+        if !was_known && self.started_anew.is_true_of_all(&peers) {
+            self.campaign_in_turn(now);
+        }
+    }
+
+    /// All voters learn at nearly the same time that all have started anew. They ask for votes one after the other, so
+    /// that these are not split; the first whose log is current is elected.
+    fn campaign_in_turn(&mut self, now: Millis) {
+        let before = self.peers().iter().filter(|peer| **peer < self.settings.id).count() as Millis;
+        self.election_due = now + before * self.settings.heartbeat_ms / TURNS_IN_A_HEARTBEAT;
+    }
+
     /// A vote request within one election time-out of a live leader is passed over, whatever its term: that is
-    /// what a leader's lease rests on.
+    /// what a leader's lease rests on. Where all voters have started anew there is no lease.
     fn is_sticky_against(&self, now: Millis, message: &Message) -> bool {
         let is_request = matches!(message.body, Body::VoteRequest { .. });
-        let heard_recently =
+        let may_follow =
             self.last_leader_contact.is_some_and(|at| now < at + self.settings.election_timeout_ms);
+        let heard_recently = may_follow && !self.started_anew.is_true_of_all(&self.peers());
         is_request && (heard_recently || self.leader_lease_valid(now))
     }
 
@@ -236,6 +267,7 @@
             self.become_follower(now, term, Some(from));
         }
         self.last_leader_contact = Some(now);
+        self.started_anew.heard_leader();
         self.reset_election_timer(now);
         true
     }
@@ -275,7 +307,11 @@
     }
 
     pub(crate) fn reset_election_timer(&mut self, now: Millis) {
-        let timeout = self.settings.election_timeout_ms;
+        let timeout = match self.started_anew.is_true_of_all(&self.peers()) {
+            // Nothing has to be waited out, and nobody leads yet: votes that were split are asked for again soon.
+            true => self.settings.heartbeat_ms * SPLIT_VOTE_HEARTBEATS,
+            false => self.settings.election_timeout_ms,
+        };
         let jitter = self.next_random() % timeout.max(1);
         self.election_due = now + timeout + jitter;
     }
