--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -16,6 +16,8 @@
     about: About,
     waited_ms: u64,
     first_event_ms: Option<u64>,
+    last_event_ms: u64,
+    longest_pause_ms: Option<u64>,
     sends: Vec<SendLine>,
     ended: Option<ResultCode>,
 }
@@ -35,6 +37,8 @@
     pub model: Option<String>,
     /// The time that it had, in milliseconds.
     pub allowed_ms: u64,
+    /// Tokens of its prompt, as far as they are told.
+    pub prompt_tokens: u64,
 }
 
 impl RequestAccount {
@@ -46,6 +50,8 @@
             about: About::default(),
             waited_ms: 0,
             first_event_ms: None,
+            last_event_ms: 0,
+            longest_pause_ms: None,
             sends: Vec::new(),
             ended: None,
         }
@@ -80,9 +86,15 @@
 
     /// Notes that an event was passed on.
     pub fn event_passed(&mut self) {
-        if self.first_event_ms.is_none() {
-            self.first_event_ms = Some(self.elapsed_ms());
+        let now_ms = self.elapsed_ms();
+        match self.first_event_ms {
+            None => self.first_event_ms = Some(now_ms),
+            Some(_) => {
+                let pause_ms = now_ms.saturating_sub(self.last_event_ms);
+                self.longest_pause_ms = self.longest_pause_ms.max(Some(pause_ms));
+            }
         }
+        self.last_event_ms = now_ms;
     }
 
     /// Notes how it ended; the first end counts.
@@ -119,6 +131,8 @@
             allowed_ms: about.allowed_ms,
             waited_ms: self.waited_ms,
             first_event_ms: self.first_event_ms,
+            longest_pause_ms: self.longest_pause_ms,
+            prompt_tokens: has_model.then_some(about.prompt_tokens),
             sends: &self.sends,
             held_back,
         };
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -72,6 +72,7 @@
             service: Some(self.service.name.clone()),
             model: self.model.clone(),
             allowed_ms: self.left_ms(),
+            prompt_tokens: self.prompt_tokens,
         }
     }
 
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -140,6 +140,12 @@
     /// From its arrival to the first event that was passed on, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub first_event_ms: Option<u64>,
+    /// Longest pause between two events that were passed on, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub longest_pause_ms: Option<u64>,
+    /// Tokens of its prompt, for a model.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prompt_tokens: Option<u64>,
     /// Each server that it was sent to, in order.
     pub sends: &'a [SendLine],
     /// Lines of this result that were held back since the last one that was written.
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -40,9 +40,13 @@
 fn courses(line: &Line, request: &Request, arrived: u64) -> Vec<Told> {
     let told = |at_ms: u64, text: String| Told { at_ms, text: format!("{}: {text}", line.daemon) };
     let model = request.model.as_deref().map_or(String::new(), |model| format!(" for {model}"));
+    let prompt = request.prompt_tokens.map_or(String::new(), |tokens| format!(", {tokens} tokens of prompt"));
     let mut course = vec![told(
         arrived,
-        format!("arrives{model}; {} ms allowed, configuration {}", request.allowed_ms, request.configuration),
+        format!(
+            "arrives{model}{prompt}; {} ms allowed, configuration {}",
+            request.allowed_ms, request.configuration
+        ),
     )];
     for send in &request.sends {
         let group = send.epoch.map_or(String::new(), |epoch| format!(" of g{epoch}"));
@@ -52,6 +56,7 @@
     if let Some(first) = request.first_event_ms {
         course.push(told(arrived + first, "first event passed on".to_string()));
     }
+    let pause = request.longest_pause_ms.map_or(String::new(), |pause| format!(", longest pause {pause} ms"));
     let places = request.places_age_ms.map_or(String::new(), |age| format!(", places known {age} ms ago"));
     let held_back = match request.held_back {
         0 => String::new(),
@@ -60,7 +65,7 @@
     course.push(told(
         line.at_ms,
         format!(
-            "ends with {} {} after {} ms, {} ms of them waiting; lease left {} ms{places}{held_back}",
+            "ends with {} {} after {} ms, {} ms of them waiting; lease left {} ms{pause}{places}{held_back}",
             request.code, request.code_name, request.took_ms, request.waited_ms, request.lease_left_ms
         ),
     ));
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -124,6 +124,10 @@
     pub waited_ms: u64,
     /// From its arrival to the first event that was passed on, in milliseconds.
     pub first_event_ms: Option<u64>,
+    /// Longest pause between two events that were passed on, in milliseconds.
+    pub longest_pause_ms: Option<u64>,
+    /// Tokens of its prompt, for a model.
+    pub prompt_tokens: Option<u64>,
     /// Each server that it was sent to, in order.
     pub sends: Vec<Send>,
     /// Lines of this result that were held back since the last one that was written.
