--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -20,6 +20,7 @@
 mod plan;
 mod scope;
 mod staging;
+mod wanted;
 mod worth;
 
 pub use capacity::{RequestWork, group_ms, places_of_group};
--- a/crates/grouping/src/need.rs
+++ b/crates/grouping/src/need.rs
@@ -1,10 +1,12 @@
 //! How many groups each model needs, how many it holds, and what that is worth.
 
 use crate::capacity::group_ms;
+use crate::demand::ModelDemand;
 use crate::worth::ModelWeights;
 use crate::{Millis, View};
 use dockwood_api::gateway::{EngineProfile, ModelProfile};
 use dockwood_state::{GroupPhase, GroupPurpose, GroupRow};
+use std::collections::BTreeMap;
 
 /// A model is never taken to need fewer groups than this: what nobody asks for now may be asked for again.
 const LEAST_NEED: f64 = 0.25;
@@ -16,6 +18,9 @@
 /// times the longest load, so that a group that must load first is worth something.
 const HORIZON_MS: f64 = 40_000.0;
 
+/// What is asked of each model of a service, by its name.
+type DemandByModel = BTreeMap<String, ModelDemand>;
+
 /// Groups of one model that begin to serve, or end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Change {
@@ -50,8 +55,9 @@
                 held[position] += 1.0;
             }
         }
-        let need = groups_needed(view, service, engine, servers);
-        Balance { need, held, weights: ModelWeights::new(&asked(view, service, engine)) }
+        let demand = view.observations.demand().of_service(service);
+        let need = groups_needed(demand.as_ref(), engine, servers);
+        Balance { need, held, weights: ModelWeights::new(&asked(demand.as_ref(), engine)) }
     }
 
     /// What is served over the horizon if these changes happen, on average over its time.
@@ -100,19 +106,18 @@
 }
 
 /// How often each model of a service is asked for, in requests a second, or by its declared share until that is known.
-fn asked(view: &View<'_>, service: &str, engine: &EngineProfile) -> Vec<f64> {
-    let demand = view.observations.demand().of_service(service);
-    let asked = |model: &ModelProfile| match &demand {
+fn asked(demand: Option<&DemandByModel>, engine: &EngineProfile) -> Vec<f64> {
+    let asked = |model: &ModelProfile| match demand {
         Some(demand) => demand.get(&model.name).map_or(0.0, |asked| asked.per_second),
         None => model.share,
     };
     engine.models.iter().map(asked).collect()
 }
 
-fn groups_needed(view: &View<'_>, service: &str, engine: &EngineProfile, servers: usize) -> Vec<f64> {
-    let demand = view.observations.demand().of_service(service);
+/// How many groups of each model the requests need, or by the declared shares of so many servers.
+fn groups_needed(demand: Option<&DemandByModel>, engine: &EngineProfile, servers: usize) -> Vec<f64> {
     let all_shares: f64 = engine.models.iter().map(|model| model.share).sum();
-    let needed = engine.models.iter().map(|model| match &demand {
+    let needed = engine.models.iter().map(|model| match demand {
         Some(demand) => {
             let asked = demand.get(&model.name).copied().unwrap_or_default();
             asked.per_second * group_ms(engine, model, &asked.work) / 1_000.0
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -2,9 +2,10 @@
 //! may be carried out late, which the epoch in each order makes harmless.
 
 use crate::domains::has_staged;
-use crate::staging::{StagingUnderWay, StagingWish, Urgency};
+use crate::staging::{LOADS_LENGTH, StagingUnderWay, StagingWish, Urgency};
+use crate::wanted::{Wanted, wanted};
 use crate::{Millis, View};
-use dockwood_api::gateway::{GroupCommand, GroupOrder, MembershipState, OrderAnswer};
+use dockwood_api::gateway::{GroupCommand, GroupOrder, OrderAnswer};
 use dockwood_state::{GroupPhase, GroupRow};
 use imbl::OrdMap;
 use imbl::ordmap::DiffItem;
@@ -26,8 +27,6 @@
 /// Share of the loads that the store allows that is used, in percent: a former leader's are not known.
 const LOAD_PERCENT: u64 = 80;
 
-/// A load counts as under way for at most this many times its declared length.
-const LOADS_LENGTH: u64 = 2;
 /// Servers that could serve another model too take this part of the loads at a time at most: the rest is for groups
 /// that wait, and for servers that could serve nothing.
 const ANOTHER_PART: u32 = 2;
@@ -88,13 +87,6 @@
     }
 }
 
-/// An order that a group's state calls for.
-#[derive(Clone, Copy, Debug)]
-struct Wanted<'a> {
-    instance: &'a str,
-    kind: OrderKind,
-}
-
 /// Orders on their way, and loads that began lately.
 ///
 /// Groups that are open call for nothing, so only the others are looked at: those that have changed, and all of them
@@ -361,49 +353,3 @@
         OrderKind::Cut => GroupCommand::Close { truncate: true },
     }
 }
-
-/// Orders whose effect is not seen yet.
-fn wanted<'a>(view: &View<'a>, group: &'a GroupRow) -> Vec<Wanted<'a>> {
-    let to_head = |kind| group.members.first().map(|head| Wanted { instance: head, kind });
-    match group.phase {
-        GroupPhase::Forming => {
-            let lacking = group.members.iter().filter(|member| !has_joined(view, group, member));
-            lacking.map(|member| Wanted { instance: member, kind: OrderKind::Join }).collect()
-        }
-        GroupPhase::Opening => to_head(OrderKind::Open).into_iter().collect(),
-        GroupPhase::Open => Vec::new(),
-        GroupPhase::Draining => to_head(closing_order(view, group, OrderKind::Drain)).into_iter().collect(),
-        GroupPhase::Cutting => {
-            let head = to_head(closing_order(view, group, OrderKind::Cut)).into_iter();
-            let leaving = members_to_leave(view, group);
-            head.chain(leaving.map(|member| Wanted { instance: member, kind: OrderKind::Leave })).collect()
-        }
-    }
-}
-
-/// What the head is told next: to close, and once it has closed, to leave. An order to open that was left unanswered may
-/// be carried out after that of closing; it finds no group any more.
-fn closing_order(view: &View<'_>, group: &GroupRow, close: OrderKind) -> OrderKind {
-    let head = group.members.first().and_then(|head| view.observations.instance(head));
-    let membership = head.and_then(|seen| seen.membership.as_ref());
-    let has_closed = membership.is_some_and(|membership| {
-        let is_closed = matches!(membership.state, MembershipState::Ready | MembershipState::Broken);
-        membership.epoch == group.epoch && is_closed
-    });
-    if has_closed { OrderKind::Leave } else { close }
-}
-
-/// Where the head can't be asked to close, its other members are told to leave: without them it can't go on, whether
-/// it is lost or only cut off, and they need not wait until it is known which.
-fn members_to_leave<'a>(view: &View<'_>, group: &'a GroupRow) -> impl Iterator<Item = &'a str> {
-    let head_answers = group.members.first().is_some_and(|head| view.observations.is_present(view.now, head));
-    let others = group.members.iter().skip(1).filter(move |_| !head_answers);
-    others.filter(move |member| has_joined(view, group, member)).map(String::as_str)
-}
-
-fn has_joined(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
-    let membership = view.observations.instance(member).and_then(|seen| seen.membership.as_ref());
-    membership.is_some_and(|membership| {
-        membership.epoch == group.epoch && membership.state != MembershipState::Broken
-    })
-}
--- a/crates/grouping/src/staging.rs
+++ b/crates/grouping/src/staging.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// A load counts as under way for at most this many times its declared length.
-const LOADS_LENGTH: u64 = 2;
+pub(crate) const LOADS_LENGTH: Millis = 2;
 
 /// One load of weights onto a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -127,6 +127,19 @@
     assert!(state.tables.gateway.was_removed("a"));
 }
 
+/// A heartbeat that a cut delayed may arrive after its sender has crashed and a new one has registered at its address.
+#[test]
+fn a_late_report_of_a_former_start_leaves_the_new_one_in_place() {
+    let mut state = State::default();
+    configure(&mut state, 1, b"1");
+    register(&mut state, "before", 1);
+    register(&mut state, "after", 1);
+    register(&mut state, "before", 1);
+    let tables = &state.tables.gateway;
+    assert!(tables.instances.contains_key("after"));
+    assert!(!tables.instances.contains_key("before"));
+}
+
 #[test]
 fn only_members_of_a_group_that_is_cut_off_are_released_and_never_the_head() {
     let mut state = State::default();
