--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -29,13 +29,8 @@
         }
         let campaign_term = self.hard_state.term + u64::from(!binding);
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        let started_anew = self.started_anew.holds();
         for peer in self.peers() {
-            self.send_in_term(
-                peer,
-                campaign_term,
-                Body::VoteRequest { binding, last_index, last_term, started_anew },
-            );
+            self.send_in_term(peer, campaign_term, Body::VoteRequest { binding, last_index, last_term });
         }
     }
 
@@ -84,7 +79,6 @@
             self.campaign(now, true);
             return;
         }
-        self.started_anew.heard_leader();
         self.leader = Some(self.settings.id);
         self.role = Role::Leader(LeaderState::new(&self.peers(), self.log.last_index(), now));
         self.announce_role();
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -13,7 +13,6 @@
 mod message;
 mod node;
 mod replication;
-mod restart;
 mod types;
 
 pub use log::EntryLog;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -38,8 +38,6 @@
         last_index: LogIndex,
         /// Term of that entry.
         last_term: Term,
-        /// The sender has started anew and heard of no leader since.
-        started_anew: bool,
     },
     /// Answer to a vote request.
     VoteReply {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -4,7 +4,6 @@
 use crate::membership::Membership;
 use crate::message::{Body, Message};
 use crate::replication::LeaderState;
-use crate::restart::StartedAnew;
 use crate::types::{
     Entry, HardState, Input, LogIndex, Millis, NodeId, Output, Payload, Recovered, RoleName, Settings, Term,
     Voter,
@@ -23,9 +22,6 @@
     Leader(LeaderState),
 }
 
-/// Voters that ask for votes one after the other within one heartbeat: an election takes some ten milliseconds.
-const TURNS_IN_A_HEARTBEAT: Millis = 2;
-
 /// One voter of a group.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -41,7 +37,6 @@
     pub(crate) persisted: LogIndex,
     pub(crate) leader: Option<NodeId>,
     pub(crate) last_leader_contact: Option<Millis>,
-    pub(crate) started_anew: StartedAnew,
     pub(crate) election_due: Millis,
     random_state: u64,
     pub(crate) outputs: Vec<Output>,
@@ -49,8 +44,7 @@
 
 impl Node {
     /// A follower with what was read from disk. A node that starts anew holds back its vote for one election
-    /// time-out, as it may have acknowledged a leader just before it stopped, unless all voters have started anew. It asks
-    /// for pre-votes soon, so that they learn of it.
+    /// time-out, as it may have acknowledged a leader just before it stopped.
     pub fn new(settings: Settings, recovered: Recovered, now: Millis) -> Self {
         let log = EntryLog::recovered(&recovered);
         let membership = recovered_membership(&settings, &recovered);
@@ -64,7 +58,6 @@
             persisted: log.last_index(),
             leader: None,
             last_leader_contact: restarted.then_some(now),
-            started_anew: if restarted { StartedAnew::restarted() } else { StartedAnew::default() },
             election_due: now,
             random_state,
             outputs: Vec::new(),
@@ -72,9 +65,7 @@
             membership,
             settings,
         };
-        if !restarted {
-            node.reset_election_timer(now);
-        }
+        node.reset_election_timer(now);
         if node.membership.voters() == [node.settings.id] {
             node.election_due = now;
         }
@@ -192,7 +183,6 @@
         if message.to != self.settings.id {
             return;
         }
-        self.note_start(now, &message);
         if self.is_sticky_against(now, &message) {
             return;
         }
@@ -201,7 +191,7 @@
         }
         let from = message.from;
         match message.body {
-            Body::VoteRequest { binding, last_index, last_term, started_anew: _ } => {
+            Body::VoteRequest { binding, last_index, last_term } => {
                 self.answer_vote(now, from, message.term, binding, last_index, last_term);
             }
             Body::VoteReply { binding, granted } if self.membership.contains(from) => {
@@ -228,32 +218,12 @@
         }
     }
 
-    /// Takes another voter's word that it has started anew.
-    fn note_start(&mut self, now: Millis, message: &Message) {
-        let Body::VoteRequest { binding: false, started_anew: true, .. } = message.body else { return };
-        let peers = self.peers();
-        let was_known = self.started_anew.is_true_of_all(&peers);
-        self.started_anew.note(message.from, message.term, self.hard_state.term);
-        if !was_known && self.started_anew.is_true_of_all(&peers) {
-            self.campaign_in_turn(now);
-        }
-    }
-
-    /// All voters learn at nearly the same time that all have started anew. They ask for votes one after the other, so
-    /// that these are not split; the first whose log is current is elected. Where they are split all the same, as messages
-    /// are slow, the usual time-outs follow: with shorter ones each campaign is overtaken by the next.
-    fn campaign_in_turn(&mut self, now: Millis) {
-        let before = self.peers().iter().filter(|peer| **peer < self.settings.id).count() as Millis;
-        self.election_due = now + before * self.settings.heartbeat_ms / TURNS_IN_A_HEARTBEAT;
-    }
-
     /// A vote request within one election time-out of a live leader is passed over, whatever its term: that is
-    /// what a leader's lease rests on. Where all voters have started anew there is no lease.
+    /// what a leader's lease rests on.
     fn is_sticky_against(&self, now: Millis, message: &Message) -> bool {
         let is_request = matches!(message.body, Body::VoteRequest { .. });
-        let may_follow =
+        let heard_recently =
             self.last_leader_contact.is_some_and(|at| now < at + self.settings.election_timeout_ms);
-        let heard_recently = may_follow && !self.started_anew.is_true_of_all(&self.peers());
         is_request && (heard_recently || self.leader_lease_valid(now))
     }
 
@@ -266,7 +236,6 @@
             self.become_follower(now, term, Some(from));
         }
         self.last_leader_contact = Some(now);
-        self.started_anew.heard_leader();
         self.reset_election_timer(now);
         true
     }
--- a/crates/consensus/tests/slow_restart.rs
+++ b/crates/consensus/tests/slow_restart.rs
@@ -77,7 +77,7 @@
 }
 
 /// Found on unidos-despacho-grown, hunt-a1d6-7 (seen once): nothing was served for 15 s after all had lost power. With votes asked for
-/// again after 200 to 400 ms, five voters whose messages take 60 to 260 ms needed up to 8.7 s.
+/// again after 200 to 400 ms, five voters whose messages take 60 to 260 ms needed up to 8.7 s. The usual time-outs hold.
 #[test]
 fn a_leader_is_there_within_seconds_also_where_messages_are_slow() {
     for (delay, most) in [(1..4, 1_500), (10..51, 2_000), (40..161, 4_000), (60..261, 5_000)] {
