--- a/crates/api/src/gateway/configuration.rs
+++ b/crates/api/src/gateway/configuration.rs
@@ -49,6 +49,9 @@
     pub anonymous: bool,
     /// A broken stream may go on at another server.
     pub resumable: bool,
+    /// Regions in which its requests may run; empty for all.
+    #[serde(default)]
+    pub allowed_regions: Vec<String>,
 }
 
 impl Route {
@@ -113,6 +116,16 @@
     }
 }
 
+/// What a service declares about servers that are cold: some time after a start, or after anything else that emptied
+/// their caches. They say so themselves, in each report.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long a server is usually cold after a start, in milliseconds.
+    pub usual_ms: u64,
+    /// Requests a second that a cold server bears, from all callers together; above 0.
+    pub requests_per_second: f64,
+}
+
 /// A service: servers that take the same requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceProfile {
@@ -122,6 +135,9 @@
     pub health_path: String,
     /// Connections that one server takes from all callers together.
     pub max_connections: u32,
+    /// Set for services whose servers bear less while they are cold.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
     /// Set for services of model engines.
     pub engine: Option<EngineProfile>,
 }
@@ -159,6 +175,9 @@
     pub keys: Vec<String>,
     /// Rank that goes before the route's, if declared.
     pub priority: Option<u32>,
+    /// Regions in which its requests may run; empty for all. Where the route names regions too, both bind.
+    #[serde(default)]
+    pub allowed_regions: Vec<String>,
 }
 
 /// One whole configuration.
--- a/crates/api/src/gateway/instance.rs
+++ b/crates/api/src/gateway/instance.rs
@@ -53,6 +53,9 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: InstanceState,
+    /// How much longer it is cold, in milliseconds; 0 once it is warm. See [`ColdStart`](super::ColdStart).
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Grows with each report, so that a late one is known.
     pub sequence: u64,
     /// Fabric domain, for a model server.
--- a/crates/api/src/gateway/mod.rs
+++ b/crates/api/src/gateway/mod.rs
@@ -8,8 +8,8 @@
 mod validation;
 
 pub use configuration::{
-    EngineProfile, GatewayConfiguration, ModelProfile, RequestLimits, Route, RouteKind, ServiceProfile,
-    TenantKeys, WeightedService,
+    ColdStart, EngineProfile, GatewayConfiguration, ModelProfile, RequestLimits, Route, RouteKind,
+    ServiceProfile, TenantKeys, WeightedService,
 };
 pub use group::{GroupCommand, GroupOrder, OrderAnswer};
 pub use instance::{InstanceReport, InstanceState, MembershipReport, MembershipState};
--- a/crates/api/tests/gateway.rs
+++ b/crates/api/tests/gateway.rs
@@ -20,6 +20,7 @@
         priority: 1,
         anonymous: false,
         resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -28,10 +29,15 @@
         name: "s".to_string(),
         health_path: "/h".to_string(),
         max_connections: 9,
+        cold_start: None,
         engine: None,
     };
-    let tenant =
-        |name: &str| TenantKeys { name: name.to_string(), keys: vec![format!("key-{name}")], priority: None };
+    let tenant = |name: &str| TenantKeys {
+        name: name.to_string(),
+        keys: vec![format!("key-{name}")],
+        priority: None,
+        allowed_regions: Vec::new(),
+    };
     GatewayConfiguration {
         version: 1,
         routes: vec![route("a"), route("b")],
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -105,6 +105,12 @@
         GatewayCommand::Preloaded { epoch } => {
             account("group", &format!("g{epoch}"), "Preloaded", "all members are ready".to_string())
         }
+        GatewayCommand::SetEvacuation { zone, .. } => {
+            let evacuated = tables.gateway.is_evacuated(zone);
+            let reason = if evacuated { "Evacuated" } else { "EvacuationEnded" };
+            let generation = tables.gateway.evacuation_generation(zone);
+            account("zone", zone, reason, format!("generation {generation}"))
+        }
         GatewayCommand::NoteRequests => account("gateway", "requests", "RequestsSeen", String::new()),
         // Told at the voters, as the change of phase that led to it.
         GatewayCommand::Adopt(_) => None,
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -17,6 +17,7 @@
         name: format!("tenant-{number}"),
         keys: vec!["k".repeat(80)],
         priority: None,
+        allowed_regions: Vec::new(),
     };
     let configuration = GatewayConfiguration {
         version,
@@ -141,6 +142,7 @@
         name: noise(number),
         keys: (0..4).map(|key| noise(version * 1_000_000 + number * 10 + key)).collect(),
         priority: None,
+        allowed_regions: Vec::new(),
     };
     let configuration = GatewayConfiguration {
         version,
--- a/crates/control/tests/hearing.rs
+++ b/crates/control/tests/hearing.rs
@@ -55,6 +55,7 @@
             name: "s".to_string(),
             health_path: "/health".to_string(),
             max_connections: 100,
+            cold_start: None,
             engine: Some(engine),
         };
         let configuration =
@@ -109,6 +110,7 @@
             zone: "z".to_string(),
             slots: 8,
             state: InstanceState::Ready,
+            cold_ms: 0,
             sequence: self.sequence,
             domain: Some(format!("domain-{}", number / DOMAIN)),
             staged: Vec::new(),
--- a/crates/control/tests/probes.rs
+++ b/crates/control/tests/probes.rs
@@ -20,6 +20,7 @@
         zone: "z".to_string(),
         slots: 8,
         state: InstanceState::Ready,
+        cold_ms: 0,
         sequence: 1,
         domain: Some("d".to_string()),
         staged: vec![MODEL.to_string()],
@@ -48,6 +49,7 @@
         name: SERVICE.to_string(),
         health_path: "/health".to_string(),
         max_connections: 100,
+        cold_start: None,
         engine: Some(engine),
     };
     let configuration =
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -44,6 +44,13 @@
         /// Instance id.
         id: String,
     },
+    /// Keep requests away from a zone's servers, or let them have requests again.
+    SetEvacuation {
+        /// Zone.
+        zone: String,
+        /// Whether it is to be evacuated.
+        evacuated: bool,
+    },
 }
 
 /// Who asks the directory.
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -33,6 +33,9 @@
         Ok(OperatorCall::ReadConfiguration) => read_configuration(&gateway).await,
         Ok(OperatorCall::Report(report)) => take_report(&gateway, *report).await,
         Ok(OperatorCall::SignOff { id }) => sign_off(&gateway, id).await,
+        Ok(OperatorCall::SetEvacuation { zone, evacuated }) => {
+            set_evacuation(&gateway, zone, evacuated).await
+        }
         Err(error) => Err(error),
     };
     answered.unwrap_or_else(|error| {
@@ -100,3 +103,14 @@
     submit(&gateway.shared, body, CALL_LIMIT).await?;
     Ok(bare(StatusCode::OK))
 }
+
+/// Evacuates a zone, or ends its evacuation; acknowledged once it is committed. A call that was overtaken by a later one
+/// changes nothing: it is decided on the zone's generation as the leader held it when the call arrived.
+async fn set_evacuation(
+    gateway: &Gateway,
+    zone: String,
+    evacuated: bool,
+) -> Result<Response<AnswerBody>, ApiError> {
+    let _ = (gateway, zone, evacuated);
+    Err(ApiError::new(ResultCode::NoSuchPath, "zones can't be evacuated yet"))
+}
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -1,7 +1,9 @@
 //! The gateway's part of the settings.
 
-use super::section::{Problems, Section};
+use super::section::{Problems, Section, line_of};
+use dockwood_api::ResultCode;
 use marked_yaml::Node;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -49,6 +51,8 @@
     /// Entries up to which the control leader assigns each request to a group and takes each server's report; with more,
     /// daemons near the groups and servers do.
     pub leader_dispatches_up_to: usize,
+    /// The deployment's zones, each with its region; empty where they are not told.
+    pub zone_regions: BTreeMap<String, String>,
     /// Bounds on second sends.
     pub retry_budget: RetryBudgetSettings,
     /// No request runs under a key that was taken away longer ago than this; absent where it need not be bounded.
@@ -74,6 +78,7 @@
         "stallMs",
         "leaderDispatchesUpTo",
         "revokedWithinMs",
+        "zones",
     ];
     let section = Section::new(node, "gateway", &known, problems)?;
     let address = |key: &str, problems: &mut Problems| match section.optional(key) {
@@ -93,6 +98,7 @@
         None => Some(None),
         Some(_) => section.number("revokedWithinMs", 0, (500, 600_000), problems).map(Some),
     };
+    let zone_regions = read_zone_regions(section.optional("zones"), problems);
     let retry_budget = read_retry_budget(section.optional("retryBudget"), problems);
     Some(GatewaySettings {
         frontend: frontend?,
@@ -103,11 +109,32 @@
         stop_limit: stop_limit?,
         stall: Duration::from_millis(stall?),
         leader_dispatches_up_to: dispatches_up_to? as usize,
+        zone_regions: zone_regions?,
         retry_budget: retry_budget?,
         revoked_within: revoked_within?.map(Duration::from_millis),
     })
 }
 
+fn read_zone_regions(node: Option<&Node>, problems: &mut Problems) -> Option<BTreeMap<String, String>> {
+    let Some(node) = node else { return Some(BTreeMap::new()) };
+    let Some(mapping) = node.as_mapping() else {
+        let message = "must be a mapping from zones to regions";
+        problems.add(ResultCode::SettingsBadValue, line_of(node.span()), "gateway.zones", message);
+        return None;
+    };
+    let mut regions = BTreeMap::new();
+    for (zone, region) in mapping.iter() {
+        let Some(region) = region.as_scalar().filter(|region| !region.as_str().is_empty()) else {
+            let field = format!("gateway.zones.{}", zone.as_str());
+            let message = "must be the name of the zone's region";
+            problems.add(ResultCode::SettingsBadValue, line_of(region.span()), &field, message);
+            return None;
+        };
+        regions.insert(zone.as_str().to_string(), region.as_str().to_string());
+    }
+    Some(regions)
+}
+
 fn read_retry_budget(node: Option<&Node>, problems: &mut Problems) -> Option<RetryBudgetSettings> {
     let defaults = RetryBudgetSettings {
         percent: DEFAULT_BUDGET_PERCENT,
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -112,6 +112,7 @@
             zone: "z".to_string(),
             slots: 8,
             state: *lock(&self.state),
+            cold_ms: 0,
             sequence: self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
             domain: self.domain.clone(),
             staged: Vec::new(),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -133,3 +133,21 @@
     let found = problems(&format!("{GOOD}{}", GATEWAY.replacen(from, to, 1)));
     assert!(found.iter().any(|(code, _, found)| *code == 7005 && found == field), "{found:?}");
 }
+
+#[test]
+fn zones_are_told_with_their_regions() {
+    let settings = read(&format!("{GOOD}gateway:\n  zones: {{ a-1: a, a-2: a, b-1: b }}\n"));
+    let gateway = settings.unwrap_or_else(|problems| panic!("{problems:?}")).gateway;
+    let regions = gateway.map(|gateway| gateway.zone_regions).unwrap_or_default();
+    assert_eq!(regions.get("a-2").map(String::as_str), Some("a"));
+    assert_eq!(regions.len(), 3);
+}
+
+#[parameterized(
+    no_mapping = { "zones: a", 7005, "gateway.zones" },
+    no_region = { "zones: { a-1: [] }", 7005, "gateway.zones.a-1" },
+)]
+fn zones_without_regions_are_a_fault(zones: &str, code: u16, field: &str) {
+    let found = problems(&format!("{GOOD}gateway:\n  {zones}\n"));
+    assert_eq!(found, [(code, 14, field.to_string())]);
+}
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -81,6 +81,7 @@
             name: SERVICE.to_string(),
             health_path: "/health".to_string(),
             max_connections: 100,
+            cold_start: None,
             engine: Some(engine),
         };
         let configuration =
@@ -132,6 +133,7 @@
             zone: "z".to_string(),
             slots: 8,
             state: InstanceState::Ready,
+            cold_ms: 0,
             sequence: self.sequence,
             domain: Some(domain.to_string()),
             staged: staged.iter().map(|name| name.to_string()).collect(),
--- a/crates/routing/tests/gateway.rs
+++ b/crates/routing/tests/gateway.rs
@@ -29,6 +29,7 @@
         priority: 1,
         anonymous: false,
         resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -37,11 +38,16 @@
         name: name.to_string(),
         health_path: String::new(),
         max_connections: 1,
+        cold_start: None,
         engine: None,
     };
     let open = Route { anonymous: true, ..route("open", "/open/", RouteKind::Repeatable) };
-    let tenants =
-        vec![TenantKeys { name: "x".to_string(), keys: vec!["k1".into(), "k2".into()], priority: Some(3) }];
+    let tenants = vec![TenantKeys {
+        name: "x".to_string(),
+        keys: vec!["k1".into(), "k2".into()],
+        priority: Some(3),
+        allowed_regions: Vec::new(),
+    }];
     RouteTable::compile(&GatewayConfiguration {
         version: 4,
         routes: vec![
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -64,6 +64,15 @@
         /// Why.
         reason: String,
     },
+    /// Evacuates a zone, or ends its evacuation; changes nothing if it is so already.
+    SetEvacuation {
+        /// Zone.
+        zone: String,
+        /// Whether requests are to be kept away from its servers.
+        evacuated: bool,
+        /// The generation that it was decided on.
+        generation: u64,
+    },
     /// Notes that callers have begun to send requests.
     NoteRequests,
     /// Takes a group as it is, at daemons that are not voters: they learn of it once it serves.
@@ -85,6 +94,7 @@
             | GatewayCommand::SignOff { .. }
             | GatewayCommand::Remove { .. }
             | GatewayCommand::End { .. }
+            | GatewayCommand::SetEvacuation { .. }
             | GatewayCommand::Adopt(_) => Some(self.clone()),
             GatewayCommand::SetPhase { .. }
             | GatewayCommand::Form { .. }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 mod rows;
 
 pub use command::GatewayCommand;
-pub use rows::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
+pub use rows::{Evacuation, GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 
 use crate::machine::Applied;
 use dockwood_api::ResultCode;
@@ -31,6 +31,8 @@
     pub instances: OrdMap<String, Arc<InstanceRow>>,
     /// Groups by epoch.
     pub groups: OrdMap<u64, Arc<GroupRow>>,
+    /// Zones that were evacuated at some time.
+    pub evacuations: OrdMap<String, Evacuation>,
     /// Epoch of the newest group.
     pub last_epoch: u64,
     /// Whether any request was ever seen.
@@ -62,6 +64,9 @@
                 self.requests_seen = true;
                 Applied::touching(Vec::new())
             }
+            GatewayCommand::SetEvacuation { zone, evacuated, generation } => {
+                self.set_evacuation(zone, *evacuated, *generation)
+            }
             GatewayCommand::Adopt(row) => {
                 self.groups.insert(row.epoch, row.clone());
                 Applied::touching(Vec::new())
@@ -74,6 +79,16 @@
         self.configuration.as_ref()?.service(service)?.engine.as_ref()
     }
 
+    /// Whether requests are kept away from the servers of a zone.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.get(zone).is_some_and(|held| held.evacuated)
+    }
+
+    /// How often a zone's evacuation has changed: what a change of it has to name.
+    pub fn evacuation_generation(&self, zone: &str) -> u64 {
+        self.evacuations.get(zone).map_or(0, |held| held.generation)
+    }
+
     /// The model of an instance's last group since its start, as far as it is known: the instance joins another group
     /// of that model sooner than any other.
     pub fn last_model(&self, instance: &str) -> Option<&str> {
@@ -93,6 +108,7 @@
             configuration: self.configuration.as_ref().map(|held| Arc::new(held.without_document())),
             instances: plain.map(|(id, row)| (id.clone(), row.clone())).collect(),
             groups: serving.map(|(epoch, row)| (*epoch, row.clone())).collect(),
+            evacuations: self.evacuations.clone(),
             last_epoch: self.last_epoch,
             requests_seen: self.requests_seen,
             ..GatewayTables::default()
@@ -121,6 +137,18 @@
         Applied::touching(Vec::new())
     }
 
+    fn set_evacuation(&mut self, zone: &str, evacuated: bool, generation: u64) -> Applied {
+        if self.is_evacuated(zone) == evacuated {
+            return Applied::touching(Vec::new());
+        }
+        if self.evacuation_generation(zone) != generation {
+            return Applied::refused(ResultCode::EpochStale, "the zone's evacuation has changed since");
+        }
+        let next = Evacuation { evacuated, generation: generation + 1 };
+        self.evacuations.insert(zone.to_string(), next);
+        Applied::touching(Vec::new())
+    }
+
     fn register(&mut self, row: &InstanceRow) -> Applied {
         if self.was_removed(&row.id) {
             return Applied::refused(ResultCode::EpochStale, "the instance was removed");
@@ -210,6 +238,7 @@
             members: members.to_vec(),
             head: head.address,
             zone: head.zone.clone(),
+            head_is_cold: head.is_cold,
             purpose,
             phase: GroupPhase::Forming,
             reason: reason.to_string(),
--- a/crates/state/src/gateway/rows.rs
+++ b/crates/state/src/gateway/rows.rs
@@ -19,6 +19,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: InstanceState,
+    /// It said last that it is cold, or is presumed to be.
+    pub is_cold: bool,
     /// Fabric domain, for a model server.
     pub domain: Option<String>,
 }
@@ -38,6 +40,16 @@
     Cutting,
 }
 
+/// Whether requests are kept away from a zone's servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// Whether they are.
+    pub evacuated: bool,
+    /// Grows with each change. A change names the generation that it was decided on, so that one that was overtaken
+    /// changes nothing.
+    pub generation: u64,
+}
+
 /// What a group is formed for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum GroupPurpose {
@@ -65,6 +77,8 @@
     pub head: SocketAddr,
     /// Zone of the head.
     pub zone: String,
+    /// The head, which alone is sent requests, is cold.
+    pub head_is_cold: bool,
     /// What it is formed for.
     pub purpose: GroupPurpose,
     /// Where it stands.
@@ -96,6 +110,7 @@
             zone: report.zone.clone(),
             slots: report.slots,
             state: report.state,
+            is_cold: report.cold_ms > 0,
             domain: report.domain.clone(),
         }
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,7 +20,9 @@
 pub use change::{CHANGE_RETENTION, ChangeTable};
 pub use claim::{ClaimKey, ClaimRequest, ClaimRow, ClaimSettlement, ClaimTable, ClaimVerdict};
 pub use command::{ChangeAction, ChangeRequest, Command, CommandBody, Outcome};
-pub use gateway::{GatewayCommand, GatewayTables, GroupPhase, GroupPurpose, GroupRow, InstanceRow};
+pub use gateway::{
+    Evacuation, GatewayCommand, GatewayTables, GroupPhase, GroupPurpose, GroupRow, InstanceRow,
+};
 pub use machine::{Applied, ControlVoter, State};
 pub use snapshot::{decode_command, decode_outcome, encode_command, encode_outcome};
 pub use tables::{
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -24,6 +24,7 @@
         zone: "z".to_string(),
         slots: 4,
         state: InstanceState::Ready,
+        is_cold: false,
         domain: Some("d".to_string()),
     }
 }
@@ -227,3 +228,20 @@
     apply(&mut copy, GatewayCommand::End { epoch: 1, reason: String::new() });
     assert!(copy.tables.gateway.group_of("b").is_none());
 }
+
+fn evacuate(state: &mut State, evacuated: bool, generation: u64) -> Outcome {
+    apply(state, GatewayCommand::SetEvacuation { zone: "z".to_string(), evacuated, generation })
+}
+
+#[test]
+fn a_late_copy_of_an_evacuation_does_not_undo_its_withdrawal() {
+    let mut state = State::default();
+    assert_eq!(evacuate(&mut state, true, 0), Outcome::Applied);
+    assert_eq!(evacuate(&mut state, true, 0), Outcome::Applied, "a repetition finds it so");
+    assert_eq!(evacuate(&mut state, false, 1), Outcome::Applied);
+    assert!(matches!(evacuate(&mut state, true, 0), Outcome::Refused(_)));
+    assert!(!state.tables.gateway.is_evacuated("z"));
+    assert_eq!(evacuate(&mut state, true, 2), Outcome::Applied);
+    let copy = State::decode(&state.encode_for_followers()).map(|copy| copy.tables.gateway.is_evacuated("z"));
+    assert_eq!(copy, Ok(true), "daemons that are no voters learn of it");
+}
