Slow servers are found by the pace of their groups' streams, and replaced

Change: entries tell how many events came in the time that the declared figures allow; where hardly any did, the leader asks the members how slow they are, closes the group if servers stand by, and forms no group with a slow server until it says that it is well.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -2,6 +2,23 @@
 
 use serde::{Deserialize, Serialize};
 
+/// How many events of running streams came in time, since the last report. The first event of a stream doesn't count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventPace {
+    /// Events.
+    pub events: u32,
+    /// Those among them that came within twice the longest pass that reads no prompt, by the declared figures.
+    pub timely: u32,
+}
+
+impl EventPace {
+    /// Adds what another report tells of the same group.
+    pub fn add(&mut self, other: EventPace) {
+        self.events += other.events;
+        self.timely += other.timely;
+    }
+}
+
 /// One entry's requests at one group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupLoad {
@@ -15,6 +32,8 @@
     pub refuses: bool,
     /// The group has shown progress since the last report.
     pub progressed: bool,
+    /// How many events came in time.
+    pub pace: EventPace,
 }
 
 /// One entry's requests for one model since its last report.
--- a/crates/api/src/gateway/mod.rs
+++ b/crates/api/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub use group::{GroupCommand, GroupOrder, OrderAnswer};
 pub use instance::{InstanceReport, InstanceState, MembershipReport, MembershipState};
 pub use load::{
-    DispatchScope, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest, SharedGroupLoad,
+    DispatchScope, EventPace, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest,
+    SharedGroupLoad,
 };
 pub use validation::{ConfigurationFault, faults};
--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -80,6 +80,8 @@
         instance: String,
         /// What came of it.
         result: ProbeResult,
+        /// How many times its declared times it takes, where it told.
+        slowness: Option<f64>,
     },
     /// A process asks to become a voter.
     AdmitVoter {
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -9,6 +9,7 @@
 use dockwood_grouping::{
     Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderBook, OrderKind, PlaceLedger, ProbeResult,
     View, advance_groups, places_of_group, plan, plan_pause_ms, reap_instances, release_members,
+    replace_slow_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
 use imbl::OrdMap;
@@ -156,9 +157,12 @@
         self.observations.excuse(now, late);
     }
 
-    /// Notes what came of a probe.
-    pub fn probed(&mut self, now: Millis, instance: &str, result: ProbeResult) {
+    /// Notes what came of a probe, and how many times its declared times the instance takes, where it told.
+    pub fn probed(&mut self, now: Millis, instance: &str, result: ProbeResult, slowness: Option<f64>) {
         self.observations.record_probe(now, instance, result);
+        if let Some(factor) = slowness {
+            self.observations.record_slowness(now, instance, factor);
+        }
     }
 
     /// Commands that should be committed now.
@@ -176,6 +180,7 @@
         let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
+        commands.extend(replace_slow_members(&view));
         commands.extend(reap_instances(&view));
         if self.observations.traffic_seen && !tables.requests_seen {
             commands.push(GatewayCommand::NoteRequests);
@@ -212,11 +217,12 @@
         self.orders.to_send(&view, term)
     }
 
-    /// Members of silent groups, and those that left an order to join unanswered, to be asked.
+    /// Members of silent or slow groups, slow servers, and those that left an order to join unanswered, to be asked.
     pub fn probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
         let unanswered = std::mem::take(&mut self.unanswered);
         let rows = unanswered.iter().filter_map(|instance| tables.instances.get(instance));
         let mut probes: Vec<InstanceProbe> = rows.map(|row| probe_of(row)).collect();
+        probes.extend(self.slowness_probes(now, tables));
         for epoch in self.observations.silent_groups(now) {
             let group = tables.groups.get(&epoch).filter(|group| group.phase == GroupPhase::Open);
             let Some(group) = group else { continue };
@@ -230,6 +236,18 @@
     }
 }
 
+impl GatewayLeadership {
+    /// Members of groups whose streams look slow, and servers that said that they are slow.
+    fn slowness_probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
+        let groups = self.observations.claim_slow_groups(now);
+        let open = groups.iter().filter_map(|epoch| tables.groups.get(epoch));
+        let open = open.filter(|group| group.phase == GroupPhase::Open);
+        let mut asked: BTreeSet<String> = open.flat_map(|group| group.members.iter().cloned()).collect();
+        asked.extend(self.observations.claim_slow_servers(now));
+        asked.iter().filter_map(|instance| tables.instances.get(instance)).map(|row| probe_of(row)).collect()
+    }
+}
+
 fn probe_of(row: &InstanceRow) -> InstanceProbe {
     InstanceProbe { instance: row.id.clone(), service: row.service.clone(), address: row.address }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -175,9 +175,9 @@
                     leadership.gateway.order_answered(now.monotonic, &order, answer);
                 }
             }
-            Input::Probed { instance, result } => {
+            Input::Probed { instance, result, slowness } => {
                 if let Some(leadership) = self.leadership_mut() {
-                    leadership.gateway.probed(now.monotonic, &instance, result);
+                    leadership.gateway.probed(now.monotonic, &instance, result, slowness);
                 }
             }
             Input::AdmitVoter { id, address, reply } => {
--- a/crates/control/tests/probes.rs
+++ b/crates/control/tests/probes.rs
@@ -1,8 +1,8 @@
 //! Which servers the leader asks whether they are alive.
 
 use dockwood_api::gateway::{
-    EngineProfile, GatewayConfiguration, GroupCommand, GroupOrder, InstanceReport, InstanceState,
-    ModelProfile, OrderAnswer, ServiceProfile,
+    EngineProfile, EventPace, GatewayConfiguration, GroupCommand, GroupLoad, GroupOrder, InstanceReport,
+    InstanceState, LoadReport, ModelProfile, OrderAnswer, ServiceProfile,
 };
 use dockwood_control::{GatewayLeadership, ProbeResult};
 use dockwood_grouping::GroupingPolicy;
@@ -89,7 +89,7 @@
     let asked: Vec<String> = leader.probes(2_400, &tables).into_iter().map(|probe| probe.instance).collect();
     assert_eq!(asked, std::slice::from_ref(&silent.instance));
     assert!(leader.probes(2_410, &tables).is_empty(), "once for each order");
-    leader.probed(2_700, &silent.instance, ProbeResult::Silent);
+    leader.probed(2_700, &silent.instance, ProbeResult::Silent, None);
     let commands = leader.decide(2_700, &tables, GroupingPolicy::default());
     let ends = |command: &GatewayCommand| matches!(command, GatewayCommand::End { epoch, .. } if *epoch == silent.epoch);
     assert!(commands.iter().any(ends), "{commands:?}");
@@ -108,7 +108,31 @@
     let silent = joins(&orders)[0].clone();
     leader.order_answered(2_400, &silent, OrderAnswer::Silent);
     leader.probes(2_400, &tables);
-    leader.probed(2_410, &silent.instance, ProbeResult::Answered);
+    leader.probed(2_410, &silent.instance, ProbeResult::Answered, None);
     let commands = leader.decide(2_700, &tables, GroupingPolicy::default());
     assert!(!commands.iter().any(|command| matches!(command, GatewayCommand::End { .. })), "{commands:?}");
 }
+
+/// Load pattern: one member of a group is four times slower than declared, and the group with it.
+#[test]
+fn the_members_of_a_group_whose_events_are_late_are_asked_and_the_slow_one_is_replaced() {
+    let (mut leader, mut tables, orders) = forming();
+    let epoch = joins(&orders)[0].epoch;
+    for phase in [GroupPhase::Opening, GroupPhase::Open] {
+        tables.apply(&GatewayCommand::SetPhase { epoch, phase, reason: String::new() });
+    }
+    let pace = EventPace { events: 20, timely: 0 };
+    let group = GroupLoad { epoch, in_flight: 4, silent: false, refuses: false, progressed: true, pace };
+    let report = LoadReport { daemon: "e".into(), scope: None, groups: vec![group], models: Vec::new() };
+    leader.exchange(3_000, &tables, 1, report, true);
+    let asked: Vec<String> = leader.probes(3_010, &tables).into_iter().map(|probe| probe.instance).collect();
+    assert_eq!(asked, tables.groups[&epoch].members);
+    leader.probed(3_020, &asked[0], ProbeResult::Answered, Some(4.0));
+    leader.probed(3_020, &asked[1], ProbeResult::Answered, Some(1.0));
+    let cuts = |command: &GatewayCommand| {
+        matches!(command, GatewayCommand::SetPhase { phase: GroupPhase::Cutting, reason, .. }
+            if reason.starts_with(&asked[0]))
+    };
+    let commands = leader.decide(3_020, &tables, GroupingPolicy::default());
+    assert!(commands.iter().any(cuts), "{commands:?}");
+}
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -76,19 +76,24 @@
     pub fn probe(&self, probe: InstanceProbe) {
         let sender = self.clone();
         self.runtime.spawn(async move {
-            let result = sender.ask(&probe).await;
+            let (result, slowness) = sender.ask(&probe).await;
             sender.shared.metrics.probes.with_label_values(&[&format!("{result:?}")]).inc();
             let instance = probe.instance;
-            sender.shared.control.send(ControlMessage::Probed { instance, result }).await;
+            sender.shared.control.send(ControlMessage::Probed { instance, result, slowness }).await;
         });
     }
 
-    async fn ask(&self, probe: &InstanceProbe) -> ProbeResult {
+    /// What came of asking, and how many times its declared times the instance takes, where it tells.
+    async fn ask(&self, probe: &InstanceProbe) -> (ProbeResult, Option<f64>) {
         let url = format!("http://{}{}", probe.address, self.dialect.report_path());
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
-            Ok(_) => ProbeResult::Answered,
-            Err(error) if error.is_connect() && !error.is_timeout() => ProbeResult::Refused,
-            Err(_) => ProbeResult::Silent,
+            // An answer whose body is lost shows a living server all the same.
+            Ok(response) => {
+                let body = response.bytes().await.unwrap_or_default();
+                (ProbeResult::Answered, self.dialect.report_slowness(&body))
+            }
+            Err(error) if error.is_connect() && !error.is_timeout() => (ProbeResult::Refused, None),
+            Err(_) => (ProbeResult::Silent, None),
         }
     }
 }
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -339,7 +339,7 @@
         ControlMessage::ExchangeLoad { report, reply } => Input::ExchangeLoad(report, Reply::Load(reply)),
         ControlMessage::AssignPlace { request, reply } => Input::AssignPlace(request, Reply::Place(reply)),
         ControlMessage::GroupOrderAnswered(order, answer) => Input::GroupOrderAnswered(*order, answer),
-        ControlMessage::Probed { instance, result } => Input::Probed { instance, result },
+        ControlMessage::Probed { instance, result, slowness } => Input::Probed { instance, result, slowness },
         ControlMessage::AdmitVoter { id, address, reply } => {
             Input::AdmitVoter { id, address, reply: Reply::Admit(reply) }
         }
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -109,4 +109,8 @@
 
     /// Path at a server that tells its state.
     fn report_path(&self) -> &str;
+
+    /// How many times its declared times a server takes, from its answer at [`Dialect::report_path`]; `None` if it
+    /// doesn't tell.
+    fn report_slowness(&self, body: &[u8]) -> Option<f64>;
 }
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -6,9 +6,9 @@
 
 use super::lock;
 use crate::clock::monotonic_ms;
-use dockwood_api::gateway::ModelLoad;
+use dockwood_api::gateway::{EventPace, ModelLoad};
 use dockwood_routing::Millis;
-use dockwood_routing::gateway::{Candidate, PaceEstimates, choose};
+use dockwood_routing::gateway::{Candidate, PaceEstimates, choose, timely_event_ms};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -41,6 +41,9 @@
     progressed: bool,
     refused: bool,
     last_progress: Millis,
+    /// An event that takes no longer came in time, in milliseconds.
+    timely_ms: f64,
+    pace: EventPace,
 }
 
 impl GroupState {
@@ -141,6 +144,10 @@
         for row in tables.groups.values().filter(|row| row.serves()) {
             let slots = tables.engine(&row.service).map_or(1, |engine| engine.slots);
             let takes_new = row.phase == GroupPhase::Open;
+            let profile = tables.engine(&row.service);
+            let model = profile.and_then(|engine| engine.model(&row.model));
+            let timely_ms =
+                profile.zip(model).map_or(f64::INFINITY, |(engine, model)| timely_event_ms(engine, model));
             let update = |group: &mut GroupState| {
                 group.slots = slots;
                 group.takes_new = takes_new;
@@ -158,6 +165,8 @@
                 progressed: false,
                 refused: false,
                 last_progress: 0,
+                timely_ms,
+                pace: EventPace::default(),
             });
         }
         drop(groups);
@@ -314,9 +323,13 @@
         self.ended.notify_one();
     }
 
-    /// A group showed an event.
-    pub fn progressed(&self, epoch: u64) {
+    /// A group showed an event, `pause_ms` after the one before it on the same stream; `None` for the first one.
+    pub fn progressed(&self, epoch: u64, pause_ms: Option<f64>) {
         if let Some(group) = lock(&self.groups).get_mut(&epoch) {
+            if let Some(pause_ms) = pause_ms {
+                let timely = u32::from(pause_ms <= group.timely_ms);
+                group.pace.add(EventPace { events: 1, timely });
+            }
             group.progressed = true;
             group.last_progress = monotonic_ms();
             group.suspected_until = 0;
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -53,6 +53,7 @@
                 silent: now < group.suspected_until,
                 refuses: std::mem::take(&mut group.refused),
                 progressed: std::mem::take(&mut group.progressed),
+                pace: std::mem::take(&mut group.pace),
             };
             let is_news = load.in_flight > 0 || load.silent || load.refuses || load.progressed;
             is_news.then_some(load)
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -52,11 +52,11 @@
 
     /// Notes an event, and returns what the caller is sent.
     fn pass_on(&mut self, event: StreamEvent) -> Bytes {
+        let took_ms = self.since.elapsed().as_secs_f64() * 1_000.0;
         if let Some(Source::Group(place)) = self.reading.as_ref().map(|reading| &reading.source) {
-            self.gateway.loads.progressed(place.epoch);
+            self.gateway.loads.progressed(place.epoch, (!self.awaits_first).then_some(took_ms));
         }
         if let Some(model) = &self.received.model {
-            let took_ms = self.since.elapsed().as_secs_f64() * 1_000.0;
             self.gateway.loads.record_event(model, self.awaits_first, took_ms);
         }
         self.last_event = event.id.or(self.last_event);
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -109,4 +109,9 @@
     fn report_path(&self) -> &str {
         REPORT
     }
+
+    fn report_slowness(&self, body: &[u8]) -> Option<f64> {
+        let report: serde_json::Value = serde_json::from_slice(body).ok()?;
+        report.get("slowness")?.as_f64()
+    }
 }
--- a/crates/grouping/src/domains.rs
+++ b/crates/grouping/src/domains.rs
@@ -142,7 +142,8 @@
 }
 
 pub(crate) fn is_usable(view: &View<'_>, row: &InstanceRow) -> bool {
-    row.state == InstanceState::Ready && view.observations.was_heard(view.now, &row.id)
+    let is_slow = view.observations.slow_factor(&row.id).is_some();
+    row.state == InstanceState::Ready && view.observations.was_heard(view.now, &row.id) && !is_slow
 }
 
 /// Models that an instance's host has staged.
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -19,6 +19,8 @@
 mod places;
 mod plan;
 mod scope;
+mod slow_members;
+mod slowness;
 mod staging;
 mod wanted;
 mod worth;
@@ -32,6 +34,7 @@
 pub use places::{GroupPlaces, PlaceLedger};
 pub use plan::{Plan, plan, plan_pause_ms};
 pub use scope::ScopeDispatch;
+pub use slow_members::replace_slow_members;
 pub use staging::{StagingUnderWay, StagingWish, Urgency};
 
 /// Monotonic milliseconds.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::demand::Demand;
+use crate::slowness::Slowness;
 use dockwood_api::gateway::{
     DispatchScope, InstanceReport, LoadDigest, LoadReport, MembershipReport, SharedGroupLoad,
 };
@@ -78,6 +79,7 @@
     /// Groups that were found to stand still lately, as far as told; some may have moved on.
     silent: BTreeSet<u64>,
     demand: Demand,
+    slowness: Slowness,
     /// When an instance was first seen, for the newest one.
     pub newest_instance_at: Millis,
     /// Whether any entry has told of a request yet.
@@ -115,6 +117,33 @@
         }
     }
 
+    /// Takes an instance's word on how many times its declared times it takes.
+    pub fn record_slowness(&mut self, now: Millis, instance: &str, factor: f64) {
+        if self.instances.contains_key(instance) {
+            self.slowness.record_factor(now, instance, factor);
+        }
+    }
+
+    /// How many times its declared times an instance takes, if it counts as slow.
+    pub fn slow_factor(&self, instance: &str) -> Option<f64> {
+        self.slowness.factor(instance)
+    }
+
+    /// Whether any instance counts as slow.
+    pub fn has_slow_servers(&self) -> bool {
+        self.slowness.is_any()
+    }
+
+    /// Groups whose streams look slow, and whose members should be asked now.
+    pub fn claim_slow_groups(&mut self, now: Millis) -> Vec<u64> {
+        self.slowness.claim_suspicious(now)
+    }
+
+    /// Slow instances that should be asked again now.
+    pub fn claim_slow_servers(&mut self, now: Millis) -> Vec<String> {
+        self.slowness.claim_due(now)
+    }
+
     /// Takes an entry's load, and tells it the others'. `is_witness` is false for an entry that shares its machine
     /// with a member of the control group: what is cut off from control is cut off from it too, and may be reached
     /// by all other entries.
@@ -126,6 +155,7 @@
             if load.progressed {
                 self.groups.entry(load.epoch).or_default().progressed_at = Some(now);
             }
+            self.slowness.record_events(now, load.epoch, load.pace);
             self.traffic_seen |= load.in_flight > 0;
         }
         self.demand.record(now, &report.models);
@@ -272,6 +302,8 @@
     /// Forgets instances and groups that exist no more.
     pub fn retain(&mut self, tables: &GatewayTables) {
         self.instances.retain(|id, _| tables.instances.contains_key(id));
+        let slowness = &mut self.slowness;
+        slowness.retain(|epoch| tables.groups.contains_key(&epoch), |id| tables.instances.contains_key(id));
         self.groups.retain(|epoch, _| tables.groups.contains_key(epoch));
         self.in_flight.retain(|epoch, in_flight| *in_flight > 0 || tables.groups.contains_key(epoch));
     }
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -6,7 +6,7 @@
 
 use crate::{Dispatcher, Millis, Observations};
 use dockwood_api::gateway::{
-    DispatchScope, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest,
+    DispatchScope, EventPace, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest,
 };
 use dockwood_state::GatewayTables;
 use std::collections::BTreeMap;
@@ -17,6 +17,7 @@
     silent: bool,
     refuses: bool,
     progressed: bool,
+    pace: EventPace,
 }
 
 /// One scope's requests.
@@ -53,6 +54,7 @@
             evidence.silent |= is_witness && load.silent;
             evidence.refuses |= is_witness && load.refuses;
             evidence.progressed |= load.progressed;
+            evidence.pace.add(load.pace);
         }
         report.models.iter().for_each(|load| self.count(load));
         self.dispatcher.reported(now, &report.daemon);
@@ -90,6 +92,7 @@
             silent: evidence.silent,
             refuses: evidence.refuses,
             progressed: evidence.progressed,
+            pace: evidence.pace,
         };
         LoadReport {
             daemon: daemon.to_string(),
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -5,7 +5,7 @@
 pub mod fleet;
 
 use dockwood_api::gateway::{
-    EngineProfile, GatewayConfiguration, GroupLoad, InstanceReport, InstanceState, LoadReport,
+    EngineProfile, EventPace, GatewayConfiguration, GroupLoad, InstanceReport, InstanceState, LoadReport,
     MembershipReport, MembershipState, ModelLoad, ModelProfile, ServiceProfile,
 };
 use dockwood_grouping::{GroupingPolicy, Observations, Plan, StagingUnderWay, View, plan};
@@ -194,7 +194,14 @@
         progressed: bool,
         witness: bool,
     ) {
-        let groups = vec![GroupLoad { epoch, in_flight, silent, refuses: false, progressed }];
+        let groups = vec![GroupLoad {
+            epoch,
+            in_flight,
+            silent,
+            refuses: false,
+            progressed,
+            pace: EventPace::default(),
+        }];
         let report = LoadReport { daemon: daemon.to_string(), scope: None, groups, models: Vec::new() };
         self.observations.exchange(self.now, report, witness);
     }
--- a/crates/grouping/tests/places.rs
+++ b/crates/grouping/tests/places.rs
@@ -1,6 +1,6 @@
 //! Places at groups are promised once, and go to entries that have requests.
 
-use dockwood_api::gateway::{GroupLoad, ModelLoad};
+use dockwood_api::gateway::{EventPace, GroupLoad, ModelLoad};
 use dockwood_grouping::{GroupPlaces, PlaceLedger};
 use std::collections::BTreeMap;
 
@@ -12,7 +12,14 @@
 }
 
 fn in_flight(in_flight: u32) -> Vec<GroupLoad> {
-    vec![GroupLoad { epoch: EPOCH, in_flight, silent: false, refuses: false, progressed: true }]
+    vec![GroupLoad {
+        epoch: EPOCH,
+        in_flight,
+        silent: false,
+        refuses: false,
+        progressed: true,
+        pace: EventPace::default(),
+    }]
 }
 
 fn asks() -> Vec<ModelLoad> {
@@ -134,6 +141,7 @@
                     silent: false,
                     refuses: false,
                     progressed: true,
+                    pace: EventPace::default(),
                 })
                 .collect();
             let models = if is_asking { asks() } else { Vec::new() };
--- a/crates/grouping/tests/scope.rs
+++ b/crates/grouping/tests/scope.rs
@@ -4,7 +4,8 @@
 
 use common::{LARGE, SERVICE, World};
 use dockwood_api::gateway::{
-    DispatchScope, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest, SharedGroupLoad,
+    DispatchScope, EventPace, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest,
+    SharedGroupLoad,
 };
 use dockwood_grouping::ScopeDispatch;
 
@@ -26,7 +27,7 @@
 }
 
 fn load(epoch: u64, in_flight: u32, silent: bool, progressed: bool) -> GroupLoad {
-    GroupLoad { epoch, in_flight, silent, refuses: false, progressed }
+    GroupLoad { epoch, in_flight, silent, refuses: false, progressed, pace: EventPace::default() }
 }
 
 fn report(entry: &str, groups: Vec<GroupLoad>, arrived: u32) -> LoadReport {
--- a/crates/routing/src/gateway/mod.rs
+++ b/crates/routing/src/gateway/mod.rs
@@ -12,5 +12,5 @@
 pub use choice::{Candidate, choose};
 pub use course::{Course, GiveUp, SendOutcome, Verdict};
 pub use events::{EventSplitter, StreamEvent};
-pub use pace::{Pace, PaceEstimates, RecentPeak, Silence};
+pub use pace::{Pace, PaceEstimates, RecentPeak, Silence, timely_event_ms};
 pub use route_table::{Destination, KeyVerdict, RouteTable};
