Home regions: requests whose route or tenant names regions get servers there only; the directory stays in the caller's region

Cause: routes and tenants name regions in which their requests may run; nothing obeyed them, and the directory named entries of all regions as soon as the caller's zone had fewer than two. Change: routing/gateway/regions.rs decides zones by route and tenant; plain services, groups, dispatchers and own choice filter by them; a request without a server there is refused with 2030; routing/gateway/entries.rs chooses a caller's entries.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -57,6 +57,7 @@
     Overloaded = 2020, 503, "All servers of the service are busy; not run, retry after the stated time.";
     NoServer = 2021, 503, "No server of the service takes work; not run, retry after the stated time.";
     DeadlineInQueue = 2022, 503, "The time ran out before the request was sent to a server; not run.";
+    NoServerInRegion = 2030, 503, "No server takes work in the regions that the route and the tenant allow; not run, retry after the stated time if one is given.";
     Interrupted = 3001, 502, "The run was cut short and may not be continued; what was generated is incomplete.";
     OutcomeUnknown = 3002, 502, "The request was sent and its outcome can't be established; it is not run again.";
     DeadlinePassed = 3003, 504, "The deadline passed while the request was running; the run was cancelled.";
--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -100,6 +100,8 @@
     pub model: String,
     /// Zone of the groups that it asks for; `None` for all.
     pub group_zone: Option<String>,
+    /// Zones in which the request may run; `None` for all.
+    pub allowed_zones: Option<Vec<String>>,
     /// When its first event should be expected at the latest, in milliseconds from now; `None` for any time.
     pub most_first_event_ms: Option<u64>,
     /// Tokens of the prompt.
@@ -108,6 +110,16 @@
     pub excluded: Vec<u64>,
 }
 
+impl PlaceRequest {
+    /// Whether a group of this zone is asked for and may run the request.
+    pub fn wants_zone(&self, zone: &str) -> bool {
+        let is_asked_for = self.group_zone.as_ref().is_none_or(|asked| asked == zone);
+        let is_allowed =
+            self.allowed_zones.as_ref().is_none_or(|allowed| allowed.iter().any(|name| name == zone));
+        is_asked_for && is_allowed
+    }
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceReply {
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -58,6 +58,8 @@
 pub struct DirectoryQuery {
     /// The caller's zone, if told.
     pub zone: Option<String>,
+    /// The caller's region, if told.
+    pub region: Option<String>,
 }
 
 /// A call to be made at a server.
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -35,6 +35,8 @@
         let code = match place(gateway, query).await {
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
+            // Groups elsewhere may not run it, and none opens within the time that it may wait.
+            PlaceAnswer::NoGroup if query.zones.are_restricted() => return Err(ResultCode::NoServerInRegion),
             PlaceAnswer::NoGroup => ResultCode::NoServer,
         };
         // The leader tells of places that become free at other entries; dispatchers are asked again.
@@ -55,7 +57,7 @@
         Dispatch::Scopes => ask_zones(gateway, query).await,
     };
     match reply {
-        Some(PlaceReply::Assigned { epoch, .. }) => match Loads::take_assigned(gateway, epoch) {
+        Some(PlaceReply::Assigned { epoch, .. }) => match Loads::take_assigned(gateway, query, epoch) {
             Some(place) => PlaceAnswer::Taken(place),
             // The group is newer than what this entry knows, or has just closed.
             None => Loads::take(gateway, query),
@@ -120,6 +122,7 @@
         service: query.service.to_string(),
         model: query.model.to_string(),
         group_zone: None,
+        allowed_zones: query.zones.names().map(<[String]>::to_vec),
         most_first_event_ms: None,
         prompt_tokens: query.prompt_tokens,
         excluded,
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -3,8 +3,10 @@
 use super::Gateway;
 use super::body::AnswerBody;
 use super::refusal::{bare, json, refuse};
+use super::regions::region_of;
 use crate::dialect::DirectoryQuery;
 use dockwood_api::ResultCode;
+use dockwood_routing::gateway::{Entry, entries_near};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use std::net::SocketAddr;
@@ -12,8 +14,6 @@
 
 /// Addresses in an answer, at most.
 const MOST_ADDRESSES: usize = 64;
-/// Entries of the caller's own zone that are enough for it; fewer are filled up from other zones.
-const ENOUGH_IN_ZONE: usize = 2;
 
 /// Answers a query.
 pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -32,21 +32,21 @@
     json(gateway.dialect.directory_answer(&addresses, lifetime.unwrap_or_default()))
 }
 
-/// Live entries: those of the caller's zone if there are enough, else all.
+/// Live entries near the caller. What regions a route allows is not asked: which routes a caller uses is not told.
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
     let shared = &gateway.shared;
     let tables = shared.tables();
     let excludes_itself = shared.is_leaving();
-    let live = || {
-        tables
-            .reachable_daemons()
-            .filter(|daemon| !(excludes_itself && daemon.record.name == shared.settings.name))
-            .filter_map(|daemon| Some((&daemon.record.zone, daemon.record.frontend?)))
-    };
-    let near: Vec<SocketAddr> =
-        live().filter(|(zone, _)| Some(*zone) == query.zone.as_ref()).map(|(_, address)| address).collect();
-    let mut chosen =
-        if near.len() >= ENOUGH_IN_ZONE { near } else { live().map(|(_, address)| address).collect() };
+    let live: Vec<Entry<'_>> = tables
+        .reachable_daemons()
+        .map(|daemon| &daemon.record)
+        .filter(|record| !(excludes_itself && record.name == shared.settings.name))
+        .filter_map(|record| {
+            Some(Entry { zone: &record.zone, region: &record.region, address: record.frontend? })
+        })
+        .collect();
+    let region = query.region.as_deref().or_else(|| region_of(shared, query.zone.as_deref()?));
+    let mut chosen = entries_near(&live, query.zone.as_deref(), region);
     chosen.truncate(MOST_ADDRESSES);
     chosen
 }
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -8,7 +8,7 @@
 use crate::clock::monotonic_ms;
 use dockwood_api::gateway::ModelLoad;
 use dockwood_routing::Millis;
-use dockwood_routing::gateway::{Candidate, PaceEstimates, choose};
+use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -107,6 +107,8 @@
     pub service: &'a str,
     /// Model.
     pub model: &'a str,
+    /// Zones whose groups may take it.
+    pub zones: &'a AllowedZones,
     /// Groups that were tried before.
     pub excluded: &'a [u64],
     /// Tokens of the request's prompt.
@@ -211,7 +213,7 @@
             .iter()
             .filter(|(_, group)| {
                 let serves = group.row.service == query.service && group.row.model == query.model;
-                serves && group.takes_new
+                serves && group.takes_new && query.zones.contains(&group.row.zone)
             })
             .map(|(epoch, _)| *epoch)
             .collect();
@@ -247,10 +249,17 @@
         place_at(gateway, &mut groups, epoch as u64).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
     }
 
-    /// Takes a place that the leader has assigned; `None` if the group is not known here, or no longer serves.
-    pub fn take_assigned(gateway: &Arc<super::Gateway>, epoch: u64) -> Option<GroupPlace> {
+    /// Takes a place that was assigned; `None` if the group is not known here, no longer serves, or may not run it.
+    pub fn take_assigned(
+        gateway: &Arc<super::Gateway>,
+        query: PlaceQuery<'_>,
+        epoch: u64,
+    ) -> Option<GroupPlace> {
         let mut groups = lock(&gateway.loads.groups);
-        groups.get(&epoch).filter(|group| group.takes_new)?;
+        let group = groups.get(&epoch).filter(|group| group.takes_new)?;
+        if !query.zones.contains(&group.row.zone) {
+            return None;
+        }
         place_at(gateway, &mut groups, epoch)
     }
 
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -86,7 +86,7 @@
         let groups = lock(&self.groups);
         let serving = groups.values().filter(|group| {
             let serves = group.row.service == query.service && group.row.model == query.model;
-            serves && group.takes_new
+            serves && group.takes_new && query.zones.contains(&group.row.zone)
         });
         let zones: BTreeSet<&str> = serving.map(|group| group.row.zone.as_str()).collect();
         let mut others: Vec<&str> = zones.iter().copied().filter(|zone| *zone != own_zone).collect();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod readiness;
 mod receive;
 mod refusal;
+mod regions;
 mod registration;
 mod serving;
 mod stalls;
@@ -173,11 +174,13 @@
 /// Compiles each newly published configuration, for ever. A table is never replaced by an older one.
 async fn follow_configuration(gateway: Arc<Gateway>) {
     let mut publications = gateway.shared.watch_publications();
+    let mut unknown_regions = regions::UnknownRegions::default();
     loop {
         let tables = gateway.shared.tables();
         if let Some(configuration) = &tables.gateway.configuration
             && configuration.version > gateway.routes.load().version
         {
+            unknown_regions.follow(&gateway.shared, configuration);
             gateway.routes.store(Arc::new(RouteTable::compile(configuration)));
         }
         gateway.loads.follow(&tables.gateway);
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -6,6 +6,7 @@
 use super::headers::{ServerHeaders, add_for_server, end_to_end};
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
+use super::regions::none_serves;
 use super::targets::{Picked, pick};
 use super::upstream::Upstream;
 use crate::dialect::HeaderNames;
@@ -81,8 +82,8 @@
     async fn run(&mut self) -> Response<AnswerBody> {
         loop {
             let service = &self.received.service;
-            let Some(picked) = pick(self.gateway, &service.name, service.max_connections, &self.tried) else {
-                return self.last_word(ResultCode::NoServer);
+            let Some(picked) = pick(self.gateway, service, &self.received.zones, &self.tried) else {
+                return self.last_word(none_serves(self.received));
             };
             if !may_still_run(self.gateway, self.received) {
                 return self.last_word(ResultCode::NoLease);
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -5,10 +5,11 @@
 use super::body::{AnswerBody, BodyFault, read_whole};
 use super::headers::from_caller;
 use super::refusal::{RETRY_SOON_MS, refuse, retry_after_start_ms};
+use super::regions::zones_of;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{Route, RouteKind};
-use dockwood_routing::gateway::{Destination, KeyVerdict, RouteTable};
+use dockwood_routing::gateway::{AllowedRegions, AllowedZones, Destination, KeyVerdict, RouteTable};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
 use hyper::{Method, Request, Response, Uri};
@@ -43,6 +44,8 @@
     pub key: Option<String>,
     /// The tenant that the key belongs to.
     pub tenant: Option<String>,
+    /// Zones whose servers may take it, by its route and its tenant.
+    pub zones: AllowedZones,
     /// Rank for the server's queue.
     pub rank: u32,
     /// The caller's attempt id.
@@ -133,9 +136,12 @@
         return Err(refuse(ResultCode::NoRoute, "no route has this host and path", None));
     };
     let key = key_of(gateway, &parts.headers);
-    let KeyVerdict::Passes { tenant, priority } = table.check_key(&route, key.as_deref()) else {
+    let KeyVerdict::Passes { tenant, priority, allowed_regions } = table.check_key(&route, key.as_deref())
+    else {
         return Err(refuse(ResultCode::UnknownTenant, "the key is not known", None));
     };
+    let regions = AllowedRegions::named(&route.allowed_regions).and(&allowed_regions);
+    let zones = zones_of(gateway, &regions)?;
     let Some(service) = table.destination(&route, rand::random()) else {
         return Err(refuse(ResultCode::NoServer, "the route has no service", Some(RETRY_SOON_MS)));
     };
@@ -168,6 +174,7 @@
         service,
         key,
         tenant,
+        zones,
     })
 }
 
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 use super::loads::PlaceQuery;
 use super::plain::give_up;
 use super::receive::{Received, may_still_run};
+use super::regions::none_serves;
 use super::stalls::Source;
 use super::targets::pick;
 use super::upstream::Upstream;
@@ -217,13 +218,13 @@
     async fn source(&mut self) -> Result<Source, Response<AnswerBody>> {
         let service = self.received.service.clone();
         if service.engine.is_none() {
-            let picked = pick(&self.gateway, &service.name, service.max_connections, &self.tried_servers);
+            let picked = pick(&self.gateway, &service, &self.received.zones, &self.tried_servers);
             return match picked {
                 Some(picked) => {
                     self.tried_servers.push(picked.row.id.clone());
                     Ok(Source::Server(picked))
                 }
-                None => Err(self.refusal(ResultCode::NoServer, FULL_RETRY_MS)),
+                None => Err(self.refusal(none_serves(&self.received), FULL_RETRY_MS)),
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
@@ -232,6 +233,7 @@
         let query = PlaceQuery {
             service: &service.name,
             model: &model,
+            zones: &self.received.zones,
             excluded: &self.tried_groups,
             prompt_tokens: self.received.prompt_tokens,
             target_ms: self.received.route.target_latency_ms,
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -2,8 +2,9 @@
 
 use super::{Gateway, lock};
 use crate::clock::monotonic_ms;
-use dockwood_api::gateway::InstanceState;
+use dockwood_api::gateway::{InstanceState, ServiceProfile};
 use dockwood_routing::CallResult;
+use dockwood_routing::gateway::AllowedZones;
 use dockwood_state::InstanceRow;
 use std::sync::Arc;
 
@@ -33,21 +34,29 @@
     }
 }
 
-/// Picks a server of a service that was not tried yet.
-pub fn pick(gateway: &Arc<Gateway>, service: &str, limit: u32, tried: &[String]) -> Option<Picked> {
+/// Picks a server of a service that may run the request and was not tried yet.
+pub fn pick(
+    gateway: &Arc<Gateway>,
+    service: &ServiceProfile,
+    zones: &AllowedZones,
+    tried: &[String],
+) -> Option<Picked> {
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
     let eligible: Vec<&str> = instances
         .values()
-        .filter(|row| row.service == service && row.state == InstanceState::Ready && !tried.contains(&row.id))
+        .filter(|row| zones.contains(&row.zone))
+        .filter(|row| {
+            row.service == service.name && row.state == InstanceState::Ready && !tried.contains(&row.id)
+        })
         .map(|row| row.id.as_str())
         .collect();
     let random = [rand::random(), rand::random()];
     let mut pickers = lock(&gateway.pickers);
-    let picker = pickers.entry(service.to_string()).or_default();
+    let picker = pickers.entry(service.name.clone()).or_default();
     let declared: Vec<&str> = instances.keys().map(String::as_str).collect();
     picker.retain(&declared);
-    let id = picker.pick(monotonic_ms(), &eligible, limit, random)?;
+    let id = picker.pick(monotonic_ms(), &eligible, service.max_connections, random)?;
     let row = instances.get(&id)?.clone();
     Some(Picked { gateway: gateway.clone(), row, result: None, servers: eligible.len() + tried.len() })
 }
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -100,8 +100,7 @@
         let Some(engine) = tables.engine(&request.service) else { return PlaceReply::NoGroup };
         let groups = tables.groups.values().filter(|group| {
             let serves = group.service == request.service && group.model == request.model;
-            let is_near = request.group_zone.as_ref().is_none_or(|zone| *zone == group.zone);
-            serves && is_near && group.phase == GroupPhase::Open
+            serves && request.wants_zone(&group.zone) && group.phase == GroupPhase::Open
         });
         self.assign_among(now, request, engine, groups, observations)
     }
--- a/crates/grouping/tests/dispatch.rs
+++ b/crates/grouping/tests/dispatch.rs
@@ -16,6 +16,7 @@
         service: SERVICE.to_string(),
         model: LARGE.to_string(),
         group_zone: None,
+        allowed_zones: None,
         most_first_event_ms: None,
         prompt_tokens,
         excluded: Vec::new(),
--- a/crates/grouping/tests/scope.rs
+++ b/crates/grouping/tests/scope.rs
@@ -19,6 +19,7 @@
         service: SERVICE.to_string(),
         model: LARGE.to_string(),
         group_zone: Some(group_zone.to_string()),
+        allowed_zones: None,
         most_first_event_ms: None,
         prompt_tokens: 1_000,
         excluded: Vec::new(),
--- a/crates/routing/src/gateway/route_table.rs
+++ b/crates/routing/src/gateway/route_table.rs
@@ -1,5 +1,6 @@
 //! Routes and keys of one configuration, compiled for lookup.
 
+use super::AllowedRegions;
 use dockwood_api::gateway::{GatewayConfiguration, RequestLimits, Route, ServiceProfile};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 struct Tenant {
     name: String,
     priority: Option<u32>,
+    allowed_regions: AllowedRegions,
 }
 
 /// What a request's key amounts to.
@@ -32,6 +34,8 @@
         tenant: Option<String>,
         /// The tenant's rank, which goes before the route's.
         priority: Option<u32>,
+        /// The regions that the tenant allows.
+        allowed_regions: AllowedRegions,
     },
     /// The key is missing or belongs to nobody.
     Refused,
@@ -60,7 +64,11 @@
             table.services.insert(service.name.clone(), Arc::new(service.clone()));
         }
         for tenant in &configuration.tenants {
-            let row = Arc::new(Tenant { name: tenant.name.clone(), priority: tenant.priority });
+            let row = Arc::new(Tenant {
+                name: tenant.name.clone(),
+                priority: tenant.priority,
+                allowed_regions: AllowedRegions::named(&tenant.allowed_regions),
+            });
             table.tenants.extend(tenant.keys.iter().map(|key| (key.clone(), row.clone())));
         }
         table
@@ -77,11 +85,13 @@
     pub fn check_key(&self, route: &Route, key: Option<&str>) -> KeyVerdict {
         let tenant = key.and_then(|key| self.tenants.get(key));
         match tenant {
-            Some(tenant) => {
-                KeyVerdict::Passes { tenant: Some(tenant.name.clone()), priority: tenant.priority }
-            }
+            Some(tenant) => KeyVerdict::Passes {
+                tenant: Some(tenant.name.clone()),
+                priority: tenant.priority,
+                allowed_regions: tenant.allowed_regions.clone(),
+            },
             None if route.anonymous || !self.needs_keys => {
-                KeyVerdict::Passes { tenant: None, priority: None }
+                KeyVerdict::Passes { tenant: None, priority: None, allowed_regions: AllowedRegions::All }
             }
             None => KeyVerdict::Refused,
         }
--- a/crates/routing/tests/gateway.rs
+++ b/crates/routing/tests/gateway.rs
@@ -6,8 +6,8 @@
     WeightedService,
 };
 use dockwood_routing::gateway::{
-    Candidate, Course, EventSplitter, KeyVerdict, Pace, PaceEstimates, RouteTable, SendBudget,
-    SendBudgetLimits, SendOutcome, Silence, Verdict, choose,
+    AllowedRegions, Candidate, Course, EventSplitter, KeyVerdict, Pace, PaceEstimates, RouteTable,
+    SendBudget, SendBudgetLimits, SendOutcome, Silence, Verdict, choose,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -82,8 +82,13 @@
     let open = table.route("host.example", "/open/x").cloned();
     let check =
         |route: &Option<std::sync::Arc<Route>>, key| route.as_ref().map(|route| table.check_key(route, key));
-    let tenant = KeyVerdict::Passes { tenant: Some("x".to_string()), priority: Some(3) };
-    let nobody = KeyVerdict::Passes { tenant: None, priority: None };
+    let allowed_regions = AllowedRegions::All;
+    let tenant = KeyVerdict::Passes {
+        tenant: Some("x".to_string()),
+        priority: Some(3),
+        allowed_regions: allowed_regions.clone(),
+    };
+    let nobody = KeyVerdict::Passes { tenant: None, priority: None, allowed_regions };
     assert_eq!(check(&closed, Some("k2")), Some(tenant.clone()));
     assert_eq!(check(&closed, Some("k3")), Some(KeyVerdict::Refused));
     assert_eq!(check(&closed, None), Some(KeyVerdict::Refused));
