Promises kept while something fails: no false "not run" from a server's status, changes given up at their limit

Cause: a server that ran a request and answered 408, 429 or 503 without saying that it had not had this status passed on, which callers read as a promise; a change was given up up to 0.25 s after its limit, when its caller had left. Change: such an answer counts as unknown for what may run once (502); no try of a change begins after its limit.

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -200,6 +200,16 @@
     status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(names.not_run)
 }
 
+/// Whether a server's answer may not be passed on: callers read its status as a promise that the request has not run and
+/// won't, and this server has not said so. What may run more than once needs no such promise.
+pub fn promises_falsely(status: StatusCode, received: &Received) -> bool {
+    let is_promise = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    );
+    is_promise && !received.route.is_repeatable()
+}
+
 async fn exchange(
     upstream: &mut Upstream,
     request: Request<Full<Bytes>>,
@@ -214,6 +224,9 @@
     if says_not_run(parts.status, &parts.headers, names) {
         return Err(SendOutcome::SaidNotRun);
     }
+    if promises_falsely(parts.status, received) {
+        return Err(SendOutcome::Unknown);
+    }
     let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
     Ok(ServerAnswer { status: parts.status, headers: end_to_end(&parts.headers), body })
 }
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -3,7 +3,7 @@
 use super::{Head, Reading, StreamCourse};
 use crate::gateway::body::{AnswerBody, read_whole, whole};
 use crate::gateway::headers::end_to_end;
-use crate::gateway::plain::{belongs, request_for, says_not_run};
+use crate::gateway::plain::{belongs, promises_falsely, request_for, says_not_run};
 use crate::gateway::stalls::{Source, abandon, stands_still};
 use crate::gateway::upstream::{ConnectFault, Upstream};
 use dockwood_api::ResultCode;
@@ -75,6 +75,9 @@
         if says_not_run(parts.status, &parts.headers, names) {
             return Err(SendOutcome::SaidNotRun);
         }
+        if promises_falsely(parts.status, &self.received) {
+            return Err(SendOutcome::Unknown);
+        }
         let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
         if parts.status == StatusCode::OK && is_stream {
--- a/crates/daemon/src/peer/submit.rs
+++ b/crates/daemon/src/peer/submit.rs
@@ -49,12 +49,12 @@
                 last_failure = ApiError::new(ResultCode::ControlTimeout, failure.to_string());
             }
         }
-        if monotonic_ms() >= give_up_at {
+        let pause = if targets.has_hint() { Duration::ZERO } else { pauses.next().unwrap_or(MAX_PAUSE) };
+        // Whoever waits for the answer has been told how long that may take: no try begins after it.
+        if monotonic_ms() + pause.as_millis() as u64 >= give_up_at {
             return Err(last_failure);
         }
-        if !targets.has_hint() {
-            tokio::time::sleep(pauses.next().unwrap_or(MAX_PAUSE)).await;
-        }
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -170,6 +170,51 @@
         self.address(MEMBERS + ENTRIES + 1, OPERATORS_PORT)
     }
 
+    /// One more entry, in another zone and region.
+    pub fn entry_in(&self, zone: &str, region: &str) -> Daemon {
+        let daemon = self.daemon("entry-elsewhere", MEMBERS + ENTRIES + 2, false, false);
+        let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
+        let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
+        settings["zone"] = json!(zone);
+        settings["region"] = json!(region);
+        std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
+        daemon
+    }
+
+    /// Where that entry takes callers.
+    pub fn frontend_elsewhere(&self) -> SocketAddr {
+        self.address(MEMBERS + ENTRIES + 2, FRONTEND_PORT)
+    }
+
+    /// Where an entry takes callers.
+    pub fn frontend(&self, number: u8) -> SocketAddr {
+        self.address(MEMBERS + number, FRONTEND_PORT)
+    }
+
+    /// The entries that an entry's directory names; none if it names none.
+    pub async fn directory(&self, number: u8, query: &str) -> Vec<SocketAddr> {
+        let url = format!("http://{}/v1/entries?{query}", self.address(MEMBERS + number, DIRECTORY_PORT));
+        let Ok(answer) = self.http.get(url).timeout(LIMIT).send().await else { return Vec::new() };
+        let answer: Value = answer.json().await.unwrap_or_default();
+        let mut addresses: Vec<SocketAddr> =
+            serde_json::from_value(answer["addresses"].clone()).unwrap_or_default();
+        addresses.sort();
+        addresses
+    }
+
+    /// Waits until an entry's directory names just these entries, and returns how long that took.
+    pub async fn wait_until_directory(&self, number: u8, query: &str, expected: &[SocketAddr]) -> Duration {
+        let begun = Instant::now();
+        loop {
+            let named = self.directory(number, query).await;
+            if named == expected {
+                return begun.elapsed();
+            }
+            assert!(begun.elapsed() < LIMIT, "{query}: {named:?} instead of {expected:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     fn daemon_with_seeds(
         &self,
         name: &str,
@@ -189,6 +234,7 @@
                 "retryBudget": { "ratio": 0.2, "windowSeconds": 10, "extra": 100 },
             })
         };
+        gateway["zones"] = json!({ "z": "r", "y": "s" });
         gateway["leaderDispatchesUpTo"] = json!(self.leader_dispatches_up_to);
         let settings = json!({
             "name": name, "region": "r", "zone": "z",
@@ -243,8 +289,18 @@
         }
     }
 
-    async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
-        let url = format!("http://{}/metrics", self.address(MEMBERS + entry, PEER_PORT + 1));
+    /// A metric of an entry.
+    pub async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
+        self.metric_at(MEMBERS + entry, name).await
+    }
+
+    /// Whether a member of the control group leads it, as far as it knows.
+    pub async fn leads(&self, member: u8) -> bool {
+        self.metric_at(member, "dockwood_is_leader").await.is_ok_and(|leads| leads == 1.0)
+    }
+
+    async fn metric_at(&self, host: u8, name: &str) -> reqwest::Result<f64> {
+        let url = format!("http://{}/metrics", self.address(host, PEER_PORT + 1));
         let text = self.http.get(url).send().await?.text().await?;
         let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
         Ok(line.and_then(|value| value.parse().ok()).unwrap_or(0.0))
@@ -255,6 +311,18 @@
         FakeServer::start(&id, "writer", Some("d"), self.server_address(number), self.operators()).await
     }
 
+    /// A model server in a zone, whose domain is named after the zone.
+    pub async fn model_server_in(&self, zone: &str, number: u8) -> Arc<FakeServer> {
+        let (id, address) = (format!("model-{number}"), self.server_address(number));
+        FakeServer::start_in(zone, &id, "writer", Some(zone), address, self.operators()).await
+    }
+
+    /// A plain server in a zone.
+    pub async fn plain_server_in(&self, zone: &str, number: u8) -> Arc<FakeServer> {
+        let (id, address) = (format!("plain-{number}"), self.server_address(number));
+        FakeServer::start_in(zone, &id, "board", None, address, self.operators()).await
+    }
+
     pub async fn plain_server(&self, number: u8) -> Arc<FakeServer> {
         let id = format!("plain-{number}");
         FakeServer::start(&id, "board", None, self.server_address(number), self.operators()).await
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -2,6 +2,8 @@
 //! themselves and form groups; failures brought about from outside.
 
 mod fixture;
+mod promises;
+mod regions;
 mod servers;
 
 use fixture::{Fleet, LIMIT, configuration, eventually};
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -30,6 +30,10 @@
     Sheds,
     /// Runs the request and closes the connection without an answer.
     LosesAnswers,
+    /// Runs the request, and answers with a status that says otherwise.
+    Fails(StatusCode),
+    /// Runs the request, and never answers.
+    Holds,
 }
 
 /// One server.
@@ -37,6 +41,7 @@
     pub id: String,
     pub address: SocketAddr,
     service: String,
+    zone: String,
     domain: Option<String>,
     manner: Mutex<Manner>,
     membership: Mutex<Option<MembershipReport>>,
@@ -56,18 +61,31 @@
 }
 
 impl FakeServer {
-    /// Starts a server and its reports.
+    /// Starts a server in the daemons' zone, and its reports.
     pub async fn start(
         id: &str,
         service: &str,
         domain: Option<&str>,
         address: SocketAddr,
         operators: Vec<SocketAddr>,
+    ) -> Arc<FakeServer> {
+        FakeServer::start_in("z", id, service, domain, address, operators).await
+    }
+
+    /// The same in a zone.
+    pub async fn start_in(
+        zone: &str,
+        id: &str,
+        service: &str,
+        domain: Option<&str>,
+        address: SocketAddr,
+        operators: Vec<SocketAddr>,
     ) -> Arc<FakeServer> {
         let server = Arc::new(FakeServer {
             id: id.to_string(),
             address,
             service: service.to_string(),
+            zone: zone.to_string(),
             domain: domain.map(str::to_string),
             manner: Mutex::new(Manner::Sound),
             membership: Mutex::new(None),
@@ -104,12 +122,13 @@
         }
     }
 
-    fn current_report(&self) -> InstanceReport {
+    /// Its next report.
+    pub fn current_report(&self) -> InstanceReport {
         InstanceReport {
             id: self.id.clone(),
             service: self.service.clone(),
             address: self.address,
-            zone: "z".to_string(),
+            zone: self.zone.clone(),
             slots: 8,
             state: *lock(&self.state),
             cold_ms: 0,
@@ -201,6 +220,12 @@
         // Ends the connection's task without a word: the HTTP library would end a failing body as if it were whole.
         std::panic::resume_unwind(Box::new("the answer is lost"));
     }
+    if manner == Manner::Holds {
+        std::future::pending::<()>().await;
+    }
+    if let Manner::Fails(status) = manner {
+        return status.with_header("dockwood-attempt", attempt).into_response();
+    }
     if server.domain.is_none() {
         return server.id.clone().with_header("dockwood-attempt", attempt).into_response();
     }
