--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -1,5 +1,7 @@
 //! A fleet of real daemons on loopback, found by seeds: three members of the control group, two entries.
 
+mod directory;
+
 use crate::servers::FakeServer;
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
@@ -170,51 +172,6 @@
         self.address(MEMBERS + ENTRIES + 1, OPERATORS_PORT)
     }
 
-    /// One more entry, in another zone and region.
-    pub fn entry_in(&self, zone: &str, region: &str) -> Daemon {
-        let daemon = self.daemon("entry-elsewhere", MEMBERS + ENTRIES + 2, false, false);
-        let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
-        let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
-        settings["zone"] = json!(zone);
-        settings["region"] = json!(region);
-        std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
-        daemon
-    }
-
-    /// Where that entry takes callers.
-    pub fn frontend_elsewhere(&self) -> SocketAddr {
-        self.address(MEMBERS + ENTRIES + 2, FRONTEND_PORT)
-    }
-
-    /// Where an entry takes callers.
-    pub fn frontend(&self, number: u8) -> SocketAddr {
-        self.address(MEMBERS + number, FRONTEND_PORT)
-    }
-
-    /// The entries that an entry's directory names; none if it names none.
-    pub async fn directory(&self, number: u8, query: &str) -> Vec<SocketAddr> {
-        let url = format!("http://{}/v1/entries?{query}", self.address(MEMBERS + number, DIRECTORY_PORT));
-        let Ok(answer) = self.http.get(url).timeout(LIMIT).send().await else { return Vec::new() };
-        let answer: Value = answer.json().await.unwrap_or_default();
-        let mut addresses: Vec<SocketAddr> =
-            serde_json::from_value(answer["addresses"].clone()).unwrap_or_default();
-        addresses.sort();
-        addresses
-    }
-
-    /// Waits until an entry's directory names just these entries, and returns how long that took.
-    pub async fn wait_until_directory(&self, number: u8, query: &str, expected: &[SocketAddr]) -> Duration {
-        let begun = Instant::now();
-        loop {
-            let named = self.directory(number, query).await;
-            if named == expected {
-                return begun.elapsed();
-            }
-            assert!(begun.elapsed() < LIMIT, "{query}: {named:?} instead of {expected:?}");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-
     fn daemon_with_seeds(
         &self,
         name: &str,
