A late report of a former start replaces no instance that runs

Change: while the one registered was heard within 2.5 s and isn't leaving, the leader asks the address by the health check who answers there (control/src/successors.rs). Only another instance's answer keeps the one that reported out; otherwise it takes the place at once, without waiting for its next report. Tests: control/tests/successors.rs; daemon/tests/gateway/promises.rs a_late_report_of_a_former_start_replaces_no_server_that_runs (failed before: the running server got no more requests).

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,6 +2,7 @@
 //! send. Local to one leader term; a new leader gathers it anew.
 
 use crate::Millis;
+use crate::successors::Successors;
 use dockwood_api::gateway::{
     GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest,
     SharedGroupLoad,
@@ -19,7 +20,16 @@
 /// Pause between two rounds of asking the members of one silent group.
 const PROBE_PAUSE_MS: Millis = 700;
 
-/// An instance to ask whether it is alive.
+/// What an instance is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbeQuestion {
+    /// Whether it is alive.
+    IsAlive,
+    /// Whether it is the one that answers at its address, by the health check at this path.
+    AnswersAt(String),
+}
+
+/// An instance to ask.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InstanceProbe {
     /// Instance id.
@@ -28,6 +38,8 @@
     pub service: String,
     /// Address.
     pub address: SocketAddr,
+    /// What it is asked.
+    pub question: ProbeQuestion,
 }
 
 /// The gateway's state of one leader term.
@@ -39,6 +51,7 @@
     orders: OrderBook,
     /// Members that left an order to join unanswered, to be asked whether they are alive.
     unanswered: BTreeSet<String>,
+    successors: Successors,
     started: bool,
     /// When the next plan may be made.
     plan_at: Millis,
@@ -80,6 +93,10 @@
         }
         let row = InstanceRow::from(report);
         let known = tables.instances.get(&report.id);
+        if known.is_none() && self.successors.is_doubtful(now, tables, &self.observations, &row) {
+            self.successors.ask_about(row);
+            return None;
+        }
         let is_news = known.is_none_or(|known| is_newest && **known != row);
         is_news.then_some(GatewayCommand::Register(row))
     }
@@ -158,7 +175,9 @@
 
     /// Notes what came of a probe.
     pub fn probed(&mut self, now: Millis, instance: &str, result: ProbeResult) {
-        self.observations.record_probe(now, instance, result);
+        if !self.successors.answered(instance, result) {
+            self.observations.record_probe(now, instance, result);
+        }
     }
 
     /// Commands that should be committed now.
@@ -174,7 +193,8 @@
         }
         self.forget_gone(tables);
         let view = View { tables, observations: &self.observations, now, policy };
-        let mut commands = advance_groups(&view, |epoch| self.orders.closing_since(now, epoch));
+        let mut commands = self.successors.confirmed();
+        commands.extend(advance_groups(&view, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(reap_instances(&view));
         if self.observations.traffic_seen && !tables.requests_seen {
@@ -212,11 +232,13 @@
         self.orders.to_send(&view, term)
     }
 
-    /// Members of silent groups, and those that left an order to join unanswered, to be asked.
+    /// Members of silent groups, those that left an order to join unanswered, and instances that seem to have taken
+    /// another one's address, to be asked.
     pub fn probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
         let unanswered = std::mem::take(&mut self.unanswered);
         let rows = unanswered.iter().filter_map(|instance| tables.instances.get(instance));
         let mut probes: Vec<InstanceProbe> = rows.map(|row| probe_of(row)).collect();
+        probes.extend(self.successors.to_ask(tables));
         for epoch in self.observations.silent_groups(now) {
             let group = tables.groups.get(&epoch).filter(|group| group.phase == GroupPhase::Open);
             let Some(group) = group else { continue };
@@ -231,7 +253,12 @@
 }
 
 fn probe_of(row: &InstanceRow) -> InstanceProbe {
-    InstanceProbe { instance: row.id.clone(), service: row.service.clone(), address: row.address }
+    InstanceProbe {
+        instance: row.id.clone(),
+        service: row.service.clone(),
+        address: row.address,
+        question: ProbeQuestion::IsAlive,
+    }
 }
 
 /// Requests that a group of a service may hold.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 mod leases;
 mod node;
 mod own_lease;
+mod successors;
 mod view;
 mod voter;
 
@@ -34,7 +35,7 @@
 pub use compression::{compress, decompress};
 pub use dockwood_grouping::{GroupingPolicy, ProbeResult};
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
-pub use gateway::{GatewayLeadership, InstanceProbe};
+pub use gateway::{GatewayLeadership, InstanceProbe, ProbeQuestion};
 pub use hearing::{Hearing, PULSE_EVERY_MS};
 pub use leases::{HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
 pub use node::{ControlNode, Options, voters_of};
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -7,7 +7,7 @@
 use crate::logging;
 use crate::shared::Shared;
 use dockwood_api::gateway::{GroupOrder, OrderAnswer};
-use dockwood_control::{InstanceProbe, ProbeResult};
+use dockwood_control::{InstanceProbe, ProbeQuestion, ProbeResult};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,9 +83,20 @@
         });
     }
 
+    /// Whether an answer tells that it is another instance's.
+    fn is_other(&self, response: &reqwest::Response, probe: &InstanceProbe) -> bool {
+        let told = response.headers().get(self.dialect.headers().own_instance);
+        told.is_some_and(|id| id.as_bytes() != probe.instance.as_bytes())
+    }
+
     async fn ask(&self, probe: &InstanceProbe) -> ProbeResult {
-        let url = format!("http://{}{}", probe.address, self.dialect.report_path());
+        let path = match &probe.question {
+            ProbeQuestion::IsAlive => self.dialect.report_path(),
+            ProbeQuestion::AnswersAt(health_path) => health_path,
+        };
+        let url = format!("http://{}{path}", probe.address);
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
+            Ok(response) if self.is_other(&response, probe) => ProbeResult::OtherInstance,
             Ok(_) => ProbeResult::Answered,
             Err(error) if error.is_connect() && !error.is_timeout() => ProbeResult::Refused,
             Err(_) => ProbeResult::Silent,
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -24,6 +24,8 @@
     pub tenant: &'static str,
     /// The instance that a request is meant for.
     pub expected_instance: &'static str,
+    /// The instance that answers a health check.
+    pub own_instance: &'static str,
     /// Shows that a server did not run the request.
     pub not_run: &'static str,
     /// A server's rank of a request.
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -16,6 +16,7 @@
     last_event: "last-event-id",
     tenant: "dockwood-tenant",
     expected_instance: "dockwood-instance",
+    own_instance: "dockwood-own-instance",
     not_run: "dockwood-not-run",
     rank: "dockwood-rank",
 };
--- a/crates/daemon/tests/gateway/promises.rs
+++ b/crates/daemon/tests/gateway/promises.rs
@@ -158,6 +158,23 @@
     begun.elapsed()
 }
 
+/// Finding 30: it replaced the server that runs, whose own reports were refused from then on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_report_of_a_former_start_replaces_no_server_that_runs() -> reqwest::Result<()> {
+    let (fleet, servers) = with_plain_servers().await;
+    let former = InstanceReport { id: "former".to_string(), sequence: 1, ..servers[0].current_report() };
+    report_until_acknowledged(&fleet, &[0, 1, 2], &former).await;
+    // Long enough for the address to be asked, and for each server to report again.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = servers[0].runs.load(Ordering::SeqCst);
+    for number in 0..30 {
+        let answer = fleet.request(number % 2, "/plain/1", &format!("a-{number}")).send().await?;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    assert!(servers[0].runs.load(Ordering::SeqCst) > before, "the server that runs gets no more requests");
+    Ok(())
+}
+
 async fn leader(fleet: &Fleet) -> usize {
     let begun = Instant::now();
     loop {
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -207,7 +207,8 @@
     let server = server.0.clone();
     let attempt = header(request, "dockwood-attempt").unwrap_or_default();
     if header(request, "dockwood-instance").as_ref() != Some(&server.id) {
-        return StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt).into_response();
+        let refusal = StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt);
+        return refusal.with_header("dockwood-own-instance", &server.id).into_response();
     }
     let manner = *lock(&server.manner);
     if manner == Manner::Sheds {
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -20,6 +20,8 @@
 pub enum ProbeResult {
     /// It answered as the instance that was meant.
     Answered,
+    /// Another instance answered at its address.
+    OtherInstance,
     /// The connection was refused.
     Refused,
     /// No answer in time.
@@ -109,7 +111,7 @@
         match result {
             ProbeResult::Answered => seen.silent_since = None,
             // A refusal doesn't show that it has ended either: a cut network may answer for it.
-            ProbeResult::Refused | ProbeResult::Silent => {
+            ProbeResult::OtherInstance | ProbeResult::Refused | ProbeResult::Silent => {
                 seen.silent_since.get_or_insert(now);
             }
         }
