--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -238,7 +238,7 @@
         let unanswered = std::mem::take(&mut self.unanswered);
         let rows = unanswered.iter().filter_map(|instance| tables.instances.get(instance));
         let mut probes: Vec<InstanceProbe> = rows.map(|row| probe_of(row)).collect();
-        probes.extend(self.successors.to_ask(tables));
+        probes.extend(self.successors.due_probes(tables));
         for epoch in self.observations.silent_groups(now) {
             let group = tables.groups.get(&epoch).filter(|group| group.phase == GroupPhase::Open);
             let Some(group) = group else { continue };
--- a/crates/control/src/successors.rs
+++ b/crates/control/src/successors.rs
@@ -56,7 +56,7 @@
     }
 
     /// Instances to be asked now, each once.
-    pub(crate) fn to_ask(&mut self, tables: &GatewayTables) -> Vec<InstanceProbe> {
+    pub(crate) fn due_probes(&mut self, tables: &GatewayTables) -> Vec<InstanceProbe> {
         let waiting = self.candidates.values_mut().filter(|candidate| !candidate.is_asked);
         let probe = |candidate: &mut Candidate| {
             candidate.is_asked = true;
