--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -7,7 +7,7 @@
 use crate::logging;
 use crate::shared::Shared;
 use dockwood_api::gateway::{GroupOrder, OrderAnswer};
-use dockwood_control::{InstanceProbe, ProbeResult};
+use dockwood_control::{InstanceProbe, ProbeQuestion, ProbeResult};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,10 +83,21 @@
         });
     }
 
+    /// Whether an answer tells that it is another instance's.
+    fn is_other(&self, response: &reqwest::Response, probe: &InstanceProbe) -> bool {
+        let told = response.headers().get(self.dialect.headers().own_instance);
+        told.is_some_and(|id| id.as_bytes() != probe.instance.as_bytes())
+    }
+
     /// What came of asking, and how many times its declared times the instance takes, where it tells.
     async fn ask(&self, probe: &InstanceProbe) -> (ProbeResult, Option<f64>) {
-        let url = format!("http://{}{}", probe.address, self.dialect.report_path());
+        let path = match &probe.question {
+            ProbeQuestion::IsAlive => self.dialect.report_path(),
+            ProbeQuestion::AnswersAt(health_path) => health_path,
+        };
+        let url = format!("http://{}{path}", probe.address);
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
+            Ok(response) if self.is_other(&response, probe) => (ProbeResult::OtherInstance, None),
             // An answer whose body is lost shows a living server all the same.
             Ok(response) => {
                 let body = response.bytes().await.unwrap_or_default();
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -24,6 +24,8 @@
     pub tenant: &'static str,
     /// The instance that a request is meant for.
     pub expected_instance: &'static str,
+    /// The instance that answers a health check.
+    pub own_instance: &'static str,
     /// Shows that a server did not run the request.
     pub not_run: &'static str,
     /// A server's rank of a request.
@@ -58,6 +60,8 @@
 pub struct DirectoryQuery {
     /// The caller's zone, if told.
     pub zone: Option<String>,
+    /// The caller's region, if told.
+    pub region: Option<String>,
 }
 
 /// A call to be made at a server.
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -16,6 +16,7 @@
     last_event: "last-event-id",
     tenant: "dockwood-tenant",
     expected_instance: "dockwood-instance",
+    own_instance: "dockwood-own-instance",
     not_run: "dockwood-not-run",
     rank: "dockwood-rank",
 };
@@ -56,8 +57,9 @@
     }
 
     fn directory_query(&self, path: &str, query: &str) -> Option<DirectoryQuery> {
-        let zone = query.split('&').find_map(|part| part.strip_prefix("zone="));
-        (path == DIRECTORY).then(|| DirectoryQuery { zone: zone.map(str::to_string) })
+        let value =
+            |name: &str| query.split('&').find_map(|part| part.strip_prefix(name)).map(str::to_string);
+        (path == DIRECTORY).then(|| DirectoryQuery { zone: value("zone="), region: value("region=") })
     }
 
     fn directory_answer(&self, addresses: &[SocketAddr], lifetime: Duration) -> Vec<u8> {
