A call between daemons ends in time also behind one that can't be written

Cause: the RPC client counts a call's time from when the request is written. On a connection whose other end doesn't read, requests wait in the client without any limit: the caller never came back, and never asked anybody else.

Change: PeerClients::call limits the whole call.

Tests: daemon/tests/peer_calls.rs, a peer that takes connections and never reads: without the change the second call had no end within 3 s, with it both end in 0.3 s.

--- a/crates/daemon/src/peer/clients.rs
+++ b/crates/daemon/src/peer/clients.rs
@@ -66,10 +66,11 @@
         let client = self.connected(address).await?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + limit;
-        match call(client, context).await {
-            Ok(answer) => Ok(answer),
+        // The client's own deadline begins once the request is written: to a peer that doesn't read, it never is.
+        match tokio::time::timeout(limit, call(client, context)).await {
+            Ok(Ok(answer)) => Ok(answer),
             // Also after a time-out: behind a cut that has healed, an old connection may take long to come back.
-            Err(_) => {
+            Ok(Err(_)) | Err(_) => {
                 self.clients().remove(&address);
                 Err(PeerFailure::NoAnswer)
             }
