Voters are kept apart by zone, and a new leader makes itself known

Cause, zones: where a whole zone may be lost, nothing kept one zone from holding half of the voters.

Change, zones: control.zoneLossesTolerated; admit_voter names the zone, voters' zones follow from the daemons' rows; Candidates replaces a predecessor, else a silent voter, else adds, else makes room in a zone that holds too many, and stands by otherwise. A voter of unknown zone counts in every zone and is never removed for it. Change, leader: (i) a daemon that is no voter names the leader that it heard of within 3 s; (ii) a member that hears no leader asks the daemons that asked it, too; (iii) a leader calls daemons of its tables that hold no lease of its term, 40 in 0.1 s, each once a second (once in 5 s after ten calls); who is called asks there at once, a lower term changes nothing. Members that name one another are followed three times in a row, then all are asked in turn. Consensus is unchanged.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -93,6 +93,7 @@
     ProposalDropped = 5003, 503, "The change was not committed; resend it with the same change id.";
     ControlTimeout = 5004, 504, "The control leader did not answer in time; resend with the same change id.";
     PeerUnreachable = 5005, 503, "Another daemon could not be reached.";
+    VotersUnbalanced = 5006, 503, "One zone holds half of the voters or more: its loss would leave no majority.";
     DataFolderLocked = 6001, 500, "Another process uses the data folder.";
     LogDamaged = 6002, 500, "A log segment is damaged before its tail; nothing was changed.";
     SnapshotDamaged = 6003, 500, "A snapshot's checksum does not match; nothing was changed.";
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
+use std::net::SocketAddr;
 
 /// Calls between daemons. Every call is safe to repeat.
 #[tarpc::service]
@@ -41,7 +42,10 @@
     async fn fetch_state() -> Option<Vec<u8>>;
 
     /// Asks the leader to admit a member of the control group, or to replace one that was at its address.
-    async fn admit_voter(id: u64, address: std::net::SocketAddr) -> AdmitAnswer;
+    async fn admit_voter(id: u64, address: SocketAddr, zone: String) -> AdmitAnswer;
+
+    /// A leader tells a daemon that has not asked it for a lease where it is.
+    async fn leader_elected(leader: SocketAddr, term: u64);
 
     /// Asks the leader for its view of replicas, daemons and control, as JSON.
     async fn control_view() -> ControlAnswer;
--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -87,6 +87,8 @@
         id: NodeId,
         /// Its peer address.
         address: SocketAddr,
+        /// Its zone.
+        zone: String,
         /// For the answer.
         reply: R,
     },
@@ -175,6 +177,13 @@
     Probe(InstanceProbe),
     /// Voters that must be reachable from now on.
     VotersChanged(Vec<Voter>),
+    /// Tell daemons that this node leads; may be lost.
+    AnnounceLeader {
+        /// Their peer addresses.
+        to: Vec<SocketAddr>,
+        /// The term in which it leads.
+        term: Term,
+    },
     /// Record a change of state.
     Record {
         /// What to tell.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::admission::Candidates;
+use crate::announcement::Announcements;
 use crate::blackboard::{Blackboard, Observed};
 use crate::catch_up::{CatchUp, Missing};
 use crate::controllers::{LostState, liveness, pending_orders, placement};
@@ -11,7 +12,8 @@
 use crate::hearing::Hearing;
 use crate::leases::{LeaseTable, News};
 use crate::node::Options;
-use crate::view::control_view;
+use crate::view::{ViewHead, control_view};
+use crate::voter_zones::{VoterShown, ZoneWatch};
 use dockwood_api::event::ClockStamp;
 use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, Observation};
 use dockwood_state::CommandBody;
@@ -47,6 +49,10 @@
     pub gateway: GatewayLeadership,
     /// Processes that asked to become voters.
     pub candidates: Candidates,
+    /// Calls to daemons that have not found it.
+    pub announcements: Announcements,
+    /// Since when some zone has held too many voters, and whether that was told.
+    pub zone_watch: ZoneWatch,
     hearing: Hearing,
     joining: BTreeMap<String, (DaemonRecord, u64)>,
     lost_state: LostState,
@@ -77,6 +83,8 @@
             leases: LeaseTable::new(now),
             gateway: GatewayLeadership::default(),
             candidates: Candidates::default(),
+            announcements: Announcements::new(now),
+            zone_watch: ZoneWatch::default(),
             hearing: Hearing::default(),
             joining: BTreeMap::new(),
             lost_state: LostState::default(),
@@ -212,7 +220,15 @@
     }
 
     /// The leader's view as JSON.
-    pub fn view(&self, board: &Blackboard, in_force_revision: u64, leader: &str, now: Millis) -> Vec<u8> {
-        control_view(board, &self.leases, in_force_revision, leader, self.term, now)
+    pub fn view(
+        &self,
+        board: &Blackboard,
+        in_force_revision: u64,
+        leader: &str,
+        voters: &[VoterShown],
+        now: Millis,
+    ) -> Vec<u8> {
+        let head = ViewHead { leader, term: self.term, in_force_revision, voters };
+        control_view(board, &self.leases, head, now)
     }
 }
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -5,6 +5,7 @@
 use crate::driver_io::{Moment, Output, StoredSnapshot};
 use crate::node::{Batch, ControlNode};
 use crate::voter::{Proposal, Waiter};
+use crate::zone_balance::ZonesById;
 use dockwood_api::peer::SubmitReply;
 use dockwood_consensus as consensus;
 
@@ -66,20 +67,38 @@
         commands.into_iter().for_each(|body| batch.add(now, body));
         self.propose(now, batch);
         self.change_voters(now);
+        self.announce_leader(now);
+        self.watch_zones(now);
+    }
+
+    /// Calls daemons that have not found this leader.
+    fn announce_leader(&mut self, now: Moment) {
+        let Some(leadership) = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut()) else {
+            return;
+        };
+        let tables = &self.board.state.tables;
+        let to = leadership.announcements.due(now.monotonic, &self.name, tables, &leadership.leases);
+        if !to.is_empty() {
+            self.outputs.push(Output::AnnounceLeader { to, term: leadership.term });
+        }
     }
 
     /// Admits or removes a voter, one at a time.
     fn change_voters(&mut self, now: Moment) {
-        let Some(voter) = &mut self.voter else { return };
-        if !voter.core.voters_settled() {
+        if !self.voter.as_ref().is_some_and(|voter| voter.core.voters_settled()) {
             return;
         }
+        let bears_zone_loss = self.options.bears_zone_loss;
+        let zones = if bears_zone_loss { self.voter_zones() } else { ZonesById::new() };
+        let Some(voter) = &mut self.voter else { return };
         let (voters, silent_for) = (voter.known_voters(), voter.core.silent_for(now.monotonic));
         let group = Group {
             own_id: voter.core.id(),
             voters: &voters,
             silent_for: &silent_for,
             usual_voters: self.options.usual_voters,
+            zones: &zones,
+            bears_zone_loss,
         };
         let Some(leadership) = &mut voter.leadership else { return };
         let next = leadership.candidates.next_voters(now.monotonic, &group);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod admission;
+mod announcement;
 mod blackboard;
 mod catch_up;
 mod census;
@@ -25,9 +26,12 @@
 mod own_lease;
 mod view;
 mod voter;
+mod voter_zones;
+mod zone_balance;
 
 pub use account::Account;
 pub use admission::{Candidates, Group, voters_to_lose};
+pub use announcement::Announcements;
 pub use blackboard::{Blackboard, Observed};
 pub use catch_up::{CatchUp, RetainedCommands};
 pub use census::{EntryCensus, FromDaemons};
@@ -38,6 +42,7 @@
 pub use hearing::{Hearing, PULSE_EVERY_MS};
 pub use leases::{HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
 pub use node::{ControlNode, Options, voters_of};
+pub use zone_balance::{ZoneCounts, ZonesById};
 
 /// Monotonic time of this process, in milliseconds.
 pub type Millis = u64;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,6 +9,7 @@
 use crate::driver_io::{Input, Moment, Output};
 use crate::leader::{Leadership, record_observations};
 use crate::voter::{VoterPart, Waiter};
+use crate::voter_zones::MemberZones;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, SubmitReply, VoterRecord};
@@ -30,6 +31,8 @@
     pub grouping: GroupingPolicy,
     /// Voters that the control group keeps when it can.
     pub usual_voters: usize,
+    /// Whether the loss of a whole zone is to be borne: then no zone may hold half of the voters.
+    pub bears_zone_loss: bool,
 }
 
 impl Default for Options {
@@ -40,6 +43,7 @@
             placement: PlacementPolicy::default(),
             grouping: GroupingPolicy::default(),
             usual_voters: voters_to_lose(1),
+            bears_zone_loss: false,
         }
     }
 }
@@ -60,7 +64,7 @@
 /// Control logic of one daemon.
 #[derive(Debug)]
 pub struct ControlNode<R> {
-    name: String,
+    pub(crate) name: String,
     pub(crate) options: Options,
     pub(crate) board: Blackboard,
     pub(crate) voter: Option<VoterPart<R>>,
@@ -69,6 +73,8 @@
     /// Commands of the inputs taken since the last settling.
     batch: Batch<R>,
     pub(crate) entries: FromDaemons<EntryCensus>,
+    /// Zones of the daemons that may be voters, by peer address.
+    pub(crate) member_zones: FromDaemons<MemberZones>,
     pub(crate) in_force_at: Millis,
     /// The state for daemons that are told to fetch it here.
     copy: EncodedState,
@@ -87,6 +93,7 @@
             dirty: true,
             batch: Batch::default(),
             entries: FromDaemons::default(),
+            member_zones: FromDaemons::default(),
             in_force_at: 0,
             copy: EncodedState::default(),
             outputs: Vec::new(),
@@ -180,11 +187,13 @@
                     leadership.gateway.probed(now.monotonic, &instance, result);
                 }
             }
-            Input::AdmitVoter { id, address, reply } => {
+            Input::AdmitVoter { id, address, zone, reply } => {
                 let leads = self.leads(now);
                 let leader = self.leader_address();
                 let answer = match self.voter.as_mut().filter(|_| leads) {
-                    Some(voter) => AdmitAnswer::Noted(voter.take_candidate(now.monotonic, id, address)),
+                    Some(voter) => {
+                        AdmitAnswer::Noted(voter.take_candidate(now.monotonic, id, address, &zone))
+                    }
                     None => AdmitAnswer::NotLeader { leader },
                 };
                 self.outputs.push(Output::AdmitReply(reply, answer));
@@ -295,12 +304,14 @@
         }
     }
 
-    fn view(&self, now: Moment) -> ControlAnswer {
+    fn view(&mut self, now: Moment) -> ControlAnswer {
+        let voters = self.voters_shown(now);
         match self.leadership() {
             Some(leadership) if self.leads(now) => ControlAnswer::View(leadership.view(
                 &self.board,
                 self.in_force_revision,
                 &self.name,
+                &voters,
                 now.monotonic,
             )),
             _ => ControlAnswer::NotLeader { leader: self.leader_address() },
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -3,19 +3,32 @@
 use crate::Millis;
 use crate::blackboard::Blackboard;
 use crate::leases::LeaseTable;
+use crate::voter_zones::VoterShown;
 use dockwood_placement::{MachineHealth, PlacementPolicy, shortfalls};
 use dockwood_state::{Liveness, ReplicaPhase};
 use serde_json::{Value, json};
 
+/// What a view begins with.
+#[derive(Clone, Copy, Debug)]
+pub struct ViewHead<'a> {
+    /// The leader's name.
+    pub leader: &'a str,
+    /// Its term.
+    pub term: u64,
+    /// Newest revision in force everywhere.
+    pub in_force_revision: u64,
+    /// The control group.
+    pub voters: &'a [VoterShown],
+}
+
 /// Everything that one screen of status needs.
 pub fn control_view<R>(
     board: &Blackboard,
     leases: &LeaseTable<R>,
-    in_force_revision: u64,
-    leader: &str,
-    term: u64,
+    head: ViewHead<'_>,
     now: Millis,
 ) -> Vec<u8> {
+    let ViewHead { leader, term, in_force_revision, voters } = head;
     let fleet = board.fleet(now, PlacementPolicy::default());
     let tables = board.tables();
     let replicas: Vec<Value> = tables
@@ -68,7 +81,12 @@
         .into_iter()
         .map(|one| json!({ "deployment": one.deployment, "missing": one.missing, "why": one.message }))
         .collect();
+    let voters: Vec<Value> = voters
+        .iter()
+        .map(|voter| json!({ "address": voter.address, "zone": voter.zone, "silentMs": voter.silent_ms }))
+        .collect();
     let view = json!({
+        "voters": voters,
         "leader": leader, "term": term, "revision": tables.revision, "inForceRevision": in_force_revision,
         "behind": leases.behind(now, tables.revision), "claims": board.state.claims.len(),
         "replicas": replicas, "shortfalls": missing, "strandedMachines": stranded, "daemons": daemons,
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -54,9 +54,15 @@
     }
 
     /// At the leader: notes that a process asks to become a voter, and tells it the voters.
-    pub fn take_candidate(&mut self, now: Millis, id: u64, address: SocketAddr) -> Vec<VoterRecord> {
+    pub fn take_candidate(
+        &mut self,
+        now: Millis,
+        id: u64,
+        address: SocketAddr,
+        zone: &str,
+    ) -> Vec<VoterRecord> {
         if let Some(leadership) = &mut self.leadership {
-            leadership.candidates.ask(now, id, address);
+            leadership.candidates.ask(now, id, address, zone);
         }
         let record = |voter: Voter| VoterRecord { id: voter.id, address: voter.address };
         self.known_voters().into_iter().map(record).collect()
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -29,14 +29,22 @@
         voters.iter().filter(|voter| voter.id != 1).map(|voter| (voter.id, 50)).collect();
     silent_for.extend(silent.iter().copied());
     let usual_voters = voters_to_lose(losses);
-    let group = Group { own_id: 1, voters, silent_for: &silent_for, usual_voters };
+    let zones = BTreeMap::new();
+    let group = Group {
+        own_id: 1,
+        voters,
+        silent_for: &silent_for,
+        usual_voters,
+        zones: &zones,
+        bears_zone_loss: false,
+    };
     let next = candidates.next_voters(1_000, &group)?;
     Some(next.iter().map(|voter| voter.id).collect())
 }
 
 fn asking(voters: &[Voter]) -> Candidates {
     let mut candidates = Candidates::default();
-    voters.iter().for_each(|voter| candidates.ask(900, voter.id, voter.address));
+    voters.iter().for_each(|voter| candidates.ask(900, voter.id, voter.address, "z"));
     candidates
 }
 
@@ -86,11 +94,18 @@
 #[test]
 fn a_request_counts_only_while_it_is_repeated() {
     let mut candidates = Candidates::default();
-    candidates.ask(0, 9, voter(9).address);
+    candidates.ask(0, 9, voter(9).address, "z");
     let silent_for = BTreeMap::new();
     let voters = THREE();
-    let group =
-        Group { own_id: 1, voters: &voters, silent_for: &silent_for, usual_voters: voters_to_lose(1) };
+    let zones = BTreeMap::new();
+    let group = Group {
+        own_id: 1,
+        voters: &voters,
+        silent_for: &silent_for,
+        usual_voters: voters_to_lose(1),
+        zones: &zones,
+        bears_zone_loss: false,
+    };
     assert_eq!(candidates.next_voters(3_000, &group), None);
 }
 
--- a/crates/control/tests/admit_answer.rs
+++ b/crates/control/tests/admit_answer.rs
@@ -30,7 +30,8 @@
 }
 
 fn answer(node: &mut ControlNode<&'static str>, moment: Moment) -> Option<AdmitAnswer> {
-    let outputs = node.step(moment, Input::AdmitVoter { id: 9, address: address(9), reply: "asker" });
+    let outputs =
+        node.step(moment, Input::AdmitVoter { id: 9, address: address(9), zone: "z".into(), reply: "asker" });
     outputs.into_iter().find_map(|output| match output {
         Output::AdmitReply("asker", answer) => Some(answer),
         _ => None,
--- a/crates/daemon/src/control/admission.rs
+++ b/crates/daemon/src/control/admission.rs
@@ -16,25 +16,30 @@
 /// Asks for ever, at a process that is meant to be a member; a voter's request changes nothing.
 pub async fn run_admission(shared: Arc<Shared>, id: u64) {
     let mut targets = Targets::new(&shared);
+    let mut asks_asker = false;
     loop {
         tokio::time::sleep(ASK_EVERY).await;
         if shared.hears_control_leader() {
             continue;
         }
-        let target = targets.next(&shared);
+        // In turns: the members that this one knows may know as little, and an entry may have found the leader.
+        asks_asker = !asks_asker;
+        let asker = if asks_asker && !targets.has_hint() { shared.next_asker() } else { None };
+        let target = asker.unwrap_or_else(|| targets.next(&shared));
         let address = shared.settings.peer;
+        let zone = shared.settings.zone.clone();
         if target == address {
             continue;
         }
         let call =
-            |client: PeerClient, context| async move { client.admit_voter(context, id, address).await };
+            |client: PeerClient, context| async move { client.admit_voter(context, id, address, zone).await };
         match shared.peers.call(target, ANSWER_TIMEOUT, call).await {
             Ok(AdmitAnswer::Noted(voters)) => {
-                targets.hint(Some(target));
+                targets.answered(target);
                 shared.control.send(ControlMessage::LearnVoters(voters)).await;
             }
             // The leader need not be among the daemons that this one knows.
-            Ok(AdmitAnswer::NotLeader { leader }) => targets.hint(leader),
+            Ok(AdmitAnswer::NotLeader { leader }) => targets.refused(target, leader),
             Err(_) => targets.failed(),
         }
     }
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 /// How long an answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(LEASE_ANSWER_TIMEOUT_MS);
@@ -29,18 +29,26 @@
 pub async fn run_lease_client(shared: Arc<Shared>) {
     tokio::spawn(report_lease_changes(shared.clone()));
     let mut path = LeasePath::new(&shared);
+    let mut news = shared.known_leader.watch();
     loop {
+        news.mark_unchanged();
         let target = path.next(&shared);
         let sent_at = monotonic_ms();
         let asked = tokio::select! {
             asked = ask(&shared, target) => asked,
+            // Whoever is asked now may be gone, and take all the time that an answer may take.
+            () = other_leader(&shared, &mut news, target) => continue,
             // The leader must learn of a planned stop at once.
             () = shared.leaving_begun() => ask(&shared, target).await,
         };
         match asked {
             Ok(LeaseAnswer::Granted { term, revision, in_force_revision, content, stamp }) => {
                 shared.timeline.observe(stamp);
-                shared.set_leader(Some(target));
+                if path.asked_directly() {
+                    shared.known_leader.granted(monotonic_ms(), target, term);
+                } else {
+                    shared.known_leader.set_ask_first(target);
+                }
                 path.granted(target);
                 let content = fetched(&shared, content).await;
                 let lease = GrantedLease { in_force_revision, content };
@@ -63,6 +71,18 @@
     }
 }
 
+/// Completes once a leader other than `asked` makes itself known.
+async fn other_leader(shared: &Shared, news: &mut watch::Receiver<u64>, asked: SocketAddr) {
+    loop {
+        if news.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if shared.leader() != Some(asked) {
+            return;
+        }
+    }
+}
+
 async fn ask(shared: &Shared, target: SocketAddr) -> Result<LeaseAnswer, PeerFailure> {
     let request = LeaseRequest {
         daemon: shared.record(),
--- a/crates/daemon/src/control/lease_path.rs
+++ b/crates/daemon/src/control/lease_path.rs
@@ -39,6 +39,11 @@
     /// Whom to ask next.
     pub fn next(&mut self, shared: &Shared) -> SocketAddr {
         let now = monotonic_ms();
+        if let Some(leader) = self.targets.take_news(shared) {
+            self.relay = None;
+            self.asked_directly = true;
+            return leader;
+        }
         let is_cut_off = now >= self.granted_at + RELAY_AFTER_MS;
         let wants_relay = match self.relay {
             Some(_) => now < self.direct_at,
@@ -61,16 +66,21 @@
         self.granted_at = monotonic_ms();
         if self.asked_directly {
             self.relay = None;
-            self.targets.hint(Some(target));
+            self.targets.answered(target);
         } else {
             self.relay = Some(target);
         }
     }
 
+    /// Whether the last request went to the leader, or to a member as the leader.
+    pub fn asked_directly(&self) -> bool {
+        self.asked_directly
+    }
+
     /// `target` doesn't lead, and names the leader if it knows it.
     pub fn refused(&mut self, target: SocketAddr, leader: Option<SocketAddr>) {
         if self.asked_directly {
-            self.targets.hint(leader.filter(|leader| *leader != target));
+            self.targets.refused(target, leader);
         } else {
             self.relay = None;
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! and network. It is one thread with its own runtime; what it decides is published for the traffic threads.
 
 mod admission;
+mod announcer;
 mod group_orders;
 mod identity;
 mod lease_client;
@@ -15,6 +16,7 @@
 mod voter_disk;
 
 pub use admission::run_admission;
+pub use announcer::Announcer;
 pub use group_orders::GroupOrderSender;
 pub use lease_client::run_lease_client;
 pub use orders::OrderSender;
@@ -127,6 +129,8 @@
         id: u64,
         /// Its peer address.
         address: SocketAddr,
+        /// Its zone.
+        zone: String,
         /// For the answer.
         reply: oneshot::Sender<AdmitAnswer>,
     },
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -1,5 +1,6 @@
 //! The control thread: drives the pure control node against clocks, disk and network.
 
+use super::announcer::Announcer;
 use super::identity::Identity;
 use super::outbox::{OUTBOX, decode_messages};
 use super::turn::{TurnClock, Work};
@@ -81,6 +82,7 @@
         let node = ControlNode::voter(&settings.name, found.state, core, addresses).with_options(Options {
             grouping,
             usual_voters,
+            bears_zone_loss: settings.seeds.bears_zone_loss,
             ..Options::default()
         });
         Ok(StartedControl { node, disk: Some(found.disk), member_id: Some(identity.id), voters })
@@ -129,6 +131,7 @@
     outboxes: Outboxes,
     orders: OrderSender,
     group_orders: GroupOrderSender,
+    announcer: Announcer,
     turns: TurnClock,
     stopping: bool,
 }
@@ -165,6 +168,7 @@
         started: StartedControl,
         orders: OrderSender,
         group_orders: GroupOrderSender,
+        announcer: Announcer,
         voter_links: tokio::runtime::Handle,
     ) -> Self {
         let StartedControl { node, disk, member_id, voters } = started;
@@ -173,7 +177,18 @@
             Outboxes { own_id: member_id, senders, shared: shared.clone(), runtime: voter_links };
         outboxes.learn(&voters);
         let turns = TurnClock::new(&shared.settings.name, &shared.metrics);
-        ControlThread { shared, messages, node, disk, outboxes, orders, group_orders, turns, stopping: false }
+        ControlThread {
+            shared,
+            messages,
+            node,
+            disk,
+            outboxes,
+            orders,
+            group_orders,
+            announcer,
+            turns,
+            stopping: false,
+        }
     }
 
     /// Takes messages that arrived together, and decides once on all of them.
@@ -253,12 +268,16 @@
                 }
             }
             Output::Send(message) => self.outboxes.send(message),
-            Output::VotersChanged(voters) => self.outboxes.learn(&voters),
+            Output::VotersChanged(voters) => {
+                self.outboxes.learn(&voters);
+                self.show_voters();
+            }
             Output::LoadReply(reply, digest) => reply.load(digest),
             Output::PlaceReply(reply, place) => reply.place(place),
             Output::AdmitReply(reply, answer) => reply.admit(answer),
             Output::ReadReply(reply, answer) => reply.read(answer),
             Output::CopyReply(reply, copy) => reply.copy(copy),
+            Output::AnnounceLeader { to, term } => self.announcer.call(&to, term),
             Output::SendGroupOrder(order) => self.group_orders.send(order),
             Output::Probe(probe) => self.group_orders.probe(probe),
             Output::SubmitReply(reply, answer) => reply.submit(answer),
@@ -278,8 +297,9 @@
             Output::LeaderChanged { leader, leads } => {
                 self.shared.metrics.is_leader.set(i64::from(leads));
                 self.shared.set_hears_control_leader(leader.is_some());
-                if leader.is_some() {
-                    self.shared.set_leader(leader);
+                if let Some(leader) = leader {
+                    let term = self.node.core().map_or(0, |core| core.term());
+                    self.shared.known_leader.elected(monotonic_ms(), leader, term);
                 }
             }
         }
@@ -296,11 +316,21 @@
         }
     }
 
+    /// Shows the voters at a member of the control group; other daemons are not told of them.
+    fn show_voters(&mut self) {
+        if self.disk.is_none() {
+            return;
+        }
+        self.shared.set_is_voter(self.node.is_voter());
+        self.shared.metrics.set_voters(&self.node.voters_by_zone());
+    }
+
     fn publish(&mut self) {
         if !self.node.take_dirty() {
             return;
         }
         let begun = Instant::now();
+        self.show_voters();
         let tables = Arc::new(self.node.tables().clone());
         let routing = Arc::new(RoutingTable::build(&tables));
         let in_force_revision = self.node.in_force_revision();
@@ -340,8 +370,8 @@
         ControlMessage::AssignPlace { request, reply } => Input::AssignPlace(request, Reply::Place(reply)),
         ControlMessage::GroupOrderAnswered(order, answer) => Input::GroupOrderAnswered(*order, answer),
         ControlMessage::Probed { instance, result } => Input::Probed { instance, result },
-        ControlMessage::AdmitVoter { id, address, reply } => {
-            Input::AdmitVoter { id, address, reply: Reply::Admit(reply) }
+        ControlMessage::AdmitVoter { id, address, zone, reply } => {
+            Input::AdmitVoter { id, address, zone, reply: Reply::Admit(reply) }
         }
         ControlMessage::LearnVoters(voters) => Input::LearnVoters(voters),
         ControlMessage::ReadRevision { reply } => Input::ReadRevision(Reply::Read(reply)),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dialect;
 pub mod gateway;
 pub mod http;
+pub mod known_leader;
 pub mod line_budget;
 pub mod log_line;
 pub mod logging;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics by `prometheus`: what repeats is counted here.
 
 use dockwood_api::peer::PeerVolume;
+use dockwood_control::ZoneCounts;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -61,6 +62,12 @@
     pub lease_held: IntGauge,
     /// 1 while this daemon leads the control group.
     pub is_leader: IntGauge,
+    /// Voters of the control group, as applied by this member.
+    pub voters: IntGauge,
+    /// The same by zone; those of unknown zone under an empty name.
+    pub voters_by_zone: IntGaugeVec,
+    /// Calls by which this daemon, as the leader, made itself known to daemons that had not asked it.
+    pub leader_calls: IntCounter,
     /// Waiting requests by pool and tier, at their coordinator.
     pub pool_waiting: IntGaugeVec,
     /// Slots in use by replica, at their coordinator.
@@ -171,6 +178,16 @@
             in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
             lease_held: gauge("dockwood_lease_held", "Whether a configuration lease is held")?,
             is_leader: gauge("dockwood_is_leader", "Whether this daemon leads the control group")?,
+            voters: gauge("dockwood_voters", "Voters of the control group")?,
+            voters_by_zone: gauges(
+                "dockwood_voters_by_zone",
+                "Voters of the control group by zone",
+                &["zone"],
+            )?,
+            leader_calls: counter(
+                "dockwood_leader_calls_total",
+                "Calls to daemons that had not asked this leader",
+            )?,
             pool_waiting: gauges("dockwood_pool_waiting", "Waiting requests", &["pool", "tier"])?,
             replica_slots_used: gauges("dockwood_replica_slots_used", "Slots in use", &["replica"])?,
             commands_committed: counter(
@@ -184,6 +201,17 @@
         })
     }
 
+    /// Shows the voters of the control group.
+    pub fn set_voters(&self, counts: &ZoneCounts) {
+        self.voters.set(counts.total() as i64);
+        self.voters_by_zone.reset();
+        let unknown = (counts.unknown > 0).then_some(("", counts.unknown));
+        let known = counts.by_zone.iter().map(|(zone, count)| (zone.as_str(), *count));
+        for (zone, count) in known.chain(unknown) {
+            self.voters_by_zone.with_label_values(&[zone]).set(count as i64);
+        }
+    }
+
     /// All metrics in prometheus's text form.
     pub fn render(&self) -> Vec<u8> {
         let volume = PeerVolume::now();
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -4,10 +4,11 @@
 mod relay;
 mod server;
 mod submit;
+mod targets;
 mod transport;
 
 pub use clients::{PeerClients, PeerFailure};
 pub use relay::pick_relay;
 pub use server::serve_peers;
-pub(crate) use submit::Targets;
 pub use submit::{control_view, read_document, read_revision, register, submit};
+pub use targets::Targets;
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -80,10 +80,18 @@
         self.shared.timeline.observe(request.stamp);
         if !self.shared.settings.is_control_member() {
             let call = |client: PeerClient, context| async move { client.lease(context, request).await };
-            return relay(&self.shared, call).await.unwrap_or(LeaseAnswer::NotLeader { leader: None });
+            let relayed = relay(&self.shared, call).await;
+            return relayed.unwrap_or(LeaseAnswer::NotLeader { leader: self.shared.leader_for_others() });
+        }
+        if !self.shared.hears_control_leader() {
+            self.shared.note_asker(request.daemon.peer);
+        }
+        match self.ask(|reply| ControlMessage::Lease { request, reply }).await {
+            Some(LeaseAnswer::NotLeader { leader: None }) | None => {
+                LeaseAnswer::NotLeader { leader: self.shared.leader_for_others() }
+            }
+            Some(answer) => answer,
         }
-        let answer = self.ask(|reply| ControlMessage::Lease { request, reply }).await;
-        answer.unwrap_or(LeaseAnswer::NotLeader { leader: None })
     }
 
     async fn submit(self, _: Context, command: Vec<u8>) -> SubmitReply {
@@ -157,10 +165,19 @@
         self.ask(|reply| ControlMessage::CopyState { reply }).await.flatten()
     }
 
-    async fn admit_voter(self, _: Context, id: u64, address: SocketAddr) -> AdmitAnswer {
+    async fn admit_voter(self, _: Context, id: u64, address: SocketAddr, zone: String) -> AdmitAnswer {
         self.count("admit_voter");
-        let answer = self.ask(|reply| ControlMessage::AdmitVoter { id, address, reply }).await;
-        answer.unwrap_or(AdmitAnswer::NotLeader { leader: None })
+        match self.ask(|reply| ControlMessage::AdmitVoter { id, address, zone, reply }).await {
+            Some(AdmitAnswer::NotLeader { leader: None }) | None => {
+                AdmitAnswer::NotLeader { leader: self.shared.leader_for_others() }
+            }
+            Some(answer) => answer,
+        }
+    }
+
+    async fn leader_elected(self, _: Context, leader: SocketAddr, term: u64) {
+        self.count("leader_elected");
+        self.shared.known_leader.announced(monotonic_ms(), leader, term);
     }
 
     async fn control_view(self, _: Context) -> ControlAnswer {
--- a/crates/daemon/src/peer/submit.rs
+++ b/crates/daemon/src/peer/submit.rs
@@ -1,6 +1,7 @@
 //! Commands and queries to the control leader, wherever it is.
 
 use super::clients::PeerFailure;
+use super::targets::Targets;
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::shared::Shared;
 use backon::{BackoffBuilder, ExponentialBuilder};
@@ -41,7 +42,7 @@
             Ok(SubmitReply::Applied { revision, outcome }) => {
                 return Ok((revision, decode_outcome(&outcome)?));
             }
-            Ok(SubmitReply::NotLeader { leader }) => targets.hint(leader),
+            Ok(SubmitReply::NotLeader { leader }) => targets.refused(target, leader),
             Ok(SubmitReply::Failed { code, message }) => last_failure = ApiError::new(code, message),
             Err(failure) => {
                 shared.metrics.peer_failures.inc();
@@ -155,7 +156,7 @@
         let target = targets.next(shared);
         match shared.peers.call(target, left.min(LEADER_CALL_TIMEOUT), &call).await {
             Ok(LeaderAnswer::Answer(answer)) => return Ok(answer),
-            Ok(LeaderAnswer::NotLeader(leader)) => targets.hint(leader.filter(|leader| *leader != target)),
+            Ok(LeaderAnswer::NotLeader(leader)) => targets.refused(target, leader),
             Ok(LeaderAnswer::Failed(error)) => last_failure = error,
             Err(_) => {
                 shared.metrics.peer_failures.inc();
@@ -170,37 +171,3 @@
         }
     }
 }
-
-/// Whom to ask: the leader that was last heard of, else the voters in turn.
-pub(crate) struct Targets {
-    hint: Option<SocketAddr>,
-    position: usize,
-}
-
-impl Targets {
-    pub(crate) fn new(shared: &Shared) -> Self {
-        Targets { hint: shared.leader(), position: shared.incarnation as usize }
-    }
-
-    pub(crate) fn next(&mut self, shared: &Shared) -> SocketAddr {
-        if let Some(hint) = self.hint.take() {
-            return hint;
-        }
-        let addresses = shared.control_addresses();
-        let peers = &addresses.peers;
-        self.position += 1;
-        peers.get(self.position % peers.len().max(1)).copied().unwrap_or(shared.settings.peer)
-    }
-
-    pub(crate) fn hint(&mut self, leader: Option<SocketAddr>) {
-        self.hint = leader;
-    }
-
-    pub(crate) fn failed(&mut self) {
-        self.hint = None;
-    }
-
-    pub(crate) fn has_hint(&self) -> bool {
-        self.hint.is_some()
-    }
-}
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::control::{
-    ControlHandle, ControlMessage, ControlThread, GroupOrderSender, OrderSender, StartError, StartedControl,
-    run_admission, run_control_thread, run_lease_client, run_pulse,
+    Announcer, ControlHandle, ControlMessage, ControlThread, GroupOrderSender, OrderSender, StartError,
+    StartedControl, run_admission, run_control_thread, run_lease_client, run_pulse,
 };
 use crate::dialect::Dialect;
 use crate::gateway::{Gateway, GatewayListeners};
@@ -135,7 +135,9 @@
     let group_orders =
         GroupOrderSender::new(shared.clone(), dialect.clone(), http.clone(), runtime.handle().clone());
     let links = voter_links.as_ref().unwrap_or(&runtime).handle().clone();
-    let control = ControlThread::new(shared.clone(), messages, started, orders, group_orders, links);
+    let announcer = Announcer::new(shared.clone(), runtime.handle().clone());
+    let control =
+        ControlThread::new(shared.clone(), messages, started, orders, group_orders, announcer, links);
     let control_ended = start_control(control)?;
     let listeners = Listeners { http: http_listener, peer: peer_listener, gateway: gateway_listeners };
     runtime.block_on(async move {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -56,6 +56,8 @@
     pub member: bool,
     /// Members that may be lost at once, with their disks: the group keeps twice as many voters, and one.
     pub losses_tolerated: usize,
+    /// Whether a whole zone may be lost: then no zone may hold half of the voters.
+    pub bears_zone_loss: bool,
 }
 
 /// Settings of one daemon.
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -23,6 +23,8 @@
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
 const DEFAULT_LOSSES_TOLERATED: u64 = 1;
 const MOST_LOSSES_TOLERATED: u64 = 3;
+/// With more zones lost at once a majority would need five zones of members.
+const MOST_ZONE_LOSSES_TOLERATED: u64 = 1;
 /// Ports that one process takes from a range: for other daemons, and for operators.
 const PORTS_OF_A_SLOT: u64 = 2;
 const LOG_LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
@@ -163,7 +165,16 @@
     lines: &mut BTreeMap<String, usize>,
     problems: &mut Problems,
 ) -> Option<Control> {
-    let known = ["voters", "dataFolder", "seeds", "seedPeerPort", "founding", "member", "lossesTolerated"];
+    let known = [
+        "voters",
+        "dataFolder",
+        "seeds",
+        "seedPeerPort",
+        "founding",
+        "member",
+        "lossesTolerated",
+        "zoneLossesTolerated",
+    ];
     let section = Section::new(node, "control", &known, problems)?;
     let seeds = read_seeds(&section, problems);
     let voters_node = match section.optional("seeds") {
@@ -210,7 +221,14 @@
     let member = section.flag("member", problems)?;
     let losses =
         section.number("lossesTolerated", DEFAULT_LOSSES_TOLERATED, (0, MOST_LOSSES_TOLERATED), problems)?;
-    Some(SeedSettings { peers, founding, member, losses_tolerated: losses as usize })
+    let zone_losses = section.number("zoneLossesTolerated", 0, (0, MOST_ZONE_LOSSES_TOLERATED), problems)?;
+    Some(SeedSettings {
+        peers,
+        founding,
+        member,
+        losses_tolerated: losses as usize,
+        bears_zone_loss: zone_losses > 0,
+    })
 }
 
 fn read_tokens(top: &Section<'_>, node: &Node, problems: &mut Problems) -> Vec<OperatorToken> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::control::ControlHandle;
 use crate::control_directory::{ControlAddresses, ControlDirectory};
 use crate::gateway::Dispatchers;
+use crate::known_leader::KnownLeader;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::published::Published;
@@ -17,11 +18,14 @@
 use dockwood_control::LEASE_MS;
 use dockwood_routing::{EntryCandidate, Millis, entry_order};
 use dockwood_state::Tables;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, watch};
 
+/// Daemons that are remembered because they asked for a lease: any of them may know the leader.
+const ASKERS: usize = 32;
 /// Addresses in an entry answer, at most.
 const ENTRY_ADDRESSES: usize = 4;
 
@@ -45,16 +49,20 @@
     pub dispatchers: Dispatchers,
     /// The scopes that this daemon dispatches.
     pub scope_dispatchers: ScopeDispatchers,
+    /// The control leader as it was last heard of.
+    pub known_leader: KnownLeader,
     /// Messages to the control thread.
     pub control: ControlHandle,
     published: ArcSwap<Published>,
     publications: watch::Sender<u64>,
     lease_until: AtomicU64,
-    leader: Mutex<Option<SocketAddr>>,
     leader_term: watch::Sender<u64>,
     seeds: ArcSwap<Vec<SocketAddr>>,
     control_directory: ControlDirectory,
     hears_control_leader: AtomicBool,
+    is_voter: AtomicBool,
+    /// Daemons that lately asked this one for a lease, newest last.
+    askers: Mutex<VecDeque<SocketAddr>>,
     leaving: AtomicBool,
     leaving_begun: Notify,
     in_flight: AtomicU32,
@@ -87,11 +95,13 @@
             published: ArcSwap::default(),
             publications: watch::channel(0).0,
             lease_until: AtomicU64::new(0),
-            leader: Mutex::new(None),
+            known_leader: KnownLeader::default(),
+            askers: Mutex::default(),
             leader_term: watch::channel(0).0,
             seeds: ArcSwap::default(),
             control_directory: ControlDirectory::default(),
             hears_control_leader: AtomicBool::new(false),
+            is_voter: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             leaving_begun: Notify::new(),
             in_flight: AtomicU32::new(0),
@@ -181,6 +191,7 @@
     pub fn control_addresses(&self) -> Arc<ControlAddresses> {
         let mut known_peers = self.settings.control_peers();
         known_peers.extend(self.seeds.load().iter().copied());
+        known_peers.extend(self.known_leader.address());
         self.control_directory.addresses(&self.tables(), &known_peers)
     }
 
@@ -199,14 +210,42 @@
         self.hears_control_leader.load(Ordering::SeqCst)
     }
 
-    /// The control leader's peer address, where known.
+    /// Notes whether this daemon is one of the voters.
+    pub fn set_is_voter(&self, is_voter: bool) {
+        self.is_voter.store(is_voter, Ordering::SeqCst);
+    }
+
+    /// Remembers a daemon that asked for a lease.
+    pub fn note_asker(&self, peer: SocketAddr) {
+        let mut askers = self.askers.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        askers.retain(|known| *known != peer);
+        askers.push_back(peer);
+        if askers.len() > ASKERS {
+            askers.pop_front();
+        }
+    }
+
+    /// A daemon that asked for a lease, another one each time.
+    pub fn next_asker(&self) -> Option<SocketAddr> {
+        let mut askers = self.askers.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let asker = askers.pop_front()?;
+        askers.push_back(asker);
+        Some(asker)
+    }
+
+    /// Where the control leader is to be asked for first.
     pub fn leader(&self) -> Option<SocketAddr> {
-        *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.known_leader.ask_first()
     }
 
-    /// Notes the control leader.
-    pub fn set_leader(&self, leader: Option<SocketAddr>) {
-        *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = leader;
+    /// The leader to name to a daemon that asked this one in vain. A voter names only the one that its group has: while
+    /// it elects another one, the last one is gone.
+    pub fn leader_for_others(&self) -> Option<SocketAddr> {
+        if self.is_voter.load(Ordering::SeqCst) {
+            return None;
+        }
+        let leader = self.known_leader.address_for_others(monotonic_ms());
+        leader.filter(|leader| *leader != self.settings.peer)
     }
 
     /// Notes the term of the leader that granted the lease.
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -170,6 +170,16 @@
         self.address(MEMBERS + ENTRIES + 1, OPERATORS_PORT)
     }
 
+    /// Changes a daemon's seeds, for its next start.
+    pub fn set_seeds(&self, daemon: &Daemon, hosts: &[u8], founding: bool) {
+        let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
+        let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
+        let seeds: Vec<SocketAddr> = hosts.iter().map(|host| self.address(*host, OPERATORS_PORT)).collect();
+        settings["control"]["seeds"] = json!(seeds);
+        settings["control"]["founding"] = json!(founding);
+        std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
+    }
+
     fn daemon_with_seeds(
         &self,
         name: &str,
@@ -243,8 +253,18 @@
         }
     }
 
+    /// The host number of an entry.
+    pub fn entry_host(&self, number: u8) -> u8 {
+        MEMBERS + number
+    }
+
     async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
-        let url = format!("http://{}/metrics", self.address(MEMBERS + entry, PEER_PORT + 1));
+        self.metric_at(self.entry_host(entry), name).await
+    }
+
+    /// A figure that a daemon shows.
+    pub async fn metric_at(&self, host: u8, name: &str) -> reqwest::Result<f64> {
+        let url = format!("http://{}/metrics", self.address(host, PEER_PORT + 1));
         let text = self.http.get(url).send().await?.text().await?;
         let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
         Ok(line.and_then(|value| value.parse().ok()).unwrap_or(0.0))
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! themselves and form groups; failures brought about from outside.
 
 mod fixture;
+mod leader_search;
 mod servers;
 
 use fixture::{Fleet, LIMIT, configuration, eventually};
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -96,8 +96,15 @@
     };
     let settings = read(&by_seeds("2")).unwrap_or_else(|problems| panic!("{problems:?}"));
     assert_eq!(settings.seeds.losses_tolerated, 2);
-    let codes: Vec<u16> = problems(&by_seeds("many")).into_iter().map(|problem| problem.0).collect();
-    assert_eq!(codes, [7005]);
+    assert!(!settings.seeds.bears_zone_loss);
+    let codes = |losses: &str| -> Vec<u16> {
+        problems(&by_seeds(losses)).into_iter().map(|problem| problem.0).collect()
+    };
+    assert_eq!(codes("many"), [7005]);
+    let settings =
+        read(&by_seeds("1\n  zoneLossesTolerated: 1")).unwrap_or_else(|problems| panic!("{problems:?}"));
+    assert!(settings.seeds.bears_zone_loss);
+    assert_eq!(codes("1\n  zoneLossesTolerated: 2"), [7005]);
 }
 
 const GATEWAY: &str = "\
--- a/crates/dockctl/src/commands/status.rs
+++ b/crates/dockctl/src/commands/status.rs
@@ -6,6 +6,10 @@
 use crate::output::{Format, print_line, print_value, table};
 use clap::{ArgMatches, Command};
 use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// A voter that has not answered for this long is shown as silent: several of the leader's heartbeats.
+const SILENT_MS: u64 = 1_000;
 
 pub(super) fn command() -> Command {
     Command::new("status").about("Shows replicas, stranded machines, daemons and control on one screen")
@@ -39,9 +43,23 @@
     if names.is_empty() { "none".to_string() } else { names.join(" ") }
 }
 
+/// How many voters each zone holds, and those that don't answer.
+fn voters_by_zone(voters: &[Value]) -> String {
+    let mut by_zone: BTreeMap<String, usize> = BTreeMap::new();
+    for voter in voters {
+        let zone = voter["zone"].as_str().unwrap_or("unknown zone");
+        *by_zone.entry(zone.to_string()).or_default() += 1;
+    }
+    let zones: Vec<String> = by_zone.iter().map(|(zone, count)| format!("{count} in {zone}")).collect();
+    let is_silent = |voter: &&Value| voter["silentMs"].as_u64().unwrap_or(0) >= SILENT_MS;
+    let silent: Vec<Value> = voters.iter().filter(is_silent).map(|voter| voter["address"].clone()).collect();
+    format!("{} ({}), silent: {}", voters.len(), zones.join(", "), joined(&silent))
+}
+
 fn print_control(status: &Value) {
     print_line(format!("control: leader {} in term {}", text(&status["leader"]), status["term"]));
     print_line(format!("revision: {}, in force {}", status["revision"], status["inForceRevision"]));
+    print_line(format!("voters: {}", voters_by_zone(items(status, "voters"))));
     print_line(format!("daemons behind: {}", joined(items(status, "behind"))));
     print_line(format!("stranded machines: {}", joined(items(status, "strandedMachines"))));
     for missing in items(status, "shortfalls") {
