--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -88,6 +88,7 @@
     RouteUnknownService = 4021, 400, "A route names a service that is not declared; nothing was changed.";
     RouteDuplicate = 4022, 400, "Two routes share host and path prefix; nothing was changed.";
     TenantKeyShared = 4023, 400, "Two tenants share a key; nothing was changed.";
+    ServiceInvalid = 4026, 400, "A service of the configuration has a value that is not allowed; nothing was changed.";
     NoLeader = 5001, 503, "There is no known control leader; try again.";
     NotLeader = 5002, 503, "This daemon is not the control leader; the leader is attached where known.";
     ProposalDropped = 5003, 503, "The change was not committed; resend it with the same change id.";
--- a/crates/api/src/gateway/instance.rs
+++ b/crates/api/src/gateway/instance.rs
@@ -65,3 +65,13 @@
     /// Its group, if it is in one.
     pub membership: Option<MembershipReport>,
 }
+
+impl InstanceReport {
+    /// Whether it tells nothing but that its server lives still, where `earlier` was told before. How much longer the
+    /// server is cold changes with each report; that it is, or is no more, does not.
+    pub fn repeats(&self, earlier: &InstanceReport) -> bool {
+        let is_as_cold = (self.cold_ms > 0) == (earlier.cold_ms > 0);
+        let (sequence, cold_ms) = (earlier.sequence, earlier.cold_ms);
+        is_as_cold && InstanceReport { sequence, cold_ms, ..self.clone() } == *earlier
+    }
+}
--- a/crates/api/src/gateway/validation.rs
+++ b/crates/api/src/gateway/validation.rs
@@ -28,6 +28,7 @@
     for route in &configuration.routes {
         check_route(configuration, route, &mut found);
     }
+    check_cold_rates(configuration, &mut found);
     check_places(configuration, &mut found);
     check_keys(configuration, &mut found);
     found
@@ -54,6 +55,22 @@
     }
 }
 
+/// A rate of 0 would shut cold servers out for ever: where a cold server bears as much as a warm one, none is declared.
+fn check_cold_rates(configuration: &GatewayConfiguration, found: &mut Vec<ConfigurationFault>) {
+    for service in &configuration.services {
+        let rate = service.cold_start.map(|cold_start| cold_start.requests_per_second);
+        if let Some(rate) = rate.filter(|rate| !rate.is_finite() || *rate <= 0.0) {
+            found.push(ConfigurationFault {
+                code: ResultCode::ServiceInvalid,
+                place: format!("service {}", service.name),
+                message: format!(
+                    "its cold servers take {rate} requests a second; it must be a number above 0"
+                ),
+            });
+        }
+    }
+}
+
 fn check_places(configuration: &GatewayConfiguration, found: &mut Vec<ConfigurationFault>) {
     let mut places = BTreeMap::new();
     for route in &configuration.routes {
--- a/crates/api/tests/gateway.rs
+++ b/crates/api/tests/gateway.rs
@@ -2,7 +2,8 @@
 
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{
-    GatewayConfiguration, Route, RouteKind, ServiceProfile, TenantKeys, WeightedService, faults,
+    ColdStart, GatewayConfiguration, InstanceReport, InstanceState, Route, RouteKind, ServiceProfile,
+    TenantKeys, WeightedService, faults,
 };
 use yare::parameterized;
 
@@ -100,3 +101,45 @@
     configuration.routes[1].services[0].service = "t".to_string();
     assert_eq!(codes(&configuration), [ResultCode::RouteInvalid, ResultCode::RouteUnknownService]);
 }
+
+#[parameterized(
+    none = { 0.0, &[ResultCode::ServiceInvalid] },
+    negative = { -20.0, &[ResultCode::ServiceInvalid] },
+    no_number = { f64::NAN, &[ResultCode::ServiceInvalid] },
+    endless = { f64::INFINITY, &[ResultCode::ServiceInvalid] },
+    some = { 0.5, &[] },
+)]
+fn a_rate_of_cold_servers_that_can_not_be_kept_is_a_fault(requests_per_second: f64, expected: &[ResultCode]) {
+    let mut configuration = sound();
+    configuration.services[0].cold_start = Some(ColdStart { usual_ms: 1_000, requests_per_second });
+    assert_eq!(codes(&configuration), expected);
+}
+
+fn report(sequence: u64, cold_ms: u64) -> InstanceReport {
+    InstanceReport {
+        id: "a".to_string(),
+        service: "s".to_string(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "z".to_string(),
+        slots: 4,
+        state: InstanceState::Ready,
+        cold_ms,
+        sequence,
+        domain: None,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+#[parameterized(
+    warm = { 0, 0, true },
+    less_cold = { 9_000, 7_800, true },
+    absurdly_cold = { u64::MAX, u64::MAX - 1, true },
+    warm_now = { 300, 0, false },
+    cold_again = { 0, 9_000, false },
+)]
+fn a_report_repeats_another_as_long_as_the_server_is_as_cold(before: u64, now: u64, expected: bool) {
+    assert_eq!(report(2, now).repeats(&report(1, before)), expected);
+    let drains = InstanceReport { state: InstanceState::Draining, ..report(2, now) };
+    assert!(!drains.repeats(&report(1, before)));
+}
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -7,8 +7,8 @@
     SharedGroupLoad,
 };
 use dockwood_grouping::{
-    Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderBook, OrderKind, PlaceLedger, ProbeResult,
-    View, advance_groups, places_of_group, plan, plan_pause_ms, reap_instances, release_members,
+    ColdLimit, Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderBook, OrderKind, PlaceLedger,
+    ProbeResult, View, advance_groups, places_of_group, plan, plan_pause_ms, reap_instances, release_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
 use imbl::OrdMap;
@@ -122,8 +122,15 @@
         digest
     }
 
-    /// Assigns a request to a group.
-    pub fn assign(&mut self, now: Millis, tables: &GatewayTables, request: &PlaceRequest) -> PlaceReply {
+    /// Assigns a request to a group. `cold_limit` tells by how much the rate that cold servers declare may be exceeded.
+    pub fn assign(
+        &mut self,
+        now: Millis,
+        tables: &GatewayTables,
+        cold_limit: ColdLimit,
+        request: &PlaceRequest,
+    ) -> PlaceReply {
+        self.dispatcher.limit_cold_heads(cold_limit);
         self.dispatcher.assign(now, request, tables, &self.observations)
     }
 
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -30,8 +30,9 @@
 
     /// Assigns a request to a group; `None` unless this node leads.
     pub(crate) fn assign_place(&mut self, now: Moment, request: &PlaceRequest) -> Option<PlaceReply> {
+        let cold_limit = self.options.cold_limit;
         let (gateway, tables) = self.leading_gateway(now)?;
-        Some(gateway.assign(now.monotonic, tables, request))
+        Some(gateway.assign(now.monotonic, tables, cold_limit, request))
     }
 
     /// The lease shows that nobody else can have committed anything since; all that was committed before is applied
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,7 +13,7 @@
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, SubmitReply, VoterRecord};
 use dockwood_consensus::{self as consensus, Message, Node, Voter};
-use dockwood_grouping::GroupingPolicy;
+use dockwood_grouping::{ColdLimit, GroupingPolicy};
 use dockwood_placement::PlacementPolicy;
 use dockwood_state::{Applied, Command, CommandBody, State, Tables, decode_command, encode_command};
 use std::collections::BTreeMap;
@@ -28,6 +28,8 @@
     pub placement: PlacementPolicy,
     /// Bounds of the gateway's engines.
     pub grouping: GroupingPolicy,
+    /// By how much the rate that cold servers declare may be exceeded, over all daemons.
+    pub cold_limit: ColdLimit,
     /// Voters that the control group keeps when it can.
     pub usual_voters: usize,
 }
@@ -39,6 +41,7 @@
             compact_after_entries: COMPACT_AFTER_ENTRIES,
             placement: PlacementPolicy::default(),
             grouping: GroupingPolicy::default(),
+            cold_limit: ColdLimit::default(),
             usual_voters: voters_to_lose(1),
         }
     }
--- /dev/null
+++ b/crates/control/tests/cold_servers.rs
@@ -0,0 +1,69 @@
+//! Which of a server's reports tell the leader that it is cold, or is no more.
+
+use dockwood_api::gateway::{InstanceReport, InstanceState};
+use dockwood_control::GatewayLeadership;
+use dockwood_state::{GatewayCommand, GatewayTables};
+
+fn report(sequence: u64, cold_ms: u64) -> InstanceReport {
+    InstanceReport {
+        id: "s".to_string(),
+        service: "writer".to_string(),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        zone: "z".to_string(),
+        slots: 8,
+        state: InstanceState::Ready,
+        cold_ms,
+        sequence,
+        domain: Some("d".to_string()),
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+/// A leader with its tables, to which each command that it returns is applied.
+#[derive(Default)]
+struct Leader {
+    leadership: GatewayLeadership,
+    tables: GatewayTables,
+}
+
+impl Leader {
+    /// Whether a report had to be committed.
+    fn hears(&mut self, report: &InstanceReport) -> bool {
+        let command: Option<GatewayCommand> = self.leadership.register(100, &self.tables, report);
+        command.iter().for_each(|command| {
+            self.tables.apply(command);
+        });
+        command.is_some()
+    }
+
+    fn is_cold(&self) -> bool {
+        self.tables.instances["s"].is_cold
+    }
+}
+
+#[test]
+fn only_the_change_between_cold_and_warm_is_committed() {
+    let mut leader = Leader::default();
+    assert!(leader.hears(&report(1, u64::MAX)));
+    assert!(!leader.hears(&report(2, 9_000)));
+    assert!(!leader.hears(&report(3, 1)));
+    assert!(leader.is_cold());
+    assert!(leader.hears(&report(4, 0)));
+    assert!(!leader.hears(&report(5, 0)));
+    assert!(!leader.is_cold());
+    assert!(leader.hears(&report(6, 9_000)), "it may become cold again");
+    assert!(leader.is_cold());
+}
+
+#[test]
+fn a_late_report_changes_nothing() {
+    let mut leader = Leader::default();
+    leader.hears(&report(5, 0));
+    leader.hears(&report(7, 9_000));
+    assert!(!leader.hears(&report(6, 0)), "sent before it became cold");
+    assert!(leader.is_cold());
+    leader.hears(&report(9, 0));
+    assert!(!leader.hears(&report(8, 300)), "sent before it was warm");
+    assert!(!leader.is_cold());
+}
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -80,6 +80,7 @@
         let usual_voters = voters_to_lose(settings.seeds.losses_tolerated).max(settings.voters.len());
         let node = ControlNode::voter(&settings.name, found.state, core, addresses).with_options(Options {
             grouping,
+            cold_limit: settings.cold_limit(),
             usual_voters,
             ..Options::default()
         });
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -2,11 +2,14 @@
 //! this entry's own figures where no dispatcher answers in time.
 
 use super::Gateway;
+use super::cold::cold_start_of;
 use super::dispatchers::Dispatch;
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
+use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{DispatchScope, PlaceReply, PlaceRequest};
 use dockwood_api::peer::PeerClient;
+use dockwood_routing::Millis;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +28,20 @@
 /// Pause before groups that were full are asked for again, where nobody tells of places that become free elsewhere.
 const ASK_AGAIN: Duration = Duration::from_millis(20);
 
+/// What a dispatcher answered.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    reply: PlaceReply,
+    /// When it was asked: it can't have decided earlier.
+    asked_at: Millis,
+}
+
+impl Answer {
+    fn now(reply: PlaceReply) -> Answer {
+        Answer { reply, asked_at: monotonic_ms() }
+    }
+}
+
 /// A place for a request, waited for until a deadline; else why there is none.
 pub async fn wait_for_place(
     gateway: &Arc<Gateway>,
@@ -50,26 +67,26 @@
 }
 
 async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
-    let reply = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
+    let answer = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
         Dispatch::Leader => ask_leader(gateway, query).await,
         Dispatch::Scopes => ask_zones(gateway, query).await,
     };
+    let Some(Answer { reply, asked_at }) = answer else { return Loads::take(gateway, query) };
     match reply {
-        Some(PlaceReply::Assigned { epoch, .. }) => match Loads::take_assigned(gateway, epoch) {
+        PlaceReply::Assigned { epoch, .. } => match Loads::take_assigned(gateway, epoch, asked_at) {
             Some(place) => PlaceAnswer::Taken(place),
             // The group is newer than what this entry knows, or has just closed.
             None => Loads::take(gateway, query),
         },
-        Some(PlaceReply::Full) => {
+        PlaceReply::Full => {
             gateway.loads.found_none(query.service, query.model);
             PlaceAnswer::Full
         }
-        Some(PlaceReply::NoGroup) => PlaceAnswer::NoGroup,
-        None => Loads::take(gateway, query),
+        PlaceReply::NoGroup => PlaceAnswer::NoGroup,
     }
 }
 
-async fn ask_leader(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<PlaceReply> {
+async fn ask_leader(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<Answer> {
     let shared = &gateway.shared;
     let leader = shared.leader().filter(|leader| shared.dispatchers.may_ask(*leader))?;
     ask(gateway, leader, request(gateway, query)).await
@@ -77,10 +94,10 @@
 
 /// Asks the dispatchers of one zone after the other: first for a group that shows the first event soon, and where there is
 /// none, for any group.
-async fn ask_zones(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<PlaceReply> {
+async fn ask_zones(gateway: &Gateway, query: PlaceQuery<'_>) -> Option<Answer> {
     let zones = gateway.loads.zones(query, &gateway.shared.settings.zone);
     if zones.is_empty() {
-        return Some(PlaceReply::NoGroup);
+        return Some(Answer::now(PlaceReply::NoGroup));
     }
     let soon_ms = query.target_ms * CROWDED_HUNDREDTHS / 100;
     let any_zone = request(gateway, query);
@@ -89,23 +106,33 @@
         for zone in zones.iter().take(MOST_ZONES) {
             let group_zone = Some(zone.clone());
             let request = PlaceRequest { group_zone, most_first_event_ms, ..any_zone.clone() };
-            let reply = ask_zone(gateway, zone, request).await;
-            if let Some(PlaceReply::Assigned { .. }) = reply {
-                return reply;
+            let answer = ask_zone(gateway, query, zone, request).await;
+            if answer.is_some_and(|answer| matches!(answer.reply, PlaceReply::Assigned { .. })) {
+                return answer;
             }
-            last = reply.or(last);
+            last = answer.or(last);
         }
     }
     last
 }
 
-async fn ask_zone(gateway: &Gateway, zone: &str, request: PlaceRequest) -> Option<PlaceReply> {
+async fn ask_zone(
+    gateway: &Gateway,
+    query: PlaceQuery<'_>,
+    zone: &str,
+    mut request: PlaceRequest,
+) -> Option<Answer> {
     let scope = DispatchScope {
         zone: zone.to_string(),
         service: request.service.clone(),
         model: request.model.clone(),
     };
-    let dispatcher = gateway.shared.dispatchers.of_scope(&gateway.shared.tables(), &scope)?;
+    let tables = gateway.shared.tables();
+    let dispatcher = gateway.shared.dispatchers.of_scope(&tables, &scope)?;
+    let limits_cold = cold_start_of(&tables.gateway, query.service).is_some();
+    if limits_cold && !gateway.shared.dispatchers.may_pace(&tables, &scope, dispatcher) {
+        request.excluded.extend(gateway.loads.cold(query));
+    }
     ask(gateway, dispatcher, request).await
 }
 
@@ -126,12 +153,14 @@
     }
 }
 
-async fn ask(gateway: &Gateway, dispatcher: SocketAddr, request: PlaceRequest) -> Option<PlaceReply> {
+async fn ask(gateway: &Gateway, dispatcher: SocketAddr, request: PlaceRequest) -> Option<Answer> {
+    let asked_at = monotonic_ms();
     let call = |client: PeerClient, context| async move { client.assign_place(context, request).await };
     let asked = gateway.shared.peers.call(dispatcher, CALL_LIMIT, call);
     let answer = tokio::time::timeout(ANSWER_LIMIT, asked).await;
     if !matches!(answer, Ok(Ok(Some(_)))) {
         gateway.shared.dispatchers.rest(dispatcher);
     }
-    answer.ok()?.ok()?
+    let reply = answer.ok()?.ok()??;
+    Some(Answer { reply, asked_at })
 }
--- /dev/null
+++ b/crates/daemon/src/gateway/cold.rs
@@ -0,0 +1,124 @@
+//! What this entry does about servers that are cold: its part of what a plain server may get, and how long a place that
+//! it was given may be used.
+
+use super::lock;
+use crate::clock::monotonic_ms;
+use crate::metrics::Metrics;
+use dockwood_api::gateway::ColdStart;
+use dockwood_grouping::{COLD_GRANT_VALID_MS, ColdLimit, ColdPacing, Pace, WARM_GRANT_VALID_MS};
+use dockwood_routing::Millis;
+use dockwood_state::{GatewayTables, GroupRow, InstanceRow, Tables};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Mutex;
+
+/// The span over which sends to one server are counted, in milliseconds.
+const SECOND_MS: Millis = 1_000;
+
+/// What a service declares about its cold servers; `None` where they bear as much as warm ones.
+pub fn cold_start_of(tables: &GatewayTables, service: &str) -> Option<ColdStart> {
+    tables.configuration.as_ref()?.service(service)?.cold_start
+}
+
+/// Until when a place at a group that was asked for at `asked_at` may be used; `None` if for ever.
+pub fn place_valid_until(tables: &GatewayTables, group: &GroupRow, asked_at: Millis) -> Option<Millis> {
+    cold_start_of(tables, &group.service)?;
+    let valid_ms = if group.head_is_cold { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS };
+    Some(asked_at + valid_ms)
+}
+
+/// The cold servers as this entry treats them.
+#[derive(Debug, Default)]
+pub struct ColdServers {
+    limit: ColdLimit,
+    pacing: Mutex<ColdPacing<String>>,
+    /// When each cold server was sent requests lately.
+    sends: Mutex<HashMap<String, VecDeque<Millis>>>,
+}
+
+impl ColdServers {
+    /// None is known yet; each may get so much more than it declares.
+    pub fn new(limit: ColdLimit) -> Self {
+        ColdServers { limit, ..ColdServers::default() }
+    }
+
+    /// This entry's part of what a plain server may get while it is cold.
+    pub fn pace(&self, tables: &Tables, cold_start: &ColdStart, server: &str, entry: &str) -> Pace {
+        let live = tables.reachable_daemons().filter(|daemon| daemon.record.frontend.is_some());
+        let entries: Vec<&str> = live.map(|daemon| daemon.record.name.as_str()).collect();
+        Pace::of_entry(self.limit.arrivals(cold_start), server, entry, &entries)
+    }
+
+    /// What is remembered of a plain server's requests while it is warm: no entry's part is larger.
+    pub fn warm_pace(&self, cold_start: &ColdStart) -> Pace {
+        Pace::of_dispatcher(self.limit.arrivals(cold_start))
+    }
+
+    /// Whether a plain server is cold, or was until a moment ago.
+    pub fn is_limited(&self, now: Millis, row: &InstanceRow) -> bool {
+        let mut pacing = lock(&self.pacing);
+        pacing.observe(now, &row.id, row.is_cold);
+        pacing.is_limited(now, &row.id)
+    }
+
+    /// Whether this entry may send a request to a plain server now.
+    pub fn may_give(&self, now: Millis, server: &str, pace: Pace) -> bool {
+        lock(&self.pacing).may_give(now, &server.to_string(), pace)
+    }
+
+    /// Notes that a plain server gets a request, if this entry may send it one now.
+    pub fn try_give(&self, now: Millis, server: &str, pace: Pace) -> bool {
+        let (mut pacing, server) = (lock(&self.pacing), server.to_string());
+        let may_give = pacing.may_give(now, &server, pace);
+        if may_give {
+            pacing.give(now, &server, pace);
+        }
+        may_give
+    }
+
+    /// Whether a request may be written to a server now, with what it was picked under. To be asked at that very moment:
+    /// the process may have been stopped since.
+    pub fn may_send(
+        &self,
+        metrics: &Metrics,
+        service: &str,
+        server: &str,
+        is_cold: bool,
+        valid_until: Option<Millis>,
+    ) -> bool {
+        let now = monotonic_ms();
+        if valid_until.is_some_and(|until| now >= until) {
+            metrics.cold_limited.with_label_values(&["expired"]).inc();
+            return false;
+        }
+        if is_cold {
+            metrics.cold_sends.with_label_values(&[service]).inc();
+            let sent = self.sent_within_second(now, server);
+            metrics.cold_sends_peak.set(metrics.cold_sends_peak.get().max(sent));
+        }
+        true
+    }
+
+    /// Notes a send to a cold server, and returns how many there were within a second.
+    fn sent_within_second(&self, now: Millis, server: &str) -> i64 {
+        let mut sends = lock(&self.sends);
+        let sent = sends.entry(server.to_string()).or_default();
+        sent.push_back(now);
+        sent.retain(|at| now < at + SECOND_MS);
+        sent.len() as i64
+    }
+
+    /// Forgets servers that are gone, and shows how many of the others are cold.
+    pub fn follow(&self, metrics: &Metrics, tables: &GatewayTables) {
+        lock(&self.pacing).retain(|server| tables.instances.contains_key(server));
+        let now = monotonic_ms();
+        lock(&self.sends).retain(|_, sent| sent.back().is_some_and(|at| now < at + SECOND_MS));
+        let services = tables.configuration.iter().flat_map(|held| &held.services);
+        for service in services.filter(|service| service.cold_start.is_some()) {
+            let heads = tables.groups.values().filter(|row| row.serves() && row.head_is_cold);
+            let heads = heads.filter(|row| row.service == service.name).count();
+            let plain = tables.instances.values().filter(|row| row.is_cold && !row.is_engine());
+            let plain = plain.filter(|row| row.service == service.name).count();
+            metrics.cold_servers.with_label_values(&[&service.name]).set((heads + plain) as i64);
+        }
+    }
+}
--- a/crates/daemon/src/gateway/dispatchers.rs
+++ b/crates/daemon/src/gateway/dispatchers.rs
@@ -6,6 +6,7 @@
 use dockwood_api::digest::rendezvous_weight;
 use dockwood_api::gateway::DispatchScope;
 use dockwood_control::{EntryCensus, FromDaemons};
+use dockwood_grouping::SENDERS_AT_ONCE;
 use dockwood_state::{DaemonRow, Tables};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -72,6 +73,13 @@
         ranked.iter().copied().find(|address| self.may_ask(*address))
     }
 
+    /// Whether a dispatcher may give requests to cold heads: only so many have a part of what a cold server may get.
+    /// The others take over for some entries at a time, while the first ones still work for the rest.
+    pub fn may_pace(&self, tables: &Tables, scope: &DispatchScope, dispatcher: SocketAddr) -> bool {
+        let ranked = self.ranked(tables, scope);
+        ranked.iter().take(SENDERS_AT_ONCE as usize).any(|address| *address == dispatcher)
+    }
+
     /// Whether a daemon has not failed to answer lately.
     pub fn may_ask(&self, address: SocketAddr) -> bool {
         lock(&self.resting).get(&address).is_none_or(|until| monotonic_ms() >= *until)
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -4,9 +4,11 @@
 
 pub use reports::ScopeLoad;
 
+use super::cold::{cold_start_of, place_valid_until};
 use super::lock;
 use crate::clock::monotonic_ms;
 use dockwood_api::gateway::ModelLoad;
+use dockwood_grouping::COLD_SLOW_START_MS;
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{Candidate, PaceEstimates, choose};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
@@ -38,6 +40,8 @@
     allowance: u32,
     suspected_until: Millis,
     suspected_by_others: bool,
+    /// Its head was found cold until then, or will count as such.
+    cold_until: Millis,
     progressed: bool,
     refused: bool,
     last_progress: Millis,
@@ -48,6 +52,19 @@
         now < self.suspected_until || self.suspected_by_others
     }
 
+    /// Whether its head is cold, or was until a moment ago.
+    fn is_cold(&self, now: Millis) -> bool {
+        self.row.head_is_cold || now < self.cold_until
+    }
+
+    /// Takes its row as it is now.
+    fn follow(&mut self, now: Millis, row: &Arc<GroupRow>) {
+        if self.row.head_is_cold {
+            self.cold_until = now + COLD_SLOW_START_MS;
+        }
+        self.row = row.clone();
+    }
+
     fn total(&self) -> u32 {
         self.in_flight + self.others_in_flight
     }
@@ -82,6 +99,10 @@
     pub head: SocketAddr,
     /// Instance id of its head.
     pub instance: String,
+    /// The head is cold, as far as this entry knows.
+    pub is_cold: bool,
+    /// Nothing may be sent from then on; `None` if the place may be used at any time.
+    pub valid_until: Option<Millis>,
 }
 
 impl Drop for GroupPlace {
@@ -115,21 +136,25 @@
     pub target_ms: u64,
 }
 
-/// Takes a place at a group.
+/// Takes a place at a group, which was asked for at `asked_at`.
 fn place_at(
     gateway: &Arc<super::Gateway>,
     groups: &mut BTreeMap<u64, GroupState>,
     epoch: u64,
+    asked_at: Millis,
 ) -> Option<GroupPlace> {
     let group = groups.get_mut(&epoch)?;
     group.in_flight += 1;
     let instance = group.row.members.first().cloned().unwrap_or_default();
-    Some(GroupPlace { gateway: gateway.clone(), epoch, head: group.row.head, instance })
+    let valid_until = place_valid_until(&gateway.shared.tables().gateway, &group.row, asked_at);
+    let (head, is_cold) = (group.row.head, group.row.head_is_cold);
+    Some(GroupPlace { gateway: gateway.clone(), epoch, head, instance, is_cold, valid_until })
 }
 
 impl Loads {
     /// Takes the groups of newly published tables.
     pub fn follow(&self, tables: &GatewayTables) {
+        let now = monotonic_ms();
         let mut groups = lock(&self.groups);
         let is_open = |epoch: &u64| tables.groups.get(epoch).is_some_and(|row| row.serves());
         let before = groups.len();
@@ -144,6 +169,7 @@
             let update = |group: &mut GroupState| {
                 group.slots = slots;
                 group.takes_new = takes_new;
+                group.follow(now, row);
             };
             groups.entry(row.epoch).and_modify(update).or_insert_with(|| GroupState {
                 row: row.clone(),
@@ -155,6 +181,7 @@
                 allowance: FIRST_ALLOWANCE,
                 suspected_until: 0,
                 suspected_by_others: false,
+                cold_until: 0,
                 progressed: false,
                 refused: false,
                 last_progress: 0,
@@ -202,7 +229,8 @@
         self.entries.load(Ordering::Relaxed)
     }
 
-    /// Takes a place at the best group.
+    /// Takes a place at the best group by this entry's own figures. Never at one whose head is cold: what the other
+    /// entries send there isn't known here.
     pub fn take(gateway: &Arc<super::Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
         let now = monotonic_ms();
         let own_zone = &gateway.shared.settings.zone;
@@ -219,11 +247,16 @@
             return PlaceAnswer::NoGroup;
         }
         let is_granted = now < gateway.loads.granted_at.load(Ordering::Relaxed) + GRANTS_VALID_MS;
+        let spares_cold = cold_start_of(&gateway.shared.tables().gateway, query.service).is_some();
+        let mut passed_over = false;
         let eligible = |epoch: &&u64| {
             let group = &groups[*epoch];
             let has_place =
                 if is_granted { group.in_flight < group.allowance } else { group.total() < group.slots };
-            !query.excluded.contains(*epoch) && !group.is_suspected(now) && has_place
+            let is_open = !query.excluded.contains(*epoch) && !group.is_suspected(now) && has_place;
+            let is_spared = is_open && spares_cold && group.is_cold(now);
+            passed_over |= is_spared;
+            is_open && !is_spared
         };
         let candidates: Vec<Candidate> = serving
             .iter()
@@ -238,20 +271,33 @@
                 }
             })
             .collect();
+        if passed_over {
+            gateway.shared.metrics.cold_limited.with_label_values(&["noDispatcher"]).inc();
+        }
         let mut random = rand::rng();
         let Some(epoch) = choose(&candidates, |below| random.random_range(0..below)) else {
             gateway.loads.found_none(query.service, query.model);
             gateway.loads.urgent.notify_one();
             return PlaceAnswer::Full;
         };
-        place_at(gateway, &mut groups, epoch as u64).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
+        place_at(gateway, &mut groups, epoch as u64, now).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
     }
 
-    /// Takes a place that the leader has assigned; `None` if the group is not known here, or no longer serves.
-    pub fn take_assigned(gateway: &Arc<super::Gateway>, epoch: u64) -> Option<GroupPlace> {
+    /// Takes a place that a dispatcher has assigned when it was asked at `asked_at`; `None` if the group is not known here, or no longer serves.
+    pub fn take_assigned(gateway: &Arc<super::Gateway>, epoch: u64, asked_at: Millis) -> Option<GroupPlace> {
         let mut groups = lock(&gateway.loads.groups);
         groups.get(&epoch).filter(|group| group.takes_new)?;
-        place_at(gateway, &mut groups, epoch)
+        place_at(gateway, &mut groups, epoch, asked_at)
+    }
+
+    /// Groups of a model whose heads are cold.
+    pub fn cold(&self, query: PlaceQuery<'_>) -> Vec<u64> {
+        let now = monotonic_ms();
+        let groups = lock(&self.groups);
+        let cold = groups.iter().filter(|(_, group)| {
+            group.row.service == query.service && group.row.model == query.model && group.is_cold(now)
+        });
+        cold.map(|(epoch, _)| *epoch).collect()
     }
 
     /// Groups of a model that are avoided here now.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod account;
 mod assignment;
 mod body;
+mod cold;
 mod directory;
 mod dispatchers;
 mod frontend;
@@ -22,6 +23,7 @@
 mod targets;
 mod upstream;
 
+pub use cold::ColdServers;
 pub use dispatchers::{Dispatch, Dispatchers};
 
 use crate::dialect::Dialect;
@@ -52,6 +54,7 @@
     pickers: Mutex<HashMap<String, BackendPicker>>,
     budgets: Mutex<HashMap<String, SendBudget>>,
     budget_limits: SendBudgetLimits,
+    cold: cold::ColdServers,
     pool: ConnectionPool,
     line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
@@ -110,6 +113,7 @@
                     extra: budget.extra,
                 }
             });
+        let cold = cold::ColdServers::new(shared.settings.cold_limit());
         Gateway {
             shared,
             dialect,
@@ -119,6 +123,7 @@
             pickers: Mutex::default(),
             budgets: Mutex::default(),
             budget_limits,
+            cold,
             pool: ConnectionPool::default(),
             line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
@@ -181,6 +186,7 @@
             gateway.routes.store(Arc::new(RouteTable::compile(configuration)));
         }
         gateway.loads.follow(&tables.gateway);
+        gateway.cold.follow(&gateway.shared.metrics, &tables.gateway);
         count_open_groups(&gateway.shared.metrics, &tables.gateway);
         if publications.changed().await.is_err() {
             return;
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -81,8 +81,10 @@
     async fn run(&mut self) -> Response<AnswerBody> {
         loop {
             let service = &self.received.service;
-            let Some(picked) = pick(self.gateway, &service.name, service.max_connections, &self.tried) else {
-                return self.last_word(ResultCode::NoServer);
+            let picked = pick(self.gateway, &service.name, service.max_connections, &self.tried);
+            let picked = match picked {
+                Ok(picked) => picked,
+                Err(code) => return self.last_word(code),
             };
             if !may_still_run(self.gateway, self.received) {
                 return self.last_word(ResultCode::NoLease);
@@ -137,6 +139,12 @@
         let Some(request) = request_for(self.gateway, self.received, &picked.row.id, None) else {
             return Err(SendOutcome::NotSent);
         };
+        let metrics = &self.gateway.shared.metrics;
+        let (service, server) = (&self.received.service.name, &picked.row);
+        if !self.gateway.cold.may_send(metrics, service, &server.id, server.is_cold, picked.valid_until) {
+            self.gateway.pool.keep(upstream);
+            return Err(SendOutcome::NotSent);
+        }
         self.in_flight = true;
         let answer = exchange(&mut upstream, request, self.gateway.dialect.headers(), self.received).await;
         self.in_flight = false;
--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -66,10 +66,7 @@
     /// Whether a report tells more than that its server lives.
     fn is_news(&self, report: &InstanceReport) -> bool {
         let known = lock(&self.known);
-        known.get(&report.id).is_none_or(|last| {
-            let repeated = InstanceReport { sequence: last.sequence, ..report.clone() };
-            repeated != *last
-        })
+        known.get(&report.id).is_none_or(|last| !report.repeats(last))
     }
 
     fn noted(&self, report: InstanceReport) {
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -21,6 +21,18 @@
     Server(Picked),
 }
 
+impl Source {
+    /// Whether a request may be written to it now. To be asked at that very moment: the process may have been stopped
+    /// since the source was chosen.
+    pub fn may_be_sent(&self, gateway: &Gateway, service: &str) -> bool {
+        let (server, is_cold, valid_until) = match self {
+            Source::Group(place) => (&place.instance, place.is_cold, place.valid_until),
+            Source::Server(picked) => (&picked.row.id, picked.row.is_cold, picked.valid_until),
+        };
+        gateway.cold.may_send(&gateway.shared.metrics, service, server, is_cold, valid_until)
+    }
+}
+
 /// Notes that a group stood still.
 pub fn abandon(gateway: &Gateway, source: &Source) -> SendOutcome {
     if let Source::Group(place) = source {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -219,11 +219,11 @@
         if service.engine.is_none() {
             let picked = pick(&self.gateway, &service.name, service.max_connections, &self.tried_servers);
             return match picked {
-                Some(picked) => {
+                Ok(picked) => {
                     self.tried_servers.push(picked.row.id.clone());
                     Ok(Source::Server(picked))
                 }
-                None => Err(self.refusal(ResultCode::NoServer, FULL_RETRY_MS)),
+                Err(code) => Err(self.refusal(code, FULL_RETRY_MS)),
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -42,6 +42,12 @@
         let resume_at = self.begun.then_some(self.last_event).flatten();
         let request = request_for(&self.gateway, &self.received, &instance, resume_at);
         let Some(request) = request else { return Err(SendOutcome::NotSent) };
+        if !source.may_be_sent(&self.gateway, &self.received.service.name) {
+            // The group may be asked for again, and the connection that took too long is there now.
+            self.tried_groups.retain(|tried| Some(*tried) != epoch);
+            self.gateway.pool.keep(upstream);
+            return Err(SendOutcome::NotSent);
+        }
         let sent_at = Instant::now();
         self.since = sent_at;
         self.awaits_first = true;
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,10 +1,13 @@
 //! Servers of plain services: which one takes a request.
 
+use super::cold::cold_start_of;
 use super::{Gateway, lock};
 use crate::clock::monotonic_ms;
-use dockwood_api::gateway::InstanceState;
-use dockwood_routing::CallResult;
-use dockwood_state::InstanceRow;
+use dockwood_api::ResultCode;
+use dockwood_api::gateway::{ColdStart, InstanceState};
+use dockwood_grouping::{COLD_GRANT_VALID_MS, Pace, WARM_GRANT_VALID_MS};
+use dockwood_routing::{CallResult, Millis};
+use dockwood_state::{InstanceRow, Tables};
 use std::sync::Arc;
 
 /// A server that was picked; the pick is counted until its result is told.
@@ -12,6 +15,8 @@
     gateway: Arc<Gateway>,
     /// The server.
     pub row: Arc<InstanceRow>,
+    /// Nothing may be sent from then on; `None` if the pick may be used at any time.
+    pub valid_until: Option<Millis>,
     result: Option<CallResult>,
     servers: usize,
 }
@@ -33,21 +38,71 @@
     }
 }
 
-/// Picks a server of a service that was not tried yet.
-pub fn pick(gateway: &Arc<Gateway>, service: &str, limit: u32, tried: &[String]) -> Option<Picked> {
+/// Which servers of a service may take a request now, with what this entry may send them while they are cold. Warm ones
+/// where there are any: cold ones are slow, and bear little.
+fn open_servers<'a>(
+    gateway: &Gateway,
+    tables: &Tables,
+    cold_start: Option<&ColdStart>,
+    ready: &[&'a Arc<InstanceRow>],
+) -> Vec<(&'a Arc<InstanceRow>, Option<Pace>)> {
+    let now = monotonic_ms();
+    let entry = &gateway.shared.settings.name;
+    let Some(cold_start) = cold_start else { return ready.iter().map(|row| (*row, None)).collect() };
+    let (limited, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| gateway.cold.is_limited(now, row));
+    if !warm.is_empty() {
+        let pace = gateway.cold.warm_pace(cold_start);
+        return warm.into_iter().map(|row| (row, Some(pace))).collect();
+    }
+    let paced = |row: &'a Arc<InstanceRow>| (row, gateway.cold.pace(tables, cold_start, &row.id, entry));
+    let open =
+        limited.into_iter().map(paced).filter(|(row, pace)| gateway.cold.may_give(now, &row.id, *pace));
+    open.map(|(row, pace)| (row, Some(pace))).collect()
+}
+
+/// Picks a server of a service that was not tried yet; else why there is none.
+pub fn pick(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    limit: u32,
+    tried: &[String],
+) -> Result<Picked, ResultCode> {
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
-    let eligible: Vec<&str> = instances
+    let cold_start = cold_start_of(&tables.gateway, service);
+    let ready: Vec<&Arc<InstanceRow>> = instances
         .values()
         .filter(|row| row.service == service && row.state == InstanceState::Ready && !tried.contains(&row.id))
-        .map(|row| row.id.as_str())
         .collect();
+    let open = open_servers(gateway, &tables, cold_start.as_ref(), &ready);
+    if open.is_empty() && !ready.is_empty() {
+        gateway.shared.metrics.cold_limited.with_label_values(&["noShare"]).inc();
+        return Err(ResultCode::Overloaded);
+    }
+    let eligible: Vec<&str> = open.iter().map(|(row, _)| row.id.as_str()).collect();
     let random = [rand::random(), rand::random()];
     let mut pickers = lock(&gateway.pickers);
     let picker = pickers.entry(service.to_string()).or_default();
     let declared: Vec<&str> = instances.keys().map(String::as_str).collect();
     picker.retain(&declared);
-    let id = picker.pick(monotonic_ms(), &eligible, limit, random)?;
-    let row = instances.get(&id)?.clone();
-    Some(Picked { gateway: gateway.clone(), row, result: None, servers: eligible.len() + tried.len() })
+    let id = picker.pick(monotonic_ms(), &eligible, limit, random).ok_or(ResultCode::NoServer)?;
+    drop(pickers);
+    let (row, pace) = open.iter().find(|(row, _)| row.id == id).ok_or(ResultCode::NoServer)?;
+    let mut picked = Picked {
+        gateway: gateway.clone(),
+        row: (*row).clone(),
+        valid_until: None,
+        result: None,
+        servers: eligible.len() + tried.len(),
+    };
+    if let Some(pace) = pace {
+        let now = monotonic_ms();
+        // Another request may have got this turn since it was looked for.
+        if !gateway.cold.try_give(now, &id, *pace) {
+            return Err(ResultCode::Overloaded);
+        }
+        let valid_ms = if row.is_cold { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS };
+        picked.valid_until = Some(now + valid_ms);
+    }
+    Ok(picked)
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -51,6 +51,14 @@
     pub service_calls: IntCounterVec,
     /// Groups that this entry may send new requests to, by service.
     pub open_groups: IntGaugeVec,
+    /// Requests sent to servers that were cold, by service.
+    pub cold_sends: IntCounterVec,
+    /// Most requests that this daemon sent to one cold server within a second since its start.
+    pub cold_sends_peak: IntGauge,
+    /// Requests that were not sent where they would have been, for the limit of cold servers, by reason.
+    pub cold_limited: IntCounterVec,
+    /// Servers that take requests and are cold, by service.
+    pub cold_servers: IntGaugeVec,
     /// Probes of machines by result.
     pub probes: IntCounterVec,
     /// Newest revision applied.
@@ -166,6 +174,25 @@
                 "Groups that this entry may send new requests to",
                 &["service"],
             )?,
+            cold_sends: counters(
+                "dockwood_cold_sends_total",
+                "Requests sent to servers that were cold",
+                &["service"],
+            )?,
+            cold_sends_peak: gauge(
+                "dockwood_cold_sends_peak",
+                "Most requests sent to one cold server within a second",
+            )?,
+            cold_limited: counters(
+                "dockwood_cold_limited_total",
+                "Requests not sent for the limit of cold servers",
+                &["reason"],
+            )?,
+            cold_servers: gauges(
+                "dockwood_cold_servers",
+                "Servers that take requests and are cold",
+                &["service"],
+            )?,
             probes: counters("dockwood_probes_total", "Probes of machines", &["result"])?,
             revision: gauge("dockwood_revision", "Newest revision applied")?,
             in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
--- a/crates/daemon/src/scope_dispatchers.rs
+++ b/crates/daemon/src/scope_dispatchers.rs
@@ -6,7 +6,7 @@
 use crate::shared::Shared;
 use dockwood_api::gateway::{DispatchScope, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
 use dockwood_api::peer::PeerClient;
-use dockwood_grouping::ScopeDispatch;
+use dockwood_grouping::{ColdLimit, ScopeDispatch};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -32,6 +32,8 @@
 /// The scopes dispatched here.
 #[derive(Debug, Default)]
 pub struct ScopeDispatchers {
+    /// By how much the rate that cold heads declare may be exceeded.
+    cold_limit: ColdLimit,
     scopes: Mutex<BTreeMap<DispatchScope, Held>>,
     /// A group has been found to stand still.
     urgent: Notify,
@@ -40,6 +42,11 @@
 }
 
 impl ScopeDispatchers {
+    /// No scope yet; cold heads may get so much more than they declare.
+    pub fn new(cold_limit: ColdLimit) -> Self {
+        ScopeDispatchers { cold_limit, ..ScopeDispatchers::default() }
+    }
+
     fn scopes(&self) -> MutexGuard<'_, BTreeMap<DispatchScope, Held>> {
         self.scopes.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
@@ -49,9 +56,10 @@
         if scopes.is_empty() {
             self.begun.notify_one();
         }
-        let held = scopes
-            .entry(scope.clone())
-            .or_insert_with(|| Held { dispatch: ScopeDispatch::new(scope.clone()), asked_at: 0 });
+        let held = scopes.entry(scope.clone()).or_insert_with(|| Held {
+            dispatch: ScopeDispatch::new(scope.clone()).with_cold_limit(self.cold_limit),
+            asked_at: 0,
+        });
         held.asked_at = monotonic_ms();
         act(&mut held.dispatch)
     }
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::section::{Problems, Section, line_of};
 use dockwood_api::ResultCode;
+use dockwood_grouping::ColdLimit;
 use marked_yaml::Node;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,6 +20,10 @@
 const DEFAULT_BUDGET_PERCENT: u64 = 20;
 const DEFAULT_BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const DEFAULT_BUDGET_EXTRA: u64 = 50;
+/// Most of what a cold server declares that may be allowed, as a multiple: with more, the declared rate would mean nothing.
+const MOST_COLD_OVERSHOOT: f64 = 10.0;
+/// Most arrivals a second that may be allowed beyond that, for the same reason.
+const MOST_COLD_EXTRA: u64 = 1_000;
 
 /// Bounds on second sends over all daemons: within any window no more than a share of the requests, and some extra.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +60,8 @@
     pub zone_regions: BTreeMap<String, String>,
     /// Bounds on second sends.
     pub retry_budget: RetryBudgetSettings,
+    /// By how much the rate that cold servers declare may be exceeded, over all daemons.
+    pub cold_limit: ColdLimit,
     /// No request runs under a key that was taken away longer ago than this; absent where it need not be bounded.
     pub revoked_within: Option<Duration>,
 }
@@ -75,6 +82,7 @@
         "answerLifetimeMs",
         "stopLimitSeconds",
         "retryBudget",
+        "coldLimit",
         "stallMs",
         "leaderDispatchesUpTo",
         "revokedWithinMs",
@@ -100,6 +108,7 @@
     };
     let zone_regions = read_zone_regions(section.optional("zones"), problems);
     let retry_budget = read_retry_budget(section.optional("retryBudget"), problems);
+    let cold_limit = read_cold_limit(section.optional("coldLimit"), problems);
     Some(GatewaySettings {
         frontend: frontend?,
         readiness: readiness?,
@@ -111,6 +120,7 @@
         leader_dispatches_up_to: dispatches_up_to? as usize,
         zone_regions: zone_regions?,
         retry_budget: retry_budget?,
+        cold_limit: cold_limit?,
         revoked_within: revoked_within?.map(Duration::from_millis),
     })
 }
@@ -148,3 +158,12 @@
     let extra = section.number("extra", defaults.extra, (0, 1_000_000), problems);
     Some(RetryBudgetSettings { percent: percent?, window: window?, extra: extra? })
 }
+
+fn read_cold_limit(node: Option<&Node>, problems: &mut Problems) -> Option<ColdLimit> {
+    let defaults = ColdLimit::default();
+    let Some(node) = node else { return Some(defaults) };
+    let section = Section::new(node, "gateway.coldLimit", &["overshoot", "extra"], problems)?;
+    let overshoot = section.multiple("overshoot", defaults.overshoot_percent, MOST_COLD_OVERSHOOT, problems);
+    let extra = section.number("extra", defaults.extra, (0, MOST_COLD_EXTRA), problems);
+    Some(ColdLimit { overshoot_percent: overshoot?, extra: extra? })
+}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -10,6 +10,7 @@
 pub use reload::run_settings_reader;
 pub use section::{Problem, Problems};
 
+use dockwood_grouping::ColdLimit;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -98,6 +99,11 @@
 }
 
 impl Settings {
+    /// By how much the rate that cold servers declare may be exceeded, over all daemons.
+    pub fn cold_limit(&self) -> ColdLimit {
+        self.gateway.as_ref().map_or_else(ColdLimit::default, |gateway| gateway.cold_limit)
+    }
+
     /// Reads and checks a settings file; on failure, every problem that was found.
     pub fn read(path: &Path) -> Result<Settings, Vec<Problem>> {
         let mut problems = Problems::new(path);
--- a/crates/daemon/src/settings/section.rs
+++ b/crates/daemon/src/settings/section.rs
@@ -180,6 +180,24 @@
             .map(|found| found.value)
     }
 
+    /// A factor above 0 and up to `most`, in percent; what is less than a hundredth is left out, which keeps limits.
+    pub(super) fn multiple(
+        &self,
+        key: &str,
+        default_percent: u64,
+        most: f64,
+        problems: &mut Problems,
+    ) -> Option<u64> {
+        let Some(node) = self.optional(key) else { return Some(default_percent) };
+        let parse = |text: &str| {
+            let factor = text.parse::<f64>().ok().filter(|factor| *factor <= most)?;
+            Some((factor * 100.0).floor() as u64).filter(|percent| *percent > 0)
+        };
+        let expected = format!("a factor above 0 and up to {most}");
+        self.parse(key, node, problems, ResultCode::SettingsBadValue, &expected, parse)
+            .map(|found| found.value)
+    }
+
     pub(super) fn flag(&self, key: &str, problems: &mut Problems) -> Option<bool> {
         let Some(node) = self.optional(key) else { return Some(false) };
         let parse = |text: &str| text.parse::<bool>().ok();
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -83,7 +83,7 @@
             dispatchers: Dispatchers::new(
                 settings.gateway.as_ref().map_or(usize::MAX, |gateway| gateway.leader_dispatches_up_to),
             ),
-            scope_dispatchers: ScopeDispatchers::default(),
+            scope_dispatchers: ScopeDispatchers::new(settings.cold_limit()),
             published: ArcSwap::default(),
             publications: watch::channel(0).0,
             lease_until: AtomicU64::new(0),
--- /dev/null
+++ b/crates/daemon/tests/cold_servers.rs
@@ -0,0 +1,46 @@
+//! What an entry sends to cold servers by itself.
+
+use dockwood_api::gateway::ColdStart;
+use dockwood_daemon::clock::monotonic_ms;
+use dockwood_daemon::gateway::ColdServers;
+use dockwood_daemon::metrics::Metrics;
+use dockwood_grouping::{ColdLimit, Pace};
+
+fn metrics() -> Metrics {
+    Metrics::new().unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// A process that was stopped with a place in hand, or whose connection took long, has to ask again.
+#[test]
+fn nothing_is_sent_on_a_place_that_was_given_too_long_ago() {
+    let (cold, metrics) = (ColdServers::default(), metrics());
+    let may_send = |valid_until| cold.may_send(&metrics, "writer", "a", true, valid_until);
+    assert!(may_send(Some(monotonic_ms() + 10_000)));
+    assert!(!may_send(Some(monotonic_ms())));
+    assert!(may_send(None), "where nothing is declared a place holds");
+    assert_eq!(metrics.cold_limited.with_label_values(&["expired"]).get(), 1);
+    assert_eq!(metrics.cold_sends.with_label_values(&["writer"]).get(), 2);
+    assert_eq!(metrics.cold_sends_peak.get(), 2);
+}
+
+#[test]
+fn two_requests_that_look_for_a_turn_at_once_do_not_both_get_it() {
+    let cold = ColdServers::new(ColdLimit { overshoot_percent: 100, extra: 0 });
+    let pace = cold.warm_pace(&ColdStart { usual_ms: 1_000, requests_per_second: 8.0 });
+    assert_eq!(pace, Pace::of_dispatcher(8));
+    let row = dockwood_state::InstanceRow {
+        id: "a".to_string(),
+        service: "board".to_string(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".to_string(),
+        slots: 1,
+        state: dockwood_api::gateway::InstanceState::Ready,
+        is_cold: true,
+        domain: None,
+    };
+    assert!(cold.is_limited(1_000, &row));
+    assert!(cold.may_give(1_000, "a", pace) && cold.may_give(1_000, "a", pace));
+    assert!(cold.try_give(1_000, "a", pace));
+    assert!(!cold.try_give(1_000, "a", pace));
+    assert!(cold.try_give(1_300, "a", pace), "its next turn has come");
+}
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 30;
@@ -49,6 +49,10 @@
     pub broken_off: AtomicU32,
     pub streaming: AtomicU32,
     pub tenants: Mutex<Vec<String>>,
+    /// For how long it says that it is still cold.
+    pub cold_ms: AtomicU64,
+    /// When requests arrived, those among them that it refused; without those that were meant for another server.
+    pub arrivals: Mutex<Vec<Instant>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -79,6 +83,8 @@
             broken_off: AtomicU32::new(0),
             streaming: AtomicU32::new(0),
             tenants: Mutex::default(),
+            cold_ms: AtomicU64::new(0),
+            arrivals: Mutex::default(),
         });
         let routes = Route::new()
             .at("/group/orders", poem::post(take_order))
@@ -94,6 +100,11 @@
         *lock(&self.manner) = manner;
     }
 
+    /// When requests arrived since `since`.
+    pub fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
+        lock(&self.arrivals).iter().copied().filter(|at| *at >= since).collect()
+    }
+
     pub fn drain(&self) {
         *lock(&self.state) = InstanceState::Draining;
     }
@@ -112,7 +123,7 @@
             zone: "z".to_string(),
             slots: 8,
             state: *lock(&self.state),
-            cold_ms: 0,
+            cold_ms: self.cold_ms.load(Ordering::SeqCst),
             sequence: self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
             domain: self.domain.clone(),
             staged: Vec::new(),
@@ -190,6 +201,7 @@
     if header(request, "dockwood-instance").as_ref() != Some(&server.id) {
         return StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt).into_response();
     }
+    lock(&server.arrivals).push(Instant::now());
     let manner = *lock(&server.manner);
     if manner == Manner::Sheds {
         let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("dockwood-not-run", "1");
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -143,6 +143,7 @@
         stop_limit: Duration::from_millis(stop_limit_ms),
         stall: Duration::from_secs(6),
         zone_regions: std::collections::BTreeMap::new(),
+        cold_limit: Default::default(),
         retry_budget: RetryBudgetSettings { percent: 20, window: Duration::from_secs(10), extra: 50 },
         revoked_within: None,
     }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -151,3 +151,31 @@
     let found = problems(&format!("{GOOD}gateway:\n  {zones}\n"));
     assert_eq!(found, [(code, 14, field.to_string())]);
 }
+
+#[parameterized(
+    not_told = { "operators: 127.0.0.1:7002", 100, 0 },
+    both = { "coldLimit: { overshoot: 1.5, extra: 5 }", 150, 5 },
+    fractions_are_rounded_down = { "coldLimit: { overshoot: 1.239, extra: 5.9 }", 123, 5 },
+    below_what_is_declared = { "coldLimit: { overshoot: 0.5 }", 50, 0 },
+)]
+fn the_limit_of_cold_servers_is_read(line: &str, overshoot_percent: u64, extra: u64) {
+    let settings = read(&format!("{GOOD}gateway:\n  {line}\n"));
+    let limit = settings.unwrap_or_else(|problems| panic!("{problems:?}")).cold_limit();
+    assert_eq!((limit.overshoot_percent, limit.extra), (overshoot_percent, extra));
+}
+
+#[parameterized(
+    negative = { "{ overshoot: -1.5 }", "overshoot" },
+    zero = { "{ overshoot: 0 }", "overshoot" },
+    next_to_nothing = { "{ overshoot: 0.001 }", "overshoot" },
+    absurd = { "{ overshoot: 1e9 }", "overshoot" },
+    no_number = { "{ overshoot: NaN }", "overshoot" },
+    endless = { "{ overshoot: inf }", "overshoot" },
+    negative_extra = { "{ extra: -1 }", "extra" },
+    absurd_extra = { "{ extra: 1e9 }", "extra" },
+    no_number_extra = { "{ extra: many }", "extra" },
+)]
+fn a_limit_of_cold_servers_that_can_not_be_used_is_refused(limit: &str, field: &str) {
+    let found = problems(&format!("{GOOD}gateway:\n  coldLimit: {limit}\n"));
+    assert_eq!(found, [(7005, 15, format!("gateway.coldLimit.{field}"))]);
+}
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! place sees every request at once.
 
 use crate::capacity::{first_event_ms, places_of_group, reading_ms};
-use crate::{Millis, Observations};
+use crate::{ColdLimit, ColdPacing, Millis, Observations, Pace};
 use dockwood_api::gateway::{EngineProfile, ModelProfile, PlaceReply, PlaceRequest};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use std::collections::BTreeMap;
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
     queues: BTreeMap<u64, GroupQueue>,
+    cold_limit: ColdLimit,
+    cold: ColdPacing<u64>,
 }
 
 /// A group that may take a request, with what it would mean.
@@ -61,6 +63,8 @@
     engine: &'a EngineProfile,
     model: &'a ModelProfile,
     observations: &'a Observations,
+    /// This dispatcher's part of what a cold head may get; absent where a cold head takes as much as a warm one.
+    cold_pace: Option<Pace>,
 }
 
 impl Asked<'_> {
@@ -89,6 +93,11 @@
 }
 
 impl Dispatcher {
+    /// Sets by how much the rate that cold heads declare may be exceeded.
+    pub fn limit_cold_heads(&mut self, limit: ColdLimit) {
+        self.cold_limit = limit;
+    }
+
     /// Assigns a request to one of the open groups that it asks for.
     pub fn assign(
         &mut self,
@@ -103,25 +112,40 @@
             let is_near = request.group_zone.as_ref().is_none_or(|zone| *zone == group.zone);
             serves && is_near && group.phase == GroupPhase::Open
         });
-        self.assign_among(now, request, engine, groups, observations)
+        let cold_pace = self.cold_pace(tables, &request.service);
+        self.assign_among(now, request, engine, cold_pace, groups, observations)
+    }
+
+    fn cold_pace(&self, tables: &GatewayTables, service: &str) -> Option<Pace> {
+        let cold_start = tables.configuration.as_ref()?.service(service)?.cold_start?;
+        Some(Pace::of_dispatcher(self.cold_limit.arrivals(&cold_start)))
     }
 
-    /// Assigns a request to one of these groups of its model.
+    /// Assigns a request to one of these groups of its model. `cold_pace` is what this dispatcher may give a cold head;
+    /// absent where a cold head takes as much as a warm one.
     pub fn assign_among<'a>(
         &mut self,
         now: Millis,
         request: &PlaceRequest,
         engine: &EngineProfile,
+        cold_pace: Option<Pace>,
         groups: impl Iterator<Item = &'a Arc<GroupRow>>,
         observations: &Observations,
     ) -> PlaceReply {
         let Some(model) = engine.model(&request.model) else { return PlaceReply::NoGroup };
-        let asked = Asked { now, request, engine, model, observations };
-        let mut groups = groups.peekable();
-        if groups.peek().is_none() {
+        let asked = Asked { now, request, engine, model, observations, cold_pace };
+        let groups: Vec<&Arc<GroupRow>> = groups.collect();
+        if groups.is_empty() {
             return PlaceReply::NoGroup;
         }
-        let candidates = groups.filter_map(|group| asked.rate(group, self.queues.get(&group.epoch)));
+        groups.iter().for_each(|group| self.cold.observe(now, &group.epoch, group.head_is_cold));
+        let is_in_pace = |group: &&&Arc<GroupRow>| {
+            cold_pace.is_none_or(|pace| self.cold.may_give(now, &group.epoch, pace))
+        };
+        let candidates = groups
+            .iter()
+            .filter(is_in_pace)
+            .filter_map(|group| asked.rate(group, self.queues.get(&group.epoch)));
         let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
         let is_late = |best: &Candidate| {
             request.most_first_event_ms.is_some_and(|most| best.first_event_ms > most as f64)
@@ -132,6 +156,9 @@
     }
 
     fn take(&mut self, asked: &Asked<'_>, epoch: u64) {
+        if let Some(pace) = asked.cold_pace {
+            self.cold.give(asked.now, &epoch, pace);
+        }
         let queue = self.queues.entry(epoch).or_default();
         queue.read_until = queue.read_until.max(asked.now as f64) + asked.reading_ms();
         queue.unreported.push(Assigned { entry: asked.request.daemon.clone(), at: asked.now });
@@ -150,5 +177,6 @@
     /// Forgets groups that are gone.
     pub fn retain(&mut self, exists: impl Fn(u64) -> bool) {
         self.queues.retain(|epoch, _| exists(*epoch));
+        self.cold.retain(|epoch| exists(*epoch));
     }
 }
--- a/crates/grouping/src/domains.rs
+++ b/crates/grouping/src/domains.rs
@@ -30,6 +30,8 @@
     pub is_free: bool,
     /// Whether it can join a group of each model without a load from the store.
     pub is_loaded: Vec<bool>,
+    /// It is cold, so that it should head no group if another member can.
+    pub is_cold: bool,
     /// What its host keeps staged could give way to another model's weights, and nothing would be lost.
     pub can_stage: bool,
 }
@@ -119,6 +121,7 @@
         ready_ms,
         is_loaded,
         is_free: true,
+        is_cold: view.tables.instances.get(id).is_some_and(|row| row.is_cold),
         can_stage: (has_room || is_doubled) && !staging.is_loading(id),
     }
 }
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -7,6 +7,7 @@
 //! group's name and epoch; a member is free again only once the head surely doesn't serve any more.
 
 mod capacity;
+mod cold;
 mod demand;
 mod dispatch;
 mod domains;
@@ -24,6 +25,10 @@
 mod worth;
 
 pub use capacity::{RequestWork, group_ms, places_of_group};
+pub use cold::{
+    COLD_GRANT_VALID_MS, COLD_SLOW_START_MS, ColdLimit, ColdPacing, Pace, SENDERS_AT_ONCE,
+    WARM_GRANT_VALID_MS,
+};
 pub use demand::{Demand, ModelDemand};
 pub use dispatch::Dispatcher;
 pub use lifecycle::{advance_groups, reap_instances, release_members};
--- a/crates/grouping/src/plan.rs
+++ b/crates/grouping/src/plan.rs
@@ -5,7 +5,7 @@
 
 use crate::Millis;
 use crate::View;
-use crate::domains::{Domain, domains_of};
+use crate::domains::{Domain, Server, domains_of};
 use crate::lending::groups_to_convert;
 use crate::need::Balance;
 use crate::packing::{Packing, PlannedGroup, best_packing};
@@ -138,6 +138,9 @@
     group: &PlannedGroup<'_>,
 ) -> GatewayCommand {
     let model = &engine.models[group.model];
+    // Requests go to the head alone: a warm member takes them at full rate from the start.
+    let mut members: Vec<&Server<'_>> = group.members.iter().collect();
+    members.sort_by_key(|server| server.is_cold);
     let reason = format!(
         "{} free in domain {domain}, ready in {} ms, {} to load",
         model.size,
@@ -148,7 +151,7 @@
         service: service.name.clone(),
         model: model.name.clone(),
         purpose: GroupPurpose::Serve,
-        members: group.members.iter().map(|server| server.id.to_string()).collect(),
+        members: members.iter().map(|server| server.id.to_string()).collect(),
         reason,
     }
 }
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -4,7 +4,7 @@
 //! A dispatcher's word is advice: entries that get none choose by their own figures, and no promise rests on it. What it
 //! knows is gathered anew from the entries' reports wherever it runs next.
 
-use crate::{Dispatcher, Millis, Observations};
+use crate::{ColdLimit, Dispatcher, Millis, Observations};
 use dockwood_api::gateway::{
     DispatchScope, GroupLoad, LoadDigest, LoadReport, ModelLoad, PlaceReply, PlaceRequest,
 };
@@ -43,6 +43,12 @@
         }
     }
 
+    /// The same, where the rate that cold heads declare may be exceeded by so much.
+    pub fn with_cold_limit(mut self, limit: ColdLimit) -> Self {
+        self.dispatcher.limit_cold_heads(limit);
+        self
+    }
+
     /// Takes an entry's report, and tells it the others' load. `is_witness` is false for an entry whose word on silent
     /// groups doesn't count, as its network is that of a member of the control group.
     pub fn exchange(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -86,7 +86,12 @@
             GatewayCommand::Configure(configuration) => {
                 Some(GatewayCommand::Configure(Arc::new(configuration.without_document())))
             }
-            GatewayCommand::Register(row) => (!row.is_engine()).then(|| self.clone()),
+            GatewayCommand::Register(row) if row.is_engine() => tables
+                .group_headed_by(&row.id)
+                .filter(|group| group.serves())
+                .cloned()
+                .map(GatewayCommand::Adopt),
+            GatewayCommand::Register(_) => Some(self.clone()),
             GatewayCommand::SetPhase { epoch, phase: GroupPhase::Open, .. } => {
                 tables.groups.get(epoch).filter(|row| row.serves()).cloned().map(GatewayCommand::Adopt)
             }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -100,6 +100,11 @@
         self.groups.get(self.memberships.get(instance)?)
     }
 
+    /// The group whose head is this instance, if any.
+    pub(crate) fn group_headed_by(&self, instance: &str) -> Option<&Arc<GroupRow>> {
+        self.group_of(instance).filter(|group| group.members.first().is_some_and(|head| head == instance))
+    }
+
     /// The tables as daemons need them that are not voters: see [`GatewayCommand::for_followers`].
     pub(crate) fn for_followers(&self) -> GatewayTables {
         let plain = self.instances.iter().filter(|(_, row)| !row.is_engine());
@@ -169,9 +174,18 @@
             next.state = InstanceState::Draining;
         }
         self.instances.insert(row.id.clone(), Arc::new(next));
+        self.note_head(&row.id, row.is_cold);
         Applied::touching(Vec::new())
     }
 
+    /// The group that an instance heads, if any, is as cold as the instance.
+    fn note_head(&mut self, instance: &str, is_cold: bool) {
+        let headed = self.group_headed_by(instance).filter(|group| group.head_is_cold != is_cold);
+        let Some(group) = headed.cloned() else { return };
+        self.groups
+            .insert(group.epoch, Arc::new(GroupRow { head_is_cold: is_cold, ..GroupRow::clone(&group) }));
+    }
+
     fn sign_off(&mut self, id: &str) -> Applied {
         if let Some(row) = self.instances.get(id) {
             let mut leaving = InstanceRow::clone(row);
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -245,3 +245,37 @@
     let copy = State::decode(&state.encode_for_followers()).map(|copy| copy.tables.gateway.is_evacuated("z"));
     assert_eq!(copy, Ok(true), "daemons that are no voters learn of it");
 }
+
+/// Daemons that are no voters hold no engines: they learn from the group whether its head is cold.
+#[test]
+fn a_group_is_as_cold_as_its_head_and_daemons_that_route_requests_learn_of_it() {
+    let mut leader = State::default();
+    let mut told = Vec::new();
+    let mut give = |leader: &mut State, command: GatewayCommand| {
+        let command = Command { at_ms: 1, body: CommandBody::Gateway(command) };
+        leader.apply(&command);
+        told.extend(command.for_followers(&leader.tables));
+        let follower = follower_of(leader, &told);
+        let is_cold = |state: &State| state.tables.gateway.groups.get(&1).map(|group| group.head_is_cold);
+        (is_cold(leader), is_cold(&follower))
+    };
+    let report = |id: &str, port, is_cold| GatewayCommand::Register(InstanceRow { is_cold, ..row(id, port) });
+    give(&mut leader, report("head", 1, true));
+    give(&mut leader, report("member", 2, false));
+    let members = vec!["head".to_string(), "member".to_string()];
+    let (service, model, purpose) = ("s".to_string(), "m".to_string(), GroupPurpose::Serve);
+    give(&mut leader, GatewayCommand::Form { service, model, members, purpose, reason: String::new() });
+    assert_eq!(give(&mut leader, report("head", 1, false)), (Some(false), None), "it does not serve yet");
+    assert_eq!(give(&mut leader, report("head", 1, true)), (Some(true), None));
+    let open = GatewayCommand::SetPhase { epoch: 1, phase: GroupPhase::Open, reason: String::new() };
+    assert_eq!(give(&mut leader, open), (Some(true), Some(true)));
+    assert_eq!(give(&mut leader, report("head", 1, false)), (Some(false), Some(false)));
+    assert_eq!(
+        give(&mut leader, report("member", 2, true)),
+        (Some(false), Some(false)),
+        "it is not the head"
+    );
+    assert_eq!(give(&mut leader, report("head", 1, true)), (Some(true), Some(true)));
+    let copy = State::decode(&leader.encode_for_followers()).expect("it can be read");
+    assert!(copy.tables.gateway.groups[&1].head_is_cold);
+}
