Cold servers: a request exactly one span old still counts

Cause: both ends of the second count, so a request and one given a whole span later may arrive within the same second. Change: the count of what a server got lately takes both ends. Tests: grouping/tests/cold.rs, all green.

--- a/crates/grouping/src/cold.rs
+++ b/crates/grouping/src/cold.rs
@@ -117,7 +117,7 @@
         let Some(interval_ms) = pace.interval_ms() else { return false };
         let is_spaced = self.at.back().is_none_or(|last| now >= last + interval_ms);
         // A server that was warm a moment ago may have got more than its spacing allows.
-        let within = self.at.iter().rev().take_while(|at| now < **at + SPREAD_MS).count();
+        let within = self.at.iter().rev().take_while(|at| now <= **at + SPREAD_MS).count();
         is_spaced && within < pace.requests as usize
     }
 }
