--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -20,6 +20,9 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(25);
 /// Limit of the call itself. Longer than the wait for it: a late answer is no reason to connect anew.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// A wait for a dispatcher that took this long, in milliseconds, although it was to end much earlier: this process did not
+/// run meanwhile. The dispatcher isn't late then, and what this entry knows of the groups is old: it asks once more.
+const DID_NOT_RUN_MS: Millis = 200;
 /// Zones that are asked for a place, the own one first.
 const MOST_ZONES: usize = 3;
 /// Part of the target for the first event at which a group of another zone is better, in hundredths: half of it is left
@@ -80,6 +83,10 @@
         },
         PlaceReply::Full => {
             gateway.loads.found_none(query.service, query.model);
+            let limits_cold = cold_start_of(&gateway.shared.tables().gateway, query.service).is_some();
+            if limits_cold && !gateway.loads.cold(query).is_empty() {
+                gateway.shared.metrics.cold_limited.with_label_values(&["full"]).inc();
+            }
             PlaceAnswer::Full
         }
         PlaceReply::NoGroup => PlaceAnswer::NoGroup,
@@ -154,13 +161,20 @@
 }
 
 async fn ask(gateway: &Gateway, dispatcher: SocketAddr, request: PlaceRequest) -> Option<Answer> {
+    let begun = monotonic_ms();
+    let first = ask_once(gateway, dispatcher, request.clone()).await;
+    let did_not_run = monotonic_ms() >= begun + DID_NOT_RUN_MS;
+    let answer = if did_not_run { ask_once(gateway, dispatcher, request).await } else { first };
+    if answer.is_none() {
+        gateway.shared.dispatchers.rest(dispatcher);
+    }
+    answer
+}
+
+async fn ask_once(gateway: &Gateway, dispatcher: SocketAddr, request: PlaceRequest) -> Option<Answer> {
     let asked_at = monotonic_ms();
     let call = |client: PeerClient, context| async move { client.assign_place(context, request).await };
     let asked = gateway.shared.peers.call(dispatcher, CALL_LIMIT, call);
-    let answer = tokio::time::timeout(ANSWER_LIMIT, asked).await;
-    if !matches!(answer, Ok(Ok(Some(_)))) {
-        gateway.shared.dispatchers.rest(dispatcher);
-    }
-    let reply = answer.ok()?.ok()??;
+    let reply = tokio::time::timeout(ANSWER_LIMIT, asked).await.ok()?.ok()??;
     Some(Answer { reply, asked_at })
 }
--- a/crates/daemon/tests/dispatchers.rs
+++ b/crates/daemon/tests/dispatchers.rs
@@ -104,6 +104,19 @@
     assert_ne!(first, second);
 }
 
+/// The first ones may still work for other entries while the third is asked by some.
+#[test]
+fn only_two_dispatchers_of_a_scope_give_requests_to_cold_heads() {
+    let tables = fleet(300).tables;
+    let dispatchers = Dispatchers::new(64);
+    let scope = scope(1, "small");
+    for may_pace in [true, true, false] {
+        let next = dispatchers.of_scope(&tables, &scope).expect("a dispatcher");
+        assert_eq!(dispatchers.may_pace(&tables, &scope, next), may_pace);
+        dispatchers.rest(next);
+    }
+}
+
 #[test]
 fn an_entry_on_a_machine_of_the_control_group_is_no_witness() {
     let tables = fleet(300).tables;
--- a/crates/daemon/tests/gateway/cold_servers.rs
+++ b/crates/daemon/tests/gateway/cold_servers.rs
@@ -112,7 +112,7 @@
     Ok(())
 }
 
-/// Entries that were stopped with places in hand have nothing to send when they go on.
+/// Stops of entries, whatever they hold at that moment, bring no more requests to a cold head.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entries_that_are_stopped_again_and_again_keep_the_limit() {
     let (fleet, models) = with_groups(Fleet::start()).await;
