--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -40,7 +40,7 @@
     allowance: u32,
     suspected_until: Millis,
     suspected_by_others: bool,
-    /// Its head was found cold until then, or will count as such.
+    /// Its head counts as cold until then, also if it says that it is warm.
     cold_until: Millis,
     progressed: bool,
     refused: bool,
@@ -283,7 +283,8 @@
         place_at(gateway, &mut groups, epoch as u64, now).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
     }
 
-    /// Takes a place that a dispatcher has assigned when it was asked at `asked_at`; `None` if the group is not known here, or no longer serves.
+    /// Takes a place that a dispatcher has assigned, which was asked at `asked_at`; `None` if the group is not known here,
+    /// or no longer serves.
     pub fn take_assigned(gateway: &Arc<super::Gateway>, epoch: u64, asked_at: Millis) -> Option<GroupPlace> {
         let mut groups = lock(&gateway.loads.groups);
         groups.get(&epoch).filter(|group| group.takes_new)?;
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -138,6 +138,7 @@
         if groups.is_empty() {
             return PlaceReply::NoGroup;
         }
+        // All of them, so that the end of each one's cold time is seen.
         groups.iter().for_each(|group| self.cold.observe(now, &group.epoch, group.head_is_cold));
         let is_in_pace = |group: &&&Arc<GroupRow>| {
             cold_pace.is_none_or(|pace| self.cold.may_give(now, &group.epoch, pace))
