--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -220,11 +220,12 @@
         if service.engine.is_none() {
             let picked = pick(&self.gateway, &service, &self.received.zones, &self.tried_servers);
             return match picked {
-                Some(picked) => {
+                Ok(picked) => {
                     self.tried_servers.push(picked.row.id.clone());
                     Ok(Source::Server(picked))
                 }
-                None => Err(self.refusal(none_serves(&self.received), FULL_RETRY_MS)),
+                Err(ResultCode::NoServer) => Err(self.refusal(none_serves(&self.received), FULL_RETRY_MS)),
+                Err(code) => Err(self.refusal(code, FULL_RETRY_MS)),
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
