A server has left its group only where reports or answers prove it

Cause: a member, or a head, counted as having left a group once a report without the group had arrived after the order to close. A report may come seconds late, so one that was sent before the server joined passed for this with a leader that had seen no other; its servers were joined elsewhere while the group was open. Besides, a group that stood still once and moved on counted as broken soon after its head fell silent.

Change: new module membership. A server has left if a report shows it in a newer group, if an earlier report by sequence shows it in the group and the newest does not, if it answered an order to leave, or if its newest report came later than any report may be late. Members of a cut group whose head cannot be asked are told to leave until one of these holds; a head that answers that closing does not fit it is told to leave. Standing still counts only without progress then or since.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -140,6 +140,7 @@
     /// member's heartbeats had been missing for long enough; this takes 0.7 s.
     pub fn order_answered(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         self.orders.answered(now, order, answer);
+        self.observations.record_answer(order, answer);
         match answer {
             OrderAnswer::Unreachable => {
                 self.observations.record_probe(now, &order.instance, ProbeResult::Refused);
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -12,6 +12,7 @@
 mod domains;
 mod lending;
 mod lifecycle;
+mod membership;
 mod need;
 mod observations;
 mod orders;
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Takes groups from phase to phase, and forgets instances that are gone.
 
+use crate::membership::has_surely_left;
 use crate::{Millis, View};
 use dockwood_api::gateway::{InstanceState, MembershipState};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose, GroupRow};
@@ -136,18 +137,9 @@
     if view.now >= closing_since + patience && !view.observations.is_present(view.now, head) {
         return Some("the head has been silent for longer than a group can stand still");
     }
-    let seen = view.observations.instance(head)?;
-    // Only a report that came after the order to close tells of it.
-    if seen.reported_at <= closing_since {
-        return None;
-    }
-    match &seen.membership {
-        None => Some("the head has closed and left"),
-        Some(membership) if membership.epoch != group.epoch => Some("the head is in another group"),
-        // Closed is not enough: an order to open that was left unanswered may still be carried out. A head that has
-        // left can't be opened any more.
-        Some(_) => None,
-    }
+    // Closed is not enough: an order to open that was left unanswered may still be carried out. A head that has left
+    // can't be opened any more.
+    has_surely_left(view, head, group.epoch, closing_since).then_some("the head has closed and left")
 }
 
 /// Members that have left a group whose head can't be asked.
@@ -155,11 +147,7 @@
     let cut_off = view.tables.groups.values().filter(|group| group.phase == GroupPhase::Cutting);
     let released = cut_off.flat_map(|group| {
         let since = closing_since(group.epoch);
-        let has_left = move |member: &&String| {
-            let Some(seen) = view.observations.instance(member) else { return false };
-            let in_group = seen.membership.as_ref().is_some_and(|held| held.epoch == group.epoch);
-            seen.reported_at > since && !in_group
-        };
+        let has_left = move |member: &&String| has_surely_left(view, member, group.epoch, since);
         group.members.iter().skip(1).filter(has_left).map(|member| (group.epoch, member.clone()))
     });
     released.map(|(epoch, member)| GatewayCommand::Release { epoch, member }).collect()
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -3,7 +3,8 @@
 use crate::Millis;
 use crate::demand::Demand;
 use dockwood_api::gateway::{
-    DispatchScope, InstanceReport, LoadDigest, LoadReport, MembershipReport, SharedGroupLoad,
+    DispatchScope, GroupCommand, GroupOrder, InstanceReport, LoadDigest, LoadReport, MembershipReport,
+    OrderAnswer, SharedGroupLoad,
 };
 use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,14 +34,29 @@
     pub reported_at: Millis,
     /// Sequence of the newest report.
     pub sequence: u64,
+    /// When the newest report came.
+    pub newest_at: Millis,
     /// Its word on its group.
     pub membership: Option<MembershipReport>,
     /// Models whose weights its host keeps.
     pub staged: Vec<String>,
+    /// Newest epoch of a group that any of its reports showed it in; 0 if none did.
+    pub last_epoch: u64,
+    /// Epoch of the group that it last answered not to be in; 0 if it did for none.
+    pub left_epoch: u64,
+    /// Epoch of the group that it last answered not to be serving; 0 if it did for none.
+    pub unserved_epoch: u64,
     /// It did not answer a probe, and has not reported since.
     pub silent_since: Option<Millis>,
 }
 
+impl InstanceObservation {
+    /// Whether its newest report shows it in a group.
+    pub fn is_shown_in(&self, epoch: u64) -> bool {
+        self.membership.as_ref().is_some_and(|membership| membership.epoch == epoch)
+    }
+}
+
 /// Who reports loads: an entry, or a dispatcher on one of its scopes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Reporter {
@@ -95,7 +111,10 @@
         let is_newer = !known || report.sequence > seen.sequence;
         seen.reported_at = now;
         seen.silent_since = None;
+        let shown = report.membership.as_ref().map_or(0, |membership| membership.epoch);
+        seen.last_epoch = seen.last_epoch.max(shown);
         if is_newer {
+            seen.newest_at = now;
             seen.sequence = report.sequence;
             seen.membership = report.membership.clone();
             seen.staged = report.staged.clone();
@@ -115,6 +134,19 @@
         }
     }
 
+    /// Takes a server's answer to an order, which shows where the server stood after the order had been sent.
+    pub fn record_answer(&mut self, order: &GroupOrder, answer: OrderAnswer) {
+        let Some(seen) = self.instances.get_mut(&order.instance) else { return };
+        let is_taken = matches!(answer, OrderAnswer::Begun | OrderAnswer::Holds);
+        let is_unfit = answer == OrderAnswer::Unfit;
+        match &order.command {
+            // It takes effect at once, and fits whoever is a member.
+            GroupCommand::Leave if is_taken || is_unfit => seen.left_epoch = order.epoch,
+            GroupCommand::Close { .. } if is_unfit => seen.unserved_epoch = order.epoch,
+            _ => {}
+        }
+    }
+
     /// Takes an entry's load, and tells it the others'. `is_witness` is false for an entry that shares its machine
     /// with a member of the control group: what is cut off from control is cut off from it too, and may be reached
     /// by all other entries.
@@ -204,9 +236,11 @@
             .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
     }
 
-    /// Whether any entry ever found a group to stand still.
+    /// Whether a group stood still when entries last told of it: none told of progress then or since.
     pub fn was_silent(&self, epoch: u64) -> bool {
-        self.groups.get(&epoch).is_some_and(|evidence| evidence.silent_at.is_some())
+        let Some(evidence) = self.groups.get(&epoch) else { return false };
+        let Some(silent_at) = evidence.silent_at else { return false };
+        evidence.progressed_at.is_none_or(|at| at + PROGRESS_VALID_MS <= silent_at)
     }
 
     /// Whether entries find a group to stand still.
--- a/crates/grouping/src/wanted.rs
+++ b/crates/grouping/src/wanted.rs
@@ -1,6 +1,7 @@
 //! Which orders a group's state calls for: those whose effect its members have not reported yet.
 
 use crate::View;
+use crate::membership::has_shown_leaving;
 use crate::orders::OrderKind;
 use dockwood_api::gateway::MembershipState;
 use dockwood_state::{GroupPhase, GroupRow};
@@ -40,7 +41,8 @@
         let is_closed = matches!(membership.state, MembershipState::Ready | MembershipState::Broken);
         membership.epoch == group.epoch && is_closed
     });
-    if has_closed { OrderKind::Leave } else { close }
+    let serves_not = head.is_some_and(|seen| seen.unserved_epoch == group.epoch);
+    if has_closed || serves_not { OrderKind::Leave } else { close }
 }
 
 /// Where the head can't be asked to close, its other members are told to leave: without them it can't go on, whether
@@ -48,7 +50,10 @@
 fn members_to_leave<'a>(view: &View<'_>, group: &'a GroupRow) -> impl Iterator<Item = &'a str> {
     let head_answers = group.members.first().is_some_and(|head| view.observations.is_present(view.now, head));
     let others = group.members.iter().skip(1).filter(move |_| !head_answers);
-    others.filter(move |member| has_joined(view, group, member)).map(String::as_str)
+    let may_be_member = move |member: &&String| {
+        view.observations.is_present(view.now, member) && !has_shown_leaving(view, member, group.epoch)
+    };
+    others.filter(may_be_member).map(String::as_str)
 }
 
 fn has_joined(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
