--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -3,6 +3,7 @@
 
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
+use dockwood_api::gateway::InstanceState;
 use dockwood_api::resource::{Kind, ResourceKey};
 use dockwood_state::{
     Applied, ChangeAction, ChangeRequest, Command, CommandBody, GatewayCommand, Outcome, ReplicaPhase, Tables,
@@ -84,10 +85,12 @@
             account("gateway", "configuration", reason, format!("version {version}, held {held}"))
         }
         GatewayCommand::Register(row) => {
-            let message = format!("{} at {}, {:?}", row.service, row.address, row.state);
+            let leaving = row.state == InstanceState::Draining;
+            let left = if leaving { group_left(tables, &row.id) } else { String::new() };
+            let message = format!("{} at {}, {:?}{left}", row.service, row.address, row.state);
             account("instance", &row.id, "Registered", message)
         }
-        GatewayCommand::SignOff { id } => account("instance", id, "SignedOff", String::new()),
+        GatewayCommand::SignOff { id } => account("instance", id, "SignedOff", group_left(tables, id)),
         GatewayCommand::Remove { id } => account("instance", id, "Removed", String::new()),
         GatewayCommand::Form { model, members, reason, .. } => {
             let name = format!("g{}", tables.gateway.last_epoch);
@@ -117,6 +120,15 @@
     }
 }
 
+/// The group that an instance leaves, as a message ends with it.
+fn group_left(tables: &Tables, instance: &str) -> String {
+    let group = tables.gateway.group_of(instance);
+    group.map_or_else(String::new, |group| {
+        let role = if group.members.first().is_some_and(|head| head == instance) { "head" } else { "member" };
+        format!("; {role} of {}, {:?}", group.name, group.phase)
+    })
+}
+
 fn refused(command: &Command, code: ResultCode, message: &str) -> Account {
     let subject = match &command.body {
         CommandBody::JoinDaemon { record, .. } => Subject::new("daemon", &record.name),
