--- a/crates/grouping/src/departures.rs
+++ b/crates/grouping/src/departures.rs
@@ -2,6 +2,9 @@
 //!
 //! A leaving member serves on for some time, so its group does too. Departures that come close together then end a group
 //! once, and its servers are planned for again when as many as possible of their replacements are there.
+//!
+//! Until it drains, planning takes such a group for any other: a successor can't form before the group has closed, as its
+//! domain rarely has as many free servers, and free servers that wait for it form no smaller group.
 
 use crate::{Millis, View};
 use dockwood_api::gateway::InstanceState;
@@ -34,7 +37,7 @@
     let is_head = group.members.first().is_some_and(|head| head == member);
     let since = view.observations.instance(member).and_then(|seen| seen.leaving_since);
     match since {
-        // Requests go to the head, which must get none once it is about to stop listening.
+        // A head is the server that requests go to: from the first word on it gets as few as possible.
         Some(since) if !is_head && !has_signed_off_last(view, member) => since + LISTENS_MS - TOLD_MS,
         _ => 0,
     }
--- a/crates/grouping/src/wanted.rs
+++ b/crates/grouping/src/wanted.rs
@@ -41,8 +41,8 @@
         let is_closed = matches!(membership.state, MembershipState::Ready | MembershipState::Broken);
         membership.epoch == group.epoch && is_closed
     });
-    let serves_not = head.is_some_and(|seen| seen.unserved_epoch == group.epoch);
-    if has_closed || serves_not { OrderKind::Leave } else { close }
+    let is_unserved = head.is_some_and(|seen| seen.unserved_epoch == group.epoch);
+    if has_closed || is_unserved { OrderKind::Leave } else { close }
 }
 
 /// Where the head can't be asked to close, its other members are told to leave: without them it can't go on, whether
--- a/crates/grouping/tests/free_servers.rs
+++ b/crates/grouping/tests/free_servers.rs
@@ -70,6 +70,19 @@
     assert!(advance_groups(&world.view(), |_| closing_since).is_empty(), "the head is open");
 }
 
+#[test]
+fn a_member_that_reports_a_newer_group_has_left() {
+    let mut world = World::new(1, 4);
+    let epoch = world.open_group(LARGE, &["d0-s0", "d0-s1", "d0-s2", "d0-s3"]);
+    cut(&mut world, epoch);
+    change_leader(&mut world);
+    let closing_since = world.now;
+    world.hear_member("d0-s1", epoch - 1, MembershipState::Ready, &[LARGE]);
+    assert!(release_members(&world.view(), |_| closing_since).is_empty(), "it was sent before it joined");
+    world.hear_member("d0-s1", epoch + 1, MembershipState::Ready, &[LARGE]);
+    assert_eq!(release_members(&world.view(), |_| closing_since).len(), 1);
+}
+
 /// Reports that overtake one another: what the earlier one shows counts all the same.
 #[test]
 fn a_member_has_left_if_an_earlier_report_that_comes_later_shows_it_in_the_group() {
