--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -86,12 +86,13 @@
         report: &InstanceReport,
     ) -> Option<GatewayCommand> {
         if tables.was_removed(&report.id) {
+            // It never comes back, but it may be serving still, and its word on its group counts until it ends.
+            if tables.instances.contains_key(&report.id) {
+                self.take_report(now, tables, report);
+            }
             return None;
         }
-        let is_newest = self.observations.record_report(now, report);
-        if let Some(group) = tables.group_of(&report.id) {
-            self.orders.touch(group.epoch);
-        }
+        let is_newest = self.take_report(now, tables, report);
         let row = InstanceRow::from(report);
         let known = tables.instances.get(&report.id);
         if known.is_none() && self.successors.is_doubtful(now, tables, &self.observations, &row) {
@@ -102,6 +103,14 @@
         is_news.then_some(GatewayCommand::Register(row))
     }
 
+    /// Takes what a report tells of its sender. False if a newer one was taken before.
+    fn take_report(&mut self, now: Millis, tables: &GatewayTables, report: &InstanceReport) -> bool {
+        if let Some(group) = tables.group_of(&report.id) {
+            self.orders.touch(group.epoch);
+        }
+        self.observations.record_report(now, report)
+    }
+
     /// Takes an entry's load, and tells it the others' and the places that it may take. `entries` are those that are
     /// live.
     pub fn exchange(
@@ -165,6 +174,7 @@
     /// member's heartbeats had been missing for long enough; this takes 0.7 s.
     pub fn order_answered(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         self.orders.answered(now, order, answer);
+        self.observations.record_answer(order, answer);
         match answer {
             OrderAnswer::Unreachable => {
                 self.observations.record_probe(now, &order.instance, ProbeResult::Refused);
@@ -202,8 +212,9 @@
         if !self.started {
             self.started = true;
             self.observations.assume_present(now, tables.instances.keys().cloned());
+            self.observations.note_departures(0, tables);
         }
-        self.forget_gone(tables);
+        self.follow(now, tables);
         let view = View { tables, observations: &self.observations, now, policy };
         let mut commands = self.successors.confirmed();
         commands.extend(advance_groups(&view, |epoch| self.orders.closing_since(now, epoch)));
@@ -223,11 +234,12 @@
         commands
     }
 
-    /// Forgets what was observed of instances and groups that are gone.
-    fn forget_gone(&mut self, tables: &GatewayTables) {
+    /// Notes which instances have begun to leave, and forgets instances and groups that are gone.
+    fn follow(&mut self, now: Millis, tables: &GatewayTables) {
         if self.known.is_same(tables) {
             return;
         }
+        self.observations.note_departures(now, tables);
         self.observations.retain(tables);
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
         self.known = KnownTables::of(tables);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -60,6 +60,8 @@
     pub cold_limited: IntCounterVec,
     /// Servers that take requests and are cold, by service.
     pub cold_servers: IntGaugeVec,
+    /// Open groups that a member leaves.
+    pub departing_groups: IntGauge,
     /// Probes of machines by result.
     pub probes: IntCounterVec,
     /// Newest revision applied.
@@ -200,6 +202,10 @@
                 "Servers that take requests and are cold",
                 &["service"],
             )?,
+            departing_groups: gauge(
+                "dockwood_departing_groups",
+                "Open groups that a member leaves, as members of the control group see it",
+            )?,
             probes: counters("dockwood_probes_total", "Probes of machines", &["result"])?,
             revision: gauge("dockwood_revision", "Newest revision applied")?,
             in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -9,10 +9,12 @@
 mod capacity;
 mod cold;
 mod demand;
+mod departures;
 mod dispatch;
 mod domains;
 mod lending;
 mod lifecycle;
+mod membership;
 mod need;
 mod observations;
 mod orders;
@@ -32,6 +34,7 @@
     WARM_GRANT_VALID_MS,
 };
 pub use demand::{Demand, ModelDemand};
+pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
 pub use lifecycle::{advance_groups, reap_instances, release_members};
 pub use observations::{InstanceObservation, Observations, ProbeResult};
