--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -35,8 +35,10 @@
         let code = match place(gateway, query).await {
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
-            // Groups elsewhere may not run it, and none opens within the time that it may wait.
-            PlaceAnswer::NoGroup if query.zones.are_restricted() => return Err(ResultCode::NoServerInRegion),
+            PlaceAnswer::NoGroup if has_none_in_its_regions(gateway, query) => {
+                return Err(ResultCode::NoServerInRegion);
+            }
+            PlaceAnswer::NoGroup if query.zones.are_restricted() => ResultCode::NoServerInRegion,
             PlaceAnswer::NoGroup => ResultCode::NoServer,
         };
         // The leader tells of places that become free at other entries; dispatchers are asked again.
@@ -51,6 +53,13 @@
     }
 }
 
+/// Whether a request is bound to regions where this entry, too, knows of no group of its model. Waiting would only hold
+/// its caller up: nothing is planned by region, so none is likely to open there soon.
+fn has_none_in_its_regions(gateway: &Gateway, query: PlaceQuery<'_>) -> bool {
+    let own_zone = &gateway.shared.settings.zone;
+    query.zones.are_restricted() && gateway.loads.zones(query, own_zone).is_empty()
+}
+
 async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
     let reply = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
         Dispatch::Leader => ask_leader(gateway, query).await,
