Zones are evacuated: state, dispatch, planning, entries; tests of the tables and of plans

An operator's call was refused by a stub. It is now decided on the zone's generation and committed; dispatchers, entries and plans leave out servers of evacuated zones, and requests are kept back at the moment of writing. A call that finds the zone as it asks for takes a generation too, as an opposite one may be on its way.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -57,6 +57,7 @@
     Overloaded = 2020, 503, "All servers of the service are busy; not run, retry after the stated time.";
     NoServer = 2021, 503, "No server of the service takes work; not run, retry after the stated time.";
     DeadlineInQueue = 2022, 503, "The time ran out before the request was sent to a server; not run.";
+    ZoneEvacuated = 2026, 503, "All servers that could take the request stand in evacuated zones; not run, retry after the stated time.";
     Interrupted = 3001, 502, "The run was cut short and may not be continued; what was generated is incomplete.";
     OutcomeUnknown = 3002, 502, "The request was sent and its outcome can't be established; it is not run again.";
     DeadlinePassed = 3003, 504, "The deadline passed while the request was running; the run was cancelled.";
@@ -88,6 +89,9 @@
     RouteUnknownService = 4021, 400, "A route names a service that is not declared; nothing was changed.";
     RouteDuplicate = 4022, 400, "Two routes share host and path prefix; nothing was changed.";
     TenantKeyShared = 4023, 400, "Two tenants share a key; nothing was changed.";
+    ZoneMalformed = 4026, 400, "The path names no zone: empty, too long, or with characters that no zone has; nothing was changed.";
+    ZoneUnknown = 4027, 404, "The settings declare no zone of this name; nothing was changed.";
+    EvacuationOvertaken = 4028, 503, "The zone's evacuation was changed by another call meanwhile; nothing was changed, repeat the call.";
     NoLeader = 5001, 503, "There is no known control leader; try again.";
     NotLeader = 5002, 503, "This daemon is not the control leader; the leader is attached where known.";
     ProposalDropped = 5003, 503, "The change was not committed; resend it with the same change id.";
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -72,6 +72,7 @@
         "leader": leader, "term": term, "revision": tables.revision, "inForceRevision": in_force_revision,
         "behind": leases.behind(now, tables.revision), "claims": board.state.claims.len(),
         "replicas": replicas, "shortfalls": missing, "strandedMachines": stranded, "daemons": daemons,
+        "evacuatedZones": tables.gateway.evacuated_zones().collect::<Vec<&str>>(),
     });
     serde_json::to_vec(&view).unwrap_or_default()
 }
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -3,6 +3,7 @@
 
 use super::Gateway;
 use super::dispatchers::Dispatch;
+use super::evacuation::no_group_code;
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{DispatchScope, PlaceReply, PlaceRequest};
@@ -32,17 +33,23 @@
     deadline: Instant,
 ) -> Result<GroupPlace, ResultCode> {
     loop {
+        // Asked for first, so that what changes while the place is asked for is not missed.
+        let freed = gateway.loads.place_freed();
         let code = match place(gateway, query).await {
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
-            PlaceAnswer::NoGroup => ResultCode::NoServer,
+            PlaceAnswer::NoGroup => no_group_code(gateway, query.service, query.model),
         };
+        // The end of an evacuation is not waited for.
+        if code == ResultCode::ZoneEvacuated {
+            return Err(code);
+        }
         // The leader tells of places that become free at other entries; dispatchers are asked again.
         let until = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
             Dispatch::Leader => deadline,
             Dispatch::Scopes => deadline.min(Instant::now() + ASK_AGAIN),
         };
-        let is_freed = tokio::time::timeout_at(until, gateway.loads.place_freed()).await.is_ok();
+        let is_freed = tokio::time::timeout_at(until, freed).await.is_ok();
         if !is_freed && until >= deadline {
             return Err(code);
         }
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use tokio::sync::futures::Notified;
 use tokio::sync::{Notify, watch};
 
 /// A group that stood still here is avoided for this long.
@@ -82,6 +83,8 @@
     pub head: SocketAddr,
     /// Instance id of its head.
     pub instance: String,
+    /// Zone of its head.
+    pub zone: String,
 }
 
 impl Drop for GroupPlace {
@@ -124,7 +127,8 @@
     let group = groups.get_mut(&epoch)?;
     group.in_flight += 1;
     let instance = group.row.members.first().cloned().unwrap_or_default();
-    Some(GroupPlace { gateway: gateway.clone(), epoch, head: group.row.head, instance })
+    let (head, zone) = (group.row.head, group.row.zone.clone());
+    Some(GroupPlace { gateway: gateway.clone(), epoch, head, instance, zone })
 }
 
 impl Loads {
@@ -140,7 +144,7 @@
         }
         for row in tables.groups.values().filter(|row| row.serves()) {
             let slots = tables.engine(&row.service).map_or(1, |engine| engine.slots);
-            let takes_new = row.phase == GroupPhase::Open;
+            let takes_new = row.phase == GroupPhase::Open && !tables.is_evacuated(&row.zone);
             let update = |group: &mut GroupState| {
                 group.slots = slots;
                 group.takes_new = takes_new;
@@ -192,9 +196,10 @@
         self.changes.subscribe()
     }
 
-    /// Waits until a place may have become free.
-    pub async fn place_freed(&self) {
-        self.freed.notified().await;
+    /// Completes once a place may have become free since this was called: a group has opened, has lost a request, or its
+    /// zone takes requests again.
+    pub fn place_freed(&self) -> Notified<'_> {
+        self.freed.notified()
     }
 
     /// Entries that told the leader of their load lately.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod body;
 mod directory;
 mod dispatchers;
+mod evacuation;
 mod frontend;
 mod headers;
 mod load_exchange;
@@ -163,9 +164,11 @@
 fn count_open_groups(metrics: &Metrics, tables: &GatewayTables) {
     let services = tables.configuration.iter().flat_map(|held| &held.services);
     for service in services.filter(|service| service.engine.is_some()) {
-        let is_open =
-            |group: &&Arc<GroupRow>| group.service == service.name && group.phase == GroupPhase::Open;
-        let open = tables.groups.values().filter(is_open).count();
+        let takes_new = |group: &&Arc<GroupRow>| {
+            let is_open = group.service == service.name && group.phase == GroupPhase::Open;
+            is_open && !tables.is_evacuated(&group.zone)
+        };
+        let open = tables.groups.values().filter(takes_new).count();
         metrics.open_groups.with_label_values(&[&service.name]).set(open as i64);
     }
 }
@@ -182,6 +185,8 @@
         }
         gateway.loads.follow(&tables.gateway);
         count_open_groups(&gateway.shared.metrics, &tables.gateway);
+        let evacuated = tables.gateway.evacuated_zones().count();
+        gateway.shared.metrics.evacuated_zones.set(evacuated as i64);
         if publications.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use super::body::{AnswerBody, read_whole};
+use super::evacuation;
 use super::refusal::{bare, json, refuse};
 use super::registration::{pass_on, report_target};
 use crate::dialect::OperatorCall;
@@ -34,7 +35,7 @@
         Ok(OperatorCall::Report(report)) => take_report(&gateway, *report).await,
         Ok(OperatorCall::SignOff { id }) => sign_off(&gateway, id).await,
         Ok(OperatorCall::SetEvacuation { zone, evacuated }) => {
-            set_evacuation(&gateway, zone, evacuated).await
+            evacuation::set(&gateway, zone, evacuated, CALL_LIMIT).await
         }
         Err(error) => Err(error),
     };
@@ -103,14 +104,3 @@
     submit(&gateway.shared, body, CALL_LIMIT).await?;
     Ok(bare(StatusCode::OK))
 }
-
-/// Evacuates a zone, or ends its evacuation; acknowledged once it is committed. A call that was overtaken by a later one
-/// changes nothing: it is decided on the zone's generation as the leader held it when the call arrived.
-async fn set_evacuation(
-    gateway: &Gateway,
-    zone: String,
-    evacuated: bool,
-) -> Result<Response<AnswerBody>, ApiError> {
-    let _ = (gateway, zone, evacuated);
-    Err(ApiError::new(ResultCode::NoSuchPath, "zones can't be evacuated yet"))
-}
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -3,6 +3,7 @@
 use super::Gateway;
 use super::account::RequestAccount;
 use super::body::{AnswerBody, read_whole, whole};
+use super::evacuation::{may_write, no_server_code};
 use super::headers::{ServerHeaders, add_for_server, end_to_end};
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
@@ -82,7 +83,8 @@
         loop {
             let service = &self.received.service;
             let Some(picked) = pick(self.gateway, &service.name, service.max_connections, &self.tried) else {
-                return self.last_word(ResultCode::NoServer);
+                let code = no_server_code(self.gateway, &service.name);
+                return self.last_word(code);
             };
             if !may_still_run(self.gateway, self.received) {
                 return self.last_word(ResultCode::NoLease);
@@ -137,6 +139,10 @@
         let Some(request) = request_for(self.gateway, self.received, &picked.row.id, None) else {
             return Err(SendOutcome::NotSent);
         };
+        if !may_write(self.gateway, &picked.row.zone) {
+            self.gateway.pool.keep(upstream);
+            return Err(SendOutcome::NotSent);
+        }
         self.in_flight = true;
         let answer = exchange(&mut upstream, request, self.gateway.dialect.headers(), self.received).await;
         self.in_flight = false;
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -21,6 +21,16 @@
     Server(Picked),
 }
 
+impl Source {
+    /// Zone of the server that is sent the request.
+    pub fn zone(&self) -> &str {
+        match self {
+            Source::Group(place) => &place.zone,
+            Source::Server(picked) => &picked.row.zone,
+        }
+    }
+}
+
 /// Notes that a group stood still.
 pub fn abandon(gateway: &Gateway, source: &Source) -> SendOutcome {
     if let Source::Group(place) = source {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -8,6 +8,7 @@
 use super::account::RequestAccount;
 use super::assignment::wait_for_place;
 use super::body::{AnswerBody, CutShort, whole};
+use super::evacuation::no_server_code;
 use super::loads::PlaceQuery;
 use super::plain::give_up;
 use super::receive::{Received, may_still_run};
@@ -223,7 +224,7 @@
                     self.tried_servers.push(picked.row.id.clone());
                     Ok(Source::Server(picked))
                 }
-                None => Err(self.refusal(ResultCode::NoServer, FULL_RETRY_MS)),
+                None => Err(self.refusal(no_server_code(&self.gateway, &service.name), FULL_RETRY_MS)),
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -2,6 +2,7 @@
 
 use super::{Head, Reading, StreamCourse};
 use crate::gateway::body::{AnswerBody, read_whole, whole};
+use crate::gateway::evacuation::may_write;
 use crate::gateway::headers::end_to_end;
 use crate::gateway::plain::{belongs, request_for, says_not_run};
 use crate::gateway::stalls::{Source, abandon, stands_still};
@@ -42,6 +43,10 @@
         let resume_at = self.begun.then_some(self.last_event).flatten();
         let request = request_for(&self.gateway, &self.received, &instance, resume_at);
         let Some(request) = request else { return Err(SendOutcome::NotSent) };
+        if !may_write(&self.gateway, source.zone()) {
+            self.gateway.pool.keep(upstream);
+            return Err(SendOutcome::NotSent);
+        }
         let sent_at = Instant::now();
         self.since = sent_at;
         self.awaits_first = true;
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -40,6 +40,7 @@
     let eligible: Vec<&str> = instances
         .values()
         .filter(|row| row.service == service && row.state == InstanceState::Ready && !tried.contains(&row.id))
+        .filter(|row| !tables.gateway.is_evacuated(&row.zone))
         .map(|row| row.id.as_str())
         .collect();
     let random = [rand::random(), rand::random()];
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -51,6 +51,10 @@
     pub service_calls: IntCounterVec,
     /// Groups that this entry may send new requests to, by service.
     pub open_groups: IntGaugeVec,
+    /// Zones that are evacuated, as far as this daemon knows.
+    pub evacuated_zones: IntGauge,
+    /// Requests kept from evacuated zones: sent elsewhere at the last moment, or refused.
+    pub kept_from_evacuated_zones: IntCounterVec,
     /// Probes of machines by result.
     pub probes: IntCounterVec,
     /// Newest revision applied.
@@ -166,6 +170,12 @@
                 "Groups that this entry may send new requests to",
                 &["service"],
             )?,
+            evacuated_zones: gauge("dockwood_evacuated_zones", "Zones that are evacuated")?,
+            kept_from_evacuated_zones: counters(
+                "dockwood_kept_from_evacuated_zones_total",
+                "Requests kept from evacuated zones",
+                &["result"],
+            )?,
             probes: counters("dockwood_probes_total", "Probes of machines", &["result"])?,
             revision: gauge("dockwood_revision", "Newest revision applied")?,
             in_force_revision: gauge("dockwood_in_force_revision", "Newest revision in force everywhere")?,
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -23,6 +23,7 @@
 const DIRECTORY: &str = "/v1/entries";
 const CONFIGURATION: &str = "/v1/gateway/configuration";
 const INSTANCES: &str = "/v1/gateway/instances/";
+const EVACUATIONS: &str = "/v1/gateway/evacuations/";
 const ORDERS: &str = "/group/orders";
 const REPORT: &str = "/group/report";
 
@@ -78,6 +79,10 @@
                 let report: InstanceReport = read(body, ResultCode::BadJson)?;
                 Ok(OperatorCall::Report(Box::new(report)))
             }
+            ("POST" | "DELETE", _) if path.starts_with(EVACUATIONS) => {
+                let zone = path[EVACUATIONS.len()..].to_string();
+                Ok(OperatorCall::SetEvacuation { zone, evacuated: method == "POST" })
+            }
             ("DELETE", _) => {
                 let id = path.strip_prefix(INSTANCES).ok_or_else(no_such_path)?;
                 Ok(OperatorCall::SignOff { id: id.to_string() })
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -243,8 +243,18 @@
         }
     }
 
-    async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
-        let url = format!("http://{}/metrics", self.address(MEMBERS + entry, PEER_PORT + 1));
+    /// A metric of an entry.
+    pub async fn metric(&self, entry: u8, name: &str) -> reqwest::Result<f64> {
+        self.metric_at(MEMBERS + entry, name).await
+    }
+
+    /// Whether a member of the control group leads it, as far as it knows.
+    pub async fn leads(&self, member: u8) -> bool {
+        self.metric_at(member, "dockwood_is_leader").await.is_ok_and(|leads| leads == 1.0)
+    }
+
+    async fn metric_at(&self, host: u8, name: &str) -> reqwest::Result<f64> {
+        let url = format!("http://{}/metrics", self.address(host, PEER_PORT + 1));
         let text = self.http.get(url).send().await?.text().await?;
         let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
         Ok(line.and_then(|value| value.parse().ok()).unwrap_or(0.0))
@@ -255,6 +265,12 @@
         FakeServer::start(&id, "writer", Some("d"), self.server_address(number), self.operators()).await
     }
 
+    /// A model server in a zone, whose domain is named after the zone.
+    pub async fn model_server_in(&self, zone: &str, number: u8) -> Arc<FakeServer> {
+        let (id, address) = (format!("model-{number}"), self.server_address(number));
+        FakeServer::start_in(zone, &id, "writer", Some(zone), address, self.operators()).await
+    }
+
     pub async fn plain_server(&self, number: u8) -> Arc<FakeServer> {
         let id = format!("plain-{number}");
         FakeServer::start(&id, "board", None, self.server_address(number), self.operators()).await
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway's whole path without the bench: real daemons as processes, found by seeds; servers that register
 //! themselves and form groups; failures brought about from outside.
 
+mod evacuation;
 mod fixture;
 mod servers;
 
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -37,6 +37,7 @@
     pub id: String,
     pub address: SocketAddr,
     service: String,
+    zone: String,
     domain: Option<String>,
     manner: Mutex<Manner>,
     membership: Mutex<Option<MembershipReport>>,
@@ -56,18 +57,31 @@
 }
 
 impl FakeServer {
-    /// Starts a server and its reports.
+    /// Starts a server in the daemons' zone, and its reports.
     pub async fn start(
         id: &str,
         service: &str,
         domain: Option<&str>,
         address: SocketAddr,
         operators: Vec<SocketAddr>,
+    ) -> Arc<FakeServer> {
+        FakeServer::start_in("z", id, service, domain, address, operators).await
+    }
+
+    /// The same in a zone.
+    pub async fn start_in(
+        zone: &str,
+        id: &str,
+        service: &str,
+        domain: Option<&str>,
+        address: SocketAddr,
+        operators: Vec<SocketAddr>,
     ) -> Arc<FakeServer> {
         let server = Arc::new(FakeServer {
             id: id.to_string(),
             address,
             service: service.to_string(),
+            zone: zone.to_string(),
             domain: domain.map(str::to_string),
             manner: Mutex::new(Manner::Sound),
             membership: Mutex::new(None),
@@ -109,7 +123,7 @@
             id: self.id.clone(),
             service: self.service.clone(),
             address: self.address,
-            zone: "z".to_string(),
+            zone: self.zone.clone(),
             slots: 8,
             state: *lock(&self.state),
             cold_ms: 0,
--- a/crates/dockctl/src/commands/status.rs
+++ b/crates/dockctl/src/commands/status.rs
@@ -44,6 +44,7 @@
     print_line(format!("revision: {}, in force {}", status["revision"], status["inForceRevision"]));
     print_line(format!("daemons behind: {}", joined(items(status, "behind"))));
     print_line(format!("stranded machines: {}", joined(items(status, "strandedMachines"))));
+    print_line(format!("evacuated zones: {}", joined(items(status, "evacuatedZones"))));
     for missing in items(status, "shortfalls") {
         println!(
             "deployment {} lacks {}: {}",
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -101,7 +101,7 @@
         let groups = tables.groups.values().filter(|group| {
             let serves = group.service == request.service && group.model == request.model;
             let is_near = request.group_zone.as_ref().is_none_or(|zone| *zone == group.zone);
-            serves && is_near && group.phase == GroupPhase::Open
+            serves && is_near && group.phase == GroupPhase::Open && !tables.is_evacuated(&group.zone)
         });
         self.assign_among(now, request, engine, groups, observations)
     }
--- a/crates/grouping/src/domains.rs
+++ b/crates/grouping/src/domains.rs
@@ -48,7 +48,7 @@
 pub(crate) struct Domain<'a> {
     /// Servers in no group, and those of groups that are closing.
     pub free: Vec<Server<'a>>,
-    /// Groups that are to serve, with their head in this domain.
+    /// Groups that are to serve, with their head in this domain; not those of evacuated zones, which stay as they are.
     pub groups: Vec<&'a Arc<GroupRow>>,
 }
 
@@ -77,7 +77,10 @@
             domain.free.push(server(view, engine, staging, &row.id));
         }
     }
-    for group in groups().filter(|group| group.purpose == GroupPurpose::Serve) {
+    let is_planned = |group: &&Arc<GroupRow>| {
+        group.purpose == GroupPurpose::Serve && !view.tables.is_evacuated(&group.zone)
+    };
+    for group in groups().filter(is_planned) {
         let domain = domain_of(view, group).and_then(|name| domains.get_mut(name));
         let Some(domain) = domain else { continue };
         let free_after = match group.phase {
@@ -141,8 +144,10 @@
     if view.tables.requests_seen { load_ms + model.warm_ms } else { load_ms / EARLY_LOAD_DIVISOR }
 }
 
+/// Whether a server may be planned with. Those of an evacuated zone would take no requests.
 pub(crate) fn is_usable(view: &View<'_>, row: &InstanceRow) -> bool {
-    row.state == InstanceState::Ready && view.observations.was_heard(view.now, &row.id)
+    let is_ready = row.state == InstanceState::Ready && !view.tables.is_evacuated(&row.zone);
+    is_ready && view.observations.was_heard(view.now, &row.id)
 }
 
 /// Models that an instance's host has staged.
--- a/crates/grouping/src/need.rs
+++ b/crates/grouping/src/need.rs
@@ -7,6 +7,7 @@
 use dockwood_api::gateway::{EngineProfile, ModelProfile};
 use dockwood_state::{GroupPhase, GroupPurpose, GroupRow};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A model is never taken to need fewer groups than this: what nobody asks for now may be asked for again.
 const LEAST_NEED: f64 = 0.25;
@@ -49,7 +50,10 @@
     pub fn new(view: &View<'_>, service: &str, engine: &EngineProfile, servers: usize) -> Balance {
         let mut held = vec![0.0; engine.models.len()];
         let groups = view.tables.groups.values();
-        for group in groups.filter(|group| group.service == service && is_held(group)) {
+        let counts = |group: &&Arc<GroupRow>| {
+            group.service == service && is_held(group) && !view.tables.is_evacuated(&group.zone)
+        };
+        for group in groups.filter(counts) {
             let position = engine.models.iter().position(|model| model.name == group.model);
             if let Some(position) = position {
                 held[position] += 1.0;
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -64,7 +64,7 @@
         /// Why.
         reason: String,
     },
-    /// Evacuates a zone, or ends its evacuation; changes nothing if it is so already.
+    /// Evacuates a zone, or ends its evacuation; refused if another call that asked for the opposite came first.
     SetEvacuation {
         /// Zone.
         zone: String,
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! size, and a reader that keeps a copy learns what changed since from the difference.
 
 mod command;
+mod evacuation;
 mod rows;
 
 pub use command::GatewayCommand;
@@ -31,7 +32,7 @@
     pub instances: OrdMap<String, Arc<InstanceRow>>,
     /// Groups by epoch.
     pub groups: OrdMap<u64, Arc<GroupRow>>,
-    /// Zones that were evacuated at some time.
+    /// Zones whose evacuation was asked for or withdrawn at some time.
     pub evacuations: OrdMap<String, Evacuation>,
     /// Epoch of the newest group.
     pub last_epoch: u64,
@@ -79,16 +80,6 @@
         self.configuration.as_ref()?.service(service)?.engine.as_ref()
     }
 
-    /// Whether requests are kept away from the servers of a zone.
-    pub fn is_evacuated(&self, zone: &str) -> bool {
-        self.evacuations.get(zone).is_some_and(|held| held.evacuated)
-    }
-
-    /// How often a zone's evacuation has changed: what a change of it has to name.
-    pub fn evacuation_generation(&self, zone: &str) -> u64 {
-        self.evacuations.get(zone).map_or(0, |held| held.generation)
-    }
-
     /// The model of an instance's last group since its start, as far as it is known: the instance joins another group
     /// of that model sooner than any other.
     pub fn last_model(&self, instance: &str) -> Option<&str> {
@@ -137,18 +128,6 @@
         Applied::touching(Vec::new())
     }
 
-    fn set_evacuation(&mut self, zone: &str, evacuated: bool, generation: u64) -> Applied {
-        if self.is_evacuated(zone) == evacuated {
-            return Applied::touching(Vec::new());
-        }
-        if self.evacuation_generation(zone) != generation {
-            return Applied::refused(ResultCode::EpochStale, "the zone's evacuation has changed since");
-        }
-        let next = Evacuation { evacuated, generation: generation + 1 };
-        self.evacuations.insert(zone.to_string(), next);
-        Applied::touching(Vec::new())
-    }
-
     fn register(&mut self, row: &InstanceRow) -> Applied {
         if self.was_removed(&row.id) {
             return Applied::refused(ResultCode::EpochStale, "the instance was removed");
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! Rules of the gateway's tables that hold whatever a controller asks.
 
-use dockwood_api::gateway::{GatewayConfiguration, InstanceState};
+use dockwood_api::gateway::{ColdStart, GatewayConfiguration, InstanceState, ServiceProfile};
 use dockwood_state::{
     Command, CommandBody, GatewayCommand, GroupPhase, GroupPurpose, InstanceRow, Outcome, State,
 };
@@ -245,3 +245,76 @@
     let copy = State::decode(&state.encode_for_followers()).map(|copy| copy.tables.gateway.is_evacuated("z"));
     assert_eq!(copy, Ok(true), "daemons that are no voters learn of it");
 }
+
+/// The first call may still be on its way to the log when its caller gives up and asks for the opposite, which finds the
+/// zone as it asks for.
+#[test]
+fn a_withdrawal_that_finds_nothing_to_withdraw_overtakes_the_evacuation_on_its_way() {
+    let mut state = State::default();
+    assert_eq!(evacuate(&mut state, false, 0), Outcome::Applied);
+    let late = evacuate(&mut state, true, 0);
+    let code = match late {
+        Outcome::Refused(error) => Some(error.code()),
+        _ => None,
+    };
+    assert_eq!(code, Some(dockwood_api::ResultCode::EvacuationOvertaken));
+    assert!(!state.tables.gateway.is_evacuated("z"));
+    assert_eq!(evacuate(&mut state, true, 1), Outcome::Applied);
+    assert_eq!(state.tables.gateway.evacuated_zones().collect::<Vec<&str>>(), ["z"]);
+}
+
+/// A service whose servers may be cold, another one, and a group that is open.
+fn services_of_two_kinds() -> State {
+    let service = |name: &str, cold_start| ServiceProfile {
+        name: name.to_string(),
+        health_path: "/".to_string(),
+        max_connections: 1,
+        cold_start,
+        engine: None,
+    };
+    let cold_start = Some(ColdStart { usual_ms: 5_000, requests_per_second: 1.0 });
+    let services = vec![service("s", cold_start), service("even", None)];
+    let configuration = GatewayConfiguration { version: 1, services, ..GatewayConfiguration::default() };
+    let mut state = State::default();
+    apply(&mut state, GatewayCommand::Configure(Arc::new(configuration)));
+    register(&mut state, "head", 1);
+    let plain = |id: &str, port| InstanceRow { domain: None, ..row(id, port) };
+    let rows = [
+        plain("plain", 2),
+        InstanceRow { service: "even".to_string(), ..plain("even", 3) },
+        InstanceRow { zone: "y".to_string(), ..plain("elsewhere", 4) },
+    ];
+    for row in rows {
+        apply(&mut state, GatewayCommand::Register(row));
+    }
+    form(&mut state, &["head"]);
+    for phase in [GroupPhase::Opening, GroupPhase::Open] {
+        apply(&mut state, GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
+    }
+    state
+}
+
+#[test]
+fn servers_of_a_zone_that_comes_back_are_presumed_to_be_cold() {
+    let mut state = services_of_two_kinds();
+    let mut follower = State::decode(&state.encode_for_followers()).expect("it can be read");
+    let is_cold = |state: &State, id: &str| state.tables.gateway.instances.get(id).map(|row| row.is_cold);
+    let heads = |state: &State| -> Vec<bool> {
+        state.tables.gateway.groups.values().map(|group| group.head_is_cold).collect()
+    };
+    for (generation, evacuated) in [(0, true), (1, false)] {
+        assert_eq!((is_cold(&state, "head"), heads(&state)), (Some(false), vec![false]), "not before the end");
+        let zone = "z".to_string();
+        let body = CommandBody::Gateway(GatewayCommand::SetEvacuation { zone, evacuated, generation });
+        let command = Command { at_ms: 1, body };
+        state.apply(&command);
+        let told = command.for_followers(&state.tables).expect("followers are told");
+        follower.apply(&told);
+    }
+    let cold = |state: &State| ["head", "plain", "even", "elsewhere"].map(|id| is_cold(state, id));
+    assert_eq!(cold(&state), [Some(true), Some(true), Some(false), Some(false)]);
+    assert_eq!(cold(&follower), [None, Some(true), Some(false), Some(false)]);
+    assert_eq!((heads(&state), heads(&follower)), (vec![true], vec![true]));
+    apply(&mut state, GatewayCommand::Register(InstanceRow { domain: None, ..row("plain", 2) }));
+    assert_eq!(is_cold(&state, "plain"), Some(false), "its next report says otherwise");
+}
