Evacuations: tests of entries, of real daemons that are lost, and of granted places

An entry within the test's process shows each step at a known moment: a zone that is evacuated while a connection is being made, streams that finish, requests that wait. Real daemons show a late copy, a lost leader and a restart of all.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -98,9 +98,8 @@
             return self.take_summary(now, report, is_witness);
         }
         self.places.expect_entries(entries);
-        let takes_new = |group: &&Arc<GroupRow>| {
-            group.phase == GroupPhase::Open && !tables.is_evacuated(&group.zone)
-        };
+        let takes_new =
+            |group: &&Arc<GroupRow>| group.phase == GroupPhase::Open && !tables.is_evacuated(&group.zone);
         let open = tables.groups.values().filter(takes_new);
         let groups = open.map(|group| GroupPlaces {
             epoch: group.epoch,
--- a/crates/daemon/src/gateway/evacuation.rs
+++ b/crates/daemon/src/gateway/evacuation.rs
@@ -70,9 +70,10 @@
 /// Why no group takes a model's requests.
 pub fn no_group_code(gateway: &Gateway, service: &str, model: &str) -> ResultCode {
     let tables = gateway.shared.tables();
-    let open = tables.gateway.groups.values().filter(|group| {
-        group.service == service && group.model == model && group.phase == GroupPhase::Open
-    });
+    let open =
+        tables.gateway.groups.values().filter(|group| {
+            group.service == service && group.model == model && group.phase == GroupPhase::Open
+        });
     code_of(gateway, &tables.gateway, open.map(|group| group.zone.as_str()))
 }
 
--- a/crates/daemon/tests/evacuation.rs
+++ b/crates/daemon/tests/evacuation.rs
@@ -171,7 +171,12 @@
 }
 
 /// Answers the requests on one connection; the second half of each answer waits until it may end.
-async fn serve(mut stream: TcpStream, zone: String, requests: Arc<Requests>, mut may_end: watch::Receiver<bool>) {
+async fn serve(
+    mut stream: TcpStream,
+    zone: String,
+    requests: Arc<Requests>,
+    mut may_end: watch::Receiver<bool>,
+) {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         match stream.read_u8().await {
@@ -183,7 +188,8 @@
     let event = |id: u8| format!("id: {id}\ndata: {zone}\n\n");
     let (first, second) = (event(1), event(2));
     let length = first.len() + second.len();
-    let head = format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {length}\r\n\r\n");
+    let head =
+        format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {length}\r\n\r\n");
     let _ = stream.write_all(format!("{head}{first}").as_bytes()).await;
     let _ = may_end.wait_for(|may_end| *may_end).await;
     let _ = stream.write_all(second.as_bytes()).await;
@@ -260,8 +266,8 @@
     entry.add(service, "y", servers[1].address);
     let path = format!("/{route}/1");
     served_from(&entry, &path, "z").await?;
-    served_from(&entry, &path, "y").await?;
     entry.set_evacuation("z", true);
+    served_from(&entry, &path, "y").await?;
     let before = servers[0].begun();
     for _ in 0..6 {
         served_from(&entry, &path, "y").await?;
--- a/crates/daemon/tests/gateway/evacuation.rs
+++ b/crates/daemon/tests/gateway/evacuation.rs
@@ -14,9 +14,14 @@
 /// A daemon that is told of nothing new within this time has been told of all that was committed before.
 const SETTLED: Duration = Duration::from_secs(2);
 
-/// A fleet with one group of two model servers in zone `z`, where the daemons stand, and one in zone `y`.
-async fn in_two_zones() -> (Fleet, Vec<Arc<FakeServer>>) {
-    let fleet = Fleet::start();
+/// Entries up to which the leader dispatches, where it is to dispatch for the two of these tests.
+const SMALL_FLEET: u32 = 64;
+/// The same where they are to dispatch for each other.
+const LARGE_FLEET: u32 = 0;
+
+/// A fleet, in which the leader dispatches for so many entries, with one group of two model servers in zone `z`, where the daemons stand, and one in zone `y`.
+async fn in_two_zones(leader_dispatches_up_to: u32) -> (Fleet, Vec<Arc<FakeServer>>) {
+    let fleet = Fleet::start_dispatched(leader_dispatches_up_to);
     let mut models = Vec::new();
     for (number, zone) in ["z", "z", "y", "y"].into_iter().enumerate() {
         models.push(fleet.model_server_in(zone, number as u8).await);
@@ -91,10 +96,15 @@
 }
 
 /// Everything that each daemon knew is gone but for what members hold on disk.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_evacuation_holds_after_all_daemons_were_killed_and_until_it_is_withdrawn() -> reqwest::Result<()>
-{
-    let (mut fleet, models) = in_two_zones().await;
+#[yare::parameterized(
+    the_leader_dispatches = { SMALL_FLEET },
+    entries_dispatch = { LARGE_FLEET },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn an_evacuation_holds_after_all_daemons_were_killed_and_until_it_is_withdrawn(
+    leader_dispatches_up_to: u32,
+) -> reqwest::Result<()> {
+    let (mut fleet, models) = in_two_zones(leader_dispatches_up_to).await;
     let operators = fleet.operators();
     insist(&fleet, Method::POST, "z", &operators[..1]).await;
     wait_until_evacuated(&fleet, 1).await;
@@ -115,7 +125,7 @@
 /// Its caller has gone on to another daemon, which evacuated the zone, and has withdrawn that since.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_late_copy_of_a_call_does_not_undo_the_withdrawal() -> reqwest::Result<()> {
-    let (fleet, _models) = in_two_zones().await;
+    let (fleet, _models) = in_two_zones(SMALL_FLEET).await;
     let mut operators = fleet.operators();
     let leader = leader_of(&fleet).await;
     let sleeper = (leader + 1) % fleet.members.len();
@@ -140,7 +150,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_call_whose_leader_is_lost_is_acknowledged_when_it_is_repeated() -> reqwest::Result<()> {
-    let (mut fleet, models) = in_two_zones().await;
+    let (mut fleet, models) = in_two_zones(SMALL_FLEET).await;
     let mut operators = fleet.operators();
     let leader = leader_of(&fleet).await;
     let lost = operators.remove(leader);
--- a/crates/state/src/gateway/evacuation.rs
+++ b/crates/state/src/gateway/evacuation.rs
@@ -34,7 +34,10 @@
             if was_evacuated == evacuated {
                 return Applied::touching(Vec::new());
             }
-            return Applied::refused(ResultCode::EvacuationOvertaken, "the zone's evacuation has changed since");
+            return Applied::refused(
+                ResultCode::EvacuationOvertaken,
+                "the zone's evacuation has changed since",
+            );
         }
         let next = Evacuation { evacuated, generation: generation + 1 };
         self.evacuations.insert(zone.to_string(), next);
@@ -72,6 +75,8 @@
     /// Whether a service declares that its servers bear less while they are cold.
     fn may_be_cold(&self, service: &str) -> bool {
         let configuration = self.configuration.as_ref();
-        configuration.and_then(|held| held.service(service)).is_some_and(|service| service.cold_start.is_some())
+        configuration
+            .and_then(|held| held.service(service))
+            .is_some_and(|service| service.cold_start.is_some())
     }
 }
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -303,7 +303,11 @@
         state.tables.gateway.groups.values().map(|group| group.head_is_cold).collect()
     };
     for (generation, evacuated) in [(0, true), (1, false)] {
-        assert_eq!((is_cold(&state, "head"), heads(&state)), (Some(false), vec![false]), "not before the end");
+        assert_eq!(
+            (is_cold(&state, "head"), heads(&state)),
+            (Some(false), vec![false]),
+            "not before the end"
+        );
         let zone = "z".to_string();
         let body = CommandBody::Gateway(GatewayCommand::SetEvacuation { zone, evacuated, generation });
         let command = Command { at_ms: 1, body };
