--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -108,6 +108,9 @@
         let code = self.ended.unwrap_or(ResultCode::CallerLeft);
         let shared = &self.gateway.shared;
         shared.metrics.answers.with_label_values(&[&code.number().to_string()]).inc();
+        if code == ResultCode::ZoneEvacuated {
+            shared.metrics.kept_from_evacuated_zones.with_label_values(&["refused"]).inc();
+        }
         let now = monotonic_ms();
         let Some(held_back) = lock(&self.gateway.line_budget).take(now, code) else {
             shared.metrics.request_lines_held_back.inc();
--- a/crates/daemon/src/gateway/evacuation.rs
+++ b/crates/daemon/src/gateway/evacuation.rs
@@ -65,36 +65,24 @@
 }
 
 /// Why no group takes a model's requests.
-pub fn no_group_code(gateway: &Gateway, service: &str, model: &str) -> ResultCode {
-    let tables = gateway.shared.tables();
-    let open =
-        tables.gateway.groups.values().filter(|group| {
-            group.service == service && group.model == model && group.phase == GroupPhase::Open
-        });
-    code_of(gateway, &tables.gateway, open.map(|group| group.zone.as_str()))
+pub fn no_group_code(tables: &GatewayTables, service: &str, model: &str) -> ResultCode {
+    let open = tables
+        .groups
+        .values()
+        .filter(|group| group.service == service && group.model == model && group.phase == GroupPhase::Open);
+    code_of(tables, open.map(|group| group.zone.as_str()))
 }
 
 /// Why no server takes a plain service's requests.
-pub fn no_server_code(gateway: &Gateway, service: &str) -> ResultCode {
-    let tables = gateway.shared.tables();
-    let ready = tables
-        .gateway
-        .instances
-        .values()
-        .filter(|row| row.service == service && row.state == InstanceState::Ready);
-    code_of(gateway, &tables.gateway, ready.map(|row| row.zone.as_str()))
+pub fn no_server_code(tables: &GatewayTables, service: &str) -> ResultCode {
+    let ready =
+        tables.instances.values().filter(|row| row.service == service && row.state == InstanceState::Ready);
+    code_of(tables, ready.map(|row| row.zone.as_str()))
 }
 
 /// What is told where none of the servers that stand in these zones takes a request.
-fn code_of<'a>(
-    gateway: &Gateway,
-    tables: &GatewayTables,
-    zones: impl Iterator<Item = &'a str>,
-) -> ResultCode {
+fn code_of<'a>(tables: &GatewayTables, zones: impl Iterator<Item = &'a str>) -> ResultCode {
     let mut zones = zones.peekable();
-    if zones.peek().is_none() || !zones.all(|zone| tables.is_evacuated(zone)) {
-        return ResultCode::NoServer;
-    }
-    gateway.shared.metrics.kept_from_evacuated_zones.with_label_values(&["refused"]).inc();
-    ResultCode::ZoneEvacuated
+    let are_evacuated = zones.peek().is_some() && zones.all(|zone| tables.is_evacuated(zone));
+    if are_evacuated { ResultCode::ZoneEvacuated } else { ResultCode::NoServer }
 }
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -83,7 +83,7 @@
         loop {
             let service = &self.received.service;
             let Some(picked) = pick(self.gateway, &service.name, service.max_connections, &self.tried) else {
-                let code = no_server_code(self.gateway, &service.name);
+                let code = no_server_code(&self.gateway.shared.tables().gateway, &service.name);
                 return self.last_word(code);
             };
             if !may_still_run(self.gateway, self.received) {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -224,7 +224,10 @@
                     self.tried_servers.push(picked.row.id.clone());
                     Ok(Source::Server(picked))
                 }
-                None => Err(self.refusal(no_server_code(&self.gateway, &service.name), FULL_RETRY_MS)),
+                None => {
+                    let code = no_server_code(&self.gateway.shared.tables().gateway, &service.name);
+                    Err(self.refusal(code, FULL_RETRY_MS))
+                }
             };
         }
         let model = self.received.model.clone().unwrap_or_default();
