--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -4,6 +4,7 @@
 use super::Gateway;
 use super::cold::cold_start_of;
 use super::dispatchers::Dispatch;
+use super::evacuation::no_group_code;
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
 use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
@@ -52,32 +53,48 @@
     deadline: Instant,
 ) -> Result<GroupPlace, ResultCode> {
     loop {
+        // Asked for first, so that what changes while the place is asked for is not missed.
+        let freed = gateway.loads.place_freed();
         let code = match place(gateway, query).await {
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
-            PlaceAnswer::NoGroup if has_none_in_its_regions(gateway, query) => {
-                return Err(ResultCode::NoServerInRegion);
+            PlaceAnswer::NoGroup => {
+                no_group_code(&gateway.shared.tables().gateway, query.service, query.model)
             }
-            PlaceAnswer::NoGroup if query.zones.are_restricted() => ResultCode::NoServerInRegion,
-            PlaceAnswer::NoGroup => ResultCode::NoServer,
         };
+        // The end of an evacuation is not waited for.
+        if code == ResultCode::ZoneEvacuated {
+            return Err(code);
+        }
+        let code = match code {
+            ResultCode::NoServer if query.zones.are_restricted() => ResultCode::NoServerInRegion,
+            other => other,
+        };
+        if code == ResultCode::NoServerInRegion && has_none_in_its_regions(gateway, query) {
+            return Err(code);
+        }
         // The leader tells of places that become free at other entries; dispatchers are asked again.
         let until = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
             Dispatch::Leader => deadline,
             Dispatch::Scopes => deadline.min(Instant::now() + ASK_AGAIN),
         };
-        let is_freed = tokio::time::timeout_at(until, gateway.loads.place_freed()).await.is_ok();
+        let is_freed = tokio::time::timeout_at(until, freed).await.is_ok();
         if !is_freed && until >= deadline {
             return Err(code);
         }
     }
 }
 
-/// Whether a request is bound to regions where this entry, too, knows of no group of its model. Waiting would only hold
-/// its caller up: nothing is planned by region, so none is likely to open there soon.
+/// Whether this entry, too, knows of no group of a model in the regions that a request is bound to, neither one that serves
+/// nor one that is on its way. Waiting would only hold its caller up: nothing is planned by region, so none is likely to
+/// open there soon.
 fn has_none_in_its_regions(gateway: &Gateway, query: PlaceQuery<'_>) -> bool {
-    let own_zone = &gateway.shared.settings.zone;
-    query.zones.are_restricted() && gateway.loads.zones(query, own_zone).is_empty()
+    let tables = gateway.shared.tables();
+    let is_under_way = tables.gateway.groups.values().any(|group| {
+        let is_asked_for = group.service == query.service && group.model == query.model;
+        is_asked_for && query.zones.contains(&group.zone)
+    });
+    !is_under_way && gateway.loads.zones(query, &gateway.shared.settings.zone).is_empty()
 }
 
 async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use tokio::sync::futures::Notified;
 use tokio::sync::{Notify, watch};
 
 /// A group that stood still here is avoided for this long.
@@ -106,6 +107,8 @@
     pub is_cold: bool,
     /// Nothing may be sent from then on; `None` if the place may be used at any time.
     pub valid_until: Option<Millis>,
+    /// Zone of its head.
+    pub zone: String,
 }
 
 impl Drop for GroupPlace {
@@ -152,8 +155,8 @@
     group.in_flight += 1;
     let instance = group.row.members.first().cloned().unwrap_or_default();
     let valid_until = place_valid_until(&gateway.shared.tables().gateway, &group.row, asked_at);
-    let (head, is_cold) = (group.row.head, group.row.head_is_cold);
-    Some(GroupPlace { gateway: gateway.clone(), epoch, head, instance, is_cold, valid_until })
+    let (head, zone, is_cold) = (group.row.head, group.row.zone.clone(), group.row.head_is_cold);
+    Some(GroupPlace { gateway: gateway.clone(), epoch, head, instance, is_cold, valid_until, zone })
 }
 
 impl Loads {
@@ -170,7 +173,7 @@
         }
         for row in tables.groups.values().filter(|row| row.serves()) {
             let slots = tables.engine(&row.service).map_or(1, |engine| engine.slots);
-            let takes_new = row.phase == GroupPhase::Open;
+            let takes_new = row.phase == GroupPhase::Open && !tables.is_evacuated(&row.zone);
             let profile = tables.engine(&row.service);
             let model = profile.and_then(|engine| engine.model(&row.model));
             let timely_ms =
@@ -230,9 +233,10 @@
         self.changes.subscribe()
     }
 
-    /// Waits until a place may have become free.
-    pub async fn place_freed(&self) {
-        self.freed.notified().await;
+    /// Completes once a place may have become free since this was called: a group has opened, has lost a request, or its
+    /// zone takes requests again.
+    pub fn place_freed(&self) -> Notified<'_> {
+        self.freed.notified()
     }
 
     /// Entries that told the leader of their load lately.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod directory;
 mod dispatchers;
+mod evacuation;
 mod frontend;
 mod headers;
 mod load_exchange;
@@ -26,6 +27,7 @@
 
 pub use cold::ColdServers;
 pub use dispatchers::{Dispatch, Dispatchers};
+pub use evacuation::set_evacuation;
 
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
@@ -170,9 +172,11 @@
 fn count_open_groups(metrics: &Metrics, tables: &GatewayTables) {
     let services = tables.configuration.iter().flat_map(|held| &held.services);
     for service in services.filter(|service| service.engine.is_some()) {
-        let is_open =
-            |group: &&Arc<GroupRow>| group.service == service.name && group.phase == GroupPhase::Open;
-        let open = tables.groups.values().filter(is_open).count();
+        let takes_new = |group: &&Arc<GroupRow>| {
+            let is_open = group.service == service.name && group.phase == GroupPhase::Open;
+            is_open && !tables.is_evacuated(&group.zone)
+        };
+        let open = tables.groups.values().filter(takes_new).count();
         metrics.open_groups.with_label_values(&[&service.name]).set(open as i64);
     }
     metrics.departing_groups.set(departing_groups(tables) as i64);
@@ -193,6 +197,8 @@
         gateway.loads.follow(&tables.gateway);
         gateway.cold.follow(&gateway.shared.metrics, &tables.gateway);
         count_open_groups(&gateway.shared.metrics, &tables.gateway);
+        let evacuated = tables.gateway.evacuated_zones().count();
+        gateway.shared.metrics.evacuated_zones.set(evacuated as i64);
         if publications.changed().await.is_err() {
             return;
         }
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use super::body::{AnswerBody, read_whole};
+use super::evacuation::set_evacuation;
 use super::refusal::{bare, json, refuse};
 use super::registration::{pass_on, report_target};
 use crate::dialect::OperatorCall;
@@ -34,7 +35,8 @@
         Ok(OperatorCall::Report(report)) => take_report(&gateway, *report).await,
         Ok(OperatorCall::SignOff { id }) => sign_off(&gateway, id).await,
         Ok(OperatorCall::SetEvacuation { zone, evacuated }) => {
-            set_evacuation(&gateway, zone, evacuated).await
+            let set = set_evacuation(&gateway.shared, zone, evacuated, CALL_LIMIT).await;
+            set.map(|()| json(b"{}".to_vec()))
         }
         Err(error) => Err(error),
     };
@@ -103,14 +105,3 @@
     submit(&gateway.shared, body, CALL_LIMIT).await?;
     Ok(bare(StatusCode::OK))
 }
-
-/// Evacuates a zone, or ends its evacuation; acknowledged once it is committed. A call that was overtaken by a later one
-/// changes nothing: it is decided on the zone's generation as the leader held it when the call arrived.
-async fn set_evacuation(
-    gateway: &Gateway,
-    zone: String,
-    evacuated: bool,
-) -> Result<Response<AnswerBody>, ApiError> {
-    let _ = (gateway, zone, evacuated);
-    Err(ApiError::new(ResultCode::NoSuchPath, "zones can't be evacuated yet"))
-}
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -3,6 +3,7 @@
 use super::Gateway;
 use super::account::RequestAccount;
 use super::body::{AnswerBody, read_whole, whole};
+use super::evacuation::may_write;
 use super::headers::{ServerHeaders, add_for_server, end_to_end};
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
@@ -84,7 +85,7 @@
             let service = &self.received.service;
             let picked = match pick(self.gateway, service, &self.received.zones, &self.tried) {
                 Ok(picked) => picked,
-                Err(ResultCode::NoServer) => return self.last_word(none_serves(self.received)),
+                Err(ResultCode::NoServer) => return self.last_word(none_serves(self.gateway, self.received)),
                 Err(code) => return self.last_word(code),
             };
             if !may_still_run(self.gateway, self.received) {
@@ -142,7 +143,13 @@
         };
         let metrics = &self.gateway.shared.metrics;
         let (service, server) = (&self.received.service.name, &picked.row);
-        if !self.gateway.cold.may_send(metrics, service, &server.id, server.is_cold, picked.valid_until) {
+        let is_timely =
+            self.gateway.cold.may_send(metrics, service, &server.id, server.is_cold, picked.valid_until);
+        if !is_timely {
+            // It may be picked again, and the connection that took too long is there now.
+            self.tried.pop();
+        }
+        if !is_timely || !may_write(self.gateway, &server.zone) {
             self.gateway.pool.keep(upstream);
             return Err(SendOutcome::NotSent);
         }
--- a/crates/daemon/src/gateway/regions.rs
+++ b/crates/daemon/src/gateway/regions.rs
@@ -1,6 +1,7 @@
 //! Regions of the deployment's zones, and what follows from them for requests whose route or tenant names regions.
 
 use super::Gateway;
+use super::evacuation::no_server_code;
 use super::receive::{Received, Refusal};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -32,8 +33,10 @@
 }
 
 /// What the caller is told where no server takes its request.
-pub fn none_serves(received: &Received) -> ResultCode {
-    if received.zones.are_restricted() { ResultCode::NoServerInRegion } else { ResultCode::NoServer }
+pub fn none_serves(gateway: &Gateway, received: &Received) -> ResultCode {
+    let code = no_server_code(&gateway.shared.tables().gateway, &received.service.name);
+    let is_bound = code == ResultCode::NoServer && received.zones.are_restricted();
+    if is_bound { ResultCode::NoServerInRegion } else { code }
 }
 
 /// Regions that the configuration names and no zone has, to tell of each change of them once.
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -31,6 +31,14 @@
         };
         gateway.cold.may_send(&gateway.shared.metrics, service, server, is_cold, valid_until)
     }
+
+    /// Zone of the server that is sent the request.
+    pub fn zone(&self) -> &str {
+        match self {
+            Source::Group(place) => &place.zone,
+            Source::Server(picked) => &picked.row.zone,
+        }
+    }
 }
 
 /// Notes that a group stood still.
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -224,7 +224,9 @@
                     self.tried_servers.push(picked.row.id.clone());
                     Ok(Source::Server(picked))
                 }
-                Err(ResultCode::NoServer) => Err(self.refusal(none_serves(&self.received), FULL_RETRY_MS)),
+                Err(ResultCode::NoServer) => {
+                    Err(self.refusal(none_serves(&self.gateway, &self.received), FULL_RETRY_MS))
+                }
                 Err(code) => Err(self.refusal(code, FULL_RETRY_MS)),
             };
         }
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -2,6 +2,7 @@
 
 use super::{Head, Reading, StreamCourse};
 use crate::gateway::body::{AnswerBody, read_whole, whole};
+use crate::gateway::evacuation::may_write;
 use crate::gateway::headers::end_to_end;
 use crate::gateway::plain::{belongs, promises_falsely, request_for, says_not_run};
 use crate::gateway::stalls::{Source, abandon, stands_still};
@@ -42,9 +43,13 @@
         let resume_at = self.begun.then_some(self.last_event).flatten();
         let request = request_for(&self.gateway, &self.received, &instance, resume_at);
         let Some(request) = request else { return Err(SendOutcome::NotSent) };
-        if !source.may_be_sent(&self.gateway, &self.received.service.name) {
-            // The group may be asked for again, and the connection that took too long is there now.
+        let is_timely = source.may_be_sent(&self.gateway, &self.received.service.name);
+        if !is_timely {
+            // The source may be chosen again, and the connection that took too long is there now.
             self.tried_groups.retain(|tried| Some(*tried) != epoch);
+            self.tried_servers.retain(|tried| *tried != instance);
+        }
+        if !is_timely || !may_write(&self.gateway, source.zone()) {
             self.gateway.pool.keep(upstream);
             return Err(SendOutcome::NotSent);
         }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -73,7 +73,7 @@
     let cold_start = cold_start_of(&tables.gateway, &service.name);
     let ready: Vec<&Arc<InstanceRow>> = instances
         .values()
-        .filter(|row| zones.contains(&row.zone))
+        .filter(|row| zones.contains(&row.zone) && !tables.gateway.is_evacuated(&row.zone))
         .filter(|row| {
             row.service == service.name && row.state == InstanceState::Ready && !tried.contains(&row.id)
         })
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -109,7 +109,8 @@
         let Some(engine) = tables.engine(&request.service) else { return PlaceReply::NoGroup };
         let groups = tables.groups.values().filter(|group| {
             let serves = group.service == request.service && group.model == request.model;
-            serves && request.wants_zone(&group.zone) && group.phase == GroupPhase::Open
+            let is_open = group.phase == GroupPhase::Open && !tables.is_evacuated(&group.zone);
+            serves && request.wants_zone(&group.zone) && is_open
         });
         let cold_pace = self.cold_pace(tables, &request.service);
         self.assign_among(now, request, engine, cold_pace, groups, observations)
