--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -19,6 +19,8 @@
 const REPLACEABLE_AFTER_MS: Millis = 1_500;
 /// A voter beyond the usual number that has been silent for this long is removed.
 const SURPLUS_AFTER_MS: Millis = 5_000;
+/// A sound voter is removed only if all others answered this lately: the smaller group needs nearly each of them.
+const ALL_ANSWER_WITHIN_MS: Millis = 400;
 /// Up to so many voters, a newcomer is added beside sound ones; in a larger group it stands by until one is silent, so
 /// that the number stays odd and a group that is cut in two keeps a majority on one side.
 const ADDED_BESIDE_SOUND: usize = 5;
@@ -210,7 +212,7 @@
     }
 
     fn are_all_sound(&self) -> bool {
-        self.group.silent_for.values().all(|silent| *silent < REPLACEABLE_AFTER_MS)
+        self.group.silent_for.values().all(|silent| *silent < ALL_ANSWER_WITHIN_MS)
     }
 
     fn is_balanced(&self, voters: &[Voter]) -> bool {
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -176,7 +176,7 @@
     /// member's heartbeats had been missing for long enough; this takes 0.7 s.
     pub fn order_answered(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         self.orders.answered(now, order, answer);
-        self.observations.record_answer(order, answer);
+        self.observations.record_answer(now, order, answer);
         match answer {
             OrderAnswer::Unreachable => {
                 self.observations.record_probe(now, &order.instance, ProbeResult::Refused);
@@ -221,7 +221,11 @@
         let mut commands = self.successors.confirmed();
         commands.extend(advance_groups(&view, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
-        commands.extend(replace_slow_members(&view));
+        let is_decided = |epoch: u64| {
+            commands.iter().any(|command| matches!(command, GatewayCommand::SetPhase { epoch: decided, .. } if *decided == epoch))
+        };
+        let slow = replace_slow_members(&view, is_decided);
+        commands.extend(slow);
         commands.extend(reap_instances(&view));
         if self.observations.traffic_seen && !tables.requests_seen {
             commands.push(GatewayCommand::NoteRequests);
@@ -243,7 +247,9 @@
         }
         self.observations.note_departures(now, tables);
         self.observations.retain(tables);
+        self.observations.note_unseen(now, tables);
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
+        self.dispatcher.observe_heads(now, tables);
         self.known = KnownTables::of(tables);
     }
 
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -97,6 +97,13 @@
         };
         let url = format!("http://{}{path}", probe.address);
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
+            // Without its id, nobody has said who answers there.
+            Ok(response)
+                if matches!(probe.question, ProbeQuestion::AnswersAt(_))
+                    && !response.headers().contains_key(self.dialect.headers().own_instance) =>
+            {
+                (ProbeResult::Silent, None)
+            }
             Ok(response) if self.is_other(&response, probe) => (ProbeResult::OtherInstance, None),
             // An answer whose body is lost shows a living server all the same.
             Ok(response) => {
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -76,8 +76,11 @@
         };
         let core = Node::new(core_settings, found.recovered, monotonic_ms());
         let addresses = voters.iter().map(|voter| (voter.id, voter.address)).collect();
-        let stall = settings.gateway.as_ref().map(|gateway| gateway.stall.as_millis() as u64);
-        let grouping = stall.map_or_else(GroupingPolicy::default, |stall_ms| GroupingPolicy { stall_ms });
+        let bounds = settings.gateway.as_ref().map(|gateway| GroupingPolicy {
+            stall_ms: gateway.stall.as_millis() as u64,
+            drain_ms: gateway.drain.as_millis() as u64,
+        });
+        let grouping = bounds.unwrap_or_default();
         let usual_voters = voters_to_lose(settings.seeds.losses_tolerated).max(settings.voters.len());
         let node = ControlNode::voter(&settings.name, found.state, core, addresses).with_options(Options {
             grouping,
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -5,9 +5,9 @@
 use crate::clock::monotonic_ms;
 use crate::metrics::Metrics;
 use dockwood_api::gateway::ColdStart;
-use dockwood_grouping::{COLD_GRANT_VALID_MS, ColdLimit, ColdPacing, Pace, WARM_GRANT_VALID_MS};
+use dockwood_grouping::{ColdLimit, ColdPacing, Pace, grant_valid_ms};
 use dockwood_routing::Millis;
-use dockwood_state::{GatewayTables, GroupRow, InstanceRow, Tables};
+use dockwood_state::{GatewayTables, InstanceRow, Tables};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
 
@@ -19,11 +19,16 @@
     tables.configuration.as_ref()?.service(service)?.cold_start
 }
 
-/// Until when a place at a group that was asked for at `asked_at` may be used; `None` if for ever.
-pub fn place_valid_until(tables: &GatewayTables, group: &GroupRow, asked_at: Millis) -> Option<Millis> {
-    cold_start_of(tables, &group.service)?;
-    let valid_ms = if group.head_is_cold { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS };
-    Some(asked_at + valid_ms)
+/// Until when a place at a group that was asked for at `asked_at` may be used; `None` if for ever. `is_limited`: its head is
+/// cold, or was until a moment ago.
+pub fn place_valid_until(
+    tables: &GatewayTables,
+    service: &str,
+    is_limited: bool,
+    asked_at: Millis,
+) -> Option<Millis> {
+    cold_start_of(tables, service)?;
+    Some(asked_at + grant_valid_ms(is_limited))
 }
 
 /// The cold servers as this entry treats them.
@@ -53,11 +58,10 @@
         Pace::of_dispatcher(self.limit.arrivals(cold_start))
     }
 
-    /// Whether a plain server is cold, or was until a moment ago.
-    pub fn is_limited(&self, now: Millis, row: &InstanceRow) -> bool {
-        let mut pacing = lock(&self.pacing);
-        pacing.observe(now, &row.id, row.is_cold);
-        pacing.is_limited(now, &row.id)
+    /// Notes whether a plain server is cold. It gets everything again once it is warm: in a slow start, entries without a part
+    /// of their own could send nothing.
+    pub fn observe(&self, now: Millis, row: &InstanceRow) {
+        lock(&self.pacing).observe(now, &row.id, row.is_cold);
     }
 
     /// Whether this entry may send a request to a plain server now.
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -154,7 +154,9 @@
     let group = groups.get_mut(&epoch)?;
     group.in_flight += 1;
     let instance = group.row.members.first().cloned().unwrap_or_default();
-    let valid_until = place_valid_until(&gateway.shared.tables().gateway, &group.row, asked_at);
+    let tables = gateway.shared.tables();
+    let is_limited = group.is_cold(monotonic_ms());
+    let valid_until = place_valid_until(&tables.gateway, &group.row.service, is_limited, asked_at);
     let (head, zone, is_cold) = (group.row.head, group.row.zone.clone(), group.row.head_is_cold);
     Some(GroupPlace { gateway: gateway.clone(), epoch, head, instance, is_cold, valid_until, zone })
 }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -5,7 +5,7 @@
 use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
-use dockwood_grouping::{COLD_GRANT_VALID_MS, Pace, WARM_GRANT_VALID_MS};
+use dockwood_grouping::{Pace, grant_valid_ms};
 use dockwood_routing::gateway::AllowedZones;
 use dockwood_routing::{CallResult, Millis};
 use dockwood_state::{InstanceRow, Tables};
@@ -50,7 +50,8 @@
     let now = monotonic_ms();
     let entry = &gateway.shared.settings.name;
     let Some(cold_start) = cold_start else { return ready.iter().map(|row| (*row, None)).collect() };
-    let (limited, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| gateway.cold.is_limited(now, row));
+    ready.iter().for_each(|row| gateway.cold.observe(now, row));
+    let (limited, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| row.is_cold);
     if !warm.is_empty() {
         let pace = gateway.cold.warm_pace(cold_start);
         return warm.into_iter().map(|row| (row, Some(pace))).collect();
@@ -104,11 +105,10 @@
     if let Some(pace) = pace {
         let now = monotonic_ms();
         // Another request may have got this turn since it was looked for.
-        if !gateway.cold.try_give(now, &id, *pace) {
+        if !gateway.cold.try_give(now, &id, *pace) && row.is_cold {
             return Err(ResultCode::Overloaded);
         }
-        let valid_ms = if row.is_cold { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS };
-        picked.valid_until = Some(now + valid_ms);
+        picked.valid_until = Some(now + grant_valid_ms(row.is_cold));
     }
     Ok(picked)
 }
--- a/crates/daemon/src/known_leader.rs
+++ b/crates/daemon/src/known_leader.rs
@@ -99,12 +99,6 @@
         is_news
     }
 
-    /// A member of the control group named the leader, in a term that it didn't tell.
-    pub fn named(&self, address: SocketAddr) {
-        self.heard().ask_first = Some(address);
-        self.tell();
-    }
-
     fn tell(&self) {
         self.news.send_modify(|count| *count += 1);
     }
--- a/crates/daemon/src/scope_dispatchers.rs
+++ b/crates/daemon/src/scope_dispatchers.rs
@@ -103,7 +103,7 @@
         let mut scopes = self.scopes();
         scopes.retain(|_, held| now < held.asked_at + FORGET_MS);
         let summary = |(scope, held): (&DispatchScope, &mut Held)| {
-            (scope.clone(), held.dispatch.summary(&shared.settings.name, &tables.gateway))
+            (scope.clone(), held.dispatch.summary(monotonic_ms(), &shared.settings.name, &tables.gateway))
         };
         scopes.iter_mut().map(summary).collect()
     }
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -11,6 +11,7 @@
 const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
 const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
 const DEFAULT_STALL_MS: u64 = 6_000;
+const DEFAULT_DRAIN_MS: u64 = 2_500;
 /// A leader takes a tenth of a core for some 400 requests a second, each of which is also reported; measured with 300
 /// entries, it can't see 940.
 const DEFAULT_LEADER_DISPATCHES_UP_TO: u64 = 64;
@@ -53,6 +54,8 @@
     pub stop_limit: Duration,
     /// How long a group that lost a member stands still before it is broken.
     pub stall: Duration,
+    /// How long a server that leaves serves on at least, once its word was acknowledged.
+    pub drain: Duration,
     /// Entries up to which the control leader assigns each request to a group and takes each server's report; with more,
     /// daemons near the groups and servers do.
     pub leader_dispatches_up_to: usize,
@@ -84,6 +87,7 @@
         "retryBudget",
         "coldLimit",
         "stallMs",
+        "drainMs",
         "leaderDispatchesUpTo",
         "revokedWithinMs",
         "zones",
@@ -100,6 +104,7 @@
     let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
     let stop_limit = section.seconds("stopLimitSeconds", DEFAULT_STOP_LIMIT, (1, 3_600), problems);
     let stall = section.number("stallMs", DEFAULT_STALL_MS, (100, 600_000), problems);
+    let drain = section.number("drainMs", DEFAULT_DRAIN_MS, (0, 600_000), problems);
     let dispatches_up_to =
         section.number("leaderDispatchesUpTo", DEFAULT_LEADER_DISPATCHES_UP_TO, (0, 1_000_000), problems);
     let revoked_within = match section.optional("revokedWithinMs") {
@@ -117,6 +122,7 @@
         answer_lifetime: Duration::from_millis(lifetime?),
         stop_limit: stop_limit?,
         stall: Duration::from_millis(stall?),
+        drain: Duration::from_millis(drain?),
         leader_dispatches_up_to: dispatches_up_to? as usize,
         zone_regions: zone_regions?,
         retry_budget: retry_budget?,
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -142,6 +142,7 @@
         leader_dispatches_up_to: 64,
         stop_limit: Duration::from_millis(stop_limit_ms),
         stall: Duration::from_secs(6),
+        drain: Duration::from_millis(2_500),
         zone_regions: std::collections::BTreeMap::new(),
         cold_limit: Default::default(),
         retry_budget: RetryBudgetSettings { percent: 20, window: Duration::from_secs(10), extra: 50 },
--- a/crates/grouping/src/cold.rs
+++ b/crates/grouping/src/cold.rs
@@ -14,10 +14,16 @@
 const WINDOW_MS: Millis = 1_000;
 /// How long after an entry asked for it a place at a cold server may be used, in milliseconds: some times as long as the
 /// answer and a new connection usually take.
-pub const COLD_GRANT_VALID_MS: Millis = 75;
+const COLD_GRANT_VALID_MS: Millis = 75;
 /// The same for servers that are warm as far as the entry knows, in milliseconds: an entry that was stopped doesn't know
 /// what has become of them since. The longest time in which a connection may be made is no reason to ask again.
-pub const WARM_GRANT_VALID_MS: Millis = 400;
+const WARM_GRANT_VALID_MS: Millis = 400;
+/// How long a place may be used after an entry asked for it, in milliseconds. `is_limited`: its server is cold, or was
+/// until a moment ago.
+pub const fn grant_valid_ms(is_limited: bool) -> Millis {
+    if is_limited { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS }
+}
+
 /// How long a request that was written takes to its server at most, in milliseconds.
 const DELIVERY_MS: Millis = 25;
 /// Requests that were given over this long may all arrive within one second: some wait for their connection, the others
@@ -141,8 +147,8 @@
         if is_cold {
             let given = self.given.entry(server.clone()).or_default();
             (given.is_cold, given.cold_at) = (true, Some(now));
-        } else if let Some(given) = self.given.get_mut(server) {
-            given.is_cold = false;
+        } else if let Some(given) = self.given.get_mut(server).filter(|given| given.is_cold) {
+            (given.is_cold, given.cold_at) = (false, Some(now));
         }
     }
 
--- a/crates/grouping/src/departures.rs
+++ b/crates/grouping/src/departures.rs
@@ -10,9 +10,6 @@
 use dockwood_api::gateway::InstanceState;
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 
-/// A leaving member goes on listening for at least this long after its word was acknowledged; once it no longer listens,
-/// its group takes nothing new. The engines' documentation gives it.
-const LISTENS_MS: Millis = 2_500;
 /// Time in which entries learn that a group drains, so that few send it a request that it would refuse.
 const TOLD_MS: Millis = 300;
 
@@ -38,7 +35,9 @@
     let since = view.observations.instance(member).and_then(|seen| seen.leaving_since);
     match since {
         // A head is the server that requests go to: from the first word on it gets as few as possible.
-        Some(since) if !is_head && !has_signed_off_last(view, member) => since + LISTENS_MS - TOLD_MS,
+        Some(since) if !is_head && !has_signed_off_last(view, member) => {
+            (since + view.policy.drain_ms).saturating_sub(TOLD_MS)
+        }
         _ => 0,
     }
 }
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -116,6 +116,16 @@
         self.assign_among(now, request, engine, cold_pace, groups, observations)
     }
 
+    /// Notes which heads are cold, also of groups that nobody asks for now, so that the end of their cold time is seen.
+    pub fn observe_heads(&mut self, now: Millis, tables: &GatewayTables) {
+        let limited = tables.groups.values().filter(|group| {
+            group.phase == GroupPhase::Open && self.cold_pace(tables, &group.service).is_some()
+        });
+        for group in limited.cloned().collect::<Vec<Arc<GroupRow>>>() {
+            self.cold.observe(now, &group.epoch, group.head_is_cold);
+        }
+    }
+
     fn cold_pace(&self, tables: &GatewayTables, service: &str) -> Option<Pace> {
         let cold_start = tables.configuration.as_ref()?.service(service)?.cold_start?;
         Some(Pace::of_dispatcher(self.cold_limit.arrivals(&cold_start)))
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -29,10 +29,7 @@
 mod worth;
 
 pub use capacity::{RequestWork, group_ms, places_of_group};
-pub use cold::{
-    COLD_GRANT_VALID_MS, COLD_SLOW_START_MS, ColdLimit, ColdPacing, Pace, SENDERS_AT_ONCE,
-    WARM_GRANT_VALID_MS,
-};
+pub use cold::{COLD_SLOW_START_MS, ColdLimit, ColdPacing, Pace, SENDERS_AT_ONCE, grant_valid_ms};
 pub use demand::{Demand, ModelDemand};
 pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
@@ -68,11 +65,15 @@
 pub struct GroupingPolicy {
     /// A group that lost a member stands still for this long, and is then broken.
     pub stall_ms: Millis,
+    /// A member that leaves goes on listening for at least this long after its word was acknowledged; once it no longer
+    /// listens, its group takes nothing new.
+    pub drain_ms: Millis,
 }
 
 impl Default for GroupingPolicy {
     fn default() -> Self {
         const STALL_MS: Millis = 6_000;
-        GroupingPolicy { stall_ms: STALL_MS }
+        const DRAIN_MS: Millis = 2_500;
+        GroupingPolicy { stall_ms: STALL_MS, drain_ms: DRAIN_MS }
     }
 }
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -140,7 +140,7 @@
     if !view.tables.instances.contains_key(head) {
         return Some("the head has ended");
     }
-    let stood_still = view.observations.was_silent(group.epoch);
+    let stood_still = view.observations.was_silent(group.epoch, closing_since);
     let patience = if stood_still { view.policy.stall_ms + BROKEN_MARGIN_MS } else { CUT_OFF_MS };
     if view.now >= closing_since + patience && !view.observations.is_present(view.now, head) {
         return Some("the head has been silent for longer than a group can stand still");
--- a/crates/grouping/src/membership.rs
+++ b/crates/grouping/src/membership.rs
@@ -8,6 +8,10 @@
 /// No report arrives later than this after it was sent: longer than a link is interrupted with the report on its way.
 const LATEST_REPORT_MS: Millis = 16_000;
 
+/// An order to join that was left unanswered may be carried out this much later, in milliseconds: some times the seconds
+/// that servers are known to take.
+const LATEST_JOIN_MS: Millis = 8_000;
+
 /// Whether a server has surely left a group that is being closed since `closing_since`.
 pub(crate) fn has_surely_left(view: &View<'_>, instance: &str, epoch: u64, closing_since: Millis) -> bool {
     if has_shown_leaving(view, instance, epoch) {
@@ -22,7 +26,13 @@
 /// Whether a server's reports and answers, taken together, show that it has left a group.
 pub(crate) fn has_shown_leaving(view: &View<'_>, instance: &str, epoch: u64) -> bool {
     let Some(seen) = view.observations.instance(instance) else { return false };
-    // A server takes no order to join a group older than its last one, so one that was in a newer group, or that was in
-    // this one and has reported since, never comes back.
-    !seen.is_shown_in(epoch) && (seen.last_epoch >= epoch || seen.left_epoch == epoch)
+    if seen.is_shown_in(epoch) {
+        return false;
+    }
+    // A server takes no order to join a group older than its last one, so one that was in a newer group never comes back.
+    // One that has left this one may, while an order to join it may still be carried out.
+    let may_rejoin =
+        seen.unanswered_join.is_some_and(|(joined, at)| joined == epoch && view.now < at + LATEST_JOIN_MS);
+    let has_left = seen.last_epoch == epoch || seen.left_epoch == epoch;
+    seen.last_epoch > epoch || (has_left && !may_rejoin)
 }
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -47,6 +47,8 @@
     pub last_epoch: u64,
     /// Epoch of the group that it last answered not to be in; 0 if it did for none.
     pub left_epoch: u64,
+    /// Epoch of the last order to join that it left unanswered, and when that was known.
+    pub unanswered_join: Option<(u64, Millis)>,
     /// Epoch of the group that it last answered not to be serving; 0 if it did for none.
     pub unserved_epoch: u64,
     /// When this leader learned that it leaves; 0 if a former one did.
@@ -182,13 +184,16 @@
     }
 
     /// Takes a server's answer to an order, which shows where the server stood after the order had been sent.
-    pub fn record_answer(&mut self, order: &GroupOrder, answer: OrderAnswer) {
+    pub fn record_answer(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         let Some(seen) = self.instances.get_mut(&order.instance) else { return };
         let is_taken = matches!(answer, OrderAnswer::Begun | OrderAnswer::Holds);
         let is_unfit = answer == OrderAnswer::Unfit;
         match &order.command {
             // It takes effect at once, and fits whoever is a member.
             GroupCommand::Leave if is_taken || is_unfit => seen.left_epoch = order.epoch,
+            GroupCommand::Join { .. } if answer == OrderAnswer::Silent => {
+                seen.unanswered_join = Some((order.epoch, now));
+            }
             GroupCommand::Close { .. } if is_unfit => seen.unserved_epoch = order.epoch,
             _ => {}
         }
@@ -284,11 +289,12 @@
             .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
     }
 
-    /// Whether a group stood still when entries last told of it: none told of progress then or since.
-    pub fn was_silent(&self, epoch: u64) -> bool {
+    /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or since.
+    pub fn was_silent(&self, epoch: u64, since: Millis) -> bool {
         let Some(evidence) = self.groups.get(&epoch) else { return false };
         let Some(silent_at) = evidence.silent_at else { return false };
-        evidence.progressed_at.is_none_or(|at| at + PROGRESS_VALID_MS <= silent_at)
+        silent_at + SILENCE_VALID_MS >= since
+            && evidence.progressed_at.is_none_or(|at| at + PROGRESS_VALID_MS <= silent_at)
     }
 
     /// Whether entries find a group to stand still.
@@ -344,6 +350,20 @@
         }
     }
 
+    /// Instances that were never seen get the time of one report to be seen, like all others under a new leader.
+    pub fn note_unseen(&mut self, now: Millis, tables: &GatewayTables) {
+        for id in tables
+            .instances
+            .keys()
+            .filter(|id| !self.instances.contains_key(*id))
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            self.instances
+                .insert(id, InstanceObservation { reported_at: now, ..InstanceObservation::default() });
+        }
+    }
+
     /// Gives all instances the time for which the observer heard nobody.
     pub fn excuse(&mut self, now: Millis, late: Millis) {
         for seen in self.instances.values_mut() {
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -84,10 +84,11 @@
     }
 
     /// What the leader is to be told of the scope now, in the name of `daemon`.
-    pub fn summary(&mut self, daemon: &str, tables: &GatewayTables) -> LoadReport {
+    pub fn summary(&mut self, now: Millis, daemon: &str, tables: &GatewayTables) -> LoadReport {
         self.is_urgent = false;
         self.observations.retain(tables);
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
+        self.dispatcher.observe_heads(now, tables);
         let mut evidence = std::mem::take(&mut self.evidence);
         for epoch in self.observations.busy_groups() {
             evidence.entry(epoch).or_default();
--- a/crates/grouping/src/slow_members.rs
+++ b/crates/grouping/src/slow_members.rs
@@ -2,30 +2,29 @@
 //! servers that stand by, in about the time of a join to the model that they hold already.
 
 use crate::View;
-use crate::domains::{domain_of, is_usable};
+use crate::domains::{domain_of, has_staged, is_usable};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose, GroupRow};
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// Groups that are to be closed because a member is slow, as long as servers stand by for all that they lose. Without a
-/// replacement a slow group is worth more than none.
-pub fn replace_slow_members(view: &View<'_>) -> Vec<GatewayCommand> {
+/// replacement a slow group is worth more than none. `is_decided` tells of groups that something else is decided on now.
+pub fn replace_slow_members(view: &View<'_>, is_decided: impl Fn(u64) -> bool) -> Vec<GatewayCommand> {
     if !view.observations.has_slow_servers() {
         return Vec::new();
     }
-    let mut spares: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut changing = BTreeSet::new();
     let mut commands = Vec::new();
-    for group in view.tables.groups.values().filter(|group| is_open(group)) {
+    for group in view.tables.groups.values().filter(|group| is_open(group) && !is_decided(group.epoch)) {
         let slow: Vec<&String> =
             group.members.iter().filter(|member| view.observations.slow_factor(member).is_some()).collect();
         let (Some(first), Some(domain)) = (slow.first(), domain_of(view, group)) else { continue };
-        let key = (group.service.as_str(), domain);
-        let left = spares.entry(key).or_insert_with(|| spares_of(view, &group.service, domain));
-        if *left < slow.len() {
+        // One group of a domain at a time: the next is looked at once the first has its replacement.
+        if changing.contains(domain) || spares_of(view, group, domain) < slow.len() {
             continue;
         }
-        *left -= slow.len();
+        changing.insert(domain);
         let factor = view.observations.slow_factor(first).unwrap_or_default();
-        let reason = format!("{first} takes {factor:.1} times its declared times; {left} more stand by");
+        let reason = format!("{first} takes {factor:.1} times its declared times, and others stand by");
         commands.push(GatewayCommand::SetPhase { epoch: group.epoch, phase: GroupPhase::Cutting, reason });
     }
     commands
@@ -35,12 +34,27 @@
     group.phase == GroupPhase::Open && group.purpose == GroupPurpose::Serve
 }
 
-/// Servers of a domain that are in no group and could join one.
-fn spares_of(view: &View<'_>, service: &str, domain: &str) -> usize {
+/// Servers of a domain that could take the place of a group's members without a load. None while another group of the
+/// domain forms or closes, or while so many are free that a group of them is about to be planned: they are wanted there.
+fn spares_of(view: &View<'_>, group: &GroupRow, domain: &str) -> usize {
+    let is_here = |other: &GroupRow| other.service == group.service && domain_of(view, other) == Some(domain);
+    let is_changing =
+        |other: &GroupRow| is_here(other) && other.purpose == GroupPurpose::Serve && !is_open(other);
+    if view.tables.groups.values().any(|other| is_changing(other)) {
+        return 0;
+    }
     let instances = view.tables.instances.values();
-    let stands_by = instances.filter(|row| {
-        let is_here = row.service == service && row.domain.as_deref() == Some(domain);
-        is_here && is_usable(view, row) && view.tables.group_of(&row.id).is_none()
-    });
-    stands_by.count()
+    let free: Vec<&str> = instances
+        .filter(|row| row.service == group.service && row.domain.as_deref() == Some(domain))
+        .filter(|row| is_usable(view, row) && view.tables.group_of(&row.id).is_none())
+        .map(|row| row.id.as_str())
+        .collect();
+    let sizes = view.tables.engine(&group.service).into_iter().flat_map(|engine| &engine.models);
+    let smallest = sizes.map(|model| model.size as usize).min().unwrap_or(usize::MAX);
+    if free.len() >= smallest {
+        return 0;
+    }
+    let holds =
+        |id: &&&str| has_staged(view, id, &group.model) || view.tables.last_model(id) == Some(&group.model);
+    free.iter().filter(holds).count()
 }
--- a/crates/grouping/src/slowness.rs
+++ b/crates/grouping/src/slowness.rs
@@ -26,6 +26,10 @@
 /// A slow server is asked again after this long, in milliseconds, until it is as fast as declared.
 const RECHECK_MS: Millis = 1_000;
 
+/// Slow servers that are asked again in one turn, at most: where a third of a fleet is slow at once, its leader has better
+/// things to do.
+const MOST_RECHECKS: usize = 8;
+
 /// One look at a group's events.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
@@ -100,7 +104,7 @@
             slow.asked_at = now;
             instance.clone()
         };
-        due.map(claim).collect()
+        due.take(MOST_RECHECKS).map(claim).collect()
     }
 
     /// Forgets groups and servers that are gone.
--- a/crates/grouping/src/wanted.rs
+++ b/crates/grouping/src/wanted.rs
@@ -41,7 +41,12 @@
         let is_closed = matches!(membership.state, MembershipState::Ready | MembershipState::Broken);
         membership.epoch == group.epoch && is_closed
     });
-    let is_unserved = head.is_some_and(|seen| seen.unserved_epoch == group.epoch);
+    // A head that is still finishing requests may refuse to be told to close once more.
+    let is_at_work = membership.is_some_and(|membership| {
+        let works = matches!(membership.state, MembershipState::Open | MembershipState::Closing);
+        membership.epoch == group.epoch && works
+    });
+    let is_unserved = !is_at_work && head.is_some_and(|seen| seen.unserved_epoch == group.epoch);
     if has_closed || is_unserved { OrderKind::Leave } else { close }
 }
 
