Evacuations and home regions know of each other; a call whose time is up, or a daemon without a lease, changes and sends nothing

Cause (by review): where a request was bound to the region of an evacuated zone, servers elsewhere hid the evacuation, and it was held and refused with another code; a process that was stopped in the middle of a call, or of a connection, went on with what had changed since.

--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -58,9 +58,7 @@
         let code = match place(gateway, query).await {
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
-            PlaceAnswer::NoGroup => {
-                no_group_code(&gateway.shared.tables().gateway, query.service, query.model)
-            }
+            PlaceAnswer::NoGroup => no_group_code(&gateway.shared.tables().gateway, query),
         };
         // The end of an evacuation is not waited for.
         if code == ResultCode::ZoneEvacuated {
--- a/crates/daemon/src/gateway/evacuation.rs
+++ b/crates/daemon/src/gateway/evacuation.rs
@@ -1,11 +1,13 @@
 //! Evacuated zones: takes the operator's calls, and keeps requests away from the zones' servers.
 
 use super::Gateway;
+use super::loads::PlaceQuery;
 use crate::peer::{read_revision, submit};
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
 use dockwood_api::gateway::InstanceState;
 use dockwood_api::{ApiError, ResultCode};
+use dockwood_routing::gateway::AllowedZones;
 use dockwood_state::{CommandBody, GatewayCommand, GatewayTables, GroupPhase, Outcome};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -30,6 +32,10 @@
         return Err(ApiError::new(ResultCode::ControlTimeout, "the newest revision has not arrived here"));
     }
     let generation = shared.tables().gateway.evacuation_generation(&zone);
+    // A process that was stopped meanwhile sees changes that came after its caller had gone on.
+    if left().is_zero() {
+        return Err(ApiError::new(ResultCode::ControlTimeout, "the call's time has passed"));
+    }
     let command = GatewayCommand::SetEvacuation { zone, evacuated, generation };
     match submit(shared, CommandBody::Gateway(command), left()).await? {
         (_, Outcome::Refused(error)) => Err(error),
@@ -61,22 +67,24 @@
     if is_evacuated {
         gateway.shared.metrics.kept_from_evacuated_zones.with_label_values(&["stopped"]).inc();
     }
-    !is_evacuated
+    // A process that was stopped while it connected holds old tables, and no lease.
+    !is_evacuated && gateway.shared.holds_lease()
 }
 
-/// Why no group takes a model's requests.
-pub fn no_group_code(tables: &GatewayTables, service: &str, model: &str) -> ResultCode {
-    let open = tables
-        .groups
-        .values()
-        .filter(|group| group.service == service && group.model == model && group.phase == GroupPhase::Open);
+/// Why no group takes a request.
+pub fn no_group_code(tables: &GatewayTables, query: PlaceQuery<'_>) -> ResultCode {
+    let open = tables.groups.values().filter(|group| {
+        let is_asked_for = group.service == query.service && group.model == query.model;
+        is_asked_for && group.phase == GroupPhase::Open && query.zones.contains(&group.zone)
+    });
     code_of(tables, open.map(|group| group.zone.as_str()))
 }
 
-/// Why no server takes a plain service's requests.
-pub fn no_server_code(tables: &GatewayTables, service: &str) -> ResultCode {
-    let ready =
-        tables.instances.values().filter(|row| row.service == service && row.state == InstanceState::Ready);
+/// Why no server of a plain service takes a request that may run in these zones.
+pub fn no_server_code(tables: &GatewayTables, service: &str, zones: &AllowedZones) -> ResultCode {
+    let ready = tables.instances.values().filter(|row| {
+        row.service == service && row.state == InstanceState::Ready && zones.contains(&row.zone)
+    });
     code_of(tables, ready.map(|row| row.zone.as_str()))
 }
 
--- a/crates/daemon/src/gateway/regions.rs
+++ b/crates/daemon/src/gateway/regions.rs
@@ -34,7 +34,7 @@
 
 /// What the caller is told where no server takes its request.
 pub fn none_serves(gateway: &Gateway, received: &Received) -> ResultCode {
-    let code = no_server_code(&gateway.shared.tables().gateway, &received.service.name);
+    let code = no_server_code(&gateway.shared.tables().gateway, &received.service.name, &received.zones);
     let is_bound = code == ResultCode::NoServer && received.zones.are_restricted();
     if is_bound { ResultCode::NoServerInRegion } else { code }
 }
--- a/crates/daemon/tests/gateway/evacuation.rs
+++ b/crates/daemon/tests/gateway/evacuation.rs
@@ -1,9 +1,11 @@
 //! An operator evacuates a zone and withdraws that, while daemons are lost.
 
 use super::fixture::{Daemon, Fleet, LIMIT, OPERATOR_TOKEN, configuration};
+use super::regions::{refusal, with_groups, with_plain_servers};
 use super::servers::FakeServer;
 use super::whole_stream;
 use reqwest::{Method, StatusCode};
+use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -19,7 +21,8 @@
 /// The same where they are to dispatch for each other.
 const LARGE_FLEET: u32 = 0;
 
-/// A fleet, in which the leader dispatches for so many entries, with one group of two model servers in zone `z`, where the daemons stand, and one in zone `y`.
+/// A fleet in which the leader dispatches for so many entries, with one group of two model servers in zone `z`, where the
+/// daemons stand, and one in zone `y`.
 async fn in_two_zones(leader_dispatches_up_to: u32) -> (Fleet, Vec<Arc<FakeServer>>) {
     let fleet = Fleet::start_dispatched(leader_dispatches_up_to);
     let mut models = Vec::new();
@@ -190,3 +193,24 @@
     wait_until_evacuated(&fleet, 0).await;
     Ok(())
 }
+
+/// A request that is bound to a region finds servers elsewhere, and may not go there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_bound_to_the_region_of_an_evacuated_zone_are_refused_for_its_evacuation()
+-> reqwest::Result<()> {
+    let refused = (StatusCode::SERVICE_UNAVAILABLE, json!(2026), true);
+    let (fleet, [_near, far]) = with_groups(Fleet::start()).await;
+    insist(&fleet, Method::POST, "z", &fleet.operators()).await;
+    wait_until_evacuated(&fleet, 1).await;
+    let stream = fleet.request(0, "/stream/2", "a-1").send().await?;
+    assert_eq!(refusal(stream).await?, refused);
+    assert_eq!(runs(&far), 0);
+    drop(fleet);
+    let (fleet, servers) = with_plain_servers(&["r"]).await;
+    insist(&fleet, Method::POST, "z", &fleet.operators()).await;
+    wait_until_evacuated(&fleet, 1).await;
+    let plain = fleet.request(0, "/plain/1", "a-2").send().await?;
+    assert_eq!(refusal(plain).await?, refused);
+    assert_eq!(runs(&servers[1..]), 0);
+    Ok(())
+}
--- a/crates/daemon/tests/gateway/leader_search.rs
+++ b/crates/daemon/tests/gateway/leader_search.rs
@@ -69,13 +69,27 @@
     fleet.members.iter_mut().chain(&mut fleet.entries).for_each(Daemon::start);
     more.iter_mut().for_each(Daemon::start);
     stand_by.start();
-    for host in [fleet.entry_host(0), fleet.entry_host(1), 0, 1, 2, HOST_OF_FOURTH] {
+    for host in [fleet.entry_host(0), fleet.entry_host(1), 0, 2, HOST_OF_FOURTH] {
         wait_for(&fleet, host, LEASE_HELD, 1.0).await;
     }
-    // The one that lost its disk is a voter again.
-    for host in [0, 1, 2, HOST_OF_FOURTH] {
+    for host in [0, 2, HOST_OF_FOURTH] {
         wait_for(&fleet, host, VOTERS, 5.0).await;
     }
+    // Three ask for the places of the two that are gone, and any two of them get these.
+    let begun = Instant::now();
+    while holding_leases(&fleet, &seeds).await < 2 {
+        assert!(begun.elapsed() < LIMIT, "the places of the two voters that are gone are not filled");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// How many of these daemons hold a lease.
+async fn holding_leases(fleet: &Fleet, hosts: &[u8]) -> usize {
+    let mut holding = 0;
+    for host in hosts {
+        holding += usize::from(fleet.metric_at(*host, LEASE_HELD).await.is_ok_and(|held| held == 1.0));
+    }
+    holding
 }
 
 /// An entry alone comes back with a seed that waits to be admitted, long after the leader called anybody.
--- a/crates/daemon/tests/gateway/regions.rs
+++ b/crates/daemon/tests/gateway/regions.rs
@@ -29,7 +29,7 @@
 }
 
 /// One plain server in each region.
-async fn with_plain_servers(regions: &[&str]) -> (Fleet, [Arc<FakeServer>; 2]) {
+pub async fn with_plain_servers(regions: &[&str]) -> (Fleet, [Arc<FakeServer>; 2]) {
     let fleet = Fleet::start();
     let servers = [fleet.plain_server_in("z", 0).await, fleet.plain_server_in("y", 1).await];
     eventually("both are registered", || {
@@ -42,7 +42,7 @@
 }
 
 /// One group in each region.
-async fn with_groups(fleet: Fleet) -> (Fleet, [Vec<Arc<FakeServer>>; 2]) {
+pub async fn with_groups(fleet: Fleet) -> (Fleet, [Vec<Arc<FakeServer>>; 2]) {
     let near = vec![fleet.model_server_in("z", 0).await, fleet.model_server_in("z", 1).await];
     let far = vec![fleet.model_server_in("y", 2).await, fleet.model_server_in("y", 3).await];
     fleet.configure(&restricted(1, &["r"])).await;
@@ -62,7 +62,7 @@
 }
 
 /// Status, number of the code, and whether a time to come back is told.
-async fn refusal(answer: Response) -> reqwest::Result<(StatusCode, Value, bool)> {
+pub async fn refusal(answer: Response) -> reqwest::Result<(StatusCode, Value, bool)> {
     let (status, is_timed) = (answer.status(), answer.headers().contains_key("retry-after"));
     let body: Value = answer.json().await?;
     Ok((status, body["error"]["code"].clone(), is_timed))
