--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -124,7 +124,7 @@
 fn group_left(tables: &Tables, instance: &str) -> String {
     let group = tables.gateway.group_of(instance);
     group.map_or_else(String::new, |group| {
-        let role = if group.members.first().is_some_and(|head| head == instance) { "head" } else { "member" };
+        let role = if group.is_headed_by(instance) { "head" } else { "member" };
         format!("; {role} of {}, {:?}", group.name, group.phase)
     })
 }
--- a/crates/grouping/src/departures.rs
+++ b/crates/grouping/src/departures.rs
@@ -31,7 +31,7 @@
 
 /// Until when a group takes requests that one of its members leaves.
 fn last_moment(view: &View<'_>, group: &GroupRow, member: &str) -> Millis {
-    let is_head = group.members.first().is_some_and(|head| head == member);
+    let is_head = group.is_headed_by(member);
     let since = view.observations.instance(member).and_then(|seen| seen.leaving_since);
     match since {
         // A head is the server that requests go to: from the first word on it gets as few as possible.
@@ -51,8 +51,7 @@
 /// Why an open group should drain now for a departure, if so.
 pub(crate) fn reason_to_drain(view: &View<'_>, group: &GroupRow) -> Option<String> {
     let Departing { member, until } = departing(view, group)?;
-    let rank =
-        if group.members.first().is_some_and(|head| head == member) { "its head" } else { "its member" };
+    let rank = if group.is_headed_by(member) { "its head" } else { "its member" };
     (view.now >= until).then(|| format!("{rank} {member} is leaving"))
 }
 
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -106,7 +106,7 @@
     }
     let busy = view.observations.in_flight(group.epoch) > 0;
     let progressing = view.observations.progressed_within(view.now, group.epoch, PROGRESS_SPAN_MS);
-    let is_head = group.members.first().is_some_and(|head| head == member);
+    let is_head = group.is_headed_by(member);
     // It ends without having told that it has closed.
     if is_head && !busy && view.tables.was_removed(member) {
         return true;
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -93,7 +93,7 @@
 
     /// The group whose head is this instance, if any.
     pub(crate) fn group_headed_by(&self, instance: &str) -> Option<&Arc<GroupRow>> {
-        self.group_of(instance).filter(|group| group.members.first().is_some_and(|head| head == instance))
+        self.group_of(instance).filter(|group| group.is_headed_by(instance))
     }
 
     /// The tables as daemons need them that are not voters: see [`GatewayCommand::for_followers`].
@@ -280,7 +280,7 @@
         let Some(row) = self.groups.get(&epoch) else {
             return Applied::refused(ResultCode::EpochStale, "there is no such group");
         };
-        let is_head = row.members.first().is_some_and(|head| head == member);
+        let is_head = row.is_headed_by(member);
         if row.phase != GroupPhase::Cutting || is_head {
             return Applied::refused(
                 ResultCode::EpochStale,
--- a/crates/state/src/gateway/rows.rs
+++ b/crates/state/src/gateway/rows.rs
@@ -99,6 +99,11 @@
     pub fn serves(&self) -> bool {
         matches!(self.phase, GroupPhase::Open | GroupPhase::Draining)
     }
+
+    /// Whether an instance is its head.
+    pub fn is_headed_by(&self, id: &str) -> bool {
+        self.members.first().is_some_and(|head| head == id)
+    }
 }
 
 impl From<&InstanceReport> for InstanceRow {
