--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -129,9 +129,7 @@
 
 /// The head's own word on this group, if its newest report is on it.
 fn head_state(view: &View<'_>, group: &GroupRow) -> Option<MembershipState> {
-    let head = view.observations.instance(group.members.first()?)?;
-    let membership = head.membership.as_ref()?;
-    (membership.epoch == group.epoch).then_some(membership.state)
+    view.observations.instance(group.members.first()?)?.state_in(group.epoch)
 }
 
 /// Why the head surely doesn't serve this group any more, if so.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -5,7 +5,7 @@
 use crate::slowness::Slowness;
 use dockwood_api::gateway::{
     DispatchScope, GroupCommand, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport,
-    MembershipReport, OrderAnswer, SharedGroupLoad,
+    MembershipReport, MembershipState, OrderAnswer, SharedGroupLoad,
 };
 use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,7 +62,13 @@
 impl InstanceObservation {
     /// Whether its newest report shows it in a group.
     pub fn is_shown_in(&self, epoch: u64) -> bool {
-        self.membership.as_ref().is_some_and(|membership| membership.epoch == epoch)
+        self.state_in(epoch).is_some()
+    }
+
+    /// How it stands in a group, if its newest report shows it there.
+    pub fn state_in(&self, epoch: u64) -> Option<MembershipState> {
+        let membership = self.membership.as_ref()?;
+        (membership.epoch == epoch).then_some(membership.state)
     }
 }
 
@@ -352,15 +358,11 @@
 
     /// Instances that were never seen get the time of one report to be seen, like all others under a new leader.
     pub fn note_unseen(&mut self, now: Millis, tables: &GatewayTables) {
-        for id in tables
-            .instances
-            .keys()
-            .filter(|id| !self.instances.contains_key(*id))
-            .cloned()
-            .collect::<Vec<_>>()
-        {
-            self.instances
-                .insert(id, InstanceObservation { reported_at: now, ..InstanceObservation::default() });
+        for id in tables.instances.keys() {
+            if !self.instances.contains_key(id) {
+                let unseen = InstanceObservation { reported_at: now, ..InstanceObservation::default() };
+                self.instances.insert(id.clone(), unseen);
+            }
         }
     }
 
--- a/crates/grouping/src/wanted.rs
+++ b/crates/grouping/src/wanted.rs
@@ -36,16 +36,10 @@
 /// be carried out after that of closing; it finds no group any more.
 fn closing_order(view: &View<'_>, group: &GroupRow, close: OrderKind) -> OrderKind {
     let head = group.members.first().and_then(|head| view.observations.instance(head));
-    let membership = head.and_then(|seen| seen.membership.as_ref());
-    let has_closed = membership.is_some_and(|membership| {
-        let is_closed = matches!(membership.state, MembershipState::Ready | MembershipState::Broken);
-        membership.epoch == group.epoch && is_closed
-    });
+    let state = head.and_then(|seen| seen.state_in(group.epoch));
+    let has_closed = matches!(state, Some(MembershipState::Ready | MembershipState::Broken));
     // A head that is still finishing requests may refuse to be told to close once more.
-    let is_at_work = membership.is_some_and(|membership| {
-        let works = matches!(membership.state, MembershipState::Open | MembershipState::Closing);
-        membership.epoch == group.epoch && works
-    });
+    let is_at_work = matches!(state, Some(MembershipState::Open | MembershipState::Closing));
     let is_unserved = !is_at_work && head.is_some_and(|seen| seen.unserved_epoch == group.epoch);
     if has_closed || is_unserved { OrderKind::Leave } else { close }
 }
@@ -62,8 +56,6 @@
 }
 
 fn has_joined(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
-    let membership = view.observations.instance(member).and_then(|seen| seen.membership.as_ref());
-    membership.is_some_and(|membership| {
-        membership.epoch == group.epoch && membership.state != MembershipState::Broken
-    })
+    let state = view.observations.instance(member).and_then(|seen| seen.state_in(group.epoch));
+    state.is_some_and(|state| state != MembershipState::Broken)
 }
