--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -165,7 +165,7 @@
     let tables = gateway.shared.tables();
     let dispatcher = gateway.shared.dispatchers.of_scope(&tables, &scope)?;
     let limits_cold = cold_start_of(&tables.gateway, query.service).is_some();
-    if limits_cold && !gateway.shared.dispatchers.may_pace(&tables, &scope, dispatcher) {
+    if limits_cold && !gateway.shared.dispatchers.may_assign_cold(&tables, &scope, dispatcher) {
         request.excluded.extend(gateway.loads.cold(query));
     }
     ask(gateway, dispatcher, request).await
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -5,7 +5,7 @@
 use crate::clock::monotonic_ms;
 use crate::metrics::Metrics;
 use dockwood_api::gateway::ColdStart;
-use dockwood_grouping::{ColdLimit, ColdPacing, Pace, grant_valid_ms};
+use dockwood_grouping::{ColdLimit, ColdPacing, SendRate, grant_valid_ms};
 use dockwood_routing::Millis;
 use dockwood_state::{GatewayTables, InstanceRow, Tables};
 use std::collections::{HashMap, VecDeque};
@@ -47,15 +47,15 @@
     }
 
     /// This entry's part of what a plain server may get while it is cold.
-    pub fn pace(&self, tables: &Tables, cold_start: &ColdStart, server: &str, entry: &str) -> Pace {
+    pub fn cold_rate(&self, tables: &Tables, cold_start: &ColdStart, server: &str, entry: &str) -> SendRate {
         let live = tables.reachable_daemons().filter(|daemon| daemon.record.frontend.is_some());
         let entries: Vec<&str> = live.map(|daemon| daemon.record.name.as_str()).collect();
-        Pace::of_entry(self.limit.arrivals(cold_start), server, entry, &entries)
+        SendRate::of_entry(self.limit.arrivals(cold_start), server, entry, &entries)
     }
 
     /// What is remembered of a plain server's requests while it is warm: no entry's part is larger.
-    pub fn warm_pace(&self, cold_start: &ColdStart) -> Pace {
-        Pace::of_dispatcher(self.limit.arrivals(cold_start))
+    pub fn warm_rate(&self, cold_start: &ColdStart) -> SendRate {
+        SendRate::of_dispatcher(self.limit.arrivals(cold_start))
     }
 
     /// Notes whether a plain server is cold. It gets everything again once it is warm: in a slow start, entries without a part
@@ -65,16 +65,16 @@
     }
 
     /// Whether this entry may send a request to a plain server now.
-    pub fn may_give(&self, now: Millis, server: &str, pace: Pace) -> bool {
-        lock(&self.pacing).may_give(now, &server.to_string(), pace)
+    pub fn may_give(&self, now: Millis, server: &str, rate: SendRate) -> bool {
+        lock(&self.pacing).may_give(now, &server.to_string(), rate)
     }
 
     /// Notes that a plain server gets a request, if this entry may send it one now.
-    pub fn try_give(&self, now: Millis, server: &str, pace: Pace) -> bool {
+    pub fn try_give(&self, now: Millis, server: &str, rate: SendRate) -> bool {
         let (mut pacing, server) = (lock(&self.pacing), server.to_string());
-        let may_give = pacing.may_give(now, &server, pace);
+        let may_give = pacing.may_give(now, &server, rate);
         if may_give {
-            pacing.give(now, &server, pace);
+            pacing.give(now, &server, rate);
         }
         may_give
     }
--- a/crates/daemon/src/gateway/dispatchers.rs
+++ b/crates/daemon/src/gateway/dispatchers.rs
@@ -75,7 +75,7 @@
 
     /// Whether a dispatcher may give requests to cold heads: only so many have a part of what a cold server may get.
     /// The others take over for some entries at a time, while the first ones still work for the rest.
-    pub fn may_pace(&self, tables: &Tables, scope: &DispatchScope, dispatcher: SocketAddr) -> bool {
+    pub fn may_assign_cold(&self, tables: &Tables, scope: &DispatchScope, dispatcher: SocketAddr) -> bool {
         let ranked = self.ranked(tables, scope);
         ranked.iter().take(SENDERS_AT_ONCE as usize).any(|address| *address == dispatcher)
     }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -5,7 +5,7 @@
 use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
-use dockwood_grouping::{Pace, grant_valid_ms};
+use dockwood_grouping::{SendRate, grant_valid_ms};
 use dockwood_routing::gateway::AllowedZones;
 use dockwood_routing::{CallResult, Millis};
 use dockwood_state::{InstanceRow, Tables};
@@ -46,20 +46,21 @@
     tables: &Tables,
     cold_start: Option<&ColdStart>,
     ready: &[&'a Arc<InstanceRow>],
-) -> Vec<(&'a Arc<InstanceRow>, Option<Pace>)> {
+) -> Vec<(&'a Arc<InstanceRow>, Option<SendRate>)> {
     let now = monotonic_ms();
     let entry = &gateway.shared.settings.name;
     let Some(cold_start) = cold_start else { return ready.iter().map(|row| (*row, None)).collect() };
     ready.iter().for_each(|row| gateway.cold.observe(now, row));
-    let (limited, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| row.is_cold);
+    let (cold, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| row.is_cold);
     if !warm.is_empty() {
-        let pace = gateway.cold.warm_pace(cold_start);
-        return warm.into_iter().map(|row| (row, Some(pace))).collect();
+        let rate = gateway.cold.warm_rate(cold_start);
+        return warm.into_iter().map(|row| (row, Some(rate))).collect();
     }
-    let paced = |row: &'a Arc<InstanceRow>| (row, gateway.cold.pace(tables, cold_start, &row.id, entry));
+    let with_rate =
+        |row: &'a Arc<InstanceRow>| (row, gateway.cold.cold_rate(tables, cold_start, &row.id, entry));
     let open =
-        limited.into_iter().map(paced).filter(|(row, pace)| gateway.cold.may_give(now, &row.id, *pace));
-    open.map(|(row, pace)| (row, Some(pace))).collect()
+        cold.into_iter().map(with_rate).filter(|(row, rate)| gateway.cold.may_give(now, &row.id, *rate));
+    open.map(|(row, rate)| (row, Some(rate))).collect()
 }
 
 /// Picks a server of a service that may run the request and was not tried yet; else why there is none.
@@ -94,7 +95,7 @@
         .pick(monotonic_ms(), &eligible, service.max_connections, random)
         .ok_or(ResultCode::NoServer)?;
     drop(pickers);
-    let (row, pace) = open.iter().find(|(row, _)| row.id == id).ok_or(ResultCode::NoServer)?;
+    let (row, rate) = open.iter().find(|(row, _)| row.id == id).ok_or(ResultCode::NoServer)?;
     let mut picked = Picked {
         gateway: gateway.clone(),
         row: (*row).clone(),
@@ -102,10 +103,10 @@
         result: None,
         servers: eligible.len() + tried.len(),
     };
-    if let Some(pace) = pace {
+    if let Some(rate) = rate {
         let now = monotonic_ms();
         // Another request may have got this turn since it was looked for.
-        if !gateway.cold.try_give(now, &id, *pace) && row.is_cold {
+        if !gateway.cold.try_give(now, &id, *rate) && row.is_cold {
             return Err(ResultCode::Overloaded);
         }
         picked.valid_until = Some(now + grant_valid_ms(row.is_cold));
--- a/crates/daemon/tests/cold_servers.rs
+++ b/crates/daemon/tests/cold_servers.rs
@@ -4,7 +4,7 @@
 use dockwood_daemon::clock::monotonic_ms;
 use dockwood_daemon::gateway::ColdServers;
 use dockwood_daemon::metrics::Metrics;
-use dockwood_grouping::{ColdLimit, Pace};
+use dockwood_grouping::{ColdLimit, SendRate};
 
 fn metrics() -> Metrics {
     Metrics::new().unwrap_or_else(|error| panic!("{error}"))
@@ -26,8 +26,8 @@
 #[test]
 fn two_requests_that_look_for_a_turn_at_once_do_not_both_get_it() {
     let cold = ColdServers::new(ColdLimit { overshoot_percent: 100, extra: 0 });
-    let pace = cold.warm_pace(&ColdStart { usual_ms: 1_000, requests_per_second: 8.0 });
-    assert_eq!(pace, Pace::of_dispatcher(8));
+    let rate = cold.warm_rate(&ColdStart { usual_ms: 1_000, requests_per_second: 8.0 });
+    assert_eq!(rate, SendRate::of_dispatcher(8));
     let row = dockwood_state::InstanceRow {
         id: "a".to_string(),
         service: "board".to_string(),
@@ -39,8 +39,8 @@
         domain: None,
     };
     cold.observe(1_000, &row);
-    assert!(cold.may_give(1_000, "a", pace) && cold.may_give(1_000, "a", pace));
-    assert!(cold.try_give(1_000, "a", pace));
-    assert!(!cold.try_give(1_000, "a", pace));
-    assert!(cold.try_give(1_300, "a", pace), "its next turn has come");
+    assert!(cold.may_give(1_000, "a", rate) && cold.may_give(1_000, "a", rate));
+    assert!(cold.try_give(1_000, "a", rate));
+    assert!(!cold.try_give(1_000, "a", rate));
+    assert!(cold.try_give(1_300, "a", rate), "its next turn has come");
 }
--- a/crates/daemon/tests/dispatchers.rs
+++ b/crates/daemon/tests/dispatchers.rs
@@ -110,9 +110,9 @@
     let tables = fleet(300).tables;
     let dispatchers = Dispatchers::new(64);
     let scope = scope(1, "small");
-    for may_pace in [true, true, false] {
+    for may_assign_cold in [true, true, false] {
         let next = dispatchers.of_scope(&tables, &scope).expect("a dispatcher");
-        assert_eq!(dispatchers.may_pace(&tables, &scope, next), may_pace);
+        assert_eq!(dispatchers.may_assign_cold(&tables, &scope, next), may_assign_cold);
         dispatchers.rest(next);
     }
 }
--- a/crates/grouping/src/cold.rs
+++ b/crates/grouping/src/cold.rs
@@ -18,12 +18,6 @@
 /// The same for servers that are warm as far as the entry knows, in milliseconds: an entry that was stopped doesn't know
 /// what has become of them since. The longest time in which a connection may be made is no reason to ask again.
 const WARM_GRANT_VALID_MS: Millis = 400;
-/// How long a place may be used after an entry asked for it, in milliseconds. `is_limited`: its server is cold, or was
-/// until a moment ago.
-pub const fn grant_valid_ms(is_limited: bool) -> Millis {
-    if is_limited { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS }
-}
-
 /// How long a request that was written takes to its server at most, in milliseconds.
 const DELIVERY_MS: Millis = 25;
 /// Requests that were given over this long may all arrive within one second: some wait for their connection, the others
@@ -40,6 +34,12 @@
 /// More arrivals a second than this are no limit that a server could need; it bounds what is remembered of each.
 const MOST_ARRIVALS: f64 = 10_000.0;
 
+/// How long a place may be used after an entry asked for it, in milliseconds. `is_limited`: its server is cold, or was
+/// until a moment ago.
+pub const fn grant_valid_ms(is_limited: bool) -> Millis {
+    if is_limited { COLD_GRANT_VALID_MS } else { WARM_GRANT_VALID_MS }
+}
+
 /// By how much a cold server's declared rate may be exceeded, over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ColdLimit {
@@ -66,32 +66,32 @@
 
 /// How many requests one sender may give to a cold server in any second, evenly spaced; it may be none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
+pub struct SendRate {
     requests: u32,
 }
 
-impl Pace {
+impl SendRate {
     /// The part of one dispatcher, where so many requests may arrive: one at least, unless none may.
-    pub fn of_dispatcher(arrivals: u32) -> Pace {
-        Pace { requests: (arrivals / SENDERS_AT_ONCE).max(arrivals.min(1)) }
+    pub fn of_dispatcher(arrivals: u32) -> SendRate {
+        SendRate { requests: (arrivals / SENDERS_AT_ONCE).max(arrivals.min(1)) }
     }
 
     /// The part of one entry that sends to a plain server without asking anybody. Where there are more entries than
     /// requests, the first by rendezvous hashing send one each and the others none, so that entries which know each other
     /// agree without a message.
-    pub fn of_entry(arrivals: u32, server: &str, entry: &str, entries: &[&str]) -> Pace {
-        let all = Pace::of_dispatcher(arrivals).requests;
+    pub fn of_entry(arrivals: u32, server: &str, entry: &str, entries: &[&str]) -> SendRate {
+        let all = SendRate::of_dispatcher(arrivals).requests;
         if !entries.contains(&entry) {
-            return Pace { requests: 0 };
+            return SendRate { requests: 0 };
         }
         let even_part = all / entries.len() as u32;
         if even_part > 0 {
-            return Pace { requests: even_part };
+            return SendRate { requests: even_part };
         }
         let rank = |name: &str| rendezvous_weight(server, name);
         let own = rank(entry);
         let before = entries.iter().filter(|other| rank(other) > own).count();
-        Pace { requests: u32::from(before < all as usize) }
+        SendRate { requests: u32::from(before < all as usize) }
     }
 
     /// Time between two requests, in milliseconds; `None` if there are to be none.
@@ -99,8 +99,8 @@
         Some(SPREAD_MS.checked_div(Millis::from(self.requests))? + 1)
     }
 
-    fn times(self, factor: u32) -> Pace {
-        Pace { requests: self.requests * factor }
+    fn times(self, factor: u32) -> SendRate {
+        SendRate { requests: self.requests * factor }
     }
 }
 
@@ -119,12 +119,12 @@
         self.is_cold || self.cold_at.is_some_and(|at| now < at + COLD_SLOW_START_MS)
     }
 
-    fn allows(&self, now: Millis, pace: Pace) -> bool {
-        let Some(interval_ms) = pace.interval_ms() else { return false };
+    fn allows(&self, now: Millis, rate: SendRate) -> bool {
+        let Some(interval_ms) = rate.interval_ms() else { return false };
         let is_spaced = self.at.back().is_none_or(|last| now >= last + interval_ms);
         // A server that was warm a moment ago may have got more than its spacing allows.
         let within = self.at.iter().rev().take_while(|at| now <= **at + SPREAD_MS).count();
-        is_spaced && within < pace.requests as usize
+        is_spaced && within < rate.requests as usize
     }
 }
 
@@ -157,19 +157,19 @@
         self.given.get(server).is_some_and(|given| given.is_limited(now))
     }
 
-    /// Whether a server may get a request now. `pace` is this sender's part.
-    pub fn may_give(&self, now: Millis, server: &K, pace: Pace) -> bool {
+    /// Whether a server may get a request now. `rate` is this sender's part.
+    pub fn may_give(&self, now: Millis, server: &K, rate: SendRate) -> bool {
         let limited = self.given.get(server).filter(|given| given.is_limited(now));
         let Some(given) = limited else { return true };
         let factor = if given.is_cold { 1 } else { SLOW_START_FACTOR };
-        given.allows(now, pace.times(factor))
+        given.allows(now, rate.times(factor))
     }
 
     /// Notes that a server gets a request now, also where it is warm: it may become cold at any moment.
-    pub fn give(&mut self, now: Millis, server: &K, pace: Pace) {
+    pub fn give(&mut self, now: Millis, server: &K, rate: SendRate) {
         let given = self.given.entry(server.clone()).or_default();
         given.at.push_back(now);
-        while given.at.len() > pace.times(SLOW_START_FACTOR).requests as usize {
+        while given.at.len() > rate.times(SLOW_START_FACTOR).requests as usize {
             given.at.pop_front();
         }
     }
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! place sees every request at once.
 
 use crate::capacity::{first_event_ms, places_of_group, reading_ms};
-use crate::{ColdLimit, ColdPacing, Millis, Observations, Pace};
+use crate::{ColdLimit, ColdPacing, Millis, Observations, SendRate};
 use dockwood_api::gateway::{EngineProfile, ModelProfile, PlaceReply, PlaceRequest};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use std::collections::BTreeMap;
@@ -64,7 +64,7 @@
     model: &'a ModelProfile,
     observations: &'a Observations,
     /// This dispatcher's part of what a cold head may get; absent where a cold head takes as much as a warm one.
-    cold_pace: Option<Pace>,
+    cold_rate: Option<SendRate>,
 }
 
 impl Asked<'_> {
@@ -112,50 +112,50 @@
             let is_open = group.phase == GroupPhase::Open && !tables.is_evacuated(&group.zone);
             serves && request.wants_zone(&group.zone) && is_open
         });
-        let cold_pace = self.cold_pace(tables, &request.service);
-        self.assign_among(now, request, engine, cold_pace, groups, observations)
+        let cold_rate = self.cold_rate(tables, &request.service);
+        self.assign_among(now, request, engine, cold_rate, groups, observations)
     }
 
     /// Notes which heads are cold, also of groups that nobody asks for now, so that the end of their cold time is seen.
     pub fn observe_heads(&mut self, now: Millis, tables: &GatewayTables) {
         let limited = tables.groups.values().filter(|group| {
-            group.phase == GroupPhase::Open && self.cold_pace(tables, &group.service).is_some()
+            group.phase == GroupPhase::Open && self.cold_rate(tables, &group.service).is_some()
         });
         for group in limited.cloned().collect::<Vec<Arc<GroupRow>>>() {
             self.cold.observe(now, &group.epoch, group.head_is_cold);
         }
     }
 
-    fn cold_pace(&self, tables: &GatewayTables, service: &str) -> Option<Pace> {
+    fn cold_rate(&self, tables: &GatewayTables, service: &str) -> Option<SendRate> {
         let cold_start = tables.configuration.as_ref()?.service(service)?.cold_start?;
-        Some(Pace::of_dispatcher(self.cold_limit.arrivals(&cold_start)))
+        Some(SendRate::of_dispatcher(self.cold_limit.arrivals(&cold_start)))
     }
 
-    /// Assigns a request to one of these groups of its model. `cold_pace` is what this dispatcher may give a cold head;
+    /// Assigns a request to one of these groups of its model. `cold_rate` is what this dispatcher may give a cold head;
     /// absent where a cold head takes as much as a warm one.
     pub fn assign_among<'a>(
         &mut self,
         now: Millis,
         request: &PlaceRequest,
         engine: &EngineProfile,
-        cold_pace: Option<Pace>,
+        cold_rate: Option<SendRate>,
         groups: impl Iterator<Item = &'a Arc<GroupRow>>,
         observations: &Observations,
     ) -> PlaceReply {
         let Some(model) = engine.model(&request.model) else { return PlaceReply::NoGroup };
-        let asked = Asked { now, request, engine, model, observations, cold_pace };
+        let asked = Asked { now, request, engine, model, observations, cold_rate };
         let groups: Vec<&Arc<GroupRow>> = groups.collect();
         if groups.is_empty() {
             return PlaceReply::NoGroup;
         }
         // All of them, so that the end of each one's cold time is seen.
         groups.iter().for_each(|group| self.cold.observe(now, &group.epoch, group.head_is_cold));
-        let is_in_pace = |group: &&&Arc<GroupRow>| {
-            cold_pace.is_none_or(|pace| self.cold.may_give(now, &group.epoch, pace))
+        let is_within_rate = |group: &&&Arc<GroupRow>| {
+            cold_rate.is_none_or(|rate| self.cold.may_give(now, &group.epoch, rate))
         };
         let candidates = groups
             .iter()
-            .filter(is_in_pace)
+            .filter(is_within_rate)
             .filter_map(|group| asked.rate(group, self.queues.get(&group.epoch)));
         let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
         let is_late = |best: &Candidate| {
@@ -167,8 +167,8 @@
     }
 
     fn take(&mut self, asked: &Asked<'_>, epoch: u64) {
-        if let Some(pace) = asked.cold_pace {
-            self.cold.give(asked.now, &epoch, pace);
+        if let Some(rate) = asked.cold_rate {
+            self.cold.give(asked.now, &epoch, rate);
         }
         let queue = self.queues.entry(epoch).or_default();
         queue.read_until = queue.read_until.max(asked.now as f64) + asked.reading_ms();
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -29,7 +29,7 @@
 mod worth;
 
 pub use capacity::{RequestWork, group_ms, places_of_group};
-pub use cold::{COLD_SLOW_START_MS, ColdLimit, ColdPacing, Pace, SENDERS_AT_ONCE, grant_valid_ms};
+pub use cold::{COLD_SLOW_START_MS, ColdLimit, ColdPacing, SENDERS_AT_ONCE, SendRate, grant_valid_ms};
 pub use demand::{Demand, ModelDemand};
 pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
--- a/crates/grouping/tests/cold.rs
+++ b/crates/grouping/tests/cold.rs
@@ -4,7 +4,7 @@
 
 use common::{LARGE, SERVICE, World, engine, formed};
 use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, PlaceReply, PlaceRequest};
-use dockwood_grouping::{ColdLimit, ColdPacing, Dispatcher, Pace};
+use dockwood_grouping::{ColdLimit, ColdPacing, Dispatcher, SendRate};
 use dockwood_state::{GatewayCommand, InstanceRow};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -220,13 +220,13 @@
 }
 
 /// A sender that sends whenever it may, once in each millisecond at most.
-fn send_on(pace: Pace) -> Vec<u64> {
+fn send_on(rate: SendRate) -> Vec<u64> {
     let mut pacing = ColdPacing::default();
     let mut sent = Vec::new();
     for now in 10_000..16_000 {
         pacing.observe(now, &"server", true);
-        if pacing.may_give(now, &"server", pace) {
-            pacing.give(now, &"server", pace);
+        if pacing.may_give(now, &"server", rate) {
+            pacing.give(now, &"server", rate);
             sent.push(now);
         }
     }
@@ -236,12 +236,12 @@
 #[test]
 fn every_limit_is_kept_by_two_senders_and_at_least_one_request_is_sent() {
     for arrivals in 2..120 {
-        let sent = send_on(Pace::of_dispatcher(arrivals));
+        let sent = send_on(SendRate::of_dispatcher(arrivals));
         assert!(most_that_may_arrive(&sent) * 2 <= arrivals as usize, "{arrivals}: {sent:?}");
         assert!(!sent.is_empty());
     }
-    assert!(most_that_may_arrive(&send_on(Pace::of_dispatcher(1))) == 1);
-    assert!(send_on(Pace::of_dispatcher(0)).is_empty(), "not even one request may arrive");
+    assert!(most_that_may_arrive(&send_on(SendRate::of_dispatcher(1))) == 1);
+    assert!(send_on(SendRate::of_dispatcher(0)).is_empty(), "not even one request may arrive");
 }
 
 fn entries(count: usize) -> Vec<String> {
@@ -251,8 +251,10 @@
 /// What all these entries send to a plain server without a word between them.
 fn sent_by_all(arrivals: u32, entries: &[String]) -> Vec<u64> {
     let known: Vec<&str> = entries.iter().map(String::as_str).collect();
-    let mut sent: Vec<u64> =
-        known.iter().flat_map(|entry| send_on(Pace::of_entry(arrivals, "server-1", entry, &known))).collect();
+    let mut sent: Vec<u64> = known
+        .iter()
+        .flat_map(|entry| send_on(SendRate::of_entry(arrivals, "server-1", entry, &known)))
+        .collect();
     sent.sort_unstable();
     sent
 }
@@ -279,8 +281,8 @@
     let senders = |known: &[String]| -> BTreeSet<String> {
         let names: Vec<&str> = known.iter().map(String::as_str).collect();
         let sends = |entry: &&String| {
-            let pace = Pace::of_entry(ARRIVALS as u32, "server-1", entry, &names);
-            pace.interval_ms().is_some()
+            let rate = SendRate::of_entry(ARRIVALS as u32, "server-1", entry, &names);
+            rate.interval_ms().is_some()
         };
         known.iter().filter(sends).cloned().collect()
     };
@@ -291,7 +293,7 @@
 
 #[test]
 fn an_entry_that_the_fleet_does_not_know_sends_nothing_to_a_cold_plain_server() {
-    assert_eq!(Pace::of_entry(44, "server-1", "newcomer", &["a", "b"]).interval_ms(), None);
+    assert_eq!(SendRate::of_entry(44, "server-1", "newcomer", &["a", "b"]).interval_ms(), None);
 }
 
 #[test]
