--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -8,7 +8,7 @@
 use dockwood_grouping::{SendRate, grant_valid_ms};
 use dockwood_routing::gateway::AllowedZones;
 use dockwood_routing::{CallResult, Millis};
-use dockwood_state::{InstanceRow, Tables};
+use dockwood_state::{GatewayTables, InstanceRow, Tables};
 use std::sync::Arc;
 
 /// A server that was picked; the pick is counted until its result is told.
@@ -63,6 +63,19 @@
     open.map(|(row, rate)| (row, Some(rate))).collect()
 }
 
+/// Servers of a service that may run the request and were not tried yet.
+fn ready_servers<'a>(
+    tables: &'a GatewayTables,
+    service: &str,
+    zones: &AllowedZones,
+    tried: &[String],
+) -> Vec<&'a Arc<InstanceRow>> {
+    let may_run = |row: &InstanceRow| zones.contains(&row.zone) && !tables.is_evacuated(&row.zone);
+    let is_ready = |row: &InstanceRow| row.service == service && row.state == InstanceState::Ready;
+    let instances = tables.instances.values();
+    instances.filter(|row| may_run(row) && is_ready(row) && !tried.contains(&row.id)).collect()
+}
+
 /// Picks a server of a service that may run the request and was not tried yet; else why there is none.
 pub fn pick(
     gateway: &Arc<Gateway>,
@@ -73,13 +86,7 @@
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
     let cold_start = cold_start_of(&tables.gateway, &service.name);
-    let ready: Vec<&Arc<InstanceRow>> = instances
-        .values()
-        .filter(|row| zones.contains(&row.zone) && !tables.gateway.is_evacuated(&row.zone))
-        .filter(|row| {
-            row.service == service.name && row.state == InstanceState::Ready && !tried.contains(&row.id)
-        })
-        .collect();
+    let ready = ready_servers(&tables.gateway, &service.name, zones, tried);
     let open = open_servers(gateway, &tables, cold_start.as_ref(), &ready);
     if open.is_empty() && !ready.is_empty() {
         gateway.shared.metrics.cold_limited.with_label_values(&["noShare"]).inc();
