--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -83,10 +83,14 @@
         });
     }
 
-    /// Whether an answer tells that it is another instance's.
-    fn is_other(&self, response: &reqwest::Response, probe: &InstanceProbe) -> bool {
-        let told = response.headers().get(self.dialect.headers().own_instance);
-        told.is_some_and(|id| id.as_bytes() != probe.instance.as_bytes())
+    /// What an answer shows of who gave it.
+    fn result_of(&self, response: &reqwest::Response, probe: &InstanceProbe) -> ProbeResult {
+        match response.headers().get(self.dialect.headers().own_instance) {
+            Some(id) if id.as_bytes() != probe.instance.as_bytes() => ProbeResult::OtherInstance,
+            // Without its id, nobody has said who answers there.
+            None if matches!(probe.question, ProbeQuestion::AnswersAt(_)) => ProbeResult::Silent,
+            _ => ProbeResult::Answered,
+        }
     }
 
     /// What came of asking, and how many times its declared times the instance takes, where it tells.
@@ -97,19 +101,14 @@
         };
         let url = format!("http://{}{path}", probe.address);
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
-            // Without its id, nobody has said who answers there.
-            Ok(response)
-                if matches!(probe.question, ProbeQuestion::AnswersAt(_))
-                    && !response.headers().contains_key(self.dialect.headers().own_instance) =>
-            {
-                (ProbeResult::Silent, None)
-            }
-            Ok(response) if self.is_other(&response, probe) => (ProbeResult::OtherInstance, None),
-            // An answer whose body is lost shows a living server all the same.
-            Ok(response) => {
-                let body = response.bytes().await.unwrap_or_default();
-                (ProbeResult::Answered, self.dialect.report_slowness(&body))
-            }
+            Ok(response) => match self.result_of(&response, probe) {
+                ProbeResult::Answered => {
+                    // An answer whose body is lost shows a living server all the same.
+                    let body = response.bytes().await.unwrap_or_default();
+                    (ProbeResult::Answered, self.dialect.report_slowness(&body))
+                }
+                other => (other, None),
+            },
             Err(error) if error.is_connect() && !error.is_timeout() => (ProbeResult::Refused, None),
             Err(_) => (ProbeResult::Silent, None),
         }
