--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -221,10 +221,8 @@
         let mut commands = self.successors.confirmed();
         commands.extend(advance_groups(&view, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
-        let is_decided = |epoch: u64| {
-            commands.iter().any(|command| matches!(command, GatewayCommand::SetPhase { epoch: decided, .. } if *decided == epoch))
-        };
-        let slow = replace_slow_members(&view, is_decided);
+        let decided: BTreeSet<u64> = commands.iter().filter_map(decided_group).collect();
+        let slow = replace_slow_members(&view, |epoch| decided.contains(&epoch));
         commands.extend(slow);
         commands.extend(reap_instances(&view));
         if self.observations.traffic_seen && !tables.requests_seen {
@@ -284,9 +282,7 @@
         }
         probes
     }
-}
 
-impl GatewayLeadership {
     /// Members of groups whose streams look slow, and servers that said that they are slow.
     fn slowness_probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
         let groups = self.observations.claim_slow_groups(now);
@@ -298,6 +294,14 @@
     }
 }
 
+/// The group whose phase a command sets.
+fn decided_group(command: &GatewayCommand) -> Option<u64> {
+    match command {
+        GatewayCommand::SetPhase { epoch, .. } => Some(*epoch),
+        _ => None,
+    }
+}
+
 fn probe_of(row: &InstanceRow) -> InstanceProbe {
     InstanceProbe {
         instance: row.id.clone(),
