--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -1,5 +1,6 @@
 //! Requests in flight at each group, here and at the other entries, and which groups seem to stand still.
 
+mod group_state;
 mod reports;
 
 pub use reports::ScopeLoad;
@@ -8,10 +9,10 @@
 use super::lock;
 use crate::clock::monotonic_ms;
 use dockwood_api::gateway::{EventPace, ModelLoad};
-use dockwood_grouping::COLD_SLOW_START_MS;
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose, timely_event_ms};
-use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
+use dockwood_state::{GatewayTables, GroupPhase};
+use group_state::GroupState;
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,55 +25,6 @@
 const SUSPICION_MS: Millis = 1_200;
 /// What the leader has granted counts for this long; after that this entry goes by the figures that it has.
 const GRANTS_VALID_MS: Millis = 500;
-/// What may be held at a group that the leader has granted nothing for yet.
-const FIRST_ALLOWANCE: u32 = 1;
-
-/// One group that is open, or finishes what it has.
-#[derive(Debug)]
-struct GroupState {
-    row: Arc<GroupRow>,
-    takes_new: bool,
-    slots: u32,
-    in_flight: u32,
-    others_in_flight: u32,
-    /// Requests in flight when the leader was last told.
-    reported_in_flight: u32,
-    /// Requests that this entry may hold.
-    allowance: u32,
-    suspected_until: Millis,
-    suspected_by_others: bool,
-    /// Its head counts as cold until then, also if it says that it is warm.
-    cold_until: Millis,
-    progressed: bool,
-    refused: bool,
-    last_progress: Millis,
-    /// An event that takes no longer came in time, in milliseconds.
-    timely_ms: f64,
-    pace: EventPace,
-}
-
-impl GroupState {
-    fn is_suspected(&self, now: Millis) -> bool {
-        now < self.suspected_until || self.suspected_by_others
-    }
-
-    /// Whether its head is cold, or was until a moment ago.
-    fn is_cold(&self, now: Millis) -> bool {
-        self.row.head_is_cold || now < self.cold_until
-    }
-
-    /// Takes its row as it is now.
-    fn follow(&mut self, now: Millis, row: &Arc<GroupRow>) {
-        if self.row.head_is_cold {
-            self.cold_until = now + COLD_SLOW_START_MS;
-        }
-        self.row = row.clone();
-    }
-
-    fn total(&self) -> u32 {
-        self.in_flight + self.others_in_flight
-    }
-}
 
 /// The groups as this entry sees them.
 #[derive(Debug, Default)]
@@ -174,34 +126,19 @@
             return;
         }
         for row in tables.groups.values().filter(|row| row.serves()) {
-            let slots = tables.engine(&row.service).map_or(1, |engine| engine.slots);
+            let engine = tables.engine(&row.service);
+            let slots = engine.map_or(1, |engine| engine.slots);
             let takes_new = row.phase == GroupPhase::Open && !tables.is_evacuated(&row.zone);
-            let profile = tables.engine(&row.service);
-            let model = profile.and_then(|engine| engine.model(&row.model));
+            let model = engine.and_then(|engine| engine.model(&row.model));
             let timely_ms =
-                profile.zip(model).map_or(f64::INFINITY, |(engine, model)| timely_event_ms(engine, model));
+                engine.zip(model).map_or(f64::INFINITY, |(engine, model)| timely_event_ms(engine, model));
             let update = |group: &mut GroupState| {
                 group.slots = slots;
                 group.takes_new = takes_new;
                 group.follow(now, row);
             };
-            groups.entry(row.epoch).and_modify(update).or_insert_with(|| GroupState {
-                row: row.clone(),
-                takes_new,
-                slots,
-                in_flight: 0,
-                others_in_flight: 0,
-                reported_in_flight: 0,
-                allowance: FIRST_ALLOWANCE,
-                suspected_until: 0,
-                suspected_by_others: false,
-                cold_until: 0,
-                progressed: false,
-                refused: false,
-                last_progress: 0,
-                timely_ms,
-                pace: EventPace::default(),
-            });
+            let new = || GroupState::new(row, slots, takes_new, timely_ms);
+            groups.entry(row.epoch).and_modify(update).or_insert_with(new);
         }
         drop(groups);
         self.freed.notify_waiters();
