--- a/crates/bench/tests/common/mod.rs
+++ b/crates/bench/tests/common/mod.rs
@@ -8,8 +8,8 @@
     path: PathBuf,
 }
 
-/// A file system in memory, where there is one. These tests judge answers, not disks: on a busy machine a synced write has
-/// taken 12 s, and no voter goes on without its own (finding 24). What a killed process has written is there in memory too.
+/// A file system in memory, where there is one. These tests judge answers, not disks: on a busy machine a synced write
+/// has taken 12 s, and no voter goes on without its own. What a killed process has written is there in memory too.
 const MEMORY_FOLDER: &str = "/dev/shm";
 
 impl TestFolder {
--- a/crates/bench/tests/resend.rs
+++ b/crates/bench/tests/resend.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// Found by the fleet's test: a daemon that was sent a request again, after the one that had dispatched it was lost, refused
-/// it as not run (finding 21).
+/// A daemon that is sent a request again, after the one that had dispatched it was lost, does not know by itself whether it
+/// ran.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refusal_of_a_request_that_was_sent_before_says_not_run_only_if_that_is_true() -> Outcome {
     let folder = TestFolder::new()?;
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -1,21 +1,22 @@
 //! A fleet of real daemons on loopback, found by seeds: three members of the control group, two entries.
 
+mod daemon;
 mod directory;
 
+pub use daemon::Daemon;
+
 use crate::servers::FakeServer;
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Generous: what is judged is judged by answers, not by time.
 pub const LIMIT: Duration = Duration::from_secs(30);
-/// A file system in memory, where there is one. These tests judge answers, not disks: on a busy machine a synced write has
-/// taken 4 s, and no voter goes on without its own (finding 24). What a killed process has written is there in memory too.
+/// A file system in memory, where there is one. These tests judge answers, not disks: on a busy machine a synced write
+/// has taken 4 s, and no voter goes on without its own. What a killed process has written is there in memory too.
 const MEMORY_FOLDER: &str = "/dev/shm";
 const PEER_PORT: u16 = 7_100;
 const OPERATORS_PORT: u16 = 7_200;
@@ -30,74 +31,6 @@
 
 static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
 
-/// One daemon process.
-pub struct Daemon {
-    settings: PathBuf,
-    pub data_folder: PathBuf,
-    child: Option<Child>,
-}
-
-impl Daemon {
-    pub fn start(&mut self) {
-        let started = Command::new(env!("CARGO_BIN_EXE_dockwoodd"))
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdout(self.log_for_appending())
-            .stderr(Stdio::null())
-            .spawn();
-        self.child = started.ok();
-    }
-
-    fn log_path(&self) -> PathBuf {
-        self.settings.with_extension("log")
-    }
-
-    fn log_for_appending(&self) -> Stdio {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log_path());
-        log.map_or_else(|_| Stdio::null(), Stdio::from)
-    }
-
-    /// All that it has logged; a line that is not a JSON object of the documented form is a failure.
-    pub fn log_lines(&self) -> Vec<serde_json::Value> {
-        let text = std::fs::read_to_string(self.log_path()).unwrap_or_default();
-        let parse = |line: &str| {
-            let value: serde_json::Value =
-                serde_json::from_str(line).unwrap_or_else(|error| panic!("{error}: {line}"));
-            assert_eq!(value["schema"], 1, "{line}");
-            value
-        };
-        text.lines().map(parse).collect()
-    }
-
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Asks for a planned stop, as a service manager does.
-    pub fn terminate(&self) {
-        self.signal("-TERM");
-    }
-
-    pub fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
-        }
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| child.try_wait().is_ok_and(|ended| ended.is_some()))
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// The fleet.
 pub struct Fleet {
     pub members: Vec<Daemon>,
@@ -218,7 +151,7 @@
         });
         let path = self.folder.path().join(format!("{name}.yaml"));
         std::fs::write(&path, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
-        Daemon { settings: path, data_folder, child: None }
+        Daemon::new(path, data_folder)
     }
 
     fn address(&self, host: u8, port: u16) -> SocketAddr {
--- a/crates/daemon/tests/gateway/promises.rs
+++ b/crates/daemon/tests/gateway/promises.rs
@@ -158,7 +158,7 @@
     begun.elapsed()
 }
 
-/// Finding 30: it replaced the server that runs, whose own reports were refused from then on.
+/// Were it taken in, the server that runs would be replaced, and its own reports refused from then on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_late_report_of_a_former_start_replaces_no_server_that_runs() -> reqwest::Result<()> {
     let (fleet, servers) = with_plain_servers().await;
