--- a/crates/bench/tests/resend.rs
+++ b/crates/bench/tests/resend.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// A daemon that is sent a request again, after the one that had dispatched it was lost, does not know by itself whether it
-/// ran.
+/// A daemon that is sent a request again, after the one that had dispatched it was lost, does not know by itself
+/// whether it ran.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refusal_of_a_request_that_was_sent_before_says_not_run_only_if_that_is_true() -> Outcome {
     let folder = TestFolder::new()?;
@@ -159,7 +159,8 @@
     if let Some(daemon) = caller.fleet.daemon(2) {
         daemon.signal(Signal::SIGTERM)?;
     }
-    // What arrives before the signal runs at engines that are slow: without a deadline the daemon would be gone by its end.
+    // What arrives before the signal runs at engines that are slow: without a deadline the daemon would be gone by its
+    // end.
     let new_request = |id: &str| caller.chat(2, id, "yes").header(HEADER_DEADLINE_MS, "200");
     caller.wait_until_refused(DAEMON_LEAVING, new_request).await?;
     let (repeatable, once) =
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -263,8 +263,8 @@
         self.orders.to_send(&view, term)
     }
 
-    /// Members of silent or slow groups, slow servers, those that left an order to join unanswered, and instances that seem
-    /// to have taken another one's address, to be asked.
+    /// Members of silent or slow groups, slow servers, those that left an order to join unanswered, and instances that
+    /// seem to have taken another one's address, to be asked.
     pub fn probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
         let unanswered = std::mem::take(&mut self.unanswered);
         let rows = unanswered.iter().filter_map(|instance| tables.instances.get(instance));
--- a/crates/control/src/successors.rs
+++ b/crates/control/src/successors.rs
@@ -1,7 +1,7 @@
 //! Instances that report from an address where another one was heard lately. Usually the other one has crashed and this
-//! is its next start. It may also be a former start whose reports reached nobody before it crashed, and one of them now,
-//! late: it must not replace the instance that runs. So the address is asked who answers there, and only its word that
-//! it is the one that reported brings that one in, or a silence of the other that is long enough.
+//! is its next start. It may also be a former start whose reports reached nobody before it crashed, and one of them
+//! now, late: it must not replace the instance that runs. So the address is asked who answers there, and only its word
+//! that it is the one that reported brings that one in, or a silence of the other that is long enough.
 
 use crate::Millis;
 use crate::gateway::{InstanceProbe, ProbeQuestion};
@@ -20,7 +20,8 @@
     is_asked: bool,
 }
 
-/// Instances whose report waits for the word of their address. Local to a leader: one that is not answered reports again.
+/// Instances whose report waits for the word of their address. Local to a leader: one that is not answered reports
+/// again.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Successors {
     candidates: BTreeMap<String, Candidate>,
@@ -76,8 +77,8 @@
     /// Takes the result of a probe; false if the instance was asked for another reason.
     pub(crate) fn answered(&mut self, instance: &str, result: ProbeResult) -> bool {
         let Some(candidate) = self.candidates.remove(instance) else { return false };
-        // Taking the other's place bars it for good, and neither silence nor a refusal proves that it has gone. This one
-        // reports again.
+        // Taking the other's place bars it for good, and neither silence nor a refusal proves that it has gone. This
+        // one reports again.
         if result == ProbeResult::Answered {
             self.confirmed.push(GatewayCommand::Register(candidate.row));
         }
--- a/crates/control/src/voter_zones.rs
+++ b/crates/control/src/voter_zones.rs
@@ -10,7 +10,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A zone that has held too many voters for this long is told of: a replacement passes through a smaller group for less.
+/// A zone that has held too many voters for this long is told of: a replacement passes through a smaller group for
+/// less.
 const TOLD_AFTER_MS: Millis = 5_000;
 
 /// Zones of daemons that may be voters, by peer address.
--- a/crates/control/tests/successors.rs
+++ b/crates/control/tests/successors.rs
@@ -70,8 +70,8 @@
     }
 }
 
-/// The former start's report reached nobody before it crashed. Who replaces another instance bars it for good, so nothing
-/// short of the address's own word does.
+/// The former start's report reached nobody before it crashed. Who replaces another instance bars it for good, so
+/// nothing short of the address's own word does.
 #[parameterized(
     the_one_that_is_known_answers = { ProbeResult::OtherInstance, "running" },
     the_new_one_answers = { ProbeResult::Answered, "other" },
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -21,8 +21,9 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(25);
 /// Limit of the call itself. Longer than the wait for it: a late answer is no reason to connect anew.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
-/// A wait for a dispatcher that took this long, in milliseconds, although it was to end much earlier: this process did not
-/// run meanwhile. The dispatcher isn't late then, and what this entry knows of the groups is old: it asks once more.
+/// A wait for a dispatcher that took this long, in milliseconds, although it was to end much earlier: this process did
+/// not run meanwhile. The dispatcher isn't late then, and what this entry knows of the groups is old: it asks once
+/// more.
 const DID_NOT_RUN_MS: Millis = 200;
 /// Zones that are asked for a place, the own one first.
 const MOST_ZONES: usize = 3;
@@ -85,9 +86,9 @@
     }
 }
 
-/// Whether this entry, too, knows of no group of a model in the regions that a request is bound to, neither one that serves
-/// nor one that is on its way. Waiting would only hold its caller up: nothing is planned by region, so none is likely to
-/// open there soon.
+/// Whether this entry, too, knows of no group of a model in the regions that a request is bound to, neither one that
+/// serves nor one that is on its way. Waiting would only hold its caller up: nothing is planned by region, so none is
+/// likely to open there soon.
 fn has_none_in_its_regions(gateway: &Gateway, query: PlaceQuery<'_>) -> bool {
     let tables = gateway.shared.tables();
     let is_under_way = tables.gateway.groups.values().any(|group| {
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -19,8 +19,8 @@
     tables.configuration.as_ref()?.service(service)?.cold_start
 }
 
-/// Until when a place at a group that was asked for at `asked_at` may be used; `None` if for ever. `is_limited`: its head is
-/// cold, or was until a moment ago.
+/// Until when a place at a group that was asked for at `asked_at` may be used; `None` if for ever. `is_limited`: its
+/// head is cold, or was until a moment ago.
 pub fn place_valid_until(
     tables: &GatewayTables,
     service: &str,
@@ -58,8 +58,8 @@
         SendRate::of_dispatcher(self.limit.arrivals(cold_start))
     }
 
-    /// Notes whether a plain server is cold. It gets everything again once it is warm: in a slow start, entries without a part
-    /// of their own could send nothing.
+    /// Notes whether a plain server is cold. It gets everything again once it is warm: in a slow start, entries without
+    /// a part of their own could send nothing.
     pub fn observe(&self, now: Millis, row: &InstanceRow) {
         lock(&self.pacing).observe(now, &row.id, row.is_cold);
     }
@@ -79,8 +79,8 @@
         may_give
     }
 
-    /// Whether a request may be written to a server now, with what it was picked under. To be asked at that very moment:
-    /// the process may have been stopped since.
+    /// Whether a request may be written to a server now, with what it was picked under. To be asked at that very
+    /// moment: the process may have been stopped since.
     pub fn may_send(
         &self,
         metrics: &Metrics,
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -172,8 +172,8 @@
         self.changes.subscribe()
     }
 
-    /// Completes once a place may have become free since this was called: a group has opened, has lost a request, or its
-    /// zone takes requests again.
+    /// Completes once a place may have become free since this was called: a group has opened, has lost a request, or
+    /// its zone takes requests again.
     pub fn place_freed(&self) -> Notified<'_> {
         self.freed.notified()
     }
@@ -237,8 +237,8 @@
         place_at(gateway, &mut groups, epoch as u64, now).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
     }
 
-    /// Takes a place that a dispatcher has assigned, which was asked at `asked_at`; `None` if the group is not known here,
-    /// no longer serves, or may not run the request.
+    /// Takes a place that a dispatcher has assigned, which was asked at `asked_at`; `None` if the group is not known
+    /// here, no longer serves, or may not run the request.
     pub fn take_assigned(
         gateway: &Arc<super::Gateway>,
         query: PlaceQuery<'_>,
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -215,8 +215,8 @@
     status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(names.not_run)
 }
 
-/// Whether a server's answer may not be passed on: callers read its status as a promise that the request has not run and
-/// won't, and this server has not said so. What may run more than once needs no such promise.
+/// Whether a server's answer may not be passed on: callers read its status as a promise that the request has not run
+/// and won't, and this server has not said so. What may run more than once needs no such promise.
 pub fn promises_falsely(status: StatusCode, received: &Received) -> bool {
     let is_promise = matches!(
         status,
--- a/crates/daemon/src/gateway/regions.rs
+++ b/crates/daemon/src/gateway/regions.rs
@@ -20,8 +20,8 @@
     settings.gateway.as_ref().map(|gateway| &gateway.zone_regions)
 }
 
-/// The zones whose servers may take a request. Refused where there is no such zone: only another configuration, or other
-/// settings, would mend that, so no time to come back is told.
+/// The zones whose servers may take a request. Refused where there is no such zone: only another configuration, or
+/// other settings, would mend that, so no time to come back is told.
 pub fn zones_of(gateway: &Gateway, regions: &AllowedRegions) -> Result<AllowedZones, Refusal> {
     let unknown = BTreeMap::new();
     let zones = regions.zones(zone_regions(&gateway.shared.settings).unwrap_or(&unknown));
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -21,7 +21,8 @@
 const DEFAULT_BUDGET_PERCENT: u64 = 20;
 const DEFAULT_BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const DEFAULT_BUDGET_EXTRA: u64 = 50;
-/// Most of what a cold server declares that may be allowed, as a multiple: with more, the declared rate would mean nothing.
+/// Most of what a cold server declares that may be allowed, as a multiple: with more, the declared rate would mean
+/// nothing.
 const MOST_COLD_OVERSHOOT: f64 = 10.0;
 /// Most arrivals a second that may be allowed beyond that, for the same reason.
 const MOST_COLD_EXTRA: u64 = 1_000;
--- a/crates/daemon/tests/evacuation/main.rs
+++ b/crates/daemon/tests/evacuation/main.rs
@@ -1,5 +1,5 @@
-//! What an entry does with requests when a zone is evacuated: the gateway within this process, with tables that the test
-//! publishes itself, so that each step happens at a known moment.
+//! What an entry does with requests when a zone is evacuated: the gateway within this process, with tables that the
+//! test publishes itself, so that each step happens at a known moment.
 
 mod entry;
 
--- a/crates/daemon/tests/gateway/evacuation.rs
+++ b/crates/daemon/tests/gateway/evacuation.rs
@@ -19,7 +19,8 @@
 /// The same where they are to dispatch for each other.
 const LARGE_FLEET: u32 = 0;
 
-/// A fleet, in which the leader dispatches for so many entries, with one group of two model servers in zone `z`, where the daemons stand, and one in zone `y`.
+/// A fleet, in which the leader dispatches for so many entries, with one group of two model servers in zone `z`, where
+/// the daemons stand, and one in zone `y`.
 async fn in_two_zones(leader_dispatches_up_to: u32) -> (Fleet, Vec<Arc<FakeServer>>) {
     let fleet = Fleet::start_dispatched(leader_dispatches_up_to);
     let mut models = Vec::new();
--- a/crates/daemon/tests/gateway/promises.rs
+++ b/crates/daemon/tests/gateway/promises.rs
@@ -71,8 +71,8 @@
     Ok(())
 }
 
-/// A connection whose next request never arrives whole is closed without an answer, so none can be taken for that of the
-/// request before.
+/// A connection whose next request never arrives whole is closed without an answer, so none can be taken for that of
+/// the request before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_head_that_never_ends_gets_no_answer() -> std::io::Result<()> {
     let fleet = Fleet::start();
--- a/crates/daemon/tests/gateway/regions.rs
+++ b/crates/daemon/tests/gateway/regions.rs
@@ -1,4 +1,5 @@
-//! Requests that may run in some regions only. The daemons stand in zone `z` of region `r`; zone `y` lies in region `s`.
+//! Requests that may run in some regions only. The daemons stand in zone `z` of region `r`; zone `y` lies in region
+//! `s`.
 
 use super::fixture::{Fleet, LIMIT, configuration, eventually};
 use super::servers::{FakeServer, Manner};
--- a/crates/grouping/src/cold.rs
+++ b/crates/grouping/src/cold.rs
@@ -1,9 +1,9 @@
 //! A rate limit for servers that are cold, which daemons keep without asking each other.
 //!
-//! Each sender of requests to a cold server spaces its requests evenly. Whatever one second of time is looked at, it holds
-//! no more than the sender's part, also when one sender takes over from another in the middle of it: counted windows
-//! would let two windows' worth through at their boundary. The parts of all senders that may be at work at once sum up to
-//! what the server may get.
+//! Each sender of requests to a cold server spaces its requests evenly. Whatever one second of time is looked at, it
+//! holds no more than the sender's part, also when one sender takes over from another in the middle of it: counted
+//! windows would let two windows' worth through at their boundary. The parts of all senders that may be at work at once
+//! sum up to what the server may get.
 
 use crate::Millis;
 use dockwood_api::digest::rendezvous_weight;
@@ -12,19 +12,19 @@
 
 /// The span over which arrivals are limited, in milliseconds: the limit is declared by the second.
 const WINDOW_MS: Millis = 1_000;
-/// How long after an entry asked for it a place at a cold server may be used, in milliseconds: some times as long as the
-/// answer and a new connection usually take.
+/// How long after an entry asked for it a place at a cold server may be used, in milliseconds: some times as long as
+/// the answer and a new connection usually take.
 const COLD_GRANT_VALID_MS: Millis = 75;
-/// The same for servers that are warm as far as the entry knows, in milliseconds: an entry that was stopped doesn't know
-/// what has become of them since. The longest time in which a connection may be made is no reason to ask again.
+/// The same for servers that are warm as far as the entry knows, in milliseconds: an entry that was stopped doesn't
+/// know what has become of them since. The longest time in which a connection may be made is no reason to ask again.
 const WARM_GRANT_VALID_MS: Millis = 400;
 /// How long a request that was written takes to its server at most, in milliseconds.
 const DELIVERY_MS: Millis = 25;
 /// Requests that were given over this long may all arrive within one second: some wait for their connection, the others
 /// don't.
 const SPREAD_MS: Millis = WINDOW_MS + COLD_GRANT_VALID_MS + DELIVERY_MS;
-/// Daemons that may take themselves for the dispatcher of a group at once, or sets of entries that may take themselves for
-/// the senders of a plain server: one by the tables as they are, and one by those of a moment ago.
+/// Daemons that may take themselves for the dispatcher of a group at once, or sets of entries that may take themselves
+/// for the senders of a plain server: one by the tables as they are, and one by those of a moment ago.
 pub const SENDERS_AT_ONCE: u32 = 2;
 /// After a server said that it is warm, it gets twice the rate for this long, in milliseconds: the time of two of its
 /// reports. One that was sent before it became cold again may come late.
@@ -77,8 +77,8 @@
     }
 
     /// The part of one entry that sends to a plain server without asking anybody. Where there are more entries than
-    /// requests, the first by rendezvous hashing send one each and the others none, so that entries which know each other
-    /// agree without a message.
+    /// requests, the first by rendezvous hashing send one each and the others none, so that entries which know each
+    /// other agree without a message.
     pub fn of_entry(arrivals: u32, server: &str, entry: &str, entries: &[&str]) -> SendRate {
         let all = SendRate::of_dispatcher(arrivals).requests;
         if !entries.contains(&entry) {
--- a/crates/grouping/src/departures.rs
+++ b/crates/grouping/src/departures.rs
@@ -1,10 +1,10 @@
 //! Members that say that they leave, and until when their groups go on taking requests.
 //!
-//! A leaving member serves on for some time, so its group does too. Departures that come close together then end a group
-//! once, and its servers are planned for again when as many as possible of their replacements are there.
+//! A leaving member serves on for some time, so its group does too. Departures that come close together then end a
+//! group once, and its servers are planned for again when as many as possible of their replacements are there.
 //!
-//! Until it drains, planning takes such a group for any other: a successor can't form before the group has closed, as its
-//! domain rarely has as many free servers, and free servers that wait for it form no smaller group.
+//! Until it drains, planning takes such a group for any other: a successor can't form before the group has closed, as
+//! its domain rarely has as many free servers, and free servers that wait for it form no smaller group.
 
 use crate::{Millis, View};
 use dockwood_api::gateway::InstanceState;
--- a/crates/grouping/src/membership.rs
+++ b/crates/grouping/src/membership.rs
@@ -1,15 +1,15 @@
 //! Whether a server has surely left a group.
 //!
-//! A report tells of the time when it was sent, which nobody but its server knows: it may arrive seconds later. So "in no
-//! group" shows that a server has left a group only beside proof that it was sent after the server had joined.
+//! A report tells of the time when it was sent, which nobody but its server knows: it may arrive seconds later. So "in
+//! no group" shows that a server has left a group only beside proof that it was sent after the server had joined.
 
 use crate::{Millis, View};
 
 /// No report arrives later than this after it was sent: longer than a link is interrupted with the report on its way.
 const LATEST_REPORT_MS: Millis = 16_000;
 
-/// An order to join that was left unanswered may be carried out this much later, in milliseconds: some times the seconds
-/// that servers are known to take.
+/// An order to join that was left unanswered may be carried out this much later, in milliseconds: some times the
+/// seconds that servers are known to take.
 const LATEST_JOIN_MS: Millis = 8_000;
 
 /// Whether a server has surely left a group that is being closed since `closing_since`.
@@ -29,8 +29,8 @@
     if seen.is_shown_in(epoch) {
         return false;
     }
-    // A server takes no order to join a group older than its last one, so one that was in a newer group never comes back.
-    // One that has left this one may, while an order to join it may still be carried out.
+    // A server takes no order to join a group older than its last one, so one that was in a newer group never comes
+    // back. One that has left this one may, while an order to join it may still be carried out.
     let may_rejoin =
         seen.unanswered_join.is_some_and(|(joined, at)| joined == epoch && view.now < at + LATEST_JOIN_MS);
     let has_left = seen.last_epoch == epoch || seen.left_epoch == epoch;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -178,8 +178,8 @@
         self.slowness.claim_due(now)
     }
 
-    /// Notes since when the instances that leave do so. Those that a new leader finds leaving are noted with 0: how much
-    /// longer they serve on is not known.
+    /// Notes since when the instances that leave do so. Those that a new leader finds leaving are noted with 0: how
+    /// much longer they serve on is not known.
     pub fn note_departures(&mut self, since: Millis, tables: &GatewayTables) {
         let leaving = tables.instances.values().filter(|row| row.state == InstanceState::Draining);
         for row in leaving {
@@ -295,7 +295,8 @@
             .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
     }
 
-    /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or since.
+    /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or
+    /// since.
     pub fn was_silent(&self, epoch: u64, since: Millis) -> bool {
         let Some(evidence) = self.groups.get(&epoch) else { return false };
         let Some(silent_at) = evidence.silent_at else { return false };
--- a/crates/grouping/src/slow_members.rs
+++ b/crates/grouping/src/slow_members.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeSet;
 
 /// Groups that are to be closed because a member is slow, as long as servers stand by for all that they lose. Without a
-/// replacement a slow group is worth more than none. `is_decided` tells of groups that something else is decided on now.
+/// replacement a slow group is worth more than none. `is_decided` tells of groups that something else is decided on
+/// now.
 pub fn replace_slow_members(view: &View<'_>, is_decided: impl Fn(u64) -> bool) -> Vec<GatewayCommand> {
     if !view.observations.has_slow_servers() {
         return Vec::new();
@@ -35,7 +36,8 @@
 }
 
 /// Servers of a domain that could take the place of a group's members without a load. None while another group of the
-/// domain forms or closes, or while so many are free that a group of them is about to be planned: they are wanted there.
+/// domain forms or closes, or while so many are free that a group of them is about to be planned: they are wanted
+/// there.
 fn spares_of(view: &View<'_>, group: &GroupRow, domain: &str) -> usize {
     let is_here = |other: &GroupRow| other.service == group.service && domain_of(view, other) == Some(domain);
     let is_changing =
--- a/crates/grouping/src/slowness.rs
+++ b/crates/grouping/src/slowness.rs
@@ -1,6 +1,6 @@
 //! Which servers are alive and slow. A group moves at the pace of its slowest member, and nothing but the pace of its
-//! streams shows it: entries tell how many events came in the time that the engines' declared figures allow. Where hardly
-//! any did, the members are asked how much slower than declared they are.
+//! streams shows it: entries tell how many events came in the time that the engines' declared figures allow. Where
+//! hardly any did, the members are asked how much slower than declared they are.
 //!
 //! Load pattern: one server in a group of twelve takes four times as long for some seconds, and all requests of its
 //! group are late meanwhile.
@@ -17,17 +17,17 @@
 /// With fewer timely events than this in a hundred, the members are asked. Events that were held up on the way arrive
 /// together and look timely, so that a few prove nothing.
 const TIMELY_PERCENT: u32 = 10;
-/// A group whose members were asked is not looked at again for this long, in milliseconds: one that reads prompts all the
-/// time looks slow too, and each question costs its servers something.
+/// A group whose members were asked is not looked at again for this long, in milliseconds: one that reads prompts all
+/// the time looks slow too, and each question costs its servers something.
 const ASK_AGAIN_MS: Millis = 3_000;
-/// From this many times its declared times on, a server counts as slow. A group of such servers shows first events in twice the
-/// usual time, which is late for callers that allow as much.
+/// From this many times its declared times on, a server counts as slow. A group of such servers shows first events in
+/// twice the usual time, which is late for callers that allow as much.
 const SLOW_FACTOR: f64 = 2.0;
 /// A slow server is asked again after this long, in milliseconds, until it is as fast as declared.
 const RECHECK_MS: Millis = 1_000;
 
-/// Slow servers that are asked again in one turn, at most: where a third of a fleet is slow at once, its leader has better
-/// things to do.
+/// Slow servers that are asked again in one turn, at most: where a third of a fleet is slow at once, its leader has
+/// better things to do.
 const MOST_RECHECKS: usize = 8;
 
 /// One look at a group's events.
--- a/crates/grouping/tests/departures.rs
+++ b/crates/grouping/tests/departures.rs
@@ -114,7 +114,8 @@
     assert_eq!(phase_after(&mut world, epoch, 500), Some(GroupPhase::Cutting));
 }
 
-/// The survivors of a head that ends without having told that it has closed are told to leave, and need not wait for it.
+/// The survivors of a head that ends without having told that it has closed are told to leave, and need not wait for
+/// it.
 #[test]
 fn a_head_that_signed_off_and_is_silent_holds_up_its_group_only_while_requests_run() {
     let (mut world, epoch) = world();
--- a/crates/grouping/tests/evacuation.rs
+++ b/crates/grouping/tests/evacuation.rs
@@ -1,5 +1,5 @@
-//! Evacuated zones: who is assigned what, and what is planned meanwhile. Servers of the second domain stand in a zone of
-//! their own.
+//! Evacuated zones: who is assigned what, and what is planned meanwhile. Servers of the second domain stand in a zone
+//! of their own.
 
 mod common;
 
@@ -127,8 +127,8 @@
     assert_eq!(formed_of(&world, LARGE), 0);
 }
 
-/// Groups of both kinds in the second domain, of which the larger one has just lost a member. The first domain has groups
-/// of the smaller model, which is served well.
+/// Groups of both kinds in the second domain, of which the larger one has just lost a member. The first domain has
+/// groups of the smaller model, which is served well.
 fn after_a_loss() -> World {
     let mut world = two_zones(10);
     let lost = world.open_group(LARGE, &["d1-s0", "d1-s1", "d1-s2", "d1-s3"]);
--- a/crates/grouping/tests/free_servers.rs
+++ b/crates/grouping/tests/free_servers.rs
@@ -1,4 +1,5 @@
-//! When a server counts as having left its group: reports may come seconds late, and tell of the time when they were sent.
+//! When a server counts as having left its group: reports may come seconds late, and tell of the time when they were
+//! sent.
 
 mod common;
 
--- a/crates/grouping/tests/plan_properties.rs
+++ b/crates/grouping/tests/plan_properties.rs
@@ -158,8 +158,8 @@
         prop_assert_eq!(format!("{:?}", one.plan()), format!("{:?}", other.plan()));
     }
 
-    /// Groups that serve are given up for another model only while requests have been seen, in one domain at a time, and no
-    /// more of them than one group of the other model takes the servers of.
+    /// Groups that serve are given up for another model only while requests have been seen, in one domain at a time,
+    /// and no more of them than one group of the other model takes the servers of.
     #[test]
     fn no_more_serving_groups_are_given_up_than_another_group_takes_the_servers_of(case in case()) {
         let world = world_of(&case);
--- a/crates/routing/src/gateway/pace.rs
+++ b/crates/routing/src/gateway/pace.rs
@@ -28,8 +28,8 @@
 /// The same where it is sure, as a part of the bound: the rest of its group may show something meanwhile.
 const SURE_PATIENCE_PART: f64 = 0.125;
 
-/// Times of the longest pass that reads no prompt within which an event came in time: what a group writes beside reading
-/// takes longer now and then, and a server that is twice as slow in each.
+/// Times of the longest pass that reads no prompt within which an event came in time: what a group writes beside
+/// reading takes longer now and then, and a server that is twice as slow in each.
 const TIMELY_PASSES: f64 = 2.0;
 
 /// An event that comes no later than this after the one before it came in time, in milliseconds.
--- a/crates/state/src/gateway/evacuation.rs
+++ b/crates/state/src/gateway/evacuation.rs
@@ -26,8 +26,8 @@
         evacuated.map(|(zone, _)| zone.as_str())
     }
 
-    /// A call that finds the zone as it asks for takes a generation too: an opposite call that was decided before it may
-    /// still be on its way, and must not take effect after this one was acknowledged.
+    /// A call that finds the zone as it asks for takes a generation too: an opposite call that was decided before it
+    /// may still be on its way, and must not take effect after this one was acknowledged.
     pub(super) fn set_evacuation(&mut self, zone: &str, evacuated: bool, generation: u64) -> Applied {
         let was_evacuated = self.is_evacuated(zone);
         if self.evacuation_generation(zone) != generation {
@@ -47,8 +47,8 @@
         Applied::touching(Vec::new())
     }
 
-    /// Servers that were sent nothing for a while may have lost their caches; until their next report says otherwise they
-    /// are taken to be cold. Followers hold fewer rows, and come to the same result for those that they hold.
+    /// Servers that were sent nothing for a while may have lost their caches; until their next report says otherwise
+    /// they are taken to be cold. Followers hold fewer rows, and come to the same result for those that they hold.
     fn presume_cold(&mut self, zone: &str) {
         let instances: Vec<Arc<InstanceRow>> = self
             .instances
--- a/crates/state/src/gateway/rows.rs
+++ b/crates/state/src/gateway/rows.rs
@@ -45,8 +45,8 @@
 pub struct Evacuation {
     /// Whether they are.
     pub evacuated: bool,
-    /// Grows with each call that was not overtaken. A call names the generation that it was decided on, so that one that
-    /// was overtaken changes nothing.
+    /// Grows with each call that was not overtaken. A call names the generation that it was decided on, so that one
+    /// that was overtaken changes nothing.
     pub generation: u64,
 }
 
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -280,8 +280,8 @@
     assert!(copy.tables.gateway.groups[&1].head_is_cold);
 }
 
-/// The first call may still be on its way to the log when its caller gives up and asks for the opposite, which finds the
-/// zone as it asks for.
+/// The first call may still be on its way to the log when its caller gives up and asks for the opposite, which finds
+/// the zone as it asks for.
 #[test]
 fn a_withdrawal_that_finds_nothing_to_withdraw_overtakes_the_evacuation_on_its_way() {
     let mut state = State::default();
