--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -2,7 +2,7 @@
 
 use super::section::{Problems, Section, line_of};
 use dockwood_api::ResultCode;
-use dockwood_grouping::ColdLimit;
+use dockwood_grouping::{ColdLimit, GroupingPolicy};
 use marked_yaml::Node;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,8 +10,6 @@
 
 const DEFAULT_ANSWER_LIFETIME_MS: u64 = 1_000;
 const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
-const DEFAULT_STALL_MS: u64 = 6_000;
-const DEFAULT_DRAIN_MS: u64 = 2_500;
 /// A leader takes a tenth of a core for some 400 requests a second, each of which is also reported; measured with 300
 /// entries, it can't see 940.
 const DEFAULT_LEADER_DISPATCHES_UP_TO: u64 = 64;
@@ -104,8 +102,9 @@
     let operators = address("operators", problems);
     let lifetime = section.number("answerLifetimeMs", DEFAULT_ANSWER_LIFETIME_MS, (100, 60_000), problems);
     let stop_limit = section.seconds("stopLimitSeconds", DEFAULT_STOP_LIMIT, (1, 3_600), problems);
-    let stall = section.number("stallMs", DEFAULT_STALL_MS, (100, 600_000), problems);
-    let drain = section.number("drainMs", DEFAULT_DRAIN_MS, (0, 600_000), problems);
+    let engines = GroupingPolicy::default();
+    let stall = section.number("stallMs", engines.stall_ms, (100, 600_000), problems);
+    let drain = section.number("drainMs", engines.drain_ms, (0, 600_000), problems);
     let dispatches_up_to =
         section.number("leaderDispatchesUpTo", DEFAULT_LEADER_DISPATCHES_UP_TO, (0, 1_000_000), problems);
     let revoked_within = match section.optional("revokedWithinMs") {
