--- a/crates/grouping/src/cold.rs
+++ b/crates/grouping/src/cold.rs
@@ -16,7 +16,7 @@
 /// the answer and a new connection usually take.
 const COLD_GRANT_VALID_MS: Millis = 75;
 /// The same for servers that are warm as far as the entry knows, in milliseconds: an entry that was stopped doesn't
-/// know what has become of them since. The longest time in which a connection may be made is no reason to ask again.
+/// know what has become of them since. Longer than a connection may take to be made, which is no reason to ask again.
 const WARM_GRANT_VALID_MS: Millis = 400;
 /// How long a request that was written takes to its server at most, in milliseconds.
 const DELIVERY_MS: Millis = 25;
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -34,7 +34,7 @@
 pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
 pub use lifecycle::{advance_groups, reap_instances, release_members};
-pub use observations::{InstanceObservation, Observations, ProbeResult};
+pub use observations::{InstanceObservation, Observations, ProbeResult, UnansweredJoin};
 pub use orders::{OrderBook, OrderKind};
 pub use places::{GroupPlaces, PlaceLedger};
 pub use plan::{Plan, plan, plan_pause_ms};
--- a/crates/grouping/src/membership.rs
+++ b/crates/grouping/src/membership.rs
@@ -31,8 +31,9 @@
     }
     // A server takes no order to join a group older than its last one, so one that was in a newer group never comes
     // back. One that has left this one may, while an order to join it may still be carried out.
-    let may_rejoin =
-        seen.unanswered_join.is_some_and(|(joined, at)| joined == epoch && view.now < at + LATEST_JOIN_MS);
+    let may_rejoin = seen
+        .unanswered_join
+        .is_some_and(|order| order.epoch == epoch && view.now < order.noted_at + LATEST_JOIN_MS);
     let has_left = seen.last_epoch == epoch || seen.left_epoch == epoch;
     seen.last_epoch > epoch || (has_left && !may_rejoin)
 }
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -47,8 +47,8 @@
     pub last_epoch: u64,
     /// Epoch of the group that it last answered not to be in; 0 if it did for none.
     pub left_epoch: u64,
-    /// Epoch of the last order to join that it left unanswered, and when that was known.
-    pub unanswered_join: Option<(u64, Millis)>,
+    /// The last order to join that it left unanswered.
+    pub unanswered_join: Option<UnansweredJoin>,
     /// Epoch of the group that it last answered not to be serving; 0 if it did for none.
     pub unserved_epoch: u64,
     /// When this leader learned that it leaves; 0 if a former one did.
@@ -59,6 +59,15 @@
     pub silent_since: Option<Millis>,
 }
 
+/// An order to join that was left unanswered: it may still be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnansweredJoin {
+    /// Epoch of the group to join.
+    pub epoch: u64,
+    /// When it was clear that no answer comes.
+    pub noted_at: Millis,
+}
+
 impl InstanceObservation {
     /// Whether its newest report shows it in a group.
     pub fn is_shown_in(&self, epoch: u64) -> bool {
@@ -198,7 +207,7 @@
             // It takes effect at once, and fits whoever is a member.
             GroupCommand::Leave if is_taken || is_unfit => seen.left_epoch = order.epoch,
             GroupCommand::Join { .. } if answer == OrderAnswer::Silent => {
-                seen.unanswered_join = Some((order.epoch, now));
+                seen.unanswered_join = Some(UnansweredJoin { epoch: order.epoch, noted_at: now });
             }
             GroupCommand::Close { .. } if is_unfit => seen.unserved_epoch = order.epoch,
             _ => {}
--- a/crates/grouping/tests/slowness.rs
+++ b/crates/grouping/tests/slowness.rs
@@ -116,7 +116,10 @@
 fn slow_servers_form_no_group() {
     let mut world = World::new(1, 2);
     let forms_with = |world: &World, id: &str| {
-        let names = |command: &GatewayCommand| matches!(command, GatewayCommand::Form { members, .. } if members.iter().any(|member| member == id));
+        let names = |command: &GatewayCommand| match command {
+            GatewayCommand::Form { members, .. } => members.iter().any(|member| member == id),
+            _ => false,
+        };
         world.plan().commands.iter().any(names)
     };
     world.observations.record_slowness(world.now, "d0-s0", 4.0);
