--- a/crates/control/tests/voter_zones.rs
+++ b/crates/control/tests/voter_zones.rs
@@ -260,7 +260,8 @@
     an_unknown_zone_may_be_the_same = { &[(1, "a"), (2, ""), (3, "b"), (4, "c")], &[(9, "a")], &[], None },
     with_two_zones_the_rule_cannot_be_kept =
         { &[(1, "a"), (2, "b"), (3, "a")], &[(9, "b")], &[], Some(vec![1, 2, 3, 9]) },
-    two_voters_take_one_of_another_zone_first = { &[(1, "a"), (2, "b")], &[(8, "a"), (9, "c")], &[], Some(vec![1, 2, 9]) },
+    two_voters_take_one_of_another_zone_first =
+        { &[(1, "a"), (2, "b")], &[(8, "a"), (9, "c")], &[], Some(vec![1, 2, 9]) },
 )]
 fn zones_are_kept_apart(
     voters: &[(u64, &str)],
--- a/crates/daemon/tests/gateway/promises.rs
+++ b/crates/daemon/tests/gateway/promises.rs
@@ -22,8 +22,8 @@
 /// And takes requests on for this long after it.
 const SERVES_ON: Duration = Duration::from_millis(2_500);
 
-/// Found by reading: a server's own status went to the caller as it was, though only its word that it did not run the
-/// request makes these statuses true.
+/// Callers take these statuses for a promise that the request did not run, which only the server's own word that it did
+/// not makes true.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_status_that_promises_not_run_is_not_passed_on_for_what_has_run() -> reqwest::Result<()> {
     let (fleet, servers) = with_plain_servers().await;
--- a/crates/grouping/tests/cold.rs
+++ b/crates/grouping/tests/cold.rs
@@ -99,7 +99,7 @@
     grants
 }
 
-/// Found where a group with a cold head opened while requests waited at all entries: its places were filled at once.
+/// Load pattern: a group with a cold head opens while requests wait at all entries.
 #[test]
 fn a_cold_head_gets_no_more_than_its_limit_however_many_entries_ask() {
     let mut world = world(1);
