--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod regions;
 mod registration;
 mod serving;
+mod source;
 mod stalls;
 mod stream;
 mod targets;
--- /dev/null
+++ b/crates/daemon/src/gateway/source.rs
@@ -0,0 +1,58 @@
+//! Where a stream comes from: a place at a group, or a server of a plain service.
+
+use super::Gateway;
+use super::loads::GroupPlace;
+use super::targets::Picked;
+use std::net::SocketAddr;
+
+/// Where a stream comes from.
+pub enum Source {
+    /// A place at a group.
+    Group(GroupPlace),
+    /// A server of a plain service.
+    Server(Picked),
+}
+
+impl Source {
+    /// Whether a request may be written to it now. To be asked at that very moment: the process may have been stopped
+    /// since the source was chosen.
+    pub fn may_be_sent(&self, gateway: &Gateway, service: &str) -> bool {
+        let (is_cold, valid_until) = match self {
+            Source::Group(place) => (place.is_cold, place.valid_until),
+            Source::Server(picked) => (picked.row.is_cold, picked.valid_until),
+        };
+        gateway.cold.may_send(&gateway.shared.metrics, service, self.instance(), is_cold, valid_until)
+    }
+
+    /// Address of the server that is sent the request.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Source::Group(place) => place.head,
+            Source::Server(picked) => picked.row.address,
+        }
+    }
+
+    /// Its instance id.
+    pub fn instance(&self) -> &str {
+        match self {
+            Source::Group(place) => &place.instance,
+            Source::Server(picked) => &picked.row.id,
+        }
+    }
+
+    /// Its zone.
+    pub fn zone(&self) -> &str {
+        match self {
+            Source::Group(place) => &place.zone,
+            Source::Server(picked) => &picked.row.zone,
+        }
+    }
+
+    /// Epoch of its group, if it heads one.
+    pub fn epoch(&self) -> Option<u64> {
+        match self {
+            Source::Group(place) => Some(place.epoch),
+            Source::Server(_) => None,
+        }
+    }
+}
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -1,8 +1,7 @@
 //! When the source of a stream counts as standing still.
 
 use super::Gateway;
-use super::loads::GroupPlace;
-use super::targets::Picked;
+use super::source::Source;
 use dockwood_routing::gateway::{SendOutcome, Silence};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -13,34 +12,6 @@
 /// A group that has shown an event to any stream here within this many milliseconds is at work.
 const PROGRESS_SPAN_MS: u64 = 150;
 
-/// Where a stream comes from.
-pub enum Source {
-    /// A place at a group.
-    Group(GroupPlace),
-    /// A server of a plain service.
-    Server(Picked),
-}
-
-impl Source {
-    /// Whether a request may be written to it now. To be asked at that very moment: the process may have been stopped
-    /// since the source was chosen.
-    pub fn may_be_sent(&self, gateway: &Gateway, service: &str) -> bool {
-        let (server, is_cold, valid_until) = match self {
-            Source::Group(place) => (&place.instance, place.is_cold, place.valid_until),
-            Source::Server(picked) => (&picked.row.id, picked.row.is_cold, picked.valid_until),
-        };
-        gateway.cold.may_send(&gateway.shared.metrics, service, server, is_cold, valid_until)
-    }
-
-    /// Zone of the server that is sent the request.
-    pub fn zone(&self) -> &str {
-        match self {
-            Source::Group(place) => &place.zone,
-            Source::Server(picked) => &picked.row.zone,
-        }
-    }
-}
-
 /// Notes that a group stood still.
 pub fn abandon(gateway: &Gateway, source: &Source) -> SendOutcome {
     if let Source::Group(place) = source {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -12,7 +12,7 @@
 use super::plain::give_up;
 use super::receive::{Received, may_still_run};
 use super::regions::none_serves;
-use super::stalls::Source;
+use super::source::Source;
 use super::targets::pick;
 use super::upstream::Upstream;
 use crate::shared::InFlight;
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -2,7 +2,8 @@
 
 use super::{Reading, Step, StreamCourse};
 use crate::gateway::Gateway;
-use crate::gateway::stalls::{Source, abandon, stands_still};
+use crate::gateway::source::Source;
+use crate::gateway::stalls::{abandon, stands_still};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -5,7 +5,8 @@
 use crate::gateway::evacuation::may_write;
 use crate::gateway::headers::end_to_end;
 use crate::gateway::plain::{belongs, promises_falsely, request_for, says_not_run};
-use crate::gateway::stalls::{Source, abandon, stands_still};
+use crate::gateway::source::Source;
+use crate::gateway::stalls::{abandon, stands_still};
 use crate::gateway::upstream::{ConnectFault, Upstream};
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
@@ -22,18 +23,11 @@
 impl StreamCourse {
     /// Sends to one source; on success the stream is being read, or an answer that is no stream is here.
     pub(super) async fn send(&mut self, source: Source) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
-        let (address, instance) = match &source {
-            Source::Group(place) => (place.head, place.instance.clone()),
-            Source::Server(picked) => (picked.row.address, picked.row.id.clone()),
-        };
-        let epoch = match &source {
-            Source::Group(place) => Some(place.epoch),
-            Source::Server(_) => None,
-        };
+        let (instance, epoch) = (source.instance().to_string(), source.epoch());
         self.tried_groups.extend(epoch);
         self.account.sent(&instance, epoch);
         let fresh = !self.received.route.is_repeatable();
-        let mut upstream = match self.gateway.pool.connection(address, fresh).await {
+        let mut upstream = match self.gateway.pool.connection(source.address(), fresh).await {
             Ok(upstream) => upstream,
             Err(fault) => {
                 self.unreachable(source, fault);
--- a/crates/daemon/tests/evacuation/entry.rs
+++ b/crates/daemon/tests/evacuation/entry.rs
@@ -30,6 +30,7 @@
 pub const LIMIT: Duration = Duration::from_secs(20);
 /// Half of this is how long a stream waits for a place, far longer than a refusal at once may take.
 pub const TARGET_MS: u64 = 10_000;
+
 /// An entry whose tables are the test's.
 pub struct Entry {
     pub shared: Arc<Shared>,
