--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -90,7 +90,7 @@
     /// Zones of voters and candidates.
     zones: ZonesById,
     keeps_zones_apart: bool,
-    /// The group is not meant to grow beyond.
+    /// Voters beyond which the group is not meant to grow.
     limit: usize,
 }
 
