--- a/crates/daemon/src/gateway/loads/group_state.rs
+++ b/crates/daemon/src/gateway/loads/group_state.rs
@@ -1,5 +1,6 @@
 //! What this entry knows of one group.
 
+use super::PlaceQuery;
 use dockwood_api::gateway::EventPace;
 use dockwood_grouping::COLD_SLOW_START_MS;
 use dockwood_routing::Millis;
@@ -66,6 +67,21 @@
         }
     }
 
+    /// Whether it serves the model that is asked for.
+    pub fn serves(&self, query: &PlaceQuery<'_>) -> bool {
+        self.row.service == query.service && self.row.model == query.model
+    }
+
+    /// Whether it takes new requests, and may run this one.
+    pub fn may_run(&self, query: &PlaceQuery<'_>) -> bool {
+        self.serves(query) && self.takes_new && query.zones.contains(&self.row.zone)
+    }
+
+    /// Whether this entry may hold one more request there. `is_granted`: the leader told lately how many it may hold.
+    pub fn has_place(&self, is_granted: bool) -> bool {
+        if is_granted { self.in_flight < self.allowance } else { self.total() < self.slots }
+    }
+
     /// Whether it is avoided.
     pub fn is_suspected(&self, now: Millis) -> bool {
         now < self.suspected_until || self.suspected_by_others
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -189,14 +189,8 @@
         let now = monotonic_ms();
         let own_zone = &gateway.shared.settings.zone;
         let mut groups = lock(&gateway.loads.groups);
-        let serving: Vec<u64> = groups
-            .iter()
-            .filter(|(_, group)| {
-                let serves = group.row.service == query.service && group.row.model == query.model;
-                serves && group.takes_new && query.zones.contains(&group.row.zone)
-            })
-            .map(|(epoch, _)| *epoch)
-            .collect();
+        let serving = groups.iter().filter(|(_, group)| group.may_run(&query));
+        let serving: Vec<u64> = serving.map(|(epoch, _)| *epoch).collect();
         if serving.is_empty() {
             return PlaceAnswer::NoGroup;
         }
@@ -205,9 +199,8 @@
         let mut passed_over = false;
         let eligible = |epoch: &&u64| {
             let group = &groups[*epoch];
-            let has_place =
-                if is_granted { group.in_flight < group.allowance } else { group.total() < group.slots };
-            let is_open = !query.excluded.contains(*epoch) && !group.is_suspected(now) && has_place;
+            let is_sound = !query.excluded.contains(*epoch) && !group.is_suspected(now);
+            let is_open = is_sound && group.has_place(is_granted);
             let is_spared = is_open && spares_cold && group.is_cold(now);
             passed_over |= is_spared;
             is_open && !is_spared
@@ -257,9 +250,7 @@
     pub fn cold(&self, query: PlaceQuery<'_>) -> Vec<u64> {
         let now = monotonic_ms();
         let groups = lock(&self.groups);
-        let cold = groups.iter().filter(|(_, group)| {
-            group.row.service == query.service && group.row.model == query.model && group.is_cold(now)
-        });
+        let cold = groups.iter().filter(|(_, group)| group.serves(&query) && group.is_cold(now));
         cold.map(|(epoch, _)| *epoch).collect()
     }
 
@@ -267,9 +258,7 @@
     pub fn suspected(&self, query: PlaceQuery<'_>) -> Vec<u64> {
         let now = monotonic_ms();
         let groups = lock(&self.groups);
-        let suspected = groups.iter().filter(|(_, group)| {
-            group.row.service == query.service && group.row.model == query.model && group.is_suspected(now)
-        });
+        let suspected = groups.iter().filter(|(_, group)| group.serves(&query) && group.is_suspected(now));
         suspected.map(|(epoch, _)| *epoch).collect()
     }
 
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -85,10 +85,7 @@
     /// Zones with groups that take a model's requests: the own one first, the others in an order drawn by chance.
     pub fn zones(&self, query: PlaceQuery<'_>, own_zone: &str) -> Vec<String> {
         let groups = lock(&self.groups);
-        let serving = groups.values().filter(|group| {
-            let serves = group.row.service == query.service && group.row.model == query.model;
-            serves && group.takes_new && query.zones.contains(&group.row.zone)
-        });
+        let serving = groups.values().filter(|group| group.may_run(&query));
         let zones: BTreeSet<&str> = serving.map(|group| group.row.zone.as_str()).collect();
         let mut others: Vec<&str> = zones.iter().copied().filter(|zone| *zone != own_zone).collect();
         others.shuffle(&mut rand::rng());
