--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -1,5 +1,6 @@
 //! Requests in flight at each group, here and at the other entries, and which groups seem to stand still.
 
+mod group_state;
 mod reports;
 
 pub use reports::ScopeLoad;
@@ -8,10 +9,10 @@
 use super::lock;
 use crate::clock::monotonic_ms;
 use dockwood_api::gateway::{EventPace, ModelLoad};
-use dockwood_grouping::COLD_SLOW_START_MS;
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose, timely_event_ms};
-use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
+use dockwood_state::{GatewayTables, GroupPhase};
+use group_state::GroupState;
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,55 +25,6 @@
 const SUSPICION_MS: Millis = 1_200;
 /// What the leader has granted counts for this long; after that this entry goes by the figures that it has.
 const GRANTS_VALID_MS: Millis = 500;
-/// What may be held at a group that the leader has granted nothing for yet.
-const FIRST_ALLOWANCE: u32 = 1;
-
-/// One group that is open, or finishes what it has.
-#[derive(Debug)]
-struct GroupState {
-    row: Arc<GroupRow>,
-    takes_new: bool,
-    slots: u32,
-    in_flight: u32,
-    others_in_flight: u32,
-    /// Requests in flight when the leader was last told.
-    reported_in_flight: u32,
-    /// Requests that this entry may hold.
-    allowance: u32,
-    suspected_until: Millis,
-    suspected_by_others: bool,
-    /// Its head counts as cold until then, also if it says that it is warm.
-    cold_until: Millis,
-    progressed: bool,
-    refused: bool,
-    last_progress: Millis,
-    /// An event that takes no longer came in time, in milliseconds.
-    timely_ms: f64,
-    pace: EventPace,
-}
-
-impl GroupState {
-    fn is_suspected(&self, now: Millis) -> bool {
-        now < self.suspected_until || self.suspected_by_others
-    }
-
-    /// Whether its head is cold, or was until a moment ago.
-    fn is_cold(&self, now: Millis) -> bool {
-        self.row.head_is_cold || now < self.cold_until
-    }
-
-    /// Takes its row as it is now.
-    fn follow(&mut self, now: Millis, row: &Arc<GroupRow>) {
-        if self.row.head_is_cold {
-            self.cold_until = now + COLD_SLOW_START_MS;
-        }
-        self.row = row.clone();
-    }
-
-    fn total(&self) -> u32 {
-        self.in_flight + self.others_in_flight
-    }
-}
 
 /// The groups as this entry sees them.
 #[derive(Debug, Default)]
@@ -174,34 +126,20 @@
             return;
         }
         for row in tables.groups.values().filter(|row| row.serves()) {
-            let slots = tables.engine(&row.service).map_or(1, |engine| engine.slots);
+            let engine = tables.engine(&row.service);
+            let slots = engine.map_or(1, |engine| engine.slots);
             let takes_new = row.phase == GroupPhase::Open && !tables.is_evacuated(&row.zone);
-            let profile = tables.engine(&row.service);
-            let model = profile.and_then(|engine| engine.model(&row.model));
+            let model = engine.and_then(|engine| engine.model(&row.model));
             let timely_ms =
-                profile.zip(model).map_or(f64::INFINITY, |(engine, model)| timely_event_ms(engine, model));
+                engine.zip(model).map_or(f64::INFINITY, |(engine, model)| timely_event_ms(engine, model));
             let update = |group: &mut GroupState| {
                 group.slots = slots;
+                group.timely_ms = timely_ms;
                 group.takes_new = takes_new;
                 group.follow(now, row);
             };
-            groups.entry(row.epoch).and_modify(update).or_insert_with(|| GroupState {
-                row: row.clone(),
-                takes_new,
-                slots,
-                in_flight: 0,
-                others_in_flight: 0,
-                reported_in_flight: 0,
-                allowance: FIRST_ALLOWANCE,
-                suspected_until: 0,
-                suspected_by_others: false,
-                cold_until: 0,
-                progressed: false,
-                refused: false,
-                last_progress: 0,
-                timely_ms,
-                pace: EventPace::default(),
-            });
+            let new = || GroupState::new(row, slots, takes_new, timely_ms);
+            groups.entry(row.epoch).and_modify(update).or_insert_with(new);
         }
         drop(groups);
         self.freed.notify_waiters();
@@ -235,8 +173,8 @@
         self.changes.subscribe()
     }
 
-    /// Completes once a place may have become free since this was called: a group has opened, has lost a request, or its
-    /// zone takes requests again.
+    /// Completes once a place may have become free since this was called: a group has opened, has lost a request, or
+    /// its zone takes requests again.
     pub fn place_freed(&self) -> Notified<'_> {
         self.freed.notified()
     }
@@ -252,14 +190,8 @@
         let now = monotonic_ms();
         let own_zone = &gateway.shared.settings.zone;
         let mut groups = lock(&gateway.loads.groups);
-        let serving: Vec<u64> = groups
-            .iter()
-            .filter(|(_, group)| {
-                let serves = group.row.service == query.service && group.row.model == query.model;
-                serves && group.takes_new && query.zones.contains(&group.row.zone)
-            })
-            .map(|(epoch, _)| *epoch)
-            .collect();
+        let serving = groups.iter().filter(|(_, group)| group.may_run(&query));
+        let serving: Vec<u64> = serving.map(|(epoch, _)| *epoch).collect();
         if serving.is_empty() {
             return PlaceAnswer::NoGroup;
         }
@@ -268,9 +200,8 @@
         let mut passed_over = false;
         let eligible = |epoch: &&u64| {
             let group = &groups[*epoch];
-            let has_place =
-                if is_granted { group.in_flight < group.allowance } else { group.total() < group.slots };
-            let is_open = !query.excluded.contains(*epoch) && !group.is_suspected(now) && has_place;
+            let is_sound = !query.excluded.contains(*epoch) && !group.is_suspected(now);
+            let is_open = is_sound && group.has_place(is_granted);
             let is_spared = is_open && spares_cold && group.is_cold(now);
             passed_over |= is_spared;
             is_open && !is_spared
@@ -300,8 +231,8 @@
         place_at(gateway, &mut groups, epoch as u64, now).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
     }
 
-    /// Takes a place that a dispatcher has assigned, which was asked at `asked_at`; `None` if the group is not known here,
-    /// no longer serves, or may not run the request.
+    /// Takes a place that a dispatcher has assigned, which was asked at `asked_at`; `None` if the group is not known
+    /// here, no longer serves, or may not run the request.
     pub fn take_assigned(
         gateway: &Arc<super::Gateway>,
         query: PlaceQuery<'_>,
@@ -320,9 +251,7 @@
     pub fn cold(&self, query: PlaceQuery<'_>) -> Vec<u64> {
         let now = monotonic_ms();
         let groups = lock(&self.groups);
-        let cold = groups.iter().filter(|(_, group)| {
-            group.row.service == query.service && group.row.model == query.model && group.is_cold(now)
-        });
+        let cold = groups.iter().filter(|(_, group)| group.serves(&query) && group.is_cold(now));
         cold.map(|(epoch, _)| *epoch).collect()
     }
 
@@ -330,9 +259,7 @@
     pub fn suspected(&self, query: PlaceQuery<'_>) -> Vec<u64> {
         let now = monotonic_ms();
         let groups = lock(&self.groups);
-        let suspected = groups.iter().filter(|(_, group)| {
-            group.row.service == query.service && group.row.model == query.model && group.is_suspected(now)
-        });
+        let suspected = groups.iter().filter(|(_, group)| group.serves(&query) && group.is_suspected(now));
         suspected.map(|(epoch, _)| *epoch).collect()
     }
 
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -5,10 +5,10 @@
 use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
-use dockwood_grouping::{Pace, grant_valid_ms};
+use dockwood_grouping::{SendRate, grant_valid_ms};
 use dockwood_routing::gateway::AllowedZones;
 use dockwood_routing::{CallResult, Millis};
-use dockwood_state::{InstanceRow, Tables};
+use dockwood_state::{GatewayTables, InstanceRow, Tables};
 use std::sync::Arc;
 
 /// A server that was picked; the pick is counted until its result is told.
@@ -46,20 +46,34 @@
     tables: &Tables,
     cold_start: Option<&ColdStart>,
     ready: &[&'a Arc<InstanceRow>],
-) -> Vec<(&'a Arc<InstanceRow>, Option<Pace>)> {
+) -> Vec<(&'a Arc<InstanceRow>, Option<SendRate>)> {
     let now = monotonic_ms();
     let entry = &gateway.shared.settings.name;
     let Some(cold_start) = cold_start else { return ready.iter().map(|row| (*row, None)).collect() };
     ready.iter().for_each(|row| gateway.cold.observe(now, row));
-    let (limited, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| row.is_cold);
+    let (cold, warm): (Vec<_>, Vec<_>) = ready.iter().partition(|row| row.is_cold);
     if !warm.is_empty() {
-        let pace = gateway.cold.warm_pace(cold_start);
-        return warm.into_iter().map(|row| (row, Some(pace))).collect();
+        let rate = gateway.cold.warm_rate(cold_start);
+        return warm.into_iter().map(|row| (row, Some(rate))).collect();
     }
-    let paced = |row: &'a Arc<InstanceRow>| (row, gateway.cold.pace(tables, cold_start, &row.id, entry));
+    let with_rate =
+        |row: &'a Arc<InstanceRow>| (row, gateway.cold.cold_rate(tables, cold_start, &row.id, entry));
     let open =
-        limited.into_iter().map(paced).filter(|(row, pace)| gateway.cold.may_give(now, &row.id, *pace));
-    open.map(|(row, pace)| (row, Some(pace))).collect()
+        cold.into_iter().map(with_rate).filter(|(row, rate)| gateway.cold.may_give(now, &row.id, *rate));
+    open.map(|(row, rate)| (row, Some(rate))).collect()
+}
+
+/// Servers of a service that may run the request and were not tried yet.
+fn ready_servers<'a>(
+    tables: &'a GatewayTables,
+    service: &str,
+    zones: &AllowedZones,
+    tried: &[String],
+) -> Vec<&'a Arc<InstanceRow>> {
+    let may_run = |row: &InstanceRow| zones.contains(&row.zone) && !tables.is_evacuated(&row.zone);
+    let is_ready = |row: &InstanceRow| row.service == service && row.state == InstanceState::Ready;
+    let instances = tables.instances.values();
+    instances.filter(|row| may_run(row) && is_ready(row) && !tried.contains(&row.id)).collect()
 }
 
 /// Picks a server of a service that may run the request and was not tried yet; else why there is none.
@@ -72,13 +86,7 @@
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
     let cold_start = cold_start_of(&tables.gateway, &service.name);
-    let ready: Vec<&Arc<InstanceRow>> = instances
-        .values()
-        .filter(|row| zones.contains(&row.zone) && !tables.gateway.is_evacuated(&row.zone))
-        .filter(|row| {
-            row.service == service.name && row.state == InstanceState::Ready && !tried.contains(&row.id)
-        })
-        .collect();
+    let ready = ready_servers(&tables.gateway, &service.name, zones, tried);
     let open = open_servers(gateway, &tables, cold_start.as_ref(), &ready);
     if open.is_empty() && !ready.is_empty() {
         gateway.shared.metrics.cold_limited.with_label_values(&["noShare"]).inc();
@@ -94,7 +102,7 @@
         .pick(monotonic_ms(), &eligible, service.max_connections, random)
         .ok_or(ResultCode::NoServer)?;
     drop(pickers);
-    let (row, pace) = open.iter().find(|(row, _)| row.id == id).ok_or(ResultCode::NoServer)?;
+    let (row, rate) = open.iter().find(|(row, _)| row.id == id).ok_or(ResultCode::NoServer)?;
     let mut picked = Picked {
         gateway: gateway.clone(),
         row: (*row).clone(),
@@ -102,10 +110,10 @@
         result: None,
         servers: eligible.len() + tried.len(),
     };
-    if let Some(pace) = pace {
+    if let Some(rate) = rate {
         let now = monotonic_ms();
         // Another request may have got this turn since it was looked for.
-        if !gateway.cold.try_give(now, &id, *pace) && row.is_cold {
+        if !gateway.cold.try_give(now, &id, *rate) && row.is_cold {
             return Err(ResultCode::Overloaded);
         }
         picked.valid_until = Some(now + grant_valid_ms(row.is_cold));
--- a/crates/daemon/tests/gateway/promises.rs
+++ b/crates/daemon/tests/gateway/promises.rs
@@ -22,8 +22,8 @@
 /// And takes requests on for this long after it.
 const SERVES_ON: Duration = Duration::from_millis(2_500);
 
-/// Found by reading: a server's own status went to the caller as it was, though only its word that it did not run the
-/// request makes these statuses true.
+/// Callers take these statuses for a promise that the request did not run, which only the server's own word that it did
+/// not makes true.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_status_that_promises_not_run_is_not_passed_on_for_what_has_run() -> reqwest::Result<()> {
     let (fleet, servers) = with_plain_servers().await;
@@ -71,8 +71,8 @@
     Ok(())
 }
 
-/// A connection whose next request never arrives whole is closed without an answer, so none can be taken for that of the
-/// request before.
+/// A connection whose next request never arrives whole is closed without an answer, so none can be taken for that of
+/// the request before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_head_that_never_ends_gets_no_answer() -> std::io::Result<()> {
     let fleet = Fleet::start();
@@ -158,7 +158,7 @@
     begun.elapsed()
 }
 
-/// Finding 30: it replaced the server that runs, whose own reports were refused from then on.
+/// Were it taken in, the server that runs would be replaced, and its own reports refused from then on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_late_report_of_a_former_start_replaces_no_server_that_runs() -> reqwest::Result<()> {
     let (fleet, servers) = with_plain_servers().await;
--- a/crates/grouping/src/departures.rs
+++ b/crates/grouping/src/departures.rs
@@ -1,10 +1,10 @@
 //! Members that say that they leave, and until when their groups go on taking requests.
 //!
-//! A leaving member serves on for some time, so its group does too. Departures that come close together then end a group
-//! once, and its servers are planned for again when as many as possible of their replacements are there.
+//! A leaving member serves on for some time, so its group does too. Departures that come close together then end a
+//! group once, and its servers are planned for again when as many as possible of their replacements are there.
 //!
-//! Until it drains, planning takes such a group for any other: a successor can't form before the group has closed, as its
-//! domain rarely has as many free servers, and free servers that wait for it form no smaller group.
+//! Until it drains, planning takes such a group for any other: a successor can't form before the group has closed, as
+//! its domain rarely has as many free servers, and free servers that wait for it form no smaller group.
 
 use crate::{Millis, View};
 use dockwood_api::gateway::InstanceState;
@@ -31,7 +31,7 @@
 
 /// Until when a group takes requests that one of its members leaves.
 fn last_moment(view: &View<'_>, group: &GroupRow, member: &str) -> Millis {
-    let is_head = group.members.first().is_some_and(|head| head == member);
+    let is_head = group.is_headed_by(member);
     let since = view.observations.instance(member).and_then(|seen| seen.leaving_since);
     match since {
         // A head is the server that requests go to: from the first word on it gets as few as possible.
@@ -51,8 +51,7 @@
 /// Why an open group should drain now for a departure, if so.
 pub(crate) fn reason_to_drain(view: &View<'_>, group: &GroupRow) -> Option<String> {
     let Departing { member, until } = departing(view, group)?;
-    let rank =
-        if group.members.first().is_some_and(|head| head == member) { "its head" } else { "its member" };
+    let rank = if group.is_headed_by(member) { "its head" } else { "its member" };
     (view.now >= until).then(|| format!("{rank} {member} is leaving"))
 }
 
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -106,7 +106,7 @@
     }
     let busy = view.observations.in_flight(group.epoch) > 0;
     let progressing = view.observations.progressed_within(view.now, group.epoch, PROGRESS_SPAN_MS);
-    let is_head = group.members.first().is_some_and(|head| head == member);
+    let is_head = group.is_headed_by(member);
     // It ends without having told that it has closed.
     if is_head && !busy && view.tables.was_removed(member) {
         return true;
@@ -129,9 +129,7 @@
 
 /// The head's own word on this group, if its newest report is on it.
 fn head_state(view: &View<'_>, group: &GroupRow) -> Option<MembershipState> {
-    let head = view.observations.instance(group.members.first()?)?;
-    let membership = head.membership.as_ref()?;
-    (membership.epoch == group.epoch).then_some(membership.state)
+    view.observations.instance(group.members.first()?)?.state_in(group.epoch)
 }
 
 /// Why the head surely doesn't serve this group any more, if so.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -5,7 +5,7 @@
 use crate::slowness::Slowness;
 use dockwood_api::gateway::{
     DispatchScope, GroupCommand, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport,
-    MembershipReport, OrderAnswer, SharedGroupLoad,
+    MembershipReport, MembershipState, OrderAnswer, SharedGroupLoad,
 };
 use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,8 +47,8 @@
     pub last_epoch: u64,
     /// Epoch of the group that it last answered not to be in; 0 if it did for none.
     pub left_epoch: u64,
-    /// Epoch of the last order to join that it left unanswered, and when that was known.
-    pub unanswered_join: Option<(u64, Millis)>,
+    /// The last order to join that it left unanswered.
+    pub unanswered_join: Option<UnansweredJoin>,
     /// Epoch of the group that it last answered not to be serving; 0 if it did for none.
     pub unserved_epoch: u64,
     /// When this leader learned that it leaves; 0 if a former one did.
@@ -59,10 +59,25 @@
     pub silent_since: Option<Millis>,
 }
 
+/// An order to join that was left unanswered: it may still be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnansweredJoin {
+    /// Epoch of the group to join.
+    pub epoch: u64,
+    /// When it was clear that no answer comes.
+    pub noted_at: Millis,
+}
+
 impl InstanceObservation {
     /// Whether its newest report shows it in a group.
     pub fn is_shown_in(&self, epoch: u64) -> bool {
-        self.membership.as_ref().is_some_and(|membership| membership.epoch == epoch)
+        self.state_in(epoch).is_some()
+    }
+
+    /// How it stands in a group, if its newest report shows it there.
+    pub fn state_in(&self, epoch: u64) -> Option<MembershipState> {
+        let membership = self.membership.as_ref()?;
+        (membership.epoch == epoch).then_some(membership.state)
     }
 }
 
@@ -172,8 +187,8 @@
         self.slowness.claim_due(now)
     }
 
-    /// Notes since when the instances that leave do so. Those that a new leader finds leaving are noted with 0: how much
-    /// longer they serve on is not known.
+    /// Notes since when the instances that leave do so. Those that a new leader finds leaving are noted with 0: how
+    /// much longer they serve on is not known.
     pub fn note_departures(&mut self, since: Millis, tables: &GatewayTables) {
         let leaving = tables.instances.values().filter(|row| row.state == InstanceState::Draining);
         for row in leaving {
@@ -192,7 +207,7 @@
             // It takes effect at once, and fits whoever is a member.
             GroupCommand::Leave if is_taken || is_unfit => seen.left_epoch = order.epoch,
             GroupCommand::Join { .. } if answer == OrderAnswer::Silent => {
-                seen.unanswered_join = Some((order.epoch, now));
+                seen.unanswered_join = Some(UnansweredJoin { epoch: order.epoch, noted_at: now });
             }
             GroupCommand::Close { .. } if is_unfit => seen.unserved_epoch = order.epoch,
             _ => {}
@@ -289,7 +304,8 @@
             .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
     }
 
-    /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or since.
+    /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or
+    /// since.
     pub fn was_silent(&self, epoch: u64, since: Millis) -> bool {
         let Some(evidence) = self.groups.get(&epoch) else { return false };
         let Some(silent_at) = evidence.silent_at else { return false };
@@ -352,15 +368,11 @@
 
     /// Instances that were never seen get the time of one report to be seen, like all others under a new leader.
     pub fn note_unseen(&mut self, now: Millis, tables: &GatewayTables) {
-        for id in tables
-            .instances
-            .keys()
-            .filter(|id| !self.instances.contains_key(*id))
-            .cloned()
-            .collect::<Vec<_>>()
-        {
-            self.instances
-                .insert(id, InstanceObservation { reported_at: now, ..InstanceObservation::default() });
+        for id in tables.instances.keys() {
+            if !self.instances.contains_key(id) {
+                let unseen = InstanceObservation { reported_at: now, ..InstanceObservation::default() };
+                self.instances.insert(id.clone(), unseen);
+            }
         }
     }
 
