--- a/crates/daemon/src/gateway/regions.rs
+++ b/crates/daemon/src/gateway/regions.rs
@@ -20,8 +20,8 @@
     settings.gateway.as_ref().map(|gateway| &gateway.zone_regions)
 }
 
-/// The zones whose servers may take a request. Refused where there is no such zone: only another configuration, or other
-/// settings, would mend that, so no time to come back is told.
+/// The zones whose servers may take a request. Refused where there is no such zone: only another configuration, or
+/// other settings, would mend that, so no time to come back is told.
 pub fn zones_of(gateway: &Gateway, regions: &AllowedRegions) -> Result<AllowedZones, Refusal> {
     let unknown = BTreeMap::new();
     let zones = regions.zones(zone_regions(&gateway.shared.settings).unwrap_or(&unknown));
@@ -34,7 +34,7 @@
 
 /// What the caller is told where no server takes its request.
 pub fn none_serves(gateway: &Gateway, received: &Received) -> ResultCode {
-    let code = no_server_code(&gateway.shared.tables().gateway, &received.service.name);
+    let code = no_server_code(&gateway.shared.tables().gateway, &received.service.name, &received.zones);
     let is_bound = code == ResultCode::NoServer && received.zones.are_restricted();
     if is_bound { ResultCode::NoServerInRegion } else { code }
 }
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -29,12 +29,12 @@
 mod worth;
 
 pub use capacity::{RequestWork, group_ms, places_of_group};
-pub use cold::{COLD_SLOW_START_MS, ColdLimit, ColdPacing, Pace, SENDERS_AT_ONCE, grant_valid_ms};
+pub use cold::{COLD_SLOW_START_MS, ColdLimit, ColdPacing, SENDERS_AT_ONCE, SendRate, grant_valid_ms};
 pub use demand::{Demand, ModelDemand};
 pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
 pub use lifecycle::{advance_groups, reap_instances, release_members};
-pub use observations::{InstanceObservation, Observations, ProbeResult};
+pub use observations::{InstanceObservation, Observations, ProbeResult, UnansweredJoin};
 pub use orders::{OrderBook, OrderKind};
 pub use places::{GroupPlaces, PlaceLedger};
 pub use plan::{Plan, plan, plan_pause_ms};
--- a/crates/state/src/gateway/rows.rs
+++ b/crates/state/src/gateway/rows.rs
@@ -45,8 +45,8 @@
 pub struct Evacuation {
     /// Whether they are.
     pub evacuated: bool,
-    /// Grows with each call that was not overtaken. A call names the generation that it was decided on, so that one that
-    /// was overtaken changes nothing.
+    /// Grows with each call that was not overtaken. A call names the generation that it was decided on, so that one
+    /// that was overtaken changes nothing.
     pub generation: u64,
 }
 
@@ -99,6 +99,11 @@
     pub fn serves(&self) -> bool {
         matches!(self.phase, GroupPhase::Open | GroupPhase::Draining)
     }
+
+    /// Whether an instance is its head.
+    pub fn is_headed_by(&self, id: &str) -> bool {
+        self.members.first().is_some_and(|head| head == id)
+    }
 }
 
 impl From<&InstanceReport> for InstanceRow {
