What a service declares about cold servers is looked up in one place

Cause: the same look-up stood at the dispatcher, at entries and in the tables of evacuations, beside GatewayTables::engine; the look at all heads built a rate and copied the groups only to ask whether there is a limit. Change: GatewayTables::cold_start; heads are looked at without copies. Behaviour is the same.

--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -2,7 +2,6 @@
 //! this entry's own figures where no dispatcher answers in time.
 
 use super::Gateway;
-use super::cold::cold_start_of;
 use super::dispatchers::Dispatch;
 use super::evacuation::no_group_code;
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
@@ -110,7 +109,7 @@
         },
         PlaceReply::Full => {
             gateway.loads.found_none(query.service, query.model);
-            let limits_cold = cold_start_of(&gateway.shared.tables().gateway, query.service).is_some();
+            let limits_cold = gateway.shared.tables().gateway.cold_start(query.service).is_some();
             if limits_cold && !gateway.loads.cold(query).is_empty() {
                 gateway.shared.metrics.cold_limited.with_label_values(&["full"]).inc();
             }
@@ -163,7 +162,7 @@
     };
     let tables = gateway.shared.tables();
     let dispatcher = gateway.shared.dispatchers.of_scope(&tables, &scope)?;
-    let limits_cold = cold_start_of(&tables.gateway, query.service).is_some();
+    let limits_cold = tables.gateway.cold_start(query.service).is_some();
     if limits_cold && !gateway.shared.dispatchers.may_assign_cold(&tables, &scope, dispatcher) {
         request.excluded.extend(gateway.loads.cold(query));
     }
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -14,11 +14,6 @@
 /// The span over which sends to one server are counted, in milliseconds.
 const SECOND_MS: Millis = 1_000;
 
-/// What a service declares about its cold servers; `None` where they bear as much as warm ones.
-pub fn cold_start_of(tables: &GatewayTables, service: &str) -> Option<ColdStart> {
-    tables.configuration.as_ref()?.service(service)?.cold_start
-}
-
 /// Until when a place at a group that was asked for at `asked_at` may be used; `None` if for ever. `is_limited`: its
 /// head is cold, or was until a moment ago.
 pub fn place_valid_until(
@@ -27,7 +22,7 @@
     is_limited: bool,
     asked_at: Millis,
 ) -> Option<Millis> {
-    cold_start_of(tables, service)?;
+    tables.cold_start(service)?;
     Some(asked_at + grant_valid_ms(is_limited))
 }
 
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -5,7 +5,7 @@
 
 pub use reports::ScopeLoad;
 
-use super::cold::{cold_start_of, place_valid_until};
+use super::cold::place_valid_until;
 use super::lock;
 use crate::clock::monotonic_ms;
 use dockwood_api::gateway::{EventPace, ModelLoad};
@@ -196,7 +196,7 @@
             return PlaceAnswer::NoGroup;
         }
         let is_granted = now < gateway.loads.granted_at.load(Ordering::Relaxed) + GRANTS_VALID_MS;
-        let spares_cold = cold_start_of(&gateway.shared.tables().gateway, query.service).is_some();
+        let spares_cold = gateway.shared.tables().gateway.cold_start(query.service).is_some();
         let mut passed_over = false;
         let eligible = |epoch: &&u64| {
             let group = &groups[*epoch];
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,6 +1,5 @@
 //! Servers of plain services: which one takes a request.
 
-use super::cold::cold_start_of;
 use super::{Gateway, lock};
 use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
@@ -85,7 +84,7 @@
 ) -> Result<Picked, ResultCode> {
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
-    let cold_start = cold_start_of(&tables.gateway, &service.name);
+    let cold_start = tables.gateway.cold_start(&service.name);
     let ready = ready_servers(&tables.gateway, &service.name, zones, tried);
     let open = open_servers(gateway, &tables, cold_start.as_ref(), &ready);
     if open.is_empty() && !ready.is_empty() {
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -118,16 +118,14 @@
 
     /// Notes which heads are cold, also of groups that nobody asks for now, so that the end of their cold time is seen.
     pub fn observe_heads(&mut self, now: Millis, tables: &GatewayTables) {
-        let limited = tables.groups.values().filter(|group| {
-            group.phase == GroupPhase::Open && self.cold_rate(tables, &group.service).is_some()
-        });
-        for group in limited.cloned().collect::<Vec<Arc<GroupRow>>>() {
+        let open = tables.groups.values().filter(|group| group.phase == GroupPhase::Open);
+        for group in open.filter(|group| tables.cold_start(&group.service).is_some()) {
             self.cold.observe(now, &group.epoch, group.head_is_cold);
         }
     }
 
     fn cold_rate(&self, tables: &GatewayTables, service: &str) -> Option<SendRate> {
-        let cold_start = tables.configuration.as_ref()?.service(service)?.cold_start?;
+        let cold_start = tables.cold_start(service)?;
         Some(SendRate::of_dispatcher(self.cold_limit.arrivals(&cold_start)))
     }
 
--- a/crates/state/src/gateway/evacuation.rs
+++ b/crates/state/src/gateway/evacuation.rs
@@ -53,7 +53,7 @@
         let instances: Vec<Arc<InstanceRow>> = self
             .instances
             .values()
-            .filter(|row| row.zone == zone && self.may_be_cold(&row.service))
+            .filter(|row| row.zone == zone && self.cold_start(&row.service).is_some())
             .cloned()
             .collect();
         for row in instances {
@@ -63,7 +63,7 @@
         let groups: Vec<Arc<GroupRow>> = self
             .groups
             .values()
-            .filter(|row| row.zone == zone && self.may_be_cold(&row.service))
+            .filter(|row| row.zone == zone && self.cold_start(&row.service).is_some())
             .cloned()
             .collect();
         for row in groups {
@@ -71,12 +71,4 @@
             self.groups.insert(cold.epoch, Arc::new(cold));
         }
     }
-
-    /// Whether a service declares that its servers bear less while they are cold.
-    fn may_be_cold(&self, service: &str) -> bool {
-        let configuration = self.configuration.as_ref();
-        configuration
-            .and_then(|held| held.service(service))
-            .is_some_and(|service| service.cold_start.is_some())
-    }
 }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::machine::Applied;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{EngineProfile, GatewayConfiguration, InstanceState};
+use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
 use imbl::{OrdMap, Vector};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -80,6 +80,11 @@
         self.configuration.as_ref()?.service(service)?.engine.as_ref()
     }
 
+    /// What a service declares about its cold servers; `None` where they bear as much as warm ones.
+    pub fn cold_start(&self, service: &str) -> Option<ColdStart> {
+        self.configuration.as_ref()?.service(service)?.cold_start
+    }
+
     /// The model of an instance's last group since its start, as far as it is known: the instance joins another group
     /// of that model sooner than any other.
     pub fn last_model(&self, instance: &str) -> Option<&str> {
