Sight: a request's line names its fingerprint, and tells a server that ended from an answer that was lost

Cause: an attempt's id is new in each try, so no log told whether servers that ended one after the other had run the same request; 'Unknown' stood for lost answers, broken connections and ended processes alike. A connection that is made goes to the pool.

--- a/crates/api/src/gateway/mod.rs
+++ b/crates/api/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! themselves; groups of servers that hold one model; and the load that entries tell the control leader.
 
 mod configuration;
+mod fingerprint;
 mod group;
 mod instance;
 mod load;
@@ -11,6 +12,7 @@
     ColdStart, EngineProfile, GatewayConfiguration, ModelProfile, RequestLimits, Route, RouteKind,
     ServiceProfile, TenantKeys, WeightedService,
 };
+pub use fingerprint::{Fingerprint, NoFingerprint, RequestIdentity};
 pub use group::{GroupCommand, GroupOrder, OrderAnswer};
 pub use instance::{InstanceReport, InstanceState, MembershipReport, MembershipState};
 pub use load::{
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -5,6 +5,7 @@
 use crate::log_line::{LineBody, RequestLine, SendLine};
 use crate::logging;
 use dockwood_api::ResultCode;
+use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::SendOutcome;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -39,6 +40,8 @@
     pub allowed_ms: u64,
     /// Tokens of its prompt, as far as they are told.
     pub prompt_tokens: u64,
+    /// What it is recognised by when it comes again.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 impl RequestAccount {
@@ -79,6 +82,9 @@
 
     /// Notes that the last send did not bring the answer.
     pub fn send_ended(&mut self, outcome: SendOutcome) {
+        if outcome == SendOutcome::ServerEnded {
+            self.gateway.shared.metrics.sends_server_ended.inc();
+        }
         if let Some(last) = self.sends.last_mut().filter(|send| send.ended.is_none()) {
             last.ended = Some(format!("{outcome:?}"));
         }
@@ -127,6 +133,7 @@
             route: about.route.as_deref(),
             service: about.service.as_deref(),
             model: about.model.as_deref(),
+            fingerprint: about.fingerprint.map(|fingerprint| fingerprint.to_string()),
             configuration: self.gateway.routes.load().version,
             lease_left_ms: shared.lease_left_ms(),
             places_age_ms: has_model.then(|| self.gateway.loads.age_of_grants(now)),
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -154,7 +154,7 @@
             return Err(SendOutcome::NotSent);
         }
         self.in_flight = true;
-        let answer = exchange(&mut upstream, request, self.gateway.dialect.headers(), self.received).await;
+        let answer = exchange(self.gateway, &mut upstream, request, self.received).await;
         self.in_flight = false;
         match answer {
             Ok(answer) => {
@@ -226,12 +226,14 @@
 }
 
 async fn exchange(
+    gateway: &Gateway,
     upstream: &mut Upstream,
     request: Request<Full<Bytes>>,
-    names: &HeaderNames,
     received: &Received,
 ) -> Result<ServerAnswer, SendOutcome> {
-    let response = upstream.send(request).await.map_err(|_| SendOutcome::Unknown)?;
+    let names = gateway.dialect.headers();
+    let address = upstream.address();
+    let Ok(response) = upstream.send(request).await else { return Err(gateway.pool.broken(address).await) };
     let (parts, body) = response.into_parts();
     if !belongs(&parts.headers, names, received) {
         return Err(SendOutcome::Unknown);
@@ -242,6 +244,8 @@
     if promises_falsely(parts.status, received) {
         return Err(SendOutcome::Unknown);
     }
-    let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
+    let Ok(body) = read_whole(body, MOST_ANSWER_BYTES).await else {
+        return Err(gateway.pool.broken(address).await);
+    };
     Ok(ServerAnswer { status: parts.status, headers: end_to_end(&parts.headers), body })
 }
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -8,7 +8,7 @@
 use super::regions::zones_of;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{Route, RouteKind};
+use dockwood_api::gateway::{Fingerprint, RequestIdentity, Route, RouteKind};
 use dockwood_routing::gateway::{AllowedRegions, AllowedZones, Destination, KeyVerdict, RouteTable};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
@@ -48,6 +48,8 @@
     pub zones: AllowedZones,
     /// Rank for the server's queue.
     pub rank: u32,
+    /// What it is recognised by when it comes again, under whatever attempt id.
+    pub fingerprint: Fingerprint,
     /// The caller's attempt id.
     pub attempt: Option<String>,
     /// The model that it names.
@@ -76,6 +78,7 @@
             model: self.model.clone(),
             allowed_ms: self.left_ms(),
             prompt_tokens: self.prompt_tokens,
+            fingerprint: Some(self.fingerprint),
         }
     }
 
@@ -158,7 +161,15 @@
     let timeout_ms = told_ms.map_or(route.timeout_ms, |told| told.min(route.timeout_ms));
     let usage = text(&parts.headers, names.token_usage);
     let drop_key = key.is_some() || !route.anonymous;
+    let identity = RequestIdentity {
+        tenant: tenant.as_deref(),
+        method: parts.method.as_str(),
+        host: &route.host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        body: &body,
+    };
     Ok(Received {
+        fingerprint: Fingerprint::of(&identity),
         headers: from_caller(&parts.headers, names, drop_key),
         attempt: text(&parts.headers, names.attempt),
         model: text(&parts.headers, names.model),
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -38,7 +38,10 @@
                     }
                 }
                 None if reading.splitter.is_clean() => return self.complete(),
-                Some(Err(_)) | None => return Step::Broken(SendOutcome::Unknown),
+                Some(Err(_)) | None => {
+                    let address = reading.source.address();
+                    return Step::Broken(self.gateway.pool.broken(address).await);
+                }
             }
         }
     }
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -51,7 +51,10 @@
         self.since = sent_at;
         self.awaits_first = true;
         let response = tokio::select! {
-            response = upstream.send(request) => response.map_err(|_| SendOutcome::Unknown),
+            response = upstream.send(request) => match response {
+                Ok(response) => Ok(response),
+                Err(_) => Err(self.gateway.pool.broken(source.address()).await),
+            },
             () = stands_still(&self.gateway, &source, sent_at, self.silence(), &mut self.changes),
                 if self.course.may_move() => Err(abandon(&self.gateway, &source)),
             () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
@@ -94,7 +97,9 @@
             self.reading = Some(Reading { source, upstream, body, splitter: EventSplitter::default() });
             return Ok(None);
         }
-        let body = read_whole(body, MOST_ANSWER_BYTES).await.map_err(|_| SendOutcome::Unknown)?;
+        let Ok(body) = read_whole(body, MOST_ANSWER_BYTES).await else {
+            return Err(self.gateway.pool.broken(source.address()).await);
+        };
         if parts.status.is_server_error() && self.course.may_move() {
             return Err(SendOutcome::Failed);
         }
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -6,12 +6,14 @@
 
 use super::lock;
 use bytes::Bytes;
+use dockwood_routing::gateway::SendOutcome;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -25,13 +27,19 @@
 /// Resting connections kept for one server.
 const RESTING_PER_SERVER: usize = 4;
 
+/// How long a server whose connection broke may take to accept or refuse another one: some times the way between
+/// regions. Its request waits for the answer before it goes on elsewhere.
+const CHECK_LIMIT: Duration = Duration::from_millis(100);
+
 /// Why no connection was made. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFault {
-    /// The server refused it.
+    /// The server's machine refused it: no process listens there.
     Refused,
     /// No answer in time.
     Silent,
+    /// Anything else, such as a want of descriptors here: tells nothing of the server.
+    Failed,
 }
 
 /// One connection; it ends when this is dropped.
@@ -52,12 +60,15 @@
     pub async fn connect(address: SocketAddr) -> Result<Upstream, ConnectFault> {
         let stream = match tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_)) => return Err(ConnectFault::Refused),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(ConnectFault::Refused);
+            }
+            Ok(Err(_)) => return Err(ConnectFault::Failed),
             Err(_) => return Err(ConnectFault::Silent),
         };
         let _ = stream.set_nodelay(true);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|_| ConnectFault::Refused)?;
+        let (sender, connection) = handshake.map_err(|_| ConnectFault::Failed)?;
         let driver = tokio::spawn(async move {
             // How it ended shows at the request that was on it.
             let _ = connection.await;
@@ -65,6 +76,11 @@
         Ok(Upstream { sender, driver: driver.abort_handle(), address })
     }
 
+    /// Address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, hyper::Error> {
         self.sender.send_request(request).await
@@ -92,6 +108,24 @@
         }
     }
 
+    /// Whether the process at an address has ended: its machine refuses connections. A cut, a machine without power, a
+    /// slow server and one that only broke a connection off do not; a connection that is made is kept.
+    pub async fn has_ended(&self, address: SocketAddr) -> bool {
+        match tokio::time::timeout(CHECK_LIMIT, Upstream::connect(address)).await {
+            Ok(Ok(upstream)) => {
+                self.keep(upstream);
+                false
+            }
+            Ok(Err(fault)) => fault == ConnectFault::Refused,
+            Err(_) => false,
+        }
+    }
+
+    /// How a send ended whose connection broke while the server had the request.
+    pub async fn broken(&self, address: SocketAddr) -> SendOutcome {
+        if self.has_ended(address).await { SendOutcome::ServerEnded } else { SendOutcome::Unknown }
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Upstream> {
         let mut pool = lock(&self.resting);
         let connections = pool.get_mut(&address)?;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -124,6 +124,9 @@
     /// Model that it named.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub model: Option<&'a str>,
+    /// What it is recognised by when it comes again: the same in each try, at any daemon.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<String>,
     /// Version of the configuration that it was judged by.
     pub configuration: u64,
     /// What was left of the configuration lease when it ended, in milliseconds.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -40,6 +40,8 @@
     pub retries: IntCounterVec,
     /// Retries that the budget refused.
     pub retries_refused: IntCounter,
+    /// Sends that ended with the process of their server.
+    pub sends_server_ended: IntCounter,
     /// Calls between daemons received, by method.
     pub peer_calls: IntCounterVec,
     /// Calls between daemons that failed.
@@ -166,6 +168,10 @@
             in_flight: gauge("dockwood_in_flight", "Requests in flight at this entry")?,
             retries: counters("dockwood_retries_total", "Retries", &["reason"])?,
             retries_refused: counter("dockwood_retries_refused_total", "Retries refused by the budget")?,
+            sends_server_ended: counter(
+                "dockwood_sends_server_ended_total",
+                "Sends that ended with the process of their server",
+            )?,
             peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
             peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
             relayed_calls: counter(
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -41,10 +41,12 @@
     let told = |at_ms: u64, text: String| Told { at_ms, text: format!("{}: {text}", line.daemon) };
     let model = request.model.as_deref().map_or(String::new(), |model| format!(" for {model}"));
     let prompt = request.prompt_tokens.map_or(String::new(), |tokens| format!(", {tokens} tokens of prompt"));
+    let fingerprint = request.fingerprint.as_deref();
+    let fingerprint = fingerprint.map_or(String::new(), |print| format!(", fingerprint {print}"));
     let mut course = vec![told(
         arrived,
         format!(
-            "arrives{model}{prompt}; {} ms allowed, configuration {}",
+            "arrives{model}{prompt}{fingerprint}; {} ms allowed, configuration {}",
             request.allowed_ms, request.configuration
         ),
     )];
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -110,6 +110,8 @@
     pub code_name: String,
     /// Model that it named.
     pub model: Option<String>,
+    /// What it is recognised by when it comes again, under whatever attempt id.
+    pub fingerprint: Option<String>,
     /// Version of the configuration that it was judged by.
     pub configuration: u64,
     /// What was left of the configuration lease when it ended, in milliseconds.
--- a/crates/routing/src/gateway/course.rs
+++ b/crates/routing/src/gateway/course.rs
@@ -15,6 +15,9 @@
     SaidNotRun,
     /// It was sent, and what became of it is not known.
     Unknown,
+    /// The connection broke while the server had the request, and the server's process is gone: its address refuses
+    /// connections. Unlike a lost answer, this is evidence that the request may end whatever server runs it.
+    ServerEnded,
     /// The server answered with a failure of its own.
     Failed,
     /// The group stood still, and the request was taken away from it.
@@ -77,7 +80,10 @@
             // Nothing reached a server, so nothing counts against the budget either.
             SendOutcome::NotSent => {}
             SendOutcome::SaidNotRun => self.sends += 1,
-            SendOutcome::Unknown | SendOutcome::Failed | SendOutcome::Abandoned => {
+            SendOutcome::Unknown
+            | SendOutcome::ServerEnded
+            | SendOutcome::Failed
+            | SendOutcome::Abandoned => {
                 self.sends += 1;
                 self.may_have_run += 1;
             }
