Test, red: a request under which three servers have ended is sent to no more

Fake servers end as processes do, come back as new instances, and report the models that their hosts keep.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod leader_search;
 mod promises;
 mod regions;
+mod requests_that_end_servers;
 mod servers;
 
 use fixture::{Fleet, LIMIT, configuration, eventually};
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -8,10 +8,12 @@
 use poem::listener::TcpListener;
 use poem::web::Data;
 use poem::{Body, EndpointExt, IntoResponse, Request, Response, Route, Server, handler};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
+use tokio::task::AbortHandle;
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 30;
@@ -19,6 +21,12 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two reports.
 const REPORT_EVERY: Duration = Duration::from_millis(200);
+/// A request with this body ends the process of each server that begins to run it.
+pub const ENDS_SERVERS: &str = "ends whatever server runs it";
+/// How long a server runs such a request before it ends.
+const RUNS_BEFORE_END: Duration = Duration::from_millis(50);
+/// How long after its end a server is back, as a new instance at its old address.
+const RESTARTS_AFTER: Duration = Duration::from_millis(500);
 /// How long a member loads.
 const LOAD: Duration = Duration::from_millis(100);
 
@@ -58,6 +66,13 @@
     pub cold_ms: AtomicU64,
     /// When requests arrived, those among them that it refused; without those that were meant for another server.
     pub arrivals: Mutex<Vec<Instant>>,
+    /// When requests arrived that end servers, here and at the instances that followed this one.
+    pub fatal_arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Models whose weights its host keeps.
+    staged: Mutex<BTreeSet<String>>,
+    has_ended: AtomicBool,
+    listening: Mutex<Option<AbortHandle>>,
+    operators: Vec<SocketAddr>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -84,6 +99,19 @@
         domain: Option<&str>,
         address: SocketAddr,
         operators: Vec<SocketAddr>,
+    ) -> Arc<FakeServer> {
+        FakeServer::start_after(Arc::default(), zone, id, service, domain, address, operators).await
+    }
+
+    /// The same, following an instance that has ended.
+    async fn start_after(
+        fatal_arrivals: Arc<Mutex<Vec<Instant>>>,
+        zone: &str,
+        id: &str,
+        service: &str,
+        domain: Option<&str>,
+        address: SocketAddr,
+        operators: Vec<SocketAddr>,
     ) -> Arc<FakeServer> {
         let server = Arc::new(FakeServer {
             id: id.to_string(),
@@ -103,13 +131,19 @@
             tenants: Mutex::default(),
             cold_ms: AtomicU64::new(0),
             arrivals: Mutex::default(),
+            fatal_arrivals,
+            staged: Mutex::default(),
+            has_ended: AtomicBool::new(false),
+            listening: Mutex::default(),
+            operators: operators.clone(),
         });
         let routes = Route::new()
             .at("/group/orders", poem::post(take_order))
             .at("/group/report", poem::get(report))
             .at("/*path", poem::get(run).post(run))
             .data(server.clone());
-        tokio::spawn(Server::new(TcpListener::bind(address)).run(routes));
+        let listening = tokio::spawn(Server::new(TcpListener::bind(address)).run(routes));
+        *lock(&server.listening) = Some(listening.abort_handle());
         tokio::spawn(keep_reporting(server.clone(), operators));
         server
     }
@@ -123,6 +157,30 @@
         lock(&self.arrivals).iter().copied().filter(|at| *at >= since).collect()
     }
 
+    /// Ends as a process does: its port refuses, its connections break, it reports nothing. It is back some time later.
+    fn end(self: Arc<Self>) {
+        if self.has_ended.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        if let Some(listening) = lock(&self.listening).take() {
+            listening.abort();
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTARTS_AFTER).await;
+            let (id, domain) = (format!("{}-again", self.id), self.domain.as_deref());
+            let (arrivals, operators) = (self.fatal_arrivals.clone(), self.operators.clone());
+            let (zone, service) = (&self.zone, &self.service);
+            FakeServer::start_after(arrivals, zone, &id, service, domain, self.address, operators).await;
+        });
+    }
+
+    /// Breaks the connection that calls this, if the process has ended.
+    fn break_if_ended(&self) {
+        if self.has_ended.load(Ordering::SeqCst) {
+            std::panic::resume_unwind(Box::new("the process has ended"));
+        }
+    }
+
     pub fn drain(&self) {
         *lock(&self.state) = InstanceState::Draining;
     }
@@ -145,7 +203,7 @@
             cold_ms: self.cold_ms.load(Ordering::SeqCst),
             sequence: self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
             domain: self.domain.clone(),
-            staged: Vec::new(),
+            staged: lock(&self.staged).iter().cloned().collect(),
             membership: lock(&self.membership).clone(),
         }
     }
@@ -154,7 +212,7 @@
 async fn keep_reporting(server: Arc<FakeServer>, operators: Vec<SocketAddr>) {
     let http = reqwest::Client::new();
     let mut turn = 0;
-    loop {
+    while !server.has_ended.load(Ordering::SeqCst) {
         if !server.stands_still.load(Ordering::SeqCst) {
             let url =
                 format!("http://{}/v1/gateway/instances/{}", operators[turn % operators.len()], server.id);
@@ -178,6 +236,7 @@
 #[handler]
 async fn take_order(server: Data<&Arc<FakeServer>>, body: Vec<u8>) -> StatusCode {
     let server = server.0.clone();
+    server.break_if_ended();
     if server.stands_still.load(Ordering::SeqCst) {
         std::future::pending::<()>().await;
     }
@@ -204,7 +263,9 @@
             });
         }
         GroupCommand::Leave => *lock(&server.membership) = None,
-        GroupCommand::Stage { .. } => {}
+        GroupCommand::Stage { model } => {
+            lock(&server.staged).insert(model);
+        }
     }
     StatusCode::ACCEPTED
 }
@@ -214,8 +275,9 @@
 }
 
 #[handler]
-async fn run(server: Data<&Arc<FakeServer>>, request: &Request) -> Response {
+async fn run(server: Data<&Arc<FakeServer>>, request: &Request, body: Vec<u8>) -> Response {
     let server = server.0.clone();
+    server.break_if_ended();
     let attempt = header(request, "dockwood-attempt").unwrap_or_default();
     if header(request, "dockwood-instance").as_ref() != Some(&server.id) {
         let refusal = StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt);
@@ -239,6 +301,13 @@
     if let Manner::Fails(status) = manner {
         return status.with_header("dockwood-attempt", attempt).into_response();
     }
+    if body == ENDS_SERVERS.as_bytes() {
+        lock(&server.fatal_arrivals).push(Instant::now());
+        tokio::time::sleep(RUNS_BEFORE_END).await;
+        server.clone().end();
+        tokio::time::sleep(EVENT_PAUSE).await;
+        server.break_if_ended();
+    }
     if server.domain.is_none() {
         return server.id.clone().with_header("dockwood-attempt", attempt).into_response();
     }
@@ -278,6 +347,7 @@
     let running = Running { server, complete: false };
     stream::unfold((running, after + 1), |(mut running, id)| async move {
         tokio::time::sleep(EVENT_PAUSE).await;
+        running.server.break_if_ended();
         while running.server.stands_still.load(Ordering::SeqCst) {
             tokio::time::sleep(EVENT_PAUSE).await;
         }
