Requests under which servers end are tried one at a time, and come under quarantine

Cause: each try of a request was judged by itself. A cut stream goes on at the next server, callers retry, and new tries come with new ids to any entry; nothing remembered that the tries before had ended their servers. Change: entries bring the end of a server's process, with the requests that it had, to the replicated log, which sums it by fingerprint. A suspect is tried at one server at a time over the whole fleet, in another zone than before, at the group with the fewest requests, and apart from other suspects; a whole answer clears it; three servers in more than one zone, or five, put it under quarantine everywhere (3009, for 10 minutes, then probation). One gate decides for all that sends, up to the moment of writing.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -59,6 +59,8 @@
     DeadlineInQueue = 2022, 503, "The time ran out before the request was sent to a server; not run.";
     ZoneEvacuated = 2026, 503, "All servers that could take the request stand in evacuated zones; not run, retry after the stated time.";
     NoServerInRegion = 2030, 503, "No server takes work in the regions that the route and the tenant allow; not run, retry after the stated time if one is given.";
+    TrialUnderWay = 2031, 503, "A server ended while it ran this request, and another try of it is under way; not run, retry after the stated time.";
+    ServerOnTrial = 2032, 503, "The server runs another request that may end it; not run, another server is to be chosen.";
     Interrupted = 3001, 502, "The run was cut short and may not be continued; what was generated is incomplete.";
     OutcomeUnknown = 3002, 502, "The request was sent and its outcome can't be established; it is not run again.";
     DeadlinePassed = 3003, 504, "The deadline passed while the request was running; the run was cancelled.";
@@ -67,6 +69,7 @@
     RequestNotFound = 3006, 404, "No daemon that was asked holds a record of this request id.";
     CallerLeft = 3007, 499, "The caller left before the answer was whole; what ran for it was cancelled.";
     RanBefore = 3008, 503, "Refused now, and an earlier sending under the same id may have run; a repeatable request may be sent again.";
+    RequestQuarantined = 3009, 502, "Servers ended each time they ran this request: it is under quarantine and is not sent again; an operator can release it.";
     BadResource = 4001, 400, "The body is not a resource: malformed JSON or an unknown field.";
     UnknownKind = 4002, 404, "There is no such resource kind.";
     ValidationFailed = 4003, 422, "The resource's spec has values that are not allowed.";
@@ -94,6 +97,7 @@
     ZoneMalformed = 4026, 400, "The path names no zone: empty, too long, or with characters that no zone has; nothing was changed.";
     ZoneUnknown = 4027, 404, "The settings declare no zone of this name; nothing was changed.";
     EvacuationOvertaken = 4028, 503, "The zone's evacuation was changed by another call meanwhile; nothing was changed, repeat the call.";
+    FingerprintMalformed = 4029, 400, "The path names no fingerprint: 32 hexadecimal digits; nothing was changed.";
     NoLeader = 5001, 503, "There is no known control leader; try again.";
     NotLeader = 5002, 503, "This daemon is not the control leader; the leader is attached where known.";
     ProposalDropped = 5003, 503, "The change was not committed; resend it with the same change id.";
--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -125,6 +125,8 @@
     pub most_first_event_ms: Option<u64>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// The group with the fewest requests is the best: the request may end the server that runs it.
+    pub prefers_idle: bool,
     /// Epochs of groups that the entry doesn't want: it has tried them, or holds them for silent.
     pub excluded: Vec<u64>,
 }
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -6,8 +6,10 @@
 use dockwood_api::gateway::InstanceState;
 use dockwood_api::resource::{Kind, ResourceKey};
 use dockwood_state::{
-    Applied, ChangeAction, ChangeRequest, Command, CommandBody, GatewayCommand, Outcome, ReplicaPhase, Tables,
+    Applied, ChangeAction, ChangeRequest, Command, CommandBody, Evidence, GatewayCommand, Outcome,
+    QuarantineRow, ReplicaPhase, ServerEnd, Tables,
 };
+use std::sync::Arc;
 
 /// An event about to be recorded.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +37,10 @@
 /// What there is to tell of a command, given the tables after it.
 pub fn accounts(command: &Command, applied: &Applied, tables: &Tables) -> Vec<Account> {
     let code = code_of(&applied.outcome);
+    // A trial that isn't granted is no fault; the daemon that asked tells of it.
+    if matches!(command.body, CommandBody::Gateway(GatewayCommand::BeginTrial(_))) {
+        return Vec::new();
+    }
     if let Outcome::Refused(error) = &applied.outcome
         && !matches!(command.body, CommandBody::Change(_))
     {
@@ -67,7 +73,13 @@
             let message = format!("watcher {}", watcher.as_deref().unwrap_or("nobody"));
             vec![Account::new(Subject::new("replica", replica), "WatcherAssigned", message, code)]
         }
-        CommandBody::Gateway(command) => gateway_account(command, tables).into_iter().collect(),
+        CommandBody::Gateway(command) => {
+            let mut told: Vec<Account> = gateway_account(command, tables).into_iter().collect();
+            if let GatewayCommand::ServerEnded(end) = command {
+                told.extend(quarantines(end, tables));
+            }
+            told
+        }
         CommandBody::Claim(_) | CommandBody::SettleClaims(_) => Vec::new(),
     }
 }
@@ -115,11 +127,54 @@
             account("zone", zone, reason, format!("generation {generation}"))
         }
         GatewayCommand::NoteRequests => account("gateway", "requests", "RequestsSeen", String::new()),
+        GatewayCommand::ServerEnded(end) => {
+            account("instance", &end.instance, "EndedUnderRequests", told(end))
+        }
+        GatewayCommand::ClearRequest { fingerprint, reason } => {
+            account("request", &fingerprint.to_string(), "Cleared", reason.clone())
+        }
         // Told at the voters, as the change of phase that led to it.
         GatewayCommand::Adopt(_) => None,
+        // Trials are told by the daemons that ask for them.
+        GatewayCommand::BeginTrial(_)
+        | GatewayCommand::EndTrial { .. }
+        | GatewayCommand::ExpireSuspicions { .. } => None,
     }
 }
 
+/// The requests that a server had when it ended.
+fn told(end: &ServerEnd) -> String {
+    let tries: Vec<String> =
+        end.tries.iter().map(|tried| format!("{} as {}", tried.fingerprint, tried.request)).collect();
+    format!("in zone {}, told by {}; suspects: {}", end.zone, end.daemon, tries.join(", "))
+}
+
+/// Requests that came under quarantine by the end of a server.
+fn quarantines(end: &ServerEnd, tables: &Tables) -> Vec<Account> {
+    let held =
+        end.tries.iter().filter_map(|tried| tables.gateway.suspicion.quarantined.get(&tried.fingerprint));
+    let new = held.filter(|row| row.since_ms == end.at_ms);
+    let account = |row: &Arc<QuarantineRow>| {
+        let servers: Vec<String> = row.evidence.iter().map(servers_end).collect();
+        let message = format!(
+            "tenant {}, route {}, for {} s, {} times; ended under it: {}",
+            row.tenant.as_deref().unwrap_or("none"),
+            row.route,
+            (row.until_ms - row.since_ms) / 1_000,
+            row.offences,
+            servers.join(", ")
+        );
+        let subject = Subject::new("request", row.fingerprint.to_string());
+        Account::new(subject, "Quarantined", message, ResultCode::RequestQuarantined)
+    };
+    new.map(account).collect()
+}
+
+fn servers_end(evidence: &Evidence) -> String {
+    let Evidence { instance, zone, at_ms, request, daemon } = evidence;
+    format!("{instance} in {zone} at {at_ms} with {request}, told by {daemon}")
+}
+
 /// The group that an instance leaves, as a message ends with it.
 fn group_left(tables: &Tables, instance: &str) -> String {
     let group = tables.gateway.group_of(instance);
--- a/crates/control/src/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -6,7 +6,7 @@
 use dockwood_api::engine::OrderAction;
 use dockwood_api::peer::MachineState;
 use dockwood_placement::PlacementPolicy;
-use dockwood_state::{CommandBody, Liveness, OrderRow, OrderState, Tables};
+use dockwood_state::{CommandBody, GatewayCommand, Liveness, OrderRow, OrderState, Tables};
 use std::collections::HashMap;
 
 /// A machine must contradict its order for this long before the order is repeated: reports lag.
@@ -32,6 +32,12 @@
     commands
 }
 
+/// Forgets what is old of requests under which servers ended.
+pub fn expired_suspicions(tables: &Tables, wall_ms: u64) -> Option<CommandBody> {
+    let has_expired = tables.gateway.suspicion.has_expired(wall_ms);
+    has_expired.then_some(CommandBody::Gateway(GatewayCommand::ExpireSuspicions { at_ms: wall_ms }))
+}
+
 /// What placement decides.
 pub fn placement(board: &Blackboard, now: Millis, policy: PlacementPolicy) -> Vec<CommandBody> {
     dockwood_placement::plan(&board.fleet(now, policy)).into_iter().map(|operator| operator.body).collect()
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -5,9 +5,9 @@
 use crate::announcement::Announcements;
 use crate::blackboard::{Blackboard, Observed};
 use crate::catch_up::{CatchUp, Missing};
-use crate::controllers::{LostState, liveness, pending_orders, placement};
+use crate::controllers::{LostState, expired_suspicions, liveness, pending_orders, placement};
 use crate::copies::CopySources;
-use crate::driver_io::{OrderToSend, Output};
+use crate::driver_io::{Moment, OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
 use crate::hearing::Hearing;
 use crate::leases::{LeaseTable, News};
@@ -188,7 +188,8 @@
 
     /// What should be committed now. Nothing is decided while earlier decisions are not committed, so that
     /// every decision sees the last one's result.
-    pub fn decide(&mut self, now: Millis, board: &Blackboard, options: &Options) -> Vec<CommandBody> {
+    pub fn decide(&mut self, moment: Moment, board: &Blackboard, options: &Options) -> Vec<CommandBody> {
+        let now = moment.monotonic;
         if self.uncommitted > 0 || now < self.decide_at {
             return Vec::new();
         }
@@ -200,6 +201,7 @@
         commands.extend(placement(board, now, options.placement));
         let gateway = self.gateway.decide(heard_until, &board.tables().gateway, options.grouping);
         commands.extend(gateway.into_iter().map(CommandBody::Gateway));
+        commands.extend(expired_suspicions(board.tables(), moment.wall_ms));
         self.uncommitted = commands.len();
         commands
     }
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -58,7 +58,7 @@
         );
         let probes = leadership.gateway.probes(now.monotonic, gateway_tables);
         let orders = leadership.orders_to_send(now.monotonic, &self.board);
-        let commands = leadership.decide(now.monotonic, &self.board, &self.options);
+        let commands = leadership.decide(now, &self.board, &self.options);
         self.outputs.extend(orders.into_iter().map(|order| Output::SendOrder(Box::new(order))));
         let group_orders = group_orders.into_iter().map(|order| Output::SendGroupOrder(Box::new(order)));
         self.outputs.extend(group_orders);
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -183,6 +183,7 @@
         allowed_zones: query.zones.names().map(<[String]>::to_vec),
         most_first_event_ms: None,
         prompt_tokens: query.prompt_tokens,
+        prefers_idle: query.prefers_idle,
         excluded,
     }
 }
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -90,6 +90,8 @@
     pub zones: &'a AllowedZones,
     /// Groups that were tried before.
     pub excluded: &'a [u64],
+    /// A group with few requests is better than a near or a fast one.
+    pub prefers_idle: bool,
     /// Tokens of the request's prompt.
     pub prompt_tokens: u64,
     /// When its first event should be there, in milliseconds.
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -8,6 +8,7 @@
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
 use super::regions::none_serves;
+use super::suspects::{Admission, SuspectGate};
 use super::targets::{Picked, pick};
 use super::upstream::Upstream;
 use crate::dialect::HeaderNames;
@@ -50,8 +51,10 @@
         received,
         account,
         course: Course::new(&received.route),
+        gate: SuspectGate::new(gateway, received),
         in_flight: false,
         tried: Vec::new(),
+        taken: Vec::new(),
         kept: None,
     };
     match tokio::time::timeout_at(received.deadline, course.run()).await {
@@ -73,8 +76,11 @@
     received: &'a Received,
     account: RequestAccount,
     course: Course,
+    gate: SuspectGate,
     in_flight: bool,
     tried: Vec<String>,
+    /// Servers that are taken by other suspects, as looked at since the gate was last waited for.
+    taken: Vec<String>,
     /// A server's own failure, passed on if no other server answers.
     kept: Option<ServerAnswer>,
 }
@@ -82,16 +88,40 @@
 impl PlainCourse<'_> {
     async fn run(&mut self) -> Response<AnswerBody> {
         loop {
-            let service = &self.received.service;
-            let picked = match pick(self.gateway, service, &self.received.zones, &self.tried) {
+            let is_suspect = match self.gate.is_suspect().await {
+                Ok(is_suspect) => is_suspect,
+                Err(code) => return self.final_refusal(code),
+            };
+            let picked = match self.pick(is_suspect) {
+                Err(_) if !self.taken.is_empty() => {
+                    self.taken.clear();
+                    match self.gate.all_taken().await {
+                        Admission::Refused(code) => return self.last_word(code),
+                        _ => continue,
+                    }
+                }
                 Ok(picked) => picked,
                 Err(ResultCode::NoServer) => return self.last_word(none_serves(self.gateway, self.received)),
                 Err(code) => return self.last_word(code),
             };
+            match self.gate.enter(is_suspect, &picked.row.id, &picked.row.zone).await {
+                Admission::Enter => {}
+                Admission::Elsewhere => {
+                    self.taken.push(picked.row.id.clone());
+                    continue;
+                }
+                Admission::Wait => continue,
+                Admission::Refused(ResultCode::RequestQuarantined) => {
+                    return self.final_refusal(ResultCode::RequestQuarantined);
+                }
+                Admission::Refused(code) => return self.last_word(code),
+            }
             if !may_still_run(self.gateway, self.received) {
                 return self.last_word(ResultCode::NoLease);
             }
-            if self.course.needs_budget() && !self.gateway.try_second_send(&service.name, "plain") {
+            if self.course.needs_budget()
+                && !self.gateway.try_second_send(&self.received.service.name, "plain")
+            {
                 return self.last_word(ResultCode::Overloaded);
             }
             self.tried.push(picked.row.id.clone());
@@ -100,6 +130,9 @@
                 Err(outcome) => outcome,
             };
             self.account.send_ended(outcome);
+            if outcome == SendOutcome::ServerEnded {
+                self.gate.server_ended();
+            }
             if let Verdict::GiveUp(told) = self.course.ended(outcome) {
                 return match self.kept.take() {
                     Some(kept) => self.pass_on(kept),
@@ -109,6 +142,15 @@
         }
     }
 
+    /// A server that was not tried yet; for a suspect, in a zone where no server has ended under it if there is one.
+    fn pick(&self, is_suspect: bool) -> Result<Picked, ResultCode> {
+        let (service, zones) = (&self.received.service, &self.received.zones);
+        let tried = [self.tried.as_slice(), &self.taken].concat();
+        let elsewhere = self.gate.elsewhere(is_suspect, zones);
+        let picked = elsewhere.and_then(|zones| pick(self.gateway, service, &zones, &tried).ok());
+        picked.map_or_else(|| pick(self.gateway, service, zones, &tried), Ok)
+    }
+
     /// The answer when there is nobody to send to any more.
     fn last_word(&mut self, code: ResultCode) -> Response<AnswerBody> {
         if let Some(kept) = self.kept.take() {
@@ -119,6 +161,7 @@
     }
 
     fn pass_on(&mut self, answer: ServerAnswer) -> Response<AnswerBody> {
+        self.gate.answered();
         let failed = answer.status.is_server_error();
         self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
         answer.pass_on()
@@ -129,6 +172,12 @@
         give_up(told)
     }
 
+    /// An answer without a time to come back: the request is not to be sent again.
+    fn final_refusal(&mut self, code: ResultCode) -> Response<AnswerBody> {
+        self.account.end(code);
+        refuse(code, code.meaning(), None)
+    }
+
     /// Sends to one server. `Err` if that brought no answer to pass on.
     async fn send(&mut self, picked: Picked) -> Result<ServerAnswer, SendOutcome> {
         // A connection that rested may be closed at this moment: what may run only once never goes out on one.
@@ -145,11 +194,12 @@
         let (service, server) = (&self.received.service.name, &picked.row);
         let is_timely =
             self.gateway.cold.may_send(metrics, service, &server.id, server.is_cold, picked.valid_until);
-        if !is_timely {
+        let is_its_turn = self.gate.may_write();
+        if !is_timely || !is_its_turn {
             // It may be picked again, and the connection that took too long is there now.
             self.tried.pop();
         }
-        if !is_timely || !may_write(self.gateway, &server.zone) {
+        if !is_timely || !is_its_turn || !may_write(self.gateway, &server.zone) {
             self.gateway.pool.keep(upstream);
             return Err(SendOutcome::NotSent);
         }
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -20,6 +20,16 @@
     SendOutcome::Abandoned
 }
 
+/// How a send ended whose connection broke. A head whose process has ended is avoided from now on, and the control
+/// leader is told that it refuses connections.
+pub async fn broken(gateway: &Gateway, source: &Source) -> SendOutcome {
+    let outcome = gateway.pool.broken(source.address()).await;
+    if let (SendOutcome::ServerEnded, Source::Group(place)) = (outcome, source) {
+        gateway.loads.suspect(place.epoch, true);
+    }
+    outcome
+}
+
 /// Completes once the source counts as standing still, which has shown nothing since `since`. Once it is suspicious the
 /// group is avoided for new requests and its members are asked; some time later, or as soon as the group is closed,
 /// this request moves on.
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -1,22 +1,21 @@
 //! Streams of events: passed on as they arrive, whole events only, and continued at another group when theirs breaks
 //! or stands still. The caller sees one answer, with the head of the first server.
 
+mod choosing;
 mod reading;
 mod sending;
 
 use super::Gateway;
 use super::account::RequestAccount;
-use super::assignment::wait_for_place;
 use super::body::{AnswerBody, CutShort, whole};
-use super::loads::PlaceQuery;
 use super::plain::give_up;
 use super::receive::{Received, may_still_run};
-use super::regions::none_serves;
 use super::source::Source;
-use super::targets::pick;
+use super::suspects::SuspectGate;
 use super::upstream::Upstream;
 use crate::shared::InFlight;
 use bytes::Bytes;
+use choosing::Taken;
 use dockwood_api::ResultCode;
 use dockwood_routing::gateway::{Course, EventSplitter, GiveUp, Pace, SendOutcome, Silence, Verdict};
 use futures::stream;
@@ -25,14 +24,9 @@
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Part of the target for the first event that a request may wait here for a place, in hundredths: with half of it gone, the
-/// first event can still be in time. Waiting for one and a half times the target instead was measured to serve no more:
-/// what waited stood before what came new.
-const WAIT_HUNDREDTHS: u64 = 50;
 /// When a caller may come back after all groups were full.
 const FULL_RETRY_MS: u64 = 400;
 
@@ -79,6 +73,9 @@
     awaits_first: bool,
     tried_groups: Vec<u64>,
     tried_servers: Vec<String>,
+    /// Looked at since the gate was last waited for.
+    taken: Taken,
+    gate: SuspectGate,
     changes: watch::Receiver<u64>,
     _in_flight: InFlight,
 }
@@ -102,6 +99,8 @@
     let mut course = StreamCourse {
         course: Course::new(&received.route),
         last_event: received.last_event,
+        gate: SuspectGate::new(gateway, &received),
+        taken: Taken::default(),
         changes: gateway.loads.watch_changes(),
         gateway: gateway.clone(),
         received,
@@ -175,6 +174,9 @@
     fn after(&mut self, outcome: SendOutcome) -> Result<(), GiveUp> {
         self.reading = None;
         self.account.send_ended(outcome);
+        if outcome == SendOutcome::ServerEnded {
+            self.gate.server_ended();
+        }
         match self.course.ended(outcome) {
             Verdict::SendAgain => Ok(()),
             Verdict::GiveUp(told) => Err(told),
@@ -184,7 +186,7 @@
     /// Opens a stream at some group or server. `Some` is an answer that is no stream.
     async fn open(&mut self) -> Result<Option<Response<AnswerBody>>, Box<Response<AnswerBody>>> {
         loop {
-            let source = self.source().await.map_err(Box::new)?;
+            let Some(source) = self.admitted_source().await? else { continue };
             if !may_still_run(&self.gateway, &self.received) {
                 return Err(Box::new(self.refusal(ResultCode::NoLease, FULL_RETRY_MS)));
             }
@@ -214,41 +216,6 @@
         self.give_up(told)
     }
 
-    /// A place at a group, waited for shortly, or a server.
-    async fn source(&mut self) -> Result<Source, Response<AnswerBody>> {
-        let service = self.received.service.clone();
-        if service.engine.is_none() {
-            let picked = pick(&self.gateway, &service, &self.received.zones, &self.tried_servers);
-            return match picked {
-                Ok(picked) => {
-                    self.tried_servers.push(picked.row.id.clone());
-                    Ok(Source::Server(picked))
-                }
-                Err(ResultCode::NoServer) => {
-                    Err(self.refusal(none_serves(&self.gateway, &self.received), FULL_RETRY_MS))
-                }
-                Err(code) => Err(self.refusal(code, FULL_RETRY_MS)),
-            };
-        }
-        let model = self.received.model.clone().unwrap_or_default();
-        let wait = Duration::from_millis(self.received.route.target_latency_ms * WAIT_HUNDREDTHS / 100);
-        let since = Instant::now();
-        let query = PlaceQuery {
-            service: &service.name,
-            model: &model,
-            zones: &self.received.zones,
-            excluded: &self.tried_groups,
-            prompt_tokens: self.received.prompt_tokens,
-            target_ms: self.received.route.target_latency_ms,
-        };
-        let place = wait_for_place(&self.gateway, query, since + wait).await;
-        self.account.waited(since);
-        place.map(Source::Group).map_err(|code| {
-            self.gateway.loads.refused(&service.name, &model);
-            self.refusal(code, FULL_RETRY_MS)
-        })
-    }
-
     /// How long the source may be silent for it not to count as standing still.
     fn silence(&self) -> Option<Silence> {
         let pace = self.pace?;
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -3,7 +3,7 @@
 use super::{Reading, Step, StreamCourse};
 use crate::gateway::Gateway;
 use crate::gateway::source::Source;
-use crate::gateway::stalls::{abandon, stands_still};
+use crate::gateway::stalls::{abandon, broken, stands_still};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
@@ -39,8 +39,7 @@
                 }
                 None if reading.splitter.is_clean() => return self.complete(),
                 Some(Err(_)) | None => {
-                    let address = reading.source.address();
-                    return Step::Broken(self.gateway.pool.broken(address).await);
+                    return Step::Broken(broken(&self.gateway, &reading.source).await);
                 }
             }
         }
@@ -77,6 +76,7 @@
         if let Some(done) = self.reading.take() {
             done.finish(&self.gateway);
         }
+        self.gate.answered();
         self.account.end(ResultCode::Ok);
         if let Some(model) = &self.received.model {
             self.gateway.loads.answered(&self.received.service.name, model, self.events);
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -6,7 +6,7 @@
 use crate::gateway::headers::end_to_end;
 use crate::gateway::plain::{belongs, promises_falsely, request_for, says_not_run};
 use crate::gateway::source::Source;
-use crate::gateway::stalls::{abandon, stands_still};
+use crate::gateway::stalls::{abandon, broken, stands_still};
 use crate::gateway::upstream::{ConnectFault, Upstream};
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
@@ -24,7 +24,10 @@
     /// Sends to one source; on success the stream is being read, or an answer that is no stream is here.
     pub(super) async fn send(&mut self, source: Source) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
         let (instance, epoch) = (source.instance().to_string(), source.epoch());
-        self.tried_groups.extend(epoch);
+        match epoch {
+            Some(epoch) => self.tried_groups.push(epoch),
+            None => self.tried_servers.push(instance.clone()),
+        }
         self.account.sent(&instance, epoch);
         let fresh = !self.received.route.is_repeatable();
         let mut upstream = match self.gateway.pool.connection(source.address(), fresh).await {
@@ -38,12 +41,13 @@
         let request = request_for(&self.gateway, &self.received, &instance, resume_at);
         let Some(request) = request else { return Err(SendOutcome::NotSent) };
         let is_timely = source.may_be_sent(&self.gateway, &self.received.service.name);
-        if !is_timely {
+        let is_its_turn = self.gate.may_write();
+        if !is_timely || !is_its_turn {
             // The source may be chosen again, and the connection that took too long is there now.
             self.tried_groups.retain(|tried| Some(*tried) != epoch);
             self.tried_servers.retain(|tried| *tried != instance);
         }
-        if !is_timely || !may_write(&self.gateway, source.zone()) {
+        if !is_timely || !is_its_turn || !may_write(&self.gateway, source.zone()) {
             self.gateway.pool.keep(upstream);
             return Err(SendOutcome::NotSent);
         }
@@ -53,7 +57,7 @@
         let response = tokio::select! {
             response = upstream.send(request) => match response {
                 Ok(response) => Ok(response),
-                Err(_) => Err(self.gateway.pool.broken(source.address()).await),
+                Err(_) => Err(broken(&self.gateway, &source).await),
             },
             () = stands_still(&self.gateway, &source, sent_at, self.silence(), &mut self.changes),
                 if self.course.may_move() => Err(abandon(&self.gateway, &source)),
@@ -98,11 +102,12 @@
             return Ok(None);
         }
         let Ok(body) = read_whole(body, MOST_ANSWER_BYTES).await else {
-            return Err(self.gateway.pool.broken(source.address()).await);
+            return Err(broken(&self.gateway, &source).await);
         };
         if parts.status.is_server_error() && self.course.may_move() {
             return Err(SendOutcome::Failed);
         }
+        self.gate.answered();
         let failed = parts.status.is_server_error();
         self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
         let mut response = Response::new(whole(body));
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -34,6 +34,8 @@
     Order(OrderLine<'a>),
     /// How a request ended, and all that was decided on it.
     Request(RequestLine<'a>),
+    /// A step of a request under which servers may end.
+    Suspect(SuspectLine<'a>),
     /// A turn of the control thread took long.
     SlowTurn(SlowTurnLine),
     /// A fault of the daemon's own.
@@ -80,6 +82,31 @@
     pub answer: String,
 }
 
+/// A step of a request under which servers may end.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct SuspectLine<'a> {
+    /// `suspected`, `tried`, `cleared` or `refused`.
+    pub step: &'static str,
+    /// What the request is recognised by.
+    pub fingerprint: String,
+    /// The caller's attempt id.
+    pub request: &'a str,
+    /// The server that ended, or at which it is tried.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub instance: Option<&'a str>,
+    /// Zone of that server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone: Option<&'a str>,
+    /// Servers that speak against it, as this daemon knows by the log.
+    pub servers: Vec<&'a str>,
+    /// Age of the newest of that evidence, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evidence_age_ms: Option<u64>,
+    /// Lines of this step that were held back since the last one that was written.
+    pub held_back: u64,
+}
+
 /// A turn of the control thread that took long, and what took it.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,12 @@
     pub retries_refused: IntCounter,
     /// Sends that ended with the process of their server.
     pub sends_server_ended: IntCounter,
+    /// Steps of requests under which servers may end, by step.
+    pub suspect_steps: IntCounterVec,
+    /// Requests that are suspected, as far as this daemon knows.
+    pub suspects: IntGauge,
+    /// Requests under quarantine or on probation, as far as this daemon knows.
+    pub quarantined_requests: IntGauge,
     /// Calls between daemons received, by method.
     pub peer_calls: IntCounterVec,
     /// Calls between daemons that failed.
@@ -172,6 +178,13 @@
                 "dockwood_sends_server_ended_total",
                 "Sends that ended with the process of their server",
             )?,
+            suspect_steps: counters(
+                "dockwood_suspect_steps_total",
+                "Steps of requests under which servers may end",
+                &["step"],
+            )?,
+            suspects: gauge("dockwood_suspects", "Requests under which servers may have ended")?,
+            quarantined_requests: gauge("dockwood_quarantined_requests", "Requests under quarantine")?,
             peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
             peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
             relayed_calls: counter(
--- a/crates/daemon/tests/gateway/requests_that_end_servers.rs
+++ b/crates/daemon/tests/gateway/requests_that_end_servers.rs
@@ -125,7 +125,9 @@
     for stream in beside {
         let answer = stream.await.unwrap_or_else(|error| panic!("{error}"))?;
         assert_eq!(answer.status(), StatusCode::OK);
-        assert_eq!(answer.text().await?, whole_stream());
+        // A panic keeps the daemons' logs.
+        let text = answer.text().await.unwrap_or_else(|error| panic!("{error:?}"));
+        assert_eq!(text, whole_stream());
     }
     insist(&fleet, &models, "/stream/2").await;
     fleet.wait_until_open("writer", 4).await;
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -18,6 +18,9 @@
 const FORGET_MS: Millis = 1_000;
 /// What another zone costs, as milliseconds of waiting: bytes between zones are priced.
 const OTHER_ZONE_MS: f64 = 5.0;
+/// What each request of a group costs that would share it with one that may end its head, as milliseconds of waiting: each
+/// would be cut, and begin anew elsewhere, which takes about a second.
+const COMPANY_MS: f64 = 1_000.0;
 
 /// A request that was assigned, and that its entry has not reported yet.
 #[derive(Clone, Debug)]
@@ -88,7 +91,8 @@
         let reading = backlog_ms + self.reading_ms();
         let first_event_ms = first_event_ms(self.engine, self.model, reading, f64::from(in_flight));
         let other_zone = if group.zone == self.request.zone { 0.0 } else { OTHER_ZONE_MS };
-        Some(Candidate { epoch: group.epoch, first_event_ms, cost: first_event_ms + other_zone })
+        let company = if self.request.prefers_idle { f64::from(in_flight) * COMPANY_MS } else { 0.0 };
+        Some(Candidate { epoch: group.epoch, first_event_ms, cost: first_event_ms + other_zone + company })
     }
 }
 
@@ -110,7 +114,8 @@
         let groups = tables.groups.values().filter(|group| {
             let serves = group.service == request.service && group.model == request.model;
             let is_open = group.phase == GroupPhase::Open && !tables.is_evacuated(&group.zone);
-            serves && request.wants_zone(&group.zone) && is_open
+            let is_in_danger = group.members.first().is_some_and(|head| tables.suspicion.is_in_danger(head));
+            !is_in_danger && serves && request.wants_zone(&group.zone) && is_open
         });
         let cold_rate = self.cold_rate(tables, &request.service);
         self.assign_among(now, request, engine, cold_rate, groups, observations)
--- a/crates/grouping/tests/cold.rs
+++ b/crates/grouping/tests/cold.rs
@@ -57,6 +57,7 @@
         allowed_zones: None,
         most_first_event_ms: None,
         prompt_tokens: 100,
+        prefers_idle: false,
         excluded: Vec::new(),
     };
     dispatcher.assign(world.now, &request, &world.tables, &world.observations)
--- a/crates/grouping/tests/dispatch.rs
+++ b/crates/grouping/tests/dispatch.rs
@@ -19,6 +19,7 @@
         allowed_zones: None,
         most_first_event_ms: None,
         prompt_tokens,
+        prefers_idle: false,
         excluded: Vec::new(),
     }
 }
--- a/crates/grouping/tests/dispatch_zones.rs
+++ b/crates/grouping/tests/dispatch_zones.rs
@@ -20,6 +20,7 @@
         allowed_zones: allowed_zones.map(|zones| zones.iter().map(|zone| zone.to_string()).collect()),
         most_first_event_ms: None,
         prompt_tokens: 100,
+        prefers_idle: false,
         excluded: Vec::new(),
     }
 }
--- a/crates/grouping/tests/evacuation.rs
+++ b/crates/grouping/tests/evacuation.rs
@@ -42,6 +42,7 @@
         group_zone: None,
         allowed_zones: None,
         most_first_event_ms: None,
+        prefers_idle: false,
         prompt_tokens: 10,
         excluded: Vec::new(),
     };
--- a/crates/grouping/tests/scope.rs
+++ b/crates/grouping/tests/scope.rs
@@ -23,6 +23,7 @@
         allowed_zones: None,
         most_first_event_ms: None,
         prompt_tokens: 1_000,
+        prefers_idle: false,
         excluded: Vec::new(),
     }
 }
--- a/crates/routing/src/gateway/regions.rs
+++ b/crates/routing/src/gateway/regions.rs
@@ -51,6 +51,12 @@
         self.only.as_ref().is_none_or(|zones| zones.iter().any(|allowed| allowed == zone))
     }
 
+    /// Those of these zones that are allowed.
+    pub fn among<'a>(&self, zones: impl Iterator<Item = &'a str>) -> AllowedZones {
+        let allowed = zones.filter(|zone| self.contains(zone));
+        AllowedZones { only: Some(allowed.map(str::to_string).collect()) }
+    }
+
     /// Whether some zones are not allowed, or may not be.
     pub fn are_restricted(&self) -> bool {
         self.only.is_some()
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -2,7 +2,8 @@
 
 use super::GatewayTables;
 use super::rows::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
-use dockwood_api::gateway::GatewayConfiguration;
+use crate::suspicion::{ServerEnd, TrialRequest};
+use dockwood_api::gateway::{Fingerprint, GatewayConfiguration};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -77,6 +78,29 @@
     NoteRequests,
     /// Takes a group as it is, at daemons that are not voters: they learn of it once it serves.
     Adopt(Arc<GroupRow>),
+    /// A server's process has ended while it had requests.
+    ServerEnded(ServerEnd),
+    /// Asks for a trial of a suspect at a server; refused while another one is under way, or if the server is taken.
+    BeginTrial(TrialRequest),
+    /// A trial has ended without telling anything.
+    EndTrial {
+        /// What the request is recognised by.
+        fingerprint: Fingerprint,
+        /// The trial.
+        trial: u64,
+    },
+    /// Nothing speaks against a request any more.
+    ClearRequest {
+        /// What it is recognised by.
+        fingerprint: Fingerprint,
+        /// Who found so, and why.
+        reason: String,
+    },
+    /// Forgets what is old of requests under which servers ended.
+    ExpireSuspicions {
+        /// The proposer's time, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
 }
 
 impl GatewayCommand {
@@ -100,11 +124,16 @@
             | GatewayCommand::Remove { .. }
             | GatewayCommand::End { .. }
             | GatewayCommand::SetEvacuation { .. }
+            | GatewayCommand::ServerEnded(_)
+            | GatewayCommand::ClearRequest { .. }
+            | GatewayCommand::ExpireSuspicions { .. }
             | GatewayCommand::Adopt(_) => Some(self.clone()),
             GatewayCommand::SetPhase { .. }
             | GatewayCommand::Form { .. }
             | GatewayCommand::Preloaded { .. }
             | GatewayCommand::Release { .. }
+            | GatewayCommand::BeginTrial(_)
+            | GatewayCommand::EndTrial { .. }
             | GatewayCommand::NoteRequests => None,
         }
     }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub use rows::{Evacuation, GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 
 use crate::machine::Applied;
+use crate::suspicion::SuspicionTable;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
 use imbl::{OrdMap, Vector};
@@ -34,6 +35,9 @@
     pub groups: OrdMap<u64, Arc<GroupRow>>,
     /// Zones whose evacuation was asked for or withdrawn at some time.
     pub evacuations: OrdMap<String, Evacuation>,
+    /// Requests under which servers ended; stored beside the other tables.
+    #[serde(skip)]
+    pub suspicion: SuspicionTable,
     /// Epoch of the newest group.
     pub last_epoch: u64,
     /// Whether any request was ever seen.
@@ -68,6 +72,11 @@
             GatewayCommand::SetEvacuation { zone, evacuated, generation } => {
                 self.set_evacuation(zone, *evacuated, *generation)
             }
+            GatewayCommand::ServerEnded(end) => self.suspicion.server_ended(end),
+            GatewayCommand::BeginTrial(request) => self.suspicion.begin_trial(request),
+            GatewayCommand::EndTrial { fingerprint, trial } => self.suspicion.end_trial(*fingerprint, *trial),
+            GatewayCommand::ClearRequest { fingerprint, .. } => self.suspicion.clear(*fingerprint),
+            GatewayCommand::ExpireSuspicions { at_ms } => self.suspicion.expire(*at_ms),
             GatewayCommand::Adopt(row) => {
                 self.groups.insert(row.epoch, row.clone());
                 Applied::touching(Vec::new())
@@ -110,6 +119,7 @@
             instances: plain.map(|(id, row)| (id.clone(), row.clone())).collect(),
             groups: serving.map(|(epoch, row)| (*epoch, row.clone())).collect(),
             evacuations: self.evacuations.clone(),
+            suspicion: self.suspicion.for_followers(),
             last_epoch: self.last_epoch,
             requests_seen: self.requests_seen,
             ..GatewayTables::default()
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod reference;
 mod snapshot;
+mod suspicion;
 mod tables;
 pub mod view;
 
@@ -25,6 +26,9 @@
 };
 pub use machine::{Applied, ControlVoter, State};
 pub use snapshot::{decode_command, decode_outcome, encode_command, encode_outcome};
+pub use suspicion::{
+    CrashRow, Evidence, QuarantineRow, ServerEnd, Standing, Suspect, SuspectTry, SuspicionTable, TrialRequest,
+};
 pub use tables::{
     DaemonRow, Holder, Liveness, MachineRow, OrderRow, OrderState, PoolRow, ReplicaPhase, ReplicaRow, Tables,
 };
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{Command, Outcome};
 use crate::machine::State;
+use crate::suspicion::SuspicionTable;
 use crate::tables::Tables;
 use dockwood_api::{ApiError, ResultCode};
 use serde::Serialize;
@@ -9,32 +10,48 @@
 
 /// First byte of everything encoded here. A later format gets another byte and a reader for this one.
 const FORMAT_VERSION: u8 = 3;
+/// First byte of a state that is followed by its table of suspicions; one of [`FORMAT_VERSION`] has none.
+const STATE_VERSION: u8 = 4;
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    encode_as(FORMAT_VERSION, value)
+}
+
+fn encode_as<T: Serialize>(version: u8, value: &T) -> Vec<u8> {
     // Writing these types to memory can't fail: they hold no maps with unknown length and no foreign code.
-    postcard::to_extend(value, vec![FORMAT_VERSION]).unwrap_or_default()
+    postcard::to_extend(value, vec![version]).unwrap_or_default()
 }
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ApiError> {
     let unknown = |message: String| ApiError::new(ResultCode::FormatUnknown, message);
     match bytes.split_first() {
-        Some((&FORMAT_VERSION, body)) => {
-            postcard::from_bytes(body).map_err(|error| unknown(error.to_string()))
-        }
+        Some((&FORMAT_VERSION, body)) => decode_body(body),
         Some((version, _)) => Err(unknown(format!("format version {version}"))),
         None => Err(unknown("no content".to_string())),
     }
 }
 
+fn decode_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, ApiError> {
+    postcard::from_bytes(body).map_err(|error| ApiError::new(ResultCode::FormatUnknown, error.to_string()))
+}
+
 impl State {
     /// The whole state as bytes.
     pub fn encode(&self) -> Vec<u8> {
-        encode(self)
+        encode_as(STATE_VERSION, &(self, &self.tables.gateway.suspicion))
     }
 
     /// Reads what [`State::encode`] wrote.
     pub fn decode(bytes: &[u8]) -> Result<State, ApiError> {
-        let mut state: State = decode(bytes)?;
+        let mut state: State = match bytes.split_first() {
+            Some((&STATE_VERSION, body)) => {
+                let (mut state, suspicion): (State, SuspicionTable) = decode_body(body)?;
+                state.tables.gateway.suspicion = suspicion;
+                state
+            }
+            _ => decode(bytes)?,
+        };
+        state.tables.gateway.suspicion.index();
         state.tables.gateway.index_members();
         Ok(state)
     }
