--- a/crates/emulator/src/http/engine.rs
+++ b/crates/emulator/src/http/engine.rs
@@ -5,7 +5,7 @@
 use crate::group::{Group, Progress, Refused, Run};
 use crate::ledger::LedgerRecord;
 use crate::machine::{Machine, Power};
-use crate::text::token_text;
+use crate::text::{FATAL_PROMPT, token_text};
 use crate::wall_ms;
 use bytes::Bytes;
 use dockwood_api::engine::{
@@ -25,6 +25,11 @@
 /// Time between tries to listen again after a restart.
 const LISTEN_RETRY: Duration = Duration::from_millis(50);
 
+/// How long a machine is off after it has ended under a request.
+const OFF_FOR: Duration = Duration::from_millis(500);
+/// What the ledger says of it.
+const ENDED: &str = "ended";
+
 /// A machine within its fleet, as handlers see it.
 #[derive(Clone)]
 struct Host {
@@ -156,6 +161,9 @@
 async fn generate(Data(host): Data<&Host>, Json(request): Json<GenerateRequest>) -> Response {
     host.machine.wait_responsive().await;
     let Some(group) = host.machine.group() else { return no_group() };
+    if request.prompt.contains(FATAL_PROMPT) {
+        tokio::spawn(end_machine(host.clone()));
+    }
     let from = request.resume_from;
     match group.submit(request) {
         Err(Refused::WrongEpoch) => refusal(StatusCode::CONFLICT, "another replica or epoch"),
@@ -167,6 +175,19 @@
     }
 }
 
+/// The process of an engine ends under a request, before its first token, and is started again.
+async fn end_machine(host: Host) {
+    let server = host.machine.config.name.clone();
+    host.fleet.ledger.append(&LedgerRecord::MachineChanged {
+        at_ms: wall_ms(),
+        server,
+        change: ENDED.to_string(),
+    });
+    host.machine.set_power(Power::Off);
+    tokio::time::sleep(OFF_FOR).await;
+    host.machine.set_power(Power::On);
+}
+
 /// State of one stream of a run.
 struct Feed {
     machine: Arc<Machine>,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -19,7 +19,7 @@
 pub use config::{ConfigError, EngineConfig, EngineModel, FleetConfig, ServiceConfig, ServiceServerConfig};
 pub use fleet::{Fleet, FleetHandle};
 pub use ledger::{LedgerRecord, LedgerWriter, read_ledger};
-pub use text::{answer_length, expected_answer, prompt_digest, token_count, token_text};
+pub use text::{FATAL_PROMPT, answer_length, expected_answer, prompt_digest, token_count, token_text};
 
 /// Milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
--- a/crates/emulator/src/text.rs
+++ b/crates/emulator/src/text.rs
@@ -8,6 +8,9 @@
     "wi", "xo", "yu", "za", "bre", "cli", "dro", "flu", "gra", "ple", "sti", "tro", "sku", "sha", "che",
 ];
 
+/// A prompt with these words ends the process of each engine that begins to run it.
+pub const FATAL_PROMPT: &str = "ends whatever engine runs it";
+
 /// Shortest natural answer, in tokens.
 const MIN_ANSWER_TOKENS: u64 = 12;
 /// Spread of natural answer lengths, in tokens.
