One gate for all that sends: chat requests and calls of plain services by the product's own interface

Cause: the same class as at the gateway: each attempt was judged by itself, and a chat request went from replica to replica until the retry budget was used up. Change: the gate, the reports of ended servers and the trials belong to the daemon, not to the gateway; chat and service calls ask it before a slot or server is taken, once it is, and as they write. A call clears itself with the end of its whole body. Bodies that are passed on as they arrive are not recognised.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,7 +23,6 @@
 mod source;
 mod stalls;
 mod stream;
-mod suspects;
 mod targets;
 mod upstream;
 
@@ -63,8 +62,6 @@
     cold: cold::ColdServers,
     pool: ConnectionPool,
     line_budget: Mutex<LineBudget>,
-    suspect_line_budget: Mutex<LineBudget>,
-    unreported_ends: suspects::UnreportedEnds,
     stopping: watch::Sender<bool>,
 }
 
@@ -97,7 +94,6 @@
         if let Some(listener) = listeners.frontend {
             tokio::spawn(load_exchange::run(gateway.clone()));
             tokio::spawn(run_summaries(gateway.shared.clone()));
-            tokio::spawn(suspects::run_reporting(gateway.clone()));
             tokio::spawn(frontend::serve(gateway.clone(), listener_of(listener)?));
         }
         if let Some(listener) = listeners.readiness {
@@ -135,8 +131,6 @@
             cold,
             pool: ConnectionPool::default(),
             line_budget: Mutex::default(),
-            suspect_line_budget: Mutex::default(),
-            unreported_ends: suspects::UnreportedEnds::default(),
             stopping: watch::channel(false).0,
         }
     }
@@ -204,7 +198,6 @@
         gateway.loads.follow(&tables.gateway);
         gateway.cold.follow(&gateway.shared.metrics, &tables.gateway);
         count_open_groups(&gateway.shared.metrics, &tables.gateway);
-        suspects::count_suspects(&gateway, &tables.gateway.suspicion);
         let evacuated = tables.gateway.evacuated_zones().count();
         gateway.shared.metrics.evacuated_zones.set(evacuated as i64);
         if publications.changed().await.is_err() {
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -8,10 +8,10 @@
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
 use super::regions::none_serves;
-use super::suspects::{Admission, SuspectGate};
 use super::targets::{Picked, pick};
 use super::upstream::Upstream;
 use crate::dialect::HeaderNames;
+use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
@@ -51,7 +51,7 @@
         received,
         account,
         course: Course::new(&received.route),
-        gate: SuspectGate::new(gateway, received),
+        gate: received.suspect_gate(&gateway.shared),
         in_flight: false,
         tried: Vec::new(),
         taken: Vec::new(),
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -6,10 +6,13 @@
 use super::headers::from_caller;
 use super::refusal::{RETRY_SOON_MS, refuse, retry_after_start_ms};
 use super::regions::zones_of;
+use crate::shared::Shared;
+use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{Fingerprint, RequestIdentity, Route, RouteKind};
 use dockwood_routing::gateway::{AllowedRegions, AllowedZones, Destination, KeyVerdict, RouteTable};
+use dockwood_state::SuspectTry;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
 use hyper::{Method, Request, Response, Uri};
@@ -82,6 +85,17 @@
         }
     }
 
+    /// What decides whether it may be sent to a server.
+    pub fn suspect_gate(&self, shared: &Arc<Shared>) -> SuspectGate {
+        let tried = SuspectTry {
+            fingerprint: self.fingerprint,
+            request: self.attempt.clone().unwrap_or_default(),
+            tenant: self.tenant.clone(),
+            route: self.route.name.clone(),
+        };
+        SuspectGate::new(shared, tried, self.deadline)
+    }
+
     /// Whether it asks for a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -11,9 +11,9 @@
 use super::plain::give_up;
 use super::receive::{Received, may_still_run};
 use super::source::Source;
-use super::suspects::SuspectGate;
 use super::upstream::Upstream;
 use crate::shared::InFlight;
+use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use choosing::Taken;
 use dockwood_api::ResultCode;
@@ -99,7 +99,7 @@
     let mut course = StreamCourse {
         course: Course::new(&received.route),
         last_event: received.last_event,
-        gate: SuspectGate::new(gateway, &received),
+        gate: received.suspect_gate(&gateway.shared),
         taken: Taken::default(),
         changes: gateway.loads.watch_changes(),
         gateway: gateway.clone(),
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 //! together with its request.
 
 use super::lock;
+use crate::suspects::{CHECK_LIMIT, is_refusal};
 use bytes::Bytes;
 use dockwood_routing::gateway::SendOutcome;
 use http_body_util::Full;
@@ -13,7 +14,6 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -27,10 +27,6 @@
 /// Resting connections kept for one server.
 const RESTING_PER_SERVER: usize = 4;
 
-/// How long a server whose connection broke may take to accept or refuse another one: some times the way between
-/// regions. Its request waits for the answer before it goes on elsewhere.
-const CHECK_LIMIT: Duration = Duration::from_millis(100);
-
 /// Why no connection was made. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFault {
@@ -60,7 +56,7 @@
     pub async fn connect(address: SocketAddr) -> Result<Upstream, ConnectFault> {
         let stream = match tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            Ok(Err(error)) if is_refusal(&error) => {
                 return Err(ConnectFault::Refused);
             }
             Ok(Err(_)) => return Err(ConnectFault::Failed),
--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -12,6 +12,7 @@
     HEADER_REQUEST_ID, HEADER_SESSION, ModelEntry, ModelList, Outcome, OutcomeAnswer,
 };
 use dockwood_api::digest::content_digest;
+use dockwood_api::gateway::{Fingerprint, RequestIdentity};
 use dockwood_api::peer::KeptAnswer;
 use dockwood_api::{ApiError, ResultCode};
 use poem::http::StatusCode;
@@ -23,6 +24,8 @@
 
 /// Events of one answer that may wait for a slow caller.
 const EVENT_QUEUE: usize = 256;
+/// Where chat requests are sent; any host of the daemons' takes them.
+const CHAT_PATH: &str = "/v1/chat/completions";
 /// Longest request id.
 const MAX_ID_BYTES: usize = 128;
 /// Longest deadline, in milliseconds.
@@ -157,7 +160,15 @@
             format!("no deployment serves '{}'", chat.model),
         ));
     }
+    let identity = RequestIdentity {
+        tenant: Some(&tenant),
+        method: request.method().as_str(),
+        host: "",
+        path: CHAT_PATH,
+        body: &bytes,
+    };
     let job = ChatJob {
+        fingerprint: Fingerprint::of(&identity),
         id: headers.id,
         keyed: headers.keyed,
         tier: published.tables.tenant(&tenant).map_or(0, |spec| spec.tier),
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -5,12 +5,16 @@
 use super::whole_or_cut;
 use super::{App, auth};
 use crate::published::is_allowed;
+use crate::shared::InFlight;
+use crate::suspects::SuspectGate;
 use crate::traffic::chat::Failure;
 use crate::traffic::records::service_record_key;
-use crate::traffic::services::{ServiceBody, ServiceCall, forward};
+use crate::traffic::services::{Answer, ServiceBody, ServiceCall, forward};
 use dockwood_api::caller::HEADER_REQUEST_ID;
+use dockwood_api::gateway::{Fingerprint, RequestIdentity};
 use dockwood_api::{ApiError, ResultCode};
-use futures::StreamExt;
+use dockwood_state::SuspectTry;
+use futures::stream;
 use poem::http::{HeaderMap, Method, header};
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
@@ -52,11 +56,14 @@
         || ApiError::new(ResultCode::UnknownService, format!("no service '{service}' for this tenant"));
     let spec = spec.ok_or_else(unknown)?;
     let repeatable = headers.repeatable.unwrap_or_else(|| is_repeatable(request.method()));
+    let path = path_at_server(request, &service);
+    let body = held_or_streamed(request, body).await?;
     let call = ServiceCall {
-        path: path_at_server(request, &service),
+        tried: suspect_try(request, &tenant, &headers.id, &service, &body),
+        path,
         method: request.method().clone(),
         headers: forwarded_headers(request, &headers.id),
-        body: held_or_streamed(request, body).await?,
+        body,
         record_key: headers.keyed.then(|| service_record_key(&tenant, &service, &headers.id)),
         service,
         spec,
@@ -65,6 +72,26 @@
     Ok((call, headers.id))
 }
 
+/// What a call is recognised by when it comes again. One whose body is passed on as it arrives is not: it is sent once.
+fn suspect_try(
+    request: &Request,
+    tenant: &str,
+    id: &str,
+    service: &str,
+    body: &ServiceBody,
+) -> Option<SuspectTry> {
+    let ServiceBody::Whole(body) = body else { return None };
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    let method = request.method().as_str();
+    let identity = RequestIdentity { tenant: Some(tenant), method, host: "", path, body };
+    Some(SuspectTry {
+        fingerprint: Fingerprint::of(&identity),
+        request: id.to_string(),
+        tenant: Some(tenant.to_string()),
+        route: service.to_string(),
+    })
+}
+
 /// By HTTP's own rules, unless the caller says otherwise.
 fn is_repeatable(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS | Method::PUT | Method::DELETE)
@@ -107,18 +134,28 @@
 
 async fn proxy(app: &App, call: ServiceCall, id: &str) -> Result<Response, Failure> {
     let in_flight = app.shared.begin_request();
-    let (response, guard) = forward(&app.traffic, call).await?;
-    let mut builder = Response::builder().status(response.status());
-    for (name, value) in response.headers() {
+    let answer = forward(&app.traffic, call).await?;
+    let mut builder = Response::builder().status(answer.response.status());
+    for (name, value) in answer.response.headers() {
         if !NOT_FORWARDED.contains(name) {
             builder = builder.header(name, value);
         }
     }
     // The guards end with the body.
-    let body = response.bytes_stream().map(move |bytes| {
-        let _ = (&guard, &in_flight);
-        bytes
-    });
+    let body = stream::try_unfold((answer, in_flight), next_bytes);
     let builder = builder.header(HEADER_REQUEST_ID, id);
     Ok(builder.body(whole_or_cut(body)))
 }
+
+/// The next part of an answer's body. The end of the whole body shows that the call ended no server.
+async fn next_bytes(
+    (mut answer, in_flight): (Answer, InFlight),
+) -> reqwest::Result<Option<(bytes::Bytes, (Answer, InFlight))>> {
+    match answer.response.chunk().await? {
+        Some(bytes) => Ok(Some((bytes, (answer, in_flight)))),
+        None => {
+            answer.gate.iter_mut().for_each(SuspectGate::answered);
+            Ok(None)
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod scope_dispatchers;
 pub mod settings;
 pub mod shared;
+pub mod suspects;
 pub mod timeline;
 pub mod traffic;
 pub mod watch_hub;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -17,6 +17,7 @@
 };
 use crate::settings::{GatewaySettings, Settings, run_settings_reader};
 use crate::shared::Shared;
+use crate::suspects::run_reporting;
 use crate::traffic::Traffic;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
@@ -192,6 +193,7 @@
     tokio::spawn(run_machine_prober(shared.clone(), engines.clone(), reporter.clone()));
     tokio::spawn(run_replica_watcher(shared.clone(), traffic.clone(), engines, reporter.clone()));
     tokio::spawn(run_reporter(shared.clone(), reporter));
+    tokio::spawn(run_reporting(shared.clone()));
     tokio::spawn(run_platform_reader(shared.clone(), http));
     let gateway = Gateway::start(shared.clone(), dialect, listeners.gateway).map_err(setup)?;
     let (stop, mut stopped) = watch::channel(false);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::published::Published;
 use crate::scope_dispatchers::ScopeDispatchers;
 use crate::settings::Settings;
+use crate::suspects::{Suspects, count_suspects};
 use crate::timeline::Timeline;
 use crate::watch_hub::WatchHub;
 use arc_swap::ArcSwap;
@@ -49,6 +50,8 @@
     pub dispatchers: Dispatchers,
     /// The scopes that this daemon dispatches.
     pub scope_dispatchers: ScopeDispatchers,
+    /// Requests that may end the servers that run them.
+    pub suspects: Suspects,
     /// The control leader as it was last heard of.
     pub known_leader: KnownLeader,
     /// Messages to the control thread.
@@ -95,6 +98,7 @@
             published: ArcSwap::default(),
             publications: watch::channel(0).0,
             lease_until: AtomicU64::new(0),
+            suspects: Suspects::default(),
             known_leader: KnownLeader::default(),
             askers: Mutex::default(),
             leader_term: watch::channel(0).0,
@@ -139,6 +143,7 @@
     pub fn publish(&self, next: Published) {
         self.metrics.revision.set(next.tables.revision as i64);
         self.metrics.in_force_revision.set(next.in_force_revision as i64);
+        count_suspects(&self.metrics, &next.tables.gateway.suspicion);
         self.published.store(Arc::new(next));
         self.publications.send_modify(|count| *count += 1);
     }
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -1,13 +1,13 @@
 //! One request's gate: whether it may be sent, and what its sends tell.
 
+use super::lock;
 use super::reporting::EndedTry;
 use super::trial::{Trial, TrialAnswer};
 use crate::clock::{monotonic_ms, wall_ms};
-use crate::gateway::receive::Received;
-use crate::gateway::{Gateway, lock};
 use crate::log_line::{LineBody, SuspectLine};
 use crate::logging;
 use crate::peer::submit;
+use crate::shared::Shared;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::AllowedZones;
@@ -48,7 +48,7 @@
 
 /// One request's gate.
 pub struct SuspectGate {
-    gateway: Arc<Gateway>,
+    shared: Arc<Shared>,
     tried: SuspectTry,
     deadline: Instant,
     trial: Option<Trial>,
@@ -60,16 +60,10 @@
 }
 
 impl SuspectGate {
-    /// The gate of a request.
-    pub fn new(gateway: &Arc<Gateway>, received: &Received) -> SuspectGate {
-        let tried = SuspectTry {
-            fingerprint: received.fingerprint,
-            request: received.attempt.clone().unwrap_or_default(),
-            tenant: received.tenant.clone(),
-            route: received.route.name.clone(),
-        };
-        let (gateway, deadline) = (gateway.clone(), received.deadline);
-        SuspectGate { gateway, tried, deadline, trial: None, at: None, may_share: false, waits_since: None }
+    /// The gate of a try of a request, whose caller waits until `deadline`.
+    pub fn new(shared: &Arc<Shared>, tried: SuspectTry, deadline: Instant) -> SuspectGate {
+        let shared = shared.clone();
+        SuspectGate { shared, tried, deadline, trial: None, at: None, may_share: false, waits_since: None }
     }
 
     fn fingerprint(&self) -> Fingerprint {
@@ -77,9 +71,9 @@
     }
 
     fn standing(&self) -> Standing {
-        let tables = self.gateway.shared.tables();
+        let tables = self.shared.tables();
         let standing = tables.gateway.suspicion.standing(self.fingerprint(), wall_ms());
-        let is_noted = || self.gateway.unreported_ends.concerns(self.fingerprint());
+        let is_noted = || self.shared.suspects.unreported_ends.concerns(self.fingerprint());
         if standing == Standing::Unsuspected && is_noted() { Standing::Suspect } else { standing }
     }
 
@@ -90,7 +84,7 @@
         if self.standing() == Standing::Unsuspected {
             return Ok(false);
         }
-        self.gateway.unreported_ends.known(self.fingerprint(), self.deadline).await;
+        self.shared.suspects.unreported_ends.known(self.fingerprint(), self.deadline).await;
         match self.standing() {
             Standing::Unsuspected => Ok(false),
             Standing::Suspect => Ok(true),
@@ -102,7 +96,7 @@
     /// is tried there first: servers that end together in a zone that fails by itself would speak against each request
     /// that is moved within it.
     pub fn elsewhere(&self, is_suspect: bool, allowed: &AllowedZones) -> Option<AllowedZones> {
-        let tables = self.gateway.shared.tables();
+        let tables = self.shared.tables();
         let tables = &tables.gateway;
         let against = tables.suspicion.zones_against(self.fingerprint());
         if !is_suspect || against.is_empty() {
@@ -121,7 +115,7 @@
         if !is_suspect {
             return Admission::Enter;
         }
-        match Trial::ask(&self.gateway, self.fingerprint(), instance, self.may_share).await {
+        match Trial::ask(&self.shared, self.fingerprint(), instance, self.may_share).await {
             TrialAnswer::Granted(trial) => {
                 self.trial = Some(trial);
                 self.tell("tried");
@@ -163,7 +157,7 @@
     pub fn server_ended(&mut self) {
         let Some(At { instance, zone }) = self.at.take() else { return };
         self.at = Some(At { instance: instance.clone(), zone: zone.clone() });
-        self.gateway.unreported_ends.note(EndedTry { instance, zone, tried: self.tried.clone() });
+        self.shared.suspects.unreported_ends.note(EndedTry { instance, zone, tried: self.tried.clone() });
         self.tell("suspected");
         self.at = None;
         if let Some(trial) = self.trial.take() {
@@ -179,13 +173,13 @@
         }
         trial.into_iter().for_each(Trial::settled);
         self.tell("cleared");
-        let (gateway, fingerprint) = (self.gateway.clone(), self.fingerprint());
-        let reason = format!("{} was answered, told by {}", self.tried.request, gateway.shared.settings.name);
+        let (shared, fingerprint) = (self.shared.clone(), self.fingerprint());
+        let reason = format!("{} was answered, told by {}", self.tried.request, shared.settings.name);
         tokio::spawn(async move {
             let command = GatewayCommand::ClearRequest { fingerprint, reason };
-            let told = submit(&gateway.shared, CommandBody::Gateway(command), CLEAR_LIMIT).await;
+            let told = submit(&shared, CommandBody::Gateway(command), CLEAR_LIMIT).await;
             if told.is_err() {
-                gateway.shared.metrics.suspect_steps.with_label_values(&["clearFailed"]).inc();
+                shared.metrics.suspect_steps.with_label_values(&["clearFailed"]).inc();
             }
         });
     }
@@ -197,7 +191,7 @@
 
     /// Counts a step, and tells of it in the log.
     fn tell(&self, step: &'static str) {
-        let shared = &self.gateway.shared;
+        let shared = &self.shared;
         shared.metrics.suspect_steps.with_label_values(&[step]).inc();
         let code = match step {
             "cleared" => ResultCode::Ok,
@@ -205,7 +199,7 @@
             "tried" => ResultCode::TrialUnderWay,
             _ => ResultCode::Interrupted,
         };
-        let held_back = lock(&self.gateway.suspect_line_budget).take(monotonic_ms(), code);
+        let held_back = lock(&self.shared.suspects.line_budget).take(monotonic_ms(), code);
         let Some(held_back) = held_back else { return };
         let tables = shared.tables();
         let suspicion = &tables.gateway.suspicion;
--- a/crates/daemon/src/suspects/reporting.rs
+++ b/crates/daemon/src/suspects/reporting.rs
@@ -1,8 +1,9 @@
 //! Brings what this entry saw of servers' ends to the log.
 
+use super::lock;
 use crate::clock::wall_ms;
-use crate::gateway::{Gateway, lock};
 use crate::peer::submit;
+use crate::shared::Shared;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_state::{CommandBody, GatewayCommand, ServerEnd, SuspectTry};
 use std::collections::{BTreeMap, HashMap};
@@ -115,28 +116,28 @@
 }
 
 /// Reports for ever.
-pub async fn run(gateway: Arc<Gateway>) {
+pub async fn run(shared: Arc<Shared>) {
     loop {
-        gateway.unreported_ends.noted.notified().await;
+        shared.suspects.unreported_ends.noted.notified().await;
         tokio::time::sleep(GATHER).await;
-        for end in gateway.unreported_ends.take(&gateway.shared.settings.name) {
-            tokio::spawn(report(gateway.clone(), end));
+        for end in shared.suspects.unreported_ends.take(&shared.settings.name) {
+            tokio::spawn(report(shared.clone(), end));
         }
     }
 }
 
 /// Repeats one report until it is in the log, and waits until this entry knows it from there. A repetition carries the
 /// time of the end, so that it counts as the same one.
-async fn report(gateway: Arc<Gateway>, end: ServerEnd) {
+async fn report(shared: Arc<Shared>, end: ServerEnd) {
     let begun = Instant::now();
     while begun.elapsed() < GIVE_UP_AFTER {
         let command = CommandBody::Gateway(GatewayCommand::ServerEnded(end.clone()));
-        if let Ok((revision, _)) = submit(&gateway.shared, command, REPORT_LIMIT).await {
-            gateway.shared.wait_for_revision(revision, REPORT_LIMIT).await;
+        if let Ok((revision, _)) = submit(&shared, command, REPORT_LIMIT).await {
+            shared.wait_for_revision(revision, REPORT_LIMIT).await;
             break;
         }
-        gateway.shared.metrics.suspect_steps.with_label_values(&["reportFailed"]).inc();
+        shared.metrics.suspect_steps.with_label_values(&["reportFailed"]).inc();
         tokio::time::sleep(REPEAT_PAUSE).await;
     }
-    gateway.unreported_ends.settle(&end);
+    shared.suspects.unreported_ends.settle(&end);
 }
--- a/crates/daemon/src/suspects/trial.rs
+++ b/crates/daemon/src/suspects/trial.rs
@@ -1,8 +1,8 @@
 //! A suspect's turn at one server, granted by the log.
 
 use crate::clock::{monotonic_ms, wall_ms};
-use crate::gateway::Gateway;
 use crate::peer::submit;
+use crate::shared::Shared;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_state::{CommandBody, GatewayCommand, Outcome, TrialRequest};
@@ -19,7 +19,7 @@
 
 /// A trial that was granted; others are granted none for the same request until it is dropped.
 pub struct Trial {
-    gateway: Arc<Gateway>,
+    shared: Arc<Shared>,
     fingerprint: Fingerprint,
     number: u64,
     asked_at: u64,
@@ -41,7 +41,7 @@
 impl Trial {
     /// Asks for a trial at a server.
     pub async fn ask(
-        gateway: &Arc<Gateway>,
+        shared: &Arc<Shared>,
         fingerprint: Fingerprint,
         instance: &str,
         may_share: bool,
@@ -50,9 +50,9 @@
         let (trial, instance) = (number, instance.to_string());
         let request = TrialRequest { fingerprint, trial, instance, may_share, at_ms: wall_ms() };
         let command = CommandBody::Gateway(GatewayCommand::BeginTrial(request));
-        let answer = submit(&gateway.shared, command, GRANT_LIMIT).await;
+        let answer = submit(shared, command, GRANT_LIMIT).await;
         // Held from here on: if the answer was lost, it may have been granted.
-        let trial = Trial { gateway: gateway.clone(), fingerprint, number, asked_at, is_settled: false };
+        let trial = Trial { shared: shared.clone(), fingerprint, number, asked_at, is_settled: false };
         match answer {
             Ok((_, Outcome::Refused(error))) => trial.refused(&error),
             Ok(_) => TrialAnswer::Granted(trial),
@@ -85,11 +85,11 @@
         if self.is_settled {
             return;
         }
-        let (gateway, fingerprint, trial) = (self.gateway.clone(), self.fingerprint, self.number);
+        let (shared, fingerprint, trial) = (self.shared.clone(), self.fingerprint, self.number);
         tokio::spawn(async move {
             let command = CommandBody::Gateway(GatewayCommand::EndTrial { fingerprint, trial });
             // Untold, it ends by its time.
-            let _ = submit(&gateway.shared, command, END_LIMIT).await;
+            let _ = submit(&shared, command, END_LIMIT).await;
         });
     }
 }
--- /dev/null
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -0,0 +1,82 @@
+//! Slots for requests that may end the engines that run them.
+
+use super::run::Run;
+use super::{ChatJob, Failure};
+use crate::clock::monotonic_ms;
+use crate::suspects::{Admission, SuspectGate};
+use crate::traffic::Traffic;
+use crate::traffic::slots::HeldSlot;
+use dockwood_api::ResultCode;
+use dockwood_state::{SuspectTry, Tables};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Slots at replicas that are taken by other suspects, before a suspect waits for its turn: coordinators avoid a replica
+/// only while another one serves.
+const MOST_TAKEN: usize = 3;
+
+/// The gate of a request.
+pub(super) fn gate_of(traffic: &Traffic, job: &ChatJob) -> SuspectGate {
+    let tried = SuspectTry {
+        fingerprint: job.fingerprint,
+        request: job.id.clone(),
+        tenant: Some(job.tenant.clone()),
+        route: job.model.clone(),
+    };
+    let left = Duration::from_millis(job.deadline.saturating_sub(monotonic_ms()));
+    SuspectGate::new(&traffic.shared, tried, Instant::now() + left)
+}
+
+/// Where a granted slot is.
+struct Place {
+    head: String,
+    zone: String,
+}
+
+impl Place {
+    /// The head of a slot's replica; its address, where the replica is not known here.
+    fn of(slot: &HeldSlot, tables: &Tables) -> Place {
+        let row = tables.replicas.get(&slot.grant.replica);
+        let head = row.and_then(|row| row.members.first().cloned());
+        let zone = row.map(|row| row.zone.clone()).unwrap_or_default();
+        Place { head: head.unwrap_or_else(|| slot.grant.head.to_string()), zone }
+    }
+}
+
+impl Run {
+    /// A slot at a replica to which the request may be sent.
+    pub(super) async fn admitted_slot(&mut self) -> Result<HeldSlot, Failure> {
+        let mut taken = 0;
+        loop {
+            let is_suspect = self.gate.is_suspect().await.map_err(|code| self.refused_by_gate(code))?;
+            let slot = self.acquire().await?;
+            let place = Place::of(&slot, &self.traffic.shared.tables());
+            let mut admission = self.gate.enter(is_suspect, &place.head, &place.zone).await;
+            if admission == Admission::Elsewhere {
+                taken += 1;
+                self.avoid.push(slot.grant.replica.clone());
+                if taken >= MOST_TAKEN {
+                    taken = 0;
+                    drop(slot);
+                    admission = self.gate.all_taken().await;
+                    self.avoid.clear();
+                    if let Admission::Refused(code) = admission {
+                        return Err(self.refused_by_gate(code));
+                    }
+                }
+                continue;
+            }
+            match admission {
+                Admission::Enter => return Ok(slot),
+                Admission::Refused(code) => return Err(self.refused_by_gate(code)),
+                Admission::Elsewhere | Admission::Wait => {}
+            }
+        }
+    }
+
+    fn refused_by_gate(&self, code: ResultCode) -> Failure {
+        let is_untruthful = self.dispatched && code.is_not_run();
+        let code = if is_untruthful { ResultCode::Interrupted } else { code };
+        Failure::new(code, code.meaning())
+    }
+}
--- a/crates/daemon/src/traffic/chat/mod.rs
+++ b/crates/daemon/src/traffic/chat/mod.rs
@@ -4,6 +4,7 @@
 //! stream is resumed elsewhere from the first token that was not forwarded; a request that may not be run
 //! twice only after its engine has said what became of it.
 
+mod admission;
 mod outcome;
 mod run;
 mod stream;
@@ -12,6 +13,7 @@
 use super::records::record_key;
 use crate::published::Route;
 use dockwood_api::ResultCode;
+use dockwood_api::gateway::Fingerprint;
 use dockwood_api::peer::KeptAnswer;
 use dockwood_routing::Millis;
 use dockwood_state::ClaimKey;
@@ -51,6 +53,8 @@
     pub deadline: Millis,
     /// Digest of the content.
     pub content_digest: u64,
+    /// What the request is recognised by when it comes again, under whatever id.
+    pub fingerprint: Fingerprint,
 }
 
 impl ChatJob {
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -1,8 +1,10 @@
 //! The course of a request: a slot, an attempt, and another one elsewhere if need be.
 
+use super::admission::gate_of;
 use super::stream::AttemptEnd;
 use super::{ChatEvent, ChatJob, Failure, Finish, unknown};
 use crate::clock::monotonic_ms;
+use crate::suspects::{SuspectGate, has_ended};
 use crate::traffic::Traffic;
 use crate::traffic::engine_stream::cancel;
 use crate::traffic::slots::HeldSlot;
@@ -34,12 +36,16 @@
     pub(super) queued_ms: u32,
     pub(super) claim_attempt: Option<u64>,
     pub(super) avoid: Vec<String>,
+    /// What decides whether the request may be sent to a replica.
+    pub(super) gate: SuspectGate,
 }
 
 impl Run {
     /// A request that has just arrived.
     pub(super) fn new(traffic: Arc<Traffic>, job: ChatJob, events: mpsc::Sender<ChatEvent>) -> Self {
+        let gate = gate_of(&traffic, &job);
         Run {
+            gate,
             traffic,
             job,
             events,
@@ -79,12 +85,15 @@
             if attempt > 0 && !self.traffic.try_retry(last_reason) {
                 return Err(self.exhausted("the retry budget is used up"));
             }
-            let mut slot = self.acquire().await?;
+            let mut slot = self.admitted_slot().await?;
             self.queued_ms += slot.grant.queued_ms;
             if let Some(failure) = self.claim().await {
                 return Err(failure);
             }
             let end = self.attempt(&mut slot).await;
+            if matches!(end, AttemptEnd::Broken) && has_ended(slot.grant.head).await {
+                self.gate.server_ended();
+            }
             let end = match end {
                 AttemptEnd::Broken if self.job.repeatable => {
                     slot.replica_broken = true;
@@ -98,7 +107,10 @@
             };
             self.avoid = vec![slot.grant.replica.clone()];
             match end {
-                AttemptEnd::Finished => return Ok(self.figures()),
+                AttemptEnd::Finished => {
+                    self.gate.answered();
+                    return Ok(self.figures());
+                }
                 AttemptEnd::Movable(reason) => last_reason = reason,
                 AttemptEnd::CallerGone => {
                     cancel(&self.traffic.http, slot.grant.head, &self.job.engine_id()).await;
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -51,7 +51,8 @@
     pub(super) async fn attempt(&mut self, slot: &mut HeldSlot) -> AttemptEnd {
         self.record_running().await;
         // Looked at last: noting it at another daemon may have taken longer than the grant's evidence holds.
-        if !slot.is_fresh() || !self.traffic.shared.may_dispatch(&self.pool()) {
+        let may_write = slot.is_fresh() && self.gate.may_write();
+        if !may_write || !self.traffic.shared.may_dispatch(&self.pool()) {
             return AttemptEnd::Movable("stale-grant");
         }
         let request = self.generate_request(slot);
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -3,18 +3,21 @@
 use super::chat::Failure;
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
+use crate::suspects::{Admission, SuspectGate, has_ended};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
 use dockwood_api::peer::RequestRecord;
 use dockwood_api::resource::{ServiceServer, ServiceSpec};
 use dockwood_routing::{BackendPicker, CallResult};
+use dockwood_state::SuspectTry;
 use rand::RngExt;
 use reqwest::header::HeaderMap;
 use reqwest::{Method, StatusCode};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Attempts at one repeatable call, at most.
 const MAX_ATTEMPTS: u32 = 3;
@@ -45,6 +48,8 @@
     pub body: ServiceBody,
     /// Whether it may be run more than once.
     pub repeatable: bool,
+    /// What it is recognised by when it comes again; absent where its body is not held whole.
+    pub tried: Option<SuspectTry>,
     /// Under which its sendings are noted, if the caller named an id and may send it again.
     pub record_key: Option<String>,
 }
@@ -96,8 +101,14 @@
     }
 }
 
-/// An answer's head and body, with the guard that must live until the body has ended.
-type Answer = (reqwest::Response, CallGuard);
+/// An answer, with what must live until its body has ended.
+pub struct Answer {
+    /// Head and body.
+    pub response: reqwest::Response,
+    /// What it tells of the call once it is whole.
+    pub gate: Option<SuspectGate>,
+    _guard: CallGuard,
+}
 
 /// Forwards a call. A failure says "not run" only if no server has had the call, in this sending or an earlier one.
 pub async fn forward(traffic: &Arc<Traffic>, call: ServiceCall) -> Result<Answer, Failure> {
@@ -170,11 +181,13 @@
     call: ServiceCall,
     sendings: &mut Sendings<'_>,
 ) -> Result<Answer, Failure> {
-    let ServiceCall { service, spec, method, path, headers, body, repeatable, record_key: _ } = call;
+    let ServiceCall { service, spec, method, path, headers, body, repeatable, tried, record_key: _ } = call;
+    let deadline = Instant::now() + HEAD_TIMEOUT;
+    let mut gate = tried.map(|tried| SuspectGate::new(&traffic.shared, tried, deadline));
     let mut body = Some(body);
     let mut may_have_run = false;
     for attempt in 0..MAX_ATTEMPTS {
-        let Some(server) = pick(traffic, &service, &spec) else {
+        let Some(server) = admitted_server(traffic, &service, &spec, &mut gate, may_have_run).await? else {
             return Err(if may_have_run { outcome_unknown() } else { all_busy() });
         };
         let guard = CallGuard {
@@ -188,10 +201,18 @@
         body = spare;
         sendings.note().await;
         let request = traffic.http.request(method.clone(), format!("http://{}{path}", server.address));
-        match send(request.headers(headers.clone()).body(sent), guard).await {
-            Ok(answer) => return Ok(answer),
+        let may_write = gate.as_ref().is_none_or(SuspectGate::may_write);
+        let sending = request.headers(headers.clone()).body(sent);
+        let end = if may_write { send(sending, guard).await } else { Err(AttemptEnd::NotSent) };
+        match end {
+            Ok((response, guard)) => return Ok(Answer { response, gate, _guard: guard }),
             Err(AttemptEnd::NotSent) => {}
-            Err(AttemptEnd::Unclear) => may_have_run = true,
+            Err(AttemptEnd::Unclear) => {
+                may_have_run = true;
+                if has_ended(server.address).await {
+                    gate.iter_mut().for_each(SuspectGate::server_ended);
+                }
+            }
         }
         let may_retry = !may_have_run || repeatable;
         let is_last = attempt + 1 == MAX_ATTEMPTS;
@@ -202,7 +223,47 @@
     Err(if may_have_run { outcome_unknown() } else { unreachable() })
 }
 
-async fn send(request: reqwest::RequestBuilder, mut guard: CallGuard) -> Result<Answer, AttemptEnd> {
+/// A server to which the call may be sent; `None` if every one is at its limit.
+async fn admitted_server(
+    traffic: &Traffic,
+    service: &str,
+    spec: &ServiceSpec,
+    gate: &mut Option<SuspectGate>,
+    may_have_run: bool,
+) -> Result<Option<ServiceServer>, Failure> {
+    let Some(gate) = gate else { return Ok(pick(traffic, service, spec)) };
+    let refused = |code: ResultCode| {
+        if may_have_run && code.is_not_run() { outcome_unknown() } else { Failure::new(code, code.meaning()) }
+    };
+    loop {
+        let is_suspect = gate.is_suspect().await.map_err(refused)?;
+        let Some(server) = pick(traffic, service, spec) else { return Ok(None) };
+        let mut admission = gate.enter(is_suspect, &server.name, &server.zone).await;
+        if admission != Admission::Enter {
+            unpick(traffic, service, spec, &server);
+        }
+        if admission == Admission::Elsewhere {
+            admission = gate.all_taken().await;
+        }
+        match admission {
+            Admission::Enter => return Ok(Some(server)),
+            Admission::Refused(code) => return Err(refused(code)),
+            Admission::Elsewhere | Admission::Wait => {}
+        }
+    }
+}
+
+/// Takes back that a server was picked; it has had no call.
+fn unpick(traffic: &Traffic, service: &str, spec: &ServiceSpec, server: &ServiceServer) {
+    if let Some(picker) = traffic.services.pickers().get_mut(service) {
+        picker.finished(monotonic_ms(), &server.name, CallResult::Answered, spec.servers.len());
+    }
+}
+
+async fn send(
+    request: reqwest::RequestBuilder,
+    mut guard: CallGuard,
+) -> Result<(reqwest::Response, CallGuard), AttemptEnd> {
     match tokio::time::timeout(HEAD_TIMEOUT, request.send()).await {
         Ok(Ok(response)) => {
             if response.status() != StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/state/src/suspicion/table.rs
+++ b/crates/state/src/suspicion/table.rs
@@ -82,9 +82,9 @@
         crashes.into_iter().map(|row| row.zone.as_str()).chain(known).collect()
     }
 
-    /// Suspects, quarantined requests not among them.
-    pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
-        self.crashes_of.keys().copied()
+    /// Requests that servers had when they ended, those under quarantine not among them.
+    pub fn suspects(&self) -> usize {
+        self.crashes_of.len()
     }
 
     /// The table as daemons need it that are not voters: trials are granted by the log, and known to voters alone.
