--- a/crates/bench/src/log_report/seconds.rs
+++ b/crates/bench/src/log_report/seconds.rs
@@ -79,7 +79,7 @@
                 self.longest_turn_ms = self.longest_turn_ms.max(turn.took_ms);
             }
             Body::Fault(_) => self.faults += 1,
-            Body::Order(_) | Body::Other => {}
+            Body::Order(_) | Body::Suspect(_) | Body::Other => {}
         }
     }
 
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod list_query;
 mod operator;
+mod quarantine;
 mod refusal;
 mod service;
 mod streamed;
@@ -54,6 +55,11 @@
         .at(api("/status"), get(operator::read_status))
         .at(api("/events"), get(operator::list_events))
         .at(api("/evacuations/:zone"), put(operator::evacuate_zone).delete(operator::withdraw_evacuation))
+        .at(api("/quarantine"), get(quarantine::list_quarantine))
+        .at(
+            api("/quarantine/:fingerprint"),
+            get(quarantine::explain_request).delete(quarantine::release_request),
+        )
         .at(api("/:kind"), get(operator::list_resources).post(operator::create_resource))
         .at(
             api("/:kind/:name"),
--- a/crates/daemon/src/http/operator.rs
+++ b/crates/daemon/src/http/operator.rs
@@ -28,9 +28,9 @@
 /// Largest resource, in bytes.
 const MAX_RESOURCE_BYTES: usize = 1 << 20;
 /// How long a change may take to be committed.
-const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+pub(super) const CHANGE_LIMIT: Duration = Duration::from_secs(10);
 /// How long this daemon may take to see what it had committed.
-const READ_OWN_WRITE: Duration = Duration::from_secs(2);
+pub(super) const READ_OWN_WRITE: Duration = Duration::from_secs(2);
 /// How long the leader's view may take.
 const VIEW_LIMIT: Duration = Duration::from_secs(3);
 
@@ -41,11 +41,11 @@
     resource_version: u64,
 }
 
-fn answer(app: &App, result: Result<Response, ApiError>) -> Response {
+pub(super) fn answer(app: &App, result: Result<Response, ApiError>) -> Response {
     result.unwrap_or_else(|error| refusal::operator(app, &error))
 }
 
-fn json_response(status: StatusCode, code: ResultCode, body: &impl Serialize) -> Response {
+pub(super) fn json_response(status: StatusCode, code: ResultCode, body: &impl Serialize) -> Response {
     Response::builder()
         .status(status)
         .header(HEADER_RESULT_CODE, code.number().to_string())
--- /dev/null
+++ b/crates/daemon/src/http/quarantine.rs
@@ -0,0 +1,104 @@
+//! Requests under which servers end, for operators: which are under quarantine and why, and their release.
+
+use super::operator::{CHANGE_LIMIT, READ_OWN_WRITE, answer, json_response};
+use super::{App, auth};
+use crate::clock::wall_ms;
+use crate::peer::submit;
+use crate::settings::OperatorRole;
+use dockwood_api::gateway::Fingerprint;
+use dockwood_api::{ApiError, ResultCode};
+use dockwood_state::{
+    CommandBody, CrashRow, Evidence, GatewayCommand, QuarantineRow, Standing, SuspicionTable,
+};
+use poem::http::StatusCode;
+use poem::web::{Data, Path};
+use poem::{Request, Response, handler};
+use serde_json::{Value, json};
+
+/// `GET /api/v1/quarantine`: requests under quarantine or on probation.
+#[handler]
+pub fn list_quarantine(Data(app): Data<&App>, request: &Request) -> Response {
+    let result = auth::operator(app, request, OperatorRole::Read).map(|()| {
+        let tables = app.shared.tables();
+        let suspicion = &tables.gateway.suspicion;
+        let now_ms = wall_ms();
+        let items: Vec<Value> = suspicion.quarantined.values().map(|row| shown(row, now_ms)).collect();
+        let body = json!({ "kind": "QuarantineList", "suspects": suspicion.suspects(), "items": items });
+        json_response(StatusCode::OK, ResultCode::Ok, &body)
+    });
+    answer(app, result)
+}
+
+/// `GET /api/v1/quarantine/{fingerprint}`: how a request stands, and the servers that ended under it.
+#[handler]
+pub fn explain_request(Data(app): Data<&App>, request: &Request, Path(text): Path<String>) -> Response {
+    let result = auth::operator(app, request, OperatorRole::Read).and_then(|()| {
+        let fingerprint = fingerprint_of(&text)?;
+        let tables = app.shared.tables();
+        let body = explained(&tables.gateway.suspicion, fingerprint, wall_ms());
+        Ok(json_response(StatusCode::OK, ResultCode::Ok, &body))
+    });
+    answer(app, result)
+}
+
+/// `DELETE /api/v1/quarantine/{fingerprint}`: releases a request; nothing speaks against it any more.
+#[handler]
+pub async fn release_request(Data(app): Data<&App>, request: &Request, Path(text): Path<String>) -> Response {
+    answer(app, release(app, request, &text).await)
+}
+
+async fn release(app: &App, request: &Request, text: &str) -> Result<Response, ApiError> {
+    auth::operator(app, request, OperatorRole::Write)?;
+    let fingerprint = fingerprint_of(text)?;
+    let reason = format!("released by an operator at {}", app.shared.settings.name);
+    let command = GatewayCommand::ClearRequest { fingerprint, reason };
+    let (revision, _) = submit(&app.shared, CommandBody::Gateway(command), CHANGE_LIMIT).await?;
+    app.shared.wait_for_revision(revision, READ_OWN_WRITE).await;
+    let body = json!({ "fingerprint": text, "standing": "unsuspected" });
+    Ok(json_response(StatusCode::OK, ResultCode::Accepted, &body))
+}
+
+fn fingerprint_of(text: &str) -> Result<Fingerprint, ApiError> {
+    let code = ResultCode::FingerprintMalformed;
+    text.parse().map_err(|_| ApiError::new(code, code.meaning()))
+}
+
+fn shown(row: &QuarantineRow, now_ms: u64) -> Value {
+    json!({
+        "fingerprint": row.fingerprint.to_string(),
+        "tenant": row.tenant,
+        "route": row.route,
+        "standing": if row.holds(now_ms) { "quarantined" } else { "onProbation" },
+        "sinceMs": row.since_ms,
+        "untilMs": row.until_ms,
+        "offences": row.offences,
+        "evidence": row.evidence.iter().map(shown_evidence).collect::<Vec<Value>>(),
+    })
+}
+
+fn shown_evidence(evidence: &Evidence) -> Value {
+    let Evidence { instance, zone, at_ms, request, daemon } = evidence;
+    json!({ "instance": instance, "zone": zone, "atMs": at_ms, "request": request, "toldBy": daemon })
+}
+
+fn explained(suspicion: &SuspicionTable, fingerprint: Fingerprint, now_ms: u64) -> Value {
+    if let Some(row) = suspicion.quarantined.get(&fingerprint) {
+        return shown(row, now_ms);
+    }
+    let crashes = suspicion.crashes_against(fingerprint);
+    let evidence = crashes.iter().filter_map(|row| shown_crash(row, fingerprint)).collect::<Vec<Value>>();
+    let standing = match suspicion.standing(fingerprint, now_ms) {
+        Standing::Unsuspected => "unsuspected",
+        Standing::Suspect => "suspect",
+        Standing::Quarantined => "quarantined",
+    };
+    json!({ "fingerprint": fingerprint.to_string(), "standing": standing, "evidence": evidence })
+}
+
+fn shown_crash(row: &CrashRow, fingerprint: Fingerprint) -> Option<Value> {
+    let suspect = row.suspect(fingerprint)?;
+    Some(json!({
+        "instance": row.instance, "zone": row.zone, "atMs": row.at_ms, "request": suspect.tried.request,
+        "toldBy": suspect.daemon, "otherSuspects": row.suspects.len() - 1,
+    }))
+}
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -27,6 +27,8 @@
 const RUNS_BEFORE_END: Duration = Duration::from_millis(50);
 /// How long after its end a server is back, as a new instance at its old address.
 const RESTARTS_AFTER: Duration = Duration::from_millis(500);
+/// What ids of servers begin with that start again under them.
+pub const KEEPS_ID: &str = "lasting";
 /// How long a member loads.
 const LOAD: Duration = Duration::from_millis(100);
 
@@ -70,6 +72,8 @@
     pub fatal_arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Models whose weights its host keeps.
     staged: Mutex<BTreeSet<String>>,
+    /// It is back under its own id, not as a new instance.
+    keeps_id: bool,
     has_ended: AtomicBool,
     listening: Mutex<Option<AbortHandle>>,
     operators: Vec<SocketAddr>,
@@ -133,6 +137,7 @@
             arrivals: Mutex::default(),
             fatal_arrivals,
             staged: Mutex::default(),
+            keeps_id: id.starts_with(KEEPS_ID),
             has_ended: AtomicBool::new(false),
             listening: Mutex::default(),
             operators: operators.clone(),
@@ -167,7 +172,8 @@
         }
         tokio::spawn(async move {
             tokio::time::sleep(RESTARTS_AFTER).await;
-            let (id, domain) = (format!("{}-again", self.id), self.domain.as_deref());
+            let id = if self.keeps_id { self.id.clone() } else { format!("{}-again", self.id) };
+            let domain = self.domain.as_deref();
             let (arrivals, operators) = (self.fatal_arrivals.clone(), self.operators.clone());
             let (zone, service) = (&self.zone, &self.service);
             FakeServer::start_after(arrivals, zone, &id, service, domain, self.address, operators).await;
--- a/crates/dockctl/src/client.rs
+++ b/crates/dockctl/src/client.rs
@@ -118,6 +118,13 @@
         self.call(&Call { method, path: &path, change_id: None, body: None }).await.map(|_| ())
     }
 
+    /// Releases a request from quarantine.
+    pub async fn release_request(&self, fingerprint: &str) -> Result<(), CommandError> {
+        let path = format!("quarantine/{fingerprint}");
+        let call = Call { method: Method::DELETE, path: &path, change_id: None, body: None };
+        self.call(&call).await.map(|_| ())
+    }
+
     /// Opens a watch at the first daemon that answers.
     pub async fn watch(&self, kind: Kind, from: Option<u64>) -> Result<reqwest::Response, CommandError> {
         let from = from.map(|revision| format!("&resourceVersion={revision}")).unwrap_or_default();
--- a/crates/dockctl/src/commands/mod.rs
+++ b/crates/dockctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod change;
 mod evacuate;
 mod events;
+mod quarantine;
 mod show;
 mod status;
 mod trace;
@@ -57,6 +58,7 @@
             change::delete_command(),
             change::drain_command(),
             evacuate::command(),
+            quarantine::command(),
             status::command(),
             events::timeline_command(),
             events::explain_command(),
@@ -152,6 +154,7 @@
         "delete" => change::delete(&client, matches).await,
         "drain" => change::drain(&client, matches).await,
         "evacuate" => evacuate::run(&client, matches).await,
+        "quarantine" => quarantine::run(&client, matches).await,
         "status" => status::run(&client, matches).await,
         "timeline" => events::timeline(&client, matches).await,
         "explain" => events::explain(&client, matches).await,
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -1,6 +1,6 @@
 //! Puts the log lines of all daemons that concern one request into one account, in order of time.
 
-use dockwood_log_lines::{Body, Event, Line, Request};
+use dockwood_log_lines::{Body, Event, Line, Request, Suspect};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Events this long before a request's arrival may have led to its end, in milliseconds.
@@ -74,23 +74,31 @@
     course
 }
 
-/// What happened around it: to the groups it was sent to, to its daemon, and how many groups served its model.
+/// What happened around it: to the groups it was sent to, to its daemon, and how many groups served its model. What the
+/// tries of the same request led to is told whenever it was: a quarantine lasts.
 fn surroundings(lines: &[Line], line: &Line, request: &Request, arrived: u64) -> Vec<Told> {
+    let fingerprint = request.fingerprint.as_deref();
     let epochs: BTreeSet<u64> = request.sends.iter().filter_map(|send| send.epoch).collect();
     let span = arrived.saturating_sub(BEFORE_MS)..=line.at_ms + AFTER_MS;
     let own_subject = format!("daemon/{}", line.daemon);
     let mut told = Vec::new();
-    for other in lines.iter().filter(|other| span.contains(&other.at_ms)) {
+    for other in lines {
+        let is_near = span.contains(&other.at_ms);
         match &other.body {
             Body::Event(event) => {
                 let concerns_group = event.group_epoch().is_some_and(|epoch| epochs.contains(&epoch));
                 let is_election = matches!(event.reason.as_str(), "Elected" | "SteppedDown");
-                if concerns_group || event.subject == own_subject || is_election {
+                let concerns_request = fingerprint.is_some_and(|print| event.is_about_request(print));
+                let is_around = concerns_group || event.subject == own_subject || is_election;
+                if concerns_request || (is_near && is_around) {
                     let text = format!("{} {}: {}", event.subject, event.reason, event.message);
                     told.push(Told { at_ms: other.at_ms, text });
                 }
             }
-            Body::Order(order) if epochs.contains(&order.epoch) => {
+            Body::Suspect(suspect) if fingerprint == Some(&suspect.fingerprint) => {
+                told.push(Told { at_ms: other.at_ms, text: step_told(other, suspect) });
+            }
+            Body::Order(order) if is_near && epochs.contains(&order.epoch) => {
                 let text = format!("order {} to {}: {}", order.order, order.instance, order.answer);
                 told.push(Told { at_ms: other.at_ms, text });
             }
@@ -104,6 +112,16 @@
     told
 }
 
+/// A step of this request, in this try or another one.
+fn step_told(line: &Line, suspect: &Suspect) -> String {
+    let at = suspect.instance.as_deref().map_or(String::new(), |instance| format!(" at {instance}"));
+    let against = match suspect.servers.as_slice() {
+        [] => String::new(),
+        servers => format!("; ended under it so far: {}", servers.join(" ")),
+    };
+    format!("{}: {} {} as {}{at}{against}", line.daemon, suspect.fingerprint, suspect.step, suspect.request)
+}
+
 /// Groups of a model that the log shows as open at a time.
 fn open_groups(lines: &[Line], model: &str, at_ms: u64) -> usize {
     let mut groups: BTreeMap<u64, (bool, bool)> = BTreeMap::new();
--- a/crates/dockctl/src/request_trace_tests.rs
+++ b/crates/dockctl/src/request_trace_tests.rs
@@ -32,6 +32,30 @@
     assert_eq!(account(&lines(), "r-1"), expected);
 }
 
+/// From the id of a refused try to the servers that ended under the tries before it, minutes ago.
+#[test]
+fn a_request_under_quarantine_is_traced_to_the_servers_that_ended_under_it() {
+    let print = "00112233445566778899aabbccddeeff";
+    let texts = [
+        format!(r#"{{"schema":1,"atMs":1000,"daemon":"e1","kind":"suspect","step":"suspected","fingerprint":"{print}","request":"r-1","instance":"a","zone":"z","servers":[],"heldBack":0}}"#),
+        format!(r#"{{"schema":1,"atMs":1010,"daemon":"m1","kind":"event","subject":"instance/a","reason":"EndedUnderRequests","message":"in zone z, told by e1; suspects: {print} as r-1","code":1000,"codeName":"Ok"}}"#),
+        format!(r#"{{"schema":1,"atMs":1020,"daemon":"m1","kind":"event","subject":"request/{print}","reason":"Quarantined","message":"ended under it: a b c","code":3009,"codeName":"RequestQuarantined"}}"#),
+        r#"{"schema":1,"atMs":1030,"daemon":"m1","kind":"event","subject":"request/ffff","reason":"Quarantined","message":"another","code":3009,"codeName":"RequestQuarantined"}"#.to_string(),
+        format!(r#"{{"schema":1,"atMs":90000,"daemon":"e2","kind":"request","request":"r-9","code":3009,"codeName":"RequestQuarantined","fingerprint":"{print}","configuration":4,"leaseLeftMs":2100,"tookMs":1,"allowedMs":8000,"waitedMs":0,"sends":[],"heldBack":0}}"#),
+    ];
+    let lines: Vec<Line> = texts.iter().filter_map(|text| parse(text).ok()).collect();
+    assert_eq!(lines.len(), 5);
+    let told = account(&lines, "r-9");
+    assert_eq!(told[0], format!("1000 e1: {print} suspected as r-1 at a"));
+    assert_eq!(
+        told[1],
+        format!("1010 instance/a EndedUnderRequests: in zone z, told by e1; suspects: {print} as r-1")
+    );
+    assert_eq!(told[2], format!("1020 request/{print} Quarantined: ended under it: a b c"));
+    assert!(told[3].starts_with("89999 e2: arrives, fingerprint"), "{told:?}");
+    assert_eq!(told.len(), 5, "{told:?}");
+}
+
 #[test]
 fn a_request_that_no_line_names_has_no_account() {
     assert!(account(&lines(), "r-2").is_empty());
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -52,6 +52,8 @@
     Order(Order),
     /// How a request ended.
     Request(Request),
+    /// A step of a request under which servers may end.
+    Suspect(Suspect),
     /// A long turn of the control thread.
     SlowTurn(SlowTurn),
     /// A fault of the daemon's own.
@@ -76,6 +78,16 @@
 }
 
 impl Event {
+    /// Whether it tells of a request with this fingerprint, or of a server that ended while it had that request.
+    pub fn is_about_request(&self, fingerprint: &str) -> bool {
+        /// Prefix of the subjects of requests; the fingerprint follows.
+        const REQUEST_SUBJECT: &str = "request/";
+        /// Reason of the event that a server ended while it had requests, which it names.
+        const ENDED: &str = "EndedUnderRequests";
+        let is_subject = self.subject.strip_prefix(REQUEST_SUBJECT) == Some(fingerprint);
+        is_subject || (self.reason == ENDED && self.message.contains(fingerprint))
+    }
+
     /// The epoch of the group that it is about, if it is about one.
     pub fn group_epoch(&self) -> Option<u64> {
         /// Prefix of the subjects of groups; the epoch follows.
@@ -150,6 +162,22 @@
     pub ended: Option<String>,
 }
 
+/// A step of a request under which servers may end.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Suspect {
+    /// The step.
+    pub step: String,
+    /// What the request is recognised by.
+    pub fingerprint: String,
+    /// The caller's attempt id.
+    pub request: String,
+    /// The server that ended, or at which it is tried.
+    pub instance: Option<String>,
+    /// Servers that speak against it.
+    pub servers: Vec<String>,
+}
+
 /// A turn of the control thread that took long.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/state/src/suspicion/table.rs
+++ b/crates/state/src/suspicion/table.rs
@@ -20,6 +20,8 @@
 /// Reports of the end of one instance within this time are of the same end, in milliseconds: a server is back after some
 /// seconds, and reports follow an end within tens of milliseconds, but by clocks of several machines.
 const SAME_END_MS: u64 = 2_000;
+/// A server's process is back no sooner than this after its end, in milliseconds.
+const LEAST_RESTART_MS: u64 = 250;
 /// How long a request stays under quarantine for the first time, in milliseconds. At three servers lost each time, a
 /// request that keeps coming costs less than one server in three minutes; operators release it earlier.
 const QUARANTINE_MS: u64 = 600_000;
@@ -124,10 +126,7 @@
 
     /// Adds suspects to the end that they were at.
     fn note_crash(&mut self, end: &ServerEnd, tries: &[&SuspectTry]) {
-        let is_same = |row: &&Arc<CrashRow>| {
-            row.instance == end.instance && row.at_ms.abs_diff(end.at_ms) <= SAME_END_MS
-        };
-        let mut row = match self.crashes.values().rev().find(is_same) {
+        let mut row = match self.crashes.values().rev().find(|row| is_same_end(row, end)) {
             Some(row) => CrashRow::clone(row),
             None => {
                 self.last_crash += 1;
@@ -323,6 +322,17 @@
     }
 }
 
+/// Whether a report is of an end that is known. A server may be back under its id within a second: a new try of a request
+/// that it had before is of another end, as a request is tried at one server at a time.
+fn is_same_end(row: &CrashRow, end: &ServerEnd) -> bool {
+    let apart_ms = row.at_ms.abs_diff(end.at_ms);
+    let is_another_try = |tried: &SuspectTry| {
+        row.suspect(tried.fingerprint).is_some_and(|suspect| suspect.tried.request != tried.request)
+    };
+    let is_back = apart_ms >= LEAST_RESTART_MS && end.tries.iter().any(is_another_try);
+    row.instance == end.instance && apart_ms <= SAME_END_MS && !is_back
+}
+
 fn is_old(row: &CrashRow, at_ms: u64) -> bool {
     at_ms >= row.at_ms + CRASH_KEPT_MS
 }
--- a/crates/state/tests/suspicion.rs
+++ b/crates/state/tests/suspicion.rs
@@ -7,6 +7,8 @@
 };
 
 const MINUTE_MS: u64 = 60_000;
+/// Servers of one zone that end under a request before it comes under quarantine.
+const CRASHES_IN_ONE_ZONE: usize = 5;
 /// A time for which any quarantine is over, and none is forgotten.
 const PROBATION_MS: u64 = 11 * MINUTE_MS;
 /// Servers end some seconds apart, unless a test says otherwise.
@@ -130,6 +132,26 @@
     assert_eq!(world.tables.suspicion.crashes_against(request("fatal")).len(), 2);
 }
 
+#[test]
+fn a_new_try_that_ends_the_same_instance_a_second_later_is_another_end() {
+    let mut world = World::default();
+    for number in 0..CRASHES_IN_ONE_ZONE {
+        let tried = SuspectTry {
+            fingerprint: request("fatal"),
+            request: format!("try-{number}"),
+            tenant: None,
+            route: "route".to_string(),
+        };
+        let (instance, zone, daemon) = ("a".to_string(), "z".to_string(), "entry".to_string());
+        let end = ServerEnd { instance, zone, at_ms: world.now_ms, daemon, tries: vec![tried] };
+        // A repetition of the same word is of the same end, whenever it arrives.
+        world.apply(GatewayCommand::ServerEnded(end.clone()));
+        world.apply(GatewayCommand::ServerEnded(end));
+        world.now_ms += 700;
+    }
+    assert_eq!(world.standing("fatal"), Standing::Quarantined);
+}
+
 /// A server may start again under its id.
 #[test]
 fn a_later_end_of_the_same_instance_is_another_one() {
