Leases, grants and deadlines that others rely on go by a clock that counts sleep

Cause: the steady clock stands still while a machine sleeps, so that a lease, a trial, a place or a caller's deadline lasts longer here than for whoever relies on it. Change: one clock of the process, CLOCK_BOOTTIME by rustix; what a server is told of a request's time goes by it, and a request whose time is up is not written. Checked by the tests of an injected clock that jumps (wakefulness); machines were not suspended.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,15 +1,15 @@
 //! Clocks of the process.
 
-use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{ClockId, clock_gettime};
+use std::time::{SystemTime, UNIX_EPOCH};
 
-static START: OnceLock<Instant> = OnceLock::new();
-
-/// Monotonic milliseconds. They start well above zero, so that "long ago" never runs into it.
+/// Monotonic milliseconds since the machine's start, the time that it slept included: what others rely on, such as a
+/// lease, ends for them while this machine sleeps. They start well above zero, so that "long ago" never runs into it.
 pub fn monotonic_ms() -> u64 {
     const OFFSET_MS: u64 = 3_600_000;
-    let start = START.get_or_init(Instant::now);
-    OFFSET_MS + start.elapsed().as_millis() as u64
+    let now = clock_gettime(ClockId::Boottime);
+    // Neither part is ever negative by this clock.
+    OFFSET_MS + now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
 }
 
 /// Milliseconds since the Unix epoch, by the system's clock.
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -194,7 +194,7 @@
         let (service, server) = (&self.received.service.name, &picked.row);
         let is_timely =
             self.gateway.cold.may_send(metrics, service, &server.id, server.is_cold, picked.valid_until);
-        let is_its_turn = self.gate.may_write();
+        let is_its_turn = self.gate.may_write() && self.received.left_ms() > 0;
         if !is_timely || !is_its_turn {
             // It may be picked again, and the connection that took too long is there now.
             self.tried.pop();
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -6,11 +6,13 @@
 use super::headers::from_caller;
 use super::refusal::{RETRY_SOON_MS, refuse, retry_after_start_ms};
 use super::regions::zones_of;
+use crate::clock::monotonic_ms;
 use crate::shared::Shared;
 use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{Fingerprint, RequestIdentity, Route, RouteKind};
+use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedRegions, AllowedZones, Destination, KeyVerdict, RouteTable};
 use dockwood_state::SuspectTry;
 use hyper::body::Incoming;
@@ -61,14 +63,16 @@
     pub prompt_tokens: u64,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
-    /// When the answer must be given.
+    /// When the answer must be given, for timers: they stand still while the machine sleeps.
     pub deadline: Instant,
+    /// The same by the clock that counts sleep.
+    pub deadline_ms: Millis,
 }
 
 impl Received {
     /// Milliseconds left.
     pub fn left_ms(&self) -> u64 {
-        self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
+        self.deadline_ms.saturating_sub(monotonic_ms())
     }
 
     /// What is told of it.
@@ -127,7 +131,7 @@
 
 /// Reads a request, or refuses it.
 pub async fn receive(gateway: &Gateway, request: Request<Incoming>) -> Result<Received, Refusal> {
-    let arrived = Instant::now();
+    let (arrived, arrived_ms) = (Instant::now(), monotonic_ms());
     if text(request.headers(), gateway.dialect.headers().last_event).is_some() {
         ready_after_start(gateway).await;
     }
@@ -194,6 +198,7 @@
         method: parts.method,
         uri: parts.uri,
         deadline: arrived + Duration::from_millis(timeout_ms),
+        deadline_ms: arrived_ms + timeout_ms,
         body,
         route,
         service,
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -41,7 +41,7 @@
         let request = request_for(&self.gateway, &self.received, &instance, resume_at);
         let Some(request) = request else { return Err(SendOutcome::NotSent) };
         let is_timely = source.may_be_sent(&self.gateway, &self.received.service.name);
-        let is_its_turn = self.gate.may_write();
+        let is_its_turn = self.gate.may_write() && self.received.left_ms() > 0;
         if !is_timely || !is_its_turn {
             // The source may be chosen again, and the connection that took too long is there now.
             self.tried_groups.retain(|tried| Some(*tried) != epoch);
