--- a/crates/daemon/tests/gateway/requests_that_end_servers.rs
+++ b/crates/daemon/tests/gateway/requests_that_end_servers.rs
@@ -330,3 +330,20 @@
     assert_eq!(fleet.metric(0, "dockwood_suspects").await?, 0.0);
     Ok(())
 }
+
+/// A group that stands still, as one does that was cut off or has lost a member, tells nothing against what it ran.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_group_that_stands_still_throws_no_suspicion() -> reqwest::Result<()> {
+    let (fleet, models) = super::with_groups().await;
+    eventually("warm-up requests have left", || super::serving(&models).is_none()).await;
+    let streaming = tokio::spawn(fleet.request(0, "/stream/2", "stands-still").send());
+    eventually("the stream has begun", || super::serving(&models).is_some()).await;
+    if let Some(server) = super::serving(&models) {
+        server.stands_still.store(true, Ordering::SeqCst);
+    }
+    let answer = streaming.await.unwrap_or_else(|error| panic!("{error}"))?;
+    assert_eq!(answer.text().await?, whole_stream());
+    assert_eq!(fleet.metric(0, "dockwood_suspects").await?, 0.0);
+    assert_eq!(fleet.metric(0, "dockwood_sends_server_ended_total").await?, 0.0);
+    Ok(())
+}
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -116,6 +116,9 @@
                 .cloned()
                 .map(GatewayCommand::Adopt),
             GatewayCommand::Register(_) => Some(self.clone()),
+            // They don't know which engines leave.
+            GatewayCommand::ServerEnded(end) if tables.is_leaving(&end.instance) => None,
+            GatewayCommand::ServerEnded(_) => Some(self.clone()),
             GatewayCommand::SetPhase { epoch, phase: GroupPhase::Open, .. } => {
                 tables.groups.get(epoch).filter(|row| row.serves()).cloned().map(GatewayCommand::Adopt)
             }
@@ -124,7 +127,6 @@
             | GatewayCommand::Remove { .. }
             | GatewayCommand::End { .. }
             | GatewayCommand::SetEvacuation { .. }
-            | GatewayCommand::ServerEnded(_)
             | GatewayCommand::ClearRequest { .. }
             | GatewayCommand::ExpireSuspicions { .. }
             | GatewayCommand::Adopt(_) => Some(self.clone()),
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -14,7 +14,7 @@
 pub use rows::{Evacuation, GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 
 use crate::machine::Applied;
-use crate::suspicion::SuspicionTable;
+use crate::suspicion::{ServerEnd, SuspicionTable};
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
 use imbl::{OrdMap, Vector};
@@ -72,7 +72,7 @@
             GatewayCommand::SetEvacuation { zone, evacuated, generation } => {
                 self.set_evacuation(zone, *evacuated, *generation)
             }
-            GatewayCommand::ServerEnded(end) => self.suspicion.server_ended(end),
+            GatewayCommand::ServerEnded(end) => self.server_ended(end),
             GatewayCommand::BeginTrial(request) => self.suspicion.begin_trial(request),
             GatewayCommand::EndTrial { fingerprint, trial } => self.suspicion.end_trial(*fingerprint, *trial),
             GatewayCommand::ClearRequest { fingerprint, .. } => self.suspicion.clear(*fingerprint),
@@ -140,6 +140,19 @@
         self.removed.iter().any(|removed| removed == id)
     }
 
+    /// Whether an instance said that it leaves, or was removed: that it ends then has nothing to do with what it ran.
+    pub(crate) fn is_leaving(&self, id: &str) -> bool {
+        let is_draining = self.instances.get(id).is_some_and(|row| row.state == InstanceState::Draining);
+        is_draining || self.was_removed(id)
+    }
+
+    fn server_ended(&mut self, end: &ServerEnd) -> Applied {
+        if self.is_leaving(&end.instance) {
+            return Applied::touching(Vec::new());
+        }
+        self.suspicion.server_ended(end)
+    }
+
     fn configure(&mut self, configuration: &Arc<GatewayConfiguration>) -> Applied {
         let held = self.configuration.as_ref().map(|held| held.version);
         if held.is_none_or(|version| version < configuration.version) {
--- a/crates/state/tests/suspicion.rs
+++ b/crates/state/tests/suspicion.rs
@@ -1,9 +1,10 @@
 //! How evidence against requests is summed, which of them come under quarantine, and how they leave it.
 
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{Fingerprint, RequestIdentity};
+use dockwood_api::gateway::{Fingerprint, InstanceState, RequestIdentity};
 use dockwood_state::{
-    GatewayCommand, GatewayTables, Outcome, ServerEnd, Standing, State, SuspectTry, TrialRequest,
+    Command, CommandBody, GatewayCommand, GatewayTables, InstanceRow, Outcome, ServerEnd, Standing, State,
+    SuspectTry, TrialRequest,
 };
 
 const MINUTE_MS: u64 = 60_000;
@@ -32,11 +33,29 @@
     tables: GatewayTables,
     now_ms: u64,
     trials: u64,
+    /// All commands, in order.
+    told: Vec<GatewayCommand>,
 }
 
 impl World {
     fn apply(&mut self, command: GatewayCommand) -> Outcome {
-        self.tables.apply(&command).outcome
+        let outcome = self.tables.apply(&command).outcome;
+        self.told.push(command);
+        outcome
+    }
+
+    fn register(&mut self, id: &str, state: InstanceState) {
+        let row = InstanceRow {
+            id: id.to_string(),
+            service: "s".to_string(),
+            address: std::net::SocketAddr::from(([127, 0, 0, 1], id.len() as u16)),
+            zone: "z".to_string(),
+            slots: 4,
+            state,
+            is_cold: false,
+            domain: Some("d".to_string()),
+        };
+        self.apply(GatewayCommand::Register(row));
     }
 
     fn end_told_by(&mut self, daemon: &str, instance: &str, zone: &str, requests: &[&str]) {
@@ -279,6 +298,49 @@
     assert!(world.tables.suspicion.quarantined.is_empty());
 }
 
+/// A server that leaves as planned may end before what it ran is whole.
+#[test]
+fn the_end_of_a_server_that_leaves_speaks_against_nothing() {
+    let mut world = World::default();
+    world.register("a", InstanceState::Draining);
+    world.end("a", "z", &["innocent"]);
+    assert_eq!(world.standing("innocent"), Standing::Unsuspected);
+    world.register("b", InstanceState::Ready);
+    world.apply(GatewayCommand::Remove { id: "b".to_string() });
+    world.end("b", "z", &["innocent"]);
+    assert_eq!(world.standing("innocent"), Standing::Unsuspected);
+}
+
+/// Daemons that are not voters learn of it command by command, or by a copy, and come to the same.
+#[test]
+fn followers_judge_as_voters_do() {
+    let mut voter = State::default();
+    let mut follower = State::default();
+    let mut world = World::default();
+    world.register("leaving", InstanceState::Draining);
+    for round in 0..40_u64 {
+        let (instance, zone) = (format!("a-{round}"), if round % 3 == 0 { "z" } else { "y" });
+        let instance = if round % 7 == 0 { "leaving".to_string() } else { instance };
+        let names = [format!("fatal-{}", round % 4), format!("beside-{round}")];
+        world.end(&instance, zone, &[&names[0], &names[1]]);
+        world.asks(&names[0], "b", true);
+        if round % 11 == 10 {
+            world.clear(&names[0]);
+        }
+    }
+    for command in std::mem::take(&mut world.told) {
+        let command = Command { at_ms: 1, body: CommandBody::Gateway(command) };
+        voter.apply(&command);
+        if let Some(told) = command.for_followers(&voter.tables) {
+            follower.apply(&told);
+        }
+    }
+    let (voter, follower) = (voter.tables.gateway.suspicion, follower.tables.gateway.suspicion);
+    assert_eq!(voter.crashes, follower.crashes);
+    assert_eq!(voter.quarantined, follower.quarantined);
+    assert!(!voter.quarantined.is_empty() && !voter.crashes.is_empty());
+}
+
 #[test]
 fn old_evidence_and_probations_are_forgotten() {
     let mut world = World::default();
