--- a/crates/grouping/tests/dispatch.rs
+++ b/crates/grouping/tests/dispatch.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{LARGE, SERVICE, World};
-use dockwood_api::gateway::{PlaceReply, PlaceRequest};
+use dockwood_api::gateway::{Fingerprint, PlaceReply, PlaceRequest, RequestIdentity};
 use dockwood_grouping::Dispatcher;
+use dockwood_state::{GatewayCommand, ServerEnd, SuspectTry, TrialRequest};
 
 /// Eight slots, and one that waits.
 const PLACES: u32 = 9;
@@ -131,3 +132,49 @@
     unwanted.model = "unknown".to_string();
     assert_eq!(assign(&world, &mut dispatcher, &unwanted), PlaceReply::NoGroup);
 }
+
+/// A request that may end the server that runs it goes where it would take the fewest others along.
+#[test]
+fn a_request_that_prefers_idle_groups_shares_one_with_the_fewest() {
+    let mut world = three_groups();
+    let mut dispatcher = Dispatcher::default();
+    world.load("a", 1, 1, false, true, true);
+    world.load("a", 2, 4, false, true, true);
+    world.load("a", 3, 5, false, true, true);
+    let mut suspect = request("b", 10);
+    suspect.prefers_idle = true;
+    // A near group with a short queue would be the best for any other request.
+    suspect.zone = "far".to_string();
+    assert_eq!(epoch_of(assign(&world, &mut dispatcher, &suspect)), Some(1));
+}
+
+/// Of the servers that have ended under requests, the third is at hand: nothing else is sent there.
+#[test]
+fn a_head_at_which_a_strong_suspect_is_tried_gets_nothing_else() {
+    let mut world = three_groups();
+    let mut dispatcher = Dispatcher::default();
+    let identity = RequestIdentity { tenant: None, method: "POST", host: "h", path: "/", body: b"suspect" };
+    let fingerprint = Fingerprint::of(&identity);
+    for (instance, at_ms) in [("a", 0), ("b", 5_000)] {
+        let request = format!("try at {instance}");
+        let tried = SuspectTry { fingerprint, request, tenant: None, route: String::new() };
+        let (instance, zone, daemon) = (instance.to_string(), "z".to_string(), "entry".to_string());
+        world.apply(GatewayCommand::ServerEnded(ServerEnd {
+            instance,
+            zone,
+            at_ms,
+            daemon,
+            tries: vec![tried],
+        }));
+    }
+    let instance = "d0-s0".to_string();
+    let trial = TrialRequest { fingerprint, trial: 1, instance, may_share: false, at_ms: 6_000 };
+    world.apply(GatewayCommand::BeginTrial(trial));
+    let given: Vec<Option<u64>> =
+        (0..6).map(|_| epoch_of(assign(&world, &mut dispatcher, &request("b", 10)))).collect();
+    assert!(given.iter().all(|epoch| matches!(epoch, Some(2 | 3))), "{given:?}");
+    world.apply(GatewayCommand::EndTrial { fingerprint, trial: 1 });
+    let given: Vec<Option<u64>> =
+        (0..6).map(|_| epoch_of(assign(&world, &mut dispatcher, &request("b", 10)))).collect();
+    assert!(given.contains(&Some(1)), "{given:?}");
+}
--- a/crates/state/tests/attribution.rs
+++ b/crates/state/tests/attribution.rs
@@ -227,11 +227,11 @@
     while world.now_ms < LASTS_MS {
         world.step();
         let now_ms = world.now_ms;
-        if now_ms % PROPER_EVERY_MS == 0 {
+        if now_ms.is_multiple_of(PROPER_EVERY_MS) {
             world.arrive(&format!("proper-{now_ms}"), format!("p-{now_ms}"), false);
         }
         for culprit in 0..culprits {
-            if now_ms > 1_000 && (now_ms + culprit * 70) % CULPRIT_EVERY_MS == 0 {
+            if now_ms > 1_000 && (now_ms + culprit * 70).is_multiple_of(CULPRIT_EVERY_MS) {
                 world.arrive(&format!("culprit-{culprit}"), format!("c-{culprit}-{now_ms}"), true);
             }
         }
