--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -88,34 +88,11 @@
 impl PlainCourse<'_> {
     async fn run(&mut self) -> Response<AnswerBody> {
         loop {
-            let is_suspect = match self.gate.is_suspect().await {
-                Ok(is_suspect) => is_suspect,
-                Err(code) => return self.final_refusal(code),
+            let picked = match self.admitted_server().await {
+                Ok(Some(picked)) => picked,
+                Ok(None) => continue,
+                Err(response) => return *response,
             };
-            let picked = match self.pick(is_suspect) {
-                Err(_) if !self.taken.is_empty() => {
-                    self.taken.clear();
-                    match self.gate.all_taken().await {
-                        Admission::Refused(code) => return self.last_word(code),
-                        _ => continue,
-                    }
-                }
-                Ok(picked) => picked,
-                Err(ResultCode::NoServer) => return self.last_word(none_serves(self.gateway, self.received)),
-                Err(code) => return self.last_word(code),
-            };
-            match self.gate.enter(is_suspect, &picked.row.id, &picked.row.zone).await {
-                Admission::Enter => {}
-                Admission::Elsewhere => {
-                    self.taken.push(picked.row.id.clone());
-                    continue;
-                }
-                Admission::Wait => continue,
-                Admission::Refused(ResultCode::RequestQuarantined) => {
-                    return self.final_refusal(ResultCode::RequestQuarantined);
-                }
-                Admission::Refused(code) => return self.last_word(code),
-            }
             if !may_still_run(self.gateway, self.received) {
                 return self.last_word(ResultCode::NoLease);
             }
@@ -142,6 +119,42 @@
         }
     }
 
+    /// A server to which the request may be sent; `None` if another one is to be looked for.
+    async fn admitted_server(&mut self) -> Result<Option<Picked>, Box<Response<AnswerBody>>> {
+        let is_suspect = match self.gate.is_suspect().await {
+            Ok(is_suspect) => is_suspect,
+            Err(code) => return Err(Box::new(self.refused_by_gate(code))),
+        };
+        let picked = match self.pick(is_suspect) {
+            Ok(picked) => picked,
+            Err(_) if !self.taken.is_empty() => {
+                let admission = self.gate.all_taken().await;
+                return self.again(admission);
+            }
+            Err(ResultCode::NoServer) => {
+                return Err(Box::new(self.last_word(none_serves(self.gateway, self.received))));
+            }
+            Err(code) => return Err(Box::new(self.last_word(code))),
+        };
+        match self.gate.enter(is_suspect, &picked.row.id, &picked.row.zone).await {
+            Admission::Enter => Ok(Some(picked)),
+            Admission::Elsewhere => {
+                self.taken.push(picked.row.id.clone());
+                Ok(None)
+            }
+            other => self.again(other),
+        }
+    }
+
+    /// Looks at all servers again, unless the request may not be sent at all.
+    fn again(&mut self, admission: Admission) -> Result<Option<Picked>, Box<Response<AnswerBody>>> {
+        self.taken.clear();
+        match admission {
+            Admission::Refused(code) => Err(Box::new(self.refused_by_gate(code))),
+            Admission::Enter | Admission::Elsewhere | Admission::Wait => Ok(None),
+        }
+    }
+
     /// A server that was not tried yet; for a suspect, in a zone where no server has ended under it if there is one.
     fn pick(&self, is_suspect: bool) -> Result<Picked, ResultCode> {
         let (service, zones) = (&self.received.service, &self.received.zones);
@@ -172,8 +185,11 @@
         give_up(told)
     }
 
-    /// An answer without a time to come back: the request is not to be sent again.
-    fn final_refusal(&mut self, code: ResultCode) -> Response<AnswerBody> {
+    /// The answer to a request that is not sent. One under quarantine is told no time to come back.
+    fn refused_by_gate(&mut self, code: ResultCode) -> Response<AnswerBody> {
+        if code != ResultCode::RequestQuarantined {
+            return self.last_word(code);
+        }
         self.account.end(code);
         refuse(code, code.meaning(), None)
     }
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -82,12 +82,48 @@
     pub answer: String,
 }
 
+/// What becomes of a request under which servers may end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub enum SuspectStep {
+    /// A server ended that had it.
+    Suspected,
+    /// It is tried at a server.
+    Tried,
+    /// It was answered whole.
+    Cleared,
+    /// It is sent to no server.
+    Refused,
+}
+
+impl SuspectStep {
+    /// Its name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            SuspectStep::Suspected => "suspected",
+            SuspectStep::Tried => "tried",
+            SuspectStep::Cleared => "cleared",
+            SuspectStep::Refused => "refused",
+        }
+    }
+
+    /// The result by which its lines are counted, so that no step keeps the lines of another back.
+    pub const fn code(self) -> ResultCode {
+        match self {
+            SuspectStep::Suspected => ResultCode::Interrupted,
+            SuspectStep::Tried => ResultCode::TrialUnderWay,
+            SuspectStep::Cleared => ResultCode::Ok,
+            SuspectStep::Refused => ResultCode::RequestQuarantined,
+        }
+    }
+}
+
 /// A step of a request under which servers may end.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct SuspectLine<'a> {
-    /// `suspected`, `tried`, `cleared` or `refused`.
-    pub step: &'static str,
+    /// The step.
+    pub step: SuspectStep,
     /// What the request is recognised by.
     pub fingerprint: String,
     /// The caller's attempt id.
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -4,7 +4,7 @@
 use super::reporting::EndedTry;
 use super::trial::{Trial, TrialAnswer};
 use crate::clock::{monotonic_ms, wall_ms};
-use crate::log_line::{LineBody, SuspectLine};
+use crate::log_line::{LineBody, SuspectLine, SuspectStep};
 use crate::logging;
 use crate::peer::submit;
 use crate::shared::Shared;
@@ -40,7 +40,8 @@
     Refused(ResultCode),
 }
 
-/// A server that has the request.
+/// A server that has the request, or is to have it.
+#[derive(Clone)]
 struct At {
     instance: String,
     zone: String,
@@ -84,7 +85,8 @@
         if self.standing() == Standing::Unsuspected {
             return Ok(false);
         }
-        self.shared.suspects.unreported_ends.known(self.fingerprint(), self.deadline).await;
+        let deadline = self.deadline.min(Instant::now() + TURN_LIMIT);
+        self.shared.suspects.unreported_ends.known(self.fingerprint(), deadline).await;
         match self.standing() {
             Standing::Unsuspected => Ok(false),
             Standing::Suspect => Ok(true),
@@ -118,7 +120,7 @@
         match Trial::ask(&self.shared, self.fingerprint(), instance, self.may_share).await {
             TrialAnswer::Granted(trial) => {
                 self.trial = Some(trial);
-                self.tell("tried");
+                self.tell(SuspectStep::Tried);
                 Admission::Enter
             }
             TrialAnswer::ServerTaken => Admission::Elsewhere,
@@ -136,7 +138,7 @@
     async fn wait(&mut self) -> Admission {
         let since = *self.waits_since.get_or_insert_with(Instant::now);
         if since.elapsed() + TURN_PAUSE >= TURN_LIMIT || Instant::now() + TURN_PAUSE >= self.deadline {
-            self.tell("refused");
+            self.tell(SuspectStep::Refused);
             return Admission::Refused(ResultCode::TrialUnderWay);
         }
         tokio::time::sleep(TURN_PAUSE).await;
@@ -155,10 +157,9 @@
 
     /// The server that had the request has ended.
     pub fn server_ended(&mut self) {
-        let Some(At { instance, zone }) = self.at.take() else { return };
-        self.at = Some(At { instance: instance.clone(), zone: zone.clone() });
+        let Some(At { instance, zone }) = self.at.clone() else { return };
         self.shared.suspects.unreported_ends.note(EndedTry { instance, zone, tried: self.tried.clone() });
-        self.tell("suspected");
+        self.tell(SuspectStep::Suspected);
         self.at = None;
         if let Some(trial) = self.trial.take() {
             trial.settled();
@@ -172,7 +173,7 @@
             return;
         }
         trial.into_iter().for_each(Trial::settled);
-        self.tell("cleared");
+        self.tell(SuspectStep::Cleared);
         let (shared, fingerprint) = (self.shared.clone(), self.fingerprint());
         let reason = format!("{} was answered, told by {}", self.tried.request, shared.settings.name);
         tokio::spawn(async move {
@@ -185,21 +186,15 @@
     }
 
     fn quarantined(&mut self) -> ResultCode {
-        self.tell("refused");
+        self.tell(SuspectStep::Refused);
         ResultCode::RequestQuarantined
     }
 
     /// Counts a step, and tells of it in the log.
-    fn tell(&self, step: &'static str) {
+    fn tell(&self, step: SuspectStep) {
         let shared = &self.shared;
-        shared.metrics.suspect_steps.with_label_values(&[step]).inc();
-        let code = match step {
-            "cleared" => ResultCode::Ok,
-            "refused" => ResultCode::RequestQuarantined,
-            "tried" => ResultCode::TrialUnderWay,
-            _ => ResultCode::Interrupted,
-        };
-        let held_back = lock(&self.shared.suspects.line_budget).take(monotonic_ms(), code);
+        shared.metrics.suspect_steps.with_label_values(&[step.name()]).inc();
+        let held_back = lock(&shared.suspects.line_budget).take(monotonic_ms(), step.code());
         let Some(held_back) = held_back else { return };
         let tables = shared.tables();
         let suspicion = &tables.gateway.suspicion;
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -51,26 +51,29 @@
             let is_suspect = self.gate.is_suspect().await.map_err(|code| self.refused_by_gate(code))?;
             let slot = self.acquire().await?;
             let place = Place::of(&slot, &self.traffic.shared.tables());
-            let mut admission = self.gate.enter(is_suspect, &place.head, &place.zone).await;
-            if admission == Admission::Elsewhere {
-                taken += 1;
-                self.avoid.push(slot.grant.replica.clone());
-                if taken >= MOST_TAKEN {
-                    taken = 0;
-                    drop(slot);
-                    admission = self.gate.all_taken().await;
-                    self.avoid.clear();
-                    if let Admission::Refused(code) = admission {
-                        return Err(self.refused_by_gate(code));
-                    }
-                }
-                continue;
-            }
-            match admission {
+            match self.gate.enter(is_suspect, &place.head, &place.zone).await {
                 Admission::Enter => return Ok(slot),
+                Admission::Elsewhere => {
+                    taken += 1;
+                    self.avoid.push(slot.grant.replica.clone());
+                }
+                Admission::Wait => {}
                 Admission::Refused(code) => return Err(self.refused_by_gate(code)),
-                Admission::Elsewhere | Admission::Wait => {}
             }
+            drop(slot);
+            if taken >= MOST_TAKEN {
+                taken = 0;
+                self.all_taken().await?;
+            }
+        }
+    }
+
+    /// Waits until replicas that were taken by other suspects may be looked at again.
+    async fn all_taken(&mut self) -> Result<(), Failure> {
+        self.avoid.clear();
+        match self.gate.all_taken().await {
+            Admission::Refused(code) => Err(self.refused_by_gate(code)),
+            Admission::Enter | Admission::Elsewhere | Admission::Wait => Ok(()),
         }
     }
 
--- a/crates/daemon/tests/gateway/requests_that_end_servers.rs
+++ b/crates/daemon/tests/gateway/requests_that_end_servers.rs
@@ -45,6 +45,19 @@
     (fleet, models)
 }
 
+/// A fleet with two plain servers in each of two zones.
+async fn with_four_plain_servers() -> (Fleet, Vec<Arc<FakeServer>>) {
+    let fleet = Fleet::start();
+    let mut servers = Vec::new();
+    for number in 0..4 {
+        let zone = if number % 2 == 0 { "z" } else { "y" };
+        servers.push(fleet.plain_server_in(zone, number).await);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    (fleet, servers)
+}
+
 /// When requests that end servers arrived at servers, in order.
 fn arrivals(servers: &[Arc<FakeServer>]) -> Vec<Instant> {
     let of =
@@ -100,14 +113,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_same_holds_for_servers_of_plain_services() -> reqwest::Result<()> {
-    let fleet = Fleet::start();
-    let mut servers = Vec::new();
-    for number in 0..4 {
-        let zone = if number % 2 == 0 { "z" } else { "y" };
-        servers.push(fleet.plain_server_in(zone, number).await);
-    }
-    fleet.configure(&configuration(1)).await;
-    fleet.wait_until_served("/plain/1").await;
+    let (fleet, servers) = with_four_plain_servers().await;
     insist(&fleet, &servers, "/plain/2").await;
     assert_contained(&arrivals(&servers));
     Ok(())
@@ -301,14 +307,7 @@
 /// What may run once is sent once for each try, and its tries are counted all the same.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_that_may_run_once_come_under_quarantine_too() -> reqwest::Result<()> {
-    let fleet = Fleet::start();
-    let mut servers = Vec::new();
-    for number in 0..4 {
-        let zone = if number % 2 == 0 { "z" } else { "y" };
-        servers.push(fleet.plain_server_in(zone, number).await);
-    }
-    fleet.configure(&configuration(1)).await;
-    fleet.wait_until_served("/plain/1").await;
+    let (fleet, servers) = with_four_plain_servers().await;
     insist(&fleet, &servers, "/once/2").await;
     assert_contained(&arrivals(&servers));
     until_refused(&fleet, 0, "/once/2", QUARANTINED).await?;
