--- a/crates/daemon/tests/gateway/requests_that_end_servers.rs
+++ b/crates/daemon/tests/gateway/requests_that_end_servers.rs
@@ -346,3 +346,20 @@
     assert_eq!(fleet.metric(0, "dockwood_sends_server_ended_total").await?, 0.0);
     Ok(())
 }
+
+/// A server that fails requests before it runs them proves nothing in favour of this one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failure_that_a_server_answers_clears_nothing() -> reqwest::Result<()> {
+    let (fleet, servers) = with_four_plain_servers().await;
+    send_fatal(&fleet, "/once/2", 0).await;
+    let failing = Manner::Fails(StatusCode::INTERNAL_SERVER_ERROR);
+    servers.iter().for_each(|server| server.set_manner(failing));
+    for number in 1..4 {
+        send_fatal(&fleet, "/once/2", number).await;
+    }
+    servers.iter().for_each(|server| server.set_manner(Manner::Sound));
+    assert_eq!(fleet.metric(0, "dockwood_suspects").await?, 1.0, "it is suspected still");
+    insist(&fleet, &servers, "/once/2").await;
+    assert_contained(&arrivals(&servers));
+    Ok(())
+}
