Only answers with success clear a suspect

Cause: any whole answer of a server was taken for proof that the request ends none, also one that the server gave instead of running it.

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -174,7 +174,9 @@
     }
 
     fn pass_on(&mut self, answer: ServerAnswer) -> Response<AnswerBody> {
-        self.gate.answered();
+        if answer.status.is_success() {
+            self.gate.answered();
+        }
         let failed = answer.status.is_server_error();
         self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
         answer.pass_on()
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -107,7 +107,9 @@
         if parts.status.is_server_error() && self.course.may_move() {
             return Err(SendOutcome::Failed);
         }
-        self.gate.answered();
+        if parts.status.is_success() {
+            self.gate.answered();
+        }
         let failed = parts.status.is_server_error();
         self.account.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
         let mut response = Response::new(whole(body));
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -154,7 +154,8 @@
     match answer.response.chunk().await? {
         Some(bytes) => Ok(Some((bytes, (answer, in_flight)))),
         None => {
-            answer.gate.iter_mut().for_each(SuspectGate::answered);
+            let gate = answer.gate.iter_mut().filter(|_| answer.response.status().is_success());
+            gate.for_each(SuspectGate::answered);
             Ok(None)
         }
     }
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -166,7 +166,8 @@
         }
     }
 
-    /// The request was answered whole: nothing speaks against it any more.
+    /// The request was answered whole and with success: nothing speaks against it any more. A failure tells nothing: a
+    /// server may answer one before it begins to run the request.
     pub fn answered(&mut self) {
         let trial = self.trial.take();
         if trial.is_none() && self.standing() == Standing::Unsuspected {
