A trial is held while it is asked for; the zones against a request are looked up for suspects alone

A caller that left while its trial was being granted left it standing for 3 s, other than its comment said. Every request looked up zones before the gate asked whether it is suspected at all.

--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -98,10 +98,13 @@
     /// is tried there first: servers that end together in a zone that fails by itself would speak against each request
     /// that is moved within it.
     pub fn elsewhere(&self, is_suspect: bool, allowed: &AllowedZones) -> Option<AllowedZones> {
+        if !is_suspect {
+            return None;
+        }
         let tables = self.shared.tables();
         let tables = &tables.gateway;
         let against = tables.suspicion.zones_against(self.fingerprint());
-        if !is_suspect || against.is_empty() {
+        if against.is_empty() {
             return None;
         }
         let of_groups = tables.groups.values().map(|group| group.zone.as_str());
--- a/crates/daemon/src/suspects/trial.rs
+++ b/crates/daemon/src/suspects/trial.rs
@@ -50,10 +50,9 @@
         let (trial, instance) = (number, instance.to_string());
         let request = TrialRequest { fingerprint, trial, instance, may_share, at_ms: wall_ms() };
         let command = CommandBody::Gateway(GatewayCommand::BeginTrial(request));
-        let answer = submit(shared, command, GRANT_LIMIT).await;
-        // Held from here on: if the answer was lost, it may have been granted.
+        // Held while it is asked for: it may be granted though the answer is lost, or the caller leaves meanwhile.
         let trial = Trial { shared: shared.clone(), fingerprint, number, asked_at, is_settled: false };
-        match answer {
+        match submit(shared, command, GRANT_LIMIT).await {
             Ok((_, Outcome::Refused(error))) => trial.refused(&error),
             Ok(_) => TrialAnswer::Granted(trial),
             Err(_) => TrialAnswer::UnderWay,
