A service call's server is given back also where its caller leaves at the gate

A pick was counted by a guard only after the gate had been asked, and given back by hand in between: a caller that left there left the pick counted for good. The guard is held from the pick on, and tells no result where the server had no call, as at the gateway; unpick is gone.

--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -80,7 +80,8 @@
     service: String,
     server: String,
     servers: usize,
-    result: CallResult,
+    /// What became of the call; `None` while the server has had none.
+    result: Option<CallResult>,
 }
 
 impl Drop for CallGuard {
@@ -88,9 +89,11 @@
         let now = monotonic_ms();
         let mut pickers = self.traffic.services.pickers();
         if let Some(picker) = pickers.get_mut(&self.service) {
-            picker.finished(now, &self.server, self.result, self.servers);
+            // A server that had no call has failed none.
+            picker.finished(now, &self.server, self.result.unwrap_or(CallResult::Answered), self.servers);
         }
-        let result = if self.result == CallResult::Answered { "answered" } else { "failed" };
+        let Some(result) = self.result else { return };
+        let result = if result == CallResult::Answered { "answered" } else { "failed" };
         self.traffic.shared.metrics.service_calls.with_label_values(&[&self.service, result]).inc();
     }
 }
@@ -187,16 +190,10 @@
     let mut body = Some(body);
     let mut may_have_run = false;
     for attempt in 0..MAX_ATTEMPTS {
-        let Some(server) = admitted_server(traffic, &service, &spec, &mut gate, may_have_run).await? else {
+        let admitted = admitted_server(traffic, &service, &spec, &mut gate, may_have_run).await?;
+        let Some((server, guard)) = admitted else {
             return Err(if may_have_run { outcome_unknown() } else { all_busy() });
         };
-        let guard = CallGuard {
-            traffic: traffic.clone(),
-            service: service.clone(),
-            server: server.name.clone(),
-            servers: spec.servers.len(),
-            result: CallResult::Failed,
-        };
         let Some((sent, spare)) = body.take().map(ServiceBody::for_sending) else { break };
         body = spare;
         sendings.note().await;
@@ -223,51 +220,62 @@
     Err(if may_have_run { outcome_unknown() } else { unreachable() })
 }
 
-/// A server to which the call may be sent; `None` if every one is at its limit.
+/// A server to which the call may be sent; `None` if every one is at its limit. Its guard is held while the gate is
+/// asked: the caller may leave meanwhile.
 async fn admitted_server(
-    traffic: &Traffic,
+    traffic: &Arc<Traffic>,
     service: &str,
     spec: &ServiceSpec,
     gate: &mut Option<SuspectGate>,
     may_have_run: bool,
-) -> Result<Option<ServiceServer>, Failure> {
-    let Some(gate) = gate else { return Ok(pick(traffic, service, spec)) };
+) -> Result<Option<(ServiceServer, CallGuard)>, Failure> {
+    let Some(gate) = gate else { return Ok(guarded_pick(traffic, service, spec)) };
     let refused = |code: ResultCode| {
         if may_have_run && code.is_not_run() { outcome_unknown() } else { Failure::new(code, code.meaning()) }
     };
     loop {
         let is_suspect = gate.is_suspect().await.map_err(refused)?;
-        let Some(server) = pick(traffic, service, spec) else { return Ok(None) };
+        let Some((server, guard)) = guarded_pick(traffic, service, spec) else { return Ok(None) };
         let mut admission = gate.enter(is_suspect, &server.name, &server.zone).await;
-        if admission != Admission::Enter {
-            unpick(traffic, service, spec, &server);
+        if admission == Admission::Enter {
+            return Ok(Some((server, guard)));
         }
+        drop(guard);
         if admission == Admission::Elsewhere {
             admission = gate.all_taken().await;
         }
-        match admission {
-            Admission::Enter => return Ok(Some(server)),
-            Admission::Refused(code) => return Err(refused(code)),
-            Admission::Elsewhere | Admission::Wait => {}
+        if let Admission::Refused(code) = admission {
+            return Err(refused(code));
         }
     }
 }
 
-/// Takes back that a server was picked; it has had no call.
-fn unpick(traffic: &Traffic, service: &str, spec: &ServiceSpec, server: &ServiceServer) {
-    if let Some(picker) = traffic.services.pickers().get_mut(service) {
-        picker.finished(monotonic_ms(), &server.name, CallResult::Answered, spec.servers.len());
-    }
+/// Picks a server, and counts the call from now on.
+fn guarded_pick(
+    traffic: &Arc<Traffic>,
+    service: &str,
+    spec: &ServiceSpec,
+) -> Option<(ServiceServer, CallGuard)> {
+    let server = pick(traffic, service, spec)?;
+    let guard = CallGuard {
+        traffic: traffic.clone(),
+        service: service.to_string(),
+        server: server.name.clone(),
+        servers: spec.servers.len(),
+        result: None,
+    };
+    Some((server, guard))
 }
 
 async fn send(
     request: reqwest::RequestBuilder,
     mut guard: CallGuard,
 ) -> Result<(reqwest::Response, CallGuard), AttemptEnd> {
+    guard.result = Some(CallResult::Failed);
     match tokio::time::timeout(HEAD_TIMEOUT, request.send()).await {
         Ok(Ok(response)) => {
             if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-                guard.result = CallResult::Answered;
+                guard.result = Some(CallResult::Answered);
             }
             Ok((response, guard))
         }
