--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -7,8 +7,7 @@
 use super::headers::{ServerHeaders, add_for_server, end_to_end};
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
-use super::regions::none_serves;
-use super::targets::{Picked, pick};
+use super::targets::{Picked, pick_for};
 use super::upstream::Upstream;
 use crate::dialect::HeaderNames;
 use crate::suspects::{Admission, SuspectGate};
@@ -125,15 +124,13 @@
             Ok(is_suspect) => is_suspect,
             Err(code) => return Err(Box::new(self.refused_by_gate(code))),
         };
-        let picked = match self.pick(is_suspect) {
+        let passed_over = [self.tried.as_slice(), &self.taken].concat();
+        let picked = match pick_for(self.gateway, self.received, &self.gate, is_suspect, &passed_over) {
             Ok(picked) => picked,
             Err(_) if !self.taken.is_empty() => {
                 let admission = self.gate.all_taken().await;
                 return self.again(admission);
             }
-            Err(ResultCode::NoServer) => {
-                return Err(Box::new(self.last_word(none_serves(self.gateway, self.received))));
-            }
             Err(code) => return Err(Box::new(self.last_word(code))),
         };
         match self.gate.enter(is_suspect, &picked.row.id, &picked.row.zone).await {
@@ -155,15 +152,6 @@
         }
     }
 
-    /// A server that was not tried yet; for a suspect, in a zone where no server has ended under it if there is one.
-    fn pick(&self, is_suspect: bool) -> Result<Picked, ResultCode> {
-        let (service, zones) = (&self.received.service, &self.received.zones);
-        let tried = [self.tried.as_slice(), &self.taken].concat();
-        let elsewhere = self.gate.elsewhere(is_suspect, zones);
-        let picked = elsewhere.and_then(|zones| pick(self.gateway, service, &zones, &tried).ok());
-        picked.map_or_else(|| pick(self.gateway, service, zones, &tried), Ok)
-    }
-
     /// The answer when there is nobody to send to any more.
     fn last_word(&mut self, code: ResultCode) -> Response<AnswerBody> {
         if let Some(kept) = self.kept.take() {
--- a/crates/daemon/src/gateway/stream/choosing.rs
+++ b/crates/daemon/src/gateway/stream/choosing.rs
@@ -5,9 +5,8 @@
 use crate::gateway::body::AnswerBody;
 use crate::gateway::loads::PlaceQuery;
 use crate::gateway::refusal::refuse;
-use crate::gateway::regions::none_serves;
 use crate::gateway::source::Source;
-use crate::gateway::targets::pick;
+use crate::gateway::targets::pick_for;
 use crate::suspects::Admission;
 use dockwood_api::ResultCode;
 use hyper::Response;
@@ -123,14 +122,8 @@
 
     /// A server of a plain service.
     fn server(&self, is_suspect: bool) -> Result<Source, ResultCode> {
-        let tried = [self.tried_servers.as_slice(), &self.taken.servers].concat();
-        let (service, zones) = (&self.received.service, &self.received.zones);
-        let elsewhere = self.gate.elsewhere(is_suspect, zones);
-        let picked = elsewhere.and_then(|zones| pick(&self.gateway, service, &zones, &tried).ok());
-        let picked = picked.map_or_else(|| pick(&self.gateway, service, zones, &tried), Ok);
-        picked.map(Source::Server).map_err(|code| match code {
-            ResultCode::NoServer => none_serves(&self.gateway, &self.received),
-            other => other,
-        })
+        let passed_over = [self.tried_servers.as_slice(), &self.taken.servers].concat();
+        let picked = pick_for(&self.gateway, &self.received, &self.gate, is_suspect, &passed_over);
+        picked.map(Source::Server)
     }
 }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,7 +1,10 @@
 //! Servers of plain services: which one takes a request.
 
+use super::receive::Received;
+use super::regions::none_serves;
 use super::{Gateway, lock};
 use crate::clock::monotonic_ms;
+use crate::suspects::SuspectGate;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
 use dockwood_grouping::{SendRate, grant_valid_ms};
@@ -75,8 +78,27 @@
     instances.filter(|row| may_run(row) && is_ready(row) && !tried.contains(&row.id)).collect()
 }
 
+/// Picks a server for a request, none of `passed_over`: for a suspect, in a zone where no server has ended under it if
+/// there is one; else why there is none.
+pub fn pick_for(
+    gateway: &Arc<Gateway>,
+    received: &Received,
+    gate: &SuspectGate,
+    is_suspect: bool,
+    passed_over: &[String],
+) -> Result<Picked, ResultCode> {
+    let (service, zones) = (&received.service, &received.zones);
+    let elsewhere = gate.elsewhere(is_suspect, zones);
+    let picked = elsewhere.and_then(|zones| pick(gateway, service, &zones, passed_over).ok());
+    let picked = picked.map_or_else(|| pick(gateway, service, zones, passed_over), Ok);
+    picked.map_err(|code| match code {
+        ResultCode::NoServer => none_serves(gateway, received),
+        other => other,
+    })
+}
+
 /// Picks a server of a service that may run the request and was not tried yet; else why there is none.
-pub fn pick(
+fn pick(
     gateway: &Arc<Gateway>,
     service: &ServiceProfile,
     zones: &AllowedZones,
