--- a/crates/daemon/src/control_directory.rs
+++ b/crates/daemon/src/control_directory.rs
@@ -1,6 +1,7 @@
 //! Where the members of the control group are reached, made anew only when a daemon's row or the seeds have changed:
 //! every call to the leader asks for it.
 
+use crate::lock::lock;
 use dockwood_state::{DaemonRow, Liveness, Tables};
 use imbl::OrdMap;
 use std::net::SocketAddr;
@@ -46,7 +47,7 @@
 impl ControlDirectory {
     /// The addresses by the tables, and `known_peers` beside them.
     pub fn addresses(&self, tables: &Tables, known_peers: &[SocketAddr]) -> Arc<ControlAddresses> {
-        let mut made = self.made.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut made = lock(&self.made);
         let is_current = made.daemons.ptr_eq(&tables.daemons) && made.known_peers == known_peers;
         if !is_current {
             made.addresses = Arc::new(addresses(tables, known_peers));
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -1,7 +1,8 @@
 //! What is told of one request: everything that was decided on it, in one line once it has ended.
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::log_line::{LineBody, RequestLine, SendLine};
 use crate::logging;
 use dockwood_api::ResultCode;
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -1,8 +1,8 @@
 //! What this entry does about servers that are cold: its part of what a plain server may get, and how long a place that
 //! it was given may be used.
 
-use super::lock;
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use dockwood_api::gateway::ColdStart;
 use dockwood_grouping::{ColdLimit, ColdPacing, SendRate, grant_valid_ms};
--- a/crates/daemon/src/gateway/dispatchers.rs
+++ b/crates/daemon/src/gateway/dispatchers.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use super::lock;
+use crate::lock::lock;
 
 /// Daemons that may dispatch a scope: the first that answers does.
 const CANDIDATES: usize = 3;
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -6,8 +6,8 @@
 pub use reports::ScopeLoad;
 
 use super::cold::place_valid_until;
-use super::lock;
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use dockwood_api::gateway::{EventPace, ModelLoad};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose, timely_event_ms};
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::scope_dispatchers::run_summaries;
 use crate::shared::Shared;
@@ -43,7 +44,7 @@
 use loads::Loads;
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 use upstream::ConnectionPool;
 
@@ -78,10 +79,6 @@
     pub operators: Option<TcpListener>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 impl Gateway {
     /// Starts the gateway's tasks on the current runtime.
     pub fn start(
--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -2,8 +2,9 @@
 //! itself: daemons near the servers gather those that tell nothing new, and pass them on together. A report that tells of
 //! a change goes on at once, with all that wait.
 
+use super::Gateway;
 use super::dispatchers::Dispatch;
-use super::{Gateway, lock};
+use crate::lock::lock;
 use crate::peer::register;
 use dockwood_api::digest::rendezvous_weight;
 use dockwood_api::gateway::InstanceReport;
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,9 +1,10 @@
 //! Servers of plain services: which one takes a request.
 
+use super::Gateway;
 use super::receive::Received;
 use super::regions::none_serves;
-use super::{Gateway, lock};
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::suspects::SuspectGate;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -4,7 +4,7 @@
 //! hyper is used directly: `reqwest` doesn't show whether a request reached its connection, and can't end a connection
 //! together with its request.
 
-use super::lock;
+use crate::lock::lock;
 use crate::suspects::{CHECK_LIMIT, is_refusal};
 use bytes::Bytes;
 use dockwood_routing::gateway::SendOutcome;
--- a/crates/daemon/src/known_leader.rs
+++ b/crates/daemon/src/known_leader.rs
@@ -1,5 +1,6 @@
 //! The control leader as this daemon last heard of it: by a lease, by its own consensus group, or by the leader itself.
 
+use crate::lock::lock;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::watch;
@@ -41,7 +42,7 @@
 
 impl KnownLeader {
     fn heard(&self) -> MutexGuard<'_, Heard> {
-        self.heard.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.heard)
     }
 
     /// Whom to ask first.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod known_leader;
 pub mod line_budget;
+pub mod lock;
 pub mod log_line;
 pub mod logging;
 pub mod metrics;
--- a/crates/daemon/src/peer/clients.rs
+++ b/crates/daemon/src/peer/clients.rs
@@ -1,6 +1,7 @@
 //! Connections to other daemons: one each, made when first used and again after a failure.
 
 use super::transport::peer_transport;
+use crate::lock::lock;
 use dockwood_api::peer::PeerClient;
 use quick_error::quick_error;
 use std::collections::HashMap;
@@ -37,7 +38,7 @@
 
 impl PeerClients {
     fn clients(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerClient>> {
-        self.clients.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.clients)
     }
 
     async fn connected(&self, address: SocketAddr) -> Result<PeerClient, PeerFailure> {
--- a/crates/daemon/src/probe/replica_watcher.rs
+++ b/crates/daemon/src/probe/replica_watcher.rs
@@ -4,6 +4,7 @@
 use super::machine_prober::probe;
 use super::reporter::Reporter;
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use dockwood_api::engine::GroupHealth;
@@ -51,9 +52,7 @@
         let own = Some(shared.settings.name.as_str());
         let mine: Vec<Arc<ReplicaRow>> =
             tables.replicas.values().filter(|row| row.watcher.as_deref() == own).cloned().collect();
-        sent.lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
-            .retain(|name, _| tables.replicas.contains_key(name));
+        lock(&sent).retain(|name, _| tables.replicas.contains_key(name));
         let looks = mine.into_iter().map(|replica| {
             let watch = Watch {
                 shared: shared.clone(),
@@ -153,7 +152,7 @@
 
     /// Notes what is about to be sent; false if nothing has changed since and it is still fresh.
     fn is_due(&self, evidence: &ReplicaEvidence, next: &Sent) -> bool {
-        let mut sent = self.sent.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut sent = lock(&self.sent);
         let before = sent.get(&evidence.replica).cloned();
         if let Some(before) = &before {
             let unchanged = (before.epoch, before.complete, &before.recipients)
@@ -199,11 +198,11 @@
     }
 
     fn echoes(&self) -> BTreeMap<String, u64> {
-        self.echoes.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+        lock(&self.echoes).clone()
     }
 
     fn note_echo(&self, daemon: &str, echo_ms: u64) {
-        let mut echoes = self.echoes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut echoes = lock(&self.echoes);
         echoes.insert(daemon.to_string(), echo_ms);
     }
 }
--- a/crates/daemon/src/probe/reporter.rs
+++ b/crates/daemon/src/probe/reporter.rs
@@ -1,6 +1,7 @@
 //! Tells the leader what was found out: changes only, and everything anew to a new leader.
 
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::shared::Shared;
 use dockwood_api::peer::{MachineState, Observation};
 use dockwood_routing::Millis;
@@ -38,7 +39,7 @@
 
 impl Reporter {
     fn findings(&self) -> MutexGuard<'_, Findings> {
-        self.findings.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.findings)
     }
 
     /// Takes a finding on a machine; told on only if it is news.
--- a/crates/daemon/src/scope_dispatchers.rs
+++ b/crates/daemon/src/scope_dispatchers.rs
@@ -2,6 +2,7 @@
 //! leader what entries told it.
 
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::peer::PeerFailure;
 use crate::shared::Shared;
 use dockwood_api::gateway::{DispatchScope, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
@@ -48,7 +49,7 @@
     }
 
     fn scopes(&self) -> MutexGuard<'_, BTreeMap<DispatchScope, Held>> {
-        self.scopes.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.scopes)
     }
 
     fn with<T>(&self, scope: &DispatchScope, act: impl FnOnce(&mut ScopeDispatch) -> T) -> T {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::control_directory::{ControlAddresses, ControlDirectory};
 use crate::gateway::Dispatchers;
 use crate::known_leader::KnownLeader;
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::published::Published;
@@ -238,7 +239,7 @@
 
     /// Remembers a daemon that asked for a lease.
     pub fn note_asker(&self, peer: SocketAddr) {
-        let mut askers = self.askers.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut askers = lock(&self.askers);
         askers.retain(|known| *known != peer);
         askers.push_back(peer);
         if askers.len() > ASKERS {
@@ -248,7 +249,7 @@
 
     /// A daemon that asked for a lease, another one each time.
     pub fn next_asker(&self) -> Option<SocketAddr> {
-        let mut askers = self.askers.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut askers = lock(&self.askers);
         let asker = askers.pop_front()?;
         askers.push_back(asker);
         Some(asker)
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -1,9 +1,9 @@
 //! One request's gate: whether it may be sent, and what its sends tell.
 
-use super::lock;
 use super::reporting::EndedTry;
 use super::trial::{Trial, TrialAnswer};
 use crate::clock::{monotonic_ms, wall_ms};
+use crate::lock::lock;
 use crate::log_line::{LineBody, SuspectLine, SuspectStep};
 use crate::logging;
 use crate::peer::submit;
--- a/crates/daemon/src/suspects/mod.rs
+++ b/crates/daemon/src/suspects/mod.rs
@@ -15,7 +15,7 @@
 use reporting::UnreportedEnds;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -30,10 +30,6 @@
     line_budget: Mutex<LineBudget>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Whether an error of connecting says that no process listens at the address. A cut, a machine without power and a slow
 /// server answer nothing.
 pub fn is_refusal(error: &std::io::Error) -> bool {
--- a/crates/daemon/src/suspects/reporting.rs
+++ b/crates/daemon/src/suspects/reporting.rs
@@ -1,7 +1,7 @@
 //! Brings what this entry saw of servers' ends to the log.
 
-use super::lock;
 use crate::clock::wall_ms;
+use crate::lock::lock;
 use crate::peer::submit;
 use crate::shared::Shared;
 use dockwood_api::gateway::Fingerprint;
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -1,6 +1,7 @@
 //! The time line of this daemon: a bounded ring of events, each also a line in the log.
 
 use crate::clock::wall_ms;
+use crate::lock::lock;
 use crate::log_line::{EventLine, LineBody};
 use crate::logging;
 use dockwood_api::ResultCode;
@@ -32,7 +33,7 @@
     }
 
     fn ring(&self) -> std::sync::MutexGuard<'_, Ring> {
-        self.ring.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.ring)
     }
 
     /// The clock as it stands, for a message to another daemon.
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 pub mod services;
 pub mod slots;
 
+use crate::lock::lock;
 use crate::shared::Shared;
 use chat::Failure;
 use dockwood_api::ResultCode;
@@ -67,12 +68,12 @@
     }
 
     fn count_request(&self) {
-        self.retry_budget.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).record_request();
+        lock(&self.retry_budget).record_request();
     }
 
     /// Counts a retry, if the budget allows one.
     fn try_retry(&self, reason: &str) -> bool {
-        let allowed = self.retry_budget.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).try_retry();
+        let allowed = lock(&self.retry_budget).try_retry();
         if allowed {
             self.shared.metrics.retries.with_label_values(&[reason]).inc();
         } else {
--- a/crates/daemon/src/traffic/pools.rs
+++ b/crates/daemon/src/traffic/pools.rs
@@ -4,6 +4,7 @@
 //! entry turns to it.
 
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::probe::Reporter;
 use crate::shared::Shared;
 use dockwood_api::peer::{AcquireReply, AcquireRequest, ReplicaEvidence, SlotReturn};
@@ -54,7 +55,7 @@
 
 impl PoolHost {
     fn state(&self) -> MutexGuard<'_, HostState> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.state)
     }
 }
 
@@ -65,7 +66,7 @@
     }
 
     fn hosts(&self) -> MutexGuard<'_, BTreeMap<String, Arc<PoolHost>>> {
-        self.hosts.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.hosts)
     }
 
     fn host(&self, pool: &str) -> Option<Arc<PoolHost>> {
--- a/crates/daemon/src/traffic/records.rs
+++ b/crates/daemon/src/traffic/records.rs
@@ -4,6 +4,7 @@
 
 use super::Traffic;
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::peer::PeerFailure;
 use dockwood_api::caller::Outcome;
 use dockwood_api::digest::rendezvous_weight;
@@ -65,7 +66,7 @@
 
 impl RecordStore {
     fn store_guard(&self) -> MutexGuard<'_, Store> {
-        self.store.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.store)
     }
 
     /// Keeps a record; answers the one that was there before, without its answer.
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -3,6 +3,7 @@
 use super::chat::Failure;
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::suspects::{Admission, SuspectGate, has_ended};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
@@ -100,7 +101,7 @@
 
 impl ServiceRouter {
     fn pickers(&self) -> MutexGuard<'_, HashMap<String, BackendPicker>> {
-        self.pickers.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.pickers)
     }
 }
 
--- a/crates/daemon/src/traffic/slots.rs
+++ b/crates/daemon/src/traffic/slots.rs
@@ -2,6 +2,7 @@
 
 use super::pools::PoolHosts;
 use crate::clock::monotonic_ms;
+use crate::lock::lock;
 use crate::shared::Shared;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
@@ -89,7 +90,7 @@
     }
 
     fn pools(&self) -> MutexGuard<'_, BTreeMap<String, PoolSlots>> {
-        self.pools.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.pools)
     }
 
     /// Waits for a slot until the deadline. The coordinator is asked; its standby if it fails to answer.
--- a/crates/daemon/src/wakefulness.rs
+++ b/crates/daemon/src/wakefulness.rs
@@ -1,6 +1,7 @@
 //! Notices that this process did not run for a while: it was stopped, or its machine slept. What it believes is as old as
 //! that, though no lease may have run out, and nobody could tell it meanwhile.
 
+use crate::lock::lock;
 use dockwood_routing::Millis;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::Notify;
@@ -28,7 +29,7 @@
 
 impl Wakefulness {
     fn seen(&self) -> MutexGuard<'_, Seen> {
-        self.seen.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.seen)
     }
 
     /// Notes that the process runs now. Returns when it last woke: what was learnt or asked for before is not to be relied
--- a/crates/daemon/src/watch_hub.rs
+++ b/crates/daemon/src/watch_hub.rs
@@ -1,5 +1,6 @@
 //! What changed at which revision, for watches.
 
+use crate::lock::lock;
 use dockwood_api::resource::ResourceKey;
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Mutex;
@@ -22,7 +23,7 @@
 
 impl WatchHub {
     fn changes(&self) -> std::sync::MutexGuard<'_, Changes> {
-        self.changes.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.changes)
     }
 
     /// Notes what a revision touched.
