What servers' answers say is logged with each send: status, Retry-After, leaving; and who chose the server

Cause: SaidNotRun in a request's line stands for another server's 421, a full queue and a server that asks for rest alike, and no line tells whether a dispatcher or the entry chose the server, so that the hypotheses of the incident can't be told apart. Change: Retry-After (seconds, fractions, dates, several) and the mark of leaving are read of each answer's head; request lines and dockctl trace show them; dockwood_server_signals_total counts them, those that can't be read too. Nothing is decided by them.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -30,6 +30,8 @@
     pub not_run: &'static str,
     /// A server's rank of a request.
     pub rank: &'static str,
+    /// Shows that the server that answers is about to leave: `1`.
+    pub leaving: &'static str,
 }
 
 /// A call of an operator or a server.
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -3,11 +3,12 @@
 use super::Gateway;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
-use crate::log_line::{LineBody, RequestLine, SendLine};
+use crate::log_line::{ChosenBy, LineBody, RequestLine, SendLine};
 use crate::logging;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::SendOutcome;
+use dockwood_routing::pushback::{AnswerSignals, LeavingMark};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -76,9 +77,33 @@
     }
 
     /// Notes that it is sent to a server.
-    pub fn sent(&mut self, instance: &str, epoch: Option<u64>) {
-        let at_ms = self.elapsed_ms();
-        self.sends.push(SendLine { instance: instance.to_string(), epoch, at_ms, ended: None });
+    pub fn sent(&mut self, instance: &str, epoch: Option<u64>, chosen_by: Option<ChosenBy>) {
+        self.sends.push(SendLine {
+            instance: instance.to_string(),
+            epoch,
+            at_ms: self.elapsed_ms(),
+            chosen_by,
+            ended: None,
+            status: None,
+            retry_after_ms: None,
+            leaving: false,
+        });
+    }
+
+    /// Notes what the head of the answer to the last send says.
+    pub fn head_received(&mut self, signals: &AnswerSignals) {
+        let asked = [
+            ("rest", signals.pushback_ms().is_some()),
+            ("leaving", signals.leaving == LeavingMark::Leaving),
+            ("unreadable", signals.is_unreadable()),
+        ];
+        for (signal, _) in asked.iter().filter(|(_, is_asked)| *is_asked) {
+            self.gateway.shared.metrics.server_signals.with_label_values(&[*signal]).inc();
+        }
+        let Some(last) = self.sends.last_mut() else { return };
+        last.status = Some(signals.status);
+        last.retry_after_ms = signals.pushback_ms();
+        last.leaving = signals.leaving == LeavingMark::Leaving;
     }
 
     /// Notes that the last send did not bring the answer.
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -8,6 +8,7 @@
 use super::cold::place_valid_until;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
+use crate::log_line::ChosenBy;
 use dockwood_api::gateway::{EventPace, ModelLoad};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose, timely_event_ms};
@@ -61,6 +62,8 @@
     pub valid_until: Option<Millis>,
     /// Zone of its head.
     pub zone: String,
+    /// Who chose it.
+    pub chosen_by: ChosenBy,
 }
 
 impl Drop for GroupPlace {
@@ -104,6 +107,7 @@
     groups: &mut BTreeMap<u64, GroupState>,
     epoch: u64,
     asked_at: Millis,
+    chosen_by: ChosenBy,
 ) -> Option<GroupPlace> {
     let group = groups.get_mut(&epoch)?;
     group.in_flight += 1;
@@ -112,7 +116,8 @@
     let is_limited = group.is_cold(monotonic_ms());
     let valid_until = place_valid_until(&tables.gateway, &group.row.service, is_limited, asked_at);
     let (head, zone, is_cold) = (group.row.head, group.row.zone.clone(), group.row.head_is_cold);
-    Some(GroupPlace { gateway: gateway.clone(), epoch, head, instance, is_cold, valid_until, zone })
+    let gateway = gateway.clone();
+    Some(GroupPlace { gateway, epoch, head, instance, is_cold, valid_until, zone, chosen_by })
 }
 
 impl Loads {
@@ -230,7 +235,8 @@
             gateway.loads.urgent.notify_one();
             return PlaceAnswer::Full;
         };
-        place_at(gateway, &mut groups, epoch as u64, now).map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
+        place_at(gateway, &mut groups, epoch as u64, now, ChosenBy::Entry)
+            .map_or(PlaceAnswer::Full, PlaceAnswer::Taken)
     }
 
     /// Takes a place that a dispatcher has assigned, which was asked at `asked_at`; `None` if the group is not known
@@ -246,7 +252,7 @@
         if !query.zones.contains(&group.row.zone) {
             return None;
         }
-        place_at(gateway, &mut groups, epoch, asked_at)
+        place_at(gateway, &mut groups, epoch, asked_at, ChosenBy::Dispatcher)
     }
 
     /// Groups of a model whose heads are cold.
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -4,7 +4,7 @@
 use super::account::RequestAccount;
 use super::body::{AnswerBody, read_whole, whole};
 use super::evacuation::may_write;
-use super::headers::{ServerHeaders, add_for_server, end_to_end};
+use super::headers::{ServerHeaders, add_for_server, end_to_end, signals_of};
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
 use super::targets::{Picked, pick_for};
@@ -188,7 +188,7 @@
     async fn send(&mut self, picked: Picked) -> Result<ServerAnswer, SendOutcome> {
         // A connection that rested may be closed at this moment: what may run only once never goes out on one.
         let fresh = !self.received.route.is_repeatable();
-        self.account.sent(&picked.row.id, None);
+        self.account.sent(&picked.row.id, None, None);
         let Ok(mut upstream) = self.gateway.pool.connection(picked.row.address, fresh).await else {
             picked.ended(CallResult::Failed);
             return Err(SendOutcome::NotSent);
@@ -210,7 +210,7 @@
             return Err(SendOutcome::NotSent);
         }
         self.in_flight = true;
-        let answer = exchange(self.gateway, &mut upstream, request, self.received).await;
+        let answer = exchange(self.gateway, &mut upstream, request, self.received, &mut self.account).await;
         self.in_flight = false;
         match answer {
             Ok(answer) => {
@@ -286,11 +286,13 @@
     upstream: &mut Upstream,
     request: Request<Full<Bytes>>,
     received: &Received,
+    account: &mut RequestAccount,
 ) -> Result<ServerAnswer, SendOutcome> {
     let names = gateway.dialect.headers();
     let address = upstream.address();
     let Ok(response) = upstream.send(request).await else { return Err(gateway.pool.broken(address).await) };
     let (parts, body) = response.into_parts();
+    account.head_received(&signals_of(parts.status, &parts.headers, names));
     if !belongs(&parts.headers, names, received) {
         return Err(SendOutcome::Unknown);
     }
--- a/crates/daemon/src/gateway/source.rs
+++ b/crates/daemon/src/gateway/source.rs
@@ -3,6 +3,7 @@
 use super::Gateway;
 use super::loads::GroupPlace;
 use super::targets::Picked;
+use crate::log_line::ChosenBy;
 use std::net::SocketAddr;
 
 /// Where a stream comes from.
@@ -48,6 +49,14 @@
         }
     }
 
+    /// Who chose it, if it is a group.
+    pub fn chosen_by(&self) -> Option<ChosenBy> {
+        match self {
+            Source::Group(place) => Some(place.chosen_by),
+            Source::Server(_) => None,
+        }
+    }
+
     /// Epoch of its group, if it heads one.
     pub fn epoch(&self) -> Option<u64> {
         match self {
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -3,7 +3,7 @@
 use super::{Head, Reading, StreamCourse};
 use crate::gateway::body::{AnswerBody, read_whole, whole};
 use crate::gateway::evacuation::may_write;
-use crate::gateway::headers::end_to_end;
+use crate::gateway::headers::{end_to_end, signals_of};
 use crate::gateway::plain::{belongs, promises_falsely, request_for, says_not_run};
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{abandon, broken, stands_still};
@@ -28,7 +28,7 @@
             Some(epoch) => self.tried_groups.push(epoch),
             None => self.tried_servers.push(instance.clone()),
         }
-        self.account.sent(&instance, epoch);
+        self.account.sent(&instance, epoch, source.chosen_by());
         let fresh = !self.received.route.is_repeatable();
         let mut upstream = match self.gateway.pool.connection(source.address(), fresh).await {
             Ok(upstream) => upstream,
@@ -81,6 +81,7 @@
     ) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
         let (parts, body) = response.into_parts();
         let names = self.gateway.dialect.headers();
+        self.account.head_received(&signals_of(parts.status, &parts.headers, names));
         if !belongs(&parts.headers, names, &self.received) {
             return Err(SendOutcome::Unknown);
         }
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -229,9 +229,31 @@
     pub epoch: Option<u64>,
     /// When, in milliseconds after the request's arrival.
     pub at_ms: u64,
+    /// Who chose the server, for a model server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub chosen_by: Option<ChosenBy>,
     /// How it ended, if it did not bring the answer.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ended: Option<String>,
+    /// Status of the server's answer, if there was one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub status: Option<u16>,
+    /// For how long the server asked to be sent nothing, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// The server said that it leaves.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
+
+/// Who chose the group for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub enum ChosenBy {
+    /// The control leader, or the dispatcher of its groups.
+    Dispatcher,
+    /// This entry, by its own figures.
+    Entry,
 }
 
 impl<'a> EventLine<'a> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,8 @@
     pub retries_refused: IntCounter,
     /// Sends that ended with the process of their server.
     pub sends_server_ended: IntCounter,
+    /// Answers by which servers asked for something, by what: to rest, to leave, or something that can't be read.
+    pub server_signals: IntCounterVec,
     /// Steps of requests under which servers may end, by step.
     pub suspect_steps: IntCounterVec,
     /// Requests that are suspected, as far as this daemon knows.
@@ -178,6 +180,11 @@
                 "dockwood_sends_server_ended_total",
                 "Sends that ended with the process of their server",
             )?,
+            server_signals: counters(
+                "dockwood_server_signals_total",
+                "Answers by which servers asked for something",
+                &["signal"],
+            )?,
             suspect_steps: counters(
                 "dockwood_suspect_steps_total",
                 "Steps of requests under which servers may end",
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -19,6 +19,7 @@
     own_instance: "dockwood-own-instance",
     not_run: "dockwood-not-run",
     rank: "dockwood-rank",
+    leaving: "dockwood-leaving",
 };
 const READINESS: &str = "/readyz";
 const DIRECTORY: &str = "/v1/entries";
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -1,6 +1,6 @@
 //! Puts the log lines of all daemons that concern one request into one account, in order of time.
 
-use dockwood_log_lines::{Body, Event, Line, Request, Suspect};
+use dockwood_log_lines::{Body, Event, Line, Request, Send, Suspect};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Events this long before a request's arrival may have led to its end, in milliseconds.
@@ -51,9 +51,7 @@
         ),
     )];
     for send in &request.sends {
-        let group = send.epoch.map_or(String::new(), |epoch| format!(" of g{epoch}"));
-        let ended = send.ended.as_deref().map_or(String::new(), |ended| format!(", which ended: {ended}"));
-        course.push(told(arrived + send.at_ms, format!("sent to {}{group}{ended}", send.instance)));
+        course.push(told(arrived + send.at_ms, send_told(send)));
     }
     if let Some(first) = request.first_event_ms {
         course.push(told(arrived + first, "first event passed on".to_string()));
@@ -74,6 +72,19 @@
     course
 }
 
+/// One send: to whom, on whose choice, and what the server's answer said.
+fn send_told(send: &Send) -> String {
+    let group = send.epoch.map_or(String::new(), |epoch| format!(" of g{epoch}"));
+    let chosen_by =
+        send.chosen_by.as_deref().map_or(String::new(), |chooser| format!(" chosen by {chooser}"));
+    let ended = send.ended.as_deref().map_or(String::new(), |ended| format!(", which ended: {ended}"));
+    let status = send.status.map_or(String::new(), |status| format!("; answered {status}"));
+    let rest =
+        send.retry_after_ms.map_or(String::new(), |rest_ms| format!(", asked for {rest_ms} ms of rest"));
+    let leaving = if send.leaving { ", said that it leaves" } else { "" };
+    format!("sent to {}{group}{chosen_by}{ended}{status}{rest}{leaving}", send.instance)
+}
+
 /// What happened around it: to the groups it was sent to, to its daemon, and how many groups served its model. What the
 /// tries of the same request led to is told whenever it was: a quarantine lasts.
 fn surroundings(lines: &[Line], line: &Line, request: &Request, arrived: u64) -> Vec<Told> {
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -158,8 +158,17 @@
     pub epoch: Option<u64>,
     /// When, in milliseconds after the request's arrival.
     pub at_ms: u64,
+    /// Who chose the server.
+    pub chosen_by: Option<String>,
     /// How it ended, if it did not bring the answer.
     pub ended: Option<String>,
+    /// Status of the server's answer, if there was one.
+    pub status: Option<u16>,
+    /// For how long the server asked to be sent nothing, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+    /// The server said that it leaves.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// A step of a request under which servers may end.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod gate;
 pub mod gateway;
 mod prefix;
+pub mod pushback;
 mod retry;
 mod service;
 
--- /dev/null
+++ b/crates/routing/tests/signals.rs
@@ -0,0 +1,84 @@
+//! What answers ask of whoever gets them: every form of `Retry-After`, and the mark of a server that leaves.
+
+use dockwood_routing::pushback::{AnswerSignals, LeavingMark, RetryAfter};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use yare::parameterized;
+
+/// 2026-12-03 10:00:00 UTC.
+fn now() -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_796_292_000)
+}
+
+fn retry_after(values: &[&str]) -> RetryAfter {
+    RetryAfter::read(values.iter().map(|value| value.as_bytes()), now())
+}
+
+#[parameterized(
+    none = { &[], RetryAfter::Absent },
+    whole_seconds = { &["3"], RetryAfter::After(3_000) },
+    fraction = { &["0.25"], RetryAfter::After(250) },
+    below_a_millisecond_is_one = { &["0.0001"], RetryAfter::After(1) },
+    blanks_around = { &[" 2 "], RetryAfter::After(2_000) },
+    zero = { &["0"], RetryAfter::After(0) },
+    a_year = { &["31536000"], RetryAfter::After(31_536_000_000) },
+    beyond_all_time = { &["9999999999999999999999999999"], RetryAfter::After(u64::MAX) },
+    negative = { &["-1"], RetryAfter::Unreadable },
+    sign = { &["+1"], RetryAfter::Unreadable },
+    exponent = { &["1e3"], RetryAfter::Unreadable },
+    not_a_number = { &["NaN"], RetryAfter::Unreadable },
+    infinite = { &["inf"], RetryAfter::Unreadable },
+    two_points = { &["1.2.3"], RetryAfter::Unreadable },
+    a_point_alone = { &["."], RetryAfter::Unreadable },
+    empty = { &[""], RetryAfter::Unreadable },
+    unit = { &["3s"], RetryAfter::Unreadable },
+    word = { &["soon"], RetryAfter::Unreadable },
+    date = { &["Thu, 03 Dec 2026 10:00:07 GMT"], RetryAfter::After(7_000) },
+    date_that_has_passed = { &["Thu, 03 Dec 2026 09:59:00 GMT"], RetryAfter::After(0) },
+    several = { &["1", "4", "2"], RetryAfter::After(4_000) },
+    one_of_several_unreadable = { &["soon", "2"], RetryAfter::After(2_000) },
+)]
+fn a_time_to_come_back_is_read(values: &[&str], expected: RetryAfter) {
+    assert_eq!(retry_after(values), expected);
+}
+
+#[test]
+fn bytes_that_are_no_text_are_unreadable() {
+    let bytes: [&[u8]; 1] = [&[0xff, 0xfe]];
+    assert_eq!(RetryAfter::read(bytes.into_iter(), now()), RetryAfter::Unreadable);
+}
+
+#[parameterized(
+    none = { &[], LeavingMark::Absent },
+    leaves = { &["1"], LeavingMark::Leaving },
+    blanks_around = { &[" 1 "], LeavingMark::Leaving },
+    does_not_leave = { &["0"], LeavingMark::Absent },
+    twice = { &["1", "1"], LeavingMark::Leaving },
+    contradiction = { &["0", "1"], LeavingMark::Leaving },
+    word = { &["true"], LeavingMark::Unreadable },
+    another_number = { &["2"], LeavingMark::Unreadable },
+    empty = { &[""], LeavingMark::Unreadable },
+)]
+fn a_server_that_leaves_is_told_by_its_mark(values: &[&str], expected: LeavingMark) {
+    assert_eq!(LeavingMark::read(values.iter().map(|value| value.as_bytes())), expected);
+}
+
+#[parameterized(
+    unavailable = { 503, RetryAfter::After(3_000), Some(3_000), false },
+    too_many_requests = { 429, RetryAfter::After(3_000), Some(3_000), false },
+    redirection = { 301, RetryAfter::After(3_000), None, false },
+    success = { 200, RetryAfter::After(3_000), None, false },
+    no_time_at_all = { 503, RetryAfter::After(0), None, false },
+    nothing_asked = { 503, RetryAfter::Absent, None, false },
+    unreadable = { 503, RetryAfter::Unreadable, None, true },
+    unreadable_where_it_means_nothing = { 200, RetryAfter::Unreadable, None, false },
+)]
+fn rest_is_asked_for_by_rejections_alone(
+    status: u16,
+    retry_after: RetryAfter,
+    pushback_ms: Option<u64>,
+    is_unreadable: bool,
+) {
+    let signals = AnswerSignals { status, retry_after, leaving: LeavingMark::Absent };
+    assert_eq!(signals.pushback_ms(), pushback_ms);
+    assert_eq!(signals.is_unreadable(), is_unreadable);
+}
