--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod regions;
 mod requests_that_end_servers;
 mod servers;
+mod servers_that_ask_for_rest;
 
 use fixture::{Fleet, LIMIT, configuration, eventually};
 use reqwest::StatusCode;
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -4,7 +4,7 @@
     GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport, MembershipState,
 };
 use futures::stream;
-use poem::http::StatusCode;
+use poem::http::{HeaderValue, StatusCode};
 use poem::listener::TcpListener;
 use poem::web::Data;
 use poem::{Body, EndpointExt, IntoResponse, Request, Response, Route, Server, handler};
@@ -38,6 +38,8 @@
     Sound,
     /// Refuses, and says that it did not run the request.
     Sheds,
+    /// The same, and says when it wants the next request.
+    AsksForRest(Rest),
     /// Runs the request and closes the connection without an answer.
     LosesAnswers,
     /// Runs the request, and answers with a status that says otherwise.
@@ -46,6 +48,33 @@
     Holds,
 }
 
+/// How a server asks for rest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest {
+    /// Status of its answers.
+    pub status: StatusCode,
+    /// For how long it wants nothing, in seconds.
+    pub seconds: u64,
+    /// Whether its answers also say that the request did not run.
+    pub says_not_run: bool,
+}
+
+impl Rest {
+    /// As most servers ask for it.
+    pub fn of(seconds: u64) -> Rest {
+        Rest { status: StatusCode::SERVICE_UNAVAILABLE, seconds, says_not_run: true }
+    }
+}
+
+/// A request that reached a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub attempt: String,
+    /// For how long the answer asked to be sent nothing.
+    pub asked: Option<Duration>,
+}
+
 /// One server.
 pub struct FakeServer {
     pub id: String,
@@ -66,8 +95,10 @@
     pub tenants: Mutex<Vec<String>>,
     /// For how long it says that it is still cold.
     pub cold_ms: AtomicU64,
-    /// When requests arrived, those among them that it refused; without those that were meant for another server.
-    pub arrivals: Mutex<Vec<Instant>>,
+    /// Requests that arrived, those among them that it refused; without those that were meant for another server.
+    arrivals: Mutex<Vec<Arrival>>,
+    /// It says in all its answers that it is about to leave, whatever it reports.
+    pub says_leaving: AtomicBool,
     /// When requests arrived that end servers, here and at the instances that followed this one.
     pub fatal_arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Models whose weights its host keeps.
@@ -135,6 +166,7 @@
             tenants: Mutex::default(),
             cold_ms: AtomicU64::new(0),
             arrivals: Mutex::default(),
+            says_leaving: AtomicBool::new(false),
             fatal_arrivals,
             staged: Mutex::default(),
             keeps_id: id.starts_with(KEEPS_ID),
@@ -159,7 +191,12 @@
 
     /// When requests arrived since `since`.
     pub fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
-        lock(&self.arrivals).iter().copied().filter(|at| *at >= since).collect()
+        self.requests_since(since).iter().map(|arrival| arrival.at).collect()
+    }
+
+    /// Requests that arrived since `since`.
+    pub fn requests_since(&self, since: Instant) -> Vec<Arrival> {
+        lock(&self.arrivals).iter().filter(|arrival| arrival.at >= since).cloned().collect()
     }
 
     /// Ends as a process does: its port refuses, its connections break, it reports nothing. It is back some time later.
@@ -289,12 +326,38 @@
         let refusal = StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt);
         return refusal.with_header("dockwood-own-instance", &server.id).into_response();
     }
-    lock(&server.arrivals).push(Instant::now());
     let manner = *lock(&server.manner);
+    let asked = match manner {
+        Manner::AsksForRest(rest) => Some(Duration::from_secs(rest.seconds)),
+        _ => None,
+    };
+    lock(&server.arrivals).push(Arrival { at: Instant::now(), attempt: attempt.clone(), asked });
+    let mut answer = answer(server.clone(), request, body, manner, attempt).await;
+    if server.says_leaving.load(Ordering::SeqCst) {
+        answer.headers_mut().insert("dockwood-leaving", HeaderValue::from_static("1"));
+    }
+    answer
+}
+
+async fn answer(
+    server: Arc<FakeServer>,
+    request: &Request,
+    body: Vec<u8>,
+    manner: Manner,
+    attempt: String,
+) -> Response {
     if manner == Manner::Sheds {
         let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("dockwood-not-run", "1");
         return refusal.with_header("dockwood-attempt", attempt).into_response();
     }
+    if let Manner::AsksForRest(rest) = manner {
+        let refusal = rest.status.with_header("dockwood-attempt", attempt);
+        let mut refusal = refusal.with_header("retry-after", rest.seconds.to_string()).into_response();
+        if rest.says_not_run {
+            refusal.headers_mut().insert("dockwood-not-run", HeaderValue::from_static("1"));
+        }
+        return refusal;
+    }
     server.runs.fetch_add(1, Ordering::SeqCst);
     lock(&server.tenants).extend(header(request, "dockwood-tenant"));
     if manner == Manner::LosesAnswers {
