Servers that ask for rest get it, and servers that say that they leave get nothing new

Cause: what a server's answer asks of its receiver had no place where it is kept. 503 was read as not run and nothing else; the next request chose that server as before, and first of all, since a server that rejects within a millisecond has the fewest requests in flight. Change: one table of servers that are held back, by id and start of the process; entries pass over them when they choose (dispatchers are told to exclude them), and nothing is written to a server without a permit of that table, asked for at the moment of writing. Every answer's head is learnt from. After a rest one request goes first; entries come back spread so that a server gets as many as it has places in a second. Where all who could serve rest, a request is refused at once with 2033 and the time at which the first of them may be asked, or waits where that is within half of its target.

--- a/crates/api/src/gateway/instance.rs
+++ b/crates/api/src/gateway/instance.rs
@@ -38,11 +38,14 @@
     pub state: MembershipState,
 }
 
-/// What a server tells of itself. Each start of a server is another instance.
+/// What a server tells of itself. Each start of a server is another instance, and usually has another id.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceReport {
-    /// Identifies this start of the server.
+    /// Identifies this start of the server, unless it keeps its id when it starts again.
     pub id: String,
+    /// When its process started, in milliseconds since the Unix epoch by its own clock; `None` if it doesn't tell.
+    #[serde(default)]
+    pub started_ms: Option<u64>,
     /// Service that it belongs to.
     pub service: String,
     /// Where it takes requests and orders.
--- a/crates/api/tests/gateway.rs
+++ b/crates/api/tests/gateway.rs
@@ -117,6 +117,7 @@
 
 fn report(sequence: u64, cold_ms: u64) -> InstanceReport {
     InstanceReport {
+        started_ms: None,
         id: "a".to_string(),
         service: "s".to_string(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
--- a/crates/control/tests/cold_servers.rs
+++ b/crates/control/tests/cold_servers.rs
@@ -6,6 +6,7 @@
 
 fn report(sequence: u64, cold_ms: u64) -> InstanceReport {
     InstanceReport {
+        started_ms: None,
         id: "s".to_string(),
         service: "writer".to_string(),
         address: ([127, 0, 0, 1], 1_000).into(),
--- a/crates/control/tests/departures.rs
+++ b/crates/control/tests/departures.rs
@@ -17,6 +17,7 @@
 fn report(number: u16, sequence: u64, state: Option<MembershipState>) -> InstanceReport {
     let membership = |state| MembershipReport { group: GROUP.to_string(), epoch: EPOCH, state };
     InstanceReport {
+        started_ms: None,
         id: format!("s{number}"),
         service: SERVICE.to_string(),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
--- a/crates/control/tests/evacuation.rs
+++ b/crates/control/tests/evacuation.rs
@@ -14,6 +14,7 @@
 
 fn row(zone: &str, number: u16) -> InstanceRow {
     InstanceRow::from(&InstanceReport {
+        started_ms: None,
         id: format!("s{number}"),
         service: SERVICE.to_string(),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
--- a/crates/control/tests/hearing.rs
+++ b/crates/control/tests/hearing.rs
@@ -104,6 +104,7 @@
             MembershipReport { group: group.name.clone(), epoch: group.epoch, state }
         });
         InstanceReport {
+            started_ms: None,
             id,
             service: "s".to_string(),
             address: SocketAddr::from(([127, 0, 0, 2], 1_000 + number as u16)),
--- a/crates/control/tests/probes.rs
+++ b/crates/control/tests/probes.rs
@@ -14,6 +14,7 @@
 
 fn report(number: u16) -> InstanceReport {
     InstanceReport {
+        started_ms: None,
         id: format!("s{number}"),
         service: SERVICE.to_string(),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
--- a/crates/control/tests/successors.rs
+++ b/crates/control/tests/successors.rs
@@ -12,6 +12,7 @@
 
 fn report(id: &str, state: InstanceState) -> InstanceReport {
     InstanceReport {
+        started_ms: None,
         id: id.to_string(),
         service: "board".to_string(),
         address: ([127, 0, 0, 1], 1_000).into(),
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -22,6 +22,7 @@
     last_event_ms: u64,
     longest_pause_ms: Option<u64>,
     sends: Vec<SendLine>,
+    held: Vec<String>,
     ended: Option<ResultCode>,
 }
 
@@ -58,6 +59,7 @@
             last_event_ms: 0,
             longest_pause_ms: None,
             sends: Vec::new(),
+            held: Vec::new(),
             ended: None,
         }
     }
@@ -92,14 +94,6 @@
 
     /// Notes what the head of the answer to the last send says.
     pub fn head_received(&mut self, signals: &AnswerSignals) {
-        let asked = [
-            ("rest", signals.pushback_ms().is_some()),
-            ("leaving", signals.leaving == LeavingMark::Leaving),
-            ("unreadable", signals.is_unreadable()),
-        ];
-        for (signal, _) in asked.iter().filter(|(_, is_asked)| *is_asked) {
-            self.gateway.shared.metrics.server_signals.with_label_values(&[*signal]).inc();
-        }
         let Some(last) = self.sends.last_mut() else { return };
         last.status = Some(signals.status);
         last.retry_after_ms = signals.pushback_ms();
@@ -116,6 +110,11 @@
         }
     }
 
+    /// Notes servers that would have taken it, and rest or leave.
+    pub fn held(&mut self, servers: Vec<String>) {
+        self.held = servers;
+    }
+
     /// Notes that an event was passed on.
     pub fn event_passed(&mut self) {
         let now_ms = self.elapsed_ms();
@@ -143,6 +142,9 @@
         if code == ResultCode::ZoneEvacuated {
             shared.metrics.kept_from_evacuated_zones.with_label_values(&["refused"]).inc();
         }
+        if code == ResultCode::ServersResting {
+            shared.metrics.held_back.with_label_values(&["refused"]).inc();
+        }
         let now = monotonic_ms();
         let Some(held_back) = lock(&self.gateway.line_budget).take(now, code) else {
             shared.metrics.request_lines_held_back.inc();
@@ -170,6 +172,7 @@
             longest_pause_ms: self.longest_pause_ms,
             prompt_tokens: has_model.then_some(about.prompt_tokens),
             sends: &self.sends,
+            servers_held: &self.held,
             held_back,
         };
         logging::write(&shared.settings.name, LineBody::Request(line));
--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -5,6 +5,7 @@
 use super::dispatchers::Dispatch;
 use super::evacuation::no_group_code;
 use super::loads::{GroupPlace, Loads, PlaceAnswer, PlaceQuery};
+use super::unavailable::Unavailable;
 use crate::clock::monotonic_ms;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{DispatchScope, PlaceReply, PlaceRequest};
@@ -51,7 +52,7 @@
     gateway: &Arc<Gateway>,
     query: PlaceQuery<'_>,
     deadline: Instant,
-) -> Result<GroupPlace, ResultCode> {
+) -> Result<GroupPlace, Unavailable> {
     loop {
         // Asked for first, so that what changes while the place is asked for is not missed.
         let freed = gateway.loads.place_freed();
@@ -59,17 +60,25 @@
             PlaceAnswer::Taken(place) => return Ok(place),
             PlaceAnswer::Full => ResultCode::Overloaded,
             PlaceAnswer::NoGroup => no_group_code(&gateway.shared.tables().gateway, query),
+            PlaceAnswer::Held(held) => {
+                let ends_in = held.ends_in().filter(|ends_in| Instant::now() + *ends_in <= deadline);
+                let Some(ends_in) = ends_in else { return Err(held.refused()) };
+                gateway.shared.metrics.held_back.with_label_values(&["waited"]).inc();
+                // Another group may open before that.
+                let _ = tokio::time::timeout(ends_in, freed).await;
+                continue;
+            }
         };
         // The end of an evacuation is not waited for.
         if code == ResultCode::ZoneEvacuated {
-            return Err(code);
+            return Err(code.into());
         }
         let code = match code {
             ResultCode::NoServer if query.zones.are_restricted() => ResultCode::NoServerInRegion,
             other => other,
         };
         if code == ResultCode::NoServerInRegion && has_none_in_its_regions(gateway, query) {
-            return Err(code);
+            return Err(code.into());
         }
         // The leader tells of places that become free at other entries; dispatchers are asked again.
         let until = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
@@ -78,7 +87,7 @@
         };
         let is_freed = tokio::time::timeout_at(until, freed).await.is_ok();
         if !is_freed && until >= deadline {
-            return Err(code);
+            return Err(code.into());
         }
     }
 }
@@ -96,6 +105,16 @@
 }
 
 async fn place(gateway: &Arc<Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
+    let holds = gateway.loads.holds(query, &gateway.shared.pushback);
+    if holds.leave_nobody() {
+        return PlaceAnswer::Held(holds.heads);
+    }
+    let excluded = [query.excluded, &holds.held].concat();
+    place_at_others(gateway, PlaceQuery { excluded: &excluded, ..query }).await
+}
+
+/// A place at any group that is not excluded: from a dispatcher, or by this entry's own figures.
+async fn place_at_others(gateway: &Arc<Gateway>, query: PlaceQuery<'_>) -> PlaceAnswer {
     let answer = match gateway.shared.dispatchers.mode(&gateway.shared.tables()) {
         Dispatch::Leader => ask_leader(gateway, query).await,
         Dispatch::Scopes => ask_zones(gateway, query).await,
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -1,14 +1,17 @@
 //! Requests in flight at each group, here and at the other entries, and which groups seem to stand still.
 
 mod group_state;
+mod holds;
 mod reports;
 
 pub use reports::ScopeLoad;
 
 use super::cold::place_valid_until;
+use super::unavailable::AllHeld;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
 use crate::log_line::ChosenBy;
+use crate::pushback::Addressee;
 use dockwood_api::gateway::{EventPace, ModelLoad};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose, timely_event_ms};
@@ -54,8 +57,8 @@
     pub epoch: u64,
     /// Address of its head.
     pub head: SocketAddr,
-    /// Instance id of its head.
-    pub instance: String,
+    /// Its head, as what is sent to it is answered for.
+    pub addressee: Addressee,
     /// The head is cold, as far as this entry knows.
     pub is_cold: bool,
     /// Nothing may be sent from then on; `None` if the place may be used at any time.
@@ -76,6 +79,8 @@
 pub enum PlaceAnswer {
     /// A place.
     Taken(GroupPlace),
+    /// The heads of all groups that were not tried yet rest or leave.
+    Held(AllHeld),
     /// Every group is full.
     Full,
     /// No group serves the model.
@@ -91,7 +96,7 @@
     pub model: &'a str,
     /// Zones whose groups may take it.
     pub zones: &'a AllowedZones,
-    /// Groups that were tried before.
+    /// Groups that were tried before, or whose heads are held back.
     pub excluded: &'a [u64],
     /// A group with few requests is better than a near or a fast one.
     pub prefers_idle: bool,
@@ -111,13 +116,13 @@
 ) -> Option<GroupPlace> {
     let group = groups.get_mut(&epoch)?;
     group.in_flight += 1;
-    let instance = group.row.members.first().cloned().unwrap_or_default();
+    let addressee = Addressee::head(&group.row, group.slots);
     let tables = gateway.shared.tables();
     let is_limited = group.is_cold(monotonic_ms());
     let valid_until = place_valid_until(&tables.gateway, &group.row.service, is_limited, asked_at);
     let (head, zone, is_cold) = (group.row.head, group.row.zone.clone(), group.row.head_is_cold);
     let gateway = gateway.clone();
-    Some(GroupPlace { gateway, epoch, head, instance, is_cold, valid_until, zone, chosen_by })
+    Some(GroupPlace { gateway, epoch, head, addressee, is_cold, valid_until, zone, chosen_by })
 }
 
 impl Loads {
@@ -249,7 +254,7 @@
     ) -> Option<GroupPlace> {
         let mut groups = lock(&gateway.loads.groups);
         let group = groups.get(&epoch).filter(|group| group.takes_new)?;
-        if !query.zones.contains(&group.row.zone) {
+        if query.excluded.contains(&epoch) || !query.zones.contains(&group.row.zone) {
             return None;
         }
         place_at(gateway, &mut groups, epoch, asked_at, ChosenBy::Dispatcher)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! callers where to go; takes operators' calls and servers' reports.
 
 mod account;
+mod answers;
 mod assignment;
 mod body;
 mod cold;
@@ -24,6 +25,7 @@
 mod stalls;
 mod stream;
 mod targets;
+mod unavailable;
 mod upstream;
 
 pub use cold::ColdServers;
@@ -194,6 +196,7 @@
         }
         gateway.loads.follow(&tables.gateway);
         gateway.cold.follow(&gateway.shared.metrics, &tables.gateway);
+        gateway.shared.pushback.follow(&gateway.shared.metrics, &tables.gateway);
         count_open_groups(&gateway.shared.metrics, &tables.gateway);
         let evacuated = tables.gateway.evacuated_zones().count();
         gateway.shared.metrics.evacuated_zones.set(evacuated as i64);
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -2,24 +2,31 @@
 
 use super::Gateway;
 use super::account::RequestAccount;
+use super::answers::take_head;
 use super::body::{AnswerBody, read_whole, whole};
 use super::evacuation::may_write;
-use super::headers::{ServerHeaders, add_for_server, end_to_end, signals_of};
+use super::headers::{ServerHeaders, add_for_server, end_to_end};
 use super::receive::{Received, may_still_run};
 use super::refusal::{RETRY_SOON_MS, refuse};
 use super::targets::{Picked, pick_for};
+use super::unavailable::Unavailable;
 use super::upstream::Upstream;
-use crate::dialect::HeaderNames;
+use crate::pushback::{Addressee, SendPermit};
 use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_routing::CallResult;
 use dockwood_routing::gateway::{Course, GiveUp, SendOutcome, Verdict};
+use dockwood_routing::{CallResult, Millis};
 use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
+use std::time::Duration;
 
+/// Part of the target that a request waits for servers at rest, in hundredths: it can still be in time after that.
+const REST_WAIT_HUNDREDTHS: u64 = 50;
+/// Shortest of these waits.
+const SHORTEST_REST_WAIT: Duration = Duration::from_millis(1);
 /// Answers that are held whole before they are passed on, in bytes.
 const MOST_ANSWER_BYTES: usize = 16 << 20;
 
@@ -55,6 +62,7 @@
         tried: Vec::new(),
         taken: Vec::new(),
         kept: None,
+        waited: Duration::ZERO,
     };
     match tokio::time::timeout_at(received.deadline, course.run()).await {
         Ok(response) => response,
@@ -82,6 +90,8 @@
     taken: Vec<String>,
     /// A server's own failure, passed on if no other server answers.
     kept: Option<ServerAnswer>,
+    /// How long it has waited for servers at rest.
+    waited: Duration,
 }
 
 impl PlainCourse<'_> {
@@ -131,7 +141,7 @@
                 let admission = self.gate.all_taken().await;
                 return self.again(admission);
             }
-            Err(code) => return Err(Box::new(self.last_word(code))),
+            Err(unavailable) => return self.without_server(unavailable).await,
         };
         match self.gate.enter(is_suspect, &picked.row.id, &picked.row.zone).await {
             Admission::Enter => Ok(Some(picked)),
@@ -143,6 +153,27 @@
         }
     }
 
+    /// There is no server: waits for one whose rest ends soon, if no other has had the request.
+    async fn without_server(
+        &mut self,
+        unavailable: Unavailable,
+    ) -> Result<Option<Picked>, Box<Response<AnswerBody>>> {
+        let longest =
+            Duration::from_millis(self.received.route.target_latency_ms * REST_WAIT_HUNDREDTHS / 100);
+        let left = longest.saturating_sub(self.waited);
+        let soon = unavailable.free_in.filter(|free_in| self.tried.is_empty() && *free_in <= left);
+        let Some(free_in) = soon else {
+            self.account.held(unavailable.held);
+            return Err(Box::new(self.last_word_with(unavailable.code, unavailable.back_in_ms)));
+        };
+        self.gateway.shared.metrics.held_back.with_label_values(&["waited"]).inc();
+        // Never nothing, so that the waits come to an end.
+        let wait = free_in.max(SHORTEST_REST_WAIT);
+        self.waited += wait;
+        tokio::time::sleep(wait).await;
+        Ok(None)
+    }
+
     /// Looks at all servers again, unless the request may not be sent at all.
     fn again(&mut self, admission: Admission) -> Result<Option<Picked>, Box<Response<AnswerBody>>> {
         self.taken.clear();
@@ -154,11 +185,20 @@
 
     /// The answer when there is nobody to send to any more.
     fn last_word(&mut self, code: ResultCode) -> Response<AnswerBody> {
+        self.last_word_with(code, None)
+    }
+
+    /// The same, with the time after which the caller may come back, where it is known.
+    fn last_word_with(&mut self, code: ResultCode, back_in_ms: Option<Millis>) -> Response<AnswerBody> {
         if let Some(kept) = self.kept.take() {
             return self.pass_on(kept);
         }
         let told = self.course.give_up();
-        self.give_up(if told.not_run { GiveUp { code, ..told } } else { told })
+        if !told.not_run {
+            return self.give_up(told);
+        }
+        self.account.end(code);
+        refuse(code, code.meaning(), Some(back_in_ms.unwrap_or(RETRY_SOON_MS)))
     }
 
     fn pass_on(&mut self, answer: ServerAnswer) -> Response<AnswerBody> {
@@ -209,8 +249,14 @@
             self.gateway.pool.keep(upstream);
             return Err(SendOutcome::NotSent);
         }
+        let Ok(permit) = SendPermit::ask(&self.gateway.shared, Addressee::instance(server)) else {
+            // Once its rest is over it may be picked again.
+            self.tried.pop();
+            self.gateway.pool.keep(upstream);
+            return Err(SendOutcome::NotSent);
+        };
         self.in_flight = true;
-        let answer = exchange(self.gateway, &mut upstream, request, self.received, &mut self.account).await;
+        let answer = self.exchange(&mut upstream, request, permit).await;
         self.in_flight = false;
         match answer {
             Ok(answer) => {
@@ -226,6 +272,26 @@
         }
     }
 
+    /// Sends a request, and reads its whole answer.
+    async fn exchange(
+        &mut self,
+        upstream: &mut Upstream,
+        request: Request<Full<Bytes>>,
+        mut permit: SendPermit,
+    ) -> Result<ServerAnswer, SendOutcome> {
+        let pool = &self.gateway.pool;
+        let address = upstream.address();
+        let Ok(response) = upstream.send(request, &permit).await else {
+            return Err(pool.broken(address).await);
+        };
+        let head = take_head(self.gateway, self.received, &mut self.account, &mut permit, response);
+        let (parts, body) = head?;
+        let Ok(body) = read_whole(body, MOST_ANSWER_BYTES).await else {
+            return Err(pool.broken(address).await);
+        };
+        Ok(ServerAnswer { status: parts.status, headers: end_to_end(&parts.headers), body })
+    }
+
     /// A server's own failure is worth another server where the request may run again.
     fn weigh(&mut self, answer: ServerAnswer) -> Result<ServerAnswer, SendOutcome> {
         if answer.status.is_server_error() && self.course.may_move() {
@@ -259,51 +325,3 @@
     *request.headers_mut() = headers;
     Some(request)
 }
-
-/// Whether an answer belongs to the request: servers repeat the attempt id.
-pub fn belongs(headers: &HeaderMap, names: &HeaderNames, received: &Received) -> bool {
-    let echoed = headers.get(names.attempt).and_then(|value| value.to_str().ok());
-    received.attempt.is_none() || echoed == received.attempt.as_deref()
-}
-
-/// Whether an answer says that the request did not run.
-pub fn says_not_run(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> bool {
-    status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(names.not_run)
-}
-
-/// Whether a server's answer may not be passed on: callers read its status as a promise that the request has not run
-/// and won't, and this server has not said so. What may run more than once needs no such promise.
-pub fn promises_falsely(status: StatusCode, received: &Received) -> bool {
-    let is_promise = matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-    );
-    is_promise && !received.route.is_repeatable()
-}
-
-async fn exchange(
-    gateway: &Gateway,
-    upstream: &mut Upstream,
-    request: Request<Full<Bytes>>,
-    received: &Received,
-    account: &mut RequestAccount,
-) -> Result<ServerAnswer, SendOutcome> {
-    let names = gateway.dialect.headers();
-    let address = upstream.address();
-    let Ok(response) = upstream.send(request).await else { return Err(gateway.pool.broken(address).await) };
-    let (parts, body) = response.into_parts();
-    account.head_received(&signals_of(parts.status, &parts.headers, names));
-    if !belongs(&parts.headers, names, received) {
-        return Err(SendOutcome::Unknown);
-    }
-    if says_not_run(parts.status, &parts.headers, names) {
-        return Err(SendOutcome::SaidNotRun);
-    }
-    if promises_falsely(parts.status, received) {
-        return Err(SendOutcome::Unknown);
-    }
-    let Ok(body) = read_whole(body, MOST_ANSWER_BYTES).await else {
-        return Err(gateway.pool.broken(address).await);
-    };
-    Ok(ServerAnswer { status: parts.status, headers: end_to_end(&parts.headers), body })
-}
--- a/crates/daemon/src/gateway/source.rs
+++ b/crates/daemon/src/gateway/source.rs
@@ -4,6 +4,7 @@
 use super::loads::GroupPlace;
 use super::targets::Picked;
 use crate::log_line::ChosenBy;
+use crate::pushback::Addressee;
 use std::net::SocketAddr;
 
 /// Where a stream comes from.
@@ -36,11 +37,19 @@
     /// Its instance id.
     pub fn instance(&self) -> &str {
         match self {
-            Source::Group(place) => &place.instance,
+            Source::Group(place) => &place.addressee.start.id,
             Source::Server(picked) => &picked.row.id,
         }
     }
 
+    /// The server that is sent the request, as what is sent to it is answered for.
+    pub fn addressee(&self) -> Addressee {
+        match self {
+            Source::Group(place) => place.addressee.clone(),
+            Source::Server(picked) => Addressee::instance(&picked.row),
+        }
+    }
+
     /// Its zone.
     pub fn zone(&self) -> &str {
         match self {
--- a/crates/daemon/src/gateway/stream/choosing.rs
+++ b/crates/daemon/src/gateway/stream/choosing.rs
@@ -7,6 +7,7 @@
 use crate::gateway::refusal::refuse;
 use crate::gateway::source::Source;
 use crate::gateway::targets::pick_for;
+use crate::gateway::unavailable::Unavailable;
 use crate::suspects::Admission;
 use dockwood_api::ResultCode;
 use hyper::Response;
@@ -51,7 +52,7 @@
                 let admission = self.gate.all_taken().await;
                 return self.again(admission);
             }
-            Err(code) => return Err(Box::new(self.refuse_for_want_of_a_source(code))),
+            Err(unavailable) => return Err(Box::new(self.refuse_for_want_of_a_source(unavailable))),
         };
         match self.gate.enter(is_suspect, source.instance(), source.zone()).await {
             Admission::Enter => Ok(Some(source)),
@@ -81,16 +82,17 @@
         refuse(code, code.meaning(), None)
     }
 
-    fn refuse_for_want_of_a_source(&mut self, code: ResultCode) -> Response<AnswerBody> {
+    fn refuse_for_want_of_a_source(&mut self, unavailable: Unavailable) -> Response<AnswerBody> {
         let model = self.received.model.as_deref().unwrap_or_default();
         if self.received.service.engine.is_some() {
             self.gateway.loads.refused(&self.received.service.name, model);
         }
-        self.refusal(code, FULL_RETRY_MS)
+        self.account.held(unavailable.held);
+        self.refusal(unavailable.code, unavailable.back_in_ms.unwrap_or(FULL_RETRY_MS))
     }
 
     /// A place at a group, waited for shortly, or a server; else why there is none.
-    async fn source(&mut self, is_suspect: bool) -> Result<Source, ResultCode> {
+    async fn source(&mut self, is_suspect: bool) -> Result<Source, Unavailable> {
         if self.received.service.engine.is_none() {
             return self.server(is_suspect);
         }
@@ -121,7 +123,7 @@
     }
 
     /// A server of a plain service.
-    fn server(&self, is_suspect: bool) -> Result<Source, ResultCode> {
+    fn server(&self, is_suspect: bool) -> Result<Source, Unavailable> {
         let passed_over = [self.tried_servers.as_slice(), &self.taken.servers].concat();
         let picked = pick_for(&self.gateway, &self.received, &self.gate, is_suspect, &passed_over);
         picked.map(Source::Server)
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -1,13 +1,15 @@
 //! One send of a request for a stream: to a group or a server, up to the head of its answer.
 
 use super::{Head, Reading, StreamCourse};
+use crate::gateway::answers::take_head;
 use crate::gateway::body::{AnswerBody, read_whole, whole};
 use crate::gateway::evacuation::may_write;
-use crate::gateway::headers::{end_to_end, signals_of};
-use crate::gateway::plain::{belongs, promises_falsely, request_for, says_not_run};
+use crate::gateway::headers::end_to_end;
+use crate::gateway::plain::request_for;
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{abandon, broken, stands_still};
 use crate::gateway::upstream::{ConnectFault, Upstream};
+use crate::pushback::SendPermit;
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
 use dockwood_routing::gateway::{EventSplitter, SendOutcome};
@@ -42,20 +44,23 @@
         let Some(request) = request else { return Err(SendOutcome::NotSent) };
         let is_timely = source.may_be_sent(&self.gateway, &self.received.service.name);
         let is_its_turn = self.gate.may_write() && self.received.left_ms() > 0;
-        if !is_timely || !is_its_turn {
-            // The source may be chosen again, and the connection that took too long is there now.
+        let is_allowed = is_timely && is_its_turn && may_write(&self.gateway, source.zone());
+        let permit = is_allowed.then(|| SendPermit::ask(&self.gateway.shared, source.addressee()));
+        let may_be_chosen_again = !is_timely || !is_its_turn || permit.as_ref().is_some_and(Result::is_err);
+        if may_be_chosen_again {
+            // The connection that took too long is there now, and a rest ends.
             self.tried_groups.retain(|tried| Some(*tried) != epoch);
             self.tried_servers.retain(|tried| *tried != instance);
         }
-        if !is_timely || !is_its_turn || !may_write(&self.gateway, source.zone()) {
+        let Some(Ok(permit)) = permit else {
             self.gateway.pool.keep(upstream);
             return Err(SendOutcome::NotSent);
-        }
+        };
         let sent_at = Instant::now();
         self.since = sent_at;
         self.awaits_first = true;
         let response = tokio::select! {
-            response = upstream.send(request) => match response {
+            response = upstream.send(request, &permit) => match response {
                 Ok(response) => Ok(response),
                 Err(_) => Err(broken(&self.gateway, &source).await),
             },
@@ -63,7 +68,7 @@
                 if self.course.may_move() => Err(abandon(&self.gateway, &source)),
             () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
         }?;
-        self.take_response(source, upstream, response).await
+        self.take_response(source, upstream, permit, response).await
     }
 
     fn unreachable(&self, source: Source, fault: ConnectFault) {
@@ -77,20 +82,12 @@
         &mut self,
         source: Source,
         upstream: Upstream,
+        mut permit: SendPermit,
         response: Response<Incoming>,
     ) -> Result<Option<Response<AnswerBody>>, SendOutcome> {
-        let (parts, body) = response.into_parts();
-        let names = self.gateway.dialect.headers();
-        self.account.head_received(&signals_of(parts.status, &parts.headers, names));
-        if !belongs(&parts.headers, names, &self.received) {
-            return Err(SendOutcome::Unknown);
-        }
-        if says_not_run(parts.status, &parts.headers, names) {
-            return Err(SendOutcome::SaidNotRun);
-        }
-        if promises_falsely(parts.status, &self.received) {
-            return Err(SendOutcome::Unknown);
-        }
+        let head = take_head(&self.gateway, &self.received, &mut self.account, &mut permit, response);
+        drop(permit);
+        let (parts, body) = head?;
         let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
         if parts.status == StatusCode::OK && is_stream {
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -3,8 +3,10 @@
 use super::Gateway;
 use super::receive::Received;
 use super::regions::none_serves;
+use super::unavailable::{AllHeld, Unavailable};
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
+use crate::pushback::start_of;
 use crate::suspects::SuspectGate;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
@@ -66,17 +68,34 @@
     open.map(|(row, rate)| (row, Some(rate))).collect()
 }
 
-/// Servers of a service that may run the request and were not tried yet.
+/// Servers of a service that may run the request.
 fn ready_servers<'a>(
     tables: &'a GatewayTables,
     service: &str,
     zones: &AllowedZones,
-    tried: &[String],
 ) -> Vec<&'a Arc<InstanceRow>> {
     let may_run = |row: &InstanceRow| zones.contains(&row.zone) && !tables.is_evacuated(&row.zone);
     let is_ready = |row: &InstanceRow| row.service == service && row.state == InstanceState::Ready;
-    let instances = tables.instances.values();
-    instances.filter(|row| may_run(row) && is_ready(row) && !tried.contains(&row.id)).collect()
+    tables.instances.values().filter(|row| may_run(row) && is_ready(row)).collect()
+}
+
+/// Those of a service's servers that may be asked and were not tried yet; else those that rest or leave, where that is why
+/// there is none.
+fn not_held<'a>(
+    gateway: &Gateway,
+    ready: Vec<&'a Arc<InstanceRow>>,
+    tried: &[String],
+) -> Result<Vec<&'a Arc<InstanceRow>>, AllHeld> {
+    let mut held = AllHeld::default();
+    let mut others = Vec::with_capacity(ready.len());
+    for row in ready {
+        match gateway.shared.pushback.hold(&start_of(row)) {
+            Some(hold) => held.add(&row.id, hold.until()),
+            None if tried.contains(&row.id) => {}
+            None => others.push(row),
+        }
+    }
+    if others.is_empty() && !held.servers.is_empty() { Err(held) } else { Ok(others) }
 }
 
 /// Picks a server for a request, none of `passed_over`: for a suspect, in a zone where no server has ended under it if
@@ -87,13 +106,15 @@
     gate: &SuspectGate,
     is_suspect: bool,
     passed_over: &[String],
-) -> Result<Picked, ResultCode> {
+) -> Result<Picked, Unavailable> {
     let (service, zones) = (&received.service, &received.zones);
     let elsewhere = gate.elsewhere(is_suspect, zones);
     let picked = elsewhere.and_then(|zones| pick(gateway, service, &zones, passed_over).ok());
     let picked = picked.map_or_else(|| pick(gateway, service, zones, passed_over), Ok);
-    picked.map_err(|code| match code {
-        ResultCode::NoServer => none_serves(gateway, received),
+    picked.map_err(|unavailable| match unavailable {
+        Unavailable { code: ResultCode::NoServer, held, .. } => {
+            Unavailable { held, ..none_serves(gateway, received).into() }
+        }
         other => other,
     })
 }
@@ -104,15 +125,16 @@
     service: &ServiceProfile,
     zones: &AllowedZones,
     tried: &[String],
-) -> Result<Picked, ResultCode> {
+) -> Result<Picked, Unavailable> {
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
     let cold_start = tables.gateway.cold_start(&service.name);
-    let ready = ready_servers(&tables.gateway, &service.name, zones, tried);
+    let ready = ready_servers(&tables.gateway, &service.name, zones);
+    let ready = not_held(gateway, ready, tried).map_err(AllHeld::refused)?;
     let open = open_servers(gateway, &tables, cold_start.as_ref(), &ready);
     if open.is_empty() && !ready.is_empty() {
         gateway.shared.metrics.cold_limited.with_label_values(&["noShare"]).inc();
-        return Err(ResultCode::Overloaded);
+        return Err(ResultCode::Overloaded.into());
     }
     let eligible: Vec<&str> = open.iter().map(|(row, _)| row.id.as_str()).collect();
     let random = [rand::random(), rand::random()];
@@ -136,7 +158,7 @@
         let now = monotonic_ms();
         // Another request may have got this turn since it was looked for.
         if !gateway.cold.try_give(now, &id, *rate) && row.is_cold {
-            return Err(ResultCode::Overloaded);
+            return Err(ResultCode::Overloaded.into());
         }
         picked.valid_until = Some(now + grant_valid_ms(row.is_cold));
     }
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 //! together with its request.
 
 use crate::lock::lock;
+use crate::pushback::SendPermit;
 use crate::suspects::{CHECK_LIMIT, is_refusal};
 use bytes::Bytes;
 use dockwood_routing::gateway::SendOutcome;
@@ -77,8 +78,12 @@
         self.address
     }
 
-    /// Sends a request and waits for the head of its answer.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, hyper::Error> {
+    /// Sends a request that may be written now, and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        _permit: &SendPermit,
+    ) -> Result<Response<Incoming>, hyper::Error> {
         self.sender.send_request(request).await
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod probe;
 pub mod process;
 pub mod published;
+pub mod pushback;
 pub mod scope_dispatchers;
 pub mod settings;
 pub mod shared;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -214,6 +214,9 @@
     pub prompt_tokens: Option<u64>,
     /// Each server that it was sent to, in order.
     pub sends: &'a [SendLine],
+    /// Some of the servers that would have taken it, where all of these rest or leave.
+    #[serde(skip_serializing_if = "<[String]>::is_empty")]
+    pub servers_held: &'a [String],
     /// Lines of this result that were held back since the last one that was written.
     pub held_back: u64,
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -44,6 +44,11 @@
     pub sends_server_ended: IntCounter,
     /// Answers by which servers asked for something, by what: to rest, to leave, or something that can't be read.
     pub server_signals: IntCounterVec,
+    /// Servers that are sent nothing, as they rest or leave, by which of the two.
+    pub servers_held_back: IntGaugeVec,
+    /// Requests that were not sent to a server that rests or leaves, by what became of them: stopped at the moment of
+    /// writing, made to wait, or refused.
+    pub held_back: IntCounterVec,
     /// Steps of requests under which servers may end, by step.
     pub suspect_steps: IntCounterVec,
     /// Requests that are suspected, as far as this daemon knows.
@@ -185,6 +190,16 @@
                 "Answers by which servers asked for something",
                 &["signal"],
             )?,
+            servers_held_back: gauges(
+                "dockwood_servers_held_back",
+                "Servers that are sent nothing, as they asked",
+                &["reason"],
+            )?,
+            held_back: counters(
+                "dockwood_held_back_total",
+                "Requests not sent to servers that rest or leave",
+                &["result"],
+            )?,
             suspect_steps: counters(
                 "dockwood_suspect_steps_total",
                 "Steps of requests under which servers may end",
--- /dev/null
+++ b/crates/daemon/src/pushback/mod.rs
@@ -0,0 +1,97 @@
+//! Servers that asked for rest or said that they leave, as a daemon that sends to servers deals with them. Whatever sends
+//! something to a server passes over those that are held back when it chooses, and asks for a [`SendPermit`] at the moment
+//! of writing; the permit learns from the answer's head, whatever becomes of the answer.
+//!
+//! Each daemon goes by what it was told itself: a server asks the one that it answers, and may ask others for another time
+//! or not at all.
+
+mod permit;
+mod telling;
+
+pub use permit::SendPermit;
+
+use crate::clock::monotonic_ms;
+use crate::line_budget::LineBudget;
+use crate::lock::lock;
+use crate::metrics::Metrics;
+use dockwood_routing::pushback::{Hold, PushbackTable, ServerStart};
+use dockwood_state::{GatewayTables, GroupRow, InstanceRow};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+/// Servers that this daemon holds back.
+#[derive(Debug, Default)]
+pub struct Pushback {
+    table: Mutex<PushbackTable>,
+    line_budget: Mutex<LineBudget>,
+}
+
+/// A server that something is to be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Addressee {
+    /// Which start of it.
+    pub start: ServerStart,
+    /// Epoch of the group that it heads, if it heads one: it speaks for the group.
+    pub group: Option<u64>,
+    /// Requests that it works on at once.
+    pub places: u32,
+}
+
+impl Addressee {
+    /// A server that registered itself.
+    pub fn instance(row: &InstanceRow) -> Addressee {
+        Addressee { start: start_of(row), group: None, places: row.slots }
+    }
+
+    /// The head of a group that works on so many requests at once.
+    pub fn head(row: &GroupRow, places: u32) -> Addressee {
+        Addressee { start: head_of(row), group: Some(row.epoch), places }
+    }
+
+    /// A server that is known by its name alone.
+    pub fn named(name: &str, places: u32) -> Addressee {
+        let start = ServerStart { id: name.to_string(), started_ms: None };
+        Addressee { start, group: None, places }
+    }
+
+    /// A server that is known by its address alone.
+    pub fn at(address: SocketAddr, places: u32) -> Addressee {
+        Addressee::named(&address.to_string(), places)
+    }
+}
+
+/// Which start of a registered server a row is about.
+pub fn start_of(row: &InstanceRow) -> ServerStart {
+    ServerStart { id: row.id.clone(), started_ms: row.started_ms }
+}
+
+/// The head of a group.
+pub fn head_of(row: &GroupRow) -> ServerStart {
+    let id = row.members.first().cloned().unwrap_or_default();
+    ServerStart { id, started_ms: row.head_started_ms }
+}
+
+impl Pushback {
+    /// Why a server is sent nothing now; `None` if it may be chosen.
+    pub fn hold(&self, server: &ServerStart) -> Option<Hold> {
+        lock(&self.table).hold(monotonic_ms(), server)
+    }
+
+    /// Forgets servers that are gone, and shows how many are held back.
+    pub fn follow(&self, metrics: &Metrics, tables: &GatewayTables) {
+        let now = monotonic_ms();
+        let heads = tables.groups.values().filter_map(|group| group.members.first());
+        let known: HashSet<&str> = tables.instances.keys().chain(heads).map(String::as_str).collect();
+        let mut table = lock(&self.table);
+        table.retain_known(now, |id| known.contains(id));
+        show(metrics, &table);
+    }
+}
+
+/// Shows how many servers are held back.
+fn show(metrics: &Metrics, table: &PushbackTable) {
+    let (resting, leaving) = table.counts(monotonic_ms());
+    metrics.servers_held_back.with_label_values(&["resting"]).set(resting as i64);
+    metrics.servers_held_back.with_label_values(&["leaving"]).set(leaving as i64);
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::published::Published;
+use crate::pushback::Pushback;
 use crate::scope_dispatchers::ScopeDispatchers;
 use crate::settings::Settings;
 use crate::suspects::{Suspects, count_suspects};
@@ -54,6 +55,8 @@
     pub scope_dispatchers: ScopeDispatchers,
     /// Requests that may end the servers that run them.
     pub suspects: Suspects,
+    /// Servers that asked for rest, or said that they leave.
+    pub pushback: Pushback,
     /// The control leader as it was last heard of.
     pub known_leader: KnownLeader,
     /// Messages to the control thread.
@@ -107,6 +110,7 @@
             lease_asked_at: AtomicU64::new(0),
             wakefulness: Wakefulness::default(),
             suspects: Suspects::default(),
+            pushback: Pushback::default(),
             known_leader: KnownLeader::default(),
             askers: Mutex::default(),
             leader_term: watch::channel(0).0,
--- a/crates/daemon/tests/cold_servers.rs
+++ b/crates/daemon/tests/cold_servers.rs
@@ -29,6 +29,7 @@
     let rate = cold.warm_rate(&ColdStart { usual_ms: 1_000, requests_per_second: 8.0 });
     assert_eq!(rate, SendRate::of_dispatcher(8));
     let row = dockwood_state::InstanceRow {
+        started_ms: None,
         id: "a".to_string(),
         service: "board".to_string(),
         address: ([127, 0, 0, 1], 1).into(),
--- a/crates/daemon/tests/evacuation/entry.rs
+++ b/crates/daemon/tests/evacuation/entry.rs
@@ -106,6 +106,7 @@
 
     fn register(&self, id: &str, service: &str, zone: &str, address: SocketAddr) {
         self.apply(GatewayCommand::Register(InstanceRow {
+            started_ms: None,
             id: id.to_string(),
             service: service.to_string(),
             address,
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -237,6 +237,7 @@
     /// Its next report.
     pub fn current_report(&self) -> InstanceReport {
         InstanceReport {
+            started_ms: None,
             id: self.id.clone(),
             service: self.service.clone(),
             address: self.address,
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -62,6 +62,10 @@
         0 => String::new(),
         count => format!(" ({count} lines of this result held back before)"),
     };
+    if !request.servers_held.is_empty() {
+        course
+            .push(told(line.at_ms, format!("all servers rest or leave: {}", request.servers_held.join(" "))));
+    }
     course.push(told(
         line.at_ms,
         format!(
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -127,6 +127,7 @@
         let host: u8 = domain[1..].parse().unwrap_or(0);
         let port: u16 = server.parse().unwrap_or(0);
         InstanceReport {
+            started_ms: None,
             id: id.to_string(),
             service: SERVICE.to_string(),
             address: std::net::SocketAddr::from(([127, 0, 1, host], 1_000 + port)),
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -144,6 +144,9 @@
     pub prompt_tokens: Option<u64>,
     /// Each server that it was sent to, in order.
     pub sends: Vec<Send>,
+    /// Some of the servers that would have taken it, where all of these rest or leave.
+    #[serde(default)]
+    pub servers_held: Vec<String>,
     /// Lines of this result that were held back since the last one that was written.
     pub held_back: u64,
 }
--- a/crates/routing/src/pushback/mod.rs
+++ b/crates/routing/src/pushback/mod.rs
@@ -1,5 +1,11 @@
-//! What servers ask of whoever sends to them, in the answers that they give: to be left alone for a while, or for good.
+//! What servers ask of whoever sends to them, in the answers that they give: to be left alone for a while, or for good; and
+//! which servers are held back for it.
+//!
+//! Invariants: a server that has asked for rest is sent nothing until that has passed, and then one request at a time until
+//! it takes one; a server that has said that it leaves is sent nothing until it starts again.
 
 mod signals;
+mod table;
 
 pub use signals::{AnswerSignals, LeavingMark, RetryAfter};
+pub use table::{Hold, PushbackTable, RestBegun, SendKind, ServerStart, return_spread_ms};
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -258,6 +258,7 @@
             model: model.to_string(),
             members: members.to_vec(),
             head: head.address,
+            head_started_ms: head.started_ms,
             zone: head.zone.clone(),
             head_is_cold: head.is_cold,
             purpose,
--- a/crates/state/src/gateway/rows.rs
+++ b/crates/state/src/gateway/rows.rs
@@ -7,8 +7,10 @@
 /// A registered instance, as far as routing needs it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceRow {
-    /// Identifies one start of a server.
+    /// Identifies one start of a server, unless it keeps its id when it starts again.
     pub id: String,
+    /// When its process started, in milliseconds since the Unix epoch; `None` if it doesn't tell.
+    pub started_ms: Option<u64>,
     /// Service.
     pub service: String,
     /// Address.
@@ -75,6 +77,8 @@
     pub members: Vec<String>,
     /// Address of the head.
     pub head: SocketAddr,
+    /// When the head's process started, in milliseconds since the Unix epoch; `None` if it doesn't tell.
+    pub head_started_ms: Option<u64>,
     /// Zone of the head.
     pub zone: String,
     /// The head, which alone is sent requests, is cold.
@@ -110,6 +114,7 @@
     fn from(report: &InstanceReport) -> InstanceRow {
         InstanceRow {
             id: report.id.clone(),
+            started_ms: report.started_ms,
             service: report.service.clone(),
             address: report.address,
             zone: report.zone.clone(),
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -18,6 +18,7 @@
 
 fn row(id: &str, port: u16) -> InstanceRow {
     InstanceRow {
+        started_ms: None,
         id: id.to_string(),
         service: "s".to_string(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
--- a/crates/state/tests/suspicion.rs
+++ b/crates/state/tests/suspicion.rs
@@ -46,6 +46,7 @@
 
     fn register(&mut self, id: &str, state: InstanceState) {
         let row = InstanceRow {
+            started_ms: None,
             id: id.to_string(),
             service: "s".to_string(),
             address: std::net::SocketAddr::from(([127, 0, 0, 1], id.len() as u16)),
