Failing test: chat requests and service calls meet servers that ask for rest

The same cause at the resource API's callers. The emulator's engines and plain servers ask for rest, or say that they leave, by a change at the admin port.

--- a/crates/api/src/engine.rs
+++ b/crates/api/src/engine.rs
@@ -11,6 +11,10 @@
 pub const PATH_HEALTH: &str = "/engine/health";
 /// Path that takes an [`EngineOrder`] (POST) on every machine.
 pub const PATH_ORDERS: &str = "/engine/orders";
+/// Header by which an engine or a plain server says that it did not run a request.
+pub const HEADER_NOT_RUN: &str = "dockwood-not-run";
+/// Header by which an engine or a plain server says that it is about to leave: `1`.
+pub const HEADER_LEAVING: &str = "dockwood-leaving";
 /// Path that takes a [`GenerateRequest`] (POST) on a head and streams [`GenerateEvent`] lines.
 pub const PATH_GENERATE: &str = "/engine/generate";
 /// Path prefix of one request on a head: GET its [`RequestState`], POST `bar` to refuse it, DELETE to cancel.
--- a/crates/bench/src/judge/timeline.rs
+++ b/crates/bench/src/judge/timeline.rs
@@ -81,6 +81,7 @@
         | LedgerRecord::GroupFormed { at_ms, .. }
         | LedgerRecord::MachineLoaded { at_ms, .. }
         | LedgerRecord::MachineChanged { at_ms, .. }
+        | LedgerRecord::RequestRejected { at_ms, .. }
         | LedgerRecord::ServiceCalled { at_ms, .. } => *at_ms,
     }
 }
--- /dev/null
+++ b/crates/bench/tests/servers_at_rest.rs
@@ -0,0 +1,183 @@
+//! The resource API's callers meet servers that ask for rest as the gateway's do: a chat request or a service call was sent
+//! to them as if they had said nothing.
+
+use dockwood_api::ResultCode;
+use dockwood_bench::fleet::RunningFleet;
+use dockwood_bench::topology::{Preset, Sizes, Topology, own_network};
+use dockwood_emulator::{LedgerRecord, REST_S, read_ledger};
+use reqwest::{Client, StatusCode};
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+mod common;
+
+use common::TestFolder;
+
+type Outcome = Result<(), Box<dyn std::error::Error>>;
+
+const LIMIT: Duration = Duration::from_secs(90);
+/// Requests that one server may reject during one rest: the one that it asks in, and what was on its way with it.
+const MOST_REJECTED: usize = 2;
+/// Pause between two requests.
+const PAUSE: Duration = Duration::from_millis(20);
+
+struct Caller {
+    fleet: RunningFleet,
+    http: Client,
+    folder: TestFolder,
+}
+
+/// What came of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Answer {
+    status: StatusCode,
+    /// The result code of a failure.
+    code: Option<u64>,
+    /// When to come back, in seconds.
+    retry_after_s: Option<u64>,
+}
+
+impl Caller {
+    async fn start(network: u8) -> Result<Caller, Box<dyn std::error::Error>> {
+        let folder = TestFolder::new()?;
+        let sizes = Sizes { daemons: 3, servers: 30, plain_servers: 2, tenants: 3, ..Sizes::default() };
+        let topology = Topology::new(Preset::Brokerage, sizes, own_network() + network, folder.path());
+        let fleet = RunningFleet::start(topology).await?;
+        fleet.apply_resources(LIMIT).await?;
+        Ok(Caller { fleet, http: Client::new(), folder })
+    }
+
+    async fn chat(&self) -> Result<Answer, reqwest::Error> {
+        let body = json!({
+            "model": self.fleet.topology.deployments[0].model, "max_tokens": 5,
+            "messages": [{ "role": "user", "content": "a proper prompt" }],
+        });
+        self.ask(self.http.post(self.url("/v1/chat/completions")).json(&body)).await
+    }
+
+    async fn call(&self) -> Result<Answer, reqwest::Error> {
+        let service = &self.fleet.topology.emulator.services[0].name;
+        self.ask(self.http.get(self.url(&format!("/services/{service}/status")))).await
+    }
+
+    /// All requests go to one daemon: each asks a server for itself.
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.fleet.entry_addresses()[0])
+    }
+
+    async fn ask(&self, request: reqwest::RequestBuilder) -> Result<Answer, reqwest::Error> {
+        let request = request.bearer_auth(&self.fleet.topology.tenants[0].key).timeout(LIMIT);
+        let answer = request.send().await?;
+        let status = answer.status();
+        let told = answer.headers().get("retry-after").and_then(|value| value.to_str().ok());
+        let retry_after_s = told.and_then(|text| text.parse().ok());
+        let body: serde_json::Value = answer.json().await.unwrap_or_default();
+        Ok(Answer { status, code: body["error"]["code"].as_u64(), retry_after_s })
+    }
+
+    /// Requests that each server has rejected.
+    fn rejected(&self, server: &str) -> std::io::Result<usize> {
+        let records = read_ledger(&self.fleet.topology.emulator.ledger)?;
+        let is_of = |record: &&LedgerRecord| matches!(record, LedgerRecord::RequestRejected { server: name, .. } if name == server);
+        Ok(records.iter().filter(is_of).count())
+    }
+
+    /// Heads of the groups of the first deployment's model that were formed.
+    fn heads(&self) -> std::io::Result<BTreeSet<String>> {
+        let records = read_ledger(&self.fleet.topology.emulator.ledger)?;
+        let head = |record: LedgerRecord| match record {
+            LedgerRecord::GroupFormed { members, .. } => members.into_iter().next(),
+            _ => None,
+        };
+        Ok(records.into_iter().filter_map(head).collect())
+    }
+
+    async fn change(&self, servers: impl IntoIterator<Item = &String>, change: &str) -> std::io::Result<()> {
+        for server in servers {
+            self.fleet.change_machine(server, change).await?;
+        }
+        Ok(())
+    }
+
+    fn plain_servers(&self) -> Vec<String> {
+        self.fleet.topology.emulator.services[0].servers.iter().map(|server| server.name.clone()).collect()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_calls_leave_a_server_its_rest_and_are_answered_by_the_other() -> Outcome {
+    let caller = Caller::start(5).await?;
+    let servers = caller.plain_servers();
+    caller.change([&servers[0]], "rest").await?;
+    let until = Instant::now() + Duration::from_secs(REST_S);
+    while Instant::now() < until {
+        let answer = caller.call().await?;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let rejected = caller.rejected(&servers[0])?;
+    assert!((1..=MOST_REJECTED).contains(&rejected), "{rejected} calls within its rest");
+    caller.folder.passed()?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_calls_are_refused_at_once_while_all_servers_rest_or_leave() -> Outcome {
+    let caller = Caller::start(6).await?;
+    let servers = caller.plain_servers();
+    caller.change(&servers, "rest").await?;
+    // The first calls teach it; their rejections are passed on.
+    for _ in 0..4 {
+        assert_eq!(caller.call().await?.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let refused = caller.call().await?;
+    assert_eq!(refused.code, Some(u64::from(ResultCode::ServersResting.number())), "{refused:?}");
+    assert!(refused.retry_after_s.is_some_and(|seconds| (1..=2 * REST_S).contains(&seconds)), "{refused:?}");
+    for server in &servers {
+        assert!(caller.rejected(server)? <= MOST_REJECTED);
+    }
+    caller.change(&servers, "say-leaving").await?;
+    tokio::time::sleep(Duration::from_secs(2 * REST_S)).await;
+    let mut answered = 0;
+    while caller.call().await?.status == StatusCode::OK {
+        answered += 1;
+        assert!(answered <= servers.len(), "each says in its first answer that it leaves");
+    }
+    assert_eq!(caller.call().await?.code, Some(u64::from(ResultCode::NoServer.number())));
+    caller.folder.passed()?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chat_requests_leave_heads_their_rest() -> Outcome {
+    let caller = Caller::start(7).await?;
+    let begun = Instant::now();
+    while caller.chat().await?.status != StatusCode::OK {
+        assert!(begun.elapsed() < LIMIT, "chat is never served");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let heads = caller.heads()?;
+    caller.change(&heads, "rest").await?;
+    let until = Instant::now() + Duration::from_secs(REST_S) / 2;
+    let mut refused = None;
+    while Instant::now() < until {
+        let answer = caller.chat().await?;
+        assert_ne!(answer.status, StatusCode::OK);
+        refused = Some(answer);
+        tokio::time::sleep(PAUSE).await;
+    }
+    let refused = refused.ok_or("nothing was asked")?;
+    assert_eq!(refused.code, Some(u64::from(ResultCode::ServersResting.number())), "{refused:?}");
+    assert!(refused.retry_after_s.is_some_and(|seconds| (1..=2 * REST_S).contains(&seconds)), "{refused:?}");
+    for head in &heads {
+        let rejected = caller.rejected(head)?;
+        assert!(rejected <= MOST_REJECTED, "{head}: {rejected} requests within its rest");
+    }
+    caller.change(&heads, "serve").await?;
+    tokio::time::sleep(Duration::from_secs(2 * REST_S)).await;
+    let answer = caller.chat().await?;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    caller.folder.passed()?;
+    Ok(())
+}
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -1,6 +1,7 @@
 //! dockwood's own protocol for the gateway: headers that begin with `dockwood-`, and the JSON form of the API's types.
 
 use crate::dialect::{Dialect, DirectoryQuery, EncodedCall, HeaderNames, OperatorCall};
+use dockwood_api::engine::{HEADER_LEAVING, HEADER_NOT_RUN};
 use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer};
 use dockwood_api::{ApiError, ResultCode};
 use serde::de::DeserializeOwned;
@@ -17,9 +18,9 @@
     tenant: "dockwood-tenant",
     expected_instance: "dockwood-instance",
     own_instance: "dockwood-own-instance",
-    not_run: "dockwood-not-run",
+    not_run: HEADER_NOT_RUN,
     rank: "dockwood-rank",
-    leaving: "dockwood-leaving",
+    leaving: HEADER_LEAVING,
 };
 const READINESS: &str = "/readyz";
 const DIRECTORY: &str = "/v1/entries";
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::http;
 use crate::ledger::LedgerWriter;
 use crate::machine::Machine;
+use crate::manner::RequestManner;
 use crate::platform::PlatformList;
 use crate::weights::WeightStore;
 use std::collections::BTreeMap;
@@ -17,6 +18,8 @@
     pub config: FleetConfig,
     /// Machines by name.
     pub machines: BTreeMap<String, Arc<Machine>>,
+    /// How the servers of plain services treat calls, by name.
+    pub plain_servers: BTreeMap<String, Arc<RequestManner>>,
     /// The weight store.
     pub store: WeightStore,
     /// The platform's list.
@@ -48,7 +51,10 @@
             .iter()
             .map(|engine| (engine.name.clone(), Arc::new(Machine::new(engine.clone()))))
             .collect();
+        let servers = config.services.iter().flat_map(|service| &service.servers);
+        let plain_servers = servers.map(|server| (server.name.clone(), Arc::default())).collect();
         let fleet = Arc::new(Fleet {
+            plain_servers,
             store: WeightStore::new(config.store_mib_per_second),
             platform: Arc::new(PlatformList::new(config.list_lag_ms)),
             ledger,
--- a/crates/emulator/src/http/admin.rs
+++ b/crates/emulator/src/http/admin.rs
@@ -15,6 +15,11 @@
 /// Step time of a machine that was slowed down, in percent of normal.
 const SLOW_PERCENT: u64 = 500;
 
+/// Changes of a machine's power and pace.
+const KNOWN_POWERS: &str = "kill restart start pause resume cut heal slow fast leave stay";
+/// Changes of how a server treats requests; see `RequestManner`.
+const KNOWN_MANNERS: &str = "rest say-leaving serve";
+
 /// Serves the admin port for ever.
 pub async fn serve_admin(fleet: Arc<Fleet>) -> std::io::Result<JoinHandle<()>> {
     let acceptor = listen(fleet.config.admin).await?;
@@ -32,8 +37,14 @@
 
 #[handler]
 async fn change(Data(fleet): Data<&Arc<Fleet>>, Path((name, change)): Path<(String, String)>) -> Response {
+    if let Some(server) = fleet.plain_servers.get(&name) {
+        return match server.change(&change) {
+            true => changed(&fleet, name, change),
+            false => unknown_change(&change, KNOWN_MANNERS),
+        };
+    }
     let Some(machine) = fleet.machines.get(&name) else {
-        return Response::builder().status(StatusCode::NOT_FOUND).body(format!("no machine '{name}'"));
+        return Response::builder().status(StatusCode::NOT_FOUND).body(format!("no server '{name}'"));
     };
     match change.as_str() {
         "kill" => machine.set_power(Power::Off),
@@ -50,12 +61,19 @@
         "fast" => machine.set_slow(100),
         "leave" => machine.set_leaving(true),
         "stay" => machine.set_leaving(false),
-        _ => {
-            let known = "kill restart start pause resume cut heal slow fast leave stay";
-            let message = format!("no change '{change}'; there are: {known}");
-            return Response::builder().status(StatusCode::BAD_REQUEST).body(message);
-        }
+        _ if machine.manner.change(&change) => {}
+        _ => return unknown_change(&change, &format!("{KNOWN_POWERS} {KNOWN_MANNERS}")),
     }
-    fleet.ledger.append(&LedgerRecord::MachineChanged { at_ms: wall_ms(), server: name, change });
+    changed(&fleet, name, change)
+}
+
+fn changed(fleet: &Fleet, server: String, made: String) -> Response {
+    let record = LedgerRecord::MachineChanged { at_ms: wall_ms(), server, change: made };
+    fleet.ledger.append(&record);
     Response::builder().status(StatusCode::NO_CONTENT).finish()
 }
+
+fn unknown_change(asked: &str, known: &str) -> Response {
+    let message = format!("no change '{asked}'; there are: {known}");
+    Response::builder().status(StatusCode::BAD_REQUEST).body(message)
+}
--- a/crates/emulator/src/http/engine.rs
+++ b/crates/emulator/src/http/engine.rs
@@ -160,6 +160,11 @@
 #[handler]
 async fn generate(Data(host): Data<&Host>, Json(request): Json<GenerateRequest>) -> Response {
     host.machine.wait_responsive().await;
+    if let Some(rejection) = host.machine.manner.rejection() {
+        let server = host.machine.config.name.clone();
+        host.fleet.ledger.append(&LedgerRecord::RequestRejected { at_ms: wall_ms(), server });
+        return rejection;
+    }
     let Some(group) = host.machine.group() else { return no_group() };
     if request.prompt.contains(FATAL_PROMPT) {
         tokio::spawn(end_machine(host.clone()));
@@ -170,7 +175,9 @@
         Err(Refused::Barred) => refusal(StatusCode::GONE, "the id is barred"),
         Ok(run) => {
             let lines = generation(host.machine.clone(), run, from);
-            Response::builder().content_type("application/x-ndjson").body(Body::from_bytes_stream(lines))
+            let answer =
+                Response::builder().content_type("application/x-ndjson").body(Body::from_bytes_stream(lines));
+            host.machine.manner.mark(answer)
         }
     }
 }
--- a/crates/emulator/src/http/service.rs
+++ b/crates/emulator/src/http/service.rs
@@ -4,6 +4,7 @@
 use crate::config::{ServiceConfig, ServiceServerConfig};
 use crate::fleet::Fleet;
 use crate::ledger::LedgerRecord;
+use crate::manner::RequestManner;
 use crate::wall_ms;
 use dockwood_api::caller::HEADER_REQUEST_ID;
 use poem::http::Method;
@@ -19,6 +20,7 @@
     service: String,
     server: String,
     call_time: Duration,
+    manner: Arc<RequestManner>,
 }
 
 /// Serves one server of a plain service for ever.
@@ -29,6 +31,7 @@
 ) -> std::io::Result<JoinHandle<()>> {
     let acceptor = listen(server.address).await?;
     let host = ServiceHost {
+        manner: fleet.plain_servers.get(&server.name).cloned().unwrap_or_default(),
         fleet,
         service: service.name.clone(),
         server: server.name.clone(),
@@ -40,6 +43,11 @@
 
 #[handler]
 async fn call(Data(host): Data<&ServiceHost>, request: &Request, body: Body) -> Response {
+    if let Some(rejection) = host.manner.rejection() {
+        let server = host.server.clone();
+        host.fleet.ledger.append(&LedgerRecord::RequestRejected { at_ms: wall_ms(), server });
+        return rejection;
+    }
     let id = request.header(HEADER_REQUEST_ID).unwrap_or("").to_string();
     host.fleet.ledger.append(&LedgerRecord::ServiceCalled {
         at_ms: wall_ms(),
@@ -55,8 +63,8 @@
         .header("x-path", path)
         .content_type(request.content_type().unwrap_or("application/octet-stream"));
     if request.method() == Method::HEAD {
-        return echo.finish();
+        return host.manner.mark(echo.finish());
     }
     // Echoed as it arrives, so that streaming in both directions can be seen.
-    echo.body(body)
+    host.manner.mark(echo.body(body))
 }
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -90,6 +90,13 @@
         /// What was done.
         change: String,
     },
+    /// A server rejected a request, and asked for rest.
+    RequestRejected {
+        /// When.
+        at_ms: u64,
+        /// Server name.
+        server: String,
+    },
     /// A plain service took a call.
     ServiceCalled {
         /// When.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -11,6 +11,7 @@
 mod http;
 mod ledger;
 mod machine;
+mod manner;
 mod platform;
 mod prefix_cache;
 mod text;
@@ -19,6 +20,7 @@
 pub use config::{ConfigError, EngineConfig, EngineModel, FleetConfig, ServiceConfig, ServiceServerConfig};
 pub use fleet::{Fleet, FleetHandle};
 pub use ledger::{LedgerRecord, LedgerWriter, read_ledger};
+pub use manner::REST_S;
 pub use text::{FATAL_PROMPT, answer_length, expected_answer, prompt_digest, token_count, token_text};
 
 /// Milliseconds since the Unix epoch.
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::config::EngineConfig;
 use crate::group::Group;
+use crate::manner::RequestManner;
 use crate::wall_ms;
 use dockwood_api::engine::{EngineOrder, LoadPlan, OrderProgress, OrderReply};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -47,6 +48,8 @@
 pub struct Machine {
     /// Its entry in the fleet file.
     pub config: EngineConfig,
+    /// How it treats requests.
+    pub manner: RequestManner,
     core: Mutex<MachineCore>,
     power: watch::Sender<Power>,
 }
@@ -66,7 +69,12 @@
             weights: None,
             group: None,
         };
-        Machine { config, core: Mutex::new(core), power: watch::channel(Power::On).0 }
+        Machine {
+            config,
+            manner: RequestManner::default(),
+            core: Mutex::new(core),
+            power: watch::channel(Power::On).0,
+        }
     }
 
     fn core(&self) -> MutexGuard<'_, MachineCore> {
