Chat requests, service calls and the leader's questions go by the same permits

Cause: each way to a server had its own reading of answers, and none read what a rejection asks for. A rejected chat request counted as one that may have run, and its replica as broken. Change: engine streams, service calls and probes ask for a SendPermit and learn from the answer's head; a rejection that says not run goes to another replica or server and is no evidence against the one that gave it; where all rest or leave, the caller is refused at once with 2033 and a time, or 2021. A probe that is not sent tells nothing (NotAsked). Orders still go: groups have to be closed and left in time.

--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::log_line::{LineBody, OrderLine};
 use crate::logging;
+use crate::pushback::{Addressee, SendPermit, signals_of};
 use crate::shared::Shared;
 use dockwood_api::gateway::{GroupOrder, OrderAnswer};
 use dockwood_control::{InstanceProbe, ProbeQuestion, ProbeResult};
@@ -83,6 +84,14 @@
         });
     }
 
+    /// The instance that is asked. Questions are no requests, but a server that wants nothing is spared them, too; orders go
+    /// to it all the same, as groups have to be closed and left in time.
+    fn addressee(&self, probe: &InstanceProbe) -> Addressee {
+        let tables = self.shared.tables();
+        let row = tables.gateway.instances.get(&probe.instance);
+        row.map_or_else(|| Addressee::named(&probe.instance, 1), |row| Addressee::instance(row))
+    }
+
     /// What an answer shows of who gave it.
     fn result_of(&self, response: &reqwest::Response, probe: &InstanceProbe) -> ProbeResult {
         match response.headers().get(self.dialect.headers().own_instance) {
@@ -95,6 +104,9 @@
 
     /// What came of asking, and how many times its declared times the instance takes, where it tells.
     async fn ask(&self, probe: &InstanceProbe) -> (ProbeResult, Option<f64>) {
+        let Ok(mut permit) = SendPermit::ask(&self.shared, self.addressee(probe)) else {
+            return (ProbeResult::NotAsked, None);
+        };
         let path = match &probe.question {
             ProbeQuestion::IsAlive => self.dialect.report_path(),
             ProbeQuestion::AnswersAt(health_path) => health_path,
@@ -103,6 +115,8 @@
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
             Ok(response) => match self.result_of(&response, probe) {
                 ProbeResult::Answered => {
+                    let leaving = self.dialect.headers().leaving;
+                    permit.answered(&signals_of(response.status(), response.headers(), leaving), "");
                     // An answer whose body is lost shows a living server all the same.
                     let body = response.bytes().await.unwrap_or_default();
                     (ProbeResult::Answered, self.dialect.report_slowness(&body))
--- a/crates/daemon/src/gateway/answers.rs
+++ b/crates/daemon/src/gateway/answers.rs
@@ -2,10 +2,9 @@
 
 use super::Gateway;
 use super::account::RequestAccount;
-use super::headers::signals_of;
 use super::receive::Received;
 use crate::dialect::HeaderNames;
-use crate::pushback::SendPermit;
+use crate::pushback::{SendPermit, signals_of};
 use dockwood_routing::gateway::SendOutcome;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
@@ -25,7 +24,7 @@
 ) -> Result<(Parts, Body), SendOutcome> {
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
-    let signals = signals_of(parts.status, &parts.headers, names);
+    let signals = signals_of(parts.status, &parts.headers, names.leaving);
     account.head_received(&signals);
     // Another server answers in place of the one that is meant: its word is not that one's.
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/daemon/src/gateway/headers.rs
+++ b/crates/daemon/src/gateway/headers.rs
@@ -1,13 +1,10 @@
 //! Which headers cross the gateway, in either direction.
 
 use crate::dialect::HeaderNames;
-use dockwood_routing::pushback::{AnswerSignals, LeavingMark, RetryAfter};
-use hyper::StatusCode;
 use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
-use std::time::SystemTime;
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 5] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
@@ -78,16 +75,6 @@
     }
 }
 
-/// What a server's answer asks of this entry.
-pub fn signals_of(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> AnswerSignals {
-    let values = |name: HeaderName| headers.get_all(name).into_iter().map(HeaderValue::as_bytes);
-    AnswerSignals {
-        status: status.as_u16(),
-        retry_after: RetryAfter::read(values(RETRY_AFTER), SystemTime::now()),
-        leaving: LeavingMark::read(values(HeaderName::from_static(names.leaving))),
-    }
-}
-
 fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(HeaderName::from_static(name), value);
--- a/crates/daemon/src/gateway/loads/holds.rs
+++ b/crates/daemon/src/gateway/loads/holds.rs
@@ -1,8 +1,8 @@
 //! Which groups are not asked, as their heads rest or leave.
 
 use super::{Loads, PlaceQuery};
-use crate::gateway::unavailable::AllHeld;
 use crate::lock::lock;
+use crate::pushback::AllHeld;
 use crate::pushback::{Pushback, head_of};
 
 /// The groups that might take a request, as far as their heads are held back.
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -7,11 +7,11 @@
 pub use reports::ScopeLoad;
 
 use super::cold::place_valid_until;
-use super::unavailable::AllHeld;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
 use crate::log_line::ChosenBy;
 use crate::pushback::Addressee;
+use crate::pushback::AllHeld;
 use dockwood_api::gateway::{EventPace, ModelLoad};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedZones, Candidate, PaceEstimates, choose, timely_event_ms};
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -25,7 +25,6 @@
 mod stalls;
 mod stream;
 mod targets;
-mod unavailable;
 mod upstream;
 
 pub use cold::ColdServers;
--- a/crates/daemon/src/gateway/stream/choosing.rs
+++ b/crates/daemon/src/gateway/stream/choosing.rs
@@ -7,7 +7,7 @@
 use crate::gateway::refusal::refuse;
 use crate::gateway::source::Source;
 use crate::gateway::targets::pick_for;
-use crate::gateway::unavailable::Unavailable;
+use crate::pushback::Unavailable;
 use crate::suspects::Admission;
 use dockwood_api::ResultCode;
 use hyper::Response;
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -3,10 +3,10 @@
 use super::Gateway;
 use super::receive::Received;
 use super::regions::none_serves;
-use super::unavailable::{AllHeld, Unavailable};
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
 use crate::pushback::start_of;
+use crate::pushback::{AllHeld, Unavailable};
 use crate::suspects::SuspectGate;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
--- a/crates/daemon/src/pushback/mod.rs
+++ b/crates/daemon/src/pushback/mod.rs
@@ -5,10 +5,14 @@
 //! Each daemon goes by what it was told itself: a server asks the one that it answers, and may ask others for another time
 //! or not at all.
 
+mod headers;
 mod permit;
 mod telling;
+mod unavailable;
 
+pub use headers::signals_of;
 pub use permit::SendPermit;
+pub use unavailable::{AllHeld, Unavailable};
 
 use crate::clock::monotonic_ms;
 use crate::line_budget::LineBudget;
--- a/crates/daemon/src/pushback/permit.rs
+++ b/crates/daemon/src/pushback/permit.rs
@@ -32,6 +32,11 @@
         Ok(SendPermit { shared: shared.clone(), addressee, kind: begun?, accepted: false })
     }
 
+    /// Leave to read on from a run that the server has already: that is no new request.
+    pub fn of_running(shared: &Arc<Shared>, addressee: Addressee) -> SendPermit {
+        SendPermit { shared: shared.clone(), addressee, kind: SendKind::Usual, accepted: false }
+    }
+
     /// Learns from the head of the answer to `request`. What an answer asks of its receiver holds also if the answer itself
     /// is of no use: if its body breaks off, belongs to another request, or is not passed on.
     pub fn answered(&mut self, signals: &AnswerSignals, request: &str) {
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -3,10 +3,12 @@
 use super::run::Run;
 use super::{ChatJob, Failure};
 use crate::clock::monotonic_ms;
+use crate::pushback::{Addressee, AllHeld};
 use crate::suspects::{Admission, SuspectGate};
 use crate::traffic::Traffic;
 use crate::traffic::slots::HeldSlot;
 use dockwood_api::ResultCode;
+use dockwood_routing::pushback::Hold;
 use dockwood_state::{SuspectTry, Tables};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -50,6 +52,10 @@
         loop {
             let is_suspect = self.gate.is_suspect().await.map_err(|code| self.refused_by_gate(code))?;
             let slot = self.acquire().await?;
+            if let Some(hold) = self.traffic.shared.pushback.hold(&self.addressee(&slot).start) {
+                self.pass_over(&slot, hold)?;
+                continue;
+            }
             let place = Place::of(&slot, &self.traffic.shared.tables());
             match self.gate.enter(is_suspect, &place.head, &place.zone).await {
                 Admission::Enter => return Ok(slot),
@@ -68,6 +74,26 @@
         }
     }
 
+    /// The head of a slot's replica, as what is sent to it is answered for.
+    pub(super) fn addressee(&self, slot: &HeldSlot) -> Addressee {
+        let tables = self.traffic.shared.tables();
+        let places = tables.deployment(&self.pool()).map_or(1, |spec| spec.slots_per_replica);
+        Addressee::at(slot.grant.head, places)
+    }
+
+    /// Avoids a replica whose head rests or leaves. Coordinators grant slots of avoided replicas only where no other one
+    /// serves: then nobody can take the request.
+    fn pass_over(&mut self, slot: &HeldSlot, hold: Hold) -> Result<(), Failure> {
+        if !self.avoid.contains(&slot.grant.replica) {
+            self.avoid.push(slot.grant.replica.clone());
+            return Ok(());
+        }
+        let mut held = AllHeld::default();
+        held.add(&slot.grant.replica, hold.until());
+        let failure = Failure::unavailable(held.refused());
+        Err(if self.dispatched { self.refused_by_gate(failure.code) } else { failure })
+    }
+
     /// Waits until replicas that were taken by other suspects may be looked at again.
     async fn all_taken(&mut self) -> Result<(), Failure> {
         self.avoid.clear();
--- a/crates/daemon/src/traffic/chat/mod.rs
+++ b/crates/daemon/src/traffic/chat/mod.rs
@@ -12,6 +12,7 @@
 use super::Traffic;
 use super::records::record_key;
 use crate::published::Route;
+use crate::pushback::Unavailable;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_api::peer::KeptAnswer;
@@ -94,6 +95,12 @@
         Failure { code, message: message.into(), retry_after_ms: None }
     }
 
+    /// A request for which there is no server.
+    pub fn unavailable(unavailable: Unavailable) -> Self {
+        let Unavailable { code, back_in_ms, .. } = unavailable;
+        Failure { code, message: code.meaning().to_string(), retry_after_ms: back_in_ms }
+    }
+
     /// The same for a request whose earlier sending may have run: the reason stays, "not run" does not.
     pub fn of_resend(self) -> Self {
         let message = format!("{}; an earlier sending of this request may have run", self.message);
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -3,6 +3,7 @@
 use super::ChatEvent;
 use super::run::Run;
 use crate::clock::monotonic_ms;
+use crate::pushback::SendPermit;
 use crate::traffic::engine_stream::{EngineStream, Next, OpenFailure, bar, request_state};
 use crate::traffic::slots::HeldSlot;
 use dockwood_api::engine::{GenerateEvent, GenerateRequest, RequestPhase};
@@ -55,12 +56,16 @@
         if !may_write || !self.traffic.shared.may_dispatch(&self.pool()) {
             return AttemptEnd::Movable("stale-grant");
         }
+        let Ok(permit) = SendPermit::ask(&self.traffic.shared, self.addressee(slot)) else {
+            return AttemptEnd::Movable("resting");
+        };
         let request = self.generate_request(slot);
-        match EngineStream::open(&self.traffic.http, slot.grant.head, &request).await {
+        match EngineStream::open(&self.traffic.http, slot.grant.head, &request, permit).await {
             Ok(stream) => {
                 self.dispatched = true;
                 self.forward(stream, slot).await
             }
+            Err(OpenFailure::Rejected) => AttemptEnd::Movable("rejected"),
             Err(OpenFailure::NotRun) => {
                 slot.replica_broken = true;
                 AttemptEnd::Movable("not-taken")
@@ -172,8 +177,10 @@
 
     /// Reads on from a run that goes on, or ended, without a listener.
     async fn reattach(&mut self, slot: &mut HeldSlot) -> AttemptEnd {
+        // The engine has the request already, and a rest is no reason to leave its run unheard.
+        let permit = SendPermit::of_running(&self.traffic.shared, self.addressee(slot));
         let request = self.generate_request(slot);
-        match EngineStream::open(&self.traffic.http, slot.grant.head, &request).await {
+        match EngineStream::open(&self.traffic.http, slot.grant.head, &request, permit).await {
             Ok(stream) => self.forward(stream, slot).await,
             Err(_) => AttemptEnd::Broken,
         }
--- a/crates/daemon/src/traffic/engine_stream.rs
+++ b/crates/daemon/src/traffic/engine_stream.rs
@@ -1,7 +1,11 @@
 //! Talks to the head of a replica about one request.
 
+use crate::pushback::{SendPermit, signals_of};
 use bytes::BytesMut;
-use dockwood_api::engine::{GenerateEvent, GenerateRequest, PATH_GENERATE, PATH_REQUESTS, RequestState};
+use dockwood_api::engine::{
+    GenerateEvent, GenerateRequest, HEADER_LEAVING, HEADER_NOT_RUN, PATH_GENERATE, PATH_REQUESTS,
+    RequestState,
+};
 use reqwest::StatusCode;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +20,8 @@
 pub enum OpenFailure {
     /// The head got no byte of it, or refused it: it was not run.
     NotRun,
+    /// The head said that it did not run it, and goes on serving.
+    Rejected,
     /// It may have begun.
     Unclear,
 }
@@ -43,6 +49,7 @@
         http: &reqwest::Client,
         head: SocketAddr,
         request: &GenerateRequest,
+        mut permit: SendPermit,
     ) -> Result<EngineStream, OpenFailure> {
         let sending = http.post(format!("http://{head}{PATH_GENERATE}")).json(request).send();
         let response = match tokio::time::timeout(ANSWER_TIMEOUT, sending).await {
@@ -51,7 +58,9 @@
             Ok(Err(_)) => return Err(OpenFailure::Unclear),
             Ok(Ok(response)) => response,
         };
+        permit.answered(&signals_of(response.status(), response.headers(), HEADER_LEAVING), &request.id);
         match response.status() {
+            _ if response.headers().contains_key(HEADER_NOT_RUN) => Err(OpenFailure::Rejected),
             StatusCode::OK => Ok(EngineStream { response, buffer: BytesMut::new() }),
             StatusCode::CONFLICT | StatusCode::GONE => Err(OpenFailure::NotRun),
             _ => Err(OpenFailure::Unclear),
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -4,10 +4,12 @@
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
+use crate::pushback::{Addressee, AllHeld, SendPermit, signals_of};
 use crate::suspects::{Admission, SuspectGate, has_ended};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
+use dockwood_api::engine::{HEADER_LEAVING, HEADER_NOT_RUN};
 use dockwood_api::peer::RequestRecord;
 use dockwood_api::resource::{ServiceServer, ServiceSpec};
 use dockwood_routing::{BackendPicker, CallResult};
@@ -176,35 +178,44 @@
 enum AttemptEnd {
     /// The server could not be reached: it has not had the call.
     NotSent,
+    /// The server said that it did not run the call; its answer is passed on if no other server takes the call.
+    Rejected(Box<Answered>),
     /// The server may have had the call.
     Unclear,
 }
 
+/// The head of a server's answer.
+type Answered = (reqwest::Response, CallGuard);
+
 async fn try_servers(
     traffic: &Arc<Traffic>,
     call: ServiceCall,
     sendings: &mut Sendings<'_>,
 ) -> Result<Answer, Failure> {
-    let ServiceCall { service, spec, method, path, headers, body, repeatable, tried, record_key: _ } = call;
+    let ServiceCall { service, spec, method, path, headers, body, repeatable, tried, record_key } = call;
     let deadline = Instant::now() + HEAD_TIMEOUT;
     let mut gate = tried.map(|tried| SuspectGate::new(&traffic.shared, tried, deadline));
+    let request_id = record_key.unwrap_or_default();
     let mut body = Some(body);
     let mut may_have_run = false;
     for attempt in 0..MAX_ATTEMPTS {
-        let admitted = admitted_server(traffic, &service, &spec, &mut gate, may_have_run).await?;
-        let Some((server, guard)) = admitted else {
-            return Err(if may_have_run { outcome_unknown() } else { all_busy() });
-        };
+        let (server, guard) = admitted_server(traffic, &service, &spec, &mut gate, may_have_run).await?;
         let Some((sent, spare)) = body.take().map(ServiceBody::for_sending) else { break };
         body = spare;
         sendings.note().await;
         let request = traffic.http.request(method.clone(), format!("http://{}{path}", server.address));
         let may_write = gate.as_ref().is_none_or(SuspectGate::may_write);
         let sending = request.headers(headers.clone()).body(sent);
-        let end = if may_write { send(sending, guard).await } else { Err(AttemptEnd::NotSent) };
+        let permit = may_write.then(|| SendPermit::ask(&traffic.shared, addressee(&server, &spec)));
+        let end = match permit {
+            Some(Ok(permit)) => send(sending, guard, permit, &request_id).await,
+            Some(Err(_)) | None => Err(AttemptEnd::NotSent),
+        };
+        let mut rejection = None;
         match end {
             Ok((response, guard)) => return Ok(Answer { response, gate, _guard: guard }),
             Err(AttemptEnd::NotSent) => {}
+            Err(AttemptEnd::Rejected(answered)) => rejection = Some(answered),
             Err(AttemptEnd::Unclear) => {
                 may_have_run = true;
                 if has_ended(server.address).await {
@@ -215,13 +226,21 @@
         let may_retry = !may_have_run || repeatable;
         let is_last = attempt + 1 == MAX_ATTEMPTS;
         if !may_retry || is_last || body.is_none() || !traffic.try_retry("service") {
+            if let Some((response, guard)) = rejection.map(|answered| *answered) {
+                return Ok(Answer { response, gate, _guard: guard });
+            }
             break;
         }
     }
     Err(if may_have_run { outcome_unknown() } else { unreachable() })
 }
 
-/// A server to which the call may be sent; `None` if every one is at its limit. Its guard is held while the gate is
+/// A server as what is sent to it is answered for.
+fn addressee(server: &ServiceServer, spec: &ServiceSpec) -> Addressee {
+    Addressee::named(&server.name, spec.slots_per_server)
+}
+
+/// A server to which the call may be sent, or why there is none. Its guard is held while the gate is
 /// asked: the caller may leave meanwhile.
 async fn admitted_server(
     traffic: &Arc<Traffic>,
@@ -229,17 +248,19 @@
     spec: &ServiceSpec,
     gate: &mut Option<SuspectGate>,
     may_have_run: bool,
-) -> Result<Option<(ServiceServer, CallGuard)>, Failure> {
-    let Some(gate) = gate else { return Ok(guarded_pick(traffic, service, spec)) };
-    let refused = |code: ResultCode| {
-        if may_have_run && code.is_not_run() { outcome_unknown() } else { Failure::new(code, code.meaning()) }
+) -> Result<(ServiceServer, CallGuard), Failure> {
+    let truthful = |failure: Failure| {
+        if may_have_run && failure.code.is_not_run() { outcome_unknown() } else { failure }
     };
+    let refused = |code: ResultCode| truthful(Failure::new(code, code.meaning()));
+    let pick = || guarded_pick(traffic, service, spec).map_err(truthful);
+    let Some(gate) = gate else { return pick() };
     loop {
         let is_suspect = gate.is_suspect().await.map_err(refused)?;
-        let Some((server, guard)) = guarded_pick(traffic, service, spec) else { return Ok(None) };
+        let (server, guard) = pick()?;
         let mut admission = gate.enter(is_suspect, &server.name, &server.zone).await;
         if admission == Admission::Enter {
-            return Ok(Some((server, guard)));
+            return Ok((server, guard));
         }
         drop(guard);
         if admission == Admission::Elsewhere {
@@ -256,7 +277,7 @@
     traffic: &Arc<Traffic>,
     service: &str,
     spec: &ServiceSpec,
-) -> Option<(ServiceServer, CallGuard)> {
+) -> Result<(ServiceServer, CallGuard), Failure> {
     let server = pick(traffic, service, spec)?;
     let guard = CallGuard {
         traffic: traffic.clone(),
@@ -265,16 +286,23 @@
         servers: spec.servers.len(),
         result: None,
     };
-    Some((server, guard))
+    Ok((server, guard))
 }
 
 async fn send(
     request: reqwest::RequestBuilder,
     mut guard: CallGuard,
-) -> Result<(reqwest::Response, CallGuard), AttemptEnd> {
+    mut permit: SendPermit,
+    request_id: &str,
+) -> Result<Answered, AttemptEnd> {
     guard.result = Some(CallResult::Failed);
     match tokio::time::timeout(HEAD_TIMEOUT, request.send()).await {
         Ok(Ok(response)) => {
+            permit.answered(&signals_of(response.status(), response.headers(), HEADER_LEAVING), request_id);
+            if response.headers().contains_key(HEADER_NOT_RUN) {
+                guard.result = Some(CallResult::Answered);
+                return Err(AttemptEnd::Rejected(Box::new((response, guard))));
+            }
             if response.status() != StatusCode::SERVICE_UNAVAILABLE {
                 guard.result = Some(CallResult::Answered);
             }
@@ -293,16 +321,25 @@
     Failure::new(ResultCode::OutcomeUnknown, "the server did not answer; the call may have been run")
 }
 
-fn pick(traffic: &Traffic, service: &str, spec: &ServiceSpec) -> Option<ServiceServer> {
+fn pick(traffic: &Traffic, service: &str, spec: &ServiceSpec) -> Result<ServiceServer, Failure> {
     let declared: Vec<&str> = spec.servers.iter().map(|server| server.name.as_str()).collect();
-    let eligible: Vec<&str> =
-        spec.servers.iter().filter(|server| !server.drain).map(|server| server.name.as_str()).collect();
+    let mut held = AllHeld::default();
+    let mut eligible: Vec<&str> = Vec::new();
+    for server in spec.servers.iter().filter(|server| !server.drain) {
+        match traffic.shared.pushback.hold(&addressee(server, spec).start) {
+            Some(hold) => held.add(&server.name, hold.until()),
+            None => eligible.push(&server.name),
+        }
+    }
+    if eligible.is_empty() && !held.servers.is_empty() {
+        return Err(Failure::unavailable(held.refused()));
+    }
     let random = rand::rng().random();
     let mut pickers = traffic.services.pickers();
     let picker = pickers.entry(service.to_string()).or_default();
     picker.retain(&declared);
-    let name = picker.pick(monotonic_ms(), &eligible, spec.slots_per_server, random)?;
-    spec.servers.iter().find(|server| server.name == name).cloned()
+    let name = picker.pick(monotonic_ms(), &eligible, spec.slots_per_server, random).ok_or_else(all_busy)?;
+    spec.servers.iter().find(|server| server.name == name).cloned().ok_or_else(all_busy)
 }
 
 fn all_busy() -> Failure {
--- a/crates/emulator/src/http/admin.rs
+++ b/crates/emulator/src/http/admin.rs
@@ -39,7 +39,7 @@
 async fn change(Data(fleet): Data<&Arc<Fleet>>, Path((name, change)): Path<(String, String)>) -> Response {
     if let Some(server) = fleet.plain_servers.get(&name) {
         return match server.change(&change) {
-            true => changed(&fleet, name, change),
+            true => changed(fleet, name, change),
             false => unknown_change(&change, KNOWN_MANNERS),
         };
     }
@@ -64,7 +64,7 @@
         _ if machine.manner.change(&change) => {}
         _ => return unknown_change(&change, &format!("{KNOWN_POWERS} {KNOWN_MANNERS}")),
     }
-    changed(&fleet, name, change)
+    changed(fleet, name, change)
 }
 
 fn changed(fleet: &Fleet, server: String, made: String) -> Response {
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -28,6 +28,8 @@
     Refused,
     /// No answer in time.
     Silent,
+    /// It was not asked: it wants nothing from this daemon now. That tells nothing of it.
+    NotAsked,
 }
 
 /// One instance as seen.
@@ -153,6 +155,7 @@
         let Some(seen) = self.instances.get_mut(instance) else { return };
         match result {
             ProbeResult::Answered => seen.silent_since = None,
+            ProbeResult::NotAsked => {}
             // A refusal doesn't show that it has ended either: a cut network may answer for it.
             ProbeResult::OtherInstance | ProbeResult::Refused | ProbeResult::Silent => {
                 seen.silent_since.get_or_insert(now);
