Plans count with groups whose heads want nothing for long, or leave

Cause: a group at rest is open and well, so that a plan takes it for capacity also where it serves nobody for a minute; and the leader learns only by the next heartbeat that a head leaves which has said so in its answers. Change: entries tell how much longer they hold a group back, if that is 10 s or more, or for good; a group that no entry sends to counts for the rest of the plan's horizon alone. The word of an entry that sends to it stands against that of all others; shorter rests change nothing; dispatchers pass it on.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -34,6 +34,9 @@
     pub progressed: bool,
     /// How many events came in time.
     pub pace: EventPace,
+    /// How much longer the entry sends nothing to the head, which asked for a long rest or said that it leaves, in
+    /// milliseconds; 0 if it sends.
+    pub held_for_ms: u64,
 }
 
 /// One entry's requests for one model since its last report.
--- a/crates/control/tests/probes.rs
+++ b/crates/control/tests/probes.rs
@@ -123,7 +123,15 @@
         tables.apply(&GatewayCommand::SetPhase { epoch, phase, reason: String::new() });
     }
     let pace = EventPace { events: 20, timely: 0 };
-    let group = GroupLoad { epoch, in_flight: 4, silent: false, refuses: false, progressed: true, pace };
+    let group = GroupLoad {
+        epoch,
+        in_flight: 4,
+        silent: false,
+        refuses: false,
+        progressed: true,
+        pace,
+        held_for_ms: 0,
+    };
     let report = LoadReport { daemon: "e".into(), scope: None, groups: vec![group], models: Vec::new() };
     leader.exchange(3_000, &tables, 1, report, true);
     let asked: Vec<String> = leader.probes(3_010, &tables).into_iter().map(|probe| probe.instance).collect();
--- a/crates/daemon/src/gateway/load_exchange.rs
+++ b/crates/daemon/src/gateway/load_exchange.rs
@@ -72,7 +72,7 @@
 async fn tell_leader(gateway: &Gateway) -> Duration {
     let shared = &gateway.shared;
     let Some(leader) = shared.leader() else { return IDLE_EVERY };
-    let report = gateway.loads.report(&shared.settings.name);
+    let report = gateway.loads.report(&shared.settings.name, &shared.pushback);
     let is_busy = shared.in_flight() > 0 || !report.groups.is_empty() || !report.models.is_empty();
     let call = |client: PeerClient, context| async move { client.exchange_load(context, report).await };
     if let Ok(Some(digest)) = shared.peers.call(leader, ANSWER_TIMEOUT, call).await {
@@ -85,7 +85,8 @@
 fn tell_dispatchers(gateway: &Arc<Gateway>, told: &mut BTreeMap<DispatchScope, Told>) {
     let now = monotonic_ms();
     let settings = &gateway.shared.settings;
-    let mut loads = gateway.loads.scopes(&settings.zone);
+    let pushback = &gateway.shared.pushback;
+    let mut loads = gateway.loads.scopes(&settings.zone, pushback);
     // A scope in which the last request has ended is told so, once.
     for (scope, _) in told.iter().filter(|(_, last)| !last.in_flight.is_empty()) {
         loads.entry(scope.clone()).or_default();
@@ -95,7 +96,7 @@
         if told.get(&scope).is_none_or(|last| last.is_outdated(now, &load)) {
             // What it says is remembered, not what was seen a moment before: a request that begins in between and ends
             // before the next look would be told of and never taken back.
-            let report = gateway.loads.report_scope(&settings.name, &settings.zone, &scope);
+            let report = gateway.loads.report_scope(&settings.name, &settings.zone, &scope, pushback);
             told.insert(scope.clone(), Told::by(&report, now));
             tokio::spawn(tell_dispatcher(gateway.clone(), scope, report));
         }
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -2,12 +2,28 @@
 
 use super::{GroupState, Loads, PlaceQuery, lock};
 use crate::clock::monotonic_ms;
+use crate::pushback::{Pushback, head_of};
 use dockwood_api::gateway::{DispatchScope, GroupLoad, LoadDigest, LoadReport};
+use dockwood_routing::Millis;
+use dockwood_routing::pushback::Hold;
 use dockwood_state::GroupRow;
 use rand::seq::SliceRandom;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering;
 
+/// A rest of which less is left than this is not told: no other group could serve in its place before it ends, and a plan
+/// that changes with each short rest never settles.
+const LONG_REST_MS: Millis = 10_000;
+
+/// How much longer this entry sends nothing to the head of a group, as far as plans need to know.
+fn held_for_ms(row: &GroupRow, pushback: &Pushback, now: Millis) -> Millis {
+    match pushback.hold(&head_of(row)) {
+        Some(Hold::Leaving) => Millis::MAX,
+        Some(Hold::Resting { until }) if until >= now + LONG_REST_MS => until - now,
+        _ => 0,
+    }
+}
+
 /// What an entry has at the groups of one scope.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ScopeLoad {
@@ -27,22 +43,28 @@
 
 impl Loads {
     /// What the leader is to be told of all groups.
-    pub fn report(&self, daemon: &str) -> LoadReport {
-        let groups = self.tell_groups(|_| true);
+    pub fn report(&self, daemon: &str, pushback: &Pushback) -> LoadReport {
+        let groups = self.tell_groups(pushback, |_| true);
         let models = std::mem::take(&mut *lock(&self.demand)).into_values().collect();
         LoadReport { daemon: daemon.to_string(), scope: None, groups, models }
     }
 
     /// What the dispatcher of a scope is to be told; what is asked for goes to that of the own zone.
-    pub fn report_scope(&self, daemon: &str, own_zone: &str, scope: &DispatchScope) -> LoadReport {
-        let groups = self.tell_groups(|row| is_in_scope(row, scope));
+    pub fn report_scope(
+        &self,
+        daemon: &str,
+        own_zone: &str,
+        scope: &DispatchScope,
+        pushback: &Pushback,
+    ) -> LoadReport {
+        let groups = self.tell_groups(pushback, |row| is_in_scope(row, scope));
         let key = (scope.service.clone(), scope.model.clone());
         let is_own = scope.zone == own_zone;
         let models = is_own.then(|| lock(&self.demand).remove(&key)).flatten().into_iter().collect();
         LoadReport { daemon: daemon.to_string(), scope: Some(scope.clone()), groups, models }
     }
 
-    fn tell_groups(&self, concerns: impl Fn(&GroupRow) -> bool) -> Vec<GroupLoad> {
+    fn tell_groups(&self, pushback: &Pushback, concerns: impl Fn(&GroupRow) -> bool) -> Vec<GroupLoad> {
         let now = monotonic_ms();
         let mut groups = lock(&self.groups);
         let tell = |(epoch, group): (&u64, &mut GroupState)| {
@@ -54,24 +76,29 @@
                 refuses: std::mem::take(&mut group.refused),
                 progressed: std::mem::take(&mut group.progressed),
                 pace: std::mem::take(&mut group.pace),
+                held_for_ms: held_for_ms(&group.row, pushback, now),
             };
-            let is_news = load.in_flight > 0 || load.silent || load.refuses || load.progressed;
+            let is_evidence = load.silent || load.refuses || load.progressed || load.held_for_ms > 0;
+            let is_news = load.in_flight > 0 || is_evidence;
             is_news.then_some(load)
         };
         groups.iter_mut().filter(|(_, group)| concerns(&group.row)).filter_map(tell).collect()
     }
 
     /// Requests in flight and groups that stand still, by scope; also scopes in which only demand is to be told.
-    pub fn scopes(&self, own_zone: &str) -> BTreeMap<DispatchScope, ScopeLoad> {
+    pub fn scopes(&self, own_zone: &str, pushback: &Pushback) -> BTreeMap<DispatchScope, ScopeLoad> {
         let now = monotonic_ms();
         let mut scopes: BTreeMap<DispatchScope, ScopeLoad> = BTreeMap::new();
         for (epoch, group) in lock(&self.groups).iter() {
             let stands_still = now < group.suspected_until || group.refused;
-            if group.in_flight == 0 && !stands_still {
+            let is_held = held_for_ms(&group.row, pushback, now) > 0;
+            if group.in_flight == 0 && !stands_still && !is_held {
                 continue;
             }
             let load = scopes.entry(scope_of(&group.row)).or_default();
-            load.in_flight.push((*epoch, group.in_flight));
+            if group.in_flight > 0 || stands_still {
+                load.in_flight.push((*epoch, group.in_flight));
+            }
             load.stands_still |= stands_still;
         }
         for (service, model) in lock(&self.demand).keys() {
--- a/crates/grouping/src/need.rs
+++ b/crates/grouping/src/need.rs
@@ -56,7 +56,7 @@
         for group in groups.filter(counts) {
             let position = engine.models.iter().position(|model| model.name == group.model);
             if let Some(position) = position {
-                held[position] += 1.0;
+                held[position] += part_held(view, group);
             }
         }
         let demand = view.observations.demand().of_service(service);
@@ -103,6 +103,13 @@
     }
 }
 
+/// The part of the horizon in which a group serves: one whose head wants nothing for a minute is no help meanwhile, though
+/// it is well.
+fn part_held(view: &View<'_>, group: &GroupRow) -> f64 {
+    let held_back_ms = view.observations.held_for_ms(view.now, group.epoch) as f64;
+    (1.0 - held_back_ms / HORIZON_MS).max(0.0)
+}
+
 /// Whether a group serves, or soon will.
 fn is_held(group: &GroupRow) -> bool {
     let may_serve = matches!(group.phase, GroupPhase::Forming | GroupPhase::Opening | GroupPhase::Open);
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -346,6 +346,24 @@
         self.in_flight.get(&epoch).copied().unwrap_or(0)
     }
 
+    /// How much longer no entry sends anything to a group, as its head asked for a long rest or said that it leaves, in
+    /// milliseconds. 0 where any entry that uses it or holds it back sends to it still: each goes by what it was told
+    /// itself.
+    pub fn held_for_ms(&self, now: Millis, epoch: u64) -> Millis {
+        let told = self.loads.values().flat_map(|load| {
+            let of_group = load.report.groups.iter().filter(move |group| group.epoch == epoch);
+            of_group.map(|group| group.held_for_ms.saturating_sub(now.saturating_sub(load.at)))
+        });
+        told.min().unwrap_or(0)
+    }
+
+    /// Groups that no entry sends anything to for long.
+    pub fn held_groups(&self, now: Millis) -> BTreeSet<u64> {
+        let told = self.loads.values().flat_map(|load| &load.report.groups);
+        let held = told.filter(|group| group.held_for_ms > 0).map(|group| group.epoch);
+        held.filter(|epoch| self.held_for_ms(now, *epoch) > 0).collect()
+    }
+
     /// Groups with requests in flight.
     pub fn busy_groups(&self) -> impl Iterator<Item = u64> + '_ {
         self.in_flight.iter().filter(|(_, in_flight)| **in_flight > 0).map(|(epoch, _)| *epoch)
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -90,7 +90,7 @@
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
         self.dispatcher.observe_heads(now, tables);
         let mut evidence = std::mem::take(&mut self.evidence);
-        for epoch in self.observations.busy_groups() {
+        for epoch in self.observations.busy_groups().chain(self.observations.held_groups(now)) {
             evidence.entry(epoch).or_default();
         }
         let load = |(epoch, evidence): (u64, Evidence)| GroupLoad {
@@ -100,6 +100,7 @@
             refuses: evidence.refuses,
             progressed: evidence.progressed,
             pace: evidence.pace,
+            held_for_ms: self.observations.held_for_ms(now, epoch),
         };
         LoadReport {
             daemon: daemon.to_string(),
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -202,6 +202,7 @@
             refuses: false,
             progressed,
             pace: EventPace::default(),
+            held_for_ms: 0,
         }];
         let report = LoadReport { daemon: daemon.to_string(), scope: None, groups, models: Vec::new() };
         self.observations.exchange(self.now, report, witness);
--- a/crates/grouping/tests/places.rs
+++ b/crates/grouping/tests/places.rs
@@ -19,6 +19,7 @@
         refuses: false,
         progressed: true,
         pace: EventPace::default(),
+        held_for_ms: 0,
     }]
 }
 
@@ -142,6 +143,7 @@
                     refuses: false,
                     progressed: true,
                     pace: EventPace::default(),
+                    held_for_ms: 0,
                 })
                 .collect();
             let models = if is_asking { asks() } else { Vec::new() };
--- a/crates/grouping/tests/scope.rs
+++ b/crates/grouping/tests/scope.rs
@@ -29,7 +29,15 @@
 }
 
 fn load(epoch: u64, in_flight: u32, silent: bool, progressed: bool) -> GroupLoad {
-    GroupLoad { epoch, in_flight, silent, refuses: false, progressed, pace: EventPace::default() }
+    GroupLoad {
+        epoch,
+        in_flight,
+        silent,
+        refuses: false,
+        progressed,
+        pace: EventPace::default(),
+        held_for_ms: 0,
+    }
 }
 
 fn report(entry: &str, groups: Vec<GroupLoad>, arrived: u32) -> LoadReport {
--- a/crates/grouping/tests/slowness.rs
+++ b/crates/grouping/tests/slowness.rs
@@ -13,7 +13,15 @@
     for _ in 0..10 {
         world.now += 100;
         let pace = EventPace { events, timely };
-        let group = GroupLoad { epoch, in_flight: 4, silent: false, refuses: false, progressed: true, pace };
+        let group = GroupLoad {
+            epoch,
+            in_flight: 4,
+            silent: false,
+            refuses: false,
+            progressed: true,
+            pace,
+            held_for_ms: 0,
+        };
         let report =
             LoadReport { daemon: "e".to_string(), scope: None, groups: vec![group], models: Vec::new() };
         world.observations.exchange(world.now, report, true);
