Test: what is sent on does not multiply what servers at rest turn away

Ten plain servers, a tenth to all of which turn away a tenth to all of their requests and ask for a second of rest.

--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -57,12 +57,14 @@
     pub seconds: u64,
     /// Whether its answers also say that the request did not run.
     pub says_not_run: bool,
+    /// Part of the requests that it turns away, in percent; it serves the others.
+    pub part: usize,
 }
 
 impl Rest {
     /// As most servers ask for it.
-    pub fn of(seconds: u64) -> Rest {
-        Rest { status: StatusCode::SERVICE_UNAVAILABLE, seconds, says_not_run: true }
+    pub const fn of(seconds: u64) -> Rest {
+        Rest { status: StatusCode::SERVICE_UNAVAILABLE, seconds, says_not_run: true, part: 100 }
     }
 }
 
@@ -199,6 +201,12 @@
         lock(&self.arrivals).iter().filter(|arrival| arrival.at >= since).cloned().collect()
     }
 
+    /// Whether the next request is among the part that is turned away: these are spread evenly.
+    fn turns_away_next(&self, part: usize) -> bool {
+        let before = lock(&self.arrivals).len();
+        (before + 1) * part / 100 > before * part / 100
+    }
+
     /// Ends as a process does: its port refuses, its connections break, it reports nothing. It is back some time later.
     fn end(self: Arc<Self>) {
         if self.has_ended.swap(true, Ordering::SeqCst) {
@@ -327,7 +335,10 @@
         let refusal = StatusCode::MISDIRECTED_REQUEST.with_header("dockwood-attempt", attempt);
         return refusal.with_header("dockwood-own-instance", &server.id).into_response();
     }
-    let manner = *lock(&server.manner);
+    let manner = match *lock(&server.manner) {
+        Manner::AsksForRest(rest) if !server.turns_away_next(rest.part) => Manner::Sound,
+        manner => manner,
+    };
     let asked = match manner {
         Manner::AsksForRest(rest) => Some(Duration::from_secs(rest.seconds)),
         _ => None,
--- a/crates/daemon/tests/gateway/servers_that_ask_for_rest.rs
+++ b/crates/daemon/tests/gateway/servers_that_ask_for_rest.rs
@@ -7,7 +7,7 @@
 //! "tookMs":15,"sends":[{"instance":…39,"atMs":3,"ended":"SaidNotRun"},{"instance":…40,"atMs":9,"ended":"SaidNotRun"}]`. In
 //! the second after they began, six such servers got 108 of 221 requests; a third of the callers got no answer.
 
-use crate::fixture::Fleet;
+use crate::fixture::{Fleet, configuration};
 use crate::servers::{Arrival, FakeServer, Manner, Rest};
 use crate::{whole_stream, with_groups, with_groups_of, with_plain_servers};
 use poem::http::StatusCode as ServerStatus;
@@ -253,3 +253,60 @@
     assert!(servers.iter().all(|server| server.requests_since(since).is_empty()));
     assert!(outcome.answered == 0 && outcome.slowest_refusal < AT_ONCE, "{outcome:?}");
 }
+
+/// Servers that turn requests away, one share of all after the other, and a part of their requests or all.
+const SHARES: [(usize, usize); 12] = [
+    (1, 10),
+    (1, 50),
+    (1, 100),
+    (3, 10),
+    (3, 50),
+    (3, 100),
+    (8, 10),
+    (8, 50),
+    (8, 100),
+    (10, 10),
+    (10, 50),
+    (10, 100),
+];
+/// Servers of the service.
+const SERVERS: u8 = 10;
+/// How long each share is played.
+const SHARE_SPAN: Duration = Duration::from_millis(1_500);
+/// After that, rests of a second are over, also where they are spread.
+const PAUSE_BETWEEN_SHARES: Duration = Duration::from_millis(2_200);
+
+/// A request that is turned away is sent on, and so it may be turned away again. While servers that asked for rest get it,
+/// sending on does not multiply what reaches the others, whatever share of the servers turns away whatever part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_sent_on_does_not_multiply_what_is_turned_away() {
+    let fleet = Fleet::start();
+    let mut servers = Vec::new();
+    for number in 0..SERVERS {
+        servers.push(fleet.plain_server(number).await);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    for (share, part) in SHARES {
+        let rest = Rest { part, ..Rest::of(1) };
+        servers.iter().take(share).for_each(|server| server.set_manner(Manner::AsksForRest(rest)));
+        let since = Instant::now();
+        let outcome = ask_for(&fleet, "/plain/1", SHARE_SPAN).await;
+        let arrivals: usize = servers.iter().map(|server| server.requests_since(since).len()).sum();
+        let requests = outcome.answered + outcome.refused;
+        println!(
+            "{share} of {SERVERS} turn away {part} in 100: {requests} requests, {arrivals} arrivals, {outcome:?}"
+        );
+        // Each of two entries asks each server once before it knows, and once after each rest.
+        let learning = 2 * 3 * usize::from(SERVERS);
+        assert!(arrivals <= requests * 11 / 10 + learning, "{share}, {part}: {arrivals} for {requests}");
+        assert!(outcome.slowest_refusal < AT_ONCE, "{share}, {part}: {outcome:?}");
+        let has_sound_server = share < usize::from(SERVERS);
+        assert!(
+            !has_sound_server || outcome.refused * 20 <= outcome.answered,
+            "{share}, {part}: {outcome:?}"
+        );
+        servers.iter().for_each(|server| server.set_manner(Manner::Sound));
+        tokio::time::sleep(PAUSE_BETWEEN_SHARES).await;
+    }
+}
