dockctl explain takes servers, groups, requests and zones, of which events alone tell

A server that asked for rest is no resource: what it asked of each daemon, and when its rest ended, is on the time line and could only be searched for by hand.

--- a/crates/dockctl/src/commands/events.rs
+++ b/crates/dockctl/src/commands/events.rs
@@ -1,6 +1,6 @@
 //! `timeline` and `explain`: what happened, over all daemons.
 
-use super::{format, reference, reference_argument};
+use super::{format, parse_reference, reference_argument};
 use crate::client::Client;
 use crate::exit::CommandError;
 use crate::output::{Format, print_line, print_value};
@@ -22,6 +22,45 @@
     Command::new("explain").about("Tells what happened to one resource, and why").arg(reference_argument())
 }
 
+/// Subjects of events that are no resources: servers and groups of the gateway, its requests, and zones.
+const EVENT_SUBJECTS: [&str; 4] = ["instance", "group", "request", "zone"];
+
+/// What is to be explained.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Explained {
+    /// A resource.
+    Resource(Kind, String),
+    /// Something that events alone tell of, by its kind and name.
+    Subject(&'static str, String),
+}
+
+impl Explained {
+    /// Reads `KIND/NAME`.
+    pub(super) fn read(text: &str) -> Result<Explained, CommandError> {
+        let subject = text.split_once('/').and_then(|(kind, name)| {
+            let known = EVENT_SUBJECTS.into_iter().find(|subject| *subject == kind)?;
+            (!name.is_empty()).then(|| Explained::Subject(known, name.to_string()))
+        });
+        match subject {
+            Some(subject) => Ok(subject),
+            None => parse_reference(text).map(|(kind, name)| Explained::Resource(kind, name)),
+        }
+    }
+
+    fn kind(&self) -> String {
+        match self {
+            Explained::Resource(kind, _) => kind.name().to_lowercase(),
+            Explained::Subject(kind, _) => kind.to_string(),
+        }
+    }
+
+    fn name(&self) -> &str {
+        match self {
+            Explained::Resource(_, name) | Explained::Subject(_, name) => name,
+        }
+    }
+}
+
 /// Events of every daemon that answers. Daemons that do not are named, since their events are missing.
 async fn all_events(client: &Client) -> Result<Vec<Event>, CommandError> {
     let mut servers: Vec<String> = client.servers().to_vec();
@@ -64,18 +103,20 @@
 }
 
 pub(super) async fn explain(client: &Client, matches: &ArgMatches) -> Result<(), CommandError> {
-    let (kind, name) = reference(matches)?;
-    let view = client.find(kind, &name).await?;
+    let text = matches.get_one::<String>("reference").map(String::as_str).unwrap_or("");
+    let explained = Explained::read(text)?;
+    let view = match &explained {
+        Explained::Resource(kind, name) => client.find(*kind, name).await?,
+        Explained::Subject(..) => None,
+    };
     let events = all_events(client).await?;
-    let chosen = related(&events, kind, &name);
+    let chosen = related(&events, &explained);
     if chosen.is_empty() && view.is_none() {
-        return Err(CommandError::Usage(format!(
-            "nothing is known of {} '{name}'",
-            kind.name().to_lowercase()
-        )));
+        let (kind, name) = (explained.kind(), explained.name());
+        return Err(CommandError::Usage(format!("nothing is known of {kind} '{name}'")));
     }
-    if format(matches) == Format::Table {
-        print_line(headline(kind, &name, view.as_ref()));
+    if let (Format::Table, Explained::Resource(kind, name)) = (format(matches), &explained) {
+        print_line(headline(*kind, name, view.as_ref()));
     }
     print_events(matches, &chosen)
 }
@@ -97,8 +138,8 @@
 }
 
 /// Events on the subject itself, those that tell of it, and those that stand at the same revision.
-fn related(events: &[Event], kind: Kind, name: &str) -> Vec<Event> {
-    let kind = kind.name().to_lowercase();
+pub(super) fn related(events: &[Event], explained: &Explained) -> Vec<Event> {
+    let (kind, name) = (explained.kind(), explained.name());
     let is_subject = |event: &Event| event.subject.kind == kind && event.subject.name == name;
     let names_it = |event: &Event| {
         event.message.split(|c: char| !(c.is_alphanumeric() || c == '-')).any(|word| word == name)
--- a/crates/dockctl/src/commands/mod.rs
+++ b/crates/dockctl/src/commands/mod.rs
@@ -4,6 +4,8 @@
 mod change;
 mod evacuate;
 mod events;
+#[cfg(test)]
+mod events_tests;
 mod quarantine;
 mod show;
 mod status;
