--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -53,6 +53,7 @@
     query: PlaceQuery<'_>,
     deadline: Instant,
 ) -> Result<GroupPlace, Unavailable> {
+    let mut waits_for_rest = false;
     loop {
         // Asked for first, so that what changes while the place is asked for is not missed.
         let freed = gateway.loads.place_freed();
@@ -63,7 +64,9 @@
             PlaceAnswer::Held(held) => {
                 let ends_in = held.ends_in().filter(|ends_in| Instant::now() + *ends_in <= deadline);
                 let Some(ends_in) = ends_in else { return Err(held.refused()) };
-                gateway.shared.metrics.held_back.with_label_values(&["waited"]).inc();
+                if !std::mem::replace(&mut waits_for_rest, true) {
+                    gateway.shared.metrics.held_back.with_label_values(&["waited"]).inc();
+                }
                 // Another group may open before that.
                 let _ = tokio::time::timeout(ends_in, freed).await;
                 continue;
--- a/crates/daemon/src/gateway/loads/holds.rs
+++ b/crates/daemon/src/gateway/loads/holds.rs
@@ -2,8 +2,7 @@
 
 use super::{Loads, PlaceQuery};
 use crate::lock::lock;
-use crate::pushback::AllHeld;
-use crate::pushback::{Pushback, head_of};
+use crate::pushback::{AllHeld, Pushback, head_of};
 
 /// The groups that might take a request, as far as their heads are held back.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,6 +25,9 @@
 impl Loads {
     /// Looks at all groups that might take a request.
     pub fn holds(&self, query: PlaceQuery<'_>, pushback: &Pushback) -> GroupHolds {
+        if pushback.is_empty() {
+            return GroupHolds { has_other: true, ..GroupHolds::default() };
+        }
         let mut holds = GroupHolds::default();
         let groups = lock(&self.groups);
         for (epoch, group) in groups.iter().filter(|(_, group)| group.may_run(&query)) {
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -17,6 +17,9 @@
 
 /// How much longer this entry sends nothing to the head of a group, as far as plans need to know.
 fn held_for_ms(row: &GroupRow, pushback: &Pushback, now: Millis) -> Millis {
+    if pushback.is_empty() {
+        return 0;
+    }
     match pushback.hold(&head_of(row)) {
         Some(Hold::Leaving) => Millis::MAX,
         Some(Hold::Resting { until }) if until >= now + LONG_REST_MS => until - now,
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -10,8 +10,7 @@
 use super::refusal::{RETRY_SOON_MS, refuse};
 use super::targets::{Picked, pick_for};
 use super::upstream::Upstream;
-use crate::pushback::Unavailable;
-use crate::pushback::{Addressee, SendPermit};
+use crate::pushback::{Addressee, SendPermit, Unavailable};
 use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
@@ -166,7 +165,9 @@
             self.account.held(unavailable.held);
             return Err(Box::new(self.last_word_with(unavailable.code, unavailable.back_in_ms)));
         };
-        self.gateway.shared.metrics.held_back.with_label_values(&["waited"]).inc();
+        if self.waited.is_zero() {
+            self.gateway.shared.metrics.held_back.with_label_values(&["waited"]).inc();
+        }
         // Never nothing, so that the waits come to an end.
         let wait = free_in.max(SHORTEST_REST_WAIT);
         self.waited += wait;
@@ -285,6 +286,7 @@
             return Err(pool.broken(address).await);
         };
         let head = take_head(self.gateway, self.received, &mut self.account, &mut permit, response);
+        drop(permit);
         let (parts, body) = head?;
         let Ok(body) = read_whole(body, MOST_ANSWER_BYTES).await else {
             return Err(pool.broken(address).await);
--- a/crates/daemon/src/pushback/mod.rs
+++ b/crates/daemon/src/pushback/mod.rs
@@ -82,6 +82,11 @@
         lock(&self.table).hold(monotonic_ms(), server)
     }
 
+    /// Whether nobody asked for anything: then there is nothing to look up.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.table).is_empty()
+    }
+
     /// Forgets servers that are gone, and shows how many are held back.
     pub fn follow(&self, metrics: &Metrics, tables: &GatewayTables) {
         let now = monotonic_ms();
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod fixture;
 mod leader_search;
+mod manner;
 mod promises;
 mod regions;
 mod requests_that_end_servers;
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -12,6 +12,7 @@
 mod departures;
 mod dispatch;
 mod domains;
+mod instances;
 mod lending;
 mod lifecycle;
 mod membership;
@@ -33,8 +34,9 @@
 pub use demand::{Demand, ModelDemand};
 pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
+pub use instances::{InstanceObservation, ProbeResult, UnansweredJoin};
 pub use lifecycle::{advance_groups, reap_instances, release_members};
-pub use observations::{InstanceObservation, Observations, ProbeResult, UnansweredJoin};
+pub use observations::Observations;
 pub use orders::{OrderBook, OrderKind};
 pub use places::{GroupPlaces, PlaceLedger};
 pub use plan::{Plan, plan, plan_pause_ms};
--- a/crates/routing/src/pushback/table.rs
+++ b/crates/routing/src/pushback/table.rs
@@ -109,6 +109,11 @@
         self.servers.get(&server.id).filter(|held| held.is(server))?.hold(now)
     }
 
+    /// Whether no server is kept in mind.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Begins to send a request, if the server takes one. To be asked at the moment of writing, and followed by
     /// [`PushbackTable::trial_ended`] if it is a trial.
     pub fn begin_send(&mut self, now: Millis, server: &ServerStart) -> Result<SendKind, Hold> {
