--- a/crates/daemon/tests/gateway/servers_that_ask_for_rest.rs
+++ b/crates/daemon/tests/gateway/servers_that_ask_for_rest.rs
@@ -310,3 +310,27 @@
         tokio::time::sleep(PAUSE_BETWEEN_SHARES).await;
     }
 }
+
+/// An entry that did not run for a part of the rest goes by the time that has passed meanwhile: it neither sends at once nor
+/// begins the rest anew.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_stood_still_leaves_a_server_the_rest_of_its_rest() {
+    let (fleet, servers) = with_plain_servers().await;
+    let since = Instant::now();
+    servers[0].set_manner(Manner::AsksForRest(Rest::of(REST_S)));
+    ask_for(&fleet, "/plain/1", Duration::from_millis(300)).await;
+    servers[0].set_manner(Manner::Sound);
+    fleet.entries[0].signal("-STOP");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fleet.entries[0].signal("-CONT");
+    ask_for(&fleet, "/plain/1", Duration::from_millis(500)).await;
+    let most = most_within_a_rest(&servers[0], since);
+    assert!(most <= MOST_WITHIN_REST, "{most} requests of one entry within {REST_S} s of rest");
+    let rested = Instant::now();
+    ask_for(&fleet, "/plain/1", Duration::from_secs(2 * REST_S)).await;
+    let after = servers[0].requests_since(rested);
+    assert!(
+        after.iter().any(|arrival| arrival.attempt.starts_with("e0")),
+        "the entry that stood still asks it again"
+    );
+}
