--- a/crates/grouping/src/need.rs
+++ b/crates/grouping/src/need.rs
@@ -53,10 +53,11 @@
         let counts = |group: &&Arc<GroupRow>| {
             group.service == service && is_held(group) && !view.tables.is_evacuated(&group.zone)
         };
+        let held_back = view.observations.held_groups(view.now);
         for group in groups.filter(counts) {
             let position = engine.models.iter().position(|model| model.name == group.model);
             if let Some(position) = position {
-                held[position] += part_held(view, group);
+                held[position] += part_held(held_back.get(&group.epoch).copied().unwrap_or(0));
             }
         }
         let demand = view.observations.demand().of_service(service);
@@ -105,9 +106,8 @@
 
 /// The part of the horizon in which a group serves: one whose head wants nothing for a minute is no help meanwhile, though
 /// it is well.
-fn part_held(view: &View<'_>, group: &GroupRow) -> f64 {
-    let held_back_ms = view.observations.held_for_ms(view.now, group.epoch) as f64;
-    (1.0 - held_back_ms / HORIZON_MS).max(0.0)
+fn part_held(held_back_ms: Millis) -> f64 {
+    (1.0 - held_back_ms as f64 / HORIZON_MS).max(0.0)
 }
 
 /// Whether a group serves, or soon will.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -281,22 +281,27 @@
         self.in_flight.get(&epoch).copied().unwrap_or(0)
     }
 
-    /// How much longer no entry sends anything to a group, as its head asked for a long rest or said that it leaves, in
-    /// milliseconds. 0 where any entry that uses it or holds it back sends to it still: each goes by what it was told
-    /// itself.
-    pub fn held_for_ms(&self, now: Millis, epoch: u64) -> Millis {
-        let told = self.loads.values().flat_map(|load| {
-            let of_group = load.report.groups.iter().filter(move |group| group.epoch == epoch);
-            of_group.map(|group| group.held_for_ms.saturating_sub(now.saturating_sub(load.at)))
-        });
-        told.min().unwrap_or(0)
-    }
-
-    /// Groups that no entry sends anything to for long.
-    pub fn held_groups(&self, now: Millis) -> BTreeSet<u64> {
-        let told = self.loads.values().flat_map(|load| &load.report.groups);
-        let held = told.filter(|group| group.held_for_ms > 0).map(|group| group.epoch);
-        held.filter(|epoch| self.held_for_ms(now, *epoch) > 0).collect()
+    /// Groups that no entry sends anything to for long, as their heads asked for a long rest or said that they leave, and
+    /// for how much longer, in milliseconds. Without one that any entry which uses it or holds it back sends to still:
+    /// each goes by what it was told itself.
+    pub fn held_groups(&self, now: Millis) -> BTreeMap<u64, Millis> {
+        let told =
+            || self.loads.values().flat_map(|load| load.report.groups.iter().map(move |group| (load, group)));
+        let mut held: BTreeMap<u64, Millis> = told()
+            .filter(|(_, group)| group.held_for_ms > 0)
+            .map(|(_, group)| (group.epoch, Millis::MAX))
+            .collect();
+        // Most of the time there is none, and reports are many.
+        if held.is_empty() {
+            return held;
+        }
+        for (load, group) in told() {
+            if let Some(least) = held.get_mut(&group.epoch) {
+                *least = group.held_for_ms.saturating_sub(now.saturating_sub(load.at)).min(*least);
+            }
+        }
+        held.retain(|_, left_ms| *left_ms > 0);
+        held
     }
 
     /// Groups with requests in flight.
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -90,7 +90,8 @@
         self.dispatcher.retain(|epoch| tables.groups.contains_key(&epoch));
         self.dispatcher.observe_heads(now, tables);
         let mut evidence = std::mem::take(&mut self.evidence);
-        for epoch in self.observations.busy_groups().chain(self.observations.held_groups(now)) {
+        let held = self.observations.held_groups(now);
+        for epoch in self.observations.busy_groups().chain(held.keys().copied()) {
             evidence.entry(epoch).or_default();
         }
         let load = |(epoch, evidence): (u64, Evidence)| GroupLoad {
@@ -100,7 +101,7 @@
             refuses: evidence.refuses,
             progressed: evidence.progressed,
             pace: evidence.pace,
-            held_for_ms: self.observations.held_for_ms(now, epoch),
+            held_for_ms: held.get(&epoch).copied().unwrap_or(0),
         };
         LoadReport {
             daemon: daemon.to_string(),
--- a/crates/grouping/tests/held_groups.rs
+++ b/crates/grouping/tests/held_groups.rs
@@ -61,7 +61,7 @@
     let before = models_formed(&world);
     tell(&mut world, "e0", group_load(large, 0, MINUTE_MS));
     tell(&mut world, "e1", group_load(large, 3, 0));
-    assert_eq!(world.observations.held_for_ms(world.now, large), 0);
+    assert!(world.observations.held_groups(world.now).is_empty());
     assert_eq!(models_formed(&world), before);
 }
 
@@ -70,8 +70,9 @@
     let (mut world, large) = world();
     tell(&mut world, "e0", group_load(large, 0, MINUTE_MS));
     tell(&mut world, "e1", group_load(large, 2, MINUTE_MS + 500));
-    assert_eq!(world.observations.held_for_ms(world.now + 1_000, large), MINUTE_MS - 1_000);
-    assert_eq!(world.observations.held_for_ms(world.now + 2 * MINUTE_MS, large), 0);
+    let left = |after_ms: u64| world.observations.held_groups(world.now + after_ms).get(&large).copied();
+    assert_eq!(left(1_000), Some(MINUTE_MS - 1_000));
+    assert_eq!(left(2 * MINUTE_MS), None);
 }
 
 /// A head that leaves is held back for good, before its own report says so.
@@ -79,7 +80,8 @@
 fn a_head_that_leaves_is_held_back_beyond_all_time() {
     let (mut world, large) = world();
     tell(&mut world, "e0", group_load(large, 4, u64::MAX));
-    assert!(world.observations.held_for_ms(world.now + MINUTE_MS, large) > MINUTE_MS);
+    let left = world.observations.held_groups(world.now + MINUTE_MS);
+    assert!(left.get(&large).is_some_and(|left_ms| *left_ms > MINUTE_MS));
     assert_eq!(models_formed(&world), [LARGE]);
 }
 
