Whether there is more to tell of a group than that it is held back stands once

Cause: the same four conditions stood in the report of loads and in the pause after it, and would have drifted apart. Change: GroupLoad::is_at_work. Behaviour is the same; tests unchanged.

--- a/crates/api/src/gateway/load.rs
+++ b/crates/api/src/gateway/load.rs
@@ -39,6 +39,14 @@
     pub held_for_ms: u64,
 }
 
+impl GroupLoad {
+    /// Whether there is more to tell of the group than that it is held back, which doesn't change from one moment to the
+    /// next.
+    pub fn is_at_work(&self) -> bool {
+        self.in_flight > 0 || self.silent || self.refuses || self.progressed
+    }
+}
+
 /// One entry's requests for one model since its last report.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ModelLoad {
--- a/crates/daemon/src/gateway/load_exchange.rs
+++ b/crates/daemon/src/gateway/load_exchange.rs
@@ -73,7 +73,9 @@
     let shared = &gateway.shared;
     let Some(leader) = shared.leader() else { return IDLE_EVERY };
     let report = gateway.loads.report(&shared.settings.name, &shared.pushback);
-    let is_busy = shared.in_flight() > 0 || report.groups.iter().any(is_at_work) || !report.models.is_empty();
+    let is_busy = shared.in_flight() > 0
+        || report.groups.iter().any(GroupLoad::is_at_work)
+        || !report.models.is_empty();
     let call = |client: PeerClient, context| async move { client.exchange_load(context, report).await };
     if let Ok(Some(digest)) = shared.peers.call(leader, ANSWER_TIMEOUT, call).await {
         gateway.loads.take_digest(&digest);
@@ -81,11 +83,6 @@
     if is_busy { BUSY_EVERY } else { IDLE_EVERY }
 }
 
-/// Whether there is more to tell of a group than that it is held back, which doesn't change from one moment to the next.
-fn is_at_work(load: &GroupLoad) -> bool {
-    load.in_flight > 0 || load.silent || load.refuses || load.progressed
-}
-
 /// Tells each dispatcher to whom something has changed.
 fn tell_dispatchers(gateway: &Arc<Gateway>, told: &mut BTreeMap<DispatchScope, Told>) {
     let now = monotonic_ms();
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -81,9 +81,7 @@
                 pace: std::mem::take(&mut group.pace),
                 held_for_ms: held_for_ms(&group.row, pushback, now),
             };
-            let is_evidence = load.silent || load.refuses || load.progressed || load.held_for_ms > 0;
-            let is_news = load.in_flight > 0 || is_evidence;
-            is_news.then_some(load)
+            (load.is_at_work() || load.held_for_ms > 0).then_some(load)
         };
         groups.iter_mut().filter(|(_, group)| concerns(&group.row)).filter_map(tell).collect()
     }
