Telling servers that may be asked from those held back stands once

Cause: plain requests of the gateway and service calls each partitioned their servers by a loop of their own, which took the table's lock and copied an id for every server also while nobody asks for anything. Change: Pushback::split, which returns at once while the table is empty; AllHeld keeps its fields to itself.

--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -85,16 +85,9 @@
     ready: Vec<&'a Arc<InstanceRow>>,
     tried: &[String],
 ) -> Result<Vec<&'a Arc<InstanceRow>>, AllHeld> {
-    let mut held = AllHeld::default();
-    let mut others = Vec::with_capacity(ready.len());
-    for row in ready {
-        match gateway.shared.pushback.hold(&start_of(row)) {
-            Some(hold) => held.add(&row.id, hold.until()),
-            None if tried.contains(&row.id) => {}
-            None => others.push(row),
-        }
-    }
-    if others.is_empty() && !held.servers.is_empty() { Err(held) } else { Ok(others) }
+    let (mut others, held) = gateway.shared.pushback.split(ready.into_iter(), |row| start_of(row));
+    others.retain(|row| !tried.contains(&row.id));
+    if others.is_empty() && !held.is_empty() { Err(held) } else { Ok(others) }
 }
 
 /// Picks a server for a request, none of `passed_over`: for a suspect, in a zone where no server has ended under it if
--- a/crates/daemon/src/pushback/mod.rs
+++ b/crates/daemon/src/pushback/mod.rs
@@ -82,6 +82,27 @@
         lock(&self.table).hold(monotonic_ms(), server)
     }
 
+    /// Tells servers that may be asked from those that are held back. `start_of` gives which start of a server is meant.
+    pub fn split<Server>(
+        &self,
+        servers: impl Iterator<Item = Server>,
+        start_of: impl Fn(&Server) -> ServerStart,
+    ) -> (Vec<Server>, AllHeld) {
+        let mut held = AllHeld::default();
+        if self.is_empty() {
+            return (servers.collect(), held);
+        }
+        let mut open = Vec::new();
+        for server in servers {
+            let start = start_of(&server);
+            match self.hold(&start) {
+                Some(hold) => held.add(&start.id, hold.until()),
+                None => open.push(server),
+            }
+        }
+        (open, held)
+    }
+
     /// Whether nobody asked for anything: then there is nothing to look up.
     pub fn is_empty(&self) -> bool {
         lock(&self.table).is_empty()
--- a/crates/daemon/src/pushback/unavailable.rs
+++ b/crates/daemon/src/pushback/unavailable.rs
@@ -21,9 +21,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AllHeld {
     /// When the first of them may be asked again; `None` if all of them leave.
-    pub earliest_end: Option<Millis>,
+    earliest_end: Option<Millis>,
     /// Some of them, by id.
-    pub servers: Vec<String>,
+    servers: Vec<String>,
 }
 
 impl AllHeld {
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// How long it is until the first of them may be asked again; `None` if all of them leave.
     pub fn ends_in(&self) -> Option<Duration> {
         self.earliest_end.map(|end| Duration::from_millis(end.saturating_sub(monotonic_ms())))
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -4,7 +4,7 @@
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
-use crate::pushback::{Addressee, AllHeld, SendPermit, signals_of};
+use crate::pushback::{Addressee, SendPermit, signals_of};
 use crate::suspects::{Admission, SuspectGate, has_ended};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
@@ -323,17 +323,12 @@
 
 fn pick(traffic: &Traffic, service: &str, spec: &ServiceSpec) -> Result<ServiceServer, Failure> {
     let declared: Vec<&str> = spec.servers.iter().map(|server| server.name.as_str()).collect();
-    let mut held = AllHeld::default();
-    let mut eligible: Vec<&str> = Vec::new();
-    for server in spec.servers.iter().filter(|server| !server.drain) {
-        match traffic.shared.pushback.hold(&addressee(server, spec).start) {
-            Some(hold) => held.add(&server.name, hold.until()),
-            None => eligible.push(&server.name),
-        }
-    }
-    if eligible.is_empty() && !held.servers.is_empty() {
+    let stays = spec.servers.iter().filter(|server| !server.drain);
+    let (open, held) = traffic.shared.pushback.split(stays, |server| addressee(server, spec).start);
+    if open.is_empty() && !held.is_empty() {
         return Err(Failure::unavailable(held.refused()));
     }
+    let eligible: Vec<&str> = open.iter().map(|server| server.name.as_str()).collect();
     let random = rand::rng().random();
     let mut pickers = traffic.services.pickers();
     let picker = pickers.entry(service.to_string()).or_default();
