What servers say of their limit is read, counted, and logged with each send

Nobody could tell whether an answer named a limit: the header was dropped with the rest of the head. Each send's line has limitPerSecond now, dockctl trace tells it, and dockwood_server_signals_total counts limits and unreadable ones. Nothing goes by it yet.

--- a/crates/api/src/engine.rs
+++ b/crates/api/src/engine.rs
@@ -15,6 +15,8 @@
 pub const HEADER_NOT_RUN: &str = "dockwood-not-run";
 /// Header by which an engine or a plain server says that it is about to leave: `1`.
 pub const HEADER_LEAVING: &str = "dockwood-leaving";
+/// Set by a server to the requests a second that it takes from all senders together, for as long as it says so.
+pub const HEADER_LIMIT: &str = "dockwood-limit";
 /// Path that takes a [`GenerateRequest`] (POST) on a head and streams [`GenerateEvent`] lines.
 pub const PATH_GENERATE: &str = "/engine/generate";
 /// Path prefix of one request on a head: GET its [`RequestState`], POST `bar` to refuse it, DELETE to cancel.
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -115,8 +115,8 @@
         match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
             Ok(response) => match self.result_of(&response, probe) {
                 ProbeResult::Answered => {
-                    let leaving = self.dialect.headers().leaving;
-                    permit.answered(&signals_of(response.status(), response.headers(), leaving), "");
+                    let names = &self.dialect.headers().signals;
+                    permit.answered(&signals_of(response.status(), response.headers(), names), "");
                     // An answer whose body is lost shows a living server all the same.
                     let body = response.bytes().await.unwrap_or_default();
                     (ProbeResult::Answered, self.dialect.report_slowness(&body))
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -2,6 +2,7 @@
 //! servers, operators and the directory's callers. An implementation translates and does nothing else: it decides
 //! nothing, keeps nothing and repeats nothing.
 
+use crate::pushback::SignalHeaders;
 use dockwood_api::ApiError;
 use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer};
 use std::net::SocketAddr;
@@ -30,8 +31,8 @@
     pub not_run: &'static str,
     /// A server's rank of a request.
     pub rank: &'static str,
-    /// Shows that the server that answers is about to leave: `1`.
-    pub leaving: &'static str,
+    /// By which servers ask for something.
+    pub signals: SignalHeaders,
 }
 
 /// A call of an operator or a server.
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -8,7 +8,7 @@
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::SendOutcome;
-use dockwood_routing::pushback::{AnswerSignals, LeavingMark};
+use dockwood_routing::pushback::{AnswerSignals, LeavingMark, RequestRate};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -89,6 +89,7 @@
             status: None,
             retry_after_ms: None,
             leaving: false,
+            limit_per_second: None,
         });
     }
 
@@ -98,6 +99,7 @@
         last.status = Some(signals.status);
         last.retry_after_ms = signals.pushback_ms();
         last.leaving = signals.leaving == LeavingMark::Leaving;
+        last.limit_per_second = signals.limit.rate().map(RequestRate::per_second);
     }
 
     /// Notes that the last send did not bring the answer.
--- a/crates/daemon/src/gateway/answers.rs
+++ b/crates/daemon/src/gateway/answers.rs
@@ -24,7 +24,7 @@
 ) -> Result<(Parts, Body), SendOutcome> {
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
-    let signals = signals_of(parts.status, &parts.headers, names.leaving);
+    let signals = signals_of(parts.status, &parts.headers, &names.signals);
     account.head_received(&signals);
     // Another server answers in place of the one that is meant: its word is not that one's.
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -247,6 +247,9 @@
     /// The server said that it leaves.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
+    /// Requests a second that the server said it takes from all senders together.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit_per_second: Option<f64>,
 }
 
 /// Who chose the group for a request.
--- a/crates/daemon/src/own_dialect.rs
+++ b/crates/daemon/src/own_dialect.rs
@@ -1,7 +1,8 @@
 //! dockwood's own protocol for the gateway: headers that begin with `dockwood-`, and the JSON form of the API's types.
 
 use crate::dialect::{Dialect, DirectoryQuery, EncodedCall, HeaderNames, OperatorCall};
-use dockwood_api::engine::{HEADER_LEAVING, HEADER_NOT_RUN};
+use crate::pushback::SignalHeaders;
+use dockwood_api::engine::{HEADER_LEAVING, HEADER_LIMIT, HEADER_NOT_RUN};
 use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer};
 use dockwood_api::{ApiError, ResultCode};
 use serde::de::DeserializeOwned;
@@ -9,6 +10,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// By which servers ask for something in the project's own protocol.
+pub const OWN_SIGNALS: SignalHeaders = SignalHeaders { leaving: HEADER_LEAVING, limit: HEADER_LIMIT };
 const HEADERS: HeaderNames = HeaderNames {
     attempt: "dockwood-attempt",
     deadline_ms: "dockwood-deadline-ms",
@@ -20,7 +23,7 @@
     own_instance: "dockwood-own-instance",
     not_run: HEADER_NOT_RUN,
     rank: "dockwood-rank",
-    leaving: HEADER_LEAVING,
+    signals: OWN_SIGNALS,
 };
 const READINESS: &str = "/readyz";
 const DIRECTORY: &str = "/v1/entries";
--- a/crates/daemon/src/pushback/mod.rs
+++ b/crates/daemon/src/pushback/mod.rs
@@ -10,7 +10,7 @@
 mod telling;
 mod unavailable;
 
-pub use headers::signals_of;
+pub use headers::{SignalHeaders, signals_of};
 pub use permit::SendPermit;
 pub use unavailable::{AllHeld, Unavailable};
 
--- a/crates/daemon/src/pushback/telling.rs
+++ b/crates/daemon/src/pushback/telling.rs
@@ -14,6 +14,7 @@
         let asked = [
             ("rest", signals.pushback_ms().is_some()),
             ("leaving", signals.leaving == LeavingMark::Leaving),
+            ("limit", signals.limit.rate().is_some()),
             ("unreadable", signals.is_unreadable()),
         ];
         for (signal, _) in asked.iter().filter(|(_, is_asked)| *is_asked) {
--- a/crates/daemon/src/traffic/engine_stream.rs
+++ b/crates/daemon/src/traffic/engine_stream.rs
@@ -1,10 +1,10 @@
 //! Talks to the head of a replica about one request.
 
+use crate::own_dialect::OWN_SIGNALS;
 use crate::pushback::{SendPermit, signals_of};
 use bytes::BytesMut;
 use dockwood_api::engine::{
-    GenerateEvent, GenerateRequest, HEADER_LEAVING, HEADER_NOT_RUN, PATH_GENERATE, PATH_REQUESTS,
-    RequestState,
+    GenerateEvent, GenerateRequest, HEADER_NOT_RUN, PATH_GENERATE, PATH_REQUESTS, RequestState,
 };
 use reqwest::StatusCode;
 use std::net::SocketAddr;
@@ -58,7 +58,7 @@
             Ok(Err(_)) => return Err(OpenFailure::Unclear),
             Ok(Ok(response)) => response,
         };
-        permit.answered(&signals_of(response.status(), response.headers(), HEADER_LEAVING), &request.id);
+        permit.answered(&signals_of(response.status(), response.headers(), &OWN_SIGNALS), &request.id);
         match response.status() {
             _ if response.headers().contains_key(HEADER_NOT_RUN) => Err(OpenFailure::Rejected),
             StatusCode::OK => Ok(EngineStream { response, buffer: BytesMut::new() }),
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -4,12 +4,13 @@
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
+use crate::own_dialect::OWN_SIGNALS;
 use crate::pushback::{Addressee, SendPermit, signals_of};
 use crate::suspects::{Admission, SuspectGate, has_ended};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
-use dockwood_api::engine::{HEADER_LEAVING, HEADER_NOT_RUN};
+use dockwood_api::engine::HEADER_NOT_RUN;
 use dockwood_api::peer::RequestRecord;
 use dockwood_api::resource::{ServiceServer, ServiceSpec};
 use dockwood_routing::{BackendPicker, CallResult};
@@ -298,7 +299,7 @@
     guard.result = Some(CallResult::Failed);
     match tokio::time::timeout(HEAD_TIMEOUT, request.send()).await {
         Ok(Ok(response)) => {
-            permit.answered(&signals_of(response.status(), response.headers(), HEADER_LEAVING), request_id);
+            permit.answered(&signals_of(response.status(), response.headers(), &OWN_SIGNALS), request_id);
             if response.headers().contains_key(HEADER_NOT_RUN) {
                 guard.result = Some(CallResult::Answered);
                 return Err(AttemptEnd::Rejected(Box::new((response, guard))));
--- a/crates/daemon/tests/one_entry/pushback.rs
+++ b/crates/daemon/tests/one_entry/pushback.rs
@@ -5,7 +5,7 @@
 use crate::scripted_server::{Reply, ScriptedServer, rejects, serves};
 use dockwood_daemon::clock::monotonic_ms;
 use dockwood_daemon::pushback::{Addressee, SendPermit};
-use dockwood_routing::pushback::{AnswerSignals, LeavingMark, RetryAfter};
+use dockwood_routing::pushback::{AnswerSignals, LeavingMark, NamedLimit, RetryAfter};
 use std::io::Result;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
@@ -236,7 +236,10 @@
     let addressee = Addressee::instance(&tables.gateway.instances["server"]);
     let Ok(mut permit) = SendPermit::ask(&entry.shared, addressee) else { return };
     let retry_after = RetryAfter::After(600_000);
-    permit.answered(&AnswerSignals { status: 503, retry_after, leaving: LeavingMark::Absent }, "another");
+    permit.answered(
+        &AnswerSignals { status: 503, retry_after, leaving: LeavingMark::Absent, limit: NamedLimit::Absent },
+        "another",
+    );
 }
 
 async fn rests_while_connecting(path: &str, service: &str) -> Result<()> {
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -86,7 +86,9 @@
     let rest =
         send.retry_after_ms.map_or(String::new(), |rest_ms| format!(", asked for {rest_ms} ms of rest"));
     let leaving = if send.leaving { ", said that it leaves" } else { "" };
-    format!("sent to {}{group}{chosen_by}{ended}{status}{rest}{leaving}", send.instance)
+    let limit =
+        send.limit_per_second.map_or(String::new(), |rate| format!(", takes {rate} requests a second"));
+    format!("sent to {}{group}{chosen_by}{ended}{status}{rest}{leaving}{limit}", send.instance)
 }
 
 /// What happened around it: to the groups it was sent to, to its daemon, and how many groups served its model. What the
--- a/crates/dockctl/src/request_trace_tests.rs
+++ b/crates/dockctl/src/request_trace_tests.rs
@@ -35,7 +35,7 @@
 /// From the id of a refused request to the servers that asked for rest, and who chose them all the same.
 #[test]
 fn a_refused_request_is_traced_to_the_servers_that_asked_for_rest() {
-    let text = r#"{"schema":1,"atMs":9016,"daemon":"e1","kind":"request","request":"r-2","code":2020,"codeName":"Overloaded","model":"large","configuration":4,"leaseLeftMs":2100,"placesAgeMs":30,"tookMs":16,"allowedMs":8000,"waitedMs":9,"promptTokens":120,"sends":[{"instance":"a","epoch":7,"atMs":3,"chosenBy":"dispatcher","ended":"SaidNotRun","status":503,"retryAfterMs":3000},{"instance":"c","epoch":8,"atMs":9,"chosenBy":"entry","ended":"SaidNotRun","status":503,"leaving":true}],"heldBack":0}"#;
+    let text = r#"{"schema":1,"atMs":9016,"daemon":"e1","kind":"request","request":"r-2","code":2020,"codeName":"Overloaded","model":"large","configuration":4,"leaseLeftMs":2100,"placesAgeMs":30,"tookMs":16,"allowedMs":8000,"waitedMs":9,"promptTokens":120,"sends":[{"instance":"a","epoch":7,"atMs":3,"chosenBy":"dispatcher","ended":"SaidNotRun","status":503,"retryAfterMs":3000},{"instance":"c","epoch":8,"atMs":9,"chosenBy":"entry","ended":"SaidNotRun","status":503,"leaving":true,"limitPerSecond":2.5}],"heldBack":0}"#;
     let lines: Vec<Line> = parse(text).into_iter().collect();
     let told = account(&lines, "r-2");
     assert_eq!(
@@ -44,7 +44,7 @@
     );
     assert_eq!(
         told[2],
-        "9009 e1: sent to c of g8 chosen by entry, which ended: SaidNotRun; answered 503, said that it leaves"
+        "9009 e1: sent to c of g8 chosen by entry, which ended: SaidNotRun; answered 503, said that it leaves, takes 2.5 requests a second"
     );
 }
 
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -172,6 +172,8 @@
     /// The server said that it leaves.
     #[serde(default)]
     pub leaving: bool,
+    /// Requests a second that the server said it takes from all senders together.
+    pub limit_per_second: Option<f64>,
 }
 
 /// A step of a request under which servers may end.
--- a/crates/routing/src/pushback/signals.rs
+++ b/crates/routing/src/pushback/signals.rs
@@ -1,6 +1,7 @@
 //! Reads what an answer asks of its receiver beyond what it says of the request: `Retry-After` (RFC 9110, section
 //! 10.2.3), and the mark of a server that is about to leave.
 
+use super::NamedLimit;
 use crate::Millis;
 use std::time::SystemTime;
 
@@ -45,15 +46,18 @@
     }
 }
 
-/// Milliseconds from a decimal number of seconds without a sign or an exponent. Anything beyond the range of milliseconds
-/// is its end.
+/// Milliseconds from a decimal number of seconds. Anything beyond the range of milliseconds is its end.
 fn read_seconds(text: &str) -> Option<Millis> {
+    Some((read_decimal(text)? * MILLISECONDS_PER_SECOND).ceil() as Millis)
+}
+
+/// A decimal number without a sign or an exponent.
+pub(super) fn read_decimal(text: &str) -> Option<f64> {
     let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
     if !is_decimal || !text.starts_with(|first: char| first.is_ascii_digit()) {
         return None;
     }
-    let seconds: f64 = text.parse().ok()?;
-    Some((seconds * MILLISECONDS_PER_SECOND).ceil() as Millis)
+    text.parse().ok()
 }
 
 /// Whether an answer says that its server is about to leave.
@@ -91,6 +95,8 @@
     pub retry_after: RetryAfter,
     /// Whether its server leaves.
     pub leaving: LeavingMark,
+    /// How many requests a second its server takes.
+    pub limit: NamedLimit,
 }
 
 impl AnswerSignals {
@@ -105,7 +111,7 @@
     /// Whether it asks for something that can't be read.
     pub fn is_unreadable(&self) -> bool {
         let retry_after = self.may_push_back() && self.retry_after == RetryAfter::Unreadable;
-        retry_after || self.leaving == LeavingMark::Unreadable
+        retry_after || self.leaving == LeavingMark::Unreadable || self.limit == NamedLimit::Unreadable
     }
 
     fn may_push_back(&self) -> bool {
--- a/crates/routing/tests/signals.rs
+++ b/crates/routing/tests/signals.rs
@@ -1,6 +1,6 @@
 //! What answers ask of whoever gets them: every form of `Retry-After`, and the mark of a server that leaves.
 
-use dockwood_routing::pushback::{AnswerSignals, LeavingMark, RetryAfter};
+use dockwood_routing::pushback::{AnswerSignals, LeavingMark, NamedLimit, RequestRate, RetryAfter};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use yare::parameterized;
 
@@ -78,7 +78,34 @@
     pushback_ms: Option<u64>,
     is_unreadable: bool,
 ) {
-    let signals = AnswerSignals { status, retry_after, leaving: LeavingMark::Absent };
+    let signals =
+        AnswerSignals { status, retry_after, leaving: LeavingMark::Absent, limit: NamedLimit::Absent };
     assert_eq!(signals.pushback_ms(), pushback_ms);
     assert_eq!(signals.is_unreadable(), is_unreadable);
 }
+
+const fn rate(thousandths: u64) -> NamedLimit {
+    NamedLimit::Rate(RequestRate::of_thousandths(thousandths))
+}
+
+#[parameterized(
+    none = { &[], NamedLimit::Absent },
+    whole = { &["3"], rate(3_000) },
+    fraction = { &["2.5"], rate(2_500) },
+    blanks_around = { &[" 0.1 "], rate(100) },
+    nothing = { &["0"], rate(0) },
+    below_a_thousandth = { &["0.0001"], rate(0) },
+    beyond_all_rates = { &["99999999999999"], rate(100_000_000) },
+    negative = { &["-1"], NamedLimit::Unreadable },
+    infinite = { &["inf"], NamedLimit::Unreadable },
+    exponent = { &["1e9"], NamedLimit::Unreadable },
+    word = { &["few"], NamedLimit::Unreadable },
+    unit = { &["3/s"], NamedLimit::Unreadable },
+    empty = { &[""], NamedLimit::Unreadable },
+    the_lowest_of_several = { &["4", "2.5", "3"], rate(2_500) },
+    one_of_several_unreadable = { &["few", "2"], rate(2_000) },
+    the_last_of_several_unreadable = { &["2", "few"], rate(2_000) },
+)]
+fn a_limit_is_read(values: &[&str], expected: NamedLimit) {
+    assert_eq!(NamedLimit::read(values.iter().map(|value| value.as_bytes())), expected);
+}
