--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -59,6 +59,11 @@
 
     /// Starts all daemons; the leader dispatches in fleets of so many entries.
     pub fn start_dispatched(leader_dispatches_up_to: u32) -> Fleet {
+        Fleet::start_with_entries(ENTRIES, leader_dispatches_up_to)
+    }
+
+    /// The same with so many entries.
+    pub fn start_with_entries(entry_count: u8, leader_dispatches_up_to: u32) -> Fleet {
         let process = std::process::id();
         let number = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst) as u8;
         let network = [64 + number, (process % 250) as u8 + 1];
@@ -71,7 +76,7 @@
             let daemon = fleet.daemon(&format!("member-{number}"), number, true, true);
             fleet.members.push(daemon);
         }
-        for number in 0..ENTRIES {
+        for number in 0..entry_count {
             let daemon = fleet.daemon(&format!("entry-{number}"), MEMBERS + number, false, false);
             fleet.entries.push(daemon);
         }
@@ -89,12 +94,12 @@
     /// One more entry, which knows only another entry at first.
     pub fn entry_known_to(&self, other: u8) -> Daemon {
         let seeds = vec![self.address(MEMBERS + other, OPERATORS_PORT)];
-        self.daemon_with_seeds("entry-cut-off", MEMBERS + ENTRIES, false, false, seeds)
+        self.daemon_with_seeds("entry-cut-off", MEMBERS + self.entry_count(), false, false, seeds)
     }
 
     /// A daemon that takes operators and servers, and has no disk: it is no voter.
     pub fn control_without_disk(&self) -> Daemon {
-        let daemon = self.daemon("control-without-disk", MEMBERS + ENTRIES + 1, true, false);
+        let daemon = self.daemon("control-without-disk", MEMBERS + self.entry_count() + 1, true, false);
         let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
         let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
         settings["control"]["member"] = json!(false);
@@ -104,7 +109,7 @@
 
     /// Where that daemon takes operators and servers.
     pub fn operators_without_disk(&self) -> SocketAddr {
-        self.address(MEMBERS + ENTRIES + 1, OPERATORS_PORT)
+        self.address(MEMBERS + self.entry_count() + 1, OPERATORS_PORT)
     }
 
     /// Changes a daemon's seeds, for its next start.
@@ -154,6 +159,10 @@
         Daemon::new(path, data_folder)
     }
 
+    fn entry_count(&self) -> u8 {
+        self.entries.len() as u8
+    }
+
     fn address(&self, host: u8, port: u16) -> SocketAddr {
         SocketAddr::from(([127, self.network[0], self.network[1], host + 1], port))
     }
@@ -188,7 +197,7 @@
     /// Waits until both entries know of so many open groups of a service.
     pub async fn wait_until_open(&self, service: &str, groups: u32) {
         let name = format!("dockwood_open_groups{{service=\"{service}\"}}");
-        for entry in 0..ENTRIES {
+        for entry in 0..self.entry_count() {
             let begun = Instant::now();
             while !self.metric(entry, &name).await.is_ok_and(|open| open == f64::from(groups)) {
                 assert!(begun.elapsed() < LIMIT, "entry {entry} never knows of {groups} open groups");
@@ -309,7 +318,7 @@
 
     /// Waits until a plain request or a stream is answered at both entries.
     pub async fn wait_until_served(&self, path: &str) {
-        for entry in 0..ENTRIES {
+        for entry in 0..self.entry_count() {
             let begun = Instant::now();
             loop {
                 let answer = self.request(entry, path, "warm-up").send().await;
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -5,12 +5,14 @@
 mod evacuation;
 mod fixture;
 mod leader_search;
+mod limit_judge;
 mod manner;
 mod promises;
 mod regions;
 mod requests_that_end_servers;
 mod servers;
 mod servers_that_ask_for_rest;
+mod servers_that_name_a_limit;
 
 use fixture::{Fleet, LIMIT, configuration, eventually};
 use reqwest::StatusCode;
--- a/crates/daemon/tests/gateway/manner.rs
+++ b/crates/daemon/tests/gateway/manner.rs
@@ -46,4 +46,6 @@
     pub attempt: String,
     /// For how long the answer asked to be sent nothing.
     pub asked: Option<Duration>,
+    /// Requests a second that the answer said the server takes.
+    pub named: Option<f64>,
 }
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -58,6 +58,8 @@
     arrivals: Mutex<Vec<Arrival>>,
     /// It says in all its answers that it is about to leave, whatever it reports.
     pub says_leaving: AtomicBool,
+    /// Requests a second that it says it takes, in all its answers.
+    limit: Mutex<Option<f64>>,
     /// When requests arrived that end servers, here and at the instances that followed this one.
     pub fatal_arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Models whose weights its host keeps.
@@ -126,6 +128,7 @@
             cold_ms: AtomicU64::new(0),
             arrivals: Mutex::default(),
             says_leaving: AtomicBool::new(false),
+            limit: Mutex::default(),
             fatal_arrivals,
             staged: Mutex::default(),
             keeps_id: id.starts_with(KEEPS_ID),
@@ -148,6 +151,11 @@
         *lock(&self.manner) = manner;
     }
 
+    /// Sets how many requests a second it says it takes; `None` for as many as come.
+    pub fn set_limit(&self, per_second: Option<f64>) {
+        *lock(&self.limit) = per_second;
+    }
+
     /// When requests arrived since `since`.
     pub fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
         self.requests_since(since).iter().map(|arrival| arrival.at).collect()
@@ -300,11 +308,15 @@
         Manner::AsksForRest(rest) => Some(Duration::from_secs(rest.seconds)),
         _ => None,
     };
-    lock(&server.arrivals).push(Arrival { at: Instant::now(), attempt: attempt.clone(), asked });
+    let named = *lock(&server.limit);
+    lock(&server.arrivals).push(Arrival { at: Instant::now(), attempt: attempt.clone(), asked, named });
     let mut answer = answer(server.clone(), request, body, manner, attempt).await;
     if server.says_leaving.load(Ordering::SeqCst) {
         answer.headers_mut().insert("dockwood-leaving", HeaderValue::from_static("1"));
     }
+    if let Some(limit) = named.and_then(|limit| HeaderValue::from_str(&limit.to_string()).ok()) {
+        answer.headers_mut().insert("dockwood-limit", limit);
+    }
     answer
 }
 
--- /dev/null
+++ b/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
@@ -0,0 +1,120 @@
+//! Two model servers said in their answers how many requests a second they take from all senders together, and got as many as
+//! before. Nine entries sent to them; each answer that named the limit was passed on to its caller, and nothing was learnt from
+//! it.
+//!
+//! The servers' figures, second by second: 9, 9, 10, 8 requests before the first of them named 2.9 a second, and 7, 2, 7, 9, 7, 6,
+//! 9 after it. An entry's log 3.3 s after that: `"sends":[{"instance":…,"chosenBy":"dispatcher","status":200}]`. Nothing was
+//! turned away, and no caller noticed.
+
+use crate::fixture::{Fleet, configuration};
+use crate::limit_judge::first_excess;
+use crate::servers::FakeServer;
+use crate::{with_groups_of, with_plain_servers};
+use reqwest::StatusCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What servers take, in requests a second.
+const LIMIT: f64 = 2.5;
+/// How long callers ask: two windows of the judge, and the time until it begins.
+const SPAN: Duration = Duration::from_secs(9);
+/// Callers at each entry.
+const CALLERS: usize = 6;
+/// Pause of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Outcome {
+    answered: usize,
+    refused: usize,
+}
+
+/// Callers that ask all entries for a while, and leave as soon as their answer begins. Attempts are named after the entry.
+async fn ask_for(fleet: &Fleet, path: &str, span: Duration) -> Outcome {
+    let until = Instant::now() + span;
+    let entries = fleet.entries.len();
+    let caller = |number: usize| async move {
+        let entry = (number % entries) as u8;
+        let mut outcome = Outcome::default();
+        while Instant::now() < until {
+            let answer = fleet.request(entry, path, &format!("e{entry}-{number}")).send().await;
+            match answer.map(|answer| answer.status()) {
+                Ok(StatusCode::OK) => outcome.answered += 1,
+                _ => outcome.refused += 1,
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        outcome
+    };
+    let outcomes = futures::future::join_all((0..CALLERS * entries).map(caller)).await;
+    outcomes.into_iter().fold(Outcome::default(), |sum, one| Outcome {
+        answered: sum.answered + one.answered,
+        refused: sum.refused + one.refused,
+    })
+}
+
+fn assert_kept(servers: &[Arc<FakeServer>], since: Instant) {
+    for server in servers {
+        let excess = first_excess(&server.requests_since(since));
+        assert!(excess.is_none(), "{}: {excess:?}", server.id);
+    }
+}
+
+/// The model server that heads a group and got most.
+async fn busiest_head(fleet: &Fleet, models: &[Arc<FakeServer>]) -> Arc<FakeServer> {
+    let since = Instant::now();
+    ask_for(fleet, "/stream/2", Duration::from_millis(500)).await;
+    let busiest = models.iter().max_by_key(|server| server.requests_since(since).len());
+    busiest.unwrap_or(&models[0]).clone()
+}
+
+/// One of two heads names a limit; the other one serves what it doesn't take.
+async fn all_entries_keep_what_a_head_takes(fleet: Fleet) {
+    let (fleet, models) = with_groups_of(fleet).await;
+    let head = busiest_head(&fleet, &models).await;
+    let since = Instant::now();
+    head.set_limit(Some(LIMIT));
+    let outcome = ask_for(&fleet, "/stream/2", SPAN).await;
+    assert_kept(&models, since);
+    let got = head.requests_since(since).len() as f64;
+    assert!(got >= 0.6 * LIMIT * SPAN.as_secs_f64(), "what it takes is not wasted: {got}, {outcome:?}");
+    assert!(outcome.answered > 0, "{outcome:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_gets_no_more_than_it_takes_from_all_entries_together() {
+    all_entries_keep_what_a_head_takes(Fleet::start()).await;
+}
+
+/// The same where the entries dispatch for each other, as in a large fleet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_gets_no_more_than_it_takes_also_where_entries_dispatch() {
+    all_entries_keep_what_a_head_takes(Fleet::start_dispatched(0)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_plain_server_gets_no_more_than_it_takes_from_all_entries_together() {
+    let (fleet, servers) = with_plain_servers().await;
+    let since = Instant::now();
+    servers[0].set_limit(Some(LIMIT));
+    let outcome = ask_for(&fleet, "/plain/1", SPAN).await;
+    assert_kept(&servers, since);
+    let got = servers[0].requests_since(since).len() as f64;
+    assert!(got >= 0.6 * LIMIT * SPAN.as_secs_f64(), "what it takes is not wasted: {got}, {outcome:?}");
+    assert!(outcome.refused * 20 <= outcome.answered, "the other server is there: {outcome:?}");
+}
+
+/// Nine entries: a share for each would be 22 requests a second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nine_entries_together_keep_what_a_server_takes() {
+    let fleet = Fleet::start_with_entries(9, 64);
+    let servers = [fleet.plain_server(0).await, fleet.plain_server(1).await];
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    let since = Instant::now();
+    servers[0].set_limit(Some(LIMIT));
+    let outcome = ask_for(&fleet, "/plain/1", SPAN).await;
+    assert_kept(&servers, since);
+    assert!(outcome.refused * 20 <= outcome.answered, "the other server is there: {outcome:?}");
+}
