Tests: limits in a simulated fleet of up to 330 entries, and in a randomized run of real processes

The simulation found that 330 entries asked 39 times for each turn: those that wait are told to come back one after the other, four to a turn, whoever got a turn meanwhile.

--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod leader_search;
 mod limit_judge;
+mod limit_soak;
 mod manner;
 mod promises;
 mod regions;
--- a/crates/routing/src/pushback/turns.rs
+++ b/crates/routing/src/pushback/turns.rs
@@ -17,8 +17,8 @@
 const MOST_EARLY_MS: Millis = 1_000;
 /// Senders that are told to come back within one interval: some find by then that they have nothing to send.
 const ASKERS_PER_TURN: u64 = 4;
-/// Longest time for which a sender is told to wait beyond the next turn, in milliseconds.
-const LONGEST_SPREAD_MS: Millis = 5_000;
+/// Longest time for which a sender is told to wait, in milliseconds.
+const LONGEST_WAIT_MS: Millis = 15_000;
 /// For how long after it should have come back a turn is kept for a request that is more urgent, in milliseconds.
 const KEPT_FOR_URGENT_MS: Millis = 50;
 /// What was given is counted over this long, in milliseconds.
@@ -85,8 +85,10 @@
     started_ms: Option<u64>,
     /// When the next request would be due if all were evenly spaced, in microseconds.
     due_us: u64,
-    /// Senders that were told to come back since the last turn.
-    told_to_wait: u64,
+    /// Time between two requests when it was last asked for, in microseconds.
+    interval_us: u64,
+    /// When the last of the senders that were told to come back is to do so, in microseconds.
+    last_back_us: u64,
     wanted: Option<Wanted>,
     given: VecDeque<Millis>,
     asked_at: Millis,
@@ -124,7 +126,8 @@
         Turns {
             started_ms,
             due_us: spacing.first_due_us(now),
-            told_to_wait: 0,
+            interval_us: spacing.interval_us,
+            last_back_us: 0,
             wanted: None,
             given: VecDeque::new(),
             asked_at: now,
@@ -136,12 +139,15 @@
         self.asked_at = now;
         // A rate that has risen is not kept from its effect by what was due at the former one.
         self.due_us = self.due_us.min(spacing.first_due_us(now));
+        if spacing.interval_us < self.interval_us {
+            self.last_back_us = 0;
+        }
+        self.interval_us = spacing.interval_us;
         let free_at = self.due_us.saturating_sub(spacing.early_us()).div_ceil(MICROSECONDS_PER_MILLISECOND);
         if now < free_at || self.is_kept_from(now, rank) {
-            return self.wait(now.max(free_at), spacing, rank);
+            return self.wait(now, free_at, rank);
         }
         self.due_us = self.due_us.max(now * MICROSECONDS_PER_MILLISECOND) + spacing.own_us;
-        self.told_to_wait = 0;
         self.wanted = self.wanted.filter(|wanted| wanted.rank < rank);
         self.given.push_back(now);
         while self.given.front().is_some_and(|at| now >= at + COUNTED_MS) {
@@ -155,12 +161,16 @@
         self.wanted.is_some_and(|wanted| wanted.rank < rank && now < wanted.at + KEPT_FOR_URGENT_MS)
     }
 
-    fn wait(&mut self, free_at: Millis, spacing: Spacing, rank: u32) -> Turn {
-        let spread_ms =
-            self.told_to_wait * spacing.interval_us / ASKERS_PER_TURN / MICROSECONDS_PER_MILLISECOND;
-        self.told_to_wait += 1;
-        let at = free_at + spread_ms.clamp(1, LONGEST_SPREAD_MS);
-        if self.wanted.is_none_or(|wanted| rank < wanted.rank || wanted.at + KEPT_FOR_URGENT_MS < free_at) {
+    /// Tells a sender when to come back: some senders to each turn, one after the other.
+    fn wait(&mut self, now: Millis, free_at: Millis, rank: u32) -> Turn {
+        let after_last_us = self.last_back_us + self.interval_us / ASKERS_PER_TURN;
+        let at =
+            (after_last_us / MICROSECONDS_PER_MILLISECOND).clamp(free_at, free_at.max(now + LONGEST_WAIT_MS));
+        let at = at.max(now + 1);
+        let at_us = at * MICROSECONDS_PER_MILLISECOND;
+        self.last_back_us = after_last_us.clamp(at_us, at_us + MICROSECONDS_PER_MILLISECOND);
+        let is_forgone = |wanted: Wanted| wanted.at + KEPT_FOR_URGENT_MS < now;
+        if self.wanted.is_none_or(|wanted| rank < wanted.rank || is_forgone(wanted)) {
             self.wanted = Some(Wanted { rank, at });
         }
         Turn::NotBefore(at)
