--- a/crates/bench/tests/servers_at_rest.rs
+++ b/crates/bench/tests/servers_at_rest.rs
@@ -1,5 +1,5 @@
 //! The resource API's callers meet servers that ask for rest as the gateway's do: a chat request or a service call was sent
-//! to them as if they had said nothing.
+//! to them as if they had said nothing. The same for servers that name a limit, which all daemons together keep.
 
 use dockwood_api::ResultCode;
 use dockwood_bench::fleet::RunningFleet;
@@ -63,7 +63,44 @@
 
     /// All requests go to one daemon: each asks a server for itself.
     fn url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.fleet.entry_addresses()[0])
+        self.url_at(0, path)
+    }
+
+    fn url_at(&self, daemon: usize, path: &str) -> String {
+        format!("http://{}{path}", self.fleet.entry_addresses()[daemon])
+    }
+
+    /// Calls of the service at all daemons at once for a while; how many were answered, and refused.
+    async fn call_all(&self, span: Duration) -> Result<(usize, usize), reqwest::Error> {
+        let until = Instant::now() + span;
+        let service = &self.fleet.topology.emulator.services[0].name;
+        let path = format!("/services/{service}/status");
+        let calls = (0..self.fleet.entry_addresses().len()).map(|daemon| {
+            let url = self.url_at(daemon, &path);
+            async move {
+                let (mut answered, mut refused) = (0, 0);
+                while Instant::now() < until {
+                    match self.ask(self.http.get(&url)).await?.status {
+                        StatusCode::OK => answered += 1,
+                        _ => refused += 1,
+                    }
+                    tokio::time::sleep(PAUSE).await;
+                }
+                Ok((answered, refused))
+            }
+        });
+        let counts = futures::future::try_join_all(calls).await?;
+        Ok(counts.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1)))
+    }
+
+    /// When a plain server was called, in milliseconds since the Unix epoch.
+    fn called(&self, server: &str) -> std::io::Result<Vec<u64>> {
+        let records = read_ledger(&self.fleet.topology.emulator.ledger)?;
+        let call = |record: LedgerRecord| match record {
+            LedgerRecord::ServiceCalled { server: name, at_ms, .. } if name == server => Some(at_ms),
+            _ => None,
+        };
+        Ok(records.into_iter().filter_map(call).collect())
     }
 
     async fn ask(&self, request: reqwest::RequestBuilder) -> Result<Answer, reqwest::Error> {
@@ -181,3 +218,61 @@
     caller.folder.passed()?;
     Ok(())
 }
+
+/// Requests a second that a server takes, and how long callers ask.
+const TAKES: usize = 2;
+const ASKED_FOR: Duration = Duration::from_secs(8);
+/// The server is heard of by all daemons after this long, in milliseconds.
+const HEARD_AFTER_MS: u64 = 1_000;
+const WINDOW_MS: u64 = 4_000;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_calls_of_all_daemons_keep_what_a_server_takes() -> Outcome {
+    let caller = Caller::start(8).await?;
+    let servers = caller.plain_servers();
+    caller.call_all(Duration::from_millis(300)).await?;
+    caller.change([&servers[0]], &format!("limit-{TAKES}")).await?;
+    let before = caller.called(&servers[0])?.len();
+    let (answered, refused) = caller.call_all(ASKED_FOR).await?;
+    let called = &caller.called(&servers[0])?[before..];
+    let first = called.first().copied().ok_or("it is never called")?;
+    let settled: Vec<u64> = called.iter().copied().filter(|at| *at >= first + HEARD_AFTER_MS).collect();
+    let most = settled
+        .iter()
+        .map(|from| settled.iter().filter(|at| (*from..*from + WINDOW_MS).contains(at)).count());
+    let most = most.max().unwrap_or(0);
+    assert!(most <= 4 * TAKES + 2, "{most} calls within 4 s");
+    assert!(settled.len() >= 4 * TAKES, "what it takes is not wasted: {}", settled.len());
+    assert!(refused * 20 <= answered, "the other server is there: {answered} answered, {refused} refused");
+    caller.folder.passed()?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chat_requests_keep_what_heads_take() -> Outcome {
+    let caller = Caller::start(9).await?;
+    let begun = Instant::now();
+    while caller.chat().await?.status != StatusCode::OK {
+        assert!(begun.elapsed() < LIMIT, "chat is never served");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let heads = caller.heads()?;
+    caller.change(&heads, "limit-0.1").await?;
+    let until = Instant::now() + ASKED_FOR / 2;
+    let (mut answered, mut refused) = (0, None);
+    while Instant::now() < until {
+        let answer = caller.chat().await?;
+        match answer.status {
+            StatusCode::OK => answered += 1,
+            _ => refused = Some(answer),
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    // Each head is learnt of by one request, and takes none for ten seconds then.
+    assert!(answered <= heads.len(), "{answered} answered by {} heads", heads.len());
+    let refused = refused.ok_or("nothing was refused")?;
+    assert_eq!(refused.code, Some(u64::from(ResultCode::ServersAtLimit.number())), "{refused:?}");
+    assert!(refused.retry_after_s.is_some(), "{refused:?}");
+    caller.folder.passed()?;
+    Ok(())
+}
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -2,5 +2,6 @@
 
 mod entry;
 mod evacuation;
+mod limits;
 mod pushback;
 mod scripted_server;
--- a/crates/daemon/tests/one_entry/pushback.rs
+++ b/crates/daemon/tests/one_entry/pushback.rs
@@ -25,7 +25,7 @@
 }
 
 /// An entry with one server of the plain service, which gives these answers first.
-async fn with_plain_server(script: Vec<Reply>) -> Result<(Arc<Entry>, Arc<ScriptedServer>)> {
+pub async fn with_plain_server(script: Vec<Reply>) -> Result<(Arc<Entry>, Arc<ScriptedServer>)> {
     let entry = Entry::start()?;
     entry.keep_lease();
     let server = ScriptedServer::start(script).await?;
@@ -34,7 +34,7 @@
 }
 
 /// Asks until the server was asked once: the entry takes the published tables a moment later.
-async fn ask_first(entry: &Entry, path: &str, server: &ScriptedServer) -> Result<String> {
+pub async fn ask_first(entry: &Entry, path: &str, server: &ScriptedServer) -> Result<String> {
     let begun = Instant::now();
     loop {
         let answer = entry.ask(path).await?;
--- a/crates/emulator/src/http/admin.rs
+++ b/crates/emulator/src/http/admin.rs
@@ -18,7 +18,7 @@
 /// Changes of a machine's power and pace.
 const KNOWN_POWERS: &str = "kill restart start pause resume cut heal slow fast leave stay";
 /// Changes of how a server treats requests; see `RequestManner`.
-const KNOWN_MANNERS: &str = "rest say-leaving serve";
+const KNOWN_MANNERS: &str = "rest say-leaving limit-RATE serve";
 
 /// Serves the admin port for ever.
 pub async fn serve_admin(fleet: Arc<Fleet>) -> std::io::Result<JoinHandle<()>> {
--- a/crates/emulator/src/manner.rs
+++ b/crates/emulator/src/manner.rs
@@ -1,6 +1,7 @@
 //! How a server treats the requests that it gets: as usual, or by asking something of whoever sends them.
 
-use dockwood_api::engine::{HEADER_LEAVING, HEADER_NOT_RUN};
+use dockwood_api::engine::{HEADER_LEAVING, HEADER_LIMIT, HEADER_NOT_RUN};
+use dockwood_api::gateway::RequestRate;
 use poem::Response;
 use poem::http::{HeaderValue, StatusCode, header::RETRY_AFTER};
 use std::sync::Mutex;
@@ -18,6 +19,8 @@
     AsksForRest,
     /// It serves them, and says in its answers that it is about to leave.
     SaysItLeaves,
+    /// It serves them, and names so many requests a second in its answers.
+    NamesLimit(RequestRate),
 }
 
 /// A server's manner, which can be changed.
@@ -38,7 +41,11 @@
             "rest" => Manner::AsksForRest,
             "say-leaving" => Manner::SaysItLeaves,
             "serve" => Manner::Serves,
-            _ => return false,
+            _ => {
+                let per_second = change.strip_prefix("limit-").and_then(|text| text.parse().ok());
+                let Some(per_second) = per_second else { return false };
+                Manner::NamesLimit(RequestRate::of_requests(per_second))
+            }
         };
         self.set(manner);
         true
@@ -58,8 +65,17 @@
 
     /// Adds to an answer what the server says in each of them.
     pub fn mark(&self, mut answer: Response) -> Response {
-        if self.get() == Manner::SaysItLeaves {
-            answer.headers_mut().insert(HEADER_LEAVING, HeaderValue::from_static("1"));
+        match self.get() {
+            Manner::Serves | Manner::AsksForRest => {}
+            Manner::SaysItLeaves => {
+                answer.headers_mut().insert(HEADER_LEAVING, HeaderValue::from_static("1"));
+            }
+            Manner::NamesLimit(rate) => {
+                let value = HeaderValue::from_str(&rate.per_second().to_string());
+                value.into_iter().for_each(|value| {
+                    answer.headers_mut().insert(HEADER_LIMIT, value);
+                });
+            }
         }
         answer
     }
