Plans count a group for what its head takes, once that has lasted

A group whose head takes a request in ten seconds counted in full, so free servers were formed for other models. Limits that have been in force for 10 s go to the control node of a member, and a group counts for the part of its work that its head takes. The test forms two groups of the smaller model without the change, and one of the larger with it.

--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -4,7 +4,7 @@
 use crate::account::Account;
 use crate::gateway::InstanceProbe;
 use dockwood_api::gateway::{
-    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest,
+    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
 };
 use dockwood_api::peer::{
     AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, Observation, ReadAnswer,
@@ -72,6 +72,8 @@
     ExchangeLoad(LoadReport, R),
     /// An entry asks for a place at a group.
     AssignPlace(PlaceRequest, R),
+    /// The servers that have named limits for some time, all of them.
+    ServerLimits(Vec<ServerLimit>),
     /// A server answered a group order, or did not.
     GroupOrderAnswered(GroupOrder, OrderAnswer),
     /// An instance was asked.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::Millis;
 use crate::successors::Successors;
 use dockwood_api::gateway::{
-    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest,
+    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
     SharedGroupLoad,
 };
 use dockwood_grouping::{
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Takes the servers that have named limits for some time, all of them.
+    pub fn note_limits(&mut self, limits: Vec<ServerLimit>) {
+        self.observations.note_limits(limits);
+    }
+
     /// Commands that should be committed now.
     pub fn decide(
         &mut self,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -185,6 +185,11 @@
                     leadership.gateway.order_answered(now.monotonic, &order, answer);
                 }
             }
+            Input::ServerLimits(limits) => {
+                if let Some(leadership) = self.leadership_mut() {
+                    leadership.gateway.note_limits(limits);
+                }
+            }
             Input::Probed { instance, result, slowness } => {
                 if let Some(leadership) = self.leadership_mut() {
                     leadership.gateway.probed(now.monotonic, &instance, result, slowness);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -29,7 +29,7 @@
 
 use dockwood_api::engine::PlatformMachine;
 use dockwood_api::gateway::{
-    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest,
+    GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
 };
 use dockwood_api::peer::{
     AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, ReadAnswer, SubmitReply, VoterRecord,
@@ -114,6 +114,8 @@
         /// `None` if this daemon does not lead.
         reply: oneshot::Sender<Option<PlaceReply>>,
     },
+    /// The servers that have named limits for some time, all of them.
+    ServerLimits(Vec<ServerLimit>),
     /// A server answered a group order, or did not.
     GroupOrderAnswered(Box<GroupOrder>, OrderAnswer),
     /// An instance was asked whether it is alive.
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -372,6 +372,7 @@
         ControlMessage::Register { report, reply } => Input::Register(report, Reply::Submit(reply)),
         ControlMessage::ExchangeLoad { report, reply } => Input::ExchangeLoad(report, Reply::Load(reply)),
         ControlMessage::AssignPlace { request, reply } => Input::AssignPlace(request, Reply::Place(reply)),
+        ControlMessage::ServerLimits(limits) => Input::ServerLimits(limits),
         ControlMessage::GroupOrderAnswered(order, answer) => Input::GroupOrderAnswered(*order, answer),
         ControlMessage::Probed { instance, result, slowness } => Input::Probed { instance, result, slowness },
         ControlMessage::AdmitVoter { id, address, zone, reply } => {
--- a/crates/daemon/src/control/turn.rs
+++ b/crates/daemon/src/control/turn.rs
@@ -84,7 +84,7 @@
             | Input::OrderAnswered { .. }
             | Input::GroupOrderAnswered(..)
             | Input::Probed { .. } => Work::Servers,
-            Input::ExchangeLoad(..) => Work::Loads,
+            Input::ExchangeLoad(..) | Input::ServerLimits(_) => Work::Loads,
             Input::AssignPlace(..) => Work::Places,
             _ => Work::Other,
         }
--- a/crates/daemon/src/pushback/sharing.rs
+++ b/crates/daemon/src/pushback/sharing.rs
@@ -3,6 +3,7 @@
 
 use super::Pushback;
 use crate::clock::monotonic_ms;
+use crate::control::ControlMessage;
 use crate::lock::lock;
 use crate::shared::Shared;
 use dockwood_api::gateway::{LimitNews, ServerLimit};
@@ -31,6 +32,10 @@
         }
         let leads = shared.leader() == Some(shared.settings.peer);
         let now = monotonic_ms();
+        if shared.settings.is_control_member() {
+            let lasting = lock(&shared.pushback.limits).lasting(now);
+            shared.control.send(ControlMessage::ServerLimits(lasting)).await;
+        }
         let tells_all = leads && now >= all_told_at + ALL_TOLD_EVERY.as_millis() as Millis;
         let news = lock(&shared.pushback.limits).take_news(now);
         let told = if tells_all { lock(&shared.pushback.limits).all_in_force(now) } else { news };
--- a/crates/grouping/src/need.rs
+++ b/crates/grouping/src/need.rs
@@ -54,13 +54,15 @@
             group.service == service && is_held(group) && !view.tables.is_evacuated(&group.zone)
         };
         let held_back = view.observations.held_groups(view.now);
+        let demand = view.observations.demand().of_service(service);
         for group in groups.filter(counts) {
             let position = engine.models.iter().position(|model| model.name == group.model);
             if let Some(position) = position {
-                held[position] += part_held(held_back.get(&group.epoch).copied().unwrap_or(0));
+                let part = part_held(held_back.get(&group.epoch).copied().unwrap_or(0));
+                let model = &engine.models[position];
+                held[position] += part * part_within_limit(view, group, engine, model, demand.as_ref());
             }
         }
-        let demand = view.observations.demand().of_service(service);
         let need = groups_needed(demand.as_ref(), engine, servers);
         Balance { need, held, weights: ModelWeights::new(&asked(demand.as_ref(), engine)) }
     }
@@ -110,6 +112,23 @@
     (1.0 - held_back_ms as f64 / HORIZON_MS).max(0.0)
 }
 
+/// The part of a group's work that its head takes: one that named a limit serves no more requests than that, however many
+/// places it has.
+fn part_within_limit(
+    view: &View<'_>,
+    group: &GroupRow,
+    engine: &EngineProfile,
+    model: &ModelProfile,
+    demand: Option<&DemandByModel>,
+) -> f64 {
+    let head = group.members.first();
+    let limit = head.and_then(|head| view.observations.limit_of(head));
+    let asked = demand.and_then(|demand| demand.get(&model.name));
+    limit.zip(asked).map_or(1.0, |(rate, asked)| {
+        (rate.per_second() * group_ms(engine, model, &asked.work) / 1_000.0).min(1.0)
+    })
+}
+
 /// Whether a group serves, or soon will.
 fn is_held(group: &GroupRow) -> bool {
     let may_serve = matches!(group.phase, GroupPhase::Forming | GroupPhase::Opening | GroupPhase::Open);
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -6,7 +6,7 @@
 use crate::slowness::Slowness;
 use dockwood_api::gateway::{
     DispatchScope, GroupCommand, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport,
-    OrderAnswer, SharedGroupLoad,
+    OrderAnswer, RequestRate, ServerLimit, SharedGroupLoad,
 };
 use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
@@ -56,6 +56,8 @@
     silent: BTreeSet<u64>,
     demand: Demand,
     slowness: Slowness,
+    /// Servers that have named limits for some time, by id.
+    limits: BTreeMap<String, RequestRate>,
     /// When an instance was first seen, for the newest one.
     pub newest_instance_at: Millis,
     /// Whether any entry has told of a request yet.
@@ -110,6 +112,16 @@
         self.slowness.factor(instance)
     }
 
+    /// Takes the servers that have named limits for some time, all of them.
+    pub fn note_limits(&mut self, limits: Vec<ServerLimit>) {
+        self.limits = limits.into_iter().map(|limit| (limit.server.id, limit.rate)).collect();
+    }
+
+    /// The requests that a server has taken for some time, if it named a limit.
+    pub fn limit_of(&self, instance: &str) -> Option<RequestRate> {
+        self.limits.get(instance).copied()
+    }
+
     /// Whether any instance counts as slow.
     pub fn has_slow_servers(&self) -> bool {
         self.slowness.is_any()
--- a/crates/grouping/tests/held_groups.rs
+++ b/crates/grouping/tests/held_groups.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{LARGE, SERVICE, SMALL, World, engine, formed};
-use dockwood_api::gateway::{DispatchScope, EngineProfile, EventPace, GroupLoad, LoadReport};
+use dockwood_api::gateway::{
+    DispatchScope, EngineProfile, EventPace, GroupLoad, LoadReport, RequestRate, ServerLimit, ServerStart,
+};
 use dockwood_grouping::ScopeDispatch;
 use dockwood_state::GatewayTables;
 
@@ -109,3 +111,29 @@
     assert_eq!(summary(&[("e0", held), ("e1", held)], &world.tables), Some(MINUTE_MS));
     assert_eq!(summary(&[("e0", held), ("e1", used)], &world.tables), Some(0));
 }
+
+fn limit(server: &str, thousandths: u64) -> ServerLimit {
+    ServerLimit {
+        server: ServerStart { id: server.to_string(), started_ms: None },
+        rate: RequestRate::of_thousandths(thousandths),
+        has_ended: false,
+        heard_ago_ms: 0,
+    }
+}
+
+/// A head that takes a request in ten seconds serves hardly anybody, though its group has all its places.
+#[test]
+fn a_group_whose_head_takes_few_requests_counts_for_what_it_takes() {
+    let (mut world, _) = world();
+    let before = models_formed(&world);
+    world.observations.note_limits(vec![limit("d0-s0", 100)]);
+    assert_eq!(models_formed(&world), [LARGE]);
+    world.observations.note_limits(vec![limit("d0-s0", 100_000), limit("d0-s1", 0)]);
+    assert_eq!(
+        models_formed(&world),
+        before,
+        "it takes more than it can serve; members that are no heads serve nobody"
+    );
+    world.observations.note_limits(Vec::new());
+    assert_eq!(models_formed(&world), before);
+}
--- a/crates/routing/src/pushback/limits.rs
+++ b/crates/routing/src/pushback/limits.rs
@@ -17,6 +17,9 @@
 /// How long the end of a limit is remembered, in milliseconds: word of the limit itself may still be on its way between
 /// daemons.
 const END_REMEMBERED_MS: Millis = 15_000;
+/// A limit that has been in force for this long is counted on by plans, in milliseconds: a group that would take its place must
+/// load first, and a plan that changes with each short limit never settles.
+const LASTING_AFTER_MS: Millis = 10_000;
 /// Part by which a rate has to differ for other daemons to be told of it at once, in hundredths: a rate that is drawn anew
 /// with each answer would keep the whole fleet talking.
 const NOTABLE_HUNDREDTHS: u64 = 12;
@@ -68,6 +71,8 @@
     started_ms: Option<u64>,
     rate: RequestRate,
     has_ended: bool,
+    /// Since when it has named limits without a break.
+    named_since: Millis,
     heard_at: Millis,
     /// Nothing is sent to it before, as whoever shares out its limit has said.
     held_until: Millis,
@@ -109,6 +114,9 @@
         if change.is_some_and(|change| change != LimitChange::Named(rate)) && rate >= self.rate {
             self.held_until = 0;
         }
+        if change == Some(LimitChange::Named(rate)) {
+            self.named_since = heard_at;
+        }
         (self.rate, self.has_ended, self.heard_at) = (rate, has_ended, heard_at);
         change
     }
@@ -251,6 +259,13 @@
         in_force.map(|(id, known)| known.tell(now, id)).collect()
     }
 
+    /// Limits that have been in force for so long that plans should count with them.
+    pub fn lasting(&self, now: Millis) -> Vec<ServerLimit> {
+        let lasts = |known: &Known| !known.has_ended && now >= known.named_since + LASTING_AFTER_MS;
+        let lasting = self.servers.iter().filter(|(_, known)| lasts(known));
+        lasting.map(|(id, known)| known.tell(now, id)).collect()
+    }
+
     /// Servers that name a limit now.
     pub fn count(&self) -> usize {
         self.servers.values().filter(|known| !known.has_ended).count()
@@ -284,6 +299,7 @@
             started_ms: server.started_ms,
             rate,
             has_ended: false,
+            named_since: heard_at,
             heard_at,
             held_until: 0,
             told: Some(rate),
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -180,3 +180,17 @@
     assert_eq!(table.count(), 4_096);
     assert_eq!(table.rate(10_000, &start("9999", 1)), Some(rate(1_000)), "the newest are kept");
 }
+
+/// A plan that changes with each short limit never settles.
+#[test]
+fn plans_count_with_limits_that_last() {
+    let (mut table, server) = limited();
+    assert!(table.lasting(10_999).is_empty());
+    assert_eq!(table.lasting(11_000), [told(2_500, false, 10_000)]);
+    table.heard(12_000, &server, names(4_000, 12_000));
+    assert_eq!(table.lasting(12_000).len(), 1, "another rate is no break");
+    table.heard(13_000, &server, names_none(13_000));
+    assert!(table.lasting(13_000).is_empty());
+    table.heard(14_000, &server, names(4_000, 14_000));
+    assert!(table.lasting(23_999).is_empty(), "it begins anew");
+}
