--- a/crates/daemon/tests/gateway/limit_soak.rs
+++ b/crates/daemon/tests/gateway/limit_soak.rs
@@ -17,8 +17,8 @@
 const ENTRIES: u8 = 5;
 /// How long one seed is played.
 const SPAN: Duration = Duration::from_secs(20);
-/// Callers at each entry.
-const CALLERS: usize = 3;
+/// Callers at each entry, of plain requests that may run once and of streams.
+const CALLERS: usize = 4;
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(15);
 /// How long an entry is excused after it was stopped, killed or started.
@@ -62,15 +62,16 @@
 /// What one caller was told of its requests, by attempt; `None` for no answer.
 type Answers = BTreeMap<String, Option<StatusCode>>;
 
-async fn call(url: String, entry: usize, caller: usize, until: Instant) -> Answers {
+async fn call(url: String, name: String, until: Instant) -> Answers {
     let http = reqwest::Client::new();
     let mut answers = Answers::new();
     let mut number = 0;
     while Instant::now() < until {
         number += 1;
-        let attempt = format!("e{entry}-{caller}-{number}");
+        let attempt = format!("{name}-{number}");
         let request = http.post(&url).header("host", "h.example").header("authorization", "Bearer key-1");
-        let request = request.header("dockwood-attempt", &attempt).timeout(CALLER_LIMIT);
+        let request =
+            request.header("dockwood-model", "m").header("dockwood-attempt", &attempt).timeout(CALLER_LIMIT);
         let answer = request.send().await.ok();
         if let Some(echoed) = answer.as_ref().filter(|answer| answer.status() == StatusCode::OK) {
             assert_eq!(
@@ -141,7 +142,7 @@
     for arrival in servers.iter().flat_map(|server| server.requests_since(since)) {
         *runs.entry(arrival.attempt).or_default() += 1;
     }
-    for (attempt, status) in answers {
+    for (attempt, status) in answers.iter().filter(|(attempt, _)| !attempt.contains(STREAMS)) {
         let ran = runs.get(attempt).copied().unwrap_or(0);
         assert!(ran <= 1, "seed {seed}: {attempt} ran {ran} times");
         let says_not_run = *status == Some(StatusCode::SERVICE_UNAVAILABLE);
@@ -149,21 +150,29 @@
     }
 }
 
+/// What names of callers that ask for streams hold.
+const STREAMS: &str = "streams";
+
 async fn play(seed: u64) {
     let mut fleet = Fleet::start_with_entries(ENTRIES, 64);
     let mut servers = Vec::new();
     for number in 0..3 {
         servers.push(fleet.plain_server(number).await);
     }
+    for number in 3..7 {
+        servers.push(fleet.model_server(number).await);
+    }
     fleet.configure(&configuration(1)).await;
     fleet.wait_until_served("/once/1").await;
+    fleet.wait_until_open("writer", 2).await;
     let troubles = draw(seed, servers.len());
     let since = Instant::now();
     let until = since + SPAN;
-    let urls: Vec<String> = (0..ENTRIES).map(|entry| format!("{}/once/1", fleet.entry(entry))).collect();
     let callers = (0..usize::from(ENTRIES) * CALLERS).map(|number| {
         let (entry, caller) = (number % usize::from(ENTRIES), number / usize::from(ENTRIES));
-        tokio::spawn(call(urls[entry].clone(), entry, caller, until))
+        let (path, kind) = if caller % 2 == 0 { ("/once/1", "calls") } else { ("/stream/2", STREAMS) };
+        let url = format!("{}{path}", fleet.entry(entry as u8));
+        tokio::spawn(call(url, format!("e{entry}-{kind}-{caller}"), until))
     });
     let callers: Vec<_> = callers.collect();
     let excuses = bring_about(&mut fleet, &servers, &troubles).await;
--- a/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
+++ b/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
@@ -35,12 +35,23 @@
     refused: usize,
 }
 
+impl Outcome {
+    fn and(self, other: Outcome) -> Outcome {
+        Outcome { answered: self.answered + other.answered, refused: self.refused + other.refused }
+    }
+}
+
 /// Callers that ask all entries for a while, and leave as soon as their answer begins. Attempts are named after the entry.
 async fn ask_for(fleet: &Fleet, path: &str, span: Duration) -> Outcome {
+    let entries = (0..fleet.entries.len() as u8).map(|entry| ask_at(fleet, entry, path, span));
+    let outcomes = futures::future::join_all(entries).await;
+    outcomes.into_iter().fold(Outcome::default(), Outcome::and)
+}
+
+/// The callers of one entry.
+async fn ask_at(fleet: &Fleet, entry: u8, path: &str, span: Duration) -> Outcome {
     let until = Instant::now() + span;
-    let entries = fleet.entries.len();
     let caller = |number: usize| async move {
-        let entry = (number % entries) as u8;
         let mut outcome = Outcome::default();
         while Instant::now() < until {
             let answer = fleet.request(entry, path, &format!("e{entry}-{number}")).send().await;
@@ -52,11 +63,8 @@
         }
         outcome
     };
-    let outcomes = futures::future::join_all((0..CALLERS * entries).map(caller)).await;
-    outcomes.into_iter().fold(Outcome::default(), |sum, one| Outcome {
-        answered: sum.answered + one.answered,
-        refused: sum.refused + one.refused,
-    })
+    let outcomes = futures::future::join_all((0..CALLERS).map(caller)).await;
+    outcomes.into_iter().fold(Outcome::default(), Outcome::and)
 }
 
 fn assert_kept(servers: &[Arc<FakeServer>], since: Instant) {
@@ -191,3 +199,35 @@
     let after_end = server.requests_since(since + Duration::from_secs(20)).len();
     assert!(after_end > 40, "it gets what comes again: {after_end} in a second, {outcome:?}");
 }
+
+/// Streams at twelve entries, or as many as `LIMIT_ENTRIES` says.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn heads_get_no_more_than_they_take_from_many_entries() {
+    let entries = std::env::var("LIMIT_ENTRIES").ok().and_then(|text| text.parse().ok()).unwrap_or(12);
+    all_entries_keep_what_a_head_takes(Fleet::start_with_entries(entries, 64)).await;
+}
+
+/// While those that share the limit out don't answer, and after they are given up, an entry that is left alone sends no more
+/// than the server takes, and something of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_is_left_alone_keeps_what_a_server_takes() {
+    let fleet = Fleet::start_with_entries(5, 64);
+    let servers = [fleet.plain_server(0).await, fleet.plain_server(1).await];
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    let since = Instant::now();
+    servers.iter().for_each(|server| server.set_limit(Some(LIMIT)));
+    ask_for(&fleet, "/plain/1", Duration::from_secs(3)).await;
+    fleet.entries[1..].iter().for_each(|entry| entry.signal("-STOP"));
+    let alone_since = Instant::now();
+    let alone = ask_at(&fleet, 0, "/plain/1", Duration::from_secs(8)).await;
+    fleet.entries[1..].iter().for_each(|entry| entry.signal("-CONT"));
+    assert_kept(&servers, since);
+    let sent: usize = servers.iter().map(|server| server.requests_since(alone_since).len()).sum();
+    assert!(
+        sent >= 10 && alone.answered >= 10,
+        "callers are served by what the servers take: {sent}, {alone:?}"
+    );
+    ask_for(&fleet, "/plain/1", Duration::from_secs(5)).await;
+    assert_kept(&servers, since);
+}
