--- a/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
+++ b/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
@@ -231,3 +231,45 @@
     ask_for(&fleet, "/plain/1", Duration::from_secs(5)).await;
     assert_kept(&servers, since);
 }
+
+/// What servers take is not wasted, whether a third of a service's servers name limits or all do.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_servers_take_is_used_while_more_is_asked_for() {
+    let fleet = Fleet::start_with_entries(3, 64);
+    let mut servers = Vec::new();
+    for number in 0..6 {
+        servers.push(fleet.plain_server(number).await);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    for limited in [2, 6] {
+        servers[..limited].iter().for_each(|server| server.set_limit(Some(LIMIT)));
+        // The word of it, and what was sent before.
+        ask_for(&fleet, "/plain/1", Duration::from_secs(2)).await;
+        let since = Instant::now();
+        let span = Duration::from_secs(8);
+        let outcome = ask_for(&fleet, "/plain/1", span).await;
+        assert_kept(&servers[..limited], since);
+        let got: usize = servers[..limited].iter().map(|server| server.requests_since(since).len()).sum();
+        let takes = limited as f64 * LIMIT * span.as_secs_f64();
+        assert!(got as f64 >= 0.8 * takes, "{got} of {takes}: {outcome:?}");
+        if limited < servers.len() {
+            assert!(outcome.refused * 20 <= outcome.answered, "the other servers are there: {outcome:?}");
+        }
+    }
+}
+
+/// A request that finds one server after the other at its limit is not refused while a sound one is left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sound_server_is_found_behind_many_that_are_at_their_limits() {
+    let fleet = Fleet::start();
+    let mut servers = Vec::new();
+    for number in 0..14 {
+        servers.push(fleet.plain_server(number).await);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.wait_until_served("/plain/1").await;
+    servers[1..].iter().for_each(|server| server.set_limit(Some(0.4)));
+    let outcome = ask_for(&fleet, "/plain/1", Duration::from_secs(12)).await;
+    assert!(outcome.refused == 0 && outcome.answered > 100, "{outcome:?}");
+}
