Limits reach a daemon that has started anew, and are shown as soon as they are heard

Found by a test written for it: an entry that was killed and started was not told of a limit for 15 s. The leader's call went over the connection to the former process, broke, and was made again ten seconds later. It is made twice now. Also the figure of limited servers followed the tables' changes, not what was told.

--- a/crates/daemon/src/pushback/sharing.rs
+++ b/crates/daemon/src/pushback/sharing.rs
@@ -1,7 +1,7 @@
 //! Daemons tell each other of servers that named a limit: who has been told by a server tells the control leader, and that
 //! tells all daemons. A limit that one entry hears holds at the others before they hear it themselves.
 
-use super::Pushback;
+use super::{Pushback, show_limits};
 use crate::clock::monotonic_ms;
 use crate::control::ControlMessage;
 use crate::lock::lock;
@@ -19,6 +19,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time between two tellings of all limits that are in force: a daemon that has just started knows none, and news may be lost.
 const ALL_TOLD_EVERY: Duration = Duration::from_secs(10);
+/// How often a daemon is called that doesn't take the news.
+const TRIES: usize = 2;
 /// How long a daemon may take to take news.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 
@@ -71,12 +73,16 @@
 }
 
 async fn tell(shared: &Shared, daemon: SocketAddr, news: LimitNews) -> bool {
-    let call = |client: PeerClient, context| async move { client.share_limits(context, news).await };
-    let is_told = shared.peers.call(daemon, ANSWER_LIMIT, call).await.is_ok();
-    if !is_told {
+    // A connection to a daemon that has started anew breaks with the first call on it.
+    for _ in 0..TRIES {
+        let news = news.clone();
+        let call = |client: PeerClient, context| async move { client.share_limits(context, news).await };
+        if shared.peers.call(daemon, ANSWER_LIMIT, call).await.is_ok() {
+            return true;
+        }
         shared.metrics.peer_failures.inc();
     }
-    is_told
+    false
 }
 
 impl Pushback {
@@ -87,8 +93,10 @@
 
     /// Takes what another daemon knows of one server, if that is newer. `spreads`: others are to be told.
     pub(super) fn merge(&self, shared: &Shared, limit: &ServerLimit, spreads: bool) {
-        let change = lock(&self.limits).merge(monotonic_ms(), limit, spreads);
-        let Some(change) = change else { return };
+        let mut limits = lock(&self.limits);
+        let Some(change) = limits.merge(monotonic_ms(), limit, spreads) else { return };
+        show_limits(&shared.metrics, &limits);
+        drop(limits);
         self.tell_limit(
             shared,
             &limit.server,
--- a/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
+++ b/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
@@ -273,3 +273,37 @@
     let outcome = ask_for(&fleet, "/plain/1", Duration::from_secs(12)).await;
     assert!(outcome.refused == 0 && outcome.answered > 100, "{outcome:?}");
 }
+
+async fn knows_within(fleet: &Fleet, entry: u8, span: Duration) -> bool {
+    let until = Instant::now() + span;
+    let name = "dockwood_servers_held_back{reason=\"limited\"}";
+    while Instant::now() < until {
+        if fleet.metric(entry, name).await.is_ok_and(|known| known == 1.0) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// A limit that one entry hears holds at the others before they hear it themselves, also at one that starts later, and so does
+/// its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_tell_each_other_of_a_limit_and_of_its_end() {
+    let (mut fleet, servers) = with_plain_servers().await;
+    servers[0].set_limit(Some(LIMIT));
+    ask_at(&fleet, 0, "/plain/1", Duration::from_millis(200)).await;
+    assert!(knows_within(&fleet, 1, Duration::from_secs(1)).await, "the other entry is told");
+    fleet.entries[1].kill();
+    fleet.entries[1].start();
+    assert!(knows_within(&fleet, 1, Duration::from_secs(15)).await, "one that has just started is told");
+    let since = Instant::now();
+    ask_at(&fleet, 1, "/plain/1", Duration::from_secs(2)).await;
+    let got = servers[0].requests_since(since).len();
+    assert!(got <= 6, "it keeps to it from its first request on: {got}");
+    servers[0].set_limit(None);
+    ask_at(&fleet, 0, "/plain/1", Duration::from_secs(4)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let known = fleet.metric(1, "dockwood_servers_held_back{reason=\"limited\"}").await;
+    assert!(known.is_ok_and(|known| known == 0.0), "the other entry is told of the end");
+}
