--- a/crates/daemon/tests/gateway/limit_soak.rs
+++ b/crates/daemon/tests/gateway/limit_soak.rs
@@ -1,11 +1,12 @@
-//! A randomized run of real processes beside servers that name limits: a seed draws which entries are stopped, killed and
-//! started, when, and what the servers say they take. Callers keep their connections for as long as these live. Troubles overlap.
+//! A randomized run of real processes beside servers that name limits: a seed draws who dispatches, which entries are stopped,
+//! killed and started, which member of the control group is, when, what the servers say they take, and when they ask for rest.
+//! Callers keep their connections for as long as these live. Troubles overlap.
 //!
 //! `LIMIT_SOAK_SEEDS=50 cargo test -p dockwood-daemon --test gateway limit_soak` plays that many seeds, from `LIMIT_SOAK_FIRST` on.
 
-use crate::fixture::{Fleet, configuration};
+use crate::fixture::{Daemon, Fleet, configuration};
 use crate::limit_judge::{Excuse, first_unexcused_excess};
-use crate::servers::FakeServer;
+use crate::servers::{FakeServer, Manner, Rest};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use reqwest::StatusCode;
@@ -15,6 +16,8 @@
 
 /// Entries of a run.
 const ENTRIES: u8 = 5;
+/// Members of the control group.
+const MEMBERS: usize = 3;
 /// How long one seed is played.
 const SPAN: Duration = Duration::from_secs(20);
 /// Callers at each entry, of plain requests that may run once and of streams.
@@ -28,20 +31,28 @@
 /// What servers name, in requests a second; `None` for no limit.
 const LIMITS: [Option<f64>; 7] = [None, Some(0.0), Some(0.3), Some(1.0), Some(2.5), Some(6.0), Some(20.0)];
 
+/// A process of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Process {
+    Entry(usize),
+    Member(usize),
+}
+
 /// What happens to a run.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
-    /// An entry is stopped for so long.
-    Stop { entry: usize, for_ms: u64 },
-    /// An entry is killed, and started after so long.
-    Kill { entry: usize, for_ms: u64 },
+    /// A process is stopped for so long.
+    Stop { process: Process, for_ms: u64 },
+    /// A process is killed, and started after so long.
+    Kill { process: Process, for_ms: u64 },
     /// A server says how many requests a second it takes.
     Limit { server: usize, per_second: Option<f64> },
+    /// A server asks for rest in each answer for so long.
+    Rest { server: usize, for_ms: u64 },
 }
 
 /// When what happens, in milliseconds from the start, in this order.
-fn draw(seed: u64, servers: usize) -> Vec<(u64, Trouble)> {
-    let mut random = StdRng::seed_from_u64(seed);
+fn draw(random: &mut StdRng, servers: usize) -> Vec<(u64, Trouble)> {
     let span_ms = SPAN.as_millis() as u64;
     let mut troubles = vec![(200, Trouble::Limit { server: 0, per_second: Some(2.5) })];
     for _ in 0..random.random_range(4..9) {
@@ -49,10 +60,17 @@
         let per_second = LIMITS[random.random_range(0..LIMITS.len())];
         troubles.push((random.random_range(500..span_ms), Trouble::Limit { server, per_second }));
     }
-    for _ in 0..random.random_range(2..7) {
-        let (entry, for_ms) = (random.random_range(0..usize::from(ENTRIES)), random.random_range(100..3_000));
-        let trouble =
-            if random.random() { Trouble::Stop { entry, for_ms } } else { Trouble::Kill { entry, for_ms } };
+    for _ in 0..random.random_range(2..8) {
+        let for_ms = random.random_range(100..3_000);
+        let process = match random.random_range(0..4) {
+            0 => Process::Member(random.random_range(0..MEMBERS)),
+            _ => Process::Entry(random.random_range(0..usize::from(ENTRIES))),
+        };
+        let trouble = match random.random_range(0..5) {
+            0 => Trouble::Rest { server: random.random_range(0..servers), for_ms },
+            1 | 2 => Trouble::Kill { process, for_ms },
+            _ => Trouble::Stop { process, for_ms },
+        };
         troubles.push((random.random_range(500..span_ms - 4_000), trouble));
     }
     troubles.sort_by_key(|(at, _)| *at);
@@ -85,61 +103,93 @@
     answers
 }
 
-/// Carries the troubles out, and returns which entries are excused when.
-async fn bring_about(
-    fleet: &mut Fleet,
-    servers: &[Arc<FakeServer>],
-    troubles: &[(u64, Trouble)],
-) -> Vec<Excuse> {
-    let begun = Instant::now();
-    // Ends of stops and kills, by time.
-    let mut ends: Vec<(Instant, Trouble)> = Vec::new();
-    let mut excuses = Vec::new();
-    let mut next = troubles.iter().peekable();
-    while begun.elapsed() < SPAN {
+/// One run's processes and servers, as troubles come over them.
+struct Stage<'a> {
+    fleet: &'a mut Fleet,
+    servers: &'a [Arc<FakeServer>],
+    /// What is to end, and when.
+    ends: Vec<(Instant, Trouble)>,
+    excuses: Vec<Excuse>,
+}
+
+impl Stage<'_> {
+    fn daemon(&mut self, process: Process) -> &mut Daemon {
+        match process {
+            Process::Entry(number) => &mut self.fleet.entries[number],
+            Process::Member(number) => &mut self.fleet.members[number],
+        }
+    }
+
+    /// Whether a process is stopped or killed already; of the members one at a time, so that a majority is left.
+    fn is_down(&self, process: Process) -> bool {
+        self.ends.iter().any(|(_, trouble)| match trouble {
+            Trouble::Stop { process: other, .. } | Trouble::Kill { process: other, .. } => {
+                let both_members = matches!((process, other), (Process::Member(_), Process::Member(_)));
+                *other == process || both_members
+            }
+            Trouble::Limit { .. } | Trouble::Rest { .. } => false,
+        })
+    }
+
+    fn begin(&mut self, trouble: Trouble) {
         let now = Instant::now();
-        for (_, trouble) in ends.extract_if(.., |(at, _)| *at <= now) {
-            match trouble {
-                Trouble::Stop { entry, .. } => fleet.entries[entry].signal("-CONT"),
-                Trouble::Kill { entry, .. } => fleet.entries[entry].start(),
-                Trouble::Limit { .. } => {}
+        let for_ms = match trouble {
+            Trouble::Limit { server, per_second } => return self.servers[server].set_limit(per_second),
+            Trouble::Rest { server, for_ms } => {
+                self.servers[server].set_manner(Manner::AsksForRest(Rest::of(1)));
+                for_ms
             }
-        }
-        while let Some((_, trouble)) = next.next_if(|(at, _)| begun + Duration::from_millis(*at) <= now) {
-            let (Trouble::Stop { entry, for_ms } | Trouble::Kill { entry, for_ms }) = *trouble else {
-                if let Trouble::Limit { server, per_second } = *trouble {
-                    servers[server].set_limit(per_second);
-                }
-                continue;
-            };
-            // What is stopped or killed already is left alone.
-            if ends.iter().any(|(_, other)| matches!(other, Trouble::Stop { entry: one, .. } | Trouble::Kill { entry: one, .. } if *one == entry)) {
-                continue;
+            Trouble::Stop { process, .. } | Trouble::Kill { process, .. } if self.is_down(process) => return,
+            Trouble::Stop { process, for_ms } => {
+                self.daemon(process).signal("-STOP");
+                for_ms
             }
-            match trouble {
-                Trouble::Stop { .. } => fleet.entries[entry].signal("-STOP"),
-                _ => fleet.entries[entry].kill(),
+            Trouble::Kill { process, for_ms } => {
+                self.daemon(process).kill();
+                for_ms
             }
-            let until = now + Duration::from_millis(for_ms);
-            ends.push((until, *trouble));
-            excuses.push(Excuse { entry: format!("e{entry}"), from: now, until: until + EXCUSED_FOR });
+        };
+        let until = now + Duration::from_millis(for_ms);
+        self.ends.push((until, trouble));
+        if let Trouble::Stop { process: Process::Entry(entry), .. }
+        | Trouble::Kill { process: Process::Entry(entry), .. } = trouble
+        {
+            self.excuses.push(Excuse { entry: format!("e{entry}"), from: now, until: until + EXCUSED_FOR });
         }
-        tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    for (_, trouble) in ends {
+
+    fn end(&mut self, trouble: Trouble) {
         match trouble {
-            Trouble::Stop { entry, .. } => fleet.entries[entry].signal("-CONT"),
-            Trouble::Kill { entry, .. } => fleet.entries[entry].start(),
+            Trouble::Stop { process, .. } => self.daemon(process).signal("-CONT"),
+            Trouble::Kill { process, .. } => self.daemon(process).start(),
+            Trouble::Rest { server, .. } => self.servers[server].set_manner(Manner::Sound),
             Trouble::Limit { .. } => {}
         }
     }
-    excuses
+
+    /// Carries the troubles out, and ends them.
+    async fn play(&mut self, troubles: &[(u64, Trouble)]) {
+        let begun = Instant::now();
+        let mut next = troubles.iter().peekable();
+        while begun.elapsed() < SPAN {
+            let now = Instant::now();
+            let over: Vec<(Instant, Trouble)> = self.ends.extract_if(.., |(at, _)| *at <= now).collect();
+            over.into_iter().for_each(|(_, trouble)| self.end(trouble));
+            while let Some((_, trouble)) = next.next_if(|(at, _)| begun + Duration::from_millis(*at) <= now) {
+                self.begin(*trouble);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        std::mem::take(&mut self.ends).into_iter().for_each(|(_, trouble)| self.end(trouble));
+    }
 }
 
 /// What may run once ran at most once, and what was said not to have run didn't.
 fn assert_promises(seed: u64, servers: &[Arc<FakeServer>], since: Instant, answers: &Answers) {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for arrival in servers.iter().flat_map(|server| server.requests_since(since)) {
+    let arrivals = servers.iter().flat_map(|server| server.requests_since(since));
+    // One that asks for rest has not run it.
+    for arrival in arrivals.filter(|arrival| arrival.asked.is_none()) {
         *runs.entry(arrival.attempt).or_default() += 1;
     }
     for (attempt, status) in answers.iter().filter(|(attempt, _)| !attempt.contains(STREAMS)) {
@@ -154,7 +204,9 @@
 const STREAMS: &str = "streams";
 
 async fn play(seed: u64) {
-    let mut fleet = Fleet::start_with_entries(ENTRIES, 64);
+    let mut random = StdRng::seed_from_u64(seed);
+    let leader_dispatches_up_to = if random.random() { 64 } else { 0 };
+    let mut fleet = Fleet::start_with_entries(ENTRIES, leader_dispatches_up_to);
     let mut servers = Vec::new();
     for number in 0..3 {
         servers.push(fleet.plain_server(number).await);
@@ -165,7 +217,7 @@
     fleet.configure(&configuration(1)).await;
     fleet.wait_until_served("/once/1").await;
     fleet.wait_until_open("writer", 2).await;
-    let troubles = draw(seed, servers.len());
+    let troubles = draw(&mut random, servers.len());
     let since = Instant::now();
     let until = since + SPAN;
     let callers = (0..usize::from(ENTRIES) * CALLERS).map(|number| {
@@ -175,7 +227,9 @@
         tokio::spawn(call(url, format!("e{entry}-{kind}-{caller}"), until))
     });
     let callers: Vec<_> = callers.collect();
-    let excuses = bring_about(&mut fleet, &servers, &troubles).await;
+    let mut stage = Stage { fleet: &mut fleet, servers: &servers, ends: Vec::new(), excuses: Vec::new() };
+    stage.play(&troubles).await;
+    let excuses = stage.excuses;
     let mut answers = Answers::new();
     for caller in callers {
         answers.extend(caller.await.unwrap_or_else(|error| panic!("seed {seed}: {error}")));
