--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod promises;
 mod regions;
 mod requests_that_end_servers;
+mod served_stream;
 mod servers;
 mod servers_that_ask_for_rest;
 mod servers_that_name_a_limit;
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -2,10 +2,10 @@
 
 pub use crate::manner::{Arrival, Manner, Rest};
 
+use crate::served_stream::events;
 use dockwood_api::gateway::{
     GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport, MembershipState,
 };
-use futures::stream;
 use poem::http::{HeaderValue, StatusCode};
 use poem::listener::TcpListener;
 use poem::web::Data;
@@ -20,7 +20,7 @@
 /// Events of a whole stream.
 pub const EVENTS: u64 = 30;
 /// Time between two events.
-const EVENT_PAUSE: Duration = Duration::from_millis(20);
+pub const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two reports.
 const REPORT_EVERY: Duration = Duration::from_millis(200);
 /// A request with this body ends the process of each server that begins to run it.
@@ -191,7 +191,7 @@
     }
 
     /// Breaks the connection that calls this, if the process has ended.
-    fn break_if_ended(&self) {
+    pub fn break_if_ended(&self) {
         if self.has_ended.load(Ordering::SeqCst) {
             std::panic::resume_unwind(Box::new("the process has ended"));
         }
@@ -367,45 +367,3 @@
         .content_type("text/event-stream")
         .body(Body::from_bytes_stream(events(server, after)))
 }
-
-/// Counts a stream that is dropped before its end.
-struct Running {
-    server: Arc<FakeServer>,
-    complete: bool,
-}
-
-impl Running {
-    fn finish(&mut self) {
-        self.complete = true;
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.server.streaming.fetch_sub(1, Ordering::SeqCst);
-        if !self.complete {
-            self.server.broken_off.fetch_add(1, Ordering::SeqCst);
-        }
-    }
-}
-
-fn events(
-    server: Arc<FakeServer>,
-    after: u64,
-) -> impl futures::Stream<Item = std::io::Result<Vec<u8>>> + Send + 'static {
-    server.streaming.fetch_add(1, Ordering::SeqCst);
-    let running = Running { server, complete: false };
-    stream::unfold((running, after + 1), |(mut running, id)| async move {
-        tokio::time::sleep(EVENT_PAUSE).await;
-        running.server.break_if_ended();
-        while running.server.stands_still.load(Ordering::SeqCst) {
-            tokio::time::sleep(EVENT_PAUSE).await;
-        }
-        if id > EVENTS {
-            running.finish();
-            return None;
-        }
-        let event = format!("id: {id}\ndata: piece {id}\n\n").into_bytes();
-        Some((Ok(event), (running, id + 1)))
-    })
-}
--- a/crates/emulator/src/group.rs
+++ b/crates/emulator/src/group.rs
@@ -5,13 +5,12 @@
 use crate::ledger::{LedgerRecord, LedgerWriter};
 use crate::machine::{Machine, Power};
 use crate::prefix_cache::{CacheEvent, PrefixCache};
-use crate::text::{answer_length, prompt_digest, token_count};
+use crate::run::{Progress, Run};
 use crate::wall_ms;
 use dockwood_api::engine::{GenerateRequest, LoadPlan, RequestPhase, RequestState};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::watch;
 
 /// A member that hangs is given up after this long; one that is gone, at once.
 const MEMBER_TIMEOUT_MS: u64 = 500;
@@ -22,47 +21,6 @@
 /// Blocks in the prefix cache for each KV block.
 const CACHE_BLOCKS_DIVISOR: u32 = 4;
 
-/// How far a request is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Progress {
-    /// Its phase.
-    pub phase: RequestPhase,
-    /// The first sequence not produced.
-    pub next_sequence: u32,
-}
-
-/// A request in a group.
-#[derive(Debug)]
-pub struct Run {
-    /// The request.
-    pub request: GenerateRequest,
-    /// Identifies the prompt, and with it the answer.
-    pub prompt_digest: u64,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens of the whole answer.
-    pub total_tokens: u32,
-    /// Prompt tokens that were in the cache; set when the run begins.
-    cached_tokens: Mutex<u32>,
-    progress: watch::Sender<Progress>,
-}
-
-impl Run {
-    /// Follows the run.
-    pub fn watch(&self) -> watch::Receiver<Progress> {
-        self.progress.subscribe()
-    }
-
-    /// Prompt tokens that were in the cache.
-    pub fn cached_tokens(&self) -> u32 {
-        *self.cached_tokens.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    fn progress(&self) -> Progress {
-        *self.progress.borrow()
-    }
-}
-
 /// Why a request was not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refused {
@@ -187,7 +145,7 @@
             _ => {}
         }
         self.record_dispatch(&request);
-        let run = Arc::new(new_run(request));
+        let run = Arc::new(Run::new(request));
         requests.remember(&run.request.id, Some(run.clone()));
         requests.waiting.push(run.clone());
         // Stable, so that requests of one priority keep their order.
@@ -272,7 +230,7 @@
             to: next_sequence,
             finished: phase == RequestPhase::Finished,
         });
-        run.progress.send_replace(Progress { phase, next_sequence });
+        run.set_progress(Progress { phase, next_sequence });
     }
 
     fn blocks(&self, run: &Run) -> u32 {
@@ -342,7 +300,7 @@
             requests.waiting.remove(0);
             requests.blocks_used += blocks;
             let cached = self.cache().use_prompt(&next.request.prompt, wall_ms()).min(next.prompt_tokens);
-            *next.cached_tokens.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = cached;
+            next.set_cached_tokens(cached);
             prefill_tokens += u64::from(next.prompt_tokens - cached);
             requests.running.push(next);
         }
@@ -365,7 +323,7 @@
             .waiting
             .iter()
             .chain(&requests.running)
-            .filter(|run| run.request.repeatable && run.progress.receiver_count() == 0)
+            .filter(|run| run.request.repeatable && !run.is_watched())
             .cloned()
             .collect();
         drop(requests);
@@ -386,7 +344,7 @@
                 });
             }
             let next_sequence = (sequence + 1).min(run.total_tokens);
-            run.progress.send_replace(Progress { phase: RequestPhase::Running, next_sequence });
+            run.set_progress(Progress { phase: RequestPhase::Running, next_sequence });
             if next_sequence >= run.total_tokens {
                 let mut requests = self.requests();
                 requests.running.retain(|other| !Arc::ptr_eq(other, &run));
@@ -410,17 +368,3 @@
         }
     }
 }
-
-fn new_run(request: GenerateRequest) -> Run {
-    let total_tokens = answer_length(&request.prompt, request.max_tokens);
-    let first = request.resume_from.min(total_tokens);
-    let progress = Progress { phase: RequestPhase::Running, next_sequence: first };
-    Run {
-        prompt_digest: prompt_digest(&request.prompt),
-        prompt_tokens: token_count(&request.prompt),
-        total_tokens,
-        cached_tokens: Mutex::new(0),
-        progress: watch::channel(progress).0,
-        request,
-    }
-}
--- a/crates/emulator/src/http/engine.rs
+++ b/crates/emulator/src/http/engine.rs
@@ -2,9 +2,10 @@
 
 use super::server::{listen, serve_until};
 use crate::fleet::Fleet;
-use crate::group::{Group, Progress, Refused, Run};
+use crate::group::{Group, Refused};
 use crate::ledger::LedgerRecord;
 use crate::machine::{Machine, Power};
+use crate::run::{Progress, Run};
 use crate::text::{FATAL_PROMPT, token_text};
 use crate::wall_ms;
 use bytes::Bytes;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -14,6 +14,7 @@
 mod manner;
 mod platform;
 mod prefix_cache;
+mod run;
 mod text;
 mod weights;
 
