The end of a limit changes nothing for a second

A server that names its limit in every other answer would have got twice it: the rate doubled at the first answer without one. Thought through, not seen; the test fails on the code before.

--- a/crates/routing/src/pushback/limits.rs
+++ b/crates/routing/src/pushback/limits.rs
@@ -8,9 +8,10 @@
 /// Servers that are kept in mind. Beyond, the one that was heard of longest ago is forgotten: three times the servers of the
 /// largest fleet planned for.
 const MOST_KNOWN: usize = 4_096;
-/// After a server has ceased to name a limit, the rate doubles each time that this has passed, in milliseconds.
+/// After a server has ceased to name a limit, the rate doubles each time that this has passed, in milliseconds. Until the first
+/// of them has, nothing changes: a server that names its limit in every other answer gets no more for it.
 const SLOW_START_STEP_MS: Millis = 1_000;
-/// How often it doubles before the server gets what comes.
+/// Steps before the server gets what comes.
 const SLOW_START_STEPS: u64 = 3;
 /// The slow start begins with this rate, if the server took less.
 const LEAST_SLOW_START: RequestRate = RequestRate::of_thousandths(1_000);
@@ -90,7 +91,7 @@
         }
         let step = now.saturating_sub(self.heard_at) / SLOW_START_STEP_MS;
         let first = self.rate.max(LEAST_SLOW_START).thousandths();
-        (step < SLOW_START_STEPS).then(|| RequestRate::of_thousandths(first << (step + 1)))
+        (step < SLOW_START_STEPS).then(|| RequestRate::of_thousandths(first << step))
     }
 
     fn tell(&self, now: Millis, id: &str) -> ServerLimit {
