Failing test: servers that report every five seconds count as missing between two heartbeats

The bounds on silence are constants: 4 s until a server is missing, 10 s until a member of an idle group is lost, 20 s until a server is forgotten. In a fleet whose servers report every 5 s each of them is missing for a fifth of the time.

--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -8,7 +8,7 @@
     EngineProfile, EventPace, GatewayConfiguration, GroupLoad, InstanceReport, InstanceState, LoadReport,
     MembershipReport, MembershipState, ModelLoad, ModelProfile, ServiceProfile,
 };
-use dockwood_grouping::{GroupingPolicy, Observations, Plan, StagingUnderWay, View, plan};
+use dockwood_grouping::{GroupingPolicy, HeartbeatInterval, Observations, Plan, StagingUnderWay, View, plan};
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupPurpose, InstanceRow};
 use std::sync::Arc;
 
@@ -99,6 +99,11 @@
         world
     }
 
+    /// Servers send heartbeats this often.
+    pub fn expect_heartbeats(&mut self, interval_ms: u64) {
+        self.observations.expect_heartbeats(HeartbeatInterval::from_millis(interval_ms));
+    }
+
     pub fn apply(&mut self, command: GatewayCommand) {
         self.tables.apply(&command);
     }
@@ -112,7 +117,11 @@
             tables: &self.tables,
             observations: &self.observations,
             now: self.now,
-            policy: GroupingPolicy { stall_ms: 6_000, ..GroupingPolicy::default() },
+            policy: GroupingPolicy {
+                stall_ms: 6_000,
+                heartbeat: self.observations.heartbeat(),
+                ..GroupingPolicy::default()
+            },
         }
     }
 
