Bounds on the silence of servers follow from their heartbeat interval

Cause: a server counted as missing after 4 s, whatever its heartbeat interval. The fleet's servers report every 5 s, so each of them was missing for a fifth of the time: left out of plans, groups that were forming ended, members counted as absent after an election. Change: the settings tell the interval (heartbeatMs); a server is missing after two intervals and 1.6 s, a member of an idle group is lost 6 s later, a server in no group is forgotten 16 s later. At 1.2 s these are the former bounds but for forgetting, 20 s as before.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -218,6 +218,7 @@
     ) -> Vec<GatewayCommand> {
         if !self.started {
             self.started = true;
+            self.observations.expect_heartbeats(policy.heartbeat);
             self.observations.assume_present(now, tables.instances.keys().cloned());
             self.observations.note_departures(0, tables);
         }
--- a/crates/control/src/successors.rs
+++ b/crates/control/src/successors.rs
@@ -10,9 +10,6 @@
 use dockwood_state::{GatewayCommand, GatewayTables, InstanceRow};
 use std::collections::BTreeMap;
 
-/// An instance that has reported within this time may well be running: two of its reports are seldom further apart.
-const HEARD_LATELY_MS: Millis = 2_500;
-
 /// An instance that is to be asked, or has been.
 #[derive(Clone, Debug)]
 struct Candidate {
@@ -39,7 +36,7 @@
     ) -> bool {
         let was_heard = |held: &InstanceRow| {
             let seen = observations.instance(&held.id).filter(|seen| seen.silent_since.is_none());
-            seen.is_some_and(|seen| now < seen.reported_at + HEARD_LATELY_MS)
+            seen.is_some_and(|seen| now < seen.reported_at + observations.heartbeat().recent_ms())
         };
         let at_address = tables.instances.values().filter(|held| held.address == row.address);
         at_address.into_iter().any(|held| held.state == InstanceState::Ready && was_heard(held))
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -79,6 +79,7 @@
         let bounds = settings.gateway.as_ref().map(|gateway| GroupingPolicy {
             stall_ms: gateway.stall.as_millis() as u64,
             drain_ms: gateway.drain.as_millis() as u64,
+            heartbeat: gateway.heartbeat,
         });
         let grouping = bounds.unwrap_or_default();
         let usual_voters = voters_to_lose(settings.seeds.losses_tolerated).max(settings.voters.len());
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -2,7 +2,7 @@
 
 use super::section::{Problems, Section, line_of};
 use dockwood_api::ResultCode;
-use dockwood_grouping::{ColdLimit, GroupingPolicy};
+use dockwood_grouping::{ColdLimit, GroupingPolicy, HeartbeatInterval};
 use marked_yaml::Node;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -55,6 +55,8 @@
     pub stall: Duration,
     /// How long a server that leaves serves on at least, once its word was acknowledged.
     pub drain: Duration,
+    /// How often servers send heartbeats.
+    pub heartbeat: HeartbeatInterval,
     /// Entries up to which the control leader assigns each request to a group and takes each server's report; with more,
     /// daemons near the groups and servers do.
     pub leader_dispatches_up_to: usize,
@@ -87,6 +89,7 @@
         "coldLimit",
         "stallMs",
         "drainMs",
+        "heartbeatMs",
         "leaderDispatchesUpTo",
         "revokedWithinMs",
         "zones",
@@ -105,6 +108,7 @@
     let engines = GroupingPolicy::default();
     let stall = section.number("stallMs", engines.stall_ms, (100, 600_000), problems);
     let drain = section.number("drainMs", engines.drain_ms, (0, 600_000), problems);
+    let heartbeat = section.number("heartbeatMs", engines.heartbeat.as_millis(), (100, 600_000), problems);
     let dispatches_up_to =
         section.number("leaderDispatchesUpTo", DEFAULT_LEADER_DISPATCHES_UP_TO, (0, 1_000_000), problems);
     let revoked_within = match section.optional("revokedWithinMs") {
@@ -123,6 +127,7 @@
         stop_limit: stop_limit?,
         stall: Duration::from_millis(stall?),
         drain: Duration::from_millis(drain?),
+        heartbeat: HeartbeatInterval::from_millis(heartbeat?),
         leader_dispatches_up_to: dispatches_up_to? as usize,
         zone_regions: zone_regions?,
         retry_budget: retry_budget?,
--- a/crates/daemon/tests/parts.rs
+++ b/crates/daemon/tests/parts.rs
@@ -12,6 +12,7 @@
 use dockwood_daemon::timeline::{TIMELINE_CAPACITY, Timeline};
 use dockwood_daemon::traffic::records::{Lookup, RecordStore};
 use dockwood_daemon::watch_hub::{RETAINED_REVISIONS, WatchHub};
+use dockwood_grouping::HeartbeatInterval;
 use std::time::{Duration, Instant};
 
 fn record(key: &str, outcome: Outcome, bytes: usize) -> RequestRecord {
@@ -142,6 +143,7 @@
         leader_dispatches_up_to: 64,
         stop_limit: Duration::from_millis(stop_limit_ms),
         stall: Duration::from_secs(6),
+        heartbeat: HeartbeatInterval::default(),
         drain: Duration::from_millis(2_500),
         zone_regions: std::collections::BTreeMap::new(),
         cold_limit: Default::default(),
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -12,6 +12,7 @@
 mod departures;
 mod dispatch;
 mod domains;
+mod heartbeat;
 mod instances;
 mod lending;
 mod lifecycle;
@@ -34,6 +35,7 @@
 pub use demand::{Demand, ModelDemand};
 pub use departures::departing_groups;
 pub use dispatch::Dispatcher;
+pub use heartbeat::HeartbeatInterval;
 pub use instances::{InstanceObservation, ProbeResult, UnansweredJoin};
 pub use lifecycle::{advance_groups, reap_instances, release_members};
 pub use observations::Observations;
@@ -70,12 +72,14 @@
     /// A member that leaves goes on listening for at least this long after its word was acknowledged; once it no longer
     /// listens, its group takes nothing new.
     pub drain_ms: Millis,
+    /// How often servers send heartbeats.
+    pub heartbeat: HeartbeatInterval,
 }
 
 impl Default for GroupingPolicy {
     fn default() -> Self {
         const STALL_MS: Millis = 6_000;
         const DRAIN_MS: Millis = 2_500;
-        GroupingPolicy { stall_ms: STALL_MS, drain_ms: DRAIN_MS }
+        GroupingPolicy { stall_ms: STALL_MS, drain_ms: DRAIN_MS, heartbeat: HeartbeatInterval::default() }
     }
 }
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -12,12 +12,8 @@
 /// A group whose head can't be asked, and that nobody saw standing still, is given up only after this long: it may be
 /// cut off from control alone and go on serving.
 const CUT_OFF_MS: Millis = 16_000;
-/// A member that has not reported for this long is overdue.
-const OVERDUE_MS: Millis = 10_000;
 /// Progress this recent shows that all members are alive, whatever their reports say.
 const PROGRESS_SPAN_MS: Millis = 1_000;
-/// An instance that has not reported for this long, and is in no group, is forgotten.
-const FORGET_AFTER_MS: Millis = 20_000;
 /// A signed-off instance may still be finishing requests for this long.
 const SIGNED_OFF_MS: Millis = 8_000;
 
@@ -112,7 +108,7 @@
         return true;
     }
     let Some(seen) = view.observations.instance(member) else { return !busy };
-    let overdue = view.now >= seen.reported_at + OVERDUE_MS;
+    let overdue = view.now >= seen.reported_at + view.policy.heartbeat.overdue_after_ms();
     !busy && !progressing && overdue
 }
 
@@ -166,7 +162,8 @@
             return false;
         }
         let Some(seen) = view.observations.instance(id) else { return false };
-        let limit = if view.tables.was_removed(id) { SIGNED_OFF_MS } else { FORGET_AFTER_MS };
+        let forgotten_after_ms = view.policy.heartbeat.forgotten_after_ms();
+        let limit = if view.tables.was_removed(id) { SIGNED_OFF_MS } else { forgotten_after_ms };
         view.now >= seen.reported_at + limit
     };
     let gone = view.tables.instances.keys().filter(|id| is_gone(id));
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::demand::Demand;
+use crate::heartbeat::HeartbeatInterval;
 use crate::instances::{InstanceObservation, ProbeResult, UnansweredJoin};
 use crate::slowness::Slowness;
 use dockwood_api::gateway::{
@@ -11,8 +12,6 @@
 use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An instance that has not reported for this long counts as missing.
-const MISSING_AFTER_MS: Millis = 4_000;
 /// An entry's load report counts for this long.
 const LOAD_VALID_MS: Millis = 1_500;
 /// A group's silence counts for this long after an entry last told of it.
@@ -47,6 +46,7 @@
 /// All that the leader has observed.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
+    heartbeat: HeartbeatInterval,
     instances: BTreeMap<String, InstanceObservation>,
     loads: BTreeMap<Reporter, EntryLoad>,
     /// Requests in flight by group, over all of `loads`.
@@ -65,6 +65,16 @@
 }
 
 impl Observations {
+    /// Sets how often instances are expected to report.
+    pub fn expect_heartbeats(&mut self, heartbeat: HeartbeatInterval) {
+        self.heartbeat = heartbeat;
+    }
+
+    /// How often instances are expected to report.
+    pub fn heartbeat(&self) -> HeartbeatInterval {
+        self.heartbeat
+    }
+
     /// Takes an instance's report. False if a newer one was seen.
     pub fn record_report(&mut self, now: Millis, report: &InstanceReport) -> bool {
         let known = self.instances.contains_key(&report.id);
@@ -249,9 +259,9 @@
 
     /// Whether an instance is taken to take part: it reported lately, and no probe failed since.
     pub fn is_present(&self, now: Millis, id: &str) -> bool {
-        self.instances
-            .get(id)
-            .is_some_and(|seen| seen.silent_since.is_none() && now < seen.reported_at + MISSING_AFTER_MS)
+        self.instances.get(id).is_some_and(|seen| {
+            seen.silent_since.is_none() && now < seen.reported_at + self.heartbeat.missing_after_ms()
+        })
     }
 
     /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or
