Failing test: a thousand daemons that start again together get their leases within seconds

On the code as it is each restart and each late daemon is a replicated command of its own, and a lease counts only once all of them are applied.

--- a/crates/control/tests/common/leader.rs
+++ b/crates/control/tests/common/leader.rs
@@ -26,6 +26,11 @@
 
 impl Leader {
     pub fn elected() -> Leader {
+        Leader::elected_over(State::default())
+    }
+
+    /// A leader that begins with a stored state.
+    pub fn elected_over(state: State) -> Leader {
         let settings = Settings {
             id: 1,
             voters: vec![1],
@@ -36,7 +41,7 @@
         };
         let core = Node::new(settings, Recovered::default(), 0);
         let addresses = BTreeMap::from([(1, address())]);
-        let node = ControlNode::voter("leader", State::default(), core, addresses);
+        let node = ControlNode::voter("leader", state, core, addresses);
         let mut leader = Leader { node, now: 0, answers: Vec::new() };
         leader.pass(1_000);
         assert!(leader.node.leads(leader.moment()), "a group of one elects itself");
@@ -70,6 +75,15 @@
         }
     }
 
+    /// Takes an input, on which the leader decides with the next step.
+    pub fn take(&mut self, input: Input<String>) {
+        self.node.take(self.moment(), input);
+    }
+
+    pub fn take_answers(&mut self) -> Vec<(String, LeaseAnswer)> {
+        std::mem::take(&mut self.answers)
+    }
+
     pub fn ask(&mut self, name: &str, applied_revision: u64) {
         let request = request(name, applied_revision);
         self.step(Input::Lease(request, name.to_string()));
