Daemons change together, and copies slightly older than the newest revision are passed on

Cause: after all machines had lost power each of 1,006 daemons that started again was a replicated command (JoinDaemon), and each that was late two more (Silent, Live): 360 revisions a second. A lease counts only once the answer's revision is applied, copies came from daemons that had the newest revision alone, and the state was encoded again with each revision. So daemons never got there, were judged silent, and made further revisions: commands by all daemons times daemons that apply each. Change: what changes about daemons at one time is one command (UpdateDaemons); a restart that nobody missed is none; a daemon that has to fetch a copy is not silent meanwhile; a copy is encoded again, and a source passed over, only once what it lacks is no longer cheap to send; a daemon without a lease is answered at once; one that is no voter does not wait for its log. Test: control/tests/fleet_return.rs, 1,000 and 2,000 daemons hold leases within 4 s, with at most 40 commands for their sake.

--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -6,11 +6,17 @@
 use dockwood_api::gateway::InstanceState;
 use dockwood_api::resource::{Kind, ResourceKey};
 use dockwood_state::{
-    Applied, ChangeAction, ChangeRequest, Command, CommandBody, Evidence, GatewayCommand, Outcome,
-    QuarantineRow, ReplicaPhase, ServerEnd, Tables,
+    Applied, ChangeAction, ChangeRequest, Command, CommandBody, DaemonUpdate, Evidence, GatewayCommand,
+    Outcome, QuarantineRow, ReplicaPhase, ServerEnd, Tables,
 };
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Daemons that may change at once with an event for each.
+const RECORDED_SINGLY: usize = 16;
+/// Names in an event on many daemons.
+const NAMED_AT_MOST: usize = 64;
+
 /// An event about to be recorded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Account {
@@ -55,6 +61,7 @@
         CommandBody::SetLiveness { daemon, liveness, .. } => {
             vec![Account::new(Subject::new("daemon", daemon), &format!("{liveness:?}"), "", code)]
         }
+        CommandBody::UpdateDaemons(updates) => daemon_accounts(updates),
         CommandBody::FormReplica { reason, .. } => replica_accounts("Formed", reason, applied, tables),
         CommandBody::ReformReplica { reason, .. } => replica_accounts("Reformed", reason, applied, tables),
         CommandBody::DrainReplica { replica, reason, .. } => {
@@ -84,6 +91,36 @@
     }
 }
 
+/// One event for each daemon; where many change at once, one for each kind of change, which names some of them.
+fn daemon_accounts(updates: &[DaemonUpdate]) -> Vec<Account> {
+    if updates.len() <= RECORDED_SINGLY {
+        return updates.iter().map(daemon_account).collect();
+    }
+    let mut by_reason: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for update in updates {
+        let Account { subject, reason, .. } = daemon_account(update);
+        by_reason.entry(reason).or_default().push(subject.name);
+    }
+    let account = |(reason, names): (String, Vec<String>)| {
+        let named = names[..names.len().min(NAMED_AT_MOST)].join(" ");
+        let message = format!("{} daemons: {named}", names.len());
+        Account::new(Subject::new("control", "daemons"), &reason, message, ResultCode::Ok)
+    };
+    by_reason.into_iter().map(account).collect()
+}
+
+fn daemon_account(update: &DaemonUpdate) -> Account {
+    match update {
+        DaemonUpdate::Joined { record, incarnation } => {
+            let message = format!("zone {}, incarnation {incarnation}", record.zone);
+            Account::new(Subject::new("daemon", &record.name), "Joined", message, ResultCode::Ok)
+        }
+        DaemonUpdate::Liveness { daemon, liveness, .. } => {
+            Account::new(Subject::new("daemon", daemon), &format!("{liveness:?}"), "", ResultCode::Ok)
+        }
+    }
+}
+
 /// What a change of the gateway's tables tells.
 fn gateway_account(command: &GatewayCommand, tables: &Tables) -> Option<Account> {
     let account = |kind: &str, name: &str, reason: &str, message: String| {
--- a/crates/control/src/blackboard.rs
+++ b/crates/control/src/blackboard.rs
@@ -56,12 +56,13 @@
     }
 
     /// Applies a command that made `revision` where it was committed, after all that this daemon needs of what came
-    /// before. `None` if this daemon has that revision already.
-    pub fn apply_at(&mut self, revision: u64, command: &Command) -> Option<Applied> {
+    /// before, and keeps `encoded`, as it came. `None` if this daemon has that revision already.
+    pub fn apply_at(&mut self, revision: u64, command: &Command, encoded: Vec<u8>) -> Option<Applied> {
         if revision <= self.revision() {
             return None;
         }
         self.state.tables.revision = revision - 1;
+        self.commands.push(revision, encoded);
         Some(self.state.apply(command))
     }
 
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -62,6 +62,18 @@
         is_complete.then(|| self.lacking(revision).map(|kept| kept.command.len()).sum())
     }
 
+    /// The oldest revision after which all commands are kept and cheap to send.
+    pub fn cheap_after(&self) -> u64 {
+        let mut bytes = 0;
+        for kept in self.commands.iter().rev() {
+            bytes += kept.command.len();
+            if bytes > CHEAP_BYTES {
+                return kept.revision;
+            }
+        }
+        self.complete_after
+    }
+
     /// The commands after a revision.
     pub fn after(&self, revision: u64) -> Vec<RevisedCommand> {
         let mut commands: Vec<RevisedCommand> = self.lacking(revision).cloned().collect();
@@ -84,19 +96,20 @@
     Large,
 }
 
-/// The state as other daemons are sent it, encoded and compressed anew only when it has changed.
+/// The state as other daemons are sent it, encoded and compressed again only once what it lacks is no longer cheap to
+/// send: otherwise a fleet that starts while the state changes would have it encoded with each change.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EncodedState {
     held: Option<(u64, Vec<u8>)>,
 }
 
 impl EncodedState {
-    /// The state of this board.
-    pub fn at(&mut self, board: &Blackboard) -> &[u8] {
-        let revision = board.revision();
-        let current = self.held.take().filter(|(encoded, _)| *encoded == revision);
-        let encode = || (revision, compress(&board.state.encode_for_followers()));
-        &self.held.insert(current.unwrap_or_else(encode)).1
+    /// The state of this board, or a slightly older one, from which the rest is had by commands.
+    pub fn recent(&mut self, board: &Blackboard) -> &[u8] {
+        let oldest = board.commands().cheap_after();
+        let recent = self.held.take().filter(|(encoded, _)| *encoded >= oldest);
+        let encode = || (board.revision(), compress(&board.state.encode_for_followers()));
+        &self.held.insert(recent.unwrap_or_else(encode)).1
     }
 }
 
@@ -138,7 +151,7 @@
             if !is_cheap && in_large_fleet && self.allowance <= 0 {
                 return Missing::Large;
             }
-            if is_cheap || (follows && bytes <= self.state.at(board).len()) {
+            if is_cheap || (follows && bytes <= self.state.recent(board).len()) {
                 self.allowance -= bytes as i64;
                 let commands = board.commands().after(applied);
                 return Missing::Sent(LeaseContent::Commands { commands, through: board.revision() });
@@ -147,7 +160,7 @@
         if self.allowance <= 0 {
             return Missing::Large;
         }
-        let state = self.state.at(board).to_vec();
+        let state = self.state.recent(board).to_vec();
         self.allowance -= state.len() as i64;
         Missing::Sent(LeaseContent::Snapshot(state))
     }
--- a/crates/control/src/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -2,36 +2,15 @@
 
 use crate::Millis;
 use crate::blackboard::Blackboard;
-use crate::leases::LeaseTable;
 use dockwood_api::engine::OrderAction;
 use dockwood_api::peer::MachineState;
 use dockwood_placement::PlacementPolicy;
-use dockwood_state::{CommandBody, GatewayCommand, Liveness, OrderRow, OrderState, Tables};
+use dockwood_state::{CommandBody, GatewayCommand, OrderRow, OrderState, Tables};
 use std::collections::HashMap;
 
 /// A machine must contradict its order for this long before the order is repeated: reports lag.
 const MISMATCH_MS: Millis = 700;
 
-/// Daemons whose liveness differs from what their leases say.
-pub fn liveness<R>(tables: &Tables, leases: &LeaseTable<R>, now: Millis) -> Vec<CommandBody> {
-    let mut commands = Vec::new();
-    for (name, daemon) in &tables.daemons {
-        let incarnation = leases.row(name).map_or(daemon.incarnation, |row| row.incarnation);
-        let Some(liveness) = leases.liveness(now, name) else { continue };
-        let is_restart = incarnation > daemon.incarnation;
-        if liveness == daemon.liveness && !is_restart {
-            continue;
-        }
-        let command = if is_restart && liveness != Liveness::Lost {
-            CommandBody::JoinDaemon { record: daemon.record.clone(), incarnation }
-        } else {
-            CommandBody::SetLiveness { daemon: name.clone(), incarnation: daemon.incarnation, liveness }
-        };
-        commands.push(command);
-    }
-    commands
-}
-
 /// Forgets what is old of requests under which servers ended.
 pub fn expired_suspicions(tables: &Tables, wall_ms: u64) -> Option<CommandBody> {
     let has_expired = tables.gateway.suspicion.has_expired(wall_ms);
--- a/crates/control/src/copies.rs
+++ b/crates/control/src/copies.rs
@@ -27,16 +27,12 @@
 }
 
 impl CopySources {
-    /// Daemons that have applied `revision`, are live, and are not passing copies on already.
-    pub fn pool<R>(
-        &mut self,
-        now: Millis,
-        board: &Blackboard,
-        leases: &LeaseTable<R>,
-        revision: u64,
-    ) -> SourcePool {
+    /// Daemons whose copy lacks no more than what is cheap to send, that are live, and that are not passing copies on
+    /// already. The newest revision is not asked for: while the state changes, hardly any daemon would have it.
+    pub fn pool<R>(&mut self, now: Millis, board: &Blackboard, leases: &LeaseTable<R>) -> SourcePool {
         self.named_at.retain(|_, named_at| now < *named_at + COPY_MS);
         let mut pool = SourcePool::default();
+        let revision = board.commands().cheap_after();
         for (name, daemon) in &board.tables().daemons {
             let holds = leases.holds(now, name, revision);
             let peer = daemon.record.peer;
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -5,8 +5,9 @@
 use crate::announcement::Announcements;
 use crate::blackboard::{Blackboard, Observed};
 use crate::catch_up::{CatchUp, Missing};
-use crate::controllers::{LostState, expired_suspicions, liveness, pending_orders, placement};
+use crate::controllers::{LostState, expired_suspicions, pending_orders, placement};
 use crate::copies::CopySources;
+use crate::daemon_changes::{Askers, daemon_changes};
 use crate::driver_io::{Moment, OrderToSend, Output};
 use crate::gateway::GatewayLeadership;
 use crate::hearing::Hearing;
@@ -15,9 +16,9 @@
 use crate::view::{ViewHead, control_view};
 use crate::voter_zones::{VoterShown, ZoneWatch};
 use dockwood_api::event::ClockStamp;
-use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest, Observation};
+use dockwood_api::peer::{LeaseAnswer, LeaseContent, LeaseRequest, Observation};
 use dockwood_state::CommandBody;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// Time between two runs of the controllers.
@@ -54,7 +55,7 @@
     /// Since when some zone has held too many voters, and whether that was told.
     pub zone_watch: ZoneWatch,
     hearing: Hearing,
-    joining: BTreeMap<String, (DaemonRecord, u64)>,
+    askers: Askers,
     lost_state: LostState,
     catch_up: CatchUp,
     sources: CopySources,
@@ -86,7 +87,7 @@
             announcements: Announcements::new(now),
             zone_watch: ZoneWatch::default(),
             hearing: Hearing::default(),
-            joining: BTreeMap::new(),
+            askers: Askers::default(),
             lost_state: LostState::default(),
             catch_up: CatchUp::new(now),
             sources: CopySources::default(),
@@ -107,7 +108,7 @@
     /// Takes a daemon's request; it is answered by [`Leadership::answer_held`].
     pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: R) {
         self.leases.extend(now, &request);
-        self.joining.insert(request.daemon.name.clone(), (request.daemon.clone(), request.incarnation));
+        self.askers.note(&request.daemon, request.incarnation);
         self.leases.hold(now, request, reply);
     }
 
@@ -122,8 +123,7 @@
             let content = match self.catch_up.content_for(now, board, &held.request, in_large_fleet) {
                 Missing::Sent(content) => Some(content),
                 Missing::Large if in_large_fleet => {
-                    let pool = pool
-                        .get_or_insert_with(|| self.sources.pool(now, board, &self.leases, news.revision));
+                    let pool = pool.get_or_insert_with(|| self.sources.pool(now, board, &self.leases));
                     let source = self.sources.name(now, pool, &held.request.daemon.zone);
                     source.map(|from| LeaseContent::Fetch { from })
                 }
@@ -136,7 +136,7 @@
             // Without content it asks again; until it has caught up, the lease that it is granted means nothing to it.
             let through = held.request.applied_revision;
             let content = content.unwrap_or(LeaseContent::Commands { commands: Vec::new(), through });
-            self.leases.answered(now, &held.request.daemon.name);
+            self.leases.answered(now, &held.request.daemon.name, &content);
             let stamp = ClockStamp::default();
             let answer =
                 LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
@@ -195,8 +195,8 @@
         }
         self.decide_at = now + DECIDE_EVERY_MS;
         let heard_until = self.hearing.heard_until(now);
-        let mut commands = self.joins(board);
-        commands.extend(liveness(board.tables(), &self.leases, heard_until));
+        let mut commands = Vec::new();
+        commands.extend(daemon_changes(board.tables(), &self.leases, &mut self.askers, heard_until));
         commands.extend(self.lost_state.check(board, now));
         commands.extend(placement(board, now, options.placement));
         let gateway = self.gateway.decide(heard_until, &board.tables().gateway, options.grouping);
@@ -206,16 +206,6 @@
         commands
     }
 
-    /// Daemons that ask for leases and are not known yet, or by another record.
-    fn joins(&mut self, board: &Blackboard) -> Vec<CommandBody> {
-        let is_new = |record: &DaemonRecord| {
-            board.tables().daemons.get(&record.name).is_none_or(|known| known.record != *record)
-        };
-        let joining = std::mem::take(&mut self.joining);
-        let new = joining.into_values().filter(|(record, _)| is_new(record));
-        new.map(|(record, incarnation)| CommandBody::JoinDaemon { record, incarnation }).collect()
-    }
-
     /// One of the controllers' commands was committed.
     pub fn controller_command_committed(&mut self) {
         self.uncommitted = self.uncommitted.saturating_sub(1);
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -2,7 +2,7 @@
 
 use crate::Millis;
 use crate::catch_up::RetainedCommands;
-use dockwood_api::peer::LeaseRequest;
+use dockwood_api::peer::{LeaseContent, LeaseRequest};
 use dockwood_state::{Liveness, Tables};
 use std::collections::BTreeMap;
 
@@ -34,9 +34,11 @@
 /// used up within this time, at the pace at which copies are sent.
 const TURN_MS: Millis = 50;
 
-/// A daemon that has asked for nothing for this long is silent: a sound one asks again at once after each answer, which
-/// is held back no longer than [`HOLD_MS`].
-const SILENT_AFTER_MS: Millis = 1_200;
+/// How long a copy of the state may take from another daemon.
+pub const FETCH_TIMEOUT_MS: Millis = 800;
+
+/// A daemon that has not asked again for this long after its answer is silent: a sound one asks at once.
+const SILENT_AFTER_MS: Millis = 750;
 
 /// Pause between two changes that so many daemons are told of, in milliseconds.
 fn news_pause_ms(daemons: usize) -> Millis {
@@ -57,8 +59,8 @@
     pub leaving: bool,
     /// Requests in flight there.
     pub in_flight: u32,
-    /// When it last asked.
-    pub heard_at: Millis,
+    /// When it counts as silent, unless it asks again.
+    pub silent_at: Millis,
 }
 
 /// A request that waits for news.
@@ -87,7 +89,8 @@
 pub struct LeaseTable<R> {
     elected_at: Millis,
     rows: BTreeMap<String, LeaseRow>,
-    held: Vec<HeldRequest<R>>,
+    /// By daemon: a new request replaces the one that the daemon gave up.
+    held: BTreeMap<String, HeldRequest<R>>,
     /// When the first of the held requests must be answered.
     answer_at: Millis,
     /// When daemons may be told of the next change.
@@ -123,7 +126,7 @@
         LeaseTable {
             elected_at: now,
             rows: BTreeMap::new(),
-            held: Vec::new(),
+            held: BTreeMap::new(),
             answer_at: Millis::MAX,
             news_at: now,
             told: None,
@@ -131,9 +134,8 @@
         }
     }
 
-    /// Holds a request until there is news. A new request of the same daemon replaces the one that it gave up.
+    /// Holds a request until there is news.
     pub fn hold(&mut self, now: Millis, request: LeaseRequest, reply: R) {
-        self.held.retain(|held| held.request.daemon.name != request.daemon.name);
         let turn_at = request.at_once.then_some(now);
         self.push(HeldRequest { request, reply, until: now + HOLD_MS, turn_at });
         self.has_new = true;
@@ -146,7 +148,7 @@
 
     fn push(&mut self, held: HeldRequest<R>) {
         self.answer_at = self.answer_at.min(held.due_at());
-        self.held.push(held);
+        self.held.insert(held.request.daemon.name.clone(), held);
     }
 
     /// Requests to answer now: those for which there is news, and those that have waited long enough.
@@ -166,15 +168,15 @@
             let in_force_is_news = held.request.in_force_revision < news.in_force_revision;
             now >= held.due_at() || (tells && (lags || in_force_is_news))
         };
-        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(is_due);
-        self.answer_at = waiting.iter().map(HeldRequest::due_at).min().unwrap_or(Millis::MAX);
-        self.held = waiting;
+        let due: Vec<HeldRequest<R>> =
+            self.held.extract_if(.., |_, held| is_due(held)).map(|(_, held)| held).collect();
+        self.answer_at = self.held.values().map(HeldRequest::due_at).min().unwrap_or(Millis::MAX);
         due
     }
 
     /// All held requests, which this leader answers no more.
     pub fn take_held(&mut self) -> Vec<HeldRequest<R>> {
-        std::mem::take(&mut self.held)
+        std::mem::take(&mut self.held).into_values().collect()
     }
 
     /// Notes that a daemon asked, and will hold a lease once it is answered.
@@ -185,7 +187,7 @@
             incarnation: request.incarnation,
             leaving: request.leaving,
             in_flight: request.in_flight,
-            heard_at: now,
+            silent_at: now + HOLD_MS + SILENT_AFTER_MS,
         };
         self.rows.insert(request.daemon.name.clone(), row);
     }
@@ -193,14 +195,18 @@
     /// Gives everybody the time for which this leader heard nobody.
     pub fn excuse(&mut self, now: Millis, late: Millis) {
         for row in self.rows.values_mut() {
-            row.heard_at = now.min(row.heard_at + late);
+            row.silent_at = (row.silent_at + late).min(now + HOLD_MS + SILENT_AFTER_MS);
         }
     }
 
-    /// A held request's lease counts from its answer on, for the leader.
-    pub fn answered(&mut self, now: Millis, daemon: &str) {
+    /// A held request's lease counts from its answer on, for the leader. One that has to fetch a copy asks again only
+    /// after that.
+    pub fn answered(&mut self, now: Millis, daemon: &str, content: &LeaseContent) {
+        let fetches = matches!(content, LeaseContent::Fetch { .. });
+        let fetch_ms = if fetches { FETCH_TIMEOUT_MS } else { 0 };
         if let Some(row) = self.rows.get_mut(daemon) {
             row.expires = now + LEASE_MS + LEASE_DRIFT_MS;
+            row.silent_at = now + fetch_ms + SILENT_AFTER_MS;
         }
     }
 
@@ -230,7 +236,7 @@
         match self.rows.get(daemon) {
             Some(row) if now >= row.expires => Some(Liveness::Lost),
             Some(row) if row.leaving => Some(Liveness::Leaving),
-            Some(row) if now >= row.heard_at + SILENT_AFTER_MS => Some(Liveness::Silent),
+            Some(row) if now >= row.silent_at => Some(Liveness::Silent),
             Some(_) => Some(Liveness::Live),
             None => self.predecessors_ran_out(now).then_some(Liveness::Lost),
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod controllers;
 mod copies;
 mod core_outputs;
+mod daemon_changes;
 mod driver_io;
 mod gateway;
 mod gateway_inputs;
@@ -41,7 +42,7 @@
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
 pub use gateway::{GatewayLeadership, InstanceProbe, ProbeQuestion};
 pub use hearing::{Hearing, PULSE_EVERY_MS};
-pub use leases::{HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
+pub use leases::{FETCH_TIMEOUT_MS, HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
 pub use node::{ControlNode, Options, voters_of};
 pub use zone_balance::{ZoneCounts, ZonesById};
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -219,7 +219,7 @@
             }
             Input::CopyState(reply) => {
                 let holds_state = self.board.revision() > 0;
-                let copy = holds_state.then(|| self.copy.at(&self.board).to_vec());
+                let copy = holds_state.then(|| self.copy.recent(&self.board).to_vec());
                 self.outputs.push(Output::CopyReply(reply, copy));
             }
             Input::Leaving(servers) => self.board.observed.machines.set_leaving(servers),
--- a/crates/control/src/own_lease.rs
+++ b/crates/control/src/own_lease.rs
@@ -31,9 +31,9 @@
     fn take_commands_of_lease(&mut self, commands: Vec<RevisedCommand>, through: u64) {
         for RevisedCommand { revision, command } in commands {
             match decompress(&command).and_then(|bytes| decode_command(&bytes)) {
-                Ok(command) => {
-                    if let Some(applied) = self.board.apply_at(revision, &command) {
-                        self.note_applied(&command, &applied);
+                Ok(decoded) => {
+                    if let Some(applied) = self.board.apply_at(revision, &decoded, command) {
+                        self.note_applied(&decoded, &applied);
                     }
                 }
                 Err(error) => {
--- a/crates/control/tests/fleet_return.rs
+++ b/crates/control/tests/fleet_return.rs
@@ -7,9 +7,7 @@
 use dockwood_api::gateway::InstanceState;
 use dockwood_api::peer::{DaemonRecord, LeaseAnswer, LeaseContent, LeaseRequest};
 use dockwood_control::{Input, LEASE_MS, decompress};
-use dockwood_state::{
-    Command, CommandBody, GatewayCommand, InstanceRow, Liveness, State, encode_command,
-};
+use dockwood_state::{Command, CommandBody, GatewayCommand, InstanceRow, Liveness, State, encode_command};
 use std::net::SocketAddr;
 
 /// Time that a copy takes from one daemon to another, in milliseconds.
@@ -205,7 +203,8 @@
     }
     let missing = fleet.without_lease();
     let commands = fleet.daemon_commands(before);
-    let figures = format!("{missing} of {daemons} without a lease, {commands} commands, {} bytes", fleet.bytes);
+    let figures =
+        format!("{missing} of {daemons} without a lease, {commands} commands, {} bytes", fleet.bytes);
     assert!(since.is_some_and(|since| since <= RETURN_MS), "all hold leases since {since:?}: {figures}");
     assert!(commands <= MOST_COMMANDS, "{figures}");
     let live = |state: &&std::sync::Arc<dockwood_state::DaemonRow>| state.liveness == Liveness::Live;
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{record, request};
+use dockwood_api::peer::LeaseContent;
 use dockwood_control::{HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
 use dockwood_state::{Command, CommandBody, Liveness, State};
 
@@ -38,7 +39,8 @@
 fn a_daemon_that_asks_for_nothing_is_silent_before_its_lease_has_run_out() {
     let mut leases: LeaseTable<()> = LeaseTable::new(0);
     leases.extend(1_000, &request("a", 2));
-    leases.answered(1_000 + HOLD_MS, "a");
+    let nothing = LeaseContent::Commands { commands: Vec::new(), through: 2 };
+    leases.answered(1_000 + HOLD_MS, "a", &nothing);
     assert_eq!(leases.liveness(1_000 + HOLD_MS + 300, "a"), Some(Liveness::Live));
     assert_eq!(leases.liveness(2_300, "a"), Some(Liveness::Silent));
     assert_eq!(
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -8,7 +8,7 @@
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_api::peer::{LeaseAnswer, LeaseContent, LeaseRequest};
-use dockwood_control::{GrantedLease, LEASE_ANSWER_TIMEOUT_MS};
+use dockwood_control::{FETCH_TIMEOUT_MS, GrantedLease, LEASE_ANSWER_TIMEOUT_MS};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,8 +16,8 @@
 
 /// How long an answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(LEASE_ANSWER_TIMEOUT_MS);
-/// How long a copy of the state may take from another daemon: some hundred kilobytes over its link, with a few others.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a copy of the state may take from another daemon.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(FETCH_TIMEOUT_MS);
 /// Pause after a request that nobody could answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// A voter waits this long for the log to bring what the lease speaks of.
@@ -93,7 +93,7 @@
         in_force_revision: shared.published().in_force_revision,
         wants_commands: !shared.settings.is_control_member(),
         leaving: shared.is_leaving(),
-        at_once: shared.stood_still_since_lease(),
+        at_once: !shared.holds_lease(),
         in_flight: shared.in_flight(),
         stamp: shared.timeline.stamp(),
     };
@@ -112,6 +112,7 @@
         Ok(Some(state)) => LeaseContent::Snapshot(state),
         Ok(None) | Err(_) => {
             shared.metrics.peer_failures.inc();
+            tokio::time::sleep(RETRY_PAUSE).await;
             LeaseContent::Commands { commands: Vec::new(), through: 0 }
         }
     }
@@ -122,7 +123,8 @@
     let (reply, applied) = oneshot::channel();
     shared.control.send(ControlMessage::LeaseGranted { lease, reply }).await;
     let Ok(applied) = applied.await else { return false };
-    applied >= revision || shared.wait_for_revision(revision, CATCH_UP).await
+    let by_log = shared.settings.is_control_member();
+    applied >= revision || (by_log && shared.wait_for_revision(revision, CATCH_UP).await)
 }
 
 async fn report_lease_changes(shared: Arc<Shared>) {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -112,6 +112,30 @@
     Claim(Vec<ClaimRequest>),
     /// What became of claimed requests.
     SettleClaims(Vec<ClaimSettlement>),
+    /// Daemons join, or their liveness changes. Together they take one revision: after a power loss a thousand daemons
+    /// change at once, and a revision for each would have to reach each of them.
+    UpdateDaemons(Vec<DaemonUpdate>),
+}
+
+/// What changes about one daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum DaemonUpdate {
+    /// It joins, or comes back.
+    Joined {
+        /// Its record.
+        record: DaemonRecord,
+        /// Distinguishes restarts.
+        incarnation: u64,
+    },
+    /// Its liveness changed.
+    Liveness {
+        /// Its name.
+        daemon: String,
+        /// The incarnation in its row.
+        incarnation: u64,
+        /// What it became.
+        liveness: Liveness,
+    },
 }
 
 impl CommandBody {
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Daemons and their duties.
 
+use crate::command::DaemonUpdate;
 use crate::machine::Applied;
 use crate::tables::{DaemonRow, Liveness, PoolRow, ReplicaRow, Tables};
 use dockwood_api::ResultCode;
@@ -44,6 +45,21 @@
         Applied::touching(vec![daemon_key(daemon)])
     }
 
+    /// Applies each update that fits; one that came too late changes nothing.
+    pub(crate) fn update_daemons(&mut self, updates: &[DaemonUpdate]) -> Applied {
+        let mut touched = Vec::with_capacity(updates.len());
+        for update in updates {
+            let applied = match update {
+                DaemonUpdate::Joined { record, incarnation } => self.join_daemon(record, *incarnation),
+                DaemonUpdate::Liveness { daemon, incarnation, liveness } => {
+                    self.set_liveness(daemon, *incarnation, *liveness)
+                }
+            };
+            touched.extend(applied.touched);
+        }
+        Applied::touching(touched)
+    }
+
     pub(crate) fn assign_pool(
         &mut self,
         pool: &str,
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use change::{CHANGE_RETENTION, ChangeTable};
 pub use claim::{ClaimKey, ClaimRequest, ClaimRow, ClaimSettlement, ClaimTable, ClaimVerdict};
-pub use command::{ChangeAction, ChangeRequest, Command, CommandBody, Outcome};
+pub use command::{ChangeAction, ChangeRequest, Command, CommandBody, DaemonUpdate, Outcome};
 pub use gateway::{
     Evacuation, GatewayCommand, GatewayTables, GroupPhase, GroupPurpose, GroupRow, InstanceRow,
 };
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -69,6 +69,7 @@
             CommandBody::SetLiveness { daemon, incarnation, liveness } => {
                 tables.set_liveness(daemon, *incarnation, *liveness)
             }
+            CommandBody::UpdateDaemons(updates) => tables.update_daemons(updates),
             CommandBody::FormReplica { deployment, members, reason } => {
                 tables.form_replica(deployment, members, reason)
             }
