Voters grant leases in the leader's name

Test: control/tests/delegated_leases.rs, a group of five voters before 1,000 and 2,000 daemons: at most 120 messages on leases a second reach the leader at either size, a change reaches all within a second, leases outlast the end of a voter and of the leader, and what is in force is applied by all holders at each tick.

--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -132,7 +132,11 @@
     Granted {
         /// Leader's term.
         term: u64,
-        /// Newest revision at the leader.
+        /// The leader's peer address, if whoever answers knows it: a voter may answer in the leader's name.
+        leader: Option<SocketAddr>,
+        /// The voter that the daemon should ask next, by its peer address; `None`: the one that answers.
+        ask_next: Option<SocketAddr>,
+        /// Newest revision at whoever answers; the lease counts once the daemon has applied it.
         revision: u64,
         /// Newest revision that is in force everywhere.
         in_force_revision: u64,
@@ -148,6 +152,42 @@
     },
 }
 
+/// What a voter that grants leases in the leader's name tells it of a daemon's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DelegatedRequest {
+    /// Name of the daemon.
+    pub daemon: String,
+    /// Its record, where that is not the one in the tables.
+    pub record: Option<DaemonRecord>,
+    /// Distinguishes restarts of one daemon.
+    pub incarnation: u64,
+    /// The revision that the daemon has applied.
+    pub applied_revision: u64,
+    /// The daemon is stopping and takes no new work.
+    pub leaving: bool,
+    /// Requests in flight at the daemon.
+    pub in_flight: u32,
+}
+
+/// Answer to [`DelegatedRequest`]s.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DelegationAnswer {
+    /// The leader counts these daemons' leases from now on.
+    Noted {
+        /// Its term.
+        term: u64,
+        /// Its newest revision, which each of the leases must cover.
+        revision: u64,
+        /// Newest revision that is in force everywhere.
+        in_force_revision: u64,
+    },
+    /// Ask there, if known.
+    NotLeader {
+        /// The leader's peer address.
+        leader: Option<SocketAddr>,
+    },
+}
+
 /// Answer to a submitted command or a control query.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SubmitReply {
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -1,7 +1,8 @@
 //! The `tarpc` service that every daemon offers to the others.
 
 use super::{
-    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DocumentAnswer, LeaseAnswer, LeaseRequest,
+    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DelegatedRequest, DelegationAnswer,
+    DocumentAnswer, LeaseAnswer, LeaseRequest,
     Observation, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
 };
 
@@ -16,9 +17,12 @@
     /// Messages of the consensus group, encoded; one way.
     async fn consensus(messages: Vec<u8>);
 
-    /// Asks the leader for a configuration lease; the leader may hold the answer until there is news.
+    /// Asks the leader, or a voter in its name, for a configuration lease; the answer may be held until there is news.
     async fn lease(request: LeaseRequest) -> LeaseAnswer;
 
+    /// A voter tells the leader which daemons have asked it for leases.
+    async fn delegate_leases(requests: Vec<DelegatedRequest>) -> DelegationAnswer;
+
     /// Submits an encoded command to the leader and waits until it is applied there.
     async fn submit(command: Vec<u8>) -> SubmitReply;
 
--- a/crates/control/src/core_outputs.rs
+++ b/crates/control/src/core_outputs.rs
@@ -90,6 +90,7 @@
         let led_before = former.is_some();
         let leads = role == RoleName::Leader;
         voter.leadership = leads.then(|| Leadership::new(term, now.monotonic));
+        voter.proxy.leader_changed();
         let leader = voter.leader;
         // Whether they will be committed is no longer this node's to know; the callers resend.
         let proposals = if leads { BTreeMap::new() } else { std::mem::take(&mut voter.proposals) };
@@ -100,7 +101,7 @@
             }
         }
         if let Some(mut former) = former {
-            let refusals = former.refuse_held(leader);
+            let refusals = former.answers.refuse_held(leader);
             self.outputs.extend(refusals);
         }
         self.outputs.push(Output::LeaderChanged { leader, leads });
--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -7,8 +7,8 @@
     GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
 };
 use dockwood_api::peer::{
-    AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseContent, LeaseRequest, Observation, ReadAnswer,
-    SubmitReply, VoterRecord,
+    AdmitAnswer, ControlAnswer, DelegatedRequest, DelegationAnswer, LeaseAnswer, LeaseContent, LeaseRequest,
+    Observation, ReadAnswer, SubmitReply, VoterRecord,
 };
 use dockwood_api::resource::ResourceKey;
 use dockwood_consensus::{Entry, HardState, LogIndex, Message, NodeId, Term, Voter};
@@ -51,6 +51,15 @@
     Submit(Vec<(Vec<u8>, R)>),
     /// A daemon asks for its lease.
     Lease(LeaseRequest, R),
+    /// A voter tells which daemons have asked it for leases.
+    Delegate(Vec<DelegatedRequest>, R),
+    /// What came of [`Output::DelegateLeases`].
+    Delegated {
+        /// Number of the message.
+        number: u64,
+        /// `None` if there was no answer in time.
+        answer: Option<DelegationAnswer>,
+    },
     /// A daemon tells the leader of a term what it found out.
     Observe(Term, Vec<Observation>, R),
     /// Somebody asks for the leader's view.
@@ -159,6 +168,17 @@
     SubmitReply(R, SubmitReply),
     /// Answer a lease request; the driver puts its clock's stamp in.
     LeaseReply(R, LeaseAnswer),
+    /// Tell the leader which daemons have asked this voter for leases; answered by [`Input::Delegated`] in any case.
+    DelegateLeases {
+        /// The leader's peer address.
+        leader: SocketAddr,
+        /// Number of the message.
+        number: u64,
+        /// What they asked.
+        requests: Vec<DelegatedRequest>,
+    },
+    /// Answer a voter that grants leases.
+    DelegationReply(R, DelegationAnswer),
     /// Answer an observation.
     ObserveReply(R, bool),
     /// Answer an entry's load; `None` if this node does not lead.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -4,22 +4,18 @@
 use crate::admission::Candidates;
 use crate::announcement::Announcements;
 use crate::blackboard::{Blackboard, Observed};
-use crate::catch_up::{CatchUp, Missing};
 use crate::controllers::{LostState, expired_suspicions, pending_orders, placement};
-use crate::copies::CopySources;
 use crate::daemon_changes::{Askers, daemon_changes};
-use crate::driver_io::{Moment, OrderToSend, Output};
+use crate::driver_io::{Moment, OrderToSend};
 use crate::gateway::GatewayLeadership;
 use crate::hearing::Hearing;
-use crate::leases::{LeaseTable, News};
+use crate::lease_answers::LeaseAnswers;
 use crate::node::Options;
 use crate::view::{ViewHead, control_view};
 use crate::voter_zones::{VoterShown, ZoneWatch};
-use dockwood_api::event::ClockStamp;
-use dockwood_api::peer::{LeaseAnswer, LeaseContent, LeaseRequest, Observation};
-use dockwood_state::CommandBody;
+use dockwood_api::peer::{DelegatedRequest, LeaseRequest, Observation};
+use dockwood_state::{CommandBody, Tables};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 /// Time between two runs of the controllers.
 const DECIDE_EVERY_MS: Millis = 50;
@@ -44,8 +40,8 @@
 pub struct Leadership<R> {
     /// The term.
     pub term: u64,
-    /// Leases granted in it.
-    pub leases: LeaseTable<R>,
+    /// Leases granted in it, and requests for them.
+    pub(crate) answers: LeaseAnswers<R>,
     /// The gateway's part.
     pub gateway: GatewayLeadership,
     /// Processes that asked to become voters.
@@ -57,8 +53,6 @@
     hearing: Hearing,
     askers: Askers,
     lost_state: LostState,
-    catch_up: CatchUp,
-    sources: CopySources,
     attempts: HashMap<String, OrderAttempt>,
     uncommitted: usize,
     decide_at: Millis,
@@ -81,7 +75,7 @@
     pub fn new(term: u64, now: Millis) -> Self {
         Leadership {
             term,
-            leases: LeaseTable::new(now),
+            answers: LeaseAnswers::new(now),
             gateway: GatewayLeadership::default(),
             candidates: Candidates::default(),
             announcements: Announcements::new(now),
@@ -89,8 +83,6 @@
             hearing: Hearing::default(),
             askers: Askers::default(),
             lost_state: LostState::default(),
-            catch_up: CatchUp::new(now),
-            sources: CopySources::default(),
             attempts: HashMap::new(),
             uncommitted: 0,
             decide_at: now,
@@ -100,55 +92,27 @@
     /// Takes a pulse of this process's own calls. Nobody is blamed for the time in which nothing was heard.
     pub fn pulse(&mut self, now: Millis) {
         if let Some(late) = self.hearing.pulse(now) {
-            self.leases.excuse(now, late);
+            self.answers.leases.excuse(now, late);
             self.gateway.excuse(now, late);
         }
     }
 
-    /// Takes a daemon's request; it is answered by [`Leadership::answer_held`].
+    /// Takes a daemon's request; [`LeaseAnswers`] answers it.
     pub fn take_lease_request(&mut self, now: Millis, request: LeaseRequest, reply: R) {
-        self.leases.extend(now, &request);
+        self.answers.leases.extend(now, &request);
         self.askers.note(&request.daemon, request.incarnation);
-        self.leases.hold(now, request, reply);
+        self.answers.leases.hold(now, request, reply);
     }
 
-    /// Answers requests for which there is news, or that have waited long enough.
-    pub fn answer_held(&mut self, now: Millis, board: &Blackboard, in_force_revision: u64) -> Vec<Output<R>> {
-        let revision = board.revision();
-        let news = News::of(board.commands(), revision, in_force_revision);
-        let mut pool = None;
-        let mut answers = Vec::new();
-        for held in self.leases.due(now, news) {
-            let in_large_fleet = self.leases.is_large();
-            let content = match self.catch_up.content_for(now, board, &held.request, in_large_fleet) {
-                Missing::Sent(content) => Some(content),
-                Missing::Large if in_large_fleet => {
-                    let pool = pool.get_or_insert_with(|| self.sources.pool(now, board, &self.leases));
-                    let source = self.sources.name(now, pool, &held.request.daemon.zone);
-                    source.map(|from| LeaseContent::Fetch { from })
-                }
-                Missing::Large => None,
-            };
-            if content.is_none() && now < held.until {
-                self.leases.hold_for_turn(now, held);
-                continue;
+    /// Notes that these daemons asked a voter, which grants them leases in this leader's name.
+    pub fn take_delegated(&mut self, now: Millis, tables: &Tables, requests: &[DelegatedRequest]) {
+        for request in requests {
+            self.answers.leases.extend_delegated(now, request);
+            let known = tables.daemons.get(&request.daemon).map(|row| &row.record);
+            if let Some(record) = request.record.as_ref().or(known) {
+                self.askers.note(record, request.incarnation);
             }
-            // Without content it asks again; until it has caught up, the lease that it is granted means nothing to it.
-            let through = held.request.applied_revision;
-            let content = content.unwrap_or(LeaseContent::Commands { commands: Vec::new(), through });
-            self.leases.answered(now, &held.request.daemon.name, &content);
-            let stamp = ClockStamp::default();
-            let answer =
-                LeaseAnswer::Granted { term: self.term, revision, in_force_revision, content, stamp };
-            answers.push(Output::LeaseReply(held.reply, answer));
         }
-        answers
-    }
-
-    /// Sends waiting daemons elsewhere: this node can't grant any more.
-    pub fn refuse_held(&mut self, leader: Option<SocketAddr>) -> Vec<Output<R>> {
-        let held = self.leases.take_held().into_iter();
-        held.map(|held| Output::LeaseReply(held.reply, LeaseAnswer::NotLeader { leader })).collect()
     }
 
     /// Notes what became of an order.
@@ -196,7 +160,7 @@
         self.decide_at = now + DECIDE_EVERY_MS;
         let heard_until = self.hearing.heard_until(now);
         let mut commands = Vec::new();
-        commands.extend(daemon_changes(board.tables(), &self.leases, &mut self.askers, heard_until));
+        commands.extend(daemon_changes(board.tables(), &self.answers.leases, &mut self.askers, heard_until));
         commands.extend(self.lost_state.check(board, now));
         commands.extend(placement(board, now, options.placement));
         let gateway = self.gateway.decide(heard_until, &board.tables().gateway, options.grouping);
@@ -221,6 +185,6 @@
         now: Millis,
     ) -> Vec<u8> {
         let head = ViewHead { leader, term: self.term, in_force_revision, voters };
-        control_view(board, &self.leases, head, now)
+        control_view(board, &self.answers.leases, head, now)
     }
 }
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -77,7 +77,7 @@
             return;
         };
         let tables = &self.board.state.tables;
-        let to = leadership.announcements.due(now.monotonic, &self.name, tables, &leadership.leases);
+        let to = leadership.announcements.due(now.monotonic, &self.name, tables, &leadership.answers.leases);
         if !to.is_empty() {
             self.outputs.push(Output::AnnounceLeader { to, term: leadership.term });
         }
@@ -113,26 +113,12 @@
         }
         let leadership = self.leadership();
         let known =
-            leadership.and_then(|leader| leader.leases.in_force_revision(now.monotonic, self.board.tables()));
+            leadership.and_then(|leader| leader.answers.leases.in_force_revision(now.monotonic, self.board.tables()));
         if let Some(revision) = known {
             self.raise_in_force(revision);
         }
     }
 
-    pub(crate) fn answer_held_leases(&mut self, now: Moment) {
-        let leads = self.leads(now);
-        let leader = self.leader_address();
-        let in_force_revision = self.in_force_revision;
-        let Some(voter) = &mut self.voter else { return };
-        let Some(leadership) = &mut voter.leadership else { return };
-        let answers = if leads {
-            leadership.answer_held(now.monotonic, &self.board, in_force_revision)
-        } else {
-            leadership.refuse_held(leader)
-        };
-        self.outputs.extend(answers);
-    }
-
     pub(crate) fn compact(&mut self) {
         let Some(voter) = &mut self.voter else { return };
         let index = voter.applied_index;
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -2,7 +2,7 @@
 
 use crate::Millis;
 use crate::catch_up::RetainedCommands;
-use dockwood_api::peer::{LeaseContent, LeaseRequest};
+use dockwood_api::peer::{DelegatedRequest, LeaseContent, LeaseRequest};
 use dockwood_state::{Liveness, Tables};
 use std::collections::BTreeMap;
 
@@ -25,7 +25,7 @@
 pub const LEASE_ANSWER_TIMEOUT_MS: Millis = HOLD_MS + 300;
 
 /// Daemons that are told of each change at once. Beyond, what changes is gathered for [`NEWS_MS_PER_DAEMON`] of each
-/// further one, so that telling all of them takes the leader a tenth of a core at most, however many there are.
+/// further one that waits, so that telling all of them takes a tenth of a core at most, however many there are.
 const TOLD_AT_ONCE: usize = 64;
 /// An answer to a lease request costs the leader some 0.1 ms.
 const NEWS_MS_PER_DAEMON: Millis = 1;
@@ -136,8 +136,13 @@
 
     /// Holds a request until there is news.
     pub fn hold(&mut self, now: Millis, request: LeaseRequest, reply: R) {
+        self.hold_since(now, now, request, reply);
+    }
+
+    /// Holds a request that came at `since`.
+    pub fn hold_since(&mut self, now: Millis, since: Millis, request: LeaseRequest, reply: R) {
         let turn_at = request.at_once.then_some(now);
-        self.push(HeldRequest { request, reply, until: now + HOLD_MS, turn_at });
+        self.push(HeldRequest { request, reply, until: since + HOLD_MS, turn_at });
         self.has_new = true;
     }
 
@@ -161,7 +166,7 @@
         if tells {
             self.told = Some(news);
             self.has_new = false;
-            self.news_at = now + news_pause_ms(self.rows.len());
+            self.news_at = now + news_pause_ms(self.held.len());
         }
         let is_due = |held: &HeldRequest<R>| {
             let lags = held.request.applied_revision < news.revision;
@@ -192,6 +197,27 @@
         self.rows.insert(request.daemon.name.clone(), row);
     }
 
+    /// Notes that a daemon asked a voter, which grants it a lease in this leader's name. One that knows nothing yet has to
+    /// fetch a copy first, and asks again only after that.
+    pub fn extend_delegated(&mut self, now: Millis, request: &DelegatedRequest) {
+        let fetch_ms = if request.applied_revision == 0 { FETCH_TIMEOUT_MS } else { 0 };
+        let row = LeaseRow {
+            expires: now + LEASE_MS + LEASE_DRIFT_MS,
+            applied_revision: request.applied_revision,
+            incarnation: request.incarnation,
+            leaving: request.leaving,
+            in_flight: request.in_flight,
+            silent_at: now + HOLD_MS + fetch_ms + SILENT_AFTER_MS,
+        };
+        self.rows.insert(request.daemon.clone(), row);
+    }
+
+    /// Forgets leases that have run out. For a voter that grants leases in the leader's name; the leader itself keeps
+    /// them, to tell who is lost.
+    pub fn forget_ended(&mut self, now: Millis) {
+        self.rows.retain(|_, row| now < row.expires);
+    }
+
     /// Gives everybody the time for which this leader heard nobody.
     pub fn excuse(&mut self, now: Millis, late: Millis) {
         for row in self.rows.values_mut() {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,7 +12,7 @@
 use crate::voter_zones::MemberZones;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::peer::{AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, SubmitReply, VoterRecord};
+use dockwood_api::peer::{AdmitAnswer, ControlAnswer, SubmitReply, VoterRecord};
 use dockwood_consensus::{self as consensus, Message, Node, Voter};
 use dockwood_grouping::{ColdLimit, GroupingPolicy};
 use dockwood_placement::PlacementPolicy;
@@ -35,11 +35,14 @@
     pub usual_voters: usize,
     /// Whether the loss of a whole zone is to be borne: then no zone may hold half of the voters.
     pub bears_zone_loss: bool,
+    /// Daemons up to which the leader answers all requests for leases itself; with more, the other voters do in its name.
+    pub leader_leases_up_to: usize,
 }
 
 impl Default for Options {
     fn default() -> Self {
         const COMPACT_AFTER_ENTRIES: u64 = 2_000;
+        const LEADER_LEASES_UP_TO: usize = 200;
         Options {
             compact_after_entries: COMPACT_AFTER_ENTRIES,
             placement: PlacementPolicy::default(),
@@ -47,6 +50,7 @@
             cold_limit: ColdLimit::default(),
             usual_voters: voters_to_lose(1),
             bears_zone_loss: false,
+            leader_leases_up_to: LEADER_LEASES_UP_TO,
         }
     }
 }
@@ -135,7 +139,7 @@
         self.propose(now, batch);
         self.run_controllers(now);
         self.raise_in_force_as_leader(now);
-        self.answer_held_leases(now);
+        self.answer_leases(now);
         self.compact();
         std::mem::take(&mut self.outputs)
     }
@@ -151,6 +155,8 @@
             Input::Consensus(messages) => self.receive(now, messages),
             Input::Submit(commands) => self.take_commands(now, commands, batch),
             Input::Lease(request, reply) => self.take_lease_request(now, request, reply),
+            Input::Delegate(requests, reply) => self.take_delegated(now, &requests, reply),
+            Input::Delegated { number, answer } => self.delegation_answered(number, answer),
             Input::Observe(term, observations, reply) => {
                 let leads_term = self.leadership().is_some_and(|leadership| leadership.term == term);
                 if leads_term {
@@ -273,7 +279,7 @@
         self.voter.as_ref()?.leadership.as_ref()
     }
 
-    fn leadership_mut(&mut self) -> Option<&mut Leadership<R>> {
+    pub(crate) fn leadership_mut(&mut self) -> Option<&mut Leadership<R>> {
         self.voter.as_mut()?.leadership.as_mut()
     }
 
@@ -303,15 +309,6 @@
         }
     }
 
-    fn take_lease_request(&mut self, now: Moment, request: LeaseRequest, reply: R) {
-        let leader = self.leader_address();
-        let leads = self.leads(now);
-        match self.leadership_mut() {
-            Some(leadership) if leads => leadership.take_lease_request(now.monotonic, request, reply),
-            _ => self.outputs.push(Output::LeaseReply(reply, LeaseAnswer::NotLeader { leader })),
-        }
-    }
-
     fn view(&mut self, now: Moment) -> ControlAnswer {
         let voters = self.voters_shown(now);
         match self.leadership() {
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -2,6 +2,7 @@
 
 use crate::Millis;
 use crate::leader::Leadership;
+use crate::lease_proxy::LeaseProxy;
 use dockwood_api::ResultCode;
 use dockwood_api::peer::{SubmitReply, VoterRecord};
 use dockwood_consensus::{Entry, Node, Payload, RoleName, Term, Voter};
@@ -32,6 +33,8 @@
     pub applied_index: u64,
     pub proposals: BTreeMap<u64, Proposal<R>>,
     pub leadership: Option<Leadership<R>>,
+    /// Requests for leases that this node grants in the leader's name.
+    pub proxy: LeaseProxy<R>,
     pub leader: Option<SocketAddr>,
 }
 
@@ -44,6 +47,7 @@
             addresses,
             proposals: BTreeMap::new(),
             leadership: None,
+            proxy: LeaseProxy::new(0),
             leader: None,
         }
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,9 +2,13 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+pub mod group;
 pub mod leader;
 
+use dockwood_api::gateway::InstanceState;
 use dockwood_api::peer::{DaemonRecord, LeaseRequest};
+use dockwood_state::{Command, CommandBody, GatewayCommand, InstanceRow, encode_command};
 
 /// A daemon without a gateway.
 pub fn record(name: &str) -> DaemonRecord {
@@ -34,3 +38,19 @@
         stamp: Default::default(),
     }
 }
+
+/// A change that all daemons need: a plain server reports something new, for the `count`th time.
+pub fn plain_server_changes(at_ms: u64, count: u64) -> Vec<u8> {
+    let row = InstanceRow {
+        id: "plain".to_string(),
+        started_ms: None,
+        service: "s".to_string(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 9], 1)),
+        zone: "z".to_string(),
+        slots: 1 + (count % 2) as u32,
+        state: InstanceState::Ready,
+        is_cold: false,
+        domain: None,
+    };
+    encode_command(&Command { at_ms, body: CommandBody::Gateway(GatewayCommand::Register(row)) })
+}
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -44,14 +44,22 @@
             () = shared.leaving_begun() => ask(&shared, target).await,
         };
         match asked {
-            Ok(LeaseAnswer::Granted { term, revision, in_force_revision, content, stamp }) => {
+            Ok(LeaseAnswer::Granted {
+                term,
+                leader,
+                ask_next,
+                revision,
+                in_force_revision,
+                content,
+                stamp,
+            }) => {
                 shared.timeline.observe(stamp);
                 if path.asked_directly() {
-                    shared.known_leader.granted(monotonic_ms(), target, term);
+                    shared.known_leader.granted(monotonic_ms(), leader.unwrap_or(target), term);
                 } else {
                     shared.known_leader.set_ask_first(target);
                 }
-                path.granted(target);
+                path.granted(target, ask_next);
                 let content = fetched(&shared, content).await;
                 let lease = GrantedLease { in_force_revision, content };
                 if apply(&shared, lease, revision).await {
@@ -65,7 +73,7 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
             Err(_) => {
-                path.failed();
+                path.failed(target);
                 shared.metrics.peer_failures.inc();
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/crates/daemon/src/control/lease_path.rs
+++ b/crates/daemon/src/control/lease_path.rs
@@ -12,6 +12,10 @@
 /// Time between two attempts to reach the leader itself while another daemon passes requests on, in milliseconds.
 const DIRECT_EVERY_MS: u64 = 2_000;
 
+/// Time for which a voter that granted nothing is not asked again, in milliseconds, though the leader names it: the path to
+/// it may be cut for this daemon alone.
+const AVOIDED_FOR_MS: u64 = 5_000;
+
 /// The path to the leader.
 pub struct LeasePath {
     targets: Targets,
@@ -21,6 +25,8 @@
     /// When the leader itself is to be asked again.
     direct_at: u64,
     asked_directly: bool,
+    /// The member that last granted nothing, and until when it is not asked on another one's word.
+    avoided: Option<(SocketAddr, u64)>,
 }
 
 impl LeasePath {
@@ -33,6 +39,7 @@
             granted_at: now,
             direct_at: now,
             asked_directly: true,
+            avoided: None,
         }
     }
 
@@ -61,12 +68,16 @@
         }
     }
 
-    /// The lease was granted by `target`, or through it.
-    pub fn granted(&mut self, target: SocketAddr) {
-        self.granted_at = monotonic_ms();
+    /// The lease was granted by `target`, or through it; `ask_next` is the voter to ask from now on.
+    pub fn granted(&mut self, target: SocketAddr, ask_next: Option<SocketAddr>) {
+        let now = monotonic_ms();
+        self.granted_at = now;
         if self.asked_directly {
             self.relay = None;
-            self.targets.answered(target);
+            let is_avoided = |voter: &SocketAddr| {
+                self.avoided.is_some_and(|(avoided, until)| avoided == *voter && now < until)
+            };
+            self.targets.answered(ask_next.filter(|voter| !is_avoided(voter)).unwrap_or(target));
         } else {
             self.relay = Some(target);
         }
@@ -80,6 +91,10 @@
     /// `target` doesn't lead, and names the leader if it knows it.
     pub fn refused(&mut self, target: SocketAddr, leader: Option<SocketAddr>) {
         if self.asked_directly {
+            // Without a leader there is nobody to ask instead: it will grant again once there is one.
+            if leader.is_some() {
+                self.avoid(target);
+            }
             self.targets.refused(target, leader);
         } else {
             self.relay = None;
@@ -87,11 +102,16 @@
     }
 
     /// `target` didn't answer.
-    pub fn failed(&mut self) {
+    pub fn failed(&mut self, target: SocketAddr) {
         if self.asked_directly {
+            self.avoid(target);
             self.targets.failed();
         } else {
             self.relay = None;
         }
     }
+
+    fn avoid(&mut self, member: SocketAddr) {
+        self.avoided = Some((member, monotonic_ms() + AVOIDED_FOR_MS));
+    }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod announcer;
+mod delegation;
 mod group_orders;
 mod identity;
 mod lease_client;
@@ -32,7 +33,8 @@
     GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
 };
 use dockwood_api::peer::{
-    AdmitAnswer, ControlAnswer, LeaseAnswer, LeaseRequest, Observation, ReadAnswer, SubmitReply, VoterRecord,
+    AdmitAnswer, ControlAnswer, DelegatedRequest, DelegationAnswer, LeaseAnswer, LeaseRequest, Observation,
+    ReadAnswer, SubmitReply, VoterRecord,
 };
 use dockwood_control::{GrantedLease, ProbeResult};
 use std::net::SocketAddr;
@@ -63,6 +65,20 @@
         /// For the answer, which may be held back until there is news.
         reply: oneshot::Sender<LeaseAnswer>,
     },
+    /// A voter tells which daemons have asked it for leases.
+    Delegate {
+        /// What they asked.
+        requests: Vec<DelegatedRequest>,
+        /// For the answer.
+        reply: oneshot::Sender<DelegationAnswer>,
+    },
+    /// The leader answered this voter's message on leases, or did not.
+    Delegated {
+        /// Number of the message.
+        number: u64,
+        /// `None` if there was no answer in time.
+        answer: Option<DelegationAnswer>,
+    },
     /// A daemon tells what it found out.
     Observe {
         /// The leader term that it speaks to.
--- a/crates/daemon/src/control/reply.rs
+++ b/crates/daemon/src/control/reply.rs
@@ -1,7 +1,7 @@
 //! Ways to answer whoever waits for the control thread. An answer to somebody who is gone is dropped.
 
 use dockwood_api::gateway::{LoadDigest, PlaceReply};
-use dockwood_api::peer::{AdmitAnswer, ControlAnswer, LeaseAnswer, ReadAnswer, SubmitReply};
+use dockwood_api::peer::{AdmitAnswer, ControlAnswer, DelegationAnswer, LeaseAnswer, ReadAnswer, SubmitReply};
 use tokio::sync::oneshot;
 
 /// One waiting caller.
@@ -11,6 +11,8 @@
     Submit(oneshot::Sender<SubmitReply>),
     /// Of a lease request.
     Lease(oneshot::Sender<LeaseAnswer>),
+    /// Of a voter that grants leases in the leader's name.
+    Delegation(oneshot::Sender<DelegationAnswer>),
     /// Of an observation.
     Observe(oneshot::Sender<bool>),
     /// Of the leader's view.
@@ -49,6 +51,13 @@
         }
     }
 
+    /// Answers a voter that grants leases in the leader's name.
+    pub fn delegation(self, answer: DelegationAnswer) {
+        if let Reply::Delegation(reply) = self {
+            let _ = reply.send(answer);
+        }
+    }
+
     /// Answers an observation.
     pub fn observe(self, taken: bool) {
         if let Reply::Observe(reply) = self {
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -1,6 +1,7 @@
 //! The control thread: drives the pure control node against clocks, disk and network.
 
 use super::announcer::Announcer;
+use super::delegation::Delegation;
 use super::identity::Identity;
 use super::outbox::{OUTBOX, decode_messages};
 use super::turn::{TurnClock, Work};
@@ -88,6 +89,7 @@
             cold_limit: settings.cold_limit(),
             usual_voters,
             bears_zone_loss: settings.seeds.bears_zone_loss,
+            leader_leases_up_to: settings.leader_leases_up_to,
             ..Options::default()
         });
         Ok(StartedControl { node, disk: Some(found.disk), member_id: Some(identity.id), voters })
@@ -137,6 +139,7 @@
     orders: OrderSender,
     group_orders: GroupOrderSender,
     announcer: Announcer,
+    delegation: Delegation,
     turns: TurnClock,
     stopping: bool,
 }
@@ -180,6 +183,7 @@
         let senders = BTreeMap::new();
         let mut outboxes =
             Outboxes { own_id: member_id, senders, shared: shared.clone(), runtime: voter_links };
+        let delegation = Delegation::new(shared.clone(), outboxes.runtime.clone());
         outboxes.learn(&voters);
         let turns = TurnClock::new(&shared.settings.name, &shared.metrics);
         ControlThread {
@@ -191,6 +195,7 @@
             orders,
             group_orders,
             announcer,
+            delegation,
             turns,
             stopping: false,
         }
@@ -287,6 +292,10 @@
             Output::Probe(probe) => self.group_orders.probe(probe),
             Output::SubmitReply(reply, answer) => reply.submit(answer),
             Output::LeaseReply(reply, answer) => reply.lease(self.stamped(answer)),
+            Output::DelegateLeases { leader, number, requests } => {
+                self.delegation.send(leader, number, requests);
+            }
+            Output::DelegationReply(reply, answer) => reply.delegation(answer),
             Output::ObserveReply(reply, taken) => reply.observe(taken),
             Output::ViewReply(reply, view) => reply.view(view),
             Output::SendOrder(order) => self.orders.send(*order),
@@ -313,11 +322,11 @@
 
     fn stamped(&self, answer: LeaseAnswer) -> LeaseAnswer {
         match answer {
-            LeaseAnswer::Granted { term, revision, in_force_revision, content, .. } => {
+            LeaseAnswer::Granted { term, leader, ask_next, revision, in_force_revision, content, .. } => {
                 let stamp = self.shared.timeline.stamp();
-                LeaseAnswer::Granted { term, revision, in_force_revision, content, stamp }
+                LeaseAnswer::Granted { term, leader, ask_next, revision, in_force_revision, content, stamp }
             }
-            other => other,
+            refused @ LeaseAnswer::NotLeader { .. } => refused,
         }
     }
 
@@ -365,6 +374,8 @@
         ControlMessage::Pulse => Input::Pulse,
         ControlMessage::CopyState { reply } => Input::CopyState(Reply::Copy(reply)),
         ControlMessage::Lease { request, reply } => Input::Lease(request, Reply::Lease(reply)),
+        ControlMessage::Delegate { requests, reply } => Input::Delegate(requests, Reply::Delegation(reply)),
+        ControlMessage::Delegated { number, answer } => Input::Delegated { number, answer },
         ControlMessage::Observe { term, observations, reply } => {
             Input::Observe(term, observations, Reply::Observe(reply))
         }
--- a/crates/daemon/src/control/turn.rs
+++ b/crates/daemon/src/control/turn.rs
@@ -78,7 +78,9 @@
     pub fn of_input<R>(input: &Input<R>) -> Work {
         match input {
             Input::Consensus(_) => Work::Consensus,
-            Input::Lease(..) | Input::LeaseGranted(_) => Work::Leases,
+            Input::Lease(..) | Input::LeaseGranted(_) | Input::Delegate(..) | Input::Delegated { .. } => {
+                Work::Leases
+            }
             Input::Submit(_) | Input::AdmitVoter { .. } | Input::LearnVoters(_) => Work::Commands,
             Input::Register(..)
             | Input::OrderAnswered { .. }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -99,6 +99,8 @@
     pub voters_by_zone: IntGaugeVec,
     /// Calls by which this daemon, as the leader, made itself known to daemons that had not asked it.
     pub leader_calls: IntCounter,
+    /// Requests for leases that this voter passed to the leader together with others.
+    pub delegated_leases: IntCounter,
     /// Waiting requests by pool and tier, at their coordinator.
     pub pool_waiting: IntGaugeVec,
     /// Slots in use by replica, at their coordinator.
@@ -275,6 +277,10 @@
                 "Voters of the control group by zone",
                 &["zone"],
             )?,
+            delegated_leases: counter(
+                "dockwood_delegated_leases_total",
+                "requests for leases that this voter told the leader of",
+            )?,
             leader_calls: counter(
                 "dockwood_leader_calls_total",
                 "Calls to daemons that had not asked this leader",
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -12,7 +12,8 @@
     TurnRequest,
 };
 use dockwood_api::peer::{
-    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DocumentAnswer, LeaseAnswer, LeaseRequest,
+    AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DelegatedRequest, DelegationAnswer,
+    DocumentAnswer, LeaseAnswer, LeaseRequest,
     Observation, Peer, PeerClient, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
 };
 use futures::StreamExt;
@@ -95,6 +96,12 @@
         }
     }
 
+    async fn delegate_leases(self, _: Context, requests: Vec<DelegatedRequest>) -> DelegationAnswer {
+        self.count("delegate_leases");
+        let answer = self.ask(|reply| ControlMessage::Delegate { requests, reply }).await;
+        answer.unwrap_or(DelegationAnswer::NotLeader { leader: None })
+    }
+
     async fn submit(self, _: Context, command: Vec<u8>) -> SubmitReply {
         self.count("submit");
         let answer = self.ask(|reply| ControlMessage::Submit { command, reply }).await;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -82,6 +82,8 @@
     pub gateway: Option<GatewaySettings>,
     /// Where a voter keeps its state.
     pub data_folder: Option<PathBuf>,
+    /// Daemons up to which the leader answers all requests for leases itself; with more, the other voters do in its name.
+    pub leader_leases_up_to: usize,
     /// Operators' tokens.
     pub tokens: Vec<OperatorToken>,
     /// The platform's list of machines, if there is one.
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -22,6 +22,8 @@
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
 const DEFAULT_LOSSES_TOLERATED: u64 = 1;
+/// Requests of so many daemons take a leader some hundredths of a core.
+const DEFAULT_LEADER_LEASES_UP_TO: u64 = 200;
 const MOST_LOSSES_TOLERATED: u64 = 3;
 /// With more zones lost at once a majority would need five zones of members.
 const MOST_ZONE_LOSSES_TOLERATED: u64 = 1;
@@ -103,6 +105,7 @@
         seeds: control.seeds,
         gateway: gateway?,
         data_folder: control.data_folder,
+        leader_leases_up_to: control.leader_leases_up_to,
         tokens: tokens?,
         platform: platform?,
         entry_lifetime: Duration::from_secs(traffic.entry_lifetime_seconds),
@@ -158,6 +161,7 @@
     seeds: SeedSettings,
     voters: Vec<Voter>,
     data_folder: Option<PathBuf>,
+    leader_leases_up_to: usize,
 }
 
 fn read_control(
@@ -174,9 +178,12 @@
         "member",
         "lossesTolerated",
         "zoneLossesTolerated",
+        "leaderLeasesUpTo",
     ];
     let section = Section::new(node, "control", &known, problems)?;
     let seeds = read_seeds(&section, problems);
+    let leader_leases =
+        section.number("leaderLeasesUpTo", DEFAULT_LEADER_LEASES_UP_TO, (0, 1_000_000), problems);
     let voters_node = match section.optional("seeds") {
         Some(_) => section.optional("voters"),
         None => section.required("voters", problems),
@@ -199,7 +206,8 @@
         None => None,
         Some(_) => Some(PathBuf::from(section.text("dataFolder", problems)?.value)),
     };
-    Some(Control { voters, seeds: seeds?, data_folder })
+    let leader_leases_up_to = leader_leases? as usize;
+    Some(Control { voters, seeds: seeds?, data_folder, leader_leases_up_to })
 }
 
 /// Members of the control group by any address of theirs; daemons talk to each other at `seedPeerPort`.
