Plans contain commands at the same pace at any size of the fleet

Cause: at most 40 commands in a plan, and a pause of a millisecond for 4 servers between two plans: forming a fleet took a time that grows with the square of its servers, some 10 s for 3,040, and stand-by weights were loaded only after the first request, when loads cost. Change: 210 commands a second, which is 40 for the 760 servers that the former bound was measured with.

--- a/crates/grouping/src/plan.rs
+++ b/crates/grouping/src/plan.rs
@@ -20,9 +20,12 @@
 /// Times that the packings of all domains are looked at again, each with what the others have chosen.
 const REVISIONS: usize = 3;
 
-/// Commands of one plan, at most. Each group costs some ten calls to its servers and their reports; with 40 groups in a
-/// plan, a fleet of 760 servers is formed within a second and a half, and no turn takes long.
-const MOST_COMMANDS: usize = 40;
+/// Commands that plans may contain over time, in each second: each group costs some ten calls to its servers and their
+/// reports. A fixed number for each plan would form a fleet in a time that grows with the square of its servers, as plans
+/// of more servers are further apart.
+const COMMANDS_PER_SECOND: Millis = 210;
+/// Commands of one plan that are always allowed.
+const FEWEST_COMMANDS: usize = 40;
 /// Servers that are planned for in a millisecond, over time: planning costs some three microseconds a server, so that it
 /// takes about a hundredth of a core at any size.
 const SERVERS_PER_MS: Millis = 4;
@@ -32,6 +35,12 @@
     servers as Millis / SERVERS_PER_MS
 }
 
+/// Commands of one plan of so many servers, at most.
+fn most_commands(servers: usize) -> usize {
+    let allowed = plan_pause_ms(servers) * COMMANDS_PER_SECOND / 1_000;
+    FEWEST_COMMANDS.max(allowed as usize)
+}
+
 /// What should be done.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
@@ -55,7 +64,7 @@
         }
     }
     // Groups that serve come before spare servers: what is cut off here is planned anew next time.
-    plan.commands.truncate(MOST_COMMANDS);
+    plan.commands.truncate(most_commands(view.tables.instances.len()));
     plan.staging.sort_by_key(|wish| wish.urgency);
     plan
 }
