Members of the control group that stand by gather servers' reports

Cause, by reading: a member that is no voter holds no tables, took the fleet for a small one, and passed each report on by itself; while there is no leader each is tried again every 20 ms. Change: reports are passed on singly only in a fleet that is known to be small.

--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -6,6 +6,7 @@
 use super::dispatchers::Dispatch;
 use crate::lock::lock;
 use crate::peer::register;
+use crate::shared::Shared;
 use dockwood_api::digest::rendezvous_weight;
 use dockwood_api::gateway::InstanceReport;
 use dockwood_api::{ApiError, ResultCode};
@@ -41,7 +42,7 @@
 /// Passes a report on; returns once the leader has noted what it changes.
 pub async fn pass_on(gateway: &Arc<Gateway>, report: InstanceReport) -> Result<(), ApiError> {
     let shared = &gateway.shared;
-    if shared.dispatchers.mode(&shared.tables()) == Dispatch::Leader {
+    if passes_singly(shared) {
         let results = register(shared, vec![report], CALL_LIMIT).await?;
         return results.into_iter().next().unwrap_or(Ok(()));
     }
@@ -63,6 +64,13 @@
     answered.await.unwrap_or_else(|_| dropped())
 }
 
+/// Whether each report goes to the leader by itself: in a fleet that is known to be small. A member of the control group
+/// that has no tables yet gathers reports: without a leader each of them would be tried again and again.
+fn passes_singly(shared: &Shared) -> bool {
+    let tables = shared.tables();
+    tables.revision > 0 && shared.dispatchers.mode(&tables) == Dispatch::Leader
+}
+
 impl Registrations {
     /// Whether a report tells more than that its server lives.
     fn is_news(&self, report: &InstanceReport) -> bool {
