A server that starts again under its id holds nothing of before

Change: a report of a later start replaces what was known; one of a former start changes nothing; the replicated state forgets the server's last model, cuts its group at once, lets it return, and tells daemons that route. The starts of removed servers are stored (state format 5; 3 and 4 are read).

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -85,7 +85,10 @@
         tables: &GatewayTables,
         report: &InstanceReport,
     ) -> Option<GatewayCommand> {
-        if tables.was_removed(&report.id) {
+        if self.is_of_former_start(tables, report) {
+            return None;
+        }
+        if tables.is_barred(&report.id, report.started_ms) {
             // It never comes back, but it may be serving still, and its word on its group counts until it ends.
             if tables.instances.contains_key(&report.id) {
                 self.take_report(now, tables, report);
@@ -103,8 +106,27 @@
         is_news.then_some(GatewayCommand::Register(row))
     }
 
+    /// Whether a report is late: its sender has started again since.
+    fn is_of_former_start(&self, tables: &GatewayTables, report: &InstanceReport) -> bool {
+        let newest = self.newest_start(tables, &report.id);
+        report.started_ms.zip(newest).is_some_and(|(reported, newest)| reported < newest)
+    }
+
+    /// The newest start of an instance that is known, in milliseconds since the Unix epoch.
+    fn newest_start(&self, tables: &GatewayTables, id: &str) -> Option<u64> {
+        let seen = self.observations.instance(id).and_then(|seen| seen.started_ms);
+        seen.max(tables.instances.get(id).and_then(|row| row.started_ms))
+    }
+
     /// Takes what a report tells of its sender. False if a newer one was taken before.
     fn take_report(&mut self, now: Millis, tables: &GatewayTables, report: &InstanceReport) -> bool {
+        let known = self.newest_start(tables, &report.id);
+        if let Some((started_ms, known)) = report.started_ms.zip(known)
+            && started_ms > known
+        {
+            let former_group = tables.group_of(&report.id).map(|group| group.epoch);
+            self.observations.begin_again(&report.id, started_ms, former_group);
+        }
         if let Some(group) = tables.group_of(&report.id) {
             self.orders.touch(group.epoch);
         }
--- a/crates/grouping/src/instances.rs
+++ b/crates/grouping/src/instances.rs
@@ -21,6 +21,8 @@
 /// One instance as seen.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceObservation {
+    /// When its process started, in milliseconds since the Unix epoch; `None` if it doesn't tell.
+    pub started_ms: Option<u64>,
     /// When it last reported.
     pub reported_at: Millis,
     /// Sequence of the newest report.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -91,12 +91,26 @@
         if is_newer {
             seen.newest_at = now;
             seen.sequence = report.sequence;
+            seen.started_ms = report.started_ms;
             seen.membership = report.membership.clone();
             seen.staged = report.staged.clone();
         }
         is_newer
     }
 
+    /// Notes that a server has started again under its id. What was seen of its former start tells nothing of it, but that
+    /// it has left the group which held that start.
+    pub fn begin_again(&mut self, instance: &str, started_ms: u64, former_group: Option<u64>) {
+        let Some(seen) = self.instances.get_mut(instance) else { return };
+        *seen = InstanceObservation {
+            started_ms: Some(started_ms),
+            left_epoch: former_group.unwrap_or_default(),
+            // An order on its way to the former start may be carried out by this one.
+            unanswered_join: seen.unanswered_join,
+            ..InstanceObservation::default()
+        };
+    }
+
     /// Takes the result of a probe.
     pub fn record_probe(&mut self, now: Millis, instance: &str, result: ProbeResult) {
         let Some(seen) = self.instances.get_mut(instance) else { return };
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -110,11 +110,7 @@
             GatewayCommand::Configure(configuration) => {
                 Some(GatewayCommand::Configure(Arc::new(configuration.without_document())))
             }
-            GatewayCommand::Register(row) if row.is_engine() => tables
-                .group_headed_by(&row.id)
-                .filter(|group| group.serves())
-                .cloned()
-                .map(GatewayCommand::Adopt),
+            GatewayCommand::Register(row) if row.is_engine() => engine_registered(tables, &row.id),
             GatewayCommand::Register(_) => Some(self.clone()),
             // They don't know which engines leave.
             GatewayCommand::ServerEnded(end) if tables.is_leaving(&end.instance) => None,
@@ -140,3 +136,15 @@
         }
     }
 }
+
+/// What the report of a model server changes for daemons that are not voters: its group as it is now, if it heads it; that
+/// its group has ended to serve, if it has started again.
+fn engine_registered(tables: &GatewayTables, id: &str) -> Option<GatewayCommand> {
+    let group = tables.group_of(id)?;
+    if group.phase == GroupPhase::Cutting {
+        let (epoch, phase, reason) = (group.epoch, group.phase, group.reason.clone());
+        return Some(GatewayCommand::SetPhase { epoch, phase, reason });
+    }
+    let is_serving_head = group.is_headed_by(id) && group.serves();
+    is_serving_head.then(|| GatewayCommand::Adopt(group.clone()))
+}
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod command;
 mod evacuation;
+mod removed;
 mod rows;
 
 pub use command::GatewayCommand;
@@ -17,13 +18,11 @@
 use crate::suspicion::{ServerEnd, SuspicionTable};
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
-use imbl::{OrdMap, Vector};
+use imbl::OrdMap;
+use removed::{RemovedInstances, is_later};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// Ids of removed instances that are kept, so that a late report can't bring one back.
-const REMOVED_KEPT: usize = 4_096;
-
 /// All tables of the gateway.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewayTables {
@@ -44,7 +43,7 @@
     pub requests_seen: bool,
     /// The model of each instance's last group, where the instance surely was ready in it.
     last_models: OrdMap<String, String>,
-    removed: Vector<String>,
+    removed: RemovedInstances,
     /// The group that holds each instance: made from `groups`, and not stored with them.
     #[serde(skip)]
     memberships: OrdMap<String, u64>,
@@ -137,7 +136,23 @@
 
     /// Whether an instance was removed before.
     pub fn was_removed(&self, id: &str) -> bool {
-        self.removed.iter().any(|removed| removed == id)
+        self.removed.contains(id)
+    }
+
+    /// Whether a report of an instance that started at `started_ms` comes too late: it was removed, and has not started
+    /// again since.
+    pub fn is_barred(&self, id: &str, started_ms: Option<u64>) -> bool {
+        self.removed.covers(id, started_ms)
+    }
+
+    /// The starts of removed instances, for storing.
+    pub(crate) fn removed_starts(&self) -> Vec<(String, u64)> {
+        self.removed.starts()
+    }
+
+    /// Takes the starts of removed instances as they were stored.
+    pub(crate) fn restore_removed_starts(&mut self, starts: Vec<(String, u64)>) {
+        self.removed.restore_starts(starts);
     }
 
     /// Whether an instance said that it leaves, or was removed: that it ends then has nothing to do with what it ran.
@@ -162,9 +177,17 @@
     }
 
     fn register(&mut self, row: &InstanceRow) -> Applied {
-        if self.was_removed(&row.id) {
+        if self.is_barred(&row.id, row.started_ms) {
             return Applied::refused(ResultCode::EpochStale, "the instance was removed");
         }
+        let held_start = self.instances.get(&row.id).map(|held| held.started_ms);
+        if held_start.is_some_and(|held| is_later(held, row.started_ms)) {
+            return Applied::refused(ResultCode::EpochStale, "the instance has started again since");
+        }
+        if held_start.is_some_and(|held| is_later(row.started_ms, held)) {
+            self.forget_former_start(&row.id);
+        }
+        self.removed.forget(&row.id);
         // An address belongs to one instance at a time: a newer start takes its predecessor's place.
         let gone: Vec<String> = self
             .instances
@@ -185,6 +208,19 @@
         Applied::touching(Vec::new())
     }
 
+    /// A server has started again under its id: it holds no model and is in no group, and it no longer leaves. Its group
+    /// has lost a member.
+    fn forget_former_start(&mut self, id: &str) {
+        self.instances.remove(id);
+        self.last_models.remove(id);
+        let Some(group) = self.group_of(id).cloned() else { return };
+        if group.purpose == GroupPurpose::Preload {
+            self.dissolve(group.epoch);
+            return;
+        }
+        self.set_phase(group.epoch, GroupPhase::Cutting, &format!("{id} has started again"));
+    }
+
     /// The group that an instance heads, if any, is as cold as the instance.
     fn note_head(&mut self, instance: &str, is_cold: bool) {
         let headed = self.group_headed_by(instance).filter(|group| group.head_is_cold != is_cold);
@@ -209,20 +245,15 @@
     }
 
     fn forget(&mut self, id: &str) {
+        self.bar(id);
         self.instances.remove(id);
         self.last_models.remove(id);
-        self.bar(id);
     }
 
     /// No later report of this instance counts.
     fn bar(&mut self, id: &str) {
-        if self.was_removed(id) {
-            return;
-        }
-        self.removed.push_back(id.to_string());
-        if self.removed.len() > REMOVED_KEPT {
-            self.removed.pop_front();
-        }
+        let started_ms = self.instances.get(id).and_then(|row| row.started_ms);
+        self.removed.insert(id, started_ms);
     }
 
     fn form(
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -11,7 +11,9 @@
 /// First byte of everything encoded here. A later format gets another byte and a reader for this one.
 const FORMAT_VERSION: u8 = 3;
 /// First byte of a state that is followed by its table of suspicions; one of [`FORMAT_VERSION`] has none.
-const STATE_VERSION: u8 = 4;
+const SUSPICION_VERSION: u8 = 4;
+/// First byte of a state that is followed by its table of suspicions and the starts of removed instances.
+const STATE_VERSION: u8 = 5;
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     encode_as(FORMAT_VERSION, value)
@@ -38,13 +40,21 @@
 impl State {
     /// The whole state as bytes.
     pub fn encode(&self) -> Vec<u8> {
-        encode_as(STATE_VERSION, &(self, &self.tables.gateway.suspicion))
+        let gateway = &self.tables.gateway;
+        encode_as(STATE_VERSION, &(self, &gateway.suspicion, gateway.removed_starts()))
     }
 
     /// Reads what [`State::encode`] wrote.
     pub fn decode(bytes: &[u8]) -> Result<State, ApiError> {
         let mut state: State = match bytes.split_first() {
             Some((&STATE_VERSION, body)) => {
+                let (mut state, suspicion, starts): (State, SuspicionTable, Vec<(String, u64)>) =
+                    decode_body(body)?;
+                state.tables.gateway.suspicion = suspicion;
+                state.tables.gateway.restore_removed_starts(starts);
+                state
+            }
+            Some((&SUSPICION_VERSION, body)) => {
                 let (mut state, suspicion): (State, SuspicionTable) = decode_body(body)?;
                 state.tables.gateway.suspicion = suspicion;
                 state
