In a large fleet the leader looks less often at what nothing happens to

Change: groups that serve, servers and daemons' leases are looked at once in a millisecond for 16 servers (10 daemons), groups on their way from one phase to another with each decision. Up to 800 servers and 500 daemons nothing changes. Formatting of what came before is in it. Test: grouping/tests/lifecycle.rs.

--- a/crates/api/src/peer/mod.rs
+++ b/crates/api/src/peer/mod.rs
@@ -10,7 +10,8 @@
 };
 pub use codec::{MAX_FRAME_BYTES, PeerVolume, PostcardCodec};
 pub use control::{
-    AdmitAnswer, ControlAnswer, DaemonRecord, DelegatedRequest, DelegationAnswer, DocumentAnswer, LeaseAnswer,
-    LeaseContent, LeaseRequest, MachineState, Observation, ReadAnswer, RevisedCommand, SubmitReply, VoterRecord,
+    AdmitAnswer, ControlAnswer, DaemonRecord, DelegatedRequest, DelegationAnswer, DocumentAnswer,
+    LeaseAnswer, LeaseContent, LeaseRequest, MachineState, Observation, ReadAnswer, RevisedCommand,
+    SubmitReply, VoterRecord,
 };
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse};
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -2,8 +2,8 @@
 
 use super::{
     AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DelegatedRequest, DelegationAnswer,
-    DocumentAnswer, LeaseAnswer, LeaseRequest,
-    Observation, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    DocumentAnswer, LeaseAnswer, LeaseRequest, Observation, ReadAnswer, ReplicaEvidence, RequestRecord,
+    SlotReturn, SubmitReply,
 };
 
 use crate::gateway::{
--- a/crates/control/src/daemon_changes.rs
+++ b/crates/control/src/daemon_changes.rs
@@ -9,10 +9,21 @@
 use dockwood_state::{CommandBody, DaemonRow, DaemonUpdate, Liveness, Tables};
 use std::collections::BTreeMap;
 
-/// Daemons that have asked for a lease since the last decision: record and incarnation by name.
+/// Daemons whose leases are looked at in a millisecond, over time: the leader's work on those to which nothing happens stays
+/// the same however many they are.
+const DAEMONS_LOOKED_AT_PER_MS: usize = 10;
+
+/// Time between two looks at the leases of so many daemons, in milliseconds.
+fn look_pause_ms(daemons: usize) -> Millis {
+    (daemons / DAEMONS_LOOKED_AT_PER_MS) as Millis
+}
+
+/// What is to be looked at: daemons that have asked for a lease since the last decision, with record and incarnation by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Askers {
     by_name: BTreeMap<String, (DaemonRecord, u64)>,
+    /// When all leases are looked at again.
+    look_at: Millis,
 }
 
 impl Askers {
@@ -40,7 +51,10 @@
     now: Millis,
 ) -> Option<CommandBody> {
     let mut updates = askers.take_new(tables);
-    updates.extend(tables.daemons.values().filter_map(|daemon| liveness_update(daemon, leases, now)));
+    if now >= askers.look_at {
+        askers.look_at = now + look_pause_ms(tables.daemons.len());
+        updates.extend(tables.daemons.values().filter_map(|daemon| liveness_update(daemon, leases, now)));
+    }
     (!updates.is_empty()).then_some(CommandBody::UpdateDaemons(updates))
 }
 
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -9,8 +9,8 @@
 };
 use dockwood_grouping::{
     ColdLimit, Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderBook, OrderKind, PlaceLedger,
-    ProbeResult, View, advance_groups, places_of_group, plan, plan_pause_ms, reap_instances, release_members,
-    replace_slow_members,
+    ProbeResult, Scrutiny, View, advance_groups, places_of_group, plan, plan_pause_ms, reap_instances,
+    release_members, replace_slow_members, scrutiny_pause_ms,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
 use imbl::OrdMap;
@@ -54,6 +54,8 @@
     unanswered: BTreeSet<String>,
     successors: Successors,
     started: bool,
+    /// When all groups and servers are looked at again.
+    scrutiny_at: Millis,
     /// When the next plan may be made.
     plan_at: Millis,
     known: KnownTables,
@@ -246,13 +248,17 @@
         }
         self.follow(now, tables);
         let view = View { tables, observations: &self.observations, now, policy };
+        let looks_at_all = now >= self.scrutiny_at;
+        let scrutiny = if looks_at_all { Scrutiny::All } else { Scrutiny::Unsettled };
         let mut commands = self.successors.confirmed();
-        commands.extend(advance_groups(&view, |epoch| self.orders.closing_since(now, epoch)));
+        commands.extend(advance_groups(&view, scrutiny, |epoch| self.orders.closing_since(now, epoch)));
         commands.extend(release_members(&view, |epoch| self.orders.closing_since(now, epoch)));
-        let decided: BTreeSet<u64> = commands.iter().filter_map(decided_group).collect();
-        let slow = replace_slow_members(&view, |epoch| decided.contains(&epoch));
-        commands.extend(slow);
-        commands.extend(reap_instances(&view));
+        if looks_at_all {
+            self.scrutiny_at = now + scrutiny_pause_ms(tables.instances.len());
+            let decided: BTreeSet<u64> = commands.iter().filter_map(decided_group).collect();
+            commands.extend(replace_slow_members(&view, |epoch| decided.contains(&epoch)));
+            commands.extend(reap_instances(&view));
+        }
         if self.observations.traffic_seen && !tables.requests_seen {
             commands.push(GatewayCommand::NoteRequests);
         }
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -112,8 +112,8 @@
             return;
         }
         let leadership = self.leadership();
-        let known =
-            leadership.and_then(|leader| leader.answers.leases.in_force_revision(now.monotonic, self.board.tables()));
+        let known = leadership
+            .and_then(|leader| leader.answers.leases.in_force_revision(now.monotonic, self.board.tables()));
         if let Some(revision) = known {
             self.raise_in_force(revision);
         }
--- a/crates/control/src/lease_answers.rs
+++ b/crates/control/src/lease_answers.rs
@@ -67,15 +67,8 @@
             self.leases.answered(now, &held.request.daemon.name, &content);
             let ask_next = ask_next(&held.request);
             let stamp = ClockStamp::default();
-            let answer = LeaseAnswer::Granted {
-                term,
-                leader,
-                ask_next,
-                revision,
-                in_force_revision,
-                content,
-                stamp,
-            };
+            let answer =
+                LeaseAnswer::Granted { term, leader, ask_next, revision, in_force_revision, content, stamp };
             answers.push(Output::LeaseReply(held.reply, answer));
         }
         answers
--- a/crates/control/src/lease_proxy.rs
+++ b/crates/control/src/lease_proxy.rs
@@ -135,7 +135,8 @@
         let sent = self.sent.take().into_iter().flat_map(|sent| sent.requests);
         let noted = self.noted.drain(..).flat_map(|noted| noted.requests);
         let waiting = self.waiting.drain(..).chain(sent).chain(noted);
-        let mut all: Vec<(LeaseRequest, R)> = waiting.map(|waiting| (waiting.request, waiting.reply)).collect();
+        let mut all: Vec<(LeaseRequest, R)> =
+            waiting.map(|waiting| (waiting.request, waiting.reply)).collect();
         let held = self.answers.leases.take_held().into_iter();
         all.extend(held.map(|held| (held.request, held.reply)));
         all
@@ -171,7 +172,8 @@
         }
         self.sent.take_if(|sent| sent.requests.is_empty());
         self.noted.retain(|noted| !noted.requests.is_empty());
-        let refusal = |waiting: Waiting<R>| Output::LeaseReply(waiting.reply, LeaseAnswer::NotLeader { leader });
+        let refusal =
+            |waiting: Waiting<R>| Output::LeaseReply(waiting.reply, LeaseAnswer::NotLeader { leader });
         late.into_iter().map(refusal).collect()
     }
 }
--- a/crates/control/src/lease_requests.rs
+++ b/crates/control/src/lease_requests.rs
@@ -82,7 +82,9 @@
         let leader = self.leader_address();
         let grantable = if leads && self.delegates() { self.grantable(now) } else { Vec::new() };
         let in_force_revision = self.in_force_revision;
-        let Some(leadership) = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut()) else { return };
+        let Some(leadership) = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut()) else {
+            return;
+        };
         let answers = if leads {
             let grantor = Grantor { term: leadership.term, leader, in_force_revision };
             let ask_next = |request: &LeaseRequest| assigned(&grantable, request);
@@ -99,7 +101,8 @@
         let Some(VoterPart { proxy, leadership, .. }) = &mut self.voter else { return };
         if let Some(leadership) = leadership {
             let requests = proxy.take_all().into_iter();
-            requests.for_each(|(request, reply)| leadership.take_lease_request(now.monotonic, request, reply));
+            requests
+                .for_each(|(request, reply)| leadership.take_lease_request(now.monotonic, request, reply));
             return;
         }
         let message = leader.and_then(|leader| {
@@ -116,9 +119,12 @@
         let zones = self.voter_zones();
         let Some(voter) = &self.voter else { return Vec::new() };
         let silent_for = voter.core.silent_for(now.monotonic);
-        let answers = |known: &Voter| silent_for.get(&known.id).is_some_and(|silent| *silent < VOTER_SILENT_MS);
+        let answers =
+            |known: &Voter| silent_for.get(&known.id).is_some_and(|silent| *silent < VOTER_SILENT_MS);
         let others = voter.known_voters().into_iter().filter(answers);
-        others.map(|known| Grantable { address: known.address, zone: zones.get(&known.id).cloned() }).collect()
+        others
+            .map(|known| Grantable { address: known.address, zone: zones.get(&known.id).cloned() })
+            .collect()
     }
 }
 
@@ -129,8 +135,7 @@
     }
     let zone = &request.daemon.zone;
     let is_near = |voter: &&Grantable| voter.zone.as_ref() == Some(zone);
-    let by_weight =
-        |voter: &&Grantable| rendezvous_weight(&request.daemon.name, &voter.address.to_string());
+    let by_weight = |voter: &&Grantable| rendezvous_weight(&request.daemon.name, &voter.address.to_string());
     let near = grantable.iter().filter(is_near).max_by_key(by_weight);
     near.or_else(|| grantable.iter().max_by_key(by_weight)).map(|voter| voter.address)
 }
--- a/crates/daemon/src/control/reply.rs
+++ b/crates/daemon/src/control/reply.rs
@@ -1,7 +1,9 @@
 //! Ways to answer whoever waits for the control thread. An answer to somebody who is gone is dropped.
 
 use dockwood_api::gateway::{LoadDigest, PlaceReply};
-use dockwood_api::peer::{AdmitAnswer, ControlAnswer, DelegationAnswer, LeaseAnswer, ReadAnswer, SubmitReply};
+use dockwood_api::peer::{
+    AdmitAnswer, ControlAnswer, DelegationAnswer, LeaseAnswer, ReadAnswer, SubmitReply,
+};
 use tokio::sync::oneshot;
 
 /// One waiting caller.
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -13,8 +13,8 @@
 };
 use dockwood_api::peer::{
     AcquireReply, AcquireRequest, AdmitAnswer, ControlAnswer, DelegatedRequest, DelegationAnswer,
-    DocumentAnswer, LeaseAnswer, LeaseRequest,
-    Observation, Peer, PeerClient, ReadAnswer, ReplicaEvidence, RequestRecord, SlotReturn, SubmitReply,
+    DocumentAnswer, LeaseAnswer, LeaseRequest, Observation, Peer, PeerClient, ReadAnswer, ReplicaEvidence,
+    RequestRecord, SlotReturn, SubmitReply,
 };
 use futures::StreamExt;
 use std::net::SocketAddr;
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -37,7 +37,7 @@
 pub use dispatch::Dispatcher;
 pub use heartbeat::HeartbeatInterval;
 pub use instances::{InstanceObservation, ProbeResult, UnansweredJoin};
-pub use lifecycle::{advance_groups, reap_instances, release_members};
+pub use lifecycle::{Scrutiny, advance_groups, reap_instances, release_members, scrutiny_pause_ms};
 pub use observations::Observations;
 pub use orders::{OrderBook, OrderKind};
 pub use places::{GroupPlaces, PlaceLedger};
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -5,6 +5,7 @@
 use crate::{Millis, View};
 use dockwood_api::gateway::{InstanceState, MembershipState};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose, GroupRow};
+use std::sync::Arc;
 
 /// A group that was seen to stand still, and whose head can't be asked, is taken for broken this long after its
 /// servers' own bound.
@@ -14,6 +15,9 @@
 const CUT_OFF_MS: Millis = 16_000;
 /// Progress this recent shows that all members are alive, whatever their reports say.
 const PROGRESS_SPAN_MS: Millis = 1_000;
+/// Servers that are looked at in a millisecond, over time: the leader's work on those to which nothing happens stays the same
+/// however many they are.
+const SERVERS_LOOKED_AT_PER_MS: Millis = 16;
 /// A signed-off instance may still be finishing requests for this long.
 const SIGNED_OFF_MS: Millis = 8_000;
 
@@ -25,10 +29,29 @@
     Leaving(String),
 }
 
+/// Which groups are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scrutiny {
+    /// All of them.
+    All,
+    /// Those that are on their way from one phase to another.
+    Unsettled,
+}
+
+/// Time between two looks at all groups and servers of a fleet with so many servers, in milliseconds.
+pub fn scrutiny_pause_ms(servers: usize) -> Millis {
+    servers as Millis / SERVERS_LOOKED_AT_PER_MS
+}
+
 /// Phases that groups should go to.
-pub fn advance_groups(view: &View<'_>, closing_since: impl Fn(u64) -> Millis) -> Vec<GatewayCommand> {
-    let next = |group: &GroupRow| advance(view, group, closing_since(group.epoch));
-    view.tables.groups.values().filter_map(|group| next(group)).collect()
+pub fn advance_groups(
+    view: &View<'_>,
+    scrutiny: Scrutiny,
+    closing_since: impl Fn(u64) -> Millis,
+) -> Vec<GatewayCommand> {
+    let is_due = |group: &&Arc<GroupRow>| scrutiny == Scrutiny::All || group.phase != GroupPhase::Open;
+    let groups = view.tables.groups.values().filter(is_due);
+    groups.filter_map(|group| advance(view, group, closing_since(group.epoch))).collect()
 }
 
 fn advance(view: &View<'_>, group: &GroupRow, closing_since: Millis) -> Option<GatewayCommand> {
--- a/crates/grouping/tests/common/fleet.rs
+++ b/crates/grouping/tests/common/fleet.rs
@@ -6,7 +6,9 @@
     EngineProfile, GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport,
     MembershipState, ModelProfile, OrderAnswer,
 };
-use dockwood_grouping::{OrderBook, ProbeResult, advance_groups, plan, reap_instances, release_members};
+use dockwood_grouping::{
+    OrderBook, ProbeResult, Scrutiny, advance_groups, plan, reap_instances, release_members,
+};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose, InstanceRow};
 use std::collections::BTreeMap;
 
@@ -232,7 +234,7 @@
     fn decide(&mut self) -> Vec<GatewayCommand> {
         self.world.observations.note_departures(self.world.now, &self.world.tables);
         let (view, book, now) = (self.world.view(), &self.book, self.world.now);
-        let mut commands = advance_groups(&view, |epoch| book.closing_since(now, epoch));
+        let mut commands = advance_groups(&view, Scrutiny::All, |epoch| book.closing_since(now, epoch));
         commands.extend(release_members(&view, |epoch| book.closing_since(now, epoch)));
         commands.extend(reap_instances(&view));
         if commands.is_empty() {
--- a/crates/grouping/tests/departures.rs
+++ b/crates/grouping/tests/departures.rs
@@ -4,7 +4,7 @@
 
 use common::{SMALL, World};
 use dockwood_api::gateway::{GroupCommand, InstanceState};
-use dockwood_grouping::{Observations, OrderBook, ProbeResult, advance_groups, departing_groups};
+use dockwood_grouping::{Observations, OrderBook, ProbeResult, Scrutiny, advance_groups, departing_groups};
 use dockwood_state::{GatewayCommand, GroupPhase, InstanceRow};
 
 const HEAD: &str = "d0-s0";
@@ -37,7 +37,7 @@
 
 fn phase_after(world: &mut World, epoch: u64, span_ms: u64) -> Option<GroupPhase> {
     world.now += span_ms;
-    let commands = advance_groups(&world.view(), |_| START_MS);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| START_MS);
     world.apply_all(commands);
     world.phase(epoch)
 }
--- a/crates/grouping/tests/evacuation.rs
+++ b/crates/grouping/tests/evacuation.rs
@@ -5,7 +5,7 @@
 
 use common::{LARGE, SERVICE, SMALL, World, formed};
 use dockwood_api::gateway::{InstanceState, MembershipState, PlaceReply, PlaceRequest};
-use dockwood_grouping::{Dispatcher, advance_groups};
+use dockwood_grouping::{Dispatcher, Scrutiny, advance_groups};
 use dockwood_state::{GatewayCommand, GroupPhase, InstanceRow};
 
 const OTHER: &str = "other";
@@ -170,7 +170,7 @@
     assert_eq!(changed_phases(&world).len(), 1, "one is drained, so that its servers serve the larger model");
     set_evacuation(&mut world, OTHER, true);
     assert_eq!(changed_phases(&world), [] as [u64; 0]);
-    assert!(advance_groups(&world.view(), |_| 0).is_empty());
+    assert!(advance_groups(&world.view(), Scrutiny::All, |_| 0).is_empty());
     assert!(world.tables.groups.values().all(|group| group.phase == GroupPhase::Open));
 }
 
@@ -184,7 +184,7 @@
     };
     world.apply(GatewayCommand::Register(leaving));
     world.apply(GatewayCommand::Remove { id: "d0-s2".to_string() });
-    let commands = advance_groups(&world.view(), |_| 0);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| 0);
     world.apply_all(commands);
     assert_eq!(world.phase(1), Some(GroupPhase::Cutting));
     assert_eq!(world.phase(2), Some(GroupPhase::Draining));
--- a/crates/grouping/tests/free_servers.rs
+++ b/crates/grouping/tests/free_servers.rs
@@ -5,7 +5,7 @@
 
 use common::{LARGE, SMALL, World};
 use dockwood_api::gateway::{GroupCommand, GroupOrder, MembershipState, OrderAnswer};
-use dockwood_grouping::{Observations, OrderBook, advance_groups, release_members};
+use dockwood_grouping::{Observations, OrderBook, Scrutiny, advance_groups, release_members};
 use dockwood_state::{GatewayCommand, GroupPhase};
 
 /// Longer than any report takes.
@@ -66,9 +66,12 @@
     let closing_since = world.now;
     world.now += 2_000;
     world.hear(late);
-    assert!(advance_groups(&world.view(), |_| closing_since).is_empty(), "the head may be open");
+    assert!(
+        advance_groups(&world.view(), Scrutiny::All, |_| closing_since).is_empty(),
+        "the head may be open"
+    );
     world.hear_member("d0-s0", epoch, MembershipState::Open, &[SMALL]);
-    assert!(advance_groups(&world.view(), |_| closing_since).is_empty(), "the head is open");
+    assert!(advance_groups(&world.view(), Scrutiny::All, |_| closing_since).is_empty(), "the head is open");
 }
 
 #[test]
@@ -140,12 +143,12 @@
     let sent = orders(&mut book, &world);
     assert_eq!(commands(&sent), [("d0-s0", &GroupCommand::Close { truncate: true })]);
     answer(&mut world, &mut book, &sent[0], OrderAnswer::Unfit);
-    assert!(advance_groups(&world.view(), |_| closing_since).is_empty());
+    assert!(advance_groups(&world.view(), Scrutiny::All, |_| closing_since).is_empty());
     world.now += 300;
     let sent = orders(&mut book, &world);
     assert_eq!(commands(&sent), [("d0-s0", &GroupCommand::Leave)]);
     answer(&mut world, &mut book, &sent[0], OrderAnswer::Unfit);
-    world.apply_all(advance_groups(&world.view(), |_| closing_since));
+    world.apply_all(advance_groups(&world.view(), Scrutiny::All, |_| closing_since));
     assert_eq!(world.phase(epoch), None);
 }
 
@@ -179,9 +182,9 @@
     cut(&mut world, epoch);
     let closing_since = world.now;
     world.now += 8_000;
-    assert!(advance_groups(&world.view(), |_| closing_since).is_empty(), "the head may go on");
+    assert!(advance_groups(&world.view(), Scrutiny::All, |_| closing_since).is_empty(), "the head may go on");
     world.now += LONG_MS;
-    world.apply_all(advance_groups(&world.view(), |_| closing_since));
+    world.apply_all(advance_groups(&world.view(), Scrutiny::All, |_| closing_since));
     assert_eq!(world.phase(epoch), None);
 }
 
@@ -233,5 +236,8 @@
     cut(&mut world, epoch);
     let closing_since = world.now;
     world.now += 10_000;
-    assert!(advance_groups(&world.view(), |_| closing_since).is_empty(), "it may be cut off and serve");
+    assert!(
+        advance_groups(&world.view(), Scrutiny::All, |_| closing_since).is_empty(),
+        "it may be cut off and serve"
+    );
 }
--- a/crates/grouping/tests/heartbeats.rs
+++ b/crates/grouping/tests/heartbeats.rs
@@ -4,7 +4,7 @@
 
 use common::{SMALL, World};
 use dockwood_api::gateway::MembershipState;
-use dockwood_grouping::{HeartbeatInterval, advance_groups, reap_instances};
+use dockwood_grouping::{HeartbeatInterval, Scrutiny, advance_groups, reap_instances};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose};
 
 /// Interval of a fleet of some thousand servers, in milliseconds.
@@ -40,7 +40,7 @@
     let mut world = seldom_reporting();
     let epoch = form(&mut world);
     world.now += SELDOM_MS - 1;
-    let commands = advance_groups(&world.view(), |_| 0);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| 0);
     assert!(commands.is_empty(), "no member is lost: {commands:?}");
     assert_eq!(world.phase(epoch), Some(GroupPhase::Forming));
 }
@@ -51,7 +51,7 @@
     let epoch = form(&mut world);
     world.now += HeartbeatInterval::from_millis(SELDOM_MS).missing_after_ms();
     world.hear_member("d0-s0", epoch, MembershipState::Joining, &[]);
-    let commands = advance_groups(&world.view(), |_| 0);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| 0);
     world.apply_all(commands);
     assert!(world.tables.groups.is_empty(), "the other member is lost");
 }
--- a/crates/grouping/tests/lifecycle.rs
+++ b/crates/grouping/tests/lifecycle.rs
@@ -5,11 +5,13 @@
 use common::{LARGE, SMALL, World};
 use dockwood_api::gateway::GroupCommand;
 use dockwood_api::gateway::MembershipState;
-use dockwood_grouping::{OrderBook, advance_groups, reap_instances, release_members};
+use dockwood_grouping::{
+    OrderBook, Scrutiny, advance_groups, reap_instances, release_members, scrutiny_pause_ms,
+};
 use dockwood_state::{GatewayCommand, GroupPhase};
 
 fn advance(world: &mut World, closing_since: u64) {
-    let commands = advance_groups(&world.view(), |_| closing_since);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| closing_since);
     world.apply_all(commands);
 }
 
@@ -205,3 +207,23 @@
     let orders = OrderBook::default().to_send(&world.view(), 1);
     assert!(orders.iter().all(|order| order.command != GroupCommand::Leave), "{orders:?}");
 }
+
+#[test]
+fn groups_that_serve_are_looked_at_less_often_than_those_that_change() {
+    let mut world = World::new(1, 4);
+    let open = world.open_group(SMALL, &["d0-s0", "d0-s1"]);
+    let draining = world.open_group(SMALL, &["d0-s2", "d0-s3"]);
+    let phase = GroupPhase::Draining;
+    world.apply(GatewayCommand::SetPhase { epoch: draining, phase, reason: "test".to_string() });
+    for epoch in [open, draining] {
+        let head = world.tables.groups[&epoch].members[0].clone();
+        world.hear_member(&head, epoch, MembershipState::Broken, &[SMALL]);
+    }
+    let advanced = |scrutiny| {
+        let commands = advance_groups(&world.view(), scrutiny, |_| 0);
+        commands.iter().filter(|command| matches!(command, GatewayCommand::SetPhase { .. })).count()
+    };
+    assert_eq!(advanced(Scrutiny::Unsettled), 1, "the one that drains");
+    assert_eq!(advanced(Scrutiny::All), 2);
+    assert!(scrutiny_pause_ms(760) <= 50, "a fleet of some hundred servers is looked at with each decision");
+}
--- a/crates/grouping/tests/placement.rs
+++ b/crates/grouping/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use common::{LARGE, SMALL, World, formed};
 use dockwood_api::gateway::{GroupCommand, MembershipState, OrderAnswer};
-use dockwood_grouping::{OrderBook, Urgency, advance_groups};
+use dockwood_grouping::{OrderBook, Scrutiny, Urgency, advance_groups};
 use dockwood_state::{GatewayCommand, GroupPhase};
 
 #[test]
@@ -158,7 +158,7 @@
     world.now += 10_000;
     world.hear_all();
     assert!(book.to_send(&world.view(), 7).is_empty(), "both have joined");
-    let commands = advance_groups(&world.view(), |_| 0);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| 0);
     world.apply_all(commands);
     let orders = book.to_send(&world.view(), 7);
     assert!(matches!(&orders[..], [order] if order.command == GroupCommand::Open));
--- a/crates/grouping/tests/staging.rs
+++ b/crates/grouping/tests/staging.rs
@@ -4,7 +4,7 @@
 
 use common::{LARGE, SERVICE, SMALL, World, formed};
 use dockwood_api::gateway::MembershipState;
-use dockwood_grouping::{OrderBook, Urgency, advance_groups, plan};
+use dockwood_grouping::{OrderBook, Scrutiny, Urgency, advance_groups, plan};
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose};
 
 /// A member that may or may not have taken its order to join another model's group keeps nothing that is sure.
@@ -141,9 +141,9 @@
     );
     world.apply_all(planned.commands);
     let epoch = world.tables.last_epoch;
-    assert!(advance_groups(&world.view(), |_| 0).is_empty(), "it has not loaded yet");
+    assert!(advance_groups(&world.view(), Scrutiny::All, |_| 0).is_empty(), "it has not loaded yet");
     world.hear_member("d0-s0", epoch, MembershipState::Ready, &[SMALL]);
-    let commands = advance_groups(&world.view(), |_| 0);
+    let commands = advance_groups(&world.view(), Scrutiny::All, |_| 0);
     assert_eq!(commands, [GatewayCommand::Preloaded { epoch }]);
     world.apply_all(commands);
     assert!(world.tables.groups.is_empty());
