--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -24,8 +24,8 @@
 /// up, so that its successor is found before the lease runs out.
 pub const LEASE_ANSWER_TIMEOUT_MS: Millis = HOLD_MS + 300;
 
-/// Daemons that are told of each change at once. Beyond, what changes is gathered for [`NEWS_MS_PER_DAEMON`] of each
-/// further one that waits, so that telling all of them takes a tenth of a core at most, however many there are.
+/// Daemons that are notified of each change at once. Beyond, what changes is gathered for [`NEWS_MS_PER_DAEMON`] of each
+/// further one that waits, so that notifying all of them takes a tenth of a core at most, however many there are.
 const TOLD_AT_ONCE: usize = 64;
 /// An answer to a lease request costs the leader some 0.1 ms.
 const NEWS_MS_PER_DAEMON: Millis = 1;
@@ -40,7 +40,7 @@
 /// A daemon that has not asked again for this long after its answer is silent: a sound one asks at once.
 const SILENT_AFTER_MS: Millis = 750;
 
-/// Pause between two changes that so many daemons are told of, in milliseconds.
+/// Pause between two notifications of so many daemons, in milliseconds.
 fn news_pause_ms(daemons: usize) -> Millis {
     daemons.saturating_sub(TOLD_AT_ONCE) as Millis * NEWS_MS_PER_DAEMON
 }
@@ -93,15 +93,15 @@
     held: BTreeMap<String, HeldRequest<R>>,
     /// When the first of the held requests must be answered.
     answer_at: Millis,
-    /// When daemons may be told of the next change.
+    /// When daemons may be notified of the next change.
     news_at: Millis,
-    /// What was told last.
-    told: Option<News>,
+    /// What they were last notified of.
+    notified: Option<News>,
     /// Requests have come since the held ones were last looked at.
     has_new: bool,
 }
 
-/// What daemons may be told now.
+/// What daemons may be notified of now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct News {
     /// The newest revision that changed something for them.
@@ -129,7 +129,7 @@
             held: BTreeMap::new(),
             answer_at: Millis::MAX,
             news_at: now,
-            told: None,
+            notified: None,
             has_new: false,
         }
     }
@@ -158,20 +158,20 @@
 
     /// Requests to answer now: those for which there is news, and those that have waited long enough.
     pub fn due(&mut self, now: Millis, news: News) -> Vec<HeldRequest<R>> {
-        let is_changed = self.told != Some(news) || self.has_new;
-        let tells = is_changed && now >= self.news_at;
-        if !tells && now < self.answer_at {
+        let is_changed = self.notified != Some(news) || self.has_new;
+        let notifies = is_changed && now >= self.news_at;
+        if !notifies && now < self.answer_at {
             return Vec::new();
         }
-        if tells {
-            self.told = Some(news);
+        if notifies {
+            self.notified = Some(news);
             self.has_new = false;
             self.news_at = now + news_pause_ms(self.held.len());
         }
         let is_due = |held: &HeldRequest<R>| {
             let lags = held.request.applied_revision < news.revision;
             let in_force_is_news = held.request.in_force_revision < news.in_force_revision;
-            now >= held.due_at() || (tells && (lags || in_force_is_news))
+            now >= held.due_at() || (notifies && (lags || in_force_is_news))
         };
         let due: Vec<HeldRequest<R>> =
             self.held.extract_if(.., |_, held| is_due(held)).map(|(_, held)| held).collect();
@@ -197,28 +197,24 @@
         self.rows.insert(request.daemon.name.clone(), row);
     }
 
-    /// Notes that a daemon asked a voter, which grants it a lease in this leader's name. One that knows nothing yet has to
-    /// fetch a copy first, and asks again only after that.
+    /// Notes that a daemon asked a voter, which grants it a lease in this leader's name.
     pub fn extend_delegated(&mut self, now: Millis, request: &DelegatedRequest) {
-        let fetch_ms = if request.applied_revision == 0 { FETCH_TIMEOUT_MS } else { 0 };
-        let row = LeaseRow {
-            expires: now + LEASE_MS + LEASE_DRIFT_MS,
-            applied_revision: request.applied_revision,
-            incarnation: request.incarnation,
-            leaving: request.leaving,
-            in_flight: request.in_flight,
-            silent_at: now + HOLD_MS + fetch_ms + SILENT_AFTER_MS,
-        };
+        let DelegatedRequest { applied_revision, incarnation, leaving, in_flight, .. } = *request;
+        // One that knows nothing yet has to fetch a copy first, and asks again only after that.
+        let fetch_ms = if applied_revision == 0 { FETCH_TIMEOUT_MS } else { 0 };
+        let (expires, silent_at) =
+            (now + LEASE_MS + LEASE_DRIFT_MS, now + HOLD_MS + fetch_ms + SILENT_AFTER_MS);
+        let row = LeaseRow { expires, applied_revision, incarnation, leaving, in_flight, silent_at };
         self.rows.insert(request.daemon.clone(), row);
     }
 
     /// Forgets leases that have run out. For a voter that grants leases in the leader's name; the leader itself keeps
-    /// them, to tell who is lost.
+    /// them, to find who is lost.
     pub fn forget_ended(&mut self, now: Millis) {
         self.rows.retain(|_, row| now < row.expires);
     }
 
-    /// Gives everybody the time for which this leader heard nobody.
+    /// Extends all leases' silence bounds by the time for which this leader received nothing.
     pub fn excuse(&mut self, now: Millis, late: Millis) {
         for row in self.rows.values_mut() {
             row.silent_at = (row.silent_at + late).min(now + HOLD_MS + SILENT_AFTER_MS);
@@ -257,7 +253,7 @@
         now >= self.elected_at + LEASE_MS + LEASE_DRIFT_MS
     }
 
-    /// What a daemon's liveness should be, where the table can tell.
+    /// What a daemon's liveness should be, if the table shows it.
     pub fn liveness(&self, now: Millis, daemon: &str) -> Option<Liveness> {
         match self.rows.get(daemon) {
             Some(row) if now >= row.expires => Some(Liveness::Lost),
--- a/crates/control/tests/delegated_leases.rs
+++ b/crates/control/tests/delegated_leases.rs
@@ -71,10 +71,10 @@
     assert_eq!(behind, 0, "daemons that have not applied it");
 }
 
-#[test]
-fn daemons_of_a_voter_that_is_gone_keep_their_leases() {
+/// Ends a voter, and lets changes go on for some seconds.
+fn leases_outlast(gone: impl Fn(&ControlGroup) -> usize) {
     let mut group = started(1_000);
-    let gone = group.follower_voter();
+    let gone = gone(&group);
     group.kill(gone);
     for _ in 0..20 {
         group.change();
@@ -83,21 +83,16 @@
             assert_eq!(group.followers.without_lease(group.now), 0);
         });
     }
+    assert!(group.leader().is_some());
     assert_eq!(daemons_not_live(&group), 0);
 }
 
+#[test]
+fn daemons_of_a_voter_that_is_gone_keep_their_leases() {
+    leases_outlast(ControlGroup::follower_voter);
+}
+
 #[test]
 fn daemons_keep_their_leases_through_an_election() {
-    let mut group = started(1_000);
-    let gone = group.leader().expect("a leader");
-    group.kill(gone);
-    for _ in 0..20 {
-        group.change();
-        group.pass(200, |group| {
-            assert_in_force_is_applied(group);
-            assert_eq!(group.followers.without_lease(group.now), 0);
-        });
-    }
-    assert!(group.leader().is_some());
-    assert_eq!(daemons_not_live(&group), 0);
+    leases_outlast(|group| group.leader().expect("a leader"));
 }
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -122,6 +122,14 @@
         std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
     }
 
+    /// Changes a figure in a daemon's `control` section, for its next start.
+    pub fn set_control(&self, daemon: &Daemon, key: &str, value: u64) {
+        let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
+        let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
+        settings["control"][key] = json!(value);
+        std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
+    }
+
     fn daemon_with_seeds(
         &self,
         name: &str,
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! themselves and form groups; failures brought about from outside.
 
 mod cold_servers;
+mod delegated_leases;
 mod evacuation;
 mod fixture;
 mod leader_search;
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small fleet's commands, shared by the tests of this crate.
 #![allow(dead_code)]
 
+pub mod gateway;
+
 use dockwood_api::resource::{Metadata, Resource, parse_resource};
 use dockwood_state::{Applied, ChangeAction, ChangeRequest, Command, CommandBody, Outcome, State};
 use serde_json::{Value, json};
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -1,48 +1,20 @@
 //! Rules of the gateway's tables that hold whatever a controller asks.
 
+mod common;
+
+use common::gateway::{apply, form, register, row};
 use dockwood_api::gateway::{ColdStart, GatewayConfiguration, InstanceState, ServiceProfile};
 use dockwood_state::{
     Command, CommandBody, GatewayCommand, GroupPhase, GroupPurpose, InstanceRow, Outcome, State,
 };
 use std::sync::Arc;
 
-fn apply(state: &mut State, command: GatewayCommand) -> Outcome {
-    state.apply(&Command { at_ms: 1, body: CommandBody::Gateway(command) }).outcome
-}
-
 fn configure(state: &mut State, version: u64, document: &[u8]) {
     let configuration =
         GatewayConfiguration { version, document: document.to_vec(), ..GatewayConfiguration::default() };
     apply(state, GatewayCommand::Configure(Arc::new(configuration)));
 }
 
-fn row(id: &str, port: u16) -> InstanceRow {
-    InstanceRow {
-        started_ms: None,
-        id: id.to_string(),
-        service: "s".to_string(),
-        address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
-        zone: "z".to_string(),
-        slots: 4,
-        state: InstanceState::Ready,
-        is_cold: false,
-        domain: Some("d".to_string()),
-    }
-}
-
-fn register(state: &mut State, id: &str, port: u16) -> Outcome {
-    apply(state, GatewayCommand::Register(row(id, port)))
-}
-
-fn form(state: &mut State, members: &[&str]) -> Outcome {
-    let members = members.iter().map(|id| id.to_string()).collect();
-    let (service, model) = ("s".to_string(), "m".to_string());
-    apply(
-        state,
-        GatewayCommand::Form { service, model, members, purpose: GroupPurpose::Serve, reason: String::new() },
-    )
-}
-
 fn held(state: &State) -> Option<(u64, Vec<u8>)> {
     let configuration = state.tables.gateway.configuration.as_ref();
     configuration.map(|held| (held.version, held.document.clone()))
@@ -357,74 +329,3 @@
     apply(&mut state, GatewayCommand::Register(InstanceRow { domain: None, ..row("plain", 2) }));
     assert_eq!(is_cold(&state, "plain"), Some(false), "its next report says otherwise");
 }
-
-fn started(id: &str, started_ms: u64) -> InstanceRow {
-    InstanceRow { started_ms: Some(started_ms), ..row(id, 1) }
-}
-
-fn register_row(state: &mut State, row: InstanceRow) -> Outcome {
-    apply(state, GatewayCommand::Register(row))
-}
-
-#[test]
-fn a_server_that_starts_again_under_its_id_holds_nothing_of_before() {
-    let mut state = State::default();
-    register_row(&mut state, started("a", 10));
-    register_row(&mut state, InstanceRow { address: row("b", 2).address, ..started("b", 10) });
-    form(&mut state, &["a", "b"]);
-    for phase in [GroupPhase::Opening, GroupPhase::Open] {
-        apply(&mut state, GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
-    }
-    assert_eq!(state.tables.gateway.last_model("b"), Some("m"));
-    register_row(&mut state, InstanceRow { address: row("b", 2).address, ..started("b", 20) });
-    let gateway = &state.tables.gateway;
-    assert_eq!(gateway.groups[&1].phase, GroupPhase::Cutting, "its group has lost a member");
-    assert_eq!(gateway.last_model("b"), None);
-    assert_eq!(gateway.last_model("a"), Some("m"));
-}
-
-#[test]
-fn daemons_that_route_learn_that_a_group_has_lost_a_member_that_started_again() {
-    let mut state = State::default();
-    register_row(&mut state, started("a", 10));
-    register_row(&mut state, InstanceRow { address: row("b", 2).address, ..started("b", 10) });
-    form(&mut state, &["a", "b"]);
-    for phase in [GroupPhase::Opening, GroupPhase::Open] {
-        apply(&mut state, GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
-    }
-    let again = GatewayCommand::Register(InstanceRow { address: row("b", 2).address, ..started("b", 20) });
-    let command = Command { at_ms: 1, body: CommandBody::Gateway(again) };
-    state.apply(&command);
-    let told = command.for_followers(&state.tables).map(|command| command.body);
-    let cutting = |body: &CommandBody| {
-        matches!(
-            body,
-            CommandBody::Gateway(GatewayCommand::SetPhase { epoch: 1, phase: GroupPhase::Cutting, .. })
-        )
-    };
-    assert!(told.as_ref().is_some_and(cutting), "{told:?}");
-}
-
-#[test]
-fn a_report_of_a_former_start_is_refused() {
-    let mut state = State::default();
-    register_row(&mut state, started("a", 20));
-    let outcome = register_row(&mut state, InstanceRow { slots: 9, ..started("a", 10) });
-    assert!(matches!(outcome, Outcome::Refused(_)));
-    assert_eq!(state.tables.gateway.instances["a"].slots, 4);
-}
-
-#[test]
-fn only_a_later_start_returns_after_it_was_removed() {
-    let mut state = State::default();
-    register_row(&mut state, started("a", 10));
-    apply(&mut state, GatewayCommand::SignOff { id: "a".to_string() });
-    apply(&mut state, GatewayCommand::Remove { id: "a".to_string() });
-    let mut state = State::decode(&state.encode()).expect("as it was stored");
-    for late in [started("a", 10), started("a", 9), row("a", 1)] {
-        assert!(matches!(register_row(&mut state, late), Outcome::Refused(_)));
-    }
-    register_row(&mut state, started("a", 11));
-    assert_eq!(state.tables.gateway.instances["a"].state, InstanceState::Ready);
-    assert!(!state.tables.gateway.was_removed("a"));
-}
