--- a/crates/api/src/peer/control.rs
+++ b/crates/api/src/peer/control.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// One finding, as told to the leader.
+/// One finding, as reported to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Observation {
     /// A prober's word on one machine.
@@ -132,11 +132,11 @@
     Granted {
         /// Leader's term.
         term: u64,
-        /// The leader's peer address, if whoever answers knows it: a voter may answer in the leader's name.
+        /// The leader's peer address, if known to the voter that answers, which may do so in the leader's name.
         leader: Option<SocketAddr>,
         /// The voter that the daemon should ask next, by its peer address; `None`: the one that answers.
         ask_next: Option<SocketAddr>,
-        /// Newest revision at whoever answers; the lease counts once the daemon has applied it.
+        /// Newest revision at the voter that answers; the lease counts once the daemon has applied it.
         revision: u64,
         /// Newest revision that is in force everywhere.
         in_force_revision: u64,
@@ -152,7 +152,7 @@
     },
 }
 
-/// What a voter that grants leases in the leader's name tells it of a daemon's request.
+/// A daemon's request for a lease, as reported to the leader by the voter that grants it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DelegatedRequest {
     /// Name of the daemon.
@@ -235,14 +235,14 @@
         /// The document; empty if no configuration was accepted yet.
         document: Vec<u8>,
     },
-    /// Not the leader, or not able to tell at the moment.
+    /// Not the leader, or not known at the moment.
     NotLeader {
         /// The leader's peer address.
         leader: Option<SocketAddr>,
     },
 }
 
-/// A voter of the control group, as told to a process that asks to become one.
+/// A voter of the control group, as sent to a process that asks to become one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VoterRecord {
     /// Its id.
--- a/crates/api/src/peer/service.rs
+++ b/crates/api/src/peer/service.rs
@@ -20,22 +20,22 @@
     /// Asks the leader, or a voter in its name, for a configuration lease; the answer may be held until there is news.
     async fn lease(request: LeaseRequest) -> LeaseAnswer;
 
-    /// A voter tells the leader which daemons have asked it for leases.
+    /// A voter reports to the leader which daemons have asked it for leases.
     async fn delegate_leases(requests: Vec<DelegatedRequest>) -> DelegationAnswer;
 
     /// Submits an encoded command to the leader and waits until it is applied there.
     async fn submit(command: Vec<u8>) -> SubmitReply;
 
-    /// Tells the leader of a term what was found out; false if this daemon does not lead that term.
+    /// Reports findings to the leader of a term; false if this daemon does not lead that term.
     async fn observe(term: u64, observations: Vec<Observation>) -> bool;
 
-    /// Tells the leader of a daemon's load; `None` if this daemon does not lead.
+    /// Reports a daemon's load to the leader; `None` if this daemon does not lead.
     async fn exchange_load(report: LoadReport) -> Option<LoadDigest>;
 
     /// Asks the leader for a place at a group; `None` if this daemon does not lead.
     async fn assign_place(request: PlaceRequest) -> Option<PlaceReply>;
 
-    /// Tells a daemon of servers that named a limit, or that take what comes again.
+    /// Notifies a daemon of servers that named a limit, or whose limit has ended.
     async fn share_limits(news: LimitNews);
 
     /// Asks the daemon that shares out a server's limit for leave to send it one request.
@@ -56,7 +56,7 @@
     /// Asks the leader to admit a member of the control group, or to replace one that was at its address.
     async fn admit_voter(id: u64, address: SocketAddr, zone: String) -> AdmitAnswer;
 
-    /// A leader tells a daemon that has not asked it for a lease where it is.
+    /// A leader announces itself to a daemon that has not asked it for a lease.
     async fn leader_elected(leader: SocketAddr, term: u64);
 
     /// Asks the leader for its view of replicas, daemons and control, as JSON.
--- a/crates/control/src/account.rs
+++ b/crates/control/src/account.rs
@@ -40,10 +40,10 @@
     Subject::new(&key.kind.name().to_lowercase(), key.name.clone())
 }
 
-/// What there is to tell of a command, given the tables after it.
+/// The events of a command, given the tables after it.
 pub fn accounts(command: &Command, applied: &Applied, tables: &Tables) -> Vec<Account> {
     let code = code_of(&applied.outcome);
-    // A trial that isn't granted is no fault; the daemon that asked tells of it.
+    // A trial that isn't granted is no fault; the daemon that asked records it.
     if matches!(command.body, CommandBody::Gateway(GatewayCommand::BeginTrial(_))) {
         return Vec::new();
     }
@@ -121,7 +121,7 @@
     }
 }
 
-/// What a change of the gateway's tables tells.
+/// The event of a change of the gateway's tables.
 fn gateway_account(command: &GatewayCommand, tables: &Tables) -> Option<Account> {
     let account = |kind: &str, name: &str, reason: &str, message: String| {
         Some(Account::new(Subject::new(kind, name), reason, message, ResultCode::Ok))
@@ -170,9 +170,9 @@
         GatewayCommand::ClearRequest { fingerprint, reason } => {
             account("request", &fingerprint.to_string(), "Cleared", reason.clone())
         }
-        // Told at the voters, as the change of phase that led to it.
+        // Recorded at the voters, as the change of phase that led to it.
         GatewayCommand::Adopt(_) => None,
-        // Trials are told by the daemons that ask for them.
+        // Trials are recorded by the daemons that ask for them.
         GatewayCommand::BeginTrial(_)
         | GatewayCommand::EndTrial { .. }
         | GatewayCommand::ExpireSuspicions { .. } => None,
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -1,7 +1,7 @@
 //! How daemons that lag catch up: by the commands that they lack, or by the whole state where that is less.
 //!
 //! After a restart of many daemons all of them ask for the whole state at once. What they are sent shares the leader's
-//! link with its heartbeats, so it is paced: a leader that is not heard loses its majority, and the next one is asked
+//! link with its heartbeats, so it is paced: a leader whose heartbeats are late loses its majority, and the next one is asked
 //! for everything again.
 
 use crate::Millis;
@@ -141,7 +141,7 @@
             return Missing::Sent(LeaseContent::Commands { commands: Vec::new(), through: applied });
         }
         self.refill(now);
-        // A daemon that starts anew is in no hurry; to one that follows, a change must go out at once, to keep its lease.
+        // A daemon that has just started is in no hurry; to one that follows, a change must go out at once, to keep its lease.
         let follows = applied > 0;
         if !follows && self.allowance <= 0 {
             return Missing::Large;
--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -51,7 +51,7 @@
     Submit(Vec<(Vec<u8>, R)>),
     /// A daemon asks for its lease.
     Lease(LeaseRequest, R),
-    /// A voter tells which daemons have asked it for leases.
+    /// A voter reports which daemons have asked it for leases.
     Delegate(Vec<DelegatedRequest>, R),
     /// What came of [`Output::DelegateLeases`].
     Delegated {
@@ -60,7 +60,7 @@
         /// `None` if there was no answer in time.
         answer: Option<DelegationAnswer>,
     },
-    /// A daemon tells the leader of a term what it found out.
+    /// A daemon reports its findings to the leader of a term.
     Observe(Term, Vec<Observation>, R),
     /// Somebody asks for the leader's view.
     View(R),
@@ -91,7 +91,7 @@
         instance: String,
         /// What came of it.
         result: ProbeResult,
-        /// How many times its declared times it takes, where it told.
+        /// How many times its declared times it takes, if it reported that.
         slowness: Option<f64>,
     },
     /// A process asks to become a voter.
@@ -105,7 +105,7 @@
         /// For the answer.
         reply: R,
     },
-    /// The voters as the leader told them.
+    /// The voters as the leader sent them.
     LearnVoters(Vec<VoterRecord>),
     /// Somebody asks for the revision at which a read is current.
     ReadRevision(R),
@@ -168,7 +168,7 @@
     SubmitReply(R, SubmitReply),
     /// Answer a lease request; the driver puts its clock's stamp in.
     LeaseReply(R, LeaseAnswer),
-    /// Tell the leader which daemons have asked this voter for leases; answered by [`Input::Delegated`] in any case.
+    /// Report to the leader which daemons have asked this voter for leases; answered by [`Input::Delegated`] in any case.
     DelegateLeases {
         /// The leader's peer address.
         leader: SocketAddr,
@@ -201,7 +201,7 @@
     Probe(InstanceProbe),
     /// Voters that must be reachable from now on.
     VotersChanged(Vec<Voter>),
-    /// Tell daemons that this node leads; may be lost.
+    /// Announce to daemons that this node leads; may be lost.
     AnnounceLeader {
         /// Their peer addresses.
         to: Vec<SocketAddr>,
@@ -210,7 +210,7 @@
     },
     /// Record a change of state.
     Record {
-        /// What to tell.
+        /// The event.
         account: Account,
         /// The revision that led to it.
         revision: Option<u64>,
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -1,5 +1,5 @@
 //! The leader's part in the gateway: what instances and entries report, which groups follow, and the orders to
-//! send. Local to one leader term; a new leader gathers it anew.
+//! send. Local to one leader term; a new leader gathers it again.
 
 use crate::Millis;
 use crate::successors::Successors;
@@ -120,7 +120,7 @@
         seen.max(tables.instances.get(id).and_then(|row| row.started_ms))
     }
 
-    /// Takes what a report tells of its sender. False if a newer one was taken before.
+    /// Takes a report's content. False if a newer one was taken before.
     fn take_report(&mut self, now: Millis, tables: &GatewayTables, report: &InstanceReport) -> bool {
         let known = self.newest_start(tables, &report.id);
         if let Some((started_ms, known)) = report.started_ms.zip(known)
@@ -135,7 +135,7 @@
         self.observations.record_report(now, report)
     }
 
-    /// Takes an entry's load, and tells it the others' and the places that it may take. `entries` are those that are
+    /// Takes an entry's load, and returns the others' and the places that it may take. `entries` are those that are
     /// live.
     pub fn exchange(
         &mut self,
@@ -175,7 +175,7 @@
         digest
     }
 
-    /// Assigns a request to a group. `cold_limit` tells by how much the rate that cold servers declare may be exceeded.
+    /// Assigns a request to a group. `cold_limit` is by how much the rate that cold servers declare may be exceeded.
     pub fn assign(
         &mut self,
         now: Millis,
@@ -187,7 +187,7 @@
         self.dispatcher.assign(now, request, tables, &self.observations)
     }
 
-    /// Takes a dispatcher's summary of its scope, and tells it which groups are found to stand still.
+    /// Takes a dispatcher's summary of its scope, and returns which groups are found to be stalled.
     fn take_summary(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
         let mut digest = self.observations.exchange(now, report, is_witness);
         digest.groups.retain(|shared| shared.suspected);
@@ -212,12 +212,12 @@
         }
     }
 
-    /// Gives all instances the time for which this leader heard nobody.
+    /// Extends all instances by the time for which this leader received nothing.
     pub fn excuse(&mut self, now: Millis, late: Millis) {
         self.observations.excuse(now, late);
     }
 
-    /// Notes what came of a probe, and how many times its declared times the instance takes, where it told.
+    /// Notes what came of a probe, and how many times its declared times the instance takes, if it reported that.
     pub fn probed(&mut self, now: Millis, instance: &str, result: ProbeResult, slowness: Option<f64>) {
         if self.successors.answered(instance, result) {
             return;
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -48,7 +48,7 @@
     pub candidates: Candidates,
     /// Calls to daemons that have not found it.
     pub announcements: Announcements,
-    /// Since when some zone has held too many voters, and whether that was told.
+    /// Since when some zone has held too many voters, and whether that was recorded.
     pub zone_watch: ZoneWatch,
     hearing: Hearing,
     askers: Askers,
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Takes a pulse of this process's own calls. Nobody is blamed for the time in which nothing was heard.
+    /// Takes a pulse of this process's own calls. The time in which nothing was received counts against nobody.
     pub fn pulse(&mut self, now: Millis) {
         if let Some(late) = self.hearing.pulse(now) {
             self.answers.leases.excuse(now, late);
--- a/crates/control/src/lease_proxy.rs
+++ b/crates/control/src/lease_proxy.rs
@@ -1,7 +1,7 @@
 //! A voter that grants leases in the leader's name.
 //!
 //! In a large fleet the leader can't answer each daemon's request by itself: that takes it a tenth of a millisecond each,
-//! twice a second. So daemons ask the other voters, which hold the same tables. A voter tells the leader in one message
+//! twice a second. So daemons ask the other voters, which hold the same tables. A voter reports to the leader in one message
 //! which daemons have asked, and answers them once the leader has taken note of them:
 //!
 //! - The leader counts a daemon's lease from the moment at which it took note, which is after the daemon sent its request,
@@ -102,7 +102,7 @@
                 self.term = *term;
                 self.noted.push(Noted { revision: *revision, requests: sent.requests });
             }
-            // Sent again, to whoever leads then.
+            // Sent again, to the leader of that time.
             Some(DelegationAnswer::NotLeader { .. }) | None => self.waiting.extend(sent.requests),
         }
     }
--- a/crates/control/src/lease_requests.rs
+++ b/crates/control/src/lease_requests.rs
@@ -44,7 +44,7 @@
         self.board.tables().daemons.len() > self.options.leader_leases_up_to
     }
 
-    /// At the leader: another voter tells which daemons have asked it.
+    /// At the leader: another voter reports which daemons have asked it.
     pub(crate) fn take_delegated(&mut self, now: Moment, requests: &[DelegatedRequest], reply: R) {
         let leader = self.leader_address();
         let leads = self.leads(now);
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Answers requests for leases that are due, and tells the leader of those that came to this voter.
+    /// Answers requests for leases that are due, and reports to the leader those that came to this voter.
     pub(crate) fn answer_leases(&mut self, now: Moment) {
         self.answer_as_leader(now);
         self.answer_for_leader(now);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -83,7 +83,7 @@
     /// Zones of the daemons that may be voters, by peer address.
     pub(crate) member_zones: FromDaemons<MemberZones>,
     pub(crate) in_force_at: Millis,
-    /// The state for daemons that are told to fetch it here.
+    /// The state for daemons that are sent here to fetch it.
     copy: EncodedState,
     pub(crate) outputs: Vec<Output<R>>,
 }
@@ -346,7 +346,7 @@
         let revision = self.board.revision();
         self.outputs.push(Output::Touched { revision, keys: applied.touched.clone() });
         self.dirty = true;
-        // Voters tell the time line, so that it survives any one of them.
+        // All voters record the time line, so that it survives any one of them.
         if self.voter.is_some() {
             for account in accounts(command, applied, self.board.tables()) {
                 self.outputs.push(Output::Record { account, revision: Some(revision) });
--- a/crates/control/src/own_lease.rs
+++ b/crates/control/src/own_lease.rs
@@ -7,7 +7,7 @@
 use dockwood_api::peer::{LeaseContent, RevisedCommand};
 use dockwood_state::decode_command;
 
-/// Daemons whose leases are all looked at in each turn, to tell what is in force everywhere.
+/// Daemons whose leases are all looked at in each turn, to find what is in force everywhere.
 const LOOKED_AT_EACH_TURN: usize = 64;
 /// Further daemons for each millisecond between two such looks: one takes some 0.2 microseconds for each daemon.
 const LOOKED_AT_PER_MS: usize = 10;
--- a/crates/control/src/successors.rs
+++ b/crates/control/src/successors.rs
@@ -1,4 +1,4 @@
-//! Instances that report from an address where another one was heard lately. Usually the other one has crashed and this
+//! Instances that report from an address where another one was seen recently. Usually the other one has crashed and this
 //! is its next start. It may also be a former start whose reports reached nobody before it crashed, and one of them
 //! now, late: it must not replace the instance that runs. So the address is asked who answers there, and only its word
 //! that it is the one that reported brings that one in, or a silence of the other that is long enough.
@@ -26,7 +26,7 @@
 }
 
 impl Successors {
-    /// Whether an unknown instance reports from the address of one that takes part and was heard lately.
+    /// Whether an unknown instance reports from the address of one that takes part and was seen recently.
     pub(crate) fn is_doubtful(
         &self,
         now: Millis,
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -57,7 +57,7 @@
         self.addresses.extend(voters.iter().map(|voter| (voter.id, voter.address)));
     }
 
-    /// At the leader: notes that a process asks to become a voter, and tells it the voters.
+    /// At the leader: notes that a process asks to become a voter, and returns the voters.
     pub fn take_candidate(
         &mut self,
         now: Millis,
--- a/crates/daemon/src/control/delegation.rs
+++ b/crates/daemon/src/control/delegation.rs
@@ -1,4 +1,4 @@
-//! Tells the leader which daemons have asked this voter for leases.
+//! Reports to the leader which daemons have asked this voter for leases.
 
 use super::ControlMessage;
 use crate::shared::Shared;
--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -38,7 +38,7 @@
             asked = ask(&shared, target) => asked,
             // What the leader answers to a request from before is too old.
             () = shared.wakefulness.woken() => continue,
-            // Whoever is asked now may be gone, and take all the time that an answer may take.
+            // The member that is asked now may be gone, and its answer time out.
             () = other_leader(&shared, &mut news, target) => continue,
             // The leader must learn of a planned stop at once.
             () = shared.leaving_begun() => ask(&shared, target).await,
--- a/crates/daemon/src/control/lease_path.rs
+++ b/crates/daemon/src/control/lease_path.rs
@@ -30,7 +30,7 @@
 }
 
 impl LeasePath {
-    /// A path that begins with the leader that was last heard of.
+    /// A path that begins with the last known leader.
     pub fn new(shared: &Shared) -> Self {
         let now = monotonic_ms();
         LeasePath {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -65,7 +65,7 @@
         /// For the answer, which may be held back until there is news.
         reply: oneshot::Sender<LeaseAnswer>,
     },
-    /// A voter tells which daemons have asked it for leases.
+    /// A voter reports which daemons have asked it for leases.
     Delegate {
         /// What they asked.
         requests: Vec<DelegatedRequest>,
@@ -79,7 +79,7 @@
         /// `None` if there was no answer in time.
         answer: Option<DelegationAnswer>,
     },
-    /// A daemon tells what it found out.
+    /// A daemon reports its findings.
     Observe {
         /// The leader term that it speaks to.
         term: u64,
@@ -140,7 +140,7 @@
         instance: String,
         /// What came of it.
         result: ProbeResult,
-        /// How many times its declared times it takes, where it told.
+        /// How many times its declared times it takes, if it reported that.
         slowness: Option<f64>,
     },
     /// A process asks to become a voter.
@@ -154,7 +154,7 @@
         /// For the answer.
         reply: oneshot::Sender<AdmitAnswer>,
     },
-    /// The voters as the leader told them.
+    /// The voters as the leader sent them.
     LearnVoters(Vec<VoterRecord>),
     /// Somebody asks for the revision of a current read.
     ReadRevision {
@@ -188,7 +188,7 @@
     }
 
     /// Sends a message; waits while the queue is full. A message to an ended control thread is dropped, and
-    /// whoever waits for its reply sees the channel close.
+    /// the receiver of its reply sees the channel close.
     pub async fn send(&self, message: ControlMessage) {
         let _ = self.sender.send(message).await;
     }
--- a/crates/daemon/src/control/reply.rs
+++ b/crates/daemon/src/control/reply.rs
@@ -1,4 +1,4 @@
-//! Ways to answer whoever waits for the control thread. An answer to somebody who is gone is dropped.
+//! Ways to answer callers that wait for the control thread. An answer to a caller that is gone is dropped.
 
 use dockwood_api::gateway::{LoadDigest, PlaceReply};
 use dockwood_api::peer::{
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -100,7 +100,7 @@
     settings.voters.iter().map(|voter| Voter { id: voter.id, address: voter.peer }).collect()
 }
 
-/// Ways to the other voters; one is made for each voter when it is first heard of.
+/// Ways to the other voters; one is made for each voter when it is first known.
 struct Outboxes {
     own_id: Option<NodeId>,
     senders: BTreeMap<NodeId, mpsc::Sender<Message>>,
@@ -144,7 +144,7 @@
     stopping: bool,
 }
 
-/// Runs the control thread until it is told to stop. A disk that fails is final: what it holds is unknown, so
+/// Runs the control thread until it is asked to stop. A disk that fails is final: what it holds is unknown, so
 /// the process must not go on.
 pub async fn run_control_thread(mut control: ControlThread) -> Result<(), StorageError> {
     let tick_every = if control.disk.is_some() { VOTER_TICK } else { FOLLOWER_TICK };
@@ -330,7 +330,7 @@
         }
     }
 
-    /// Shows the voters at a member of the control group; other daemons are not told of them.
+    /// Shows the voters at a member of the control group; other daemons do not know them.
     fn show_voters(&mut self) {
         if self.disk.is_none() {
             return;
--- a/crates/daemon/src/control/turn.rs
+++ b/crates/daemon/src/control/turn.rs
@@ -1,6 +1,6 @@
 //! Where the control thread's time goes: how long its turns take, and which kind of work takes it.
 //!
-//! A leader whose turns are long hears and answers late: daemons lose leases, and voters elect another one.
+//! A leader whose turns are long receives and answers late: daemons lose leases, and voters elect another one.
 
 use crate::log_line::{LineBody, SlowTurnLine, WorkTime};
 use crate::logging;
@@ -9,9 +9,9 @@
 use prometheus::Histogram;
 use std::time::{Duration, Instant};
 
-/// A turn that takes longer is told of in the log: half of the time between a leader's heartbeats (100 ms).
+/// A turn that takes longer is logged: half of the time between a leader's heartbeats (100 ms).
 const SLOW_TURN: Duration = Duration::from_millis(50);
-/// Least time between two lines on slow turns; the next line tells how many were left out.
+/// Least time between two lines on slow turns; the next line holds the number of those left out.
 const LINE_EVERY: Duration = Duration::from_secs(1);
 
 /// Kinds of work in a turn.
@@ -139,16 +139,16 @@
             histogram.observe(time.as_secs_f64());
         }
         if whole >= SLOW_TURN {
-            self.tell(whole, &spent);
+            self.log(whole, &spent);
         }
     }
 
-    fn tell(&mut self, whole: Duration, spent: &[Duration; Work::ALL.len()]) {
-        if self.told_at.is_some_and(|at| at.elapsed() < LINE_EVERY) {
+    fn log(&mut self, whole: Duration, spent: &[Duration; Work::ALL.len()]) {
+        if self.notified_at.is_some_and(|at| at.elapsed() < LINE_EVERY) {
             self.held_back += 1;
             return;
         }
-        self.told_at = Some(Instant::now());
+        self.notified_at = Some(Instant::now());
         let work = Work::ALL.iter().zip(spent).filter(|(_, time)| time.as_millis() > 0);
         let work = work.map(|(work, time)| WorkTime { work: work.name(), took_ms: time.as_millis() as u64 });
         let line = SlowTurnLine {
--- a/crates/daemon/src/gateway/registration.rs
+++ b/crates/daemon/src/gateway/registration.rs
@@ -1,5 +1,5 @@
 //! Brings servers' reports to the control leader. In a large fleet the leader can't take each server's heartbeat by
-//! itself: daemons near the servers gather those that tell nothing new, and pass them on together. A report that tells of
+//! itself: daemons near the servers gather those without news, and pass them on together. A report of
 //! a change goes on at once, with all that wait.
 
 use super::Gateway;
@@ -18,10 +18,10 @@
 
 /// How long a report may take: callers go to another daemon after a second.
 const CALL_LIMIT: Duration = Duration::from_millis(850);
-/// How long reports that tell nothing new are gathered. With what a call may take, an answer still comes in time; the
+/// How long reports without news are gathered. With what a call may take, an answer still comes in time; the
 /// leader takes five calls a second of each daemon.
 const GATHER_FOR: Duration = Duration::from_millis(200);
-/// Servers whose last report is kept, to tell news from repetition; beyond, all are forgotten.
+/// Servers whose last report is kept, to distinguish news from repetition; beyond, all are forgotten.
 const MOST_KNOWN: usize = 4_096;
 
 /// A report that waits to be passed on.
@@ -72,7 +72,7 @@
 }
 
 impl Registrations {
-    /// Whether a report tells more than that its server lives.
+    /// Whether a report holds more than that its server lives.
     fn is_news(&self, report: &InstanceReport) -> bool {
         let known = lock(&self.known);
         known.get(&report.id).is_none_or(|last| !report.repeats(last))
@@ -102,7 +102,7 @@
         if result.is_ok() {
             registrations.noted(waiting.report);
         }
-        // A server that has given up hears nothing; it reports again.
+        // A server that has given up no longer waits; it reports again.
         let _ = waiting.answer.send(result);
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -49,7 +49,7 @@
     /// Requests that were not sent to a server that rests or leaves, by what became of them: stopped at the moment of
     /// writing, made to wait, or refused.
     pub held_back: IntCounterVec,
-    /// Answers to entries that asked to send to servers whose limits this daemon shares out, by what they were told.
+    /// Answers to entries that asked to send to servers whose limits this daemon shares out, by outcome.
     pub limit_turns: IntCounterVec,
     /// Steps of requests under which servers may end, by step.
     pub suspect_steps: IntCounterVec,
@@ -279,7 +279,7 @@
             )?,
             delegated_leases: counter(
                 "dockwood_delegated_leases_total",
-                "requests for leases that this voter told the leader of",
+                "requests for leases that this voter reported to the leader",
             )?,
             leader_calls: counter(
                 "dockwood_leader_calls_total",
--- a/crates/daemon/src/settings/gateway.rs
+++ b/crates/daemon/src/settings/gateway.rs
@@ -43,7 +43,7 @@
     pub frontend: Option<SocketAddr>,
     /// Answers whether this daemon takes new work.
     pub readiness: Option<SocketAddr>,
-    /// Tells callers which addresses to use.
+    /// Answers callers which addresses to use.
     pub directory: Option<SocketAddr>,
     /// Takes operators' calls and servers' reports.
     pub operators: Option<SocketAddr>,
@@ -51,7 +51,7 @@
     pub answer_lifetime: Duration,
     /// How long a planned stop may take.
     pub stop_limit: Duration,
-    /// How long a group that lost a member stands still before it is broken.
+    /// How long a group that lost a member is stalled before it is broken.
     pub stall: Duration,
     /// How long a server that leaves serves on at least, once its word was acknowledged.
     pub drain: Duration,
@@ -60,7 +60,7 @@
     /// Entries up to which the control leader assigns each request to a group and takes each server's report; with more,
     /// daemons near the groups and servers do.
     pub leader_dispatches_up_to: usize,
-    /// The deployment's zones, each with its region; empty where they are not told.
+    /// The deployment's zones, each with its region; empty where they are not given.
     pub zone_regions: BTreeMap<String, String>,
     /// Bounds on second sends.
     pub retry_budget: RetryBudgetSettings,
--- a/crates/grouping/src/instances.rs
+++ b/crates/grouping/src/instances.rs
@@ -14,14 +14,14 @@
     Refused,
     /// No answer in time.
     Silent,
-    /// It was not asked: it wants nothing from this daemon now. That tells nothing of it.
+    /// It was not asked: it wants nothing from this daemon now. That shows nothing.
     NotAsked,
 }
 
 /// One instance as seen.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceObservation {
-    /// When its process started, in milliseconds since the Unix epoch; `None` if it doesn't tell.
+    /// When its process started, in milliseconds since the Unix epoch; `None` if it doesn't report that.
     pub started_ms: Option<u64>,
     /// When it last reported.
     pub reported_at: Millis,
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -67,7 +67,7 @@
 /// Bounds that a deployment's engines keep.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GroupingPolicy {
-    /// A group that lost a member stands still for this long, and is then broken.
+    /// A group that lost a member is stalled for this long, and is then broken.
     pub stall_ms: Millis,
     /// A member that leaves goes on listening for at least this long after its word was acknowledged; once it no longer
     /// listens, its group takes nothing new.
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -7,7 +7,7 @@
 use dockwood_state::{GatewayCommand, GroupPhase, GroupPurpose, GroupRow};
 use std::sync::Arc;
 
-/// A group that was seen to stand still, and whose head can't be asked, is taken for broken this long after its
+/// A group that was seen to be stalled, and whose head can't be asked, is taken for broken this long after its
 /// servers' own bound.
 const BROKEN_MARGIN_MS: Millis = 400;
 /// A group whose head can't be asked, and that nobody saw standing still, is given up only after this long: it may be
@@ -126,7 +126,7 @@
     let busy = view.observations.in_flight(group.epoch) > 0;
     let progressing = view.observations.progressed_within(view.now, group.epoch, PROGRESS_SPAN_MS);
     let is_head = group.is_headed_by(member);
-    // It ends without having told that it has closed.
+    // It ends without having reported that it has closed.
     if is_head && !busy && view.tables.was_removed(member) {
         return true;
     }
@@ -160,7 +160,7 @@
     let stood_still = view.observations.was_silent(group.epoch, closing_since);
     let patience = if stood_still { view.policy.stall_ms + BROKEN_MARGIN_MS } else { CUT_OFF_MS };
     if view.now >= closing_since + patience && !view.observations.is_present(view.now, head) {
-        return Some("the head has been silent for longer than a group can stand still");
+        return Some("the head has been silent for longer than a group can be stalled");
     }
     // Closed is not enough: an order to open that was left unanswered may still be carried out. A head that has left
     // can't be opened any more.
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -1,4 +1,4 @@
-//! What the control leader has seen of instances and groups; local to it, and gathered anew by each leader.
+//! What the control leader has seen of instances and groups; local to it, and gathered again by each leader.
 
 use crate::Millis;
 use crate::demand::Demand;
@@ -14,7 +14,7 @@
 
 /// An entry's load report counts for this long.
 const LOAD_VALID_MS: Millis = 1_500;
-/// A group's silence counts for this long after an entry last told of it.
+/// A group's silence counts for this long after an entry last reported it.
 const SILENCE_VALID_MS: Millis = 1_500;
 
 /// Who reports loads: an entry, or a dispatcher on one of its scopes.
@@ -39,7 +39,7 @@
     probed_at: Option<Millis>,
 }
 
-/// A group that showed progress to any entry this lately is at work, whatever others say. Longer than two of the
+/// A group that showed progress to any entry this recently is at work, whatever others report. Longer than two of the
 /// entries' reports are apart.
 const PROGRESS_VALID_MS: Millis = 250;
 
@@ -52,7 +52,7 @@
     /// Requests in flight by group, over all of `loads`.
     in_flight: BTreeMap<u64, u32>,
     groups: BTreeMap<u64, GroupEvidence>,
-    /// Groups that were found to stand still lately, as far as told; some may have moved on.
+    /// Groups that were recently reported as stalled; some may have moved on.
     silent: BTreeSet<u64>,
     demand: Demand,
     slowness: Slowness,
@@ -60,7 +60,7 @@
     limits: BTreeMap<String, RequestRate>,
     /// When an instance was first seen, for the newest one.
     pub newest_instance_at: Millis,
-    /// Whether any entry has told of a request yet.
+    /// Whether any entry has reported a request yet.
     pub traffic_seen: bool,
 }
 
@@ -98,7 +98,7 @@
         is_newer
     }
 
-    /// Notes that a server has started again under its id. What was seen of its former start tells nothing of it, but that
+    /// Notes that a server has started again under its id. What was seen of its former start shows nothing of it, but that
     /// it has left the group which held that start.
     pub fn begin_again(&mut self, instance: &str, started_ms: u64, former_group: Option<u64>) {
         let Some(seen) = self.instances.get_mut(instance) else { return };
@@ -178,7 +178,7 @@
         let is_taken = matches!(answer, OrderAnswer::Begun | OrderAnswer::Holds);
         let is_unfit = answer == OrderAnswer::Unfit;
         match &order.command {
-            // It takes effect at once, and fits whoever is a member.
+            // It takes effect at once, and fits any member.
             GroupCommand::Leave if is_taken || is_unfit => seen.left_epoch = order.epoch,
             GroupCommand::Join { .. } if answer == OrderAnswer::Silent => {
                 seen.unanswered_join = Some(UnansweredJoin { epoch: order.epoch, noted_at: now });
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Takes an entry's load, and tells it the others'. `is_witness` is false for an entry that shares its machine
+    /// Takes an entry's load, and returns the others'. `is_witness` is false for an entry that shares its machine
     /// with a member of the control group: what is cut off from control is cut off from it too, and may be reached
     /// by all other entries.
     pub fn exchange(&mut self, now: Millis, report: LoadReport, is_witness: bool) -> LoadDigest {
@@ -250,7 +250,7 @@
         LoadDigest { groups: self.in_flight.iter().map(shared).collect(), entries: self.loads.len() as u32 }
     }
 
-    /// Takes an observer's word that a group stands still.
+    /// Takes an observer's word that a group is stalled.
     pub fn note_silent(&mut self, now: Millis, epoch: u64) {
         self.groups.entry(epoch).or_default().silent_at = Some(now);
         self.silent.insert(epoch);
@@ -266,19 +266,19 @@
         self.instances.get(id)
     }
 
-    /// Whether this leader itself heard an instance lately.
+    /// Whether this leader itself received a report of an instance recently.
     pub fn was_heard(&self, now: Millis, id: &str) -> bool {
         self.is_present(now, id) && self.instances.get(id).is_some_and(|seen| seen.sequence > 0)
     }
 
-    /// Whether an instance is taken to take part: it reported lately, and no probe failed since.
+    /// Whether an instance is taken to take part: it reported recently, and no probe failed since.
     pub fn is_present(&self, now: Millis, id: &str) -> bool {
         self.instances.get(id).is_some_and(|seen| {
             seen.silent_since.is_none() && now < seen.reported_at + self.heartbeat.missing_after_ms()
         })
     }
 
-    /// Whether a group stood still at `since`, or later, when entries last told of it: none told of progress then or
+    /// Whether a group was stalled at `since`, or later, when entries last reported it: none reported progress then or
     /// since.
     pub fn was_silent(&self, epoch: u64, since: Millis) -> bool {
         let Some(evidence) = self.groups.get(&epoch) else { return false };
@@ -287,7 +287,7 @@
             && evidence.progressed_at.is_none_or(|at| at + PROGRESS_VALID_MS <= silent_at)
     }
 
-    /// Whether entries find a group to stand still.
+    /// Whether entries find a group stalled.
     pub fn is_silent(&self, now: Millis, epoch: u64) -> bool {
         let Some(evidence) = self.groups.get(&epoch) else { return false };
         let Some(silent_at) = evidence.silent_at else { return false };
@@ -295,18 +295,18 @@
         now < silent_at + SILENCE_VALID_MS && !progressed
     }
 
-    /// Groups that entries find to stand still.
+    /// Groups that entries find stalled.
     pub fn silent_groups(&mut self, now: Millis) -> Vec<u64> {
-        let told = std::mem::take(&mut self.silent);
-        let lately = |epoch: &u64| {
+        let reported = std::mem::take(&mut self.silent);
+        let is_recent = |epoch: &u64| {
             let silent_at = self.groups.get(epoch).and_then(|evidence| evidence.silent_at);
             silent_at.is_some_and(|at| now < at + SILENCE_VALID_MS)
         };
-        self.silent = told.into_iter().filter(lately).collect();
+        self.silent = reported.into_iter().filter(is_recent).collect();
         self.silent.iter().copied().filter(|epoch| self.is_silent(now, *epoch)).collect()
     }
 
-    /// Whether an entry told of progress at a group within `span`.
+    /// Whether an entry reported progress at a group within `span`.
     pub fn progressed_within(&self, now: Millis, epoch: u64, span: Millis) -> bool {
         let progressed_at = self.groups.get(&epoch).and_then(|evidence| evidence.progressed_at);
         progressed_at.is_some_and(|at| now < at + span)
@@ -319,11 +319,11 @@
 
     /// Groups that no entry sends anything to for long, as their heads asked for a long rest or said that they leave, and
     /// for how much longer, in milliseconds. Without one that any entry which uses it or holds it back sends to still:
-    /// each goes by what it was told itself.
+    /// each goes by the answers that it received itself.
     pub fn held_groups(&self, now: Millis) -> BTreeMap<u64, Millis> {
-        let told =
+        let reported =
             || self.loads.values().flat_map(|load| load.report.groups.iter().map(move |group| (load, group)));
-        let mut held: BTreeMap<u64, Millis> = told()
+        let mut held: BTreeMap<u64, Millis> = reported()
             .filter(|(_, group)| group.held_for_ms > 0)
             .map(|(_, group)| (group.epoch, Millis::MAX))
             .collect();
@@ -331,7 +331,7 @@
         if held.is_empty() {
             return held;
         }
-        for (load, group) in told() {
+        for (load, group) in reported() {
             if let Some(least) = held.get_mut(&group.epoch) {
                 *least = group.held_for_ms.saturating_sub(now.saturating_sub(load.at)).min(*least);
             }
@@ -373,7 +373,7 @@
         }
     }
 
-    /// Gives all instances the time for which the observer heard nobody.
+    /// Extends all instances by the time for which the observer received nothing.
     pub fn excuse(&mut self, now: Millis, late: Millis) {
         for seen in self.instances.values_mut() {
             seen.reported_at = now.min(seen.reported_at + late);
--- a/crates/grouping/src/plan.rs
+++ b/crates/grouping/src/plan.rs
@@ -63,7 +63,7 @@
             plan_service(view, service, engine, staging, &mut plan);
         }
     }
-    // Groups that serve come before spare servers: what is cut off here is planned anew next time.
+    // Groups that serve come before spare servers: what is cut off here is planned again next time.
     plan.commands.truncate(most_commands(view.tables.instances.len()));
     plan.staging.sort_by_key(|wish| wish.urgency);
     plan
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -367,7 +367,7 @@
     }
 }
 
-/// Phases only go forward: a group that was told to close never serves again.
+/// Phases only go forward: a group that was ordered to close never serves again.
 fn may_follow(from: GroupPhase, to: GroupPhase) -> bool {
     let rank = |phase| match phase {
         GroupPhase::Forming => 0,
--- a/crates/state/src/gateway/removed.rs
+++ b/crates/state/src/gateway/removed.rs
@@ -11,7 +11,7 @@
 #[serde(from = "Vector<String>", into = "Vector<String>")]
 pub(crate) struct RemovedInstances {
     ids: Vector<String>,
-    /// When each of them had started, in milliseconds since the Unix epoch, where it told: a later start of a server may
+    /// When each of them had started, in milliseconds since the Unix epoch, where it reported that: a later start of a server may
     /// use the same id. Stored beside the other tables.
     starts: OrdMap<String, Option<u64>>,
 }
@@ -48,10 +48,10 @@
         }
     }
 
-    /// The start of each instance that told it, for storing.
+    /// The known starts, for storing.
     pub fn starts(&self) -> Vec<(String, u64)> {
-        let told = |(id, started_ms): (&String, &Option<u64>)| Some((id.clone(), (*started_ms)?));
-        self.starts.iter().filter_map(told).collect()
+        let known = |(id, started_ms): (&String, &Option<u64>)| Some((id.clone(), (*started_ms)?));
+        self.starts.iter().filter_map(known).collect()
     }
 
     /// Takes the starts as they were stored.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -34,7 +34,7 @@
 /// The result of one command.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Applied {
-    /// For whoever proposed it.
+    /// For the proposer.
     pub outcome: Outcome,
     /// What changed, for watches and the time line.
     pub touched: Vec<ResourceKey>,
