--- a/crates/daemon/src/control/turn.rs
+++ b/crates/daemon/src/control/turn.rs
@@ -107,7 +107,7 @@
     work_seconds: [Histogram; Work::ALL.len()],
     spent: [Duration; Work::ALL.len()],
     daemon: String,
-    told_at: Option<Instant>,
+    logged_at: Option<Instant>,
     held_back: u64,
 }
 
@@ -120,7 +120,7 @@
             work_seconds: Work::ALL
                 .map(|work| metrics.control_work_seconds.with_label_values(&[work.name()])),
             spent: Default::default(),
-            told_at: None,
+            logged_at: None,
             held_back: 0,
         }
     }
@@ -144,11 +144,11 @@
     }
 
     fn log(&mut self, whole: Duration, spent: &[Duration; Work::ALL.len()]) {
-        if self.notified_at.is_some_and(|at| at.elapsed() < LINE_EVERY) {
+        if self.logged_at.is_some_and(|at| at.elapsed() < LINE_EVERY) {
             self.held_back += 1;
             return;
         }
-        self.notified_at = Some(Instant::now());
+        self.logged_at = Some(Instant::now());
         let work = Work::ALL.iter().zip(spent).filter(|(_, time)| time.as_millis() > 0);
         let work = work.map(|(work, time)| WorkTime { work: work.name(), took_ms: time.as_millis() as u64 });
         let line = SlowTurnLine {
