One default for the leader's leases, and no records copied for daemons that are known

Found on reading the change again: the default of leaderLeasesUpTo stood twice; the leader copied the record of each daemon that a voter reported, only to drop it as known; two ways to one refusal; commands that only older logs hold are said to be that. No behaviour changes; the assertions of state/tests/restarts.rs are as they were, their group is made in one place.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -14,7 +14,7 @@
 use crate::view::{ViewHead, control_view};
 use crate::voter_zones::{VoterShown, ZoneWatch};
 use dockwood_api::peer::{DelegatedRequest, LeaseRequest, Observation};
-use dockwood_state::{CommandBody, Tables};
+use dockwood_state::CommandBody;
 use std::collections::HashMap;
 
 /// Time between two runs of the controllers.
@@ -105,11 +105,10 @@
     }
 
     /// Notes that these daemons asked a voter, which grants them leases in this leader's name.
-    pub fn take_delegated(&mut self, now: Millis, tables: &Tables, requests: &[DelegatedRequest]) {
+    pub fn take_delegated(&mut self, now: Millis, requests: &[DelegatedRequest]) {
         for request in requests {
             self.answers.leases.extend_delegated(now, request);
-            let known = tables.daemons.get(&request.daemon).map(|row| &row.record);
-            if let Some(record) = request.record.as_ref().or(known) {
+            if let Some(record) = &request.record {
                 self.askers.note(record, request.incarnation);
             }
         }
--- a/crates/control/src/lease_proxy.rs
+++ b/crates/control/src/lease_proxy.rs
@@ -1,7 +1,6 @@
 //! A voter that grants leases in the leader's name.
 //!
-//! In a large fleet the leader can't answer each daemon's request by itself: that takes it a tenth of a millisecond each,
-//! twice a second. So daemons ask the other voters, which hold the same tables. A voter reports to the leader in one message
+//! In a large fleet answering each daemon's requests would take most of the leader's processor. So daemons ask the other voters, which hold the same tables. A voter reports to the leader in one message
 //! which daemons have asked, and answers them once the leader has taken note of them:
 //!
 //! - The leader counts a daemon's lease from the moment at which it took note, which is after the daemon sent its request,
--- a/crates/control/src/lease_requests.rs
+++ b/crates/control/src/lease_requests.rs
@@ -26,14 +26,14 @@
         let leader = self.leader_address();
         let (leads, delegates) = (self.leads(now), self.delegates());
         let is_voter = self.is_voter();
-        let Some(voter) = &mut self.voter else {
-            self.outputs.push(Output::LeaseReply(reply, LeaseAnswer::NotLeader { leader }));
-            return;
-        };
-        match &mut voter.leadership {
-            Some(leadership) if leads => leadership.take_lease_request(now.monotonic, request, reply),
-            None if delegates && is_voter && leader.is_some() && request.wants_commands => {
-                voter.proxy.take(now.monotonic, request, reply);
+        match &mut self.voter {
+            Some(VoterPart { leadership: Some(leadership), .. }) if leads => {
+                leadership.take_lease_request(now.monotonic, request, reply);
+            }
+            Some(VoterPart { leadership: None, proxy, .. })
+                if delegates && is_voter && leader.is_some() && request.wants_commands =>
+            {
+                proxy.take(now.monotonic, request, reply);
             }
             _ => self.outputs.push(Output::LeaseReply(reply, LeaseAnswer::NotLeader { leader })),
         }
@@ -53,7 +53,7 @@
         let leadership = self.voter.as_mut().and_then(|voter| voter.leadership.as_mut());
         let answer = match leadership.filter(|_| leads) {
             Some(leadership) => {
-                leadership.take_delegated(now.monotonic, &self.board.state.tables, requests);
+                leadership.take_delegated(now.monotonic, requests);
                 DelegationAnswer::Noted { term: leadership.term, revision, in_force_revision }
             }
             None => DelegationAnswer::NotLeader { leader },
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -46,7 +46,7 @@
 pub use gateway::{GatewayLeadership, InstanceProbe, ProbeQuestion};
 pub use hearing::{Hearing, PULSE_EVERY_MS};
 pub use leases::{FETCH_TIMEOUT_MS, HOLD_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LeaseTable, News};
-pub use node::{ControlNode, Options, voters_of};
+pub use node::{ControlNode, LEADER_LEASES_UP_TO, Options, voters_of};
 pub use zone_balance::{ZoneCounts, ZonesById};
 
 /// Monotonic time of this process, in milliseconds.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -20,6 +20,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Daemons up to which the leader answers all requests for leases itself, unless the settings say otherwise.
+pub const LEADER_LEASES_UP_TO: usize = 200;
+
 /// Parameters of a control node.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -42,7 +45,6 @@
 impl Default for Options {
     fn default() -> Self {
         const COMPACT_AFTER_ENTRIES: u64 = 2_000;
-        const LEADER_LEASES_UP_TO: usize = 200;
         Options {
             compact_after_entries: COMPACT_AFTER_ENTRIES,
             placement: PlacementPolicy::default(),
@@ -279,7 +281,7 @@
         self.voter.as_ref()?.leadership.as_ref()
     }
 
-    pub(crate) fn leadership_mut(&mut self) -> Option<&mut Leadership<R>> {
+    fn leadership_mut(&mut self) -> Option<&mut Leadership<R>> {
         self.voter.as_mut()?.leadership.as_mut()
     }
 
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -5,6 +5,7 @@
 use super::{OperatorRole, OperatorToken, SeedSettings, Settings, Voter};
 use dockwood_api::ResultCode;
 use dockwood_api::digest::secret_digest;
+use dockwood_control::LEADER_LEASES_UP_TO;
 use marked_yaml::{LoadError, Node};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -22,8 +23,6 @@
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 const DEFAULT_TRAFFIC_THREADS: u64 = 2;
 const DEFAULT_LOSSES_TOLERATED: u64 = 1;
-/// Requests of so many daemons take a leader some hundredths of a core.
-const DEFAULT_LEADER_LEASES_UP_TO: u64 = 200;
 const MOST_LOSSES_TOLERATED: u64 = 3;
 /// With more zones lost at once a majority would need five zones of members.
 const MOST_ZONE_LOSSES_TOLERATED: u64 = 1;
@@ -183,7 +182,7 @@
     let section = Section::new(node, "control", &known, problems)?;
     let seeds = read_seeds(&section, problems);
     let leader_leases =
-        section.number("leaderLeasesUpTo", DEFAULT_LEADER_LEASES_UP_TO, (0, 1_000_000), problems);
+        section.number("leaderLeasesUpTo", LEADER_LEASES_UP_TO as u64, (0, 1_000_000), problems);
     let voters_node = match section.optional("seeds") {
         Some(_) => section.optional("voters"),
         None => section.required("voters", problems),
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -22,14 +22,14 @@
 pub enum CommandBody {
     /// An operator's change of a resource.
     Change(ChangeRequest),
-    /// A daemon joins, or comes back after a restart.
+    /// A daemon joins, or comes back after a restart. In logs of earlier versions; [`CommandBody::UpdateDaemons`] now.
     JoinDaemon {
         /// Its record.
         record: DaemonRecord,
         /// Distinguishes restarts.
         incarnation: u64,
     },
-    /// A daemon's liveness changed.
+    /// A daemon's liveness changed. In logs of earlier versions; [`CommandBody::UpdateDaemons`] now.
     SetLiveness {
         /// Its name.
         daemon: String,
--- a/crates/state/tests/restarts.rs
+++ b/crates/state/tests/restarts.rs
@@ -14,17 +14,28 @@
     apply(state, GatewayCommand::Register(row))
 }
 
-#[test]
-fn a_server_that_starts_again_under_its_id_holds_nothing_of_before() {
+/// The row of "b", the second member of a group.
+fn member(started_ms: u64) -> InstanceRow {
+    InstanceRow { started_ms: Some(started_ms), ..row("b", 2) }
+}
+
+/// A group of "a" and "b" that serves.
+fn serving() -> State {
     let mut state = State::default();
     register_row(&mut state, started("a", 10));
-    register_row(&mut state, InstanceRow { address: row("b", 2).address, ..started("b", 10) });
+    register_row(&mut state, member(10));
     form(&mut state, &["a", "b"]);
     for phase in [GroupPhase::Opening, GroupPhase::Open] {
         apply(&mut state, GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
     }
+    state
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_id_holds_nothing_of_before() {
+    let mut state = serving();
     assert_eq!(state.tables.gateway.last_model("b"), Some("m"));
-    register_row(&mut state, InstanceRow { address: row("b", 2).address, ..started("b", 20) });
+    register_row(&mut state, member(20));
     let gateway = &state.tables.gateway;
     assert_eq!(gateway.groups[&1].phase, GroupPhase::Cutting, "its group has lost a member");
     assert_eq!(gateway.last_model("b"), None);
@@ -33,24 +44,18 @@
 
 #[test]
 fn daemons_that_route_learn_that_a_group_has_lost_a_member_that_started_again() {
-    let mut state = State::default();
-    register_row(&mut state, started("a", 10));
-    register_row(&mut state, InstanceRow { address: row("b", 2).address, ..started("b", 10) });
-    form(&mut state, &["a", "b"]);
-    for phase in [GroupPhase::Opening, GroupPhase::Open] {
-        apply(&mut state, GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
-    }
-    let again = GatewayCommand::Register(InstanceRow { address: row("b", 2).address, ..started("b", 20) });
+    let mut state = serving();
+    let again = GatewayCommand::Register(member(20));
     let command = Command { at_ms: 1, body: CommandBody::Gateway(again) };
     state.apply(&command);
-    let told = command.for_followers(&state.tables).map(|command| command.body);
+    let sent = command.for_followers(&state.tables).map(|command| command.body);
     let cutting = |body: &CommandBody| {
         matches!(
             body,
             CommandBody::Gateway(GatewayCommand::SetPhase { epoch: 1, phase: GroupPhase::Cutting, .. })
         )
     };
-    assert!(told.as_ref().is_some_and(cutting), "{told:?}");
+    assert!(sent.as_ref().is_some_and(cutting), "{sent:?}");
 }
 
 #[test]
