Log why a request was not written to the server selected for it

SendOutcome::NotSent is split into NotConnected and Withheld(reason); the line of the request names the reason, and dockwood_withheld_sends_total counts each. The checks before a write stood in plain.rs and in stream/sending.rs; both now call acquire_write_permit.

--- a/crates/daemon/src/gateway/evacuation.rs
+++ b/crates/daemon/src/gateway/evacuation.rs
@@ -7,7 +7,7 @@
 use crate::shared::Shared;
 use dockwood_api::gateway::InstanceState;
 use dockwood_api::{ApiError, ResultCode};
-use dockwood_routing::gateway::AllowedZones;
+use dockwood_routing::gateway::{AllowedZones, WithheldReason};
 use dockwood_state::{CommandBody, GatewayCommand, GatewayTables, GroupPhase, Outcome};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -61,15 +61,15 @@
     Ok(())
 }
 
-/// Returns whether a request may still be written to a server in a zone. The server was selected before the connection
-/// was established, and the zone may have been evacuated in the meantime.
-pub fn may_write(gateway: &Gateway, zone: &str) -> bool {
-    let is_evacuated = gateway.shared.tables().gateway.is_evacuated(zone);
-    if is_evacuated {
+/// Checks that a request may still be written to a server in a zone. The server was selected before the connection was
+/// established, and the zone may have been evacuated in the meantime.
+pub fn check_zone_and_lease(gateway: &Gateway, zone: &str) -> Result<(), WithheldReason> {
+    if gateway.shared.tables().gateway.is_evacuated(zone) {
         gateway.shared.metrics.kept_from_evacuated_zones.with_label_values(&["stopped"]).inc();
+        return Err(WithheldReason::ZoneEvacuated);
     }
     // A process that was suspended while it connected has outdated tables, but its lease has expired.
-    !is_evacuated && gateway.shared.holds_lease()
+    if gateway.shared.holds_lease() { Ok(()) } else { Err(WithheldReason::NoLease) }
 }
 
 /// Returns the result code for a request that no group accepts.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod stalls;
 mod stream;
 mod upstream;
+mod write_permit;
 
 pub use cold::ColdServers;
 pub use dispatchers::{DispatchMode, Dispatchers};
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -2,7 +2,6 @@
 
 use super::Gateway;
 use super::body::{ResponseBody, full_body, read_body};
-use super::evacuation::may_write;
 use super::headers::{ServerHeaders, add_server_headers, end_to_end};
 use super::receive::{ReceivedRequest, may_still_send};
 use super::request_log::RequestLog;
@@ -10,7 +9,8 @@
 use super::responses::{RETRY_SOON_MS, error_response};
 use super::server_selection::{SelectedServer, select_server};
 use super::upstream::Upstream;
-use crate::pushback::{SendPermit, SendPurpose, SendTarget, Unavailable};
+use super::write_permit::acquire_write_permit;
+use crate::pushback::{SendPermit, Unavailable};
 use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
@@ -18,7 +18,8 @@
 use dockwood_routing::{CallResult, Millis};
 use http_body_util::Full;
 use hyper::header::HeaderMap;
-use hyper::{Request, Response, StatusCode};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response, StatusCode, Uri};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -242,27 +243,19 @@
         let Ok(mut upstream) = self.gateway.pool.connection(selected.row.address, needs_new_connection).await
         else {
             selected.finish(CallResult::Failed);
-            return Err(SendOutcome::NotSent);
+            return Err(SendOutcome::NotConnected);
         };
-        let Some(request) = server_request(self.gateway, self.received, &selected.row.id, None) else {
-            return Err(SendOutcome::NotSent);
-        };
-        let (service, server) = (&self.received.service.name, &selected.row);
-        let purpose = SendPurpose::Request { rank: self.received.rank };
-        let permit = SendPermit::acquire(&self.gateway.shared, SendTarget::instance(server), purpose).await;
-        // No await between here and writing the request.
-        let metrics = &self.gateway.shared.metrics;
-        let is_valid =
-            self.gateway.cold.may_send(metrics, service, &server.id, server.is_cold, selected.valid_until);
-        let is_admitted = self.gate.may_write() && self.received.remaining_ms() > 0;
-        if permit.is_err() || !is_valid || !is_admitted {
-            // The server may be selected again: its connection is established now, and the hold will end.
-            self.tried.pop();
-        }
-        let permit = permit.ok().filter(|_| is_valid && is_admitted && may_write(self.gateway, &server.zone));
-        let Some(permit) = permit else {
-            self.gateway.pool.release(upstream);
-            return Err(SendOutcome::NotSent);
+        let request = server_request(self.gateway, self.received, &selected.row.id, None);
+        let permit =
+            acquire_write_permit(self.gateway, self.received, &self.gate, selected.selection()).await;
+        let permit = match permit {
+            Ok(permit) => permit,
+            Err(reason) => {
+                // The server may be selected again: its connection is established now, and the hold will end.
+                self.tried.pop();
+                self.gateway.pool.release(upstream);
+                return Err(SendOutcome::Withheld(reason));
+            }
         };
         self.in_flight = true;
         let response = self.exchange(&mut upstream, request, permit).await;
@@ -318,7 +311,7 @@
     received: &ReceivedRequest,
     instance: &str,
     last_event: Option<u64>,
-) -> Option<Request<Full<Bytes>>> {
+) -> Request<Full<Bytes>> {
     let mut headers = received.headers.clone();
     let values = ServerHeaders {
         deadline_ms: received.remaining_ms(),
@@ -328,10 +321,10 @@
         last_event,
     };
     add_server_headers(&mut headers, gateway.dialect.headers(), &values);
-    let path = received.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = received.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
     let mut request = Request::new(Full::new(received.body.clone()));
     *request.method_mut() = received.method.clone();
-    *request.uri_mut() = path.parse().ok()?;
+    *request.uri_mut() = Uri::from(path);
     *request.headers_mut() = headers;
-    Some(request)
+    request
 }
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -87,6 +87,7 @@
             at_ms: self.elapsed_ms(),
             chosen_by,
             ended: None,
+            withheld: None,
             status: None,
             retry_after_ms: None,
             leaving: false,
@@ -109,7 +110,10 @@
             self.gateway.shared.metrics.sends_server_ended.inc();
         }
         if let Some(last) = self.sends.last_mut().filter(|send| send.ended.is_none()) {
-            last.ended = Some(format!("{outcome:?}"));
+            (last.ended, last.withheld) = match outcome {
+                SendOutcome::Withheld(reason) => (Some("Withheld".to_string()), Some(reason.name())),
+                outcome => (Some(format!("{outcome:?}")), None),
+            };
         }
     }
 
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -3,9 +3,10 @@
 use super::Gateway;
 use super::receive::ReceivedRequest;
 use super::regions::no_server_in_zones_code;
+use super::write_permit::Selection;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
-use crate::pushback::{HeldServers, Unavailable, start_of};
+use crate::pushback::{HeldServers, SendTarget, Unavailable, start_of};
 use crate::suspects::SuspectGate;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
@@ -27,6 +28,16 @@
 }
 
 impl SelectedServer {
+    /// Returns what has to be checked before a request is written to the server.
+    pub fn selection(&self) -> Selection<'_> {
+        Selection {
+            target: SendTarget::instance(&self.row),
+            zone: &self.row.zone,
+            is_cold: self.row.is_cold,
+            valid_until: self.valid_until,
+        }
+    }
+
     /// Ends the selection with the result of the call.
     pub fn finish(mut self, result: CallResult) {
         self.result = Some(result);
--- a/crates/daemon/src/gateway/source.rs
+++ b/crates/daemon/src/gateway/source.rs
@@ -1,10 +1,9 @@
 //! The source of a stream: a place at a group, or a server of a plain service.
 
-use super::Gateway;
 use super::loads::GroupPlace;
 use super::server_selection::SelectedServer;
+use super::write_permit::Selection;
 use crate::log_line::ChosenBy;
-use crate::pushback::SendTarget;
 use std::net::SocketAddr;
 
 /// The source of a stream.
@@ -16,14 +15,17 @@
 }
 
 impl Source {
-    /// Returns whether a request may be written to it now. Must be called immediately before writing: the process may
-    /// have been suspended since the source was selected.
-    pub fn may_send(&self, gateway: &Gateway, service: &str) -> bool {
-        let (is_cold, valid_until) = match self {
-            Source::Group(place) => (place.is_cold, place.valid_until),
-            Source::Server(server) => (server.row.is_cold, server.valid_until),
-        };
-        gateway.cold.may_send(&gateway.shared.metrics, service, self.instance(), is_cold, valid_until)
+    /// Returns what has to be checked before a request is written to it.
+    pub fn selection(&self) -> Selection<'_> {
+        match self {
+            Source::Group(place) => Selection {
+                target: place.target.clone(),
+                zone: &place.zone,
+                is_cold: place.is_cold,
+                valid_until: place.valid_until,
+            },
+            Source::Server(server) => server.selection(),
+        }
     }
 
     /// Returns the address of the server that the request is sent to.
@@ -42,14 +44,6 @@
         }
     }
 
-    /// Returns the server as the target of a send permit.
-    pub fn target(&self) -> SendTarget {
-        match self {
-            Source::Group(place) => place.target.clone(),
-            Source::Server(server) => SendTarget::instance(&server.row),
-        }
-    }
-
     /// Returns the server's zone.
     pub fn zone(&self) -> &str {
         match self {
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -20,7 +20,9 @@
             if let Some(event) = self.next_event() {
                 return ReadResult::Event(self.forward(event));
             }
-            let Some(reading) = &mut self.reading else { return ReadResult::Broken(SendOutcome::NotSent) };
+            let Some(reading) = &mut self.reading else {
+                return ReadResult::Broken(SendOutcome::NotConnected);
+            };
             let frame = tokio::select! {
                 frame = reading.body.frame() => frame,
                 () = wait_for_stall(&self.gateway, &reading.source, last_progress, stall_timeout, &mut self.changes),
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -2,14 +2,14 @@
 
 use super::{Head, OpenStream, StreamRequest};
 use crate::gateway::body::{ResponseBody, full_body, read_body};
-use crate::gateway::evacuation::may_write;
 use crate::gateway::headers::end_to_end;
 use crate::gateway::plain::server_request;
 use crate::gateway::response_head::evaluate_head;
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{abandon_stalled, broken_connection_outcome, wait_for_stall};
 use crate::gateway::upstream::{ConnectFault, Upstream};
-use crate::pushback::{SendPermit, SendPurpose};
+use crate::gateway::write_permit::acquire_write_permit;
+use crate::pushback::SendPermit;
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
 use dockwood_routing::gateway::{EventSplitter, SendOutcome};
@@ -40,26 +40,22 @@
             Ok(upstream) => upstream,
             Err(fault) => {
                 self.record_unreachable(source, fault);
-                return Err(SendOutcome::NotSent);
+                return Err(SendOutcome::NotConnected);
             }
         };
         let resume_after = self.has_forwarded.then_some(self.last_event).flatten();
         let request = server_request(&self.gateway, &self.received, &instance, resume_after);
-        let Some(request) = request else { return Err(SendOutcome::NotSent) };
-        let purpose = SendPurpose::Request { rank: self.received.rank };
-        let permit = SendPermit::acquire(&self.gateway.shared, source.target(), purpose).await;
-        // No await between here and writing the request.
-        let is_valid = source.may_send(&self.gateway, &self.received.service.name);
-        let is_admitted = self.gate.may_write() && self.received.remaining_ms() > 0;
-        if permit.is_err() || !is_valid || !is_admitted {
-            // The source may be selected again: its connection is established now, and the hold will end.
-            self.tried_groups.retain(|tried| Some(*tried) != epoch);
-            self.tried_servers.retain(|tried| *tried != instance);
-        }
-        let may_write_now = is_valid && is_admitted && may_write(&self.gateway, source.zone());
-        let Some(permit) = permit.ok().filter(|_| may_write_now) else {
-            self.gateway.pool.release(upstream);
-            return Err(SendOutcome::NotSent);
+        let permit =
+            acquire_write_permit(&self.gateway, &self.received, &self.gate, source.selection()).await;
+        let permit = match permit {
+            Ok(permit) => permit,
+            Err(reason) => {
+                // The source may be selected again: its connection is established now, and the hold will end.
+                self.tried_groups.retain(|tried| Some(*tried) != epoch);
+                self.tried_servers.retain(|tried| *tried != instance);
+                self.gateway.pool.release(upstream);
+                return Err(SendOutcome::Withheld(reason));
+            }
         };
         let sent_at = Instant::now();
         self.last_progress = sent_at;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -239,6 +239,9 @@
     /// Outcome, if the attempt did not provide the answer.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ended: Option<String>,
+    /// Why the request was not written to the server, if it was not.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub withheld: Option<&'static str>,
     /// HTTP status of the server's response, if there was one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub status: Option<u16>,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -48,6 +48,8 @@
     pub servers_held_back: IntGaugeVec,
     /// Requests not sent to a server on hold, by result: stopped immediately before the write, delayed, or refused.
     pub held_back: IntCounterVec,
+    /// Requests of the gateway that were not written to the server selected for them, by reason.
+    pub withheld_sends: IntCounterVec,
     /// Requests for a turn at the servers for which this daemon is the limiter, by result.
     pub limit_turns: IntCounterVec,
     /// Steps in the handling of suspected poison requests, by step.
@@ -208,6 +210,11 @@
                 "Requests not sent to servers that rest, leave or are at their limit",
                 &["result"],
             )?,
+            withheld_sends: counters(
+                "dockwood_withheld_sends_total",
+                "Requests that were not written to the server selected for them",
+                &["reason"],
+            )?,
             suspect_steps: counters(
                 "dockwood_suspect_steps_total",
                 "Steps of requests under which servers may end",
--- a/crates/routing/src/gateway/attempts.rs
+++ b/crates/routing/src/gateway/attempts.rs
@@ -4,6 +4,7 @@
 //! did not run; the caller is told "not run" only if every send is known not to have run; no more servers can
 //! have run the request than the route allows.
 
+use crate::pushback::Hold;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Route;
 
@@ -11,7 +12,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum SendOutcome {
     /// No connection was established, so nothing was sent.
-    NotSent,
+    NotConnected,
+    /// The request was not written to the server that had been selected for it.
+    Withheld(WithheldReason),
     /// The server reported that it did not run the request.
     SaidNotRun,
     /// The request was sent, and its outcome is not known.
@@ -26,6 +29,50 @@
     Abandoned,
 }
 
+/// Why a request was not written to the server that had been selected for it. The selection was valid when it was made,
+/// and this became known while the connection was established or the permit was acquired.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum WithheldReason {
+    /// The server asked for a back-off, or it is shutting down.
+    OnHold,
+    /// The server's rate limit is used up.
+    AtLimit,
+    /// The selection has expired.
+    SelectionExpired,
+    /// The request is suspected of crashing servers, and may not be sent to this one now.
+    Suspect,
+    /// The zone of the server has been evacuated.
+    ZoneEvacuated,
+    /// This daemon has lost its lease.
+    NoLease,
+    /// The deadline of the request has passed.
+    DeadlinePassed,
+}
+
+impl WithheldReason {
+    /// The name of the reason in metrics and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            WithheldReason::OnHold => "onHold",
+            WithheldReason::AtLimit => "atLimit",
+            WithheldReason::SelectionExpired => "selectionExpired",
+            WithheldReason::Suspect => "suspect",
+            WithheldReason::ZoneEvacuated => "zoneEvacuated",
+            WithheldReason::NoLease => "noLease",
+            WithheldReason::DeadlinePassed => "deadlinePassed",
+        }
+    }
+}
+
+impl From<Hold> for WithheldReason {
+    fn from(hold: Hold) -> Self {
+        match hold {
+            Hold::AtLimit { .. } => WithheldReason::AtLimit,
+            Hold::Resting { .. } | Hold::Probing { .. } | Hold::Leaving => WithheldReason::OnHold,
+        }
+    }
+}
+
 /// What to do after a failed send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryDecision {
@@ -83,7 +130,7 @@
         self.attempts += 1;
         match outcome {
             // No server was reached, so this send does not count against the budget.
-            SendOutcome::NotSent => {}
+            SendOutcome::NotConnected | SendOutcome::Withheld(_) => {}
             SendOutcome::SaidNotRun => self.sends += 1,
             SendOutcome::Unknown
             | SendOutcome::ServerEnded
--- a/crates/routing/src/gateway/mod.rs
+++ b/crates/routing/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 mod route_table;
 mod stall_detection;
 
-pub use attempts::{GiveUp, RequestAttempts, RetryDecision, SendOutcome};
+pub use attempts::{GiveUp, RequestAttempts, RetryDecision, SendOutcome, WithheldReason};
 pub use budget::{SendBudget, SendBudgetLimits};
 pub use choice::{Candidate, choose};
 pub use entries::{Entry, entries_near};
--- a/crates/routing/tests/gateway.rs
+++ b/crates/routing/tests/gateway.rs
@@ -107,7 +107,7 @@
 }
 
 #[parameterized(
-    refused_connection = { SendOutcome::NotSent, true },
+    refused_connection = { SendOutcome::NotConnected, true },
     said_not_run = { SendOutcome::SaidNotRun, true },
     no_answer = { SendOutcome::Unknown, false },
     failed = { SendOutcome::Failed, false },
@@ -130,13 +130,13 @@
         let mut possible_executions = 0;
         for number in outcomes {
             let outcome = [
-                SendOutcome::NotSent,
+                SendOutcome::NotConnected,
                 SendOutcome::SaidNotRun,
                 SendOutcome::Unknown,
                 SendOutcome::Failed,
                 SendOutcome::Abandoned,
             ][number as usize];
-            possible_executions += u32::from(!matches!(outcome, SendOutcome::NotSent | SendOutcome::SaidNotRun));
+            possible_executions += u32::from(!matches!(outcome, SendOutcome::NotConnected | SendOutcome::SaidNotRun));
             match attempts.ended(outcome) {
                 RetryDecision::SendAgain => prop_assert!(possible_executions < max_executions),
                 RetryDecision::GiveUp(give_up) => {
