Withheld requests do not use up the attempts of a request

Cause: RequestAttempts allows six attempts and counted those in which nothing was written. A server whose limit becomes known between the selection and the permit withholds the request, so six such servers in a row used it up within milliseconds.

Fix: an attempt in which nothing was written has its own bound: once at each server without limit, as a server found at its limit is on hold afterwards and the search ends with the last one; six times at servers that withheld it before. A request whose deadline has passed is given up at once. A stream's time to wait for a place is no longer renewed by a withheld attempt, so that a request that can't be served is still refused after half of its target.

The same elsewhere: chat requests took one from the retry budget for each grant that had expired and each replica on hold, and service calls one of three attempts and one from the budget for each server on hold. Both now keep the same bound (WithheldSends).

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -110,6 +110,7 @@
                 return self.final_response(ResultCode::Overloaded);
             }
             self.tried.push(selected.row.id.clone());
+            self.attempts.begin(&selected.row.id);
             let outcome = match self.send(selected).await {
                 Ok(response) => return self.forward(response),
                 Err(outcome) => outcome,
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -77,6 +77,8 @@
     tried_servers: Vec<String>,
     /// Sources that were found to run other suspects, since the gate was last waited for.
     occupied: OccupiedSources,
+    /// Until when the request waits for a place; `None` if it has not waited since the last send.
+    place_wait_ends: Option<Instant>,
     gate: SuspectGate,
     changes: watch::Receiver<u64>,
     _in_flight: InFlight,
@@ -103,6 +105,7 @@
         last_event: received.last_event,
         gate: received.suspect_gate(&gateway.shared),
         occupied: OccupiedSources::default(),
+        place_wait_ends: None,
         changes: gateway.loads.watch_changes(),
         gateway: gateway.clone(),
         received,
@@ -178,6 +181,9 @@
     fn record_outcome(&mut self, outcome: SendOutcome) -> Result<(), GiveUp> {
         self.reading = None;
         self.request_log.record_outcome(outcome);
+        if !matches!(outcome, SendOutcome::Withheld(_)) {
+            self.place_wait_ends = None;
+        }
         if outcome == SendOutcome::ServerEnded {
             self.gate.server_ended();
         }
--- a/crates/daemon/src/gateway/stream/selection.rs
+++ b/crates/daemon/src/gateway/stream/selection.rs
@@ -118,9 +118,11 @@
             }
         }
         let since = Instant::now();
+        let max_wait = Duration::from_millis(target_ms * PLACE_WAIT_PERCENT / 100);
+        let wait_ends = *self.place_wait_ends.get_or_insert(since + max_wait);
         // Groups that run other suspects are not waited for here, but in the gate, which limits that wait.
-        let wait_ms = if self.occupied.is_empty() { target_ms * PLACE_WAIT_PERCENT / 100 } else { 0 };
-        let place = wait_for_place(&self.gateway, query, since + Duration::from_millis(wait_ms)).await;
+        let wait_ends = if self.occupied.is_empty() { wait_ends } else { since };
+        let place = wait_for_place(&self.gateway, query, wait_ends).await;
         self.request_log.add_wait(since);
         place.map(Source::Group)
     }
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -34,6 +34,7 @@
             Some(epoch) => self.tried_groups.push(epoch),
             None => self.tried_servers.push(instance.clone()),
         }
+        self.attempts.begin(&instance);
         self.request_log.record_send(&instance, epoch, source.chosen_by());
         let needs_new_connection = !self.received.route.is_repeatable();
         let mut upstream = match self.gateway.pool.connection(source.address(), needs_new_connection).await {
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -10,7 +10,7 @@
 use crate::traffic::slots::HeldSlot;
 use dockwood_api::ResultCode;
 use dockwood_api::peer::AcquireRequest;
-use dockwood_routing::{Millis, prefix_blocks};
+use dockwood_routing::{Millis, WithheldSends, prefix_blocks};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -80,9 +80,10 @@
     }
 
     pub(super) async fn run_to_end(&mut self) -> Result<CompletionStats, Failure> {
-        let mut last_reason = "";
-        for attempt in 0_u32.. {
-            if attempt > 0 && !self.traffic.try_retry(last_reason) {
+        let mut retry_reason: Option<&str> = None;
+        let mut withheld = WithheldSends::default();
+        loop {
+            if retry_reason.take().is_some_and(|reason| !self.traffic.try_retry(reason)) {
                 return Err(self.final_failure("the retry budget is used up"));
             }
             let mut slot = self.acquire_admitted_slot().await?;
@@ -111,7 +112,11 @@
                     self.gate.answered();
                     return Ok(self.completion_stats());
                 }
-                AttemptResult::Retryable(reason) => last_reason = reason,
+                AttemptResult::Retryable(reason) => retry_reason = Some(reason),
+                AttemptResult::Withheld if withheld.record(&slot.grant.replica) => {}
+                AttemptResult::Withheld => {
+                    return Err(self.final_failure("no replica accepted the request in time"));
+                }
                 AttemptResult::CallerDisconnected => {
                     cancel_request(&self.traffic.http, slot.grant.head, &self.job.engine_id()).await;
                     return Err(Failure::new(ResultCode::Interrupted, "the caller left"));
@@ -123,7 +128,6 @@
                 AttemptResult::Unknown | AttemptResult::Broken => return Err(outcome_unknown()),
             }
         }
-        Err(outcome_unknown())
     }
 
     pub(super) fn completion_stats(&self) -> CompletionStats {
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -25,6 +25,8 @@
     /// The request was not run beyond the forwarded tokens, and will not be: it may be sent to another replica. Carries
     /// the reason, for metrics.
     Retryable(&'static str),
+    /// The request was not written to the replica: its grant had expired, or its head is on hold.
+    Withheld,
     /// The stream failed; the state of the request at the engine is unknown.
     Broken,
     /// The caller has disconnected, and the answer is not needed otherwise.
@@ -58,10 +60,10 @@
         // valid.
         let may_write = slot.is_grant_valid() && self.gate.may_write();
         if !may_write || !self.traffic.shared.may_dispatch(&self.pool()) {
-            return AttemptResult::Retryable("stale-grant");
+            return AttemptResult::Withheld;
         }
         let Ok(permit) = permit else {
-            return AttemptResult::Retryable("held-back");
+            return AttemptResult::Withheld;
         };
         let request = self.generate_request(slot);
         match EngineStream::open(&self.traffic.http, slot.grant.head, &request, permit).await {
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -13,7 +13,7 @@
 use dockwood_api::engine::HEADER_NOT_RUN;
 use dockwood_api::peer::RequestRecord;
 use dockwood_api::resource::{ServiceServer, ServiceSpec};
-use dockwood_routing::{BackendPicker, CallResult};
+use dockwood_routing::{BackendPicker, CallResult, WithheldSends};
 use dockwood_state::SuspectAttempt;
 use rand::RngExt;
 use reqwest::header::HeaderMap;
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Maximum number of attempts for a repeatable call.
+/// Maximum number of attempts for a repeatable call, not counting those in which nothing was written.
 const MAX_ATTEMPTS: u32 = 3;
 /// Time limit for the response head of a server.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -178,8 +178,10 @@
 
 /// Why an attempt yielded no response to return.
 enum AttemptFailure {
+    /// The call was not written to the server: it is on hold, or the call is suspected of crashing servers.
+    Withheld,
     /// The server could not be reached: it did not receive the call.
-    NotSent,
+    NotConnected,
     /// The server responded that it did not run the call. Its response is returned if no other server accepts the call.
     Rejected(Box<ResponseWithGuard>),
     /// The server may have run the call.
@@ -202,7 +204,9 @@
     let request_id = record_key.unwrap_or_default();
     let mut body = Some(body);
     let mut may_have_run = false;
-    for attempt in 0..MAX_ATTEMPTS {
+    let mut withheld = WithheldSends::default();
+    let mut attempts = 0;
+    loop {
         let (server, guard) = pick_admitted_server(traffic, &service, &spec, &mut gate, may_have_run).await?;
         let Some((sent, retry_body)) = body.take().map(ServiceBody::into_send_body) else { break };
         body = retry_body;
@@ -214,12 +218,13 @@
             Ok(permit) if gate.as_ref().is_none_or(SuspectGate::may_write) => {
                 send_call(sending, guard, permit, &request_id).await
             }
-            _ => Err(AttemptFailure::NotSent),
+            _ => Err(AttemptFailure::Withheld),
         };
         let mut rejection = None;
         match result {
             Ok((response, guard)) => return Ok(ServiceResponse { response, gate, _guard: guard }),
-            Err(AttemptFailure::NotSent) => {}
+            Err(AttemptFailure::Withheld) if withheld.record(&server.name) && body.is_some() => continue,
+            Err(AttemptFailure::Withheld | AttemptFailure::NotConnected) => {}
             Err(AttemptFailure::Rejected(rejected_response)) => rejection = Some(rejected_response),
             Err(AttemptFailure::MayHaveRun) => {
                 may_have_run = true;
@@ -228,8 +233,9 @@
                 }
             }
         }
+        attempts += 1;
         let may_retry = !may_have_run || repeatable;
-        let is_last = attempt + 1 == MAX_ATTEMPTS;
+        let is_last = attempts == MAX_ATTEMPTS;
         if !may_retry || is_last || body.is_none() || !traffic.try_retry("service") {
             if let Some((response, guard)) = rejection.map(|rejected_response| *rejected_response) {
                 return Ok(ServiceResponse { response, gate, _guard: guard });
@@ -319,7 +325,7 @@
             }
             Ok((response, guard))
         }
-        Ok(Err(error)) if error.is_connect() => Err(AttemptFailure::NotSent),
+        Ok(Err(error)) if error.is_connect() => Err(AttemptFailure::NotConnected),
         _ => Err(AttemptFailure::MayHaveRun),
     }
 }
--- a/crates/routing/src/gateway/attempts.rs
+++ b/crates/routing/src/gateway/attempts.rs
@@ -4,6 +4,7 @@
 //! did not run; the caller is told "not run" only if every send is known not to have run; no more servers can
 //! have run the request than the route allows.
 
+use crate::WithheldSends;
 use crate::pushback::Hold;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Route;
@@ -99,10 +100,13 @@
     possible_executions: u32,
     sends: u32,
     attempts: u32,
+    /// The server that the current attempt selected.
+    server: String,
+    withheld: WithheldSends,
 }
 
-/// Maximum number of attempts. Attempts that were refused or never reached a server count too, because each
-/// takes time.
+/// Maximum number of attempts that were refused, failed or found no connection: each takes time. Attempts that were
+/// withheld have a limit of their own.
 const MAX_ATTEMPTS: u32 = 6;
 
 impl RequestAttempts {
@@ -110,7 +114,15 @@
     pub fn new(route: &Route) -> Self {
         let repeatable = route.is_repeatable();
         let max_executions = if repeatable { route.max_attempts.max(1) } else { 1 };
-        RequestAttempts { repeatable, max_executions, possible_executions: 0, sends: 0, attempts: 0 }
+        RequestAttempts {
+            repeatable,
+            max_executions,
+            possible_executions: 0,
+            sends: 0,
+            attempts: 0,
+            server: String::new(),
+            withheld: WithheldSends::default(),
+        }
     }
 
     /// Whether the next send is a retry, which the retry budget must allow.
@@ -125,8 +137,16 @@
             && self.attempts + 1 < MAX_ATTEMPTS
     }
 
+    /// Records that an attempt begins at a server.
+    pub fn begin(&mut self, server: &str) {
+        server.clone_into(&mut self.server);
+    }
+
     /// Records the end of a send and returns what to do next.
     pub fn ended(&mut self, outcome: SendOutcome) -> RetryDecision {
+        if let SendOutcome::Withheld(reason) = outcome {
+            return self.withheld(reason);
+        }
         self.attempts += 1;
         match outcome {
             // No server was reached, so this send does not count against the budget.
@@ -149,6 +169,17 @@
         RetryDecision::SendAgain
     }
 
+    /// Decides after an attempt in which nothing was written: another server may accept the request now.
+    fn withheld(&mut self, reason: WithheldReason) -> RetryDecision {
+        if reason == WithheldReason::DeadlinePassed {
+            return RetryDecision::GiveUp(self.out_of_time(false));
+        }
+        match self.withheld.record(&self.server) {
+            true => RetryDecision::SendAgain,
+            false => RetryDecision::GiveUp(self.give_up()),
+        }
+    }
+
     /// The result for the caller if the request is not sent again.
     pub fn give_up(&self) -> GiveUp {
         if self.possible_executions == 0 {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pushback;
 mod retry;
 mod service;
+mod withheld;
 
 pub use choice::{Candidate, ChoicePolicy, choose};
 pub use coordinator::{
@@ -24,6 +25,7 @@
 pub use prefix::{PREFIX_BLOCK_BYTES, PrefixIndex, prefix_blocks};
 pub use retry::RetryBudget;
 pub use service::{BackendPicker, BackendState, CallResult};
+pub use withheld::WithheldSends;
 
 /// Monotonic time of this process, in milliseconds.
 pub type Millis = u64;
--- a/crates/routing/tests/gateway.rs
+++ b/crates/routing/tests/gateway.rs
@@ -3,35 +3,18 @@
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{
     EngineProfile, GatewayConfiguration, ModelProfile, Route, RouteKind, ServiceProfile, TenantKeys,
-    WeightedService,
 };
 use dockwood_routing::gateway::{
     AllowedRegions, Candidate, EventSplitter, KeyVerdict, ObservedLatency, RequestAttempts, RetryDecision,
-    RouteTable, SendBudget, SendBudgetLimits, SendOutcome, StallTimeout, StallTimeouts, choose,
+    RouteTable, SendBudget, SendBudgetLimits, SendOutcome, StallTimeout, StallTimeouts, WithheldReason,
+    choose,
 };
 use proptest::prelude::*;
 use yare::parameterized;
 
-fn route(name: &str, prefix: &str, kind: RouteKind) -> Route {
-    Route {
-        name: name.to_string(),
-        host: "Host.Example".to_string(),
-        path_prefix: prefix.to_string(),
-        kind,
-        services: vec![
-            WeightedService { service: "s".to_string(), weight: 9 },
-            WeightedService { service: "t".to_string(), weight: 1 },
-        ],
-        timeout_ms: 1_000,
-        target_latency_ms: 100,
-        target_gap_ms: 0,
-        max_attempts: 2,
-        priority: 1,
-        anonymous: false,
-        resumable: false,
-        allowed_regions: Vec::new(),
-    }
-}
+mod common;
+
+use common::route;
 
 fn table() -> RouteTable {
     let service = |name: &str| ServiceProfile {
@@ -122,7 +105,7 @@
     /// For any sequence of outcomes, no more servers can have run the request than allowed, and "not run" is
     /// reported only if none can have run it.
     #[test]
-    fn retry_decisions_keep_the_execution_limit_and_report_not_run_correctly(outcomes in prop::collection::vec(0_u8..5, 1..12), kind in 0_u8..3, resumable: bool) {
+    fn retry_decisions_keep_the_execution_limit_and_report_not_run_correctly(outcomes in prop::collection::vec(0_u8..6, 1..12), kind in 0_u8..3, resumable: bool) {
         let kinds = [RouteKind::Repeatable, RouteKind::AtMostOnce, RouteKind::Stream];
         let route = Route { resumable, ..route("r", "/a/", kinds[kind as usize]) };
         let max_executions = if route.is_repeatable() { route.max_attempts } else { 1 };
@@ -135,8 +118,11 @@
                 SendOutcome::Unknown,
                 SendOutcome::Failed,
                 SendOutcome::Abandoned,
+                SendOutcome::Withheld(WithheldReason::OnHold),
             ][number as usize];
-            possible_executions += u32::from(!matches!(outcome, SendOutcome::NotConnected | SendOutcome::SaidNotRun));
+            let did_not_run =
+                matches!(outcome, SendOutcome::NotConnected | SendOutcome::SaidNotRun | SendOutcome::Withheld(_));
+            possible_executions += u32::from(!did_not_run);
             match attempts.ended(outcome) {
                 RetryDecision::SendAgain => prop_assert!(possible_executions < max_executions),
                 RetryDecision::GiveUp(give_up) => {
