Log what the check of a server's process found after a connection to it broke

The check stood three times (has_ended, ConnectionPool::process_has_ended, broken_connection_outcome) and was used on six paths; it is now one function, called by SuspectGate::connection_broke, which all paths use. Each check is counted by its finding (dockwood_process_checks_total), and an unclear break has a line with the finding and the time since the break. The connection of the check is no longer kept for reuse.

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -20,6 +20,7 @@
 use hyper::header::HeaderMap;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -116,9 +117,6 @@
                 Err(outcome) => outcome,
             };
             self.request_log.record_outcome(outcome);
-            if outcome == SendOutcome::ServerEnded {
-                self.gate.server_ended();
-            }
             if let RetryDecision::GiveUp(result) = self.attempts.ended(outcome) {
                 return match self.last_error.take() {
                     Some(last_error) => self.forward(last_error),
@@ -282,20 +280,27 @@
         request: Request<Full<Bytes>>,
         mut permit: SendPermit,
     ) -> Result<ServerResponse, SendOutcome> {
-        let pool = &self.gateway.pool;
         let address = upstream.address();
         let Ok(response) = upstream.send(request, &permit).await else {
-            return Err(pool.broken_connection_outcome(address).await);
+            return Err(self.broken_connection_outcome(address).await);
         };
         let head = evaluate_head(self.gateway, self.received, &mut self.request_log, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
         let Ok(body) = read_body(body, MAX_RESPONSE_BYTES).await else {
-            return Err(pool.broken_connection_outcome(address).await);
+            return Err(self.broken_connection_outcome(address).await);
         };
         Ok(ServerResponse { status: parts.status, headers: end_to_end(&parts.headers), body })
     }
 
+    /// Returns the outcome of a send whose connection broke while the server had the request.
+    async fn broken_connection_outcome(&mut self, address: SocketAddr) -> SendOutcome {
+        match self.gate.connection_broke(address).await {
+            true => SendOutcome::ServerEnded,
+            false => SendOutcome::Unknown,
+        }
+    }
+
     /// Treats a server error as a failed send if the request may be sent to another server.
     fn check_server_error(&mut self, response: ServerResponse) -> Result<ServerResponse, SendOutcome> {
         if response.status.is_server_error() && self.attempts.may_move() {
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use super::source::Source;
+use crate::suspects::SuspectGate;
 use dockwood_routing::gateway::{SendOutcome, StallTimeout};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -22,12 +23,18 @@
 
 /// Returns the outcome of a send whose connection broke. A group whose head process is gone is avoided from now on, and
 /// the control leader is told that the head refuses connections.
-pub async fn broken_connection_outcome(gateway: &Gateway, source: &Source) -> SendOutcome {
-    let outcome = gateway.pool.broken_connection_outcome(source.address()).await;
-    if let (SendOutcome::ServerEnded, Source::Group(place)) = (outcome, source) {
+pub async fn broken_connection_outcome(
+    gateway: &Gateway,
+    gate: &mut SuspectGate,
+    source: &Source,
+) -> SendOutcome {
+    if !gate.connection_broke(source.address()).await {
+        return SendOutcome::Unknown;
+    }
+    if let Source::Group(place) = source {
         gateway.loads.suspect_group(place.epoch, true);
     }
-    outcome
+    SendOutcome::ServerEnded
 }
 
 /// Completes once the source counts as stalled; it has sent nothing since `since`. After the suspicion timeout, the
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -184,9 +184,6 @@
         if !matches!(outcome, SendOutcome::Withheld(_)) {
             self.place_wait_ends = None;
         }
-        if outcome == SendOutcome::ServerEnded {
-            self.gate.server_ended();
-        }
         match self.attempts.ended(outcome) {
             RetryDecision::SendAgain => Ok(()),
             RetryDecision::GiveUp(result) => Err(result),
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -42,7 +42,7 @@
                 None if reading.splitter.is_clean() => return self.complete(),
                 Some(Err(_)) | None => {
                     return ReadResult::Broken(
-                        broken_connection_outcome(&self.gateway, &reading.source).await,
+                        broken_connection_outcome(&self.gateway, &mut self.gate, &reading.source).await,
                     );
                 }
             }
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -64,7 +64,7 @@
         let response = tokio::select! {
             response = upstream.send(request, &permit) => match response {
                 Ok(response) => Ok(response),
-                Err(_) => Err(broken_connection_outcome(&self.gateway, &source).await),
+                Err(_) => Err(broken_connection_outcome(&self.gateway, &mut self.gate, &source).await),
             },
             () = wait_for_stall(&self.gateway, &source, sent_at, self.stall_timeout(), &mut self.changes),
                 if self.attempts.may_move() => Err(abandon_stalled(&self.gateway, &source)),
@@ -104,7 +104,7 @@
             return Ok(None);
         }
         let Ok(body) = read_body(body, MAX_RESPONSE_BYTES).await else {
-            return Err(broken_connection_outcome(&self.gateway, &source).await);
+            return Err(broken_connection_outcome(&self.gateway, &mut self.gate, &source).await);
         };
         if parts.status.is_server_error() && self.attempts.may_move() {
             return Err(SendOutcome::Failed);
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -6,9 +6,8 @@
 
 use crate::lock::lock;
 use crate::pushback::SendPermit;
-use crate::suspects::{CHECK_LIMIT, is_refusal};
+use crate::suspects::is_refusal;
 use bytes::Bytes;
-use dockwood_routing::gateway::SendOutcome;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -109,25 +108,6 @@
         }
     }
 
-    /// Returns whether the server process at an address has ended, which is the case if its machine refuses
-    /// connections. This does not happen with a network partition, a machine without power, a slow server, or one that
-    /// only closed a connection. If a connection is established, it is kept in the pool.
-    pub async fn process_has_ended(&self, address: SocketAddr) -> bool {
-        match tokio::time::timeout(CHECK_LIMIT, Upstream::connect(address)).await {
-            Ok(Ok(upstream)) => {
-                self.release(upstream);
-                false
-            }
-            Ok(Err(fault)) => fault == ConnectFault::Refused,
-            Err(_) => false,
-        }
-    }
-
-    /// Returns the outcome of a send whose connection broke while the server had the request.
-    pub async fn broken_connection_outcome(&self, address: SocketAddr) -> SendOutcome {
-        if self.process_has_ended(address).await { SendOutcome::ServerEnded } else { SendOutcome::Unknown }
-    }
-
     fn take(&self, address: SocketAddr) -> Option<Upstream> {
         let mut pool = lock(&self.idle);
         let connections = pool.get_mut(&address)?;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -88,6 +88,8 @@
 pub enum SuspectStep {
     /// A server crashed while it ran the request.
     Suspected,
+    /// The connection to a server broke while it had the request, and the server is not known to have crashed.
+    Unclear,
     /// The request is on trial at a server.
     Tried,
     /// The request was answered completely.
@@ -101,6 +103,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             SuspectStep::Suspected => "suspected",
+            SuspectStep::Unclear => "unclear",
             SuspectStep::Tried => "tried",
             SuspectStep::Cleared => "cleared",
             SuspectStep::Refused => "refused",
@@ -112,6 +115,7 @@
     pub const fn code(self) -> ResultCode {
         match self {
             SuspectStep::Suspected => ResultCode::Interrupted,
+            SuspectStep::Unclear => ResultCode::OutcomeUnknown,
             SuspectStep::Tried => ResultCode::TrialUnderWay,
             SuspectStep::Cleared => ResultCode::Ok,
             SuspectStep::Refused => ResultCode::RequestQuarantined,
@@ -137,6 +141,12 @@
     pub zone: Option<&'a str>,
     /// Servers that crashed while they ran the request, according to the replicated log as applied here.
     pub servers: Vec<&'a str>,
+    /// What a connection attempt to that server found after the connection broke: `refused`, `connected` or `unreachable`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub check_found: Option<&'static str>,
+    /// Time between the break and this finding, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub check_after_ms: Option<u64>,
     /// Age of the newest of these crashes, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub evidence_age_ms: Option<u64>,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -40,6 +40,8 @@
     pub retries: IntCounterVec,
     /// Retries refused by the retry budget.
     pub retries_refused: IntCounter,
+    /// Checks of a server's process after a connection to it broke, by finding.
+    pub process_checks: IntCounterVec,
     /// Sends that failed because the process of the server ended.
     pub sends_server_ended: IntCounter,
     /// Responses with a pushback signal, by signal: back-off, shutdown, rate limit or unreadable.
@@ -186,6 +188,11 @@
             in_flight: gauge("dockwood_in_flight", "Requests in flight at this entry")?,
             retries: counters("dockwood_retries_total", "Retries", &["reason"])?,
             retries_refused: counter("dockwood_retries_refused_total", "Retries refused by the budget")?,
+            process_checks: counters(
+                "dockwood_process_checks_total",
+                "Checks whether a server's process has exited, after a connection to it broke",
+                &["found"],
+            )?,
             sends_server_ended: counter(
                 "dockwood_sends_server_ended_total",
                 "Sends that ended with the process of their server",
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -1,5 +1,6 @@
 //! Admission control of one request that may be a suspect, and the evidence gained from sending it.
 
+use super::process_check::{ProcessCheck, check_process};
 use super::reporting::CrashedAttempt;
 use super::trial::{Trial, TrialDecision};
 use crate::clock::{monotonic_ms, wall_ms};
@@ -13,6 +14,7 @@
 use dockwood_routing::gateway::AllowedZones;
 use dockwood_state::{CommandBody, GatewayCommand, SuspectAttempt, SuspicionStatus};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -47,6 +49,15 @@
     zone: String,
 }
 
+/// What the check of a server's process found after a connection to it broke.
+#[derive(Clone, Copy, Debug)]
+struct CheckFinding {
+    /// Name of the finding.
+    found: &'static str,
+    /// Time since the connection broke.
+    after: Duration,
+}
+
 /// Admission control of one request.
 pub struct SuspectGate {
     shared: Arc<Shared>,
@@ -173,15 +184,31 @@
         }
     }
 
+    /// Checks, after the connection to the server at `address` broke while it had the request, whether the server has
+    /// crashed. If so, the crash is recorded as evidence against the request.
+    pub async fn connection_broke(&mut self, address: SocketAddr) -> bool {
+        let broke_at = Instant::now();
+        let check = check_process(address).await;
+        let finding = CheckFinding { found: check.name(), after: broke_at.elapsed() };
+        self.shared.metrics.process_checks.with_label_values(&[finding.found]).inc();
+        match check {
+            ProcessCheck::Exited => self.server_ended(finding),
+            ProcessCheck::Connected | ProcessCheck::Unreachable => {
+                self.log_check(SuspectStep::Unclear, Some(finding));
+            }
+        }
+        matches!(check, ProcessCheck::Exited)
+    }
+
     /// Records that the server running the request has crashed.
-    pub fn server_ended(&mut self) {
+    fn server_ended(&mut self, finding: CheckFinding) {
         let Some(SelectedServer { instance, zone }) = self.server.clone() else { return };
         self.shared.suspects.unreported_crashes.record(CrashedAttempt {
             instance,
             zone,
             attempt: self.attempt.clone(),
         });
-        self.log_step(SuspectStep::Suspected);
+        self.log_check(SuspectStep::Suspected, Some(finding));
         self.server = None;
         if let Some(trial) = self.trial.take() {
             trial.mark_resolved();
@@ -215,6 +242,11 @@
 
     /// Counts and logs a step.
     fn log_step(&self, step: SuspectStep) {
+        self.log_check(step, None);
+    }
+
+    /// The same, with the finding of the process check that led to the step.
+    fn log_check(&self, step: SuspectStep, finding: Option<CheckFinding>) {
         let shared = &self.shared;
         shared.metrics.suspect_steps.with_label_values(&[step.name()]).inc();
         let held_back = lock(&shared.suspects.line_budget).take(monotonic_ms(), step.code());
@@ -236,6 +268,8 @@
             instance: self.server.as_ref().map(|server| server.instance.as_str()),
             zone: self.server.as_ref().map(|server| server.zone.as_str()),
             servers,
+            check_found: finding.map(|finding| finding.found),
+            check_after_ms: finding.map(|finding| finding.after.as_millis() as u64),
             evidence_age_ms: newest.map(|at_ms| wall_ms().saturating_sub(at_ms)),
             held_back,
         };
--- a/crates/daemon/src/suspects/process_check.rs
+++ b/crates/daemon/src/suspects/process_check.rs
@@ -16,7 +16,7 @@
     /// Its machine refuses the connection: no process listens at the address.
     Exited,
     /// The connection was established. The process may be running, or it has not closed its listening socket yet.
-    Connected(TcpStream),
+    Connected,
     /// There was no response, or another failure: a network partition, a machine without power or a slow server.
     Unreachable,
 }
@@ -26,7 +26,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             ProcessCheck::Exited => "refused",
-            ProcessCheck::Connected(_) => "connected",
+            ProcessCheck::Connected => "connected",
             ProcessCheck::Unreachable => "unreachable",
         }
     }
@@ -40,7 +40,7 @@
 /// Checks the process at an address by a connection attempt.
 pub async fn check_process(address: SocketAddr) -> ProcessCheck {
     match tokio::time::timeout(CHECK_LIMIT, TcpStream::connect(address)).await {
-        Ok(Ok(connection)) => ProcessCheck::Connected(connection),
+        Ok(Ok(_)) => ProcessCheck::Connected,
         Ok(Err(error)) if is_refusal(&error) => ProcessCheck::Exited,
         Ok(Err(_)) | Err(_) => ProcessCheck::Unreachable,
     }
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -4,7 +4,7 @@
 use super::stream::AttemptResult;
 use super::{ChatEvent, ChatJob, CompletionStats, Failure, outcome_unknown};
 use crate::clock::monotonic_ms;
-use crate::suspects::{SuspectGate, has_ended};
+use crate::suspects::SuspectGate;
 use crate::traffic::Traffic;
 use crate::traffic::engine_stream::cancel_request;
 use crate::traffic::slots::HeldSlot;
@@ -92,8 +92,8 @@
                 return Err(failure);
             }
             let result = self.attempt(&mut slot).await;
-            if matches!(result, AttemptResult::Broken) && has_ended(slot.grant.head).await {
-                self.gate.server_ended();
+            if matches!(result, AttemptResult::Broken) {
+                self.gate.connection_broke(slot.grant.head).await;
             }
             let result = match result {
                 AttemptResult::Broken if self.job.repeatable => {
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -6,7 +6,7 @@
 use crate::lock::lock;
 use crate::native_dialect::NATIVE_SIGNALS;
 use crate::pushback::{SendPermit, SendPurpose, SendTarget, signals_of};
-use crate::suspects::{Admission, SuspectGate, has_ended};
+use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
@@ -228,8 +228,8 @@
             Err(AttemptFailure::Rejected(rejected_response)) => rejection = Some(rejected_response),
             Err(AttemptFailure::MayHaveRun) => {
                 may_have_run = true;
-                if has_ended(server.address).await {
-                    gate.iter_mut().for_each(SuspectGate::server_ended);
+                if let Some(gate) = &mut gate {
+                    gate.connection_broke(server.address).await;
                 }
             }
         }
