Log which daemon granted the turn that a request was sent with

Each send to a server with a limit now has "turnFrom" and "turnAgeMs" in the line of its request, and dockwood_limit_turns_used_total{from} counts them.

--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -5,6 +5,7 @@
 use crate::lock::lock;
 use crate::log_line::{ChosenBy, LineBody, RequestLine, SendLine};
 use crate::logging;
+use crate::pushback::UsedTurn;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::SendOutcome;
@@ -88,6 +89,8 @@
             chosen_by,
             ended: None,
             withheld: None,
+            turn_from: None,
+            turn_age_ms: None,
             status: None,
             retry_after_ms: None,
             leaving: false,
@@ -95,10 +98,12 @@
         });
     }
 
-    /// Records the pushback signals in the response head of the last send.
-    pub fn record_head(&mut self, signals: &AnswerSignals) {
+    /// Records the pushback signals in the response head of the last send, and the grant that it was sent with.
+    pub fn record_head(&mut self, signals: &AnswerSignals, turn: Option<UsedTurn>) {
         let Some(last) = self.sends.last_mut() else { return };
         last.status = Some(signals.status);
+        last.turn_from = turn.map(|turn| turn.source.name());
+        last.turn_age_ms = turn.map(|turn| turn.age_ms);
         last.retry_after_ms = signals.pushback_ms();
         last.leaving = signals.leaving == LeavingMark::Leaving;
         last.limit_per_second = signals.limit.rate().map(RequestRate::per_second);
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -25,7 +25,7 @@
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
     let signals = signals_of(parts.status, &parts.headers, &names.signals);
-    request_log.record_head(&signals);
+    request_log.record_head(&signals, permit.turn());
     // Another server responded in place of the expected one; its signals do not apply to that one.
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         permit.record_response(&signals, received.attempt.as_deref().unwrap_or_default());
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -252,6 +252,12 @@
     /// Why the request was not written to the server, if it was not.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub withheld: Option<&'static str>,
+    /// Where the grant for the request came from, if the server has a rate limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub turn_from: Option<&'static str>,
+    /// Time between the request for that grant and the send, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub turn_age_ms: Option<u64>,
     /// HTTP status of the server's response, if there was one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub status: Option<u16>,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,8 @@
     pub held_back: IntCounterVec,
     /// Requests of the gateway that were not written to the server selected for them, by reason.
     pub withheld_sends: IntCounterVec,
+    /// Turns at servers with a rate limit that this daemon has used, by source.
+    pub limit_turns_used: IntCounterVec,
     /// Requests for a turn at the servers for which this daemon is the limiter, by result.
     pub limit_turns: IntCounterVec,
     /// Steps in the handling of suspected poison requests, by step.
@@ -212,6 +214,11 @@
                 "Turns at servers whose limits this daemon shares out",
                 &["result"],
             )?,
+            limit_turns_used: counters(
+                "dockwood_limit_turns_used_total",
+                "Turns at servers with a rate limit that this daemon has used",
+                &["from"],
+            )?,
             held_back: counters(
                 "dockwood_held_back_total",
                 "Requests not sent to servers that rest, leave or are at their limit",
--- a/crates/daemon/src/pushback/mod.rs
+++ b/crates/daemon/src/pushback/mod.rs
@@ -16,6 +16,7 @@
 pub use headers::{SignalHeaders, signals_of};
 pub use limit_sync::run_limit_sync;
 pub use permit::{SendPermit, SendPurpose};
+pub use rate_limit::{TurnSource, UsedTurn};
 pub use unavailable::{HeldServers, Unavailable};
 
 use crate::clock::monotonic_ms;
--- a/crates/daemon/src/pushback/permit.rs
+++ b/crates/daemon/src/pushback/permit.rs
@@ -1,6 +1,6 @@
 //! Permission to send one request to one server.
 
-use super::rate_limit::{GrantDecision, request_grant};
+use super::rate_limit::{GrantDecision, UsedTurn, request_grant};
 use super::{SendTarget, update_hold_metrics, update_limit_metric};
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
@@ -38,6 +38,8 @@
     kind: SendKind,
     /// When the permit was acquired.
     acquired_at: Millis,
+    /// The grant that the request is sent with, if the server has a rate limit.
+    turn: Option<UsedTurn>,
     /// Whether a response without a limit header means that the server has no limit.
     may_end_limit: bool,
     /// The server responded and requested no further back-off, which ends the back-off if this send is a trial.
@@ -55,11 +57,12 @@
         target: SendTarget,
         purpose: SendPurpose,
     ) -> Result<SendPermit, Hold> {
+        let mut turn = None;
         if let (SendPurpose::Request { rank }, Some(rate)) = (purpose, shared.pushback.limit(&target.start)) {
             // A grant for a server on hold would be wasted.
             let is_held = lock(&shared.pushback.table).hold(monotonic_ms(), &target.start).is_some();
             if !is_held {
-                acquire_grant(shared, &target, rate, rank).await?;
+                turn = Some(acquire_grant(shared, &target, rate, rank).await?);
             }
         }
         let now = monotonic_ms();
@@ -73,6 +76,7 @@
             target,
             kind: send_kind?,
             acquired_at: now,
+            turn,
             may_end_limit,
             accepted: false,
         })
@@ -82,7 +86,7 @@
     pub fn of_running(shared: &Arc<Shared>, target: SendTarget) -> SendPermit {
         let (kind, acquired_at) = (SendKind::Usual, monotonic_ms());
         let shared = shared.clone();
-        SendPermit { shared, target, kind, acquired_at, may_end_limit: false, accepted: false }
+        SendPermit { shared, target, kind, acquired_at, turn: None, may_end_limit: false, accepted: false }
     }
 
     /// Records the pushback signals of the response to `request`. They hold even if the response itself is unusable:
@@ -143,6 +147,11 @@
         }
     }
 
+    /// Returns the grant that the request is sent with; `None` if the server has no rate limit.
+    pub fn turn(&self) -> Option<UsedTurn> {
+        self.turn
+    }
+
     pub(super) fn shared(&self) -> &Arc<Shared> {
         &self.shared
     }
@@ -158,9 +167,14 @@
     target: &SendTarget,
     rate: RequestRate,
     rank: u32,
-) -> Result<(), Hold> {
-    let GrantDecision::Wait(wait_ms) = request_grant(shared, target, rate, rank).await else {
-        return Ok(());
+) -> Result<UsedTurn, Hold> {
+    let requested_at = monotonic_ms();
+    let wait_ms = match request_grant(shared, target, rate, rank).await {
+        GrantDecision::Granted(source) => {
+            shared.metrics.limit_turns_used.with_label_values(&[source.name()]).inc();
+            return Ok(UsedTurn { source, age_ms: monotonic_ms().saturating_sub(requested_at) });
+        }
+        GrantDecision::Wait(wait_ms) => wait_ms,
     };
     let until = monotonic_ms() + wait_ms;
     lock(&shared.pushback.limits).hold(&target.start, until);
--- a/crates/daemon/src/pushback/rate_limit.rs
+++ b/crates/daemon/src/pushback/rate_limit.rs
@@ -24,11 +24,45 @@
 /// How long a server stays on hold after a grant for it expired unused, in milliseconds.
 const EXPIRED_GRANT_HOLD_MS: Millis = 20;
 
+/// Where the grant for a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnSource {
+    /// The limiter of the server.
+    Limiter,
+    /// A daemon that stands in for a limiter that did not respond.
+    StandIn,
+    /// This daemon, as no limiter responded.
+    Fallback,
+    /// None is needed: the limit has ended.
+    Unlimited,
+}
+
+impl TurnSource {
+    /// The name of the source in metrics and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            TurnSource::Limiter => "limiter",
+            TurnSource::StandIn => "standIn",
+            TurnSource::Fallback => "fallback",
+            TurnSource::Unlimited => "unlimited",
+        }
+    }
+}
+
+/// A grant that a request was sent with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsedTurn {
+    /// Where it comes from.
+    pub source: TurnSource,
+    /// Time between the request for it and the send, in milliseconds.
+    pub age_ms: Millis,
+}
+
 /// The response to a request for a grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum GrantDecision {
     /// The request may be sent now.
-    Granted,
+    Granted(TurnSource),
     /// The request may not be sent before this time has passed, in milliseconds.
     Wait(Millis),
 }
@@ -45,7 +79,7 @@
     let decision = query_limiters(shared, target, rate, rank).await;
     let has_expired = monotonic_ms() >= requested_at + GRANT_VALID_MS;
     match decision {
-        GrantDecision::Granted if has_expired => GrantDecision::Wait(EXPIRED_GRANT_HOLD_MS),
+        GrantDecision::Granted(_) if has_expired => GrantDecision::Wait(EXPIRED_GRANT_HOLD_MS),
         other => other,
     }
 }
@@ -63,18 +97,19 @@
     {
         // The limit may have ended in the meantime.
         let known_limit = lock(&shared.pushback.limits).tell(monotonic_ms(), server);
-        let Some(limit) = known_limit else { return GrantDecision::Granted };
+        let Some(limit) = known_limit else { return GrantDecision::Granted(TurnSource::Unlimited) };
         let request = TurnRequest { limit, rank, in_place_of_another: position > 0 };
         if let Some(reply) = query_limiter(shared, *limiter, request).await {
             reply.limit.iter().for_each(|limit| shared.pushback.merge(shared, limit, false));
-            return reply.wait_ms.map_or(GrantDecision::Granted, GrantDecision::Wait);
+            let source = if position == 0 { TurnSource::Limiter } else { TurnSource::StandIn };
+            return reply.wait_ms.map_or(GrantDecision::Granted(source), GrantDecision::Wait);
         }
         shared.dispatchers.mark_unresponsive(*limiter);
     }
     let senders = shared.dispatchers.entries(&tables);
     let share = TurnShare::Alone { senders };
     let turn = lock(&shared.pushback.fallback_limiters).take(monotonic_ms(), server, rate, share, rank);
-    decision_of(turn)
+    wait_of(turn).map_or(GrantDecision::Granted(TurnSource::Fallback), GrantDecision::Wait)
 }
 
 async fn query_limiter(shared: &Arc<Shared>, limiter: SocketAddr, request: TurnRequest) -> Option<TurnReply> {
@@ -86,10 +121,11 @@
     tokio::time::timeout(LIMITER_TIMEOUT, response).await.ok()?.ok()
 }
 
-fn decision_of(turn: Turn) -> GrantDecision {
+/// Returns how long to wait before another turn is requested, in milliseconds; `None` if the turn was given.
+fn wait_of(turn: Turn) -> Option<Millis> {
     match turn {
-        Turn::Given => GrantDecision::Granted,
-        Turn::NotBefore(at) => GrantDecision::Wait(at.saturating_sub(monotonic_ms()).max(1)),
+        Turn::Given => None,
+        Turn::NotBefore(at) => Some(at.saturating_sub(monotonic_ms()).max(1)),
     }
 }
 
@@ -109,10 +145,6 @@
         if let Some(granted) = recent_grants {
             self.record_grant_count(shared, server, rate, granted);
         }
-        let wait_ms = match decision_of(turn) {
-            GrantDecision::Granted => None,
-            GrantDecision::Wait(wait_ms) => Some(wait_ms),
-        };
-        TurnReply { wait_ms, limit: known_limit }
+        TurnReply { wait_ms: wait_of(turn), limit: known_limit }
     }
 }
