Log who decided that there is no place for a request, and what the entry knew of the groups

The line of a request that waited in vain for a place now has "noPlace": who decided, the number of groups, of those avoided, of places, and requests in flight.

--- a/crates/daemon/src/gateway/assignment.rs
+++ b/crates/daemon/src/gateway/assignment.rs
@@ -6,6 +6,7 @@
 use super::evacuation::no_group_code;
 use super::loads::{GroupPlace, Loads, PlaceQuery, PlaceResult};
 use crate::clock::monotonic_ms;
+use crate::log_line::ChosenBy;
 use crate::pushback::Unavailable;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{DispatchScope, PlaceReply, PlaceRequest};
@@ -70,11 +71,15 @@
 ) -> Result<GroupPlace, Unavailable> {
     let mut waits_for_hold = false;
     loop {
+        let mut full = None;
         // Subscribed before the request, so that a change during the request is not missed.
         let freed = gateway.loads.place_freed();
         let code = match request_place(gateway, query).await {
             PlaceResult::Taken(place) => return Ok(place),
-            PlaceResult::Full => ResultCode::Overloaded,
+            PlaceResult::Full(decided_by) => {
+                full = Some(decided_by);
+                ResultCode::Overloaded
+            }
             PlaceResult::NoGroup => no_group_code(&gateway.shared.tables().gateway, query),
             PlaceResult::OnHold(held) => {
                 let ends_in = held.ends_in().filter(|ends_in| Instant::now() + *ends_in <= deadline);
@@ -105,7 +110,7 @@
         };
         let was_notified = tokio::time::timeout_at(until, freed).await.is_ok();
         if !was_notified && until >= deadline {
-            return Err(code.into());
+            return Err(Unavailable { decided_by: full, ..code.into() });
         }
     }
 }
@@ -153,13 +158,13 @@
             if limits_cold && !gateway.loads.cold_groups(query).is_empty() {
                 gateway.shared.metrics.cold_limited.with_label_values(&["full"]).inc();
             }
-            PlaceResult::Full
+            PlaceResult::Full(ChosenBy::Dispatcher)
         }
         PlaceReply::AtLimit { free_in_ms } => {
             gateway.loads.record_no_place(query.service, query.model);
             let held = gateway.loads.all_at_limit(query, &gateway.shared.pushback, free_in_ms);
             // Empty if the limits have ended in the meantime.
-            if held.is_empty() { PlaceResult::Full } else { PlaceResult::OnHold(held) }
+            if held.is_empty() { PlaceResult::Full(ChosenBy::Dispatcher) } else { PlaceResult::OnHold(held) }
         }
         PlaceReply::NoGroup => PlaceResult::NoGroup,
     }
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -9,7 +9,7 @@
 use super::cold::place_valid_until;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
-use crate::log_line::ChosenBy;
+use crate::log_line::{ChosenBy, PlacesSummary};
 use crate::pushback::{HeldServers, SendTarget};
 use dockwood_api::gateway::{EventPace, ModelLoad};
 use dockwood_routing::Millis;
@@ -80,8 +80,8 @@
     Taken(GroupPlace),
     /// The heads of all groups that have not been tried yet are on hold.
     OnHold(HeldServers),
-    /// Every group is full.
-    Full,
+    /// Every group is full or avoided, according to this component.
+    Full(ChosenBy),
     /// No group serves the model.
     NoGroup,
 }
@@ -237,10 +237,10 @@
         let Some(epoch) = choose(&candidates, |below| random.random_range(0..below)) else {
             gateway.loads.record_no_place(query.service, query.model);
             gateway.loads.urgent.notify_one();
-            return PlaceResult::Full;
+            return PlaceResult::Full(ChosenBy::Entry);
         };
         take_place_at(gateway, &mut groups, epoch as u64, now, ChosenBy::Entry)
-            .map_or(PlaceResult::Full, PlaceResult::Taken)
+            .map_or(PlaceResult::Full(ChosenBy::Entry), PlaceResult::Taken)
     }
 
     /// Takes a place that a dispatcher has assigned, requested at `requested_at`; `None` if the group is not known to
@@ -267,6 +267,21 @@
         cold.map(|(epoch, _)| *epoch).collect()
     }
 
+    /// Returns a summary of the groups that may run a request, for the log line of a request for which no place was found.
+    pub fn summarize_places(&self, query: PlaceQuery<'_>) -> PlacesSummary {
+        let now = monotonic_ms();
+        let groups = lock(&self.groups);
+        let mut summary = PlacesSummary::default();
+        for group in groups.values().filter(|group| group.may_run(&query)) {
+            summary.groups += 1;
+            summary.places += group.slots;
+            summary.own_in_flight += group.in_flight;
+            summary.others_in_flight += group.others_in_flight;
+            summary.avoided += u32::from(group.is_suspected(now));
+        }
+        summary
+    }
+
     /// Returns the groups of a model that are currently avoided.
     pub fn suspected_groups(&self, query: PlaceQuery<'_>) -> Vec<u64> {
         let now = monotonic_ms();
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -3,7 +3,7 @@
 use super::Gateway;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
-use crate::log_line::{ChosenBy, LineBody, RequestLine, SendLine};
+use crate::log_line::{ChosenBy, LineBody, PlacesSummary, RequestLine, SendLine};
 use crate::logging;
 use crate::pushback::UsedTurn;
 use dockwood_api::ResultCode;
@@ -25,6 +25,7 @@
     longest_pause_ms: Option<u64>,
     sends: Vec<SendLine>,
     held_servers: Vec<String>,
+    no_place: Option<PlacesSummary>,
     ended: Option<ResultCode>,
 }
 
@@ -62,6 +63,7 @@
             longest_pause_ms: None,
             sends: Vec::new(),
             held_servers: Vec::new(),
+            no_place: None,
             ended: None,
         }
     }
@@ -124,6 +126,11 @@
         self.held_servers = servers;
     }
 
+    /// Records the groups that may run the request, among which no place was found.
+    pub fn set_no_place(&mut self, places: PlacesSummary) {
+        self.no_place = Some(places);
+    }
+
     /// Records that an event was forwarded to the caller.
     pub fn record_event(&mut self) {
         let now_ms = self.elapsed_ms();
@@ -181,6 +188,7 @@
             longest_pause_ms: self.longest_pause_ms,
             prompt_tokens: has_model.then_some(info.prompt_tokens),
             sends: &self.sends,
+            no_place: self.no_place.clone(),
             servers_held: &self.held_servers,
             held_back,
         };
--- a/crates/daemon/src/gateway/stream/selection.rs
+++ b/crates/daemon/src/gateway/stream/selection.rs
@@ -7,6 +7,7 @@
 use crate::gateway::responses::error_response;
 use crate::gateway::server_selection::select_server;
 use crate::gateway::source::Source;
+use crate::log_line::PlacesSummary;
 use crate::pushback::Unavailable;
 use crate::suspects::Admission;
 use dockwood_api::ResultCode;
@@ -124,6 +125,10 @@
         let wait_ends = if self.occupied.is_empty() { wait_ends } else { since };
         let place = wait_for_place(&self.gateway, query, wait_ends).await;
         self.request_log.add_wait(since);
+        if let Err(Unavailable { decided_by: Some(decided_by), .. }) = &place {
+            let places = self.gateway.loads.summarize_places(query);
+            self.request_log.set_no_place(PlacesSummary { decided_by: Some(*decided_by), ..places });
+        }
         place.map(Source::Group)
     }
 
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -225,6 +225,9 @@
     pub prompt_tokens: Option<u64>,
     /// The attempts to send the request to a server, in order.
     pub sends: &'a [SendLine],
+    /// The groups that may run the request, if no place was found for it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub no_place: Option<PlacesSummary>,
     /// Some of the eligible servers, if all of these are on hold.
     #[serde(skip_serializing_if = "<[String]>::is_empty")]
     pub servers_held: &'a [String],
@@ -232,6 +235,24 @@
     pub held_back: u64,
 }
 
+/// The groups that may run a request, as known to the entry when it refused the request.
+#[derive(Clone, Debug, Default, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct PlacesSummary {
+    /// Who decided that no group has a place.
+    pub decided_by: Option<ChosenBy>,
+    /// Number of groups.
+    pub groups: u32,
+    /// Number of groups that are avoided, as they stalled or refused a connection.
+    pub avoided: u32,
+    /// Number of places at all groups.
+    pub places: u32,
+    /// Requests in flight from this entry.
+    pub own_in_flight: u32,
+    /// Requests in flight from the other entries.
+    pub others_in_flight: u32,
+}
+
 /// One attempt to send a request to a server.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/daemon/src/pushback/unavailable.rs
+++ b/crates/daemon/src/pushback/unavailable.rs
@@ -1,6 +1,7 @@
 //! Why no server is available for a request, and when its caller may retry.
 
 use crate::clock::monotonic_ms;
+use crate::log_line::ChosenBy;
 use dockwood_api::ResultCode;
 use dockwood_routing::Millis;
 use dockwood_routing::pushback::Hold;
@@ -62,6 +63,7 @@
             free_in: Some(ends_in),
             retry_after_ms: Some(retry_after_ms),
             held: self.servers,
+            decided_by: None,
         }
     }
 }
@@ -77,10 +79,12 @@
     pub retry_after_ms: Option<Millis>,
     /// Ids of servers on hold that could take the request.
     pub held: Vec<String>,
+    /// Who decided that no group has a place, if that is the reason.
+    pub decided_by: Option<ChosenBy>,
 }
 
 impl From<ResultCode> for Unavailable {
     fn from(code: ResultCode) -> Unavailable {
-        Unavailable { code, free_in: None, retry_after_ms: None, held: Vec::new() }
+        Unavailable { code, free_in: None, retry_after_ms: None, held: Vec::new(), decided_by: None }
     }
 }
