Check engines that report an aborted run for a crash

Cause: an engine that crashes may still report that it aborted the run. The attempt then counted as retryable, and nothing asked whether the engine had exited.

Evidence: logs in experiments/failures/2026-12-03-fatal-chat-request-aborted*.

Fix: such an attempt is checked like one whose connection broke. An engine that aborts a run and goes on accepts the connection of the check and keeps it, which is no evidence.

--- a/crates/daemon/src/suspects/process_check.rs
+++ b/crates/daemon/src/suspects/process_check.rs
@@ -10,7 +10,6 @@
 /// Time limit of each connection attempt that checks whether a server has exited after its connection broke, and of the
 /// observation of an established one: several times the round trip between regions.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
-
 /// Pause between the first two checks of a process that closes each connection; it doubles with each further one.
 const FIRST_RECHECK_PAUSE: Duration = Duration::from_millis(5);
 
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -92,7 +92,8 @@
                 return Err(failure);
             }
             let result = self.attempt(&mut slot).await;
-            if matches!(result, AttemptResult::Broken) {
+            // An engine that crashes may still report that it aborted its runs.
+            if matches!(result, AttemptResult::Broken | AttemptResult::Aborted) {
                 self.gate.connection_broke(slot.grant.head, || ()).await;
             }
             let result = match result {
@@ -113,6 +114,7 @@
                     return Ok(self.completion_stats());
                 }
                 AttemptResult::Retryable(reason) => retry_reason = Some(reason),
+                AttemptResult::Aborted => retry_reason = Some("aborted"),
                 AttemptResult::Withheld if withheld.record(&slot.grant.replica) => {}
                 AttemptResult::Withheld => {
                     return Err(self.final_failure("no replica accepted the request in time"));
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -27,6 +27,8 @@
     Retryable(&'static str),
     /// The request was not written to the replica: its grant had expired, or its head is on hold.
     Withheld,
+    /// The engine reported that it aborted the run, after no more than the forwarded tokens. It may be exiting.
+    Aborted,
     /// The stream failed; the state of the request at the engine is unknown.
     Broken,
     /// The caller has disconnected, and the answer is not needed otherwise.
@@ -127,7 +129,7 @@
             // The engine reported that it generated no more than the forwarded tokens.
             GenerateEvent::Aborted { next_sequence, .. } if next_sequence == self.forwarded_tokens => {
                 slot.replica_broken = true;
-                return Some(AttemptResult::Retryable("aborted"));
+                return Some(AttemptResult::Aborted);
             }
             GenerateEvent::Aborted { .. } => return Some(AttemptResult::Broken),
         }
