Log how much of a service's retry budget an entry has used, and by how many entries it divides

Needed to tell apart why the retries of all entries exceeded the budget after kills: the divisor, the window that a restart empties, or arrivals that no entry counted.

--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -82,7 +82,7 @@
     request_log.set_info(RequestInfo { attempt, ..RequestInfo::default() });
     let mut response = match receive(&gateway, request).await {
         Ok(received) => {
-            gateway.record_request(&received.service.name);
+            gateway.retry_budgets.record_request(&received.service.name);
             request_log.set_info(received.info());
             if received.is_stream() || received.service.engine.is_some() {
                 stream::handle(&gateway, received, request_log, in_flight).await
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod request_log;
 mod response_head;
 mod responses;
+mod retry_budgets;
 mod server_selection;
 mod source;
 mod stalls;
@@ -34,16 +35,16 @@
 
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
-use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::scope_dispatchers::run_summaries;
 use crate::shared::Shared;
 use arc_swap::ArcSwap;
 use dockwood_grouping::departing_groups;
 use dockwood_routing::BackendPicker;
-use dockwood_routing::gateway::{RouteTable, SendBudget, SendBudgetLimits};
+use dockwood_routing::gateway::{RouteTable, SendBudgetLimits};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use loads::Loads;
+use retry_budgets::RetryBudgets;
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
@@ -60,8 +61,7 @@
     loads: Loads,
     report_forwarder: report_forwarding::ReportForwarder,
     pickers: Mutex<HashMap<String, BackendPicker>>,
-    budgets: Mutex<HashMap<String, SendBudget>>,
-    budget_limits: SendBudgetLimits,
+    retry_budgets: RetryBudgets,
     cold: cold::ColdServers,
     pool: ConnectionPool,
     line_budget: Mutex<LineBudget>,
@@ -125,8 +125,7 @@
             loads: Loads::default(),
             report_forwarder: report_forwarding::ReportForwarder::default(),
             pickers: Mutex::default(),
-            budgets: Mutex::default(),
-            budget_limits,
+            retry_budgets: RetryBudgets::new(budget_limits),
             cold,
             pool: ConnectionPool::default(),
             line_budget: Mutex::default(),
@@ -139,22 +138,11 @@
         self.stopping.send_replace(true);
     }
 
-    /// Records a request in the retry budget of its service.
-    fn record_request(&self, service: &str) {
-        let mut budgets = lock(&self.budgets);
-        let budget =
-            budgets.entry(service.to_string()).or_insert_with(|| SendBudget::new(self.budget_limits));
-        budget.record_request(crate::clock::monotonic_ms());
-    }
-
     /// Takes a retry from the budget of a service; returns false if the budget does not allow it.
     fn try_retry(&self, service: &str, reason: &str) -> bool {
         let known_entries = self.shared.dispatchers.entries(&self.shared.tables());
         let entries = u64::from(self.loads.entries().max(known_entries));
-        let mut budgets = lock(&self.budgets);
-        let budget =
-            budgets.entry(service.to_string()).or_insert_with(|| SendBudget::new(self.budget_limits));
-        let allowed = budget.try_retry(crate::clock::monotonic_ms(), entries);
+        let allowed = self.retry_budgets.try_retry(&self.shared, service, entries);
         if allowed {
             self.shared.metrics.retries.with_label_values(&[reason]).inc();
         } else {
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -34,6 +34,8 @@
     Order(OrderLine<'a>),
     /// The outcome of a request and the decisions that led to it.
     Request(RequestLine<'a>),
+    /// How much of a service's retry budget this daemon has used.
+    RetryBudget(RetryBudgetLine<'a>),
     /// A step in the handling of a suspected poison request.
     Suspect(SuspectLine<'a>),
     /// A slow turn of the control thread.
@@ -82,6 +84,24 @@
     pub answer: String,
 }
 
+/// How much of a service's retry budget an entry has used.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct RetryBudgetLine<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Time since the start of the process, in milliseconds.
+    pub running_ms: u64,
+    /// Number of entries that the fixed number of retries is divided by.
+    pub entries: u64,
+    /// Requests to the service within the last window.
+    pub requests: u64,
+    /// Retries within the last window.
+    pub retries: u64,
+    /// Retries refused since the last line.
+    pub refused: u64,
+}
+
 /// Step in the handling of a suspected poison request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/routing/src/gateway/budget.rs
+++ b/crates/routing/src/gateway/budget.rs
@@ -21,6 +21,15 @@
     pub extra: u64,
 }
 
+/// Requests and retries of one service within one window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetUsage {
+    /// Requests.
+    pub requests: u64,
+    /// Retries.
+    pub retries: u64,
+}
+
 /// Requests and retries of one service within the last window.
 #[derive(Clone, Debug)]
 pub struct SendBudget {
@@ -54,6 +63,11 @@
         allowed
     }
 
+    /// Returns the usage as of the last call.
+    pub fn usage(&self) -> BudgetUsage {
+        BudgetUsage { requests: self.requests.len() as u64, retries: self.retries.len() as u64 }
+    }
+
     fn expire(&mut self, now: Millis) {
         let window = self.limits.window_ms;
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/routing/src/gateway/mod.rs
+++ b/crates/routing/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 mod stall_detection;
 
 pub use attempts::{GiveUp, RequestAttempts, RetryDecision, SendOutcome, WithheldReason};
-pub use budget::{SendBudget, SendBudgetLimits};
+pub use budget::{BudgetUsage, SendBudget, SendBudgetLimits};
 pub use choice::{Candidate, choose};
 pub use entries::{Entry, entries_near};
 pub use events::{EventSplitter, StreamEvent};
