--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod poison_requests;
 mod promises;
 mod regions;
+mod retry_budget;
 mod server_backoff;
 mod servers;
 mod servers_that_name_a_limit;
--- /dev/null
+++ b/crates/routing/tests/retry_budget.rs
@@ -0,0 +1,125 @@
+//! The retry budget of all entries together, when processes end and others take over their callers.
+
+use dockwood_routing::gateway::{SendBudget, SendBudgetLimits};
+use proptest::prelude::*;
+
+const WINDOW_MS: u64 = 10_000;
+const LIMITS: SendBudgetLimits = SendBudgetLimits { percent: 20, window_ms: WINDOW_MS, extra: 140 };
+const ENTRIES: usize = 11;
+
+/// Entries whose requests and retries are recorded as the servers see them.
+struct Fleet {
+    entries: Vec<SendBudget>,
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        Fleet { entries: vec![new_entry(0); ENTRIES], requests: Vec::new(), retries: Vec::new() }
+    }
+
+    /// Sends a request, and retries it as often as the budget allows, up to `retries` times.
+    fn request(&mut self, now: u64, entry: usize, retries: u32) {
+        self.entries[entry].record_request(now);
+        self.requests.push(now);
+        for _ in 0..retries {
+            if self.entries[entry].try_retry(now, ENTRIES as u64) {
+                self.retries.push(now);
+            }
+        }
+    }
+
+    fn restart(&mut self, now: u64, entry: usize) {
+        self.entries[entry] = new_entry(now);
+    }
+
+    /// Fails if the retries within any window exceed the budget for the requests of this window, the one before it, or
+    /// the one that begins half a window earlier.
+    fn check(&self) -> Result<(), TestCaseError> {
+        let count = |times: &[u64], from: u64| {
+            let until = from + WINDOW_MS;
+            times.partition_point(|at| *at < until) - times.partition_point(|at| *at < from)
+        };
+        for from in self.retries.iter().copied() {
+            let earlier = [0, WINDOW_MS / 2, WINDOW_MS].map(|shift| from.saturating_sub(shift));
+            let requests = earlier.map(|from| count(&self.requests, from)).into_iter().max().unwrap_or(0);
+            let allowed = requests as u64 * LIMITS.percent / 100 + LIMITS.extra;
+            let retries = count(&self.retries, from) as u64;
+            prop_assert!(
+                retries <= allowed,
+                "{retries} retries from {from} ms on for {requests} requests, where {allowed} are allowed"
+            );
+        }
+        Ok(())
+    }
+}
+
+fn new_entry(_now: u64) -> SendBudget {
+    SendBudget::new(LIMITS)
+}
+
+/// Six tenths of the entries are killed three times while nearly every request fails.
+#[test]
+fn entries_that_are_killed_repeatedly_stay_within_the_budget() -> Result<(), TestCaseError> {
+    let mut fleet = Fleet::new();
+    for now in (0..30_000).step_by(5) {
+        if [18_000, 21_000, 24_000].contains(&now) {
+            (0..ENTRIES * 6 / 10).for_each(|entry| fleet.restart(now, entry));
+        }
+        let fails = now >= 13_000;
+        fleet.request(now, (now / 5) as usize % ENTRIES, if fails { 5 } else { 0 });
+    }
+    fleet.check()
+}
+
+/// Callers move from entries that have used all that they had earned to others, which then earn twice as much.
+#[test]
+fn entries_that_take_over_callers_stay_within_the_budget() -> Result<(), TestCaseError> {
+    let mut fleet = Fleet::new();
+    let half = ENTRIES / 2;
+    for now in (0..40_000).step_by(2) {
+        let number = (now / 2) as usize;
+        let moved = now > 20_100;
+        let entry = if moved { half + number % half } else { number % (2 * half) };
+        // What was earned is used just before the move, and at the end of the window after it.
+        let fails = (20_000..=20_100).contains(&now) || (29_800..30_000).contains(&now);
+        fleet.request(now, entry, if fails { 40 } else { 0 });
+    }
+    fleet.check()
+}
+
+/// What happens at one moment.
+#[derive(Clone, Debug)]
+enum Step {
+    Requests { entry: usize, count: u32, retries: u32 },
+    Restart { entry: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u64, Step)>> {
+    let requests = (0..ENTRIES, 1_u32..30, 0_u32..6).prop_map(|(entry, count, retries)| Step::Requests {
+        entry,
+        count,
+        retries,
+    });
+    let restart = (0..ENTRIES).prop_map(|entry| Step::Restart { entry });
+    prop::collection::vec((0_u64..400, prop_oneof![8 => requests, 1 => restart]), 1..400)
+}
+
+proptest! {
+    #[test]
+    fn entries_that_restart_at_any_time_stay_within_the_budget(steps in steps()) {
+        let mut fleet = Fleet::new();
+        let mut now = 0;
+        for (elapsed, step) in steps {
+            now += elapsed;
+            match step {
+                Step::Requests { entry, count, retries } => {
+                    (0..count).for_each(|_| fleet.request(now, entry, retries));
+                }
+                Step::Restart { entry } => fleet.restart(now, entry),
+            }
+        }
+        fleet.check()?;
+    }
+}
