The retry budget holds when entries restart and callers move

What callers saw: nothing directly; servers that rejected requests got up to 595 retries in 10 s where 547 were allowed, after processes had been killed twice within the window.

Cause: an entry's part of the budget was kept in its own memory and measured by its own window. A new process had its part of the fixed number again, and spent the percentage of its requests beside what its predecessor had earned before the window. The second needs no restart: callers that move to another entry earn there what they had earned, and used, at the first.

Fix: three quarters of the percentage are earned with each request; of the last window's requests the other quarter may be saved. Retries within a window are earned in it or were saved when it began, whoever sends them. A process has no part of the fixed number for a window and the time of a lease after its start. An entry that knows no other entry has no part at all.

Before: 4 tests red (627 of 540, 1,295 of 1,140, 304 of 303, 38 too many at real processes).

--- a/crates/daemon/src/gateway/retry_budgets.rs
+++ b/crates/daemon/src/gateway/retry_budgets.rs
@@ -77,7 +77,11 @@
 
     fn with_service<T>(&self, service: &str, action: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let mut services = lock(&self.services);
-        let new = || ServiceBudget { budget: SendBudget::new(self.limits), last_line_at: 0, refused: 0 };
+        let new = || ServiceBudget {
+            budget: SendBudget::new(self.limits, self.started_at),
+            last_line_at: 0,
+            refused: 0,
+        };
         action(services.entry(service.to_string()).or_insert_with(new))
     }
 }
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -4,7 +4,8 @@
 use proptest::prelude::*;
 
 const WINDOW_MS: u64 = 10_000;
-const LIMITS: SendBudgetLimits = SendBudgetLimits { percent: 20, window_ms: WINDOW_MS, extra: 140 };
+const LIMITS: SendBudgetLimits =
+    SendBudgetLimits { percent: 20, window_ms: WINDOW_MS, extra: 140, growth_notice_ms: 3_000 };
 const ENTRIES: usize = 11;
 
 /// Entries whose requests and retries are recorded as the servers see them.
@@ -21,10 +22,15 @@
 
     /// Sends a request, and retries it as often as the budget allows, up to `retries` times.
     fn request(&mut self, now: u64, entry: usize, retries: u32) {
+        self.request_among(now, entry, retries, ENTRIES);
+    }
+
+    /// The same at an entry that knows of this number of entries.
+    fn request_among(&mut self, now: u64, entry: usize, retries: u32, known: usize) {
         self.entries[entry].record_request(now);
         self.requests.push(now);
         for _ in 0..retries {
-            if self.entries[entry].try_retry(now, ENTRIES as u64) {
+            if self.entries[entry].try_retry(now, known as u64) {
                 self.retries.push(now);
             }
         }
@@ -55,8 +61,8 @@
     }
 }
 
-fn new_entry(_now: u64) -> SendBudget {
-    SendBudget::new(LIMITS)
+fn new_entry(now: u64) -> SendBudget {
+    SendBudget::new(LIMITS, now)
 }
 
 /// Six tenths of the entries are killed three times while nearly every request fails.
@@ -89,6 +95,34 @@
     fleet.check()
 }
 
+/// As many entries are added as there are, and the old ones learn of it late.
+#[test]
+fn a_fleet_that_doubles_stays_within_the_budget() -> Result<(), TestCaseError> {
+    let mut fleet = Fleet::new();
+    let (grown_at, known_at) = (20_000, 20_000 + LIMITS.growth_notice_ms);
+    fleet.entries.extend(vec![new_entry(grown_at); ENTRIES]);
+    for now in (0..60_000).step_by(5) {
+        let known = if now < known_at { ENTRIES } else { 2 * ENTRIES };
+        let running = if now < grown_at { ENTRIES } else { 2 * ENTRIES };
+        let entry = (now / 5) as usize % running;
+        let knows = if entry < ENTRIES { known } else { 2 * ENTRIES };
+        fleet.request_among(now, entry, 5, knows);
+    }
+    fleet.check()
+}
+
+/// The parts are not so small that the budget is left unused.
+#[test]
+fn steady_failures_get_most_of_the_budget() {
+    let mut fleet = Fleet::new();
+    for now in (0..40_000).step_by(5) {
+        fleet.request(now, (now / 5) as usize % ENTRIES, 5);
+    }
+    let retries = fleet.retries.iter().filter(|at| **at >= 30_000).count() as u64;
+    let allowed = 2_000 * LIMITS.percent / 100 + LIMITS.extra;
+    assert!(retries * 100 >= allowed * 60, "{retries} of {allowed} retries");
+}
+
 /// What happens at one moment.
 #[derive(Clone, Debug)]
 enum Step {
