Tests of other fleet-wide limits across restarts; a cold server's share is listed

Turns of a server's limit hold however often the daemon that grants them restarts: a new schedule begins one interval late.

--- a/crates/grouping/tests/cold_start.rs
+++ b/crates/grouping/tests/cold_start.rs
@@ -235,9 +235,14 @@
 
 /// Times at which a sender sends that uses its full rate, at most once per millisecond.
 fn send_continuously(rate: SendRate) -> Vec<u64> {
+    send_during(rate, 10_000..16_000)
+}
+
+/// The same during a span, for a process that starts at its beginning.
+fn send_during(rate: SendRate, span: std::ops::Range<u64>) -> Vec<u64> {
     let mut pacing = ColdPacing::default();
     let mut sent = Vec::new();
-    for now in 10_000..16_000 {
+    for now in span {
         pacing.observe(now, &"server", true);
         if pacing.may_send(now, &"server", rate) {
             pacing.record_send(now, &"server", rate);
@@ -258,6 +263,23 @@
     assert!(send_continuously(SendRate::of_dispatcher(0)).is_empty(), "no request may arrive");
 }
 
+/// A process that starts anew has no record of what it sent before.
+#[parameterized(
+    once = { &[600] },
+    twice = { &[600, 600] },
+    repeatedly = { &[300, 500, 700, 400] },
+)]
+fn a_sender_that_restarts_stays_within_the_limit(lifetimes: &[u64]) {
+    for arrivals in 2..120 {
+        let (mut sent, mut started_at) = (Vec::new(), 10_000);
+        for lifetime in lifetimes.iter().chain([&3_000]) {
+            sent.extend(send_during(SendRate::of_dispatcher(arrivals), started_at..started_at + lifetime));
+            started_at += lifetime;
+        }
+        assert!(max_arrivals_per_second(&sent) <= arrivals as usize, "{arrivals}: {sent:?}");
+    }
+}
+
 fn entries(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("edge-{number}.entry")).collect()
 }
--- a/crates/routing/tests/turns.rs
+++ b/crates/routing/tests/turns.rs
@@ -51,6 +51,26 @@
     assert!(times[0] >= 1_000 + interval_ms(rate), "other daemons may have sent requests at the start");
 }
 
+/// A process that starts anew has no record of the turns that it granted before.
+#[parameterized(
+    few = { 300, 4_000 },
+    some = { 2_500, 700 },
+    many = { 20_000, 300 },
+    a_lot = { 300_000, 150 },
+)]
+fn an_allocator_that_restarts_repeatedly_stays_within_the_rate(thousandths: u64, restart_every: u64) {
+    let rate = RequestRate::from_thousandths(thousandths);
+    let mut times = Vec::new();
+    for started_at in (1_000..41_000).step_by(restart_every as usize) {
+        let mut allocator = TurnAllocator::default();
+        times.extend(granted(&mut allocator, rate, TurnShare::Whole, started_at..started_at + restart_every));
+    }
+    for from in &times {
+        let within = times.iter().filter(|at| **at >= *from && **at < *from + 4_000).count() as f64;
+        assert!(within <= 4.0 * rate.per_second() * 1.01 + 2.0, "{within} in 4 s at {}", rate.per_second());
+    }
+}
+
 #[test]
 fn a_server_with_rate_zero_still_gets_occasional_turns() {
     let mut allocator = TurnAllocator::default();
