Log why no connection to a server was established; connections to servers go through a dialer

Tells a path that is cut (no answer) from one that refuses, in each request line. No change of behaviour.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub use cold::ColdServers;
 pub use dispatchers::{DispatchMode, Dispatchers};
 pub use evacuation::set_evacuation;
+pub use upstream::ConnectFault;
 
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -239,10 +239,16 @@
         // never sent on one.
         let needs_new_connection = !self.received.route.is_repeatable();
         self.request_log.record_send(&selected.row.id, None, None);
-        let Ok(mut upstream) = self.gateway.pool.connection(selected.row.address, needs_new_connection).await
-        else {
-            selected.finish(CallResult::Failed);
-            return Err(SendOutcome::NotConnected);
+        let shared = &self.gateway.shared;
+        let connection =
+            self.gateway.pool.connection(shared, selected.row.address, needs_new_connection).await;
+        let mut upstream = match connection {
+            Ok(upstream) => upstream,
+            Err(fault) => {
+                self.request_log.record_connect_fault(fault);
+                selected.finish(CallResult::Failed);
+                return Err(SendOutcome::NotConnected);
+            }
         };
         let request = server_request(self.gateway, self.received, &selected.row.id, None);
         let permit =
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -1,6 +1,7 @@
 //! The log line of a request, which records all decisions on it. It is written when the request ends.
 
 use super::Gateway;
+use super::upstream::ConnectFault;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
 use crate::log_line::{ChosenBy, LineBody, PlacesSummary, RequestLine, SendLine};
@@ -91,6 +92,7 @@
             chosen_by,
             ended: None,
             withheld: None,
+            connect_fault: None,
             turn_from: None,
             turn_age_ms: None,
             status: None,
@@ -121,6 +123,13 @@
         }
     }
 
+    /// Records why no connection was established for the last send.
+    pub fn record_connect_fault(&mut self, fault: ConnectFault) {
+        if let Some(last) = self.sends.last_mut() {
+            last.connect_fault = Some(fault);
+        }
+    }
+
     /// Records the servers that were not selected because they are on hold.
     pub fn set_held_servers(&mut self, servers: Vec<String>) {
         self.held_servers = servers;
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -37,9 +37,12 @@
         self.attempts.begin(&instance);
         self.request_log.record_send(&instance, epoch, source.chosen_by());
         let needs_new_connection = !self.received.route.is_repeatable();
-        let mut upstream = match self.gateway.pool.connection(source.address(), needs_new_connection).await {
+        let shared = &self.gateway.shared;
+        let connection = self.gateway.pool.connection(shared, source.address(), needs_new_connection).await;
+        let mut upstream = match connection {
             Ok(upstream) => upstream,
             Err(fault) => {
+                self.request_log.record_connect_fault(fault);
                 self.record_unreachable(source, fault);
                 return Err(SendOutcome::NotConnected);
             }
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -6,6 +6,7 @@
 
 use crate::lock::lock;
 use crate::pushback::SendPermit;
+use crate::shared::Shared;
 use crate::suspects::is_refusal;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,11 +14,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// Time limit for establishing a connection.
@@ -28,7 +29,8 @@
 const MAX_IDLE_PER_SERVER: usize = 4;
 
 /// Why no connection was established. Nothing was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
 pub enum ConnectFault {
     /// The server's machine refused it: no process listens there.
     Refused,
@@ -53,8 +55,8 @@
 
 impl Upstream {
     /// Establishes a connection.
-    pub async fn connect(address: SocketAddr) -> Result<Upstream, ConnectFault> {
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    pub async fn connect(shared: &Shared, address: SocketAddr) -> Result<Upstream, ConnectFault> {
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, shared.server_dialer.dial(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if is_refusal(&error) => {
                 return Err(ConnectFault::Refused);
@@ -100,11 +102,16 @@
 
 impl ConnectionPool {
     /// Returns an idle connection or establishes a new one; always a new one if `needs_new` is set.
-    pub async fn connection(&self, address: SocketAddr, needs_new: bool) -> Result<Upstream, ConnectFault> {
+    pub async fn connection(
+        &self,
+        shared: &Shared,
+        address: SocketAddr,
+        needs_new: bool,
+    ) -> Result<Upstream, ConnectFault> {
         let idle = if needs_new { None } else { self.take(address) };
         match idle {
             Some(upstream) => Ok(upstream),
-            None => Upstream::connect(address).await,
+            None => Upstream::connect(shared, address).await,
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod published;
 pub mod pushback;
 pub mod scope_dispatchers;
+pub mod server_dialer;
 pub mod settings;
 pub mod shared;
 pub mod suspects;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -3,6 +3,7 @@
 //! docs/OPERATIONS-GATEWAY.md lists the fields. [`SCHEMA_VERSION`] is incremented when a field is removed or
 //! changes its meaning, but not when a field is added.
 
+use crate::gateway::ConnectFault;
 use dockwood_api::ResultCode;
 use serde::Serialize;
 
@@ -293,6 +294,9 @@
     /// Why the request was not written to the server, if it was not.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub withheld: Option<&'static str>,
+    /// Why no connection to the server was established, if none was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connect_fault: Option<ConnectFault>,
     /// Where the grant for the request came from, if the server has a rate limit.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub turn_from: Option<&'static str>,
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::published::Published;
 use crate::pushback::Pushback;
 use crate::scope_dispatchers::ScopeDispatchers;
+use crate::server_dialer::{ServerDialer, TcpDialer};
 use crate::settings::Settings;
 use crate::suspects::{Suspects, count_suspects};
 use crate::timeline::Timeline;
@@ -57,6 +58,8 @@
     pub suspects: Suspects,
     /// Pushback state of servers.
     pub pushback: Pushback,
+    /// Connects to servers.
+    pub server_dialer: Arc<dyn ServerDialer>,
     /// The control leader as last known.
     pub known_leader: KnownLeader,
     /// Sends messages to the control thread.
@@ -111,6 +114,7 @@
             pause_detector: PauseDetector::default(),
             suspects: Suspects::default(),
             pushback: Pushback::default(),
+            server_dialer: Arc::new(TcpDialer),
             known_leader: KnownLeader::default(),
             lease_requesters: Mutex::default(),
             leader_term: watch::channel(0).0,
@@ -128,6 +132,11 @@
         }
     }
 
+    /// Replaces how connections to servers are established.
+    pub fn with_server_dialer(self, server_dialer: Arc<dyn ServerDialer>) -> Shared {
+        Shared { server_dialer, ..self }
+    }
+
     /// Returns the record that describes this daemon to others.
     pub fn record(&self) -> DaemonRecord {
         DaemonRecord {
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -183,7 +183,7 @@
     ) -> bool {
         let Some(server) = self.server.take() else { return false };
         let broke_at = Instant::now();
-        let check = check_process(address).await;
+        let check = check_process(self.shared().server_dialer.as_ref(), address).await;
         let found = check.name();
         let finding = CheckFinding { found, after: broke_at.elapsed() };
         self.shared().metrics.process_checks.with_label_values(&[found]).inc();
@@ -200,8 +200,9 @@
             }
             ProcessCheck::Connected(connection) => {
                 evidence.log_step(SuspectStep::Unclear, Some(&server), Some(finding));
+                let dialer = self.shared().server_dialer.clone();
                 self.checks.push(tokio::spawn(async move {
-                    let exits = exits_soon(connection, address).await;
+                    let exits = exits_soon(dialer.as_ref(), connection, address).await;
                     if exits {
                         on_exit();
                         evidence.record_late_crash(&server, broke_at.elapsed());
--- a/crates/daemon/src/suspects/process_check.rs
+++ b/crates/daemon/src/suspects/process_check.rs
@@ -1,6 +1,7 @@
 //! Checks whether the process of a server has exited, after a connection to it broke while it had a request. A process
 //! that exits closes its listening socket as well, before or after its connections.
 
+use crate::server_dialer::ServerDialer;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,8 +42,8 @@
 }
 
 /// Checks the process at an address by a connection attempt.
-pub async fn check_process(address: SocketAddr) -> ProcessCheck {
-    match tokio::time::timeout(CHECK_LIMIT, TcpStream::connect(address)).await {
+pub async fn check_process(dialer: &dyn ServerDialer, address: SocketAddr) -> ProcessCheck {
+    match tokio::time::timeout(CHECK_LIMIT, dialer.dial(address)).await {
         Ok(Ok(connection)) => ProcessCheck::Connected(connection),
         Ok(Err(error)) if is_refusal(&error) => ProcessCheck::Exited,
         Ok(Err(_)) | Err(_) => ProcessCheck::Unreachable,
@@ -52,16 +53,20 @@
 /// Observes a process that accepted `connection`, which is idle, and returns whether the process exits. If the connection
 /// is closed, its address is checked again: a process that is exiting refuses the next connection, and a running one
 /// accepts it.
-pub async fn exits_soon(connection: TcpStream, address: SocketAddr) -> bool {
-    tokio::time::timeout(CHECK_LIMIT, wait_until_exited(connection, address)).await.unwrap_or(false)
+pub async fn exits_soon(dialer: &dyn ServerDialer, connection: TcpStream, address: SocketAddr) -> bool {
+    tokio::time::timeout(CHECK_LIMIT, wait_until_exited(dialer, connection, address)).await.unwrap_or(false)
 }
 
 /// Returns true once the process has exited, and false if that can no longer be found out.
-async fn wait_until_exited(mut connection: TcpStream, address: SocketAddr) -> bool {
+async fn wait_until_exited(
+    dialer: &dyn ServerDialer,
+    mut connection: TcpStream,
+    address: SocketAddr,
+) -> bool {
     let mut pause = FIRST_RECHECK_PAUSE;
     loop {
         wait_until_closed(&mut connection).await;
-        match check_process(address).await {
+        match check_process(dialer, address).await {
             ProcessCheck::Exited => return true,
             ProcessCheck::Unreachable => return false,
             ProcessCheck::Connected(next) => connection = next,
--- a/crates/daemon/tests/process_check.rs
+++ b/crates/daemon/tests/process_check.rs
@@ -1,6 +1,7 @@
 //! Checks of the process of a server after a connection to it broke: a process that exits closes its listening socket some
 //! time before or after its connections, and a running one may close a single connection.
 
+use dockwood_daemon::server_dialer::TcpDialer;
 use dockwood_daemon::suspects::{ProcessCheck, check_process, exits_soon};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,9 +15,9 @@
 
 /// Whether a process exits, judged by a check and the observation after it.
 async fn has_exited(address: SocketAddr) -> bool {
-    match check_process(address).await {
+    match check_process(&TcpDialer, address).await {
         ProcessCheck::Exited => true,
-        ProcessCheck::Connected(connection) => exits_soon(connection, address).await,
+        ProcessCheck::Connected(connection) => exits_soon(&TcpDialer, connection, address).await,
         ProcessCheck::Unreachable => false,
     }
 }
@@ -25,7 +26,7 @@
 async fn a_closed_listener_shows_an_exit_at_once() -> std::io::Result<()> {
     let (listener, address) = listen().await?;
     drop(listener);
-    assert!(matches!(check_process(address).await, ProcessCheck::Exited));
+    assert!(matches!(check_process(&TcpDialer, address).await, ProcessCheck::Exited));
     Ok(())
 }
 
