--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -1,15 +1,22 @@
 //! Test fixtures: an entry within the test process, and servers in zones.
 
 use dockwood_api::gateway::{GatewayConfiguration, InstanceState};
+use dockwood_api::peer::DaemonRecord;
 use dockwood_daemon::clock::monotonic_ms;
 use dockwood_daemon::control::ControlHandle;
 use dockwood_daemon::gateway::{Gateway, GatewayListeners};
 use dockwood_daemon::metrics::Metrics;
 use dockwood_daemon::native_dialect::NativeDialect;
+use dockwood_daemon::peer::serve_peers;
+use dockwood_daemon::probe::Reporter;
 use dockwood_daemon::published::Published;
+use dockwood_daemon::server_dialer::{ServerDialer, TcpDialer};
 use dockwood_daemon::settings::Settings;
 use dockwood_daemon::shared::Shared;
-use dockwood_state::{Command, CommandBody, GatewayCommand, GroupPhase, GroupPurpose, InstanceRow, State};
+use dockwood_daemon::traffic::Traffic;
+use dockwood_state::{
+    Command, CommandBody, DaemonUpdate, GatewayCommand, GroupPhase, GroupPurpose, InstanceRow, State,
+};
 use serde_json::json;
 use std::io::Result;
 use std::net::{SocketAddr, TcpListener};
@@ -82,11 +89,17 @@
 
 impl Entry {
     pub fn start() -> Result<Arc<Entry>> {
+        Entry::start_with_dialer(Arc::new(TcpDialer))
+    }
+
+    /// Starts an entry that connects to servers with this dialer.
+    pub fn start_with_dialer(dialer: Arc<dyn ServerDialer>) -> Result<Arc<Entry>> {
         let file = tempfile::NamedTempFile::new()?;
         std::fs::write(file.path(), SETTINGS)?;
         let settings = Settings::read(file.path()).unwrap_or_else(|problems| panic!("{problems:?}"));
         let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
-        let shared = Arc::new(Shared::new(settings, 1, metrics, ControlHandle::new().0));
+        let shared = Shared::new(settings, 1, metrics, ControlHandle::new().0);
+        let shared = Arc::new(shared.with_server_dialer(dialer));
         let listener = || {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             listener.set_nonblocking(true)?;
@@ -117,10 +130,29 @@
         });
     }
 
+    /// Serves the calls of other daemons, and returns the record by which they know this entry.
+    pub async fn serve_peers(&self) -> Result<DaemonRecord> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let peer = listener.local_addr()?;
+        let http = reqwest::Client::new();
+        let traffic = Traffic::start(self.shared.clone(), Arc::new(Reporter::default()), http);
+        tokio::spawn(serve_peers(self.shared.clone(), traffic, listener));
+        Ok(DaemonRecord { name: format!("entry-{}", peer.port()), peer, ..self.shared.record() })
+    }
+
+    /// Adds another daemon to the tables.
+    pub fn add_daemon(&self, record: DaemonRecord) {
+        self.apply_body(CommandBody::UpdateDaemons(vec![DaemonUpdate::Joined { record, incarnation: 1 }]));
+    }
+
     /// Applies a command and publishes the tables, like the control thread.
     fn apply(&self, command: GatewayCommand) {
+        self.apply_body(CommandBody::Gateway(command));
+    }
+
+    fn apply_body(&self, body: CommandBody) {
         let mut state = self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        state.apply(&Command { at_ms: 1, body: CommandBody::Gateway(command) });
+        state.apply(&Command { at_ms: 1, body });
         self.shared.publish(Published { tables: Arc::new(state.tables.clone()), ..Published::default() });
         self.shared.extend_lease(monotonic_ms());
     }
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of one entry within the test process. The tests publish the tables themselves, so that each step happens at a
 //! known time.
 
+mod cut_off;
 mod entry;
 mod evacuation;
 mod limits;
--- a/crates/daemon/tests/one_entry/scripted_server.rs
+++ b/crates/daemon/tests/one_entry/scripted_server.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// The server's reaction to one request.
 #[derive(Clone, Debug)]
@@ -38,6 +39,9 @@
     arrivals: Mutex<Vec<Instant>>,
     /// Whether responses may be written.
     pub may_answer: watch::Sender<bool>,
+    /// Counts how often all connections were broken.
+    breaks: watch::Sender<u32>,
+    listening: Mutex<Option<AbortHandle>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -53,16 +57,38 @@
             script: Mutex::new(script.into_iter().collect()),
             arrivals: Mutex::default(),
             may_answer: watch::channel(true).0,
+            breaks: watch::channel(0).0,
+            listening: Mutex::default(),
         });
         let listening = server.clone();
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(listening.clone().serve(stream));
+                let (server, mut breaks) = (listening.clone(), listening.breaks.subscribe());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = server.serve(stream) => {}
+                        _ = breaks.changed() => {}
+                    }
+                });
             }
         });
+        *lock(&server.listening) = Some(accepting.abort_handle());
         Ok(server)
     }
 
+    /// Closes all connections.
+    pub fn break_connections(&self) {
+        self.breaks.send_modify(|count| *count += 1);
+    }
+
+    /// Ends the server: its connections are closed, and new ones are refused.
+    pub fn stop(&self) {
+        if let Some(listening) = lock(&self.listening).take() {
+            listening.abort();
+        }
+        self.break_connections();
+    }
+
     /// Returns the number of received requests.
     pub fn received(&self) -> usize {
         lock(&self.arrivals).len()
