Entries that are cut off from servers connect by tunnels through other daemons

Cause: an entry had only its own connections, and nothing told a failed path from a failed server. Each request found out anew; the others did not learn of it; a refused connection was taken for the crash of a server.

Evidence: all refused requests list only sends that were not connected, for the reason of the cut (silent or refused), at all servers tried; the other entries have none within the same seconds. Requests were refused although no group or server was avoided by the dispatcher.

All decisions on the request stay with the entry. What other daemons find tells a cut from an ended server; a refusal is a crash only if nobody reaches the server.

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -240,8 +240,9 @@
         let needs_new_connection = !self.received.route.is_repeatable();
         self.request_log.record_send(&selected.row.id, None, None);
         let shared = &self.gateway.shared;
+        let lifetime = self.received.remaining();
         let connection =
-            self.gateway.pool.connection(shared, selected.row.address, needs_new_connection).await;
+            self.gateway.pool.connection(shared, selected.row.address, needs_new_connection, lifetime).await;
         let mut upstream = match connection {
             Ok(upstream) => upstream,
             Err(fault) => {
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -75,6 +75,11 @@
         self.deadline_ms.saturating_sub(monotonic_ms())
     }
 
+    /// The same as a duration.
+    pub fn remaining(&self) -> Duration {
+        Duration::from_millis(self.remaining_ms())
+    }
+
     /// Returns the properties for the log line.
     pub fn info(&self) -> RequestInfo {
         RequestInfo {
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -38,7 +38,9 @@
         self.request_log.record_send(&instance, epoch, source.chosen_by());
         let needs_new_connection = !self.received.route.is_repeatable();
         let shared = &self.gateway.shared;
-        let connection = self.gateway.pool.connection(shared, source.address(), needs_new_connection).await;
+        let lifetime = self.received.remaining();
+        let connection =
+            self.gateway.pool.connection(shared, source.address(), needs_new_connection, lifetime).await;
         let mut upstream = match connection {
             Ok(upstream) => upstream,
             Err(fault) => {
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -6,30 +6,29 @@
 
 use crate::lock::lock;
 use crate::pushback::SendPermit;
+use crate::server_connections::{ServerStream, connect_to_server};
 use crate::shared::Shared;
-use crate::suspects::is_refusal;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
-/// Time limit for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A connection that has been idle for longer than this is not reused, because servers close idle connections.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 4;
 
 /// Why no connection was established. Nothing was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum ConnectFault {
     /// The server's machine refused it: no process listens there.
@@ -45,6 +44,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     address: SocketAddr,
+    /// Whether it leads through another daemon, which closes it after a time.
+    is_tunnel: bool,
 }
 
 impl Drop for Upstream {
@@ -54,24 +55,33 @@
 }
 
 impl Upstream {
-    /// Establishes a connection.
-    pub async fn connect(shared: &Shared, address: SocketAddr) -> Result<Upstream, ConnectFault> {
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, shared.server_dialer.dial(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if is_refusal(&error) => {
-                return Err(ConnectFault::Refused);
-            }
-            Ok(Err(_)) => return Err(ConnectFault::Failed),
-            Err(_) => return Err(ConnectFault::Silent),
-        };
-        let _ = stream.set_nodelay(true);
+    /// Establishes a connection, which is needed for `lifetime` at most.
+    pub async fn connect(
+        shared: &Arc<Shared>,
+        address: SocketAddr,
+        lifetime: Duration,
+    ) -> Result<Upstream, ConnectFault> {
+        match connect_to_server(shared, address, lifetime).await? {
+            ServerStream::Direct(stream) => Upstream::handshake(stream, address, false).await,
+            ServerStream::Tunnel(stream) => Upstream::handshake(stream, address, true).await,
+        }
+    }
+
+    async fn handshake<Stream>(
+        stream: Stream,
+        address: SocketAddr,
+        is_tunnel: bool,
+    ) -> Result<Upstream, ConnectFault>
+    where
+        Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| ConnectFault::Failed)?;
         let driver = tokio::spawn(async move {
             // An error is reported by the request on the connection.
             let _ = connection.await;
         });
-        Ok(Upstream { sender, driver: driver.abort_handle(), address })
+        Ok(Upstream { sender, driver: driver.abort_handle(), address, is_tunnel })
     }
 
     /// Returns the address of the server.
@@ -101,17 +111,21 @@
 }
 
 impl ConnectionPool {
-    /// Returns an idle connection or establishes a new one; always a new one if `needs_new` is set.
+    /// Returns an idle connection or establishes a new one, which is needed for `lifetime` at most; always a new one if
+    /// `needs_new` is set.
     pub async fn connection(
         &self,
-        shared: &Shared,
+        shared: &Arc<Shared>,
         address: SocketAddr,
         needs_new: bool,
+        lifetime: Duration,
     ) -> Result<Upstream, ConnectFault> {
+        // Idle connections over a path that is cut may never answer.
+        let needs_new = needs_new || shared.server_paths().is_cut(address);
         let idle = if needs_new { None } else { self.take(address) };
         match idle {
             Some(upstream) => Ok(upstream),
-            None => Upstream::connect(shared, address).await,
+            None => Upstream::connect(shared, address, lifetime).await,
         }
     }
 
@@ -129,7 +143,7 @@
 
     /// Returns a connection to the pool after its response was read completely.
     pub fn release(&self, upstream: Upstream) {
-        if !upstream.sender.is_ready() {
+        if upstream.is_tunnel || !upstream.sender.is_ready() {
             return;
         }
         let mut pool = lock(&self.idle);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -66,6 +66,14 @@
     pub peer_calls: IntCounterVec,
     /// Failed calls to other daemons.
     pub peer_failures: IntCounter,
+    /// Connections to servers, by path.
+    pub server_connections: IntCounterVec,
+    /// Tunnels to servers that other daemons requested, by result.
+    pub tunnels: IntCounterVec,
+    /// Tunnels that are open through this daemon.
+    pub open_tunnels: IntGauge,
+    /// Whether this daemon is cut off from all servers, though other daemons reach them.
+    pub cut_off: IntGauge,
     /// Calls relayed to the leader for other daemons.
     pub relayed_calls: IntCounter,
     /// Frames and bytes exchanged with other daemons, by direction and unit.
@@ -238,6 +246,21 @@
             quarantined_requests: gauge("dockwood_quarantined_requests", "Requests under quarantine")?,
             peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
             peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
+            server_connections: counters(
+                "dockwood_server_connections_total",
+                "Connections to servers: direct, by a tunnel through another daemon, or none established",
+                &["path"],
+            )?,
+            tunnels: counters(
+                "dockwood_tunnels_total",
+                "Tunnels to servers that other daemons requested",
+                &["result"],
+            )?,
+            open_tunnels: gauge("dockwood_open_tunnels", "Tunnels through this daemon")?,
+            cut_off: gauge(
+                "dockwood_cut_off_from_servers",
+                "Whether this daemon is cut off from all servers, though other daemons reach them",
+            )?,
             relayed_calls: counter(
                 "dockwood_relayed_calls_total",
                 "Calls passed on to the leader for other daemons",
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -6,6 +6,7 @@
 use crate::control::ControlMessage;
 use crate::shared::Shared;
 use crate::traffic::Traffic;
+use crate::tunnel::{is_tunnel, serve_tunnel};
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{
     DispatchScope, InstanceReport, LimitUpdate, LoadDigest, LoadReport, PlaceReply, PlaceRequest, TurnReply,
@@ -22,6 +23,7 @@
 use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
 /// Time limit for the control thread to publish a revision that it has applied: it publishes once per iteration.
@@ -39,15 +41,23 @@
     loop {
         // The failure of one connection while it is accepted does not affect the others.
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let Ok(transport) = peer_transport(stream) else { continue };
-        let channel = BaseChannel::with_defaults(transport);
-        let serve = channel.execute(server.clone().serve()).for_each(|call| async move {
-            tokio::spawn(call);
-        });
-        tokio::spawn(serve);
+        tokio::spawn(serve_connection(server.clone(), stream));
     }
 }
 
+async fn serve_connection(server: PeerServer, stream: TcpStream) {
+    if is_tunnel(&stream).await {
+        serve_tunnel(server.shared, stream).await;
+        return;
+    }
+    let Ok(transport) = peer_transport(stream) else { return };
+    let channel = BaseChannel::with_defaults(transport);
+    let serve = channel.execute(server.serve()).for_each(|call| async move {
+        tokio::spawn(call);
+    });
+    serve.await;
+}
+
 impl PeerServer {
     fn count_call(&self, method: &str) {
         self.shared.metrics.peer_calls.with_label_values(&[method]).inc();
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -21,12 +21,13 @@
 use dockwood_api::peer::DaemonRecord;
 use dockwood_api::resource::Isolation;
 use dockwood_control::LEASE_MS;
+use dockwood_routing::gateway::{ServerPaths, TunnelPeers};
 use dockwood_routing::{EntryCandidate, Millis, entry_order};
 use dockwood_state::Tables;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
 
 /// Maximum number of remembered daemons that requested a lease here; any of them may know the leader.
@@ -58,6 +59,9 @@
     pub suspects: Suspects,
     /// Pushback state of servers.
     pub pushback: Pushback,
+    server_paths: Mutex<ServerPaths>,
+    /// Daemons that recently could not provide a tunnel to a server.
+    pub tunnel_peers: Mutex<TunnelPeers>,
     /// Connects to servers.
     pub server_dialer: Arc<dyn ServerDialer>,
     /// The control leader as last known.
@@ -114,6 +118,8 @@
             pause_detector: PauseDetector::default(),
             suspects: Suspects::default(),
             pushback: Pushback::default(),
+            server_paths: Mutex::default(),
+            tunnel_peers: Mutex::default(),
             server_dialer: Arc::new(TcpDialer),
             known_leader: KnownLeader::default(),
             lease_requesters: Mutex::default(),
@@ -137,6 +143,11 @@
         Shared { server_dialer, ..self }
     }
 
+    /// Returns what is known of the paths to servers. It must not be held while waiting.
+    pub fn server_paths(&self) -> MutexGuard<'_, ServerPaths> {
+        lock(&self.server_paths)
+    }
+
     /// Returns the record that describes this daemon to others.
     pub fn record(&self) -> DaemonRecord {
         DaemonRecord {
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -6,6 +6,7 @@
 use crate::clock::wall_ms;
 use crate::log_line::SuspectStep;
 use crate::peer::submit;
+use crate::server_connections::is_reached_by_others;
 use crate::shared::Shared;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
@@ -183,7 +184,7 @@
     ) -> bool {
         let Some(server) = self.server.take() else { return false };
         let broke_at = Instant::now();
-        let check = check_process(self.shared().server_dialer.as_ref(), address).await;
+        let check = self.check_server(address).await;
         let found = check.name();
         let finding = CheckFinding { found, after: broke_at.elapsed() };
         self.shared().metrics.process_checks.with_label_values(&[found]).inc();
@@ -200,9 +201,10 @@
             }
             ProcessCheck::Connected(connection) => {
                 evidence.log_step(SuspectStep::Unclear, Some(&server), Some(finding));
-                let dialer = self.shared().server_dialer.clone();
+                let shared = self.shared().clone();
                 self.checks.push(tokio::spawn(async move {
-                    let exits = exits_soon(dialer.as_ref(), connection, address).await;
+                    let exits = exits_soon(shared.server_dialer.as_ref(), connection, address).await
+                        && !is_reached_by_others(&shared, address).await;
                     if exits {
                         on_exit();
                         evidence.record_late_crash(&server, broke_at.elapsed());
@@ -214,6 +216,17 @@
         false
     }
 
+    /// Checks the process of a server. A refused connection is no evidence if another daemon reaches the server: then the
+    /// path from this daemon is cut.
+    async fn check_server(&self, address: SocketAddr) -> ProcessCheck {
+        match check_process(self.shared().server_dialer.as_ref(), address).await {
+            ProcessCheck::Exited if is_reached_by_others(self.shared(), address).await => {
+                ProcessCheck::Unreachable
+            }
+            check => check,
+        }
+    }
+
     /// Waits for the checks of the servers to which the connection broke, if the request is a suspect or this happened
     /// more than once: the request may be crashing each server that it is sent to. After a first break, the request is
     /// retried without delay.
--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -132,7 +132,8 @@
 
     /// Serves the calls of other daemons, and returns the record by which they know this entry.
     pub async fn serve_peers(&self) -> Result<DaemonRecord> {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        // An address of its own, as if it ran on another machine.
+        let listener = tokio::net::TcpListener::bind("127.0.0.2:0").await?;
         let peer = listener.local_addr()?;
         let http = reqwest::Client::new();
         let traffic = Traffic::start(self.shared.clone(), Arc::new(Reporter::default()), http);
--- a/crates/routing/src/gateway/mod.rs
+++ b/crates/routing/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod events;
 mod regions;
 mod route_table;
+mod server_paths;
 mod stall_detection;
 
 pub use attempts::{GiveUp, RequestAttempts, RetryDecision, SendOutcome, WithheldReason};
@@ -17,4 +18,5 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use regions::{AllowedRegions, AllowedZones};
 pub use route_table::{Destination, KeyVerdict, RouteTable};
+pub use server_paths::{CutOffChange, PathPlan, ServerPaths, TunnelPeer, TunnelPeers};
 pub use stall_detection::{LatencyStats, ObservedLatency, StallTimeout, StallTimeouts, timely_event_ms};
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 use imbl::OrdMap;
 use removed::{RemovedInstances, started_later};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// All tables of the gateway.
@@ -109,6 +110,13 @@
         self.group_of(instance).filter(|group| group.is_headed_by(instance))
     }
 
+    /// The zone of the plain server or the head of a serving group at this address; `None` if requests are sent to neither.
+    pub fn zone_of_server(&self, address: SocketAddr) -> Option<&str> {
+        let head = self.groups.values().find(|row| row.serves() && row.head == address);
+        let plain = || self.instances.values().find(|row| row.address == address && !row.is_engine());
+        head.map(|row| row.zone.as_str()).or_else(|| plain().map(|row| row.zone.as_str()))
+    }
+
     /// The part of the tables that daemons need that are not voters; see [`GatewayCommand::for_non_voters`].
     pub(crate) fn for_non_voters(&self) -> GatewayTables {
         let plain = self.instances.iter().filter(|(_, row)| !row.is_engine());
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -177,6 +177,12 @@
     let ids: Vec<&String> = non_voter.tables.gateway.instances.keys().collect();
     assert_eq!(ids, ["plain"]);
     assert_eq!(sent.len(), 2, "{sent:?}");
+    let knows = |port| non_voter.tables.gateway.zone_of_server(row("", port).address).is_some();
+    assert_eq!(
+        [1, 2, 3, 4].map(knows),
+        [true, false, false, true],
+        "heads of serving groups and plain servers"
+    );
     let copy = State::decode(&leader.encode_for_non_voters()).expect("the encoded state is readable");
     assert_eq!(serving(&copy), [(1, GroupPhase::Open)]);
     assert_eq!(copy.tables.gateway.instances, non_voter.tables.gateway.instances);
