--- a/crates/daemon/tests/one_entry/cut_off.rs
+++ b/crates/daemon/tests/one_entry/cut_off.rs
@@ -37,7 +37,7 @@
 /// Connects to servers unless the entry is cut off, or only from some of them.
 pub struct CutDialer {
     cut: Cut,
-    is_cut: AtomicBool,
+    pub is_cut: AtomicBool,
     /// The servers that are cut off; all if it is empty.
     servers: Mutex<Vec<SocketAddr>>,
     pub established: AtomicU32,
@@ -185,6 +185,30 @@
     Ok(())
 }
 
+/// Most entries of a fleet may be cut off at once.
+#[yare::parameterized(
+    refused = { Cut::Refused },
+    silent = { Cut::Silent },
+)]
+#[test_macro(tokio::test)]
+async fn requests_are_served_although_most_other_entries_are_cut_off_as_well(cut: Cut) -> Result<()> {
+    let fleet = CutOffFleet::start(cut).await?;
+    let mut also_cut_off = Vec::new();
+    for _ in 0..4 {
+        let entry = Entry::start_with_dialer(Arc::new(SharedDialer(CutDialer::new(cut))))?;
+        entry.add("board", "z", fleet.board.address);
+        fleet.cut_off.add_daemon(entry.serve_peers().await?);
+        also_cut_off.push(entry);
+    }
+    fleet.wait_until_configured(PLAIN_PATH).await?;
+    let mut served = 0;
+    for _ in 0..20 {
+        served += u32::from(fleet.cut_off.request(PLAIN_PATH).await?.starts_with("HTTP/1.1 200"));
+    }
+    assert!(served >= 18, "{served} of 20 requests were served");
+    Ok(())
+}
+
 /// A server that no daemon reaches is not connected to again and again by way of others.
 #[tokio::test]
 async fn a_request_for_a_service_that_has_ended_is_refused_at_once() -> Result<()> {
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -7,3 +7,4 @@
 mod limits;
 mod pushback;
 mod scripted_server;
+mod tunnels;
