Retries of the fixed number are earned with time

What callers would have seen: for 13 s after the start of an entry, a failed request was repeated only if seven others had come before.

Fix: three fifths of an entry's part of the fixed number are earned evenly within a window, two fifths may be saved. Nobody saves anything before it runs, and each moment is earned by one process, so the bound holds for any restarts without a quarantine, and a new process has retries within a second or two.

Two tests sent six requests that needed a retry within a second of the start of their entry. They check which requests are repeated, not how many; they wait for three seconds first now, and check what they did.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -40,7 +40,6 @@
 use crate::scope_dispatchers::run_summaries;
 use crate::shared::Shared;
 use arc_swap::ArcSwap;
-use dockwood_control::LEASE_MS;
 use dockwood_grouping::departing_groups;
 use dockwood_routing::BackendPicker;
 use dockwood_routing::gateway::{RouteTable, SendBudgetLimits};
@@ -111,18 +110,14 @@
 
     fn new(shared: Arc<Shared>, dialect: Arc<dyn Dialect>) -> Gateway {
         let budget = shared.settings.gateway.as_ref().map(|gateway| gateway.retry_budget);
-        let budget_limits = budget.map_or(
-            SendBudgetLimits { percent: 0, window_ms: 1, extra: 0, growth_notice_ms: 0 },
-            |budget| {
+        let budget_limits =
+            budget.map_or(SendBudgetLimits { percent: 0, window_ms: 1, extra: 0 }, |budget| {
                 SendBudgetLimits {
                     percent: budget.percent,
                     window_ms: budget.window.as_millis() as u64,
                     extra: budget.extra,
-                    // An entry that has heard of no change for longer has lost its lease and sends nothing.
-                    growth_notice_ms: LEASE_MS,
                 }
-            },
-        );
+            });
         let cold = cold::ColdServers::new(shared.settings.cold_limit());
         Gateway {
             shared,
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -30,6 +30,10 @@
 /// crate); entries report the end of a stream within 0.2 s. After this time, no request that has ended is counted.
 const DISPATCHER_FORGETS_WITHIN: Duration = Duration::from_millis(1_300);
 
+/// An entry that has just started has earned few retries: its predecessor may have used those of its part. After this
+/// time, it has earned more than the tests below need at once (2.7 per second).
+const RETRIES_EARNED_WITHIN: Duration = Duration::from_secs(3);
+
 fn complete_stream() -> String {
     (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
 }
@@ -185,6 +189,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn at_most_once_requests_are_retried_only_if_they_did_not_run() -> reqwest::Result<()> {
     let (fleet, servers) = with_plain_servers().await;
+    tokio::time::sleep(RETRIES_EARNED_WITHIN).await;
     servers[0].set_behavior(Behavior::Rejects);
     for number in 0..6 {
         let answer = fleet.request(0, "/once/1", &format!("a-{number}")).send().await?;
@@ -204,6 +209,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn repeatable_requests_are_retried_at_another_server() -> reqwest::Result<()> {
     let (fleet, servers) = with_plain_servers().await;
+    tokio::time::sleep(RETRIES_EARNED_WITHIN).await;
     servers[0].set_behavior(Behavior::DropsResponse);
     for number in 0..6 {
         let answer = fleet.request(1, "/plain/1", &format!("a-{number}")).send().await?;
--- a/crates/routing/src/gateway/budget.rs
+++ b/crates/routing/src/gateway/budget.rs
@@ -2,24 +2,22 @@
 //!
 //! The budget applies to all entries together and to any window: a percentage of the requests, plus a fixed
 //! number. The entries keep to it without communication, and although what they have sent is only in the
-//! memory of their processes:
-//!
-//! - Each request earns a part of a retry. Only a small part of what was earned may be saved, because callers
-//!   that move to another entry earn there what they have already earned, and may have used, at the first one.
-//! - Each entry has an equal part of the fixed number. A process that has just started has none for more than
-//!   a window, because its predecessor may have used it.
+//! memory of their processes: retries are earned, with each request and with time, by the process that sends
+//! them, and only a part of them may be saved. A process that has just started has earned nothing yet, so it
+//! does not matter what its predecessor has sent, nor at which entry callers were before.
 
 use crate::Millis;
 use std::collections::VecDeque;
 
-/// Percentage of the budget that is used. The margin covers retries that are delayed on their way to a server.
+/// Percentage of the budget that is used. The margin covers retries that are delayed on their way to a server,
+/// and entries that do not know yet that the fleet has grown.
 const USABLE_PERCENT: u64 = 90;
 /// Percentage of the usable retries per request that is earned with each request. The rest may be saved from
 /// the requests of the last window.
 const EARNED_PERCENT: u64 = 75;
-/// Fraction of an entry's part of the fixed number that is used to save earned retries where requests are so
-/// few that they would not amount to one: one divided by this number.
-const SAVED_EXTRA_DIVISOR: u64 = 4;
+/// Percentage of an entry's part of the fixed number that is earned evenly within a window. The rest may be
+/// saved.
+const EXTRA_EARNED_PERCENT: u64 = 60;
 /// Unit of earned retries: percentages of percentages of a percentage are whole numbers.
 const UNITS_PER_RETRY: u64 = 1_000_000;
 
@@ -32,8 +30,6 @@
     pub window_ms: Millis,
     /// Retries allowed per window in addition to the percentage.
     pub extra: u64,
-    /// Time after which an entry has learned that the fleet has grown.
-    pub growth_notice_ms: Millis,
 }
 
 impl SendBudgetLimits {
@@ -42,7 +38,7 @@
         self.percent * USABLE_PERCENT * EARNED_PERCENT
     }
 
-    /// How much of what each request of the last window has earned may be saved, in [`UNITS_PER_RETRY`].
+    /// What may be saved for each request of the last window, in [`UNITS_PER_RETRY`].
     fn saved_per_request(&self) -> u64 {
         self.percent * USABLE_PERCENT * (100 - EARNED_PERCENT)
     }
@@ -66,14 +62,12 @@
 #[derive(Clone, Debug)]
 pub struct SendBudget {
     limits: SendBudgetLimits,
-    started_at: Millis,
     requests: VecDeque<Millis>,
-    /// What requests have earned and retries have not used yet, in [`UNITS_PER_RETRY`].
+    retries: VecDeque<Millis>,
+    /// What was earned and is not used yet, in [`UNITS_PER_RETRY`].
     earned: u64,
-    /// Retries taken from what was earned.
-    earned_retries: VecDeque<Millis>,
-    /// Retries taken from the fixed number.
-    extra_retries: VecDeque<Millis>,
+    /// Until when the part of the fixed number is contained in `earned`.
+    extra_earned_until: Millis,
 }
 
 impl SendBudget {
@@ -81,11 +75,10 @@
     pub fn new(limits: SendBudgetLimits, started_at: Millis) -> Self {
         SendBudget {
             limits,
-            started_at,
             requests: VecDeque::new(),
+            retries: VecDeque::new(),
             earned: 0,
-            earned_retries: VecDeque::new(),
-            extra_retries: VecDeque::new(),
+            extra_earned_until: started_at,
         }
     }
 
@@ -100,38 +93,34 @@
     /// `entries`, which is 0 if it is not known.
     pub fn try_retry(&mut self, now: Millis, entries: u64) -> bool {
         self.expire(now);
-        let extra = self.limits.extra_part(entries);
-        let saved_extra = extra / SAVED_EXTRA_DIVISOR;
-        let max_saved = self.requests.len() as u64 * self.limits.saved_per_request() + saved_extra;
-        self.earned = self.earned.min(max_saved);
-        if self.earned >= UNITS_PER_RETRY {
-            self.earned -= UNITS_PER_RETRY;
-            self.earned_retries.push_back(now);
-            return true;
-        }
-        let extra_retries = (extra - saved_extra) / UNITS_PER_RETRY;
-        let allowed = self.has_extra(now) && (self.extra_retries.len() as u64) < extra_retries;
+        self.earn_extra(now, self.limits.extra_part(entries));
+        let allowed = self.earned >= UNITS_PER_RETRY;
         if allowed {
-            self.extra_retries.push_back(now);
+            self.earned -= UNITS_PER_RETRY;
+            self.retries.push_back(now);
         }
         allowed
     }
 
     /// Returns the usage as of the last call.
     pub fn usage(&self) -> BudgetUsage {
-        let retries = self.earned_retries.len() + self.extra_retries.len();
-        BudgetUsage { requests: self.requests.len() as u64, retries: retries as u64 }
+        BudgetUsage { requests: self.requests.len() as u64, retries: self.retries.len() as u64 }
     }
 
-    /// Whether the fixed number may be used: not before everything has left the window that a predecessor has
-    /// sent, or that other entries have sent while they divided by a smaller number of entries.
-    fn has_extra(&self, now: Millis) -> bool {
-        now >= self.started_at + self.limits.window_ms + self.limits.growth_notice_ms
+    /// Adds what was earned with time of this entry's part of the fixed number, and removes what may not be saved.
+    fn earn_extra(&mut self, now: Millis, extra_part: u64) {
+        let window = self.limits.window_ms;
+        let elapsed = now.saturating_sub(self.extra_earned_until).min(window);
+        let earned_per_window = extra_part * EXTRA_EARNED_PERCENT / 100;
+        self.earned += earned_per_window * elapsed / window;
+        self.extra_earned_until = now;
+        let saved_for_requests = self.requests.len() as u64 * self.limits.saved_per_request();
+        self.earned = self.earned.min(saved_for_requests + extra_part - earned_per_window);
     }
 
     fn expire(&mut self, now: Millis) {
         let window = self.limits.window_ms;
-        for times in [&mut self.requests, &mut self.earned_retries, &mut self.extra_retries] {
+        for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|at| now >= at + window) {
                 times.pop_front();
             }
