A process sends nothing to cold servers for one window after its start

What servers saw: a cold server whose limit is 2 requests a second could get 3, if one sender started five times within two seconds.

Cause: a sender's share of the limit is in the memory of its process, so a new process had its whole share again. Senders use half of the limit each time, which covers one restart within a second.

Fix: the pacing knows when its process started, and sends nothing to cold servers until a window and the delay of an arrival have passed.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -176,16 +176,14 @@
         digest
     }
 
-    /// Assigns a request to a group. `cold_limit` limits by how much the rates declared by cold servers may
-    /// be exceeded.
-    pub fn assign(
-        &mut self,
-        now: Millis,
-        tables: &GatewayTables,
-        cold_limit: ColdLimit,
-        request: &PlaceRequest,
-    ) -> PlaceReply {
-        self.dispatcher.limit_cold_heads(cold_limit);
+    /// Sets by how much the rates declared by cold servers may be exceeded. `started_at` is when this process
+    /// started.
+    pub fn limit_cold_heads(&mut self, limit: ColdLimit, started_at: Millis) {
+        self.dispatcher.limit_cold_heads(limit, started_at);
+    }
+
+    /// Assigns a request to a group.
+    pub fn assign(&mut self, now: Millis, tables: &GatewayTables, request: &PlaceRequest) -> PlaceReply {
         self.dispatcher.assign(now, request, tables, &self.observations)
     }
 
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -3,7 +3,7 @@
 use crate::driver_io::{Moment, Output};
 use crate::entry_summary::EntrySummary;
 use crate::gateway::GatewayLeaderState;
-use crate::node::{Batch, ControlNode};
+use crate::node::{Batch, ControlNode, Options};
 use crate::voter::{VoterState, Waiter};
 use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
 use dockwood_api::peer::{ReadAnswer, SubmitReply};
@@ -31,9 +31,10 @@
 
     /// Assigns a request to a group; `None` if this node does not lead.
     pub(crate) fn assign_place(&mut self, now: Moment, request: &PlaceRequest) -> Option<PlaceReply> {
-        let cold_limit = self.options.cold_limit;
+        let Options { cold_limit, started_at, .. } = self.options;
         let (gateway, tables) = self.leading_gateway(now)?;
-        Some(gateway.assign(now.monotonic, tables, cold_limit, request))
+        gateway.limit_cold_heads(cold_limit, started_at);
+        Some(gateway.assign(now.monotonic, tables, request))
     }
 
     /// The leader lease guarantees that no other node has committed anything since; everything committed
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -35,6 +35,8 @@
     pub grouping: GroupingPolicy,
     /// By how much the rate declared by cold servers may be exceeded, over all daemons.
     pub cold_limit: ColdLimit,
+    /// When this process started.
+    pub started_at: Millis,
     /// Number of voters to keep if enough members are available.
     pub target_voters: usize,
     /// Whether to tolerate the loss of a whole zone: then no zone may hold half of the voters.
@@ -52,6 +54,7 @@
             placement: PlacementPolicy::default(),
             grouping: GroupingPolicy::default(),
             cold_limit: ColdLimit::default(),
+            started_at: 0,
             target_voters: voters_for_losses(1),
             tolerates_zone_loss: false,
             leader_leases_up_to: LEADER_LEASES_UP_TO,
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -87,6 +87,7 @@
         let node = ControlNode::voter(&settings.name, found.state, core, addresses).with_options(Options {
             grouping,
             cold_limit: settings.cold_limit(),
+            started_at: monotonic_ms(),
             target_voters,
             tolerates_zone_loss: settings.seeds.tolerates_zone_loss,
             leader_leases_up_to: settings.leader_leases_up_to,
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -36,9 +36,12 @@
 }
 
 impl ColdServers {
-    /// Creates the state without any servers. `limit` is by how much the declared rate of a cold server may be exceeded.
-    pub fn new(limit: ColdLimit) -> Self {
-        ColdServers { limit, ..ColdServers::default() }
+    /// Creates the state without any servers. `limit` is by how much the declared rate of a cold server may be exceeded,
+    /// `started_at` when this process started.
+    pub fn new(limit: ColdLimit, started_at: Millis) -> Self {
+        let servers = ColdServers { limit, ..ColdServers::default() };
+        lock(&servers.pacing).set_started_at(started_at);
+        servers
     }
 
     /// Returns this entry's share of the rate of a plain server while it is cold.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub use evacuation::set_evacuation;
 pub use upstream::ConnectFault;
 
+use crate::clock::monotonic_ms;
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
 use crate::metrics::Metrics;
@@ -118,7 +119,7 @@
                     extra: budget.extra,
                 }
             });
-        let cold = cold::ColdServers::new(shared.settings.cold_limit());
+        let cold = cold::ColdServers::new(shared.settings.cold_limit(), monotonic_ms());
         Gateway {
             shared,
             dialect,
--- a/crates/daemon/src/scope_dispatchers.rs
+++ b/crates/daemon/src/scope_dispatchers.rs
@@ -35,6 +35,8 @@
 pub struct ScopeDispatchers {
     /// By how much the declared rate of cold heads may be exceeded.
     cold_limit: ColdLimit,
+    /// When this process started.
+    started_at: u64,
     scopes: Mutex<BTreeMap<DispatchScope, ActiveScope>>,
     /// Notified when a group has stalled.
     urgent: Notify,
@@ -45,7 +47,7 @@
 impl ScopeDispatchers {
     /// Creates an empty set of scopes; `cold_limit` is by how much the declared rate of cold heads may be exceeded.
     pub fn new(cold_limit: ColdLimit) -> Self {
-        ScopeDispatchers { cold_limit, ..ScopeDispatchers::default() }
+        ScopeDispatchers { cold_limit, started_at: monotonic_ms(), ..ScopeDispatchers::default() }
     }
 
     fn scopes(&self) -> MutexGuard<'_, BTreeMap<DispatchScope, ActiveScope>> {
@@ -59,7 +61,7 @@
             self.first_scope.notify_one();
         }
         let active = scopes.entry(scope.clone()).or_insert_with(|| ActiveScope {
-            dispatch: ScopeDispatch::new(scope.clone()).with_cold_limit(self.cold_limit),
+            dispatch: ScopeDispatch::new(scope.clone()).with_cold_limit(self.cold_limit, self.started_at),
             last_used_at: 0,
         });
         active.last_used_at = monotonic_ms();
--- a/crates/grouping/src/cold_start.rs
+++ b/crates/grouping/src/cold_start.rs
@@ -136,15 +136,23 @@
 #[derive(Clone, Debug)]
 pub struct ColdPacing<K> {
     histories: BTreeMap<K, SendHistory>,
+    /// When the process of the sender started.
+    started_at: Millis,
 }
 
 impl<K> Default for ColdPacing<K> {
     fn default() -> Self {
-        ColdPacing { histories: BTreeMap::new() }
+        ColdPacing { histories: BTreeMap::new(), started_at: 0 }
     }
 }
 
 impl<K: Ord + Clone> ColdPacing<K> {
+    /// Sets when the process of the sender started. Nothing is sent to cold servers for one window after that: a
+    /// predecessor may have used its share of it.
+    pub fn set_started_at(&mut self, started_at: Millis) {
+        self.started_at = started_at;
+    }
+
     /// Records whether a server is cold now. Must be called for every server that might receive a request, so
     /// that the end of its cold phase is observed.
     pub fn observe(&mut self, now: Millis, server: &K, is_cold: bool) {
@@ -165,6 +173,9 @@
     pub fn may_send(&self, now: Millis, server: &K, rate: SendRate) -> bool {
         let limited = self.histories.get(server).filter(|history| history.is_limited(now));
         let Some(history) = limited else { return true };
+        if now <= self.started_at + ARRIVAL_SPREAD_MS {
+            return false;
+        }
         let factor = if history.is_cold { 1 } else { SLOW_START_FACTOR };
         history.allows(now, rate.times(factor))
     }
--- a/crates/grouping/src/dispatch.rs
+++ b/crates/grouping/src/dispatch.rs
@@ -143,8 +143,10 @@
 }
 
 impl Dispatcher {
-    /// Sets by how much the declared rate of cold heads may be exceeded.
-    pub fn limit_cold_heads(&mut self, limit: ColdLimit) {
+    /// Sets by how much the declared rate of cold heads may be exceeded. `started_at` is when this process
+    /// started.
+    pub fn limit_cold_heads(&mut self, limit: ColdLimit, started_at: Millis) {
+        self.cold.set_started_at(started_at);
         self.cold_limit = limit;
     }
 
--- a/crates/grouping/src/scope.rs
+++ b/crates/grouping/src/scope.rs
@@ -45,9 +45,10 @@
         }
     }
 
-    /// Sets by how much the declared rate of cold heads may be exceeded.
-    pub fn with_cold_limit(mut self, limit: ColdLimit) -> Self {
-        self.dispatcher.limit_cold_heads(limit);
+    /// Sets by how much the declared rate of cold heads may be exceeded. `started_at` is when this process
+    /// started.
+    pub fn with_cold_limit(mut self, limit: ColdLimit, started_at: Millis) -> Self {
+        self.dispatcher.limit_cold_heads(limit, started_at);
         self
     }
 
