Tunnels: a late refusal and a connection that ends within its first bytes

A direct connection that failed after the tunnels had failed polled a finished future again, which ended the caller's connection with a panic. A connection that ended within the first bytes of the preface was looked at every 2 ms forever. The limit of tunnels is a semaphore now, not a metric.

--- a/crates/daemon/src/server_connections.rs
+++ b/crates/daemon/src/server_connections.rs
@@ -8,7 +8,9 @@
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
 use dockwood_routing::gateway::{CutOffChange, PathPlan};
+use futures::future::{Either, select};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -71,23 +73,18 @@
     server: SocketAddr,
     lifetime: Duration,
 ) -> Result<ServerStream, ConnectFault> {
-    let mut direct = std::pin::pin!(connect_directly(shared, server));
-    let fault = match tokio::time::timeout(TUNNEL_DELAY, direct.as_mut()).await {
+    let by_tunnel = async { tunnel(shared, server, lifetime).await.map(ServerStream::Tunnel) };
+    let (mut direct, by_tunnel) = (pin!(connect_directly(shared, server)), pin!(by_tunnel));
+    match tokio::time::timeout(TUNNEL_DELAY, direct.as_mut()).await {
         Ok(Ok(stream)) => return Ok(stream),
-        Ok(Err(fault)) => Some(fault),
-        Err(_) => None,
-    };
-    let mut tunnel = std::pin::pin!(tunnel(shared, server, lifetime));
-    let Some(fault) = fault else {
-        return tokio::select! {
-            connected = direct.as_mut() => match connected {
-                Ok(stream) => Ok(stream),
-                Err(fault) => tunnel.await.map(ServerStream::Tunnel).map_err(|_| fault),
-            },
-            Ok(stream) = tunnel.as_mut() => Ok(ServerStream::Tunnel(stream)),
-        };
-    };
-    tunnel.await.map(ServerStream::Tunnel).map_err(|_| fault)
+        Ok(Err(fault)) => return by_tunnel.await.map_err(|_| fault),
+        Err(_) => {}
+    }
+    match select(direct, by_tunnel).await {
+        Either::Left((Ok(stream), _)) | Either::Right((Ok(stream), _)) => Ok(stream),
+        Either::Left((Err(fault), by_tunnel)) => by_tunnel.await.map_err(|_| fault),
+        Either::Right((Err(_), direct)) => direct.await,
+    }
 }
 
 async fn connect_directly(shared: &Arc<Shared>, server: SocketAddr) -> Result<ServerStream, ConnectFault> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -28,8 +28,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
+/// Maximum number of tunnels through one daemon; each takes two file descriptors.
+const MAX_TUNNELS: usize = 1_000;
 /// Maximum number of remembered daemons that requested a lease here; any of them may know the leader.
 const MAX_LEASE_REQUESTERS: usize = 32;
 /// Maximum number of addresses in an entry answer.
@@ -60,6 +62,8 @@
     /// Pushback state of servers.
     pub pushback: Pushback,
     server_paths: Mutex<ServerPaths>,
+    /// Permits for tunnels through this daemon.
+    pub tunnel_permits: Semaphore,
     /// Daemons that recently could not provide a tunnel to a server.
     pub tunnel_peers: Mutex<TunnelPeers>,
     /// Connects to servers.
@@ -119,6 +123,7 @@
             suspects: Suspects::default(),
             pushback: Pushback::default(),
             server_paths: Mutex::default(),
+            tunnel_permits: Semaphore::new(MAX_TUNNELS),
             tunnel_peers: Mutex::default(),
             server_dialer: Arc::new(TcpDialer),
             known_leader: KnownLeader::default(),
--- a/crates/daemon/src/tunnel/peers.rs
+++ b/crates/daemon/src/tunnel/peers.rs
@@ -51,9 +51,7 @@
     let mut attempts = FuturesUnordered::new();
     let mut not_reached = Vec::new();
     loop {
-        let next = candidates.next();
-        let has_more = next.is_some();
-        attempts.extend(next.map(|peer| try_peer(peer, request)));
+        attempts.extend(candidates.next().map(|peer| try_peer(peer, request)));
         if attempts.is_empty() {
             return Err(NoTunnel::NoPeer);
         }
@@ -66,7 +64,7 @@
                 PeerAttempt::ServerNotReached => not_reached.push(peer),
                 PeerAttempt::NoTunnel => record_failed(shared, peer),
             },
-            () = tokio::time::sleep(NEXT_PEER_DELAY), if has_more => {}
+            () = tokio::time::sleep(NEXT_PEER_DELAY), if candidates.len() > 0 => {}
         }
         if not_reached.len() >= VERDICTS {
             return Err(NoTunnel::ServerNotReached);
--- a/crates/daemon/src/tunnel/server.rs
+++ b/crates/daemon/src/tunnel/server.rs
@@ -14,31 +14,29 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, FramedWrite, LengthDelimitedCodec};
 
-/// Time limit for the first bytes of a connection, and for the request.
+/// Time limit for the request, once the connection is known to be a tunnel.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause before the first bytes of a connection are looked at again.
+/// Pause before the first bytes of a connection are looked at again, if only a part of them has arrived.
 const PREFACE_POLL_INTERVAL: Duration = Duration::from_millis(2);
-/// Maximum number of tunnels through one daemon; each takes two file descriptors.
-const MAX_TUNNELS: i64 = 1_000;
+/// How often they are looked at. The connection may have ended, which peeking does not show.
+const MAX_PREFACE_POLLS: u32 = 100;
 /// Size of the buffer for the server's bytes.
 const BUFFER_BYTES: usize = 8 << 10;
 
 /// Returns whether an accepted connection is a tunnel, without taking bytes from it.
 pub async fn is_tunnel(stream: &TcpStream) -> bool {
     let mut first = [0; PREFACE.len()];
-    let peeked = async {
-        loop {
-            let length = stream.peek(&mut first).await.ok()?;
-            if length == 0 || first[..length] != PREFACE[..length] {
-                return Some(false);
-            }
-            if length == PREFACE.len() {
-                return Some(true);
-            }
-            tokio::time::sleep(PREFACE_POLL_INTERVAL).await;
+    for _ in 0..MAX_PREFACE_POLLS {
+        let Ok(length) = stream.peek(&mut first).await else { return false };
+        if length == 0 || first[..length] != PREFACE[..length] {
+            return false;
         }
-    };
-    peeked.await == Some(true)
+        if length == PREFACE.len() {
+            return true;
+        }
+        tokio::time::sleep(PREFACE_POLL_INTERVAL).await;
+    }
+    false
 }
 
 /// Serves a tunnel until one of its ends closes it.
@@ -48,7 +46,13 @@
     let Ok(Ok(request)) = accepted else { return };
     let _in_flight = shared.begin_request();
     let _open = OpenTunnel::begin(&shared);
-    let (reply, server) = match connect(&shared, &request).await {
+    // Held until the tunnel is closed.
+    let permit = shared.tunnel_permits.try_acquire();
+    let connected = match permit {
+        Ok(_) => connect(&shared, &request).await,
+        Err(_) => Err(TunnelReply::Unavailable),
+    };
+    let (reply, server) = match connected {
         Ok(server) => (TunnelReply::Connected, Some(server)),
         Err(reply) => (reply, None),
     };
@@ -100,8 +104,7 @@
 ) -> std::result::Result<TcpStream, TunnelReply> {
     let tables = shared.tables();
     let is_known = tables.gateway.zone_of_server(request.server).is_some();
-    let is_full = shared.metrics.open_tunnels.get() > MAX_TUNNELS;
-    if shared.is_leaving() || !is_known || is_full || shared.server_paths().is_cut(request.server) {
+    if shared.is_leaving() || !is_known || shared.server_paths().is_cut(request.server) {
         return Err(TunnelReply::Unavailable);
     }
     let limit = Duration::from_millis(request.connect_within_ms);
--- a/crates/daemon/tests/one_entry/cut_off.rs
+++ b/crates/daemon/tests/one_entry/cut_off.rs
@@ -20,6 +20,8 @@
 const STREAM_PATH: &str = "/stream/1";
 /// A request at an entry that is cut off is served within this time, also on a busy machine.
 const SERVED_WITHIN: Duration = Duration::from_secs(2);
+/// Longer than it takes until other daemons are asked, and shorter than the time limit of a connection.
+const REFUSED_LATE_AFTER: Duration = Duration::from_millis(180);
 /// After the end of a partition, an entry uses its own connections again within this time.
 const RECOVERS_WITHIN: Duration = Duration::from_secs(1);
 
@@ -32,6 +34,8 @@
     Silent,
     /// They are reset by a device in between.
     Reset,
+    /// They are refused, but only after a time in which other daemons have been asked.
+    RefusedLate,
 }
 
 /// Connects to servers unless the entry is cut off, or only from some of them.
@@ -67,6 +71,10 @@
                     Cut::Refused => return Err(Error::from(ErrorKind::ConnectionRefused)),
                     Cut::Reset => return Err(Error::from(ErrorKind::ConnectionReset)),
                     Cut::Silent => std::future::pending::<()>().await,
+                    Cut::RefusedLate => {
+                        tokio::time::sleep(REFUSED_LATE_AFTER).await;
+                        return Err(Error::from(ErrorKind::ConnectionRefused));
+                    }
                 }
             }
             let stream = TcpStream::connect(address).await?;
@@ -209,6 +217,20 @@
     Ok(())
 }
 
+/// The other daemons have given up before the entry's own connection fails.
+#[tokio::test]
+async fn a_request_for_a_server_that_refuses_late_is_refused() -> Result<()> {
+    let fleet = CutOffFleet::start(Cut::RefusedLate).await?;
+    fleet.dialer.is_cut.store(false, Ordering::SeqCst);
+    let answer = fleet.wait_until_configured(PLAIN_PATH).await?;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    fleet.board.stop();
+    fleet.dialer.is_cut.store(true, Ordering::SeqCst);
+    let answer = fleet.cut_off.request(PLAIN_PATH).await?;
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after"), "{answer}");
+    Ok(())
+}
+
 /// A server that no daemon reaches is not connected to again and again by way of others.
 #[tokio::test]
 async fn a_request_for_a_service_that_has_ended_is_refused_at_once() -> Result<()> {
--- a/crates/daemon/tests/one_entry/tunnels.rs
+++ b/crates/daemon/tests/one_entry/tunnels.rs
@@ -3,7 +3,7 @@
 use crate::cut_off::{Cut, CutDialer, SharedDialer};
 use crate::entry::{Entry, TEST_TIMEOUT, wait_until};
 use dockwood_daemon::gateway::ConnectFault;
-use dockwood_daemon::tunnel::{TunnelReply, TunnelRequest, TunnelStream, open_tunnel};
+use dockwood_daemon::tunnel::{PREFACE, TunnelReply, TunnelRequest, TunnelStream, open_tunnel};
 use std::io::{ErrorKind, Result};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -121,6 +121,19 @@
     Ok(())
 }
 
+/// A connection that ends within its first bytes must not be looked at indefinitely.
+#[tokio::test]
+async fn a_connection_that_ends_within_its_first_bytes_is_closed() -> Result<()> {
+    let fleet = TunnelFleet::start().await?;
+    let mut connection = TcpStream::connect(fleet.peer).await?;
+    connection.write_all(&PREFACE[..3]).await?;
+    connection.shutdown().await?;
+    let mut received = Vec::new();
+    let closed = tokio::time::timeout(TEST_TIMEOUT, connection.read_to_end(&mut received)).await;
+    assert!(closed.is_ok(), "the connection stays open");
+    Ok(())
+}
+
 #[tokio::test]
 async fn no_tunnel_leads_to_an_address_that_is_not_a_servers() -> Result<()> {
     let fleet = TunnelFleet::start().await?;
