--- a/crates/daemon/src/gateway/retry_budgets.rs
+++ b/crates/daemon/src/gateway/retry_budgets.rs
@@ -47,7 +47,7 @@
             let allowed = known.budget.try_retry(now, entries);
             known.refused += u64::from(!allowed);
             let is_due = now >= known.last_line_at + LINE_INTERVAL_MS;
-            let line = is_due.then(|| self.line(known, service, now, entries));
+            let line = is_due.then(|| self.next_line(known, service, now, entries));
             (allowed, line)
         });
         if let Some(line) = line {
@@ -56,7 +56,8 @@
         allowed
     }
 
-    fn line<'a>(
+    /// Returns the log line that is due.
+    fn next_line<'a>(
         &self,
         known: &mut ServiceBudget,
         service: &'a str,
--- a/crates/daemon/src/server_connections.rs
+++ b/crates/daemon/src/server_connections.rs
@@ -61,7 +61,7 @@
     if check_direct {
         tokio::spawn(check_direct_path(shared.clone(), server));
     }
-    match tunnel(shared, server, lifetime).await {
+    match try_tunnel(shared, server, lifetime).await {
         Ok(stream) => Ok(ServerStream::Tunnel(stream)),
         Err(_) => connect_directly(shared, server).await,
     }
@@ -73,7 +73,7 @@
     server: SocketAddr,
     lifetime: Duration,
 ) -> Result<ServerStream, ConnectFault> {
-    let by_tunnel = async { tunnel(shared, server, lifetime).await.map(ServerStream::Tunnel) };
+    let by_tunnel = async { try_tunnel(shared, server, lifetime).await.map(ServerStream::Tunnel) };
     let (mut direct, by_tunnel) = (pin!(connect_directly(shared, server)), pin!(by_tunnel));
     match tokio::time::timeout(TUNNEL_DELAY, direct.as_mut()).await {
         Ok(Ok(stream)) => return Ok(stream),
@@ -107,7 +107,7 @@
 }
 
 /// Opens a tunnel to a server that this daemon does not reach, and records what it shows of the path.
-async fn tunnel(
+async fn try_tunnel(
     shared: &Arc<Shared>,
     server: SocketAddr,
     lifetime: Duration,
@@ -135,7 +135,7 @@
 /// Returns whether another daemon reaches a server that this one does not reach: then the path to it is cut, and the
 /// server has not ended.
 pub async fn is_reached_by_others(shared: &Arc<Shared>, server: SocketAddr) -> bool {
-    let reached = tokio::time::timeout(CONNECT_TIMEOUT, tunnel(shared, server, CONNECT_TIMEOUT)).await;
+    let reached = tokio::time::timeout(CONNECT_TIMEOUT, try_tunnel(shared, server, CONNECT_TIMEOUT)).await;
     reached.is_ok_and(|tunnel| tunnel.is_ok())
 }
 
--- a/crates/daemon/src/tunnel/peers.rs
+++ b/crates/daemon/src/tunnel/peers.rs
@@ -22,7 +22,7 @@
 
 /// If this many daemons that reach other servers do not reach this one, it is considered to be gone. One of them may be cut
 /// off from a part of the servers without knowing it yet.
-const VERDICTS: usize = 3;
+const DAEMONS_THAT_DECIDE: usize = 3;
 
 /// Why there is no tunnel to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,11 +62,11 @@
                     return Ok(stream);
                 }
                 PeerAttempt::ServerNotReached => not_reached.push(peer),
-                PeerAttempt::NoTunnel => record_failed(shared, peer),
+                PeerAttempt::Unavailable => record_failed(shared, peer),
             },
             () = tokio::time::sleep(NEXT_PEER_DELAY), if candidates.len() > 0 => {}
         }
-        if not_reached.len() >= VERDICTS {
+        if not_reached.len() >= DAEMONS_THAT_DECIDE {
             return Err(NoTunnel::ServerNotReached);
         }
     }
@@ -78,14 +78,14 @@
     /// The daemon reaches other servers, but not this one.
     ServerNotReached,
     /// The daemon did not reply, or provides no tunnel.
-    NoTunnel,
+    Unavailable,
 }
 
 async fn try_peer(peer: SocketAddr, request: TunnelRequest) -> (SocketAddr, PeerAttempt) {
     let attempt = match open_tunnel(peer, request).await {
         Ok(Ok(stream)) => PeerAttempt::Connected(stream),
         Ok(Err(TunnelReply::NotReached { reaches_others: true, .. })) => PeerAttempt::ServerNotReached,
-        Ok(Err(_)) | Err(_) => PeerAttempt::NoTunnel,
+        Ok(Err(_)) | Err(_) => PeerAttempt::Unavailable,
     };
     (peer, attempt)
 }
--- a/crates/routing/src/gateway/mod.rs
+++ b/crates/routing/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod route_table;
 mod server_paths;
 mod stall_detection;
+mod tunnel_peers;
 
 pub use attempts::{GiveUp, RequestAttempts, RetryDecision, SendOutcome, WithheldReason};
 pub use budget::{BudgetUsage, SendBudget, SendBudgetLimits};
@@ -18,5 +19,6 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use regions::{AllowedRegions, AllowedZones};
 pub use route_table::{Destination, KeyVerdict, RouteTable};
-pub use server_paths::{CutOffChange, PathPlan, ServerPaths, TunnelPeer, TunnelPeers};
+pub use server_paths::{CutOffChange, PathPlan, ServerPaths};
 pub use stall_detection::{LatencyStats, ObservedLatency, StallTimeout, StallTimeouts, timely_event_ms};
+pub use tunnel_peers::{TunnelPeer, TunnelPeers};
