One place takes a connection to a server for a request

Change: Gateway::connect does it for both; a part of a test's dialer that nothing set is gone; two test comments say restarts. Behaviour stays as it is.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -46,12 +46,13 @@
 use dockwood_routing::gateway::{RouteTable, SendBudgetLimits};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use loads::Loads;
+use receive::ReceivedRequest;
 use retry_budgets::RetryBudgets;
 use std::collections::HashMap;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
-use upstream::ConnectionPool;
+use upstream::{ConnectionPool, Upstream};
 
 /// State of the gateway.
 pub struct Gateway {
@@ -140,6 +141,18 @@
         self.stopping.send_replace(true);
     }
 
+    /// Returns a connection to a server for a request.
+    async fn connect(
+        &self,
+        received: &ReceivedRequest,
+        server: SocketAddr,
+    ) -> Result<Upstream, ConnectFault> {
+        // An idle connection may be closed by the server at any moment, so a request that must run at most once is
+        // never sent on one.
+        let needs_new = !received.route.is_repeatable();
+        self.pool.connection(&self.shared, server, needs_new, received.remaining()).await
+    }
+
     /// Takes a retry from the budget of a service; returns false if the budget does not allow it.
     fn try_retry(&self, service: &str, reason: &str) -> bool {
         let known_entries = self.shared.dispatchers.entries(&self.shared.tables());
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -235,15 +235,8 @@
 
     /// Sends the request to one server. `Err` if there is no response to forward.
     async fn send(&mut self, selected: SelectedServer) -> Result<ServerResponse, SendOutcome> {
-        // An idle connection may be closed by the server at any moment, so a request that must run at most once is
-        // never sent on one.
-        let needs_new_connection = !self.received.route.is_repeatable();
         self.request_log.record_send(&selected.row.id, None, None);
-        let shared = &self.gateway.shared;
-        let lifetime = self.received.remaining();
-        let connection =
-            self.gateway.pool.connection(shared, selected.row.address, needs_new_connection, lifetime).await;
-        let mut upstream = match connection {
+        let mut upstream = match self.gateway.connect(self.received, selected.row.address).await {
             Ok(upstream) => upstream,
             Err(fault) => {
                 self.request_log.record_connect_fault(fault);
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -36,12 +36,7 @@
         }
         self.attempts.begin(&instance);
         self.request_log.record_send(&instance, epoch, source.chosen_by());
-        let needs_new_connection = !self.received.route.is_repeatable();
-        let shared = &self.gateway.shared;
-        let lifetime = self.received.remaining();
-        let connection =
-            self.gateway.pool.connection(shared, source.address(), needs_new_connection, lifetime).await;
-        let mut upstream = match connection {
+        let mut upstream = match self.gateway.connect(&self.received, source.address()).await {
             Ok(upstream) => upstream,
             Err(fault) => {
                 self.request_log.record_connect_fault(fault);
--- a/crates/daemon/tests/one_entry/cut_off.rs
+++ b/crates/daemon/tests/one_entry/cut_off.rs
@@ -11,8 +11,8 @@
 use futures::future::BoxFuture;
 use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
@@ -38,24 +38,17 @@
     RefusedLate,
 }
 
-/// Connects to servers unless the entry is cut off, or only from some of them.
+/// Connects to servers unless the entry is cut off.
 pub struct CutDialer {
     cut: Cut,
     pub is_cut: AtomicBool,
-    /// The servers that are cut off; all if it is empty.
-    servers: Mutex<Vec<SocketAddr>>,
     pub established: AtomicU32,
 }
 
 impl CutDialer {
     pub fn new(cut: Cut) -> Arc<CutDialer> {
         let (is_cut, established) = (AtomicBool::new(true), AtomicU32::new(0));
-        Arc::new(CutDialer { cut, is_cut, servers: Mutex::default(), established })
-    }
-
-    fn is_cut_from(&self, address: SocketAddr) -> bool {
-        let servers = self.servers.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        self.is_cut.load(Ordering::SeqCst) && (servers.is_empty() || servers.contains(&address))
+        Arc::new(CutDialer { cut, is_cut, established })
     }
 }
 
@@ -66,7 +59,7 @@
     fn dial(&self, address: SocketAddr) -> BoxFuture<'static, Result<TcpStream>> {
         let dialer = self.0.clone();
         async move {
-            if dialer.is_cut_from(address) {
+            if dialer.is_cut.load(Ordering::SeqCst) {
                 match dialer.cut {
                     Cut::Refused => return Err(Error::from(ErrorKind::ConnectionRefused)),
                     Cut::Reset => return Err(Error::from(ErrorKind::ConnectionReset)),
--- a/crates/grouping/tests/cold_start.rs
+++ b/crates/grouping/tests/cold_start.rs
@@ -265,7 +265,7 @@
     assert!(send_continuously(SendRate::of_dispatcher(0)).is_empty(), "no request may arrive");
 }
 
-/// A process that starts anew has no record of what it sent before.
+/// A process that restarts has no record of what it sent before.
 #[parameterized(
     once = { &[600] },
     twice = { &[600, 600] },
--- a/crates/routing/tests/turns.rs
+++ b/crates/routing/tests/turns.rs
@@ -51,7 +51,7 @@
     assert!(times[0] >= 1_000 + interval_ms(rate), "other daemons may have sent requests at the start");
 }
 
-/// A process that starts anew has no record of the turns that it granted before.
+/// A process that restarts has no record of the turns that it granted before.
 #[parameterized(
     few = { 300, 4_000 },
     some = { 2_500, 700 },
