Emulator tests listen on addresses of their own

Cause: the tests took a free port, released it, and bound it again some milliseconds later. In between, another test of the process may be given the same port. With five fleets of five ports each, all taken within the same milliseconds, that is to be expected about once in 60 to 100 runs.

Fix: each machine has a loopback address of its own, and a port below those that the system assigns.

--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -9,18 +9,33 @@
     EngineConfig, EngineModel, Fleet, FleetConfig, FleetHandle, LedgerRecord, expected_answer, read_ledger,
 };
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 
 type TestResult = Result<(), Box<dyn std::error::Error>>;
 
+/// Port of all addresses of the tests; below the ports that the system assigns to other sockets.
+const PORT: u16 = 7_300;
+
+/// Returns a loopback address that no other test listens on, in this process or another one.
+fn unused_address() -> SocketAddr {
+    static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+    const FIRST_NETWORK: u32 = 240;
+    const NETWORKS: u32 = 15;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let network = FIRST_NETWORK + u32::from(high) % NETWORKS;
+    let host = NEXT_HOST.fetch_add(1, Ordering::SeqCst);
+    SocketAddr::from(([127, network as u8, low, host], PORT))
+}
+
 struct TestFleet {
     handle: FleetHandle,
     directory: TempDir,
     http: reqwest::Client,
 }
 
-/// Starts a fleet of four machines on free ports. The last machine does not check fences.
+/// Starts a fleet of four machines. The last machine does not check fences.
 async fn start_fleet() -> Result<TestFleet, Box<dyn std::error::Error>> {
     start_fleet_with_steps(2_000).await
 }
@@ -28,13 +43,11 @@
 /// The same with the given base time of a decode step, in microseconds.
 async fn start_fleet_with_steps(step_micros: u64) -> Result<TestFleet, Box<dyn std::error::Error>> {
     let directory = TempDir::new()?;
-    let free_address =
-        || -> std::io::Result<SocketAddr> { std::net::TcpListener::bind("127.0.0.1:0")?.local_addr() };
     let mut engines = Vec::new();
     for number in 0..4 {
         engines.push(EngineConfig {
             name: format!("m{number}"),
-            address: free_address()?,
+            address: unused_address(),
             domain: "d".to_string(),
             zone: "z".to_string(),
             checks_fences: number != 3,
@@ -42,7 +55,7 @@
     }
     let config = FleetConfig {
         seed: 1,
-        admin: free_address()?,
+        admin: unused_address(),
         ledger: directory.path().join("ledger.jsonl"),
         store_mib_per_second: 100_000,
         list_lag_ms: 0,
