The metric of a daemon that is cut off follows its state

Reasoned from the code, not seen: two changes that follow each other within microseconds were recorded outside the lock, each with its own value, so the metric dockwood_cut_off_from_servers could keep the older one until the next change. It is set from the current state, under the lock.

--- a/crates/daemon/src/server_connections.rs
+++ b/crates/daemon/src/server_connections.rs
@@ -148,11 +148,17 @@
 
 fn record_change(shared: &Shared, change: Option<CutOffChange>) {
     let Some(change) = change else { return };
-    let (reason, message, is_cut_off) = match change {
-        CutOffChange::CutOff => ("CutOff", "other daemons reach the servers that this one does not reach", 1),
-        CutOffChange::Restored => ("CutOffEnded", "this daemon reaches servers again", 0),
+    let (reason, message) = match change {
+        CutOffChange::CutOff => ("CutOff", "other daemons reach the servers that this one does not reach"),
+        CutOffChange::Restored => ("CutOffEnded", "this daemon reaches servers again"),
     };
-    shared.metrics.cut_off.set(is_cut_off);
+    set_cut_off_metric(shared);
     let subject = Subject::new("daemon", &shared.settings.name);
     shared.timeline.record(subject, reason, message, None, ResultCode::Ok);
 }
+
+/// Sets the metric to the current state, as changes that follow each other closely may be recorded in any order.
+fn set_cut_off_metric(shared: &Shared) {
+    let paths = shared.server_paths();
+    shared.metrics.cut_off.set(i64::from(paths.is_cut_off()));
+}
