--- a/crates/daemon/tests/one_entry/cut_off_soak.rs
+++ b/crates/daemon/tests/one_entry/cut_off_soak.rs
@@ -28,8 +28,10 @@
 const DURATION: Duration = Duration::from_secs(5);
 /// Latest start of a fault, in milliseconds; faults end before the run does.
 const LAST_FAULT_MS: u64 = 3_000;
-/// Callers at each entry; half of them send at-most-once requests, half of them request streams.
-const CALLERS: usize = 4;
+/// Paths of the requests: at-most-once ones, streams, and repeatable ones, which are sent on idle connections.
+const PATHS: [&str; 3] = ["/once/1", "/stream/1", "/again/1"];
+/// Callers at each entry, with the paths in turn.
+const CALLERS: usize = 6;
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time limit of one request of a caller.
@@ -151,8 +153,7 @@
 
 async fn run_caller(frontend: SocketAddr, entry: usize, caller: usize, until: Instant) -> Answers {
     let http = reqwest::Client::new();
-    let path = if is_stream(caller) { "/stream/1" } else { "/once/1" };
-    let url = format!("http://{frontend}{path}");
+    let url = format!("http://{frontend}{}", PATHS[caller % PATHS.len()]);
     let mut answers = Answers::new();
     while Instant::now() < until {
         let attempt = attempt_id(entry, caller, answers.len());
@@ -164,10 +165,6 @@
     answers
 }
 
-fn is_stream(caller: usize) -> bool {
-    caller % 2 == 1
-}
-
 struct SoakFleet {
     entries: Vec<Arc<Entry>>,
     dialers: Vec<PartitionedDialer>,
@@ -201,7 +198,7 @@
 
     async fn wait_until_configured(&self) -> Result<()> {
         for entry in &self.entries {
-            for path in ["/once/1", "/stream/1"] {
+            for path in PATHS {
                 let started = Instant::now();
                 while !entry.request_with_attempt(path, OWN_ATTEMPT).await?.starts_with("HTTP/1.1 200") {
                     assert!(started.elapsed() < crate::entry::TEST_TIMEOUT, "{path} is not served");
--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -75,7 +75,11 @@
     });
     let value = json!({
         "version": 1,
-        "routes": [route("stream", "Stream", "writer"), route("once", "AtMostOnce", "board")],
+        "routes": [
+            route("stream", "Stream", "writer"),
+            route("once", "AtMostOnce", "board"),
+            route("again", "Repeatable", "board"),
+        ],
         "services": [
             { "name": "writer", "health_path": "/", "max_connections": 100, "engine": engine },
             { "name": "board", "health_path": "/", "max_connections": 100, "engine": null },
