--- a/crates/daemon/tests/one_entry/cut_off_soak.rs
+++ b/crates/daemon/tests/one_entry/cut_off_soak.rs
@@ -1,7 +1,7 @@
 //! Randomized fault injection with entries that lose their paths to all servers: a seed selects which entries are cut off,
-//! when, for how long, what happens to their new connections and to those that are open, and when servers are silent
-//! for up to a second and a half in the middle of their work. Faults overlap, but one entry always reaches the servers.
-//! Callers keep their connections open.
+//! when, for how long, and what happens to their new connections while open ones live on, and when servers are silent for
+//! up to a second and a half, before their responses or in the middle of them. Faults overlap, but one entry always
+//! reaches the servers. Callers keep their connections open.
 //!
 //! `CUT_OFF_SOAK_SEEDS=50 cargo test -p dockwood-daemon --test one_entry cut_off_soak` runs 50 seeds, starting at
 //! `CUT_OFF_SOAK_FIRST`.
