--- a/crates/daemon/tests/one_entry/cut_off.rs
+++ b/crates/daemon/tests/one_entry/cut_off.rs
@@ -38,6 +38,21 @@
     RefusedLate,
 }
 
+impl Cut {
+    /// Returns the error that a new connection ends with.
+    pub async fn connection_error(self) -> Error {
+        match self {
+            Cut::Refused => Error::from(ErrorKind::ConnectionRefused),
+            Cut::Reset => Error::from(ErrorKind::ConnectionReset),
+            Cut::Silent => std::future::pending().await,
+            Cut::RefusedLate => {
+                tokio::time::sleep(REFUSED_LATE_AFTER).await;
+                Error::from(ErrorKind::ConnectionRefused)
+            }
+        }
+    }
+}
+
 /// Connects to servers unless the entry is cut off.
 pub struct CutDialer {
     cut: Cut,
@@ -60,15 +75,7 @@
         let dialer = self.0.clone();
         async move {
             if dialer.is_cut.load(Ordering::SeqCst) {
-                match dialer.cut {
-                    Cut::Refused => return Err(Error::from(ErrorKind::ConnectionRefused)),
-                    Cut::Reset => return Err(Error::from(ErrorKind::ConnectionReset)),
-                    Cut::Silent => std::future::pending::<()>().await,
-                    Cut::RefusedLate => {
-                        tokio::time::sleep(REFUSED_LATE_AFTER).await;
-                        return Err(Error::from(ErrorKind::ConnectionRefused));
-                    }
-                }
+                return Err(dialer.cut.connection_error().await);
             }
             let stream = TcpStream::connect(address).await?;
             dialer.established.fetch_add(1, Ordering::SeqCst);
--- a/crates/daemon/tests/one_entry/cut_off_soak.rs
+++ b/crates/daemon/tests/one_entry/cut_off_soak.rs
@@ -6,7 +6,8 @@
 //! `CUT_OFF_SOAK_SEEDS=50 cargo test -p dockwood-daemon --test one_entry cut_off_soak` runs 50 seeds, starting at
 //! `CUT_OFF_SOAK_FIRST`.
 
-use crate::entry::{Entry, wait_until};
+use crate::cut_off::Cut;
+use crate::entry::{Entry, TEST_TIMEOUT, wait_until};
 use crate::scripted_server::{Reply, ScriptedServer};
 use dockwood_daemon::server_dialer::ServerDialer;
 use futures::FutureExt;
@@ -14,9 +15,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
-use std::io::{Error, ErrorKind, Result};
+use std::io::Result;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
@@ -39,14 +40,6 @@
 /// After the end of a partition, an entry uses its own connections again within this time.
 const RECOVERS_WITHIN: Duration = Duration::from_secs(1);
 
-/// What a cut does to new connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cut {
-    Refused,
-    Reset,
-    Silent,
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     /// An entry is cut off from all servers. Its open connections live on.
@@ -87,7 +80,7 @@
 }
 
 impl PartitionedDialer {
-    fn cuts(&self) -> std::sync::MutexGuard<'_, Vec<Cut>> {
+    fn cuts(&self) -> MutexGuard<'_, Vec<Cut>> {
         self.cuts.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
@@ -107,9 +100,7 @@
         async move {
             match cut {
                 None => TcpStream::connect(address).await,
-                Some(Cut::Refused) => Err(Error::from(ErrorKind::ConnectionRefused)),
-                Some(Cut::Reset) => Err(Error::from(ErrorKind::ConnectionReset)),
-                Some(Cut::Silent) => std::future::pending().await,
+                Some(cut) => Err(cut.connection_error().await),
             }
         }
         .boxed()
@@ -201,7 +192,7 @@
             for path in PATHS {
                 let started = Instant::now();
                 while !entry.request_with_attempt(path, OWN_ATTEMPT).await?.starts_with("HTTP/1.1 200") {
-                    assert!(started.elapsed() < crate::entry::TEST_TIMEOUT, "{path} is not served");
+                    assert!(started.elapsed() < TEST_TIMEOUT, "{path} is not served");
                     tokio::time::sleep(PAUSE).await;
                 }
             }
