Log lines on suspects tell the parts of the prompt, and how far the response was

Whether servers crash under single requests, or under something that requests share, could not be told from the logs: a line on a suspect named its fingerprint alone. It now names the parts of its prompt that other requests may share, and for how long the server had been sending its response when the connection broke. No decision changes.

The parts come from a header whose format is known to the dialect; in chat requests of the native interface, each message but the last is one.

--- a/crates/api/src/gateway/mod.rs
+++ b/crates/api/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod instance;
 mod limit;
 mod load;
+mod prompt_part;
 mod validation;
 
 pub use configuration::{
@@ -21,4 +22,5 @@
     DispatchScope, EventPace, GroupLoad, LimitedGroup, LoadDigest, LoadReport, ModelLoad, PlaceReply,
     PlaceRequest, SharedGroupLoad,
 };
+pub use prompt_part::PromptPart;
 pub use validation::{ConfigurationFault, validate_configuration};
--- /dev/null
+++ b/crates/api/src/gateway/prompt_part.rs
@@ -0,0 +1,58 @@
+//! Parts of prompts, by which requests that share a part are recognized.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+
+/// Maximum length of an id that is kept as it is, in bytes.
+const MAX_ID_BYTES: usize = 40;
+/// Maximum number of shared parts per request that are considered.
+const MAX_SHARED_PARTS: usize = 16;
+
+/// Names a part of a prompt, such as a system prompt or a turn of a session. Two prompts that contain the same part
+/// contain the same name, whoever sends them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PromptPart(String);
+
+impl PromptPart {
+    /// Creates the name of a part from the id that a caller gave it. An id that is long, or contains other characters than
+    /// letters, digits, `-` and `_`, is replaced by its digest, because names appear in log lines and paths.
+    pub fn from_id(id: &str) -> PromptPart {
+        let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+        if !id.is_empty() && id.len() <= MAX_ID_BYTES && id.bytes().all(is_plain) {
+            return PromptPart(id.to_string());
+        }
+        PromptPart::from_text(id)
+    }
+
+    /// Creates the name of a part from its text.
+    pub fn from_text(text: &str) -> PromptPart {
+        let digest = Sha256::digest(text.as_bytes());
+        let half = &digest[..digest.len() / 2];
+        PromptPart(half.iter().map(|byte| format!("{byte:02x}")).collect())
+    }
+
+    /// Returns the parts of a prompt that other requests may share, in order and each once: all but the last, which belongs
+    /// to the request itself.
+    pub fn shared(mut parts: Vec<PromptPart>) -> Vec<PromptPart> {
+        parts.pop();
+        let mut shared: Vec<PromptPart> = Vec::new();
+        for part in parts {
+            if shared.len() < MAX_SHARED_PARTS && !shared.contains(&part) {
+                shared.push(part);
+            }
+        }
+        shared
+    }
+
+    /// The name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use crate::pushback::SignalHeaders;
 use dockwood_api::ApiError;
-use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer};
+use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer, PromptPart};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
     pub model: &'static str,
     /// Number of tokens of the request; see [`Dialect::prompt_tokens`].
     pub token_usage: &'static str,
+    /// Parts of the prompt; see [`Dialect::prompt_parts`].
+    pub prompt_parts: &'static str,
     /// Id of the last event that the caller received.
     pub last_event: &'static str,
     /// Tenant, sent to servers.
@@ -92,6 +94,10 @@
     /// Parses the number of prompt tokens from the [`HeaderNames::token_usage`] header.
     fn prompt_tokens(&self, usage: &str) -> Option<u64>;
 
+    /// Parses the parts of a prompt, in order, from the [`HeaderNames::prompt_parts`] header. The last one belongs to the
+    /// request itself; other requests may share the others.
+    fn prompt_parts(&self, parts: &str) -> Vec<PromptPart>;
+
     /// Parses a query to the directory; `None` if the path is not that of the directory.
     fn directory_query(&self, path: &str, query: &str) -> Option<DirectoryQuery>;
 
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -11,7 +11,7 @@
 use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{Fingerprint, RequestIdentity, Route, RouteKind};
+use dockwood_api::gateway::{Fingerprint, PromptPart, RequestIdentity, Route, RouteKind};
 use dockwood_routing::Millis;
 use dockwood_routing::gateway::{AllowedRegions, AllowedZones, Destination, KeyVerdict, RouteTable};
 use dockwood_state::SuspectAttempt;
@@ -61,6 +61,8 @@
     pub model: Option<String>,
     /// Number of prompt tokens; 0 if the caller did not state it.
     pub prompt_tokens: u64,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Arc<[PromptPart]>,
     /// Id of the last event that the caller received before its stream was interrupted.
     pub last_event: Option<u64>,
     /// Deadline of the response, for timers, which do not advance while the machine is suspended.
@@ -102,7 +104,7 @@
             tenant: self.tenant.clone(),
             route: self.route.name.clone(),
         };
-        SuspectGate::new(shared, attempt, self.deadline)
+        SuspectGate::new(shared, attempt, self.deadline).with_shared_parts(self.shared_parts.clone())
     }
 
     /// Returns whether the response is a stream of events.
@@ -184,6 +186,8 @@
     let requested_ms = number(names.deadline_ms);
     let timeout_ms = requested_ms.map_or(route.timeout_ms, |requested| requested.min(route.timeout_ms));
     let usage = header_text(&parts.headers, names.token_usage);
+    let prompt_parts = header_text(&parts.headers, names.prompt_parts);
+    let prompt_parts = prompt_parts.map(|value| gateway.dialect.prompt_parts(&value)).unwrap_or_default();
     let drop_key = key.is_some() || !route.anonymous;
     let identity = RequestIdentity {
         tenant: tenant.as_deref(),
@@ -199,6 +203,7 @@
         model: header_text(&parts.headers, names.model),
         // A request that doesn't state its prompt tokens is treated as one without a prompt.
         prompt_tokens: usage.and_then(|usage| gateway.dialect.prompt_tokens(&usage)).unwrap_or(0),
+        shared_parts: PromptPart::shared(prompt_parts).into(),
         last_event: number(names.last_event),
         rank: priority.unwrap_or(route.priority).min(MAX_RANK),
         method: parts.method,
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -65,6 +65,9 @@
         if let Some(Source::Group(place)) = self.reading.as_ref().map(|reading| &reading.source) {
             self.gateway.loads.record_progress(place.epoch, (!self.awaits_first_event).then_some(took_ms));
         }
+        if self.awaits_first_event {
+            self.gate.response_began();
+        }
         if let Some(model) = &self.received.model {
             self.gateway.loads.record_latency(model, self.awaits_first_event, took_ms);
         }
--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -8,17 +8,18 @@
 use crate::traffic::records::{find_record, record_key};
 use bytes::Bytes;
 use dockwood_api::caller::{
-    ChatRequest, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE,
+    ChatMessage, ChatRequest, EntryAnswer, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE,
     HEADER_REQUEST_ID, HEADER_SESSION, ModelEntry, ModelList, Outcome, OutcomeAnswer,
 };
 use dockwood_api::digest::content_digest;
-use dockwood_api::gateway::{Fingerprint, RequestIdentity};
+use dockwood_api::gateway::{Fingerprint, PromptPart, RequestIdentity};
 use dockwood_api::peer::StoredAnswer;
 use dockwood_api::{ApiError, ResultCode};
 use poem::http::StatusCode;
 use poem::web::{Data, Json, Path};
 use poem::{Body, Request, Response, handler};
 use serde::Deserialize;
+use std::sync::Arc;
 use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 
@@ -185,6 +186,7 @@
         model: chat.model.clone(),
         routes,
         prompt: chat.prompt(),
+        shared_parts: shared_parts(&chat),
         max_tokens: chat.max_tokens,
         repeatable: headers.repeatable.unwrap_or(true),
         arrived,
@@ -194,6 +196,13 @@
     Ok((job, chat))
 }
 
+/// Returns the parts of a conversation that other requests may share: its messages, but the last.
+fn shared_parts(chat: &ChatRequest) -> Arc<[PromptPart]> {
+    let name =
+        |message: &ChatMessage| PromptPart::from_text(&format!("{}: {}", message.role, message.content));
+    PromptPart::shared(chat.messages.iter().map(name).collect()).into()
+}
+
 async fn run_and_respond(app: &App, job: ChatJob, chat: &ChatRequest, session: &str) -> Response {
     let encoder = CompletionEncoder::new(&job.id, &chat.model);
     let id = job.id.clone();
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -168,6 +168,13 @@
     /// Time between the break and this finding, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub check_after_ms: Option<u64>,
+    /// How long that server had been sending its response before the connection broke, in milliseconds; absent if it had
+    /// sent nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub responding_ms: Option<u64>,
+    /// Parts of the prompt that other requests may share.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub prompt_parts: Vec<&'a str>,
     /// Age of the newest of these crashes, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub evidence_age_ms: Option<u64>,
--- a/crates/daemon/src/native_dialect.rs
+++ b/crates/daemon/src/native_dialect.rs
@@ -4,7 +4,7 @@
 use crate::dialect::{Dialect, DirectoryQuery, EncodedCall, HeaderNames, OperatorCall};
 use crate::pushback::SignalHeaders;
 use dockwood_api::engine::{HEADER_LEAVING, HEADER_LIMIT, HEADER_NOT_RUN};
-use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer};
+use dockwood_api::gateway::{GatewayConfiguration, GroupOrder, InstanceReport, OrderAnswer, PromptPart};
 use dockwood_api::{ApiError, ResultCode};
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -18,6 +18,7 @@
     deadline_ms: "dockwood-deadline-ms",
     model: "dockwood-model",
     token_usage: "dockwood-prompt-tokens",
+    prompt_parts: "dockwood-prompt-parts",
     last_event: "last-event-id",
     tenant: "dockwood-tenant",
     expected_instance: "dockwood-instance",
@@ -63,6 +64,11 @@
         usage.trim().parse().ok()
     }
 
+    /// The header contains the ids of the parts, separated by commas.
+    fn prompt_parts(&self, parts: &str) -> Vec<PromptPart> {
+        parts.split(',').map(|id| PromptPart::from_id(id.trim())).collect()
+    }
+
     fn directory_query(&self, path: &str, query: &str) -> Option<DirectoryQuery> {
         let value =
             |name: &str| query.split('&').find_map(|part| part.strip_prefix(name)).map(str::to_string);
--- a/crates/daemon/src/suspects/evidence.rs
+++ b/crates/daemon/src/suspects/evidence.rs
@@ -6,7 +6,7 @@
 use crate::log_line::{LineBody, SuspectLine, SuspectStep};
 use crate::logging;
 use crate::shared::Shared;
-use dockwood_api::gateway::Fingerprint;
+use dockwood_api::gateway::{Fingerprint, PromptPart};
 use dockwood_state::SuspectAttempt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,8 @@
     pub found: &'static str,
     /// Time since the connection broke.
     pub after: Duration,
+    /// How long the server had been sending its response when the connection broke; `None` if it had sent nothing.
+    pub responding_for: Option<Duration>,
 }
 
 /// Records the evidence from one attempt of a request.
@@ -36,6 +38,8 @@
     pub shared: Arc<Shared>,
     /// The attempt.
     pub attempt: SuspectAttempt,
+    /// Parts of its prompt that other requests may share.
+    pub shared_parts: Arc<[PromptPart]>,
 }
 
 impl AttemptEvidence {
@@ -57,10 +61,10 @@
     }
 
     /// The same for a crash that was found only some time after the connection broke.
-    pub fn record_late_crash(&self, server: &SelectedServer, after: Duration) {
+    pub fn record_late_crash(&self, server: &SelectedServer, finding: CheckFinding) {
         let found = "refusedLater";
         self.shared.metrics.process_checks.with_label_values(&[found]).inc();
-        self.record_crash(server, CheckFinding { found, after });
+        self.record_crash(server, CheckFinding { found, ..finding });
     }
 
     /// Counts and logs a step, with the finding of the process check that led to it, if any.
@@ -93,6 +97,10 @@
             servers,
             check_found: finding.map(|finding| finding.found),
             check_after_ms: finding.map(|finding| finding.after.as_millis() as u64),
+            responding_ms: finding
+                .and_then(|finding| finding.responding_for)
+                .map(|time| time.as_millis() as u64),
+            prompt_parts: self.shared_parts.iter().map(PromptPart::as_str).collect(),
             evidence_age_ms: newest.map(|at_ms| wall_ms().saturating_sub(at_ms)),
             held_back,
         };
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -9,7 +9,7 @@
 use crate::server_connections::is_reached_by_others;
 use crate::shared::Shared;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::Fingerprint;
+use dockwood_api::gateway::{Fingerprint, PromptPart};
 use dockwood_routing::gateway::AllowedZones;
 use dockwood_state::{CommandBody, GatewayCommand, SuspectAttempt, SuspicionStatus};
 use std::collections::BTreeSet;
@@ -48,6 +48,8 @@
     deadline: Instant,
     trial: Option<Trial>,
     server: Option<SelectedServer>,
+    /// When that server sent the first event of its response.
+    responding_since: Option<Instant>,
     /// Checks of servers to which the connection broke; `true` if the server has crashed.
     checks: Vec<JoinHandle<bool>>,
     /// No server without another suspect was available for long enough.
@@ -60,16 +62,23 @@
     /// Creates the gate of one attempt of a request whose caller waits until `deadline`.
     pub fn new(shared: &Arc<Shared>, attempt: SuspectAttempt, deadline: Instant) -> SuspectGate {
         SuspectGate {
-            evidence: AttemptEvidence { shared: shared.clone(), attempt },
+            evidence: AttemptEvidence { shared: shared.clone(), attempt, shared_parts: Arc::default() },
             deadline,
             trial: None,
             server: None,
+            responding_since: None,
             checks: Vec::new(),
             may_share: false,
             waiting_since: None,
         }
     }
 
+    /// Sets the parts of the request's prompt that other requests may share.
+    pub fn with_shared_parts(mut self, shared_parts: Arc<[PromptPart]>) -> SuspectGate {
+        self.evidence.shared_parts = shared_parts;
+        self
+    }
+
     fn fingerprint(&self) -> Fingerprint {
         self.evidence.fingerprint()
     }
@@ -130,6 +139,7 @@
     /// Decides whether the request may be sent to the server that was selected for it.
     pub async fn admit(&mut self, is_suspect: bool, instance: &str, zone: &str) -> Admission {
         self.server = Some(SelectedServer { instance: instance.to_string(), zone: zone.to_string() });
+        self.responding_since = None;
         if !is_suspect {
             return Admission::Admitted;
         }
@@ -173,6 +183,11 @@
         }
     }
 
+    /// Records that the server has sent the first event of its response.
+    pub fn response_began(&mut self) {
+        self.responding_since = Some(Instant::now());
+    }
+
     /// Checks whether the server at `address` has crashed, after the connection to it broke while it had the request, and
     /// returns whether it has. A crash is recorded as evidence against the request. If the address still accepts
     /// connections, the check continues in the background; `on_exit` is called as soon as the process is known to have
@@ -184,9 +199,10 @@
     ) -> bool {
         let Some(server) = self.server.take() else { return false };
         let broke_at = Instant::now();
+        let responding_for = self.responding_since.map(|since| broke_at - since);
         let check = self.check_server(address).await;
         let found = check.name();
-        let finding = CheckFinding { found, after: broke_at.elapsed() };
+        let finding = CheckFinding { found, after: broke_at.elapsed(), responding_for };
         self.shared().metrics.process_checks.with_label_values(&[found]).inc();
         let evidence = self.evidence.clone();
         match check {
@@ -207,7 +223,10 @@
                         && !is_reached_by_others(&shared, address).await;
                     if exits {
                         on_exit();
-                        evidence.record_late_crash(&server, broke_at.elapsed());
+                        evidence.record_late_crash(
+                            &server,
+                            CheckFinding { after: broke_at.elapsed(), ..finding },
+                        );
                     }
                     exits
                 }));
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -26,7 +26,8 @@
         route: job.model.clone(),
     };
     let left = Duration::from_millis(job.deadline.saturating_sub(monotonic_ms()));
-    SuspectGate::new(&traffic.shared, suspect_attempt, Instant::now() + left)
+    let gate = SuspectGate::new(&traffic.shared, suspect_attempt, Instant::now() + left);
+    gate.with_shared_parts(job.shared_parts.clone())
 }
 
 /// Location of the replica of a granted slot.
--- a/crates/daemon/src/traffic/chat/mod.rs
+++ b/crates/daemon/src/traffic/chat/mod.rs
@@ -14,7 +14,7 @@
 use crate::published::Route;
 use crate::pushback::Unavailable;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::Fingerprint;
+use dockwood_api::gateway::{Fingerprint, PromptPart};
 use dockwood_api::peer::StoredAnswer;
 use dockwood_routing::Millis;
 use dockwood_state::ClaimKey;
@@ -45,6 +45,8 @@
     pub routes: Vec<Route>,
     /// Prompt text.
     pub prompt: String,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Arc<[PromptPart]>,
     /// Maximum length of the answer.
     pub max_tokens: Option<u32>,
     /// Whether the request may be run more than once.
