Test of requests that share a part that crashes servers, red

Callers of one tenant send requests that share a first part. Some of them also share a part that crashes each server that begins to respond; otherwise no two are alike.

--- a/crates/daemon/tests/gateway/poison_requests.rs
+++ b/crates/daemon/tests/gateway/poison_requests.rs
@@ -17,9 +17,9 @@
 use std::time::{Duration, Instant};
 
 /// Maximum number of entries for which the leader dispatches, where it has to dispatch for the two entries of these tests.
-const SMALL_FLEET: u32 = 64;
+pub const SMALL_FLEET: u32 = 64;
 /// The same where the entries have to dispatch for each other.
-const LARGE_FLEET: u32 = 0;
+pub const LARGE_FLEET: u32 = 0;
 /// Result code of a quarantined request.
 const QUARANTINED: u64 = 3_009;
 /// An entry that is suspended for this long detects the suspension, and its lease is still valid.
@@ -34,7 +34,7 @@
 const MAX_CRASHES: usize = CRASHES_TO_QUARANTINE + MAX_SENDS_AFTER;
 
 /// Starts a fleet with two groups of model servers in each of two zones.
-async fn with_four_groups(leader_dispatches_up_to: u32) -> (Fleet, Vec<Arc<FakeServer>>) {
+pub async fn with_four_groups(leader_dispatches_up_to: u32) -> (Fleet, Vec<Arc<FakeServer>>) {
     let fleet = Fleet::start_dispatched(leader_dispatches_up_to);
     let mut models = Vec::new();
     for (number, zone) in ["z", "z", "z", "z", "y", "y", "y", "y"].into_iter().enumerate() {
@@ -60,7 +60,7 @@
 }
 
 /// Returns the arrival times of poison requests at the servers, in order.
-fn arrivals(servers: &[Arc<FakeServer>]) -> Vec<Instant> {
+pub fn arrivals(servers: &[Arc<FakeServer>]) -> Vec<Instant> {
     let arrival_times = |server: &Arc<FakeServer>| {
         server.fatal_arrivals.lock().map(|times| times.clone()).unwrap_or_default()
     };
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -25,6 +25,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// A request with this body crashes each server that begins to run it.
 pub const CRASHES_SERVERS: &str = "ends whatever server runs it";
+/// A request whose prompt contains this part crashes each server that begins to respond to it.
+pub const CRASHING_PART: &str = "crashes-servers";
+/// Header with the parts of a request's prompt.
+pub const PROMPT_PARTS: &str = "dockwood-prompt-parts";
 /// Time for which a server runs such a request before it crashes.
 const RUNS_BEFORE_CRASH: Duration = Duration::from_millis(50);
 /// Time after which a crashed server restarts at the same address.
@@ -349,6 +353,12 @@
     answer
 }
 
+/// Crashes a server that has begun to respond.
+async fn crash_soon(server: Arc<FakeServer>) {
+    tokio::time::sleep(RUNS_BEFORE_CRASH).await;
+    server.crash();
+}
+
 async fn answer(
     server: Arc<FakeServer>,
     request: &Request,
@@ -387,6 +397,10 @@
         tokio::time::sleep(EVENT_INTERVAL).await;
         server.break_if_crashed();
     }
+    if header(request, PROMPT_PARTS).is_some_and(|parts| parts.split(',').any(|part| part == CRASHING_PART)) {
+        lock(&server.fatal_arrivals).push(Instant::now());
+        tokio::spawn(crash_soon(server.clone()));
+    }
     if server.domain.is_none() {
         return server.id.clone().with_header("dockwood-attempt", attempt).into_response();
     }
