--- a/crates/api/src/gateway/fingerprint.rs
+++ b/crates/api/src/gateway/fingerprint.rs
@@ -1,5 +1,6 @@
 //! Fingerprints, which identify repeated attempts of the same request.
 
+use super::prompt_part::PromptPart;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -9,6 +10,9 @@
 /// caller that searches for one, and takes half the space in tables and logs.
 const FINGERPRINT_BYTES: usize = 16;
 
+/// Begins the input of the digest of a prompt part; that of a request begins with 0 or 1.
+const PROMPT_PART_PREFIX: [u8; 1] = [2];
+
 /// The parts of a request that identify it when it is sent again.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestIdentity<'a> {
@@ -41,6 +45,19 @@
             hasher.update((part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        Fingerprint::truncated(hasher)
+    }
+
+    /// Computes the fingerprint under which requests whose prompts share a part are tried one at a time. It differs from the
+    /// fingerprints of requests.
+    pub fn of_prompt_part(part: &PromptPart) -> Fingerprint {
+        let mut hasher = Sha256::new();
+        hasher.update(PROMPT_PART_PREFIX);
+        hasher.update(part.as_str());
+        Fingerprint::truncated(hasher)
+    }
+
+    fn truncated(hasher: Sha256) -> Fingerprint {
         let digest = hasher.finalize();
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
--- a/crates/control/src/controllers.rs
+++ b/crates/control/src/controllers.rs
@@ -13,7 +13,7 @@
 
 /// Expires old records of requests that were running when servers ended.
 pub fn expired_suspicions(tables: &Tables, wall_ms: u64) -> Option<CommandBody> {
-    let has_expired = tables.gateway.suspicion.has_expired(wall_ms);
+    let has_expired = tables.gateway.has_expired_suspicions(wall_ms);
     has_expired.then_some(CommandBody::Gateway(GatewayCommand::ExpireSuspicions { at_ms: wall_ms }))
 }
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -11,6 +11,7 @@
 use crate::input_lag::InputLag;
 use crate::lease_responder::LeaseResponder;
 use crate::node::Options;
+use crate::prompt_suspicion::SettledCrashes;
 use crate::view::{ViewHeader, control_view};
 use crate::voter_zones::{VoterStatus, ZoneBalanceMonitor};
 use dockwood_api::peer::{DelegatedRequest, LeaseRequest, Observation};
@@ -53,6 +54,7 @@
     input_lag: InputLag,
     requesters: LeaseRequesters,
     mismatch_detector: MismatchDetector,
+    settled_crashes: SettledCrashes,
     attempts: HashMap<String, OrderAttempt>,
     uncommitted: usize,
     next_decision_at: Millis,
@@ -83,6 +85,7 @@
             input_lag: InputLag::default(),
             requesters: LeaseRequesters::default(),
             mismatch_detector: MismatchDetector::default(),
+            settled_crashes: SettledCrashes::default(),
             attempts: HashMap::new(),
             uncommitted: 0,
             next_decision_at: now,
@@ -171,6 +174,8 @@
         let gateway = self.gateway.decide(observed_until, &board.tables().gateway, options.grouping);
         commands.extend(gateway.into_iter().map(CommandBody::Gateway));
         commands.extend(expired_suspicions(board.tables(), moment.wall_ms));
+        let prompt_suspicion = &board.tables().gateway.prompt_suspicion;
+        commands.extend(self.settled_crashes.quarantine_command(now, moment.wall_ms, prompt_suspicion));
         self.uncommitted = commands.len();
         commands
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 mod leases;
 mod node;
 mod own_lease;
+mod prompt_suspicion;
 mod snapshot_sources;
 mod timeline;
 mod view;
--- a/crates/control/src/timeline.rs
+++ b/crates/control/src/timeline.rs
@@ -3,13 +3,13 @@
 
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::gateway::InstanceState;
+use dockwood_api::gateway::{InstanceState, PromptPart};
 use dockwood_api::resource::{Kind, ResourceKey};
 use dockwood_state::{
     Applied, ChangeAction, ChangeRequest, Command, CommandBody, CrashReport, DaemonUpdate, Evidence,
-    GatewayCommand, Outcome, QuarantineRow, ReplicaPhase, Tables,
+    GatewayCommand, Outcome, QuarantineRow, ReplicaPhase, SuspectPrompt, Tables,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Up to this many daemon updates in one command are recorded as individual events.
@@ -84,8 +84,14 @@
         }
         CommandBody::Gateway(command) => {
             let mut events: Vec<TimelineEvent> = gateway_event(command, tables).into_iter().collect();
-            if let GatewayCommand::ServerEnded(end) = command {
-                events.extend(quarantine_events(end, tables));
+            match command {
+                GatewayCommand::ServerEnded(report) | GatewayCommand::ServerCrashed { report, .. } => {
+                    events.extend(quarantine_events(report, tables));
+                }
+                GatewayCommand::QuarantineParts { parts, .. } => {
+                    events.extend(parts.iter().filter_map(|part| part_quarantine_event(part, tables)));
+                }
+                _ => {}
             }
             events
         }
@@ -167,9 +173,21 @@
             event("zone", zone, reason, format!("generation {generation}"))
         }
         GatewayCommand::NoteRequests => event("gateway", "requests", "RequestsSeen", String::new()),
-        GatewayCommand::ServerEnded(end) => {
-            event("instance", &end.instance, "EndedUnderRequests", server_end_message(end))
+        GatewayCommand::ServerEnded(report) => {
+            event("instance", &report.instance, "EndedUnderRequests", server_end_message(report, &[]))
+        }
+        GatewayCommand::ServerCrashed { report, prompts } => {
+            event("instance", &report.instance, "EndedUnderRequests", server_end_message(report, prompts))
+        }
+        GatewayCommand::RecordResponses { parts, known_crash, daemon, .. } => {
+            let message = format!("told by {daemon}, which knew of {known_crash} crashes");
+            event("promptPart", &part_names(parts), "AnsweredCompletely", message)
+        }
+        GatewayCommand::ReleasePart { part, reason } => {
+            event("promptPart", part.as_str(), "Cleared", reason.clone())
         }
+        // Recorded with the evidence that led to it.
+        GatewayCommand::QuarantineParts { .. } => None,
         GatewayCommand::ClearRequest { fingerprint, reason } => {
             event("request", &fingerprint.to_string(), "Cleared", reason.clone())
         }
@@ -183,10 +201,35 @@
 }
 
 /// Describes the requests that a server was running when it ended.
-fn server_end_message(end: &CrashReport) -> String {
+fn server_end_message(end: &CrashReport, prompts: &[SuspectPrompt]) -> String {
     let tries: Vec<String> =
         end.tries.iter().map(|tried| format!("{} as {}", tried.fingerprint, tried.request)).collect();
-    format!("in zone {}, told by {}; suspects: {}", end.zone, end.daemon, tries.join(", "))
+    let mut message = format!("in zone {}, told by {}; suspects: {}", end.zone, end.daemon, tries.join(", "));
+    let parts: BTreeSet<&str> =
+        prompts.iter().flat_map(|prompt| &prompt.parts).map(PromptPart::as_str).collect();
+    if !parts.is_empty() {
+        message += &format!("; parts of prompts: {}", parts.into_iter().collect::<Vec<_>>().join(" "));
+    }
+    message
+}
+
+fn part_names(parts: &[PromptPart]) -> String {
+    parts.iter().map(PromptPart::as_str).collect::<Vec<_>>().join(" ")
+}
+
+/// Returns the event of a part that was put under quarantine.
+fn part_quarantine_event(part: &PromptPart, tables: &Tables) -> Option<TimelineEvent> {
+    let row = tables.gateway.prompt_suspicion.quarantined.get(part)?;
+    let servers: Vec<String> = row.evidence.iter().map(evidence_text).collect();
+    let message = format!(
+        "for {} s, {} times; {} servers ended under it, among them: {}",
+        (row.until_ms - row.since_ms) / 1_000,
+        row.offences,
+        row.crashes,
+        servers.join(", ")
+    );
+    let subject = Subject::new("promptPart", part.as_str());
+    Some(TimelineEvent::new(subject, "Quarantined", message, ResultCode::RequestQuarantined))
 }
 
 /// Returns an event for each request that this server end put under quarantine.
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -20,7 +20,6 @@
 use hyper::header::HeaderMap;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -141,7 +140,7 @@
             }
             Err(unavailable) => return self.wait_or_refuse(unavailable).await,
         };
-        match self.gate.admit(is_suspect, &selected.row.id, &selected.row.zone).await {
+        match self.gate.admit(is_suspect, &selected.row.id, &selected.row.zone, selected.row.address).await {
             Admission::Admitted => Ok(Some(selected)),
             Admission::OtherServer => {
                 self.occupied.push(selected.row.id.clone());
@@ -280,22 +279,21 @@
         request: Request<Full<Bytes>>,
         mut permit: SendPermit,
     ) -> Result<ServerResponse, SendOutcome> {
-        let address = upstream.address();
         let Ok(response) = upstream.send(request, &permit).await else {
-            return Err(self.broken_connection_outcome(address).await);
+            return Err(self.broken_connection_outcome().await);
         };
         let head = evaluate_head(self.gateway, self.received, &mut self.request_log, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
         let Ok(body) = read_body(body, MAX_RESPONSE_BYTES).await else {
-            return Err(self.broken_connection_outcome(address).await);
+            return Err(self.broken_connection_outcome().await);
         };
         Ok(ServerResponse { status: parts.status, headers: end_to_end(&parts.headers), body })
     }
 
     /// Returns the outcome of a send whose connection broke while the server had the request.
-    async fn broken_connection_outcome(&mut self, address: SocketAddr) -> SendOutcome {
-        match self.gate.connection_broke(address, || ()).await {
+    async fn broken_connection_outcome(&mut self) -> SendOutcome {
+        match self.gate.connection_broke(|| ()).await {
             true => SendOutcome::ServerEnded,
             false => SendOutcome::Unknown,
         }
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -31,7 +31,7 @@
 ) -> SendOutcome {
     let (gateway, epoch) = (gateway.clone(), source.epoch());
     let on_exit = move || epoch.into_iter().for_each(|epoch| gateway.loads.suspect_group(epoch, true));
-    match gate.connection_broke(source.address(), on_exit).await {
+    match gate.connection_broke(on_exit).await {
         true => SendOutcome::ServerEnded,
         false => SendOutcome::Unknown,
     }
--- a/crates/daemon/src/gateway/stream/selection.rs
+++ b/crates/daemon/src/gateway/stream/selection.rs
@@ -55,7 +55,7 @@
             }
             Err(unavailable) => return Err(Box::new(self.refuse_without_source(unavailable))),
         };
-        match self.gate.admit(is_suspect, source.instance(), source.zone()).await {
+        match self.gate.admit(is_suspect, source.instance(), source.zone(), source.address()).await {
             Admission::Admitted => Ok(Some(source)),
             Admission::OtherServer => {
                 self.occupied.add(&source);
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -84,11 +84,6 @@
         Ok(Upstream { sender, driver: driver.abort_handle(), address, is_tunnel })
     }
 
-    /// Returns the address of the server.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Sends a request and waits for the head of the response. The permit proves that the request may be written now.
     pub async fn send(
         &mut self,
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -58,6 +58,7 @@
         .at(api("/events"), get(operator::list_events))
         .at(api("/evacuations/:zone"), put(operator::evacuate_zone).delete(operator::withdraw_evacuation))
         .at(api("/quarantine"), get(quarantine::list_quarantine))
+        .at(api("/quarantine/parts/:part"), get(quarantine::explain_part).delete(quarantine::release_part))
         .at(
             api("/quarantine/:fingerprint"),
             get(quarantine::explain_request).delete(quarantine::release_request),
--- a/crates/daemon/src/http/quarantine.rs
+++ b/crates/daemon/src/http/quarantine.rs
@@ -1,30 +1,37 @@
-//! Operator endpoints for requests that crash servers: which requests are quarantined and why, and their release.
+//! Operator endpoints for requests and parts of prompts that crash servers: which are quarantined and why, and their
+//! release.
 
 use super::operator::{CHANGE_TIMEOUT, READ_OWN_WRITE_TIMEOUT, json_response, respond};
 use super::{App, auth};
 use crate::clock::wall_ms;
 use crate::peer::submit;
 use crate::settings::OperatorRole;
-use dockwood_api::gateway::Fingerprint;
+use dockwood_api::gateway::{Fingerprint, PromptPart};
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_state::{
-    CommandBody, CrashRow, Evidence, GatewayCommand, QuarantineRow, SuspicionStatus, SuspicionTable,
+    CommandBody, CrashRow, Evidence, GatewayCommand, PartQuarantineRow, PromptSuspicionTable, QuarantineRow,
+    SuspicionStatus, SuspicionTable,
 };
 use poem::http::StatusCode;
 use poem::web::{Data, Path};
 use poem::{Request, Response, handler};
 use serde_json::{Value, json};
 
-/// `GET /api/v1/quarantine`: the requests under quarantine or on probation.
+/// `GET /api/v1/quarantine`: the requests and the parts of prompts under quarantine or on probation.
 #[handler]
 pub fn list_quarantine(Data(app): Data<&App>, request: &Request) -> Response {
     let result = auth::authorize_operator(app, request, OperatorRole::Read).map(|()| {
         let tables = app.shared.tables();
-        let suspicion = &tables.gateway.suspicion;
+        let (suspicion, prompt_suspicion) = (&tables.gateway.suspicion, &tables.gateway.prompt_suspicion);
         let now_ms = wall_ms();
         let items: Vec<Value> =
             suspicion.quarantined.values().map(|row| quarantine_json(row, now_ms)).collect();
-        let body = json!({ "kind": "QuarantineList", "suspects": suspicion.suspect_count(), "items": items });
+        let parts: Vec<Value> =
+            prompt_suspicion.quarantined.values().map(|row| part_quarantine_json(row, now_ms)).collect();
+        let body = json!({
+            "kind": "QuarantineList", "suspects": suspicion.suspect_count(), "items": items,
+            "suspectedParts": prompt_suspicion.suspected_parts().count(), "parts": parts,
+        });
         json_response(StatusCode::OK, ResultCode::Ok, &body)
     });
     respond(app, result)
@@ -48,15 +55,49 @@
     respond(app, release(app, request, &text).await)
 }
 
-async fn release(app: &App, request: &Request, text: &str) -> Result<Response, ApiError> {
+/// `GET /api/v1/quarantine/parts/{part}`: the status of a part of prompts, and the server crashes in which it is suspected.
+#[handler]
+pub fn explain_part(Data(app): Data<&App>, request: &Request, Path(name): Path<String>) -> Response {
+    let result = auth::authorize_operator(app, request, OperatorRole::Read).map(|()| {
+        let tables = app.shared.tables();
+        let body = part_status_json(&tables.gateway.prompt_suspicion, &PromptPart::from_id(&name), wall_ms());
+        json_response(StatusCode::OK, ResultCode::Ok, &body)
+    });
+    respond(app, result)
+}
+
+/// `DELETE /api/v1/quarantine/parts/{part}`: releases a part of prompts and clears the evidence against it.
+#[handler]
+pub async fn release_part(Data(app): Data<&App>, request: &Request, Path(name): Path<String>) -> Response {
+    let part = PromptPart::from_id(&name);
+    let reason = release_reason(app);
+    let body = json!({ "part": part.as_str(), "standing": "unsuspected" });
+    let command = GatewayCommand::ReleasePart { part, reason };
+    respond(app, submit_release(app, request, command, &body).await)
+}
+
+fn release_reason(app: &App) -> String {
+    format!("released by an operator at {}", app.shared.settings.name)
+}
+
+async fn submit_release(
+    app: &App,
+    request: &Request,
+    command: GatewayCommand,
+    body: &Value,
+) -> Result<Response, ApiError> {
     auth::authorize_operator(app, request, OperatorRole::Write)?;
-    let fingerprint = parse_fingerprint(text)?;
-    let reason = format!("released by an operator at {}", app.shared.settings.name);
-    let command = GatewayCommand::ClearRequest { fingerprint, reason };
     let (revision, _) = submit(&app.shared, CommandBody::Gateway(command), CHANGE_TIMEOUT).await?;
     app.shared.wait_for_revision(revision, READ_OWN_WRITE_TIMEOUT).await;
+    Ok(json_response(StatusCode::OK, ResultCode::Accepted, body))
+}
+
+async fn release(app: &App, request: &Request, text: &str) -> Result<Response, ApiError> {
+    auth::authorize_operator(app, request, OperatorRole::Write)?;
+    let fingerprint = parse_fingerprint(text)?;
+    let command = GatewayCommand::ClearRequest { fingerprint, reason: release_reason(app) };
     let body = json!({ "fingerprint": text, "standing": "unsuspected" });
-    Ok(json_response(StatusCode::OK, ResultCode::Accepted, &body))
+    submit_release(app, request, command, &body).await
 }
 
 fn parse_fingerprint(text: &str) -> Result<Fingerprint, ApiError> {
@@ -69,7 +110,7 @@
         "fingerprint": row.fingerprint.to_string(),
         "tenant": row.tenant,
         "route": row.route,
-        "standing": if row.is_active(now_ms) { "quarantined" } else { "onProbation" },
+        "standing": quarantine_standing(row.is_active(now_ms)),
         "sinceMs": row.since_ms,
         "untilMs": row.until_ms,
         "offences": row.offences,
@@ -77,6 +118,37 @@
     })
 }
 
+fn quarantine_standing(is_active: bool) -> &'static str {
+    if is_active { "quarantined" } else { "onProbation" }
+}
+
+fn part_quarantine_json(row: &PartQuarantineRow, now_ms: u64) -> Value {
+    json!({
+        "part": row.part.as_str(),
+        "standing": quarantine_standing(row.is_active(now_ms)),
+        "sinceMs": row.since_ms,
+        "untilMs": row.until_ms,
+        "offences": row.offences,
+        "crashes": row.crashes,
+        "responses": row.responses,
+        "evidence": row.evidence.iter().map(evidence_json).collect::<Vec<Value>>(),
+    })
+}
+
+fn part_status_json(suspicion: &PromptSuspicionTable, part: &PromptPart, now_ms: u64) -> Value {
+    if let Some(row) = suspicion.quarantined.get(part) {
+        return part_quarantine_json(row, now_ms);
+    }
+    let crashes = suspicion.crashes_involving(part).map(|row| row.evidence_against(part));
+    let evidence: Vec<Value> = crashes.map(|evidence| evidence_json(&evidence)).collect();
+    let standing = if evidence.is_empty() { "unsuspected" } else { "suspect" };
+    let found = suspicion.evidence_against(part, u64::MAX);
+    json!({
+        "part": part.as_str(), "standing": standing, "evidence": evidence, "crashes": found.crashes,
+        "consecutiveCrashes": found.consecutive, "attempts": found.attempts, "requests": found.requests,
+    })
+}
+
 fn evidence_json(evidence: &Evidence) -> Value {
     let Evidence { instance, zone, at_ms, request, daemon } = evidence;
     json!({ "instance": instance, "zone": zone, "atMs": at_ms, "request": request, "toldBy": daemon })
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -172,6 +172,9 @@
     /// sent nothing.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub responding_ms: Option<u64>,
+    /// The part of the prompt that is quarantined, if any is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub quarantined_part: Option<&'a str>,
     /// Parts of the prompt that other requests may share.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub prompt_parts: Vec<&'a str>,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,6 +62,8 @@
     pub suspects: IntGauge,
     /// Requests under quarantine or on probation known to this daemon.
     pub quarantined_requests: IntGauge,
+    /// Parts of prompts under quarantine or on probation known to this daemon.
+    pub quarantined_parts: IntGauge,
     /// Calls received from other daemons, by method.
     pub peer_calls: IntCounterVec,
     /// Failed calls to other daemons.
@@ -244,6 +246,10 @@
             )?,
             suspects: gauge("dockwood_suspects", "Requests under which servers may have ended")?,
             quarantined_requests: gauge("dockwood_quarantined_requests", "Requests under quarantine")?,
+            quarantined_parts: gauge(
+                "dockwood_quarantined_prompt_parts",
+                "Parts of prompts under quarantine",
+            )?,
             peer_calls: counters("dockwood_peer_calls_total", "Calls received from daemons", &["method"])?,
             peer_failures: counter("dockwood_peer_failures_total", "Calls to daemons that failed")?,
             server_connections: counters(
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -180,7 +180,7 @@
     pub fn publish(&self, next: Published) {
         self.metrics.revision.set(next.tables.revision as i64);
         self.metrics.in_force_revision.set(next.in_force_revision as i64);
-        count_suspects(&self.metrics, &next.tables.gateway.suspicion);
+        count_suspects(&self.metrics, &next.tables.gateway);
         self.published.store(Arc::new(next));
         self.publications.send_modify(|count| *count += 1);
     }
--- a/crates/daemon/src/suspects/evidence.rs
+++ b/crates/daemon/src/suspects/evidence.rs
@@ -7,7 +7,8 @@
 use crate::logging;
 use crate::shared::Shared;
 use dockwood_api::gateway::{Fingerprint, PromptPart};
-use dockwood_state::SuspectAttempt;
+use dockwood_state::{SuspectAttempt, SuspectPrompt, SuspicionStatus};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
     pub instance: String,
     /// Its zone.
     pub zone: String,
+    /// Its address.
+    pub address: SocketAddr,
 }
 
 /// What the check of a server's process found after a connection to it broke.
@@ -40,6 +43,8 @@
     pub attempt: SuspectAttempt,
     /// Parts of its prompt that other requests may share.
     pub shared_parts: Arc<[PromptPart]>,
+    /// Number of the newest crash under a prompt that was known here when the attempt was admitted to its server.
+    pub known_crash: u64,
 }
 
 impl AttemptEvidence {
@@ -48,6 +53,23 @@
         self.attempt.fingerprint
     }
 
+    /// The prompt of the attempt; `None` if it has no parts that other requests may share.
+    fn prompt(&self) -> Option<SuspectPrompt> {
+        (!self.shared_parts.is_empty()).then(|| SuspectPrompt {
+            fingerprint: self.attempt.fingerprint,
+            request: self.attempt.request.clone(),
+            parts: self.shared_parts.to_vec(),
+            known_crash: self.known_crash,
+        })
+    }
+
+    /// Returns the first part of the prompt with a status at present, if there is any.
+    pub fn part_with_status(&self, status: SuspicionStatus) -> Option<&PromptPart> {
+        let tables = self.shared.tables();
+        let (suspicion, now) = (&tables.gateway.prompt_suspicion, wall_ms());
+        self.shared_parts.iter().find(|part| suspicion.status(part, now) == status)
+    }
+
     /// Records that a server crashed while it ran the request.
     pub fn record_crash(&self, server: &SelectedServer, finding: CheckFinding) {
         let shared = &self.shared;
@@ -56,6 +78,7 @@
             instance: server.instance.clone(),
             zone: server.zone.clone(),
             attempt: self.attempt.clone(),
+            prompt: self.prompt(),
         });
         self.log_step(SuspectStep::Suspected, Some(server), Some(finding));
     }
@@ -100,6 +123,7 @@
             responding_ms: finding
                 .and_then(|finding| finding.responding_for)
                 .map(|time| time.as_millis() as u64),
+            quarantined_part: self.part_with_status(SuspicionStatus::Quarantined).map(PromptPart::as_str),
             prompt_parts: self.shared_parts.iter().map(PromptPart::as_str).collect(),
             evidence_age_ms: newest.map(|at_ms| wall_ms().saturating_sub(at_ms)),
             held_back,
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -2,6 +2,7 @@
 
 use super::evidence::{AttemptEvidence, CheckFinding, SelectedServer};
 use super::process_check::{ProcessCheck, check_process, exits_soon};
+use super::responses::report_response;
 use super::trial::{Trial, TrialDecision};
 use crate::clock::wall_ms;
 use crate::log_line::SuspectStep;
@@ -62,7 +63,12 @@
     /// Creates the gate of one attempt of a request whose caller waits until `deadline`.
     pub fn new(shared: &Arc<Shared>, attempt: SuspectAttempt, deadline: Instant) -> SuspectGate {
         SuspectGate {
-            evidence: AttemptEvidence { shared: shared.clone(), attempt, shared_parts: Arc::default() },
+            evidence: AttemptEvidence {
+                shared: shared.clone(),
+                attempt,
+                shared_parts: Arc::default(),
+                known_crash: 0,
+            },
             deadline,
             trial: None,
             server: None,
@@ -89,7 +95,11 @@
 
     fn status(&self) -> SuspicionStatus {
         let tables = self.shared().tables();
-        let status = tables.gateway.suspicion.status(self.fingerprint(), wall_ms());
+        let (tables, now) = (&tables.gateway, wall_ms());
+        let of_request = tables.suspicion.status(self.fingerprint(), now);
+        let parts = self.evidence.shared_parts.iter();
+        let of_parts = parts.map(|part| tables.prompt_suspicion.status(part, now));
+        let status = of_parts.fold(of_request, SuspicionStatus::max);
         let has_unreported_crashes =
             || self.shared().suspects.unreported_crashes.has_pending(self.fingerprint());
         if status == SuspicionStatus::Unsuspected && has_unreported_crashes() {
@@ -137,13 +147,21 @@
     }
 
     /// Decides whether the request may be sent to the server that was selected for it.
-    pub async fn admit(&mut self, is_suspect: bool, instance: &str, zone: &str) -> Admission {
-        self.server = Some(SelectedServer { instance: instance.to_string(), zone: zone.to_string() });
+    pub async fn admit(
+        &mut self,
+        is_suspect: bool,
+        instance: &str,
+        zone: &str,
+        address: SocketAddr,
+    ) -> Admission {
+        let (instance_id, zone) = (instance.to_string(), zone.to_string());
+        self.server = Some(SelectedServer { instance: instance_id, zone, address });
         self.responding_since = None;
+        self.evidence.known_crash = self.shared().tables().gateway.prompt_suspicion.last_crash;
         if !is_suspect {
             return Admission::Admitted;
         }
-        match Trial::request(self.shared(), self.fingerprint(), instance, self.may_share).await {
+        match Trial::request(self.shared(), self.trial_fingerprint(), instance, self.may_share).await {
             TrialDecision::Granted(trial) => {
                 self.trial = Some(trial);
                 self.log_step(SuspectStep::Tried);
@@ -155,6 +173,12 @@
         }
     }
 
+    /// The fingerprint of the trial: requests that share a part on probation are tried one at a time together.
+    fn trial_fingerprint(&self) -> Fingerprint {
+        let part = self.evidence.part_with_status(SuspicionStatus::Suspect);
+        part.map_or(self.fingerprint(), Fingerprint::of_prompt_part)
+    }
+
     /// Handles the case that all eligible servers run other suspects: waits, and allows sharing one after some time.
     pub async fn wait_for_free_server(&mut self) -> Admission {
         self.may_share = self.waiting_since.is_some_and(|since| since.elapsed() >= SHARE_AFTER);
@@ -188,16 +212,13 @@
         self.responding_since = Some(Instant::now());
     }
 
-    /// Checks whether the server at `address` has crashed, after the connection to it broke while it had the request, and
+    /// Checks whether the server has crashed, after the connection to it broke while it had the request, and
     /// returns whether it has. A crash is recorded as evidence against the request. If the address still accepts
     /// connections, the check continues in the background; `on_exit` is called as soon as the process is known to have
     /// exited.
-    pub async fn connection_broke(
-        &mut self,
-        address: SocketAddr,
-        on_exit: impl FnOnce() + Send + 'static,
-    ) -> bool {
+    pub async fn connection_broke(&mut self, on_exit: impl FnOnce() + Send + 'static) -> bool {
         let Some(server) = self.server.take() else { return false };
+        let address = server.address;
         let broke_at = Instant::now();
         let responding_for = self.responding_since.map(|since| broke_at - since);
         let check = self.check_server(address).await;
@@ -260,11 +281,10 @@
         }
     }
 
-    /// Ends the trial, whose result is reported separately.
+    /// Ends the trial. Its result is reported separately, and ends the trial of a request in the log.
     fn resolve_trial(&mut self) {
-        if let Some(trial) = self.trial.take() {
-            trial.mark_resolved();
-        }
+        let trial = self.trial.take().filter(|trial| trial.fingerprint() == self.fingerprint());
+        trial.into_iter().for_each(Trial::mark_resolved);
     }
 
     /// Records a complete and successful response, which clears the request. An error response does not clear it: a server
@@ -272,11 +292,13 @@
     pub fn answered(&mut self) {
         // A complete response clears the request of crashes that are yet to be found as well.
         self.checks.drain(..).for_each(|check| check.abort());
-        let trial = self.trial.take();
-        if trial.is_none() && self.status() == SuspicionStatus::Unsuspected {
+        if let Some(server) = &self.server {
+            report_response(self.shared(), &self.evidence.shared_parts, server.address);
+        }
+        if self.trial.is_none() && self.status() == SuspicionStatus::Unsuspected {
             return;
         }
-        trial.into_iter().for_each(Trial::mark_resolved);
+        self.resolve_trial();
         self.log_step(SuspectStep::Cleared);
         let (shared, fingerprint) = (self.shared().clone(), self.fingerprint());
         let request = &self.evidence.attempt.request;
--- a/crates/daemon/src/suspects/reporting.rs
+++ b/crates/daemon/src/suspects/reporting.rs
@@ -5,7 +5,7 @@
 use crate::peer::submit;
 use crate::shared::Shared;
 use dockwood_api::gateway::Fingerprint;
-use dockwood_state::{CommandBody, CrashReport, GatewayCommand, SuspectAttempt};
+use dockwood_state::{CommandBody, CrashReport, GatewayCommand, SuspectAttempt, SuspectPrompt};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -33,6 +33,15 @@
     pub zone: String,
     /// The attempt.
     pub attempt: SuspectAttempt,
+    /// Its prompt, if that has parts that other requests may share.
+    pub prompt: Option<SuspectPrompt>,
+}
+
+/// The report of one crash that is to be submitted.
+#[derive(Clone, Debug)]
+struct PendingReport {
+    report: CrashReport,
+    prompts: Vec<SuspectPrompt>,
 }
 
 #[derive(Debug, Default)]
@@ -83,26 +92,25 @@
     }
 
     /// Takes the pending attempts, grouped by server.
-    fn take_pending(&self, daemon: &str) -> Vec<CrashReport> {
+    fn take_pending(&self, daemon: &str) -> Vec<PendingReport> {
         let attempts = std::mem::take(&mut lock(&self.pending).attempts);
         let at_ms = wall_ms();
-        let mut crashes: BTreeMap<String, CrashReport> = BTreeMap::new();
-        for CrashedAttempt { instance, zone, attempt } in attempts {
-            let end = crashes.entry(instance.clone()).or_insert_with(|| CrashReport {
-                instance,
-                zone,
-                at_ms,
-                daemon: daemon.to_string(),
-                tries: Vec::new(),
+        let mut crashes: BTreeMap<String, PendingReport> = BTreeMap::new();
+        for CrashedAttempt { instance, zone, attempt, prompt } in attempts {
+            let daemon = daemon.to_string();
+            let crash = crashes.entry(instance.clone()).or_insert_with(|| PendingReport {
+                report: CrashReport { instance, zone, at_ms, daemon, tries: Vec::new() },
+                prompts: Vec::new(),
             });
-            end.tries.push(attempt);
+            crash.report.tries.push(attempt);
+            crash.prompts.extend(prompt);
         }
         crashes.into_values().collect()
     }
 
-    fn mark_confirmed(&self, end: &CrashReport) {
+    fn mark_confirmed(&self, report: &CrashReport) {
         let mut pending = lock(&self.pending);
-        for attempt in &end.tries {
+        for attempt in &report.tries {
             if let Some(count) = pending.unconfirmed.get_mut(&attempt.fingerprint) {
                 *count -= 1;
                 if *count == 0 {
@@ -120,24 +128,26 @@
     loop {
         shared.suspects.unreported_crashes.recorded.notified().await;
         tokio::time::sleep(BATCH_WINDOW).await;
-        for end in shared.suspects.unreported_crashes.take_pending(&shared.settings.name) {
-            tokio::spawn(report(shared.clone(), end));
+        for pending in shared.suspects.unreported_crashes.take_pending(&shared.settings.name) {
+            tokio::spawn(submit_report(shared.clone(), pending));
         }
     }
 }
 
 /// Retries one report until it is in the log, and waits until this entry has read it back. A retry carries the time of the
 /// crash, so that it counts as the same report.
-async fn report(shared: Arc<Shared>, end: CrashReport) {
+async fn submit_report(shared: Arc<Shared>, pending: PendingReport) {
+    let PendingReport { report, prompts } = pending;
     let started = Instant::now();
     while started.elapsed() < GIVE_UP_AFTER {
-        let command = CommandBody::Gateway(GatewayCommand::ServerEnded(end.clone()));
-        if let Ok((revision, _)) = submit(&shared, command, REPORT_TIMEOUT).await {
+        let command = GatewayCommand::ServerCrashed { report: report.clone(), prompts: prompts.clone() };
+        let submitted = submit(&shared, CommandBody::Gateway(command), REPORT_TIMEOUT).await;
+        if let Ok((revision, _)) = submitted {
             shared.wait_for_revision(revision, REPORT_TIMEOUT).await;
             break;
         }
         shared.metrics.suspect_steps.with_label_values(&["reportFailed"]).inc();
         tokio::time::sleep(RETRY_PAUSE).await;
     }
-    shared.suspects.unreported_crashes.mark_confirmed(&end);
+    shared.suspects.unreported_crashes.mark_confirmed(&report);
 }
--- a/crates/daemon/src/suspects/trial.rs
+++ b/crates/daemon/src/suspects/trial.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns the fingerprint of which no other trial is granted.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
     /// Returns whether the trial may still start.
     pub fn may_start(&self) -> bool {
         monotonic_ms() < self.requested_at + START_WITHIN_MS
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -58,7 +58,7 @@
                 continue;
             }
             let location = ReplicaLocation::of(&slot, &self.traffic.shared.tables());
-            match self.gate.admit(is_suspect, &location.head, &location.zone).await {
+            match self.gate.admit(is_suspect, &location.head, &location.zone, slot.grant.head).await {
                 Admission::Admitted => return Ok(slot),
                 Admission::OtherServer => {
                     busy_replicas += 1;
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -94,7 +94,7 @@
             let result = self.attempt(&mut slot).await;
             // An engine that crashes may still report that it aborted its runs.
             if matches!(result, AttemptResult::Broken | AttemptResult::Aborted) {
-                self.gate.connection_broke(slot.grant.head, || ()).await;
+                self.gate.connection_broke(|| ()).await;
             }
             let result = match result {
                 AttemptResult::Broken if self.job.repeatable => {
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -229,7 +229,7 @@
             Err(AttemptFailure::MayHaveRun) => {
                 may_have_run = true;
                 if let Some(gate) = &mut gate {
-                    gate.connection_broke(server.address, || ()).await;
+                    gate.connection_broke(|| ()).await;
                 }
             }
         }
@@ -272,7 +272,7 @@
     loop {
         let is_suspect = gate.is_suspect().await.map_err(refused)?;
         let (server, guard) = pick()?;
-        let mut admission = gate.admit(is_suspect, &server.name, &server.zone).await;
+        let mut admission = gate.admit(is_suspect, &server.name, &server.zone, server.address).await;
         if admission == Admission::Admitted {
             return Ok((server, guard));
         }
--- a/crates/daemon/tests/gateway/poison_prompt_parts.rs
+++ b/crates/daemon/tests/gateway/poison_prompt_parts.rs
@@ -4,10 +4,13 @@
 //! crashes: in one day, 65 and 88 servers crashed one after the other under requests that shared one part.
 
 use super::complete_stream;
-use super::fixture::Fleet;
-use super::poison_requests::{LARGE_FLEET, SMALL_FLEET, arrivals, with_four_groups};
+use super::fixture::{Daemon, Fleet};
+use super::poison_requests::{
+    LARGE_FLEET, QUARANTINED, SMALL_FLEET, arrivals, operator_call, with_four_groups,
+};
 use super::servers::{CRASHING_PART, FakeServer, PROMPT_PARTS};
-use reqwest::StatusCode;
+use reqwest::{Method, StatusCode};
+use serde_json::Value;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -24,7 +27,10 @@
 /// Number of parts that the sound requests choose from, besides the one that all requests share.
 const SOUND_PARTS: u32 = 12;
 const SHARED_PART: &str = "system-prompt";
-/// Longest time that the test waits for the fifth crash.
+/// Number of times that a caller sends a request again, and the pause before that.
+const CALLER_RETRIES: u32 = 2;
+const CALLER_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time that the test waits for the first crash.
 const CRASHES_WITHIN: Duration = Duration::from_secs(30);
 
 /// When a sound request was sent, and whether it was answered completely at its first attempt.
@@ -41,11 +47,26 @@
 }
 
 impl Callers {
-    /// Sends a request whose prompt consists of the shared part, another one, and one of its own. The entries take turns.
+    /// Sends a request whose prompt consists of the shared part, another one, and one of its own, until it is answered
+    /// completely. The entries take turns. Returns whether the first attempt was.
     async fn send(&self, part: &str) -> bool {
         let number = self.sent.fetch_add(1, Ordering::SeqCst);
+        if self.attempt(number, part, 0).await {
+            return true;
+        }
+        for retry in 1..=CALLER_RETRIES {
+            tokio::time::sleep(CALLER_RETRY_PAUSE).await;
+            if self.attempt(number, part, retry).await {
+                break;
+            }
+        }
+        false
+    }
+
+    async fn attempt(&self, number: u32, part: &str, retry: u32) -> bool {
         let parts = format!("{SHARED_PART},{part},own-{number}");
-        let request = self.fleet.request((number % 2) as u8, "/stream/2", &format!("request-{number}"));
+        let attempt = format!("request-{number}-{retry}");
+        let request = self.fleet.request(((number + retry) % 2) as u8, "/stream/2", &attempt);
         let request = request.header(PROMPT_PARTS, parts).body(format!("body {number}"));
         match request.send().await {
             Ok(answer) if answer.status() == StatusCode::OK => {
@@ -73,8 +94,13 @@
     }
 }
 
-/// Sends a request with the crashing part and a sound one in each interval, until some time after the fifth crash, and
-/// returns the time of the fifth.
+/// When the fifth request with the crashing part arrived at a server, or the last one if there are fewer.
+fn fifth_or_last(models: &[Arc<FakeServer>]) -> Option<Instant> {
+    arrivals(models).into_iter().take(CRASHES_TO_RECOGNIZE).last()
+}
+
+/// Sends a request with the crashing part and sound ones in each interval, until some time after the fifth crash, and
+/// returns the time of that.
 async fn send_both_kinds(
     callers: &Arc<Callers>,
     models: &[Arc<FakeServer>],
@@ -94,16 +120,16 @@
             let sound = callers.clone();
             running.push(tokio::spawn(async move { sound.send_sound().await }));
         }
-        let fifth = arrivals(models).get(CRASHES_TO_RECOGNIZE - 1).copied();
+        let fifth = fifth_or_last(models);
         if fifth.is_some_and(|at| at.elapsed() > SERVED_AFTER + OBSERVED_FOR) {
             break;
         }
-        assert!(fifth.is_some() || started.elapsed() < CRASHES_WITHIN, "no fifth crash");
+        assert!(fifth.is_some() || started.elapsed() < CRASHES_WITHIN, "no crash");
     }
     for request in running {
         request.await.unwrap_or_else(|error| panic!("{error}"));
     }
-    arrivals(models)[CRASHES_TO_RECOGNIZE - 1]
+    fifth_or_last(models).unwrap_or_else(|| panic!("no crash"))
 }
 
 #[yare::parameterized(
@@ -137,3 +163,46 @@
     let served = callers.served_share(fifth + SERVED_AFTER);
     assert!(served >= 0.5, "only {served:.2} of the sound requests were served");
 }
+
+/// Sends requests with the crashing part until an entry refuses one for it.
+async fn send_until_refused(fleet: &Fleet, entry: u8) -> reqwest::Result<()> {
+    let started = Instant::now();
+    for number in 0.. {
+        let request = fleet.request(entry, "/stream/2", &format!("refused-{entry}-{number}"));
+        let parts = format!("{SHARED_PART},{CRASHING_PART},own-{entry}-{number}");
+        let answer = request.header(PROMPT_PARTS, parts).body(format!("{entry} {number}")).send().await?;
+        let bytes = answer.bytes().await.unwrap_or_default();
+        let body: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        if body["error"]["code"] == QUARANTINED {
+            break;
+        }
+        assert!(started.elapsed() < CRASHES_WITHIN, "entry {entry} does not refuse the part: {body}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    Ok(())
+}
+
+/// Operators can list the part with its evidence, and release it; a restart of all daemons loses nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_quarantined_part_survives_a_restart_and_can_be_listed_and_released() -> reqwest::Result<()> {
+    let (mut fleet, models) = with_four_groups(SMALL_FLEET).await;
+    send_until_refused(&fleet, 0).await?;
+    let before = arrivals(&models).len();
+    fleet.members.iter_mut().chain(&mut fleet.entries).for_each(Daemon::kill);
+    fleet.members.iter_mut().chain(&mut fleet.entries).for_each(Daemon::start);
+    fleet.wait_until_served("/stream/1").await;
+    for entry in 0..2 {
+        send_until_refused(&fleet, entry).await?;
+    }
+    assert_eq!(arrivals(&models).len(), before, "a server received such a request after the restart");
+    let (_, list) = operator_call(&fleet, Method::GET, "").await?;
+    assert_eq!(list["parts"][0]["part"], CRASHING_PART, "{list}");
+    assert!(list["parts"][0]["crashes"].as_u64().is_some_and(|crashes| crashes >= 4), "{list}");
+    let path = format!("/parts/{CRASHING_PART}");
+    let (_, explained) = operator_call(&fleet, Method::GET, &path).await?;
+    assert_eq!(explained["standing"], "quarantined");
+    assert_eq!(operator_call(&fleet, Method::DELETE, &path).await?.0, StatusCode::OK);
+    let (_, explained) = operator_call(&fleet, Method::GET, &path).await?;
+    assert_eq!(explained["standing"], "unsuspected", "{explained}");
+    Ok(())
+}
--- a/crates/daemon/tests/gateway/poison_requests.rs
+++ b/crates/daemon/tests/gateway/poison_requests.rs
@@ -21,7 +21,7 @@
 /// The same where the entries have to dispatch for each other.
 pub const LARGE_FLEET: u32 = 0;
 /// Result code of a quarantined request.
-const QUARANTINED: u64 = 3_009;
+pub const QUARANTINED: u64 = 3_009;
 /// An entry that is suspended for this long detects the suspension, and its lease is still valid.
 const SUSPENSION: Duration = Duration::from_millis(400);
 /// Number of crashes after which the fleet must recognize a request.
@@ -179,7 +179,11 @@
     fleet.request(entry, path, "once more").body(CRASHES_SERVERS).send().await
 }
 
-async fn operator_call(fleet: &Fleet, method: Method, path: &str) -> reqwest::Result<(StatusCode, Value)> {
+pub async fn operator_call(
+    fleet: &Fleet,
+    method: Method,
+    path: &str,
+) -> reqwest::Result<(StatusCode, Value)> {
     let url = format!("{}/quarantine{path}", fleet.resource_api(0));
     let answer = fleet.http.request(method, url).bearer_auth(OPERATOR_TOKEN).send().await?;
     Ok((answer.status(), answer.json().await.unwrap_or_default()))
--- a/crates/dockctl/src/client.rs
+++ b/crates/dockctl/src/client.rs
@@ -119,9 +119,9 @@
         self.call(&Call { method, path: &path, change_id: None, body: None }).await.map(|_| ())
     }
 
-    /// Releases a request from quarantine.
-    pub async fn release_request(&self, fingerprint: &str) -> Result<(), CommandError> {
-        let path = format!("quarantine/{fingerprint}");
+    /// Releases a request or a part of prompts from quarantine, by its path below the list.
+    pub async fn release(&self, quarantined: &str) -> Result<(), CommandError> {
+        let path = format!("quarantine/{quarantined}");
         let call = Call { method: Method::DELETE, path: &path, change_id: None, body: None };
         self.call(&call).await.map(|_| ())
     }
--- a/crates/dockctl/src/commands/quarantine.rs
+++ b/crates/dockctl/src/commands/quarantine.rs
@@ -1,29 +1,41 @@
-//! `quarantine`: shows and releases requests that are suspected of crashing servers.
+//! `quarantine`: shows and releases requests and parts of prompts that are suspected of crashing servers.
 
 use super::format;
 use crate::client::Client;
 use crate::exit::CommandError;
 use crate::output::{Format, print_line, print_value, table};
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use serde_json::Value;
 
 pub(super) fn command() -> Command {
     let fingerprint = || {
-        Arg::new("fingerprint")
-            .required(true)
-            .help("Fingerprint of the request, as shown by `quarantine list` and in request log lines")
+        Arg::new("fingerprint").required(true).help(
+            "Fingerprint of the request or name of the part, as shown by `quarantine list` and in log lines",
+        )
+    };
+    let part = || {
+        Arg::new("part")
+            .long("part")
+            .action(ArgAction::SetTrue)
+            .help("The argument is the name of a part of prompts")
     };
     Command::new("quarantine")
         .about(
-            "Shows and releases requests that are no longer sent because servers crashed while running them",
+            "Shows and releases requests that are no longer sent because servers crashed while running them, or others with \
+             the same part of the prompt",
         )
         .subcommand_required(true)
         .subcommands([
-            Command::new("list").about("Lists requests under quarantine or on probation after it"),
+            Command::new("list")
+                .about("Lists requests and parts of prompts under quarantine or on probation after it"),
             Command::new("explain")
-                .about("Shows the standing of a request, and which servers crashed while running it")
-                .arg(fingerprint()),
-            Command::new("release").about("Releases a request from quarantine").arg(fingerprint()),
+                .about("Shows the standing of a request or part, and which servers crashed while running it")
+                .arg(fingerprint())
+                .arg(part()),
+            Command::new("release")
+                .about("Releases a request or part from quarantine")
+                .arg(fingerprint())
+                .arg(part()),
         ])
 }
 
@@ -33,13 +45,28 @@
     };
     match name {
         "list" => list(client, matches).await,
-        "explain" => explain(client, matches, fingerprint(arguments)).await,
-        _ => release(client, fingerprint(arguments)).await,
+        "explain" => explain(client, matches, &Quarantined::of(arguments)).await,
+        _ => release(client, &Quarantined::of(arguments)).await,
     }
 }
 
-fn fingerprint(matches: &ArgMatches) -> &str {
-    matches.get_one::<String>("fingerprint").map(String::as_str).unwrap_or("")
+/// What a command is about.
+struct Quarantined {
+    /// The fingerprint of a request, or the name of a part.
+    name: String,
+    is_part: bool,
+}
+
+impl Quarantined {
+    fn of(matches: &ArgMatches) -> Quarantined {
+        let name = matches.get_one::<String>("fingerprint").cloned().unwrap_or_default();
+        Quarantined { name, is_part: matches.get_flag("part") }
+    }
+
+    /// The path below the list.
+    fn path(&self) -> String {
+        if self.is_part { format!("parts/{}", self.name) } else { self.name.clone() }
+    }
 }
 
 fn text(value: &Value) -> &str {
@@ -53,28 +80,49 @@
     }
     let mut rows = table(&["fingerprint", "standing", "tenant", "route", "offences", "servers", "until"]);
     for row in response["items"].as_array().into_iter().flatten() {
-        let evidence = row["evidence"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let servers: Vec<&str> = evidence.iter().map(|server_end| text(&server_end["instance"])).collect();
         rows.add_row([
             text(&row["fingerprint"]).to_string(),
             text(&row["standing"]).to_string(),
             text(&row["tenant"]).to_string(),
             text(&row["route"]).to_string(),
             row["offences"].to_string(),
-            servers.join(" "),
+            crashed_servers(row),
+            row["untilMs"].to_string(),
+        ]);
+    }
+    let mut parts = table(&["part", "standing", "crashes", "responses", "offences", "servers", "until"]);
+    for row in response["parts"].as_array().into_iter().flatten() {
+        parts.add_row([
+            text(&row["part"]).to_string(),
+            text(&row["standing"]).to_string(),
+            row["crashes"].to_string(),
+            row["responses"].to_string(),
+            row["offences"].to_string(),
+            crashed_servers(row),
             row["untilMs"].to_string(),
         ]);
     }
     print_line(format!("suspected, not under quarantine: {}\n{rows}", response["suspects"]));
+    print_line(format!("suspected parts of prompts: {}\n{parts}", response["suspectedParts"]));
     Ok(())
 }
 
-async fn explain(client: &Client, matches: &ArgMatches, fingerprint: &str) -> Result<(), CommandError> {
-    let response = client.read(&format!("quarantine/{fingerprint}")).await?;
+fn crashed_servers(row: &Value) -> String {
+    let evidence = row["evidence"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let servers: Vec<&str> = evidence.iter().map(|server_end| text(&server_end["instance"])).collect();
+    servers.join(" ")
+}
+
+async fn explain(
+    client: &Client,
+    matches: &ArgMatches,
+    quarantined: &Quarantined,
+) -> Result<(), CommandError> {
+    let response = client.read(&format!("quarantine/{}", quarantined.path())).await?;
     if format(matches) != Format::Table {
         return print_value(format(matches), &response);
     }
-    print_line(format!("{fingerprint} is {}", text(&response["standing"])));
+    print_line(format!("{} is {}", quarantined.name, text(&response["standing"])));
     for server_end in response["evidence"].as_array().into_iter().flatten() {
         print_line(format!(
             "{} in {} ended at {} while it had {}, told by {}",
@@ -88,8 +136,8 @@
     Ok(())
 }
 
-async fn release(client: &Client, fingerprint: &str) -> Result<(), CommandError> {
-    client.release_request(fingerprint).await?;
-    print_line(format!("{fingerprint} is sent again"));
+async fn release(client: &Client, quarantined: &Quarantined) -> Result<(), CommandError> {
+    client.release(&quarantined.path()).await?;
+    print_line(format!("{} is sent again", quarantined.name));
     Ok(())
 }
--- a/crates/dockctl/src/request_trace.rs
+++ b/crates/dockctl/src/request_trace.rs
@@ -103,6 +103,7 @@
     let epochs: BTreeSet<u64> = request.sends.iter().filter_map(|send| send.epoch).collect();
     let time_range = arrived.saturating_sub(CONTEXT_BEFORE_MS)..=line.at_ms + CONTEXT_AFTER_MS;
     let own_subject = format!("daemon/{}", line.daemon);
+    let quarantined_parts = quarantined_parts(lines, fingerprint);
     let mut entries = Vec::new();
     for other in lines {
         let is_near = time_range.contains(&other.at_ms);
@@ -112,8 +113,9 @@
                 let is_election = matches!(event.reason.as_str(), "Elected" | "SteppedDown");
                 let concerns_request =
                     fingerprint.is_some_and(|fingerprint| event.is_about_request(fingerprint));
+                let concerns_part = quarantined_parts.iter().any(|part| event.is_about_part(part));
                 let is_context = concerns_group || event.subject == own_subject || is_election;
-                if concerns_request || (is_near && is_context) {
+                if concerns_request || concerns_part || (is_near && is_context) {
                     let text = format!("{} {}: {}", event.subject, event.reason, event.message);
                     entries.push(TraceEntry { at_ms: other.at_ms, text });
                 }
@@ -138,6 +140,17 @@
     entries
 }
 
+/// Returns the parts of prompts for which a request was refused.
+fn quarantined_parts<'a>(lines: &'a [Line], fingerprint: Option<&str>) -> BTreeSet<&'a str> {
+    let part = |line: &'a Line| match &line.body {
+        Body::Suspect(suspect) if fingerprint == Some(&suspect.fingerprint) => {
+            suspect.quarantined_part.as_deref()
+        }
+        _ => None,
+    };
+    lines.iter().filter_map(part).collect()
+}
+
 /// Describes a log line on a suspected request, from this attempt or another one.
 fn describe_suspect(line: &Line, suspect: &Suspect) -> String {
     let at = suspect.instance.as_deref().map_or(String::new(), |instance| format!(" at {instance}"));
@@ -145,7 +158,12 @@
         [] => String::new(),
         servers => format!("; ended under it so far: {}", servers.join(" ")),
     };
-    format!("{}: {} {} as {}{at}{against}", line.daemon, suspect.fingerprint, suspect.step, suspect.request)
+    let part = suspect.quarantined_part.as_deref();
+    let part = part.map_or(String::new(), |part| format!("; its part {part} is quarantined"));
+    format!(
+        "{}: {} {} as {}{at}{against}{part}",
+        line.daemon, suspect.fingerprint, suspect.step, suspect.request
+    )
 }
 
 /// Counts the groups of a model that are open at a time according to the log.
--- a/crates/dockctl/src/request_trace_tests.rs
+++ b/crates/dockctl/src/request_trace_tests.rs
@@ -72,6 +72,25 @@
     assert_eq!(trace.len(), 5, "{trace:?}");
 }
 
+/// A request that is refused for a part of its prompt is traced to the quarantine of that part, at whatever time.
+#[test]
+fn a_request_refused_for_a_part_of_its_prompt_is_traced_to_the_quarantine_of_the_part() {
+    let fingerprint = "00112233445566778899aabbccddeeff";
+    let texts = [
+        r#"{"schema":1,"atMs":1020,"daemon":"m1","kind":"event","subject":"promptPart/5c1e","reason":"Quarantined","message":"4 servers ended under it","code":3009,"codeName":"RequestQuarantined"}"#.to_string(),
+        r#"{"schema":1,"atMs":1030,"daemon":"m1","kind":"event","subject":"promptPart/ffff","reason":"Quarantined","message":"another","code":3009,"codeName":"RequestQuarantined"}"#.to_string(),
+        format!(r#"{{"schema":1,"atMs":90000,"daemon":"e2","kind":"suspect","step":"refused","fingerprint":"{fingerprint}","request":"r-9","servers":[],"quarantinedPart":"5c1e","heldBack":0}}"#),
+        format!(r#"{{"schema":1,"atMs":90000,"daemon":"e2","kind":"request","request":"r-9","code":3009,"codeName":"RequestQuarantined","fingerprint":"{fingerprint}","configuration":4,"leaseLeftMs":2100,"tookMs":1,"allowedMs":8000,"waitedMs":0,"sends":[],"heldBack":0}}"#),
+    ];
+    let lines: Vec<Line> = texts.iter().filter_map(|text| parse(text).ok()).collect();
+    assert_eq!(lines.len(), 4);
+    let trace = trace_request(&lines, "r-9");
+    assert_eq!(trace[0], "1020 promptPart/5c1e Quarantined: 4 servers ended under it");
+    let refused = format!("90000 e2: {fingerprint} refused as r-9; its part 5c1e is quarantined");
+    assert!(trace.contains(&refused), "{trace:?}");
+    assert_eq!(trace.len(), 4, "{trace:?}");
+}
+
 #[test]
 fn a_request_that_no_line_names_has_no_trace() {
     assert!(trace_request(&lines(), "r-2").is_empty());
--- a/crates/log-lines/src/lib.rs
+++ b/crates/log-lines/src/lib.rs
@@ -89,6 +89,13 @@
         is_subject || (self.reason == ENDED_REASON && self.message.contains(fingerprint))
     }
 
+    /// Whether the event is about this part of prompts.
+    pub fn is_about_part(&self, part: &str) -> bool {
+        /// Prefix of the subjects of parts, followed by the name.
+        const PART_PREFIX: &str = "promptPart/";
+        self.subject.strip_prefix(PART_PREFIX) == Some(part)
+    }
+
     /// Returns the epoch of the group that the event is about, if any.
     pub fn group_epoch(&self) -> Option<u64> {
         /// Prefix of group subjects, followed by the epoch.
@@ -192,6 +199,9 @@
     pub instance: Option<String>,
     /// Servers whose crashes are evidence against the request.
     pub servers: Vec<String>,
+    /// The part of its prompt that is quarantined, if any is.
+    #[serde(default)]
+    pub quarantined_part: Option<String>,
 }
 
 /// A slow turn of the control thread.
--- a/crates/state/src/codec.rs
+++ b/crates/state/src/codec.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{Command, Outcome};
 use crate::machine::State;
+use crate::prompt_suspicion::PromptSuspicionTable;
 use crate::suspicion::SuspicionTable;
 use crate::tables::Tables;
 use dockwood_api::{ApiError, ResultCode};
@@ -14,7 +15,9 @@
 /// First byte of a state that is followed by its suspicion table; a state of [`FORMAT_VERSION`] has none.
 const STATE_WITH_SUSPICION_VERSION: u8 = 4;
 /// First byte of a state that is followed by its suspicion table and the start times of removed instances.
-const STATE_VERSION: u8 = 5;
+const STATE_WITH_STARTS_VERSION: u8 = 5;
+/// First byte of a state that is followed by these and the suspicion table of prompts.
+const STATE_VERSION: u8 = 6;
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     encode_as(FORMAT_VERSION, value)
@@ -43,13 +46,26 @@
     /// Encodes the whole state.
     pub fn encode(&self) -> Vec<u8> {
         let gateway = &self.tables.gateway;
-        encode_as(STATE_VERSION, &(self, &gateway.suspicion, gateway.removed_starts()))
+        let starts = gateway.removed_starts();
+        encode_as(STATE_VERSION, &(self, &gateway.suspicion, starts, &gateway.prompt_suspicion))
     }
 
     /// Decodes the output of [`State::encode`], also that of earlier versions.
     pub fn decode(bytes: &[u8]) -> Result<State, ApiError> {
         let mut state: State = match bytes.split_first() {
             Some((&STATE_VERSION, body)) => {
+                let (mut state, suspicion, starts, prompt_suspicion): (
+                    State,
+                    SuspicionTable,
+                    Vec<(String, u64)>,
+                    PromptSuspicionTable,
+                ) = decode_body(body)?;
+                state.tables.gateway.suspicion = suspicion;
+                state.tables.gateway.prompt_suspicion = prompt_suspicion;
+                state.tables.gateway.restore_removed_starts(starts);
+                state
+            }
+            Some((&STATE_WITH_STARTS_VERSION, body)) => {
                 let (mut state, suspicion, starts): (State, SuspicionTable, Vec<(String, u64)>) =
                     decode_body(body)?;
                 state.tables.gateway.suspicion = suspicion;
@@ -64,6 +80,7 @@
             _ => decode(bytes)?,
         };
         state.tables.gateway.suspicion.rebuild_index();
+        state.tables.gateway.prompt_suspicion.rebuild_index();
         state.tables.gateway.rebuild_memberships();
         Ok(state)
     }
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -2,8 +2,9 @@
 
 use super::GatewayTables;
 use super::rows::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
+use crate::prompt_suspicion::SuspectPrompt;
 use crate::suspicion::{CrashReport, TrialRequest};
-use dockwood_api::gateway::{Fingerprint, GatewayConfiguration};
+use dockwood_api::gateway::{Fingerprint, GatewayConfiguration, PromptPart};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -78,7 +79,7 @@
     NoteRequests,
     /// Inserts a complete group row, on daemons that are not voters: they receive a group only once it serves.
     Adopt(Arc<GroupRow>),
-    /// A server process ended while it was running requests.
+    /// A server process ended while it was running requests, as reported by daemons that do not name their prompts.
     ServerEnded(CrashReport),
     /// Requests a trial of a suspect request on a server; refused while another trial of the request is running, or if
     /// the server is running a trial of another suspect.
@@ -102,6 +103,38 @@
         /// The proposer's wall clock, in milliseconds since the Unix epoch.
         at_ms: u64,
     },
+    /// A server process ended while it was running requests.
+    ServerCrashed {
+        /// The crash, with the requests.
+        report: CrashReport,
+        /// The prompts of these requests, as far as they have parts that other requests may share.
+        prompts: Vec<SuspectPrompt>,
+    },
+    /// Requests with these parts received complete responses from servers that were running afterwards.
+    RecordResponses {
+        /// Parts of the prompts.
+        parts: Vec<PromptPart>,
+        /// Number of the newest crash that the reporting daemon knew of when the responses were complete.
+        known_crash: u64,
+        /// The reporting daemon.
+        daemon: String,
+        /// Its wall clock, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
+    /// Quarantines parts of prompts.
+    QuarantineParts {
+        /// The parts.
+        parts: Vec<PromptPart>,
+        /// The proposer's wall clock, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
+    /// Clears a part of prompts of all suspicion.
+    ReleasePart {
+        /// The part.
+        part: PromptPart,
+        /// Who released it, and why.
+        reason: String,
+    },
 }
 
 impl GatewayCommand {
@@ -117,6 +150,8 @@
             // Non-voters don't hold engines, so they can't tell which of them are leaving.
             GatewayCommand::ServerEnded(end) if tables.is_leaving(&end.instance) => None,
             GatewayCommand::ServerEnded(_) => Some(self.clone()),
+            GatewayCommand::ServerCrashed { report, .. } if tables.is_leaving(&report.instance) => None,
+            GatewayCommand::ServerCrashed { .. } => Some(self.clone()),
             GatewayCommand::SetPhase { epoch, phase: GroupPhase::Open, .. } => {
                 tables.groups.get(epoch).filter(|row| row.serves()).cloned().map(GatewayCommand::Adopt)
             }
@@ -127,6 +162,9 @@
             | GatewayCommand::SetEvacuation { .. }
             | GatewayCommand::ClearRequest { .. }
             | GatewayCommand::ExpireSuspicions { .. }
+            | GatewayCommand::RecordResponses { .. }
+            | GatewayCommand::QuarantineParts { .. }
+            | GatewayCommand::ReleasePart { .. }
             | GatewayCommand::Adopt(_) => Some(self.clone()),
             GatewayCommand::SetPhase { .. }
             | GatewayCommand::Form { .. }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -15,9 +15,10 @@
 pub use rows::{Evacuation, GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 
 use crate::machine::Applied;
+use crate::prompt_suspicion::{PromptSuspicionTable, SuspectPrompt};
 use crate::suspicion::{CrashReport, SuspicionTable};
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
+use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState, PromptPart};
 use imbl::OrdMap;
 use removed::{RemovedInstances, started_later};
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,9 @@
     /// Requests suspected of crashing servers; stored separately from the other tables.
     #[serde(skip)]
     pub suspicion: SuspicionTable,
+    /// Parts of prompts suspected of crashing servers; stored separately from the other tables.
+    #[serde(skip)]
+    pub prompt_suspicion: PromptSuspicionTable,
     /// Epoch of the newest group.
     pub last_epoch: u64,
     /// Whether any request was ever received.
@@ -72,11 +76,20 @@
             GatewayCommand::SetEvacuation { zone, evacuated, generation } => {
                 self.set_evacuation(zone, *evacuated, *generation)
             }
-            GatewayCommand::ServerEnded(end) => self.server_ended(end),
+            GatewayCommand::ServerEnded(report) => self.server_crashed(report, &[]),
+            GatewayCommand::ServerCrashed { report, prompts } => self.server_crashed(report, prompts),
+            GatewayCommand::RecordResponses { parts, known_crash, at_ms, .. } => {
+                self.prompt_suspicion.record_responses(parts, *known_crash, *at_ms)
+            }
+            GatewayCommand::QuarantineParts { parts, at_ms } => self.quarantine_parts(parts, *at_ms),
+            GatewayCommand::ReleasePart { part, .. } => self.prompt_suspicion.release(part),
             GatewayCommand::BeginTrial(request) => self.suspicion.begin_trial(request),
             GatewayCommand::EndTrial { fingerprint, trial } => self.suspicion.end_trial(*fingerprint, *trial),
             GatewayCommand::ClearRequest { fingerprint, .. } => self.suspicion.clear(*fingerprint),
-            GatewayCommand::ExpireSuspicions { at_ms } => self.suspicion.expire(*at_ms),
+            GatewayCommand::ExpireSuspicions { at_ms } => {
+                self.prompt_suspicion.expire(*at_ms);
+                self.suspicion.expire(*at_ms)
+            }
             GatewayCommand::Adopt(row) => {
                 self.groups.insert(row.epoch, row.clone());
                 Applied::with_changes(Vec::new())
@@ -127,6 +140,7 @@
             groups: serving.map(|(epoch, row)| (*epoch, row.clone())).collect(),
             evacuations: self.evacuations.clone(),
             suspicion: self.suspicion.for_non_voters(),
+            prompt_suspicion: self.prompt_suspicion.clone(),
             last_epoch: self.last_epoch,
             requests_seen: self.requests_seen,
             ..GatewayTables::default()
@@ -170,11 +184,39 @@
         is_draining || self.was_removed(id)
     }
 
-    fn server_ended(&mut self, end: &CrashReport) -> Applied {
-        if self.is_leaving(&end.instance) {
+    /// Whether [`GatewayCommand::ExpireSuspicions`] would remove anything.
+    pub fn has_expired_suspicions(&self, at_ms: u64) -> bool {
+        self.suspicion.has_expired(at_ms) || self.prompt_suspicion.has_expired(at_ms)
+    }
+
+    /// Records a crash. A request or a part of a prompt that is known to crash servers is the only suspect of the crashes
+    /// that it is involved in.
+    fn server_crashed(&mut self, report: &CrashReport, prompts: &[SuspectPrompt]) -> Applied {
+        if self.is_leaving(&report.instance) {
             return Applied::with_changes(Vec::new());
         }
-        self.suspicion.server_ended(end)
+        let known_requests = self.suspicion.quarantined_among(report);
+        let has_known_cause = self.prompt_suspicion.record_crash(report, prompts, &known_requests);
+        if has_known_cause {
+            self.suspicion.resolve_crash(&report.instance, report.at_ms);
+        }
+        if has_known_cause && known_requests.is_empty() {
+            return self.suspicion.trials_ended(report);
+        }
+        let applied = self.suspicion.server_ended(report);
+        for request in self.suspicion.quarantined_among(report) {
+            for crash in self.suspicion.evidence_against(request) {
+                self.prompt_suspicion.attribute_to_request(&crash.instance, crash.at_ms, request);
+            }
+        }
+        applied
+    }
+
+    fn quarantine_parts(&mut self, parts: &[PromptPart], at_ms: u64) -> Applied {
+        for crash in self.prompt_suspicion.quarantine(parts, at_ms) {
+            self.suspicion.resolve_crash(&crash.instance, crash.at_ms);
+        }
+        Applied::with_changes(Vec::new())
     }
 
     fn configure(&mut self, configuration: &Arc<GatewayConfiguration>) -> Applied {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 mod daemons;
 mod gateway;
 mod machine;
+mod prompt_suspicion;
 mod reference;
 mod suspicion;
 mod tables;
@@ -26,6 +27,9 @@
     Evacuation, GatewayCommand, GatewayTables, GroupPhase, GroupPurpose, GroupRow, InstanceRow,
 };
 pub use machine::{Applied, ControlVoter, State};
+pub use prompt_suspicion::{
+    CrashCause, PartEvidence, PartQuarantineRow, PromptCrashRow, PromptSuspicionTable, SuspectPrompt,
+};
 pub use suspicion::{
     CrashReport, CrashRow, Evidence, QuarantineRow, Suspect, SuspectAttempt, SuspicionStatus, SuspicionTable,
     TrialRequest,
--- a/crates/state/src/suspicion/rows.rs
+++ b/crates/state/src/suspicion/rows.rs
@@ -144,8 +144,8 @@
     pub at_ms: u64,
 }
 
-/// How strongly a request is suspected of crashing servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How strongly a request, or a part of its prompt, is suspected of crashing servers; in increasing order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspicionStatus {
     /// No crash is attributed to it.
     Unsuspected,
--- a/crates/state/src/suspicion/table.rs
+++ b/crates/state/src/suspicion/table.rs
@@ -112,11 +112,38 @@
         self.crashes_of.entry(fingerprint).or_default().insert(number);
     }
 
-    /// Records a daemon's report of a crash, and quarantines the requests to which enough crashes are now attributed.
-    pub(crate) fn server_ended(&mut self, report: &CrashReport) -> Applied {
+    /// The requests of a report that are quarantined or on probation, which explains the crash.
+    pub(crate) fn quarantined_among(&self, report: &CrashReport) -> Vec<Fingerprint> {
+        let requests = report.tries.iter().map(|attempt| attempt.fingerprint);
+        requests.filter(|request| self.quarantined.contains_key(request)).collect()
+    }
+
+    /// Removes a crash whose cause is known, so that no request is suspected for it.
+    pub(crate) fn resolve_crash(&mut self, instance: &str, at_ms: u64) {
+        let is_same = |row: &Arc<CrashRow>| {
+            row.instance == instance && row.at_ms.abs_diff(at_ms) <= DUPLICATE_REPORT_WINDOW_MS
+        };
+        let numbers: Vec<u64> =
+            self.crashes.values().filter(|row| is_same(row)).map(|row| row.number).collect();
+        numbers.into_iter().for_each(|number| self.remove_crash(number));
+    }
+
+    /// Ends the trials of the requests that a crashed server was running.
+    pub(crate) fn trials_ended(&mut self, report: &CrashReport) -> Applied {
         for attempt in &report.tries {
             self.trials.remove(&attempt.fingerprint);
         }
+        Applied::with_changes(Vec::new())
+    }
+
+    /// The crashes for which a request was quarantined.
+    pub(crate) fn evidence_against(&self, fingerprint: Fingerprint) -> Vec<Evidence> {
+        self.quarantined.get(&fingerprint).map(|row| row.evidence.clone()).unwrap_or_default()
+    }
+
+    /// Records a daemon's report of a crash, and quarantines the requests to which enough crashes are now attributed.
+    pub(crate) fn server_ended(&mut self, report: &CrashReport) -> Applied {
+        self.trials_ended(report);
         let (quarantined, others): (Vec<&SuspectAttempt>, Vec<&SuspectAttempt>) =
             report.tries.iter().partition(|attempt| self.quarantined.contains_key(&attempt.fingerprint));
         // A crash under a request that is known to crash servers needs no other cause.
