A response without a length is complete only if its server survives it

What callers saw: a server that crashed while it sent a response with neither a length nor chunks looked as if it had ended the response. A stream that ended between two events, an empty stream, and half of a plain body were passed on as whole; the request was cleared of suspicion, and the check of the server's process was given up.

Cause: the end of the connection was taken for the end of the response, without asking what else ends a connection.

Failing test: a_response_that_ends_with_the_crash_of_its_server_is_broken_off, three of four cases complete before, none now; the fourth (an end within an event) passed and stays. The counterpart with a server that lives passes before and after.

Now such a response is complete once a new connection to the server shows for 30 ms that its process runs, or another daemon reaches it. Otherwise it is a broken connection, with the evidence that goes with it. Responses with a length or chunks are not delayed. Service calls of the native interface, whose bodies are passed on as they arrive, are not covered.

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -5,7 +5,7 @@
 use super::headers::{ServerHeaders, add_server_headers, end_to_end};
 use super::receive::{ReceivedRequest, may_still_send};
 use super::request_log::RequestLog;
-use super::response_head::evaluate_head;
+use super::response_head::{evaluate_head, is_unframed};
 use super::responses::{RETRY_SOON_MS, error_response};
 use super::server_selection::{SelectedServer, select_server};
 use super::upstream::Upstream;
@@ -285,7 +285,10 @@
         let head = evaluate_head(self.gateway, self.received, &mut self.request_log, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
-        let Ok(body) = read_body(body, MAX_RESPONSE_BYTES).await else {
+        let is_unframed = is_unframed(&parts.headers, &body);
+        let body = read_body(body, MAX_RESPONSE_BYTES).await.ok();
+        let is_truncated = body.is_none() || (is_unframed && !self.gate.server_survives().await);
+        let Some(body) = body.filter(|_| !is_truncated) else {
             return Err(self.broken_connection_outcome().await);
         };
         Ok(ServerResponse { status: parts.status, headers: end_to_end(&parts.headers), body })
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -6,22 +6,28 @@
 use crate::dialect::HeaderNames;
 use crate::pushback::{SendPermit, signals_of};
 use dockwood_routing::gateway::SendOutcome;
-use hyper::header::HeaderMap;
+use hyper::body::Body;
+use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
+/// Returns whether a response declares neither a length nor chunks, so that it ends with its connection.
+pub fn is_unframed(headers: &HeaderMap, body: &impl Body) -> bool {
+    body.size_hint().exact().is_none() && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Evaluates the head of the response to a request that was sent under a permit. The pushback signals are recorded first,
 /// whether or not the response can be forwarded.
 ///
 /// # Errors
 /// The outcome of the send, if there is no response to forward.
-pub fn evaluate_head<Body>(
+pub fn evaluate_head<B>(
     gateway: &Gateway,
     received: &ReceivedRequest,
     request_log: &mut RequestLog,
     permit: &mut SendPermit,
-    response: Response<Body>,
-) -> Result<(Parts, Body), SendOutcome> {
+    response: Response<B>,
+) -> Result<(Parts, B), SendOutcome> {
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
     let signals = signals_of(parts.status, &parts.headers, &names.signals);
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -37,6 +37,8 @@
     source: Source,
     upstream: Upstream,
     body: Incoming,
+    /// Whether the response ends with its connection.
+    is_unframed: bool,
     splitter: EventSplitter,
 }
 
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -39,7 +39,11 @@
                         reading.splitter.push(data);
                     }
                 }
-                None if reading.splitter.is_clean() => return self.complete(),
+                None if reading.splitter.is_clean()
+                    && (!reading.is_unframed || self.gate.server_survives().await) =>
+                {
+                    return self.complete();
+                }
                 Some(Err(_)) | None => {
                     return ReadResult::Broken(
                         broken_connection_outcome(&self.gateway, &mut self.gate, &reading.source).await,
--- a/crates/daemon/src/suspects/process_check.rs
+++ b/crates/daemon/src/suspects/process_check.rs
@@ -14,6 +14,10 @@
 /// Pause between the first two checks of a process that closes each connection; it doubles with each further one.
 const FIRST_RECHECK_PAUSE: Duration = Duration::from_millis(5);
 
+/// How long a process is observed after a response that ended with its connection: a process that exits closes its listening
+/// socket within some milliseconds of its connections.
+const SURVIVAL_OBSERVATION: Duration = Duration::from_millis(30);
+
 /// What a connection attempt to the address of a server shows.
 #[derive(Debug)]
 pub enum ProcessCheck {
@@ -76,6 +80,14 @@
     }
 }
 
+/// Returns whether the process at `address` goes on running after a connection to it has ended; `false` also if that can't be
+/// found out.
+pub async fn survives(dialer: &dyn ServerDialer, address: SocketAddr) -> bool {
+    let ProcessCheck::Connected(connection) = check_process(dialer, address).await else { return false };
+    let exits = wait_until_exited(dialer, connection, address);
+    !tokio::time::timeout(SURVIVAL_OBSERVATION, exits).await.unwrap_or(false)
+}
+
 async fn wait_until_closed(connection: &mut TcpStream) {
     let mut ignored = [0; 64];
     // A server may send data on an idle connection, such as a timeout response before it closes it.
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -9,3 +9,4 @@
 mod pushback;
 mod scripted_server;
 mod tunnels;
+mod unframed_responses;
