--- a/crates/daemon/tests/gateway/limit_soak.rs
+++ b/crates/daemon/tests/gateway/limit_soak.rs
@@ -251,7 +251,8 @@
     assert!(served > 0, "seed {seed}: no request was served");
 }
 
-fn environment_or(name: &str, default: u64) -> u64 {
+/// A number from an environment variable.
+pub fn environment_or(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod poison_prompt_parts;
 mod poison_requests;
 mod promises;
+mod prompt_parts_soak;
 mod regions;
 mod retry_budget;
 mod server_backoff;
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -185,7 +185,7 @@
 
     /// Simulates a crash: the port refuses connections, open connections break, and reports cease. The server restarts
     /// after [`RESTARTS_AFTER`].
-    fn crash(self: Arc<Self>) {
+    pub fn crash(self: Arc<Self>) {
         if self.has_crashed.swap(true, Ordering::SeqCst) {
             return;
         }
