Parts that were only seen together are quarantined as a set

What callers saw: conversations that share a system message with those that crash engines were refused for a minute, if none of them had come while the engines crashed: nothing told the two messages apart, and both were quarantined.

Now the parts of one and the same set of attempts form a set, and a request is refused if its prompt contains all of it.

--- a/crates/api/src/gateway/fingerprint.rs
+++ b/crates/api/src/gateway/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Fingerprints, which identify repeated attempts of the same request.
 
-use super::prompt_part::PromptPart;
+use super::prompt_part::PartSet;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -10,8 +10,8 @@
 /// caller that searches for one, and takes half the space in tables and logs.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// Begins the input of the digest of a prompt part; that of a request begins with 0 or 1.
-const PROMPT_PART_PREFIX: [u8; 1] = [2];
+/// Begins the input of the digest of parts of prompts; that of a request begins with 0 or 1.
+const PARTS_PREFIX: [u8; 1] = [2];
 
 /// The parts of a request that identify it when it is sent again.
 #[derive(Clone, Copy, Debug)]
@@ -48,12 +48,12 @@
         Fingerprint::truncated(hasher)
     }
 
-    /// Computes the fingerprint under which requests whose prompts share a part are tried one at a time. It differs from the
-    /// fingerprints of requests.
-    pub fn of_prompt_part(part: &PromptPart) -> Fingerprint {
+    /// Computes the fingerprint under which requests whose prompts share these parts are tried one at a time. It differs from
+    /// the fingerprints of requests.
+    pub fn of_parts(parts: &PartSet) -> Fingerprint {
         let mut hasher = Sha256::new();
-        hasher.update(PROMPT_PART_PREFIX);
-        hasher.update(part.as_str());
+        hasher.update(PARTS_PREFIX);
+        hasher.update(parts.to_string());
         Fingerprint::truncated(hasher)
     }
 
--- a/crates/api/src/gateway/mod.rs
+++ b/crates/api/src/gateway/mod.rs
@@ -22,5 +22,5 @@
     DispatchScope, EventPace, GroupLoad, LimitedGroup, LoadDigest, LoadReport, ModelLoad, PlaceReply,
     PlaceRequest, SharedGroupLoad,
 };
-pub use prompt_part::PromptPart;
+pub use prompt_part::{PartSet, PromptPart};
 pub use validation::{ConfigurationFault, validate_configuration};
--- a/crates/api/src/gateway/prompt_part.rs
+++ b/crates/api/src/gateway/prompt_part.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::collections::BTreeSet;
 use std::fmt;
 
 /// Maximum length of an id that is kept as it is, in bytes.
@@ -9,6 +10,9 @@
 /// Maximum number of shared parts per request that are considered.
 const MAX_SHARED_PARTS: usize = 16;
 
+/// Separates the names of the parts of a set. No name contains it.
+const SET_SEPARATOR: char = '+';
+
 /// Names a part of a prompt, such as a system prompt or a turn of a session. Two prompts that contain the same part
 /// contain the same name, whoever sends them.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -51,6 +55,45 @@
     }
 }
 
+/// Parts that have only occurred together, so that it is not known which of them matters. Usually a single one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartSet(Vec<PromptPart>);
+
+impl PartSet {
+    /// Creates the set of these parts.
+    pub fn new(parts: impl IntoIterator<Item = PromptPart>) -> PartSet {
+        let sorted: BTreeSet<PromptPart> = parts.into_iter().collect();
+        PartSet(sorted.into_iter().collect())
+    }
+
+    /// Creates a set from its text, in which a separator follows each part but the last.
+    pub fn from_text(text: &str) -> PartSet {
+        PartSet::new(text.split(SET_SEPARATOR).map(PromptPart::from_id))
+    }
+
+    /// The parts.
+    pub fn parts(&self) -> &[PromptPart] {
+        &self.0
+    }
+
+    /// Whether a prompt contains all parts of the set; `false` for the empty set.
+    pub fn is_contained_in(&self, prompt: &[PromptPart]) -> bool {
+        !self.0.is_empty() && self.0.iter().all(|part| prompt.contains(part))
+    }
+}
+
+impl fmt::Display for PartSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            if index > 0 {
+                write!(f, "{SET_SEPARATOR}")?;
+            }
+            write!(f, "{part}")?;
+        }
+        Ok(())
+    }
+}
+
 impl fmt::Display for PromptPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/api/tests/prompt_part.rs
+++ b/crates/api/tests/prompt_part.rs
@@ -1,6 +1,6 @@
 //! Names of the parts of prompts.
 
-use dockwood_api::gateway::PromptPart;
+use dockwood_api::gateway::{PartSet, PromptPart};
 
 fn parts(ids: &[&str]) -> Vec<PromptPart> {
     ids.iter().map(|id| PromptPart::from_id(id)).collect()
@@ -33,3 +33,13 @@
     let many = (0..1_000).map(|number| PromptPart::from_id(&format!("p{number}"))).collect();
     assert_eq!(PromptPart::shared(many).len(), 16);
 }
+
+#[test]
+fn a_set_of_parts_is_read_back_from_its_text() {
+    let set = PartSet::new(parts(&["b", "a", "b"]));
+    assert_eq!(set.to_string(), "a+b");
+    assert_eq!(PartSet::from_text("a+b"), set);
+    assert!(set.is_contained_in(&parts(&["a", "x", "b"])));
+    assert!(!set.is_contained_in(&parts(&["a", "x"])));
+    assert!(!PartSet::new([]).is_contained_in(&parts(&["a"])));
+}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -175,7 +175,7 @@
         commands.extend(gateway.into_iter().map(CommandBody::Gateway));
         commands.extend(expired_suspicions(board.tables(), moment.wall_ms));
         let prompt_suspicion = &board.tables().gateway.prompt_suspicion;
-        commands.extend(self.settled_crashes.quarantine_command(now, moment.wall_ms, prompt_suspicion));
+        commands.extend(self.settled_crashes.quarantine_commands(now, moment.wall_ms, prompt_suspicion));
         self.uncommitted = commands.len();
         commands
     }
--- a/crates/control/src/prompt_suspicion.rs
+++ b/crates/control/src/prompt_suspicion.rs
@@ -24,17 +24,17 @@
 }
 
 impl SettledCrashes {
-    /// Returns the command that quarantines the parts to which the settled crashes are attributed, if there are any.
-    pub fn quarantine_command(
+    /// Returns the commands that quarantine the parts to which the settled crashes are attributed.
+    pub fn quarantine_commands(
         &mut self,
         now: Millis,
         wall_ms: u64,
         table: &PromptSuspicionTable,
-    ) -> Option<CommandBody> {
+    ) -> Vec<CommandBody> {
         self.update(now, table.last_crash);
-        let parts = table.parts_to_quarantine(self.newest_settled);
-        let command = GatewayCommand::QuarantineParts { parts: parts.clone(), at_ms: wall_ms };
-        (!parts.is_empty()).then_some(CommandBody::Gateway(command))
+        let command = |parts| GatewayCommand::QuarantineParts { parts, at_ms: wall_ms };
+        let sets = table.parts_to_quarantine(self.newest_settled).into_iter();
+        sets.map(|parts| CommandBody::Gateway(command(parts))).collect()
     }
 
     fn update(&mut self, now: Millis, last_crash: u64) {
--- a/crates/control/src/timeline.rs
+++ b/crates/control/src/timeline.rs
@@ -3,7 +3,7 @@
 
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
-use dockwood_api::gateway::{InstanceState, PromptPart};
+use dockwood_api::gateway::{InstanceState, PartSet, PromptPart};
 use dockwood_api::resource::{Kind, ResourceKey};
 use dockwood_state::{
     Applied, ChangeAction, ChangeRequest, Command, CommandBody, CrashReport, DaemonUpdate, Evidence,
@@ -89,7 +89,7 @@
                     events.extend(quarantine_events(report, tables));
                 }
                 GatewayCommand::QuarantineParts { parts, .. } => {
-                    events.extend(parts.iter().filter_map(|part| part_quarantine_event(part, tables)));
+                    events.extend(part_quarantine_event(parts, tables));
                 }
                 _ => {}
             }
@@ -179,12 +179,12 @@
         GatewayCommand::ServerCrashed { report, prompts } => {
             event("instance", &report.instance, "EndedUnderRequests", server_end_message(report, prompts))
         }
-        GatewayCommand::RecordResponses { parts, known_crash, daemon, .. } => {
+        GatewayCommand::RecordResponse { parts, known_crash, daemon, .. } => {
             let message = format!("told by {daemon}, which knew of {known_crash} crashes");
-            event("promptPart", &part_names(parts), "AnsweredCompletely", message)
+            event("promptPart", &PartSet::new(parts.clone()).to_string(), "AnsweredCompletely", message)
         }
-        GatewayCommand::ReleasePart { part, reason } => {
-            event("promptPart", part.as_str(), "Cleared", reason.clone())
+        GatewayCommand::ReleaseParts { parts, reason } => {
+            event("promptPart", &parts.to_string(), "Cleared", reason.clone())
         }
         // Recorded with the evidence that led to it.
         GatewayCommand::QuarantineParts { .. } => None,
@@ -213,13 +213,9 @@
     message
 }
 
-fn part_names(parts: &[PromptPart]) -> String {
-    parts.iter().map(PromptPart::as_str).collect::<Vec<_>>().join(" ")
-}
-
-/// Returns the event of a part that was put under quarantine.
-fn part_quarantine_event(part: &PromptPart, tables: &Tables) -> Option<TimelineEvent> {
-    let row = tables.gateway.prompt_suspicion.quarantined.get(part)?;
+/// Returns the event of parts that were put under quarantine.
+fn part_quarantine_event(parts: &PartSet, tables: &Tables) -> Option<TimelineEvent> {
+    let row = tables.gateway.prompt_suspicion.quarantined.get(parts)?;
     let servers: Vec<String> = row.evidence.iter().map(evidence_text).collect();
     let message = format!(
         "for {} s, {} times; {} servers ended under it, among them: {}",
@@ -228,7 +224,7 @@
         row.crashes,
         servers.join(", ")
     );
-    let subject = Subject::new("promptPart", part.as_str());
+    let subject = Subject::new("promptPart", parts.to_string());
     Some(TimelineEvent::new(subject, "Quarantined", message, ResultCode::RequestQuarantined))
 }
 
--- a/crates/daemon/src/http/quarantine.rs
+++ b/crates/daemon/src/http/quarantine.rs
@@ -6,7 +6,7 @@
 use crate::clock::wall_ms;
 use crate::peer::submit;
 use crate::settings::OperatorRole;
-use dockwood_api::gateway::{Fingerprint, PromptPart};
+use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_state::{
     CommandBody, CrashRow, Evidence, GatewayCommand, PartQuarantineRow, PromptSuspicionTable, QuarantineRow,
@@ -60,7 +60,7 @@
 pub fn explain_part(Data(app): Data<&App>, request: &Request, Path(name): Path<String>) -> Response {
     let result = auth::authorize_operator(app, request, OperatorRole::Read).map(|()| {
         let tables = app.shared.tables();
-        let body = part_status_json(&tables.gateway.prompt_suspicion, &PromptPart::from_id(&name), wall_ms());
+        let body = part_status_json(&tables.gateway.prompt_suspicion, &PartSet::from_text(&name), wall_ms());
         json_response(StatusCode::OK, ResultCode::Ok, &body)
     });
     respond(app, result)
@@ -69,10 +69,10 @@
 /// `DELETE /api/v1/quarantine/parts/{part}`: releases a part of prompts and clears the evidence against it.
 #[handler]
 pub async fn release_part(Data(app): Data<&App>, request: &Request, Path(name): Path<String>) -> Response {
-    let part = PromptPart::from_id(&name);
+    let parts = PartSet::from_text(&name);
     let reason = release_reason(app);
-    let body = json!({ "part": part.as_str(), "standing": "unsuspected" });
-    let command = GatewayCommand::ReleasePart { part, reason };
+    let body = json!({ "part": parts.to_string(), "standing": "unsuspected" });
+    let command = GatewayCommand::ReleaseParts { parts, reason };
     respond(app, submit_release(app, request, command, &body).await)
 }
 
@@ -124,7 +124,7 @@
 
 fn part_quarantine_json(row: &PartQuarantineRow, now_ms: u64) -> Value {
     json!({
-        "part": row.part.as_str(),
+        "part": row.parts.to_string(),
         "standing": quarantine_standing(row.is_active(now_ms)),
         "sinceMs": row.since_ms,
         "untilMs": row.until_ms,
@@ -135,16 +135,23 @@
     })
 }
 
-fn part_status_json(suspicion: &PromptSuspicionTable, part: &PromptPart, now_ms: u64) -> Value {
-    if let Some(row) = suspicion.quarantined.get(part) {
+fn part_status_json(suspicion: &PromptSuspicionTable, parts: &PartSet, now_ms: u64) -> Value {
+    if let Some(row) = suspicion.quarantined.get(parts) {
         return part_quarantine_json(row, now_ms);
     }
+    let against: Vec<Value> = parts.parts().iter().map(|part| suspected_part_json(suspicion, part)).collect();
+    let is_suspected = parts.parts().iter().any(|part| suspicion.crashes_involving(part).next().is_some());
+    let standing = if is_suspected { "suspect" } else { "unsuspected" };
+    json!({ "part": parts.to_string(), "standing": standing, "suspected": against })
+}
+
+/// What the crashes of servers say against one part.
+fn suspected_part_json(suspicion: &PromptSuspicionTable, part: &PromptPart) -> Value {
     let crashes = suspicion.crashes_involving(part).map(|row| row.evidence_against(part));
     let evidence: Vec<Value> = crashes.map(|evidence| evidence_json(&evidence)).collect();
-    let standing = if evidence.is_empty() { "unsuspected" } else { "suspect" };
     let found = suspicion.evidence_against(part, u64::MAX);
     json!({
-        "part": part.as_str(), "standing": standing, "evidence": evidence, "crashes": found.crashes,
+        "part": part.as_str(), "evidence": evidence, "crashes": found.crashes,
         "consecutiveCrashes": found.consecutive, "attempts": found.attempts, "requests": found.requests,
     })
 }
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -172,9 +172,9 @@
     /// sent nothing.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub responding_ms: Option<u64>,
-    /// The part of the prompt that is quarantined, if any is.
+    /// The parts of the prompt that are quarantined, if there are any.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub quarantined_part: Option<&'a str>,
+    pub quarantined_part: Option<String>,
     /// Parts of the prompt that other requests may share.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub prompt_parts: Vec<&'a str>,
--- a/crates/daemon/src/suspects/evidence.rs
+++ b/crates/daemon/src/suspects/evidence.rs
@@ -6,8 +6,8 @@
 use crate::log_line::{LineBody, SuspectLine, SuspectStep};
 use crate::logging;
 use crate::shared::Shared;
-use dockwood_api::gateway::{Fingerprint, PromptPart};
-use dockwood_state::{SuspectAttempt, SuspectPrompt, SuspicionStatus};
+use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
+use dockwood_state::{SuspectAttempt, SuspectPrompt};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,11 +63,21 @@
         })
     }
 
-    /// Returns the first part of the prompt with a status at present, if there is any.
-    pub fn part_with_status(&self, status: SuspicionStatus) -> Option<&PromptPart> {
+    /// Returns the quarantined parts that the prompt contains, if there are any.
+    fn quarantined_parts(&self) -> Option<PartSet> {
+        self.parts_in_quarantine(true)
+    }
+
+    /// Returns the parts on probation that the prompt contains, if there are any.
+    pub fn parts_on_probation(&self) -> Option<PartSet> {
+        self.parts_in_quarantine(false)
+    }
+
+    fn parts_in_quarantine(&self, is_active: bool) -> Option<PartSet> {
         let tables = self.shared.tables();
-        let (suspicion, now) = (&tables.gateway.prompt_suspicion, wall_ms());
-        self.shared_parts.iter().find(|part| suspicion.status(part, now) == status)
+        let now = wall_ms();
+        let mut rows = tables.gateway.prompt_suspicion.quarantined_in(&self.shared_parts);
+        rows.find(|row| row.is_active(now) == is_active).map(|row| row.parts.clone())
     }
 
     /// Records that a server crashed while it ran the request.
@@ -123,7 +133,7 @@
             responding_ms: finding
                 .and_then(|finding| finding.responding_for)
                 .map(|time| time.as_millis() as u64),
-            quarantined_part: self.part_with_status(SuspicionStatus::Quarantined).map(PromptPart::as_str),
+            quarantined_part: self.quarantined_parts().map(|parts| parts.to_string()),
             prompt_parts: self.shared_parts.iter().map(PromptPart::as_str).collect(),
             evidence_age_ms: newest.map(|at_ms| wall_ms().saturating_sub(at_ms)),
             held_back,
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -97,9 +97,7 @@
         let tables = self.shared().tables();
         let (tables, now) = (&tables.gateway, wall_ms());
         let of_request = tables.suspicion.status(self.fingerprint(), now);
-        let parts = self.evidence.shared_parts.iter();
-        let of_parts = parts.map(|part| tables.prompt_suspicion.status(part, now));
-        let status = of_parts.fold(of_request, SuspicionStatus::max);
+        let status = of_request.max(tables.prompt_suspicion.status(&self.evidence.shared_parts, now));
         let has_unreported_crashes =
             || self.shared().suspects.unreported_crashes.has_pending(self.fingerprint());
         if status == SuspicionStatus::Unsuspected && has_unreported_crashes() {
@@ -173,10 +171,10 @@
         }
     }
 
-    /// The fingerprint of the trial: requests that share a part on probation are tried one at a time together.
+    /// The fingerprint of the trial: of all requests that share parts on probation, one is tried at a time.
     fn trial_fingerprint(&self) -> Fingerprint {
-        let part = self.evidence.part_with_status(SuspicionStatus::Suspect);
-        part.map_or(self.fingerprint(), Fingerprint::of_prompt_part)
+        let parts = self.evidence.parts_on_probation();
+        parts.map_or(self.fingerprint(), |parts| Fingerprint::of_parts(&parts))
     }
 
     /// Handles the case that all eligible servers run other suspects: waits, and allows sharing one after some time.
--- a/crates/daemon/src/suspects/responses.rs
+++ b/crates/daemon/src/suspects/responses.rs
@@ -72,8 +72,7 @@
 /// The parts for which the tables need complete responses.
 fn still_needed(shared: &Shared, parts: &[PromptPart]) -> Vec<PromptPart> {
     let tables = shared.tables();
-    let suspicion = &tables.gateway.prompt_suspicion;
-    parts.iter().filter(|part| suspicion.needs_responses(part)).cloned().collect()
+    tables.gateway.prompt_suspicion.parts_that_need_responses(parts)
 }
 
 async fn observe_and_report(
@@ -93,7 +92,7 @@
     if parts.is_empty() {
         return;
     }
-    let command = GatewayCommand::RecordResponses {
+    let command = GatewayCommand::RecordResponse {
         parts,
         known_crash,
         daemon: shared.settings.name.clone(),
--- a/crates/dockctl/src/commands/quarantine.rs
+++ b/crates/dockctl/src/commands/quarantine.rs
@@ -123,7 +123,9 @@
         return print_value(format(matches), &response);
     }
     print_line(format!("{} is {}", quarantined.name, text(&response["standing"])));
-    for server_end in response["evidence"].as_array().into_iter().flatten() {
+    let suspected = response["suspected"].as_array().into_iter().flatten();
+    let evidence = suspected.map(|part| &part["evidence"]).chain([&response["evidence"]]);
+    for server_end in evidence.filter_map(Value::as_array).flatten() {
         print_line(format!(
             "{} in {} ended at {} while it had {}, told by {}",
             text(&server_end["instance"]),
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -4,7 +4,7 @@
 use super::rows::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 use crate::prompt_suspicion::SuspectPrompt;
 use crate::suspicion::{CrashReport, TrialRequest};
-use dockwood_api::gateway::{Fingerprint, GatewayConfiguration, PromptPart};
+use dockwood_api::gateway::{Fingerprint, GatewayConfiguration, PartSet, PromptPart};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -110,11 +110,11 @@
         /// The prompts of these requests, as far as they have parts that other requests may share.
         prompts: Vec<SuspectPrompt>,
     },
-    /// Requests with these parts received complete responses from servers that were running afterwards.
-    RecordResponses {
+    /// A request with these parts received a complete response from a server that was running afterwards.
+    RecordResponse {
         /// Parts of the prompts.
         parts: Vec<PromptPart>,
-        /// Number of the newest crash that the reporting daemon knew of when the responses were complete.
+        /// Number of the newest crash that the reporting daemon knew of when the response was complete.
         known_crash: u64,
         /// The reporting daemon.
         daemon: String,
@@ -123,16 +123,16 @@
     },
     /// Quarantines parts of prompts.
     QuarantineParts {
-        /// The parts.
-        parts: Vec<PromptPart>,
+        /// The parts; requests with all of them are refused.
+        parts: PartSet,
         /// The proposer's wall clock, in milliseconds since the Unix epoch.
         at_ms: u64,
     },
-    /// Clears a part of prompts of all suspicion.
-    ReleasePart {
-        /// The part.
-        part: PromptPart,
-        /// Who released it, and why.
+    /// Clears parts of prompts of all suspicion.
+    ReleaseParts {
+        /// The parts.
+        parts: PartSet,
+        /// Who released them, and why.
         reason: String,
     },
 }
@@ -162,9 +162,9 @@
             | GatewayCommand::SetEvacuation { .. }
             | GatewayCommand::ClearRequest { .. }
             | GatewayCommand::ExpireSuspicions { .. }
-            | GatewayCommand::RecordResponses { .. }
+            | GatewayCommand::RecordResponse { .. }
             | GatewayCommand::QuarantineParts { .. }
-            | GatewayCommand::ReleasePart { .. }
+            | GatewayCommand::ReleaseParts { .. }
             | GatewayCommand::Adopt(_) => Some(self.clone()),
             GatewayCommand::SetPhase { .. }
             | GatewayCommand::Form { .. }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 use crate::prompt_suspicion::{PromptSuspicionTable, SuspectPrompt};
 use crate::suspicion::{CrashReport, SuspicionTable};
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState, PromptPart};
+use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState, PartSet};
 use imbl::OrdMap;
 use removed::{RemovedInstances, started_later};
 use serde::{Deserialize, Serialize};
@@ -78,11 +78,11 @@
             }
             GatewayCommand::ServerEnded(report) => self.server_crashed(report, &[]),
             GatewayCommand::ServerCrashed { report, prompts } => self.server_crashed(report, prompts),
-            GatewayCommand::RecordResponses { parts, known_crash, at_ms, .. } => {
-                self.prompt_suspicion.record_responses(parts, *known_crash, *at_ms)
+            GatewayCommand::RecordResponse { parts, known_crash, at_ms, .. } => {
+                self.prompt_suspicion.record_response(parts, *known_crash, *at_ms)
             }
             GatewayCommand::QuarantineParts { parts, at_ms } => self.quarantine_parts(parts, *at_ms),
-            GatewayCommand::ReleasePart { part, .. } => self.prompt_suspicion.release(part),
+            GatewayCommand::ReleaseParts { parts, .. } => self.prompt_suspicion.release(parts),
             GatewayCommand::BeginTrial(request) => self.suspicion.begin_trial(request),
             GatewayCommand::EndTrial { fingerprint, trial } => self.suspicion.end_trial(*fingerprint, *trial),
             GatewayCommand::ClearRequest { fingerprint, .. } => self.suspicion.clear(*fingerprint),
@@ -212,7 +212,7 @@
         applied
     }
 
-    fn quarantine_parts(&mut self, parts: &[PromptPart], at_ms: u64) -> Applied {
+    fn quarantine_parts(&mut self, parts: &PartSet, at_ms: u64) -> Applied {
         for crash in self.prompt_suspicion.quarantine(parts, at_ms) {
             self.suspicion.resolve_crash(&crash.instance, crash.at_ms);
         }
--- a/crates/state/src/prompt_suspicion/attribution.rs
+++ b/crates/state/src/prompt_suspicion/attribution.rs
@@ -2,7 +2,7 @@
 
 use super::rows::PromptCrashRow;
 use super::table::PromptSuspicionTable;
-use dockwood_api::gateway::PromptPart;
+use dockwood_api::gateway::{PartSet, PromptPart};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -92,25 +92,47 @@
         PartEvidence::of(part, rows)
     }
 
-    /// Whether complete responses to requests with a part are to be reported, because they would clear it.
-    pub fn needs_responses(&self, part: &PromptPart) -> bool {
-        self.quarantined.contains_key(part)
-            || self.evidence_against(part, u64::MAX).consecutive >= REPORT_RESPONSES_AFTER
+    /// The parts of a prompt for which complete responses are to be reported, because these would clear or release them.
+    pub fn parts_that_need_responses(&self, prompt: &[PromptPart]) -> Vec<PromptPart> {
+        let quarantined: BTreeSet<&PromptPart> =
+            self.quarantined_in(prompt).flat_map(|row| row.parts.parts()).collect();
+        let is_suspected =
+            |part: &PromptPart| self.evidence_against(part, u64::MAX).consecutive >= REPORT_RESPONSES_AFTER;
+        prompt.iter().filter(|part| quarantined.contains(part) || is_suspected(part)).cloned().collect()
     }
 
-    /// The parts to which enough of the crashes up to number `settled` are attributed. All daemons have reported these
-    /// crashes, and responses that were complete before them.
-    pub fn parts_to_quarantine(&self, settled: u64) -> Vec<PromptPart> {
+    /// The parts to which enough of the crashes up to number `settled` are attributed; those that occurred only together form
+    /// one set. All daemons have reported these crashes, and responses that were complete before them.
+    pub fn parts_to_quarantine(&self, settled: u64) -> Vec<PartSet> {
         if self.crashes.len() < QUARANTINE_CRASHES {
             return Vec::new();
         }
         let against = |part| (part, self.evidence_against(part, settled));
         let evidence: BTreeMap<&PromptPart, PartEvidence> = self.suspected_parts().map(against).collect();
-        let candidates = evidence.iter().filter(|(_, evidence)| evidence.is_sufficient());
-        let is_attributed = |part: &PromptPart| {
+        let mut by_occurrence: BTreeMap<Vec<Occurrence<'_>>, Vec<PromptPart>> = BTreeMap::new();
+        for (part, _) in evidence.iter().filter(|(_, evidence)| evidence.is_sufficient()) {
             let rows = self.crashes_involving(part).filter(|row| row.number <= settled);
-            PartEvidence::of(part, rows.filter(|row| is_likeliest(part, row, &evidence))).is_sufficient()
-        };
-        candidates.filter(|(part, _)| is_attributed(part)).map(|(part, _)| (*part).clone()).collect()
+            let attributed: Vec<&Arc<PromptCrashRow>> =
+                rows.filter(|row| is_likeliest(part, row, &evidence)).collect();
+            if PartEvidence::of(part, attributed.iter().copied()).is_sufficient() {
+                by_occurrence.entry(occurrences(part, &attributed)).or_default().push((*part).clone());
+            }
+        }
+        by_occurrence.into_values().map(PartSet::new).collect()
     }
 }
+
+/// An attempt with a part at a server that crashed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Occurrence<'a> {
+    crash: u64,
+    request: &'a str,
+}
+
+fn occurrences<'a>(part: &'a PromptPart, rows: &[&'a Arc<PromptCrashRow>]) -> Vec<Occurrence<'a>> {
+    let in_row = |row: &&'a Arc<PromptCrashRow>| {
+        let crash = row.number;
+        row.prompts_with(part).map(move |prompt| Occurrence { crash, request: &prompt.request })
+    };
+    rows.iter().flat_map(in_row).collect()
+}
--- a/crates/state/src/prompt_suspicion/rows.rs
+++ b/crates/state/src/prompt_suspicion/rows.rs
@@ -1,7 +1,7 @@
 //! Rows of the tables on parts of prompts.
 
 use crate::suspicion::Evidence;
-use dockwood_api::gateway::{Fingerprint, PromptPart};
+use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
 use serde::{Deserialize, Serialize};
 
 /// The prompt of an attempt that a server was running when its process ended.
@@ -102,27 +102,27 @@
     }
 }
 
-/// A part that is quarantined, so that no daemon sends a request with it to a server, or on probation afterwards.
+/// Parts that are quarantined, so that no daemon sends a request with all of them to a server, or on probation afterwards.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartQuarantineRow {
-    /// The part.
-    pub part: PromptPart,
+    /// The parts.
+    pub parts: PartSet,
     /// Start of the quarantine, in milliseconds since the Unix epoch.
     pub since_ms: u64,
     /// End of the quarantine, in milliseconds since the Unix epoch; a probation of the same length follows.
     pub until_ms: u64,
     /// Number of consecutive quarantines without having been cleared.
     pub offences: u32,
-    /// Number of server crashes attributed to the part before the quarantine.
+    /// Number of server crashes attributed to the parts before the quarantine.
     pub crashes: u32,
-    /// Number of reports of complete responses to requests with this part since then.
+    /// Number of reports of complete responses to requests with these parts since then.
     pub responses: u32,
     /// The newest of these crashes, and of those since.
     pub evidence: Vec<Evidence>,
 }
 
 impl PartQuarantineRow {
-    /// Whether the part is quarantined at `at_ms`, as opposed to on probation.
+    /// Whether the parts are quarantined at `at_ms`, as opposed to on probation.
     pub fn is_active(&self, at_ms: u64) -> bool {
         at_ms < self.until_ms
     }
--- a/crates/state/src/prompt_suspicion/table.rs
+++ b/crates/state/src/prompt_suspicion/table.rs
@@ -3,7 +3,7 @@
 use super::rows::{CrashCause, PartQuarantineRow, PromptCrashRow, SuspectPrompt};
 use crate::machine::Applied;
 use crate::suspicion::{CrashReport, SuspicionStatus};
-use dockwood_api::gateway::{Fingerprint, PromptPart};
+use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
 use imbl::{OrdMap, OrdSet};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -32,7 +32,7 @@
     /// Crashes by number, without those whose parts were all cleared.
     pub crashes: OrdMap<u64, Arc<PromptCrashRow>>,
     /// Parts that are quarantined, or on probation afterwards.
-    pub quarantined: OrdMap<PromptPart, Arc<PartQuarantineRow>>,
+    pub quarantined: OrdMap<PartSet, Arc<PartQuarantineRow>>,
     /// Number of the newest crash.
     pub last_crash: u64,
     /// Numbers of the crashes in which each part is suspected: an index derived from `crashes`, not stored.
@@ -41,14 +41,22 @@
 }
 
 impl PromptSuspicionTable {
-    /// Whether requests with a part are sent at `at_ms`. A part that is suspected but not quarantined does not hold its
+    /// Whether requests with a prompt are sent at `at_ms`. Parts that are suspected but not quarantined do not hold their
     /// requests back: most suspected parts are innocent.
-    pub fn status(&self, part: &PromptPart, at_ms: u64) -> SuspicionStatus {
-        match self.quarantined.get(part) {
-            Some(row) if row.is_active(at_ms) => SuspicionStatus::Quarantined,
-            Some(_) => SuspicionStatus::Suspect,
-            None => SuspicionStatus::Unsuspected,
-        }
+    pub fn status(&self, prompt: &[PromptPart], at_ms: u64) -> SuspicionStatus {
+        let status = |row: &Arc<PartQuarantineRow>| match row.is_active(at_ms) {
+            true => SuspicionStatus::Quarantined,
+            false => SuspicionStatus::Suspect,
+        };
+        self.quarantined_in(prompt).map(status).max().unwrap_or(SuspicionStatus::Unsuspected)
+    }
+
+    /// The rows of quarantined parts that a prompt contains.
+    pub fn quarantined_in<'a>(
+        &'a self,
+        prompt: &'a [PromptPart],
+    ) -> impl Iterator<Item = &'a Arc<PartQuarantineRow>> {
+        self.quarantined.values().filter(|row| row.parts.is_contained_in(prompt))
     }
 
     /// The crashes in which a part is suspected, oldest first.
@@ -105,14 +113,13 @@
         known_requests: &[Fingerprint],
     ) -> bool {
         let mut row = self.row_of(report);
-        let parts = || prompts.iter().flat_map(|prompt| &prompt.parts);
-        let culprits: Vec<PromptPart> =
-            parts().filter(|part| self.quarantined.contains_key(*part)).cloned().collect();
+        let known = prompts.iter().flat_map(|prompt| self.quarantined_in(&prompt.parts));
+        let culprits: Vec<PartSet> = known.map(|row| row.parts.clone()).collect();
         row.add_cause_requests(known_requests);
         let room = MAX_PROMPTS_PER_CRASH.saturating_sub(row.prompts.len());
         let with_parts = prompts.iter().filter(|prompt| !prompt.parts.is_empty());
         row.prompts.extend(with_parts.take(room).cloned());
-        culprits.iter().for_each(|part| self.record_reoffence(&row, part, report.at_ms));
+        culprits.iter().for_each(|parts| self.record_reoffence(&row, parts, report.at_ms));
         if !culprits.is_empty() || row.cause == CrashCause::Part {
             row = row.explained_by_part();
         }
@@ -138,10 +145,10 @@
         })
     }
 
-    /// Records a crash under a part that is quarantined or on probation. During the quarantine it is only added to the
+    /// Records a crash under parts that are quarantined or on probation. During the quarantine it is only added to the
     /// evidence, as the attempt was already in flight; during the probation it starts another quarantine.
-    fn record_reoffence(&mut self, crash: &PromptCrashRow, part: &PromptPart, at_ms: u64) {
-        let Some(current) = self.quarantined.get(part) else { return };
+    fn record_reoffence(&mut self, crash: &PromptCrashRow, parts: &PartSet, at_ms: u64) {
+        let Some(current) = self.quarantined.get(parts) else { return };
         let mut row = PartQuarantineRow::clone(current);
         if !row.is_active(at_ms) {
             row.until_ms = at_ms + quarantine_ms(row.offences);
@@ -151,9 +158,9 @@
         }
         let is_known = row.evidence.iter().any(|known| is_same_crash(crash, &known.instance, known.at_ms));
         if !is_known && row.evidence.len() < MAX_EVIDENCE {
-            row.evidence.push(crash.evidence_against(part));
+            row.evidence.extend(parts.parts().first().map(|part| crash.evidence_against(part)));
         }
-        self.quarantined.insert(part.clone(), Arc::new(row));
+        self.quarantined.insert(parts.clone(), Arc::new(row));
     }
 
     /// Records that a request that was quarantined caused a crash.
@@ -170,24 +177,22 @@
     }
 
     /// Quarantines parts, and returns the crashes that they explain.
-    pub(crate) fn quarantine(&mut self, parts: &[PromptPart], at_ms: u64) -> Vec<Arc<PromptCrashRow>> {
-        let mut explained = Vec::new();
-        let new = parts.iter().filter(|part| !self.quarantined.contains_key(*part));
-        for part in new.collect::<Vec<_>>() {
-            let crashes: Vec<Arc<PromptCrashRow>> = self.crashes_involving(part).cloned().collect();
-            let newest = crashes.iter().rev().take(MAX_EVIDENCE);
-            let row = PartQuarantineRow {
-                part: part.clone(),
-                since_ms: at_ms,
-                until_ms: at_ms + quarantine_ms(0),
-                offences: 1,
-                crashes: crashes.len() as u32,
-                responses: 0,
-                evidence: newest.map(|row| row.evidence_against(part)).collect(),
-            };
-            self.quarantined.insert(part.clone(), Arc::new(row));
-            explained.extend(crashes);
-        }
+    pub(crate) fn quarantine(&mut self, parts: &PartSet, at_ms: u64) -> Vec<Arc<PromptCrashRow>> {
+        let Some(first) = parts.parts().first().filter(|_| !self.quarantined.contains_key(parts)) else {
+            return Vec::new();
+        };
+        let explained: Vec<Arc<PromptCrashRow>> = self.crashes_involving(first).cloned().collect();
+        let newest = explained.iter().rev().take(MAX_EVIDENCE);
+        let row = PartQuarantineRow {
+            parts: parts.clone(),
+            since_ms: at_ms,
+            until_ms: at_ms + quarantine_ms(0),
+            offences: 1,
+            crashes: explained.len() as u32,
+            responses: 0,
+            evidence: newest.map(|row| row.evidence_against(first)).collect(),
+        };
+        self.quarantined.insert(parts.clone(), Arc::new(row));
         for row in &explained {
             self.replace(PromptCrashRow::clone(row).explained_by_part());
         }
@@ -195,23 +200,23 @@
         explained
     }
 
-    /// Records complete responses to requests with these parts, from servers that were running afterwards. They clear the
-    /// parts of the crashes up to number `known_crash`. A quarantined part is released once it has as many responses as
-    /// crashes, and a part on probation at once.
-    pub(crate) fn record_responses(&mut self, parts: &[PromptPart], known_crash: u64, at_ms: u64) -> Applied {
+    /// Records a complete response to a request whose prompt contains these parts, from a server that was running afterwards.
+    /// It clears the parts of the crashes up to number `known_crash`. Quarantined parts are released once there are as many
+    /// responses as crashes, and parts on probation at once.
+    pub(crate) fn record_response(&mut self, parts: &[PromptPart], known_crash: u64, at_ms: u64) -> Applied {
         for part in parts {
             let numbers: Vec<u64> = self.crashes_involving(part).map(|row| row.number).collect();
-            numbers
-                .into_iter()
-                .filter(|number| *number <= known_crash)
-                .for_each(|number| self.clear(part, number));
-            let Some(current) = self.quarantined.get(part) else { continue };
-            let mut row = PartQuarantineRow::clone(current);
+            let known = numbers.into_iter().filter(|number| *number <= known_crash);
+            known.for_each(|number| self.clear(part, number));
+        }
+        let rows: Vec<Arc<PartQuarantineRow>> = self.quarantined_in(parts).cloned().collect();
+        for row in rows {
+            let mut row = PartQuarantineRow::clone(&row);
             row.responses += 1;
             if row.responses >= row.crashes || !row.is_active(at_ms) {
-                self.quarantined.remove(part);
+                self.quarantined.remove(&row.parts);
             } else {
-                self.quarantined.insert(part.clone(), Arc::new(row));
+                self.quarantined.insert(row.parts.clone(), Arc::new(row));
             }
         }
         Applied::with_changes(Vec::new())
@@ -226,11 +231,13 @@
         self.replace(row);
     }
 
-    /// Releases a part from quarantine, and clears the evidence against it.
-    pub(crate) fn release(&mut self, part: &PromptPart) -> Applied {
-        self.quarantined.remove(part);
-        let numbers: Vec<u64> = self.crashes_involving(part).map(|row| row.number).collect();
-        numbers.into_iter().for_each(|number| self.clear(part, number));
+    /// Releases parts from quarantine, and clears the evidence against them.
+    pub(crate) fn release(&mut self, parts: &PartSet) -> Applied {
+        self.quarantined.remove(parts);
+        for part in parts.parts() {
+            let numbers: Vec<u64> = self.crashes_involving(part).map(|row| row.number).collect();
+            numbers.into_iter().for_each(|number| self.clear(part, number));
+        }
         Applied::with_changes(Vec::new())
     }
 
@@ -246,7 +253,7 @@
         let numbers: Vec<u64> = crashes.map(|row| row.number).collect();
         numbers.into_iter().for_each(|number| self.remove(number));
         let retained = self.quarantined.iter().filter(|(_, row)| at_ms < row.probation_ends_ms());
-        self.quarantined = retained.map(|(part, row)| (part.clone(), row.clone())).collect();
+        self.quarantined = retained.map(|(parts, row)| (parts.clone(), row.clone())).collect();
     }
 
     fn enforce_limits(&mut self) {
@@ -256,8 +263,8 @@
         }
         while self.quarantined.len() > MAX_QUARANTINED {
             let first = self.quarantined.values().min_by_key(|row| row.until_ms);
-            let Some(part) = first.map(|row| row.part.clone()) else { return };
-            self.quarantined.remove(&part);
+            let Some(parts) = first.map(|row| row.parts.clone()) else { return };
+            self.quarantined.remove(&parts);
         }
     }
 }
--- a/crates/state/tests/prompt_suspicion.rs
+++ b/crates/state/tests/prompt_suspicion.rs
@@ -1,6 +1,6 @@
 //! How parts of prompts are suspected, quarantined and released.
 
-use dockwood_api::gateway::{Fingerprint, PromptPart, RequestIdentity};
+use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart, RequestIdentity};
 use dockwood_state::{
     Command, CommandBody, CrashReport, GatewayCommand, State, SuspectAttempt, SuspectPrompt, SuspicionStatus,
 };
@@ -91,31 +91,27 @@
     fn respond(&mut self, names: &[&str]) {
         let parts = names.iter().map(|name| part(name)).collect();
         let (known_crash, at_ms) = (self.last_crash(), self.now_ms);
-        self.apply(GatewayCommand::RecordResponses {
-            parts,
-            known_crash,
-            daemon: "entry".to_string(),
-            at_ms,
-        });
+        self.apply(GatewayCommand::RecordResponse { parts, known_crash, daemon: "entry".to_string(), at_ms });
     }
 
     /// Quarantines the parts to which the crashes are attributed, and returns their names.
     fn decide(&mut self) -> Vec<String> {
         let table = &self.voter.tables.gateway.prompt_suspicion;
-        let parts = table.parts_to_quarantine(table.last_crash);
-        let names = parts.iter().map(|part| part.to_string()).collect();
-        if !parts.is_empty() {
+        let sets = table.parts_to_quarantine(table.last_crash);
+        let names = sets.iter().map(PartSet::to_string).collect();
+        for parts in sets {
             self.apply(GatewayCommand::QuarantineParts { parts, at_ms: self.now_ms });
         }
         names
     }
 
     fn status(&self, name: &str) -> SuspicionStatus {
-        self.non_voter.tables.gateway.prompt_suspicion.status(&part(name), self.now_ms)
+        self.non_voter.tables.gateway.prompt_suspicion.status(&[part(name)], self.now_ms)
     }
 
     fn needs_responses(&self, name: &str) -> bool {
-        self.non_voter.tables.gateway.prompt_suspicion.needs_responses(&part(name))
+        let table = &self.non_voter.tables.gateway.prompt_suspicion;
+        !table.parts_that_need_responses(&[part(name)]).is_empty()
     }
 
     /// Four crashes under the part `bad`, after which it is quarantined.
@@ -263,7 +259,10 @@
 fn a_released_part_has_no_evidence_against_it() {
     let mut harness = Harness::default();
     harness.quarantine_bad_part();
-    harness.apply(GatewayCommand::ReleasePart { part: part("bad"), reason: "mended".to_string() });
+    harness.apply(GatewayCommand::ReleaseParts {
+        parts: PartSet::from_text("bad"),
+        reason: "mended".to_string(),
+    });
     assert_eq!(harness.status("bad"), SuspicionStatus::Unsuspected);
     for _ in 0..3 {
         harness.crash(&[&["bad"]]);
@@ -300,6 +299,34 @@
     assert_eq!(suspicion.status(fingerprint("poison"), harness.now_ms), SuspicionStatus::Quarantined);
 }
 
+/// Nothing shows which of the two crashes servers; requests with one of them are spared.
+#[test]
+fn parts_that_occurred_only_together_are_quarantined_together() {
+    let mut harness = Harness::default();
+    for _ in 0..4 {
+        harness.crash(&[&["system", "bad"]]);
+    }
+    assert_eq!(harness.decide(), ["bad+system"]);
+    let table = &harness.voter.tables.gateway.prompt_suspicion;
+    let status = |names: &[&str]| {
+        let prompt: Vec<PromptPart> = names.iter().map(|name| part(name)).collect();
+        table.status(&prompt, harness.now_ms)
+    };
+    assert_eq!(status(&["system", "bad"]), SuspicionStatus::Quarantined);
+    assert_eq!(status(&["system", "sound"]), SuspicionStatus::Unsuspected);
+    assert_eq!(status(&["other-system", "bad"]), SuspicionStatus::Unsuspected);
+    for _ in 0..4 {
+        harness.crash(&[&["other-system", "bad"], &["system", "sound"]]);
+        harness.respond(&["system", "sound"]);
+    }
+    assert_eq!(harness.decide(), ["bad+other-system"]);
+    for _ in 0..4 {
+        harness.respond(&["system", "bad"]);
+    }
+    let sets = &harness.voter.tables.gateway.prompt_suspicion.quarantined;
+    assert_eq!(sets.keys().map(PartSet::to_string).collect::<Vec<_>>(), ["bad+other-system"]);
+}
+
 /// Callers retry their requests, so that some of those with a part that crashes servers are quarantined by themselves before
 /// the part is. What they show about the part must not be lost.
 #[test]
