Reports of crashes that are submitted again add no prompts; fewer crashes are retained; text of 3009

A repeated report counted its attempts twice, which made a part look popular. The table of prompts is bounded to 64 crashes, as 128 with the longest prompts would take 12 MB. The meaning of 3009 names parts of prompts.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -71,7 +71,7 @@
     RequestNotFound = 3006, 404, "No daemon that was asked holds a record of this request id.";
     CallerLeft = 3007, 499, "The caller left before the answer was whole; what ran for it was cancelled.";
     RanBefore = 3008, 503, "Refused now, and an earlier sending under the same id may have run; a repeatable request may be sent again.";
-    RequestQuarantined = 3009, 502, "Servers ended each time they ran this request: it is under quarantine and is not sent again; an operator can release it.";
+    RequestQuarantined = 3009, 502, "Servers ended each time they ran this request, or others that share a part of its prompt: it is under quarantine and is not sent; an operator can release it.";
     BadResource = 4001, 400, "The body is not a resource: malformed JSON or an unknown field.";
     UnknownKind = 4002, 404, "There is no such resource kind.";
     ValidationFailed = 4003, 422, "The resource's spec has values that are not allowed.";
--- a/crates/daemon/tests/gateway/poison_prompt_parts.rs
+++ b/crates/daemon/tests/gateway/poison_prompt_parts.rs
@@ -96,7 +96,7 @@
 
 /// When the fifth request with the crashing part arrived at a server, or the last one if there are fewer.
 fn fifth_or_last(models: &[Arc<FakeServer>]) -> Option<Instant> {
-    arrivals(models).into_iter().take(CRASHES_TO_RECOGNIZE).last()
+    arrivals(models).into_iter().take(CRASHES_TO_RECOGNIZE).next_back()
 }
 
 /// Sends a request with the crashing part and sound ones in each interval, until some time after the fifth crash, and
--- a/crates/state/src/prompt_suspicion/attribution.rs
+++ b/crates/state/src/prompt_suspicion/attribution.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// Minimum number of crashes before a part is quarantined: one less than operators were promised.
+/// Minimum number of crashes before a part is quarantined: operators were promised that the fifth is the last, except for
+/// attempts already in flight.
 const QUARANTINE_CRASHES: usize = 4;
 /// Minimum number of these that followed each other: servers that fail at the same moment are one coincidence.
 const QUARANTINE_CONSECUTIVE: usize = 3;
--- a/crates/state/src/prompt_suspicion/rows.rs
+++ b/crates/state/src/prompt_suspicion/rows.rs
@@ -49,6 +49,14 @@
 }
 
 impl PromptCrashRow {
+    /// Whether the attempt with a prompt is known.
+    pub(super) fn has_attempt(&self, prompt: &SuspectPrompt) -> bool {
+        let is_same = |known: &SuspectPrompt| {
+            known.fingerprint == prompt.fingerprint && known.request == prompt.request
+        };
+        self.prompts.iter().any(is_same)
+    }
+
     /// The prompts that contain a part.
     pub(super) fn prompts_with<'a>(
         &'a self,
--- a/crates/state/src/prompt_suspicion/table.rs
+++ b/crates/state/src/prompt_suspicion/table.rs
@@ -2,14 +2,12 @@
 
 use super::rows::{CrashCause, PartQuarantineRow, PromptCrashRow, SuspectPrompt};
 use crate::machine::Applied;
-use crate::suspicion::{CrashReport, SuspicionStatus};
+use crate::suspicion::{CrashReport, DUPLICATE_REPORT_WINDOW_MS, SuspicionStatus};
 use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
 use imbl::{OrdMap, OrdSet};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// Reports about one instance within this time refer to the same crash, in milliseconds; see the suspicion table.
-const DUPLICATE_REPORT_WINDOW_MS: u64 = 2_000;
 /// Duration of a first quarantine, in milliseconds. A part that was quarantined by mistake may concern many requests, so the
 /// first one is short; a part that crashes servers costs one server at the end of each.
 const FIRST_QUARANTINE_MS: u64 = 60_000;
@@ -17,8 +15,9 @@
 const MAX_QUARANTINE_DOUBLINGS: u32 = 8;
 /// How long a crash without a known cause is retained, in milliseconds.
 const CRASH_RETENTION_MS: u64 = 600_000;
-/// Maximum number of retained crashes; the oldest is evicted first. With 20 prompts of 150 bytes per crash, this is 0.4 MB.
-const MAX_CRASHES: usize = 128;
+/// Maximum number of retained crashes; the oldest is evicted first. With 20 prompts of 150 bytes per crash, this is 0.2 MB;
+/// with the longest prompts that are accepted, 6 MB.
+const MAX_CRASHES: usize = 64;
 /// Maximum number of prompts per crash: several times the number of requests that a server runs concurrently.
 const MAX_PROMPTS_PER_CRASH: usize = 128;
 /// Maximum number of quarantined parts; the one whose quarantine ends first is evicted first.
@@ -117,8 +116,10 @@
         let culprits: Vec<PartSet> = known.map(|row| row.parts.clone()).collect();
         row.add_cause_requests(known_requests);
         let room = MAX_PROMPTS_PER_CRASH.saturating_sub(row.prompts.len());
-        let with_parts = prompts.iter().filter(|prompt| !prompt.parts.is_empty());
-        row.prompts.extend(with_parts.take(room).cloned());
+        // A report that is submitted again adds nothing.
+        let is_new = |prompt: &&SuspectPrompt| !prompt.parts.is_empty() && !row.has_attempt(prompt);
+        let new: Vec<SuspectPrompt> = prompts.iter().filter(is_new).take(room).cloned().collect();
+        row.prompts.extend(new);
         culprits.iter().for_each(|parts| self.record_reoffence(&row, parts, report.at_ms));
         if !culprits.is_empty() || row.cause == CrashCause::Part {
             row = row.explained_by_part();
--- a/crates/state/src/suspicion/mod.rs
+++ b/crates/state/src/suspicion/mod.rs
@@ -14,4 +14,5 @@
 pub use rows::{
     CrashReport, CrashRow, Evidence, QuarantineRow, Suspect, SuspectAttempt, SuspicionStatus, TrialRequest,
 };
+pub(crate) use table::DUPLICATE_REPORT_WINDOW_MS;
 pub use table::SuspicionTable;
--- a/crates/state/src/suspicion/table.rs
+++ b/crates/state/src/suspicion/table.rs
@@ -21,7 +21,7 @@
 const QUARANTINE_CRASHES_IN_ONE_ZONE: usize = 5;
 /// Reports about one instance within this time refer to the same crash, in milliseconds: a server takes some seconds to
 /// restart, and reports follow a crash within tens of milliseconds, but carry timestamps of several machines' clocks.
-const DUPLICATE_REPORT_WINDOW_MS: u64 = 2_000;
+pub(crate) const DUPLICATE_REPORT_WINDOW_MS: u64 = 2_000;
 /// Minimum time that a server process takes to restart, in milliseconds.
 const MIN_RESTART_MS: u64 = 250;
 /// Duration of a first quarantine, in milliseconds. If a request that keeps arriving crashes three servers each time, it
--- a/crates/state/tests/prompt_suspicion.rs
+++ b/crates/state/tests/prompt_suspicion.rs
@@ -153,6 +153,17 @@
     assert_eq!(harness.decide(), ["bad"]);
 }
 
+/// A daemon submits a report again if it has not learned that it was applied.
+#[test]
+fn a_report_that_is_submitted_again_adds_nothing() {
+    let mut harness = Harness::default();
+    for _ in 0..5 {
+        harness.report("entry", 1, 0, &[&["system", "bad"]]);
+    }
+    let evidence = harness.voter.tables.gateway.prompt_suspicion.evidence_against(&part("bad"), u64::MAX);
+    assert_eq!((evidence.crashes, evidence.attempts, evidence.requests), (1, 1, 1));
+}
+
 #[test]
 fn servers_that_fail_at_the_same_moment_are_one_coincidence() {
     let mut harness = Harness::default();
@@ -374,7 +385,7 @@
         harness.crash(&[&[&name]]);
     }
     let crashes = harness.voter.tables.gateway.prompt_suspicion.crashes.len();
-    assert!(crashes <= 128, "{crashes} crashes are retained");
+    assert!(crashes <= 64, "{crashes} crashes are retained");
     harness.now_ms += 20 * MINUTE_MS;
     let at_ms = harness.now_ms;
     assert!(harness.voter.tables.gateway.has_expired_suspicions(at_ms));
