One type for the period of a quarantine; crashes in a module of their own

Quarantines of requests and of parts of prompts had the same fields and rules for their start, end, probation and repetition. No decision changes.

--- a/crates/control/src/timeline.rs
+++ b/crates/control/src/timeline.rs
@@ -219,8 +219,8 @@
     let servers: Vec<String> = row.evidence.iter().map(evidence_text).collect();
     let message = format!(
         "for {} s, {} times; {} servers ended under it, among them: {}",
-        (row.until_ms - row.since_ms) / 1_000,
-        row.offences,
+        row.period.duration_ms() / 1_000,
+        row.period.offences,
         row.crashes,
         servers.join(", ")
     );
@@ -232,15 +232,15 @@
 fn quarantine_events(end: &CrashReport, tables: &Tables) -> Vec<TimelineEvent> {
     let quarantined =
         end.tries.iter().filter_map(|tried| tables.gateway.suspicion.quarantined.get(&tried.fingerprint));
-    let new = quarantined.filter(|row| row.since_ms == end.at_ms);
+    let new = quarantined.filter(|row| row.period.since_ms == end.at_ms);
     let event = |row: &Arc<QuarantineRow>| {
         let servers: Vec<String> = row.evidence.iter().map(evidence_text).collect();
         let message = format!(
             "tenant {}, route {}, for {} s, {} times; ended under it: {}",
             row.tenant.as_deref().unwrap_or("none"),
             row.route,
-            (row.until_ms - row.since_ms) / 1_000,
-            row.offences,
+            row.period.duration_ms() / 1_000,
+            row.period.offences,
             servers.join(", ")
         );
         let subject = Subject::new("request", row.fingerprint.to_string());
--- a/crates/daemon/src/http/quarantine.rs
+++ b/crates/daemon/src/http/quarantine.rs
@@ -110,10 +110,10 @@
         "fingerprint": row.fingerprint.to_string(),
         "tenant": row.tenant,
         "route": row.route,
-        "standing": quarantine_standing(row.is_active(now_ms)),
-        "sinceMs": row.since_ms,
-        "untilMs": row.until_ms,
-        "offences": row.offences,
+        "standing": quarantine_standing(row.period.is_active(now_ms)),
+        "sinceMs": row.period.since_ms,
+        "untilMs": row.period.until_ms,
+        "offences": row.period.offences,
         "evidence": row.evidence.iter().map(evidence_json).collect::<Vec<Value>>(),
     })
 }
@@ -125,10 +125,10 @@
 fn part_quarantine_json(row: &PartQuarantineRow, now_ms: u64) -> Value {
     json!({
         "part": row.parts.to_string(),
-        "standing": quarantine_standing(row.is_active(now_ms)),
-        "sinceMs": row.since_ms,
-        "untilMs": row.until_ms,
-        "offences": row.offences,
+        "standing": quarantine_standing(row.period.is_active(now_ms)),
+        "sinceMs": row.period.since_ms,
+        "untilMs": row.period.until_ms,
+        "offences": row.period.offences,
         "crashes": row.crashes,
         "responses": row.responses,
         "evidence": row.evidence.iter().map(evidence_json).collect::<Vec<Value>>(),
--- a/crates/daemon/src/suspects/evidence.rs
+++ b/crates/daemon/src/suspects/evidence.rs
@@ -77,7 +77,7 @@
         let tables = self.shared.tables();
         let now = wall_ms();
         let mut rows = tables.gateway.prompt_suspicion.quarantined_in(&self.shared_parts);
-        rows.find(|row| row.is_active(now) == is_active).map(|row| row.parts.clone())
+        rows.find(|row| row.period.is_active(now) == is_active).map(|row| row.parts.clone())
     }
 
     /// Records that a server crashed while it ran the request.
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! same at any size, and a reader that keeps a clone can compute what changed since.
 
 mod command;
+mod crashes;
 mod evacuation;
 mod removed;
 mod rows;
@@ -15,10 +16,10 @@
 pub use rows::{Evacuation, GroupPhase, GroupPurpose, GroupRow, InstanceRow};
 
 use crate::machine::Applied;
-use crate::prompt_suspicion::{PromptSuspicionTable, SuspectPrompt};
-use crate::suspicion::{CrashReport, SuspicionTable};
+use crate::prompt_suspicion::PromptSuspicionTable;
+use crate::suspicion::SuspicionTable;
 use dockwood_api::ResultCode;
-use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState, PartSet};
+use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
 use imbl::OrdMap;
 use removed::{RemovedInstances, started_later};
 use serde::{Deserialize, Serialize};
@@ -177,48 +178,6 @@
         self.removed.restore_starts(starts);
     }
 
-    /// Whether an instance announced its shutdown or was removed: the end of its process is then not attributed to the
-    /// requests that it was running.
-    pub(crate) fn is_leaving(&self, id: &str) -> bool {
-        let is_draining = self.instances.get(id).is_some_and(|row| row.state == InstanceState::Draining);
-        is_draining || self.was_removed(id)
-    }
-
-    /// Whether [`GatewayCommand::ExpireSuspicions`] would remove anything.
-    pub fn has_expired_suspicions(&self, at_ms: u64) -> bool {
-        self.suspicion.has_expired(at_ms) || self.prompt_suspicion.has_expired(at_ms)
-    }
-
-    /// Records a crash. A request or a part of a prompt that is known to crash servers is the only suspect of the crashes
-    /// that it is involved in.
-    fn server_crashed(&mut self, report: &CrashReport, prompts: &[SuspectPrompt]) -> Applied {
-        if self.is_leaving(&report.instance) {
-            return Applied::with_changes(Vec::new());
-        }
-        let known_requests = self.suspicion.quarantined_among(report);
-        let has_known_cause = self.prompt_suspicion.record_crash(report, prompts, &known_requests);
-        if has_known_cause {
-            self.suspicion.resolve_crash(&report.instance, report.at_ms);
-        }
-        if has_known_cause && known_requests.is_empty() {
-            return self.suspicion.trials_ended(report);
-        }
-        let applied = self.suspicion.server_ended(report);
-        for request in self.suspicion.quarantined_among(report) {
-            for crash in self.suspicion.evidence_against(request) {
-                self.prompt_suspicion.attribute_to_request(&crash.instance, crash.at_ms, request);
-            }
-        }
-        applied
-    }
-
-    fn quarantine_parts(&mut self, parts: &PartSet, at_ms: u64) -> Applied {
-        for crash in self.prompt_suspicion.quarantine(parts, at_ms) {
-            self.suspicion.resolve_crash(&crash.instance, crash.at_ms);
-        }
-        Applied::with_changes(Vec::new())
-    }
-
     fn configure(&mut self, configuration: &Arc<GatewayConfiguration>) -> Applied {
         let current = self.configuration.as_ref().map(|current| current.version);
         if current.is_none_or(|version| version < configuration.version) {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -31,8 +31,8 @@
     CrashCause, PartEvidence, PartQuarantineRow, PromptCrashRow, PromptSuspicionTable, SuspectPrompt,
 };
 pub use suspicion::{
-    CrashReport, CrashRow, Evidence, QuarantineRow, Suspect, SuspectAttempt, SuspicionStatus, SuspicionTable,
-    TrialRequest,
+    CrashReport, CrashRow, Evidence, QuarantinePeriod, QuarantineRow, Suspect, SuspectAttempt,
+    SuspicionStatus, SuspicionTable, TrialRequest,
 };
 pub use tables::{
     DaemonRow, Holder, Liveness, MachineRow, OrderRow, OrderState, PoolRow, ReplicaPhase, ReplicaRow, Tables,
--- a/crates/state/src/prompt_suspicion/rows.rs
+++ b/crates/state/src/prompt_suspicion/rows.rs
@@ -1,6 +1,6 @@
 //! Rows of the tables on parts of prompts.
 
-use crate::suspicion::Evidence;
+use crate::suspicion::{Evidence, QuarantinePeriod};
 use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
 use serde::{Deserialize, Serialize};
 
@@ -115,12 +115,8 @@
 pub struct PartQuarantineRow {
     /// The parts.
     pub parts: PartSet,
-    /// Start of the quarantine, in milliseconds since the Unix epoch.
-    pub since_ms: u64,
-    /// End of the quarantine, in milliseconds since the Unix epoch; a probation of the same length follows.
-    pub until_ms: u64,
-    /// Number of consecutive quarantines without having been cleared.
-    pub offences: u32,
+    /// When they are quarantined.
+    pub period: QuarantinePeriod,
     /// Number of server crashes attributed to the parts before the quarantine.
     pub crashes: u32,
     /// Number of reports of complete responses to requests with these parts since then.
@@ -128,15 +124,3 @@
     /// The newest of these crashes, and of those since.
     pub evidence: Vec<Evidence>,
 }
-
-impl PartQuarantineRow {
-    /// Whether the parts are quarantined at `at_ms`, as opposed to on probation.
-    pub fn is_active(&self, at_ms: u64) -> bool {
-        at_ms < self.until_ms
-    }
-
-    /// When the probation ends and the row is removed, in milliseconds since the Unix epoch.
-    pub fn probation_ends_ms(&self) -> u64 {
-        self.until_ms + self.until_ms.saturating_sub(self.since_ms)
-    }
-}
--- a/crates/state/src/prompt_suspicion/table.rs
+++ b/crates/state/src/prompt_suspicion/table.rs
@@ -2,7 +2,9 @@
 
 use super::rows::{CrashCause, PartQuarantineRow, PromptCrashRow, SuspectPrompt};
 use crate::machine::Applied;
-use crate::suspicion::{CrashReport, DUPLICATE_REPORT_WINDOW_MS, SuspicionStatus};
+use crate::suspicion::{
+    CrashReport, DUPLICATE_REPORT_WINDOW_MS, QuarantineDurations, QuarantinePeriod, SuspicionStatus,
+};
 use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart};
 use imbl::{OrdMap, OrdSet};
 use serde::{Deserialize, Serialize};
@@ -11,8 +13,9 @@
 /// Duration of a first quarantine, in milliseconds. A part that was quarantined by mistake may concern many requests, so the
 /// first one is short; a part that crashes servers costs one server at the end of each.
 const FIRST_QUARANTINE_MS: u64 = 60_000;
-/// Each further quarantine without having been cleared doubles the duration, at most this many times: up to 4.3 hours.
-const MAX_QUARANTINE_DOUBLINGS: u32 = 8;
+/// Up to 4.3 hours.
+const DURATIONS: QuarantineDurations =
+    QuarantineDurations { first_ms: FIRST_QUARANTINE_MS, max_doublings: 8 };
 /// How long a crash without a known cause is retained, in milliseconds.
 const CRASH_RETENTION_MS: u64 = 600_000;
 /// Maximum number of retained crashes; the oldest is evicted first. With 20 prompts of 150 bytes per crash, this is 0.2 MB;
@@ -43,7 +46,7 @@
     /// Whether requests with a prompt are sent at `at_ms`. Parts that are suspected but not quarantined do not hold their
     /// requests back: most suspected parts are innocent.
     pub fn status(&self, prompt: &[PromptPart], at_ms: u64) -> SuspicionStatus {
-        let status = |row: &Arc<PartQuarantineRow>| match row.is_active(at_ms) {
+        let status = |row: &Arc<PartQuarantineRow>| match row.period.is_active(at_ms) {
             true => SuspicionStatus::Quarantined,
             false => SuspicionStatus::Suspect,
         };
@@ -151,10 +154,8 @@
     fn record_reoffence(&mut self, crash: &PromptCrashRow, parts: &PartSet, at_ms: u64) {
         let Some(current) = self.quarantined.get(parts) else { return };
         let mut row = PartQuarantineRow::clone(current);
-        if !row.is_active(at_ms) {
-            row.until_ms = at_ms + quarantine_ms(row.offences);
-            row.offences += 1;
-            row.since_ms = at_ms;
+        if !row.period.is_active(at_ms) {
+            row.period = row.period.next(at_ms, DURATIONS);
             row.responses = 0;
         }
         let is_known = row.evidence.iter().any(|known| is_same_crash(crash, &known.instance, known.at_ms));
@@ -186,9 +187,7 @@
         let newest = explained.iter().rev().take(MAX_EVIDENCE);
         let row = PartQuarantineRow {
             parts: parts.clone(),
-            since_ms: at_ms,
-            until_ms: at_ms + quarantine_ms(0),
-            offences: 1,
+            period: QuarantinePeriod::first(at_ms, DURATIONS),
             crashes: explained.len() as u32,
             responses: 0,
             evidence: newest.map(|row| row.evidence_against(first)).collect(),
@@ -214,7 +213,7 @@
         for row in rows {
             let mut row = PartQuarantineRow::clone(&row);
             row.responses += 1;
-            if row.responses >= row.crashes || !row.is_active(at_ms) {
+            if row.responses >= row.crashes || !row.period.is_active(at_ms) {
                 self.quarantined.remove(&row.parts);
             } else {
                 self.quarantined.insert(row.parts.clone(), Arc::new(row));
@@ -245,7 +244,7 @@
     /// Whether [`PromptSuspicionTable::expire`] would remove anything.
     pub(crate) fn has_expired(&self, at_ms: u64) -> bool {
         self.crashes.values().any(|row| is_expired(row, at_ms))
-            || self.quarantined.values().any(|row| at_ms >= row.probation_ends_ms())
+            || self.quarantined.values().any(|row| at_ms >= row.period.probation_ends_ms())
     }
 
     /// Removes expired crashes and quarantines.
@@ -253,7 +252,7 @@
         let crashes = self.crashes.values().filter(|row| is_expired(row, at_ms));
         let numbers: Vec<u64> = crashes.map(|row| row.number).collect();
         numbers.into_iter().for_each(|number| self.remove(number));
-        let retained = self.quarantined.iter().filter(|(_, row)| at_ms < row.probation_ends_ms());
+        let retained = self.quarantined.iter().filter(|(_, row)| at_ms < row.period.probation_ends_ms());
         self.quarantined = retained.map(|(parts, row)| (parts.clone(), row.clone())).collect();
     }
 
@@ -263,18 +262,13 @@
             self.remove(number);
         }
         while self.quarantined.len() > MAX_QUARANTINED {
-            let first = self.quarantined.values().min_by_key(|row| row.until_ms);
+            let first = self.quarantined.values().min_by_key(|row| row.period.until_ms);
             let Some(parts) = first.map(|row| row.parts.clone()) else { return };
             self.quarantined.remove(&parts);
         }
     }
 }
 
-/// Duration of a quarantine after this number of earlier ones.
-fn quarantine_ms(earlier: u32) -> u64 {
-    FIRST_QUARANTINE_MS << earlier.min(MAX_QUARANTINE_DOUBLINGS)
-}
-
 fn is_same_crash(row: &PromptCrashRow, instance: &str, at_ms: u64) -> bool {
     row.instance == instance && row.at_ms.abs_diff(at_ms) <= DUPLICATE_REPORT_WINDOW_MS
 }
--- a/crates/state/src/suspicion/mod.rs
+++ b/crates/state/src/suspicion/mod.rs
@@ -8,9 +8,12 @@
 //! Invariants: a suspect is tried on one server at a time; a request that received a complete response is not suspected;
 //! the size of the table is bounded whatever callers send.
 
+mod period;
 mod rows;
 mod table;
 
+pub(crate) use period::QuarantineDurations;
+pub use period::QuarantinePeriod;
 pub use rows::{
     CrashReport, CrashRow, Evidence, QuarantineRow, Suspect, SuspectAttempt, SuspicionStatus, TrialRequest,
 };
--- a/crates/state/src/suspicion/rows.rs
+++ b/crates/state/src/suspicion/rows.rs
@@ -1,5 +1,6 @@
 //! Rows of the suspicion table.
 
+use super::period::QuarantinePeriod;
 use dockwood_api::gateway::Fingerprint;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -88,27 +89,13 @@
     pub tenant: Option<String>,
     /// Route on which the request arrived.
     pub route: String,
-    /// Start of the quarantine, in milliseconds since the Unix epoch.
-    pub since_ms: u64,
-    /// End of the quarantine, in milliseconds since the Unix epoch; a probation of the same length follows.
-    pub until_ms: u64,
-    /// Number of consecutive quarantines without having been cleared.
-    pub offences: u32,
+    /// When it is quarantined.
+    pub period: QuarantinePeriod,
     /// Server crashes attributed to the request.
     pub evidence: Vec<Evidence>,
 }
 
 impl QuarantineRow {
-    /// Whether the request is quarantined at `at_ms`, as opposed to on probation.
-    pub fn is_active(&self, at_ms: u64) -> bool {
-        at_ms < self.until_ms
-    }
-
-    /// When the probation ends and the row is removed, in milliseconds since the Unix epoch.
-    pub fn probation_ends_ms(&self) -> u64 {
-        self.until_ms + self.until_ms.saturating_sub(self.since_ms)
-    }
-
     /// Zones of the servers whose crashes are attributed to the request.
     pub fn zones(&self) -> BTreeSet<&str> {
         self.evidence.iter().map(|evidence| evidence.zone.as_str()).collect()
--- a/crates/state/src/suspicion/table.rs
+++ b/crates/state/src/suspicion/table.rs
@@ -1,5 +1,6 @@
 //! The suspicion table, and the rules by which requests are quarantined and released.
 
+use super::period::{QuarantineDurations, QuarantinePeriod};
 use super::rows::{
     CrashReport, CrashRow, Evidence, QuarantineRow, Suspect, SuspectAttempt, SuspicionStatus, TrialRequest,
     TrialRow,
@@ -27,8 +28,9 @@
 /// Duration of a first quarantine, in milliseconds. If a request that keeps arriving crashes three servers each time, it
 /// costs less than one server per three minutes; operators can release it earlier.
 const FIRST_QUARANTINE_MS: u64 = 600_000;
-/// Each further quarantine without having been cleared doubles the duration, at most this many times: up to 2.7 hours.
-const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
+/// Up to 2.7 hours.
+const DURATIONS: QuarantineDurations =
+    QuarantineDurations { first_ms: FIRST_QUARANTINE_MS, max_doublings: 4 };
 /// How long a crash that no request is known to have caused is retained, in milliseconds.
 const CRASH_RETENTION_MS: u64 = FIRST_QUARANTINE_MS;
 /// Time after which a trial without a result expires, in milliseconds; its daemon is assumed to have failed. Servers crash
@@ -63,7 +65,7 @@
     /// How strongly a request is suspected at `at_ms`.
     pub fn status(&self, fingerprint: Fingerprint, at_ms: u64) -> SuspicionStatus {
         match self.quarantined.get(&fingerprint) {
-            Some(row) if row.is_active(at_ms) => SuspicionStatus::Quarantined,
+            Some(row) if row.period.is_active(at_ms) => SuspicionStatus::Quarantined,
             Some(_) => SuspicionStatus::Suspect,
             None if self.attributed_crashes(fingerprint).is_empty() => SuspicionStatus::Unsuspected,
             None => SuspicionStatus::Suspect,
@@ -204,9 +206,7 @@
             fingerprint,
             tenant: attempt.tenant.clone(),
             route: attempt.route.clone(),
-            since_ms: at_ms,
-            until_ms: at_ms + FIRST_QUARANTINE_MS,
-            offences: 1,
+            period: QuarantinePeriod::first(at_ms, DURATIONS),
             evidence: evidence.collect(),
         };
         self.quarantined.insert(fingerprint, Arc::new(row));
@@ -218,11 +218,8 @@
     fn record_reoffence(&mut self, report: &CrashReport, attempt: &SuspectAttempt) {
         let Some(current) = self.quarantined.get(&attempt.fingerprint) else { return };
         let mut row = QuarantineRow::clone(current);
-        if !row.is_active(report.at_ms) {
-            let doublings = row.offences.min(MAX_QUARANTINE_DOUBLINGS);
-            row.offences += 1;
-            row.since_ms = report.at_ms;
-            row.until_ms = report.at_ms + (FIRST_QUARANTINE_MS << doublings);
+        if !row.period.is_active(report.at_ms) {
+            row.period = row.period.next(report.at_ms, DURATIONS);
         }
         let is_known =
             |evidence: &Evidence| evidence.instance == report.instance && evidence.at_ms == report.at_ms;
@@ -333,7 +330,7 @@
     /// Whether [`GatewayCommand::ExpireSuspicions`](crate::GatewayCommand::ExpireSuspicions) would remove anything.
     pub fn has_expired(&self, at_ms: u64) -> bool {
         self.crashes.values().any(|row| is_expired(row, at_ms))
-            || self.quarantined.values().any(|row| at_ms >= row.probation_ends_ms())
+            || self.quarantined.values().any(|row| at_ms >= row.period.probation_ends_ms())
             || self.trials.values().any(|trial| at_ms >= trial.until_ms)
     }
 
@@ -342,7 +339,7 @@
         let crashes = self.crashes.values().filter(|row| is_expired(row, at_ms));
         let numbers: Vec<u64> = crashes.map(|row| row.number).collect();
         numbers.into_iter().for_each(|number| self.remove_crash(number));
-        let retained = self.quarantined.iter().filter(|(_, row)| at_ms < row.probation_ends_ms());
+        let retained = self.quarantined.iter().filter(|(_, row)| at_ms < row.period.probation_ends_ms());
         self.quarantined = retained.map(|(fingerprint, row)| (*fingerprint, row.clone())).collect();
         let running = self.trials.iter().filter(|(_, trial)| at_ms < trial.until_ms);
         self.trials = running.map(|(fingerprint, trial)| (*fingerprint, trial.clone())).collect();
@@ -355,7 +352,7 @@
             self.remove_crash(number);
         }
         while self.quarantined.len() > MAX_QUARANTINED {
-            let first = self.quarantined.values().min_by_key(|row| row.until_ms);
+            let first = self.quarantined.values().min_by_key(|row| row.period.until_ms);
             let Some(fingerprint) = first.map(|row| row.fingerprint) else { return };
             self.quarantined.remove(&fingerprint);
         }
--- a/crates/state/tests/suspicion.rs
+++ b/crates/state/tests/suspicion.rs
@@ -280,7 +280,7 @@
     assert_eq!(harness.status("fatal"), SuspicionStatus::Quarantined);
     assert_eq!(harness.status("beside"), SuspicionStatus::Unsuspected, "the cause of the crash is known");
     let second = &harness.tables.suspicion.quarantined[&fingerprint("fatal")];
-    assert_eq!(second.until_ms - second.since_ms, 2 * (first.until_ms - first.since_ms));
+    assert_eq!(second.period.duration_ms(), 2 * first.period.duration_ms());
 }
 
 /// Attempts that were in flight when the request was quarantined are no new evidence.
@@ -290,10 +290,10 @@
     for (instance, zone) in [("a", "z"), ("b", "y"), ("c", "z")] {
         harness.crash(instance, zone, &["fatal"]);
     }
-    let until = harness.tables.suspicion.quarantined[&fingerprint("fatal")].until_ms;
+    let until = harness.tables.suspicion.quarantined[&fingerprint("fatal")].period.until_ms;
     harness.crash("d", "y", &["fatal"]);
     let row = &harness.tables.suspicion.quarantined[&fingerprint("fatal")];
-    assert_eq!((row.until_ms, row.offences, row.evidence.len()), (until, 1, 4));
+    assert_eq!((row.period.until_ms, row.period.offences, row.evidence.len()), (until, 1, 4));
 }
 
 #[test]
