A part is quarantined only once responses could have cleared it

Callers had just begun to send, three servers crashed for another reason, and half a second after the first crash the part that all requests share was quarantined.

Cause: five crashes had been reported, but no response could have been complete, so nothing spoke for the innocent part; with few requests running on each server its share of attempts did not give it away either.

Failing test: no_part_is_quarantined_before_responses_could_have_cleared_it.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -11,7 +11,7 @@
 use crate::input_lag::InputLag;
 use crate::lease_responder::LeaseResponder;
 use crate::node::Options;
-use crate::prompt_suspicion::SettledCrashes;
+use crate::prompt_suspicion::CrashAges;
 use crate::view::{ViewHeader, control_view};
 use crate::voter_zones::{VoterStatus, ZoneBalanceMonitor};
 use dockwood_api::peer::{DelegatedRequest, LeaseRequest, Observation};
@@ -54,7 +54,7 @@
     input_lag: InputLag,
     requesters: LeaseRequesters,
     mismatch_detector: MismatchDetector,
-    settled_crashes: SettledCrashes,
+    crash_ages: CrashAges,
     attempts: HashMap<String, OrderAttempt>,
     uncommitted: usize,
     next_decision_at: Millis,
@@ -85,7 +85,7 @@
             input_lag: InputLag::default(),
             requesters: LeaseRequesters::default(),
             mismatch_detector: MismatchDetector::default(),
-            settled_crashes: SettledCrashes::default(),
+            crash_ages: CrashAges::default(),
             attempts: HashMap::new(),
             uncommitted: 0,
             next_decision_at: now,
@@ -175,7 +175,7 @@
         commands.extend(gateway.into_iter().map(CommandBody::Gateway));
         commands.extend(expired_suspicions(board.tables(), moment.wall_ms));
         let prompt_suspicion = &board.tables().gateway.prompt_suspicion;
-        commands.extend(self.settled_crashes.quarantine_commands(now, moment.wall_ms, prompt_suspicion));
+        commands.extend(self.crash_ages.quarantine_commands(now, moment.wall_ms, prompt_suspicion));
         self.uncommitted = commands.len();
         commands
     }
--- a/crates/daemon/tests/gateway/prompt_parts_soak.rs
+++ b/crates/daemon/tests/gateway/prompt_parts_soak.rs
@@ -246,3 +246,10 @@
         run_seed(seed).await;
     }
 }
+
+/// Seed 125: servers crash for another reason when callers have just begun to send, and the part that all requests share was
+/// quarantined before any response could clear it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_part_is_contained_in_runs_that_failed_before() {
+    run_seed(125).await;
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -28,7 +28,8 @@
 };
 pub use machine::{Applied, ControlVoter, State};
 pub use prompt_suspicion::{
-    CrashCause, PartEvidence, PartQuarantineRow, PromptCrashRow, PromptSuspicionTable, SuspectPrompt,
+    CrashCause, CrashHorizon, PartEvidence, PartQuarantineRow, PromptCrashRow, PromptSuspicionTable,
+    SuspectPrompt,
 };
 pub use suspicion::{
     CrashReport, CrashRow, Evidence, QuarantinePeriod, QuarantineRow, Suspect, SuspectAttempt,
--- a/crates/state/src/prompt_suspicion/attribution.rs
+++ b/crates/state/src/prompt_suspicion/attribution.rs
@@ -21,6 +21,15 @@
 /// of however many servers, causes no reports.
 const REPORT_RESPONSES_AFTER: usize = 2;
 
+/// Which crashes a decision may be based on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CrashHorizon {
+    /// Number of the newest crash that all daemons have reported.
+    pub reported: u64,
+    /// Number of the newest crash that is so old that complete responses would have cleared innocent parts of it.
+    pub clearable: u64,
+}
+
 /// What the crashes of servers say against a part.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartEvidence {
@@ -87,9 +96,9 @@
 }
 
 impl PromptSuspicionTable {
-    /// What the crashes up to number `settled` say against a part.
-    pub fn evidence_against(&self, part: &PromptPart, settled: u64) -> PartEvidence {
-        let rows = self.crashes_involving(part).filter(|row| row.number <= settled);
+    /// What the crashes up to a number say against a part.
+    pub fn evidence_against(&self, part: &PromptPart, newest: u64) -> PartEvidence {
+        let rows = self.crashes_involving(part).filter(|row| row.number <= newest);
         PartEvidence::of(part, rows)
     }
 
@@ -102,20 +111,21 @@
         prompt.iter().filter(|part| quarantined.contains(part) || is_suspected(part)).cloned().collect()
     }
 
-    /// The parts to which enough of the crashes up to number `settled` are attributed; those that occurred only together form
-    /// one set. All daemons have reported these crashes, and responses that were complete before them.
-    pub fn parts_to_quarantine(&self, settled: u64) -> Vec<PartSet> {
+    /// The parts to which enough of the reported crashes are attributed, and which no complete response has cleared although
+    /// there was time for one; those that occurred only together form one set.
+    pub fn parts_to_quarantine(&self, horizon: CrashHorizon) -> Vec<PartSet> {
         if self.crashes.len() < QUARANTINE_CRASHES {
             return Vec::new();
         }
-        let against = |part| (part, self.evidence_against(part, settled));
+        let against = |part| (part, self.evidence_against(part, horizon.reported));
         let evidence: BTreeMap<&PromptPart, PartEvidence> = self.suspected_parts().map(against).collect();
         let mut by_occurrence: BTreeMap<Vec<Occurrence<'_>>, Vec<PromptPart>> = BTreeMap::new();
         for (part, _) in evidence.iter().filter(|(_, evidence)| evidence.is_sufficient()) {
-            let rows = self.crashes_involving(part).filter(|row| row.number <= settled);
+            let rows = self.crashes_involving(part).filter(|row| row.number <= horizon.reported);
             let attributed: Vec<&Arc<PromptCrashRow>> =
                 rows.filter(|row| is_likeliest(part, row, &evidence)).collect();
-            if PartEvidence::of(part, attributed.iter().copied()).is_sufficient() {
+            let was_clearable = attributed.first().is_some_and(|row| row.number <= horizon.clearable);
+            if was_clearable && PartEvidence::of(part, attributed.iter().copied()).is_sufficient() {
                 by_occurrence.entry(occurrences(part, &attributed)).or_default().push((*part).clone());
             }
         }
--- a/crates/state/src/prompt_suspicion/mod.rs
+++ b/crates/state/src/prompt_suspicion/mod.rs
@@ -13,6 +13,6 @@
 mod rows;
 mod table;
 
-pub use attribution::PartEvidence;
+pub use attribution::{CrashHorizon, PartEvidence};
 pub use rows::{CrashCause, PartQuarantineRow, PromptCrashRow, SuspectPrompt};
 pub use table::PromptSuspicionTable;
--- a/crates/state/tests/prompt_suspicion.rs
+++ b/crates/state/tests/prompt_suspicion.rs
@@ -2,7 +2,8 @@
 
 use dockwood_api::gateway::{Fingerprint, PartSet, PromptPart, RequestIdentity};
 use dockwood_state::{
-    Command, CommandBody, CrashReport, GatewayCommand, State, SuspectAttempt, SuspectPrompt, SuspicionStatus,
+    Command, CommandBody, CrashHorizon, CrashReport, GatewayCommand, State, SuspectAttempt, SuspectPrompt,
+    SuspicionStatus,
 };
 
 const MINUTE_MS: u64 = 60_000;
@@ -26,6 +27,8 @@
     non_voter: State,
     now_ms: u64,
     servers: u64,
+    /// Number of the newest crash that responses would have cleared by now.
+    clearable: u64,
 }
 
 impl Harness {
@@ -76,6 +79,7 @@
         self.servers += 1;
         self.report("entry", self.servers, self.last_crash(), prompts);
         self.now_ms += CRASH_INTERVAL_MS;
+        self.clearable = self.last_crash();
     }
 
     /// Servers crash at the same moment.
@@ -86,6 +90,7 @@
             self.report("entry", self.servers, known_crash, prompts);
         }
         self.now_ms += CRASH_INTERVAL_MS;
+        self.clearable = self.last_crash();
     }
 
     fn respond(&mut self, names: &[&str]) {
@@ -97,7 +102,8 @@
     /// Quarantines the parts to which the crashes are attributed, and returns their names.
     fn decide(&mut self) -> Vec<String> {
         let table = &self.voter.tables.gateway.prompt_suspicion;
-        let sets = table.parts_to_quarantine(table.last_crash);
+        let horizon = CrashHorizon { reported: table.last_crash, clearable: self.clearable };
+        let sets = table.parts_to_quarantine(horizon);
         let names = sets.iter().map(PartSet::to_string).collect();
         for parts in sets {
             self.apply(GatewayCommand::QuarantineParts { parts, at_ms: self.now_ms });
@@ -144,7 +150,7 @@
 /// A zone that fails server by server must not lead to a quarantine as early.
 #[test]
 fn crashes_in_one_zone_count_less() {
-    let mut harness = Harness::default();
+    let mut harness = Harness { clearable: 1, ..Harness::default() };
     for server in [2, 4, 6, 8] {
         harness.report("entry", server, harness.last_crash(), &[&["bad"]]);
         assert_eq!(harness.decide(), [""; 0]);
@@ -304,12 +310,30 @@
         };
         harness.apply(GatewayCommand::ServerCrashed { report, prompts: vec![prompt] });
         harness.now_ms += CRASH_INTERVAL_MS;
+        harness.clearable = harness.last_crash();
         assert_eq!(harness.decide(), [""; 0]);
     }
     let suspicion = &harness.voter.tables.gateway.suspicion;
     assert_eq!(suspicion.status(fingerprint("poison"), harness.now_ms), SuspicionStatus::Quarantined);
 }
 
+/// When callers have just begun to send, servers that crash for another reason make the part that all requests share look
+/// worse than the one that crashes servers, and no response has had the time to clear it.
+#[test]
+fn no_part_is_quarantined_before_responses_could_have_cleared_it() {
+    let mut harness = Harness::default();
+    harness.report("first", 1, 0, &[&["system", "bad"]]);
+    harness.report("first", 2, 0, &[&["system", "sound"]]);
+    harness.report("first", 3, 2, &[&["system", "bad"]]);
+    harness.report("second", 4, 2, &[&["system", "bad"], &["system", "other"]]);
+    harness.report("second", 5, 4, &[&["system", "bad"]]);
+    assert_eq!(harness.decide(), [""; 0]);
+    harness.respond(&["system"]);
+    harness.report("third", 6, 5, &[&["system", "bad"]]);
+    harness.clearable = harness.last_crash();
+    assert_eq!(harness.decide(), ["bad"]);
+}
+
 /// Nothing shows which of the two crashes servers; requests with one of them are spared.
 #[test]
 fn parts_that_occurred_only_together_are_quarantined_together() {
@@ -369,6 +393,7 @@
             };
             harness.apply(GatewayCommand::ServerCrashed { report, prompts: vec![prompt] });
             harness.now_ms += CRASH_INTERVAL_MS;
+            harness.clearable = harness.last_crash();
             harness.respond(&["system"]);
         }
     }
@@ -395,6 +420,20 @@
     assert!(!harness.voter.tables.gateway.has_expired_suspicions(at_ms));
 }
 
+/// The version before had no table of prompts.
+#[test]
+fn a_snapshot_of_the_version_before_is_read() {
+    const VERSION_BEFORE: u8 = 5;
+    /// Two empty maps and the number of the newest crash.
+    const EMPTY_TABLE_BYTES: usize = 3;
+    let state = State::default();
+    let mut encoded = state.encode();
+    encoded[0] = VERSION_BEFORE;
+    encoded.truncate(encoded.len() - EMPTY_TABLE_BYTES);
+    let read = State::decode(&encoded).unwrap_or_else(|error| panic!("{error}"));
+    assert_eq!(read, state);
+}
+
 #[test]
 fn the_table_survives_a_snapshot_with_its_index() {
     let mut harness = Harness::default();
