One function reads a whole response body

The limit of the body and the check of a response without a length stood in plain requests and in streams. A comment of the soak said that the caller retries its request; it sends the next one early.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -1,10 +1,15 @@
 //! Bodies of requests and responses.
 
+use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use quick_error::quick_error;
 
+/// Maximum size of a response body that is buffered before it is forwarded, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 quick_error! {
     /// A truncated response. The connection is closed, so that the response can't appear complete.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,3 +62,16 @@
     }
     Ok(buffer.into())
 }
+
+/// Returns whether a response declares neither a length nor chunks, so that it ends with its connection.
+pub fn is_unframed(headers: &HeaderMap, body: &impl Body) -> bool {
+    body.size_hint().exact().is_none() && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Reads the body of a response; `None` if it is too large, ended early, or may be truncated because it has no length and its
+/// server did not survive it.
+pub async fn read_response_body(gate: &SuspectGate, headers: &HeaderMap, body: Incoming) -> Option<Bytes> {
+    let is_unframed = is_unframed(headers, &body);
+    let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
+    (!is_unframed || gate.server_survives().await).then_some(bytes)
+}
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -1,11 +1,11 @@
 //! Requests to plain services, whose response is forwarded only once it is complete.
 
 use super::Gateway;
-use super::body::{ResponseBody, full_body, read_body};
+use super::body::{ResponseBody, full_body, read_response_body};
 use super::headers::{ServerHeaders, add_server_headers, end_to_end};
 use super::receive::{ReceivedRequest, may_still_send};
 use super::request_log::RequestLog;
-use super::response_head::{evaluate_head, is_unframed};
+use super::response_head::evaluate_head;
 use super::responses::{RETRY_SOON_MS, error_response};
 use super::server_selection::{SelectedServer, select_server};
 use super::upstream::Upstream;
@@ -28,8 +28,6 @@
 const HOLD_WAIT_PERCENT: u64 = 50;
 /// Minimum duration of one such wait.
 const MIN_HOLD_WAIT: Duration = Duration::from_millis(1);
-/// Maximum size of a response body, which is buffered before it is forwarded, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// A response as received from a server.
 struct ServerResponse {
@@ -285,10 +283,7 @@
         let head = evaluate_head(self.gateway, self.received, &mut self.request_log, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
-        let is_unframed = is_unframed(&parts.headers, &body);
-        let body = read_body(body, MAX_RESPONSE_BYTES).await.ok();
-        let is_truncated = body.is_none() || (is_unframed && !self.gate.server_survives().await);
-        let Some(body) = body.filter(|_| !is_truncated) else {
+        let Some(body) = read_response_body(&self.gate, &parts.headers, body).await else {
             return Err(self.broken_connection_outcome().await);
         };
         Ok(ServerResponse { status: parts.status, headers: end_to_end(&parts.headers), body })
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -6,16 +6,10 @@
 use crate::dialect::HeaderNames;
 use crate::pushback::{SendPermit, signals_of};
 use dockwood_routing::gateway::SendOutcome;
-use hyper::body::Body;
-use hyper::header::{HeaderMap, TRANSFER_ENCODING};
+use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
-/// Returns whether a response declares neither a length nor chunks, so that it ends with its connection.
-pub fn is_unframed(headers: &HeaderMap, body: &impl Body) -> bool {
-    body.size_hint().exact().is_none() && !headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Evaluates the head of the response to a request that was sent under a permit. The pushback signals are recorded first,
 /// whether or not the response can be forwarded.
 ///
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -1,10 +1,10 @@
 //! One send of a streaming request to a group or a server, up to the head of the response.
 
 use super::{Head, OpenStream, StreamRequest};
-use crate::gateway::body::{ResponseBody, full_body, read_body};
+use crate::gateway::body::{ResponseBody, full_body, is_unframed, read_response_body};
 use crate::gateway::headers::end_to_end;
 use crate::gateway::plain::server_request;
-use crate::gateway::response_head::{evaluate_head, is_unframed};
+use crate::gateway::response_head::evaluate_head;
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{abandon_stalled, broken_connection_outcome, wait_for_stall};
 use crate::gateway::upstream::{ConnectFault, Upstream};
@@ -19,8 +19,6 @@
 use tokio::time::Instant;
 
 const EVENT_STREAM: &str = "text/event-stream";
-/// Maximum size of the body of a response that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 impl StreamRequest {
     /// Sends the request to one source. On success, the stream is being read, or a response that is not a stream is
@@ -92,7 +90,6 @@
         let head = evaluate_head(&self.gateway, &self.received, &mut self.request_log, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
-        let is_unframed = is_unframed(&parts.headers, &body);
         let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
         if parts.status == StatusCode::OK && is_stream {
@@ -101,13 +98,12 @@
                 headers.remove(CONTENT_LENGTH);
                 self.head = Some(Head { status: parts.status, headers });
             }
+            let is_unframed = is_unframed(&parts.headers, &body);
             let splitter = EventSplitter::default();
             self.reading = Some(OpenStream { source, upstream, body, is_unframed, splitter });
             return Ok(None);
         }
-        let body = read_body(body, MAX_RESPONSE_BYTES).await.ok();
-        let is_truncated = body.is_none() || (is_unframed && !self.gate.server_survives().await);
-        let Some(body) = body.filter(|_| !is_truncated) else {
+        let Some(body) = read_response_body(&self.gate, &parts.headers, body).await else {
             return Err(broken_connection_outcome(&self.gateway, &mut self.gate, &source).await);
         };
         if parts.status.is_server_error() && self.attempts.may_move() {
--- a/crates/daemon/tests/gateway/prompt_parts_soak.rs
+++ b/crates/daemon/tests/gateway/prompt_parts_soak.rs
@@ -117,7 +117,7 @@
             tokio::spawn(async move {
                 let kind = "fatal";
                 let is_served = callers.send(CRASHING_PART, number, kind).await;
-                // The caller retries once, at another entry.
+                // Sends the next request early, at another entry, so that each request is sent up to twice.
                 is_served || callers.send(CRASHING_PART, number + 1, kind).await
             });
         }
