--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -24,11 +25,13 @@
 const DIRECTORY_PORT: u16 = 8224;
 pub const SERVER_PORT: u16 = 8080;
 
+const PR_SET_PDEATHSIG: i32 = 1;
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -209,6 +212,13 @@
         let mut words = self.run.split(' ');
         let mut command = Command::new(words.next().unwrap_or_default());
         command.args(words).env("DOCKWOOD_BOOT", &self.settings).stdin(Stdio::null()).stderr(Stdio::null());
+        // The process doesn't outlive the script, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
         let child = command.stdout(log).spawn();
         self.child = Some(child.unwrap_or_else(|error| could_not_run(&format!("{}: {error}", self.run))));
     }
