Request lines tell how a source stalled and why there was no other one

Hypotheses of the incident could not be told apart: the line of a stream that was cut said `Abandoned` and nothing about what refused the next send. It now has for each send `stall` (silent or closed by the leader, for how long, how many of the groups in use were silent as long) and for the request `noOtherSource` (suspect, noPlace, noLease, retryBudget, attemptsUsed). No decision is changed.

--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -90,6 +90,15 @@
     NoGroup,
 }
 
+/// Groups of one model at this entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GroupSilence {
+    /// Groups that process requests of this entry.
+    pub in_use: u32,
+    /// Those of them that have sent nothing for a given time.
+    pub silent: u32,
+}
+
 /// Criteria for a place.
 #[derive(Clone, Copy, Debug)]
 pub struct PlaceQuery<'a> {
@@ -374,6 +383,25 @@
         lock(&self.groups).get(&epoch).is_some_and(|group| now < group.last_event_at + span)
     }
 
+    /// Returns how many groups of the same model as this one are in use, and how many of them have sent nothing within
+    /// `span`.
+    pub fn silence(&self, epoch: u64, span: Millis) -> GroupSilence {
+        let now = monotonic_ms();
+        let groups = lock(&self.groups);
+        let Some(stalled) = groups.get(&epoch).map(|group| group.row.clone()) else {
+            return GroupSilence::default();
+        };
+        let is_same_model =
+            |group: &GroupState| group.row.service == stalled.service && group.row.model == stalled.model;
+        let in_use = groups.values().filter(|group| group.in_flight > 0 && is_same_model(group));
+        let mut silence = GroupSilence::default();
+        for group in in_use {
+            silence.in_use += 1;
+            silence.silent += u32::from(now >= group.last_event_at + span);
+        }
+        silence
+    }
+
     /// Returns whether a group still processes its requests.
     pub fn is_open(&self, epoch: u64) -> bool {
         lock(&self.groups).contains_key(&epoch)
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -4,7 +4,7 @@
 use super::upstream::ConnectFault;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
-use crate::log_line::{ChosenBy, LineBody, PlacesSummary, RequestLine, SendLine};
+use crate::log_line::{ChosenBy, LineBody, NoOtherSource, PlacesSummary, RequestLine, SendLine, StallLine};
 use crate::logging;
 use crate::pushback::UsedTurn;
 use dockwood_api::ResultCode;
@@ -27,6 +27,7 @@
     sends: Vec<SendLine>,
     held_servers: Vec<String>,
     no_place: Option<PlacesSummary>,
+    no_other_source: Option<NoOtherSource>,
     ended: Option<ResultCode>,
 }
 
@@ -65,6 +66,7 @@
             sends: Vec::new(),
             held_servers: Vec::new(),
             no_place: None,
+            no_other_source: None,
             ended: None,
         }
     }
@@ -90,6 +92,7 @@
             epoch,
             at_ms: self.elapsed_ms(),
             chosen_by,
+            stall: None,
             ended: None,
             withheld: None,
             connect_fault: None,
@@ -123,6 +126,20 @@
         }
     }
 
+    /// Records how the source of the last send stalled.
+    pub fn record_stall(&mut self, stall: StallLine) {
+        if let Some(last) = self.sends.last_mut() {
+            last.stall = Some(stall);
+        }
+    }
+
+    /// Records why the request is sent to no other source, if it has been sent before.
+    pub fn record_no_other_source(&mut self, reason: NoOtherSource) {
+        if !self.sends.is_empty() {
+            self.no_other_source = Some(reason);
+        }
+    }
+
     /// Records why no connection was established for the last send.
     pub fn record_connect_fault(&mut self, fault: ConnectFault) {
         if let Some(last) = self.sends.last_mut() {
@@ -198,6 +215,7 @@
             prompt_tokens: has_model.then_some(info.prompt_tokens),
             sends: &self.sends,
             no_place: self.no_place.clone(),
+            no_other_source: self.no_other_source,
             servers_held: &self.held_servers,
             held_back,
         };
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -1,7 +1,9 @@
 //! Detection of stalled stream sources.
 
 use super::Gateway;
+use super::loads::GroupSilence;
 use super::source::Source;
+use crate::log_line::{StallCause, StallLine};
 use crate::suspects::SuspectGate;
 use dockwood_routing::gateway::{SendOutcome, StallTimeout};
 use std::sync::Arc;
@@ -14,12 +16,15 @@
 /// A group that has sent an event on any stream of this entry within this time is working, in milliseconds.
 const PROGRESS_WINDOW_MS: u64 = 150;
 
-/// Records that a group has stalled, and returns the outcome of the send.
-pub fn abandon_stalled(gateway: &Gateway, source: &Source) -> SendOutcome {
+/// Records that a group has stalled, and returns how.
+pub fn record_stall(gateway: &Gateway, source: &Source, cause: StallCause, since: Instant) -> StallLine {
+    let silent_ms = since.elapsed().as_millis() as u64;
+    let mut silence = GroupSilence::default();
     if let Source::Group(place) = source {
         gateway.loads.suspect_group(place.epoch, false);
+        silence = gateway.loads.silence(place.epoch, silent_ms);
     }
-    SendOutcome::Abandoned
+    StallLine { cause, silent_ms, groups_in_use: silence.in_use, groups_silent: silence.silent }
 }
 
 /// Returns the outcome of a send whose connection broke. A group whose head process is gone is avoided from now on, and
@@ -46,7 +51,7 @@
     since: Instant,
     timeout: Option<StallTimeout>,
     changes: &mut watch::Receiver<u64>,
-) {
+) -> StallCause {
     let (Source::Group(place), Some(timeout)) = (source, timeout) else {
         return std::future::pending().await;
     };
@@ -65,12 +70,12 @@
     let closed = async {
         while gateway.loads.is_open(place.epoch) {
             if changes.changed().await.is_err() {
-                return std::future::pending().await;
+                std::future::pending::<()>().await;
             }
         }
     };
     tokio::select! {
-        () = timed_out => {}
-        () = closed => {}
+        () = timed_out => StallCause::Silent,
+        () = closed => StallCause::GroupClosed,
     }
 }
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -12,6 +12,7 @@
 use super::request_log::RequestLog;
 use super::source::Source;
 use super::upstream::Upstream;
+use crate::log_line::NoOtherSource;
 use crate::shared::InFlight;
 use crate::suspects::SuspectGate;
 use bytes::Bytes;
@@ -188,7 +189,10 @@
         }
         match self.attempts.ended(outcome) {
             RetryDecision::SendAgain => Ok(()),
-            RetryDecision::GiveUp(result) => Err(result),
+            RetryDecision::GiveUp(result) => {
+                self.request_log.record_no_other_source(NoOtherSource::AttemptsUsed);
+                Err(result)
+            }
         }
     }
 
@@ -197,10 +201,12 @@
         loop {
             let Some(source) = self.admitted_source().await? else { continue };
             if !may_still_send(&self.gateway, &self.received) {
+                self.request_log.record_no_other_source(NoOtherSource::NoLease);
                 return Err(Box::new(self.refusal(ResultCode::NoLease, FULL_RETRY_MS)));
             }
             let service = self.received.service.name.clone();
             if self.attempts.needs_budget() && !self.gateway.try_retry(&service, "stream") {
+                self.request_log.record_no_other_source(NoOtherSource::RetryBudget);
                 return Err(Box::new(self.refusal(ResultCode::Overloaded, FULL_RETRY_MS)));
             }
             match self.send(source).await {
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -3,7 +3,7 @@
 use super::{OpenStream, ReadResult, StreamRequest};
 use crate::gateway::Gateway;
 use crate::gateway::source::Source;
-use crate::gateway::stalls::{abandon_stalled, broken_connection_outcome, wait_for_stall};
+use crate::gateway::stalls::{broken_connection_outcome, record_stall, wait_for_stall};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_routing::CallResult;
@@ -25,11 +25,12 @@
             };
             let frame = tokio::select! {
                 frame = reading.body.frame() => frame,
-                () = wait_for_stall(&self.gateway, &reading.source, last_progress, stall_timeout, &mut self.changes),
+                cause = wait_for_stall(&self.gateway, &reading.source, last_progress, stall_timeout, &mut self.changes),
                     if may_move =>
                 {
-                    let outcome = abandon_stalled(&self.gateway, &reading.source);
-                    return ReadResult::Broken(outcome);
+                    let stall = record_stall(&self.gateway, &reading.source, cause, last_progress);
+                    self.request_log.record_stall(stall);
+                    return ReadResult::Broken(SendOutcome::Abandoned);
                 }
                 () = tokio::time::sleep_until(self.received.deadline) => return ReadResult::OutOfTime,
             };
--- a/crates/daemon/src/gateway/stream/selection.rs
+++ b/crates/daemon/src/gateway/stream/selection.rs
@@ -7,7 +7,7 @@
 use crate::gateway::responses::error_response;
 use crate::gateway::server_selection::select_server;
 use crate::gateway::source::Source;
-use crate::log_line::PlacesSummary;
+use crate::log_line::{NoOtherSource, PlacesSummary};
 use crate::pushback::Unavailable;
 use crate::suspects::Admission;
 use dockwood_api::ResultCode;
@@ -79,6 +79,7 @@
 
     /// Returns the response to a request that the gate has refused. A quarantined request gets no retry time.
     fn refused_by_gate(&mut self, code: ResultCode) -> Response<ResponseBody> {
+        self.request_log.record_no_other_source(NoOtherSource::Suspect);
         if code != ResultCode::RequestQuarantined {
             return self.refusal(code, FULL_RETRY_MS);
         }
@@ -91,6 +92,7 @@
         if self.received.service.engine.is_some() {
             self.gateway.loads.record_refusal(&self.received.service.name, model);
         }
+        self.request_log.record_no_other_source(NoOtherSource::NoPlace);
         self.request_log.set_held_servers(unavailable.held);
         self.refusal(unavailable.code, unavailable.retry_after_ms.unwrap_or(FULL_RETRY_MS))
     }
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -6,7 +6,7 @@
 use crate::gateway::plain::server_request;
 use crate::gateway::response_head::evaluate_head;
 use crate::gateway::source::Source;
-use crate::gateway::stalls::{abandon_stalled, broken_connection_outcome, wait_for_stall};
+use crate::gateway::stalls::{broken_connection_outcome, record_stall, wait_for_stall};
 use crate::gateway::upstream::{ConnectFault, Upstream};
 use crate::gateway::write_permit::acquire_write_permit;
 use crate::pushback::SendPermit;
@@ -64,8 +64,13 @@
                 Ok(response) => Ok(response),
                 Err(_) => Err(broken_connection_outcome(&self.gateway, &mut self.gate, &source).await),
             },
-            () = wait_for_stall(&self.gateway, &source, sent_at, self.stall_timeout(), &mut self.changes),
-                if self.attempts.may_move() => Err(abandon_stalled(&self.gateway, &source)),
+            cause = wait_for_stall(&self.gateway, &source, sent_at, self.stall_timeout(), &mut self.changes),
+                if self.attempts.may_move() =>
+            {
+                let stall = record_stall(&self.gateway, &source, cause, sent_at);
+                self.request_log.record_stall(stall);
+                Err(SendOutcome::Abandoned)
+            }
             () = tokio::time::sleep_until(self.received.deadline) => Err(SendOutcome::Unknown),
         }?;
         self.take_response(source, upstream, permit, response).await
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -259,6 +259,9 @@
     /// The groups that may run the request, if no place was found for it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub no_place: Option<PlacesSummary>,
+    /// Why the request was sent to no other source when the last one had stalled or failed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub no_other_source: Option<NoOtherSource>,
     /// Some of the eligible servers, if all of these are on hold.
     #[serde(skip_serializing_if = "<[String]>::is_empty")]
     pub servers_held: &'a [String],
@@ -298,6 +301,9 @@
     /// Who chose the server, for a model server.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub chosen_by: Option<ChosenBy>,
+    /// How its source stalled, if it did.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stall: Option<StallLine>,
     /// Outcome, if the attempt did not provide the answer.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ended: Option<String>,
@@ -327,6 +333,46 @@
     pub limit_per_second: Option<f64>,
 }
 
+/// Why a stream whose source stalled or failed was sent to no other one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub enum NoOtherSource {
+    /// The request is suspected of crashing servers, and may not be sent to another one now.
+    Suspect,
+    /// No server or group has a place.
+    NoPlace,
+    /// This daemon has lost its lease, or the API key is no longer accepted.
+    NoLease,
+    /// The retry budget is used up.
+    RetryBudget,
+    /// The request was sent to as many servers as its route allows.
+    AttemptsUsed,
+}
+
+/// A source that has sent nothing for so long that another one is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct StallLine {
+    /// How the stall was detected.
+    pub cause: StallCause,
+    /// Time since its last event or since the send, in milliseconds.
+    pub silent_ms: u64,
+    /// Groups of the model that process requests of this entry.
+    pub groups_in_use: u32,
+    /// Those of them that have sent this entry nothing for the same time.
+    pub groups_silent: u32,
+}
+
+/// How a stall was detected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub enum StallCause {
+    /// The source sent nothing for longer than expected.
+    Silent,
+    /// The control leader has closed the group.
+    GroupClosed,
+}
+
 /// Which component chose the group for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -144,6 +144,9 @@
     }
     let moved = &log_lines_of(&fleet, "moved")[0];
     assert_eq!(moved["sends"][0]["ended"], "Abandoned", "{moved}");
+    assert_eq!(moved["sends"][0]["stall"]["cause"], "silent", "{moved}");
+    assert_eq!(moved["sends"][0]["stall"]["groupsInUse"], 1, "{moved}");
+    assert_eq!(moved["sends"][0]["stall"]["groupsSilent"], 1, "{moved}");
     assert!(moved["sends"][1]["epoch"].is_u64(), "{moved}");
     Ok(())
 }
