--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -31,13 +31,16 @@
     "name": "entry", "region": "r", "zone": "z",
     "listen": { "peer": "127.0.0.1:7101", "http": "127.0.0.1:7102" },
     "control": { "seeds": ["127.0.0.1:7103"], "seedPeerPort": 7101, "founding": false, "member": false },
-    "gateway": { "frontend": "127.0.0.1:7104", "operators": "127.0.0.1:7105", "zones": { "z": "r", "y": "r" } }
+    "gateway": { "frontend": "127.0.0.1:7104", "operators": "127.0.0.1:7105", "zones": { "z": "r", "y": "r" }RETRY_BUDGET }
 }"#;
 /// Generous time limit: the tests check responses, not time.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Target latency of the routes. A stream waits for a free slot for half of it, far longer than an immediate refusal
 /// may take.
 pub const TARGET_MS: u64 = 10_000;
+/// Target latency of the resumable routes: a first event counts as stalled after about a second, and a stream waits
+/// 200 ms for a free slot.
+const RESUMABLE_TARGET_MS: u64 = 400;
 
 /// Number of task polls between two polls for I/O events: so many that a server task that is always ready accepts a
 /// connection before the task that connects is woken.
@@ -59,7 +62,44 @@
     pub operators: SocketAddr,
 }
 
-fn configuration() -> GatewayConfiguration {
+/// The retry budget of an entry that is the only one of its fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Retries per window in addition.
+    pub extra: u32,
+    /// Length of the window, in seconds.
+    pub window_seconds: u32,
+}
+
+/// Options of an entry; the default is what most tests use.
+pub struct EntryOptions {
+    /// How it connects to servers.
+    pub dialer: Arc<dyn ServerDialer>,
+    /// Retry budget; `None` for the default of the settings.
+    pub retry_budget: Option<RetryBudget>,
+    /// Number of requests that a group processes concurrently.
+    pub slots: u32,
+}
+
+impl Default for EntryOptions {
+    fn default() -> Self {
+        EntryOptions { dialer: Arc::new(TcpDialer), retry_budget: None, slots: 1 }
+    }
+}
+
+fn settings_text(retry_budget: Option<RetryBudget>) -> String {
+    let section = |budget: RetryBudget| {
+        let RetryBudget { ratio, extra, window_seconds } = budget;
+        format!(
+            r#", "retryBudget": {{ "ratio": {ratio}, "extra": {extra}, "windowSeconds": {window_seconds} }}"#
+        )
+    };
+    SETTINGS.replace("RETRY_BUDGET", &retry_budget.map(section).unwrap_or_default())
+}
+
+fn configuration(slots: u32) -> GatewayConfiguration {
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": "h", "path_prefix": format!("/{name}/"), "kind": kind,
@@ -68,8 +108,15 @@
             "anonymous": true, "resumable": false,
         })
     };
+    let resumable_route = |name: &str, max_attempts: u32| {
+        let mut route = route(name, "Stream", "writer");
+        route["resumable"] = json!(true);
+        route["max_attempts"] = json!(max_attempts);
+        route["target_latency_ms"] = json!(RESUMABLE_TARGET_MS);
+        route
+    };
     let engine = json!({
-        "slots": 1, "memory_tokens": 100_000, "step_ms": 4.0, "per_sequence_ms": 0.1, "read_per_second": 50_000.0,
+        "slots": slots, "memory_tokens": 100_000, "step_ms": 4.0, "per_sequence_ms": 0.1, "read_per_second": 50_000.0,
         "chunk": 500, "stride": 5, "loads_per_second": 50.0, "loads_at_once": 50, "staged_models": 1,
         "models": [{ "name": "m", "size": 1, "share": 1.0, "pace": 1.0, "load_ms": 100, "warm_ms": 50 }],
     });
@@ -77,6 +124,8 @@
         "version": 1,
         "routes": [
             route("stream", "Stream", "writer"),
+            resumable_route("resumable", 2),
+            resumable_route("resumable-thrice", 3),
             route("once", "AtMostOnce", "board"),
             route("again", "Repeatable", "board"),
         ],
@@ -93,17 +142,22 @@
 
 impl Entry {
     pub fn start() -> Result<Arc<Entry>> {
-        Entry::start_with_dialer(Arc::new(TcpDialer))
+        Entry::start_with(EntryOptions::default())
     }
 
     /// Starts an entry that connects to servers with this dialer.
     pub fn start_with_dialer(dialer: Arc<dyn ServerDialer>) -> Result<Arc<Entry>> {
+        Entry::start_with(EntryOptions { dialer, ..EntryOptions::default() })
+    }
+
+    /// Starts an entry with these options.
+    pub fn start_with(options: EntryOptions) -> Result<Arc<Entry>> {
         let file = tempfile::NamedTempFile::new()?;
-        std::fs::write(file.path(), SETTINGS)?;
+        std::fs::write(file.path(), settings_text(options.retry_budget))?;
         let settings = Settings::read(file.path()).unwrap_or_else(|problems| panic!("{problems:?}"));
         let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
         let shared = Shared::new(settings, 1, metrics, ControlHandle::new().0);
-        let shared = Arc::new(shared.with_server_dialer(dialer));
+        let shared = Arc::new(shared.with_server_dialer(options.dialer));
         let listener = || {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             listener.set_nonblocking(true)?;
@@ -117,7 +171,7 @@
         };
         Gateway::start(shared.clone(), Arc::new(NativeDialect), listeners)?;
         let entry = Arc::new(Entry { shared, state: Mutex::default(), frontend, operators });
-        entry.apply(GatewayCommand::Configure(Arc::new(configuration())));
+        entry.apply(GatewayCommand::Configure(Arc::new(configuration(options.slots))));
         Ok(entry)
     }
 
