A stalled source is read on until another one has begun

Cause: on a stall the connection to the source was dropped first, and only then were a place, the lease and the retry budget asked for. A stall was judged for each group by itself, so all streams of all groups asked at once, and the budget is made for single failures.

Change: the request has up to two open sends. A stalled one is kept and read; the search for a second source runs beside it, may be refused, and is tried again after 0.1 to 0.8 s. Whichever sends the next event first is read on, by the ids of the events, and the other connection is closed. It is the same before the first event and before the head; the head that the caller gets is that of the first source of which an event is forwarded. If the source breaks, the second one takes over without a new send. A send counts against max_attempts and the retry budget when it is made. While all groups that an entry uses are silent, one of its streams tries another group, and the others wait until any group sends something. Suspects of crashing servers get no second source. The gate that collects evidence on crashes belongs to a send now, not to the request.

--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -3,8 +3,10 @@
 mod group_state;
 mod holds;
 mod reports;
+mod silence;
 
 pub use reports::ScopeLoad;
+pub use silence::{GroupSilence, StallTrial};
 
 use super::cold::place_valid_until;
 use crate::clock::monotonic_ms;
@@ -17,7 +19,8 @@
 use dockwood_state::{GatewayTables, GroupPhase};
 use group_state::GroupState;
 use rand::RngExt;
-use std::collections::BTreeMap;
+use silence::ModelKey;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -47,6 +50,8 @@
     /// Signals that a request has ended.
     pub ended: Notify,
     latencies: Mutex<BTreeMap<String, ObservedLatency>>,
+    /// Models of which all groups are silent, and one stream tries another group.
+    stall_trials: Mutex<BTreeSet<ModelKey>>,
     /// Demand for each model since it was last reported, by service and model.
     demand: Mutex<BTreeMap<(String, String), ModelLoad>>,
     /// Incremented when a group closes.
@@ -90,15 +95,6 @@
     NoGroup,
 }
 
-/// Groups of one model at this entry.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct GroupSilence {
-    /// Groups that process requests of this entry.
-    pub in_use: u32,
-    /// Those of them that have sent nothing for a given time.
-    pub silent: u32,
-}
-
 /// Criteria for a place.
 #[derive(Clone, Copy, Debug)]
 pub struct PlaceQuery<'a> {
@@ -383,25 +379,6 @@
         lock(&self.groups).get(&epoch).is_some_and(|group| now < group.last_event_at + span)
     }
 
-    /// Returns how many groups of the same model as this one are in use, and how many of them have sent nothing within
-    /// `span`.
-    pub fn silence(&self, epoch: u64, span: Millis) -> GroupSilence {
-        let now = monotonic_ms();
-        let groups = lock(&self.groups);
-        let Some(stalled) = groups.get(&epoch).map(|group| group.row.clone()) else {
-            return GroupSilence::default();
-        };
-        let is_same_model =
-            |group: &GroupState| group.row.service == stalled.service && group.row.model == stalled.model;
-        let in_use = groups.values().filter(|group| group.in_flight > 0 && is_same_model(group));
-        let mut silence = GroupSilence::default();
-        for group in in_use {
-            silence.in_use += 1;
-            silence.silent += u32::from(now >= group.last_event_at + span);
-        }
-        silence
-    }
-
     /// Returns whether a group still processes its requests.
     pub fn is_open(&self, epoch: u64) -> bool {
         lock(&self.groups).contains_key(&epoch)
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -4,7 +4,7 @@
 use super::body::{ResponseBody, full_body, read_response_body};
 use super::headers::{ServerHeaders, add_server_headers, end_to_end};
 use super::receive::{ReceivedRequest, may_still_send};
-use super::request_log::RequestLog;
+use super::request_log::{RequestLog, SendNumber};
 use super::response_head::evaluate_head;
 use super::responses::{RETRY_SOON_MS, error_response};
 use super::server_selection::{SelectedServer, select_server};
@@ -109,11 +109,12 @@
             }
             self.tried.push(selected.row.id.clone());
             self.attempts.begin(&selected.row.id);
-            let outcome = match self.send(selected).await {
+            let number = self.request_log.record_send(&selected.row.id, None, None);
+            let outcome = match self.send(number, selected).await {
                 Ok(response) => return self.forward(response),
                 Err(outcome) => outcome,
             };
-            self.request_log.record_outcome(outcome);
+            self.request_log.record_outcome(number, outcome);
             if let RetryDecision::GiveUp(result) = self.attempts.ended(outcome) {
                 return match self.last_error.take() {
                     Some(last_error) => self.forward(last_error),
@@ -231,12 +232,15 @@
     }
 
     /// Sends the request to one server. `Err` if there is no response to forward.
-    async fn send(&mut self, selected: SelectedServer) -> Result<ServerResponse, SendOutcome> {
-        self.request_log.record_send(&selected.row.id, None, None);
+    async fn send(
+        &mut self,
+        number: SendNumber,
+        selected: SelectedServer,
+    ) -> Result<ServerResponse, SendOutcome> {
         let mut upstream = match self.gateway.connect(self.received, selected.row.address).await {
             Ok(upstream) => upstream,
             Err(fault) => {
-                self.request_log.record_connect_fault(fault);
+                self.request_log.record_connect_fault(number, fault);
                 selected.finish(CallResult::Failed);
                 return Err(SendOutcome::NotConnected);
             }
@@ -254,7 +258,7 @@
             }
         };
         self.in_flight = true;
-        let response = self.exchange(&mut upstream, request, permit).await;
+        let response = self.exchange(number, &mut upstream, request, permit).await;
         self.in_flight = false;
         match response {
             Ok(response) => {
@@ -273,6 +277,7 @@
     /// Sends a request and reads the complete response.
     async fn exchange(
         &mut self,
+        number: SendNumber,
         upstream: &mut Upstream,
         request: Request<Full<Bytes>>,
         mut permit: SendPermit,
@@ -280,7 +285,8 @@
         let Ok(response) = upstream.send(request, &permit).await else {
             return Err(self.broken_connection_outcome().await);
         };
-        let head = evaluate_head(self.gateway, self.received, &mut self.request_log, &mut permit, response);
+        let log = &mut self.request_log;
+        let head = evaluate_head(self.gateway, self.received, log, number, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
         let Some(body) = read_response_body(&self.gate, &parts.headers, body).await else {
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -31,6 +31,10 @@
     ended: Option<ResultCode>,
 }
 
+/// Position of a send in the request's log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendNumber(usize);
+
 /// Properties of a request, known once it has been read.
 #[derive(Clone, Debug, Default)]
 pub struct RequestInfo {
@@ -85,8 +89,13 @@
         self.waited_ms += since.elapsed().as_millis() as u64;
     }
 
-    /// Records a send to a server.
-    pub fn record_send(&mut self, instance: &str, epoch: Option<u64>, chosen_by: Option<ChosenBy>) {
+    /// Records a send to a server, and returns the number by which its further course is recorded.
+    pub fn record_send(
+        &mut self,
+        instance: &str,
+        epoch: Option<u64>,
+        chosen_by: Option<ChosenBy>,
+    ) -> SendNumber {
         self.sends.push(SendLine {
             instance: instance.to_string(),
             epoch,
@@ -103,33 +112,34 @@
             leaving: false,
             limit_per_second: None,
         });
+        SendNumber(self.sends.len() - 1)
     }
 
-    /// Records the pushback signals in the response head of the last send, and the grant that it was sent with.
-    pub fn record_head(&mut self, signals: &AnswerSignals, turn: Option<UsedTurn>) {
-        let Some(last) = self.sends.last_mut() else { return };
-        last.status = Some(signals.status);
-        last.turn_from = turn.map(|turn| turn.source.name());
-        last.turn_age_ms = turn.map(|turn| turn.age_ms);
-        last.retry_after_ms = signals.pushback_ms();
-        last.leaving = signals.leaving == LeavingMark::Leaving;
-        last.limit_per_second = signals.limit.rate().map(RequestRate::per_second);
+    /// Records the pushback signals in the response head of a send, and the grant that it was sent with.
+    pub fn record_head(&mut self, send: SendNumber, signals: &AnswerSignals, turn: Option<UsedTurn>) {
+        let Some(send) = self.sends.get_mut(send.0) else { return };
+        send.status = Some(signals.status);
+        send.turn_from = turn.map(|turn| turn.source.name());
+        send.turn_age_ms = turn.map(|turn| turn.age_ms);
+        send.retry_after_ms = signals.pushback_ms();
+        send.leaving = signals.leaving == LeavingMark::Leaving;
+        send.limit_per_second = signals.limit.rate().map(RequestRate::per_second);
     }
 
-    /// Records the outcome of the last send if it brought no response to forward.
-    pub fn record_outcome(&mut self, outcome: SendOutcome) {
-        if let Some(last) = self.sends.last_mut().filter(|send| send.ended.is_none()) {
-            (last.ended, last.withheld) = match outcome {
+    /// Records the outcome of a send that brought no response to forward.
+    pub fn record_outcome(&mut self, send: SendNumber, outcome: SendOutcome) {
+        if let Some(send) = self.sends.get_mut(send.0).filter(|send| send.ended.is_none()) {
+            (send.ended, send.withheld) = match outcome {
                 SendOutcome::Withheld(reason) => (Some("Withheld".to_string()), Some(reason.name())),
                 outcome => (Some(format!("{outcome:?}")), None),
             };
         }
     }
 
-    /// Records how the source of the last send stalled.
-    pub fn record_stall(&mut self, stall: StallLine) {
-        if let Some(last) = self.sends.last_mut() {
-            last.stall = Some(stall);
+    /// Records how the source of a send stalled.
+    pub fn record_stall(&mut self, send: SendNumber, stall: StallLine) {
+        if let Some(send) = self.sends.get_mut(send.0) {
+            send.stall = Some(stall);
         }
     }
 
@@ -140,10 +150,10 @@
         }
     }
 
-    /// Records why no connection was established for the last send.
-    pub fn record_connect_fault(&mut self, fault: ConnectFault) {
-        if let Some(last) = self.sends.last_mut() {
-            last.connect_fault = Some(fault);
+    /// Records why no connection was established for a send.
+    pub fn record_connect_fault(&mut self, send: SendNumber, fault: ConnectFault) {
+        if let Some(send) = self.sends.get_mut(send.0) {
+            send.connect_fault = Some(fault);
         }
     }
 
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -2,7 +2,7 @@
 
 use super::Gateway;
 use super::receive::ReceivedRequest;
-use super::request_log::RequestLog;
+use super::request_log::{RequestLog, SendNumber};
 use crate::dialect::HeaderNames;
 use crate::pushback::{SendPermit, signals_of};
 use dockwood_routing::gateway::SendOutcome;
@@ -19,13 +19,14 @@
     gateway: &Gateway,
     received: &ReceivedRequest,
     request_log: &mut RequestLog,
+    send: SendNumber,
     permit: &mut SendPermit,
     response: Response<B>,
 ) -> Result<(Parts, B), SendOutcome> {
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
     let signals = signals_of(parts.status, &parts.headers, &names.signals);
-    request_log.record_head(&signals, permit.turn());
+    request_log.record_head(send, &signals, permit.turn());
     // Another server responded in place of the expected one; its signals do not apply to that one.
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         permit.record_response(&signals, received.attempt.as_deref().unwrap_or_default());
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -1,8 +1,7 @@
 //! Detection of stalled stream sources.
 
 use super::Gateway;
-use super::loads::GroupSilence;
-use super::source::Source;
+use super::loads::{GroupSilence, StallTrial};
 use crate::log_line::{StallCause, StallLine};
 use crate::suspects::SuspectGate;
 use dockwood_routing::gateway::{SendOutcome, StallTimeout};
@@ -16,59 +15,70 @@
 /// A group that has sent an event on any stream of this entry within this time is working, in milliseconds.
 const PROGRESS_WINDOW_MS: u64 = 150;
 
-/// Records that a group has stalled, and returns how.
-pub fn record_stall(gateway: &Gateway, source: &Source, cause: StallCause, since: Instant) -> StallLine {
+/// Records that a source has stalled, and returns how.
+pub fn record_stall(gateway: &Gateway, epoch: Option<u64>, cause: StallCause, since: Instant) -> StallLine {
     let silent_ms = since.elapsed().as_millis() as u64;
     let mut silence = GroupSilence::default();
-    if let Source::Group(place) = source {
-        gateway.loads.suspect_group(place.epoch, false);
-        silence = gateway.loads.silence(place.epoch, silent_ms);
+    if let Some(epoch) = epoch {
+        gateway.loads.suspect_group(epoch, false);
+        silence = gateway.loads.silence(epoch, silent_ms);
     }
     StallLine { cause, silent_ms, groups_in_use: silence.in_use, groups_silent: silence.silent }
 }
 
+/// Avoids a group for new requests for some more time if it still sends nothing.
+pub fn suspect_silent_group(gateway: &Gateway, epoch: u64) {
+    if !gateway.loads.progressed_within(epoch, PROGRESS_WINDOW_MS) {
+        gateway.loads.suspect_group(epoch, false);
+    }
+}
+
 /// Returns the outcome of a send whose connection broke. A group whose head process is gone is avoided from now on, and
 /// the control leader is told that the head refuses connections.
 pub async fn broken_connection_outcome(
     gateway: &Arc<Gateway>,
     gate: &mut SuspectGate,
-    source: &Source,
+    epoch: Option<u64>,
 ) -> SendOutcome {
-    let (gateway, epoch) = (gateway.clone(), source.epoch());
-    let on_exit = move || epoch.into_iter().for_each(|epoch| gateway.loads.suspect_group(epoch, true));
-    match gate.connection_broke(on_exit).await {
+    match gate.connection_broke(on_exit_of(gateway, epoch)).await {
         true => SendOutcome::ServerEnded,
         false => SendOutcome::Unknown,
     }
 }
 
-/// Completes once the source counts as stalled; it has sent nothing since `since`. After the suspicion timeout, the
-/// group is avoided for new requests and its members are probed. After the grace period, or as soon as the group is
-/// closed, this request is moved to another source.
+/// Returns what to do once the head process of a group is known to be gone.
+pub fn on_exit_of(gateway: &Arc<Gateway>, epoch: Option<u64>) -> impl FnOnce() + Send + 'static + use<> {
+    let gateway = gateway.clone();
+    move || epoch.into_iter().for_each(|epoch| gateway.loads.suspect_group(epoch, true))
+}
+
+/// Completes once the group counts as stalled; it has sent nothing since `since`. After the suspicion timeout, it is
+/// avoided for new requests and its members are probed. After the grace period, or as soon as it is closed, another
+/// source is needed. Never completes for a server that is not in a group.
 pub async fn wait_for_stall(
     gateway: &Gateway,
-    source: &Source,
+    epoch: Option<u64>,
     since: Instant,
     timeout: Option<StallTimeout>,
     changes: &mut watch::Receiver<u64>,
 ) -> StallCause {
-    let (Source::Group(place), Some(timeout)) = (source, timeout) else {
+    let (Some(epoch), Some(timeout)) = (epoch, timeout) else {
         return std::future::pending().await;
     };
     let timed_out = async {
         let suspected_at = since + Duration::from_millis(timeout.suspect_after_ms);
         tokio::time::sleep_until(suspected_at).await;
-        if !gateway.loads.progressed_within(place.epoch, timeout.suspect_after_ms) {
-            gateway.loads.suspect_group(place.epoch, false);
+        if !gateway.loads.progressed_within(epoch, timeout.suspect_after_ms) {
+            gateway.loads.suspect_group(epoch, false);
         }
         tokio::time::sleep_until(suspected_at + Duration::from_millis(timeout.grace_ms)).await;
         // If the group makes progress on other streams, this request may just be queued.
-        while gateway.loads.progressed_within(place.epoch, PROGRESS_WINDOW_MS) {
+        while gateway.loads.progressed_within(epoch, PROGRESS_WINDOW_MS) {
             tokio::time::sleep(PROGRESS_POLL_INTERVAL).await;
         }
     };
     let closed = async {
-        while gateway.loads.is_open(place.epoch) {
+        while gateway.loads.is_open(epoch) {
             if changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
@@ -79,3 +89,19 @@
         () = closed => StallCause::GroupClosed,
     }
 }
+
+/// Waits until a request at a silent group may be sent to another one. If all groups that this entry uses are silent,
+/// another one is probably silent for the same reason, and the retries are needed for other failures: one stream tries
+/// then, and the others wait until any group sends something. Returns the trial if this stream is the one that tries.
+pub async fn wait_for_working_group(gateway: &Arc<Gateway>, epoch: u64) -> Option<StallTrial> {
+    loop {
+        let silence = gateway.loads.silence(epoch, PROGRESS_WINDOW_MS);
+        if !silence.is_of_all_groups() {
+            return None;
+        }
+        if let Some(trial) = StallTrial::begin(gateway, epoch) {
+            return Some(trial);
+        }
+        tokio::time::sleep(PROGRESS_POLL_INTERVAL).await;
+    }
+}
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -1,88 +1,60 @@
 //! Streams of events. Complete events are forwarded as they arrive, and a stream that breaks or stalls is resumed at
 //! another source. The caller receives one response, with the head of the first server's response.
 
+mod open_send;
 mod reading;
+mod second_source;
 mod selection;
+mod sender;
 mod sending;
 
 use super::Gateway;
 use super::body::{ResponseBody, Truncated, full_body};
-use super::plain::give_up;
-use super::receive::{ReceivedRequest, may_still_send};
+use super::receive::ReceivedRequest;
 use super::request_log::RequestLog;
-use super::source::Source;
-use super::upstream::Upstream;
-use crate::log_line::NoOtherSource;
 use crate::shared::InFlight;
-use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_routing::gateway::{
-    EventSplitter, GiveUp, RequestAttempts, RetryDecision, SendOutcome, StallTimeout, StallTimeouts,
-};
+use dockwood_routing::gateway::{SendOutcome, StallTimeouts};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
-use selection::OccupiedSources;
+use open_send::{Head, OpenSend, Position};
+use second_source::SourceSearch;
+use sender::RequestSender;
 use std::sync::Arc;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// Retry time if all groups were full, in milliseconds.
 const FULL_RETRY_MS: u64 = 400;
 
-/// A stream that is being read.
-struct OpenStream {
-    source: Source,
-    upstream: Upstream,
-    body: Incoming,
-    /// Whether the response ends with its connection.
-    is_unframed: bool,
-    splitter: EventSplitter,
-}
-
-/// Head of the response to the caller.
-struct Head {
-    status: StatusCode,
-    headers: HeaderMap,
-}
-
 /// Result of reading up to the next event.
 enum ReadResult {
     Event(Bytes),
     Complete,
+    /// The response of the source is not a stream.
+    NotAStream(Box<Response<ResponseBody>>),
+    /// No source has the request any more.
     Broken(SendOutcome),
     OutOfTime,
 }
 
 /// A streaming request that is being handled.
 struct StreamRequest {
-    gateway: Arc<Gateway>,
-    received: ReceivedRequest,
-    request_log: RequestLog,
-    attempts: RequestAttempts,
+    sender: RequestSender,
     stall_timeouts: Option<StallTimeouts>,
-    reading: Option<OpenStream>,
+    /// The send whose events are forwarded; `None` if the request has to be sent.
+    current: Option<OpenSend>,
+    /// A send to a second source, while the current one has stalled.
+    second: Option<OpenSend>,
+    search: SourceSearch,
+    /// The head of the first response of which an event was forwarded.
     head: Option<Head>,
-    /// Id of the last event that was forwarded.
-    last_event: Option<u64>,
-    /// Whether any event was forwarded.
-    has_forwarded: bool,
+    position: Position,
     /// Number of forwarded events.
     events: u64,
-    /// When the last event was forwarded, or the request was last sent.
-    last_progress: Instant,
-    /// Whether the current source has not sent an event yet.
-    awaits_first_event: bool,
-    tried_groups: Vec<u64>,
-    tried_servers: Vec<String>,
-    /// Sources that were found to run other suspects, since the gate was last waited for.
-    occupied: OccupiedSources,
-    /// Until when the request waits for a place; `None` if it has not waited since the last send.
-    place_wait_ends: Option<Instant>,
-    gate: SuspectGate,
     changes: watch::Receiver<u64>,
     _in_flight: InFlight,
 }
@@ -104,24 +76,15 @@
         gateway.loads.record_arrival(&received.service.name, &model.name, received.prompt_tokens);
     }
     let mut stream_request = StreamRequest {
-        attempts: RequestAttempts::new(&received.route),
-        last_event: received.last_event,
-        gate: received.suspect_gate(&gateway.shared),
-        occupied: OccupiedSources::default(),
-        place_wait_ends: None,
+        position: Position { has_forwarded: false, last_event: received.last_event },
         changes: gateway.loads.watch_changes(),
-        gateway: gateway.clone(),
-        received,
-        request_log,
+        sender: RequestSender::new(gateway, received, request_log),
         stall_timeouts,
-        reading: None,
+        current: None,
+        second: None,
+        search: SourceSearch::default(),
         head: None,
-        has_forwarded: false,
         events: 0,
-        last_progress: Instant::now(),
-        awaits_first_event: true,
-        tried_groups: Vec::new(),
-        tried_servers: Vec::new(),
         _in_flight: in_flight,
     };
     match stream_request.first_event().await {
@@ -134,20 +97,20 @@
     /// Returns the first event, or `None` if the stream is empty; `Err` with a response that is not a stream.
     async fn first_event(&mut self) -> Result<Option<Bytes>, Box<Response<ResponseBody>>> {
         loop {
-            if self.reading.is_none()
-                && let Some(other) = self.open().await?
-            {
-                return Err(Box::new(other));
+            if self.current.is_none() {
+                self.current = Some(self.sender.open(self.position).await?);
             }
             match self.step().await {
                 ReadResult::Event(event) => return Ok(Some(event)),
                 ReadResult::Complete => return Ok(None),
+                ReadResult::NotAStream(response) => return Err(response),
                 ReadResult::Broken(outcome) => {
-                    self.record_outcome(outcome).map_err(|result| Box::new(self.give_up(result)))?
+                    let again = self.sender.ended(outcome);
+                    again.map_err(|result| Box::new(self.sender.give_up(result)))?
                 }
                 ReadResult::OutOfTime => {
-                    let result = self.attempts.out_of_time(self.reading.is_some());
-                    return Err(Box::new(self.give_up(result)));
+                    let result = self.sender.attempts.out_of_time(self.current.is_some());
+                    return Err(Box::new(self.sender.give_up(result)));
                 }
             }
         }
@@ -157,88 +120,29 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Truncated> {
         let next = self.read_next().await;
         if next.is_err() {
-            self.request_log.end(ResultCode::Interrupted);
+            self.sender.request_log.end(ResultCode::Interrupted);
         }
         next
     }
 
     async fn read_next(&mut self) -> Result<Option<Bytes>, Truncated> {
         loop {
-            if self.reading.is_none() {
-                match self.open().await {
-                    Ok(None) => {}
-                    // A response that is not a stream can't follow the events already forwarded.
-                    Ok(Some(_)) | Err(_) => return Err(Truncated::Broken),
-                }
+            if self.current.is_none() {
+                let opened = self.sender.open(self.position).await;
+                self.current = Some(opened.map_err(|_| Truncated::Broken)?);
             }
             match self.step().await {
                 ReadResult::Event(event) => return Ok(Some(event)),
                 ReadResult::Complete => return Ok(None),
-                ReadResult::Broken(outcome) => self.record_outcome(outcome).map_err(|_| Truncated::Broken)?,
-                ReadResult::OutOfTime => return Err(Truncated::Broken),
-            }
-        }
-    }
-
-    /// Records the outcome of a send; `Err` if the request is not sent again.
-    fn record_outcome(&mut self, outcome: SendOutcome) -> Result<(), GiveUp> {
-        self.reading = None;
-        self.request_log.record_outcome(outcome);
-        if !matches!(outcome, SendOutcome::Withheld(_)) {
-            self.place_wait_ends = None;
-        }
-        match self.attempts.ended(outcome) {
-            RetryDecision::SendAgain => Ok(()),
-            RetryDecision::GiveUp(result) => {
-                self.request_log.record_no_other_source(NoOtherSource::AttemptsUsed);
-                Err(result)
-            }
-        }
-    }
-
-    /// Opens a stream at a group or server. `Some` is a response that is not a stream.
-    async fn open(&mut self) -> Result<Option<Response<ResponseBody>>, Box<Response<ResponseBody>>> {
-        loop {
-            let Some(source) = self.admitted_source().await? else { continue };
-            if !may_still_send(&self.gateway, &self.received) {
-                self.request_log.record_no_other_source(NoOtherSource::NoLease);
-                return Err(Box::new(self.refusal(ResultCode::NoLease, FULL_RETRY_MS)));
-            }
-            let service = self.received.service.name.clone();
-            if self.attempts.needs_budget() && !self.gateway.try_retry(&service, "stream") {
-                self.request_log.record_no_other_source(NoOtherSource::RetryBudget);
-                return Err(Box::new(self.refusal(ResultCode::Overloaded, FULL_RETRY_MS)));
-            }
-            match self.send(source).await {
-                Ok(None) => return Ok(None),
-                Ok(Some(response)) => return Ok(Some(response)),
-                Err(outcome) => {
-                    self.record_outcome(outcome).map_err(|result| Box::new(self.give_up(result)))?
+                // A response that is not a stream can't follow the events already forwarded.
+                ReadResult::NotAStream(_) | ReadResult::OutOfTime => return Err(Truncated::Broken),
+                ReadResult::Broken(outcome) => {
+                    self.sender.ended(outcome).map_err(|_| Truncated::Broken)?;
                 }
             }
         }
     }
 
-    fn give_up(&mut self, result: GiveUp) -> Response<ResponseBody> {
-        self.request_log.end(result.code);
-        give_up(result)
-    }
-
-    fn refusal(&mut self, code: ResultCode, retry_after_ms: u64) -> Response<ResponseBody> {
-        let result = self.attempts.give_up();
-        if result.not_run && !self.has_forwarded {
-            self.request_log.end(code);
-            return super::responses::error_response(code, code.meaning(), Some(retry_after_ms));
-        }
-        self.give_up(result)
-    }
-
-    /// Returns the stall timeout for the next event; `None` if there is none.
-    fn stall_timeout(&self) -> Option<StallTimeout> {
-        let stall_timeouts = self.stall_timeouts?;
-        Some(if self.awaits_first_event { stall_timeouts.first_event } else { stall_timeouts.between_events })
-    }
-
     fn into_response(mut self, first_event: Option<Bytes>) -> Response<ResponseBody> {
         let head = self.head.take();
         let (status, headers) =
--- /dev/null
+++ b/crates/daemon/src/gateway/stream/open_send.rs
@@ -0,0 +1,216 @@
+//! One send of a streaming request that a server has: up to the head of its response, and then event by event.
+
+use crate::gateway::Gateway;
+use crate::gateway::loads::StallTrial;
+use crate::gateway::receive::ReceivedRequest;
+use crate::gateway::request_log::{RequestLog, SendNumber};
+use crate::gateway::response_head::evaluate_head;
+use crate::gateway::source::Source;
+use crate::gateway::upstream::{PendingResponse, Upstream};
+use crate::gateway::{body::is_unframed, headers::end_to_end};
+use crate::pushback::SendPermit;
+use crate::suspects::SuspectGate;
+use dockwood_routing::CallResult;
+use dockwood_routing::gateway::{EventSplitter, SendOutcome, StreamEvent};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use tokio::time::Instant;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Head of the response to the caller.
+#[derive(Clone, Debug)]
+pub(super) struct Head {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+}
+
+/// How far the response has been forwarded to the caller.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Position {
+    /// Whether any event was forwarded.
+    pub has_forwarded: bool,
+    /// Id of the last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+impl Position {
+    /// Whether the caller already has this event: a resumed stream may begin with such events.
+    fn contains(self, event: &StreamEvent) -> bool {
+        self.has_forwarded && event.id.is_some() && event.id <= self.last_event
+    }
+
+    /// Id after which a server is asked to resume; `None` if it is to begin at the start.
+    pub fn resume_after(self) -> Option<u64> {
+        self.has_forwarded.then_some(self.last_event).flatten()
+    }
+}
+
+/// What happened next on a send.
+pub(super) enum Progress {
+    /// The head of the response has arrived.
+    Head(Response<Incoming>),
+    /// The next event that the caller doesn't have yet.
+    Event(StreamEvent),
+    /// The response has ended at the boundary of an event.
+    End,
+    /// The connection broke, or the response ended within an event.
+    Broken,
+}
+
+/// The response to a send, as far as it has arrived.
+enum ResponseState {
+    Awaited {
+        head: PendingResponse,
+        permit: SendPermit,
+    },
+    Streaming {
+        head: Head,
+        body: Incoming,
+        is_unframed: bool,
+        splitter: EventSplitter,
+    },
+    /// The response is not a stream, or has ended.
+    Done,
+}
+
+/// A head that does not begin a stream.
+pub(super) struct OtherResponse {
+    pub parts: Parts,
+    pub body: Incoming,
+}
+
+/// A send that a server has. Dropping it closes the connection, which withdraws the request from the server.
+pub(super) struct OpenSend {
+    pub source: Source,
+    pub gate: SuspectGate,
+    pub number: SendNumber,
+    upstream: Upstream,
+    response: ResponseState,
+    /// When the last event of this send was forwarded, or the request was sent.
+    pub last_progress: Instant,
+    /// Whether the source has not sent an event yet.
+    pub awaits_first_event: bool,
+    /// Held until the first event if this send shows whether any group works.
+    pub trial: Option<StallTrial>,
+}
+
+impl OpenSend {
+    /// Creates the record of a request that has just been written.
+    pub fn new(
+        source: Source,
+        gate: SuspectGate,
+        number: SendNumber,
+        upstream: Upstream,
+        head: PendingResponse,
+        permit: SendPermit,
+    ) -> OpenSend {
+        OpenSend {
+            source,
+            gate,
+            number,
+            upstream,
+            response: ResponseState::Awaited { head, permit },
+            last_progress: Instant::now(),
+            awaits_first_event: true,
+            trial: None,
+        }
+    }
+
+    /// Waits for the next progress. May be cancelled without losing anything.
+    pub async fn progress(&mut self, position: Position) -> Progress {
+        loop {
+            match &mut self.response {
+                ResponseState::Awaited { head, .. } => {
+                    return head.await.map_or(Progress::Broken, Progress::Head);
+                }
+                ResponseState::Streaming { body, splitter, .. } => {
+                    let mut events = std::iter::from_fn(|| splitter.next_event());
+                    if let Some(event) = events.find(|event| !position.contains(event)) {
+                        return Progress::Event(event);
+                    }
+                    match body.frame().await {
+                        Some(Ok(frame)) => {
+                            if let Some(data) = frame.data_ref() {
+                                splitter.push(data);
+                            }
+                        }
+                        None if splitter.is_clean() => return Progress::End,
+                        Some(Err(_)) | None => return Progress::Broken,
+                    }
+                }
+                ResponseState::Done => return Progress::Broken,
+            }
+        }
+    }
+
+    /// Takes the head of the response. Returns the response if it is not a stream.
+    ///
+    /// # Errors
+    /// The outcome of the send, if the response can't be forwarded.
+    pub fn take_head(
+        &mut self,
+        gateway: &Gateway,
+        received: &ReceivedRequest,
+        request_log: &mut RequestLog,
+        response: Response<Incoming>,
+    ) -> Result<Option<OtherResponse>, SendOutcome> {
+        let state = std::mem::replace(&mut self.response, ResponseState::Done);
+        let ResponseState::Awaited { mut permit, .. } = state else {
+            return Err(SendOutcome::Unknown);
+        };
+        let (parts, body) =
+            evaluate_head(gateway, received, request_log, self.number, &mut permit, response)?;
+        let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
+        if parts.status != StatusCode::OK || !is_stream {
+            return Ok(Some(OtherResponse { parts, body }));
+        }
+        let mut headers = end_to_end(&parts.headers);
+        headers.remove(CONTENT_LENGTH);
+        let head = Head { status: parts.status, headers };
+        let is_unframed = is_unframed(&parts.headers, &body);
+        self.response =
+            ResponseState::Streaming { head, body, is_unframed, splitter: EventSplitter::default() };
+        Ok(None)
+    }
+
+    /// The head of the stream; `None` if it has not arrived.
+    pub fn head(&self) -> Option<&Head> {
+        match &self.response {
+            ResponseState::Streaming { head, .. } => Some(head),
+            ResponseState::Awaited { .. } | ResponseState::Done => None,
+        }
+    }
+
+    /// Whether a response that has ended is complete: one without a length may have been truncated by the end of its server.
+    pub async fn is_complete(&mut self) -> bool {
+        match &self.response {
+            ResponseState::Streaming { is_unframed: true, .. } => self.gate.server_survives().await,
+            _ => true,
+        }
+    }
+
+    /// Records an event, and returns the time since the one before it, or since the send, in milliseconds.
+    pub fn record_event(&mut self) -> f64 {
+        let took_ms = self.last_progress.elapsed().as_secs_f64() * 1_000.0;
+        if self.awaits_first_event {
+            self.gate.response_began();
+        }
+        self.trial = None;
+        self.awaits_first_event = false;
+        self.last_progress = Instant::now();
+        took_ms
+    }
+
+    /// Returns the connection to the pool after the response was read to its end.
+    pub fn finish(self, gateway: &Gateway) {
+        gateway.pool.release(self.upstream);
+        if let Source::Server(selected) = self.source {
+            selected.finish(CallResult::Answered);
+        }
+    }
+}
--- a/crates/daemon/src/gateway/stream/selection.rs
+++ b/crates/daemon/src/gateway/stream/selection.rs
@@ -1,6 +1,7 @@
 //! Selection of the source of a stream, and admission of the request to it.
 
-use super::{FULL_RETRY_MS, StreamRequest};
+use super::FULL_RETRY_MS;
+use super::sender::RequestSender;
 use crate::gateway::assignment::wait_for_place;
 use crate::gateway::body::ResponseBody;
 use crate::gateway::loads::PlaceQuery;
@@ -40,7 +41,7 @@
     }
 }
 
-impl StreamRequest {
+impl RequestSender {
     /// Returns a source that the request may be sent to; `None` if the selection has to be repeated.
     pub(super) async fn admitted_source(&mut self) -> Result<Option<Source>, Box<Response<ResponseBody>>> {
         let is_suspect = match self.gate.is_suspect().await {
@@ -98,7 +99,7 @@
     }
 
     /// Selects a server or waits for a place at a group; `Err` with the reason if there is none.
-    async fn select_source(&mut self, is_suspect: bool) -> Result<Source, Unavailable> {
+    pub(super) async fn select_source(&mut self, is_suspect: bool) -> Result<Source, Unavailable> {
         if self.received.service.engine.is_none() {
             return self.select_plain_server(is_suspect);
         }
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -39,6 +40,9 @@
     Failed,
 }
 
+/// The head of a response that has not arrived yet.
+pub type PendingResponse = Pin<Box<dyn Future<Output = Result<Response<Incoming>, hyper::Error>> + Send>>;
+
 /// One connection, which is closed on drop.
 pub struct Upstream {
     sender: SendRequest<Full<Bytes>>,
@@ -84,13 +88,10 @@
         Ok(Upstream { sender, driver: driver.abort_handle(), address, is_tunnel })
     }
 
-    /// Sends a request and waits for the head of the response. The permit proves that the request may be written now.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        _permit: &SendPermit,
-    ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+    /// Sends a request, and returns the head of the response once it has arrived. The request is written whether or not
+    /// the result is awaited. The permit proves that it may be written now.
+    pub fn send(&mut self, request: Request<Full<Bytes>>, _permit: &SendPermit) -> PendingResponse {
+        Box::pin(self.sender.send_request(request))
     }
 }
 
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -347,6 +347,22 @@
     RetryBudget,
     /// The request was sent to as many servers as its route allows.
     AttemptsUsed,
+    /// There was no connection to the source that was selected, or the request may no longer be written to it.
+    NotReached,
+}
+
+impl NoOtherSource {
+    /// Label value in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            NoOtherSource::Suspect => "suspect",
+            NoOtherSource::NoPlace => "noPlace",
+            NoOtherSource::NoLease => "noLease",
+            NoOtherSource::RetryBudget => "retryBudget",
+            NoOtherSource::AttemptsUsed => "attemptsUsed",
+            NoOtherSource::NotReached => "notReached",
+        }
+    }
 }
 
 /// A source that has sent nothing for so long that another one is needed.
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -85,6 +85,31 @@
         self
     }
 
+    /// Creates the gate of another send of the same attempt, while this gate's send is in progress.
+    pub fn for_another_send(&self) -> SuspectGate {
+        SuspectGate {
+            evidence: self.evidence.clone(),
+            deadline: self.deadline,
+            trial: None,
+            server: None,
+            responding_since: None,
+            checks: Vec::new(),
+            may_share: self.may_share,
+            waiting_since: self.waiting_since,
+        }
+    }
+
+    /// Takes over the checks of servers that were begun by the gate of another send.
+    pub fn take_checks_of(&mut self, mut other: SuspectGate) {
+        self.checks.append(&mut other.checks);
+    }
+
+    /// Checks in the background whether a server has crashed after the connection of another send to it broke.
+    pub fn check_in_background(&mut self, mut other: SuspectGate, on_exit: impl FnOnce() + Send + 'static) {
+        self.checks.append(&mut other.checks);
+        self.checks.push(tokio::spawn(async move { other.connection_broke(on_exit).await }));
+    }
+
     fn fingerprint(&self) -> Fingerprint {
         self.evidence.fingerprint()
     }
--- a/crates/routing/src/gateway/attempts.rs
+++ b/crates/routing/src/gateway/attempts.rs
@@ -26,8 +26,11 @@
     ServerEnded,
     /// The server answered with an error of its own.
     Failed,
-    /// The group stalled, and the request was withdrawn from it.
+    /// The group stalled, and another source answered first: the request was withdrawn from the group.
     Abandoned,
+    /// The request was sent to this source because another one had stalled, and that one continued first: the request
+    /// was withdrawn from this source.
+    Overtaken,
 }
 
 /// Why a request was not written to the server that had been selected for it. The selection was valid when it was made,
@@ -130,11 +133,16 @@
         self.sends > 0
     }
 
-    /// Whether the current send may be abandoned in favour of another server.
+    /// Whether the request may be sent to another server while one has it.
     pub fn may_move(&self) -> bool {
+        self.may_add_send(1)
+    }
+
+    /// Whether the request may be sent to another server while this number of servers have it.
+    pub fn may_add_send(&self, open_sends: u32) -> bool {
         self.repeatable
-            && self.possible_executions + 1 < self.max_executions
-            && self.attempts + 1 < MAX_ATTEMPTS
+            && self.possible_executions + open_sends < self.max_executions
+            && self.attempts + open_sends < MAX_ATTEMPTS
     }
 
     /// Records that an attempt begins at a server.
@@ -155,7 +163,8 @@
             SendOutcome::Unknown
             | SendOutcome::ServerEnded
             | SendOutcome::Failed
-            | SendOutcome::Abandoned => {
+            | SendOutcome::Abandoned
+            | SendOutcome::Overtaken => {
                 self.sends += 1;
                 self.possible_executions += 1;
             }
--- a/crates/routing/src/gateway/stall_detection.rs
+++ b/crates/routing/src/gateway/stall_detection.rs
@@ -115,6 +115,11 @@
 }
 
 impl StallTimeouts {
+    /// The timeout before the first event, or between events.
+    pub fn of(&self, awaits_first_event: bool) -> StallTimeout {
+        if awaits_first_event { self.first_event } else { self.between_events }
+    }
+
     /// Timeouts for a request of this route on the groups of a model.
     pub fn expected(
         engine: &EngineProfile,
