Tests for streams whose servers are silent, with and without an alternative

Callers saw answers cut, and requests fail with 502 Interrupted, whenever a silent server's request could not be sent to another one at once, although the server went on later.

--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod pushback;
 mod scripted_server;
+mod stream_alternatives;
 mod stream_caller;
 mod stream_fleet;
 mod stream_server;
--- a/crates/daemon/tests/one_entry/stream_caller.rs
+++ b/crates/daemon/tests/one_entry/stream_caller.rs
@@ -60,6 +60,23 @@
             && self.end == Some(ResponseEnd::Complete)
             && self.body == whole_stream(&self.attempt)
     }
+
+    /// Returns whether it contains events in order, without a gap, and nothing else; it may be cut after any of them.
+    pub fn is_in_order(&self) -> bool {
+        whole_stream(&self.attempt).starts_with(&self.body)
+            && (self.body.is_empty() || self.body.ends_with("\n\n"))
+    }
+
+    /// Returns whether it is a complete error response with a result code.
+    pub fn is_final_error(&self) -> bool {
+        self.status.is_some_and(|status| status >= 400)
+            && self.end == Some(ResponseEnd::Complete)
+            && self.body.starts_with(r#"{"error":{"code":"#)
+    }
+
+    pub fn assert_whole(&self) {
+        assert!(self.is_whole(), "not the whole answer: {self:?}");
+    }
 }
 
 /// Waits for the responses of all callers, and asserts that each is the whole stream.
@@ -76,6 +93,7 @@
 
 /// A caller whose response is being received.
 pub struct StreamCaller {
+    pub attempt: String,
     response: Arc<Mutex<StreamResponse>>,
     task: JoinHandle<()>,
 }
@@ -94,7 +112,7 @@
             end: None,
             took: Duration::ZERO,
         };
-        let response = Arc::new(Mutex::new(response));
+        let (attempt, response) = (call.attempt.clone(), Arc::new(Mutex::new(response)));
         let receiving = response.clone();
         let task = tokio::spawn(async move {
             let started = Instant::now();
@@ -103,7 +121,7 @@
             response.end = Some(received.unwrap_or(ResponseEnd::Late));
             response.took = started.elapsed();
         });
-        StreamCaller { response, task }
+        StreamCaller { attempt, response, task }
     }
 
     /// Returns the number of events that were received so far.
