Retries of stalled streams are counted under the label they had

The metric dockwood_retries_total{reason="stream"} counted streams that were sent again after a stall; the label was changed by mistake when the second send became one of its own, and 3 cases of stream_alternatives::a_stalled_source_is_kept_if_its_alternative_fails that wait for it failed. With the label all 43 cases of stream_alternatives pass.

--- a/crates/daemon/src/gateway/stream/sender.rs
+++ b/crates/daemon/src/gateway/stream/sender.rs
@@ -62,7 +62,7 @@
                 self.request_log.record_no_other_source(NoOtherSource::NoLease);
                 return Err(Box::new(self.refusal(ResultCode::NoLease, FULL_RETRY_MS)));
             }
-            if self.attempts.needs_budget() && !self.try_retry("stream") {
+            if self.attempts.needs_budget() && !self.try_retry() {
                 self.request_log.record_no_other_source(NoOtherSource::RetryBudget);
                 return Err(Box::new(self.refusal(ResultCode::Overloaded, FULL_RETRY_MS)));
             }
@@ -99,7 +99,7 @@
         if !may_still_send(&self.gateway, &self.received) {
             return Err(NoOtherSource::NoLease);
         }
-        if !self.try_retry("stall") {
+        if !self.try_retry() {
             return Err(NoOtherSource::RetryBudget);
         }
         match self.write(source, position).await {
@@ -115,8 +115,8 @@
         }
     }
 
-    fn try_retry(&self, reason: &str) -> bool {
-        self.gateway.try_retry(&self.received.service.name, reason)
+    fn try_retry(&self) -> bool {
+        self.gateway.try_retry(&self.received.service.name, "stream")
     }
 
     /// Records that a send has ended; `Err` if the request may not be sent again.
