Failing test: a request that leaves a coordinator's queue uses up its tenant's rate

Callers of a tenant with a rate limit would be refused (TenantLimit) although they had been admitted: an entry that gets no answer to a report of held slots within 400 ms takes the coordinator for unresponsive, withdraws the requests that wait there, and asks again; without a standby it asks the same coordinator. The first place in the queue is given up before the second one is granted, and the tenant's requests and tokens are counted twice.

--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -214,6 +214,21 @@
     );
 }
 
+/// An entry that loses contact with the coordinator for a moment leaves the queue and asks again.
+#[test]
+fn a_request_that_leaves_the_queue_returns_its_share_of_the_tenants_rate() {
+    let limits = TenantLimits { requests_per_second: 1, tokens_per_second: 10, concurrency: 1 };
+    let share = TenantShare { tier: 0, weight: 1, limits };
+    let mut pool = Coordinator::default();
+    let tenants = BTreeMap::from([("top".to_string(), share)]);
+    pool.step(1_000, Input::Configure(PoolConfig { tenants, ..config(vec![replica("a", 1)]) }));
+    assert!(refusals(&acquire(&mut pool, 1_000, 1, "top")).is_empty());
+    pool.step(1_100, Input::Cancel { ticket: 1 });
+    assert!(refusals(&acquire(&mut pool, 1_100, 2, "top")).is_empty(), "it waits as before");
+    let refused = refusals(&acquire(&mut pool, 1_100, 3, "top"));
+    assert_eq!(refused, vec![(3, ResultCode::TenantLimit)], "a further request is beyond the limit");
+}
+
 #[test]
 fn a_returned_slot_goes_to_the_higher_tier() {
     let mut pool = open_pool();
