A request that leaves a coordinator's queue returns its share of the tenant's rate

A caller that waited in the queue of a coordinator would be refused with TenantLimit after its entry had lost contact with the coordinator for 400 ms and asked again.

Cause: Coordinator::cancel returned the tenant's concurrent request, but not the request and the tokens that had been taken from its rates at admission. A withdrawn request was never granted, so nothing was run for them.

Fix: TenantLimiter::withdraw puts both back, up to the burst size. Requests that are refused after they waited (expired, or evicted by a higher tier) keep what they took, as before.

--- a/crates/routing/src/admission/limits.rs
+++ b/crates/routing/src/admission/limits.rs
@@ -53,6 +53,10 @@
     fn take(&mut self, amount: u32) {
         self.level = self.level.saturating_sub(u64::from(amount) * 1000);
     }
+
+    fn put_back(&mut self, amount: u32) {
+        self.level = (self.level + u64::from(amount) * 1000).min(self.capacity());
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +114,15 @@
         }
     }
 
+    /// Records that an admitted request was withdrawn before it was granted, and returns what it took of the rates.
+    pub fn withdraw(&mut self, tenant: &str, cost_tokens: u32) {
+        if let Some(usage) = self.tenants.get_mut(tenant) {
+            usage.requests.put_back(1);
+            usage.tokens.put_back(cost_tokens);
+        }
+        self.release(tenant);
+    }
+
     /// Counts a request that was granted by an earlier coordinator.
     pub fn record_granted(&mut self, tenant: &str) {
         if let Some(usage) = self.tenants.get_mut(tenant) {
--- a/crates/routing/src/coordinator/mod.rs
+++ b/crates/routing/src/coordinator/mod.rs
@@ -212,7 +212,7 @@
 
     fn cancel(&mut self, ticket: Ticket) {
         for waiting in self.queue.remove_where(|waiting| waiting.item.ticket == ticket) {
-            self.limiter.release(&waiting.tenant);
+            self.limiter.withdraw(&waiting.tenant, waiting.cost_tokens);
         }
     }
 
