A stalled chat stream is read on until another replica has begun to answer

Callers of the chat interface saw answers end with 3001 ("the retry budget is used up") although their engines were sound and would have gone on: all heads of a deployment had sent nothing for some seconds.

Cause: a stream that delivered nothing for 1 s, and whose head did not respond to a state query within another second, counted as broken. It was dropped, and only then were the retry budget, a slot and the suspect gate asked for another replica; each of them may refuse. A head that had not sent the response head within 1 s was given up in the same way. At-most-once requests were given up after four more queries.

Change: - Reading goes on while a stall is investigated (chat/stall.rs). If the head does not respond and the request is repeatable, another replica is sought meanwhile: slot, gate, permit, and then the retry budget, immediately before the request is written. Only once that replica has sent its next token is the stalled stream closed and its slot returned. Whichever source delivers first goes on. - A refused replacement leaves the stream in place; it is sought again after each further second of silence, until the deadline. - A head that has not responded yet is a stream that stalls (EngineStream is created without waiting for the response head). - An at-most-once request is sent nowhere else for a stall; claims are unchanged. It is given up only if its replica was formed anew. - A repeatable one is also given up then, if no replacement was found and the budget allows a retry: its slot may be what is lacking. - "Not run" is no longer reported for a request that may have been sent to a second replica in the meantime. - The cancellation at a head, which may be silent, no longer delays the caller's failure. - A request whose caller has left is investigated as well; before, its stall was never looked at again.

Evidence: bench/tests/silent_heads.rs.

--- a/crates/bench/tests/silent_heads.rs
+++ b/crates/bench/tests/silent_heads.rs
@@ -8,7 +8,7 @@
 use reqwest::Client;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -31,6 +31,9 @@
 /// replica is repaired.
 const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// How long a head is silent before it ends: an entry is then asking it about the request.
+const SILENCE_BEFORE_END: Duration = Duration::from_millis(1_600);
+
 /// What a caller received of a streamed answer.
 #[derive(Debug, Default)]
 struct StreamedAnswer {
@@ -233,6 +236,34 @@
     Ok(())
 }
 
+/// A head that was paused, and a request that it has.
+struct Paused {
+    request: String,
+    replica: String,
+    head: String,
+}
+
+impl Paused {
+    fn expect_moved(&self, caller: &Caller) -> TestResult {
+        let replicas = caller.replicas_of(&self.request)?;
+        let has_moved = replicas.iter().any(|replica| *replica != self.replica);
+        assert!(has_moved, "{} was sent only to {replicas:?}", self.request);
+        Ok(())
+    }
+}
+
+/// Pauses the head that has the first of some requests, and returns the replica.
+async fn pause_head_of_first(
+    caller: &Caller,
+    streams: &[Streamed],
+) -> Result<Paused, Box<dyn std::error::Error>> {
+    let request = streams[0].id.clone();
+    let replica = caller.replicas_of(&request)?.first().cloned().ok_or("the request was never dispatched")?;
+    let head = caller.heads()?.remove(&replica).ok_or("the replica has no head")?;
+    caller.fleet.change_machine(&head, "pause").await?;
+    Ok(Paused { request, replica, head })
+}
+
 /// A head that stays silent is the reason to read from another one at all.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chat_requests_move_from_a_head_that_stays_silent() -> TestResult {
@@ -240,15 +271,25 @@
     let (began, mut begun) = mpsc::unbounded_channel();
     let streams = caller.send(4, "yes", &began);
     wait_until_begun(&mut begun, streams.len()).await?;
-    let moved = streams[0].id.clone();
-    let first = caller.replicas_of(&moved)?.first().cloned().ok_or("the request was never dispatched")?;
-    let head = caller.heads()?.remove(&first).ok_or("the replica has no head")?;
-    let paused = Instant::now();
-    caller.fleet.change_machine(&head, "pause").await?;
+    let paused = pause_head_of_first(&caller, &streams).await?;
+    expect_whole(streams).await?;
+    paused.expect_moved(&caller)?;
+    caller.folder.remove()?;
+    Ok(())
+}
+
+/// The connection breaks while another replica is being sought.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chat_requests_move_from_a_head_that_falls_silent_and_then_ends() -> TestResult {
+    let caller = Caller::start(13).await?;
+    let (began, mut begun) = mpsc::unbounded_channel();
+    let streams = caller.send(4, "yes", &began);
+    wait_until_begun(&mut begun, streams.len()).await?;
+    let paused = pause_head_of_first(&caller, &streams).await?;
+    tokio::time::sleep(SILENCE_BEFORE_END).await;
+    caller.fleet.change_machine(&paused.head, "kill").await?;
     expect_whole(streams).await?;
-    println!("all answers were whole {:?} after the pause", paused.elapsed());
-    let replicas = caller.replicas_of(&moved)?;
-    assert!(replicas.iter().any(|replica| *replica != first), "{moved} was sent only to {replicas:?}");
+    paused.expect_moved(&caller)?;
     caller.folder.remove()?;
     Ok(())
 }
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -262,6 +262,11 @@
         false
     }
 
+    /// Takes over the checks that another gate of the same request has begun.
+    pub fn add_checks_of(&mut self, mut other: SuspectGate) {
+        self.checks.append(&mut other.checks);
+    }
+
     /// Checks the process of a server. A refused connection is no evidence if another daemon reaches the server: then the
     /// path from this daemon is cut.
     async fn check_server(&self, address: SocketAddr) -> ProcessCheck {
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -1,6 +1,6 @@
-//! Acquisition of slots for requests, in case they are suspected of crashing the engines that run them.
+//! Search for a replica that a request may be sent to: its slot, and its admission in case the request is suspected of
+//! crashing the engines that run it.
 
-use super::run::ChatRun;
 use super::{ChatJob, Failure};
 use crate::clock::monotonic_ms;
 use crate::pushback::{HeldServers, SendTarget};
@@ -8,8 +8,11 @@
 use crate::traffic::Traffic;
 use crate::traffic::slots::HeldSlot;
 use dockwood_api::ResultCode;
+use dockwood_api::peer::AcquireRequest;
+use dockwood_routing::prefix_blocks;
 use dockwood_routing::pushback::Hold;
 use dockwood_state::{SuspectAttempt, Tables};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -17,8 +20,19 @@
 /// avoided replica only while another one serves.
 const MAX_BUSY_REPLICAS: usize = 3;
 
+/// Search for replicas that one request may be sent to.
+pub(super) struct ReplicaSearch {
+    pub(super) traffic: Arc<Traffic>,
+    pub(super) job: Arc<ChatJob>,
+    /// Decides whether the request may be sent to a replica, in case it crashes servers.
+    pub(super) gate: SuspectGate,
+    pub(super) avoided_replicas: Vec<String>,
+    /// Whether a back end may have run the request; if so, it can no longer be reported as not run.
+    pub(super) dispatched: bool,
+}
+
 /// Creates the suspect gate of a request.
-pub(super) fn create_gate(traffic: &Traffic, job: &ChatJob) -> SuspectGate {
+fn create_gate(traffic: &Traffic, job: &ChatJob) -> SuspectGate {
     let suspect_attempt = SuspectAttempt {
         fingerprint: job.fingerprint,
         request: job.id.clone(),
@@ -46,7 +60,28 @@
     }
 }
 
-impl ChatRun {
+impl ReplicaSearch {
+    /// Creates the search of a request that was not sent yet.
+    pub(super) fn new(traffic: Arc<Traffic>, job: Arc<ChatJob>) -> ReplicaSearch {
+        let gate = create_gate(&traffic, &job);
+        ReplicaSearch { traffic, job, gate, avoided_replicas: Vec::new(), dispatched: false }
+    }
+
+    /// Creates a search for another replica, beside the one that has the request.
+    pub(super) fn beside(&self, replica: &str) -> ReplicaSearch {
+        let mut other = ReplicaSearch::new(self.traffic.clone(), self.job.clone());
+        other.dispatched = true;
+        other.avoided_replicas = self.avoided_replicas.clone();
+        other.avoid(Some(replica.to_string()));
+        other
+    }
+
+    /// Adds a replica to the avoided ones.
+    pub(super) fn avoid(&mut self, replica: Option<String>) {
+        let new = replica.filter(|replica| !self.avoided_replicas.contains(replica));
+        self.avoided_replicas.extend(new);
+    }
+
     /// Acquires a slot at a replica to which the request may be sent.
     pub(super) async fn acquire_admitted_slot(&mut self) -> Result<HeldSlot, Failure> {
         let mut busy_replicas = 0;
@@ -75,6 +110,36 @@
         }
     }
 
+    async fn acquire(&self) -> Result<HeldSlot, Failure> {
+        let request = AcquireRequest {
+            request_id: self.job.engine_id(),
+            entry: self.traffic.shared.settings.name.clone(),
+            tenant: self.job.tenant.clone(),
+            cost_tokens: self.job.cost_tokens(),
+            prefix_blocks: prefix_blocks(&self.job.prompt),
+            wait_ms: 0,
+            avoid: self.avoided_replicas.clone(),
+            pool: self.pool(),
+        };
+        let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
+        acquired.map_err(|refusal| {
+            let code = if self.dispatched { ResultCode::Interrupted } else { refusal.code };
+            Failure {
+                code,
+                message: refusal.message,
+                retry_after_ms: Some(u64::from(refusal.retry_after_ms)),
+            }
+        })
+    }
+
+    /// Returns the pool of the first route whose deployment still exists.
+    pub(super) fn pool(&self) -> String {
+        let tables = self.traffic.shared.tables();
+        let routes = &self.job.routes;
+        let existing = routes.iter().find(|route| tables.deployment(&route.pool).is_some());
+        existing.or(routes.first()).map(|route| route.pool.clone()).unwrap_or_default()
+    }
+
     /// Returns the head of a slot's replica as the target that its pushback signals apply to.
     pub(super) fn send_target(&self, slot: &HeldSlot) -> SendTarget {
         let tables = self.traffic.shared.tables();
--- a/crates/daemon/src/traffic/chat/mod.rs
+++ b/crates/daemon/src/traffic/chat/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! The entry acquires a slot, sends the request to the replica itself, and forwards the tokens. After a failure the
 //! stream is resumed at another replica from the first token that was not forwarded. An at-most-once request is resumed
-//! only after its engine has reported its state.
+//! only after its engine has reported its state. A stream that merely stalls is read on until another replica has begun to
+//! answer.
 
 mod admission;
 mod outcome;
 mod run;
+mod sending;
+mod stall;
 mod stream;
 
 use super::Traffic;
--- a/crates/daemon/src/traffic/chat/run.rs
+++ b/crates/daemon/src/traffic/chat/run.rs
@@ -1,16 +1,14 @@
 //! Execution of a request: acquires a slot, makes an attempt, and retries at another replica if necessary.
 
-use super::admission::create_gate;
+use super::admission::ReplicaSearch;
 use super::stream::AttemptResult;
 use super::{ChatEvent, ChatJob, CompletionStats, Failure, outcome_unknown};
 use crate::clock::monotonic_ms;
-use crate::suspects::SuspectGate;
 use crate::traffic::Traffic;
 use crate::traffic::engine_stream::cancel_request;
-use crate::traffic::slots::HeldSlot;
 use dockwood_api::ResultCode;
-use dockwood_api::peer::AcquireRequest;
-use dockwood_routing::{Millis, WithheldSends, prefix_blocks};
+use dockwood_routing::{Millis, WithheldSends};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -21,11 +19,9 @@
 /// A request in progress.
 pub(super) struct ChatRun {
     pub(super) traffic: Arc<Traffic>,
-    pub(super) job: ChatJob,
+    pub(super) job: Arc<ChatJob>,
     pub(super) events: mpsc::Sender<ChatEvent>,
     pub(super) caller_disconnected: bool,
-    /// Whether a back end may have run the request; if so, it can no longer be reported as not run.
-    pub(super) dispatched: bool,
     /// Whether an earlier send of the same request may have reached a back end.
     pub(super) may_have_run_before: bool,
     /// Whether the request was recorded as running here.
@@ -35,22 +31,19 @@
     pub(super) prompt_tokens: u32,
     pub(super) queued_ms: u32,
     pub(super) claim_attempt: Option<u64>,
-    pub(super) avoided_replicas: Vec<String>,
-    /// Decides whether the request may be sent to a replica, in case it crashes servers.
-    pub(super) gate: SuspectGate,
+    pub(super) search: ReplicaSearch,
 }
 
 impl ChatRun {
     /// Creates the state of a request that has just arrived.
     pub(super) fn new(traffic: Arc<Traffic>, job: ChatJob, events: mpsc::Sender<ChatEvent>) -> Self {
-        let gate = create_gate(&traffic, &job);
+        let job = Arc::new(job);
         ChatRun {
-            gate,
+            search: ReplicaSearch::new(traffic.clone(), job.clone()),
             traffic,
             job,
             events,
             caller_disconnected: false,
-            dispatched: false,
             may_have_run_before: false,
             is_recorded: false,
             forwarded_tokens: 0,
@@ -58,7 +51,6 @@
             prompt_tokens: 0,
             queued_ms: 0,
             claim_attempt: None,
-            avoided_replicas: Vec::new(),
         }
     }
 
@@ -86,7 +78,7 @@
             if retry_reason.take().is_some_and(|reason| !self.traffic.try_retry(reason)) {
                 return Err(self.final_failure("the retry budget is used up"));
             }
-            let mut slot = self.acquire_admitted_slot().await?;
+            let mut slot = self.search.acquire_admitted_slot().await?;
             self.queued_ms += slot.grant.queued_ms;
             if let Some(failure) = self.claim().await {
                 return Err(failure);
@@ -94,7 +86,7 @@
             let result = self.attempt(&mut slot).await;
             // An engine that crashes may still report that it aborted its runs.
             if matches!(result, AttemptResult::Broken | AttemptResult::Aborted) {
-                self.gate.connection_broke(|| ()).await;
+                self.search.gate.connection_broke(|| ()).await;
             }
             let result = match result {
                 AttemptResult::Broken if self.job.repeatable => {
@@ -107,10 +99,10 @@
                 }
                 result => result,
             };
-            self.avoided_replicas = vec![slot.grant.replica.clone()];
+            self.search.avoided_replicas = vec![slot.grant.replica.clone()];
             match result {
                 AttemptResult::Finished => {
-                    self.gate.answered();
+                    self.search.gate.answered();
                     return Ok(self.completion_stats());
                 }
                 AttemptResult::Retryable(reason) => retry_reason = Some(reason),
@@ -120,11 +112,11 @@
                     return Err(self.final_failure("no replica accepted the request in time"));
                 }
                 AttemptResult::CallerDisconnected => {
-                    cancel_request(&self.traffic.http, slot.grant.head, &self.job.engine_id()).await;
+                    self.cancel_at(slot.grant.head);
                     return Err(Failure::new(ResultCode::Interrupted, "the caller left"));
                 }
                 AttemptResult::DeadlinePassed => {
-                    cancel_request(&self.traffic.http, slot.grant.head, &self.job.engine_id()).await;
+                    self.cancel_at(slot.grant.head);
                     return Err(Failure::new(ResultCode::DeadlinePassed, "the deadline passed while it ran"));
                 }
                 AttemptResult::Unknown | AttemptResult::Broken => return Err(outcome_unknown()),
@@ -132,6 +124,12 @@
         }
     }
 
+    /// Cancels the request at a head. The caller does not wait for it: the head may be silent.
+    fn cancel_at(&self, head: SocketAddr) {
+        let (http, id) = (self.traffic.http.clone(), self.job.engine_id());
+        tokio::spawn(async move { cancel_request(&http, head, &id).await });
+    }
+
     pub(super) fn completion_stats(&self) -> CompletionStats {
         CompletionStats {
             prompt_tokens: self.prompt_tokens,
@@ -143,38 +141,8 @@
 
     /// Returns the failure of a request that can't be continued: "not run" if no back end may have run it.
     pub(super) fn final_failure(&self, message: &str) -> Failure {
-        let code = if self.dispatched { ResultCode::Interrupted } else { ResultCode::BackendUnreachable };
+        let code =
+            if self.search.dispatched { ResultCode::Interrupted } else { ResultCode::BackendUnreachable };
         Failure::new(code, message)
     }
-
-    pub(super) async fn acquire(&mut self) -> Result<HeldSlot, Failure> {
-        let pool = self.pool();
-        let request = AcquireRequest {
-            request_id: self.job.engine_id(),
-            entry: self.traffic.shared.settings.name.clone(),
-            tenant: self.job.tenant.clone(),
-            cost_tokens: self.job.cost_tokens(),
-            prefix_blocks: prefix_blocks(&self.job.prompt),
-            wait_ms: 0,
-            avoid: self.avoided_replicas.clone(),
-            pool,
-        };
-        let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
-        acquired.map_err(|refusal| {
-            let code = if self.dispatched { ResultCode::Interrupted } else { refusal.code };
-            Failure {
-                code,
-                message: refusal.message,
-                retry_after_ms: Some(u64::from(refusal.retry_after_ms)),
-            }
-        })
-    }
-
-    /// Returns the pool of the first route whose deployment still exists.
-    pub(super) fn pool(&self) -> String {
-        let tables = self.traffic.shared.tables();
-        let routes = &self.job.routes;
-        let existing = routes.iter().find(|route| tables.deployment(&route.pool).is_some());
-        existing.or(routes.first()).map(|route| route.pool.clone()).unwrap_or_default()
-    }
 }
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -2,22 +2,18 @@
 
 use super::ChatEvent;
 use super::run::ChatRun;
+use super::stall::{Replacement, STALL_TIMEOUT, StallFinding, StalledRequest};
 use crate::clock::monotonic_ms;
-use crate::pushback::{SendPermit, SendPurpose};
 use crate::traffic::engine_stream::{EngineStream, OpenFailure, StreamRead, bar_request, request_state};
 use crate::traffic::slots::HeldSlot;
-use dockwood_api::engine::{GenerateEvent, GenerateRequest, RequestPhase};
-use std::net::SocketAddr;
+use dockwood_api::engine::{GenerateEvent, RequestPhase};
+use futures::future::{BoxFuture, FutureExt};
 use std::time::Duration;
 
-/// If a stream delivers nothing for this long, the state of the request is queried.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of state queries before the outcome counts as unknown.
 const MAX_STATE_QUERIES: u32 = 4;
 /// Pause between these queries.
 const STATE_QUERY_PAUSE: Duration = Duration::from_millis(300);
-/// Maximum length of an answer if the request sets none, in tokens.
-const DEFAULT_MAX_TOKENS: u32 = 512;
 
 /// How one attempt ended.
 pub(super) enum AttemptResult {
@@ -37,79 +33,170 @@
     Unknown,
 }
 
-impl ChatRun {
-    fn generate_request(&self, slot: &HeldSlot) -> GenerateRequest {
-        let route = self.job.routes.iter().find(|route| route.pool == self.pool());
-        GenerateRequest {
-            id: self.job.engine_id(),
-            replica: slot.grant.replica.clone(),
-            epoch: slot.grant.epoch,
-            prompt: self.job.prompt.clone(),
-            adapter: route.and_then(|route| route.adapter.clone()),
-            max_tokens: self.job.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-            priority: slot.grant.priority,
-            resume_from: self.forwarded_tokens,
-            repeatable: self.job.repeatable,
+/// The source that a request is read from.
+struct Source {
+    /// `None` after its connection broke while a replacement was sought.
+    stream: Option<EngineStream>,
+    /// Investigation of its stall.
+    investigation: Option<BoxFuture<'static, StallFinding>>,
+    /// Whether the request may have been sent to another replica, beside this source.
+    may_be_elsewhere: bool,
+}
+
+/// What happened next at a source.
+enum SourceEvent {
+    Read(StreamRead),
+    Found(StallFinding),
+}
+
+impl Source {
+    fn new(stream: EngineStream) -> Source {
+        Source { stream: Some(stream), investigation: None, may_be_elsewhere: false }
+    }
+
+    /// Reads from the stream, also while its stall is being investigated.
+    async fn next(&mut self, timeout: Duration) -> SourceEvent {
+        let Source { stream, investigation, .. } = self;
+        let read = async {
+            match stream {
+                Some(stream) => stream.next(timeout).await,
+                None => {
+                    tokio::time::sleep(timeout).await;
+                    StreamRead::Stalled
+                }
+            }
+        };
+        let Some(running) = investigation else { return SourceEvent::Read(read.await) };
+        let event = tokio::select! {
+            biased;
+            read = read => SourceEvent::Read(read),
+            finding = running => SourceEvent::Found(finding),
+        };
+        if matches!(event, SourceEvent::Found(_) | SourceEvent::Read(StreamRead::Event(_))) {
+            *investigation = None;
         }
+        event
     }
+}
 
+impl ChatRun {
     /// Sends the request to the granted replica and forwards what it generates.
     pub(super) async fn attempt(&mut self, slot: &mut HeldSlot) -> AttemptResult {
         self.record_running().await;
-        let purpose = SendPurpose::Request { rank: slot.grant.priority.into() };
-        let permit = SendPermit::acquire(&self.traffic.shared, self.send_target(slot), purpose).await;
-        // Checked last: recording the request at another daemon may have taken longer than the grant's evidence is
-        // valid.
-        let may_write = slot.is_grant_valid() && self.gate.may_write();
-        if !may_write || !self.traffic.shared.may_dispatch(&self.pool()) {
-            return AttemptResult::Withheld;
-        }
-        let Ok(permit) = permit else {
+        let Ok(permit) = self.search.acquire_permit(slot).await else {
             return AttemptResult::Withheld;
         };
-        let request = self.generate_request(slot);
-        match EngineStream::open(&self.traffic.http, slot.grant.head, &request, permit).await {
-            Ok(stream) => {
-                self.dispatched = true;
-                self.forward_stream(stream, slot).await
+        let stream = self.search.send(slot, self.forwarded_tokens, permit);
+        let was_dispatched = std::mem::replace(&mut self.search.dispatched, true);
+        match self.forward_stream(stream, slot).await {
+            Ok(result) => result,
+            Err(OpenFailure::MayHaveRun) => AttemptResult::Broken,
+            Err(OpenFailure::Rejected) => {
+                self.search.dispatched = was_dispatched;
+                AttemptResult::Retryable("rejected")
             }
-            Err(OpenFailure::Rejected) => AttemptResult::Retryable("rejected"),
             Err(OpenFailure::NotRun) => {
+                self.search.dispatched = was_dispatched;
                 slot.replica_broken = true;
                 AttemptResult::Retryable("not-taken")
             }
-            Err(OpenFailure::MayHaveRun) => {
-                self.dispatched = true;
-                AttemptResult::Broken
-            }
         }
     }
 
-    async fn forward_stream(&mut self, mut stream: EngineStream, slot: &mut HeldSlot) -> AttemptResult {
+    /// Forwards a stream until it ends. A stream that stalls is kept until another replica has begun to answer, in which case
+    /// `slot` becomes the slot of that one.
+    async fn forward_stream(
+        &mut self,
+        stream: EngineStream,
+        slot: &mut HeldSlot,
+    ) -> Result<AttemptResult, OpenFailure> {
+        let mut source = Source::new(stream);
         loop {
             if self.caller_disconnected && !self.continues_without_caller() {
-                return AttemptResult::CallerDisconnected;
+                return Ok(AttemptResult::CallerDisconnected);
             }
             let left = self.milliseconds_left();
             if left == 0 {
-                return AttemptResult::DeadlinePassed;
+                return Ok(AttemptResult::DeadlinePassed);
             }
-            match stream.next(STALL_TIMEOUT.min(Duration::from_millis(left))).await {
-                StreamRead::Event(event) => {
+            match source.next(STALL_TIMEOUT.min(Duration::from_millis(left))).await {
+                SourceEvent::Read(StreamRead::Event(event)) => {
                     if let Some(result) = self.handle_event(event, slot).await {
-                        return result;
+                        return Ok(result);
                     }
                 }
-                StreamRead::Stalled if self.events.is_closed() => self.caller_disconnected = true,
-                StreamRead::Stalled if self.is_still_running(slot.grant.head).await => {}
-                StreamRead::Stalled | StreamRead::Broken => return AttemptResult::Broken,
+                SourceEvent::Read(StreamRead::Stalled) => {
+                    self.caller_disconnected |= self.events.is_closed();
+                    self.investigate_stall(&mut source, slot);
+                }
+                SourceEvent::Read(StreamRead::NotOpened(failure)) if !source.may_be_elsewhere => {
+                    return Err(failure);
+                }
+                // A replacement that is already sought is waited for.
+                SourceEvent::Read(StreamRead::Broken | StreamRead::NotOpened(_))
+                    if source.investigation.is_some() =>
+                {
+                    source.stream = None
+                }
+                SourceEvent::Read(StreamRead::Broken | StreamRead::NotOpened(_)) => {
+                    return Ok(AttemptResult::Broken);
+                }
+                SourceEvent::Found(finding) => {
+                    if let Some(result) = self.act_on_finding(finding, &mut source, slot).await {
+                        return Ok(result);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Begins to investigate a stall, unless that is under way.
+    fn investigate_stall(&self, source: &mut Source, slot: &HeldSlot) {
+        if let (Some(stream), None) = (&source.stream, &source.investigation) {
+            let stalled = StalledRequest::new(&self.search, slot, stream.is_open(), self.forwarded_tokens);
+            source.investigation = Some(stalled.investigate().boxed());
+            source.may_be_elsewhere |= self.job.repeatable;
+        }
+    }
+
+    async fn act_on_finding(
+        &mut self,
+        finding: StallFinding,
+        source: &mut Source,
+        slot: &mut HeldSlot,
+    ) -> Option<AttemptResult> {
+        match finding {
+            StallFinding::Replaced(replacement) => {
+                return self.replace_source(*replacement, source, slot).await;
             }
+            StallFinding::Lost => return Some(AttemptResult::Broken),
+            StallFinding::NotReplaced { tried } => self.search.avoid(tried),
+            StallFinding::Continues => {}
         }
+        source.stream.is_none().then_some(AttemptResult::Broken)
     }
 
-    async fn is_still_running(&self, head: SocketAddr) -> bool {
-        let state = request_state(&self.traffic.http, head, &self.job.engine_id()).await;
-        state.is_some_and(|state| matches!(state.phase, RequestPhase::Running | RequestPhase::Finished))
+    /// Closes a stalled stream, and continues with the replica that has begun to answer in its place.
+    async fn replace_source(
+        &mut self,
+        replacement: Replacement,
+        source: &mut Source,
+        slot: &mut HeldSlot,
+    ) -> Option<AttemptResult> {
+        let Replacement { slot: new_slot, search, stream, events } = replacement;
+        *source = Source::new(stream);
+        slot.replica_broken = true;
+        *slot = new_slot;
+        self.queued_ms += slot.grant.queued_ms;
+        let mut replaced = std::mem::replace(&mut self.search, search);
+        replaced.gate.connection_broke(|| ()).await;
+        self.search.gate.add_checks_of(replaced.gate);
+        for event in events {
+            if let Some(result) = self.handle_event(event, slot).await {
+                return Some(result);
+            }
+        }
+        None
     }
 
     async fn handle_event(&mut self, event: GenerateEvent, slot: &mut HeldSlot) -> Option<AttemptResult> {
@@ -162,7 +249,7 @@
                 RequestPhase::Unseen if self.forwarded_tokens == 0 => {
                     let barred = bar_request(&self.traffic.http, head, &id).await;
                     if barred.is_some_and(|state| state.phase == RequestPhase::Barred) {
-                        self.dispatched = false;
+                        self.search.dispatched = false;
                         return AttemptResult::Retryable("barred");
                     }
                 }
@@ -187,12 +274,7 @@
 
     /// Continues to read from a run that continued, or ended, after the stream failed.
     async fn reattach(&mut self, slot: &mut HeldSlot) -> AttemptResult {
-        // The engine runs the request already, so that reading its output is allowed also during a back-off.
-        let permit = SendPermit::of_running(&self.traffic.shared, self.send_target(slot));
-        let request = self.generate_request(slot);
-        match EngineStream::open(&self.traffic.http, slot.grant.head, &request, permit).await {
-            Ok(stream) => self.forward_stream(stream, slot).await,
-            Err(_) => AttemptResult::Broken,
-        }
+        let stream = self.search.reattach(slot, self.forwarded_tokens);
+        self.forward_stream(stream, slot).await.unwrap_or(AttemptResult::Broken)
     }
 }
--- a/crates/daemon/src/traffic/engine_stream.rs
+++ b/crates/daemon/src/traffic/engine_stream.rs
@@ -6,11 +6,13 @@
 use dockwood_api::engine::{
     GenerateEvent, GenerateRequest, HEADER_NOT_RUN, PATH_GENERATE, PATH_REQUESTS, RequestState,
 };
-use reqwest::StatusCode;
+use futures::future::BoxFuture;
+use reqwest::{Response, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
-/// Time limit for the response head of a call.
+/// Time limit for a call about a request.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum length of a line in a stream; a longer line is a protocol error.
 const MAX_LINE_BYTES: usize = 1 << 20;
@@ -35,43 +37,51 @@
     Stalled,
     /// The connection failed, or the data could not be decoded.
     Broken,
+    /// The stream could not be opened.
+    NotOpened(OpenFailure),
 }
 
-/// An open stream of generated tokens.
+/// A stream of generated tokens. A head that has not responded yet is no different from one that pauses later: reading from
+/// the stream stalls.
 pub struct EngineStream {
-    response: reqwest::Response,
+    connection: Connection,
     buffer: BytesMut,
 }
 
+enum Connection {
+    /// The response head has not arrived.
+    Opening(Box<Opening>),
+    Open(Response),
+}
+
+/// A request of which the response head has not arrived.
+struct Opening {
+    request: String,
+    permit: SendPermit,
+    response: BoxFuture<'static, reqwest::Result<Response>>,
+}
+
 impl EngineStream {
-    /// Sends the request and opens its stream.
-    pub async fn open(
+    /// Creates the stream of a request, which is sent as soon as the stream is read.
+    pub fn new(
         http: &reqwest::Client,
         head: SocketAddr,
         request: &GenerateRequest,
-        mut permit: SendPermit,
-    ) -> Result<EngineStream, OpenFailure> {
-        let sending = http.post(format!("http://{head}{PATH_GENERATE}")).json(request).send();
-        let response = match tokio::time::timeout(RESPONSE_TIMEOUT, sending).await {
-            Err(_) => return Err(OpenFailure::MayHaveRun),
-            Ok(Err(error)) if error.is_connect() => return Err(OpenFailure::NotRun),
-            Ok(Err(_)) => return Err(OpenFailure::MayHaveRun),
-            Ok(Ok(response)) => response,
-        };
-        permit.record_response(
-            &signals_of(response.status(), response.headers(), &NATIVE_SIGNALS),
-            &request.id,
-        );
-        match response.status() {
-            _ if response.headers().contains_key(HEADER_NOT_RUN) => Err(OpenFailure::Rejected),
-            StatusCode::OK => Ok(EngineStream { response, buffer: BytesMut::new() }),
-            StatusCode::CONFLICT | StatusCode::GONE => Err(OpenFailure::NotRun),
-            _ => Err(OpenFailure::MayHaveRun),
-        }
+        permit: SendPermit,
+    ) -> EngineStream {
+        let response = Box::pin(http.post(format!("http://{head}{PATH_GENERATE}")).json(request).send());
+        let opening = Opening { request: request.id.clone(), permit, response };
+        EngineStream { connection: Connection::Opening(Box::new(opening)), buffer: BytesMut::new() }
     }
 
-    /// Reads the next event.
+    /// Returns whether the head has accepted the request.
+    pub fn is_open(&self) -> bool {
+        matches!(self.connection, Connection::Open(_))
+    }
+
+    /// Reads the next event. No data is lost if the returned future is dropped.
     pub async fn next(&mut self, timeout: Duration) -> StreamRead {
+        let until = Instant::now() + timeout;
         loop {
             if let Some(line) = self.take_line() {
                 return serde_json::from_slice(&line).map_or(StreamRead::Broken, StreamRead::Event);
@@ -79,12 +89,28 @@
             if self.buffer.len() > MAX_LINE_BYTES {
                 return StreamRead::Broken;
             }
-            match tokio::time::timeout(timeout, self.response.chunk()).await {
+            match tokio::time::timeout_at(until, self.receive()).await {
                 Err(_) => return StreamRead::Stalled,
-                Ok(Ok(Some(bytes))) => self.buffer.extend_from_slice(&bytes),
-                Ok(Ok(None)) | Ok(Err(_)) => return StreamRead::Broken,
+                Ok(Ok(())) => {}
+                Ok(Err(failed)) => return failed,
+            }
+        }
+    }
+
+    /// Receives the response head or the next part of the body; `Err` if there is none.
+    async fn receive(&mut self) -> Result<(), StreamRead> {
+        match &mut self.connection {
+            Connection::Opening(opening) => {
+                let response = opening.response.as_mut().await;
+                let response = opening.accept(response).map_err(StreamRead::NotOpened)?;
+                self.connection = Connection::Open(response);
+            }
+            Connection::Open(response) => {
+                let bytes = response.chunk().await.ok().flatten().ok_or(StreamRead::Broken)?;
+                self.buffer.extend_from_slice(&bytes);
             }
         }
+        Ok(())
     }
 
     fn take_line(&mut self) -> Option<BytesMut> {
@@ -95,6 +121,24 @@
     }
 }
 
+impl Opening {
+    /// Records the signals of the response head, and returns the response of a head that accepted the request.
+    fn accept(&mut self, response: reqwest::Result<Response>) -> Result<Response, OpenFailure> {
+        let response = response.map_err(|error| match error.is_connect() {
+            true => OpenFailure::NotRun,
+            false => OpenFailure::MayHaveRun,
+        })?;
+        let signals = signals_of(response.status(), response.headers(), &NATIVE_SIGNALS);
+        self.permit.record_response(&signals, &self.request);
+        match response.status() {
+            _ if response.headers().contains_key(HEADER_NOT_RUN) => Err(OpenFailure::Rejected),
+            StatusCode::OK => Ok(response),
+            StatusCode::CONFLICT | StatusCode::GONE => Err(OpenFailure::NotRun),
+            _ => Err(OpenFailure::MayHaveRun),
+        }
+    }
+}
+
 /// Returns the state of a request at the head; `None` if the head does not respond.
 pub async fn request_state(http: &reqwest::Client, head: SocketAddr, id: &str) -> Option<RequestState> {
     let url = format!("http://{head}{PATH_REQUESTS}/{id}");
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -72,6 +72,11 @@
         lock(&self.retry_budget).record_request();
     }
 
+    /// Returns whether the budget allows a retry now, without taking it.
+    fn may_retry(&self) -> bool {
+        lock(&self.retry_budget).allows_retry()
+    }
+
     /// Takes a retry from the budget; returns whether the budget allowed it.
     fn try_retry(&self, reason: &str) -> bool {
         let allowed = lock(&self.retry_budget).try_retry();
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -26,13 +26,15 @@
         }
     }
 
+    /// Returns whether the budget allows a retry.
+    pub fn allows_retry(&self) -> bool {
+        self.retries < (self.requests * RETRY_PERCENT / 100).max(MIN_RETRIES)
+    }
+
     /// Counts a retry and returns true, if the budget allows it.
     pub fn try_retry(&mut self) -> bool {
-        let allowed = (self.requests * RETRY_PERCENT / 100).max(MIN_RETRIES);
-        if self.retries >= allowed {
-            return false;
-        }
-        self.retries += 1;
-        true
+        let allowed = self.allows_retry();
+        self.retries += u64::from(allowed);
+        allowed
     }
 }
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -89,6 +89,18 @@
     assert!((1_500..=2_600).contains(&retries), "{retries}");
 }
 
+#[test]
+fn asking_whether_a_retry_is_allowed_does_not_take_it() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    while budget.allows_retry() {
+        assert!(budget.allows_retry() && budget.try_retry());
+        retries += 1;
+    }
+    assert_eq!(retries, 10, "a daemon without traffic may retry ten times");
+    assert!(!budget.try_retry());
+}
+
 #[test]
 fn two_choices_balance_load_within_the_limits() {
     let mut picker = BackendPicker::default();
