Test: a tenant at its limit gets another replica once the silent one is repaired

While a chat stream stalls, it keeps its slot, and its replacement needs a second one, which a tenant at its limit of concurrent requests is refused. The stalled stream is therefore given up once its replica has been formed anew and the budget allows a retry.

--- a/crates/bench/tests/silent_heads.rs
+++ b/crates/bench/tests/silent_heads.rs
@@ -1,6 +1,7 @@
 //! Heads that are sound but send nothing for a while. Their answers go on afterwards, so that an entry may give a stalled
 //! stream up only once another replica has begun to answer in its place.
 
+use dockwood_api::ResultCode;
 use dockwood_api::caller::{HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE};
 use dockwood_bench::fleet::RunningFleet;
 use dockwood_bench::topology::{Preset, Sizes, Topology, own_network};
@@ -31,6 +32,8 @@
 /// replica is repaired.
 const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// Time after which all daemons have applied a change.
+const CHANGE_APPLIED_AFTER: Duration = Duration::from_secs(1);
 /// How long a head is silent before it ends: an entry is then asking it about the request.
 const SILENCE_BEFORE_END: Duration = Duration::from_millis(1_600);
 
@@ -114,6 +117,19 @@
             .json(&body)
     }
 
+    /// Limits the concurrent requests of the tenant.
+    async fn limit_concurrency(&self, concurrency: usize) -> TestResult {
+        let name = &self.fleet.topology.tenants[0].name;
+        let resources = self.fleet.topology.resources();
+        let is_own =
+            |resource: &Value| resource["kind"] == "Tenant" && resource["metadata"]["name"] == json!(name);
+        let mut tenant = resources.into_iter().find(is_own).ok_or("the tenant is not declared")?;
+        tenant["spec"]["limits"] = json!({ "concurrency": concurrency });
+        self.fleet.operator.apply(&tenant).await?;
+        tokio::time::sleep(CHANGE_APPLIED_AFTER).await;
+        Ok(())
+    }
+
     fn ledger(&self) -> std::io::Result<Vec<LedgerRecord>> {
         read_ledger(&self.fleet.topology.emulator.ledger)
     }
@@ -293,3 +309,22 @@
     caller.folder.remove()?;
     Ok(())
 }
+
+/// The stalled request and its replacement both count against the limit of the tenant.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chat_requests_of_a_tenant_at_its_limit_move_once_the_silent_replica_is_repaired() -> TestResult {
+    const CONCURRENCY: usize = 1;
+    let caller = Caller::start(14).await?;
+    caller.limit_concurrency(CONCURRENCY).await?;
+    let (began, mut begun) = mpsc::unbounded_channel();
+    let streams = caller.send(CONCURRENCY, "yes", &began);
+    wait_until_begun(&mut begun, streams.len()).await?;
+    let refused = read_answer(caller.request("beyond", "a prompt", "yes"), began.clone()).await?;
+    let code = refused.error.map(|error| error["code"].clone());
+    assert_eq!(code, Some(json!(ResultCode::TenantLimit.number())), "the limit is in force");
+    let paused = pause_head_of_first(&caller, &streams).await?;
+    expect_whole(streams).await?;
+    paused.expect_moved(&caller)?;
+    caller.folder.remove()?;
+    Ok(())
+}
