Tests for streams that stall beside others, and more than once

Callers see a stream stand still until its deadline, although a group is well, in three situations.

- The second source is silent as well, and the route allows three attempts: no third source is looked for.
- All groups in use are silent, and the one stream that tries another group is sent to a silent one: it keeps the trial until its deadline, and no other stream is sent on until some group in use sends something.
- New requests wait for each place: a stalled stream looks for one every 0.8 s, and those take each place at once.

--- a/crates/daemon/tests/one_entry/stream_caller.rs
+++ b/crates/daemon/tests/one_entry/stream_caller.rs
@@ -129,6 +129,11 @@
         lock(&self.response).events()
     }
 
+    /// Closes the connection.
+    pub fn leave(self) {
+        self.task.abort();
+    }
+
     /// Waits for the end of the response.
     pub async fn finish(self) -> StreamResponse {
         self.task.await.unwrap_or_else(|error| panic!("{error}"));
--- a/crates/daemon/tests/one_entry/stream_fleet.rs
+++ b/crates/daemon/tests/one_entry/stream_fleet.rs
@@ -148,11 +148,16 @@
         }
     }
 
-    /// Returns what all servers have recorded of an attempt, in the order of receipt.
-    pub fn records_of(&self, attempt: &str) -> Vec<RequestRecord> {
-        let records = self.servers.iter().flat_map(|server| server.records_of(attempt));
-        let mut records: Vec<RequestRecord> = records.collect();
+    /// Returns what all servers have recorded, in the order of receipt.
+    pub fn records(&self) -> Vec<RequestRecord> {
+        let mut records: Vec<RequestRecord> =
+            self.servers.iter().flat_map(|server| server.records()).collect();
         records.sort_by_key(|record| record.received_at);
         records
     }
+
+    /// Returns what all servers have recorded of an attempt, in the order of receipt.
+    pub fn records_of(&self, attempt: &str) -> Vec<RequestRecord> {
+        self.records().into_iter().filter(|record| record.attempt == attempt).collect()
+    }
 }
