A stalled stream is sent on although its second source is silent too

What callers saw: a stream stood still until its deadline, although a group was well, in three situations: its second source was silent as well (with a route that allows three attempts); all groups in use were silent and the one stream that tried another group had been sent to a silent one, which kept the trial; new requests took each place at once, as a stalled stream looked for one only every 0.8 s.

Cause: a request had two open sends at most, only the first of them was watched for a stall, and the search left the line for places after each try.

Change: any number of open sends, as far as the route's attempts and the budget allow, and the newest is watched; a trial ends when its source stalls; stalled streams wait in line for a place like new requests, two of each entry at a time.

--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -19,7 +19,7 @@
 use dockwood_state::{GatewayTables, GroupPhase};
 use group_state::GroupState;
 use rand::RngExt;
-use silence::ModelKey;
+use silence::{ModelKey, SearchTurns};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -52,6 +52,8 @@
     latencies: Mutex<BTreeMap<String, ObservedLatency>>,
     /// Models of which all groups are silent, and one stream tries another group.
     stall_trials: Mutex<BTreeSet<ModelKey>>,
+    /// Permits for stalled streams to look for a place.
+    search_turns: SearchTurns,
     /// Demand for each model since it was last reported, by service and model.
     demand: Mutex<BTreeMap<(String, String), ModelLoad>>,
     /// Incremented when a group closes.
--- a/crates/daemon/src/gateway/loads/silence.rs
+++ b/crates/daemon/src/gateway/loads/silence.rs
@@ -6,6 +6,7 @@
 use crate::lock::lock;
 use dockwood_routing::Millis;
 use std::sync::Arc;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Groups of one model that process requests of this entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,6 +24,20 @@
     }
 }
 
+/// Number of stalled streams of this entry that look for a place at the same time. Each of them asks again and again while
+/// all groups are full, as new requests do; a stall makes many streams look at once.
+const CONCURRENT_SEARCHES: usize = 2;
+
+/// The line in which stalled streams wait until they may look for a place.
+#[derive(Debug)]
+pub(super) struct SearchTurns(Semaphore);
+
+impl Default for SearchTurns {
+    fn default() -> Self {
+        SearchTurns(Semaphore::new(CONCURRENT_SEARCHES))
+    }
+}
+
 /// The model of a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ModelKey {
@@ -57,6 +72,14 @@
     }
 }
 
+impl Loads {
+    /// Waits until a stalled stream may look for a place. Its turn ends when the result is dropped; `None` is never
+    /// returned, as the line is never closed.
+    pub async fn wait_for_search_turn(&self) -> Option<SemaphorePermit<'_>> {
+        self.search_turns.0.acquire().await.ok()
+    }
+}
+
 /// The one stream of this entry that tries another group while all groups of its model are silent. Ends on drop.
 pub struct StallTrial {
     gateway: Arc<Gateway>,
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -58,11 +58,11 @@
 pub async fn wait_for_stall(
     gateway: &Gateway,
     epoch: Option<u64>,
-    since: Instant,
+    since: Option<Instant>,
     timeout: Option<StallTimeout>,
     changes: &mut watch::Receiver<u64>,
 ) -> StallCause {
-    let (Some(epoch), Some(timeout)) = (epoch, timeout) else {
+    let (Some(epoch), Some(since), Some(timeout)) = (epoch, since, timeout) else {
         return std::future::pending().await;
     };
     let timed_out = async {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -2,11 +2,12 @@
 //! another source. The caller receives one response, with the head of the first server's response.
 
 mod open_send;
+mod open_sends;
 mod reading;
-mod second_source;
 mod selection;
 mod sender;
 mod sending;
+mod source_search;
 
 use super::Gateway;
 use super::body::{ResponseBody, Truncated, full_body};
@@ -21,9 +22,10 @@
 use hyper::body::Frame;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
-use open_send::{Head, OpenSend, Position};
-use second_source::SourceSearch;
+use open_send::{Head, Position};
+use open_sends::OpenSends;
 use sender::RequestSender;
+use source_search::SourceSearch;
 use std::sync::Arc;
 use tokio::sync::watch;
 
@@ -45,10 +47,8 @@
 struct StreamRequest {
     sender: RequestSender,
     stall_timeouts: Option<StallTimeouts>,
-    /// The send whose events are forwarded; `None` if the request has to be sent.
-    current: Option<OpenSend>,
-    /// A send to a second source, while the current one has stalled.
-    second: Option<OpenSend>,
+    /// Sends that servers have; empty if the request has to be sent.
+    sends: OpenSends,
     search: SourceSearch,
     /// The head of the first response of which an event was forwarded.
     head: Option<Head>,
@@ -80,8 +80,7 @@
         changes: gateway.loads.watch_changes(),
         sender: RequestSender::new(gateway, received, request_log),
         stall_timeouts,
-        current: None,
-        second: None,
+        sends: OpenSends::default(),
         search: SourceSearch::default(),
         head: None,
         events: 0,
@@ -97,8 +96,8 @@
     /// Returns the first event, or `None` if the stream is empty; `Err` with a response that is not a stream.
     async fn first_event(&mut self) -> Result<Option<Bytes>, Box<Response<ResponseBody>>> {
         loop {
-            if self.current.is_none() {
-                self.current = Some(self.sender.open(self.position).await?);
+            if self.sends.is_empty() {
+                self.sends.push(self.sender.open(self.position).await?);
             }
             match self.step().await {
                 ReadResult::Event(event) => return Ok(Some(event)),
@@ -109,7 +108,7 @@
                     again.map_err(|result| Box::new(self.sender.give_up(result)))?
                 }
                 ReadResult::OutOfTime => {
-                    let result = self.sender.attempts.out_of_time(self.current.is_some());
+                    let result = self.sender.attempts.out_of_time(!self.sends.is_empty());
                     return Err(Box::new(self.sender.give_up(result)));
                 }
             }
@@ -127,9 +126,9 @@
 
     async fn read_next(&mut self) -> Result<Option<Bytes>, Truncated> {
         loop {
-            if self.current.is_none() {
+            if self.sends.is_empty() {
                 let opened = self.sender.open(self.position).await;
-                self.current = Some(opened.map_err(|_| Truncated::Broken)?);
+                self.sends.push(opened.map_err(|_| Truncated::Broken)?);
             }
             match self.step().await {
                 ReadResult::Event(event) => return Ok(Some(event)),
--- a/crates/daemon/src/gateway/stream/open_send.rs
+++ b/crates/daemon/src/gateway/stream/open_send.rs
@@ -8,6 +8,7 @@
 use crate::gateway::source::Source;
 use crate::gateway::upstream::{PendingResponse, Upstream};
 use crate::gateway::{body::is_unframed, headers::end_to_end};
+use crate::log_line::StallCause;
 use crate::pushback::SendPermit;
 use crate::suspects::SuspectGate;
 use dockwood_routing::CallResult;
@@ -94,6 +95,8 @@
     pub last_progress: Instant,
     /// Whether the source has not sent an event yet.
     pub awaits_first_event: bool,
+    /// How the source has stalled, if it has since its last event.
+    pub stall: Option<StallCause>,
     /// Held until the first event if this send shows whether any group works.
     pub trial: Option<StallTrial>,
 }
@@ -116,6 +119,7 @@
             response: ResponseState::Awaited { head, permit },
             last_progress: Instant::now(),
             awaits_first_event: true,
+            stall: None,
             trial: None,
         }
     }
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -1,8 +1,8 @@
 //! Reads a stream event by event until it is complete, breaks or runs out of time. While its source has stalled, the
-//! request is sent to a second one as well: whichever sends the next event first is read on, and the other is closed.
+//! request is sent to another one as well: whichever sends the next event first is read on, and the others are closed.
 
-use super::open_send::{OpenSend, OtherResponse, Position, Progress};
-use super::second_source::{SourceSearch, SourceSlot};
+use super::open_send::{OpenSend, OtherResponse, Progress};
+use super::source_search::SourceSearch;
 use super::{ReadResult, StreamRequest};
 use crate::gateway::body::{full_body, read_response_body};
 use crate::gateway::headers::end_to_end;
@@ -11,7 +11,6 @@
     broken_connection_outcome, on_exit_of, record_stall, suspect_silent_group, wait_for_stall,
 };
 use crate::log_line::{NoOtherSource, StallCause};
-use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_routing::gateway::{SendOutcome, StreamEvent};
 use hyper::Response;
@@ -19,9 +18,11 @@
 
 /// Why the wait for progress ended.
 enum Wakeup {
-    Progress(SourceSlot, Progress),
+    /// Progress of the send with this index.
+    Progress(usize, Progress),
+    /// The newest source has stalled.
     Stalled(StallCause),
-    /// The result of sending the request to a second source.
+    /// The result of sending the request to another source.
     Opened(Box<Result<OpenSend, NoOtherSource>>),
     OutOfTime,
 }
@@ -30,11 +31,10 @@
     /// Reads up to the next event that the caller doesn't have yet.
     pub(super) async fn step(&mut self) -> ReadResult {
         loop {
-            let wakeup = self.wait_for_progress().await;
-            let result = match wakeup {
-                Wakeup::Progress(slot, progress) => self.take_progress(slot, progress).await,
-                Wakeup::Stalled(cause) => self.current_stalled(cause),
-                Wakeup::Opened(opened) => self.take_second(*opened),
+            let result = match self.wait_for_progress().await {
+                Wakeup::Progress(index, progress) => self.take_progress(index, progress).await,
+                Wakeup::Stalled(cause) => self.newest_stalled(cause),
+                Wakeup::Opened(opened) => self.take_opened(*opened),
                 Wakeup::OutOfTime => Some(ReadResult::OutOfTime),
             };
             if let Some(result) = result {
@@ -45,80 +45,87 @@
 
     async fn wait_for_progress(&mut self) -> Wakeup {
         let position = self.position;
-        let open_sends = u32::from(self.current.is_some()) + u32::from(self.second.is_some());
-        let may_add_send = self.sender.attempts.may_add_send(open_sends);
         let deadline = self.sender.received.deadline;
-        let stall_timeouts = self.stall_timeouts;
         let gateway = self.sender.gateway.clone();
-        let Some(current) = &mut self.current else {
-            return Wakeup::Progress(SourceSlot::Current, Progress::Broken);
-        };
-        let (epoch, since) = (current.source.epoch(), current.last_progress);
-        let timeout = stall_timeouts.map(|timeouts| timeouts.of(current.awaits_first_event));
-        let watches = may_add_send && self.search.is_idle();
-        let searches = may_add_send && self.second.is_none() && !self.search.is_idle();
-        let (search, sender, changes) = (&self.search, &mut self.sender, &mut self.changes);
+        let may_add_send = self.sender.attempts.may_add_send(self.sends.count());
+        let newest = self.sends.newest();
+        let epoch = newest.and_then(|newest| newest.source.epoch());
+        let since = newest.map(|newest| newest.last_progress);
+        let awaits_first_event = newest.is_none_or(|newest| newest.awaits_first_event);
+        let is_on_trial = newest.is_some_and(|newest| newest.trial.is_some());
+        let timeout = self.stall_timeouts.map(|timeouts| timeouts.of(awaits_first_event));
+        let watches = self.search.is_idle() && (may_add_send || is_on_trial);
+        let searches = !self.search.is_idle() && may_add_send;
+        let (sends, search, sender) = (&mut self.sends, &self.search, &mut self.sender);
         tokio::select! {
             biased;
-            progress = current.progress(position) => Wakeup::Progress(SourceSlot::Current, progress),
-            Some(progress) = progress_of(&mut self.second, position) =>
-                Wakeup::Progress(SourceSlot::Second, progress),
-            opened = search.open_second(sender, epoch, position), if searches => Wakeup::Opened(Box::new(opened)),
-            cause = wait_for_stall(&gateway, epoch, since, timeout, changes), if watches => Wakeup::Stalled(cause),
+            (index, progress) = sends.progress(position) => Wakeup::Progress(index, progress),
+            opened = search.open_another(sender, epoch, position), if searches => Wakeup::Opened(Box::new(opened)),
+            cause = wait_for_stall(&gateway, epoch, since, timeout, &mut self.changes), if watches =>
+                Wakeup::Stalled(cause),
             () = tokio::time::sleep_until(deadline) => Wakeup::OutOfTime,
         }
     }
 
-    /// Begins to look for a second source.
-    fn current_stalled(&mut self, cause: StallCause) -> Option<ReadResult> {
-        let current = self.current.as_mut()?;
-        let stall = record_stall(&self.sender.gateway, current.source.epoch(), cause, current.last_progress);
-        self.sender.request_log.record_stall(current.number, stall);
-        self.search = SourceSearch::begin(cause);
+    /// Begins to look for another source.
+    fn newest_stalled(&mut self, cause: StallCause) -> Option<ReadResult> {
+        let newest = self.sends.newest_mut()?;
+        // The trial has shown that this group is silent as well.
+        newest.trial = None;
+        newest.stall = Some(cause);
+        let stall = record_stall(&self.sender.gateway, newest.source.epoch(), cause, newest.last_progress);
+        self.sender.request_log.record_stall(newest.number, stall);
+        self.search.begin(cause);
         None
     }
 
-    fn take_second(&mut self, opened: Result<OpenSend, NoOtherSource>) -> Option<ReadResult> {
+    fn take_opened(&mut self, opened: Result<OpenSend, NoOtherSource>) -> Option<ReadResult> {
         let result = opened.as_ref().map_or_else(|reason| reason.name(), |_| "sent");
-        self.sender.gateway.shared.metrics.second_sends.with_label_values(&[result]).inc();
+        self.count_additional_send(result);
         match opened {
-            Ok(second) => self.second = Some(second),
+            Ok(send) => {
+                self.sends.push(send);
+                self.search.found();
+            }
             Err(reason) => {
                 self.sender.request_log.record_no_other_source(reason);
-                self.search.failed();
-                self.renew_suspicion();
+                self.search.failed(reason);
+                self.renew_suspicions();
             }
         }
         None
     }
 
-    /// Keeps new requests away from the stalled group.
-    fn renew_suspicion(&self) {
-        let epoch = self.current.as_ref().and_then(|current| current.source.epoch());
-        epoch.into_iter().for_each(|epoch| suspect_silent_group(&self.sender.gateway, epoch));
+    fn count_additional_send(&self, result: &str) {
+        self.sender.gateway.shared.metrics.additional_sends.with_label_values(&[result]).inc();
+    }
+
+    /// Keeps new requests away from the stalled groups.
+    fn renew_suspicions(&self) {
+        let epochs = self.sends.iter().filter_map(|send| send.source.epoch());
+        epochs.for_each(|epoch| suspect_silent_group(&self.sender.gateway, epoch));
     }
 
-    async fn take_progress(&mut self, slot: SourceSlot, progress: Progress) -> Option<ReadResult> {
+    async fn take_progress(&mut self, index: usize, progress: Progress) -> Option<ReadResult> {
         match progress {
-            Progress::Event(event) => Some(ReadResult::Event(self.take_event(slot, event))),
-            Progress::Head(response) => self.take_head(slot, response).await,
-            Progress::End => self.take_end(slot).await,
-            Progress::Broken => self.take_broken(slot).await,
+            Progress::Event(event) => self.take_event(index, event),
+            Progress::Head(response) => self.take_head(index, response).await,
+            Progress::End => self.take_end(index).await,
+            Progress::Broken => self.take_broken(index).await,
         }
     }
 
-    /// Makes the source that has sent something the current one, and closes the other.
-    fn settle_on(&mut self, slot: SourceSlot) {
+    /// Closes all sends but the one that has sent something.
+    fn settle_on(&mut self, index: usize) {
         self.search = SourceSearch::default();
-        let Some(second) = self.second.take() else { return };
-        let (result, outcome, loser) = match slot {
-            SourceSlot::Current => ("overtaken", SendOutcome::Overtaken, Some(second)),
-            SourceSlot::Second => ("won", SendOutcome::Abandoned, self.current.replace(second)),
-        };
-        self.sender.gateway.shared.metrics.second_sends.with_label_values(&[result]).inc();
-        if let Some(loser) = loser {
-            self.record_ended(&loser, outcome);
-            self.sender.gate.take_checks_of(loser.gate);
+        for (closed, is_older) in self.sends.keep_only(index) {
+            let (result, outcome) = match is_older {
+                true => ("won", SendOutcome::Abandoned),
+                false => ("overtaken", SendOutcome::Overtaken),
+            };
+            self.count_additional_send(result);
+            self.record_ended(&closed, outcome);
+            self.sender.gate.take_checks_of(closed.gate);
         }
     }
 
@@ -129,55 +136,54 @@
         let _ = self.sender.ended(outcome);
     }
 
-    /// Records an event, and returns the bytes to forward.
-    fn take_event(&mut self, slot: SourceSlot, event: StreamEvent) -> Bytes {
-        let was_stalled = !self.search.is_idle() && slot == SourceSlot::Current;
-        self.settle_on(slot);
-        if let Some(current) = &mut self.current {
-            if self.head.is_none() {
-                self.head = current.head().cloned();
-            }
-            let is_first = current.awaits_first_event;
-            let took_ms = current.record_event();
-            let gateway = &self.sender.gateway;
-            if let Source::Group(place) = &current.source {
-                gateway.loads.record_progress(place.epoch, (!is_first).then_some(took_ms));
-            }
-            // The length of a stall says nothing about the group's usual latency.
-            if let Some(model) = self.sender.received.model.as_ref().filter(|_| !was_stalled) {
-                gateway.loads.record_latency(model, is_first, took_ms);
-            }
+    /// Records an event that is forwarded.
+    fn take_event(&mut self, index: usize, event: StreamEvent) -> Option<ReadResult> {
+        self.settle_on(index);
+        let current = self.sends.newest_mut()?;
+        if self.head.is_none() {
+            self.head = current.head().cloned();
+        }
+        let is_first = current.awaits_first_event;
+        let was_stalled = current.stall.take().is_some();
+        let took_ms = current.record_event();
+        let gateway = &self.sender.gateway;
+        if let Source::Group(place) = &current.source {
+            gateway.loads.record_progress(place.epoch, (!is_first).then_some(took_ms));
+        }
+        // The length of a stall says nothing about the group's usual latency.
+        if let Some(model) = self.sender.received.model.as_ref().filter(|_| !was_stalled) {
+            gateway.loads.record_latency(model, is_first, took_ms);
         }
         self.position.last_event = event.id.or(self.position.last_event);
         self.position.has_forwarded = true;
         self.events += 1;
         self.sender.request_log.record_event();
-        event.bytes
+        Some(ReadResult::Event(event.bytes))
     }
 
-    async fn take_head(&mut self, slot: SourceSlot, response: Response<Incoming>) -> Option<ReadResult> {
-        let send = slot.of(&mut self.current, &mut self.second).as_mut()?;
+    async fn take_head(&mut self, index: usize, response: Response<Incoming>) -> Option<ReadResult> {
+        let is_only_one = self.sends.count() == 1;
+        let send = self.sends.get_mut(index)?;
         let sender = &mut self.sender;
         let taken = send.take_head(&sender.gateway, &sender.received, &mut sender.request_log, response);
-        match (taken, slot) {
-            (Ok(None), _) => None,
-            (Ok(Some(other)), SourceSlot::Current) => self.take_other_response(other).await,
-            (Ok(Some(_)), SourceSlot::Second) => self.send_ended(slot, SendOutcome::Failed),
-            (Err(outcome), _) => self.send_ended(slot, outcome),
+        match taken {
+            Ok(None) => None,
+            Ok(Some(other)) if is_only_one => self.take_other_response(other).await,
+            Ok(Some(_)) => self.send_ended(index, SendOutcome::Failed),
+            Err(outcome) => self.send_ended(index, outcome),
         }
     }
 
-    /// Forwards a response of the current source that is not a stream, unless the request may be sent to another one.
+    /// Forwards a response of the only source that is not a stream, unless the request may be sent to another one.
     async fn take_other_response(&mut self, other: OtherResponse) -> Option<ReadResult> {
-        let current = self.current.as_mut()?;
-        let Some(body) = read_response_body(&current.gate, &other.parts.headers, other.body).await else {
-            return self.take_broken(SourceSlot::Current).await;
+        let only = self.sends.newest_mut()?;
+        let Some(body) = read_response_body(&only.gate, &other.parts.headers, other.body).await else {
+            return self.take_broken(0).await;
         };
         let failed = other.parts.status.is_server_error();
-        if failed && (self.second.is_some() || self.sender.attempts.may_move()) {
-            return self.send_ended(SourceSlot::Current, SendOutcome::Failed);
+        if failed && self.sender.attempts.may_move() {
+            return self.send_ended(0, SendOutcome::Failed);
         }
-        self.settle_on(SourceSlot::Current);
         if other.parts.status.is_success() {
             self.record_answered();
         }
@@ -188,25 +194,25 @@
         Some(ReadResult::NotAStream(Box::new(response)))
     }
 
+    /// Records that the only source left has answered completely.
     fn record_answered(&mut self) {
-        let Some(current) = &mut self.current else { return };
+        let Some(answering) = self.sends.newest_mut() else { return };
         let next_gate = self.sender.gate.for_another_send();
-        current.gate.take_checks_of(std::mem::replace(&mut self.sender.gate, next_gate));
-        current.gate.answered();
+        answering.gate.take_checks_of(std::mem::replace(&mut self.sender.gate, next_gate));
+        answering.gate.answered();
     }
 
-    async fn take_end(&mut self, slot: SourceSlot) -> Option<ReadResult> {
-        let send = slot.of(&mut self.current, &mut self.second).as_mut()?;
-        if !send.is_complete().await {
-            return self.take_broken(slot).await;
+    async fn take_end(&mut self, index: usize) -> Option<ReadResult> {
+        if !self.sends.get_mut(index)?.is_complete().await {
+            return self.take_broken(index).await;
         }
-        self.settle_on(slot);
+        self.settle_on(index);
         self.record_answered();
-        let current = self.current.take()?;
+        let answered = self.sends.take(0)?;
         if self.head.is_none() {
-            self.head = current.head().cloned();
+            self.head = answered.head().cloned();
         }
-        current.finish(&self.sender.gateway);
+        answered.finish(&self.sender.gateway);
         self.sender.request_log.end(ResultCode::Ok);
         if let Some(model) = &self.sender.received.model {
             let service = &self.sender.received.service.name;
@@ -215,54 +221,40 @@
         Some(ReadResult::Complete)
     }
 
-    /// Handles a broken connection. If another source has the request, that one is read on at once.
-    async fn take_broken(&mut self, slot: SourceSlot) -> Option<ReadResult> {
-        let other_continues = self.second.is_some();
-        let broken = slot.of(&mut self.current, &mut self.second);
-        if other_continues {
-            let mut broken = broken.take()?;
-            self.search.failed();
-            self.promote_second();
-            let on_exit = on_exit_of(&self.sender.gateway, broken.source.epoch());
-            let gate = std::mem::replace(&mut broken.gate, self.sender.gate.for_another_send());
-            self.sender.gate.check_in_background(gate, on_exit);
-            self.record_ended(&broken, SendOutcome::Unknown);
-            return None;
+    /// Handles a broken connection. If another source has the request, that one is read on at once, and the check of the
+    /// server runs beside it.
+    async fn take_broken(&mut self, index: usize) -> Option<ReadResult> {
+        let other_continues = self.sends.count() > 1;
+        let gateway = self.sender.gateway.clone();
+        let broken = self.sends.get_mut(index)?;
+        let epoch = broken.source.epoch();
+        if !other_continues {
+            let outcome = broken_connection_outcome(&gateway, &mut broken.gate, epoch).await;
+            return self.send_ended(index, outcome);
         }
-        let broken = broken.as_mut()?;
-        let outcome =
-            broken_connection_outcome(&self.sender.gateway, &mut broken.gate, broken.source.epoch()).await;
-        self.send_ended(slot, outcome)
+        let gate = std::mem::replace(&mut broken.gate, self.sender.gate.for_another_send());
+        self.sender.gate.check_in_background(gate, on_exit_of(&gateway, epoch));
+        self.send_ended(index, SendOutcome::Unknown)
     }
 
-    /// Ends a send. Without another one, the caller of this function has to send the request again.
-    fn send_ended(&mut self, slot: SourceSlot, outcome: SendOutcome) -> Option<ReadResult> {
-        let ended = slot.of(&mut self.current, &mut self.second).take()?;
-        self.search.failed();
-        self.promote_second();
-        if self.current.is_some() {
-            self.record_ended(&ended, outcome);
-            self.sender.gate.take_checks_of(ended.gate);
-            return None;
-        }
-        self.search = SourceSearch::default();
+    /// Ends a send. If it was the only one, the request has to be sent again.
+    fn send_ended(&mut self, index: usize, outcome: SendOutcome) -> Option<ReadResult> {
+        let ended = self.sends.take(index)?;
         self.sender.request_log.record_outcome(ended.number, outcome);
         self.sender.gate.take_checks_of(ended.gate);
-        Some(ReadResult::Broken(outcome))
-    }
-
-    /// Makes the second source the current one if that has ended.
-    fn promote_second(&mut self) {
-        if self.current.is_none() && self.second.is_some() {
-            self.current = self.second.take();
+        let Some(newest) = self.sends.newest() else {
             self.search = SourceSearch::default();
+            return Some(ReadResult::Broken(outcome));
+        };
+        match newest.stall {
+            Some(cause) => {
+                self.search.begin(cause);
+                self.search.failed(NoOtherSource::NotReached);
+            }
+            None => self.search.found(),
         }
-    }
-}
-
-async fn progress_of(send: &mut Option<OpenSend>, position: Position) -> Option<Progress> {
-    match send {
-        Some(send) => Some(send.progress(position).await),
-        None => None,
+        // The request is not given up: another source has it.
+        let _ = self.sender.ended(outcome);
+        None
     }
 }
--- a/crates/daemon/src/gateway/stream/sender.rs
+++ b/crates/daemon/src/gateway/stream/sender.rs
@@ -1,5 +1,5 @@
-//! Sends a streaming request: to a first source, to another one after a failure, and to a second one while the first has
-//! stalled.
+//! Sends a streaming request: to a first source, to another one after a failure, and to an additional one while those that
+//! have it have stalled.
 
 use super::FULL_RETRY_MS;
 use super::open_send::{OpenSend, Position};
@@ -73,12 +73,12 @@
         }
     }
 
-    /// Sends the request to a second source, while a stalled one still has it. `silent_group`: the epoch of that one if it
-    /// only sends nothing, as other groups may be silent for the same reason.
+    /// Sends the request to an additional source, while stalled ones have it. `silent_group`: the epoch of the newest of
+    /// these if it only sends nothing, as other groups may be silent for the same reason.
     ///
     /// # Errors
     /// Returns why there is none now.
-    pub async fn open_second(
+    pub async fn open_another(
         &mut self,
         silent_group: Option<u64>,
         position: Position,
@@ -91,6 +91,9 @@
         if is_suspect != Ok(false) {
             return Err(NoOtherSource::Suspect);
         }
+        let gateway = self.gateway.clone();
+        let _turn = gateway.loads.wait_for_search_turn().await;
+        self.place_wait_ends = None;
         let source = self.select_source(false).await.map_err(|unavailable| {
             self.request_log.set_held_servers(unavailable.held);
             NoOtherSource::NoPlace
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -40,8 +40,8 @@
     pub retries: IntCounterVec,
     /// Retries refused by the retry budget.
     pub retries_refused: IntCounter,
-    /// Sends of streaming requests to a second source while the first one was stalled, by result.
-    pub second_sends: IntCounterVec,
+    /// Sends of streaming requests to another source while one was stalled, by result.
+    pub additional_sends: IntCounterVec,
     /// Checks of a server's process after a connection to it broke, by finding.
     pub process_checks: IntCounterVec,
     /// Sends that failed because the process of the server ended.
@@ -201,9 +201,9 @@
             tokens: counter("dockwood_tokens_total", "Tokens sent to callers")?,
             in_flight: gauge("dockwood_in_flight", "Requests in flight at this entry")?,
             retries: counters("dockwood_retries_total", "Retries", &["reason"])?,
-            second_sends: counters(
-                "dockwood_second_sends_total",
-                "Sends of streams to a second source while the first one was stalled",
+            additional_sends: counters(
+                "dockwood_additional_sends_total",
+                "Sends of streams to another source while one was stalled",
                 &["result"],
             )?,
             retries_refused: counter("dockwood_retries_refused_total", "Retries refused by the budget")?,
