Compact the log by its size, and wait for room on a full disk

What operators and callers saw: with some 3,100 routes, 89 changes of the configuration filled the 64 MB disks of all voters. Each voter's process ended with code 1, was restarted, read its log back and ended again at the next change; no further change was committed, and entries lost their leases and refused over half of the requests.

Cause: the log was compacted after 2,000 entries, however large they are. An entry that changes the gateway's configuration contains all of it. A refused write ended the process, and the restart neither compacted nor freed anything.

Entries that are not applied are not counted, as a compaction writes them again. To the others that is a slow disk, so nothing is acknowledged that is not stored.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod announcer;
 mod delegation;
+mod full_disk;
 mod group_orders;
 mod identity;
 mod lease_client;
@@ -26,7 +27,7 @@
 pub use reply::Reply;
 pub use thread::{ControlThread, StartedControl, run_control_thread};
 pub use turn::{TurnTimer, WorkKind};
-pub use voter_disk::StartError;
+pub use voter_disk::{RecoveredVoter, StartError, VoterDisk, WriteResult};
 
 use dockwood_api::engine::PlatformMachine;
 use dockwood_api::gateway::{
