Review of kept sources: closed groups, lines for places, common silences

- A group that the leader closes may go on sending for a while.
Its next event closed the replacement, which used up the second of two attempts, and when the group cut its response the caller's answer was cut as well.
The replacement of a closed group is kept now until it has overtaken the group, or the group breaks off; and its events don't begin the search again each time.
Test: stream_closed_groups::an_answer_is_whole_if_its_closed_group_goes_on_for_a_while; it fails with the condition switched off (a trial, one run) and passes.
- Stalled streams of all models stood in one line for places, and kept their turn while they connected.
There is a line for each model, and a turn ends with the place.
- Streams checked whether any group works before they waited for their turn, and not at all with one group in use or if theirs was closed: in a common silence each of them was sent to a silent group, as far as the budget went.
They check it after that, always.
- A failed search reported the stalled group to the leader again, also while all groups were silent; that makes the leader surer that sound groups are lost.
It is only avoided by this entry then.
- A second check of a server in the background, and checks that a cancelled search was waiting for, belonged to nobody.
A stalled suspect counted as refused in each search.
- A stream without event ids is not sent again once an event was forwarded: it would begin again at the start.

--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -6,7 +6,7 @@
 mod silence;
 
 pub use reports::ScopeLoad;
-pub use silence::{GroupSilence, StallTrial};
+pub use silence::{ModelKey, SilenceProbe};
 
 use super::cold::place_valid_until;
 use crate::clock::monotonic_ms;
@@ -19,13 +19,12 @@
 use dockwood_state::{GatewayTables, GroupPhase};
 use group_state::GroupState;
 use rand::RngExt;
-use silence::{ModelKey, SearchTurns};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::futures::Notified;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// Time for which a group that stalled on this entry is avoided.
 const AVOID_STALLED_MS: Millis = 1_200;
@@ -50,10 +49,10 @@
     /// Signals that a request has ended.
     pub ended: Notify,
     latencies: Mutex<BTreeMap<String, ObservedLatency>>,
-    /// Models of which all groups are silent, and one stream tries another group.
-    stall_trials: Mutex<BTreeSet<ModelKey>>,
-    /// Permits for stalled streams to look for a place.
-    search_turns: SearchTurns,
+    /// Models of which all groups are silent, and one stream is sent to another group.
+    silence_probes: Mutex<BTreeSet<ModelKey>>,
+    /// Lines in which stalled streams wait until they may look for a place.
+    search_lines: Mutex<BTreeMap<ModelKey, Arc<Semaphore>>>,
     /// Demand for each model since it was last reported, by service and model.
     demand: Mutex<BTreeMap<(String, String), ModelLoad>>,
     /// Incremented when a group closes.
@@ -372,6 +371,7 @@
             group.progressed = true;
             group.last_event_at = monotonic_ms();
             group.avoided_until = 0;
+            group.stalled_until = 0;
         }
     }
 
@@ -391,11 +391,19 @@
         let now = monotonic_ms();
         if let Some(group) = lock(&self.groups).get_mut(&epoch) {
             group.avoided_until = now + AVOID_STALLED_MS;
+            group.stalled_until = group.avoided_until;
             group.refused |= refused;
         }
         self.urgent.notify_one();
     }
 
+    /// Avoids a group at this entry, without a report that it has stalled.
+    pub fn avoid_group(&self, epoch: u64) {
+        if let Some(group) = lock(&self.groups).get_mut(&epoch) {
+            group.avoided_until = monotonic_ms() + AVOID_STALLED_MS;
+        }
+    }
+
     /// Returns the age of the leader's last grants, in milliseconds.
     pub fn age_of_grants(&self, now: Millis) -> Millis {
         now.saturating_sub(self.granted_at.load(Ordering::Relaxed))
--- a/crates/daemon/src/gateway/loads/silence.rs
+++ b/crates/daemon/src/gateway/loads/silence.rs
@@ -1,4 +1,4 @@
-//! Silence of one group or of all groups of a model.
+//! Silence of one group or of all groups of a model, and the searches of stalled streams for other groups.
 
 use super::{GroupState, Loads};
 use crate::clock::monotonic_ms;
@@ -6,7 +6,11 @@
 use crate::lock::lock;
 use dockwood_routing::Millis;
 use std::sync::Arc;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Number of stalled streams of a model at this entry that look for a place at the same time. Each of them asks again and
+/// again while all groups are full, as new requests do; a stall makes many streams look at once.
+const CONCURRENT_SEARCHES: usize = 2;
 
 /// Groups of one model that process requests of this entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,51 +22,33 @@
 }
 
 impl GroupSilence {
-    /// Whether several groups are in use, and all of them are silent.
+    /// Whether groups are in use, and all of them are silent.
     pub fn is_of_all_groups(self) -> bool {
-        self.in_use > 1 && self.silent == self.in_use
+        self.in_use > 0 && self.silent == self.in_use
     }
 }
 
-/// Number of stalled streams of this entry that look for a place at the same time. Each of them asks again and again while
-/// all groups are full, as new requests do; a stall makes many streams look at once.
-const CONCURRENT_SEARCHES: usize = 2;
-
-/// The line in which stalled streams wait until they may look for a place.
-#[derive(Debug)]
-pub(super) struct SearchTurns(Semaphore);
-
-impl Default for SearchTurns {
-    fn default() -> Self {
-        SearchTurns(Semaphore::new(CONCURRENT_SEARCHES))
-    }
-}
-
-/// The model of a group.
+/// A model of a service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct ModelKey {
-    service: String,
-    model: String,
+pub struct ModelKey {
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
 }
 
 impl ModelKey {
-    fn of(group: &GroupState) -> ModelKey {
-        ModelKey { service: group.row.service.clone(), model: group.row.model.clone() }
+    fn is_of(&self, group: &GroupState) -> bool {
+        group.row.service == self.service && group.row.model == self.model
     }
 }
 
 impl Loads {
-    /// Returns how many groups of the same model as this one are in use, and how many of them have sent nothing within
-    /// `span`.
-    pub fn silence(&self, epoch: u64, span: Millis) -> GroupSilence {
+    /// Returns how many groups of a model are in use, and how many of them have sent nothing within `span`.
+    pub fn silence(&self, model: &ModelKey, span: Millis) -> GroupSilence {
         let now = monotonic_ms();
         let groups = lock(&self.groups);
-        let Some(stalled) = groups.get(&epoch).map(|group| group.row.clone()) else {
-            return GroupSilence::default();
-        };
-        let is_same_model =
-            |group: &GroupState| group.row.service == stalled.service && group.row.model == stalled.model;
-        let in_use = groups.values().filter(|group| group.in_flight > 0 && is_same_model(group));
+        let in_use = groups.values().filter(|group| group.in_flight > 0 && model.is_of(group));
         let mut silence = GroupSilence::default();
         for group in in_use {
             silence.in_use += 1;
@@ -70,33 +56,37 @@
         }
         silence
     }
-}
 
-impl Loads {
-    /// Waits until a stalled stream may look for a place. Its turn ends when the result is dropped; `None` is never
-    /// returned, as the line is never closed.
-    pub async fn wait_for_search_turn(&self) -> Option<SemaphorePermit<'_>> {
-        self.search_turns.0.acquire().await.ok()
+    /// Waits in the line of a model until a stalled stream may look for a place. The turn ends when the result is dropped.
+    pub async fn wait_for_search_turn(&self, model: &ModelKey) -> SearchTurn {
+        let line = {
+            let mut lines = lock(&self.search_lines);
+            let new = || Arc::new(Semaphore::new(CONCURRENT_SEARCHES));
+            lines.entry(model.clone()).or_insert_with(new).clone()
+        };
+        SearchTurn(line.acquire_owned().await.ok())
     }
 }
 
-/// The one stream of this entry that tries another group while all groups of its model are silent. Ends on drop.
-pub struct StallTrial {
+/// Permission of a stalled stream to look for a place. It holds no permit only if the line is closed, which it never is.
+pub struct SearchTurn(#[allow(dead_code, reason = "held until it is dropped")] Option<OwnedSemaphorePermit>);
+
+/// The one stream of this entry that is sent to another group while all groups of its model are silent. Ends on drop.
+pub struct SilenceProbe {
     gateway: Arc<Gateway>,
     model: ModelKey,
 }
 
-impl StallTrial {
-    /// Begins a trial; `None` if another stream is on trial.
-    pub fn begin(gateway: &Arc<Gateway>, epoch: u64) -> Option<StallTrial> {
-        let model = lock(&gateway.loads.groups).get(&epoch).map(ModelKey::of)?;
-        let has_begun = lock(&gateway.loads.stall_trials).insert(model.clone());
-        has_begun.then(|| StallTrial { gateway: gateway.clone(), model })
+impl SilenceProbe {
+    /// Begins a probe; `None` if another stream is probing.
+    pub fn begin(gateway: &Arc<Gateway>, model: &ModelKey) -> Option<SilenceProbe> {
+        let has_begun = lock(&gateway.loads.silence_probes).insert(model.clone());
+        has_begun.then(|| SilenceProbe { gateway: gateway.clone(), model: model.clone() })
     }
 }
 
-impl Drop for StallTrial {
+impl Drop for SilenceProbe {
     fn drop(&mut self) {
-        lock(&self.gateway.loads.stall_trials).remove(&self.model);
+        lock(&self.gateway.loads.silence_probes).remove(&self.model);
     }
 }
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -1,7 +1,7 @@
 //! Detection of stalled stream sources.
 
 use super::Gateway;
-use super::loads::{GroupSilence, StallTrial};
+use super::loads::{ModelKey, SilenceProbe};
 use crate::log_line::{StallCause, StallLine};
 use crate::suspects::SuspectGate;
 use dockwood_routing::gateway::{SendOutcome, StallTimeout};
@@ -15,21 +15,29 @@
 /// A group that has sent an event on any stream of this entry within this time is working, in milliseconds.
 const PROGRESS_WINDOW_MS: u64 = 150;
 
-/// Records that a source has stalled, and returns how.
-pub fn record_stall(gateway: &Gateway, epoch: Option<u64>, cause: StallCause, since: Instant) -> StallLine {
+/// Records that a source of a model has stalled, and returns how.
+pub fn record_stall(
+    gateway: &Gateway,
+    model: &ModelKey,
+    epoch: Option<u64>,
+    cause: StallCause,
+    since: Instant,
+) -> StallLine {
     let silent_ms = since.elapsed().as_millis() as u64;
-    let mut silence = GroupSilence::default();
-    if let Some(epoch) = epoch {
-        gateway.loads.suspect_group(epoch, false);
-        silence = gateway.loads.silence(epoch, silent_ms);
-    }
+    let silence = gateway.loads.silence(model, silent_ms);
+    epoch.into_iter().for_each(|epoch| gateway.loads.suspect_group(epoch, false));
     StallLine { cause, silent_ms, groups_in_use: silence.in_use, groups_silent: silence.silent }
 }
 
-/// Avoids a group for new requests for some more time if it still sends nothing.
-pub fn suspect_silent_group(gateway: &Gateway, epoch: u64) {
-    if !gateway.loads.progressed_within(epoch, PROGRESS_WINDOW_MS) {
-        gateway.loads.suspect_group(epoch, false);
+/// Keeps new requests away from a group for some more time if it still sends nothing. While all groups are silent, this
+/// says nothing about one of them, and is not reported.
+pub fn renew_suspicion(gateway: &Gateway, model: &ModelKey, epoch: u64) {
+    if gateway.loads.progressed_within(epoch, PROGRESS_WINDOW_MS) {
+        return;
+    }
+    match gateway.loads.silence(model, PROGRESS_WINDOW_MS).is_of_all_groups() {
+        true => gateway.loads.avoid_group(epoch),
+        false => gateway.loads.suspect_group(epoch, false),
     }
 }
 
@@ -90,18 +98,15 @@
     }
 }
 
-/// Waits until a request at a silent group may be sent to another one. If all groups that this entry uses are silent,
-/// another one is probably silent for the same reason, and the retries are needed for other failures: one stream tries
-/// then, and the others wait until any group sends something. Returns the trial if this stream is the one that tries.
-pub async fn wait_for_working_group(gateway: &Arc<Gateway>, epoch: u64) -> Option<StallTrial> {
-    loop {
-        let silence = gateway.loads.silence(epoch, PROGRESS_WINDOW_MS);
-        if !silence.is_of_all_groups() {
-            return None;
-        }
-        if let Some(trial) = StallTrial::begin(gateway, epoch) {
-            return Some(trial);
+/// Waits until a stalled stream may be sent to another group. If all groups that this entry uses are silent, another one is
+/// probably silent for the same reason, and the retries are needed for other failures: one stream is sent then, and the
+/// others wait until any group sends something. Returns the probe if this stream is the one that is sent.
+pub async fn wait_for_working_group(gateway: &Arc<Gateway>, model: &ModelKey) -> Option<SilenceProbe> {
+    while gateway.loads.silence(model, PROGRESS_WINDOW_MS).is_of_all_groups() {
+        if let Some(probe) = SilenceProbe::begin(gateway, model) {
+            return Some(probe);
         }
         tokio::time::sleep(PROGRESS_POLL_INTERVAL).await;
     }
+    None
 }
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -127,6 +127,9 @@
     async fn read_next(&mut self) -> Result<Option<Bytes>, Truncated> {
         loop {
             if self.sends.is_empty() {
+                if !self.position.is_resumable() {
+                    return Err(Truncated::Broken);
+                }
                 let opened = self.sender.open(self.position).await;
                 self.sends.push(opened.map_err(|_| Truncated::Broken)?);
             }
--- a/crates/daemon/src/gateway/stream/open_send.rs
+++ b/crates/daemon/src/gateway/stream/open_send.rs
@@ -1,7 +1,7 @@
 //! One send of a streaming request that a server has: up to the head of its response, and then event by event.
 
 use crate::gateway::Gateway;
-use crate::gateway::loads::StallTrial;
+use crate::gateway::loads::SilenceProbe;
 use crate::gateway::receive::ReceivedRequest;
 use crate::gateway::request_log::{RequestLog, SendNumber};
 use crate::gateway::response_head::evaluate_head;
@@ -44,6 +44,11 @@
         self.has_forwarded && event.id.is_some() && event.id <= self.last_event
     }
 
+    /// Whether another source can continue: without ids, it would begin again at the start.
+    pub fn is_resumable(self) -> bool {
+        !self.has_forwarded || self.last_event.is_some()
+    }
+
     /// Id after which a server is asked to resume; `None` if it is to begin at the start.
     pub fn resume_after(self) -> Option<u64> {
         self.has_forwarded.then_some(self.last_event).flatten()
@@ -98,7 +103,7 @@
     /// How the source has stalled, if it has since its last event.
     pub stall: Option<StallCause>,
     /// Held until the first event if this send shows whether any group works.
-    pub trial: Option<StallTrial>,
+    pub probe: Option<SilenceProbe>,
 }
 
 impl OpenSend {
@@ -120,7 +125,7 @@
             last_progress: Instant::now(),
             awaits_first_event: true,
             stall: None,
-            trial: None,
+            probe: None,
         }
     }
 
@@ -204,7 +209,7 @@
         if self.awaits_first_event {
             self.gate.response_began();
         }
-        self.trial = None;
+        self.probe = None;
         self.awaits_first_event = false;
         self.last_progress = Instant::now();
         took_ms
--- a/crates/daemon/src/gateway/stream/open_sends.rs
+++ b/crates/daemon/src/gateway/stream/open_sends.rs
@@ -3,6 +3,14 @@
 use super::open_send::{OpenSend, Position, Progress};
 use futures::future::select_all;
 
+/// Sends that were removed because another one continues.
+pub(super) struct ClosedSends {
+    /// Those that were made before the one that continues.
+    pub older: Vec<OpenSend>,
+    /// Those that were made after it.
+    pub newer: Vec<OpenSend>,
+}
+
 /// The open sends of a request, in the order in which they were made. There is more than one only while the older ones
 /// have stalled.
 #[derive(Default)]
@@ -43,11 +51,16 @@
         (index < self.0.len()).then(|| self.0.remove(index))
     }
 
-    /// Removes all sends but one, and returns them with whether each is older than the one that is kept.
-    pub fn keep_only(&mut self, index: usize) -> Vec<(OpenSend, bool)> {
-        let Some(kept) = self.take(index) else { return Vec::new() };
-        let others = std::mem::replace(&mut self.0, vec![kept]);
-        others.into_iter().enumerate().map(|(position, send)| (send, position < index)).collect()
+    /// Removes the only send, after all others were removed.
+    pub fn take_only(&mut self) -> Option<OpenSend> {
+        self.0.pop()
+    }
+
+    /// Removes all sends but one.
+    pub fn keep_only(&mut self, index: usize) -> ClosedSends {
+        let newer = self.0.split_off((index + 1).min(self.0.len()));
+        let older = self.0.drain(..index.min(self.0.len())).collect();
+        ClosedSends { older, newer }
     }
 
     /// Waits for the next progress on any send, and returns the index of that send. If several have progressed, the oldest
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -8,7 +8,7 @@
 use crate::gateway::headers::end_to_end;
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{
-    broken_connection_outcome, on_exit_of, record_stall, suspect_silent_group, wait_for_stall,
+    broken_connection_outcome, on_exit_of, record_stall, renew_suspicion, wait_for_stall,
 };
 use crate::log_line::{NoOtherSource, StallCause};
 use dockwood_api::ResultCode;
@@ -47,20 +47,20 @@
         let position = self.position;
         let deadline = self.sender.received.deadline;
         let gateway = self.sender.gateway.clone();
-        let may_add_send = self.sender.attempts.may_add_send(self.sends.count());
+        let may_add_send = position.is_resumable() && self.sender.attempts.may_add_send(self.sends.count());
         let newest = self.sends.newest();
         let epoch = newest.and_then(|newest| newest.source.epoch());
         let since = newest.map(|newest| newest.last_progress);
         let awaits_first_event = newest.is_none_or(|newest| newest.awaits_first_event);
-        let is_on_trial = newest.is_some_and(|newest| newest.trial.is_some());
+        let is_probe = newest.is_some_and(|newest| newest.probe.is_some());
         let timeout = self.stall_timeouts.map(|timeouts| timeouts.of(awaits_first_event));
-        let watches = self.search.is_idle() && (may_add_send || is_on_trial);
+        let watches = self.search.is_idle() && (may_add_send || is_probe);
         let searches = !self.search.is_idle() && may_add_send;
         let (sends, search, sender) = (&mut self.sends, &self.search, &mut self.sender);
         tokio::select! {
             biased;
             (index, progress) = sends.progress(position) => Wakeup::Progress(index, progress),
-            opened = search.open_another(sender, epoch, position), if searches => Wakeup::Opened(Box::new(opened)),
+            opened = search.open_another(sender, position), if searches => Wakeup::Opened(Box::new(opened)),
             cause = wait_for_stall(&gateway, epoch, since, timeout, &mut self.changes), if watches =>
                 Wakeup::Stalled(cause),
             () = tokio::time::sleep_until(deadline) => Wakeup::OutOfTime,
@@ -70,12 +70,13 @@
     /// Begins to look for another source.
     fn newest_stalled(&mut self, cause: StallCause) -> Option<ReadResult> {
         let newest = self.sends.newest_mut()?;
-        // The trial has shown that this group is silent as well.
-        newest.trial = None;
+        // This group is silent as well, so another stream may probe.
+        newest.probe = None;
         newest.stall = Some(cause);
-        let stall = record_stall(&self.sender.gateway, newest.source.epoch(), cause, newest.last_progress);
+        let (epoch, since) = (newest.source.epoch(), newest.last_progress);
+        let stall = record_stall(&self.sender.gateway, &self.sender.model, epoch, cause, since);
         self.sender.request_log.record_stall(newest.number, stall);
-        self.search.begin(cause);
+        self.search.begin();
         None
     }
 
@@ -85,7 +86,7 @@
         match opened {
             Ok(send) => {
                 self.sends.push(send);
-                self.search.found();
+                self.search.end();
             }
             Err(reason) => {
                 self.sender.request_log.record_no_other_source(reason);
@@ -103,7 +104,7 @@
     /// Keeps new requests away from the stalled groups.
     fn renew_suspicions(&self) {
         let epochs = self.sends.iter().filter_map(|send| send.source.epoch());
-        epochs.for_each(|epoch| suspect_silent_group(&self.sender.gateway, epoch));
+        epochs.for_each(|epoch| renew_suspicion(&self.sender.gateway, &self.sender.model, epoch));
     }
 
     async fn take_progress(&mut self, index: usize, progress: Progress) -> Option<ReadResult> {
@@ -118,36 +119,35 @@
     /// Closes all sends but the one that has sent something.
     fn settle_on(&mut self, index: usize) {
         self.search = SourceSearch::default();
-        for (closed, is_older) in self.sends.keep_only(index) {
-            let (result, outcome) = match is_older {
-                true => ("won", SendOutcome::Abandoned),
-                false => ("overtaken", SendOutcome::Overtaken),
-            };
-            self.count_additional_send(result);
-            self.record_ended(&closed, outcome);
-            self.sender.gate.take_checks_of(closed.gate);
-        }
+        let closed = self.sends.keep_only(index);
+        closed.older.into_iter().for_each(|send| self.close(send, "won", SendOutcome::Abandoned));
+        closed.newer.into_iter().for_each(|send| self.close(send, "overtaken", SendOutcome::Overtaken));
     }
 
-    /// Records the outcome of a send while another one continues.
-    fn record_ended(&mut self, send: &OpenSend, outcome: SendOutcome) {
+    /// Closes a send because another one continues.
+    fn close(&mut self, send: OpenSend, result: &str, outcome: SendOutcome) {
+        self.count_additional_send(result);
         self.sender.request_log.record_outcome(send.number, outcome);
-        // The request is not given up: another source has it.
-        let _ = self.sender.ended(outcome);
+        self.sender.attempts.ended(outcome);
+        self.sender.gate.take_checks_of(send.gate);
     }
 
     /// Records an event that is forwarded.
     fn take_event(&mut self, index: usize, event: StreamEvent) -> Option<ReadResult> {
-        self.settle_on(index);
-        let current = self.sends.newest_mut()?;
+        // A closed group will soon cut its responses, so that its replacement is kept until it has overtaken the group.
+        let is_closed = self.sends.get_mut(index)?.stall == Some(StallCause::GroupClosed);
+        if !is_closed {
+            self.settle_on(index);
+        }
+        let send = self.sends.get_mut(if is_closed { index } else { 0 })?;
         if self.head.is_none() {
-            self.head = current.head().cloned();
+            self.head = send.head().cloned();
         }
-        let is_first = current.awaits_first_event;
-        let was_stalled = current.stall.take().is_some();
-        let took_ms = current.record_event();
+        let is_first = send.awaits_first_event;
+        let was_stalled = send.stall.take_if(|cause| *cause == StallCause::Silent).is_some();
+        let took_ms = send.record_event();
         let gateway = &self.sender.gateway;
-        if let Source::Group(place) = &current.source {
+        if let Source::Group(place) = &send.source {
             gateway.loads.record_progress(place.epoch, (!is_first).then_some(took_ms));
         }
         // The length of a stall says nothing about the group's usual latency.
@@ -208,7 +208,7 @@
         }
         self.settle_on(index);
         self.record_answered();
-        let answered = self.sends.take(0)?;
+        let answered = self.sends.take_only()?;
         if self.head.is_none() {
             self.head = answered.head().cloned();
         }
@@ -246,15 +246,14 @@
             self.search = SourceSearch::default();
             return Some(ReadResult::Broken(outcome));
         };
-        match newest.stall {
-            Some(cause) => {
-                self.search.begin(cause);
+        match newest.stall.is_some() {
+            true => {
+                self.search.begin();
                 self.search.failed(NoOtherSource::NotReached);
             }
-            None => self.search.found(),
+            false => self.search.end(),
         }
-        // The request is not given up: another source has it.
-        let _ = self.sender.ended(outcome);
+        self.sender.attempts.ended(outcome);
         None
     }
 }
--- a/crates/daemon/src/gateway/stream/sender.rs
+++ b/crates/daemon/src/gateway/stream/sender.rs
@@ -6,10 +6,12 @@
 use super::selection::OccupiedSources;
 use crate::gateway::Gateway;
 use crate::gateway::body::ResponseBody;
+use crate::gateway::loads::{ModelKey, SilenceProbe};
 use crate::gateway::plain::give_up;
 use crate::gateway::receive::{ReceivedRequest, may_still_send};
 use crate::gateway::request_log::RequestLog;
 use crate::gateway::responses::error_response;
+use crate::gateway::source::Source;
 use crate::gateway::stalls::wait_for_working_group;
 use crate::log_line::NoOtherSource;
 use crate::suspects::SuspectGate;
@@ -31,6 +33,8 @@
     pub tried_servers: Vec<String>,
     /// Sources that were found to run other suspects, since the gate was last waited for.
     pub occupied: OccupiedSources,
+    /// Service and model of the request; the model is empty if the request names none.
+    pub model: ModelKey,
     /// Until when the request waits for a place; `None` if it has not waited since the last send.
     pub place_wait_ends: Option<Instant>,
 }
@@ -41,6 +45,10 @@
         RequestSender {
             attempts: RequestAttempts::new(&received.route),
             gate: received.suspect_gate(&gateway.shared),
+            model: ModelKey {
+                service: received.service.name.clone(),
+                model: received.model.clone().unwrap_or_default(),
+            },
             gateway: gateway.clone(),
             received,
             request_log,
@@ -73,31 +81,12 @@
         }
     }
 
-    /// Sends the request to an additional source, while stalled ones have it. `silent_group`: the epoch of the newest of
-    /// these if it only sends nothing, as other groups may be silent for the same reason.
+    /// Sends the request to an additional source, while stalled ones have it.
     ///
     /// # Errors
     /// Returns why there is none now.
-    pub async fn open_another(
-        &mut self,
-        silent_group: Option<u64>,
-        position: Position,
-    ) -> Result<OpenSend, NoOtherSource> {
-        let trial = match silent_group {
-            Some(epoch) => wait_for_working_group(&self.gateway, epoch).await,
-            None => None,
-        };
-        let is_suspect = self.gate.is_suspect().await;
-        if is_suspect != Ok(false) {
-            return Err(NoOtherSource::Suspect);
-        }
-        let gateway = self.gateway.clone();
-        let _turn = gateway.loads.wait_for_search_turn().await;
-        self.place_wait_ends = None;
-        let source = self.select_source(false).await.map_err(|unavailable| {
-            self.request_log.set_held_servers(unavailable.held);
-            NoOtherSource::NoPlace
-        })?;
+    pub async fn open_another(&mut self, position: Position) -> Result<OpenSend, NoOtherSource> {
+        let (source, probe) = self.select_another().await?;
         self.gate.admit(false, source.instance(), source.zone(), source.address()).await;
         if !may_still_send(&self.gateway, &self.received) {
             return Err(NoOtherSource::NoLease);
@@ -107,17 +96,32 @@
         }
         match self.write(source, position).await {
             Ok(mut send) => {
-                send.trial = trial;
+                send.probe = probe;
                 Ok(send)
             }
             Err(outcome) => {
-                // The request is not given up: the stalled source still has it.
-                let _ = self.ended(outcome);
+                self.attempts.ended(outcome);
                 Err(NoOtherSource::NotReached)
             }
         }
     }
 
+    /// Selects an additional source, in turn with the other stalled streams of this entry.
+    async fn select_another(&mut self) -> Result<(Source, Option<SilenceProbe>), NoOtherSource> {
+        let gateway = self.gateway.clone();
+        let _turn = gateway.loads.wait_for_search_turn(&self.model).await;
+        let probe = wait_for_working_group(&gateway, &self.model).await;
+        if !self.gate.may_run_beside() {
+            return Err(NoOtherSource::Suspect);
+        }
+        self.place_wait_ends = None;
+        let source = self.select_source(false).await.map_err(|unavailable| {
+            self.request_log.set_held_servers(unavailable.held);
+            NoOtherSource::NoPlace
+        })?;
+        Ok((source, probe))
+    }
+
     fn try_retry(&self) -> bool {
         self.gateway.try_retry(&self.received.service.name, "stream")
     }
--- a/crates/daemon/src/gateway/stream/source_search.rs
+++ b/crates/daemon/src/gateway/stream/source_search.rs
@@ -2,7 +2,7 @@
 
 use super::open_send::{OpenSend, Position};
 use super::sender::RequestSender;
-use crate::log_line::{NoOtherSource, StallCause};
+use crate::log_line::NoOtherSource;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -14,8 +14,8 @@
 /// State of the search.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SourceSearch {
-    /// How the newest source has stalled; `None` if it has not, so that no other one is needed.
-    stall: Option<StallCause>,
+    /// Whether the newest source has stalled.
+    is_needed: bool,
     /// When a source is looked for again.
     next_at: Option<Instant>,
     failures: u32,
@@ -24,17 +24,17 @@
 impl SourceSearch {
     /// Whether no source is looked for.
     pub fn is_idle(&self) -> bool {
-        self.stall.is_none()
+        !self.is_needed
     }
 
-    /// Begins, as the newest source has stalled.
-    pub fn begin(&mut self, cause: StallCause) {
-        self.stall = Some(cause);
+    /// Begins: the newest source has stalled.
+    pub fn begin(&mut self) {
+        self.is_needed = true;
     }
 
-    /// Ends for now: the request was sent to another source.
-    pub fn found(&mut self) {
-        self.stall = None;
+    /// Ends: the newest source has not stalled.
+    pub fn end(&mut self) {
+        self.is_needed = false;
     }
 
     /// Records that no source was found.
@@ -55,13 +55,11 @@
     pub async fn open_another(
         &self,
         sender: &mut RequestSender,
-        epoch: Option<u64>,
         position: Position,
     ) -> Result<OpenSend, NoOtherSource> {
         if let Some(next_at) = self.next_at {
             tokio::time::sleep_until(next_at).await;
         }
-        let silent_group = epoch.filter(|_| self.stall == Some(StallCause::Silent));
-        sender.open_another(silent_group, position).await
+        sender.open_another(position).await
     }
 }
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -107,7 +107,17 @@
     /// Checks in the background whether a server has crashed after the connection of another send to it broke.
     pub fn check_in_background(&mut self, mut other: SuspectGate, on_exit: impl FnOnce() + Send + 'static) {
         self.checks.append(&mut other.checks);
-        self.checks.push(tokio::spawn(async move { other.connection_broke(on_exit).await }));
+        self.checks.push(tokio::spawn(async move {
+            let has_crashed = other.connection_broke(on_exit).await;
+            let checks = futures::future::join_all(other.checks.drain(..)).await;
+            has_crashed || checks.into_iter().any(|check| check.unwrap_or(false))
+        }));
+    }
+
+    /// Whether the request may be sent to another server while one has it: it is not suspected, and at most one server is
+    /// still being checked.
+    pub fn may_run_beside(&self) -> bool {
+        self.checks.len() <= 1 && self.status() == SuspicionStatus::Unsuspected
     }
 
     fn fingerprint(&self) -> Fingerprint {
@@ -287,11 +297,6 @@
         false
     }
 
-    /// Takes over the checks that another gate of the same request has begun.
-    pub fn add_checks_of(&mut self, mut other: SuspectGate) {
-        self.checks.append(&mut other.checks);
-    }
-
     /// Checks the process of a server. A refused connection is no evidence if another daemon reaches the server: then the
     /// path from this daemon is cut.
     async fn check_server(&self, address: SocketAddr) -> ProcessCheck {
--- a/crates/daemon/src/traffic/chat/stream.rs
+++ b/crates/daemon/src/traffic/chat/stream.rs
@@ -188,9 +188,8 @@
         slot.replica_broken = true;
         *slot = new_slot;
         self.queued_ms += slot.grant.queued_ms;
-        let mut replaced = std::mem::replace(&mut self.search, search);
-        replaced.gate.connection_broke(|| ()).await;
-        self.search.gate.add_checks_of(replaced.gate);
+        let replaced = std::mem::replace(&mut self.search, search);
+        self.search.gate.check_in_background(replaced.gate, || ());
         for event in events {
             if let Some(result) = self.handle_event(event, slot).await {
                 return Some(result);
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -10,6 +10,7 @@
 mod scripted_server;
 mod stream_alternatives;
 mod stream_caller;
+mod stream_closed_groups;
 mod stream_contention;
 mod stream_fleet;
 mod stream_server;
