--- a/crates/control/src/log_size.rs
+++ b/crates/control/src/log_size.rs
@@ -1,16 +1,15 @@
 //! The size of the stored log, which decides together with the number of entries when a snapshot replaces it.
 //!
 //! An entry may be as large as the whole state: a change of the gateway's configuration contains all of it. The
-//! log may therefore take a multiple of what its snapshot takes, and disk and memory stay proportional to the
-//! state. What is written for snapshots stays proportional to what is written to the log.
+//! log may therefore take as much as its snapshot, and disk and memory stay proportional to the state. What is
+//! written for snapshots stays proportional to what is written to the log.
 
 use dockwood_consensus::Entry;
 
-/// A log below this size is not compacted because of its size.
+/// A log below this size is not compacted because of its size. A larger one may take as much as its snapshot: while a
+/// snapshot is stored, the disk then holds the log, the change that reached the limit and two snapshots, which makes
+/// four times the size of the state.
 const MIN_LIMIT_BYTES: u64 = 4 << 20;
-/// The log may take this multiple of the size of its snapshot. While a snapshot is stored, the disk holds the
-/// log and two snapshots, which makes four times the size of the state.
-const LOG_PER_SNAPSHOT: u64 = 2;
 /// Approximate size of a record without its payload: its header, and the entry's index and term.
 const RECORD_OVERHEAD_BYTES: u64 = 32;
 
@@ -34,7 +33,7 @@
 
     /// Records that a snapshot and the entries after it replace the log.
     pub fn replaced(&mut self, snapshot_bytes: usize, remaining: &[Entry]) {
-        let limit = (snapshot_bytes as u64).saturating_mul(LOG_PER_SNAPSHOT).max(MIN_LIMIT_BYTES);
+        let limit = (snapshot_bytes as u64).max(MIN_LIMIT_BYTES);
         *self = LogSize { bytes: bytes_of(remaining), limit };
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod full_disk;
 mod group_orders;
 mod identity;
+mod inputs;
 mod lease_client;
 mod lease_path;
 mod orders;
