A member that accepts connections but does not answer is not lost at once

What callers saw: while servers paused for about a second, the leader closed groups whose servers were well, with truncation. Their servers cut their own answers once they went on, and the members had to join again.

Cause: a probe without an answer within 0.3 s counted as a loss whatever the reason, so that a group that entries reported as stalled was closed 0.6 s after its member fell silent. A process that pauses and a machine without power looked alike.

Change: if a probe has no answer after 150 ms, a new connection shows whether the machine is up (a kept one does not). Refused: as before. No connection: `Silent`, as before. Connected: `Unresponsive`; such a member counts as lost only once probes have failed for half of the engines' stall limit (3 s of 6), or its heartbeats are missing. Callers give up silent answers after about 2 s, so waiting longer would protect none. An answer or a heartbeat cancels it. The reason in the time line says which of the three it was. The entries' evidence on groups moved to a module of its own, as the file had grown.

--- a/crates/control/src/address_takeovers.rs
+++ b/crates/control/src/address_takeovers.rs
@@ -36,7 +36,7 @@
         row: &InstanceRow,
     ) -> bool {
         let is_recent = |held: &InstanceRow| {
-            let seen = observations.instance(&held.id).filter(|seen| seen.silent_since.is_none());
+            let seen = observations.instance(&held.id).filter(|seen| seen.absence.is_none());
             seen.is_some_and(|seen| now < seen.reported_at + observations.heartbeat().recent_ms())
         };
         let at_address = tables.instances.values().filter(|held| held.address == row.address);
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::log_line::{LineBody, OrderLine};
 use crate::logging;
+use crate::probe::probe_instance;
 use crate::pushback::{SendPermit, SendPurpose, SendTarget, signals_of};
 use crate::shared::Shared;
 use dockwood_api::gateway::{GroupOrder, OrderAnswer};
@@ -14,8 +15,6 @@
 
 /// Time limit for a server to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time limit for an instance to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Sends orders and probes from the traffic runtime and reports the results to the control thread.
 #[derive(Clone)]
@@ -114,19 +113,20 @@
             ProbeQuestion::AnswersAt(health_path) => health_path,
         };
         let url = format!("http://{}{path}", probe.address);
-        match self.http.get(url).timeout(PROBE_TIMEOUT).send().await {
-            Ok(response) => match self.classify_response(&response, probe) {
-                ProbeResult::Answered => {
-                    let names = &self.dialect.headers().signals;
-                    permit.record_response(&signals_of(response.status(), response.headers(), names), "");
-                    // A response shows that the server is alive even if its body is lost.
-                    let body = response.bytes().await.unwrap_or_default();
-                    (ProbeResult::Answered, self.dialect.report_slowness(&body))
-                }
-                other => (other, None),
-            },
-            Err(error) if error.is_connect() && !error.is_timeout() => (ProbeResult::Refused, None),
-            Err(_) => (ProbeResult::Silent, None),
+        let dialer = self.shared.server_dialer.as_ref();
+        let response = match probe_instance(dialer, self.http.get(url), probe.address).await {
+            Ok(response) => response,
+            Err(result) => return (result, None),
+        };
+        match self.classify_response(&response, probe) {
+            ProbeResult::Answered => {
+                let names = &self.dialect.headers().signals;
+                permit.record_response(&signals_of(response.status(), response.headers(), names), "");
+                // A response shows that the server is alive even if its body is lost.
+                let body = response.bytes().await.unwrap_or_default();
+                (ProbeResult::Answered, self.dialect.report_slowness(&body))
+            }
+            other => (other, None),
         }
     }
 }
--- a/crates/grouping/src/instances.rs
+++ b/crates/grouping/src/instances.rs
@@ -12,8 +12,11 @@
     OtherInstance,
     /// The connection was refused.
     Refused,
-    /// No answer arrived in time.
+    /// Neither a connection was accepted nor an answer arrived in time: the machine may have lost its power or its
+    /// network.
     Silent,
+    /// A connection was accepted, but no answer arrived in time: the machine is up, and the process pauses.
+    Unresponsive,
     /// The probe was not sent because the instance currently accepts no requests from this daemon. This is no
     /// evidence.
     NotAsked,
@@ -46,8 +49,44 @@
     pub leaving_since: Option<Millis>,
     /// The instance itself reported that it is leaving.
     pub reported_leaving: bool,
-    /// Time of the first failed probe since it last reported or answered a probe.
-    pub silent_since: Option<Millis>,
+    /// The failed probes since it last reported or answered a probe.
+    pub absence: Option<Absence>,
+}
+
+/// Failed probes of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    /// Time of the first one.
+    pub since: Millis,
+    /// Time of the last one.
+    pub failed_at: Millis,
+    /// How the last one failed.
+    pub cause: AbsenceCause,
+}
+
+/// Why a probe failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbsenceCause {
+    /// The process seems to be gone: its address refused the connection, or another instance answered.
+    Gone,
+    /// The machine gave no sign of life.
+    Silent,
+    /// The machine accepted a connection, but the process did not answer.
+    Unresponsive,
+}
+
+impl AbsenceCause {
+    /// The cause for which a probe with this result failed, if it did.
+    fn of(result: ProbeResult) -> Option<AbsenceCause> {
+        match result {
+            ProbeResult::Answered | ProbeResult::NotAsked => None,
+            // A refused connection doesn't prove that the instance has ended either: it may come from a
+            // broken network.
+            ProbeResult::OtherInstance | ProbeResult::Refused => Some(AbsenceCause::Gone),
+            ProbeResult::Silent => Some(AbsenceCause::Silent),
+            ProbeResult::Unresponsive => Some(AbsenceCause::Unresponsive),
+        }
+    }
 }
 
 /// An unanswered order to join, which may still be executed.
@@ -60,6 +99,17 @@
 }
 
 impl InstanceObservation {
+    /// Records the result of a probe.
+    pub(crate) fn record_probe(&mut self, now: Millis, result: ProbeResult) {
+        if result == ProbeResult::Answered {
+            self.absence = None;
+        }
+        if let Some(cause) = AbsenceCause::of(result) {
+            let since = self.absence.map_or(now, |absence| absence.since);
+            self.absence = Some(Absence { since, failed_at: now, cause });
+        }
+    }
+
     /// Whether the newest report shows the instance in a group.
     pub fn is_reported_in(&self, epoch: u64) -> bool {
         self.state_in(epoch).is_some()
--- a/crates/grouping/src/lifecycle.rs
+++ b/crates/grouping/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Advances groups through their phases, and removes instances that are gone.
 
 use crate::departures::drain_reason;
+use crate::instances::{AbsenceCause, InstanceObservation};
 use crate::membership::is_departure_confirmed;
 use crate::{Millis, View};
 use dockwood_api::gateway::{InstanceState, MembershipState};
@@ -13,6 +14,9 @@
 /// A group whose head can't be reached, and that was not observed to be stalled, is given up only after this
 /// long: it may be partitioned from the control group only, and still be serving.
 const UNREACHABLE_HEAD_TIMEOUT_MS: Millis = 16_000;
+/// Fraction of the engines' stall limit for which a process may pause before it counts as lost. The engines
+/// themselves keep the group for the whole limit, but callers give up silent answers earlier.
+const MAX_PAUSE_DIVISOR: Millis = 2;
 /// Progress within this time proves that all members are alive, whatever their reports say.
 const PROGRESS_SPAN_MS: Millis = 1_000;
 /// Servers to scan per millisecond, over time: the leader's load due to servers without changes stays
@@ -108,7 +112,7 @@
             return Some(MemberProblem::Lost(format!("{member} is gone")));
         };
         if !view.observations.is_present(view.now, member) && counts_as_lost(view, group, member) {
-            return Some(MemberProblem::Lost(format!("{member} is silent")));
+            return Some(MemberProblem::Lost(format!("{member} {}", absence_reason(view, member))));
         }
         if row.state == InstanceState::Draining {
             leaving = Some(MemberProblem::Leaving(format!("{member} is leaving")));
@@ -117,9 +121,33 @@
     leaving
 }
 
+fn absence_reason(view: &View<'_>, member: &str) -> &'static str {
+    let absence = view.observations.instance(member).and_then(|seen| seen.absence);
+    match absence.map(|absence| absence.cause) {
+        Some(AbsenceCause::Gone) => "refuses connections or was replaced at its address",
+        Some(AbsenceCause::Unresponsive) => "accepts connections but has not answered for long",
+        Some(AbsenceCause::Silent) | None => "is silent",
+    }
+}
+
+/// Whether an absent server may just pause: its machine accepts connections, and the process has been
+/// unresponsive for a short time only. Closing its group would abort sound answers as soon as it goes on.
+fn may_pause(view: &View<'_>, seen: &InstanceObservation) -> bool {
+    let Some(absence) = seen.absence else { return false };
+    let is_missing = view.now >= seen.reported_at + view.policy.heartbeat.missing_after_ms();
+    let max_pause_ms = view.policy.stall_ms / MAX_PAUSE_DIVISOR;
+    absence.cause == AbsenceCause::Unresponsive
+        && !is_missing
+        && absence.failed_at < absence.since + max_pause_ms
+}
+
 /// A member that is missing at the leader may still be working and reachable by entries, so a serving group
 /// is given up only if it shows no progress.
 fn counts_as_lost(view: &View<'_>, group: &GroupRow, member: &str) -> bool {
+    let seen = view.observations.instance(member);
+    if seen.is_some_and(|seen| may_pause(view, seen)) {
+        return false;
+    }
     if !group.serves() {
         return true;
     }
@@ -133,7 +161,7 @@
     if is_head && !is_busy && view.tables.was_removed(member) {
         return true;
     }
-    let Some(seen) = view.observations.instance(member) else { return !is_busy };
+    let Some(seen) = seen else { return !is_busy };
     let is_overdue = view.now >= seen.reported_at + view.policy.heartbeat.overdue_after_ms();
     !is_busy && !is_progressing && is_overdue
 }
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -3,6 +3,7 @@
 
 use crate::Millis;
 use crate::demand::Demand;
+use crate::group_evidence::GroupEvidence;
 use crate::heartbeat::HeartbeatInterval;
 use crate::instances::{InstanceObservation, ProbeResult, UnansweredJoin};
 use crate::slow_server_detection::SlowServerDetector;
@@ -15,8 +16,6 @@
 
 /// Validity of an entry's load report.
 const LOAD_VALID_MS: Millis = 1_500;
-/// Validity of an entry's report that a group is stalled.
-const STALL_VALID_MS: Millis = 1_500;
 
 /// The sender of a load report: an entry, or a dispatcher reporting on one of its scopes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,18 +31,6 @@
     report: LoadReport,
 }
 
-/// The entries' evidence on one group.
-#[derive(Clone, Copy, Debug, Default)]
-struct GroupEvidence {
-    stalled_at: Option<Millis>,
-    progressed_at: Option<Millis>,
-    probed_at: Option<Millis>,
-}
-
-/// A group that made progress at any entry within this time is working, whatever others report. Longer than
-/// the interval between two of the entries' reports.
-const PROGRESS_VALID_MS: Millis = 250;
-
 /// All observations of the leader.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
@@ -85,7 +72,7 @@
         let seen = self.instances.entry(report.id.clone()).or_default();
         let is_newer = !known || report.sequence > seen.sequence;
         seen.reported_at = now;
-        seen.silent_since = None;
+        seen.absence = None;
         let reported_epoch = report.membership.as_ref().map_or(0, |membership| membership.epoch);
         seen.max_reported_epoch = seen.max_reported_epoch.max(reported_epoch);
         seen.reported_leaving |= report.state == InstanceState::Draining;
@@ -114,15 +101,8 @@
 
     /// Records the result of a probe.
     pub fn record_probe(&mut self, now: Millis, instance: &str, result: ProbeResult) {
-        let Some(seen) = self.instances.get_mut(instance) else { return };
-        match result {
-            ProbeResult::Answered => seen.silent_since = None,
-            ProbeResult::NotAsked => {}
-            // A refused connection doesn't prove that the instance has ended either: it may come from a
-            // broken network.
-            ProbeResult::OtherInstance | ProbeResult::Refused | ProbeResult::Silent => {
-                seen.silent_since.get_or_insert(now);
-            }
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.record_probe(now, result);
         }
     }
 
@@ -276,42 +256,32 @@
     /// Whether an instance is considered present: it reported recently, and no probe has failed since.
     pub fn is_present(&self, now: Millis, id: &str) -> bool {
         self.instances.get(id).is_some_and(|seen| {
-            seen.silent_since.is_none() && now < seen.reported_at + self.heartbeat.missing_after_ms()
+            seen.absence.is_none() && now < seen.reported_at + self.heartbeat.missing_after_ms()
         })
     }
 
     /// Whether a group was stalled at `since` or later according to the entries' last reports, with no
     /// progress reported then or since.
     pub fn was_stalled(&self, epoch: u64, since: Millis) -> bool {
-        let Some(evidence) = self.groups.get(&epoch) else { return false };
-        let Some(stalled_at) = evidence.stalled_at else { return false };
-        stalled_at + STALL_VALID_MS >= since
-            && evidence.progressed_at.is_none_or(|at| at + PROGRESS_VALID_MS <= stalled_at)
+        self.groups.get(&epoch).is_some_and(|evidence| evidence.was_stalled(since))
     }
 
     /// Whether entries currently report a group as stalled.
     pub fn is_stalled(&self, now: Millis, epoch: u64) -> bool {
-        let Some(evidence) = self.groups.get(&epoch) else { return false };
-        let Some(stalled_at) = evidence.stalled_at else { return false };
-        let has_progressed = evidence.progressed_at.is_some_and(|at| now < at + PROGRESS_VALID_MS);
-        now < stalled_at + STALL_VALID_MS && !has_progressed
+        self.groups.get(&epoch).is_some_and(|evidence| evidence.is_stalled(now))
     }
 
     /// Groups that entries currently report as stalled.
     pub fn stalled_groups(&mut self, now: Millis) -> Vec<u64> {
         let reported = std::mem::take(&mut self.stalled);
-        let is_recent = |epoch: &u64| {
-            let stalled_at = self.groups.get(epoch).and_then(|evidence| evidence.stalled_at);
-            stalled_at.is_some_and(|at| now < at + STALL_VALID_MS)
-        };
+        let is_recent = |epoch: &u64| self.groups.get(epoch).is_some_and(|group| group.is_recent(now));
         self.stalled = reported.into_iter().filter(is_recent).collect();
         self.stalled.iter().copied().filter(|epoch| self.is_stalled(now, *epoch)).collect()
     }
 
     /// Whether an entry reported progress at a group within `span`.
     pub fn progressed_within(&self, now: Millis, epoch: u64, span: Millis) -> bool {
-        let progressed_at = self.groups.get(&epoch).and_then(|evidence| evidence.progressed_at);
-        progressed_at.is_some_and(|at| now < at + span)
+        self.groups.get(&epoch).is_some_and(|evidence| evidence.progressed_within(now, span))
     }
 
     /// Requests in flight at a group, over all entries.
