--- a/crates/daemon/src/gateway/loads/group_state.rs
+++ b/crates/daemon/src/gateway/loads/group_state.rs
@@ -29,8 +29,6 @@
     pub allowance: u32,
     /// This entry avoids it until this time, because it stalled or refused a connection.
     pub avoided_until: Millis,
-    /// It is reported as stalled until this time.
-    pub stalled_until: Millis,
     /// Whether other entries suspect it to be stalled.
     pub suspected_by_others: bool,
     /// Its head counts as cold until this time, even if it reports that it is warm.
@@ -59,7 +57,6 @@
             reported_in_flight: 0,
             allowance: FIRST_ALLOWANCE,
             avoided_until: 0,
-            stalled_until: 0,
             suspected_by_others: false,
             cold_until: 0,
             progressed: false,
--- a/crates/daemon/src/gateway/loads/mod.rs
+++ b/crates/daemon/src/gateway/loads/mod.rs
@@ -371,7 +371,6 @@
             group.progressed = true;
             group.last_event_at = monotonic_ms();
             group.avoided_until = 0;
-            group.stalled_until = 0;
         }
     }
 
@@ -391,19 +390,11 @@
         let now = monotonic_ms();
         if let Some(group) = lock(&self.groups).get_mut(&epoch) {
             group.avoided_until = now + AVOID_STALLED_MS;
-            group.stalled_until = group.avoided_until;
             group.refused |= refused;
         }
         self.urgent.notify_one();
     }
 
-    /// Avoids a group at this entry, without a report that it has stalled.
-    pub fn avoid_group(&self, epoch: u64) {
-        if let Some(group) = lock(&self.groups).get_mut(&epoch) {
-            group.avoided_until = monotonic_ms() + AVOID_STALLED_MS;
-        }
-    }
-
     /// Returns the age of the leader's last grants, in milliseconds.
     pub fn age_of_grants(&self, now: Millis) -> Millis {
         now.saturating_sub(self.granted_at.load(Ordering::Relaxed))
--- a/crates/daemon/src/gateway/loads/reports.rs
+++ b/crates/daemon/src/gateway/loads/reports.rs
@@ -77,7 +77,7 @@
             let load = GroupLoad {
                 epoch: *epoch,
                 in_flight: group.in_flight,
-                silent: now < group.stalled_until,
+                silent: now < group.avoided_until,
                 refuses: std::mem::take(&mut group.refused),
                 progressed: std::mem::take(&mut group.progressed),
                 pace: std::mem::take(&mut group.pace),
@@ -93,7 +93,7 @@
         let now = monotonic_ms();
         let mut scopes: BTreeMap<DispatchScope, ScopeLoad> = BTreeMap::new();
         for (epoch, group) in lock(&self.groups).iter() {
-            let is_stalled = now < group.stalled_until || group.refused;
+            let is_stalled = now < group.avoided_until || group.refused;
             let is_held = held_for_ms(&group.row, pushback, now) > 0;
             if group.in_flight == 0 && !is_stalled && !is_held {
                 continue;
--- a/crates/daemon/src/gateway/stalls.rs
+++ b/crates/daemon/src/gateway/stalls.rs
@@ -29,15 +29,10 @@
     StallLine { cause, silent_ms, groups_in_use: silence.in_use, groups_silent: silence.silent }
 }
 
-/// Keeps new requests away from a group for some more time if it still sends nothing. While all groups are silent, this
-/// says nothing about one of them, and is not reported.
-pub fn renew_suspicion(gateway: &Gateway, model: &ModelKey, epoch: u64) {
-    if gateway.loads.progressed_within(epoch, PROGRESS_WINDOW_MS) {
-        return;
-    }
-    match gateway.loads.silence(model, PROGRESS_WINDOW_MS).is_of_all_groups() {
-        true => gateway.loads.avoid_group(epoch),
-        false => gateway.loads.suspect_group(epoch, false),
+/// Keeps new requests away from a group for some more time if it still sends nothing.
+pub fn renew_suspicion(gateway: &Gateway, epoch: u64) {
+    if !gateway.loads.progressed_within(epoch, PROGRESS_WINDOW_MS) {
+        gateway.loads.suspect_group(epoch, false);
     }
 }
 
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -48,6 +48,11 @@
         let deadline = self.sender.received.deadline;
         let gateway = self.sender.gateway.clone();
         let may_add_send = position.is_resumable() && self.sender.attempts.may_add_send(self.sends.count());
+        let searches = !self.search.is_idle() && may_add_send;
+        let open_groups: Vec<u64> = match searches {
+            true => self.sends.iter().filter_map(|send| send.source.epoch()).collect(),
+            false => Vec::new(),
+        };
         let newest = self.sends.newest();
         let epoch = newest.and_then(|newest| newest.source.epoch());
         let since = newest.map(|newest| newest.last_progress);
@@ -55,12 +60,11 @@
         let is_probe = newest.is_some_and(|newest| newest.probe.is_some());
         let timeout = self.stall_timeouts.map(|timeouts| timeouts.of(awaits_first_event));
         let watches = self.search.is_idle() && (may_add_send || is_probe);
-        let searches = !self.search.is_idle() && may_add_send;
         let (sends, search, sender) = (&mut self.sends, &self.search, &mut self.sender);
         tokio::select! {
             biased;
             (index, progress) = sends.progress(position) => Wakeup::Progress(index, progress),
-            opened = search.open_another(sender, position), if searches => Wakeup::Opened(Box::new(opened)),
+            opened = search.open_another(sender, position, &open_groups), if searches => Wakeup::Opened(Box::new(opened)),
             cause = wait_for_stall(&gateway, epoch, since, timeout, &mut self.changes), if watches =>
                 Wakeup::Stalled(cause),
             () = tokio::time::sleep_until(deadline) => Wakeup::OutOfTime,
@@ -104,7 +108,7 @@
     /// Keeps new requests away from the stalled groups.
     fn renew_suspicions(&self) {
         let epochs = self.sends.iter().filter_map(|send| send.source.epoch());
-        epochs.for_each(|epoch| renew_suspicion(&self.sender.gateway, &self.sender.model, epoch));
+        epochs.for_each(|epoch| renew_suspicion(&self.sender.gateway, epoch));
     }
 
     async fn take_progress(&mut self, index: usize, progress: Progress) -> Option<ReadResult> {
--- a/crates/daemon/src/gateway/stream/sender.rs
+++ b/crates/daemon/src/gateway/stream/sender.rs
@@ -4,6 +4,7 @@
 use super::FULL_RETRY_MS;
 use super::open_send::{OpenSend, Position};
 use super::selection::OccupiedSources;
+use super::sending::{BudgetUse, NotWritten};
 use crate::gateway::Gateway;
 use crate::gateway::body::ResponseBody;
 use crate::gateway::loads::{ModelKey, SilenceProbe};
@@ -70,44 +71,55 @@
                 self.request_log.record_no_other_source(NoOtherSource::NoLease);
                 return Err(Box::new(self.refusal(ResultCode::NoLease, FULL_RETRY_MS)));
             }
-            if self.attempts.needs_budget() && !self.try_retry() {
-                self.request_log.record_no_other_source(NoOtherSource::RetryBudget);
-                return Err(Box::new(self.refusal(ResultCode::Overloaded, FULL_RETRY_MS)));
-            }
-            match self.write(source, position).await {
+            let budget = match self.attempts.needs_budget() {
+                true => BudgetUse::TakesRetry,
+                false => BudgetUse::None,
+            };
+            match self.write(source, position, budget).await {
                 Ok(send) => return Ok(send),
-                Err(outcome) => self.ended(outcome).map_err(|result| Box::new(self.give_up(result)))?,
+                Err(NotWritten::Ended(outcome)) => {
+                    self.ended(outcome).map_err(|result| Box::new(self.give_up(result)))?
+                }
+                Err(NotWritten::RetryBudget) => {
+                    self.request_log.record_no_other_source(NoOtherSource::RetryBudget);
+                    return Err(Box::new(self.refusal(ResultCode::Overloaded, FULL_RETRY_MS)));
+                }
             }
         }
     }
 
-    /// Sends the request to an additional source, while stalled ones have it.
+    /// Sends the request to an additional source, while stalled ones, among them `open_groups`, have it.
     ///
     /// # Errors
     /// Returns why there is none now.
-    pub async fn open_another(&mut self, position: Position) -> Result<OpenSend, NoOtherSource> {
-        let (source, probe) = self.select_another().await?;
+    pub async fn open_another(
+        &mut self,
+        position: Position,
+        open_groups: &[u64],
+    ) -> Result<OpenSend, NoOtherSource> {
+        let (source, probe) = self.select_another(open_groups).await?;
         self.gate.admit(false, source.instance(), source.zone(), source.address()).await;
         if !may_still_send(&self.gateway, &self.received) {
             return Err(NoOtherSource::NoLease);
         }
-        if !self.try_retry() {
-            return Err(NoOtherSource::RetryBudget);
-        }
-        match self.write(source, position).await {
+        match self.write(source, position, BudgetUse::TakesRetry).await {
             Ok(mut send) => {
                 send.probe = probe;
                 Ok(send)
             }
-            Err(outcome) => {
+            Err(NotWritten::Ended(outcome)) => {
                 self.attempts.ended(outcome);
                 Err(NoOtherSource::NotReached)
             }
+            Err(NotWritten::RetryBudget) => Err(NoOtherSource::RetryBudget),
         }
     }
 
     /// Selects an additional source, in turn with the other stalled streams of this entry.
-    async fn select_another(&mut self) -> Result<(Source, Option<SilenceProbe>), NoOtherSource> {
+    async fn select_another(
+        &mut self,
+        open_groups: &[u64],
+    ) -> Result<(Source, Option<SilenceProbe>), NoOtherSource> {
         let gateway = self.gateway.clone();
         let _turn = gateway.loads.wait_for_search_turn(&self.model).await;
         let probe = wait_for_working_group(&gateway, &self.model).await;
@@ -115,14 +127,18 @@
             return Err(NoOtherSource::Suspect);
         }
         self.place_wait_ends = None;
-        let source = self.select_source(false).await.map_err(|unavailable| {
-            self.request_log.set_held_servers(unavailable.held);
-            NoOtherSource::NoPlace
-        })?;
-        Ok((source, probe))
+        match self.select_source(false).await {
+            Ok(source) => Ok((source, probe)),
+            Err(unavailable) => {
+                self.request_log.set_held_servers(unavailable.held);
+                // Groups that refused the request or were not reached may accept it by the next search.
+                self.tried_groups.retain(|epoch| open_groups.contains(epoch));
+                Err(NoOtherSource::NoPlace)
+            }
+        }
     }
 
-    fn try_retry(&self) -> bool {
+    pub fn try_retry(&self) -> bool {
         self.gateway.try_retry(&self.received.service.name, "stream")
     }
 
--- a/crates/daemon/src/gateway/stream/sending.rs
+++ b/crates/daemon/src/gateway/stream/sending.rs
@@ -10,17 +10,36 @@
 use dockwood_routing::CallResult;
 use dockwood_routing::gateway::SendOutcome;
 
+/// Whether a send takes a retry from the budget. It is taken immediately before the write, as it is lost otherwise if the
+/// send is cancelled or fails before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BudgetUse {
+    /// The first send, or one whose retry was taken before.
+    None,
+    /// The write takes a retry.
+    TakesRetry,
+}
+
+/// Why a request was not written to the source that was selected for it.
+pub(super) enum NotWritten {
+    /// The send ended with this outcome.
+    Ended(SendOutcome),
+    /// The retry budget is used up.
+    RetryBudget,
+}
+
 impl RequestSender {
     /// Writes the request to a source. Nothing is awaited after it was written, so that a request whose write was cancelled
     /// has not been sent.
     ///
     /// # Errors
-    /// The outcome, if it was not written.
+    /// Returns why it was not written.
     pub(super) async fn write(
         &mut self,
         source: Source,
         position: Position,
-    ) -> Result<OpenSend, SendOutcome> {
+        budget: BudgetUse,
+    ) -> Result<OpenSend, NotWritten> {
         let instance = source.instance().to_string();
         self.attempts.begin(&instance);
         let mut upstream = match self.gateway.connect(&self.received, source.address()).await {
@@ -31,7 +50,7 @@
                 self.request_log.record_outcome(number, SendOutcome::NotConnected);
                 self.record_tried(&source);
                 self.record_unreachable(source, fault);
-                return Err(SendOutcome::NotConnected);
+                return Err(NotWritten::Ended(SendOutcome::NotConnected));
             }
         };
         let request = server_request(&self.gateway, &self.received, &instance, position.resume_after());
@@ -45,9 +64,13 @@
                 let number = self.record_send(&source);
                 let outcome = SendOutcome::Withheld(reason);
                 self.request_log.record_outcome(number, outcome);
-                return Err(outcome);
+                return Err(NotWritten::Ended(outcome));
             }
         };
+        if budget == BudgetUse::TakesRetry && !self.try_retry() {
+            self.gateway.pool.release(upstream);
+            return Err(NotWritten::RetryBudget);
+        }
         let number = self.record_send(&source);
         self.record_tried(&source);
         let head = upstream.send(request, &permit);
--- a/crates/daemon/src/gateway/stream/source_search.rs
+++ b/crates/daemon/src/gateway/stream/source_search.rs
@@ -56,10 +56,11 @@
         &self,
         sender: &mut RequestSender,
         position: Position,
+        open_groups: &[u64],
     ) -> Result<OpenSend, NoOtherSource> {
         if let Some(next_at) = self.next_at {
             tokio::time::sleep_until(next_at).await;
         }
-        sender.open_another(position).await
+        sender.open_another(position, open_groups).await
     }
 }
