Tests for retries that are not sent, and for a server that refuses a stalled stream at first

- The group of a stream is closed while its server goes on to answer, and connections to the only other server hang: the stream takes 17 retries from the budget of its service, one for each event that it still receives, and sends none.
Other streams' retries are refused for that.
- The only other server refuses a stalled stream once with "not run" and is well 1.2 s later: the stream is never sent there again, and stands still until its deadline.

--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -277,6 +277,14 @@
         self.apply(GatewayCommand::End { epoch, reason: String::new() });
     }
 
+    /// Ends the group whose head is the given model server.
+    pub fn end_group_of(&self, id: &str) {
+        let tables = self.shared.tables();
+        let group = tables.gateway.groups.values().find(|group| group.is_headed_by(id));
+        let Some(epoch) = group.map(|group| group.epoch) else { return };
+        self.apply(GatewayCommand::End { epoch, reason: String::new() });
+    }
+
     pub fn kept_from_evacuated_zones(&self, result: &str) -> u64 {
         self.shared.metrics.kept_from_evacuated_zones.with_label_values(&[result]).get()
     }
--- a/crates/daemon/tests/one_entry/stream_contention.rs
+++ b/crates/daemon/tests/one_entry/stream_contention.rs
@@ -1,14 +1,20 @@
 //! Streams that stall more than once, and streams that stall while others compete with them for working groups and places.
 
-use crate::entry::wait_until;
+use crate::entry::{EntryOptions, wait_until};
 use crate::stream_caller::{StreamCall, StreamCaller, assert_all_whole};
 use crate::stream_fleet::{
-    MANY_RETRIES, NO_RETRIES, ROUTE, ROUTE_WITH_THREE_ATTEMPTS, Stage, StalledCall, StreamFleet,
+    MANY_RETRIES, NO_RETRIES, ROUTE, ROUTE_WITH_THREE_ATTEMPTS, Stage, StalledCall, StreamFleet, server_id,
 };
-use crate::stream_server::{Ending, Silence, StreamServer};
+use crate::stream_server::{Ending, Reaction, Silence, StreamServer};
+use dockwood_daemon::server_dialer::ServerDialer;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use std::io::Result;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// A stream goes on at another group within this time, far before its deadline: the stall timeout before the first event is
 /// about a second.
@@ -120,6 +126,59 @@
     Ok(())
 }
 
+/// Connects to servers until it is told to hang.
+#[derive(Clone, Default)]
+struct HangingDialer {
+    hangs: Arc<AtomicBool>,
+}
+
+impl ServerDialer for HangingDialer {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'static, Result<TcpStream>> {
+        match self.hangs.load(Ordering::SeqCst) {
+            true => std::future::pending().boxed(),
+            false => TcpStream::connect(address).boxed(),
+        }
+    }
+}
+
+/// The group of a stream is closed while its server goes on to answer, and no connection to another server is established.
+#[tokio::test]
+async fn retries_that_are_not_sent_are_not_taken_from_the_budget_again_and_again() -> Result<()> {
+    let dialer = HangingDialer::default();
+    let options = EntryOptions {
+        dialer: Arc::new(dialer.clone()),
+        retry_budget: Some(MANY_RETRIES),
+        ..EntryOptions::default()
+    };
+    let fleet = StreamFleet::start_with(2, options).await?;
+    let call = StreamCall::new(ROUTE, ATTEMPT);
+    let StalledCall { caller, source, .. } = fleet.stalled_call(call, Stage::MidAnswer).await;
+    let source_number = fleet.servers.iter().position(|server| server.address == source.address);
+    dialer.hangs.store(true, Ordering::SeqCst);
+    fleet.entry.end_group_of(&server_id(source_number.unwrap_or_default()));
+    source.set_silence(Silence::None);
+    caller.finish().await.assert_whole();
+    let retries = fleet.entry.shared.metrics.retries.with_label_values(&["stream"]).get();
+    assert!(retries <= 1, "{retries} retries of a stream that may be sent again once");
+    Ok(())
+}
+
+/// The only other server refuses the stream at first, and is well later.
+#[tokio::test]
+async fn a_stalled_stream_goes_on_at_a_server_that_refused_it_at_first() -> Result<()> {
+    let fleet = StreamFleet::start(2, 1, MANY_RETRIES).await?;
+    let call = StreamCall::new(ROUTE, ATTEMPT);
+    let StalledCall { caller, others, .. } = fleet.stalled_call(call, Stage::MidAnswer).await;
+    others[0].set_reaction(Reaction::Refuse);
+    wait_until_received(&others[0], ATTEMPT).await;
+    tokio::time::sleep(SILENCE).await;
+    others[0].set_reaction(Reaction::Answer);
+    let response = caller.finish().await;
+    response.assert_whole();
+    assert!(response.took < GOES_ON_WITHIN, "{response:?}");
+    Ok(())
+}
+
 /// The caller leaves while two servers have the request.
 #[yare::parameterized(
     before_head = { Stage::BeforeHead },
--- a/crates/daemon/tests/one_entry/stream_fleet.rs
+++ b/crates/daemon/tests/one_entry/stream_fleet.rs
@@ -67,6 +67,11 @@
     pub others: Vec<Arc<StreamServer>>,
 }
 
+/// Instance id of a server, by its number.
+pub fn server_id(number: usize) -> String {
+    format!("writer-{number}")
+}
+
 pub struct StreamFleet {
     pub entry: Arc<Entry>,
     pub servers: Vec<Arc<StreamServer>>,
@@ -76,6 +81,11 @@
     /// Starts an entry, and servers whose groups process `slots` requests concurrently.
     pub async fn start(servers: usize, slots: u32, retry_budget: RetryBudget) -> Result<StreamFleet> {
         let options = EntryOptions { retry_budget: Some(retry_budget), slots, ..EntryOptions::default() };
+        StreamFleet::start_with(servers, options).await
+    }
+
+    /// Starts an entry with these options, and servers.
+    pub async fn start_with(servers: usize, options: EntryOptions) -> Result<StreamFleet> {
         let entry = Entry::start_with(options)?;
         entry.renew_lease_continuously();
         // The fixed number of retries is divided among the entries that are known.
@@ -91,7 +101,7 @@
     /// Adds a server in a group of its own, and waits until the entry knows of it.
     pub async fn add_server(&mut self) -> Result<Arc<StreamServer>> {
         let server = StreamServer::start().await?;
-        let id = format!("writer-{}", self.servers.len());
+        let id = server_id(self.servers.len());
         self.entry.register_with_start(&id, Some(1), "writer", "z", server.address);
         self.entry.open_group(&id);
         self.servers.push(server.clone());
