A test for stalled streams that wait behind those of another model

The only group of a model stops under 80 streams, and a group of another model stops under one stream, which has a free group to go to. The request line says that it waited 0 ms for a place.

The test entry knows a second model, and servers can be added for it.

--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -115,10 +115,11 @@
         route["target_latency_ms"] = json!(RESUMABLE_TARGET_MS);
         route
     };
+    let model = |name: &str| json!({ "name": name, "size": 1, "share": 1.0, "pace": 1.0, "load_ms": 100, "warm_ms": 50 });
     let engine = json!({
         "slots": slots, "memory_tokens": 100_000, "step_ms": 4.0, "per_sequence_ms": 0.1, "read_per_second": 50_000.0,
         "chunk": 500, "stride": 5, "loads_per_second": 50.0, "loads_at_once": 50, "staged_models": 1,
-        "models": [{ "name": "m", "size": 1, "share": 1.0, "pace": 1.0, "load_ms": 100, "warm_ms": 50 }],
+        "models": [model("m"), model("other")],
     });
     let value = json!({
         "version": 1,
@@ -258,9 +259,14 @@
 
     /// Opens a group whose only member is the given model server.
     pub fn open_group(&self, id: &str) {
+        self.open_group_of_model(id, "m");
+    }
+
+    /// The same for a model.
+    pub fn open_group_of_model(&self, id: &str, model: &str) {
         self.apply(GatewayCommand::Form {
             service: "writer".to_string(),
-            model: "m".to_string(),
+            model: model.to_string(),
             purpose: GroupPurpose::Serve,
             members: vec![id.to_string()],
             reason: String::new(),
--- a/crates/daemon/tests/one_entry/stream_caller.rs
+++ b/crates/daemon/tests/one_entry/stream_caller.rs
@@ -14,13 +14,14 @@
     pub route: &'static str,
     /// Attempt id, which also makes the path of the request unique.
     pub attempt: String,
+    pub model: &'static str,
     /// Time allowed for the response; `None` for the timeout of the route.
     pub deadline: Option<Duration>,
 }
 
 impl StreamCall {
     pub fn new(route: &'static str, attempt: impl Into<String>) -> StreamCall {
-        StreamCall { route, attempt: attempt.into(), deadline: None }
+        StreamCall { route, attempt: attempt.into(), model: "m", deadline: None }
     }
 }
 
@@ -143,7 +144,7 @@
 
 async fn receive(frontend: SocketAddr, call: StreamCall, received: &Mutex<StreamResponse>) -> ResponseEnd {
     let url = format!("http://{frontend}/{}/{}", call.route, call.attempt);
-    let request = reqwest::Client::new().post(url).header("host", "h").header("dockwood-model", "m");
+    let request = reqwest::Client::new().post(url).header("host", "h").header("dockwood-model", call.model);
     let mut request = request.header("dockwood-attempt", &call.attempt);
     if let Some(deadline) = call.deadline {
         request = request.header("dockwood-deadline-ms", deadline.as_millis().to_string());
--- a/crates/daemon/tests/one_entry/stream_contention.rs
+++ b/crates/daemon/tests/one_entry/stream_contention.rs
@@ -179,6 +179,26 @@
     Ok(())
 }
 
+/// The only group of another model stops under many streams. A stream whose model has another group goes on there at once.
+#[tokio::test]
+async fn a_stalled_stream_goes_on_while_those_of_another_model_have_no_group() -> Result<()> {
+    const OTHER_STREAMS: usize = 80;
+    let mut fleet = StreamFleet::start(0, OTHER_STREAMS as u32, MANY_RETRIES).await?;
+    fleet.add_server_of_model("other").await?;
+    let other_call =
+        |number| StreamCall { model: "other", ..StreamCall::new(ROUTE, format!("other-{number}")) };
+    let _others = fleet.stalled_calls((0..OTHER_STREAMS).map(other_call), Stage::MidAnswer).await;
+    let source = fleet.add_server().await?;
+    let caller = fleet.call(StreamCall::new(ROUTE, ATTEMPT));
+    wait_until("the stream does not begin", || caller.events() >= 3).await;
+    source.set_silence(Silence::Everything);
+    fleet.add_server().await?;
+    let response = caller.finish().await;
+    response.assert_whole();
+    assert!(response.took < GOES_ON_WITHIN, "{response:?}");
+    Ok(())
+}
+
 /// The caller leaves while two servers have the request.
 #[yare::parameterized(
     before_head = { Stage::BeforeHead },
--- a/crates/daemon/tests/one_entry/stream_fleet.rs
+++ b/crates/daemon/tests/one_entry/stream_fleet.rs
@@ -100,10 +100,15 @@
 
     /// Adds a server in a group of its own, and waits until the entry knows of it.
     pub async fn add_server(&mut self) -> Result<Arc<StreamServer>> {
+        self.add_server_of_model("m").await
+    }
+
+    /// The same for a model.
+    pub async fn add_server_of_model(&mut self, model: &str) -> Result<Arc<StreamServer>> {
         let server = StreamServer::start().await?;
         let id = server_id(self.servers.len());
         self.entry.register_with_start(&id, Some(1), "writer", "z", server.address);
-        self.entry.open_group(&id);
+        self.entry.open_group_of_model(&id, model);
         self.servers.push(server.clone());
         let open_groups = self.entry.shared.metrics.open_groups.with_label_values(&["writer"]);
         let groups = self.servers.len() as i64;
