A test for stalled streams that their callers resume

A caller that has some events of a stream already, and whose stream stalls before the head, before the first event and in mid-answer, receives the rest of it, each event once, and the second server begins after the last event that the caller has.

--- a/crates/daemon/tests/one_entry/stream_alternatives.rs
+++ b/crates/daemon/tests/one_entry/stream_alternatives.rs
@@ -71,6 +71,26 @@
     Ok(())
 }
 
+/// The caller resumes a stream of which it has some events already.
+#[yare::parameterized(
+    before_head = { Stage::BeforeHead },
+    before_first_event = { Stage::BeforeFirstEvent },
+    in_mid_answer = { Stage::MidAnswer },
+)]
+#[test_macro(tokio::test)]
+async fn a_stream_that_its_caller_resumes_goes_on_at_another_group(stage: Stage) -> Result<()> {
+    let fleet = StreamFleet::start(2, 1, MANY_RETRIES).await?;
+    let StalledCall { caller, .. } = fleet.stalled_call(StreamCall { last_event: 5, ..call() }, stage).await;
+    let response = caller.finish().await;
+    response.assert_whole();
+    assert!(response.took < GOES_ON_WITHIN, "{response:?}");
+    let records = fleet.records_of(ATTEMPT);
+    let resumed_after: Vec<Option<u64>> = records.iter().map(|record| record.last_event).collect();
+    let forwarded = if stage.has_events() { records[0].events } else { 0 };
+    assert_eq!(resumed_after, [Some(5), Some(5 + forwarded)], "{records:?}");
+    Ok(())
+}
+
 /// The stalled source goes on while the alternative has the request but has written no event.
 #[yare::parameterized(
     before_head = { Stage::BeforeHead, Silence::Everything },
--- a/crates/daemon/tests/one_entry/stream_caller.rs
+++ b/crates/daemon/tests/one_entry/stream_caller.rs
@@ -15,13 +15,15 @@
     /// Attempt id, which also makes the path of the request unique.
     pub attempt: String,
     pub model: &'static str,
+    /// Id of the last event that the caller has from an earlier request; 0 if it has none.
+    pub last_event: u64,
     /// Time allowed for the response; `None` for the timeout of the route.
     pub deadline: Option<Duration>,
 }
 
 impl StreamCall {
     pub fn new(route: &'static str, attempt: impl Into<String>) -> StreamCall {
-        StreamCall { route, attempt: attempt.into(), model: "m", deadline: None }
+        StreamCall { route, attempt: attempt.into(), model: "m", last_event: 0, deadline: None }
     }
 }
 
@@ -42,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub struct StreamResponse {
     pub attempt: String,
+    /// The event after which the response begins; 0 for the whole stream.
+    pub last_event: u64,
     pub status: Option<u16>,
     pub body: String,
     /// `None` while it is being received.
@@ -59,12 +63,12 @@
     pub fn is_whole(&self) -> bool {
         self.status == Some(200)
             && self.end == Some(ResponseEnd::Complete)
-            && self.body == whole_stream(&self.attempt)
+            && self.body == whole_stream(&self.attempt, self.last_event)
     }
 
     /// Returns whether it contains events in order, without a gap, and nothing else; it may be cut after any of them.
     pub fn is_in_order(&self) -> bool {
-        whole_stream(&self.attempt).starts_with(&self.body)
+        whole_stream(&self.attempt, self.last_event).starts_with(&self.body)
             && (self.body.is_empty() || self.body.ends_with("\n\n"))
     }
 
@@ -108,6 +112,7 @@
     pub fn start(frontend: SocketAddr, call: StreamCall) -> StreamCaller {
         let response = StreamResponse {
             attempt: call.attempt.clone(),
+            last_event: call.last_event,
             status: None,
             body: String::new(),
             end: None,
@@ -146,6 +151,9 @@
     let url = format!("http://{frontend}/{}/{}", call.route, call.attempt);
     let request = reqwest::Client::new().post(url).header("host", "h").header("dockwood-model", call.model);
     let mut request = request.header("dockwood-attempt", &call.attempt);
+    if call.last_event > 0 {
+        request = request.header("last-event-id", call.last_event.to_string());
+    }
     if let Some(deadline) = call.deadline {
         request = request.header("dockwood-deadline-ms", deadline.as_millis().to_string());
     }
--- a/crates/daemon/tests/one_entry/stream_server.rs
+++ b/crates/daemon/tests/one_entry/stream_server.rs
@@ -72,9 +72,9 @@
     format!("id: {id}\ndata: event {id:02} of {attempt}\n\n")
 }
 
-/// Text of the whole stream for one attempt.
-pub fn whole_stream(attempt: &str) -> String {
-    (1..=EVENTS).map(|id| event_text(attempt, id)).collect()
+/// Text of the whole stream for one attempt, after an event that the caller has already.
+pub fn whole_stream(attempt: &str, last_event: u64) -> String {
+    (last_event + 1..=EVENTS).map(|id| event_text(attempt, id)).collect()
 }
 
 /// A server that streams events.
