A soak of streams whose servers are silent, break, stop, end and refuse

Sixteen callers send streams one after the other. Checked for each response: events in order, none missing, none twice; a cut answer never looks complete; it ends early only if its source broke off, or no server has run it; it ends at its deadline; the limits of attempts and retries; and with retries allowed, no stream is left at its deadline that has attempts left.

--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -13,6 +13,8 @@
 mod stream_contention;
 mod stream_fleet;
 mod stream_server;
+mod stream_soak;
+mod stream_soak_checks;
 mod streams;
 mod tunnels;
 mod unframed_responses;
