--- a/crates/daemon/src/control/full_disk.rs
+++ b/crates/daemon/src/control/full_disk.rs
@@ -32,11 +32,18 @@
         let retry = tokio::time::sleep(RETRY_INTERVAL);
         tokio::pin!(retry);
         let mut received = Vec::new();
+        // A granted lease is requested again as soon as its reply channel is closed.
+        let mut granted_leases = Vec::new();
         while !self.stopping {
             tokio::select! {
                 count = self.messages.recv_many(&mut received, MAX_BATCH_MESSAGES) => {
                     self.stopping |= count == 0;
-                    received.drain(..).for_each(|message| self.receive_while_full(message));
+                    for message in received.drain(..) {
+                        match message {
+                            lease @ ControlMessage::LeaseGranted { .. } => granted_leases.push(lease),
+                            other => self.receive_while_full(other),
+                        }
+                    }
                 }
                 () = &mut retry => return,
             }
--- a/crates/daemon/tests/voter_disk.rs
+++ b/crates/daemon/tests/voter_disk.rs
@@ -19,10 +19,8 @@
 const TICK_MS: u64 = 20;
 /// Longer than an election timeout of the only voter.
 const ELECTION_MS: u64 = 1_000;
-/// Below this size a log is not compacted because of its size.
+/// Below this size a log is not compacted because of its size; beyond it, once it takes as much as its snapshot.
 const LOG_FLOOR_BYTES: u64 = 4 << 20;
-/// The log is compacted once it takes this many times what a snapshot takes.
-const LOG_PER_SNAPSHOT: u64 = 2;
 /// The previous and the next snapshot, while one is stored.
 const SNAPSHOTS_AT_ONCE: u64 = 2;
 
@@ -166,7 +164,7 @@
         assert_eq!(voter.acknowledged.last(), Some(&version));
     }
     let state = voter.state_bytes();
-    let largest_log = LOG_FLOOR_BYTES.max(LOG_PER_SNAPSHOT * state) + state;
+    let largest_log = LOG_FLOOR_BYTES.max(state) + state;
     let bound = largest_log + SNAPSHOTS_AT_ONCE * state;
     let peak = voter.peak_bytes;
     assert!(peak < bound, "{peak} bytes on the disk for a state of {state} bytes; allowed are {bound}");
