A planned stop of an entry waits until responses are written to their callers

Callers that were still reading their answers when their entry was stopped got cut ones, although the servers had answered whole and most of the time limit of the stop was left.

Cause: the stop waited until no request was in flight, and 50 ms more. For a plain service that count ends when the handler returns the response, for a stream when hyper has taken the last event. What hyper has not written by then is lost with the process.

The stop now waits for the connections themselves. A connection counts from its first request until its end; graceful shutdown closes idle ones at once, and the others after hyper has flushed their responses, so the end of the connection is the proof that nothing is left to write (`gateway/caller_connections.rs`). Requests in flight (also tunnels) are waited for after that, as before. Both waits together end at the limit of the stop, so that a caller that never reads delays it no further.

Tests in daemon/tests/gateway/planned_stop.rs. a_planned_stop_waits_until_a_response_is_written (8 MiB, read in 2.5 s through a receive buffer of 64 KiB) failed before the change and passes with it. Two others guard the limits and passed before as well: unused, idle and half-sent connections do not hold the stop up, and a caller that does not read does not hold it beyond 8 s.

Not changed: the daemon's own HTTP interface (`http/`) closes its connections 500 ms after the last request in flight. An answer that is not written by then is cut there too, which was read in the code and not shown by a run.

--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -4,6 +4,7 @@
 //! requires.
 
 use super::body::ResponseBody;
+use super::caller_connections::CallerConnection;
 use super::http_server::ACCEPT_PAUSE;
 use super::receive::{attempt_id, receive};
 use super::request_log::{RequestInfo, RequestLog};
@@ -54,7 +55,9 @@
     let _ = stream.set_nodelay(true);
     let limits = gateway.routes.load().limits;
     let mut stopping = gateway.stopping.subscribe();
+    let caller_connection = CallerConnection::new(gateway.caller_connections.clone());
     let service = service_fn(move |request| {
+        caller_connection.record_request();
         let gateway = gateway.clone();
         async move { Ok::<_, Infallible>(handle(gateway, request).await) }
     });
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod assignment;
 mod body;
+mod caller_connections;
 mod cold;
 mod directory;
 mod dispatchers;
@@ -41,6 +42,7 @@
 use crate::scope_dispatchers::run_summaries;
 use crate::shared::Shared;
 use arc_swap::ArcSwap;
+use caller_connections::CallerConnections;
 use dockwood_grouping::departing_groups;
 use dockwood_routing::BackendPicker;
 use dockwood_routing::gateway::{RouteTable, SendBudgetLimits};
@@ -69,6 +71,7 @@
     pool: ConnectionPool,
     line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
+    caller_connections: Arc<CallerConnections>,
 }
 
 /// Listening sockets of the gateway, bound before any task is started.
@@ -133,12 +136,15 @@
             pool: ConnectionPool::default(),
             line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
+            caller_connections: Arc::default(),
         }
     }
 
-    /// Closes callers' connections as soon as they have no request in flight: the last step of a planned stop.
-    pub fn close_connections(&self) {
+    /// Closes each caller's connection as soon as its responses are written, and idle ones at once; completes when all are
+    /// closed. The last step of a planned stop.
+    pub async fn close_connections(&self) {
         self.stopping.send_replace(true);
+        self.caller_connections.all_closed().await;
     }
 
     /// Returns a connection to a server for a request.
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -264,21 +264,21 @@
 }
 
 /// Accepts requests while callers may have cached a directory answer that contains this daemon, then closes each connection
-/// once it is idle.
+/// once its responses are written.
 async fn shut_down_gateway(shared: &Shared, gateway: &Gateway, settings: &GatewaySettings) {
     let began = tokio::time::Instant::now();
     let ends_at = began + settings.stop_limit.saturating_sub(STOP_MARGIN);
     if settings.frontend.is_some() {
         tokio::time::sleep_until(began + accept_duration(settings)).await;
     }
-    gateway.close_connections();
     let idle = async {
+        gateway.close_connections().await;
         while shared.in_flight() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
     let drained = tokio::time::timeout_at(ends_at, idle).await.is_ok();
-    // The last answers are in socket buffers, but may not have been sent yet.
+    // The last responses are in socket buffers, but may not have been sent yet.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     let message = format!("nothing in flight: {drained}");
     let subject = Subject::new("daemon", &shared.settings.name);
--- a/crates/daemon/tests/gateway/behavior.rs
+++ b/crates/daemon/tests/gateway/behavior.rs
@@ -15,6 +15,8 @@
     DropsResponse,
     /// Runs the request and responds with a status that implies that it did not run.
     RespondsWith(StatusCode),
+    /// Runs the request and responds successfully with a body of this size.
+    RespondsWithBytes(usize),
     /// Runs the request and never responds.
     NeverResponds,
 }
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod leader_search;
 mod limit_check;
 mod limit_soak;
+mod planned_stop;
 mod poison_prompt_parts;
 mod poison_requests;
 mod promises;
--- /dev/null
+++ b/crates/daemon/tests/gateway/planned_stop.rs
@@ -0,0 +1,128 @@
+//! Planned stops of an entry whose callers read their responses slowly, are idle, or do not read at all.
+
+use super::fixture::{Daemon, Fleet, LIMIT};
+use super::servers::{Behavior, FakeServer};
+use super::with_plain_servers;
+use std::io::{Error, Result};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Larger than the socket buffers on both sides of a connection together.
+const RESPONSE_BYTES: usize = 8 << 20;
+/// Size of a caller's receive buffer.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
+/// Bytes that a caller reads at a time.
+const READ_BYTES: usize = 64 << 10;
+/// Pause of a caller between two reads: the whole response takes 2.5 s at least.
+const READ_PAUSE: Duration = Duration::from_millis(20);
+/// Time limit of a planned stop (`stopLimitSeconds` of the fixture).
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// Upper bound for a stop without unwritten responses. It takes 1.2 s on an idle machine, as it continues to accept requests
+/// for 1.1 s.
+const IDLE_STOP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Starts a fleet whose plain servers send large responses.
+async fn with_large_responses() -> (Fleet, [Arc<FakeServer>; 2]) {
+    let (fleet, servers) = with_plain_servers().await;
+    servers.iter().for_each(|server| server.set_behavior(Behavior::RespondsWithBytes(RESPONSE_BYTES)));
+    (fleet, servers)
+}
+
+/// A caller's connection.
+struct Caller {
+    stream: TcpStream,
+}
+
+impl Caller {
+    async fn connect(entry: SocketAddr) -> Result<Caller> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        Ok(Caller { stream: socket.connect(entry).await? })
+    }
+
+    async fn send(&mut self, attempt: &str) -> Result<()> {
+        let request = format!(
+            "POST /once/1 HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer key-1\r\ndockwood-attempt: {attempt}\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        self.stream.write_all(request.as_bytes()).await
+    }
+
+    /// Reads the head of a successful response.
+    async fn read_head(&mut self) -> Result<()> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.stream.read_u8().await?);
+        }
+        let head = String::from_utf8_lossy(&head);
+        if head.starts_with("HTTP/1.1 200 ") { Ok(()) } else { Err(Error::other(head)) }
+    }
+
+    /// Reads a body slowly; returns the number of bytes received before the connection ended.
+    async fn read_body_slowly(&mut self) -> usize {
+        let mut buffer = vec![0; READ_BYTES];
+        let mut received = 0;
+        while received < RESPONSE_BYTES {
+            let remaining = READ_BYTES.min(RESPONSE_BYTES - received);
+            if self.stream.read_exact(&mut buffer[..remaining]).await.is_err() {
+                break;
+            }
+            received += remaining;
+            tokio::time::sleep(READ_PAUSE).await;
+        }
+        received
+    }
+}
+
+/// Waits until a stopping daemon exits, and returns how long that took.
+async fn wait_for_exit(daemon: &mut Daemon) -> Duration {
+    let started = Instant::now();
+    while !daemon.has_exited() {
+        assert!(started.elapsed() < LIMIT, "the entry does not exit");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    started.elapsed()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_waits_until_a_response_is_written() -> Result<()> {
+    let (mut fleet, _servers) = with_large_responses().await;
+    let mut caller = Caller::connect(fleet.frontend(0)).await?;
+    caller.send("slow").await?;
+    caller.read_head().await?;
+    fleet.entries[0].terminate();
+    assert_eq!(caller.read_body_slowly().await, RESPONSE_BYTES);
+    let took = wait_for_exit(&mut fleet.entries[0]).await;
+    assert!(took < IDLE_STOP_LIMIT, "the entry exits {took:?} after the last response was read");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_does_not_wait_for_idle_connections() -> Result<()> {
+    let (mut fleet, _servers) = with_plain_servers().await;
+    let _unused = Caller::connect(fleet.frontend(0)).await?;
+    let mut idle = Caller::connect(fleet.frontend(0)).await?;
+    idle.send("idle").await?;
+    idle.read_head().await?;
+    let mut incomplete = Caller::connect(fleet.frontend(0)).await?;
+    incomplete.stream.write_all(b"POST /once/1 HTTP/1.1\r\nhost: h.example\r\n").await?;
+    fleet.entries[0].terminate();
+    let took = wait_for_exit(&mut fleet.entries[0]).await;
+    assert!(took < IDLE_STOP_LIMIT, "the stop took {took:?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_does_not_read_does_not_delay_a_planned_stop_beyond_its_limit() -> Result<()> {
+    let (mut fleet, _servers) = with_large_responses().await;
+    let mut caller = Caller::connect(fleet.frontend(0)).await?;
+    caller.send("unread").await?;
+    caller.read_head().await?;
+    fleet.entries[0].terminate();
+    let took = wait_for_exit(&mut fleet.entries[0]).await;
+    assert!(took < STOP_LIMIT, "the stop took {took:?}");
+    Ok(())
+}
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -390,6 +390,9 @@
     if let Behavior::RespondsWith(status) = behavior {
         return status.with_header("dockwood-attempt", attempt).into_response();
     }
+    if let Behavior::RespondsWithBytes(bytes) = behavior {
+        return vec![b'x'; bytes].with_header("dockwood-attempt", attempt).into_response();
+    }
     if body == CRASHES_SERVERS.as_bytes() {
         lock(&server.fatal_arrivals).push(Instant::now());
         tokio::time::sleep(RUNS_BEFORE_CRASH).await;
