Large responses of plain services are passed on as they arrive, no faster than callers read

Callers that read their answers slowly drove entries over their memory: the platform ended the processes, and all answers of the entry were cut, although their requests had run.

Cause: the response of a plain service was read whole, up to 16 MiB, at the speed of the server, and kept until the caller had read its last byte. Nothing bounded the sum over all callers, and nothing made a server wait.

Responses of up to 64 KiB are still received whole, so that one that breaks off can be repeated elsewhere. A larger one is forwarded from then on: hyper asks for the next part when it has written the last one, so the server waits for the caller. If the server breaks off, the caller's connection is closed in the middle of the response; the evidence for suspects is recorded as before, and only the complete response clears a request. The buffer of a server's connection is 32 KiB in place of 400 KiB.

Further ones, which guard what passing on may break: whole responses in all framings, broken-off ones, the crash of a server without a length, callers of HTTP/1.0, the bound of the parts.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -3,12 +3,15 @@
 use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::Version;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use quick_error::quick_error;
 
-/// Maximum size of a response body that is buffered before it is forwarded, in bytes.
+/// Maximum size of a response body that has to be received completely before it is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// A response body of a plain service that is not larger than this is received completely before it is forwarded, in bytes.
+const MAX_WHOLE_RESPONSE_BYTES: usize = 64 << 10;
 
 quick_error! {
     /// A truncated response. The connection is closed, so that the response can't appear complete.
@@ -75,3 +78,45 @@
     let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
     (!is_unframed || gate.server_survives().await).then_some(bytes)
 }
+
+/// A response body, as far as it is received before it is forwarded.
+pub enum ReceivedBody {
+    /// The complete body.
+    Whole(Bytes),
+    /// The first part of a large body.
+    Partial {
+        /// What was received.
+        received: Bytes,
+        /// What follows.
+        rest: Incoming,
+        /// Whether the body ends with its connection.
+        is_unframed: bool,
+    },
+}
+
+/// Returns whether a response may be forwarded before it is complete. Without a length, it would look complete to a caller of
+/// HTTP/1.0 if it was broken off.
+pub fn may_forward_partially(version: Version, body: &impl Body) -> bool {
+    version >= Version::HTTP_11 || body.size_hint().exact().is_some()
+}
+
+/// Reads the body of a response, or the first part of a large one; `None` if it ended early, or may be truncated because it
+/// has no length and its server did not survive it.
+pub async fn read_first_part(
+    gate: &SuspectGate,
+    headers: &HeaderMap,
+    mut body: Incoming,
+) -> Option<ReceivedBody> {
+    let is_unframed = is_unframed(headers, &body);
+    let mut received = Vec::new();
+    while received.len() <= MAX_WHOLE_RESPONSE_BYTES {
+        let Some(frame) = body.frame().await else {
+            let is_complete = !is_unframed || gate.server_survives().await;
+            return is_complete.then(|| ReceivedBody::Whole(received.into()));
+        };
+        if let Ok(data) = frame.ok()?.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
+    Some(ReceivedBody::Partial { received: received.into(), rest: body, is_unframed })
+}
--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -5,6 +5,7 @@
 
 use super::body::ResponseBody;
 use super::caller_connections::CallerConnection;
+use super::caller_stream::CallerStream;
 use super::http_server::ACCEPT_PAUSE;
 use super::receive::{attempt_id, receive};
 use super::request_log::{RequestInfo, RequestLog};
@@ -65,7 +66,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // The error of a closed connection affects only its caller.
@@ -90,7 +91,7 @@
             if received.is_stream() || received.service.engine.is_some() {
                 stream::handle(&gateway, received, request_log, in_flight).await
             } else {
-                plain::handle(&gateway, &received, request_log).await
+                plain::handle(&gateway, &received, request_log, in_flight).await
             }
         }
         Err(refusal) => {
--- /dev/null
+++ b/crates/daemon/src/gateway/large_response.rs
@@ -0,0 +1,126 @@
+//! Large responses of plain services, which are forwarded as they are received: the server sends no faster than the caller
+//! reads, and the daemon holds only the parts in between.
+
+use super::Gateway;
+use super::body::{ResponseBody, Truncated};
+use super::request_log::RequestLog;
+use super::response_memory::ResponseMemory;
+use super::server_selection::SelectedServer;
+use super::upstream::Upstream;
+use crate::shared::InFlight;
+use crate::suspects::SuspectGate;
+use bytes::Bytes;
+use dockwood_api::ResultCode;
+use dockwood_routing::CallResult;
+use dockwood_routing::gateway::SendOutcome;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::StatusCode;
+use hyper::body::{Frame, Incoming};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// A response of which only a part has been received.
+pub struct PartialResponse {
+    /// The part that has been received.
+    pub received: Bytes,
+    /// Its server's connection, from which the rest is read.
+    pub source: ResponseSource,
+}
+
+/// A connection from which a response is being read.
+pub struct ResponseSource {
+    /// The rest of the body.
+    pub rest: Incoming,
+    /// Whether the response ends with its connection.
+    pub is_unframed: bool,
+    /// The connection.
+    pub upstream: Upstream,
+    /// The server.
+    pub selected: SelectedServer,
+}
+
+/// A request whose response is being forwarded. It is not sent to another server any more.
+pub struct LargeResponse {
+    /// State of the gateway.
+    pub gateway: Arc<Gateway>,
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Deadline of the response.
+    pub deadline: Instant,
+    /// Log of the request.
+    pub request_log: RequestLog,
+    /// Gate of the request.
+    pub gate: SuspectGate,
+    /// Counts the request until the response has been received completely.
+    pub _in_flight: InFlight,
+}
+
+impl LargeResponse {
+    /// Returns the body for the caller, which begins with the part that has been received.
+    pub fn into_body(self, partial: PartialResponse) -> ResponseBody {
+        let first_part = stream::once(async { Ok(Frame::data(partial.received)) });
+        let rest = stream::try_unfold((self, partial.source), |(mut response, source)| async move {
+            let next = response.next(source).await?;
+            Ok(next.map(|(part, source)| (Frame::data(part), (response, source))))
+        });
+        StreamBody::new(first_part.chain(rest)).boxed_unsync()
+    }
+
+    /// Reads the next part; `None` once the response is complete.
+    async fn next(
+        &mut self,
+        mut source: ResponseSource,
+    ) -> Result<Option<(Bytes, ResponseSource)>, Truncated> {
+        let reading = read_part(&self.gateway.response_memory, &mut source.rest);
+        let Ok(read) = tokio::time::timeout_at(self.deadline, reading).await else {
+            self.request_log.end(ResultCode::DeadlinePassed);
+            return Err(Truncated::Broken);
+        };
+        match read {
+            Some(Ok(part)) => Ok(Some((part, source))),
+            None if !source.is_unframed || self.gate.server_survives().await => {
+                self.complete(source);
+                Ok(None)
+            }
+            None | Some(Err(_)) => Err(self.broken(source).await),
+        }
+    }
+
+    fn complete(&mut self, source: ResponseSource) {
+        self.gateway.pool.release(source.upstream);
+        source.selected.finish(CallResult::Answered);
+        if self.status.is_success() {
+            self.gate.answered();
+        }
+        let failed = self.status.is_server_error();
+        self.request_log.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
+    }
+
+    /// Records that the server has broken off its response.
+    async fn broken(&mut self, source: ResponseSource) -> Truncated {
+        source.selected.finish(CallResult::Failed);
+        let outcome = match self.gate.connection_broke(|| ()).await {
+            true => SendOutcome::ServerEnded,
+            false => SendOutcome::Unknown,
+        };
+        self.request_log.record_outcome(outcome);
+        self.request_log.end(ResultCode::Interrupted);
+        Truncated::Broken
+    }
+}
+
+/// Reads the next part of a body, and waits until the daemon may hold it; `None` at the end of the body.
+async fn read_part(memory: &ResponseMemory, body: &mut Incoming) -> Option<hyper::Result<Bytes>> {
+    loop {
+        match body.frame().await? {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    // Only now, so that a server that sends nothing holds up no other response.
+                    return Some(Ok(memory.hold(data).await));
+                }
+            }
+            Err(error) => return Some(Err(error)),
+        }
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod assignment;
 mod body;
 mod caller_connections;
+mod caller_stream;
 mod cold;
 mod directory;
 mod dispatchers;
@@ -11,6 +12,7 @@
 mod frontend;
 mod headers;
 mod http_server;
+mod large_response;
 mod load_exchange;
 mod loads;
 mod operators;
@@ -21,6 +23,7 @@
 mod report_forwarding;
 mod request_log;
 mod response_head;
+mod response_memory;
 mod responses;
 mod retry_budgets;
 mod server_selection;
@@ -33,6 +36,7 @@
 pub use cold::ColdServers;
 pub use dispatchers::{DispatchMode, Dispatchers};
 pub use evacuation::set_evacuation;
+pub use response_memory::ResponseMemory;
 pub use upstream::ConnectFault;
 
 use crate::clock::monotonic_ms;
@@ -72,6 +76,7 @@
     line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
     caller_connections: Arc<CallerConnections>,
+    response_memory: ResponseMemory,
 }
 
 /// Listening sockets of the gateway, bound before any task is started.
@@ -137,6 +142,7 @@
             line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
             caller_connections: Arc::default(),
+            response_memory: ResponseMemory::default(),
         }
     }
 
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -1,8 +1,11 @@
-//! Requests to plain services, whose response is forwarded only once it is complete.
+//! Requests to plain services, whose response is forwarded once it is complete, or known to be large.
 
 use super::Gateway;
-use super::body::{ResponseBody, full_body, read_response_body};
+use super::body::{
+    ReceivedBody, ResponseBody, full_body, may_forward_partially, read_first_part, read_response_body,
+};
 use super::headers::{ServerHeaders, add_server_headers, end_to_end};
+use super::large_response::{LargeResponse, PartialResponse, ResponseSource};
 use super::receive::{ReceivedRequest, may_still_send};
 use super::request_log::RequestLog;
 use super::response_head::evaluate_head;
@@ -11,6 +14,7 @@
 use super::upstream::Upstream;
 use super::write_permit::acquire_write_permit;
 use crate::pushback::{SendPermit, Unavailable};
+use crate::shared::InFlight;
 use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
@@ -29,27 +33,53 @@
 /// Minimum duration of one such wait.
 const MIN_HOLD_WAIT: Duration = Duration::from_millis(1);
 
-/// A response as received from a server.
-struct ServerResponse {
+/// Head of a response as received from a server.
+struct ServerHead {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
 }
 
-impl ServerResponse {
-    fn into_response(self) -> Response<ResponseBody> {
-        let mut response = Response::new(full_body(self.body));
+impl ServerHead {
+    fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
+        let mut response = Response::new(body);
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         response
     }
 }
 
+/// A complete response of a server.
+struct WholeResponse {
+    head: ServerHead,
+    body: Bytes,
+}
+
+/// A response of a server, as far as it is received before it is forwarded.
+enum ServerResponse {
+    Whole(WholeResponse),
+    Large(ServerHead, Box<PartialResponse>),
+}
+
+/// What a request has led to.
+enum Answer {
+    /// A complete response, of a server or of the gateway.
+    Complete(Response<ResponseBody>),
+    /// A large response of a server, which is forwarded while it is received.
+    Large(ServerHead, Box<PartialResponse>),
+}
+
+impl From<Response<ResponseBody>> for Answer {
+    fn from(response: Response<ResponseBody>) -> Answer {
+        Answer::Complete(response)
+    }
+}
+
 /// Handles a request within its deadline.
 pub async fn handle(
     gateway: &Arc<Gateway>,
     received: &ReceivedRequest,
     request_log: RequestLog,
+    in_flight: InFlight,
 ) -> Response<ResponseBody> {
     let mut plain_request = PlainRequest {
         gateway,
@@ -64,7 +94,8 @@
         waited: Duration::ZERO,
     };
     match tokio::time::timeout_at(received.deadline, plain_request.run()).await {
-        Ok(response) => response,
+        Ok(Answer::Complete(response)) => response,
+        Ok(Answer::Large(head, partial)) => plain_request.forward_large(head, *partial, in_flight),
         Err(_) => {
             let result = plain_request.attempts.out_of_time(plain_request.in_flight);
             plain_request.give_up(result)
@@ -88,37 +119,39 @@
     /// Servers that were found to run other suspects, since the gate was last waited for.
     occupied: Vec<String>,
     /// An error response of a server, forwarded if no other server responds.
-    last_error: Option<ServerResponse>,
+    last_error: Option<WholeResponse>,
     /// Total time that the request has waited for servers on hold.
     waited: Duration,
 }
 
 impl PlainRequest<'_> {
-    async fn run(&mut self) -> Response<ResponseBody> {
+    async fn run(&mut self) -> Answer {
         loop {
             let selected = match self.admitted_server().await {
                 Ok(Some(selected)) => selected,
                 Ok(None) => continue,
-                Err(response) => return *response,
+                Err(response) => return (*response).into(),
             };
             if !may_still_send(self.gateway, self.received) {
-                return self.final_response(ResultCode::NoLease);
+                return self.final_response(ResultCode::NoLease).into();
             }
             if self.attempts.needs_budget() && !self.gateway.try_retry(&self.received.service.name, "plain") {
-                return self.final_response(ResultCode::Overloaded);
+                return self.final_response(ResultCode::Overloaded).into();
             }
             self.tried.push(selected.row.id.clone());
             self.attempts.begin(&selected.row.id);
             let outcome = match self.send(selected).await {
-                Ok(response) => return self.forward(response),
+                Ok(ServerResponse::Whole(response)) => return self.forward(response).into(),
+                Ok(ServerResponse::Large(head, partial)) => return Answer::Large(head, partial),
                 Err(outcome) => outcome,
             };
             self.request_log.record_outcome(outcome);
             if let RetryDecision::GiveUp(result) = self.attempts.ended(outcome) {
-                return match self.last_error.take() {
+                let response = match self.last_error.take() {
                     Some(last_error) => self.forward(last_error),
                     None => self.give_up(result),
                 };
+                return response.into();
             }
         }
     }
@@ -207,13 +240,32 @@
         error_response(code, code.meaning(), Some(retry_after_ms.unwrap_or(RETRY_SOON_MS)))
     }
 
-    fn forward(&mut self, response: ServerResponse) -> Response<ResponseBody> {
-        if response.status.is_success() {
+    fn forward(&mut self, response: WholeResponse) -> Response<ResponseBody> {
+        let WholeResponse { head, body } = response;
+        if head.status.is_success() {
             self.gate.answered();
         }
-        let failed = response.status.is_server_error();
+        let failed = head.status.is_server_error();
         self.request_log.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
-        response.into_response()
+        head.into_response(full_body(body))
+    }
+
+    /// Forwards a large response while it is received.
+    fn forward_large(
+        self,
+        head: ServerHead,
+        partial: PartialResponse,
+        in_flight: InFlight,
+    ) -> Response<ResponseBody> {
+        let large_response = LargeResponse {
+            gateway: self.gateway.clone(),
+            status: head.status,
+            deadline: self.received.deadline,
+            request_log: self.request_log,
+            gate: self.gate,
+            _in_flight: in_flight,
+        };
+        head.into_response(large_response.into_body(partial))
     }
 
     fn give_up(&mut self, result: GiveUp) -> Response<ResponseBody> {
@@ -257,10 +309,14 @@
         let response = self.exchange(&mut upstream, request, permit).await;
         self.in_flight = false;
         match response {
-            Ok(response) => {
+            Ok((head, ReceivedBody::Whole(body))) => {
                 self.gateway.pool.release(upstream);
                 selected.finish(CallResult::Answered);
-                self.check_server_error(response)
+                self.check_server_error(WholeResponse { head, body })
+            }
+            Ok((head, ReceivedBody::Partial { received, rest, is_unframed })) => {
+                let source = ResponseSource { rest, is_unframed, upstream, selected };
+                self.check_large_server_error(head, PartialResponse { received, source })
             }
             Err(outcome) => {
                 let was_rejected = outcome == SendOutcome::SaidNotRun;
@@ -270,23 +326,28 @@
         }
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the complete response, or the first part of a large one.
     async fn exchange(
         &mut self,
         upstream: &mut Upstream,
         request: Request<Full<Bytes>>,
         mut permit: SendPermit,
-    ) -> Result<ServerResponse, SendOutcome> {
+    ) -> Result<(ServerHead, ReceivedBody), SendOutcome> {
         let Ok(response) = upstream.send(request, &permit).await else {
             return Err(self.broken_connection_outcome().await);
         };
         let head = evaluate_head(self.gateway, self.received, &mut self.request_log, &mut permit, response);
         drop(permit);
         let (parts, body) = head?;
-        let Some(body) = read_response_body(&self.gate, &parts.headers, body).await else {
+        let body = if may_forward_partially(self.received.version, &body) {
+            read_first_part(&self.gate, &parts.headers, body).await
+        } else {
+            read_response_body(&self.gate, &parts.headers, body).await.map(ReceivedBody::Whole)
+        };
+        let Some(body) = body else {
             return Err(self.broken_connection_outcome().await);
         };
-        Ok(ServerResponse { status: parts.status, headers: end_to_end(&parts.headers), body })
+        Ok((ServerHead { status: parts.status, headers: end_to_end(&parts.headers) }, body))
     }
 
     /// Returns the outcome of a send whose connection broke while the server had the request.
@@ -298,12 +359,24 @@
     }
 
     /// Treats a server error as a failed send if the request may be sent to another server.
-    fn check_server_error(&mut self, response: ServerResponse) -> Result<ServerResponse, SendOutcome> {
-        if response.status.is_server_error() && self.attempts.may_move() {
+    fn check_server_error(&mut self, response: WholeResponse) -> Result<ServerResponse, SendOutcome> {
+        if response.head.status.is_server_error() && self.attempts.may_move() {
             self.last_error = Some(response);
             return Err(SendOutcome::Failed);
         }
-        Ok(response)
+        Ok(ServerResponse::Whole(response))
+    }
+
+    /// The same for a large response. A large error is not kept: the request is sent to another server instead of reading it.
+    fn check_large_server_error(
+        &mut self,
+        head: ServerHead,
+        partial: PartialResponse,
+    ) -> Result<ServerResponse, SendOutcome> {
+        if head.status.is_server_error() && self.attempts.may_move() {
+            return Err(SendOutcome::Failed);
+        }
+        Ok(ServerResponse::Large(head, Box::new(partial)))
     }
 }
 
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -17,7 +17,7 @@
 use dockwood_state::SuspectAttempt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, Uri, Version};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,6 +33,8 @@
 /// A request whose body has been read completely.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
+    /// Version of the caller's protocol.
+    pub version: Version,
     /// Method.
     pub method: Method,
     /// Path and query as the caller sent them.
@@ -206,6 +208,7 @@
         shared_parts: PromptPart::shared(prompt_parts).into(),
         last_event: number(names.last_event),
         rank: priority.unwrap_or(route.priority).min(MAX_RANK),
+        version: parts.version,
         method: parts.method,
         uri: parts.uri,
         deadline: arrived + Duration::from_millis(timeout_ms),
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -24,6 +24,8 @@
 
 /// A connection that has been idle for longer than this is not reused, because servers close idle connections.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Size of the buffer for a server's response, which bounds what is read ahead of the caller, and the head of the response.
+const SERVER_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 4;
 
@@ -75,7 +77,8 @@
     where
         Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake =
+            http1::Builder::new().max_buf_size(SERVER_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| ConnectFault::Failed)?;
         let driver = tokio::spawn(async move {
             // An error is reported by the request on the connection.
--- a/crates/daemon/tests/gateway/planned_stop.rs
+++ b/crates/daemon/tests/gateway/planned_stop.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 /// Larger than the socket buffers on both sides of a connection together.
-const RESPONSE_BYTES: usize = 8 << 20;
+pub const RESPONSE_BYTES: usize = 8 << 20;
 /// Size of a caller's receive buffer.
 const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// Bytes that a caller reads at a time.
@@ -25,25 +25,25 @@
 const IDLE_STOP_LIMIT: Duration = Duration::from_secs(5);
 
 /// Starts a fleet whose plain servers send large responses.
-async fn with_large_responses() -> (Fleet, [Arc<FakeServer>; 2]) {
+pub async fn with_large_responses() -> (Fleet, [Arc<FakeServer>; 2]) {
     let (fleet, servers) = with_plain_servers().await;
     servers.iter().for_each(|server| server.set_behavior(Behavior::RespondsWithBytes(RESPONSE_BYTES)));
     (fleet, servers)
 }
 
 /// A caller's connection.
-struct Caller {
+pub struct Caller {
     stream: TcpStream,
 }
 
 impl Caller {
-    async fn connect(entry: SocketAddr) -> Result<Caller> {
+    pub async fn connect(entry: SocketAddr) -> Result<Caller> {
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         Ok(Caller { stream: socket.connect(entry).await? })
     }
 
-    async fn send(&mut self, attempt: &str) -> Result<()> {
+    pub async fn send(&mut self, attempt: &str) -> Result<()> {
         let request = format!(
             "POST /once/1 HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer key-1\r\ndockwood-attempt: {attempt}\r\n\
              content-length: 0\r\n\r\n"
@@ -52,7 +52,7 @@
     }
 
     /// Reads the head of a successful response.
-    async fn read_head(&mut self) -> Result<()> {
+    pub async fn read_head(&mut self) -> Result<()> {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
             head.push(self.stream.read_u8().await?);
@@ -61,8 +61,13 @@
         if head.starts_with("HTTP/1.1 200 ") { Ok(()) } else { Err(Error::other(head)) }
     }
 
-    /// Reads a body slowly; returns the number of bytes received before the connection ended.
-    async fn read_body_slowly(&mut self) -> usize {
+    /// Reads a body; returns the number of bytes received before the connection ended.
+    pub async fn read_body(&mut self) -> usize {
+        self.read_body_with_pauses(Duration::ZERO).await
+    }
+
+    /// The same with a pause after each read.
+    async fn read_body_with_pauses(&mut self, pause: Duration) -> usize {
         let mut buffer = vec![0; READ_BYTES];
         let mut received = 0;
         while received < RESPONSE_BYTES {
@@ -71,7 +76,7 @@
                 break;
             }
             received += remaining;
-            tokio::time::sleep(READ_PAUSE).await;
+            tokio::time::sleep(pause).await;
         }
         received
     }
@@ -94,7 +99,7 @@
     caller.send("slow").await?;
     caller.read_head().await?;
     fleet.entries[0].terminate();
-    assert_eq!(caller.read_body_slowly().await, RESPONSE_BYTES);
+    assert_eq!(caller.read_body_with_pauses(READ_PAUSE).await, RESPONSE_BYTES);
     let took = wait_for_exit(&mut fleet.entries[0]).await;
     assert!(took < IDLE_STOP_LIMIT, "the entry exits {took:?} after the last response was read");
     Ok(())
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -5,6 +5,7 @@
 mod cut_off_soak;
 mod entry;
 mod evacuation;
+mod large_responses;
 mod limits;
 mod pushback;
 mod scripted_server;
