--- a/crates/daemon/src/gateway/large_response.rs
+++ b/crates/daemon/src/gateway/large_response.rs
@@ -3,7 +3,7 @@
 
 use super::Gateway;
 use super::body::{ResponseBody, Truncated};
-use super::request_log::{RequestLog, SendNumber};
+use super::request_log::RequestLog;
 use super::response_memory::ResponseMemory;
 use super::server_selection::SelectedServer;
 use super::upstream::Upstream;
@@ -38,8 +38,6 @@
     pub upstream: Upstream,
     /// The server.
     pub selected: SelectedServer,
-    /// The send in the log of the request.
-    pub number: SendNumber,
 }
 
 /// A request whose response is being forwarded. It is not sent to another server any more.
@@ -106,20 +104,20 @@
             true => SendOutcome::ServerEnded,
             false => SendOutcome::Unknown,
         };
-        self.request_log.record_outcome(source.number, outcome);
+        self.request_log.record_outcome(outcome);
         self.request_log.end(ResultCode::Interrupted);
         Truncated::Broken
     }
 }
 
-/// Reads the next part of a body, once the daemon may hold one more; `None` at the end of the body.
+/// Reads the next part of a body, and waits until the daemon may hold it; `None` at the end of the body.
 async fn read_part(memory: &ResponseMemory, body: &mut Incoming) -> Option<hyper::Result<Bytes>> {
-    let reservation = memory.reserve().await;
     loop {
         match body.frame().await? {
             Ok(frame) => {
                 if let Ok(data) = frame.into_data() {
-                    return Some(Ok(reservation.hold(data)));
+                    // Only now, so that a server that sends nothing holds up no other response.
+                    return Some(Ok(memory.hold(data).await));
                 }
             }
             Err(error) => return Some(Err(error)),
--- a/crates/daemon/src/gateway/response_memory.rs
+++ b/crates/daemon/src/gateway/response_memory.rs
@@ -8,7 +8,7 @@
 /// a server's connection (`SERVER_BUFFER_BYTES`), so they take at most 32 MiB.
 const MAX_HELD_PARTS: usize = 512;
 
-/// The parts that may be held. If none is left, further parts are not read from their servers until callers have read some.
+/// The parts that may be held. If none is left, responses are not read any further until callers have read some.
 pub struct ResponseMemory {
     parts: Arc<Semaphore>,
 }
@@ -25,22 +25,11 @@
         ResponseMemory { parts: Arc::new(Semaphore::new(parts)) }
     }
 
-    /// Waits until one more part may be held.
-    pub async fn reserve(&self) -> Reservation {
+    /// Waits until one more part may be held, and returns the part, which counts as held until it is dropped.
+    pub async fn hold(&self, part: Bytes) -> Bytes {
         // `Err` only if the semaphore is closed, which it never is.
-        Reservation { permit: self.parts.clone().acquire_owned().await.ok() }
-    }
-}
-
-/// Permission to hold one part.
-pub struct Reservation {
-    permit: Option<OwnedSemaphorePermit>,
-}
-
-impl Reservation {
-    /// Returns the part, which counts as held until it is dropped.
-    pub fn hold(self, part: Bytes) -> Bytes {
-        Bytes::from_owner(HeldPart { part, _permit: self.permit })
+        let permit = self.parts.clone().acquire_owned().await.ok();
+        Bytes::from_owner(HeldPart { part, _permit: permit })
     }
 }
 
