A heartbeat of another writer replaces neither a server's row nor its sequence

Cause: the leader took the newest sequence for the server's newest word, whoever had sent it.

Change: a process keeps its service, address, zone and fabric domain while it runs. A heartbeat for a registered id that names other ones and no later start is acknowledged and ignored as long as the server's own heartbeats come; one for a service that is not configured never replaces a server of a configured one, whatever start it tells. Otherwise (its row is not confirmed for as long as a server may be silent, or names a service that is not configured while the heartbeat's is) the sender takes the row over, and its sequence counts from the start. Servers that register before the first configuration, or before one that adds their service, are registered as before. A known id that comes with the address of another server has that address probed first, like a new one: registering it removed the other server for good. Ignored heartbeats are recorded, one in 10 s at most (`ForeignHeartbeat`).

Not mended: a heartbeat that comes before the server's own with a start time in the future still keeps the server out, and one that names the server's own service, address and location with a high sequence can't be told from the server's.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -3,6 +3,7 @@
 
 use crate::Millis;
 use crate::address_takeovers::AddressTakeovers;
+use crate::heartbeat_origin::{ForeignHeartbeat, ForeignHeartbeats, HeartbeatOrigin, heartbeat_origin};
 use dockwood_api::gateway::{
     GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
     SharedGroupLoad,
@@ -53,6 +54,7 @@
     /// Members that did not answer a join order; to be probed.
     unanswered_joins: BTreeSet<String>,
     address_takeovers: AddressTakeovers,
+    foreign_heartbeats: ForeignHeartbeats,
     initialized: bool,
     /// When all groups and servers are checked again.
     next_full_check_at: Millis,
@@ -87,6 +89,14 @@
         tables: &GatewayTables,
         report: &InstanceReport,
     ) -> Option<GatewayCommand> {
+        match heartbeat_origin(now, tables, &self.observations, report) {
+            HeartbeatOrigin::Registered => {}
+            HeartbeatOrigin::Foreign => {
+                self.foreign_heartbeats.note(now, report);
+                return None;
+            }
+            HeartbeatOrigin::Replacement => self.observations.reset_sequence(&report.id),
+        }
         if self.is_from_earlier_start(tables, report) {
             return None;
         }
@@ -101,7 +111,8 @@
         let is_newest = self.record_report(now, tables, report);
         let row = InstanceRow::from(report);
         let known = tables.instances.get(&report.id);
-        if known.is_none() && self.address_takeovers.needs_probe(now, tables, &self.observations, &row) {
+        let is_at_new_address = known.is_none_or(|known| known.address != row.address);
+        if is_at_new_address && self.address_takeovers.needs_probe(now, tables, &self.observations, &row) {
             self.address_takeovers.add(row);
             return None;
         }
@@ -109,6 +120,11 @@
         is_changed.then_some(GatewayCommand::Register(row))
     }
 
+    /// Takes the foreign heartbeat that is to be recorded now, if any.
+    pub fn take_foreign_heartbeat(&mut self) -> Option<ForeignHeartbeat> {
+        self.foreign_heartbeats.take_unrecorded()
+    }
+
     /// Whether a report is stale: its sender has restarted since.
     fn is_from_earlier_start(&self, tables: &GatewayTables, report: &InstanceReport) -> bool {
         let newest = self.latest_start(tables, &report.id);
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -3,8 +3,10 @@
 use crate::driver_io::{Moment, Output};
 use crate::entry_summary::EntrySummary;
 use crate::gateway::GatewayLeaderState;
+use crate::heartbeat_origin::ForeignHeartbeat;
 use crate::node::{Batch, ControlNode, Options};
 use crate::voter::{VoterState, Waiter};
+use dockwood_api::ResultCode;
 use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
 use dockwood_api::peer::{ReadAnswer, SubmitReply};
 use dockwood_state::{Command, CommandBody, GatewayTables, Outcome, encode_command, encode_outcome};
@@ -58,7 +60,9 @@
             self.outputs.push(Output::SubmitReply(reply, SubmitReply::NotLeader { leader }));
             return;
         };
-        match leader_state.gateway.register(now.monotonic, &tables.gateway, &report) {
+        let command = leader_state.gateway.register(now.monotonic, &tables.gateway, &report);
+        let foreign = leader_state.gateway.take_foreign_heartbeat();
+        match command {
             Some(command) => {
                 let body = CommandBody::Gateway(command);
                 batch.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
@@ -70,5 +74,10 @@
                 self.outputs.push(Output::SubmitReply(reply, answer));
             }
         }
+        if let Some(ForeignHeartbeat { id, service, address }) = foreign {
+            let message =
+                format!("a heartbeat for {id} that names service {service} at {address} is not its own");
+            self.record_event("ForeignHeartbeat", &message, ResultCode::Ok);
+        }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod entry_summary;
 mod gateway;
 mod gateway_inputs;
+mod heartbeat_origin;
 mod input_lag;
 mod leader;
 mod lease_proxy;
@@ -45,6 +46,7 @@
 pub use driver_io::{GrantedLease, Input, Moment, OrderToSend, Output, StoredSnapshot};
 pub use entry_summary::{DaemonDerived, EntrySummary};
 pub use gateway::{GatewayLeaderState, InstanceProbe, ProbeQuestion};
+pub use heartbeat_origin::ForeignHeartbeat;
 pub use input_lag::{InputLag, PULSE_INTERVAL_MS};
 pub use leases::{
     FETCH_TIMEOUT_MS, LEASE_ANSWER_TIMEOUT_MS, LEASE_MS, LONG_POLL_MS, LeaseTable, Notification,
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -99,6 +99,14 @@
         };
     }
 
+    /// Accepts the next report of an instance whatever its sequence number: the earlier reports under its id
+    /// had another sender.
+    pub fn reset_sequence(&mut self, instance: &str) {
+        if let Some(seen) = self.instances.get_mut(instance) {
+            seen.sequence = 0;
+        }
+    }
+
     /// Records the result of a probe.
     pub fn record_probe(&mut self, now: Millis, instance: &str, result: ProbeResult) {
         if let Some(seen) = self.instances.get_mut(instance) {
