--- a/crates/daemon/src/gateway/large_response.rs
+++ b/crates/daemon/src/gateway/large_response.rs
@@ -3,7 +3,7 @@
 
 use super::Gateway;
 use super::body::{ResponseBody, Truncated};
-use super::request_log::RequestLog;
+use super::request_log::{RequestLog, SendNumber};
 use super::response_memory::ResponseMemory;
 use super::server_selection::SelectedServer;
 use super::upstream::Upstream;
@@ -38,6 +38,8 @@
     pub upstream: Upstream,
     /// The server.
     pub selected: SelectedServer,
+    /// The send in the log of the request.
+    pub number: SendNumber,
 }
 
 /// A request whose response is being forwarded. It is not sent to another server any more.
@@ -104,7 +106,7 @@
             true => SendOutcome::ServerEnded,
             false => SendOutcome::Unknown,
         };
-        self.request_log.record_outcome(outcome);
+        self.request_log.record_outcome(source.number, outcome);
         self.request_log.end(ResultCode::Interrupted);
         Truncated::Broken
     }
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -140,7 +140,8 @@
             }
             self.tried.push(selected.row.id.clone());
             self.attempts.begin(&selected.row.id);
-            let outcome = match self.send(selected).await {
+            let number = self.request_log.record_send(&selected.row.id, None, None);
+            let outcome = match self.send(number, selected).await {
                 Ok(ServerResponse::Whole(response)) => return self.forward(response).into(),
                 Ok(ServerResponse::Large(head, partial)) => return Answer::Large(head, partial),
                 Err(outcome) => outcome,
@@ -318,7 +319,7 @@
                 self.check_server_error(WholeResponse { head, body })
             }
             Ok((head, ReceivedBody::Partial { received, rest, is_unframed })) => {
-                let source = ResponseSource { rest, is_unframed, upstream, selected };
+                let source = ResponseSource { rest, is_unframed, upstream, selected, number };
                 self.check_large_server_error(head, PartialResponse { received, source })
             }
             Err(outcome) => {
