Compact the log by its size, and wait for room on a full disk

What operators and callers saw: with some 3,100 routes, 89 changes of the configuration filled the 64 MB disks of all voters. Each voter's process ended with code 1, was restarted, read its log back and ended again at the next change; no further change was committed, and entries lost their leases and refused over half of the requests.

Cause: the log was compacted after 2,000 entries, however large they are. An entry that changes the gateway's configuration contains all of it. A refused write ended the process, and the restart neither compacted nor freed anything.

Entries that are not applied are not counted, as a compaction writes them again. To the others that is a slow disk, so nothing is acknowledged that is not stored.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -112,6 +112,7 @@
     SyncFailed = 6004, 500, "The disk refused to sync; the process stops.";
     FormatUnknown = 6005, 500, "The data folder was written by an unknown format version.";
     StorageIo = 6006, 500, "A file operation in the data folder failed.";
+    StorageFull = 6007, 500, "The disk of the data folder is full; the voter waits for room.";
     SettingsUnreadable = 7001, 500, "The settings file can't be read.";
     SettingsNotYaml = 7002, 500, "The settings file is not YAML.";
     SettingsUnknownKey = 7003, 500, "A settings key is not known.";
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -91,6 +91,12 @@
         selected
     }
 
+    /// Total payload of the entries after `index` that are in memory, in bytes.
+    pub fn payload_bytes_after(&self, index: LogIndex) -> u64 {
+        let newer = self.entries.iter().rev().take_while(|entry| entry.index > index);
+        newer.map(|entry| entry.payload_bytes() as u64).sum()
+    }
+
     /// Removes the entries up to `index`, which a snapshot covers.
     pub fn compact(&mut self, index: LogIndex) {
         let Some(term) = self.term_at(index) else { return };
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -162,9 +162,14 @@
         self.log.slice(from, self.commit, usize::MAX)
     }
 
-    /// All entries after the snapshot, for a driver that rewrites its log.
-    pub fn entries_after_snapshot(&self) -> Vec<Entry> {
-        self.log.slice(self.log.snapshot_index() + 1, self.log.last_index(), usize::MAX)
+    /// Total payload of the entries after `index` that are still in memory, in bytes.
+    pub fn payload_bytes_after(&self, index: LogIndex) -> u64 {
+        self.log.payload_bytes_after(index)
+    }
+
+    /// All entries after `index`, for a driver that rewrites its log.
+    pub fn entries_after(&self, index: LogIndex) -> Vec<Entry> {
+        self.log.slice(index + 1, self.log.last_index(), usize::MAX)
     }
 
     fn tick(&mut self, now: Millis) {
--- a/crates/control/src/consensus_outputs.rs
+++ b/crates/control/src/consensus_outputs.rs
@@ -23,12 +23,18 @@
     fn handle_core_output(&mut self, now: Moment, output: consensus::Output) {
         match output {
             consensus::Output::Persist { hard_state, entries } => {
+                if let Some(voter) = &mut self.voter {
+                    voter.log_size.appended(&entries);
+                }
                 self.outputs.push(Output::Persist { hard_state, entries });
             }
             consensus::Output::Send(message) => self.outputs.push(Output::Send(message)),
             consensus::Output::Commit(entries) => entries.into_iter().for_each(|entry| self.commit(entry)),
             consensus::Output::Restore { index, term, data } => {
-                self.store_snapshot(index, term, data.clone());
+                if let Some(snapshot) = self.with_log(index, term, data.clone()) {
+                    self.record_compaction(&snapshot);
+                    self.outputs.push(Output::StoreSnapshot(snapshot));
+                }
                 self.restore(&data);
                 let voters = voters_of(&self.board.state);
                 if let Some(voter) = &mut self.voter {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 mod lease_requests;
 mod lease_responder;
 mod leases;
+mod log_size;
 mod node;
 mod own_lease;
 mod prompt_suspicion;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,7 +9,7 @@
 use crate::entry_summary::{DaemonDerived, EntrySummary};
 use crate::leader::{LeaderState, record_observations};
 use crate::timeline::{TimelineEvent, timeline_events};
-use crate::voter::{VoterState, Waiter};
+use crate::voter::{VoterState, Waiter, proposal_dropped};
 use crate::voter_zones::MemberZones;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
@@ -147,7 +147,7 @@
         self.run_controllers(now);
         self.raise_in_force_as_leader(now);
         self.answer_leases(now);
-        self.compact();
+        self.compact_if_due();
         std::mem::take(&mut self.outputs)
     }
 
@@ -310,6 +310,9 @@
                 let failure =
                     SubmitReply::Failed { code: error.code(), message: error.message().to_string() };
                 self.outputs.push(Output::SubmitReply(reply, failure));
+            } else if self.has_too_much_to_commit(batch, command.len()) {
+                let failure = proposal_dropped("too many bytes wait to be committed");
+                self.outputs.push(Output::SubmitReply(reply, failure));
             } else {
                 batch.commands.push(command);
                 batch.waiters.push(Waiter::Caller(reply));
@@ -373,6 +376,11 @@
 }
 
 impl<R> Batch<R> {
+    /// Total size of the commands, in bytes.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.commands.iter().map(|command| command.len() as u64).sum()
+    }
+
     pub(crate) fn add(&mut self, now: Moment, body: CommandBody) {
         self.commands.push(encode_command(&Command { at_ms: now.wall_ms, body }));
         self.waiters.push(Waiter::Controller);
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -4,6 +4,7 @@
 use crate::Millis;
 use crate::leader::LeaderState;
 use crate::lease_proxy::LeaseProxy;
+use crate::log_size::LogSize;
 use dockwood_api::ResultCode;
 use dockwood_api::peer::{SubmitReply, VoterRecord};
 use dockwood_consensus::{Entry, Node, Payload, RoleName, Term, Voter};
@@ -37,12 +38,15 @@
     /// Lease requests that this node answers on behalf of the leader.
     pub proxy: LeaseProxy<R>,
     pub leader: Option<SocketAddr>,
+    pub log_size: LogSize,
 }
 
 impl<R> VoterState<R> {
     /// Creates a voter that doesn't know a leader yet.
     pub fn new(core: Node, addresses: BTreeMap<u64, SocketAddr>) -> Self {
+        let entries = core.last_index() - core.snapshot_index();
         VoterState {
+            log_size: LogSize::recovered(core.payload_bytes_after(core.snapshot_index()), entries),
             applied_index: core.snapshot_index(),
             core,
             addresses,
@@ -86,6 +90,13 @@
             && self.core.leader_lease_valid(now)
     }
 
+    /// Whether the log has many applied entries, or these take much more room than a snapshot.
+    pub fn is_compaction_due(&self, max_entries: u64) -> bool {
+        let entries = self.applied_index.saturating_sub(self.core.snapshot_index());
+        entries >= max_entries
+            || self.log_size.reaches_limit_without(self.core.payload_bytes_after(self.applied_index))
+    }
+
     /// Whether everything that earlier leaders committed is applied on this node.
     pub fn applied_own_term(&self) -> bool {
         let term = self.leader_state.as_ref().map(|leader_state| leader_state.term);
--- a/crates/control/src/voter_turn.rs
+++ b/crates/control/src/voter_turn.rs
@@ -9,7 +9,19 @@
 use dockwood_api::peer::SubmitReply;
 use dockwood_consensus as consensus;
 
+/// Total size of callers' commands up to which more are accepted before they are committed; a single larger command
+/// is still accepted. Until then they can't be compacted, and concurrent changes of the gateway's configuration may
+/// be as large as the state each.
+const MAX_UNCOMMITTED_BYTES: u64 = 8 << 20;
+
 impl<R> ControlNode<R> {
+    /// Whether a caller's command of this size has to be sent again later, because too much waits to be committed.
+    pub(crate) fn has_too_much_to_commit(&self, batch: &Batch<R>, command_bytes: usize) -> bool {
+        let Some(voter) = &self.voter else { return false };
+        let waiting = batch.bytes() + voter.core.payload_bytes_after(voter.core.commit_index());
+        waiting > 0 && waiting + command_bytes as u64 > MAX_UNCOMMITTED_BYTES
+    }
+
     pub(crate) fn propose(&mut self, now: Moment, batch: Batch<R>) {
         if batch.commands.is_empty() {
             return;
@@ -120,21 +132,42 @@
         }
     }
 
-    pub(crate) fn compact(&mut self) {
-        let Some(voter) = &mut self.voter else { return };
-        let index = voter.applied_index;
-        if index < voter.core.snapshot_index() + self.options.compact_after_entries {
+    /// Replaces the log by a snapshot once it has many entries or takes much more room than the snapshot.
+    pub(crate) fn compact_if_due(&mut self) {
+        let Some(voter) = &self.voter else { return };
+        if !voter.is_compaction_due(self.options.compact_after_entries) {
             return;
         }
-        let Some(term) = voter.core.term_at(index) else { return };
-        voter.core.step(0, consensus::Input::Compact { index });
-        let data = self.board.state.encode();
-        self.store_snapshot(index, term, data);
+        if let Some(snapshot) = self.snapshot_of_applied() {
+            self.record_compaction(&snapshot);
+            self.outputs.push(Output::StoreSnapshot(snapshot));
+        }
     }
 
-    pub(crate) fn store_snapshot(&mut self, index: u64, term: u64, data: Vec<u8>) {
-        let Some(voter) = &self.voter else { return };
-        let (hard_state, entries) = (voter.core.hard_state(), voter.core.entries_after_snapshot());
-        self.outputs.push(Output::StoreSnapshot(StoredSnapshot { index, term, data, hard_state, entries }));
+    /// What can replace the stored log: a snapshot up to the newest applied entry, and the entries after it. Contains
+    /// everything that the outputs up to now write to the log. `None` if no entry was applied since the previous
+    /// snapshot.
+    pub fn snapshot_of_applied(&self) -> Option<StoredSnapshot> {
+        let voter = self.voter.as_ref()?;
+        let index = voter.applied_index;
+        if index <= voter.core.snapshot_index() {
+            return None;
+        }
+        let term = voter.core.term_at(index)?;
+        self.with_log(index, term, self.board.state.encode())
+    }
+
+    /// Compacts the log in memory, and records that the stored one is replaced.
+    pub fn record_compaction(&mut self, snapshot: &StoredSnapshot) {
+        let Some(voter) = &mut self.voter else { return };
+        voter.core.step(0, consensus::Input::Compact { index: snapshot.index });
+        voter.log_size.replaced(snapshot.data.len(), &snapshot.entries);
+    }
+
+    /// Combines a snapshot with the hard state and the entries after it.
+    pub(crate) fn with_log(&self, index: u64, term: u64, data: Vec<u8>) -> Option<StoredSnapshot> {
+        let core = &self.voter.as_ref()?.core;
+        let (hard_state, entries) = (core.hard_state(), core.entries_after(index));
+        Some(StoredSnapshot { index, term, data, hard_state, entries })
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,8 +4,10 @@
 mod admission;
 mod announcer;
 mod delegation;
+mod full_disk;
 mod group_orders;
 mod identity;
+mod inputs;
 mod lease_client;
 mod lease_path;
 mod orders;
@@ -26,7 +28,7 @@
 pub use reply::Reply;
 pub use thread::{ControlThread, StartedControl, run_control_thread};
 pub use turn::{TurnTimer, WorkKind};
-pub use voter_disk::StartError;
+pub use voter_disk::{RecoveredVoter, StartError, VoterDisk, WriteResult};
 
 use dockwood_api::engine::PlatformMachine;
 use dockwood_api::gateway::{
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -3,13 +3,12 @@
 use super::announcer::Announcer;
 use super::delegation::Delegation;
 use super::identity::Identity;
-use super::outbox::{OUTBOX_CAPACITY, decode_messages};
+use super::inputs::input_of;
+use super::outbox::OUTBOX_CAPACITY;
 use super::turn::{TurnTimer, WorkKind};
-use super::voter_disk::{StartError, VoterDisk};
+use super::voter_disk::{StartError, VoterDisk, WriteResult};
 use super::{ControlMessage, GroupOrderSender, OrderSender, Reply, run_outbox};
 use crate::clock::{monotonic_ms, wall_ms};
-use crate::log_line::LineBody;
-use crate::logging;
 use crate::metrics::Metrics;
 use crate::published::{Published, RoutingTable};
 use crate::settings::Settings;
@@ -20,7 +19,7 @@
     ControlNode, GroupingPolicy, Input, Moment, Options, Output, voters_for_losses, voters_of,
 };
 use dockwood_storage::StorageError;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -30,7 +29,7 @@
 /// Time between ticks of any other daemon.
 const FOLLOWER_TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of messages handled in one turn; their commands share one synced write.
-const MAX_BATCH_MESSAGES: usize = 512;
+pub(super) const MAX_BATCH_MESSAGES: usize = 512;
 /// Minimum time without a leader before an election, in milliseconds.
 const ELECTION_TIMEOUT_MS: u64 = 500;
 /// Interval of a leader's heartbeats to an idle follower, in milliseconds.
@@ -132,21 +131,23 @@
 
 /// The control thread's state.
 pub struct ControlThread {
-    shared: Arc<Shared>,
-    messages: mpsc::Receiver<ControlMessage>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) messages: mpsc::Receiver<ControlMessage>,
     node: ControlNode<Reply>,
     disk: Option<VoterDisk>,
+    /// Outputs of the node that are not carried out yet, in order; left over from an earlier turn while the disk is full.
+    pending: VecDeque<Output<Reply>>,
     outboxes: Outboxes,
     orders: OrderSender,
     group_orders: GroupOrderSender,
     announcer: Announcer,
     delegation: Delegation,
     turns: TurnTimer,
-    stopping: bool,
+    pub(super) stopping: bool,
 }
 
-/// Runs the control thread until it is asked to stop. A disk error is fatal: the content of the disk is unknown after it,
-/// so the process must not continue.
+/// Runs the control thread until it is asked to stop. A disk error is fatal, because the content of the disk is unknown after
+/// it; only a write that is refused for lack of room is made again later.
 pub async fn run_control_thread(mut control: ControlThread) -> Result<(), StorageError> {
     let tick_interval = if control.disk.is_some() { VOTER_TICK_INTERVAL } else { FOLLOWER_TICK_INTERVAL };
     let mut ticks = tokio::time::interval(tick_interval);
@@ -154,6 +155,11 @@
     let mut received = Vec::new();
     control.publish();
     while !control.stopping {
+        if control.waits_for_disk() {
+            control.wait_for_disk().await?;
+            control.publish();
+            continue;
+        }
         tokio::select! {
             count = control.messages.recv_many(&mut received, MAX_BATCH_MESSAGES) => {
                 if count == 0 {
@@ -192,6 +198,7 @@
             messages,
             node,
             disk,
+            pending: VecDeque::new(),
             outboxes,
             orders,
             group_orders,
@@ -215,12 +222,7 @@
                     let _ = reply.send(self.node.tables().revision);
                 }
                 ControlMessage::Stop => self.stopping = true,
-                other => {
-                    let begun = Instant::now();
-                    if let Some(input) = input_of(other) {
-                        self.handle_input(begun, input);
-                    }
-                }
+                other => self.handle_message(other),
             }
         }
         if !submitted.is_empty() {
@@ -229,6 +231,14 @@
         self.finish_turn()
     }
 
+    /// Passes a message to the node as an input, if it is one.
+    pub(super) fn handle_message(&mut self, message: ControlMessage) {
+        let begun = Instant::now();
+        if let Some(input) = input_of(message) {
+            self.handle_input(begun, input);
+        }
+    }
+
     /// Passes one input to the node; `begun` is when work on the message started.
     fn handle_input(&mut self, begun: Instant, input: Input<Reply>) {
         let work = WorkKind::of_input(&input);
@@ -242,42 +252,59 @@
         self.finish_turn()
     }
 
-    /// Carries out the outputs of the node in order, until no output results in another input.
-    fn finish_turn(&mut self) -> Result<(), StorageError> {
-        loop {
-            let mut has_new_inputs = false;
+    /// Carries out the outputs of the node in order, until no output results in another input or the disk is full.
+    pub(super) fn finish_turn(&mut self) -> Result<(), StorageError> {
+        while !self.waits_for_disk() {
             let begun = Instant::now();
             let outputs = self.node.finish_turn(now());
             self.turns.record(WorkKind::Decisions, begun);
-            for output in outputs {
-                let (work, begun) = (WorkKind::of_output(&output), Instant::now());
-                let next = self.carry_out(output)?;
-                self.turns.record(work, begun);
-                if let Some(input) = next {
-                    has_new_inputs = true;
-                    self.handle_input(Instant::now(), input);
-                }
+            self.pending.extend(outputs);
+            if !self.carry_out_pending()? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether outputs wait for a disk that was full.
+    pub(super) fn waits_for_disk(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Carries out pending outputs up to one that the disk has no room for. Returns true if any resulted in an input.
+    pub(super) fn carry_out_pending(&mut self) -> Result<bool, StorageError> {
+        let mut has_new_inputs = false;
+        while let Some(output) = self.pending.pop_front() {
+            let (work, begun) = (WorkKind::of_output(&output), Instant::now());
+            if self.write(&output)? == WriteResult::DiskFull {
+                self.pending.push_front(output);
+                break;
             }
-            if !has_new_inputs {
-                return Ok(());
+            let next = self.carry_out(output);
+            self.turns.record(work, begun);
+            if let Some(input) = next {
+                has_new_inputs = true;
+                self.handle_input(Instant::now(), input);
             }
         }
+        Ok(has_new_inputs)
     }
 
-    fn carry_out(&mut self, output: Output<Reply>) -> Result<Option<Input<Reply>>, StorageError> {
+    fn write(&mut self, output: &Output<Reply>) -> Result<WriteResult, StorageError> {
+        match &mut self.disk {
+            Some(disk) => disk.write(&mut self.node, output, &self.pending),
+            None => Ok(WriteResult::Stored),
+        }
+    }
+
+    /// Carries out an output whose data, if it has any to store, is stored.
+    fn carry_out(&mut self, output: Output<Reply>) -> Option<Input<Reply>> {
         match output {
-            Output::Persist { hard_state, entries } => {
-                if let Some(disk) = &mut self.disk {
-                    disk.persist(hard_state, &entries)?;
-                }
-                let last = entries.last();
-                return Ok(last.map(|last| Input::Persisted { index: last.index, term: last.term }));
-            }
-            Output::StoreSnapshot(snapshot) => {
-                if let Some(disk) = &mut self.disk {
-                    disk.store_snapshot(snapshot)?;
-                }
+            Output::Persist { entries, .. } => {
+                let last = entries.last()?;
+                return Some(Input::Persisted { index: last.index, term: last.term });
             }
+            Output::StoreSnapshot(_) => {}
             Output::Send(message) => self.outboxes.send(message),
             Output::VotersChanged(voters) => {
                 self.outboxes.add_voters(&voters);
@@ -318,7 +345,7 @@
                 }
             }
         }
-        Ok(None)
+        None
     }
 
     /// Fills in the clock stamp of a granted lease.
@@ -358,48 +385,3 @@
 fn now() -> Moment {
     Moment { monotonic: monotonic_ms(), wall_ms: wall_ms() }
 }
-
-/// Decodes messages of the consensus group. Undecodable messages were not sent by a member of this version and are dropped;
-/// the consensus protocol resends what is missing.
-fn decode_or_drop(bytes: &[u8]) -> Vec<Message> {
-    decode_messages(bytes).unwrap_or_else(|error| {
-        let message = format!("dropping undecodable consensus messages: {error}");
-        logging::write("", LineBody::Fault { message: &message });
-        Vec::new()
-    })
-}
-
-/// Converts a message to an input of the control node; `None` for messages that the thread handles itself.
-fn input_of(message: ControlMessage) -> Option<Input<Reply>> {
-    Some(match message {
-        ControlMessage::Consensus { messages } => Input::Consensus(decode_or_drop(&messages)),
-        ControlMessage::Pulse => Input::Pulse,
-        ControlMessage::FetchSnapshot { reply } => Input::FetchSnapshot(Reply::Snapshot(reply)),
-        ControlMessage::Lease { request, reply } => Input::Lease(request, Reply::Lease(reply)),
-        ControlMessage::Delegate { requests, reply } => Input::Delegate(requests, Reply::Delegation(reply)),
-        ControlMessage::Delegated { number, answer } => Input::Delegated { number, answer },
-        ControlMessage::Observe { term, observations, reply } => {
-            Input::Observe(term, observations, Reply::Observe(reply))
-        }
-        ControlMessage::View { reply } => Input::View(Reply::View(reply)),
-        ControlMessage::OrderAnswered { server, fence, done } => Input::OrderAnswered { server, fence, done },
-        ControlMessage::Register { report, reply } => Input::Register(report, Reply::Submit(reply)),
-        ControlMessage::ExchangeLoad { report, reply } => Input::ExchangeLoad(report, Reply::Load(reply)),
-        ControlMessage::AssignPlace { request, reply } => Input::AssignPlace(request, Reply::Place(reply)),
-        ControlMessage::ServerLimits(limits) => Input::ServerLimits(limits),
-        ControlMessage::GroupOrderAnswered(order, answer) => Input::GroupOrderAnswered(*order, answer),
-        ControlMessage::Probed { instance, result, slowness } => Input::Probed { instance, result, slowness },
-        ControlMessage::AdmitVoter { id, address, zone, reply } => {
-            Input::AdmitVoter { id, address, zone, reply: Reply::Admit(reply) }
-        }
-        ControlMessage::LearnVoters(voters) => Input::LearnVoters(voters),
-        ControlMessage::ReadRevision { reply } => Input::ReadRevision(Reply::Read(reply)),
-        ControlMessage::PlatformList(rows) => {
-            let leaving_machines = rows.into_iter().filter(|row| row.leaving).map(|row| row.server).collect();
-            Input::Leaving(leaving_machines)
-        }
-        ControlMessage::Submit { .. } | ControlMessage::LeaseGranted { .. } | ControlMessage::Stop => {
-            return None;
-        }
-    })
-}
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,7 +1,7 @@
 //! Storage errors; each maps to a result code in the 6000 range.
 
 use quick_error::quick_error;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 
 quick_error! {
@@ -28,6 +28,10 @@
         SyncFailed(file: PathBuf, error: io::Error) {
             display("sync of {} failed: {}", file.display(), error)
         }
+        /// A write was refused because the disk or the file may not grow; the files are as they were before.
+        Full(file: PathBuf, error: io::Error) {
+            display("{} can't grow: {}", file.display(), error)
+        }
         /// A file operation failed.
         Io(file: PathBuf, error: io::Error) {
             display("{}: {}", file.display(), error)
@@ -45,13 +49,19 @@
             StorageError::SyncFailed(..) => 6004,
             StorageError::FormatUnknown(..) => 6005,
             StorageError::Io(..) => 6006,
+            StorageError::Full(..) => 6007,
         }
     }
+
+    /// Whether nothing was written for lack of room, so that the same write may succeed later.
+    pub fn is_full(&self) -> bool {
+        matches!(self, StorageError::Full(..))
+    }
 }
 
 /// Converts I/O errors to storage errors with the path of the file.
 pub(crate) trait IoResultExt<T> {
-    /// Converts an error to [`StorageError::Io`].
+    /// Converts an error to [`StorageError::Full`] if it says that there is no room, else to [`StorageError::Io`].
     fn io_error_at(self, path: &std::path::Path) -> Result<T, StorageError>;
     /// Converts an error to [`StorageError::SyncFailed`].
     fn sync_error_at(self, path: &std::path::Path) -> Result<T, StorageError>;
@@ -59,7 +69,12 @@
 
 impl<T> IoResultExt<T> for io::Result<T> {
     fn io_error_at(self, path: &std::path::Path) -> Result<T, StorageError> {
-        self.map_err(|error| StorageError::Io(path.to_path_buf(), error))
+        self.map_err(|error| match error.kind() {
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+                StorageError::Full(path.to_path_buf(), error)
+            }
+            _ => StorageError::Io(path.to_path_buf(), error),
+        })
     }
 
     fn sync_error_at(self, path: &std::path::Path) -> Result<T, StorageError> {
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -1,7 +1,7 @@
 //! The log: numbered segment files, of which only the newest is appended to.
 
 use crate::error::{IoResultExt, StorageError};
-use crate::folder::{DataFolder, sync_parent};
+use crate::folder::{DataFolder, remove_file, sync_parent};
 use crate::segment::{encode_record, read_segment};
 use std::fs::{self, File};
 use std::io::Write;
@@ -24,6 +24,8 @@
     folder: PathBuf,
     segment_number: u64,
     file: File,
+    /// Length of the newest segment.
+    segment_bytes: u64,
     stats: LogStats,
 }
 
@@ -34,6 +36,7 @@
         let numbers = segment_numbers(folder.path())?;
         let mut records = Vec::new();
         let mut bytes = 0;
+        let mut segment_bytes = 0;
         for (position, number) in numbers.iter().enumerate() {
             let path = segment_path(folder.path(), *number);
             let is_newest = position + 1 == numbers.len();
@@ -41,37 +44,49 @@
             if content.valid_bytes < content.file_bytes {
                 truncate_file(&path, content.valid_bytes)?;
             }
-            bytes += content.valid_bytes;
+            segment_bytes = content.valid_bytes;
+            bytes += segment_bytes;
             records.extend(content.records);
         }
         let number = numbers.last().copied().unwrap_or(1);
         let file = open_for_append(folder.path(), number)?;
         let stats = LogStats { segments: numbers.len().max(1), bytes };
-        Ok((RecordLog { folder: folder.path().to_path_buf(), segment_number: number, file, stats }, records))
+        let folder = folder.path().to_path_buf();
+        Ok((RecordLog { folder, segment_number: number, file, segment_bytes, stats }, records))
     }
 
-    /// Appends and syncs records; they are durable once this returns.
+    /// Appends and syncs records; they are durable once this returns. If it returns [`StorageError::Full`], none of them
+    /// is in the log.
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
         let mut buffer = Vec::new();
         for record in records {
             encode_record(record, &mut buffer);
         }
         let path = segment_path(&self.folder, self.segment_number);
-        self.file.write_all(&buffer).io_error_at(&path)?;
+        if let Err(error) = self.file.write_all(&buffer).io_error_at(&path) {
+            if error.is_full() {
+                truncate_file(&path, self.segment_bytes)?;
+            }
+            return Err(error);
+        }
         self.file.sync_data().sync_error_at(&path)?;
+        self.segment_bytes += buffer.len() as u64;
         self.stats.bytes += buffer.len() as u64;
         Ok(())
     }
 
     /// Starts a new segment with `records`, syncs it, and deletes all older segments; used once a snapshot covers their
     /// records. A crash in between leaves old and new segments, and reading both gives the same result as long as
-    /// `records` repeat all records that are still needed.
+    /// `records` repeat all records that are still needed. If it returns [`StorageError::Full`], the log is as before.
     pub fn replace(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
         let old_numbers = segment_numbers(&self.folder)?;
-        self.segment_number += 1;
-        self.file = open_for_append(&self.folder, self.segment_number)?;
-        self.stats = LogStats { segments: 1, bytes: 0 };
-        self.append(records)?;
+        let number = self.segment_number + 1;
+        *self = self.start_segment(number, records).or_else(|error| {
+            if error.is_full() {
+                remove_file(&segment_path(&self.folder, number))?;
+            }
+            Err(error)
+        })?;
         for number in old_numbers {
             let path = segment_path(&self.folder, number);
             fs::remove_file(&path).io_error_at(&path)?;
@@ -79,6 +94,15 @@
         sync_parent(&segment_path(&self.folder, self.segment_number))
     }
 
+    fn start_segment(&self, number: u64, records: &[Vec<u8>]) -> Result<RecordLog, StorageError> {
+        let file = open_for_append(&self.folder, number)?;
+        let stats = LogStats { segments: 1, bytes: 0 };
+        let mut log =
+            RecordLog { folder: self.folder.clone(), segment_number: number, file, segment_bytes: 0, stats };
+        log.append(records)?;
+        Ok(log)
+    }
+
     /// The size of the log on disk.
     pub fn stats(&self) -> LogStats {
         self.stats
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -21,7 +21,7 @@
 
 /// Stores the identity of this node within its group.
 pub fn store_identity(folder: &DataFolder, content: &[u8]) -> Result<(), StorageError> {
-    write_file_atomically(&folder.path().join(IDENTITY_FILE), content)
+    write_file_atomically(&folder.path().join(IDENTITY_FILE), &[content])
 }
 
 /// Loads the stored identity, if there is one.
@@ -33,16 +33,14 @@
     fs::read(&path).io_error_at(&path).map(Some)
 }
 
-/// Replaces the stored snapshot atomically: after a crash, either the old or the new one is there.
-pub fn store_snapshot(folder: &DataFolder, snapshot: &StoredSnapshot) -> Result<(), StorageError> {
-    let mut content = Vec::with_capacity(HEADER_BYTES + snapshot.data.len());
-    content.extend_from_slice(&[0; 4]);
-    content.extend_from_slice(&snapshot.index.to_le_bytes());
-    content.extend_from_slice(&snapshot.term.to_le_bytes());
-    content.extend_from_slice(&snapshot.data);
-    let checksum = crc32fast::hash(&content[4..]).to_le_bytes();
-    content[..4].copy_from_slice(&checksum);
-    write_file_atomically(&folder.path().join(SNAPSHOT_FILE), &content)
+/// Replaces the stored snapshot atomically: after a crash, either the old or the new one is there. While it is written, both
+/// take room on the disk.
+pub fn store_snapshot(folder: &DataFolder, index: u64, term: u64, data: &[u8]) -> Result<(), StorageError> {
+    let (index, term) = (index.to_le_bytes(), term.to_le_bytes());
+    let mut hasher = crc32fast::Hasher::new();
+    [index.as_slice(), &term, data].iter().for_each(|part| hasher.update(part));
+    let checksum = hasher.finalize().to_le_bytes();
+    write_file_atomically(&folder.path().join(SNAPSHOT_FILE), &[&checksum, &index, &term, data])
 }
 
 /// Loads the stored snapshot, if there is one.
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -87,7 +87,7 @@
     let open = DataFolder::open(folder.path())?;
     assert_eq!(load_snapshot(&open)?, None);
     for index in [3, 8] {
-        store_snapshot(&open, &StoredSnapshot { index, term: 2, data: vec![index as u8; 100] })?;
+        store_snapshot(&open, index, 2, &[index as u8; 100])?;
     }
     let loaded = load_snapshot(&open)?;
     assert_eq!(loaded, Some(StoredSnapshot { index: 8, term: 2, data: vec![8; 100] }));
