Requests need a key after the last tenant was removed

What operators saw: after a configuration with an empty list of tenants, which took the last key away, requests with any key were served on routes that are not anonymous, also with the removed key and with made-up ones.

Cause: an empty list was taken for an absent one when the document was parsed, and a configuration without tenants means that requests need no key.

The fix: a list that is present and empty is stored as one tenant without keys (GatewayConfiguration::requiring_keys), so that requests need a key and none is known. Stored and sent configurations keep their form: data of earlier versions is read as before, and earlier versions understand this one. Where a configuration without tenants follows one that had them, the state machine does the same, on every daemon: the keys were taken away, and what they protected must not open by an omission. Routes are opened with "anonymous". A deployment whose configurations never had tenants is served without keys as before. A list that is null is refused, as before.

--- a/crates/api/src/gateway/configuration.rs
+++ b/crates/api/src/gateway/configuration.rs
@@ -192,7 +192,8 @@
     pub services: Vec<ServiceProfile>,
     /// Limits on requests.
     pub limits: RequestLimits,
-    /// Tenants; if there are none, requests need no key.
+    /// Tenants; if there are none, requests need no key. A list that the operator sent empty is therefore replaced by
+    /// [`GatewayConfiguration::requiring_keys`].
     pub tenants: Vec<TenantKeys>,
     /// The document as sent by the operator. Stored by members of the control group, empty elsewhere.
     pub document: Vec<u8>,
@@ -204,6 +205,22 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// Whether requests need a key on routes that are not anonymous.
+    pub fn needs_keys(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// Returns the configuration with a tenant that has no keys if it has no tenants: requests need a key then, and no key
+    /// is known. A field of its own would change the form in which configurations are stored and sent.
+    pub fn requiring_keys(mut self) -> GatewayConfiguration {
+        if self.tenants.is_empty() {
+            let name = String::new();
+            let tenant = TenantKeys { name, keys: Vec::new(), priority: None, allowed_regions: Vec::new() };
+            self.tenants.push(tenant);
+        }
+        self
+    }
+
     /// Returns the configuration without the operator's document, for daemons that serve no operators.
     pub fn without_document(&self) -> GatewayConfiguration {
         GatewayConfiguration { document: Vec::new(), ..self.clone() }
--- a/crates/routing/src/gateway/route_table.rs
+++ b/crates/routing/src/gateway/route_table.rs
@@ -50,7 +50,7 @@
         let mut table = RouteTable {
             version: configuration.version,
             limits: configuration.limits,
-            needs_keys: !configuration.tenants.is_empty(),
+            needs_keys: configuration.needs_keys(),
             ..RouteTable::default()
         };
         for route in &configuration.routes {
--- a/crates/routing/tests/gateway.rs
+++ b/crates/routing/tests/gateway.rs
@@ -79,6 +79,23 @@
     assert_eq!(check(&open, Some("k1")), Some(tenant));
 }
 
+#[parameterized(
+    without_tenants = { GatewayConfiguration::default(), true },
+    with_an_empty_list_of_tenants = { GatewayConfiguration::default().requiring_keys(), false },
+)]
+fn unknown_keys_are_accepted_only_where_there_are_no_tenants(
+    configuration: GatewayConfiguration,
+    accepted: bool,
+) {
+    let table = RouteTable::compile(&configuration);
+    let closed = route("closed", "/a/", RouteKind::Repeatable);
+    let open = Route { anonymous: true, ..closed.clone() };
+    for key in [None, Some(""), Some("k1")] {
+        assert_eq!(table.check_key(&closed, key) != KeyVerdict::Refused, accepted, "key {key:?}");
+        assert_ne!(table.check_key(&open, key), KeyVerdict::Refused, "key {key:?}");
+    }
+}
+
 #[test]
 fn destinations_follow_the_route_weights() {
     let table = table();
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -178,11 +178,19 @@
         self.removed.restore_starts(starts);
     }
 
+    /// Installs a configuration. Once one had tenants, requests need keys for good: a later one without tenants takes all
+    /// keys away, and must not admit the requests that had them. Routes are opened by declaring them anonymous.
     fn configure(&mut self, configuration: &Arc<GatewayConfiguration>) -> Applied {
-        let current = self.configuration.as_ref().map(|current| current.version);
-        if current.is_none_or(|version| version < configuration.version) {
-            self.configuration = Some(configuration.clone());
+        let current = self.configuration.as_ref();
+        if current.is_some_and(|current| current.version >= configuration.version) {
+            return Applied::with_changes(Vec::new());
         }
+        let needed_keys = current.is_some_and(|current| current.needs_keys());
+        let takes_all_keys = needed_keys && !configuration.needs_keys();
+        self.configuration = Some(match takes_all_keys {
+            true => Arc::new(configuration.as_ref().clone().requiring_keys()),
+            false => configuration.clone(),
+        });
         Applied::with_changes(Vec::new())
     }
 
--- a/crates/state/tests/gateway.rs
+++ b/crates/state/tests/gateway.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::gateway::{apply, form, register, row};
-use dockwood_api::gateway::{ColdStart, GatewayConfiguration, InstanceState, ServiceProfile};
+use dockwood_api::gateway::{ColdStart, GatewayConfiguration, InstanceState, ServiceProfile, TenantKeys};
 use dockwood_state::{
     Command, CommandBody, GatewayCommand, GroupPhase, GroupPurpose, InstanceRow, Outcome, State,
 };
@@ -31,6 +31,43 @@
     assert_eq!(current_configuration(&state), Some((9, b"nine".to_vec())));
 }
 
+fn with_tenants(version: u64, keys: &[&[&str]]) -> GatewayConfiguration {
+    let tenant = |(number, keys): (usize, &&[&str])| TenantKeys {
+        name: format!("tenant-{number}"),
+        keys: keys.iter().map(|key| key.to_string()).collect(),
+        priority: None,
+        allowed_regions: Vec::new(),
+    };
+    let tenants = keys.iter().enumerate().map(tenant).collect();
+    GatewayConfiguration { version, tenants, ..GatewayConfiguration::default() }
+}
+
+fn needs_keys_after(configurations: &[GatewayConfiguration]) -> bool {
+    let mut state = State::default();
+    for configuration in configurations {
+        apply(&mut state, GatewayCommand::Configure(Arc::new(configuration.clone())));
+    }
+    let restored = State::decode(&state.encode()).unwrap_or_else(|error| panic!("{error}"));
+    assert_eq!(restored, state);
+    restored.tables.gateway.configuration.is_some_and(|configuration| !configuration.tenants.is_empty())
+}
+
+/// Otherwise the removal of the last tenant would admit requests with the removed keys.
+#[test]
+fn requests_need_keys_for_good_once_a_configuration_had_tenants() {
+    let (open, closed) = (with_tenants(1, &[]), with_tenants(2, &[&["k1"]]));
+    assert!(!needs_keys_after(std::slice::from_ref(&open)), "a fleet without tenants needs no keys");
+    assert!(needs_keys_after(&[open.clone(), closed.clone()]));
+    assert!(needs_keys_after(&[open.clone(), closed.clone(), with_tenants(3, &[])]));
+    assert!(needs_keys_after(&[open, closed, with_tenants(3, &[]), with_tenants(4, &[])]));
+}
+
+/// A configuration that is not installed changes nothing.
+#[test]
+fn an_older_configuration_with_tenants_does_not_make_requests_need_keys() {
+    assert!(!needs_keys_after(&[with_tenants(5, &[]), with_tenants(4, &[&["k1"]]), with_tenants(6, &[])]));
+}
+
 #[test]
 fn non_voters_receive_the_configuration_without_the_operators_document() {
     let mut state = State::default();
