--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -141,9 +141,14 @@
         self.membership.last_change_index() <= self.commit
     }
 
-    /// Sets the voters to those recorded in a restored snapshot.
+    /// Sets the voters to those recorded in a restored snapshot; it records none if the membership never changed, so that
+    /// those in the settings apply.
     pub fn restore_voters(&mut self, voters: &[Voter]) {
-        self.membership.reset(voters);
+        if voters.is_empty() {
+            self.membership = Membership::new(self.settings.voters.clone());
+        } else {
+            self.membership.reset(voters);
+        }
     }
 
     /// Persistent state besides the log.
--- a/crates/consensus/tests/core.rs
+++ b/crates/consensus/tests/core.rs
@@ -1,6 +1,8 @@
 //! Unit tests of the consensus core on single messages. The `simulation` crate tests whole groups under faults.
 
-use dockwood_consensus::{Body, Entry, Input, Message, Node, Output, Payload, Recovered, RoleName, Settings};
+use dockwood_consensus::{
+    Body, Entry, Input, Message, Node, Output, Payload, Recovered, RoleName, Settings, Voter,
+};
 
 const ELECTION_TIMEOUT_MS: u64 = 500;
 
@@ -174,6 +176,26 @@
     assert_eq!((node.last_index(), node.commit_index()), (8, 8));
 }
 
+/// Otherwise a group in which a majority was sent snapshots elects no leader after the loss of the one that it has.
+#[test]
+fn a_founder_stands_for_election_after_a_snapshot_of_a_group_whose_membership_never_changed() {
+    let mut node = node(2);
+    let snapshot = Body::Snapshot { index: 8, term: 1, data: vec![9], probe: Default::default() };
+    node.step(1, message(1, 2, 1, snapshot));
+    node.restore_voters(&[]);
+    assert_eq!(node.voters(), [1, 2, 3]);
+    node.step(ELECTION_TIMEOUT_MS * 3, Input::Tick);
+    assert_eq!(node.role(), RoleName::Candidate);
+}
+
+#[test]
+fn the_voters_of_a_snapshot_replace_the_founders() {
+    let mut node = node(2);
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    node.restore_voters(&[2, 4, 5].map(|id| Voter { id, address }));
+    assert_eq!(node.voters(), [2, 4, 5]);
+}
+
 #[test]
 fn votes_of_non_voters_are_not_counted() {
     let mut node = node(2);
