--- a/crates/control/src/log_size.rs
+++ b/crates/control/src/log_size.rs
@@ -1,15 +1,17 @@
 //! The size of the stored log, which decides together with the number of entries when a snapshot replaces it.
 //!
 //! An entry may be as large as the whole state: a change of the gateway's configuration contains all of it. The
-//! log may therefore take as much as its snapshot, and disk and memory stay proportional to the state. What is
+//! log may therefore take more than its snapshot, and disk and memory stay proportional to the state. What is
 //! written for snapshots stays proportional to what is written to the log.
 
 use dockwood_consensus::Entry;
 
-/// A log below this size is not compacted because of its size. A larger one may take as much as its snapshot: while a
-/// snapshot is stored, the disk then holds the log, the change that reached the limit and two snapshots, which makes
-/// four times the size of the state.
+/// A log below this size is not compacted because of its size.
 const MIN_LIMIT_BYTES: u64 = 4 << 20;
+/// The size that a larger log may have, as a percentage of its snapshot: the second change that is as large as the state
+/// reaches it. While a snapshot is stored, the disk then holds these two changes and two snapshots, which makes four
+/// times the size of the state.
+const LIMIT_PERCENT_OF_SNAPSHOT: u64 = 150;
 /// Approximate size of a record without its payload: its header, and the entry's index and term.
 const RECORD_OVERHEAD_BYTES: u64 = 32;
 
@@ -33,7 +35,7 @@
 
     /// Records that a snapshot and the entries after it replace the log.
     pub fn replaced(&mut self, snapshot_bytes: usize, remaining: &[Entry]) {
-        let limit = (snapshot_bytes as u64).max(MIN_LIMIT_BYTES);
+        let limit = (snapshot_bytes as u64 * LIMIT_PERCENT_OF_SNAPSHOT / 100).max(MIN_LIMIT_BYTES);
         *self = LogSize { bytes: bytes_of(remaining), limit };
     }
 
