A refusal reaches a caller that is still sending its body

What callers saw: a request that was refused before its body had arrived (no route, unknown key, no lease, no configuration, zones closed) got a reset connection instead of the refusal, and could not tell that it had not run.

Cause: the handler returned the refusal and dropped the unread body, so hyper closed the connection while bytes were still arriving, and the kernel answered those with a reset. The same class as the answers cut at stalls: a connection is released before what it carries is delivered. Found by reading for twins of that cause.

Test: one_entry, a_refusal_reaches_a_caller_that_is_still_sending_its_body (a body with a length and one in chunks, sent in four parts over 200 ms). Before: 2 of 2 failed, broken pipe on the caller's write. After: 2 of 2 pass, and the connection is used for a second request.

Change: the rest of the body is read and discarded by a task while the refusal is sent, for up to 2 s and 8 MiB; then the connection ends as before.

--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -9,7 +9,7 @@
 use super::http_server::ACCEPT_PAUSE;
 use super::receive::{attempt_id, receive};
 use super::request_log::{RequestInfo, RequestLog};
-use super::{Gateway, plain, stream};
+use super::{Gateway, plain, stream, unread_body};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -84,7 +84,8 @@
     let mut request_log = RequestLog::new(gateway.clone());
     let attempt = attempt_id(&gateway, request.headers());
     request_log.set_info(RequestInfo { attempt, ..RequestInfo::default() });
-    let mut response = match receive(&gateway, request).await {
+    let (parts, mut body) = request.into_parts();
+    let mut response = match receive(&gateway, parts, &mut body).await {
         Ok(received) => {
             gateway.retry_budgets.record_request(&received.service.name);
             request_log.set_info(received.info());
@@ -96,6 +97,7 @@
         }
         Err(refusal) => {
             request_log.end(refusal.code);
+            unread_body::discard(body);
             refusal.into_response()
         }
     };
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod source;
 mod stalls;
 mod stream;
+mod unread_body;
 mod upstream;
 mod write_permit;
 
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -17,7 +17,8 @@
 use dockwood_state::SuspectAttempt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
-use hyper::{Method, Request, Response, Uri, Version};
+use hyper::http::request::Parts;
+use hyper::{Method, Response, Uri, Version};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -138,10 +139,14 @@
     header_text(headers, gateway.dialect.headers().attempt)
 }
 
-/// Reads a request; `Err` if it is rejected.
-pub async fn receive(gateway: &Gateway, request: Request<Incoming>) -> Result<ReceivedRequest, Refusal> {
+/// Reads a request; `Err` if it is rejected, possibly before its body has been read.
+pub async fn receive(
+    gateway: &Gateway,
+    parts: Parts,
+    body: &mut Incoming,
+) -> Result<ReceivedRequest, Refusal> {
     let (arrived, arrived_ms) = (Instant::now(), monotonic_ms());
-    if header_text(request.headers(), gateway.dialect.headers().last_event).is_some() {
+    if header_text(&parts.headers, gateway.dialect.headers().last_event).is_some() {
         wait_for_startup(gateway).await;
     }
     let table = gateway.routes.load_full();
@@ -160,7 +165,6 @@
     if !gateway.shared.holds_lease() {
         return Err(refusal(ResultCode::NoLease, "no configuration lease", Some(RETRY_SOON_MS)));
     }
-    let (parts, body) = request.into_parts();
     let host = request_host(&parts.headers, &parts.uri);
     let Some(route) = table.route(&host, parts.uri.path()).cloned() else {
         return Err(refusal(ResultCode::NoRoute, "no route has this host and path", None));
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -8,6 +8,7 @@
 mod large_responses;
 mod limits;
 mod pushback;
+mod refusals;
 mod scripted_server;
 mod stream_alternatives;
 mod stream_caller;
