Refusals of the product's own interface reach callers that are still sending

What callers saw: a chat request, a call of a service or a change of a resource that was refused before its body had been read (unknown key, unknown service, no permission) got a reset connection in place of the refusal.

Test: one_entry, a_refusal_reaches_a_caller_that_is_still_sending_its_body, now for both interfaces.

Change: one wrapper of request bodies, DiscardingBody, reads and discards the rest when it is dropped unread, for both interfaces and the operators' calls; the two other ways are gone.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -48,7 +48,7 @@
 }
 
 /// Reads a complete body of at most `limit` bytes.
-pub async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyFault> {
+pub async fn read_body(mut body: impl Body<Data = Bytes> + Unpin, limit: usize) -> Result<Bytes, BodyFault> {
     let expected = body.size_hint().lower() as usize;
     if expected > limit {
         return Err(BodyFault::TooLarge);
@@ -73,13 +73,9 @@
 
 /// Reads the body of a response; `None` if it is too large, ended early, or may be truncated because it has no length and its
 /// server did not survive it.
-pub async fn read_response_body(
-    gate: &SuspectGate,
-    headers: &HeaderMap,
-    mut body: Incoming,
-) -> Option<Bytes> {
+pub async fn read_response_body(gate: &SuspectGate, headers: &HeaderMap, body: Incoming) -> Option<Bytes> {
     let is_unframed = is_unframed(headers, &body);
-    let bytes = read_body(&mut body, MAX_RESPONSE_BYTES).await.ok()?;
+    let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
     (!is_unframed || gate.server_survives().await).then_some(bytes)
 }
 
--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -9,7 +9,8 @@
 use super::http_server::ACCEPT_PAUSE;
 use super::receive::{attempt_id, receive};
 use super::request_log::{RequestInfo, RequestLog};
-use super::{Gateway, plain, stream, unread_body};
+use super::{Gateway, plain, stream};
+use crate::unread_body::DiscardingBody;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -84,8 +85,7 @@
     let mut request_log = RequestLog::new(gateway.clone());
     let attempt = attempt_id(&gateway, request.headers());
     request_log.set_info(RequestInfo { attempt, ..RequestInfo::default() });
-    let (parts, mut body) = request.into_parts();
-    let mut response = match receive(&gateway, parts, &mut body).await {
+    let mut response = match receive(&gateway, request.map(DiscardingBody::new)).await {
         Ok(received) => {
             gateway.retry_budgets.record_request(&received.service.name);
             request_log.set_info(received.info());
@@ -97,7 +97,6 @@
         }
         Err(refusal) => {
             request_log.end(refusal.code);
-            unread_body::discard(body);
             refusal.into_response()
         }
     };
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -30,7 +30,6 @@
 mod source;
 mod stalls;
 mod stream;
-mod unread_body;
 mod upstream;
 mod write_permit;
 
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -5,10 +5,10 @@
 use super::evacuation::set_evacuation;
 use super::report_forwarding::{forward_report, report_target};
 use super::responses::{empty_response, error_response, json_response};
-use super::unread_body;
 use crate::dialect::OperatorCall;
 use crate::peer::{read_document, read_revision, submit};
 use crate::shared::Shared;
+use crate::unread_body::DiscardingBody;
 use dockwood_api::gateway::{GatewayConfiguration, InstanceReport, validate_configuration};
 use dockwood_api::{ApiError, ResultCode};
 use dockwood_state::{CommandBody, GatewayCommand, Tables};
@@ -24,13 +24,10 @@
 
 /// Handles one call.
 pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let (parts, mut body) = request.into_parts();
-    let body = match read_body(&mut body, MAX_BODY_BYTES).await {
+    let (parts, body) = request.map(DiscardingBody::new).into_parts();
+    let body = match read_body(body, MAX_BODY_BYTES).await {
         Ok(body) => body,
-        Err(fault) => {
-            unread_body::discard(body);
-            return error_response(ResultCode::ConfigurationUnreadable, &fault.to_string(), None);
-        }
+        Err(fault) => return error_response(ResultCode::ConfigurationUnreadable, &fault.to_string(), None),
     };
     let call = gateway.dialect.operator_call(parts.method.as_str(), parts.uri.path(), &body);
     let handled = match call {
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -9,6 +9,7 @@
 use crate::clock::monotonic_ms;
 use crate::shared::Shared;
 use crate::suspects::SuspectGate;
+use crate::unread_body::DiscardingBody;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{Fingerprint, PromptPart, RequestIdentity, Route, RouteKind};
@@ -17,8 +18,7 @@
 use dockwood_state::SuspectAttempt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
-use hyper::http::request::Parts;
-use hyper::{Method, Response, Uri, Version};
+use hyper::{Method, Request, Response, Uri, Version};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -142,11 +142,10 @@
 /// Reads a request; `Err` if it is rejected, possibly before its body has been read.
 pub async fn receive(
     gateway: &Gateway,
-    parts: Parts,
-    body: &mut Incoming,
+    request: Request<DiscardingBody<Incoming>>,
 ) -> Result<ReceivedRequest, Refusal> {
     let (arrived, arrived_ms) = (Instant::now(), monotonic_ms());
-    if header_text(&parts.headers, gateway.dialect.headers().last_event).is_some() {
+    if header_text(request.headers(), gateway.dialect.headers().last_event).is_some() {
         wait_for_startup(gateway).await;
     }
     let table = gateway.routes.load_full();
@@ -165,6 +164,7 @@
     if !gateway.shared.holds_lease() {
         return Err(refusal(ResultCode::NoLease, "no configuration lease", Some(RETRY_SOON_MS)));
     }
+    let (parts, body) = request.into_parts();
     let host = request_host(&parts.headers, &parts.uri);
     let Some(route) = table.route(&host, parts.uri.path()).cloned() else {
         return Err(refusal(ResultCode::NoRoute, "no route has this host and path", None));
--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -359,19 +359,12 @@
     refusal::plain_error(ResultCode::RequestNotFound, &format!("no record of request '{id}'"))
 }
 
-/// Maximum number of bytes beyond the body limit that are read and discarded before the request is refused. Closing a
-/// connection with unread data resets it, so that the caller may not receive the refusal.
-const MAX_DISCARDED_BYTES: u64 = 8 << 20;
-
 async fn read_limited(body: Body, limit: usize) -> Result<Vec<u8>, ApiError> {
     let read_error = |error: std::io::Error| ApiError::new(ResultCode::BadJson, error.to_string());
-    let mut reader = body.into_async_read();
     let mut bytes = Vec::new();
-    (&mut reader).take(limit as u64 + 1).read_to_end(&mut bytes).await.map_err(read_error)?;
+    body.into_async_read().take(limit as u64 + 1).read_to_end(&mut bytes).await.map_err(read_error)?;
     if bytes.len() <= limit {
         return Ok(bytes);
     }
-    let mut rest = reader.take(MAX_DISCARDED_BYTES);
-    tokio::io::copy(&mut rest, &mut tokio::io::sink()).await.map_err(read_error)?;
     Err(ApiError::new(ResultCode::BodyTooLarge, format!("the body has more than {limit} bytes")))
 }
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -16,17 +16,22 @@
 
 use crate::shared::Shared;
 use crate::traffic::Traffic;
+use crate::unread_body::DiscardingBody;
+use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::resource::API_PREFIX;
 use dockwood_listen::NoDelayAcceptor;
 use poem::error::{MethodNotAllowedError, NotFoundError};
-use poem::{EndpointExt, Route, Server, get, post, put};
+use poem::{EndpointExt, Request, Route, Server, get, post, put};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Time limit for open connections to close at shutdown. By then no requests are in flight.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Body of a request.
+type BoxBody = http_body_util::combinators::BoxBody<Bytes, std::io::Error>;
+
 /// State of the HTTP handlers.
 #[derive(Clone)]
 pub struct App {
@@ -48,6 +53,13 @@
         .await
 }
 
+/// Makes a response reach a caller whose request is answered before its body has been read.
+async fn discard_unread_body(mut request: Request) -> poem::Result<Request> {
+    let body = DiscardingBody::new(BoxBody::from(request.take_body()));
+    request.set_body(BoxBody::new(body));
+    Ok(request)
+}
+
 fn routes(app: App) -> impl poem::Endpoint + 'static {
     let api = |path: &str| format!("{API_PREFIX}{path}");
     Route::new()
@@ -76,6 +88,7 @@
         .at("/services/:service", service::call_service)
         .at("/services/:service/*path", service::call_service)
         .data(app)
+        .before(discard_unread_body)
         .catch_error(|_: NotFoundError| async {
             refusal::plain_error(ResultCode::NoSuchPath, "there is no such path")
         })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod timeline;
 pub mod traffic;
 pub mod tunnel;
+pub mod unread_body;
 pub mod watch_hub;
--- a/crates/daemon/tests/one_entry/refusals.rs
+++ b/crates/daemon/tests/one_entry/refusals.rs
@@ -2,7 +2,12 @@
 //! connection.
 
 use crate::entry::{Entry, TEST_TIMEOUT};
+use dockwood_daemon::http::{App, serve_http};
+use dockwood_daemon::probe::Reporter;
+use dockwood_daemon::traffic::Traffic;
 use std::io::Result;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -45,6 +50,24 @@
     }
 }
 
+/// Interface of the daemon that refuses the requests.
+#[derive(Clone, Copy, Debug)]
+enum Interface {
+    Gateway,
+    Native,
+}
+
+/// Serves the daemon's own interface.
+fn serve_native(entry: &Entry) -> Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let traffic = Traffic::start(entry.shared.clone(), Arc::new(Reporter::default()), reqwest::Client::new());
+    let app = App { shared: entry.shared.clone(), traffic };
+    tokio::spawn(serve_http(app, listener, std::future::pending()));
+    Ok(address)
+}
+
 /// Sends a request whose body arrives in parts, without reading anything meanwhile.
 async fn send_slowly(stream: &mut TcpStream, path: &str, framing: Framing) -> Result<()> {
     let head = format!("POST {path} HTTP/1.1\r\nhost: h\r\n{}\r\n\r\n", framing.header());
@@ -71,19 +94,28 @@
 }
 
 #[yare::parameterized(
-    with_a_length = { Framing::Length },
-    in_chunks = { Framing::Chunks },
+    gateway_with_a_length = { Interface::Gateway, Framing::Length },
+    gateway_in_chunks = { Interface::Gateway, Framing::Chunks },
+    native_with_a_length = { Interface::Native, Framing::Length },
+    native_in_chunks = { Interface::Native, Framing::Chunks },
 )]
 #[test_macro(tokio::test)]
-async fn a_refusal_reaches_a_caller_that_is_still_sending_its_body(framing: Framing) -> Result<()> {
+async fn a_refusal_reaches_a_caller_that_is_still_sending_its_body(
+    interface: Interface,
+    framing: Framing,
+) -> Result<()> {
     let entry = Entry::start()?;
     entry.renew_lease_continuously();
-    let mut stream = TcpStream::connect(entry.frontend).await?;
+    let (address, path, status) = match interface {
+        Interface::Gateway => (entry.frontend, "/unknown/1", "404"),
+        Interface::Native => (serve_native(&entry)?, "/v1/chat/completions", "401"),
+    };
+    let mut stream = TcpStream::connect(address).await?;
     let exchange = async {
         for _ in 0..2 {
-            send_slowly(&mut stream, "/unknown/1", framing).await?;
+            send_slowly(&mut stream, path, framing).await?;
             let head = read_response(&mut stream).await?;
-            assert!(head.starts_with("http/1.1 404"), "{head}");
+            assert!(head.starts_with(&format!("http/1.1 {status}")), "{head}");
         }
         Ok::<_, std::io::Error>(())
     };
