Large responses with a length count as answered

What callers saw: nothing at once; they got the whole response. But each response of more than 64 KiB with a stated length was recorded as CallerLeft: the request line and dockwood_answers_total told of a caller that had left, the server's connection was closed in place of being pooled, and a suspect whose request was answered this way was never cleared.

Cause: hyper drops a body as soon as it has taken the stated number of bytes, and doesn't ask for its end. The response was recorded as complete only when the end was asked for.

Test: large_responses::a_caller_that_got_a_whole_large_response_is_not_recorded_as_having_left. Before, with_length failed with (answered, left) = (0, 1) in place of (1, 0); in_chunks passed.

Fix: the last part is known by the length, and the response is recorded as complete when that part has been received.

--- a/crates/daemon/src/gateway/large_response.rs
+++ b/crates/daemon/src/gateway/large_response.rs
@@ -2,7 +2,7 @@
 //! reads, and the daemon holds only the parts in between.
 
 use super::Gateway;
-use super::body::{ResponseBody, Truncated};
+use super::body::{ResponseBody, Truncated, full_body};
 use super::request_log::{RequestLog, SendNumber};
 use super::response_memory::ResponseMemory;
 use super::server_selection::SelectedServer;
@@ -16,7 +16,7 @@
 use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::StatusCode;
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -60,27 +60,39 @@
 
 impl LargeResponse {
     /// Returns the body for the caller, which begins with the part that has been received.
-    pub fn into_body(self, partial: PartialResponse) -> ResponseBody {
-        let first_part = stream::once(async { Ok(Frame::data(partial.received)) });
-        let rest = stream::try_unfold((self, partial.source), |(mut response, source)| async move {
+    pub fn into_body(mut self, partial: PartialResponse) -> ResponseBody {
+        let PartialResponse { received, source } = partial;
+        if source.rest.is_end_stream() {
+            self.complete(source);
+            return full_body(received);
+        }
+        let first_part = stream::once(async { Ok(Frame::data(received)) });
+        let rest = stream::try_unfold(Some((self, source)), |reading| async move {
+            let Some((mut response, source)) = reading else { return Ok(None) };
             let next = response.next(source).await?;
-            Ok(next.map(|(part, source)| (Frame::data(part), (response, source))))
+            Ok(next.map(|(part, source)| (Frame::data(part), source.map(|source| (response, source)))))
         });
         StreamBody::new(first_part.chain(rest)).boxed_unsync()
     }
 
-    /// Reads the next part; `None` once the response is complete.
+    /// Reads the next part, with the source of further ones unless it is known to be the last; `None` once the response is
+    /// complete.
     async fn next(
         &mut self,
         mut source: ResponseSource,
-    ) -> Result<Option<(Bytes, ResponseSource)>, Truncated> {
+    ) -> Result<Option<(Bytes, Option<ResponseSource>)>, Truncated> {
         let reading = read_part(&self.gateway.response_memory, &mut source.rest);
         let Ok(read) = tokio::time::timeout_at(self.deadline, reading).await else {
             self.request_log.end(ResultCode::DeadlinePassed);
             return Err(Truncated::Broken);
         };
         match read {
-            Some(Ok(part)) => Ok(Some((part, source))),
+            // hyper asks for nothing beyond the stated length.
+            Some(Ok(part)) if source.rest.is_end_stream() => {
+                self.complete(source);
+                Ok(Some((part, None)))
+            }
+            Some(Ok(part)) => Ok(Some((part, Some(source)))),
             None if !source.is_unframed || self.gate.server_survives().await => {
                 self.complete(source);
                 Ok(None)
--- a/crates/daemon/tests/one_entry/large_responses.rs
+++ b/crates/daemon/tests/one_entry/large_responses.rs
@@ -4,6 +4,7 @@
 use crate::pushback::request_until_received;
 use crate::scripted_server::{Reply, ScriptedServer};
 use bytes::Bytes;
+use dockwood_api::ResultCode;
 use dockwood_daemon::gateway::ResponseMemory;
 use futures::FutureExt;
 use std::io::Result;
@@ -83,6 +84,23 @@
     Ok(())
 }
 
+#[yare::parameterized(
+    with_length = { Reply::Bytes(format!("{}{}", length_head(large_body().len()), large_body())) },
+    in_chunks = { Reply::Bytes(format!("{CHUNK_HEAD}{}{LAST_CHUNK}", chunk(&large_body()))) },
+)]
+#[test_macro(tokio::test)]
+async fn a_caller_that_got_a_whole_large_response_is_not_recorded_as_having_left(reply: Reply) -> Result<()> {
+    let (entry, server) = entry_with_reply(reply).await?;
+    let response = request_until_received(&entry, PATH, &server).await?;
+    assert!(complete_body(&response) == Some(large_body()), "{} bytes", response.len());
+    wait_until("the request is still in flight", || entry.shared.in_flight() == 0).await;
+    let answers = |code: ResultCode| {
+        entry.shared.metrics.answers.with_label_values(&[&code.number().to_string()]).get()
+    };
+    assert_eq!((answers(ResultCode::Ok), answers(ResultCode::CallerLeft)), (1, 0));
+    Ok(())
+}
+
 #[yare::parameterized(
     with_length = { format!("{}{}", length_head(LARGE_BYTES + 1), large_body()) },
     in_chunks = { format!("{CHUNK_HEAD}{}", chunk(&large_body())) },
