Connections of callers that end before a whole answer have a log line

A request whose response was received completely, but not written to the end, had the line of an answered request, or none, as these are sampled. A connection that ended with a part of a request on it had none at all. So a request that its caller saw cut off could not be found in any log.

callerConnection lines tell what the connection still owed (incompleteRequest, unwrittenResponse) and who ended it; dockwood_unanswered_callers_total counts them. A request whose line already tells that it was cut or that its caller left has none.

--- a/crates/daemon/src/gateway/caller_stream.rs
+++ b/crates/daemon/src/gateway/caller_stream.rs
@@ -1,8 +1,11 @@
 //! Stream of a caller's connection, which fails if the caller does not read: what is held for it would be held
 //! indefinitely otherwise.
 
+use super::connection_record::ConnectionRecord;
+use crate::connection_line::ConnectionEnd;
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -15,14 +18,15 @@
 /// Stream of a caller's connection.
 pub struct CallerStream {
     stream: TcpStream,
+    record: Arc<ConnectionRecord>,
     /// Ends when the pending write has waited for [`UNREAD_LIMIT`].
     unread_limit: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> CallerStream {
-        CallerStream { stream, unread_limit: None }
+    pub fn new(stream: TcpStream, record: Arc<ConnectionRecord>) -> CallerStream {
+        CallerStream { stream, record, unread_limit: None }
     }
 
     /// Returns the result of a write, or an error if it has been pending for too long.
@@ -31,12 +35,18 @@
         context: &mut Context<'_>,
         written: Poll<Result<usize>>,
     ) -> Poll<Result<usize>> {
-        if written.is_ready() {
+        if let Poll::Ready(written) = written {
             self.unread_limit = None;
-            return written;
+            if written.is_err() {
+                self.record.end(ConnectionEnd::Caller);
+            }
+            return Poll::Ready(written);
         }
         let limit = self.unread_limit.get_or_insert_with(|| Box::pin(tokio::time::sleep(UNREAD_LIMIT)));
-        limit.as_mut().poll(context).map(|()| Err(Error::from(ErrorKind::TimedOut)))
+        limit.as_mut().poll(context).map(|()| {
+            self.record.end(ConnectionEnd::UnreadResponse);
+            Err(Error::from(ErrorKind::TimedOut))
+        })
     }
 }
 
@@ -46,7 +56,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match (&read, buffer.filled().len() - filled) {
+            (Poll::Pending, _) => {}
+            (Poll::Ready(Err(_)), _) | (Poll::Ready(Ok(())), 0) => self.record.end(ConnectionEnd::Caller),
+            (Poll::Ready(Ok(())), bytes) => self.record.received(bytes),
+        }
+        read
     }
 }
 
@@ -70,7 +87,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.record.flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -3,14 +3,17 @@
 //! hyper is used directly: `poem` can't close a single connection after its current response, which a planned stop
 //! requires.
 
+use super::answer_body::record_answer;
 use super::body::ResponseBody;
 use super::caller_connections::CallerConnection;
 use super::caller_stream::CallerStream;
+use super::connection_record::ConnectionRecord;
 use super::http_server::ACCEPT_PAUSE;
 use super::receive::{attempt_id, receive};
 use super::request_log::{RequestInfo, RequestLog};
 use super::{Gateway, plain, stream};
-use hyper::body::Incoming;
+use crate::connection_line::ConnectionEnd;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -57,32 +60,57 @@
     let limits = gateway.routes.load().limits;
     let mut stopping = gateway.stopping.subscribe();
     let caller_connection = CallerConnection::new(gateway.caller_connections.clone());
+    let record = ConnectionRecord::new(gateway.clone());
+    let served = record.clone();
     let service = service_fn(move |request| {
         caller_connection.record_request();
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(handle(gateway, request).await) }
+        let (gateway, record) = (gateway.clone(), served.clone());
+        async move { Ok::<_, Infallible>(handle(gateway, &record, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(CallerStream::new(stream)), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, record.clone())), service);
     let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // The error of a closed connection affects only its caller.
-        _ = connection.as_mut() => return,
-        _ = stopping.wait_for(|stopping| *stopping) => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        _ = stopping.wait_for(|stopping| *stopping) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    record.end(ended.map_or_else(|error| end_of(&error), |()| ConnectionEnd::PlannedStop));
+}
+
+/// Returns what a connection's error tells of its end. The error itself affects only its caller.
+fn end_of(error: &hyper::Error) -> ConnectionEnd {
+    match error {
+        error if error.is_timeout() => ConnectionEnd::HeadTimeout,
+        error if error.is_parse() => ConnectionEnd::BadRequest,
+        error if error.is_incomplete_message() => ConnectionEnd::Caller,
+        _ => ConnectionEnd::Failed,
     }
-    let _ = connection.await;
 }
 
 /// Minimum read buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
 
-async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn handle(
+    gateway: Arc<Gateway>,
+    record: &Arc<ConnectionRecord>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let in_flight = gateway.shared.begin_request();
     let mut request_log = RequestLog::new(gateway.clone());
     let attempt = attempt_id(&gateway, request.headers());
+    let answer = record.begin_request(attempt.clone());
+    let (method, has_body) = (request.method().clone(), !request.body().is_end_stream());
+    let mut is_early = false;
     request_log.set_info(RequestInfo { attempt, ..RequestInfo::default() });
     let mut response = match receive(&gateway, request).await {
         Ok(received) => {
@@ -95,6 +123,7 @@
             }
         }
         Err(refusal) => {
+            is_early = has_body;
             request_log.end(refusal.code);
             refusal.into_response()
         }
@@ -103,5 +132,5 @@
     if gateway.shared.is_leaving() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    record_answer(answer, &method, is_early, response)
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,11 +1,13 @@
 //! The gateway: routes callers' requests to registered servers and groups, serves the directory of entries, and handles
 //! operators' calls and servers' reports.
 
+mod answer_body;
 mod assignment;
 mod body;
 mod caller_connections;
 mod caller_stream;
 mod cold;
+mod connection_record;
 mod directory;
 mod dispatchers;
 mod evacuation;
@@ -74,6 +76,7 @@
     cold: cold::ColdServers,
     pool: ConnectionPool,
     line_budget: Mutex<LineBudget>,
+    connection_line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
     caller_connections: Arc<CallerConnections>,
     response_memory: ResponseMemory,
@@ -140,6 +143,7 @@
             cold,
             pool: ConnectionPool::default(),
             line_budget: Mutex::default(),
+            connection_line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
             caller_connections: Arc::default(),
             response_memory: ResponseMemory::default(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cli;
 pub mod clock;
+pub mod connection_line;
 pub mod control;
 pub mod control_directory;
 pub mod dialect;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -3,6 +3,7 @@
 //! docs/OPERATIONS-GATEWAY.md lists the fields. [`SCHEMA_VERSION`] is incremented when a field is removed or
 //! changes its meaning, but not when a field is added.
 
+use crate::connection_line::CallerConnectionLine;
 use crate::gateway::ConnectFault;
 use dockwood_api::ResultCode;
 use serde::Serialize;
@@ -35,6 +36,8 @@
     Order(OrderLine<'a>),
     /// The outcome of a request and the decisions that led to it.
     Request(RequestLine<'a>),
+    /// The end of a caller's connection on which a request got no whole answer.
+    CallerConnection(CallerConnectionLine<'a>),
     /// How much of a service's retry budget this daemon has used.
     RetryBudget(RetryBudgetLine<'a>),
     /// A step in the handling of a suspected poison request.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,6 +22,9 @@
     registry: Registry,
     /// Answers to callers by result code.
     pub answers: IntCounterVec,
+    /// Requests that were not answered completely though no request line says so, by what their connection owed its caller and
+    /// by what ended it.
+    pub unanswered_callers: IntCounterVec,
     /// Request log lines written.
     pub request_lines_written: IntCounter,
     /// Request log lines suppressed by the line budget, which keeps logs small under load.
@@ -182,6 +185,11 @@
         registry.register(Box::new(control_work_seconds.clone()))?;
         Ok(Metrics {
             answers: counters("dockwood_answers_total", "Answers to callers", &["code"])?,
+            unanswered_callers: counters(
+                "dockwood_unanswered_callers_total",
+                "Callers' connections that ended before a request on them was answered",
+                &["unanswered", "ended_by"],
+            )?,
             request_lines_written: counter("dockwood_request_lines_total", "Lines on requests written")?,
             request_lines_held_back: counter(
                 "dockwood_request_lines_held_back_total",
--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -57,6 +57,7 @@
 /// An entry whose tables are published by the test.
 pub struct Entry {
     pub shared: Arc<Shared>,
+    pub gateway: Arc<Gateway>,
     state: Mutex<State>,
     pub frontend: SocketAddr,
     pub operators: SocketAddr,
@@ -170,8 +171,8 @@
             operators: Some(operator_listener),
             ..GatewayListeners::default()
         };
-        Gateway::start(shared.clone(), Arc::new(NativeDialect), listeners)?;
-        let entry = Arc::new(Entry { shared, state: Mutex::default(), frontend, operators });
+        let gateway = Gateway::start(shared.clone(), Arc::new(NativeDialect), listeners)?;
+        let entry = Arc::new(Entry { shared, gateway, state: Mutex::default(), frontend, operators });
         entry.apply(GatewayCommand::Configure(Arc::new(configuration(options.slots))));
         Ok(entry)
     }
