Requests for slots carry the returns that have not been acknowledged

Cause: a slot was returned to a coordinator on another daemon by a call of its own, and the request for the next one was another call. The peer's server runs calls concurrently, so the request could be processed first, while the tenant's only place was still taken.

Why the fix works: an entry keeps a returned slot until the coordinator that granted it has acknowledged that, at most for 6 s, and each request of the tenant to that coordinator carries what is left. The coordinator releases these slots before it considers the request; a release that arrives later finds no slot. Only slots of the same entry are released, as numbers may occur again after a restart. A standby does not count slots of its predecessor for the tenant, so it needs none of them.

A call that is repeated because its answer was lost would have been refused for what the first one was granted, or waits for. Calls name the search that they belong to; a repeated one replaces the earlier one, and its share of the tenant's rate is given back.

AcquireRequest has two new fields: daemons of both versions cannot exchange it.

--- a/crates/api/src/peer/admission.rs
+++ b/crates/api/src/peer/admission.rs
@@ -24,6 +24,12 @@
     pub wait_ms: u32,
     /// Replicas to exclude because the entry saw them fail.
     pub avoid: Vec<String>,
+    /// Identifies the search for a slot that this call belongs to. A call that is repeated because it was not answered
+    /// replaces the earlier one.
+    pub search: u64,
+    /// Slots of the tenant that the entry has returned without an acknowledgement so far. They are released before the
+    /// request is considered.
+    pub returned: Vec<SlotReturn>,
 }
 
 /// Permission to send one request to one replica.
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -120,6 +120,8 @@
             wait_ms: 0,
             avoid: self.avoided_replicas.clone(),
             pool: self.pool(),
+            search: rand::random(),
+            returned: Vec::new(),
         };
         let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
         acquired.map_err(|refusal| {
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 pub mod engine_stream;
 pub mod pools;
 pub mod records;
+pub mod returns;
 pub mod services;
 pub mod slots;
 
--- a/crates/daemon/src/traffic/slots.rs
+++ b/crates/daemon/src/traffic/slots.rs
@@ -1,6 +1,7 @@
 //! Admission on the entry side: acquires slots from coordinators, holds them, and reports the held slots.
 
 use super::pools::HostedPools;
+use super::returns::UnacknowledgedReturns;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
 use crate::shared::Shared;
@@ -9,6 +10,7 @@
 use dockwood_api::peer::{AcquireReply, AcquireRequest, Grant, PeerClient, Refusal, SlotReturn};
 use dockwood_routing::Millis;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -28,6 +30,14 @@
 struct PoolSlots {
     held: HashMap<u64, String>,
     waiting: usize,
+    returned: UnacknowledgedReturns,
+}
+
+impl PoolSlots {
+    /// Whether there is nothing left to report to the coordinator.
+    fn is_unused(&self) -> bool {
+        self.waiting == 0 && self.held.is_empty() && self.returned.is_empty()
+    }
 }
 
 /// Slots held by this entry, by pool.
@@ -42,6 +52,7 @@
 pub struct HeldSlot {
     client: Arc<SlotClient>,
     pool: String,
+    tenant: String,
     granted_by: String,
     received_at: Millis,
     /// The coordinator's grant.
@@ -65,7 +76,7 @@
             slot: self.grant.slot,
             replica_broken: self.replica_broken,
         };
-        self.client.return_slot(&self.granted_by, slot_return);
+        self.client.return_slot(&self.granted_by, &self.tenant, slot_return);
     }
 }
 
@@ -116,11 +127,16 @@
                 tokio::time::sleep(NO_COORDINATOR_RETRY_PAUSE).await;
                 continue;
             };
-            let timed_request =
-                AcquireRequest { wait_ms: left_ms.min(Millis::from(u32::MAX)) as u32, ..request.clone() };
-            match self.acquire_from(&daemon, timed_request, left_ms).await {
+            let returned = self.unacknowledged_returns(&daemon, &request);
+            let wait_ms = left_ms.min(Millis::from(u32::MAX)) as u32;
+            let call = AcquireRequest { wait_ms, returned: returned.clone(), ..request.clone() };
+            let reply = self.acquire_from(&daemon, call, left_ms).await;
+            if matches!(reply, Some(AcquireReply::Granted(_) | AcquireReply::Refused(_))) {
+                self.acknowledge_returns(&request.pool, &daemon, &returned);
+            }
+            match reply {
                 Some(AcquireReply::Granted(grant)) => {
-                    return Ok(self.add_held_slot(&request.pool, daemon, grant));
+                    return Ok(self.add_held_slot(&request, daemon, grant));
                 }
                 Some(AcquireReply::Refused(refusal)) => return Err(refusal),
                 Some(AcquireReply::NotCoordinator) => tokio::time::sleep(NO_COORDINATOR_RETRY_PAUSE).await,
@@ -184,12 +200,31 @@
         }
     }
 
-    fn add_held_slot(self: &Arc<Self>, pool: &str, granted_by: String, grant: Grant) -> HeldSlot {
+    /// Returns the slots of the request's tenant whose return to this coordinator is not acknowledged.
+    fn unacknowledged_returns(&self, granted_by: &str, request: &AcquireRequest) -> Vec<SlotReturn> {
+        let pools = self.pools();
+        let Some(slots) = pools.get(&request.pool) else { return Vec::new() };
+        slots.returned.of_tenant(monotonic_ms(), granted_by, &request.tenant)
+    }
+
+    fn acknowledge_returns(&self, pool: &str, granted_by: &str, returned: &[SlotReturn]) {
+        if let Some(slots) = self.pools().get_mut(pool) {
+            slots.returned.acknowledge(granted_by, returned);
+        }
+    }
+
+    fn add_held_slot(
+        self: &Arc<Self>,
+        request: &AcquireRequest,
+        granted_by: String,
+        grant: Grant,
+    ) -> HeldSlot {
         let mut pools = self.pools();
-        pools.entry(pool.to_string()).or_default().held.insert(grant.slot, grant.replica.clone());
+        pools.entry(request.pool.clone()).or_default().held.insert(grant.slot, grant.replica.clone());
         HeldSlot {
             client: self.clone(),
-            pool: pool.to_string(),
+            pool: request.pool.clone(),
+            tenant: request.tenant.clone(),
             granted_by,
             received_at: monotonic_ms(),
             grant,
@@ -197,10 +232,14 @@
         }
     }
 
-    fn return_slot(self: &Arc<Self>, granted_by: &str, slot_return: SlotReturn) {
-        if let Some(slots) = self.pools().get_mut(&slot_return.pool) {
-            slots.held.remove(&slot_return.slot);
+    fn return_slot(self: &Arc<Self>, granted_by: &str, tenant: &str, slot_return: SlotReturn) {
+        let mut pools = self.pools();
+        let slots = pools.entry(slot_return.pool.clone()).or_default();
+        slots.held.remove(&slot_return.slot);
+        if granted_by != self.shared.settings.name {
+            slots.returned.add(monotonic_ms(), granted_by, tenant, slot_return.clone());
         }
+        drop(pools);
         // If the coordinator has changed since the grant, the new one has adopted the slot.
         let current = self.coordinator_of(&slot_return.pool).unwrap_or_else(|| granted_by.to_string());
         let mut recipients = vec![current];
@@ -213,11 +252,16 @@
                 continue;
             }
             let Some(address) = self.shared.peer_address(&daemon) else { continue };
-            let (shared, slot_return) = (self.shared.clone(), slot_return.clone());
-            let call =
-                |client: PeerClient, context| async move { client.release(context, slot_return).await };
-            // If the call fails, the next report of held slots makes up for it.
-            tokio::spawn(async move { shared.peers.call(address, REPORT_TIMEOUT, call).await });
+            tokio::spawn(self.clone().release_at(daemon, address, slot_return.clone()));
+        }
+    }
+
+    async fn release_at(self: Arc<Self>, daemon: String, address: SocketAddr, slot_return: SlotReturn) {
+        let released = slot_return.clone();
+        let call = |client: PeerClient, context| async move { client.release(context, released).await };
+        // If the call fails, the next request for a slot or report of held slots makes up for it.
+        if self.shared.peers.call(address, REPORT_TIMEOUT, call).await.is_ok() {
+            self.acknowledge_returns(&slot_return.pool, &daemon, std::slice::from_ref(&slot_return));
         }
     }
 
@@ -238,7 +282,8 @@
                     })
                     .collect();
                 // A pool that is no longer in use is reported once more, without slots, and then dropped.
-                pools.retain(|_, slots| slots.waiting > 0 || !slots.held.is_empty());
+                pools.values_mut().for_each(|slots| slots.returned.expire(monotonic_ms()));
+                pools.retain(|_, slots| !slots.is_unused());
                 held_by_pool
             };
             let reports = held_by_pool.into_iter().map(|(pool, held)| self.report(pool, held));
--- a/crates/routing/src/coordinator/mod.rs
+++ b/crates/routing/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 //! report, and the queue from their repeated calls.
 
 mod protocol;
+mod slots;
 
 pub use protocol::{Input, Output, PoolConfig, PoolReplica, PoolSnapshot, ReplicaLoad, TenantShare, Ticket};
 
@@ -13,7 +14,8 @@
 use crate::gate::EvidenceTable;
 use crate::prefix::PrefixIndex;
 use dockwood_api::ResultCode;
-use dockwood_api::peer::{AcquireRequest, Grant, Refusal, SlotReturn};
+use dockwood_api::peer::{AcquireRequest, Grant, Refusal};
+use slots::{GrantedCall, Slot};
 use std::collections::BTreeMap;
 
 /// Capacity of a pool's prefix index, in blocks.
@@ -23,8 +25,6 @@
 /// A slot that its entry does not report is freed only after this time, because the grant may still be on its
 /// way to the entry.
 const GRANT_DELIVERY_GRACE_MS: Millis = 3_000;
-/// Service times are averaged over about this many requests.
-const SERVICE_TIME_SAMPLES: u64 = 32;
 /// Assumed service time before the first measurement.
 const INITIAL_SERVICE_MS: Millis = 1_000;
 /// Minimum retry-after time in refusals.
@@ -32,14 +32,6 @@
 /// Bits of a slot number that count the slots of one coordinator term; the term is stored in the bits above.
 const SLOT_BITS: u32 = 32;
 
-#[derive(Clone, Debug)]
-struct Slot {
-    entry: String,
-    tenant: Option<String>,
-    replica: String,
-    granted_at: Millis,
-}
-
 #[derive(Clone, Debug)]
 struct PendingAcquire {
     ticket: Ticket,
@@ -130,6 +122,8 @@
 
     fn acquire(&mut self, now: Millis, ticket: Ticket, request: AcquireRequest) {
         self.entry_last_seen.insert(request.entry.clone(), now);
+        self.release_returned(now, &request);
+        self.withdraw_unanswered(&request);
         let Some(share) = self.config.tenants.get(&request.tenant).copied() else {
             self.refuse(ticket, ResultCode::UnknownTenant, 0, "the pool does not know the tenant");
             return;
@@ -216,65 +210,6 @@
         }
     }
 
-    fn release(&mut self, now: Millis, slot_return: &SlotReturn) {
-        let Some(slot) = self.slots.get(&slot_return.slot) else { return };
-        if slot_return.replica_broken {
-            let replica = slot.replica.clone();
-            self.gate.close(now, &replica);
-        }
-        let held_ms = now.saturating_sub(slot.granted_at);
-        let sum = self.mean_service_ms * (SERVICE_TIME_SAMPLES - 1) + held_ms;
-        self.mean_service_ms = sum / SERVICE_TIME_SAMPLES;
-        self.free(slot_return.slot);
-        self.report_idle();
-    }
-
-    fn free(&mut self, number: u64) {
-        let Some(slot) = self.slots.remove(&number) else { return };
-        if let Some(used) = self.used.get_mut(&slot.replica) {
-            *used = used.saturating_sub(1);
-        }
-        if let Some(tenant) = &slot.tenant {
-            self.limiter.release(tenant);
-        }
-    }
-
-    fn occupy(&mut self, number: u64, slot: Slot) {
-        *self.used.entry(slot.replica.clone()).or_insert(0) += 1;
-        self.slots.insert(number, slot);
-    }
-
-    fn used_slots(&self, replica: &str) -> u32 {
-        self.used.get(replica).copied().unwrap_or(0)
-    }
-
-    /// Frees slots that the entry no longer reports, and adopts reported slots that are unknown here: those
-    /// were granted by a predecessor.
-    fn reconcile_entry(&mut self, now: Millis, entry: &str, held: &[(u64, String)]) {
-        self.entry_last_seen.insert(entry.to_string(), now);
-        for (number, replica) in held {
-            if !self.slots.contains_key(number) {
-                let slot = Slot {
-                    entry: entry.to_string(),
-                    tenant: None,
-                    replica: replica.clone(),
-                    granted_at: now,
-                };
-                self.occupy(*number, slot);
-            }
-        }
-        let is_held = |number: &u64| held.iter().any(|(held, _)| held == number);
-        let orphaned: Vec<u64> = self
-            .slots
-            .iter()
-            .filter(|(_, slot)| slot.entry == entry && now >= slot.granted_at + GRANT_DELIVERY_GRACE_MS)
-            .map(|(number, _)| *number)
-            .filter(|number| !is_held(number))
-            .collect();
-        orphaned.into_iter().for_each(|number| self.free(number));
-        self.report_idle();
-    }
-
     fn tick(&mut self, now: Millis) {
         for expired in self.queue.remove_where(|waiting| now >= waiting.deadline) {
             self.limiter.release(&expired.tenant);
@@ -372,12 +307,10 @@
         let number = (self.config.term << SLOT_BITS) | self.next_slot;
         self.prefixes.insert(&request.prefix_blocks, &replica.name);
         self.last_granted.insert(replica.name.clone(), self.next_slot);
-        let slot = Slot {
-            entry: request.entry,
-            tenant: Some(waiting.tenant),
-            replica: replica.name.clone(),
-            granted_at: now,
-        };
+        let call =
+            GrantedCall { tenant: waiting.tenant, cost_tokens: waiting.cost_tokens, search: request.search };
+        let slot =
+            Slot { entry: request.entry, call: Some(call), replica: replica.name.clone(), granted_at: now };
         self.occupy(number, slot);
         let grant = Grant {
             slot: number,
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -9,6 +9,7 @@
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 fn waiting(
     item: u64,
@@ -130,7 +131,9 @@
     })
 }
 
+/// Creates the request of a search of its own.
 fn request(tenant: &str, entry: &str, blocks: Vec<u64>) -> AcquireRequest {
+    static SEARCHES: AtomicU64 = AtomicU64::new(0);
     AcquireRequest {
         pool: "p".to_string(),
         request_id: "r".to_string(),
@@ -140,6 +143,8 @@
         prefix_blocks: blocks,
         wait_ms: 60_000,
         avoid: Vec::new(),
+        search: SEARCHES.fetch_add(1, Ordering::Relaxed),
+        returned: Vec::new(),
     }
 }
 
@@ -163,9 +168,12 @@
     refused.collect()
 }
 
+fn returned_slot(slot: u64) -> SlotReturn {
+    SlotReturn { pool: "p".to_string(), slot, replica_broken: false }
+}
+
 fn slot_return(slot: u64, replica_broken: bool) -> Input {
-    let pool = "p".to_string();
-    Input::Release(SlotReturn { pool, slot, replica_broken })
+    Input::Release(SlotReturn { replica_broken, ..returned_slot(slot) })
 }
 
 fn open_pool() -> Coordinator {
@@ -229,6 +237,61 @@
     assert_eq!(refused, vec![(3, ResultCode::TenantLimit)], "a further request is beyond the limit");
 }
 
+/// A pool with one replica, at which the tenant "top" may run one request at a time.
+fn pool_with_limited_tenant(requests_per_second: u32) -> Coordinator {
+    let limits = TenantLimits { requests_per_second, tokens_per_second: 0, concurrency: 1 };
+    let share = TenantShare { tier: 0, weight: 1, limits };
+    let tenants = BTreeMap::from([("top".to_string(), share)]);
+    let mut pool = Coordinator::default();
+    pool.step(1_000, Input::Configure(PoolConfig { tenants, ..config(vec![replica("a", 1)]) }));
+    pool.step(1_000, evidence(1_000, "a", 1, true));
+    pool
+}
+
+/// Guards against the request that follows a stalled one being refused for the limit of its tenant, because it overtook the
+/// call that returned the slot of the stalled one.
+#[test]
+fn a_request_that_overtakes_the_return_of_a_slot_gets_its_place() {
+    let mut pool = pool_with_limited_tenant(0);
+    let first = grants(&acquire(&mut pool, 1_001, 1, "top"))[0].2;
+    let next = AcquireRequest { returned: vec![returned_slot(first)], ..request("top", "e", Vec::new()) };
+    let outputs = pool.step(1_002, Input::Acquire { ticket: 2, request: next });
+    assert_eq!(grants(&outputs).len(), 1, "{outputs:?}");
+    pool.step(1_003, slot_return(first, false));
+    let refused = refusals(&acquire(&mut pool, 1_004, 3, "top"));
+    assert_eq!(refused, [(3, ResultCode::TenantLimit)], "the slot was released twice");
+}
+
+#[test]
+fn a_request_releases_no_slots_of_other_entries() {
+    let mut pool = pool_with_limited_tenant(0);
+    let first = grants(&acquire(&mut pool, 1_001, 1, "top"))[0].2;
+    let other =
+        AcquireRequest { returned: vec![returned_slot(first)], ..request("top", "other", Vec::new()) };
+    let outputs = pool.step(1_002, Input::Acquire { ticket: 2, request: other });
+    assert_eq!(refusals(&outputs), [(2, ResultCode::TenantLimit)]);
+}
+
+#[yare::parameterized(
+    granted = { true },
+    waiting = { false },
+)]
+fn a_repeated_call_replaces_one_whose_answer_was_lost(is_granted: bool) {
+    let mut pool = pool_with_limited_tenant(1);
+    if !is_granted {
+        pool.step(1_001, evidence(1_001, "a", 1, false));
+    }
+    let call = request("top", "e", Vec::new());
+    let lost = pool.step(1_002, Input::Acquire { ticket: 1, request: call.clone() });
+    assert_eq!(grants(&lost).len(), usize::from(is_granted));
+    let outputs = pool.step(1_003, Input::Acquire { ticket: 2, request: call });
+    assert_eq!(refusals(&outputs), []);
+    let outputs = [outputs, pool.step(1_004, evidence(1_004, "a", 1, true))].concat();
+    assert_eq!(grants(&outputs).iter().map(|grant| grant.0).collect::<Vec<_>>(), [2]);
+    pool.step(1_005, Input::Cancel { ticket: 1 });
+    assert_eq!(refusals(&acquire(&mut pool, 1_006, 3, "top")), [(3, ResultCode::TenantLimit)]);
+}
+
 #[test]
 fn a_returned_slot_goes_to_the_higher_tier() {
     let mut pool = open_pool();
