Requests wait for the only coordinator after a call without an answer

What callers would see: a request for a slot whose call had no answer ended with DeadlineUnreachable at its deadline, though the coordinator was well, if no other daemon was to be asked (no standby, or one that was unresponsive as well). Found while testing lost answers; no caller's failure has been traced to it.

Cause: the failed call marked the coordinator as unresponsive for 2 s. The next call went to the same daemon and was ended at once by that mark, which renewed the mark: a loop without a pause until the deadline.

Why the fix works: a call is ended for the mark only once another daemon is to be asked; without one it keeps its place in the queue.

--- a/crates/daemon/src/traffic/slots.rs
+++ b/crates/daemon/src/traffic/slots.rs
@@ -140,7 +140,7 @@
                 }
                 Some(AcquireReply::Refused(refusal)) => return Err(refusal),
                 Some(AcquireReply::NotCoordinator) => tokio::time::sleep(NO_COORDINATOR_RETRY_PAUSE).await,
-                None => self.mark_unresponsive(&daemon),
+                None => self.record_no_response(&daemon, &request.pool).await,
             }
         }
     }
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Makes one call; `None` if the daemon did not respond, or was marked as unresponsive in the meantime.
+    /// Makes one call; `None` if the daemon did not respond, or another one is to be asked instead.
     async fn acquire_from(
         &self,
         daemon: &str,
@@ -188,15 +188,34 @@
         }
         let address = self.shared.peer_address(daemon)?;
         let limit = Duration::from_millis(left_ms) + CALL_TIMEOUT_MARGIN;
+        let replaced = self.wait_until_replaced(daemon, request.pool.clone());
         let call = |client: PeerClient, context| async move { client.acquire(context, request).await };
+        tokio::select! {
+            answer = self.shared.peers.call(address, limit, call) => answer.ok(),
+            () = replaced => None,
+        }
+    }
+
+    /// Waits until a daemon is unresponsive and another one is to be asked for slots of the pool. Without another one, the
+    /// request keeps its place in the queue.
+    async fn wait_until_replaced(&self, daemon: &str, pool: String) {
         let mut unresponsive_until = self.unresponsive_until.subscribe();
         let marked_unresponsive = unresponsive_until.wait_for(|unresponsive_until| {
             let now = monotonic_ms();
             unresponsive_until.get(daemon).is_some_and(|until| now < *until)
         });
-        tokio::select! {
-            answer = self.shared.peers.call(address, limit, call) => answer.ok(),
-            _ = marked_unresponsive => None,
+        // Fails only without the sender, which lives as long as this client.
+        let _ = marked_unresponsive.await;
+        while self.coordinator_of(&pool).as_deref() == Some(daemon) {
+            tokio::time::sleep(NO_COORDINATOR_RETRY_PAUSE).await;
+        }
+    }
+
+    /// Marks a daemon that did not respond, and pauses if no other one is to be asked instead.
+    async fn record_no_response(&self, daemon: &str, pool: &str) {
+        self.mark_unresponsive(daemon);
+        if self.coordinator_of(pool).as_deref() == Some(daemon) {
+            tokio::time::sleep(NO_COORDINATOR_RETRY_PAUSE).await;
         }
     }
 
--- a/crates/daemon/tests/slot_returns.rs
+++ b/crates/daemon/tests/slot_returns.rs
@@ -38,6 +38,13 @@
 /// How long an entry waits for a slot, in milliseconds.
 const PATIENCE_MS: u64 = 5_000;
 
+/// How a coordinator treats the calls that reach it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// The first so many requests for a slot are processed, but not answered.
+    lost_answers: u64,
+}
+
 #[derive(Default)]
 struct PoolState {
     coordinator: Coordinator,
@@ -48,6 +55,7 @@
 #[derive(Clone)]
 struct DelayingCoordinator {
     pool: Arc<Mutex<PoolState>>,
+    faults: Faults,
 }
 
 impl Serve for DelayingCoordinator {
@@ -73,7 +81,7 @@
 
 impl DelayingCoordinator {
     /// Creates the coordinator of a pool with one replica, at which the tenant may run one request at a time.
-    fn new() -> DelayingCoordinator {
+    fn new(faults: Faults) -> DelayingCoordinator {
         let limits = TenantLimits { requests_per_second: 0, tokens_per_second: 0, concurrency: 1 };
         let replica = PoolReplica {
             name: "replica".to_string(),
@@ -82,7 +90,7 @@
             serving: true,
             draining: false,
         };
-        let coordinator = DelayingCoordinator { pool: Arc::default() };
+        let coordinator = DelayingCoordinator { pool: Arc::default(), faults };
         coordinator.step(Input::Configure(PoolConfig {
             term: 1,
             slots_per_replica: 4,
@@ -119,6 +127,9 @@
     fn acquire(&self, request: AcquireRequest) -> Result<AcquireReply, ServerError> {
         let ticket = self.next_ticket();
         let outputs = self.step(Input::Acquire { ticket, request });
+        if ticket <= self.faults.lost_answers {
+            return Err(failure("the answer is lost"));
+        }
         let reply = outputs.into_iter().find_map(|output| match output {
             Output::Granted(granted, grant) if granted == ticket => Some(AcquireReply::Granted(grant)),
             Output::Refused(refused, refusal) if refused == ticket => Some(AcquireReply::Refused(refusal)),
@@ -206,10 +217,17 @@
 
 #[tokio::test]
 async fn a_tenant_at_its_limit_gets_a_slot_after_one_whose_return_is_delayed() -> TestResult {
-    let slots = entry_of(DelayingCoordinator::new()).await?;
+    let slots = entry_of(DelayingCoordinator::new(Faults::default())).await?;
     let stalled = acquire(&slots).await.map_err(|refusal| refusal.message)?;
     assert_eq!(code(acquire(&slots).await), ResultCode::TenantLimit, "the limit is in force");
     drop(stalled);
     assert_eq!(code(acquire(&slots).await), ResultCode::Ok);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_tenant_at_its_limit_gets_a_slot_although_the_first_answer_is_lost() -> TestResult {
+    let slots = entry_of(DelayingCoordinator::new(Faults { lost_answers: 1 })).await?;
+    assert_eq!(code(acquire(&slots).await), ResultCode::Ok);
+    Ok(())
+}
