A request that arrived before a planned stop closes its idle connection is answered

What callers see: a closed connection without an answer, and no line of ours, for a request sent on a kept connection in the moment in which its entry stops.

Cause: the connection's task learns of the stop before the runtime has polled the socket, takes the connection for idle, and closes it with the request unread in the socket's buffer.

Test: unanswered::a_request_that_arrives_before_a_planned_stop_closes_its_idle_connection_is_answered. Before: UnexpectedEof, in 1 of 1 runs (a runtime with one thread, so that the order of events is fixed).

Fix: the task yields once, which lets the runtime poll its sockets, and lets the connection read before it is closed. A request that is still on its way crosses the close, as HTTP/1.1 allows.

--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -21,6 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -80,8 +81,15 @@
     let ended = match ended {
         Some(ended) => ended,
         None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // The runtime polls the sockets, so that a request that has arrived is answered before its connection is closed.
+            tokio::task::yield_now().await;
+            match futures::poll!(connection.as_mut()) {
+                Poll::Ready(ended) => ended,
+                Poll::Pending => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     record.end(ended.map_or_else(|error| end_of(&error), |()| ConnectionEnd::PlannedStop));
--- a/crates/daemon/tests/one_entry/unanswered.rs
+++ b/crates/daemon/tests/one_entry/unanswered.rs
@@ -144,3 +144,16 @@
     stream.read_to_string(&mut response).await?;
     Ok(response)
 }
+
+/// On a runtime with one thread, the entry learns of the stop before it polls its sockets.
+#[tokio::test]
+async fn a_request_that_arrives_before_a_planned_stop_closes_its_idle_connection_is_answered() -> Result<()> {
+    let (entry, _server) = start_entry(success_reply()).await?;
+    let mut caller = connect_and_request(&entry).await?;
+    // Without a yield between the write and the stop.
+    assert_eq!(caller.try_write(REQUEST)?, REQUEST.len());
+    let (response, ()) = tokio::join!(read_response(&mut caller), entry.gateway.close_connections());
+    let response = response?;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    Ok(())
+}
