--- a/crates/daemon/src/control/lease_client.rs
+++ b/crates/daemon/src/control/lease_client.rs
@@ -149,7 +149,10 @@
             let subject = Subject::new("daemon", &shared.settings.name);
             let (reason, code) =
                 if holds { ("LeaseHeld", ResultCode::Ok) } else { ("LeaseLost", ResultCode::NoLease) };
-            shared.timeline.record(subject, reason, "", None, code);
+            let tables = shared.tables();
+            let (revision, servers) = (tables.revision, tables.gateway.instances.len());
+            let message = format!("revision {revision} is applied, {servers} servers are known");
+            shared.timeline.record(subject, reason, &message, None, code);
             shared.metrics.lease_held.set(i64::from(holds));
         }
         tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -183,8 +183,9 @@
     tokio::net::TcpListener::from_std(listener)
 }
 
-/// Updates the metrics of open groups, for each configured service with model engines, and of departing groups.
-fn update_group_metrics(metrics: &Metrics, tables: &GatewayTables) {
+/// Updates the metrics of open groups, for each configured service with model engines, of departing groups, and of
+/// registered servers.
+fn update_table_metrics(metrics: &Metrics, tables: &GatewayTables) {
     let services = tables.configuration.iter().flat_map(|held| &held.services);
     for service in services.filter(|service| service.engine.is_some()) {
         let takes_requests = |group: &&Arc<GroupRow>| {
@@ -195,6 +196,7 @@
         metrics.open_groups.with_label_values(&[&service.name]).set(open as i64);
     }
     metrics.departing_groups.set(departing_groups(tables) as i64);
+    metrics.known_servers.set(tables.instances.len() as i64);
 }
 
 /// Applies newly published tables indefinitely, and compiles each new configuration. A route table is never replaced by
@@ -213,7 +215,7 @@
         gateway.loads.follow(&tables.gateway);
         gateway.cold.follow(&gateway.shared.metrics, &tables.gateway);
         gateway.shared.pushback.follow(&gateway.shared.metrics, &tables.gateway);
-        update_group_metrics(&gateway.shared.metrics, &tables.gateway);
+        update_table_metrics(&gateway.shared.metrics, &tables.gateway);
         let evacuated = tables.gateway.evacuated_zones().count();
         gateway.shared.metrics.evacuated_zones.set(evacuated as i64);
         if publications.changed().await.is_err() {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -84,6 +84,8 @@
     pub peer_volume: IntGaugeVec,
     /// Calls to plain services by service and result.
     pub service_calls: IntCounterVec,
+    /// Servers that are registered in the applied tables.
+    pub known_servers: IntGauge,
     /// Groups that this entry may send new requests to, by service.
     pub open_groups: IntGaugeVec,
     /// Requests sent to cold servers, by service.
@@ -288,6 +290,10 @@
                 "Calls to services",
                 &["service", "result"],
             )?,
+            known_servers: gauge(
+                "dockwood_known_servers",
+                "Servers that this daemon knows to be registered",
+            )?,
             open_groups: gauges(
                 "dockwood_open_groups",
                 "Groups that this entry may send new requests to",
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -216,6 +216,21 @@
         }
     }
 
+    /// Waits until all entries know of this number of registered servers.
+    pub async fn wait_until_known(&self, servers: usize) {
+        for entry in 0..self.entry_count() {
+            let started = Instant::now();
+            while !self
+                .metric(entry, "dockwood_known_servers")
+                .await
+                .is_ok_and(|known| known == servers as f64)
+            {
+                assert!(started.elapsed() < LIMIT, "entry {entry} does not know of {servers} servers");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
     /// Returns the host number of an entry.
     pub fn entry_host(&self, number: u8) -> u8 {
         MEMBERS + number
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -65,6 +65,7 @@
     let fleet = Fleet::start();
     let servers = [fleet.plain_server(0).await, fleet.plain_server(1).await];
     fleet.configure(&configuration(1)).await;
+    fleet.wait_until_known(servers.len()).await;
     fleet.wait_until_served("/plain/1").await;
     (fleet, servers)
 }
--- a/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
+++ b/crates/daemon/tests/gateway/servers_that_name_a_limit.rs
@@ -133,6 +133,7 @@
     let fleet = Fleet::start_with_entries(9, 64);
     let servers = [fleet.plain_server(0).await, fleet.plain_server(1).await];
     fleet.configure(&configuration(1)).await;
+    fleet.wait_until_known(servers.len()).await;
     fleet.wait_until_served("/plain/1").await;
     let since = Instant::now();
     servers[0].set_limit(Some(LIMIT));
@@ -226,6 +227,7 @@
     let fleet = Fleet::start_with_entries(5, 64);
     let servers = [fleet.plain_server(0).await, fleet.plain_server(1).await];
     fleet.configure(&configuration(1)).await;
+    fleet.wait_until_known(servers.len()).await;
     fleet.wait_until_served("/plain/1").await;
     let since = Instant::now();
     servers.iter().for_each(|server| server.set_limit(Some(LIMIT)));
@@ -253,6 +255,7 @@
         servers.push(fleet.plain_server(number).await);
     }
     fleet.configure(&configuration(1)).await;
+    fleet.wait_until_known(servers.len()).await;
     fleet.wait_until_served("/plain/1").await;
     for limited in [2, 6] {
         servers[..limited].iter().for_each(|server| server.set_limit(Some(LIMIT)));
@@ -284,12 +287,26 @@
         servers.push(fleet.plain_server(number).await);
     }
     fleet.configure(&configuration(1)).await;
+    fleet.wait_until_known(servers.len()).await;
     fleet.wait_until_served("/plain/1").await;
     servers[1..].iter().for_each(|server| server.set_limit(Some(0.4)));
     let outcome = run_callers(&fleet, "/plain/1", Duration::from_secs(12)).await;
     assert!(outcome.refused == 0 && outcome.answered > 100, "{outcome:?}");
 }
 
+/// Entries that know only servers at their limits refuse requests until they learn of another server, and not after that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_registers_while_all_others_are_at_their_limits_is_used() {
+    let (fleet, servers) = with_plain_servers().await;
+    servers.iter().for_each(|server| server.set_limit(Some(0.4)));
+    let before = run_callers(&fleet, "/plain/1", Duration::from_secs(1)).await;
+    assert!(before.refused > 0, "{before:?}");
+    let _unlimited = fleet.plain_server(2).await;
+    fleet.wait_until_known(3).await;
+    let after = run_callers(&fleet, "/plain/1", Duration::from_secs(3)).await;
+    assert!(after.refused == 0 && after.answered > 100, "{after:?}");
+}
+
 async fn learns_limit_within(fleet: &Fleet, entry: u8, duration: Duration) -> bool {
     let until = Instant::now() + duration;
     let name = "dockwood_servers_held_back{reason=\"limited\"}";
