Turns of a stand-in count against a server's limit

What callers saw: nothing; a server that takes 2.5 requests a second got 15 in 4 s where 14 are allowed (limit_of_a_group_head_is_kept_when_entries_dispatch, once, at load 30).

Cause: an entry that gets no answer from the limiter in 60 ms, or whose call to the same daemon as a dispatcher took longer than 25 ms, asks the next daemon for 300 ms. That one grants half of the rate, at once if it has stood in before, and the limiter grants as many as ever to all others: up to one and a half together, as long as this goes on.

Evidence: limit_fleet::turns_of_a_stand_in_count_against_the_rate simulates two entries, one of them unanswered for 300 ms of each 900. It failed on the code before with 15 requests in 4 s, 14 allowed (`often`), and 16 (`very_often`, 300 of each 450 ms); `longer` failed, too. The others of the three ways can't do it alone: a grant that is used up to 150 ms late makes 12 of the 11 that the limiter grants in a window, and a dispatcher's count bounds nothing, as every send takes a turn. The failed run has no lines of its daemons, so it isn't shown that it took this way; a test process that stood still for 1.2 s would look the same.

Fix: an entry numbers the turns that the limiter did not grant and reports them with its next question to it until that is answered; the limiter delays its next turn by as many intervals, once for each number, by two seconds at most (half of the rate in a window). Turns are not reported to the daemon that granted them, so a stand-in that becomes the limiter doesn't count them twice. The limit on the due time after a rise of the rate applies to rises alone; it would have forgiven the delay. TurnRequest has a new field: daemons of the code before can't read it.

After: all cases pass, and at least 80 % of the rate is used. An entry that is cut off from the limiter for longer than a window still makes it one and a half, as the design says.

--- a/crates/api/src/gateway/limit.rs
+++ b/crates/api/src/gateway/limit.rs
@@ -75,6 +75,20 @@
     pub rank: u32,
     /// Whether the receiver replaces a daemon that didn't respond, and that may still be allocating the same limit.
     pub in_place_of_another: bool,
+    /// Turns that the entry used for this server while the receiver did not respond; `None` if there are none to report.
+    pub elsewhere: Option<TurnsElsewhere>,
+}
+
+/// Turns that an entry used for a server and that the receiver did not grant: those whose numbers are above `after`, up to
+/// `through`. An entry numbers these turns in the order of use, and reports them until it gets a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnsElsewhere {
+    /// Identifies the run of the entry that numbered the turns.
+    pub sender: u64,
+    /// Number of the turn before the first one.
+    pub after: u64,
+    /// Number of the last one.
+    pub through: u64,
 }
 
 /// Response to a [`TurnRequest`].
--- a/crates/api/src/gateway/mod.rs
+++ b/crates/api/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use group::{GroupCommand, GroupOrder, OrderAnswer};
 pub use instance::{InstanceReport, InstanceState, MembershipReport, MembershipState};
-pub use limit::{LimitUpdate, RequestRate, ServerLimit, ServerStart, TurnReply, TurnRequest};
+pub use limit::{LimitUpdate, RequestRate, ServerLimit, ServerStart, TurnReply, TurnRequest, TurnsElsewhere};
 pub use load::{
     DispatchScope, EventPace, GroupLoad, LimitedGroup, LoadDigest, LoadReport, ModelLoad, PlaceReply,
     PlaceRequest, SharedGroupLoad,
--- a/crates/daemon/src/pushback/mod.rs
+++ b/crates/daemon/src/pushback/mod.rs
@@ -24,7 +24,9 @@
 use crate::lock::lock;
 use crate::metrics::Metrics;
 use dockwood_routing::Millis;
-use dockwood_routing::pushback::{Hold, LimitTable, PushbackTable, RequestRate, ServerStart, TurnAllocator};
+use dockwood_routing::pushback::{
+    Hold, LimitTable, PushbackTable, RequestRate, ServerStart, StandInTurns, TurnAllocator,
+};
 use dockwood_state::{GatewayTables, GroupRow, InstanceRow};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -32,7 +34,7 @@
 use tokio::sync::Notify;
 
 /// Pushback state of the servers that this daemon sends to.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pushback {
     table: Mutex<PushbackTable>,
     limits: Mutex<LimitTable>,
@@ -40,11 +42,27 @@
     limiters: Mutex<TurnAllocator>,
     /// Rate limiters of this daemon's own requests, used while no limiter responds.
     fallback_limiters: Mutex<TurnAllocator>,
+    /// Turns that this daemon used and that the limiters of the servers did not grant.
+    stand_in_turns: Mutex<StandInTurns>,
     /// Signals a change of a limit that other daemons have to learn.
     limit_changed: Notify,
     line_budget: Mutex<LineBudget>,
 }
 
+impl Default for Pushback {
+    fn default() -> Self {
+        Pushback {
+            table: Mutex::default(),
+            limits: Mutex::default(),
+            limiters: Mutex::default(),
+            fallback_limiters: Mutex::default(),
+            stand_in_turns: Mutex::new(StandInTurns::new(rand::random())),
+            limit_changed: Notify::new(),
+            line_budget: Mutex::default(),
+        }
+    }
+}
+
 /// A server that a request or probe is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SendTarget {
@@ -146,6 +164,7 @@
         drop(limits);
         lock(&self.limiters).forget_old(now);
         lock(&self.fallback_limiters).forget_old(now);
+        lock(&self.stand_in_turns).forget_old(now);
         let mut table = lock(&self.table);
         table.retain_known(now, |id| known.contains(id));
         update_hold_metrics(metrics, &table);
--- a/crates/daemon/src/pushback/rate_limit.rs
+++ b/crates/daemon/src/pushback/rate_limit.rs
@@ -5,10 +5,10 @@
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
 use crate::shared::Shared;
-use dockwood_api::gateway::{ServerLimit, TurnReply, TurnRequest};
+use dockwood_api::gateway::{ServerLimit, TurnReply, TurnRequest, TurnsElsewhere};
 use dockwood_api::peer::PeerClient;
 use dockwood_routing::Millis;
-use dockwood_routing::pushback::{RequestRate, Turn, TurnShare};
+use dockwood_routing::pushback::{RequestRate, ServerStart, Turn, TurnShare};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,18 +98,23 @@
         // The limit may have ended in the meantime.
         let known_limit = lock(&shared.pushback.limits).tell(monotonic_ms(), server);
         let Some(limit) = known_limit else { return GrantDecision::Granted(TurnSource::Unlimited) };
-        let request = TurnRequest { limit, rank, in_place_of_another: position > 0 };
+        let source = if position == 0 { TurnSource::Limiter } else { TurnSource::StandIn };
+        let elsewhere = shared.pushback.turns_to_report(server, *limiter, source);
+        let in_place_of_another = source == TurnSource::StandIn;
+        let request = TurnRequest { limit, rank, in_place_of_another, elsewhere };
         if let Some(reply) = query_limiter(shared, *limiter, request).await {
             reply.limit.iter().for_each(|limit| shared.pushback.merge(shared, limit, false));
-            let source = if position == 0 { TurnSource::Limiter } else { TurnSource::StandIn };
-            return reply.wait_ms.map_or(GrantDecision::Granted(source), GrantDecision::Wait);
+            if let Some(reported) = elsewhere {
+                lock(&shared.pushback.stand_in_turns).acknowledge(server, &reported);
+            }
+            return shared.pushback.record_decision(server, source, Some(*limiter), reply.wait_ms);
         }
         shared.dispatchers.mark_unresponsive(*limiter);
     }
     let senders = shared.dispatchers.entries(&tables);
     let share = TurnShare::Alone { senders };
     let turn = lock(&shared.pushback.fallback_limiters).take(monotonic_ms(), server, rate, share, rank);
-    wait_of(turn).map_or(GrantDecision::Granted(TurnSource::Fallback), GrantDecision::Wait)
+    shared.pushback.record_decision(server, TurnSource::Fallback, None, wait_of(turn))
 }
 
 async fn query_limiter(shared: &Arc<Shared>, limiter: SocketAddr, request: TurnRequest) -> Option<TurnReply> {
@@ -130,6 +135,35 @@
 }
 
 impl Pushback {
+    /// Returns the turns that this daemon has to report to the limiter of a server.
+    fn turns_to_report(
+        &self,
+        server: &ServerStart,
+        limiter: SocketAddr,
+        source: TurnSource,
+    ) -> Option<TurnsElsewhere> {
+        let is_limiter = source == TurnSource::Limiter;
+        is_limiter.then(|| lock(&self.stand_in_turns).report(monotonic_ms(), server, limiter)).flatten()
+    }
+
+    /// Returns the decision of a daemon, `None` being this one, and records the turn if another one than the server's
+    /// limiter granted it.
+    fn record_decision(
+        &self,
+        server: &ServerStart,
+        source: TurnSource,
+        decided_by: Option<SocketAddr>,
+        wait_ms: Option<Millis>,
+    ) -> GrantDecision {
+        if let Some(wait_ms) = wait_ms {
+            return GrantDecision::Wait(wait_ms);
+        }
+        if source != TurnSource::Limiter {
+            lock(&self.stand_in_turns).record(monotonic_ms(), server, decided_by);
+        }
+        GrantDecision::Granted(source)
+    }
+
     /// Handles an entry's request for a grant, as the limiter of the server: grants it or returns how long to wait.
     pub fn give_turn(&self, shared: &Shared, request: &TurnRequest) -> TurnReply {
         self.merge(shared, &request.limit, true);
@@ -138,7 +172,13 @@
         let rate = lock(&self.limits).rate(now, server);
         let Some(rate) = rate else { return TurnReply { wait_ms: None, limit: known_limit } };
         let share = if request.in_place_of_another { TurnShare::InPlaceOfAnother } else { TurnShare::Whole };
-        let turn = lock(&self.limiters).take(now, server, rate, share, request.rank);
+        let turn = {
+            let mut limiters = lock(&self.limiters);
+            if let Some(reported) = &request.elsewhere {
+                limiters.charge(now, server, rate, share, reported);
+            }
+            limiters.take(now, server, rate, share, request.rank)
+        };
         let result = if turn == Turn::Given { "given" } else { "refused" };
         shared.metrics.limit_turns.with_label_values(&[result]).inc();
         let recent_grants = lock(&self.limiters).claim_telling(now, server);
--- a/crates/routing/src/pushback/mod.rs
+++ b/crates/routing/src/pushback/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod named_limit;
 mod signals;
+mod stand_in_turns;
 mod table;
 mod turns;
 
@@ -17,5 +18,6 @@
 pub use limits::{LimitChange, LimitObservation, LimitTable};
 pub use named_limit::NamedLimit;
 pub use signals::{AnswerSignals, LeavingMark, RetryAfter};
+pub use stand_in_turns::StandInTurns;
 pub use table::{BackoffStarted, Hold, PushbackTable, SendKind, return_spread_ms};
 pub use turns::{Turn, TurnAllocator, TurnShare, interval_ms};
--- a/crates/routing/src/pushback/turns.rs
+++ b/crates/routing/src/pushback/turns.rs
@@ -3,7 +3,7 @@
 //! there are.
 
 use crate::Millis;
-use dockwood_api::gateway::{RequestRate, ServerStart};
+use dockwood_api::gateway::{RequestRate, ServerStart, TurnsElsewhere};
 use std::collections::{BTreeMap, VecDeque};
 
 const MICROSECONDS_PER_MILLISECOND: u64 = 1_000;
@@ -25,7 +25,12 @@
 /// retry, in milliseconds.
 const RESERVATION_MS: Millis = 50;
 /// Window over which granted turns are counted, in milliseconds.
-const COUNT_WINDOW_MS: Millis = 4_000;
+pub(super) const COUNT_WINDOW_MS: Millis = 4_000;
+/// Maximum time for which turns used elsewhere delay the next turn, in milliseconds: a stand-in grants half of the rate,
+/// so this is what it granted within a window.
+const MAX_CHARGED_MS: Millis = COUNT_WINDOW_MS / 2;
+/// Maximum number of senders whose last report of turns used elsewhere is kept for a server.
+const MAX_REPORTING_SENDERS: usize = 1_024;
 /// A server for which no turn is requested for this long is removed, in milliseconds.
 const IDLE_EXPIRY_MS: Millis = 60_000;
 
@@ -88,14 +93,16 @@
     started_ms: Option<u64>,
     /// When the next request is due under even spacing, in microseconds.
     next_due_us: u64,
-    /// Interval between two requests at the last requested rate, in microseconds.
-    interval_us: u64,
+    /// The spacing at the last requested rate.
+    spacing: Spacing,
     /// The latest time at which a waiting sender was told to retry, in microseconds.
     last_retry_us: u64,
     reservation: Option<Reservation>,
     granted: VecDeque<Millis>,
     last_requested_at: Millis,
     last_reported_at: Millis,
+    /// The last turn used elsewhere that each sender has reported.
+    reported_elsewhere: BTreeMap<u64, u64>,
 }
 
 /// Spacing of a server's turns.
@@ -129,23 +136,48 @@
         TurnSchedule {
             started_ms,
             next_due_us: spacing.first_due_us(now),
-            interval_us: spacing.interval_us,
+            spacing,
             last_retry_us: 0,
             reservation: None,
             granted: VecDeque::new(),
             last_requested_at: now,
             last_reported_at: now,
+            reported_elsewhere: BTreeMap::new(),
         }
     }
 
-    fn take(&mut self, now: Millis, spacing: Spacing, rank: u32) -> Turn {
-        self.last_requested_at = now;
+    fn update_spacing(&mut self, now: Millis, spacing: Spacing) {
         // If the rate has risen, the due time computed for the lower rate no longer applies.
-        self.next_due_us = self.next_due_us.min(spacing.first_due_us(now));
-        if spacing.interval_us < self.interval_us {
+        if spacing.grant_interval_us < self.spacing.grant_interval_us {
+            self.next_due_us = self.next_due_us.min(spacing.first_due_us(now));
+        }
+        if spacing.interval_us < self.spacing.interval_us {
             self.last_retry_us = 0;
         }
-        self.interval_us = spacing.interval_us;
+        self.spacing = spacing;
+    }
+
+    /// Delays the next turn by those that a sender used elsewhere and has not reported before.
+    fn charge(&mut self, now: Millis, reported: &TurnsElsewhere) {
+        if self.reported_elsewhere.len() >= MAX_REPORTING_SENDERS {
+            self.reported_elsewhere.clear();
+        }
+        let last = self.reported_elsewhere.entry(reported.sender).or_default();
+        let used = reported.through.saturating_sub(reported.after.max(*last));
+        *last = reported.through.max(*last);
+        if used == 0 {
+            return;
+        }
+        let now_us = now * MICROSECONDS_PER_MILLISECOND;
+        let latest_us = self.spacing.first_due_us(now) + MAX_CHARGED_MS * MICROSECONDS_PER_MILLISECOND;
+        let charged_us = used.saturating_mul(self.spacing.interval_us);
+        let due_us = self.next_due_us.max(now_us).saturating_add(charged_us);
+        self.next_due_us = due_us.min(latest_us).max(self.next_due_us);
+    }
+
+    fn take(&mut self, now: Millis, rank: u32) -> Turn {
+        self.last_requested_at = now;
+        let spacing = self.spacing;
         let available_at =
             self.next_due_us.saturating_sub(spacing.max_early_us()).div_ceil(MICROSECONDS_PER_MILLISECOND);
         if now < available_at || self.is_reserved_from(now, rank) {
@@ -169,7 +201,7 @@
 
     /// Tells a sender when to retry; retries are spread out, with a few senders per turn.
     fn schedule_retry(&mut self, now: Millis, available_at: Millis, rank: u32) -> Turn {
-        let after_last_us = self.last_retry_us + self.interval_us / SENDERS_PER_INTERVAL;
+        let after_last_us = self.last_retry_us + self.spacing.interval_us / SENDERS_PER_INTERVAL;
         let at = (after_last_us / MICROSECONDS_PER_MILLISECOND)
             .clamp(available_at, available_at.max(now + MAX_WAIT_MS));
         let at = at.max(now + 1);
@@ -199,13 +231,38 @@
         share: TurnShare,
         rank: u32,
     ) -> Turn {
+        self.schedule(now, server, rate, share).take(now, rank)
+    }
+
+    /// Takes account of turns that a sender used for a server and that this daemon did not grant. A report that was
+    /// already received, in whole or in part, counts once.
+    pub fn charge(
+        &mut self,
+        now: Millis,
+        server: &ServerStart,
+        rate: RequestRate,
+        share: TurnShare,
+        reported: &TurnsElsewhere,
+    ) {
+        self.schedule(now, server, rate, share).charge(now, reported);
+    }
+
+    /// Returns the schedule of a server, at its current rate.
+    fn schedule(
+        &mut self,
+        now: Millis,
+        server: &ServerStart,
+        rate: RequestRate,
+        share: TurnShare,
+    ) -> &mut TurnSchedule {
         let spacing = Spacing::of(rate, share);
         let new = || TurnSchedule::new(server.started_ms, now, spacing);
         let schedule = self.servers.entry(server.id.clone()).or_insert_with(new);
         if schedule.started_ms != server.started_ms {
             *schedule = new();
         }
-        schedule.take(now, spacing, rank)
+        schedule.update_spacing(now, spacing);
+        schedule
     }
 
     /// Number of turns recently granted for a server, unless it was reported recently.
--- a/crates/routing/tests/limit_fleet.rs
+++ b/crates/routing/tests/limit_fleet.rs
@@ -2,11 +2,14 @@
 //! table, one of two daemons allocates the limit, and a leader forwards announcements. All randomness is
 //! derived from a seed.
 
-use dockwood_api::gateway::{RequestRate, ServerLimit, ServerStart};
-use dockwood_routing::pushback::{LimitObservation, LimitTable, NamedLimit, Turn, TurnAllocator, TurnShare};
+use dockwood_api::gateway::{RequestRate, ServerLimit, ServerStart, TurnsElsewhere};
+use dockwood_routing::pushback::{
+    LimitObservation, LimitTable, NamedLimit, StandInTurns, Turn, TurnAllocator, TurnShare,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use yare::parameterized;
 
 /// Duration of a run, in milliseconds.
@@ -42,6 +45,16 @@
     allocator_stops_at: Option<u64>,
     /// An entry, and when and for how long it is paused.
     paused: Option<(usize, u64, u64)>,
+    /// An entry that repeatedly gets no reply from the daemon that allocates the limit.
+    unanswered: Option<Unanswered>,
+}
+
+/// An entry whose turn requests are not answered at the start of each period, so that it asks the stand-in.
+#[derive(Clone, Copy, Debug)]
+struct Unanswered {
+    entry: usize,
+    period_ms: u64,
+    for_ms: u64,
 }
 
 /// A message in transit.
@@ -51,9 +64,22 @@
     /// The head of an answer.
     Answer { entry: usize, sent_at: u64, named: Option<u64> },
     /// A turn request to a daemon that allocates the limit.
-    TurnRequest { entry: usize, requested_at: u64, allocator: usize, limit: ServerLimit },
+    TurnRequest {
+        entry: usize,
+        requested_at: u64,
+        allocator: usize,
+        limit: ServerLimit,
+        elsewhere: Option<TurnsElsewhere>,
+    },
     /// The reply to a turn request.
-    TurnReply { entry: usize, requested_at: u64, turn: Turn, limit: Option<ServerLimit> },
+    TurnReply {
+        entry: usize,
+        requested_at: u64,
+        allocator: usize,
+        turn: Turn,
+        limit: Option<ServerLimit>,
+        elsewhere: Option<TurnsElsewhere>,
+    },
     /// A turn request has timed out.
     TurnTimeout { entry: usize, requested_at: u64 },
     /// An announcement to all entries but its sender.
@@ -62,6 +88,7 @@
 
 struct Entry {
     limits: LimitTable,
+    stand_in_turns: StandInTurns,
     /// When the turn was requested for which a reply is outstanding.
     waiting_since: Option<u64>,
     informed_at: Option<u64>,
@@ -81,6 +108,10 @@
     arrivals: Vec<(u64, usize)>,
 }
 
+fn address(allocator: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1 + allocator as u16))
+}
+
 fn server() -> ServerStart {
     ServerStart { id: "server".to_string(), started_ms: Some(1) }
 }
@@ -91,7 +122,12 @@
 
 impl Fleet {
     fn new(scenario: Scenario, seed: u64) -> Fleet {
-        let entry = |_| Entry { limits: LimitTable::default(), waiting_since: None, informed_at: None };
+        let entry = |number| Entry {
+            limits: LimitTable::default(),
+            stand_in_turns: StandInTurns::new(number as u64),
+            waiting_since: None,
+            informed_at: None,
+        };
         Fleet {
             entries: (0..scenario.entries).map(entry).collect(),
             scenario,
@@ -124,6 +160,11 @@
         (paused == entry && (from..from + for_ms).contains(&self.now)).then_some(from + for_ms)
     }
 
+    fn is_unanswered(&self, entry: usize) -> bool {
+        let unanswered = self.scenario.unanswered.filter(|unanswered| unanswered.entry == entry);
+        unanswered.is_some_and(|unanswered| self.now % unanswered.period_ms < unanswered.for_ms)
+    }
+
     fn run(&mut self) {
         let requests_per_ms = self.scenario.demand / 1_000.0;
         while self.now < RUN_MS {
@@ -155,17 +196,23 @@
             return self.send_request(entry);
         }
         self.entries[entry].waiting_since = Some(now);
-        let allocator =
-            usize::from(self.scenario.allocator_stops_at.is_some_and(|at| now >= at + FAILURE_DETECTION_MS));
+        let is_replaced = self.scenario.allocator_stops_at.is_some_and(|at| now >= at + FAILURE_DETECTION_MS);
+        let allocator = usize::from(is_replaced || self.is_unanswered(entry));
         self.request_turn(entry, now, allocator);
     }
 
     fn request_turn(&mut self, entry: usize, requested_at: u64, allocator: usize) {
         let known = self.entries[entry].limits.tell(self.now, &server());
         let Some(limit) = known else { return };
+        let elsewhere = match self.share_of(allocator) {
+            TurnShare::Whole => {
+                self.entries[entry].stand_in_turns.report(self.now, &server(), address(allocator))
+            }
+            _ => None,
+        };
         let network_delay = self.network_delay();
         self.turn_requests += 1;
-        self.send(network_delay, Message::TurnRequest { entry, requested_at, allocator, limit });
+        self.send(network_delay, Message::TurnRequest { entry, requested_at, allocator, limit, elsewhere });
     }
 
     fn send_request(&mut self, entry: usize) {
@@ -187,11 +234,14 @@
         match message {
             Message::Request { entry, sent_at } => self.handle_request(entry, sent_at),
             Message::Answer { entry, sent_at, named: limit } => self.handle_answer(entry, sent_at, limit),
-            Message::TurnRequest { entry, requested_at, allocator, limit } => {
-                self.allocate_turn(entry, requested_at, allocator, &limit)
+            Message::TurnRequest { entry, requested_at, allocator, limit, elsewhere } => {
+                self.allocate_turn(entry, requested_at, allocator, &limit, elsewhere)
             }
-            Message::TurnReply { entry, requested_at, turn, limit } => {
-                self.handle_turn_reply(entry, requested_at, turn, limit)
+            Message::TurnReply { entry, requested_at, allocator, turn, limit, elsewhere } => {
+                if let Some(reported) = elsewhere {
+                    self.entries[entry].stand_in_turns.acknowledge(&server(), &reported);
+                }
+                self.handle_turn_reply(entry, requested_at, allocator, turn, limit)
             }
             Message::TurnTimeout { entry, requested_at } => {
                 if self.entries[entry].waiting_since == Some(requested_at) {
@@ -231,32 +281,61 @@
         }
     }
 
-    fn allocate_turn(&mut self, entry: usize, requested_at: u64, allocator: usize, limit: &ServerLimit) {
+    /// The part of the rate that one of the daemons allocates: the second stands in for the first.
+    fn share_of(&self, allocator: usize) -> TurnShare {
+        let stops_at = self.scenario.allocator_stops_at;
+        let is_first = allocator == 0 || stops_at.is_some_and(|at| self.now >= at + FAILURE_DETECTION_MS);
+        if is_first { TurnShare::Whole } else { TurnShare::InPlaceOfAnother }
+    }
+
+    fn allocate_turn(
+        &mut self,
+        entry: usize,
+        requested_at: u64,
+        allocator: usize,
+        limit: &ServerLimit,
+        elsewhere: Option<TurnsElsewhere>,
+    ) {
         let now = self.now;
         if allocator == 0 && self.scenario.allocator_stops_at.is_some_and(|at| now >= at) {
             return self.send(REPLY_TIMEOUT_MS, Message::TurnTimeout { entry, requested_at });
         }
+        let share = self.share_of(allocator);
         let (book, limits) = &mut self.allocators[allocator];
         limits.merge(now, limit, false);
-        let is_first = allocator == 0
-            || self.scenario.allocator_stops_at.is_some_and(|at| now >= at + FAILURE_DETECTION_MS);
-        let share = if is_first { TurnShare::Whole } else { TurnShare::InPlaceOfAnother };
         let rate = limits.rate(now, &server());
+        if let Some((rate, reported)) = rate.zip(elsewhere) {
+            book.charge(now, &server(), rate, share, &reported);
+        }
         let turn = rate.map_or(Turn::Given, |rate| book.take(now, &server(), rate, share, 0));
         let limit = limits.tell(now, &server());
         let network_delay = self.network_delay();
-        self.send(network_delay, Message::TurnReply { entry, requested_at, turn, limit });
+        let reply = Message::TurnReply { entry, requested_at, allocator, turn, limit, elsewhere };
+        self.send(network_delay, reply);
     }
 
-    fn handle_turn_reply(&mut self, entry: usize, requested_at: u64, turn: Turn, limit: Option<ServerLimit>) {
+    fn handle_turn_reply(
+        &mut self,
+        entry: usize,
+        requested_at: u64,
+        allocator: usize,
+        turn: Turn,
+        limit: Option<ServerLimit>,
+    ) {
         let now = self.now;
+        let share = self.share_of(allocator);
         let state = &mut self.entries[entry];
         state.waiting_since = None;
         limit.iter().for_each(|limit| {
             state.limits.merge(now, limit, false);
         });
         match turn {
-            Turn::Given if now < requested_at + TURN_VALID_MS => self.send_request(entry),
+            Turn::Given if now < requested_at + TURN_VALID_MS => {
+                if share == TurnShare::InPlaceOfAnother {
+                    state.stand_in_turns.record(now, &server(), Some(address(allocator)));
+                }
+                self.send_request(entry);
+            }
             Turn::Given => {}
             Turn::NotBefore(until) => state.limits.hold(&server(), until),
         }
@@ -291,6 +370,12 @@
         }
     }
 
+    /// The highest number of requests that arrived within a window, from any entry, of the windows that end after `from`.
+    fn most_arrivals_in_a_window(&self, from: u64) -> usize {
+        let ends = self.arrivals.iter().map(|(at, _)| *at).filter(|at| *at >= from);
+        ends.map(|until| self.arrivals_in(until + 1 - WINDOW_MS..until + 1)).max().unwrap_or(0)
+    }
+
     /// Number of requests that arrived within a period, from any entry.
     fn arrivals_in(&self, period: std::ops::Range<u64>) -> usize {
         self.arrivals.iter().filter(|(at, _)| period.contains(at)).count()
@@ -298,7 +383,7 @@
 }
 
 fn scenario(entries: usize, schedule: Schedule) -> Scenario {
-    Scenario { entries, demand: 200.0, schedule, allocator_stops_at: None, paused: None }
+    Scenario { entries, demand: 200.0, schedule, allocator_stops_at: None, paused: None, unanswered: None }
 }
 
 fn run_scenario(seed: u64, scenario: Scenario) -> Fleet {
@@ -364,6 +449,30 @@
     }
 }
 
+/// Guards against a fault in which two entries sent 15 requests in a window in which 14 are allowed: one of them used turns
+/// of a stand-in, and the daemon that allocates the limit granted as many as before.
+#[parameterized(
+    often = { 2, 900, 300 },
+    very_often = { 2, 450, 300 },
+    rarely = { 2, 3_000, 300 },
+    longer = { 2, 2_500, 1_200 },
+    of_many_entries = { 30, 900, 300 },
+)]
+fn turns_of_a_stand_in_count_against_the_rate(entries: usize, period_ms: u64, for_ms: u64) {
+    for seed in 0..10 {
+        for entry in 0..2 {
+            let limited = scenario(entries, vec![(1_000, Some(2_500))]);
+            let unanswered = Some(Unanswered { entry, period_ms, for_ms });
+            let fleet = run_scenario(seed, Scenario { unanswered, ..limited });
+            let busiest = fleet.most_arrivals_in_a_window(2_000 + WINDOW_MS);
+            let allowed = 2.5 * WINDOW_MS as f64 / 1_000.0 + 4.0;
+            assert!(busiest as f64 <= allowed, "seed {seed}: {busiest} requests in 4 s, {allowed} allowed");
+            let received = fleet.arrivals_in(4_000..RUN_MS);
+            assert!(received as f64 >= 0.8 * 2.5 * 16.0, "seed {seed}: {received} of 40 requests in 16 s");
+        }
+    }
+}
+
 /// Guards the cost of a limit: the number of turn requests per request sent, if each of many entries has
 /// requests for the server.
 #[test]
--- a/crates/routing/tests/turns.rs
+++ b/crates/routing/tests/turns.rs
@@ -1,7 +1,8 @@
 //! Allocation of turns for servers with a declared limit.
 
-use dockwood_api::gateway::{RequestRate, ServerStart};
-use dockwood_routing::pushback::{Turn, TurnAllocator, TurnShare, interval_ms};
+use dockwood_api::gateway::{RequestRate, ServerStart, TurnsElsewhere};
+use dockwood_routing::pushback::{StandInTurns, Turn, TurnAllocator, TurnShare, interval_ms};
+use std::net::SocketAddr;
 use yare::parameterized;
 
 const URGENT: u32 = 0;
@@ -161,3 +162,79 @@
     allocator.forget_old(64_999);
     assert_eq!(allocator.claim_telling(70_000, &server()), None);
 }
+
+fn elsewhere(after: u64, through: u64) -> TurnsElsewhere {
+    TurnsElsewhere { sender: 1, after, through }
+}
+
+/// When the next turn is granted after a schedule with one granted turn per 400 ms was charged with these reports at 10 s.
+fn next_turn_after(reports: &[TurnsElsewhere]) -> u64 {
+    let rate = RequestRate::from_thousandths(2_500);
+    let mut allocator = TurnAllocator::default();
+    granted(&mut allocator, rate, TurnShare::Whole, 1_000..10_001);
+    for reported in reports {
+        allocator.charge(10_001, &server(), rate, TurnShare::Whole, reported);
+    }
+    granted(&mut allocator, rate, TurnShare::Whole, 10_001..20_000)[0]
+}
+
+#[parameterized(
+    one_turn = { &[elsewhere(0, 1)], 400 },
+    two_turns = { &[elsewhere(0, 2)], 800 },
+    a_report_that_was_repeated = { &[elsewhere(0, 1), elsewhere(0, 1), elsewhere(0, 1)], 400 },
+    a_repeated_report_with_another_turn = { &[elsewhere(0, 1), elsewhere(0, 2)], 800 },
+    reports_out_of_order = { &[elsewhere(0, 2), elsewhere(0, 1)], 800 },
+    turns_reported_to_a_previous_run = { &[elsewhere(40, 41)], 400 },
+    of_two_senders = { &[elsewhere(0, 1), TurnsElsewhere { sender: 2, after: 0, through: 1 }], 800 },
+    // Two seconds and one interval from the charge on.
+    more_than_a_stand_in_grants_in_a_window = { &[elsewhere(0, 1_000)], 2_201 },
+)]
+fn turns_used_elsewhere_delay_the_next_turn(reports: &[TurnsElsewhere], delay_ms: u64) {
+    assert_eq!(next_turn_after(&[]), 10_200);
+    assert_eq!(next_turn_after(reports), 10_200 + delay_ms);
+}
+
+/// Address of the daemon that allocates the server's rate, or of its stand-in.
+fn daemon(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+#[test]
+fn a_turn_used_elsewhere_is_reported_until_the_report_is_answered() {
+    let mut turns = StandInTurns::new(1);
+    assert_eq!(turns.report(0, &server(), daemon(1)), None);
+    turns.record(0, &server(), Some(daemon(2)));
+    turns.record(10, &server(), None);
+    assert_eq!(turns.report(10, &server(), daemon(1)), Some(elsewhere(0, 2)));
+    turns.record(20, &server(), Some(daemon(2)));
+    turns.acknowledge(&server(), &elsewhere(0, 2));
+    assert_eq!(turns.report(20, &server(), daemon(1)), Some(elsewhere(2, 3)));
+    turns.acknowledge(&server(), &elsewhere(2, 3));
+    assert_eq!(turns.report(30, &server(), daemon(1)), None);
+}
+
+#[test]
+fn turns_are_not_reported_to_the_daemon_that_granted_them() {
+    let mut turns = StandInTurns::new(1);
+    turns.record(0, &server(), Some(daemon(2)));
+    assert_eq!(turns.report(0, &server(), daemon(2)), None);
+}
+
+#[test]
+fn turns_of_an_earlier_window_or_an_earlier_run_of_the_server_are_not_reported() {
+    let mut turns = StandInTurns::new(1);
+    turns.record(0, &server(), None);
+    let later = ServerStart { started_ms: Some(2), ..server() };
+    assert_eq!(turns.report(0, &later, daemon(1)), None);
+    assert_eq!(turns.report(3_999, &server(), daemon(1)), Some(elsewhere(0, 1)));
+    assert_eq!(turns.report(4_000, &server(), daemon(1)), None);
+}
+
+#[test]
+fn numbers_of_a_removed_server_are_not_used_again() {
+    let mut turns = StandInTurns::new(1);
+    turns.record(0, &server(), None);
+    turns.forget_old(4_000);
+    turns.record(4_000, &server(), None);
+    assert_eq!(turns.report(4_000, &server(), daemon(1)), Some(elsewhere(1, 2)));
+}
