A soak of real processes whose servers pause beside planned work and faults

Randomized with a seed: daemons run as processes, three of them entries; six model servers in groups of two and three plain servers pause for 0.8 to 2.4 s, one, several or all of a service, up to four times in a row, and then go on with all that they have received. Configurations of six kinds are submitted beside that, alone or in storms of up to eleven; entries are told to stop and started again, suspended, killed, or told to read their settings; servers crash. Callers keep their connections.

Checked from what callers, servers and the operator see: whole responses of their own, no more runs than the route allows, "not run" is true, early ends only for a crash or a fault of the own entry (in a planned stop: within its limit), accepted configurations in force within 2 s and never reverted, refused ones not in force, service back 12 s after the last disruption.

The stall limit and the heartbeat interval are those of the deployments (6 s and 1.2 s).

--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -41,6 +41,8 @@
     network: [u8; 2],
     folder: tempfile::TempDir,
     leader_dispatches_up_to: u32,
+    /// Settings of the gateway that differ from those of this fixture, for all daemons.
+    gateway_settings: Value,
 }
 
 impl Drop for Fleet {
@@ -66,6 +68,15 @@
 
     /// The same with this number of entries.
     pub fn start_with_entries(entry_count: u8, leader_dispatches_up_to: u32) -> Fleet {
+        Fleet::start_with_settings(entry_count, leader_dispatches_up_to, json!({}))
+    }
+
+    /// The same with these settings of the gateway.
+    pub fn start_with_settings(
+        entry_count: u8,
+        leader_dispatches_up_to: u32,
+        gateway_settings: Value,
+    ) -> Fleet {
         let process = std::process::id();
         let number = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst) as u8;
         let network = [64 + number, (process % 250) as u8 + 1];
@@ -73,7 +84,8 @@
         let folder = in_memory.unwrap_or_else(|error| panic!("{error}"));
         let http = Client::builder().pool_max_idle_per_host(0).build().unwrap_or_default();
         let (members, entries) = (Vec::new(), Vec::new());
-        let mut fleet = Fleet { members, entries, http, network, folder, leader_dispatches_up_to };
+        let mut fleet =
+            Fleet { members, entries, http, network, folder, leader_dispatches_up_to, gateway_settings };
         for number in 0..MEMBERS {
             let daemon = fleet.daemon(&format!("member-{number}"), number, true, true);
             fleet.members.push(daemon);
@@ -153,6 +165,9 @@
         };
         gateway["zones"] = json!({ "z": "r", "y": "s" });
         gateway["leaderDispatchesUpTo"] = json!(self.leader_dispatches_up_to);
+        for (key, value) in self.gateway_settings.as_object().into_iter().flatten() {
+            gateway[key] = value.clone();
+        }
         let settings = json!({
             "name": name, "region": "r", "zone": "z",
             "listen": { "peer": address(PEER_PORT), "http": address(PEER_PORT + 1) },
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod server_backoff;
 mod servers;
 mod servers_that_name_a_limit;
+mod silent_servers_soak;
 mod slow_callers;
 mod waiting_for_places;
 
--- /dev/null
+++ b/crates/daemon/tests/gateway/silent_servers_soak/mod.rs
@@ -0,0 +1,152 @@
+//! Randomized fault injection with real processes whose servers pause: a seed selects which servers fall silent, when and for
+//! how long, which configurations are submitted beside that, and which entries are told to stop, suspended, killed, or told to
+//! read their settings, and which servers crash. Faults overlap. Callers keep their connections for as long as these live.
+//!
+//! `SILENT_SERVERS_SOAK_SEEDS=50 cargo test -p dockwood-daemon --test gateway silent_servers_soak` runs 50 seeds, starting at
+//! `SILENT_SERVERS_SOAK_FIRST`.
+
+mod callers;
+mod checks;
+mod configuration_checks;
+mod http_text;
+mod injector;
+mod membership;
+mod operator;
+mod records;
+mod schedule;
+mod server;
+
+use crate::fixture::Fleet;
+use crate::limit_soak::environment_or;
+use callers::Caller;
+use checks::SoakRecords;
+use configuration_checks::{ConfigurationRecords, check_final};
+use futures::future::join_all;
+use injector::Injector;
+use operator::{Operator, soak_configuration};
+use records::{Call, CallKind, lock};
+use schedule::{ENTRIES, MODEL_SERVERS, Schedule};
+use serde_json::json;
+use server::{BREAKS_AFTER, Defect, REPORT_INTERVAL, ServerContext};
+use std::io::{Error, Result};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+use tokio::task::JoinHandle;
+use yare::parameterized;
+
+/// Number of callers of each kind of requests at each entry.
+const CALLERS_OF_A_KIND: usize = 3;
+
+/// Runs a schedule, and returns descriptions of all violations.
+async fn run_schedule(name: &str, schedule: &Schedule, defect: Defect) -> Result<Vec<String>> {
+    let gateway_settings =
+        json!({ "stallMs": BREAKS_AFTER.as_millis(), "heartbeatMs": REPORT_INTERVAL.as_millis() });
+    let fleet = Fleet::start_with_settings(ENTRIES as u8, schedule.leader_dispatches_up_to, gateway_settings);
+    let context = ServerContext::new(fleet.operators(), defect);
+    let mut injector = Injector::start(fleet, context.clone()).await?;
+    injector.fleet.configure(&soak_configuration(1)).await;
+    injector.fleet.wait_until_served("/once/1").await;
+    injector.fleet.wait_until_open("writer", MODEL_SERVERS as u32 / 2).await;
+    let operator = Arc::new(Operator {
+        http: injector.fleet.http.clone(),
+        operators: injector.fleet.operators(),
+        submissions: Mutex::default(),
+        defect,
+    });
+    let started = Instant::now();
+    injector.last_disruption_end = started;
+    let storms = tokio::spawn(operator.clone().submit_storms(started, schedule.storms.clone()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers = spawn_callers(&injector.fleet, &is_over);
+    let probing = (0..ENTRIES).map(|entry| {
+        let url = injector.fleet.entry(entry as u8);
+        tokio::spawn(operator.clone().keep_probing(entry, url, is_over.clone()))
+    });
+    let probing: Vec<_> = probing.collect();
+    let reading = tokio::spawn(operator.clone().keep_reading(is_over.clone()));
+    injector.execute(started, &schedule.faults).await?;
+    storms.await.map_err(Error::other)?;
+    let recovered = injector.last_disruption_end + schedule.observed_after_disruptions;
+    tokio::time::sleep_until(recovered.max(started + schedule.duration).into()).await;
+    is_over.store(true, Ordering::SeqCst);
+    let calls = join_all(callers).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
+    let probes = join_all(probing).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
+    let reads = reading.await.map_err(Error::other)?;
+    let records = SoakRecords {
+        started,
+        calls: calls.map_err(Error::other)?.concat(),
+        runs: context.runs.all(),
+        outages: injector.outages.clone(),
+        crashes: injector.crashes.clone(),
+        last_disruption_end: injector.last_disruption_end,
+    };
+    let configurations = ConfigurationRecords {
+        started,
+        submissions: lock(&operator.submissions).clone(),
+        probes: probes.map_err(Error::other)?.concat(),
+        reads,
+        outages: injector.outages.clone(),
+    };
+    println!("{name}: {}; {} configurations", records.summary(), configurations.submissions.len());
+    let mut violations = records.violations();
+    violations.extend(configurations.violations());
+    if !schedule.observed_after_disruptions.is_zero() {
+        violations.extend(records.missing_recovery());
+    }
+    injector.fleet.settled_version().await;
+    violations.extend(check_final(&operator, operator.read(operator.operators[0]).await));
+    Ok(violations)
+}
+
+fn spawn_callers(fleet: &Fleet, is_over: &Arc<AtomicBool>) -> Vec<JoinHandle<Vec<Call>>> {
+    let mut callers = Vec::new();
+    for entry in 0..ENTRIES {
+        for kind in CallKind::ALL {
+            for number in 0..CALLERS_OF_A_KIND {
+                let caller = Caller { number, entry, entry_url: fleet.entry(entry as u8), kind };
+                callers.push(tokio::spawn(caller.run(is_over.clone())));
+            }
+        }
+    }
+    callers
+}
+
+async fn run_seed(seed: u64) -> Result<()> {
+    let schedule = Schedule::of_seed(seed);
+    let violations = run_schedule(&format!("seed {seed}"), &schedule, Defect::None).await?;
+    let total = violations.len();
+    assert!(total == 0, "seed {seed}: {total} violations\n{}\n{schedule:?}", violations.join("\n"));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn responses_are_whole_while_servers_pause_beside_planned_work_and_faults() -> Result<()> {
+    let first = environment_or("SILENT_SERVERS_SOAK_FIRST", 1);
+    for seed in first..first + environment_or("SILENT_SERVERS_SOAK_SEEDS", 1) {
+        run_seed(seed).await?;
+    }
+    Ok(())
+}
+
+#[parameterized(
+    runs_twice = { Defect::RunsTwice, "runs no more often" },
+    truncates = { Defect::Truncates, "looks complete" },
+    skips_event = { Defect::SkipsEvent, "looks complete" },
+    drops = { Defect::Drops, "ends early only" },
+    denies_run = { Defect::DeniesRun, "refused as not run" },
+    invents_configuration = { Defect::InventsConfiguration, "is in force" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_defect_of_the_servers_or_the_operator_is_found(defect: Defect, rule: &str) -> Result<()> {
+    let violations = run_schedule(&format!("{defect:?}"), &Schedule::without_faults(), defect).await?;
+    assert!(violations.iter().any(|violation| violation.contains(rule)), "{violations:#?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_violation_is_found_without_faults_and_defects() -> Result<()> {
+    let violations = run_schedule("no faults", &Schedule::without_faults(), Defect::None).await?;
+    assert!(violations.is_empty(), "{violations:#?}");
+    Ok(())
+}
