A repeated request for a slot continues its search

A call that was delayed and arrived after a later one withdrew what that one had been granted, which then waited until its deadline.

Cause: the earlier call's slot or place was given up before the later one was admitted; calls of one search carried no order.

Change: a waiting call keeps its place for the new call, and a granted slot is granted again, if its replica may still be used. Calls of a search are numbered, and one that was overtaken is refused. A return that is not acknowledged is forgotten once its number is granted again, as a coordinator that has restarted uses numbers anew.

Not covered by a test: the forgotten return.

--- a/crates/api/src/peer/admission.rs
+++ b/crates/api/src/peer/admission.rs
@@ -27,6 +27,8 @@
     /// Identifies the search for a slot that this call belongs to. A call that is repeated because it was not answered
     /// replaces the earlier one.
     pub search: u64,
+    /// Number of this call within its search: calls may arrive in another order.
+    pub call: u32,
     /// Slots of the tenant that the entry has returned without an acknowledgement so far. They are released before the
     /// request is considered.
     pub returned: Vec<SlotReturn>,
--- a/crates/daemon/src/traffic/chat/admission.rs
+++ b/crates/daemon/src/traffic/chat/admission.rs
@@ -121,6 +121,7 @@
             avoid: self.avoided_replicas.clone(),
             pool: self.pool(),
             search: rand::random(),
+            call: 0,
             returned: Vec::new(),
         };
         let acquired = self.traffic.slots.acquire(request, self.job.deadline).await;
--- a/crates/daemon/src/traffic/returns.rs
+++ b/crates/daemon/src/traffic/returns.rs
@@ -49,6 +49,11 @@
         self.pending.retain(|one| !is_acknowledged(one));
     }
 
+    /// Removes the return of a number that the coordinator has granted again.
+    pub fn forget(&mut self, granted_by: &str, slot: u64) {
+        self.pending.retain(|one| one.granted_by != granted_by || one.slot_return.slot != slot);
+    }
+
     /// Removes slots that were returned too long ago.
     pub fn expire(&mut self, now: Millis) {
         self.pending.retain(|one| is_retained(one, now));
--- a/crates/daemon/src/traffic/slots.rs
+++ b/crates/daemon/src/traffic/slots.rs
@@ -117,6 +117,7 @@
     ) -> Result<HeldSlot, Refusal> {
         self.pools().entry(request.pool.clone()).or_default().waiting += 1;
         let _waiting = WaitingGuard { client: self.clone(), pool: request.pool.clone() };
+        let mut calls = 0;
         loop {
             let now = monotonic_ms();
             let left_ms = deadline.saturating_sub(now);
@@ -129,7 +130,8 @@
             };
             let returned = self.unacknowledged_returns(&daemon, &request);
             let wait_ms = left_ms.min(Millis::from(u32::MAX)) as u32;
-            let call = AcquireRequest { wait_ms, returned: returned.clone(), ..request.clone() };
+            let call = AcquireRequest { wait_ms, returned: returned.clone(), call: calls, ..request.clone() };
+            calls += 1;
             let reply = self.acquire_from(&daemon, call, left_ms).await;
             if matches!(reply, Some(AcquireReply::Granted(_) | AcquireReply::Refused(_))) {
                 self.acknowledge_returns(&request.pool, &daemon, &returned);
@@ -239,7 +241,10 @@
         grant: Grant,
     ) -> HeldSlot {
         let mut pools = self.pools();
-        pools.entry(request.pool.clone()).or_default().held.insert(grant.slot, grant.replica.clone());
+        let slots = pools.entry(request.pool.clone()).or_default();
+        slots.held.insert(grant.slot, grant.replica.clone());
+        // A coordinator that has restarted uses the numbers again.
+        slots.returned.forget(&granted_by, grant.slot);
         HeldSlot {
             client: self.clone(),
             pool: request.pool.clone(),
--- a/crates/daemon/tests/slot_returns.rs
+++ b/crates/daemon/tests/slot_returns.rs
@@ -206,6 +206,7 @@
         wait_ms: 0,
         avoid: Vec::new(),
         search: rand::random(),
+        call: 0,
         returned: Vec::new(),
     };
     slots.acquire(request, monotonic_ms() + PATIENCE_MS).await
--- a/crates/routing/src/admission/queue.rs
+++ b/crates/routing/src/admission/queue.rs
@@ -185,6 +185,15 @@
         Some(taken)
     }
 
+    /// Returns the first request for which `wanted` returns true. Its place must not be changed.
+    pub fn find_mut(
+        &mut self,
+        mut wanted: impl FnMut(&QueuedRequest<T>) -> bool,
+    ) -> Option<&mut QueuedRequest<T>> {
+        let tenants = self.tiers.values_mut().flat_map(|tier| tier.tenants.values_mut());
+        tenants.flat_map(|queue| queue.waiting.iter_mut()).find(|waiting| wanted(waiting))
+    }
+
     /// Removes all requests for which `unwanted` returns true.
     pub fn remove_where(
         &mut self,
--- a/crates/routing/src/coordinator/mod.rs
+++ b/crates/routing/src/coordinator/mod.rs
@@ -123,7 +123,9 @@
     fn acquire(&mut self, now: Millis, ticket: Ticket, request: AcquireRequest) {
         self.entry_last_seen.insert(request.entry.clone(), now);
         self.release_returned(now, &request);
-        self.withdraw_unanswered(&request);
+        if self.continue_search(now, ticket, &request) {
+            return;
+        }
         let Some(share) = self.config.tenants.get(&request.tenant).copied() else {
             self.refuse(ticket, ResultCode::UnknownTenant, 0, "the pool does not know the tenant");
             return;
@@ -307,11 +309,6 @@
         let number = (self.config.term << SLOT_BITS) | self.next_slot;
         self.prefixes.insert(&request.prefix_blocks, &replica.name);
         self.last_granted.insert(replica.name.clone(), self.next_slot);
-        let call =
-            GrantedCall { tenant: waiting.tenant, cost_tokens: waiting.cost_tokens, search: request.search };
-        let slot =
-            Slot { entry: request.entry, call: Some(call), replica: replica.name.clone(), granted_at: now };
-        self.occupy(number, slot);
         let grant = Grant {
             slot: number,
             replica: replica.name.clone(),
@@ -321,6 +318,16 @@
             valid_ms: *open_for as u32,
             queued_ms: now.saturating_sub(waiting.enqueued_at) as u32,
         };
+        let call = GrantedCall {
+            tenant: waiting.tenant,
+            cost_tokens: waiting.cost_tokens,
+            search: request.search,
+            number: request.call,
+            grant: grant.clone(),
+        };
+        let slot =
+            Slot { entry: request.entry, call: Some(call), replica: replica.name.clone(), granted_at: now };
+        self.occupy(number, slot);
         self.outputs.push(Output::Granted(ticket, grant));
     }
 }
--- a/crates/routing/src/coordinator/slots.rs
+++ b/crates/routing/src/coordinator/slots.rs
@@ -1,8 +1,9 @@
 //! The slots that a coordinator has granted: how they are returned, adopted and freed.
 
-use super::{Coordinator, GRANT_DELIVERY_GRACE_MS};
+use super::{Coordinator, GRANT_DELIVERY_GRACE_MS, Output, PendingAcquire, Ticket};
 use crate::Millis;
-use dockwood_api::peer::{AcquireRequest, SlotReturn};
+use dockwood_api::ResultCode;
+use dockwood_api::peer::{AcquireRequest, Grant, SlotReturn};
 
 /// Service times are averaged over about this many requests.
 const SERVICE_TIME_SAMPLES: u64 = 32;
@@ -27,6 +28,10 @@
     pub(super) cost_tokens: u32,
     /// The search of the entry that the call belongs to.
     pub(super) search: u64,
+    /// Number of the call within its search.
+    pub(super) number: u32,
+    /// The answer to the call.
+    pub(super) grant: Grant,
 }
 
 impl Coordinator {
@@ -42,29 +47,60 @@
         }
     }
 
-    /// Withdraws what an earlier call of the same search was granted, or still waits for: the entry never received an answer
-    /// to it.
-    pub(super) fn withdraw_unanswered(&mut self, request: &AcquireRequest) {
-        let is_earlier = |entry: &str, search: u64| entry == request.entry && search == request.search;
-        let waiting = self
-            .queue
-            .remove_where(|waiting| is_earlier(&waiting.item.request.entry, waiting.item.request.search));
-        for waiting in waiting {
-            self.limiter.withdraw(&waiting.tenant, waiting.cost_tokens);
+    /// Continues a search of which an earlier call was not answered: one that waits keeps its place in the queue, and a slot that
+    /// it was granted is granted again. Returns false if there is neither.
+    pub(super) fn continue_search(&mut self, now: Millis, ticket: Ticket, request: &AcquireRequest) -> bool {
+        let is_same = |entry: &str, search: u64| entry == request.entry && search == request.search;
+        let waiting =
+            self.queue.find_mut(|waiting| is_same(&waiting.item.request.entry, waiting.item.request.search));
+        if let Some(waiting) = waiting {
+            if waiting.item.request.call > request.call {
+                self.refuse_overtaken(ticket);
+                return true;
+            }
+            waiting.deadline = now + Millis::from(request.wait_ms);
+            waiting.item = PendingAcquire { ticket, request: request.clone() };
+            return true;
+        }
+        let granted = self.slots.iter().find_map(|(number, slot)| {
+            let call = slot.call.as_ref().filter(|call| is_same(&slot.entry, call.search))?;
+            Some((*number, call.clone()))
+        });
+        let Some((number, call)) = granted else { return false };
+        if call.number > request.call {
+            self.refuse_overtaken(ticket);
+            return true;
         }
-        let granted =
-            |slot: &Slot| slot.call.as_ref().is_some_and(|call| is_earlier(&slot.entry, call.search));
-        let unused: Vec<u64> =
-            self.slots.iter().filter(|(_, slot)| granted(slot)).map(|(number, _)| *number).collect();
-        for number in unused {
-            if let Some(GrantedCall { tenant, cost_tokens, .. }) =
-                self.remove_slot(number).and_then(|slot| slot.call)
-            {
-                self.limiter.withdraw(&tenant, cost_tokens);
+        let is_avoided = request.avoid.contains(&call.grant.replica);
+        match self.gate.open_for(now, &call.grant.replica, call.grant.epoch) {
+            Some(open_for) if !is_avoided => {
+                self.grant_again(now, number, request.call);
+                self.outputs.push(Output::Granted(ticket, Grant { valid_ms: open_for as u32, ..call.grant }));
+                true
+            }
+            // The replica has failed since: the request has to be sent to another one.
+            _ => {
+                self.remove_slot(number);
+                self.limiter.withdraw(&call.tenant, call.cost_tokens);
+                false
             }
         }
     }
 
+    fn grant_again(&mut self, now: Millis, number: u64, call_number: u32) {
+        if let Some(slot) = self.slots.get_mut(&number) {
+            slot.granted_at = now;
+            if let Some(call) = &mut slot.call {
+                call.number = call_number;
+            }
+        }
+    }
+
+    /// Refuses a call whose entry has made a later one.
+    fn refuse_overtaken(&mut self, ticket: Ticket) {
+        self.refuse(ticket, ResultCode::CallerLeft, 0, "a later call of the same search has arrived");
+    }
+
     /// Releases a slot whose request has ended.
     pub(super) fn release(&mut self, now: Millis, slot_return: &SlotReturn) {
         let Some(slot) = self.slots.get(&slot_return.slot) else { return };
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -144,6 +144,7 @@
         wait_ms: 60_000,
         avoid: Vec::new(),
         search: SEARCHES.fetch_add(1, Ordering::Relaxed),
+        call: 0,
         returned: Vec::new(),
     }
 }
@@ -292,6 +293,57 @@
     assert_eq!(refusals(&acquire(&mut pool, 1_006, 3, "top")), [(3, ResultCode::TenantLimit)]);
 }
 
+/// One slot in all, which a search was granted without receiving the answer, and another tenant waiting for it.
+#[test]
+fn a_repeated_call_gets_its_slot_again_before_others_that_wait() {
+    let mut pool = pool_with_limited_tenant(1);
+    let call = request("top", "e", Vec::new());
+    let lost = grants(&pool.step(1_002, Input::Acquire { ticket: 1, request: call.clone() }));
+    let mut others = 0;
+    while grants(&acquire(&mut pool, 1_003, 100 + others, "low")).len() == 1 {
+        others += 1;
+    }
+    let repeated = AcquireRequest { call: 1, ..call };
+    let outputs = pool.step(1_004, Input::Acquire { ticket: 2, request: repeated });
+    assert_eq!(grants(&outputs), [(2, lost[0].1.clone(), lost[0].2)]);
+}
+
+#[test]
+fn a_repeated_call_keeps_its_place_in_the_queue() {
+    let mut pool = open_pool();
+    let slots: Vec<u64> = (0..4)
+        .flat_map(|ticket| grants(&acquire(&mut pool, 1_001, ticket, "low")))
+        .map(|one| one.2)
+        .collect();
+    let call = request("low", "e", Vec::new());
+    pool.step(1_002, Input::Acquire { ticket: 10, request: call.clone() });
+    acquire(&mut pool, 1_003, 11, "low");
+    pool.step(1_004, Input::Acquire { ticket: 12, request: AcquireRequest { call: 1, ..call } });
+    pool.step(1_004, Input::Cancel { ticket: 10 });
+    assert_eq!(grants(&pool.step(1_005, slot_return(slots[0], false)))[0].0, 12);
+    assert_eq!(grants(&pool.step(1_006, slot_return(slots[1], false)))[0].0, 11);
+}
+
+#[yare::parameterized(
+    granted = { true },
+    waiting = { false },
+)]
+fn a_call_that_arrives_after_a_later_one_of_its_search_changes_nothing(is_granted: bool) {
+    let mut pool = pool_with_limited_tenant(1);
+    if !is_granted {
+        pool.step(1_001, evidence(1_001, "a", 1, false));
+    }
+    let first = request("top", "e", Vec::new());
+    let second = AcquireRequest { call: 1, ..first.clone() };
+    let outputs = pool.step(1_002, Input::Acquire { ticket: 2, request: second });
+    assert_eq!(grants(&outputs).len(), usize::from(is_granted));
+    let late = pool.step(1_003, Input::Acquire { ticket: 1, request: first });
+    assert_eq!(refusals(&late), [(1, ResultCode::CallerLeft)]);
+    let all = [outputs, pool.step(1_004, evidence(1_004, "a", 1, true))].concat();
+    assert_eq!(grants(&all).iter().map(|grant| grant.0).collect::<Vec<_>>(), [2]);
+    assert_eq!(refusals(&acquire(&mut pool, 1_006, 3, "top")), [(3, ResultCode::TenantLimit)]);
+}
+
 #[test]
 fn a_returned_slot_goes_to_the_higher_tier() {
     let mut pool = open_pool();
