Tunnels pass on an answer whose request could not be passed on

What a caller saw: a server that answers a long request early and closes its connection makes the write through the tunnel fail; the tunnel ended with that, and its answer, which had arrived, was dropped. The request counted as sent with an unknown outcome in place of refused or answered.

Cause: both directions of a tunnel ended with whichever ended first, also with a failed write to the server.

Test: one_entry, an_early_answer_arrives_although_the_request_can_not_be_passed_on.

--- a/crates/daemon/src/tunnel/server.rs
+++ b/crates/daemon/src/tunnel/server.rs
@@ -131,11 +131,23 @@
     let (server_reader, mut server_writer) = server.into_split();
     tokio::select! {
         // The client has closed the tunnel: the connection to the server is closed with it.
-        copied = tokio::io::copy(&mut client_reader, &mut server_writer) => copied.map(drop),
+        passed = pass_to_server(&mut client_reader, &mut server_writer) => passed,
         sent = send_frames(server_reader, frames) => sent,
     }
 }
 
+/// Passes the client's bytes to the server until the client closes the tunnel.
+async fn pass_to_server(
+    client: &mut (impl AsyncRead + Unpin),
+    server: &mut (impl AsyncWrite + Unpin),
+) -> Result<()> {
+    if tokio::io::copy(client, server).await.is_err() {
+        // The server may have answered and closed the connection before it has read everything: its answer is still sent.
+        tokio::io::copy(client, &mut tokio::io::sink()).await?;
+    }
+    Ok(())
+}
+
 /// Sends the server's bytes in frames, and an empty one after its last bytes.
 async fn send_frames<Reader, Writer>(
     mut reader: Reader,
--- a/crates/daemon/tests/one_entry/tunnels.rs
+++ b/crates/daemon/tests/one_entry/tunnels.rs
@@ -76,6 +76,24 @@
     Ok(())
 }
 
+/// The server reads a part of a long request, answers and closes the connection, which resets it.
+#[tokio::test]
+async fn an_early_answer_arrives_although_the_request_can_not_be_passed_on() -> Result<()> {
+    const ATTEMPTS: usize = 30;
+    let fleet = TunnelFleet::start().await?;
+    for _ in 0..ATTEMPTS {
+        let (mut tunnel, mut server) = fleet.open_both().await?;
+        tunnel.write_all(&[1; 1_000_000]).await?;
+        server.read_exact(&mut [0; 1]).await?;
+        server.write_all(b"answer").await?;
+        drop(server);
+        let mut answer = [0; 6];
+        tunnel.read_exact(&mut answer).await?;
+        assert_eq!(&answer, b"answer");
+    }
+    Ok(())
+}
+
 /// A response without a length ends with its connection, so an incomplete one must not end like a complete one.
 #[tokio::test]
 async fn a_server_that_resets_its_connection_does_not_look_as_if_it_had_closed_it() -> Result<()> {
