--- a/crates/daemon/tests/gateway/silent_servers_soak/server.rs
+++ b/crates/daemon/tests/gateway/silent_servers_soak/server.rs
@@ -119,6 +119,8 @@
     /// Ends the process: its connections are closed, and new ones are refused.
     pub fn crash(&self) {
         self.has_ended.send_replace(true);
+        // The other members of its group learn of its end also if it was paused.
+        self.is_paused.send_replace(false);
     }
 
     pub fn has_crashed(&self) -> bool {
@@ -201,6 +203,13 @@
                 writer.write_all(head_with_length("200 OK", "", 0).as_bytes()).await?;
                 continue;
             }
+            if request.header("dockwood-attempt").is_none() {
+                // A check of who listens here: requests without an id are not run.
+                let own_instance = format!("dockwood-own-instance: {}\r\n", self.id);
+                let response = head_with_length("421 Misdirected Request", &own_instance, 0);
+                writer.write_all(response.as_bytes()).await?;
+                continue;
+            }
             let run = self.open_run(&request);
             // The entry sends nothing before the end of the response, so whatever is read is the end of the connection.
             let end = tokio::select! {
