Plain requests avoid servers that are silent, and are refused at once if all are

What callers saw: while servers of a plain service paused, requests were sent to them, and held there until their callers' deadlines, though others of the service responded.

Cause: a server was selected by the number of requests in flight alone. An entry with one request at each silent server still chose one of those for nearly half of its new requests, and no response was ever waited for in vain.

Failing test: `one_entry` `silent_servers`, on: 27 and 33 of 60 requests are held at silent servers where one responds (2 are allowed as probes), 41 and 44 requests in a row are held where all are silent, and of connections that are never established nothing is learnt. Six of nine fail; the two on slow requests at an idle service pass before and after, and `an_error_is_forwarded...` passed then because the retry budget was used up (it has a larger budget now, and was not run on the old code with it).

Why the fix works: `ServiceSilence` knows the calls of the entry to each server. A call without a response for longer than its latency target, and three times the median, or a connection that takes 100 ms, makes a server silent until it responds. New requests go to the others. If all are silent, one request in 500 ms probes; the others are refused with 2021 if there are three overdue calls and no response for twice the time. What a server has stays there. One connection takes a quarter of the remaining time at most.

`plain.rs` is split: what speaks to one server is in `plain/sending.rs`.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod responses;
 mod retry_budgets;
 mod server_selection;
+mod silent_servers;
 mod source;
 mod stalls;
 mod stream;
@@ -37,6 +38,7 @@
 pub use dispatchers::{DispatchMode, Dispatchers};
 pub use evacuation::set_evacuation;
 pub use response_memory::ResponseMemory;
+pub use silent_servers::{SilenceLine, SilenceReport};
 pub use upstream::ConnectFault;
 
 use crate::clock::monotonic_ms;
@@ -73,6 +75,7 @@
     retry_budgets: RetryBudgets,
     cold: cold::ColdServers,
     pool: ConnectionPool,
+    silent_servers: silent_servers::SilentServers,
     line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
     caller_connections: Arc<CallerConnections>,
@@ -139,6 +142,7 @@
             retry_budgets: RetryBudgets::new(budget_limits),
             cold,
             pool: ConnectionPool::default(),
+            silent_servers: silent_servers::SilentServers::default(),
             line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
             caller_connections: Arc::default(),
@@ -211,6 +215,7 @@
             gateway.routes.store(Arc::new(RouteTable::compile(configuration)));
         }
         gateway.loads.follow(&tables.gateway);
+        gateway.silent_servers.follow(&tables.gateway);
         gateway.cold.follow(&gateway.shared.metrics, &tables.gateway);
         gateway.shared.pushback.follow(&gateway.shared.metrics, &tables.gateway);
         update_group_metrics(&gateway.shared.metrics, &tables.gateway);
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -1,29 +1,24 @@
 //! Requests to plain services, whose response is forwarded once it is complete, or known to be large.
 
+mod sending;
+
+pub use sending::server_request;
+
 use super::Gateway;
-use super::body::{
-    ReceivedBody, ResponseBody, full_body, may_forward_partially, read_first_part, read_response_body,
-};
-use super::headers::{ServerHeaders, add_server_headers, end_to_end};
-use super::large_response::{LargeResponse, PartialResponse, ResponseSource};
+use super::body::{ResponseBody, full_body};
+use super::large_response::{LargeResponse, PartialResponse};
 use super::receive::{ReceivedRequest, may_still_send};
-use super::request_log::{RequestLog, SendNumber};
-use super::response_head::evaluate_head;
+use super::request_log::RequestLog;
 use super::responses::{RETRY_SOON_MS, error_response};
-use super::server_selection::{SelectedServer, select_server};
-use super::upstream::Upstream;
-use super::write_permit::acquire_write_permit;
-use crate::pushback::{SendPermit, Unavailable};
+use super::server_selection::{Excluded, SelectedServer, select_server};
+use crate::pushback::Unavailable;
 use crate::shared::InFlight;
 use crate::suspects::{Admission, SuspectGate};
-use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_routing::gateway::{GiveUp, RequestAttempts, RetryDecision, SendOutcome};
-use dockwood_routing::{CallResult, Millis};
-use http_body_util::Full;
-use hyper::header::HeaderMap;
-use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Response, StatusCode, Uri};
+use dockwood_routing::Millis;
+use dockwood_routing::gateway::{GiveUp, RequestAttempts, RetryDecision};
+use hyper::Response;
+use sending::{ServerHead, ServerResponse, WholeResponse};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,33 +28,6 @@
 /// Minimum duration of one such wait.
 const MIN_HOLD_WAIT: Duration = Duration::from_millis(1);
 
-/// Head of a response as received from a server.
-struct ServerHead {
-    status: StatusCode,
-    headers: HeaderMap,
-}
-
-impl ServerHead {
-    fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
-        let mut response = Response::new(body);
-        *response.status_mut() = self.status;
-        *response.headers_mut() = self.headers;
-        response
-    }
-}
-
-/// A complete response of a server.
-struct WholeResponse {
-    head: ServerHead,
-    body: Bytes,
-}
-
-/// A response of a server, as far as it is received before it is forwarded.
-enum ServerResponse {
-    Whole(WholeResponse),
-    Large(ServerHead, Box<PartialResponse>),
-}
-
 /// What a request has led to.
 enum Answer {
     /// A complete response, of a server or of the gateway.
@@ -140,6 +108,7 @@
             }
             self.tried.push(selected.row.id.clone());
             self.attempts.begin(&selected.row.id);
+            self.request_log.record_silence(selected.silence);
             let number = self.request_log.record_send(&selected.row.id, None, None);
             let outcome = match self.send(number, selected).await {
                 Ok(ServerResponse::Whole(response)) => return self.forward(response).into(),
@@ -164,7 +133,8 @@
             Err(code) => return Err(Box::new(self.refused_by_gate(code))),
         };
         let excluded = [self.tried.as_slice(), &self.occupied].concat();
-        let selected = match select_server(self.gateway, self.received, &self.gate, is_suspect, &excluded) {
+        let excluded = Excluded { servers: &excluded, has_answer: self.last_error.is_some() };
+        let selected = match select_server(self.gateway, self.received, &self.gate, is_suspect, excluded) {
             Ok(selected) => selected,
             Err(_) if !self.occupied.is_empty() => {
                 let admission = self.gate.wait_for_free_server().await;
@@ -193,6 +163,7 @@
         let in_time = unavailable.free_in.filter(|free_in| self.tried.is_empty() && *free_in <= remaining);
         let Some(free_in) = in_time else {
             self.request_log.set_held_servers(unavailable.held);
+            self.request_log.record_silence(unavailable.silence);
             return Err(Box::new(
                 self.final_response_with_retry(unavailable.code, unavailable.retry_after_ms),
             ));
@@ -282,130 +253,4 @@
         self.request_log.end(code);
         error_response(code, code.meaning(), None)
     }
-
-    /// Sends the request to one server. `Err` if there is no response to forward.
-    async fn send(
-        &mut self,
-        number: SendNumber,
-        selected: SelectedServer,
-    ) -> Result<ServerResponse, SendOutcome> {
-        let mut upstream = match self.gateway.connect(self.received, selected.row.address).await {
-            Ok(upstream) => upstream,
-            Err(fault) => {
-                self.request_log.record_connect_fault(number, fault);
-                selected.finish(CallResult::Failed);
-                return Err(SendOutcome::NotConnected);
-            }
-        };
-        let request = server_request(self.gateway, self.received, &selected.row.id, None);
-        let permit =
-            acquire_write_permit(self.gateway, self.received, &self.gate, selected.selection()).await;
-        let permit = match permit {
-            Ok(permit) => permit,
-            Err(reason) => {
-                // The server may be selected again: its connection is established now, and the hold will end.
-                self.tried.pop();
-                self.gateway.pool.release(upstream);
-                return Err(SendOutcome::Withheld(reason));
-            }
-        };
-        self.in_flight = true;
-        let response = self.exchange(number, &mut upstream, request, permit).await;
-        self.in_flight = false;
-        match response {
-            Ok((head, ReceivedBody::Whole(body))) => {
-                self.gateway.pool.release(upstream);
-                selected.finish(CallResult::Answered);
-                self.check_server_error(WholeResponse { head, body })
-            }
-            Ok((head, ReceivedBody::Partial { received, rest, is_unframed })) => {
-                let source = ResponseSource { rest, is_unframed, upstream, selected, number };
-                self.check_large_server_error(head, PartialResponse { received, source })
-            }
-            Err(outcome) => {
-                let was_rejected = outcome == SendOutcome::SaidNotRun;
-                selected.finish(if was_rejected { CallResult::Answered } else { CallResult::Failed });
-                Err(outcome)
-            }
-        }
-    }
-
-    /// Sends a request and reads the complete response, or the first part of a large one.
-    async fn exchange(
-        &mut self,
-        number: SendNumber,
-        upstream: &mut Upstream,
-        request: Request<Full<Bytes>>,
-        mut permit: SendPermit,
-    ) -> Result<(ServerHead, ReceivedBody), SendOutcome> {
-        let Ok(response) = upstream.send(request, &permit).await else {
-            return Err(self.broken_connection_outcome().await);
-        };
-        let log = &mut self.request_log;
-        let head = evaluate_head(self.gateway, self.received, log, number, &mut permit, response);
-        drop(permit);
-        let (parts, body) = head?;
-        let body = if may_forward_partially(self.received.version, &body) {
-            read_first_part(&self.gate, &parts.headers, body).await
-        } else {
-            read_response_body(&self.gate, &parts.headers, body).await.map(ReceivedBody::Whole)
-        };
-        let Some(body) = body else {
-            return Err(self.broken_connection_outcome().await);
-        };
-        Ok((ServerHead { status: parts.status, headers: end_to_end(&parts.headers) }, body))
-    }
-
-    /// Returns the outcome of a send whose connection broke while the server had the request.
-    async fn broken_connection_outcome(&mut self) -> SendOutcome {
-        match self.gate.connection_broke(|| ()).await {
-            true => SendOutcome::ServerEnded,
-            false => SendOutcome::Unknown,
-        }
-    }
-
-    /// Treats a server error as a failed send if the request may be sent to another server.
-    fn check_server_error(&mut self, response: WholeResponse) -> Result<ServerResponse, SendOutcome> {
-        if response.head.status.is_server_error() && self.attempts.may_move() {
-            self.last_error = Some(response);
-            return Err(SendOutcome::Failed);
-        }
-        Ok(ServerResponse::Whole(response))
-    }
-
-    /// The same for a large response. A large error is not kept: the request is sent to another server instead of reading it.
-    fn check_large_server_error(
-        &mut self,
-        head: ServerHead,
-        partial: PartialResponse,
-    ) -> Result<ServerResponse, SendOutcome> {
-        if head.status.is_server_error() && self.attempts.may_move() {
-            return Err(SendOutcome::Failed);
-        }
-        Ok(ServerResponse::Large(head, Box::new(partial)))
-    }
-}
-
-/// Creates the request to one server.
-pub fn server_request(
-    gateway: &Gateway,
-    received: &ReceivedRequest,
-    instance: &str,
-    last_event: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let mut headers = received.headers.clone();
-    let values = ServerHeaders {
-        deadline_ms: received.remaining_ms(),
-        instance,
-        tenant: received.tenant.as_deref(),
-        rank: received.service.engine.is_some().then_some(received.rank),
-        last_event,
-    };
-    add_server_headers(&mut headers, gateway.dialect.headers(), &values);
-    let path = received.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
-    let mut request = Request::new(Full::new(received.body.clone()));
-    *request.method_mut() = received.method.clone();
-    *request.uri_mut() = Uri::from(path);
-    *request.headers_mut() = headers;
-    request
 }
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -1,6 +1,7 @@
 //! The log line of a request, which records all decisions on it. It is written when the request ends.
 
 use super::Gateway;
+use super::silent_servers::{SilenceLine, SilenceReport};
 use super::upstream::ConnectFault;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
@@ -28,6 +29,7 @@
     held_servers: Vec<String>,
     no_place: Option<PlacesSummary>,
     no_other_source: Option<NoOtherSource>,
+    silence: Option<SilenceLine>,
     ended: Option<ResultCode>,
 }
 
@@ -71,6 +73,7 @@
             held_servers: Vec::new(),
             no_place: None,
             no_other_source: None,
+            silence: None,
             ended: None,
         }
     }
@@ -162,6 +165,11 @@
         self.held_servers = servers;
     }
 
+    /// Records a decision that was made as servers were silent. A later one replaces it.
+    pub fn record_silence(&mut self, silence: Option<SilenceReport>) {
+        self.silence = silence.map(SilenceLine::from).or(self.silence);
+    }
+
     /// Records the groups that may run the request, among which no place was found.
     pub fn set_no_place(&mut self, places: PlacesSummary) {
         self.no_place = Some(places);
@@ -227,6 +235,7 @@
             no_place: self.no_place.clone(),
             no_other_source: self.no_other_source,
             servers_held: &self.held_servers,
+            silence: self.silence,
             held_back,
         };
         logging::write(&shared.settings.name, LineBody::Request(line));
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -3,6 +3,7 @@
 use super::Gateway;
 use super::receive::ReceivedRequest;
 use super::regions::no_server_in_zones_code;
+use super::silent_servers::{SilenceReport, retry_after_silence_ms};
 use super::write_permit::Selection;
 use crate::clock::monotonic_ms;
 use crate::lock::lock;
@@ -11,7 +12,7 @@
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, InstanceState, ServiceProfile};
 use dockwood_grouping::{SendRate, grant_valid_ms};
-use dockwood_routing::gateway::AllowedZones;
+use dockwood_routing::gateway::{AllowedZones, NewRequest, SilenceAdvice};
 use dockwood_routing::{CallResult, Millis};
 use dockwood_state::{GatewayTables, InstanceRow, Tables};
 use std::sync::Arc;
@@ -23,6 +24,8 @@
     pub row: Arc<InstanceRow>,
     /// The selection expires at this time; `None` if it does not expire.
     pub valid_until: Option<Millis>,
+    /// The silence of servers that the selection was based on, if any is silent.
+    pub silence: Option<SilenceReport>,
     result: Option<CallResult>,
     servers: usize,
 }
@@ -102,6 +105,15 @@
     if others.is_empty() && !held.is_empty() { Err(held) } else { Ok(others) }
 }
 
+/// The servers that a request is not sent to.
+#[derive(Clone, Copy, Debug)]
+pub struct Excluded<'a> {
+    /// Servers that were tried before, or that run other suspects.
+    pub servers: &'a [String],
+    /// Whether one of them has answered the request with an error.
+    pub has_answer: bool,
+}
+
 /// Selects a server for a request, other than the excluded ones. For a suspect, zones in which it has crashed no server
 /// are preferred. `Err` with the reason if there is none.
 pub fn select_server(
@@ -109,28 +121,60 @@
     received: &ReceivedRequest,
     gate: &SuspectGate,
     is_suspect: bool,
-    excluded: &[String],
+    excluded: Excluded<'_>,
 ) -> Result<SelectedServer, Unavailable> {
-    let (service, zones) = (&received.service, &received.zones);
+    let zones = &received.zones;
     let other_zones = gate.zones_without_crashes(is_suspect, zones);
-    let selected = other_zones.and_then(|zones| select_from_zones(gateway, service, &zones, excluded).ok());
-    let selected = selected.map_or_else(|| select_from_zones(gateway, service, zones, excluded), Ok);
+    let selected = other_zones.and_then(|zones| select_from_zones(gateway, received, &zones, excluded).ok());
+    let selected = selected.map_or_else(|| select_from_zones(gateway, received, zones, excluded), Ok);
     selected.map_err(|unavailable| match unavailable {
-        Unavailable { code: ResultCode::NoServer, held, .. } => {
-            Unavailable { held, ..no_server_in_zones_code(gateway, received).into() }
+        Unavailable { code: ResultCode::NoServer, .. } => {
+            Unavailable { code: no_server_in_zones_code(gateway, received), ..unavailable }
         }
         other => other,
     })
 }
 
+/// Returns those of the eligible servers that respond, or that are to be probed, with the silence of the others; `Err` if
+/// all of them are silent and the request is not to be sent. Streams are not considered: they have a search of their own.
+fn responsive_servers<'a>(
+    gateway: &Gateway,
+    received: &ReceivedRequest,
+    excluded: Excluded<'a>,
+    eligible: Vec<&'a str>,
+) -> Result<(Vec<&'a str>, Option<SilenceReport>), Unavailable> {
+    if received.is_stream() {
+        return Ok((eligible, None));
+    }
+    let now = monotonic_ms();
+    let request = NewRequest {
+        now,
+        since: gateway.shared.pause_detector.observe(now),
+        target_ms: received.route.target_latency_ms,
+        tried: excluded.servers,
+        has_answer: excluded.has_answer,
+    };
+    let (servers, silence) = gateway.silent_servers.decide(&received.service.name, &request, &eligible);
+    if let Some(report) = silence {
+        let metric = &gateway.shared.metrics.silent_servers;
+        metric.with_label_values(&[report.advice.name()]).inc();
+        if report.advice == SilenceAdvice::Refuse {
+            let retry_after_ms = Some(retry_after_silence_ms(received.remaining_ms()));
+            return Err(Unavailable { retry_after_ms, silence, ..ResultCode::NoServer.into() });
+        }
+    }
+    Ok((servers, silence))
+}
+
 /// Selects a server of a service in the allowed zones that has not been tried yet; `Err` with the reason if there is
 /// none.
 fn select_from_zones(
     gateway: &Arc<Gateway>,
-    service: &ServiceProfile,
+    received: &ReceivedRequest,
     zones: &AllowedZones,
-    tried: &[String],
+    excluded: Excluded<'_>,
 ) -> Result<SelectedServer, Unavailable> {
+    let (service, tried): (&ServiceProfile, _) = (&received.service, excluded.servers);
     let tables = gateway.shared.tables();
     let instances = &tables.gateway.instances;
     let cold_start = tables.gateway.cold_start(&service.name);
@@ -142,13 +186,14 @@
         return Err(ResultCode::Overloaded.into());
     }
     let eligible: Vec<&str> = sendable.iter().map(|(row, _)| row.id.as_str()).collect();
+    let (responsive, silence) = responsive_servers(gateway, received, excluded, eligible.clone())?;
     let random = [rand::random(), rand::random()];
     let mut pickers = lock(&gateway.pickers);
     let picker = pickers.entry(service.name.clone()).or_default();
     let declared: Vec<&str> = instances.keys().map(String::as_str).collect();
     picker.retain(&declared);
     let id = picker
-        .pick(monotonic_ms(), &eligible, service.max_connections, random)
+        .pick(monotonic_ms(), &responsive, service.max_connections, random)
         .ok_or(ResultCode::NoServer)?;
     drop(pickers);
     let (row, rate) = sendable.iter().find(|(row, _)| row.id == id).ok_or(ResultCode::NoServer)?;
@@ -156,6 +201,7 @@
         gateway: gateway.clone(),
         row: (*row).clone(),
         valid_until: None,
+        silence,
         result: None,
         servers: eligible.len() + tried.len(),
     };
--- a/crates/daemon/src/gateway/stream/selection.rs
+++ b/crates/daemon/src/gateway/stream/selection.rs
@@ -6,7 +6,7 @@
 use crate::gateway::body::ResponseBody;
 use crate::gateway::loads::PlaceQuery;
 use crate::gateway::responses::error_response;
-use crate::gateway::server_selection::select_server;
+use crate::gateway::server_selection::{Excluded, select_server};
 use crate::gateway::source::Source;
 use crate::log_line::{NoOtherSource, PlacesSummary};
 use crate::pushback::Unavailable;
@@ -138,7 +138,8 @@
     /// Selects a server of a plain service.
     fn select_plain_server(&self, is_suspect: bool) -> Result<Source, Unavailable> {
         let excluded = [self.tried_servers.as_slice(), &self.occupied.servers].concat();
-        let selected = select_server(&self.gateway, &self.received, &self.gate, is_suspect, &excluded);
+        let excluded = Excluded { servers: &excluded, has_answer: false };
+        let selected = select_server(&self.gateway, &self.received, &self.gate, is_suspect, excluded);
         selected.map(Source::Server)
     }
 }
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -3,7 +3,7 @@
 //! docs/OPERATIONS-GATEWAY.md lists the fields. [`SCHEMA_VERSION`] is incremented when a field is removed or
 //! changes its meaning, but not when a field is added.
 
-use crate::gateway::ConnectFault;
+use crate::gateway::{ConnectFault, SilenceLine};
 use dockwood_api::ResultCode;
 use serde::Serialize;
 
@@ -265,6 +265,9 @@
     /// Some of the eligible servers, if all of these are on hold.
     #[serde(skip_serializing_if = "<[String]>::is_empty")]
     pub servers_held: &'a [String],
+    /// What was decided as servers of the plain service were silent, if any was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub silence: Option<SilenceLine>,
     /// Number of lines with this result code suppressed since the last written one.
     pub held_back: u64,
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,8 @@
     pub servers_held_back: IntGaugeVec,
     /// Requests not sent to a server on hold, by result: stopped immediately before the write, delayed, or refused.
     pub held_back: IntCounterVec,
+    /// Selections of servers of plain services while at least one server was silent, by decision.
+    pub silent_servers: IntCounterVec,
     /// Requests of the gateway that were not written to the server selected for them, by reason.
     pub withheld_sends: IntCounterVec,
     /// Turns at servers with a rate limit that this daemon has used, by source.
@@ -241,6 +243,11 @@
                 "Requests not sent to servers that rest, leave or are at their limit",
                 &["result"],
             )?,
+            silent_servers: counters(
+                "dockwood_silent_servers_total",
+                "Selections of servers while some did not respond",
+                &["decision"],
+            )?,
             withheld_sends: counters(
                 "dockwood_withheld_sends_total",
                 "Requests that were not written to the server selected for them",
--- a/crates/daemon/src/pushback/unavailable.rs
+++ b/crates/daemon/src/pushback/unavailable.rs
@@ -1,6 +1,7 @@
 //! Why no server is available for a request, and when its caller may retry.
 
 use crate::clock::monotonic_ms;
+use crate::gateway::SilenceReport;
 use crate::log_line::ChosenBy;
 use dockwood_api::ResultCode;
 use dockwood_routing::Millis;
@@ -64,6 +65,7 @@
             retry_after_ms: Some(retry_after_ms),
             held: self.servers,
             decided_by: None,
+            silence: None,
         }
     }
 }
@@ -81,10 +83,19 @@
     pub held: Vec<String>,
     /// Who decided that no group has a place, if that is the reason.
     pub decided_by: Option<ChosenBy>,
+    /// The silence of the servers, if that is the reason.
+    pub silence: Option<SilenceReport>,
 }
 
 impl From<ResultCode> for Unavailable {
     fn from(code: ResultCode) -> Unavailable {
-        Unavailable { code, free_in: None, retry_after_ms: None, held: Vec::new(), decided_by: None }
+        Unavailable {
+            code,
+            free_in: None,
+            retry_after_ms: None,
+            held: Vec::new(),
+            decided_by: None,
+            silence: None,
+        }
     }
 }
--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -38,6 +38,8 @@
 /// Target latency of the routes. A stream waits for a free slot for half of it, far longer than an immediate refusal
 /// may take.
 pub const TARGET_MS: u64 = 10_000;
+/// Target latency of the brief routes: a response counts as overdue after this time.
+const BRIEF_TARGET_MS: u64 = 150;
 /// Target latency of the resumable routes: a first event counts as stalled after about a second, and a stream waits
 /// 200 ms for a free slot.
 const RESUMABLE_TARGET_MS: u64 = 400;
@@ -115,6 +117,12 @@
         route["target_latency_ms"] = json!(RESUMABLE_TARGET_MS);
         route
     };
+    let brief_route = |name: &str, kind: &str, max_attempts: u32| {
+        let mut route = route(name, kind, "board");
+        route["max_attempts"] = json!(max_attempts);
+        route["target_latency_ms"] = json!(BRIEF_TARGET_MS);
+        route
+    };
     let model = |name: &str| json!({ "name": name, "size": 1, "share": 1.0, "pace": 1.0, "load_ms": 100, "warm_ms": 50 });
     let engine = json!({
         "slots": slots, "memory_tokens": 100_000, "step_ms": 4.0, "per_sequence_ms": 0.1, "read_per_second": 50_000.0,
@@ -129,6 +137,8 @@
             resumable_route("resumable-thrice", 3),
             route("once", "AtMostOnce", "board"),
             route("again", "Repeatable", "board"),
+            brief_route("brief-once", "AtMostOnce", 1),
+            brief_route("brief-again", "Repeatable", 2),
         ],
         "services": [
             { "name": "writer", "health_path": "/", "max_connections": 100, "engine": engine },
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod pushback;
 mod scripted_server;
+mod silent_servers;
 mod stream_alternatives;
 mod stream_caller;
 mod stream_closed_groups;
--- a/crates/routing/src/gateway/mod.rs
+++ b/crates/routing/src/gateway/mod.rs
@@ -6,9 +6,11 @@
 mod choice;
 mod entries;
 mod events;
+mod recent_times;
 mod regions;
 mod route_table;
 mod server_paths;
+mod server_silence;
 mod stall_detection;
 mod tunnel_peers;
 
@@ -20,5 +22,8 @@
 pub use regions::{AllowedRegions, AllowedZones};
 pub use route_table::{Destination, KeyVerdict, RouteTable};
 pub use server_paths::{CutOffChange, PathPlan, ServerPaths};
+pub use server_silence::{
+    Awaited, CallEnd, NewRequest, ServerCall, ServiceSilence, SilenceAdvice, SilenceDecision, SilenceEvidence,
+};
 pub use stall_detection::{LatencyStats, ObservedLatency, StallTimeout, StallTimeouts, timely_event_ms};
 pub use tunnel_peers::{TunnelPeer, TunnelPeers};
