--- a/crates/routing/src/gateway/server_silence.rs
+++ b/crates/routing/src/gateway/server_silence.rs
@@ -19,6 +19,8 @@
 const REFUSE_AFTER_TIMES: Millis = 2;
 /// While servers are silent, one request is sent to them in this time, to find out whether they respond again.
 const PROBE_INTERVAL_MS: Millis = 500;
+/// A call that has waited for this long may never be answered, though its server responds to others.
+const LOST_RESPONSE_MS: Millis = 2_000;
 /// Number of calls per server that ended without a response and are kept as evidence.
 const MAX_ENDED_CALLS: usize = 4;
 
@@ -238,6 +240,14 @@
         calls.overdue(request.now, request.since, |awaited| self.overdue_after(awaited)).collect()
     }
 
+    /// Whether a silent server is due for a probe although others respond: a call that still waits there is a probe itself,
+    /// unless its response was lost.
+    fn is_probe_due_beside_others(&self, now: Millis, server: &str) -> bool {
+        let Some(calls) = self.servers.get(server) else { return true };
+        let interval = if calls.waiting.is_empty() { PROBE_INTERVAL_MS } else { LOST_RESPONSE_MS };
+        now >= calls.newest_begun_at + interval
+    }
+
     fn newest_begun_at<'a>(&self, servers: impl Iterator<Item = &'a str>) -> Millis {
         servers
             .filter_map(|server| self.servers.get(server))
@@ -261,7 +271,8 @@
         }
         let is_probe_due = |newest: Millis| !request.has_answer && request.now >= newest + PROBE_INTERVAL_MS;
         if !responsive.is_empty() {
-            let probe_due = |server: &&str| is_probe_due(self.newest_begun_at(std::iter::once(*server)));
+            let probe_due =
+                |server: &str| !request.has_answer && self.is_probe_due_beside_others(request.now, server);
             let chosen = eligible.iter().copied().filter(|server| !is_silent(server) || probe_due(server));
             return decision(SilenceAdvice::Avoid, chosen.collect());
         }
--- a/crates/routing/tests/server_silence.rs
+++ b/crates/routing/tests/server_silence.rs
@@ -32,7 +32,8 @@
     in_time = { &[("a", 0)], 149, SilenceAdvice::AnyServer, &["a", "b", "c"] },
     one_overdue = { &[("a", 0)], 150, SilenceAdvice::Avoid, &["b", "c"] },
     two_overdue = { &[("a", 0), ("b", 0)], 200, SilenceAdvice::Avoid, &["c"] },
-    one_is_probed_beside_others = { &[("a", 0)], 500, SilenceAdvice::Avoid, &["a", "b", "c"] },
+    one_has_a_call_that_still_waits = { &[("a", 0)], 1_999, SilenceAdvice::Avoid, &["b", "c"] },
+    one_has_a_call_that_may_be_lost = { &[("a", 0)], 2_000, SilenceAdvice::Avoid, &["a", "b", "c"] },
     quiet_for_too_short = { &[("a", 0), ("b", 0), ("c", 0)], 299, SilenceAdvice::AnyServer, &["a", "b", "c"] },
     all_silent = { &[("a", 0), ("b", 0), ("c", 0)], 300, SilenceAdvice::Refuse, &[] },
     all_silent_until_a_probe_is_due = { &[("a", 0), ("b", 0), ("c", 100)], 599, SilenceAdvice::Refuse, &[] },
@@ -103,6 +104,16 @@
     assert_eq!(decision.advice == SilenceAdvice::Avoid, is_evidence, "{decision:?}");
 }
 
+#[yare::parameterized(
+    soon = { 499, &["b", "c"] },
+    later = { 500, &["a", "b", "c"] },
+)]
+fn a_silent_server_without_calls_is_probed_beside_others(at: u64, servers: &[&str]) {
+    let (mut silence, calls) = calls(&[("a", 0)]);
+    silence.end(START + 300, "a", calls[0], CallEnd::Unanswered);
+    assert_eq!(decide(&silence, START + at).servers, servers);
+}
+
 #[test]
 fn a_connection_that_is_not_established_is_evidence_sooner_than_a_response() {
     let mut silence = ServiceSilence::default();
