--- a/crates/state/tests/prompt_suspicion.rs
+++ b/crates/state/tests/prompt_suspicion.rs
@@ -442,3 +442,25 @@
     let restored = State::decode(&harness.voter.encode()).unwrap_or_else(|error| panic!("{error}"));
     assert_eq!(restored.tables.gateway, harness.voter.tables.gateway);
 }
+
+/// While most servers are down, requests with the part that crashes them gather at the few that serve, so that it was running
+/// more often per crash than a part that few requests contain.
+#[test]
+fn a_rare_part_is_not_quarantined_for_the_crashes_of_a_part_that_crashed_more_servers() {
+    const BAD: &[&str] = &["system", "bad"];
+    const RARE: &[&str] = &["system", "rare"];
+    let others: Vec<String> = (0..14).map(|number| format!("other-{number}")).collect();
+    let mut others = others.iter();
+    let mut harness = Harness::default();
+    // Prompts with the crashing part, with the rare one, and with others, of each server that crashed.
+    for (bad, rare, other) in
+        [(1, 0, 0), (1, 0, 0), (1, 1, 1), (7, 2, 5), (4, 3, 2), (5, 0, 4), (1, 1, 0), (6, 1, 2)]
+    {
+        let names: Vec<&str> = others.by_ref().take(other).map(String::as_str).collect();
+        let others: Vec<[&str; 2]> = names.iter().map(|name| ["system", *name]).collect();
+        let mut prompts = [vec![BAD; bad], vec![RARE; rare]].concat();
+        prompts.extend(others.iter().map(|parts| parts.as_slice()));
+        harness.crash(&prompts);
+    }
+    assert_eq!(harness.decide(), ["bad"]);
+}
