A chunked request body that was read to its end needs no task to discard its rest

Found on reading the change again: only the end of a chunked body shows that it was read, and DiscardingBody didn't record it, so each chunked request started a task and a timer that found nothing. The body is given up at its end now. Nothing else changes; told_by_request_line is renamed to logged_by_request_line.

--- a/crates/daemon/src/gateway/answer_body.rs
+++ b/crates/daemon/src/gateway/answer_body.rs
@@ -73,7 +73,7 @@
         if self.has_ended || self.body.is_end_stream() || self.remaining_bytes == Some(0) {
             self.answer.taken();
         } else if self.was_cut || holds_log {
-            self.answer.told_by_request_line();
+            self.answer.logged_by_request_line();
         }
     }
 }
--- a/crates/daemon/src/gateway/connection_record.rs
+++ b/crates/daemon/src/gateway/connection_record.rs
@@ -144,7 +144,7 @@
     }
 
     /// Records that the request line tells how the request ended.
-    pub fn told_by_request_line(&self) {
+    pub fn logged_by_request_line(&self) {
         lock(&self.connection.progress).pending.retain(|answer| answer.number != self.number);
     }
 
--- a/crates/daemon/src/unread_body.rs
+++ b/crates/daemon/src/unread_body.rs
@@ -43,10 +43,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        match &mut self.body {
-            Some(body) => Pin::new(body).poll_frame(context),
-            None => Poll::Ready(None),
+        let Some(body) = &mut self.body else { return Poll::Ready(None) };
+        let frame = Pin::new(body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None | Some(Err(_)))) {
+            // Without a length, only this shows that nothing is left to discard.
+            self.body = None;
         }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
