A new leader answers from its state only once that is current

What callers saw: nothing that was recorded. By the tests, a leader that has just been elected grants leases on a state that lacks what earlier leaders committed; an entry that was started with it then serves an older configuration: routes that were added are not found, and keys that were taken away are accepted.

Cause: `leads` means a valid leader lease, which takes one round of heartbeats. That all committed entries are applied is known only once an entry of the own term is committed, which takes as long as the others need for the entries that they lack. Reads and the controllers checked for that, the answers to lease requests, to voters that grant leases, to load reports and to requests for places, servers' reports and the view did not.

Evidence: control/tests/new_leader.rs, both tests failed before: a lease at revision 0 of 3, and `Noted { revision: 0 }` for a voter.

Change: `leads_with_current_state`, which all of these check. Lease requests are held meanwhile, up to the time limit of their daemon, and answered as soon as the state is current. Commands are still accepted, as they are applied in order."

--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -5,7 +5,7 @@
 use crate::gateway::GatewayLeaderState;
 use crate::heartbeat_origin::ForeignHeartbeat;
 use crate::node::{Batch, ControlNode, Options};
-use crate::voter::{VoterState, Waiter};
+use crate::voter::Waiter;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{InstanceReport, LoadDigest, LoadReport, PlaceReply, PlaceRequest};
 use dockwood_api::peer::{ReadAnswer, SubmitReply};
@@ -13,9 +13,9 @@
 
 impl<R> ControlNode<R> {
     /// The gateway part of the leader state and the tables that it works on; `None` if this node does not
-    /// lead.
+    /// lead, or its tables may be outdated.
     fn leading_gateway(&mut self, now: Moment) -> Option<(&mut GatewayLeaderState, &GatewayTables)> {
-        let leads = self.leads(now);
+        let leads = self.leads_with_current_state(now);
         let leader_state = self.voter.as_mut().and_then(|voter| voter.leader_state.as_mut());
         let leader_state = leader_state.filter(|_| leads)?;
         Some((&mut leader_state.gateway, &self.board.state.tables.gateway))
@@ -42,8 +42,7 @@
     /// The leader lease guarantees that no other node has committed anything since; everything committed
     /// earlier is applied once an entry of the own term is.
     pub(crate) fn read_revision(&self, now: Moment) -> ReadAnswer {
-        let is_current = self.voter.as_ref().is_some_and(VoterState::applied_own_term);
-        if self.leads(now) && is_current {
+        if self.leads_with_current_state(now) {
             ReadAnswer::Current { revision: self.board.revision() }
         } else {
             ReadAnswer::NotLeader { leader: self.leader_address() }
@@ -52,7 +51,7 @@
 
     /// Handles a server's report; it is answered once the resulting change is committed.
     pub(crate) fn register(&mut self, now: Moment, report: InstanceReport, reply: R, batch: &mut Batch<R>) {
-        let leads = self.leads(now);
+        let leads = self.leads_with_current_state(now);
         let leader = self.leader_address();
         let tables = &self.board.state.tables;
         let leader_state = self.voter.as_mut().and_then(|voter| voter.leader_state.as_mut());
--- a/crates/control/src/lease_requests.rs
+++ b/crates/control/src/lease_requests.rs
@@ -47,7 +47,7 @@
     /// On the leader: another voter reports the daemons that have asked it.
     pub(crate) fn record_delegated_requests(&mut self, now: Moment, requests: &[DelegatedRequest], reply: R) {
         let leader = self.leader_address();
-        let leads = self.leads(now);
+        let leads = self.leads_with_current_state(now);
         let revision = self.board.revision();
         let in_force_revision = self.in_force_revision;
         let leader_state = self.voter.as_mut().and_then(|voter| voter.leader_state.as_mut());
@@ -82,6 +82,10 @@
         let leader = self.leader_address();
         let lease_voters = if leads && self.delegates_leases() { self.lease_voters(now) } else { Vec::new() };
         let in_force_revision = self.in_force_revision;
+        if leads && !self.leads_with_current_state(now) {
+            // The requests are held until the state is current, which takes milliseconds as a rule.
+            return;
+        }
         let Some(leader_state) = self.voter.as_mut().and_then(|voter| voter.leader_state.as_mut()) else {
             return;
         };
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -270,6 +270,12 @@
         self.voter.as_ref().is_some_and(|voter| voter.leads(now.monotonic))
     }
 
+    /// Whether this node leads and has applied everything that earlier leaders committed. Before, its state may be older than
+    /// what was acknowledged.
+    pub(crate) fn leads_with_current_state(&self, now: Moment) -> bool {
+        self.voter.as_ref().is_some_and(|voter| voter.leads_with_current_state(now.monotonic))
+    }
+
     /// Drops the deduplication records of operators' changes. Only for the simulator, which injects this
     /// defect to verify that its checks detect it.
     #[doc(hidden)]
@@ -323,13 +329,9 @@
     fn view(&mut self, now: Moment) -> ControlAnswer {
         let voters = self.voter_statuses(now);
         match self.leader_state() {
-            Some(leader_state) if self.leads(now) => ControlAnswer::View(leader_state.view(
-                &self.board,
-                self.in_force_revision,
-                &self.name,
-                &voters,
-                now.monotonic,
-            )),
+            Some(leader_state) if self.leads_with_current_state(now) => ControlAnswer::View(
+                leader_state.view(&self.board, self.in_force_revision, &self.name, &voters, now.monotonic),
+            ),
             _ => ControlAnswer::NotLeader { leader: self.leader_address() },
         }
     }
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -90,6 +90,12 @@
             && self.core.leader_lease_valid(now)
     }
 
+    /// Whether this node leads and has applied everything that earlier leaders committed. Only then may it answer from its
+    /// state, grant leases or decide.
+    pub fn leads_with_current_state(&self, now: Millis) -> bool {
+        self.leads(now) && self.applied_own_term()
+    }
+
     /// Whether the log has many applied entries, or these take much more room than a snapshot.
     pub fn is_compaction_due(&self, max_entries: u64) -> bool {
         let entries = self.applied_index.saturating_sub(self.core.snapshot_index());
@@ -98,7 +104,7 @@
     }
 
     /// Whether everything that earlier leaders committed is applied on this node.
-    pub fn applied_own_term(&self) -> bool {
+    fn applied_own_term(&self) -> bool {
         let term = self.leader_state.as_ref().map(|leader_state| leader_state.term);
         term.is_some() && self.core.term_at(self.applied_index) == term
     }
--- a/crates/control/src/voter_turn.rs
+++ b/crates/control/src/voter_turn.rs
@@ -55,8 +55,7 @@
 
     pub(crate) fn run_controllers(&mut self, now: Moment) {
         let Some(voter) = &mut self.voter else { return };
-        // Until an entry of the own term is applied, the tables may lack what an earlier leader committed.
-        if !voter.leads(now.monotonic) || !voter.applied_own_term() {
+        if !voter.leads_with_current_state(now.monotonic) {
             return;
         }
         let Some(leader_state) = &mut voter.leader_state else { return };
@@ -121,7 +120,7 @@
     }
 
     pub(crate) fn raise_in_force_as_leader(&mut self, now: Moment) {
-        if !self.leads(now) || !self.claim_in_force_check(now.monotonic) {
+        if !self.leads_with_current_state(now) || !self.claim_in_force_check(now.monotonic) {
             return;
         }
         let leader_state = self.leader_state();
--- /dev/null
+++ b/crates/control/tests/new_leader.rs
@@ -0,0 +1,150 @@
+//! A new leader whose own entry is not committed yet does not know which entries of its log earlier leaders committed.
+
+mod common;
+
+use common::{request, server_report_command};
+use dockwood_api::peer::{DelegatedRequest, DelegationAnswer, LeaseAnswer};
+use dockwood_consensus::{Body, Entry, HardState, Message, Node, Payload, Probe, Recovered, Settings};
+use dockwood_control::{ControlNode, Input, Moment, Output};
+use dockwood_state::State;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const TICK_MS: u64 = 20;
+const OWN_ID: u64 = 1;
+const OTHERS: [u64; 2] = [2, 3];
+
+/// A member whose log holds the commands of an earlier term. The other members grant it their votes and answer its heartbeats,
+/// but lack its entries until they are told to have them.
+struct Member {
+    node: ControlNode<&'static str>,
+    now: u64,
+    others_have_entries: bool,
+    answers: Vec<(&'static str, LeaseAnswer)>,
+    delegations: Vec<DelegationAnswer>,
+}
+
+impl Member {
+    fn with_log(commands: Vec<Vec<u8>>) -> Member {
+        let entries = commands.into_iter().zip(1..);
+        let entries: Vec<Entry> = entries
+            .map(|(command, index)| Entry { index, term: 1, payload: Payload::Command(command) })
+            .collect();
+        let hard_state = HardState { term: 1, voted_for: None };
+        let recovered = Recovered { hard_state, entries, ..Recovered::default() };
+        let settings = Settings {
+            id: OWN_ID,
+            voters: [OWN_ID].into_iter().chain(OTHERS).collect(),
+            election_timeout_ms: 500,
+            heartbeat_ms: 100,
+            max_message_bytes: 1 << 20,
+            seed: 1,
+        };
+        let address = |id: u64| SocketAddr::from(([127, 0, 0, 1], id as u16));
+        let addresses = BTreeMap::from_iter(settings.voters.iter().map(|id| (*id, address(*id))));
+        let node =
+            ControlNode::voter("member", State::default(), Node::new(settings, recovered, 0), addresses);
+        Member { node, now: 0, others_have_entries: false, answers: Vec::new(), delegations: Vec::new() }
+    }
+
+    /// Elected, with a lease, while the others lack the entries of its log.
+    fn elected(commands: Vec<Vec<u8>>) -> Member {
+        let mut member = Member::with_log(commands);
+        member.advance(2_000);
+        assert!(member.node.leads(member.moment()), "the others vote for it and answer its heartbeats");
+        member
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { monotonic: self.now, wall_ms: self.now }
+    }
+
+    fn advance(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / TICK_MS {
+            self.now += TICK_MS;
+            self.step(Input::Tick);
+        }
+    }
+
+    fn step(&mut self, input: Input<&'static str>) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.node.step(self.moment(), input) {
+                match output {
+                    Output::Persist { entries, .. } => {
+                        let last = entries.last().map(|last| (last.index, last.term));
+                        inputs.extend(last.map(|(index, term)| Input::Persisted { index, term }));
+                    }
+                    Output::Send(message) => {
+                        inputs.extend(self.answer_to(&message).map(|answer| Input::Consensus(vec![answer])))
+                    }
+                    Output::LeaseReply(name, answer) => self.answers.push((name, answer)),
+                    Output::DelegationReply(_, answer) => self.delegations.push(answer),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn answer_to(&self, message: &Message) -> Option<Message> {
+        let body = match &message.body {
+            Body::VoteRequest { binding, .. } => Body::VoteReply { binding: *binding, granted: true },
+            Body::Append { previous_index, entries, probe, .. } => {
+                self.append_reply(*previous_index, entries, *probe)
+            }
+            _ => return None,
+        };
+        Some(Message { from: message.to, to: message.from, term: message.term, body })
+    }
+
+    fn append_reply(&self, previous_index: u64, entries: &[Entry], probe: Probe) -> Body {
+        match self.others_have_entries {
+            true => Body::AppendReply { matched: true, index: previous_index + entries.len() as u64, probe },
+            false => Body::AppendReply { matched: false, index: 0, probe },
+        }
+    }
+
+    fn granted(&self) -> Vec<u64> {
+        let revision = |(_, answer): &(&str, LeaseAnswer)| match answer {
+            LeaseAnswer::Granted { revision, .. } => Some(*revision),
+            LeaseAnswer::NotLeader { .. } => None,
+        };
+        self.answers.iter().filter_map(revision).collect()
+    }
+}
+
+fn commands(count: u64) -> Vec<Vec<u8>> {
+    (0..count).map(|number| server_report_command(number, number)).collect()
+}
+
+#[test]
+fn a_new_leader_grants_no_lease_on_a_state_that_lacks_committed_entries() {
+    let mut member = Member::elected(commands(3));
+    member.step(Input::Lease(request("entry", 0), "entry"));
+    member.advance(1_000);
+    assert_eq!(member.granted(), Vec::<u64>::new(), "the state may lack what earlier leaders committed");
+    member.others_have_entries = true;
+    member.advance(500);
+    member.step(Input::Lease(request("entry", 0), "entry"));
+    member.advance(500);
+    assert_eq!(member.granted().first(), Some(&3));
+}
+
+#[test]
+fn a_new_leader_lets_no_voter_grant_leases_on_such_a_state() {
+    let mut member = Member::elected(commands(3));
+    let delegated = DelegatedRequest {
+        daemon: "entry".to_string(),
+        record: None,
+        incarnation: 1,
+        applied_revision: 0,
+        leaving: false,
+        in_flight: 0,
+    };
+    member.step(Input::Delegate(vec![delegated], "voter"));
+    assert!(
+        matches!(member.delegations[..], [DelegationAnswer::NotLeader { .. }]),
+        "{:?}",
+        member.delegations
+    );
+}
