A long log is applied in parts, with heartbeats between them

In the logs a member is elected, does nothing for about a second, and steps down; the next one does the same.

Cause: all entries that an election commits were applied in one turn of the control thread. A turn that is longer than the election timeout costs a leader its majority, and a follower its place among those that answer. Its length grew with the log, the state, and the inverse of the processor's share.

Change: committed entries wait in a queue, and each turn applies 1 MiB or 512 entries of it. The control thread takes the next turn at once, and handles what has arrived between two turns. The tables are published every 200 ms meanwhile, as publishing costs as much as they are large, and the log is compacted once the queue is empty. The limit on commands counts what waits to be applied.

--- a/crates/control/src/consensus_outputs.rs
+++ b/crates/control/src/consensus_outputs.rs
@@ -11,6 +11,12 @@
 use dockwood_state::{ControlVoter, decode_command, encode_outcome};
 use std::collections::BTreeMap;
 
+/// Total size of the entries that are applied in one turn; a single larger entry is still applied. Between two turns heartbeats
+/// are sent and answered, which must not depend on the length of the log.
+const MAX_BYTES_PER_TURN: usize = 1 << 20;
+/// Number of entries that are applied in one turn.
+const MAX_ENTRIES_PER_TURN: usize = 512;
+
 impl<R> ControlNode<R> {
     /// Passes an input to the consensus core and processes its outputs.
     pub(crate) fn step_core(&mut self, now: Moment, input: consensus::Input) {
@@ -29,7 +35,11 @@
                 self.outputs.push(Output::Persist { hard_state, entries });
             }
             consensus::Output::Send(message) => self.outputs.push(Output::Send(message)),
-            consensus::Output::Commit(entries) => entries.into_iter().for_each(|entry| self.commit(entry)),
+            consensus::Output::Commit(entries) => {
+                if let Some(voter) = &mut self.voter {
+                    voter.committed.extend(entries);
+                }
+            }
             consensus::Output::Restore { index, term, data } => {
                 if let Some(snapshot) = self.with_log(index, term, data.clone()) {
                     self.record_compaction(&snapshot);
@@ -41,6 +51,7 @@
                     voter.core.restore_voters(&voters);
                     voter.learn_addresses(&voters);
                     voter.applied_index = index;
+                    voter.committed.clear();
                 }
             }
             consensus::Output::SnapshotNeeded { to } => self.supply_snapshot(now, to),
@@ -58,7 +69,26 @@
         }
     }
 
-    fn commit(&mut self, entry: Entry) {
+    /// Applies committed entries, as many as one turn may take.
+    pub(crate) fn apply_committed(&mut self) {
+        let mut bytes = 0;
+        for _ in 0..MAX_ENTRIES_PER_TURN {
+            let next = self.voter.as_mut().and_then(|voter| voter.committed.pop_front());
+            let Some(entry) = next else { return };
+            bytes += entry.payload_bytes();
+            self.apply_entry(entry);
+            if bytes >= MAX_BYTES_PER_TURN {
+                return;
+            }
+        }
+    }
+
+    /// Whether committed entries are left for the next turns.
+    pub fn has_entries_to_apply(&self) -> bool {
+        self.voter.as_ref().is_some_and(|voter| !voter.committed.is_empty())
+    }
+
+    fn apply_entry(&mut self, entry: Entry) {
         if let Payload::Voters(voters) = &entry.payload {
             let to_control_voter = |voter: &Voter| ControlVoter { id: voter.id, address: voter.address };
             self.board.state.voters = voters.iter().map(to_control_voter).collect();
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -142,6 +142,7 @@
     /// Ends a turn: processes the inputs handled so far and returns the outputs in order.
     pub fn finish_turn(&mut self, now: Moment) -> Vec<Output<R>> {
         self.step_core(now, consensus::Input::Tick);
+        self.apply_committed();
         let batch = std::mem::take(&mut self.batch);
         self.propose(now, batch);
         self.run_controllers(now);
@@ -316,8 +317,8 @@
                 let failure =
                     SubmitReply::Failed { code: error.code(), message: error.message().to_string() };
                 self.outputs.push(Output::SubmitReply(reply, failure));
-            } else if self.has_too_much_to_commit(batch, command.len()) {
-                let failure = proposal_dropped("too many bytes wait to be committed");
+            } else if self.has_too_much_to_apply(batch, command.len()) {
+                let failure = proposal_dropped("too many bytes wait to be applied");
                 self.outputs.push(Output::SubmitReply(reply, failure));
             } else {
                 batch.commands.push(command);
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -8,7 +8,7 @@
 use dockwood_api::ResultCode;
 use dockwood_api::peer::{SubmitReply, VoterRecord};
 use dockwood_consensus::{Entry, Node, Payload, RoleName, Term, Voter};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Who waits for a proposed command.
@@ -33,6 +33,8 @@
     pub core: Node,
     pub addresses: BTreeMap<u64, SocketAddr>,
     pub applied_index: u64,
+    /// Committed entries that are not applied yet, in order.
+    pub committed: VecDeque<Entry>,
     pub proposals: BTreeMap<u64, Proposal<R>>,
     pub leader_state: Option<LeaderState<R>>,
     /// Lease requests that this node answers on behalf of the leader.
@@ -50,6 +52,7 @@
             applied_index: core.snapshot_index(),
             core,
             addresses,
+            committed: VecDeque::new(),
             proposals: BTreeMap::new(),
             leader_state: None,
             proxy: LeaseProxy::new(0),
@@ -96,8 +99,12 @@
         self.leads(now) && self.applied_own_term()
     }
 
-    /// Whether the log has many applied entries, or these take much more room than a snapshot.
+    /// Whether the log has many applied entries, or these take much more room than a snapshot. Not while committed entries are
+    /// being applied, as the next snapshot would soon follow.
     pub fn is_compaction_due(&self, max_entries: u64) -> bool {
+        if !self.committed.is_empty() {
+            return false;
+        }
         let entries = self.applied_index.saturating_sub(self.core.snapshot_index());
         entries >= max_entries
             || self.log_size.reaches_limit_without(self.core.payload_bytes_after(self.applied_index))
--- a/crates/control/src/voter_turn.rs
+++ b/crates/control/src/voter_turn.rs
@@ -9,16 +9,17 @@
 use dockwood_api::peer::SubmitReply;
 use dockwood_consensus as consensus;
 
-/// Total size of callers' commands up to which more are accepted before they are committed; a single larger command
+/// Total size of callers' commands up to which more are accepted before they are applied; a single larger command
 /// is still accepted. Until then they can't be compacted, and concurrent changes of the gateway's configuration may
 /// be as large as the state each.
 const MAX_UNCOMMITTED_BYTES: u64 = 8 << 20;
 
 impl<R> ControlNode<R> {
-    /// Whether a caller's command of this size has to be sent again later, because too much waits to be committed.
-    pub(crate) fn has_too_much_to_commit(&self, batch: &Batch<R>, command_bytes: usize) -> bool {
+    /// Whether a caller's command of this size has to be sent again later, because too much waits to be committed and
+    /// applied.
+    pub(crate) fn has_too_much_to_apply(&self, batch: &Batch<R>, command_bytes: usize) -> bool {
         let Some(voter) = &self.voter else { return false };
-        let waiting = batch.bytes() + voter.core.payload_bytes_after(voter.core.commit_index());
+        let waiting = batch.bytes() + voter.core.payload_bytes_after(voter.applied_index);
         waiting > 0 && waiting + command_bytes as u64 > MAX_UNCOMMITTED_BYTES
     }
 
--- a/crates/control/tests/new_leader.rs
+++ b/crates/control/tests/new_leader.rs
@@ -3,12 +3,14 @@
 mod common;
 
 use common::{request, server_report_command};
+use dockwood_api::gateway::InstanceState;
 use dockwood_api::peer::{DelegatedRequest, DelegationAnswer, LeaseAnswer};
 use dockwood_consensus::{Body, Entry, HardState, Message, Node, Payload, Probe, Recovered, Settings};
 use dockwood_control::{ControlNode, Input, Moment, Output};
-use dockwood_state::State;
+use dockwood_state::{Command, CommandBody, GatewayCommand, InstanceRow, State, encode_command};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use yare::parameterized;
 
 const TICK_MS: u64 = 20;
 const OWN_ID: u64 = 1;
@@ -22,6 +24,8 @@
     others_have_entries: bool,
     answers: Vec<(&'static str, LeaseAnswer)>,
     delegations: Vec<DelegationAnswer>,
+    /// The most commands that it has applied between two occasions to send heartbeats.
+    most_applied_at_once: u64,
 }
 
 impl Member {
@@ -44,7 +48,14 @@
         let addresses = BTreeMap::from_iter(settings.voters.iter().map(|id| (*id, address(*id))));
         let node =
             ControlNode::voter("member", State::default(), Node::new(settings, recovered, 0), addresses);
-        Member { node, now: 0, others_have_entries: false, answers: Vec::new(), delegations: Vec::new() }
+        Member {
+            node,
+            now: 0,
+            others_have_entries: false,
+            answers: Vec::new(),
+            delegations: Vec::new(),
+            most_applied_at_once: 0,
+        }
     }
 
     /// Elected, with a lease, while the others lack the entries of its log.
@@ -69,7 +80,11 @@
     fn step(&mut self, input: Input<&'static str>) {
         let mut inputs = vec![input];
         while let Some(input) = inputs.pop() {
-            for output in self.node.step(self.moment(), input) {
+            let revision = self.node.tables().revision;
+            let outputs = self.node.step(self.moment(), input);
+            let applied = self.node.tables().revision - revision;
+            self.most_applied_at_once = self.most_applied_at_once.max(applied);
+            for output in outputs {
                 match output {
                     Output::Persist { entries, .. } => {
                         let last = entries.last().map(|last| (last.index, last.term));
@@ -113,6 +128,22 @@
     }
 }
 
+/// A command of about this size, in bytes.
+fn large_command(number: u64, bytes: usize) -> Vec<u8> {
+    let row = InstanceRow {
+        id: format!("server-{number}"),
+        started_ms: None,
+        service: "s".repeat(bytes),
+        address: SocketAddr::from(([127, 0, 0, 9], number as u16)),
+        zone: "z".to_string(),
+        slots: 1,
+        state: InstanceState::Ready,
+        is_cold: false,
+        domain: None,
+    };
+    encode_command(&Command { at_ms: number, body: CommandBody::Gateway(GatewayCommand::Register(row)) })
+}
+
 fn commands(count: u64) -> Vec<Vec<u8>> {
     (0..count).map(|number| server_report_command(number, number)).collect()
 }
@@ -148,3 +179,16 @@
         member.delegations
     );
 }
+
+#[parameterized(
+    large_commands = { 40, 512 << 10, 3 },
+    small_commands = { 3_000, 10, 600 },
+)]
+fn a_new_leader_sends_heartbeats_while_it_applies_a_long_log(count: u64, bytes: usize, most_at_once: u64) {
+    let commands = (0..count).map(|number| large_command(number, bytes)).collect();
+    let mut member = Member::elected(commands);
+    member.others_have_entries = true;
+    member.advance(4_000);
+    assert_eq!(member.node.tables().revision, count);
+    assert!(member.most_applied_at_once <= most_at_once, "{} at once", member.most_applied_at_once);
+}
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -34,6 +34,8 @@
 const ELECTION_TIMEOUT_MS: u64 = 500;
 /// Interval of a leader's heartbeats to an idle follower, in milliseconds.
 const HEARTBEAT_MS: u64 = 100;
+/// Tables are published after this time at the latest while a long log is being applied.
+const MAX_PUBLISH_DELAY: Duration = Duration::from_millis(200);
 /// Maximum payload of one append message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -143,6 +145,7 @@
     announcer: Announcer,
     delegation: Delegation,
     turns: TurnTimer,
+    published_at: Instant,
     pub(super) stopping: bool,
 }
 
@@ -168,6 +171,8 @@
                 control.handle_messages(std::mem::take(&mut received))?;
             }
             _ = ticks.tick() => control.step(Input::Tick)?,
+            // Messages that have arrived meanwhile are handled between two parts of a long log.
+            () = tokio::task::yield_now(), if control.node.has_entries_to_apply() => control.step(Input::Tick)?,
         }
         control.publish();
         control.turns.end_turn();
@@ -205,6 +210,7 @@
             announcer,
             delegation,
             turns,
+            published_at: Instant::now(),
             stopping: false,
         }
     }
@@ -368,11 +374,15 @@
         self.shared.metrics.set_voters(&self.node.voters_by_zone());
     }
 
+    /// Publishes the tables if they have changed. While a long log is being applied, they are published only now and then: each
+    /// time takes as long as the tables are large.
     fn publish(&mut self) {
-        if !self.node.take_dirty() {
+        let is_deferred = self.node.has_entries_to_apply() && self.published_at.elapsed() < MAX_PUBLISH_DELAY;
+        if is_deferred || !self.node.take_dirty() {
             return;
         }
         let begun = Instant::now();
+        self.published_at = begun;
         self.publish_voters();
         let tables = Arc::new(self.node.tables().clone());
         let routing = Arc::new(RoutingTable::build(&tables));
