Settings: the address at which peers are accepted may differ from the one they use

`listen.peerBind` is where a daemon accepts connections of other daemons if something forwards them, such as a port mapping. Without it nothing changes. An address that is invalid or that listen.http has is refused with its line (tests in settings.rs)."

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -120,7 +120,7 @@
     let ProcessOptions { settings, settings_path, dialect } = options;
     let metrics = Metrics::new().map_err(setup_error)?;
     let http_listener = bind(settings.http)?;
-    let peer_listener = bind(settings.peer)?;
+    let peer_listener = bind(settings.peer_bind)?;
     let gateway_listeners = gateway_listeners(&settings)?;
     let started = StartedControl::open(&settings, &metrics)?;
     let member_id = started.member_id;
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -10,9 +10,10 @@
 pub(super) fn check(settings: &LocatedSettings, problems: &mut Problems) {
     let line = |field: &str| settings.lines.get(field).copied().unwrap_or(0);
     let values = &settings.values;
-    if is_conflicting(values.http, values.peer) {
+    if is_conflicting(values.http, values.peer_bind) {
         let message = format!("is the address of listen.http too: {}", values.http);
-        problems.add(ResultCode::SettingsOverlap, line("listen.peer"), "listen.peer", message);
+        let field = if values.peer_bind == values.peer { "listen.peer" } else { "listen.peerBind" };
+        problems.add(ResultCode::SettingsOverlap, line(field), field, message);
     }
     check_voters(values, &line, problems);
     check_tokens(values, problems);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -74,8 +74,10 @@
     pub zone: String,
     /// Address for callers and operators.
     pub http: SocketAddr,
-    /// Address for other daemons.
+    /// Address at which other daemons reach this one.
     pub peer: SocketAddr,
+    /// Address at which this daemon accepts connections of others: `peer`, unless another program forwards them.
+    pub peer_bind: SocketAddr,
     /// The voters of the control group; empty if it is found by seeds.
     pub voters: Vec<Voter>,
     /// How the group is found if there is no fixed list of voters.
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -92,6 +92,10 @@
     let (listen, control, traffic, log) = (listen?, control?, traffic?, log?);
     lines.insert(listen.http.path, listen.http.line);
     lines.insert(listen.peer.path, listen.peer.line);
+    let peer_bind = listen.peer_bind.map_or(listen.peer.value, |bind| {
+        lines.insert(bind.path, bind.line);
+        bind.value
+    });
     let name = name?;
     lines.insert(name.path, name.line);
     let values = Settings {
@@ -100,6 +104,7 @@
         zone: zone?.value,
         http: listen.http.value,
         peer: listen.peer.value,
+        peer_bind,
         voters: control.voters,
         seeds: control.seeds,
         gateway: gateway?,
@@ -120,16 +125,23 @@
 struct Listen {
     http: Located<SocketAddr>,
     peer: Located<SocketAddr>,
+    /// Where connections to `peer` arrive, if another program forwards them.
+    peer_bind: Option<Located<SocketAddr>>,
 }
 
 fn read_listen(node: &Node, problems: &mut Problems) -> Option<Listen> {
-    let section = Section::new(node, "listen", &["http", "peer", "ip", "ports", "slot"], problems)?;
+    let section =
+        Section::new(node, "listen", &["http", "peer", "peerBind", "ip", "ports", "slot"], problems)?;
     if section.optional("ports").is_some() {
         return read_listen_range(&section, problems);
     }
     let http = section.address("http", problems);
     let peer = section.address("peer", problems);
-    Some(Listen { http: http?, peer: peer? })
+    let peer_bind = match section.optional("peerBind") {
+        None => Some(None),
+        Some(_) => section.address("peerBind", problems).map(Some),
+    };
+    Some(Listen { http: http?, peer: peer?, peer_bind: peer_bind? })
 }
 
 /// Derives the addresses from a port range: each process on a machine has its own slot of two ports.
@@ -153,7 +165,7 @@
         line: ip.line,
         path: section.path_of(name),
     };
-    Some(Listen { http: located("http", http), peer: located("peer", peer) })
+    Some(Listen { http: located("http", http), peer: located("peer", peer), peer_bind: None })
 }
 
 struct Control {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -37,6 +37,7 @@
     let settings = read(VALID).unwrap_or_else(|problems| panic!("{problems:?}"));
     assert_eq!(settings.own_voter().map(|voter| voter.id), Some(1));
     assert_eq!(settings.entry_lifetime.as_secs(), 10);
+    assert_eq!(settings.peer_bind, settings.peer);
     assert!(settings.tokens[0].digest.starts_with("sha256:"));
 }
 
@@ -52,6 +53,8 @@
     voters_share_an_id = { "id: 2", "id: 1", 7009, 10, "control.voters[1]" },
     voter_without_folder = { "  dataFolder: data\n", "", 7008, 8, "control.dataFolder" },
     own_voter_with_other_address = { "name: e1, peer: 127.0.0.1:7001", "name: e1, peer: 127.0.0.9:7001", 7005, 9, "control.voters[0]" },
+    bad_peer_bind = { "  peer: 127.0.0.1:7001\ncontrol", "  peer: 127.0.0.1:7001\n  peerBind: nowhere\ncontrol", 7006, 7, "listen.peerBind" },
+    overlapping_peer_bind = { "  peer: 127.0.0.1:7001\ncontrol", "  peer: 127.0.0.1:7001\n  peerBind: 127.0.0.1:7000\ncontrol", 7007, 7, "listen.peerBind" },
     bad_role = { "role: write", "role: admin", 7005, 13, "tokens[0].role" },
     duplicate_key = { "zone: z\n", "zone: z\nzone: y\n", 7009, 4, "" },
     invalid_yaml = { "tokens:\n", "tokens: [\n", 7002, 13, "" },
