A soak of changes of the configuration with real members, disks, entries and links

Six members with disks, three entries and a forwarder between all of them; one or two operators that submit changes of all kinds and sizes (up to 4,000 routes more, invalid ones, second contents under an accepted version, repeated and abandoned calls). Checked from what operators and callers see, with the bounds of a deployment: in force within 2.5 s (8.5 s beside disruptions of the control group), read back as sent, never older, no invalid one accepted or in force, added routes served, removed keys refused after 5 s whatever is disrupted, no return to an earlier version within a process's life, accepted in time, read back within 4 s and served within 15 s after the last fault.

The operator, the probes and the checks are those of the soak of silent servers, moved to configuration_changes and extended: it checks now also that what is read is exactly what was submitted, that a key that was taken away is refused, and when a change is accepted."

--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -30,9 +30,41 @@
 pub const OPERATOR_TOKEN: &str = "operator-token";
 const MEMBERS: u8 = 3;
 const ENTRIES: u8 = 2;
+/// The first members are the seeds of all daemons.
+pub const SEEDS: u8 = 3;
+/// Where a daemon accepts connections of other daemons if they are forwarded from `PEER_PORT`.
+const FORWARDED_PEER_PORT: u16 = 7_110;
 
 static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
 
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    pub members: u8,
+    pub entries: u8,
+    /// Members that may be lost at once with their disks.
+    pub losses_tolerated: u8,
+    /// The leader dispatches in fleets of up to this number of entries.
+    pub leader_dispatches_up_to: u32,
+    /// Whether the test forwards the connections between daemons, so that it can disrupt them.
+    pub forwards_peers: bool,
+    /// Settings of the gateway that differ from those of this fixture, for all daemons.
+    pub gateway_settings: Value,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        FleetOptions {
+            members: MEMBERS,
+            entries: ENTRIES,
+            losses_tolerated: 1,
+            leader_dispatches_up_to: 64,
+            forwards_peers: false,
+            gateway_settings: json!({}),
+        }
+    }
+}
+
 /// A fleet of daemons.
 pub struct Fleet {
     pub members: Vec<Daemon>,
@@ -40,9 +72,7 @@
     pub http: Client,
     network: [u8; 2],
     folder: tempfile::TempDir,
-    leader_dispatches_up_to: u32,
-    /// Settings of the gateway that differ from those of this fixture, for all daemons.
-    gateway_settings: Value,
+    options: FleetOptions,
 }
 
 impl Drop for Fleet {
@@ -67,53 +97,60 @@
     }
 
     /// The same with this number of entries.
-    pub fn start_with_entries(entry_count: u8, leader_dispatches_up_to: u32) -> Fleet {
-        Fleet::start_with_settings(entry_count, leader_dispatches_up_to, json!({}))
+    pub fn start_with_entries(entries: u8, leader_dispatches_up_to: u32) -> Fleet {
+        Fleet::start_with(FleetOptions { entries, leader_dispatches_up_to, ..FleetOptions::default() })
     }
 
-    /// The same with these settings of the gateway.
-    pub fn start_with_settings(
-        entry_count: u8,
-        leader_dispatches_up_to: u32,
-        gateway_settings: Value,
-    ) -> Fleet {
+    /// Starts the daemons of a fleet with these options.
+    pub fn start_with(options: FleetOptions) -> Fleet {
+        let mut fleet = Fleet::new(options);
+        fleet.members.iter_mut().chain(&mut fleet.entries).for_each(Daemon::start);
+        fleet
+    }
+
+    /// Creates a fleet whose daemons are not started yet.
+    pub fn new(options: FleetOptions) -> Fleet {
         let process = std::process::id();
         let number = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst) as u8;
         let network = [64 + number, (process % 250) as u8 + 1];
         let in_memory = tempfile::tempdir_in(MEMORY_DIRECTORY).or_else(|_| tempfile::tempdir());
         let folder = in_memory.unwrap_or_else(|error| panic!("{error}"));
         let http = Client::builder().pool_max_idle_per_host(0).build().unwrap_or_default();
-        let (members, entries) = (Vec::new(), Vec::new());
-        let mut fleet =
-            Fleet { members, entries, http, network, folder, leader_dispatches_up_to, gateway_settings };
-        for number in 0..MEMBERS {
-            let daemon = fleet.daemon(&format!("member-{number}"), number, true, true);
+        let (member_count, entry_count) = (options.members, options.entries);
+        let mut fleet = Fleet { members: Vec::new(), entries: Vec::new(), http, network, folder, options };
+        for number in 0..member_count {
+            let daemon = fleet.daemon(&format!("member-{number}"), number, true, number < SEEDS);
             fleet.members.push(daemon);
         }
         for number in 0..entry_count {
-            let daemon = fleet.daemon(&format!("entry-{number}"), MEMBERS + number, false, false);
+            let daemon = fleet.daemon(&format!("entry-{number}"), member_count + number, false, false);
             fleet.entries.push(daemon);
         }
-        fleet.members.iter_mut().chain(&mut fleet.entries).for_each(Daemon::start);
         fleet
     }
 
     /// Creates a daemon that is not started yet, and writes its settings.
     pub fn daemon(&self, name: &str, host: u8, member: bool, founding: bool) -> Daemon {
-        let seeds: Vec<SocketAddr> =
-            (0..MEMBERS).map(|member| self.address(member, OPERATORS_PORT)).collect();
+        let seeds: Vec<SocketAddr> = (0..SEEDS).map(|member| self.address(member, OPERATORS_PORT)).collect();
         self.daemon_with_seeds(name, host, member, founding, seeds)
     }
 
     /// Creates an additional entry whose only seed is another entry.
     pub fn entry_with_seed(&self, other: u8) -> Daemon {
-        let seeds = vec![self.address(MEMBERS + other, OPERATORS_PORT)];
-        self.daemon_with_seeds("entry-cut-off", MEMBERS + self.entry_count(), false, false, seeds)
+        let seeds = vec![self.address(self.entry_host(other), OPERATORS_PORT)];
+        self.daemon_with_seeds(
+            "entry-cut-off",
+            self.options.members + self.entry_count(),
+            false,
+            false,
+            seeds,
+        )
     }
 
     /// Creates a daemon that accepts operators' calls and servers' reports, but has no disk and thus is not a voter.
     pub fn diskless_daemon(&self) -> Daemon {
-        let daemon = self.daemon("control-without-disk", MEMBERS + self.entry_count() + 1, true, false);
+        let daemon =
+            self.daemon("control-without-disk", self.options.members + self.entry_count() + 1, true, false);
         let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
         let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
         settings["control"]["member"] = json!(false);
@@ -123,7 +160,7 @@
 
     /// Returns that daemon's address for operators and servers.
     pub fn diskless_daemon_operators(&self) -> SocketAddr {
-        self.address(MEMBERS + self.entry_count() + 1, OPERATORS_PORT)
+        self.address(self.options.members + self.entry_count() + 1, OPERATORS_PORT)
     }
 
     /// Changes a daemon's seeds; takes effect at its next start.
@@ -164,16 +201,20 @@
             })
         };
         gateway["zones"] = json!({ "z": "r", "y": "s" });
-        gateway["leaderDispatchesUpTo"] = json!(self.leader_dispatches_up_to);
-        for (key, value) in self.gateway_settings.as_object().into_iter().flatten() {
+        gateway["leaderDispatchesUpTo"] = json!(self.options.leader_dispatches_up_to);
+        for (key, value) in self.options.gateway_settings.as_object().into_iter().flatten() {
             gateway[key] = value.clone();
         }
+        let mut listen = json!({ "peer": address(PEER_PORT), "http": address(PEER_PORT + 1) });
+        if self.options.forwards_peers {
+            listen["peerBind"] = json!(address(FORWARDED_PEER_PORT));
+        }
         let settings = json!({
             "name": name, "region": "r", "zone": "z",
-            "listen": { "peer": address(PEER_PORT), "http": address(PEER_PORT + 1) },
+            "listen": listen,
             "control": {
                 "seeds": seeds, "seedPeerPort": PEER_PORT, "founding": founding, "member": member,
-                "dataFolder": data_directory,
+                "dataFolder": data_directory, "lossesTolerated": self.options.losses_tolerated,
             },
             "gateway": gateway,
             "tokens": [{ "name": "operator", "role": "write", "token": OPERATOR_TOKEN }],
@@ -197,7 +238,13 @@
     }
 
     pub fn operators(&self) -> Vec<SocketAddr> {
-        (0..MEMBERS).map(|member| self.address(member, OPERATORS_PORT)).collect()
+        (0..self.options.members).map(|member| self.address(member, OPERATORS_PORT)).collect()
+    }
+
+    /// Returns where other daemons connect to a daemon, and where it accepts them.
+    pub fn peer_addresses(&self, host: u8) -> (SocketAddr, SocketAddr) {
+        let port = if self.options.forwards_peers { FORWARDED_PEER_PORT } else { PEER_PORT };
+        (self.address(host, PEER_PORT), self.address(host, port))
     }
 
     /// Returns the base URL of a member's resource API.
@@ -206,7 +253,7 @@
     }
 
     pub fn entry(&self, number: u8) -> String {
-        format!("http://{}", self.address(MEMBERS + number, FRONTEND_PORT))
+        format!("http://{}", self.address(self.entry_host(number), FRONTEND_PORT))
     }
 
     /// Returns the number of calls that an entry has relayed to the leader for other daemons.
@@ -248,7 +295,7 @@
 
     /// Returns the host number of an entry.
     pub fn entry_host(&self, number: u8) -> u8 {
-        MEMBERS + number
+        self.options.members + number
     }
 
     /// Returns the value of an entry's metric.
--- a/crates/daemon/tests/gateway/main.rs
+++ b/crates/daemon/tests/gateway/main.rs
@@ -3,6 +3,8 @@
 
 mod behavior;
 mod cold_servers;
+mod configuration_changes;
+mod configuration_soak;
 mod delegated_leases;
 mod evacuation;
 mod event_stream;
--- a/crates/daemon/tests/gateway/silent_servers_soak/mod.rs
+++ b/crates/daemon/tests/gateway/silent_servers_soak/mod.rs
@@ -7,36 +7,44 @@
 
 mod callers;
 mod checks;
-mod configuration_checks;
 mod http_text;
 mod injector;
 mod membership;
-mod operator;
 mod records;
 mod schedule;
 mod server;
 
-use crate::fixture::Fleet;
+use crate::configuration_changes::{
+    Bounds, ConfigurationRecords, Defect as OperatorDefect, Disruption, Operator, Process, keep_probing,
+};
+use crate::fixture::{Fleet, FleetOptions, configuration};
 use crate::limit_soak::environment_or;
 use callers::Caller;
 use checks::SoakRecords;
-use configuration_checks::{ConfigurationRecords, check_final};
 use futures::future::join_all;
-use injector::Injector;
-use operator::{Operator, soak_configuration};
-use records::{Call, CallKind, lock};
+use injector::{Injector, Outage, OutageKind};
+use records::{Call, CallKind};
 use schedule::{ENTRIES, MODEL_SERVERS, Schedule};
-use serde_json::json;
+use serde_json::{Value, json};
 use server::{BREAKS_AFTER, Defect, REPORT_INTERVAL, ServerContext};
 use std::io::{Error, Result};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 use yare::parameterized;
 
 /// Number of callers of each kind of requests at each entry.
 const CALLERS_OF_A_KIND: usize = 3;
+/// Times in which configurations take effect.
+const BOUNDS: Bounds = Bounds {
+    applied_within: Duration::from_secs(2),
+    settled_after: Duration::from_secs(3),
+    delayed_by_control: Duration::ZERO,
+    reverts_within: Duration::from_millis(250),
+    revoked_within: Duration::from_secs(5),
+    accepted_within: Duration::from_secs(5),
+};
 
 /// What a run has shown. The fleet is kept so that its logs are kept if the test fails.
 struct SoakResult {
@@ -48,18 +56,23 @@
 async fn run_schedule(name: &str, schedule: &Schedule, defect: Defect) -> Result<SoakResult> {
     let gateway_settings =
         json!({ "stallMs": BREAKS_AFTER.as_millis(), "heartbeatMs": REPORT_INTERVAL.as_millis() });
-    let fleet = Fleet::start_with_settings(ENTRIES as u8, schedule.leader_dispatches_up_to, gateway_settings);
+    let fleet = Fleet::start_with(FleetOptions {
+        entries: ENTRIES as u8,
+        leader_dispatches_up_to: schedule.leader_dispatches_up_to,
+        gateway_settings,
+        ..FleetOptions::default()
+    });
     let context = ServerContext::new(fleet.operators(), defect);
     let mut injector = Injector::start(fleet, context.clone()).await?;
     injector.fleet.configure(&soak_configuration(1)).await;
     injector.fleet.wait_until_served("/once/1").await;
     injector.fleet.wait_until_open("writer", MODEL_SERVERS as u32 / 2).await;
-    let operator = Arc::new(Operator {
-        http: injector.fleet.http.clone(),
-        operators: injector.fleet.operators(),
-        submissions: Mutex::default(),
-        defect,
-    });
+    let operator_defect = match defect {
+        Defect::InventsConfiguration => OperatorDefect::InventsConfiguration,
+        _ => OperatorDefect::None,
+    };
+    let (http, operators) = (injector.fleet.http.clone(), injector.fleet.operators());
+    let operator = Arc::new(Operator::new(http, operators, soak_configuration(1), operator_defect));
     let started = Instant::now();
     injector.last_disruption_end = started;
     let storms = tokio::spawn(operator.clone().submit_storms(started, schedule.storms.clone()));
@@ -67,7 +80,7 @@
     let callers = spawn_callers(&injector.fleet, &is_over);
     let probing = (0..ENTRIES).map(|entry| {
         let url = injector.fleet.entry(entry as u8);
-        tokio::spawn(operator.clone().keep_probing(entry, url, is_over.clone()))
+        tokio::spawn(keep_probing(operator.clone(), entry, url, BOUNDS.applied_within, is_over.clone()))
     });
     let probing: Vec<_> = probing.collect();
     let reading = tokio::spawn(operator.clone().keep_reading(is_over.clone()));
@@ -90,10 +103,12 @@
     };
     let configurations = ConfigurationRecords {
         started,
-        submissions: lock(&operator.submissions).clone(),
+        bounds: BOUNDS,
+        members: injector.fleet.members.len(),
+        submissions: operator.submissions(),
         probes: probes.map_err(Error::other)?.concat(),
         reads,
-        outages: injector.outages.clone(),
+        disruptions: injector.outages.iter().map(disruption_of).collect(),
     };
     println!("{name}: {}; {} configurations", records.summary(), configurations.submissions.len());
     records.held_until_deadline().iter().for_each(|call| println!("{call}"));
@@ -103,10 +118,33 @@
         violations.extend(records.missing_recovery());
     }
     injector.fleet.settled_version().await;
-    violations.extend(check_final(&operator, operator.read(operator.operators[0]).await));
+    violations.extend(configurations.check_final(operator.read(operator.operators[0]).await.as_ref()));
     Ok(SoakResult { violations, _injector: injector })
 }
 
+fn disruption_of(outage: &Outage) -> Disruption {
+    Disruption {
+        process: Process::Entry(outage.entry),
+        ends_process: outage.kind != OutageKind::Suspended,
+        from: outage.from,
+        until: outage.until,
+    }
+}
+
+/// Returns a configuration with a route for each kind of requests.
+fn soak_configuration(version: u64) -> Value {
+    let mut content = configuration(version);
+    if let Some(routes) = content["routes"].as_array_mut() {
+        let mut route = routes[0].clone();
+        route["name"] = json!("stream-once");
+        route["path_prefix"] = json!("/stream-once/");
+        route["resumable"] = json!(false);
+        route["max_attempts"] = json!(1);
+        routes.push(route);
+    }
+    content
+}
+
 fn spawn_callers(fleet: &Fleet, is_over: &Arc<AtomicBool>) -> Vec<JoinHandle<Vec<Call>>> {
     let mut callers = Vec::new();
     for entry in 0..ENTRIES {
--- a/crates/daemon/tests/gateway/silent_servers_soak/schedule.rs
+++ b/crates/daemon/tests/gateway/silent_servers_soak/schedule.rs
@@ -1,6 +1,7 @@
 //! The faults of a run, and the changes beside them, selected by a seed.
 
 use super::checks::RECOVERED_WITHIN;
+use crate::configuration_changes::{Change, Invalidity, Storm};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
@@ -40,28 +41,17 @@
     Hangup { entries: Vec<usize> },
 }
 
-/// What is different in a new configuration.
-#[derive(Clone, Copy, Debug)]
-pub enum Change {
-    Timeouts,
-    ManyRoutes,
-    Keys,
-    Priorities,
-    Quotas,
-    /// The configuration is invalid.
-    Invalid,
-}
-
-const CHANGES: [Change; 6] =
-    [Change::Timeouts, Change::ManyRoutes, Change::Keys, Change::Priorities, Change::Quotas, Change::Invalid];
+/// Routes that are added at once.
+const EXTRA_ROUTES: usize = 150;
 
-/// A series of new configurations.
-#[derive(Clone, Debug)]
-pub struct Storm {
-    pub at_ms: u64,
-    pub gap_ms: u64,
-    pub changes: Vec<Change>,
-}
+const CHANGES: [Change; 6] = [
+    Change::Timeouts,
+    Change::ManyRoutes(EXTRA_ROUTES),
+    Change::Keys,
+    Change::Priorities,
+    Change::Quotas,
+    Change::Invalid(Invalidity::SamePrefix),
+];
 
 /// What happens in a run.
 #[derive(Clone, Debug)]
@@ -79,7 +69,11 @@
 impl Schedule {
     /// Without faults, for a short time, and with a few changes.
     pub fn without_faults() -> Schedule {
-        let storm = Storm { at_ms: 200, gap_ms: 50, changes: vec![Change::Timeouts, Change::ManyRoutes] };
+        let storm = Storm {
+            at_ms: 200,
+            gap_ms: 50,
+            changes: vec![Change::Timeouts, Change::ManyRoutes(EXTRA_ROUTES)],
+        };
         Schedule {
             faults: Vec::new(),
             storms: vec![storm],
