A candidate takes a vacant place before another voter is removed for it

What operators saw: a configuration that was accepted never came back, and no entry served, after two members had paused and two others had then lost their disks in a restart of everything.

Cause: with two silent voters and one candidate, the leader removed the first voter, and then the second one for the same candidate before it had joined. Four voters were left; without two of them there is no majority, whoever else returns. The members that were removed have their logs, but are no voters. It is the class of "what works is released before its replacement is secured".

In the logs of the soak, members that pause for 1.6 s left the group with three voters for 40 ms and with four for 1.4 s.

Change: below the target number, a candidate is added first, unless it would be needed for a majority while it catches up. Where it would be, the silent voter is removed first, as before."

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -115,8 +115,14 @@
     fn next(&self) -> Option<Vec<Voter>> {
         let voters = self.group.voters;
         if !self.candidates.is_empty() {
-            let removed = self.predecessor().or_else(|| self.replaceable());
-            if let Some(id) = removed.filter(|_| voters.len() > 2) {
+            if let Some(id) = self.predecessor().filter(|_| voters.len() > 2) {
+                return Some(without(voters, id));
+            }
+            // A candidate takes a vacant place before another voter is removed for it.
+            if let Some(candidate) = self.addable(voters).filter(|_| self.has_vacancy()) {
+                return Some(with(voters, candidate));
+            }
+            if let Some(id) = self.replaceable().filter(|_| voters.len() > 2) {
                 return Some(without(voters, id));
             }
             if voters.len() < self.max_voters
@@ -145,6 +151,14 @@
         self.group.voters.iter().find(is_replaced).map(|voter| voter.id)
     }
 
+    /// Whether the group lacks voters, and the voters that answer are a majority also once one has joined.
+    fn has_vacancy(&self) -> bool {
+        let silent = self.group.silent_for.values().filter(|silent| **silent >= REPLACEABLE_AFTER_MS).count();
+        let answering = self.group.voters.len() - silent;
+        let enlarged = self.group.voters.len() + 1;
+        self.group.voters.len() < self.group.target_voters && 2 * answering > enlarged
+    }
+
     /// The voter that has been silent longest among those that a candidate can replace.
     fn replaceable(&self) -> Option<NodeId> {
         let silent = self.group.silent_for.iter().filter(|(_, silent)| **silent >= REPLACEABLE_AFTER_MS);
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -133,6 +133,26 @@
     assert_eq!(next_for_losses(2, &mut candidates, &four, &[]), Some(vec![1, 2, 3, 5, 9]));
 }
 
+/// While two members pause, a single candidate must not cost the group two voters: with four, it has no majority once two
+/// members lose their disks.
+#[test]
+fn one_candidate_replaces_one_of_two_silent_voters() {
+    let mut candidates = candidates_from(&[voter(9)]);
+    let silent = [(4, 2_000), (5, 1_900)];
+    let five: Vec<Voter> = (1..=5).map(voter).collect();
+    assert_eq!(next_for_losses(2, &mut candidates, &five, &silent), Some(vec![1, 2, 3, 5]));
+    let four = [voter(1), voter(2), voter(3), voter(5)];
+    assert_eq!(next_for_losses(2, &mut candidates, &four, &silent[1..]), Some(vec![1, 2, 3, 5, 9]));
+    let five = [voter(1), voter(2), voter(3), voter(5), voter(9)];
+    assert_eq!(next_for_losses(2, &mut candidates, &five, &silent[1..]), None);
+}
+
+#[test]
+fn a_silent_voter_is_removed_first_where_its_successor_would_be_needed_for_a_majority() {
+    let mut candidates = candidates_from(&[voter(9)]);
+    assert_eq!(next_for_losses(2, &mut candidates, &THREE_VOTERS(), &[(2, 2_000)]), Some(vec![1, 3]));
+}
+
 #[test]
 fn five_target_voters_are_no_surplus() {
     let five: Vec<Voter> = (1..=5).map(voter).collect();
--- a/crates/daemon/tests/gateway/configuration_soak/mod.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/mod.rs
@@ -8,6 +8,7 @@
 mod injector;
 mod links;
 mod schedule;
+mod voter_losses;
 
 use crate::configuration_changes::{Bounds, ConfigurationRecords, Defect, Operator, Read, keep_probing};
 use crate::fixture::{Fleet, FleetOptions, configuration};
