A response that is no stream is read up to the deadline of its request

What callers saw: a request for a stream whose server answers with something else, slowly or without end, was held after its deadline: 5 s in the shortest case, 37 s for endless small chunks, and more than a minute for a body of 64 bytes each 20 ms, which is read up to 16 MiB.

Cause: the body was read outside of the wait that ends at the deadline.

--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -189,8 +189,13 @@
 
     /// Forwards a response of the only source that is not a stream, unless the request may be sent to another one.
     async fn take_other_response(&mut self, other: OtherResponse) -> Option<ReadResult> {
+        let deadline = self.sender.received.deadline;
         let only = self.sends.newest_mut()?;
-        let Some(body) = read_response_body(&only.gate, &other.parts.headers, other.body).await else {
+        let reading = read_response_body(&only.gate, &other.parts.headers, other.body);
+        let Ok(body) = tokio::time::timeout_at(deadline, reading).await else {
+            return Some(ReadResult::OutOfTime);
+        };
+        let Some(body) = body else {
             return self.take_broken(0).await;
         };
         let failed = other.parts.status.is_server_error();
