Responses to the daemon's own calls are read up to a limit, and a test of servers that send without end

What operators saw: nothing yet. A probe read whatever its server sent for as long as the call may take, and held it: 834 MB in six calls of 0.3 to 1 s on loopback.

Cause: `bytes()` and `json()` of the HTTP client have no limit. Probes, orders, health checks, the state of requests and the list of machines used them.

Change: bounded_response reads 1 MiB at most (16 MiB for the list of machines); what is larger is a failed answer, as something that can't be read was before.

Test: one_entry/endless_responses.rs, servers that send no HTTP, heads, sizes and extensions of chunks, trailers, bodies, events and interim responses without end, fast and slowly, to each kind of request and to probes, orders and queries.

--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -2,6 +2,7 @@
 //! order is sent again.
 
 use super::ControlMessage;
+use crate::bounded_response::{MAX_ANSWER_BYTES, read_bounded};
 use crate::dialect::Dialect;
 use crate::log_line::{LineBody, OrderLine};
 use crate::logging;
@@ -123,7 +124,7 @@
                 let names = &self.dialect.headers().signals;
                 permit.record_response(&signals_of(response.status(), response.headers(), names), "");
                 // A response shows that the server is alive even if its body is lost.
-                let body = response.bytes().await.unwrap_or_default();
+                let body = read_bounded(response, MAX_ANSWER_BYTES).await.unwrap_or_default();
                 (ProbeResult::Answered, self.dialect.report_slowness(&body))
             }
             other => (other, None),
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -1,6 +1,7 @@
 //! Sends fenced orders to machines. An order is committed to the log before it is sent, and is retried until answered.
 
 use super::ControlMessage;
+use crate::bounded_response::{MAX_ANSWER_BYTES, read_json};
 use crate::clock::monotonic_ms;
 use crate::shared::Shared;
 use dockwood_api::engine::{
@@ -78,7 +79,7 @@
     async fn post(&self, delivery: &Delivery) -> Option<OrderReply> {
         let url = format!("http://{}{PATH_ORDERS}", delivery.address);
         let response = self.http.post(url).timeout(CALL_TIMEOUT).json(&delivery.order).send().await.ok()?;
-        response.json().await.ok()
+        read_json(response, MAX_ANSWER_BYTES).await.ok()
     }
 
     /// Returns whether the order is in effect. A machine that doesn't check fences may have carried out an older order since,
@@ -89,7 +90,7 @@
         }
         let url = format!("http://{}{PATH_HEALTH}", delivery.address);
         let Ok(response) = self.http.get(url).timeout(CALL_TIMEOUT).send().await else { return false };
-        let Ok(health) = response.json::<GroupHealth>().await else { return false };
+        let Ok(health) = read_json::<GroupHealth>(response, MAX_ANSWER_BYTES).await else { return false };
         match &delivery.order.action {
             OrderAction::Load(plan) => {
                 health.loaded && health.epoch == plan.epoch && health.replica.as_ref() == Some(&plan.replica)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! One thread owns the control state ([`control`]); other threads handle traffic ([`traffic`], [`http`], [`probe`]).
 //! Decisions are made in crates without I/O; this crate provides their clocks, disks and sockets.
 
+pub mod bounded_response;
 pub mod cli;
 pub mod clock;
 pub mod connection_line;
--- a/crates/daemon/src/probe/engine_client.rs
+++ b/crates/daemon/src/probe/engine_client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for health probes of single machines.
 
+use crate::bounded_response::{MAX_ANSWER_BYTES, ResponseFault, read_json};
 use dockwood_api::engine::{GroupHealth, PATH_HEALTH};
 use dockwood_api::peer::MachineState;
 use std::net::SocketAddr;
@@ -42,13 +43,20 @@
     /// Probes one machine.
     pub async fn health(&self, address: SocketAddr) -> Result<GroupHealth, ProbeFailure> {
         let url = format!("http://{address}{PATH_HEALTH}");
-        let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await.map_err(classify)?;
-        response.json().await.map_err(classify)
+        let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await.map_err(ResponseFault::from);
+        let health = match response {
+            Ok(response) => read_json(response, MAX_ANSWER_BYTES).await,
+            Err(fault) => Err(fault),
+        };
+        health.map_err(|fault| classify(&fault))
     }
 }
 
-fn classify(error: reqwest::Error) -> ProbeFailure {
-    if error.is_timeout() { ProbeFailure::Silent } else { ProbeFailure::Refused }
+fn classify(fault: &ResponseFault) -> ProbeFailure {
+    match fault {
+        ResponseFault::Broken(error) if error.is_timeout() => ProbeFailure::Silent,
+        _ => ProbeFailure::Refused,
+    }
 }
 
 /// Returns the machine state that a health response implies.
--- a/crates/daemon/src/probe/platform.rs
+++ b/crates/daemon/src/probe/platform.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's list of machines. The list lags and is only a hint: liveness is determined by the daemons' own
 //! probes, and the list is used only to learn which machines are about to be taken away.
 
+use crate::bounded_response::{MAX_LIST_BYTES, read_json};
 use crate::control::ControlMessage;
 use crate::shared::Shared;
 use dockwood_api::engine::PlatformMachine;
@@ -23,7 +24,7 @@
             continue;
         }
         let Ok(response) = http.get(&url).timeout(READ_TIMEOUT).send().await else { continue };
-        if let Ok(rows) = response.json::<Vec<PlatformMachine>>().await {
+        if let Ok(rows) = read_json::<Vec<PlatformMachine>>(response, MAX_LIST_BYTES).await {
             shared.control.send(ControlMessage::PlatformList(rows)).await;
         }
     }
--- a/crates/daemon/src/traffic/engine_stream.rs
+++ b/crates/daemon/src/traffic/engine_stream.rs
@@ -1,5 +1,6 @@
 //! Client of the engine API at the head of a replica, for one request.
 
+use crate::bounded_response::{MAX_ANSWER_BYTES, read_json};
 use crate::native_dialect::NATIVE_SIGNALS;
 use crate::pushback::{SendPermit, signals_of};
 use bytes::BytesMut;
@@ -143,7 +144,7 @@
 pub async fn request_state(http: &reqwest::Client, head: SocketAddr, id: &str) -> Option<RequestState> {
     let url = format!("http://{head}{PATH_REQUESTS}/{id}");
     let response = http.get(url).timeout(RESPONSE_TIMEOUT).send().await.ok()?;
-    response.error_for_status().ok()?.json().await.ok()
+    read_json(response.error_for_status().ok()?, MAX_ANSWER_BYTES).await.ok()
 }
 
 /// Bars a request id that the head has not seen: the head will refuse it. Returns the resulting state of the request;
@@ -151,7 +152,7 @@
 pub async fn bar_request(http: &reqwest::Client, head: SocketAddr, id: &str) -> Option<RequestState> {
     let url = format!("http://{head}{PATH_REQUESTS}/{id}/bar");
     let response = http.post(url).timeout(RESPONSE_TIMEOUT).send().await.ok()?;
-    response.error_for_status().ok()?.json().await.ok()
+    read_json(response.error_for_status().ok()?, MAX_ANSWER_BYTES).await.ok()
 }
 
 /// Cancels a request; best effort.
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -3,6 +3,7 @@
 
 mod cut_off;
 mod cut_off_soak;
+mod endless_responses;
 mod entry;
 mod evacuation;
 mod large_responses;
