The time limits of a change grow with its size

A configuration of 1.7 MB was not accepted in 6 s by a member whose link to the others takes 1.6 MB/s; each try was refused after 850 ms.

Cause: one limit for all calls. A try that did not end in time closed its connection, and with it the transfer, so that the next one began anew. Large changes are the ones that slow machines and busy links delay.

Change: `transfer_time`, which the limits of the voters' messages had already, adds 1 ms for each 1,250 bytes of a command to the limit of its call and of each try. Tests of the forwarder itself: it holds back one direction, and resets only the connections of the daemons that it is told to."

--- a/crates/daemon/src/control/outbox.rs
+++ b/crates/daemon/src/control/outbox.rs
@@ -1,5 +1,6 @@
 //! Sends consensus messages to the other members of the control group.
 
+use crate::peer::transfer_time;
 use crate::shared::Shared;
 use dockwood_api::peer::PeerClient;
 use dockwood_api::{ApiError, ResultCode};
@@ -18,16 +19,13 @@
 const BATCH_TARGET_BYTES: usize = 256 << 10;
 /// Time limit of a call with an empty body.
 const BASE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Bytes of the body for each additional millisecond of the time limit: a tenth of a link of 100 Mbit/s, which may be busy
-/// with snapshots of the state.
-const BYTES_PER_MS: usize = 1_250;
 
 /// Sends the queued messages for one peer in batches, until the queue is closed.
 pub async fn run_outbox(shared: Arc<Shared>, address: SocketAddr, mut messages: mpsc::Receiver<Message>) {
     loop {
         let Some(batch) = next_batch(&mut messages).await else { return };
         let encoded = encode_messages(&batch);
-        let timeout = BASE_TIMEOUT + Duration::from_millis((encoded.len() / BYTES_PER_MS) as u64);
+        let timeout = BASE_TIMEOUT + transfer_time(encoded.len());
         let call = |client: PeerClient, context| async move { client.consensus(context, encoded).await };
         if shared.voter_peers.call(address, timeout, call).await.is_err() {
             shared.metrics.peer_failures.inc();
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -12,3 +12,4 @@
 pub use relay::pick_relay;
 pub use server::serve_peers;
 pub use submit::{control_view, read_document, read_revision, register, submit};
+pub use transport::transfer_time;
--- a/crates/daemon/src/peer/submit.rs
+++ b/crates/daemon/src/peer/submit.rs
@@ -2,6 +2,7 @@
 
 use super::clients::PeerFailure;
 use super::leader_search::LeaderSearch;
+use super::transport::transfer_time;
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::shared::Shared;
 use backon::{BackoffBuilder, ExponentialBuilder};
@@ -14,7 +15,7 @@
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
-/// Time limit for one attempt to submit a command.
+/// Time limit for one attempt to submit a small command.
 const SUBMIT_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time limit for one attempt of a query.
 const QUERY_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -23,11 +24,12 @@
 /// Maximum pause between attempts.
 const MAX_PAUSE: Duration = Duration::from_millis(250);
 
-/// Submits a command and waits until the leader has applied it. Retried until `limit`, so that the command must be
-/// idempotent: operators' changes carry a change id, claims an attempt number.
+/// Submits a command and waits until the leader has applied it. Retried until `limit`, and longer for a large command, so that
+/// the command must be idempotent: operators' changes carry a change id, claims an attempt number.
 pub async fn submit(shared: &Shared, body: CommandBody, limit: Duration) -> Result<(u64, Outcome), ApiError> {
     let command = encode_command(&Command { at_ms: wall_ms(), body });
-    let deadline = monotonic_ms() + limit.as_millis() as u64;
+    let transfer = transfer_time(command.len());
+    let deadline = monotonic_ms() + (limit + transfer).as_millis() as u64;
     let mut pauses = ExponentialBuilder::default()
         .with_min_delay(MIN_PAUSE)
         .with_max_delay(MAX_PAUSE)
@@ -39,7 +41,8 @@
     loop {
         let target = leader_search.next(shared);
         let left = Duration::from_millis(deadline.saturating_sub(monotonic_ms()));
-        match submit_once(shared, target, command.clone(), left.min(SUBMIT_ATTEMPT_TIMEOUT)).await {
+        match submit_once(shared, target, command.clone(), left.min(SUBMIT_ATTEMPT_TIMEOUT + transfer)).await
+        {
             Ok(SubmitReply::Applied { revision, outcome }) => {
                 return Ok((revision, decode_outcome(&outcome)?));
             }
--- a/crates/daemon/src/peer/transport.rs
+++ b/crates/daemon/src/peer/transport.rs
@@ -5,10 +5,20 @@
 use dockwood_api::peer::{MAX_FRAME_BYTES, PostcardCodec};
 use serde::{Deserialize, Serialize};
 use std::io;
+use std::time::Duration;
 use tarpc::serde_transport::{self, Transport};
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
 
+/// Bytes for each additional millisecond of the time limit of a call: a tenth of a link of 100 Mbit/s, which may be busy with
+/// snapshots of the state.
+const BYTES_PER_MS: usize = 1_250;
+
+/// Returns the time that a body of this size may take in addition to that of an empty one.
+pub fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_millis((bytes / BYTES_PER_MS) as u64)
+}
+
 /// A connection that sends `Out` and receives `In`.
 pub type PeerTransport<In, Out> = Transport<TcpStream, In, Out, PostcardCodec<In, Out>>;
 
--- a/crates/daemon/tests/gateway/configuration_soak/links.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/links.rs
@@ -230,3 +230,73 @@
     let targets = files.into_iter().flatten().flatten().map(|file| std::fs::read_link(file.path()));
     targets.flatten().any(|target| target == Path::new(socket))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Result;
+
+    const SENDER: Host = 0;
+    const RECEIVER: Host = 1;
+    /// Within this time, bytes that are not held back have arrived.
+    const PASSES_WITHIN: Duration = Duration::from_millis(500);
+
+    /// Forwards to a server that echoes; this process is the sender.
+    async fn echo_through(links: &Arc<Links>) -> Result<TcpStream> {
+        let server = TcpListener::bind("127.0.0.1:0").await?;
+        let accepting = server.local_addr()?;
+        let known = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+        links.forward(RECEIVER, Forwarded { known, accepting }).await?;
+        links.set_process(SENDER, Some(std::process::id()));
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = server.accept().await {
+                tokio::spawn(async move {
+                    let (mut reader, mut writer) = stream.split();
+                    tokio::io::copy(&mut reader, &mut writer).await
+                });
+            }
+        });
+        TcpStream::connect(known).await
+    }
+
+    /// Sends a byte, and returns whether it comes back in time.
+    async fn passes(stream: &mut TcpStream) -> bool {
+        let echoed = async {
+            stream.write_all(b"a").await?;
+            stream.read_u8().await
+        };
+        tokio::time::timeout(PASSES_WITHIN, echoed).await.is_ok_and(|echoed: Result<u8>| echoed.is_ok())
+    }
+
+    #[yare::parameterized(
+        to_receiver = { SENDER, RECEIVER },
+        to_sender = { RECEIVER, SENDER },
+    )]
+    #[test_macro(tokio::test)]
+    async fn bytes_of_one_direction_are_held_back_until_the_link_is_healed(
+        from: Host,
+        to: Host,
+    ) -> Result<()> {
+        let links = Links::new();
+        let mut stream = echo_through(&links).await?;
+        assert!(passes(&mut stream).await);
+        links.hold(&BTreeSet::from([from]), &BTreeSet::from([to]));
+        assert!(!passes(&mut stream).await);
+        links.heal();
+        assert!(passes(&mut stream).await);
+        Ok(())
+    }
+
+    #[tokio::test]
+    async fn a_reset_closes_connections_of_its_daemons_only() -> Result<()> {
+        let links = Links::new();
+        let mut stream = echo_through(&links).await?;
+        assert!(passes(&mut stream).await);
+        links.reset(BTreeSet::from([RECEIVER + 1]));
+        assert!(passes(&mut stream).await);
+        links.reset(BTreeSet::from([SENDER]));
+        tokio::time::sleep(PASSES_WITHIN).await;
+        assert!(!passes(&mut stream).await);
+        Ok(())
+    }
+}
--- a/crates/daemon/tests/gateway/configuration_soak/mod.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/mod.rs
@@ -8,6 +8,7 @@
 mod injector;
 mod links;
 mod schedule;
+mod slow_links;
 mod voter_losses;
 
 use crate::configuration_changes::{Bounds, ConfigurationRecords, Defect, Operator, Read, keep_probing};
