Test fleets choose a network that no other test process uses

Two processes whose ids are equal modulo 250 chose the same addresses, and the second one could not start: two runs of the soak beside others ended with AddrInUse.

--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -75,6 +75,18 @@
     options: FleetOptions,
 }
 
+/// Returns a network in which no other test process runs daemons.
+fn unused_network(first: u8) -> [u8; 2] {
+    const NETWORKS: u32 = 250;
+    let process = std::process::id();
+    let networks = (process..process + NETWORKS).map(|number| [first, (number % NETWORKS) as u8 + 1]);
+    let is_unused = |network: &[u8; 2]| {
+        let address = SocketAddr::from(([127, network[0], network[1], 1], PEER_PORT + 1));
+        std::net::TcpListener::bind(address).is_ok()
+    };
+    networks.into_iter().find(is_unused).unwrap_or_else(|| panic!("all networks are in use"))
+}
+
 impl Drop for Fleet {
     /// Keeps the settings and logs of a failed test, and prints their location.
     fn drop(&mut self) {
@@ -110,9 +122,8 @@
 
     /// Creates a fleet whose daemons are not started yet.
     pub fn new(options: FleetOptions) -> Fleet {
-        let process = std::process::id();
         let number = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst) as u8;
-        let network = [64 + number, (process % 250) as u8 + 1];
+        let network = unused_network(64 + number);
         let in_memory = tempfile::tempdir_in(MEMORY_DIRECTORY).or_else(|_| tempfile::tempdir());
         let folder = in_memory.unwrap_or_else(|error| panic!("{error}"));
         let http = Client::builder().pool_max_idle_per_host(0).build().unwrap_or_default();
