--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! A member that lost its disk comes back under a new id, so that it can't vote twice. Voters are added or
 //! removed one at a time. A voter that is replaced is removed first: the new voter, which still has to catch
-//! up, is then never needed for a majority.
+//! up, is then never needed for a majority. Each candidate replaces one voter: another one is removed only once the
+//! vacant place is taken, as a smaller group survives fewer losses.
 //!
 //! If the group has to tolerate the loss of a zone, no zone may hold half of the voters or more. A candidate
 //! that would violate this stays on standby, and a voter in an overfull zone is replaced by one in another
