Links and faults of the configuration soak have threads of their own

A run also checks that no process has ended by itself after the last fault, and is split into its steps.

--- a/crates/daemon/tests/gateway/configuration_changes/mod.rs
+++ b/crates/daemon/tests/gateway/configuration_changes/mod.rs
@@ -13,5 +13,5 @@
 pub use change::{Change, Invalidity};
 pub use checks::{Bounds, ConfigurationRecords, Disruption, Process};
 pub use operator::{Defect, Operator, Read};
-pub use probes::keep_probing;
+pub use probes::{Probe, keep_probing};
 pub use storm::Storm;
--- a/crates/daemon/tests/gateway/configuration_soak/injector.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/injector.rs
@@ -313,7 +313,7 @@
     }
 
     /// Records processes that have ended by themselves, and starts them again.
-    fn check_processes(&mut self, started: Instant) {
+    pub fn check_processes(&mut self, started: Instant) {
         for process in (0..MEMBERS + ENTRIES).map(process_at) {
             if !self.is_disrupted(process) && self.daemon(process).has_exited() {
                 let after = started.elapsed();
--- a/crates/daemon/tests/gateway/configuration_soak/mod.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/mod.rs
@@ -11,7 +11,9 @@
 mod slow_links;
 mod voter_losses;
 
-use crate::configuration_changes::{Bounds, ConfigurationRecords, Defect, Operator, Read, keep_probing};
+use crate::configuration_changes::{
+    Bounds, ConfigurationRecords, Defect, Operator, Probe, Read, keep_probing,
+};
 use crate::fixture::{Fleet, FleetOptions, configuration};
 use crate::limit_soak::environment_or;
 use futures::future::join_all;
@@ -23,6 +25,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinHandle;
 use yare::parameterized;
 
 const PLAIN_SERVERS: u8 = 3;
@@ -43,10 +47,37 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Threads for the links and the faults of a run: operators and probes that handle large configurations must not delay them.
+struct LinkThreads(Option<Runtime>);
+
+impl LinkThreads {
+    fn start() -> Result<LinkThreads> {
+        Ok(LinkThreads(Some(Builder::new_multi_thread().worker_threads(2).enable_all().build()?)))
+    }
+
+    fn spawn<T: Send + 'static>(
+        &self,
+        task: impl Future<Output = T> + Send + 'static,
+    ) -> Result<JoinHandle<T>> {
+        let runtime = self.0.as_ref().ok_or_else(|| Error::other("the threads have ended"))?;
+        Ok(runtime.spawn(task))
+    }
+}
+
+impl Drop for LinkThreads {
+    /// Does not wait for the tasks, as a runtime is dropped within another one.
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// What a run has shown. The fleet is kept so that its logs are kept if the test fails.
 struct SoakResult {
     violations: Vec<String>,
     injector: Injector,
+    _threads: LinkThreads,
 }
 
 /// What followed the last fault.
@@ -56,7 +87,7 @@
     served_after: Option<Duration>,
 }
 
-async fn start_fleet() -> Result<(Fleet, Arc<Links>)> {
+async fn start_fleet(threads: &LinkThreads) -> Result<(Fleet, Arc<Links>)> {
     let fleet = Fleet::new(FleetOptions {
         members: MEMBERS as u8,
         entries: ENTRIES as u8,
@@ -68,14 +99,16 @@
     let links = Links::new();
     for host in 0..MEMBERS + ENTRIES {
         let (known, accepting) = fleet.peer_addresses(host as u8);
-        links.forward(host, Forwarded { known, accepting }).await?;
+        let links = links.clone();
+        let forwarding = async move { links.forward(host, Forwarded { known, accepting }).await };
+        threads.spawn(forwarding)?.await.map_err(Error::other)??;
     }
     Ok((fleet, links))
 }
 
-/// Runs a schedule.
-async fn run_schedule(name: &str, schedule: &Schedule, defect: Defect) -> Result<SoakResult> {
-    let (fleet, links) = start_fleet().await?;
+/// Starts a fleet that serves the first configuration.
+async fn start_run(threads: &LinkThreads, defect: Defect) -> Result<(Injector, Arc<Operator>)> {
+    let (fleet, links) = start_fleet(threads).await?;
     let base = configuration(1);
     let operator = Arc::new(Operator::new(fleet.http.clone(), fleet.operators(), base.clone(), defect));
     let mut injector = Injector::new(fleet, links, operator.clone());
@@ -86,52 +119,80 @@
     injector.fleet.configure(&base).await;
     injector.fleet.wait_until_served("/plain/1").await;
     injector.save_disks();
+    Ok((injector, operator))
+}
+
+/// Tasks that observe a run until it is over.
+struct Observers {
+    is_over: Arc<AtomicBool>,
+    probing: Vec<JoinHandle<Vec<Probe>>>,
+    reading: JoinHandle<Vec<Read>>,
+}
+
+impl Observers {
+    fn start(fleet: &Fleet, operator: &Arc<Operator>) -> Observers {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let probing = (0..ENTRIES).map(|entry| {
+            let url = fleet.entry(entry as u8);
+            let (operator, is_over) = (operator.clone(), is_over.clone());
+            tokio::spawn(keep_probing(operator, entry, url, BOUNDS.applied_within, is_over))
+        });
+        let probing = probing.collect();
+        let reading = tokio::spawn(operator.clone().keep_reading(is_over.clone()));
+        Observers { is_over, probing, reading }
+    }
+
+    /// Ends the run, and returns what was observed.
+    async fn finish(self) -> Result<(Vec<Probe>, Vec<Read>)> {
+        self.is_over.store(true, Ordering::SeqCst);
+        let probes = join_all(self.probing).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
+        Ok((probes.map_err(Error::other)?.concat(), self.reading.await.map_err(Error::other)?))
+    }
+}
+
+/// Runs a schedule.
+async fn run_schedule(name: &str, schedule: &Schedule, defect: Defect) -> Result<SoakResult> {
+    let threads = LinkThreads::start()?;
+    let (mut injector, operator) = start_run(&threads, defect).await?;
     let started = Instant::now();
-    let is_over = Arc::new(AtomicBool::new(false));
     let storms = schedule.storms.iter().cloned();
     let submitting: Vec<_> =
         storms.map(|storms| tokio::spawn(operator.clone().submit_storms(started, storms))).collect();
-    let probing = (0..ENTRIES).map(|entry| {
-        let url = injector.fleet.entry(entry as u8);
-        tokio::spawn(keep_probing(operator.clone(), entry, url, BOUNDS.applied_within, is_over.clone()))
-    });
-    let probing: Vec<_> = probing.collect();
-    let reading = tokio::spawn(operator.clone().keep_reading(is_over.clone()));
-    injector.execute(started, &schedule.faults, started + schedule.last_fault_at).await;
-    let returned = match &schedule.last_fault {
-        Some(fault) => {
-            let at = injector.execute_last(fault).await;
-            observe_return(&injector, &operator, at).await
-        }
-        None => observe_return(&injector, &operator, Instant::now()).await,
+    let observers = Observers::start(&injector.fleet, &operator);
+    let Schedule { faults, last_fault_at, last_fault, .. } = schedule.clone();
+    let executing = async move {
+        injector.execute(started, &faults, started + last_fault_at).await;
+        let returned_at = match &last_fault {
+            Some(fault) => injector.execute_last(fault).await,
+            None => Instant::now(),
+        };
+        (injector, returned_at)
     };
+    let (mut injector, returned_at) = threads.spawn(executing)?.await.map_err(Error::other)?;
+    let returned = observe_return(&injector, &operator, returned_at).await;
     for submitted in submitting {
         submitted.await.map_err(Error::other)?;
     }
-    is_over.store(true, Ordering::SeqCst);
-    let probes = join_all(probing).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
+    let (probes, reads) = observers.finish().await?;
+    injector.check_processes(started);
     let records = ConfigurationRecords {
         started,
         bounds: BOUNDS,
         members: MEMBERS,
         submissions: operator.submissions(),
-        probes: probes.map_err(Error::other)?.concat(),
-        reads: reading.await.map_err(Error::other)?,
+        probes,
+        reads,
         disruptions: injector.disruptions.clone(),
     };
-    println!(
-        "{name}: {}; read back after {:?}, served after {:?}",
-        records.summary(),
-        returned.read_after,
-        returned.served_after
-    );
+    let Return { read, read_after, served_after } = &returned;
+    println!("{name}: {}; read back after {read_after:?}, served after {served_after:?}", records.summary());
     let mut violations = records.violations();
-    violations.extend(records.check_final(returned.read.as_ref()));
-    if returned.served_after.is_none() {
+    violations.extend(records.check_final(read.as_ref()));
+    if served_after.is_none() {
         violations.push(format!("violated: entries serve {SERVED_WITHIN:?} after the last fault"));
     }
     violations.extend(injector.faulty_exits.iter().map(|exit| format!("violated: {exit}")));
-    Ok(SoakResult { violations, injector })
+    Ok(SoakResult { violations, injector, _threads: threads })
 }
 
 /// Reads the configuration, and waits until all entries serve.
--- a/crates/daemon/tests/gateway/configuration_soak/slow_links.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/slow_links.rs
@@ -1,7 +1,7 @@
 //! Changes of the configuration over slow links.
 
 use super::schedule::MEMBERS;
-use super::{BOUNDS, start_fleet};
+use super::{BOUNDS, LinkThreads, start_fleet};
 use crate::configuration_changes::{Change, Defect, Operator};
 use crate::fixture::configuration;
 use std::io::{Error, Result};
@@ -15,7 +15,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_large_configuration_is_accepted_by_a_member_with_a_slow_link() -> Result<()> {
-    let (mut fleet, links) = start_fleet().await?;
+    let threads = LinkThreads::start()?;
+    let (mut fleet, links) = start_fleet(&threads).await?;
     for (host, daemon) in fleet.members.iter_mut().chain(&mut fleet.entries).enumerate() {
         daemon.start();
         links.set_process(host, daemon.process_id());
