Silent voters are found in one place, and a leader without current state computes nothing for leases

What was written twice: the filter of silent voters in admission.rs; a match that the question mark does in engine_client.rs. A leader that may not grant leases yet looked up the voters that grant them and then returned. Behavior is the same.

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -154,18 +154,21 @@
 
     /// Whether the group lacks voters, and the voters that answer are a majority also once one has joined.
     fn has_vacancy(&self) -> bool {
-        let silent = self.group.silent_for.values().filter(|silent| **silent >= REPLACEABLE_AFTER_MS).count();
-        let answering = self.group.voters.len() - silent;
+        let answering = self.group.voters.len() - self.silent_voters().count();
         let enlarged = self.group.voters.len() + 1;
         self.group.voters.len() < self.group.target_voters && 2 * answering > enlarged
     }
 
+    /// The voters that may be replaced, with the time since their last answers.
+    fn silent_voters(&self) -> impl Iterator<Item = (&NodeId, &Millis)> {
+        self.group.silent_for.iter().filter(|(_, silent)| **silent >= REPLACEABLE_AFTER_MS)
+    }
+
     /// The voter that has been silent longest among those that a candidate can replace.
     fn replaceable(&self) -> Option<NodeId> {
-        let silent = self.group.silent_for.iter().filter(|(_, silent)| **silent >= REPLACEABLE_AFTER_MS);
         let has_successor =
             |(id, _): &(&NodeId, &Millis)| self.addable(&without(self.group.voters, **id)).is_some();
-        silent.filter(has_successor).max_by_key(|(_, silent)| **silent).map(|(id, _)| *id)
+        self.silent_voters().filter(has_successor).max_by_key(|(_, silent)| **silent).map(|(id, _)| *id)
     }
 
     /// Selects the candidate to add to these voters: one with which, alone or together with a second
--- a/crates/control/src/lease_requests.rs
+++ b/crates/control/src/lease_requests.rs
@@ -79,13 +79,13 @@
 
     fn answer_as_leader(&mut self, now: Moment) {
         let leads = self.leads(now);
-        let leader = self.leader_address();
-        let lease_voters = if leads && self.delegates_leases() { self.lease_voters(now) } else { Vec::new() };
-        let in_force_revision = self.in_force_revision;
         if leads && !self.leads_with_current_state(now) {
             // The requests are held until the state is current, which takes milliseconds as a rule.
             return;
         }
+        let leader = self.leader_address();
+        let lease_voters = if leads && self.delegates_leases() { self.lease_voters(now) } else { Vec::new() };
+        let in_force_revision = self.in_force_revision;
         let Some(leader_state) = self.voter.as_mut().and_then(|voter| voter.leader_state.as_mut()) else {
             return;
         };
--- a/crates/daemon/src/probe/engine_client.rs
+++ b/crates/daemon/src/probe/engine_client.rs
@@ -42,13 +42,13 @@
 
     /// Probes one machine.
     pub async fn health(&self, address: SocketAddr) -> Result<GroupHealth, ProbeFailure> {
+        self.read_health(address).await.map_err(|fault| classify(&fault))
+    }
+
+    async fn read_health(&self, address: SocketAddr) -> Result<GroupHealth, ResponseFault> {
         let url = format!("http://{address}{PATH_HEALTH}");
-        let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await.map_err(ResponseFault::from);
-        let health = match response {
-            Ok(response) => read_json(response, MAX_ANSWER_BYTES).await,
-            Err(fault) => Err(fault),
-        };
-        health.map_err(|fault| classify(&fault))
+        let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await?;
+        read_json(response, MAX_ANSWER_BYTES).await
     }
 }
 
