--- a/crates/daemon/tests/gateway/configuration_changes/operator.rs
+++ b/crates/daemon/tests/gateway/configuration_changes/operator.rs
@@ -1,11 +1,12 @@
 //! An operator that submits and reads configurations.
 
 use super::change::{Change, changed_configuration, rival_configuration};
+use dockwood_daemon::lock::lock;
 use reqwest::{Client, StatusCode};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time limit of a call.
@@ -70,10 +71,6 @@
     last_acceptor: Mutex<Option<SocketAddr>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 impl Operator {
     pub fn new(http: Client, operators: Vec<SocketAddr>, base: Value, defect: Defect) -> Operator {
         Operator {
--- a/crates/daemon/tests/gateway/configuration_soak/links.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/links.rs
@@ -1,7 +1,7 @@
 //! Links between daemons, as a forwarder on loopback addresses: bytes are delayed, held back in one or both directions, or
 //! their connections reset. The sender of a connection is found by the socket's owner in `/proc`.
 
-use super::lock;
+use dockwood_daemon::lock::lock;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/daemon/tests/gateway/servers.rs
+++ b/crates/daemon/tests/gateway/servers.rs
@@ -1,6 +1,7 @@
 //! Fake servers that register themselves and use dockwood's own protocol: model servers in groups, and plain servers.
 
 pub use crate::behavior::{Arrival, Backoff, Behavior};
+use dockwood_daemon::lock::lock;
 
 use crate::event_stream::events;
 use dockwood_api::gateway::{
@@ -13,7 +14,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
@@ -79,10 +80,6 @@
     operators: Vec<SocketAddr>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 impl FakeServer {
     /// Starts a server in the daemons' zone, which begins to report.
     pub async fn start(
--- a/crates/daemon/tests/gateway/silent_servers_soak/records.rs
+++ b/crates/daemon/tests/gateway/silent_servers_soak/records.rs
@@ -1,6 +1,7 @@
 //! What servers and callers have recorded, which the checks compare.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+pub use dockwood_daemon::lock::lock;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Number of events of a stream.
@@ -8,10 +9,6 @@
 /// Bytes in the body of a plain response.
 const PLAIN_BYTES: usize = 2_000;
 
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Text of an event of the stream for one attempt.
 pub fn event_text(attempt: &str, id: u64) -> String {
     format!("id: {id}\ndata: event {id:02} of {attempt}\n\n")
--- a/crates/daemon/tests/one_entry/scripted_server.rs
+++ b/crates/daemon/tests/one_entry/scripted_server.rs
@@ -1,9 +1,10 @@
 //! A server whose responses are scripted by the test, byte for byte.
 
+use dockwood_daemon::lock::lock;
 use std::collections::VecDeque;
 use std::io::Result;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -48,10 +49,6 @@
     listening: Mutex<Option<AbortHandle>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 impl ScriptedServer {
     /// Starts a server that sends the scripted responses in order, and successful ones after that.
     pub async fn start(script: impl IntoIterator<Item = Reply>) -> Result<Arc<ScriptedServer>> {
--- a/crates/daemon/tests/one_entry/stream_caller.rs
+++ b/crates/daemon/tests/one_entry/stream_caller.rs
@@ -2,9 +2,10 @@
 
 use crate::entry::TEST_TIMEOUT;
 use crate::stream_server::whole_stream;
+use dockwood_daemon::lock::lock;
 use futures::future::join_all;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 
@@ -103,10 +104,6 @@
     task: JoinHandle<()>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 impl StreamCaller {
     /// Sends a request to an entry.
     pub fn start(frontend: SocketAddr, call: StreamCall) -> StreamCaller {
--- a/crates/daemon/tests/one_entry/stream_server.rs
+++ b/crates/daemon/tests/one_entry/stream_server.rs
@@ -1,8 +1,9 @@
 //! A model server that answers each request with a stream of events, and whose faults are controlled by the test.
 
+use dockwood_daemon::lock::lock;
 use std::io::Result;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -88,10 +89,6 @@
     listening: Mutex<Option<AbortHandle>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Ends the record of a response that was not written to its end: its connection was broken.
 struct OpenRecord<'a> {
     server: &'a StreamServer,
