Both soaks start the same observers; disks are copied only for the run that restores them

The observers of a run, the end of founding and a wait stood twice: Observers, Fleet::end_founding and eventually serve both. Each run of the configuration soak copied all disks, which one of its tests needs.

--- a/crates/daemon/tests/gateway/configuration_changes/mod.rs
+++ b/crates/daemon/tests/gateway/configuration_changes/mod.rs
@@ -6,12 +6,13 @@
 
 mod change;
 mod checks;
+mod observers;
 mod operator;
 mod probes;
 mod storm;
 
 pub use change::{Change, Invalidity};
 pub use checks::{Bounds, ConfigurationRecords, Disruption, Process};
+pub use observers::Observers;
 pub use operator::{Defect, Operator, Read};
-pub use probes::{Probe, keep_probing};
 pub use storm::Storm;
--- a/crates/daemon/tests/gateway/configuration_soak/injector.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/injector.rs
@@ -3,7 +3,7 @@
 use super::links::{Host, Links};
 use super::schedule::{Disks, ENTRIES, Fault, LOSSES_TOLERATED, LastFault, MEMBERS};
 use crate::configuration_changes::{Disruption, Operator, Process};
-use crate::fixture::{Daemon, Fleet, SEEDS};
+use crate::fixture::{Daemon, Fleet};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -88,8 +88,7 @@
                 tokio::time::sleep(STEP).await;
             }
         }
-        let seeds: Vec<u8> = (0..SEEDS).collect();
-        self.fleet.members.iter().for_each(|member| self.fleet.set_seeds(member, &seeds, false));
+        self.fleet.end_founding();
     }
 
     fn daemon(&mut self, process: Process) -> &mut Daemon {
@@ -331,20 +330,18 @@
                 members.into_iter().for_each(|member| self.wipe(member));
             }
             Disks::AllLost => (0..MEMBERS).for_each(|member| self.wipe(member)),
-            Disks::Outdated => {
-                let results = self.fleet.members.iter().map(Daemon::restore_disk);
-                let errors: Vec<String> =
-                    results.filter_map(Result::err).map(|error| error.to_string()).collect();
-                self.faulty_exits.extend(errors);
-            }
+            Disks::Outdated => self.copy_disks(Daemon::restore_disk),
         }
     }
 
     /// Keeps a copy of each member's disk, for [`Disks::Outdated`].
     pub fn save_disks(&mut self) {
-        let results = self.fleet.members.iter().map(Daemon::save_disk);
-        let errors: Vec<String> = results.filter_map(Result::err).map(|error| error.to_string()).collect();
-        self.faulty_exits.extend(errors);
+        self.copy_disks(Daemon::save_disk);
+    }
+
+    fn copy_disks(&mut self, copy: impl Fn(&Daemon) -> std::io::Result<()>) {
+        let errors = self.fleet.members.iter().map(copy).filter_map(Result::err);
+        self.faulty_exits.extend(errors.map(|error| error.to_string()));
     }
 
     /// Kills all processes at once, and starts them again. Returns when the last one was started.
--- a/crates/daemon/tests/gateway/configuration_soak/mod.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/mod.rs
@@ -11,19 +11,15 @@
 mod slow_links;
 mod voter_losses;
 
-use crate::configuration_changes::{
-    Bounds, ConfigurationRecords, Defect, Operator, Probe, Read, keep_probing,
-};
+use crate::configuration_changes::{Bounds, ConfigurationRecords, Defect, Observers, Operator, Read};
 use crate::fixture::{Fleet, FleetOptions, configuration};
 use crate::limit_soak::environment_or;
-use futures::future::join_all;
 use injector::Injector;
 use links::{Forwarded, Links};
 use schedule::{Disks, ENTRIES, LOSSES_TOLERATED, MEMBERS, Schedule};
 use serde_json::json;
 use std::io::{Error, Result};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
@@ -43,10 +39,6 @@
 /// All entries serve within this time after all processes were started again.
 const SERVED_WITHIN: Duration = Duration::from_secs(15);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Threads for the links and the faults of a run: operators and probes that handle large configurations must not delay them.
 struct LinkThreads(Option<Runtime>);
 
@@ -118,47 +110,21 @@
     }
     injector.fleet.configure(&base).await;
     injector.fleet.wait_until_served("/plain/1").await;
-    injector.save_disks();
     Ok((injector, operator))
 }
 
-/// Tasks that observe a run until it is over.
-struct Observers {
-    is_over: Arc<AtomicBool>,
-    probing: Vec<JoinHandle<Vec<Probe>>>,
-    reading: JoinHandle<Vec<Read>>,
-}
-
-impl Observers {
-    fn start(fleet: &Fleet, operator: &Arc<Operator>) -> Observers {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let probing = (0..ENTRIES).map(|entry| {
-            let url = fleet.entry(entry as u8);
-            let (operator, is_over) = (operator.clone(), is_over.clone());
-            tokio::spawn(keep_probing(operator, entry, url, BOUNDS.applied_within, is_over))
-        });
-        let probing = probing.collect();
-        let reading = tokio::spawn(operator.clone().keep_reading(is_over.clone()));
-        Observers { is_over, probing, reading }
-    }
-
-    /// Ends the run, and returns what was observed.
-    async fn finish(self) -> Result<(Vec<Probe>, Vec<Read>)> {
-        self.is_over.store(true, Ordering::SeqCst);
-        let probes = join_all(self.probing).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
-        Ok((probes.map_err(Error::other)?.concat(), self.reading.await.map_err(Error::other)?))
-    }
-}
-
 /// Runs a schedule.
 async fn run_schedule(name: &str, schedule: &Schedule, defect: Defect) -> Result<SoakResult> {
     let threads = LinkThreads::start()?;
     let (mut injector, operator) = start_run(&threads, defect).await?;
+    if schedule.restores_disks() {
+        injector.save_disks();
+    }
     let started = Instant::now();
     let storms = schedule.storms.iter().cloned();
     let submitting: Vec<_> =
         storms.map(|storms| tokio::spawn(operator.clone().submit_storms(started, storms))).collect();
-    let observers = Observers::start(&injector.fleet, &operator);
+    let observers = Observers::start(&injector.fleet, &operator, BOUNDS);
     let Schedule { faults, last_fault_at, last_fault, .. } = schedule.clone();
     let executing = async move {
         injector.execute(started, &faults, started + last_fault_at).await;
--- a/crates/daemon/tests/gateway/configuration_soak/schedule.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/schedule.rs
@@ -121,6 +121,11 @@
         Schedule { last_fault: Some(last_fault), ..Schedule::without_faults() }
     }
 
+    /// Whether disks are replaced by copies from the beginning of the run.
+    pub fn restores_disks(&self) -> bool {
+        self.last_fault.as_ref().is_some_and(|fault| matches!(fault.disks, Disks::Outdated))
+    }
+
     pub fn of_seed(seed: u64) -> Schedule {
         let mut random = StdRng::seed_from_u64(seed);
         let mut faults = Vec::new();
--- a/crates/daemon/tests/gateway/configuration_soak/voter_losses.rs
+++ b/crates/daemon/tests/gateway/configuration_soak/voter_losses.rs
@@ -1,7 +1,7 @@
 //! Losses of members of the control group that the fleet tolerates: some pause, then others lose their disks.
 
 use super::schedule::{LOSSES_TOLERATED, MEMBERS};
-use crate::fixture::{Fleet, FleetOptions, LIMIT, SEEDS, configuration};
+use crate::fixture::{Fleet, FleetOptions, LIMIT, configuration, eventually};
 use std::collections::BTreeSet;
 use std::io::{Error, Result};
 use std::time::{Duration, Instant};
@@ -49,17 +49,12 @@
     fleet.configure(&configuration(1)).await;
     let leader = leader(&fleet).await?;
     let voters = voters_at(&fleet, leader);
-    let seeds: Vec<u8> = (0..SEEDS).collect();
-    fleet.members.iter().for_each(|member| fleet.set_seeds(member, &seeds, false));
+    fleet.end_founding();
     let others: Vec<usize> = voters.iter().copied().filter(|voter| *voter != leader).collect();
     let (paused, lost) = (&others[..LOSSES_TOLERATED], [leader, others[LOSSES_TOLERATED]]);
     paused.iter().for_each(|member| fleet.members[*member].signal("-STOP"));
     // The member on standby takes the place of a silent one.
-    let started = Instant::now();
-    while voters_at(&fleet, leader).is_subset(&voters) {
-        assert!(started.elapsed() < LIMIT, "no voter is replaced");
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+    eventually("no voter is replaced", || !voters_at(&fleet, leader).is_subset(&voters)).await;
     fleet.configure(&configuration(2)).await;
     fleet.members.iter_mut().for_each(|member| member.kill());
     for member in lost {
--- a/crates/daemon/tests/gateway/fixture.rs
+++ b/crates/daemon/tests/gateway/fixture.rs
@@ -31,7 +31,7 @@
 const MEMBERS: u8 = 3;
 const ENTRIES: u8 = 2;
 /// The first members are the seeds of all daemons.
-pub const SEEDS: u8 = 3;
+const SEEDS: u8 = 3;
 /// Where a daemon accepts connections of other daemons if they are forwarded from `PEER_PORT`.
 const FORWARDED_PEER_PORT: u16 = 7_110;
 
@@ -134,7 +134,7 @@
             fleet.members.push(daemon);
         }
         for number in 0..entry_count {
-            let daemon = fleet.daemon(&format!("entry-{number}"), member_count + number, false, false);
+            let daemon = fleet.daemon(&format!("entry-{number}"), fleet.entry_host(number), false, false);
             fleet.entries.push(daemon);
         }
         fleet
@@ -149,19 +149,13 @@
     /// Creates an additional entry whose only seed is another entry.
     pub fn entry_with_seed(&self, other: u8) -> Daemon {
         let seeds = vec![self.address(self.entry_host(other), OPERATORS_PORT)];
-        self.daemon_with_seeds(
-            "entry-cut-off",
-            self.options.members + self.entry_count(),
-            false,
-            false,
-            seeds,
-        )
+        self.daemon_with_seeds("entry-cut-off", self.entry_host(self.entry_count()), false, false, seeds)
     }
 
     /// Creates a daemon that accepts operators' calls and servers' reports, but has no disk and thus is not a voter.
     pub fn diskless_daemon(&self) -> Daemon {
         let daemon =
-            self.daemon("control-without-disk", self.options.members + self.entry_count() + 1, true, false);
+            self.daemon("control-without-disk", self.entry_host(self.entry_count() + 1), true, false);
         let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
         let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
         settings["control"]["member"] = json!(false);
@@ -171,7 +165,7 @@
 
     /// Returns that daemon's address for operators and servers.
     pub fn diskless_daemon_operators(&self) -> SocketAddr {
-        self.address(self.options.members + self.entry_count() + 1, OPERATORS_PORT)
+        self.address(self.entry_host(self.entry_count() + 1), OPERATORS_PORT)
     }
 
     /// Changes a daemon's seeds; takes effect at its next start.
@@ -184,6 +178,12 @@
         std::fs::write(&daemon.settings, settings.to_string()).unwrap_or_else(|error| panic!("{error}"));
     }
 
+    /// No member founds a group at its later starts.
+    pub fn end_founding(&self) {
+        let seeds: Vec<u8> = (0..SEEDS).collect();
+        self.members.iter().for_each(|member| self.set_seeds(member, &seeds, false));
+    }
+
     /// Changes a number in the `control` section of a daemon's settings; takes effect at its next start.
     pub fn set_control(&self, daemon: &Daemon, key: &str, value: u64) {
         let text = std::fs::read_to_string(&daemon.settings).unwrap_or_default();
--- a/crates/daemon/tests/gateway/silent_servers_soak/mod.rs
+++ b/crates/daemon/tests/gateway/silent_servers_soak/mod.rs
@@ -15,7 +15,7 @@
 mod server;
 
 use crate::configuration_changes::{
-    Bounds, ConfigurationRecords, Defect as OperatorDefect, Disruption, Operator, Process, keep_probing,
+    Bounds, ConfigurationRecords, Defect as OperatorDefect, Disruption, Observers, Operator, Process,
 };
 use crate::fixture::{Fleet, FleetOptions, configuration};
 use crate::limit_soak::environment_or;
@@ -78,20 +78,14 @@
     let storms = tokio::spawn(operator.clone().submit_storms(started, schedule.storms.clone()));
     let is_over = Arc::new(AtomicBool::new(false));
     let callers = spawn_callers(&injector.fleet, &is_over);
-    let probing = (0..ENTRIES).map(|entry| {
-        let url = injector.fleet.entry(entry as u8);
-        tokio::spawn(keep_probing(operator.clone(), entry, url, BOUNDS.applied_within, is_over.clone()))
-    });
-    let probing: Vec<_> = probing.collect();
-    let reading = tokio::spawn(operator.clone().keep_reading(is_over.clone()));
+    let observers = Observers::start(&injector.fleet, &operator, BOUNDS);
     injector.execute(started, &schedule.faults).await?;
     storms.await.map_err(Error::other)?;
     let recovered = injector.last_disruption_end + schedule.observed_after_disruptions;
     tokio::time::sleep_until(recovered.max(started + schedule.duration).into()).await;
     is_over.store(true, Ordering::SeqCst);
     let calls = join_all(callers).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
-    let probes = join_all(probing).await.into_iter().collect::<std::result::Result<Vec<_>, _>>();
-    let reads = reading.await.map_err(Error::other)?;
+    let (probes, reads) = observers.finish().await?;
     let records = SoakRecords {
         started,
         calls: calls.map_err(Error::other)?.concat(),
@@ -106,7 +100,7 @@
         bounds: BOUNDS,
         members: injector.fleet.members.len(),
         submissions: operator.submissions(),
-        probes: probes.map_err(Error::other)?.concat(),
+        probes,
         reads,
         disruptions: injector.outages.iter().map(disruption_of).collect(),
     };
