A transfer coding that is not 'chunked' begins no response

What callers saw: a server that spoilt the name of the coding (chunke, xchunked, gzip, an empty value, "chunked;q=1", two codings and others) and closed its connection; the caller got a whole 200 or 500 whose body held the sizes of the chunks, on plain requests, large ones and streams, or a body whose coding had been dropped from the head.

Cause: hyper reads a response with any other coding up to the end of its connection, and is_unframed took each head with the field for one with chunks, so that not even the server's survival was checked.

Change: response_framing.rs decides the framing of a response from its head, as a type (no body, a length, chunks, until the connection closes, or a fault). evaluate_head returns it, and plain, large and streamed responses read their bodies by it. A head with a fault gets the caller an error as if the connection had broken; the line of the request names it (headFault).

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -1,11 +1,11 @@
 //! Bodies of requests and responses.
 
+use crate::response_framing::ResponseFraming;
 use crate::suspects::SuspectGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::Version;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use quick_error::quick_error;
 
 /// Maximum size of a response body that has to be received completely before it is forwarded, in bytes.
@@ -66,17 +66,20 @@
     Ok(buffer.into())
 }
 
-/// Returns whether a response declares neither a length nor chunks, so that it ends with its connection.
-pub fn is_unframed(headers: &HeaderMap, body: &impl Body) -> bool {
-    body.size_hint().exact().is_none() && !headers.contains_key(TRANSFER_ENCODING)
+/// Reads the body of a response; `None` if it is too large, ended early, or may be truncated because it ends with its
+/// connection and its server did not survive it.
+pub async fn read_response_body(
+    gate: &SuspectGate,
+    framing: ResponseFraming,
+    body: Incoming,
+) -> Option<Bytes> {
+    let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
+    is_complete_at_end(gate, framing).await.then_some(bytes)
 }
 
-/// Reads the body of a response; `None` if it is too large, ended early, or may be truncated because it has no length and its
-/// server did not survive it.
-pub async fn read_response_body(gate: &SuspectGate, headers: &HeaderMap, body: Incoming) -> Option<Bytes> {
-    let is_unframed = is_unframed(headers, &body);
-    let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
-    (!is_unframed || gate.server_survives().await).then_some(bytes)
+/// Returns whether a body that has ended without an error is complete.
+pub async fn is_complete_at_end(gate: &SuspectGate, framing: ResponseFraming) -> bool {
+    framing != ResponseFraming::UntilClose || gate.server_survives().await
 }
 
 /// A response body, as far as it is received before it is forwarded.
@@ -89,34 +92,33 @@
         received: Bytes,
         /// What follows.
         rest: Incoming,
-        /// Whether the body ends with its connection.
-        is_unframed: bool,
+        /// How the body is delimited.
+        framing: ResponseFraming,
     },
 }
 
 /// Returns whether a response may be forwarded before it is complete. Without a length, it would look complete to a caller of
 /// HTTP/1.0 if it was broken off.
-pub fn may_forward_partially(version: Version, body: &impl Body) -> bool {
-    version >= Version::HTTP_11 || body.size_hint().exact().is_some()
+pub fn may_forward_partially(version: Version, framing: ResponseFraming) -> bool {
+    version >= Version::HTTP_11 || matches!(framing, ResponseFraming::Length(_))
 }
 
 /// Reads the body of a response, or the first part of a large one; `None` if it ended early, or may be truncated because it
-/// has no length and its server did not survive it.
+/// ends with its connection and its server did not survive it.
 pub async fn read_first_part(
     gate: &SuspectGate,
-    headers: &HeaderMap,
+    framing: ResponseFraming,
     mut body: Incoming,
 ) -> Option<ReceivedBody> {
-    let is_unframed = is_unframed(headers, &body);
     let mut received = Vec::new();
     while received.len() <= MAX_WHOLE_RESPONSE_BYTES {
         let Some(frame) = body.frame().await else {
-            let is_complete = !is_unframed || gate.server_survives().await;
+            let is_complete = is_complete_at_end(gate, framing).await;
             return is_complete.then(|| ReceivedBody::Whole(received.into()));
         };
         if let Ok(data) = frame.ok()?.into_data() {
             received.extend_from_slice(&data);
         }
     }
-    Some(ReceivedBody::Partial { received: received.into(), rest: body, is_unframed })
+    Some(ReceivedBody::Partial { received: received.into(), rest: body, framing })
 }
--- a/crates/daemon/src/gateway/large_response.rs
+++ b/crates/daemon/src/gateway/large_response.rs
@@ -2,11 +2,12 @@
 //! reads, and the daemon holds only the parts in between.
 
 use super::Gateway;
-use super::body::{ResponseBody, Truncated, full_body};
+use super::body::{ResponseBody, Truncated, full_body, is_complete_at_end};
 use super::request_log::{RequestLog, SendNumber};
 use super::response_memory::ResponseMemory;
 use super::server_selection::SelectedServer;
 use super::upstream::Upstream;
+use crate::response_framing::ResponseFraming;
 use crate::shared::InFlight;
 use crate::suspects::SuspectGate;
 use bytes::Bytes;
@@ -32,8 +33,8 @@
 pub struct ResponseSource {
     /// The rest of the body.
     pub rest: Incoming,
-    /// Whether the response ends with its connection.
-    pub is_unframed: bool,
+    /// How the body is delimited.
+    pub framing: ResponseFraming,
     /// The connection.
     pub upstream: Upstream,
     /// The server.
@@ -93,7 +94,7 @@
                 Ok(Some((part, None)))
             }
             Some(Ok(part)) => Ok(Some((part, Some(source)))),
-            None if !source.is_unframed || self.gate.server_survives().await => {
+            None if is_complete_at_end(&self.gate, source.framing).await => {
                 self.complete(source);
                 Ok(None)
             }
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -8,7 +8,7 @@
 use super::large_response::{LargeResponse, PartialResponse, ResponseSource};
 use super::receive::{ReceivedRequest, may_still_send};
 use super::request_log::{RequestLog, SendNumber};
-use super::response_head::evaluate_head;
+use super::response_head::{EvaluatedResponse, evaluate_head};
 use super::responses::{RETRY_SOON_MS, error_response};
 use super::server_selection::{SelectedServer, select_server};
 use super::upstream::Upstream;
@@ -318,8 +318,8 @@
                 selected.finish(CallResult::Answered);
                 self.check_server_error(WholeResponse { head, body })
             }
-            Ok((head, ReceivedBody::Partial { received, rest, is_unframed })) => {
-                let source = ResponseSource { rest, is_unframed, upstream, selected, number };
+            Ok((head, ReceivedBody::Partial { received, rest, framing })) => {
+                let source = ResponseSource { rest, framing, upstream, selected, number };
                 self.check_large_server_error(head, PartialResponse { received, source })
             }
             Err(outcome) => {
@@ -344,11 +344,11 @@
         let log = &mut self.request_log;
         let head = evaluate_head(self.gateway, self.received, log, number, &mut permit, response);
         drop(permit);
-        let (parts, body) = head?;
-        let body = if may_forward_partially(self.received.version, &body) {
-            read_first_part(&self.gate, &parts.headers, body).await
+        let EvaluatedResponse { parts, framing, body } = head?;
+        let body = if may_forward_partially(self.received.version, framing) {
+            read_first_part(&self.gate, framing, body).await
         } else {
-            read_response_body(&self.gate, &parts.headers, body).await.map(ReceivedBody::Whole)
+            read_response_body(&self.gate, framing, body).await.map(ReceivedBody::Whole)
         };
         let Some(body) = body else {
             return Err(self.broken_connection_outcome().await);
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -7,6 +7,7 @@
 use crate::log_line::{ChosenBy, LineBody, NoOtherSource, PlacesSummary, RequestLine, SendLine, StallLine};
 use crate::logging;
 use crate::pushback::UsedTurn;
+use crate::response_framing::HeadFault;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::SendOutcome;
@@ -108,6 +109,7 @@
             turn_from: None,
             turn_age_ms: None,
             status: None,
+            head_fault: None,
             retry_after_ms: None,
             leaving: false,
             limit_per_second: None,
@@ -126,6 +128,13 @@
         send.limit_per_second = signals.limit.rate().map(RequestRate::per_second);
     }
 
+    /// Records why the head of the server's response begins no response.
+    pub fn record_head_fault(&mut self, send: SendNumber, fault: HeadFault) {
+        if let Some(send) = self.sends.get_mut(send.0) {
+            send.head_fault = Some(fault);
+        }
+    }
+
     /// Records the outcome of a send that brought no response to forward.
     pub fn record_outcome(&mut self, send: SendNumber, outcome: SendOutcome) {
         if let Some(send) = self.sends.get_mut(send.0).filter(|send| send.ended.is_none()) {
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -5,24 +5,36 @@
 use super::request_log::{RequestLog, SendNumber};
 use crate::dialect::HeaderNames;
 use crate::pushback::{SendPermit, signals_of};
+use crate::response_framing::ResponseFraming;
 use dockwood_routing::gateway::SendOutcome;
+use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
+/// A response that may be forwarded, of which the body has not been read.
+pub struct EvaluatedResponse {
+    /// Head of the response.
+    pub parts: Parts,
+    /// How the body is delimited.
+    pub framing: ResponseFraming,
+    /// Body of the response.
+    pub body: Incoming,
+}
+
 /// Evaluates the head of the response to a request that was sent under a permit. The pushback signals are recorded first,
 /// whether or not the response can be forwarded.
 ///
 /// # Errors
 /// The outcome of the send, if there is no response to forward.
-pub fn evaluate_head<B>(
+pub fn evaluate_head(
     gateway: &Gateway,
     received: &ReceivedRequest,
     request_log: &mut RequestLog,
     send: SendNumber,
     permit: &mut SendPermit,
-    response: Response<B>,
-) -> Result<(Parts, B), SendOutcome> {
+    response: Response<Incoming>,
+) -> Result<EvaluatedResponse, SendOutcome> {
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
     let signals = signals_of(parts.status, &parts.headers, &names.signals);
@@ -31,6 +43,10 @@
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         permit.record_response(&signals, received.attempt.as_deref().unwrap_or_default());
     }
+    let framing = ResponseFraming::of(&received.method, parts.status, &parts.headers).map_err(|fault| {
+        request_log.record_head_fault(send, fault);
+        SendOutcome::Unknown
+    })?;
     if !matches_attempt(&parts.headers, names, received) {
         return Err(SendOutcome::Unknown);
     }
@@ -40,7 +56,7 @@
     if falsely_implies_not_run(parts.status, received) {
         return Err(SendOutcome::Unknown);
     }
-    Ok((parts, body))
+    Ok(EvaluatedResponse { parts, framing, body })
 }
 
 /// Returns whether a response belongs to the request: servers echo the attempt id.
--- a/crates/daemon/src/gateway/stream/open_send.rs
+++ b/crates/daemon/src/gateway/stream/open_send.rs
@@ -4,19 +4,19 @@
 use crate::gateway::loads::SilenceProbe;
 use crate::gateway::receive::ReceivedRequest;
 use crate::gateway::request_log::{RequestLog, SendNumber};
-use crate::gateway::response_head::evaluate_head;
+use crate::gateway::response_head::{EvaluatedResponse, evaluate_head};
 use crate::gateway::source::Source;
 use crate::gateway::upstream::{PendingResponse, Upstream};
-use crate::gateway::{body::is_unframed, headers::end_to_end};
+use crate::gateway::{body::is_complete_at_end, headers::end_to_end};
 use crate::log_line::StallCause;
 use crate::pushback::SendPermit;
+use crate::response_framing::ResponseFraming;
 use crate::suspects::SuspectGate;
 use dockwood_routing::CallResult;
 use dockwood_routing::gateway::{EventSplitter, SendOutcome, StreamEvent};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
-use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
@@ -79,19 +79,13 @@
     Streaming {
         head: Head,
         body: Incoming,
-        is_unframed: bool,
+        framing: ResponseFraming,
         splitter: EventSplitter,
     },
     /// The response is not a stream, or has ended.
     Done,
 }
 
-/// A head that does not begin a stream.
-pub(super) struct OtherResponse {
-    pub parts: Parts,
-    pub body: Incoming,
-}
-
 /// A send that a server has. Dropping it closes the connection, which withdraws the request from the server.
 pub(super) struct OpenSend {
     pub source: Source,
@@ -172,24 +166,22 @@
         received: &ReceivedRequest,
         request_log: &mut RequestLog,
         response: Response<Incoming>,
-    ) -> Result<Option<OtherResponse>, SendOutcome> {
+    ) -> Result<Option<EvaluatedResponse>, SendOutcome> {
         let state = std::mem::replace(&mut self.response, ResponseState::Done);
         let ResponseState::Awaited { mut permit, .. } = state else {
             return Err(SendOutcome::Unknown);
         };
-        let (parts, body) =
-            evaluate_head(gateway, received, request_log, self.number, &mut permit, response)?;
-        let content_type = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let evaluated = evaluate_head(gateway, received, request_log, self.number, &mut permit, response)?;
+        let content_type = evaluated.parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
-        if parts.status != StatusCode::OK || !is_stream {
-            return Ok(Some(OtherResponse { parts, body }));
+        if evaluated.parts.status != StatusCode::OK || !is_stream {
+            return Ok(Some(evaluated));
         }
+        let EvaluatedResponse { parts, framing, body } = evaluated;
         let mut headers = end_to_end(&parts.headers);
         headers.remove(CONTENT_LENGTH);
         let head = Head { status: parts.status, headers };
-        let is_unframed = is_unframed(&parts.headers, &body);
-        self.response =
-            ResponseState::Streaming { head, body, is_unframed, splitter: EventSplitter::default() };
+        self.response = ResponseState::Streaming { head, body, framing, splitter: EventSplitter::default() };
         Ok(None)
     }
 
@@ -201,11 +193,11 @@
         }
     }
 
-    /// Whether a response that has ended is complete: one without a length may have been truncated by the end of its server.
+    /// Whether a response that has ended is complete.
     pub async fn is_complete(&mut self) -> bool {
         match &self.response {
-            ResponseState::Streaming { is_unframed: true, .. } => self.gate.server_survives().await,
-            _ => true,
+            ResponseState::Streaming { framing, .. } => is_complete_at_end(&self.gate, *framing).await,
+            ResponseState::Awaited { .. } | ResponseState::Done => true,
         }
     }
 
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -1,11 +1,12 @@
 //! Reads a stream event by event until it is complete, breaks or runs out of time. While its source has stalled, the
 //! request is sent to another one as well: whichever sends the next event first is read on, and the others are closed.
 
-use super::open_send::{OpenSend, OtherResponse, Progress};
+use super::open_send::{OpenSend, Progress};
 use super::source_search::SourceSearch;
 use super::{ReadResult, StreamRequest};
 use crate::gateway::body::{full_body, read_response_body};
 use crate::gateway::headers::end_to_end;
+use crate::gateway::response_head::EvaluatedResponse;
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{
     StallWatch, broken_connection_outcome, on_exit_of, record_stall, renew_suspicion, wait_for_stall,
@@ -188,10 +189,10 @@
     }
 
     /// Forwards a response of the only source that is not a stream, unless the request may be sent to another one.
-    async fn take_other_response(&mut self, other: OtherResponse) -> Option<ReadResult> {
+    async fn take_other_response(&mut self, other: EvaluatedResponse) -> Option<ReadResult> {
         let deadline = self.sender.received.deadline;
         let only = self.sends.newest_mut()?;
-        let reading = read_response_body(&only.gate, &other.parts.headers, other.body);
+        let reading = read_response_body(&only.gate, other.framing, other.body);
         let Ok(body) = tokio::time::timeout_at(deadline, reading).await else {
             return Some(ReadResult::OutOfTime);
         };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod process;
 pub mod published;
 pub mod pushback;
+pub mod response_framing;
 pub mod scope_dispatchers;
 pub mod server_connections;
 pub mod server_dialer;
--- a/crates/daemon/src/log_line.rs
+++ b/crates/daemon/src/log_line.rs
@@ -5,6 +5,7 @@
 
 use crate::connection_line::CallerConnectionLine;
 use crate::gateway::ConnectFault;
+use crate::response_framing::HeadFault;
 use dockwood_api::ResultCode;
 use serde::Serialize;
 
@@ -325,6 +326,9 @@
     /// HTTP status of the server's response, if there was one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub status: Option<u16>,
+    /// Why the head of the server's response could not be used, if it could not.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub head_fault: Option<HeadFault>,
     /// Back-off that the server requested by `Retry-After`, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
--- /dev/null
+++ b/crates/daemon/src/response_framing.rs
@@ -0,0 +1,101 @@
+//! Decides how the body of a server's response is delimited, from its head alone (RFC 9112, section 6.3). A head that does
+//! not tell this unambiguously begins no response: what follows is not known to be the server's body.
+
+use hyper::Method;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::http::StatusCode;
+use quick_error::quick_error;
+use serde::Serialize;
+
+/// The only transfer coding that requests accept, as they have no `TE` header.
+const CHUNKED: &str = "chunked";
+
+/// How the body of a response is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseFraming {
+    /// There is no body.
+    NoBody {
+        /// The length that the body would have if the request were not a HEAD request, in bytes.
+        omitted_length: Option<u64>,
+    },
+    /// The body has this number of bytes.
+    Length(u64),
+    /// The body is in chunks, of which the last one is marked.
+    Chunked,
+    /// The body ends with its connection, which also ends if the server crashes.
+    UntilClose,
+}
+
+quick_error! {
+    /// Why a head begins no response.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+    #[serde(rename_all = "camelCase")]
+    pub enum HeadFault {
+        /// The transfer coding is not exactly `chunked`.
+        TransferCoding {
+            display("the transfer coding is not 'chunked'")
+        }
+        /// The length is not one decimal number.
+        Length {
+            display("the length is not a number")
+        }
+    }
+}
+
+impl ResponseFraming {
+    /// Decides the framing of the response to a request with this method.
+    ///
+    /// # Errors
+    /// Why the head begins no response.
+    pub fn of(
+        method: &Method,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<ResponseFraming, HeadFault> {
+        let is_chunked = is_chunked(headers)?;
+        let length = content_length(headers)?;
+        if method == Method::HEAD {
+            return Ok(ResponseFraming::NoBody { omitted_length: length });
+        }
+        if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+            return Ok(ResponseFraming::NoBody { omitted_length: None });
+        }
+        Ok(match length {
+            _ if is_chunked => ResponseFraming::Chunked,
+            Some(length) => ResponseFraming::Length(length),
+            None => ResponseFraming::UntilClose,
+        })
+    }
+}
+
+/// Returns whether the body is in chunks.
+fn is_chunked(headers: &HeaderMap) -> Result<bool, HeadFault> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else { return Ok(false) };
+    let is_chunked = coding.to_str().is_ok_and(|coding| coding.trim().eq_ignore_ascii_case(CHUNKED));
+    match is_chunked && codings.next().is_none() {
+        true => Ok(true),
+        false => Err(HeadFault::TransferCoding),
+    }
+}
+
+/// Returns the length that the head tells, in bytes. It may be told repeatedly.
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
+    let mut length = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        let value = value.to_str().map_err(|_| HeadFault::Length)?;
+        for number in value.split(',').map(str::trim) {
+            let number = parse_decimal(number).ok_or(HeadFault::Length)?;
+            if length.is_some_and(|length| length != number) {
+                return Err(HeadFault::Length);
+            }
+            length = Some(number);
+        }
+    }
+    Ok(length)
+}
+
+/// Parses a number without a sign.
+fn parse_decimal(text: &str) -> Option<u64> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
--- a/crates/daemon/tests/one_entry/large_responses.rs
+++ b/crates/daemon/tests/one_entry/large_responses.rs
@@ -38,7 +38,7 @@
     (0..).map(|number| format!("{number:07}\n")).take(LARGE_BYTES / 8).collect()
 }
 
-fn chunk(body: &str) -> String {
+pub fn chunk(body: &str) -> String {
     format!("{:x}\r\n{body}\r\n", body.len())
 }
 
@@ -51,7 +51,7 @@
 }
 
 /// Returns the body of a complete response; `None` if the response is not complete.
-fn complete_body(response: &str) -> Option<String> {
+pub fn complete_body(response: &str) -> Option<String> {
     let (head, body) = response.split_once("\r\n\r\n")?;
     let head = head.to_ascii_lowercase();
     if let Some(length) = head.lines().find_map(|line| line.strip_prefix("content-length: ")) {
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of one entry within the test process. The tests publish the tables themselves, so that each step happens at a
 //! known time.
 
+mod broken_heads;
 mod cut_off;
 mod cut_off_soak;
 mod endless_responses;
