The length that a caller gets is the one by which the body is received

What callers saw: a server that told a length beside chunks; a caller got "content-length: 3" with six bytes, of which three belong to its next response, or 9 with six (release build), "6x" and an empty length as they stood, and a response of 3 MB as one of 9 bytes; in a debug build hyper panicked and the caller got nothing. "06" and "6, 6" reached callers in these forms.

Cause: the server's content-length was copied into the caller's head although hyper reads chunks if both are told.

Change: a head that tells a length beside chunks begins no response (RFC 9112, section 6.3, lets it be handled as an error, and either may be the spoilt one). ResponseHead, which takes the place of two such types, never copies the length: it sets the number by which the body is received, also for the response to a HEAD request, and none for streams, chunks and bodies that end with their connection.

--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -4,11 +4,11 @@
 use super::body::{
     ReceivedBody, ResponseBody, full_body, may_forward_partially, read_first_part, read_response_body,
 };
-use super::headers::{ServerHeaders, add_server_headers, end_to_end};
+use super::headers::{ServerHeaders, add_server_headers};
 use super::large_response::{LargeResponse, PartialResponse, ResponseSource};
 use super::receive::{ReceivedRequest, may_still_send};
 use super::request_log::{RequestLog, SendNumber};
-use super::response_head::{EvaluatedResponse, evaluate_head};
+use super::response_head::{EvaluatedResponse, ResponseHead, evaluate_head};
 use super::responses::{RETRY_SOON_MS, error_response};
 use super::server_selection::{SelectedServer, select_server};
 use super::upstream::Upstream;
@@ -21,9 +21,8 @@
 use dockwood_routing::gateway::{GiveUp, RequestAttempts, RetryDecision, SendOutcome};
 use dockwood_routing::{CallResult, Millis};
 use http_body_util::Full;
-use hyper::header::HeaderMap;
 use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, Uri};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,31 +32,16 @@
 /// Minimum duration of one such wait.
 const MIN_HOLD_WAIT: Duration = Duration::from_millis(1);
 
-/// Head of a response as received from a server.
-struct ServerHead {
-    status: StatusCode,
-    headers: HeaderMap,
-}
-
-impl ServerHead {
-    fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
-        let mut response = Response::new(body);
-        *response.status_mut() = self.status;
-        *response.headers_mut() = self.headers;
-        response
-    }
-}
-
 /// A complete response of a server.
 struct WholeResponse {
-    head: ServerHead,
+    head: ResponseHead,
     body: Bytes,
 }
 
 /// A response of a server, as far as it is received before it is forwarded.
 enum ServerResponse {
     Whole(WholeResponse),
-    Large(ServerHead, Box<PartialResponse>),
+    Large(ResponseHead, Box<PartialResponse>),
 }
 
 /// What a request has led to.
@@ -65,7 +49,7 @@
     /// A complete response, of a server or of the gateway.
     Complete(Response<ResponseBody>),
     /// A large response of a server, which is forwarded while it is received.
-    Large(ServerHead, Box<PartialResponse>),
+    Large(ResponseHead, Box<PartialResponse>),
 }
 
 impl From<Response<ResponseBody>> for Answer {
@@ -254,7 +238,7 @@
     /// Forwards a large response while it is received.
     fn forward_large(
         self,
-        head: ServerHead,
+        head: ResponseHead,
         partial: PartialResponse,
         in_flight: InFlight,
     ) -> Response<ResponseBody> {
@@ -337,14 +321,14 @@
         upstream: &mut Upstream,
         request: Request<Full<Bytes>>,
         mut permit: SendPermit,
-    ) -> Result<(ServerHead, ReceivedBody), SendOutcome> {
+    ) -> Result<(ResponseHead, ReceivedBody), SendOutcome> {
         let Ok(response) = upstream.send(request, &permit).await else {
             return Err(self.broken_connection_outcome().await);
         };
         let log = &mut self.request_log;
-        let head = evaluate_head(self.gateway, self.received, log, number, &mut permit, response);
+        let evaluated = evaluate_head(self.gateway, self.received, log, number, &mut permit, response);
         drop(permit);
-        let EvaluatedResponse { parts, framing, body } = head?;
+        let EvaluatedResponse { head, framing, body } = evaluated?;
         let body = if may_forward_partially(self.received.version, framing) {
             read_first_part(&self.gate, framing, body).await
         } else {
@@ -353,7 +337,7 @@
         let Some(body) = body else {
             return Err(self.broken_connection_outcome().await);
         };
-        Ok((ServerHead { status: parts.status, headers: end_to_end(&parts.headers) }, body))
+        Ok((head, body))
     }
 
     /// Returns the outcome of a send whose connection broke while the server had the request.
@@ -376,7 +360,7 @@
     /// The same for a large response. A large error is not kept: the request is sent to another server instead of reading it.
     fn check_large_server_error(
         &mut self,
-        head: ServerHead,
+        head: ResponseHead,
         partial: PartialResponse,
     ) -> Result<ServerResponse, SendOutcome> {
         if head.status.is_server_error() && self.attempts.may_move() {
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -1,6 +1,8 @@
 //! Evaluates the head of a server's response: pushback signals, and whether the response may be forwarded.
 
 use super::Gateway;
+use super::body::ResponseBody;
+use super::headers::end_to_end;
 use super::receive::ReceivedRequest;
 use super::request_log::{RequestLog, SendNumber};
 use crate::dialect::HeaderNames;
@@ -8,14 +10,48 @@
 use crate::response_framing::ResponseFraming;
 use dockwood_routing::gateway::SendOutcome;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
+/// Head of a response for the caller.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// Status of the server's response.
+    pub status: StatusCode,
+    /// Headers of the server's response that apply beyond its connection, with the length by which the body is received.
+    pub headers: HeaderMap,
+}
+
+impl ResponseHead {
+    fn new(parts: &Parts, framing: ResponseFraming) -> ResponseHead {
+        let mut headers = end_to_end(&parts.headers);
+        headers.remove(CONTENT_LENGTH);
+        if let Some(length) = framing.content_length() {
+            headers.insert(CONTENT_LENGTH, length.into());
+        }
+        ResponseHead { status: parts.status, headers }
+    }
+
+    /// Returns the head of a response whose body differs from the server's in length.
+    pub fn without_length(mut self) -> ResponseHead {
+        self.headers.remove(CONTENT_LENGTH);
+        self
+    }
+
+    /// Returns the response with this body.
+    pub fn into_response(self, body: ResponseBody) -> Response<ResponseBody> {
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
 /// A response that may be forwarded, of which the body has not been read.
 pub struct EvaluatedResponse {
     /// Head of the response.
-    pub parts: Parts,
+    pub head: ResponseHead,
     /// How the body is delimited.
     pub framing: ResponseFraming,
     /// Body of the response.
@@ -56,7 +92,7 @@
     if falsely_implies_not_run(parts.status, received) {
         return Err(SendOutcome::Unknown);
     }
-    Ok(EvaluatedResponse { parts, framing, body })
+    Ok(EvaluatedResponse { head: ResponseHead::new(&parts, framing), framing, body })
 }
 
 /// Returns whether a response belongs to the request: servers echo the attempt id.
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -13,16 +13,16 @@
 use super::body::{ResponseBody, Truncated, full_body};
 use super::receive::ReceivedRequest;
 use super::request_log::RequestLog;
+use super::response_head::ResponseHead;
 use crate::shared::InFlight;
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_routing::gateway::{SendOutcome, StallTimeouts};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
 use hyper::body::Frame;
-use hyper::header::HeaderMap;
-use hyper::{Response, StatusCode};
-use open_send::{Head, Position};
+use open_send::Position;
 use open_sends::OpenSends;
 use sender::RequestSender;
 use source_search::SourceSearch;
@@ -51,7 +51,7 @@
     sends: OpenSends,
     search: SourceSearch,
     /// The head of the first response of which an event was forwarded.
-    head: Option<Head>,
+    head: Option<ResponseHead>,
     position: Position,
     /// Number of forwarded events.
     events: u64,
@@ -147,16 +147,14 @@
 
     fn into_response(mut self, first_event: Option<Bytes>) -> Response<ResponseBody> {
         let head = self.head.take();
-        let (status, headers) =
-            head.map_or((StatusCode::OK, HeaderMap::new()), |head| (head.status, head.headers));
         let body = match first_event {
             None => full_body(Bytes::new()),
             Some(first_event) => self.into_body(first_event),
         };
-        let mut response = Response::new(body);
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response
+        match head {
+            Some(head) => head.into_response(body),
+            None => Response::new(body),
+        }
     }
 
     fn into_body(self, first_event: Bytes) -> ResponseBody {
--- a/crates/daemon/src/gateway/stream/open_send.rs
+++ b/crates/daemon/src/gateway/stream/open_send.rs
@@ -1,13 +1,13 @@
 //! One send of a streaming request that a server has: up to the head of its response, and then event by event.
 
 use crate::gateway::Gateway;
+use crate::gateway::body::is_complete_at_end;
 use crate::gateway::loads::SilenceProbe;
 use crate::gateway::receive::ReceivedRequest;
 use crate::gateway::request_log::{RequestLog, SendNumber};
-use crate::gateway::response_head::{EvaluatedResponse, evaluate_head};
+use crate::gateway::response_head::{EvaluatedResponse, ResponseHead, evaluate_head};
 use crate::gateway::source::Source;
 use crate::gateway::upstream::{PendingResponse, Upstream};
-use crate::gateway::{body::is_complete_at_end, headers::end_to_end};
 use crate::log_line::StallCause;
 use crate::pushback::SendPermit;
 use crate::response_framing::ResponseFraming;
@@ -16,7 +16,7 @@
 use dockwood_routing::gateway::{EventSplitter, SendOutcome, StreamEvent};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
+use hyper::header::CONTENT_TYPE;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
@@ -25,13 +25,6 @@
 
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Head of the response to the caller.
-#[derive(Clone, Debug)]
-pub(super) struct Head {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-}
-
 /// How far the response has been forwarded to the caller.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Position {
@@ -77,7 +70,7 @@
         permit: SendPermit,
     },
     Streaming {
-        head: Head,
+        head: ResponseHead,
         body: Incoming,
         framing: ResponseFraming,
         splitter: EventSplitter,
@@ -172,21 +165,20 @@
             return Err(SendOutcome::Unknown);
         };
         let evaluated = evaluate_head(gateway, received, request_log, self.number, &mut permit, response)?;
-        let content_type = evaluated.parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let content_type = evaluated.head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let is_stream = content_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
-        if evaluated.parts.status != StatusCode::OK || !is_stream {
+        if evaluated.head.status != StatusCode::OK || !is_stream {
             return Ok(Some(evaluated));
         }
-        let EvaluatedResponse { parts, framing, body } = evaluated;
-        let mut headers = end_to_end(&parts.headers);
-        headers.remove(CONTENT_LENGTH);
-        let head = Head { status: parts.status, headers };
+        let EvaluatedResponse { head, framing, body } = evaluated;
+        // Events that the caller already has are omitted.
+        let head = head.without_length();
         self.response = ResponseState::Streaming { head, body, framing, splitter: EventSplitter::default() };
         Ok(None)
     }
 
     /// The head of the stream; `None` if it has not arrived.
-    pub fn head(&self) -> Option<&Head> {
+    pub fn head(&self) -> Option<&ResponseHead> {
         match &self.response {
             ResponseState::Streaming { head, .. } => Some(head),
             ResponseState::Awaited { .. } | ResponseState::Done => None,
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -5,7 +5,6 @@
 use super::source_search::SourceSearch;
 use super::{ReadResult, StreamRequest};
 use crate::gateway::body::{full_body, read_response_body};
-use crate::gateway::headers::end_to_end;
 use crate::gateway::response_head::EvaluatedResponse;
 use crate::gateway::source::Source;
 use crate::gateway::stalls::{
@@ -199,17 +198,15 @@
         let Some(body) = body else {
             return self.take_broken(0).await;
         };
-        let failed = other.parts.status.is_server_error();
+        let failed = other.head.status.is_server_error();
         if failed && self.sender.attempts.may_move() {
             return self.send_ended(0, SendOutcome::Failed);
         }
-        if other.parts.status.is_success() {
+        if other.head.status.is_success() {
             self.record_answered();
         }
         self.sender.request_log.end(if failed { ResultCode::BackendFailed } else { ResultCode::Ok });
-        let mut response = Response::new(full_body(body));
-        *response.status_mut() = other.parts.status;
-        *response.headers_mut() = end_to_end(&other.parts.headers);
+        let response = other.head.into_response(full_body(body));
         Some(ReadResult::NotAStream(Box::new(response)))
     }
 
--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -39,6 +39,10 @@
         Length {
             display("the length is not a number")
         }
+        /// It tells a length although the body is in chunks; either may be wrong.
+        LengthBesideChunks {
+            display("the head tells a length beside chunks")
+        }
     }
 }
 
@@ -54,6 +58,9 @@
     ) -> Result<ResponseFraming, HeadFault> {
         let is_chunked = is_chunked(headers)?;
         let length = content_length(headers)?;
+        if is_chunked && length.is_some() {
+            return Err(HeadFault::LengthBesideChunks);
+        }
         if method == Method::HEAD {
             return Ok(ResponseFraming::NoBody { omitted_length: length });
         }
@@ -66,6 +73,15 @@
             None => ResponseFraming::UntilClose,
         })
     }
+
+    /// Returns the length for the head of a response with this framing, in bytes, if it is known from the start.
+    pub fn content_length(self) -> Option<u64> {
+        match self {
+            ResponseFraming::Length(length) => Some(length),
+            ResponseFraming::NoBody { omitted_length } => omitted_length,
+            ResponseFraming::Chunked | ResponseFraming::UntilClose => None,
+        }
+    }
 }
 
 /// Returns whether the body is in chunks.
--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -1,8 +1,10 @@
 //! Responses whose heads can be read and still begin no response that may be forwarded: what follows is not known to be the
 //! server's body.
 
-use crate::head_cases::{ATTEMPT, LAST_CHUNK, OK, PATHS, answer_to, assert_not_forwarded, body_of, head};
-use crate::large_responses::{chunk, complete_body};
+use crate::head_cases::{
+    AGAIN, ATTEMPT, LAST_CHUNK, OK, ONCE, PATHS, answer_to, assert_not_forwarded, body_of, head,
+};
+use crate::large_responses::{chunk, complete_body, large_body};
 use crate::scripted_server::Reply;
 use std::io::Result;
 
@@ -52,3 +54,52 @@
     }
     Ok(())
 }
+
+#[yare::parameterized(
+    shorter = { "3" },
+    longer = { "9" },
+    equal = { "6" },
+    no_number = { "6x" },
+    empty = { "" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_head_that_tells_a_length_beside_chunks_is_not_forwarded(length: &str) -> Result<()> {
+    let lines = format!("content-length: {length}\r\ntransfer-encoding: chunked\r\n");
+    assert_not_forwarded(|path| in_chunks(path, OK, &lines)).await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_response_with_a_length_beside_chunks_is_not_forwarded() -> Result<()> {
+    let head = "HTTP/1.1 200 OK\r\ndockwood-attempt: ATTEMPT\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n";
+    let response = format!("{head}{}{LAST_CHUNK}", chunk(&large_body()));
+    for path in [ONCE, AGAIN] {
+        let answer = answer_to("POST", path, Reply::Bytes(response.clone())).await?;
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{path}: {} bytes", answer.len());
+    }
+    Ok(())
+}
+
+#[yare::parameterized(
+    leading_zero = { "06" },
+    repeated = { "6, 6" },
+    in_two_lines = { "6\r\ncontent-length: 6" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_caller_gets_one_number_for_a_length_in_another_form(length: &str) -> Result<()> {
+    let response = format!("HTTP/1.1 200 OK\r\n{ATTEMPT}content-length: {length}\r\n\r\nwhole!");
+    for path in [ONCE, AGAIN] {
+        let answer = answer_to("POST", path, Reply::Bytes(response.clone())).await?.to_ascii_lowercase();
+        let lengths: Vec<&str> =
+            answer.lines().filter_map(|line| line.strip_prefix("content-length: ")).collect();
+        assert!(lengths == ["6"] && answer.ends_with("\r\n\r\nwhole!"), "{path}: {answer}");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_response_to_a_head_request_tells_the_length_of_the_body_that_it_omits() -> Result<()> {
+    let response = format!("HTTP/1.1 200 OK\r\n{ATTEMPT}content-length: 0600\r\n\r\n");
+    let answer = answer_to("HEAD", AGAIN, Reply::Bytes(response)).await?.to_ascii_lowercase();
+    assert!(answer.starts_with("http/1.1 200 ") && answer.contains("content-length: 600\r\n"), "{answer}");
+    Ok(())
+}
--- a/crates/daemon/tests/one_entry/large_responses.rs
+++ b/crates/daemon/tests/one_entry/large_responses.rs
@@ -34,7 +34,7 @@
 }
 
 /// Returns a body of which each part can be told from the others.
-fn large_body() -> String {
+pub fn large_body() -> String {
     (0..).map(|number| format!("{number:07}\n")).take(LARGE_BYTES / 8).collect()
 }
 
