A head that announces a body beside status 204 begins no response

What callers saw: a server whose status was spoilt to 204, with a length or chunks in its head; the caller got an empty success, and the body was dropped.

Cause: hyper reads no body after 204, whatever the head announces. RFC 9110 allows neither field beside 204, but for a length of 0, which some servers send and which is still accepted.

--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -43,6 +43,10 @@
         LengthBesideChunks {
             display("the head tells a length beside chunks")
         }
+        /// It announces a body although its status says that there is none.
+        BodyBesideNoContent {
+            display("the head announces a body that its status excludes")
+        }
     }
 }
 
@@ -64,6 +68,9 @@
         if method == Method::HEAD {
             return Ok(ResponseFraming::NoBody { omitted_length: length });
         }
+        if status == StatusCode::NO_CONTENT && (is_chunked || length.unwrap_or(0) > 0) {
+            return Err(HeadFault::BodyBesideNoContent);
+        }
         if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
             return Ok(ResponseFraming::NoBody { omitted_length: None });
         }
--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -103,3 +103,28 @@
     assert!(answer.starts_with("http/1.1 200 ") && answer.contains("content-length: 600\r\n"), "{answer}");
     Ok(())
 }
+
+#[yare::parameterized(
+    length = { "content-length: 6\r\n" },
+    chunks = { "transfer-encoding: chunked\r\n" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_body_is_not_dropped_because_the_status_says_that_there_is_none(line: &str) -> Result<()> {
+    assert_not_forwarded(|path| in_chunks(path, "204 No Content", line)).await
+}
+
+#[yare::parameterized(
+    without_length = { "" },
+    length_zero = { "content-length: 0\r\n" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_response_without_a_body_is_forwarded(line: &str) -> Result<()> {
+    for status in ["204 No Content", "304 Not Modified"] {
+        for path in PATHS {
+            let response = head(path, status, &format!("{ATTEMPT}{line}"));
+            let answer = answer_to("POST", path, Reply::Bytes(response)).await?;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{path}: {answer}");
+        }
+    }
+    Ok(())
+}
