A status that is not that of a final response is not forwarded

What callers saw: 101, 600 and 999 of a server, as they stood, on plain requests and streams; after 101 a caller takes what follows for another protocol.

Cause: hyper accepts statuses up to 999, and returns 101 as a response, although no request asks for an upgrade.

Change: the framing of a response is decided for the statuses 200 to 599 alone; others begin no response (RFC 9110, section 15).

Evidence: three cases of broken_heads failed before and pass now.

--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -6,10 +6,14 @@
 use hyper::http::StatusCode;
 use quick_error::quick_error;
 use serde::Serialize;
+use std::ops::Range;
 
 /// The only transfer coding that requests accept, as they have no `TE` header.
 const CHUNKED: &str = "chunked";
 
+/// The statuses of final responses. No request asks for another protocol, so 101 is none of them.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// How the body of a response is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseFraming {
@@ -31,6 +35,10 @@
     #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
     #[serde(rename_all = "camelCase")]
     pub enum HeadFault {
+        /// The status is not that of a final response.
+        Status {
+            display("the status is not that of a final response")
+        }
         /// The transfer coding is not exactly `chunked`.
         TransferCoding {
             display("the transfer coding is not 'chunked'")
@@ -60,6 +68,9 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<ResponseFraming, HeadFault> {
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(HeadFault::Status);
+        }
         let is_chunked = is_chunked(headers)?;
         let length = content_length(headers)?;
         if is_chunked && length.is_some() {
--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -2,7 +2,7 @@
 //! server's body.
 
 use crate::head_cases::{
-    AGAIN, ATTEMPT, LAST_CHUNK, OK, ONCE, PATHS, answer_to, assert_not_forwarded, body_of, head,
+    AGAIN, ATTEMPT, LAST_CHUNK, OK, ONCE, PATHS, answer_to, assert_not_forwarded, body_of, head, with_length,
 };
 use crate::large_responses::{chunk, complete_body, large_body};
 use crate::scripted_server::Reply;
@@ -128,3 +128,13 @@
     }
     Ok(())
 }
+
+#[yare::parameterized(
+    switching_protocols = { "101 Switching Protocols" },
+    above_the_defined_range = { "600 Unknown" },
+    largest = { "999 Unknown" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_status_that_is_not_final_is_not_forwarded(status: &str) -> Result<()> {
+    assert_not_forwarded(|path| with_length(path, status, ATTEMPT)).await
+}
