A body in a coding that its request does not accept is not forwarded

What callers saw: a success with "content-encoding: gzip" (or another or an empty coding) that nobody had asked for, as it stood.

Cause: nothing looked at the field. HTTP lets a server choose any coding if the request names none; callers here ask for none, and a caller of dockwood's own protocol that wants one names it.

Change: each coding of a response must be named in the request's Accept-Encoding; otherwise the response is unusable, like one with a broken head. A statement that the request has not run still counts.

Evidence: four cases of broken_heads failed before and pass now; the rule itself is tested beside them.

--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -5,9 +5,10 @@
 use super::headers::end_to_end;
 use super::receive::ReceivedRequest;
 use super::request_log::{RequestLog, SendNumber};
+use crate::content_coding::is_coding_accepted;
 use crate::dialect::HeaderNames;
 use crate::pushback::{SendPermit, signals_of};
-use crate::response_framing::ResponseFraming;
+use crate::response_framing::{HeadFault, ResponseFraming};
 use dockwood_routing::gateway::SendOutcome;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
@@ -79,10 +80,12 @@
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         permit.record_response(&signals, received.attempt.as_deref().unwrap_or_default());
     }
-    let framing = ResponseFraming::of(&received.method, parts.status, &parts.headers).map_err(|fault| {
+    let mut unusable = |fault: HeadFault| {
         request_log.record_head_fault(send, fault);
         SendOutcome::Unknown
-    })?;
+    };
+    let framing =
+        ResponseFraming::of(&received.method, parts.status, &parts.headers).map_err(&mut unusable)?;
     if !matches_attempt(&parts.headers, names, received) {
         return Err(SendOutcome::Unknown);
     }
@@ -92,6 +95,9 @@
     if falsely_implies_not_run(parts.status, received) {
         return Err(SendOutcome::Unknown);
     }
+    if !is_coding_accepted(&received.headers, &parts.headers) {
+        return Err(unusable(HeadFault::ContentCoding));
+    }
     Ok(EvaluatedResponse { head: ResponseHead::new(&parts, framing), framing, body })
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod clock;
 pub mod connection_line;
+pub mod content_coding;
 pub mod control;
 pub mod control_directory;
 pub mod dialect;
--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -6,6 +6,8 @@
 };
 use crate::large_responses::{chunk, complete_body, large_body};
 use crate::scripted_server::Reply;
+use dockwood_daemon::content_coding::is_coding_accepted;
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use std::io::Result;
 
 /// Returns a response whose body is in chunks, whatever these lines of its head tell.
@@ -138,3 +140,32 @@
 async fn a_status_that_is_not_final_is_not_forwarded(status: &str) -> Result<()> {
     assert_not_forwarded(|path| with_length(path, status, ATTEMPT)).await
 }
+
+#[yare::parameterized(
+    compressed = { "gzip" },
+    compressed_twice = { "identity, gzip" },
+    unknown = { "identit" },
+    empty = { "" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_body_in_a_coding_that_the_caller_does_not_accept_is_not_forwarded(coding: &str) -> Result<()> {
+    let lines = format!("{ATTEMPT}content-encoding: {coding}\r\n");
+    assert_not_forwarded(|path| with_length(path, OK, &lines)).await
+}
+
+#[yare::parameterized(
+    named = { "deflate, GZIP;q=0.5", "gzip", true },
+    all_of_several_named = { "gzip, br", "br, gzip", true },
+    one_of_several_named = { "gzip", "br, gzip", false },
+    excluded = { "gzip;q=0, br", "gzip", false },
+    excluded_with_decimals = { "gzip; q=0.000", "gzip", false },
+    no_coding = { "gzip", "", false },
+)]
+fn a_coding_is_accepted_by_name(accepted: &str, coding: &str, is_accepted: bool) {
+    let headers = |name: HeaderName, value: &str| -> HeaderMap {
+        HeaderValue::from_str(value).into_iter().map(|value| (name.clone(), value)).collect()
+    };
+    let (request, response) = (headers(ACCEPT_ENCODING, accepted), headers(CONTENT_ENCODING, coding));
+    assert_eq!(is_coding_accepted(&request, &response), is_accepted);
+    assert!(is_coding_accepted(&request, &HeaderMap::new()));
+}
