A response that names two requests is not forwarded

What callers saw: a response with two attempt ids of which the first was right, with both of them. Servers echo the id of the one request that a response belongs to.

Cause: only the first line of the field was compared.

Change: the id must be there exactly once; the line of the request says if it was not (headFault: attempt).

Evidence: a_response_that_names_two_attempts_is_not_forwarded failed before and passes now.

--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -87,7 +87,7 @@
     let framing =
         ResponseFraming::of(&received.method, parts.status, &parts.headers).map_err(&mut unusable)?;
     if !matches_attempt(&parts.headers, names, received) {
-        return Err(SendOutcome::Unknown);
+        return Err(unusable(HeadFault::Attempt));
     }
     if says_not_run(parts.status, &parts.headers, names) {
         return Err(SendOutcome::SaidNotRun);
@@ -101,10 +101,12 @@
     Ok(EvaluatedResponse { head: ResponseHead::new(&parts, framing), framing, body })
 }
 
-/// Returns whether a response belongs to the request: servers echo the attempt id.
+/// Returns whether a response belongs to the request: servers echo the attempt id, once.
 fn matches_attempt(headers: &HeaderMap, names: &HeaderNames, received: &ReceivedRequest) -> bool {
-    let echoed = headers.get(names.attempt).and_then(|value| value.to_str().ok());
-    received.attempt.is_none() || echoed == received.attempt.as_deref()
+    let Some(attempt) = &received.attempt else { return true };
+    let mut echoed = headers.get_all(names.attempt).into_iter();
+    let is_same = echoed.next().is_some_and(|echoed| echoed.as_bytes() == attempt.as_bytes());
+    is_same && echoed.next().is_none()
 }
 
 /// Returns whether a response states that the request did not run.
--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -55,6 +55,10 @@
         BodyBesideNoContent {
             display("the head announces a body that its status excludes")
         }
+        /// It names another request, several, or none.
+        Attempt {
+            display("the head does not name the request")
+        }
         /// The body is in a coding that the request does not accept.
         ContentCoding {
             display("the request does not accept the coding of the body")
--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -169,3 +169,12 @@
     assert_eq!(is_coding_accepted(&request, &response), is_accepted);
     assert!(is_coding_accepted(&request, &HeaderMap::new()));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_that_names_two_attempts_is_not_forwarded() -> Result<()> {
+    for other in ["a-2", "ATTEMPT", ""] {
+        let lines = format!("{ATTEMPT}dockwood-attempt: {other}\r\n");
+        assert_not_forwarded(|path| with_length(path, OK, &lines)).await?;
+    }
+    Ok(())
+}
