A success without its server's signature is not forwarded

What callers saw: on the platform a 2xx counts only with its signature; a response whose signature field was missing, or whose name was spoilt, passed as a success.

Cause: nothing looked for the field; the dialect did not know its name.

Change: a dialect may name the field that signs successes (none in dockwood's own protocol); a 2xx must have it once, with a value. Errors need none.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -13,6 +13,8 @@
 pub struct HeaderNames {
     /// Identifies a caller's attempt; returned with the response.
     pub attempt: &'static str,
+    /// Sent by a server with each successful response; `None` if the protocol has no such header.
+    pub signature: Option<&'static str>,
     /// Milliseconds that the caller, or this daemon as the sender, waits for the response.
     pub deadline_ms: &'static str,
     /// Model that the request is for.
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -95,6 +95,9 @@
     if falsely_implies_not_run(parts.status, received) {
         return Err(SendOutcome::Unknown);
     }
+    if parts.status.is_success() && !is_signed(&parts.headers, names) {
+        return Err(unusable(HeadFault::Signature));
+    }
     if !is_coding_accepted(&received.headers, &parts.headers) {
         return Err(unusable(HeadFault::ContentCoding));
     }
@@ -109,6 +112,13 @@
     is_same && echoed.next().is_none()
 }
 
+/// Returns whether a response has its server's signature, once, if the protocol has one.
+fn is_signed(headers: &HeaderMap, names: &HeaderNames) -> bool {
+    let Some(signature) = names.signature else { return true };
+    let mut signatures = headers.get_all(signature).into_iter();
+    signatures.next().is_some_and(|signature| !signature.is_empty()) && signatures.next().is_none()
+}
+
 /// Returns whether a response states that the request did not run.
 fn says_not_run(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> bool {
     status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(names.not_run)
--- a/crates/daemon/src/native_dialect.rs
+++ b/crates/daemon/src/native_dialect.rs
@@ -15,6 +15,7 @@
 pub const NATIVE_SIGNALS: SignalHeaders = SignalHeaders { leaving: HEADER_LEAVING, limit: HEADER_LIMIT };
 const HEADERS: HeaderNames = HeaderNames {
     attempt: "dockwood-attempt",
+    signature: None,
     deadline_ms: "dockwood-deadline-ms",
     model: "dockwood-model",
     token_usage: "dockwood-prompt-tokens",
--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -59,6 +59,10 @@
         Attempt {
             display("the head does not name the request")
         }
+        /// It is a success without the server's signature.
+        Signature {
+            display("the success has no signature")
+        }
         /// The body is in a coding that the request does not accept.
         ContentCoding {
             display("the request does not accept the coding of the body")
--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -4,6 +4,7 @@
 use dockwood_api::peer::DaemonRecord;
 use dockwood_daemon::clock::monotonic_ms;
 use dockwood_daemon::control::ControlHandle;
+use dockwood_daemon::dialect::Dialect;
 use dockwood_daemon::gateway::{Gateway, GatewayListeners};
 use dockwood_daemon::metrics::Metrics;
 use dockwood_daemon::native_dialect::NativeDialect;
@@ -78,6 +79,8 @@
 pub struct EntryOptions {
     /// How it connects to servers.
     pub dialer: Arc<dyn ServerDialer>,
+    /// Its protocol.
+    pub dialect: Arc<dyn Dialect>,
     /// Retry budget; `None` for the default of the settings.
     pub retry_budget: Option<RetryBudget>,
     /// Number of requests that a group processes concurrently.
@@ -86,7 +89,12 @@
 
 impl Default for EntryOptions {
     fn default() -> Self {
-        EntryOptions { dialer: Arc::new(TcpDialer), retry_budget: None, slots: 1 }
+        EntryOptions {
+            dialer: Arc::new(TcpDialer),
+            dialect: Arc::new(NativeDialect),
+            retry_budget: None,
+            slots: 1,
+        }
     }
 }
 
@@ -171,7 +179,7 @@
             operators: Some(operator_listener),
             ..GatewayListeners::default()
         };
-        let gateway = Gateway::start(shared.clone(), Arc::new(NativeDialect), listeners)?;
+        let gateway = Gateway::start(shared.clone(), options.dialect, listeners)?;
         let entry = Arc::new(Entry { shared, gateway, state: Mutex::default(), frontend, operators });
         entry.apply(GatewayCommand::Configure(Arc::new(configuration(options.slots))));
         Ok(entry)
--- a/crates/daemon/tests/one_entry/head_cases.rs
+++ b/crates/daemon/tests/one_entry/head_cases.rs
@@ -34,17 +34,16 @@
     format!("{}{body}", head(path, status, &format!("{lines}content-length: {}\r\n", body.len())))
 }
 
-async fn entry_with_reply(path: &str, reply: Reply) -> Result<(Arc<Entry>, Arc<ScriptedServer>)> {
-    let entry = Entry::start()?;
+/// Returns what a caller gets if the server sends this reply to its request.
+pub async fn answer_to(method: &str, path: &str, reply: Reply) -> Result<String> {
+    answer_of(Entry::start()?, method, path, reply).await
+}
+
+/// The same at this entry.
+pub async fn answer_of(entry: Arc<Entry>, method: &str, path: &str, reply: Reply) -> Result<String> {
     entry.renew_lease_continuously();
     let server = ScriptedServer::start([reply]).await?;
     entry.add(if path == STREAM { "writer" } else { "board" }, "z", server.address);
-    Ok((entry, server))
-}
-
-/// Returns what a caller gets if the server sends this reply to its request.
-pub async fn answer_to(method: &str, path: &str, reply: Reply) -> Result<String> {
-    let (entry, server) = entry_with_reply(path, reply).await?;
     let headers =
         format!("dockwood-model: m\r\ndockwood-attempt: a-1\r\ndockwood-deadline-ms: {DEADLINE_MS}\r\n");
     let started = Instant::now();
@@ -64,9 +63,13 @@
     for path in PATHS {
         for reply in [Reply::BytesAndClose(response(path)), Reply::Bytes(response(path))] {
             let answer = answer_to("POST", path, reply.clone()).await?;
-            let is_error = answer.starts_with("HTTP/1.1 502 ") && !answer.contains("whole!");
-            assert!(is_error, "{path}: {answer}\nin response to {reply:?}");
+            assert!(is_entry_error(&answer), "{path}: {answer}\nin response to {reply:?}");
         }
     }
     Ok(())
 }
+
+/// Returns whether an answer is an error of the entry, without any part of the server's response.
+pub fn is_entry_error(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 502 ") && !answer.contains("whole!")
+}
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -14,6 +14,7 @@
 mod pushback;
 mod refusals;
 mod scripted_server;
+mod signed_responses;
 mod stream_alternatives;
 mod stream_caller;
 mod stream_closed_groups;
