A response that tells neither a length nor the end of its connection is not forwarded

What callers saw: a server whose length stood under a spoilt name (cxntent-length, transfer-encodxng) and that closed its connection; the caller got a whole 200 with 6 bytes of 600, or with the sizes of chunks in it. If the server kept its connection, the caller waited until its deadline.

Cause: whatever told no length was read up to the end of its connection, and taken for whole if the server lived.

What tells them apart: a server that ends its response with its connection says so ("connection: close", RFC 9112, sections 9.3 and 9.6), or speaks HTTP/1.0. A head that promises that the connection stays open, and a body that only its end delimits, contradict each other. Guessing at names was ruled out, and so was comparing with earlier responses of the same server: sound ones change their framing.

Change: such a head begins no response (headFault: noLength). A server that announces the close is read as before.

Left: a server that announces the close and spoils the name of its length can't be told from one that ends its response early.

--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -84,8 +84,8 @@
         request_log.record_head_fault(send, fault);
         SendOutcome::Unknown
     };
-    let framing =
-        ResponseFraming::of(&received.method, parts.status, &parts.headers).map_err(&mut unusable)?;
+    let framing = ResponseFraming::of(&received.method, parts.version, parts.status, &parts.headers)
+        .map_err(&mut unusable)?;
     if !matches_attempt(&parts.headers, names, received) {
         return Err(unusable(HeadFault::Attempt));
     }
--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -1,9 +1,8 @@
 //! Decides how the body of a server's response is delimited, from its head alone (RFC 9112, section 6.3). A head that does
 //! not tell this unambiguously begins no response: what follows is not known to be the server's body.
 
-use hyper::Method;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use hyper::http::StatusCode;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::{Method, StatusCode, Version};
 use quick_error::quick_error;
 use serde::Serialize;
 use std::ops::Range;
@@ -47,6 +46,10 @@
         Length {
             display("the length is not a number")
         }
+        /// It tells neither a length nor that the connection will be closed.
+        NoLength {
+            display("the end of the body is not known")
+        }
         /// It tells a length although the body is in chunks; either may be wrong.
         LengthBesideChunks {
             display("the head tells a length beside chunks")
@@ -77,6 +80,7 @@
     /// Why the head begins no response.
     pub fn of(
         method: &Method,
+        version: Version,
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<ResponseFraming, HeadFault> {
@@ -97,11 +101,13 @@
         if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
             return Ok(ResponseFraming::NoBody { omitted_length: None });
         }
-        Ok(match length {
-            _ if is_chunked => ResponseFraming::Chunked,
-            Some(length) => ResponseFraming::Length(length),
-            None => ResponseFraming::UntilClose,
-        })
+        match length {
+            _ if is_chunked => Ok(ResponseFraming::Chunked),
+            Some(length) => Ok(ResponseFraming::Length(length)),
+            // On a connection that stays open, such a body would have no end.
+            None if closes_connection(version, headers) => Ok(ResponseFraming::UntilClose),
+            None => Err(HeadFault::NoLength),
+        }
     }
 
     /// Returns the length for the head of a response with this framing, in bytes, if it is known from the start.
@@ -125,6 +131,14 @@
     }
 }
 
+/// Returns whether the server will close the connection after the response (RFC 9112, section 9.3).
+fn closes_connection(version: Version, headers: &HeaderMap) -> bool {
+    let lines = headers.get_all(CONNECTION).into_iter().filter_map(|line| line.to_str().ok());
+    let options: Vec<&str> = lines.flat_map(|line| line.split(',').map(str::trim)).collect();
+    let has_option = |name: &str| options.iter().any(|option| option.eq_ignore_ascii_case(name));
+    has_option("close") || (version < Version::HTTP_11 && !has_option("keep-alive"))
+}
+
 /// Returns the length that the head tells, in bytes. It may be told repeatedly.
 fn content_length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
     let mut length = None;
--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -131,6 +131,58 @@
     Ok(())
 }
 
+#[yare::parameterized(
+    nothing = { "" },
+    spoilt_name_of_the_length = { "cxntent-length: 600\r\n" },
+    spoilt_name_of_the_coding = { "transfer-encodxng: chunked\r\n" },
+    connection_stays_open = { "connection: keep-alive\r\n" },
+    spoilt_announcement = { "connection: closed\r\n" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_body_whose_end_is_not_known_is_not_forwarded(lines: &str) -> Result<()> {
+    for status in [OK, "500 Failed"] {
+        assert_not_forwarded(|path| in_chunks(path, status, lines)).await?;
+        assert_not_forwarded(|path| {
+            format!("{}{}", head(path, status, &format!("{ATTEMPT}{lines}")), body_of(path))
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+#[yare::parameterized(
+    alone = { "close" },
+    capital = { "Close" },
+    among_others = { "foo, close" },
+    in_two_lines = { "foo\r\nconnection: close" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_body_that_ends_with_its_connection_as_announced_is_forwarded(options: &str) -> Result<()> {
+    for path in PATHS {
+        let response =
+            format!("{}{}", head(path, OK, &format!("{ATTEMPT}connection: {options}\r\n")), body_of(path));
+        let answer = answer_to("POST", path, Reply::BytesAndClose(response)).await?;
+        assert_eq!(complete_body(&answer).as_deref(), Some(body_of(path)), "{answer}");
+    }
+    Ok(())
+}
+
+/// Connections of this version close unless it is announced that they stay open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_of_http_1_0_ends_with_its_connection() -> Result<()> {
+    for path in PATHS {
+        let head = head(path, OK, ATTEMPT).replacen("HTTP/1.1", "HTTP/1.0", 1);
+        let reply = Reply::BytesAndClose(format!("{head}{}", body_of(path)));
+        let answer = answer_to("POST", path, reply).await?;
+        assert_eq!(complete_body(&answer).as_deref(), Some(body_of(path)), "{answer}");
+    }
+    let kept = |path: &str| {
+        let head = head(path, OK, &format!("{ATTEMPT}connection: keep-alive\r\n"));
+        format!("{}{}", head.replacen("HTTP/1.1", "HTTP/1.0", 1), body_of(path))
+    };
+    assert_not_forwarded(kept).await
+}
+
 #[yare::parameterized(
     switching_protocols = { "101 Switching Protocols" },
     above_the_defined_range = { "600 Unknown" },
