The daemon's own calls use a response only if its head delimits its body

What was seen: probes, health checks, orders, generation streams, questions about requests and calls to plain services of dockwood's own interface took a response whose head was broken (another transfer coding, two codings, an empty one, a length beside chunks, no known end, status 600) for a sound one: a health check with a broken head was a sign of health, and an order with one was carried out.

Cause: these calls go through reqwest, which leaves the framing to hyper as the gateway did.

Change: send_request (framed_response.rs) is the only way in which they get a response, as a FramedResponse, which exists only if ResponseFraming::of found no fault. Reading bodies takes that type. Signals of a head that begins no response (rest, a limit, leaving) aren't obeyed on any path: until now the gateway obeyed them, while a head that hyper rejects had none. dockwood_head_faults_total counts what callers' requests met.

Evidence: broken_heads_of_calls makes all nine kinds of calls for each head. With the check left out six of nine heads were used (the other three are rejected by hyper); none is used now, and sound heads are, with a length, in chunks, or closed as announced. Tunnels carry bytes and frames of our own; what comes through one is read by the gateway's paths.

--- a/crates/daemon/src/bounded_response.rs
+++ b/crates/daemon/src/bounded_response.rs
@@ -1,8 +1,8 @@
 //! Bodies of servers' responses to the daemon's own calls, which are held completely: a faulty server may send bytes without
 //! end.
 
+use crate::framed_response::{CallFault, FramedResponse};
 use quick_error::quick_error;
-use reqwest::Response;
 use serde::de::DeserializeOwned;
 
 /// Maximum size of the body of a response to a probe, an order or a query, in bytes.
@@ -14,9 +14,9 @@
     /// Why a response can't be used.
     #[derive(Debug)]
     pub enum ResponseFault {
-        /// It was not received in time, or ended early.
-        Broken(error: reqwest::Error) {
-            display("{}", error)
+        /// It was not received in time, ended early, or its head begins no response.
+        Call(fault: CallFault) {
+            display("{}", fault)
             from()
         }
         /// It is larger than allowed.
@@ -34,8 +34,8 @@
 /// Reads a body of at most `limit` bytes.
 ///
 /// # Errors
-/// [`ResponseFault::Broken`] or [`ResponseFault::TooLarge`].
-pub async fn read_bounded(mut response: Response, limit: usize) -> Result<Vec<u8>, ResponseFault> {
+/// [`ResponseFault::Call`] or [`ResponseFault::TooLarge`].
+pub async fn read_bounded(mut response: FramedResponse, limit: usize) -> Result<Vec<u8>, ResponseFault> {
     let mut body = Vec::new();
     while let Some(part) = response.chunk().await? {
         if body.len() + part.len() > limit {
@@ -50,6 +50,9 @@
 ///
 /// # Errors
 /// All of [`ResponseFault`].
-pub async fn read_json<T: DeserializeOwned>(response: Response, limit: usize) -> Result<T, ResponseFault> {
+pub async fn read_json<T: DeserializeOwned>(
+    response: FramedResponse,
+    limit: usize,
+) -> Result<T, ResponseFault> {
     Ok(serde_json::from_slice(&read_bounded(response, limit).await?)?)
 }
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -4,6 +4,7 @@
 use super::ControlMessage;
 use crate::bounded_response::{MAX_ANSWER_BYTES, read_bounded};
 use crate::dialect::Dialect;
+use crate::framed_response::{FramedResponse, send_request};
 use crate::log_line::{LineBody, OrderLine};
 use crate::logging;
 use crate::probe::probe_instance;
@@ -66,9 +67,9 @@
         for (name, value) in call.headers {
             request = request.header(name, value);
         }
-        match request.send().await {
+        match send_request(request).await {
             Ok(response) => self.dialect.order_answer(response.status().as_u16()),
-            Err(error) if error.is_connect() && !error.is_timeout() => OrderAnswer::Unreachable,
+            Err(fault) if fault.is_connect() && !fault.is_timeout() => OrderAnswer::Unreachable,
             Err(_) => OrderAnswer::Silent,
         }
     }
@@ -93,7 +94,7 @@
     }
 
     /// Classifies a response by the instance id in its headers.
-    fn classify_response(&self, response: &reqwest::Response, probe: &InstanceProbe) -> ProbeResult {
+    fn classify_response(&self, response: &FramedResponse, probe: &InstanceProbe) -> ProbeResult {
         match response.headers().get(self.dialect.headers().own_instance) {
             Some(id) if id.as_bytes() != probe.instance.as_bytes() => ProbeResult::OtherInstance,
             // Without an instance id, any process at that address may have answered.
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -3,6 +3,7 @@
 use super::ControlMessage;
 use crate::bounded_response::{MAX_ANSWER_BYTES, read_json};
 use crate::clock::monotonic_ms;
+use crate::framed_response::send_request;
 use crate::shared::Shared;
 use dockwood_api::engine::{
     EngineOrder, GroupHealth, OrderAction, OrderProgress, OrderReply, PATH_HEALTH, PATH_ORDERS,
@@ -78,7 +79,8 @@
 
     async fn post(&self, delivery: &Delivery) -> Option<OrderReply> {
         let url = format!("http://{}{PATH_ORDERS}", delivery.address);
-        let response = self.http.post(url).timeout(CALL_TIMEOUT).json(&delivery.order).send().await.ok()?;
+        let request = self.http.post(url).timeout(CALL_TIMEOUT).json(&delivery.order);
+        let response = send_request(request).await.ok()?;
         read_json(response, MAX_ANSWER_BYTES).await.ok()
     }
 
@@ -89,7 +91,8 @@
             return true;
         }
         let url = format!("http://{}{PATH_HEALTH}", delivery.address);
-        let Ok(response) = self.http.get(url).timeout(CALL_TIMEOUT).send().await else { return false };
+        let request = self.http.get(url).timeout(CALL_TIMEOUT);
+        let Ok(response) = send_request(request).await else { return false };
         let Ok(health) = read_json::<GroupHealth>(response, MAX_ANSWER_BYTES).await else { return false };
         match &delivery.order.action {
             OrderAction::Load(plan) => {
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -12,6 +12,7 @@
 use dockwood_api::gateway::Fingerprint;
 use dockwood_routing::gateway::SendOutcome;
 use dockwood_routing::pushback::{AnswerSignals, LeavingMark, RequestRate};
+use hyper::StatusCode;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -128,9 +129,11 @@
         send.limit_per_second = signals.limit.rate().map(RequestRate::per_second);
     }
 
-    /// Records why the head of the server's response begins no response.
-    pub fn record_head_fault(&mut self, send: SendNumber, fault: HeadFault) {
+    /// Records why a server's response with this status can't be forwarded.
+    pub fn record_head_fault(&mut self, send: SendNumber, status: StatusCode, fault: HeadFault) {
+        self.gateway.shared.metrics.head_faults.with_label_values(&[&format!("{fault:?}")]).inc();
         if let Some(send) = self.sends.get_mut(send.0) {
+            send.status = Some(status.as_u16());
             send.head_fault = Some(fault);
         }
     }
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -59,8 +59,8 @@
     pub body: Incoming,
 }
 
-/// Evaluates the head of the response to a request that was sent under a permit. The pushback signals are recorded first,
-/// whether or not the response can be forwarded.
+/// Evaluates the head of the response to a request that was sent under a permit. The pushback signals of a head that begins
+/// a response are recorded whether or not the response can be forwarded.
 ///
 /// # Errors
 /// The outcome of the send, if there is no response to forward.
@@ -74,20 +74,20 @@
 ) -> Result<EvaluatedResponse, SendOutcome> {
     let (parts, body) = response.into_parts();
     let names = gateway.dialect.headers();
+    let unusable = |request_log: &mut RequestLog, fault: HeadFault| {
+        request_log.record_head_fault(send, parts.status, fault);
+        SendOutcome::Unknown
+    };
+    let framing = ResponseFraming::of(&received.method, parts.version, parts.status, &parts.headers)
+        .map_err(|fault| unusable(request_log, fault))?;
     let signals = signals_of(parts.status, &parts.headers, &names.signals);
     request_log.record_head(send, &signals, permit.turn());
     // Another server responded in place of the expected one; its signals do not apply to that one.
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         permit.record_response(&signals, received.attempt.as_deref().unwrap_or_default());
     }
-    let mut unusable = |fault: HeadFault| {
-        request_log.record_head_fault(send, fault);
-        SendOutcome::Unknown
-    };
-    let framing = ResponseFraming::of(&received.method, parts.version, parts.status, &parts.headers)
-        .map_err(&mut unusable)?;
     if !matches_attempt(&parts.headers, names, received) {
-        return Err(unusable(HeadFault::Attempt));
+        return Err(unusable(request_log, HeadFault::Attempt));
     }
     if says_not_run(parts.status, &parts.headers, names) {
         return Err(SendOutcome::SaidNotRun);
@@ -96,10 +96,10 @@
         return Err(SendOutcome::Unknown);
     }
     if parts.status.is_success() && !is_signed(&parts.headers, names) {
-        return Err(unusable(HeadFault::Signature));
+        return Err(unusable(request_log, HeadFault::Signature));
     }
     if !is_coding_accepted(&received.headers, &parts.headers) {
-        return Err(unusable(HeadFault::ContentCoding));
+        return Err(unusable(request_log, HeadFault::ContentCoding));
     }
     Ok(EvaluatedResponse { head: ResponseHead::new(&parts, framing), framing, body })
 }
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -4,6 +4,7 @@
 use super::refusal;
 use super::stream_or_abort;
 use super::{App, auth};
+use crate::framed_response::CallFault;
 use crate::published::is_allowed;
 use crate::shared::InFlight;
 use crate::suspects::SuspectGate;
@@ -151,8 +152,8 @@
 /// Reads the next part of a response body. A complete body proves that the call crashed no server.
 async fn next_bytes(
     (mut service_response, in_flight): (ServiceResponse, InFlight),
-) -> reqwest::Result<Option<(bytes::Bytes, (ServiceResponse, InFlight))>> {
-    match service_response.response.chunk().await? {
+) -> Result<Option<(bytes::Bytes, (ServiceResponse, InFlight))>, CallFault> {
+    match service_response.chunk().await? {
         Some(bytes) => Ok(Some((bytes, (service_response, in_flight)))),
         None => {
             let gate =
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod control_directory;
 pub mod dialect;
+pub mod framed_response;
 pub mod gateway;
 pub mod http;
 pub mod known_leader;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -49,6 +49,8 @@
     pub process_checks: IntCounterVec,
     /// Sends that failed because the process of the server ended.
     pub sends_server_ended: IntCounter,
+    /// Responses that were not forwarded because of their heads, by fault.
+    pub head_faults: IntCounterVec,
     /// Responses with a pushback signal, by signal: back-off, shutdown, rate limit or unreadable.
     pub server_signals: IntCounterVec,
     /// Servers on hold by reason.
@@ -222,6 +224,11 @@
                 "Checks whether a server's process has exited, after a connection to it broke",
                 &["found"],
             )?,
+            head_faults: counters(
+                "dockwood_head_faults_total",
+                "Responses unusable by their heads",
+                &["fault"],
+            )?,
             sends_server_ended: counter(
                 "dockwood_sends_server_ended_total",
                 "Sends that ended with the process of their server",
--- a/crates/daemon/src/probe/engine_client.rs
+++ b/crates/daemon/src/probe/engine_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for health probes of single machines.
 
 use crate::bounded_response::{MAX_ANSWER_BYTES, ResponseFault, read_json};
+use crate::framed_response::send_request;
 use dockwood_api::engine::{GroupHealth, PATH_HEALTH};
 use dockwood_api::peer::MachineState;
 use std::net::SocketAddr;
@@ -47,14 +48,14 @@
 
     async fn read_health(&self, address: SocketAddr) -> Result<GroupHealth, ResponseFault> {
         let url = format!("http://{address}{PATH_HEALTH}");
-        let response = self.http.get(url).timeout(PROBE_TIMEOUT).send().await?;
+        let response = send_request(self.http.get(url).timeout(PROBE_TIMEOUT)).await?;
         read_json(response, MAX_ANSWER_BYTES).await
     }
 }
 
 fn classify(fault: &ResponseFault) -> ProbeFailure {
     match fault {
-        ResponseFault::Broken(error) if error.is_timeout() => ProbeFailure::Silent,
+        ResponseFault::Call(fault) if fault.is_timeout() => ProbeFailure::Silent,
         _ => ProbeFailure::Refused,
     }
 }
--- a/crates/daemon/src/probe/platform.rs
+++ b/crates/daemon/src/probe/platform.rs
@@ -3,6 +3,7 @@
 
 use crate::bounded_response::{MAX_LIST_BYTES, read_json};
 use crate::control::ControlMessage;
+use crate::framed_response::send_request;
 use crate::shared::Shared;
 use dockwood_api::engine::PlatformMachine;
 use std::sync::Arc;
@@ -23,7 +24,7 @@
         if shared.metrics.is_leader.get() == 0 {
             continue;
         }
-        let Ok(response) = http.get(&url).timeout(READ_TIMEOUT).send().await else { continue };
+        let Ok(response) = send_request(http.get(&url).timeout(READ_TIMEOUT)).await else { continue };
         if let Ok(rows) = read_json::<Vec<PlatformMachine>>(response, MAX_LIST_BYTES).await {
             shared.control.send(ControlMessage::PlatformList(rows)).await;
         }
--- a/crates/daemon/src/traffic/engine_stream.rs
+++ b/crates/daemon/src/traffic/engine_stream.rs
@@ -1,6 +1,7 @@
 //! Client of the engine API at the head of a replica, for one request.
 
 use crate::bounded_response::{MAX_ANSWER_BYTES, read_json};
+use crate::framed_response::{CallFault, FramedResponse, send_request};
 use crate::native_dialect::NATIVE_SIGNALS;
 use crate::pushback::{SendPermit, signals_of};
 use bytes::BytesMut;
@@ -8,7 +9,7 @@
     GenerateEvent, GenerateRequest, HEADER_NOT_RUN, PATH_GENERATE, PATH_REQUESTS, RequestState,
 };
 use futures::future::BoxFuture;
-use reqwest::{Response, StatusCode};
+use reqwest::StatusCode;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -52,14 +53,14 @@
 enum Connection {
     /// The response head has not arrived.
     Opening(Box<Opening>),
-    Open(Response),
+    Open(FramedResponse),
 }
 
 /// A request of which the response head has not arrived.
 struct Opening {
     request: String,
     permit: SendPermit,
-    response: BoxFuture<'static, reqwest::Result<Response>>,
+    response: BoxFuture<'static, Result<FramedResponse, CallFault>>,
 }
 
 impl EngineStream {
@@ -70,7 +71,8 @@
         request: &GenerateRequest,
         permit: SendPermit,
     ) -> EngineStream {
-        let response = Box::pin(http.post(format!("http://{head}{PATH_GENERATE}")).json(request).send());
+        let response =
+            Box::pin(send_request(http.post(format!("http://{head}{PATH_GENERATE}")).json(request)));
         let opening = Opening { request: request.id.clone(), permit, response };
         EngineStream { connection: Connection::Opening(Box::new(opening)), buffer: BytesMut::new() }
     }
@@ -124,8 +126,8 @@
 
 impl Opening {
     /// Records the signals of the response head, and returns the response of a head that accepted the request.
-    fn accept(&mut self, response: reqwest::Result<Response>) -> Result<Response, OpenFailure> {
-        let response = response.map_err(|error| match error.is_connect() {
+    fn accept(&mut self, response: Result<FramedResponse, CallFault>) -> Result<FramedResponse, OpenFailure> {
+        let response = response.map_err(|fault| match fault.is_connect() {
             true => OpenFailure::NotRun,
             false => OpenFailure::MayHaveRun,
         })?;
@@ -143,20 +145,20 @@
 /// Returns the state of a request at the head; `None` if the head does not respond.
 pub async fn request_state(http: &reqwest::Client, head: SocketAddr, id: &str) -> Option<RequestState> {
     let url = format!("http://{head}{PATH_REQUESTS}/{id}");
-    let response = http.get(url).timeout(RESPONSE_TIMEOUT).send().await.ok()?;
-    read_json(response.error_for_status().ok()?, MAX_ANSWER_BYTES).await.ok()
+    let response = send_request(http.get(url).timeout(RESPONSE_TIMEOUT)).await.ok()?;
+    read_json(response.success()?, MAX_ANSWER_BYTES).await.ok()
 }
 
 /// Bars a request id that the head has not seen: the head will refuse it. Returns the resulting state of the request;
 /// `None` if the head does not respond.
 pub async fn bar_request(http: &reqwest::Client, head: SocketAddr, id: &str) -> Option<RequestState> {
     let url = format!("http://{head}{PATH_REQUESTS}/{id}/bar");
-    let response = http.post(url).timeout(RESPONSE_TIMEOUT).send().await.ok()?;
-    read_json(response.error_for_status().ok()?, MAX_ANSWER_BYTES).await.ok()
+    let response = send_request(http.post(url).timeout(RESPONSE_TIMEOUT)).await.ok()?;
+    read_json(response.success()?, MAX_ANSWER_BYTES).await.ok()
 }
 
 /// Cancels a request; best effort.
 pub async fn cancel_request(http: &reqwest::Client, head: SocketAddr, id: &str) {
     let url = format!("http://{head}{PATH_REQUESTS}/{id}");
-    let _ = http.delete(url).timeout(RESPONSE_TIMEOUT).send().await;
+    let _ = send_request(http.delete(url).timeout(RESPONSE_TIMEOUT)).await;
 }
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -3,6 +3,7 @@
 use super::chat::Failure;
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
+use crate::framed_response::{CallFault, FramedResponse, send_request};
 use crate::lock::lock;
 use crate::native_dialect::NATIVE_SIGNALS;
 use crate::pushback::{SendPermit, SendPurpose, SendTarget, signals_of};
@@ -111,12 +112,22 @@
 /// A response, with the guards that must live until the end of its body.
 pub struct ServiceResponse {
     /// Response head and body.
-    pub response: reqwest::Response,
+    pub response: FramedResponse,
     /// Receives the evidence that the call crashed no server, once the response is complete.
     pub gate: Option<SuspectGate>,
     _guard: CallGuard,
 }
 
+impl ServiceResponse {
+    /// Reads the next part of the body; `None` once it is complete.
+    ///
+    /// # Errors
+    /// The body ended early.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallFault> {
+        self.response.chunk().await
+    }
+}
+
 /// Forwards a call. A failure says "not run" only if neither this nor an earlier send of the call reached a server.
 pub async fn forward(traffic: &Arc<Traffic>, call: ServiceCall) -> Result<ServiceResponse, Failure> {
     traffic.count_request();
@@ -189,7 +200,7 @@
 }
 
 /// A response whose body is still being received.
-type ResponseWithGuard = (reqwest::Response, CallGuard);
+type ResponseWithGuard = (FramedResponse, CallGuard);
 
 async fn try_servers(
     traffic: &Arc<Traffic>,
@@ -310,7 +321,7 @@
     request_id: &str,
 ) -> Result<ResponseWithGuard, AttemptFailure> {
     guard.result = Some(CallResult::Failed);
-    match tokio::time::timeout(RESPONSE_HEAD_TIMEOUT, request.send()).await {
+    match tokio::time::timeout(RESPONSE_HEAD_TIMEOUT, send_request(request)).await {
         Ok(Ok(response)) => {
             permit.record_response(
                 &signals_of(response.status(), response.headers(), &NATIVE_SIGNALS),
@@ -325,7 +336,7 @@
             }
             Ok((response, guard))
         }
-        Ok(Err(error)) if error.is_connect() => Err(AttemptFailure::NotConnected),
+        Ok(Err(fault)) if fault.is_connect() => Err(AttemptFailure::NotConnected),
         _ => Err(AttemptFailure::MayHaveRun),
     }
 }
--- a/crates/daemon/tests/one_entry/entry.rs
+++ b/crates/daemon/tests/one_entry/entry.rs
@@ -108,6 +108,15 @@
     SETTINGS.replace("RETRY_BUDGET", &retry_budget.map(section).unwrap_or_default())
 }
 
+/// Creates the state of an entry.
+pub fn new_shared(retry_budget: Option<RetryBudget>, control: ControlHandle) -> Result<Shared> {
+    let file = tempfile::NamedTempFile::new()?;
+    std::fs::write(file.path(), settings_text(retry_budget))?;
+    let settings = Settings::read(file.path()).unwrap_or_else(|problems| panic!("{problems:?}"));
+    let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
+    Ok(Shared::new(settings, 1, metrics, control))
+}
+
 fn configuration(slots: u32) -> GatewayConfiguration {
     let route = |name: &str, kind: &str, service: &str| {
         json!({
@@ -162,11 +171,7 @@
 
     /// Starts an entry with these options.
     pub fn start_with(options: EntryOptions) -> Result<Arc<Entry>> {
-        let file = tempfile::NamedTempFile::new()?;
-        std::fs::write(file.path(), settings_text(options.retry_budget))?;
-        let settings = Settings::read(file.path()).unwrap_or_else(|problems| panic!("{problems:?}"));
-        let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
-        let shared = Shared::new(settings, 1, metrics, ControlHandle::new().0);
+        let shared = new_shared(options.retry_budget, ControlHandle::new().0)?;
         let shared = Arc::new(shared.with_server_dialer(options.dialer));
         let listener = || {
             let listener = TcpListener::bind("127.0.0.1:0")?;
--- a/crates/daemon/tests/one_entry/main.rs
+++ b/crates/daemon/tests/one_entry/main.rs
@@ -2,6 +2,7 @@
 //! known time.
 
 mod broken_heads;
+mod broken_heads_of_calls;
 mod cut_off;
 mod cut_off_soak;
 mod endless_responses;
@@ -14,6 +15,7 @@
 mod pushback;
 mod refusals;
 mod scripted_server;
+mod server_calls;
 mod signed_responses;
 mod stream_alternatives;
 mod stream_caller;
--- a/crates/daemon/tests/one_entry/scripted_server.rs
+++ b/crates/daemon/tests/one_entry/scripted_server.rs
@@ -132,13 +132,15 @@
     }
 }
 
-/// Reads a request without a body and returns its attempt id; `None` at the end of the connection.
+/// Reads a request and returns its attempt id; `None` at the end of the connection.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
     let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
-    let attempt = head.lines().find_map(|line| line.strip_prefix("dockwood-attempt: ").map(str::to_string));
-    Some(attempt.unwrap_or_default())
+    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name).map(str::to_string));
+    let length = field("content-length: ").and_then(|length| length.parse().ok()).unwrap_or(0);
+    stream.read_exact(&mut vec![0; length]).await.ok()?;
+    Some(field("dockwood-attempt: ").unwrap_or_default())
 }
