A service's response that ends with the crash of its server is broken off

What callers saw: a call to a plain service of dockwood's own interface, whose response ends with its connection; the server crashed in the middle of it, and the caller got what there was as a whole response, and the call was cleared of suspicion.

Cause: the gateway asks whether the server survives such a response, this path did not.

Change: server_survives is a function that both use; a body that ends with its connection is complete only if the server lives.

Evidence: a_service_response_that_ends_with_the_crash_of_its_server_is_broken_off failed with the check left out and passes now; with a server that lives the response is whole.

--- a/crates/daemon/src/framed_response.rs
+++ b/crates/daemon/src/framed_response.rs
@@ -21,6 +21,10 @@
             display("{}", fault)
             from()
         }
+        /// Its body ended with the connection, and its server did not survive that.
+        Truncated {
+            display("the server ended within its response")
+        }
     }
 }
 
@@ -40,6 +44,7 @@
 #[derive(Debug)]
 pub struct FramedResponse {
     response: Response,
+    framing: ResponseFraming,
 }
 
 impl FramedResponse {
@@ -53,6 +58,11 @@
         self.response.headers()
     }
 
+    /// How the body is delimited.
+    pub fn framing(&self) -> ResponseFraming {
+        self.framing
+    }
+
     /// Reads the next part of the body; `None` at its end.
     ///
     /// # Errors
@@ -77,6 +87,6 @@
     let method = request.method().clone();
     let response = client.execute(request).await?;
     let (version, status) = (response.version(), response.status());
-    ResponseFraming::of(&method, version, status, response.headers())?;
-    Ok(FramedResponse { response })
+    let framing = ResponseFraming::of(&method, version, status, response.headers())?;
+    Ok(FramedResponse { response, framing })
 }
--- a/crates/daemon/src/suspects/gate.rs
+++ b/crates/daemon/src/suspects/gate.rs
@@ -1,7 +1,7 @@
 //! Admission control of one request that may be a suspect, and the evidence gained from sending it.
 
 use super::evidence::{AttemptEvidence, CheckFinding, SelectedServer};
-use super::process_check::{ProcessCheck, check_process, exits_soon, survives};
+use super::process_check::{ProcessCheck, check_process, exits_soon, server_survives};
 use super::responses::report_response;
 use super::trial::{Trial, TrialDecision};
 use crate::clock::wall_ms;
@@ -244,8 +244,7 @@
     /// the response may be truncated.
     pub async fn server_survives(&self) -> bool {
         let Some(address) = self.server.as_ref().map(|server| server.address) else { return false };
-        survives(self.shared().server_dialer.as_ref(), address).await
-            || is_reached_by_others(self.shared(), address).await
+        server_survives(self.shared(), address).await
     }
 
     /// Records that the server has sent the first event of its response.
--- a/crates/daemon/src/suspects/mod.rs
+++ b/crates/daemon/src/suspects/mod.rs
@@ -10,7 +10,7 @@
 mod trial;
 
 pub use gate::{Admission, SuspectGate};
-pub use process_check::{ProcessCheck, check_process, exits_soon, is_refusal};
+pub use process_check::{ProcessCheck, check_process, exits_soon, is_refusal, server_survives};
 pub use reporting::run as run_reporting;
 
 use crate::line_budget::LineBudget;
--- a/crates/daemon/src/suspects/process_check.rs
+++ b/crates/daemon/src/suspects/process_check.rs
@@ -1,9 +1,12 @@
 //! Checks whether the process of a server has exited, after a connection to it broke while it had a request. A process
 //! that exits closes its listening socket as well, before or after its connections.
 
+use crate::server_connections::is_reached_by_others;
 use crate::server_dialer::ServerDialer;
+use crate::shared::Shared;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -88,6 +91,12 @@
     !tokio::time::timeout(SURVIVAL_OBSERVATION, exits).await.unwrap_or(false)
 }
 
+/// Returns whether a server is running after a response without a length has ended with its connection. If it is not, the
+/// response may be truncated.
+pub async fn server_survives(shared: &Arc<Shared>, address: SocketAddr) -> bool {
+    survives(shared.server_dialer.as_ref(), address).await || is_reached_by_others(shared, address).await
+}
+
 async fn wait_until_closed(connection: &mut TcpStream) {
     let mut ignored = [0; 64];
     // A server may send data on an idle connection, such as a timeout response before it closes it.
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -7,7 +7,8 @@
 use crate::lock::lock;
 use crate::native_dialect::NATIVE_SIGNALS;
 use crate::pushback::{SendPermit, SendPurpose, SendTarget, signals_of};
-use crate::suspects::{Admission, SuspectGate};
+use crate::response_framing::ResponseFraming;
+use crate::suspects::{Admission, SuspectGate, server_survives};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
@@ -20,6 +21,7 @@
 use reqwest::header::HeaderMap;
 use reqwest::{Method, StatusCode};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -84,6 +86,7 @@
     traffic: Arc<Traffic>,
     service: String,
     server: String,
+    address: SocketAddr,
     servers: usize,
     /// Result of the call; `None` while no call has been sent to the server.
     result: Option<CallResult>,
@@ -115,7 +118,7 @@
     pub response: FramedResponse,
     /// Receives the evidence that the call crashed no server, once the response is complete.
     pub gate: Option<SuspectGate>,
-    _guard: CallGuard,
+    guard: CallGuard,
 }
 
 impl ServiceResponse {
@@ -124,7 +127,18 @@
     /// # Errors
     /// The body ended early.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallFault> {
-        self.response.chunk().await
+        let chunk = self.response.chunk().await?;
+        if chunk.is_none() && !self.is_complete_at_end().await {
+            return Err(CallFault::Truncated);
+        }
+        Ok(chunk)
+    }
+
+    /// Returns whether a body that has ended without an error is complete.
+    async fn is_complete_at_end(&self) -> bool {
+        let CallGuard { traffic, address, .. } = &self.guard;
+        self.response.framing() != ResponseFraming::UntilClose
+            || server_survives(&traffic.shared, *address).await
     }
 }
 
@@ -233,7 +247,7 @@
         };
         let mut rejection = None;
         match result {
-            Ok((response, guard)) => return Ok(ServiceResponse { response, gate, _guard: guard }),
+            Ok((response, guard)) => return Ok(ServiceResponse { response, gate, guard }),
             Err(AttemptFailure::Withheld) if withheld.record(&server.name) && body.is_some() => continue,
             Err(AttemptFailure::Withheld | AttemptFailure::NotConnected) => {}
             Err(AttemptFailure::Rejected(rejected_response)) => rejection = Some(rejected_response),
@@ -249,7 +263,7 @@
         let is_last = attempts == MAX_ATTEMPTS;
         if !may_retry || is_last || body.is_none() || !traffic.try_retry("service") {
             if let Some((response, guard)) = rejection.map(|rejected_response| *rejected_response) {
-                return Ok(ServiceResponse { response, gate, _guard: guard });
+                return Ok(ServiceResponse { response, gate, guard });
             }
             break;
         }
@@ -308,6 +322,7 @@
         traffic: traffic.clone(),
         service: service.to_string(),
         server: server.name.clone(),
+        address: server.address,
         servers: spec.servers.len(),
         result: None,
     };
--- a/crates/daemon/tests/one_entry/unframed_responses.rs
+++ b/crates/daemon/tests/one_entry/unframed_responses.rs
@@ -5,6 +5,7 @@
 use crate::entry::{Entry, TEST_TIMEOUT, wait_until};
 use crate::pushback::request_until_received;
 use crate::scripted_server::{Reply, ScriptedServer};
+use crate::server_calls::Call;
 use std::io::Result;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -83,3 +84,15 @@
     assert_eq!(entry.shared.metrics.sends_server_ended.get(), 0);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_service_response_that_ends_with_the_crash_of_its_server_is_broken_off() -> Result<()> {
+    let response = format!("{PLAIN_HEAD}half an ans");
+    let server = ScriptedServer::start([Reply::BytesAndClose(response.clone())]).await?;
+    let crash = tokio::spawn(crash_after_response(server.clone()));
+    assert!(!Call::Service.is_answered(server.address).await?);
+    crash.await?;
+    let server = ScriptedServer::start([Reply::BytesAndClose(response)]).await?;
+    assert!(Call::Service.is_answered(server.address).await?);
+    Ok(())
+}
