--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -3,6 +3,7 @@
 use super::chat::Failure;
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
+use crate::content_coding::is_coding_accepted;
 use crate::framed_response::{CallFault, FramedResponse, send_request};
 use crate::lock::lock;
 use crate::native_dialect::NATIVE_SIGNALS;
@@ -241,7 +242,7 @@
         let permit = SendPermit::acquire(&traffic.shared, send_target(&server, &spec), CALL_PURPOSE).await;
         let result = match permit {
             Ok(permit) if gate.as_ref().is_none_or(SuspectGate::may_write) => {
-                send_call(sending, guard, permit, &request_id).await
+                send_call(sending, guard, permit, &request_id, &headers).await
             }
             _ => Err(AttemptFailure::Withheld),
         };
@@ -334,6 +335,7 @@
     mut guard: CallGuard,
     mut permit: SendPermit,
     request_id: &str,
+    request_headers: &HeaderMap,
 ) -> Result<ResponseWithGuard, AttemptFailure> {
     guard.result = Some(CallResult::Failed);
     match tokio::time::timeout(RESPONSE_HEAD_TIMEOUT, send_request(request)).await {
@@ -346,6 +348,9 @@
                 guard.result = Some(CallResult::Answered);
                 return Err(AttemptFailure::Rejected(Box::new((response, guard))));
             }
+            if !is_coding_accepted(request_headers, response.headers()) {
+                return Err(AttemptFailure::MayHaveRun);
+            }
             if response.status() != StatusCode::SERVICE_UNAVAILABLE {
                 guard.result = Some(CallResult::Answered);
             }
--- a/crates/daemon/tests/one_entry/broken_heads_of_calls.rs
+++ b/crates/daemon/tests/one_entry/broken_heads_of_calls.rs
@@ -60,3 +60,10 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_service_response_in_a_coding_that_the_caller_does_not_accept_is_not_used() -> Result<()> {
+    let lines = "content-encoding: gzip\r\ncontent-length: 2\r\n";
+    assert!(!is_used(Call::Service, Reply::Bytes(response("200 OK", lines, "{}"))).await?);
+    Ok(())
+}
