Requests that can't end within a planned stop get a final response

Cause: a request was given up at its own deadline alone. An entry accepts requests for 30% of its stop and ends 0.5 s before the limit, so whatever a server needed beyond that was cut with the process.

Change: 0.8 s before the limit, each request whose response has not begun is given up as at its deadline: 504 if a server has it, 503 with a time to come back if not. Streams that have begun are read on to the end of the stop.

Weighed: to refuse requests on arrival whose time limit lies beyond the stop. Their limit says little about the time they need (8 s against some 200 ms), so nearly all of them would be refused in vain; and what a server will need is not known on arrival.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod loads;
 mod operators;
 mod plain;
+mod planned_stop;
 mod readiness;
 mod receive;
 mod regions;
@@ -54,12 +55,14 @@
 use dockwood_routing::gateway::{RouteTable, SendBudgetLimits};
 use dockwood_state::{GatewayTables, GroupPhase, GroupRow};
 use loads::Loads;
+use planned_stop::PlannedStop;
 use receive::ReceivedRequest;
 use retry_budgets::RetryBudgets;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use upstream::{ConnectionPool, Upstream};
 
 /// State of the gateway.
@@ -78,6 +81,7 @@
     line_budget: Mutex<LineBudget>,
     connection_line_budget: Mutex<LineBudget>,
     stopping: watch::Sender<bool>,
+    planned_stop: PlannedStop,
     caller_connections: Arc<CallerConnections>,
     response_memory: ResponseMemory,
 }
@@ -145,11 +149,17 @@
             line_budget: Mutex::default(),
             connection_line_budget: Mutex::default(),
             stopping: watch::channel(false).0,
+            planned_stop: PlannedStop::default(),
             caller_connections: Arc::default(),
             response_memory: ResponseMemory::default(),
         }
     }
 
+    /// Begins a planned stop. Requests without a response at `answers_due` are given up, so that each gets a final one.
+    pub fn begin_stop(&self, answers_due: Instant) {
+        self.planned_stop.begin(answers_due);
+    }
+
     /// Closes each caller's connection as soon as its responses are written, and idle ones at once; completes when all are
     /// closed. The last step of a planned stop.
     pub async fn close_connections(&self) {
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -77,10 +77,15 @@
         last_error: None,
         waited: Duration::ZERO,
     };
-    match tokio::time::timeout_at(received.deadline, plain_request.run()).await {
-        Ok(Answer::Complete(response)) => response,
-        Ok(Answer::Large(head, partial)) => plain_request.forward_large(head, *partial, in_flight),
-        Err(_) => {
+    let answer = tokio::select! {
+        biased;
+        answer = plain_request.run() => Some(answer),
+        () = gateway.planned_stop.time_is_up(received.deadline) => None,
+    };
+    match answer {
+        Some(Answer::Complete(response)) => response,
+        Some(Answer::Large(head, partial)) => plain_request.forward_large(head, *partial, in_flight),
+        None => {
             let result = plain_request.attempts.out_of_time(plain_request.in_flight);
             plain_request.give_up(result)
         }
--- a/crates/daemon/src/gateway/stream/reading.rs
+++ b/crates/daemon/src/gateway/stream/reading.rs
@@ -56,6 +56,7 @@
             (index, progress) = sends.progress(position) => Wakeup::Progress(index, progress),
             opened = search.open_another(sender, position, &open_groups), if searches => Wakeup::Opened(Box::new(opened)),
             cause = wait_for_stall(&gateway, watch, &mut self.changes) => Wakeup::Stalled(cause),
+            () = gateway.planned_stop.time_is_up(deadline), if !position.has_forwarded => Wakeup::OutOfTime,
             () = tokio::time::sleep_until(deadline) => Wakeup::OutOfTime,
         }
     }
@@ -191,9 +192,10 @@
     async fn take_other_response(&mut self, other: EvaluatedResponse) -> Option<ReadResult> {
         let deadline = self.sender.received.deadline;
         let only = self.sends.newest_mut()?;
-        let reading = read_response_body(&only.gate, other.framing, other.body);
-        let Ok(body) = tokio::time::timeout_at(deadline, reading).await else {
-            return Some(ReadResult::OutOfTime);
+        let body = tokio::select! {
+            biased;
+            body = read_response_body(&only.gate, other.framing, other.body) => body,
+            () = self.sender.gateway.planned_stop.time_is_up(deadline) => return Some(ReadResult::OutOfTime),
         };
         let Some(body) = body else {
             return self.take_broken(0).await;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -43,6 +43,9 @@
 const MAX_ACCEPT_PERCENT: u32 = 30;
 /// A graceful shutdown ends this much before its time limit.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Requests without a response are given up this long before the end of a graceful shutdown, so that their callers still
+/// receive the final response.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Maximum number of idle connections kept to one engine or service.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -268,6 +271,7 @@
 async fn shut_down_gateway(shared: &Shared, gateway: &Gateway, settings: &GatewaySettings) {
     let began = tokio::time::Instant::now();
     let ends_at = began + settings.stop_limit.saturating_sub(STOP_MARGIN);
+    gateway.begin_stop(ends_at.checked_sub(ANSWER_MARGIN).unwrap_or(began));
     if settings.frontend.is_some() {
         tokio::time::sleep_until(began + accept_duration(settings)).await;
     }
