--- a/crates/daemon/tests/one_entry/cut_off.rs
+++ b/crates/daemon/tests/one_entry/cut_off.rs
@@ -5,7 +5,7 @@
 //! taken for the crash of a server.
 
 use crate::entry::{Entry, TEST_TIMEOUT};
-use crate::scripted_server::ScriptedServer;
+use crate::scripted_server::{Reply, ScriptedServer};
 use dockwood_daemon::server_dialer::ServerDialer;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -96,11 +96,16 @@
 
 impl CutOffFleet {
     async fn start(cut: Cut) -> Result<CutOffFleet> {
+        CutOffFleet::start_with([], cut).await
+    }
+
+    /// The same, with the first responses of the plain server.
+    async fn start_with(script: impl IntoIterator<Item = Reply>, cut: Cut) -> Result<CutOffFleet> {
         let dialer = CutDialer::new(cut);
         let cut_off = Entry::start_with_dialer(Arc::new(SharedDialer(dialer.clone())))?;
         let other = Entry::start()?;
         cut_off.add_daemon(other.serve_peers().await?);
-        let board = ScriptedServer::start([]).await?;
+        let board = ScriptedServer::start(script).await?;
         let writer = ScriptedServer::start([]).await?;
         for entry in [&cut_off, &other] {
             entry.renew_lease_continuously();
@@ -155,6 +160,23 @@
     Ok(())
 }
 
+#[yare::parameterized(
+    coding = { "transfer-encoding: xchunked\r\n" },
+    length_beside_chunks = { "content-length: 3\r\ntransfer-encoding: chunked\r\n" },
+    no_known_end = { "" },
+    line_that_is_no_field = { "no field\r\ncontent-length: 16\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn a_response_with_a_broken_head_is_not_forwarded_from_a_tunnel(lines: &str) -> Result<()> {
+    let response =
+        format!("HTTP/1.1 200 OK\r\ndockwood-attempt: ATTEMPT\r\n{lines}\r\n6\r\nwhole!\r\n0\r\n\r\n");
+    let fleet = CutOffFleet::start_with([Reply::BytesAndClose(response)], Cut::Refused).await?;
+    let answer = fleet.wait_until_configured(PLAIN_PATH).await?;
+    assert!(answer.starts_with("HTTP/1.1 502 ") && !answer.contains("whole!"), "{answer}");
+    assert_eq!(fleet.dialer.established.load(Ordering::SeqCst), 0);
+    Ok(())
+}
+
 #[tokio::test]
 async fn an_entry_uses_its_own_connections_again_soon_after_a_partition() -> Result<()> {
     let fleet = CutOffFleet::start(Cut::Silent).await?;
--- a/crates/daemon/tests/one_entry/endless_responses.rs
+++ b/crates/daemon/tests/one_entry/endless_responses.rs
@@ -1,6 +1,7 @@
 //! Servers that send bytes without end, in each part of a response, on each path on which a daemon reads servers.
 
 use crate::entry::{Entry, TEST_TIMEOUT, wait_until};
+use crate::server_calls::Call;
 use dockwood_api::gateway::{GroupCommand, GroupOrder};
 use dockwood_control::{InstanceProbe, ProbeQuestion};
 use dockwood_daemon::control::GroupOrderSender;
@@ -243,6 +244,30 @@
     Ok(())
 }
 
+#[yare::parameterized(
+    no_http = { Endless::new("", "no response ") },
+    header = { Endless::new("HTTP/1.1 200 OK\r\nfiller: ", "a") },
+    headers = { Endless::new("HTTP/1.1 200 OK\r\n", "filler: a\r\n") },
+    trailers = { Endless::new(format!("{CHUNKS}0\r\n"), "filler: a\r\n") },
+    body = { Endless::new(UNFRAMED, "a") },
+    body_without_known_end = { Endless::new(NO_LENGTH, "a") },
+    chunks = { Endless::new(CHUNKS, "4\r\naaaa\r\n") },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn calls_of_dockwoods_own_interface_end_in_time_and_in_bounded_memory(response: Endless) -> Result<()> {
+    for call in [Call::Generate, Call::EngineOrder, Call::Service] {
+        let server = EndlessServer::start(response.clone(), false).await?;
+        let called = Instant::now();
+        assert!(!call.is_answered(server.address).await?, "{call:?}");
+        assert!(called.elapsed() < CLOSED_WITHIN, "{call:?} ends after {:?}", called.elapsed());
+        server.wait_until_closed(CLOSED_WITHIN).await;
+        let written = server.written();
+        assert!(server.received.load(Ordering::SeqCst) > 0, "{call:?} is not received");
+        assert!(written < MAX_READ_BYTES, "{call:?}: {written} bytes were read");
+    }
+    Ok(())
+}
+
 /// Makes each kind of call that is no request of a caller, and checks that it ends in time.
 async fn call_endless_server(response: Endless) -> Result<EndlessServer> {
     let entry = Entry::start()?;
--- a/crates/daemon/tests/one_entry/server_calls.rs
+++ b/crates/daemon/tests/one_entry/server_calls.rs
@@ -32,6 +32,9 @@
 /// Time limit of a service call and of a generation stream; the other calls have their own.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A caller closes its connection if the body of a service's response is longer than this.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
 /// One kind of call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -195,7 +198,7 @@
         matches!(answered, Some(ControlMessage::Probed { result: ProbeResult::Answered, .. }))
     }
 
-    /// Calls a service, and reads the whole body.
+    /// Calls a service, and reads the whole body unless it is longer than [`MAX_BODY_BYTES`].
     async fn call_service(&self) -> bool {
         let traffic = Traffic::start(self.shared.clone(), Arc::new(Reporter::default()), self.http.clone());
         let server = ServiceServer {
@@ -216,12 +219,14 @@
             record_key: None,
         };
         let Ok(mut response) = forward(&traffic, call).await else { return false };
-        loop {
+        let mut received = 0;
+        while received <= MAX_BODY_BYTES {
             match response.chunk().await {
-                Ok(Some(_)) => {}
+                Ok(Some(part)) => received += part.len(),
                 Ok(None) => return true,
                 Err(_) => return false,
             }
         }
+        false
     }
 }
