--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 pub mod pools;
 pub mod records;
 pub mod returns;
+pub mod service_response;
 pub mod services;
 pub mod slots;
 
--- a/crates/daemon/src/traffic/services.rs
+++ b/crates/daemon/src/traffic/services.rs
@@ -1,16 +1,15 @@
 //! Plain services: forwards calls to one of the servers, streamed in both directions.
 
 use super::chat::Failure;
+use super::service_response::{CallGuard, ServiceResponse};
 use super::{Traffic, records};
 use crate::clock::monotonic_ms;
 use crate::content_coding::is_coding_accepted;
-use crate::framed_response::{CallFault, FramedResponse, send_request};
+use crate::framed_response::{FramedResponse, send_request};
 use crate::lock::lock;
 use crate::native_dialect::NATIVE_SIGNALS;
 use crate::pushback::{SendPermit, SendPurpose, SendTarget, signals_of};
-use crate::response_framing::ResponseFraming;
-use crate::suspects::{Admission, SuspectGate, server_survives};
-use crate::unannounced_chunks::is_in_chunks;
+use crate::suspects::{Admission, SuspectGate};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
 use dockwood_api::caller::Outcome;
@@ -23,7 +22,6 @@
 use reqwest::header::HeaderMap;
 use reqwest::{Method, StatusCode};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -83,76 +81,13 @@
     }
 }
 
-/// Counts a call as in flight until its response body ends.
-pub struct CallGuard {
-    traffic: Arc<Traffic>,
-    service: String,
-    server: String,
-    address: SocketAddr,
-    servers: usize,
-    /// Result of the call; `None` while no call has been sent to the server.
-    result: Option<CallResult>,
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        let now = monotonic_ms();
-        let mut pickers = self.traffic.services.pickers();
-        if let Some(picker) = pickers.get_mut(&self.service) {
-            // A server that received no call has not failed one.
-            picker.finished(now, &self.server, self.result.unwrap_or(CallResult::Answered), self.servers);
-        }
-        let Some(result) = self.result else { return };
-        let result = if result == CallResult::Answered { "answered" } else { "failed" };
-        self.traffic.shared.metrics.service_calls.with_label_values(&[&self.service, result]).inc();
-    }
-}
-
 impl ServiceRouter {
-    fn pickers(&self) -> MutexGuard<'_, HashMap<String, BackendPicker>> {
+    /// Returns the server selection of each service.
+    pub(super) fn pickers(&self) -> MutexGuard<'_, HashMap<String, BackendPicker>> {
         lock(&self.pickers)
     }
 }
 
-/// A response, with the guards that must live until the end of its body.
-pub struct ServiceResponse {
-    /// Response head and body.
-    pub response: FramedResponse,
-    /// Receives the evidence that the call crashed no server, once the response is complete.
-    pub gate: Option<SuspectGate>,
-    guard: CallGuard,
-    /// Whether a part of the body has been read.
-    has_begun: bool,
-}
-
-impl ServiceResponse {
-    /// Reads the next part of the body; `None` once it is complete.
-    ///
-    /// # Errors
-    /// The body ended early.
-    pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallFault> {
-        let chunk = self.response.chunk().await?;
-        let is_usable = match &chunk {
-            Some(part) => !self.has_unannounced_chunks(part),
-            None => self.is_complete_at_end().await,
-        };
-        self.has_begun = true;
-        if is_usable { Ok(chunk) } else { Err(CallFault::BrokenBody) }
-    }
-
-    /// Returns whether this part is the first one, and in chunks.
-    fn has_unannounced_chunks(&self, part: &[u8]) -> bool {
-        !self.has_begun && self.response.framing() == ResponseFraming::UntilClose && is_in_chunks(part)
-    }
-
-    /// Returns whether a body that has ended without an error is complete.
-    async fn is_complete_at_end(&self) -> bool {
-        let CallGuard { traffic, address, .. } = &self.guard;
-        self.response.framing() != ResponseFraming::UntilClose
-            || server_survives(&traffic.shared, *address).await
-    }
-}
-
 /// Forwards a call. A failure says "not run" only if neither this nor an earlier send of the call reached a server.
 pub async fn forward(traffic: &Arc<Traffic>, call: ServiceCall) -> Result<ServiceResponse, Failure> {
     traffic.count_request();
@@ -258,7 +193,7 @@
         };
         let mut rejection = None;
         match result {
-            Ok((response, guard)) => return Ok(ServiceResponse { response, gate, guard, has_begun: false }),
+            Ok((response, guard)) => return Ok(ServiceResponse::new(response, gate, guard)),
             Err(AttemptFailure::Withheld) if withheld.record(&server.name) && body.is_some() => continue,
             Err(AttemptFailure::Withheld | AttemptFailure::NotConnected) => {}
             Err(AttemptFailure::Rejected(rejected_response)) => rejection = Some(rejected_response),
@@ -274,7 +209,7 @@
         let is_last = attempts == MAX_ATTEMPTS;
         if !may_retry || is_last || body.is_none() || !traffic.try_retry("service") {
             if let Some((response, guard)) = rejection.map(|rejected_response| *rejected_response) {
-                return Ok(ServiceResponse { response, gate, guard, has_begun: false });
+                return Ok(ServiceResponse::new(response, gate, guard));
             }
             break;
         }
