--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -138,8 +138,8 @@
 async fn forward_and_respond(app: &App, call: ServiceCall, id: &str) -> Result<Response, Failure> {
     let in_flight = app.shared.begin_request();
     let service_response = forward(&app.traffic, call).await?;
-    let mut builder = Response::builder().status(service_response.response.status());
-    for (name, value) in service_response.response.headers() {
+    let mut builder = Response::builder().status(service_response.status());
+    for (name, value) in service_response.headers() {
         if !UNFORWARDED_HEADERS.contains(name) {
             builder = builder.header(name, value);
         }
@@ -157,9 +157,9 @@
     match service_response.chunk().await? {
         Some(bytes) => Ok(Some((bytes, (service_response, in_flight)))),
         None => {
-            let gate =
-                service_response.gate.iter_mut().filter(|_| service_response.response.status().is_success());
-            gate.for_each(SuspectGate::answered);
+            if service_response.status().is_success() {
+                service_response.gate.iter_mut().for_each(SuspectGate::answered);
+            }
             Ok(None)
         }
     }
--- a/crates/daemon/src/traffic/service_response.rs
+++ b/crates/daemon/src/traffic/service_response.rs
@@ -8,6 +8,8 @@
 use crate::unannounced_chunks::is_in_chunks;
 use bytes::Bytes;
 use dockwood_routing::CallResult;
+use reqwest::StatusCode;
+use reqwest::header::HeaderMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -43,8 +45,7 @@
 
 /// A response, with the guards that must live until the end of its body.
 pub struct ServiceResponse {
-    /// Response head and body.
-    pub response: FramedResponse,
+    response: FramedResponse,
     /// Receives the evidence that the call crashed no server, once the response is complete.
     pub gate: Option<SuspectGate>,
     guard: CallGuard,
@@ -62,6 +63,16 @@
         ServiceResponse { response, gate, guard, has_begun: false }
     }
 
+    /// Status of the response.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Headers of the response.
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
+    }
+
     /// Reads the next part of the body; `None` once it is complete.
     ///
     /// # Errors
