One check of chunks that were not announced

Cause: the gateway's bodies and the responses of services each tied is_in_chunks to the framing in a function of their own. Change: has_unannounced_chunks stands in unannounced_chunks.rs, and both call it.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -2,7 +2,7 @@
 
 use crate::response_framing::ResponseFraming;
 use crate::suspects::SuspectGate;
-use crate::unannounced_chunks::is_in_chunks;
+use crate::unannounced_chunks::has_unannounced_chunks;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::Version;
@@ -81,10 +81,6 @@
     is_complete_at_end(gate, framing).await.then_some(bytes)
 }
 
-fn has_unannounced_chunks(framing: ResponseFraming, received: &[u8]) -> bool {
-    framing == ResponseFraming::UntilClose && is_in_chunks(received)
-}
-
 /// Returns whether a body that has ended without an error is complete.
 pub async fn is_complete_at_end(gate: &SuspectGate, framing: ResponseFraming) -> bool {
     framing != ResponseFraming::UntilClose || gate.server_survives().await
--- a/crates/daemon/src/traffic/service_response.rs
+++ b/crates/daemon/src/traffic/service_response.rs
@@ -5,7 +5,7 @@
 use crate::framed_response::{CallFault, FramedResponse};
 use crate::response_framing::ResponseFraming;
 use crate::suspects::{SuspectGate, server_survives};
-use crate::unannounced_chunks::is_in_chunks;
+use crate::unannounced_chunks::has_unannounced_chunks;
 use bytes::Bytes;
 use dockwood_routing::CallResult;
 use reqwest::StatusCode;
@@ -80,18 +80,13 @@
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallFault> {
         let chunk = self.response.chunk().await?;
         let is_usable = match &chunk {
-            Some(part) => !self.has_unannounced_chunks(part),
+            Some(part) => self.has_begun || !has_unannounced_chunks(self.response.framing(), part),
             None => self.is_complete_at_end().await,
         };
         self.has_begun = true;
         if is_usable { Ok(chunk) } else { Err(CallFault::BrokenBody) }
     }
 
-    /// Returns whether this part is the first one, and in chunks.
-    fn has_unannounced_chunks(&self, part: &[u8]) -> bool {
-        !self.has_begun && self.response.framing() == ResponseFraming::UntilClose && is_in_chunks(part)
-    }
-
     /// Returns whether a body that has ended without an error is complete.
     async fn is_complete_at_end(&self) -> bool {
         let CallGuard { traffic, address, .. } = &self.guard;
--- a/crates/daemon/src/unannounced_chunks.rs
+++ b/crates/daemon/src/unannounced_chunks.rs
@@ -1,12 +1,19 @@
 //! Recognizes chunks in a body that is announced to end with its connection: the line of its head that announced them is
 //! missing or spoilt, and the body is not what the server meant.
 
+use crate::response_framing::ResponseFraming;
+
 /// Maximum length of the line with the size of a chunk, with its line break, in bytes.
 const MAX_SIZE_LINE_BYTES: usize = 18;
 /// Consistent chunks of this length in all are no coincidence, even if the last one is missing, in bytes.
 const MIN_CHUNKED_BYTES: usize = 64;
 const LINE_BREAK: &[u8] = b"\r\n";
 
+/// Returns whether a body with this framing, or its first part, is in chunks that its head did not announce.
+pub fn has_unannounced_chunks(framing: ResponseFraming, received: &[u8]) -> bool {
+    framing == ResponseFraming::UntilClose && is_in_chunks(received)
+}
+
 /// Returns whether a body, or its first part, is in chunks.
 pub fn is_in_chunks(received: &[u8]) -> bool {
     let mut rest = received;
