Lists in headers are split in one place

Cause: four functions split the lines of a header at commas: end_to_end, which was there, and three new ones (options of a connection, lengths, codings of the body); the attempt id and the signature were each checked to be there once by the same code. Change: header_list::list_items and only_value serve them. A line that is no text is an empty item, which is no length, no option and no coding, as before.

--- a/crates/daemon/src/content_coding.rs
+++ b/crates/daemon/src/content_coding.rs
@@ -1,6 +1,7 @@
 //! Checks that the body of a response is in a coding that its request accepts (RFC 9110, section 8.4).
 
-use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderName};
+use crate::header_list::list_items;
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap};
 
 /// Returns whether the request accepts each coding of the response's body by name. A request that names none expects the
 /// body without a coding.
@@ -10,12 +11,6 @@
     list_items(response, CONTENT_ENCODING).all(is_accepted)
 }
 
-/// Returns the items of a list that may extend over several lines. A line that is no text is an empty item.
-fn list_items(headers: &HeaderMap, name: HeaderName) -> impl Iterator<Item = &str> {
-    let lines = headers.get_all(name).into_iter().map(|line| line.to_str().unwrap_or_default());
-    lines.flat_map(|line| line.split(',').map(str::trim))
-}
-
 /// Returns the name of a coding, unless it is excluded by a weight of 0.
 fn accepted_coding(item: &str) -> Option<&str> {
     let (coding, parameter) = item.split_once(';').unwrap_or((item, ""));
--- a/crates/daemon/src/gateway/headers.rs
+++ b/crates/daemon/src/gateway/headers.rs
@@ -1,6 +1,7 @@
 //! Headers that the gateway forwards, in both directions.
 
 use crate::dialect::HeaderNames;
+use crate::header_list::list_items;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -29,16 +30,11 @@
 /// Returns the headers without hop-by-hop headers.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = HeaderMap::with_capacity(headers.len());
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
+    let named: Vec<&str> = list_items(headers, CONNECTION).collect();
     for (name, value) in headers {
         let is_hop_by_hop = HOP_BY_HOP_HEADERS.contains(name)
             || MORE_HOP_BY_HOP_HEADERS.contains(&name.as_str())
-            || named.iter().any(|other| other == name.as_str());
+            || named.iter().any(|other| other.eq_ignore_ascii_case(name.as_str()));
         if !is_hop_by_hop {
             kept.append(name.clone(), value.clone());
         }
--- a/crates/daemon/src/gateway/response_head.rs
+++ b/crates/daemon/src/gateway/response_head.rs
@@ -11,7 +11,7 @@
 use crate::response_framing::{HeadFault, ResponseFraming};
 use dockwood_routing::gateway::SendOutcome;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
@@ -107,16 +107,19 @@
 /// Returns whether a response belongs to the request: servers echo the attempt id, once.
 fn matches_attempt(headers: &HeaderMap, names: &HeaderNames, received: &ReceivedRequest) -> bool {
     let Some(attempt) = &received.attempt else { return true };
-    let mut echoed = headers.get_all(names.attempt).into_iter();
-    let is_same = echoed.next().is_some_and(|echoed| echoed.as_bytes() == attempt.as_bytes());
-    is_same && echoed.next().is_none()
+    only_value(headers, names.attempt).is_some_and(|echoed| echoed.as_bytes() == attempt.as_bytes())
 }
 
 /// Returns whether a response has its server's signature, once, if the protocol has one.
 fn is_signed(headers: &HeaderMap, names: &HeaderNames) -> bool {
     let Some(signature) = names.signature else { return true };
-    let mut signatures = headers.get_all(signature).into_iter();
-    signatures.next().is_some_and(|signature| !signature.is_empty()) && signatures.next().is_none()
+    only_value(headers, signature).is_some_and(|signature| !signature.is_empty())
+}
+
+/// Returns the value of a header that is there exactly once.
+fn only_value<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).into_iter();
+    values.next().filter(|_| values.next().is_none())
 }
 
 /// Returns whether a response states that the request did not run.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 pub mod framed_response;
 pub mod gateway;
+pub mod header_list;
 pub mod http;
 pub mod known_leader;
 pub mod line_budget;
--- a/crates/daemon/src/response_framing.rs
+++ b/crates/daemon/src/response_framing.rs
@@ -1,6 +1,7 @@
 //! Decides how the body of a server's response is delimited, from its head alone (RFC 9112, section 6.3). A head that does
 //! not tell this unambiguously begins no response: what follows is not known to be the server's body.
 
+use crate::header_list::list_items;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode, Version};
 use quick_error::quick_error;
@@ -133,24 +134,20 @@
 
 /// Returns whether the server will close the connection after the response (RFC 9112, section 9.3).
 fn closes_connection(version: Version, headers: &HeaderMap) -> bool {
-    let lines = headers.get_all(CONNECTION).into_iter().filter_map(|line| line.to_str().ok());
-    let options: Vec<&str> = lines.flat_map(|line| line.split(',').map(str::trim)).collect();
-    let has_option = |name: &str| options.iter().any(|option| option.eq_ignore_ascii_case(name));
+    let has_option =
+        |name: &str| list_items(headers, CONNECTION).any(|option| option.eq_ignore_ascii_case(name));
     has_option("close") || (version < Version::HTTP_11 && !has_option("keep-alive"))
 }
 
-/// Returns the length that the head tells, in bytes. It may be told repeatedly.
+/// Returns the length that the head declares, in bytes. Several equal ones count as one.
 fn content_length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
     let mut length = None;
-    for value in headers.get_all(CONTENT_LENGTH) {
-        let value = value.to_str().map_err(|_| HeadFault::Length)?;
-        for number in value.split(',').map(str::trim) {
-            let number = parse_decimal(number).ok_or(HeadFault::Length)?;
-            if length.is_some_and(|length| length != number) {
-                return Err(HeadFault::Length);
-            }
-            length = Some(number);
+    for number in list_items(headers, CONTENT_LENGTH) {
+        let number = parse_decimal(number).ok_or(HeadFault::Length)?;
+        if length.is_some_and(|length| length != number) {
+            return Err(HeadFault::Length);
         }
+        length = Some(number);
     }
     Ok(length)
 }
