Tests of heads: one check for plain paths, one constant, and time limits that the calls keep themselves

Cause: the loop over both plain paths stood three times, the last chunk in three constants; and Call::is_answered ended every call after two seconds, so that the time limit of endless_responses could not fail for an engine order. Change: assert_not_forwarded_on_plain_paths (which also checks that no part of the response arrives), LAST_CHUNK of large_responses, and a limit of the test's own for the service call alone, which has none. No assertion is looser.

--- a/crates/daemon/tests/one_entry/broken_heads.rs
+++ b/crates/daemon/tests/one_entry/broken_heads.rs
@@ -2,10 +2,10 @@
 //! server's body.
 
 use crate::head_cases::{
-    AGAIN, ATTEMPT, LAST_CHUNK, OK, ONCE, PATHS, answer_to, assert_not_forwarded, body_of, head,
-    is_entry_error, with_length,
+    AGAIN, ATTEMPT, OK, ONCE, PATHS, answer_to, assert_not_forwarded, assert_not_forwarded_on_plain_paths,
+    body_of, head, is_entry_error, with_length,
 };
-use crate::large_responses::{chunk, complete_body, large_body};
+use crate::large_responses::{LAST_CHUNK, chunk, complete_body, large_body};
 use crate::scripted_server::Reply;
 use dockwood_daemon::content_coding::is_coding_accepted;
 use dockwood_daemon::unannounced_chunks::is_in_chunks;
@@ -76,11 +76,7 @@
 async fn a_large_response_with_a_length_beside_chunks_is_not_forwarded() -> Result<()> {
     let head = "HTTP/1.1 200 OK\r\ndockwood-attempt: ATTEMPT\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n";
     let response = format!("{head}{}{LAST_CHUNK}", chunk(&large_body()));
-    for path in [ONCE, AGAIN] {
-        let answer = answer_to("POST", path, Reply::Bytes(response.clone())).await?;
-        assert!(answer.starts_with("HTTP/1.1 502 "), "{path}: {} bytes", answer.len());
-    }
-    Ok(())
+    assert_not_forwarded_on_plain_paths(Reply::Bytes(response)).await
 }
 
 #[yare::parameterized(
@@ -181,11 +177,7 @@
     let large = large_body();
     let (first, second) = large.split_at(50_000);
     let response = format!("{head}{}{}{LAST_CHUNK}", chunk(first), chunk(second));
-    for path in [ONCE, AGAIN] {
-        let answer = answer_to("POST", path, Reply::BytesAndClose(response.clone())).await?;
-        assert!(answer.starts_with("HTTP/1.1 502 "), "{path}: {} bytes", answer.len());
-    }
-    Ok(())
+    assert_not_forwarded_on_plain_paths(Reply::BytesAndClose(response)).await
 }
 
 #[yare::parameterized(
--- a/crates/daemon/tests/one_entry/broken_heads_of_calls.rs
+++ b/crates/daemon/tests/one_entry/broken_heads_of_calls.rs
@@ -1,12 +1,11 @@
 //! Responses with broken heads to the daemon's own calls: their bodies are not used, and they are no sign of health.
 
-use crate::large_responses::chunk;
+use crate::large_responses::{LAST_CHUNK, chunk};
 use crate::scripted_server::{Reply, ScriptedServer};
 use crate::server_calls::Call;
 use std::io::Result;
 
 const OWN_INSTANCE: &str = "dockwood-own-instance: board-z\r\n";
-const LAST_CHUNK: &str = "0\r\n\r\n";
 
 fn response(status: &str, lines: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{OWN_INSTANCE}{lines}\r\n{body}")
--- a/crates/daemon/tests/one_entry/head_cases.rs
+++ b/crates/daemon/tests/one_entry/head_cases.rs
@@ -13,7 +13,6 @@
 pub const PATHS: [&str; 3] = [ONCE, AGAIN, STREAM];
 pub const OK: &str = "200 OK";
 pub const ATTEMPT: &str = "dockwood-attempt: ATTEMPT\r\n";
-pub const LAST_CHUNK: &str = "0\r\n\r\n";
 /// Deadline of the requests: a response whose head was taken for one without a length waits for the end of its connection.
 const DEADLINE_MS: u64 = 1_500;
 
@@ -69,6 +68,15 @@
     Ok(())
 }
 
+/// Checks that a caller of a plain service gets an error of the entry if the server sends this reply.
+pub async fn assert_not_forwarded_on_plain_paths(reply: Reply) -> Result<()> {
+    for path in [ONCE, AGAIN] {
+        let answer = answer_to("POST", path, reply.clone()).await?;
+        assert!(is_entry_error(&answer), "{path}: {} bytes: {answer:.200}", answer.len());
+    }
+    Ok(())
+}
+
 /// Returns whether an answer is an error of the entry, without any part of the server's response.
 pub fn is_entry_error(answer: &str) -> bool {
     answer.starts_with("HTTP/1.1 502 ") && !answer.contains("whole!")
--- a/crates/daemon/tests/one_entry/large_responses.rs
+++ b/crates/daemon/tests/one_entry/large_responses.rs
@@ -27,7 +27,7 @@
 const PATH: &str = "/once/1";
 const CHUNK_HEAD: &str = "HTTP/1.1 200 OK\r\ndockwood-attempt: ATTEMPT\r\ntransfer-encoding: chunked\r\n\r\n";
 const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\ndockwood-attempt: ATTEMPT\r\nconnection: close\r\n\r\n";
-const LAST_CHUNK: &str = "0\r\n\r\n";
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
 
 fn length_head(length: usize) -> String {
     format!("HTTP/1.1 200 OK\r\ndockwood-attempt: ATTEMPT\r\ncontent-length: {length}\r\n\r\n")
--- a/crates/daemon/tests/one_entry/server_calls.rs
+++ b/crates/daemon/tests/one_entry/server_calls.rs
@@ -102,20 +102,17 @@
     /// Makes the call, and returns whether the daemon uses the server's response.
     pub async fn is_answered(self, address: SocketAddr) -> Result<bool> {
         let caller = Caller::new(address)?;
-        let called = async {
-            match self {
-                Call::Health => EngineClient::new(caller.http.clone()).health(address).await.is_ok(),
-                Call::RequestState => request_state(&caller.http, address, "r").await.is_some(),
-                Call::BarRequest => bar_request(&caller.http, address, "r").await.is_some(),
-                Call::Generate => caller.generate().await,
-                Call::EngineOrder => caller.order_engine().await,
-                Call::GroupOrder => caller.order_group().await,
-                Call::ProbeAlive => caller.probe(ProbeQuestion::IsAlive).await,
-                Call::ProbeHealth => caller.probe(ProbeQuestion::AnswersAt("/".to_string())).await,
-                Call::Service => caller.call_service().await,
-            }
-        };
-        Ok(tokio::time::timeout(CALL_TIMEOUT, called).await.unwrap_or(false))
+        Ok(match self {
+            Call::Health => EngineClient::new(caller.http.clone()).health(address).await.is_ok(),
+            Call::RequestState => request_state(&caller.http, address, "r").await.is_some(),
+            Call::BarRequest => bar_request(&caller.http, address, "r").await.is_some(),
+            Call::Generate => caller.generate().await,
+            Call::EngineOrder => caller.order_engine().await,
+            Call::GroupOrder => caller.order_group().await,
+            Call::ProbeAlive => caller.probe(ProbeQuestion::IsAlive).await,
+            Call::ProbeHealth => caller.probe(ProbeQuestion::AnswersAt("/".to_string())).await,
+            Call::Service => tokio::time::timeout(CALL_TIMEOUT, caller.call_service()).await.unwrap_or(false),
+        })
     }
 }
 
--- a/crates/daemon/tests/one_entry/unreadable_heads.rs
+++ b/crates/daemon/tests/one_entry/unreadable_heads.rs
@@ -1,8 +1,10 @@
 //! Responses whose heads the HTTP library can't read: a caller gets an error of the entry on each path.
 
 use crate::head_cases::{
-    AGAIN, ATTEMPT, LAST_CHUNK, OK, ONCE, PATHS, answer_to, assert_not_forwarded, body_of, head, with_length,
+    ATTEMPT, OK, ONCE, PATHS, answer_to, assert_not_forwarded, assert_not_forwarded_on_plain_paths, body_of,
+    head, with_length,
 };
+use crate::large_responses::LAST_CHUNK;
 use crate::scripted_server::Reply;
 use std::io::Result;
 
@@ -92,12 +94,7 @@
 #[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
 async fn a_chunk_without_its_size_is_not_forwarded(chunks: &str) -> Result<()> {
     let head = head(ONCE, OK, &format!("{ATTEMPT}transfer-encoding: chunked\r\n"));
-    for path in [ONCE, AGAIN] {
-        let response = format!("{head}{chunks}{LAST_CHUNK}");
-        let answer = answer_to("POST", path, Reply::Bytes(response)).await?;
-        assert!(answer.starts_with("HTTP/1.1 502 "), "{path}: {answer}");
-    }
-    Ok(())
+    assert_not_forwarded_on_plain_paths(Reply::Bytes(format!("{head}{chunks}{LAST_CHUNK}"))).await
 }
 
 /// The server stops within its head, at each place, and closes the connection.
