--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -3,11 +3,13 @@
 
 mod check;
 mod gateway;
+mod limits;
 mod reader;
 mod reload;
 mod section;
 
 pub use gateway::{GatewaySettings, RetryBudgetSettings};
+pub use limits::ResourceLimits;
 pub use reload::run_settings_reloader;
 pub use section::{Problem, Problems};
 
@@ -101,6 +103,8 @@
     pub default_deadline: Duration,
     /// Number of worker threads for traffic.
     pub traffic_threads: usize,
+    /// Limits on resources of the process.
+    pub limits: ResourceLimits,
     /// Minimum level that is logged.
     pub log_level: String,
     /// Log file; standard output if `None`.
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -1,6 +1,7 @@
 //! Reads settings files and collects all problems instead of stopping at the first.
 
 use super::gateway::read_gateway;
+use super::limits::read_limits;
 use super::section::{Located, Problems, Section, line_of};
 use super::{OperatorRole, OperatorToken, SeedSettings, Settings, Voter};
 use dockwood_api::ResultCode;
@@ -65,8 +66,10 @@
 }
 
 fn read_document(node: &Node, problems: &mut Problems) -> Option<LocatedSettings> {
-    let known =
-        ["name", "region", "zone", "listen", "control", "tokens", "platform", "traffic", "log", "gateway"];
+    let known = [
+        "name", "region", "zone", "listen", "control", "tokens", "platform", "traffic", "log", "gateway",
+        "limits",
+    ];
     let top = Section::new(node, "", &known, problems)?;
     let mut lines = BTreeMap::new();
     let name = top.name("name", problems);
@@ -88,6 +91,7 @@
     };
     let traffic = read_traffic(top.optional("traffic"), problems);
     let log = read_log(top.optional("log"), problems);
+    let limits = read_limits(top.optional("limits"), problems);
 
     let (listen, control, traffic, log) = (listen?, control?, traffic?, log?);
     lines.insert(listen.http.path, listen.http.line);
@@ -116,6 +120,7 @@
         max_body_bytes: traffic.max_body_bytes as usize,
         default_deadline: Duration::from_millis(traffic.default_deadline_ms),
         traffic_threads: traffic.threads as usize,
+        limits: limits?,
         log_level: log.level,
         log_file: log.file,
     };
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -189,3 +189,29 @@
     let found = problems(&format!("{VALID}gateway:\n  coldLimit: {limit}\n"));
     assert_eq!(found, [(7005, 15, format!("gateway.coldLimit.{field}"))]);
 }
+
+#[test]
+fn limits_are_read_and_the_others_have_defaults() {
+    let limits = |text: &str| read(text).unwrap_or_else(|problems| panic!("{problems:?}")).limits;
+    let read = limits(&format!(
+        "{VALID}limits: {{ memoryMegabytes: 112.5, fileDescriptors: 2870, headTimeoutMs: 2500 }}\n"
+    ));
+    assert_eq!((read.memory_bytes, read.file_descriptors), (112 << 20, 2_870));
+    assert_eq!(read.head_timeout, Duration::from_millis(2_500));
+    let defaults = limits(VALID);
+    assert_eq!((read.head_bytes, read.body_timeout), (defaults.head_bytes, defaults.body_timeout));
+    assert_eq!(defaults.memory_bytes, 256 << 20);
+}
+
+#[parameterized(
+    too_little_memory = { "memoryMegabytes: 63", 7005, "limits.memoryMegabytes" },
+    too_few_descriptors = { "fileDescriptors: 0", 7005, "limits.fileDescriptors" },
+    small_heads = { "headBytes: 100", 7005, "limits.headBytes" },
+    no_time_for_heads = { "headTimeoutMs: 0", 7005, "limits.headTimeoutMs" },
+    no_time_for_bodies = { "bodyTimeoutMs: never", 7005, "limits.bodyTimeoutMs" },
+    unknown = { "memory: 112", 7003, "limits.memory" },
+)]
+fn an_invalid_limit_is_rejected(line: &str, code: u16, field: &str) {
+    let found = problems(&format!("{VALID}limits:\n  {line}\n"));
+    assert_eq!(found, [(code, 15, field.to_string())]);
+}
