Bodies of requests are taken from one budget, and end when they stop arriving

What callers saw: entries that ended for want of memory while clients sent many bodies and stopped short of their end. Cause: read_body bounded one body and nothing bounded all; a buffer that doubled could take twice its body; a body that stopped was held as long as its connection, since the deadline of its request was not applied while it was read. Change: CallerMemory divides a part of the process's memory into shares; RequestBodies takes the bytes of a buffer from it before the buffer grows, and the body returns them with its last part. When a share is used up, bodies that have stalled are given up, the oldest first; without any, the new body is refused with 503 (2036). A body that has not arrived at its request's deadline ends with 408 (2035). No server was asked by then, so both are true. Small bodies have a share of their own. Why it works: what is held is counted by capacity and never exceeds the shares, which are a quarter of the memory.

--- a/crates/api/src/code.rs
+++ b/crates/api/src/code.rs
@@ -63,6 +63,8 @@
     ServerOnTrial = 2032, 503, "The server runs another request that may end it; not run, another server is to be chosen.";
     ServersResting = 2033, 503, "All servers that could take the request asked to be sent nothing for a while; not run, retry after the stated time.";
     ServersAtLimit = 2034, 503, "All servers that could take the request get as many as they said they take; not run, retry after the stated time.";
+    BodyTimeout = 2035, 408, "The request's body did not arrive in time; not run.";
+    MemoryExhausted = 2036, 503, "The daemon holds as much for clients as its memory allows; not run, retry after the stated time.";
     Interrupted = 3001, 502, "The run was cut short and may not be continued; what was generated is incomplete.";
     OutcomeUnknown = 3002, 502, "The request was sent and its outcome can't be established; it is not run again.";
     DeadlinePassed = 3003, 504, "The deadline passed while the request was running; the run was cancelled.";
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -1,12 +1,13 @@
 //! Receives a caller's request: finds its route, checks its API key, and reads its body.
 
 use super::Gateway;
-use super::body::{BodyFault, ResponseBody, read_body};
+use super::body::ResponseBody;
 use super::headers::forwarded_headers;
 use super::regions::allowed_zones;
 use super::request_log::RequestInfo;
 use super::responses::{RETRY_SOON_MS, error_response, retry_after_start_ms};
 use crate::clock::monotonic_ms;
+use crate::request_bodies::{BodyLimits, RequestBodyFault};
 use crate::shared::Shared;
 use crate::suspects::SuspectGate;
 use crate::unread_body::DiscardingBody;
@@ -128,6 +129,19 @@
 }
 
 impl Refusal {
+    /// Creates the refusal of a request whose body is not read completely.
+    fn of_body(fault: RequestBodyFault) -> Refusal {
+        let (code, message, retry_after_ms) = match fault {
+            RequestBodyFault::TooLarge => (ResultCode::BodyTooLarge, "the body is too large", None),
+            RequestBodyFault::Broken => (ResultCode::BadHeader, "the body ended early", None),
+            RequestBodyFault::TimedOut => (ResultCode::BodyTimeout, "the body did not arrive in time", None),
+            RequestBodyFault::NoMemory => {
+                (ResultCode::MemoryExhausted, "no memory is left for the body", Some(RETRY_SOON_MS))
+            }
+        };
+        Refusal { code, message, retry_after_ms }
+    }
+
     /// Returns the response to the caller.
     pub fn into_response(self) -> Response<ResponseBody> {
         error_response(self.code, self.message, self.retry_after_ms)
@@ -179,18 +193,14 @@
     let Some(service) = table.destination(&route, rand::random()) else {
         return Err(refusal(ResultCode::NoServer, "the route has no service", Some(RETRY_SOON_MS)));
     };
-    let body = match read_body(body, table.limits.max_body_bytes).await {
-        Ok(body) => body,
-        Err(BodyFault::TooLarge) => {
-            return Err(refusal(ResultCode::BodyTooLarge, "the body is too large", None));
-        }
-        Err(BodyFault::Broken) => return Err(refusal(ResultCode::BadHeader, "the body ended early", None)),
-    };
     let names = gateway.dialect.headers();
     let number =
         |name: &str| header_text(&parts.headers, name).and_then(|value| value.trim().parse::<u64>().ok());
     let requested_ms = number(names.deadline_ms);
     let timeout_ms = requested_ms.map_or(route.timeout_ms, |requested| requested.min(route.timeout_ms));
+    let deadline = arrived + Duration::from_millis(timeout_ms);
+    let limits = BodyLimits { max_bytes: table.limits.max_body_bytes, deadline, copies: 1 };
+    let body = gateway.shared.request_bodies.read(body, limits).await.map_err(Refusal::of_body)?;
     let usage = header_text(&parts.headers, names.token_usage);
     let prompt_parts = header_text(&parts.headers, names.prompt_parts);
     let prompt_parts = prompt_parts.map(|value| gateway.dialect.prompt_parts(&value)).unwrap_or_default();
@@ -215,7 +225,7 @@
         version: parts.version,
         method: parts.method,
         uri: parts.uri,
-        deadline: arrived + Duration::from_millis(timeout_ms),
+        deadline,
         deadline_ms: arrived_ms + timeout_ms,
         body,
         route,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions are made in crates without I/O; this crate provides their clocks, disks and sockets.
 
 pub mod bounded_response;
+pub mod caller_memory;
 pub mod cli;
 pub mod clock;
 pub mod connection_line;
@@ -28,6 +29,7 @@
 pub mod process;
 pub mod published;
 pub mod pushback;
+pub mod request_bodies;
 pub mod response_framing;
 pub mod scope_dispatchers;
 pub mod server_connections;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -25,6 +25,12 @@
     /// Requests that were not answered completely though no request line says so, by what their connection owed its caller and
     /// by what ended it.
     pub unanswered_callers: IntCounterVec,
+    /// Bytes held for clients, by the share of the memory that they are taken from.
+    pub held_bytes: IntGaugeVec,
+    /// Times that a share of the memory had too few bytes left.
+    pub held_bytes_refused: IntCounterVec,
+    /// Bodies of requests that were not read completely, because they came too slowly or for want of memory.
+    pub request_bodies_ended: IntCounterVec,
     /// Request log lines written.
     pub request_lines_written: IntCounter,
     /// Request log lines suppressed by the line budget, which keeps logs small under load.
@@ -194,6 +200,17 @@
                 "Callers' connections that ended before a request on them was answered",
                 &["unanswered", "ended_by"],
             )?,
+            held_bytes: gauges("dockwood_held_bytes", "Bytes held for clients", &["share"])?,
+            held_bytes_refused: counters(
+                "dockwood_held_bytes_refused_total",
+                "Times that a share of the memory for clients had too few bytes left",
+                &["share"],
+            )?,
+            request_bodies_ended: counters(
+                "dockwood_request_bodies_ended_total",
+                "Bodies of requests that were not read completely",
+                &["reason"],
+            )?,
             request_lines_written: counter("dockwood_request_lines_total", "Lines on requests written")?,
             request_lines_held_back: counter(
                 "dockwood_request_lines_held_back_total",
--- a/crates/daemon/src/settings/limits.rs
+++ b/crates/daemon/src/settings/limits.rs
@@ -7,9 +7,9 @@
 
 const BYTES_PER_MEGABYTE: u64 = 1 << 20;
 const DEFAULT_MEMORY_MEGABYTES: u64 = 256;
-const MIN_MEMORY_MEGABYTES: u64 = 64;
+const MIN_MEMORY_MEGABYTES: u64 = 16;
 const MAX_MEMORY_MEGABYTES: u64 = 1 << 20;
-const MIN_FILE_DESCRIPTORS: u64 = 128;
+const MIN_FILE_DESCRIPTORS: u64 = 32;
 const MAX_FILE_DESCRIPTORS: u64 = 1 << 20;
 const DEFAULT_HEAD_BYTES: u64 = 16 << 10;
 /// Smallest read buffer that hyper accepts.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by all threads of the daemon.
 
+use crate::caller_memory::CallerMemory;
 use crate::clock::monotonic_ms;
 use crate::control::ControlHandle;
 use crate::control_directory::{ControlAddresses, ControlDirectory};
@@ -11,6 +12,7 @@
 use crate::peer::PeerClients;
 use crate::published::Published;
 use crate::pushback::Pushback;
+use crate::request_bodies::RequestBodies;
 use crate::scope_dispatchers::ScopeDispatchers;
 use crate::server_dialer::{ServerDialer, TcpDialer};
 use crate::settings::Settings;
@@ -45,6 +47,10 @@
     pub incarnation: u64,
     /// Metrics of the daemon.
     pub metrics: Metrics,
+    /// Memory that is held for clients.
+    pub caller_memory: Arc<CallerMemory>,
+    /// Reads the bodies of clients' requests.
+    pub request_bodies: RequestBodies,
     /// Timeline of the daemon.
     pub timeline: Timeline,
     /// Recent changes, for watches.
@@ -106,7 +112,10 @@
 impl Shared {
     /// Creates the shared state at the start of the process.
     pub fn new(settings: Settings, incarnation: u64, metrics: Metrics, control: ControlHandle) -> Shared {
+        let caller_memory = Arc::new(CallerMemory::new(settings.limits.memory_bytes, &metrics));
         Shared {
+            request_bodies: RequestBodies::new(caller_memory.clone(), &metrics),
+            caller_memory,
             timeline: Timeline::new(&settings.name),
             watch_hub: WatchHub::default(),
             peers: PeerClients::default(),
