Bodies of operators' calls are taken from the budget, and have a time limit

What callers saw: members of the control group that ended for want of memory. A call may have 8 MiB, before any look at the caller, so that 24 connections held 196 MB of 112. Change: RequestBodies reads these bodies as well; they count twice, since the call is decoded while its bytes are held. Refusals are 503 (2036) and 408 (2035), by which callers go to another daemon. What is left in gateway/body.rs reads responses only.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -1,10 +1,10 @@
-//! Bodies of requests and responses.
+//! Bodies of responses.
 
 use crate::response_framing::ResponseFraming;
 use crate::suspects::SuspectGate;
 use crate::unannounced_chunks::has_unannounced_chunks;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::Version;
 use hyper::body::{Body, Incoming};
 use quick_error::quick_error;
@@ -25,21 +25,6 @@
     }
 }
 
-quick_error! {
-    /// Why a body could not be read.
-    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-    pub enum BodyFault {
-        /// It is larger than allowed.
-        TooLarge {
-            display("the body is too large")
-        }
-        /// It ended early.
-        Broken {
-            display("the body ended early")
-        }
-    }
-}
-
 /// Body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Truncated>;
 
@@ -48,25 +33,6 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Reads a complete body of at most `limit` bytes.
-pub async fn read_body(mut body: impl Body<Data = Bytes> + Unpin, limit: usize) -> Result<Bytes, BodyFault> {
-    let expected = body.size_hint().lower() as usize;
-    if expected > limit {
-        return Err(BodyFault::TooLarge);
-    }
-    let mut buffer = Vec::with_capacity(expected.min(limit));
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyFault::Broken)?;
-        if let Some(data) = frame.data_ref() {
-            if buffer.len() + data.len() > limit {
-                return Err(BodyFault::TooLarge);
-            }
-            buffer.extend_from_slice(data);
-        }
-    }
-    Ok(buffer.into())
-}
-
 /// Reads the body of a response; `None` if it is too large, ended early, is in chunks that were not announced, or may be
 /// truncated because it ends with its connection and its server did not survive it.
 pub async fn read_response_body(
@@ -74,7 +40,10 @@
     framing: ResponseFraming,
     body: Incoming,
 ) -> Option<Bytes> {
-    let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
+    if body.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
+        return None;
+    }
+    let bytes = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
     if has_unannounced_chunks(framing, &bytes) {
         return None;
     }
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -1,12 +1,14 @@
 //! Handles operators' calls and servers' reports. Any daemon accepts them; the control leader decides.
 
 use super::Gateway;
-use super::body::{ResponseBody, read_body};
+use super::body::ResponseBody;
 use super::evacuation::set_evacuation;
+use super::receive::Refusal;
 use super::report_forwarding::{forward_report, report_target};
 use super::responses::{empty_response, error_response, json_response};
 use crate::dialect::OperatorCall;
 use crate::peer::{read_document, read_revision, submit};
+use crate::request_bodies::{BodyLimits, RequestBodyFault};
 use crate::shared::Shared;
 use crate::unread_body::DiscardingBody;
 use dockwood_api::gateway::{GatewayConfiguration, InstanceReport, validate_configuration};
@@ -16,17 +18,25 @@
 use hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Maximum size of a call's body, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// A call is held as the bytes that were received and as what is decoded from them.
+const BODY_COPIES: usize = 2;
 /// Time limit for a call: callers try another daemon after one second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// Handles one call.
 pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.map(DiscardingBody::new).into_parts();
-    let body = match read_body(body, MAX_BODY_BYTES).await {
+    let deadline = Instant::now() + gateway.shared.settings.limits.body_timeout;
+    let limits = BodyLimits { max_bytes: MAX_BODY_BYTES, deadline, copies: BODY_COPIES };
+    let body = match gateway.shared.request_bodies.read(body, limits).await {
         Ok(body) => body,
+        Err(fault @ (RequestBodyFault::NoMemory | RequestBodyFault::TimedOut)) => {
+            return Refusal::of_body(fault).into_response();
+        }
         Err(fault) => return error_response(ResultCode::ConfigurationUnreadable, &fault.to_string(), None),
     };
     let call = gateway.dialect.operator_call(parts.method.as_str(), parts.uri.path(), &body);
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -130,7 +130,7 @@
 
 impl Refusal {
     /// Creates the refusal of a request whose body is not read completely.
-    fn of_body(fault: RequestBodyFault) -> Refusal {
+    pub fn of_body(fault: RequestBodyFault) -> Refusal {
         let (code, message, retry_after_ms) = match fault {
             RequestBodyFault::TooLarge => (ResultCode::BodyTooLarge, "the body is too large", None),
             RequestBodyFault::Broken => (ResultCode::BadHeader, "the body ended early", None),
