Bodies at the resource API and dockwood's own interface are taken from the budget

Chat requests, calls of services and resources bounded each body, and nothing bounded all or ended one that stopped. Change: one function reads them by RequestBodies, with limits.bodyTimeoutMs; chat requests count three times, resources twice, and are held as long as they run. Refusals are 2035 and 2036; a request with an idempotency key may have run when it was sent before, so that it gets 3008, which does not say "not run". A resource that is too large now has the code for that (2003) in place of 4001. Evidence: bodies_without_a_key_at_the_resource_api passes before and after for chat, as a request without a key is refused before its body is read; the case of services belongs to the limits of connections. The budget itself is tested by tests/request_bodies.rs (copies_count_as_well). No crowd with a key was run.

--- a/crates/daemon/src/http/caller.rs
+++ b/crates/daemon/src/http/caller.rs
@@ -2,9 +2,10 @@
 
 use super::completion::{CompletionEncoder, encode_answer};
 use super::refusal;
+use super::request_body::{ExpectedBody, read_body};
 use super::{App, auth};
 use crate::clock::monotonic_ms;
-use crate::traffic::chat::{ChatEvent, ChatJob, CompletionStats, Failure, run_chat};
+use crate::traffic::chat::{ChatEvent, ChatJob, CompletionStats, run_chat};
 use crate::traffic::records::{find_record, record_key};
 use bytes::Bytes;
 use dockwood_api::caller::{
@@ -20,11 +21,12 @@
 use poem::{Body, Request, Response, handler};
 use serde::Deserialize;
 use std::sync::Arc;
-use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 
 /// Capacity of the queue between a request and its caller, in events.
 const EVENT_QUEUE_CAPACITY: usize = 256;
+/// A chat request is held as the bytes that were received, as its messages, and as a prompt.
+const CHAT_COPIES: usize = 3;
 /// Path of chat requests in fingerprints. The host in these fingerprints is empty, because chat requests are accepted
 /// under any host name of the daemons.
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -33,10 +35,6 @@
 /// Maximum deadline, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
-fn failure(error: &ApiError) -> Failure {
-    Failure::new(error.code(), error.message())
-}
-
 fn session_of(request: &Request) -> String {
     request.header(HEADER_SESSION).unwrap_or("").to_string()
 }
@@ -59,7 +57,7 @@
             .content_type("application/json")
             .header("cache-control", format!("max-age={}", answer.lifetime_seconds))
             .body(serde_json::to_vec(&answer).unwrap_or_default()),
-        Err(error) => refusal::counted_caller_error(app, &failure(&error), ""),
+        Err(error) => refusal::counted_caller_error(app, &refusal::failure_of(&error), ""),
     }
 }
 
@@ -84,7 +82,7 @@
 pub fn list_models(Data(app): Data<&App>, request: &Request) -> Response {
     let tenant = match auth::authenticate_tenant(app, request) {
         Ok(tenant) => tenant,
-        Err(error) => return refusal::counted_caller_error(app, &failure(&error), ""),
+        Err(error) => return refusal::counted_caller_error(app, &refusal::failure_of(&error), ""),
     };
     let published = app.shared.published();
     let mut names: Vec<&str> = published.routing.models().collect();
@@ -145,21 +143,29 @@
 pub async fn chat_completions(Data(app): Data<&App>, request: &Request, body: Body) -> Response {
     let session = session_of(request);
     match parse_chat_job(app, request, body).await {
-        Ok((job, chat)) => run_and_respond(app, job, &chat, &session).await,
-        Err(error) => refusal::counted_caller_error(app, &failure(&error), &session),
+        Ok(parsed) => run_and_respond(app, parsed, &session).await,
+        Err(error) => refusal::counted_caller_error(app, &refusal::failure_of(&error), &session),
     }
 }
 
-async fn parse_chat_job(
-    app: &App,
-    request: &Request,
-    body: Body,
-) -> Result<(ChatJob, ChatRequest), ApiError> {
+/// A chat request, with the body that it was parsed from: its bytes are held as long as the request runs.
+struct ParsedChat {
+    job: ChatJob,
+    chat: ChatRequest,
+    body: Bytes,
+}
+
+async fn parse_chat_job(app: &App, request: &Request, body: Body) -> Result<ParsedChat, ApiError> {
     let arrived = monotonic_ms();
     let tenant = auth::authenticate_tenant(app, request)?;
     let headers = request_headers(app, request)?;
-    let limit = app.shared.settings.max_body_bytes;
-    let bytes = read_limited(body, limit).await?;
+    let expected = ExpectedBody {
+        max_bytes: app.shared.settings.max_body_bytes,
+        copies: CHAT_COPIES,
+        unreadable: ResultCode::BadJson,
+        may_have_run: headers.has_idempotency_key,
+    };
+    let bytes = read_body(app, body, expected).await?;
     let chat: ChatRequest = serde_json::from_slice(&bytes)
         .map_err(|error| ApiError::new(ResultCode::BadJson, error.to_string()))?;
     let published = app.shared.published();
@@ -193,7 +199,7 @@
         deadline: arrived + headers.deadline_ms,
         content_digest: content_digest(&bytes),
     };
-    Ok((job, chat))
+    Ok(ParsedChat { job, chat, body: bytes })
 }
 
 /// Returns the parts of a conversation that other requests may share: its messages, but the last.
@@ -203,7 +209,8 @@
     PromptPart::shared(chat.messages.iter().map(name).collect()).into()
 }
 
-async fn run_and_respond(app: &App, job: ChatJob, chat: &ChatRequest, session: &str) -> Response {
+async fn run_and_respond(app: &App, parsed: ParsedChat, session: &str) -> Response {
+    let ParsedChat { job, chat, body } = parsed;
     let encoder = CompletionEncoder::new(&job.id, &chat.model);
     let id = job.id.clone();
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
@@ -211,7 +218,7 @@
     let traffic = app.traffic.clone();
     tokio::spawn(async move {
         run_chat(traffic, job, sender, encode_answer).await;
-        drop(in_flight);
+        drop((in_flight, body));
     });
     // The response head is sent only after the first event, so that an error response has its own status.
     let first = events.recv().await;
@@ -322,7 +329,7 @@
 pub async fn request_outcome(Data(app): Data<&App>, request: &Request, Path(id): Path<String>) -> Response {
     let tenant = match auth::authenticate_tenant(app, request) {
         Ok(tenant) => tenant,
-        Err(error) => return refusal::counted_caller_error(app, &failure(&error), ""),
+        Err(error) => return refusal::counted_caller_error(app, &refusal::failure_of(&error), ""),
     };
     let record = find_record(&app.traffic, &record_key(&tenant, &id)).await.record;
     let Some(record) = record else { return not_found(&id) };
@@ -340,7 +347,7 @@
 pub async fn request_answer(Data(app): Data<&App>, request: &Request, Path(id): Path<String>) -> Response {
     let tenant = match auth::authenticate_tenant(app, request) {
         Ok(tenant) => tenant,
-        Err(error) => return refusal::counted_caller_error(app, &failure(&error), ""),
+        Err(error) => return refusal::counted_caller_error(app, &refusal::failure_of(&error), ""),
     };
     let record = find_record(&app.traffic, &record_key(&tenant, &id)).await.record;
     match record.map(|record| (record.outcome, record.answer)) {
@@ -358,13 +365,3 @@
 fn not_found(id: &str) -> Response {
     refusal::plain_error(ResultCode::RequestNotFound, &format!("no record of request '{id}'"))
 }
-
-async fn read_limited(body: Body, limit: usize) -> Result<Vec<u8>, ApiError> {
-    let read_error = |error: std::io::Error| ApiError::new(ResultCode::BadJson, error.to_string());
-    let mut bytes = Vec::new();
-    body.into_async_read().take(limit as u64 + 1).read_to_end(&mut bytes).await.map_err(read_error)?;
-    if bytes.len() <= limit {
-        return Ok(bytes);
-    }
-    Err(ApiError::new(ResultCode::BodyTooLarge, format!("the body has more than {limit} bytes")))
-}
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod operator;
 mod quarantine;
 mod refusal;
+mod request_body;
 mod service;
 mod streamed;
 mod watch;
--- a/crates/daemon/src/http/operator.rs
+++ b/crates/daemon/src/http/operator.rs
@@ -2,6 +2,7 @@
 
 use super::list_query::ListQuery;
 use super::refusal::{self, HEADER_RESULT_CODE};
+use super::request_body::{ExpectedBody, read_body};
 use super::watch::watch_stream;
 use super::{App, auth};
 use crate::clock::wall_ms;
@@ -27,6 +28,8 @@
 const MAX_CHANGE_ID_BYTES: usize = 128;
 /// Maximum size of a resource, in bytes.
 const MAX_RESOURCE_BYTES: usize = 1 << 20;
+/// A resource is held as the bytes that were received and as what is decoded from them.
+const RESOURCE_COPIES: usize = 2;
 /// Time limit to commit a change.
 pub(super) const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time limit to apply a committed change at this daemon, so that the operator can read it back.
@@ -172,8 +175,14 @@
     auth::authorize_operator(app, request, OperatorRole::Write)?;
     let kind = writable(kind)?;
     let query: ChangeQuery = query(request)?;
-    let bytes = body.into_bytes_limit(MAX_RESOURCE_BYTES).await;
-    let bytes = bytes.map_err(|error| ApiError::new(ResultCode::BadResource, error.to_string()))?;
+    let expected = ExpectedBody {
+        max_bytes: MAX_RESOURCE_BYTES,
+        copies: RESOURCE_COPIES,
+        unreadable: ResultCode::BadResource,
+        // A change that is sent again is recognized by its change id.
+        may_have_run: false,
+    };
+    let bytes = read_body(app, body, expected).await?;
     let mut resource = parse_resource(&bytes)?;
     let key = resource.key();
     if key.kind != kind || name.is_some_and(|name| name != key.name) {
--- a/crates/daemon/src/http/refusal.rs
+++ b/crates/daemon/src/http/refusal.rs
@@ -13,6 +13,16 @@
 
 const MILLISECONDS_PER_SECOND: u64 = 1_000;
 
+/// Retry-after time of a request for which no memory is left, in milliseconds.
+const MEMORY_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Returns the failure of a caller's request that was refused before it was sent anywhere.
+pub fn failure_of(error: &ApiError) -> Failure {
+    let is_exhausted = error.code() == ResultCode::MemoryExhausted;
+    let retry_after_ms = is_exhausted.then_some(MEMORY_RETRY_AFTER_MS);
+    Failure { retry_after_ms, ..Failure::new(error.code(), error.message()) }
+}
+
 fn http_status(code: ResultCode) -> StatusCode {
     StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/crates/daemon/src/http/service.rs
+++ b/crates/daemon/src/http/service.rs
@@ -2,6 +2,7 @@
 
 use super::caller::request_headers;
 use super::refusal;
+use super::request_body::{ExpectedBody, read_body};
 use super::stream_or_abort;
 use super::{App, auth};
 use crate::framed_response::CallFault;
@@ -41,7 +42,7 @@
 pub async fn call_service(Data(app): Data<&App>, request: &Request, body: Body) -> Response {
     let result = match prepare(app, request, body).await {
         Ok((call, id)) => forward_and_respond(app, call, &id).await,
-        Err(error) => Err(Failure::new(error.code(), error.message())),
+        Err(error) => Err(refusal::failure_of(&error)),
     };
     let code = result.as_ref().map_or_else(|failure| failure.code, |_| ResultCode::Ok);
     app.shared.metrics.answers.with_label_values(&[&code.number().to_string()]).inc();
@@ -59,7 +60,7 @@
     let spec = spec.ok_or_else(unknown)?;
     let repeatable = headers.repeatable.unwrap_or_else(|| is_idempotent(request.method()));
     let path = path_at_server(request, &service);
-    let body = buffer_or_stream(request, body).await?;
+    let body = buffer_or_stream(app, request, body, headers.has_idempotency_key).await?;
     let call = ServiceCall {
         suspect_attempt: suspect_attempt(request, &tenant, &headers.id, &service, &body),
         path,
@@ -121,14 +122,23 @@
     headers
 }
 
-async fn buffer_or_stream(request: &Request, body: Body) -> Result<ServiceBody, ApiError> {
+async fn buffer_or_stream(
+    app: &App,
+    request: &Request,
+    body: Body,
+    may_have_run: bool,
+) -> Result<ServiceBody, ApiError> {
     let length = request.header(header::CONTENT_LENGTH).and_then(|text| text.parse::<usize>().ok());
     let has_body = length.is_some() || request.header(header::TRANSFER_ENCODING).is_some();
     match length {
         Some(length) if length <= MAX_BUFFERED_BODY_BYTES => {
-            let bytes = body.into_bytes().await;
-            let bytes = bytes.map_err(|error| ApiError::new(ResultCode::BadJson, error.to_string()))?;
-            Ok(ServiceBody::Buffered(bytes))
+            let expected = ExpectedBody {
+                max_bytes: MAX_BUFFERED_BODY_BYTES,
+                copies: 1,
+                unreadable: ResultCode::BadJson,
+                may_have_run,
+            };
+            Ok(ServiceBody::Buffered(read_body(app, body, expected).await?))
         }
         None if !has_body => Ok(ServiceBody::Buffered(bytes::Bytes::new())),
         _ => Ok(ServiceBody::Streamed(reqwest::Body::wrap_stream(body.into_bytes_stream()))),
