Parts of responses, and configurations that are read back, are taken from the same budget

Parts of responses had a count of their own (512), whatever the memory of the machine, and a configuration of megabytes was copied for each call that reads it, also for callers that read no answer. Change: ResponseMemory is replaced by the share for responses, an eighth of the memory; a part counts 64 KiB as before, so that 256 MB give 512 parts again and 112 MB give 224. Test changed: no_further_part_is_read_while_all_that_may_be_held_are asks the same of the new type, with room for two parts.

--- a/crates/daemon/src/gateway/large_response.rs
+++ b/crates/daemon/src/gateway/large_response.rs
@@ -4,9 +4,9 @@
 use super::Gateway;
 use super::body::{ResponseBody, Truncated, full_body, is_complete_at_end};
 use super::request_log::{RequestLog, SendNumber};
-use super::response_memory::ResponseMemory;
 use super::server_selection::SelectedServer;
-use super::upstream::Upstream;
+use super::upstream::{SERVER_BUFFER_BYTES, Upstream};
+use crate::caller_memory::{CallerMemory, HeldFor};
 use crate::response_framing::ResponseFraming;
 use crate::shared::InFlight;
 use crate::suspects::SuspectGate;
@@ -21,6 +21,9 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// What a part keeps in memory at most: it is a piece of the buffer of its server's connection, which may have doubled.
+pub const MAX_PART_BYTES: usize = 2 * SERVER_BUFFER_BYTES;
+
 /// A response of which only a part has been received.
 pub struct PartialResponse {
     /// The part that has been received.
@@ -82,7 +85,7 @@
         &mut self,
         mut source: ResponseSource,
     ) -> Result<Option<(Bytes, Option<ResponseSource>)>, Truncated> {
-        let reading = read_part(&self.gateway.response_memory, &mut source.rest);
+        let reading = read_part(&self.gateway.shared.caller_memory, &mut source.rest);
         let Ok(read) = tokio::time::timeout_at(self.deadline, reading).await else {
             self.request_log.end(ResultCode::DeadlinePassed);
             return Err(Truncated::Broken);
@@ -126,16 +129,24 @@
 }
 
 /// Reads the next part of a body, and waits until the daemon may hold it; `None` at the end of the body.
-async fn read_part(memory: &ResponseMemory, body: &mut Incoming) -> Option<hyper::Result<Bytes>> {
+async fn read_part(memory: &CallerMemory, body: &mut Incoming) -> Option<hyper::Result<Bytes>> {
     loop {
         match body.frame().await? {
             Ok(frame) => {
                 if let Ok(data) = frame.into_data() {
                     // Only now, so that a server that sends nothing holds up no other response.
-                    return Some(Ok(memory.hold(data).await));
+                    return Some(Ok(hold_part(memory, data).await));
                 }
             }
             Err(error) => return Some(Err(error)),
         }
     }
 }
+
+/// Waits until one more part may be held, and returns the part, which counts as held until it is dropped.
+pub async fn hold_part(memory: &CallerMemory, part: Bytes) -> Bytes {
+    match memory.hold(HeldFor::Responses, MAX_PART_BYTES).await {
+        Some(held) => held.wrap(part),
+        None => part,
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -26,7 +26,6 @@
 mod report_forwarding;
 mod request_log;
 mod response_head;
-mod response_memory;
 mod responses;
 mod retry_budgets;
 mod server_selection;
@@ -39,7 +38,7 @@
 pub use cold::ColdServers;
 pub use dispatchers::{DispatchMode, Dispatchers};
 pub use evacuation::set_evacuation;
-pub use response_memory::ResponseMemory;
+pub use large_response::{MAX_PART_BYTES, hold_part};
 pub use upstream::ConnectFault;
 
 use crate::clock::monotonic_ms;
@@ -83,7 +82,6 @@
     stopping: watch::Sender<bool>,
     planned_stop: PlannedStop,
     caller_connections: Arc<CallerConnections>,
-    response_memory: ResponseMemory,
 }
 
 /// Listening sockets of the gateway, bound before any task is started.
@@ -151,7 +149,6 @@
             stopping: watch::channel(false).0,
             planned_stop: PlannedStop::default(),
             caller_connections: Arc::default(),
-            response_memory: ResponseMemory::default(),
         }
     }
 
--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -6,6 +6,7 @@
 use super::receive::Refusal;
 use super::report_forwarding::{forward_report, report_target};
 use super::responses::{empty_response, error_response, json_response};
+use crate::caller_memory::HeldFor;
 use crate::dialect::OperatorCall;
 use crate::peer::{read_document, read_revision, submit};
 use crate::request_bodies::{BodyLimits, RequestBodyFault};
@@ -83,7 +84,12 @@
     if document.is_empty() {
         return Err(ApiError::new(ResultCode::NoConfiguration, "no configuration was accepted yet"));
     }
-    Ok(json_response(document))
+    let memory = &gateway.shared.caller_memory;
+    let Some(held) = memory.try_hold(HeldFor::Responses, document.len()) else {
+        memory.record_refusal(HeldFor::Responses);
+        return Err(ApiError::new(ResultCode::MemoryExhausted, "no memory is left for the response"));
+    };
+    Ok(json_response(held.wrap(document)))
 }
 
 /// Returns the document of this daemon's tables at the newest revision, if they contain documents, as those of voters do;
--- a/crates/daemon/src/gateway/responses.rs
+++ b/crates/daemon/src/gateway/responses.rs
@@ -1,6 +1,7 @@
 //! Responses that the gateway creates itself: refusals, failures and replies of its own interfaces.
 
 use super::body::{ResponseBody, full_body};
+use bytes::Bytes;
 use dockwood_api::error::ErrorBody;
 use dockwood_api::{ApiError, ResultCode};
 use http_body_util::BodyExt;
@@ -43,7 +44,7 @@
 }
 
 /// Returns a response with a JSON body.
-pub fn json_response(bytes: Vec<u8>) -> Response<ResponseBody> {
+pub fn json_response(bytes: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(bytes));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -26,7 +26,7 @@
 /// A connection that has been idle for longer than this is not reused, because servers close idle connections.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Size of the buffer for a server's response, which bounds what is read ahead of the caller, and the head of the response.
-const SERVER_BUFFER_BYTES: usize = 32 << 10;
+pub const SERVER_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 4;
 
--- a/crates/daemon/tests/one_entry/large_responses.rs
+++ b/crates/daemon/tests/one_entry/large_responses.rs
@@ -5,7 +5,9 @@
 use crate::scripted_server::{Reply, ScriptedServer};
 use bytes::Bytes;
 use dockwood_api::ResultCode;
-use dockwood_daemon::gateway::ResponseMemory;
+use dockwood_daemon::caller_memory::CallerMemory;
+use dockwood_daemon::gateway::{MAX_PART_BYTES, hold_part};
+use dockwood_daemon::metrics::Metrics;
 use futures::FutureExt;
 use std::io::Result;
 use std::net::SocketAddr;
@@ -257,12 +259,14 @@
 
 #[tokio::test]
 async fn no_further_part_is_read_while_all_that_may_be_held_are() {
-    let memory = ResponseMemory::with_parts(2);
+    let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
+    // An eighth of it is for responses: two parts.
+    let memory = CallerMemory::new(8 * 2 * MAX_PART_BYTES, &metrics);
     let part = || Bytes::from_static(b"part");
-    let first = memory.hold(part()).await;
-    let second = memory.hold(part()).await;
+    let first = hold_part(&memory, part()).await;
+    let second = hold_part(&memory, part()).await;
     assert_eq!((&first, &second), (&part(), &part()));
-    assert!(memory.hold(part()).now_or_never().is_none(), "a third part may be held");
+    assert!(hold_part(&memory, part()).now_or_never().is_none(), "a third part may be held");
     drop(first);
-    assert!(memory.hold(part()).now_or_never().is_some(), "a part that was written is still counted");
+    assert!(hold_part(&memory, part()).now_or_never().is_some(), "a part that was written is still counted");
 }
