Frames between daemons are taken from the budget until they are complete

Nothing checks who connects to the address for other daemons, and the codec keeps a frame of up to 64 MiB until it is complete: 40 connections held 177 MB of 112. Change: FrameStream follows the frames on a connection; what a frame has received beyond 64 KiB is taken from the share for frames, and a frame has ten seconds and the time that its size takes. A connection for which nothing is left is closed; the other daemon repeats its call. A connection without a first frame, or without any byte, ends after ten seconds and may be displaced; others never are.

--- a/crates/daemon/src/peer/clients.rs
+++ b/crates/daemon/src/peer/clients.rs
@@ -47,8 +47,8 @@
         }
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connected else { return Err(PeerFailure::Unreachable) };
-        let transport = peer_transport(stream).map_err(|_| PeerFailure::Unreachable)?;
-        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        stream.set_nodelay(true).map_err(|_| PeerFailure::Unreachable)?;
+        let client = PeerClient::new(tarpc::client::Config::default(), peer_transport(stream)).spawn();
         self.clients().insert(address, client.clone());
         Ok(client)
     }
--- /dev/null
+++ b/crates/daemon/src/peer/frame_stream.rs
@@ -0,0 +1,166 @@
+//! Stream of another daemon's connection, which bounds what incomplete frames hold.
+//!
+//! The codec keeps the bytes of a frame until it is complete. Those of large frames are taken from the memory for clients, since
+//! nothing proves before the frame that the other end is a daemon.
+
+use super::transport::transfer_time;
+use crate::caller_memory::{CallerMemory, HeldBytes, HeldFor};
+use crate::connection_slots::{ConnectionSlot, RequestGuard};
+use dockwood_api::peer::MAX_FRAME_BYTES;
+use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// Size of the length before each frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+/// Bytes of a frame that are not taken from the budget.
+const FREE_BYTES: usize = 64 << 10;
+/// Bytes that are taken from the budget at a time.
+const STEP_BYTES: usize = 64 << 10;
+/// Maximum time from the beginning of a frame, or of the connection, to the end of the frame, if that is small.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Stream of another daemon's connection. It fails if a frame takes too long, or if no memory is left for it.
+pub struct FrameStream {
+    stream: TcpStream,
+    memory: Arc<CallerMemory>,
+    slot: Arc<ConnectionSlot>,
+    /// Present once a frame was received.
+    served: Option<RequestGuard>,
+    frame: FrameProgress,
+    held: Option<HeldBytes>,
+    /// Ends when the current frame must be complete.
+    limit: Option<Pin<Box<Sleep>>>,
+}
+
+/// How much of the current frame has been received.
+#[derive(Debug, Default)]
+struct FrameProgress {
+    length: [u8; LENGTH_BYTES],
+    length_bytes: usize,
+    received: usize,
+}
+
+impl FrameProgress {
+    /// Adds received bytes; returns whether a frame was completed.
+    fn add(&mut self, mut bytes: &[u8]) -> bool {
+        let mut is_any_complete = false;
+        while !bytes.is_empty() {
+            let length_part = bytes.len().min(LENGTH_BYTES - self.length_bytes);
+            let (length, rest) = bytes.split_at(length_part);
+            self.length[self.length_bytes..self.length_bytes + length_part].copy_from_slice(length);
+            self.length_bytes += length_part;
+            if self.length_bytes < LENGTH_BYTES {
+                return is_any_complete;
+            }
+            let missing = self.length() - self.received;
+            let received = rest.len().min(missing);
+            self.received += received;
+            if received == missing {
+                *self = FrameProgress::default();
+                is_any_complete = true;
+            }
+            bytes = &rest[received..];
+        }
+        is_any_complete
+    }
+
+    /// Returns the length of the frame; 0 if it is not known yet.
+    fn length(&self) -> usize {
+        let is_known = self.length_bytes == LENGTH_BYTES;
+        if is_known { (u32::from_be_bytes(self.length) as usize).min(MAX_FRAME_BYTES) } else { 0 }
+    }
+
+    fn is_between_frames(&self) -> bool {
+        self.length_bytes == 0
+    }
+}
+
+impl FrameStream {
+    /// Wraps an accepted connection.
+    pub fn new(stream: TcpStream, memory: Arc<CallerMemory>, slot: Arc<ConnectionSlot>) -> FrameStream {
+        let limit = Some(Box::pin(tokio::time::sleep(FRAME_TIMEOUT)));
+        FrameStream { stream, memory, slot, served: None, frame: FrameProgress::default(), held: None, limit }
+    }
+
+    /// Records received bytes, and takes as many from the budget as are held for the current frame.
+    fn receive(&mut self, bytes: &[u8]) -> Result<()> {
+        if self.frame.add(bytes) {
+            self.served.get_or_insert_with(|| self.slot.begin_request());
+            self.held = None;
+            self.limit = None;
+        }
+        if self.limit.is_none() && !self.frame.is_between_frames() {
+            let timeout = FRAME_TIMEOUT + transfer_time(self.frame.length());
+            self.limit = Some(Box::pin(tokio::time::sleep(timeout)));
+        }
+        self.hold()
+    }
+
+    fn hold(&mut self) -> Result<()> {
+        let charged = self.frame.received.saturating_sub(FREE_BYTES);
+        let most = self.memory.share_bytes(HeldFor::Frames);
+        let needed = charged.next_multiple_of(STEP_BYTES).min(most);
+        let held = self.held.as_ref().map_or(0, HeldBytes::bytes);
+        if needed <= held {
+            return Ok(());
+        }
+        let Some(taken) = self.memory.try_hold(HeldFor::Frames, needed - held) else {
+            self.memory.record_refusal(HeldFor::Frames);
+            return Err(Error::from(ErrorKind::OutOfMemory));
+        };
+        match &mut self.held {
+            Some(held) => held.merge(taken),
+            None => self.held = Some(taken),
+        }
+        Ok(())
+    }
+}
+
+impl AsyncRead for FrameStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        if let Some(limit) = &mut self.limit
+            && limit.as_mut().poll(context).is_ready()
+        {
+            return Poll::Ready(Err(Error::from(ErrorKind::TimedOut)));
+        }
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        Poll::Ready(self.receive(&buffer.filled()[filled..]))
+    }
+}
+
+impl AsyncWrite for FrameStream {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -1,9 +1,12 @@
 //! Server side of the peer RPC service.
 
+use super::frame_stream::FrameStream;
 use super::relay::relay;
 use super::transport::peer_transport;
 use crate::clock::monotonic_ms;
+use crate::connection_slots::ConnectionSlot;
 use crate::control::ControlMessage;
+use crate::http_connection::accept;
 use crate::shared::Shared;
 use crate::traffic::Traffic;
 use crate::tunnel::{is_tunnel, serve_tunnel};
@@ -24,8 +27,10 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
+/// Maximum time until the first bytes of a connection.
+const FIRST_BYTES_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time limit for the control thread to publish a revision that it has applied: it publishes once per iteration.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -37,21 +42,31 @@
 
 /// Accepts connections of other daemons until the process ends.
 pub async fn serve_peers(shared: Arc<Shared>, traffic: Arc<Traffic>, listener: tokio::net::TcpListener) {
+    let slots = shared.listener_slots.peers.clone();
     let server = PeerServer { shared, traffic };
-    loop {
-        // The failure of one connection while it is accepted does not affect the others.
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        tokio::spawn(serve_connection(server.clone(), stream));
+    // Other daemons are served until the process ends.
+    let (_never_stops, stopping) = watch::channel(false);
+    accept(listener, slots, stopping, |stream, slot| serve_unless_displaced(server.clone(), stream, slot))
+        .await;
+}
+
+/// Serves a connection. Only those on which nothing was received yet are displaced.
+async fn serve_unless_displaced(server: PeerServer, stream: TcpStream, slot: Arc<ConnectionSlot>) {
+    tokio::select! {
+        () = serve_connection(server, stream, slot.clone()) => {}
+        () = slot.displaced() => {}
     }
 }
 
-async fn serve_connection(server: PeerServer, stream: TcpStream) {
-    if is_tunnel(&stream).await {
+async fn serve_connection(server: PeerServer, stream: TcpStream, slot: Arc<ConnectionSlot>) {
+    let Ok(is_tunnel) = tokio::time::timeout(FIRST_BYTES_TIMEOUT, is_tunnel(&stream)).await else { return };
+    if is_tunnel {
+        let _served = slot.begin_request();
         serve_tunnel(server.shared, stream).await;
         return;
     }
-    let Ok(transport) = peer_transport(stream) else { return };
-    let channel = BaseChannel::with_defaults(transport);
+    let stream = FrameStream::new(stream, server.shared.caller_memory.clone(), slot);
+    let channel = BaseChannel::with_defaults(peer_transport(stream));
     let serve = channel.execute(server.serve()).for_each(|call| async move {
         tokio::spawn(call);
     });
--- a/crates/daemon/src/peer/transport.rs
+++ b/crates/daemon/src/peer/transport.rs
@@ -4,11 +4,10 @@
 
 use dockwood_api::peer::{MAX_FRAME_BYTES, PostcardCodec};
 use serde::{Deserialize, Serialize};
-use std::io;
 use std::time::Duration;
 use tarpc::serde_transport::{self, Transport};
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Bytes for each additional millisecond of the time limit of a call: a tenth of a link of 100 Mbit/s, which may be busy with
 /// snapshots of the state.
@@ -20,15 +19,15 @@
 }
 
 /// A connection that sends `Out` and receives `In`.
-pub type PeerTransport<In, Out> = Transport<TcpStream, In, Out, PostcardCodec<In, Out>>;
+pub type PeerTransport<Io, In, Out> = Transport<Io, In, Out, PostcardCodec<In, Out>>;
 
-/// Creates the transport on a connected stream.
-pub fn peer_transport<In, Out>(stream: TcpStream) -> io::Result<PeerTransport<In, Out>>
+/// Creates the transport on a connected stream, for which Nagle's algorithm must be disabled.
+pub fn peer_transport<Io, In, Out>(stream: Io) -> PeerTransport<Io, In, Out>
 where
+    Io: AsyncRead + AsyncWrite,
     In: for<'de> Deserialize<'de>,
     Out: Serialize,
 {
-    stream.set_nodelay(true)?;
     let framed = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
-    Ok(serde_transport::new(framed, PostcardCodec::default()))
+    serde_transport::new(framed, PostcardCodec::default())
 }
