--- a/crates/daemon/src/caller_memory.rs
+++ b/crates/daemon/src/caller_memory.rs
@@ -3,7 +3,7 @@
 //! One budget, a part of the memory of the process, is divided into shares for what is held. Bytes are taken from a share before
 //! they are kept, and returned when the guard that stands for them is dropped.
 
-use crate::metrics::Metrics;
+use crate::client_metrics::ClientMetrics;
 use bytes::Bytes;
 use prometheus::{IntCounter, IntGauge};
 use std::sync::Arc;
@@ -70,7 +70,7 @@
 }
 
 impl Share {
-    fn new(held_for: HeldFor, bytes: usize, metrics: &Metrics) -> Share {
+    fn new(held_for: HeldFor, bytes: usize, metrics: &ClientMetrics) -> Share {
         let total = bytes / UNIT_BYTES;
         Share {
             units: Arc::new(Semaphore::new(total)),
@@ -88,7 +88,7 @@
 
 impl CallerMemory {
     /// Divides the memory of a process, in bytes.
-    pub fn new(memory_bytes: usize, metrics: &Metrics) -> CallerMemory {
+    pub fn new(memory_bytes: usize, metrics: &ClientMetrics) -> CallerMemory {
         let share = |held_for, sixteenths: usize| {
             Share::new(held_for, memory_bytes / SIXTEENTHS * sixteenths, metrics)
         };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bounded_response;
 pub mod caller_memory;
 pub mod cli;
+pub mod client_metrics;
 pub mod client_stream;
 pub mod clock;
 pub mod connection_line;
--- a/crates/daemon/src/listener_slots.rs
+++ b/crates/daemon/src/listener_slots.rs
@@ -1,7 +1,7 @@
 //! Divides the connections that clients may have open among the listeners of a process.
 
+use crate::client_metrics::ClientMetrics;
 use crate::connection_slots::{ConnectionSlots, SlotMetrics};
-use crate::metrics::Metrics;
 use crate::settings::Settings;
 use std::sync::Arc;
 
@@ -40,7 +40,7 @@
 
 impl ListenerSlots {
     /// Divides the connections of a process with these settings.
-    pub fn new(settings: &Settings, metrics: &Metrics) -> ListenerSlots {
+    pub fn new(settings: &Settings, metrics: &ClientMetrics) -> ListenerSlots {
         let gateway = settings.gateway.as_ref();
         let share = |listens: Option<bool>, share: usize| if listens == Some(true) { share } else { 0 };
         let frontend = share(gateway.map(|gateway| gateway.frontend.is_some()), MAIN_SHARE);
@@ -67,11 +67,11 @@
 }
 
 impl SlotMetrics {
-    fn of(metrics: &Metrics, listener: &str) -> SlotMetrics {
+    fn of(metrics: &ClientMetrics, listener: &str) -> SlotMetrics {
         SlotMetrics {
-            open: metrics.client_connections.with_label_values(&[listener]),
-            displaced: metrics.client_connections_ended.with_label_values(&[listener, "displaced"]),
-            refused: metrics.client_connections_ended.with_label_values(&[listener, "refused"]),
+            open: metrics.connections.with_label_values(&[listener]),
+            displaced: metrics.connections_ended.with_label_values(&[listener, "displaced"]),
+            refused: metrics.connections_ended.with_label_values(&[listener, "refused"]),
         }
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a daemon.
 
+use crate::client_metrics::ClientMetrics;
 use dockwood_api::peer::PeerVolume;
 use dockwood_control::ZoneCounts;
 use prometheus::{
@@ -25,16 +26,8 @@
     /// Requests that were not answered completely though no request line says so, by what their connection owed its caller and
     /// by what ended it.
     pub unanswered_callers: IntCounterVec,
-    /// Bytes held for clients, by the share of the memory that they are taken from.
-    pub held_bytes: IntGaugeVec,
-    /// Times that a share of the memory had too few bytes left.
-    pub held_bytes_refused: IntCounterVec,
-    /// Clients' connections that are open, by listener.
-    pub client_connections: IntGaugeVec,
-    /// Clients' connections that were closed for want of room, by listener and by whether they were open already.
-    pub client_connections_ended: IntCounterVec,
-    /// Bodies of requests that were not read completely, because they came too slowly or for want of memory.
-    pub request_bodies_ended: IntCounterVec,
+    /// What is held for clients.
+    pub clients: ClientMetrics,
     /// Request log lines written.
     pub request_lines_written: IntCounter,
     /// Request log lines suppressed by the line budget, which keeps logs small under load.
@@ -204,27 +197,7 @@
                 "Callers' connections that ended before a request on them was answered",
                 &["unanswered", "ended_by"],
             )?,
-            held_bytes: gauges("dockwood_held_bytes", "Bytes held for clients", &["share"])?,
-            held_bytes_refused: counters(
-                "dockwood_held_bytes_refused_total",
-                "Times that a share of the memory for clients had too few bytes left",
-                &["share"],
-            )?,
-            client_connections: gauges(
-                "dockwood_client_connections",
-                "Open connections of clients",
-                &["listener"],
-            )?,
-            client_connections_ended: counters(
-                "dockwood_client_connections_ended_total",
-                "Connections of clients that were closed for want of room",
-                &["listener", "reason"],
-            )?,
-            request_bodies_ended: counters(
-                "dockwood_request_bodies_ended_total",
-                "Bodies of requests that were not read completely",
-                &["reason"],
-            )?,
+            clients: ClientMetrics::new(&registry)?,
             request_lines_written: counter("dockwood_request_lines_total", "Lines on requests written")?,
             request_lines_held_back: counter(
                 "dockwood_request_lines_held_back_total",
--- a/crates/daemon/src/peer/frame_stream.rs
+++ b/crates/daemon/src/peer/frame_reader.rs
@@ -1,4 +1,4 @@
-//! Stream of another daemon's connection, which bounds what incomplete frames hold.
+//! Reader of another daemon's connection, which bounds what incomplete frames hold.
 //!
 //! The codec keeps the bytes of a frame until it is complete. Those of large frames are taken from the memory for clients, since
 //! nothing proves before the frame that the other end is a daemon.
@@ -7,13 +7,13 @@
 use crate::caller_memory::{CallerMemory, HeldBytes, HeldFor};
 use crate::connection_slots::{ConnectionSlot, RequestGuard};
 use dockwood_api::peer::MAX_FRAME_BYTES;
-use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::Sleep;
 
 /// Size of the length before each frame, in bytes.
@@ -25,9 +25,9 @@
 /// Maximum time from the beginning of a frame, or of the connection, to the end of the frame, if that is small.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Stream of another daemon's connection. It fails if a frame takes too long, or if no memory is left for it.
-pub struct FrameStream {
-    stream: TcpStream,
+/// Reader of another daemon's connection. It fails if a frame takes too long, or if no memory is left for it.
+pub struct FrameReader {
+    reader: OwnedReadHalf,
     memory: Arc<CallerMemory>,
     slot: Arc<ConnectionSlot>,
     /// Present once a frame was received.
@@ -81,11 +81,11 @@
     }
 }
 
-impl FrameStream {
-    /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream, memory: Arc<CallerMemory>, slot: Arc<ConnectionSlot>) -> FrameStream {
+impl FrameReader {
+    /// Wraps one half of an accepted connection.
+    pub fn new(reader: OwnedReadHalf, memory: Arc<CallerMemory>, slot: Arc<ConnectionSlot>) -> FrameReader {
         let limit = Some(Box::pin(tokio::time::sleep(FRAME_TIMEOUT)));
-        FrameStream { stream, memory, slot, served: None, frame: FrameProgress::default(), held: None, limit }
+        FrameReader { reader, memory, slot, served: None, frame: FrameProgress::default(), held: None, limit }
     }
 
     /// Records received bytes, and takes as many from the budget as are held for the current frame.
@@ -122,7 +122,7 @@
     }
 }
 
-impl AsyncRead for FrameStream {
+impl AsyncRead for FrameReader {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -134,33 +134,7 @@
             return Poll::Ready(Err(Error::from(ErrorKind::TimedOut)));
         }
         let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        ready!(Pin::new(&mut self.reader).poll_read(context, buffer))?;
         Poll::Ready(self.receive(&buffer.filled()[filled..]))
     }
 }
-
-impl AsyncWrite for FrameStream {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,7 +1,7 @@
 //! RPC between daemons, based on `tarpc`.
 
 mod clients;
-mod frame_stream;
+mod frame_reader;
 mod leader_search;
 mod relay;
 mod server;
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -1,6 +1,6 @@
 //! Server side of the peer RPC service.
 
-use super::frame_stream::FrameStream;
+use super::frame_reader::FrameReader;
 use super::relay::relay;
 use super::transport::peer_transport;
 use crate::clock::monotonic_ms;
@@ -65,8 +65,9 @@
         serve_tunnel(server.shared, stream).await;
         return;
     }
-    let stream = FrameStream::new(stream, server.shared.caller_memory.clone(), slot);
-    let channel = BaseChannel::with_defaults(peer_transport(stream));
+    let (reader, writer) = stream.into_split();
+    let frames = FrameReader::new(reader, server.shared.caller_memory.clone(), slot);
+    let channel = BaseChannel::with_defaults(peer_transport(tokio::io::join(frames, writer)));
     let serve = channel.execute(server.serve()).for_each(|call| async move {
         tokio::spawn(call);
     });
--- a/crates/daemon/src/request_bodies.rs
+++ b/crates/daemon/src/request_bodies.rs
@@ -3,8 +3,8 @@
 //! When a share of the memory is used up, bodies of which nothing arrives any more are given up for a body that does arrive.
 
 use crate::caller_memory::{CallerMemory, HeldBytes, HeldFor, SMALL_BODY_BYTES};
+use crate::client_metrics::ClientMetrics;
 use crate::lock::lock;
-use crate::metrics::Metrics;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -84,7 +84,7 @@
 
 impl RequestBodies {
     /// Creates a reader that takes bytes from this memory.
-    pub fn new(memory: Arc<CallerMemory>, metrics: &Metrics) -> RequestBodies {
+    pub fn new(memory: Arc<CallerMemory>, metrics: &ClientMetrics) -> RequestBodies {
         let ended = metrics.request_bodies_ended.clone();
         RequestBodies { memory, arriving: Mutex::default(), ended }
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -115,11 +115,11 @@
 impl Shared {
     /// Creates the shared state at the start of the process.
     pub fn new(settings: Settings, incarnation: u64, metrics: Metrics, control: ControlHandle) -> Shared {
-        let caller_memory = Arc::new(CallerMemory::new(settings.limits.memory_bytes, &metrics));
+        let caller_memory = Arc::new(CallerMemory::new(settings.limits.memory_bytes, &metrics.clients));
         Shared {
-            request_bodies: RequestBodies::new(caller_memory.clone(), &metrics),
+            request_bodies: RequestBodies::new(caller_memory.clone(), &metrics.clients),
             caller_memory,
-            listener_slots: ListenerSlots::new(&settings, &metrics),
+            listener_slots: ListenerSlots::new(&settings, &metrics.clients),
             timeline: Timeline::new(&settings.name),
             watch_hub: WatchHub::default(),
             peers: PeerClients::default(),
--- a/crates/daemon/tests/one_entry/large_responses.rs
+++ b/crates/daemon/tests/one_entry/large_responses.rs
@@ -261,7 +261,7 @@
 async fn no_further_part_is_read_while_all_that_may_be_held_are() {
     let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
     // An eighth of it is for responses: two parts.
-    let memory = CallerMemory::new(8 * 2 * MAX_PART_BYTES, &metrics);
+    let memory = CallerMemory::new(8 * 2 * MAX_PART_BYTES, &metrics.clients);
     let part = || Bytes::from_static(b"part");
     let first = hold_part(&memory, part()).await;
     let second = hold_part(&memory, part()).await;
--- a/crates/daemon/tests/one_entry/stopped_clients.rs
+++ b/crates/daemon/tests/one_entry/stopped_clients.rs
@@ -65,7 +65,7 @@
     let answer = answer_to(entry.frontend, &request).await?;
     assert!(answer.starts_with("HTTP/1.1 408 ") && answer.contains("2035"), "{answer}");
     assert_eq!(server.received(), received);
-    assert_eq!(entry.shared.metrics.request_bodies_ended.with_label_values(&["timedOut"]).get(), 1);
+    assert_eq!(entry.shared.metrics.clients.request_bodies_ended.with_label_values(&["timedOut"]).get(), 1);
     Ok(())
 }
 
--- a/crates/daemon/tests/request_bodies.rs
+++ b/crates/daemon/tests/request_bodies.rs
@@ -30,8 +30,8 @@
 
 fn fixture() -> Fixture {
     let metrics = Metrics::new().unwrap_or_else(|error| panic!("{error}"));
-    let memory = Arc::new(CallerMemory::new(MEMORY_BYTES, &metrics));
-    let bodies = Arc::new(RequestBodies::new(memory.clone(), &metrics));
+    let memory = Arc::new(CallerMemory::new(MEMORY_BYTES, &metrics.clients));
+    let bodies = Arc::new(RequestBodies::new(memory.clone(), &metrics.clients));
     Fixture { memory, bodies, metrics }
 }
 
@@ -56,7 +56,7 @@
 
 impl Fixture {
     fn held(&self, share: &str) -> i64 {
-        self.metrics.held_bytes.with_label_values(&[share]).get()
+        self.metrics.clients.held_bytes.with_label_values(&[share]).get()
     }
 
     /// Lets a part of a body arrive, and returns when it is held.
@@ -159,7 +159,7 @@
         let limits = BodyLimits { deadline: Instant::now() + Duration::from_millis(50), ..limits() };
         assert_eq!(fixture.bodies.read(body, limits).await, Err(RequestBodyFault::TimedOut));
         assert_eq!((fixture.held("largeBodies"), fixture.held("smallBodies")), (0, 0));
-        let ended = fixture.metrics.request_bodies_ended.with_label_values(&["timedOut"]);
+        let ended = fixture.metrics.clients.request_bodies_ended.with_label_values(&["timedOut"]);
         assert_eq!(ended.get(), 1);
     });
 }
