Requests whose bodies stop do not keep their connections' slots

What callers saw: found by reading the change. A connection whose request is being received counted as one with a request, so that clients that send a head and a part of a body could take all slots of a listener until the deadlines of their requests, and new connections were closed. Change: a connection counts as receiving as long as the body of its request may arrive. When nothing else is left to displace, the one is closed that has been receiving for the longest time, after half a second; no server has its request yet.

--- a/crates/daemon/src/gateway/frontend.rs
+++ b/crates/daemon/src/gateway/frontend.rs
@@ -9,7 +9,7 @@
 use super::{Gateway, plain, stream};
 use crate::client_stream::ClientStream;
 use crate::connection_line::ConnectionEnd;
-use crate::connection_slots::ConnectionSlot;
+use crate::connection_slots::{ConnectionSlot, RequestGuard};
 use crate::guarded_body::GuardedBody;
 use crate::http_connection::{Closed, ConnectionLimits, accept, serve_connection};
 use crate::unread_body::DiscardingBody;
@@ -52,9 +52,9 @@
     let stream = ClientStream::new(stream, slot.clone(), head_timeout);
     let stream = CallerStream::new(stream, record.clone());
     let (handled, served) = (gateway.clone(), record.clone());
-    let handle = move |request: Request<Incoming>, guard| {
+    let handle = move |request: Request<Incoming>, guard: RequestGuard| {
         let (gateway, record) = (handled.clone(), served.clone());
-        let request = request.map(|body| DiscardingBody::new(GuardedBody::new(body, guard)));
+        let request = request.map(|body| DiscardingBody::new(GuardedBody::new(body, guard.receive_body())));
         async move { handle(gateway, &record, request).await }
     };
     let stopping = gateway.stopping.subscribe();
--- a/crates/daemon/src/gateway/http_server.rs
+++ b/crates/daemon/src/gateway/http_server.rs
@@ -4,7 +4,7 @@
 use super::body::ResponseBody;
 use super::receive::CallerBody;
 use crate::client_stream::ClientStream;
-use crate::connection_slots::ConnectionSlots;
+use crate::connection_slots::{ConnectionSlots, RequestGuard};
 use crate::guarded_body::GuardedBody;
 use crate::http_connection::{ConnectionLimits, accept, serve_connection};
 use crate::unread_body::DiscardingBody;
@@ -35,8 +35,9 @@
     accept(listener, slots, stopping.clone(), |stream, slot| {
         let stream = ClientStream::new(stream, slot.clone(), limits.head_timeout);
         let (gateway, handle) = (gateway.clone(), handle.clone());
-        let handle = move |request: Request<Incoming>, guard| {
-            let request = request.map(|body| DiscardingBody::new(GuardedBody::new(body, guard)));
+        let handle = move |request: Request<Incoming>, guard: RequestGuard| {
+            let request =
+                request.map(|body| DiscardingBody::new(GuardedBody::new(body, guard.receive_body())));
             handle(gateway.clone(), request)
         };
         let serving = serve_connection(stream, slot, connection, stopping.clone(), handle);
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -7,7 +7,7 @@
 use super::request_log::RequestInfo;
 use super::responses::{RETRY_SOON_MS, error_response, retry_after_start_ms};
 use crate::clock::monotonic_ms;
-use crate::connection_slots::RequestGuard;
+use crate::connection_slots::BodyGuard;
 use crate::guarded_body::GuardedBody;
 use crate::request_bodies::{BodyLimits, RequestBodyFault};
 use crate::shared::Shared;
@@ -120,7 +120,7 @@
 }
 
 /// Body of a caller's request. Its guard tells the connection that the body may still be read.
-pub type CallerBody = DiscardingBody<GuardedBody<Incoming, RequestGuard>>;
+pub type CallerBody = DiscardingBody<GuardedBody<Incoming, BodyGuard>>;
 
 /// Why a request is rejected on receipt. It has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/http_connection.rs
+++ b/crates/daemon/src/http_connection.rs
@@ -106,6 +106,10 @@
         () = slot.displaced() => true,
         _ = stopping.wait_for(|stopping| *stopping) => false,
     };
+    if is_displaced && slot.is_receiving() {
+        // No server has the request, as its body is not complete.
+        return Closed::Displaced;
+    }
     if !is_displaced {
         // The runtime polls the sockets, so that a request that has arrived is answered before its connection is closed.
         tokio::task::yield_now().await;
--- a/crates/daemon/src/listener_slots.rs
+++ b/crates/daemon/src/listener_slots.rs
@@ -79,8 +79,8 @@
 /// Returns the number of connections for which a process has memory and descriptors.
 fn max_connections(settings: &Settings) -> usize {
     let limits = settings.limits;
-    let memory = limits.memory_bytes / 16 * MEMORY_SHARE_SIXTEENTHS;
-    let for_memory = memory / (CONNECTION_BYTES + limits.head_bytes);
+    let memory_bytes = limits.memory_sixteenths(MEMORY_SHARE_SIXTEENTHS);
+    let for_memory = memory_bytes / (CONNECTION_BYTES + limits.head_bytes);
     for_memory.min(limits.file_descriptors / DESCRIPTORS_PER_CONNECTION)
 }
 
--- a/crates/daemon/src/request_bodies.rs
+++ b/crates/daemon/src/request_bodies.rs
@@ -139,27 +139,26 @@
         let is_stalled = |body: &Arriving| {
             body.held_for == Some(held_for) && now.duration_since(body.progressed_at) >= STALLED_AFTER
         };
-        let mut stalled: Vec<(Instant, u64, usize)> = arriving
+        let mut stalled: Vec<(Instant, u64)> = arriving
             .bodies
             .iter()
             .filter(|(other, body)| **other != number && is_stalled(body))
-            .map(|(other, body)| (body.progressed_at, *other, body.held_bytes))
+            .map(|(other, body)| (body.progressed_at, *other))
             .collect();
         stalled.sort_unstable();
-        let mut freed = 0;
-        let needed: Vec<u64> = stalled
-            .into_iter()
-            .take_while(|(_, _, held_bytes)| {
-                let is_needed = freed < bytes;
-                freed += held_bytes;
-                is_needed
-            })
-            .map(|(_, number, _)| number)
-            .collect();
-        if freed < bytes {
+        let mut returned_bytes = 0;
+        let mut given_up = Vec::new();
+        for (_, other) in stalled {
+            if returned_bytes >= bytes {
+                break;
+            }
+            returned_bytes += arriving.bodies.get(&other).map_or(0, |body| body.held_bytes);
+            given_up.push(other);
+        }
+        if returned_bytes < bytes {
             return false;
         }
-        for body in needed.iter().filter_map(|number| arriving.bodies.remove(number)) {
+        for body in given_up.iter().filter_map(|other| arriving.bodies.remove(other)) {
             body.given_up.notify_one();
         }
         true
--- a/crates/daemon/src/settings/limits.rs
+++ b/crates/daemon/src/settings/limits.rs
@@ -33,6 +33,13 @@
     pub body_timeout: Duration,
 }
 
+impl ResourceLimits {
+    /// Returns a share of the memory, in bytes.
+    pub fn memory_sixteenths(&self, sixteenths: usize) -> usize {
+        self.memory_bytes / 16 * sixteenths
+    }
+}
+
 pub(super) fn read_limits(node: Option<&Node>, problems: &mut Problems) -> Option<ResourceLimits> {
     let Some(node) = node else { return Some(ResourceLimits::default()) };
     let known = ["memoryMegabytes", "fileDescriptors", "headBytes", "headTimeoutMs", "bodyTimeoutMs"];
--- a/crates/daemon/tests/connection_slots.rs
+++ b/crates/daemon/tests/connection_slots.rs
@@ -1,9 +1,10 @@
 //! Slots of connections: who is closed when all are taken.
 
-use dockwood_daemon::connection_slots::{ConnectionSlot, ConnectionSlots, SlotMetrics};
+use dockwood_daemon::connection_slots::{ConnectionSlot, ConnectionSlots, RequestGuard, SlotMetrics};
 use futures::FutureExt;
 use prometheus::{IntCounter, IntGauge};
 use std::sync::Arc;
+use std::time::Duration;
 
 const LIMIT: usize = 3;
 
@@ -75,13 +76,44 @@
     assert_eq!((slot.received_requests(), slot.has_request()), (2, false));
 }
 
+/// Longer than a request may be incomplete before its connection may be displaced.
+const INCOMPLETE: Duration = Duration::from_millis(600);
+
+#[test]
+fn a_connection_whose_request_stays_incomplete_is_displaced_last() {
+    let slots = slots();
+    let all: Vec<_> = (0..LIMIT).map(|_| admit(&slots)).collect();
+    let requests: Vec<_> = all.iter().map(ConnectionSlot::begin_request).collect();
+    let bodies: Vec<_> = requests.iter().take(2).map(RequestGuard::receive_body).collect();
+    assert!(slots.admit().is_none(), "a request that has just begun is displaced");
+    std::thread::sleep(INCOMPLETE);
+    let idle = requests.into_iter().next_back();
+    drop(idle);
+    let _fourth = admit(&slots).begin_request();
+    assert_eq!(all.iter().map(|slot| is_displaced(slot)).collect::<Vec<_>>(), [false, false, true]);
+    let _fifth = admit(&slots).begin_request();
+    assert_eq!(all.iter().map(|slot| is_displaced(slot)).collect::<Vec<_>>(), [true, false, false]);
+    drop(bodies);
+}
+
+#[test]
+fn a_connection_whose_request_is_complete_is_not_displaced() {
+    let slots = slots();
+    let all: Vec<_> = (0..LIMIT).map(|_| admit(&slots)).collect();
+    let requests: Vec<_> = all.iter().map(ConnectionSlot::begin_request).collect();
+    requests.iter().for_each(|request| drop(request.receive_body()));
+    std::thread::sleep(INCOMPLETE);
+    assert!(all.iter().all(|slot| slot.has_request() && !slot.is_receiving()));
+    assert!(slots.admit().is_none());
+}
+
 #[test]
 fn a_request_lasts_as_long_as_any_part_of_it() {
     let slots = slots();
     let slot = admit(&slots);
     let response = slot.begin_request();
-    let body = response.clone();
-    drop(response);
+    let (handling, body) = (response.clone(), response.receive_body());
+    drop((response, handling));
     assert!(slot.has_request());
     drop(body);
     assert_eq!((slot.received_requests(), slot.has_request()), (1, false));
