A head that has arrived meanwhile is not late

Seen by reading: after a process was suspended for longer than a head may take, a head of which a part had arrived lost its connection, although the rest was in the socket's buffer. Change: what arrives in the read in which the time has passed may complete the head; the next read of an incomplete one fails. The suspension itself has no test.

--- a/crates/daemon/src/client_stream.rs
+++ b/crates/daemon/src/client_stream.rs
@@ -29,6 +29,8 @@
     /// Number of requests before that one.
     received_before: u64,
     limit: Pin<Box<Sleep>>,
+    /// What has arrived by then may complete the head: the process may have been suspended meanwhile.
+    has_passed: bool,
 }
 
 impl ClientStream {
@@ -46,9 +48,14 @@
         }
         if self.head_limit.is_none() && has_read {
             let limit = Box::pin(tokio::time::sleep(self.head_timeout));
-            self.head_limit = Some(HeadLimit { received_before: received, limit });
+            self.head_limit = Some(HeadLimit { received_before: received, limit, has_passed: false });
         }
-        self.head_limit.as_mut().is_some_and(|head| head.limit.as_mut().poll(context).is_ready())
+        let Some(head) = &mut self.head_limit else { return false };
+        if head.has_passed {
+            return true;
+        }
+        head.has_passed = head.limit.as_mut().poll(context).is_ready();
+        head.has_passed && !has_read
     }
 
     /// Returns the result of a write, or an error if it has been pending for too long.
