Calls of operators wait for memory for a short time

Seen by reading: eight configurations of the largest size may be under way at once, and more than one at the same member could be refused for want of memory, though each is handled within milliseconds. Change: such a call waits for up to 0.4 s for what others hold; requests of callers, which may be held for long, are refused at once as before.

--- a/crates/daemon/src/gateway/operators.rs
+++ b/crates/daemon/src/gateway/operators.rs
@@ -23,6 +23,9 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// A call is held as the bytes that were received and as what is decoded from them.
 const BODY_COPIES: usize = 2;
+/// How long a call waits for memory that others hold: most calls take less time. Their callers try another daemon after one
+/// second.
+const BODY_PATIENCE: Duration = Duration::from_millis(400);
 /// Time limit for a call: callers try another daemon after one second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(850);
 
@@ -30,7 +33,8 @@
 pub async fn handle(gateway: Arc<Gateway>, request: Request<CallerBody>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
     let deadline = Instant::now() + gateway.shared.settings.limits.body_timeout;
-    let limits = BodyLimits { max_bytes: MAX_BODY_BYTES, deadline, copies: BODY_COPIES };
+    let limits =
+        BodyLimits { max_bytes: MAX_BODY_BYTES, deadline, copies: BODY_COPIES, patience: BODY_PATIENCE };
     let body = match gateway.shared.request_bodies.read(body, limits).await {
         Ok(body) => body,
         Err(fault @ (RequestBodyFault::NoMemory | RequestBodyFault::TimedOut)) => {
--- a/crates/daemon/src/gateway/receive.rs
+++ b/crates/daemon/src/gateway/receive.rs
@@ -201,7 +201,8 @@
     let requested_ms = number(names.deadline_ms);
     let timeout_ms = requested_ms.map_or(route.timeout_ms, |requested| requested.min(route.timeout_ms));
     let deadline = arrived + Duration::from_millis(timeout_ms);
-    let limits = BodyLimits { max_bytes: table.limits.max_body_bytes, deadline, copies: 1 };
+    let limits =
+        BodyLimits { max_bytes: table.limits.max_body_bytes, deadline, copies: 1, patience: Duration::ZERO };
     let body = gateway.shared.request_bodies.read(body, limits).await.map_err(Refusal::of_body)?;
     let usage = header_text(&parts.headers, names.token_usage);
     let prompt_parts = header_text(&parts.headers, names.prompt_parts);
--- a/crates/daemon/src/http/request_body.rs
+++ b/crates/daemon/src/http/request_body.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use dockwood_api::{ApiError, ResultCode};
 use poem::Body;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What applies to the bodies of one kind of request.
@@ -26,7 +27,12 @@
 /// second and third if the request may have run.
 pub(super) async fn read_body(app: &App, body: Body, expected: ExpectedBody) -> Result<Bytes, ApiError> {
     let deadline = Instant::now() + app.shared.settings.limits.body_timeout;
-    let limits = BodyLimits { max_bytes: expected.max_bytes, deadline, copies: expected.copies };
+    let limits = BodyLimits {
+        max_bytes: expected.max_bytes,
+        deadline,
+        copies: expected.copies,
+        patience: Duration::ZERO,
+    };
     let read = app.shared.request_bodies.read(BoxBody::from(body), limits).await;
     read.map_err(|fault| {
         let code = match fault {
--- a/crates/daemon/src/request_bodies.rs
+++ b/crates/daemon/src/request_bodies.rs
@@ -57,6 +57,8 @@
     pub deadline: Instant,
     /// Number of copies of the body that its handling needs at the same time, itself included.
     pub copies: usize,
+    /// How long it waits for memory that others hold: not at all if they may hold it for long.
+    pub patience: Duration,
 }
 
 /// The bodies that are being read.
@@ -107,7 +109,7 @@
         let registered = Registration::new(self);
         let given_up = registered.given_up.clone();
         let content = tokio::select! {
-            content = HeldBuffer::new(&registered, limits.copies).fill(body, limits.max_bytes) => content,
+            content = HeldBuffer::new(&registered, limits).fill(body) => content,
             () = given_up.notified() => Err(RequestBodyFault::NoMemory),
             () = tokio::time::sleep_until(limits.deadline) => Err(RequestBodyFault::TimedOut),
         };
@@ -120,15 +122,22 @@
     }
 
     /// Takes bytes for a body, if necessary those of others that have stalled.
-    async fn take(&self, number: u64, held_for: HeldFor, bytes: usize) -> Option<HeldBytes> {
+    async fn take(
+        &self,
+        number: u64,
+        held_for: HeldFor,
+        bytes: usize,
+        patience: Duration,
+    ) -> Option<HeldBytes> {
         if let Some(held) = self.memory.try_hold(held_for, bytes) {
             return Some(held);
         }
-        if !self.give_up_stalled(number, held_for, bytes) {
+        let limit = if self.give_up_stalled(number, held_for, bytes) { RETURN_TIMEOUT } else { patience };
+        let held = tokio::time::timeout(limit, self.memory.hold(held_for, bytes)).await.ok().flatten();
+        if held.is_none() {
             self.memory.record_refusal(held_for);
-            return None;
         }
-        tokio::time::timeout(RETURN_TIMEOUT, self.memory.hold(held_for, bytes)).await.ok().flatten()
+        held
     }
 
     /// Gives up other bodies, those first that have stalled for the longest time, until they have held as many bytes of a share;
@@ -203,7 +212,7 @@
 /// Content of a body as far as it has arrived, with the bytes taken for its capacity.
 struct HeldBuffer<'a> {
     registered: &'a Registration<'a>,
-    copies: usize,
+    limits: BodyLimits,
     content: Vec<u8>,
     held: Option<HeldBytes>,
     /// Size of the content at the last progress.
@@ -211,15 +220,12 @@
 }
 
 impl<'a> HeldBuffer<'a> {
-    fn new(registered: &'a Registration<'a>, copies: usize) -> HeldBuffer<'a> {
-        HeldBuffer { registered, copies, content: Vec::new(), held: None, progressed_bytes: 0 }
+    fn new(registered: &'a Registration<'a>, limits: BodyLimits) -> HeldBuffer<'a> {
+        HeldBuffer { registered, limits, content: Vec::new(), held: None, progressed_bytes: 0 }
     }
 
-    async fn fill(
-        mut self,
-        mut body: impl Body<Data = Bytes> + Unpin,
-        max_bytes: usize,
-    ) -> Result<Bytes, RequestBodyFault> {
+    async fn fill(mut self, mut body: impl Body<Data = Bytes> + Unpin) -> Result<Bytes, RequestBodyFault> {
+        let max_bytes = self.limits.max_bytes;
         let announced = body.size_hint().exact().map_or(max_bytes, |announced| announced as usize);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| RequestBodyFault::Broken)?.into_data() else { continue };
@@ -245,14 +251,16 @@
     /// Takes the bytes for a larger capacity, then allocates it.
     async fn grow(&mut self, capacity: usize) -> Result<(), RequestBodyFault> {
         let bodies = self.registered.bodies;
-        let needed = capacity * self.copies;
+        let needed = capacity * self.limits.copies;
         let held_for = if needed <= SMALL_BODY_BYTES { HeldFor::SmallBodies } else { HeldFor::LargeBodies };
         let bytes = needed.min(bodies.memory.share_bytes(held_for));
         let is_same_share = self.held.as_ref().is_some_and(|held| held.held_for() == held_for);
         let held_bytes = self.held.as_ref().filter(|_| is_same_share).map_or(0, HeldBytes::bytes);
         let missing = bytes.saturating_sub(held_bytes);
-        let taken =
-            bodies.take(self.registered.number, held_for, missing).await.ok_or(RequestBodyFault::NoMemory)?;
+        let taken = bodies
+            .take(self.registered.number, held_for, missing, self.limits.patience)
+            .await
+            .ok_or(RequestBodyFault::NoMemory)?;
         match &mut self.held {
             Some(held) if is_same_share => held.merge(taken),
             // What was taken of the other share is returned.
--- a/crates/daemon/tests/request_bodies.rs
+++ b/crates/daemon/tests/request_bodies.rs
@@ -37,7 +37,7 @@
 
 fn limits() -> BodyLimits {
     let deadline = Instant::now() + Duration::from_secs(60);
-    BodyLimits { max_bytes: MAX_BODY_BYTES, deadline, copies: 1 }
+    BodyLimits { max_bytes: MAX_BODY_BYTES, deadline, copies: 1, patience: Duration::ZERO }
 }
 
 fn whole(bytes: usize) -> Full<Bytes> {
@@ -117,6 +117,19 @@
     assert_eq!(body.map(|body| body.len()), Ok(2 << 20));
 }
 
+#[tokio::test]
+async fn a_body_may_wait_until_others_are_handled() {
+    let fixture = fixture();
+    let kept = fixture.bodies.read(whole(2 << 20), limits()).await;
+    let bodies = fixture.bodies.clone();
+    let patient = BodyLimits { patience: Duration::from_secs(20), ..limits() };
+    let waiting = tokio::spawn(async move { bodies.read(whole(2 << 20), patient).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(!waiting.is_finished());
+    drop(kept);
+    assert!(waiting.await.is_ok_and(|body| body.is_ok_and(|body| body.len() == 2 << 20)));
+}
+
 #[tokio::test]
 async fn a_body_that_has_stalled_is_given_up_for_one_that_arrives() {
     let fixture = fixture();
