The time for a frame takes its length into account also if that comes later

Seen by reading: the limit of a connection's first frame, and of a frame whose length came in two pieces, did not grow with the frame, so that a large first frame on a slow link lost its connection after ten seconds. Change: the limit is set when a frame begins, and again when its length is known.

--- a/crates/daemon/src/peer/frame_reader.rs
+++ b/crates/daemon/src/peer/frame_reader.rs
@@ -36,6 +36,8 @@
     held: Option<HeldBytes>,
     /// Ends when the current frame must be complete.
     limit: Option<Pin<Box<Sleep>>>,
+    /// Length of the current frame, once its time limit takes it into account.
+    limited_length: Option<usize>,
 }
 
 /// How much of the current frame has been received.
@@ -55,10 +57,8 @@
             let (length, rest) = bytes.split_at(length_part);
             self.length[self.length_bytes..self.length_bytes + length_part].copy_from_slice(length);
             self.length_bytes += length_part;
-            if self.length_bytes < LENGTH_BYTES {
-                return is_any_complete;
-            }
-            let missing = self.length() - self.received;
+            let Some(frame_length) = self.length() else { return is_any_complete };
+            let missing = frame_length - self.received;
             let received = rest.len().min(missing);
             self.received += received;
             if received == missing {
@@ -70,10 +70,10 @@
         is_any_complete
     }
 
-    /// Returns the length of the frame; 0 if it is not known yet.
-    fn length(&self) -> usize {
-        let is_known = self.length_bytes == LENGTH_BYTES;
-        if is_known { (u32::from_be_bytes(self.length) as usize).min(MAX_FRAME_BYTES) } else { 0 }
+    /// Returns the length of the frame; `None` if it is not known yet.
+    fn length(&self) -> Option<usize> {
+        let length = (u32::from_be_bytes(self.length) as usize).min(MAX_FRAME_BYTES);
+        (self.length_bytes == LENGTH_BYTES).then_some(length)
     }
 
     fn is_between_frames(&self) -> bool {
@@ -85,23 +85,40 @@
     /// Wraps one half of an accepted connection.
     pub fn new(reader: OwnedReadHalf, memory: Arc<CallerMemory>, slot: Arc<ConnectionSlot>) -> FrameReader {
         let limit = Some(Box::pin(tokio::time::sleep(FRAME_TIMEOUT)));
-        FrameReader { reader, memory, slot, served: None, frame: FrameProgress::default(), held: None, limit }
+        FrameReader {
+            reader,
+            memory,
+            slot,
+            served: None,
+            frame: FrameProgress::default(),
+            held: None,
+            limit,
+            limited_length: None,
+        }
     }
 
     /// Records received bytes, and takes as many from the budget as are held for the current frame.
     fn receive(&mut self, bytes: &[u8]) -> Result<()> {
         if self.frame.add(bytes) {
             self.served.get_or_insert_with(|| self.slot.begin_request());
-            self.held = None;
-            self.limit = None;
-        }
-        if self.limit.is_none() && !self.frame.is_between_frames() {
-            let timeout = FRAME_TIMEOUT + transfer_time(self.frame.length());
-            self.limit = Some(Box::pin(tokio::time::sleep(timeout)));
+            (self.held, self.limit, self.limited_length) = (None, None, None);
         }
+        self.limit_frame();
         self.hold()
     }
 
+    /// Sets the time limit of the current frame when it begins, and again when its length is known.
+    fn limit_frame(&mut self) {
+        let timeout = match self.frame.length() {
+            _ if self.frame.is_between_frames() => return,
+            Some(length) if self.limited_length != Some(length) => FRAME_TIMEOUT + transfer_time(length),
+            None if self.limit.is_none() => FRAME_TIMEOUT,
+            _ => return,
+        };
+        self.limited_length = self.frame.length();
+        self.limit = Some(Box::pin(tokio::time::sleep(timeout)));
+    }
+
     fn hold(&mut self) -> Result<()> {
         let charged = self.frame.received.saturating_sub(FREE_BYTES);
         let most = self.memory.share_bytes(HeldFor::Frames);
