--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,5 +3,5 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
 cd "$root" || exit 2
-[ -x target/review-2/late_join ] && [ -x target/release/dockwood-platform ] || exit 2
-exec target/review-2/late_join target/release/dockwood-platform "$folder/record.txt"
+[ -x target/review-2/case ] && [ -x target/release/dockwood-platform ] || exit 2
+exec target/review-2/case late_join target/release/dockwood-platform "$folder/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-2"
-rustc -O --edition 2021 -o "$root/target/review-2/late_join" "$root/review/standin-2/late_join.rs"
+rustc -O --edition 2021 -o "$root/target/review-2/case" "$root/review/standin-2/case.rs"
--- a/review/standin-2/late_join.rs
+++ b/review/standin-2/case.rs
@@ -1,5 +1,5 @@
-//! Case 5: starts a small deployment on loopback addresses, with stand-ins for model servers, the operator and clients.
-//! Usage: late_join PLATFORM_PROGRAM RECORD_FILE. TROUBLE=0 plays the same without the disruptions.
+//! Cases 5 and 6: starts a small deployment on loopback addresses, with stand-ins for model servers, the operator and clients.
+//! Usage: case late_join|late_beat PLATFORM_PROGRAM RECORD_FILE. TROUBLE=0 plays the same without the disruptions.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -18,6 +18,12 @@
 const CUT_AT_S: f64 = 4.5;
 const CUT_FOR_S: f64 = 8.5;
 const END_S: f64 = 17.0;
+/// Case 6: one heartbeat comes this much after the one before it, and the one of the earlier start arrives before it.
+const BEAT_GAP_S: f64 = 3.4;
+const OLD_BEAT_S: f64 = 2.8;
+const OLD_START: &str = "i-x0";
+/// The case ends before that: the rule is broken within a second, or the order is carried out.
+const LATE_LEAVE_S: f64 = 5.0;
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum State { Joining, Ready, Open }
@@ -26,7 +32,7 @@
 struct Group { name: String, epoch: u64, members: Vec<String>, state: State, ready_at: f64, open_at: Option<f64> }
 
 #[derive(Default, Clone)]
-struct Server { group: Option<Group>, max_epoch: u64, staged: bool, loading_until: Option<f64>, sequence: u64, last_was_model: bool, cut: bool, changed: bool }
+struct Server { group: Option<Group>, max_epoch: u64, staged: bool, loading_until: Option<f64>, sequence: u64, last_was_model: bool, cut: bool, changed: bool, beat_at: f64, beat_held_until: f64 }
 
 struct World {
     begun: Instant,
@@ -39,6 +45,9 @@
     failed: u32,
     rejoined: bool,
     ended: bool,
+    old_beat_at: Option<f64>,
+    silent_leave: bool,
+    late_leaves: Vec<(f64, String, u64)>,
 }
 type Shared = Arc<Mutex<World>>;
 
@@ -95,6 +104,12 @@
                 server.changed = true;
             }
         }
+        let due: Vec<(f64, String, u64)> = self.late_leaves.extract_if(.., |(at, _, _)| now >= *at).collect();
+        for (_, id, epoch) in due {
+            let server = self.servers.get_mut(&id).unwrap();
+            server.group.take_if(|group| group.epoch == epoch);
+            server.changed = true;
+        }
         if self.late.as_ref().is_some_and(|(at, _, _)| now >= *at) {
             let (_, id, group) = self.late.take().unwrap();
             let status = self.join(&id, group, "the order that got no answer is carried out");
@@ -184,6 +199,11 @@
                 _ => 409,
             }
         }
+        "leave" if holds && world.silent_leave && world.late_leaves.is_empty() && world.servers[id].group.as_ref().is_some_and(|group| group.members[0] != id) => {
+            world.note(&format!("server {id} gives no answer to the order to leave {name}; it will be carried out in {LATE_LEAVE_S} s"));
+            world.late_leaves.push((now + LATE_LEAVE_S, id.to_string(), epoch));
+            return None;
+        }
         "leave" if holds => { world.servers.get_mut(id).unwrap().group = None; 200 }
         "phase" => {
             let server = world.servers.get_mut(id).unwrap();
@@ -266,7 +286,9 @@
     let (world, id) = (world.clone(), id.to_string());
     spawn(move || loop {
         wait_while_cut(&world, &id);
+        while { let held = world.lock().unwrap(); held.now() < held.servers[&id].beat_held_until } { sleep(Duration::from_millis(5)); }
         beat(&world, &id, address, &control);
+        { let mut held = world.lock().unwrap(); let now = held.now(); held.servers.get_mut(&id).unwrap().beat_at = now; }
         let sent = Instant::now();
         while sent.elapsed() < Duration::from_millis(1_200) && !world.lock().unwrap().servers[&id].changed { sleep(Duration::from_millis(5)); }
     });
@@ -303,14 +325,15 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let folder = std::env::temp_dir().join(format!("review-5-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("dockwood-review-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
-    let code = run(&arguments[1], &arguments[2], &folder, trouble);
+    let code = run(&arguments[1], &arguments[2], &arguments[3], &folder, trouble);
     let _ = std::fs::remove_dir_all(&folder);
     std::process::exit(code);
 }
 
-fn run(program: &str, record: &str, folder: &std::path::Path, trouble: bool) -> i32 {
+fn run(case: &str, program: &str, record: &str, folder: &std::path::Path, trouble: bool) -> i32 {
+    let (late_join, late_beat) = (trouble && case == "late_join", trouble && case == "late_beat");
     let net = 64 + std::process::id() % 128;
     let ip = |last: u32| format!("127.{net}.7.{last}");
     let at = |last: u32, port: u32| format!("{}:{port}", ip(last)).parse::<SocketAddr>().unwrap();
@@ -333,7 +356,7 @@
     for last in 21..23 {
         start(&format!("m{last}.entry"), format!("{1}gateway:\n  zones: {{ \"za\": \"r\" }}\n  frontend: {0}:18227\n  readiness: {0}:18220\n  directory: {0}:18224\n  answerLifetimeMs: 2000\n  stopLimitSeconds: 8\n  revokedWithinMs: 5000\n  retryBudget:\n    ratio: 0.2\n    windowSeconds: 10\n    extra: 109\n{limits}", ip(last), common(&format!("m{last}.entry"), last, 1)));
     }
-    let world: Shared = Arc::new(Mutex::new(World { begun: Instant::now(), servers: BTreeMap::new(), record: std::fs::File::create(record).expect("record"), first_join_at: None, late: None, broken: None, answered: 0, failed: 0, rejoined: false, ended: false }));
+    let world: Shared = Arc::new(Mutex::new(World { begun: Instant::now(), servers: BTreeMap::new(), record: std::fs::File::create(record).expect("record"), first_join_at: None, late: None, broken: None, answered: 0, failed: 0, rejoined: false, ended: false, old_beat_at: None, silent_leave: late_beat, late_leaves: Vec::new() }));
     let configuration = format!("{{\"version\":1,\"routes\":[{{\"name\":\"r1\",\"host\":\"h.example\",\"path_prefix\":\"/m/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"llm\",\"max_attempts\":2,\"anonymous\":true,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":200}}],\"services\":[{{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_connections\":288,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":17,\"kv_capacity\":1860000,\"kv_bytes\":96256,\"link_mbps\":400000.0,\"stride\":5,\"models\":[{{\"name\":\"{MODEL}\",\"size\":2,\"share\":1.0,\"pace\":1.0,\"load_s\":{LOAD_S},\"warm_s\":{WARM_S}}}],\"step_ms\":7.8,\"per_seq_ms\":0.0947,\"context_per_k\":0.0096,\"read_per_s\":45900.0,\"pairs_per_m\":0.433,\"chunk\":2048,\"report_lag_ms\":200.0,\"loads_per_s\":5.0,\"loads_at_once\":7,\"delays\":[],\"usual\":{{\"prompt\":100,\"answer\":60}},\"cached_prefixes\":1,\"far_x\":4.0,\"form_ms\":300.0}}}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}");
     let begun = Instant::now();
     while !control.iter().any(|address| call(*address, "PUT", "/api/configuration", &configuration) == Some(200)) {
@@ -341,7 +364,7 @@
         sleep(Duration::from_millis(200));
     }
     world.lock().unwrap().note("the configuration is acknowledged");
-    for (id, last) in [("i-aa", 31), ("i-bb", 32)] { start_server(&world, id, at(last, 8080), true, control.clone(), trouble); }
+    for (id, last) in [("i-aa", 31), ("i-bb", 32)] { start_server(&world, id, at(last, 8080), true, control.clone(), late_join); }
     let (mut has_third, mut has_clients, mut cut_done, mut head) = (false, false, false, String::new());
     loop {
         sleep(Duration::from_millis(5));
@@ -360,18 +383,39 @@
                 for number in 0..4 { let (world, entry) = (world.clone(), at(21 + number % 2, 18227)); spawn(move || client(world, entry, number)); }
             }
             // An empty server is added, as at any scale-out.
-            if has_clients && !has_third && held.answered > 0 {
+            if case == "late_join" && has_clients && !has_third && held.answered > 0 {
                 has_third = true;
                 drop(held);
-                start_server(&world, "i-cc", at(33, 8080), false, control.clone(), trouble);
+                start_server(&world, "i-cc", at(33, 8080), false, control.clone(), late_join);
                 continue;
             }
-            let is_cut = trouble && !head.is_empty() && (CUT_AT_S..CUT_AT_S + CUT_FOR_S).contains(&since);
+            let is_cut = late_join && !head.is_empty() && (CUT_AT_S..CUT_AT_S + CUT_FOR_S).contains(&since);
             if is_cut && !cut_done { held.note(&format!("server {head} is cut off from all machines for {CUT_FOR_S} s")); cut_done = true; }
             if !head.is_empty() {
                 let was_cut = std::mem::replace(&mut held.servers.get_mut(&head).unwrap().cut, is_cut);
                 if was_cut && !is_cut { held.note(&format!("the cut of {head} is over")); }
             }
+            if late_beat && !head.is_empty() && since > CUT_AT_S {
+                let server = held.servers[&head].clone();
+                match held.old_beat_at {
+                    None if server.beat_at > first + CUT_AT_S => {
+                        held.servers.get_mut(&head).unwrap().beat_held_until = server.beat_at + BEAT_GAP_S;
+                        held.old_beat_at = Some(server.beat_at + OLD_BEAT_S);
+                        held.note(&format!("the next heartbeat of {head} comes late, {BEAT_GAP_S} s after the one before"));
+                    }
+                    Some(due) if now >= due => {
+                        held.old_beat_at = Some(f64::MAX);
+                        held.note(&format!("a heartbeat of {OLD_START}, an earlier start at the address of {head} that has crashed behind a cut, arrives"));
+                        drop(held);
+                        let address = if head == "i-aa" { at(31, 8080) } else { at(32, 8080) };
+                        let body = format!("{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":17,\"state\":\"ready\",\"cold_remaining_ms\":0,\"phase\":\"combined\",\"models\":[],\"domain\":\"za-d0\",\"staged\":[\"{MODEL}\"],\"sequence\":2}}");
+                        let status = control.iter().find_map(|target| call(*target, "PUT", &format!("/api/instances/{OLD_START}"), &body));
+                        world.lock().unwrap().note(&format!("the heartbeat of {OLD_START} -> {status:?}"));
+                        continue;
+                    }
+                    _ => {}
+                }
+            }
             if since > END_S || held.broken.is_some() { break; }
         } else if now > 40.0 { held.note("no group was formed"); return 2; }
     }
@@ -379,7 +423,7 @@
     let (answered, failed) = (held.answered, held.failed);
     held.ended = true;
     held.note(&format!("end: {answered} requests answered, {failed} not answered"));
-    let code = match (&held.broken, head.is_empty() || !has_third || answered == 0) {
+    let code = match (&held.broken, head.is_empty() || (case == "late_join" && !has_third) || answered == 0) {
         (Some(_), _) => 1,
         (None, true) => 2,
         (None, false) => 0,
