--- a/review/standin-2/case.rs
+++ b/review/standin-2/case.rs
@@ -26,13 +26,35 @@
 const LATE_LEAVE_S: f64 = 5.0;
 
 #[derive(Clone, Copy, PartialEq, Debug)]
-enum State { Joining, Ready, Open }
+enum State {
+    Joining,
+    Ready,
+    Open,
+}
 
 #[derive(Clone)]
-struct Group { name: String, epoch: u64, members: Vec<String>, state: State, ready_at: f64, open_at: Option<f64> }
+struct Group {
+    name: String,
+    epoch: u64,
+    members: Vec<String>,
+    state: State,
+    ready_at: f64,
+    open_at: Option<f64>,
+}
 
 #[derive(Default, Clone)]
-struct Server { group: Option<Group>, max_epoch: u64, staged: bool, loading_until: Option<f64>, sequence: u64, last_was_model: bool, cut: bool, changed: bool, beat_at: f64, beat_held_until: f64 }
+struct Server {
+    group: Option<Group>,
+    max_epoch: u64,
+    staged: bool,
+    loading_until: Option<f64>,
+    sequence: u64,
+    last_was_model: bool,
+    cut: bool,
+    changed: bool,
+    beat_at: f64,
+    beat_held_until: f64,
+}
 
 struct World {
     begun: Instant,
@@ -52,21 +74,31 @@
 type Shared = Arc<Mutex<World>>;
 
 impl World {
-    fn now(&self) -> f64 { self.begun.elapsed().as_secs_f64() }
+    fn now(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64()
+    }
     fn note(&mut self, text: &str) {
         let line = format!("{:8.3} s  {text}\n", self.now());
         let _ = self.record.write_all(line.as_bytes());
     }
     fn head_is_open(&self, group: &Group) -> bool {
-        let head = group.members.first().and_then(|id| self.servers.get(id)).and_then(|server| server.group.as_ref());
+        let head = group
+            .members
+            .first()
+            .and_then(|id| self.servers.get(id))
+            .and_then(|server| server.group.as_ref());
         head.is_some_and(|held| held.epoch == group.epoch && held.state == State::Open)
     }
     /// A server takes a join: the rule TWO is checked here.
     fn join(&mut self, id: &str, group: Group, how: &str) -> u16 {
         let server = self.servers[id].clone();
-        if group.epoch < server.max_epoch { return 412; }
+        if group.epoch < server.max_epoch {
+            return 412;
+        }
         if let Some(held) = server.group.as_ref().filter(|held| held.epoch == group.epoch) {
-            if held.members != group.members { return 412; }
+            if held.members != group.members {
+                return 412;
+            }
             return 200;
         }
         if let Some(held) = &server.group {
@@ -90,11 +122,17 @@
     fn advance(&mut self) {
         let now = self.now();
         for server in self.servers.values_mut() {
-            if let Some(group) = server.group.as_mut().filter(|group| group.state == State::Joining && now >= group.ready_at) {
+            if let Some(group) =
+                server.group.as_mut().filter(|group| group.state == State::Joining && now >= group.ready_at)
+            {
                 group.state = State::Ready;
                 server.changed = true;
             }
-            if let Some(group) = server.group.as_mut().filter(|group| group.state == State::Ready && group.open_at.is_some_and(|at| now >= at)) {
+            if let Some(group) = server
+                .group
+                .as_mut()
+                .filter(|group| group.state == State::Ready && group.open_at.is_some_and(|at| now >= at))
+            {
                 (group.state, group.open_at) = (State::Open, None);
                 server.changed = true;
             }
@@ -125,7 +163,8 @@
 }
 fn number_of(body: &str, key: &str) -> Option<u64> {
     let rest = &body[body.find(&format!("\"{key}\""))? + key.len() + 2..];
-    let digits: String = rest.chars().skip_while(|sign| !sign.is_ascii_digit()).take_while(char::is_ascii_digit).collect();
+    let digits: String =
+        rest.chars().skip_while(|sign| !sign.is_ascii_digit()).take_while(char::is_ascii_digit).collect();
     digits.parse().ok()
 }
 fn members_of(body: &str) -> Vec<String> {
@@ -138,14 +177,22 @@
 /// Reads a message: its head and its body (with a length only).
 fn read_message(reader: &mut BufReader<TcpStream>) -> Option<(String, BTreeMap<String, String>, String)> {
     let mut first = String::new();
-    if reader.read_line(&mut first).ok()? == 0 { return None; }
+    if reader.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
     let mut headers = BTreeMap::new();
     loop {
         let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 { return None; }
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
         let line = line.trim_end();
-        if line.is_empty() { break; }
-        if let Some((name, value)) = line.split_once(':') { headers.insert(name.to_ascii_lowercase(), value.trim().to_string()); }
+        if line.is_empty() {
+            break;
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+        }
     }
     let length = headers.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
@@ -162,9 +209,15 @@
     first.split(' ').nth(1)?.parse().ok()
 }
 
-fn is_cut(world: &Shared, id: &str) -> bool { world.lock().unwrap().servers[id].cut }
+fn is_cut(world: &Shared, id: &str) -> bool {
+    world.lock().unwrap().servers[id].cut
+}
 /// A server that is cut off neither gets nor sends anything; its connections only hang.
-fn wait_while_cut(world: &Shared, id: &str) { while is_cut(world, id) { sleep(Duration::from_millis(5)); } }
+fn wait_while_cut(world: &Shared, id: &str) {
+    while is_cut(world, id) {
+        sleep(Duration::from_millis(5));
+    }
+}
 
 fn order(world: &Shared, id: &str, body: &str, trouble: bool) -> Option<u16> {
     let mut world = world.lock().unwrap();
@@ -174,8 +227,17 @@
     let holds = world.servers[id].group.as_ref().is_some_and(|group| group.epoch == epoch);
     let status = match operation.as_str() {
         "join" => {
-            let group = Group { name: name.clone(), epoch, members: members_of(body), state: State::Joining, ready_at: 0.0, open_at: None };
-            if world.first_join_at.is_none() { world.first_join_at = Some(now); }
+            let group = Group {
+                name: name.clone(),
+                epoch,
+                members: members_of(body),
+                state: State::Joining,
+                ready_at: 0.0,
+                open_at: None,
+            };
+            if world.first_join_at.is_none() {
+                world.first_join_at = Some(now);
+            }
             let is_second = group.members.get(1).is_some_and(|member| member == id);
             if trouble && epoch == 1 && is_second && world.late.is_none() && !holds && !world.rejoined {
                 world.note(&format!("server {id} gives no answer to the order to join {name}; it will be carried out in {LATE_S} s"));
@@ -187,7 +249,10 @@
         "open" if holds => {
             let group = world.servers.get_mut(id).unwrap().group.as_mut().unwrap();
             match group.state {
-                State::Ready => { group.open_at.get_or_insert(now + FORM_S); 202 }
+                State::Ready => {
+                    group.open_at.get_or_insert(now + FORM_S);
+                    202
+                }
                 State::Open => 200,
                 State::Joining => 409,
             }
@@ -195,19 +260,35 @@
         "close" if holds => {
             let group = world.servers.get_mut(id).unwrap().group.as_mut().unwrap();
             match (group.state, group.open_at) {
-                (State::Open, _) | (State::Ready, Some(_)) => { (group.state, group.open_at) = (State::Ready, None); 202 }
+                (State::Open, _) | (State::Ready, Some(_)) => {
+                    (group.state, group.open_at) = (State::Ready, None);
+                    202
+                }
                 _ => 409,
             }
         }
-        "leave" if holds && world.silent_leave && world.late_leaves.is_empty() && world.servers[id].group.as_ref().is_some_and(|group| group.members[0] != id) => {
+        "leave"
+            if holds
+                && world.silent_leave
+                && world.late_leaves.is_empty()
+                && world.servers[id].group.as_ref().is_some_and(|group| group.members[0] != id) =>
+        {
             world.note(&format!("server {id} gives no answer to the order to leave {name}; it will be carried out in {LATE_LEAVE_S} s"));
             world.late_leaves.push((now + LATE_LEAVE_S, id.to_string(), epoch));
             return None;
         }
-        "leave" if holds => { world.servers.get_mut(id).unwrap().group = None; 200 }
+        "leave" if holds => {
+            world.servers.get_mut(id).unwrap().group = None;
+            200
+        }
         "phase" => {
             let server = world.servers.get_mut(id).unwrap();
-            if server.staged { 200 } else { server.loading_until.get_or_insert(now + LOAD_S); 202 }
+            if server.staged {
+                200
+            } else {
+                server.loading_until.get_or_insert(now + LOAD_S);
+                202
+            }
         }
         _ => 409,
     };
@@ -237,7 +318,10 @@
                 None => sleep(Duration::from_secs(1)),
             }
         } else {
-            let is_open = world.lock().unwrap().servers[&id].group.as_ref().is_some_and(|group| group.state == State::Open);
+            let is_open = world.lock().unwrap().servers[&id]
+                .group
+                .as_ref()
+                .is_some_and(|group| group.state == State::Open);
             if !is_open {
                 write!(writer, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").ok()?;
                 continue;
@@ -262,35 +346,66 @@
         server.changed = false;
         let staged = if server.staged { format!("\"{MODEL}\"") } else { String::new() };
         let group = server.group.as_ref().map_or(String::new(), |group| {
-            let state = match group.state { State::Joining => "joining", State::Ready => "ready", State::Open => "open" };
+            let state = match group.state {
+                State::Joining => "joining",
+                State::Ready => "ready",
+                State::Open => "open",
+            };
             let rank = group.members.iter().position(|member| member == id).unwrap_or(0);
-            format!(",\"group\":{{\"name\":\"{}\",\"epoch\":{},\"rank\":{rank},\"state\":\"{state}\"}}", group.name, group.epoch)
+            format!(
+                ",\"group\":{{\"name\":\"{}\",\"epoch\":{},\"rank\":{rank},\"state\":\"{state}\"}}",
+                group.name, group.epoch
+            )
         });
         format!("{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":17,\"state\":\"ready\",\"cold_remaining_ms\":0,\"phase\":\"combined\",\"models\":[],\"domain\":\"za-d0\",\"staged\":[{staged}]{group},\"sequence\":{}}}", server.sequence)
     };
     for target in control {
-        if call(*target, "PUT", &format!("/api/instances/{id}"), &body).is_some_and(|status| status / 100 == 2) { return; }
+        if call(*target, "PUT", &format!("/api/instances/{id}"), &body)
+            .is_some_and(|status| status / 100 == 2)
+        {
+            return;
+        }
     }
 }
 
 /// Starts a server, which is registered from now on.
-fn start_server(world: &Shared, id: &str, address: SocketAddr, staged: bool, control: Vec<SocketAddr>, trouble: bool) {
+fn start_server(
+    world: &Shared,
+    id: &str,
+    address: SocketAddr,
+    staged: bool,
+    control: Vec<SocketAddr>,
+    trouble: bool,
+) {
     let listener = TcpListener::bind(address).expect("a free port for a server");
     world.lock().unwrap().servers.insert(id.to_string(), Server { staged, ..Server::default() });
     world.lock().unwrap().note(&format!("server {id} starts at {address}"));
     let (accepting, name) = (world.clone(), id.to_string());
-    spawn(move || for stream in listener.incoming().flatten() {
-        let (world, id) = (accepting.clone(), name.clone());
-        spawn(move || serve(world, id, stream, trouble));
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (world, id) = (accepting.clone(), name.clone());
+            spawn(move || serve(world, id, stream, trouble));
+        }
     });
     let (world, id) = (world.clone(), id.to_string());
     spawn(move || loop {
         wait_while_cut(&world, &id);
-        while { let held = world.lock().unwrap(); held.now() < held.servers[&id].beat_held_until } { sleep(Duration::from_millis(5)); }
+        while {
+            let held = world.lock().unwrap();
+            held.now() < held.servers[&id].beat_held_until
+        } {
+            sleep(Duration::from_millis(5));
+        }
         beat(&world, &id, address, &control);
-        { let mut held = world.lock().unwrap(); let now = held.now(); held.servers.get_mut(&id).unwrap().beat_at = now; }
+        {
+            let mut held = world.lock().unwrap();
+            let now = held.now();
+            held.servers.get_mut(&id).unwrap().beat_at = now;
+        }
         let sent = Instant::now();
-        while sent.elapsed() < Duration::from_millis(1_200) && !world.lock().unwrap().servers[&id].changed { sleep(Duration::from_millis(5)); }
+        while sent.elapsed() < Duration::from_millis(1_200) && !world.lock().unwrap().servers[&id].changed {
+            sleep(Duration::from_millis(5));
+        }
     });
 }
 
@@ -308,18 +423,36 @@
         };
         let is_served = ask().unwrap_or(false);
         let mut world = world.lock().unwrap();
-        if world.ended { return; }
-        if is_served { world.answered += 1 } else { world.failed += 1 }
-        world.note(&format!("client: request {attempt} {}", if is_served { "answered" } else { "not answered" }));
-        if world.now() > 60.0 { return; }
+        if world.ended {
+            return;
+        }
+        if is_served {
+            world.answered += 1
+        } else {
+            world.failed += 1
+        }
+        world.note(&format!(
+            "client: request {attempt} {}",
+            if is_served { "answered" } else { "not answered" }
+        ));
+        if world.now() > 60.0 {
+            return;
+        }
         drop(world);
-        if !is_served { sleep(Duration::from_millis(100)); }
+        if !is_served {
+            sleep(Duration::from_millis(100));
+        }
     }
 }
 
 struct Daemons(Vec<Child>);
 impl Drop for Daemons {
-    fn drop(&mut self) { for child in &mut self.0 { let _ = child.kill(); let _ = child.wait(); } }
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
 }
 
 fn main() {
@@ -339,14 +472,21 @@
     let at = |last: u32, port: u32| format!("{}:{port}", ip(last)).parse::<SocketAddr>().unwrap();
     let control: Vec<SocketAddr> = (11..14).map(|last| at(last, 18229)).collect();
     let seeds: Vec<String> = control.iter().map(|address| format!("\"{address}\"")).collect();
-    let common = |name: &str, last: u32, slot: u32| format!("name: {name}\nregion: r\nzone: za\nlisten:\n  ip: {}\n  ports: {{ first: 17340, last: 17355 }}\n  slot: {slot}\ncontrol:\n  seeds: [{}]\n  seedPeerPort: 17340\n", ip(last), seeds.join(","));
+    let common = |name: &str, last: u32, slot: u32| {
+        format!("name: {name}\nregion: r\nzone: za\nlisten:\n  ip: {}\n  ports: {{ first: 17340, last: 17355 }}\n  slot: {slot}\ncontrol:\n  seeds: [{}]\n  seedPeerPort: 17340\n", ip(last), seeds.join(","))
+    };
     let limits = "traffic:\n  threads: 1\nlimits:\n  memoryMegabytes: 260\n  fileDescriptors: 4100\n";
     let mut daemons = Daemons(Vec::new());
     let mut start = |name: &str, settings: String| {
         let path = folder.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("settings");
         let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("log");
-        let child = Command::new(program).env("DOCKWOOD_BOOT", &path).stdin(Stdio::null()).stderr(log.try_clone().unwrap()).stdout(log).spawn();
+        let child = Command::new(program)
+            .env("DOCKWOOD_BOOT", &path)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().unwrap())
+            .stdout(log)
+            .spawn();
         daemons.0.push(child.expect("the program of the deploy file"));
     };
     for last in 11..14 {
@@ -356,15 +496,37 @@
     for last in 21..23 {
         start(&format!("m{last}.entry"), format!("{1}gateway:\n  zones: {{ \"za\": \"r\" }}\n  frontend: {0}:18227\n  readiness: {0}:18220\n  directory: {0}:18224\n  answerLifetimeMs: 2000\n  stopLimitSeconds: 8\n  revokedWithinMs: 5000\n  retryBudget:\n    ratio: 0.2\n    windowSeconds: 10\n    extra: 109\n{limits}", ip(last), common(&format!("m{last}.entry"), last, 1)));
     }
-    let world: Shared = Arc::new(Mutex::new(World { begun: Instant::now(), servers: BTreeMap::new(), record: std::fs::File::create(record).expect("record"), first_join_at: None, late: None, broken: None, answered: 0, failed: 0, rejoined: false, ended: false, old_beat_at: None, silent_leave: late_beat, late_leaves: Vec::new() }));
+    let world: Shared = Arc::new(Mutex::new(World {
+        begun: Instant::now(),
+        servers: BTreeMap::new(),
+        record: std::fs::File::create(record).expect("record"),
+        first_join_at: None,
+        late: None,
+        broken: None,
+        answered: 0,
+        failed: 0,
+        rejoined: false,
+        ended: false,
+        old_beat_at: None,
+        silent_leave: late_beat,
+        late_leaves: Vec::new(),
+    }));
     let configuration = format!("{{\"version\":1,\"routes\":[{{\"name\":\"r1\",\"host\":\"h.example\",\"path_prefix\":\"/m/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"llm\",\"max_attempts\":2,\"anonymous\":true,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":200}}],\"services\":[{{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_connections\":288,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":17,\"kv_capacity\":1860000,\"kv_bytes\":96256,\"link_mbps\":400000.0,\"stride\":5,\"models\":[{{\"name\":\"{MODEL}\",\"size\":2,\"share\":1.0,\"pace\":1.0,\"load_s\":{LOAD_S},\"warm_s\":{WARM_S}}}],\"step_ms\":7.8,\"per_seq_ms\":0.0947,\"context_per_k\":0.0096,\"read_per_s\":45900.0,\"pairs_per_m\":0.433,\"chunk\":2048,\"report_lag_ms\":200.0,\"loads_per_s\":5.0,\"loads_at_once\":7,\"delays\":[],\"usual\":{{\"prompt\":100,\"answer\":60}},\"cached_prefixes\":1,\"far_x\":4.0,\"form_ms\":300.0}}}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}");
     let begun = Instant::now();
-    while !control.iter().any(|address| call(*address, "PUT", "/api/configuration", &configuration) == Some(200)) {
-        if begun.elapsed() > Duration::from_secs(20) { world.lock().unwrap().note("no daemon took the configuration"); return 2; }
+    while !control
+        .iter()
+        .any(|address| call(*address, "PUT", "/api/configuration", &configuration) == Some(200))
+    {
+        if begun.elapsed() > Duration::from_secs(20) {
+            world.lock().unwrap().note("no daemon took the configuration");
+            return 2;
+        }
         sleep(Duration::from_millis(200));
     }
     world.lock().unwrap().note("the configuration is acknowledged");
-    for (id, last) in [("i-aa", 31), ("i-bb", 32)] { start_server(&world, id, at(last, 8080), true, control.clone(), late_join); }
+    for (id, last) in [("i-aa", 31), ("i-bb", 32)] {
+        start_server(&world, id, at(last, 8080), true, control.clone(), late_join);
+    }
     let (mut has_third, mut has_clients, mut cut_done, mut head) = (false, false, false, String::new());
     loop {
         sleep(Duration::from_millis(5));
@@ -374,13 +536,20 @@
         if let Some(first) = held.first_join_at {
             let since = now - first;
             if head.is_empty() {
-                let open = held.servers.iter().find(|(_, server)| server.group.as_ref().is_some_and(|group| group.state == State::Open));
-                if let Some((id, _)) = open { head = id.clone(); }
+                let open = held.servers.iter().find(|(_, server)| {
+                    server.group.as_ref().is_some_and(|group| group.state == State::Open)
+                });
+                if let Some((id, _)) = open {
+                    head = id.clone();
+                }
             }
             if !head.is_empty() && !has_clients {
                 has_clients = true;
                 held.note(&format!("{head} is open as the head of g1"));
-                for number in 0..4 { let (world, entry) = (world.clone(), at(21 + number % 2, 18227)); spawn(move || client(world, entry, number)); }
+                for number in 0..4 {
+                    let (world, entry) = (world.clone(), at(21 + number % 2, 18227));
+                    spawn(move || client(world, entry, number));
+                }
             }
             // An empty server is added, as at any scale-out.
             if case == "late_join" && has_clients && !has_third && held.answered > 0 {
@@ -390,10 +559,15 @@
                 continue;
             }
             let is_cut = late_join && !head.is_empty() && (CUT_AT_S..CUT_AT_S + CUT_FOR_S).contains(&since);
-            if is_cut && !cut_done { held.note(&format!("server {head} is cut off from all machines for {CUT_FOR_S} s")); cut_done = true; }
+            if is_cut && !cut_done {
+                held.note(&format!("server {head} is cut off from all machines for {CUT_FOR_S} s"));
+                cut_done = true;
+            }
             if !head.is_empty() {
                 let was_cut = std::mem::replace(&mut held.servers.get_mut(&head).unwrap().cut, is_cut);
-                if was_cut && !is_cut { held.note(&format!("the cut of {head} is over")); }
+                if was_cut && !is_cut {
+                    held.note(&format!("the cut of {head} is over"));
+                }
             }
             if late_beat && !head.is_empty() && since > CUT_AT_S {
                 let server = held.servers[&head].clone();
@@ -401,7 +575,9 @@
                     None if server.beat_at > first + CUT_AT_S => {
                         held.servers.get_mut(&head).unwrap().beat_held_until = server.beat_at + BEAT_GAP_S;
                         held.old_beat_at = Some(server.beat_at + OLD_BEAT_S);
-                        held.note(&format!("the next heartbeat of {head} comes late, {BEAT_GAP_S} s after the one before"));
+                        held.note(&format!(
+                            "the next heartbeat of {head} comes late, {BEAT_GAP_S} s after the one before"
+                        ));
                     }
                     Some(due) if now >= due => {
                         held.old_beat_at = Some(f64::MAX);
@@ -409,15 +585,22 @@
                         drop(held);
                         let address = if head == "i-aa" { at(31, 8080) } else { at(32, 8080) };
                         let body = format!("{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":17,\"state\":\"ready\",\"cold_remaining_ms\":0,\"phase\":\"combined\",\"models\":[],\"domain\":\"za-d0\",\"staged\":[\"{MODEL}\"],\"sequence\":2}}");
-                        let status = control.iter().find_map(|target| call(*target, "PUT", &format!("/api/instances/{OLD_START}"), &body));
+                        let status = control.iter().find_map(|target| {
+                            call(*target, "PUT", &format!("/api/instances/{OLD_START}"), &body)
+                        });
                         world.lock().unwrap().note(&format!("the heartbeat of {OLD_START} -> {status:?}"));
                         continue;
                     }
                     _ => {}
                 }
             }
-            if since > END_S || held.broken.is_some() { break; }
-        } else if now > 40.0 { held.note("no group was formed"); return 2; }
+            if since > END_S || held.broken.is_some() {
+                break;
+            }
+        } else if now > 40.0 {
+            held.note("no group was formed");
+            return 2;
+        }
     }
     let mut held = world.lock().unwrap();
     let (answered, failed) = (held.answered, held.failed);
@@ -428,7 +611,16 @@
         (None, true) => 2,
         (None, false) => 0,
     };
-    held.note(match code { 0 => "the rule held", 1 => "the rule was broken", _ => "the case could not run" });
-    if std::env::var("KEEP_LOGS").is_ok() { for last in 11..14 { let _ = std::fs::copy(folder.join(format!("m{last}.control.log")), format!("{record}.m{last}.log")); } }
+    held.note(match code {
+        0 => "the rule held",
+        1 => "the rule was broken",
+        _ => "the case could not run",
+    });
+    if std::env::var("KEEP_LOGS").is_ok() {
+        for last in 11..14 {
+            let _ =
+                std::fs::copy(folder.join(format!("m{last}.control.log")), format!("{record}.m{last}.log"));
+        }
+    }
     code
 }
