Review case 5 by one disruption alone: orders that are carried out late

Claim: TWO breaks when a server's unanswered orders to join and to open are carried out 9 s later, after its group has ended: it is open again when it is joined to another. Shown by: review/5/run.sh, without the cut that the first form needed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$folder/../.." && pwd)
 cd "$root" || exit 2
 [ -x target/review-2/case ] && [ -x target/release/dockwood-platform ] || exit 2
-exec target/review-2/case late_join target/release/dockwood-platform "$folder/record.txt"
+exec target/review-2/case late_orders target/release/dockwood-platform "$folder/record.txt"
--- a/review/standin-2/case.rs
+++ b/review/standin-2/case.rs
@@ -1,5 +1,5 @@
 //! Cases 5 and 6: starts a small deployment on loopback addresses, with stand-ins for model servers, the operator and clients.
-//! Usage: case late_join|late_beat PLATFORM_PROGRAM RECORD_FILE. TROUBLE=0 plays the same without the disruptions.
+//! Usage: case late_orders|late_beat PLATFORM_PROGRAM RECORD_FILE. TROUBLE=0 plays the same without the disruptions.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,10 +14,11 @@
 const WARM_S: f64 = 1.1;
 /// Orders that get no answer are carried out 2 to 12 s later.
 const LATE_S: f64 = 9.6;
-/// Servers are cut off for at most 10 s.
-const CUT_AT_S: f64 = 4.5;
-const CUT_FOR_S: f64 = 8.5;
-const END_S: f64 = 17.0;
+const LATE_OPEN_S: f64 = 9.0;
+/// The second member of g1 says that it leaves, and signs off this much later.
+const LEAVES_AT_S: f64 = 4.5;
+const SIGNS_OFF_S: f64 = 2.6;
+const END_S: f64 = 18.0;
 /// Case 6: one heartbeat comes this much after the one before it, and the one of the earlier start arrives before it.
 const BEAT_GAP_S: f64 = 3.4;
 const OLD_BEAT_S: f64 = 2.8;
@@ -51,6 +52,7 @@
     sequence: u64,
     last_was_model: bool,
     cut: bool,
+    draining: bool,
     changed: bool,
     beat_at: f64,
     beat_held_until: f64,
@@ -69,6 +71,7 @@
     ended: bool,
     old_beat_at: Option<f64>,
     silent_leave: bool,
+    late_open: Option<(f64, String, u64)>,
     late_leaves: Vec<(f64, String, u64)>,
 }
 type Shared = Arc<Mutex<World>>;
@@ -142,6 +145,19 @@
                 server.changed = true;
             }
         }
+        if self.late_open.as_ref().is_some_and(|(at, _, _)| now >= *at) {
+            let (_, id, epoch) =
+                std::mem::replace(&mut self.late_open, Some((f64::MAX, String::new(), 0))).unwrap();
+            let server = self.servers.get_mut(&id).unwrap();
+            let group =
+                server.group.as_mut().filter(|group| group.epoch == epoch && group.state == State::Ready);
+            if let Some(group) = group {
+                group.open_at = Some(now + FORM_S);
+                self.note(&format!(
+                    "server {id}: the order to open g{epoch} that got no answer is carried out"
+                ));
+            }
+        }
         let due: Vec<(f64, String, u64)> = self.late_leaves.extract_if(.., |(at, _, _)| now >= *at).collect();
         for (_, id, epoch) in due {
             let server = self.servers.get_mut(&id).unwrap();
@@ -238,14 +254,19 @@
             if world.first_join_at.is_none() {
                 world.first_join_at = Some(now);
             }
-            let is_second = group.members.get(1).is_some_and(|member| member == id);
-            if trouble && epoch == 1 && is_second && world.late.is_none() && !holds && !world.rejoined {
+            let is_head = group.members.first().is_some_and(|member| member == id);
+            if trouble && epoch == 1 && is_head && world.late.is_none() && !holds && !world.rejoined {
                 world.note(&format!("server {id} gives no answer to the order to join {name}; it will be carried out in {LATE_S} s"));
                 world.late = Some((now + LATE_S, id.to_string(), group));
                 return None;
             }
             world.join(id, group, "ordered")
         }
+        "open" if holds && trouble && epoch == 1 && world.late_open.is_none() => {
+            world.note(&format!("server {id} gives no answer to the order to open {name}; it will be carried out in {LATE_OPEN_S} s"));
+            world.late_open = Some((now + LATE_OPEN_S, id.to_string(), epoch));
+            return None;
+        }
         "open" if holds => {
             let group = world.servers.get_mut(id).unwrap().group.as_mut().unwrap();
             match group.state {
@@ -345,6 +366,7 @@
         server.sequence += 1;
         server.changed = false;
         let staged = if server.staged { format!("\"{MODEL}\"") } else { String::new() };
+        let says = if server.draining { "draining" } else { "ready" };
         let group = server.group.as_ref().map_or(String::new(), |group| {
             let state = match group.state {
                 State::Joining => "joining",
@@ -357,7 +379,7 @@
                 group.name, group.epoch
             )
         });
-        format!("{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":17,\"state\":\"ready\",\"cold_remaining_ms\":0,\"phase\":\"combined\",\"models\":[],\"domain\":\"za-d0\",\"staged\":[{staged}]{group},\"sequence\":{}}}", server.sequence)
+        format!("{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":17,\"state\":\"{says}\",\"cold_remaining_ms\":0,\"phase\":\"combined\",\"models\":[],\"domain\":\"za-d0\",\"staged\":[{staged}]{group},\"sequence\":{}}}", server.sequence)
     };
     for target in control {
         if call(*target, "PUT", &format!("/api/instances/{id}"), &body)
@@ -383,6 +405,13 @@
     let (accepting, name) = (world.clone(), id.to_string());
     spawn(move || {
         for stream in listener.incoming().flatten() {
+            let has_ended = {
+                let held = accepting.lock().unwrap();
+                held.servers[&name].draining && held.servers[&name].cut
+            };
+            if has_ended {
+                continue;
+            }
             let (world, id) = (accepting.clone(), name.clone());
             spawn(move || serve(world, id, stream, trouble));
         }
@@ -466,7 +495,7 @@
 }
 
 fn run(case: &str, program: &str, record: &str, folder: &std::path::Path, trouble: bool) -> i32 {
-    let (late_join, late_beat) = (trouble && case == "late_join", trouble && case == "late_beat");
+    let (late_orders, late_beat) = (trouble && case == "late_orders", trouble && case == "late_beat");
     let net = 64 + std::process::id() % 128;
     let ip = |last: u32| format!("127.{net}.7.{last}");
     let at = |last: u32, port: u32| format!("{}:{port}", ip(last)).parse::<SocketAddr>().unwrap();
@@ -510,6 +539,7 @@
         old_beat_at: None,
         silent_leave: late_beat,
         late_leaves: Vec::new(),
+        late_open: None,
     }));
     let configuration = format!("{{\"version\":1,\"routes\":[{{\"name\":\"r1\",\"host\":\"h.example\",\"path_prefix\":\"/m/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"llm\",\"max_attempts\":2,\"anonymous\":true,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":200}}],\"services\":[{{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_connections\":288,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":17,\"kv_capacity\":1860000,\"kv_bytes\":96256,\"link_mbps\":400000.0,\"stride\":5,\"models\":[{{\"name\":\"{MODEL}\",\"size\":2,\"share\":1.0,\"pace\":1.0,\"load_s\":{LOAD_S},\"warm_s\":{WARM_S}}}],\"step_ms\":7.8,\"per_seq_ms\":0.0947,\"context_per_k\":0.0096,\"read_per_s\":45900.0,\"pairs_per_m\":0.433,\"chunk\":2048,\"report_lag_ms\":200.0,\"loads_per_s\":5.0,\"loads_at_once\":7,\"delays\":[],\"usual\":{{\"prompt\":100,\"answer\":60}},\"cached_prefixes\":1,\"far_x\":4.0,\"form_ms\":300.0}}}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}");
     let begun = Instant::now();
@@ -525,9 +555,9 @@
     }
     world.lock().unwrap().note("the configuration is acknowledged");
     for (id, last) in [("i-aa", 31), ("i-bb", 32)] {
-        start_server(&world, id, at(last, 8080), true, control.clone(), late_join);
+        start_server(&world, id, at(last, 8080), true, control.clone(), late_orders);
     }
-    let (mut has_third, mut has_clients, mut cut_done, mut head) = (false, false, false, String::new());
+    let (mut has_third, mut has_clients, mut head) = (false, false, String::new());
     loop {
         sleep(Duration::from_millis(5));
         let mut held = world.lock().unwrap();
@@ -552,27 +582,34 @@
                 }
             }
             // An empty server is added, as at any scale-out.
-            if case == "late_join" && has_clients && !has_third && held.answered > 0 {
+            if case == "late_orders" && has_clients && !has_third && held.answered > 0 {
                 has_third = true;
                 drop(held);
-                start_server(&world, "i-cc", at(33, 8080), false, control.clone(), late_join);
+                start_server(&world, "i-cc", at(33, 8080), false, control.clone(), late_orders);
                 continue;
             }
-            let is_cut = late_join && !head.is_empty() && (CUT_AT_S..CUT_AT_S + CUT_FOR_S).contains(&since);
-            if is_cut && !cut_done {
-                held.note(&format!("server {head} is cut off from all machines for {CUT_FOR_S} s"));
-                cut_done = true;
-            }
-            if !head.is_empty() {
-                let was_cut = std::mem::replace(&mut held.servers.get_mut(&head).unwrap().cut, is_cut);
-                if was_cut && !is_cut {
-                    held.note(&format!("the cut of {head} is over"));
+            // Planned work, also without the disruption: the other member leaves.
+            if case == "late_orders" && !head.is_empty() {
+                let other = if head == "i-aa" { "i-bb" } else { "i-aa" };
+                let server = held.servers.get_mut(other).unwrap();
+                if since > LEAVES_AT_S && !server.draining {
+                    (server.draining, server.changed) = (true, true);
+                    held.note(&format!("server {other} says that it leaves"));
+                } else if since > LEAVES_AT_S + SIGNS_OFF_S && !server.cut {
+                    // It ends: nothing reaches it any more, and it says nothing.
+                    server.cut = true;
+                    held.note(&format!("server {other} signs off and ends"));
+                    drop(held);
+                    control
+                        .iter()
+                        .find_map(|target| call(*target, "DELETE", &format!("/api/instances/{other}"), ""));
+                    continue;
                 }
             }
-            if late_beat && !head.is_empty() && since > CUT_AT_S {
+            if late_beat && !head.is_empty() && since > LEAVES_AT_S {
                 let server = held.servers[&head].clone();
                 match held.old_beat_at {
-                    None if server.beat_at > first + CUT_AT_S => {
+                    None if server.beat_at > first + LEAVES_AT_S => {
                         held.servers.get_mut(&head).unwrap().beat_held_until = server.beat_at + BEAT_GAP_S;
                         held.old_beat_at = Some(server.beat_at + OLD_BEAT_S);
                         held.note(&format!(
@@ -606,7 +643,8 @@
     let (answered, failed) = (held.answered, held.failed);
     held.ended = true;
     held.note(&format!("end: {answered} requests answered, {failed} not answered"));
-    let code = match (&held.broken, head.is_empty() || (case == "late_join" && !has_third) || answered == 0) {
+    let code = match (&held.broken, head.is_empty() || (case == "late_orders" && !has_third) || answered == 0)
+    {
         (Some(_), _) => 1,
         (None, true) => 2,
         (None, false) => 0,
