Review case 7: a new leader forgets the unanswered orders of the one before it

Claim: TWO breaks when orders to join and to open that got no answer are carried out 7.4 s and 6.4 s later, and the leader that gave them is killed meanwhile: its successor has ended the group, and has the server join another one while it is the open head of the ended one.

--- a/review/standin-2/case.rs
+++ b/review/standin-2/case.rs
@@ -1,5 +1,5 @@
-//! Cases 5 and 6: starts a small deployment on loopback addresses, with stand-ins for model servers, the operator and clients.
-//! Usage: case late_orders|late_beat PLATFORM_PROGRAM RECORD_FILE. TROUBLE=0 plays the same without the disruptions.
+//! Cases 5, 6 and 7: starts a small deployment on loopback addresses, with stand-ins for model servers, the operator and clients.
+//! Usage: case late_orders|late_beat|new_leader PLATFORM_PROGRAM RECORD_FILE. TROUBLE=0 plays the same without the disruptions.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -15,9 +15,15 @@
 /// Orders that get no answer are carried out 2 to 12 s later.
 const LATE_S: f64 = 9.6;
 const LATE_OPEN_S: f64 = 9.0;
+/// Case 7: orders come less late, before the leader that gave them would forget them.
+const LESS_LATE_S: f64 = 7.4;
+const LESS_LATE_OPEN_S: f64 = 6.4;
 /// The second member of g1 says that it leaves, and signs off this much later.
 const LEAVES_AT_S: f64 = 4.5;
 const SIGNS_OFF_S: f64 = 2.6;
+const LEAVES_EARLY_S: f64 = 3.0;
+/// The leader is killed once the head has left g1, and started again after this time.
+const KILLED_FOR_S: f64 = 3.0;
 const END_S: f64 = 18.0;
 /// Case 6: one heartbeat comes this much after the one before it, and the one of the earlier start arrives before it.
 const BEAT_GAP_S: f64 = 3.4;
@@ -72,6 +78,10 @@
     old_beat_at: Option<f64>,
     silent_leave: bool,
     late_open: Option<(f64, String, u64)>,
+    late_s: f64,
+    late_open_s: f64,
+    leader: Option<String>,
+    head_left: bool,
     late_leaves: Vec<(f64, String, u64)>,
 }
 type Shared = Arc<Mutex<World>>;
@@ -217,12 +227,16 @@
 }
 
 fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<u16> {
+    Some(call_for_body(address, method, path, body)?.0)
+}
+
+fn call_for_body(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     let message = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}", body.len());
     stream.write_all(message.as_bytes()).ok()?;
-    let (first, _, _) = read_message(&mut BufReader::new(stream))?;
-    first.split(' ').nth(1)?.parse().ok()
+    let (first, _, answer) = read_message(&mut BufReader::new(stream))?;
+    Some((first.split(' ').nth(1)?.parse().ok()?, answer))
 }
 
 fn is_cut(world: &Shared, id: &str) -> bool {
@@ -256,15 +270,17 @@
             }
             let is_head = group.members.first().is_some_and(|member| member == id);
             if trouble && epoch == 1 && is_head && world.late.is_none() && !holds && !world.rejoined {
-                world.note(&format!("server {id} gives no answer to the order to join {name}; it will be carried out in {LATE_S} s"));
-                world.late = Some((now + LATE_S, id.to_string(), group));
+                let late_s = world.late_s;
+                world.note(&format!("server {id} gives no answer to the order to join {name}; it will be carried out in {late_s} s"));
+                world.late = Some((now + late_s, id.to_string(), group));
                 return None;
             }
             world.join(id, group, "ordered")
         }
         "open" if holds && trouble && epoch == 1 && world.late_open.is_none() => {
-            world.note(&format!("server {id} gives no answer to the order to open {name}; it will be carried out in {LATE_OPEN_S} s"));
-            world.late_open = Some((now + LATE_OPEN_S, id.to_string(), epoch));
+            let late_s = world.late_open_s;
+            world.note(&format!("server {id} gives no answer to the order to open {name}; it will be carried out in {late_s} s"));
+            world.late_open = Some((now + late_s, id.to_string(), epoch));
             return None;
         }
         "open" if holds => {
@@ -300,6 +316,7 @@
         }
         "leave" if holds => {
             world.servers.get_mut(id).unwrap().group = None;
+            world.head_left |= epoch == 1;
             200
         }
         "phase" => {
@@ -382,9 +399,10 @@
         format!("{{\"service\":\"llm\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":17,\"state\":\"{says}\",\"cold_remaining_ms\":0,\"phase\":\"combined\",\"models\":[],\"domain\":\"za-d0\",\"staged\":[{staged}]{group},\"sequence\":{}}}", server.sequence)
     };
     for target in control {
-        if call(*target, "PUT", &format!("/api/instances/{id}"), &body)
-            .is_some_and(|status| status / 100 == 2)
-        {
+        let answered = call_for_body(*target, "PUT", &format!("/api/instances/{id}"), &body);
+        if let Some((200..300, answer)) = answered {
+            // Reports go to the daemon that leads.
+            world.lock().unwrap().leader = text_of(&answer, "heartbeat_address");
             return;
         }
     }
@@ -494,8 +512,26 @@
     std::process::exit(code);
 }
 
+fn start_daemon(program: &str, folder: &std::path::Path, name: &str) -> Child {
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log")));
+    let log = log.expect("log");
+    let child = Command::new(program)
+        .env("DOCKWOOD_BOOT", folder.join(format!("{name}.yaml")))
+        .stdin(Stdio::null())
+        .stderr(log.try_clone().unwrap())
+        .stdout(log)
+        .spawn();
+    child.expect("the program of the deploy file")
+}
+
 fn run(case: &str, program: &str, record: &str, folder: &std::path::Path, trouble: bool) -> i32 {
-    let (late_orders, late_beat) = (trouble && case == "late_orders", trouble && case == "late_beat");
+    let is_late_orders = case == "late_orders" || case == "new_leader";
+    let (late_orders, late_beat) = (trouble && is_late_orders, trouble && case == "late_beat");
+    let kills_leader =
+        trouble && case == "new_leader" && std::env::var("KILL").map_or(true, |value| value != "0");
+    let leaves_at_s = if case == "new_leader" { LEAVES_EARLY_S } else { LEAVES_AT_S };
+    let mut killed: Option<(usize, f64)> = None;
+    let mut is_back = false;
     let net = 64 + std::process::id() % 128;
     let ip = |last: u32| format!("127.{net}.7.{last}");
     let at = |last: u32, port: u32| format!("{}:{port}", ip(last)).parse::<SocketAddr>().unwrap();
@@ -507,16 +543,8 @@
     let limits = "traffic:\n  threads: 1\nlimits:\n  memoryMegabytes: 260\n  fileDescriptors: 4100\n";
     let mut daemons = Daemons(Vec::new());
     let mut start = |name: &str, settings: String| {
-        let path = folder.join(format!("{name}.yaml"));
-        std::fs::write(&path, settings).expect("settings");
-        let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("log");
-        let child = Command::new(program)
-            .env("DOCKWOOD_BOOT", &path)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone().unwrap())
-            .stdout(log)
-            .spawn();
-        daemons.0.push(child.expect("the program of the deploy file"));
+        std::fs::write(folder.join(format!("{name}.yaml")), settings).expect("settings");
+        daemons.0.push(start_daemon(program, folder, name));
     };
     for last in 11..14 {
         let data = folder.join(format!("data-{last}"));
@@ -540,6 +568,10 @@
         silent_leave: late_beat,
         late_leaves: Vec::new(),
         late_open: None,
+        late_s: if case == "new_leader" { LESS_LATE_S } else { LATE_S },
+        late_open_s: if case == "new_leader" { LESS_LATE_OPEN_S } else { LATE_OPEN_S },
+        leader: None,
+        head_left: false,
     }));
     let configuration = format!("{{\"version\":1,\"routes\":[{{\"name\":\"r1\",\"host\":\"h.example\",\"path_prefix\":\"/m/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"llm\",\"max_attempts\":2,\"anonymous\":true,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":200}}],\"services\":[{{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_connections\":288,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":17,\"kv_capacity\":1860000,\"kv_bytes\":96256,\"link_mbps\":400000.0,\"stride\":5,\"models\":[{{\"name\":\"{MODEL}\",\"size\":2,\"share\":1.0,\"pace\":1.0,\"load_s\":{LOAD_S},\"warm_s\":{WARM_S}}}],\"step_ms\":7.8,\"per_seq_ms\":0.0947,\"context_per_k\":0.0096,\"read_per_s\":45900.0,\"pairs_per_m\":0.433,\"chunk\":2048,\"report_lag_ms\":200.0,\"loads_per_s\":5.0,\"loads_at_once\":7,\"delays\":[],\"usual\":{{\"prompt\":100,\"answer\":60}},\"cached_prefixes\":1,\"far_x\":4.0,\"form_ms\":300.0}}}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}");
     let begun = Instant::now();
@@ -582,20 +614,20 @@
                 }
             }
             // An empty server is added, as at any scale-out.
-            if case == "late_orders" && has_clients && !has_third && held.answered > 0 {
+            if is_late_orders && has_clients && !has_third && held.answered > 0 {
                 has_third = true;
                 drop(held);
                 start_server(&world, "i-cc", at(33, 8080), false, control.clone(), late_orders);
                 continue;
             }
             // Planned work, also without the disruption: the other member leaves.
-            if case == "late_orders" && !head.is_empty() {
+            if is_late_orders && !head.is_empty() {
                 let other = if head == "i-aa" { "i-bb" } else { "i-aa" };
                 let server = held.servers.get_mut(other).unwrap();
-                if since > LEAVES_AT_S && !server.draining {
+                if since > leaves_at_s && !server.draining {
                     (server.draining, server.changed) = (true, true);
                     held.note(&format!("server {other} says that it leaves"));
-                } else if since > LEAVES_AT_S + SIGNS_OFF_S && !server.cut {
+                } else if since > leaves_at_s + SIGNS_OFF_S && !server.cut {
                     // It ends: nothing reaches it any more, and it says nothing.
                     server.cut = true;
                     held.note(&format!("server {other} signs off and ends"));
@@ -606,6 +638,28 @@
                     continue;
                 }
             }
+            if kills_leader && held.head_left && killed.is_none() {
+                let index =
+                    control.iter().position(|address| held.leader.as_deref() == Some(&address.to_string()));
+                let Some(index) = index else {
+                    held.note("the leader is not known");
+                    return 2;
+                };
+                let _ = daemons.0[index].kill();
+                let _ = daemons.0[index].wait();
+                killed = Some((index, now));
+                held.note(&format!("the leader, m{}.control, is killed", 11 + index));
+            }
+            if let Some((index, at)) = killed.filter(|(_, at)| !is_back && now > at + KILLED_FOR_S) {
+                is_back = true;
+                let name = format!("m{}.control", 11 + index);
+                let path = folder.join(format!("{name}.yaml"));
+                let settings = std::fs::read_to_string(&path).expect("settings");
+                std::fs::write(&path, settings.replace("founding: true", "founding: false"))
+                    .expect("settings");
+                daemons.0[index] = start_daemon(program, folder, &name);
+                held.note(&format!("{name} is back after {:.1} s", now - at));
+            }
             if late_beat && !head.is_empty() && since > LEAVES_AT_S {
                 let server = held.servers[&head].clone();
                 match held.old_beat_at {
@@ -643,8 +697,7 @@
     let (answered, failed) = (held.answered, held.failed);
     held.ended = true;
     held.note(&format!("end: {answered} requests answered, {failed} not answered"));
-    let code = match (&held.broken, head.is_empty() || (case == "late_orders" && !has_third) || answered == 0)
-    {
+    let code = match (&held.broken, head.is_empty() || (is_late_orders && !has_third) || answered == 0) {
         (Some(_), _) => 1,
         (None, true) => 2,
         (None, false) => 0,
