Record when a server reports a group that the tables don't have it in

Change: the leader records `UnexpectedMembership` when a report shows for the first time that its server is in a group which has ended or has released it, with the age of the last unanswered order to join. No decision depends on it.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -4,6 +4,7 @@
 use crate::Millis;
 use crate::address_takeovers::AddressTakeovers;
 use crate::heartbeat_origin::{ForeignHeartbeat, ForeignHeartbeats, HeartbeatOrigin, heartbeat_origin};
+use crate::unexpected_memberships::UnexpectedMembership;
 use dockwood_api::gateway::{
     GroupOrder, InstanceReport, LoadDigest, LoadReport, OrderAnswer, PlaceReply, PlaceRequest, ServerLimit,
     SharedGroupLoad,
@@ -55,6 +56,8 @@
     unanswered_joins: BTreeSet<String>,
     address_takeovers: AddressTakeovers,
     foreign_heartbeats: ForeignHeartbeats,
+    /// The unexpected membership that the last report showed, until it is recorded.
+    unexpected_membership: Option<UnexpectedMembership>,
     initialized: bool,
     /// When all groups and servers are checked again.
     next_full_check_at: Millis,
@@ -125,6 +128,11 @@
         self.foreign_heartbeats.take_unrecorded()
     }
 
+    /// Takes the unexpected membership that the last report showed, if any.
+    pub fn take_unexpected_membership(&mut self) -> Option<UnexpectedMembership> {
+        self.unexpected_membership.take()
+    }
+
     /// Whether a report is stale: its sender has restarted since.
     fn is_from_earlier_start(&self, tables: &GatewayTables, report: &InstanceReport) -> bool {
         let newest = self.latest_start(tables, &report.id);
@@ -149,6 +157,7 @@
         if let Some(group) = tables.group_of(&report.id) {
             self.orders.touch(group.epoch);
         }
+        self.unexpected_membership = UnexpectedMembership::shown_by(report, now, tables, &self.observations);
         self.observations.record_report(now, report)
     }
 
--- a/crates/control/src/gateway_inputs.rs
+++ b/crates/control/src/gateway_inputs.rs
@@ -61,6 +61,7 @@
         };
         let command = leader_state.gateway.register(now.monotonic, &tables.gateway, &report);
         let foreign = leader_state.gateway.take_foreign_heartbeat();
+        let unexpected = leader_state.gateway.take_unexpected_membership();
         match command {
             Some(command) => {
                 let body = CommandBody::Gateway(command);
@@ -78,5 +79,8 @@
                 format!("a heartbeat for {id} that names service {service} at {address} is not its own");
             self.record_event("ForeignHeartbeat", &message, ResultCode::Ok);
         }
+        if let Some(unexpected) = unexpected {
+            self.record_event("UnexpectedMembership", &unexpected.message(), ResultCode::Ok);
+        }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -32,6 +32,7 @@
 mod prompt_suspicion;
 mod snapshot_sources;
 mod timeline;
+mod unexpected_memberships;
 mod view;
 mod voter;
 mod voter_turn;
@@ -54,6 +55,7 @@
 };
 pub use node::{ControlNode, LEADER_LEASES_UP_TO, Options, voters_of};
 pub use timeline::TimelineEvent;
+pub use unexpected_memberships::UnexpectedMembership;
 pub use zone_balance::{ZoneCounts, ZonesById};
 
 /// Monotonic time of this process in milliseconds.
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -119,6 +119,11 @@
         self.groups.get(self.memberships.get(instance)?)
     }
 
+    /// Whether an instance is a member of the group with this epoch.
+    pub fn is_member(&self, instance: &str, epoch: u64) -> bool {
+        self.memberships.get(instance) == Some(&epoch)
+    }
+
     /// The group headed by this instance, if any.
     pub(crate) fn group_headed_by(&self, instance: &str) -> Option<&Arc<GroupRow>> {
         self.group_of(instance).filter(|group| group.is_headed_by(instance))
