A server has left a group for good only once its orders to join it are void

Cause: an order to join that its server leaves unanswered was forgotten 8 s after it had timed out, while servers may execute it up to 12 s after it was sent. Whether the server had left was then judged by reports and answers that may be older than the execution. On related paths, the same cause: - members released from a group whose head is cut off (the same function); - an order that is still in flight was not counted at all; - only the newest unanswered order was remembered, and a server that restarts under its id forgets the epochs that make older ones harmless. Change: all orders to join that were not answered are remembered for each server, from when they are sent. While one may be executed, a departure is revocable: the server stays bound to its group, and is sent no orders meanwhile unless it reports that it has returned. 12 s after the last time-out it is ordered to leave once more, and only an answer to an order sent after that frees it. So no report has to be in time. Until then its reports are acted on as before: a head that opens again is closed and leaves. Why it works: an order executed at most 12 s after it timed out comes before the last order to leave, which takes effect at once. Replaced: a_member_that_may_still_execute_its_order_to_join_is_not_free asserted that the member is free after 8 s. It asserts now that it is not free for 12 s, nor after that for an earlier report, but by its answer to a later order to leave; it fails on the code before, too.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -321,7 +321,9 @@
         term: u64,
     ) -> Vec<GroupOrder> {
         let view = View { tables, observations: &self.observations, now, policy };
-        self.orders.due_orders(&view, term)
+        let orders = self.orders.due_orders(&view, term);
+        orders.iter().for_each(|order| self.observations.record_sent(now, order));
+        orders
     }
 
     /// Returns the instances to probe now: members of silent or slow groups, slow servers, members that did
--- a/crates/control/src/unexpected_memberships.rs
+++ b/crates/control/src/unexpected_memberships.rs
@@ -34,11 +34,11 @@
         if is_repeated || tables.is_member(&report.id, membership.epoch) {
             return None;
         }
-        let unanswered = seen.unanswered_join.filter(|order| order.epoch == membership.epoch);
+        let timed_out_at = seen.outstanding_joins.timed_out_at(membership.epoch);
         Some(UnexpectedMembership {
             instance: report.id.clone(),
             membership: membership.clone(),
-            join_unanswered_for_ms: unanswered.map(|order| now.saturating_sub(order.timed_out_at)),
+            join_unanswered_for_ms: timed_out_at.map(|at| now.saturating_sub(at)),
         })
     }
 
--- a/crates/grouping/src/instances.rs
+++ b/crates/grouping/src/instances.rs
@@ -1,7 +1,8 @@
 //! Observations of one instance.
 
 use crate::Millis;
-use dockwood_api::gateway::{MembershipReport, MembershipState};
+use crate::outstanding_joins::OutstandingJoins;
+use dockwood_api::gateway::{GroupCommand, GroupOrder, MembershipReport, MembershipState, OrderAnswer};
 
 /// The result of probing an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -39,10 +40,12 @@
     pub staged: Vec<String>,
     /// Highest epoch of a group that any of its reports showed it in; 0 if there is none.
     pub max_reported_epoch: u64,
-    /// Epoch of the group of which its last answer showed that it is not a member; 0 if there is none.
-    pub left_epoch: u64,
-    /// The last order to join that it did not answer.
-    pub unanswered_join: Option<UnansweredJoin>,
+    /// The last proof other than a report that it was not a member of a group.
+    pub left: Option<LeftGroup>,
+    /// The order to leave in flight.
+    pub leave_in_flight: Option<LeaveOrder>,
+    /// Orders to join that it did not answer.
+    pub outstanding_joins: OutstandingJoins,
     /// Epoch of the group of which its last answer showed that it is not serving it; 0 if there is none.
     pub not_serving_epoch: u64,
     /// When this leader learned that the instance is leaving; 0 if it learned this from a former leader.
@@ -89,13 +92,22 @@
     }
 }
 
-/// An unanswered order to join, which may still be executed.
+/// An order to leave a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UnansweredJoin {
-    /// Epoch of the group to join.
+pub struct LeaveOrder {
+    /// Epoch of the group to leave.
     pub epoch: u64,
-    /// When the order timed out.
-    pub timed_out_at: Millis,
+    /// When it was sent.
+    pub sent_at: Millis,
+}
+
+/// Proof that an instance was not a member of a group at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeftGroup {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// The instance was not a member at some time after this one.
+    pub after: Millis,
 }
 
 impl InstanceObservation {
@@ -110,11 +122,54 @@
         }
     }
 
+    /// Records that an order to the instance is sent.
+    pub(crate) fn record_sent(&mut self, now: Millis, order: &GroupOrder) {
+        match &order.command {
+            GroupCommand::Join { .. } => self.outstanding_joins.sent(order.epoch),
+            GroupCommand::Leave => {
+                self.leave_in_flight = Some(LeaveOrder { epoch: order.epoch, sent_at: now });
+            }
+            GroupCommand::Stage { .. } | GroupCommand::Open | GroupCommand::Close { .. } => {}
+        }
+    }
+
+    /// Records the instance's answer to an order, which reveals its state after the order was sent.
+    pub(crate) fn record_answer(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
+        let is_accepted = matches!(answer, OrderAnswer::Begun | OrderAnswer::Holds);
+        let is_rejected_as_unfit = answer == OrderAnswer::Unfit;
+        match &order.command {
+            // An order to leave takes effect at once, and is valid for every member.
+            GroupCommand::Leave if is_accepted || is_rejected_as_unfit => self.record_left(order.epoch),
+            GroupCommand::Join { .. } if answer == OrderAnswer::Silent => {
+                self.outstanding_joins.timed_out(order.epoch, now);
+            }
+            GroupCommand::Join { .. } if is_accepted && self.has_left_once(order.epoch) => {
+                self.outstanding_joins.accepted_after_departure(order.epoch, now);
+            }
+            GroupCommand::Join { .. } => self.outstanding_joins.answered(order.epoch),
+            GroupCommand::Close { .. } if is_rejected_as_unfit => self.not_serving_epoch = order.epoch,
+            _ => {}
+        }
+    }
+
+    fn record_left(&mut self, epoch: u64) {
+        let leave = self.leave_in_flight.take().filter(|leave| leave.epoch == epoch);
+        if let Some(leave) = leave {
+            self.left = Some(LeftGroup { epoch, after: leave.sent_at });
+        }
+    }
+
     /// Whether the newest report shows the instance in a group.
     pub fn is_reported_in(&self, epoch: u64) -> bool {
         self.state_in(epoch).is_some()
     }
 
+    /// Whether it has left a group at some time, whether or not it may have returned.
+    pub(crate) fn has_left_once(&self, epoch: u64) -> bool {
+        let was_reported_out = self.max_reported_epoch == epoch && !self.is_reported_in(epoch);
+        was_reported_out || self.left.is_some_and(|left| left.epoch == epoch)
+    }
+
     /// Its state in a group, if the newest report shows it there.
     pub fn state_in(&self, epoch: u64) -> Option<MembershipState> {
         let membership = self.membership.as_ref()?;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -5,11 +5,11 @@
 use crate::demand::Demand;
 use crate::group_evidence::GroupEvidence;
 use crate::heartbeat::HeartbeatInterval;
-use crate::instances::{InstanceObservation, ProbeResult, UnansweredJoin};
+use crate::instances::{InstanceObservation, LeftGroup, ProbeResult};
 use crate::slow_server_detection::SlowServerDetector;
 use dockwood_api::gateway::{
-    DispatchScope, GroupCommand, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport,
-    OrderAnswer, RequestRate, ServerLimit, SharedGroupLoad,
+    DispatchScope, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport, OrderAnswer,
+    RequestRate, ServerLimit, SharedGroupLoad,
 };
 use dockwood_state::GatewayTables;
 use std::collections::{BTreeMap, BTreeSet};
@@ -92,9 +92,8 @@
         let Some(seen) = self.instances.get_mut(instance) else { return };
         *seen = InstanceObservation {
             started_ms: Some(started_ms),
-            left_epoch: former_group.unwrap_or_default(),
-            // An order in transit to the former process may be executed by the new one.
-            unanswered_join: seen.unanswered_join,
+            left: former_group.map(|epoch| LeftGroup { epoch, after: 0 }),
+            outstanding_joins: seen.outstanding_joins.after_restart(),
             ..InstanceObservation::default()
         };
     }
@@ -162,19 +161,17 @@
         }
     }
 
-    /// Records a server's answer to an order, which reveals the server's state after the order was sent.
+    /// Records that an order is sent.
+    pub fn record_sent(&mut self, now: Millis, order: &GroupOrder) {
+        if let Some(seen) = self.instances.get_mut(&order.instance) {
+            seen.record_sent(now, order);
+        }
+    }
+
+    /// Records a server's answer to an order.
     pub fn record_answer(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
-        let Some(seen) = self.instances.get_mut(&order.instance) else { return };
-        let is_accepted = matches!(answer, OrderAnswer::Begun | OrderAnswer::Holds);
-        let is_rejected_as_unfit = answer == OrderAnswer::Unfit;
-        match &order.command {
-            // An order to leave takes effect at once, and is valid for every member.
-            GroupCommand::Leave if is_accepted || is_rejected_as_unfit => seen.left_epoch = order.epoch,
-            GroupCommand::Join { .. } if answer == OrderAnswer::Silent => {
-                seen.unanswered_join = Some(UnansweredJoin { epoch: order.epoch, timed_out_at: now });
-            }
-            GroupCommand::Close { .. } if is_rejected_as_unfit => seen.not_serving_epoch = order.epoch,
-            _ => {}
+        if let Some(seen) = self.instances.get_mut(&order.instance) {
+            seen.record_answer(now, order, answer);
         }
     }
 
--- a/crates/grouping/src/orders.rs
+++ b/crates/grouping/src/orders.rs
@@ -72,6 +72,8 @@
 struct OrderState {
     instance: String,
     kind: OrderKind,
+    /// When it was sent last.
+    sent_at: Millis,
     /// When it may be sent again; `None` while it is in flight.
     due: Option<Millis>,
 }
@@ -218,12 +220,13 @@
         let is_first = match group.find(order.instance, order.kind) {
             None => {
                 let instance = order.instance.to_string();
-                group.sent.push(OrderState { instance, kind: order.kind, due: None });
+                group.sent.push(OrderState { instance, kind: order.kind, sent_at: now, due: None });
                 true
             }
-            Some(order) => {
-                order.due.filter(|due| now >= *due)?;
-                order.due = None;
+            Some(sent) => {
+                sent.due.filter(|due| now >= *due || sent.sent_at < order.obsolete_before)?;
+                sent.due = None;
+                sent.sent_at = now;
                 false
             }
         };
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod orders;
 
 use dockwood_api::gateway::{
     EngineProfile, EventPace, GatewayConfiguration, GroupLoad, InstanceReport, InstanceState, LoadReport,
--- a/crates/grouping/tests/member_release.rs
+++ b/crates/grouping/tests/member_release.rs
@@ -3,18 +3,16 @@
 
 mod common;
 
+use common::orders::{commands, cut, join_order, process_answer, send_due};
 use common::{LARGE, SMALL, TestCluster};
-use dockwood_api::gateway::{GroupCommand, GroupOrder, MembershipState, OrderAnswer};
+use dockwood_api::gateway::{GroupCommand, MembershipState, OrderAnswer};
 use dockwood_grouping::{Observations, OrderTracker, ScanScope, advance_groups, release_members};
 use dockwood_state::{GatewayCommand, GroupPhase};
 
 /// Longer than the maximum delay of a report.
 const BEYOND_REPORT_DELAY_MS: u64 = 17_000;
-
-fn cut(cluster: &mut TestCluster, epoch: u64) {
-    let reason = "test".to_string();
-    cluster.apply(GatewayCommand::SetPhase { epoch, phase: GroupPhase::Cutting, reason });
-}
+/// Longest time after its time-out for which an unanswered order may be executed, from the engines' documentation.
+const MAX_EXECUTION_DELAY_MS: u64 = 12_000;
 
 /// Replaces the leader by a new one without reports of its own.
 fn change_leader(cluster: &mut TestCluster) {
@@ -22,25 +20,6 @@
     cluster.observations.assume_present(cluster.now, cluster.tables.instances.keys().cloned());
 }
 
-fn due_orders(tracker: &mut OrderTracker, cluster: &TestCluster) -> Vec<GroupOrder> {
-    tracker.due_orders(&cluster.view(), 1)
-}
-
-fn commands(orders: &[GroupOrder]) -> Vec<(&str, &GroupCommand)> {
-    orders.iter().map(|order| (order.instance.as_str(), &order.command)).collect()
-}
-
-/// Processes the answer to an order like the leader does.
-fn process_answer(
-    cluster: &mut TestCluster,
-    tracker: &mut OrderTracker,
-    order: &GroupOrder,
-    answer: OrderAnswer,
-) {
-    tracker.answered(cluster.now, order, answer);
-    cluster.observations.record_answer(cluster.now, order, answer);
-}
-
 #[test]
 fn a_report_sent_before_the_join_frees_no_member() {
     let mut cluster = TestCluster::new(1, 4);
@@ -127,7 +106,7 @@
     cluster.now += 4_500;
     cluster.receive_report(late);
     let mut tracker = OrderTracker::default();
-    let sent = due_orders(&mut tracker, &cluster);
+    let sent = send_due(&mut cluster, &mut tracker);
     let leave = sent.iter().find(|order| order.instance == "d0-s2").expect("an order to leave");
     assert_eq!(leave.command, GroupCommand::Leave);
     process_answer(&mut cluster, &mut tracker, leave, OrderAnswer::Silent);
@@ -152,12 +131,12 @@
     let report = cluster.report("d0-s0", None, &[SMALL]);
     cluster.receive_report(report);
     let mut tracker = OrderTracker::default();
-    let sent = due_orders(&mut tracker, &cluster);
+    let sent = send_due(&mut cluster, &mut tracker);
     assert_eq!(commands(&sent), [("d0-s0", &GroupCommand::Close { truncate: true })]);
     process_answer(&mut cluster, &mut tracker, &sent[0], OrderAnswer::Unfit);
     assert!(advance_groups(&cluster.view(), ScanScope::All, |_| closing_since).is_empty());
     cluster.now += 300;
-    let sent = due_orders(&mut tracker, &cluster);
+    let sent = send_due(&mut cluster, &mut tracker);
     assert_eq!(commands(&sent), [("d0-s0", &GroupCommand::Leave)]);
     process_answer(&mut cluster, &mut tracker, &sent[0], OrderAnswer::Unfit);
     cluster.apply_all(advance_groups(&cluster.view(), ScanScope::All, |_| closing_since));
@@ -210,14 +189,7 @@
     let mut cluster = TestCluster::new(1, 4);
     let mut tracker = OrderTracker::default();
     let epoch = cluster.open_group(LARGE, &["d0-s0", "d0-s1", "d0-s2", "d0-s3"]);
-    let join = GroupOrder {
-        instance: "d0-s1".to_string(),
-        address: cluster.tables.instances["d0-s1"].address,
-        group: format!("g{epoch}"),
-        epoch,
-        fence: 1,
-        command: GroupCommand::Join { model: LARGE.to_string(), members: Vec::new() },
-    };
+    let join = join_order(&cluster, "d0-s1", epoch, LARGE);
     process_answer(&mut cluster, &mut tracker, &join, OrderAnswer::Silent);
     cut(&mut cluster, epoch);
     let closing_since = cluster.now;
@@ -227,7 +199,14 @@
         release_members(&cluster.view(), |_| closing_since).is_empty(),
         "it may still execute the order to join"
     );
-    cluster.now += 8_000;
+    cluster.now += MAX_EXECUTION_DELAY_MS - 1;
+    cluster.report_again("d0-s1");
+    assert!(release_members(&cluster.view(), |_| closing_since).is_empty(), "the order is not void yet");
+    cluster.now += 1;
+    assert!(release_members(&cluster.view(), |_| closing_since).is_empty(), "its last report may be older");
+    let sent = send_due(&mut cluster, &mut tracker);
+    let leave = sent.iter().find(|order| order.instance == "d0-s1").expect("it is ordered to leave again");
+    process_answer(&mut cluster, &mut tracker, leave, OrderAnswer::Unfit);
     assert_eq!(release_members(&cluster.view(), |_| closing_since).len(), 1);
 }
 
@@ -237,12 +216,12 @@
     let mut tracker = OrderTracker::default();
     let epoch = cluster.open_group(SMALL, &["d0-s0", "d0-s1"]);
     cluster.apply(GatewayCommand::SetPhase { epoch, phase: GroupPhase::Draining, reason: String::new() });
-    let first = due_orders(&mut tracker, &cluster);
+    let first = send_due(&mut cluster, &mut tracker);
     assert!(matches!(first[0].command, GroupCommand::Close { truncate: false }), "{first:?}");
     cluster.report_membership("d0-s0", epoch, MembershipState::Closing, &[SMALL]);
     process_answer(&mut cluster, &mut tracker, &first[0], OrderAnswer::Unfit);
     cluster.now += 300;
-    let again = due_orders(&mut tracker, &cluster);
+    let again = send_due(&mut cluster, &mut tracker);
     assert!(commands(&again).iter().all(|(_, command)| **command != GroupCommand::Leave), "{again:?}");
 }
 
