A new leader waits for the orders to join that its predecessors sent

Unanswered orders to join were known to the leader that had sent them alone. A new leader ended the group as soon as the head refused an order to leave; the order of its predecessor was executed after that. Change: each voter notes on its own monotonic clock when it first saw each group formed (FormationTimes). Orders to join are sent only while a group forms, so a new leader counts one of each member as unanswered since then; for a group that still forms, since its own election. Wall clocks and the replicated tables are not involved. Why it works: earlier leaders sent no order to join after that time, as they send orders within their lease only; those that they sent are void 12.4 s later, and only an answer to a later order to leave ends the group. A group that was formed longer ago waits for nothing.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -3,6 +3,7 @@
 
 use crate::Millis;
 use crate::address_takeovers::AddressTakeovers;
+use crate::formation_times::FormationTimes;
 use crate::heartbeat_origin::{ForeignHeartbeat, ForeignHeartbeats, HeartbeatOrigin, heartbeat_origin};
 use crate::unexpected_memberships::UnexpectedMembership;
 use dockwood_api::gateway::{
@@ -58,6 +59,7 @@
     foreign_heartbeats: ForeignHeartbeats,
     /// The unexpected membership that the last report showed, until it is recorded.
     unexpected_membership: Option<UnexpectedMembership>,
+    has_taken_over: bool,
     initialized: bool,
     /// When all groups and servers are checked again.
     next_full_check_at: Millis,
@@ -123,6 +125,22 @@
         is_changed.then_some(GatewayCommand::Register(row))
     }
 
+    /// Takes over the groups of earlier leaders. Has an effect once.
+    ///
+    /// What servers answered to earlier leaders isn't known, so each of their orders to join counts as unanswered since
+    /// the last moment at which it may have been sent.
+    pub fn take_over(&mut self, now: Millis, tables: &GatewayTables, formation_times: &FormationTimes) {
+        if std::mem::replace(&mut self.has_taken_over, true) {
+            return;
+        }
+        for group in tables.groups.values() {
+            let last_sent_at = formation_times.formed_at(group.epoch).unwrap_or(now);
+            for member in &group.members {
+                self.observations.assume_unanswered_join(last_sent_at, member, group.epoch);
+            }
+        }
+    }
+
     /// Takes the foreign heartbeat that is to be recorded now, if any.
     pub fn take_foreign_heartbeat(&mut self) -> Option<ForeignHeartbeat> {
         self.foreign_heartbeats.take_unrecorded()
--- a/crates/control/tests/late_orders.rs
+++ b/crates/control/tests/late_orders.rs
@@ -3,7 +3,7 @@
 use dockwood_api::gateway::{
     GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport, MembershipState, OrderAnswer,
 };
-use dockwood_control::GatewayLeaderState;
+use dockwood_control::{FormationTimes, GatewayLeaderState};
 use dockwood_grouping::GroupingPolicy;
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupPurpose};
 use yare::parameterized;
@@ -11,6 +11,9 @@
 const HEAD: &str = "i-1";
 const MEMBER: &str = "i-2";
 const MODEL: &str = "small";
+/// Time after which an order to join that was sent to a server can't be executed any more, in milliseconds: it is answered
+/// within 400 ms, or executed within 12 s after that.
+const JOIN_VOID_MS: u64 = 12_400;
 /// Time at which the group opens, in milliseconds.
 const OPENED_AT: u64 = 1_000;
 
@@ -18,6 +21,7 @@
 struct Fixture {
     leader: GatewayLeaderState,
     tables: GatewayTables,
+    formation_times: FormationTimes,
     now: u64,
     sequence: u64,
     epoch: u64,
@@ -28,6 +32,7 @@
         let mut fixture = Fixture {
             leader: GatewayLeaderState::default(),
             tables: GatewayTables::default(),
+            formation_times: FormationTimes::default(),
             now: OPENED_AT,
             sequence: 0,
             epoch: 0,
@@ -55,6 +60,7 @@
     fn set_phase(&mut self, phase: GroupPhase) {
         let (epoch, reason) = (self.epoch, String::new());
         self.tables.apply(&GatewayCommand::SetPhase { epoch, phase, reason });
+        self.formation_times.observe(self.now, &self.tables.groups);
     }
 
     fn membership(&self, state: MembershipState) -> MembershipReport {
@@ -91,6 +97,31 @@
         });
     }
 
+    /// Replaces the leader by this node, which was a follower until now.
+    fn change_leader(&mut self) {
+        self.leader = GatewayLeaderState::default();
+        self.leader.take_over(self.now, &self.tables, &self.formation_times);
+        self.decide();
+    }
+
+    /// The head reports that it is in no group, and refuses all orders, as it does after it has left.
+    fn refuse_orders(&mut self) {
+        self.report(HEAD, None);
+        // The order to close, and then the one to leave.
+        for _ in 0..2 {
+            self.now += 300;
+            let policy = GroupingPolicy::default();
+            for order in self.leader.orders_to_send(self.now, &self.tables, policy, 2) {
+                self.leader.record_order_answer(self.now, &order, OrderAnswer::Unfit);
+            }
+        }
+        self.decide();
+    }
+
+    fn has_ended(&self) -> bool {
+        !self.tables.groups.contains_key(&self.epoch)
+    }
+
     /// Records that a member of the group leaves its order to join unanswered.
     fn leave_join_unanswered(&mut self, id: &str) {
         let order = GroupOrder {
@@ -136,3 +167,39 @@
     fixture.report(MEMBER, Some(MembershipState::Ready));
     assert_eq!(fixture.leader.take_unexpected_membership(), None);
 }
+
+/// Regression: a new leader did not know which orders to join its predecessor had sent. It ended a group as soon as the
+/// head refused an order to leave; the head executed its order to join later, opened again, and was joined to another
+/// group.
+#[parameterized(
+    formed_shortly_before = { 2_000 },
+    formed_long_before = { 60_000 },
+)]
+fn a_new_leader_waits_for_orders_to_join_of_its_predecessors(formed_for_ms: u64) {
+    let mut fixture = Fixture::with_open_group();
+    fixture.set_phase(GroupPhase::Draining);
+    fixture.now = OPENED_AT + formed_for_ms;
+    fixture.change_leader();
+    fixture.refuse_orders();
+    let is_void = formed_for_ms > JOIN_VOID_MS;
+    assert_eq!(fixture.has_ended(), is_void);
+    fixture.now = fixture.now.max(OPENED_AT + JOIN_VOID_MS);
+    fixture.refuse_orders();
+    assert!(fixture.has_ended());
+}
+
+/// Orders to join a group that is forming may have been sent until the leader changed.
+#[test]
+fn a_group_that_forms_while_the_leader_changes_waits_from_then_on() {
+    let mut fixture = Fixture::with_open_group();
+    fixture.formation_times = FormationTimes::default();
+    fixture.now += 60_000;
+    fixture.change_leader();
+    let changed_at = fixture.now;
+    fixture.set_phase(GroupPhase::Draining);
+    fixture.refuse_orders();
+    assert!(!fixture.has_ended());
+    fixture.now = changed_at + JOIN_VOID_MS;
+    fixture.refuse_orders();
+    assert!(fixture.has_ended());
+}
--- a/crates/control/tests/new_leader.rs
+++ b/crates/control/tests/new_leader.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use common::{request, server_report_command};
-use dockwood_api::gateway::InstanceState;
+use dockwood_api::gateway::{InstanceState, OrderAnswer};
 use dockwood_api::peer::{DelegatedRequest, DelegationAnswer, LeaseAnswer};
 use dockwood_consensus::{Body, Entry, HardState, Message, Node, Payload, Probe, Recovered, Settings};
 use dockwood_control::{ControlNode, Input, Moment, Output};
-use dockwood_state::{Command, CommandBody, GatewayCommand, InstanceRow, State, encode_command};
+use dockwood_state::{
+    Command, CommandBody, GatewayCommand, GroupPhase, GroupPurpose, InstanceRow, State, encode_command,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use yare::parameterized;
@@ -26,6 +28,8 @@
     delegations: Vec<DelegationAnswer>,
     /// The most commands that it has applied between two occasions to send heartbeats.
     most_applied_at_once: u64,
+    /// How many orders the servers were sent; they refuse all of them.
+    group_orders: usize,
 }
 
 impl Member {
@@ -55,6 +59,7 @@
             answers: Vec::new(),
             delegations: Vec::new(),
             most_applied_at_once: 0,
+            group_orders: 0,
         }
     }
 
@@ -95,6 +100,10 @@
                     }
                     Output::LeaseReply(name, answer) => self.answers.push((name, answer)),
                     Output::DelegationReply(_, answer) => self.delegations.push(answer),
+                    Output::SendGroupOrder(order) => {
+                        self.group_orders += 1;
+                        inputs.push(Input::GroupOrderAnswered(*order, OrderAnswer::Unfit));
+                    }
                     _ => {}
                 }
             }
@@ -192,3 +201,31 @@
     assert_eq!(member.node.tables().revision, count);
     assert!(member.most_applied_at_once <= most_at_once, "{} at once", member.most_applied_at_once);
 }
+
+/// Commands of an earlier leader: a group of one server was formed, and is being closed.
+fn closing_group() -> Vec<Vec<u8>> {
+    let form = GatewayCommand::Form {
+        service: "s".to_string(),
+        model: "m".to_string(),
+        purpose: GroupPurpose::Serve,
+        members: vec!["plain".to_string()],
+        reason: String::new(),
+    };
+    let phases = [GroupPhase::Opening, GroupPhase::Open, GroupPhase::Cutting];
+    let phases = phases.map(|phase| GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
+    let later = std::iter::once(form).chain(phases);
+    let encoded = later.map(|body| encode_command(&Command { at_ms: 1, body: CommandBody::Gateway(body) }));
+    std::iter::once(server_report_command(0, 0)).chain(encoded).collect()
+}
+
+/// Regression: a new leader ended a group although its head might still execute an order to join of the leader before.
+#[test]
+fn a_new_leader_ends_no_group_while_its_head_may_execute_an_earlier_order_to_join() {
+    let mut member = Member::elected(closing_group());
+    member.others_have_entries = true;
+    member.advance(4_000);
+    assert!(member.group_orders >= 2, "the head refused to close and to leave");
+    assert!(member.node.tables().gateway.groups.contains_key(&1));
+    member.advance(13_000);
+    assert!(!member.node.tables().gateway.groups.contains_key(&1));
+}
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -11,12 +11,12 @@
 use crate::pushback::{SendPermit, SendPurpose, SendTarget, signals_of};
 use crate::shared::Shared;
 use dockwood_api::gateway::{GroupOrder, OrderAnswer};
-use dockwood_control::{InstanceProbe, ProbeQuestion, ProbeResult};
+use dockwood_control::{InstanceProbe, ORDER_TIMEOUT_MS, ProbeQuestion, ProbeResult};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Time limit for a server to answer an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(ORDER_TIMEOUT_MS);
 
 /// Sends orders and probes from the traffic runtime and reports the results to the control thread.
 #[derive(Clone)]
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -47,7 +47,7 @@
 pub use lifecycle::{ScanScope, advance_groups, full_scan_interval_ms, reap_instances, release_members};
 pub use observations::Observations;
 pub use orders::{OrderKind, OrderTracker};
-pub use outstanding_joins::OutstandingJoins;
+pub use outstanding_joins::{ORDER_TIMEOUT_MS, OutstandingJoins};
 pub use places::{GroupPlaces, PlaceAllocator};
 pub use plan::{Plan, plan, plan_interval_ms};
 pub use scope::ScopeDispatch;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -6,6 +6,7 @@
 use crate::group_evidence::GroupEvidence;
 use crate::heartbeat::HeartbeatInterval;
 use crate::instances::{InstanceObservation, LeftGroup, ProbeResult};
+use crate::outstanding_joins::ORDER_TIMEOUT_MS;
 use crate::slow_server_detection::SlowServerDetector;
 use dockwood_api::gateway::{
     DispatchScope, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport, OrderAnswer,
@@ -168,6 +169,12 @@
         }
     }
 
+    /// Records that an earlier leader's order to join may not have been answered. It was sent at `sent_at` at the latest.
+    pub fn assume_unanswered_join(&mut self, sent_at: Millis, instance: &str, epoch: u64) {
+        let seen = self.instances.entry(instance.to_string()).or_default();
+        seen.outstanding_joins.timed_out(epoch, sent_at + ORDER_TIMEOUT_MS);
+    }
+
     /// Records a server's answer to an order.
     pub fn record_answer(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         if let Some(seen) = self.instances.get_mut(&order.instance) {
--- a/crates/grouping/src/outstanding_joins.rs
+++ b/crates/grouping/src/outstanding_joins.rs
@@ -6,6 +6,8 @@
 
 use crate::Millis;
 
+/// Time limit for a server to answer an order, in milliseconds.
+pub const ORDER_TIMEOUT_MS: Millis = 400;
 /// Longest time for which an unanswered order may still be executed after it has timed out, in milliseconds. From the
 /// engines' documentation.
 const MAX_EXECUTION_DELAY_MS: Millis = 12_000;
