A server that reports to be in a group that may be serving leaves it before it is used for another one

Cause: a server in no group of the tables was free, whatever it reported (`is_usable`). Change: a membership is stale if the tables don't have the server in that group and the newest report of the group's head says that it has opened it and not left since. Such a server is not planned for a group nor joined to one. The leader has it close (running requests may finish) and leave, until it reports that it has. Members that merely have not left an ended group are used as before: its head serves no more. Why it works: it needs no time limit, and holds whatever brought the server there or kept it. It does not replace the wait for orders that may still be executed, as a report may come later than the next order to join. Two test files ended a group of their fixture while its head reported that it was open; they end it after its members have left it now, and assert what they did.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -12,8 +12,8 @@
 };
 use dockwood_grouping::{
     ColdLimit, Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderKind, OrderTracker,
-    PlaceAllocator, ProbeResult, ScanScope, View, advance_groups, full_scan_interval_ms, places_of_group,
-    plan, plan_interval_ms, reap_instances, release_members, replace_slow_members,
+    PlaceAllocator, ProbeResult, ScanScope, StaleMembers, View, advance_groups, full_scan_interval_ms,
+    places_of_group, plan, plan_interval_ms, reap_instances, release_members, replace_slow_members,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
 use imbl::OrdMap;
@@ -53,6 +53,7 @@
     places: PlaceAllocator,
     dispatcher: Dispatcher,
     orders: OrderTracker,
+    stale_members: StaleMembers,
     /// Members that did not answer a join order; to be probed.
     unanswered_joins: BTreeSet<String>,
     address_takeovers: AddressTakeovers,
@@ -244,6 +245,7 @@
     /// heartbeats were missing; with it after 0.7 s.
     pub fn record_order_answer(&mut self, now: Millis, order: &GroupOrder, answer: OrderAnswer) {
         self.orders.answered(now, order, answer);
+        self.stale_members.answered(now, order);
         self.observations.record_answer(now, order, answer);
         match answer {
             OrderAnswer::Unreachable => {
@@ -303,6 +305,7 @@
             let decided: BTreeSet<u64> = commands.iter().filter_map(group_with_set_phase).collect();
             commands.extend(replace_slow_members(&view, |epoch| decided.contains(&epoch)));
             commands.extend(reap_instances(&view));
+            self.stale_members.scan(&view);
         }
         if self.observations.traffic_seen && !tables.requests_seen {
             commands.push(GatewayCommand::NoteRequests);
@@ -339,7 +342,8 @@
         term: u64,
     ) -> Vec<GroupOrder> {
         let view = View { tables, observations: &self.observations, now, policy };
-        let orders = self.orders.due_orders(&view, term);
+        let mut orders = self.orders.due_orders(&view, term);
+        orders.extend(self.stale_members.due_orders(&view, term));
         orders.iter().for_each(|order| self.observations.record_sent(now, order));
         orders
     }
--- a/crates/grouping/src/domains.rs
+++ b/crates/grouping/src/domains.rs
@@ -2,6 +2,7 @@
 //! model.
 
 use crate::staging::StagingInProgress;
+use crate::stale_members::stale_membership;
 use crate::{Millis, View};
 use dockwood_api::gateway::{EngineProfile, InstanceState, ModelProfile};
 use dockwood_state::{GroupPhase, GroupPurpose, GroupRow, InstanceRow};
@@ -153,11 +154,13 @@
     if view.tables.requests_seen { load_ms + model.warm_ms } else { load_ms / EARLY_LOAD_DIVISOR }
 }
 
-/// Whether a server may be included in plans. Servers of an evacuated zone would receive no requests.
+/// Whether a server may be included in plans. Servers of an evacuated zone would receive no requests, and those that
+/// report to be in another group that may be serving have to leave it first.
 pub(crate) fn is_usable(view: &View<'_>, row: &InstanceRow) -> bool {
     let is_slow = view.observations.slow_factor(&row.id).is_some();
     let is_ready = row.state == InstanceState::Ready && !view.tables.is_evacuated(&row.zone);
-    is_ready && view.observations.was_heard(view.now, &row.id) && !is_slow
+    let is_elsewhere = stale_membership(view, &row.id).is_some();
+    is_ready && view.observations.was_heard(view.now, &row.id) && !is_slow && !is_elsewhere
 }
 
 /// Models that an instance's host has staged.
--- a/crates/grouping/src/lib.rs
+++ b/crates/grouping/src/lib.rs
@@ -32,9 +32,11 @@
 mod plan;
 mod required_orders;
 mod scope;
+mod serving_heads;
 mod slow_members;
 mod slow_server_detection;
 mod staging;
+mod stale_members;
 mod utility;
 
 pub use capacity::{RequestWork, group_time_ms, places_of_group};
@@ -53,6 +55,7 @@
 pub use scope::ScopeDispatch;
 pub use slow_members::replace_slow_members;
 pub use staging::{StagingInProgress, StagingPriority, StagingRequest};
+pub use stale_members::StaleMembers;
 
 /// Monotonic milliseconds.
 pub type Millis = u64;
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -7,6 +7,7 @@
 use crate::heartbeat::HeartbeatInterval;
 use crate::instances::{InstanceObservation, LeftGroup, ProbeResult};
 use crate::outstanding_joins::ORDER_TIMEOUT_MS;
+use crate::serving_heads::ServingHeads;
 use crate::slow_server_detection::SlowServerDetector;
 use dockwood_api::gateway::{
     DispatchScope, GroupOrder, InstanceReport, InstanceState, LoadDigest, LoadReport, OrderAnswer,
@@ -45,6 +46,7 @@
     stalled: BTreeSet<u64>,
     demand: Demand,
     slow_servers: SlowServerDetector,
+    serving_heads: ServingHeads,
     /// Rates of servers that have declared limits for some time, by id.
     limits: BTreeMap<String, RequestRate>,
     /// When the newest instance was first observed.
@@ -81,7 +83,8 @@
             seen.newest_report_at = now;
             seen.sequence = report.sequence;
             seen.started_ms = report.started_ms;
-            seen.membership = report.membership.clone();
+            let former = std::mem::replace(&mut seen.membership, report.membership.clone());
+            self.serving_heads.record(&report.id, former.as_ref(), report.membership.as_ref());
             seen.staged = report.staged.clone();
         }
         is_newer
@@ -91,6 +94,7 @@
     /// nothing about the new one, except that it has left the group that the former process was in.
     pub fn reset_restarted_instance(&mut self, instance: &str, started_ms: u64, former_group: Option<u64>) {
         let Some(seen) = self.instances.get_mut(instance) else { return };
+        self.serving_heads.record(instance, seen.membership.as_ref(), None);
         *seen = InstanceObservation {
             started_ms: Some(started_ms),
             left: former_group.map(|epoch| LeftGroup { epoch, after: 0 }),
@@ -296,6 +300,11 @@
         self.groups.get(&epoch).is_some_and(|evidence| evidence.progressed_within(now, span))
     }
 
+    /// Whether a server that reports to be a group's head has opened it and not left it since.
+    pub fn may_be_serving(&self, epoch: u64) -> bool {
+        self.serving_heads.contains(epoch)
+    }
+
     /// Requests in flight at a group, over all entries.
     pub fn in_flight(&self, epoch: u64) -> u32 {
         self.in_flight.get(&epoch).copied().unwrap_or(0)
@@ -371,6 +380,7 @@
     /// Removes instances and groups that no longer exist.
     pub fn retain(&mut self, tables: &GatewayTables) {
         self.instances.retain(|id, _| tables.instances.contains_key(id));
+        self.serving_heads.retain(|head| tables.instances.contains_key(head));
         let slow_servers = &mut self.slow_servers;
         slow_servers
             .retain(|epoch| tables.groups.contains_key(&epoch), |id| tables.instances.contains_key(id));
--- a/crates/grouping/src/required_orders.rs
+++ b/crates/grouping/src/required_orders.rs
@@ -2,6 +2,7 @@
 
 use crate::membership::{Departure, departure, proving_leave_from};
 use crate::orders::OrderKind;
+use crate::stale_members::stale_membership;
 use crate::{Millis, View};
 use dockwood_api::gateway::MembershipState;
 use dockwood_state::{GroupPhase, GroupRow};
@@ -31,7 +32,10 @@
 pub(crate) fn required_orders<'a>(view: &View<'a>, group: &'a GroupRow) -> Vec<RequiredOrder<'a>> {
     match group.phase {
         GroupPhase::Forming => {
-            let not_joined = group.members.iter().filter(|member| !has_joined(view, group, member));
+            let may_join = |member: &&String| {
+                !has_joined(view, group, member) && stale_membership(view, member).is_none()
+            };
+            let not_joined = group.members.iter().filter(may_join);
             not_joined.map(|member| RequiredOrder::new(member, OrderKind::Join)).collect()
         }
         GroupPhase::Opening => {
--- a/crates/grouping/tests/common/mod.rs
+++ b/crates/grouping/tests/common/mod.rs
@@ -198,6 +198,18 @@
         epoch
     }
 
+    /// Ends a group after all its members have left it.
+    pub fn end_group(&mut self, epoch: u64) {
+        let members = self.tables.groups[&epoch].members.clone();
+        for id in members {
+            let Some(seen) = self.observations.instance(&id).cloned() else { continue };
+            let staged: Vec<&str> = seen.staged.iter().map(String::as_str).collect();
+            let report = self.report(&id, None, &staged);
+            self.receive_report(report);
+        }
+        self.apply(GatewayCommand::End { epoch, reason: String::new() });
+    }
+
     pub fn report_load(
         &mut self,
         daemon: &str,
--- a/crates/grouping/tests/evacuation.rs
+++ b/crates/grouping/tests/evacuation.rs
@@ -147,7 +147,7 @@
     for epoch in [lost, converted, other] {
         cluster.report_load("a", epoch, 6, false, true, true);
     }
-    cluster.apply(GatewayCommand::End { epoch: lost, reason: String::new() });
+    cluster.end_group(lost);
     cluster.apply(GatewayCommand::Remove { id: "d1-s3".to_string() });
     cluster.mark_requests_seen();
     cluster.report_again("d1-s0");
--- a/crates/grouping/tests/placement.rs
+++ b/crates/grouping/tests/placement.rs
@@ -47,7 +47,7 @@
     let mut cluster = TestCluster::new(1, 4);
     cluster.mark_requests_seen();
     let epoch = cluster.open_group(LARGE, &["d0-s0", "d0-s1", "d0-s2", "d0-s3"]);
-    cluster.apply(GatewayCommand::End { epoch, reason: String::new() });
+    cluster.end_group(epoch);
     for id in ["d0-s0", "d0-s1", "d0-s2", "d0-s3"] {
         let report = cluster.report(id, None, &[SMALL]);
         cluster.receive_report(report);
@@ -89,7 +89,7 @@
     for epoch in [lost, converted, other] {
         cluster.report_load("a", epoch, 6, false, true, true);
     }
-    cluster.apply(GatewayCommand::End { epoch: lost, reason: String::new() });
+    cluster.end_group(lost);
     cluster.apply(GatewayCommand::Remove { id: "d0-s3".to_string() });
     cluster.mark_requests_seen();
     cluster.report_again("d0-s0");
@@ -115,7 +115,7 @@
         cluster.plan().commands.is_empty(),
         "only one group at a time, and the free servers wait for its members"
     );
-    cluster.apply(GatewayCommand::End { epoch: 2, reason: String::new() });
+    cluster.end_group(2);
     let groups = formed_in("d0", &cluster.plan().commands);
     assert_eq!(groups.len(), 1);
     assert_eq!(groups[0].0, LARGE);
@@ -194,7 +194,7 @@
         cluster.apply(GatewayCommand::Release { epoch: lost, member: member.to_string() });
     }
     assert!(formed_groups(&cluster.plan().commands).is_empty(), "all four members will soon be free");
-    cluster.apply(GatewayCommand::End { epoch: lost, reason: String::new() });
+    cluster.end_group(lost);
     let groups = formed_groups(&cluster.plan().commands);
     assert_eq!(groups.iter().map(|(model, _)| model.as_str()).collect::<Vec<&str>>(), [LARGE]);
 }
