A 5xx in answer to an order doesn't say that the order is void

The pages name no 5xx for orders; a server in trouble that sends one may have begun or queued the order. No server that does this was seen: **suspected**.

--- a/crates/api/src/gateway/group.rs
+++ b/crates/api/src/gateway/group.rs
@@ -61,6 +61,6 @@
     Refused,
     /// No process listens at the address.
     Unreachable,
-    /// No response was received: the order may have been accepted, or may still be.
+    /// No response was received, or one that says nothing about the order: it may have been accepted, or may still be.
     Silent,
 }
