An order to a server is sent only while this node leads in its term

Behind a slow disk, or in a process that was suspended, an order to join left after another leader had been elected, which relies on earlier leaders to send none. Change: the control thread checks the lease and the term again when it carries the order out. One that may not be sent is logged and answered as `NotSent`, and repeated if it is still required. Test: control/tests/new_leader.rs, orders_are_not_sent_once_another_node_may_lead; the check did not exist. That a late order broke a rule was not seen: **suspected**. What remains is the time between the check and the write to the socket.

--- a/crates/control/src/driver_io.rs
+++ b/crates/control/src/driver_io.rs
@@ -197,7 +197,8 @@
     ViewReply(R, ControlAnswer),
     /// Send an order to a machine, and retry until it is carried out or rejected.
     SendOrder(Box<OrderToSend>),
-    /// Send an order to a server of the gateway.
+    /// Send an order to a server of the gateway, unless [`ControlNode::may_send_group_order`](crate::ControlNode) denies it
+    /// by then.
     SendGroupOrder(Box<GroupOrder>),
     /// Probe an instance.
     Probe(InstanceProbe),
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,6 +13,7 @@
 use crate::voter_zones::MemberZones;
 use dockwood_api::ResultCode;
 use dockwood_api::event::Subject;
+use dockwood_api::gateway::GroupOrder;
 use dockwood_api::peer::{AdmitAnswer, ControlAnswer, SubmitReply, VoterRecord};
 use dockwood_consensus::{self as consensus, Message, Node, Voter};
 use dockwood_grouping::{ColdLimit, GroupingPolicy};
@@ -272,6 +273,12 @@
         self.voter.as_ref().is_some_and(|voter| voter.leads(now.monotonic))
     }
 
+    /// Whether an order to a server may be sent now: this node still leads in the term in which it was given. Outputs may be
+    /// carried out late, and a new leader relies on earlier ones to send nothing more.
+    pub fn may_send_group_order(&self, now: Moment, order: &GroupOrder) -> bool {
+        self.leads(now) && self.leader_state().is_some_and(|leader_state| leader_state.term == order.fence)
+    }
+
     /// Whether this node leads and has applied everything that earlier leaders committed. Before, its state may be older than
     /// what was acknowledged.
     pub(crate) fn leads_with_current_state(&self, now: Moment) -> bool {
--- a/crates/control/tests/new_leader.rs
+++ b/crates/control/tests/new_leader.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{request, server_report_command};
-use dockwood_api::gateway::{InstanceState, OrderAnswer};
+use dockwood_api::gateway::{GroupCommand, GroupOrder, InstanceState, OrderAnswer};
 use dockwood_api::peer::{DelegatedRequest, DelegationAnswer, LeaseAnswer};
 use dockwood_consensus::{Body, Entry, HardState, Message, Node, Payload, Probe, Recovered, Settings};
 use dockwood_control::{ControlNode, Input, Moment, Output};
@@ -229,3 +229,22 @@
     member.advance(13_000);
     assert!(!member.node.tables().gateway.groups.contains_key(&1));
 }
+
+/// Outputs may be carried out late, for example behind a slow write to the disk.
+#[test]
+fn orders_are_not_sent_once_another_node_may_lead() {
+    let mut member = Member::elected(commands(1));
+    let term = member.node.core().expect("a voter").term();
+    let order = |fence| GroupOrder {
+        instance: "i-1".to_string(),
+        address: SocketAddr::from(([127, 0, 0, 9], 1)),
+        group: "g1".to_string(),
+        epoch: 1,
+        fence,
+        command: GroupCommand::Leave,
+    };
+    assert!(member.node.may_send_group_order(member.moment(), &order(term)));
+    assert!(!member.node.may_send_group_order(member.moment(), &order(term - 1)), "of an earlier term");
+    member.now += 1_000;
+    assert!(!member.node.may_send_group_order(member.moment(), &order(term)), "its lease has expired");
+}
--- a/crates/daemon/src/control/group_orders.rs
+++ b/crates/daemon/src/control/group_orders.rs
@@ -48,7 +48,8 @@
         });
     }
 
-    fn log_answer(&self, order: &GroupOrder, answer: OrderAnswer) {
+    /// Records the result of an order.
+    pub fn log_answer(&self, order: &GroupOrder, answer: OrderAnswer) {
         let line = OrderLine {
             order: format!("{:?}", order.command),
             instance: &order.instance,
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -13,6 +13,7 @@
 use crate::published::{Published, RoutingTable};
 use crate::settings::Settings;
 use crate::shared::Shared;
+use dockwood_api::gateway::OrderAnswer;
 use dockwood_api::peer::LeaseAnswer;
 use dockwood_consensus::{Message, Node, NodeId, Payload, Voter};
 use dockwood_control::{
@@ -322,7 +323,13 @@
             Output::ReadReply(reply, answer) => reply.read(answer),
             Output::SnapshotReply(reply, snapshot) => reply.snapshot(snapshot),
             Output::AnnounceLeader { to, term } => self.announcer.announce(&to, term),
-            Output::SendGroupOrder(order) => self.group_orders.send(order),
+            Output::SendGroupOrder(order) if self.node.may_send_group_order(now(), &order) => {
+                self.group_orders.send(order);
+            }
+            Output::SendGroupOrder(order) => {
+                self.group_orders.log_answer(&order, OrderAnswer::NotSent);
+                return Some(Input::GroupOrderAnswered(*order, OrderAnswer::NotSent));
+            }
             Output::Probe(probe) => self.group_orders.probe(probe),
             Output::SubmitReply(reply, answer) => reply.submit(answer),
             Output::LeaseReply(reply, answer) => reply.lease(self.with_stamp(answer)),
