--- a/crates/api/src/gateway/group.rs
+++ b/crates/api/src/gateway/group.rs
@@ -61,8 +61,8 @@
     Refused,
     /// No process listens at the address.
     Unreachable,
-    /// The order was not sent, as another daemon may lead by now.
-    NotSent,
     /// No response was received, or one that says nothing about the order: it may have been accepted, or may still be.
     Silent,
+    /// The order was not sent, as another daemon may lead by now.
+    NotSent,
 }
