Later leaders wait only for groups whose orders to join are not settled

Change: the leader commits `SettleJoins` for a group once all its orders to join were answered or are void. A new leader reckons with unanswered orders only in groups that are not settled, from its own election on. The formation times, and with them the voters' clocks, are not needed any more. The settled groups are stored with the state (format 7; without such groups it is written as format 6, which daemons of earlier versions that are not voters read). Why it works: orders to join are sent only while a group forms and only within the sender's lease, and the command is refused for a group that forms. So a settled group has no order that a leader doesn't know; an unsettled one has none that was sent after the election.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -3,7 +3,6 @@
 
 use crate::Millis;
 use crate::address_takeovers::AddressTakeovers;
-use crate::formation_times::FormationTimes;
 use crate::heartbeat_origin::{ForeignHeartbeat, ForeignHeartbeats, HeartbeatOrigin, heartbeat_origin};
 use crate::unexpected_memberships::UnexpectedMembership;
 use dockwood_api::gateway::{
@@ -14,6 +13,7 @@
     ColdLimit, Dispatcher, GroupPlaces, GroupingPolicy, Observations, OrderKind, OrderTracker,
     PlaceAllocator, ProbeResult, ScanScope, StaleMembers, View, advance_groups, full_scan_interval_ms,
     places_of_group, plan, plan_interval_ms, reap_instances, release_members, replace_slow_members,
+    settle_joins,
 };
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupRow, InstanceRow};
 use imbl::OrdMap;
@@ -128,16 +128,15 @@
 
     /// Takes over the groups of earlier leaders. Has an effect once.
     ///
-    /// What servers answered to earlier leaders isn't known, so each of their orders to join counts as unanswered since
-    /// the last moment at which it may have been sent.
-    pub fn take_over(&mut self, now: Millis, tables: &GatewayTables, formation_times: &FormationTimes) {
+    /// What servers answered to earlier leaders is known only of groups with settled joins. Of all others, each member
+    /// may have left an order to join unanswered.
+    pub fn take_over(&mut self, now: Millis, tables: &GatewayTables) {
         if std::mem::replace(&mut self.has_taken_over, true) {
             return;
         }
-        for group in tables.groups.values() {
-            let last_sent_at = formation_times.formed_at(group.epoch).unwrap_or(now);
+        for group in tables.groups.values().filter(|group| !tables.has_settled_joins(group.epoch)) {
             for member in &group.members {
-                self.observations.assume_unanswered_join(last_sent_at, member, group.epoch);
+                self.observations.assume_unanswered_join(now, member, group.epoch);
             }
         }
     }
@@ -317,6 +316,7 @@
             self.orders.set_staging_requests(plan.staging);
             commands = plan.commands;
         }
+        commands.extend(settle_joins(&view));
         commands
     }
 
--- a/crates/control/src/timeline.rs
+++ b/crates/control/src/timeline.rs
@@ -193,6 +193,7 @@
         }
         // The voters already record the phase change that led to it.
         GatewayCommand::Adopt(_) => None,
+        GatewayCommand::SettleJoins { .. } => None,
         // Trials are recorded by the daemons that request them.
         GatewayCommand::BeginTrial(_)
         | GatewayCommand::EndTrial { .. }
--- a/crates/control/tests/late_orders.rs
+++ b/crates/control/tests/late_orders.rs
@@ -3,7 +3,7 @@
 use dockwood_api::gateway::{
     GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport, MembershipState, OrderAnswer,
 };
-use dockwood_control::{FormationTimes, GatewayLeaderState};
+use dockwood_control::GatewayLeaderState;
 use dockwood_grouping::GroupingPolicy;
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupPurpose};
 use yare::parameterized;
@@ -21,7 +21,6 @@
 struct Fixture {
     leader: GatewayLeaderState,
     tables: GatewayTables,
-    formation_times: FormationTimes,
     now: u64,
     sequence: u64,
     epoch: u64,
@@ -32,7 +31,6 @@
         let mut fixture = Fixture {
             leader: GatewayLeaderState::default(),
             tables: GatewayTables::default(),
-            formation_times: FormationTimes::default(),
             now: OPENED_AT,
             sequence: 0,
             epoch: 0,
@@ -60,7 +58,6 @@
     fn set_phase(&mut self, phase: GroupPhase) {
         let (epoch, reason) = (self.epoch, String::new());
         self.tables.apply(&GatewayCommand::SetPhase { epoch, phase, reason });
-        self.formation_times.observe(self.now, &self.tables.groups);
     }
 
     fn membership(&self, state: MembershipState) -> MembershipReport {
@@ -100,7 +97,7 @@
     /// Replaces the leader by this node, which was a follower until now.
     fn change_leader(&mut self) {
         self.leader = GatewayLeaderState::default();
-        self.leader.take_over(self.now, &self.tables, &self.formation_times);
+        self.leader.take_over(self.now, &self.tables);
         self.decide();
     }
 
@@ -172,34 +169,36 @@
 /// head refused an order to leave; the head executed its order to join later, opened again, and was joined to another
 /// group.
 #[parameterized(
-    formed_shortly_before = { 2_000 },
-    formed_long_before = { 60_000 },
+    one_was_not_answered = { true },
+    all_were_answered = { false },
 )]
-fn a_new_leader_waits_for_orders_to_join_of_its_predecessors(formed_for_ms: u64) {
+fn a_new_leader_waits_for_unanswered_orders_to_join_of_its_predecessor(is_unanswered: bool) {
     let mut fixture = Fixture::with_open_group();
+    if is_unanswered {
+        fixture.leave_join_unanswered(HEAD);
+    }
+    fixture.decide();
+    assert_eq!(fixture.tables.has_settled_joins(fixture.epoch), !is_unanswered);
     fixture.set_phase(GroupPhase::Draining);
-    fixture.now = OPENED_AT + formed_for_ms;
+    fixture.now += 2_000;
     fixture.change_leader();
+    let changed_at = fixture.now;
     fixture.refuse_orders();
-    let is_void = formed_for_ms > JOIN_VOID_MS;
-    assert_eq!(fixture.has_ended(), is_void);
-    fixture.now = fixture.now.max(OPENED_AT + JOIN_VOID_MS);
+    assert_eq!(fixture.has_ended(), !is_unanswered);
+    fixture.now = changed_at + JOIN_VOID_MS;
     fixture.refuse_orders();
     assert!(fixture.has_ended());
 }
 
-/// Orders to join a group that is forming may have been sent until the leader changed.
 #[test]
-fn a_group_that_forms_while_the_leader_changes_waits_from_then_on() {
+fn orders_to_join_are_settled_once_they_are_void() {
     let mut fixture = Fixture::with_open_group();
-    fixture.formation_times = FormationTimes::default();
-    fixture.now += 60_000;
-    fixture.change_leader();
-    let changed_at = fixture.now;
-    fixture.set_phase(GroupPhase::Draining);
-    fixture.refuse_orders();
-    assert!(!fixture.has_ended());
-    fixture.now = changed_at + JOIN_VOID_MS;
-    fixture.refuse_orders();
-    assert!(fixture.has_ended());
+    fixture.leave_join_unanswered(MEMBER);
+    fixture.decide();
+    assert!(!fixture.tables.has_settled_joins(fixture.epoch));
+    fixture.now += JOIN_VOID_MS;
+    fixture.report(HEAD, Some(MembershipState::Open));
+    fixture.report(MEMBER, Some(MembershipState::Ready));
+    fixture.decide();
+    assert!(fixture.tables.has_settled_joins(fixture.epoch));
 }
--- a/crates/control/tests/new_leader.rs
+++ b/crates/control/tests/new_leader.rs
@@ -202,6 +202,10 @@
     assert!(member.most_applied_at_once <= most_at_once, "{} at once", member.most_applied_at_once);
 }
 
+fn encoded(command: GatewayCommand) -> Vec<u8> {
+    encode_command(&Command { at_ms: 1, body: CommandBody::Gateway(command) })
+}
+
 /// Commands of an earlier leader: a group of one server was formed, and is being closed.
 fn closing_group() -> Vec<Vec<u8>> {
     let form = GatewayCommand::Form {
@@ -213,21 +217,29 @@
     };
     let phases = [GroupPhase::Opening, GroupPhase::Open, GroupPhase::Cutting];
     let phases = phases.map(|phase| GatewayCommand::SetPhase { epoch: 1, phase, reason: String::new() });
-    let later = std::iter::once(form).chain(phases);
-    let encoded = later.map(|body| encode_command(&Command { at_ms: 1, body: CommandBody::Gateway(body) }));
-    std::iter::once(server_report_command(0, 0)).chain(encoded).collect()
+    let later = std::iter::once(form).chain(phases).map(encoded);
+    std::iter::once(server_report_command(0, 0)).chain(later).collect()
 }
 
 /// Regression: a new leader ended a group although its head might still execute an order to join of the leader before.
-#[test]
-fn a_new_leader_ends_no_group_while_its_head_may_execute_an_earlier_order_to_join() {
-    let mut member = Member::elected(closing_group());
+#[parameterized(
+    not_known_to_be_answered = { Vec::new(), true },
+    answered = { vec![GatewayCommand::SettleJoins { epoch: 1 }], false },
+)]
+fn a_new_leader_ends_no_group_while_its_head_may_execute_an_earlier_order_to_join(
+    later: Vec<GatewayCommand>,
+    waits: bool,
+) {
+    let mut commands = closing_group();
+    commands.extend(later.into_iter().map(encoded));
+    let mut member = Member::elected(commands);
     member.others_have_entries = true;
+    let has_group = |member: &Member| member.node.tables().gateway.groups.contains_key(&1);
     member.advance(4_000);
     assert!(member.group_orders >= 2, "the head refused to close and to leave");
-    assert!(member.node.tables().gateway.groups.contains_key(&1));
+    assert_eq!(has_group(&member), waits);
     member.advance(13_000);
-    assert!(!member.node.tables().gateway.groups.contains_key(&1));
+    assert!(!has_group(&member));
 }
 
 /// Outputs may be carried out late, for example behind a slow write to the disk.
--- a/crates/state/src/codec.rs
+++ b/crates/state/src/codec.rs
@@ -6,6 +6,7 @@
 use crate::suspicion::SuspicionTable;
 use crate::tables::Tables;
 use dockwood_api::{ApiError, ResultCode};
+use imbl::OrdSet;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -17,7 +18,9 @@
 /// First byte of a state that is followed by its suspicion table and the start times of removed instances.
 const STATE_WITH_STARTS_VERSION: u8 = 5;
 /// First byte of a state that is followed by these and the suspicion table of prompts.
-const STATE_VERSION: u8 = 6;
+const STATE_WITH_PROMPTS_VERSION: u8 = 6;
+/// First byte of a state that is followed by these and the groups with settled joins.
+const STATE_VERSION: u8 = 7;
 
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     encode_as(FORMAT_VERSION, value)
@@ -47,13 +50,33 @@
     pub fn encode(&self) -> Vec<u8> {
         let gateway = &self.tables.gateway;
         let starts = gateway.removed_starts();
-        encode_as(STATE_VERSION, &(self, &gateway.suspicion, starts, &gateway.prompt_suspicion))
+        let (suspicion, prompt_suspicion) = (&gateway.suspicion, &gateway.prompt_suspicion);
+        let settled_joins = gateway.settled_joins();
+        // Daemons of earlier versions that are not voters read the state as long as it has none of these groups.
+        if settled_joins.is_empty() {
+            return encode_as(STATE_WITH_PROMPTS_VERSION, &(self, suspicion, starts, prompt_suspicion));
+        }
+        encode_as(STATE_VERSION, &(self, suspicion, starts, prompt_suspicion, settled_joins))
     }
 
     /// Decodes the output of [`State::encode`], also that of earlier versions.
     pub fn decode(bytes: &[u8]) -> Result<State, ApiError> {
         let mut state: State = match bytes.split_first() {
             Some((&STATE_VERSION, body)) => {
+                let (mut state, suspicion, starts, prompt_suspicion, settled_joins): (
+                    State,
+                    SuspicionTable,
+                    Vec<(String, u64)>,
+                    PromptSuspicionTable,
+                    OrdSet<u64>,
+                ) = decode_body(body)?;
+                state.tables.gateway.suspicion = suspicion;
+                state.tables.gateway.prompt_suspicion = prompt_suspicion;
+                state.tables.gateway.restore_removed_starts(starts);
+                state.tables.gateway.restore_settled_joins(settled_joins);
+                state
+            }
+            Some((&STATE_WITH_PROMPTS_VERSION, body)) => {
                 let (mut state, suspicion, starts, prompt_suspicion): (
                     State,
                     SuspicionTable,
--- a/crates/state/src/gateway/command.rs
+++ b/crates/state/src/gateway/command.rs
@@ -135,6 +135,11 @@
         /// Who released them, and why.
         reason: String,
     },
+    /// No order to join this group can be executed any more: every one was answered, or is void.
+    SettleJoins {
+        /// Group epoch.
+        epoch: u64,
+    },
 }
 
 impl GatewayCommand {
@@ -172,6 +177,7 @@
             | GatewayCommand::Release { .. }
             | GatewayCommand::BeginTrial(_)
             | GatewayCommand::EndTrial { .. }
+            | GatewayCommand::SettleJoins { .. }
             | GatewayCommand::NoteRequests => None,
         }
     }
--- a/crates/state/src/gateway/mod.rs
+++ b/crates/state/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 use crate::suspicion::SuspicionTable;
 use dockwood_api::ResultCode;
 use dockwood_api::gateway::{ColdStart, EngineProfile, GatewayConfiguration, InstanceState};
-use imbl::OrdMap;
+use imbl::{OrdMap, OrdSet};
 use removed::{RemovedInstances, started_later};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -43,6 +43,9 @@
     /// Parts of prompts suspected of crashing servers; stored separately from the other tables.
     #[serde(skip)]
     pub prompt_suspicion: PromptSuspicionTable,
+    /// Groups that no member can join any more by an order that was sent before; stored separately from the other tables.
+    #[serde(skip)]
+    settled_joins: OrdSet<u64>,
     /// Epoch of the newest group.
     pub last_epoch: u64,
     /// Whether any request was ever received.
@@ -91,6 +94,7 @@
                 self.prompt_suspicion.expire(*at_ms);
                 self.suspicion.expire(*at_ms)
             }
+            GatewayCommand::SettleJoins { epoch } => self.settle_joins(*epoch),
             GatewayCommand::Adopt(row) => {
                 self.groups.insert(row.epoch, row.clone());
                 Applied::with_changes(Vec::new())
@@ -162,6 +166,30 @@
         self.memberships = self.groups.values().flat_map(members).collect();
     }
 
+    /// Whether every order to join a group is known to have been answered or to be void.
+    pub fn has_settled_joins(&self, epoch: u64) -> bool {
+        self.settled_joins.contains(&epoch)
+    }
+
+    /// Groups with settled joins, for storing.
+    pub(crate) fn settled_joins(&self) -> &OrdSet<u64> {
+        &self.settled_joins
+    }
+
+    /// Restores the stored groups with settled joins.
+    pub(crate) fn restore_settled_joins(&mut self, epochs: OrdSet<u64>) {
+        self.settled_joins = epochs;
+    }
+
+    fn settle_joins(&mut self, epoch: u64) -> Applied {
+        // Orders to join a group are sent as long as it is forming.
+        let is_formed = self.groups.get(&epoch).is_some_and(|group| group.phase != GroupPhase::Forming);
+        if is_formed {
+            self.settled_joins.insert(epoch);
+        }
+        Applied::with_changes(Vec::new())
+    }
+
     /// Whether an instance with this id was removed.
     pub fn was_removed(&self, id: &str) -> bool {
         self.removed.contains(id)
@@ -385,6 +413,7 @@
 
     fn dissolve(&mut self, epoch: u64) {
         let Some(row) = self.groups.remove(&epoch) else { return };
+        self.settled_joins.remove(&epoch);
         for member in &row.members {
             self.memberships.remove(member);
         }
