--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -60,6 +60,7 @@
     foreign_heartbeats: ForeignHeartbeats,
     /// The unexpected membership that the last report showed, until it is recorded.
     unexpected_membership: Option<UnexpectedMembership>,
+    /// Whether the groups of earlier leaders have been taken over.
     has_taken_over: bool,
     initialized: bool,
     /// When all groups and servers are checked again.
--- a/crates/grouping/src/membership.rs
+++ b/crates/grouping/src/membership.rs
@@ -32,15 +32,15 @@
     if departure(view, instance, epoch) == Departure::Final {
         return true;
     }
-    // All orders to join were sent before the group began to close, so a report that was sent after that, and after
-    // they became void, reflects whether the server is still a member.
+    // All orders to join were sent before the group began to close. A report that was sent after that, and after they
+    // became void, reflects whether the server is still a member.
     let Some(seen) = view.observations.instance(instance) else { return false };
-    let newest_known_cause_at = match seen.outstanding_joins.void(epoch) {
+    let may_join_until = match seen.outstanding_joins.void(epoch) {
         None => closing_since,
         Some(JoinsVoid::At(void_at)) => closing_since.max(void_at),
         Some(JoinsVoid::Unknown) => return false,
     };
-    let was_sent_after = seen.newest_report_at >= newest_known_cause_at + MAX_REPORT_DELAY_MS;
+    let was_sent_after = seen.newest_report_at >= may_join_until + MAX_REPORT_DELAY_MS;
     was_sent_after && !seen.is_reported_in(epoch)
 }
 
