A change of the leader does not prolong the wait for orders to join

Cause: counted the orders of a group that isn't settled from each election on. With elections more often than orders become void, 12.4 s, such groups were never settled and never released their servers. A voter that has just started still counts from its election on. Why it works: orders to join are sent only while a group forms, so the time at which a voter saw it formed bounds them, whoever leads later.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -3,6 +3,7 @@
 
 use crate::Millis;
 use crate::address_takeovers::AddressTakeovers;
+use crate::formation_times::FormationTimes;
 use crate::heartbeat_origin::{ForeignHeartbeat, ForeignHeartbeats, HeartbeatOrigin, heartbeat_origin};
 use crate::unexpected_memberships::UnexpectedMembership;
 use dockwood_api::gateway::{
@@ -130,14 +131,15 @@
     /// Takes over the groups of earlier leaders. Has an effect once.
     ///
     /// What servers answered to earlier leaders is known only of groups with settled joins. Of all others, each member
-    /// may have left an order to join unanswered.
-    pub fn take_over(&mut self, now: Millis, tables: &GatewayTables) {
+    /// may have left an order to join unanswered, which was sent while the group was forming.
+    pub fn take_over(&mut self, now: Millis, tables: &GatewayTables, formation_times: &FormationTimes) {
         if std::mem::replace(&mut self.has_taken_over, true) {
             return;
         }
         for group in tables.groups.values().filter(|group| !tables.has_settled_joins(group.epoch)) {
+            let last_sent_at = formation_times.formed_at(group.epoch).unwrap_or(now);
             for member in &group.members {
-                self.observations.assume_unanswered_join(now, member, group.epoch);
+                self.observations.assume_unanswered_join(last_sent_at, member, group.epoch);
             }
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -144,6 +144,7 @@
     pub fn finish_turn(&mut self, now: Moment) -> Vec<Output<R>> {
         self.step_core(now, consensus::Input::Tick);
         self.apply_committed();
+        self.observe_formations(now);
         let batch = std::mem::take(&mut self.batch);
         self.propose(now, batch);
         self.run_controllers(now);
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -2,6 +2,7 @@
 //! committed.
 
 use crate::Millis;
+use crate::formation_times::FormationTimes;
 use crate::leader::LeaderState;
 use crate::lease_proxy::LeaseProxy;
 use crate::log_size::LogSize;
@@ -41,6 +42,7 @@
     pub proxy: LeaseProxy<R>,
     pub leader: Option<SocketAddr>,
     pub log_size: LogSize,
+    pub formation_times: FormationTimes,
 }
 
 impl<R> VoterState<R> {
@@ -57,6 +59,7 @@
             leader_state: None,
             proxy: LeaseProxy::new(0),
             leader: None,
+            formation_times: FormationTimes::default(),
         }
     }
 
--- a/crates/control/src/voter_turn.rs
+++ b/crates/control/src/voter_turn.rs
@@ -54,6 +54,13 @@
         self.step_core(now, consensus::Input::SnapshotLoaded { to, index, term, data });
     }
 
+    /// Records which groups have been formed.
+    pub(crate) fn observe_formations(&mut self, now: Moment) {
+        if let Some(voter) = &mut self.voter {
+            voter.formation_times.observe(now.monotonic, &self.board.state.tables.gateway.groups);
+        }
+    }
+
     pub(crate) fn run_controllers(&mut self, now: Moment) {
         let Some(voter) = &mut self.voter else { return };
         if !voter.leads_with_current_state(now.monotonic) {
@@ -62,7 +69,7 @@
         let Some(leader_state) = &mut voter.leader_state else { return };
         self.board.drop_stale_observations();
         let gateway_tables = &self.board.state.tables.gateway;
-        leader_state.gateway.take_over(now.monotonic, gateway_tables);
+        leader_state.gateway.take_over(now.monotonic, gateway_tables, &voter.formation_times);
         let group_orders = leader_state.gateway.orders_to_send(
             now.monotonic,
             gateway_tables,
--- a/crates/control/tests/late_orders.rs
+++ b/crates/control/tests/late_orders.rs
@@ -3,7 +3,7 @@
 use dockwood_api::gateway::{
     GroupCommand, GroupOrder, InstanceReport, InstanceState, MembershipReport, MembershipState, OrderAnswer,
 };
-use dockwood_control::GatewayLeaderState;
+use dockwood_control::{FormationTimes, GatewayLeaderState};
 use dockwood_grouping::GroupingPolicy;
 use dockwood_state::{GatewayCommand, GatewayTables, GroupPhase, GroupPurpose};
 use yare::parameterized;
@@ -21,6 +21,7 @@
 struct Fixture {
     leader: GatewayLeaderState,
     tables: GatewayTables,
+    formation_times: FormationTimes,
     now: u64,
     sequence: u64,
     epoch: u64,
@@ -31,6 +32,7 @@
         let mut fixture = Fixture {
             leader: GatewayLeaderState::default(),
             tables: GatewayTables::default(),
+            formation_times: FormationTimes::default(),
             now: OPENED_AT,
             sequence: 0,
             epoch: 0,
@@ -58,6 +60,7 @@
     fn set_phase(&mut self, phase: GroupPhase) {
         let (epoch, reason) = (self.epoch, String::new());
         self.tables.apply(&GatewayCommand::SetPhase { epoch, phase, reason });
+        self.formation_times.observe(self.now, &self.tables.groups);
     }
 
     fn membership(&self, state: MembershipState) -> MembershipReport {
@@ -97,7 +100,7 @@
     /// Replaces the leader by this node, which was a follower until now.
     fn change_leader(&mut self) {
         self.leader = GatewayLeaderState::default();
-        self.leader.take_over(self.now, &self.tables);
+        self.leader.take_over(self.now, &self.tables, &self.formation_times);
         self.decide();
     }
 
@@ -182,10 +185,9 @@
     fixture.set_phase(GroupPhase::Draining);
     fixture.now += 2_000;
     fixture.change_leader();
-    let changed_at = fixture.now;
     fixture.refuse_orders();
     assert_eq!(fixture.has_ended(), !is_unanswered);
-    fixture.now = changed_at + JOIN_VOID_MS;
+    fixture.now = OPENED_AT + JOIN_VOID_MS;
     fixture.refuse_orders();
     assert!(fixture.has_ended());
 }
@@ -202,3 +204,38 @@
     fixture.decide();
     assert!(fixture.tables.has_settled_joins(fixture.epoch));
 }
+
+/// Regression: with leaders that changed more often than orders become void, groups that were not settled held their
+/// servers for ever.
+#[test]
+fn a_further_change_of_the_leader_does_not_prolong_the_wait() {
+    let mut fixture = Fixture::with_open_group();
+    fixture.leave_join_unanswered(HEAD);
+    fixture.set_phase(GroupPhase::Draining);
+    for _ in 0..3 {
+        fixture.now += 3_000;
+        fixture.change_leader();
+        fixture.refuse_orders();
+        assert!(!fixture.has_ended());
+    }
+    fixture.now = OPENED_AT + JOIN_VOID_MS;
+    fixture.refuse_orders();
+    assert!(fixture.has_ended());
+}
+
+/// A voter that has just started doesn't know when the groups were formed.
+#[test]
+fn a_leader_that_does_not_know_when_a_group_was_formed_waits_from_its_election_on() {
+    let mut fixture = Fixture::with_open_group();
+    fixture.formation_times = FormationTimes::default();
+    fixture.now += 60_000;
+    fixture.change_leader();
+    let changed_at = fixture.now;
+    let (epoch, reason) = (fixture.epoch, String::new());
+    fixture.tables.apply(&GatewayCommand::SetPhase { epoch, phase: GroupPhase::Draining, reason });
+    fixture.refuse_orders();
+    assert!(!fixture.has_ended());
+    fixture.now = changed_at + JOIN_VOID_MS;
+    fixture.refuse_orders();
+    assert!(fixture.has_ended());
+}
--- a/crates/grouping/src/observations.rs
+++ b/crates/grouping/src/observations.rs
@@ -173,10 +173,10 @@
         }
     }
 
-    /// Records that an earlier leader may have sent an order to join that was not answered. None was sent after `now`.
-    pub fn assume_unanswered_join(&mut self, now: Millis, instance: &str, epoch: u64) {
+    /// Records that an earlier leader may have sent an order to join that was not answered. None was sent after `sent_at`.
+    pub fn assume_unanswered_join(&mut self, sent_at: Millis, instance: &str, epoch: u64) {
         let seen = self.instances.entry(instance.to_string()).or_default();
-        seen.outstanding_joins.timed_out(epoch, now + ORDER_TIMEOUT_MS);
+        seen.outstanding_joins.timed_out(epoch, sent_at + ORDER_TIMEOUT_MS);
     }
 
     /// Records a server's answer to an order.
