Emulator: a request is subscribed to before a step can end it as abandoned

Cause, in the emulator: a request was accepted (Group::submit) and its stream subscribed to the run only afterwards. A step that began in between found a repeatable run without a subscriber and ended it, as engines do when the caller has left. The daemon was told that the run was aborted and needed a retry, which the budget of that test no longer had. The step loop and all requests that wait for a paused head go on at the same moment, so that this test meets the gap most often.

Why it works: the subscription is made under the lock under which the run becomes visible to the steps (SubscribedRun).

--- a/crates/emulator/src/group.rs
+++ b/crates/emulator/src/group.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{LedgerRecord, LedgerWriter};
 use crate::machine::{Machine, MachineStatus};
 use crate::prefix_cache::{CacheEvent, PrefixCache};
-use crate::run::{Progress, Run};
+use crate::run::{Progress, Run, SubscribedRun};
 use crate::wall_ms;
 use dockwood_api::engine::{GenerateRequest, LoadPlan, RequestPhase, RequestState};
 use std::collections::HashMap;
@@ -133,8 +133,8 @@
     }
 
     /// Accepts a request, or returns the existing run of the same id if the request must not be started
-    /// twice.
-    pub fn submit(&self, request: GenerateRequest) -> Result<Arc<Run>, SubmitError> {
+    /// twice. The run is subscribed to before a step can find it abandoned.
+    pub fn submit(&self, request: GenerateRequest) -> Result<SubscribedRun, SubmitError> {
         if request.replica != self.plan.replica || request.epoch != self.plan.epoch {
             return Err(SubmitError::WrongEpoch);
         }
@@ -144,17 +144,18 @@
             Some(Some(run)) if !request.repeatable => {
                 // The tokens that it generated can be read again, but none are generated again, whatever its
                 // result.
-                return Ok(run.clone());
+                return Ok(SubscribedRun::new(run.clone()));
             }
             _ => {}
         }
         self.record_dispatch(&request);
         let run = Arc::new(Run::new(request));
+        let subscribed = SubscribedRun::new(run.clone());
         requests.record(&run.request.id, Some(run.clone()));
-        requests.waiting.push(run.clone());
+        requests.waiting.push(run);
         // A stable sort, which keeps the order of requests with equal priority.
         requests.waiting.sort_by_key(|waiting| waiting.request.priority);
-        Ok(run)
+        Ok(subscribed)
     }
 
     fn record_dispatch(&self, request: &GenerateRequest) {
--- a/crates/emulator/src/http/engine.rs
+++ b/crates/emulator/src/http/engine.rs
@@ -5,7 +5,7 @@
 use crate::group::{Group, SubmitError};
 use crate::ledger::LedgerRecord;
 use crate::machine::{Machine, MachineStatus};
-use crate::run::{Progress, Run};
+use crate::run::{Progress, SubscribedRun};
 use crate::text::{FATAL_PROMPT, token_text};
 use crate::wall_ms;
 use bytes::Bytes;
@@ -20,7 +20,6 @@
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Delay between attempts to listen again after a restart.
@@ -185,8 +184,8 @@
     match group.submit(request) {
         Err(SubmitError::WrongEpoch) => error_response(StatusCode::CONFLICT, "another replica or epoch"),
         Err(SubmitError::Barred) => error_response(StatusCode::GONE, "the id is barred"),
-        Ok(run) => {
-            let lines = event_stream(context.machine.clone(), run, from);
+        Ok(subscribed) => {
+            let lines = event_stream(context.machine.clone(), subscribed, from);
             let response =
                 Response::builder().content_type("application/x-ndjson").body(Body::from_bytes_stream(lines));
             context.machine.pushback.add_headers(response)
@@ -210,8 +209,7 @@
 /// Streams the events of a run to one caller.
 struct EventStream {
     machine: Arc<Machine>,
-    run: Arc<Run>,
-    progress: watch::Receiver<Progress>,
+    subscribed: SubscribedRun,
     next_sequence: u32,
     sent_started: bool,
     sent_last: bool,
@@ -219,12 +217,11 @@
 
 fn event_stream(
     machine: Arc<Machine>,
-    run: Arc<Run>,
+    subscribed: SubscribedRun,
     from: u32,
 ) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
-    let progress = run.watch();
     let stream_state =
-        EventStream { machine, run, progress, next_sequence: from, sent_started: false, sent_last: false };
+        EventStream { machine, subscribed, next_sequence: from, sent_started: false, sent_last: false };
     stream::unfold(stream_state, |mut stream_state| async move {
         let lines = stream_state.next_lines().await?;
         Some((Ok(Bytes::from(lines)), stream_state))
@@ -239,33 +236,34 @@
         }
         loop {
             self.machine.wait_until_responsive().await;
-            let progress = *self.progress.borrow_and_update();
+            let progress = *self.subscribed.progress.borrow_and_update();
             let lines = self.lines_up_to(progress);
             if !lines.is_empty() {
                 return Some(lines);
             }
-            self.progress.changed().await.ok()?;
+            self.subscribed.progress.changed().await.ok()?;
         }
     }
 
     fn lines_up_to(&mut self, progress: Progress) -> Vec<u8> {
+        let run = &self.subscribed.run;
         let mut lines = Vec::new();
         let has_started =
             progress.next_sequence > self.next_sequence || progress.phase != RequestPhase::Running;
         if has_started && !self.sent_started {
             self.sent_started = true;
-            let (prompt_tokens, cached_tokens) = (self.run.prompt_tokens, self.run.cached_tokens());
+            let (prompt_tokens, cached_tokens) = (run.prompt_tokens, run.cached_tokens());
             push_line(&mut lines, &GenerateEvent::Started { prompt_tokens, cached_tokens });
         }
         while self.next_sequence < progress.next_sequence {
-            let text = token_text(self.run.prompt_digest, self.next_sequence);
+            let text = token_text(run.prompt_digest, self.next_sequence);
             push_line(&mut lines, &GenerateEvent::Token { sequence: self.next_sequence, text });
             self.next_sequence += 1;
         }
         match progress.phase {
             RequestPhase::Finished => {
                 self.sent_last = true;
-                push_line(&mut lines, &GenerateEvent::Finished { tokens: self.run.total_tokens });
+                push_line(&mut lines, &GenerateEvent::Finished { tokens: run.total_tokens });
             }
             RequestPhase::Aborted => {
                 self.sent_last = true;
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::text::{answer_length, prompt_digest, token_count};
 use dockwood_api::engine::{GenerateRequest, RequestPhase};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 
 /// Progress of a run.
@@ -14,6 +14,22 @@
     pub next_sequence: u32,
 }
 
+/// A run with a subscription to its progress. As long as it exists, the run is not abandoned.
+#[derive(Debug)]
+pub struct SubscribedRun {
+    /// The run.
+    pub run: Arc<Run>,
+    /// Its progress.
+    pub progress: watch::Receiver<Progress>,
+}
+
+impl SubscribedRun {
+    /// Subscribes to a run.
+    pub fn new(run: Arc<Run>) -> SubscribedRun {
+        SubscribedRun { progress: run.progress.subscribe(), run }
+    }
+}
+
 /// The execution of a request in a group.
 #[derive(Debug)]
 pub struct Run {
@@ -46,11 +62,6 @@
         }
     }
 
-    /// Subscribes to the progress of the run.
-    pub fn watch(&self) -> watch::Receiver<Progress> {
-        self.progress.subscribe()
-    }
-
     /// Returns the number of prompt tokens found in the prefix cache.
     pub fn cached_tokens(&self) -> u32 {
         *self.cached_tokens.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -241,3 +241,29 @@
     }
     panic!("the machine did not come back");
 }
+
+/// Guards against runs that end as abandoned between their acceptance and the first read of their stream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_that_are_read_are_never_aborted() -> TestResult {
+    const ROUNDS: usize = 25;
+    const REQUESTS: usize = 48;
+    let fleet = start_fleet_with_steps(1).await?;
+    fleet.load_all(1).await?;
+    for round in 0..ROUNDS {
+        // All requests are accepted when the head resumes, and with it the steps of its group.
+        fleet.admin(0, "pause").await?;
+        let requests: Vec<_> =
+            (0..REQUESTS).map(|number| fleet.request(&format!("{round}-{number}"), 0, true)).collect();
+        let answers = futures::future::join_all(requests.iter().map(|request| fleet.generate(request)));
+        let (answers, resumed) = tokio::join!(answers, async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            fleet.admin(0, "resume").await
+        });
+        resumed?;
+        for answer in answers {
+            let (_, events) = answer?;
+            assert_eq!(text(&events), expected_answer("a prompt", 40), "round {round}: {events:?}");
+        }
+    }
+    Ok(())
+}
