--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -55,8 +55,8 @@
     dispatcher: Dispatcher,
     orders: OrderTracker,
     stale_members: StaleMembers,
-    /// Members that did not answer a join order; to be probed.
-    unanswered_joins: BTreeSet<String>,
+    /// Members to probe, because they did not answer an order to join.
+    silent_joiners: BTreeSet<String>,
     address_takeovers: AddressTakeovers,
     foreign_heartbeats: ForeignHeartbeats,
     /// The unexpected membership that the last report showed, until it is recorded.
@@ -254,7 +254,7 @@
                 self.observations.record_probe(now, &order.instance, ProbeResult::Refused);
             }
             OrderAnswer::Silent if OrderKind::of(&order.command) == OrderKind::Join => {
-                self.unanswered_joins.insert(order.instance.clone());
+                self.silent_joiners.insert(order.instance.clone());
             }
             _ => {}
         }
@@ -354,8 +354,8 @@
     /// Returns the instances to probe now: members of silent or slow groups, slow servers, members that did
     /// not answer a join order, and instances that seem to have taken over another one's address.
     pub fn probes(&mut self, now: Millis, tables: &GatewayTables) -> Vec<InstanceProbe> {
-        let unanswered_joins = std::mem::take(&mut self.unanswered_joins);
-        let rows = unanswered_joins.iter().filter_map(|instance| tables.instances.get(instance));
+        let silent_joiners = std::mem::take(&mut self.silent_joiners);
+        let rows = silent_joiners.iter().filter_map(|instance| tables.instances.get(instance));
         let mut probes: Vec<InstanceProbe> = rows.map(|row| probe_of(row)).collect();
         probes.extend(self.slowness_probes(now, tables));
         probes.extend(self.address_takeovers.due_probes(tables));
